--- /dev/null
+++ b/fireflycroft/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/wiregen/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
