Settle the core's types and the way of a request through entry and agent

Chosen: an offer reserves, an accept names a generation id of the agent's own, only a start with that id runs; the claim of an idempotency key is written after the reservation and names it. Weighed: claiming before an agent is chosen (a refused request would then leave a claim to release, one more write), and a single dispatch step (a delayed copy could run after "not run" was said). Before: nothing ran.

--- /dev/null
+++ b/fireflycroft/src/entry.rs
@@ -0,0 +1,525 @@
+//! The entry: takes a caller's request and sees it to its one answer.
+//!
+//! A call is checked, offered to agents until one reserves, claimed where its
+//! key asks for it, started, and read token by token. What happens comes in
+//! as [`EntryEvent`]s, what is to be done comes out as [`EntryAction`]s.
+//! `submit` holds the checks, `dispatch` the way to a start, `deliver` the
+//! reading.
+
+use crate::claim::{ClaimAnswer, ClaimOp, ClaimRun};
+use crate::code::{Class, Code};
+use crate::config::{Adopted, Config, InForce};
+use crate::ids::{CallId, Digest, GenerationId, IdSource, Name, RequestId};
+use crate::member::{MemberRecord, MemberState};
+use crate::message::{ConfigVersion, Envelope, Finish, Message};
+use crate::note::Note;
+use crate::quarantine::Quarantine;
+use crate::quota::Quotas;
+use crate::retry::RetryBudget;
+use crate::route::{RoutePolicy, Router};
+use crate::stream::{Chunk, Cursor};
+use crate::time::Time;
+use crate::work::{Demand, Priority, Work};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bounds and waits of an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryLimits {
+    /// Wait for an answer to an offer before another agent is asked.
+    pub offer_wait: Duration,
+    /// Agents asked for one request before it is refused.
+    pub max_offers: usize,
+    /// Silence of an agent after which a poll is sent.
+    pub poll_after: Duration,
+    /// Silence of an agent after which it is given up.
+    pub silence: Duration,
+    /// Time between acknowledgements that also say the reader is there.
+    pub ack_every: Duration,
+    /// Starts of one repeatable request in all.
+    pub max_starts: u32,
+    /// Time that a claim may take.
+    pub claim_wait: Duration,
+    /// How long an agent is left out after it was given up.
+    pub avoid: Duration,
+    /// Bytes of a whole answer held back.
+    pub max_answer: usize,
+    /// Calls at once.
+    pub max_calls: usize,
+    /// What a refused caller waits at least.
+    pub min_retry_after: Duration,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            offer_wait: Duration::from_millis(300),
+            max_offers: 4,
+            poll_after: Duration::from_millis(500),
+            silence: Duration::from_secs(3),
+            ack_every: Duration::from_secs(1),
+            max_starts: 3,
+            claim_wait: Duration::from_millis(1_500),
+            avoid: Duration::from_secs(2),
+            max_answer: 8 * 1024 * 1024,
+            max_calls: 4_096,
+            min_retry_after: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What an entry is told at its start.
+#[derive(Clone, Debug)]
+pub struct EntrySetup {
+    /// Data centre it runs in.
+    pub data_centre: Name,
+    /// How it chooses among agents.
+    pub policy: RoutePolicy,
+    /// Secret from which ids are drawn.
+    pub seed: [u8; 32],
+    /// Bounds and waits.
+    pub limits: EntryLimits,
+}
+
+/// How the caller wants the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// Token by token.
+    Stream,
+    /// All at once; held back until complete.
+    Whole,
+}
+
+/// A caller's request as the front has read it.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// BLAKE3 digest of the caller's key.
+    pub key_digest: [u8; 32],
+    /// Model or plain service.
+    pub target: Name,
+    /// HTTP method, for rules on repeating.
+    pub method: Name,
+    /// Path, for rules on repeating.
+    pub path: Name,
+    /// The work.
+    pub work: Work,
+    /// Priority that the caller asks for.
+    pub priority: Option<Priority>,
+    /// Tokens of the prompt, estimated.
+    pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+    /// Digest of the prompt's head.
+    pub prefix: Digest,
+    /// How the answer is wanted.
+    pub delivery: Delivery,
+    /// `Idempotency-Key`, when there is one.
+    pub idempotency_key: Option<Name>,
+    /// Whether the caller forbids to repeat it.
+    pub never_repeat: bool,
+    /// Place to go on from, when the caller comes back.
+    pub resume: Option<ResumePoint>,
+}
+
+/// Place in a stream, as the id of an event tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumePoint {
+    /// The request that started the generation.
+    pub request: RequestId,
+    /// The generation.
+    pub generation: GenerationId,
+    /// Name of the agent that keeps it.
+    pub agent: Name,
+    /// First token not yet received.
+    pub next: u64,
+}
+
+/// What an entry hears.
+#[derive(Clone, Debug)]
+pub enum EntryEvent {
+    /// A caller's request.
+    Submit(CallId, Box<Submission>),
+    /// The caller went away.
+    CallerGone(CallId),
+    /// The caller took all tokens below that number.
+    Taken(CallId, u64),
+    /// A message of a process of the fleet.
+    Message(Box<Envelope>),
+    /// The platform's answer on a call's claim.
+    Claim(CallId, ClaimAnswer),
+    /// A configuration was read.
+    Config(Arc<Config>),
+    /// What membership says of an agent or entry.
+    Member(MemberRecord),
+    /// Number of entries alive, for shares of quotas.
+    Entries(u32),
+    /// The entry is to stop.
+    Leave,
+    /// Time went on.
+    Tick,
+}
+
+/// What a caller is given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The generation has begun; tokens follow.
+    Begin(ResumePoint),
+    /// Next tokens.
+    Tokens(Chunk),
+    /// The end of a whole answer.
+    End(Finish),
+    /// No more comes: why, and when to come back.
+    Fail {
+        /// Result code.
+        code: Code,
+        /// When to come back; `None` when there is no use in it.
+        retry_after: Option<Duration>,
+        /// Tokens given so far.
+        delivered: u64,
+    },
+}
+
+/// What an entry wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EntryAction {
+    /// Send a message.
+    Send(SocketAddr, Message),
+    /// Send a message to every member that is known.
+    Broadcast(Message),
+    /// Give this to a caller.
+    Reply(CallId, Reply),
+    /// Ask the platform about the claim of that key.
+    Claim(CallId, Digest, ClaimOp),
+    /// Ask the sender for its configuration.
+    PullConfig(SocketAddr),
+    /// Something to log and count.
+    Note(Note),
+}
+
+/// Where an offer was made.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    pub(crate) agent: Name,
+    pub(crate) addr: SocketAddr,
+}
+
+/// Why a generation is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// This call started it.
+    Own,
+    /// Another call with the same key started it; the claim's version.
+    Joined(u64),
+    /// The caller came back to it.
+    Resumed,
+}
+
+/// A generation that is read.
+#[derive(Clone, Debug)]
+pub(crate) struct Reading {
+    pub(crate) asked: Asked,
+    pub(crate) origin: Origin,
+    pub(crate) request: RequestId,
+    pub(crate) cursor: Cursor,
+    /// When a frame of it came last; the start until then.
+    pub(crate) heard: Time,
+    /// Whether any frame came.
+    pub(crate) begun: bool,
+    pub(crate) polled: Time,
+    pub(crate) acked_at: Time,
+    pub(crate) acked: u64,
+}
+
+/// Where a call is on its way.
+#[derive(Clone, Debug)]
+pub(crate) enum Phase {
+    /// No agent was asked yet.
+    New,
+    /// An offer is out.
+    Offered { asked: Asked, sent: Time },
+    /// The agent has it in its queue.
+    Queued {
+        asked: Asked,
+        heard: Time,
+        until: Time,
+    },
+    /// Reserved; the key is being claimed.
+    Claiming {
+        asked: Asked,
+        generation: GenerationId,
+        run: ClaimRun,
+    },
+    /// A generation is read.
+    Reading(Reading),
+}
+
+/// One caller's request on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) id: CallId,
+    pub(crate) request: RequestId,
+    pub(crate) demand: Demand,
+    pub(crate) work: Work,
+    pub(crate) delivery: Delivery,
+    pub(crate) claim_key: Option<Digest>,
+    /// Version of a claim that may be replaced.
+    pub(crate) replace: Option<u64>,
+    pub(crate) phase: Phase,
+    pub(crate) attempt: u32,
+    pub(crate) starts: u32,
+    pub(crate) tried: Vec<Name>,
+    /// Agents asked in this round of offers.
+    pub(crate) offers: usize,
+    /// Soonest time that a refusing agent named.
+    pub(crate) retry_after: Option<Duration>,
+    /// Worst reason that a refusing agent gave.
+    pub(crate) refusal: Option<Code>,
+    pub(crate) received: Time,
+    /// Whether the caller was told which generation it is given.
+    pub(crate) told_begin: bool,
+    pub(crate) held_back: Chunk,
+    pub(crate) max_wait: Duration,
+    /// Tokens charged to the quota beforehand.
+    pub(crate) charged: u64,
+}
+
+/// The entry.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub(crate) limits: EntryLimits,
+    pub(crate) ids: IdSource,
+    pub(crate) config: InForce,
+    pub(crate) router: Router,
+    pub(crate) calls: HashMap<CallId, Call>,
+    pub(crate) by_request: HashMap<RequestId, CallId>,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) quotas: Quotas,
+    pub(crate) retries: RetryBudget,
+    pub(crate) entries: u32,
+    pub(crate) leaving: bool,
+}
+
+impl Entry {
+    /// An entry that knows no configuration and no agents yet.
+    #[must_use]
+    pub fn new(setup: EntrySetup) -> Self {
+        Self {
+            limits: setup.limits,
+            ids: IdSource::new(setup.seed),
+            config: InForce::default(),
+            router: Router::new(setup.policy, setup.data_centre),
+            calls: HashMap::new(),
+            by_request: HashMap::new(),
+            quarantine: Quarantine::default(),
+            quotas: Quotas::default(),
+            retries: RetryBudget::default(),
+            entries: 1,
+            leaving: false,
+        }
+    }
+
+    /// Takes one event at `now` and adds what is to be done to `out`.
+    pub fn on_event(&mut self, now: Time, event: EntryEvent, out: &mut Vec<EntryAction>) {
+        match event {
+            EntryEvent::Submit(id, submission) => self.on_submit(now, id, *submission, out),
+            EntryEvent::CallerGone(id) => self.on_caller_gone(id, out),
+            EntryEvent::Taken(id, next) => self.on_taken(now, id, next, out),
+            EntryEvent::Message(envelope) => self.on_message(now, *envelope, out),
+            EntryEvent::Claim(id, answer) => self.on_claim(now, id, answer, out),
+            EntryEvent::Config(config) => self.on_config(&config, out),
+            EntryEvent::Member(record) => self.on_member(now, &record, out),
+            EntryEvent::Entries(count) => self.entries = count.max(1),
+            EntryEvent::Leave => self.leaving = true,
+            EntryEvent::Tick => self.on_tick(now, out),
+        }
+    }
+
+    /// Version of the configuration in force here.
+    #[must_use]
+    pub fn config_version(&self) -> ConfigVersion {
+        self.config.version()
+    }
+
+    /// The configuration in force here.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.config.get()
+    }
+
+    /// The table of agents.
+    #[must_use]
+    pub const fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// Calls under way.
+    #[must_use]
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Whether a planned stop would cut off nothing any more.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Whether the entry takes no new requests.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Digests that are refused.
+    #[must_use]
+    pub fn quarantined(&self) -> usize {
+        self.quarantine.refused()
+    }
+
+    fn on_message(&mut self, now: Time, envelope: Envelope, out: &mut Vec<EntryAction>) {
+        let Envelope {
+            from,
+            config,
+            load,
+            body,
+        } = envelope;
+        if self.config.hear(config) && config > self.config.version() {
+            out.push(EntryAction::PullConfig(from.addr));
+        }
+        if let Some(load) = load {
+            self.router.note_load(now, &from.name, load);
+        }
+        match body {
+            Message::Queued {
+                request,
+                attempt,
+                wait,
+            } => self.on_queued(now, request, attempt, wait),
+            Message::Accept {
+                request,
+                attempt,
+                generation,
+                hold,
+            } => self.on_accept(now, &from, request, attempt, generation, hold, out),
+            Message::Refuse {
+                request,
+                attempt,
+                code,
+                retry_after,
+            } => self.on_refuse(now, request, attempt, code, retry_after, out),
+            Message::Tokens {
+                reader,
+                generation,
+                chunk,
+                finish,
+            } => self.on_tokens(now, &from, reader, generation, chunk, finish, out),
+            Message::Stand {
+                reader,
+                generation,
+                standing,
+            } => self.on_stand(now, reader, generation, standing, out),
+            Message::Crashes { content, count } => {
+                self.quarantine.learn(now, content, count);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_config(&mut self, config: &Arc<Config>, out: &mut Vec<EntryAction>) {
+        let version = config.version.0;
+        let event = match self.config.adopt(config.clone()) {
+            Adopted::InForce => "config_in_force",
+            Adopted::Conflict => "config_conflict",
+            Adopted::Same | Adopted::Older => return,
+        };
+        out.push(EntryAction::Note(Note::new(event).count(version)));
+    }
+
+    fn on_member(&mut self, now: Time, record: &MemberRecord, out: &mut Vec<EntryAction>) {
+        if record.peer.role != crate::ids::Role::Agent {
+            return;
+        }
+        let before = self
+            .router
+            .by_name(&record.peer.name)
+            .map(|a| a.peer.incarnation);
+        self.router.learn(record);
+        let dead = record.state == MemberState::Dead;
+        let replaced = before.is_some_and(|old| old != record.peer.incarnation);
+        if replaced || dead {
+            let alive = (!dead).then_some(record.peer.incarnation);
+            self.on_agent_gone(now, &record.peer.name, alive, out);
+        }
+    }
+
+    fn on_tick(&mut self, now: Time, out: &mut Vec<EntryAction>) {
+        let ids: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in ids {
+            self.tick_call(now, id, out);
+        }
+        self.quarantine.expire(now);
+    }
+
+    /// Ends a call with a code; the caller gets it at once.
+    pub(crate) fn fail(
+        &mut self,
+        id: CallId,
+        code: Code,
+        retry_after: Option<Duration>,
+        out: &mut Vec<EntryAction>,
+    ) {
+        let Some(call) = self.remove(id) else {
+            return;
+        };
+        let delivered = call.delivered();
+        if code.class() == Class::NotRun {
+            self.quotas.give_back(&call.demand.workspace, call.charged);
+        }
+        let least = self.limits.min_retry_after;
+        out.push(EntryAction::Reply(
+            id,
+            Reply::Fail {
+                code,
+                retry_after: retry_after.map(|r| r.max(least)),
+                delivered,
+            },
+        ));
+        let note = Note::new("request_failed").request(call.request).code(code);
+        out.push(EntryAction::Note(note.count(delivered)));
+    }
+
+    pub(crate) fn remove(&mut self, id: CallId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.by_request.remove(&call.request);
+        if let Some(asked) = call.asked() {
+            self.router.note_done(&asked.agent);
+        }
+        Some(call)
+    }
+
+    pub(crate) fn call_of(&self, request: RequestId) -> Option<CallId> {
+        self.by_request.get(&request).copied()
+    }
+}
+
+impl Call {
+    pub(crate) const fn asked(&self) -> Option<&Asked> {
+        match &self.phase {
+            Phase::New => None,
+            Phase::Offered { asked, .. }
+            | Phase::Queued { asked, .. }
+            | Phase::Claiming { asked, .. } => Some(asked),
+            Phase::Reading(reading) => Some(&reading.asked),
+        }
+    }
+
+    /// Tokens that the caller was given.
+    pub(crate) const fn delivered(&self) -> u64 {
+        match (&self.phase, self.delivery) {
+            (Phase::Reading(reading), Delivery::Stream) => reading.cursor.next,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/fireflycroft/src/generation.rs
@@ -0,0 +1,204 @@
+//! One reservation on an agent and the generation it becomes.
+//!
+//! Its life goes one way: reserved, then either lapsed for good or started,
+//! then finished. Readers are attached to it at a token; each is sent what
+//! it has not yet acknowledged, within a window.
+
+use crate::admit::OfferId;
+use crate::ids::{GenerationId, Name, RequestId};
+use crate::message::{Finish, Message, Standing};
+use crate::stream::TokenLog;
+use crate::time::Time;
+use crate::work::Demand;
+use std::net::SocketAddr;
+
+/// Most readers of one generation.
+pub(crate) const MAX_READERS: usize = 8;
+
+/// Tokens sent to a reader ahead of its acknowledgement.
+pub(crate) const WINDOW: u64 = 2_048;
+
+/// Most bytes of tokens in one message.
+pub(crate) const MAX_CHUNK_BYTES: usize = 64 * 1024;
+
+const MAX_CHUNK_TOKENS: usize = 1_024;
+
+/// Where a generation is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// May be started until then.
+    Reserved(Time),
+    /// Was never started and never will be, as of then.
+    Lapsed(Time),
+    /// Runs on the upstream.
+    Running,
+    /// Ended at that time.
+    Finished(Time),
+}
+
+/// One entry that reads a generation for one caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Reader {
+    /// Request id of the reader's call.
+    pub(crate) id: RequestId,
+    /// Mailbox of its entry.
+    pub(crate) addr: SocketAddr,
+    /// Next token to send.
+    pub(crate) next: u64,
+    /// First token not acknowledged.
+    pub(crate) acked: u64,
+    /// When it was last heard of.
+    pub(crate) heard: Time,
+    /// Whether it was sent the end.
+    pub(crate) told_end: bool,
+}
+
+/// A reservation and what it becomes.
+#[derive(Clone, Debug)]
+pub(crate) struct Generation {
+    pub(crate) id: GenerationId,
+    pub(crate) offer: OfferId,
+    pub(crate) demand: Demand,
+    pub(crate) stage: Stage,
+    pub(crate) log: TokenLog,
+    pub(crate) finish: Option<Finish>,
+    pub(crate) readers: Vec<Reader>,
+    /// Since when nobody reads it.
+    pub(crate) unread_since: Option<Time>,
+    /// Times that the stream from the upstream was taken up again.
+    pub(crate) resumed: u32,
+    /// When the upstream last gave a token.
+    pub(crate) last_token: Option<Time>,
+}
+
+impl Generation {
+    pub(crate) fn is_running(&self) -> bool {
+        self.stage == Stage::Running
+    }
+
+    /// Attaches a reader at `from`, or moves the one it has.
+    pub(crate) fn attach(
+        &mut self,
+        now: Time,
+        reader: RequestId,
+        addr: SocketAddr,
+        from: u64,
+    ) -> Result<(), Standing> {
+        match self.stage {
+            Stage::Reserved(_) => return Err(Standing::Reserved),
+            Stage::Lapsed(_) => return Err(Standing::NeverStarted),
+            Stage::Running | Stage::Finished(_) => {}
+        }
+        if from < self.log.first() || from > self.log.end() {
+            return Err(Standing::PartGone);
+        }
+        self.readers.retain(|r| r.id != reader);
+        if self.readers.len() >= MAX_READERS {
+            return Err(Standing::Crowded);
+        }
+        self.unread_since = None;
+        self.readers.push(Reader {
+            id: reader,
+            addr,
+            next: from,
+            acked: from,
+            heard: now,
+            told_end: false,
+        });
+        Ok(())
+    }
+
+    /// Notes what a reader has handed on.
+    pub(crate) fn ack(&mut self, now: Time, reader: RequestId, next: u64) {
+        let end = self.log.end();
+        if let Some(r) = self.readers.iter_mut().find(|r| r.id == reader) {
+            r.acked = r.acked.max(next.min(end));
+            r.next = r.next.max(r.acked);
+            r.heard = now;
+        }
+    }
+
+    pub(crate) fn detach(&mut self, now: Time, reader: RequestId) {
+        self.readers.retain(|r| r.id != reader);
+        self.note_unread(now);
+    }
+
+    /// Drops the readers not heard of since `limit`.
+    pub(crate) fn drop_silent(&mut self, now: Time, limit: Time) {
+        self.readers.retain(|r| r.heard > limit);
+        self.note_unread(now);
+    }
+
+    fn note_unread(&mut self, now: Time) {
+        if self.readers.is_empty() && self.unread_since.is_none() {
+            self.unread_since = Some(now);
+        }
+    }
+
+    /// Messages that bring one reader up to date within its window.
+    ///
+    /// With `answer`, at least one message, so that the reader hears.
+    pub(crate) fn messages(
+        &mut self,
+        reader: RequestId,
+        answer: bool,
+    ) -> Vec<(SocketAddr, Message)> {
+        let Some(at) = self.readers.iter().position(|r| r.id == reader) else {
+            return Vec::new();
+        };
+        let mut out = Vec::new();
+        let mut must = answer;
+        while let Some(message) = self.next_message(at, must) {
+            out.push((self.readers[at].addr, message));
+            must = false;
+        }
+        out
+    }
+
+    /// Messages that bring all readers up to date.
+    pub(crate) fn messages_to_all(&mut self) -> Vec<(SocketAddr, Message)> {
+        let ids: Vec<RequestId> = self.readers.iter().map(|r| r.id).collect();
+        ids.into_iter()
+            .flat_map(|id| self.messages(id, false))
+            .collect()
+    }
+
+    fn next_message(&mut self, at: usize, must: bool) -> Option<Message> {
+        let reader = &mut self.readers[at];
+        let room = (reader.acked + WINDOW).saturating_sub(reader.next);
+        let window = usize::try_from(room)
+            .unwrap_or(MAX_CHUNK_TOKENS)
+            .min(MAX_CHUNK_TOKENS);
+        let chunk = self.log.cut(reader.next, window, MAX_CHUNK_BYTES)?;
+        let reaches_end = chunk.end() == self.log.end();
+        let finish = self
+            .finish
+            .clone()
+            .filter(|_| reaches_end && !reader.told_end);
+        if chunk.count() == 0 && finish.is_none() && !must {
+            return None;
+        }
+        reader.next = chunk.end();
+        reader.told_end |= finish.is_some();
+        Some(Message::Tokens {
+            reader: reader.id,
+            generation: self.id,
+            chunk,
+            finish,
+        })
+    }
+
+    /// Result that the generation is said to have, for a finish made here.
+    pub(crate) fn finish_with(&self, code: crate::code::Code, reason: &str, crashes: u8) -> Finish {
+        Finish {
+            total: self.log.end(),
+            code,
+            reason: Name::from(reason),
+            status: 0,
+            content_type: Name::from(""),
+            prompt_tokens: self.demand.prompt_tokens,
+            preemptions: 0,
+            crashes,
+        }
+    }
+}
--- /dev/null
+++ b/fireflycroft/src/ids.rs
@@ -0,0 +1,149 @@
+//! Identifiers: unguessable where a caller sees them, never used twice.
+//!
+//! A request id is drawn from a keyed hash, so that knowing one tells nothing
+//! of the next. A generation id names the incarnation of the agent that made
+//! it, so that an id of an agent's former life matches nothing.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Name of a process, VM, brand, workspace, model or service.
+pub type Name = Arc<str>;
+
+/// One call of a caller, as the entry numbers it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// Unguessable id of one request of a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u128);
+
+/// One life of a process, drawn at its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub u64);
+
+/// One reservation, and the generation it may become, on one agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct GenerationId {
+    /// Life of the agent that made the id.
+    pub incarnation: Incarnation,
+    /// Number within that life; never given twice.
+    pub serial: u64,
+}
+
+/// Digest of content: 128 bits of BLAKE3.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest(pub u128);
+
+/// What a process does for the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands before one upstream.
+    Agent,
+}
+
+/// One process of the fleet, as others address it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Peer {
+    /// Stable name from the settings.
+    pub name: Name,
+    /// Address of its mailbox.
+    pub addr: SocketAddr,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// What it does.
+    pub role: Role,
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Display for GenerationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}", self.incarnation.0, self.serial)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl Digest {
+    /// Digest of `parts`, each marked off by its length.
+    #[must_use]
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(first_half(&hasher.finalize()))
+    }
+}
+
+/// Reads a request id written by its `Display`.
+#[must_use]
+pub fn scan_request_id(text: &str) -> Option<RequestId> {
+    if text.len() != 32 {
+        return None;
+    }
+    u128::from_str_radix(text, 16).ok().map(RequestId)
+}
+
+/// Reads a generation id written by its `Display`.
+#[must_use]
+pub fn scan_generation_id(text: &str) -> Option<GenerationId> {
+    let (incarnation, serial) = text.split_once('.')?;
+    Some(GenerationId {
+        incarnation: Incarnation(u64::from_str_radix(incarnation, 16).ok()?),
+        serial: serial.parse().ok()?,
+    })
+}
+
+/// Draws unguessable ids from a secret seed.
+#[derive(Clone, Debug)]
+pub struct IdSource {
+    key: [u8; 32],
+    drawn: u64,
+}
+
+impl IdSource {
+    /// Source whose ids follow from `seed`, which must stay secret.
+    #[must_use]
+    pub const fn new(seed: [u8; 32]) -> Self {
+        Self {
+            key: seed,
+            drawn: 0,
+        }
+    }
+
+    /// Next id.
+    pub fn draw(&mut self) -> RequestId {
+        self.drawn += 1;
+        let hash = blake3::keyed_hash(&self.key, &self.drawn.to_le_bytes());
+        RequestId(first_half(&hash))
+    }
+
+    /// Next number below `bound`; zero for a bound of zero.
+    pub fn draw_below(&mut self, bound: usize) -> usize {
+        if bound == 0 {
+            return 0;
+        }
+        let wide = self.draw().0 % (bound as u128);
+        usize::try_from(wide).unwrap_or(0)
+    }
+}
+
+fn first_half(hash: &blake3::Hash) -> u128 {
+    let mut half = [0; 16];
+    half.copy_from_slice(&hash.as_bytes()[..16]);
+    u128::from_le_bytes(half)
+}
--- /dev/null
+++ b/fireflycroft/src/inventory.rs
@@ -0,0 +1,164 @@
+//! What operators write: the inventory and the rules, as serialised.
+
+use crate::ids::Name;
+use crate::work::Priority;
+use serde::{Deserialize, Serialize};
+
+/// Brands, workspaces, models and plain services.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Inventory {
+    /// Brands under which the service is resold.
+    #[serde(default)]
+    pub brands: Vec<Brand>,
+    /// Workspaces of the brands.
+    #[serde(default)]
+    pub workspaces: Vec<Workspace>,
+    /// Models that engines may hold.
+    #[serde(default)]
+    pub models: Vec<Model>,
+    /// Plain services beside the engines.
+    #[serde(default)]
+    pub services: Vec<Name>,
+}
+
+/// One brand.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Brand {
+    /// Name of the brand.
+    pub name: Name,
+    /// Models that it may use.
+    #[serde(default)]
+    pub models: Vec<Name>,
+    /// Plain services that it may use.
+    #[serde(default)]
+    pub services: Vec<Name>,
+}
+
+/// One workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Name of the workspace.
+    pub name: Name,
+    /// Brand that it belongs to.
+    pub brand: Name,
+    /// BLAKE3 digests of its keys, 64 hexadecimal digits each.
+    #[serde(default)]
+    pub key_digests: Vec<Name>,
+}
+
+/// One model version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name with version, as callers and engines use it.
+    pub name: Name,
+    /// Engines that should hold it.
+    #[serde(default)]
+    pub replicas: u32,
+}
+
+/// Rules on top of the inventory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Priority of workspaces whose requests name none.
+    pub priorities: Vec<PriorityRule>,
+    /// Quotas of workspaces.
+    pub quotas: Vec<Quota>,
+    /// Calls that may never be repeated.
+    pub non_repeatable: Vec<NonRepeatable>,
+    /// What becomes of a non-repeatable request without a key.
+    pub without_key: WithoutKey,
+    /// Longest wait before an interactive request begins, in milliseconds.
+    pub interactive_wait_ms: u64,
+    /// Longest wait before a batch request begins, in milliseconds.
+    pub batch_wait_ms: u64,
+    /// Objectives by brand, for the burn report.
+    pub objectives: Vec<Objective>,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            priorities: Vec::new(),
+            quotas: Vec::new(),
+            non_repeatable: Vec::new(),
+            without_key: WithoutKey::Refuse,
+            interactive_wait_ms: 2_000,
+            batch_wait_ms: 60_000,
+            objectives: Vec::new(),
+        }
+    }
+}
+
+/// Priority of a workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PriorityRule {
+    /// Workspace that the rule is for.
+    pub workspace: Name,
+    /// Priority of its requests unless they name one.
+    pub default: Priority,
+    /// Highest priority that its requests may name.
+    pub highest: Priority,
+}
+
+/// Quota of a workspace over the whole fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Quota {
+    /// Workspace that the quota is for.
+    pub workspace: Name,
+    /// Tokens, of prompt and answer, in a minute.
+    pub tokens_per_minute: u64,
+}
+
+/// A call, or a workspace's generations, that may never be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NonRepeatable {
+    /// Model or plain service.
+    pub target: Name,
+    /// HTTP method; every method when absent.
+    #[serde(default)]
+    pub method: Option<Name>,
+    /// Head of the path; every path when absent.
+    #[serde(default)]
+    pub path: Option<Name>,
+    /// Workspace; every workspace when absent.
+    #[serde(default)]
+    pub workspace: Option<Name>,
+}
+
+/// What becomes of a non-repeatable request without a key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WithoutKey {
+    /// Refuse it as not run.
+    #[default]
+    Refuse,
+    /// Run it once and never retry; a caller's re-send runs again.
+    RunOnce,
+}
+
+/// Objective of a brand's requests of one priority.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Objective {
+    /// Brand that the objective is for; every brand when absent.
+    #[serde(default)]
+    pub brand: Option<Name>,
+    /// Priority that the objective is for.
+    pub priority: Priority,
+    /// First token within this many milliseconds.
+    pub first_token_ms: u64,
+    /// Time between tokens within this many milliseconds.
+    pub between_tokens_ms: u64,
+    /// Requests in a thousand that must meet both.
+    pub per_mille: u32,
+}
+
+impl Eq for Objective {}
--- /dev/null
+++ b/fireflycroft/src/quota.rs
@@ -0,0 +1,82 @@
+//! Quotas of workspaces in tokens a minute, without a call a request.
+//!
+//! Each entry holds its share of the quota, the whole divided by the entries
+//! alive, as a token bucket of one minute's depth.
+
+use crate::ids::Name;
+use crate::time::Time;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Workspaces whose buckets are kept; full ones are dropped first.
+pub const MAX_BUCKETS: usize = 65_536;
+
+const MINUTE_SECS: f64 = 60.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    level: f64,
+    at: Time,
+}
+
+/// Token buckets of the workspaces that have a quota.
+#[derive(Clone, Debug, Default)]
+pub struct Quotas {
+    buckets: HashMap<Name, Bucket>,
+}
+
+impl Quotas {
+    /// Takes `tokens` from the share of a workspace, or says when to come back.
+    ///
+    /// # Errors
+    ///
+    /// Time until the share holds enough again.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn take(
+        &mut self,
+        now: Time,
+        workspace: &Name,
+        tokens: u64,
+        share: u64,
+    ) -> Result<(), Duration> {
+        let depth = share.max(1) as f64;
+        let rate = depth / MINUTE_SECS;
+        if self.buckets.len() >= MAX_BUCKETS {
+            self.drop_full(now);
+        }
+        let bucket = self.buckets.entry(workspace.clone()).or_insert(Bucket {
+            level: depth,
+            at: now,
+        });
+        bucket.level = (bucket.level + rate * now.since(bucket.at).as_secs_f64()).min(depth);
+        bucket.at = now;
+        // More than a whole minute's share is let through from a full bucket.
+        let asked = (tokens as f64).min(depth);
+        if bucket.level < asked {
+            return Err(Duration::from_secs_f64((asked - bucket.level) / rate));
+        }
+        bucket.level -= tokens as f64;
+        Ok(())
+    }
+
+    /// Gives back tokens that were taken and not used.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn give_back(&mut self, workspace: &Name, tokens: u64) {
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.level += tokens as f64;
+        }
+    }
+
+    /// Charges tokens that were used, below zero if need be.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn charge(&mut self, workspace: &Name, tokens: u64) {
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.level -= tokens as f64;
+        }
+    }
+
+    fn drop_full(&mut self, now: Time) {
+        self.buckets
+            .retain(|_, b| now.since(b.at).as_secs_f64() < MINUTE_SECS);
+    }
+}
--- /dev/null
+++ b/fireflycroft/src/route.rs
@@ -0,0 +1,262 @@
+//! Which agent is asked next: the entry's table of agents and its choice.
+//!
+//! Load rides on every message of an agent, so the table is as fresh as the
+//! last reply; what this entry has sent since is added to it.
+
+use crate::ids::{IdSource, Name, Peer};
+use crate::member::{MemberRecord, MemberState};
+use crate::message::Load;
+use crate::time::Time;
+use crate::work::{Demand, Priority};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How an entry chooses among agents.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RoutePolicy {
+    /// By expected wait and expected memory.
+    #[default]
+    Expected,
+    /// One after another. A baseline.
+    RoundRobin,
+    /// Fewest requests of this entry under way. A baseline.
+    LeastOutstanding,
+    /// The less loaded of two drawn at random, by lagged reports. A baseline.
+    TwoChoices,
+}
+
+/// Index of an agent in the entry's table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct AgentIx(usize);
+
+/// What the entry knows of one agent.
+#[derive(Clone, Debug)]
+pub struct AgentView {
+    /// Who it is.
+    pub peer: Peer,
+    /// Data centre it runs in.
+    pub data_centre: Name,
+    /// Its state as a member.
+    pub state: MemberState,
+    /// Models or plain services of its upstream.
+    pub serves: Vec<Name>,
+    /// Load that it told last.
+    pub load: Load,
+    /// When it told it.
+    pub load_at: Time,
+    /// Requests of this entry under way there.
+    pub outstanding: u32,
+    /// Requests sent there since it told its load.
+    pub sent_since: u32,
+    avoid_until: Time,
+}
+
+/// The entry's table of agents.
+#[derive(Clone, Debug)]
+pub struct Router {
+    policy: RoutePolicy,
+    data_centre: Name,
+    agents: Vec<AgentView>,
+    turn: usize,
+}
+
+const SUSPECT_PENALTY: f64 = 1_000.0;
+const FAR_PENALTY: f64 = 0.05;
+
+impl Router {
+    /// An empty table of an entry in `data_centre`.
+    #[must_use]
+    pub const fn new(policy: RoutePolicy, data_centre: Name) -> Self {
+        Self {
+            policy,
+            data_centre,
+            agents: Vec::new(),
+            turn: 0,
+        }
+    }
+
+    /// Takes what membership says of one agent.
+    pub fn learn(&mut self, record: &MemberRecord) {
+        if let Some(agent) = self
+            .agents
+            .iter_mut()
+            .find(|a| a.peer.name == record.peer.name)
+        {
+            if agent.peer.incarnation != record.peer.incarnation {
+                agent.load = Load::default();
+                agent.avoid_until = Time::default();
+            }
+            agent.peer = record.peer.clone();
+            agent.state = record.state;
+            agent.serves.clone_from(&record.serves);
+            agent.data_centre = record.data_centre.clone();
+            return;
+        }
+        self.agents.push(AgentView {
+            peer: record.peer.clone(),
+            data_centre: record.data_centre.clone(),
+            state: record.state,
+            serves: record.serves.clone(),
+            load: Load::default(),
+            load_at: Time::default(),
+            outstanding: 0,
+            sent_since: 0,
+            avoid_until: Time::default(),
+        });
+    }
+
+    /// Takes the load that an agent told.
+    pub fn note_load(&mut self, now: Time, name: &Name, load: Load) {
+        if let Some(agent) = self.by_name_mut(name) {
+            agent.load = load;
+            agent.load_at = now;
+            agent.sent_since = 0;
+        }
+    }
+
+    /// Notes that a request was sent to the agent.
+    pub fn note_sent(&mut self, name: &Name) {
+        if let Some(agent) = self.by_name_mut(name) {
+            agent.outstanding += 1;
+            agent.sent_since += 1;
+        }
+    }
+
+    /// Notes that a request at the agent has ended.
+    pub fn note_done(&mut self, name: &Name) {
+        if let Some(agent) = self.by_name_mut(name) {
+            agent.outstanding = agent.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// Leaves the agent out for a while.
+    pub fn avoid(&mut self, now: Time, name: &Name, span: Duration) {
+        if let Some(agent) = self.by_name_mut(name) {
+            agent.avoid_until = agent.avoid_until.max(now + span);
+        }
+    }
+
+    /// Agent of that name.
+    #[must_use]
+    pub fn by_name(&self, name: &str) -> Option<&AgentView> {
+        self.agents.iter().find(|a| *a.peer.name == *name)
+    }
+
+    /// Mailbox of the agent of that name.
+    #[must_use]
+    pub fn addr_of(&self, name: &str) -> Option<SocketAddr> {
+        self.by_name(name).map(|a| a.peer.addr)
+    }
+
+    /// The agent at that index.
+    #[must_use]
+    pub fn get(&self, ix: AgentIx) -> &AgentView {
+        &self.agents[ix.0]
+    }
+
+    /// All agents known.
+    pub fn agents(&self) -> impl Iterator<Item = &AgentView> {
+        self.agents.iter()
+    }
+
+    /// Whether any agent, however loaded, serves `target`.
+    #[must_use]
+    pub fn any_serves(&self, target: &Name) -> bool {
+        self.agents
+            .iter()
+            .any(|a| is_usable(a) && a.serves.contains(target))
+    }
+
+    /// Chooses an agent for `demand` that is not in `tried`.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        demand: &Demand,
+        tried: &[Name],
+        ids: &mut IdSource,
+    ) -> Option<AgentIx> {
+        let open: Vec<usize> = (0..self.agents.len())
+            .filter(|i| self.is_open(now, *i, demand, tried))
+            .collect();
+        let at = match self.policy {
+            RoutePolicy::RoundRobin => self.next_in_turn(&open),
+            RoutePolicy::LeastOutstanding => {
+                open.into_iter().min_by_key(|i| self.agents[*i].outstanding)
+            }
+            RoutePolicy::TwoChoices => self.less_loaded_of_two(&open, ids),
+            RoutePolicy::Expected => self.cheapest(&open, demand, ids),
+        };
+        at.map(AgentIx)
+    }
+
+    fn is_open(&self, now: Time, i: usize, demand: &Demand, tried: &[Name]) -> bool {
+        let agent = &self.agents[i];
+        is_usable(agent)
+            && agent.avoid_until <= now
+            && agent.serves.contains(&demand.target)
+            && !tried.contains(&agent.peer.name)
+    }
+
+    fn next_in_turn(&mut self, open: &[usize]) -> Option<usize> {
+        if open.is_empty() {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        Some(open[self.turn % open.len()])
+    }
+
+    fn less_loaded_of_two(&self, open: &[usize], ids: &mut IdSource) -> Option<usize> {
+        let first = *open.get(ids.draw_below(open.len()))?;
+        let second = *open.get(ids.draw_below(open.len()))?;
+        let load = |i: usize| self.agents[i].load.running + self.agents[i].load.queued;
+        Some(if load(second) < load(first) {
+            second
+        } else {
+            first
+        })
+    }
+
+    /// Least cost; equal costs are drawn for, so that entries do not herd.
+    fn cheapest(&self, open: &[usize], demand: &Demand, ids: &mut IdSource) -> Option<usize> {
+        if open.is_empty() {
+            return None;
+        }
+        let shift = ids.draw_below(open.len());
+        let turned = open.iter().cycle().skip(shift).take(open.len()).copied();
+        turned.min_by(|a, b| self.cost(*a, demand).total_cmp(&self.cost(*b, demand)))
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn cost(&self, i: usize, demand: &Demand) -> f64 {
+        let agent = &self.agents[i];
+        let load = &agent.load;
+        let wait = match demand.priority {
+            Priority::Interactive => load.wait_interactive,
+            Priority::Batch => load.wait_batch,
+        };
+        let capacity = load.capacity_tokens.max(1) as f64;
+        let need = f64::from(demand.prompt_tokens.max(1)) * f64::from(agent.sent_since);
+        let memory = (load.expected_tokens as f64 + need) / capacity;
+        let slots = f64::from(load.running + load.queued + agent.sent_since) / 1_000.0;
+        let suspect = if agent.state == MemberState::Suspect {
+            SUSPECT_PENALTY
+        } else {
+            0.0
+        };
+        let far = if agent.data_centre == self.data_centre {
+            0.0
+        } else {
+            FAR_PENALTY
+        };
+        wait.as_secs_f64() + memory + slots + suspect + far
+    }
+
+    fn by_name_mut(&mut self, name: &Name) -> Option<&mut AgentView> {
+        self.agents.iter_mut().find(|a| a.peer.name == *name)
+    }
+}
+
+fn is_usable(agent: &AgentView) -> bool {
+    let state = matches!(agent.state, MemberState::Alive | MemberState::Suspect);
+    state && !agent.load.leaving
+}
--- /dev/null
+++ b/fireflycroft/src/submit.rs
@@ -0,0 +1,231 @@
+//! Checks on a caller's request before any agent hears of it.
+
+use crate::code::Code;
+use crate::config::{Config, WorkspaceIx};
+use crate::entry::{Call, Entry, EntryAction, Phase, Reply, Submission};
+use crate::ids::{CallId, Digest};
+use crate::inventory::WithoutKey;
+use crate::note::Note;
+use crate::stream::Chunk;
+use crate::time::Time;
+use crate::work::{Demand, Work};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Why a request is refused before any agent hears of it.
+struct Refusal {
+    code: Code,
+    retry_after: Option<Duration>,
+}
+
+const fn final_refusal(code: Code) -> Refusal {
+    Refusal {
+        code,
+        retry_after: None,
+    }
+}
+
+/// Whether and how a request is claimed.
+struct Repeating {
+    repeatable: bool,
+    claim_key: Option<Digest>,
+}
+
+impl Entry {
+    pub(crate) fn on_submit(
+        &mut self,
+        now: Time,
+        id: CallId,
+        submission: Submission,
+        out: &mut Vec<EntryAction>,
+    ) {
+        match self.check(now, &submission) {
+            Ok((demand, claim_key, max_wait, charged)) => {
+                self.retries.earn();
+                let resume = submission.resume.clone();
+                let call = self.new_call(now, id, submission, demand, claim_key, max_wait, charged);
+                match resume {
+                    Some(point) => self.begin_resume(now, call, point, out),
+                    None => self.begin_offers(now, call, out),
+                }
+            }
+            Err(refusal) => {
+                let least = self.limits.min_retry_after;
+                out.push(EntryAction::Reply(
+                    id,
+                    Reply::Fail {
+                        code: refusal.code,
+                        retry_after: refusal.retry_after.map(|r| r.max(least)),
+                        delivered: 0,
+                    },
+                ));
+                out.push(EntryAction::Note(
+                    Note::new("request_refused").code(refusal.code),
+                ));
+            }
+        }
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn check(
+        &mut self,
+        now: Time,
+        submission: &Submission,
+    ) -> Result<(Demand, Option<Digest>, Duration, u64), Refusal> {
+        let retry = Some(self.limits.min_retry_after);
+        let later = |code| Refusal {
+            code,
+            retry_after: retry,
+        };
+        if self.leaving {
+            return Err(later(Code::Leaving));
+        }
+        let config = self
+            .config
+            .get()
+            .cloned()
+            .ok_or_else(|| later(Code::NotReady))?;
+        if self.config.is_behind() {
+            return Err(later(Code::ConfigBehind));
+        }
+        if self.calls.len() >= self.limits.max_calls {
+            return Err(later(Code::Overloaded));
+        }
+        let ix = config
+            .workspace_of_key(&submission.key_digest)
+            .ok_or_else(|| final_refusal(Code::KeyRefused))?;
+        if !config.may_use(ix, &submission.target) {
+            return Err(final_refusal(unknown_target(&submission.work)));
+        }
+        let repeating = check_repeating(&config, ix, submission)?;
+        let demand = self.demand(&config, ix, submission, repeating.repeatable);
+        if self.quarantine.is_refused(demand.content) && submission.resume.is_none() {
+            return Err(final_refusal(Code::Quarantined));
+        }
+        let charged = self.charge(now, &config, ix, submission)?;
+        let max_wait = config.max_wait(demand.priority);
+        Ok((demand, repeating.claim_key, max_wait, charged))
+    }
+
+    fn demand(
+        &self,
+        config: &Config,
+        ix: WorkspaceIx,
+        submission: &Submission,
+        repeatable: bool,
+    ) -> Demand {
+        let content = digest_content(submission);
+        Demand {
+            workspace: config.workspace_name(ix).clone(),
+            target: submission.target.clone(),
+            priority: config.priority(ix, submission.priority),
+            prompt_tokens: submission.prompt_tokens,
+            max_tokens: submission.max_tokens,
+            prefix: submission.prefix,
+            content,
+            repeatable,
+            crashes: self.quarantine.crashes(content),
+        }
+    }
+
+    fn charge(
+        &mut self,
+        now: Time,
+        config: &Config,
+        ix: WorkspaceIx,
+        submission: &Submission,
+    ) -> Result<u64, Refusal> {
+        let Some(quota) = config.tokens_per_minute(ix) else {
+            return Ok(0);
+        };
+        if submission.resume.is_some() {
+            return Ok(0);
+        }
+        let share = quota / u64::from(self.entries);
+        let tokens = u64::from(submission.prompt_tokens);
+        let workspace = config.workspace_name(ix);
+        match self.quotas.take(now, workspace, tokens, share) {
+            Ok(()) => Ok(tokens),
+            Err(wait) => Err(Refusal {
+                code: Code::QuotaExceeded,
+                retry_after: Some(wait),
+            }),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn new_call(
+        &mut self,
+        now: Time,
+        id: CallId,
+        submission: Submission,
+        demand: Demand,
+        claim_key: Option<Digest>,
+        max_wait: Duration,
+        charged: u64,
+    ) -> Call {
+        Call {
+            id,
+            request: self.ids.draw(),
+            demand,
+            work: submission.work,
+            delivery: submission.delivery,
+            claim_key,
+            replace: None,
+            phase: Phase::New,
+            attempt: 0,
+            starts: 0,
+            tried: Vec::new(),
+            offers: 0,
+            retry_after: None,
+            refusal: None,
+            received: now,
+            told_begin: false,
+            held_back: Chunk::default(),
+            max_wait,
+            charged,
+        }
+    }
+}
+
+fn unknown_target(work: &Work) -> Code {
+    match work {
+        Work::Generate { .. } => Code::ModelUnknown,
+        Work::Call { .. } => Code::ServiceUnknown,
+    }
+}
+
+fn check_repeating(
+    config: &Arc<Config>,
+    ix: WorkspaceIx,
+    submission: &Submission,
+) -> Result<Repeating, Refusal> {
+    let method = &submission.method;
+    let by_rule = config.is_non_repeatable(ix, &submission.target, method, &submission.path);
+    let repeatable = !by_rule && !submission.never_repeat;
+    if let Some(key) = &submission.idempotency_key {
+        let workspace = config.workspace_name(ix);
+        let claim_key = Digest::of(&[workspace.as_bytes(), key.as_bytes()]);
+        return Ok(Repeating {
+            repeatable: false,
+            claim_key: Some(claim_key),
+        });
+    }
+    if !repeatable && config.without_key() == WithoutKey::Refuse && submission.resume.is_none() {
+        return Err(final_refusal(Code::IdempotencyKeyRequired));
+    }
+    Ok(Repeating {
+        repeatable,
+        claim_key: None,
+    })
+}
+
+fn digest_content(submission: &Submission) -> Digest {
+    let target = submission.target.as_bytes();
+    match &submission.work {
+        Work::Generate { body } => Digest::of(&[target, body]),
+        Work::Call {
+            method, path, body, ..
+        } => Digest::of(&[target, method.as_bytes(), path.as_bytes(), body]),
+    }
+}
