Seal messages with rolling fleet keys; add the metrics registry

Cause: the processes of a fleet must know each other's messages, and a fleet key must be replaceable without a stop. Ruled out: a global metrics registry, which keeps two processes out of one test, and a plain slice compare of tags. Before: nothing. Conclusion: a broken key file leaves the ring in force and is logged.

--- /dev/null
+++ b/fireflyd/src/keyring.rs
@@ -0,0 +1,256 @@
+//! Seals of the messages between the fleet's own processes.
+//!
+//! A sealed message is its payload, followed by the id of a fleet key (one byte) and a tag: the
+//! keyed BLAKE3 hash of payload and id, cut to sixteen bytes. A ring seals with its first key and
+//! opens with any, so that a key is rolled without a stop: add the new key behind the old one
+//! everywhere, move it to the front everywhere, remove the old one everywhere.
+//!
+//! The seal proves membership of the fleet and integrity. It hides nothing and does not stop a
+//! replay; the layers above tolerate duplicates.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+/// Length of a key in bytes.
+pub const KEY_LEN: usize = 32;
+/// Length of a tag in bytes.
+pub const TAG_LEN: usize = 16;
+/// Bytes that a seal adds to a message.
+pub const SEAL_LEN: usize = 1 + TAG_LEN;
+
+/// Why a message was not opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SealError {
+    /// The message is shorter than a seal.
+    TooShort,
+    /// The ring holds no key of this id.
+    UnknownKey(u8),
+    /// The tag doesn't match payload and key.
+    BadTag,
+}
+
+impl fmt::Display for SealError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooShort => f.write_str("shorter than a seal"),
+            Self::UnknownKey(id) => write!(f, "unknown key {id}"),
+            Self::BadTag => f.write_str("tag mismatch"),
+        }
+    }
+}
+
+impl std::error::Error for SealError {}
+
+/// Why a key file was not accepted; line numbers start at one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyFileError {
+    /// No line holds a key.
+    Empty,
+    /// The line is not `id:64-hex`.
+    Malformed(usize),
+    /// The line repeats the id of an earlier one.
+    RepeatedId(usize),
+}
+
+impl fmt::Display for KeyFileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => f.write_str("no key in the file"),
+            Self::Malformed(line) => write!(f, "line {line}: not id:64-hex"),
+            Self::RepeatedId(line) => write!(f, "line {line}: id given twice"),
+        }
+    }
+}
+
+impl std::error::Error for KeyFileError {}
+
+#[derive(Clone)]
+struct Key {
+    id: u8,
+    secret: [u8; KEY_LEN],
+}
+
+/// The fleet keys in force; the first one seals.
+#[derive(Clone)]
+pub struct KeyRing {
+    keys: Vec<Key>,
+}
+
+impl fmt::Debug for KeyRing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list()
+            .entries(self.keys.iter().map(|key| key.id))
+            .finish()
+    }
+}
+
+impl KeyRing {
+    /// Ring of the given ids and keys; the first one seals.
+    ///
+    /// # Errors
+    ///
+    /// [`KeyFileError`] when there is no key or an id is given twice.
+    pub fn new(keys: impl IntoIterator<Item = (u8, [u8; KEY_LEN])>) -> Result<Self, KeyFileError> {
+        let mut ring = Self { keys: Vec::new() };
+        for (at, (id, secret)) in keys.into_iter().enumerate() {
+            ring.add(at + 1, id, secret)?;
+        }
+        ring.non_empty()
+    }
+
+    /// Ring of a text with one `id:64-hex` a line; `#` starts a comment.
+    ///
+    /// # Errors
+    ///
+    /// [`KeyFileError`] with the first line at fault.
+    pub fn parse(text: &str) -> Result<Self, KeyFileError> {
+        let mut ring = Self { keys: Vec::new() };
+        for (at, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or_default().trim();
+            if line.is_empty() {
+                continue;
+            }
+            let (id, secret) = parse_key(line).ok_or(KeyFileError::Malformed(at + 1))?;
+            ring.add(at + 1, id, secret)?;
+        }
+        ring.non_empty()
+    }
+
+    /// Appends key id and tag to `buf`.
+    pub fn seal(&self, buf: &mut Vec<u8>) {
+        let key = &self.keys[0];
+        buf.push(key.id);
+        let tag = blake3::keyed_hash(&key.secret, buf);
+        buf.extend_from_slice(&tag.as_bytes()[..TAG_LEN]);
+    }
+
+    /// Payload of a sealed message.
+    ///
+    /// # Errors
+    ///
+    /// [`SealError`] when the message was not sealed with a key of this ring.
+    pub fn open<'a>(&self, msg: &'a [u8]) -> Result<&'a [u8], SealError> {
+        let payload_len = msg.len().checked_sub(SEAL_LEN).ok_or(SealError::TooShort)?;
+        let (signed, tag) = msg.split_at(payload_len + 1);
+        let id = signed[payload_len];
+        let key = self
+            .keys
+            .iter()
+            .find(|key| key.id == id)
+            .ok_or(SealError::UnknownKey(id))?;
+        let expected = blake3::keyed_hash(&key.secret, signed);
+        if widen(&expected.as_bytes()[..TAG_LEN]) == widen(tag) {
+            Ok(&msg[..payload_len])
+        } else {
+            Err(SealError::BadTag)
+        }
+    }
+
+    fn add(&mut self, line: usize, id: u8, secret: [u8; KEY_LEN]) -> Result<(), KeyFileError> {
+        if self.keys.iter().any(|key| key.id == id) {
+            return Err(KeyFileError::RepeatedId(line));
+        }
+        self.keys.push(Key { id, secret });
+        Ok(())
+    }
+
+    fn non_empty(self) -> Result<Self, KeyFileError> {
+        if self.keys.is_empty() {
+            Err(KeyFileError::Empty)
+        } else {
+            Ok(self)
+        }
+    }
+}
+
+/// Tag as a [`blake3::Hash`], whose comparison takes the same time whatever differs.
+fn widen(tag: &[u8]) -> blake3::Hash {
+    let mut wide = [0; blake3::OUT_LEN];
+    wide[..TAG_LEN].copy_from_slice(tag);
+    blake3::Hash::from_bytes(wide)
+}
+
+fn parse_key(line: &str) -> Option<(u8, [u8; KEY_LEN])> {
+    let (id, hex) = line.split_once(':')?;
+    let id = id.trim().parse().ok()?;
+    let secret = blake3::Hash::from_hex(hex.trim()).ok()?;
+    Some((id, *secret.as_bytes()))
+}
+
+/// A ring that can be replaced while others seal and open with it.
+#[derive(Clone, Debug)]
+pub struct SharedKeyRing {
+    ring: Arc<RwLock<Arc<KeyRing>>>,
+}
+
+impl SharedKeyRing {
+    /// Shares `ring`.
+    #[must_use]
+    pub fn new(ring: KeyRing) -> Self {
+        Self {
+            ring: Arc::new(RwLock::new(Arc::new(ring))),
+        }
+    }
+
+    /// The ring in force.
+    #[must_use]
+    pub fn get(&self) -> Arc<KeyRing> {
+        let ring = self.ring.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&ring)
+    }
+
+    /// Puts `ring` in force.
+    pub fn replace(&self, ring: KeyRing) {
+        *self.ring.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(ring);
+    }
+}
+
+/// Reads a key file.
+///
+/// # Errors
+///
+/// An error that names the file when it can't be read or holds no valid ring.
+pub fn read_key_file(path: &Path) -> anyhow::Result<KeyRing> {
+    use anyhow::Context;
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    KeyRing::parse(&text).with_context(|| path.display().to_string())
+}
+
+/// Re-reads `path` every `period` and puts a changed ring in force; runs until it is dropped.
+///
+/// A file that can't be read or parsed leaves the ring in force as it is and is logged once for
+/// each different fault.
+pub async fn watch_key_file(path: impl Into<PathBuf>, shared: SharedKeyRing, period: Duration) {
+    let path = path.into();
+    let mut seen = String::new();
+    let mut fault = String::new();
+    let mut ticks = tokio::time::interval(period);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match reload(&path, &mut seen, &shared).await {
+            Ok(()) => fault.clear(),
+            Err(e) => {
+                let text = e.to_string();
+                if text != fault {
+                    log::warn!(event = "key_file_refused", cause = text.as_str(); "");
+                    fault = text;
+                }
+            }
+        }
+    }
+}
+
+async fn reload(path: &Path, seen: &mut String, shared: &SharedKeyRing) -> anyhow::Result<()> {
+    let text = tokio::fs::read_to_string(path).await?;
+    if text == *seen {
+        return Ok(());
+    }
+    let ring = KeyRing::parse(&text)?;
+    log::info!(event = "key_ring_read", keys = ring.keys.len(); "");
+    shared.replace(ring);
+    *seen = text;
+    Ok(())
+}
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! The daemon of the fleet: sockets, files and timers round the core, one file for each job.
+
+pub mod keyring;
+pub mod metrics;
--- /dev/null
+++ b/fireflyd/src/metrics.rs
@@ -0,0 +1,168 @@
+//! Counters, gauges and histograms of one process.
+//!
+//! All of them hang on a registry of their own, so that a test can hold many processes at once.
+//! Cloning is cheap and shares the values.
+
+use std::fmt::Write;
+
+use prometheus::core::Collector;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bucket bounds in seconds, from a millisecond to two minutes.
+const SECONDS: [f64; 16] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0,
+];
+
+/// The metrics of one process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests ended, by `class` and result `code`.
+    pub requests: IntCounterVec,
+    /// Seconds from a request's arrival to its first token, by `class`.
+    pub first_token_seconds: HistogramVec,
+    /// Seconds between two tokens of a stream, by `class`.
+    pub between_token_seconds: HistogramVec,
+    /// Seconds of each stall of a stream, by `class`.
+    pub stall_seconds: HistogramVec,
+    /// Streams running now.
+    pub streams_running: IntGauge,
+    /// Offers sent to agents.
+    pub offers_sent: IntCounter,
+    /// Offers refused, by result `code`.
+    pub offers_refused: IntCounterVec,
+    /// Streams taken up again at an offset after a cut or stalled link.
+    pub reattachments: IntCounter,
+    /// Generations started afresh before anything was delivered.
+    pub restarts: IntCounter,
+    /// Messages and bytes of the mailbox.
+    pub mailbox: MailboxMetrics,
+    /// Calls of the platform, by `kind` and `result`.
+    pub platform_calls: IntCounterVec,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Known members of the fleet, by `state`.
+    pub members: IntGaugeVec,
+    /// Request digests in quarantine.
+    pub quarantined_digests: IntGauge,
+}
+
+/// The mailbox's part of the metrics.
+#[derive(Clone, Debug)]
+pub struct MailboxMetrics {
+    /// Messages handed to a link.
+    pub sent: IntCounter,
+    /// Bytes handed to a link, seals included.
+    pub sent_bytes: IntCounter,
+    /// Messages received and opened.
+    pub received: IntCounter,
+    /// Bytes received and opened, seals included.
+    pub received_bytes: IntCounter,
+    /// Messages dropped, by `cause`: `queue_full`, `too_old`, `too_long`, `too_many_peers`,
+    /// `link`, `inbox_full`.
+    pub dropped: IntCounterVec,
+    /// Messages refused for their seal.
+    pub refused_seal: IntCounter,
+    /// Peers with an open link.
+    pub peers: IntGauge,
+}
+
+impl Metrics {
+    /// Metrics on a fresh registry, all at zero.
+    ///
+    /// # Errors
+    ///
+    /// A prometheus error when two names clash.
+    pub fn new() -> anyhow::Result<Self> {
+        let r = Registry::new();
+        Ok(Self {
+            requests: counters(&r, "requests_total", "Requests ended", &["class", "code"])?,
+            first_token_seconds: seconds(&r, "first_token_seconds", "Arrival to first token")?,
+            between_token_seconds: seconds(&r, "between_token_seconds", "Between two tokens")?,
+            stall_seconds: seconds(&r, "stall_seconds", "Length of each stall")?,
+            streams_running: gauge(&r, "streams_running", "Streams running now")?,
+            offers_sent: counter(&r, "offers_sent_total", "Offers sent to agents")?,
+            offers_refused: counters(&r, "offers_refused_total", "Offers refused", &["code"])?,
+            reattachments: counter(&r, "reattachments_total", "Streams taken up again")?,
+            restarts: counter(&r, "restarts_total", "Generations started afresh")?,
+            mailbox: MailboxMetrics::new(&r)?,
+            platform_calls: counters(
+                &r,
+                "platform_calls_total",
+                "Calls of the platform",
+                &["kind", "result"],
+            )?,
+            config_version: gauge(
+                &r,
+                "config_version",
+                "Version of the configuration in force",
+            )?,
+            members: gauges(&r, "members", "Known members", &["state"])?,
+            quarantined_digests: gauge(&r, "quarantined_digests", "Digests in quarantine")?,
+            registry: r,
+        })
+    }
+
+    /// All metrics in the prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        if let Err(e) = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text) {
+            // Writing to a string can't fail, so the comment is all a reader needs.
+            let _ = writeln!(text, "# {e}");
+        }
+        text
+    }
+}
+
+impl MailboxMetrics {
+    fn new(r: &Registry) -> anyhow::Result<Self> {
+        Ok(Self {
+            sent: counter(r, "mailbox_sent_total", "Messages handed to a link")?,
+            sent_bytes: counter(r, "mailbox_sent_bytes_total", "Bytes handed to a link")?,
+            received: counter(r, "mailbox_received_total", "Messages opened")?,
+            received_bytes: counter(r, "mailbox_received_bytes_total", "Bytes opened")?,
+            dropped: counters(r, "mailbox_dropped_total", "Messages dropped", &["cause"])?,
+            refused_seal: counter(r, "mailbox_refused_seal_total", "Wrong seals")?,
+            peers: gauge(r, "mailbox_peers", "Peers with an open link")?,
+        })
+    }
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(format!("firefly_{name}"), help)
+}
+
+fn register<C: Collector + Clone + 'static>(r: &Registry, metric: C) -> anyhow::Result<C> {
+    r.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn counter(r: &Registry, name: &str, help: &str) -> anyhow::Result<IntCounter> {
+    register(r, IntCounter::with_opts(opts(name, help))?)
+}
+
+fn counters(
+    r: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> anyhow::Result<IntCounterVec> {
+    register(r, IntCounterVec::new(opts(name, help), labels)?)
+}
+
+fn gauge(r: &Registry, name: &str, help: &str) -> anyhow::Result<IntGauge> {
+    register(r, IntGauge::with_opts(opts(name, help))?)
+}
+
+fn gauges(r: &Registry, name: &str, help: &str, labels: &[&str]) -> anyhow::Result<IntGaugeVec> {
+    register(r, IntGaugeVec::new(opts(name, help), labels)?)
+}
+
+fn seconds(r: &Registry, name: &str, help: &str) -> anyhow::Result<HistogramVec> {
+    let opts = HistogramOpts::from(opts(name, help)).buckets(SECONDS.to_vec());
+    register(r, HistogramVec::new(opts, &["class"])?)
+}
