Carry messages between processes over nng push and pull

Cause: the own protocol needs a transport that never makes its sender wait. Ruled out: the send buffer of nng, which keeps messages for a dead peer without an age, and a task for each peer; one asynchronous send with a timeout for each peer bounds the age instead.

--- /dev/null
+++ b/fireflyd/examples/mailbox_latency.rs
@@ -0,0 +1,97 @@
+//! Round trips and one-way rate between two mailboxes of one process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use fireflyd::keyring::{KeyRing, SharedKeyRing};
+use fireflyd::mailbox::{Limits, Mailbox};
+use fireflyd::metrics::Metrics;
+use tokio::sync::mpsc::Receiver;
+
+const PAYLOAD: usize = 200;
+const ROUNDS: usize = 20_000;
+const ONE_WAY: usize = 200_000;
+const QUIET: Duration = Duration::from_secs(1);
+
+fn open(keys: &SharedKeyRing) -> anyhow::Result<(Mailbox, Receiver<Vec<u8>>)> {
+    let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let metrics = Metrics::new()?.mailbox;
+    Mailbox::open(local, keys.clone(), Limits::default(), metrics)
+}
+
+async fn round_trips(
+    a: &Mailbox,
+    b: Mailbox,
+    a_rx: &mut Receiver<Vec<u8>>,
+    mut b_rx: Receiver<Vec<u8>>,
+) {
+    let (to_a, to_b) = (a.local_addr(), b.local_addr());
+    let echo = tokio::spawn(async move {
+        while let Some(msg) = b_rx.recv().await {
+            b.send(to_a, msg);
+        }
+    });
+    let mut micros = Vec::with_capacity(ROUNDS);
+    for _ in 0..ROUNDS {
+        let start = Instant::now();
+        a.send(to_b, vec![7; PAYLOAD]);
+        if a_rx.recv().await.is_none() {
+            break;
+        }
+        micros.push(start.elapsed().as_micros());
+    }
+    echo.abort();
+    micros.sort_unstable();
+    let at = |percent: usize| micros[(micros.len() - 1) * percent / 100];
+    println!(
+        "round_trip_us p50={} p99={} n={}",
+        at(50),
+        at(99),
+        micros.len()
+    );
+}
+
+/// Sends with at most `window` messages on the way, so that nothing meets a bound.
+async fn one_way(a: &Mailbox, keys: &SharedKeyRing, window: usize) -> anyhow::Result<()> {
+    let (b, mut b_rx) = open(keys)?;
+    let to = b.local_addr();
+    a.send(to, vec![7; PAYLOAD]);
+    b_rx.recv().await;
+    let start = Instant::now();
+    let (mut sent, mut got) = (0, 0);
+    while got < ONE_WAY {
+        while sent < ONE_WAY && sent - got < window {
+            a.send(to, vec![7; PAYLOAD]);
+            sent += 1;
+        }
+        match tokio::time::timeout(QUIET, b_rx.recv()).await {
+            Ok(Some(_)) => got += 1,
+            _ => break,
+        }
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    #[allow(clippy::cast_precision_loss)]
+    let rate = got as f64 / seconds;
+    println!("one_way window={window} got={got} of={ONE_WAY} messages_per_second={rate:.0}");
+    Ok(())
+}
+
+fn threads() -> String {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("Threads:"));
+    line.unwrap_or("Threads: unknown").replace('\t', " ")
+}
+
+#[tokio::main(worker_threads = 2)]
+async fn main() -> anyhow::Result<()> {
+    println!("before nng: {}", threads());
+    let keys = SharedKeyRing::new(KeyRing::new([(1, [7; 32])])?);
+    let (a, mut a_rx) = open(&keys)?;
+    let (b, b_rx) = open(&keys)?;
+    round_trips(&a, b, &mut a_rx, b_rx).await;
+    for window in [64, 1024] {
+        one_way(&a, &keys, window).await?;
+    }
+    println!("with nng: {}", threads());
+    Ok(())
+}
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -1,4 +1,5 @@
 //! The daemon of the fleet: sockets, files and timers round the core, one file for each job.
 
 pub mod keyring;
+pub mod mailbox;
 pub mod metrics;
--- /dev/null
+++ b/fireflyd/tests/mailbox.rs
@@ -0,0 +1,306 @@
+//! Mailboxes over loopback: seals, bounds, restarts, and a key rolled while messages flow.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use fireflyd::keyring::{KEY_LEN, KeyRing, SharedKeyRing};
+use fireflyd::mailbox::{Limits, MAX_FRAME, MAX_MESSAGE, Mailbox};
+use fireflyd::metrics::{MailboxMetrics, Metrics};
+use tokio::sync::mpsc::Receiver;
+
+const OLD: (u8, [u8; KEY_LEN]) = (1, [0x11; KEY_LEN]);
+const NEW: (u8, [u8; KEY_LEN]) = (2, [0x22; KEY_LEN]);
+/// Generous bound of each wait for an event.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Wait between two looks at a counter.
+const LOOK: Duration = Duration::from_millis(5);
+
+struct End {
+    mailbox: Mailbox,
+    rx: Receiver<Vec<u8>>,
+    keys: SharedKeyRing,
+    metrics: MailboxMetrics,
+}
+
+impl End {
+    fn new(keys: &[(u8, [u8; KEY_LEN])]) -> Self {
+        Self::at(any_port(), keys, Limits::default()).unwrap()
+    }
+
+    fn at(
+        listen: SocketAddr,
+        keys: &[(u8, [u8; KEY_LEN])],
+        limits: Limits,
+    ) -> anyhow::Result<Self> {
+        let keys = SharedKeyRing::new(ring(keys));
+        let metrics = Metrics::new().unwrap().mailbox;
+        let (mailbox, rx) = Mailbox::open(listen, keys.clone(), limits, metrics.clone())?;
+        Ok(Self {
+            mailbox,
+            rx,
+            keys,
+            metrics,
+        })
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.mailbox.local_addr()
+    }
+
+    async fn next(&mut self) -> Vec<u8> {
+        tokio::time::timeout(PATIENCE, self.rx.recv())
+            .await
+            .expect("no message came")
+            .expect("the mailbox ended")
+    }
+
+    fn dropped(&self, cause: &str) -> u64 {
+        self.metrics.dropped.with_label_values(&[cause]).get()
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn ring(keys: &[(u8, [u8; KEY_LEN])]) -> KeyRing {
+    KeyRing::new(keys.iter().copied()).unwrap()
+}
+
+async fn until(what: &str, done: impl Fn() -> bool) {
+    let poll = async {
+        while !done() {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    assert!(
+        tokio::time::timeout(PATIENCE, poll).await.is_ok(),
+        "never came: {what}"
+    );
+}
+
+/// A bare push socket, for frames that no mailbox would send.
+fn raw_push(to: SocketAddr) -> nng::Socket {
+    let socket = nng::Socket::new(nng::Protocol::Push0).unwrap();
+    socket.dial(&format!("tcp://{to}")).unwrap();
+    socket
+}
+
+macro_rules! delivery_cases {
+    ($($name:ident: $len:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (a, mut b) = (End::new(&[OLD]), End::new(&[OLD]));
+            let payload: Vec<u8> = (0..$len).map(|at: usize| at.to_le_bytes()[0]).collect();
+            a.mailbox.send(b.addr(), payload.clone());
+            assert!(b.next().await == payload);
+        }
+    )*};
+}
+
+delivery_cases! {
+    an_empty_message_arrives: 0;
+    a_short_message_arrives: 200;
+    the_longest_message_arrives: MAX_MESSAGE;
+}
+
+macro_rules! refused_frame_cases {
+    ($($name:ident: $len:expr, sealed $sealed:expr => $counted:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let mut b = End::new(&[OLD]);
+            let mut frame = vec![3; $len];
+            if $sealed {
+                ring(&[OLD]).seal(&mut frame);
+            }
+            let raw = raw_push(b.addr());
+            raw.send(&frame[..]).unwrap();
+            let counted: Option<fn(&End) -> u64> = $counted;
+            if let Some(counted) = counted {
+                until("the count", || counted(&b) == 1).await;
+            }
+            let a = End::new(&[OLD]);
+            a.mailbox.send(b.addr(), b"after".to_vec());
+            assert_eq!(b.next().await, b"after");
+            assert_eq!(b.metrics.received.get(), 1);
+        }
+    )*};
+}
+
+refused_frame_cases! {
+    an_unsealed_frame_is_refused: 100, sealed false => Some(|b| b.metrics.refused_seal.get());
+    a_frame_shorter_than_a_seal_is_refused: 3, sealed false => Some(|b| b.metrics.refused_seal.get());
+    a_frame_over_the_bound_is_counted: MAX_MESSAGE + 1, sealed true => Some(|b| b.dropped("too_long"));
+    // nng cuts this connection before the frame is read, so there is nothing to count.
+    a_frame_far_over_the_bound_is_cut: 4 * MAX_FRAME, sealed true => None;
+}
+
+#[tokio::test]
+async fn a_wrong_fleet_key_is_refused_and_the_mailbox_lives_on() {
+    let mut b = End::new(&[OLD]);
+    let stranger = End::new(&[(1, [0x99; KEY_LEN])]);
+    stranger.mailbox.send(b.addr(), b"forged".to_vec());
+    until("the refusal", || b.metrics.refused_seal.get() == 1).await;
+    let a = End::new(&[OLD]);
+    a.mailbox.send(b.addr(), b"true".to_vec());
+    assert_eq!(b.next().await, b"true");
+    assert_eq!(b.metrics.received.get(), 1);
+}
+
+#[tokio::test]
+async fn a_key_is_rolled_without_loss() {
+    let (a, mut b) = (End::new(&[OLD]), End::new(&[OLD]));
+    // Each step reaches one process before the other.
+    let steps: [(&[_], &[_]); 6] = [
+        (&[OLD, NEW], &[OLD]),
+        (&[OLD, NEW], &[OLD, NEW]),
+        (&[NEW, OLD], &[OLD, NEW]),
+        (&[NEW, OLD], &[NEW, OLD]),
+        (&[NEW], &[NEW, OLD]),
+        (&[NEW], &[NEW]),
+    ];
+    for (step, (a_keys, b_keys)) in (0_u8..).zip(steps) {
+        a.keys.replace(ring(a_keys));
+        b.keys.replace(ring(b_keys));
+        for at in 0..50 {
+            a.mailbox.send(b.addr(), vec![step, at]);
+        }
+        for at in 0..50 {
+            assert_eq!(b.next().await, [step, at]);
+        }
+    }
+    assert_eq!(b.metrics.refused_seal.get(), 0);
+}
+
+#[tokio::test]
+async fn messages_of_one_peer_keep_their_order() {
+    let (a, mut b) = (End::new(&[OLD]), End::new(&[OLD]));
+    for at in 0..2000_u32 {
+        a.mailbox.send(b.addr(), at.to_le_bytes().to_vec());
+    }
+    for at in 0..2000_u32 {
+        assert_eq!(b.next().await, at.to_le_bytes());
+    }
+}
+
+#[tokio::test]
+async fn a_peer_restarted_at_its_address_gets_messages_again() {
+    let (a, mut b) = (End::new(&[OLD]), End::new(&[OLD]));
+    let addr = b.addr();
+    a.mailbox.send(addr, b"first".to_vec());
+    assert_eq!(b.next().await, b"first");
+    tokio::task::spawn_blocking(move || drop(b)).await.unwrap();
+    let mut b = reopen(addr).await;
+    // The first ones may be lost with the old connection.
+    let again = async {
+        loop {
+            a.mailbox.send(addr, b"again".to_vec());
+            if let Ok(Some(msg)) =
+                tokio::time::timeout(Duration::from_millis(50), b.rx.recv()).await
+            {
+                return msg;
+            }
+        }
+    };
+    let msg = tokio::time::timeout(PATIENCE, again).await.unwrap();
+    assert_eq!(msg, b"again");
+}
+
+async fn reopen(addr: SocketAddr) -> End {
+    let reopened = async {
+        loop {
+            match End::at(addr, &[OLD], Limits::default()) {
+                Ok(end) => return end,
+                Err(_) => tokio::time::sleep(LOOK).await,
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, reopened)
+        .await
+        .expect("the address stayed in use")
+}
+
+/// An address that refuses connections; no other socket gets it while this one lives.
+struct Nobody {
+    _bound: tokio::net::TcpSocket,
+    addr: SocketAddr,
+}
+
+impl Nobody {
+    fn new() -> Self {
+        let bound = tokio::net::TcpSocket::new_v4().unwrap();
+        bound.bind(any_port()).unwrap();
+        let addr = bound.local_addr().unwrap();
+        Self {
+            _bound: bound,
+            addr,
+        }
+    }
+}
+
+#[tokio::test]
+async fn messages_to_an_unreachable_peer_are_dropped_when_old() {
+    let limits = Limits {
+        max_age: Duration::from_millis(100),
+        ..Limits::default()
+    };
+    let a = End::at(any_port(), &[OLD], limits).unwrap();
+    let nobody = Nobody::new();
+    for _ in 0..100 {
+        a.mailbox.send(nobody.addr, vec![1; 10]);
+    }
+    until("the drops", || a.dropped("too_old") == 100).await;
+    assert_eq!(a.metrics.sent.get(), 0);
+}
+
+macro_rules! full_queue_cases {
+    ($($name:ident: $limits:expr => $dropped:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let limits = Limits { max_age: PATIENCE, ..$limits };
+            let a = End::at(any_port(), &[OLD], limits).unwrap();
+            let nobody = Nobody::new();
+            // One message leaves the queue for the socket, ten meet the bound.
+            for _ in 0..11 {
+                a.mailbox.send(nobody.addr, vec![1; 100]);
+            }
+            assert_eq!(a.dropped("queue_full"), $dropped);
+        }
+    )*};
+}
+
+full_queue_cases! {
+    a_full_queue_drops_by_count: Limits { peer_messages: 4, ..Limits::default() } => 6;
+    a_full_queue_drops_by_bytes: Limits { peer_bytes: 400, ..Limits::default() } => 7;
+}
+
+#[tokio::test]
+async fn too_long_and_too_many_are_dropped_at_the_sender() {
+    let limits = Limits {
+        peers: 1,
+        ..Limits::default()
+    };
+    let a = End::at(any_port(), &[OLD], limits).unwrap();
+    let (first, second) = (Nobody::new(), Nobody::new());
+    a.mailbox.send(first.addr, vec![1; MAX_MESSAGE + 1]);
+    assert_eq!(a.dropped("too_long"), 1);
+    a.mailbox.send(first.addr, vec![1]);
+    assert_eq!(a.dropped("too_many_peers"), 0);
+    a.mailbox.send(second.addr, vec![1]);
+    assert_eq!(a.dropped("too_many_peers"), 1);
+}
+
+#[tokio::test]
+async fn an_idle_peer_is_closed_and_dialled_again() {
+    let limits = Limits {
+        idle: Duration::from_millis(500),
+        ..Limits::default()
+    };
+    let a = End::at(any_port(), &[OLD], limits).unwrap();
+    let mut b = End::new(&[OLD]);
+    for round in 0..3 {
+        a.mailbox.send(b.addr(), vec![round]);
+        assert_eq!(b.next().await, [round]);
+        until("the close", || a.metrics.peers.get() == 0).await;
+    }
+}
