Add the client of the platform with errors by effect

Cause: a claim or a configuration may be written while its answer is lost, so the caller must know which failed writes surely had no effect. Ruled out: retries and redirects in the client, which would hide a second write, and one timeout for connecting and answering, which would make a refused connection unknown. Before: nothing. After: 26 cases of tests/platform_client.rs pass against a scripted platform.

--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod keyring;
 pub mod mailbox;
 pub mod metrics;
+pub mod platform;
--- /dev/null
+++ b/fireflyd/src/platform.rs
@@ -0,0 +1,414 @@
+//! Client of the platform: versioned objects, watches and the VM list.
+//!
+//! The errors tell a write that surely had no effect from one whose outcome is unknown; after the
+//! latter the caller reads back and compares. Nothing is retried here.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use reqwest::header::{HeaderMap, IF_MATCH, IF_NONE_MATCH, RETRY_AFTER};
+use reqwest::{Method, RequestBuilder, Response, StatusCode, Url};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::metrics::Metrics;
+
+/// Timeout of a call when the settings name none.
+pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+/// What a watch may take beyond the wait it asks for.
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+/// Largest value of an object in bytes.
+pub const MAX_VALUE: usize = 1 << 20;
+
+/// Why a call gave no answer of the wanted kind.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlatformError {
+    /// The condition of a write didn't hold; no effect.
+    Conflict {
+        /// Version the object has; 0 when it is absent.
+        version: u64,
+    },
+    /// There is no such object; no effect.
+    NotFound,
+    /// The platform can't be reached, is down or limits the rate; no effect.
+    Unavailable {
+        /// When to come back, if the platform said so.
+        retry_after: Option<Duration>,
+    },
+    /// The write was sent and its answer lost: it may or may not have taken effect.
+    OutcomeUnknown,
+    /// The call or its answer makes no sense, or the value is too large; no effect.
+    Invalid(String),
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Conflict { version } => write!(f, "conflict with version {version}"),
+            Self::NotFound => f.write_str("not found"),
+            Self::Unavailable { retry_after: None } => f.write_str("unavailable"),
+            Self::Unavailable {
+                retry_after: Some(wait),
+            } => write!(f, "unavailable for {} s", wait.as_secs()),
+            Self::OutcomeUnknown => f.write_str("outcome unknown"),
+            Self::Invalid(why) => write!(f, "invalid: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+impl PlatformError {
+    const UNAVAILABLE: Self = Self::Unavailable { retry_after: None };
+
+    /// Value of the metrics' `result` label.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Conflict { .. } => "conflict",
+            Self::NotFound => "not_found",
+            Self::Unavailable { .. } => "unavailable",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Invalid(_) => "invalid",
+        }
+    }
+}
+
+/// Result of a call of the platform.
+pub type Result<T> = std::result::Result<T, PlatformError>;
+
+/// When a write takes effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// The object is absent.
+    Absent,
+    /// The object has this version.
+    Version(u64),
+    /// Whatever the object is.
+    Always,
+}
+
+/// An object as the platform holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Object {
+    /// Kind of the object.
+    pub kind: Arc<str>,
+    /// Name, unique within its kind.
+    pub name: Arc<str>,
+    /// Version, which grows with each write.
+    pub version: u64,
+    /// The value written last.
+    pub value: Value,
+}
+
+/// A page of a list, ordered by name.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Page {
+    /// Revision of the store from which a watch goes on.
+    #[serde(default)]
+    pub revision: u64,
+    /// The objects; fewer than the limit on the last page.
+    pub objects: Vec<Object>,
+}
+
+/// What a watch saw.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Changes {
+    /// Revision from which the next watch goes on.
+    pub revision: u64,
+    /// The changes; none when the wait ended first.
+    pub changes: Vec<Change>,
+}
+
+/// One change of an object.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Change {
+    /// Name of the object.
+    pub name: Arc<str>,
+    /// Version that the change gave it.
+    pub version: u64,
+    /// Whether the object was deleted.
+    #[serde(default)]
+    pub deleted: bool,
+    /// Its value, unless deleted.
+    #[serde(default)]
+    pub value: Option<Value>,
+}
+
+/// A VM as the platform lists it, which may lag behind.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Vm {
+    /// Name of the VM.
+    pub name: Arc<str>,
+    /// Address of the process on it.
+    pub address: Arc<str>,
+    /// Data centre it runs in.
+    pub data_centre: Arc<str>,
+    /// What it is for.
+    pub role: Arc<str>,
+    /// Whether it stays.
+    pub state: VmState,
+}
+
+/// Whether a VM stays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// It runs.
+    Live,
+    /// It is about to be taken away.
+    Leaving,
+    /// A state this version doesn't know.
+    #[serde(other)]
+    Unknown,
+}
+
+#[derive(Deserialize)]
+struct VmList {
+    vms: Vec<Vm>,
+}
+
+#[derive(Deserialize)]
+struct Version {
+    version: u64,
+}
+
+/// Whether a call can have an effect.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Effect {
+    Read,
+    Write,
+}
+
+/// Client of one platform; cloning shares its connections.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    http: reqwest::Client,
+    base: Url,
+    timeout: Duration,
+    metrics: Metrics,
+}
+
+impl PlatformClient {
+    /// Client of the platform at `base`, each call bounded by `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// An error when `base` is no HTTP URL.
+    pub fn new(base: &str, timeout: Duration, metrics: Metrics) -> anyhow::Result<Self> {
+        let base = Url::parse(base).with_context(|| format!("platform URL {base}"))?;
+        anyhow::ensure!(!base.cannot_be_a_base(), "platform URL {base} has no path");
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            // Half of the whole, so that a connection never made isn't taken for a lost answer.
+            .connect_timeout(timeout / 2)
+            .build()?;
+        Ok(Self {
+            http,
+            base,
+            timeout,
+            metrics,
+        })
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound`, `Unavailable` or `Invalid`.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Object> {
+        let req = self.request(Method::GET, self.object_url(kind, name)?);
+        self.read("get", req).await
+    }
+
+    /// Writes an object under a condition and gives its new version.
+    ///
+    /// # Errors
+    ///
+    /// Any but `NotFound`.
+    pub async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &impl Serialize,
+        condition: Condition,
+    ) -> Result<u64> {
+        let body = serde_json::to_vec(value).map_err(|e| PlatformError::Invalid(e.to_string()))?;
+        if body.len() > MAX_VALUE {
+            let why = format!("value of {} bytes, at most {MAX_VALUE}", body.len());
+            return Err(PlatformError::Invalid(why));
+        }
+        let req = self
+            .request(Method::PUT, self.object_url(kind, name)?)
+            .header(reqwest::header::CONTENT_TYPE, "application/json")
+            .body(body);
+        self.write("put", conditional(req, condition)).await
+    }
+
+    /// Deletes an object under a condition and gives the version of the deletion.
+    ///
+    /// # Errors
+    ///
+    /// Any of [`PlatformError`].
+    pub async fn delete(&self, kind: &str, name: &str, condition: Condition) -> Result<u64> {
+        let req = self.request(Method::DELETE, self.object_url(kind, name)?);
+        self.write("delete", conditional(req, condition)).await
+    }
+
+    /// Lists at most `limit` objects of a kind whose names follow `after`.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` or `Invalid`.
+    pub async fn list(&self, kind: &str, after: &str, limit: usize) -> Result<Page> {
+        let mut url = self.url(&["objects", kind])?;
+        url.query_pairs_mut()
+            .append_pair("after", after)
+            .append_pair("limit", &limit.to_string());
+        self.read("list", self.request(Method::GET, url)).await
+    }
+
+    /// Waits at most `wait` for changes of a kind after revision `since`.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` or `Invalid`.
+    pub async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Result<Changes> {
+        let mut url = self.url(&["watch", kind])?;
+        url.query_pairs_mut()
+            .append_pair("since", &since.to_string())
+            .append_pair("timeout_ms", &wait.as_millis().to_string());
+        let req = self.request(Method::GET, url).timeout(wait + WATCH_MARGIN);
+        self.read("watch", req).await
+    }
+
+    /// The VM list.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` or `Invalid`.
+    pub async fn vms(&self) -> Result<Vec<Vm>> {
+        let req = self.request(Method::GET, self.url(&["vms"])?);
+        self.read("vms", req).await.map(|list: VmList| list.vms)
+    }
+
+    fn request(&self, method: Method, url: Url) -> RequestBuilder {
+        self.http.request(method, url).timeout(self.timeout)
+    }
+
+    /// URL of an object; the name may have several segments.
+    fn object_url(&self, kind: &str, name: &str) -> Result<Url> {
+        let mut segments = vec!["objects", kind];
+        segments.extend(name.split('/'));
+        self.url(&segments)
+    }
+
+    fn url(&self, segments: &[&str]) -> Result<Url> {
+        // A URL drops such segments or climbs by them.
+        if let Some(wrong) = segments.iter().find(|s| matches!(**s, "" | "." | "..")) {
+            return Err(PlatformError::Invalid(format!("path segment {wrong:?}")));
+        }
+        let mut url = self.base.clone();
+        match url.path_segments_mut() {
+            Ok(mut path) => path.pop_if_empty().push("v1").extend(segments),
+            Err(()) => return Err(PlatformError::Invalid(format!("URL {}", self.base))),
+        };
+        Ok(url)
+    }
+
+    async fn read<T: DeserializeOwned>(&self, kind: &str, req: RequestBuilder) -> Result<T> {
+        self.call(kind, Effect::Read, req).await
+    }
+
+    async fn write(&self, kind: &str, req: RequestBuilder) -> Result<u64> {
+        let written: Version = self.call(kind, Effect::Write, req).await?;
+        Ok(written.version)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        effect: Effect,
+        req: RequestBuilder,
+    ) -> Result<T> {
+        let res = answer(effect, req).await;
+        let label = res.as_ref().err().map_or("ok", PlatformError::label);
+        self.metrics
+            .platform_calls
+            .with_label_values(&[kind, label])
+            .inc();
+        res
+    }
+}
+
+fn conditional(req: RequestBuilder, condition: Condition) -> RequestBuilder {
+    match condition {
+        Condition::Absent => req.header(IF_NONE_MATCH, "*"),
+        Condition::Version(version) => req.header(IF_MATCH, version.to_string()),
+        Condition::Always => req,
+    }
+}
+
+async fn answer<T: DeserializeOwned>(effect: Effect, req: RequestBuilder) -> Result<T> {
+    let res = req.send().await.map_err(|e| broken(effect, &e))?;
+    if !res.status().is_success() {
+        return Err(refusal(effect, res).await);
+    }
+    let body = res.bytes().await.map_err(|e| broken(effect, &e))?;
+    serde_json::from_slice(&body).map_err(|e| match effect {
+        Effect::Read => PlatformError::Invalid(e.to_string()),
+        // It took effect, but without its version the caller has to read back.
+        Effect::Write => PlatformError::OutcomeUnknown,
+    })
+}
+
+/// What a call without an answer means.
+fn broken(effect: Effect, e: &reqwest::Error) -> PlatformError {
+    if e.is_builder() {
+        PlatformError::Invalid(e.to_string())
+    } else if e.is_connect() {
+        PlatformError::UNAVAILABLE
+    } else {
+        lost(effect)
+    }
+}
+
+fn lost(effect: Effect) -> PlatformError {
+    match effect {
+        Effect::Read => PlatformError::UNAVAILABLE,
+        Effect::Write => PlatformError::OutcomeUnknown,
+    }
+}
+
+/// What an answer other than success means.
+async fn refusal(effect: Effect, res: Response) -> PlatformError {
+    match res.status() {
+        StatusCode::NOT_FOUND => PlatformError::NotFound,
+        StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED => conflict(res).await,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            PlatformError::Unavailable {
+                retry_after: retry_after(res.headers()),
+            }
+        }
+        StatusCode::REQUEST_TIMEOUT => lost(effect),
+        status if status.is_client_error() => PlatformError::Invalid(status.to_string()),
+        _ => lost(effect),
+    }
+}
+
+async fn conflict(res: Response) -> PlatformError {
+    match res.json::<Version>().await {
+        Ok(Version { version }) => PlatformError::Conflict { version },
+        // The refusal itself is certain; the caller reads the object before it goes on.
+        Err(_) => PlatformError::Conflict { version: 0 },
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
--- /dev/null
+++ b/fireflyd/tests/platform_client.rs
@@ -0,0 +1,301 @@
+//! The platform client against a scripted platform: what each answer and each fault comes to.
+
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use fireflyd::metrics::Metrics;
+use fireflyd::platform::{Condition, MAX_VALUE, PlatformClient, PlatformError, VmState};
+use poem::listener::TcpAcceptor;
+use poem::{Endpoint, Request, Response, Server};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Timeout of calls that are to end in an answer.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Timeout of calls that are to end in a timeout.
+const BRIEF: Duration = Duration::from_millis(200);
+
+/// What the fake platform was asked: method, path with query, condition header.
+type Asked = (String, String, Option<String>);
+
+/// A platform that gives the answers it was told, in order.
+struct Fake {
+    url: String,
+    asked: Arc<Mutex<Vec<Asked>>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Fake {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Script {
+    asked: Arc<Mutex<Vec<Asked>>>,
+    answers: Mutex<VecDeque<Response>>,
+}
+
+impl Endpoint for Script {
+    type Output = Response;
+
+    async fn call(&self, req: Request) -> poem::Result<Response> {
+        let header = |name: &str| {
+            let value = req.header(name)?;
+            Some(format!("{name}: {value}"))
+        };
+        let condition = header("if-match").or_else(|| header("if-none-match"));
+        let asked = (req.method().to_string(), req.uri().to_string(), condition);
+        self.asked.lock().unwrap().push(asked);
+        let answer = self.answers.lock().unwrap().pop_front();
+        match answer {
+            Some(res) => Ok(res),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+impl Fake {
+    /// Gives `answers`, then none any more.
+    async fn new(answers: impl IntoIterator<Item = Response>) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let url = format!("http://{}", listener.local_addr().unwrap());
+        let asked = Arc::default();
+        let script = Script {
+            asked: Arc::clone(&asked),
+            answers: Mutex::new(answers.into_iter().collect()),
+        };
+        let acceptor = TcpAcceptor::from_tokio(listener).unwrap();
+        let task = tokio::spawn(async move {
+            Server::new_with_acceptor(acceptor)
+                .run(script)
+                .await
+                .unwrap();
+        });
+        Self { url, asked, task }
+    }
+
+    fn asked(&self) -> Vec<Asked> {
+        self.asked.lock().unwrap().clone()
+    }
+}
+
+fn client(url: &str, timeout: Duration) -> PlatformClient {
+    PlatformClient::new(url, timeout, Metrics::new().unwrap()).unwrap()
+}
+
+fn answer(status: u16, body: &serde_json::Value) -> Response {
+    let status = poem::http::StatusCode::from_u16(status).unwrap();
+    Response::builder().status(status).body(body.to_string())
+}
+
+fn limited(seconds: &str) -> Response {
+    let mut res = answer(429, &json!({}));
+    let value = poem::http::HeaderValue::from_str(seconds).unwrap();
+    res.headers_mut().insert("retry-after", value);
+    res
+}
+
+fn unavailable(seconds: Option<u64>) -> PlatformError {
+    PlatformError::Unavailable {
+        retry_after: seconds.map(Duration::from_secs),
+    }
+}
+
+macro_rules! put_cases {
+    ($($name:ident: $answer:expr => $want:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let fake = Fake::new([$answer]).await;
+            let client = client(&fake.url, PATIENCE);
+            let got = client.put("config", "head", &json!(1), Condition::Absent).await;
+            assert_eq!(got, $want);
+            let asked = ("PUT", "/v1/objects/config/head", "if-none-match: *");
+            let seen = fake.asked();
+            let (method, uri, condition) = &seen[0];
+            assert_eq!((&method[..], &uri[..], condition.as_deref().unwrap()), asked);
+            assert_eq!(seen.len(), 1);
+        }
+    )*};
+}
+
+put_cases! {
+    put_gives_the_version: answer(200, &json!({"version": 7})) => Ok(7);
+    put_tells_a_conflict: answer(409, &json!({"version": 9})) => Err(PlatformError::Conflict { version: 9 });
+    put_in_an_outage_has_no_effect: answer(503, &json!({})) => Err(unavailable(None));
+    put_over_the_rate_has_no_effect: limited("3") => Err(unavailable(Some(3)));
+    put_over_the_rate_with_an_odd_wait: limited("soon") => Err(unavailable(None));
+    put_answered_by_504_is_unknown: answer(504, &json!({})) => Err(PlatformError::OutcomeUnknown);
+    put_answered_by_500_is_unknown: answer(500, &json!({})) => Err(PlatformError::OutcomeUnknown);
+    put_answered_by_408_is_unknown: answer(408, &json!({})) => Err(PlatformError::OutcomeUnknown);
+    put_answered_by_nonsense_is_unknown: answer(200, &json!("?")) => Err(PlatformError::OutcomeUnknown);
+    put_too_large_is_invalid: answer(413, &json!({})) => Err(PlatformError::Invalid("413 Payload Too Large".to_owned()));
+}
+
+macro_rules! get_cases {
+    ($($name:ident: $answer:expr => $want:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let fake = Fake::new([$answer]).await;
+            let got = client(&fake.url, PATIENCE).get("config", "head").await;
+            assert_eq!(got.map(|object| object.version), $want);
+        }
+    )*};
+}
+
+get_cases! {
+    get_gives_the_object: answer(200, &json!({"kind": "config", "name": "head", "version": 3, "value": {}})) => Ok(3);
+    get_tells_the_absent: answer(404, &json!({})) => Err(PlatformError::NotFound);
+    get_in_an_outage: answer(503, &json!({})) => Err(unavailable(None));
+    get_answered_by_504_has_no_effect: answer(504, &json!({})) => Err(unavailable(None));
+}
+
+#[tokio::test]
+async fn a_write_without_an_answer_in_time_is_unknown() {
+    let fake = Fake::new([]).await;
+    let client = client(&fake.url, BRIEF);
+    let put = client.put("claim", "a", &1, Condition::Absent).await;
+    assert_eq!(put, Err(PlatformError::OutcomeUnknown));
+    let delete = client.delete("claim", "a", Condition::Version(4)).await;
+    assert_eq!(delete, Err(PlatformError::OutcomeUnknown));
+    let get = client.get("claim", "a").await;
+    assert_eq!(get, Err(unavailable(None)));
+    assert_eq!(fake.asked()[1].2.as_deref(), Some("if-match: 4"));
+}
+
+#[tokio::test]
+async fn a_refused_connection_has_no_effect() {
+    let bound = tokio::net::TcpSocket::new_v4().unwrap();
+    bound.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let url = format!("http://{}", bound.local_addr().unwrap());
+    let put = client(&url, PATIENCE)
+        .put("claim", "a", &1, Condition::Absent)
+        .await;
+    assert_eq!(put, Err(unavailable(None)));
+}
+
+macro_rules! cut_cases {
+    ($($name:ident: $answer:expr;)*) => {$(
+        /// The connection ends after the write was read.
+        #[tokio::test]
+        async fn $name() {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+            let url = format!("http://{}", listener.local_addr().unwrap());
+            let served = tokio::spawn(async move {
+                let (mut socket, _) = listener.accept().await.unwrap();
+                let mut buf = [0; 4096];
+                let len = socket.read(&mut buf).await.unwrap();
+                socket.write_all($answer).await.unwrap();
+                len
+            });
+            let put = client(&url, PATIENCE).put("claim", "a", &1, Condition::Absent).await;
+            assert_eq!(put, Err(PlatformError::OutcomeUnknown));
+            assert!(served.await.unwrap() > 0);
+        }
+    )*};
+}
+
+cut_cases! {
+    a_write_cut_before_the_answer_is_unknown: b"";
+    a_write_cut_within_the_head_is_unknown: b"HTTP/1.1 200";
+    a_write_cut_within_the_body_is_unknown: b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{";
+}
+
+#[tokio::test]
+async fn list_watch_and_vms_are_asked_for_and_parsed() {
+    let object = json!({"kind": "part", "name": "b", "version": 2, "value": [1]});
+    let vm = |state: &str| json!({"name": "vm1", "address": "127.0.0.1:1", "data_centre": "a", "role": "entry", "state": state});
+    let fake = Fake::new([
+        answer(200, &json!({"revision": 8, "objects": [object]})),
+        answer(
+            200,
+            &json!({"revision": 9, "changes": [
+                {"name": "b", "version": 9, "deleted": true, "value": null}
+            ]}),
+        ),
+        answer(200, &json!({"vms": [vm("live"), vm("leaving"), vm("odd")]})),
+    ])
+    .await;
+    let client = client(&fake.url, PATIENCE);
+    let page = client.list("part", "a b", 10).await.unwrap();
+    assert_eq!(
+        (page.revision, page.objects[0].value.clone()),
+        (8, json!([1]))
+    );
+    let seen = client
+        .watch("part", 8, Duration::from_millis(500))
+        .await
+        .unwrap();
+    assert!(seen.changes[0].deleted && seen.changes[0].value.is_none());
+    let states: Vec<VmState> = client
+        .vms()
+        .await
+        .unwrap()
+        .iter()
+        .map(|vm| vm.state)
+        .collect();
+    assert_eq!(states, [VmState::Live, VmState::Leaving, VmState::Unknown]);
+    let uris: Vec<String> = fake.asked().into_iter().map(|(_, uri, _)| uri).collect();
+    assert_eq!(
+        uris,
+        [
+            "/v1/objects/part?after=a+b&limit=10",
+            "/v1/watch/part?since=8&timeout_ms=500",
+            "/v1/vms",
+        ]
+    );
+}
+
+macro_rules! name_cases {
+    ($($name:ident: $object:expr => $uri:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let fake = Fake::new([answer(404, &json!({}))]).await;
+            let got = client(&fake.url, PATIENCE).get("config", $object).await;
+            let uris: Vec<String> = fake.asked().into_iter().map(|(_, uri, _)| uri).collect();
+            let want: Option<&str> = $uri;
+            assert_eq!(uris.first().map(|uri| &uri[..]), want);
+            assert_eq!(matches!(got, Err(PlatformError::Invalid(_))), want.is_none());
+        }
+    )*};
+}
+
+name_cases! {
+    a_name_with_a_blank_is_escaped: "a b?c" => Some("/v1/objects/config/a%20b%3Fc");
+    a_name_of_segments_keeps_them: "parts/ab" => Some("/v1/objects/config/parts/ab");
+    a_name_that_climbs_is_not_sent: "a/../../x" => None;
+    an_empty_name_is_not_sent: "" => None;
+}
+
+#[tokio::test]
+async fn a_value_over_the_bound_is_not_sent() {
+    let fake = Fake::new([]).await;
+    let value = "x".repeat(MAX_VALUE);
+    let put = client(&fake.url, PATIENCE)
+        .put("config", "part", &value, Condition::Always)
+        .await;
+    assert!(matches!(put, Err(PlatformError::Invalid(_))));
+    assert!(fake.asked().is_empty());
+}
+
+#[tokio::test]
+async fn calls_are_counted_by_kind_and_result() {
+    let fake = Fake::new([
+        answer(200, &json!({"version": 1})),
+        answer(404, &json!({})),
+        answer(404, &json!({})),
+    ])
+    .await;
+    let metrics = Metrics::new().unwrap();
+    let client = PlatformClient::new(&fake.url, PATIENCE, metrics.clone()).unwrap();
+    client.put("a", "b", &1, Condition::Always).await.unwrap();
+    for _ in 0..2 {
+        client.get("a", "b").await.unwrap_err();
+    }
+    let text = metrics.render();
+    assert!(text.contains("firefly_platform_calls_total{kind=\"put\",result=\"ok\"} 1"));
+    assert!(text.contains("firefly_platform_calls_total{kind=\"get\",result=\"not_found\"} 2"));
+}
