--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! The daemon of the fleet: sockets, files and timers round the core, one file for each job.
+
+pub mod keyring;
+pub mod mailbox;
+pub mod metrics;
+pub mod platform;
