Serve callers over HTTP: parse, stream and answer with numbered codes

Cause: the entry core had no door. Chosen: poem handlers that give calls to one loop over a bounded channel and turn replies into events; what a caller took is told back so that a slow caller holds its own stream only. Ruled out: a lock round the core (a stalled caller would hold it). Before: no HTTP. After: it compiles; nothing is run yet. Conclusion: the loop is next.

--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -117,7 +117,7 @@
     pub delivery: Delivery,
     /// `Idempotency-Key`, when there is one.
     pub idempotency_key: Option<Name>,
-    /// Whether the caller forbids to repeat it.
+    /// Whether it is run once at most even where no rule says so.
     pub never_repeat: bool,
     /// Place to go on from, when the caller comes back.
     pub resume: Option<ResumePoint>,
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -203,6 +203,7 @@
     let method = &submission.method;
     let by_rule = config.is_non_repeatable(ix, &submission.target, method, &submission.path);
     let repeatable = !by_rule && !submission.never_repeat;
+    let needs_key = by_rule && config.without_key() == WithoutKey::Refuse;
     if let Some(key) = &submission.idempotency_key {
         let workspace = config.workspace_name(ix);
         let claim_key = Digest::of(&[workspace.as_bytes(), key.as_bytes()]);
@@ -211,7 +212,7 @@
             claim_key: Some(claim_key),
         });
     }
-    if !repeatable && config.without_key() == WithoutKey::Refuse && submission.resume.is_none() {
+    if needs_key && submission.resume.is_none() {
         return Err(final_refusal(Code::IdempotencyKeyRequired));
     }
     Ok(Repeating {
--- /dev/null
+++ b/fireflyd/src/answer.rs
@@ -0,0 +1,177 @@
+//! The form of answers: events, chat completions and errors.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fireflycroft::{Chunk, Class, Code, Finish, Name, RequestId, ResumePoint, event_id};
+use poem::http::StatusCode;
+use poem::{Body, Response};
+use serde_json::{Value, json};
+
+/// Id of an answer as clients know it.
+fn completion_id(request: RequestId) -> String {
+    format!("chatcmpl-{request}")
+}
+
+/// Word for a class, in errors.
+const fn class_word(class: Class) -> &'static str {
+    match class {
+        Class::Operator => "operator",
+        Class::NotRun => "not_run",
+        Class::Ran => "ran",
+        Class::Unknown => "unknown",
+    }
+}
+
+/// Why an answer was not given, or not wholly.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// Result code.
+    pub code: Code,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// Tokens given so far.
+    pub delivered: u64,
+    /// More for the caller than the code's phrase.
+    pub detail: Option<String>,
+}
+
+impl Failure {
+    /// Failure before anything was given.
+    #[must_use]
+    pub const fn of(code: Code) -> Self {
+        Self {
+            code,
+            retry_after: None,
+            delivered: 0,
+            detail: None,
+        }
+    }
+
+    fn to_json(&self) -> Value {
+        let message = match &self.detail {
+            Some(detail) => format!("{}: {detail}", self.code.phrase()),
+            None => self.code.phrase().to_owned(),
+        };
+        json!({"error": {
+            "code": self.code.number(),
+            "class": class_word(self.code.class()),
+            "message": message,
+            "delivered": self.delivered,
+            "retry_after": self.retry_after.map(whole_seconds_up),
+        }})
+    }
+}
+
+/// Whole seconds, rounded up, as `Retry-After` counts.
+fn whole_seconds_up(span: Duration) -> u64 {
+    span.as_secs() + u64::from(span.subsec_nanos() > 0)
+}
+
+/// Response that says why nothing was given.
+#[must_use]
+pub fn error_response(failure: &Failure) -> Response {
+    let status =
+        StatusCode::from_u16(failure.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = Response::builder()
+        .status(status)
+        .content_type("application/json")
+        .header("x-firefly-code", failure.code.number().to_string());
+    if let Some(wait) = failure.retry_after {
+        builder = builder.header("retry-after", whole_seconds_up(wait).to_string());
+    }
+    builder.body(failure.to_json().to_string())
+}
+
+/// Event that ends a stream with an error.
+#[must_use]
+pub fn error_event(failure: &Failure) -> Bytes {
+    Bytes::from(format!("event: error\ndata: {}\n\n", failure.to_json()))
+}
+
+/// Events for the tokens of a chunk, one each.
+#[must_use]
+pub fn token_events(point: &ResumePoint, model: &Name, chunk: &Chunk) -> Bytes {
+    let id = completion_id(point.request);
+    let mut text = String::with_capacity(chunk.data.len() + 256 * chunk.lens.len());
+    for (next, token) in (chunk.offset + 1..).zip(chunk.tokens()) {
+        let content = String::from_utf8_lossy(token);
+        let data = json!({
+            "id": id,
+            "object": "chat.completion.chunk",
+            "model": model,
+            "choices": [{"index": 0, "delta": {"content": content}, "finish_reason": null}],
+        });
+        text.push_str("id: ");
+        text.push_str(&event_id(point, next));
+        text.push_str("\ndata: ");
+        text.push_str(&data.to_string());
+        text.push_str("\n\n");
+    }
+    Bytes::from(text)
+}
+
+/// Events that end a whole stream.
+#[must_use]
+pub fn end_events(point: &ResumePoint, model: &Name, finish: &Finish) -> Bytes {
+    let data = json!({
+        "id": completion_id(point.request),
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [{"index": 0, "delta": {}, "finish_reason": finish.reason}],
+        "usage": usage(finish),
+    });
+    Bytes::from(format!(
+        "id: {}\ndata: {data}\n\ndata: [DONE]\n\n",
+        event_id(point, finish.total)
+    ))
+}
+
+fn usage(finish: &Finish) -> Value {
+    json!({
+        "prompt_tokens": finish.prompt_tokens,
+        "completion_tokens": finish.total,
+        "total_tokens": u64::from(finish.prompt_tokens) + finish.total,
+        "preemptions": finish.preemptions,
+    })
+}
+
+/// Whole answer to a chat completion.
+#[must_use]
+pub fn whole_response(
+    point: &ResumePoint,
+    model: &Name,
+    chunk: &Chunk,
+    finish: &Finish,
+) -> Response {
+    let content = String::from_utf8_lossy(&chunk.data);
+    let body = json!({
+        "id": completion_id(point.request),
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": content},
+            "finish_reason": finish.reason,
+        }],
+        "usage": usage(finish),
+    });
+    Response::builder()
+        .content_type("application/json")
+        .header("x-request-id", point.request.to_string())
+        .body(body.to_string())
+}
+
+/// Answer of a plain service, as it came.
+#[must_use]
+pub fn call_response(point: Option<&ResumePoint>, chunk: Chunk, finish: &Finish) -> Response {
+    let status = StatusCode::from_u16(finish.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = Response::builder().status(status);
+    if !finish.content_type.is_empty() {
+        builder = builder.content_type(&*finish.content_type);
+    }
+    if let Some(point) = point {
+        builder = builder.header("x-request-id", point.request.to_string());
+    }
+    builder.body(Body::from_vec(chunk.data))
+}
--- /dev/null
+++ b/fireflyd/src/front.rs
@@ -0,0 +1,451 @@
+//! The callers' interface over HTTP.
+//!
+//! A handler reads a request, gives it to the entry's loop and turns the
+//! replies into a response. What a caller has taken is told back, so that the
+//! agent sends no more than the caller reads.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use anyhow::Context;
+use bytes::Bytes;
+use fireflycroft::{CallId, Chunk, Code, Delivery, EntryEvent, Name, Reply, ResumePoint};
+use futures_util::Stream;
+use poem::listener::{
+    Acceptor, AcceptorExt, Listener, RustlsCertificate, RustlsConfig, TcpListener,
+};
+use poem::web::{Data, Path};
+use poem::{Body, EndpointExt, Request, Response, Route, Server, handler};
+use tokio::sync::mpsc;
+
+use crate::answer::{self, Failure};
+use crate::metrics::Metrics;
+use crate::request::{BadRequest, MAX_BODY, Parsed, check_headers, parse_call, parse_chat};
+
+/// Tokens that a caller takes between two notices to the entry.
+const TAKEN_STEP: u64 = 128;
+
+/// What the front gives to the entry's loop.
+#[derive(Debug)]
+pub enum FrontEvent {
+    /// A new call, and where its replies go.
+    Open(CallId, mpsc::UnboundedSender<Reply>),
+    /// An event of a call.
+    Event(EntryEvent),
+}
+
+/// The callers' side of one entry; cloning shares it.
+#[derive(Clone, Debug)]
+pub struct Front {
+    tx: mpsc::Sender<FrontEvent>,
+    next_call: Arc<AtomicU64>,
+    metrics: Metrics,
+}
+
+/// TLS towards callers.
+#[derive(Clone, Debug)]
+pub struct Tls {
+    /// Certificate chain, PEM.
+    pub cert: Vec<u8>,
+    /// Private key, PEM.
+    pub key: Vec<u8>,
+}
+
+/// A call that the entry knows of; dropping it says that the caller is gone.
+struct OpenCall {
+    id: CallId,
+    tx: mpsc::Sender<FrontEvent>,
+    rx: mpsc::UnboundedReceiver<Reply>,
+    done: bool,
+}
+
+impl Front {
+    /// Front that gives its calls to `tx`.
+    #[must_use]
+    pub fn new(tx: mpsc::Sender<FrontEvent>, metrics: Metrics) -> Self {
+        Self {
+            tx,
+            next_call: Arc::new(AtomicU64::new(1)),
+            metrics,
+        }
+    }
+
+    /// Binds `listen` and serves callers until the task is dropped.
+    ///
+    /// Returns the bound address and the server's future.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound or the certificate not read.
+    pub async fn bind(
+        self,
+        listen: SocketAddr,
+        tls: Option<Tls>,
+    ) -> anyhow::Result<(SocketAddr, impl Future<Output = std::io::Result<()>>)> {
+        let listener = TcpListener::bind(listen.to_string());
+        let acceptor = match tls {
+            None => listener
+                .into_acceptor()
+                .await
+                .context("callers' address")?
+                .boxed(),
+            Some(tls) => {
+                let cert = RustlsCertificate::new().cert(tls.cert).key(tls.key);
+                let config = RustlsConfig::new().fallback(cert);
+                listener
+                    .rustls(config)
+                    .into_acceptor()
+                    .await
+                    .context("TLS")?
+                    .boxed()
+            }
+        };
+        let bound = acceptor
+            .local_addr()
+            .first()
+            .and_then(|a| a.as_socket_addr().copied())
+            .context("callers' address")?;
+        let app = Route::new()
+            .at("/v1/chat/completions", poem::post(serve_chat))
+            .at("/services/:service/*path", serve_call)
+            .data(self);
+        Ok((bound, Server::new_with_acceptor(acceptor).run(app)))
+    }
+
+    async fn open(&self, event: impl FnOnce(CallId) -> EntryEvent) -> Result<OpenCall, Failure> {
+        let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
+        let (tx, rx) = mpsc::unbounded_channel();
+        let stopped = |_| Failure::of(Code::Leaving);
+        self.tx
+            .send(FrontEvent::Open(id, tx))
+            .await
+            .map_err(stopped)?;
+        self.tx
+            .send(FrontEvent::Event(event(id)))
+            .await
+            .map_err(stopped)?;
+        Ok(OpenCall {
+            id,
+            tx: self.tx.clone(),
+            rx,
+            done: false,
+        })
+    }
+}
+
+impl OpenCall {
+    async fn next(&mut self) -> Option<Reply> {
+        let reply = self.rx.recv().await;
+        let ends = matches!(reply, None | Some(Reply::End(_) | Reply::Fail { .. }));
+        self.done |= ends;
+        reply
+    }
+
+    fn tell_taken(&self, next: u64) {
+        // A full queue loses no more than the pace: the next notice says more.
+        let event = EntryEvent::Taken(self.id, next);
+        let _ = self.tx.try_send(FrontEvent::Event(event));
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let event = FrontEvent::Event(EntryEvent::CallerGone(self.id));
+        if let Err(mpsc::error::TrySendError::Full(event)) = self.tx.try_send(event) {
+            let tx = self.tx.clone();
+            tokio::spawn(async move { tx.send(event).await });
+        }
+    }
+}
+
+#[handler]
+async fn serve_chat(req: &Request, body: Body, front: Data<&Front>) -> Response {
+    let parsed = match read_body(req, body).await {
+        Ok(buf) => parse_chat(req.headers(), buf),
+        Err(bad) => Err(bad),
+    };
+    match parsed {
+        Ok(parsed) => front.serve_chat(parsed).await,
+        Err(bad) => refuse(front.0, bad),
+    }
+}
+
+#[handler]
+async fn serve_call(
+    req: &Request,
+    body: Body,
+    Path((service, path)): Path<(String, String)>,
+    front: Data<&Front>,
+) -> Response {
+    let path = match req.uri().query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    let parsed = match read_body(req, body).await {
+        Ok(buf) => parse_call(req.headers(), req.method().as_str(), &service, &path, buf),
+        Err(bad) => Err(bad),
+    };
+    match parsed {
+        Ok(parsed) => front.serve_call(parsed).await,
+        Err(bad) => refuse(front.0, bad),
+    }
+}
+
+async fn read_body(req: &Request, body: Body) -> Result<Vec<u8>, BadRequest> {
+    check_headers(req.headers())?;
+    body.into_bytes_limit(MAX_BODY)
+        .await
+        .map(Vec::from)
+        .map_err(|e| BadRequest {
+            code: match e {
+                poem::error::ReadBodyError::PayloadTooLarge => Code::BodyTooLarge,
+                _ => Code::BadRequest,
+            },
+            detail: e.to_string(),
+        })
+}
+
+fn refuse(front: &Front, bad: BadRequest) -> Response {
+    front.count("none", bad.code);
+    log::info!(event = "request_unreadable", code = bad.code.number(), detail:% = bad.detail; "");
+    answer::error_response(&Failure {
+        detail: Some(bad.detail),
+        ..Failure::of(bad.code)
+    })
+}
+
+impl Front {
+    fn count(&self, class: &str, code: Code) {
+        let code = code.number().to_string();
+        self.metrics
+            .requests
+            .with_label_values(&[class, &code])
+            .inc();
+    }
+
+    async fn serve_chat(&self, parsed: Parsed) -> Response {
+        let class = class_of(&parsed);
+        let Parsed { submission, target } = parsed;
+        let delivery = submission.delivery;
+        let received = Instant::now();
+        let opened = self
+            .open(|id| EntryEvent::Submit(id, Box::new(submission)))
+            .await;
+        let call = match opened {
+            Ok(call) => call,
+            Err(failure) => return answer::error_response(&failure),
+        };
+        let relay = Relay {
+            front: self.clone(),
+            call,
+            model: target,
+            class,
+            point: None,
+            received,
+            last: None,
+            taken: 0,
+        };
+        match delivery {
+            Delivery::Stream => relay.stream().await,
+            Delivery::Whole => relay.whole().await,
+        }
+    }
+
+    async fn serve_call(&self, parsed: Parsed) -> Response {
+        let Parsed { submission, .. } = parsed;
+        let opened = self
+            .open(|id| EntryEvent::Submit(id, Box::new(submission)))
+            .await;
+        let mut call = match opened {
+            Ok(call) => call,
+            Err(failure) => return answer::error_response(&failure),
+        };
+        let mut point = None;
+        let mut whole = Chunk::default();
+        loop {
+            match call.next().await {
+                Some(Reply::Begin(begun)) => point = Some(begun),
+                Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
+                Some(Reply::End(finish)) => {
+                    self.count("call", Code::Ok);
+                    return answer::call_response(point.as_ref(), whole, &finish);
+                }
+                Some(Reply::Fail {
+                    code,
+                    retry_after,
+                    delivered,
+                }) => {
+                    self.count("call", code);
+                    return answer::error_response(&Failure {
+                        code,
+                        retry_after,
+                        delivered,
+                        detail: None,
+                    });
+                }
+                None => return answer::error_response(&Failure::of(Code::OutcomeUnknown)),
+            }
+        }
+    }
+}
+
+fn append(whole: &mut Chunk, chunk: &Chunk) {
+    for token in chunk.tokens() {
+        whole.push(token);
+    }
+}
+
+fn class_of(parsed: &Parsed) -> &'static str {
+    match parsed.submission.priority {
+        Some(fireflycroft::Priority::Interactive) => "interactive",
+        Some(fireflycroft::Priority::Batch) => "batch",
+        None => "default",
+    }
+}
+
+/// One call on its way from the entry's replies to the caller.
+struct Relay {
+    front: Front,
+    call: OpenCall,
+    model: Name,
+    class: &'static str,
+    point: Option<ResumePoint>,
+    received: Instant,
+    last: Option<Instant>,
+    taken: u64,
+}
+
+impl Relay {
+    /// Answers with a stream, or with an error status when nothing came.
+    async fn stream(mut self) -> Response {
+        let Some(first) = self.next_events().await else {
+            return answer::error_response(&Failure::of(Code::OutcomeUnknown));
+        };
+        let first = match first {
+            Ok(events) => events,
+            Err(failure) => return answer::error_response(&failure),
+        };
+        let request = self.point.as_ref().map(|p| p.request.to_string());
+        let body = Body::from_bytes_stream(self.into_stream(first));
+        Response::builder()
+            .content_type("text/event-stream")
+            .header("cache-control", "no-store")
+            .header("x-request-id", request.unwrap_or_default())
+            .body(body)
+    }
+
+    fn into_stream(
+        self,
+        first: Bytes,
+    ) -> impl Stream<Item = std::io::Result<Bytes>> + Send + 'static {
+        let start = (Some(first), Some(self));
+        futures_util::stream::unfold(start, |(first, relay)| async move {
+            if let Some(first) = first {
+                return Some((Ok(first), (None, relay)));
+            }
+            let mut relay = relay?;
+            match relay.next_events().await? {
+                Ok(events) => Some((Ok(events), (None, Some(relay)))),
+                Err(failure) => Some((Ok(answer::error_event(&failure)), (None, None))),
+            }
+        })
+    }
+
+    /// Bytes of the next events; `None` after the end.
+    async fn next_events(&mut self) -> Option<Result<Bytes, Failure>> {
+        loop {
+            if self.call.done {
+                return None;
+            }
+            match self.call.next().await {
+                Some(Reply::Begin(point)) => self.point = Some(point),
+                Some(Reply::Tokens(chunk)) => {
+                    self.observe(&chunk);
+                    let point = self.point.as_ref()?;
+                    return Some(Ok(answer::token_events(point, &self.model, &chunk)));
+                }
+                Some(Reply::End(finish)) => {
+                    self.front.count(self.class, Code::Ok);
+                    let point = self.point.as_ref()?;
+                    return Some(Ok(answer::end_events(point, &self.model, &finish)));
+                }
+                Some(Reply::Fail {
+                    code,
+                    retry_after,
+                    delivered,
+                }) => {
+                    self.front.count(self.class, code);
+                    return Some(Err(Failure {
+                        code,
+                        retry_after,
+                        delivered,
+                        detail: None,
+                    }));
+                }
+                None => return Some(Err(Failure::of(Code::OutcomeUnknown))),
+            }
+        }
+    }
+
+    fn observe(&mut self, chunk: &Chunk) {
+        let now = Instant::now();
+        let metrics = &self.front.metrics;
+        match self.last.replace(now) {
+            None => {
+                let wait = now.duration_since(self.received).as_secs_f64();
+                metrics
+                    .first_token_seconds
+                    .with_label_values(&[self.class])
+                    .observe(wait);
+            }
+            Some(last) => {
+                let gap = now.duration_since(last).as_secs_f64();
+                metrics
+                    .between_token_seconds
+                    .with_label_values(&[self.class])
+                    .observe(gap);
+            }
+        }
+        if chunk.end() >= self.taken + TAKEN_STEP {
+            self.taken = chunk.end();
+            self.call.tell_taken(self.taken);
+        }
+    }
+
+    /// Answers with the whole, or with an error status.
+    async fn whole(mut self) -> Response {
+        let mut whole = Chunk::default();
+        loop {
+            match self.call.next().await {
+                Some(Reply::Begin(point)) => self.point = Some(point),
+                Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
+                Some(Reply::End(finish)) => {
+                    self.front.count(self.class, Code::Ok);
+                    let Some(point) = &self.point else {
+                        return answer::error_response(&Failure::of(Code::OutcomeUnknown));
+                    };
+                    return answer::whole_response(point, &self.model, &whole, &finish);
+                }
+                Some(Reply::Fail {
+                    code,
+                    retry_after,
+                    delivered,
+                }) => {
+                    self.front.count(self.class, code);
+                    return answer::error_response(&Failure {
+                        code,
+                        retry_after,
+                        delivered,
+                        detail: None,
+                    });
+                }
+                None => return answer::error_response(&Failure::of(Code::OutcomeUnknown)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fireflyd/src/request.rs
@@ -0,0 +1,223 @@
+//! Reading a caller's HTTP request into a submission.
+
+use std::sync::Arc;
+
+use fireflycroft::{
+    Code, Delivery, Digest, Name, Priority, ResumePoint, Submission, Work, digest_key,
+    scan_event_id,
+};
+use poem::http::HeaderMap;
+use serde::Deserialize;
+
+/// Largest body of a request in bytes; it must fit one message.
+pub const MAX_BODY: usize = 768 * 1024;
+/// Most headers of a request.
+pub const MAX_HEADERS: usize = 64;
+/// Most bytes of all headers.
+pub const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Longest `Idempotency-Key`.
+pub const MAX_IDEMPOTENCY_KEY: usize = 255;
+/// Most tokens of an answer when the caller names none.
+const DEFAULT_MAX_TOKENS: u32 = 32_768;
+/// Bytes of the prompt whose digest decides on prefix affinity.
+const PREFIX_BYTES: usize = 1024;
+/// Bytes for one token where words are longer than that.
+const BYTES_PER_TOKEN: usize = 8;
+
+/// Why a request is refused before the core sees it.
+#[derive(Debug)]
+pub struct BadRequest {
+    /// Result code.
+    pub code: Code,
+    /// What is wrong, for the caller.
+    pub detail: String,
+}
+
+impl BadRequest {
+    fn new(code: Code, detail: impl Into<String>) -> Self {
+        Self {
+            code,
+            detail: detail.into(),
+        }
+    }
+}
+
+/// What the core is given, and what the answer's form needs.
+#[derive(Debug)]
+pub struct Parsed {
+    /// For the core.
+    pub submission: Submission,
+    /// Model or plain service, for the answer.
+    pub target: Name,
+}
+
+#[derive(Deserialize)]
+struct ChatRequest {
+    model: Name,
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    priority_class: Option<Priority>,
+}
+
+#[derive(Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+/// Checks number and size of the headers.
+///
+/// # Errors
+///
+/// `HeadersTooLarge`.
+pub fn check_headers(headers: &HeaderMap) -> Result<(), BadRequest> {
+    let bytes: usize = headers
+        .iter()
+        .map(|(k, v)| k.as_str().len() + v.len())
+        .sum();
+    if headers.len() > MAX_HEADERS || bytes > MAX_HEADER_BYTES {
+        let detail = format!("{} headers of {bytes} bytes", headers.len());
+        return Err(BadRequest::new(Code::HeadersTooLarge, detail));
+    }
+    Ok(())
+}
+
+/// Reads a chat completion.
+///
+/// # Errors
+///
+/// `BadRequest` or `KeyRefused`, with what is wrong.
+pub fn parse_chat(headers: &HeaderMap, body: Vec<u8>) -> Result<Parsed, BadRequest> {
+    let key_digest = scan_key(headers)?;
+    let chat: ChatRequest = serde_json::from_slice(&body)
+        .map_err(|e| BadRequest::new(Code::BadRequest, e.to_string()))?;
+    if chat.messages.is_empty() {
+        return Err(BadRequest::new(Code::BadRequest, "messages is empty"));
+    }
+    let target = chat.model.clone();
+    let submission = Submission {
+        key_digest,
+        target: target.clone(),
+        method: "POST".into(),
+        path: "/v1/chat/completions".into(),
+        priority: chat.priority_class,
+        prompt_tokens: estimate_tokens(&chat.messages),
+        max_tokens: chat.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
+        prefix: digest_prefix(&chat),
+        delivery: if chat.stream {
+            Delivery::Stream
+        } else {
+            Delivery::Whole
+        },
+        idempotency_key: scan_idempotency_key(headers)?,
+        never_repeat: false,
+        resume: scan_resume(headers)?,
+        work: Work::Generate {
+            body: Arc::from(body),
+        },
+    };
+    Ok(Parsed { submission, target })
+}
+
+/// Reads a call to a plain service.
+///
+/// # Errors
+///
+/// `BadRequest` or `KeyRefused`, with what is wrong.
+pub fn parse_call(
+    headers: &HeaderMap,
+    method: &str,
+    service: &str,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<Parsed, BadRequest> {
+    let target = Name::from(service);
+    let method = Name::from(method);
+    let path = Name::from(path);
+    let content_type = Name::from(scan_header(headers, "content-type").unwrap_or_default());
+    let submission = Submission {
+        key_digest: scan_key(headers)?,
+        target: target.clone(),
+        method: method.clone(),
+        path: path.clone(),
+        priority: Some(Priority::Interactive),
+        prompt_tokens: 1,
+        max_tokens: 1,
+        prefix: Digest::of(&[]),
+        delivery: Delivery::Whole,
+        idempotency_key: scan_idempotency_key(headers)?,
+        never_repeat: !is_idempotent(&method),
+        resume: None,
+        work: Work::Call {
+            method,
+            path,
+            content_type,
+            body: Arc::from(body),
+        },
+    };
+    Ok(Parsed { submission, target })
+}
+
+/// Whether HTTP lets a method be repeated.
+fn is_idempotent(method: &str) -> bool {
+    matches!(method, "GET" | "HEAD" | "PUT" | "DELETE" | "OPTIONS")
+}
+
+fn scan_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn scan_key(headers: &HeaderMap) -> Result<[u8; 32], BadRequest> {
+    let value = scan_header(headers, "authorization");
+    let key = value.and_then(|v| v.strip_prefix("Bearer "));
+    match key.map(str::trim) {
+        Some(key) if !key.is_empty() => Ok(digest_key(key)),
+        _ => Err(BadRequest::new(Code::KeyRefused, "no bearer key")),
+    }
+}
+
+fn scan_idempotency_key(headers: &HeaderMap) -> Result<Option<Name>, BadRequest> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    let key = value.to_str().unwrap_or_default().trim();
+    if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY {
+        return Err(BadRequest::new(
+            Code::BadRequest,
+            "Idempotency-Key is empty, too long or not ASCII",
+        ));
+    }
+    Ok(Some(Name::from(key)))
+}
+
+fn scan_resume(headers: &HeaderMap) -> Result<Option<ResumePoint>, BadRequest> {
+    let Some(value) = headers.get("last-event-id") else {
+        return Ok(None);
+    };
+    let point = value.to_str().ok().and_then(scan_event_id);
+    point
+        .map(Some)
+        .ok_or_else(|| BadRequest::new(Code::BadRequest, "Last-Event-ID is none of ours"))
+}
+
+fn estimate_tokens(messages: &[ChatMessage]) -> u32 {
+    let words: usize = messages
+        .iter()
+        .map(|m| m.content.split_whitespace().count())
+        .sum();
+    let bytes: usize = messages.iter().map(|m| m.content.len()).sum();
+    let tokens = words.max(bytes / BYTES_PER_TOKEN).max(1);
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
+fn digest_prefix(chat: &ChatRequest) -> Digest {
+    let mut head = Vec::with_capacity(PREFIX_BYTES);
+    for message in &chat.messages {
+        let room = PREFIX_BYTES - head.len();
+        head.extend(message.content.bytes().take(room));
+    }
+    Digest::of(&[chat.model.as_bytes(), &head])
+}
