Add the clients of engines and plain services

Cause: an agent needs to know whether a call never left it, was answered or broke after sending, since only the first is surely not run. Ruled out: redirects and retries, which could run a call twice, and a timeout over a whole stream, whose length is unknown. Before: nothing. Conclusion: a reason seen before a cut counts as an end, since all tokens came before it.

--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod mailbox;
 pub mod metrics;
 pub mod platform;
+pub mod sse;
+pub mod upstream;
--- a/fireflyd/tests/keyring.rs
+++ b/fireflyd/tests/keyring.rs
@@ -6,7 +6,7 @@
     KEY_LEN, KeyFileError, KeyRing, SEAL_LEN, SealError, SharedKeyRing, watch_key_file,
 };
 use proptest::prelude::*;
-use proptest::test_runner::{RngAlgorithm, RngSeed};
+use proptest::test_runner::{FileFailurePersistence, RngAlgorithm, RngSeed};
 
 const OLD: (u8, [u8; KEY_LEN]) = (1, [0x11; KEY_LEN]);
 const NEW: (u8, [u8; KEY_LEN]) = (2, [0x22; KEY_LEN]);
@@ -80,6 +80,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
+        failure_persistence: Some(Box::new(FileFailurePersistence::WithSource("regressions"))),
         rng_algorithm: RngAlgorithm::ChaCha,
         rng_seed: RngSeed::Fixed(0x5ea1),
         ..ProptestConfig::default()
--- /dev/null
+++ b/fireflyd/tests/sse.rs
@@ -0,0 +1,407 @@
+//! Streams of an engine: the event scan, the decoder wherever chunks are cut, and the clients.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use fireflyd::sse::{MAX_EVENT, SseEvent, SseReader, TooLong, scan_event};
+use fireflyd::upstream::{
+    Decoder, EngineClient, EngineEvent, EngineOrder, FencedOrder, FinishReason, GenerateRequest,
+    OrderOutcome, PlainClient, Token, UpstreamError, Usage,
+};
+use futures_util::StreamExt;
+use proptest::prelude::*;
+use proptest::test_runner::{FileFailurePersistence, RngAlgorithm, RngSeed};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Timeout of calls that are to end in an answer.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+const END: &str = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],\
+    \"usage\":{\"prompt_tokens\":3,\"completion_tokens\":2,\"preemptions\":1}}\n\ndata: [DONE]\n\n";
+
+fn data(text: &str) -> SseEvent {
+    SseEvent {
+        id: None,
+        data: text.into(),
+    }
+}
+
+macro_rules! scan_cases {
+    ($($name:ident: $text:expr => $want:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let want: Option<(SseEvent, &str)> = $want;
+            let want = want.map(|(event, rest)| (event, rest.as_bytes()));
+            assert_eq!(scan_event($text.as_bytes()), want);
+        }
+    )*};
+}
+
+scan_cases! {
+    nothing_yet: "" => None;
+    a_line_is_no_event: "data: a\n" => None;
+    an_event_without_its_last_feed: "data: a\n\r" => None;
+    one_event: "data: a\n\n" => Some((data("a"), ""));
+    carriage_returns: "data: a\r\n\r\nx" => Some((data("a"), "x"));
+    no_blank_after_the_colon: "data:a\n\n" => Some((data("a"), ""));
+    only_one_blank_is_cut: "data:  a\n\n" => Some((data(" a"), ""));
+    joined_lines: "data: a\ndata: b\n\n" => Some((data("a\nb"), ""));
+    a_comment: ": ping\n\ndata: a\n\n" => Some((data(""), "data: a\n\n"));
+    other_fields: "event: x\nretry: 3\ndata: a\n\n" => Some((data("a"), ""));
+    a_field_without_colon: "data\n\n" => Some((data(""), ""));
+    an_id: "id: 7\ndata: a\n\n" => Some((SseEvent { id: Some("7".to_owned()), data: b"a".into() }, ""));
+}
+
+macro_rules! bound_cases {
+    ($($name:ident: $len:expr, closed $closed:expr => $ok:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut reader = SseReader::default();
+            reader.push("data: ".as_bytes());
+            reader.push(&vec![b'x'; $len - "data: ".len()]);
+            if $closed {
+                reader.push(b"\n\n");
+            }
+            assert_eq!(reader.next_event().map(|event| event.is_some()), $ok);
+        }
+    )*};
+}
+
+bound_cases! {
+    the_longest_event_passes: MAX_EVENT - 2, closed true => Ok(true);
+    a_longer_event_is_refused: MAX_EVENT - 1, closed true => Err(TooLong);
+    the_longest_open_event_waits: MAX_EVENT, closed false => Ok(false);
+    a_longer_open_event_is_refused: MAX_EVENT + 1, closed false => Err(TooLong);
+}
+
+fn token(text: &str, offset: Option<u64>) -> Token {
+    Token {
+        text: text.to_owned(),
+        offset,
+    }
+}
+
+fn finished(reason: FinishReason, usage: Usage) -> EngineEvent {
+    EngineEvent::Finished { reason, usage }
+}
+
+fn broken(why: &str) -> EngineEvent {
+    EngineEvent::Broken {
+        why: why.to_owned(),
+    }
+}
+
+const USAGE: Usage = Usage {
+    prompt_tokens: 3,
+    completion_tokens: 2,
+    preemptions: 1,
+};
+
+/// All events of a text that arrives at once and then ends.
+fn decode(text: &str) -> Vec<EngineEvent> {
+    let mut decoder = Decoder::default();
+    let mut out = decoder.feed(text.as_bytes());
+    out.extend(decoder.end("cut"));
+    assert_eq!(decoder.end("cut"), None);
+    assert_eq!(decoder.feed(text.as_bytes()), []);
+    out
+}
+
+fn choice(text: &str) -> String {
+    format!(
+        "data: {}\n\n",
+        json!({"choices": [{"delta": {"content": text}}]})
+    )
+}
+
+macro_rules! decode_cases {
+    ($($name:ident: $text:expr => $want:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let text: String = $text;
+            assert_eq!(decode(&text), $want);
+        }
+    )*};
+}
+
+decode_cases! {
+    tokens_of_a_chunk_come_together: choice("a") + &choice("b") + END => [
+        EngineEvent::Tokens(vec![token("a", None), token("b", None)]),
+        finished(FinishReason::Stop, USAGE),
+    ];
+    numbered_tokens: "id: 4\n".to_owned() + &choice("a") + END => [
+        EngineEvent::Tokens(vec![token("a", Some(4))]),
+        finished(FinishReason::Stop, USAGE),
+    ];
+    a_numbered_token_without_text_counts: "id: 4\n".to_owned() + &choice("") + END => [
+        EngineEvent::Tokens(vec![token("", Some(4))]),
+        finished(FinishReason::Stop, USAGE),
+    ];
+    an_opening_event_without_text_does_not: choice("") + END => [finished(FinishReason::Stop, USAGE)];
+    a_cut_breaks: choice("a") => [EngineEvent::Tokens(vec![token("a", None)]), broken("cut")];
+    a_cut_after_the_reason_is_an_end: END.replace("data: [DONE]\n\n", "") => [finished(FinishReason::Stop, USAGE)];
+    an_end_without_reason_breaks: "data: [DONE]\n\n".to_owned() => [broken("end without a reason")];
+    an_error_breaks: "data: {\"error\":\"oom\"}\n\n".to_owned() + END => [broken("\"oom\"")];
+    usage_in_an_event_of_its_own: [
+        "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}]}\n\n",
+        "data: {\"choices\":[],\"usage\":{\"completion_tokens\":9}}\n\ndata: [DONE]\n\n",
+    ].concat() => [finished(FinishReason::Length, Usage { completion_tokens: 9, ..Usage::default() })];
+    what_follows_the_end_is_left: END.to_owned() + &choice("late") => [finished(FinishReason::Stop, USAGE)];
+}
+
+#[test]
+fn malformed_events_break() {
+    let out = decode(&(choice("a") + "data: {oops\n\n" + END));
+    assert_eq!(out[0], EngineEvent::Tokens(vec![token("a", None)]));
+    assert!(matches!(&out[1..], [EngineEvent::Broken { .. }]));
+}
+
+/// Events with the tokens of neighbours joined, so that cuts don't show.
+fn joined(events: impl IntoIterator<Item = EngineEvent>) -> (Vec<Token>, Vec<EngineEvent>) {
+    let (mut tokens, mut others) = (Vec::new(), Vec::new());
+    for event in events {
+        match event {
+            EngineEvent::Tokens(mut more) => tokens.append(&mut more),
+            other => others.push(other),
+        }
+    }
+    (tokens, others)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: Some(Box::new(FileFailurePersistence::WithSource("regressions"))),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x55e),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn cuts_do_not_show(
+        texts in prop::collection::vec("\\PC{1,8}", 0..20),
+        cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..40),
+        carriage in any::<bool>(),
+    ) {
+        let mut text: String = texts.iter().map(|text| choice(text)).collect();
+        text.push_str(END);
+        if carriage {
+            text = text.replace('\n', "\r\n");
+        }
+        let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut.index(text.len())).collect();
+        cuts.sort_unstable();
+        let mut decoder = Decoder::default();
+        let (mut events, mut from) = (Vec::new(), 0);
+        for cut in cuts.into_iter().chain([text.len()]) {
+            events.extend(decoder.feed(&text.as_bytes()[from..cut]));
+            from = cut;
+        }
+        let want: Vec<Token> = texts.iter().map(|text| token(text, None)).collect();
+        prop_assert_eq!(joined(events), (want, vec![finished(FinishReason::Stop, USAGE)]));
+    }
+
+    #[test]
+    fn any_bytes_end_at_most_once(chunks in prop::collection::vec(
+        prop::collection::vec(prop_oneof![Just(b'\n'), Just(b':'), any::<u8>()], 0..50), 0..20,
+    )) {
+        let mut decoder = Decoder::default();
+        let mut events: Vec<EngineEvent> =
+            chunks.iter().flat_map(|chunk| decoder.feed(chunk)).collect();
+        events.extend(decoder.end("cut"));
+        prop_assert_eq!(joined(events).1.len(), 1);
+    }
+}
+
+/// Serves one connection: gives `answer` when the request's head is there, then closes.
+async fn serve_once(answer: String) -> (String, tokio::task::JoinHandle<String>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let served = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        let mut seen = Vec::new();
+        while !seen.windows(4).any(|end| end == b"\r\n\r\n") {
+            socket.read_buf(&mut seen).await.unwrap();
+        }
+        socket.write_all(answer.as_bytes()).await.unwrap();
+        String::from_utf8_lossy(&seen).into_owned()
+    });
+    (url, served)
+}
+
+fn head(status: &str, len: usize) -> String {
+    format!("HTTP/1.1 {status}\r\ncontent-type: text/plain\r\ncontent-length: {len}\r\n\r\n")
+}
+
+fn whole(status: &str, body: &str) -> String {
+    head(status, body.len()) + body
+}
+
+fn refusing() -> (tokio::net::TcpSocket, String) {
+    let bound = tokio::net::TcpSocket::new_v4().unwrap();
+    bound.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let url = format!("http://{}", bound.local_addr().unwrap());
+    (bound, url)
+}
+
+fn request() -> GenerateRequest {
+    GenerateRequest {
+        model: "m".into(),
+        messages: json!([{"role": "user", "content": "x"}]),
+        max_tokens: 8,
+        priority: 0,
+        stream_id: "s1".into(),
+        request_id: Some("r1".into()),
+    }
+}
+
+async fn generated(answer: String) -> (Vec<EngineEvent>, String) {
+    let (url, served) = serve_once(answer).await;
+    let client = EngineClient::new(&url, PATIENCE).unwrap();
+    let stream = client.generate(&request()).await.unwrap();
+    let events = tokio::time::timeout(PATIENCE, stream.collect())
+        .await
+        .unwrap();
+    (events, served.await.unwrap())
+}
+
+#[tokio::test]
+async fn a_generation_is_read_to_its_end() {
+    let (events, seen) = generated(whole("200 OK", &(choice("a") + END))).await;
+    let want = (
+        vec![token("a", None)],
+        vec![finished(FinishReason::Stop, USAGE)],
+    );
+    assert_eq!(joined(events), want);
+    assert!(seen.starts_with("POST /v1/chat/completions "), "{seen}");
+    assert!(seen.contains("x-request-id: r1"), "{seen}");
+}
+
+#[tokio::test]
+async fn a_generation_cut_in_the_middle_breaks() {
+    let (events, _) = generated(head("200 OK", 9999) + &choice("a")).await;
+    let (tokens, others) = joined(events);
+    assert_eq!(tokens, [token("a", None)]);
+    assert!(matches!(&others[..], [EngineEvent::Broken { .. }]));
+}
+
+macro_rules! generate_error_cases {
+    ($($name:ident: $answer:expr => $want:pat,)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (url, served) = serve_once($answer).await;
+            let client = EngineClient::new(&url, PATIENCE).unwrap();
+            let error = client.generate(&request()).await.err();
+            assert!(matches!(error, Some($want)), "{error:?}");
+            served.await.unwrap();
+        }
+    )*};
+}
+
+generate_error_cases! {
+    a_refused_generation_was_answered: whole("404 Not Found", "no model") => UpstreamError::Answered { status: 404, .. },
+    a_redirect_is_not_followed: whole("307 Temporary Redirect", "") => UpstreamError::Answered { status: 307, .. },
+    a_generation_without_an_answer_is_broken: String::new() => UpstreamError::Broken(_),
+    a_generation_cut_within_the_head_is_broken: "HTTP/1.1 2".to_owned() => UpstreamError::Broken(_),
+}
+
+#[tokio::test]
+async fn calls_without_a_connection_were_never_sent() {
+    let (_bound, url) = refusing();
+    let engine = EngineClient::new(&url, PATIENCE).unwrap();
+    let error = engine.generate(&request()).await.err();
+    assert!(
+        matches!(error, Some(UpstreamError::NeverSent(_))),
+        "{error:?}"
+    );
+    let plain = PlainClient::new(&url, PATIENCE, 100).unwrap();
+    let none: [(&str, &str); 0] = [];
+    let error = plain.call("POST", "/x", &none, "").await.err();
+    assert!(
+        matches!(error, Some(UpstreamError::NeverSent(_))),
+        "{error:?}"
+    );
+}
+
+macro_rules! order_cases {
+    ($($name:ident: $answer:expr => $want:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (url, served) = serve_once($answer).await;
+            let order = FencedOrder { fence: 3, order: EngineOrder::Load { model: "m".into() } };
+            let got = EngineClient::new(&url, PATIENCE).unwrap().order(&order).await;
+            assert_eq!(got, $want);
+            served.await.unwrap();
+        }
+    )*};
+}
+
+order_cases! {
+    an_order_is_taken: whole("200 OK", "{}") => Ok(OrderOutcome::Taken);
+    an_old_order_is_fenced: whole("409 Conflict", "{\"fence\":5}") => Ok(OrderOutcome::Fenced { fence: 5 });
+}
+
+#[test]
+fn an_order_is_written_flat() {
+    let order = FencedOrder {
+        fence: 3,
+        order: EngineOrder::Load { model: "m".into() },
+    };
+    let want = json!({"fence": 3, "order": "load", "model": "m"});
+    assert_eq!(serde_json::to_value(&order).unwrap(), want);
+}
+
+#[tokio::test]
+async fn a_load_report_with_unknown_and_missing_fields_is_read() {
+    let (url, _served) = serve_once(whole("200 OK", "{\"running\":2,\"odd\":1}")).await;
+    let load = EngineClient::new(&url, PATIENCE)
+        .unwrap()
+        .load()
+        .await
+        .unwrap();
+    assert_eq!((load.running, load.waiting), (2, 0));
+}
+
+macro_rules! path_cases {
+    ($($name:ident: $path:expr => $line:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (url, served) = serve_once(whole("418 I'm a teapot", "body")).await;
+            let client = PlainClient::new(&format!("{url}/base/"), PATIENCE, 100).unwrap();
+            let headers = [("x-kept", "1"), ("host", "elsewhere"), ("content-length", "9")];
+            let got = client.call("POST", $path, &headers, "").await.unwrap();
+            assert_eq!((got.status, &got.body[..]), (418, &b"body"[..]));
+            assert_eq!(got.content_type.as_deref(), Some("text/plain"));
+            let seen = served.await.unwrap();
+            assert_eq!(seen.lines().next(), Some($line));
+            assert!(seen.contains("x-kept: 1") && !seen.contains("elsewhere"), "{seen}");
+        }
+    )*};
+}
+
+path_cases! {
+    a_path_goes_below_the_base: "/records/7?full=1" => "POST /base/records/7?full=1 HTTP/1.1";
+    a_path_with_a_host_stays: "//other.host/x" => "POST /base/other.host/x HTTP/1.1";
+    a_url_as_path_stays: "http://other.host/x" => "POST /base/http://other.host/x HTTP/1.1";
+}
+
+#[tokio::test]
+async fn a_plain_answer_over_the_bound_is_unusable() {
+    let (url, _served) = serve_once(whole("200 OK", &"x".repeat(101))).await;
+    let client = PlainClient::new(&url, PATIENCE, 100).unwrap();
+    let none: [(&str, &str); 0] = [];
+    let error = client.call("GET", "/", &none, "").await.err();
+    assert!(
+        matches!(error, Some(UpstreamError::Unusable(_))),
+        "{error:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_plain_answer_cut_in_the_body_is_broken() {
+    let (url, _served) = serve_once(head("200 OK", 50) + "half").await;
+    let client = PlainClient::new(&url, PATIENCE, 100).unwrap();
+    let none: [(&str, &str); 0] = [];
+    let error = client.call("GET", "/", &none, "").await.err();
+    assert!(matches!(error, Some(UpstreamError::Broken(_))), "{error:?}");
+}
