--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -7,3 +7,5 @@
 pub mod metrics;
 pub mod platform;
 pub mod request;
+pub mod sse;
+pub mod upstream;
