Check all settings at the start and report every fault at once

Cause: an operator who mends one flag only to meet the next fault loses a restart each time. Ruled out: the value parsers of clap, which stop at the first fault, and its env support, which a test can't feed; clap finds the texts, and one pass checks them all. Conclusion: faults carry flag, text given and what is allowed, under code 1001 and exit 78.

--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod mailbox;
 pub mod metrics;
 pub mod platform;
+pub mod settings;
 pub mod sse;
 pub mod upstream;
--- /dev/null
+++ b/fireflyd/src/settings.rs
@@ -0,0 +1,709 @@
+//! Settings of the daemon, from flags and environment variables.
+//!
+//! Flags go before variables. `clap` finds the texts; each is then checked here, so that all
+//! faults come in one report instead of the first one alone.
+
+use std::collections::HashMap;
+use std::ffi::OsString;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+
+/// Result code of settings at fault.
+pub const CODE_BAD_SETTINGS: u32 = 1001;
+/// Exit status of a process whose settings are at fault.
+pub const EXIT_BAD_SETTINGS: i32 = 78;
+/// Longest name in bytes.
+const MAX_NAME: usize = 63;
+/// Longest timeout in milliseconds: an hour.
+const MAX_MS: u64 = 3_600_000;
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Takes calls from callers.
+    Entry,
+    /// Runs beside an upstream.
+    Agent,
+}
+
+/// What an upstream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// Settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the process, unique in the fleet.
+    pub name: Arc<str>,
+    /// Data centre it runs in.
+    pub data_centre: Arc<str>,
+    /// What it does, with the settings of that role.
+    pub role: RoleSettings,
+    /// Address of its mailbox.
+    pub mailbox: SocketAddr,
+    /// Address of metrics, health and status.
+    pub admin_listen: SocketAddr,
+    /// URL of the platform.
+    pub platform: String,
+    /// Mailboxes of some members of the fleet.
+    pub seeds: Vec<SocketAddr>,
+    /// File of the fleet keys.
+    pub fleet_keys_file: PathBuf,
+    /// File that gets the bound addresses.
+    pub port_file: Option<PathBuf>,
+    /// Timeouts.
+    pub timeouts: Timeouts,
+    /// Least level of the log lines written.
+    pub log_level: log::LevelFilter,
+    /// Name of the routing policy.
+    pub policy: Arc<str>,
+    /// Whether to check the settings and start nothing.
+    pub check_config: bool,
+}
+
+/// Settings of one role.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RoleSettings {
+    /// Those of an entry.
+    Entry(EntrySettings),
+    /// Those of an agent.
+    Agent(AgentSettings),
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntrySettings {
+    /// Address of the callers' interface.
+    pub listen: SocketAddr,
+    /// Certificate and key files; plain HTTP when absent.
+    pub tls: Option<TlsFiles>,
+}
+
+/// Files of a TLS certificate and its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TlsFiles {
+    /// Certificate chain in PEM.
+    pub cert: PathBuf,
+    /// Private key in PEM.
+    pub key: PathBuf,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgentSettings {
+    /// URL of the upstream.
+    pub upstream: String,
+    /// What the upstream is.
+    pub kind: UpstreamKind,
+    /// Name of the upstream.
+    pub upstream_name: Arc<str>,
+    /// Name under which a plain service is routed.
+    pub service: Option<Arc<str>>,
+    /// Models known to be loaded.
+    pub models: Vec<Arc<str>>,
+    /// Tokens that fit in the engine's memory; reported by the engine when absent.
+    pub capacity_tokens: Option<u64>,
+    /// Most generations in the engine's batch; reported by the engine when absent.
+    pub max_batch: Option<u64>,
+    /// Whether the upstream refuses orders with an old fencing number.
+    pub checks_fence: bool,
+}
+
+/// Timeouts of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time between the refusal of new work and the check that all has ended.
+    pub drain_grace: Duration,
+    /// Bound of a platform call.
+    pub platform: Duration,
+    /// Bound of an offer's answer.
+    pub offer: Duration,
+    /// Silence after which a stream counts as stalled and is attached again.
+    pub stall: Duration,
+    /// Bound of connecting to the upstream and of its short calls.
+    pub upstream: Duration,
+    /// Bound of a whole call of a plain service.
+    pub plain_call: Duration,
+    /// Time for which the tokens of a stream without a reader are kept.
+    pub retain: Duration,
+}
+
+/// One setting at fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Its flag, without dashes.
+    pub flag: String,
+    /// What was given; `None` when nothing was.
+    pub given: Option<String>,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.given {
+            Some(given) => write!(
+                f,
+                "--{}: given {given:?}, allowed: {}",
+                self.flag, self.allowed
+            ),
+            None => write!(f, "--{}: not given, allowed: {}", self.flag, self.allowed),
+        }
+    }
+}
+
+/// Why no settings came of flags and variables.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingsFaults {
+    /// Help or version was asked for; the text to print.
+    Shown(String),
+    /// The flags themselves can't be told apart; the text to print.
+    Usage(String),
+    /// All settings at fault, in the order of the help.
+    Faults(Vec<Fault>),
+}
+
+impl SettingsFaults {
+    /// Exit status of the process.
+    #[must_use]
+    pub fn exit_status(&self) -> i32 {
+        match self {
+            Self::Shown(_) => 0,
+            Self::Usage(_) | Self::Faults(_) => EXIT_BAD_SETTINGS,
+        }
+    }
+}
+
+impl fmt::Display for SettingsFaults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Shown(text) => f.write_str(text),
+            Self::Usage(text) => write!(f, "code={CODE_BAD_SETTINGS} {text}"),
+            Self::Faults(faults) => {
+                write!(f, "code={CODE_BAD_SETTINGS} settings at fault:")?;
+                faults.iter().try_for_each(|fault| write!(f, "\n  {fault}"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for SettingsFaults {}
+
+/// A flag with its help and its default.
+struct Flag {
+    name: &'static str,
+    help: &'static str,
+    default: Option<&'static str>,
+}
+
+const fn flag(name: &'static str, help: &'static str) -> Flag {
+    Flag {
+        name,
+        help,
+        default: None,
+    }
+}
+
+const fn flag_or(name: &'static str, default: &'static str, help: &'static str) -> Flag {
+    Flag {
+        name,
+        help,
+        default: Some(default),
+    }
+}
+
+/// Flags that only an entry has.
+const ENTRY_ONLY: [&str; 3] = ["listen", "tls-cert-file", "tls-key-file"];
+/// Flags that only an agent has.
+const AGENT_ONLY: [&str; 8] = [
+    "upstream",
+    "upstream-kind",
+    "upstream-name",
+    "service",
+    "models",
+    "capacity-tokens",
+    "max-batch",
+    "checks-fence",
+];
+
+const CHECK_CONFIG: &str = "check-config";
+
+const FLAGS: [Flag; 30] = [
+    flag("role", "What the process does: entry or agent"),
+    flag("name", "Name of the process, unique in the fleet"),
+    flag("data-centre", "Data centre the process runs in"),
+    flag("listen", "Callers' HTTP address, IP:port (entry)"),
+    flag("mailbox", "Address of the fleet's own protocol, IP:port"),
+    flag(
+        "admin-listen",
+        "Address of metrics, health and status, IP:port",
+    ),
+    flag("platform", "URL of the platform"),
+    flag_or("seeds", "", "Mailboxes of some members, IP:port,IP:port"),
+    flag(
+        "fleet-keys-file",
+        "File of the fleet keys, id:64-hex a line",
+    ),
+    flag(
+        "tls-cert-file",
+        "Certificate chain in PEM (entry, with --tls-key-file)",
+    ),
+    flag(
+        "tls-key-file",
+        "Private key in PEM (entry, with --tls-cert-file)",
+    ),
+    flag("upstream", "URL of the upstream (agent)"),
+    flag(
+        "upstream-kind",
+        "What the upstream is: engine or plain (agent)",
+    ),
+    flag("upstream-name", "Name of the upstream (agent)"),
+    flag(
+        "service",
+        "Name under which a plain service is routed (agent)",
+    ),
+    flag(
+        "models",
+        "Models known to be loaded, a,b (agent of an engine)",
+    ),
+    flag(
+        "capacity-tokens",
+        "Tokens that fit in the engine's memory (agent; default: as the engine reports)",
+    ),
+    flag(
+        "max-batch",
+        "Most generations in a batch (agent; default: as the engine reports)",
+    ),
+    flag(
+        "checks-fence",
+        "Whether the upstream refuses old fencing numbers: true or false (agent; default: false)",
+    ),
+    flag_or(
+        "drain-grace-ms",
+        "3000",
+        "Milliseconds between refusing new work and leaving",
+    ),
+    flag_or(
+        "platform-timeout-ms",
+        "2000",
+        "Milliseconds a platform call may take",
+    ),
+    flag_or(
+        "offer-timeout-ms",
+        "500",
+        "Milliseconds an offer's answer may take",
+    ),
+    flag_or(
+        "stall-timeout-ms",
+        "1000",
+        "Milliseconds of silence until a stream is attached again",
+    ),
+    flag_or(
+        "upstream-timeout-ms",
+        "2000",
+        "Milliseconds a short call of the upstream may take",
+    ),
+    flag_or(
+        "plain-timeout-ms",
+        "30000",
+        "Milliseconds a call of a plain service may take",
+    ),
+    flag_or(
+        "retain-ms",
+        "60000",
+        "Milliseconds the tokens of a stream without a reader are kept",
+    ),
+    flag_or(
+        "log-level",
+        "info",
+        "Least level logged: off, error, warn, info, debug or trace",
+    ),
+    flag_or("policy", "firefly", "Name of the routing policy"),
+    flag(
+        "port-file",
+        "File that gets the bound addresses, key=value a line",
+    ),
+    flag(CHECK_CONFIG, "Check the settings and start nothing"),
+];
+
+/// Environment variable of a flag.
+#[must_use]
+pub fn env_name(flag: &str) -> String {
+    format!("FIREFLYD_{}", flag.replace('-', "_").to_uppercase())
+}
+
+fn command() -> Command {
+    Command::new("fireflyd")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Serves generations of unknown length on crowded engines, as entry or agent")
+        .args(FLAGS.iter().map(arg))
+}
+
+fn arg(flag: &Flag) -> Arg {
+    let default = match flag.default {
+        Some("") => " [default: none]".to_owned(),
+        Some(default) => format!(" [default: {default}]"),
+        None => String::new(),
+    };
+    let help = format!("{}{default} [env: {}]", flag.help, env_name(flag.name));
+    let arg = Arg::new(flag.name).long(flag.name).help(help);
+    if flag.name == CHECK_CONFIG {
+        arg.action(ArgAction::SetTrue)
+    } else {
+        // A value that looks like a flag is a fault of that value.
+        arg.action(ArgAction::Set)
+            .value_name("VALUE")
+            .allow_hyphen_values(true)
+    }
+}
+
+impl Settings {
+    /// Settings of `args` (program name first) and the variables of `env`.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsFaults`] with every setting at fault.
+    pub fn parse(
+        args: impl IntoIterator<Item = impl Into<OsString> + Clone>,
+        env: impl IntoIterator<Item = (String, String)>,
+    ) -> Result<Self, SettingsFaults> {
+        let matches = command().try_get_matches_from(args).map_err(|e| {
+            let text = e.to_string();
+            if e.use_stderr() {
+                SettingsFaults::Usage(text)
+            } else {
+                SettingsFaults::Shown(text)
+            }
+        })?;
+        let mut check = Check {
+            texts: texts(&matches, &env.into_iter().collect()),
+            faults: Vec::new(),
+        };
+        let settings = check.settings(&matches);
+        let mut faults = check.faults;
+        faults.sort_by_key(|fault| FLAGS.iter().position(|flag| flag.name == fault.flag));
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(SettingsFaults::Faults(faults)),
+        }
+    }
+
+    /// Which role the process has.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        match self.role {
+            RoleSettings::Entry(_) => Role::Entry,
+            RoleSettings::Agent(_) => Role::Agent,
+        }
+    }
+}
+
+/// Text of each flag that has one: as a flag, else as a variable, else by default.
+fn texts(matches: &ArgMatches, env: &HashMap<String, String>) -> HashMap<&'static str, Text> {
+    let text = |flag: &Flag| {
+        let given = (flag.name != CHECK_CONFIG)
+            .then(|| matches.get_one::<String>(flag.name).cloned())
+            .flatten()
+            .or_else(|| env.get(&env_name(flag.name)).cloned());
+        let text = match given {
+            Some(text) => Text { text, given: true },
+            None => Text {
+                text: flag.default?.to_owned(),
+                given: false,
+            },
+        };
+        Some((flag.name, text))
+    };
+    FLAGS.iter().filter_map(text).collect()
+}
+
+/// Text of a setting.
+struct Text {
+    text: String,
+    /// Whether it was given, by flag or variable.
+    given: bool,
+}
+
+/// Checks the texts and gathers the faults.
+struct Check {
+    texts: HashMap<&'static str, Text>,
+    faults: Vec<Fault>,
+}
+
+impl Check {
+    /// The settings; when there is a fault, it is gathered and what comes back doesn't count.
+    fn settings(&mut self, matches: &ArgMatches) -> Option<Settings> {
+        let role = self.role();
+        // Each part is looked at, whatever is wrong with the ones before it.
+        let name = self.name("name");
+        let data_centre = self.name("data-centre");
+        let role = role.and_then(|role| self.role_settings(role));
+        let mailbox = self.addr("mailbox");
+        let admin_listen = self.addr("admin-listen");
+        let platform = self.url("platform");
+        let seeds = self.addrs("seeds");
+        let fleet_keys_file = self.required("fleet-keys-file", "a file");
+        let port_file = self.text("port-file").map(PathBuf::from);
+        let timeouts = self.timeouts();
+        let levels = "off, error, warn, info, debug or trace";
+        let log_level = self.parsed("log-level", levels);
+        let policy = self.name("policy");
+        let check_config = self.check_config(matches);
+        Some(Settings {
+            name: name?,
+            data_centre: data_centre?,
+            role: role?,
+            mailbox: mailbox?,
+            admin_listen: admin_listen?,
+            platform: platform?,
+            seeds: seeds?,
+            fleet_keys_file: fleet_keys_file?.into(),
+            port_file,
+            timeouts: timeouts?,
+            log_level: log_level?,
+            policy: policy?,
+            check_config: check_config?,
+        })
+    }
+
+    fn role(&mut self) -> Option<Role> {
+        let roles = [("entry", Role::Entry), ("agent", Role::Agent)];
+        self.choice("role", &roles, "entry or agent")
+    }
+
+    fn role_settings(&mut self, role: Role) -> Option<RoleSettings> {
+        match role {
+            Role::Entry => {
+                self.forbid(&AGENT_ONLY, "only with --role agent");
+                self.entry().map(RoleSettings::Entry)
+            }
+            Role::Agent => {
+                self.forbid(&ENTRY_ONLY, "only with --role entry");
+                self.agent().map(RoleSettings::Agent)
+            }
+        }
+    }
+
+    fn entry(&mut self) -> Option<EntrySettings> {
+        let listen = self.addr("listen");
+        let tls = self.tls();
+        Some(EntrySettings {
+            listen: listen?,
+            tls,
+        })
+    }
+
+    /// Both files; neither of them is no fault.
+    fn tls(&mut self) -> Option<TlsFiles> {
+        match (self.text("tls-cert-file"), self.text("tls-key-file")) {
+            (Some(cert), Some(key)) => Some(TlsFiles {
+                cert: cert.into(),
+                key: key.into(),
+            }),
+            (None, None) => None,
+            (Some(_), None) => self.fault("tls-key-file", "a file, with --tls-cert-file"),
+            (None, Some(_)) => self.fault("tls-cert-file", "a file, with --tls-key-file"),
+        }
+    }
+
+    fn agent(&mut self) -> Option<AgentSettings> {
+        let kinds = [
+            ("engine", UpstreamKind::Engine),
+            ("plain", UpstreamKind::Plain),
+        ];
+        let upstream = self.url("upstream");
+        let kind = self.choice("upstream-kind", &kinds, "engine or plain");
+        let upstream_name = self.name("upstream-name");
+        let service = self.service(kind);
+        let models = self.models(kind);
+        let capacity_tokens = self.optional_count("capacity-tokens");
+        let max_batch = self.optional_count("max-batch");
+        let checks_fence = self.flag("checks-fence");
+        Some(AgentSettings {
+            upstream: upstream?,
+            kind: kind?,
+            upstream_name: upstream_name?,
+            service,
+            models: models?,
+            capacity_tokens,
+            max_batch,
+            checks_fence: checks_fence?,
+        })
+    }
+
+    /// The service name, which a plain upstream needs and an engine must not have.
+    fn service(&mut self, kind: Option<UpstreamKind>) -> Option<Arc<str>> {
+        match (kind, self.text("service")) {
+            (Some(UpstreamKind::Engine), Some(_)) => {
+                self.fault("service", "only with --upstream-kind plain")
+            }
+            (Some(UpstreamKind::Plain), _) | (None, Some(_)) => self.name("service"),
+            (_, None) => None,
+        }
+    }
+
+    fn models(&mut self, kind: Option<UpstreamKind>) -> Option<Vec<Arc<str>>> {
+        let Some(text) = self.text("models") else {
+            return Some(Vec::new());
+        };
+        if kind == Some(UpstreamKind::Plain) {
+            return self.fault("models", "only with --upstream-kind engine");
+        }
+        let models = text.split(',').map(str::trim).map(Arc::from).collect();
+        if text.split(',').any(|model| model.trim().is_empty()) {
+            return self.fault("models", "names without gaps, a,b");
+        }
+        Some(models)
+    }
+
+    fn timeouts(&mut self) -> Option<Timeouts> {
+        let drain_grace = self.millis("drain-grace-ms", 0);
+        let platform = self.millis("platform-timeout-ms", 1);
+        let offer = self.millis("offer-timeout-ms", 1);
+        let stall = self.millis("stall-timeout-ms", 1);
+        let upstream = self.millis("upstream-timeout-ms", 1);
+        let plain_call = self.millis("plain-timeout-ms", 1);
+        let retain = self.millis("retain-ms", 1);
+        Some(Timeouts {
+            drain_grace: drain_grace?,
+            platform: platform?,
+            offer: offer?,
+            stall: stall?,
+            upstream: upstream?,
+            plain_call: plain_call?,
+            retain: retain?,
+        })
+    }
+
+    fn check_config(&mut self, matches: &ArgMatches) -> Option<bool> {
+        if matches.get_flag(CHECK_CONFIG) {
+            return Some(true);
+        }
+        self.flag(CHECK_CONFIG)
+    }
+
+    /// The text of a setting; an empty one counts as not given.
+    fn text(&self, flag: &'static str) -> Option<String> {
+        let text = &self.texts.get(flag)?.text;
+        (!text.is_empty()).then(|| text.clone())
+    }
+
+    fn fault<T>(&mut self, flag: &'static str, allowed: impl Into<String>) -> Option<T> {
+        let given = self.texts.get(flag).map(|text| text.text.clone());
+        self.faults.push(Fault {
+            flag: flag.to_owned(),
+            given,
+            allowed: allowed.into(),
+        });
+        None
+    }
+
+    fn forbid(&mut self, flags: &[&'static str], allowed: &str) {
+        for &flag in flags {
+            if self.texts.get(flag).is_some_and(|text| text.given) {
+                self.fault::<()>(flag, allowed);
+            }
+        }
+    }
+
+    fn required(&mut self, flag: &'static str, allowed: &str) -> Option<String> {
+        match self.text(flag) {
+            Some(text) => Some(text),
+            None => self.fault(flag, allowed),
+        }
+    }
+
+    fn parsed<T: FromStr>(&mut self, flag: &'static str, allowed: &str) -> Option<T> {
+        match self.required(flag, allowed)?.parse() {
+            Ok(value) => Some(value),
+            Err(_) => self.fault(flag, allowed),
+        }
+    }
+
+    fn choice<T: Copy>(
+        &mut self,
+        flag: &'static str,
+        choices: &[(&str, T)],
+        allowed: &str,
+    ) -> Option<T> {
+        let text = self.required(flag, allowed)?;
+        match choices.iter().find(|(name, _)| *name == text) {
+            Some((_, value)) => Some(*value),
+            None => self.fault(flag, allowed),
+        }
+    }
+
+    fn name(&mut self, flag: &'static str) -> Option<Arc<str>> {
+        let allowed = format!("1 to {MAX_NAME} letters, digits, '-', '_' or '.'");
+        let text = self.required(flag, &allowed)?;
+        let wanted = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+        if text.len() <= MAX_NAME && text.bytes().all(wanted) {
+            Some(text.into())
+        } else {
+            self.fault(flag, allowed)
+        }
+    }
+
+    fn addr(&mut self, flag: &'static str) -> Option<SocketAddr> {
+        self.parsed(flag, "IP:port")
+    }
+
+    fn addrs(&mut self, flag: &'static str) -> Option<Vec<SocketAddr>> {
+        let Some(text) = self.text(flag) else {
+            return Some(Vec::new());
+        };
+        match text.split(',').map(|addr| addr.trim().parse()).collect() {
+            Ok(addrs) => Some(addrs),
+            Err(_) => self.fault(flag, "IP:port,IP:port"),
+        }
+    }
+
+    fn url(&mut self, flag: &'static str) -> Option<String> {
+        let allowed = "a URL, http://host:port";
+        let text = self.required(flag, allowed)?;
+        let url = reqwest::Url::parse(&text).ok();
+        if url.is_some_and(|url| url.scheme() == "http" && url.has_host()) {
+            Some(text)
+        } else {
+            self.fault(flag, allowed)
+        }
+    }
+
+    fn millis(&mut self, flag: &'static str, least: u64) -> Option<Duration> {
+        let allowed = format!("{least} to {MAX_MS} milliseconds");
+        let millis = self.parsed(flag, &allowed)?;
+        if (least..=MAX_MS).contains(&millis) {
+            Some(Duration::from_millis(millis))
+        } else {
+            self.fault(flag, allowed)
+        }
+    }
+
+    fn optional_count(&mut self, flag: &'static str) -> Option<u64> {
+        self.text(flag)?;
+        let allowed = "a whole number from 1";
+        match self.parsed(flag, allowed)? {
+            0 => self.fault(flag, allowed),
+            count => Some(count),
+        }
+    }
+
+    /// A truth value; false when not given.
+    fn flag(&mut self, flag: &'static str) -> Option<bool> {
+        if self.text(flag).is_none() {
+            return Some(false);
+        }
+        self.parsed(flag, "true or false")
+    }
+}
