--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod metrics;
 pub mod platform;
 pub mod request;
+pub mod settings;
 pub mod sse;
 pub mod upstream;
