Cut configurations into content-addressed parts and carry them between peers

A configuration of 38,000 workspaces doesn't fit one platform value, and a change of one workspace must not make every node fetch all of it. Parts of a fixed number of items were ruled out, since an insertion shifts them all; groups by hash of name were ruled out, since they lose the order that operators wrote. Cuts now fall where the digest of an item's name says so.

Before, nothing carried a configuration. Parts are kept on the platform as a JSON string, as a store may write JSON anew and so change its digest.

--- /dev/null
+++ b/fireflycroft/src/carrier.rs
@@ -0,0 +1,318 @@
+//! Carries configurations between peers, part by part.
+//!
+//! Part 0 is the head, part `n` the head's part `n - 1`. Whoever is behind
+//! pulls part 0, then the parts that it doesn't hold from its own version.
+//! Every part is checked against the head before it counts, and a version is
+//! handed out only when it is whole, higher than what is held and readable.
+//!
+//! Bounds: one version held and one being collected, each at most
+//! [`MAX_SNAPSHOT`] bytes; parts that both list are held once.
+
+use crate::config::Document;
+use crate::ids::Digest;
+use crate::message::{ConfigVersion, Message};
+use crate::snapshot::{
+    Head, MAX_PART, MAX_PARTS, MAX_SNAPSHOT, Part, PartName, SnapshotError, assemble,
+};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// One part as a peer sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CarriedPart {
+    /// Version that it belongs to.
+    pub version: ConfigVersion,
+    /// Its number; 0 is the head.
+    pub part: u32,
+    /// Parts in all, the head included.
+    pub parts: u32,
+    /// Digest of the whole.
+    pub digest: Digest,
+    /// Its bytes.
+    pub data: Arc<[u8]>,
+}
+
+/// What became of a part.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Progress {
+    /// Pull this part next.
+    Want(u32),
+    /// The version is whole; it is held and served from now on.
+    Whole(Box<Carried>),
+    /// Not wanted: of a lower version, or there already.
+    Ignored,
+    /// Not what it says it is; nothing was taken.
+    Faulty(SnapshotError),
+}
+
+/// A version that came whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Carried {
+    /// Its version.
+    pub version: ConfigVersion,
+    /// Digest of the whole.
+    pub digest: Digest,
+    /// What it says.
+    pub doc: Document,
+}
+
+/// Holds the parts of one version for peers, and collects a higher one.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigCarrier {
+    held: Option<Held>,
+    collecting: Option<Collecting>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    head: Head,
+    head_data: Arc<[u8]>,
+    parts: Vec<Part>,
+}
+
+#[derive(Clone, Debug)]
+struct Collecting {
+    head: Head,
+    head_data: Arc<[u8]>,
+    parts: Vec<Option<Part>>,
+    bytes: usize,
+}
+
+impl ConfigCarrier {
+    /// Version held and served; zero before the first.
+    #[must_use]
+    pub fn version(&self) -> ConfigVersion {
+        self.held
+            .as_ref()
+            .map_or(ConfigVersion(0), |h| h.head.config_version())
+    }
+
+    /// The head held.
+    #[must_use]
+    pub fn head(&self) -> Option<&Head> {
+        self.held.as_ref().map(|h| &h.head)
+    }
+
+    /// Part of that name, if it is held; saves to fetch it again.
+    #[must_use]
+    pub fn part(&self, name: &PartName) -> Option<&Part> {
+        let held = self.held.as_ref()?;
+        held.parts.iter().find(|p| p.name == *name)
+    }
+
+    /// Bytes held and being collected.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let held = self.held.as_ref().map_or(0, Held::bytes);
+        let collecting = self.collecting.as_ref().map_or(0, |c| c.bytes);
+        held + collecting
+    }
+
+    /// Holds and serves a version that was read from the platform; gives its
+    /// document when it is higher than what is held.
+    ///
+    /// # Errors
+    ///
+    /// Parts that are not what the head lists.
+    pub fn hold(&mut self, head: Head, parts: Vec<Part>) -> Result<Option<Carried>, SnapshotError> {
+        if head.config_version() <= self.version() {
+            return Ok(None);
+        }
+        let doc = assemble(&head, &parts)?;
+        let head_data = encode(&head)?;
+        Ok(Some(self.take(head, head_data, parts, doc)))
+    }
+
+    /// Answer to a peer that holds `have` and wants `part`; `None` when
+    /// nothing higher is held or there is no such part.
+    #[must_use]
+    pub fn serve(&self, have: ConfigVersion, part: u32) -> Option<Message> {
+        let held = self.held.as_ref()?;
+        if held.head.config_version() <= have {
+            return None;
+        }
+        let data = match part.checked_sub(1) {
+            None => held.head_data.clone(),
+            Some(i) => held.parts.get(usize::try_from(i).ok()?)?.data.clone(),
+        };
+        Some(Message::ConfigPart {
+            version: held.head.config_version(),
+            part,
+            parts: u32::try_from(held.parts.len()).ok()?.checked_add(1)?,
+            digest: held.head.digest,
+            data,
+        })
+    }
+
+    /// Part to pull next; the head when nothing is being collected.
+    #[must_use]
+    pub fn next_part(&self) -> u32 {
+        self.collecting
+            .as_ref()
+            .and_then(Collecting::missing)
+            .unwrap_or(0)
+    }
+
+    /// Gives up what is being collected, when its peer fell silent.
+    pub fn abandon(&mut self) {
+        self.collecting = None;
+    }
+
+    /// Takes a part that a peer sent.
+    pub fn on_part(&mut self, part: &CarriedPart) -> Progress {
+        if part.version <= self.version() || part.version < self.collecting_version() {
+            return Progress::Ignored;
+        }
+        if part.data.len() > MAX_PART {
+            return Progress::Faulty(SnapshotError::TooLarge);
+        }
+        let taken = if part.part == 0 {
+            self.begin(part)
+        } else {
+            self.collect(part)
+        };
+        match taken {
+            Ok(true) => self.advance(),
+            Ok(false) => Progress::Ignored,
+            Err(e) => Progress::Faulty(e),
+        }
+    }
+
+    fn collecting_version(&self) -> ConfigVersion {
+        self.collecting
+            .as_ref()
+            .map_or(ConfigVersion(0), |c| c.head.config_version())
+    }
+
+    /// Begins to collect the version of that head.
+    fn begin(&mut self, part: &CarriedPart) -> Result<bool, SnapshotError> {
+        let head: Head = serde_json::from_slice(&part.data)
+            .map_err(|e| SnapshotError::Malformed(e.to_string()))?;
+        head.check()?;
+        if head.config_version() != part.version || head.digest != part.digest {
+            return Err(SnapshotError::HeadDigest);
+        }
+        let same = self.collecting.as_ref().is_some_and(|c| c.head == head);
+        if same {
+            return Ok(true);
+        }
+        let parts = self.known_parts(&head);
+        let bytes = parts.iter().flatten().map(|p| p.data.len()).sum();
+        self.collecting = Some(Collecting {
+            head,
+            head_data: part.data.clone(),
+            parts,
+            bytes,
+        });
+        Ok(true)
+    }
+
+    /// Parts that `head` lists and that are held or were collected already.
+    fn known_parts(&self, head: &Head) -> Vec<Option<Part>> {
+        let own = self.held.iter().flat_map(|h| h.parts.iter());
+        let collected = self
+            .collecting
+            .iter()
+            .flat_map(|c| c.parts.iter().flatten());
+        let known: HashMap<PartName, &Part> = own.chain(collected).map(|p| (p.name, p)).collect();
+        let find = |name| known.get(name).map(|p| (*p).clone());
+        head.parts.iter().map(find).collect()
+    }
+
+    /// Takes one part of the version being collected. A part of a higher
+    /// version asks for the head of that one.
+    fn collect(&mut self, part: &CarriedPart) -> Result<bool, SnapshotError> {
+        let Some(collecting) = &mut self.collecting else {
+            return Ok(true);
+        };
+        if part.version > collecting.head.config_version() {
+            self.collecting = None;
+            return Ok(true);
+        }
+        collecting.fill(part)
+    }
+
+    /// Says what to pull next, or takes the version when it is whole.
+    fn advance(&mut self) -> Progress {
+        let Some(collecting) = self.collecting.take_if(|c| c.missing().is_none()) else {
+            return Progress::Want(self.next_part());
+        };
+        let Collecting {
+            head,
+            head_data,
+            parts,
+            ..
+        } = collecting;
+        let parts: Vec<Part> = parts.into_iter().flatten().collect();
+        match assemble(&head, &parts) {
+            Ok(doc) => Progress::Whole(Box::new(self.take(head, head_data, parts, doc))),
+            Err(e) => Progress::Faulty(e),
+        }
+    }
+
+    fn take(
+        &mut self,
+        head: Head,
+        head_data: Arc<[u8]>,
+        parts: Vec<Part>,
+        doc: Document,
+    ) -> Carried {
+        let (version, digest) = (head.config_version(), head.digest);
+        self.held = Some(Held {
+            head,
+            head_data,
+            parts,
+        });
+        if self.collecting_version() <= version {
+            self.collecting = None;
+        }
+        Carried {
+            version,
+            digest,
+            doc,
+        }
+    }
+}
+
+impl Held {
+    fn bytes(&self) -> usize {
+        self.head_data.len() + self.parts.iter().map(|p| p.data.len()).sum::<usize>()
+    }
+}
+
+impl Collecting {
+    /// Number of the first part that is missing.
+    fn missing(&self) -> Option<u32> {
+        let at = self.parts.iter().position(Option::is_none)?;
+        u32::try_from(at).ok()?.checked_add(1)
+    }
+
+    /// Fills the place of `part`; false when it was filled.
+    fn fill(&mut self, part: &CarriedPart) -> Result<bool, SnapshotError> {
+        let at = part.part.saturating_sub(1) as usize;
+        let (Some(place), Some(name)) = (self.parts.get_mut(at), self.head.parts.get(at)) else {
+            return Err(SnapshotError::WrongPart(at));
+        };
+        if place.is_some() {
+            return Ok(false);
+        }
+        let part = Part::new(part.data.clone());
+        if part.name != *name {
+            return Err(SnapshotError::WrongPart(at));
+        }
+        self.bytes += part.data.len();
+        if self.bytes > MAX_SNAPSHOT {
+            return Err(SnapshotError::TooLarge);
+        }
+        *place = Some(part);
+        Ok(true)
+    }
+}
+
+fn encode(head: &Head) -> Result<Arc<[u8]>, SnapshotError> {
+    let json = serde_json::to_vec(head).map_err(|e| SnapshotError::Malformed(e.to_string()))?;
+    Ok(Arc::from(json))
+}
+
+// The head must itself fit a part.
+const _: () = assert!(MAX_PARTS * 67 + 4_096 < MAX_PART);
--- /dev/null
+++ b/fireflycroft/src/snapshot.rs
@@ -0,0 +1,467 @@
+//! A configuration as it is stored and carried: a head and its parts.
+//!
+//! A document is written as one list of items, which is cut into parts. A cut
+//! falls where the digest of an item's name says so, not at a fixed number of
+//! items, so that an item added, changed or removed rewrites the part around
+//! it and leaves the others as they are. Each part is immutable and named by
+//! the digest of its bytes; the head lists the names in order. Whoever holds
+//! parts of an earlier version therefore fetches only what changed.
+//!
+//! Parts travel as the very bytes that were cut, on the platform within a
+//! JSON string, so that their digest doesn't hang on how a store writes JSON.
+
+use crate::config::Document;
+use crate::ids::{Digest, Name};
+use crate::inventory::{
+    Brand, Model, NonRepeatable, Objective, PriorityRule, Quota, Rules, WithoutKey, Workspace,
+};
+use crate::message::ConfigVersion;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::fmt;
+use std::sync::Arc;
+
+/// Kind of the platform's objects that hold parts.
+pub const PART_KIND: &str = "config-part";
+/// Kind of the platform's object that holds the head.
+pub const HEAD_KIND: &str = "config";
+/// Name of the platform's object that holds the head.
+pub const HEAD_NAME: &str = "head";
+/// Most bytes of one part; within a JSON string at most twice as many.
+pub const MAX_PART: usize = 500 * 1024;
+/// Most parts of one configuration.
+pub const MAX_PARTS: usize = 2_048;
+/// Most bytes of all parts of one configuration.
+pub const MAX_SNAPSHOT: usize = 64 * 1024 * 1024;
+
+/// Bytes below which a part is not cut, so that a small fleet has one part.
+const MIN_PART: usize = 16 * 1024;
+/// Of so many items beyond the least size, one ends a part.
+const ITEMS_PER_CUT: u16 = 128;
+
+/// Name of a part: BLAKE3 of its bytes.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartName([u8; 32]);
+
+/// One immutable part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its name.
+    pub name: PartName,
+    /// Its bytes: a JSON list of items.
+    pub data: Arc<[u8]>,
+}
+
+/// A document cut into parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Digest of the whole.
+    pub digest: Digest,
+    /// The parts, in order.
+    pub parts: Vec<Part>,
+}
+
+/// The one object that says which parts are in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Version of the configuration, which only grows.
+    pub version: u64,
+    /// Digest of the whole.
+    #[serde(with = "digest_hex")]
+    pub digest: Digest,
+    /// Names of the parts, in order.
+    pub parts: Vec<PartName>,
+    /// When it was written, in milliseconds since 1970.
+    #[serde(default)]
+    pub at: u64,
+    /// Who wrote it.
+    #[serde(default)]
+    pub by: Name,
+    /// Token of the write, by which its writer knows it again.
+    #[serde(default)]
+    pub token: Name,
+}
+
+/// Why a document can't be cut, or parts make no document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SnapshotError {
+    /// One item is larger than a part may be.
+    ItemTooLarge {
+        /// Name of the item.
+        item: Name,
+        /// Its bytes.
+        bytes: usize,
+    },
+    /// More parts or bytes than the limits.
+    TooLarge,
+    /// The head's digest is not that of its parts.
+    HeadDigest,
+    /// Not as many parts as the head lists.
+    PartCount {
+        /// Parts that the head lists.
+        wanted: usize,
+        /// Parts given.
+        given: usize,
+    },
+    /// The bytes at this place are not the part that the head lists there.
+    WrongPart(usize),
+    /// The part or head can't be read.
+    Malformed(String),
+}
+
+/// One item of a document.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Item {
+    /// Settings of the rules that are not lists.
+    Settings(Settings),
+    /// A brand.
+    Brand(Brand),
+    /// A model.
+    Model(Model),
+    /// A plain service.
+    Service(Name),
+    /// A call that may not be repeated.
+    NonRepeatable(NonRepeatable),
+    /// An objective.
+    Objective(Objective),
+    /// A workspace.
+    Workspace(Workspace),
+    /// A workspace's priority.
+    Priority(PriorityRule),
+    /// A workspace's quota.
+    Quota(Quota),
+}
+
+/// Settings of the rules that are not lists.
+#[derive(Serialize, Deserialize)]
+struct Settings {
+    without_key: WithoutKey,
+    interactive_wait_ms: u64,
+    batch_wait_ms: u64,
+}
+
+/// Cuts `doc` into parts; the same document gives the same parts.
+///
+/// # Errors
+///
+/// An item over [`MAX_PART`], or a whole over [`MAX_PARTS`] or [`MAX_SNAPSHOT`].
+pub fn split(doc: &Document) -> Result<Snapshot, SnapshotError> {
+    let mut cutter = Cutter::default();
+    for item in items(doc) {
+        cutter.add(&item)?;
+    }
+    let parts = cutter.finish();
+    let bytes: usize = parts.iter().map(|p| p.data.len()).sum();
+    if parts.len() > MAX_PARTS || bytes > MAX_SNAPSHOT {
+        return Err(SnapshotError::TooLarge);
+    }
+    let digest = digest_of(parts.iter().map(|p| &p.name));
+    Ok(Snapshot { digest, parts })
+}
+
+/// Puts a document together from the parts that `head` lists, in its order.
+///
+/// # Errors
+///
+/// Parts that are missing, too many, in another order or not what they are
+/// named, and a head whose digest is not that of its list.
+pub fn assemble(head: &Head, parts: &[Part]) -> Result<Document, SnapshotError> {
+    head.check()?;
+    if parts.len() != head.parts.len() {
+        return Err(SnapshotError::PartCount {
+            wanted: head.parts.len(),
+            given: parts.len(),
+        });
+    }
+    let mut doc = Document::default();
+    for (i, (part, name)) in parts.iter().zip(&head.parts).enumerate() {
+        if part.name != *name || PartName::of(&part.data) != *name {
+            return Err(SnapshotError::WrongPart(i));
+        }
+        let items: Vec<Item> = serde_json::from_slice(&part.data).map_err(malformed)?;
+        for item in items {
+            put(&mut doc, item);
+        }
+    }
+    Ok(doc)
+}
+
+impl PartName {
+    /// Name of a part of these bytes.
+    #[must_use]
+    pub fn of(data: &[u8]) -> Self {
+        Self(*blake3::hash(data).as_bytes())
+    }
+
+    /// Reads a name written by its `Display`.
+    #[must_use]
+    pub fn scan(text: &str) -> Option<Self> {
+        let hash = blake3::Hash::from_hex(text).ok()?;
+        Some(Self(*hash.as_bytes()))
+    }
+}
+
+impl fmt::Display for PartName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl fmt::Debug for PartName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl Serialize for PartName {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for PartName {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        Self::scan(&text).ok_or_else(|| serde::de::Error::custom("no name of a part"))
+    }
+}
+
+impl Part {
+    /// Part of these bytes.
+    #[must_use]
+    pub fn new(data: impl Into<Arc<[u8]>>) -> Self {
+        let data = data.into();
+        Self {
+            name: PartName::of(&data),
+            data,
+        }
+    }
+
+    /// Value that the platform holds for the part.
+    ///
+    /// # Errors
+    ///
+    /// Bytes that are no text.
+    pub fn to_value(&self) -> Result<Value, SnapshotError> {
+        let text = std::str::from_utf8(&self.data).map_err(malformed)?;
+        Ok(Value::String(text.to_owned()))
+    }
+
+    /// Part of the value that the platform holds under `name`.
+    ///
+    /// # Errors
+    ///
+    /// A value that is not that part.
+    pub fn from_value(name: PartName, value: &Value) -> Result<Self, SnapshotError> {
+        let text = value
+            .as_str()
+            .ok_or_else(|| malformed("the value of a part is no string"))?;
+        let part = Self::new(text.as_bytes());
+        if part.name == name {
+            Ok(part)
+        } else {
+            Err(malformed(format!("part {name} holds other content")))
+        }
+    }
+}
+
+impl Snapshot {
+    /// Head that puts this snapshot in force as `version`.
+    #[must_use]
+    pub fn head(&self, version: ConfigVersion, at: u64, by: Name, token: Name) -> Head {
+        Head {
+            version: version.0,
+            digest: self.digest,
+            parts: self.parts.iter().map(|p| p.name).collect(),
+            at,
+            by,
+            token,
+        }
+    }
+
+    /// Bytes of all parts.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.parts.iter().map(|p| p.data.len()).sum()
+    }
+}
+
+impl Head {
+    /// Version of the configuration.
+    #[must_use]
+    pub const fn config_version(&self) -> ConfigVersion {
+        ConfigVersion(self.version)
+    }
+
+    /// Checks that the digest is that of the list, and the list not too long.
+    ///
+    /// # Errors
+    ///
+    /// `HeadDigest` or `TooLarge`.
+    pub fn check(&self) -> Result<(), SnapshotError> {
+        if self.parts.len() > MAX_PARTS {
+            return Err(SnapshotError::TooLarge);
+        }
+        if digest_of(self.parts.iter()) != self.digest {
+            return Err(SnapshotError::HeadDigest);
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for SnapshotError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ItemTooLarge { item, bytes } => {
+                write!(f, "{item:?} takes {bytes} bytes, at most {MAX_PART}")
+            }
+            Self::TooLarge => write!(
+                f,
+                "the configuration is over {MAX_PARTS} parts or {MAX_SNAPSHOT} bytes"
+            ),
+            Self::HeadDigest => f.write_str("the head's digest is not that of its parts"),
+            Self::PartCount { wanted, given } => {
+                write!(f, "{given} parts given, {wanted} wanted")
+            }
+            Self::WrongPart(i) => write!(f, "part {i} is not what the head lists"),
+            Self::Malformed(why) => write!(f, "unreadable: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for SnapshotError {}
+
+/// Fills parts with items and cuts where an item's name says so.
+#[derive(Default)]
+struct Cutter {
+    parts: Vec<Part>,
+    buf: Vec<u8>,
+}
+
+impl Cutter {
+    fn add(&mut self, item: &Item) -> Result<(), SnapshotError> {
+        let json = serde_json::to_vec(item).map_err(malformed)?;
+        if json.len() + 2 > MAX_PART {
+            return Err(SnapshotError::ItemTooLarge {
+                item: item.name(),
+                bytes: json.len(),
+            });
+        }
+        if self.buf.len() + json.len() + 2 > MAX_PART {
+            self.cut();
+        }
+        self.buf.push(if self.buf.is_empty() { b'[' } else { b',' });
+        self.buf.extend_from_slice(&json);
+        if self.buf.len() >= MIN_PART && ends_part(item) {
+            self.cut();
+        }
+        Ok(())
+    }
+
+    fn cut(&mut self) {
+        if self.buf.is_empty() {
+            return;
+        }
+        self.buf.push(b']');
+        self.parts.push(Part::new(std::mem::take(&mut self.buf)));
+    }
+
+    fn finish(mut self) -> Vec<Part> {
+        self.cut();
+        self.parts
+    }
+}
+
+impl Item {
+    fn name(&self) -> Name {
+        match self {
+            Self::Settings(_) => Name::from("settings"),
+            Self::Brand(brand) => brand.name.clone(),
+            Self::Model(model) => model.name.clone(),
+            Self::Service(name) => name.clone(),
+            Self::NonRepeatable(rule) => rule.target.clone(),
+            Self::Objective(objective) => objective.brand.clone().unwrap_or_default(),
+            Self::Workspace(workspace) => workspace.name.clone(),
+            Self::Priority(rule) => rule.workspace.clone(),
+            Self::Quota(quota) => quota.workspace.clone(),
+        }
+    }
+}
+
+fn ends_part(item: &Item) -> bool {
+    let hash = blake3::hash(item.name().as_bytes());
+    let [low, high, ..] = *hash.as_bytes();
+    u16::from_le_bytes([low, high]) % ITEMS_PER_CUT == 0
+}
+
+fn items(doc: &Document) -> impl Iterator<Item = Item> {
+    let Document { inventory, rules } = doc;
+    let settings = Settings {
+        without_key: rules.without_key,
+        interactive_wait_ms: rules.interactive_wait_ms,
+        batch_wait_ms: rules.batch_wait_ms,
+    };
+    std::iter::once(Item::Settings(settings))
+        .chain(inventory.brands.iter().cloned().map(Item::Brand))
+        .chain(inventory.models.iter().cloned().map(Item::Model))
+        .chain(inventory.services.iter().cloned().map(Item::Service))
+        .chain(
+            rules
+                .non_repeatable
+                .iter()
+                .cloned()
+                .map(Item::NonRepeatable),
+        )
+        .chain(rules.objectives.iter().cloned().map(Item::Objective))
+        .chain(inventory.workspaces.iter().cloned().map(Item::Workspace))
+        .chain(rules.priorities.iter().cloned().map(Item::Priority))
+        .chain(rules.quotas.iter().cloned().map(Item::Quota))
+}
+
+fn put(doc: &mut Document, item: Item) {
+    let Document { inventory, rules } = doc;
+    match item {
+        Item::Settings(settings) => put_settings(rules, &settings),
+        Item::Brand(brand) => inventory.brands.push(brand),
+        Item::Model(model) => inventory.models.push(model),
+        Item::Service(name) => inventory.services.push(name),
+        Item::NonRepeatable(rule) => rules.non_repeatable.push(rule),
+        Item::Objective(objective) => rules.objectives.push(objective),
+        Item::Workspace(workspace) => inventory.workspaces.push(workspace),
+        Item::Priority(rule) => rules.priorities.push(rule),
+        Item::Quota(quota) => rules.quotas.push(quota),
+    }
+}
+
+fn put_settings(rules: &mut Rules, settings: &Settings) {
+    rules.without_key = settings.without_key;
+    rules.interactive_wait_ms = settings.interactive_wait_ms;
+    rules.batch_wait_ms = settings.batch_wait_ms;
+}
+
+fn digest_of<'a>(names: impl Iterator<Item = &'a PartName>) -> Digest {
+    let names: Vec<&[u8]> = names.map(|name| name.0.as_slice()).collect();
+    Digest::of(&names)
+}
+
+fn malformed(why: impl fmt::Display) -> SnapshotError {
+    SnapshotError::Malformed(why.to_string())
+}
+
+/// A digest as 32 hexadecimal digits.
+mod digest_hex {
+    use crate::ids::Digest;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(digest: &Digest, ser: S) -> Result<S::Ok, S::Error> {
+        ser.collect_str(digest)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(de: D) -> Result<Digest, D::Error> {
+        let text = String::deserialize(de)?;
+        u128::from_str_radix(&text, 16)
+            .map(Digest)
+            .map_err(serde::de::Error::custom)
+    }
+}
