--- /dev/null
+++ b/fireflycroft-wire/tests/support/mod.rs
@@ -0,0 +1,300 @@
+//! Strategies for every message of the core.
+
+use fireflycroft::{
+    Chunk, Code, ConfigVersion, Demand, Digest, Envelope, Finish, GenerationId, Incarnation, Load,
+    MemberRecord, MemberState, Message, Name, Peer, Priority, RequestId, Role, Standing, Work,
+};
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::sample::select;
+use proptest::test_runner::{FileFailurePersistence, RngSeed};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+const SEED: u64 = 0x00f1_4ef1_7c40_f700;
+
+/// Fixed seed; failures are kept beside the tests.
+pub(crate) fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: Some(Box::new(FileFailurePersistence::WithSource("regressions"))),
+        ..ProptestConfig::default()
+    }
+}
+
+pub(crate) fn envelope() -> impl Strategy<Value = Envelope> {
+    (peer(), any::<u64>(), option::of(load()), message()).prop_map(|(from, config, load, body)| {
+        Envelope {
+            from,
+            config: ConfigVersion(config),
+            load,
+            body,
+        }
+    })
+}
+
+pub(crate) fn load() -> impl Strategy<Value = Load> {
+    let counts = any::<(u32, u32, u64, u64, u64)>();
+    (counts, span(), span(), span(), any::<bool>()).prop_map(
+        |(counts, step, wait_interactive, wait_batch, leaving)| Load {
+            running: counts.0,
+            queued: counts.1,
+            used_tokens: counts.2,
+            expected_tokens: counts.3,
+            capacity_tokens: counts.4,
+            step,
+            wait_interactive,
+            wait_batch,
+            leaving,
+        },
+    )
+}
+
+pub(crate) fn peer() -> impl Strategy<Value = Peer> {
+    let addr = (any::<IpAddr>(), any::<u16>()).prop_map(|(ip, port)| SocketAddr::new(ip, port));
+    let role = select(vec![Role::Entry, Role::Agent]);
+    (name(), addr, any::<u64>(), role).prop_map(|(name, addr, incarnation, role)| Peer {
+        name,
+        addr,
+        incarnation: Incarnation(incarnation),
+        role,
+    })
+}
+
+pub(crate) fn message() -> impl Strategy<Value = Message> {
+    prop_oneof![reserving(), reading(), fleet()]
+}
+
+fn reserving() -> impl Strategy<Value = Message> {
+    let offer = (request(), any::<u32>(), demand(), span()).prop_map(
+        |(request, attempt, demand, max_wait)| Message::Offer {
+            request,
+            attempt,
+            demand,
+            max_wait,
+        },
+    );
+    let queued =
+        (request(), any::<u32>(), span()).prop_map(|(request, attempt, wait)| Message::Queued {
+            request,
+            attempt,
+            wait,
+        });
+    let accept = (request(), any::<u32>(), generation(), span()).prop_map(
+        |(request, attempt, generation, hold)| Message::Accept {
+            request,
+            attempt,
+            generation,
+            hold,
+        },
+    );
+    let refuse = (request(), any::<u32>(), select(Code::ALL), span()).prop_map(
+        |(request, attempt, code, retry_after)| Message::Refuse {
+            request,
+            attempt,
+            code,
+            retry_after,
+        },
+    );
+    let withdraw = (request(), any::<u32>())
+        .prop_map(|(request, attempt)| Message::Withdraw { request, attempt });
+    let start =
+        (request(), generation(), work()).prop_map(|(request, generation, work)| Message::Start {
+            request,
+            generation,
+            work,
+        });
+    prop_oneof![offer, queued, accept, refuse, withdraw, start]
+}
+
+fn reading() -> impl Strategy<Value = Message> {
+    let attach = (request(), request(), generation(), name(), any::<u64>()).prop_map(
+        |(reader, request, generation, workspace, from)| Message::Attach {
+            reader,
+            request,
+            generation,
+            workspace,
+            from,
+        },
+    );
+    let tokens = (request(), generation(), chunk(), option::of(finish())).prop_map(
+        |(reader, generation, chunk, finish)| Message::Tokens {
+            reader,
+            generation,
+            chunk,
+            finish,
+        },
+    );
+    let stand = (request(), generation(), standing()).prop_map(|(reader, generation, standing)| {
+        Message::Stand {
+            reader,
+            generation,
+            standing,
+        }
+    });
+    let ack = (request(), generation(), any::<u64>()).prop_map(|(reader, generation, next)| {
+        Message::Ack {
+            reader,
+            generation,
+            next,
+        }
+    });
+    let detach = (request(), generation())
+        .prop_map(|(reader, generation)| Message::Detach { reader, generation });
+    let cancel = generation().prop_map(|generation| Message::Cancel { generation });
+    prop_oneof![attach, tokens, stand, ack, detach, cancel]
+}
+
+fn fleet() -> impl Strategy<Value = Message> {
+    let crashes =
+        (digest(), any::<u8>()).prop_map(|(content, count)| Message::Crashes { content, count });
+    let asked =
+        (any::<u64>(), vec(record(), 0..4), any::<u64>()).prop_map(|(nonce, records, view)| {
+            Message::Ping {
+                nonce,
+                records,
+                view,
+            }
+        });
+    let answered =
+        (any::<u64>(), vec(record(), 0..4), any::<u64>()).prop_map(|(nonce, records, view)| {
+            Message::Pong {
+                nonce,
+                records,
+                view,
+            }
+        });
+    let pull = any::<(u64, u32)>().prop_map(|(have, part)| Message::ConfigPull {
+        have: ConfigVersion(have),
+        part,
+    });
+    let part = (any::<(u64, u32, u32)>(), digest(), body()).prop_map(|(numbers, digest, data)| {
+        Message::ConfigPart {
+            version: ConfigVersion(numbers.0),
+            part: numbers.1,
+            parts: numbers.2,
+            digest,
+            data,
+        }
+    });
+    prop_oneof![crashes, asked, answered, pull, part]
+}
+
+fn record() -> impl Strategy<Value = MemberRecord> {
+    let state = select(vec![
+        MemberState::Alive,
+        MemberState::Suspect,
+        MemberState::Leaving,
+        MemberState::Dead,
+    ]);
+    (peer(), name(), state, any::<u64>(), vec(name(), 0..3)).prop_map(
+        |(peer, data_centre, state, turn, serves)| MemberRecord {
+            peer,
+            data_centre,
+            state,
+            turn,
+            serves,
+        },
+    )
+}
+
+fn demand() -> impl Strategy<Value = Demand> {
+    let priority = select(vec![Priority::Batch, Priority::Interactive]);
+    let counts = any::<(u32, u32, bool, u8)>();
+    (name(), name(), priority, counts, digest(), digest()).prop_map(
+        |(workspace, target, priority, counts, prefix, content)| Demand {
+            workspace,
+            target,
+            priority,
+            prompt_tokens: counts.0,
+            max_tokens: counts.1,
+            prefix,
+            content,
+            repeatable: counts.2,
+            crashes: counts.3,
+        },
+    )
+}
+
+fn work() -> impl Strategy<Value = Work> {
+    let generate = body().prop_map(|body| Work::Generate { body });
+    let call = (name(), name(), name(), body()).prop_map(|(method, path, content_type, body)| {
+        Work::Call {
+            method,
+            path,
+            content_type,
+            body,
+        }
+    });
+    prop_oneof![generate, call]
+}
+
+fn chunk() -> impl Strategy<Value = Chunk> {
+    let tokens = vec(vec(any::<u8>(), 0..8), 0..8);
+    (0..u64::MAX - 8, tokens).prop_map(|(offset, tokens)| {
+        let mut chunk = Chunk {
+            offset,
+            ..Chunk::default()
+        };
+        for token in tokens {
+            chunk.push(&token);
+        }
+        chunk
+    })
+}
+
+fn finish() -> impl Strategy<Value = Finish> {
+    let counts = any::<(u64, u16, u32, u32, u8)>();
+    (counts, select(Code::ALL), name(), name()).prop_map(|(counts, code, reason, content_type)| {
+        Finish {
+            total: counts.0,
+            code,
+            reason,
+            status: counts.1,
+            content_type,
+            prompt_tokens: counts.2,
+            preemptions: counts.3,
+            crashes: counts.4,
+        }
+    })
+}
+
+fn standing() -> impl Strategy<Value = Standing> {
+    select(vec![
+        Standing::Reserved,
+        Standing::NeverStarted,
+        Standing::Unknown,
+        Standing::PartGone,
+        Standing::Crowded,
+    ])
+}
+
+fn span() -> impl Strategy<Value = Duration> {
+    any::<u64>().prop_map(Duration::from_micros)
+}
+
+fn request() -> impl Strategy<Value = RequestId> {
+    any::<u128>().prop_map(RequestId)
+}
+
+fn digest() -> impl Strategy<Value = Digest> {
+    any::<u128>().prop_map(Digest)
+}
+
+fn generation() -> impl Strategy<Value = GenerationId> {
+    any::<(u64, u64)>().prop_map(|(incarnation, serial)| GenerationId {
+        incarnation: Incarnation(incarnation),
+        serial,
+    })
+}
+
+fn name() -> impl Strategy<Value = Name> {
+    "\\PC{0,12}".prop_map(Name::from)
+}
+
+fn body() -> impl Strategy<Value = Arc<[u8]>> {
+    vec(any::<u8>(), 0..64).prop_map(Arc::from)
+}
