--- /dev/null
+++ b/fireflyd/src/admin.rs
@@ -0,0 +1,135 @@
+//! Operators' interface of a process, on a port of its own: metrics, health, status and drain.
+//!
+//! It asks for no key, so its address belongs on a network that only operators reach.
+
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use poem::http::StatusCode;
+use poem::listener::TcpAcceptor;
+use poem::web::{Data, Json};
+use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+use crate::metrics::Metrics;
+
+/// Content type of the metrics.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+/// How long calls in progress may go on when the interface stops.
+const STOP_GRACE: Duration = Duration::from_secs(1);
+
+/// Whether the process takes work, with the reason when it doesn't; cloning shares it.
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    /// Why not; `None` when ready.
+    reason: Arc<RwLock<Option<Arc<str>>>>,
+}
+
+impl Readiness {
+    /// Not ready, for `reason`.
+    #[must_use]
+    pub fn not_yet(reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            reason: Arc::new(RwLock::new(Some(reason.into()))),
+        }
+    }
+
+    /// Takes work from now on.
+    pub fn set_ready(&self) {
+        self.set(None);
+    }
+
+    /// Takes no work from now on, for `reason`.
+    pub fn set_not_ready(&self, reason: impl Into<Arc<str>>) {
+        self.set(Some(reason.into()));
+    }
+
+    /// Why the process takes no work; `None` when it does.
+    #[must_use]
+    pub fn reason(&self) -> Option<Arc<str>> {
+        let reason = self.reason.read().unwrap_or_else(PoisonError::into_inner);
+        reason.clone()
+    }
+
+    fn set(&self, reason: Option<Arc<str>>) {
+        *self.reason.write().unwrap_or_else(PoisonError::into_inner) = reason;
+    }
+}
+
+/// What the interface shows and does.
+#[derive(Clone)]
+pub struct Admin {
+    /// The metrics shown.
+    pub metrics: Metrics,
+    /// The readiness shown.
+    pub readiness: Readiness,
+    /// Gives the status as JSON; must not block.
+    pub status: Arc<dyn Fn() -> Value + Send + Sync>,
+    /// Begins a planned stop; must not block, and may be called again.
+    pub drain: Arc<dyn Fn() + Send + Sync>,
+}
+
+impl Admin {
+    /// Serves on `listener` until `stop` ends.
+    ///
+    /// # Errors
+    ///
+    /// An error of the listener.
+    pub async fn serve(
+        self,
+        listener: TcpListener,
+        stop: impl Future<Output = ()> + Send + 'static,
+    ) -> anyhow::Result<()> {
+        let acceptor = TcpAcceptor::from_tokio(listener)?;
+        let routes = Route::new()
+            .at("/metrics", get(metrics))
+            .at("/health/live", get(live))
+            .at("/health/ready", get(ready))
+            .at("/status", get(status))
+            .at("/drain", post(drain))
+            .data(self);
+        Server::new_with_acceptor(acceptor)
+            .run_with_graceful_shutdown(routes, stop, Some(STOP_GRACE))
+            .await?;
+        Ok(())
+    }
+}
+
+#[handler]
+fn metrics(Data(admin): Data<&Admin>) -> Response {
+    admin
+        .metrics
+        .render()
+        .with_content_type(METRICS_TYPE)
+        .into_response()
+}
+
+#[handler]
+fn live() -> &'static str {
+    "live\n"
+}
+
+#[handler]
+fn ready(Data(admin): Data<&Admin>) -> Response {
+    match admin.readiness.reason() {
+        None => "ready\n".into_response(),
+        Some(reason) => format!("{reason}\n")
+            .with_status(StatusCode::SERVICE_UNAVAILABLE)
+            .into_response(),
+    }
+}
+
+#[handler]
+fn status(Data(admin): Data<&Admin>) -> Json<Value> {
+    Json((admin.status)())
+}
+
+#[handler]
+fn drain(Data(admin): Data<&Admin>) -> Response {
+    log::info!(event = "drain_asked"; "");
+    (admin.drain)();
+    "draining\n"
+        .with_status(StatusCode::ACCEPTED)
+        .into_response()
+}
