--- /dev/null
+++ b/fireflyd/src/config_feed.rs
@@ -0,0 +1,215 @@
+//! Where a process gets its configuration: the platform, or a peer that has it.
+//!
+//! A few members watch the platform; the others hear of a version by what
+//! rides on every message and pull it from whoever told them. A version read
+//! is held for peers and handed to the loop; none lower is.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use fireflycroft::{
+    Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, HEAD_KIND, HEAD_NAME, Head,
+    Message, PART_KIND, Part, Progress, compile,
+};
+use tokio::sync::watch;
+
+use crate::outbox::Outbox;
+use crate::platform::{PlatformClient, PlatformError};
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Wait after a failed call, doubled up to the longest.
+const RETRY_MIN: Duration = Duration::from_millis(250);
+const RETRY_MAX: Duration = Duration::from_secs(4);
+/// Time between two looks of a member that does not watch.
+const LOOK_EVERY: Duration = Duration::from_secs(30);
+/// Time between two checks whether this member watches.
+const ROLE_CHECK: Duration = Duration::from_millis(500);
+
+/// Source of configurations; cloning shares it.
+#[derive(Clone)]
+pub struct ConfigFeed {
+    carrier: Arc<Mutex<ConfigCarrier>>,
+    tx: Arc<watch::Sender<Option<Arc<Config>>>>,
+    watching: Arc<AtomicBool>,
+}
+
+impl ConfigFeed {
+    /// A feed that knows nothing yet, and where its configurations come out.
+    #[must_use]
+    pub fn new() -> (Self, watch::Receiver<Option<Arc<Config>>>) {
+        let (tx, rx) = watch::channel(None);
+        let feed = Self {
+            carrier: Arc::default(),
+            tx: Arc::new(tx),
+            watching: Arc::new(AtomicBool::new(true)),
+        };
+        (feed, rx)
+    }
+
+    /// Whether this member is one of those that watch the platform.
+    pub fn set_watching(&self, watching: bool) {
+        self.watching.store(watching, Ordering::Relaxed);
+    }
+
+    /// Asks a peer for a later version than is held.
+    pub fn pull(&self, from: SocketAddr, out: &mut Outbox) {
+        let carrier = self.carrier();
+        out.push(
+            from,
+            Message::ConfigPull {
+                have: carrier.version(),
+                part: carrier.next_part(),
+            },
+        );
+    }
+
+    /// Serves a pull, or takes a part that was pulled.
+    pub fn on_message(&self, from: SocketAddr, message: &Message, out: &mut Outbox) {
+        match message {
+            Message::ConfigPull { have, part } => {
+                if let Some(answer) = self.carrier().serve(*have, *part) {
+                    out.push(from, answer);
+                }
+            }
+            Message::ConfigPart {
+                version,
+                part,
+                parts,
+                digest,
+                data,
+            } => {
+                let piece = CarriedPart {
+                    version: *version,
+                    part: *part,
+                    parts: *parts,
+                    digest: *digest,
+                    data: data.clone(),
+                };
+                self.on_part(from, &piece, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_part(&self, from: SocketAddr, piece: &CarriedPart, out: &mut Outbox) {
+        let mut carrier = self.carrier();
+        let have = carrier.version();
+        match carrier.on_part(piece) {
+            Progress::Want(part) => out.push(from, Message::ConfigPull { have, part }),
+            Progress::Whole(whole) => {
+                drop(carrier);
+                log::info!(event = "config_pulled", version = whole.version.0, peer:% = from; "");
+                self.hand_out(&whole);
+            }
+            Progress::Ignored => {}
+            Progress::Faulty(e) => {
+                carrier.abandon();
+                log::warn!(event = "config_part_faulty", peer:% = from, cause:% = e; "");
+            }
+        }
+    }
+
+    /// Follows the platform for ever.
+    pub async fn follow(self, platform: PlatformClient) {
+        let mut wait = RETRY_MIN;
+        loop {
+            match self.look(&platform).await {
+                Ok(revision) => {
+                    wait = RETRY_MIN;
+                    self.rest(&platform, revision).await;
+                }
+                Err(e) => {
+                    log::warn!(event = "config_read_failed", cause:% = e; "");
+                    tokio::time::sleep(wait).await;
+                    wait = (wait * 2).min(RETRY_MAX);
+                }
+            }
+        }
+    }
+
+    /// Waits for the next look: by a watch, or by the clock for those that
+    /// hear from peers.
+    async fn rest(&self, platform: &PlatformClient, revision: u64) {
+        if self.watching.load(Ordering::Relaxed) {
+            if let Err(e) = platform.watch(HEAD_KIND, revision, WATCH_WAIT).await {
+                log::warn!(event = "config_watch_failed", cause:% = e; "");
+                tokio::time::sleep(RETRY_MIN).await;
+            }
+            return;
+        }
+        let mut rested = Duration::ZERO;
+        while rested < LOOK_EVERY && !self.watching.load(Ordering::Relaxed) {
+            tokio::time::sleep(ROLE_CHECK).await;
+            rested += ROLE_CHECK;
+        }
+    }
+
+    /// Reads the head and what it lists; gives the revision to watch from.
+    async fn look(&self, platform: &PlatformClient) -> Result<u64, PlatformError> {
+        let object = match platform.get(HEAD_KIND, HEAD_NAME).await {
+            Ok(object) => object,
+            Err(PlatformError::NotFound) => return Ok(0),
+            Err(e) => return Err(e),
+        };
+        let head: Head = serde_json::from_value(object.value)
+            .map_err(|e| PlatformError::Invalid(format!("configuration head: {e}")))?;
+        if head.config_version() > self.carrier().version() {
+            self.fetch(platform, head).await?;
+        }
+        Ok(object.version)
+    }
+
+    async fn fetch(&self, platform: &PlatformClient, head: Head) -> Result<(), PlatformError> {
+        let mut parts = Vec::with_capacity(head.parts.len());
+        for name in &head.parts {
+            let known = self.carrier().part(name).cloned();
+            if let Some(part) = known {
+                parts.push(part);
+                continue;
+            }
+            let object = platform.get(PART_KIND, &name.to_string()).await?;
+            let part = Part::from_value(*name, &object.value)
+                .map_err(|e| PlatformError::Invalid(format!("configuration part: {e}")))?;
+            parts.push(part);
+        }
+        let taken = self.carrier().hold(head, parts);
+        match taken {
+            Ok(Some(whole)) => self.hand_out(&whole),
+            Ok(None) => {}
+            Err(e) => return Err(PlatformError::Invalid(format!("configuration: {e}"))),
+        }
+        Ok(())
+    }
+
+    fn hand_out(&self, carried: &Carried) {
+        match compile(carried.version, carried.digest, &carried.doc) {
+            Ok(config) => {
+                self.tx.send_if_modified(|held| {
+                    let older = held.as_ref().is_some_and(|h| h.version >= config.version);
+                    if !older {
+                        *held = Some(Arc::new(config));
+                    }
+                    !older
+                });
+            }
+            Err(faults) => {
+                let first = faults.first().map(|f| format!("{}: {}", f.field, f.text));
+                let first = first.unwrap_or_default();
+                log::error!(event = "config_faulty", version = carried.version.0, cause = first; "");
+            }
+        }
+    }
+
+    fn carrier(&self) -> MutexGuard<'_, ConfigCarrier> {
+        self.carrier.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Version held for peers.
+    #[must_use]
+    pub fn version(&self) -> ConfigVersion {
+        self.carrier().version()
+    }
+}
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -1,12 +1,26 @@
 //! The daemon of the fleet: sockets, files and timers round the core, one file for each job.
 
+pub mod admin;
+pub mod agent;
 pub mod answer;
+pub mod claims;
+pub mod config_feed;
+pub mod entry;
+pub mod fleet;
 pub mod front;
+pub mod journal;
 pub mod keyring;
+pub mod logs;
 pub mod mailbox;
 pub mod metrics;
+pub mod node;
+pub mod outbox;
 pub mod platform;
+pub mod port_file;
+pub mod process;
 pub mod request;
+pub mod runner;
 pub mod settings;
 pub mod sse;
+pub mod status;
 pub mod upstream;
--- a/fireflyd/src/mailbox.rs
+++ b/fireflyd/src/mailbox.rs
@@ -64,7 +64,7 @@
             peer_bytes: 8 << 20,
             peers: 2048,
             max_age: Duration::from_secs(2),
-            idle: Duration::from_secs(60),
+            idle: Duration::from_mins(1),
         }
     }
 }
--- /dev/null
+++ b/fireflyd/src/outbox.rs
@@ -0,0 +1,66 @@
+//! Messages on their way out, gathered by destination.
+//!
+//! What one turn of a loop has to say to one process goes in one mailbox
+//! message, which saves a seal and a system call for each token.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use fireflycroft::{ConfigVersion, Load, Message, Peer};
+use fireflycroft_wire::encode_all;
+
+use crate::mailbox::Mailbox;
+
+/// Most messages in one mailbox message.
+const MAX_BATCH: usize = 64;
+
+/// Messages of one turn.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    by_addr: HashMap<SocketAddr, Vec<Message>>,
+}
+
+impl Outbox {
+    /// Adds a message.
+    pub fn push(&mut self, to: SocketAddr, message: Message) {
+        self.by_addr.entry(to).or_default().push(message);
+    }
+
+    /// Sends all that was added.
+    pub fn flush(
+        &mut self,
+        mailbox: &Mailbox,
+        me: &Peer,
+        config: ConfigVersion,
+        load: Option<Load>,
+    ) {
+        for (to, messages) in self.by_addr.drain() {
+            for batch in batches(messages) {
+                mailbox.send(to, encode_all(me, config, load.as_ref(), &batch));
+            }
+        }
+    }
+}
+
+/// Cuts messages into batches; a large one goes alone.
+fn batches(messages: Vec<Message>) -> Vec<Vec<Message>> {
+    let mut out: Vec<Vec<Message>> = Vec::new();
+    let mut room = false;
+    for message in messages {
+        let large = is_large(&message);
+        match out.last_mut() {
+            Some(last) if room && !large && last.len() < MAX_BATCH => last.push(message),
+            _ => out.push(vec![message]),
+        }
+        room = !large;
+    }
+    out
+}
+
+fn is_large(message: &Message) -> bool {
+    match message {
+        Message::Start { .. } | Message::ConfigPart { .. } => true,
+        Message::Tokens { chunk, .. } => chunk.data.len() > 4 * 1024,
+        _ => false,
+    }
+}
