--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -150,7 +150,8 @@
         seed: rand::random(),
         limits: EntryLimits {
             offer_wait: settings.timeouts.offer,
-            silence: settings.timeouts.stall,
+            poll_after: settings.timeouts.stall / 2,
+            silence: settings.timeouts.stall * 3,
             ..EntryLimits::default()
         },
     };
