Plan and apply inventory and rules with fireflyctl

Operators had no way to put a configuration in force. The head is written once under a condition, after its parts; it names its writer's token and the earlier writes, so that a lost answer can be told from a lost race by reading back.

Before, fireflyctl was a placeholder.

--- a/fireflycroft/src/carrier.rs
+++ b/fireflycroft/src/carrier.rs
@@ -12,8 +12,9 @@
 use crate::ids::Digest;
 use crate::message::{ConfigVersion, Message};
 use crate::snapshot::{
-    Head, MAX_PART, MAX_PARTS, MAX_SNAPSHOT, Part, PartName, SnapshotError, assemble,
+    Head, MAX_PART, MAX_PARTS, MAX_PAST, MAX_SNAPSHOT, Part, PartName, SnapshotError, assemble,
 };
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -56,6 +57,27 @@
     pub doc: Document,
 }
 
+/// A version with all its parts, as a node shows it to operators.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bundle {
+    /// The head.
+    pub head: Head,
+    /// The parts' bytes as text, in order.
+    pub parts: Vec<String>,
+}
+
+impl Bundle {
+    /// The document that the parts make.
+    ///
+    /// # Errors
+    ///
+    /// Parts that are not what the head lists.
+    pub fn document(&self) -> Result<Document, SnapshotError> {
+        let parts: Vec<Part> = self.parts.iter().map(|p| Part::new(p.as_bytes())).collect();
+        assemble(&self.head, &parts)
+    }
+}
+
 /// Holds the parts of one version for peers, and collects a higher one.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigCarrier {
@@ -100,6 +122,17 @@
         held.parts.iter().find(|p| p.name == *name)
     }
 
+    /// The version held with all its parts, for operators.
+    #[must_use]
+    pub fn bundle(&self) -> Option<Bundle> {
+        let held = self.held.as_ref()?;
+        let text = |part: &Part| String::from_utf8_lossy(&part.data).into_owned();
+        Some(Bundle {
+            head: held.head.clone(),
+            parts: held.parts.iter().map(text).collect(),
+        })
+    }
+
     /// Bytes held and being collected.
     #[must_use]
     pub fn bytes(&self) -> usize {
@@ -315,4 +348,4 @@
 }
 
 // The head must itself fit a part.
-const _: () = assert!(MAX_PARTS * 67 + 4_096 < MAX_PART);
+const _: () = assert!(MAX_PARTS * 67 + MAX_PAST * 256 + 4_096 < MAX_PART);
--- a/fireflycroft/src/snapshot.rs
+++ b/fireflycroft/src/snapshot.rs
@@ -29,6 +29,8 @@
 pub const HEAD_NAME: &str = "head";
 /// Most bytes of one part; within a JSON string at most twice as many.
 pub const MAX_PART: usize = 500 * 1024;
+/// Most earlier writes that a head names.
+pub const MAX_PAST: usize = 16;
 /// Most parts of one configuration.
 pub const MAX_PARTS: usize = 2_048;
 /// Most bytes of all parts of one configuration.
@@ -80,6 +82,33 @@
     /// Token of the write, by which its writer knows it again.
     #[serde(default)]
     pub token: Name,
+    /// Writes before this one, the latest first; at most [`MAX_PAST`].
+    #[serde(default)]
+    pub past: Vec<PastWrite>,
+}
+
+/// An earlier write of the head.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PastWrite {
+    /// Version that it put in force.
+    pub version: u64,
+    /// Its token.
+    pub token: Name,
+}
+
+/// What a head that is read after a write tells of that write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteFate {
+    /// It is in force.
+    InForce,
+    /// It was in force and has been replaced.
+    Replaced,
+    /// Another write took its place; it never was in force.
+    Lost,
+    /// Nothing was written since; it may yet take effect.
+    Open,
+    /// The head goes too far beyond it to tell.
+    Unknown,
 }
 
 /// Why a document can't be cut, or parts make no document.
@@ -277,6 +306,7 @@
             at,
             by,
             token,
+            past: Vec::new(),
         }
     }
 
@@ -294,6 +324,45 @@
         ConfigVersion(self.version)
     }
 
+    /// This head as the one that follows `base`.
+    #[must_use]
+    pub fn after(mut self, base: Option<&Self>) -> Self {
+        let Some(base) = base else { return self };
+        let last = PastWrite {
+            version: base.version,
+            token: base.token.clone(),
+        };
+        let before = base.past.iter().take(MAX_PAST - 1).cloned();
+        self.past = std::iter::once(last).chain(before).collect();
+        self
+    }
+
+    /// What `now`, read after this head was written over `base`, tells of
+    /// that write.
+    #[must_use]
+    pub fn fate(&self, base: Option<&Self>, now: Option<&Self>) -> WriteFate {
+        let Some(now) = now else {
+            return if base.is_none() {
+                WriteFate::Open
+            } else {
+                WriteFate::Lost
+            };
+        };
+        if now.token == self.token && now.digest == self.digest {
+            return WriteFate::InForce;
+        }
+        if base.is_some_and(|b| b.token == now.token && b.version == now.version) {
+            return WriteFate::Open;
+        }
+        if now.past.iter().any(|w| w.token == self.token) {
+            return WriteFate::Replaced;
+        }
+        if now.past.len() == MAX_PAST && now.past.iter().all(|w| w.version > self.version) {
+            return WriteFate::Unknown;
+        }
+        WriteFate::Lost
+    }
+
     /// Checks that the digest is that of the list, and the list not too long.
     ///
     /// # Errors
--- /dev/null
+++ b/fireflyctl/src/apply.rs
@@ -0,0 +1,277 @@
+//! `inventory` and `rules`: `plan` shows what a file would change, `apply`
+//! changes it.
+
+use crate::check::{Half, check};
+use crate::console::Console;
+use crate::failure::{Conflict, Failure, Result};
+use crate::fleet::{Fleet, NodeStatus};
+use crate::publish::{self, Base, Outcome};
+use crate::store::Store;
+use anyhow::Context;
+use fireflycroft::{ConfigVersion, Diff, Document, Head, Name, split};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Time between two looks at the nodes.
+const POLL_EVERY: Duration = Duration::from_millis(200);
+
+/// What is to be done with a file.
+#[derive(Clone, Debug)]
+pub(crate) struct Change {
+    /// Half that the file holds.
+    pub(crate) half: Half,
+    /// The file.
+    pub(crate) file: PathBuf,
+    /// Whether only to show the difference.
+    pub(crate) dry_run: bool,
+    /// Whether the difference is shown as JSON.
+    pub(crate) json: bool,
+    /// Version that the operator planned on.
+    pub(crate) expect: Option<u64>,
+    /// Whether to build on the platform's state though nodes are ahead of it.
+    pub(crate) from_platform: bool,
+    /// Who changes it.
+    pub(crate) by: Name,
+    /// How long to wait until the nodes have it in force.
+    pub(crate) wait: Option<Duration>,
+}
+
+/// Shows and, unless it is a dry run, makes the change.
+pub(crate) async fn change(
+    change: &Change,
+    store: &impl Store,
+    fleet: &Fleet,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    if change.wait.is_some() {
+        fleet.require_nodes()?;
+    }
+    let text = std::fs::read_to_string(&change.file)
+        .with_context(|| format!("{}", change.file.display()))?;
+    let base = publish::base(store).await?;
+    let highest = highest_version(&base, fleet, console).await?;
+    let doc = base_document(change, &base, highest.as_ref(), fleet, console).await?;
+    let doc_now = check(change.half, &text, &doc)
+        .map_err(|faults| Failure::Faults(change.file.clone(), faults))?;
+    let mine = Diff::between(&doc, &doc_now);
+    show_diff(change, &mine, console)?;
+    expect_version(change, &base, &mine)?;
+    let behind = highest.as_ref().map_or(0, |(_, version)| *version) > base.version();
+    if change.dry_run {
+        return say_plan(&base, &mine, console);
+    }
+    if mine.is_empty() && !behind && base.head.is_some() {
+        console.say(format!("version {} holds this already", base.version()))?;
+        return wait_in_force(change, base.version(), fleet, console).await;
+    }
+    let version = 1 + base
+        .version()
+        .max(highest.map_or(0, |(_, version)| version));
+    let head = publish(change, store, &base, &doc_now, version, &mine).await?;
+    console.say(format!("version {} is accepted", head.version))?;
+    wait_in_force(change, head.version, fleet, console).await
+}
+
+/// Node with the highest version, when that is above the platform's.
+async fn highest_version(
+    base: &Base,
+    fleet: &Fleet,
+    console: &mut Console<'_>,
+) -> Result<Option<(String, u64)>> {
+    let mut highest: Option<(String, u64)> = None;
+    for (node, answer) in fleet.statuses().await {
+        match answer {
+            Ok(status) => {
+                let most = highest.as_ref().map_or(base.version(), |(_, v)| *v);
+                if status.config_version > most {
+                    highest = Some((node, status.config_version));
+                }
+            }
+            Err(why) => console.warn(format!("{node} didn't answer: {why}"))?,
+        }
+    }
+    Ok(highest)
+}
+
+/// Document that the change is laid on: the platform's, or that of a node
+/// that is ahead of it.
+async fn base_document(
+    change: &Change,
+    base: &Base,
+    ahead: Option<&(String, u64)>,
+    fleet: &Fleet,
+    console: &mut Console<'_>,
+) -> Result<Document> {
+    let Some((node, version)) = ahead else {
+        return Ok(base.doc.clone());
+    };
+    let held = base.version();
+    console.warn(format!(
+        "{node} has version {version} in force, the platform holds {held}: it went back"
+    ))?;
+    if change.from_platform {
+        return Ok(base.doc.clone());
+    }
+    let Some(bundle) = fleet.bundle(node).await? else {
+        let why = format!(
+            "{node} doesn't show version {version}, so what was accepted since version {held} \
+             can't be kept; --from-platform goes on without it"
+        );
+        return Err(Failure::Unavailable(why));
+    };
+    let doc = bundle.document().map_err(anyhow::Error::from)?;
+    Ok(doc)
+}
+
+fn show_diff(change: &Change, mine: &Diff, console: &mut Console<'_>) -> Result<()> {
+    if change.json {
+        console.json(mine)
+    } else {
+        console.say(mine)
+    }
+}
+
+fn say_plan(base: &Base, mine: &Diff, console: &mut Console<'_>) -> Result<()> {
+    let version = base.version();
+    if mine.is_empty() {
+        return console.warn(format!("version {version} holds this already"));
+    }
+    console.warn(format!(
+        "planned on version {version}; apply with --expect {version} to be told of other changes"
+    ))
+}
+
+/// Fails when another version is in force than the operator planned on.
+fn expect_version(change: &Change, base: &Base, mine: &Diff) -> Result<()> {
+    let found = base.version();
+    match change.expect {
+        Some(expected) if expected != found => Err(Failure::Conflict(Box::new(Conflict {
+            base: expected,
+            version: found,
+            by: author(base),
+            mine: mine.clone(),
+            theirs: Diff::default(),
+        }))),
+        _ => Ok(()),
+    }
+}
+
+async fn publish(
+    change: &Change,
+    store: &impl Store,
+    base: &Base,
+    doc: &Document,
+    version: u64,
+    mine: &Diff,
+) -> Result<Head> {
+    let snapshot = split(doc).map_err(anyhow::Error::from)?;
+    let head = snapshot
+        .head(
+            ConfigVersion(version),
+            now_ms(),
+            change.by.clone(),
+            crate::keys::token()?,
+        )
+        .after(base.head.as_ref());
+    publish::put_parts(store, &snapshot, base.head.as_ref()).await?;
+    match publish::publish_head(store, base, &head).await? {
+        Outcome::Accepted => Ok(head),
+        Outcome::Replaced(now) => Err(anyhow::anyhow!(
+            "version {version} was accepted, and {} has put version {} in its place",
+            author(&now),
+            now.version()
+        )
+        .into()),
+        Outcome::Lost(now) => Err(Failure::Conflict(Box::new(Conflict {
+            base: base.version(),
+            version: now.version(),
+            by: author(&now),
+            mine: mine.clone(),
+            theirs: Diff::between(&base.doc, &now.doc),
+        }))),
+        Outcome::NoEffect(e) => Err(Failure::Unavailable(format!("the head: {e}"))),
+        Outcome::Unknown => Err(Failure::Unknown(format!(
+            "see `fireflyctl config version` for token {}",
+            head.token
+        ))),
+    }
+}
+
+/// Waits until every node reports the version, and says which do.
+async fn wait_in_force(
+    change: &Change,
+    version: u64,
+    fleet: &Fleet,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    let Some(wait) = change.wait else {
+        return Ok(());
+    };
+    let until = Instant::now() + wait;
+    loop {
+        let seen = fleet.statuses().await;
+        let late: Vec<String> = seen
+            .iter()
+            .filter(|(_, answer)| !in_force(answer, version))
+            .map(|(node, _)| node.clone())
+            .collect();
+        if late.is_empty() || Instant::now() >= until {
+            say_in_force(&seen, version, console)?;
+            return if late.is_empty() {
+                Ok(())
+            } else {
+                Err(Failure::NotInForce {
+                    version,
+                    nodes: late,
+                })
+            };
+        }
+        tokio::time::sleep(POLL_EVERY).await;
+    }
+}
+
+fn in_force(answer: &std::result::Result<NodeStatus, String>, version: u64) -> bool {
+    answer.as_ref().is_ok_and(|s| s.config_version >= version)
+}
+
+fn say_in_force(
+    seen: &[crate::fleet::Answer<NodeStatus>],
+    version: u64,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    let lines: BTreeMap<&String, String> = seen
+        .iter()
+        .map(|(node, answer)| (node, in_force_phrase(answer, version)))
+        .collect();
+    for (node, phrase) in lines {
+        console.say(format!("{node} {phrase}"))?;
+    }
+    Ok(())
+}
+
+fn in_force_phrase(answer: &std::result::Result<NodeStatus, String>, version: u64) -> String {
+    match answer {
+        Ok(s) if s.config_version >= version => {
+            format!("{} version {} in force", s.name, s.config_version)
+        }
+        Ok(s) => format!("{} still at version {}", s.name, s.config_version),
+        Err(why) => format!("no answer: {why}"),
+    }
+}
+
+fn author(base: &Base) -> String {
+    let by = base.head.as_ref().map_or("", |h| &*h.by);
+    if by.is_empty() {
+        "somebody".to_owned()
+    } else {
+        by.to_owned()
+    }
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/fireflyctl/src/console.rs
@@ -0,0 +1,47 @@
+//! Where a job writes: its result to one stream, what else it has to say to
+//! the other.
+
+use crate::failure::Result;
+use serde::Serialize;
+use std::fmt::Display;
+use std::io::Write;
+
+/// The two streams of a job.
+pub struct Console<'a> {
+    /// Results.
+    pub out: &'a mut dyn Write,
+    /// Warnings and failures.
+    pub err: &'a mut dyn Write,
+}
+
+impl Console<'_> {
+    /// Writes one line of the result.
+    ///
+    /// # Errors
+    ///
+    /// A stream that is closed.
+    pub fn say(&mut self, line: impl Display) -> Result<()> {
+        writeln!(self.out, "{line}")?;
+        Ok(())
+    }
+
+    /// Writes one line beside the result.
+    ///
+    /// # Errors
+    ///
+    /// A stream that is closed.
+    pub fn warn(&mut self, line: impl Display) -> Result<()> {
+        writeln!(self.err, "{line}")?;
+        Ok(())
+    }
+
+    /// Writes the result as JSON.
+    ///
+    /// # Errors
+    ///
+    /// A stream that is closed.
+    pub fn json(&mut self, value: &impl Serialize) -> Result<()> {
+        let text = serde_json::to_string_pretty(value).map_err(anyhow::Error::from)?;
+        self.say(text)
+    }
+}
--- /dev/null
+++ b/fireflyctl/src/fleet.rs
@@ -0,0 +1,108 @@
+//! The nodes' admin ports, each asked on its own.
+
+use crate::failure::{Failure, Result};
+use anyhow::Context;
+use fireflycroft::Bundle;
+use futures_util::{StreamExt, stream};
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Nodes asked at once.
+const NODES_AT_ONCE: usize = 32;
+
+/// Client of the nodes' admin ports.
+#[derive(Clone, Debug)]
+pub(crate) struct Fleet {
+    http: reqwest::Client,
+    nodes: Vec<String>,
+}
+
+/// What a node says of itself; fields it doesn't know are left out.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct NodeStatus {
+    pub(crate) name: String,
+    pub(crate) role: String,
+    pub(crate) data_centre: String,
+    pub(crate) ready: bool,
+    pub(crate) config_version: u64,
+    pub(crate) streams: u64,
+    pub(crate) queue: u64,
+    pub(crate) leaving: bool,
+}
+
+/// Answer of a node, or why there is none.
+pub(crate) type Answer<T> = (String, std::result::Result<T, String>);
+
+impl Fleet {
+    /// Client of these `host:port` addresses, each call bounded by `timeout`.
+    pub(crate) fn new(nodes: Vec<String>, timeout: Duration) -> Result<Self> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .timeout(timeout)
+            .build()
+            .context("HTTP client")?;
+        Ok(Self { http, nodes })
+    }
+
+    /// Fails when there are no nodes to ask.
+    pub(crate) fn require_nodes(&self) -> Result<()> {
+        if self.nodes.is_empty() {
+            return Err(Failure::Usage("--nodes HOST:PORT,… is needed".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Status of every node, in the order given.
+    pub(crate) async fn statuses(&self) -> Vec<Answer<NodeStatus>> {
+        self.ask_all("/status").await
+    }
+
+    /// Answer of every node to a `GET`, in the order given.
+    pub(crate) async fn ask_all<T: DeserializeOwned>(&self, path: &str) -> Vec<Answer<T>> {
+        stream::iter(&self.nodes)
+            .map(async |node| (node.clone(), self.ask(node, path).await))
+            .buffered(NODES_AT_ONCE)
+            .collect()
+            .await
+    }
+
+    /// Configuration that a node holds; `None` when it doesn't show it.
+    pub(crate) async fn bundle(&self, node: &str) -> Result<Option<Bundle>> {
+        let res = self.get(node, "/config").await.map_err(unreachable(node))?;
+        if res.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let bundle = res.json().await.map_err(unreachable(node))?;
+        Ok(Some(bundle))
+    }
+
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        node: &str,
+        path: &str,
+    ) -> std::result::Result<T, String> {
+        let res = self.get(node, path).await.map_err(|e| cause(&e))?;
+        let res = res.error_for_status().map_err(|e| cause(&e))?;
+        res.json().await.map_err(|e| cause(&e))
+    }
+
+    async fn get(&self, node: &str, path: &str) -> reqwest::Result<reqwest::Response> {
+        self.http.get(format!("http://{node}{path}")).send().await
+    }
+}
+
+fn unreachable(node: &str) -> impl Fn(reqwest::Error) -> Failure {
+    move |e| Failure::Unavailable(format!("{node}: {}", cause(&e)))
+}
+
+/// The innermost cause, which says most.
+fn cause(e: &reqwest::Error) -> String {
+    let mut inner: &dyn std::error::Error = e;
+    while let Some(next) = inner.source() {
+        inner = next;
+    }
+    inner.to_string()
+}
--- /dev/null
+++ b/fireflyctl/src/keys.rs
@@ -0,0 +1,56 @@
+//! `key digest` and `fleet-key new`, and the tokens of writes.
+
+use crate::console::Console;
+use crate::failure::Result;
+use anyhow::Context;
+use fireflycroft::{Name, digest_key};
+use std::fs::File;
+use std::io::Read;
+
+/// Source of randomness.
+const RANDOM: &str = "/dev/urandom";
+/// Bytes of a token.
+const TOKEN_LEN: usize = 16;
+/// Bytes of a fleet key.
+const FLEET_KEY_LEN: usize = 32;
+
+/// Prints the digest of a key, as the inventory holds it; `-` reads the key
+/// from standard input, where no list of processes shows it.
+pub(crate) fn digest(key: &str, console: &mut Console<'_>) -> Result<()> {
+    if key != "-" {
+        return console.say(hex(&digest_key(key)));
+    }
+    let mut text = String::new();
+    std::io::stdin()
+        .read_to_string(&mut text)
+        .context("standard input")?;
+    console.say(hex(&digest_key(text.trim_end_matches(['\r', '\n']))))
+}
+
+/// Prints a line for a file of fleet keys.
+pub(crate) fn new_fleet_key(id: u8, console: &mut Console<'_>) -> Result<()> {
+    let key: [u8; FLEET_KEY_LEN] = random()?;
+    console.say(format!("{id}:{}", hex(&key)))
+}
+
+/// A token that no other write has.
+pub(crate) fn token() -> Result<Name> {
+    let bytes: [u8; TOKEN_LEN] = random()?;
+    Ok(hex(&bytes).into())
+}
+
+fn random<const N: usize>() -> Result<[u8; N]> {
+    let mut bytes = [0; N];
+    File::open(RANDOM)
+        .and_then(|mut f| f.read_exact(&mut bytes))
+        .context(RANDOM)?;
+    Ok(bytes)
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/fireflyctl/src/publish.rs
@@ -0,0 +1,235 @@
+//! Puts a configuration in force: the parts first, then the head.
+//!
+//! Parts are immutable and named by their digest, so writing one again does
+//! no harm. The head is written once under the condition that it is still the
+//! one that was read; that write alone makes a configuration accepted. When
+//! its answer is lost, the same write is sent again, which can't take effect
+//! twice, and the head is read back: its token says whose write it is.
+
+use crate::failure::{Failure, Result};
+use crate::store::Store;
+use fireflycroft::{
+    Document, HEAD_KIND, HEAD_NAME, Head, PART_KIND, Part, PartName, Snapshot, SnapshotError,
+    WriteFate, assemble,
+};
+use fireflyd::platform::{Condition, PlatformError};
+use futures_util::{StreamExt, TryStreamExt, stream};
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// Calls of the platform at once.
+const CALLS_AT_ONCE: usize = 16;
+/// Tries of a call that had no effect or may be repeated.
+const TRIES: u32 = 5;
+/// Wait before the second try; doubled before each later one.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the platform holds.
+#[derive(Clone, Debug, Default)]
+pub struct Base {
+    /// Version of the head object; `None` when there is none.
+    pub object: Option<u64>,
+    /// The head; `None` before the first configuration.
+    pub head: Option<Head>,
+    /// The document.
+    pub doc: Document,
+}
+
+/// What became of a write of the head.
+#[derive(Clone, Debug)]
+pub enum Outcome {
+    /// It is in force.
+    Accepted,
+    /// It was in force, and another has replaced it.
+    Replaced(Box<Base>),
+    /// Another write was first; it never was in force.
+    Lost(Box<Base>),
+    /// It had no effect, and why.
+    NoEffect(PlatformError),
+    /// Whether it took effect is not known.
+    Unknown,
+}
+
+impl Base {
+    /// Version in force; zero before the first.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.head.as_ref().map_or(0, |h| h.version)
+    }
+
+    fn condition(&self) -> Condition {
+        self.object.map_or(Condition::Absent, Condition::Version)
+    }
+}
+
+/// Reads the head and its parts.
+///
+/// # Errors
+///
+/// A platform that doesn't answer, or parts that aren't what the head lists.
+pub async fn base(store: &impl Store) -> Result<Base> {
+    let Some((object, head)) = read_head(store).await? else {
+        return Ok(Base::default());
+    };
+    let doc = document(store, &head).await?;
+    Ok(Base {
+        object: Some(object),
+        head: Some(head),
+        doc,
+    })
+}
+
+/// Writes the parts that `known` doesn't list.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn put_parts(
+    store: &impl Store,
+    snapshot: &Snapshot,
+    known: Option<&Head>,
+) -> Result<usize> {
+    let known: HashSet<PartName> = known.iter().flat_map(|h| h.parts.iter().copied()).collect();
+    let missing = snapshot.parts.iter().filter(|p| !known.contains(&p.name));
+    stream::iter(missing)
+        .map(|part| put_part(store, part))
+        .buffer_unordered(CALLS_AT_ONCE)
+        .try_fold(0, |count, ()| async move { Ok(count + 1) })
+        .await
+}
+
+/// Writes the head once over `base`.
+///
+/// # Errors
+///
+/// Whatever the platform says; after `OutcomeUnknown` read back.
+pub async fn put_head(
+    store: &impl Store,
+    base: &Base,
+    head: &Head,
+) -> std::result::Result<u64, PlatformError> {
+    let value = serde_json::to_value(head).map_err(|e| PlatformError::Invalid(e.to_string()))?;
+    store
+        .put(HEAD_KIND, HEAD_NAME, &value, base.condition())
+        .await
+}
+
+/// Reads the head back and says what became of the write of `head`.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn read_back(store: &impl Store, base: &Base, head: &Head) -> Result<WriteFate> {
+    let now = read_head(store).await?.map(|(_, now)| now);
+    Ok(head.fate(base.head.as_ref(), now.as_ref()))
+}
+
+/// Writes the head over `from` until its outcome is known or the tries are
+/// used up.
+///
+/// # Errors
+///
+/// A head that was written by another and can't be read.
+pub(crate) async fn publish_head(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
+    let mut may_have_effect = false;
+    let mut last = PlatformError::OutcomeUnknown;
+    for pause in pauses() {
+        match put_head(store, from, head).await {
+            Ok(_) => return Ok(Outcome::Accepted),
+            Err(PlatformError::Conflict { .. }) => return settle(store, from, head).await,
+            Err(e @ PlatformError::Invalid(_)) if !may_have_effect => {
+                return Ok(Outcome::NoEffect(e));
+            }
+            Err(e) => {
+                may_have_effect |= e == PlatformError::OutcomeUnknown;
+                last = e;
+            }
+        }
+        tokio::time::sleep(pause).await;
+    }
+    if may_have_effect {
+        return settle(store, from, head).await;
+    }
+    Ok(Outcome::NoEffect(last))
+}
+
+/// Says from the head that is read now what became of the write.
+async fn settle(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
+    let Ok(now) = base(store).await else {
+        return Ok(Outcome::Unknown);
+    };
+    let fate = head.fate(from.head.as_ref(), now.head.as_ref());
+    Ok(match fate {
+        WriteFate::InForce => Outcome::Accepted,
+        WriteFate::Replaced => Outcome::Replaced(Box::new(now)),
+        WriteFate::Lost => Outcome::Lost(Box::new(now)),
+        WriteFate::Open | WriteFate::Unknown => Outcome::Unknown,
+    })
+}
+
+async fn read_head(store: &impl Store) -> Result<Option<(u64, Head)>> {
+    let read = async || store.get(HEAD_KIND, HEAD_NAME).await;
+    let Some(object) = retrying("the head", read).await? else {
+        return Ok(None);
+    };
+    let head: Head = serde_json::from_value(object.value)
+        .map_err(|e| anyhow::anyhow!("the head on the platform can't be read: {e}"))?;
+    Ok(Some((object.version, head)))
+}
+
+pub(crate) async fn document(store: &impl Store, head: &Head) -> Result<Document> {
+    let parts: Vec<Part> = stream::iter(&head.parts)
+        .map(|name| read_part(store, *name))
+        .buffered(CALLS_AT_ONCE)
+        .try_collect()
+        .await?;
+    Ok(assemble(head, &parts).map_err(unsound)?)
+}
+
+async fn read_part(store: &impl Store, name: PartName) -> Result<Part> {
+    let text = name.to_string();
+    let read = async || store.get(PART_KIND, &text).await;
+    let object = retrying("a part", read)
+        .await?
+        .ok_or_else(|| anyhow::anyhow!("the platform doesn't hold part {name}"))?;
+    Ok(Part::from_value(name, &object.value).map_err(unsound)?)
+}
+
+async fn put_part(store: &impl Store, part: &Part) -> Result<()> {
+    let name = part.name.to_string();
+    let value = part.to_value().map_err(unsound)?;
+    let write = async || match store.put(PART_KIND, &name, &value, Condition::Absent).await {
+        // The same name holds the same content.
+        Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
+        Err(e) => Err(e),
+    };
+    retrying("a part", write).await
+}
+
+/// Calls until there is an answer or the tries are used up; only for calls
+/// that may be repeated.
+async fn retrying<T>(
+    what: &str,
+    call: impl AsyncFn() -> std::result::Result<T, PlatformError>,
+) -> Result<T> {
+    let mut last = PlatformError::OutcomeUnknown;
+    for pause in pauses() {
+        match call().await {
+            Ok(answer) => return Ok(answer),
+            Err(PlatformError::Invalid(why)) => {
+                return Err(anyhow::anyhow!("the platform refused {what}: {why}").into());
+            }
+            Err(e) => last = e,
+        }
+        tokio::time::sleep(pause).await;
+    }
+    Err(Failure::Unavailable(format!("{what}: {last}")))
+}
+
+fn pauses() -> impl Iterator<Item = Duration> {
+    (0..TRIES).map(|n| FIRST_PAUSE * 2_u32.pow(n))
+}
+
+fn unsound(e: SnapshotError) -> anyhow::Error {
+    anyhow::Error::from(e).context("the configuration on the platform is unsound")
+}
--- /dev/null
+++ b/fireflyctl/src/show.rs
@@ -0,0 +1,33 @@
+//! `inventory show`, `rules show` and `config version`.
+
+use crate::check::Half;
+use crate::console::Console;
+use crate::failure::Result;
+use crate::publish;
+use crate::store::Store;
+
+/// Prints one half of what is in force, as JSON that can be applied again.
+pub(crate) async fn show(half: Half, store: &impl Store, console: &mut Console<'_>) -> Result<()> {
+    let base = publish::base(store).await?;
+    match half {
+        Half::Inventory => console.json(&base.doc.inventory),
+        Half::Rules => console.json(&base.doc.rules),
+    }
+}
+
+/// Prints which version is accepted, and who wrote it.
+pub(crate) async fn version(store: &impl Store, console: &mut Console<'_>) -> Result<()> {
+    let base = publish::base(store).await?;
+    let Some(head) = base.head else {
+        return console.say("no configuration yet");
+    };
+    console.say(format!(
+        "version={} digest={} parts={} at={} by={:?} token={}",
+        head.version,
+        head.digest,
+        head.parts.len(),
+        head.at,
+        &*head.by,
+        head.token
+    ))
+}
