--- /dev/null
+++ b/fireflyd/src/agent.rs
@@ -0,0 +1,272 @@
+//! The loop of an agent: sockets and timers round its core.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use fireflycroft::{
+    Agent, AgentAction, AgentEvent, AgentSetup, Config, ConfigVersion, Envelope, GenerationId,
+    InForce, Message,
+};
+use fireflycroft_wire::decode_all;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use crate::admin::Readiness;
+use crate::config_feed::ConfigFeed;
+use crate::node::{Node, TICK};
+use crate::runner::Runner;
+use crate::status::Status;
+
+/// Events taken in one turn before messages go out.
+const TURN: usize = 256;
+
+/// What reaches the loop from beside peers.
+#[derive(Debug)]
+pub enum AgentInput {
+    /// For the core.
+    Core(AgentEvent),
+    /// A configuration was read.
+    Config(Arc<Config>),
+    /// The agent is to stop.
+    Leave,
+}
+
+/// The agent's loop and what it owns.
+pub struct AgentLoop {
+    core: Agent,
+    node: Node,
+    runner: Runner,
+    feed: ConfigFeed,
+    config: InForce,
+    ready: Readiness,
+    status: Status,
+    running: HashMap<GenerationId, AbortHandle>,
+    tx: mpsc::Sender<AgentInput>,
+    upstream_up: bool,
+}
+
+impl AgentLoop {
+    /// A loop that will take its own inputs from the other end of `tx`.
+    #[must_use]
+    pub fn new(
+        setup: AgentSetup,
+        node: Node,
+        runner: Runner,
+        feed: ConfigFeed,
+        ready: Readiness,
+        status: Status,
+        tx: mpsc::Sender<AgentInput>,
+    ) -> Self {
+        Self {
+            core: Agent::new(setup),
+            node,
+            runner,
+            feed,
+            config: InForce::default(),
+            ready,
+            status,
+            running: HashMap::new(),
+            tx,
+            upstream_up: false,
+        }
+    }
+
+    /// Runs until a planned stop has ended the last generation.
+    pub async fn run(
+        mut self,
+        mut mail: mpsc::Receiver<Vec<u8>>,
+        mut inputs: mpsc::Receiver<AgentInput>,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(buf) = mail.recv() => self.on_mail(&buf),
+                Some(input) = inputs.recv() => self.on_input(input),
+                _ = tick.tick() => self.on_tick(),
+            }
+            for _ in 0..TURN {
+                if let Ok(buf) = mail.try_recv() {
+                    self.on_mail(&buf);
+                } else if let Ok(input) = inputs.try_recv() {
+                    self.on_input(input);
+                } else {
+                    break;
+                }
+            }
+            self.flush();
+            if self.core.is_leaving() && self.core.is_idle() {
+                log::info!(event = "agent_stopped"; "");
+                return;
+            }
+        }
+    }
+
+    fn on_mail(&mut self, buf: &[u8]) {
+        let (header, messages) = match decode_all(buf) {
+            Ok(decoded) => decoded,
+            Err(e) => {
+                log::warn!(event = "message_unreadable", code = e.code().number(), cause:% = e; "");
+                return;
+            }
+        };
+        for message in messages {
+            self.on_message(Envelope {
+                from: header.from.clone(),
+                config: header.config,
+                load: header.load,
+                body: message,
+            });
+        }
+    }
+
+    fn on_message(&mut self, envelope: Envelope) {
+        let now = self.node.now();
+        match &envelope.body {
+            Message::Ping { .. } | Message::Pong { .. } => {
+                self.node.fleet.on_message(
+                    now,
+                    &envelope.from,
+                    &envelope.body,
+                    &mut self.node.outbox,
+                );
+                self.drive(AgentEvent::Message(Box::new(envelope)));
+            }
+            Message::ConfigPull { .. } | Message::ConfigPart { .. } => {
+                self.feed
+                    .on_message(envelope.from.addr, &envelope.body, &mut self.node.outbox);
+            }
+            _ => self.drive(AgentEvent::Message(Box::new(envelope))),
+        }
+    }
+
+    fn on_input(&mut self, input: AgentInput) {
+        match input {
+            AgentInput::Core(event) => {
+                match &event {
+                    AgentEvent::UpstreamUp => self.upstream_up = true,
+                    AgentEvent::UpstreamDown => self.upstream_up = false,
+                    AgentEvent::Finished { generation, .. }
+                    | AgentEvent::NotStarted { generation, .. } => {
+                        self.running.remove(generation);
+                    }
+                    _ => {}
+                }
+                self.drive(event);
+            }
+            AgentInput::Config(config) => {
+                self.config.adopt(config);
+                self.drive(AgentEvent::Config(self.config.version()));
+            }
+            AgentInput::Leave => {
+                self.node.fleet.leave();
+                self.drive(AgentEvent::Leave);
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.node.now();
+        self.node.fleet.on_tick(now, &mut self.node.outbox);
+        self.drive(AgentEvent::Tick);
+        self.tell_state();
+    }
+
+    fn drive(&mut self, event: AgentEvent) {
+        let mut out = Vec::new();
+        let now = self.node.now();
+        self.core.on_event(now, event, &mut out);
+        for action in out {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Send(to, message) => self.node.outbox.push(to, message),
+            AgentAction::Broadcast(message) => {
+                for to in self.node.fleet.addrs() {
+                    self.node.outbox.push(to, message.clone());
+                }
+            }
+            AgentAction::Run {
+                generation,
+                request,
+                demand,
+                work,
+            } => {
+                let runner = self.runner.clone();
+                let tx = self.tx.clone();
+                let task = tokio::spawn(async move {
+                    runner.run(generation, request, demand, work, &tx).await;
+                });
+                self.running.insert(generation, task.abort_handle());
+            }
+            AgentAction::Resume { generation, from } => {
+                let runner = self.runner.clone();
+                let tx = self.tx.clone();
+                let task = tokio::spawn(async move { runner.resume(generation, from, &tx).await });
+                self.running.insert(generation, task.abort_handle());
+            }
+            AgentAction::Stop(generation) => {
+                if let Some(task) = self.running.remove(&generation) {
+                    task.abort();
+                }
+                let runner = self.runner.clone();
+                tokio::spawn(async move { runner.cancel(generation).await });
+            }
+            AgentAction::PullConfig(from) => self.feed.pull(from, &mut self.node.outbox),
+            AgentAction::Note(note) => self.node.note(&note),
+        }
+    }
+
+    fn flush(&mut self) {
+        let load = self.core.load();
+        self.node.outbox.flush(
+            &self.node.mailbox,
+            &self.node.me,
+            self.config.version(),
+            Some(load),
+        );
+    }
+
+    fn tell_state(&self) {
+        let reason = if self.core.is_leaving() {
+            Some("leaving")
+        } else if !self.upstream_up {
+            Some("the upstream does not answer")
+        } else if self.config.version() == ConfigVersion(0) {
+            Some("no configuration")
+        } else {
+            None
+        };
+        match reason {
+            None => self.ready.set_ready(),
+            Some(reason) => self.ready.set_not_ready(reason),
+        }
+        let running = i64::try_from(self.core.running()).unwrap_or(i64::MAX);
+        self.node.metrics.streams_running.set(running);
+        let quarantined = i64::try_from(self.core.quarantined()).unwrap_or(i64::MAX);
+        self.node.metrics.quarantined_digests.set(quarantined);
+        let version = i64::try_from(self.config.version().0).unwrap_or(i64::MAX);
+        self.node.metrics.config_version.set(version);
+        self.status.set(self.status_json());
+    }
+
+    fn status_json(&self) -> Value {
+        let load = self.core.load();
+        json!({
+            "name": self.node.me.name,
+            "role": "agent",
+            "config_version": self.config.version().0,
+            "streams": self.core.running(),
+            "queue": load.queued,
+            "used_tokens": load.used_tokens,
+            "expected_tokens": load.expected_tokens,
+            "capacity_tokens": load.capacity_tokens,
+            "leaving": self.core.is_leaving(),
+            "upstream_up": self.upstream_up,
+        })
+    }
+}
--- /dev/null
+++ b/fireflyd/src/node.rs
@@ -0,0 +1,125 @@
+//! What both roles share: identity, clock, mailbox, members and journal.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use fireflycroft::{Incarnation, MemberRecord, MemberState, Name, Note, Peer, Role, Time};
+
+use crate::fleet::Fleet;
+use crate::journal::Journal;
+use crate::mailbox::Mailbox;
+use crate::metrics::Metrics;
+use crate::outbox::Outbox;
+
+/// Time between two ticks of the core.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// What a process is told of itself.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Stable name.
+    pub name: Name,
+    /// Data centre.
+    pub data_centre: Name,
+    /// What it does.
+    pub role: Role,
+    /// Models or plain services of its upstream; empty for an entry.
+    pub serves: Vec<Name>,
+    /// Mailboxes of some members.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// One process of the fleet, without its role's core.
+pub struct Node {
+    /// Who it is.
+    pub me: Peer,
+    /// Its mailbox.
+    pub mailbox: Mailbox,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// Members it knows.
+    pub fleet: Fleet,
+    /// Messages of this turn.
+    pub outbox: Outbox,
+    /// What happened of late, by request.
+    pub journal: Journal,
+    started: Instant,
+}
+
+impl Node {
+    /// A node of that identity at that mailbox.
+    #[must_use]
+    pub fn new(identity: Identity, mailbox: Mailbox, metrics: Metrics, journal: Journal) -> Self {
+        let me = Peer {
+            name: identity.name,
+            addr: mailbox.local_addr(),
+            incarnation: draw_incarnation(),
+            role: identity.role,
+        };
+        let own = MemberRecord {
+            peer: me.clone(),
+            data_centre: identity.data_centre,
+            state: MemberState::Alive,
+            turn: 0,
+            serves: identity.serves,
+        };
+        Self {
+            fleet: Fleet::new(own, identity.seeds),
+            me,
+            mailbox,
+            metrics,
+            outbox: Outbox::default(),
+            journal,
+            started: Instant::now(),
+        }
+    }
+
+    /// Time since the start.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time::default() + self.started.elapsed()
+    }
+
+    /// Logs a note and counts what it stands for.
+    pub fn note(&self, note: &Note) {
+        count(&self.metrics, note);
+        self.journal.add(note);
+        let code = note.code.map_or(0, fireflycroft::Code::number);
+        let peer = note.peer.as_deref().unwrap_or("-");
+        match note.request {
+            Some(req) => {
+                log::info!(event = note.event, req:% = req, peer = peer, code = code, count = note.count; "");
+            }
+            None => {
+                log::info!(event = note.event, peer = peer, code = code, count = note.count; "");
+            }
+        }
+    }
+}
+
+fn count(metrics: &Metrics, note: &Note) {
+    match note.event {
+        "offer_sent" => metrics.offers_sent.inc(),
+        "restarted" => metrics.restarts.inc(),
+        "offer_refused" => {
+            let code = note.code.map_or(0, fireflycroft::Code::number).to_string();
+            metrics.offers_refused.with_label_values(&[&code]).inc();
+        }
+        "config_in_force" => {
+            metrics
+                .config_version
+                .set(i64::try_from(note.count).unwrap_or(i64::MAX));
+        }
+        _ => {}
+    }
+}
+
+/// Number of this life: milliseconds of the wall clock above random bits, so
+/// that a later life of the same process has a higher one.
+fn draw_incarnation() -> Incarnation {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    Incarnation((millis << 20) | (rand::random::<u64>() >> 44))
+}
