--- a/fireflyd/src/mailbox.rs
+++ b/fireflyd/src/mailbox.rs
@@ -7,6 +7,9 @@
 //!
 //! No task stands behind a peer. The queue of a peer has at most one message in the hands of
 //! `nng`, and the completion of that one hands over the next.
+//!
+//! Sockets are closed in a fixed order, see [`stop`]: this `nng` accepts an operation on a socket
+//! that is being closed, forgets it, and later touches the freed socket when its timeout comes.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -16,7 +19,7 @@
 
 use anyhow::Context;
 use nng::options::transport::tcp::BoundPort;
-use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvBufferSize, RecvMaxSize};
+use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize};
 use nng::{Aio, AioResult, Listener, Protocol, Socket};
 use tokio::sync::mpsc;
 
@@ -36,8 +39,6 @@
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
 /// Longest wait before a lost connection is dialled again.
 const RECONNECT_MAX: Duration = Duration::from_secs(1);
-/// Messages that `nng` holds before the inbox takes them.
-const NNG_RECV_BUFFER: i32 = 64;
 
 /// Bounds of a mailbox.
 #[derive(Clone, Copy, Debug)]
@@ -223,25 +224,83 @@
     }
 }
 
+/// Lets operations on a socket begin until it is shut.
+struct Gate {
+    open: Mutex<bool>,
+}
+
+impl Gate {
+    fn new() -> Self {
+        Self {
+            open: Mutex::new(true),
+        }
+    }
+
+    /// Begins an operation, or answers as a closed socket does.
+    fn begin(&self, start: impl FnOnce() -> nng::Result<()>) -> nng::Result<()> {
+        // Held until the operation can be cancelled.
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if *open {
+            start()
+        } else {
+            Err(nng::Error::Closed)
+        }
+    }
+
+    fn shut(&self) {
+        *self.open.lock().unwrap_or_else(PoisonError::into_inner) = false;
+    }
+}
+
+/// Ends the operations of `aio`, frees it, and only then closes its socket.
+///
+/// Waits for the callback, so it must not be called from one.
+fn stop(gate: &Gate, aio: Option<Aio>, socket: &Socket) {
+    gate.shut();
+    if let Some(aio) = aio {
+        aio.cancel();
+        aio.wait();
+        // Freeing waits for a timeout that is just being dealt with.
+        drop(aio);
+    }
+    socket.close();
+}
+
 /// The listening socket; its drop closes it and waits for the callback.
 struct Inbox {
-    socket: Socket,
-    aio: Aio,
+    source: Arc<Source>,
+    /// Present until the drop.
+    aio: Option<Aio>,
     listener: Listener,
 }
 
+/// What the callback of the inbox works on.
+struct Source {
+    socket: Socket,
+    gate: Gate,
+    reader: Reader,
+}
+
 impl Inbox {
     fn listen(addr: SocketAddr, reader: Reader) -> nng::Result<Self> {
         let socket = Socket::new(Protocol::Pull0)?;
         socket.set_opt::<RecvMaxSize>(CUT_FRAME)?;
-        socket.set_opt::<RecvBufferSize>(NNG_RECV_BUFFER)?;
-        let source = socket.clone();
-        let aio = Aio::new(move |aio, res| on_received(&aio, &source, &reader, res))?;
-        let listener = Listener::new(&socket, &url(addr))?;
-        socket.recv_async(&aio)?;
-        Ok(Self {
+        let source = Arc::new(Source {
             socket,
-            aio,
+            gate: Gate::new(),
+            reader,
+        });
+        let weak = Arc::downgrade(&source);
+        let aio = Aio::new(move |aio, res| {
+            if let Some(source) = weak.upgrade() {
+                source.on_received(&aio, &res);
+            }
+        })?;
+        let listener = Listener::new(&source.socket, &url(addr))?;
+        source.receive(&aio)?;
+        Ok(Self {
+            source,
+            aio: Some(aio),
             listener,
         })
     }
@@ -249,28 +308,36 @@
 
 impl Drop for Inbox {
     fn drop(&mut self) {
-        self.socket.close();
-        self.aio.wait();
+        stop(&self.source.gate, self.aio.take(), &self.source.socket);
     }
 }
 
-fn on_received(aio: &Aio, source: &Socket, reader: &Reader, res: AioResult) {
-    match res {
-        AioResult::Recv(Ok(msg)) => reader.take(msg.as_slice()),
-        AioResult::Recv(Err(nng::Error::Closed | nng::Error::Canceled)) => return,
-        AioResult::Recv(Err(e)) => log::warn!(event = "mailbox_receive_failed", cause:% = e; ""),
-        AioResult::Send(_) | AioResult::Sleep(_) => {}
+impl Source {
+    fn receive(&self, aio: &Aio) -> nng::Result<()> {
+        self.gate.begin(|| self.socket.recv_async(aio))
     }
-    match source.recv_async(aio) {
-        Ok(()) | Err(nng::Error::Closed) => {}
-        Err(e) => log::error!(event = "mailbox_receive_ended", cause:% = e; ""),
+
+    fn on_received(&self, aio: &Aio, res: &AioResult) {
+        match res {
+            AioResult::Recv(Ok(msg)) => self.reader.take(msg.as_slice()),
+            AioResult::Recv(Err(nng::Error::Closed | nng::Error::Canceled)) => return,
+            AioResult::Recv(Err(e)) => {
+                log::warn!(event = "mailbox_receive_failed", cause:% = e; "");
+            }
+            AioResult::Send(_) | AioResult::Sleep(_) => {}
+        }
+        match self.receive(aio) {
+            Ok(()) | Err(nng::Error::Closed) => {}
+            Err(e) => log::error!(event = "mailbox_receive_ended", cause:% = e; ""),
+        }
     }
 }
 
 /// The link to one peer; its drop closes it and waits for the callback.
 struct Peer {
     outbox: Arc<Outbox>,
-    aio: Aio,
+    /// Present until the drop.
+    aio: Option<Aio>,
 }
 
 impl Peer {
@@ -281,6 +348,7 @@
         socket.dial_async(&url(to))?;
         let outbox = Arc::new(Outbox {
             socket,
+            gate: Gate::new(),
             limits,
             metrics,
             in_flight: AtomicUsize::new(0),
@@ -294,20 +362,23 @@
             }
         })?;
         outbox.metrics.peers.inc();
-        Ok(Self { outbox, aio })
+        Ok(Self {
+            outbox,
+            aio: Some(aio),
+        })
     }
 
     fn push(&self, frame: Vec<u8>) {
-        if self.outbox.push(frame) {
-            self.outbox.hand_over(&self.aio);
+        let must_hand_over = self.outbox.push(frame);
+        if let Some(aio) = self.aio.as_ref().filter(|_| must_hand_over) {
+            self.outbox.hand_over(aio);
         }
     }
 }
 
 impl Drop for Peer {
     fn drop(&mut self) {
-        self.outbox.socket.close();
-        self.aio.wait();
+        stop(&self.outbox.gate, self.aio.take(), &self.outbox.socket);
         self.outbox.metrics.peers.dec();
     }
 }
@@ -315,6 +386,7 @@
 /// A peer's socket and the frames that wait for it.
 struct Outbox {
     socket: Socket,
+    gate: Gate,
     limits: Limits,
     metrics: MailboxMetrics,
     /// Length of the frame in the hands of `nng`.
@@ -405,7 +477,8 @@
     fn start_send(&self, aio: &Aio, frame: &[u8], left: Duration) -> nng::Result<()> {
         aio.set_timeout(Some(left))?;
         self.in_flight.store(frame.len(), Ordering::Relaxed);
-        self.socket.send_async(aio, frame).map_err(|(_, e)| e)
+        self.gate
+            .begin(|| self.socket.send_async(aio, frame).map_err(|(_, e)| e))
     }
 
     fn on_sent(&self, aio: &Aio, res: &AioResult) {
--- a/fireflyd/tests/mailbox.rs
+++ b/fireflyd/tests/mailbox.rs
@@ -304,3 +304,27 @@
         until("the close", || a.metrics.peers.get() == 0).await;
     }
 }
+
+#[tokio::test]
+async fn closing_amid_traffic_ends() {
+    for round in 0..20_u8 {
+        let (a, b) = (End::new(&[OLD]), End::new(&[OLD]));
+        let to_a = a.addr();
+        for at in 0..200 {
+            a.mailbox.send(b.addr(), vec![round, at]);
+            b.mailbox.send(to_a, vec![round, at]);
+        }
+        let closed = tokio::task::spawn_blocking(move || {
+            // The one with queued messages goes first, then the one it sent to.
+            if round % 2 == 0 {
+                drop((a, b));
+            } else {
+                drop((b, a));
+            }
+        });
+        tokio::time::timeout(PATIENCE, closed)
+            .await
+            .expect("closing hangs")
+            .unwrap();
+    }
+}
