Measure what entry and agent add to a stream

The tool calls the engine straight and through an entry in turn and compares at the caller. Ruled out: two runs of the load tool, whose arrivals would meet different queues. Before: no figure.

--- /dev/null
+++ b/standins/src/bin/firefly-overhead.rs
@@ -0,0 +1,214 @@
+//! What entry and agent add to a stream, against the engine called straight.
+//!
+//! Both are called in turn in one run, with as many streams at once as asked,
+//! and compared at the caller: time to the first token, time between tokens,
+//! tokens a second.
+
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use clap::{Arg, ArgMatches, Command};
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+
+/// Longest time that is told apart, in microseconds.
+const LONGEST_US: u64 = 60_000_000;
+const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 0.999];
+
+/// Where calls go, and with which key.
+#[derive(Clone)]
+struct Target {
+    url: String,
+    key: String,
+}
+
+/// What one side showed.
+struct Side {
+    first: Histogram<u64>,
+    between: Histogram<u64>,
+    tokens: u64,
+    spent: Duration,
+}
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 2)]
+async fn main() -> anyhow::Result<()> {
+    let args = command().get_matches();
+    let streams = number(&args, "streams")?;
+    let rounds = number(&args, "rounds")?;
+    let length = number(&args, "length")?;
+    let straight = target(&args, "straight", "none")?;
+    let through = target(&args, "through", &text(&args, "key")?)?;
+    let http = reqwest::Client::builder()
+        .no_proxy()
+        .tcp_nodelay(true)
+        .build()?;
+    let mut sides = [Side::new()?, Side::new()?];
+    for _ in 0..rounds {
+        for (side, target) in sides.iter_mut().zip([&straight, &through]) {
+            run_round(&http, target, streams, length, side).await?;
+        }
+    }
+    println!("{}", record(&sides, streams, rounds, length));
+    Ok(())
+}
+
+fn command() -> Command {
+    let arg = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).default_value(default).help(help)
+    };
+    Command::new("firefly-overhead")
+        .about("Measures what entry and agent add to a stream")
+        .arg(
+            Arg::new("straight")
+                .long("straight")
+                .required(true)
+                .help("Base URL of the engine"),
+        )
+        .arg(
+            Arg::new("through")
+                .long("through")
+                .required(true)
+                .help("Base URL of an entry"),
+        )
+        .arg(arg("key", "demo-key-1", "Key for the entry"))
+        .arg(arg("streams", "8", "Streams at once"))
+        .arg(arg("rounds", "20", "Rounds, each of both sides"))
+        .arg(arg("length", "100", "Tokens of each answer"))
+}
+
+fn text(args: &ArgMatches, name: &str) -> anyhow::Result<String> {
+    args.get_one::<String>(name)
+        .cloned()
+        .with_context(|| format!("--{name}"))
+}
+
+fn number(args: &ArgMatches, name: &str) -> anyhow::Result<usize> {
+    text(args, name)?
+        .parse()
+        .with_context(|| format!("--{name}"))
+}
+
+fn target(args: &ArgMatches, name: &str, key: &str) -> anyhow::Result<Target> {
+    Ok(Target {
+        url: format!("{}/v1/chat/completions", text(args, name)?),
+        key: key.to_owned(),
+    })
+}
+
+impl Side {
+    fn new() -> anyhow::Result<Self> {
+        Ok(Self {
+            first: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
+            between: Histogram::new_with_bounds(1, LONGEST_US, 3)?,
+            tokens: 0,
+            spent: Duration::ZERO,
+        })
+    }
+
+    fn add(&mut self, times: &[Duration]) {
+        let Some((first, rest)) = times.split_first() else {
+            return;
+        };
+        self.first.saturating_record(micros(*first));
+        for (earlier, later) in times.iter().zip(rest) {
+            self.between
+                .saturating_record(micros(later.saturating_sub(*earlier)));
+        }
+        self.tokens += times.len() as u64;
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX).max(1)
+}
+
+async fn run_round(
+    http: &reqwest::Client,
+    target: &Target,
+    streams: usize,
+    length: usize,
+    side: &mut Side,
+) -> anyhow::Result<()> {
+    let began = Instant::now();
+    let calls = (0..streams).map(|_| {
+        let http = http.clone();
+        let target = target.clone();
+        tokio::spawn(async move { time_tokens(&http, &target, length).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        side.add(&call.await??);
+    }
+    side.spent += began.elapsed();
+    Ok(())
+}
+
+/// Times of the tokens of one stream, from the send.
+async fn time_tokens(
+    http: &reqwest::Client,
+    target: &Target,
+    length: usize,
+) -> anyhow::Result<Vec<Duration>> {
+    let body = json!({
+        "model": "model-a",
+        "stream": true,
+        "max_tokens": length,
+        "messages": [{"role": "user", "content": format!("overhead [[len={length}]]")}],
+    });
+    let sent = Instant::now();
+    let mut res = http
+        .post(&target.url)
+        .bearer_auth(&target.key)
+        .json(&body)
+        .send()
+        .await?
+        .error_for_status()?;
+    let mut times = Vec::with_capacity(length);
+    let mut rest = Vec::new();
+    while let Some(chunk) = res.chunk().await? {
+        let at = sent.elapsed();
+        rest.extend_from_slice(&chunk);
+        while let Some(end) = rest.windows(2).position(|w| w == b"\n\n") {
+            let event: Vec<u8> = rest.drain(..end + 2).collect();
+            if holds_token(&event) {
+                times.push(at);
+            }
+        }
+    }
+    anyhow::ensure!(
+        times.len() == length,
+        "{} tokens in place of {length}",
+        times.len()
+    );
+    Ok(times)
+}
+
+fn holds_token(event: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(event);
+    let data = text.lines().find_map(|line| line.strip_prefix("data: "));
+    let parsed: Option<Value> = data.and_then(|d| serde_json::from_str(d).ok());
+    parsed.is_some_and(|v| v["choices"][0]["delta"]["content"].is_string())
+}
+
+fn record(sides: &[Side; 2], streams: usize, rounds: usize, length: usize) -> Value {
+    json!({
+        "streams": streams,
+        "rounds": rounds,
+        "length": length,
+        "straight": side_record(&sides[0]),
+        "through": side_record(&sides[1]),
+    })
+}
+
+fn side_record(side: &Side) -> Value {
+    let quantiles = |h: &Histogram<u64>| -> Vec<u64> {
+        QUANTILES.iter().map(|q| h.value_at_quantile(*q)).collect()
+    };
+    #[allow(clippy::cast_precision_loss)]
+    let rate = side.tokens as f64 / side.spent.as_secs_f64();
+    json!({
+        "first_token_us_p50_p95_p99_p999": quantiles(&side.first),
+        "between_us_p50_p95_p99_p999": quantiles(&side.between),
+        "tokens_per_s": rate.round(),
+    })
+}
