Give each connection a push socket of its own

Cause: the test that closes mailboxes amid traffic still aborted in 1 of 100 runs: the push socket of this nng keeps a connection that ends just as a send completes in its list after freeing it, so any peer that dies may take its senders along. Ruled out: pair sockets, of which a listener takes one peer, and publish sockets, which drop uncounted. Before: one socket a peer, redialled by nng.

--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod keyring;
+mod link;
 pub mod logs;
 pub mod mailbox;
 pub mod metrics;
--- a/fireflyd/src/mailbox.rs
+++ b/fireflyd/src/mailbox.rs
@@ -4,26 +4,21 @@
 //! address it sends to. Nothing here waits or retries: a message that finds its queue full, or
 //! that no link has taken within [`Limits::max_age`], is dropped and counted, and the layers above
 //! recover from the loss. A message may also be lost with the connection that carried it.
-//!
-//! No task stands behind a peer. The queue of a peer has at most one message in the hands of
-//! `nng`, and the completion of that one hands over the next.
-//!
-//! Sockets are closed in a fixed order, see [`stop`]: this `nng` accepts an operation on a socket
-//! that is being closed, forgets it, and later touches the freed socket when its timeout comes.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, PoisonError, RwLock, Weak};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use nng::options::transport::tcp::BoundPort;
-use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize};
+use nng::options::{Options, RecvMaxSize};
 use nng::{Aio, AioResult, Listener, Protocol, Socket};
 use tokio::sync::mpsc;
 
 use crate::keyring::{SEAL_LEN, SharedKeyRing};
+use crate::link::{Lost, Peer, run_janitor, stop};
 use crate::metrics::MailboxMetrics;
 
 /// Largest payload of a message in bytes.
@@ -35,11 +30,6 @@
 /// It lies above [`MAX_FRAME`], so that a slightly longer frame is counted and costs its sender
 /// no connection.
 const CUT_FRAME: usize = 2 * MAX_FRAME;
-/// First wait before a lost connection is dialled again.
-const RECONNECT_MIN: Duration = Duration::from_millis(50);
-/// Longest wait before a lost connection is dialled again.
-const RECONNECT_MAX: Duration = Duration::from_secs(1);
-
 /// Bounds of a mailbox.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -82,14 +72,13 @@
     limits: Limits,
     metrics: MailboxMetrics,
     peers: RwLock<HashMap<SocketAddr, Arc<Peer>>>,
+    lost: Sender<Lost>,
     _inbox: Inbox,
 }
 
 impl Mailbox {
     /// Listens at `listen` (port 0 lets the system choose) and gives the opened messages.
     ///
-    /// Must be called within a tokio runtime.
-    ///
     /// # Errors
     ///
     /// An error that names the address when it can't be listened on.
@@ -107,15 +96,20 @@
         };
         let inbox = Inbox::listen(listen, reader).with_context(|| format!("mailbox {listen}"))?;
         let port = inbox.listener.get_opt::<BoundPort>()?;
+        let (lost, lost_rx) = std::sync::mpsc::channel();
         let shared = Arc::new(Shared {
             local: SocketAddr::new(listen.ip(), port),
             keys,
             limits,
             metrics,
             peers: RwLock::default(),
+            lost,
             _inbox: inbox,
         });
-        tokio::spawn(close_idle_peers(Arc::downgrade(&shared), limits.idle));
+        let weak = Arc::downgrade(&shared);
+        std::thread::Builder::new()
+            .name("mailbox-janitor".to_owned())
+            .spawn(move || run_janitor(&lost_rx, sweep_period(limits), || close_idle(&weak)))?;
         Ok((Self { shared }, rx))
     }
 
@@ -135,12 +129,8 @@
         }
         self.shared.keys.get().seal(&mut payload);
         match self.shared.peer(to) {
-            Ok(Some(peer)) => peer.push(payload),
-            Ok(None) => self.shared.count_drop("too_many_peers"),
-            Err(e) => {
-                log::warn!(event = "mailbox_dial_failed", peer:% = to, cause:% = e; "");
-                self.shared.count_drop("link");
-            }
+            Some(peer) => peer.push(payload),
+            None => self.shared.count_drop("too_many_peers"),
         }
     }
 }
@@ -150,49 +140,41 @@
         self.metrics.dropped.with_label_values(&[cause]).inc();
     }
 
-    /// The peer at `to`, dialled when new; `None` when there are too many.
-    fn peer(&self, to: SocketAddr) -> nng::Result<Option<Arc<Peer>>> {
+    /// The peer at `to`; `None` when there are too many.
+    fn peer(&self, to: SocketAddr) -> Option<Arc<Peer>> {
         let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
         if let Some(peer) = peers.get(&to) {
-            return Ok(Some(Arc::clone(peer)));
+            return Some(Arc::clone(peer));
         }
         drop(peers);
         let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
-        if let Some(peer) = peers.get(&to) {
-            return Ok(Some(Arc::clone(peer)));
+        if peers.len() >= self.limits.peers && !peers.contains_key(&to) {
+            return None;
         }
-        if peers.len() >= self.limits.peers {
-            return Ok(None);
-        }
-        let peer = Arc::new(Peer::dial(to, self.limits, self.metrics.clone())?);
-        peers.insert(to, Arc::clone(&peer));
-        Ok(Some(peer))
+        let peer = peers
+            .entry(to)
+            .or_insert_with(|| Arc::new(self.new_peer(to)));
+        Some(Arc::clone(peer))
+    }
+
+    fn new_peer(&self, to: SocketAddr) -> Peer {
+        Peer::new(to, self.limits, self.metrics.clone(), self.lost.clone())
     }
 
-    /// Takes out the peers without a send for the idle time; closing them may block.
-    fn take_idle(&self, now: Instant) -> Vec<Arc<Peer>> {
+    /// Takes out the peers without a send for the idle time.
+    fn close_idle(&self, now: Instant) {
         let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
-        peers
-            .extract_if(|_, peer| peer.outbox.is_idle(now))
-            .map(|(_, peer)| peer)
-            .collect()
+        peers.retain(|_, peer| !peer.is_idle(now));
     }
 }
 
-async fn close_idle_peers(shared: Weak<Shared>, idle: Duration) {
-    let mut ticks = tokio::time::interval((idle / 4).max(Duration::from_millis(10)));
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let Some(shared) = shared.upgrade() else {
-            return;
-        };
-        let idle = shared.take_idle(Instant::now());
-        // Closing a socket waits for its callbacks, and so does the last mailbox's drop.
-        let closed = tokio::task::spawn_blocking(move || drop((idle, shared))).await;
-        if closed.is_err() {
-            return;
-        }
+fn sweep_period(limits: Limits) -> Duration {
+    (limits.idle / 4).max(Duration::from_millis(10))
+}
+
+fn close_idle(shared: &Weak<Shared>) {
+    if let Some(shared) = shared.upgrade() {
+        shared.close_idle(Instant::now());
     }
 }
 
@@ -252,20 +234,6 @@
     }
 }
 
-/// Ends the operations of `aio`, frees it, and only then closes its socket.
-///
-/// Waits for the callback, so it must not be called from one.
-fn stop(gate: &Gate, aio: Option<Aio>, socket: &Socket) {
-    gate.shut();
-    if let Some(aio) = aio {
-        aio.cancel();
-        aio.wait();
-        // Freeing waits for a timeout that is just being dealt with.
-        drop(aio);
-    }
-    socket.close();
-}
-
 /// The listening socket; its drop closes it and waits for the callback.
 struct Inbox {
     source: Arc<Source>,
@@ -308,7 +276,10 @@
 
 impl Drop for Inbox {
     fn drop(&mut self) {
-        stop(&self.source.gate, self.aio.take(), &self.source.socket);
+        self.source.gate.shut();
+        if let Some(aio) = self.aio.take() {
+            stop(aio, &self.source.socket);
+        }
     }
 }
 
@@ -333,170 +304,6 @@
     }
 }
 
-/// The link to one peer; its drop closes it and waits for the callback.
-struct Peer {
-    outbox: Arc<Outbox>,
-    /// Present until the drop.
-    aio: Option<Aio>,
-}
-
-impl Peer {
-    fn dial(to: SocketAddr, limits: Limits, metrics: MailboxMetrics) -> nng::Result<Self> {
-        let socket = Socket::new(Protocol::Push0)?;
-        socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
-        socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
-        socket.dial_async(&url(to))?;
-        let outbox = Arc::new(Outbox {
-            socket,
-            gate: Gate::new(),
-            limits,
-            metrics,
-            in_flight: AtomicUsize::new(0),
-            queue: Mutex::new(Queue::new()),
-        });
-        // A strong reference would keep the outbox, and with it the socket, for ever.
-        let weak = Arc::downgrade(&outbox);
-        let aio = Aio::new(move |aio, res| {
-            if let Some(outbox) = weak.upgrade() {
-                outbox.on_sent(&aio, &res);
-            }
-        })?;
-        outbox.metrics.peers.inc();
-        Ok(Self {
-            outbox,
-            aio: Some(aio),
-        })
-    }
-
-    fn push(&self, frame: Vec<u8>) {
-        let must_hand_over = self.outbox.push(frame);
-        if let Some(aio) = self.aio.as_ref().filter(|_| must_hand_over) {
-            self.outbox.hand_over(aio);
-        }
-    }
-}
-
-impl Drop for Peer {
-    fn drop(&mut self) {
-        stop(&self.outbox.gate, self.aio.take(), &self.outbox.socket);
-        self.outbox.metrics.peers.dec();
-    }
-}
-
-/// A peer's socket and the frames that wait for it.
-struct Outbox {
-    socket: Socket,
-    gate: Gate,
-    limits: Limits,
-    metrics: MailboxMetrics,
-    /// Length of the frame in the hands of `nng`.
-    in_flight: AtomicUsize,
-    queue: Mutex<Queue>,
-}
-
-struct Queue {
-    frames: VecDeque<Waiting>,
-    bytes: usize,
-    /// Whether a frame is in the hands of `nng` or about to be.
-    busy: bool,
-    last_push: Instant,
-}
-
-struct Waiting {
-    since: Instant,
-    frame: Vec<u8>,
-}
-
-impl Queue {
-    fn new() -> Self {
-        Self {
-            frames: VecDeque::new(),
-            bytes: 0,
-            busy: false,
-            last_push: Instant::now(),
-        }
-    }
-
-    fn pop(&mut self) -> Option<Waiting> {
-        let next = self.frames.pop_front();
-        self.bytes -= next.as_ref().map_or(0, |w| w.frame.len());
-        self.busy = next.is_some();
-        next
-    }
-}
-
-impl Outbox {
-    fn queue(&self) -> MutexGuard<'_, Queue> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn count_drop(&self, cause: &str) {
-        self.metrics.dropped.with_label_values(&[cause]).inc();
-    }
-
-    fn is_idle(&self, now: Instant) -> bool {
-        let queue = self.queue();
-        !queue.busy && now.duration_since(queue.last_push) >= self.limits.idle
-    }
-
-    /// Queues a frame; true when the caller must hand it over.
-    fn push(&self, frame: Vec<u8>) -> bool {
-        let mut queue = self.queue();
-        let since = Instant::now();
-        queue.last_push = since;
-        let full = queue.frames.len() >= self.limits.peer_messages
-            || queue.bytes + frame.len() > self.limits.peer_bytes;
-        if full {
-            drop(queue);
-            self.count_drop("queue_full");
-            return false;
-        }
-        queue.bytes += frame.len();
-        queue.frames.push_back(Waiting { since, frame });
-        !std::mem::replace(&mut queue.busy, true)
-    }
-
-    /// Gives the next frame that is young enough to `nng`; the queue lock is not held meanwhile.
-    fn hand_over(&self, aio: &Aio) {
-        loop {
-            let Some(next) = self.queue().pop() else {
-                return;
-            };
-            let left = self.limits.max_age.saturating_sub(next.since.elapsed());
-            if left.is_zero() {
-                self.count_drop("too_old");
-                continue;
-            }
-            match self.start_send(aio, &next.frame, left) {
-                Ok(()) | Err(nng::Error::Closed) => return,
-                Err(_) => self.count_drop("link"),
-            }
-        }
-    }
-
-    fn start_send(&self, aio: &Aio, frame: &[u8], left: Duration) -> nng::Result<()> {
-        aio.set_timeout(Some(left))?;
-        self.in_flight.store(frame.len(), Ordering::Relaxed);
-        self.gate
-            .begin(|| self.socket.send_async(aio, frame).map_err(|(_, e)| e))
-    }
-
-    fn on_sent(&self, aio: &Aio, res: &AioResult) {
-        match res {
-            AioResult::Send(Ok(())) => {
-                let len = self.in_flight.load(Ordering::Relaxed);
-                self.metrics.sent.inc();
-                self.metrics.sent_bytes.inc_by(len as u64);
-            }
-            AioResult::Send(Err((_, nng::Error::Closed | nng::Error::Canceled))) => return,
-            AioResult::Send(Err((_, nng::Error::TimedOut))) => self.count_drop("too_old"),
-            AioResult::Send(Err(_)) => self.count_drop("link"),
-            AioResult::Recv(_) | AioResult::Sleep(_) => {}
-        }
-        self.hand_over(aio);
-    }
-}
-
 fn url(addr: SocketAddr) -> String {
     format!("tcp://{addr}")
 }
--- a/fireflyd/tests/mailbox.rs
+++ b/fireflyd/tests/mailbox.rs
@@ -63,6 +63,11 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
+/// A port on a loopback number of its own, so that no other test gets it in between.
+fn port_to_return_to(last: u8) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, 0, 0, last), 0))
+}
+
 fn ring(keys: &[(u8, [u8; KEY_LEN])]) -> KeyRing {
     KeyRing::new(keys.iter().copied()).unwrap()
 }
@@ -185,7 +190,8 @@
 
 #[tokio::test]
 async fn a_peer_restarted_at_its_address_gets_messages_again() {
-    let (a, mut b) = (End::new(&[OLD]), End::new(&[OLD]));
+    let a = End::new(&[OLD]);
+    let mut b = End::at(port_to_return_to(2), &[OLD], Limits::default()).unwrap();
     let addr = b.addr();
     a.mailbox.send(addr, b"first".to_vec());
     assert_eq!(b.next().await, b"first");
@@ -328,3 +334,28 @@
             .unwrap();
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_peer_may_come_and_go_amid_traffic() {
+    let a = End::new(&[OLD]);
+    let addr = End::at(port_to_return_to(3), &[OLD], Limits::default())
+        .unwrap()
+        .addr();
+    let sender = a.mailbox.clone();
+    let flood = tokio::spawn(async move {
+        loop {
+            for _ in 0..20 {
+                sender.send(addr, vec![7; 200]);
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+    for _ in 0..10 {
+        let mut b = reopen(addr).await;
+        for _ in 0..50 {
+            assert_eq!(b.next().await, [7; 200]);
+        }
+        tokio::task::spawn_blocking(move || drop(b)).await.unwrap();
+    }
+    flood.abort();
+}
