Add the load tool, and steps that keep their time when scaled

Cause: the policy is to be measured at the caller, with arrivals that don't wait for answers, and nothing in the workspace did that. The tool draws arrivals from a seed, counts latencies from the intended arrival, checks each answer's tokens, and writes a record, a table and a chart.

Ruled out: the runtime's timer alone for scaled steps. It counts whole milliseconds, so at a time scale of 10 tokens came in bursts: the median gap between tokens read 1.7 ms where a step lasts at least 12.4 ms. The last part of a wait is now slept on a blocking thread. Calling an answer that an engine cut short for lack of memory whole was ruled out too: it counts as broken.

--- a/standins/src/engine/runner.rs
+++ b/standins/src/engine/runner.rs
@@ -6,9 +6,10 @@
 use tokio::time::{Instant, interval, sleep_until};
 
 use super::state::State;
+use crate::clock::wait_until;
 
-/// Shortest sleep of the timer; shorter steps run together.
-const MIN_SLEEP: Duration = Duration::from_millis(1);
+/// How often idle streams are looked for, at most.
+const MIN_SWEEP: Duration = Duration::from_millis(1);
 
 /// How far the schedule may be behind before the rest is given up.
 const MAX_BEHIND: Duration = Duration::from_millis(200);
@@ -26,7 +27,7 @@
             continue;
         };
         due = due.max(oldest_due()) + step;
-        pause_until(due).await;
+        wait_until(due).await;
         sleep_until(state.frozen_until()).await;
         if state.end_step() {
             return crash(&state);
@@ -37,22 +38,13 @@
 /// Cancels and forgets streams that nobody reads, for ever.
 pub(super) async fn sweep(state: Arc<State>) {
     let window = state.cfg.scaled(state.cfg.resume_window);
-    let mut ticks = interval((window / 4).clamp(MIN_SLEEP, MAX_SWEEP));
+    let mut ticks = interval((window / 4).clamp(MIN_SWEEP, MAX_SWEEP));
     loop {
         ticks.tick().await;
         state.sweep();
     }
 }
 
-/// Sleeps when it is worth it, and otherwise only lets others run.
-async fn pause_until(due: Instant) {
-    if due >= Instant::now() + MIN_SLEEP {
-        sleep_until(due).await;
-    } else {
-        tokio::task::yield_now().await;
-    }
-}
-
 fn oldest_due() -> Instant {
     let now = Instant::now();
     now.checked_sub(MAX_BEHIND).unwrap_or(now)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,10 +7,13 @@
 
 pub mod cli;
 pub mod engine;
+pub mod load;
 pub mod plain;
 pub mod platform;
 
+mod clock;
 mod hash;
+mod lognormal;
 mod reply;
 mod run_log;
 mod server;
--- /dev/null
+++ b/standins/src/load/call.rs
@@ -0,0 +1,182 @@
+//! One request and its answer.
+
+use reqwest::{Client, Response};
+use serde::Serialize;
+use serde_json::Value;
+use tokio::time::{Instant, timeout_at};
+
+use super::check::TokenCheck;
+use super::events::{self, Event, EventReader, Part};
+use super::meter::Meter;
+use super::mix::Class;
+use super::progress::Progress;
+
+/// Header that names the request across systems.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Finish reason of an answer that someone cut off.
+const CANCELLED: &str = "cancelled";
+
+/// Finish reason of an answer that an engine had no memory to go on with.
+const LENGTH: &str = "length";
+
+/// The body of a request.
+#[derive(Serialize)]
+pub(super) struct Body {
+    pub(super) model: String,
+    pub(super) messages: [Message; 2],
+    pub(super) max_tokens: u64,
+    pub(super) stream: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) priority_class: Option<Class>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) priority: Option<i64>,
+}
+
+/// A message of a request.
+#[derive(Serialize)]
+pub(super) struct Message {
+    pub(super) role: &'static str,
+    pub(super) content: String,
+}
+
+/// A request ready to go.
+pub(super) struct Call {
+    pub(super) url: String,
+    pub(super) key: String,
+    pub(super) body: Body,
+    pub(super) mark: String,
+    pub(super) output_tokens: u64,
+    pub(super) deadline: Instant,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum End {
+    /// The whole answer came.
+    Complete,
+    /// The system refused it, with this code.
+    Refused(String),
+    /// No answer began, for this reason.
+    Failed(String),
+    /// An answer began and broke off, for this reason.
+    Broken(String),
+    /// It was still in progress when the run ended.
+    Unfinished,
+}
+
+/// A request with all that was seen of it.
+pub(super) struct Outcome {
+    pub(super) end: End,
+    pub(super) meter: Meter,
+    pub(super) check: TokenCheck,
+    pub(super) tokens: u64,
+    pub(super) preemptions: Option<u64>,
+}
+
+impl Call {
+    /// Sends the request and reads the answer until its end or the deadline.
+    pub(super) async fn run(self, client: &Client, meter: Meter, progress: &Progress) -> Outcome {
+        let mut outcome = Outcome {
+            end: End::Unfinished,
+            meter,
+            check: TokenCheck::new(&*self.mark),
+            tokens: 0,
+            preemptions: None,
+        };
+        let deadline = self.deadline;
+        let answer = self.answer(client, &mut outcome, progress);
+        outcome.end = timeout_at(deadline, answer)
+            .await
+            .unwrap_or(End::Unfinished);
+        if outcome.end != End::Complete {
+            outcome.meter.cut(Instant::now());
+        }
+        outcome
+    }
+
+    async fn answer(self, client: &Client, outcome: &mut Outcome, progress: &Progress) -> End {
+        let req = client
+            .post(&self.url)
+            .bearer_auth(&self.key)
+            .header(REQUEST_ID, &self.mark)
+            .json(&self.body);
+        match req.send().await {
+            Ok(res) if res.status().is_success() => {
+                outcome.read(res, self.output_tokens, progress).await
+            }
+            Ok(res) => End::Refused(refusal(res).await),
+            Err(err) => End::Failed(reason(&err)),
+        }
+    }
+}
+
+impl Outcome {
+    async fn read(&mut self, mut res: Response, expected: u64, progress: &Progress) -> End {
+        let mut reader = EventReader::default();
+        let mut finish = None;
+        loop {
+            let chunk = match res.chunk().await {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) => return End::Broken("ended".to_owned()),
+                Err(err) => return End::Broken(reason(&err)),
+            };
+            for event in reader.push(&chunk) {
+                match event {
+                    Event::Part(part) => self.part(part, &mut finish, progress),
+                    Event::Done => return self.done(finish.as_deref(), expected),
+                    Event::Error(code) => return End::Broken(code),
+                }
+            }
+        }
+    }
+
+    fn part(&mut self, part: Part, finish: &mut Option<String>, progress: &Progress) {
+        let now = Instant::now();
+        let tokens = self.check.text(&part.content);
+        for _ in 0..tokens {
+            self.meter.token(now);
+        }
+        self.tokens += tokens;
+        progress.add_tokens(tokens);
+        self.preemptions = part.preemptions.or(self.preemptions);
+        *finish = part.finish_reason.or(finish.take());
+    }
+
+    fn done(&mut self, finish: Option<&str>, expected: u64) -> End {
+        match finish {
+            None => End::Broken("no finish reason".to_owned()),
+            Some(CANCELLED) => End::Broken(CANCELLED.to_owned()),
+            Some(LENGTH) if self.tokens < expected => End::Broken(LENGTH.to_owned()),
+            Some(_) => {
+                self.check.complete(expected);
+                End::Complete
+            }
+        }
+    }
+}
+
+/// The code of a refusal: status, and the system's own code if it gives one.
+async fn refusal(res: Response) -> String {
+    let status = res.status().as_u16();
+    let body: Value = res.json().await.unwrap_or(Value::Null);
+    let error = body.get("error").unwrap_or(&body);
+    match error.get("code") {
+        Some(_) => format!("{status}/{}", events::code(error)),
+        None => status.to_string(),
+    }
+}
+
+/// A short reason for a failed transfer.
+fn reason(err: &reqwest::Error) -> String {
+    let reason = if err.is_connect() {
+        "connect"
+    } else if err.is_timeout() {
+        "timeout"
+    } else if err.is_body() || err.is_decode() {
+        "cut"
+    } else {
+        "transfer"
+    };
+    reason.to_owned()
+}
--- /dev/null
+++ b/standins/src/load/events.rs
@@ -0,0 +1,117 @@
+//! Reading server-sent events from the chunks of a body.
+
+use serde::Deserialize;
+
+/// The data that ends a stream.
+const DONE: &str = "[DONE]";
+
+/// What an event of a stream says.
+#[derive(Debug, PartialEq)]
+pub(super) enum Event {
+    /// Part of the answer.
+    Part(Part),
+    /// The end.
+    Done,
+    /// An error of the system, with its code.
+    Error(String),
+}
+
+/// Part of an answer.
+#[derive(Debug, Default, PartialEq)]
+pub(super) struct Part {
+    pub(super) content: String,
+    pub(super) finish_reason: Option<String>,
+    pub(super) preemptions: Option<u64>,
+}
+
+/// Splits a body into events.
+#[derive(Debug, Default)]
+pub(super) struct EventReader {
+    buf: Vec<u8>,
+    data: String,
+}
+
+impl EventReader {
+    /// Takes in a chunk and returns the events that it completes.
+    pub(super) fn push(&mut self, chunk: &[u8]) -> Vec<Event> {
+        let mut events = Vec::new();
+        for line in chunk.split_inclusive(|byte| *byte == b'\n') {
+            self.buf.extend_from_slice(line);
+            if line.ends_with(b"\n") {
+                let line = std::mem::take(&mut self.buf);
+                events.extend(self.line(&String::from_utf8_lossy(&line)));
+            }
+        }
+        events
+    }
+
+    /// Takes in a line; an empty one ends an event.
+    fn line(&mut self, line: &str) -> Option<Event> {
+        let line = line.trim_end_matches(['\r', '\n']);
+        if let Some(data) = line.strip_prefix("data:") {
+            self.data.push_str(data.trim_start());
+        }
+        if !line.is_empty() || self.data.is_empty() {
+            return None;
+        }
+        Some(event(&std::mem::take(&mut self.data)))
+    }
+}
+
+/// An event as it stands in a stream.
+#[derive(Deserialize)]
+struct RawEvent {
+    #[serde(default)]
+    choices: Vec<RawChoice>,
+    usage: Option<RawUsage>,
+    error: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct RawChoice {
+    #[serde(default)]
+    delta: RawDelta,
+    finish_reason: Option<String>,
+}
+
+#[derive(Default, Deserialize)]
+struct RawDelta {
+    content: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct RawUsage {
+    preemptions: Option<u64>,
+}
+
+fn event(data: &str) -> Event {
+    if data == DONE {
+        return Event::Done;
+    }
+    match serde_json::from_str::<RawEvent>(data) {
+        Ok(RawEvent {
+            error: Some(error), ..
+        }) => Event::Error(code(&error)),
+        Ok(raw) => Event::Part(part(raw)),
+        Err(_) => Event::Error("unreadable".to_owned()),
+    }
+}
+
+fn part(raw: RawEvent) -> Part {
+    let mut part = Part {
+        preemptions: raw.usage.and_then(|usage| usage.preemptions),
+        ..Part::default()
+    };
+    if let Some(choice) = raw.choices.into_iter().next() {
+        part.content = choice.delta.content.unwrap_or_default();
+        part.finish_reason = choice.finish_reason;
+    }
+    part
+}
+
+/// The code in an error: its field `code`, or the whole of it.
+pub(super) fn code(error: &serde_json::Value) -> String {
+    let code = error.get("code").unwrap_or(error);
+    code.as_str()
+        .map_or_else(|| code.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/standins/src/load/plan.rs
@@ -0,0 +1,72 @@
+//! The arrivals of a run, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::mix::{Lengths, Mix};
+use crate::lognormal;
+
+/// One request to come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// Its number, from 0.
+    pub number: u64,
+    /// When it arrives, from the start of the run.
+    pub at: Duration,
+    /// Place of its workspace in the mix.
+    pub workspace: usize,
+    /// Place of its kind in the mix.
+    pub kind: usize,
+    /// Tokens of the prompt that it shares with none.
+    pub prompt_tokens: u64,
+    /// Tokens of the whole answer.
+    pub output_tokens: u64,
+}
+
+/// The arrivals at `rate` a second until `end`; the same for the same seed.
+pub fn arrivals(
+    mix: &Mix,
+    rate: f64,
+    end: Duration,
+    seed: u64,
+) -> impl Iterator<Item = Arrival> + use<'_> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut at = 0.0;
+    let arrivals = (0..).map(move |number| {
+        at += -(1.0 - rng.random::<f64>()).ln() / rate;
+        arrival(mix, &mut rng, number, Duration::from_secs_f64(at))
+    });
+    arrivals.take_while(move |arrival| arrival.at < end)
+}
+
+fn arrival(mix: &Mix, rng: &mut ChaCha8Rng, number: u64, at: Duration) -> Arrival {
+    let workspaces = mix.workspaces.iter().map(|workspace| workspace.weight);
+    let workspace = pick(rng, workspaces);
+    let kind = pick(rng, mix.kinds.iter().map(|kind| kind.weight));
+    Arrival {
+        number,
+        at,
+        workspace,
+        kind,
+        prompt_tokens: length(rng, mix.kinds[kind].prompt),
+        output_tokens: length(rng, mix.kinds[kind].output),
+    }
+}
+
+/// The place of a weight, drawn by weight.
+fn pick(rng: &mut ChaCha8Rng, weights: impl Iterator<Item = f64> + Clone) -> usize {
+    let mut rest = rng.random::<f64>() * weights.clone().sum::<f64>();
+    let last = weights.clone().count().saturating_sub(1);
+    let mut weights = weights;
+    let found = weights.position(|weight| {
+        rest -= weight;
+        rest < 0.0
+    });
+    found.unwrap_or(last)
+}
+
+fn length(rng: &mut ChaCha8Rng, lengths: Lengths) -> u64 {
+    lognormal::draw(rng, lengths.median, lengths.sigma, lengths.max)
+}
--- /dev/null
+++ b/standins/src/load/progress.rs
@@ -0,0 +1,64 @@
+//! A line a second on how a run goes.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::interval;
+
+use super::call::End;
+
+/// How often a line is written.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Counters of a run in progress.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    sent: AtomicU64,
+    complete: AtomicU64,
+    refused: AtomicU64,
+    broken: AtomicU64,
+    tokens: AtomicU64,
+}
+
+impl Progress {
+    pub(super) fn add_sent(&self) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn add_tokens(&self, tokens: u64) {
+        self.tokens.fetch_add(tokens, Ordering::Relaxed);
+    }
+
+    pub(super) fn add_end(&self, end: &End) {
+        let counter = match end {
+            End::Complete => &self.complete,
+            End::Refused(_) => &self.refused,
+            End::Failed(_) | End::Broken(_) | End::Unfinished => &self.broken,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Writes a line a second to standard error, for ever.
+    pub(super) async fn report(&self) {
+        let mut ticks = interval(PERIOD);
+        ticks.tick().await;
+        let mut tokens_before = 0;
+        for second in 1_u64.. {
+            ticks.tick().await;
+            let tokens = self.tokens.load(Ordering::Relaxed);
+            eprintln!("{}", self.line(second, tokens - tokens_before));
+            tokens_before = tokens;
+        }
+    }
+
+    fn line(&self, second: u64, tokens: u64) -> String {
+        let load = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let (sent, complete) = (load(&self.sent), load(&self.complete));
+        let (refused, broken) = (load(&self.refused), load(&self.broken));
+        let open = sent.saturating_sub(complete + refused + broken);
+        format!(
+            "event=progress second={second} sent={sent} open={open} complete={complete} \
+             refused={refused} broken={broken} tokens={tokens}"
+        )
+    }
+}
--- /dev/null
+++ b/standins/src/load/run.rs
@@ -0,0 +1,206 @@
+//! A run: arrivals at their times, and the outcomes added up.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use reqwest::Client;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::call::{Body, Call, Message, Outcome};
+use super::meter::Meter;
+use super::mix::{Class, Mix};
+use super::plan::{Arrival, arrivals};
+use super::progress::Progress;
+use super::record::{Record, Settings};
+use super::tally::Tally;
+use super::words;
+use crate::clock::wait_until;
+
+/// Path of the call.
+const PATH: &str = "/v1/chat/completions";
+
+/// Largest answer that requests allow, in tokens.
+const MAX_TOKENS: u64 = 16_384;
+
+/// Priority of interactive requests sent straight to engines.
+const INTERACTIVE_PRIORITY: i64 = 10;
+
+/// Priority of batch requests sent straight to engines.
+const BATCH_PRIORITY: i64 = 0;
+
+/// Settings of a run. Times are in the model of time.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Base URLs asked in turn.
+    pub targets: Vec<String>,
+    /// Whether they are engines, which know priorities but no classes.
+    pub straight: bool,
+    /// What is asked.
+    pub mix: Mix,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long requests arrive.
+    pub duration: Duration,
+    /// How long answers in progress are waited for after that.
+    pub drain: Duration,
+    /// How many times faster the clock runs.
+    pub time_scale: f64,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+/// What the requests of a run share.
+struct Run {
+    cfg: Config,
+    client: Client,
+    progress: Progress,
+    start: Instant,
+    deadline: Instant,
+}
+
+/// Runs the load to its end.
+///
+/// # Errors
+///
+/// Fails without targets, or when the client can't be set up.
+pub async fn run(cfg: Config) -> anyhow::Result<Record> {
+    anyhow::ensure!(!cfg.targets.is_empty(), "no target");
+    let run = Arc::new(Run::new(cfg)?);
+    let mut background = JoinSet::new();
+    let shared = Arc::clone(&run);
+    background.spawn(async move { shared.progress.report().await });
+    let tallies = run.drive().await?;
+    let duration = run.cfg.duration;
+    Ok(Record {
+        settings: run.settings(),
+        classes: tallies
+            .into_iter()
+            .map(|(class, tally)| (class, tally.record(duration)))
+            .collect(),
+    })
+}
+
+impl Run {
+    fn new(cfg: Config) -> anyhow::Result<Self> {
+        let client = Client::builder().tcp_nodelay(true).build();
+        let start = Instant::now();
+        let end = (cfg.duration + cfg.drain).div_f64(cfg.time_scale);
+        Ok(Self {
+            client: client.context("no client")?,
+            progress: Progress::default(),
+            start,
+            deadline: start + end,
+            cfg,
+        })
+    }
+
+    /// Sends each request at its time and adds up the outcomes by class.
+    async fn drive(self: &Arc<Self>) -> anyhow::Result<BTreeMap<Class, Tally>> {
+        let mut tallies = BTreeMap::new();
+        for class in Class::ALL {
+            tallies.insert(class, Tally::new()?);
+        }
+        let mut calls = JoinSet::new();
+        let cfg = &self.cfg;
+        for arrival in arrivals(&cfg.mix, cfg.rate, cfg.duration, cfg.seed) {
+            wait_until(self.instant(&arrival)).await;
+            self.progress.add_sent();
+            let run = Arc::clone(self);
+            calls.spawn(async move { run.send(&arrival).await });
+            while let Some(done) = calls.try_join_next() {
+                add(&mut tallies, done?);
+            }
+        }
+        while let Some(done) = calls.join_next().await {
+            add(&mut tallies, done?);
+        }
+        Ok(tallies)
+    }
+
+    async fn send(&self, arrival: &Arrival) -> (Class, Outcome) {
+        let class = self.cfg.mix.kinds[arrival.kind].class;
+        let goal = self.cfg.mix.goal(class);
+        let meter = Meter::new(goal, self.cfg.time_scale, self.instant(arrival));
+        let call = self.call(arrival);
+        let outcome = call.run(&self.client, meter, &self.progress).await;
+        self.progress.add_end(&outcome.end);
+        (class, outcome)
+    }
+
+    fn call(&self, arrival: &Arrival) -> Call {
+        let mix = &self.cfg.mix;
+        let mark = format!("{}-{}", self.cfg.seed, arrival.number);
+        Call {
+            url: format!("{}{PATH}", self.target(arrival.number)),
+            key: mix.workspaces[arrival.workspace].key.to_string(),
+            body: self.body(arrival, &mark),
+            mark,
+            output_tokens: arrival.output_tokens,
+            deadline: self.deadline,
+        }
+    }
+
+    fn body(&self, arrival: &Arrival, mark: &str) -> Body {
+        let mix = &self.cfg.mix;
+        let kind = &mix.kinds[arrival.kind];
+        let system = Message {
+            role: "system",
+            content: words::shared(mix, arrival),
+        };
+        let user = Message {
+            role: "user",
+            content: words::own(kind, arrival, mark),
+        };
+        Body {
+            model: mix.model.to_string(),
+            messages: [system, user],
+            max_tokens: MAX_TOKENS,
+            stream: true,
+            priority_class: (!self.cfg.straight).then_some(kind.class),
+            priority: self.cfg.straight.then(|| priority(kind.class)),
+        }
+    }
+
+    fn target(&self, number: u64) -> &str {
+        let targets = &self.cfg.targets;
+        let place = number % targets.len() as u64;
+        let place = usize::try_from(place).unwrap_or_default();
+        targets[place].trim_end_matches('/')
+    }
+
+    /// When a request is meant to arrive, on the clock.
+    fn instant(&self, arrival: &Arrival) -> Instant {
+        self.start + arrival.at.div_f64(self.cfg.time_scale)
+    }
+
+    fn settings(&self) -> Settings {
+        let cfg = &self.cfg;
+        let goals = Class::ALL.map(|class| (class, cfg.mix.goal(class)));
+        Settings {
+            targets: cfg.targets.clone(),
+            straight: cfg.straight,
+            mix: Arc::clone(&cfg.mix.name),
+            rate: cfg.rate,
+            duration_s: cfg.duration.as_secs_f64(),
+            time_scale: cfg.time_scale,
+            seed: cfg.seed,
+            goals: goals.into(),
+        }
+    }
+}
+
+fn add(tallies: &mut BTreeMap<Class, Tally>, (class, outcome): (Class, Outcome)) {
+    if let Some(tally) = tallies.get_mut(&class) {
+        tally.add(&outcome);
+    }
+}
+
+fn priority(class: Class) -> i64 {
+    match class {
+        Class::Interactive => INTERACTIVE_PRIORITY,
+        Class::Batch => BATCH_PRIORITY,
+    }
+}
