Let the engine's tests hold requests together before they go on

Cause: cases on preemption and priority needed several generations in memory at once, but an engine fifty times faster than usual can end one within 50 ms, before the next request has arrived on a crowded machine; a cut stream was also taken for one when it had ended before the crash.

Ruled out: longer outputs, which only move the race. The engine now starts slowed down a thousand times, and the test ends the slowness by the fault switch once all requests are in; the crash case fails on a finished stream.

Nothing is asserted less than before, and no case was dropped.

--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -53,6 +53,20 @@
     }
 }
 
+/// The same, with steps so long that requests meet before they end.
+fn slow() -> Config {
+    Config {
+        slow_factor: 1_000.0,
+        ..quick()
+    }
+}
+
+/// Ends the slowness.
+async fn hurry(running: &Running) {
+    let url = format!("{}/standin/faults", running.url());
+    assert_eq!(post(url, &j!({ "slow_factor": 1.0 })).await.0, 200);
+}
+
 async fn start(cfg: &Config) -> Running {
     engine::serve(cfg.clone(), listener().await).unwrap()
 }
@@ -160,19 +174,20 @@
 }
 
 async fn preempts() {
-    let cfg = quick();
+    let cfg = slow();
     let running = start(&cfg).await;
     let extra = j!({ "max_tokens": 150 });
-    let streams = (0..3).map(|number| {
+    let mut streams = Vec::new();
+    for number in 0..3 {
         let text = format!("[[len=150]][[mark={number}]]");
-        let (running, extra) = (&running, &extra);
-        async move { generate(running, &text, extra).await.rest().await }
-    });
-    let answers = futures_util::future::join_all(streams).await;
+        streams.push(generate(&running, &text, &extra).await);
+    }
+    hurry(&running).await;
     let mut preemptions = 0;
-    for events in &answers {
+    for mut stream in streams {
+        let events = stream.rest().await;
         assert_eq!(events.len(), 150);
-        check(events, 0);
+        check(&events, 0);
         preemptions += events[149]["usage"]["preemptions"].as_u64().unwrap();
     }
     assert!(preemptions > 0);
@@ -180,14 +195,14 @@
 }
 
 async fn priority_keeps_memory() {
-    let running = start(&quick()).await;
+    let running = start(&slow()).await;
     let low = j!({ "max_tokens": 200, "priority": 0 });
     let high = j!({ "max_tokens": 200, "priority": 1 });
     let mut first = generate(&running, "[[len=200]]", &low).await;
-    first.token().await;
     let mut second = generate(&running, "[[len=200]]", &high).await;
-    let (first, second) = tokio::join!(first.rest(), second.rest());
-    assert!(first[198]["usage"]["preemptions"].as_u64() > Some(0));
+    hurry(&running).await;
+    let (first, second) = (first.rest().await, second.rest().await);
+    assert!(first[199]["usage"]["preemptions"].as_u64() > Some(0));
     assert_eq!(second[199]["usage"]["preemptions"], 0);
 }
 
@@ -231,8 +246,7 @@
 async fn abandoned() {
     let cfg = Config {
         resume_window: Duration::ZERO,
-        slow_factor: 100.0,
-        ..quick()
+        ..slow()
     };
     let running = start(&cfg).await;
     let mut events = generate(&running, "[[len=60]]", &Value::Null).await;
@@ -244,10 +258,7 @@
 }
 
 async fn cancel() {
-    let cfg = Config {
-        slow_factor: 100.0,
-        ..quick()
-    };
+    let cfg = slow();
     let running = start(&cfg).await;
     let extra = j!({ "stream_id": "mine" });
     let mut events = generate(&running, "[[len=64]]", &extra).await;
@@ -262,10 +273,7 @@
 }
 
 async fn stream_id_in_use() {
-    let cfg = Config {
-        slow_factor: 100.0,
-        ..quick()
-    };
+    let cfg = slow();
     let running = start(&cfg).await;
     let req = request("[[len=64]]", &j!({ "stream_id": "a" }));
     let first = send(&running, &req).await;
@@ -327,15 +335,21 @@
 }
 
 async fn crash() {
-    let cfg = quick();
+    let cfg = slow();
     let mut running = start(&cfg).await;
     let extra = j!({ "max_tokens": 240 });
     let mut other = generate(&running, "[[len=240]]", &extra).await;
-    other.token().await;
     let text = "[[crash]][[crash_after=3]][[mark=bad]]";
     let mut bad = generate(&running, text, &Value::Null).await;
+    hurry(&running).await;
     while bad.next().await != Event::Cut {}
-    while other.next().await != Event::Cut {}
+    loop {
+        match other.next().await {
+            Event::Data(_) => {}
+            Event::Done => panic!("not cut"),
+            Event::Cut => break,
+        }
+    }
     soon(running.stopped()).await;
     assert_eq!(logged(&cfg, "crashed")[0]["mark"], "bad");
     assert!(reqwest::get(running.url()).await.is_err());
@@ -390,11 +404,12 @@
 }
 
 async fn frozen() {
-    let running = start(&quick()).await;
+    let running = start(&slow()).await;
     let mut events = generate(&running, "[[len=64]]", &Value::Null).await;
     let first = events.token().await;
     let url = format!("{}/standin/faults", running.url());
     assert_eq!(post(url, &j!({ "freeze_ms": 100 })).await.0, 200);
+    hurry(&running).await;
     let mut all = vec![first];
     all.extend(events.rest().await);
     check(&all, 0);
