--- a/fireflycroft/src/code.rs
+++ b/fireflycroft/src/code.rs
@@ -58,6 +58,16 @@
     ConfigConflict = 1003, 409, "the configuration was changed by another operator";
     /// The platform did not answer an operator's action.
     PlatformUnavailable = 1004, 503, "the platform did not answer";
+    /// An order came before the agent knew the fencing number in force.
+    OrderTooEarly = 1005, 503, "the fencing number in force is not known yet";
+    /// An order had a fencing number lower than one seen before.
+    OrderFenced = 1006, 409, "the order has an old fencing number";
+    /// The upstream is busy with another order or with generations.
+    OrderBusy = 1007, 503, "the upstream is busy";
+    /// The upstream did not carry out the order.
+    OrderFailed = 1008, 502, "the upstream did not carry out the order";
+    /// The upstream carried out the order.
+    OrderDone = 1009, 200, "the order is carried out";
     /// A message between processes had no valid seal.
     BadSeal = 1101, 403, "a message had no valid seal";
     /// A message between processes was too long.
