Fuzz a small fleet against an oracle; mend two faults that it found

The fuzzer drives real entries and agents in virtual time with fakes around them and keeps a plain record of what was asked, run and given.

First fault: a caller who resumed at token n and wanted the rest at once got it numbered from zero, since the buffer held back started at zero. Second: a request that ran once and was refused as quarantined on its second way was told "not run". Ruled out: checking at each refusal, which is how this one slipped by; the last step, `fail`, now alone decides. A reader that came by another call's claim or a resume point no longer counts the other's "not run" as its own. The tables that ticks walk are ordered maps, so that a seed gives the same run each time.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -14,7 +14,7 @@
 use crate::stream::TokenLog;
 use crate::time::Time;
 use crate::work::{Demand, Work};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -170,7 +170,7 @@
     limits: AgentLimits,
     config: ConfigVersion,
     admission: Admission,
-    offers: HashMap<OfferId, Offered>,
+    offers: BTreeMap<OfferId, Offered>,
     generations: BTreeMap<u64, Generation>,
     next_serial: u64,
     quarantine: Quarantine,
@@ -193,7 +193,7 @@
             limits: setup.limits,
             config: ConfigVersion(0),
             admission: Admission::new(setup.policy, setup.capacity),
-            offers: HashMap::new(),
+            offers: BTreeMap::new(),
             generations: BTreeMap::new(),
             next_serial: 1,
             quarantine: Quarantine::default(),
--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -171,7 +171,7 @@
         self.quotas.charge(&call.demand.workspace, finish.total);
         if call.delivery == Delivery::Whole {
             let whole = std::mem::take(&mut call.held_back);
-            if let Some(point) = point_of(&call, 0) {
+            if let Some(point) = point_of(&call, whole.offset) {
                 out.push(EntryAction::Reply(id, Reply::Begin(point)));
             }
             out.push(EntryAction::Reply(id, Reply::Tokens(whole)));
@@ -201,19 +201,28 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        call.starts = call.starts.saturating_sub(1);
-        call.refusal = Some(code);
-        if call.claim_key.is_some() {
-            let retry = Some(self.limits.min_retry_after);
-            let code = if call.starts > 0 {
-                Code::OutcomeUnknown
-            } else {
-                code
-            };
-            self.fail(id, code, retry, out);
+        let Phase::Reading(reading) = &call.phase else {
             return;
+        };
+        match reading.origin {
+            Origin::Own if call.claim_key.is_some() => {
+                call.starts = call.starts.saturating_sub(1);
+                let retry = Some(self.limits.min_retry_after);
+                self.fail(id, code, retry, out);
+            }
+            Origin::Own => {
+                call.starts = call.starts.saturating_sub(1);
+                call.refusal = Some(code);
+                self.offer_next(now, id, out);
+            }
+            // The key's reservation is spent: its claim may be replaced.
+            Origin::Joined(version) => {
+                call.replace = Some(version);
+                call.tried.clear();
+                self.offer_next(now, id, out);
+            }
+            Origin::Resumed => self.fail(id, Code::StreamUnknown, None, out),
         }
-        self.offer_next(now, id, out);
     }
 
     /// The generation is lost: starts afresh where nobody saw any of it and
@@ -277,19 +286,14 @@
         let retry = Some(self.limits.min_retry_after);
         match (standing, origin) {
             (Standing::Reserved, _) => {}
-            (Standing::NeverStarted, Origin::Own) => {
+            (Standing::NeverStarted, _) => {
                 self.on_not_run(now, id, Code::ReservationLapsed, out);
             }
-            (Standing::NeverStarted, Origin::Joined(version)) => {
-                call.replace = Some(version);
-                call.tried.clear();
-                self.offer_next(now, id, out);
-            }
             (Standing::Unknown, Origin::Own) => self.on_lost(now, id, Code::OutcomeUnknown, out),
             (Standing::Unknown, Origin::Joined(_)) => {
                 self.fail(id, Code::ClaimUnresolved, None, out);
             }
-            (Standing::Unknown | Standing::NeverStarted, Origin::Resumed) => {
+            (Standing::Unknown, Origin::Resumed) => {
                 self.fail(id, Code::StreamUnknown, None, out);
             }
             (Standing::PartGone, Origin::Joined(_)) => self.fail(id, Code::AlreadyRan, None, out),
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::ids::{CallId, GenerationId, Name, Peer, RequestId};
 use crate::message::Message;
 use crate::note::Note;
-use crate::stream::Cursor;
+use crate::stream::{Chunk, Cursor};
 use crate::time::Time;
 use std::time::Duration;
 
@@ -81,12 +81,6 @@
             Code::PromptTooLong | Code::Quarantined => None,
             _ => Some(call.retry_after.unwrap_or_default()),
         };
-        // A start was sent before, so "not run" would not be true.
-        let code = if call.starts > 0 {
-            Code::OutcomeUnknown
-        } else {
-            code
-        };
         self.fail(id, code, retry, out);
     }
 
@@ -347,6 +341,10 @@
             }
             self.router.note_sent(&asked.agent);
         }
+        call.held_back = Chunk {
+            offset: cursor.next,
+            ..Chunk::default()
+        };
         call.phase = Phase::Reading(Reading {
             asked,
             origin,
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::stream::{Chunk, Cursor};
 use crate::time::Time;
 use crate::work::{Demand, Priority, Work};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -292,7 +292,7 @@
     pub(crate) ids: IdSource,
     pub(crate) config: InForce,
     pub(crate) router: Router,
-    pub(crate) calls: HashMap<CallId, Call>,
+    pub(crate) calls: BTreeMap<CallId, Call>,
     pub(crate) by_request: HashMap<RequestId, CallId>,
     pub(crate) quarantine: Quarantine,
     pub(crate) quotas: Quotas,
@@ -310,7 +310,7 @@
             ids: IdSource::new(setup.seed),
             config: InForce::default(),
             router: Router::new(setup.policy, setup.data_centre),
-            calls: HashMap::new(),
+            calls: BTreeMap::new(),
             by_request: HashMap::new(),
             quarantine: Quarantine::default(),
             quotas: Quotas::default(),
@@ -463,6 +463,8 @@
     }
 
     /// Ends a call with a code; the caller gets it at once.
+    ///
+    /// After a start that may have run, "not run" would not be true.
     pub(crate) fn fail(
         &mut self,
         id: CallId,
@@ -474,6 +476,11 @@
             return;
         };
         let delivered = call.delivered();
+        let code = if call.starts > 0 && code.class() == Class::NotRun {
+            Code::OutcomeUnknown
+        } else {
+            code
+        };
         if code.class() == Class::NotRun {
             self.quotas.give_back(&call.demand.workspace, call.charged);
         }
--- /dev/null
+++ b/fireflycroft/tests/support/op.rs
@@ -0,0 +1,169 @@
+//! Steps of a test, and how they are drawn.
+
+use super::fleet::{AGENTS, Ask, CONTENTS, ENTRIES, Kind, Proc, WORKSPACES};
+use super::link::Weather;
+use super::platform::PlatformMode;
+use super::upstream::Mood;
+use fireflycroft::MemberState;
+use proptest::prelude::*;
+
+/// One step.
+#[derive(Clone, Debug)]
+pub(crate) enum Op {
+    /// A caller asks an entry.
+    Submit(usize, Ask),
+    /// Two callers ask two entries at the same instant.
+    Twins(usize, usize, Ask),
+    /// The caller of an earlier call sends it again.
+    Again(prop::sample::Index, usize),
+    /// The caller of an earlier call goes on where it was, or before that.
+    Resume {
+        call: prop::sample::Index,
+        entry: usize,
+        back: bool,
+    },
+    /// Another workspace uses the resume point of an earlier call.
+    Steal {
+        call: prop::sample::Index,
+        entry: usize,
+    },
+    /// The caller goes away.
+    Gone(prop::sample::Index),
+    /// Time goes on, in milliseconds.
+    Advance(u64),
+    Weather(Weather),
+    /// A link loses all of one direction.
+    Cut(Proc, Proc),
+    Join(Proc, Proc),
+    /// Dies and comes back with a new life.
+    Kill(Proc),
+    Freeze(Proc),
+    Thaw(Proc),
+    /// Planned stop; it ends when it is idle.
+    Leave(Proc),
+    Stay(usize),
+    Upstream(usize, Mood),
+    /// The upstream dies now.
+    Crash(usize),
+    Platform(PlatformMode),
+    /// A process reads that version, or a rival of it.
+    Config {
+        to: Proc,
+        version: u64,
+        other: bool,
+    },
+    /// Membership, rightly or wrongly, says that of an agent.
+    Member {
+        entry: usize,
+        agent: usize,
+        state: MemberState,
+    },
+    /// All that is broken is mended.
+    Heal,
+}
+
+pub(crate) fn any_entry() -> impl Strategy<Value = usize> {
+    0..ENTRIES
+}
+
+fn any_agent() -> impl Strategy<Value = usize> {
+    0..AGENTS
+}
+
+fn any_proc() -> impl Strategy<Value = Proc> {
+    prop_oneof![
+        any_entry().prop_map(Proc::Entry),
+        any_agent().prop_map(Proc::Agent),
+    ]
+}
+
+fn any_ask() -> impl Strategy<Value = Ask> {
+    let key = prop_oneof![2 => Just(None), 1 => (0..3_u8).prop_map(Some)];
+    let kind = prop_oneof![
+        7 => Just(Kind::Plain),
+        1 => Just(Kind::NeverRepeat),
+        2 => Just(Kind::Service),
+    ];
+    let whole = prop::bool::weighted(0.3);
+    let parts = (0..WORKSPACES, 0..CONTENTS, key, kind, whole, any::<bool>());
+    parts.prop_map(|(workspace, content, key, kind, whole, interactive)| Ask {
+        workspace,
+        content,
+        key,
+        kind,
+        whole,
+        interactive,
+    })
+}
+
+fn any_weather() -> impl Strategy<Value = Weather> {
+    use Weather::{Calm, Copies, Lossy, Slow, Storm};
+    prop::sample::select(vec![Calm, Lossy, Copies, Slow, Storm])
+}
+
+fn any_platform() -> impl Strategy<Value = PlatformMode> {
+    use PlatformMode::{Deaf, Hung, Late, Out, Slow, Stale, Up};
+    prop::sample::select(vec![Up, Out, Slow, Deaf, Late, Stale, Hung])
+}
+
+fn any_mood() -> impl Strategy<Value = Mood> {
+    let at = prop::sample::select(vec![0, 1, 2, 5, 20]);
+    (0..6_u8, at).prop_map(|(kind, n)| match kind {
+        0 => Mood::Good,
+        1 => Mood::Refuse,
+        2 => Mood::Break(n),
+        3 => Mood::Lose(n),
+        4 => Mood::Die(n),
+        _ => Mood::Full,
+    })
+}
+
+fn any_state() -> impl Strategy<Value = MemberState> {
+    use MemberState::{Alive, Dead, Leaving, Suspect};
+    prop::sample::select(vec![Alive, Suspect, Leaving, Dead])
+}
+
+fn any_span() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        6 => 0..20_u64,
+        4 => 20..400_u64,
+        2 => 400..4_000_u64,
+        1 => 4_000..12_000_u64,
+    ]
+}
+
+/// Strategy of one step.
+pub(crate) fn any_op() -> impl Strategy<Value = Op> {
+    let index = any::<prop::sample::Index>;
+    let link = || (any_entry(), any_agent(), any::<bool>());
+    let ends = |(entry, agent, back): (usize, usize, bool)| {
+        let (entry, agent) = (Proc::Entry(entry), Proc::Agent(agent));
+        if back { (agent, entry) } else { (entry, agent) }
+    };
+    prop_oneof![
+        12 => (any_entry(), any_ask()).prop_map(|(entry, ask)| Op::Submit(entry, ask)),
+        2 => (any_entry(), any_entry(), any_ask()).prop_map(|(a, b, ask)| Op::Twins(a, b, ask)),
+        5 => (index(), any_entry()).prop_map(|(call, entry)| Op::Again(call, entry)),
+        5 => (index(), any_entry(), any::<bool>())
+            .prop_map(|(call, entry, back)| Op::Resume { call, entry, back }),
+        1 => (index(), any_entry()).prop_map(|(call, entry)| Op::Steal { call, entry }),
+        2 => index().prop_map(Op::Gone),
+        20 => any_span().prop_map(Op::Advance),
+        2 => any_weather().prop_map(Op::Weather),
+        2 => link().prop_map(move |l| { let (a, b) = ends(l); Op::Cut(a, b) }),
+        2 => link().prop_map(move |l| { let (a, b) = ends(l); Op::Join(a, b) }),
+        2 => any_proc().prop_map(Op::Kill),
+        3 => any_proc().prop_map(Op::Freeze),
+        4 => any_proc().prop_map(Op::Thaw),
+        1 => any_proc().prop_map(Op::Leave),
+        1 => any_agent().prop_map(Op::Stay),
+        4 => (any_agent(), any_mood()).prop_map(|(agent, mood)| Op::Upstream(agent, mood)),
+        1 => any_agent().prop_map(Op::Crash),
+        2 => any_platform().prop_map(Op::Platform),
+        2 => (any_proc(), 1..7_u64, any::<bool>())
+            .prop_map(|(to, version, other)| Op::Config { to, version, other }),
+        2 => (any_entry(), any_agent(), any_state())
+            .prop_map(|(entry, agent, state)| Op::Member { entry, agent, state }),
+        1 => Just(Op::Heal),
+    ]
+}
--- /dev/null
+++ b/fireflycroft/tests/support/platform.rs
@@ -0,0 +1,87 @@
+//! A platform for claims, with outages, lost answers and stale reads.
+
+use super::link::MS;
+use super::rng::Rng;
+use fireflycroft::{ClaimAnswer, ClaimOp, ClaimRecord, Digest};
+use std::collections::BTreeMap;
+
+/// How the platform behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum PlatformMode {
+    /// Answers in milliseconds.
+    #[default]
+    Up,
+    /// Answers at once that it is out.
+    Out,
+    /// Takes up to three seconds.
+    Slow,
+    /// Writes take effect, but every second answer is lost.
+    Deaf,
+    /// Answers are lost, and the effect comes up to five seconds later.
+    Late,
+    /// Reads show the state before the last write.
+    Stale,
+    /// Nothing is answered at all; the client times out.
+    Hung,
+}
+
+/// What is to happen on one call, in microseconds from now.
+pub(crate) struct Plan {
+    pub(crate) effect: Option<u64>,
+    pub(crate) answer: u64,
+    pub(crate) lost: bool,
+}
+
+/// The platform.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Platform {
+    pub(crate) mode: PlatformMode,
+    history: BTreeMap<Digest, Vec<ClaimRecord>>,
+}
+
+impl Platform {
+    pub(crate) fn plan(&self, rng: &mut Rng) -> Plan {
+        let quick = 2 * MS + rng.below(8 * MS);
+        let (effect, answer, lost) = match self.mode {
+            PlatformMode::Up | PlatformMode::Stale => (Some(quick), quick, false),
+            PlatformMode::Out => (None, MS, false),
+            PlatformMode::Slow => {
+                let at = rng.below(3_000 * MS);
+                (Some(at), at + rng.below(500 * MS), false)
+            }
+            PlatformMode::Deaf => (Some(quick), quick + 100 * MS, rng.per_mille(500)),
+            PlatformMode::Late => (Some(rng.below(5_000 * MS)), 200 * MS, true),
+            PlatformMode::Hung => (None, 1_000 * MS, true),
+        };
+        Plan {
+            effect,
+            answer,
+            lost,
+        }
+    }
+
+    /// Carries out a call.
+    pub(crate) fn apply(&mut self, key: Digest, op: ClaimOp) -> ClaimAnswer {
+        let stale = self.mode == PlatformMode::Stale;
+        let records = self.history.entry(key).or_default();
+        let version = records.len() as u64;
+        match op {
+            ClaimOp::Create(record) if records.is_empty() => {
+                records.push(record);
+                ClaimAnswer::Written
+            }
+            ClaimOp::Replace(over, record) if over == version && over > 0 => {
+                records.push(record);
+                ClaimAnswer::Written
+            }
+            ClaimOp::Create(_) | ClaimOp::Replace(..) => ClaimAnswer::Conflict,
+            ClaimOp::Read => {
+                let seen = version - u64::from(stale && version > 0);
+                match usize::try_from(seen).unwrap().checked_sub(1) {
+                    Some(at) => ClaimAnswer::Found(records[at].clone(), seen),
+                    None => ClaimAnswer::Absent,
+                }
+            }
+        }
+    }
+}
