--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -28,6 +28,7 @@
 mod retry;
 mod route;
 mod snapshot;
+mod store;
 mod stream;
 mod submit;
 mod time;
