Check rules whole, index calls by target and test the configuration's core

The check of a document let pass rules that name nothing known, models and services used twice, and printed what stood in place of a key's digest, which may be the key itself; one wrong brand made every rule of its workspaces a fault. A rule for calls was searched in one list for each request; lists by target and workspace replace it.

Writing the differ's tests showed run_once printed as runonce, now mended. A carrier that collects a version nobody has any more gives it up after three lower parts; leaving that to the daemon's clocks was ruled out, since it would stall until the next look at the platform.

--- a/fireflycroft/src/carrier.rs
+++ b/fireflycroft/src/carrier.rs
@@ -18,6 +18,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// Parts of lower versions in a row after which a collection is given up.
+const LOWER_UNTIL_GIVEN_UP: u32 = 3;
+
 /// One part as a peer sent it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CarriedPart {
@@ -98,6 +101,8 @@
     head_data: Arc<[u8]>,
     parts: Vec<Option<Part>>,
     bytes: usize,
+    /// Parts of lower versions that came since one of this version.
+    lower_in_a_row: u32,
 }
 
 impl ConfigCarrier {
@@ -193,7 +198,7 @@
 
     /// Takes a part that a peer sent.
     pub fn on_part(&mut self, part: &CarriedPart) -> Progress {
-        if part.version <= self.version() || part.version < self.collecting_version() {
+        if part.version <= self.version() || self.is_overtaken(part) {
             return Progress::Ignored;
         }
         if part.data.len() > MAX_PART {
@@ -211,6 +216,24 @@
         }
     }
 
+    /// Whether a higher version than the part's is being collected. When only
+    /// lower ones come, nobody has that version any more and it is given up.
+    fn is_overtaken(&mut self, part: &CarriedPart) -> bool {
+        let Some(collecting) = &mut self.collecting else {
+            return false;
+        };
+        if part.version >= collecting.head.config_version() {
+            collecting.lower_in_a_row = 0;
+            return false;
+        }
+        collecting.lower_in_a_row += 1;
+        let given_up = collecting.lower_in_a_row >= LOWER_UNTIL_GIVEN_UP;
+        if given_up {
+            self.collecting = None;
+        }
+        !given_up
+    }
+
     fn collecting_version(&self) -> ConfigVersion {
         self.collecting
             .as_ref()
@@ -236,6 +259,7 @@
             head_data: part.data.clone(),
             parts,
             bytes,
+            lower_in_a_row: 0,
         });
         Ok(true)
     }
--- a/fireflycroft/src/config.rs
+++ b/fireflycroft/src/config.rs
@@ -1,12 +1,11 @@
-//! The configuration in force: compiled for look-up, never going back.
+//! The configuration in force: ready for look-ups, never going back.
 //!
-//! [`compile`] checks an inventory and its rules whole and lists every fault.
-//! [`InForce`] keeps the highest version a process has seen. A lower one is
+//! `compile` makes a [`Config`] of a document. [`InForce`] keeps the highest version a process has seen. A lower one is
 //! not taken, whoever sends it; the same version with other content is a
 //! conflict, which keeps what is in force.
 
 use crate::ids::{Digest, Name};
-use crate::inventory::{Inventory, NonRepeatable, Objective, Rules, WithoutKey};
+use crate::inventory::{Inventory, Objective, Rules, WithoutKey};
 use crate::message::ConfigVersion;
 use crate::work::Priority;
 use serde::{Deserialize, Serialize};
@@ -14,25 +13,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Most workspaces that one configuration may hold.
-pub const MAX_WORKSPACES: usize = 200_000;
-
 /// Index of a workspace in its configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct WorkspaceIx(u32);
+pub struct WorkspaceIx(pub(crate) u32);
 
 /// Index of a brand in its configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct BrandIx(u32);
-
-/// One fault of an inventory or of rules.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// Where, such as `workspaces[3].brand`.
-    pub field: String,
-    /// What is wrong, with the value.
-    pub text: String,
-}
+pub(crate) struct BrandIx(pub(crate) u32);
 
 /// Inventory and rules as they are stored and carried.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,30 +38,51 @@
     pub version: ConfigVersion,
     /// Digest of the document it was compiled from.
     pub digest: Digest,
-    brands: Vec<BrandEntry>,
-    workspaces: Vec<WorkspaceEntry>,
-    by_key: HashMap<[u8; 32], WorkspaceIx>,
-    non_repeatable: Vec<NonRepeatable>,
-    without_key: WithoutKey,
-    objectives: Vec<Objective>,
-    models: Vec<(Name, u32)>,
-    interactive_wait: Duration,
-    batch_wait: Duration,
+    pub(crate) brands: Vec<BrandEntry>,
+    pub(crate) workspaces: Vec<WorkspaceEntry>,
+    pub(crate) by_key: HashMap<[u8; 32], WorkspaceIx>,
+    pub(crate) non_repeatable: HashMap<Name, CallRules>,
+    pub(crate) without_key: WithoutKey,
+    pub(crate) objectives: Vec<Objective>,
+    pub(crate) models: Vec<(Name, u32)>,
+    pub(crate) interactive_wait: Duration,
+    pub(crate) batch_wait: Duration,
 }
 
+/// A brand, ready for look-ups.
 #[derive(Debug)]
-struct BrandEntry {
-    name: Name,
-    targets: HashSet<Name>,
+pub(crate) struct BrandEntry {
+    pub(crate) name: Name,
+    /// Models and plain services that it may use.
+    pub(crate) targets: HashSet<Name>,
 }
 
+/// A workspace, ready for look-ups.
 #[derive(Debug)]
-struct WorkspaceEntry {
-    name: Name,
-    brand: BrandIx,
-    default: Priority,
-    highest: Priority,
-    tokens_per_minute: Option<u64>,
+pub(crate) struct WorkspaceEntry {
+    pub(crate) name: Name,
+    pub(crate) brand: BrandIx,
+    pub(crate) default: Priority,
+    pub(crate) highest: Priority,
+    pub(crate) tokens_per_minute: Option<u64>,
+}
+
+/// Calls of one target that may not be repeated.
+#[derive(Debug, Default)]
+pub(crate) struct CallRules {
+    /// Those of every workspace.
+    pub(crate) general: Vec<CallRule>,
+    /// Those of one workspace.
+    pub(crate) own: HashMap<WorkspaceIx, Vec<CallRule>>,
+}
+
+/// Which calls of a target a rule is for.
+#[derive(Debug)]
+pub(crate) struct CallRule {
+    /// HTTP method; every method when absent.
+    pub(crate) method: Option<Name>,
+    /// Head of the path; every path when absent.
+    pub(crate) path: Option<Name>,
 }
 
 /// Digest of a caller's key, as the inventory holds it.
@@ -83,44 +91,6 @@
     *blake3::hash(key.as_bytes()).as_bytes()
 }
 
-/// Checks `doc` whole and makes it ready for look-ups.
-///
-/// # Errors
-///
-/// Every fault found, in the order of the document.
-pub fn compile(
-    version: ConfigVersion,
-    digest: Digest,
-    doc: &Document,
-) -> Result<Config, Vec<Fault>> {
-    let mut faults = Vec::new();
-    let brands = compile_brands(doc, &mut faults);
-    let mut workspaces = compile_workspaces(doc, &mut faults);
-    let by_key = compile_keys(doc, &mut faults);
-    apply_rules(&doc.rules, &mut workspaces, &mut faults);
-    if !faults.is_empty() {
-        return Err(faults);
-    }
-    Ok(Config {
-        version,
-        digest,
-        brands,
-        workspaces,
-        by_key,
-        non_repeatable: doc.rules.non_repeatable.clone(),
-        without_key: doc.rules.without_key,
-        objectives: doc.rules.objectives.clone(),
-        models: doc
-            .inventory
-            .models
-            .iter()
-            .map(|m| (m.name.clone(), m.replicas))
-            .collect(),
-        interactive_wait: Duration::from_millis(doc.rules.interactive_wait_ms),
-        batch_wait: Duration::from_millis(doc.rules.batch_wait_ms),
-    })
-}
-
 impl Config {
     /// Workspace that holds the key of this digest.
     #[must_use]
@@ -168,16 +138,12 @@
         method: &str,
         path: &str,
     ) -> bool {
-        let workspace = self.workspace_name(ix);
-        self.non_repeatable.iter().any(|rule| {
-            *rule.target == *target
-                && rule
-                    .method
-                    .as_deref()
-                    .is_none_or(|m| m.eq_ignore_ascii_case(method))
-                && rule.path.as_deref().is_none_or(|p| path.starts_with(p))
-                && rule.workspace.as_ref().is_none_or(|w| w == workspace)
-        })
+        let Some(rules) = self.non_repeatable.get(target) else {
+            return false;
+        };
+        let own = rules.own.get(&ix).into_iter().flatten();
+        let mut all = rules.general.iter().chain(own);
+        all.any(|rule| rule.covers(method, path))
     }
 
     /// What becomes of a non-repeatable request without a key.
@@ -225,166 +191,12 @@
     }
 }
 
-fn compile_brands(doc: &Document, faults: &mut Vec<Fault>) -> Vec<BrandEntry> {
-    let models: HashSet<&Name> = doc.inventory.models.iter().map(|m| &m.name).collect();
-    let services: HashSet<&Name> = doc.inventory.services.iter().collect();
-    let mut seen = HashSet::new();
-    let mut brands = Vec::with_capacity(doc.inventory.brands.len());
-    for (i, brand) in doc.inventory.brands.iter().enumerate() {
-        if brand.name.is_empty() || !seen.insert(&brand.name) {
-            add_fault(
-                faults,
-                format!("brands[{i}].name"),
-                "empty or used twice",
-                &brand.name,
-            );
-        }
-        for (j, model) in brand.models.iter().enumerate() {
-            if !models.contains(model) {
-                add_fault(
-                    faults,
-                    format!("brands[{i}].models[{j}]"),
-                    "no such model",
-                    model,
-                );
-            }
-        }
-        for (j, service) in brand.services.iter().enumerate() {
-            if !services.contains(service) {
-                add_fault(
-                    faults,
-                    format!("brands[{i}].services[{j}]"),
-                    "no such service",
-                    service,
-                );
-            }
-        }
-        brands.push(BrandEntry {
-            name: brand.name.clone(),
-            targets: brand
-                .models
-                .iter()
-                .chain(&brand.services)
-                .cloned()
-                .collect(),
-        });
-    }
-    brands
-}
-
-fn compile_workspaces(doc: &Document, faults: &mut Vec<Fault>) -> Vec<WorkspaceEntry> {
-    let list = &doc.inventory.workspaces;
-    if list.len() > MAX_WORKSPACES {
-        add_fault(
-            faults,
-            "workspaces".into(),
-            "more than the limit",
-            &list.len().to_string(),
-        );
-        return Vec::new();
+impl CallRule {
+    fn covers(&self, method: &str, path: &str) -> bool {
+        let of_method = |m: &Name| m.eq_ignore_ascii_case(method);
+        let of_path = |p: &Name| path.starts_with(&**p);
+        self.method.as_ref().is_none_or(of_method) && self.path.as_ref().is_none_or(of_path)
     }
-    let brands: HashMap<&Name, u32> = (0..)
-        .zip(&doc.inventory.brands)
-        .map(|(i, b)| (&b.name, i))
-        .collect();
-    let mut seen = HashSet::new();
-    let mut workspaces = Vec::with_capacity(list.len());
-    for (i, workspace) in list.iter().enumerate() {
-        if workspace.name.is_empty() || !seen.insert(&workspace.name) {
-            add_fault(
-                faults,
-                format!("workspaces[{i}].name"),
-                "empty or used twice",
-                &workspace.name,
-            );
-        }
-        let Some(&brand) = brands.get(&workspace.brand) else {
-            add_fault(
-                faults,
-                format!("workspaces[{i}].brand"),
-                "no such brand",
-                &workspace.brand,
-            );
-            continue;
-        };
-        workspaces.push(WorkspaceEntry {
-            name: workspace.name.clone(),
-            brand: BrandIx(brand),
-            default: Priority::Batch,
-            highest: Priority::Interactive,
-            tokens_per_minute: None,
-        });
-    }
-    workspaces
-}
-
-fn compile_keys(doc: &Document, faults: &mut Vec<Fault>) -> HashMap<[u8; 32], WorkspaceIx> {
-    let mut by_key = HashMap::new();
-    for (i, workspace) in (0..).zip(&doc.inventory.workspaces) {
-        for (j, text) in workspace.key_digests.iter().enumerate() {
-            let field = || format!("workspaces[{i}].key_digests[{j}]");
-            match blake3::Hash::from_hex(text.as_bytes()) {
-                Ok(hash) => {
-                    if by_key.insert(*hash.as_bytes(), WorkspaceIx(i)).is_some() {
-                        add_fault(faults, field(), "key used twice", text);
-                    }
-                }
-                Err(_) => add_fault(faults, field(), "not 64 hexadecimal digits", text),
-            }
-        }
-    }
-    by_key
-}
-
-fn apply_rules(rules: &Rules, workspaces: &mut [WorkspaceEntry], faults: &mut Vec<Fault>) {
-    let index: HashMap<Name, usize> = workspaces
-        .iter()
-        .enumerate()
-        .map(|(i, w)| (w.name.clone(), i))
-        .collect();
-    for (i, rule) in rules.priorities.iter().enumerate() {
-        let Some(&at) = index.get(&rule.workspace) else {
-            add_fault(
-                faults,
-                format!("priorities[{i}].workspace"),
-                "no such workspace",
-                &rule.workspace,
-            );
-            continue;
-        };
-        workspaces[at].default = rule.default.min(rule.highest);
-        workspaces[at].highest = rule.highest;
-    }
-    for (i, quota) in rules.quotas.iter().enumerate() {
-        let Some(&at) = index.get(&quota.workspace) else {
-            add_fault(
-                faults,
-                format!("quotas[{i}].workspace"),
-                "no such workspace",
-                &quota.workspace,
-            );
-            continue;
-        };
-        workspaces[at].tokens_per_minute = Some(quota.tokens_per_minute);
-    }
-    for (i, objective) in rules.objectives.iter().enumerate() {
-        if objective.per_mille > 1_000 {
-            let text = objective.per_mille.to_string();
-            add_fault(
-                faults,
-                format!("objectives[{i}].per_mille"),
-                "over 1000",
-                &text,
-            );
-        }
-    }
-}
-
-fn add_fault(faults: &mut Vec<Fault>, field: String, what: &str, value: &str) {
-    faults.push(Fault {
-        field,
-        text: format!("{what}: {value:?}"),
-    });
 }
 
 /// What became of a configuration that was offered.
--- a/fireflycroft/src/diff.rs
+++ b/fireflycroft/src/diff.rs
@@ -5,7 +5,8 @@
 
 use crate::config::Document;
 use crate::ids::Name;
-use crate::inventory::{NonRepeatable, Objective, Rules};
+use crate::inventory::{NonRepeatable, Objective, Rules, WithoutKey};
+use crate::work::Priority;
 use serde::{Serialize, Serializer};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -234,8 +235,9 @@
         })),
         Subject::Key => keys(doc),
         Subject::Priority => collect(rules.priorities.iter().map(|p| {
-            let what = format!("default {:?}, highest {:?}", p.default, p.highest);
-            (p.workspace.to_string(), what.to_lowercase())
+            let (default, highest) = (priority(p.default), priority(p.highest));
+            let what = format!("default {default}, highest {highest}");
+            (p.workspace.to_string(), what)
         })),
         Subject::Quota => collect(rules.quotas.iter().map(|q| {
             let what = format!("{} tokens a minute", q.tokens_per_minute);
@@ -309,7 +311,7 @@
 
 fn objective(o: &Objective) -> (String, String) {
     let brand = o.brand.as_deref().unwrap_or("*");
-    let name = format!("{brand} {:?}", o.priority).to_lowercase();
+    let name = format!("{brand} {}", priority(o.priority));
     let what = format!(
         "first token {} ms, between tokens {} ms, {} of 1000",
         o.first_token_ms, o.between_tokens_ms, o.per_mille
@@ -317,11 +319,21 @@
     (name, what)
 }
 
+const fn priority(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Interactive => "interactive",
+        Priority::Batch => "batch",
+    }
+}
+
 fn settings(rules: &Rules) -> Entries {
-    let without_key = format!("{:?}", rules.without_key).to_lowercase();
+    let without_key = match rules.without_key {
+        WithoutKey::Refuse => "refuse",
+        WithoutKey::RunOnce => "run_once",
+    };
     collect(
         [
-            ("without_key", without_key),
+            ("without_key", without_key.to_owned()),
             ("interactive_wait_ms", rules.interactive_wait_ms.to_string()),
             ("batch_wait_ms", rules.batch_wait_ms.to_string()),
         ]
--- a/fireflycroft/tests/snapshot.rs
+++ b/fireflycroft/tests/snapshot.rs
@@ -1,9 +1,9 @@
 //! Cutting a document into parts, putting it together and carrying it.
 
 use fireflycroft::{
-    CarriedPart, ConfigCarrier, ConfigVersion, Digest, Document, Head, Inventory, MAX_PART,
+    Bundle, CarriedPart, ConfigCarrier, ConfigVersion, Digest, Document, Head, Inventory, MAX_PART,
     Message, Name, Part, Priority, PriorityRule, Progress, Quota, Rules, Snapshot, SnapshotError,
-    Workspace, assemble, split,
+    Workspace, WriteFate, assemble, split,
 };
 use std::collections::HashSet;
 
@@ -177,6 +177,34 @@
         let e = assemble(&head, &snapshot.parts).unwrap_err();
         assert!(matches!(e, SnapshotError::Malformed(_)), "{e}");
     };
+    writes_name_the_writes_before_them => {
+        let snapshot = split(&document(10)).unwrap();
+        let mut head: Option<Head> = None;
+        for version in 1..40 {
+            let token = Name::from(version.to_string());
+            let next = snapshot.head(ConfigVersion(version), 0, "test".into(), token);
+            head = Some(next.after(head.as_ref()));
+        }
+        let past: Vec<u64> = head.unwrap().past.iter().map(|w| w.version).collect();
+        assert_eq!(past, (23..39).rev().collect::<Vec<_>>());
+    };
+    own_write_is_in_force => assert_eq!(fate_after(&["a"], "b", &["b"]), WriteFate::InForce);
+    untouched_head_leaves_a_write_open => {
+        assert_eq!(fate_after(&["a"], "b", &[]), WriteFate::Open);
+        assert_eq!(fate_after(&[], "b", &[]), WriteFate::Open);
+    };
+    write_behind_another_was_replaced => {
+        assert_eq!(fate_after(&["a"], "b", &["b", "c", "d"]), WriteFate::Replaced);
+    };
+    write_that_no_head_names_was_lost => {
+        assert_eq!(fate_after(&["a"], "b", &["c"]), WriteFate::Lost);
+        assert_eq!(fate_after(&[], "b", &["c", "d"]), WriteFate::Lost);
+    };
+    write_far_behind_is_unknown => {
+        let later: Vec<String> = (0..40).map(|i| format!("later-{i}")).collect();
+        let later: Vec<&str> = later.iter().map(String::as_str).collect();
+        assert_eq!(fate_after(&["a"], "b", &later), WriteFate::Unknown);
+    };
     head_survives_json => {
         let head = head_of(&split(&document(2_000)).unwrap(), 7);
         let text = serde_json::to_string(&head).unwrap();
@@ -184,6 +212,21 @@
     };
 }
 
+/// Fate of a write by `own` over the heads `before`, when those by `after`
+/// follow.
+fn fate_after(before: &[&str], own: &str, after: &[&str]) -> WriteFate {
+    let snapshot = split(&document(10)).unwrap();
+    let write = |base: Option<&Head>, token: &str| {
+        let version = base.map_or(0, |h| h.version) + 1;
+        let head = snapshot.head(ConfigVersion(version), 0, "test".into(), token.into());
+        head.after(base)
+    };
+    let chain = |base: Option<Head>, token: &str| Some(write(base.as_ref(), token));
+    let base = before.iter().copied().fold(None, chain);
+    let now = after.iter().copied().fold(base.clone(), chain);
+    write(base.as_ref(), own).fate(base.as_ref(), now.as_ref())
+}
+
 fn round_trips(doc: &Document) {
     let snapshot = split(doc).unwrap();
     assert_eq!(
@@ -292,6 +335,25 @@
         assert_eq!(pull_all(&four, &mut to).0, document(3_000));
         assert_eq!(to.on_part(&pull(&three, none, 1).unwrap()), Progress::Ignored);
     };
+    version_that_nobody_has_any_more_is_given_up => {
+        let (three, four) = (holder(&document(3_000), 3), holder(&document(2_000), 4));
+        let mut to = ConfigCarrier::default();
+        let none = ConfigVersion(0);
+        to.on_part(&pull(&four, none, 0).unwrap());
+        let lower = pull(&three, none, 1).unwrap();
+        assert_eq!(to.on_part(&lower), Progress::Ignored);
+        assert_eq!(to.on_part(&lower), Progress::Ignored);
+        assert_eq!(to.on_part(&lower), Progress::Want(0));
+        assert_eq!(pull_all(&three, &mut to).0, document(3_000));
+    };
+    bundle_shows_what_is_held => {
+        let carrier = holder(&document(2_000), 3);
+        let text = serde_json::to_string(&carrier.bundle().unwrap()).unwrap();
+        let bundle: Bundle = serde_json::from_str(&text).unwrap();
+        assert_eq!(bundle.head.version, 3);
+        assert_eq!(bundle.document().unwrap(), document(2_000));
+        assert!(ConfigCarrier::default().bundle().is_none());
+    };
     repeated_part_is_ignored => {
         let from = holder(&document(2_000), 3);
         let mut to = ConfigCarrier::default();
