Tell lost writes of the head from lost races by the line of its writes

A head that is read after a write may be stale, or the platform may have gone back: taking any head without the write's token for a lost race would then call an accepted write refused. A write now counts as lost only when the head read follows the one it was written over; otherwise its outcome is said to be unknown.

Heads of the past are kept under their token, so that an operator who planned on an earlier version is shown what others changed since; keeping past documents in the head itself was ruled out by its size.

--- a/fireflycroft/src/config.rs
+++ b/fireflycroft/src/config.rs
@@ -5,7 +5,7 @@
 //! conflict, which keeps what is in force.
 
 use crate::ids::{Digest, Name};
-use crate::inventory::{Inventory, Objective, Rules, WithoutKey};
+use crate::inventory::{Inventory, Objective, Rules, WithoutKey, find_objective};
 use crate::message::ConfigVersion;
 use crate::work::Priority;
 use serde::{Deserialize, Serialize};
@@ -164,14 +164,7 @@
     /// Objective of a brand's requests of one priority.
     #[must_use]
     pub fn objective(&self, brand: &str, priority: Priority) -> Option<&Objective> {
-        let fits = |o: &&Objective| o.priority == priority;
-        let own = |o: &&Objective| o.brand.as_deref() == Some(brand);
-        let general = |o: &&Objective| o.brand.is_none();
-        let mut of_priority = self.objectives.iter().filter(fits);
-        of_priority
-            .clone()
-            .find(own)
-            .or_else(|| of_priority.find(general))
+        find_objective(&self.objectives, brand, priority)
     }
 
     /// Models with the number of engines that should hold each.
--- a/fireflycroft/src/inventory.rs
+++ b/fireflycroft/src/inventory.rs
@@ -94,6 +94,29 @@
     }
 }
 
+impl Rules {
+    /// Objective of a brand's requests of one priority: its own, or else the
+    /// general one.
+    #[must_use]
+    pub fn objective(&self, brand: &str, priority: Priority) -> Option<&Objective> {
+        find_objective(&self.objectives, brand, priority)
+    }
+}
+
+pub(crate) fn find_objective<'a>(
+    objectives: &'a [Objective],
+    brand: &str,
+    priority: Priority,
+) -> Option<&'a Objective> {
+    let mut of_priority = objectives.iter().filter(|o| o.priority == priority);
+    let own = |o: &&Objective| o.brand.as_deref() == Some(brand);
+    let general = |o: &&Objective| o.brand.is_none();
+    of_priority
+        .clone()
+        .find(own)
+        .or_else(|| of_priority.find(general))
+}
+
 /// Priority of a workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/fireflycroft/src/snapshot.rs
+++ b/fireflycroft/src/snapshot.rs
@@ -23,6 +23,8 @@
 
 /// Kind of the platform's objects that hold parts.
 pub const PART_KIND: &str = "config-part";
+/// Kind of the platform's objects that hold heads of the past, by token.
+pub const PAST_KIND: &str = "config-past";
 /// Kind of the platform's object that holds the head.
 pub const HEAD_KIND: &str = "config";
 /// Name of the platform's object that holds the head.
@@ -107,7 +109,7 @@
     Lost,
     /// Nothing was written since; it may yet take effect.
     Open,
-    /// The head goes too far beyond it to tell.
+    /// The head can't tell: it went too far on, or back to an older state.
     Unknown,
 }
 
@@ -342,25 +344,30 @@
     #[must_use]
     pub fn fate(&self, base: Option<&Self>, now: Option<&Self>) -> WriteFate {
         let Some(now) = now else {
-            return if base.is_none() {
+            let untouched = base.is_none();
+            return if untouched {
                 WriteFate::Open
             } else {
-                WriteFate::Lost
+                WriteFate::Unknown
             };
         };
-        if now.token == self.token && now.digest == self.digest {
+        if now.token == self.token {
             return WriteFate::InForce;
         }
-        if base.is_some_and(|b| b.token == now.token && b.version == now.version) {
-            return WriteFate::Open;
-        }
-        if now.past.iter().any(|w| w.token == self.token) {
+        if now.follows(&self.token) {
             return WriteFate::Replaced;
         }
-        if now.past.len() == MAX_PAST && now.past.iter().all(|w| w.version > self.version) {
-            return WriteFate::Unknown;
+        match base {
+            Some(base) if now.token == base.token => WriteFate::Open,
+            Some(base) if now.follows(&base.token) => WriteFate::Lost,
+            None if now.past.len() < MAX_PAST => WriteFate::Lost,
+            _ => WriteFate::Unknown,
         }
-        WriteFate::Lost
+    }
+
+    /// Whether the write with this token is among those before this one.
+    fn follows(&self, token: &Name) -> bool {
+        self.past.iter().any(|w| w.token == *token)
     }
 
     /// Checks that the digest is that of the list, and the list not too long.
--- a/fireflyctl/src/apply.rs
+++ b/fireflyctl/src/apply.rs
@@ -4,7 +4,8 @@
 use crate::check::{Half, check};
 use crate::console::Console;
 use crate::failure::{Conflict, Failure, Result};
-use crate::fleet::{Fleet, NodeStatus};
+use crate::fleet::{Answer, Fleet, NodeStatus};
+use crate::keys;
 use crate::publish::{self, Base, Outcome};
 use crate::store::Store;
 use anyhow::Context;
@@ -56,7 +57,7 @@
         .map_err(|faults| Failure::Faults(change.file.clone(), faults))?;
     let mine = Diff::between(&doc, &doc_now);
     show_diff(change, &mine, console)?;
-    expect_version(change, &base, &mine)?;
+    expect_version(change, store, &base, &mine).await?;
     let behind = highest.as_ref().map_or(0, |(_, version)| *version) > base.version();
     if change.dry_run {
         return say_plan(&base, &mine, console);
@@ -143,18 +144,29 @@
 }
 
 /// Fails when another version is in force than the operator planned on.
-fn expect_version(change: &Change, base: &Base, mine: &Diff) -> Result<()> {
-    let found = base.version();
-    match change.expect {
-        Some(expected) if expected != found => Err(Failure::Conflict(Box::new(Conflict {
-            base: expected,
-            version: found,
-            by: author(base),
-            mine: mine.clone(),
-            theirs: Diff::default(),
-        }))),
-        _ => Ok(()),
+async fn expect_version(
+    change: &Change,
+    store: &impl Store,
+    base: &Base,
+    mine: &Diff,
+) -> Result<()> {
+    let (Some(expected), Some(head)) = (change.expect, &base.head) else {
+        return Ok(());
+    };
+    if expected == head.version {
+        return Ok(());
     }
+    let planned_on = match expected {
+        0 => Some(Document::default()),
+        _ => publish::past_document(store, head, expected).await?,
+    };
+    Err(Failure::Conflict(Box::new(Conflict {
+        base: expected,
+        version: head.version,
+        by: author(Some(head)),
+        mine: mine.clone(),
+        theirs: planned_on.map(|from| Diff::between(&from, &base.doc)),
+    })))
 }
 
 async fn publish(
@@ -171,28 +183,28 @@
             ConfigVersion(version),
             now_ms(),
             change.by.clone(),
-            crate::keys::token()?,
+            keys::token()?,
         )
         .after(base.head.as_ref());
     publish::put_parts(store, &snapshot, base.head.as_ref()).await?;
+    publish::put_past(store, &head).await?;
     match publish::publish_head(store, base, &head).await? {
         Outcome::Accepted => Ok(head),
-        Outcome::Replaced(now) => Err(anyhow::anyhow!(
-            "version {version} was accepted, and {} has put version {} in its place",
-            author(&now),
-            now.version()
-        )
-        .into()),
+        Outcome::Replaced(now) => Err(Failure::Replaced {
+            version,
+            by: author(Some(&now)),
+            now: now.version,
+        }),
         Outcome::Lost(now) => Err(Failure::Conflict(Box::new(Conflict {
             base: base.version(),
             version: now.version(),
-            by: author(&now),
+            by: author(now.head.as_ref()),
             mine: mine.clone(),
-            theirs: Diff::between(&base.doc, &now.doc),
+            theirs: Some(Diff::between(&base.doc, &now.doc)),
         }))),
         Outcome::NoEffect(e) => Err(Failure::Unavailable(format!("the head: {e}"))),
         Outcome::Unknown => Err(Failure::Unknown(format!(
-            "see `fireflyctl config version` for token {}",
+            "look for token {} in `fireflyctl config version`",
             head.token
         ))),
     }
@@ -236,7 +248,7 @@
 }
 
 fn say_in_force(
-    seen: &[crate::fleet::Answer<NodeStatus>],
+    seen: &[Answer<NodeStatus>],
     version: u64,
     console: &mut Console<'_>,
 ) -> Result<()> {
@@ -260,13 +272,9 @@
     }
 }
 
-fn author(base: &Base) -> String {
-    let by = base.head.as_ref().map_or("", |h| &*h.by);
-    if by.is_empty() {
-        "somebody".to_owned()
-    } else {
-        by.to_owned()
-    }
+fn author(head: Option<&Head>) -> String {
+    let by = head.map_or("", |h| &*h.by);
+    if by.is_empty() { "somebody" } else { by }.to_owned()
 }
 
 fn now_ms() -> u64 {
--- a/fireflyctl/src/cli.rs
+++ b/fireflyctl/src/cli.rs
@@ -73,7 +73,7 @@
 const EXIT_STATUSES: &str = "Exit statuses: 0 done; 1 failed for another reason; \
 64 wrong command line; 65 faults in the file (1002); \
 69 no answer, nothing was changed (1004); 74 no answer, effect unknown (1004); \
-75 another operator was first (1003); 76 accepted, but not yet in force on every node";
+75 another operator was first (1003); 76 accepted, but replaced since or not in force on every node in time";
 
 fn run_matches(matches: &ArgMatches, console: &mut Console<'_>) -> Result<()> {
     let rt = tokio::runtime::Builder::new_current_thread()
--- a/fireflyctl/src/failure.rs
+++ b/fireflyctl/src/failure.rs
@@ -9,7 +9,7 @@
 //! | 69 | the platform or a node did not answer; nothing was changed (1004) |
 //! | 74 | the platform did not answer; whether the change took effect is not known (1004) |
 //! | 75 | another operator was first; nothing was changed (1003) |
-//! | 76 | accepted, but not seen in force on every node within the wait |
+//! | 76 | accepted, but replaced since or not seen in force on every node within the wait |
 
 use fireflycroft::{Code, Diff};
 use std::fmt;
@@ -31,6 +31,15 @@
     Unknown(String),
     /// Another operator was first.
     Conflict(Box<Conflict>),
+    /// Accepted, and replaced by another operator since.
+    Replaced {
+        /// Version that was accepted.
+        version: u64,
+        /// Who replaced it.
+        by: String,
+        /// Version in force now.
+        now: u64,
+    },
     /// Accepted, but not in force on so many nodes.
     NotInForce {
         /// Version that was accepted.
@@ -64,8 +73,8 @@
     pub by: String,
     /// What this operator wanted to change.
     pub mine: Diff,
-    /// What the other changed.
-    pub theirs: Diff,
+    /// What others changed since; `None` when the base isn't known any more.
+    pub theirs: Option<Diff>,
 }
 
 impl Failure {
@@ -78,7 +87,7 @@
             Self::Unavailable(_) => 69,
             Self::Unknown(_) => 74,
             Self::Conflict(_) => 75,
-            Self::NotInForce { .. } => 76,
+            Self::NotInForce { .. } | Self::Replaced { .. } => 76,
             Self::Other(_) => 1,
         }
     }
@@ -91,7 +100,7 @@
             Self::Faults(..) => Some(Code::BadConfig),
             Self::Unavailable(_) | Self::Unknown(_) => Some(Code::PlatformUnavailable),
             Self::Conflict(_) => Some(Code::ConfigConflict),
-            Self::NotInForce { .. } | Self::Other(_) => None,
+            Self::NotInForce { .. } | Self::Replaced { .. } | Self::Other(_) => None,
         }
     }
 }
@@ -111,6 +120,12 @@
             Self::Unavailable(why) => write!(f, "nothing was changed: {why}"),
             Self::Unknown(why) => write!(f, "whether it took effect is not known: {why}"),
             Self::Conflict(conflict) => conflict.fmt(f),
+            Self::Replaced { version, by, now } => {
+                write!(
+                    f,
+                    "version {version} was accepted, and {by} put version {now} in its place"
+                )
+            }
             Self::NotInForce { version, nodes } => {
                 let nodes = nodes.join(", ");
                 write!(
@@ -142,12 +157,15 @@
             mine,
             theirs,
         } = self;
-        write!(
+        writeln!(
             f,
-            "{by} put version {version} in force over version {base} first; nothing of yours was changed\n\
-             yours, over version {base}:\n{mine}\n\
-             theirs, over version {base}:\n{theirs}"
-        )
+            "{by} put version {version} in force, you built on version {base}; nothing was changed"
+        )?;
+        writeln!(f, "yours:\n{mine}")?;
+        match theirs {
+            Some(theirs) => write!(f, "others', since version {base}:\n{theirs}"),
+            None => write!(f, "others': version {base} isn't known any more"),
+        }
     }
 }
 
--- a/fireflyctl/src/lib.rs
+++ b/fireflyctl/src/lib.rs
@@ -20,5 +20,7 @@
 pub use cli::{command, env_name, run};
 pub use console::Console;
 pub use failure::{Conflict, Failure, FileFault, Result};
-pub use publish::{Base, Outcome, base, put_head, put_parts, read_back};
+pub use publish::{
+    Base, Outcome, base, past_document, publish_head, put_head, put_parts, put_past, read_back,
+};
 pub use store::{Store, StoreObject};
--- a/fireflyctl/src/publish.rs
+++ b/fireflyctl/src/publish.rs
@@ -9,11 +9,12 @@
 use crate::failure::{Failure, Result};
 use crate::store::Store;
 use fireflycroft::{
-    Document, HEAD_KIND, HEAD_NAME, Head, PART_KIND, Part, PartName, Snapshot, SnapshotError,
-    WriteFate, assemble,
+    Document, HEAD_KIND, HEAD_NAME, Head, PART_KIND, PAST_KIND, Part, PartName, Snapshot,
+    SnapshotError, WriteFate, assemble,
 };
 use fireflyd::platform::{Condition, PlatformError};
 use futures_util::{StreamExt, TryStreamExt, stream};
+use serde_json::Value;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -41,7 +42,7 @@
     /// It is in force.
     Accepted,
     /// It was in force, and another has replaced it.
-    Replaced(Box<Base>),
+    Replaced(Box<Head>),
     /// Another write was first; it never was in force.
     Lost(Box<Base>),
     /// It had no effect, and why.
@@ -108,12 +109,23 @@
     base: &Base,
     head: &Head,
 ) -> std::result::Result<u64, PlatformError> {
-    let value = serde_json::to_value(head).map_err(|e| PlatformError::Invalid(e.to_string()))?;
+    let value = head_value(head).map_err(|e| PlatformError::Invalid(e.to_string()))?;
     store
         .put(HEAD_KIND, HEAD_NAME, &value, base.condition())
         .await
 }
 
+/// Writes a copy of the head under its token, so that it can be read when
+/// another is in force.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn put_past(store: &impl Store, head: &Head) -> Result<()> {
+    let value = head_value(head).map_err(anyhow::Error::from)?;
+    put_immutable(store, PAST_KIND, &head.token, &value).await
+}
+
 /// Reads the head back and says what became of the write of `head`.
 ///
 /// # Errors
@@ -130,12 +142,15 @@
 /// # Errors
 ///
 /// A head that was written by another and can't be read.
-pub(crate) async fn publish_head(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
+pub async fn publish_head(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
     let mut may_have_effect = false;
     let mut last = PlatformError::OutcomeUnknown;
     for pause in pauses() {
         match put_head(store, from, head).await {
             Ok(_) => return Ok(Outcome::Accepted),
+            Err(PlatformError::Conflict { .. }) if !may_have_effect => {
+                return Ok(Outcome::Lost(Box::new(base(store).await?)));
+            }
             Err(PlatformError::Conflict { .. }) => return settle(store, from, head).await,
             Err(e @ PlatformError::Invalid(_)) if !may_have_effect => {
                 return Ok(Outcome::NoEffect(e));
@@ -153,18 +168,47 @@
     Ok(Outcome::NoEffect(last))
 }
 
-/// Says from the head that is read now what became of the write.
+/// Reads the head until it says what became of a write that may have taken
+/// effect, or the tries are used up.
 async fn settle(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
-    let Ok(now) = base(store).await else {
-        return Ok(Outcome::Unknown);
+    for pause in pauses() {
+        match read_back(store, from, head).await {
+            Ok(WriteFate::InForce) => return Ok(Outcome::Accepted),
+            Ok(WriteFate::Replaced) => return replaced(store).await,
+            Ok(WriteFate::Lost) => return Ok(Outcome::Lost(Box::new(base(store).await?))),
+            // A read may lag behind the write.
+            Ok(WriteFate::Open | WriteFate::Unknown) => tokio::time::sleep(pause).await,
+            Err(_) => break,
+        }
+    }
+    Ok(Outcome::Unknown)
+}
+
+async fn replaced(store: &impl Store) -> Result<Outcome> {
+    let now = read_head(store).await?.map(|(_, head)| head);
+    Ok(now.map_or(Outcome::Unknown, |now| Outcome::Replaced(Box::new(now))))
+}
+
+/// Document of an earlier version in the line of `now`; `None` when it isn't
+/// known any more.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn past_document(
+    store: &impl Store,
+    now: &Head,
+    version: u64,
+) -> Result<Option<Document>> {
+    let Some(write) = now.past.iter().find(|w| w.version == version) else {
+        return Ok(None);
     };
-    let fate = head.fate(from.head.as_ref(), now.head.as_ref());
-    Ok(match fate {
-        WriteFate::InForce => Outcome::Accepted,
-        WriteFate::Replaced => Outcome::Replaced(Box::new(now)),
-        WriteFate::Lost => Outcome::Lost(Box::new(now)),
-        WriteFate::Open | WriteFate::Unknown => Outcome::Unknown,
-    })
+    let read = async || store.get(PAST_KIND, &write.token).await;
+    let Some(object) = retrying("an earlier head", read).await? else {
+        return Ok(None);
+    };
+    let head = scan_head(object.value)?;
+    Ok(Some(document(store, &head).await?))
 }
 
 async fn read_head(store: &impl Store) -> Result<Option<(u64, Head)>> {
@@ -172,12 +216,16 @@
     let Some(object) = retrying("the head", read).await? else {
         return Ok(None);
     };
-    let head: Head = serde_json::from_value(object.value)
-        .map_err(|e| anyhow::anyhow!("the head on the platform can't be read: {e}"))?;
-    Ok(Some((object.version, head)))
+    Ok(Some((object.version, scan_head(object.value)?)))
+}
+
+fn scan_head(value: Value) -> Result<Head> {
+    let head = serde_json::from_value(value)
+        .map_err(|e| anyhow::anyhow!("a head on the platform can't be read: {e}"))?;
+    Ok(head)
 }
 
-pub(crate) async fn document(store: &impl Store, head: &Head) -> Result<Document> {
+async fn document(store: &impl Store, head: &Head) -> Result<Document> {
     let parts: Vec<Part> = stream::iter(&head.parts)
         .map(|name| read_part(store, *name))
         .buffered(CALLS_AT_ONCE)
@@ -198,12 +246,21 @@
 async fn put_part(store: &impl Store, part: &Part) -> Result<()> {
     let name = part.name.to_string();
     let value = part.to_value().map_err(unsound)?;
-    let write = async || match store.put(PART_KIND, &name, &value, Condition::Absent).await {
-        // The same name holds the same content.
+    put_immutable(store, PART_KIND, &name, &value).await
+}
+
+/// Writes an object whose name tells its content, so that one that is there
+/// is this one.
+async fn put_immutable(store: &impl Store, kind: &str, name: &str, value: &Value) -> Result<()> {
+    let write = async || match store.put(kind, name, value, Condition::Absent).await {
         Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
         Err(e) => Err(e),
     };
-    retrying("a part", write).await
+    retrying(kind, write).await
+}
+
+fn head_value(head: &Head) -> serde_json::Result<Value> {
+    serde_json::to_value(head)
 }
 
 /// Calls until there is an answer or the tries are used up; only for calls
