Demonstrate a fleet of processes under kills, with an oracle of its own

Callers (standins::caller) come back by Last-Event-ID through another entry and obey Retry-After; the oracle (standins::oracle) judges by the stand-ins' run logs alone. Before: no check across processes. Ruled out: callers in the load tool, whose open loop never comes back to a stream.

--- /dev/null
+++ b/standins/src/bin/demo-callers.rs
@@ -0,0 +1,60 @@
+//! The callers of the demo as a program.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{ArgAction, Command};
+use standins::cli::{flag, optional, value};
+use standins::demo::{self, Config};
+
+#[tokio::main]
+async fn main() -> anyhow::Result<ExitCode> {
+    let matches = command().get_matches();
+    let many = |name: &str| {
+        let values = matches.get_many::<String>(name).unwrap_or_default();
+        values.cloned().collect::<Vec<_>>()
+    };
+    let cfg = Config {
+        entries: many("entry"),
+        run_logs: many("run-log").into_iter().map(PathBuf::from).collect(),
+        long_tokens: value(&matches, "long-tokens")?,
+        span: Duration::from_secs(value(&matches, "span-s")?),
+        patience: Duration::from_secs(value(&matches, "patience-s")?),
+    };
+    let kept = demo::run(&cfg).await?;
+    Ok(if kept {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn command() -> Command {
+    Command::new("demo-callers")
+        .about("Callers with long and short requests, and a check of what they got")
+        .arg(
+            optional("entry", "Base URL of an entry; may be given several times")
+                .action(ArgAction::Append)
+                .required(true),
+        )
+        .arg(
+            optional(
+                "run-log",
+                "Run log of a stand-in; may be given several times",
+            )
+            .action(ArgAction::Append)
+            .required(true),
+        )
+        .arg(flag("long-tokens", &1500, "Tokens of a long answer"))
+        .arg(flag(
+            "span-s",
+            &25,
+            "Seconds for which clerks send short requests",
+        ))
+        .arg(flag(
+            "patience-s",
+            &90,
+            "Seconds after which a request counts as hung",
+        ))
+}
--- /dev/null
+++ b/standins/src/demo/table.rs
@@ -0,0 +1,72 @@
+//! What each caller got, for people.
+
+use std::fmt::Write;
+
+use crate::caller::{Attempt, End, Got, Work};
+use crate::oracle::Runs;
+
+/// A line for each request.
+pub(super) fn table(all: &[Got]) -> String {
+    let mut text = String::from(
+        "\nrequest      kind    sent  came back  tokens            ended\n\
+         -----------  ------  ----  ---------  ----------------  -----\n",
+    );
+    for got in all {
+        let returns: u32 = got.attempts.iter().map(|a| a.returns).sum();
+        let _ = writeln!(
+            text,
+            "{:<11}  {:<6}  {:>4}  {:>9}  {:<16}  {}",
+            got.request.mark,
+            kind(got),
+            got.attempts.len(),
+            returns,
+            tokens(got),
+            ended(got.last()),
+        );
+    }
+    text
+}
+
+/// Lines that sum up what happened.
+pub(super) fn summary(runs: &Runs, all: &[Got]) -> String {
+    let whole = all.iter().filter(|g| g.is_whole()).count();
+    let returns: u32 = all
+        .iter()
+        .flat_map(|g| &g.attempts)
+        .map(|a| a.returns)
+        .sum();
+    format!(
+        "\n{} requests, {whole} answered whole, {} ended with a code; \
+         callers came back to a stream {returns} times\n\
+         {} generations began on engines, {} calls ran on plain services\n",
+        all.len(),
+        all.len() - whole,
+        runs.generations.len(),
+        runs.calls.len(),
+    )
+}
+
+const fn kind(got: &Got) -> &'static str {
+    match &got.request.work {
+        Work::Generate { stream: true, .. } => "stream",
+        Work::Generate { stream: false, .. } => "whole",
+        Work::Call { .. } => "call",
+    }
+}
+
+fn tokens(got: &Got) -> String {
+    match got.request.tokens() {
+        Some(all) => format!("{} of {all}", got.last().tokens),
+        None => "-".to_owned(),
+    }
+}
+
+fn ended(attempt: &Attempt) -> String {
+    match &attempt.end {
+        End::Whole => "whole".to_owned(),
+        End::Code(code) => format!("code {code}"),
+        End::Cut => "cut".to_owned(),
+        End::Hung => "hung".to_owned(),
+        End::Open => "open".to_owned(),
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,9 +5,12 @@
 //! a thin binary round that function. What a stand-in really ran goes to its
 //! [`RunLog`], which is the oracle of tests under failures.
 
+pub mod caller;
 pub mod cli;
+pub mod demo;
 pub mod engine;
 pub mod load;
+pub mod oracle;
 pub mod plain;
 pub mod platform;
 
--- /dev/null
+++ b/standins/src/oracle/runs.rs
@@ -0,0 +1,108 @@
+//! What the run logs of the stand-ins tell.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use serde::Deserialize;
+
+/// A generation that an engine took into its queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Tag of the caller's request.
+    pub mark: String,
+    /// Number drawn for the generation, as its tokens show it.
+    pub nonce: String,
+    /// Place of its log among those read.
+    pub log: usize,
+}
+
+/// A call that a plain service ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlainRun {
+    /// Tag of the caller's request.
+    pub mark: String,
+    /// Path of the call.
+    pub path: String,
+    /// Running number for that path.
+    pub number: u64,
+}
+
+/// All that ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Runs {
+    /// Generations, log by log.
+    pub generations: Vec<Run>,
+    /// Calls of plain services, log by log.
+    pub calls: Vec<PlainRun>,
+    /// Tags of requests that crashed what ran them, once for each crash.
+    pub crashes: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    event: String,
+    mark: Option<String>,
+    nonce: Option<String>,
+    path: Option<String>,
+    number: Option<u64>,
+}
+
+impl Runs {
+    /// Reads the run logs at `paths`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a log can't be read or a line of it not be understood. A
+    /// last line without its end is left out.
+    pub fn read(paths: impl IntoIterator<Item = impl AsRef<Path>>) -> io::Result<Self> {
+        let mut runs = Self::default();
+        for (log, path) in paths.into_iter().enumerate() {
+            let text = fs::read_to_string(path)?;
+            for line in text.split_inclusive('\n').filter(|l| l.ends_with('\n')) {
+                runs.add(log, serde_json::from_str(line)?);
+            }
+        }
+        Ok(runs)
+    }
+
+    /// Times that requests with that mark ran.
+    #[must_use]
+    pub fn count(&self, mark: &str) -> usize {
+        let generations = self.generations.iter().filter(|r| r.mark == mark).count();
+        let calls = self.calls.iter().filter(|r| r.mark == mark).count();
+        generations + calls
+    }
+
+    /// Places of the logs in which generations with that mark began.
+    #[must_use]
+    pub fn logs_of(&self, mark: &str) -> Vec<usize> {
+        let own = self.generations.iter().filter(|r| r.mark == mark);
+        own.map(|r| r.log).collect()
+    }
+
+    /// Whether a generation with that mark and nonce ran.
+    #[must_use]
+    pub fn has(&self, mark: &str, nonce: &str) -> bool {
+        let own = |r: &&Run| r.mark == mark && r.nonce == nonce;
+        self.generations.iter().any(|r| own(&r))
+    }
+
+    fn add(&mut self, log: usize, line: Line) {
+        let mark = line.mark.unwrap_or_default();
+        match line.event.as_str() {
+            "started" => self.generations.push(Run {
+                mark,
+                nonce: line.nonce.unwrap_or_default(),
+                log,
+            }),
+            "ran" => self.calls.push(PlainRun {
+                mark,
+                path: line.path.unwrap_or_default(),
+                number: line.number.unwrap_or_default(),
+            }),
+            "crashed" => self.crashes.push(mark),
+            _ => {}
+        }
+    }
+}
