Prove streams across processes; wait for paused agents and own pauses

Eighteen cases kill, freeze and cut real processes mid-stream. Two failed first. entry_frozen_4_s: after its own freeze an entry judged every agent silent by the clock before it had read its mailbox and ended the stream with 4001; it now polls before it gives up (core, on_tick). agent_frozen_6_s: a partly delivered stream was given up after 3 s although nobody else can go on with it; such calls now wait 10 s, restartable ones 3 s as before. Ruled out: a clock that leaves out pauses, since reservations must lapse in them.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -2,7 +2,7 @@
 
 use crate::code::{Class, Code};
 use crate::entry::{
-    Call, Delivery, Entry, EntryAction, Origin, Phase, Reading, Reply, ResumePoint,
+    Call, Delivery, Entry, EntryAction, EntryLimits, Origin, Phase, Reading, Reply, ResumePoint,
 };
 use crate::ids::{CallId, GenerationId, Incarnation, Name, Peer, RequestId};
 use crate::message::{Finish, Message, Standing};
@@ -10,6 +10,7 @@
 use crate::quarantine::CRASH_LIMIT;
 use crate::stream::{Chunk, Cursor, Taken};
 use crate::time::Time;
+use std::time::Duration;
 
 /// Tokens of a whole answer between two acknowledgements.
 const ACK_STEP: u64 = 256;
@@ -222,10 +223,8 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let own = matches!(&call.phase, Phase::Reading(r) if r.origin == Origin::Own);
-        let unseen = call.delivered() == 0;
         let crashes = self.quarantine.crashes(call.demand.content);
-        let may = own && unseen && call.demand.repeatable && call.starts < self.limits.max_starts;
+        let may = call.may_restart(self.limits.max_starts);
         if !may || crashes >= CRASH_LIMIT || !self.retries.spend() {
             self.fail(id, code, None, out);
             return;
@@ -325,10 +324,11 @@
         };
         let request = call.request;
         let delivery = call.delivery;
+        let patience = call.patience(&limits);
         let Phase::Reading(reading) = &mut call.phase else {
             return;
         };
-        if now.since(reading.heard) >= limits.silence {
+        if now.since(reading.heard) >= patience {
             self.on_silence(now, id, out);
             return;
         }
@@ -411,6 +411,28 @@
     }
 }
 
+impl Call {
+    /// Whether the generation that is read may be started afresh elsewhere:
+    /// nobody saw any of it and the rules allow.
+    fn may_restart(&self, max_starts: u32) -> bool {
+        let own = matches!(&self.phase, Phase::Reading(r) if r.origin == Origin::Own);
+        let unseen = self.delivered() == 0;
+        own && unseen && self.demand.repeatable && self.starts < max_starts
+    }
+
+    /// Silence of the agent after which it is given up. Where nobody else can
+    /// go on, an agent that was only paused is waited for.
+    fn patience(&self, limits: &EntryLimits) -> Duration {
+        let joined =
+            matches!(&self.phase, Phase::Reading(r) if matches!(r.origin, Origin::Joined(_)));
+        if joined || self.may_restart(limits.max_starts) {
+            limits.silence
+        } else {
+            limits.long_silence
+        }
+    }
+}
+
 fn ack_of(now: Time, reader: RequestId, reading: &mut Reading) -> EntryAction {
     reading.acked_at = now;
     EntryAction::Send(
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -36,6 +36,8 @@
     pub poll_after: Duration,
     /// Silence of an agent after which it is given up.
     pub silence: Duration,
+    /// Silence after which it is given up where nobody else can go on.
+    pub long_silence: Duration,
     /// Time between acknowledgements that also say the reader is there.
     pub ack_every: Duration,
     /// Starts of one repeatable request in all.
@@ -59,6 +61,7 @@
             max_offers: 4,
             poll_after: Duration::from_millis(500),
             silence: Duration::from_secs(3),
+            long_silence: Duration::from_secs(10),
             ack_every: Duration::from_secs(1),
             max_starts: 3,
             claim_wait: Duration::from_millis(1_500),
@@ -299,6 +302,7 @@
     pub(crate) retries: RetryBudget,
     pub(crate) entries: u32,
     pub(crate) leaving: bool,
+    ticked: Option<Time>,
 }
 
 impl Entry {
@@ -317,6 +321,7 @@
             retries: RetryBudget::default(),
             entries: 1,
             leaving: false,
+            ticked: None,
         }
     }
 
@@ -455,6 +460,10 @@
     }
 
     fn on_tick(&mut self, now: Time, out: &mut Vec<EntryAction>) {
+        let before = self.ticked.replace(now);
+        if before.is_some_and(|t| now.since(t) >= self.limits.poll_after) {
+            self.hear_anew(now);
+        }
         let ids: Vec<CallId> = self.calls.keys().copied().collect();
         for id in ids {
             self.tick_call(now, id, out);
@@ -462,6 +471,19 @@
         self.quarantine.expire(now);
     }
 
+    /// After a pause of this process: the silence was its own, so each agent
+    /// is polled before it is given up.
+    fn hear_anew(&mut self, now: Time) {
+        let at = now - self.limits.poll_after;
+        for call in self.calls.values_mut() {
+            match &mut call.phase {
+                Phase::Queued { heard, .. } => *heard = at.max(*heard),
+                Phase::Reading(reading) => reading.heard = at.max(reading.heard),
+                _ => {}
+            }
+        }
+    }
+
     /// Ends a call with a code; the caller gets it at once.
     pub(crate) fn fail(
         &mut self,
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -152,6 +152,7 @@
             offer_wait: settings.timeouts.offer,
             poll_after: settings.timeouts.stall / 2,
             silence: settings.timeouts.stall * 3,
+            long_silence: settings.timeouts.stall * 10,
             ..EntryLimits::default()
         },
     };
--- /dev/null
+++ b/fireflyd/tests/processes_streams.rs
@@ -0,0 +1,263 @@
+//! Points 1 and 2 on separate processes: tokens once, in order, of one
+//! generation, and only to the caller who asked.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::json;
+use standins::caller::{End, Request};
+use support::{DOSSIERS, Fleet, LOGS, Link, Spec, until};
+use tokio::time::sleep;
+
+crate::cases! {
+    entry_killed_after_1 => entry_killed(1);
+    entry_killed_after_40 => entry_killed(40);
+    engine_killed_before_first_token_of_stream => engine_killed_unseen(true);
+    engine_killed_before_first_token_of_whole => engine_killed_unseen(false);
+    engine_killed_during_whole => engine_killed_during_whole();
+    engine_killed_after_1 => engine_killed_seen(1);
+    engine_killed_after_40 => engine_killed_seen(40);
+    engine_restarted_at_once => engine_restarted(40);
+    upstream_link_cut_after_1 => upstream_link_cut(1);
+    upstream_link_cut_after_40 => upstream_link_cut(40);
+    agent_frozen_2_s => agent_frozen(Duration::from_secs(2));
+    agent_frozen_5_s => agent_frozen(Duration::from_secs(5));
+    entry_frozen_4_s => entry_frozen(Duration::from_secs(4));
+    agent_restarted_at_once => agent_restarted();
+    agent_and_entry_killed => agent_and_entry_killed();
+    caller_hangs_up_and_returns => caller_returns();
+    stream_of_another_workspace => foreign_stream();
+    stream_forgotten => forgotten_stream();
+}
+
+fn stream(mark: &str, tokens: u64) -> Request {
+    Request::stream(mark, DOSSIERS, "model-a", tokens)
+}
+
+/// The caller comes back through the other entry and misses nothing.
+async fn entry_killed(after: u64) {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let mut session = fleet.caller().begin(stream("m", 400), 0);
+    assert!(session.until_tokens(after).await);
+    fleet.entries[0].process.kill();
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole(), "{got:?}");
+    assert_eq!((got.attempts.len(), got.last().returns), (1, 1));
+    assert_eq!(fleet.runs().count("m"), 1);
+}
+
+/// Nothing was delivered: another engine starts afresh, unseen.
+async fn engine_killed_unseen(streams: bool) {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    for engine in 0..2 {
+        fleet
+            .engine_faults(engine, json!({"freeze_ms": 1_500}))
+            .await;
+    }
+    let request = if streams {
+        stream("m", 50)
+    } else {
+        Request::whole("m", DOSSIERS, "model-a", 50)
+    };
+    let caller = fleet.caller();
+    let call = tokio::spawn(async move { caller.run(request, 0).await });
+    let engine = fleet.engine_of("m").await;
+    fleet.engines[engine].process.kill();
+    let got = call.await.unwrap();
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole() && got.attempts.len() == 1, "{got:?}");
+    assert_eq!(fleet.runs().count("m"), 2);
+}
+
+/// A whole answer is held back, so its caller never sees the restart.
+async fn engine_killed_during_whole() {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let caller = fleet.caller();
+    let request = Request::whole("m", DOSSIERS, "model-a", 600);
+    let call = tokio::spawn(async move { caller.run(request, 0).await });
+    let engine = fleet.engine_of("m").await;
+    sleep(Duration::from_millis(300)).await;
+    fleet.engines[engine].process.kill();
+    let got = call.await.unwrap();
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole() && got.attempts.len() == 1, "{got:?}");
+    assert_eq!(fleet.runs().count("m"), 2);
+}
+
+/// Something was delivered: the end comes at once, with how far it got.
+async fn engine_killed_seen(after: u64) {
+    let slow = vec!["--time-scale", "1", "--slow-factor", "8"];
+    let mut fleet = Fleet::start(Spec {
+        engine_flags: slow,
+        ..Spec::default()
+    })
+    .await;
+    let mut session = fleet.caller().begin(stream("m", 4_000), 0);
+    assert!(session.until_tokens(after).await);
+    let engine = fleet.engine_of("m").await;
+    fleet.engines[engine].process.kill();
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert_eq!(got.code(), Some(3_001), "{got:?}");
+    assert_eq!(got.last().delivered, Some(got.last().tokens));
+    assert!(got.last().tokens >= after);
+    assert_eq!(fleet.runs().count("m"), 1);
+}
+
+/// An engine that is back before anyone looked has lost its streams; new work
+/// runs there.
+async fn engine_restarted(after: u64) {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let mut session = fleet.caller().begin(stream("m", 4_000), 0);
+    assert!(session.until_tokens(after).await);
+    fleet.engines[0].restart().await;
+    let got = session.finish().await;
+    assert_eq!(got.code(), Some(3_001), "{got:?}");
+    let next = fleet.call(stream("next", 50), 1).await;
+    assert!(next.is_whole(), "{next:?}");
+    fleet.assert_kept(&[got, next]);
+}
+
+/// The engine goes on without its connection; the agent takes it up again.
+async fn upstream_link_cut(after: u64) {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let link = Link::open(fleet.engines[0].addr).await;
+    fleet.agents[0].process.kill();
+    fleet.agents[0] = fleet.start_engine_agent(0, &format!("http://{}", link.addr()));
+    fleet.await_ready().await;
+    let mut session = fleet.caller().begin(stream("m", 400), 0);
+    assert!(session.until_tokens(after).await);
+    link.cut();
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole(), "{got:?}");
+    assert_eq!(fleet.runs().count("m"), 1);
+}
+
+/// The stream stalls with its agent and goes on without a gap.
+async fn agent_frozen(span: Duration) {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let mut session = fleet.caller().begin(stream("m", 1_500), 0);
+    assert!(session.until_tokens(20).await);
+    let engine = fleet.engine_of("m").await;
+    fleet.agents[engine].process.freeze();
+    sleep(span).await;
+    fleet.agents[engine].process.thaw();
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole(), "{got:?}");
+    assert_eq!(fleet.runs().count("m"), 1);
+}
+
+/// The caller waits and misses nothing.
+async fn entry_frozen(span: Duration) {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let mut session = fleet.caller().begin(stream("m", 1_500), 0);
+    assert!(session.until_tokens(20).await);
+    fleet.entries[0].process.freeze();
+    sleep(span).await;
+    fleet.entries[0].process.thaw();
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole(), "{got:?}");
+    assert_eq!(fleet.runs().count("m"), 1);
+}
+
+/// The new life under the old name knows nothing of the old one's streams.
+async fn agent_restarted() {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let mut session = fleet.caller().begin(stream("m", 4_000), 0);
+    assert!(session.until_tokens(20).await);
+    fleet.agents[0].restart();
+    let got = session.finish().await;
+    assert!(matches!(got.end(), End::Code(3_001 | 4_001)), "{got:?}");
+    let next = fleet.call(stream("next", 50), 1).await;
+    assert!(next.is_whole(), "{next:?}");
+    fleet.assert_kept(&[got, next]);
+}
+
+/// Both ends die: the caller comes back and is told the truth.
+async fn agent_and_entry_killed() {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let mut session = fleet.caller().begin(stream("m", 4_000), 0);
+    assert!(session.until_tokens(20).await);
+    let engine = fleet.engine_of("m").await;
+    fleet.agents[engine].process.kill();
+    fleet.entries[0].process.kill();
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(matches!(got.end(), End::Code(4_001 | 4_003)), "{got:?}");
+}
+
+/// The caller's own connection breaks, more than once.
+async fn caller_returns() {
+    let fleet = Fleet::start(Spec::default()).await;
+    let mut session = fleet.caller().begin(stream("m", 600), 0);
+    for stop in [1, 2, 50, 300, 599] {
+        assert!(session.until_tokens(stop).await);
+        session.hang_up();
+        session.turn_to(usize::from(stop % 2 == 0));
+    }
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole(), "{got:?}");
+    assert_eq!(got.last().returns, 5);
+}
+
+/// Another workspace's key gets nothing for an id that it has found out.
+async fn foreign_stream() {
+    let fleet = Fleet::start(Spec::default()).await;
+    let mut session = fleet.caller().begin(stream("m", 400), 0);
+    assert!(session.until_tokens(5).await);
+    let id = session.last_id().unwrap().to_owned();
+    let body = json!({
+        "model": "model-b",
+        "messages": [{"role": "user", "content": "hello"}],
+        "stream": true,
+    });
+    for entry in &fleet.entries {
+        let url = format!("{}/v1/chat/completions", entry.url());
+        let req = fleet.http.post(url).bearer_auth(LOGS).json(&body);
+        let res = req.header("last-event-id", &id).send().await.unwrap();
+        assert_eq!(res.status(), 404);
+        let text = res.text().await.unwrap();
+        assert!(text.contains("4003") && !text.contains(".m."), "{text}");
+    }
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole(), "{got:?}");
+}
+
+/// A stream that nobody came back for is forgotten, and is not made up.
+async fn forgotten_stream() {
+    let fleet = Fleet::start(Spec {
+        daemon_flags: vec!["--retain-ms", "500"],
+        ..Spec::default()
+    })
+    .await;
+    let mut session = fleet.caller().begin(stream("m", 4_000), 0);
+    assert!(session.until_tokens(20).await);
+    session.hang_up();
+    until("the unread generation is stopped", || async {
+        let text = std::fs::read_to_string(&fleet.engines[fleet.engine_of("m").await].run_log);
+        text.unwrap().contains("\"cancelled\"")
+    })
+    .await;
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.code().is_some(), "{got:?}");
+}
--- /dev/null
+++ b/fireflyd/tests/support/link.rs
@@ -0,0 +1,50 @@
+//! A TCP link that a test cuts: it forwards bytes to one address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// The link; it ends with the test's runtime.
+pub struct Link {
+    addr: SocketAddr,
+    cut: Arc<Notify>,
+}
+
+impl Link {
+    /// A link to `to`.
+    pub async fn open(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind((to.ip(), 0)).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let cut = Arc::new(Notify::new());
+        let signal = cut.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(forward(near, to, signal.clone()));
+            }
+        });
+        Self { addr, cut }
+    }
+
+    /// Address to connect to.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Cuts all connections; new ones are taken.
+    pub fn cut(&self) {
+        self.cut.notify_waiters();
+    }
+}
+
+async fn forward(mut near: TcpStream, to: SocketAddr, cut: Arc<Notify>) {
+    let Ok(mut far) = TcpStream::connect(to).await else {
+        return;
+    };
+    tokio::select! {
+        _ = copy_bidirectional(&mut near, &mut far) => {}
+        () = cut.notified() => {}
+    }
+}
--- /dev/null
+++ b/fireflyd/tests/support/process.rs
@@ -0,0 +1,109 @@
+//! One process that a test started, and signals to it by its id.
+
+use std::ffi::OsStr;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use super::wait::until;
+
+/// A process; dropping it kills it.
+pub struct Process {
+    child: Child,
+    frozen: bool,
+}
+
+impl Process {
+    /// Starts `program` of this build, with its output in the file `log`.
+    pub fn start(
+        program: &str,
+        args: impl IntoIterator<Item = impl AsRef<OsStr>>,
+        log: &Path,
+    ) -> Self {
+        let out = File::options().create(true).append(true).open(log).unwrap();
+        let child = Command::new(program_path(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out.try_clone().unwrap())
+            .stderr(out)
+            .spawn()
+            .unwrap_or_else(|e| panic!("{program}: {e}; scripts/test builds it"));
+        Self {
+            child,
+            frozen: false,
+        }
+    }
+
+    /// Kills it without warning and waits for its end.
+    pub fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops its execution until [`Process::thaw`].
+    pub fn freeze(&mut self) {
+        self.signal("STOP");
+        self.frozen = true;
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&mut self) {
+        self.signal("CONT");
+        self.frozen = false;
+    }
+
+    /// Asks it to stop, as an operator or the VM's owner does.
+    pub fn ask_to_stop(&self) {
+        self.signal("TERM");
+    }
+
+    /// Whether it runs.
+    pub fn is_alive(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Waits for its own end.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the process's own end", || {
+            status = self.child.try_wait().unwrap();
+            std::future::ready(status.is_some())
+        })
+        .await;
+        status.unwrap()
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(sent.unwrap().success(), "kill -{name} {id}");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.is_alive() {
+            self.kill();
+        }
+    }
+}
+
+/// Program of this build, beside the daemon.
+fn program_path(program: &str) -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_fireflyd")).with_file_name(program)
+}
+
+/// Runs a program of this build to its end; gives its status and output.
+pub fn run(program: &str, args: &[String]) -> (i32, String) {
+    let output = Command::new(program_path(program))
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap_or_else(|e| panic!("{program}: {e}; scripts/test builds it"));
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    (output.status.code().unwrap_or(-1), text)
+}
