--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -36,6 +36,8 @@
     pub poll_after: Duration,
     /// Silence of an agent after which it is given up.
     pub silence: Duration,
+    /// Silence after which it is given up where nobody else can go on.
+    pub long_silence: Duration,
     /// Time between acknowledgements that also say the reader is there.
     pub ack_every: Duration,
     /// Time between two ticks from which on this process was paused.
@@ -61,6 +63,7 @@
             max_offers: 4,
             poll_after: Duration::from_millis(500),
             silence: Duration::from_secs(3),
+            long_silence: Duration::from_secs(10),
             ack_every: Duration::from_secs(1),
             pause: Duration::from_secs(1),
             max_starts: 3,
