--- a/fireflyctl/src/apply.rs
+++ b/fireflyctl/src/apply.rs
@@ -9,8 +9,7 @@
 use crate::publish::{self, Base, Outcome};
 use crate::store::Store;
 use anyhow::Context;
-use fireflycroft::{ConfigVersion, Diff, Document, Head, Name, split};
-use std::collections::BTreeMap;
+use fireflycroft::{ConfigVersion, Diff, Digest, Document, Head, Name, split};
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -51,68 +50,70 @@
     let text = std::fs::read_to_string(&change.file)
         .with_context(|| format!("{}", change.file.display()))?;
     let base = publish::base(store).await?;
-    let highest = highest_version(&base, fleet, console).await?;
+    let highest = highest_version(fleet, console).await?;
     let doc = base_document(change, &base, highest.as_ref(), fleet, console).await?;
     let doc_now = check(change.half, &text, &doc)
         .map_err(|faults| Failure::Faults(change.file.clone(), faults))?;
     let mine = Diff::between(&doc, &doc_now);
     show_diff(change, &mine, console)?;
     expect_version(change, store, &base, &mine).await?;
-    let behind = highest.as_ref().map_or(0, |(_, version)| *version) > base.version();
+    let highest = highest.map_or(0, |(_, version)| version);
+    let is_behind = highest > base.version();
     if change.dry_run {
         return say_plan(&base, &mine, console);
     }
-    if mine.is_empty() && !behind && base.head.is_some() {
-        console.say(format!("version {} holds this already", base.version()))?;
-        return wait_in_force(change, base.version(), fleet, console).await;
+    if let Some(head) = base.sound_head().filter(|_| mine.is_empty() && !is_behind) {
+        console.say(format!("version {} holds this already", head.version))?;
+        return wait_in_force(change, head.version, head.digest, fleet, console).await;
     }
-    let version = 1 + base
-        .version()
-        .max(highest.map_or(0, |(_, version)| version));
+    let version = 1 + base.version().max(highest);
     let head = publish(change, store, &base, &doc_now, version, &mine).await?;
     console.say(format!("version {} is accepted", head.version))?;
-    wait_in_force(change, head.version, fleet, console).await
+    wait_in_force(change, head.version, head.digest, fleet, console).await
 }
 
-/// Node with the highest version, when that is above the platform's.
+/// Node that reports the highest version.
 async fn highest_version(
-    base: &Base,
     fleet: &Fleet,
     console: &mut Console<'_>,
 ) -> Result<Option<(String, u64)>> {
     let mut highest: Option<(String, u64)> = None;
     for (node, answer) in fleet.statuses().await {
         match answer {
-            Ok(status) => {
-                let most = highest.as_ref().map_or(base.version(), |(_, v)| *v);
-                if status.config_version > most {
-                    highest = Some((node, status.config_version));
-                }
+            Ok(status)
+                if highest
+                    .as_ref()
+                    .is_none_or(|(_, v)| status.config_version > *v) =>
+            {
+                highest = Some((node, status.config_version));
             }
+            Ok(_) => {}
             Err(why) => console.warn(format!("{node} didn't answer: {why}"))?,
         }
     }
     Ok(highest)
 }
 
-/// Document that the change is laid on: the platform's, or that of a node
-/// that is ahead of it.
+/// Document that the change is laid on: the platform's, unless a node is
+/// ahead of it or parts of it are gone; then the node's.
 async fn base_document(
     change: &Change,
     base: &Base,
-    ahead: Option<&(String, u64)>,
+    highest: Option<&(String, u64)>,
     fleet: &Fleet,
     console: &mut Console<'_>,
 ) -> Result<Document> {
+    let held = base.version();
+    let ahead = highest.filter(|(_, version)| *version > held || base.doc.is_none());
     let Some((node, version)) = ahead else {
-        return Ok(base.doc.clone());
+        return Ok(base.document()?.clone());
     };
-    let held = base.version();
+    let state = if base.doc.is_none() { "parts of " } else { "" };
     console.warn(format!(
-        "{node} has version {version} in force, the platform holds {held}: it went back"
+        "{node} has version {version} in force, the platform holds {state}version {held}: it went back"
     ))?;
     if change.from_platform {
-        return Ok(base.doc.clone());
+        return Ok(base.document()?.clone());
     }
     let Some(bundle) = fleet.bundle(node).await? else {
         let why = format!(
@@ -121,6 +122,10 @@
         );
         return Err(Failure::Unavailable(why));
     };
+    if bundle.head.version < held {
+        let why = format!("{node} holds only version {}", bundle.head.version);
+        return Err(Failure::Unavailable(why));
+    }
     let doc = bundle.document().map_err(anyhow::Error::from)?;
     Ok(doc)
 }
@@ -165,7 +170,7 @@
         version: head.version,
         by: author(Some(head)),
         mine: mine.clone(),
-        theirs: planned_on.map(|from| Diff::between(&from, &base.doc)),
+        theirs: diff_of(planned_on.as_ref(), base.doc.as_ref()),
     })))
 }
 
@@ -186,10 +191,13 @@
             keys::token()?,
         )
         .after(base.head.as_ref());
-    publish::put_parts(store, &snapshot, base.head.as_ref()).await?;
+    publish::put_parts(store, &snapshot, base.sound_head()).await?;
     publish::put_past(store, &head).await?;
     match publish::publish_head(store, base, &head).await? {
-        Outcome::Accepted => Ok(head),
+        Outcome::Accepted => {
+            publish::confirm_parts(store, &snapshot).await?;
+            Ok(head)
+        }
         Outcome::Replaced(now) => Err(Failure::Replaced {
             version,
             by: author(Some(&now)),
@@ -200,7 +208,7 @@
             version: now.version(),
             by: author(now.head.as_ref()),
             mine: mine.clone(),
-            theirs: Some(Diff::between(&base.doc, &now.doc)),
+            theirs: diff_of(base.doc.as_ref(), now.doc.as_ref()),
         }))),
         Outcome::NoEffect(e) => Err(Failure::Unavailable(format!("the head: {e}"))),
         Outcome::Unknown => Err(Failure::Unknown(format!(
@@ -214,6 +222,7 @@
 async fn wait_in_force(
     change: &Change,
     version: u64,
+    digest: Digest,
     fleet: &Fleet,
     console: &mut Console<'_>,
 ) -> Result<()> {
@@ -225,11 +234,11 @@
         let seen = fleet.statuses().await;
         let late: Vec<String> = seen
             .iter()
-            .filter(|(_, answer)| !in_force(answer, version))
+            .filter(|(_, answer)| !in_force(answer, version, digest))
             .map(|(node, _)| node.clone())
             .collect();
         if late.is_empty() || Instant::now() >= until {
-            say_in_force(&seen, version, console)?;
+            say_in_force(&seen, version, digest, console)?;
             return if late.is_empty() {
                 Ok(())
             } else {
@@ -243,33 +252,42 @@
     }
 }
 
-fn in_force(answer: &std::result::Result<NodeStatus, String>, version: u64) -> bool {
-    answer.as_ref().is_ok_and(|s| s.config_version >= version)
+/// Whether a node has the version or a higher one in force, and no rival of
+/// the same version.
+fn in_force(
+    answer: &std::result::Result<NodeStatus, String>,
+    version: u64,
+    digest: Digest,
+) -> bool {
+    answer.as_ref().is_ok_and(|s| {
+        s.config_version > version || (s.config_version == version && !s.is_rival(digest))
+    })
 }
 
 fn say_in_force(
     seen: &[Answer<NodeStatus>],
     version: u64,
+    digest: Digest,
     console: &mut Console<'_>,
 ) -> Result<()> {
-    let lines: BTreeMap<&String, String> = seen
-        .iter()
-        .map(|(node, answer)| (node, in_force_phrase(answer, version)))
-        .collect();
-    for (node, phrase) in lines {
+    for (node, answer) in seen {
+        let phrase = match answer {
+            Ok(s) if s.config_version == version && s.is_rival(digest) => {
+                format!("{} other content as version {version}", s.name)
+            }
+            Ok(s) if s.config_version < version => {
+                format!("{} still at version {}", s.name, s.config_version)
+            }
+            Ok(s) => format!("{} version {} in force", s.name, s.config_version),
+            Err(why) => format!("no answer: {why}"),
+        };
         console.say(format!("{node} {phrase}"))?;
     }
     Ok(())
 }
 
-fn in_force_phrase(answer: &std::result::Result<NodeStatus, String>, version: u64) -> String {
-    match answer {
-        Ok(s) if s.config_version >= version => {
-            format!("{} version {} in force", s.name, s.config_version)
-        }
-        Ok(s) => format!("{} still at version {}", s.name, s.config_version),
-        Err(why) => format!("no answer: {why}"),
-    }
+fn diff_of(from: Option<&Document>, to: Option<&Document>) -> Option<Diff> {
+    Some(Diff::between(from?, to?))
 }
 
 fn author(head: Option<&Head>) -> String {
--- a/fireflyctl/src/check.rs
+++ b/fireflyctl/src/check.rs
@@ -10,6 +10,9 @@
 use crate::span::{self, Node};
 use fireflycroft::{ConfigVersion, Digest, Document, Fault, compile};
 
+/// What stands for the field of a fault of the whole file.
+const WHOLE: &str = "(file)";
+
 /// Half of a configuration that a file holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Half {
@@ -110,7 +113,11 @@
 fn place(text: &str, (at, field, what): Placed) -> FileFault {
     FileFault {
         at: at.map(|at| span::line_and_column(text, at)),
-        field,
+        field: if field.is_empty() {
+            WHOLE.to_owned()
+        } else {
+            field
+        },
         text: what,
     }
 }
@@ -118,7 +125,7 @@
 fn syntax(e: &serde_json::Error) -> FileFault {
     FileFault {
         at: Some((e.line(), e.column())),
-        field: "(file)".to_owned(),
+        field: WHOLE.to_owned(),
         text: e.to_string(),
     }
 }
--- a/fireflyctl/src/cli.rs
+++ b/fireflyctl/src/cli.rs
@@ -5,7 +5,7 @@
 use crate::console::Console;
 use crate::failure::{Failure, Result};
 use crate::fleet::Fleet;
-use crate::{keys, show};
+use crate::{drain, explain, keys, show, status, vms};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use fireflyd::metrics::Metrics;
 use fireflyd::platform::PlatformClient;
@@ -16,6 +16,9 @@
 /// Bound of a call when no flag says otherwise, in milliseconds.
 const TIMEOUT_MS: &str = "5000";
 
+/// Wait of a flag that stands alone, in seconds.
+const A_DAY: &str = "86400";
+
 /// Environment variable of a flag.
 #[must_use]
 pub fn env_name(flag: &str) -> String {
@@ -48,6 +51,10 @@
         )
         .subcommand(key_command())
         .subcommand(fleet_key_command())
+        .subcommand(Command::new("status").about("Shows how the nodes stand"))
+        .subcommand(Command::new("vms").about("Shows the platform's list of VMs"))
+        .subcommand(drain_command())
+        .subcommand(explain_command())
 }
 
 /// Runs the command that `args` name; gives the exit status.
@@ -73,7 +80,7 @@
 const EXIT_STATUSES: &str = "Exit statuses: 0 done; 1 failed for another reason; \
 64 wrong command line; 65 faults in the file (1002); \
 69 no answer, nothing was changed (1004); 74 no answer, effect unknown (1004); \
-75 another operator was first (1003); 76 accepted, but replaced since or not in force on every node in time";
+75 another operator was first (1003); 76 accepted, but replaced since or not in force on every node in time, or a node still drains";
 
 fn run_matches(matches: &ArgMatches, console: &mut Console<'_>) -> Result<()> {
     let rt = tokio::runtime::Builder::new_current_thread()
@@ -93,6 +100,16 @@
         ("config", "version") => show::version(&platform(args)?, console).await,
         ("key", "digest") => keys::digest(text(args, "key")?, console),
         ("fleet-key", "new") => keys::new_fleet_key(*required(args, "id")?, console),
+        ("status", _) => status::status(&fleet(args)?, console).await,
+        ("vms", _) => vms::vms(&platform(args)?, console).await,
+        ("drain", _) => {
+            let node = text(args, "node")?;
+            drain::drain(&fleet(args)?, node, seconds(args, "wait"), console).await
+        }
+        ("explain", _) => {
+            let id = text(args, "request-id")?;
+            explain::explain(&fleet(args)?, id, args.get_flag("json"), console).await
+        }
         _ => Err(Failure::Usage(format!("no such job: {name} {job}"))),
     }
 }
@@ -124,11 +141,7 @@
         } else {
             text(args, "by")?.into()
         },
-        wait: if is_plan {
-            None
-        } else {
-            args.get_one("wait").copied().map(Duration::from_secs)
-        },
+        wait: if is_plan { None } else { seconds(args, "wait") },
     };
     apply::change(&change, &store, &fleet(args)?, console).await
 }
@@ -177,8 +190,7 @@
             "Version that was planned on; refuse when another is in force",
         )
         .value_parser(clap::value_parser!(u64)),
-        flag("wait", "Seconds to wait until the nodes have it in force")
-            .value_parser(clap::value_parser!(u64)),
+        wait_flag("Seconds to wait until the nodes have it in force"),
     ]
 }
 
@@ -207,6 +219,26 @@
     )
 }
 
+fn drain_command() -> Command {
+    let node = flag("node", "Admin address of the node, HOST:PORT").required(true);
+    Command::new("drain")
+        .about("Begins a planned stop of a node, which cuts off no stream")
+        .arg(node)
+        .arg(wait_flag("Seconds to wait until the node holds no work"))
+}
+
+fn explain_command() -> Command {
+    let id = Arg::new("request-id")
+        .value_name("REQUEST-ID")
+        .help("Id of the request, 32 hexadecimal digits")
+        .env(env_name("request-id"))
+        .required(true);
+    Command::new("explain")
+        .about("Tells what happened to a request, and why")
+        .arg(id)
+        .arg(switch("json", "Print as JSON"))
+}
+
 fn group(name: &'static str, about: &'static str) -> Command {
     Command::new(name)
         .about(about)
@@ -222,6 +254,14 @@
         .value_name("VALUE")
 }
 
+/// A wait in seconds; a day when the flag stands alone.
+fn wait_flag(help: &'static str) -> Arg {
+    flag("wait", help)
+        .num_args(0..=1)
+        .default_missing_value(A_DAY)
+        .value_parser(clap::value_parser!(u64))
+}
+
 fn switch(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
@@ -253,6 +293,10 @@
     Ok(Duration::from_millis(*required(args, "timeout-ms")?))
 }
 
+fn seconds(args: &ArgMatches, name: &str) -> Option<Duration> {
+    args.get_one(name).copied().map(Duration::from_secs)
+}
+
 fn text<'a>(args: &'a ArgMatches, name: &str) -> Result<&'a str> {
     Ok(required::<String>(args, name)?)
 }
--- a/fireflyctl/src/failure.rs
+++ b/fireflyctl/src/failure.rs
@@ -9,7 +9,7 @@
 //! | 69 | the platform or a node did not answer; nothing was changed (1004) |
 //! | 74 | the platform did not answer; whether the change took effect is not known (1004) |
 //! | 75 | another operator was first; nothing was changed (1003) |
-//! | 76 | accepted, but replaced since or not seen in force on every node within the wait |
+//! | 76 | accepted, but replaced since or not seen in force on every node within the wait; a node that still drains |
 
 use fireflycroft::{Code, Diff};
 use std::fmt;
@@ -47,6 +47,10 @@
         /// Nodes that didn't report it.
         nodes: Vec<String>,
     },
+    /// These nodes didn't answer.
+    NoAnswer(Vec<String>),
+    /// A node still has work at the end of the wait.
+    StillDraining(String),
     /// Anything else.
     Other(anyhow::Error),
 }
@@ -73,7 +77,7 @@
     pub by: String,
     /// What this operator wanted to change.
     pub mine: Diff,
-    /// What others changed since; `None` when the base isn't known any more.
+    /// What others changed since; `None` when that isn't known any more.
     pub theirs: Option<Diff>,
 }
 
@@ -84,10 +88,10 @@
         match self {
             Self::Usage(_) => 64,
             Self::Faults(..) => 65,
-            Self::Unavailable(_) => 69,
+            Self::Unavailable(_) | Self::NoAnswer(_) => 69,
             Self::Unknown(_) => 74,
             Self::Conflict(_) => 75,
-            Self::NotInForce { .. } | Self::Replaced { .. } => 76,
+            Self::NotInForce { .. } | Self::Replaced { .. } | Self::StillDraining(_) => 76,
             Self::Other(_) => 1,
         }
     }
@@ -100,7 +104,11 @@
             Self::Faults(..) => Some(Code::BadConfig),
             Self::Unavailable(_) | Self::Unknown(_) => Some(Code::PlatformUnavailable),
             Self::Conflict(_) => Some(Code::ConfigConflict),
-            Self::NotInForce { .. } | Self::Replaced { .. } | Self::Other(_) => None,
+            Self::NotInForce { .. }
+            | Self::Replaced { .. }
+            | Self::NoAnswer(_)
+            | Self::StillDraining(_)
+            | Self::Other(_) => None,
         }
     }
 }
@@ -133,6 +141,8 @@
                     "version {version} is accepted, but not seen in force on {nodes}"
                 )
             }
+            Self::NoAnswer(nodes) => write!(f, "no answer from {}", nodes.join(", ")),
+            Self::StillDraining(node) => write!(f, "{node} still has work"),
             Self::Other(e) => write!(f, "{e:#}"),
         }
     }
@@ -164,7 +174,7 @@
         writeln!(f, "yours:\n{mine}")?;
         match theirs {
             Some(theirs) => write!(f, "others', since version {base}:\n{theirs}"),
-            None => write!(f, "others': version {base} isn't known any more"),
+            None => write!(f, "others', since version {base}: not known any more"),
         }
     }
 }
--- a/fireflyctl/src/fleet.rs
+++ b/fireflyctl/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::failure::{Failure, Result};
 use anyhow::Context;
-use fireflycroft::Bundle;
+use fireflycroft::{Bundle, Digest};
 use futures_util::{StreamExt, stream};
 use reqwest::StatusCode;
 use serde::de::DeserializeOwned;
@@ -26,13 +26,22 @@
     pub(crate) name: String,
     pub(crate) role: String,
     pub(crate) data_centre: String,
-    pub(crate) ready: bool,
     pub(crate) config_version: u64,
+    /// Digest of the configuration in force; empty from a node that doesn't
+    /// tell.
+    pub(crate) config_digest: String,
     pub(crate) streams: u64,
     pub(crate) queue: u64,
     pub(crate) leaving: bool,
 }
 
+impl NodeStatus {
+    /// Whether the node has other content in force than that of `digest`.
+    pub(crate) fn is_rival(&self, digest: Digest) -> bool {
+        !self.config_digest.is_empty() && self.config_digest != digest.to_string()
+    }
+}
+
 /// Answer of a node, or why there is none.
 pub(crate) type Answer<T> = (String, std::result::Result<T, String>);
 
@@ -60,6 +69,36 @@
         self.ask_all("/status").await
     }
 
+    /// Readiness of every node, in the order given: `ready` or why not.
+    pub(crate) async fn readiness(&self) -> Vec<String> {
+        stream::iter(&self.nodes)
+            .map(|node| self.readiness_of(node))
+            .buffered(NODES_AT_ONCE)
+            .collect()
+            .await
+    }
+
+    async fn readiness_of(&self, node: &str) -> String {
+        let res = match self.get(node, "/health/ready").await {
+            Ok(res) => res.text().await,
+            Err(e) => Err(e),
+        };
+        res.map_or_else(|e| cause(&e), |text| text.trim().to_owned())
+    }
+
+    /// Status of one node.
+    pub(crate) async fn status(&self, node: &str) -> std::result::Result<NodeStatus, String> {
+        self.ask(node, "/status").await
+    }
+
+    /// Tells a node to drain.
+    pub(crate) async fn drain(&self, node: &str) -> Result<()> {
+        let req = self.http.post(format!("http://{node}/drain"));
+        let res = req.send().await.map_err(unreachable(node))?;
+        res.error_for_status().map_err(unreachable(node))?;
+        Ok(())
+    }
+
     /// Answer of every node to a `GET`, in the order given.
     pub(crate) async fn ask_all<T: DeserializeOwned>(&self, path: &str) -> Vec<Answer<T>> {
         stream::iter(&self.nodes)
--- a/fireflyctl/src/lib.rs
+++ b/fireflyctl/src/lib.rs
@@ -7,6 +7,8 @@
 mod check;
 mod cli;
 mod console;
+mod drain;
+mod explain;
 mod failure;
 mod fleet;
 mod keys;
@@ -14,13 +16,17 @@
 mod shape;
 mod show;
 mod span;
+mod status;
 mod store;
+mod table;
+mod vms;
 
 pub use check::{Checked, Half, check};
 pub use cli::{command, env_name, run};
 pub use console::Console;
 pub use failure::{Conflict, Failure, FileFault, Result};
 pub use publish::{
-    Base, Outcome, base, past_document, publish_head, put_head, put_parts, put_past, read_back,
+    Base, Outcome, base, confirm_parts, past_document, publish_head, put_head, put_parts, put_past,
+    read_back,
 };
 pub use store::{Store, StoreObject};
--- a/fireflyctl/src/publish.rs
+++ b/fireflyctl/src/publish.rs
@@ -8,6 +8,7 @@
 
 use crate::failure::{Failure, Result};
 use crate::store::Store;
+use anyhow::Context;
 use fireflycroft::{
     Document, HEAD_KIND, HEAD_NAME, Head, PART_KIND, PAST_KIND, Part, PartName, Snapshot,
     SnapshotError, WriteFate, assemble,
@@ -26,14 +27,15 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the platform holds.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Base {
     /// Version of the head object; `None` when there is none.
     pub object: Option<u64>,
     /// The head; `None` before the first configuration.
     pub head: Option<Head>,
-    /// The document.
-    pub doc: Document,
+    /// The document; `None` when parts of it are gone, as they may be on a
+    /// platform that went back in the middle of an apply.
+    pub doc: Option<Document>,
 }
 
 /// What became of a write of the head.
@@ -58,6 +60,23 @@
         self.head.as_ref().map_or(0, |h| h.version)
     }
 
+    /// The head, when all its parts are there.
+    #[must_use]
+    pub fn sound_head(&self) -> Option<&Head> {
+        self.head.as_ref().filter(|_| self.doc.is_some())
+    }
+
+    /// The document.
+    ///
+    /// # Errors
+    ///
+    /// Parts that are gone.
+    pub fn document(&self) -> Result<&Document> {
+        let version = self.version();
+        let doc = self.doc.as_ref();
+        Ok(doc.with_context(|| format!("parts of version {version} are gone from the platform"))?)
+    }
+
     fn condition(&self) -> Condition {
         self.object.map_or(Condition::Absent, Condition::Version)
     }
@@ -67,10 +86,14 @@
 ///
 /// # Errors
 ///
-/// A platform that doesn't answer, or parts that aren't what the head lists.
+/// A platform that doesn't answer, or parts that are not what they are named.
 pub async fn base(store: &impl Store) -> Result<Base> {
     let Some((object, head)) = read_head(store).await? else {
-        return Ok(Base::default());
+        return Ok(Base {
+            object: None,
+            head: None,
+            doc: Some(Document::default()),
+        });
     };
     let doc = document(store, &head).await?;
     Ok(Base {
@@ -99,6 +122,29 @@
         .await
 }
 
+/// Makes sure, after the head was accepted, that the platform holds its
+/// parts: had it gone back since they were written, they could be gone.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn confirm_parts(store: &impl Store, snapshot: &Snapshot) -> Result<()> {
+    stream::iter(&snapshot.parts)
+        .map(|part| confirm_part(store, part))
+        .buffer_unordered(CALLS_AT_ONCE)
+        .try_collect()
+        .await
+}
+
+async fn confirm_part(store: &impl Store, part: &Part) -> Result<()> {
+    let name = part.name.to_string();
+    let read = async || store.get(PART_KIND, &name).await;
+    match retrying("a part", read).await? {
+        Some(_) => Ok(()),
+        None => put_part(store, part).await,
+    }
+}
+
 /// Writes the head once over `base`.
 ///
 /// # Errors
@@ -208,7 +254,7 @@
         return Ok(None);
     };
     let head = scan_head(object.value)?;
-    Ok(Some(document(store, &head).await?))
+    document(store, &head).await
 }
 
 async fn read_head(store: &impl Store) -> Result<Option<(u64, Head)>> {
@@ -225,22 +271,28 @@
     Ok(head)
 }
 
-async fn document(store: &impl Store, head: &Head) -> Result<Document> {
-    let parts: Vec<Part> = stream::iter(&head.parts)
+/// Document of a head; `None` when a part is gone.
+async fn document(store: &impl Store, head: &Head) -> Result<Option<Document>> {
+    let parts: Option<Vec<Part>> = stream::iter(&head.parts)
         .map(|name| read_part(store, *name))
         .buffered(CALLS_AT_ONCE)
-        .try_collect()
-        .await?;
-    Ok(assemble(head, &parts).map_err(unsound)?)
+        .try_collect::<Vec<Option<Part>>>()
+        .await?
+        .into_iter()
+        .collect();
+    let Some(parts) = parts else { return Ok(None) };
+    Ok(Some(assemble(head, &parts).map_err(unsound)?))
 }
 
-async fn read_part(store: &impl Store, name: PartName) -> Result<Part> {
+async fn read_part(store: &impl Store, name: PartName) -> Result<Option<Part>> {
     let text = name.to_string();
     let read = async || store.get(PART_KIND, &text).await;
-    let object = retrying("a part", read)
-        .await?
-        .ok_or_else(|| anyhow::anyhow!("the platform doesn't hold part {name}"))?;
-    Ok(Part::from_value(name, &object.value).map_err(unsound)?)
+    let Some(object) = retrying("a part", read).await? else {
+        return Ok(None);
+    };
+    Ok(Some(
+        Part::from_value(name, &object.value).map_err(unsound)?,
+    ))
 }
 
 async fn put_part(store: &impl Store, part: &Part) -> Result<()> {
--- a/fireflyctl/src/show.rs
+++ b/fireflyctl/src/show.rs
@@ -9,9 +9,10 @@
 /// Prints one half of what is in force, as JSON that can be applied again.
 pub(crate) async fn show(half: Half, store: &impl Store, console: &mut Console<'_>) -> Result<()> {
     let base = publish::base(store).await?;
+    let doc = base.document()?;
     match half {
-        Half::Inventory => console.json(&base.doc.inventory),
-        Half::Rules => console.json(&base.doc.rules),
+        Half::Inventory => console.json(&doc.inventory),
+        Half::Rules => console.json(&doc.rules),
     }
 }
 
--- /dev/null
+++ b/fireflyctl/src/table.rs
@@ -0,0 +1,51 @@
+//! Tables of text, their columns aligned.
+
+use std::fmt;
+
+/// Space between two columns.
+const GAP: &str = "  ";
+
+/// A table with its headings.
+#[derive(Debug)]
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// An empty table with these headings.
+    pub(crate) fn new(headings: &[&str]) -> Self {
+        let headings = headings.iter().map(|h| (*h).to_owned()).collect();
+        Self {
+            rows: vec![headings],
+        }
+    }
+
+    /// Adds a row of as many cells as there are headings.
+    pub(crate) fn row(&mut self, cells: impl IntoIterator<Item = impl Into<String>>) {
+        self.rows.push(cells.into_iter().map(Into::into).collect());
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        (0..columns).map(width).collect()
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        for (i, row) in self.rows.iter().enumerate() {
+            let cells = row.iter().zip(&widths);
+            let cells: Vec<String> = cells.map(|(cell, w)| format!("{cell:w$}")).collect();
+            if i > 0 {
+                writeln!(f)?;
+            }
+            f.write_str(cells.join(GAP).trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/fireflyctl/tests/publish.rs
@@ -0,0 +1,648 @@
+//! Racing operators, stale reads, lost answers and a platform that goes back,
+//! against an oracle that knows every write that took effect.
+
+use fireflycroft::{
+    ConfigVersion, Document, HEAD_KIND, HEAD_NAME, Head, Inventory, Name, Workspace, WriteFate,
+    split,
+};
+use fireflyctl::{
+    Base, Outcome, Store, StoreObject, base, confirm_parts, past_document, publish_head, put_head,
+    put_parts, put_past, read_back,
+};
+use fireflyd::platform::{Condition, PlatformError};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as RunConfig, RngAlgorithm, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+/// Operators of the stateful test.
+const OPERATORS: usize = 3;
+/// Contents that they write.
+const CONTENTS: u8 = 6;
+
+/// What becomes of a write's answer, and of the write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Link {
+    /// The answer arrives.
+    Sound,
+    /// The write takes effect, its answer is lost.
+    AnswerLost,
+    /// The write is lost.
+    WriteLost,
+    /// The write takes effect later, its answer is lost.
+    WriteLate,
+    /// The platform refuses it for now.
+    Limited,
+}
+
+/// One write as the platform took it.
+#[derive(Clone, Debug)]
+struct Pending {
+    key: (String, String),
+    value: Value,
+    condition: Condition,
+}
+
+/// A platform in memory, whose link and reads a test spoils.
+#[derive(Debug)]
+struct World {
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    /// States after each write of the head, the empty one first.
+    states: Vec<BTreeMap<(String, String), (u64, Value)>>,
+    revision: u64,
+    late: Vec<Pending>,
+    /// What becomes of coming writes; sound when there is no more.
+    links: Vec<Link>,
+    /// Writes of the head by which reads are behind.
+    stale: usize,
+}
+
+#[derive(Debug)]
+struct FakeStore(RefCell<World>);
+
+impl FakeStore {
+    fn new() -> Self {
+        Self(RefCell::new(World {
+            objects: BTreeMap::new(),
+            states: vec![BTreeMap::new()],
+            revision: 0,
+            late: Vec::new(),
+            links: Vec::new(),
+            stale: 0,
+        }))
+    }
+
+    fn with_links(links: &[Link]) -> Self {
+        let store = Self::new();
+        store.0.borrow_mut().links = links.to_vec();
+        store
+    }
+
+    fn head(&self) -> Option<Head> {
+        let world = self.0.borrow();
+        let (_, value) = world.objects.get(&head_key())?;
+        serde_json::from_value(value.clone()).ok()
+    }
+}
+
+fn head_key() -> (String, String) {
+    (HEAD_KIND.to_owned(), HEAD_NAME.to_owned())
+}
+
+impl World {
+    fn write(&mut self, pending: Pending) -> Result<u64, PlatformError> {
+        let found = self.objects.get(&pending.key).map(|(version, _)| *version);
+        let holds = match pending.condition {
+            Condition::Absent => found.is_none(),
+            Condition::Version(version) => found == Some(version),
+            Condition::Always => true,
+        };
+        if !holds {
+            let version = found.unwrap_or(0);
+            return Err(PlatformError::Conflict { version });
+        }
+        self.revision += 1;
+        let is_head = pending.key == head_key();
+        self.objects
+            .insert(pending.key, (self.revision, pending.value));
+        if is_head {
+            self.states.push(self.objects.clone());
+        }
+        Ok(self.revision)
+    }
+
+    fn land(&mut self) {
+        for pending in std::mem::take(&mut self.late) {
+            let _ = self.write(pending);
+        }
+    }
+
+    /// Goes back by so many writes of the head; what was under way is gone.
+    fn restore(&mut self, back: usize) {
+        let keep = self.states.len().saturating_sub(back).max(1);
+        self.states.truncate(keep);
+        self.objects = self.states[keep - 1].clone();
+        self.late.clear();
+    }
+
+    fn seen(&self) -> &BTreeMap<(String, String), (u64, Value)> {
+        if self.stale == 0 {
+            return &self.objects;
+        }
+        let at = self.states.len().saturating_sub(1 + self.stale);
+        &self.states[at]
+    }
+}
+
+impl Store for FakeStore {
+    async fn get(&self, kind: &str, name: &str) -> Result<Option<StoreObject>, PlatformError> {
+        let world = self.0.borrow();
+        let key = (kind.to_owned(), name.to_owned());
+        // Parts never change, so that only the head is ever read stale.
+        let objects = if key == head_key() {
+            world.seen()
+        } else {
+            &world.objects
+        };
+        Ok(objects.get(&key).map(|(version, value)| StoreObject {
+            version: *version,
+            value: value.clone(),
+        }))
+    }
+
+    async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &Value,
+        condition: Condition,
+    ) -> Result<u64, PlatformError> {
+        let mut world = self.0.borrow_mut();
+        let pending = Pending {
+            key: (kind.to_owned(), name.to_owned()),
+            value: value.clone(),
+            condition,
+        };
+        let is_head = pending.key == head_key();
+        let link = if is_head && !world.links.is_empty() {
+            world.links.remove(0)
+        } else {
+            Link::Sound
+        };
+        match link {
+            Link::Sound => return world.write(pending),
+            Link::Limited => return Err(PlatformError::Unavailable { retry_after: None }),
+            Link::AnswerLost => {
+                let _ = world.write(pending);
+            }
+            Link::WriteLate => world.late.push(pending),
+            Link::WriteLost => {}
+        }
+        Err(PlatformError::OutcomeUnknown)
+    }
+}
+
+/// A document of several parts that says which content it is.
+fn document(content: u8) -> Document {
+    let workspace = |i: usize| Workspace {
+        name: format!("workspace-{i}").into(),
+        brand: if i == 100 * usize::from(content) {
+            "one".into()
+        } else {
+            "two".into()
+        },
+        key_digests: vec![blake3::hash(&i.to_le_bytes()).to_hex().as_str().into()],
+    };
+    Document {
+        inventory: Inventory {
+            workspaces: (0..600).map(workspace).collect(),
+            ..Inventory::default()
+        },
+        ..Document::default()
+    }
+}
+
+fn head_over(base: &Base, content: u8, version: u64, token: &str) -> Head {
+    let snapshot = split(&document(content)).unwrap();
+    let head = snapshot.head(ConfigVersion(version), 0, "op".into(), Name::from(token));
+    head.after(base.head.as_ref())
+}
+
+fn now<T>(future: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+        .block_on(future)
+}
+
+/// What operators and the platform may do.
+#[derive(Clone, Debug)]
+enum Step {
+    /// An operator reads the platform, so many writes behind, and the nodes.
+    Read(usize, u8, usize),
+    /// It writes the parts.
+    Parts(usize),
+    /// It writes the head, over such a link; again when it did before.
+    Write(usize, Link),
+    /// It reads the head back, so many writes behind.
+    ReadBack(usize, usize),
+    /// Writes that were late take effect.
+    Land,
+    /// The platform goes so many writes back.
+    Restore(usize),
+    /// The nodes take what the platform holds.
+    Follow,
+}
+
+/// One write of the head that an operator is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Attempt {
+    id: usize,
+    version: u64,
+    /// Object version and attempt that it is written over.
+    over: Option<(u64, usize)>,
+    has_parts: bool,
+    /// Whether the platform went back since the operator read.
+    restored: bool,
+}
+
+/// The oracle: what must be in force, and who wrote it.
+#[derive(Clone, Debug, Default)]
+struct Oracle {
+    /// Heads in force one after the other: object version, attempt, version.
+    line: Vec<(u64, usize, u64)>,
+    revision: u64,
+    next_id: usize,
+    operators: [Option<Attempt>; OPERATORS],
+    late: Vec<Attempt>,
+    /// Attempts that took effect at any time.
+    effective: Vec<usize>,
+    /// Version that the nodes have in force.
+    nodes: u64,
+    /// Whether the write of the last step was accepted.
+    last_accepted: Option<bool>,
+}
+
+impl Oracle {
+    fn head(&self, back: usize) -> Option<(u64, usize, u64)> {
+        let at = self.line.len().checked_sub(1 + back)?;
+        self.line.get(at).copied()
+    }
+
+    fn write(&mut self, attempt: &Attempt) -> bool {
+        let found = self.head(0).map(|(object, ..)| object);
+        if found != attempt.over.map(|(object, _)| object) {
+            return false;
+        }
+        self.revision += 1;
+        self.line.push((self.revision, attempt.id, attempt.version));
+        self.effective.push(attempt.id);
+        true
+    }
+
+    /// What a head read so many writes behind must tell of an attempt, if it
+    /// tells anything.
+    fn is_true(&self, attempt: &Attempt, fate: WriteFate, back: usize) -> bool {
+        let read = self.head(back).map(|(_, id, _)| id);
+        let seen = &self.line[..self.line.len().saturating_sub(back)];
+        let in_line = seen.iter().any(|(_, id, _)| *id == attempt.id);
+        match fate {
+            WriteFate::InForce => read == Some(attempt.id),
+            WriteFate::Replaced => in_line && read != Some(attempt.id),
+            WriteFate::Lost => !self.effective.contains(&attempt.id) || attempt.restored,
+            WriteFate::Open => read == attempt.over.map(|(_, id)| id),
+            WriteFate::Unknown => !in_line,
+        }
+    }
+}
+
+impl ReferenceStateMachine for Oracle {
+    type State = Self;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Step> {
+        let operator = 0..OPERATORS;
+        let back = prop_oneof![3 => Just(0_usize), 1 => 1_usize..3];
+        let link = prop_oneof![
+            4 => Just(Link::Sound),
+            2 => Just(Link::AnswerLost),
+            1 => Just(Link::WriteLost),
+            1 => Just(Link::WriteLate),
+            1 => Just(Link::Limited),
+        ];
+        prop_oneof![
+            4 => (operator.clone(), 0..CONTENTS, back.clone()).prop_map(|(o, c, b)| Step::Read(o, c, b)),
+            4 => operator.clone().prop_map(Step::Parts),
+            6 => (operator.clone(), link).prop_map(|(o, link)| Step::Write(o, link)),
+            4 => (operator, back).prop_map(|(o, b)| Step::ReadBack(o, b)),
+            1 => Just(Step::Land),
+            1 => (1_usize..3).prop_map(Step::Restore),
+            3 => Just(Step::Follow),
+        ]
+        .boxed()
+    }
+
+    fn preconditions(state: &Self, step: &Step) -> bool {
+        let attempt = |o: usize| state.operators[o].as_ref();
+        match step {
+            Step::Parts(o) => attempt(*o).is_some_and(|a| !a.has_parts),
+            Step::Write(o, _) | Step::ReadBack(o, _) => attempt(*o).is_some_and(|a| a.has_parts),
+            _ => true,
+        }
+    }
+
+    fn apply(mut state: Self, step: &Step) -> Self {
+        state.last_accepted = None;
+        match *step {
+            Step::Read(o, _, back) => {
+                let read = state.head(back);
+                let version = read.map_or(0, |(.., version)| version);
+                state.next_id += 1;
+                state.operators[o] = Some(Attempt {
+                    id: state.next_id,
+                    version: version.max(state.nodes) + 1,
+                    over: read.map(|(object, id, _)| (object, id)),
+                    has_parts: false,
+                    restored: false,
+                });
+            }
+            Step::Parts(o) => {
+                if let Some(attempt) = &mut state.operators[o] {
+                    attempt.has_parts = true;
+                }
+            }
+            Step::Write(o, link) => {
+                let Some(attempt) = state.operators[o].clone() else {
+                    return state;
+                };
+                match link {
+                    Link::Sound => state.last_accepted = Some(state.write(&attempt)),
+                    Link::AnswerLost => {
+                        state.write(&attempt);
+                    }
+                    Link::WriteLate => state.late.push(attempt),
+                    Link::WriteLost | Link::Limited => {}
+                }
+            }
+            Step::Land => {
+                for attempt in std::mem::take(&mut state.late) {
+                    state.write(&attempt);
+                }
+            }
+            Step::Restore(back) => {
+                let keep = state.line.len().saturating_sub(back);
+                state.line.truncate(keep);
+                state.late.clear();
+                for attempt in state.operators.iter_mut().flatten() {
+                    attempt.restored = true;
+                }
+            }
+            Step::Follow => {
+                let held = state.head(0).map_or(0, |(.., version)| version);
+                state.nodes = state.nodes.max(held);
+            }
+            Step::ReadBack(..) => {}
+        }
+        state
+    }
+}
+
+/// An operator at work.
+struct Operator {
+    base: Base,
+    head: Head,
+    content: u8,
+}
+
+struct Platform {
+    store: FakeStore,
+    operators: [Option<Operator>; OPERATORS],
+    /// Version that the nodes have in force.
+    nodes: u64,
+    ids: usize,
+}
+
+impl Platform {
+    fn read(&mut self, o: usize, content: u8, back: usize) {
+        self.store.0.borrow_mut().stale = back;
+        let base = now(base(&self.store)).unwrap();
+        self.store.0.borrow_mut().stale = 0;
+        self.ids += 1;
+        let version = base.version().max(self.nodes) + 1;
+        let head = head_over(&base, content, version, &format!("attempt-{}", self.ids));
+        self.operators[o] = Some(Operator {
+            base,
+            head,
+            content,
+        });
+    }
+
+    fn write(&self, o: usize, link: Link) -> Option<bool> {
+        let operator = self.operators[o].as_ref()?;
+        self.store.0.borrow_mut().links = vec![link];
+        match now(put_head(&self.store, &operator.base, &operator.head)) {
+            Ok(_) => {
+                let snapshot = split(&document(operator.content)).unwrap();
+                now(confirm_parts(&self.store, &snapshot)).unwrap();
+                Some(true)
+            }
+            Err(PlatformError::Conflict { .. }) => Some(false),
+            Err(_) => None,
+        }
+    }
+
+    fn read_back(&self, o: usize, back: usize) -> Option<WriteFate> {
+        let operator = self.operators[o].as_ref()?;
+        self.store.0.borrow_mut().stale = back;
+        let fate = now(read_back(&self.store, &operator.base, &operator.head)).unwrap();
+        self.store.0.borrow_mut().stale = 0;
+        Some(fate)
+    }
+}
+
+impl StateMachineTest for Platform {
+    type SystemUnderTest = Self;
+    type Reference = Oracle;
+
+    fn init_test(_: &Oracle) -> Self {
+        Self {
+            store: FakeStore::new(),
+            operators: [const { None }; OPERATORS],
+            nodes: 0,
+            ids: 0,
+        }
+    }
+
+    fn apply(mut sut: Self, state: &Oracle, step: Step) -> Self {
+        match step {
+            Step::Read(o, content, back) => sut.read(o, content, back),
+            Step::Parts(o) => {
+                let operator = sut.operators[o].as_ref().unwrap();
+                let snapshot = split(&document(operator.content)).unwrap();
+                let known = operator.base.sound_head();
+                now(put_parts(&sut.store, &snapshot, known)).unwrap();
+                now(put_past(&sut.store, &operator.head)).unwrap();
+            }
+            Step::Write(o, link) => assert_eq!(sut.write(o, link), state.last_accepted),
+            Step::ReadBack(o, back) => {
+                let fate = sut.read_back(o, back).unwrap();
+                let attempt = state.operators[o].as_ref().unwrap();
+                assert!(
+                    state.is_true(attempt, fate, back),
+                    "{fate:?} of {attempt:?}"
+                );
+            }
+            Step::Land => sut.store.0.borrow_mut().land(),
+            Step::Restore(back) => sut.store.0.borrow_mut().restore(back),
+            Step::Follow => {
+                let held = sut.store.head().map_or(0, |head| head.version);
+                sut.nodes = sut.nodes.max(held);
+            }
+        }
+        sut
+    }
+
+    fn check_invariants(sut: &Self, state: &Oracle) {
+        let found = sut.store.head().map(|head| (head.version, head.token));
+        let wanted = state.head(0);
+        let wanted = wanted.map(|(_, id, version)| (version, Name::from(format!("attempt-{id}"))));
+        assert_eq!(found, wanted);
+        assert_eq!(sut.nodes, state.nodes);
+        // An accepted write of one who asked the nodes is above what they have.
+        if state.last_accepted == Some(true) {
+            let head = sut.store.head().unwrap();
+            let attempt = state.operators.iter().flatten();
+            let restored = attempt.into_iter().any(|a| a.restored);
+            assert!(restored || head.version > sut.nodes);
+            let base = now(base(&sut.store)).unwrap();
+            assert_eq!(base.head, Some(head));
+            assert!(
+                base.doc.is_some(),
+                "parts are missing after an accepted write"
+            );
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(RunConfig {
+        cases: 64,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x5eed_0001),
+        failure_persistence: None,
+        ..RunConfig::default()
+    })]
+
+    #[test]
+    fn operators_are_told_the_truth(sequential 1..50 => Platform);
+}
+
+/// Outcome of publishing over such links.
+macro_rules! outcomes {
+    ($($name:ident: [$($link:ident),*] => $outcome:pat, $version:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let store = FakeStore::with_links(&[$(Link::$link),*]);
+                let from = now(base(&store)).unwrap();
+                now(put_parts(&store, &split(&document(1)).unwrap(), None)).unwrap();
+                let head = head_over(&from, 1, 1, "own");
+                let outcome = now(publish_head(&store, &from, &head)).unwrap();
+                assert!(matches!(outcome, $outcome), "{outcome:?}");
+                assert_eq!(store.head().map_or(0, |h| h.version), $version);
+            }
+        )+
+    };
+}
+
+outcomes! {
+    sound_link: [Sound] => Outcome::Accepted, 1;
+    lost_answer_is_settled_by_reading_back: [AnswerLost] => Outcome::Accepted, 1;
+    lost_write_is_written_again: [WriteLost] => Outcome::Accepted, 1;
+    two_lost_answers: [AnswerLost, AnswerLost] => Outcome::Accepted, 1;
+    limited_write_is_written_again: [Limited, Limited] => Outcome::Accepted, 1;
+    limit_that_stays_has_no_effect: [Limited, Limited, Limited, Limited, Limited]
+        => Outcome::NoEffect(PlatformError::Unavailable { .. }), 0;
+    answers_that_stay_lost_are_settled: [WriteLost, WriteLost, WriteLost, WriteLost, AnswerLost]
+        => Outcome::Accepted, 1;
+    writes_that_stay_lost_are_unknown: [WriteLost, WriteLost, WriteLost, WriteLost, WriteLost]
+        => Outcome::Unknown, 0;
+}
+
+/// An operator who read, and another whose write came first.
+fn race(links: &[Link]) -> (FakeStore, Outcome) {
+    let store = FakeStore::new();
+    let from = now(base(&store)).unwrap();
+    for (content, token) in [(1, "own"), (2, "other")] {
+        now(put_parts(&store, &split(&document(content)).unwrap(), None)).unwrap();
+        now(put_past(&store, &head_over(&from, content, 1, token))).unwrap();
+    }
+    now(put_head(&store, &from, &head_over(&from, 2, 1, "other"))).unwrap();
+    store.0.borrow_mut().links = links.to_vec();
+    let outcome = now(publish_head(&store, &from, &head_over(&from, 1, 1, "own"))).unwrap();
+    (store, outcome)
+}
+
+#[test]
+fn lost_race_shows_the_winner() {
+    for links in [&[Link::Sound][..], &[Link::WriteLost], &[Link::AnswerLost]] {
+        let (_, outcome) = race(links);
+        let Outcome::Lost(winner) = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!(winner.doc, Some(document(2)));
+    }
+}
+
+#[test]
+fn replaced_write_is_told_from_a_lost_one() {
+    let store = FakeStore::with_links(&[Link::AnswerLost]);
+    let from = now(base(&store)).unwrap();
+    let own = head_over(&from, 1, 1, "own");
+    now(put_parts(&store, &split(&document(1)).unwrap(), None)).unwrap();
+    now(put_head(&store, &from, &own)).unwrap_err();
+    let next = now(base(&store)).unwrap();
+    now(put_parts(&store, &split(&document(2)).unwrap(), None)).unwrap();
+    now(put_head(&store, &next, &head_over(&next, 2, 2, "other"))).unwrap();
+    store.0.borrow_mut().links = vec![Link::WriteLost];
+    let outcome = now(publish_head(&store, &from, &own)).unwrap();
+    assert!(
+        matches!(outcome, Outcome::Replaced(ref now) if now.version == 2),
+        "{outcome:?}"
+    );
+}
+
+#[test]
+fn earlier_versions_can_be_read() {
+    let store = FakeStore::new();
+    for content in 1..4 {
+        let from = now(base(&store)).unwrap();
+        let head = head_over(&from, content, u64::from(content), &format!("t-{content}"));
+        let snapshot = split(&document(content)).unwrap();
+        now(put_parts(&store, &snapshot, from.head.as_ref())).unwrap();
+        now(put_past(&store, &head)).unwrap();
+        now(put_head(&store, &from, &head)).unwrap();
+    }
+    let head = store.head().unwrap();
+    let past = |version| now(past_document(&store, &head, version)).unwrap();
+    assert_eq!(past(1), Some(document(1)));
+    assert_eq!(past(2), Some(document(2)));
+    assert_eq!(past(9), None);
+}
+
+#[test]
+fn few_parts_are_written_for_a_small_change() {
+    let store = FakeStore::new();
+    let from = now(base(&store)).unwrap();
+    let first = split(&document(1)).unwrap();
+    let all = now(put_parts(&store, &first, None)).unwrap();
+    now(put_head(&store, &from, &head_over(&from, 1, 1, "own"))).unwrap();
+    let from = now(base(&store)).unwrap();
+    let second = split(&document(2)).unwrap();
+    let some = now(put_parts(&store, &second, from.head.as_ref())).unwrap();
+    assert!(all > some && some <= 2, "{some} of {all}");
+}
+
+#[test]
+fn parts_that_vanished_are_written_again() {
+    let store = FakeStore::new();
+    let snapshot = split(&document(1)).unwrap();
+    now(put_parts(&store, &snapshot, None)).unwrap();
+    let from = now(base(&store)).unwrap();
+    let head = head_over(&from, 1, 1, "own");
+    now(put_head(&store, &from, &head)).unwrap();
+    store
+        .0
+        .borrow_mut()
+        .objects
+        .retain(|key, _| *key == head_key());
+    now(confirm_parts(&store, &snapshot)).unwrap();
+    assert_eq!(now(base(&store)).unwrap().doc, Some(document(1)));
+}
--- /dev/null
+++ b/fireflyctl/tests/support/mod.rs
@@ -0,0 +1,226 @@
+//! What the tests share: a platform, nodes that answer as told, and running
+//! the tool.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use poem::listener::TcpAcceptor;
+use poem::web::{Data, Json, Path};
+use poem::{EndpointExt, IntoResponse, Response, Route, Server, get, handler, post};
+use serde_json::{Value, json};
+use standins::Running;
+use standins::platform::{self, Config};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// What a run of the tool gave.
+#[derive(Debug)]
+pub(crate) struct Ran {
+    pub(crate) exit: u8,
+    pub(crate) out: String,
+    pub(crate) err: String,
+}
+
+impl Ran {
+    /// Checks the exit status and gives the output.
+    pub(crate) fn exits(self, exit: u8) -> Self {
+        assert_eq!(self.exit, exit, "{}\n{}", self.out, self.err);
+        self
+    }
+
+    /// Checks that the output holds `text`.
+    pub(crate) fn says(self, text: &str) -> Self {
+        assert!(
+            self.out.contains(text),
+            "no {text:?} in {}\n{}",
+            self.out,
+            self.err
+        );
+        self
+    }
+
+    /// Checks that the other output holds `text`.
+    pub(crate) fn warns(self, text: &str) -> Self {
+        assert!(
+            self.err.contains(text),
+            "no {text:?} in {}\n{}",
+            self.err,
+            self.out
+        );
+        self
+    }
+}
+
+/// Runs the tool with these arguments.
+pub(crate) async fn run(args: &[&str]) -> Ran {
+    let mut full = vec!["fireflyctl".to_owned()];
+    full.extend(args.iter().map(|arg| (*arg).to_owned()));
+    let run = move || {
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let mut console = fireflyctl::Console {
+            out: &mut out,
+            err: &mut err,
+        };
+        let exit = fireflyctl::run(full, &mut console);
+        Ran {
+            exit,
+            out: String::from_utf8(out).unwrap(),
+            err: String::from_utf8(err).unwrap(),
+        }
+    };
+    tokio::task::spawn_blocking(run).await.unwrap()
+}
+
+/// A file of the examples.
+pub(crate) fn example(name: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    root.join("../examples").join(name).display().to_string()
+}
+
+/// A file with this text, under a name that no other test has.
+pub(crate) fn file(name: &str, text: &str) -> String {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join(name);
+    std::fs::write(&path, text).unwrap();
+    path.display().to_string()
+}
+
+/// A platform of its own.
+pub(crate) async fn platform() -> Running {
+    platform_with(&Config::default()).await
+}
+
+/// A platform with these settings.
+pub(crate) async fn platform_with(cfg: &Config) -> Running {
+    platform::serve(cfg, listener().await).unwrap()
+}
+
+/// Switches faults of a platform.
+pub(crate) async fn spoil(platform: &Running, faults: Value) {
+    let url = format!("{}/standin/faults", platform.url());
+    let res = reqwest::Client::new().post(url).json(&faults).send().await;
+    assert!(res.unwrap().status().is_success());
+}
+
+/// Reads an object of a platform as JSON.
+pub(crate) async fn object(platform: &Running, path: &str) -> Value {
+    let url = format!("{}/v1/objects/{path}", platform.url());
+    reqwest::get(url).await.unwrap().json().await.unwrap()
+}
+
+async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.unwrap()
+}
+
+/// What a fake node answers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Answers {
+    pub(crate) status: Value,
+    pub(crate) config: Option<Value>,
+    pub(crate) events: Value,
+    pub(crate) metrics: String,
+    pub(crate) drained: bool,
+}
+
+/// A node that answers as told, until it is dropped.
+pub(crate) struct Node {
+    pub(crate) addr: String,
+    answers: Arc<Mutex<Answers>>,
+    server: JoinHandle<()>,
+}
+
+impl Node {
+    /// A node with that version in force.
+    pub(crate) async fn start(name: &str, version: u64) -> Self {
+        let answers = Answers {
+            status: json!({
+                "name": name,
+                "role": "entry",
+                "data_centre": "dc-1",
+                "config_version": version,
+                "streams": 2,
+                "queue": 1,
+                "leaving": false,
+            }),
+            events: json!([]),
+            ..Answers::default()
+        };
+        let answers = Arc::new(Mutex::new(answers));
+        let listener = listener().await;
+        let addr = listener.local_addr().unwrap().to_string();
+        let acceptor = TcpAcceptor::from_tokio(listener).unwrap();
+        let routes = Route::new()
+            .at("/status", get(status))
+            .at("/health/ready", get(ready))
+            .at("/config", get(config))
+            .at("/explain/:id", get(explain))
+            .at("/metrics", get(metrics))
+            .at("/drain", post(drain))
+            .data(answers.clone());
+        let server = Server::new_with_acceptor(acceptor).run(routes);
+        Self {
+            addr,
+            answers,
+            server: tokio::spawn(async {
+                let _ = server.await;
+            }),
+        }
+    }
+
+    /// Changes what the node answers.
+    pub(crate) fn set(&self, change: impl FnOnce(&mut Answers)) {
+        change(&mut self.answers.lock().unwrap());
+    }
+
+    /// Whether the node was told to drain.
+    pub(crate) fn drained(&self) -> bool {
+        self.answers.lock().unwrap().drained
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
+type Shared = Arc<Mutex<Answers>>;
+
+#[handler]
+fn status(Data(answers): Data<&Shared>) -> Json<Value> {
+    Json(answers.lock().unwrap().status.clone())
+}
+
+#[handler]
+fn ready() -> &'static str {
+    "ready\n"
+}
+
+#[handler]
+fn config(Data(answers): Data<&Shared>) -> Response {
+    match answers.lock().unwrap().config.clone() {
+        Some(config) => Json(config).into_response(),
+        None => poem::http::StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+fn explain(Path(_): Path<String>, Data(answers): Data<&Shared>) -> Json<Value> {
+    Json(answers.lock().unwrap().events.clone())
+}
+
+#[handler]
+fn metrics(Data(answers): Data<&Shared>) -> String {
+    answers.lock().unwrap().metrics.clone()
+}
+
+#[handler]
+fn drain(Data(answers): Data<&Shared>) -> Response {
+    let mut answers = answers.lock().unwrap();
+    answers.drained = true;
+    answers.status["leaving"] = true.into();
+    answers.status["streams"] = 0.into();
+    answers.status["queue"] = 0.into();
+    poem::http::StatusCode::ACCEPTED.into_response()
+}
