--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod journal;
 pub mod keyring;
+mod link;
 pub mod logs;
 pub mod mailbox;
 pub mod metrics;
