Kill engines at a standstill, so that the machine's pace decides nothing

Cause: engine_killed_before_first_token_of_stream froze the engines for 1.5 s and killed one before the first token; on a busy machine the kill came after it, and 2 of 4 runs failed. Ruled out: a longer freeze, which holds up the engine's interface too, and the assertion itself, which is right. Now the engines' steps are made to last longer than any test and let go again after the kill; the same for the whole answer, which counted on 300 ms.

--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -31,6 +31,9 @@
     stream_forgotten => forgotten_stream();
 }
 
+/// Factor by which a step takes longer than any test.
+const STANDSTILL: f64 = 1e6;
+
 fn stream(mark: &str, tokens: u64) -> Request {
     Request::stream(mark, DOSSIERS, "model-a", tokens)
 }
@@ -51,11 +54,8 @@
 /// Nothing was delivered: another engine starts afresh, unseen.
 async fn engine_killed_unseen(streams: bool) {
     let mut fleet = Fleet::start(Spec::default()).await;
-    for engine in 0..2 {
-        fleet
-            .engine_faults(engine, json!({"freeze_ms": 1_500}))
-            .await;
-    }
+    // No first step ends before the kill, however slow the machine is.
+    fleet.slow_engines(STANDSTILL).await;
     let request = if streams {
         stream("m", 50)
     } else {
@@ -65,6 +65,7 @@
     let call = tokio::spawn(async move { caller.run(request, 0).await });
     let engine = fleet.engine_of("m").await;
     fleet.engines[engine].process.kill();
+    fleet.slow_engines(1.0).await;
     let got = call.await.unwrap();
     fleet.assert_kept(std::slice::from_ref(&got));
     assert!(got.is_whole() && got.attempts.len() == 1, "{got:?}");
@@ -76,10 +77,12 @@
     let mut fleet = Fleet::start(Spec::default()).await;
     let caller = fleet.caller();
     let request = Request::whole("m", DOSSIERS, "model-a", 600);
+    fleet.slow_engines(20.0).await;
     let call = tokio::spawn(async move { caller.run(request, 0).await });
     let engine = fleet.engine_of("m").await;
     sleep(Duration::from_millis(300)).await;
     fleet.engines[engine].process.kill();
+    fleet.slow_engines(1.0).await;
     let got = call.await.unwrap();
     fleet.assert_kept(std::slice::from_ref(&got));
     assert!(got.is_whole() && got.attempts.len() == 1, "{got:?}");
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -344,6 +344,16 @@
             .await;
     }
 
+    /// Sets the pace of all engines that are still there.
+    pub async fn slow_engines(&mut self, factor: f64) {
+        for engine in 0..self.engines.len() {
+            if self.engines[engine].process.is_alive() {
+                self.engine_faults(engine, json!({"slow_factor": factor}))
+                    .await;
+            }
+        }
+    }
+
     /// Sets the platform's VM list.
     pub async fn set_vms(&self, vms: Value) {
         let list = json!({ "vms": vms });
