Place models on engines under the fleet's lease

Cause: models stood where they had been started. The entry that holds the lease orders them by the inventory's replicas; the agent fences orders by what it saw and by the platform's lease, also before engines that ignore the number. Ruled out: a stored plan.

--- a/fireflycroft-wire/src/decode.rs
+++ b/fireflycroft-wire/src/decode.rs
@@ -10,8 +10,8 @@
 use crate::generated::start;
 use crate::limits::{MAX_BODIES, MAX_CHUNK_TOKENS, MAX_PACKET_BYTES, MAX_RECORDS, MAX_SERVES};
 use fireflycroft::{
-    Chunk, ConfigVersion, Demand, Envelope, Finish, Incarnation, Load, MemberRecord, Message, Peer,
-    Work,
+    Chunk, ConfigVersion, Demand, Envelope, Finish, Incarnation, Load, MemberRecord, Message,
+    Order, OrderKind, Peer, Work,
 };
 use prost::Message as _;
 use std::time::Duration;
@@ -109,6 +109,8 @@
         Kind::Pong(probe) => read_pong(probe),
         Kind::ConfigPull(pull) => Ok(read_config_pull(pull)),
         Kind::ConfigPart(part) => read_config_part(part),
+        Kind::Order(order) => read_order(&order),
+        Kind::OrderAnswer(answer) => read_order_answer(&answer),
     }
 }
 
@@ -325,3 +327,25 @@
             .collect::<Result<_, _>>()?,
     })
 }
+
+fn read_order(order: &pb::Order) -> Result<Message, WireError> {
+    let kind = match pb::OrderKind::try_from(order.kind) {
+        Ok(pb::OrderKind::Load) => OrderKind::Load,
+        Ok(pb::OrderKind::Unload) => OrderKind::Unload,
+        Ok(pb::OrderKind::Unspecified) | Err(_) => return Err(WireError::BadValue("order.kind")),
+    };
+    Ok(Message::Order(Order {
+        id: read_request(&order.id, "order.id")?,
+        fence: order.fence,
+        kind,
+        model: read_name(&order.model, "order.model")?,
+    }))
+}
+
+fn read_order_answer(answer: &pb::OrderAnswer) -> Result<Message, WireError> {
+    Ok(Message::OrderAnswer {
+        id: read_request(&answer.id, "order_answer.id")?,
+        code: read_code(answer.code)?,
+        fence: answer.fence,
+    })
+}
--- a/fireflycroft-wire/src/encode.rs
+++ b/fireflycroft-wire/src/encode.rs
@@ -10,7 +10,8 @@
 use crate::generated::body::Kind;
 use crate::generated::start;
 use fireflycroft::{
-    Chunk, ConfigVersion, Demand, Envelope, Finish, Load, MemberRecord, Message, Name, Peer, Work,
+    Chunk, ConfigVersion, Demand, Envelope, Finish, Load, MemberRecord, Message, Name, OrderKind,
+    Peer, Work,
 };
 use prost::Message as _;
 use std::slice;
@@ -251,6 +252,21 @@
             digest: id_bytes(digest.0),
             data: data.to_vec(),
         }),
+        Message::Order(order) => Kind::Order(pb::Order {
+            id: id_bytes(order.id.0),
+            fence: order.fence,
+            kind: match order.kind {
+                OrderKind::Load => pb::OrderKind::Load,
+                OrderKind::Unload => pb::OrderKind::Unload,
+            }
+            .into(),
+            model: order.model.to_string(),
+        }),
+        Message::OrderAnswer { id, code, fence } => Kind::OrderAnswer(pb::OrderAnswer {
+            id: id_bytes(id.0),
+            code: code.number(),
+            fence: *fence,
+        }),
         // Named one by one, so that a new message does not compile unread.
         Message::Offer { .. }
         | Message::Queued { .. }
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -53,7 +53,7 @@
 pub struct Body {
     #[prost(
         oneof = "body::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub kind: ::core::option::Option<body::Kind>,
 }
@@ -95,6 +95,10 @@
         ConfigPull(super::ConfigPull),
         #[prost(message, tag = "17")]
         ConfigPart(super::ConfigPart),
+        #[prost(message, tag = "18")]
+        Order(super::Order),
+        #[prost(message, tag = "19")]
+        OrderAnswer(super::OrderAnswer),
     }
 }
 /// One reservation and the generation it may become.
@@ -367,6 +371,30 @@
     #[prost(bytes = "vec", tag = "5")]
     pub data: ::prost::alloc::vec::Vec<u8>,
 }
+/// An order to an upstream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Order {
+    /// Sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub id: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    #[prost(enumeration = "OrderKind", tag = "3")]
+    pub kind: i32,
+    #[prost(string, tag = "4")]
+    pub model: ::prost::alloc::string::String,
+}
+/// What became of an order.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderAnswer {
+    /// Sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub id: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub code: u32,
+    #[prost(uint64, tag = "3")]
+    pub fence: u64,
+}
 /// What a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -502,3 +530,33 @@
         }
     }
 }
+/// What an upstream is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum OrderKind {
+    Unspecified = 0,
+    Load = 1,
+    Unload = 2,
+}
+impl OrderKind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "ORDER_KIND_UNSPECIFIED",
+            Self::Load => "ORDER_KIND_LOAD",
+            Self::Unload => "ORDER_KIND_UNLOAD",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "ORDER_KIND_UNSPECIFIED" => Some(Self::Unspecified),
+            "ORDER_KIND_LOAD" => Some(Self::Load),
+            "ORDER_KIND_UNLOAD" => Some(Self::Unload),
+            _ => None,
+        }
+    }
+}
--- a/fireflycroft-wire/tests/support/mod.rs
+++ b/fireflycroft-wire/tests/support/mod.rs
@@ -2,7 +2,8 @@
 
 use fireflycroft::{
     Chunk, Code, ConfigVersion, Demand, Digest, Envelope, Finish, GenerationId, Incarnation, Load,
-    MemberRecord, MemberState, Message, Name, Peer, Priority, RequestId, Role, Standing, Work,
+    MemberRecord, MemberState, Message, Name, Order, OrderKind, Peer, Priority, RequestId, Role,
+    Standing, Work,
 };
 use proptest::collection::vec;
 use proptest::option;
@@ -171,6 +172,26 @@
         have: ConfigVersion(have),
         part,
     });
+    let order = (any::<(u128, u64, bool)>(), name()).prop_map(|((id, fence, load), model)| {
+        Message::Order(Order {
+            id: RequestId(id),
+            fence,
+            kind: if load {
+                OrderKind::Load
+            } else {
+                OrderKind::Unload
+            },
+            model,
+        })
+    });
+    let answer =
+        (any::<(u128, u64)>(), select(Code::ALL.to_vec())).prop_map(|((id, fence), code)| {
+            Message::OrderAnswer {
+                id: RequestId(id),
+                code,
+                fence,
+            }
+        });
     let part = (any::<(u64, u32, u32)>(), digest(), body()).prop_map(|(numbers, digest, data)| {
         Message::ConfigPart {
             version: ConfigVersion(numbers.0),
@@ -180,7 +201,7 @@
             data,
         }
     });
-    prop_oneof![crashes, asked, answered, pull, part]
+    prop_oneof![crashes, asked, answered, pull, part, order, answer]
 }
 
 fn record() -> impl Strategy<Value = MemberRecord> {
--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -10,6 +10,7 @@
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
 use crate::message::{ConfigVersion, Envelope, Finish, Load, Message, Standing};
 use crate::note::Note;
+use crate::order::{Order, Orders};
 use crate::quarantine::Quarantine;
 use crate::store::Store;
 use crate::stream::TokenLog;
@@ -114,6 +115,12 @@
     Leave,
     /// The agent stays after all.
     Stay,
+    /// The upstream now holds these models.
+    Serves(Vec<Name>),
+    /// The platform told the fencing number in force.
+    Fence(u64),
+    /// The upstream answered the order that was passed on.
+    OrderSettled(Code),
     /// A configuration is in force here.
     Config(ConfigVersion),
     /// Time went on.
@@ -147,6 +154,8 @@
     },
     /// Stop a generation on the upstream.
     Stop(GenerationId),
+    /// Pass an order on to the upstream.
+    Order(Order),
     /// Ask the sender for its configuration.
     PullConfig(SocketAddr),
     /// Something to log and count.
@@ -167,17 +176,20 @@
 #[derive(Clone, Debug)]
 pub struct Agent {
     me: Peer,
-    serves: Vec<Name>,
+    pub(crate) serves: Vec<Name>,
     limits: AgentLimits,
     config: ConfigVersion,
     admission: Admission,
     offers: BTreeMap<OfferId, Offered>,
-    generations: Store,
+    pub(crate) generations: Store,
     next_serial: u64,
     quarantine: Quarantine,
     upstream_up: bool,
     leaving: bool,
     step: Duration,
+    pub(crate) orders: Orders,
+    /// Where the answer to the order under way goes.
+    pub(crate) issuer: Option<SocketAddr>,
 }
 
 const STEP_WEIGHT: u32 = 8;
@@ -201,6 +213,8 @@
             upstream_up: false,
             leaving: false,
             step: Duration::ZERO,
+            orders: Orders::default(),
+            issuer: None,
         }
     }
 
@@ -223,6 +237,9 @@
             AgentEvent::UpstreamUp => self.upstream_up = true,
             AgentEvent::Leave => self.on_leave(now, out),
             AgentEvent::Stay => self.leaving = false,
+            AgentEvent::Serves(models) => self.serves = models,
+            AgentEvent::Fence(fence) => self.orders.learn_fence(fence),
+            AgentEvent::OrderSettled(code) => self.on_order_settled(code, out),
             AgentEvent::Config(version) => self.config = self.config.max(version),
             AgentEvent::Tick => self.on_tick(now, out),
         }
@@ -313,6 +330,7 @@
                 }
             }
             Message::Cancel { generation } => self.on_cancel(now, generation, out),
+            Message::Order(order) => self.on_order(from, order, out),
             Message::Crashes { content, count } => {
                 self.quarantine.learn(now, content, count);
             }
--- /dev/null
+++ b/fireflycroft/src/carry_out.rs
@@ -0,0 +1,63 @@
+//! Orders at the agent: checked, passed on, answered.
+
+use crate::agent::{Agent, AgentAction};
+use crate::code::Code;
+use crate::generation::{Generation, Stage};
+use crate::ids::{Name, RequestId};
+use crate::message::Message;
+use crate::note::Note;
+use crate::order::{Order, OrderKind, OrderVerdict};
+use std::net::SocketAddr;
+
+impl Agent {
+    /// Models or plain services that new work may ask for.
+    #[must_use]
+    pub fn serves(&self) -> &[Name] {
+        &self.serves
+    }
+
+    pub(crate) fn on_order(&mut self, from: SocketAddr, order: Order, out: &mut Vec<AgentAction>) {
+        let running = self.using(&order.model);
+        match self.orders.decide(&order, running) {
+            OrderVerdict::Answer(code) => out.push(self.order_answer(from, order.id, code)),
+            OrderVerdict::UnderWay => self.issuer = Some(from),
+            OrderVerdict::Pass => {
+                self.issuer = Some(from);
+                if order.kind == OrderKind::Unload {
+                    self.serves.retain(|model| *model != order.model);
+                }
+                out.push(AgentAction::Note(
+                    Note::new("order_passed").request(order.id),
+                ));
+                out.push(AgentAction::Order(order));
+            }
+        }
+    }
+
+    pub(crate) fn on_order_settled(&mut self, code: Code, out: &mut Vec<AgentAction>) {
+        let Some(order) = self.orders.settle(code) else {
+            return;
+        };
+        let note = Note::new("order_settled").request(order.id).code(code);
+        out.push(AgentAction::Note(note));
+        if let Some(issuer) = self.issuer.take() {
+            out.push(self.order_answer(issuer, order.id, code));
+        }
+    }
+
+    /// Generations that hold or may yet take the model.
+    fn using(&self, model: &Name) -> usize {
+        let active = |g: &&Generation| matches!(g.stage, Stage::Reserved(_) | Stage::Running);
+        let of_model = |g: &&Generation| g.demand.target == *model;
+        self.generations
+            .values()
+            .filter(active)
+            .filter(of_model)
+            .count()
+    }
+
+    fn order_answer(&self, to: SocketAddr, id: RequestId, code: Code) -> AgentAction {
+        let fence = self.orders.highest().unwrap_or(0);
+        AgentAction::Send(to, Message::OrderAnswer { id, code, fence })
+    }
+}
--- a/fireflycroft/src/compile.rs
+++ b/fireflycroft/src/compile.rs
@@ -65,6 +65,7 @@
         without_key: doc.rules.without_key,
         objectives,
         models,
+        services: doc.inventory.services.iter().cloned().collect(),
         interactive_wait: Duration::from_millis(doc.rules.interactive_wait_ms),
         batch_wait: Duration::from_millis(doc.rules.batch_wait_ms),
     })
--- a/fireflycroft/src/config.rs
+++ b/fireflycroft/src/config.rs
@@ -45,6 +45,7 @@
     pub(crate) without_key: WithoutKey,
     pub(crate) objectives: Vec<Objective>,
     pub(crate) models: Vec<(Name, u32)>,
+    pub(crate) services: HashSet<Name>,
     pub(crate) interactive_wait: Duration,
     pub(crate) batch_wait: Duration,
 }
@@ -172,6 +173,12 @@
         self.models.iter().map(|(name, replicas)| (name, *replicas))
     }
 
+    /// Whether that is a plain service.
+    #[must_use]
+    pub fn is_service(&self, target: &str) -> bool {
+        self.services.contains(target)
+    }
+
     /// Number of workspaces.
     #[must_use]
     pub fn workspaces(&self) -> usize {
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -6,6 +6,7 @@
 mod admit;
 mod agent;
 mod carrier;
+mod carry_out;
 mod claim;
 mod code;
 mod compile;
--- a/fireflycroft/src/message.rs
+++ b/fireflycroft/src/message.rs
@@ -9,6 +9,7 @@
 use crate::code::Code;
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
 use crate::member::MemberRecord;
+use crate::order::Order;
 use crate::stream::Chunk;
 use crate::work::{Demand, Work};
 use std::sync::Arc;
@@ -212,6 +213,17 @@
         /// Upstreams crashed.
         count: u8,
     },
+    /// Holder of the fleet's lease: carry this out.
+    Order(Order),
+    /// Agent: what became of an order.
+    OrderAnswer {
+        /// The order.
+        id: RequestId,
+        /// What became of it.
+        code: Code,
+        /// Highest fencing number that the agent knows.
+        fence: u64,
+    },
     /// Any: is there anybody, and what changed of late.
     Ping {
         /// Number to be given back.
--- a/fireflycroft/src/place.rs
+++ b/fireflycroft/src/place.rs
@@ -60,11 +60,14 @@
     fence: Option<u64>,
     under_way: Option<UnderWay>,
     next_load: Time,
-    /// Agents that refused of late, and until when they are left out.
-    refused: Vec<(Name, Time)>,
+    /// Agents that answered of late, and until when they are left out.
+    resting: Vec<(Name, Time)>,
 }
 
+/// Rest of an agent that refused.
 const REFUSED_FOR: Duration = Duration::from_secs(10);
+/// Rest of an agent that did as ordered, until its record has spread.
+const SETTLE: Duration = Duration::from_secs(5);
 
 impl Placer {
     /// A placer that holds no lease yet.
@@ -75,7 +78,7 @@
             fence: None,
             under_way: None,
             next_load: Time(0),
-            refused: Vec::new(),
+            resting: Vec::new(),
         }
     }
 
@@ -90,7 +93,7 @@
     ) -> Option<(Peer, Order)> {
         self.note_fence(now, fence);
         let fence = fence?;
-        self.refused.retain(|(_, until)| *until > now);
+        self.resting.retain(|(_, until)| *until > now);
         if self.under_way.is_some() {
             return self.repeat(now);
         }
@@ -119,9 +122,9 @@
         let Some(under_way) = self.under_way.take_if(|u| u.order.id == id) else {
             return false;
         };
-        if !done {
-            self.refused.push((under_way.agent.name, now + REFUSED_FOR));
-        }
+        // Its record still shows what was there before; look again later.
+        let rest = if done { SETTLE } else { REFUSED_FOR };
+        self.resting.push((under_way.agent.name, now + rest));
         true
     }
 
@@ -139,7 +142,7 @@
         let limits = self.limits;
         let late = |u: &mut UnderWay| now.since(u.first_sent) >= limits.give_up;
         if let Some(gone) = self.under_way.take_if(late) {
-            self.refused.push((gone.agent.name, now + REFUSED_FOR));
+            self.resting.push((gone.agent.name, now + REFUSED_FOR));
             return None;
         }
         let under_way = self.under_way.as_mut()?;
@@ -172,7 +175,7 @@
         let open = |e: &EngineView| {
             !e.holds.contains(model)
                 && e.holds.len() < self.limits.models_per_engine
-                && !self.is_refused(&e.agent.name)
+                && !self.is_resting(&e.agent.name)
         };
         (0..engines.len())
             .filter(|i| open(&engines[*i]))
@@ -200,7 +203,7 @@
         };
         let lacking = most_missing(wanted, engines).is_some();
         engines.iter().enumerate().find_map(|(at, engine)| {
-            if self.is_refused(&engine.agent.name) || engine.running > 0 {
+            if self.is_resting(&engine.agent.name) || engine.running > 0 {
                 return None;
             }
             let unlisted = |m: &&Name| !wanted.iter().any(|(w, _)| w == *m);
@@ -212,8 +215,8 @@
         })
     }
 
-    fn is_refused(&self, agent: &Name) -> bool {
-        self.refused.iter().any(|(name, _)| name == agent)
+    fn is_resting(&self, agent: &Name) -> bool {
+        self.resting.iter().any(|(name, _)| name == agent)
     }
 }
 
--- a/fireflycroft/tests/place.rs
+++ b/fireflycroft/tests/place.rs
@@ -126,6 +126,15 @@
         assert_ne!(first.name, second.name);
     }
 
+    an_engine_whose_record_lags_is_not_ordered_twice: {
+        let mut fleet = Fleet::new(vec![engine(0, &["old"])]);
+        let nothing = wanted(&[]);
+        let (_, order) = (0..60).find_map(|_| fleet.tick(Some(1), &nothing)).unwrap();
+        fleet.placer.on_done(fleet.now, order.id, true);
+        // The view is as it was before the order.
+        assert!((0..9).all(|_| fleet.tick(Some(1), &nothing).is_none()));
+    }
+
     an_engine_that_runs_is_not_emptied: {
         let mut busy = engine(0, &["model-old"]);
         busy.running = 3;
--- a/fireflycroft/tests/support/world.rs
+++ b/fireflycroft/tests/support/world.rs
@@ -534,7 +534,8 @@
                 self.upstreams[i].live.remove(&generation);
             }
             AgentAction::PullConfig(addr) => self.pull_config(from, addr),
-            AgentAction::Note(_) => {}
+            // No orders are given in this world.
+            AgentAction::Order(_) | AgentAction::Note(_) => {}
         }
     }
 
--- a/fireflyd/src/agent.rs
+++ b/fireflyd/src/agent.rs
@@ -170,6 +170,7 @@
         let now = self.node.now();
         self.node.fleet.on_tick(now, &mut self.node.outbox);
         self.drive(AgentEvent::Tick);
+        self.node.fleet.set_serves(self.core.serves());
         self.tell_state();
     }
 
@@ -216,6 +217,11 @@
                 let runner = self.runner.clone();
                 tokio::spawn(async move { runner.cancel(generation).await });
             }
+            AgentAction::Order(order) => {
+                let runner = self.runner.clone();
+                let tx = self.tx.clone();
+                tokio::spawn(async move { runner.carry_out(&order, &tx).await });
+            }
             AgentAction::PullConfig(from) => self.feed.pull(from, &mut self.node.outbox),
             AgentAction::Note(note) => self.node.note(&note),
         }
@@ -266,6 +272,7 @@
             "expected_tokens": load.expected_tokens,
             "capacity_tokens": load.capacity_tokens,
             "leaving": self.core.is_leaving(),
+            "serves": self.core.serves(),
             "upstream_up": self.upstream_up,
         })
     }
--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use fireflycroft::{
-    CallId, Config, Entry, EntryAction, EntryEvent, EntrySetup, Envelope, MemberRecord, Message,
-    Reply,
+    CallId, Config, Entry, EntryAction, EntryEvent, EntrySetup, Envelope, LeaseAnswer, LeaseCall,
+    LeaseSpans, MemberRecord, Message, PlaceLimits, Reply, Time,
 };
 use fireflycroft_wire::decode_all;
 use serde_json::{Value, json};
@@ -15,10 +15,14 @@
 use crate::claims;
 use crate::config_feed::ConfigFeed;
 use crate::front::FrontEvent;
+use crate::leader::Leader;
+use crate::leases;
 use crate::node::{Node, TICK};
 use crate::platform::PlatformClient;
 use crate::status::Status;
 
+/// Entries that look at the fleet's lease at all.
+const LEASE_CANDIDATES: usize = 2;
 /// Events taken in one turn before messages go out.
 const TURN: usize = 256;
 
@@ -29,6 +33,8 @@
     Core(EntryEvent),
     /// A configuration was read.
     Config(Arc<Config>),
+    /// The platform's answer about the fleet's lease.
+    Lease(LeaseCall, LeaseAnswer),
     /// The entry is to stop.
     Leave,
 }
@@ -41,6 +47,7 @@
     feed: ConfigFeed,
     ready: Readiness,
     status: Status,
+    leader: Leader,
     replies: HashMap<CallId, mpsc::UnboundedSender<Reply>>,
     tx: mpsc::Sender<EntryInput>,
 }
@@ -57,6 +64,12 @@
         status: Status,
         tx: mpsc::Sender<EntryInput>,
     ) -> Self {
+        let leader = Leader::new(
+            node.me.name.clone(),
+            rand::random(),
+            LeaseSpans::default(),
+            PlaceLimits::default(),
+        );
         Self {
             core: Entry::new(setup),
             node,
@@ -64,6 +77,7 @@
             feed,
             ready,
             status,
+            leader,
             replies: HashMap::new(),
             tx,
         }
@@ -139,6 +153,9 @@
                 self.feed
                     .on_message(envelope.from.addr, &envelope.body, &mut self.node.outbox);
             }
+            Message::OrderAnswer { id, code, fence } => {
+                self.leader.on_order_answer(now, *id, *code, *fence);
+            }
             _ => self.drive(EntryEvent::Message(Box::new(envelope))),
         }
     }
@@ -161,6 +178,10 @@
         match input {
             EntryInput::Core(event) => self.drive(event),
             EntryInput::Config(config) => self.drive(EntryEvent::Config(config)),
+            EntryInput::Lease(call, answer) => {
+                let now = self.node.now();
+                self.leader.on_answer(now, call, answer);
+            }
             EntryInput::Leave => {
                 self.node.fleet.leave();
                 self.drive(EntryEvent::Leave);
@@ -175,9 +196,31 @@
         let entries = self.node.fleet.entries();
         self.drive(EntryEvent::Entries(entries));
         self.drive(EntryEvent::Tick);
+        self.lead(now);
         self.tell_state();
     }
 
+    /// Does the fleet's work when this entry holds the lease.
+    fn lead(&mut self, now: Time) {
+        let candidate = !self.core.is_leaving() && self.node.fleet.rank() < LEASE_CANDIDATES;
+        let (asked, note) = self.leader.on_tick(now, candidate);
+        if let Some(note) = note {
+            self.node.note(&note);
+        }
+        if let Some((call, op)) = asked {
+            let platform = self.platform.clone();
+            let tx = self.tx.clone();
+            tokio::spawn(async move {
+                let answer = leases::ask(&platform, op).await;
+                let _ = tx.send(EntryInput::Lease(call, answer)).await;
+            });
+        }
+        if let Some(config) = self.core.config().cloned() {
+            self.leader
+                .place(now, &config, self.core.router(), &mut self.node.outbox);
+        }
+    }
+
     fn learn(&mut self, changed: Vec<MemberRecord>) {
         for record in changed {
             log::info!(event = "member_changed", name = &*record.peer.name, state:? = record.state; "");
@@ -276,6 +319,7 @@
                     "running": a.load.running,
                     "queued": a.load.queued,
                     "leaving": a.load.leaving,
+                    "serves": a.serves,
                 })
             })
             .collect();
@@ -286,6 +330,7 @@
             "streams": self.core.calls(),
             "queue": 0,
             "leaving": self.core.is_leaving(),
+            "lease": self.leader.held(self.node.now()),
             "agents": agents,
         })
     }
--- a/fireflyd/src/fleet.rs
+++ b/fireflyd/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use fireflycroft::{MemberRecord, MemberState, Message, Name, Peer, Role, Time};
+use fireflycroft::{Digest, MemberRecord, MemberState, Message, Name, Peer, Role, Time};
 
 use crate::outbox::Outbox;
 
@@ -59,6 +59,31 @@
         self.members().filter(alive).map(|r| r.peer.addr).collect()
     }
 
+    /// Place of this process among the entries alive, by a hash of the names
+    /// that all agree on; the first is 0.
+    #[must_use]
+    pub fn rank(&self) -> usize {
+        let weight = |name: &Name| Digest::of(&[b"rank", name.as_bytes()]);
+        let own = weight(&self.own.peer.name);
+        let is_entry =
+            |r: &&MemberRecord| r.peer.role == Role::Entry && r.state == MemberState::Alive;
+        self.members()
+            .filter(is_entry)
+            .filter(|r| weight(&r.peer.name) > own)
+            .count()
+    }
+
+    /// Says what the upstream of this process holds now; true when it changed.
+    pub fn set_serves(&mut self, serves: &[Name]) -> bool {
+        if self.own.serves == serves {
+            return false;
+        }
+        self.own.serves = serves.to_vec();
+        self.own.turn += 1;
+        self.pinged = Time::default();
+        true
+    }
+
     /// Entries alive, this process counted.
     #[must_use]
     pub fn entries(&self) -> u32 {
--- /dev/null
+++ b/fireflyd/src/leader.rs
@@ -0,0 +1,101 @@
+//! Work for the whole fleet, done by whichever entry holds the lease.
+//!
+//! The entries of highest rank are candidates, the others ask the platform
+//! nothing. Who holds the lease orders models onto engines, one at a time.
+
+use fireflycroft::{Code, MemberState};
+use fireflycroft::{
+    Config, EngineView, IdSource, Lease, LeaseAnswer, LeaseCall, LeaseOp, LeaseSpans, Message,
+    Name, Note, PlaceLimits, Placer, RequestId, Router, Time,
+};
+
+use crate::outbox::Outbox;
+
+/// The lease and what is done under it.
+pub struct Leader {
+    lease: Lease,
+    placer: Placer,
+    ids: IdSource,
+    held: Option<u64>,
+}
+
+impl Leader {
+    /// A node of that name that holds no lease.
+    #[must_use]
+    pub fn new(name: Name, seed: [u8; 32], spans: LeaseSpans, limits: PlaceLimits) -> Self {
+        let mut ids = IdSource::new(seed);
+        Self {
+            lease: Lease::new(name, ids.draw(), spans),
+            placer: Placer::new(limits),
+            ids,
+            held: None,
+        }
+    }
+
+    /// Fencing number of the lease, if it is held.
+    #[must_use]
+    pub fn held(&self, now: Time) -> Option<u64> {
+        self.lease.held(now)
+    }
+
+    /// Takes the platform's answer.
+    pub fn on_answer(&mut self, now: Time, call: LeaseCall, answer: LeaseAnswer) {
+        self.lease.on_answer(now, call, answer);
+    }
+
+    /// Takes an agent's answer to an order.
+    pub fn on_order_answer(&mut self, now: Time, id: RequestId, code: Code, fence: u64) {
+        self.lease.note_fence(fence);
+        self.placer.on_done(now, id, code == Code::OrderDone);
+    }
+
+    /// Renews or challenges; gives what to ask the platform, and a note when
+    /// the lease changed hands.
+    pub fn on_tick(
+        &mut self,
+        now: Time,
+        candidate: bool,
+    ) -> (Option<(LeaseCall, LeaseOp)>, Option<Note>) {
+        let asked = self.lease.on_tick(now, candidate);
+        let held = self.lease.held(now);
+        let before = std::mem::replace(&mut self.held, held);
+        let note = match (before, held) {
+            (None, Some(fence)) => Some(Note::new("lease_taken").count(fence)),
+            (Some(fence), None) => Some(Note::new("lease_lost").count(fence)),
+            _ => None,
+        };
+        (asked, note)
+    }
+
+    /// Orders what is due, if the lease is held.
+    pub fn place(&mut self, now: Time, config: &Config, router: &Router, out: &mut Outbox) {
+        let wanted: Vec<(Name, u32)> = config
+            .models()
+            .map(|(model, n)| (model.clone(), n))
+            .collect();
+        let engines = engines(config, router);
+        // Asked anew at the moment of use: a pause may have ended the lease.
+        let fence = self.lease.held(now);
+        let order = self
+            .placer
+            .on_tick(now, fence, &wanted, &engines, &mut self.ids);
+        if let Some((agent, order)) = order {
+            log::info!(event = "order_sent", req:% = order.id, peer = &*agent.name, model = &*order.model,
+                kind:? = order.kind, fence = order.fence; "");
+            out.push(agent.addr, Message::Order(order));
+        }
+    }
+}
+
+fn engines(config: &Config, router: &Router) -> Vec<EngineView> {
+    let is_engine = |serves: &[Name]| !serves.iter().any(|target| config.is_service(target));
+    router
+        .agents()
+        .filter(|a| a.state == MemberState::Alive && !a.load.leaving && is_engine(&a.serves))
+        .map(|a| EngineView {
+            agent: a.peer.clone(),
+            holds: a.serves.clone(),
+            running: a.load.running,
+        })
+        .collect()
+}
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod front;
 pub mod journal;
 pub mod keyring;
+pub mod leader;
+pub mod leases;
 mod link;
 pub mod logs;
 pub mod mailbox;
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -7,8 +7,8 @@
 
 use anyhow::Context;
 use fireflycroft::{
-    AdmitPolicy, AgentLimits, AgentSetup, Capacity, Config, EntryLimits, EntrySetup, Name, Role,
-    RoutePolicy,
+    AdmitPolicy, AgentEvent, AgentLimits, AgentSetup, Capacity, Config, EntryLimits, EntrySetup,
+    LeaseAnswer, LeaseOp, Name, Role, RoutePolicy,
 };
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -21,6 +21,7 @@
 use crate::front::{Front, Tls};
 use crate::journal::Journal;
 use crate::keyring::{SharedKeyRing, read_key_file, watch_key_file};
+use crate::leases;
 use crate::mailbox::{Limits, Mailbox};
 use crate::metrics::Metrics;
 use crate::node::{Identity, Node};
@@ -42,6 +43,8 @@
 const DEFAULT_BATCH: u64 = 64;
 /// Most requests that wait at one agent.
 const MAX_QUEUE: usize = 256;
+/// Wait before the platform is asked again for the fencing number.
+const FENCE_RETRY: Duration = Duration::from_secs(1);
 /// Time to let the last bytes of a planned stop go out.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -189,6 +192,8 @@
     let runner = open_runner(settings, &agent)?;
     let capacity = find_capacity(&agent, &runner).await;
     tokio::spawn(runner.clone().watch_health(tx.clone()));
+    tokio::spawn(runner.clone().watch_models(tx.clone()));
+    tokio::spawn(learn_fence(parts.platform.clone(), tx.clone()));
     let setup = AgentSetup {
         me: parts.node.me.clone(),
         serves: served_by(&agent),
@@ -327,6 +332,23 @@
     }
 }
 
+/// Learns the fencing number in force, without which the agent takes no
+/// order.
+async fn learn_fence(platform: PlatformClient, tx: mpsc::Sender<AgentInput>) {
+    loop {
+        let fence = match leases::ask(&platform, LeaseOp::Read).await {
+            LeaseAnswer::Found(record, _) => record.fence,
+            LeaseAnswer::Absent => 0,
+            _ => {
+                tokio::time::sleep(FENCE_RETRY).await;
+                continue;
+            }
+        };
+        let _ = tx.send(AgentInput::Core(AgentEvent::Fence(fence))).await;
+        return;
+    }
+}
+
 async fn forward(mut configs: watch::Receiver<Option<Arc<Config>>>, take: impl Fn(Arc<Config>)) {
     while configs.changed().await.is_ok() {
         let config = configs.borrow_and_update().clone();
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use fireflycroft::{
-    AgentEvent, Code, Demand, Finish, GenerationId, Name, Priority, RequestId, Work,
+    AgentEvent, Code, Demand, Finish, GenerationId, Name, Order, OrderKind, Priority, RequestId,
+    Work,
 };
 use futures_util::StreamExt;
 use serde_json::Value;
@@ -11,8 +12,8 @@
 
 use crate::agent::AgentInput;
 use crate::upstream::{
-    EngineClient, EngineEvent, EngineStream, FinishReason, GenerateRequest, PlainAnswer,
-    PlainClient, UpstreamError,
+    EngineClient, EngineEvent, EngineOrder, EngineStream, FencedOrder, FinishReason,
+    GenerateRequest, Model, ModelState, OrderOutcome, PlainAnswer, PlainClient, UpstreamError,
 };
 
 /// Bytes of a plain answer that count as one token.
@@ -24,6 +25,12 @@
 /// Wait before a broken stream is taken up again.
 const RESUME_WAIT: Duration = Duration::from_millis(50);
 const NOT_FOUND: u16 = 404;
+/// Time between two looks at the engine's models.
+const MODELS_EVERY: Duration = Duration::from_secs(2);
+/// Time between two looks whether an order took effect.
+const EFFECT_LOOK: Duration = Duration::from_millis(250);
+/// Looks before an order counts as failed; two minutes in all.
+const MAX_EFFECT_LOOKS: u32 = 480;
 
 /// The upstream behind one agent; cloning shares its connections.
 #[derive(Clone, Debug)]
@@ -120,6 +127,29 @@
         }
     }
 
+    /// Carries out an order and waits until the upstream has done so.
+    pub async fn carry_out(&self, order: &Order, tx: &mpsc::Sender<AgentInput>) {
+        let code = match self {
+            Self::Engine(engine) => pass_on(engine, order).await,
+            Self::Plain(_) => Code::OrderFailed,
+        };
+        if let Self::Engine(engine) = self {
+            tell_models(engine, tx).await;
+        }
+        send(tx, AgentEvent::OrderSettled(code)).await;
+    }
+
+    /// Tells which models the engine holds, for ever.
+    pub async fn watch_models(self, tx: mpsc::Sender<AgentInput>) {
+        let Self::Engine(engine) = self else {
+            return;
+        };
+        loop {
+            tell_models(&engine, &tx).await;
+            tokio::time::sleep(MODELS_EVERY).await;
+        }
+    }
+
     /// Looks at the upstream's health for ever.
     pub async fn watch_health(self, tx: mpsc::Sender<AgentInput>) {
         let mut failures = 0;
@@ -155,6 +185,53 @@
     }
 }
 
+async fn pass_on(engine: &EngineClient, order: &Order) -> Code {
+    let model = order.model.clone();
+    let fenced = FencedOrder {
+        fence: order.fence,
+        order: match order.kind {
+            OrderKind::Load => EngineOrder::Load { model },
+            OrderKind::Unload => EngineOrder::Unload { model },
+        },
+    };
+    match engine.order(&fenced).await {
+        Ok(OrderOutcome::Taken) => wait_for_effect(engine, order).await,
+        Ok(OrderOutcome::Fenced { .. }) => Code::OrderFenced,
+        Err(e) => {
+            log::warn!(event = "order_failed", req:% = order.id, cause:% = e; "");
+            Code::OrderFailed
+        }
+    }
+}
+
+/// Waits until the engine holds the model, or holds it no more.
+async fn wait_for_effect(engine: &EngineClient, order: &Order) -> Code {
+    let wanted = order.kind == OrderKind::Load;
+    for _ in 0..MAX_EFFECT_LOOKS {
+        if let Ok(list) = engine.models().await {
+            let is_loaded = |m: &Model| m.name == order.model && m.state == ModelState::Loaded;
+            if list.models.iter().any(is_loaded) == wanted {
+                return Code::OrderDone;
+            }
+        }
+        tokio::time::sleep(EFFECT_LOOK).await;
+    }
+    Code::OrderFailed
+}
+
+async fn tell_models(engine: &EngineClient, tx: &mpsc::Sender<AgentInput>) {
+    let Ok(list) = engine.models().await else {
+        return;
+    };
+    let loaded = list
+        .models
+        .into_iter()
+        .filter(|m| m.state == ModelState::Loaded);
+    let mut names: Vec<Name> = loaded.map(|m| m.name).collect();
+    names.sort_unstable();
+    send(tx, AgentEvent::Serves(names)).await;
+}
+
 async fn generate(
     engine: &EngineClient,
     generation: GenerationId,
