--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -250,7 +250,7 @@
         let busy = |g: &Generation| match g.stage {
             Stage::Reserved(_) | Stage::Running => true,
             Stage::Lapsed(_) => false,
-            Stage::Finished(_) => !g.readers.is_empty(),
+            Stage::Finished(_) => !g.readers.is_empty() || g.is_awaited(),
         };
         !self.generations.values().any(busy)
     }
@@ -453,6 +453,7 @@
             finish: None,
             readers: Vec::new(),
             unread_since: None,
+            end_taken: false,
             resumed: 0,
             last_token: None,
         };
--- a/fireflycroft/src/generation.rs
+++ b/fireflycroft/src/generation.rs
@@ -5,6 +5,7 @@
 //! it has not yet acknowledged, within a window.
 
 use crate::admit::OfferId;
+use crate::code::Code;
 use crate::ids::{GenerationId, Name, RequestId};
 use crate::message::{Finish, Message, Standing};
 use crate::stream::TokenLog;
@@ -65,6 +66,8 @@
     pub(crate) readers: Vec<Reader>,
     /// Since when nobody reads it.
     pub(crate) unread_since: Option<Time>,
+    /// Whether a reader was sent the end and has let go.
+    pub(crate) end_taken: bool,
     /// Times that the stream from the upstream was taken up again.
     pub(crate) resumed: u32,
     /// When the upstream last gave a token.
@@ -119,10 +122,17 @@
     }
 
     pub(crate) fn detach(&mut self, now: Time, reader: RequestId) {
+        self.end_taken |= self.readers.iter().any(|r| r.id == reader && r.told_end);
         self.readers.retain(|r| r.id != reader);
         self.note_unread(now);
     }
 
+    /// Whether a caller may still come for the whole answer.
+    pub(crate) fn is_awaited(&self) -> bool {
+        let whole = self.finish.as_ref().is_some_and(|f| f.code == Code::Ok);
+        whole && !self.end_taken
+    }
+
     /// Drops the readers not heard of since `limit`.
     pub(crate) fn drop_silent(&mut self, now: Time, limit: Time) {
         self.readers.retain(|r| r.heard > limit);
@@ -189,7 +199,7 @@
     }
 
     /// Result that the generation is said to have, for a finish made here.
-    pub(crate) fn finish_with(&self, code: crate::code::Code, reason: &str, crashes: u8) -> Finish {
+    pub(crate) fn finish_with(&self, code: Code, reason: &str, crashes: u8) -> Finish {
         Finish {
             total: self.log.end(),
             code,
--- a/fireflyd/src/agent.rs
+++ b/fireflyd/src/agent.rs
@@ -96,7 +96,7 @@
                 }
             }
             self.flush();
-            if self.core.is_leaving() && self.core.is_idle() {
+            if self.node.grace.is_over() && self.core.is_idle() {
                 log::info!(event = "agent_stopped"; "");
                 return;
             }
@@ -160,6 +160,7 @@
                 self.drive(AgentEvent::Config(self.config.version()));
             }
             AgentInput::Leave => {
+                self.node.grace.begin();
                 self.node.fleet.leave();
                 self.drive(AgentEvent::Leave);
             }
--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -95,8 +95,7 @@
                 }
             }
             self.flush();
-            if self.core.is_leaving() && self.core.is_idle() && calls.is_empty() {
-                self.flush();
+            if self.node.grace.is_over() && self.core.is_idle() && calls.is_empty() {
                 log::info!(event = "entry_stopped"; "");
                 return;
             }
@@ -162,6 +161,7 @@
             EntryInput::Core(event) => self.drive(event),
             EntryInput::Config(config) => self.drive(EntryEvent::Config(config)),
             EntryInput::Leave => {
+                self.node.grace.begin();
                 self.node.fleet.leave();
                 self.drive(EntryEvent::Leave);
             }
--- a/fireflyd/src/front.rs
+++ b/fireflyd/src/front.rs
@@ -18,7 +18,7 @@
 };
 use poem::web::{Data, Path};
 use poem::{Body, EndpointExt, Request, Response, Route, Server, handler};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::answer::{self, Failure};
 use crate::metrics::Metrics;
@@ -72,7 +72,8 @@
         }
     }
 
-    /// Binds `listen` and serves callers until the task is dropped.
+    /// Binds `listen` and serves callers until `stop`, then until the
+    /// responses in progress have ended.
     ///
     /// Returns the bound address and the server's future.
     ///
@@ -83,6 +84,7 @@
         self,
         listen: SocketAddr,
         tls: Option<Tls>,
+        stop: oneshot::Receiver<()>,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = std::io::Result<()>>)> {
         let listener = TcpListener::bind(listen.to_string());
         let acceptor = match tls {
@@ -111,7 +113,13 @@
             .at("/v1/chat/completions", poem::post(serve_chat))
             .at("/services/:service/*path", serve_call)
             .data(self);
-        Ok((bound, Server::new_with_acceptor(acceptor).run(app)))
+        let stopped = async move {
+            // A sender that is gone stops it, too.
+            let _ = stop.await;
+        };
+        let server = Server::new_with_acceptor(acceptor);
+        let server = server.run_with_graceful_shutdown(app, stopped, None);
+        Ok((bound, server))
     }
 
     async fn open(&self, event: impl FnOnce(CallId) -> EntryEvent) -> Result<OpenCall, Failure> {
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod front;
+pub mod grace;
 pub mod journal;
 pub mod keyring;
 mod link;
--- a/fireflyd/src/node.rs
+++ b/fireflyd/src/node.rs
@@ -6,6 +6,7 @@
 use fireflycroft::{Incarnation, MemberRecord, MemberState, Name, Note, Peer, Role, Time};
 
 use crate::fleet::Fleet;
+use crate::grace::Grace;
 use crate::journal::Journal;
 use crate::mailbox::Mailbox;
 use crate::metrics::Metrics;
@@ -43,13 +44,21 @@
     pub outbox: Outbox,
     /// What happened of late, by request.
     pub journal: Journal,
+    /// Time between refusing new work and leaving.
+    pub grace: Grace,
     started: Instant,
 }
 
 impl Node {
     /// A node of that identity at that mailbox.
     #[must_use]
-    pub fn new(identity: Identity, mailbox: Mailbox, metrics: Metrics, journal: Journal) -> Self {
+    pub fn new(
+        identity: Identity,
+        mailbox: Mailbox,
+        metrics: Metrics,
+        journal: Journal,
+        grace: Grace,
+    ) -> Self {
         let me = Peer {
             name: identity.name,
             addr: mailbox.local_addr(),
@@ -70,6 +79,7 @@
             metrics,
             outbox: Outbox::default(),
             journal,
+            grace,
             started: Instant::now(),
         }
     }
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -12,13 +12,14 @@
 };
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::admin::{Admin, Readiness};
 use crate::agent::{AgentInput, AgentLoop};
 use crate::config_feed::ConfigFeed;
 use crate::entry::{EntryInput, EntryLoop};
 use crate::front::{Front, Tls};
+use crate::grace::Grace;
 use crate::journal::Journal;
 use crate::keyring::{SharedKeyRing, read_key_file, watch_key_file};
 use crate::mailbox::{Limits, Mailbox};
@@ -42,7 +43,9 @@
 const DEFAULT_BATCH: u64 = 64;
 /// Most requests that wait at one agent.
 const MAX_QUEUE: usize = 256;
-/// Time to let the last bytes of a planned stop go out.
+/// Longest wait for callers to read the last of their answers.
+const LAST_WRITES: Duration = Duration::from_mins(10);
+/// Time to let the last messages of a planned stop go out.
 const LINGER: Duration = Duration::from_millis(300);
 
 /// What both roles are put together from.
@@ -91,7 +94,8 @@
     let (feed, configs) = ConfigFeed::new();
     tokio::spawn(feed.clone().follow(platform.clone()));
     let journal = Journal::new(settings.name.clone());
-    let node = Node::new(identity(settings), mailbox, metrics, journal);
+    let grace = Grace::new(settings.timeouts.drain_grace);
+    let node = Node::new(identity(settings), mailbox, metrics, journal, grace);
     Ok(Parts {
         node,
         mail,
@@ -128,8 +132,10 @@
     let (calls_tx, calls) = mpsc::channel(QUEUE);
     let (tx, inputs) = mpsc::channel(QUEUE);
     let front = Front::new(calls_tx, parts.node.metrics.clone());
-    let (callers, server) = front.bind(entry.listen, read_tls(&entry)?).await?;
-    tokio::spawn(server);
+    let (stop, stopped) = oneshot::channel();
+    let tls = read_tls(&entry)?;
+    let (callers, server) = front.bind(entry.listen, tls, stopped).await?;
+    let server = tokio::spawn(server);
     let admin = serve_admin(settings, &parts, {
         let tx = tx.clone();
         move || drop(tx.try_send(EntryInput::Leave))
@@ -166,6 +172,9 @@
         tx,
     );
     entry_loop.run(parts.mail, calls, inputs).await;
+    // The front writes on what the loop gave it, until each caller has it.
+    let _ = stop.send(());
+    let _ = tokio::time::timeout(LAST_WRITES, server).await;
     tokio::time::sleep(LINGER).await;
     Ok(())
 }
--- /dev/null
+++ b/fireflyd/tests/processes_leaving.rs
@@ -0,0 +1,389 @@
+//! Points 5 and 6 on separate processes: what leaves gets no new work, and a
+//! planned stop cuts off nothing.
+
+mod support;
+
+use std::time::Duration;
+
+use reqwest::Response;
+use serde_json::{Value, json};
+use standins::caller::{Caller, Got, Request, Session};
+use support::{COUNTER, DOSSIERS, Fleet, Node, Spec, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep};
+
+/// Tokens of a stream that outlives what a test does meanwhile.
+const LONG: u64 = 1_200;
+/// Short requests sent to see where new work goes.
+const PROBES: usize = 12;
+/// Time after which nothing new may reach an upstream whose agent has died.
+const NO_NEW_WORK: Duration = Duration::from_secs(3);
+
+crate::cases! {
+    agent_told_to_leave_gets_no_new_work => agent_leaves();
+    agent_told_to_leave_while_an_entry_is_frozen => agent_leaves_stale_entry();
+    agent_killed_gets_no_new_work => agent_killed();
+    engine_killed_gets_no_new_work => engine_killed();
+    agent_stop_cuts_no_stream => agent_stops(1);
+    agent_stopped_twice_cuts_no_stream => agent_stops(2);
+    agent_stop_keeps_the_end_for_its_caller => agent_stops_while_caller_away();
+    only_agent_stop_says_where_to_go => only_agent_stops();
+    entry_stop_cuts_no_stream => entry_stops(1);
+    entry_stopped_twice_cuts_no_stream => entry_stops(2);
+    entry_stop_keeps_queued_calls => entry_stops_with_queue();
+    entry_stop_waits_for_a_slow_reader => entry_stops_with_slow_reader();
+    entry_stop_waits_for_a_slow_reader_of_a_whole => entry_stops_with_slow_whole();
+    idle_entry_refuses_before_it_leaves => idle_entry_stops();
+    entry_and_agent_stop_together => both_stop();
+}
+
+fn stream(mark: &str, tokens: u64) -> Request {
+    Request::stream(mark, DOSSIERS, "model-a", tokens)
+}
+
+/// Begins long streams through both entries and waits until each has tokens.
+async fn begin_long(caller: &Caller, count: usize) -> Vec<Session> {
+    let mut all = Vec::new();
+    for n in 0..count {
+        let mut session = caller.begin(stream(&format!("long{n}"), LONG), n);
+        assert!(session.until_tokens(3).await);
+        all.push(session);
+    }
+    all
+}
+
+async fn finish_all(sessions: Vec<Session>) -> Vec<Got> {
+    let mut calls = JoinSet::new();
+    for session in sessions {
+        calls.spawn(session.finish());
+    }
+    calls.join_all().await
+}
+
+/// Sends short requests through all entries at once.
+async fn probe(caller: &Caller, name: &str) -> Vec<Got> {
+    let mut calls = JoinSet::new();
+    for n in 0..PROBES {
+        let caller = caller.clone();
+        let request = stream(&format!("{name}{n}"), 5);
+        calls.spawn(async move { caller.run(request, n).await });
+    }
+    calls.join_all().await
+}
+
+/// Generations of these requests that began on an engine.
+fn begun_on(fleet: &Fleet, all: &[Got], engine: usize) -> usize {
+    let runs = fleet.runs();
+    let marks = all.iter().flat_map(|g| &g.attempts).map(|a| &a.mark);
+    let on = |mark: &&String| runs.logs_of(mark).contains(&engine);
+    marks.filter(on).count()
+}
+
+fn assert_whole(all: &[Got]) {
+    assert!(
+        all.iter().all(|g| g.is_whole() && g.attempts.len() == 1),
+        "{all:#?}"
+    );
+}
+
+async fn post(fleet: &Fleet, entry: &Node, mark: &str) -> Response {
+    let url = format!("{}/v1/chat/completions", entry.url());
+    let body = json!({
+        "model": "model-a",
+        "messages": [{"role": "user", "content": format!("[[mark={mark}]][[len=9]]")}],
+    });
+    let req = fleet.http.post(url).bearer_auth(COUNTER).json(&body);
+    req.send().await.unwrap()
+}
+
+/// Fails unless `entry` says that it is stopping, and when to come back.
+async fn assert_refuses(fleet: &Fleet, entry: &Node) {
+    let res = post(fleet, entry, "late").await;
+    assert_eq!(res.status(), 503);
+    assert!(res.headers().contains_key("retry-after"));
+    let body: Value = res.json().await.unwrap();
+    assert_eq!(body["error"]["code"], 2_013);
+    assert!(!fleet.is_ready(entry).await);
+    assert_eq!(fleet.runs().count("late"), 0);
+}
+
+async fn await_leaving(fleet: &Fleet, node: &Node) {
+    until("it is leaving", || async {
+        fleet.status(node).await["leaving"] == true
+    })
+    .await;
+}
+
+/// From the first sign on, whatever the entries believe and the VM list says.
+async fn agent_leaves() {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    fleet.platform_faults(json!({"vm_lag_ms": 60_000})).await;
+    let caller = fleet.caller();
+    let mut long = caller.begin(stream("long", LONG), 0);
+    assert!(long.until_tokens(3).await);
+    let engine = fleet.engine_of("long").await;
+    fleet.agents[engine].process.ask_to_stop();
+    await_leaving(&fleet, &fleet.agents[engine]).await;
+    let probes = probe(&caller, "probe").await;
+    assert_whole(&probes);
+    assert_eq!(begun_on(&fleet, &probes, engine), 0);
+    let long = long.finish().await;
+    assert!(long.is_whole(), "{long:?}");
+    fleet.assert_kept(&probes);
+    fleet.assert_kept(&[long]);
+    assert!(fleet.agents[engine].process.ended().await.success());
+}
+
+/// An entry that was paused meanwhile believes the agent alive, and asks it.
+async fn agent_leaves_stale_entry() {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let caller = fleet.caller();
+    let mut long = caller.begin(stream("long", LONG), 0);
+    assert!(long.until_tokens(3).await);
+    let engine = fleet.engine_of("long").await;
+    fleet.entries[1].process.freeze();
+    fleet.agents[engine].process.ask_to_stop();
+    await_leaving(&fleet, &fleet.agents[engine]).await;
+    fleet.entries[1].process.thaw();
+    let probes = probe(&caller, "probe").await;
+    assert_whole(&probes);
+    assert_eq!(begun_on(&fleet, &probes, engine), 0);
+    let long = long.finish().await;
+    assert!(long.is_whole(), "{long:?}");
+    fleet.assert_kept(&probes);
+    fleet.assert_kept(&[long]);
+}
+
+/// Nothing new reaches its upstream, and nobody waits long for that.
+async fn agent_killed() {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    fleet.agents[0].process.kill();
+    let start = Instant::now();
+    let first = probe(&fleet.caller(), "first").await;
+    assert!(start.elapsed() < NO_NEW_WORK, "{:?}", start.elapsed());
+    let second = probe(&fleet.caller(), "second").await;
+    assert_whole(&first);
+    assert_whole(&second);
+    assert_eq!(
+        begun_on(&fleet, &first, 0) + begun_on(&fleet, &second, 0),
+        0
+    );
+    fleet.assert_kept(&first);
+    fleet.assert_kept(&second);
+}
+
+/// The agent lives and refuses for it.
+async fn engine_killed() {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    fleet.engines[0].process.kill();
+    let first = probe(&fleet.caller(), "first").await;
+    assert_whole(&first);
+    fleet.assert_kept(&first);
+}
+
+/// Streams run to their end; the process ends after them.
+async fn agent_stops(times: usize) {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let long = begin_long(&fleet.caller(), 4).await;
+    for _ in 0..times {
+        fleet.agents[0].process.ask_to_stop();
+        await_leaving(&fleet, &fleet.agents[0]).await;
+    }
+    let all = finish_all(long).await;
+    assert_whole(&all);
+    fleet.assert_kept(&all);
+    assert!(fleet.agents[0].process.ended().await.success());
+}
+
+/// The generation ends while its caller is between two connections.
+async fn agent_stops_while_caller_away() {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let mut session = fleet.caller().begin(stream("m", 300), 0);
+    assert!(session.until_tokens(20).await);
+    session.hang_up();
+    fleet.agents[0].process.ask_to_stop();
+    until("the generation ends", || {
+        let log = std::fs::read_to_string(&fleet.engines[0].run_log).unwrap();
+        std::future::ready(log.contains("\"finished\""))
+    })
+    .await;
+    sleep(Duration::from_secs(1)).await;
+    let got = session.finish().await;
+    fleet.assert_kept(std::slice::from_ref(&got));
+    assert!(got.is_whole(), "{got:?}");
+    assert!(fleet.agents[0].process.ended().await.success());
+}
+
+/// With nobody else to go to, callers are told when to come back.
+async fn only_agent_stops() {
+    let fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let long = begin_long(&fleet.caller(), 2).await;
+    fleet.agents[0].process.ask_to_stop();
+    await_leaving(&fleet, &fleet.agents[0]).await;
+    let res = post(&fleet, &fleet.entries[0], "late").await;
+    assert_eq!(res.status(), 503);
+    assert!(res.headers().contains_key("retry-after"));
+    assert_eq!(fleet.runs().count("late"), 0);
+    let all = finish_all(long).await;
+    assert_whole(&all);
+    fleet.assert_kept(&all);
+}
+
+/// Streams and whole answers run to their end; new work is told to go.
+async fn entry_stops(times: usize) {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let caller = fleet.caller();
+    let mut long = begin_long(&caller, 4).await;
+    let whole = Request::whole("whole", DOSSIERS, "model-a", LONG);
+    let whole = begin(&caller, whole, 0);
+    fleet.engine_of("whole").await;
+    for _ in 0..times {
+        fleet.entries[0].process.ask_to_stop();
+        await_leaving(&fleet, &fleet.entries[0]).await;
+    }
+    assert_refuses(&fleet, &fleet.entries[0]).await;
+    for session in &mut long {
+        assert!(session.until_tokens(50).await);
+    }
+    let mut all = finish_all(long).await;
+    all.push(whole.await.unwrap());
+    assert_whole(&all);
+    assert!(all.iter().all(|g| g.last().returns == 0), "{all:#?}");
+    fleet.assert_kept(&all);
+    assert!(fleet.entries[0].process.ended().await.success());
+}
+
+fn begin(caller: &Caller, request: Request, entry: usize) -> JoinHandle<Got> {
+    let caller = caller.clone();
+    tokio::spawn(async move { caller.run(request, entry).await })
+}
+
+/// A call that waits in an agent's queue is in progress, too.
+async fn entry_stops_with_queue() {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        entries: 1,
+        engine_flags: vec!["--time-scale", "4", "--max-batch", "1"],
+        ..Spec::default()
+    })
+    .await;
+    let caller = fleet.caller();
+    let calls: Vec<_> = (0..4)
+        .map(|n| begin(&caller, stream(&format!("m{n}"), 300), 0))
+        .collect();
+    until("all calls are known", || async {
+        fleet.status(&fleet.entries[0]).await["streams"] == 4
+    })
+    .await;
+    fleet.entries[0].process.ask_to_stop();
+    let mut all = Vec::new();
+    for call in calls {
+        all.push(call.await.unwrap());
+    }
+    assert_whole(&all);
+    fleet.assert_kept(&all);
+    assert!(fleet.entries[0].process.ended().await.success());
+}
+
+/// The generation ends long before its caller has read it.
+async fn entry_stops_with_slow_reader() {
+    let mut fleet = Fleet::start(Spec {
+        engine_flags: vec!["--time-scale", "200"],
+        ..Spec::default()
+    })
+    .await;
+    let mut session = fleet.caller().begin(stream("m", 8_000), 0);
+    assert!(session.until_tokens(3).await);
+    fleet.entries[0].process.ask_to_stop();
+    sleep(Duration::from_secs(3)).await;
+    let got = session.finish().await;
+    assert!(
+        got.is_whole(),
+        "{:?} after {}",
+        got.end(),
+        got.last().tokens
+    );
+    assert_eq!(got.last().returns, 0);
+    fleet.assert_kept(&[got]);
+    assert!(fleet.entries[0].process.ended().await.success());
+}
+
+/// The whole answer is with the entry, and the caller's link takes little of
+/// it at a time.
+async fn entry_stops_with_slow_whole() {
+    const BODY: usize = 700_000;
+    // The echo writes a control character as six bytes: more than the system's
+    // own buffers take.
+    const ANSWER: usize = 6 * BODY;
+    let mut fleet = Fleet::start(Spec {
+        plain: true,
+        ..Spec::default()
+    })
+    .await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let entry = fleet.entries[0].callers.unwrap();
+    let mut caller = socket.connect(entry).await.unwrap();
+    let head = format!(
+        "POST /services/records/file HTTP/1.1\r\nhost: entry\r\n\
+         authorization: Bearer {COUNTER}\r\ncontent-length: {BODY}\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(&vec![1; BODY]).await.unwrap();
+    let mut answer = vec![0; 64];
+    caller.read_exact(&mut answer).await.unwrap();
+    fleet.entries[0].process.ask_to_stop();
+    sleep(Duration::from_secs(2)).await;
+    caller.read_to_end(&mut answer).await.unwrap();
+    assert!(answer.len() >= ANSWER, "{} bytes came", answer.len());
+    assert!(fleet.entries[0].process.ended().await.success());
+}
+
+/// The balancer needs time to see that it is not ready any more.
+async fn idle_entry_stops() {
+    let mut fleet = Fleet::start(Spec {
+        daemon_flags: vec!["--drain-grace-ms", "2000"],
+        ..Spec::default()
+    })
+    .await;
+    let start = Instant::now();
+    fleet.entries[0].process.ask_to_stop();
+    await_leaving(&fleet, &fleet.entries[0]).await;
+    assert_refuses(&fleet, &fleet.entries[0]).await;
+    assert!(fleet.entries[0].process.ended().await.success());
+    assert!(start.elapsed() >= Duration::from_secs(2));
+}
+
+/// The two ends of a stream are asked to stop in the same moment.
+async fn both_stop() {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let long = begin_long(&fleet.caller(), 4).await;
+    fleet.agents[0].process.ask_to_stop();
+    for entry in &fleet.entries {
+        entry.process.ask_to_stop();
+    }
+    let all = finish_all(long).await;
+    assert_whole(&all);
+    fleet.assert_kept(&all);
+    for node in fleet.entries.iter_mut().chain(&mut fleet.agents) {
+        assert!(node.process.ended().await.success());
+    }
+}
