--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::stream::{Chunk, Cursor};
 use crate::time::Time;
 use crate::work::{Demand, Priority, Work};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +40,8 @@
     pub long_silence: Duration,
     /// Time between acknowledgements that also say the reader is there.
     pub ack_every: Duration,
+    /// Time between two ticks from which on this process was paused.
+    pub pause: Duration,
     /// Starts of one repeatable request in all.
     pub max_starts: u32,
     /// Time that a claim may take.
@@ -63,6 +65,7 @@
             silence: Duration::from_secs(3),
             long_silence: Duration::from_secs(10),
             ack_every: Duration::from_secs(1),
+            pause: Duration::from_secs(1),
             max_starts: 3,
             claim_wait: Duration::from_millis(1_500),
             avoid: Duration::from_secs(2),
@@ -295,14 +298,15 @@
     pub(crate) ids: IdSource,
     pub(crate) config: InForce,
     pub(crate) router: Router,
-    pub(crate) calls: HashMap<CallId, Call>,
+    pub(crate) calls: BTreeMap<CallId, Call>,
     pub(crate) by_request: HashMap<RequestId, CallId>,
     pub(crate) quarantine: Quarantine,
     pub(crate) quotas: Quotas,
     pub(crate) retries: RetryBudget,
     pub(crate) entries: u32,
     pub(crate) leaving: bool,
-    ticked: Option<Time>,
+    /// Time of the last tick.
+    pub(crate) ticked: Option<Time>,
 }
 
 impl Entry {
@@ -314,7 +318,7 @@
             ids: IdSource::new(setup.seed),
             config: InForce::default(),
             router: Router::new(setup.policy, setup.data_centre),
-            calls: HashMap::new(),
+            calls: BTreeMap::new(),
             by_request: HashMap::new(),
             quarantine: Quarantine::default(),
             quotas: Quotas::default(),
@@ -460,9 +464,10 @@
     }
 
     fn on_tick(&mut self, now: Time, out: &mut Vec<EntryAction>) {
-        let before = self.ticked.replace(now);
-        if before.is_some_and(|t| now.since(t) >= self.limits.poll_after) {
-            self.hear_anew(now);
+        let gap = self.ticked.map_or(Duration::ZERO, |t| now.since(t));
+        self.ticked = Some(now);
+        if gap >= self.limits.pause {
+            self.on_paused(now);
         }
         let ids: Vec<CallId> = self.calls.keys().copied().collect();
         for id in ids {
@@ -471,20 +476,22 @@
         self.quarantine.expire(now);
     }
 
-    /// After a pause of this process: the silence was its own, so each agent
-    /// is polled before it is given up.
-    fn hear_anew(&mut self, now: Time) {
-        let at = now - self.limits.poll_after;
+    /// This process was paused: what came meanwhile waits to be read, so the
+    /// silence of the others counts from now on.
+    fn on_paused(&mut self, now: Time) {
         for call in self.calls.values_mut() {
             match &mut call.phase {
-                Phase::Queued { heard, .. } => *heard = at.max(*heard),
-                Phase::Reading(reading) => reading.heard = at.max(reading.heard),
-                _ => {}
+                Phase::Offered { sent, .. } => *sent = now,
+                Phase::Queued { heard, .. } => *heard = now,
+                Phase::Reading(reading) => reading.heard = now,
+                Phase::New | Phase::Claiming { .. } => {}
             }
         }
     }
 
     /// Ends a call with a code; the caller gets it at once.
+    ///
+    /// After a start that may have run, "not run" would not be true.
     pub(crate) fn fail(
         &mut self,
         id: CallId,
@@ -496,6 +503,11 @@
             return;
         };
         let delivered = call.delivered();
+        let code = if call.starts > 0 && code.class() == Class::NotRun {
+            Code::OutcomeUnknown
+        } else {
+            code
+        };
         if code.class() == Class::NotRun {
             self.quotas.give_back(&call.demand.workspace, call.charged);
         }
--- a/fireflycroft/src/generation.rs
+++ b/fireflycroft/src/generation.rs
@@ -64,10 +64,10 @@
     pub(crate) log: TokenLog,
     pub(crate) finish: Option<Finish>,
     pub(crate) readers: Vec<Reader>,
+    /// Whether a reader left after it was sent the end.
+    pub(crate) taken: bool,
     /// Since when nobody reads it.
     pub(crate) unread_since: Option<Time>,
-    /// Whether a reader was sent the end and has let go.
-    pub(crate) end_taken: bool,
     /// Times that the stream from the upstream was taken up again.
     pub(crate) resumed: u32,
     /// When the upstream last gave a token.
@@ -79,6 +79,21 @@
         self.stage == Stage::Running
     }
 
+    /// Whether to end the agent now would cut somebody off.
+    ///
+    /// A whole answer waits for its reader, also when that one is silent.
+    pub(crate) fn is_wanted(&self) -> bool {
+        match self.stage {
+            Stage::Reserved(_) | Stage::Running => true,
+            Stage::Lapsed(_) => false,
+            Stage::Finished(_) => !self.readers.is_empty() || (self.is_whole() && !self.taken),
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        self.finish.as_ref().is_some_and(|f| f.code == Code::Ok)
+    }
+
     /// Attaches a reader at `from`, or moves the one it has.
     pub(crate) fn attach(
         &mut self,
@@ -122,17 +137,12 @@
     }
 
     pub(crate) fn detach(&mut self, now: Time, reader: RequestId) {
-        self.end_taken |= self.readers.iter().any(|r| r.id == reader && r.told_end);
+        let told_end = |r: &Reader| r.id == reader && r.told_end;
+        self.taken |= self.readers.iter().any(told_end);
         self.readers.retain(|r| r.id != reader);
         self.note_unread(now);
     }
 
-    /// Whether a caller may still come for the whole answer.
-    pub(crate) fn is_awaited(&self) -> bool {
-        let whole = self.finish.as_ref().is_some_and(|f| f.code == Code::Ok);
-        whole && !self.end_taken
-    }
-
     /// Drops the readers not heard of since `limit`.
     pub(crate) fn drop_silent(&mut self, now: Time, limit: Time) {
         self.readers.retain(|r| r.heard > limit);
--- a/fireflyctl/src/publish.rs
+++ b/fireflyctl/src/publish.rs
@@ -8,12 +8,14 @@
 
 use crate::failure::{Failure, Result};
 use crate::store::Store;
+use anyhow::Context;
 use fireflycroft::{
-    Document, HEAD_KIND, HEAD_NAME, Head, PART_KIND, Part, PartName, Snapshot, SnapshotError,
-    WriteFate, assemble,
+    Document, HEAD_KIND, HEAD_NAME, Head, PART_KIND, PAST_KIND, Part, PartName, Snapshot,
+    SnapshotError, WriteFate, assemble,
 };
 use fireflyd::platform::{Condition, PlatformError};
 use futures_util::{StreamExt, TryStreamExt, stream};
+use serde_json::Value;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -25,14 +27,15 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the platform holds.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Base {
     /// Version of the head object; `None` when there is none.
     pub object: Option<u64>,
     /// The head; `None` before the first configuration.
     pub head: Option<Head>,
-    /// The document.
-    pub doc: Document,
+    /// The document; `None` when parts of it are gone, as they may be on a
+    /// platform that went back in the middle of an apply.
+    pub doc: Option<Document>,
 }
 
 /// What became of a write of the head.
@@ -41,7 +44,7 @@
     /// It is in force.
     Accepted,
     /// It was in force, and another has replaced it.
-    Replaced(Box<Base>),
+    Replaced(Box<Head>),
     /// Another write was first; it never was in force.
     Lost(Box<Base>),
     /// It had no effect, and why.
@@ -57,6 +60,23 @@
         self.head.as_ref().map_or(0, |h| h.version)
     }
 
+    /// The head, when all its parts are there.
+    #[must_use]
+    pub fn sound_head(&self) -> Option<&Head> {
+        self.head.as_ref().filter(|_| self.doc.is_some())
+    }
+
+    /// The document.
+    ///
+    /// # Errors
+    ///
+    /// Parts that are gone.
+    pub fn document(&self) -> Result<&Document> {
+        let version = self.version();
+        let doc = self.doc.as_ref();
+        Ok(doc.with_context(|| format!("parts of version {version} are gone from the platform"))?)
+    }
+
     fn condition(&self) -> Condition {
         self.object.map_or(Condition::Absent, Condition::Version)
     }
@@ -66,10 +86,14 @@
 ///
 /// # Errors
 ///
-/// A platform that doesn't answer, or parts that aren't what the head lists.
+/// A platform that doesn't answer, or parts that are not what they are named.
 pub async fn base(store: &impl Store) -> Result<Base> {
     let Some((object, head)) = read_head(store).await? else {
-        return Ok(Base::default());
+        return Ok(Base {
+            object: None,
+            head: None,
+            doc: Some(Document::default()),
+        });
     };
     let doc = document(store, &head).await?;
     Ok(Base {
@@ -98,6 +122,29 @@
         .await
 }
 
+/// Makes sure, after the head was accepted, that the platform holds its
+/// parts: had it gone back since they were written, they could be gone.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn confirm_parts(store: &impl Store, snapshot: &Snapshot) -> Result<()> {
+    stream::iter(&snapshot.parts)
+        .map(|part| confirm_part(store, part))
+        .buffer_unordered(CALLS_AT_ONCE)
+        .try_collect()
+        .await
+}
+
+async fn confirm_part(store: &impl Store, part: &Part) -> Result<()> {
+    let name = part.name.to_string();
+    let read = async || store.get(PART_KIND, &name).await;
+    match retrying("a part", read).await? {
+        Some(_) => Ok(()),
+        None => put_part(store, part).await,
+    }
+}
+
 /// Writes the head once over `base`.
 ///
 /// # Errors
@@ -108,12 +155,23 @@
     base: &Base,
     head: &Head,
 ) -> std::result::Result<u64, PlatformError> {
-    let value = serde_json::to_value(head).map_err(|e| PlatformError::Invalid(e.to_string()))?;
+    let value = head_value(head).map_err(|e| PlatformError::Invalid(e.to_string()))?;
     store
         .put(HEAD_KIND, HEAD_NAME, &value, base.condition())
         .await
 }
 
+/// Writes a copy of the head under its token, so that it can be read when
+/// another is in force.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn put_past(store: &impl Store, head: &Head) -> Result<()> {
+    let value = head_value(head).map_err(anyhow::Error::from)?;
+    put_immutable(store, PAST_KIND, &head.token, &value).await
+}
+
 /// Reads the head back and says what became of the write of `head`.
 ///
 /// # Errors
@@ -130,12 +188,15 @@
 /// # Errors
 ///
 /// A head that was written by another and can't be read.
-pub(crate) async fn publish_head(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
+pub async fn publish_head(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
     let mut may_have_effect = false;
     let mut last = PlatformError::OutcomeUnknown;
     for pause in pauses() {
         match put_head(store, from, head).await {
             Ok(_) => return Ok(Outcome::Accepted),
+            Err(PlatformError::Conflict { .. }) if !may_have_effect => {
+                return Ok(Outcome::Lost(Box::new(base(store).await?)));
+            }
             Err(PlatformError::Conflict { .. }) => return settle(store, from, head).await,
             Err(e @ PlatformError::Invalid(_)) if !may_have_effect => {
                 return Ok(Outcome::NoEffect(e));
@@ -153,18 +214,47 @@
     Ok(Outcome::NoEffect(last))
 }
 
-/// Says from the head that is read now what became of the write.
+/// Reads the head until it says what became of a write that may have taken
+/// effect, or the tries are used up.
 async fn settle(store: &impl Store, from: &Base, head: &Head) -> Result<Outcome> {
-    let Ok(now) = base(store).await else {
-        return Ok(Outcome::Unknown);
+    for pause in pauses() {
+        match read_back(store, from, head).await {
+            Ok(WriteFate::InForce) => return Ok(Outcome::Accepted),
+            Ok(WriteFate::Replaced) => return replaced(store).await,
+            Ok(WriteFate::Lost) => return Ok(Outcome::Lost(Box::new(base(store).await?))),
+            // A read may lag behind the write.
+            Ok(WriteFate::Open | WriteFate::Unknown) => tokio::time::sleep(pause).await,
+            Err(_) => break,
+        }
+    }
+    Ok(Outcome::Unknown)
+}
+
+async fn replaced(store: &impl Store) -> Result<Outcome> {
+    let now = read_head(store).await?.map(|(_, head)| head);
+    Ok(now.map_or(Outcome::Unknown, |now| Outcome::Replaced(Box::new(now))))
+}
+
+/// Document of an earlier version in the line of `now`; `None` when it isn't
+/// known any more.
+///
+/// # Errors
+///
+/// A platform that doesn't answer.
+pub async fn past_document(
+    store: &impl Store,
+    now: &Head,
+    version: u64,
+) -> Result<Option<Document>> {
+    let Some(write) = now.past.iter().find(|w| w.version == version) else {
+        return Ok(None);
     };
-    let fate = head.fate(from.head.as_ref(), now.head.as_ref());
-    Ok(match fate {
-        WriteFate::InForce => Outcome::Accepted,
-        WriteFate::Replaced => Outcome::Replaced(Box::new(now)),
-        WriteFate::Lost => Outcome::Lost(Box::new(now)),
-        WriteFate::Open | WriteFate::Unknown => Outcome::Unknown,
-    })
+    let read = async || store.get(PAST_KIND, &write.token).await;
+    let Some(object) = retrying("an earlier head", read).await? else {
+        return Ok(None);
+    };
+    let head = scan_head(object.value)?;
+    document(store, &head).await
 }
 
 async fn read_head(store: &impl Store) -> Result<Option<(u64, Head)>> {
@@ -172,38 +262,57 @@
     let Some(object) = retrying("the head", read).await? else {
         return Ok(None);
     };
-    let head: Head = serde_json::from_value(object.value)
-        .map_err(|e| anyhow::anyhow!("the head on the platform can't be read: {e}"))?;
-    Ok(Some((object.version, head)))
+    Ok(Some((object.version, scan_head(object.value)?)))
+}
+
+fn scan_head(value: Value) -> Result<Head> {
+    let head = serde_json::from_value(value)
+        .map_err(|e| anyhow::anyhow!("a head on the platform can't be read: {e}"))?;
+    Ok(head)
 }
 
-pub(crate) async fn document(store: &impl Store, head: &Head) -> Result<Document> {
-    let parts: Vec<Part> = stream::iter(&head.parts)
+/// Document of a head; `None` when a part is gone.
+async fn document(store: &impl Store, head: &Head) -> Result<Option<Document>> {
+    let parts: Option<Vec<Part>> = stream::iter(&head.parts)
         .map(|name| read_part(store, *name))
         .buffered(CALLS_AT_ONCE)
-        .try_collect()
-        .await?;
-    Ok(assemble(head, &parts).map_err(unsound)?)
+        .try_collect::<Vec<Option<Part>>>()
+        .await?
+        .into_iter()
+        .collect();
+    let Some(parts) = parts else { return Ok(None) };
+    Ok(Some(assemble(head, &parts).map_err(unsound)?))
 }
 
-async fn read_part(store: &impl Store, name: PartName) -> Result<Part> {
+async fn read_part(store: &impl Store, name: PartName) -> Result<Option<Part>> {
     let text = name.to_string();
     let read = async || store.get(PART_KIND, &text).await;
-    let object = retrying("a part", read)
-        .await?
-        .ok_or_else(|| anyhow::anyhow!("the platform doesn't hold part {name}"))?;
-    Ok(Part::from_value(name, &object.value).map_err(unsound)?)
+    let Some(object) = retrying("a part", read).await? else {
+        return Ok(None);
+    };
+    Ok(Some(
+        Part::from_value(name, &object.value).map_err(unsound)?,
+    ))
 }
 
 async fn put_part(store: &impl Store, part: &Part) -> Result<()> {
     let name = part.name.to_string();
     let value = part.to_value().map_err(unsound)?;
-    let write = async || match store.put(PART_KIND, &name, &value, Condition::Absent).await {
-        // The same name holds the same content.
+    put_immutable(store, PART_KIND, &name, &value).await
+}
+
+/// Writes an object whose name tells its content, so that one that is there
+/// is this one.
+async fn put_immutable(store: &impl Store, kind: &str, name: &str, value: &Value) -> Result<()> {
+    let write = async || match store.put(kind, name, value, Condition::Absent).await {
         Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
         Err(e) => Err(e),
     };
-    retrying("a part", write).await
+    retrying(kind, write).await
+}
+
+fn head_value(head: &Head) -> serde_json::Result<Value> {
+    serde_json::to_value(head)
 }
 
 /// Calls until there is an answer or the tries are used up; only for calls
