Prove configuration across processes; mend what let an old one serve

A queue that is full loses no configuration any more, and a stale read no longer spins on its watch. Ruled out: a longer promise.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -282,8 +282,9 @@
                 max_wait,
             } => {
                 let offer = OfferId { request, attempt };
-                let behind = envelope.config > self.config;
-                self.on_offer(now, from, offer, demand, max_wait, behind, out);
+                // Either side may be the older one; it catches up before work runs.
+                let differs = envelope.config != self.config;
+                self.on_offer(now, from, offer, demand, max_wait, differs, out);
             }
             Message::Withdraw { request, attempt } => {
                 self.on_withdraw(now, OfferId { request, attempt }, out);
@@ -328,13 +329,13 @@
         offer: OfferId,
         demand: Demand,
         max_wait: Duration,
-        behind: bool,
+        differs: bool,
         out: &mut Vec<AgentAction>,
     ) {
         if self.repeat_answer(now, from, offer, out) {
             return;
         }
-        if let Some((code, retry)) = self.reason_to_refuse(&demand, behind) {
+        if let Some((code, retry)) = self.reason_to_refuse(&demand, differs) {
             self.refuse(now, from, offer, code, retry, out);
             return;
         }
@@ -388,7 +389,7 @@
         }
     }
 
-    fn reason_to_refuse(&self, demand: &Demand, behind: bool) -> Option<(Code, Duration)> {
+    fn reason_to_refuse(&self, demand: &Demand, differs: bool) -> Option<(Code, Duration)> {
         if self.leaving {
             return Some((Code::Leaving, LEAVING_RETRY));
         }
@@ -398,7 +399,7 @@
         if self.quarantine.is_refused(demand.content) {
             return Some((Code::Quarantined, Duration::ZERO));
         }
-        if behind {
+        if differs {
             return Some((Code::ConfigBehind, LEAVING_RETRY));
         }
         if self.offers.len() >= self.limits.max_offers {
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -206,6 +206,12 @@
             self.fail(id, code, None, out);
             return;
         }
+        if code == Code::ConfigBehind && self.config.is_behind() {
+            // Checked by a configuration that is in force no more.
+            let retry = Some(self.limits.min_retry_after);
+            self.fail(id, code, retry, out);
+            return;
+        }
         self.offer_next(now, id, out);
     }
 
--- a/fireflyd/src/admin.rs
+++ b/fireflyd/src/admin.rs
@@ -69,6 +69,8 @@
     pub status: Arc<dyn Fn() -> Value + Send + Sync>,
     /// Tells what happened to a request, as JSON; must not block.
     pub explain: Arc<dyn Fn(RequestId) -> Value + Send + Sync>,
+    /// Gives the configuration in force with its parts, as JSON; must not block.
+    pub config: Arc<dyn Fn() -> Option<Value> + Send + Sync>,
     /// Begins a planned stop; must not block, and may be called again.
     pub drain: Arc<dyn Fn() + Send + Sync>,
 }
@@ -90,6 +92,7 @@
             .at("/health/live", get(live))
             .at("/health/ready", get(ready))
             .at("/status", get(status))
+            .at("/config", get(config))
             .at("/explain/:id", get(explain))
             .at("/drain", post(drain))
             .data(self);
@@ -129,6 +132,16 @@
     Json((admin.status)())
 }
 
+#[handler]
+fn config(Data(admin): Data<&Admin>) -> Response {
+    match (admin.config)() {
+        Some(config) => Json(config).into_response(),
+        None => "no configuration yet\n"
+            .with_status(StatusCode::NOT_FOUND)
+            .into_response(),
+    }
+}
+
 #[handler]
 fn explain(Path(id): Path<String>, Data(admin): Data<&Admin>) -> Response {
     match scan_request_id(&id) {
--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -13,13 +13,15 @@
     Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, HEAD_KIND, HEAD_NAME, Head,
     Message, PART_KIND, Part, Progress, compile,
 };
+use serde_json::Value;
 use tokio::sync::watch;
 
 use crate::outbox::Outbox;
 use crate::platform::{PlatformClient, PlatformError};
 
-/// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of one watch. A platform restored to an older state counts
+/// its revisions from there, so that a watch from a later one hears nothing.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// Wait after a failed call, doubled up to the longest.
 const RETRY_MIN: Duration = Duration::from_millis(250);
 const RETRY_MAX: Duration = Duration::from_secs(4);
@@ -115,10 +117,15 @@
     /// Follows the platform for ever.
     pub async fn follow(self, platform: PlatformClient) {
         let mut wait = RETRY_MIN;
+        let mut seen = None;
         loop {
             match self.look(&platform).await {
                 Ok(revision) => {
                     wait = RETRY_MIN;
+                    if seen.replace(revision) == Some(revision) {
+                        // A stale read: a watch from there would end at once.
+                        tokio::time::sleep(RETRY_MIN).await;
+                    }
                     self.rest(&platform, revision).await;
                 }
                 Err(e) => {
@@ -207,6 +214,13 @@
         self.carrier.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The configuration held, with its parts, as JSON for operators.
+    #[must_use]
+    pub fn to_json(&self) -> Option<Value> {
+        let bundle = self.carrier().bundle()?;
+        serde_json::to_value(bundle).ok()
+    }
+
     /// Version held for peers.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -146,10 +146,7 @@
         let tx = tx.clone();
         move || drop(tx.try_send(EntryInput::Leave))
     }));
-    tokio::spawn(forward(parts.configs, {
-        let tx = tx.clone();
-        move |config| drop(tx.try_send(EntryInput::Config(config)))
-    }));
+    tokio::spawn(forward(parts.configs, tx.clone(), EntryInput::Config));
     let setup = EntrySetup {
         data_centre: settings.data_centre.clone(),
         policy: route_policy(&settings.policy),
@@ -191,10 +188,7 @@
         let tx = tx.clone();
         move || drop(tx.try_send(AgentInput::Leave))
     }));
-    tokio::spawn(forward(parts.configs, {
-        let tx = tx.clone();
-        move |config| drop(tx.try_send(AgentInput::Config(config)))
-    }));
+    tokio::spawn(forward(parts.configs, tx.clone(), AgentInput::Config));
     let runner = open_runner(settings, &agent)?;
     let capacity = find_capacity(&agent, &runner).await;
     tokio::spawn(runner.clone().watch_health(tx.clone()));
@@ -288,11 +282,13 @@
 ) -> anyhow::Result<SocketAddr> {
     let status = parts.status.clone();
     let journal = parts.node.journal.clone();
+    let feed = parts.feed.clone();
     let admin = Admin {
         metrics: parts.node.metrics.clone(),
         readiness: parts.ready.clone(),
         status: Arc::new(move || status.get()),
         explain: Arc::new(move |id| journal.explain(id)),
+        config: Arc::new(move || feed.to_json()),
         drain: Arc::new(drain),
     };
     let listener = TcpListener::bind(settings.admin_listen)
@@ -336,11 +332,19 @@
     }
 }
 
-async fn forward(mut configs: watch::Receiver<Option<Arc<Config>>>, take: impl Fn(Arc<Config>)) {
+/// Gives each new configuration to a loop; none is lost to a full queue.
+async fn forward<T>(
+    mut configs: watch::Receiver<Option<Arc<Config>>>,
+    tx: mpsc::Sender<T>,
+    wrap: impl Fn(Arc<Config>) -> T,
+) {
     while configs.changed().await.is_ok() {
         let config = configs.borrow_and_update().clone();
-        if let Some(config) = config {
-            take(config);
+        let Some(config) = config else {
+            continue;
+        };
+        if tx.send(wrap(config)).await.is_err() {
+            return;
         }
     }
 }
--- a/fireflyd/tests/admin.rs
+++ b/fireflyd/tests/admin.rs
@@ -29,6 +29,7 @@
         readiness: Readiness::not_yet("no configuration yet"),
         status: Arc::new(|| json!({"role": "entry"})),
         explain: Arc::new(|id| json!([{"event": "seen", "request": id.to_string()}])),
+        config: Arc::new(|| Some(json!({"head": {"version": 3}}))),
         drain: Arc::new(move || {
             counted.fetch_add(1, Ordering::Relaxed);
         }),
@@ -69,6 +70,7 @@
     a_process_is_live: GET "/health/live" => 200, "live";
     a_process_is_not_ready_at_first: GET "/health/ready" => 503, "no configuration yet";
     the_status_is_json: GET "/status" => 200, "{\"role\":\"entry\"}";
+    the_configuration_is_json: GET "/config" => 200, "{\"head\":{\"version\":3}}";
     metrics_are_text: GET "/metrics" => 200, "# TYPE firefly_streams_running gauge";
     a_drain_by_get_is_refused: GET "/drain" => 405, "";
     another_path_is_not_found: GET "/" => 404, "";
