--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -212,15 +212,23 @@
         self.node(&format!("agent-{}", n + 1), free(self.host), &flags)
     }
 
-    /// A daemon of that name with these flags of its role.
-    pub fn node(&self, name: &str, mailbox: SocketAddr, flags: &[&str]) -> Node {
+    /// A daemon of that name that seals with the keys of another file.
+    pub fn node_with_keys(&self, name: &str, keys: &str, flags: &[&str]) -> Node {
+        self.start_node(name, free(self.host), keys, flags)
+    }
+
+    fn node(&self, name: &str, mailbox: SocketAddr, flags: &[&str]) -> Node {
+        self.start_node(name, mailbox, "fleet-keys", flags)
+    }
+
+    fn start_node(&self, name: &str, mailbox: SocketAddr, keys: &str, flags: &[&str]) -> Node {
         let admin = free(self.host);
         let mut args = texts(&["--name", name, "--data-centre", "dc1"]);
         args.extend(texts(&["--platform", &self.platform.url()]));
         args.extend(texts(&["--mailbox", &mailbox.to_string()]));
         args.extend(texts(&["--admin-listen", &admin.to_string()]));
         args.extend(texts(&["--seeds", &self.seeds]));
-        args.extend(texts(&["--fleet-keys-file", &self.path("fleet-keys")]));
+        args.extend(texts(&["--fleet-keys-file", &self.path(keys)]));
         args.extend(texts(flags));
         args.extend(texts(&self.spec.daemon_flags));
         let log = self.dir.join(format!("{name}.log"));
