Hold first tokens by slow steps and give each test address once

Cause: two tests were flaky. A frozen engine stand-in now holds up requests before it logs them, so a freeze no longer kept a started generation without tokens (engine_killed_before_first_token_of_stream failed 4 of 4); steps 500 times longer do. And an address that was found free could be found again before its process had bound it (same_key_again_filing failed 1 of 5: address in use). Ruled out: faults of entry or agent, whose logs show neither.

--- a/fireflyd/tests/processes_claims.rs
+++ b/fireflyd/tests/processes_claims.rs
@@ -14,6 +14,8 @@
 
 /// Time that a slow platform holds up each call.
 const SLOW_MS: u64 = 900;
+/// Factor by which a first step takes more than a second.
+const NO_TOKEN_YET: u32 = 500;
 /// Longest wait for a refusal that is to come at once.
 const AT_ONCE: Duration = Duration::from_secs(4);
 
@@ -257,14 +259,11 @@
 /// The generation has begun and given nothing when its entry dies.
 async fn resent_stream() {
     let mut fleet = Fleet::start(Spec::default()).await;
-    for engine in 0..2 {
-        fleet
-            .engine_faults(engine, json!({"freeze_ms": 1_500}))
-            .await;
-    }
+    fleet.slow_engines(NO_TOKEN_YET).await;
     let call = begin(&fleet.caller(), streamed_grade("m"), 0);
     fleet.engine_of("m").await;
     fleet.entries[0].process.kill();
+    fleet.slow_engines(1).await;
     let got = call.await.unwrap();
     fleet.assert_kept(std::slice::from_ref(&got));
     assert!(got.is_whole() && got.attempts.len() == 2, "{got:?}");
@@ -379,11 +378,7 @@
 /// A keyed generation is not started again, though nothing of it was seen.
 async fn grade_on_killed_engine() {
     let mut fleet = Fleet::start(Spec::default()).await;
-    for engine in 0..2 {
-        fleet
-            .engine_faults(engine, json!({"freeze_ms": 1_000}))
-            .await;
-    }
+    fleet.slow_engines(NO_TOKEN_YET).await;
     let caller = fleet.caller();
     let call = begin(&caller, grade("m"), 0);
     let engine = fleet.engine_of("m").await;
--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -10,6 +10,9 @@
 use support::{DOSSIERS, Fleet, LOGS, Link, Spec, until};
 use tokio::time::sleep;
 
+/// Factor by which a first step takes more than a second.
+const NO_TOKEN_YET: u32 = 500;
+
 crate::cases! {
     entry_killed_after_1 => entry_killed(1);
     entry_killed_after_40 => entry_killed(40);
@@ -51,11 +54,7 @@
 /// Nothing was delivered: another engine starts afresh, unseen.
 async fn engine_killed_unseen(streams: bool) {
     let mut fleet = Fleet::start(Spec::default()).await;
-    for engine in 0..2 {
-        fleet
-            .engine_faults(engine, json!({"freeze_ms": 1_500}))
-            .await;
-    }
+    fleet.slow_engines(NO_TOKEN_YET).await;
     let request = if streams {
         stream("m", 50)
     } else {
@@ -65,6 +64,7 @@
     let call = tokio::spawn(async move { caller.run(request, 0).await });
     let engine = fleet.engine_of("m").await;
     fleet.engines[engine].process.kill();
+    fleet.slow_engines(1).await;
     let got = call.await.unwrap();
     fleet.assert_kept(std::slice::from_ref(&got));
     assert!(got.is_whole() && got.attempts.len() == 1, "{got:?}");
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 
 /// Fleets at once, so that a busy machine is not crowded further.
 static ROOM: Semaphore = Semaphore::const_new(3);
+/// Addresses given to processes, which may bind them later.
+static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 
 /// What a fleet is made of.
@@ -346,10 +349,15 @@
         self.post(&self.platform, "/standin/faults", faults).await;
     }
 
-    /// Sets faults of the engine of that index.
-    pub async fn engine_faults(&self, engine: usize, faults: Value) {
-        self.post(&self.engines[engine], "/standin/faults", faults)
-            .await;
+    /// Makes the steps of all engines that run so many times longer.
+    pub async fn slow_engines(&mut self, factor: u32) {
+        for engine in 0..self.engines.len() {
+            if self.engines[engine].process.is_alive() {
+                let faults = json!({ "slow_factor": factor });
+                self.post(&self.engines[engine], "/standin/faults", faults)
+                    .await;
+            }
+        }
     }
 
     /// Sets the platform's VM list.
@@ -501,9 +509,17 @@
     dir
 }
 
+/// An address that is free and was not given before.
 fn free(host: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((host, 0)).unwrap();
-    listener.local_addr().unwrap()
+    let mut given = GIVEN.lock().unwrap();
+    loop {
+        let listener = TcpListener::bind((host, 0)).unwrap();
+        let addr = listener.local_addr().unwrap();
+        if !given.contains(&addr) {
+            given.push(addr);
+            return addr;
+        }
+    }
 }
 
 fn texts(args: &[&str]) -> Vec<String> {
