--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -109,8 +109,7 @@
                 }
             }
             self.flush();
-            if self.core.is_leaving() && self.core.is_idle() && calls.is_empty() {
-                self.flush();
+            if self.node.grace.is_over() && self.core.is_idle() && calls.is_empty() {
                 log::info!(event = "entry_stopped"; "");
                 return;
             }
@@ -183,6 +182,7 @@
                 self.leader.on_answer(now, call, answer);
             }
             EntryInput::Leave => {
+                self.node.grace.begin();
                 self.node.fleet.leave();
                 self.drive(EntryEvent::Leave);
             }
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -12,13 +12,14 @@
 };
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::admin::{Admin, Readiness};
 use crate::agent::{AgentInput, AgentLoop};
 use crate::config_feed::ConfigFeed;
 use crate::entry::{EntryInput, EntryLoop};
 use crate::front::{Front, Tls};
+use crate::grace::Grace;
 use crate::journal::Journal;
 use crate::keyring::{SharedKeyRing, read_key_file, watch_key_file};
 use crate::leases;
@@ -45,7 +46,9 @@
 const MAX_QUEUE: usize = 256;
 /// Wait before the platform is asked again for the fencing number.
 const FENCE_RETRY: Duration = Duration::from_secs(1);
-/// Time to let the last bytes of a planned stop go out.
+/// Longest wait for callers to read the last of their answers.
+const LAST_WRITES: Duration = Duration::from_mins(10);
+/// Time to let the last messages of a planned stop go out.
 const LINGER: Duration = Duration::from_millis(300);
 
 /// What both roles are put together from.
@@ -94,7 +97,8 @@
     let (feed, configs) = ConfigFeed::new();
     tokio::spawn(feed.clone().follow(platform.clone()));
     let journal = Journal::new(settings.name.clone());
-    let node = Node::new(identity(settings), mailbox, metrics, journal);
+    let grace = Grace::new(settings.timeouts.drain_grace);
+    let node = Node::new(identity(settings), mailbox, metrics, journal, grace);
     Ok(Parts {
         node,
         mail,
@@ -131,8 +135,10 @@
     let (calls_tx, calls) = mpsc::channel(QUEUE);
     let (tx, inputs) = mpsc::channel(QUEUE);
     let front = Front::new(calls_tx, parts.node.metrics.clone());
-    let (callers, server) = front.bind(entry.listen, read_tls(&entry)?).await?;
-    tokio::spawn(server);
+    let (stop, stopped) = oneshot::channel();
+    let tls = read_tls(&entry)?;
+    let (callers, server) = front.bind(entry.listen, tls, stopped).await?;
+    let server = tokio::spawn(server);
     let admin = serve_admin(settings, &parts, {
         let tx = tx.clone();
         move || drop(tx.try_send(EntryInput::Leave))
@@ -143,10 +149,7 @@
         let tx = tx.clone();
         move || drop(tx.try_send(EntryInput::Leave))
     }));
-    tokio::spawn(forward(parts.configs, {
-        let tx = tx.clone();
-        move |config| drop(tx.try_send(EntryInput::Config(config)))
-    }));
+    tokio::spawn(forward(parts.configs, tx.clone(), EntryInput::Config));
     let setup = EntrySetup {
         data_centre: settings.data_centre.clone(),
         policy: route_policy(&settings.policy),
@@ -169,6 +172,9 @@
         tx,
     );
     entry_loop.run(parts.mail, calls, inputs).await;
+    // The front writes on what the loop gave it, until each caller has it.
+    let _ = stop.send(());
+    let _ = tokio::time::timeout(LAST_WRITES, server).await;
     tokio::time::sleep(LINGER).await;
     Ok(())
 }
@@ -185,10 +191,7 @@
         let tx = tx.clone();
         move || drop(tx.try_send(AgentInput::Leave))
     }));
-    tokio::spawn(forward(parts.configs, {
-        let tx = tx.clone();
-        move |config| drop(tx.try_send(AgentInput::Config(config)))
-    }));
+    tokio::spawn(forward(parts.configs, tx.clone(), AgentInput::Config));
     let runner = open_runner(settings, &agent)?;
     let capacity = find_capacity(&agent, &runner).await;
     tokio::spawn(runner.clone().watch_health(tx.clone()));
@@ -284,11 +287,13 @@
 ) -> anyhow::Result<SocketAddr> {
     let status = parts.status.clone();
     let journal = parts.node.journal.clone();
+    let feed = parts.feed.clone();
     let admin = Admin {
         metrics: parts.node.metrics.clone(),
         readiness: parts.ready.clone(),
         status: Arc::new(move || status.get()),
         explain: Arc::new(move |id| journal.explain(id)),
+        config: Arc::new(move || feed.to_json()),
         drain: Arc::new(drain),
     };
     let listener = TcpListener::bind(settings.admin_listen)
@@ -349,11 +354,19 @@
     }
 }
 
-async fn forward(mut configs: watch::Receiver<Option<Arc<Config>>>, take: impl Fn(Arc<Config>)) {
+/// Gives each new configuration to a loop; none is lost to a full queue.
+async fn forward<T>(
+    mut configs: watch::Receiver<Option<Arc<Config>>>,
+    tx: mpsc::Sender<T>,
+    wrap: impl Fn(Arc<Config>) -> T,
+) {
     while configs.changed().await.is_ok() {
         let config = configs.borrow_and_update().clone();
-        if let Some(config) = config {
-            take(config);
+        let Some(config) = config else {
+            continue;
+        };
+        if tx.send(wrap(config)).await.is_err() {
+            return;
         }
     }
 }
--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -10,6 +10,9 @@
 use support::{DOSSIERS, Fleet, LOGS, Link, Spec, until};
 use tokio::time::sleep;
 
+/// Factor by which a first step takes more than a second.
+const NO_TOKEN_YET: u32 = 500;
+
 crate::cases! {
     entry_killed_after_1 => entry_killed(1);
     entry_killed_after_40 => entry_killed(40);
@@ -31,9 +34,6 @@
     stream_forgotten => forgotten_stream();
 }
 
-/// Factor by which a step takes longer than any test.
-const STANDSTILL: f64 = 1e6;
-
 fn stream(mark: &str, tokens: u64) -> Request {
     Request::stream(mark, DOSSIERS, "model-a", tokens)
 }
@@ -54,8 +54,7 @@
 /// Nothing was delivered: another engine starts afresh, unseen.
 async fn engine_killed_unseen(streams: bool) {
     let mut fleet = Fleet::start(Spec::default()).await;
-    // No first step ends before the kill, however slow the machine is.
-    fleet.slow_engines(STANDSTILL).await;
+    fleet.slow_engines(NO_TOKEN_YET).await;
     let request = if streams {
         stream("m", 50)
     } else {
@@ -65,7 +64,7 @@
     let call = tokio::spawn(async move { caller.run(request, 0).await });
     let engine = fleet.engine_of("m").await;
     fleet.engines[engine].process.kill();
-    fleet.slow_engines(1.0).await;
+    fleet.slow_engines(1).await;
     let got = call.await.unwrap();
     fleet.assert_kept(std::slice::from_ref(&got));
     assert!(got.is_whole() && got.attempts.len() == 1, "{got:?}");
@@ -77,12 +76,13 @@
     let mut fleet = Fleet::start(Spec::default()).await;
     let caller = fleet.caller();
     let request = Request::whole("m", DOSSIERS, "model-a", 600);
-    fleet.slow_engines(20.0).await;
+    // Slow enough to be killed on the way, however slow the machine is.
+    fleet.slow_engines(20).await;
     let call = tokio::spawn(async move { caller.run(request, 0).await });
     let engine = fleet.engine_of("m").await;
     sleep(Duration::from_millis(300)).await;
     fleet.engines[engine].process.kill();
-    fleet.slow_engines(1.0).await;
+    fleet.slow_engines(1).await;
     let got = call.await.unwrap();
     fleet.assert_kept(std::slice::from_ref(&got));
     assert!(got.is_whole() && got.attempts.len() == 1, "{got:?}");
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 
 /// Fleets at once, so that a busy machine is not crowded further.
 static ROOM: Semaphore = Semaphore::const_new(3);
+/// Addresses given to processes, which may bind them later.
+static GIVEN: Mutex<Vec<SocketAddr>> = Mutex::new(Vec::new());
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 
 /// What a fleet is made of.
@@ -212,15 +215,23 @@
         self.node(&format!("agent-{}", n + 1), free(self.host), &flags)
     }
 
-    /// A daemon of that name with these flags of its role.
-    pub fn node(&self, name: &str, mailbox: SocketAddr, flags: &[&str]) -> Node {
+    /// A daemon of that name that seals with the keys of another file.
+    pub fn node_with_keys(&self, name: &str, keys: &str, flags: &[&str]) -> Node {
+        self.start_node(name, free(self.host), keys, flags)
+    }
+
+    fn node(&self, name: &str, mailbox: SocketAddr, flags: &[&str]) -> Node {
+        self.start_node(name, mailbox, "fleet-keys", flags)
+    }
+
+    fn start_node(&self, name: &str, mailbox: SocketAddr, keys: &str, flags: &[&str]) -> Node {
         let admin = free(self.host);
         let mut args = texts(&["--name", name, "--data-centre", "dc1"]);
         args.extend(texts(&["--platform", &self.platform.url()]));
         args.extend(texts(&["--mailbox", &mailbox.to_string()]));
         args.extend(texts(&["--admin-listen", &admin.to_string()]));
         args.extend(texts(&["--seeds", &self.seeds]));
-        args.extend(texts(&["--fleet-keys-file", &self.path("fleet-keys")]));
+        args.extend(texts(&["--fleet-keys-file", &self.path(keys)]));
         args.extend(texts(flags));
         args.extend(texts(&self.spec.daemon_flags));
         let log = self.dir.join(format!("{name}.log"));
@@ -338,17 +349,12 @@
         self.post(&self.platform, "/standin/faults", faults).await;
     }
 
-    /// Sets faults of the engine of that index.
-    pub async fn engine_faults(&self, engine: usize, faults: Value) {
-        self.post(&self.engines[engine], "/standin/faults", faults)
-            .await;
-    }
-
-    /// Sets the pace of all engines that are still there.
-    pub async fn slow_engines(&mut self, factor: f64) {
+    /// Makes the steps of all engines that run so many times longer.
+    pub async fn slow_engines(&mut self, factor: u32) {
         for engine in 0..self.engines.len() {
             if self.engines[engine].process.is_alive() {
-                self.engine_faults(engine, json!({"slow_factor": factor}))
+                let faults = json!({ "slow_factor": factor });
+                self.post(&self.engines[engine], "/standin/faults", faults)
                     .await;
             }
         }
@@ -503,9 +509,17 @@
     dir
 }
 
+/// An address that is free and was not given before.
 fn free(host: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((host, 0)).unwrap();
-    listener.local_addr().unwrap()
+    let mut given = GIVEN.lock().unwrap();
+    loop {
+        let listener = TcpListener::bind((host, 0)).unwrap();
+        let addr = listener.local_addr().unwrap();
+        if !given.contains(&addr) {
+            given.push(addr);
+            return addr;
+        }
+    }
 }
 
 fn texts(args: &[&str]) -> Vec<String> {
