--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -266,6 +266,9 @@
 pub(crate) struct Call {
     pub(crate) id: CallId,
     pub(crate) request: RequestId,
+    pub(crate) key_digest: [u8; 32],
+    /// Configuration by which it was checked.
+    pub(crate) checked: ConfigVersion,
     pub(crate) demand: Demand,
     pub(crate) work: Work,
     pub(crate) delivery: Delivery,
--- a/fireflyd/src/front.rs
+++ b/fireflyd/src/front.rs
@@ -11,7 +11,9 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use fireflycroft::{CallId, Chunk, Code, Delivery, EntryEvent, Name, Reply, ResumePoint};
+use fireflycroft::{
+    CHAT_PATH, CallId, Chunk, Code, Delivery, EntryEvent, Name, Reply, ResumePoint,
+};
 use futures_util::Stream;
 use poem::listener::{
     Acceptor, AcceptorExt, Listener, RustlsCertificate, RustlsConfig, TcpListener,
@@ -110,7 +112,7 @@
             .and_then(|a| a.as_socket_addr().copied())
             .context("callers' address")?;
         let app = Route::new()
-            .at("/v1/chat/completions", poem::post(serve_chat))
+            .at(CHAT_PATH, poem::post(serve_chat))
             .at("/services/:service/*path", serve_call)
             .data(self);
         let stopped = async move {
--- a/fireflyd/src/request.rs
+++ b/fireflyd/src/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fireflycroft::{
-    Code, Delivery, Digest, Name, Priority, ResumePoint, Submission, Work, digest_key,
+    CHAT_PATH, Code, Delivery, Digest, Name, Priority, ResumePoint, Submission, Work, digest_key,
     scan_event_id,
 };
 use poem::http::HeaderMap;
@@ -102,7 +102,7 @@
         key_digest,
         target: target.clone(),
         method: "POST".into(),
-        path: "/v1/chat/completions".into(),
+        path: CHAT_PATH.into(),
         priority: chat.priority_class,
         prompt_tokens: estimate_tokens(&chat.messages),
         max_tokens: chat.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
