--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -34,6 +34,11 @@
             self.router.note_done(&asked.agent.clone());
             call.phase = Phase::New;
         }
+        let checked = self.config.get().map_or(Ok(()), |c| call.check_again(c));
+        if let Err(code) = checked {
+            self.fail(id, code, None, out);
+            return;
+        }
         let spent = call.offers >= self.limits.max_offers;
         let chosen = if spent {
             None
@@ -124,10 +129,20 @@
         let wait = self.limits.claim_wait;
         let waiting =
             |call: &&mut Call| matches!(call.phase, Phase::Offered { .. } | Phase::Queued { .. });
+        let config = self.config.get().cloned();
         let Some(call) = self.current(request, attempt).filter(waiting) else {
             self.give_back_stray(from, request, attempt, generation, out);
             return;
         };
+        let id = call.id;
+        if let Err(code) = config.map_or(Ok(()), |c| call.check_again(&c)) {
+            self.withdraw(id, out);
+            self.fail(id, code, None, out);
+            return;
+        }
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
         let asked = Asked {
             agent: from.name.clone(),
             addr: from.addr,
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -167,6 +167,8 @@
         Call {
             id,
             request: self.ids.draw(),
+            key_digest: submission.key_digest,
+            checked: self.config.version(),
             demand,
             work: submission.work,
             delivery: submission.delivery,
@@ -188,6 +190,29 @@
     }
 }
 
+impl Call {
+    /// Checks again by a later configuration than it was checked by; what it
+    /// forbids is not offered any more.
+    pub(crate) fn check_again(&mut self, config: &Config) -> Result<(), Code> {
+        if self.checked == config.version {
+            return Ok(());
+        }
+        self.checked = config.version;
+        let ix = config
+            .workspace_of_key(&self.key_digest)
+            .filter(|ix| *config.workspace_name(*ix) == self.demand.workspace)
+            .ok_or(Code::KeyRefused)?;
+        if !config.may_use(ix, &self.demand.target) {
+            return Err(unknown_target(&self.work));
+        }
+        let (method, path) = self.work.method_and_path();
+        if config.is_non_repeatable(ix, &self.demand.target, method, path) {
+            self.demand.repeatable = false;
+        }
+        Ok(())
+    }
+}
+
 fn unknown_target(work: &Work) -> Code {
     match work {
         Work::Generate { .. } => Code::ModelUnknown,
