--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -9,6 +9,7 @@
 use crate::generation::{Generation, Stage};
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
 use crate::message::{ConfigVersion, Envelope, Finish, Load, Message, Standing};
+use crate::news::News;
 use crate::note::Note;
 use crate::quarantine::Quarantine;
 use crate::store::Store;
@@ -175,6 +176,7 @@
     generations: Store,
     next_serial: u64,
     quarantine: Quarantine,
+    news: News,
     upstream_up: bool,
     leaving: bool,
     step: Duration,
@@ -198,6 +200,7 @@
             generations: Store::default(),
             next_serial: 1,
             quarantine: Quarantine::default(),
+            news: News::default(),
             upstream_up: false,
             leaving: false,
             step: Duration::ZERO,
@@ -718,6 +721,7 @@
                 .saturating_add(1);
             if self.quarantine.learn(now, *content, count) {
                 let content = *content;
+                self.news.add(now, content, count);
                 out.push(AgentAction::Broadcast(Message::Crashes { content, count }));
             }
         }
@@ -755,6 +759,7 @@
         self.stop_unread(now, out);
         self.forget_old(now);
         self.quarantine.expire(now);
+        out.extend(self.news.due(now).into_iter().map(AgentAction::Broadcast));
     }
 
     fn lapse_due(&mut self, now: Time, out: &mut Vec<AgentAction>) {
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -16,6 +16,7 @@
 mod inventory;
 mod member;
 mod message;
+mod news;
 mod note;
 mod quarantine;
 mod quota;
--- /dev/null
+++ b/fireflycroft/tests/point5_leaving.rs
@@ -0,0 +1,148 @@
+//! Point 5, in the core: an agent that leaves takes no new work.
+
+mod support;
+
+use fireflycroft::Code;
+use support::cases;
+use support::fleet::{AGENTS, Ask, ENGINES, Kind, Proc};
+use support::link::Weather;
+use support::oracle::Outcome;
+use support::upstream::Mood;
+use support::world::World;
+
+fn filing() -> Ask {
+    Ask {
+        kind: Kind::Service,
+        ..Ask::default()
+    }
+}
+
+const LEAVING: Option<Outcome> = Some(Outcome::Failed(Code::Leaving));
+
+/// Streams that keep the agents from stopping while they leave.
+fn keep_busy(world: &mut World) {
+    for agent in 0..AGENTS {
+        world.set_pause(agent, 500);
+    }
+    world.submit(
+        0,
+        Ask {
+            content: 5,
+            ..filing()
+        },
+    );
+    for i in 0..6 {
+        world.submit(
+            i % 3,
+            Ask {
+                content: 5,
+                ..Ask::default()
+            },
+        );
+    }
+    world.advance(20);
+    for agent in 0..AGENTS {
+        world.set_pause(agent, 0);
+        assert!(world.running(agent) > 0, "agent {agent} is idle");
+    }
+}
+
+cases! {
+    /// No entry has heard that it leaves.
+    stale_entries_offer_to_a_leaving_agent(world) {
+        keep_busy(world);
+        world.leave(Proc::Agent(3));
+        let calls = [0, 1, 2].map(|entry| world.submit(entry, filing()).unwrap());
+        world.advance(50);
+        for call in calls {
+            assert_eq!(world.outcome(call), LEAVING);
+            assert_eq!(world.runs(call), 0);
+        }
+    }
+
+    work_goes_to_the_engines_that_stay(world) {
+        keep_busy(world);
+        world.leave(Proc::Agent(0));
+        world.leave(Proc::Agent(1));
+        for i in 0..6 {
+            let call = world.submit(i % 3, Ask::default()).unwrap();
+            world.advance(500);
+            assert_eq!(world.agent_of(call), Some(2));
+            assert_eq!(world.outcome(call), Some(Outcome::Whole));
+        }
+    }
+
+    /// The offer was under way before the leave and comes after it.
+    offer_overtaken_by_the_leave(world) {
+        keep_busy(world);
+        let call = world.submit(0, filing()).unwrap();
+        world.leave(Proc::Agent(3));
+        world.advance(100);
+        assert_eq!(world.outcome(call), LEAVING);
+    }
+
+    /// Reserved before the leave: it may start within its hold.
+    reserved_before_the_leave(world) {
+        let call = world.submit(0, filing()).unwrap();
+        world.advance(1);
+        world.leave(Proc::Agent(3));
+        world.advance(5_000);
+        assert_eq!(world.outcome(call), Some(Outcome::Whole));
+    }
+
+    /// The start of a reservation made before comes after the hold.
+    start_delayed_past_the_hold_of_a_leaving_agent(world) {
+        let call = world.submit(0, filing()).unwrap();
+        world.advance(2);
+        world.leave(Proc::Agent(3));
+        world.freeze(Proc::Agent(3));
+        world.advance(2_500);
+        world.thaw_with(Proc::Agent(3), false);
+        world.advance(5_000);
+        assert_eq!(world.runs(call), 0);
+    }
+
+    waiting_requests_move_on_at_the_leave(world) {
+        for agent in 0..ENGINES {
+            world.set_mood(agent, Mood::Full);
+        }
+        let ask = Ask { interactive: false, ..Ask::default() };
+        let calls: Vec<_> = (0..12).map(|i| world.submit(i % 3, ask).unwrap()).collect();
+        world.advance(100);
+        world.leave(Proc::Agent(0));
+        world.advance(100);
+        for agent in 0..ENGINES {
+            world.set_mood(agent, Mood::Good);
+        }
+        world.advance(10_000);
+        let whole = calls.iter().filter(|c| world.outcome(**c) == Some(Outcome::Whole));
+        assert_eq!(whole.count(), calls.len());
+    }
+
+    copies_of_old_offers_reach_a_leaving_agent(world) {
+        world.net.weather = Weather::Copies;
+        for i in 0..6 {
+            world.submit(i % 3, Ask::default());
+        }
+        world.advance(30);
+        for agent in 0..ENGINES {
+            world.leave(Proc::Agent(agent));
+        }
+        world.advance(100_000);
+    }
+
+    agent_stays_after_all(world) {
+        let first = world.submit(0, Ask { content: 5, ..filing() }).unwrap();
+        world.advance(50);
+        world.leave(Proc::Agent(3));
+        let refused = world.submit(0, filing()).unwrap();
+        world.advance(50);
+        assert_eq!(world.outcome(refused), LEAVING);
+        world.stay(3);
+        world.advance(1_200);
+        let call = world.submit(0, filing()).unwrap();
+        world.advance(10_000);
+        assert_eq!(world.outcome(first), Some(Outcome::Whole));
+        assert_eq!(world.outcome(call), Some(Outcome::Whole));
+    }
+}
--- /dev/null
+++ b/fireflycroft/tests/point7_config.rs
@@ -0,0 +1,93 @@
+//! Point 7, in the core: a configuration in force never goes back.
+
+mod support;
+
+use fireflycroft::Code;
+use support::cases;
+use support::fleet::{self, Ask, Proc};
+use support::link::Weather;
+use support::oracle::Outcome;
+
+const ENTRY: Proc = Proc::Entry(0);
+
+cases! {
+    lower_version_is_not_taken(world) {
+        for proc in Proc::all() {
+            world.configure(proc, &fleet::config(5, false));
+            world.configure(proc, &fleet::config(2, false));
+            assert_eq!(world.version(proc), 5);
+        }
+    }
+
+    rival_of_the_same_version_is_not_taken(world) {
+        for proc in Proc::all() {
+            world.configure(proc, &fleet::config(5, true));
+            world.configure(proc, &fleet::config(5, false));
+            assert_eq!(world.digest(proc), Some(fleet::config(5, true).digest));
+        }
+    }
+
+    /// An entry that learns of a later version refuses until it holds it.
+    entry_behind_refuses_until_it_caught_up(world) {
+        world.configure(Proc::Agent(0), &fleet::config(2, false));
+        world.configure(Proc::Agent(1), &fleet::config(2, false));
+        world.configure(Proc::Agent(2), &fleet::config(2, false));
+        let first = world.submit(0, Ask::default()).unwrap();
+        world.advance(2);
+        let second = world.submit(0, Ask::default()).unwrap();
+        world.advance(2_000);
+        assert_eq!(world.outcome(second), Some(Outcome::Failed(Code::ConfigBehind)));
+        assert_eq!(world.outcome(first), Some(Outcome::Whole));
+        assert_eq!(world.version(ENTRY), 2);
+    }
+
+    /// An agent that is behind catches up before it runs anything.
+    agent_behind_catches_up_before_work_runs(world) {
+        world.configure(ENTRY, &fleet::config(4, false));
+        let first = world.submit(0, Ask::default()).unwrap();
+        world.advance(2);
+        assert_eq!(world.runs(first), 0);
+        world.advance(1_000);
+        let second = world.submit(0, Ask::default()).unwrap();
+        world.advance(2_000);
+        assert_eq!(world.outcome(second), Some(Outcome::Whole));
+        let agent = world.agent_of(second).unwrap();
+        assert_eq!(world.version(Proc::Agent(agent)), 4);
+    }
+
+    /// A thawed peer still holds and tells the old one.
+    frozen_peer_brings_nothing_back(world) {
+        world.freeze(Proc::Entry(1));
+        for proc in Proc::all() {
+            world.configure(proc, &fleet::config(5, false));
+        }
+        world.advance(5_000);
+        world.thaw(Proc::Entry(1));
+        world.submit(1, Ask::default());
+        world.advance(2_000);
+        for proc in Proc::all() {
+            assert_eq!(world.version(proc), 5);
+        }
+    }
+
+    process_without_configuration_is_not_ready(world) {
+        world.kill(ENTRY);
+        world.revive_without_config(0);
+        let call = world.submit(0, Ask::default()).unwrap();
+        assert_eq!(world.outcome(call), Some(Outcome::Failed(Code::NotReady)));
+    }
+
+    versions_read_out_of_order_in_a_storm(world) {
+        world.net.weather = Weather::Storm;
+        for version in [3, 2, 6, 4, 5, 1] {
+            for proc in Proc::all() {
+                world.configure(proc, &fleet::config(version, version % 2 == 0));
+                world.submit(0, Ask::default());
+                world.advance(50);
+            }
+        }
+        for proc in Proc::all() {
+            assert_eq!(world.version(proc), 6);
+        }
+    }
+}
--- /dev/null
+++ b/fireflycroft/tests/poison.rs
@@ -0,0 +1,118 @@
+//! Content that crashes each upstream that runs it.
+//!
+//! Sent again by its caller one time after another, through any entries, it
+//! crashes at most `CRASH_LIMIT` upstreams: the count rides on the answer to
+//! its entry and is told to the fleet several times.
+
+mod support;
+
+use fireflycroft::{CRASH_LIMIT, Code};
+use support::cases;
+use support::fleet::{Ask, POISON};
+use support::link::Weather;
+use support::mutant::Mutant;
+use support::oracle::Outcome;
+use support::world::World;
+
+/// Seeds of the lossy network.
+const SEEDS: u64 = 100;
+
+/// Time that a caller takes to send again, in milliseconds.
+const PAUSE: u64 = 2_500;
+
+fn poison() -> Ask {
+    Ask {
+        content: POISON,
+        ..Ask::default()
+    }
+}
+
+/// Sends it until a final answer each time; `entries` in that order.
+fn send_one_after_another(world: &mut World, ask: Ask, entries: &[usize]) -> Vec<usize> {
+    let mut calls = Vec::new();
+    for entry in entries {
+        let Some(call) = world.submit(*entry, ask) else {
+            continue;
+        };
+        while world.outcome(call).is_none() {
+            world.advance(10);
+        }
+        calls.push(call);
+    }
+    calls
+}
+
+fn crashes(world: &World) -> u32 {
+    world.oracle.crashes.get(&POISON).copied().unwrap_or(0)
+}
+
+cases! {
+    sent_again_through_every_entry(world) {
+        let calls = send_one_after_another(world, poison(), &[0, 1, 2, 0, 1, 2]);
+        assert!(crashes(world) <= u32::from(CRASH_LIMIT), "{}", crashes(world));
+        let last = world.outcome(calls[5]);
+        assert_eq!(last, Some(Outcome::Failed(Code::Quarantined)));
+    }
+
+    sent_again_as_a_whole_answer(world) {
+        let ask = Ask { whole: true, ..poison() };
+        send_one_after_another(world, ask, &[2, 0, 1, 1]);
+        assert!(crashes(world) <= u32::from(CRASH_LIMIT), "{}", crashes(world));
+    }
+
+    sent_again_through_an_entry_that_died(world) {
+        send_one_after_another(world, poison(), &[0]);
+        world.advance(100);
+        world.kill(support::fleet::Proc::Entry(1));
+        world.advance(4_000);
+        send_one_after_another(world, poison(), &[1, 2, 1]);
+        assert!(crashes(world) <= u32::from(CRASH_LIMIT), "{}", crashes(world));
+    }
+
+    quarantined_request_gets_its_answer_at_once(world) {
+        send_one_after_another(world, poison(), &[0, 1, 2]);
+        world.advance(100);
+        let call = world.submit(1, poison()).unwrap();
+        assert_eq!(world.outcome(call), Some(Outcome::Failed(Code::Quarantined)));
+    }
+
+    /// A neighbour that nobody has seen any of starts afresh.
+    innocent_neighbour_is_restarted(world) {
+        let ask = Ask { content: 5, whole: false, ..Ask::default() };
+        let innocent = world.submit(0, Ask { whole: true, content: 4, ..ask }).unwrap();
+        world.advance(20);
+        let beside = world.agent_of(innocent).unwrap();
+        world.crash(beside);
+        world.advance(10_000);
+        assert_eq!(world.outcome(innocent), Some(Outcome::Whole));
+        assert_eq!(world.runs(innocent), 2);
+    }
+
+    /// Once blamed beside the poison, it may still run.
+    innocent_neighbour_is_not_quarantined_by_one_crash(world) {
+        let innocent = Ask { content: 5, ..Ask::default() };
+        let call = world.submit(0, innocent).unwrap();
+        world.advance(20);
+        world.crash(world.agent_of(call).unwrap());
+        world.advance(3_000);
+        let again = world.submit(1, innocent).unwrap();
+        world.advance(10_000);
+        assert_eq!(world.outcome(again), Some(Outcome::Whole));
+    }
+}
+
+/// Every fifth message is lost; the news is told again.
+#[test]
+fn sent_again_over_a_lossy_network() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, Mutant::None);
+        world.net.weather = Weather::Lossy;
+        for entry in [0, 1, 2, 0, 1, 2] {
+            send_one_after_another(&mut world, poison(), &[entry]);
+            world.advance(PAUSE);
+        }
+        assert!(crashes(&world) <= u32::from(CRASH_LIMIT), "seed {seed}");
+        world.settle();
+        assert!(world.faults().is_empty(), "{:#?}", world.faults());
+    }
+}
--- a/fireflycroft/tests/support/world.rs
+++ b/fireflycroft/tests/support/world.rs
@@ -252,6 +252,27 @@
         Some(self.oracle.runs[*run].agent)
     }
 
+    /// Lives that the process had before this one.
+    pub(crate) fn life(&self, proc: Proc) -> u64 {
+        match proc {
+            Proc::Entry(i) => self.entries[i].life,
+            Proc::Agent(i) => self.agents[i].life,
+        }
+    }
+
+    /// Version in force at the process.
+    pub(crate) fn version(&self, proc: Proc) -> u64 {
+        self.config_of(proc).0
+    }
+
+    /// Digest of the configuration in force at the process.
+    pub(crate) fn digest(&self, proc: Proc) -> Option<Digest> {
+        match proc {
+            Proc::Entry(i) => self.entries[i].core.config().map(|c| c.digest),
+            Proc::Agent(i) => self.agents[i].config.get().map(|c| c.digest),
+        }
+    }
+
     // Callers.
 
     /// A caller asks; `None` when the entry does not answer.
@@ -591,6 +612,13 @@
         self.configure(proc, &fleet::config(version, false));
     }
 
+    /// A dead entry comes back and knows no configuration yet.
+    pub(crate) fn revive_without_config(&mut self, i: usize) {
+        let life = self.entries[i].life + 1;
+        self.entries[i] = Node::new(fleet::new_entry(i, life), life, self.now);
+        self.introduce(i);
+    }
+
     pub(crate) fn freeze(&mut self, proc: Proc) {
         let now = self.now;
         match proc {
@@ -658,7 +686,7 @@
         }
     }
 
-    fn stay(&mut self, agent: usize) {
+    pub(crate) fn stay(&mut self, agent: usize) {
         if self.agents[agent].works() {
             self.agents[agent].leaving = None;
             self.agent(agent, AgentEvent::Stay);
@@ -922,6 +950,11 @@
         self.upstreams[agent].mood = mood;
     }
 
+    /// Runs of the agent's upstream.
+    pub(crate) fn running(&self, agent: usize) -> usize {
+        self.upstreams[agent].live.len()
+    }
+
     /// Lets an upstream wait longer between tokens.
     pub(crate) fn set_pause(&mut self, agent: usize, millis: u64) {
         self.upstreams[agent].pause = millis;
