Split the test world by job

Ruled out: one file for each fake alone, since the processes' lives and what they want done belong together. Conclusion: a move, nothing else.

--- /dev/null
+++ b/fireflycroft/tests/support/world/callers.rs
@@ -0,0 +1,139 @@
+//! What callers do, and what a test reads of them.
+
+use super::{Due, World};
+use crate::support::fleet::{Ask, Proc};
+use crate::support::link::MS;
+use crate::support::oracle::Outcome;
+use fireflycroft::{CallId, Digest, EntryEvent, Reply, ResumePoint};
+use proptest::sample::Index;
+
+impl World {
+    pub(crate) fn outcome(&self, call: usize) -> Option<Outcome> {
+        self.oracle.calls[call].outcome
+    }
+
+    /// Number of the token that the call is given next.
+    pub(crate) fn next(&self, call: usize) -> u64 {
+        self.oracle.calls[call].next
+    }
+
+    /// Runs that were started for the call.
+    pub(crate) fn runs(&self, call: usize) -> usize {
+        self.oracle.calls[call].runs.len()
+    }
+
+    /// Agent that ran the call last.
+    pub(crate) fn agent_of(&self, call: usize) -> Option<usize> {
+        let run = self.oracle.calls[call].runs.last()?;
+        Some(self.oracle.runs[*run].agent)
+    }
+
+    /// Lives that the process had before this one.
+    pub(crate) fn life(&self, proc: Proc) -> u64 {
+        match proc {
+            Proc::Entry(i) => self.entries[i].life,
+            Proc::Agent(i) => self.agents[i].life,
+        }
+    }
+
+    /// Version in force at the process.
+    pub(crate) fn version(&self, proc: Proc) -> u64 {
+        self.config_of(proc).0
+    }
+
+    /// Digest of the configuration in force at the process.
+    pub(crate) fn digest(&self, proc: Proc) -> Option<Digest> {
+        match proc {
+            Proc::Entry(i) => self.entries[i].core.config().map(|c| c.digest),
+            Proc::Agent(i) => self.agents[i].config.get().map(|c| c.digest),
+        }
+    }
+
+    /// A caller asks; `None` when the entry does not answer.
+    pub(crate) fn submit(&mut self, entry: usize, ask: Ask) -> Option<usize> {
+        self.submit_from(entry, ask, None)
+    }
+
+    /// A caller goes on at a point of an earlier call.
+    pub(crate) fn resume(&mut self, entry: usize, earlier: usize, next: u64) -> Option<usize> {
+        let record = &self.oracle.calls[earlier];
+        let point = ResumePoint {
+            next,
+            ..record.point.clone()?
+        };
+        let ask = record.ask;
+        self.submit_from(entry, ask, Some((earlier, point)))
+    }
+
+    pub(crate) fn submit_from(
+        &mut self,
+        entry: usize,
+        ask: Ask,
+        from: Option<(usize, ResumePoint)>,
+    ) -> Option<usize> {
+        if !self.entries[entry].works() {
+            return None;
+        }
+        let mut submission = ask.submission();
+        submission.resume = from.as_ref().map(|(_, point)| point.clone());
+        let from = from.map(|(call, point)| (call, point.next));
+        let call = self.oracle.asked(self.now, entry, ask, from);
+        let event = EntryEvent::Submit(CallId(call as u64), Box::new(submission));
+        self.entry(entry, event);
+        Some(call)
+    }
+
+    pub(crate) fn leave_caller(&mut self, call: usize) {
+        let record = &mut self.oracle.calls[call];
+        if record.outcome.is_none() {
+            record.outcome = Some(Outcome::Gone);
+            let entry = record.entry;
+            self.entry(entry, EntryEvent::CallerGone(CallId(call as u64)));
+        }
+    }
+
+    pub(super) fn pick(&self, index: Index) -> Option<usize> {
+        let calls = self.oracle.calls.len();
+        (calls > 0).then(|| index.index(calls))
+    }
+
+    pub(super) fn again(&mut self, call: Index, entry: usize) {
+        if let Some(call) = self.pick(call) {
+            let ask = self.oracle.calls[call].ask;
+            self.submit(entry, ask);
+        }
+    }
+
+    pub(super) fn resume_one(&mut self, call: Index, entry: usize, back: bool) {
+        if let Some(call) = self.pick(call) {
+            let next = self.oracle.calls[call].next;
+            self.resume(entry, call, if back { next / 2 } else { next });
+        }
+    }
+
+    /// Another workspace uses the resume point of a call.
+    pub(crate) fn steal(&mut self, call: usize, entry: usize, workspace: usize) -> Option<usize> {
+        let point = self.point(call)?;
+        let ask = Ask {
+            workspace,
+            ..self.oracle.calls[call].ask
+        };
+        self.submit_from(entry, ask, Some((call, point)))
+    }
+
+    /// Where the call may be resumed.
+    pub(crate) fn point(&self, call: usize) -> Option<ResumePoint> {
+        self.oracle.calls[call].point.clone()
+    }
+
+    pub(super) fn reply(&mut self, entry: usize, call: CallId, reply: &Reply) {
+        let index = usize::try_from(call.0).unwrap();
+        self.oracle.replied(self.now, index, reply);
+        if let Reply::Tokens(chunk) = reply {
+            let delay = self.rng.below(20) * MS;
+            let life = self.entries[entry].life;
+            let taken = EntryEvent::Taken(call, chunk.end());
+            self.push(delay, Due::Entry(entry, life, taken));
+        }
+    }
+}
--- /dev/null
+++ b/fireflycroft/tests/support/world/messages.rs
@@ -0,0 +1,174 @@
+//! Messages, membership and configurations between the processes.
+
+use super::{Due, World};
+use crate::support::fleet::{self, AGENTS, Proc};
+use crate::support::mutant::Mutant;
+use fireflycroft::{
+    AgentEvent, Config, ConfigVersion, EntryEvent, Envelope, MemberRecord, MemberState, Message,
+    Name, Standing,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+impl World {
+    pub(super) fn config_of(&self, proc: Proc) -> ConfigVersion {
+        match proc {
+            Proc::Entry(i) => self.entries[i].core.config_version(),
+            Proc::Agent(i) => self.agents[i].config.version(),
+        }
+    }
+
+    pub(super) fn send(&mut self, from: Proc, to: SocketAddr, message: Message) {
+        match &message {
+            Message::Start {
+                request: reader,
+                generation,
+                ..
+            }
+            | Message::Attach {
+                reader, generation, ..
+            } => {
+                self.wanted.insert(*reader, *generation);
+            }
+            _ => {}
+        }
+        let (life, load) = match from {
+            Proc::Entry(i) => (self.entries[i].life, None),
+            Proc::Agent(i) => (self.agents[i].life, Some(self.agents[i].core.load())),
+        };
+        let envelope = Envelope {
+            from: from.peer(life),
+            config: self.config_of(from),
+            load,
+            body: self.mutate(message),
+        };
+        for delay in self.net.delays(&mut self.rng, from.addr(), to) {
+            self.push(delay, Due::Packet(to, Box::new(envelope.clone())));
+        }
+    }
+
+    pub(super) fn broadcast(&mut self, from: Proc, message: &Message) {
+        for to in Proc::all().filter(|to| *to != from) {
+            self.send(from, to.addr(), message.clone());
+        }
+    }
+
+    pub(super) fn deliver(&mut self, to: SocketAddr, envelope: Envelope) {
+        match Proc::of(to) {
+            Proc::Entry(i) => self.entry(i, EntryEvent::Message(Box::new(envelope))),
+            Proc::Agent(i) => self.agent(i, AgentEvent::Message(Box::new(envelope))),
+        }
+    }
+
+    /// Corrupts a message as the seeded fault demands.
+    pub(super) fn mutate(&self, mut message: Message) -> Message {
+        match (&mut message, self.mutant) {
+            (
+                Message::Tokens {
+                    reader, generation, ..
+                },
+                Mutant::AnyGeneration,
+            ) => {
+                if let Some(wanted) = self.wanted.get(reader) {
+                    *generation = *wanted;
+                }
+            }
+            (
+                Message::Attach {
+                    generation,
+                    workspace,
+                    ..
+                },
+                Mutant::AnyWorkspace,
+            ) => {
+                let mut runs = self.oracle.runs.iter();
+                if let Some(run) = runs.find(|r| r.generation == *generation) {
+                    *workspace = run.workspace.clone();
+                }
+            }
+            (Message::Stand { standing, .. }, Mutant::UnknownIsNotRun)
+                if *standing == Standing::Unknown =>
+            {
+                *standing = Standing::NeverStarted;
+            }
+            _ => {}
+        }
+        message
+    }
+
+    pub(super) fn introduce(&mut self, entry: usize) {
+        for agent in 0..AGENTS {
+            self.tell_member(entry, agent, MemberState::Alive);
+        }
+    }
+
+    pub(crate) fn tell_member(&mut self, entry: usize, agent: usize, state: MemberState) {
+        let record = MemberRecord {
+            peer: Proc::Agent(agent).peer(self.agents[agent].life),
+            data_centre: Name::from("dc"),
+            state,
+            turn: 0,
+            serves: fleet::serves(agent),
+        };
+        self.entry(entry, EntryEvent::Member(record));
+    }
+
+    /// A process reads a configuration.
+    pub(crate) fn configure(&mut self, proc: Proc, config: &Arc<Config>) {
+        match proc {
+            Proc::Entry(i) => {
+                if self.mutant == Mutant::AnyConfig && self.config_of(proc) > config.version {
+                    self.entries[i].core = fleet::new_entry(i, self.entries[i].life);
+                }
+                self.entry(i, EntryEvent::Config(config.clone()));
+            }
+            Proc::Agent(i) => {
+                if !self.agents[i].works() {
+                    return;
+                }
+                self.agents[i].config.adopt(config.clone());
+                self.agent(i, AgentEvent::Config(config.version));
+                self.check_config(proc);
+            }
+        }
+    }
+
+    pub(super) fn check_config(&mut self, proc: Proc) {
+        let (life, config) = match proc {
+            Proc::Entry(i) => (self.entries[i].life, self.entries[i].core.config()),
+            Proc::Agent(i) => (self.agents[i].life, self.agents[i].config.get()),
+        };
+        if let Some(config) = config {
+            let (version, digest) = (config.version, config.digest);
+            self.oracle.in_force(proc, life, version, digest);
+        }
+    }
+
+    pub(super) fn pull_config(&mut self, to: Proc, addr: SocketAddr) {
+        let life = match to {
+            Proc::Entry(i) => self.entries[i].life,
+            Proc::Agent(i) => self.agents[i].life,
+        };
+        let from = Proc::of(addr);
+        let there = self.net.delays(&mut self.rng, to.addr(), addr);
+        let back = self.net.delays(&mut self.rng, addr, to.addr());
+        if let (Some(there), Some(back)) = (there.first(), back.first()) {
+            self.push(there + back, Due::Config { to, life, from });
+        }
+    }
+
+    pub(super) fn give_config(&mut self, to: Proc, life: u64, from: Proc) {
+        let config = match from {
+            Proc::Entry(i) if self.entries[i].works() => self.entries[i].core.config().cloned(),
+            Proc::Agent(i) if self.agents[i].works() => self.agents[i].config.get().cloned(),
+            _ => None,
+        };
+        let same_life = match to {
+            Proc::Entry(i) => self.entries[i].life == life,
+            Proc::Agent(i) => self.agents[i].life == life,
+        };
+        if let Some(config) = config.filter(|_| same_life) {
+            self.configure(to, &config);
+        }
+    }
+}
--- /dev/null
+++ b/fireflycroft/tests/support/world/processes.rs
@@ -0,0 +1,319 @@
+//! Lives of entries and agents, and what they want done.
+
+use super::{CALM, Due, Node, RunOrder, World};
+use crate::support::fleet::{self, ENTRIES, Proc};
+use crate::support::link::MS;
+use crate::support::mutant::Mutant;
+use crate::support::oracle::Outcome;
+use fireflycroft::{
+    AgentAction, AgentEvent, CallId, EntryAction, EntryEvent, MemberState, Message, Reply,
+};
+
+impl World {
+    pub(super) fn entry(&mut self, i: usize, event: EntryEvent) {
+        let node = &mut self.entries[i];
+        if !node.alive {
+            return;
+        }
+        if node.frozen.is_some() {
+            if !matches!(event, EntryEvent::Tick) {
+                node.inbox.push(event);
+            }
+            return;
+        }
+        let submitted = match &event {
+            EntryEvent::Submit(call, _) => Some(*call),
+            _ => None,
+        };
+        let mut out = Vec::new();
+        node.core.on_event(node.local(self.now), event, &mut out);
+        if let Some(call) = submitted {
+            self.number(call, &out);
+        }
+        for action in out {
+            self.entry_action(i, action);
+        }
+        self.check_config(Proc::Entry(i));
+    }
+
+    /// Reads from the first message sent which request id the call has.
+    pub(super) fn number(&mut self, call: CallId, out: &[EntryAction]) {
+        let request = out.iter().find_map(|action| match action {
+            EntryAction::Send(_, Message::Offer { request, .. }) => Some(*request),
+            EntryAction::Send(_, Message::Attach { reader, .. }) => Some(*reader),
+            _ => None,
+        });
+        if let Some(request) = request {
+            let call = usize::try_from(call.0).unwrap();
+            self.oracle.numbered(call, request);
+        }
+    }
+
+    pub(super) fn entry_action(&mut self, i: usize, action: EntryAction) {
+        let from = Proc::Entry(i);
+        match action {
+            EntryAction::Send(to, message) => self.send(from, to, message),
+            EntryAction::Broadcast(message) => self.broadcast(from, &message),
+            EntryAction::Reply(call, reply) => {
+                if self.mutant == Mutant::HandOnTwice && matches!(reply, Reply::Tokens(_)) {
+                    self.reply(i, call, &reply);
+                }
+                self.reply(i, call, &reply);
+            }
+            EntryAction::Claim(call, key, op) => self.claim(i, call, key, op),
+            EntryAction::PullConfig(addr) => self.pull_config(from, addr),
+            EntryAction::Note(_) => {}
+        }
+    }
+
+    pub(super) fn agent(&mut self, i: usize, event: AgentEvent) {
+        let node = &mut self.agents[i];
+        if !node.alive {
+            return;
+        }
+        if node.frozen.is_some() {
+            if !matches!(event, AgentEvent::Tick) {
+                node.inbox.push(event);
+            }
+            return;
+        }
+        self.note_offer(i, &event);
+        let node = &mut self.agents[i];
+        let mut out = Vec::new();
+        node.core.on_event(node.local(self.now), event, &mut out);
+        for action in out {
+            self.agent_action(i, action);
+        }
+    }
+
+    pub(super) fn note_offer(&mut self, i: usize, event: &AgentEvent) {
+        let node = &self.agents[i];
+        let AgentEvent::Message(envelope) = event else {
+            return;
+        };
+        let Message::Offer {
+            request, attempt, ..
+        } = envelope.body
+        else {
+            return;
+        };
+        let known = self.offer_of.values().any(|o| *o == (request, attempt));
+        if node.leaving.is_some() && !known {
+            self.too_late.insert((i, node.life, request, attempt));
+        }
+    }
+
+    pub(super) fn agent_action(&mut self, i: usize, action: AgentAction) {
+        let from = Proc::Agent(i);
+        let life = self.agents[i].life;
+        match action {
+            AgentAction::Send(to, message) => {
+                if let Message::Accept {
+                    request,
+                    attempt,
+                    generation,
+                    ..
+                } = &message
+                {
+                    self.offer_of.insert(*generation, (*request, *attempt));
+                }
+                self.send(from, to, message);
+            }
+            AgentAction::Broadcast(message) => self.broadcast(from, &message),
+            AgentAction::Run {
+                generation,
+                request,
+                demand,
+                work,
+            } => {
+                let order = RunOrder {
+                    generation,
+                    request,
+                    demand,
+                    work,
+                };
+                self.push(MS, Due::Begin(i, life, Box::new(order)));
+            }
+            AgentAction::Resume { generation, .. } => {
+                self.push(5 * MS, Due::Reattach(i, generation));
+            }
+            AgentAction::Stop(generation) => {
+                self.upstreams[i].live.remove(&generation);
+            }
+            AgentAction::PullConfig(addr) => self.pull_config(from, addr),
+            AgentAction::Note(_) => {}
+        }
+    }
+
+    /// A process loses all state and comes back after a while.
+    pub(crate) fn kill(&mut self, proc: Proc) {
+        match proc {
+            Proc::Entry(i) => {
+                if !std::mem::replace(&mut self.entries[i].alive, false) {
+                    return;
+                }
+                for call in self.oracle.open_at(i) {
+                    self.oracle.calls[call].outcome = Some(Outcome::Cut);
+                }
+            }
+            Proc::Agent(i) => {
+                if !std::mem::replace(&mut self.agents[i].alive, false) {
+                    return;
+                }
+                self.upstreams[i].live.clear();
+            }
+        }
+        let delay = self.rng.below(3_000) * MS;
+        self.push(delay, Due::Rebirth(proc));
+    }
+
+    pub(super) fn rebirth(&mut self, proc: Proc) {
+        let now = self.now;
+        match proc {
+            Proc::Entry(i) => {
+                let life = self.entries[i].life + 1;
+                self.entries[i] = Node::new(fleet::new_entry(i, life), life, now);
+                self.introduce(i);
+            }
+            Proc::Agent(i) => {
+                let life = self.agents[i].life + 1;
+                self.agents[i] = Node::new(fleet::new_agent(i, life), life, now);
+                if self.upstreams[i].up {
+                    self.agent(i, AgentEvent::UpstreamUp);
+                }
+                for entry in 0..ENTRIES {
+                    let delay = self.rng.below(1_500) * MS;
+                    self.push(delay, Due::Member(entry, i, MemberState::Alive));
+                }
+            }
+        }
+        let version = 1 + self.rng.below(self.head);
+        self.configure(proc, &fleet::config(version, false));
+    }
+
+    /// A dead entry comes back and knows no configuration yet.
+    pub(crate) fn revive_without_config(&mut self, i: usize) {
+        let life = self.entries[i].life + 1;
+        self.entries[i] = Node::new(fleet::new_entry(i, life), life, self.now);
+        self.introduce(i);
+    }
+
+    pub(crate) fn freeze(&mut self, proc: Proc) {
+        let now = self.now;
+        match proc {
+            Proc::Entry(i) if self.entries[i].alive => {
+                self.entries[i].frozen.get_or_insert(now);
+            }
+            Proc::Agent(i) if self.agents[i].alive => {
+                self.agents[i].frozen.get_or_insert(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Goes on with what came meanwhile; its timers may fire first.
+    pub(crate) fn thaw(&mut self, proc: Proc) {
+        let timers_first = self.rng.per_mille(500);
+        self.thaw_with(proc, timers_first);
+    }
+
+    pub(crate) fn thaw_with(&mut self, proc: Proc, timers_first: bool) {
+        match proc {
+            Proc::Entry(i) => {
+                let Some(since) = self.entries[i].frozen.take() else {
+                    return;
+                };
+                for call in self.oracle.open_at(i) {
+                    self.oracle.calls[call].frozen += self.now - since;
+                }
+                if timers_first {
+                    self.entry(i, EntryEvent::Tick);
+                }
+                for event in std::mem::take(&mut self.entries[i].inbox) {
+                    self.entry(i, event);
+                }
+            }
+            Proc::Agent(i) => {
+                if self.agents[i].frozen.take().is_none() {
+                    return;
+                }
+                if timers_first {
+                    self.agent(i, AgentEvent::Tick);
+                }
+                for event in std::mem::take(&mut self.agents[i].inbox) {
+                    self.agent(i, event);
+                }
+            }
+        }
+    }
+
+    /// A planned stop: the process ends once it is idle.
+    pub(crate) fn leave(&mut self, proc: Proc) {
+        let now = self.now;
+        match proc {
+            Proc::Entry(i) if self.entries[i].works() => {
+                self.entries[i].leaving.get_or_insert(now);
+                self.entry(i, EntryEvent::Leave);
+            }
+            Proc::Agent(i) if self.agents[i].works() => {
+                self.agents[i].leaving.get_or_insert(now);
+                if self.mutant != Mutant::IgnoreLeave {
+                    self.agent(i, AgentEvent::Leave);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn stay(&mut self, agent: usize) {
+        if self.agents[agent].works() {
+            self.agents[agent].leaving = None;
+            self.agent(agent, AgentEvent::Stay);
+        }
+    }
+
+    pub(super) fn stop_if_idle(&mut self, proc: Proc) {
+        let at_once = self.mutant == Mutant::StopAtOnce;
+        let ready = match proc {
+            Proc::Entry(i) => {
+                let node = &self.entries[i];
+                node.works() && node.leaving.is_some() && (at_once || node.core.is_idle())
+            }
+            Proc::Agent(i) => {
+                let node = &self.agents[i];
+                node.works() && node.leaving.is_some() && (at_once || node.core.is_idle())
+            }
+        };
+        if ready {
+            let cut = self.cut_by_stop(proc);
+            self.oracle.stopped(proc, &cut);
+            self.kill(proc);
+        }
+    }
+
+    /// Calls in progress that the end of the process would cut.
+    pub(super) fn cut_by_stop(&self, proc: Proc) -> Vec<usize> {
+        match proc {
+            Proc::Entry(i) => self.oracle.open_at(i),
+            Proc::Agent(i) => {
+                let calm = self.is_calm();
+                let here = |call: &usize| {
+                    let record = &self.oracle.calls[*call];
+                    let run = record.run.or(record.runs.last().copied());
+                    run.is_some_and(|r| {
+                        let run = &self.oracle.runs[r];
+                        let live = self.upstreams[i].live.contains_key(&run.generation);
+                        live || (calm && run.agent == i && record.next < run.emitted)
+                    })
+                };
+                self.oracle.open().filter(here).collect()
+            }
+        }
+    }
+
+    /// Whether nothing has been broken for a while.
+    pub(super) fn is_calm(&self) -> bool {
+        let frozen = self.entries.iter().any(|e| e.frozen.is_some());
+        self.net.is_calm() && !frozen && self.now - self.troubled > CALM
+    }
+}
