Tell a caller who resumes at an entry that knows no agent to come again

Cause: a named case of point 1. An entry that has just started has not heard of the agents yet; a caller who came back to it with the place in a running stream was told that nothing is known of it and that there is no use in coming back. Ruled out: holding the call until the agent is heard of, a wait for a name that may be made up. Chosen: the same code, with a time to retry. The oracle now also faults a passing refusal without one.

Conclusion: mended; the stream itself was never lost.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -27,7 +27,9 @@
         self.by_request.insert(call.request, id);
         self.calls.insert(id, call);
         let Some(addr) = self.router.addr_of(&point.agent) else {
-            self.fail(id, Code::StreamUnknown, None, out);
+            // This entry may yet hear of the agent.
+            let retry = Some(self.limits.min_retry_after);
+            self.fail(id, Code::StreamUnknown, retry, out);
             return;
         };
         let asked = crate::entry::Asked {
--- a/fireflycroft/tests/point1_tokens.rs
+++ b/fireflycroft/tests/point1_tokens.rs
@@ -43,6 +43,23 @@
         assert_eq!((world.next(rest), world.runs(first)), (LONG, 1));
     }
 
+    /// A new entry has not heard of the agent yet: the caller may come again.
+    caller_back_through_an_entry_that_knows_no_agent(world) {
+        let first = world.submit(0, long()).unwrap();
+        world.advance(100);
+        let next = world.next(first);
+        world.kill(Proc::Entry(0));
+        world.revive_alone(1, true);
+        let early = world.resume(1, first, next).unwrap();
+        world.advance(10);
+        assert_eq!(world.outcome(early), Some(Outcome::Failed(Code::StreamUnknown)));
+        assert!(world.retry_after(early).is_some());
+        world.introduce(1);
+        let rest = world.resume(1, first, next).unwrap();
+        world.advance(10_000);
+        assert_eq!(world.outcome(rest), Some(Outcome::Whole));
+    }
+
     /// The caller lost the last tokens that its entry had sent.
     caller_back_at_an_earlier_token(world) {
         let first = world.submit(0, long()).unwrap();
--- a/fireflycroft/tests/point2_own_answer.rs
+++ b/fireflycroft/tests/point2_own_answer.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use fireflycroft::{Code, GenerationId, RequestId, ResumePoint};
+use fireflycroft::{Code, GenerationId, Message, RequestId, ResumePoint};
 use support::cases;
 use support::fleet::{Ask, Kind, Proc};
 use support::link::Weather;
@@ -132,12 +132,31 @@
                 next: 0,
                 ..real.clone()
             };
-            let guess = world.submit_from(1, long(1), Some((call, point))).unwrap();
-            world.advance(1_000);
-            assert_eq!(world.outcome(guess), UNKNOWN);
+            for workspace in [0, 1] {
+                let from = Some((call, point.clone()));
+                let guess = world.submit_from(1, long(workspace), from).unwrap();
+                world.advance(500);
+                assert_eq!(world.outcome(guess), UNKNOWN);
+            }
         }
     }
 
+    /// A cancel for the former life's first generation comes late.
+    stale_cancel_reaches_an_agents_new_life(world) {
+        let service = |content| Ask { kind: Kind::Service, content, ..long(0) };
+        let first = world.submit(0, service(5)).unwrap();
+        world.advance(100);
+        let generation = world.point(first).unwrap().generation;
+        world.kill(Proc::Agent(3));
+        world.advance(5_000);
+        let second = world.submit(1, service(4)).unwrap();
+        world.advance(50);
+        let stale = Message::Cancel { generation };
+        world.send(Proc::Entry(0), Proc::Agent(3).addr(), stale);
+        world.advance(10_000);
+        assert_eq!(world.outcome(second), Some(Outcome::Whole));
+    }
+
     /// The same key in two workspaces is two requests.
     same_key_in_two_workspaces(world) {
         let a = world.submit(0, keyed(0, 3)).unwrap();
--- a/fireflycroft/tests/point7_config.rs
+++ b/fireflycroft/tests/point7_config.rs
@@ -72,7 +72,7 @@
 
     process_without_configuration_is_not_ready(world) {
         world.kill(ENTRY);
-        world.revive_without_config(0);
+        world.revive_alone(0, false);
         let call = world.submit(0, Ask::default()).unwrap();
         assert_eq!(world.outcome(call), Some(Outcome::Failed(Code::NotReady)));
     }
--- a/fireflycroft/tests/support/oracle.rs
+++ b/fireflycroft/tests/support/oracle.rs
@@ -10,6 +10,7 @@
     ResumePoint,
 };
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Starts of one repeatable request in all.
 const MAX_RUNS: usize = 3;
@@ -58,6 +59,8 @@
     pub(crate) run: Option<usize>,
     pub(crate) point: Option<ResumePoint>,
     pub(crate) outcome: Option<Outcome>,
+    /// When it was told to come back.
+    pub(crate) retry_after: Option<Duration>,
     pub(crate) runs: Vec<usize>,
     pub(crate) request: Option<RequestId>,
 }
@@ -103,6 +106,20 @@
     format!("{run}:{index}:{:pad$}", "").into_bytes()
 }
 
+/// Refusals that end by themselves, so the caller is told when to retry.
+fn may_come_back(code: Code) -> bool {
+    use Code::{ClaimUnavailable, ConfigBehind, Leaving, NoUpstream, NotReady, Overloaded};
+    let passing = [
+        ClaimUnavailable,
+        ConfigBehind,
+        Leaving,
+        NoUpstream,
+        NotReady,
+        Overloaded,
+    ];
+    passing.contains(&code)
+}
+
 fn scan_token(token: &[u8]) -> Option<(usize, u64)> {
     let text = std::str::from_utf8(token).ok()?;
     let mut parts = text.split(':');
@@ -131,6 +148,7 @@
             run,
             point: None,
             outcome: None,
+            retry_after: None,
             runs: Vec::new(),
             request: None,
         });
@@ -235,8 +253,13 @@
             Reply::Tokens(chunk) => self.given(call, chunk),
             Reply::End(finish) => self.ended(call, finish),
             Reply::Fail {
-                code, delivered, ..
-            } => self.failed(now, call, *code, *delivered),
+                code,
+                retry_after,
+                delivered,
+            } => {
+                self.calls[call].retry_after = *retry_after;
+                self.failed(now, call, *code, *delivered);
+            }
         }
     }
 
@@ -317,6 +340,9 @@
             if ran {
                 self.fault(3, format!("call {call} ran, but got {code:?}"));
             }
+            if may_come_back(code) && self.calls[call].retry_after.is_none() {
+                self.fault(0, format!("call {call} got {code:?} and no time to retry"));
+            }
             if waited > bound {
                 self.fault(0, format!("call {call} got {code:?} after {waited} us"));
             }
--- a/fireflycroft/tests/support/world/callers.rs
+++ b/fireflycroft/tests/support/world/callers.rs
@@ -6,12 +6,18 @@
 use crate::support::oracle::Outcome;
 use fireflycroft::{CallId, Digest, EntryEvent, Reply, ResumePoint};
 use proptest::sample::Index;
+use std::time::Duration;
 
 impl World {
     pub(crate) fn outcome(&self, call: usize) -> Option<Outcome> {
         self.oracle.calls[call].outcome
     }
 
+    /// When the call was told to come back.
+    pub(crate) fn retry_after(&self, call: usize) -> Option<Duration> {
+        self.oracle.calls[call].retry_after
+    }
+
     /// Number of the token that the call is given next.
     pub(crate) fn next(&self, call: usize) -> u64 {
         self.oracle.calls[call].next
--- a/fireflycroft/tests/support/world/messages.rs
+++ b/fireflycroft/tests/support/world/messages.rs
@@ -18,7 +18,7 @@
         }
     }
 
-    pub(super) fn send(&mut self, from: Proc, to: SocketAddr, message: Message) {
+    pub(crate) fn send(&mut self, from: Proc, to: SocketAddr, message: Message) {
         match &message {
             Message::Start {
                 request: reader,
@@ -96,7 +96,8 @@
         message
     }
 
-    pub(super) fn introduce(&mut self, entry: usize) {
+    /// An entry hears of every agent.
+    pub(crate) fn introduce(&mut self, entry: usize) {
         for agent in 0..AGENTS {
             self.tell_member(entry, agent, MemberState::Alive);
         }
--- a/fireflycroft/tests/support/world/processes.rs
+++ b/fireflycroft/tests/support/world/processes.rs
@@ -191,11 +191,13 @@
         self.configure(proc, &fleet::config(version, false));
     }
 
-    /// A dead entry comes back and knows no configuration yet.
-    pub(crate) fn revive_without_config(&mut self, i: usize) {
+    /// An entry's new life that knows no agents, nor a configuration if so.
+    pub(crate) fn revive_alone(&mut self, i: usize, configured: bool) {
         let life = self.entries[i].life + 1;
         self.entries[i] = Node::new(fleet::new_entry(i, life), life, self.now);
-        self.introduce(i);
+        if configured {
+            self.configure(Proc::Entry(i), &fleet::config(self.head, false));
+        }
     }
 
     pub(crate) fn freeze(&mut self, proc: Proc) {
