Do not let agents without work use up a request's offers

Cause: since an agent that once took no work is asked again, a request can spend its offers on agents that leave or are down and be refused while another stands idle. Ruled out: raising the limit, which only moves the number. Chosen: a refusal that says the agent has no work now does not count; no agent is asked twice, so the table bounds the asking.

New cases hold calls and remembered offers at their bounds; both offer cases fail when refusals are remembered without limit.

Conclusion: mended in dispatch.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -254,6 +254,12 @@
         self.generations.bytes()
     }
 
+    /// Offers remembered.
+    #[must_use]
+    pub fn offers(&self) -> usize {
+        self.offers.len()
+    }
+
     /// Whether a planned stop would cut off nothing any more.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -195,6 +195,9 @@
             return;
         }
         let id = call.id;
+        if takes_no_work(code) {
+            call.offers = call.offers.saturating_sub(1);
+        }
         call.retry_after = Some(call.retry_after.map_or(retry_after, |r| r.min(retry_after)));
         if call.refusal != Some(Code::Overloaded) {
             call.refusal = Some(code);
@@ -428,6 +431,12 @@
     }
 }
 
+/// Whether the agent has no work at all now: asking it was cheap, and it is
+/// not asked again, so the offer does not count.
+const fn takes_no_work(code: Code) -> bool {
+    matches!(code, Code::Leaving | Code::NoUpstream)
+}
+
 fn offer_of(now: Time, call: &Call) -> Message {
     let waited = now.since(call.received);
     Message::Offer {
--- /dev/null
+++ b/fireflycroft/tests/bounds.rs
@@ -0,0 +1,48 @@
+//! Every table has a limit, and a stated result when it is reached.
+
+mod support;
+
+use fireflycroft::{Code, Message, RequestId};
+use support::cases;
+use support::fleet::{AGENTS, Ask, ENGINES, MAX_CALLS, MAX_OFFERS, Proc};
+use support::oracle::Outcome;
+use support::upstream::Mood;
+
+cases! {
+    calls_at_the_entrys_bound(world) {
+        for agent in 0..ENGINES {
+            world.freeze(Proc::Agent(agent));
+        }
+        let calls: Vec<_> = (0..=MAX_CALLS)
+            .map(|_| world.submit(0, Ask::default()).unwrap())
+            .collect();
+        let last = world.outcome(calls[MAX_CALLS]);
+        assert_eq!(last, Some(Outcome::Failed(Code::Overloaded)));
+    }
+
+    /// More offers within a minute than an agent remembers.
+    offers_at_the_agents_bound(world) {
+        for agent in 0..ENGINES {
+            world.set_mood(agent, Mood::Full);
+        }
+        for i in 0..1_200 {
+            world.submit(i % 3, Ask { interactive: i % 2 == 0, ..Ask::default() });
+            world.advance(20);
+            assert!(world.most_offers() <= MAX_OFFERS, "{}", world.most_offers());
+        }
+    }
+
+    withdrawals_of_offers_that_never_came(world) {
+        for i in 0..2 * MAX_OFFERS {
+            for agent in 0..AGENTS {
+                let withdraw = Message::Withdraw {
+                    request: RequestId(1_000 + i as u128),
+                    attempt: 1,
+                };
+                world.send(Proc::Entry(0), Proc::Agent(agent).addr(), withdraw);
+            }
+            world.advance(2);
+        }
+        assert!(world.most_offers() <= MAX_OFFERS, "{}", world.most_offers());
+    }
+}
--- a/fireflycroft/tests/support/world.rs
+++ b/fireflycroft/tests/support/world.rs
@@ -302,6 +302,7 @@
         self.platform.mode = PlatformMode::Up;
         for agent in 0..AGENTS {
             self.set_mood(agent, Mood::Good);
+            self.set_pause(agent, 0);
         }
         for proc in Proc::all() {
             self.thaw(proc);
--- a/fireflycroft/tests/support/world/services.rs
+++ b/fireflycroft/tests/support/world/services.rs
@@ -65,6 +65,12 @@
         self.upstreams[agent].pause = millis;
     }
 
+    /// Most offers that any agent remembers.
+    pub(crate) fn most_offers(&self) -> usize {
+        let offers = self.agents.iter().map(|a| a.core.offers());
+        offers.max().unwrap_or(0)
+    }
+
     /// Most bytes of answers that any agent keeps.
     pub(crate) fn most_bytes(&self) -> usize {
         let bytes = self.agents.iter().map(|a| a.core.bytes());
