Let the oracle see work taken while stopping or behind; bound the waits

An entry that takes calls while it stops was caught by one case only, an agent that runs what was offered under a later configuration by none, and cases that wait for an outcome waited for ever where the change made it hang. Ruled out: more cases alone, since the fuzzer reaches more states. Chosen: the oracle now checks both at each run (points 6 and 7), and cases wait with a bound.

Conclusion: a stricter oracle.

--- a/fireflycroft/tests/point1_tokens.rs
+++ b/fireflycroft/tests/point1_tokens.rs
@@ -251,10 +251,10 @@
     /// One stream is longer than all the bytes that the agent may keep.
     stream_over_the_agents_buffer(world) {
         let call = world.submit(0, Ask { content: HUGE, ..Ask::default() }).unwrap();
-        while world.outcome(call).is_none() {
-            world.advance(100);
-            assert!(world.most_bytes() <= MAX_BYTES, "{}", world.most_bytes());
-        }
+        world.advance_until(60_000, |w| {
+            assert!(w.most_bytes() <= MAX_BYTES, "{}", w.most_bytes());
+            w.outcome(call).is_some()
+        });
         assert_eq!(world.outcome(call), Some(Outcome::Whole));
     }
 
--- a/fireflycroft/tests/point5_leaving.rs
+++ b/fireflycroft/tests/point5_leaving.rs
@@ -35,10 +35,14 @@
             ..long
         },
     );
-    while (0..AGENTS).any(|agent| world.running(agent) == 0) {
+    for _ in 0..20 {
+        if (0..AGENTS).all(|agent| world.running(agent) > 0) {
+            return;
+        }
         world.submit(0, long);
         world.advance(20);
     }
+    panic!("an agent stays idle");
 }
 
 cases! {
--- a/fireflycroft/tests/poison.rs
+++ b/fireflycroft/tests/poison.rs
@@ -34,9 +34,7 @@
         let Some(call) = world.submit(*entry, ask) else {
             continue;
         };
-        while world.outcome(call).is_none() {
-            world.advance(10);
-        }
+        world.advance_until(30_000, |w| w.outcome(call).is_some());
         calls.push(call);
     }
     calls
--- a/fireflycroft/tests/support/oracle.rs
+++ b/fireflycroft/tests/support/oracle.rs
@@ -49,6 +49,8 @@
     pub(crate) ask: Ask,
     pub(crate) entry: usize,
     pub(crate) at: u64,
+    /// Whether its entry had been told to stop.
+    pub(crate) late: bool,
     /// Time that its entry was frozen meanwhile.
     pub(crate) frozen: u64,
     /// Number of the first token that it asked for.
@@ -142,6 +144,7 @@
             ask,
             entry,
             at: now,
+            late: false,
             frozen: 0,
             first: from.map_or(0, |(_, next)| next),
             next: from.map_or(0, |(_, next)| next),
@@ -210,6 +213,9 @@
         {
             self.fault(3, format!("run {number} after call {call} got {code:?}"));
         }
+        if self.calls[call].late {
+            self.fault(6, format!("run {number} by an entry that stops"));
+        }
         let most = if ask.repeatable() { MAX_RUNS } else { 1 };
         if self.calls[call].runs.len() >= most {
             self.fault(4, format!("run {number} is one too many for call {call}"));
@@ -229,6 +235,19 @@
         self.calls[call].runs.push(number);
     }
 
+    /// An agent runs what it was offered under a later configuration.
+    pub(crate) fn began_behind(
+        &mut self,
+        number: usize,
+        own: ConfigVersion,
+        theirs: ConfigVersion,
+    ) {
+        if own < theirs {
+            let text = format!("run {number} under {own:?}, offered under {theirs:?}");
+            self.fault(7, text);
+        }
+    }
+
     /// An agent that was told to leave starts a run.
     pub(crate) fn began_leaving(&mut self, number: usize, offered_later: bool, since: u64) {
         if offered_later {
--- a/fireflycroft/tests/support/scenario.rs
+++ b/fireflycroft/tests/support/scenario.rs
@@ -18,9 +18,7 @@
     for other in (0..ENGINES).filter(|a| *a != frozen) {
         world.set_pause(other, 100);
     }
-    while world.runs(call) < 2 {
-        world.advance(10);
-    }
+    world.advance_until(30_000, |w| w.runs(call) >= 2);
     world
         .net
         .cut(Proc::Entry(0).addr(), Proc::Agent(frozen).addr());
--- a/fireflycroft/tests/support/world.rs
+++ b/fireflycroft/tests/support/world.rs
@@ -14,8 +14,8 @@
 use super::rng::Rng;
 use super::upstream::{Mood, Upstream};
 use fireflycroft::{
-    Agent, AgentEvent, CallId, ClaimOp, Demand, Digest, Entry, EntryEvent, Envelope, GenerationId,
-    InForce, MemberState, RequestId, Time, Work,
+    Agent, AgentEvent, CallId, ClaimOp, ConfigVersion, Demand, Digest, Entry, EntryEvent, Envelope,
+    GenerationId, InForce, MemberState, RequestId, Time, Work,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -129,6 +129,8 @@
     wanted: BTreeMap<RequestId, GenerationId>,
     /// Offers that reached an agent after it was told to leave.
     too_late: BTreeSet<(usize, u64, RequestId, u32)>,
+    /// Configuration that rode on the first copy of each offer to arrive.
+    offered: BTreeMap<(RequestId, u32), ConfigVersion>,
     /// Offer that a reservation was made for.
     offer_of: BTreeMap<GenerationId, (RequestId, u32)>,
 }
@@ -155,6 +157,7 @@
             head: 1,
             wanted: BTreeMap::new(),
             too_late: BTreeSet::new(),
+            offered: BTreeMap::new(),
             offer_of: BTreeMap::new(),
         };
         for i in 0..AGENTS {
@@ -247,6 +250,15 @@
         self.now = until;
     }
 
+    /// Lets time go on until something holds, for at most that long.
+    pub(crate) fn advance_until(&mut self, millis: u64, holds: impl Fn(&Self) -> bool) {
+        let until = self.now + millis * MS;
+        while !holds(self) {
+            assert!(self.now < until, "it did not come to hold");
+            self.advance(10);
+        }
+    }
+
     fn push(&mut self, delay: u64, due: Due) {
         self.drawn += 1;
         self.due.insert((self.now + delay, self.drawn), due);
--- a/fireflycroft/tests/support/world/callers.rs
+++ b/fireflycroft/tests/support/world/callers.rs
@@ -84,6 +84,7 @@
         submission.resume = from.as_ref().map(|(_, point)| point.clone());
         let from = from.map(|(call, point)| (call, point.next));
         let call = self.oracle.asked(self.now, entry, ask, from);
+        self.oracle.calls[call].late = self.entries[entry].leaving.is_some();
         let event = EntryEvent::Submit(CallId(call as u64), Box::new(submission));
         self.entry(entry, event);
         Some(call)
--- a/fireflycroft/tests/support/world/processes.rs
+++ b/fireflycroft/tests/support/world/processes.rs
@@ -97,6 +97,9 @@
         else {
             return;
         };
+        self.offered
+            .entry((request, attempt))
+            .or_insert(envelope.config);
         let known = self.offer_of.values().any(|o| *o == (request, attempt));
         if node.leaving.is_some() && !known {
             self.too_late.insert((i, node.life, request, attempt));
--- a/fireflycroft/tests/support/world/services.rs
+++ b/fireflycroft/tests/support/world/services.rs
@@ -7,8 +7,8 @@
 use crate::support::oracle::{RunStart, token};
 use crate::support::upstream::{Mood, Turn};
 use fireflycroft::{
-    AgentEvent, CallId, ClaimAnswer, ClaimOp, Code, Digest, EntryEvent, Finish, GenerationId,
-    Message, Name,
+    AgentEvent, CallId, ClaimAnswer, ClaimOp, Code, ConfigVersion, Digest, EntryEvent, Finish,
+    GenerationId, Message, Name,
 };
 
 impl World {
@@ -101,10 +101,20 @@
             content,
         });
         self.check_leaving(agent, run, generation);
+        if let Some(offered) = self.offered_under(generation) {
+            let own = self.agents[agent].config.version();
+            self.oracle.began_behind(run, own, offered);
+        }
         self.upstreams[agent].begin(generation, run, content);
         self.push(5 * MS, Due::Emit(agent, generation, 0));
     }
 
+    /// Configuration under which the generation was offered.
+    fn offered_under(&self, generation: GenerationId) -> Option<ConfigVersion> {
+        let offer = self.offer_of.get(&generation)?;
+        self.offered.get(offer).copied()
+    }
+
     pub(super) fn check_leaving(&mut self, agent: usize, run: usize, generation: GenerationId) {
         let node = &self.agents[agent];
         let Some(leaving) = node.leaving else {
