Send a caller who takes nothing no more than two windows

Cause: an agent sends 2048 tokens ahead of what the caller has taken, but an entry that heard nothing for half a second attached anew at the next token, which opened a whole window again. A named case: a caller who took nothing was given all 10000 tokens of an answer, so the front would hold any length. Ruled out: attaching at the last token taken, which sends the window again twice a second. Chosen: while a window is out, the agent's silence is the entry's own doing and does not count; acknowledgements go on, so the reader is kept. Once the caller takes, silence counts again.

The test fleet's agents keep 128 KiB now instead of 16, and tokens of the huge content have 1000 bytes instead of 200, so the cases of the byte bound are as strict. Conclusion: a stalled caller costs at most two windows at the front.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -4,6 +4,7 @@
 use crate::entry::{
     Call, Delivery, Entry, EntryAction, Origin, Phase, Reading, Reply, ResumePoint,
 };
+use crate::generation::WINDOW;
 use crate::ids::{CallId, GenerationId, Incarnation, Name, Peer, RequestId};
 use crate::message::{Finish, Message, Standing};
 use crate::note::Note;
@@ -335,13 +336,17 @@
         let Phase::Reading(reading) = &mut call.phase else {
             return;
         };
+        if delivery == Delivery::Whole {
+            reading.acked = reading.cursor.next;
+        }
+        if reading.cursor.next - reading.acked >= WINDOW {
+            // The agent waits for the caller, not the other way round.
+            reading.heard = now;
+        }
         if now.since(reading.heard) >= limits.silence {
             self.on_silence(now, id, out);
             return;
         }
-        if delivery == Delivery::Whole {
-            reading.acked = reading.cursor.next;
-        }
         if now.since(reading.acked_at) >= limits.ack_every {
             out.push(ack_of(now, request, reading));
         }
--- a/fireflycroft/tests/bounds.rs
+++ b/fireflycroft/tests/bounds.rs
@@ -4,10 +4,13 @@
 
 use fireflycroft::{Code, Message, RequestId};
 use support::cases;
-use support::fleet::{AGENTS, Ask, ENGINES, MAX_CALLS, MAX_OFFERS, Proc};
+use support::fleet::{AGENTS, Ask, ENGINES, GIANT, MAX_CALLS, MAX_OFFERS, Proc};
 use support::oracle::Outcome;
 use support::upstream::Mood;
 
+/// Tokens that an agent sends ahead of what the caller has taken.
+const WINDOW: u64 = 2_048;
+
 cases! {
     calls_at_the_entrys_bound(world) {
         for agent in 0..ENGINES {
@@ -20,6 +23,18 @@
         assert_eq!(last, Some(Outcome::Failed(Code::Overloaded)));
     }
 
+    /// A caller who takes nothing is not given more than two windows.
+    caller_who_takes_nothing(world) {
+        world.stall_callers(true);
+        let call = world.submit(0, Ask { content: GIANT, ..Ask::default() }).unwrap();
+        world.advance(60_000);
+        assert!(world.next(call) <= 2 * WINDOW, "{}", world.next(call));
+        assert_eq!(world.outcome(call), None);
+        world.stall_callers(false);
+        world.advance(20_000);
+        assert_eq!(world.outcome(call), Some(Outcome::Whole));
+    }
+
     /// More offers within a minute than an agent remembers.
     offers_at_the_agents_bound(world) {
         for agent in 0..ENGINES {
--- a/fireflycroft/tests/support/fleet.rs
+++ b/fireflycroft/tests/support/fleet.rs
@@ -25,18 +25,21 @@
 pub(crate) const MAX_OFFERS: usize = 256;
 
 /// Bytes of answers that an agent keeps.
-pub(crate) const MAX_BYTES: usize = 16 * 1_024;
+pub(crate) const MAX_BYTES: usize = 128 * 1_024;
 
 /// Content that crashes each upstream that runs it.
 pub(crate) const POISON: u8 = 6;
 /// Content whose answer outgrows the entry's buffer.
 pub(crate) const HUGE: u8 = 7;
+/// Contents that the fuzzer draws.
 pub(crate) const CONTENTS: u8 = 8;
+/// Content whose answer is longer than any window; for named cases only.
+pub(crate) const GIANT: u8 = 8;
 
 /// Every so many versions lacks the last workspace.
 const WITHOUT_LAST: u64 = 3;
 
-const LENGTHS: [u64; CONTENTS as usize] = [0, 1, 3, 12, 60, 400, 100, 300];
+const LENGTHS: [u64; 9] = [0, 1, 3, 12, 60, 400, 100, 300, 10_000];
 
 /// Number of tokens that a content's answer has.
 pub(crate) fn length(content: u8) -> u64 {
--- a/fireflycroft/tests/support/oracle.rs
+++ b/fireflycroft/tests/support/oracle.rs
@@ -104,7 +104,7 @@
 
 /// Token `index` of run `run`; padded for the huge content.
 pub(crate) fn token(run: usize, index: u64, content: u8) -> Vec<u8> {
-    let pad = if content == fleet::HUGE { 200 } else { 1 };
+    let pad = if content == fleet::HUGE { 1_000 } else { 1 };
     format!("{run}:{index}:{:pad$}", "").into_bytes()
 }
 
--- a/fireflycroft/tests/support/world.rs
+++ b/fireflycroft/tests/support/world.rs
@@ -121,6 +121,8 @@
     upstreams: Vec<Upstream>,
     due: BTreeMap<(u64, u64), Due>,
     drawn: u64,
+    /// Callers take nothing of what they are given.
+    stalled: bool,
     /// Last time that anything was broken.
     troubled: u64,
     /// Highest configuration that any process was given.
@@ -153,6 +155,7 @@
             upstreams: vec![Upstream::default(); AGENTS],
             due: BTreeMap::new(),
             drawn: 0,
+            stalled: false,
             troubled: 0,
             head: 1,
             wanted: BTreeMap::new(),
--- a/fireflycroft/tests/support/world/callers.rs
+++ b/fireflycroft/tests/support/world/callers.rs
@@ -99,6 +99,17 @@
         }
     }
 
+    /// Callers stop taking, or take again all that they were given.
+    pub(crate) fn stall_callers(&mut self, stalled: bool) {
+        self.stalled = stalled;
+        let open: Vec<usize> = self.oracle.open().collect();
+        for call in open.into_iter().filter(|_| !stalled) {
+            let record = &self.oracle.calls[call];
+            let (entry, next) = (record.entry, record.next);
+            self.entry(entry, EntryEvent::Taken(CallId(call as u64), next));
+        }
+    }
+
     pub(super) fn pick(&self, index: Index) -> Option<usize> {
         let calls = self.oracle.calls.len();
         (calls > 0).then(|| index.index(calls))
@@ -136,7 +147,9 @@
     pub(super) fn reply(&mut self, entry: usize, call: CallId, reply: &Reply) {
         let index = usize::try_from(call.0).unwrap();
         self.oracle.replied(self.now, index, reply);
-        if let Reply::Tokens(chunk) = reply {
+        if let Reply::Tokens(chunk) = reply
+            && !self.stalled
+        {
             let delay = self.rng.below(20) * MS;
             let life = self.entries[entry].life;
             let taken = EntryEvent::Taken(call, chunk.end());
