Bound what an entry holds back for whole answers in all

Cause: each whole answer had a bound of 8 MiB and calls one of 4096, so together an entry could hold 32 GiB. Ruled out: refusing new whole answers early by a guess of their length, which is not known.

Before: no bound and no case. Conclusion: bounded, stated in EntryLimits.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -116,6 +116,7 @@
 
     fn hand_on(&mut self, now: Time, id: CallId, chunk: Chunk, out: &mut Vec<EntryAction>) {
         let most = self.limits.max_answer;
+        let most_in_all = self.limits.max_held;
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -132,8 +133,9 @@
                 for token in chunk.tokens() {
                     call.held_back.push(token);
                 }
+                self.held += chunk.data.len();
                 ack_held_back(now, call, out);
-                if call.held_back.data.len() > most {
+                if call.held_back.data.len() > most || self.held > most_in_all {
                     self.cancel(id, out);
                     self.fail(id, Code::AnswerTooLarge, None, out);
                 }
@@ -248,6 +250,7 @@
             return;
         };
         call.demand.crashes = crashes;
+        self.held -= call.held_back.data.len();
         call.held_back = Chunk::default();
         call.offers = 0;
         out.push(EntryAction::Note(
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -344,6 +344,7 @@
             }
             self.router.note_sent(&asked.agent);
         }
+        self.held -= call.held_back.data.len();
         call.held_back = Chunk {
             offset: cursor.next,
             ..Chunk::default()
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -48,6 +48,8 @@
     pub avoid: Duration,
     /// Bytes of a whole answer held back.
     pub max_answer: usize,
+    /// Bytes of whole answers held back in all.
+    pub max_held: usize,
     /// Calls at once.
     pub max_calls: usize,
     /// How long an agent's word that it takes no work is believed.
@@ -69,6 +71,7 @@
             claim_wait: Duration::from_millis(1_500),
             avoid: Duration::from_secs(2),
             max_answer: 8 * 1024 * 1024,
+            max_held: 256 * 1024 * 1024,
             max_calls: 4_096,
             believe_leaving: Duration::from_secs(1),
             min_retry_after: Duration::from_secs(1),
@@ -300,6 +303,8 @@
     pub(crate) router: Router,
     pub(crate) calls: BTreeMap<CallId, Call>,
     pub(crate) by_request: HashMap<RequestId, CallId>,
+    /// Bytes of whole answers held back.
+    pub(crate) held: usize,
     pub(crate) quarantine: Quarantine,
     pub(crate) quotas: Quotas,
     pub(crate) retries: RetryBudget,
@@ -320,6 +325,7 @@
             router: Router::new(setup.policy, setup.data_centre),
             calls: BTreeMap::new(),
             by_request: HashMap::new(),
+            held: 0,
             quarantine: Quarantine::default(),
             quotas: Quotas::default(),
             retries: RetryBudget::default(),
@@ -369,6 +375,12 @@
         self.calls.len()
     }
 
+    /// Bytes of whole answers held back.
+    #[must_use]
+    pub const fn held(&self) -> usize {
+        self.held
+    }
+
     /// Whether a planned stop would cut off nothing any more.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -545,6 +557,7 @@
     pub(crate) fn remove(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
         self.by_request.remove(&call.request);
+        self.held -= call.held_back.data.len();
         if let Some(asked) = call.asked() {
             self.router.note_done(&asked.agent);
         }
--- a/fireflycroft/tests/bounds.rs
+++ b/fireflycroft/tests/bounds.rs
@@ -4,7 +4,7 @@
 
 use fireflycroft::{Code, Message, RequestId};
 use support::cases;
-use support::fleet::{AGENTS, Ask, ENGINES, GIANT, MAX_CALLS, MAX_OFFERS, Proc};
+use support::fleet::{AGENTS, Ask, ENGINES, GIANT, MAX_CALLS, MAX_HELD, MAX_OFFERS, Proc};
 use support::oracle::Outcome;
 use support::upstream::Mood;
 
@@ -35,6 +35,23 @@
         assert_eq!(world.outcome(call), Some(Outcome::Whole));
     }
 
+    /// None is over its own bound, but all of them together are.
+    whole_answers_held_back_at_once(world) {
+        let ask = Ask { content: 4, whole: true, ..Ask::default() };
+        let calls: Vec<_> = (0..12).map(|_| world.submit(0, ask).unwrap()).collect();
+        for _ in 0..100 {
+            world.advance(50);
+            assert!(world.most_held() <= MAX_HELD, "{}", world.most_held());
+        }
+        let of = |outcome| {
+            let same = calls.iter().filter(|c| world.outcome(**c) == Some(outcome));
+            same.count()
+        };
+        let (whole, large) = (Outcome::Whole, Outcome::Failed(Code::AnswerTooLarge));
+        assert!(of(whole) > 0 && of(large) > 0);
+        assert_eq!(of(whole) + of(large), calls.len());
+    }
+
     /// More offers within a minute than an agent remembers.
     offers_at_the_agents_bound(world) {
         for agent in 0..ENGINES {
--- a/fireflycroft/tests/support/fleet.rs
+++ b/fireflycroft/tests/support/fleet.rs
@@ -18,6 +18,9 @@
 pub(crate) const MODEL: &str = "model";
 pub(crate) const SERVICE: &str = "records";
 
+/// Bytes of whole answers that an entry holds back.
+pub(crate) const MAX_HELD: usize = 2_048;
+
 /// Calls at once at an entry.
 pub(crate) const MAX_CALLS: usize = 64;
 
@@ -114,6 +117,7 @@
         seed: bytes,
         limits: EntryLimits {
             max_answer: 1_024,
+            max_held: MAX_HELD,
             max_offers: 2,
             max_calls: MAX_CALLS,
             ..EntryLimits::default()
--- a/fireflycroft/tests/support/world/services.rs
+++ b/fireflycroft/tests/support/world/services.rs
@@ -65,6 +65,12 @@
         self.upstreams[agent].pause = millis;
     }
 
+    /// Most bytes of whole answers that any entry holds back.
+    pub(crate) fn most_held(&self) -> usize {
+        let held = self.entries.iter().map(|e| e.core.held());
+        held.max().unwrap_or(0)
+    }
+
     /// Most offers that any agent remembers.
     pub(crate) fn most_offers(&self) -> usize {
         let offers = self.agents.iter().map(|a| a.core.offers());
