Make the case of dropped answers strict

Chosen: the one plain service, so that the answer must have been dropped; and a second case in which a running stream has lost its head while its tail is still given.

Conclusion: both cases now say exactly what a caller is told.

--- a/fireflycroft/tests/point1_tokens.rs
+++ b/fireflycroft/tests/point1_tokens.rs
@@ -272,16 +272,26 @@
 
     /// An answer that was dropped to make room is not given from its middle.
     ended_answers_dropped_to_make_room(world) {
-        let first = world.submit(0, Ask::default()).unwrap();
+        let service = |content| Ask { kind: Kind::Service, content, ..Ask::default() };
+        let first = world.submit(0, service(3)).unwrap();
         world.advance(1_000);
-        for _ in 0..4 {
-            world.submit(0, Ask { content: HUGE, ..Ask::default() });
-            world.advance(5_000);
-        }
+        world.submit(0, service(HUGE));
+        world.advance(5_000);
         let rest = world.resume(1, first, 3).unwrap();
         world.advance(1_000);
-        let allowed = [Outcome::Whole, Outcome::Failed(Code::PartGone)];
-        assert!(allowed.contains(&world.outcome(rest).unwrap()));
+        assert_eq!(world.outcome(rest), Some(Outcome::Failed(Code::PartGone)));
+    }
+
+    /// The head of a running stream was dropped to make room.
+    running_stream_has_lost_its_head(world) {
+        let service = Ask { kind: Kind::Service, content: HUGE, ..Ask::default() };
+        let first = world.submit(0, service).unwrap();
+        world.advance_until(10_000, |w| w.next(first) > 200);
+        let again = world.resume(1, first, 0).unwrap();
+        let rest = world.resume(2, first, world.next(first)).unwrap();
+        world.advance(10_000);
+        assert_eq!(world.outcome(again), Some(Outcome::Failed(Code::PartGone)));
+        assert_eq!(world.outcome(rest), Some(Outcome::Whole));
     }
 
     /// Nine callers join one keyed generation; the ninth is told to wait.
