--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -9,6 +9,7 @@
 use crate::generation::{Generation, Stage};
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
 use crate::message::{ConfigVersion, Envelope, Finish, Load, Message, Standing};
+use crate::news::News;
 use crate::note::Note;
 use crate::order::{Order, Orders};
 use crate::quarantine::Quarantine;
@@ -184,6 +185,7 @@
     pub(crate) generations: Store,
     next_serial: u64,
     quarantine: Quarantine,
+    news: News,
     upstream_up: bool,
     leaving: bool,
     step: Duration,
@@ -210,6 +212,7 @@
             generations: Store::default(),
             next_serial: 1,
             quarantine: Quarantine::default(),
+            news: News::default(),
             upstream_up: false,
             leaving: false,
             step: Duration::ZERO,
@@ -268,6 +271,12 @@
         self.generations.bytes()
     }
 
+    /// Offers remembered.
+    #[must_use]
+    pub fn offers(&self) -> usize {
+        self.offers.len()
+    }
+
     /// Whether a planned stop would cut off nothing any more.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -737,6 +746,7 @@
                 .saturating_add(1);
             if self.quarantine.learn(now, *content, count) {
                 let content = *content;
+                self.news.add(now, content, count);
                 out.push(AgentAction::Broadcast(Message::Crashes { content, count }));
             }
         }
@@ -774,6 +784,7 @@
         self.stop_unread(now, out);
         self.forget_old(now);
         self.quarantine.expire(now);
+        out.extend(self.news.due(now).into_iter().map(AgentAction::Broadcast));
     }
 
     fn lapse_due(&mut self, now: Time, out: &mut Vec<AgentAction>) {
--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -4,6 +4,7 @@
 use crate::entry::{
     Call, Delivery, Entry, EntryAction, EntryLimits, Origin, Phase, Reading, Reply, ResumePoint,
 };
+use crate::generation::WINDOW;
 use crate::ids::{CallId, GenerationId, Incarnation, Name, Peer, RequestId};
 use crate::message::{Finish, Message, Standing};
 use crate::note::Note;
@@ -28,7 +29,9 @@
         self.by_request.insert(call.request, id);
         self.calls.insert(id, call);
         let Some(addr) = self.router.addr_of(&point.agent) else {
-            self.fail(id, Code::StreamUnknown, None, out);
+            // This entry may yet hear of the agent.
+            let retry = Some(self.limits.min_retry_after);
+            self.fail(id, Code::StreamUnknown, retry, out);
             return;
         };
         let asked = crate::entry::Asked {
@@ -114,6 +117,7 @@
 
     fn hand_on(&mut self, now: Time, id: CallId, chunk: Chunk, out: &mut Vec<EntryAction>) {
         let most = self.limits.max_answer;
+        let most_in_all = self.limits.max_held;
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -130,8 +134,9 @@
                 for token in chunk.tokens() {
                     call.held_back.push(token);
                 }
+                self.held += chunk.data.len();
                 ack_held_back(now, call, out);
-                if call.held_back.data.len() > most {
+                if call.held_back.data.len() > most || self.held > most_in_all {
                     self.cancel(id, out);
                     self.fail(id, Code::AnswerTooLarge, None, out);
                 }
@@ -244,6 +249,7 @@
             return;
         };
         call.demand.crashes = crashes;
+        self.held -= call.held_back.data.len();
         call.held_back = Chunk::default();
         call.offers = 0;
         out.push(EntryAction::Note(
@@ -333,13 +339,17 @@
         let Phase::Reading(reading) = &mut call.phase else {
             return;
         };
+        if delivery == Delivery::Whole {
+            reading.acked = reading.cursor.next;
+        }
+        if reading.cursor.next - reading.acked >= WINDOW {
+            // The agent waits for the caller, not the other way round.
+            reading.heard = now;
+        }
         if now.since(reading.heard) >= patience {
             self.on_silence(now, id, out);
             return;
         }
-        if delivery == Delivery::Whole {
-            reading.acked = reading.cursor.next;
-        }
         if now.since(reading.acked_at) >= limits.ack_every {
             out.push(ack_of(now, request, reading));
         }
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -11,12 +11,12 @@
 use crate::config::{Adopted, Config, InForce};
 use crate::ids::{CallId, Digest, GenerationId, IdSource, Name, RequestId};
 use crate::member::{MemberRecord, MemberState};
-use crate::message::{ConfigVersion, Envelope, Finish, Message};
+use crate::message::{ConfigVersion, Envelope, Finish, Load, Message};
 use crate::note::Note;
 use crate::quarantine::Quarantine;
 use crate::quota::Quotas;
 use crate::retry::RetryBudget;
-use crate::route::{RoutePolicy, Router};
+use crate::route::{AgentView, RoutePolicy, Router};
 use crate::stream::{Chunk, Cursor};
 use crate::time::Time;
 use crate::work::{Demand, Priority, Work};
@@ -50,8 +50,12 @@
     pub avoid: Duration,
     /// Bytes of a whole answer held back.
     pub max_answer: usize,
+    /// Bytes of whole answers held back in all.
+    pub max_held: usize,
     /// Calls at once.
     pub max_calls: usize,
+    /// How long an agent's word that it takes no work is believed.
+    pub believe_leaving: Duration,
     /// What a refused caller waits at least.
     pub min_retry_after: Duration,
 }
@@ -70,7 +74,9 @@
             claim_wait: Duration::from_millis(1_500),
             avoid: Duration::from_secs(2),
             max_answer: 8 * 1024 * 1024,
+            max_held: 256 * 1024 * 1024,
             max_calls: 4_096,
+            believe_leaving: Duration::from_secs(1),
             min_retry_after: Duration::from_secs(1),
         }
     }
@@ -303,6 +309,8 @@
     pub(crate) router: Router,
     pub(crate) calls: BTreeMap<CallId, Call>,
     pub(crate) by_request: HashMap<RequestId, CallId>,
+    /// Bytes of whole answers held back.
+    pub(crate) held: usize,
     pub(crate) quarantine: Quarantine,
     pub(crate) quotas: Quotas,
     pub(crate) retries: RetryBudget,
@@ -323,6 +331,7 @@
             router: Router::new(setup.policy, setup.data_centre),
             calls: BTreeMap::new(),
             by_request: HashMap::new(),
+            held: 0,
             quarantine: Quarantine::default(),
             quotas: Quotas::default(),
             retries: RetryBudget::default(),
@@ -372,6 +381,12 @@
         self.calls.len()
     }
 
+    /// Bytes of whole answers held back.
+    #[must_use]
+    pub const fn held(&self) -> usize {
+        self.held
+    }
+
     /// Whether a planned stop would cut off nothing any more.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -472,6 +487,7 @@
         if gap >= self.limits.pause {
             self.on_paused(now);
         }
+        self.doubt_leaving(now);
         let ids: Vec<CallId> = self.calls.keys().copied().collect();
         for id in ids {
             self.tick_call(now, id, out);
@@ -479,6 +495,23 @@
         self.quarantine.expire(now);
     }
 
+    /// Agents that took no work a while ago may be asked again: one whose
+    /// upstream came back says so only when it is spoken to.
+    fn doubt_leaving(&mut self, now: Time) {
+        let span = self.limits.believe_leaving;
+        let old = |a: &&AgentView| a.load.leaving && now.since(a.load_at) >= span;
+        let agents: Vec<(Name, Load)> = self
+            .router
+            .agents()
+            .filter(old)
+            .map(|a| (a.peer.name.clone(), a.load))
+            .collect();
+        for (name, load) in agents {
+            let leaving = false;
+            self.router.note_load(now, &name, Load { leaving, ..load });
+        }
+    }
+
     /// This process was paused: what came meanwhile waits to be read, so the
     /// silence of the others counts from now on.
     fn on_paused(&mut self, now: Time) {
@@ -530,6 +563,7 @@
     pub(crate) fn remove(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
         self.by_request.remove(&call.request);
+        self.held -= call.held_back.data.len();
         if let Some(asked) = call.asked() {
             self.router.note_done(&asked.agent);
         }
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -21,6 +21,7 @@
 mod lease;
 mod member;
 mod message;
+mod news;
 mod note;
 mod order;
 mod place;
--- /dev/null
+++ b/fireflycroft/tests/bounds.rs
@@ -0,0 +1,80 @@
+//! Every table has a limit, and a stated result when it is reached.
+
+mod support;
+
+use fireflycroft::{Code, Message, RequestId};
+use support::cases;
+use support::fleet::{AGENTS, Ask, ENGINES, GIANT, MAX_CALLS, MAX_HELD, MAX_OFFERS, Proc};
+use support::oracle::Outcome;
+use support::upstream::Mood;
+
+/// Tokens that an agent sends ahead of what the caller has taken.
+const WINDOW: u64 = 2_048;
+
+cases! {
+    calls_at_the_entrys_bound(world) {
+        for agent in 0..ENGINES {
+            world.freeze(Proc::Agent(agent));
+        }
+        let calls: Vec<_> = (0..=MAX_CALLS)
+            .map(|_| world.submit(0, Ask::default()).unwrap())
+            .collect();
+        let last = world.outcome(calls[MAX_CALLS]);
+        assert_eq!(last, Some(Outcome::Failed(Code::Overloaded)));
+    }
+
+    /// A caller who takes nothing is not given more than two windows.
+    caller_who_takes_nothing(world) {
+        world.stall_callers(true);
+        let call = world.submit(0, Ask { content: GIANT, ..Ask::default() }).unwrap();
+        world.advance(60_000);
+        assert!(world.next(call) <= 2 * WINDOW, "{}", world.next(call));
+        assert_eq!(world.outcome(call), None);
+        world.stall_callers(false);
+        world.advance(20_000);
+        assert_eq!(world.outcome(call), Some(Outcome::Whole));
+    }
+
+    /// None is over its own bound, but all of them together are.
+    whole_answers_held_back_at_once(world) {
+        let ask = Ask { content: 4, whole: true, ..Ask::default() };
+        let calls: Vec<_> = (0..12).map(|_| world.submit(0, ask).unwrap()).collect();
+        for _ in 0..100 {
+            world.advance(50);
+            assert!(world.most_held() <= MAX_HELD, "{}", world.most_held());
+        }
+        let of = |outcome| {
+            let same = calls.iter().filter(|c| world.outcome(**c) == Some(outcome));
+            same.count()
+        };
+        let (whole, large) = (Outcome::Whole, Outcome::Failed(Code::AnswerTooLarge));
+        assert!(of(whole) > 0 && of(large) > 0);
+        assert_eq!(of(whole) + of(large), calls.len());
+    }
+
+    /// More offers within a minute than an agent remembers.
+    offers_at_the_agents_bound(world) {
+        for agent in 0..ENGINES {
+            world.set_mood(agent, Mood::Full);
+        }
+        for i in 0..1_200 {
+            world.submit(i % 3, Ask { interactive: i % 2 == 0, ..Ask::default() });
+            world.advance(20);
+            assert!(world.most_offers() <= MAX_OFFERS, "{}", world.most_offers());
+        }
+    }
+
+    withdrawals_of_offers_that_never_came(world) {
+        for i in 0..2 * MAX_OFFERS {
+            for agent in 0..AGENTS {
+                let withdraw = Message::Withdraw {
+                    request: RequestId(1_000 + i as u128),
+                    attempt: 1,
+                };
+                world.send(Proc::Entry(0), Proc::Agent(agent).addr(), withdraw);
+            }
+            world.advance(2);
+        }
+        assert!(world.most_offers() <= MAX_OFFERS, "{}", world.most_offers());
+    }
+}
--- a/fireflycroft/tests/support/fleet.rs
+++ b/fireflycroft/tests/support/fleet.rs
@@ -18,19 +18,31 @@
 pub(crate) const MODEL: &str = "model";
 pub(crate) const SERVICE: &str = "records";
 
+/// Bytes of whole answers that an entry holds back.
+pub(crate) const MAX_HELD: usize = 2_048;
+
+/// Calls at once at an entry.
+pub(crate) const MAX_CALLS: usize = 64;
+
+/// Offers that an agent remembers.
+pub(crate) const MAX_OFFERS: usize = 256;
+
 /// Bytes of answers that an agent keeps.
-pub(crate) const MAX_BYTES: usize = 16 * 1_024;
+pub(crate) const MAX_BYTES: usize = 128 * 1_024;
 
 /// Content that crashes each upstream that runs it.
 pub(crate) const POISON: u8 = 6;
 /// Content whose answer outgrows the entry's buffer.
 pub(crate) const HUGE: u8 = 7;
+/// Contents that the fuzzer draws.
 pub(crate) const CONTENTS: u8 = 8;
+/// Content whose answer is longer than any window; for named cases only.
+pub(crate) const GIANT: u8 = 8;
 
 /// Every so many versions lacks the last workspace.
 const WITHOUT_LAST: u64 = 3;
 
-const LENGTHS: [u64; CONTENTS as usize] = [0, 1, 3, 12, 60, 400, 100, 300];
+const LENGTHS: [u64; 9] = [0, 1, 3, 12, 60, 400, 100, 300, 10_000];
 
 /// Number of tokens that a content's answer has.
 pub(crate) fn length(content: u8) -> u64 {
@@ -82,6 +94,13 @@
     }
 }
 
+/// Each entry chooses in its own way.
+const POLICIES: [RoutePolicy; ENTRIES] = [
+    RoutePolicy::Expected,
+    RoutePolicy::RoundRobin,
+    RoutePolicy::TwoChoices,
+];
+
 /// What the upstream of an agent serves.
 pub(crate) fn serves(agent: usize) -> Vec<Name> {
     let target = if agent < ENGINES { MODEL } else { SERVICE };
@@ -94,11 +113,13 @@
     bytes[..16].copy_from_slice(&seed.0.to_le_bytes());
     Entry::new(EntrySetup {
         data_centre: Name::from("dc"),
-        policy: RoutePolicy::Expected,
+        policy: POLICIES[i],
         seed: bytes,
         limits: EntryLimits {
             max_answer: 1_024,
-            max_calls: 64,
+            max_held: MAX_HELD,
+            max_offers: 2,
+            max_calls: MAX_CALLS,
             ..EntryLimits::default()
         },
     })
@@ -116,7 +137,7 @@
         },
         limits: AgentLimits {
             max_bytes: MAX_BYTES,
-            max_offers: 256,
+            max_offers: MAX_OFFERS,
             ..AgentLimits::default()
         },
     })
--- a/fireflycroft/tests/support/oracle.rs
+++ b/fireflycroft/tests/support/oracle.rs
@@ -10,6 +10,7 @@
     ResumePoint,
 };
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Starts of one repeatable request in all.
 const MAX_RUNS: usize = 3;
@@ -48,6 +49,8 @@
     pub(crate) ask: Ask,
     pub(crate) entry: usize,
     pub(crate) at: u64,
+    /// Whether its entry had been told to stop.
+    pub(crate) late: bool,
     /// Time that its entry was frozen meanwhile.
     pub(crate) frozen: u64,
     /// Number of the first token that it asked for.
@@ -58,6 +61,8 @@
     pub(crate) run: Option<usize>,
     pub(crate) point: Option<ResumePoint>,
     pub(crate) outcome: Option<Outcome>,
+    /// When it was told to come back.
+    pub(crate) retry_after: Option<Duration>,
     pub(crate) runs: Vec<usize>,
     pub(crate) request: Option<RequestId>,
 }
@@ -99,10 +104,24 @@
 
 /// Token `index` of run `run`; padded for the huge content.
 pub(crate) fn token(run: usize, index: u64, content: u8) -> Vec<u8> {
-    let pad = if content == fleet::HUGE { 200 } else { 1 };
+    let pad = if content == fleet::HUGE { 1_000 } else { 1 };
     format!("{run}:{index}:{:pad$}", "").into_bytes()
 }
 
+/// Refusals that end by themselves, so the caller is told when to retry.
+fn may_come_back(code: Code) -> bool {
+    use Code::{ClaimUnavailable, ConfigBehind, Leaving, NoUpstream, NotReady, Overloaded};
+    let passing = [
+        ClaimUnavailable,
+        ConfigBehind,
+        Leaving,
+        NoUpstream,
+        NotReady,
+        Overloaded,
+    ];
+    passing.contains(&code)
+}
+
 fn scan_token(token: &[u8]) -> Option<(usize, u64)> {
     let text = std::str::from_utf8(token).ok()?;
     let mut parts = text.split(':');
@@ -125,12 +144,14 @@
             ask,
             entry,
             at: now,
+            late: false,
             frozen: 0,
             first: from.map_or(0, |(_, next)| next),
             next: from.map_or(0, |(_, next)| next),
             run,
             point: None,
             outcome: None,
+            retry_after: None,
             runs: Vec::new(),
             request: None,
         });
@@ -192,6 +213,9 @@
         {
             self.fault(3, format!("run {number} after call {call} got {code:?}"));
         }
+        if self.calls[call].late {
+            self.fault(6, format!("run {number} by an entry that stops"));
+        }
         let most = if ask.repeatable() { MAX_RUNS } else { 1 };
         if self.calls[call].runs.len() >= most {
             self.fault(4, format!("run {number} is one too many for call {call}"));
@@ -211,6 +235,19 @@
         self.calls[call].runs.push(number);
     }
 
+    /// An agent runs what it was offered under a later configuration.
+    pub(crate) fn began_behind(
+        &mut self,
+        number: usize,
+        own: ConfigVersion,
+        theirs: ConfigVersion,
+    ) {
+        if own < theirs {
+            let text = format!("run {number} under {own:?}, offered under {theirs:?}");
+            self.fault(7, text);
+        }
+    }
+
     /// An agent that was told to leave starts a run.
     pub(crate) fn began_leaving(&mut self, number: usize, offered_later: bool, since: u64) {
         if offered_later {
@@ -235,8 +272,13 @@
             Reply::Tokens(chunk) => self.given(call, chunk),
             Reply::End(finish) => self.ended(call, finish),
             Reply::Fail {
-                code, delivered, ..
-            } => self.failed(now, call, *code, *delivered),
+                code,
+                retry_after,
+                delivered,
+            } => {
+                self.calls[call].retry_after = *retry_after;
+                self.failed(now, call, *code, *delivered);
+            }
         }
     }
 
@@ -317,6 +359,9 @@
             if ran {
                 self.fault(3, format!("call {call} ran, but got {code:?}"));
             }
+            if may_come_back(code) && self.calls[call].retry_after.is_none() {
+                self.fault(0, format!("call {call} got {code:?} and no time to retry"));
+            }
             if waited > bound {
                 self.fault(0, format!("call {call} got {code:?} after {waited} us"));
             }
