--- a/fireflycroft/src/carrier.rs
+++ b/fireflycroft/src/carrier.rs
@@ -3,16 +3,18 @@
 //! Part 0 is the head, part `n` the head's part `n - 1`. Whoever is behind
 //! pulls part 0, then the parts that it doesn't hold from its own version.
 //! Every part is checked against the head before it counts, and a version is
-//! handed out only when it is whole, higher than what is held and readable.
+//! handed out only when it is whole and higher than what is held.
 //!
 //! Bounds: one version held and one being collected, each at most
 //! [`MAX_SNAPSHOT`] bytes; parts that both list are held once.
 
-use crate::config::Document;
+use crate::compile::{Fault, compile_parts};
+use crate::config::{Config, Document};
 use crate::ids::Digest;
 use crate::message::{ConfigVersion, Message};
 use crate::snapshot::{
     Head, MAX_PART, MAX_PARTS, MAX_PAST, MAX_SNAPSHOT, Part, PartName, SnapshotError, assemble,
+    check_parts,
 };
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -52,12 +54,36 @@
 /// A version that came whole.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Carried {
+    /// The head.
+    pub head: Head,
+    /// The parts, shared with the carrier.
+    pub parts: Vec<Part>,
+}
+
+impl Carried {
     /// Its version.
-    pub version: ConfigVersion,
-    /// Digest of the whole.
-    pub digest: Digest,
-    /// What it says.
-    pub doc: Document,
+    #[must_use]
+    pub const fn version(&self) -> ConfigVersion {
+        self.head.config_version()
+    }
+
+    /// Makes it ready for look-ups, part by part.
+    ///
+    /// # Errors
+    ///
+    /// Every fault found; a part that can't be read is one.
+    pub fn compile(&self) -> Result<Config, Vec<Fault>> {
+        compile_parts(&self.head, &self.parts)
+    }
+
+    /// The document that the parts make, all at once.
+    ///
+    /// # Errors
+    ///
+    /// Parts that can't be read.
+    pub fn document(&self) -> Result<Document, SnapshotError> {
+        assemble(&self.head, &self.parts)
+    }
 }
 
 /// A version with all its parts, as a node shows it to operators.
@@ -146,8 +172,8 @@
         held + collecting
     }
 
-    /// Holds and serves a version that was read from the platform; gives its
-    /// document when it is higher than what is held.
+    /// Holds and serves a version that was read from the platform; gives it
+    /// back when it is higher than what is held.
     ///
     /// # Errors
     ///
@@ -156,9 +182,9 @@
         if head.config_version() <= self.version() {
             return Ok(None);
         }
-        let doc = assemble(&head, &parts)?;
+        check_parts(&head, &parts)?;
         let head_data = encode(&head)?;
-        Ok(Some(self.take(head, head_data, parts, doc)))
+        Ok(Some(self.take(head, head_data, parts)))
     }
 
     /// Answer to a peer that holds `have` and wants `part`; `None` when
@@ -300,34 +326,20 @@
             parts,
             ..
         } = collecting;
-        let parts: Vec<Part> = parts.into_iter().flatten().collect();
-        match assemble(&head, &parts) {
-            Ok(doc) => Progress::Whole(Box::new(self.take(head, head_data, parts, doc))),
-            Err(e) => Progress::Faulty(e),
-        }
+        let parts = parts.into_iter().flatten().collect();
+        Progress::Whole(Box::new(self.take(head, head_data, parts)))
     }
 
-    fn take(
-        &mut self,
-        head: Head,
-        head_data: Arc<[u8]>,
-        parts: Vec<Part>,
-        doc: Document,
-    ) -> Carried {
-        let (version, digest) = (head.config_version(), head.digest);
+    fn take(&mut self, head: Head, head_data: Arc<[u8]>, parts: Vec<Part>) -> Carried {
+        if self.collecting_version() <= head.config_version() {
+            self.collecting = None;
+        }
         self.held = Some(Held {
-            head,
+            head: head.clone(),
             head_data,
-            parts,
+            parts: parts.clone(),
         });
-        if self.collecting_version() <= version {
-            self.collecting = None;
-        }
-        Carried {
-            version,
-            digest,
-            doc,
-        }
+        Carried { head, parts }
     }
 }
 
--- a/fireflycroft/src/compile.rs
+++ b/fireflycroft/src/compile.rs
@@ -1,16 +1,18 @@
-//! Checks a document whole and makes it ready for look-ups.
+//! Checks a configuration whole and makes it ready for look-ups.
 //!
-//! The check goes on after a fault, so that an operator sees all of them at
-//! once; what is at fault is kept as far as it goes, so that one fault makes
-//! no others. Digests of keys are never shown in a fault, as an operator may
-//! have pasted the key itself.
+//! Items come one by one, as they lie in the parts, and only what look-ups
+//! need is kept, so that a process never holds a large document. The check
+//! goes on after a fault, so that an operator sees all of them at once; what
+//! is at fault is kept as far as it goes, so that one fault makes no others.
+//! Keys are never shown in a fault, as one may stand where its digest should.
 
 use crate::config::{
     BrandEntry, BrandIx, CallRule, CallRules, Config, Document, WorkspaceEntry, WorkspaceIx,
 };
 use crate::ids::{Digest, Name};
-use crate::inventory::Objective;
+use crate::inventory::{Brand, Inventory, PriorityRule, Quota, Rules, Workspace};
 use crate::message::ConfigVersion;
+use crate::snapshot::{Head, Item, Part, SnapshotError, items, put, read_items};
 use crate::work::Priority;
 use std::collections::{HashMap, HashSet};
 use std::fmt::Debug;
@@ -20,8 +22,19 @@
 pub const MAX_WORKSPACES: usize = 200_000;
 /// Longest name, in bytes.
 pub const MAX_NAME: usize = 128;
-/// Requests that [`Objective::per_mille`] counts in.
+/// Requests that [`crate::Objective::per_mille`] counts in.
 const MILLE: u32 = 1_000;
+/// Lists in the order in which their faults are told.
+const LISTS: [&str; 8] = [
+    "brands",
+    "workspaces",
+    "models",
+    "services",
+    "priorities",
+    "quotas",
+    "non_repeatable",
+    "objectives",
+];
 
 /// One fault of an inventory or of rules.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,212 +55,233 @@
     digest: Digest,
     doc: &Document,
 ) -> Result<Config, Vec<Fault>> {
-    let mut compiler = Compiler::new(doc);
-    let brands = compiler.brands();
-    let mut workspaces = compiler.workspaces();
-    let by_key = compiler.keys();
-    let models = compiler.models();
-    compiler.services();
-    compiler.priorities(&mut workspaces);
-    compiler.quotas(&mut workspaces);
-    let non_repeatable = compiler.non_repeatable();
-    let objectives = compiler.objectives();
-    if !compiler.faults.is_empty() {
-        return Err(compiler.faults);
+    let mut compiler = Compiler::default();
+    for item in items(doc) {
+        compiler.add(item);
     }
-    Ok(Config {
-        version,
-        digest,
-        brands,
-        workspaces,
-        by_key,
-        non_repeatable,
-        without_key: doc.rules.without_key,
-        objectives,
-        models,
-        interactive_wait: Duration::from_millis(doc.rules.interactive_wait_ms),
-        batch_wait: Duration::from_millis(doc.rules.batch_wait_ms),
-    })
+    compiler.finish(version, digest)
 }
 
-/// A document under check.
-struct Compiler<'a> {
-    doc: &'a Document,
-    /// Place of each brand, by name.
-    brand_ix: HashMap<&'a Name, u32>,
-    /// Place of each workspace, by name.
-    workspace_ix: HashMap<&'a Name, u32>,
-    models: HashSet<&'a Name>,
-    services: HashSet<&'a Name>,
+/// Checks the parts of a version and makes them ready for look-ups, part by
+/// part.
+///
+/// # Errors
+///
+/// Every fault found, list by list; a part that can't be read is one.
+pub fn compile_parts(head: &Head, parts: &[Part]) -> Result<Config, Vec<Fault>> {
+    let mut compiler = Compiler::default();
+    for (i, part) in parts.iter().enumerate() {
+        let items = read_items(part).map_err(|e| vec![unreadable(i, &e)])?;
+        for item in items {
+            compiler.add(item);
+        }
+    }
+    compiler.finish(head.config_version(), head.digest)
+}
+
+fn unreadable(part: usize, e: &SnapshotError) -> Fault {
+    Fault {
+        field: format!("parts[{part}]"),
+        text: e.to_string(),
+    }
+}
+
+/// A configuration under check.
+#[derive(Default)]
+struct Compiler {
+    /// What is checked at the end, as it names things that may come later.
+    rest: Document,
+    brand_ix: HashMap<Name, u32>,
+    workspaces: Vec<WorkspaceEntry>,
+    workspace_ix: HashMap<Name, u32>,
+    by_key: HashMap<[u8; 32], WorkspaceIx>,
+    /// Workspaces that have a priority, and those that have a quota.
+    with_priority: HashSet<u32>,
+    with_quota: HashSet<u32>,
+    priorities: usize,
+    quotas: usize,
     faults: Vec<Fault>,
 }
 
-impl<'a> Compiler<'a> {
-    fn new(doc: &'a Document) -> Self {
-        let inventory = &doc.inventory;
-        Self {
-            doc,
-            brand_ix: index(inventory.brands.iter().map(|b| &b.name)),
-            workspace_ix: index(inventory.workspaces.iter().map(|w| &w.name)),
-            models: inventory.models.iter().map(|m| &m.name).collect(),
-            services: inventory.services.iter().collect(),
-            faults: Vec::new(),
+impl Compiler {
+    fn add(&mut self, item: Item) {
+        match item {
+            Item::Workspace(workspace) => self.add_workspace(workspace),
+            Item::Priority(rule) => self.add_priority(&rule),
+            Item::Quota(quota) => self.add_quota(&quota),
+            Item::Brand(brand) => self.add_brand(brand),
+            item => put(&mut self.rest, item),
         }
     }
 
-    fn brands(&mut self) -> Vec<BrandEntry> {
-        let doc = self.doc;
-        let mut seen = HashSet::new();
-        for (i, brand) in doc.inventory.brands.iter().enumerate() {
-            self.check_name(&brand.name, &mut seen, || format!("brands[{i}].name"));
-            self.check_models(i, &brand.models);
-            self.check_services(i, &brand.services);
-        }
-        let entry = |brand: &crate::inventory::Brand| BrandEntry {
-            name: brand.name.clone(),
-            targets: brand
-                .models
-                .iter()
-                .chain(&brand.services)
-                .cloned()
-                .collect(),
-        };
-        doc.inventory.brands.iter().map(entry).collect()
+    fn add_brand(&mut self, brand: Brand) {
+        let ix = place(self.rest.inventory.brands.len());
+        self.brand_ix.entry(brand.name.clone()).or_insert(ix);
+        self.rest.inventory.brands.push(brand);
     }
 
-    fn check_models(&mut self, brand: usize, models: &[Name]) {
-        for (j, model) in models.iter().enumerate() {
-            if !self.models.contains(model) {
-                let field = format!("brands[{brand}].models[{j}]");
-                self.add(field, "no such model", model);
-            }
+    fn add_workspace(&mut self, workspace: Workspace) {
+        let i = self.workspaces.len();
+        let ix = place(i);
+        let field = || format!("workspaces[{i}].name");
+        self.check_name(&workspace.name, field);
+        if self.workspace_ix.contains_key(&workspace.name) {
+            self.fault(field(), "used twice", &workspace.name);
+        }
+        let brand = self.brand_ix.get(&workspace.brand).copied();
+        if brand.is_none() {
+            let field = format!("workspaces[{i}].brand");
+            self.fault(field, "no such brand", &workspace.brand);
         }
+        self.add_keys(WorkspaceIx(ix), &workspace.key_digests);
+        self.workspace_ix
+            .entry(workspace.name.clone())
+            .or_insert(ix);
+        self.workspaces.push(WorkspaceEntry {
+            name: workspace.name,
+            brand: BrandIx(brand.unwrap_or_default()),
+            default: Priority::Batch,
+            highest: Priority::Interactive,
+            tokens_per_minute: None,
+        });
     }
 
-    fn check_services(&mut self, brand: usize, services: &[Name]) {
-        for (j, service) in services.iter().enumerate() {
-            if !self.services.contains(service) {
-                let field = format!("brands[{brand}].services[{j}]");
-                self.add(field, "no such service", service);
+    fn add_keys(&mut self, workspace: WorkspaceIx, digests: &[Name]) {
+        for (j, text) in digests.iter().enumerate() {
+            let field = || format!("workspaces[{}].key_digests[{j}]", workspace.0);
+            let Ok(hash) = blake3::Hash::from_hex(text.as_bytes()) else {
+                self.fault_text(field(), "not 64 hexadecimal digits".to_owned());
+                continue;
+            };
+            if self.by_key.insert(*hash.as_bytes(), workspace).is_some() {
+                self.fault_text(field(), "held already, here or elsewhere".to_owned());
             }
         }
     }
 
-    fn workspaces(&mut self) -> Vec<WorkspaceEntry> {
-        let doc = self.doc;
-        let list = &doc.inventory.workspaces;
-        if list.len() > MAX_WORKSPACES {
-            let what = format!("{} workspaces, at most {MAX_WORKSPACES}", list.len());
-            self.add_text("workspaces".to_owned(), what);
+    fn add_priority(&mut self, rule: &PriorityRule) {
+        let i = self.priorities;
+        self.priorities += 1;
+        if rule.default > rule.highest {
+            let what = "higher than the highest".to_owned();
+            self.fault_text(format!("priorities[{i}].default"), what);
         }
-        let mut seen = HashSet::new();
-        let mut entries = Vec::with_capacity(list.len());
-        for (i, workspace) in list.iter().enumerate() {
-            self.check_name(&workspace.name, &mut seen, || {
-                format!("workspaces[{i}].name")
-            });
-            let brand = self.brand_ix.get(&workspace.brand).copied();
-            if brand.is_none() {
-                let field = format!("workspaces[{i}].brand");
-                self.add(field, "no such brand", &workspace.brand);
-            }
-            entries.push(WorkspaceEntry {
-                name: workspace.name.clone(),
-                brand: BrandIx(brand.unwrap_or_default()),
-                default: Priority::Batch,
-                highest: Priority::Interactive,
-                tokens_per_minute: None,
-            });
+        let field = || format!("priorities[{i}].workspace");
+        let Some(ix) = self.find_workspace(&rule.workspace, field) else {
+            return;
+        };
+        if !self.with_priority.insert(ix) {
+            self.fault(field(), "named twice", &rule.workspace);
         }
-        entries
+        let entry = &mut self.workspaces[ix as usize];
+        entry.default = rule.default;
+        entry.highest = rule.highest;
     }
 
-    fn keys(&mut self) -> HashMap<[u8; 32], WorkspaceIx> {
-        let doc = self.doc;
-        let mut by_key = HashMap::new();
-        for (i, workspace) in (0..).zip(&doc.inventory.workspaces) {
-            for (j, text) in workspace.key_digests.iter().enumerate() {
-                let field = || format!("workspaces[{i}].key_digests[{j}]");
-                let Ok(hash) = blake3::Hash::from_hex(text.as_bytes()) else {
-                    self.add_text(field(), "not 64 hexadecimal digits".to_owned());
-                    continue;
-                };
-                if by_key.insert(*hash.as_bytes(), WorkspaceIx(i)).is_some() {
-                    self.add_text(field(), "held already, here or elsewhere".to_owned());
-                }
-            }
+    fn add_quota(&mut self, quota: &Quota) {
+        let i = self.quotas;
+        self.quotas += 1;
+        let field = || format!("quotas[{i}].workspace");
+        let Some(ix) = self.find_workspace(&quota.workspace, field) else {
+            return;
+        };
+        if !self.with_quota.insert(ix) {
+            self.fault(field(), "named twice", &quota.workspace);
         }
-        by_key
+        self.workspaces[ix as usize].tokens_per_minute = Some(quota.tokens_per_minute);
     }
 
-    fn models(&mut self) -> Vec<(Name, u32)> {
-        let doc = self.doc;
-        let mut seen = HashSet::new();
-        for (i, model) in doc.inventory.models.iter().enumerate() {
-            self.check_name(&model.name, &mut seen, || format!("models[{i}].name"));
+    fn finish(mut self, version: ConfigVersion, digest: Digest) -> Result<Config, Vec<Fault>> {
+        let Document { inventory, rules } = std::mem::take(&mut self.rest);
+        self.check_inventory(&inventory);
+        self.check_objectives(&rules);
+        let non_repeatable = self.call_rules(&inventory, &rules);
+        if self.workspaces.len() > MAX_WORKSPACES {
+            let count = self.workspaces.len();
+            let what = format!("{count} of them, at most {MAX_WORKSPACES}");
+            self.fault_text("workspaces".to_owned(), what);
+        }
+        if !self.faults.is_empty() {
+            self.faults.sort_by_key(|fault| rank(&fault.field));
+            return Err(self.faults);
         }
-        let entry = |m: &crate::inventory::Model| (m.name.clone(), m.replicas);
-        doc.inventory.models.iter().map(entry).collect()
+        let models = inventory.models.into_iter().map(|m| (m.name, m.replicas));
+        Ok(Config {
+            version,
+            digest,
+            brands: inventory.brands.into_iter().map(brand_entry).collect(),
+            workspaces: self.workspaces,
+            by_key: self.by_key,
+            non_repeatable,
+            without_key: rules.without_key,
+            objectives: rules.objectives,
+            models: models.collect(),
+            interactive_wait: Duration::from_millis(rules.interactive_wait_ms),
+            batch_wait: Duration::from_millis(rules.batch_wait_ms),
+        })
     }
 
-    fn services(&mut self) {
-        let doc = self.doc;
-        let mut seen = HashSet::new();
-        for (i, service) in doc.inventory.services.iter().enumerate() {
-            self.check_name(service, &mut seen, || format!("services[{i}]"));
-            if self.models.contains(service) {
-                self.add(format!("services[{i}]"), "a model has that name", service);
+    fn check_inventory(&mut self, inventory: &Inventory) {
+        let models: HashSet<&Name> = inventory.models.iter().map(|m| &m.name).collect();
+        let services: HashSet<&Name> = inventory.services.iter().collect();
+        self.check_names("brands", ".name", inventory.brands.iter().map(|b| &b.name));
+        self.check_names("models", ".name", inventory.models.iter().map(|m| &m.name));
+        self.check_names("services", "", inventory.services.iter());
+        for (i, brand) in inventory.brands.iter().enumerate() {
+            self.check_known(
+                &format!("brands[{i}].models"),
+                "model",
+                &brand.models,
+                &models,
+            );
+            let field = format!("brands[{i}].services");
+            self.check_known(&field, "service", &brand.services, &services);
+        }
+        for (i, service) in inventory.services.iter().enumerate() {
+            if models.contains(service) {
+                self.fault(format!("services[{i}]"), "a model has that name", service);
             }
         }
     }
 
-    fn priorities(&mut self, workspaces: &mut [WorkspaceEntry]) {
-        let doc = self.doc;
+    /// Checks names that a list gives, each once.
+    fn check_names<'a>(&mut self, list: &str, tail: &str, names: impl Iterator<Item = &'a Name>) {
         let mut seen = HashSet::new();
-        for (i, rule) in doc.rules.priorities.iter().enumerate() {
-            let field = || format!("priorities[{i}].workspace");
-            if rule.default > rule.highest {
-                let what = "higher than the highest".to_owned();
-                self.add_text(format!("priorities[{i}].default"), what);
+        for (i, name) in names.enumerate() {
+            let field = || format!("{list}[{i}]{tail}");
+            self.check_name(name, field);
+            if !seen.insert(name) {
+                self.fault(field(), "used twice", name);
             }
-            let Some(at) = self.find_workspace(&rule.workspace, &mut seen, field) else {
-                continue;
-            };
-            workspaces[at].default = rule.default;
-            workspaces[at].highest = rule.highest;
         }
     }
 
-    fn quotas(&mut self, workspaces: &mut [WorkspaceEntry]) {
-        let doc = self.doc;
-        let mut seen = HashSet::new();
-        for (i, quota) in doc.rules.quotas.iter().enumerate() {
-            let field = || format!("quotas[{i}].workspace");
-            if let Some(at) = self.find_workspace(&quota.workspace, &mut seen, field) {
-                workspaces[at].tokens_per_minute = Some(quota.tokens_per_minute);
+    /// Checks that a list names things that there are.
+    fn check_known(&mut self, field: &str, what: &str, names: &[Name], known: &HashSet<&Name>) {
+        for (j, name) in names.iter().enumerate() {
+            if !known.contains(name) {
+                self.fault(format!("{field}[{j}]"), &format!("no such {what}"), name);
             }
         }
     }
 
-    fn non_repeatable(&mut self) -> HashMap<Name, CallRules> {
-        let doc = self.doc;
+    fn call_rules(&mut self, inventory: &Inventory, rules: &Rules) -> HashMap<Name, CallRules> {
+        let models = inventory.models.iter().map(|m| &m.name);
+        let targets: HashSet<&Name> = models.chain(&inventory.services).collect();
         let mut by_target: HashMap<Name, CallRules> = HashMap::new();
-        for (i, rule) in doc.rules.non_repeatable.iter().enumerate() {
+        for (i, rule) in rules.non_repeatable.iter().enumerate() {
             let field = |name: &str| format!("non_repeatable[{i}].{name}");
-            if !self.models.contains(&rule.target) && !self.services.contains(&rule.target) {
-                self.add(field("target"), "no such model or service", &rule.target);
+            if !targets.contains(&rule.target) {
+                self.fault(field("target"), "no such model or service", &rule.target);
             }
             if let Some(path) = rule.path.as_ref().filter(|p| !p.starts_with('/')) {
-                self.add(field("path"), "doesn't begin with /", path);
+                self.fault(field("path"), "doesn't begin with /", path);
             }
             let own = rule.workspace.as_ref();
-            let at = own.and_then(|w| self.workspace_ix.get(w).copied());
-            if let (Some(workspace), None) = (own, at) {
-                self.add(field("workspace"), "no such workspace", workspace);
-            }
+            let ix = own.and_then(|w| self.find_workspace(w, || field("workspace")));
             let rules = by_target.entry(rule.target.clone()).or_default();
-            let list = match at {
-                Some(at) => rules.own.entry(WorkspaceIx(at)).or_default(),
+            let list = match ix {
+                Some(ix) => rules.own.entry(WorkspaceIx(ix)).or_default(),
                 None => &mut rules.general,
             };
             list.push(CallRule {
@@ -258,77 +292,69 @@
         by_target
     }
 
-    fn objectives(&mut self) -> Vec<Objective> {
-        let doc = self.doc;
+    fn check_objectives(&mut self, rules: &Rules) {
         let mut seen = HashSet::new();
-        for (i, objective) in doc.rules.objectives.iter().enumerate() {
+        for (i, objective) in rules.objectives.iter().enumerate() {
             let field = |name: &str| format!("objectives[{i}].{name}");
             if let Some(brand) = &objective.brand
                 && !self.brand_ix.contains_key(brand)
             {
-                self.add(field("brand"), "no such brand", brand);
+                self.fault(field("brand"), "no such brand", brand);
             }
             if !seen.insert((&objective.brand, objective.priority)) {
                 let what = "there is one of this brand and priority already".to_owned();
-                self.add_text(field("priority"), what);
+                self.fault_text(field("priority"), what);
             }
             if objective.per_mille > MILLE {
-                self.add(field("per_mille"), "over 1000", objective.per_mille);
+                self.fault(field("per_mille"), "over 1000", objective.per_mille);
             }
         }
-        doc.rules.objectives.clone()
     }
 
-    /// Place of a workspace that rules of one kind may name once.
-    fn find_workspace(
-        &mut self,
-        name: &'a Name,
-        seen: &mut HashSet<&'a Name>,
-        field: impl Fn() -> String,
-    ) -> Option<usize> {
-        if !seen.insert(name) {
-            self.add(field(), "named twice", name);
+    fn find_workspace(&mut self, name: &Name, field: impl Fn() -> String) -> Option<u32> {
+        let ix = self.workspace_ix.get(name).copied();
+        if ix.is_none() {
+            self.fault(field(), "no such workspace", name);
         }
-        let at = self.workspace_ix.get(name).copied();
-        if at.is_none() {
-            self.add(field(), "no such workspace", name);
-        }
-        usize::try_from(at?).ok()
+        ix
     }
 
-    /// Checks a name that must be unique among `seen`.
-    fn check_name(
-        &mut self,
-        name: &'a Name,
-        seen: &mut HashSet<&'a Name>,
-        field: impl Fn() -> String,
-    ) {
+    fn check_name(&mut self, name: &Name, field: impl Fn() -> String) {
         let is_bad = |c: char| c.is_whitespace() || c.is_control();
         if name.is_empty() {
-            self.add_text(field(), "empty".to_owned());
+            self.fault_text(field(), "empty".to_owned());
         } else if name.len() > MAX_NAME {
-            self.add_text(field(), format!("{} bytes, at most {MAX_NAME}", name.len()));
+            let what = format!("{} bytes, at most {MAX_NAME}", name.len());
+            self.fault_text(field(), what);
         } else if name.contains(is_bad) {
-            self.add(field(), "holds a space or control character", name);
-        }
-        if !seen.insert(name) {
-            self.add(field(), "used twice", name);
+            self.fault(field(), "holds a space or control character", name);
         }
     }
 
-    fn add(&mut self, field: String, what: &str, value: impl Debug) {
-        self.add_text(field, format!("{what}: {value:?}"));
+    fn fault(&mut self, field: String, what: &str, value: impl Debug) {
+        self.fault_text(field, format!("{what}: {value:?}"));
     }
 
-    fn add_text(&mut self, field: String, text: String) {
+    fn fault_text(&mut self, field: String, text: String) {
         self.faults.push(Fault { field, text });
     }
 }
 
-fn index<'a>(names: impl Iterator<Item = &'a Name>) -> HashMap<&'a Name, u32> {
-    let mut places = HashMap::new();
-    for (i, name) in (0..).zip(names) {
-        places.entry(name).or_insert(i);
+fn brand_entry(brand: Brand) -> BrandEntry {
+    BrandEntry {
+        name: brand.name,
+        targets: brand.models.into_iter().chain(brand.services).collect(),
     }
-    places
+}
+
+/// Place of the list that a field is of.
+fn rank(field: &str) -> usize {
+    let list = field.split('[').next().unwrap_or_default();
+    let at = LISTS.iter().position(|l| *l == list);
+    at.unwrap_or(LISTS.len())
+}
+
+/// A place in a list as it is kept; lists over the limit are refused anyhow.
+fn place(i: usize) -> u32 {
+    u32::try_from(i).unwrap_or(u32::MAX)
 }
--- a/fireflycroft/src/snapshot.rs
+++ b/fireflycroft/src/snapshot.rs
@@ -143,7 +143,7 @@
 /// One item of a document.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum Item {
+pub(crate) enum Item {
     /// Settings of the rules that are not lists.
     Settings(Settings),
     /// A brand.
@@ -166,7 +166,7 @@
 
 /// Settings of the rules that are not lists.
 #[derive(Serialize, Deserialize)]
-struct Settings {
+pub(crate) struct Settings {
     without_key: WithoutKey,
     interactive_wait_ms: u64,
     batch_wait_ms: u64,
@@ -198,6 +198,22 @@
 /// Parts that are missing, too many, in another order or not what they are
 /// named, and a head whose digest is not that of its list.
 pub fn assemble(head: &Head, parts: &[Part]) -> Result<Document, SnapshotError> {
+    check_parts(head, parts)?;
+    let mut doc = Document::default();
+    for part in parts {
+        for item in read_items(part)? {
+            put(&mut doc, item);
+        }
+    }
+    Ok(doc)
+}
+
+/// Checks that `parts` are those that `head` lists, in its order.
+///
+/// # Errors
+///
+/// As [`assemble`], but for parts that can't be read.
+pub(crate) fn check_parts(head: &Head, parts: &[Part]) -> Result<(), SnapshotError> {
     head.check()?;
     if parts.len() != head.parts.len() {
         return Err(SnapshotError::PartCount {
@@ -205,17 +221,22 @@
             given: parts.len(),
         });
     }
-    let mut doc = Document::default();
-    for (i, (part, name)) in parts.iter().zip(&head.parts).enumerate() {
-        if part.name != *name || PartName::of(&part.data) != *name {
-            return Err(SnapshotError::WrongPart(i));
-        }
-        let items: Vec<Item> = serde_json::from_slice(&part.data).map_err(malformed)?;
-        for item in items {
-            put(&mut doc, item);
-        }
+    let is_listed =
+        |(part, name): (&Part, &PartName)| part.name == *name && PartName::of(&part.data) == *name;
+    let mut pairs = parts.iter().zip(&head.parts);
+    match pairs.position(|pair| !is_listed(pair)) {
+        Some(i) => Err(SnapshotError::WrongPart(i)),
+        None => Ok(()),
     }
-    Ok(doc)
+}
+
+/// Items of a part.
+///
+/// # Errors
+///
+/// A part that can't be read.
+pub(crate) fn read_items(part: &Part) -> Result<Vec<Item>, SnapshotError> {
+    serde_json::from_slice(&part.data).map_err(malformed)
 }
 
 impl PartName {
@@ -471,7 +492,8 @@
     u16::from_le_bytes([low, high]) % ITEMS_PER_CUT == 0
 }
 
-fn items(doc: &Document) -> impl Iterator<Item = Item> {
+/// Items of a document, in the order in which they are cut.
+pub(crate) fn items(doc: &Document) -> impl Iterator<Item = Item> {
     let Document { inventory, rules } = doc;
     let settings = Settings {
         without_key: rules.without_key,
@@ -495,7 +517,8 @@
         .chain(rules.quotas.iter().cloned().map(Item::Quota))
 }
 
-fn put(doc: &mut Document, item: Item) {
+/// Puts an item in its place.
+pub(crate) fn put(doc: &mut Document, item: Item) {
     let Document { inventory, rules } = doc;
     match item {
         Item::Settings(settings) => put_settings(rules, &settings),
--- a/fireflycroft/tests/config.rs
+++ b/fireflycroft/tests/config.rs
@@ -1,10 +1,10 @@
 //! Checking documents, looking things up, and never going back.
 
 use fireflycroft::{
-    Adopted, Brand, CarriedPart, Config, ConfigCarrier, ConfigVersion, Digest, Document, InForce,
-    Inventory, MAX_NAME, Message, Model, Name, NonRepeatable, Objective, Priority, PriorityRule,
-    Progress, Quota, Rules, Snapshot, WithoutKey, Workspace, WorkspaceIx, compile, digest_key,
-    split,
+    Adopted, Brand, Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, Digest, Document,
+    InForce, Inventory, MAX_NAME, Message, Model, Name, NonRepeatable, Objective, Part, Priority,
+    PriorityRule, Progress, Quota, Rules, Snapshot, WithoutKey, Workspace, WorkspaceIx, compile,
+    compile_parts, digest_key, split,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config as RunConfig, RngAlgorithm, RngSeed};
@@ -276,6 +276,27 @@
         assert_eq!(config.max_wait(Priority::Interactive), Duration::from_secs(2));
         assert_eq!(config.max_wait(Priority::Batch), Duration::from_mins(1));
     };
+    parts_compile_as_their_document_does => {
+        let doc = document();
+        let snapshot = split(&doc).unwrap();
+        let head = snapshot.head(ConfigVersion(1), 0, name("op"), name("token"));
+        let from_parts = compile_parts(&head, &snapshot.parts).unwrap();
+        let from_doc = compile(ConfigVersion(1), snapshot.digest, &doc).unwrap();
+        for key in ["desk", "lab"] {
+            let (a, b) = (workspace_ix(&from_parts, key), workspace_ix(&from_doc, key));
+            assert_eq!(from_parts.workspace_name(a), from_doc.workspace_name(b));
+            assert_eq!(from_parts.brand_name(a), from_doc.brand_name(b));
+            assert_eq!(from_parts.priority(a, None), from_doc.priority(b, None));
+            assert_eq!(from_parts.tokens_per_minute(a), from_doc.tokens_per_minute(b));
+        }
+    };
+    unreadable_part_is_a_fault => {
+        let part = Part::new(b"[{}]".as_slice());
+        let head = Snapshot { digest: Digest(0), parts: vec![part.clone()] };
+        let head = head.head(ConfigVersion(1), 0, name("op"), name("token"));
+        let faults = compile_parts(&head, &[part]).unwrap_err();
+        assert_eq!(faults[0].field, "parts[0]");
+    };
     unknown_fields_are_refused => {
         assert!(serde_json::from_str::<Inventory>(r#"{"brand":[]}"#).is_err());
         assert!(serde_json::from_str::<Rules>(r#"{"quota":[]}"#).is_err());
@@ -436,7 +457,7 @@
         let snapshot = snapshot_of(write.1);
         let head = snapshot.head(ConfigVersion(write.0), 0, name("op"), name("token"));
         if let Some(carried) = self.carrier.hold(head, snapshot.parts.clone()).unwrap() {
-            self.adopt(carried.version, carried.digest, &carried.doc);
+            self.adopt(&carried);
         }
     }
 
@@ -477,7 +498,7 @@
         };
         match self.carrier.on_part(&part) {
             Progress::Whole(carried) => {
-                self.adopt(carried.version, carried.digest, &carried.doc);
+                self.adopt(&carried);
                 true
             }
             Progress::Ignored => {
@@ -488,9 +509,9 @@
         }
     }
 
-    fn adopt(&mut self, version: ConfigVersion, digest: Digest, doc: &Document) {
+    fn adopt(&mut self, carried: &Carried) {
         let before = self.in_force.version();
-        let config = compile(version, digest, doc).unwrap();
+        let config = carried.compile().unwrap();
         assert_eq!(self.in_force.adopt(Arc::new(config)), Adopted::InForce);
         assert!(self.in_force.version() > before);
     }
--- a/fireflycroft/tests/snapshot.rs
+++ b/fireflycroft/tests/snapshot.rs
@@ -285,7 +285,7 @@
         assert!(part.data.len() <= MAX_PART);
         match to.on_part(&part) {
             Progress::Want(next) => want = next,
-            Progress::Whole(carried) => return (carried.doc, pulls),
+            Progress::Whole(carried) => return (carried.document().unwrap(), pulls),
             other => panic!("{other:?}"),
         }
     }
--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -11,7 +11,7 @@
 
 use fireflycroft::{
     Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, HEAD_KIND, HEAD_NAME, Head,
-    Message, PART_KIND, Part, Progress, compile,
+    Message, PART_KIND, Part, Progress,
 };
 use tokio::sync::watch;
 
@@ -101,7 +101,7 @@
             Progress::Want(part) => out.push(from, Message::ConfigPull { have, part }),
             Progress::Whole(whole) => {
                 drop(carrier);
-                log::info!(event = "config_pulled", version = whole.version.0, peer:% = from; "");
+                log::info!(event = "config_pulled", version = whole.version().0, peer:% = from; "");
                 self.hand_out(&whole);
             }
             Progress::Ignored => {}
@@ -185,7 +185,7 @@
     }
 
     fn hand_out(&self, carried: &Carried) {
-        match compile(carried.version, carried.digest, &carried.doc) {
+        match carried.compile() {
             Ok(config) => {
                 self.tx.send_if_modified(|held| {
                     let older = held.as_ref().is_some_and(|h| h.version >= config.version);
@@ -198,7 +198,7 @@
             Err(faults) => {
                 let first = faults.first().map(|f| format!("{}: {}", f.field, f.text));
                 let first = first.unwrap_or_default();
-                log::error!(event = "config_faulty", version = carried.version.0, cause = first; "");
+                log::error!(event = "config_faulty", version = carried.version().0, cause = first; "");
             }
         }
     }
