Report how fast each brand and priority burns its error budget

Operators need to see service-level burn by brand and priority over several windows.

Before, there was no report. After, it goes out as text, JSON or a page with plots, with the budget left, the worst result codes and the requests that were answered late. The daemon doesn't yet count requests by brand, priority and objective, so that the report was tried on fakes and written records alone.

--- a/fireflyctl/src/apply.rs
+++ b/fireflyctl/src/apply.rs
@@ -7,11 +7,12 @@
 use crate::fleet::{Answer, Fleet, NodeStatus};
 use crate::keys;
 use crate::publish::{self, Base, Outcome};
+use crate::record::now_ms;
 use crate::store::Store;
 use anyhow::Context;
 use fireflycroft::{ConfigVersion, Diff, Digest, Document, Head, Name, split};
 use std::path::PathBuf;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 /// Time between two looks at the nodes.
 const POLL_EVERY: Duration = Duration::from_millis(200);
@@ -294,10 +295,3 @@
     let by = head.map_or("", |h| &*h.by);
     if by.is_empty() { "somebody" } else { by }.to_owned()
 }
-
-fn now_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/fireflyctl/src/cli.rs
+++ b/fireflyctl/src/cli.rs
@@ -5,7 +5,8 @@
 use crate::console::Console;
 use crate::failure::{Failure, Result};
 use crate::fleet::Fleet;
-use crate::{drain, explain, keys, show, status, vms};
+use crate::report::{self, BurnJob};
+use crate::{drain, explain, keys, record, show, status, vms};
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use fireflyd::metrics::Metrics;
 use fireflyd::platform::PlatformClient;
@@ -16,6 +17,8 @@
 /// Bound of a call when no flag says otherwise, in milliseconds.
 const TIMEOUT_MS: &str = "5000";
 
+/// Time between two scrapes when no flag says otherwise, in seconds.
+const SCRAPE_EVERY: &str = "15";
 /// Wait of a flag that stands alone, in seconds.
 const A_DAY: &str = "86400";
 
@@ -55,6 +58,7 @@
         .subcommand(Command::new("vms").about("Shows the platform's list of VMs"))
         .subcommand(drain_command())
         .subcommand(explain_command())
+        .subcommand(report_command())
 }
 
 /// Runs the command that `args` name; gives the exit status.
@@ -110,6 +114,12 @@
             let id = text(args, "request-id")?;
             explain::explain(&fleet(args)?, id, args.get_flag("json"), console).await
         }
+        ("report", "record") => {
+            let file = required::<PathBuf>(args, "record")?;
+            let every = Duration::from_secs(*required(args, "every")?);
+            record::record(&fleet(args)?, file, every, seconds(args, "length"), console).await
+        }
+        ("report", "burn") => report_burn(args, console).await,
         _ => Err(Failure::Usage(format!("no such job: {name} {job}"))),
     }
 }
@@ -146,6 +156,20 @@
     apply::change(&change, &store, &fleet(args)?, console).await
 }
 
+async fn report_burn(args: &ArgMatches, console: &mut Console<'_>) -> Result<()> {
+    let path = |name| args.get_one::<PathBuf>(name).cloned();
+    let job = BurnJob {
+        record: path("record"),
+        every: Duration::from_secs(*required(args, "every")?),
+        json: args.get_flag("json"),
+        html: path("html"),
+    };
+    let has_platform = args.contains_id("platform");
+    let store = has_platform.then(|| platform(args)).transpose()?;
+    let rules = report::rules(path("rules").as_deref(), store.as_ref()).await?;
+    report::burn(&job, &rules, &fleet(args)?, console).await
+}
+
 fn half_command(half: Half) -> Command {
     let name = half.name();
     let file = || {
@@ -239,6 +263,42 @@
         .arg(switch("json", "Print as JSON"))
 }
 
+fn report_command() -> Command {
+    let every = || {
+        flag("every", "Seconds between two scrapes")
+            .default_value(SCRAPE_EVERY)
+            .value_parser(clap::value_parser!(u64).range(1..))
+    };
+    let record = Command::new("record")
+        .about("Scrapes the nodes' metrics and adds what they grew by to a record")
+        .arg(path_flag("record", "File of the record").required(true))
+        .arg(every())
+        .arg(
+            flag("length", "Seconds after which to end; for ever when absent")
+                .value_parser(clap::value_parser!(u64)),
+        );
+    let burn = Command::new("burn")
+        .about("Shows how fast each brand and priority burns its error budget")
+        .arg(path_flag(
+            "record",
+            "Record to report on; two scrapes of the nodes when absent",
+        ))
+        .arg(every())
+        .arg(path_flag(
+            "rules",
+            "Rules with the objectives; those in force when absent",
+        ))
+        .arg(path_flag("html", "File that gets a page with plots"))
+        .arg(switch("json", "Print as JSON"));
+    group("report", "Reports on service levels")
+        .subcommand(record)
+        .subcommand(burn)
+}
+
+fn path_flag(name: &'static str, help: &'static str) -> Arg {
+    flag(name, help).value_parser(clap::value_parser!(PathBuf))
+}
+
 fn group(name: &'static str, about: &'static str) -> Command {
     Command::new(name)
         .about(about)
--- a/fireflyctl/src/fleet.rs
+++ b/fireflyctl/src/fleet.rs
@@ -99,6 +99,21 @@
         Ok(())
     }
 
+    /// Metrics of every node as text, in the order given.
+    pub(crate) async fn metrics(&self) -> Vec<Answer<String>> {
+        stream::iter(&self.nodes)
+            .map(async |node| (node.clone(), self.text(node, "/metrics").await))
+            .buffered(NODES_AT_ONCE)
+            .collect()
+            .await
+    }
+
+    async fn text(&self, node: &str, path: &str) -> std::result::Result<String, String> {
+        let res = self.get(node, path).await.map_err(|e| cause(&e))?;
+        let res = res.error_for_status().map_err(|e| cause(&e))?;
+        res.text().await.map_err(|e| cause(&e))
+    }
+
     /// Answer of every node to a `GET`, in the order given.
     pub(crate) async fn ask_all<T: DeserializeOwned>(&self, path: &str) -> Vec<Answer<T>> {
         stream::iter(&self.nodes)
--- a/fireflyctl/src/lib.rs
+++ b/fireflyctl/src/lib.rs
@@ -4,6 +4,7 @@
 //! write the one head object on the platform; the others ask the nodes.
 
 mod apply;
+mod burn;
 mod check;
 mod cli;
 mod console;
@@ -12,7 +13,11 @@
 mod failure;
 mod fleet;
 mod keys;
+mod page;
 mod publish;
+mod record;
+mod report;
+mod scrape;
 mod shape;
 mod show;
 mod span;
@@ -21,6 +26,10 @@
 mod table;
 mod vms;
 
+pub use burn::{
+    Alert, Cause, GoalReport, PAGE_BURN, Report, TICKET_BURN, WINDOWS, WindowReport, burn_rate,
+    report,
+};
 pub use check::{Checked, Half, check};
 pub use cli::{command, env_name, run};
 pub use console::Console;
@@ -29,4 +38,6 @@
     Base, Outcome, base, confirm_parts, past_document, publish_head, put_head, put_parts, put_past,
     read_back,
 };
+pub use record::{GoalTally, Interval, Recorder};
+pub use scrape::{Goal, Tallies, Tally, parse_metrics};
 pub use store::{Store, StoreObject};
--- /dev/null
+++ b/fireflyctl/src/record.rs
@@ -0,0 +1,169 @@
+//! Records of what the fleet's counters grew by, a line of JSON an interval.
+//!
+//! The growth of all nodes together is kept rather than each node's counters,
+//! so that a record of days stays small at any size of the fleet. A node that
+//! is seen for the first time counts from then on, as nobody knows when it
+//! began; one that fell silent is caught up with when it answers again.
+
+use crate::console::Console;
+use crate::failure::{Failure, Result};
+use crate::fleet::Fleet;
+use crate::scrape::{Goal, Tallies, Tally, parse_metrics};
+use anyhow::Context;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::path::Path;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Growth of one interval.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Interval {
+    /// Its beginning, in milliseconds since 1970.
+    pub from_ms: u64,
+    /// Its end, in milliseconds since 1970.
+    pub to_ms: u64,
+    /// Nodes that answered at its end.
+    pub nodes: usize,
+    /// Nodes that didn't.
+    pub silent: usize,
+    /// Growth by goal.
+    pub goals: Vec<GoalTally>,
+}
+
+/// Growth of one goal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GoalTally {
+    /// The goal.
+    #[serde(flatten)]
+    pub goal: Goal,
+    /// The growth.
+    pub tally: Tally,
+}
+
+/// Turns scrapes of the nodes into intervals.
+#[derive(Debug, Default)]
+pub struct Recorder {
+    at_ms: Option<u64>,
+    nodes: BTreeMap<String, Tallies>,
+}
+
+impl Recorder {
+    /// Takes a scrape of all nodes at `at_ms`; gives the interval since the
+    /// scrape before, `None` for the first.
+    pub fn take(
+        &mut self,
+        at_ms: u64,
+        answered: impl IntoIterator<Item = (String, Tallies)>,
+        silent: usize,
+    ) -> Option<Interval> {
+        let mut grown = Tallies::new();
+        let mut nodes = 0;
+        for (node, tallies) in answered {
+            nodes += 1;
+            if let Some(before) = self.nodes.get(&node) {
+                add_growth(&mut grown, before, &tallies);
+            }
+            self.nodes.insert(node, tallies);
+        }
+        let from_ms = self.at_ms.replace(at_ms)?;
+        let goals = grown.into_iter();
+        Some(Interval {
+            from_ms,
+            to_ms: at_ms,
+            nodes,
+            silent,
+            goals: goals
+                .map(|(goal, tally)| GoalTally { goal, tally })
+                .collect(),
+        })
+    }
+}
+
+fn add_growth(grown: &mut Tallies, before: &Tallies, now: &Tallies) {
+    let none = Tally::default();
+    for (goal, tally) in now {
+        let before = before.get(goal).unwrap_or(&none);
+        let growth = tally.since(before);
+        grown.entry(goal.clone()).or_default().add(&growth);
+    }
+}
+
+/// Scrapes the nodes every so often and adds the intervals to the file.
+pub(crate) async fn record(
+    fleet: &Fleet,
+    path: &Path,
+    every: Duration,
+    length: Option<Duration>,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    fleet.require_nodes()?;
+    let until = length.map(|length| Instant::now() + length);
+    let mut recorder = Recorder::default();
+    loop {
+        if let Some(interval) = scrape(fleet, &mut recorder, console).await? {
+            append(path, &interval)?;
+        }
+        if until.is_some_and(|until| Instant::now() + every > until) {
+            return Ok(());
+        }
+        tokio::time::sleep(every).await;
+    }
+}
+
+/// Scrapes the nodes once.
+pub(crate) async fn scrape(
+    fleet: &Fleet,
+    recorder: &mut Recorder,
+    console: &mut Console<'_>,
+) -> Result<Option<Interval>> {
+    let mut answered = Vec::new();
+    let mut silent = Vec::new();
+    for (node, answer) in fleet.metrics().await {
+        match answer {
+            Ok(text) => answered.push((node, parse_metrics(&text))),
+            Err(why) => {
+                console.warn(format!("{node} didn't answer: {why}"))?;
+                silent.push(node);
+            }
+        }
+    }
+    if answered.is_empty() {
+        return Err(Failure::NoAnswer(silent));
+    }
+    Ok(recorder.take(now_ms(), answered, silent.len()))
+}
+
+/// Reads a record; a last line that was cut off is left out.
+pub(crate) fn read(path: &Path) -> Result<Vec<Interval>> {
+    let text = std::fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
+    let whole = text.rfind('\n').map_or("", |end| &text[..end]);
+    let mut intervals = Vec::new();
+    for (i, line) in whole.lines().enumerate() {
+        let interval =
+            serde_json::from_str(line).with_context(|| format!("{}:{}", path.display(), i + 1))?;
+        intervals.push(interval);
+    }
+    Ok(intervals)
+}
+
+fn append(path: &Path, interval: &Interval) -> Result<()> {
+    let mut line = serde_json::to_vec(interval).map_err(anyhow::Error::from)?;
+    line.push(b'\n');
+    let mut f = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(path)
+        .with_context(|| format!("{}", path.display()))?;
+    f.write_all(&line)?;
+    Ok(())
+}
+
+/// Now, in milliseconds since 1970.
+pub(crate) fn now_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/fireflyctl/src/scrape.rs
@@ -0,0 +1,178 @@
+//! Counters that the burn report reads, out of a node's metrics.
+//!
+//! The metrics are text in the prometheus format, of which only two counters
+//! matter: requests by result code, and requests by whether they met their
+//! objective.
+
+use fireflycroft::Priority;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Counter of requests by brand, priority and result code.
+const REQUESTS: &str = "firefly_requests_total";
+/// Counter of requests by brand, priority and whether they met the objective.
+const OBJECTIVE: &str = "firefly_objective_total";
+
+/// Requests that are measured together: one brand's of one priority.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Goal {
+    /// The brand.
+    pub brand: String,
+    /// The priority.
+    pub priority: Priority,
+}
+
+/// Requests of one goal.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Requests that met the objective.
+    pub met: u64,
+    /// Requests that missed it.
+    pub missed: u64,
+    /// Requests by the number of their result code.
+    pub by_code: BTreeMap<u32, u64>,
+}
+
+/// Requests by goal.
+pub type Tallies = BTreeMap<Goal, Tally>;
+
+/// Reads the counters of a node; lines that are none are passed over.
+#[must_use]
+pub fn parse_metrics(text: &str) -> Tallies {
+    let mut tallies = Tallies::new();
+    for sample in text.lines().filter_map(parse_sample) {
+        add_sample(&mut tallies, &sample);
+    }
+    tallies
+}
+
+impl Tally {
+    /// Requests that met the objective or missed it.
+    #[must_use]
+    pub const fn total(&self) -> u64 {
+        self.met + self.missed
+    }
+
+    /// Adds the requests of `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.met += other.met;
+        self.missed += other.missed;
+        for (code, count) in &other.by_code {
+            *self.by_code.entry(*code).or_default() += count;
+        }
+    }
+
+    /// What came since `before`; a counter that fell began anew.
+    #[must_use]
+    pub fn since(&self, before: &Self) -> Self {
+        let code = |(code, count): (&u32, &u64)| {
+            let old = before.by_code.get(code).copied().unwrap_or(0);
+            (*code, grown(*count, old))
+        };
+        Self {
+            met: grown(self.met, before.met),
+            missed: grown(self.missed, before.missed),
+            by_code: self.by_code.iter().map(code).collect(),
+        }
+    }
+}
+
+const fn grown(now: u64, before: u64) -> u64 {
+    if now < before { now } else { now - before }
+}
+
+/// One line of a counter.
+struct Sample<'a> {
+    name: &'a str,
+    labels: BTreeMap<&'a str, String>,
+    value: u64,
+}
+
+fn add_sample(tallies: &mut Tallies, sample: &Sample<'_>) -> Option<()> {
+    let priority = match sample.labels.get("priority")?.as_str() {
+        "interactive" => Priority::Interactive,
+        "batch" => Priority::Batch,
+        _ => return None,
+    };
+    let goal = Goal {
+        brand: sample.labels.get("brand")?.clone(),
+        priority,
+    };
+    match sample.name {
+        OBJECTIVE => {
+            let met = sample.labels.get("met")? == "true";
+            let tally = tallies.entry(goal).or_default();
+            let count = if met {
+                &mut tally.met
+            } else {
+                &mut tally.missed
+            };
+            *count += sample.value;
+        }
+        REQUESTS => {
+            let code = sample.labels.get("code")?.parse().ok()?;
+            let tally = tallies.entry(goal).or_default();
+            *tally.by_code.entry(code).or_default() += sample.value;
+        }
+        _ => {}
+    }
+    Some(())
+}
+
+/// Reads `name{label="value",…} value`, with a time behind it or not.
+fn parse_sample(line: &str) -> Option<Sample<'_>> {
+    let (name, rest) = line.split_once('{')?;
+    if name != REQUESTS && name != OBJECTIVE {
+        return None;
+    }
+    let (labels, rest) = parse_labels(rest)?;
+    let value: f64 = rest.split_whitespace().next()?.parse().ok()?;
+    Some(Sample {
+        name,
+        labels,
+        value: to_count(value)?,
+    })
+}
+
+/// Reads labels up to the closing brace; gives them and what follows.
+fn parse_labels(mut rest: &str) -> Option<(BTreeMap<&str, String>, &str)> {
+    let mut labels = BTreeMap::new();
+    loop {
+        rest = rest.trim_start_matches([',', ' ']);
+        if let Some(rest) = rest.strip_prefix('}') {
+            return Some((labels, rest));
+        }
+        let (name, value) = rest.split_once("=\"")?;
+        let (text, after) = parse_text(value)?;
+        labels.insert(name.trim(), text);
+        rest = after;
+    }
+}
+
+/// Reads text up to its closing quote, with its escapes.
+fn parse_text(text: &str) -> Option<(String, &str)> {
+    let mut value = String::new();
+    let mut chars = text.char_indices();
+    while let Some((at, c)) = chars.next() {
+        match c {
+            '"' => return Some((value, &text[at + 1..])),
+            '\\' => value.push(match chars.next()?.1 {
+                'n' => '\n',
+                other => other,
+            }),
+            _ => value.push(c),
+        }
+    }
+    None
+}
+
+/// A counter's value, which is whole.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked to be in range"
+)]
+fn to_count(value: f64) -> Option<u64> {
+    const MOST: f64 = 9_007_199_254_740_992.0;
+    (0.0..=MOST).contains(&value).then_some(value as u64)
+}
--- a/fireflyctl/tests/support/mod.rs
+++ b/fireflyctl/tests/support/mod.rs
@@ -119,7 +119,8 @@
     pub(crate) status: Value,
     pub(crate) config: Option<Value>,
     pub(crate) events: Value,
-    pub(crate) metrics: String,
+    /// Metrics of the scrapes to come; the last one stays.
+    pub(crate) metrics: Vec<String>,
     pub(crate) drained: bool,
 }
 
@@ -212,7 +213,12 @@
 
 #[handler]
 fn metrics(Data(answers): Data<&Shared>) -> String {
-    answers.lock().unwrap().metrics.clone()
+    let metrics = &mut answers.lock().unwrap().metrics;
+    match metrics.len() {
+        0 => String::new(),
+        1 => metrics[0].clone(),
+        _ => metrics.remove(0),
+    }
 }
 
 #[handler]
