Show operators the configuration a node holds, and its digest and data centre

After the platform went back, fireflyctl builds on what the nodes have in force, but no node showed it, so every such apply was refused. Nodes now show the version they hold with all its parts under /config of the operators' interface, and their status names data centre and the digest of the configuration, by which a rival of the same version is seen. Letting fireflyctl speak the fleet's own protocol was ruled out, as it would need the fleet key.

A null digest in a status would have failed to parse; it is optional now.

--- a/fireflyctl/src/fleet.rs
+++ b/fireflyctl/src/fleet.rs
@@ -27,9 +27,9 @@
     pub(crate) role: String,
     pub(crate) data_centre: String,
     pub(crate) config_version: u64,
-    /// Digest of the configuration in force; empty from a node that doesn't
-    /// tell.
-    pub(crate) config_digest: String,
+    /// Digest of the configuration in force; `None` from a node that has none
+    /// or doesn't tell.
+    pub(crate) config_digest: Option<String>,
     pub(crate) streams: u64,
     pub(crate) queue: u64,
     pub(crate) leaving: bool,
@@ -38,7 +38,8 @@
 impl NodeStatus {
     /// Whether the node has other content in force than that of `digest`.
     pub(crate) fn is_rival(&self, digest: Digest) -> bool {
-        !self.config_digest.is_empty() && self.config_digest != digest.to_string()
+        let own = self.config_digest.as_ref();
+        own.is_some_and(|own| *own != digest.to_string())
     }
 }
 
--- a/fireflyd/src/admin.rs
+++ b/fireflyd/src/admin.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use fireflycroft::{RequestId, scan_request_id};
+use fireflycroft::{Bundle, RequestId, scan_request_id};
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json, Path};
@@ -69,6 +69,9 @@
     pub status: Arc<dyn Fn() -> Value + Send + Sync>,
     /// Tells what happened to a request, as JSON; must not block.
     pub explain: Arc<dyn Fn(RequestId) -> Value + Send + Sync>,
+    /// Gives the configuration held, with all its parts; `None` before the
+    /// first; must not block.
+    pub config: Arc<dyn Fn() -> Option<Bundle> + Send + Sync>,
     /// Begins a planned stop; must not block, and may be called again.
     pub drain: Arc<dyn Fn() + Send + Sync>,
 }
@@ -90,6 +93,7 @@
             .at("/health/live", get(live))
             .at("/health/ready", get(ready))
             .at("/status", get(status))
+            .at("/config", get(config))
             .at("/explain/:id", get(explain))
             .at("/drain", post(drain))
             .data(self);
@@ -129,6 +133,16 @@
     Json((admin.status)())
 }
 
+#[handler]
+fn config(Data(admin): Data<&Admin>) -> Response {
+    match (admin.config)() {
+        Some(bundle) => Json(bundle).into_response(),
+        None => "no configuration yet\n"
+            .with_status(StatusCode::NOT_FOUND)
+            .into_response(),
+    }
+}
+
 #[handler]
 fn explain(Path(id): Path<String>, Data(admin): Data<&Admin>) -> Response {
     match scan_request_id(&id) {
--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use fireflycroft::{
-    Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, HEAD_KIND, HEAD_NAME, Head,
-    Message, PART_KIND, Part, Progress,
+    Bundle, Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, Digest, HEAD_KIND,
+    HEAD_NAME, Head, Message, PART_KIND, Part, Progress,
 };
 use tokio::sync::watch;
 
@@ -207,6 +207,18 @@
         self.carrier.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The version held with all its parts, for operators.
+    #[must_use]
+    pub fn bundle(&self) -> Option<Bundle> {
+        self.carrier().bundle()
+    }
+
+    /// Digest of the configuration handed out last.
+    #[must_use]
+    pub fn digest(&self) -> Option<Digest> {
+        self.tx.borrow().as_ref().map(|config| config.digest)
+    }
+
     /// Version held for peers.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -10,6 +10,7 @@
     AdmitPolicy, AgentLimits, AgentSetup, Capacity, Config, EntryLimits, EntrySetup, Name, Role,
     RoutePolicy,
 };
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -271,18 +272,31 @@
     }))
 }
 
+/// The status of the loop, with what it doesn't know of itself.
+fn status_of(settings: &Settings, parts: &Parts) -> Arc<dyn Fn() -> Value + Send + Sync> {
+    let (status, feed) = (parts.status.clone(), parts.feed.clone());
+    let data_centre = settings.data_centre.clone();
+    Arc::new(move || {
+        let mut shown = status.get();
+        shown["data_centre"] = json!(data_centre);
+        shown["config_digest"] = json!(feed.digest().map(|digest| digest.to_string()));
+        shown
+    })
+}
+
 /// Serves the operators' interface; gives its bound address.
 async fn serve_admin(
     settings: &Settings,
     parts: &Parts,
     drain: impl Fn() + Send + Sync + 'static,
 ) -> anyhow::Result<SocketAddr> {
-    let status = parts.status.clone();
     let journal = parts.node.journal.clone();
+    let feed = parts.feed.clone();
     let admin = Admin {
         metrics: parts.node.metrics.clone(),
         readiness: parts.ready.clone(),
-        status: Arc::new(move || status.get()),
+        status: status_of(settings, parts),
+        config: Arc::new(move || feed.bundle()),
         explain: Arc::new(move |id| journal.explain(id)),
         drain: Arc::new(drain),
     };
--- a/fireflyd/tests/admin.rs
+++ b/fireflyd/tests/admin.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use fireflycroft::{Bundle, ConfigCarrier, ConfigVersion, Document, split};
 use fireflyd::admin::{Admin, Readiness};
 use fireflyd::metrics::Metrics;
 use fireflyd::port_file::write_port_file;
@@ -29,6 +30,7 @@
         readiness: Readiness::not_yet("no configuration yet"),
         status: Arc::new(|| json!({"role": "entry"})),
         explain: Arc::new(|id| json!([{"event": "seen", "request": id.to_string()}])),
+        config: Arc::new(|| None),
         drain: Arc::new(move || {
             counted.fetch_add(1, Ordering::Relaxed);
         }),
@@ -69,6 +71,7 @@
     a_process_is_live: GET "/health/live" => 200, "live";
     a_process_is_not_ready_at_first: GET "/health/ready" => 503, "no configuration yet";
     the_status_is_json: GET "/status" => 200, "{\"role\":\"entry\"}";
+    no_configuration_is_not_found: GET "/config" => 404, "no configuration yet";
     metrics_are_text: GET "/metrics" => 200, "# TYPE firefly_streams_running gauge";
     a_drain_by_get_is_refused: GET "/drain" => 405, "";
     another_path_is_not_found: GET "/" => 404, "";
@@ -84,6 +87,24 @@
     assert_eq!(ready().await, (503, "draining\n".to_owned()));
 }
 
+#[tokio::test]
+async fn the_configuration_is_shown_with_its_parts() {
+    let snapshot = split(&Document::default()).unwrap();
+    let head = snapshot.head(ConfigVersion(7), 0, "operator".into(), "token".into());
+    let mut carrier = ConfigCarrier::default();
+    carrier.hold(head, snapshot.parts).unwrap();
+    let mut admin = serve().await.admin;
+    admin.config = Arc::new(move || carrier.bundle());
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let url = format!("http://{}/config", listener.local_addr().unwrap());
+    let task = tokio::spawn(admin.serve(listener, std::future::pending()));
+    let (status, body) = call(reqwest::Method::GET, url).await;
+    let bundle: Bundle = serde_json::from_str(&body).unwrap();
+    assert_eq!((status, bundle.head.version), (200, 7));
+    assert_eq!(bundle.document().unwrap(), Document::default());
+    task.abort();
+}
+
 #[tokio::test]
 async fn a_drain_is_passed_on() {
     let served = serve().await;
