--- a/fireflyctl/src/apply.rs
+++ b/fireflyctl/src/apply.rs
@@ -1,29 +1,35 @@
-//! `inventory` and `rules`: `plan` shows what a file would change, `apply`
-//! changes it.
+//! `inventory`, `rules` and `config restore`: `plan` shows what would change,
+//! `apply` changes it.
 
 use crate::check::{Half, check};
 use crate::console::Console;
 use crate::failure::{Conflict, Failure, Result};
-use crate::fleet::{Answer, Fleet, NodeStatus};
+use crate::fleet::Fleet;
+use crate::ground::Ground;
 use crate::keys;
 use crate::publish::{self, Base, Outcome};
 use crate::record::now_ms;
 use crate::store::Store;
+use crate::wait;
 use anyhow::Context;
-use fireflycroft::{ConfigVersion, Diff, Digest, Document, Head, Name, split};
-use std::path::PathBuf;
-use std::time::{Duration, Instant};
+use fireflycroft::{ConfigVersion, Diff, Document, Head, Name, split};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
 
-/// Time between two looks at the nodes.
-const POLL_EVERY: Duration = Duration::from_millis(200);
+/// Where the content of a change comes from.
+#[derive(Clone, Debug)]
+pub(crate) enum Source {
+    /// A file, for one half.
+    File(Half, PathBuf),
+    /// What the nodes have in force, for a platform that went back.
+    Nodes,
+}
 
-/// What is to be done with a file.
+/// What is to be put in force.
 #[derive(Clone, Debug)]
 pub(crate) struct Change {
-    /// Half that the file holds.
-    pub(crate) half: Half,
-    /// The file.
-    pub(crate) file: PathBuf,
+    /// Where the content comes from.
+    pub(crate) source: Source,
     /// Whether only to show the difference.
     pub(crate) dry_run: bool,
     /// Whether the difference is shown as JSON.
@@ -45,90 +51,51 @@
     fleet: &Fleet,
     console: &mut Console<'_>,
 ) -> Result<()> {
-    if change.wait.is_some() {
+    if change.wait.is_some() || matches!(change.source, Source::Nodes) {
         fleet.require_nodes()?;
     }
-    let text = std::fs::read_to_string(&change.file)
-        .with_context(|| format!("{}", change.file.display()))?;
-    let base = publish::base(store).await?;
-    let highest = highest_version(fleet, console).await?;
-    let doc = base_document(change, &base, highest.as_ref(), fleet, console).await?;
-    let doc_now = check(change.half, &text, &doc)
-        .map_err(|faults| Failure::Faults(change.file.clone(), faults))?;
-    let mine = Diff::between(&doc, &doc_now);
+    let ground = Ground::find(store, fleet, change.from_platform, console).await?;
+    let doc = match &change.source {
+        Source::File(half, path) => read(*half, path, &ground.doc)?,
+        Source::Nodes => ground.doc.clone(),
+    };
+    let mine = Diff::between(&ground.doc, &doc);
     show_diff(change, &mine, console)?;
-    expect_version(change, store, &base, &mine).await?;
-    let highest = highest.map_or(0, |(_, version)| version);
-    let is_behind = highest > base.version();
+    expect_version(change, store, &ground.base, &mine).await?;
     if change.dry_run {
-        return say_plan(&base, &mine, console);
+        return say_plan(&ground.base, &mine, console);
     }
-    if let Some(head) = base.sound_head().filter(|_| mine.is_empty() && !is_behind) {
-        console.say(format!("version {} holds this already", head.version))?;
-        return wait_in_force(change, head.version, head.digest, fleet, console).await;
+    let head = put_in_force(change, store, &ground, &doc, &mine, console).await?;
+    match change.wait {
+        Some(time) => wait::in_force(&head, time, fleet, console).await,
+        None => Ok(()),
     }
-    let version = 1 + base.version().max(highest);
-    let head = publish(change, store, &base, &doc_now, version, &mine).await?;
-    console.say(format!("version {} is accepted", head.version))?;
-    wait_in_force(change, head.version, head.digest, fleet, console).await
 }
 
-/// Node that reports the highest version.
-async fn highest_version(
-    fleet: &Fleet,
+/// Publishes the document, unless it is in force already.
+async fn put_in_force(
+    change: &Change,
+    store: &impl Store,
+    ground: &Ground,
+    doc: &Document,
+    mine: &Diff,
     console: &mut Console<'_>,
-) -> Result<Option<(String, u64)>> {
-    let mut highest: Option<(String, u64)> = None;
-    for (node, answer) in fleet.statuses().await {
-        match answer {
-            Ok(status)
-                if highest
-                    .as_ref()
-                    .is_none_or(|(_, v)| status.config_version > *v) =>
-            {
-                highest = Some((node, status.config_version));
-            }
-            Ok(_) => {}
-            Err(why) => console.warn(format!("{node} didn't answer: {why}"))?,
-        }
+) -> Result<Head> {
+    if let Some(head) = ground.base.sound_head()
+        && mine.is_empty()
+        && !ground.must_write
+    {
+        console.say(format!("version {} holds this already", head.version))?;
+        return Ok(head.clone());
     }
-    Ok(highest)
+    let head = publish(change, store, ground, doc, mine).await?;
+    console.say(format!("version {} is accepted", head.version))?;
+    Ok(head)
 }
 
-/// Document that the change is laid on: the platform's, unless a node is
-/// ahead of it or parts of it are gone; then the node's.
-async fn base_document(
-    change: &Change,
-    base: &Base,
-    highest: Option<&(String, u64)>,
-    fleet: &Fleet,
-    console: &mut Console<'_>,
-) -> Result<Document> {
-    let held = base.version();
-    let ahead = highest.filter(|(_, version)| *version > held || base.doc.is_none());
-    let Some((node, version)) = ahead else {
-        return Ok(base.document()?.clone());
-    };
-    let state = if base.doc.is_none() { "parts of " } else { "" };
-    console.warn(format!(
-        "{node} has version {version} in force, the platform holds {state}version {held}: it went back"
-    ))?;
-    if change.from_platform {
-        return Ok(base.document()?.clone());
-    }
-    let Some(bundle) = fleet.bundle(node).await? else {
-        let why = format!(
-            "{node} doesn't show version {version}, so what was accepted since version {held} \
-             can't be kept; --from-platform goes on without it"
-        );
-        return Err(Failure::Unavailable(why));
-    };
-    if bundle.head.version < held {
-        let why = format!("{node} holds only version {}", bundle.head.version);
-        return Err(Failure::Unavailable(why));
-    }
-    let doc = bundle.document().map_err(anyhow::Error::from)?;
-    Ok(doc)
+fn read(half: Half, path: &Path, ground: &Document) -> Result<Document> {
+    let text = std::fs::read_to_string(path).with_context(|| format!("{}", path.display()))?;
+    check(half, &text, ground).map_err(|faults| Failure::Faults(path.to_owned(), faults))
 }
 
 fn show_diff(change: &Change, mine: &Diff, console: &mut Console<'_>) -> Result<()> {
@@ -178,11 +145,11 @@
 async fn publish(
     change: &Change,
     store: &impl Store,
-    base: &Base,
+    ground: &Ground,
     doc: &Document,
-    version: u64,
     mine: &Diff,
 ) -> Result<Head> {
+    let (base, version) = (&ground.base, ground.next_version);
     let snapshot = split(doc).map_err(anyhow::Error::from)?;
     let head = snapshot
         .head(
@@ -219,74 +186,6 @@
     }
 }
 
-/// Waits until every node reports the version, and says which do.
-async fn wait_in_force(
-    change: &Change,
-    version: u64,
-    digest: Digest,
-    fleet: &Fleet,
-    console: &mut Console<'_>,
-) -> Result<()> {
-    let Some(wait) = change.wait else {
-        return Ok(());
-    };
-    let until = Instant::now() + wait;
-    loop {
-        let seen = fleet.statuses().await;
-        let late: Vec<String> = seen
-            .iter()
-            .filter(|(_, answer)| !in_force(answer, version, digest))
-            .map(|(node, _)| node.clone())
-            .collect();
-        if late.is_empty() || Instant::now() >= until {
-            say_in_force(&seen, version, digest, console)?;
-            return if late.is_empty() {
-                Ok(())
-            } else {
-                Err(Failure::NotInForce {
-                    version,
-                    nodes: late,
-                })
-            };
-        }
-        tokio::time::sleep(POLL_EVERY).await;
-    }
-}
-
-/// Whether a node has the version or a higher one in force, and no rival of
-/// the same version.
-fn in_force(
-    answer: &std::result::Result<NodeStatus, String>,
-    version: u64,
-    digest: Digest,
-) -> bool {
-    answer.as_ref().is_ok_and(|s| {
-        s.config_version > version || (s.config_version == version && !s.is_rival(digest))
-    })
-}
-
-fn say_in_force(
-    seen: &[Answer<NodeStatus>],
-    version: u64,
-    digest: Digest,
-    console: &mut Console<'_>,
-) -> Result<()> {
-    for (node, answer) in seen {
-        let phrase = match answer {
-            Ok(s) if s.config_version == version && s.is_rival(digest) => {
-                format!("{} other content as version {version}", s.name)
-            }
-            Ok(s) if s.config_version < version => {
-                format!("{} still at version {}", s.name, s.config_version)
-            }
-            Ok(s) => format!("{} version {} in force", s.name, s.config_version),
-            Err(why) => format!("no answer: {why}"),
-        };
-        console.say(format!("{node} {phrase}"))?;
-    }
-    Ok(())
-}
-
 fn diff_of(from: Option<&Document>, to: Option<&Document>) -> Option<Diff> {
     Some(Diff::between(from?, to?))
 }
--- a/fireflyctl/src/lib.rs
+++ b/fireflyctl/src/lib.rs
@@ -7,11 +7,13 @@
 mod burn;
 mod check;
 mod cli;
+mod command;
 mod console;
 mod drain;
 mod explain;
 mod failure;
 mod fleet;
+mod ground;
 mod keys;
 mod page;
 mod publish;
@@ -25,13 +27,15 @@
 mod store;
 mod table;
 mod vms;
+mod wait;
 
 pub use burn::{
     Alert, Cause, GoalReport, PAGE_BURN, Report, TICKET_BURN, WINDOWS, WindowReport, burn_rate,
     report,
 };
 pub use check::{Checked, Half, check};
-pub use cli::{command, env_name, run};
+pub use cli::run;
+pub use command::{command, env_name};
 pub use console::Console;
 pub use failure::{Conflict, Failure, FileFault, Result};
 pub use publish::{
