--- a/fireflycroft/src/compile.rs
+++ b/fireflycroft/src/compile.rs
@@ -216,6 +216,7 @@
             without_key: rules.without_key,
             objectives: rules.objectives,
             models: models.collect(),
+            services: inventory.services.into_iter().collect(),
             interactive_wait: Duration::from_millis(rules.interactive_wait_ms),
             batch_wait: Duration::from_millis(rules.batch_wait_ms),
         })
