Hold a request until both sides have one configuration

Cause: agents came to refuse every offer of another version than theirs, and the entry told its caller 2020. Now the request is held, checked again by what is in force and offered anew; 2020 comes only past 2 s. Ruled out: offering to agents that are behind (a removed key would run), and trying the next agent (after a change the first ones all differ).

Before: the cases expected 2020 at once. After: they expect that nothing is offered or run while the sides differ, that the held call is then served, and 2020 at the bound; that is stricter.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -412,7 +412,7 @@
             return;
         };
         match &call.phase {
-            Phase::New => {}
+            Phase::New | Phase::Behind { .. } => {}
             Phase::Offered { .. } | Phase::Queued { .. } | Phase::Claiming { .. } => {
                 self.withdraw(id, out);
             }
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -44,6 +44,10 @@
     pub pause: Duration,
     /// Starts of one repeatable request in all.
     pub max_starts: u32,
+    /// Longest hold of a request until both sides have one configuration.
+    pub config_wait: Duration,
+    /// Time between two looks whether they have.
+    pub config_retry: Duration,
     /// Time that a claim may take.
     pub claim_wait: Duration,
     /// How long an agent is left out after it was given up.
@@ -71,6 +75,8 @@
             ack_every: Duration::from_secs(1),
             pause: Duration::from_secs(1),
             max_starts: 3,
+            config_wait: Duration::from_secs(2),
+            config_retry: Duration::from_millis(50),
             claim_wait: Duration::from_millis(1_500),
             avoid: Duration::from_secs(2),
             max_answer: 8 * 1024 * 1024,
@@ -249,6 +255,8 @@
 pub(crate) enum Phase {
     /// No agent was asked yet.
     New,
+    /// Waits until both sides hold one configuration; asked again then.
+    Behind { again: Time },
     /// An offer is out.
     Offered { asked: Asked, sent: Time },
     /// The agent has it in its queue.
@@ -291,6 +299,8 @@
     pub(crate) retry_after: Option<Duration>,
     /// Worst reason that a refusing agent gave.
     pub(crate) refusal: Option<Code>,
+    /// Since when it waits for a configuration, the first time.
+    pub(crate) behind_since: Option<Time>,
     pub(crate) received: Time,
     /// Whether the caller was told which generation it is given.
     pub(crate) told_begin: bool,
@@ -349,7 +359,7 @@
             EntryEvent::Taken(id, next) => self.on_taken(now, id, next, out),
             EntryEvent::Message(envelope) => self.on_message(now, *envelope, out),
             EntryEvent::Claim(id, answer) => self.on_claim(now, id, answer, out),
-            EntryEvent::Config(config) => self.on_config(&config, out),
+            EntryEvent::Config(config) => self.on_config(now, &config, out),
             EntryEvent::Member(record) => self.on_member(now, &record, out),
             EntryEvent::Entries(count) => self.entries = count.max(1),
             EntryEvent::Leave => self.leaving = true,
@@ -454,7 +464,7 @@
         }
     }
 
-    fn on_config(&mut self, config: &Arc<Config>, out: &mut Vec<EntryAction>) {
+    fn on_config(&mut self, now: Time, config: &Arc<Config>, out: &mut Vec<EntryAction>) {
         let version = config.version.0;
         let event = match self.config.adopt(config.clone()) {
             Adopted::InForce => "config_in_force",
@@ -462,6 +472,7 @@
             Adopted::Same | Adopted::Older => return,
         };
         out.push(EntryAction::Note(Note::new(event).count(version)));
+        self.on_caught_up(now, out);
     }
 
     fn on_member(&mut self, now: Time, record: &MemberRecord, out: &mut Vec<EntryAction>) {
@@ -520,7 +531,7 @@
                 Phase::Offered { sent, .. } => *sent = now,
                 Phase::Queued { heard, .. } => *heard = now,
                 Phase::Reading(reading) => reading.heard = now,
-                Phase::New | Phase::Claiming { .. } => {}
+                Phase::New | Phase::Behind { .. } | Phase::Claiming { .. } => {}
             }
         }
     }
@@ -578,7 +589,7 @@
 impl Call {
     pub(crate) const fn asked(&self) -> Option<&Asked> {
         match &self.phase {
-            Phase::New => None,
+            Phase::New | Phase::Behind { .. } => None,
             Phase::Offered { asked, .. }
             | Phase::Queued { asked, .. }
             | Phase::Claiming { asked, .. } => Some(asked),
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod carrier;
 mod carry_out;
+mod catch_up;
 mod claim;
 mod code;
 mod compile;
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -46,6 +46,7 @@
                 let call = self.new_call(now, id, submission, demand, claim_key, max_wait, charged);
                 match resume {
                     Some(point) => self.begin_resume(now, call, point, out),
+                    None if self.config.is_behind() => self.begin_behind(now, call, out),
                     None => self.begin_offers(now, call, out),
                 }
             }
@@ -85,7 +86,7 @@
             .get()
             .cloned()
             .ok_or_else(|| later(Code::NotReady))?;
-        if self.config.is_behind() {
+        if self.config.is_behind() && submission.resume.is_some() {
             return Err(later(Code::ConfigBehind));
         }
         if self.calls.len() >= self.limits.max_calls {
@@ -175,6 +176,7 @@
             claim_key,
             replace: None,
             phase: Phase::New,
+            behind_since: None,
             attempt: 0,
             starts: 0,
             tried: Vec::new(),
--- a/fireflycroft/tests/support/world/processes.rs
+++ b/fireflycroft/tests/support/world/processes.rs
@@ -36,11 +36,13 @@
         self.check_config(Proc::Entry(i));
     }
 
-    /// Reads from the first message sent which request id the call has.
+    /// Reads from the first message or note which request id the call has.
     pub(super) fn number(&mut self, call: CallId, out: &[EntryAction]) {
         let request = out.iter().find_map(|action| match action {
             EntryAction::Send(_, Message::Offer { request, .. }) => Some(*request),
             EntryAction::Send(_, Message::Attach { reader, .. }) => Some(*reader),
+            // Held for a configuration: no message yet.
+            EntryAction::Note(note) => note.request,
             _ => None,
         });
         if let Some(request) = request {
--- a/fireflyctl/src/fleet.rs
+++ b/fireflyctl/src/fleet.rs
@@ -27,9 +27,9 @@
     pub(crate) role: String,
     pub(crate) data_centre: String,
     pub(crate) config_version: u64,
-    /// Digest of the configuration in force; empty from a node that doesn't
-    /// tell.
-    pub(crate) config_digest: String,
+    /// Digest of the configuration in force; `None` from a node that has none
+    /// or doesn't tell.
+    pub(crate) config_digest: Option<String>,
     pub(crate) streams: u64,
     pub(crate) queue: u64,
     pub(crate) leaving: bool,
@@ -38,7 +38,8 @@
 impl NodeStatus {
     /// Whether the node has other content in force than that of `digest`.
     pub(crate) fn is_rival(&self, digest: Digest) -> bool {
-        !self.config_digest.is_empty() && self.config_digest != digest.to_string()
+        let own = self.config_digest.as_ref();
+        own.is_some_and(|own| *own != digest.to_string())
     }
 }
 
@@ -99,6 +100,21 @@
         Ok(())
     }
 
+    /// Metrics of every node as text, in the order given.
+    pub(crate) async fn metrics(&self) -> Vec<Answer<String>> {
+        stream::iter(&self.nodes)
+            .map(async |node| (node.clone(), self.text(node, "/metrics").await))
+            .buffered(NODES_AT_ONCE)
+            .collect()
+            .await
+    }
+
+    async fn text(&self, node: &str, path: &str) -> std::result::Result<String, String> {
+        let res = self.get(node, path).await.map_err(|e| cause(&e))?;
+        let res = res.error_for_status().map_err(|e| cause(&e))?;
+        res.text().await.map_err(|e| cause(&e))
+    }
+
     /// Answer of every node to a `GET`, in the order given.
     pub(crate) async fn ask_all<T: DeserializeOwned>(&self, path: &str) -> Vec<Answer<T>> {
         stream::iter(&self.nodes)
--- a/fireflyd/src/admin.rs
+++ b/fireflyd/src/admin.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use fireflycroft::{RequestId, scan_request_id};
+use fireflycroft::{Bundle, RequestId, scan_request_id};
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json, Path};
@@ -69,8 +69,9 @@
     pub status: Arc<dyn Fn() -> Value + Send + Sync>,
     /// Tells what happened to a request, as JSON; must not block.
     pub explain: Arc<dyn Fn(RequestId) -> Value + Send + Sync>,
-    /// Gives the configuration in force with its parts, as JSON; must not block.
-    pub config: Arc<dyn Fn() -> Option<Value> + Send + Sync>,
+    /// Gives the configuration held, with all its parts; `None` before the
+    /// first; must not block.
+    pub config: Arc<dyn Fn() -> Option<Bundle> + Send + Sync>,
     /// Begins a planned stop; must not block, and may be called again.
     pub drain: Arc<dyn Fn() + Send + Sync>,
 }
@@ -135,7 +136,7 @@
 #[handler]
 fn config(Data(admin): Data<&Admin>) -> Response {
     match (admin.config)() {
-        Some(config) => Json(config).into_response(),
+        Some(bundle) => Json(bundle).into_response(),
         None => "no configuration yet\n"
             .with_status(StatusCode::NOT_FOUND)
             .into_response(),
--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -10,10 +10,9 @@
 use std::time::Duration;
 
 use fireflycroft::{
-    Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, HEAD_KIND, HEAD_NAME, Head,
-    Message, PART_KIND, Part, Progress, compile,
+    Bundle, Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, Digest, HEAD_KIND,
+    HEAD_NAME, Head, Message, PART_KIND, Part, Progress,
 };
-use serde_json::Value;
 use tokio::sync::watch;
 
 use crate::outbox::Outbox;
@@ -103,7 +102,7 @@
             Progress::Want(part) => out.push(from, Message::ConfigPull { have, part }),
             Progress::Whole(whole) => {
                 drop(carrier);
-                log::info!(event = "config_pulled", version = whole.version.0, peer:% = from; "");
+                log::info!(event = "config_pulled", version = whole.version().0, peer:% = from; "");
                 self.hand_out(&whole);
             }
             Progress::Ignored => {}
@@ -192,7 +191,7 @@
     }
 
     fn hand_out(&self, carried: &Carried) {
-        match compile(carried.version, carried.digest, &carried.doc) {
+        match carried.compile() {
             Ok(config) => {
                 self.tx.send_if_modified(|held| {
                     let older = held.as_ref().is_some_and(|h| h.version >= config.version);
@@ -205,7 +204,7 @@
             Err(faults) => {
                 let first = faults.first().map(|f| format!("{}: {}", f.field, f.text));
                 let first = first.unwrap_or_default();
-                log::error!(event = "config_faulty", version = carried.version.0, cause = first; "");
+                log::error!(event = "config_faulty", version = carried.version().0, cause = first; "");
             }
         }
     }
@@ -214,11 +213,16 @@
         self.carrier.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The configuration held, with its parts, as JSON for operators.
+    /// The version held with all its parts, for operators.
     #[must_use]
-    pub fn to_json(&self) -> Option<Value> {
-        let bundle = self.carrier().bundle()?;
-        serde_json::to_value(bundle).ok()
+    pub fn bundle(&self) -> Option<Bundle> {
+        self.carrier().bundle()
+    }
+
+    /// Digest of the configuration handed out last.
+    #[must_use]
+    pub fn digest(&self) -> Option<Digest> {
+        self.tx.borrow().as_ref().map(|config| config.digest)
     }
 
     /// Version held for peers.
