Decide who is in the fleet by gossip, probes and compared tables

Cause: entries must learn within seconds of agents that come, leave and die, without all-to-all heartbeats and without a call to the platform. Chosen: one ping a second in random round-robin order with changes riding on it; a second try directly and through two others; suspect, then dead after 2.5 s; a leaving process tells every member itself, entries first; digests of 64 parts and then hashes of records repair what gossip lost.

Before: no membership.

--- a/fireflycroft-wire/src/decode.rs
+++ b/fireflycroft-wire/src/decode.rs
@@ -8,7 +8,9 @@
 use crate::generated as pb;
 use crate::generated::body::Kind;
 use crate::generated::start;
-use crate::limits::{MAX_BODIES, MAX_CHUNK_TOKENS, MAX_PACKET_BYTES, MAX_RECORDS, MAX_SERVES};
+use crate::limits::{
+    MAX_BODIES, MAX_CHUNK_TOKENS, MAX_HASHES, MAX_PACKET_BYTES, MAX_PARTS, MAX_RECORDS, MAX_SERVES,
+};
 use fireflycroft::{
     Chunk, ConfigVersion, Demand, Envelope, Finish, Incarnation, Load, MemberRecord, Message, Peer,
     Work,
@@ -107,6 +109,10 @@
         Kind::Crashes(crashes) => read_crashes(&crashes),
         Kind::Ping(probe) => read_ping(probe),
         Kind::Pong(probe) => read_pong(probe),
+        Kind::PingVia(via) => read_ping_via(via),
+        Kind::ViewParts(parts) => read_view_parts(parts),
+        Kind::ViewHashes(hashes) => read_view_hashes(hashes),
+        Kind::ViewPage(page) => read_view_page(page),
         Kind::ConfigPull(pull) => Ok(read_config_pull(pull)),
         Kind::ConfigPart(part) => read_config_part(part),
     }
@@ -233,6 +239,34 @@
     })
 }
 
+fn read_ping_via(via: pb::PingVia) -> Result<Message, WireError> {
+    let target = via.target.ok_or(WireError::Missing("target"))?;
+    Ok(Message::PingVia {
+        nonce: via.nonce,
+        target: record(target)?,
+    })
+}
+
+fn read_view_parts(view: pb::ViewParts) -> Result<Message, WireError> {
+    check_count(view.parts.len(), MAX_PARTS, "view.parts")?;
+    Ok(Message::ViewParts { parts: view.parts })
+}
+
+fn read_view_hashes(view: pb::ViewHashes) -> Result<Message, WireError> {
+    check_count(view.hashes.len(), MAX_HASHES, "view.hashes")?;
+    Ok(Message::ViewHashes {
+        parts: view.parts,
+        hashes: view.hashes,
+        reply: view.reply,
+    })
+}
+
+fn read_view_page(page: pb::ViewPage) -> Result<Message, WireError> {
+    Ok(Message::ViewPage {
+        records: records(page.records)?,
+    })
+}
+
 const fn read_config_pull(pull: pb::ConfigPull) -> Message {
     Message::ConfigPull {
         have: ConfigVersion(pull.have),
--- a/fireflycroft-wire/src/encode.rs
+++ b/fireflycroft-wire/src/encode.rs
@@ -234,6 +234,25 @@
             records,
             view,
         } => Kind::Pong(probe(*nonce, records, *view)),
+        Message::PingVia { nonce, target } => Kind::PingVia(pb::PingVia {
+            nonce: *nonce,
+            target: Some(record(target)),
+        }),
+        Message::ViewParts { parts } => Kind::ViewParts(pb::ViewParts {
+            parts: parts.clone(),
+        }),
+        Message::ViewHashes {
+            parts,
+            hashes,
+            reply,
+        } => Kind::ViewHashes(pb::ViewHashes {
+            parts: *parts,
+            hashes: hashes.clone(),
+            reply: *reply,
+        }),
+        Message::ViewPage { records } => Kind::ViewPage(pb::ViewPage {
+            records: records.iter().map(record).collect(),
+        }),
         Message::ConfigPull { have, part } => Kind::ConfigPull(pb::ConfigPull {
             have: have.0,
             part: *part,
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -53,7 +53,7 @@
 pub struct Body {
     #[prost(
         oneof = "body::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub kind: ::core::option::Option<body::Kind>,
 }
@@ -95,6 +95,14 @@
         ConfigPull(super::ConfigPull),
         #[prost(message, tag = "17")]
         ConfigPart(super::ConfigPart),
+        #[prost(message, tag = "18")]
+        PingVia(super::PingVia),
+        #[prost(message, tag = "19")]
+        ViewParts(super::ViewParts),
+        #[prost(message, tag = "20")]
+        ViewHashes(super::ViewHashes),
+        #[prost(message, tag = "21")]
+        ViewPage(super::ViewPage),
     }
 }
 /// One reservation and the generation it may become.
@@ -344,6 +352,37 @@
     #[prost(fixed64, tag = "3")]
     pub view: u64,
 }
+/// Asks to ping a member and to pass its pong on.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PingVia {
+    #[prost(fixed64, tag = "1")]
+    pub nonce: u64,
+    #[prost(message, optional, tag = "2")]
+    pub target: ::core::option::Option<MemberRecord>,
+}
+/// Digests of the parts of all records held.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ViewParts {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
+}
+/// Hashes of the records held in parts that differ.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ViewHashes {
+    /// One bit for each part.
+    #[prost(fixed64, tag = "1")]
+    pub parts: u64,
+    #[prost(fixed64, repeated, tag = "2")]
+    pub hashes: ::prost::alloc::vec::Vec<u64>,
+    #[prost(bool, tag = "3")]
+    pub reply: bool,
+}
+/// Records that the other side lacks.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ViewPage {
+    #[prost(message, repeated, tag = "1")]
+    pub records: ::prost::alloc::vec::Vec<MemberRecord>,
+}
 /// Asks for a part of a later configuration.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigPull {
--- a/fireflycroft-wire/src/limits.rs
+++ b/fireflycroft-wire/src/limits.rs
@@ -15,7 +15,13 @@
 /// Tokens of one chunk.
 pub const MAX_CHUNK_TOKENS: usize = 64 * 1024;
 
-/// Member records of one ping or its answer.
+/// Parts of one table of members.
+pub const MAX_PARTS: usize = 256;
+
+/// Hashes of records in one message.
+pub const MAX_HASHES: usize = 4_096;
+
+/// Member records of one message.
 pub const MAX_RECORDS: usize = 256;
 
 /// Models or plain services of one member.
--- a/fireflycroft-wire/tests/faults.rs
+++ b/fireflycroft-wire/tests/faults.rs
@@ -5,8 +5,8 @@
     Peer, RequestId, Role,
 };
 use fireflycroft_wire::{
-    MAX_BODIES, MAX_CHUNK_TOKENS, MAX_NAME_BYTES, MAX_PACKET_BYTES, MAX_RECORDS, MAX_SERVES,
-    WireError, decode_all, encode_all,
+    MAX_BODIES, MAX_CHUNK_TOKENS, MAX_HASHES, MAX_NAME_BYTES, MAX_PACKET_BYTES, MAX_PARTS,
+    MAX_RECORDS, MAX_SERVES, WireError, decode_all, encode_all,
 };
 use prost::Message as _;
 
@@ -139,6 +139,20 @@
     }])
 }
 
+fn view_parts(count: usize) -> Vec<u8> {
+    packet(&[Message::ViewParts {
+        parts: vec![0; count],
+    }])
+}
+
+fn view_hashes(count: usize) -> Vec<u8> {
+    packet(&[Message::ViewHashes {
+        parts: 0,
+        hashes: vec![0; count],
+        reply: false,
+    }])
+}
+
 fn chunk(offset: u64, data: &[u8], lens: &[u32]) -> Chunk {
     Chunk {
         offset,
@@ -202,6 +216,9 @@
     long_name: encode_all(&peer(&"n".repeat(MAX_NAME_BYTES + 1)), ConfigVersion(0), None, &[])
         => WireError::TooLong("peer.name"), MessageTooLong;
     too_many_records: ping(0, MAX_RECORDS + 1) => WireError::TooLong("records"), MessageTooLong;
+    too_many_parts: view_parts(MAX_PARTS + 1) => WireError::TooLong("view.parts"), MessageTooLong;
+    too_many_hashes: view_hashes(MAX_HASHES + 1)
+        => WireError::TooLong("view.hashes"), MessageTooLong;
     too_many_served: ping(MAX_SERVES + 1, 1)
         => WireError::TooLong("record.serves"), MessageTooLong;
     too_many_bodies: packet(&vec![
@@ -230,5 +247,7 @@
     numbers_at_the_end: tokens(chunk(u64::MAX - 1, b"a", &[1]));
     chunk_at_the_bound: tokens(chunk(0, b"", &vec![0; MAX_CHUNK_TOKENS]));
     name_at_the_bound: encode_all(&peer(&"n".repeat(MAX_NAME_BYTES)), ConfigVersion(0), None, &[]);
+    hashes_at_the_bound: view_hashes(MAX_HASHES);
+    parts_at_the_bound: view_parts(MAX_PARTS);
     records_at_the_bound: ping(MAX_SERVES, MAX_RECORDS);
 }
--- a/fireflycroft-wire/tests/support/mod.rs
+++ b/fireflycroft-wire/tests/support/mod.rs
@@ -180,7 +180,20 @@
             data,
         }
     });
-    prop_oneof![crashes, asked, answered, pull, part]
+    let via = any::<u64>()
+        .prop_flat_map(|nonce| record().prop_map(move |target| Message::PingVia { nonce, target }));
+    let parts = vec(any::<u64>(), 0..66).prop_map(|parts| Message::ViewParts { parts });
+    let hashes = (any::<u64>(), vec(any::<u64>(), 0..9), any::<bool>()).prop_map(
+        |(parts, hashes, reply)| Message::ViewHashes {
+            parts,
+            hashes,
+            reply,
+        },
+    );
+    let page = vec(record(), 0..4).prop_map(|records| Message::ViewPage { records });
+    prop_oneof![
+        crashes, asked, answered, via, parts, hashes, page, pull, part
+    ]
 }
 
 fn record() -> impl Strategy<Value = MemberRecord> {
--- /dev/null
+++ b/fireflycroft/examples/membership.rs
@@ -0,0 +1,163 @@
+//! Measures membership in virtual time: bytes, detection and agreement.
+//!
+//! `cargo run --release -p fireflycroft --example membership -- [members] [seed]`
+
+#[path = "../tests/support/fleet.rs"]
+mod fleet;
+
+use fireflycroft::{MemberState, Role};
+use fleet::{Fleet, NodeIx};
+use std::time::Duration;
+
+const DEFAULT_MEMBERS: usize = 1_000;
+const DEFAULT_SEED: u64 = 7;
+const BOUND: Duration = Duration::from_mins(3);
+const STEADY_SECS: u64 = 30;
+const DEATHS: usize = 5;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let count = args.next().and_then(|a| a.parse().ok());
+    let seed = args.next().and_then(|a| a.parse().ok());
+    let (count, seed) = (
+        count.unwrap_or(DEFAULT_MEMBERS),
+        seed.unwrap_or(DEFAULT_SEED),
+    );
+    println!("members={count} seed={seed}");
+    let mut fleet = cold_start(count, seed);
+    steady(&mut fleet);
+    deaths(&mut fleet);
+    leaving(&mut fleet);
+    joining(&mut fleet, count);
+    cut(&mut fleet);
+    println!("longest_packet_bytes={}", fleet.longest);
+}
+
+fn cold_start(count: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::settled(seed, count, Duration::ZERO);
+    let took = fleet.run_until(BOUND, Fleet::is_agreed);
+    let rate = rate(&fleet, 0, took.unwrap_or(BOUND));
+    println!("cold_start_agreed={took:?} bytes_per_second_per_member={rate}");
+    fleet
+}
+
+fn steady(fleet: &mut Fleet) {
+    fleet.run(Duration::from_mins(3));
+    let before: Vec<u64> = fleet.nodes.iter().map(|node| node.bytes).collect();
+    fleet.run(Duration::from_secs(STEADY_SECS));
+    let pairs = fleet.nodes.iter().zip(&before);
+    let rates: Vec<u64> = pairs
+        .map(|(node, b)| (node.bytes - b) / STEADY_SECS)
+        .collect();
+    let mean = rates.iter().sum::<u64>() / rates.len() as u64;
+    let most = rates.iter().max().copied().unwrap_or(0);
+    println!("steady_bytes_per_second_per_member mean={mean} most={most}");
+}
+
+fn deaths(fleet: &mut Fleet) {
+    for n in 0..DEATHS {
+        let victim = NodeIx(10 + 7 * n);
+        let name = fleet.node(victim).peer.name.clone();
+        let (begun, bytes) = (fleet.now, fleet.bytes());
+        fleet.end(victim);
+        let all = fleet.run_until(BOUND, |f| {
+            f.all_hold(&name, |s| s == Some(MemberState::Dead))
+        });
+        let suspects = first_and_last(fleet, &name, MemberState::Suspect, begun);
+        let dead = first_and_last(fleet, &name, MemberState::Dead, begun);
+        let rate = rate(fleet, bytes, all.unwrap_or(BOUND));
+        println!(
+            "death suspect_first_last={suspects:?} dead_first_last={dead:?} all={all:?} bytes_per_second_per_member={rate}"
+        );
+        fleet.run(Duration::from_secs(20));
+    }
+}
+
+fn leaving(fleet: &mut Fleet) {
+    for (loss, at) in [(0, 60), (20, 61)] {
+        fleet.loss = loss;
+        let leaver = NodeIx(at);
+        let name = fleet.node(leaver).peer.name.clone();
+        let (before, all_before) = (fleet.node(leaver).bytes, fleet.bytes());
+        fleet.leave(leaver);
+        let entries = fleet.run_until(BOUND, |f| {
+            let entries = f.running().into_iter();
+            entries
+                .filter(|ix| f.node(*ix).peer.role == Role::Entry && *ix != leaver)
+                .all(|ix| f.state(ix, &name) == Some(MemberState::Leaving))
+        });
+        let rest = fleet.run_until(BOUND, |f| {
+            f.all_hold(&name, |s| s == Some(MemberState::Leaving))
+        });
+        let all = entries.zip(rest).map(|(a, b)| a + b);
+        let own = fleet.node(leaver).bytes - before;
+        let total = fleet.bytes() - all_before;
+        println!(
+            "leaving loss={loss}% entries={entries:?} all={all:?} leaver_bytes={own} all_bytes={total}"
+        );
+        fleet.run(Duration::from_secs(10));
+    }
+    fleet.loss = 0;
+    fleet.run(Duration::from_mins(1));
+}
+
+fn joining(fleet: &mut Fleet, count: usize) {
+    let name = "member-new";
+    let bytes = fleet.bytes();
+    let new = fleet.start(name, count);
+    let alive = |s| s == Some(MemberState::Alive);
+    let by_all = fleet.run_until(BOUND, |f| f.all_hold(name, alive));
+    let wanted = fleet.running().len();
+    let itself = fleet.run_until(BOUND, |f| {
+        let records = f.node(new).members.records();
+        records.filter(|r| r.state < MemberState::Dead).count() >= wanted
+    });
+    let rate = rate(fleet, bytes, by_all.unwrap_or(BOUND));
+    println!(
+        "join known_to_all={by_all:?} then_knows_all={itself:?} bytes_per_second_per_member={rate}"
+    );
+    fleet.run(Duration::from_secs(20));
+}
+
+fn cut(fleet: &mut Fleet) {
+    let bytes = fleet.bytes();
+    fleet.cut(0);
+    let cut_for = Duration::from_mins(1);
+    fleet.run(cut_for);
+    let rate_cut = rate(fleet, bytes, cut_for);
+    let dead = count_dead(fleet);
+    fleet.cuts.clear();
+    let bytes = fleet.bytes();
+    let healed = fleet.run_until(BOUND, Fleet::is_agreed);
+    let rate_healed = rate(fleet, bytes, healed.unwrap_or(BOUND));
+    println!(
+        "cut_60s dead_views={dead} bytes_per_second_per_member={rate_cut} healed={healed:?} bytes_per_second_per_member={rate_healed}"
+    );
+}
+
+fn count_dead(fleet: &Fleet) -> usize {
+    let running = fleet.running().into_iter();
+    let dead = |at| {
+        let records = fleet.node(at).members.records();
+        records.filter(|r| r.state == MemberState::Dead).count()
+    };
+    running.map(dead).sum()
+}
+
+fn first_and_last(
+    fleet: &Fleet,
+    name: &fireflycroft::Name,
+    state: MemberState,
+    begun: fireflycroft::Time,
+) -> Option<(Duration, Duration)> {
+    let key = (name.clone(), state);
+    let times = fleet.nodes.iter().filter_map(|node| node.seen.get(&key));
+    let spans: Vec<Duration> = times.map(|at| at.since(begun)).collect();
+    spans.iter().min().copied().zip(spans.iter().max().copied())
+}
+
+/// Bytes a second and member since the count was `before`.
+fn rate(fleet: &Fleet, before: u64, span: Duration) -> u64 {
+    let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX).max(1);
+    (fleet.bytes() - before) * 1_000 / millis / fleet.nodes.len() as u64
+}
--- /dev/null
+++ b/fireflycroft/src/gossip.rs
@@ -0,0 +1,156 @@
+//! What changed of late, and how often it was told.
+//!
+//! A change rides on the messages that are sent anyhow, least told first, until
+//! it was told about three times the logarithm of the fleet's size, or once the
+//! logarithm when many changes wait. The bytes of a second are bounded. What
+//! finds no room in the queue is left to the comparison of whole tables.
+
+use crate::allowance::Allowance;
+use crate::ids::Name;
+use crate::member::{MemberRecord, MemberState};
+use crate::roster::{MemberIx, Roster};
+use crate::time::Time;
+
+/// Bytes of records in one message, estimated.
+pub(crate) const MAX_RECORD_BYTES: usize = 1_200;
+
+/// Changes that wait to be told; the most told go first.
+const MAX_PENDING: usize = 256;
+
+/// Changes from which on each is told less often.
+const MANY_PENDING: usize = 32;
+
+/// Times that a change is told, for each doubling of the fleet.
+const TELL_FACTOR: u32 = 3;
+const TELL_FACTOR_OF_MANY: u32 = 1;
+
+/// Bytes of changes told a second on average, and at once after a quiet time.
+const BYTES_PER_SECOND: u64 = 2 * 1_024;
+const BURST_BYTES: u64 = 4 * 1_024;
+
+/// Bytes of a record without its names; the most of an IPv6 address.
+const RECORD_BYTES: usize = 64;
+
+/// Bytes round each name served.
+const NAME_BYTES: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    ix: MemberIx,
+    told: u32,
+}
+
+/// Changes that wait to be told.
+#[derive(Clone, Debug)]
+pub(crate) struct Gossip {
+    pending: Vec<Pending>,
+    bytes: Allowance,
+}
+
+impl Default for Gossip {
+    fn default() -> Self {
+        Self {
+            pending: Vec::new(),
+            bytes: Allowance::new(BYTES_PER_SECOND, BURST_BYTES),
+        }
+    }
+}
+
+/// Records for one message, within its bound.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Payload {
+    records: Vec<MemberRecord>,
+    bytes: usize,
+}
+
+impl Payload {
+    /// Adds a record unless it is there already or has no room.
+    pub(crate) fn add(&mut self, record: &MemberRecord) -> bool {
+        let bytes = record_bytes(record);
+        let fits = self.records.is_empty() || self.bytes + bytes <= MAX_RECORD_BYTES;
+        if !fits || self.names(&record.peer.name) {
+            return false;
+        }
+        self.bytes += bytes;
+        self.records.push(record.clone());
+        true
+    }
+
+    /// Bytes of the records, estimated.
+    pub(crate) const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    pub(crate) fn into_records(self) -> Vec<MemberRecord> {
+        self.records
+    }
+
+    fn names(&self, name: &Name) -> bool {
+        self.records.iter().any(|held| held.peer.name == *name)
+    }
+}
+
+impl Gossip {
+    /// Whether nothing waits to be told.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Takes a change, to be told anew.
+    pub(crate) fn push(&mut self, ix: MemberIx) {
+        self.forget(ix);
+        if self.pending.len() >= MAX_PENDING {
+            self.drop_most_told();
+        }
+        self.pending.push(Pending { ix, told: 0 });
+    }
+
+    /// Drops the changes of a member.
+    pub(crate) fn forget(&mut self, ix: MemberIx) {
+        self.pending.retain(|p| p.ix != ix);
+    }
+
+    /// Fills `payload` with changes, least told first, those who leave before.
+    pub(crate) fn fill(&mut self, now: Time, roster: &Roster, payload: &mut Payload) {
+        if !self.bytes.is_open(now) {
+            return;
+        }
+        let before = payload.bytes();
+        self.pending.sort_by_key(|p| {
+            let leaving = roster.get(p.ix).record.state == MemberState::Leaving;
+            (!leaving, p.told)
+        });
+        for pending in &mut self.pending {
+            if payload.add(&roster.get(pending.ix).record) {
+                pending.told += 1;
+            }
+        }
+        self.bytes.spend((payload.bytes() - before) as u64);
+        let bound = self.times_told(roster);
+        self.pending.retain(|p| p.told < bound);
+    }
+
+    /// Times that each change is told.
+    fn times_told(&self, roster: &Roster) -> u32 {
+        let factor = if self.pending.len() < MANY_PENDING {
+            TELL_FACTOR
+        } else {
+            TELL_FACTOR_OF_MANY
+        };
+        factor * (roster.len() + 1).ilog2().max(1)
+    }
+
+    fn drop_most_told(&mut self) {
+        let most = (0..self.pending.len()).max_by_key(|at| self.pending[*at].told);
+        if let Some(at) = most {
+            self.pending.swap_remove(at);
+        }
+    }
+}
+
+/// Bytes of a record in a message, estimated from above.
+pub(crate) fn record_bytes(record: &MemberRecord) -> usize {
+    let names = record.peer.name.len() + record.data_centre.len();
+    let serves = record.serves.iter().map(|name| name.len() + NAME_BYTES);
+    RECORD_BYTES + names + serves.sum::<usize>()
+}
--- a/fireflycroft/src/ids.rs
+++ b/fireflycroft/src/ids.rs
@@ -58,6 +58,21 @@
     pub role: Role,
 }
 
+/// Bits of an incarnation that are drawn at random.
+const INCARNATION_RANDOM_BITS: u32 = 20;
+
+impl Incarnation {
+    /// Life that began `unix_millis` after the epoch by the wall clock.
+    ///
+    /// Later lives compare greater; random bits tell apart two lives of the
+    /// same millisecond.
+    #[must_use]
+    pub const fn begun(unix_millis: u64, random: u64) -> Self {
+        let mask = (1 << INCARNATION_RANDOM_BITS) - 1;
+        Self((unix_millis << INCARNATION_RANDOM_BITS) | (random & mask))
+    }
+}
+
 impl fmt::Display for RequestId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/fireflycroft/src/message.rs
+++ b/fireflycroft/src/message.rs
@@ -230,6 +230,32 @@
         /// Digest of all records held.
         view: u64,
     },
+    /// Any: ping that member for me and pass its pong on under my number.
+    PingVia {
+        /// Number to be given back.
+        nonce: u64,
+        /// The member, as the sender knows it.
+        target: MemberRecord,
+    },
+    /// Any: digests of the parts of all records held.
+    ViewParts {
+        /// Digest of each part.
+        parts: Vec<u64>,
+    },
+    /// Any: hashes of the records held in parts that differ.
+    ViewHashes {
+        /// One bit for each part.
+        parts: u64,
+        /// Hash of each record.
+        hashes: Vec<u64>,
+        /// Whether it answers another of its kind.
+        reply: bool,
+    },
+    /// Any: records that the other side lacks.
+    ViewPage {
+        /// The records.
+        records: Vec<MemberRecord>,
+    },
     /// Any: give me your configuration if it is later than this.
     ConfigPull {
         /// What the sender holds.
--- /dev/null
+++ b/fireflycroft/src/roster.rs
@@ -0,0 +1,270 @@
+//! The table of members: records by index and by name, with their digests.
+//!
+//! Records fall into parts by a hash of the name. The digest of a part is the
+//! sum of its records' hashes, so that it does not depend on their order and
+//! is kept up to date record by record. Dead members count for nothing in it:
+//! each process forgets them in its own time.
+
+use crate::ids::{Digest, Name};
+use crate::member::{MAX_MEMBERS, MemberRecord, MemberState};
+use crate::time::Time;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Parts of the table that are compared one by one.
+pub(crate) const PARTS: usize = 64;
+
+/// Names shared among records; the unused go when there are more.
+const MAX_NAMES: usize = 1_024;
+
+/// Bits below the name in a hash.
+const NAME_SHIFT: u32 = 32;
+
+/// Index of a member in the roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct MemberIx(u32);
+
+/// Index of this process in its own roster.
+pub(crate) const OWN: MemberIx = MemberIx(0);
+
+/// A member as this process sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Slot {
+    pub(crate) record: MemberRecord,
+    /// When this life of the member was learned of.
+    pub(crate) learned: Time,
+    /// When it came into its present state and turn.
+    pub(crate) since: Time,
+    /// When a message of its own came last.
+    pub(crate) heard: Option<Time>,
+    name_hash: u32,
+    state_hash: u32,
+}
+
+/// All members that are known.
+#[derive(Clone, Debug)]
+pub(crate) struct Roster {
+    /// Slots in use and, where an index is vacant, what was there last.
+    slots: Vec<Slot>,
+    vacant: Vec<MemberIx>,
+    /// Indices in use, in order of name.
+    by_name: Vec<MemberIx>,
+    parts: [u64; PARTS],
+    names: HashSet<Name>,
+}
+
+impl MemberIx {
+    const fn at(self) -> usize {
+        self.0 as usize
+    }
+}
+
+impl Slot {
+    fn new(now: Time, record: MemberRecord) -> Self {
+        Self {
+            name_hash: hash_of_name(&record.peer.name),
+            state_hash: hash_of_state(&record),
+            record,
+            learned: now,
+            since: now,
+            heard: None,
+        }
+    }
+
+    /// Part of the table that it falls into.
+    pub(crate) const fn part(&self) -> usize {
+        self.name_hash as usize % PARTS
+    }
+
+    /// Hash of its name, then of its life, turn and state.
+    pub(crate) const fn hash(&self) -> u64 {
+        ((self.name_hash as u64) << NAME_SHIFT) | self.state_hash as u64
+    }
+
+    /// Whether it is not dead.
+    pub(crate) fn is_present(&self) -> bool {
+        self.record.state != MemberState::Dead
+    }
+
+    /// Whether a message of its own came less than `span` ago.
+    pub(crate) fn heard_within(&self, now: Time, span: Duration) -> bool {
+        self.heard.is_some_and(|at| now.since(at) < span)
+    }
+}
+
+impl Roster {
+    /// A roster that holds this process alone.
+    pub(crate) fn new(own: MemberRecord) -> Self {
+        let mut roster = Self {
+            slots: Vec::new(),
+            vacant: Vec::new(),
+            by_name: Vec::new(),
+            parts: [0; PARTS],
+            names: HashSet::new(),
+        };
+        roster.insert(Time::default(), own);
+        roster
+    }
+
+    /// Members held, this process and the dead among them.
+    pub(crate) const fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    pub(crate) fn get(&self, ix: MemberIx) -> &Slot {
+        &self.slots[ix.at()]
+    }
+
+    pub(crate) fn get_mut(&mut self, ix: MemberIx) -> &mut Slot {
+        &mut self.slots[ix.at()]
+    }
+
+    pub(crate) fn own(&self) -> &MemberRecord {
+        &self.get(OWN).record
+    }
+
+    /// All members, in order of name.
+    pub(crate) fn indices(&self) -> impl Iterator<Item = MemberIx> {
+        self.by_name.iter().copied()
+    }
+
+    pub(crate) fn slots(&self) -> impl Iterator<Item = &Slot> {
+        self.by_name.iter().map(|ix| self.get(*ix))
+    }
+
+    /// Member of that name.
+    pub(crate) fn find(&self, name: &str) -> Option<MemberIx> {
+        let at = self.place_of(name).ok()?;
+        Some(self.by_name[at])
+    }
+
+    /// Member at `addr` that is not dead, other than `except`.
+    pub(crate) fn holder_of(&self, addr: SocketAddr, except: Option<MemberIx>) -> Option<MemberIx> {
+        self.indices()
+            .filter(|ix| Some(*ix) != except)
+            .find(|ix| self.get(*ix).is_present() && self.get(*ix).record.peer.addr == addr)
+    }
+
+    /// Adds a member of a name that is not held; `None` when the table is full.
+    pub(crate) fn insert(&mut self, now: Time, record: MemberRecord) -> Option<MemberIx> {
+        let at = self.place_of(&record.peer.name).err()?;
+        if self.len() >= MAX_MEMBERS {
+            return None;
+        }
+        let slot = Slot::new(now, self.share_names(record));
+        let ix = self.occupy(slot);
+        self.add_hash(ix);
+        self.by_name.insert(at, ix);
+        Some(ix)
+    }
+
+    /// Puts a later record of the same member in place.
+    pub(crate) fn replace(&mut self, now: Time, ix: MemberIx, record: MemberRecord) {
+        let record = self.share_names(record);
+        self.take_hash(ix);
+        let slot = self.get_mut(ix);
+        let before = &slot.record;
+        if before.peer.incarnation == record.peer.incarnation {
+            if (before.turn, before.state) != (record.turn, record.state) {
+                slot.since = now;
+            }
+            slot.state_hash = hash_of_state(&record);
+            slot.record = record;
+        } else {
+            *slot = Slot::new(now, record);
+        }
+        self.add_hash(ix);
+    }
+
+    /// Forgets a member.
+    pub(crate) fn remove(&mut self, ix: MemberIx) {
+        self.take_hash(ix);
+        self.by_name.retain(|held| *held != ix);
+        self.vacant.push(ix);
+    }
+
+    /// Digest of all records.
+    pub(crate) fn view(&self) -> u64 {
+        self.parts.iter().copied().fold(0, u64::wrapping_add)
+    }
+
+    /// Digests of the parts.
+    pub(crate) const fn parts(&self) -> &[u64; PARTS] {
+        &self.parts
+    }
+
+    fn occupy(&mut self, slot: Slot) -> MemberIx {
+        if let Some(ix) = self.vacant.pop() {
+            *self.get_mut(ix) = slot;
+            return ix;
+        }
+        let ix = MemberIx(u32::try_from(self.slots.len()).unwrap_or(u32::MAX));
+        self.slots.push(slot);
+        ix
+    }
+
+    fn place_of(&self, name: &str) -> Result<usize, usize> {
+        self.by_name.binary_search_by(|ix| {
+            let held: &str = &self.get(*ix).record.peer.name;
+            held.cmp(name)
+        })
+    }
+
+    /// Adds a record to the digest of its part, unless it is dead.
+    fn add_hash(&mut self, ix: MemberIx) {
+        let (part, hash) = self.counted_hash(ix);
+        self.parts[part] = self.parts[part].wrapping_add(hash);
+    }
+
+    fn take_hash(&mut self, ix: MemberIx) {
+        let (part, hash) = self.counted_hash(ix);
+        self.parts[part] = self.parts[part].wrapping_sub(hash);
+    }
+
+    fn counted_hash(&self, ix: MemberIx) -> (usize, u64) {
+        let slot = self.get(ix);
+        let hash = if slot.is_present() { slot.hash() } else { 0 };
+        (slot.part(), hash)
+    }
+
+    /// The record with names that other records hold as well.
+    fn share_names(&mut self, mut record: MemberRecord) -> MemberRecord {
+        if self.names.len() >= MAX_NAMES {
+            self.names
+                .retain(|name| std::sync::Arc::strong_count(name) > 1);
+        }
+        record.data_centre = self.share(record.data_centre);
+        record.serves = record.serves.into_iter().map(|n| self.share(n)).collect();
+        record
+    }
+
+    fn share(&mut self, name: Name) -> Name {
+        if let Some(held) = self.names.get(&name) {
+            return held.clone();
+        }
+        self.names.insert(name.clone());
+        name
+    }
+}
+
+/// Whether a hash is one of the slot's member, in whatever state.
+pub(crate) const fn is_of_name(hash: u64, slot: &Slot) -> bool {
+    hash >> NAME_SHIFT == slot.name_hash as u64
+}
+
+fn hash_of_name(name: &Name) -> u32 {
+    low_bits(Digest::of(&[name.as_bytes()]))
+}
+
+fn hash_of_state(record: &MemberRecord) -> u32 {
+    low_bits(Digest::of(&[
+        &record.peer.incarnation.0.to_le_bytes(),
+        &record.turn.to_le_bytes(),
+        &[record.state as u8],
+    ]))
+}
+
+fn low_bits(digest: Digest) -> u32 {
+    u32::try_from(digest.0 & u128::from(u32::MAX)).unwrap_or(u32::MAX)
+}
