Take membership by bounded gossip in place of a mesh of pings

Cause: the first membership pinged everybody twice a second, which at 1,000 members is far beyond 6 KB a second. The members' core now decides; three members by rank watch the configuration and read the VM list, the others hear; a new version is told to three others at once, each of which pulls and tells three more. Ruled out: a watch for each node, and waiting for the next ping, which takes seconds. Before: all-to-all. After: all tests of the daemon pass on it, those on separate processes among them; bytes a second at size are measured in the core's example, not yet on processes.

--- a/fireflyd/src/agent.rs
+++ b/fireflyd/src/agent.rs
@@ -5,7 +5,7 @@
 
 use fireflycroft::{
     Agent, AgentAction, AgentEvent, AgentSetup, Config, ConfigVersion, Envelope, GenerationId,
-    InForce, Message,
+    InForce, Message, Vm,
 };
 use fireflycroft_wire::decode_all;
 use serde_json::{Value, json};
@@ -14,6 +14,7 @@
 
 use crate::admin::Readiness;
 use crate::config_feed::ConfigFeed;
+use crate::fleet::{Fleet, News};
 use crate::node::{Node, TICK};
 use crate::runner::Runner;
 use crate::status::Status;
@@ -28,6 +29,8 @@
     Core(AgentEvent),
     /// A configuration was read.
     Config(Arc<Config>),
+    /// The VM list was read.
+    Vms(Vec<Vm>),
     /// The agent is to stop.
     Leave,
 }
@@ -111,6 +114,12 @@
                 return;
             }
         };
+        let now = self.node.now();
+        let news = self
+            .node
+            .fleet
+            .on_heard(now, &header.from, &mut self.node.outbox);
+        self.learn(&news);
         for message in messages {
             self.on_message(Envelope {
                 from: header.from.clone(),
@@ -124,13 +133,13 @@
     fn on_message(&mut self, envelope: Envelope) {
         let now = self.node.now();
         match &envelope.body {
-            Message::Ping { .. } | Message::Pong { .. } => {
-                self.node.fleet.on_message(
-                    now,
-                    &envelope.from,
-                    &envelope.body,
-                    &mut self.node.outbox,
-                );
+            message if Fleet::is_own(message) => {
+                let message = message.clone();
+                let news =
+                    self.node
+                        .fleet
+                        .on_message(now, &envelope.from, message, &mut self.node.outbox);
+                self.learn(&news);
                 self.drive(AgentEvent::Message(Box::new(envelope)));
             }
             Message::ConfigPull { .. } | Message::ConfigPart { .. } => {
@@ -156,12 +165,24 @@
                 self.drive(event);
             }
             AgentInput::Config(config) => {
+                let before = self.config.version();
                 self.config.adopt(config);
-                self.drive(AgentEvent::Config(self.config.version()));
+                let have = self.config.version();
+                self.drive(AgentEvent::Config(have));
+                if have > before {
+                    let message = Message::ConfigPull { have, part: 0 };
+                    self.node.fleet.tell_some(&message, &mut self.node.outbox);
+                }
+            }
+            AgentInput::Vms(vms) => {
+                let now = self.node.now();
+                let news = self.node.fleet.on_vms(now, vms, &mut self.node.outbox);
+                self.learn(&news);
             }
             AgentInput::Leave => {
                 self.node.grace.begin();
-                self.node.fleet.leave();
+                let now = self.node.now();
+                self.node.fleet.leave(now, &mut self.node.outbox);
                 self.drive(AgentEvent::Leave);
             }
         }
@@ -169,12 +190,23 @@
 
     fn on_tick(&mut self) {
         let now = self.node.now();
-        self.node.fleet.on_tick(now, &mut self.node.outbox);
+        let news = self.node.fleet.on_tick(now, &mut self.node.outbox);
+        self.learn(&news);
+        self.feed.set_watching(self.node.fleet.is_watcher());
         self.drive(AgentEvent::Tick);
-        self.node.fleet.set_serves(self.core.serves());
+        self.node
+            .fleet
+            .set_serves(now, self.core.serves(), &mut self.node.outbox);
         self.tell_state();
     }
 
+    /// An agent minds only whether it is to leave itself.
+    fn learn(&mut self, news: &News) {
+        if news.leave {
+            self.on_input(AgentInput::Leave);
+        }
+    }
+
     fn drive(&mut self, event: AgentEvent) {
         let mut out = Vec::new();
         let now = self.node.now();
@@ -258,6 +290,7 @@
         self.node.metrics.quarantined_digests.set(quarantined);
         let version = i64::try_from(self.config.version().0).unwrap_or(i64::MAX);
         self.node.metrics.config_version.set(version);
+        self.node.count_members();
         self.status.set(self.status_json());
     }
 
--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -55,6 +55,12 @@
         self.watching.store(watching, Ordering::Relaxed);
     }
 
+    /// Whether this member watches the platform.
+    #[must_use]
+    pub fn is_watching(&self) -> bool {
+        self.watching.load(Ordering::Relaxed)
+    }
+
     /// Asks a peer for a later version than is held.
     pub fn pull(&self, from: SocketAddr, out: &mut Outbox) {
         let carrier = self.carrier();
--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use fireflycroft::{
-    CallId, Config, Entry, EntryAction, EntryEvent, EntrySetup, Envelope, LeaseAnswer, LeaseCall,
-    LeaseSpans, MemberRecord, Message, PlaceLimits, Reply, Time,
+    CallId, Config, ConfigVersion, Entry, EntryAction, EntryEvent, EntrySetup, Envelope,
+    LeaseAnswer, LeaseCall, LeaseSpans, Message, PlaceLimits, Reply, Time, Vm,
 };
 use fireflycroft_wire::decode_all;
 use serde_json::{Value, json};
@@ -14,6 +14,7 @@
 use crate::admin::Readiness;
 use crate::claims;
 use crate::config_feed::ConfigFeed;
+use crate::fleet::{Fleet, News};
 use crate::front::FrontEvent;
 use crate::leader::Leader;
 use crate::leases;
@@ -33,6 +34,8 @@
     Core(EntryEvent),
     /// A configuration was read.
     Config(Arc<Config>),
+    /// The VM list was read.
+    Vms(Vec<Vm>),
     /// The platform's answer about the fleet's lease.
     Lease(LeaseCall, LeaseAnswer),
     /// The entry is to stop.
@@ -124,6 +127,12 @@
                 return;
             }
         };
+        let now = self.node.now();
+        let news = self
+            .node
+            .fleet
+            .on_heard(now, &header.from, &mut self.node.outbox);
+        self.learn(news);
         for message in messages {
             self.on_message(Envelope {
                 from: header.from.clone(),
@@ -137,14 +146,13 @@
     fn on_message(&mut self, envelope: Envelope) {
         let now = self.node.now();
         match &envelope.body {
-            Message::Ping { .. } | Message::Pong { .. } => {
-                let changed = self.node.fleet.on_message(
-                    now,
-                    &envelope.from,
-                    &envelope.body,
-                    &mut self.node.outbox,
-                );
-                self.learn(changed);
+            message if Fleet::is_own(message) => {
+                let message = message.clone();
+                let news =
+                    self.node
+                        .fleet
+                        .on_message(now, &envelope.from, message, &mut self.node.outbox);
+                self.learn(news);
                 // The load and the version ride on these too.
                 self.drive(EntryEvent::Message(Box::new(envelope)));
             }
@@ -176,14 +184,24 @@
     fn on_input(&mut self, input: EntryInput) {
         match input {
             EntryInput::Core(event) => self.drive(event),
-            EntryInput::Config(config) => self.drive(EntryEvent::Config(config)),
+            EntryInput::Config(config) => {
+                let before = self.core.config_version();
+                self.drive(EntryEvent::Config(config));
+                self.spread_config(before);
+            }
+            EntryInput::Vms(vms) => {
+                let now = self.node.now();
+                let news = self.node.fleet.on_vms(now, vms, &mut self.node.outbox);
+                self.learn(news);
+            }
             EntryInput::Lease(call, answer) => {
                 let now = self.node.now();
                 self.leader.on_answer(now, call, answer);
             }
             EntryInput::Leave => {
                 self.node.grace.begin();
-                self.node.fleet.leave();
+                let now = self.node.now();
+                self.node.fleet.leave(now, &mut self.node.outbox);
                 self.drive(EntryEvent::Leave);
             }
         }
@@ -191,8 +209,9 @@
 
     fn on_tick(&mut self) {
         let now = self.node.now();
-        let changed = self.node.fleet.on_tick(now, &mut self.node.outbox);
-        self.learn(changed);
+        let news = self.node.fleet.on_tick(now, &mut self.node.outbox);
+        self.learn(news);
+        self.feed.set_watching(self.node.fleet.is_watcher());
         let entries = self.node.fleet.entries();
         self.drive(EntryEvent::Entries(entries));
         self.drive(EntryEvent::Tick);
@@ -200,6 +219,16 @@
         self.tell_state();
     }
 
+    /// Tells a few members of a version that has just come into force; the
+    /// message carries it, and whoever is behind pulls.
+    fn spread_config(&mut self, before: ConfigVersion) {
+        let have = self.core.config_version();
+        if have > before {
+            let message = Message::ConfigPull { have, part: 0 };
+            self.node.fleet.tell_some(&message, &mut self.node.outbox);
+        }
+    }
+
     /// Does the fleet's work when this entry holds the lease.
     fn lead(&mut self, now: Time) {
         let candidate = !self.core.is_leaving() && self.node.fleet.rank() < LEASE_CANDIDATES;
@@ -221,8 +250,11 @@
         }
     }
 
-    fn learn(&mut self, changed: Vec<MemberRecord>) {
-        for record in changed {
+    fn learn(&mut self, news: News) {
+        if news.leave {
+            self.on_input(EntryInput::Leave);
+        }
+        for record in news.changed {
             log::info!(event = "member_changed", name = &*record.peer.name, state:? = record.state; "");
             self.drive(EntryEvent::Member(record));
         }
@@ -303,6 +335,7 @@
         self.node.metrics.streams_running.set(calls);
         let quarantined = i64::try_from(self.core.quarantined()).unwrap_or(i64::MAX);
         self.node.metrics.quarantined_digests.set(quarantined);
+        self.node.count_members();
         self.status.set(self.status_json());
     }
 
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -8,7 +8,7 @@
 use anyhow::Context;
 use fireflycroft::{
     AdmitPolicy, AgentEvent, AgentLimits, AgentSetup, Capacity, Config, EntryLimits, EntrySetup,
-    LeaseAnswer, LeaseOp, Name, Role, RoutePolicy,
+    LeaseAnswer, LeaseOp, Name, Role, RoutePolicy, Vm,
 };
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -27,7 +27,7 @@
 use crate::mailbox::{Limits, Mailbox};
 use crate::metrics::Metrics;
 use crate::node::{Identity, Node};
-use crate::platform::PlatformClient;
+use crate::platform::{self, PlatformClient, VmState};
 use crate::port_file::write_port_file;
 use crate::runner::Runner;
 use crate::settings::{AgentSettings, EntrySettings, RoleSettings, Settings, UpstreamKind};
@@ -45,6 +45,8 @@
 const DEFAULT_BATCH: u64 = 64;
 /// Most requests that wait at one agent.
 const MAX_QUEUE: usize = 256;
+/// Time between two looks at the VM list.
+const VMS_EVERY: Duration = Duration::from_secs(1);
 /// Wait before the platform is asked again for the fencing number.
 const FENCE_RETRY: Duration = Duration::from_secs(1);
 /// Longest wait for callers to read the last of their answers.
@@ -151,6 +153,12 @@
         move || drop(tx.try_send(EntryInput::Leave))
     }));
     tokio::spawn(forward(parts.configs, tx.clone(), EntryInput::Config));
+    tokio::spawn(follow_vms(
+        parts.platform.clone(),
+        parts.feed.clone(),
+        tx.clone(),
+        EntryInput::Vms,
+    ));
     let setup = EntrySetup {
         data_centre: settings.data_centre.clone(),
         policy: route_policy(&settings.policy),
@@ -193,6 +201,12 @@
         move || drop(tx.try_send(AgentInput::Leave))
     }));
     tokio::spawn(forward(parts.configs, tx.clone(), AgentInput::Config));
+    tokio::spawn(follow_vms(
+        parts.platform.clone(),
+        parts.feed.clone(),
+        tx.clone(),
+        AgentInput::Vms,
+    ));
     let runner = open_runner(settings, &agent)?;
     let capacity = find_capacity(&agent, &runner).await;
     tokio::spawn(runner.clone().watch_health(tx.clone()));
@@ -349,6 +363,35 @@
     }
 }
 
+/// Reads the VM list for ever, where this member is one of the few that look.
+async fn follow_vms<T>(
+    platform: PlatformClient,
+    feed: ConfigFeed,
+    tx: mpsc::Sender<T>,
+    wrap: impl Fn(Vec<Vm>) -> T,
+) {
+    loop {
+        tokio::time::sleep(VMS_EVERY).await;
+        if !feed.is_watching() {
+            continue;
+        }
+        let Ok(list) = platform.vms().await else {
+            continue;
+        };
+        let vms = list.iter().filter_map(read_vm).collect();
+        if tx.send(wrap(vms)).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn read_vm(vm: &platform::Vm) -> Option<Vm> {
+    Some(Vm {
+        addr: vm.address.parse().ok()?,
+        leaving: vm.state == VmState::Leaving,
+    })
+}
+
 /// Learns the fencing number in force, without which the agent takes no
 /// order.
 async fn learn_fence(platform: PlatformClient, tx: mpsc::Sender<AgentInput>) {
