--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -360,6 +360,14 @@
         }
     }
 
+    /// Reads that the platform has answered.
+    pub async fn platform_reads(&self) -> u64 {
+        let url = format!("{}/standin/calls", self.platform.url());
+        let res = self.http.get(url).send().await.unwrap();
+        let calls: Value = res.json().await.unwrap();
+        calls["reads"].as_u64().unwrap()
+    }
+
     /// Sets the platform's VM list.
     pub async fn set_vms(&self, vms: Value) {
         let list = json!({ "vms": vms });
