Let peers speak before a new process takes the platform's word

Cause: platform_restored_to_an_older_state now waits until every process has read the restored platform, and then failed: a restarted agent, and an entry that had heard only that agent, were ready with version 3 after 4. Neither runs work against a peer with another version, but the two together could. A process now holds the first configuration back for 500 ms while peers tell it a higher one, and is not ready while it is behind. Ruled out: readiness alone, which callers need not ask.

--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -360,6 +360,12 @@
         self.config.get()
     }
 
+    /// Whether a higher version is known to be in force elsewhere.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.config.is_behind()
+    }
+
     /// The table of agents.
     #[must_use]
     pub const fn router(&self) -> &Router {
--- a/fireflyd/src/agent.rs
+++ b/fireflyd/src/agent.rs
@@ -123,6 +123,7 @@
 
     fn on_message(&mut self, envelope: Envelope) {
         let now = self.node.now();
+        self.config.hear(envelope.config);
         match &envelope.body {
             Message::Ping { .. } | Message::Pong { .. } => {
                 self.node.fleet.on_message(
@@ -239,6 +240,8 @@
             Some("the upstream does not answer")
         } else if self.config.version() == ConfigVersion(0) {
             Some("no configuration")
+        } else if self.config.is_behind() {
+            Some("the configuration is behind")
         } else {
             None
         };
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -45,6 +45,8 @@
 const MAX_QUEUE: usize = 256;
 /// Longest wait for callers to read the last of their answers.
 const LAST_WRITES: Duration = Duration::from_mins(10);
+/// Time for peers to tell a new process the version in force.
+const SETTLE: Duration = Duration::from_millis(500);
 /// Time to let the last messages of a planned stop go out.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -333,11 +335,15 @@
 }
 
 /// Gives each new configuration to a loop; none is lost to a full queue.
+///
+/// The first is held back until peers had time to tell a higher one: what the
+/// platform gave may be stale, or of an older state that it was restored to.
 async fn forward<T>(
     mut configs: watch::Receiver<Option<Arc<Config>>>,
     tx: mpsc::Sender<T>,
     wrap: impl Fn(Arc<Config>) -> T,
 ) {
+    tokio::time::sleep(SETTLE).await;
     while configs.changed().await.is_ok() {
         let config = configs.borrow_and_update().clone();
         let Some(config) = config else {
--- a/fireflyd/tests/processes_config.rs
+++ b/fireflyd/tests/processes_config.rs
@@ -326,6 +326,16 @@
     version
 }
 
+/// Waits until every process has read the platform's head again.
+async fn await_look(fleet: &Fleet) {
+    let looks = 2 * u64::try_from(fleet.nodes().count()).unwrap();
+    let enough = fleet.platform_reads().await + looks;
+    until("all have looked", || async {
+        fleet.platform_reads().await >= enough
+    })
+    .await;
+}
+
 /// No process follows it back, nor one that starts then.
 async fn platform_restored() {
     let mut fleet = Fleet::start(Spec::default()).await;
@@ -333,6 +343,7 @@
     let version = restore(&fleet).await;
     fleet.entries[0].restart();
     fleet.agents[0].restart();
+    await_look(&fleet).await;
     within(
         IN_FORCE,
         "the higher version",
