--- a/fireflyd/src/agent.rs
+++ b/fireflyd/src/agent.rs
@@ -132,6 +132,7 @@
 
     fn on_message(&mut self, envelope: Envelope) {
         let now = self.node.now();
+        self.config.hear(envelope.config);
         match &envelope.body {
             message if Fleet::is_own(message) => {
                 let message = message.clone();
@@ -277,6 +278,8 @@
             Some("the upstream does not answer")
         } else if self.config.version() == ConfigVersion(0) {
             Some("no configuration")
+        } else if self.config.is_behind() {
+            Some("the configuration is behind")
         } else {
             None
         };
