Stop a generation whose upstream gives no word for ten minutes

Cause: every wait must have a bound, but a caller of an upstream that hangs waited for ever: the agent answers its entry's polls, so no silence is noticed, and the code for a passed deadline was never used. Ruled out: a bound at the entry, which cannot tell a stalled engine from a slow one; a short bound, which would cut long calls of plain services. Chosen: the agent stops what gave no word for max_stall, ten minutes unless set; an empty batch of tokens counts as a word. New cases also hold that a run that nobody reads ends after 30 s and that a dead entry's waits expire, and the engine that is killed after no token now surely is.

Before: the hung call had no end. Conclusion: the last wait is bounded.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -31,6 +31,8 @@
     pub keep_finished: Duration,
     /// How long a generation that nobody reads goes on.
     pub keep_unread: Duration,
+    /// Silence of the upstream after which a generation is stopped.
+    pub max_stall: Duration,
     /// Silence after which a reader is dropped.
     pub reader_silence: Duration,
     /// Bytes of answers kept in all.
@@ -48,6 +50,7 @@
             remember: Duration::from_mins(1),
             keep_finished: Duration::from_mins(1),
             keep_unread: Duration::from_secs(30),
+            max_stall: Duration::from_mins(10),
             reader_silence: Duration::from_secs(5),
             max_bytes: 64 * 1024 * 1024,
             max_offers: 8_192,
@@ -466,6 +469,7 @@
             taken: false,
             unread_since: None,
             resumed: 0,
+            heard: now,
             last_token: None,
         };
         self.generations.insert(generation);
@@ -529,6 +533,7 @@
             }
             Stage::Reserved(_) => {
                 g.stage = Stage::Running;
+                g.heard = now;
                 let demand = g.demand.clone();
                 if g.attach(now, request, from, 0).is_ok() {
                     out.extend(sends(g.messages(request, true)));
@@ -607,7 +612,7 @@
 
     fn stop(&mut self, now: Time, id: GenerationId, code: Code, out: &mut Vec<AgentAction>) {
         out.push(AgentAction::Stop(id));
-        self.end_with(now, id, code, "cancelled", out);
+        self.end_with(now, id, code, "stopped", out);
     }
 
     fn on_tokens(
@@ -620,6 +625,7 @@
         let Some(g) = self.find(id).filter(|g| g.is_running()) else {
             return;
         };
+        g.heard = now;
         let before = g.log.bytes();
         for token in tokens {
             g.log.push(token);
@@ -763,6 +769,7 @@
         self.refuse_expired(now, out);
         self.drop_silent_readers(now);
         self.stop_unread(now, out);
+        self.stop_stalled(now, out);
         self.forget_old(now);
         self.quarantine.expire(now);
         out.extend(self.news.due(now).into_iter().map(AgentAction::Broadcast));
@@ -819,6 +826,20 @@
         }
     }
 
+    fn stop_stalled(&mut self, now: Time, out: &mut Vec<AgentAction>) {
+        let most = self.limits.max_stall;
+        let stalled = |g: &&Generation| g.is_running() && now.since(g.heard) >= most;
+        let ids: Vec<GenerationId> = self
+            .generations
+            .values()
+            .filter(stalled)
+            .map(|g| g.id)
+            .collect();
+        for id in ids {
+            self.stop(now, id, Code::DeadlineExceeded, out);
+        }
+    }
+
     /// Forgets settled offers and ended answers whose time has come.
     fn forget_old(&mut self, now: Time) {
         let limits = self.limits;
--- a/fireflycroft/tests/bounds.rs
+++ b/fireflycroft/tests/bounds.rs
@@ -52,6 +52,46 @@
         assert_eq!(of(whole) + of(large), calls.len());
     }
 
+    /// The upstream gives nothing: its caller does not wait for ever.
+    upstream_that_hangs(world) {
+        for agent in 0..ENGINES {
+            world.set_mood(agent, Mood::Full);
+        }
+        let call = world.submit(0, Ask { content: 5, ..Ask::default() }).unwrap();
+        world.advance(59_000);
+        assert_eq!(world.outcome(call), None);
+        world.advance(2_000);
+        let late = Outcome::Failed(Code::DeadlineExceeded);
+        assert_eq!(world.outcome(call), Some(late));
+    }
+
+    /// Nobody reads it any more: the engine is not kept for it.
+    run_that_nobody_reads(world) {
+        let call = world.submit(0, Ask { content: GIANT, ..Ask::default() }).unwrap();
+        world.advance(100);
+        let agent = world.agent_of(call).unwrap();
+        world.leave_caller(call);
+        world.advance(29_000);
+        assert_eq!(world.running(agent), 1);
+        world.advance(2_000);
+        assert_eq!(world.running(agent), 0);
+    }
+
+    /// Nobody withdraws what a dead entry had offered.
+    waits_of_a_dead_entry(world) {
+        for agent in 0..ENGINES {
+            world.set_mood(agent, Mood::Full);
+        }
+        for _ in 0..20 {
+            world.submit(0, Ask { content: 5, ..Ask::default() });
+        }
+        world.advance(100);
+        assert!(world.most_queued() > 0);
+        world.kill(Proc::Entry(0));
+        world.advance(2_500);
+        assert_eq!(world.most_queued(), 0);
+    }
+
     /// More offers within a minute than an agent remembers.
     offers_at_the_agents_bound(world) {
         for agent in 0..ENGINES {
--- a/fireflycroft/tests/point1_tokens.rs
+++ b/fireflycroft/tests/point1_tokens.rs
@@ -163,12 +163,12 @@
     }
 
     engine_killed_after_no_token(world) {
-        set_moods(world, Mood::Die(0));
         let call = world.submit(0, long()).unwrap();
-        world.advance(8);
-        set_moods(world, Mood::Good);
+        world.advance(5);
+        world.set_mood(world.agent_of(call).unwrap(), Mood::Die(0));
         world.advance(10_000);
         assert_eq!(world.outcome(call), Some(Outcome::Whole));
+        assert_eq!(world.runs(call), 2);
     }
 
     engine_killed_after_one_token(world) {
--- a/fireflycroft/tests/support/world/services.rs
+++ b/fireflycroft/tests/support/world/services.rs
@@ -71,6 +71,12 @@
         held.max().unwrap_or(0)
     }
 
+    /// Most requests that wait at any agent.
+    pub(crate) fn most_queued(&self) -> u32 {
+        let queued = self.agents.iter().map(|a| a.core.load().queued);
+        queued.max().unwrap_or(0)
+    }
+
     /// Most offers that any agent remembers.
     pub(crate) fn most_offers(&self) -> usize {
         let offers = self.agents.iter().map(|a| a.core.offers());
