Hold a stale start against an agent's new life

Cause: with the checks of life and request left out of the agent's start, on a scratch copy, no case and no script failed: a start that was sent to the agent's former life must meet a reservation of the same number in the new one, which seldom happens by chance. Ruled out: leaving it to longer runs. Chosen: a case that sends it at that moment.

--- a/fireflycroft/tests/point2_own_answer.rs
+++ b/fireflycroft/tests/point2_own_answer.rs
@@ -63,6 +63,29 @@
         assert_eq!(world.outcome(other), Some(Outcome::Whole));
     }
 
+    /// A start for the former life's first reservation comes late, while the
+    /// new life holds its own first reservation.
+    stale_start_reaches_an_agents_new_life(world) {
+        let service = Ask { kind: Kind::Service, ..long(0) };
+        let first = world.submit(0, service).unwrap();
+        world.advance(100);
+        let point = world.point(first).unwrap();
+        world.kill(Proc::Agent(3));
+        world.advance(5_000);
+        let (agent, entry) = (Proc::Agent(3).addr(), Proc::Entry(1).addr());
+        world.net.cut(agent, entry);
+        world.submit(1, Ask { workspace: 1, ..service }).unwrap();
+        world.advance(2);
+        let stale = Message::Start {
+            request: point.request,
+            generation: point.generation,
+            work: service.submission().work,
+        };
+        world.send(Proc::Entry(0), agent, stale);
+        world.advance(1_000);
+        assert_eq!(world.running(3), 0);
+    }
+
     /// Messages to an agent's former life reach the new one.
     old_messages_reach_an_agents_new_life(world) {
         world.net.weather = Weather::Slow;
