--- a/fireflycroft/tests/point3_not_run.rs
+++ b/fireflycroft/tests/point3_not_run.rs
@@ -198,6 +198,18 @@
         assert_eq!(code(world, call), Code::NoUpstream);
     }
 
+    /// The entry's last word of the agent is that it has no work.
+    served_again_when_the_upstream_is_back(world) {
+        let ask = Ask { kind: Kind::Service, ..Ask::default() };
+        world.crash(3);
+        let refused = world.submit(0, ask).unwrap();
+        world.advance(3_000);
+        assert_eq!(code(world, refused), Code::NoUpstream);
+        let call = world.submit(0, ask).unwrap();
+        world.advance(2_000);
+        assert_eq!(world.outcome(call), Some(Outcome::Whole));
+    }
+
     /// Queued behind long jobs until the wait of the rules is over.
     refused_when_its_wait_is_over(world) {
         for agent in 0..ENGINES {
--- a/fireflycroft/tests/support/world.rs
+++ b/fireflycroft/tests/support/world.rs
@@ -6,7 +6,7 @@
 mod services;
 
 use super::fleet::{self, AGENTS, ENTRIES, Proc};
-use super::link::{MS, Net, Weather};
+use super::link::{MS, Net};
 use super::mutant::Mutant;
 use super::op::Op;
 use super::oracle::{Fault, Oracle};
@@ -367,9 +367,4 @@
             }
         }
     }
-
-    /// The weather from now on.
-    pub(crate) fn set_weather(&mut self, weather: Weather) {
-        self.net.weather = weather;
-    }
 }
