Bound membership's bytes in mass failures and part merging from events

Cause: a data centre cut off made each member of 1,000 send 7.4 KB/s, and member.rs held both events and the order of records. Now probes caused by others' words are 4 a second, a comparison begins only when views have differed for 4 s, the burst of comparisons is 64 KB, and records are sized by their true address; merging is in merge.rs.

--- a/fireflycroft/examples/membership.rs
+++ b/fireflycroft/examples/membership.rs
@@ -5,34 +5,100 @@
 #[path = "../tests/support/fleet.rs"]
 mod fleet;
 
-use fireflycroft::{MemberState, Role};
+use fireflycroft::{
+    ConfigVersion, Incarnation, MemberEvent, MemberRecord, MemberSetup, MemberState, Members,
+    Message, Name, Peer, Role, Time,
+};
+use fireflycroft_wire::{decode_all, encode_all};
 use fleet::{Fleet, NodeIx};
-use std::time::Duration;
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
 
 const DEFAULT_MEMBERS: usize = 1_000;
+/// As many as the steps below end or pick out by index.
+const MIN_MEMBERS: usize = 64;
 const DEFAULT_SEED: u64 = 7;
 const BOUND: Duration = Duration::from_mins(3);
 const STEADY_SECS: u64 = 30;
 const DEATHS: usize = 5;
+const TABLES: usize = 50;
+const PAGE_BYTES: usize = 4_096;
 
 fn main() {
     let mut args = std::env::args().skip(1);
     let count = args.next().and_then(|a| a.parse().ok());
     let seed = args.next().and_then(|a| a.parse().ok());
     let (count, seed) = (
-        count.unwrap_or(DEFAULT_MEMBERS),
+        count.unwrap_or(DEFAULT_MEMBERS).max(MIN_MEMBERS),
         seed.unwrap_or(DEFAULT_SEED),
     );
     println!("members={count} seed={seed}");
+    state(count);
     let mut fleet = cold_start(count, seed);
     steady(&mut fleet);
     deaths(&mut fleet);
-    leaving(&mut fleet);
     joining(&mut fleet, count);
+    leaving(&mut fleet);
+    lossy(&mut fleet);
     cut(&mut fleet);
     println!("longest_packet_bytes={}", fleet.longest);
 }
 
+/// Resident bytes of tables filled from decoded messages.
+fn state(count: usize) {
+    let before = resident_bytes();
+    let tables: Vec<Members> = (0..TABLES).map(|_| filled(count)).collect();
+    let held: usize = tables.iter().map(|table| table.records().count()).sum();
+    let bytes = (resident_bytes() - before) / held;
+    println!("resident_bytes_per_member_held={bytes} tables={TABLES}");
+}
+
+fn filled(count: usize) -> Members {
+    let mut members = Members::new(MemberSetup {
+        me: agent(0),
+        data_centre: "north".into(),
+        serves: Vec::new(),
+        seeds: Vec::new(),
+        seed: [1; 32],
+    });
+    let mut out = Vec::new();
+    for n in 1..count {
+        let record = MemberRecord {
+            peer: agent(n),
+            data_centre: "north".into(),
+            state: MemberState::Alive,
+            turn: 1,
+            serves: vec!["model-of-the-archive".into()],
+        };
+        let body = Message::ViewPage {
+            records: vec![record],
+        };
+        let packet = encode_all(&agent(0), ConfigVersion(0), None, &[body]);
+        let (_, bodies) = decode_all(&packet).expect("a sound packet");
+        for body in bodies {
+            let event = MemberEvent::Message(agent(1), body);
+            members.on_event(Time::default(), event, &mut out);
+        }
+        out.clear();
+    }
+    members
+}
+
+fn agent(n: usize) -> Peer {
+    Peer {
+        name: format!("member-{n}").into(),
+        addr: fleet::addr(n),
+        incarnation: Incarnation::begun(1_780_000_000_000, n as u64),
+        role: Role::Agent,
+    }
+}
+
+fn resident_bytes() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|n| n.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
 fn cold_start(count: usize, seed: u64) -> Fleet {
     let mut fleet = Fleet::settled(seed, count, Duration::ZERO);
     let took = fleet.run_until(BOUND, Fleet::is_agreed);
@@ -44,14 +110,18 @@
 fn steady(fleet: &mut Fleet) {
     fleet.run(Duration::from_mins(3));
     let before: Vec<u64> = fleet.nodes.iter().map(|node| node.bytes).collect();
+    let begun = Instant::now();
     fleet.run(Duration::from_secs(STEADY_SECS));
+    let micros = begun.elapsed().as_micros() / u128::from(STEADY_SECS);
     let pairs = fleet.nodes.iter().zip(&before);
     let rates: Vec<u64> = pairs
         .map(|(node, b)| (node.bytes - b) / STEADY_SECS)
         .collect();
     let mean = rates.iter().sum::<u64>() / rates.len() as u64;
     let most = rates.iter().max().copied().unwrap_or(0);
+    let micros = micros / fleet.nodes.len() as u128;
     println!("steady_bytes_per_second_per_member mean={mean} most={most}");
+    println!("steady_micros_per_second_per_member={micros} with encoding and this driver");
 }
 
 fn deaths(fleet: &mut Fleet) {
@@ -119,6 +189,26 @@
     fleet.run(Duration::from_secs(20));
 }
 
+/// Views of a running member that called it dead for a while.
+fn lossy(fleet: &mut Fleet) {
+    let (begun, bytes) = (fleet.now, fleet.bytes());
+    fleet.loss = 20;
+    let span = Duration::from_mins(1);
+    fleet.run(span);
+    fleet.loss = 0;
+    let running = fleet.running();
+    let peers = running.iter().map(|ix| fleet.node(*ix));
+    let names: HashSet<Name> = peers.map(|node| node.peer.name.clone()).collect();
+    let seen = running.iter().flat_map(|ix| &fleet.node(*ix).seen);
+    let falsely = seen.filter(|((name, state), at)| {
+        *state == MemberState::Dead && **at >= begun && names.contains(name)
+    });
+    let count = falsely.count();
+    let rate = rate(fleet, bytes, span);
+    println!("loss=20% for 60s: false_death_views={count} bytes_per_second_per_member={rate}");
+    fleet.run(Duration::from_mins(2));
+}
+
 fn cut(fleet: &mut Fleet) {
     let bytes = fleet.bytes();
     fleet.cut(0);
--- a/fireflycroft/src/gossip.rs
+++ b/fireflycroft/src/gossip.rs
@@ -28,8 +28,10 @@
 const BYTES_PER_SECOND: u64 = 2 * 1_024;
 const BURST_BYTES: u64 = 4 * 1_024;
 
-/// Bytes of a record without its names; the most of an IPv6 address.
-const RECORD_BYTES: usize = 64;
+/// Bytes of a record without its address and names.
+const RECORD_BYTES: usize = 36;
+const V4_BYTES: usize = 6;
+const V6_BYTES: usize = 18;
 
 /// Bytes round each name served.
 const NAME_BYTES: usize = 3;
@@ -151,6 +153,11 @@
 /// Bytes of a record in a message, estimated from above.
 pub(crate) fn record_bytes(record: &MemberRecord) -> usize {
     let names = record.peer.name.len() + record.data_centre.len();
+    let addr = if record.peer.addr.is_ipv4() {
+        V4_BYTES
+    } else {
+        V6_BYTES
+    };
     let serves = record.serves.iter().map(|name| name.len() + NAME_BYTES);
-    RECORD_BYTES + names + serves.sum::<usize>()
+    RECORD_BYTES + addr + names + serves.sum::<usize>()
 }
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -18,6 +18,7 @@
 mod ids;
 mod inventory;
 mod member;
+mod merge;
 mod message;
 mod note;
 mod ping;
--- a/fireflycroft/src/probe.rs
+++ b/fireflycroft/src/probe.rs
@@ -37,7 +37,7 @@
 const DOUBT_HELPERS: usize = 1;
 
 /// Probes and pings that others' messages cause, a second and at once.
-const EXTRA_PER_SECOND: u64 = 8;
+const EXTRA_PER_SECOND: u64 = 4;
 
 /// Seeds asked at the start, and members asked after a pause.
 const JOIN_PINGS: usize = 3;
--- a/fireflycroft/src/reconcile.rs
+++ b/fireflycroft/src/reconcile.rs
@@ -9,7 +9,8 @@
 use crate::allowance::Allowance;
 use crate::gossip::Payload;
 use crate::ids::Peer;
-use crate::member::{MemberAction, MemberRecord, Members, Source};
+use crate::member::{MemberAction, MemberRecord, Members};
+use crate::merge::Source;
 use crate::message::Message;
 use crate::roster::{OWN, PARTS, is_of_name};
 use crate::time::Time;
@@ -23,9 +24,12 @@
 /// Time after which a comparison is begun though changes wait to be told.
 const OVERDUE: Duration = Duration::from_secs(5);
 
+/// How long views must have differed; changes of late need that time to spread.
+const SETTLE: Duration = Duration::from_secs(4);
+
 /// Bytes sent a second on average, and at once after a quiet time.
 const BYTES_PER_SECOND: u64 = 2 * 1_024;
-const BURST_BYTES: u64 = 96 * 1_024;
+const BURST_BYTES: u64 = 64 * 1_024;
 
 /// Bytes of one hash, and round the hashes of one message.
 const HASH_BYTES: usize = 8;
@@ -49,6 +53,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Reconciler {
     begun: Option<Time>,
+    /// Since when the views of others have differed.
+    differs: Option<Time>,
     runs: VecDeque<HashRun>,
     bytes: Allowance,
 }
@@ -57,6 +63,7 @@
     fn default() -> Self {
         Self {
             begun: None,
+            differs: None,
             runs: VecDeque::new(),
             bytes: Allowance::new(BYTES_PER_SECOND, BURST_BYTES),
         }
@@ -64,12 +71,15 @@
 }
 
 impl Reconciler {
+    /// Whether to compare with a process whose view differs.
     fn may_begin(&mut self, now: Time, quiet: bool) -> bool {
-        let waited = self.begun.is_none_or(|begun| {
-            let waited = now.since(begun);
-            waited >= OVERDUE || (quiet && waited >= COMPARE_EVERY)
-        });
-        waited && self.bytes.is_open(now)
+        let differs = *self.differs.get_or_insert(now);
+        let Some(begun) = self.begun else {
+            return true;
+        };
+        let waited = now.since(begun);
+        let due = waited >= OVERDUE || (quiet && waited >= COMPARE_EVERY);
+        due && now.since(differs) >= SETTLE && self.bytes.is_open(now)
     }
 
     fn add_run(&mut self, run: HashRun) {
@@ -90,8 +100,11 @@
         view: u64,
         out: &mut Vec<MemberAction>,
     ) {
-        let quiet = self.gossip.is_empty();
-        if view == self.view() || !self.reconciler.may_begin(now, quiet) {
+        if view == self.view() {
+            self.reconciler.differs = None;
+            return;
+        }
+        if !self.reconciler.may_begin(now, self.gossip.is_empty()) {
             return;
         }
         self.reconciler.begun = Some(now);
