--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -24,6 +24,7 @@
 mod inventory;
 mod lease;
 mod member;
+mod merge;
 mod message;
 mod news;
 mod note;
