Wait for an agent called dead where nobody else can go on

Now a call that cannot start elsewhere keeps its own wait; a later life still ends it at once. Ruled out: a slower verdict of death, which others need.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -390,9 +390,15 @@
         alive: Option<Incarnation>,
         out: &mut Vec<EntryAction>,
     ) {
+        let limits = self.limits;
+        // Called dead, it may only be paused: what nobody else can go on with
+        // waits for it. A later life says for sure.
+        let certain = alive.is_some();
         let lost = |call: &Call| match &call.phase {
             Phase::Reading(r) => {
-                r.asked.agent == *agent && Some(r.cursor.generation.incarnation) != alive
+                r.asked.agent == *agent
+                    && Some(r.cursor.generation.incarnation) != alive
+                    && (certain || call.patience(&limits) < limits.long_silence)
             }
             _ => false,
         };
