Count requests by brand, priority and objective

Cause: the burn report read metrics that no daemon gave. The entry's core now tells of each request that ends its brand, priority, code and whether it met the objective: in good order, first token in time, 95 in 100 tokens in time. Ruled out: measuring in the front, which knows no brand, and counting the caller's own mistakes. A joined or resumed reader is not charged to the quota again. Before: firefly_objective_total did not exist.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -121,6 +121,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        call.pace.note(now, call.received, chunk.count(), call.goal);
         match call.delivery {
             Delivery::Stream => {
                 if !call.told_begin {
@@ -175,7 +176,11 @@
         let Some(mut call) = self.remove(id) else {
             return;
         };
-        self.quotas.charge(&call.demand.workspace, finish.total);
+        // Who joined or came back reads what the first one was charged for.
+        if call.is_own() {
+            self.quotas.charge(&call.demand.workspace, finish.total);
+        }
+        out.push(call.measured(finish.code));
         if call.delivery == Delivery::Whole {
             let whole = std::mem::take(&mut call.held_back);
             if let Some(point) = point_of(&call, whole.offset) {
@@ -441,6 +446,10 @@
         own && unseen && self.demand.repeatable && self.starts < max_starts
     }
 
+    fn is_own(&self) -> bool {
+        matches!(&self.phase, Phase::Reading(r) if r.origin == Origin::Own)
+    }
+
     /// Silence of the agent after which it is given up. Where nobody else can
     /// go on, an agent that was only paused is waited for.
     fn patience(&self, limits: &EntryLimits) -> Duration {
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -6,6 +6,7 @@
 //! `submit` holds the checks, `dispatch` the way to a start, `deliver` the
 //! reading.
 
+use crate::burn::{Goal, Measured, Pace, meets};
 use crate::claim::{ClaimAnswer, ClaimOp, ClaimRun};
 use crate::code::{Class, Code};
 use crate::config::{Adopted, Config, InForce};
@@ -212,6 +213,8 @@
     Claim(CallId, Digest, ClaimOp),
     /// Ask the sender for its configuration.
     PullConfig(SocketAddr),
+    /// Count a request that has ended.
+    Measured(Measured),
     /// Something to log and count.
     Note(Note),
 }
@@ -302,6 +305,9 @@
     /// Since when it waits for a configuration, the first time.
     pub(crate) behind_since: Option<Time>,
     pub(crate) received: Time,
+    pub(crate) brand: Name,
+    pub(crate) goal: Option<Goal>,
+    pub(crate) pace: Pace,
     /// Whether the caller was told which generation it is given.
     pub(crate) told_begin: bool,
     pub(crate) held_back: Chunk,
@@ -573,6 +579,7 @@
                 delivered,
             },
         ));
+        out.push(call.measured(code));
         let note = Note::new("request_failed").request(call.request).code(code);
         out.push(EntryAction::Note(note.count(delivered)));
     }
@@ -593,6 +600,16 @@
 }
 
 impl Call {
+    /// The request as it is counted when it ends with `code`.
+    pub(crate) fn measured(&self, code: Code) -> EntryAction {
+        EntryAction::Measured(Measured {
+            brand: self.brand.clone(),
+            priority: self.demand.priority,
+            code,
+            met: meets(code, &self.pace, self.goal),
+        })
+    }
+
     pub(crate) const fn asked(&self) -> Option<&Asked> {
         match &self.phase {
             Phase::New | Phase::Behind { .. } => None,
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -6,6 +6,7 @@
 mod admit;
 mod agent;
 mod allowance;
+mod burn;
 mod carrier;
 mod carry_out;
 mod catch_up;
@@ -48,6 +49,7 @@
 
 pub use admit::*;
 pub use agent::*;
+pub use burn::Measured;
 pub use carrier::*;
 pub use claim::*;
 pub use code::*;
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -1,14 +1,15 @@
 //! Checks on a caller's request before any agent hears of it.
 
+use crate::burn::{Goal, Measured, Pace, meets};
 use crate::code::Code;
 use crate::config::{Config, WorkspaceIx};
 use crate::entry::{Call, Entry, EntryAction, Phase, Reply, Submission};
-use crate::ids::{CallId, Digest};
+use crate::ids::{CallId, Digest, Name};
 use crate::inventory::WithoutKey;
 use crate::note::Note;
 use crate::stream::Chunk;
 use crate::time::Time;
-use crate::work::{Demand, Work};
+use crate::work::{Demand, Priority, Work};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,20 @@
     }
 }
 
+/// What the checks found out of a request.
+struct Checked {
+    demand: Demand,
+    claim_key: Option<Digest>,
+    max_wait: Duration,
+    /// Tokens charged to the quota.
+    charged: u64,
+    brand: Name,
+    goal: Option<Goal>,
+}
+
+/// Brand under which a request is counted whose key nobody holds.
+const NO_BRAND: &str = "none";
+
 /// Whether and how a request is claimed.
 struct Repeating {
     repeatable: bool,
@@ -40,10 +55,10 @@
         out: &mut Vec<EntryAction>,
     ) {
         match self.check(now, &submission) {
-            Ok((demand, claim_key, max_wait, charged)) => {
+            Ok(checked) => {
                 self.retries.earn();
                 let resume = submission.resume.clone();
-                let call = self.new_call(now, id, submission, demand, claim_key, max_wait, charged);
+                let call = self.new_call(now, id, submission, checked);
                 match resume {
                     Some(point) => self.begin_resume(now, call, point, out),
                     None if self.config.is_behind() => self.begin_behind(now, call, out),
@@ -60,6 +75,7 @@
                         delivered: 0,
                     },
                 ));
+                out.push(self.measured_refusal(&submission, refusal.code));
                 out.push(EntryAction::Note(
                     Note::new("request_refused").code(refusal.code),
                 ));
@@ -67,12 +83,23 @@
         }
     }
 
-    #[allow(clippy::type_complexity)]
-    fn check(
-        &mut self,
-        now: Time,
-        submission: &Submission,
-    ) -> Result<(Demand, Option<Digest>, Duration, u64), Refusal> {
+    fn measured_refusal(&self, submission: &Submission, code: Code) -> EntryAction {
+        let config = self.config.get();
+        let asker = config.and_then(|c| Some((c, c.workspace_of_key(&submission.key_digest)?)));
+        let brand = asker.map_or_else(|| Name::from(NO_BRAND), |(c, ix)| c.brand_name(ix).clone());
+        let wish = submission.priority;
+        let priority = asker.map_or(Priority::Batch, |(c, ix)| c.priority(ix, wish));
+        let objective = asker.and_then(|(c, _)| c.objective(&brand, priority));
+        let goal = objective.map(Goal::of);
+        EntryAction::Measured(Measured {
+            met: meets(code, &Pace::default(), goal),
+            brand,
+            priority,
+            code,
+        })
+    }
+
+    fn check(&mut self, now: Time, submission: &Submission) -> Result<Checked, Refusal> {
         let retry = Some(self.limits.min_retry_after);
         let later = |code| Refusal {
             code,
@@ -105,7 +132,15 @@
         }
         let charged = self.charge(now, &config, ix, submission)?;
         let max_wait = config.max_wait(demand.priority);
-        Ok((demand, repeating.claim_key, max_wait, charged))
+        let brand = config.brand_name(ix).clone();
+        Ok(Checked {
+            goal: config.objective(&brand, demand.priority).map(Goal::of),
+            claim_key: repeating.claim_key,
+            demand,
+            max_wait,
+            charged,
+            brand,
+        })
     }
 
     fn demand(
@@ -154,26 +189,22 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn new_call(
         &mut self,
         now: Time,
         id: CallId,
         submission: Submission,
-        demand: Demand,
-        claim_key: Option<Digest>,
-        max_wait: Duration,
-        charged: u64,
+        checked: Checked,
     ) -> Call {
         Call {
             id,
             request: self.ids.draw(),
             key_digest: submission.key_digest,
             checked: self.config.version(),
-            demand,
+            demand: checked.demand,
             work: submission.work,
             delivery: submission.delivery,
-            claim_key,
+            claim_key: checked.claim_key,
             replace: None,
             phase: Phase::New,
             behind_since: None,
@@ -186,8 +217,11 @@
             received: now,
             told_begin: false,
             held_back: Chunk::default(),
-            max_wait,
-            charged,
+            max_wait: checked.max_wait,
+            charged: checked.charged,
+            brand: checked.brand,
+            goal: checked.goal,
+            pace: Pace::default(),
         }
     }
 }
--- a/fireflycroft/tests/support/world/processes.rs
+++ b/fireflycroft/tests/support/world/processes.rs
@@ -64,7 +64,7 @@
             }
             EntryAction::Claim(call, key, op) => self.claim(i, call, key, op),
             EntryAction::PullConfig(addr) => self.pull_config(from, addr),
-            EntryAction::Note(_) => {}
+            EntryAction::Measured(_) | EntryAction::Note(_) => {}
         }
     }
 
--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -5,7 +5,7 @@
 
 use fireflycroft::{
     CallId, Config, ConfigVersion, Entry, EntryAction, EntryEvent, EntrySetup, Envelope,
-    LeaseAnswer, LeaseCall, LeaseSpans, Message, PlaceLimits, Reply, Time, Vm,
+    LeaseAnswer, LeaseCall, LeaseSpans, Measured, Message, PlaceLimits, Priority, Reply, Time, Vm,
 };
 use fireflycroft_wire::decode_all;
 use serde_json::{Value, json};
@@ -18,6 +18,7 @@
 use crate::front::FrontEvent;
 use crate::leader::Leader;
 use crate::leases;
+use crate::metrics::Metrics;
 use crate::node::{Node, TICK};
 use crate::platform::PlatformClient;
 use crate::status::Status;
@@ -289,6 +290,7 @@
                 });
             }
             EntryAction::PullConfig(from) => self.feed.pull(from, &mut self.node.outbox),
+            EntryAction::Measured(measured) => count(&self.node.metrics, &measured),
             EntryAction::Note(note) => self.node.note(&note),
         }
     }
@@ -370,3 +372,23 @@
         })
     }
 }
+
+fn count(metrics: &Metrics, measured: &Measured) {
+    let priority = match measured.priority {
+        Priority::Interactive => "interactive",
+        Priority::Batch => "batch",
+    };
+    let brand = &*measured.brand;
+    let code = measured.code.number().to_string();
+    metrics
+        .requests
+        .with_label_values(&[brand, priority, &code])
+        .inc();
+    if let Some(met) = measured.met {
+        let met = if met { "true" } else { "false" };
+        metrics
+            .objective
+            .with_label_values(&[brand, priority, met])
+            .inc();
+    }
+}
--- a/fireflyd/src/front.rs
+++ b/fireflyd/src/front.rs
@@ -221,7 +221,7 @@
 }
 
 fn refuse(front: &Front, bad: BadRequest) -> Response {
-    front.count("none", bad.code);
+    front.count_unreadable(bad.code);
     log::info!(event = "request_unreadable", code = bad.code.number(), detail:% = bad.detail; "");
     answer::error_response(&Failure {
         detail: Some(bad.detail),
@@ -230,11 +230,12 @@
 }
 
 impl Front {
-    fn count(&self, class: &str, code: Code) {
+    /// Counts a request that the core never saw.
+    fn count_unreadable(&self, code: Code) {
         let code = code.number().to_string();
         self.metrics
             .requests
-            .with_label_values(&[class, &code])
+            .with_label_values(&["none", "none", &code])
             .inc();
     }
 
@@ -282,7 +283,6 @@
                 Some(Reply::Begin(begun)) => point = Some(begun),
                 Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
                 Some(Reply::End(finish)) => {
-                    self.count("call", Code::Ok);
                     return answer::call_response(point.as_ref(), whole, &finish);
                 }
                 Some(Reply::Fail {
@@ -290,7 +290,6 @@
                     retry_after,
                     delivered,
                 }) => {
-                    self.count("call", code);
                     return answer::error_response(&Failure {
                         code,
                         retry_after,
@@ -380,7 +379,6 @@
                     return Some(Ok(answer::token_events(point, &self.model, &chunk)));
                 }
                 Some(Reply::End(finish)) => {
-                    self.front.count(self.class, Code::Ok);
                     let point = self.point.as_ref()?;
                     return Some(Ok(answer::end_events(point, &self.model, &finish)));
                 }
@@ -389,7 +387,6 @@
                     retry_after,
                     delivered,
                 }) => {
-                    self.front.count(self.class, code);
                     return Some(Err(Failure {
                         code,
                         retry_after,
@@ -435,7 +432,6 @@
                 Some(Reply::Begin(point)) => self.point = Some(point),
                 Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
                 Some(Reply::End(finish)) => {
-                    self.front.count(self.class, Code::Ok);
                     let Some(point) = &self.point else {
                         return answer::error_response(&Failure::of(Code::OutcomeUnknown));
                     };
@@ -446,7 +442,6 @@
                     retry_after,
                     delivered,
                 }) => {
-                    self.front.count(self.class, code);
                     return answer::error_response(&Failure {
                         code,
                         retry_after,
--- a/fireflyd/src/metrics.rs
+++ b/fireflyd/src/metrics.rs
@@ -20,8 +20,10 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Registry,
-    /// Requests ended, by `class` and result `code`.
+    /// Requests ended, by `brand`, `priority` and result `code`.
     pub requests: IntCounterVec,
+    /// Requests that met their objective or not, by `brand`, `priority` and `met`.
+    pub objective: IntCounterVec,
     /// Seconds from a request's arrival to its first token, by `class`.
     pub first_token_seconds: HistogramVec,
     /// Seconds between two tokens of a stream, by `class`.
@@ -79,7 +81,18 @@
     pub fn new() -> anyhow::Result<Self> {
         let r = Registry::new();
         Ok(Self {
-            requests: counters(&r, "requests_total", "Requests ended", &["class", "code"])?,
+            requests: counters(
+                &r,
+                "requests_total",
+                "Requests ended",
+                &["brand", "priority", "code"],
+            )?,
+            objective: counters(
+                &r,
+                "objective_total",
+                "Requests by objective met",
+                &["brand", "priority", "met"],
+            )?,
             first_token_seconds: seconds(&r, "first_token_seconds", "Arrival to first token")?,
             between_token_seconds: seconds(&r, "between_token_seconds", "Between two tokens")?,
             stall_seconds: seconds(&r, "stall_seconds", "Length of each stall")?,
