Take the linter's word in the objective's tests

Cause: the pedantic group refuses a string built by format from an iterator; the digest's own hexadecimal form is there. Before: clippy failed on the new test; after: clippy passes and its eight cases pass as before.

--- a/fireflycroft/tests/burn.rs
+++ b/fireflycroft/tests/burn.rs
@@ -14,10 +14,7 @@
 const BETWEEN_MS: u64 = 20;
 
 fn document() -> Document {
-    let key: String = digest_key("key")
-        .iter()
-        .map(|b| format!("{b:02x}"))
-        .collect();
+    let key = blake3::Hash::from_bytes(digest_key("key")).to_hex();
     let mut rules = Rules::default();
     rules.objectives.push(Objective {
         brand: None,
@@ -36,7 +33,7 @@
             workspaces: vec![Workspace {
                 name: "desk".into(),
                 brand: "brand".into(),
-                key_digests: vec![key.into()],
+                key_digests: vec![key.as_str().into()],
             }],
             models: vec![Model {
                 name: "model".into(),
