Wait out a death that is only believed where nobody else can go on

Cause: agent_frozen_5_s failed on the new membership, which declares an agent dead sooner than the former table: a partly delivered stream was ended with 4001 although its agent thawed a moment later. Death by silence is a belief; now only work that another agent can do is given up at once, the rest waits for the long silence of 10 s. A new life under the same name still ends it at once. Ruled out: slower suspicion, which new work needs fast.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -381,8 +381,11 @@
         }
     }
 
-    /// The agent died or was replaced: what it held in other lives than
-    /// `alive` is lost.
+    /// The agent was replaced, and what it held in other lives than `alive`
+    /// is lost; or it is believed dead, and what another can do is given up.
+    ///
+    /// Death is a belief: a paused agent comes back, so what nobody else can
+    /// go on with waits for the long silence.
     pub(crate) fn on_agent_gone(
         &mut self,
         now: Time,
@@ -390,10 +393,12 @@
         alive: Option<Incarnation>,
         out: &mut Vec<EntryAction>,
     ) {
+        let limits = self.limits;
         let lost = |call: &Call| match &call.phase {
-            Phase::Reading(r) => {
-                r.asked.agent == *agent && Some(r.cursor.generation.incarnation) != alive
-            }
+            Phase::Reading(r) if r.asked.agent == *agent => match alive {
+                Some(life) => r.cursor.generation.incarnation != life,
+                None => call.patience(&limits) == limits.silence,
+            },
             _ => false,
         };
         let ids: Vec<CallId> = self
--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -26,6 +26,7 @@
     upstream_link_cut_after_40 => upstream_link_cut(40);
     agent_frozen_2_s => agent_frozen(Duration::from_secs(2));
     agent_frozen_5_s => agent_frozen(Duration::from_secs(5));
+    agent_frozen_6_s => agent_frozen(Duration::from_secs(6));
     entry_frozen_4_s => entry_frozen(Duration::from_secs(4));
     agent_restarted_at_once => agent_restarted();
     agent_and_entry_killed => agent_and_entry_killed();
