--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -386,8 +386,11 @@
         }
     }
 
-    /// The agent died or was replaced: what it held in other lives than
-    /// `alive` is lost.
+    /// The agent was replaced, and what it held in other lives than `alive`
+    /// is lost; or it is believed dead, and what another can do is given up.
+    ///
+    /// Death is a belief: a paused agent comes back, so what nobody else can
+    /// go on with waits for the long silence.
     pub(crate) fn on_agent_gone(
         &mut self,
         now: Time,
@@ -396,15 +399,12 @@
         out: &mut Vec<EntryAction>,
     ) {
         let limits = self.limits;
-        // Called dead, it may only be paused: what nobody else can go on with
-        // waits for it. A later life says for sure.
-        let certain = alive.is_some();
+        // Called dead, it may only be paused; a later life says for sure.
         let lost = |call: &Call| match &call.phase {
-            Phase::Reading(r) => {
-                r.asked.agent == *agent
-                    && Some(r.cursor.generation.incarnation) != alive
-                    && (certain || call.patience(&limits) < limits.long_silence)
-            }
+            Phase::Reading(r) if r.asked.agent == *agent => match alive {
+                Some(life) => r.cursor.generation.incarnation != life,
+                None => call.patience(&limits) == limits.silence,
+            },
             _ => false,
         };
         let ids: Vec<CallId> = self
