--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod plain;
 pub mod platform;
 
+mod clock;
 mod hash;
 mod lognormal;
 mod reply;
