--- a/fireflycroft/src/admit.rs
+++ b/fireflycroft/src/admit.rs
@@ -1,14 +1,19 @@
 //! Admission at the agent: what may run on the upstream now, and what waits.
 //!
 //! The agent is the only door to its upstream, so it knows at once what the
-//! upstream would report late. A request takes a slot of the batch and the
-//! memory that it is expected to need; what does not fit waits by priority,
-//! then by arrival, within a bound.
+//! upstream would report late. A request is let in when the memory that all
+//! are expected to need, with it, stays within the upstream's at each moment
+//! to come, with a margin for chance. Batch work leaves a headroom to
+//! interactive work. What does not fit waits by priority, then by arrival,
+//! within a bound; a batch request that has waited long is kept room for.
 
 use crate::ids::RequestId;
+use crate::length::{LengthKey, Lengths, Survival};
 use crate::message::Load;
+use crate::outlook::Outlook;
 use crate::time::Time;
 use crate::work::{Demand, Priority};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -42,6 +47,17 @@
     pub max_queue: usize,
 }
 
+/// What the upstream itself reports of its load, late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamReport {
+    /// Generations in the batch.
+    pub running: u32,
+    /// Generations that wait.
+    pub waiting: u32,
+    /// Memory in use, in tokens.
+    pub used_tokens: u64,
+}
+
 /// What becomes of an offer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -61,14 +77,41 @@
     demand: Demand,
     since: Time,
     until: Time,
+    /// Memory that it will need once it runs.
+    outlook: Outlook,
 }
 
 #[derive(Clone, Debug)]
 struct Admitted {
+    key: LengthKey,
     prompt: u32,
     produced: u64,
     limit: u32,
-    since: Time,
+    /// When it produced its last token; its start until then.
+    at: Time,
+}
+
+/// Outlooks of requests of late, by priority.
+#[derive(Clone, Copy, Debug, Default)]
+struct Typical {
+    interactive: Outlook,
+    batch: Outlook,
+}
+
+impl Typical {
+    const fn of(&self, priority: Priority) -> &Outlook {
+        match priority {
+            Priority::Interactive => &self.interactive,
+            Priority::Batch => &self.batch,
+        }
+    }
+
+    const fn of_mut(&mut self, priority: Priority) -> &mut Outlook {
+        match priority {
+            Priority::Interactive => &mut self.interactive,
+            Priority::Batch => &mut self.batch,
+        }
+    }
 }
 
 /// Slots, memory and queue of one upstream.
@@ -78,13 +121,45 @@
     capacity: Capacity,
     waiting: Vec<Waiting>,
     admitted: HashMap<OfferId, Admitted>,
-    mean_length: f64,
-    mean_stay: Duration,
+    lengths: Lengths,
+    typical: Typical,
+    step: Duration,
+    report: UpstreamReport,
+    outlook: Outlook,
+    /// Tokens produced since the outlook was made.
+    stale: u64,
 }
 
-const FIRST_MEAN_LENGTH: f64 = 200.0;
-const MEAN_WEIGHT: f64 = 0.05;
-const FIRST_MEAN_STAY: Duration = Duration::from_secs(2);
+/// Standard deviations of margin for the memory needed.
+const MARGIN: f64 = 2.0;
+
+/// Share of the memory that batch work leaves free, one in so many.
+const HEADROOM_TOKENS: u64 = 16;
+
+/// Share of the slots that batch work leaves free, one in so many.
+const HEADROOM_SLOTS: u32 = 8;
+
+/// Share of the slots that interactive work has even when a batch request has
+/// waited long, one in so many.
+const FLOOR_SLOTS: usize = 4;
+
+/// Share of its patience after which a batch request is kept room for.
+const AGED: u32 = 2;
+
+/// Tokens produced after which the outlook is made anew.
+const STALE_TOKENS: u64 = 64;
+
+/// Weight of the newest request in what is typical.
+const TYPICAL_WEIGHT: f64 = 0.05;
+
+/// Time for one token before any was seen.
+const FIRST_STEP: Duration = Duration::from_millis(20);
+
+/// Weight of the step known against one just seen.
+const STEP_WEIGHT: u32 = 64;
+
+/// Longest step taken in, in steps known; longer ones are a prompt's work.
+const STEP_CLIP: u32 = 4;
 
 impl Admission {
     /// Admission to an upstream of that size.
@@ -95,8 +170,12 @@
             capacity,
             waiting: Vec::new(),
             admitted: HashMap::new(),
-            mean_length: FIRST_MEAN_LENGTH,
-            mean_stay: FIRST_MEAN_STAY,
+            lengths: Lengths::default(),
+            typical: Typical::default(),
+            step: Duration::ZERO,
+            report: UpstreamReport::default(),
+            outlook: Outlook::default(),
+            stale: 0,
         }
     }
 
@@ -110,12 +189,19 @@
             demand: demand.clone(),
             since: now,
             until,
+            outlook: self.outlook_of(demand),
         };
-        if self.policy == AdmitPolicy::PassThrough || self.may_run(&waiting) {
+        if self.policy == AdmitPolicy::PassThrough {
             self.admit(now, &waiting);
             return Verdict::Admit;
         }
-        let wait = self.expected_wait(demand.priority);
+        self.refresh();
+        let first = !self.waiting.iter().any(|w| goes_before(w, &waiting));
+        if first && self.may_run(now, &waiting) {
+            self.admit(now, &waiting);
+            return Verdict::Admit;
+        }
+        let wait = self.wait_of(demand.priority, &waiting.outlook);
         if self.waiting.len() >= self.capacity.max_queue || now + wait > until {
             return Verdict::Refuse(wait);
         }
@@ -126,7 +212,8 @@
     /// Takes the next waiting request that may run now.
     pub fn next(&mut self, now: Time) -> Option<OfferId> {
         let at = self.first_in_line()?;
-        if !self.may_run(&self.waiting[at]) {
+        self.refresh();
+        if !self.may_run(now, &self.waiting[at]) {
             return None;
         }
         let waiting = self.waiting.remove(at);
@@ -143,33 +230,55 @@
     }
 
     /// Forgets a request that waits or holds a slot.
-    pub fn release(&mut self, now: Time, offer: OfferId) {
+    pub fn release(&mut self, offer: OfferId) {
         self.waiting.retain(|w| w.offer != offer);
-        let Some(gone) = self.admitted.remove(&offer) else {
-            return;
-        };
-        if gone.produced > 0 {
-            self.learn(now, &gone);
+        self.admitted.remove(&offer);
+        self.stale = STALE_TOKENS;
+    }
+
+    /// Frees the slot of a request that came to its own end.
+    pub fn finish(&mut self, offer: OfferId) {
+        if let Some(done) = self.admitted.get(&offer) {
+            self.lengths.ended(&done.key, done.produced);
         }
+        self.release(offer);
     }
 
     /// Notes how many tokens an admitted request has produced.
-    pub fn progress(&mut self, offer: OfferId, produced: u64) {
-        if let Some(admitted) = self.admitted.get_mut(&offer) {
-            admitted.produced = produced;
+    pub fn progress(&mut self, now: Time, offer: OfferId, produced: u64) {
+        let Some(admitted) = self.admitted.get_mut(&offer) else {
+            return;
+        };
+        let before = admitted.produced;
+        let span = now.since(admitted.at);
+        admitted.produced = produced;
+        admitted.at = now;
+        self.lengths.passed(&admitted.key, before, produced);
+        let count = produced.saturating_sub(before);
+        self.stale += count;
+        if before > 0 && count > 0 {
+            self.learn_step(span / u32::try_from(count).unwrap_or(u32::MAX));
         }
     }
 
+    /// Takes what the upstream reports.
+    pub const fn report(&mut self, report: UpstreamReport) {
+        self.report = report;
+    }
+
     /// Load as the agent tells it.
     #[must_use]
     pub fn load(&self) -> Load {
+        if self.policy == AdmitPolicy::PassThrough {
+            return self.reported_load();
+        }
         Load {
-            running: u32::try_from(self.admitted.len()).unwrap_or(u32::MAX),
-            queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            running: count(self.admitted.len()),
+            queued: count(self.waiting.len()),
             used_tokens: self.used_tokens(),
-            expected_tokens: self.expected_tokens(),
+            expected_tokens: self.outlook.peak(),
             capacity_tokens: self.capacity.tokens,
-            step: Duration::ZERO,
+            step: self.step,
             wait_interactive: self.expected_wait(Priority::Interactive),
             wait_batch: self.expected_wait(Priority::Batch),
             leaving: false,
@@ -179,42 +288,113 @@
     /// Time until a request of that priority would begin.
     #[must_use]
     pub fn expected_wait(&self, priority: Priority) -> Duration {
-        let ahead = self
-            .waiting
-            .iter()
-            .filter(|w| w.demand.priority >= priority)
-            .count();
-        let full = self.admitted.len() >= self.capacity.max_batch as usize
-            || self.expected_tokens() >= self.capacity.tokens;
-        if ahead == 0 && !full {
+        self.wait_of(priority, self.typical.of(priority))
+    }
+
+    /// Load as an upstream tells it that queues by itself.
+    fn reported_load(&self) -> Load {
+        Load {
+            running: self.report.running,
+            queued: self.report.waiting,
+            used_tokens: self.report.used_tokens,
+            expected_tokens: self.report.used_tokens,
+            capacity_tokens: self.capacity.tokens,
+            step: self.step,
+            wait_interactive: Duration::ZERO,
+            wait_batch: Duration::ZERO,
+            leaving: false,
+        }
+    }
+
+    /// Time until those ahead and one more find room.
+    fn wait_of(&self, priority: Priority, own: &Outlook) -> Duration {
+        let mut more = *own;
+        let ahead = |w: &&Waiting| w.demand.priority >= priority;
+        for w in self.waiting.iter().filter(ahead) {
+            more.add(&w.outlook);
+        }
+        let lacking = self.outlook.excess(&more, MARGIN, self.limit(priority));
+        let slots = self.admitted.len() < self.slots(priority);
+        if lacking <= 0.0 && slots {
             return Duration::ZERO;
         }
-        let slots = u32::try_from(self.admitted.len().max(1)).unwrap_or(u32::MAX);
-        let turns = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        self.mean_stay * turns / slots
+        let steps = self.outlook.steps_to_free(lacking.max(1.0));
+        let step = if self.step.is_zero() {
+            FIRST_STEP
+        } else {
+            self.step
+        };
+        step.mul_f64(steps)
     }
 
-    fn may_run(&self, waiting: &Waiting) -> bool {
+    fn may_run(&self, now: Time, waiting: &Waiting) -> bool {
         if self.admitted.is_empty() {
             return true;
         }
-        let room = self.capacity.tokens.saturating_sub(self.expected_tokens());
-        let slots = self.capacity.max_batch as usize;
-        self.admitted.len() < slots && self.need(&waiting.demand) <= room
+        let priority = waiting.demand.priority;
+        if self.admitted.len() >= self.slots(priority) {
+            return false;
+        }
+        let limit = self.limit(priority);
+        if self.outlook.excess(&waiting.outlook, MARGIN, limit) > 0.0 {
+            return false;
+        }
+        priority == Priority::Batch || self.leaves_room_for_aged(now, &waiting.outlook)
     }
 
-    fn need(&self, demand: &Demand) -> u64 {
-        let length = rounded(self.mean_length).min(u64::from(demand.max_tokens));
-        u64::from(demand.prompt_tokens) + length
+    /// Whether a batch request that has waited long still finds its room.
+    fn leaves_room_for_aged(&self, now: Time, own: &Outlook) -> bool {
+        let aged = |w: &&Waiting| {
+            let patience = w.until.since(w.since);
+            w.demand.priority == Priority::Batch && now.since(w.since) >= patience / AGED
+        };
+        let Some(aged) = self.waiting.iter().filter(aged).min_by_key(|w| w.since) else {
+            return true;
+        };
+        let interactive = |a: &&Admitted| a.key.priority == Priority::Interactive;
+        let running = self.admitted.values().filter(interactive).count();
+        let floor = self.capacity.max_batch as usize / FLOOR_SLOTS;
+        let both = own.with(&aged.outlook);
+        running < floor || self.outlook.excess(&both, MARGIN, self.capacity.tokens) <= 0.0
     }
 
-    fn expected_tokens(&self) -> u64 {
-        let mean = rounded(self.mean_length);
-        let need = |a: &Admitted| {
-            let length = a.produced.max(mean).min(u64::from(a.limit));
-            u64::from(a.prompt) + length.max(a.produced)
-        };
-        self.admitted.values().map(need).sum()
+    /// Memory that requests of that priority may fill.
+    const fn limit(&self, priority: Priority) -> u64 {
+        match priority {
+            Priority::Interactive => self.capacity.tokens,
+            Priority::Batch => self.capacity.tokens - self.capacity.tokens / HEADROOM_TOKENS,
+        }
+    }
+
+    /// Slots that requests of that priority may fill.
+    const fn slots(&self, priority: Priority) -> usize {
+        let all = self.capacity.max_batch;
+        match priority {
+            Priority::Interactive => all as usize,
+            Priority::Batch => (all - all / HEADROOM_SLOTS) as usize,
+        }
+    }
+
+    fn outlook_of(&self, demand: &Demand) -> Outlook {
+        let survival = self.lengths.survival(&LengthKey::of(demand));
+        Outlook::of(&survival, demand.prompt_tokens, 0, demand.max_tokens)
+    }
+
+    /// Makes the outlook anew when much has changed since.
+    fn refresh(&mut self) {
+        if self.stale < STALE_TOKENS {
+            return;
+        }
+        self.stale = 0;
+        let mut known: HashMap<&LengthKey, Survival> = HashMap::new();
+        let mut outlook = Outlook::default();
+        for a in self.admitted.values() {
+            let survival = known
+                .entry(&a.key)
+                .or_insert_with(|| self.lengths.survival(&a.key));
+            outlook.add(&Outlook::of(survival, a.prompt, a.produced, a.limit));
+        }
+        self.outlook = outlook;
     }
 
     fn used_tokens(&self) -> u64 {
@@ -224,33 +404,45 @@
 
     fn admit(&mut self, now: Time, waiting: &Waiting) {
         let demand = &waiting.demand;
+        if self.policy == AdmitPolicy::Expected {
+            self.outlook.add(&waiting.outlook);
+            let typical = self.typical.of_mut(demand.priority);
+            typical.blend(&waiting.outlook, TYPICAL_WEIGHT);
+        }
         self.admitted.insert(
             waiting.offer,
             Admitted {
+                key: LengthKey::of(demand),
                 prompt: demand.prompt_tokens,
                 produced: 0,
                 limit: demand.max_tokens,
-                since: now,
+                at: now,
             },
         );
     }
 
     fn first_in_line(&self) -> Option<usize> {
-        let rank = |w: &Waiting| (std::cmp::Reverse(w.demand.priority), w.since, w.offer);
         (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i]))
     }
 
-    fn learn(&mut self, now: Time, gone: &Admitted) {
-        #[allow(clippy::cast_precision_loss)]
-        let length = gone.produced as f64;
-        self.mean_length += MEAN_WEIGHT * (length - self.mean_length);
-        let stay = now.since(gone.since).as_secs_f64();
-        let mean = self.mean_stay.as_secs_f64();
-        self.mean_stay = Duration::from_secs_f64(mean + MEAN_WEIGHT * (stay - mean));
+    fn learn_step(&mut self, step: Duration) {
+        if self.step.is_zero() {
+            self.step = step;
+        }
+        let seen = step.min(self.step * STEP_CLIP);
+        self.step = (self.step * (STEP_WEIGHT - 1) + seen) / STEP_WEIGHT;
     }
 }
 
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn rounded(mean: f64) -> u64 {
-    mean.max(0.0) as u64
+/// Place in the line: interactive first, then by arrival.
+const fn rank(w: &Waiting) -> (Reverse<Priority>, Time, OfferId) {
+    (Reverse(w.demand.priority), w.since, w.offer)
+}
+
+fn goes_before(one: &Waiting, other: &Waiting) -> bool {
+    rank(one) < rank(other)
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
 }
--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -4,7 +4,7 @@
 //! to come. Time, messages and what the upstream does come in as
 //! [`AgentEvent`]s; what is to be done comes out as [`AgentAction`]s.
 
-use crate::admit::{Admission, AdmitPolicy, Capacity, OfferId, Verdict};
+use crate::admit::{Admission, AdmitPolicy, Capacity, OfferId, UpstreamReport, Verdict};
 use crate::code::Code;
 use crate::generation::{Generation, Stage};
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
@@ -109,6 +109,8 @@
     UpstreamDown,
     /// The upstream answers.
     UpstreamUp,
+    /// The upstream reports its load, late.
+    Report(UpstreamReport),
     /// The agent is to stop, or its upstream is reclaimed.
     Leave,
     /// The agent stays after all.
@@ -176,10 +178,8 @@
     quarantine: Quarantine,
     upstream_up: bool,
     leaving: bool,
-    step: Duration,
 }
 
-const STEP_WEIGHT: u32 = 8;
 const LEAVING_RETRY: Duration = Duration::from_millis(100);
 const DOWN_RETRY: Duration = Duration::from_secs(1);
 
@@ -199,7 +199,6 @@
             quarantine: Quarantine::default(),
             upstream_up: false,
             leaving: false,
-            step: Duration::ZERO,
         }
     }
 
@@ -220,6 +219,7 @@
             AgentEvent::Lost { generation } => self.on_lost(now, generation, out),
             AgentEvent::UpstreamDown => self.on_upstream_down(now, out),
             AgentEvent::UpstreamUp => self.upstream_up = true,
+            AgentEvent::Report(report) => self.admission.report(report),
             AgentEvent::Leave => self.on_leave(now, out),
             AgentEvent::Stay => self.leaving = false,
             AgentEvent::Config(version) => self.config = self.config.max(version),
@@ -232,7 +232,6 @@
     #[must_use]
     pub fn load(&self) -> Load {
         Load {
-            step: self.step,
             leaving: self.leaving || !self.upstream_up,
             ..self.admission.load()
         }
@@ -454,7 +453,6 @@
             readers: Vec::new(),
             unread_since: None,
             resumed: 0,
-            last_token: None,
         };
         self.generations.insert(serial, generation);
         self.offers.insert(offer, Offered::Reserved(serial));
@@ -466,7 +464,7 @@
         match known {
             Some(Offered::Reserved(serial)) => self.lapse(now, serial, out),
             Some(Offered::Refused(..)) => return,
-            Some(Offered::Waiting(..)) | None => self.admission.release(now, offer),
+            Some(Offered::Waiting(..)) | None => self.admission.release(offer),
         }
         // A copy of the offer may still be under way; it must not be taken.
         self.offers
@@ -482,7 +480,7 @@
         }
         g.stage = Stage::Lapsed(now);
         let offer = g.offer;
-        self.admission.release(now, offer);
+        self.admission.release(offer);
         out.push(note("reservation_lapsed", offer.request, None));
     }
 
@@ -603,16 +601,7 @@
         out.extend(sends(g.messages_to_all()));
         let offer = g.offer;
         let produced = g.log.end();
-        let last = g.last_token.replace(now);
-        self.admission.progress(offer, produced);
-        if let Some(last) = last {
-            let count = u32::try_from(tokens.len().max(1)).unwrap_or(u32::MAX);
-            self.learn_step(now.since(last) / count);
-        }
-    }
-
-    fn learn_step(&mut self, step: Duration) {
-        self.step = (self.step * (STEP_WEIGHT - 1) + step) / STEP_WEIGHT;
+        self.admission.progress(now, offer, produced);
     }
 
     fn finish(&mut self, now: Time, id: GenerationId, finish: &Finish, out: &mut Vec<AgentAction>) {
@@ -627,7 +616,11 @@
         out.extend(sends(g.messages_to_all()));
         let offer = g.offer;
         let total = g.log.end();
-        self.admission.release(now, offer);
+        if finish.code == Code::Ok {
+            self.admission.finish(offer);
+        } else {
+            self.admission.release(offer);
+        }
         let event = note("generation_ended", offer.request, Some(finish.code));
         out.push(with_count(event, total));
     }
@@ -725,7 +718,7 @@
             .collect();
         for (offer, state) in waiting {
             if let Offered::Waiting(to, _) = state {
-                self.admission.release(now, offer);
+                self.admission.release(offer);
                 self.refuse(now, to, offer, Code::Leaving, LEAVING_RETRY, out);
             }
         }
@@ -830,7 +823,7 @@
         while let Some(offer) = self.admission.next(now) {
             match self.offers.remove(&offer) {
                 Some(Offered::Waiting(to, demand)) => self.reserve(now, to, offer, demand, out),
-                _ => self.admission.release(now, offer),
+                _ => self.admission.release(offer),
             }
         }
     }
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -50,10 +50,10 @@
     }
 
     fn send_offer(&mut self, now: Time, id: CallId, peer: &Peer, out: &mut Vec<EntryAction>) {
-        self.router.note_sent(&peer.name);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        self.router.note_sent(&peer.name, &call.demand);
         call.attempt += 1;
         call.offers += 1;
         call.tried.push(peer.name.clone());
@@ -345,7 +345,7 @@
             if let Some(old) = call.asked() {
                 self.router.note_done(&old.agent.clone());
             }
-            self.router.note_sent(&asked.agent);
+            self.router.note_sent(&asked.agent, &call.demand);
         }
         call.phase = Phase::Reading(Reading {
             asked,
--- a/fireflycroft/src/generation.rs
+++ b/fireflycroft/src/generation.rs
@@ -67,8 +67,6 @@
     pub(crate) unread_since: Option<Time>,
     /// Times that the stream from the upstream was taken up again.
     pub(crate) resumed: u32,
-    /// When the upstream last gave a token.
-    pub(crate) last_token: Option<Time>,
 }
 
 impl Generation {
--- /dev/null
+++ b/fireflycroft/src/length.rs
@@ -0,0 +1,256 @@
+//! Remaining length of answers, learned from the tokens that pass.
+//!
+//! A sketch counts, for each of a few geometric spans of lengths, how many
+//! answers entered the span and how many ended in it. Survival is the product
+//! over the spans of those that did not end, the estimator of Kaplan and
+//! Meier, so answers that still run count for as far as they have come. Counts
+//! decay, so that the sketch follows change. Where a sketch has seen little it
+//! leans on the next wider one: workspace, then model and kind, then a prior.
+
+use crate::ids::Name;
+use crate::work::{Demand, Priority};
+use std::collections::HashMap;
+
+/// Spans of lengths that a sketch tells apart; four to each doubling.
+pub const SPANS: usize = 60;
+
+/// Sketches of workspaces that are kept; the least seen goes first.
+pub const MAX_SKETCHES: usize = 512;
+
+/// Spans to each doubling of the length.
+const SPANS_PER_DOUBLING: f64 = 4.0;
+
+/// Answers after which an older one counts by a factor of e less.
+const MEMORY: f32 = 500.0;
+
+/// Answers that the wider sketch counts for within the narrower one.
+const LEAN: f32 = 10.0;
+
+/// Answers that the prior counts for within a sketch of a model.
+const PRIOR_LEAN: f32 = 3.0;
+
+/// Share of answers that end in each span, before anything was seen.
+const PRIOR_HAZARD: f32 = 0.08;
+
+/// Whose answers a sketch is of.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct LengthKey {
+    /// Workspace that asks.
+    pub workspace: Name,
+    /// Model that answers.
+    pub target: Name,
+    /// Kind of the request.
+    pub priority: Priority,
+}
+
+impl LengthKey {
+    /// Key of what a request asks.
+    #[must_use]
+    pub fn of(demand: &Demand) -> Self {
+        Self {
+            workspace: demand.workspace.clone(),
+            target: demand.target.clone(),
+            priority: demand.priority,
+        }
+    }
+}
+
+/// Answers that entered each span and ended in it.
+#[derive(Clone, Copy, Debug)]
+struct Sketch {
+    entered: [f32; SPANS],
+    ended: [f32; SPANS],
+}
+
+impl Default for Sketch {
+    fn default() -> Self {
+        Self {
+            entered: [0.0; SPANS],
+            ended: [0.0; SPANS],
+        }
+    }
+}
+
+impl Sketch {
+    fn enter(&mut self, span: usize) {
+        let kept = 1.0 - 1.0 / MEMORY;
+        self.entered[span] = self.entered[span] * kept + 1.0;
+        self.ended[span] *= kept;
+    }
+
+    fn end(&mut self, span: usize) {
+        self.ended[span] += 1.0;
+    }
+
+    /// Share of answers that end in each span, leaning on `wider` as on
+    /// `lean` answers.
+    fn hazards(&self, wider: &[f32; SPANS], lean: f32) -> [f32; SPANS] {
+        std::array::from_fn(|i| {
+            let ended = self.ended[i] + lean * wider[i];
+            (ended / (self.entered[i] + lean)).min(1.0)
+        })
+    }
+}
+
+/// Lengths seen on one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Lengths {
+    narrow: HashMap<LengthKey, Sketch>,
+    wide: HashMap<(Name, Priority), Sketch>,
+}
+
+impl Lengths {
+    /// Notes that an answer came from `before` tokens to `now` tokens.
+    pub fn passed(&mut self, key: &LengthKey, before: u64, now: u64) {
+        let first = if before == 0 { 0 } else { span_of(before) + 1 };
+        let last = span_of(now.max(1));
+        for span in first..=last {
+            self.each(key, |sketch| sketch.enter(span));
+        }
+    }
+
+    /// Notes that an answer ended by itself after so many tokens.
+    pub fn ended(&mut self, key: &LengthKey, total: u64) {
+        let span = span_of(total.max(1));
+        self.each(key, |sketch| sketch.end(span));
+    }
+
+    /// How long answers of that key grow.
+    #[must_use]
+    pub fn survival(&self, key: &LengthKey) -> Survival {
+        let mut hazards = [PRIOR_HAZARD; SPANS];
+        if let Some(wide) = self.wide.get(&(key.target.clone(), key.priority)) {
+            hazards = wide.hazards(&hazards, PRIOR_LEAN);
+        }
+        if let Some(narrow) = self.narrow.get(key) {
+            hazards = narrow.hazards(&hazards, LEAN);
+        }
+        Survival::new(&hazards)
+    }
+
+    /// Sketches of workspaces that are held.
+    #[must_use]
+    pub fn sketches(&self) -> usize {
+        self.narrow.len()
+    }
+
+    fn each(&mut self, key: &LengthKey, f: impl Fn(&mut Sketch)) {
+        if !self.narrow.contains_key(key) {
+            self.make_room();
+        }
+        f(self.narrow.entry(key.clone()).or_default());
+        let wide = (key.target.clone(), key.priority);
+        f(self.wide.entry(wide).or_default());
+    }
+
+    fn make_room(&mut self) {
+        if self.narrow.len() < MAX_SKETCHES {
+            return;
+        }
+        let seen = |s: &Sketch| s.entered[0];
+        let least = self
+            .narrow
+            .iter()
+            .min_by(|(_, a), (_, b)| seen(a).total_cmp(&seen(b)))
+            .map(|(key, _)| key.clone());
+        if let Some(key) = least {
+            self.narrow.remove(&key);
+        }
+    }
+}
+
+/// Probability that an answer outgrows a length.
+#[derive(Clone, Copy, Debug)]
+pub struct Survival {
+    /// Logarithm of the probability at the start of each span.
+    logs: [f32; SPANS + 1],
+}
+
+impl Survival {
+    fn new(hazards: &[f32; SPANS]) -> Self {
+        const LEAST: f32 = 1e-4;
+        let mut logs = [0.0; SPANS + 1];
+        for i in 0..SPANS {
+            logs[i + 1] = logs[i] + (1.0 - hazards[i]).max(LEAST).ln();
+        }
+        Self { logs }
+    }
+
+    /// Probability that an answer of `produced` tokens gets `more` after them.
+    #[must_use]
+    pub fn beyond(&self, produced: u64, more: u64) -> f64 {
+        let from = self.log_at(produced);
+        let to = self.log_at(produced.saturating_add(more));
+        f64::from(to - from).exp()
+    }
+
+    /// Mean of the tokens to come after `produced`, at most `limit` in all.
+    #[must_use]
+    pub fn mean(&self, produced: u64, limit: u64) -> f64 {
+        let mut mean = 0.0;
+        let mut at = produced;
+        for span in span_of(produced.max(1))..SPANS {
+            let end = start_of(span + 1).min(limit);
+            if end <= at {
+                continue;
+            }
+            let width = to_f64(end - at);
+            let here = self.beyond(produced, at - produced);
+            let there = self.beyond(produced, end - produced);
+            mean += width * f64::midpoint(here, there);
+            at = end;
+        }
+        mean
+    }
+
+    /// Tokens to come after `produced` that a share `q` of answers stays within.
+    #[must_use]
+    pub fn quantile(&self, produced: u64, limit: u64, q: f64) -> u64 {
+        let most = limit.saturating_sub(produced);
+        let (mut low, mut high) = (0, most);
+        while low < high {
+            let middle = low.midpoint(high);
+            if self.beyond(produced, middle) <= 1.0 - q {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        low
+    }
+
+    /// Logarithm of the probability to outgrow `tokens`.
+    #[allow(clippy::cast_possible_truncation)]
+    fn log_at(&self, tokens: u64) -> f32 {
+        if tokens <= 1 {
+            return 0.0;
+        }
+        let span = span_of(tokens);
+        let start = to_f64(start_of(span));
+        let part = (to_f64(tokens) / start).log2() * SPANS_PER_DOUBLING;
+        let (from, to) = (self.logs[span], self.logs[span + 1]);
+        from + (to - from) * part.clamp(0.0, 1.0) as f32
+    }
+}
+
+/// Span in which an answer of so many tokens is.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn span_of(tokens: u64) -> usize {
+    let place = to_f64(tokens.max(1)).log2() * SPANS_PER_DOUBLING;
+    (place as usize).min(SPANS - 1)
+}
+
+/// Tokens at which a span starts.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss
+)]
+fn start_of(span: usize) -> u64 {
+    (span as f64 / SPANS_PER_DOUBLING).exp2().ceil() as u64
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn to_f64(tokens: u64) -> f64 {
+    tokens as f64
+}
--- a/fireflycroft/src/route.rs
+++ b/fireflycroft/src/route.rs
@@ -3,7 +3,7 @@
 //! Load rides on every message of an agent, so the table is as fresh as the
 //! last reply; what this entry has sent since is added to it.
 
-use crate::ids::{IdSource, Name, Peer};
+use crate::ids::{Digest, IdSource, Name, Peer};
 use crate::member::{MemberRecord, MemberState};
 use crate::message::Load;
 use crate::time::Time;
@@ -48,6 +48,10 @@
     pub outstanding: u32,
     /// Requests sent there since it told its load.
     pub sent_since: u32,
+    /// Tokens of their prompts.
+    pub sent_tokens: u64,
+    /// Share of this entry's interactive work of late that went there.
+    pub interactive_share: f64,
     avoid_until: Time,
 }
 
@@ -61,7 +65,26 @@
 }
 
 const SUSPECT_PENALTY: f64 = 1_000.0;
-const FAR_PENALTY: f64 = 0.05;
+const SLOW_PENALTY: f64 = 2.0;
+const FAR_PENALTY: f64 = 0.01;
+
+/// Generations at an agent up to which interactive work gathers there.
+const HEAD_BATCH: u32 = 32;
+
+/// Batch that costs as much as the whole memory.
+const FULL_BATCH: f64 = 64.0;
+
+/// Steps of wait that cost as much as the whole memory.
+const FULL_WAIT_STEPS: f64 = 256.0;
+
+/// Step that waits are measured by before any was told.
+const LEAST_STEP: Duration = Duration::from_millis(1);
+
+/// Steps of the peers that make a slow agent, in tenths.
+const SLOW_TENTHS: u32 = 20;
+
+/// Weight of one request in an agent's share of the interactive work.
+const SHARE_WEIGHT: f64 = 0.02;
 
 impl Router {
     /// An empty table of an entry in `data_centre`.
@@ -101,6 +124,8 @@
             load_at: Time::default(),
             outstanding: 0,
             sent_since: 0,
+            sent_tokens: 0,
+            interactive_share: 0.0,
             avoid_until: Time::default(),
         });
     }
@@ -111,14 +136,28 @@
             agent.load = load;
             agent.load_at = now;
             agent.sent_since = 0;
+            agent.sent_tokens = 0;
         }
     }
 
     /// Notes that a request was sent to the agent.
-    pub fn note_sent(&mut self, name: &Name) {
+    pub fn note_sent(&mut self, name: &Name, demand: &Demand) {
+        if demand.priority == Priority::Interactive {
+            self.share_interactive(name);
+        }
         if let Some(agent) = self.by_name_mut(name) {
             agent.outstanding += 1;
             agent.sent_since += 1;
+            agent.sent_tokens += u64::from(demand.prompt_tokens);
+        }
+    }
+
+    fn share_interactive(&mut self, name: &Name) {
+        for agent in &mut self.agents {
+            agent.interactive_share *= 1.0 - SHARE_WEIGHT;
+            if agent.peer.name == *name {
+                agent.interactive_share += SHARE_WEIGHT;
+            }
         }
     }
 
@@ -184,7 +223,7 @@
                 open.into_iter().min_by_key(|i| self.agents[*i].outstanding)
             }
             RoutePolicy::TwoChoices => self.less_loaded_of_two(&open, ids),
-            RoutePolicy::Expected => self.cheapest(&open, demand, ids),
+            RoutePolicy::Expected => self.expected(&open, demand, ids),
         };
         at.map(AgentIx)
     }
@@ -216,28 +255,76 @@
         })
     }
 
+    /// An agent for interactive work where little batch work is, one for batch
+    /// work where little interactive work is.
+    fn expected(&self, open: &[usize], demand: &Demand, ids: &mut IdSource) -> Option<usize> {
+        let step = self.median_step(open);
+        if demand.priority == Priority::Interactive
+            && let Some(head) = self.head_with_room(open, demand, step)
+        {
+            return Some(head);
+        }
+        self.cheapest(open, demand, step, ids)
+    }
+
+    /// First agent, in an order that all entries share, with room for more.
+    ///
+    /// Interactive work so gathers on few agents, whose prefix caches it warms,
+    /// and goes on to the next one when these are filled to a bound.
+    fn head_with_room(&self, open: &[usize], demand: &Demand, step: Duration) -> Option<usize> {
+        let has_room = |i: &&usize| {
+            let agent = &self.agents[**i];
+            let batch = agent.load.running + agent.load.queued + agent.sent_since;
+            agent.state == MemberState::Alive
+                && batch < HEAD_BATCH
+                && agent.load.wait_interactive.is_zero()
+                && !is_slow(agent, step)
+        };
+        let order = |i: &&usize| rendezvous(&demand.target, &self.agents[**i].peer.name);
+        open.iter().filter(has_room).max_by_key(order).copied()
+    }
+
     /// Least cost; equal costs are drawn for, so that entries do not herd.
-    fn cheapest(&self, open: &[usize], demand: &Demand, ids: &mut IdSource) -> Option<usize> {
+    fn cheapest(
+        &self,
+        open: &[usize],
+        demand: &Demand,
+        step: Duration,
+        ids: &mut IdSource,
+    ) -> Option<usize> {
         if open.is_empty() {
             return None;
         }
         let shift = ids.draw_below(open.len());
         let turned = open.iter().cycle().skip(shift).take(open.len()).copied();
-        turned.min_by(|a, b| self.cost(*a, demand).total_cmp(&self.cost(*b, demand)))
+        let cost = |i: &usize| self.cost(*i, demand, step);
+        turned.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// What a request costs there: shares of the memory, and of the wait that
+    /// counts as much as all of it.
     #[allow(clippy::cast_precision_loss)]
-    fn cost(&self, i: usize, demand: &Demand) -> f64 {
+    fn cost(&self, i: usize, demand: &Demand, step: Duration) -> f64 {
         let agent = &self.agents[i];
         let load = &agent.load;
         let wait = match demand.priority {
             Priority::Interactive => load.wait_interactive,
             Priority::Batch => load.wait_batch,
         };
+        let full_wait = step.max(LEAST_STEP).mul_f64(FULL_WAIT_STEPS);
+        let wait = wait.as_secs_f64() / full_wait.as_secs_f64();
         let capacity = load.capacity_tokens.max(1) as f64;
-        let need = f64::from(demand.prompt_tokens.max(1)) * f64::from(agent.sent_since);
-        let memory = (load.expected_tokens as f64 + need) / capacity;
-        let slots = f64::from(load.running + load.queued + agent.sent_since) / 1_000.0;
+        let memory = (load.expected_tokens + agent.sent_tokens) as f64 / capacity;
+        let batch = f64::from(load.running + load.queued + agent.sent_since) / FULL_BATCH;
+        let busy = match demand.priority {
+            Priority::Interactive => memory + batch,
+            Priority::Batch => memory + agent.interactive_share,
+        };
+        let slow = if is_slow(agent, step) {
+            SLOW_PENALTY
+        } else {
+            0.0
+        };
         let suspect = if agent.state == MemberState::Suspect {
             SUSPECT_PENALTY
         } else {
@@ -248,7 +335,15 @@
         } else {
             FAR_PENALTY
         };
-        wait.as_secs_f64() + memory + slots + suspect + far
+        wait + busy + slow + suspect + far
+    }
+
+    /// Median of the steps that the agents told, zero when none did.
+    fn median_step(&self, open: &[usize]) -> Duration {
+        let told = open.iter().map(|i| self.agents[*i].load.step);
+        let mut steps: Vec<Duration> = told.filter(|s| !s.is_zero()).collect();
+        steps.sort_unstable();
+        steps.get(steps.len() / 2).copied().unwrap_or_default()
     }
 
     fn by_name_mut(&mut self, name: &Name) -> Option<&mut AgentView> {
@@ -256,6 +351,16 @@
     }
 }
 
+/// Whether an agent at work is slow by the figures of its peers.
+fn is_slow(agent: &AgentView, median: Duration) -> bool {
+    agent.load.running > 0 && agent.load.step * 10 > median * SLOW_TENTHS && !median.is_zero()
+}
+
+/// Place of an agent in the order of a target, the same at all entries.
+fn rendezvous(target: &Name, agent: &Name) -> Digest {
+    Digest::of(&[target.as_bytes(), agent.as_bytes()])
+}
+
 fn is_usable(agent: &AgentView) -> bool {
     let state = matches!(agent.state, MemberState::Alive | MemberState::Suspect);
     state && !agent.load.leaving
--- /dev/null
+++ b/fireflycroft/tests/admit.rs
@@ -0,0 +1,351 @@
+//! Admission at the agent, step by step without a clock.
+
+use fireflycroft::{
+    Admission, AdmitPolicy, Capacity, Demand, Digest, Name, OfferId, Priority, RequestId, Time,
+    UpstreamReport, Verdict,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::time::Duration;
+
+const CAPACITY: Capacity = Capacity {
+    tokens: 10_000,
+    max_batch: 16,
+    max_queue: 8,
+};
+/// Time for one token.
+const STEP: Duration = Duration::from_millis(20);
+const PATIENCE: Duration = Duration::from_secs(10);
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+cases! {
+    empty_upstream_takes_what_fits_at_all => takes_first();
+    prompt_beyond_memory_is_too_long => refuses_too_long();
+    learned_length_counts_before_it_is_used => counts_expected_memory();
+    short_answers_fit_where_long_ones_do_not => learned_shortness_lets_more_in();
+    batch_work_leaves_memory_to_interactive => headroom_of_memory();
+    batch_work_leaves_slots_to_interactive => headroom_of_slots();
+    later_batch_does_not_pass_earlier => batch_keeps_order();
+    interactive_goes_before_waiting_batch => interactive_first();
+    batch_that_waited_long_is_kept_room => aged_batch_is_kept_room();
+    what_cannot_begin_in_time_is_refused => refuses_early();
+    told_wait_shrinks_as_the_line_does => wait_shrinks();
+    expired_leave_the_line => expires();
+    released_slot_goes_to_the_next => releases();
+    pass_through_takes_all_and_tells_the_report => passes_through();
+    bounds_hold_in_any_order => bounds_hold();
+}
+
+/// An admission with the numbers and times of its offers.
+struct Door {
+    admission: Admission,
+    now: Time,
+    next: u128,
+}
+
+fn demand(priority: Priority, prompt: u32) -> Demand {
+    Demand {
+        workspace: Name::from("w"),
+        target: Name::from("model"),
+        priority,
+        prompt_tokens: prompt,
+        max_tokens: 8_192,
+        prefix: Digest(0),
+        content: Digest(0),
+        repeatable: true,
+        crashes: 0,
+    }
+}
+
+impl Door {
+    fn new(policy: AdmitPolicy) -> Self {
+        Self {
+            admission: Admission::new(policy, CAPACITY),
+            now: Time::from_millis(1),
+            next: 0,
+        }
+    }
+
+    /// A door that has seen many answers of that length.
+    fn taught(priority: Priority, length: u64) -> Self {
+        let mut door = Self::new(AdmitPolicy::Expected);
+        for _ in 0..300 {
+            let (offer, _) = door.offer(priority, 10);
+            door.produce(offer, length);
+            door.admission.finish(offer);
+        }
+        door
+    }
+
+    fn offer(&mut self, priority: Priority, prompt: u32) -> (OfferId, Verdict) {
+        self.next += 1;
+        let offer = OfferId {
+            request: RequestId(self.next),
+            attempt: 1,
+        };
+        let until = self.now + PATIENCE;
+        let demand = demand(priority, prompt);
+        let verdict = self.admission.offer(self.now, offer, &demand, until);
+        (offer, verdict)
+    }
+
+    fn produce(&mut self, offer: OfferId, total: u64) {
+        for count in 1..=total {
+            self.now = self.now + STEP;
+            self.admission.progress(self.now, offer, count);
+        }
+    }
+
+    /// Offers until one is not admitted; gives the admitted ones.
+    fn fill(&mut self, priority: Priority, prompt: u32) -> Vec<OfferId> {
+        let mut taken = Vec::new();
+        loop {
+            let (offer, verdict) = self.offer(priority, prompt);
+            if verdict != Verdict::Admit {
+                self.admission.release(offer);
+                return taken;
+            }
+            taken.push(offer);
+        }
+    }
+}
+
+fn takes_first() {
+    let mut door = Door::taught(Priority::Batch, 4_000);
+    assert_eq!(door.offer(Priority::Batch, 9_000).1, Verdict::Admit);
+}
+
+fn refuses_too_long() {
+    let mut door = Door::new(AdmitPolicy::Expected);
+    assert_eq!(door.offer(Priority::Batch, 10_000).1, Verdict::TooLong);
+}
+
+/// Ten prompts would fit at once, but not the answers that they grow.
+fn counts_expected_memory() {
+    let mut door = Door::taught(Priority::Batch, 2_000);
+    let taken = door.fill(Priority::Batch, 1_000).len();
+    assert!((2..=3).contains(&taken), "{taken}");
+}
+
+fn learned_shortness_lets_more_in() {
+    let mut door = Door::taught(Priority::Batch, 20);
+    let taken = door.fill(Priority::Batch, 1_000).len();
+    assert!((7..=9).contains(&taken), "{taken}");
+}
+
+fn headroom_of_memory() {
+    let mut door = Door::taught(Priority::Batch, 20);
+    for _ in 0..100 {
+        let (offer, _) = door.offer(Priority::Interactive, 10);
+        door.produce(offer, 20);
+        door.admission.finish(offer);
+    }
+    door.fill(Priority::Batch, 900);
+    door.fill(Priority::Batch, 400);
+    assert!(door.offer(Priority::Batch, 400).1 != Verdict::Admit);
+    assert_eq!(door.offer(Priority::Interactive, 400).1, Verdict::Admit);
+}
+
+fn headroom_of_slots() {
+    let mut door = Door::taught(Priority::Batch, 20);
+    assert_eq!(door.fill(Priority::Batch, 10).len(), 14);
+    assert_eq!(door.fill(Priority::Interactive, 10).len(), 2);
+}
+
+fn batch_keeps_order() {
+    let mut door = Door::taught(Priority::Batch, 500);
+    let taken = door.fill(Priority::Batch, 1_500);
+    let (large, verdict) = door.offer(Priority::Batch, 2_000);
+    assert!(matches!(verdict, Verdict::Queue(_)), "{verdict:?}");
+    let (small, verdict) = door.offer(Priority::Batch, 1);
+    assert!(matches!(verdict, Verdict::Queue(_)), "{verdict:?}");
+    assert_eq!(door.admission.next(door.now), None);
+    for offer in taken {
+        door.admission.release(offer);
+    }
+    assert_eq!(door.admission.next(door.now), Some(large));
+    assert_eq!(door.admission.next(door.now), Some(small));
+}
+
+fn interactive_first() {
+    let mut door = Door::taught(Priority::Batch, 20);
+    let first = door.fill(Priority::Interactive, 10);
+    door.offer(Priority::Batch, 10);
+    let (clerk, verdict) = door.offer(Priority::Interactive, 10);
+    assert!(matches!(verdict, Verdict::Queue(_)), "{verdict:?}");
+    door.admission.release(first[0]);
+    assert_eq!(door.admission.next(door.now), Some(clerk));
+}
+
+/// Interactive work past its floor may not take the room that a batch
+/// request has waited for; before that it may.
+fn aged_batch_is_kept_room() {
+    let mut door = Door::taught(Priority::Interactive, 20);
+    for _ in 0..5 {
+        door.offer(Priority::Interactive, 1_400);
+    }
+    let (_, verdict) = door.offer(Priority::Batch, 6_000);
+    assert!(matches!(verdict, Verdict::Queue(_)), "{verdict:?}");
+    let (young, verdict) = door.offer(Priority::Interactive, 500);
+    assert_eq!(verdict, Verdict::Admit);
+    door.admission.release(young);
+    door.now = door.now + PATIENCE / 2;
+    assert!(door.offer(Priority::Interactive, 500).1 != Verdict::Admit);
+}
+
+fn refuses_early() {
+    let mut door = Door::taught(Priority::Batch, 3_000);
+    door.fill(Priority::Batch, 2_000);
+    let refused = (0..20).any(|_| match door.offer(Priority::Batch, 2_000).1 {
+        Verdict::Refuse(wait) => wait > PATIENCE,
+        _ => false,
+    });
+    assert!(refused);
+}
+
+fn wait_shrinks() {
+    let mut door = Door::taught(Priority::Batch, 200);
+    let taken = door.fill(Priority::Batch, 1_000);
+    let (queued, _) = door.offer(Priority::Batch, 1_000);
+    let long = door.admission.expected_wait(Priority::Batch);
+    door.admission.release(queued);
+    let short = door.admission.expected_wait(Priority::Batch);
+    assert!(short < long, "{short:?} {long:?}");
+    for offer in taken {
+        door.admission.release(offer);
+    }
+    assert_eq!(door.admission.next(door.now), None);
+    let (last, _) = door.offer(Priority::Batch, 10);
+    door.admission.release(last);
+    assert_eq!(
+        door.admission.expected_wait(Priority::Batch),
+        Duration::ZERO
+    );
+}
+
+fn expires() {
+    let mut door = Door::taught(Priority::Batch, 500);
+    door.fill(Priority::Batch, 1_500);
+    let (waits, _) = door.offer(Priority::Batch, 2_000);
+    assert_eq!(door.admission.expired(door.now), []);
+    assert_eq!(door.admission.expired(door.now + PATIENCE), [waits]);
+    assert_eq!(door.admission.load().queued, 0);
+}
+
+fn releases() {
+    let mut door = Door::taught(Priority::Batch, 20);
+    let taken = door.fill(Priority::Batch, 10);
+    let (waits, _) = door.offer(Priority::Batch, 10);
+    door.admission.release(taken[3]);
+    assert_eq!(door.admission.next(door.now), Some(waits));
+}
+
+fn passes_through() {
+    let mut door = Door::new(AdmitPolicy::PassThrough);
+    for _ in 0..100 {
+        assert_eq!(door.offer(Priority::Batch, 5_000).1, Verdict::Admit);
+    }
+    assert_eq!(door.admission.load().running, 0);
+    door.admission.report(UpstreamReport {
+        running: 7,
+        waiting: 93,
+        used_tokens: 9_000,
+    });
+    let load = door.admission.load();
+    assert_eq!((load.running, load.queued), (7, 93));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Offer(bool, u32),
+    Produce(usize, u64),
+    Finish(usize),
+    Release(usize),
+    Wait(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => (any::<bool>(), 1_u32..6_000).prop_map(|(i, p)| Op::Offer(i, p)),
+        4 => (0_usize..16, 1_u64..400).prop_map(|(i, n)| Op::Produce(i, n)),
+        2 => (0_usize..16).prop_map(Op::Finish),
+        1 => (0_usize..16).prop_map(Op::Release),
+        1 => (1_u64..5_000).prop_map(Op::Wait),
+    ]
+}
+
+/// Prompts held never exceed the memory, nor the batch its bound, nor the
+/// line its own; and nobody is let in twice.
+fn bounds_hold() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(200), rng);
+    runner
+        .run(&prop::collection::vec(op(), 1..120), |ops| {
+            let mut door = Door::new(AdmitPolicy::Expected);
+            let mut inside: Vec<(OfferId, u32, u64)> = Vec::new();
+            let mut outside: Vec<(OfferId, u32)> = Vec::new();
+            for op in ops {
+                step(&mut door, &mut inside, &mut outside, op);
+                while let Some(offer) = door.admission.next(door.now) {
+                    let at = outside.iter().position(|(o, _)| *o == offer);
+                    let (offer, prompt) = outside.remove(at.unwrap());
+                    inside.push((offer, prompt, 0));
+                }
+                let prompts: u64 = inside.iter().map(|(_, p, _)| u64::from(*p)).sum();
+                let load = door.admission.load();
+                prop_assert!(inside.len() <= 1 || prompts <= CAPACITY.tokens);
+                prop_assert!(inside.len() <= CAPACITY.max_batch as usize);
+                prop_assert_eq!(load.running as usize, inside.len());
+                prop_assert_eq!(load.queued as usize, outside.len());
+                prop_assert!(outside.len() <= CAPACITY.max_queue);
+                prop_assert!(!inside.is_empty() || outside.is_empty());
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+fn step(
+    door: &mut Door,
+    inside: &mut Vec<(OfferId, u32, u64)>,
+    outside: &mut Vec<(OfferId, u32)>,
+    op: Op,
+) {
+    match op {
+        Op::Offer(interactive, prompt) => {
+            let priority = if interactive {
+                Priority::Interactive
+            } else {
+                Priority::Batch
+            };
+            match door.offer(priority, prompt) {
+                (offer, Verdict::Admit) => inside.push((offer, prompt, 0)),
+                (offer, Verdict::Queue(_)) => outside.push((offer, prompt)),
+                _ => {}
+            }
+        }
+        Op::Produce(i, more) if i < inside.len() => {
+            inside[i].2 += more;
+            door.now = door.now + STEP;
+            door.admission.progress(door.now, inside[i].0, inside[i].2);
+        }
+        Op::Finish(i) if i < inside.len() => door.admission.finish(inside.remove(i).0),
+        Op::Release(i) if i < inside.len() => door.admission.release(inside.remove(i).0),
+        Op::Wait(millis) => {
+            door.now = door.now + Duration::from_millis(millis);
+            let gone = door.admission.expired(door.now);
+            outside.retain(|(offer, _)| !gone.contains(offer));
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/fireflycroft/tests/route.rs
@@ -0,0 +1,280 @@
+//! The entry's choice among agents.
+
+use fireflycroft::{
+    Demand, Digest, IdSource, Incarnation, Load, MemberRecord, MemberState, Name, Peer, Priority,
+    Role, RoutePolicy, Router, Time,
+};
+use std::collections::HashMap;
+use std::time::Duration;
+
+const NOW: Time = Time::from_millis(1_000);
+const STEP: Duration = Duration::from_millis(20);
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+cases! {
+    interactive_gathers_on_the_same_agent_at_all_entries => gathers();
+    interactive_goes_on_from_a_filled_agent => goes_on_when_filled();
+    batch_keeps_off_the_interactive_agent => batch_keeps_off();
+    batch_takes_the_interactive_agent_before_a_long_wait => batch_spills();
+    batch_goes_where_memory_is => batch_follows_memory();
+    slow_agent_is_found_by_its_peers => slow_is_left_out();
+    slow_agent_without_work_may_prove_itself => idle_slow_is_tried();
+    suspect_agent_is_the_last_choice => suspect_is_last();
+    tried_agent_is_not_asked_again => tried_is_left_out();
+    leaving_agent_is_not_asked => leaving_is_left_out();
+    avoided_agent_is_asked_again_later => avoided_comes_back();
+    round_robin_goes_round => goes_round();
+    least_outstanding_counts_own_requests => counts_outstanding();
+    two_choices_takes_the_less_loaded => takes_less_loaded();
+}
+
+fn name(i: usize) -> Name {
+    Name::from(format!("agent-{i}"))
+}
+
+fn record(i: usize, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        peer: Peer {
+            name: name(i),
+            addr: format!("127.0.0.1:{}", 7_000 + i).parse().unwrap(),
+            incarnation: Incarnation(1),
+            role: Role::Agent,
+        },
+        data_centre: Name::from("dc"),
+        state,
+        turn: 1,
+        serves: vec![Name::from("model")],
+    }
+}
+
+fn load(expected: u64) -> Load {
+    Load {
+        running: 4,
+        expected_tokens: expected,
+        used_tokens: expected,
+        capacity_tokens: 10_000,
+        step: STEP,
+        ..Load::default()
+    }
+}
+
+fn router(policy: RoutePolicy, agents: usize) -> Router {
+    let mut router = Router::new(policy, Name::from("dc"));
+    for i in 0..agents {
+        router.learn(&record(i, MemberState::Alive));
+        router.note_load(NOW, &name(i), load(1_000));
+    }
+    router
+}
+
+fn demand(priority: Priority) -> Demand {
+    Demand {
+        workspace: Name::from("w"),
+        target: Name::from("model"),
+        priority,
+        prompt_tokens: 100,
+        max_tokens: 1_000,
+        prefix: Digest(0),
+        content: Digest(0),
+        repeatable: true,
+        crashes: 0,
+    }
+}
+
+fn choose(router: &mut Router, priority: Priority, ids: &mut IdSource) -> Name {
+    let ix = router.choose(NOW, &demand(priority), &[], ids).unwrap();
+    router.get(ix).peer.name.clone()
+}
+
+/// Chooses, sends and tells the load again, `times` over.
+fn send(router: &mut Router, priority: Priority, times: usize) -> HashMap<Name, usize> {
+    let mut ids = IdSource::new([3; 32]);
+    let mut sent = HashMap::new();
+    for _ in 0..times {
+        let to = choose(router, priority, &mut ids);
+        router.note_sent(&to, &demand(priority));
+        *sent.entry(to.clone()).or_default() += 1;
+        let load = router.by_name(&to).unwrap().load;
+        router.note_load(NOW, &to, load);
+    }
+    sent
+}
+
+fn head(agents: usize) -> Name {
+    let mut router = router(RoutePolicy::Expected, agents);
+    choose(
+        &mut router,
+        Priority::Interactive,
+        &mut IdSource::new([1; 32]),
+    )
+}
+
+fn gathers() {
+    for seed in 0..20 {
+        let mut router = router(RoutePolicy::Expected, 6);
+        let mut ids = IdSource::new([seed; 32]);
+        let to = choose(&mut router, Priority::Interactive, &mut ids);
+        assert_eq!(to, head(6));
+    }
+}
+
+fn goes_on_when_filled() {
+    let mut router = router(RoutePolicy::Expected, 4);
+    let full = Load {
+        running: 40,
+        ..load(1_000)
+    };
+    router.note_load(NOW, &head(4), full);
+    let sent = send(&mut router, Priority::Interactive, 50);
+    assert_eq!(sent.len(), 1);
+    assert!(!sent.contains_key(&head(4)));
+}
+
+fn batch_keeps_off() {
+    let mut router = router(RoutePolicy::Expected, 4);
+    send(&mut router, Priority::Interactive, 200);
+    let sent = send(&mut router, Priority::Batch, 100);
+    assert_eq!(sent.get(&head(4)), None);
+    assert_eq!(sent.len(), 3);
+}
+
+fn batch_spills() {
+    let mut router = router(RoutePolicy::Expected, 4);
+    send(&mut router, Priority::Interactive, 200);
+    for i in (0..4).filter(|i| name(*i) != head(4)) {
+        let full = Load {
+            wait_batch: Duration::from_secs(20),
+            ..load(9_500)
+        };
+        router.note_load(NOW, &name(i), full);
+    }
+    let sent = send(&mut router, Priority::Batch, 20);
+    assert_eq!(sent.get(&head(4)), Some(&20));
+}
+
+fn batch_follows_memory() {
+    let mut router = router(RoutePolicy::Expected, 4);
+    for i in 0..4 {
+        let expected = if i == 2 { 2_000 } else { 6_000 };
+        router.note_load(NOW, &name(i), load(expected));
+    }
+    let sent = send(&mut router, Priority::Batch, 10);
+    assert_eq!(sent.get(&name(2)), Some(&10));
+}
+
+fn slow_is_left_out() {
+    let mut router = router(RoutePolicy::Expected, 4);
+    let slow = Load {
+        step: STEP * 3,
+        ..load(0)
+    };
+    router.note_load(NOW, &head(4), slow);
+    assert!(!send(&mut router, Priority::Interactive, 20).contains_key(&head(4)));
+    assert!(!send(&mut router, Priority::Batch, 20).contains_key(&head(4)));
+}
+
+fn idle_slow_is_tried() {
+    let mut router = router(RoutePolicy::Expected, 4);
+    let idle = Load {
+        step: STEP * 3,
+        running: 0,
+        ..load(0)
+    };
+    router.note_load(NOW, &name(1), idle);
+    assert!(send(&mut router, Priority::Batch, 20).contains_key(&name(1)));
+}
+
+fn suspect_is_last() {
+    let mut router = router(RoutePolicy::Expected, 3);
+    for i in 0..2 {
+        router.learn(&record(i, MemberState::Suspect));
+    }
+    for priority in [Priority::Interactive, Priority::Batch] {
+        assert_eq!(send(&mut router, priority, 20).get(&name(2)), Some(&20));
+    }
+    router.learn(&record(2, MemberState::Suspect));
+    let mut ids = IdSource::new([1; 32]);
+    choose(&mut router, Priority::Interactive, &mut ids);
+}
+
+fn tried_is_left_out() {
+    for policy in [
+        RoutePolicy::Expected,
+        RoutePolicy::RoundRobin,
+        RoutePolicy::LeastOutstanding,
+        RoutePolicy::TwoChoices,
+    ] {
+        let mut router = router(policy, 3);
+        let mut ids = IdSource::new([1; 32]);
+        let tried = [name(0), name(2)];
+        for _ in 0..10 {
+            let demand = demand(Priority::Interactive);
+            let ix = router.choose(NOW, &demand, &tried, &mut ids).unwrap();
+            assert_eq!(router.get(ix).peer.name, name(1));
+        }
+        let all = [name(0), name(1), name(2)];
+        let none = router.choose(NOW, &demand(Priority::Batch), &all, &mut ids);
+        assert_eq!(none, None);
+    }
+}
+
+fn leaving_is_left_out() {
+    let mut router = router(RoutePolicy::Expected, 2);
+    let leaving = Load {
+        leaving: true,
+        ..load(0)
+    };
+    router.note_load(NOW, &name(0), leaving);
+    assert_eq!(
+        send(&mut router, Priority::Batch, 10).get(&name(1)),
+        Some(&10)
+    );
+}
+
+fn avoided_comes_back() {
+    let mut router = router(RoutePolicy::Expected, 1);
+    router.avoid(NOW, &name(0), Duration::from_secs(2));
+    let mut ids = IdSource::new([1; 32]);
+    let demand = demand(Priority::Batch);
+    let early = NOW + Duration::from_secs(1);
+    assert_eq!(router.choose(early, &demand, &[], &mut ids), None);
+    let late = NOW + Duration::from_secs(2);
+    assert!(router.choose(late, &demand, &[], &mut ids).is_some());
+}
+
+fn goes_round() {
+    let mut router = router(RoutePolicy::RoundRobin, 3);
+    let sent = send(&mut router, Priority::Batch, 30);
+    assert!((0..3).all(|i| sent.get(&name(i)) == Some(&10)));
+}
+
+fn counts_outstanding() {
+    let mut router = router(RoutePolicy::LeastOutstanding, 3);
+    let sent = send(&mut router, Priority::Batch, 30);
+    assert!((0..3).all(|i| sent.get(&name(i)) == Some(&10)));
+    router.note_done(&name(1));
+    let sent = send(&mut router, Priority::Batch, 1);
+    assert!(sent.contains_key(&name(1)));
+}
+
+fn takes_less_loaded() {
+    let mut router = router(RoutePolicy::TwoChoices, 2);
+    let busy = Load {
+        running: 30,
+        ..load(1_000)
+    };
+    router.note_load(NOW, &name(0), busy);
+    let sent = send(&mut router, Priority::Batch, 400);
+    let less = sent.get(&name(1)).copied().unwrap_or_default();
+    assert!((250..350).contains(&less), "{less}");
+}
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -188,10 +188,15 @@
     let runner = open_runner(settings, &agent)?;
     let capacity = find_capacity(&agent, &runner).await;
     tokio::spawn(runner.clone().watch_health(tx.clone()));
+    let policy = admit_policy(&settings.policy);
+    if policy == AdmitPolicy::PassThrough {
+        // The upstream queues, so only it knows its load.
+        tokio::spawn(runner.clone().watch_load(tx.clone()));
+    }
     let setup = AgentSetup {
         me: parts.node.me.clone(),
         serves: served_by(&agent),
-        policy: admit_policy(&settings.policy),
+        policy,
         capacity,
         limits: AgentLimits {
             keep_unread: settings.timeouts.retain,
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fireflycroft::{
-    AgentEvent, Code, Demand, Finish, GenerationId, Name, Priority, RequestId, Work,
+    AgentEvent, Code, Demand, Finish, GenerationId, Name, Priority, RequestId, UpstreamReport, Work,
 };
 use futures_util::StreamExt;
 use serde_json::Value;
@@ -19,6 +19,8 @@
 const PART_BYTES: usize = 32 * 1024;
 /// Time between two looks at the upstream's health.
 const HEALTH_EVERY: Duration = Duration::from_millis(500);
+/// Time between two looks at the upstream's load.
+const LOAD_EVERY: Duration = Duration::from_millis(100);
 /// Looks that must fail before the upstream counts as down.
 const HEALTH_FAILURES: u32 = 3;
 /// Wait before a broken stream is taken up again.
@@ -141,6 +143,24 @@
         }
     }
 
+    /// Passes on what the upstream reports of its load, for ever.
+    pub async fn watch_load(self, tx: mpsc::Sender<AgentInput>) {
+        let Self::Engine(engine) = self else {
+            return;
+        };
+        loop {
+            if let Ok(report) = engine.load().await {
+                let report = UpstreamReport {
+                    running: u32::try_from(report.running).unwrap_or(u32::MAX),
+                    waiting: u32::try_from(report.waiting).unwrap_or(u32::MAX),
+                    used_tokens: report.used_tokens,
+                };
+                send(&tx, AgentEvent::Report(report)).await;
+            }
+            tokio::time::sleep(LOAD_EVERY).await;
+        }
+    }
+
     async fn is_healthy(&self) -> bool {
         match self {
             Self::Engine(engine) => engine.health().await.is_ok(),
--- a/standins/src/load/record.rs
+++ b/standins/src/load/record.rs
@@ -40,6 +40,20 @@
     pub settings: Settings,
     /// What was measured, by class.
     pub classes: BTreeMap<Class, ClassRecord>,
+    /// How each workspace fared.
+    #[serde(default)]
+    pub workspaces: BTreeMap<Arc<str>, WorkspaceRecord>,
+}
+
+/// How one workspace fared.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WorkspaceRecord {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub complete: u64,
+    /// Whole answers within their goal.
+    pub good: u64,
 }
 
 /// What was measured of a class; times in milliseconds of the model of time.
--- a/standins/src/load/run.rs
+++ b/standins/src/load/run.rs
@@ -9,12 +9,12 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use super::call::{Body, Call, Message, Outcome};
+use super::call::{Body, Call, End, Message, Outcome};
 use super::meter::Meter;
 use super::mix::{Class, Mix};
 use super::plan::{Arrival, arrivals};
 use super::progress::Progress;
-use super::record::{Record, Settings};
+use super::record::{Record, Settings, WorkspaceRecord};
 use super::tally::Tally;
 use super::words;
 use crate::clock::wait_until;
@@ -52,6 +52,9 @@
     pub seed: u64,
 }
 
+/// How each workspace fared so far.
+type Workspaces = BTreeMap<Arc<str>, WorkspaceRecord>;
+
 /// What the requests of a run share.
 struct Run {
     cfg: Config,
@@ -72,7 +75,7 @@
     let mut background = JoinSet::new();
     let shared = Arc::clone(&run);
     background.spawn(async move { shared.progress.report().await });
-    let tallies = run.drive().await?;
+    let (tallies, workspaces) = run.drive().await?;
     let duration = run.cfg.duration;
     Ok(Record {
         settings: run.settings(),
@@ -80,6 +83,7 @@
             .into_iter()
             .map(|(class, tally)| (class, tally.record(duration)))
             .collect(),
+        workspaces,
     })
 }
 
@@ -98,8 +102,9 @@
     }
 
     /// Sends each request at its time and adds up the outcomes by class.
-    async fn drive(self: &Arc<Self>) -> anyhow::Result<BTreeMap<Class, Tally>> {
+    async fn drive(self: &Arc<Self>) -> anyhow::Result<(BTreeMap<Class, Tally>, Workspaces)> {
         let mut tallies = BTreeMap::new();
+        let mut workspaces = Workspaces::new();
         for class in Class::ALL {
             tallies.insert(class, Tally::new()?);
         }
@@ -109,25 +114,44 @@
             wait_until(self.instant(&arrival)).await;
             self.progress.add_sent();
             let run = Arc::clone(self);
-            calls.spawn(async move { run.send(&arrival).await });
+            calls.spawn(async move { (arrival, run.send(&arrival).await) });
             while let Some(done) = calls.try_join_next() {
-                add(&mut tallies, done?);
+                self.add(&mut tallies, &mut workspaces, &done?);
             }
         }
         while let Some(done) = calls.join_next().await {
-            add(&mut tallies, done?);
+            self.add(&mut tallies, &mut workspaces, &done?);
         }
-        Ok(tallies)
+        Ok((tallies, workspaces))
     }
 
-    async fn send(&self, arrival: &Arrival) -> (Class, Outcome) {
+    async fn send(&self, arrival: &Arrival) -> Outcome {
         let class = self.cfg.mix.kinds[arrival.kind].class;
         let goal = self.cfg.mix.goal(class);
         let meter = Meter::new(goal, self.cfg.time_scale, self.instant(arrival));
         let call = self.call(arrival);
         let outcome = call.run(&self.client, meter, &self.progress).await;
         self.progress.add_end(&outcome.end);
-        (class, outcome)
+        outcome
+    }
+
+    fn add(
+        &self,
+        tallies: &mut BTreeMap<Class, Tally>,
+        workspaces: &mut Workspaces,
+        (arrival, outcome): &(Arrival, Outcome),
+    ) {
+        let mix = &self.cfg.mix;
+        if let Some(tally) = tallies.get_mut(&mix.kinds[arrival.kind].class) {
+            tally.add(outcome);
+        }
+        let name = Arc::clone(&mix.workspaces[arrival.workspace].name);
+        let workspace = workspaces.entry(name).or_default();
+        workspace.sent += 1;
+        if outcome.end == End::Complete {
+            workspace.complete += 1;
+            workspace.good += u64::from(outcome.meter.met_goal());
+        }
     }
 
     fn call(&self, arrival: &Arrival) -> Call {
@@ -192,12 +216,6 @@
     }
 }
 
-fn add(tallies: &mut BTreeMap<Class, Tally>, (class, outcome): (Class, Outcome)) {
-    if let Some(tally) = tallies.get_mut(&class) {
-        tally.add(&outcome);
-    }
-}
-
 fn priority(class: Class) -> i64 {
     match class {
         Class::Interactive => INTERACTIVE_PRIORITY,
