--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -2,7 +2,7 @@
 
 use crate::code::{Class, Code};
 use crate::entry::{
-    Call, Delivery, Entry, EntryAction, Origin, Phase, Reading, Reply, ResumePoint,
+    Call, Delivery, Entry, EntryAction, EntryLimits, Origin, Phase, Reading, Reply, ResumePoint,
 };
 use crate::ids::{CallId, GenerationId, Incarnation, Name, Peer, RequestId};
 use crate::message::{Finish, Message, Standing};
@@ -10,6 +10,7 @@
 use crate::quarantine::CRASH_LIMIT;
 use crate::stream::{Chunk, Cursor, Taken};
 use crate::time::Time;
+use std::time::Duration;
 
 /// Tokens of a whole answer between two acknowledgements.
 const ACK_STEP: u64 = 256;
@@ -159,6 +160,7 @@
         } else if finish.code == Code::UpstreamFailed {
             self.on_lost(now, id, Code::UpstreamFailed, out);
         } else {
+            self.send_last_ack(id, out);
             self.fail(id, finish.code, None, out);
         }
     }
@@ -171,7 +173,7 @@
         self.quotas.charge(&call.demand.workspace, finish.total);
         if call.delivery == Delivery::Whole {
             let whole = std::mem::take(&mut call.held_back);
-            if let Some(point) = point_of(&call, 0) {
+            if let Some(point) = point_of(&call, whole.offset) {
                 out.push(EntryAction::Reply(id, Reply::Begin(point)));
             }
             out.push(EntryAction::Reply(id, Reply::Tokens(whole)));
@@ -201,19 +203,28 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        call.starts = call.starts.saturating_sub(1);
-        call.refusal = Some(code);
-        if call.claim_key.is_some() {
-            let retry = Some(self.limits.min_retry_after);
-            let code = if call.starts > 0 {
-                Code::OutcomeUnknown
-            } else {
-                code
-            };
-            self.fail(id, code, retry, out);
+        let Phase::Reading(reading) = &call.phase else {
             return;
+        };
+        match reading.origin {
+            Origin::Own if call.claim_key.is_some() => {
+                call.starts = call.starts.saturating_sub(1);
+                let retry = Some(self.limits.min_retry_after);
+                self.fail(id, code, retry, out);
+            }
+            Origin::Own => {
+                call.starts = call.starts.saturating_sub(1);
+                call.refusal = Some(code);
+                self.offer_next(now, id, out);
+            }
+            // The key's reservation is spent: its claim may be replaced.
+            Origin::Joined(version) => {
+                call.replace = Some(version);
+                call.tried.clear();
+                self.offer_next(now, id, out);
+            }
+            Origin::Resumed => self.fail(id, Code::StreamUnknown, None, out),
         }
-        self.offer_next(now, id, out);
     }
 
     /// The generation is lost: starts afresh where nobody saw any of it and
@@ -222,10 +233,8 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let own = matches!(&call.phase, Phase::Reading(r) if r.origin == Origin::Own);
-        let unseen = call.delivered() == 0;
         let crashes = self.quarantine.crashes(call.demand.content);
-        let may = own && unseen && call.demand.repeatable && call.starts < self.limits.max_starts;
+        let may = call.may_restart(self.limits.max_starts);
         if !may || crashes >= CRASH_LIMIT || !self.retries.spend() {
             self.fail(id, code, None, out);
             return;
@@ -277,19 +286,14 @@
         let retry = Some(self.limits.min_retry_after);
         match (standing, origin) {
             (Standing::Reserved, _) => {}
-            (Standing::NeverStarted, Origin::Own) => {
+            (Standing::NeverStarted, _) => {
                 self.on_not_run(now, id, Code::ReservationLapsed, out);
             }
-            (Standing::NeverStarted, Origin::Joined(version)) => {
-                call.replace = Some(version);
-                call.tried.clear();
-                self.offer_next(now, id, out);
-            }
             (Standing::Unknown, Origin::Own) => self.on_lost(now, id, Code::OutcomeUnknown, out),
             (Standing::Unknown, Origin::Joined(_)) => {
                 self.fail(id, Code::ClaimUnresolved, None, out);
             }
-            (Standing::Unknown | Standing::NeverStarted, Origin::Resumed) => {
+            (Standing::Unknown, Origin::Resumed) => {
                 self.fail(id, Code::StreamUnknown, None, out);
             }
             (Standing::PartGone, Origin::Joined(_)) => self.fail(id, Code::AlreadyRan, None, out),
@@ -325,10 +329,11 @@
         };
         let request = call.request;
         let delivery = call.delivery;
+        let patience = call.patience(&limits);
         let Phase::Reading(reading) = &mut call.phase else {
             return;
         };
-        if now.since(reading.heard) >= limits.silence {
+        if now.since(reading.heard) >= patience {
             self.on_silence(now, id, out);
             return;
         }
@@ -411,6 +416,28 @@
     }
 }
 
+impl Call {
+    /// Whether the generation that is read may be started afresh elsewhere:
+    /// nobody saw any of it and the rules allow.
+    fn may_restart(&self, max_starts: u32) -> bool {
+        let own = matches!(&self.phase, Phase::Reading(r) if r.origin == Origin::Own);
+        let unseen = self.delivered() == 0;
+        own && unseen && self.demand.repeatable && self.starts < max_starts
+    }
+
+    /// Silence of the agent after which it is given up. Where nobody else can
+    /// go on, an agent that was only paused is waited for.
+    fn patience(&self, limits: &EntryLimits) -> Duration {
+        let joined =
+            matches!(&self.phase, Phase::Reading(r) if matches!(r.origin, Origin::Joined(_)));
+        if joined || self.may_restart(limits.max_starts) {
+            limits.silence
+        } else {
+            limits.long_silence
+        }
+    }
+}
+
 fn ack_of(now: Time, reader: RequestId, reading: &mut Reading) -> EntryAction {
     reading.acked_at = now;
     EntryAction::Send(
--- a/fireflyd/src/front.rs
+++ b/fireflyd/src/front.rs
@@ -14,12 +14,14 @@
 use fireflycroft::{CallId, Chunk, Code, Delivery, EntryEvent, Name, Reply, ResumePoint};
 use futures_util::Stream;
 use poem::listener::{
-    Acceptor, AcceptorExt, Listener, RustlsCertificate, RustlsConfig, TcpListener,
+    Acceptor, AcceptorExt, IntoTlsConfigStream, RustlsCertificate, RustlsConfig, TcpAcceptor,
 };
 use poem::web::{Data, Path};
 use poem::{Body, EndpointExt, Request, Response, Route, Server, handler};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use crate::acceptor::PromptAcceptor;
 use crate::answer::{self, Failure};
 use crate::metrics::Metrics;
 use crate::request::{BadRequest, MAX_BODY, Parsed, check_headers, parse_call, parse_chat};
@@ -84,22 +86,15 @@
         listen: SocketAddr,
         tls: Option<Tls>,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = std::io::Result<()>>)> {
-        let listener = TcpListener::bind(listen.to_string());
+        let listener = TcpListener::bind(listen).await;
+        let listener = TcpAcceptor::from_tokio(listener.context("callers' address")?)?;
         let acceptor = match tls {
-            None => listener
-                .into_acceptor()
-                .await
-                .context("callers' address")?
-                .boxed(),
+            None => PromptAcceptor(listener).boxed(),
             Some(tls) => {
                 let cert = RustlsCertificate::new().cert(tls.cert).key(tls.key);
                 let config = RustlsConfig::new().fallback(cert);
-                listener
-                    .rustls(config)
-                    .into_acceptor()
-                    .await
-                    .context("TLS")?
-                    .boxed()
+                let configs = config.into_stream().context("TLS")?;
+                PromptAcceptor(listener).rustls(configs).boxed()
             }
         };
         let bound = acceptor
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon of the fleet: sockets, files and timers round the core, one file for each job.
 
+mod acceptor;
 pub mod admin;
 pub mod agent;
 pub mod answer;
@@ -10,6 +11,7 @@
 pub mod front;
 pub mod journal;
 pub mod keyring;
+mod link;
 pub mod logs;
 pub mod mailbox;
 pub mod metrics;
