--- a/fireflycroft/src/admit.rs
+++ b/fireflycroft/src/admit.rs
@@ -124,6 +124,8 @@
     lengths: Lengths,
     typical: Typical,
     step: Duration,
+    /// Time that one token of a prompt takes.
+    prefill: Duration,
     report: UpstreamReport,
     outlook: Outlook,
     /// Tokens produced since the outlook was made.
@@ -131,7 +133,7 @@
 }
 
 /// Standard deviations of margin for the memory needed.
-const MARGIN: f64 = 2.0;
+const MARGIN: f64 = 1.2;
 
 /// Share of the memory that batch work leaves free, one in so many.
 const HEADROOM_TOKENS: u64 = 16;
@@ -143,6 +145,10 @@
 /// waited long, one in so many.
 const FLOOR_SLOTS: usize = 4;
 
+/// Part of the expected wait that must fit a request's patience; the rest is
+/// hope, since the expectation errs to both sides.
+const HOPE: f64 = 0.75;
+
 /// Share of its patience after which a batch request is kept room for.
 const AGED: u32 = 2;
 
@@ -158,6 +164,24 @@
 /// Weight of the step known against one just seen.
 const STEP_WEIGHT: u32 = 64;
 
+/// Shortest prompt whose time is taken in, in tokens.
+const LEAST_PROMPT: u32 = 256;
+
+/// Weight of the time of a prompt's token known against a lower one seen.
+const LOW_WEIGHT: u32 = 4;
+
+/// Weight of the time of a prompt's token known against a higher one seen.
+const HIGH_WEIGHT: u32 = 64;
+
+/// Steps that a request waits for a better moment to join.
+const JOIN_PATIENCE: u32 = 192;
+
+/// Steps that the work of prompts may hold up interactive answers.
+const JOIN_STEPS_INTERACTIVE: f64 = 4.0;
+
+/// Steps that the work of several prompts may hold up batch answers.
+const JOIN_STEPS_BATCH: f64 = 10.0;
+
 /// Longest step taken in, in steps known; longer ones are a prompt's work.
 const STEP_CLIP: u32 = 4;
 
@@ -173,6 +197,7 @@
             lengths: Lengths::default(),
             typical: Typical::default(),
             step: Duration::ZERO,
+            prefill: Duration::ZERO,
             report: UpstreamReport::default(),
             outlook: Outlook::default(),
             stale: 0,
@@ -202,7 +227,8 @@
             return Verdict::Admit;
         }
         let wait = self.wait_of(demand.priority, &waiting.outlook);
-        if self.waiting.len() >= self.capacity.max_queue || now + wait > until {
+        let hopeless = now + wait.mul_f64(HOPE) > until;
+        if self.waiting.len() >= self.capacity.max_queue || hopeless {
             return Verdict::Refuse(wait);
         }
         self.waiting.push(waiting);
@@ -232,8 +258,10 @@
     /// Forgets a request that waits or holds a slot.
     pub fn release(&mut self, offer: OfferId) {
         self.waiting.retain(|w| w.offer != offer);
-        self.admitted.remove(&offer);
-        self.stale = STALE_TOKENS;
+        if self.admitted.remove(&offer).is_some() {
+            self.stale = STALE_TOKENS;
+            self.refresh();
+        }
     }
 
     /// Frees the slot of a request that came to its own end.
@@ -253,11 +281,19 @@
         let span = now.since(admitted.at);
         admitted.produced = produced;
         admitted.at = now;
+        let prompt = admitted.prompt;
         self.lengths.passed(&admitted.key, before, produced);
         let count = produced.saturating_sub(before);
         self.stale += count;
-        if before > 0 && count > 0 {
+        // Also when nobody asks: the load told to entries rests on it.
+        self.refresh();
+        if count == 0 {
+            return;
+        }
+        if before > 0 {
             self.learn_step(span / u32::try_from(count).unwrap_or(u32::MAX));
+        } else if prompt >= LEAST_PROMPT {
+            self.learn_prefill(span.saturating_sub(self.step) / prompt);
         }
     }
 
@@ -335,6 +371,9 @@
         if self.admitted.len() >= self.slots(priority) {
             return false;
         }
+        if priority == Priority::Batch && !self.may_join(now, waiting) {
+            return false;
+        }
         let limit = self.limit(priority);
         if self.outlook.excess(&waiting.outlook, MARGIN, limit) > 0.0 {
             return false;
@@ -342,12 +381,28 @@
         priority == Priority::Batch || self.leaves_room_for_aged(now, &waiting.outlook)
     }
 
+    /// Whether a prompt's work, with those that join, leaves the next token of
+    /// the others in time. It waits a little for such a moment, no longer.
+    fn may_join(&self, now: Time, waiting: &Waiting) -> bool {
+        if now.since(waiting.since) >= self.step * JOIN_PATIENCE {
+            return true;
+        }
+        let joining = |a: &&Admitted| a.produced == 0;
+        let prompts = |a: &Admitted| u64::from(a.prompt);
+        let joining: u64 = self.admitted.values().filter(joining).map(prompts).sum();
+        let prompt = u64::from(waiting.demand.prompt_tokens);
+        let work = self.prefill.as_secs_f64() * to_f64(joining + prompt);
+        let interactive = |a: &Admitted| a.key.priority == Priority::Interactive;
+        let step = self.step.as_secs_f64();
+        if self.admitted.values().any(interactive) {
+            return work <= JOIN_STEPS_INTERACTIVE * step;
+        }
+        joining == 0 || work <= JOIN_STEPS_BATCH * step
+    }
+
     /// Whether a batch request that has waited long still finds its room.
     fn leaves_room_for_aged(&self, now: Time, own: &Outlook) -> bool {
-        let aged = |w: &&Waiting| {
-            let patience = w.until.since(w.since);
-            w.demand.priority == Priority::Batch && now.since(w.since) >= patience / AGED
-        };
+        let aged = |w: &&Waiting| w.demand.priority == Priority::Batch && is_aged(now, w);
         let Some(aged) = self.waiting.iter().filter(aged).min_by_key(|w| w.since) else {
             return true;
         };
@@ -382,7 +437,7 @@
 
     /// Makes the outlook anew when much has changed since.
     fn refresh(&mut self) {
-        if self.stale < STALE_TOKENS {
+        if self.stale < STALE_TOKENS || self.policy == AdmitPolicy::PassThrough {
             return;
         }
         self.stale = 0;
@@ -425,6 +480,17 @@
         (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i]))
     }
 
+    /// What else delays a first token is never negative, so a low figure tells
+    /// more than a high one.
+    fn learn_prefill(&mut self, seen: Duration) {
+        let weight = if self.prefill.is_zero() || seen < self.prefill {
+            LOW_WEIGHT
+        } else {
+            HIGH_WEIGHT
+        };
+        self.prefill = (self.prefill * (weight - 1) + seen) / weight;
+    }
+
     fn learn_step(&mut self, step: Duration) {
         if self.step.is_zero() {
             self.step = step;
@@ -439,6 +505,11 @@
     (Reverse(w.demand.priority), w.since, w.offer)
 }
 
+/// Whether it has waited a good part of its patience.
+fn is_aged(now: Time, w: &Waiting) -> bool {
+    now.since(w.since) >= w.until.since(w.since) / AGED
+}
+
 fn goes_before(one: &Waiting, other: &Waiting) -> bool {
     rank(one) < rank(other)
 }
@@ -446,3 +517,8 @@
 fn count(len: usize) -> u32 {
     u32::try_from(len).unwrap_or(u32::MAX)
 }
+
+#[allow(clippy::cast_precision_loss)]
+fn to_f64(tokens: u64) -> f64 {
+    tokens as f64
+}
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -398,6 +398,8 @@
                 let addr = asked.addr;
                 if now >= *until || now.since(*heard) >= limits.silence {
                     self.give_up_agent(now, id, &agent, out);
+                } else if self.router.has_freer(now, &call.demand, &agent) {
+                    self.move_queued(now, id, agent, out);
                 } else if now.since(*heard) >= limits.poll_after {
                     let offer = offer_of(now, call);
                     out.push(EntryAction::Send(addr, offer));
@@ -414,6 +416,17 @@
         }
     }
 
+    /// Takes a request from one agent's queue to an agent that has room.
+    fn move_queued(&mut self, now: Time, id: CallId, agent: Name, out: &mut Vec<EntryAction>) {
+        self.withdraw(id, out);
+        out.push(EntryAction::Note(Note::new("offer_moved").peer(&agent)));
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.offers = 0;
+            call.tried = vec![agent];
+        }
+        self.offer_next(now, id, out);
+    }
+
     /// Leaves a silent agent, before any start, for another.
     fn give_up_agent(&mut self, now: Time, id: CallId, agent: &Name, out: &mut Vec<EntryAction>) {
         self.withdraw(id, out);
--- a/fireflycroft/src/route.rs
+++ b/fireflycroft/src/route.rs
@@ -74,6 +74,9 @@
 /// Batch that costs as much as the whole memory.
 const FULL_BATCH: f64 = 64.0;
 
+/// Prompt that costs as much as the whole memory where all interactive work is.
+const LONG_PROMPT: f64 = 500.0;
+
 /// Steps of wait that cost as much as the whole memory.
 const FULL_WAIT_STEPS: f64 = 256.0;
 
@@ -81,7 +84,7 @@
 const LEAST_STEP: Duration = Duration::from_millis(1);
 
 /// Steps of the peers that make a slow agent, in tenths.
-const SLOW_TENTHS: u32 = 20;
+const SLOW_TENTHS: u32 = 25;
 
 /// Weight of one request in an agent's share of the interactive work.
 const SHARE_WEIGHT: f64 = 0.02;
@@ -228,6 +231,27 @@
         at.map(AgentIx)
     }
 
+    /// Whether another agent has room now where `at` has none.
+    #[must_use]
+    pub fn has_freer(&self, now: Time, demand: &Demand, at: &Name) -> bool {
+        if self.policy != RoutePolicy::Expected {
+            return false;
+        }
+        let here = self.by_name(at).map(|a| wait_at(a, demand.priority));
+        let open: Vec<usize> = (0..self.agents.len())
+            .filter(|i| self.is_open(now, *i, demand, std::slice::from_ref(at)))
+            .collect();
+        let step = self.median_step(&open);
+        let is_free = |i: &usize| {
+            let agent = &self.agents[*i];
+            agent.state == MemberState::Alive
+                && agent.sent_since == 0
+                && wait_at(agent, demand.priority).is_zero()
+                && !is_slow(agent, step)
+        };
+        here.is_some_and(|wait| !wait.is_zero()) && open.iter().any(is_free)
+    }
+
     fn is_open(&self, now: Time, i: usize, demand: &Demand, tried: &[Name]) -> bool {
         let agent = &self.agents[i];
         is_usable(agent)
@@ -307,10 +331,7 @@
     fn cost(&self, i: usize, demand: &Demand, step: Duration) -> f64 {
         let agent = &self.agents[i];
         let load = &agent.load;
-        let wait = match demand.priority {
-            Priority::Interactive => load.wait_interactive,
-            Priority::Batch => load.wait_batch,
-        };
+        let wait = wait_at(agent, demand.priority);
         let full_wait = step.max(LEAST_STEP).mul_f64(FULL_WAIT_STEPS);
         let wait = wait.as_secs_f64() / full_wait.as_secs_f64();
         let capacity = load.capacity_tokens.max(1) as f64;
@@ -318,7 +339,9 @@
         let batch = f64::from(load.running + load.queued + agent.sent_since) / FULL_BATCH;
         let busy = match demand.priority {
             Priority::Interactive => memory + batch,
-            Priority::Batch => memory + agent.interactive_share,
+            Priority::Batch => {
+                memory + agent.interactive_share * f64::from(demand.prompt_tokens) / LONG_PROMPT
+            }
         };
         let slow = if is_slow(agent, step) {
             SLOW_PENALTY
@@ -351,6 +374,14 @@
     }
 }
 
+/// Time until a request of that priority would begin there.
+const fn wait_at(agent: &AgentView, priority: Priority) -> Duration {
+    match priority {
+        Priority::Interactive => agent.load.wait_interactive,
+        Priority::Batch => agent.load.wait_batch,
+    }
+}
+
 /// Whether an agent at work is slow by the figures of its peers.
 fn is_slow(agent: &AgentView, median: Duration) -> bool {
     agent.load.running > 0 && agent.load.step * 10 > median * SLOW_TENTHS && !median.is_zero()
--- a/fireflycroft/tests/admit.rs
+++ b/fireflycroft/tests/admit.rs
@@ -38,6 +38,10 @@
     later_batch_does_not_pass_earlier => batch_keeps_order();
     interactive_goes_before_waiting_batch => interactive_first();
     batch_that_waited_long_is_kept_room => aged_batch_is_kept_room();
+    long_prompt_waits_beside_interactive_work => long_prompt_waits();
+    short_prompt_joins_interactive_work => short_prompt_joins();
+    long_prompts_join_one_after_another => prompts_join_apart();
+    load_is_told_afresh_when_nobody_asks => load_is_fresh();
     what_cannot_begin_in_time_is_refused => refuses_early();
     told_wait_shrinks_as_the_line_does => wait_shrinks();
     expired_leave_the_line => expires();
@@ -203,6 +207,62 @@
     assert!(door.offer(Priority::Interactive, 500).1 != Verdict::Admit);
 }
 
+/// A door that knows a prompt's token to take a hundredth of a step.
+fn door_with_prefill() -> Door {
+    let mut door = Door::taught(Priority::Batch, 20);
+    for _ in 0..20 {
+        let (offer, _) = door.offer(Priority::Batch, 1_000);
+        door.now = door.now + STEP * 11;
+        door.admission.progress(door.now, offer, 1);
+        door.produce(offer, 20);
+        door.admission.finish(offer);
+        door.now = door.now + PATIENCE;
+    }
+    door
+}
+
+fn long_prompt_waits() {
+    let mut door = door_with_prefill();
+    let (clerk, _) = door.offer(Priority::Interactive, 10);
+    door.produce(clerk, 2);
+    let (long, verdict) = door.offer(Priority::Batch, 2_000);
+    assert!(matches!(verdict, Verdict::Queue(_)), "{verdict:?}");
+    assert_eq!(door.admission.next(door.now), None);
+    door.now = door.now + PATIENCE / 2;
+    assert_eq!(door.admission.next(door.now), Some(long));
+}
+
+fn short_prompt_joins() {
+    let mut door = door_with_prefill();
+    let (clerk, _) = door.offer(Priority::Interactive, 10);
+    door.produce(clerk, 2);
+    assert_eq!(door.offer(Priority::Batch, 200).1, Verdict::Admit);
+}
+
+/// Two prompts in one step would hold up the others twice as long.
+fn prompts_join_apart() {
+    let mut door = door_with_prefill();
+    let (first, verdict) = door.offer(Priority::Batch, 2_000);
+    assert_eq!(verdict, Verdict::Admit);
+    let (second, verdict) = door.offer(Priority::Batch, 2_000);
+    assert!(matches!(verdict, Verdict::Queue(_)), "{verdict:?}");
+    assert_eq!(door.admission.next(door.now), None);
+    door.now = door.now + PATIENCE / 2;
+    door.admission.progress(door.now, first, 1);
+    assert_eq!(door.admission.next(door.now), Some(second));
+}
+
+/// Entries steer by the load told, so it must not stay what the last offer left.
+fn load_is_fresh() {
+    let mut door = Door::taught(Priority::Batch, 500);
+    let taken = door.fill(Priority::Batch, 1_500);
+    assert!(door.admission.load().expected_tokens > 5_000);
+    for offer in taken {
+        door.admission.release(offer);
+    }
+    assert_eq!(door.admission.load().expected_tokens, 0);
+}
+
 fn refuses_early() {
     let mut door = Door::taught(Priority::Batch, 3_000);
     door.fill(Priority::Batch, 2_000);
--- a/fireflycroft/tests/route.rs
+++ b/fireflycroft/tests/route.rs
@@ -29,6 +29,7 @@
     batch_goes_where_memory_is => batch_follows_memory();
     slow_agent_is_found_by_its_peers => slow_is_left_out();
     slow_agent_without_work_may_prove_itself => idle_slow_is_tried();
+    queued_request_finds_a_freer_agent => finds_freer();
     suspect_agent_is_the_last_choice => suspect_is_last();
     tried_agent_is_not_asked_again => tried_is_left_out();
     leaving_agent_is_not_asked => leaving_is_left_out();
@@ -194,6 +195,24 @@
     assert!(send(&mut router, Priority::Batch, 20).contains_key(&name(1)));
 }
 
+/// Free means room now, at an agent that nothing was sent to since it said so.
+fn finds_freer() {
+    let mut router = router(RoutePolicy::Expected, 2);
+    let full = Load {
+        wait_batch: Duration::from_secs(3),
+        ..load(9_000)
+    };
+    let batch = demand(Priority::Batch);
+    router.note_load(NOW, &name(0), full);
+    router.note_load(NOW, &name(1), full);
+    assert!(!router.has_freer(NOW, &batch, &name(0)));
+    router.note_load(NOW, &name(1), load(1_000));
+    assert!(router.has_freer(NOW, &batch, &name(0)));
+    assert!(!router.has_freer(NOW, &batch, &name(1)));
+    router.note_sent(&name(1), &batch);
+    assert!(!router.has_freer(NOW, &batch, &name(0)));
+}
+
 fn suspect_is_last() {
     let mut router = router(RoutePolicy::Expected, 3);
     for i in 0..2 {
