--- a/fireflycroft/src/admit.rs
+++ b/fireflycroft/src/admit.rs
@@ -133,7 +133,7 @@
 }
 
 /// Standard deviations of margin for the memory needed.
-const MARGIN: f64 = 1.2;
+const MARGIN: f64 = 0.9;
 
 /// Share of the memory that batch work leaves free, one in so many.
 const HEADROOM_TOKENS: u64 = 16;
@@ -173,9 +173,6 @@
 /// Weight of the time of a prompt's token known against a higher one seen.
 const HIGH_WEIGHT: u32 = 64;
 
-/// Steps that a request waits for a better moment to join.
-const JOIN_PATIENCE: u32 = 192;
-
 /// Steps that the work of prompts may hold up interactive answers.
 const JOIN_STEPS_INTERACTIVE: f64 = 4.0;
 
@@ -382,9 +379,9 @@
     }
 
     /// Whether a prompt's work, with those that join, leaves the next token of
-    /// the others in time. It waits a little for such a moment, no longer.
+    /// the others in time. A request that has waited long joins regardless.
     fn may_join(&self, now: Time, waiting: &Waiting) -> bool {
-        if now.since(waiting.since) >= self.step * JOIN_PATIENCE {
+        if is_aged(now, waiting) {
             return true;
         }
         let joining = |a: &&Admitted| a.produced == 0;
