Go back to the margin of 1.2 and refuse at half the expected wait

Ruled out: never refusing early, since the caller would learn after ten seconds what is known at once.

--- a/fireflycroft/src/admit.rs
+++ b/fireflycroft/src/admit.rs
@@ -133,7 +133,7 @@
 }
 
 /// Standard deviations of margin for the memory needed.
-const MARGIN: f64 = 0.9;
+const MARGIN: f64 = 1.2;
 
 /// Share of the memory that batch work leaves free, one in so many.
 const HEADROOM_TOKENS: u64 = 16;
@@ -147,7 +147,7 @@
 
 /// Part of the expected wait that must fit a request's patience; the rest is
 /// hope, since the expectation errs to both sides.
-const HOPE: f64 = 0.75;
+const HOPE: f64 = 0.5;
 
 /// Share of its patience after which a batch request is kept room for.
 const AGED: u32 = 2;
@@ -173,6 +173,9 @@
 /// Weight of the time of a prompt's token known against a higher one seen.
 const HIGH_WEIGHT: u32 = 64;
 
+/// Steps that a request waits for a better moment to join.
+const JOIN_PATIENCE: u32 = 192;
+
 /// Steps that the work of prompts may hold up interactive answers.
 const JOIN_STEPS_INTERACTIVE: f64 = 4.0;
 
@@ -379,9 +382,9 @@
     }
 
     /// Whether a prompt's work, with those that join, leaves the next token of
-    /// the others in time. A request that has waited long joins regardless.
+    /// the others in time. It waits a little for such a moment, no longer.
     fn may_join(&self, now: Time, waiting: &Waiting) -> bool {
-        if is_aged(now, waiting) {
+        if now.since(waiting.since) >= self.step * JOIN_PATIENCE {
             return true;
         }
         let joining = |a: &&Admitted| a.produced == 0;
--- a/fireflycroft/src/route.rs
+++ b/fireflycroft/src/route.rs
@@ -75,7 +75,7 @@
 const FULL_BATCH: f64 = 64.0;
 
 /// Prompt that costs as much as the whole memory where all interactive work is.
-const LONG_PROMPT: f64 = 250.0;
+const LONG_PROMPT: f64 = 500.0;
 
 /// Steps of wait that cost as much as the whole memory.
 const FULL_WAIT_STEPS: f64 = 256.0;
