Bound the gathering of interactive work by a share of the batch

The fault was the policy's, not the tests': a fixed number says nothing of a small batch. Load now carries the batch's size, and interactive work gathers to half of it, which is the same 32 for the measured engines.

Ruled out: gathering only where nothing was sent since the last load, which still fills a batch of three. The wire's round trip covers the new field.

--- a/fireflycroft-wire/src/decode.rs
+++ b/fireflycroft-wire/src/decode.rs
@@ -89,6 +89,7 @@
         wait_interactive: Duration::from_micros(load.wait_interactive_us),
         wait_batch: Duration::from_micros(load.wait_batch_us),
         leaving: load.leaving,
+        max_batch: load.max_batch,
     }
 }
 
--- a/fireflycroft-wire/src/encode.rs
+++ b/fireflycroft-wire/src/encode.rs
@@ -90,6 +90,7 @@
         wait_interactive_us: micros(load.wait_interactive),
         wait_batch_us: micros(load.wait_batch),
         leaving: load.leaving,
+        max_batch: load.max_batch,
     }
 }
 
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -47,6 +47,8 @@
     pub wait_batch_us: u64,
     #[prost(bool, tag = "9")]
     pub leaving: bool,
+    #[prost(uint32, tag = "10")]
+    pub max_batch: u32,
 }
 /// One message.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/fireflycroft-wire/tests/support/mod.rs
+++ b/fireflycroft-wire/tests/support/mod.rs
@@ -38,7 +38,7 @@
 }
 
 pub(crate) fn load() -> impl Strategy<Value = Load> {
-    let counts = any::<(u32, u32, u64, u64, u64)>();
+    let counts = any::<(u32, u32, u64, u64, u64, u32)>();
     (counts, span(), span(), span(), any::<bool>()).prop_map(
         |(counts, step, wait_interactive, wait_batch, leaving)| Load {
             running: counts.0,
@@ -50,6 +50,7 @@
             wait_interactive,
             wait_batch,
             leaving,
+            max_batch: counts.5,
         },
     )
 }
--- a/fireflycroft/src/admit.rs
+++ b/fireflycroft/src/admit.rs
@@ -318,6 +318,7 @@
             wait_interactive: self.expected_wait(Priority::Interactive),
             wait_batch: self.expected_wait(Priority::Batch),
             leaving: false,
+            max_batch: self.capacity.max_batch,
         }
     }
 
@@ -339,6 +340,7 @@
             wait_interactive: Duration::ZERO,
             wait_batch: Duration::ZERO,
             leaving: false,
+            max_batch: self.capacity.max_batch,
         }
     }
 
--- a/fireflycroft/src/message.rs
+++ b/fireflycroft/src/message.rs
@@ -53,6 +53,8 @@
     pub wait_batch: Duration,
     /// Whether the agent takes no new work.
     pub leaving: bool,
+    /// Most generations in a batch.
+    pub max_batch: u32,
 }
 
 /// How a generation ended.
--- a/fireflycroft/src/route.rs
+++ b/fireflycroft/src/route.rs
@@ -68,8 +68,9 @@
 const SLOW_PENALTY: f64 = 2.0;
 const FAR_PENALTY: f64 = 0.01;
 
-/// Generations at an agent up to which interactive work gathers there.
-const HEAD_BATCH: u32 = 32;
+/// Share of its batch up to which interactive work gathers at an agent, one in
+/// so many.
+const HEAD_SHARE: u32 = 2;
 
 /// Batch that costs as much as the whole memory.
 const FULL_BATCH: f64 = 64.0;
@@ -300,7 +301,7 @@
             let agent = &self.agents[**i];
             let batch = agent.load.running + agent.load.queued + agent.sent_since;
             agent.state == MemberState::Alive
-                && batch < HEAD_BATCH
+                && batch < agent.load.max_batch / HEAD_SHARE
                 && agent.load.wait_interactive.is_zero()
                 && !is_slow(agent, step)
         };
--- a/fireflycroft/tests/members/fleet.rs
+++ b/fireflycroft/tests/members/fleet.rs
@@ -414,5 +414,6 @@
         wait_interactive: Duration::from_millis(350),
         wait_batch: Duration::from_secs(42),
         leaving: false,
+        max_batch: 64,
     }
 }
--- a/fireflycroft/tests/route.rs
+++ b/fireflycroft/tests/route.rs
@@ -23,7 +23,8 @@
 
 cases! {
     interactive_gathers_on_the_same_agent_at_all_entries => gathers();
-    interactive_goes_on_from_a_filled_agent => goes_on_when_filled();
+    interactive_goes_on_from_a_filled_agent => goes_on_when_filled(40, 64);
+    interactive_spreads_over_small_batches => goes_on_when_filled(1, 3);
     batch_keeps_off_the_interactive_agent => batch_keeps_off();
     batch_takes_the_interactive_agent_before_a_long_wait => batch_spills();
     batch_goes_where_memory_is => batch_follows_memory();
@@ -64,6 +65,7 @@
         expected_tokens: expected,
         used_tokens: expected,
         capacity_tokens: 10_000,
+        max_batch: 64,
         step: STEP,
         ..Load::default()
     }
@@ -129,10 +131,12 @@
     }
 }
 
-fn goes_on_when_filled() {
+/// The bound is a share of the batch, not a number of generations.
+fn goes_on_when_filled(running: u32, max_batch: u32) {
     let mut router = router(RoutePolicy::Expected, 4);
     let full = Load {
-        running: 40,
+        running,
+        max_batch,
         ..load(1_000)
     };
     router.note_load(NOW, &head(4), full);
