--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -53,6 +53,8 @@
     status: Status,
     leader: Leader,
     replies: HashMap<CallId, mpsc::UnboundedSender<Reply>>,
+    /// Failures of this turn, told when its messages are out.
+    failures: Vec<(CallId, Reply)>,
     tx: mpsc::Sender<EntryInput>,
 }
 
@@ -83,6 +85,7 @@
             status,
             leader,
             replies: HashMap::new(),
+            failures: Vec::new(),
             tx,
         }
     }
@@ -296,6 +299,15 @@
     }
 
     fn reply(&mut self, id: CallId, reply: Reply) {
+        if matches!(reply, Reply::Fail { .. }) {
+            // What the fleet has to know of a failure goes out before it.
+            self.failures.push((id, reply));
+        } else {
+            self.give(id, reply);
+        }
+    }
+
+    fn give(&mut self, id: CallId, reply: Reply) {
         let last = matches!(reply, Reply::End(_) | Reply::Fail { .. });
         // A caller that went away has told so; its replies are for nobody.
         if let Some(tx) = self.replies.get(&id) {
@@ -311,6 +323,9 @@
         self.node
             .outbox
             .flush(&self.node.mailbox, &self.node.me, config, None);
+        for (id, reply) in std::mem::take(&mut self.failures) {
+            self.give(id, reply);
+        }
     }
 
     fn tell_state(&self) {
