Look at all members twice a second, not at each tick

An entry's idle cost grew with each agent it knows, an agent's with each process: both hashed all names for their ranks, counted members four times and built the status page anew at every tick of 50 ms, and the entry also copied all engines' records for a lease it mostly doesn't hold. Bytes were ruled out: they grow by 0.3 B/s a member before and after.

--- a/fireflyd/src/agent.rs
+++ b/fireflyd/src/agent.rs
@@ -170,6 +170,7 @@
                 self.config.adopt(config);
                 let have = self.config.version();
                 self.drive(AgentEvent::Config(have));
+                self.show();
                 if have > before {
                     let message = Message::ConfigPull { have, part: 0 };
                     self.node.fleet.tell_some(&message, &mut self.node.outbox);
@@ -185,6 +186,7 @@
                 let now = self.node.now();
                 self.node.fleet.leave(now, &mut self.node.outbox);
                 self.drive(AgentEvent::Leave);
+                self.show();
             }
         }
     }
@@ -193,12 +195,27 @@
         let now = self.node.now();
         let news = self.node.fleet.on_tick(now, &mut self.node.outbox);
         self.learn(&news);
-        self.feed.set_watching(self.node.fleet.is_watcher());
         self.drive(AgentEvent::Tick);
         self.node
             .fleet
             .set_serves(now, self.core.serves(), &mut self.node.outbox);
         self.tell_state();
+        if self.node.begin_upkeep(now) {
+            self.keep_up();
+        }
+    }
+
+    /// Does what goes over all members, less often than each tick.
+    fn keep_up(&mut self) {
+        self.feed.set_watching(self.node.fleet.is_watcher());
+        self.node.count_members();
+        self.status.set(self.status_json());
+    }
+
+    /// Shows the state at once; readiness goes before the status.
+    fn show(&self) {
+        self.tell_state();
+        self.status.set(self.status_json());
     }
 
     /// An agent minds only whether it is to leave itself.
@@ -293,8 +310,6 @@
         self.node.metrics.quarantined_digests.set(quarantined);
         let version = i64::try_from(self.config.version().0).unwrap_or(i64::MAX);
         self.node.metrics.config_version.set(version);
-        self.node.count_members();
-        self.status.set(self.status_json());
     }
 
     fn status_json(&self) -> Value {
--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -51,6 +51,7 @@
     ready: Readiness,
     status: Status,
     leader: Leader,
+    is_candidate: bool,
     replies: HashMap<CallId, mpsc::UnboundedSender<Reply>>,
     tx: mpsc::Sender<EntryInput>,
 }
@@ -81,6 +82,7 @@
             ready,
             status,
             leader,
+            is_candidate: false,
             replies: HashMap::new(),
             tx,
         }
@@ -188,6 +190,7 @@
                 let before = self.core.config_version();
                 self.drive(EntryEvent::Config(config));
                 self.spread_config(before);
+                self.show();
             }
             EntryInput::Vms(vms) => {
                 let now = self.node.now();
@@ -203,6 +206,7 @@
                 let now = self.node.now();
                 self.node.fleet.leave(now, &mut self.node.outbox);
                 self.drive(EntryEvent::Leave);
+                self.show();
             }
         }
     }
@@ -211,12 +215,28 @@
         let now = self.node.now();
         let news = self.node.fleet.on_tick(now, &mut self.node.outbox);
         self.learn(news);
-        self.feed.set_watching(self.node.fleet.is_watcher());
         let entries = self.node.fleet.entries();
         self.drive(EntryEvent::Entries(entries));
         self.drive(EntryEvent::Tick);
         self.lead(now);
         self.tell_state();
+        if self.node.begin_upkeep(now) {
+            self.keep_up();
+        }
+    }
+
+    /// Does what goes over all members, less often than each tick.
+    fn keep_up(&mut self) {
+        self.feed.set_watching(self.node.fleet.is_watcher());
+        self.is_candidate = self.node.fleet.rank() < LEASE_CANDIDATES;
+        self.node.count_members();
+        self.status.set(self.status_json());
+    }
+
+    /// Shows the state at once; readiness goes before the status.
+    fn show(&self) {
+        self.tell_state();
+        self.status.set(self.status_json());
     }
 
     /// Tells a few members of a version that has just come into force; the
@@ -231,7 +251,7 @@
 
     /// Does the fleet's work when this entry holds the lease.
     fn lead(&mut self, now: Time) {
-        let candidate = !self.core.is_leaving() && self.node.fleet.rank() < LEASE_CANDIDATES;
+        let candidate = !self.core.is_leaving() && self.is_candidate;
         let (asked, note) = self.leader.on_tick(now, candidate);
         if let Some(note) = note {
             self.node.note(&note);
@@ -244,7 +264,10 @@
                 let _ = tx.send(EntryInput::Lease(call, answer)).await;
             });
         }
-        if let Some(config) = self.core.config().cloned() {
+        // Without the lease there is nothing to place, so no engine is looked at.
+        if self.leader.held(now).is_some()
+            && let Some(config) = self.core.config().cloned()
+        {
             self.leader
                 .place(now, &config, self.core.router(), &mut self.node.outbox);
         }
@@ -337,8 +360,6 @@
         self.node.metrics.streams_running.set(calls);
         let quarantined = i64::try_from(self.core.quarantined()).unwrap_or(i64::MAX);
         self.node.metrics.quarantined_digests.set(quarantined);
-        self.node.count_members();
-        self.status.set(self.status_json());
     }
 
     fn status_json(&self) -> Value {
--- a/fireflyd/src/node.rs
+++ b/fireflyd/src/node.rs
@@ -14,6 +14,9 @@
 
 /// Time between two ticks of the core.
 pub const TICK: Duration = Duration::from_millis(50);
+/// Time between two turns of what costs more with each member and hurries
+/// nobody: ranks, counts, and what operators are shown.
+const UPKEEP_EVERY: Duration = Duration::from_millis(500);
 
 /// What a process is told of itself.
 #[derive(Clone, Debug)]
@@ -47,6 +50,7 @@
     /// Time between refusing new work and leaving.
     pub grace: Grace,
     started: Instant,
+    upkeep_at: Time,
 }
 
 impl Node {
@@ -81,6 +85,7 @@
             journal,
             grace,
             started: Instant::now(),
+            upkeep_at: Time::default(),
         }
     }
 
@@ -90,6 +95,15 @@
         Time::default() + self.started.elapsed()
     }
 
+    /// Whether upkeep is due at `now`; if so, the next is due a while later.
+    pub fn begin_upkeep(&mut self, now: Time) -> bool {
+        let due = now >= self.upkeep_at;
+        if due {
+            self.upkeep_at = now + UPKEEP_EVERY;
+        }
+        due
+    }
+
     /// Counts the members by state for the metrics.
     pub fn count_members(&self) {
         let states = [
