--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -4,7 +4,7 @@
 //! to come. Time, messages and what the upstream does come in as
 //! [`AgentEvent`]s; what is to be done comes out as [`AgentAction`]s.
 
-use crate::admit::{Admission, AdmitPolicy, Capacity, OfferId, Verdict};
+use crate::admit::{Admission, AdmitPolicy, Capacity, OfferId, UpstreamReport, Verdict};
 use crate::code::Code;
 use crate::generation::{Generation, Stage};
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
@@ -115,6 +115,8 @@
     UpstreamDown,
     /// The upstream answers.
     UpstreamUp,
+    /// The upstream reports its load, late.
+    Report(UpstreamReport),
     /// The agent is to stop, or its upstream is reclaimed.
     Leave,
     /// The agent stays after all.
@@ -191,13 +193,11 @@
     news: News,
     upstream_up: bool,
     leaving: bool,
-    step: Duration,
     pub(crate) orders: Orders,
     /// Where the answer to the order under way goes.
     pub(crate) issuer: Option<SocketAddr>,
 }
 
-const STEP_WEIGHT: u32 = 8;
 const LEAVING_RETRY: Duration = Duration::from_millis(100);
 const DOWN_RETRY: Duration = Duration::from_secs(1);
 
@@ -218,7 +218,6 @@
             news: News::default(),
             upstream_up: false,
             leaving: false,
-            step: Duration::ZERO,
             orders: Orders::default(),
             issuer: None,
         }
@@ -241,6 +240,7 @@
             AgentEvent::Lost { generation } => self.on_lost(now, generation, out),
             AgentEvent::UpstreamDown => self.on_upstream_down(now, out),
             AgentEvent::UpstreamUp => self.upstream_up = true,
+            AgentEvent::Report(report) => self.admission.report(report),
             AgentEvent::Leave => self.on_leave(now, out),
             AgentEvent::Stay => self.leaving = false,
             AgentEvent::Serves(models) => self.serves = models,
@@ -256,7 +256,6 @@
     #[must_use]
     pub fn load(&self) -> Load {
         Load {
-            step: self.step,
             leaving: self.leaving || !self.upstream_up,
             ..self.admission.load()
         }
@@ -489,7 +488,6 @@
             unread_since: None,
             resumed: 0,
             heard: now,
-            last_token: None,
         };
         self.generations.insert(generation);
         self.offers.insert(offer, Offered::Reserved(serial));
@@ -501,7 +499,7 @@
         match known {
             Some(Offered::Reserved(serial)) => self.lapse(now, serial, out),
             Some(Offered::Refused(..)) => return,
-            Some(Offered::Waiting(..)) | None => self.admission.release(now, offer),
+            Some(Offered::Waiting(..)) | None => self.admission.release(offer),
         }
         // A copy of the offer may still be under way; it must not be taken.
         self.remember_refusal(now, offer, Code::Withdrawn);
@@ -525,7 +523,7 @@
         }
         g.stage = Stage::Lapsed(now);
         let offer = g.offer;
-        self.admission.release(now, offer);
+        self.admission.release(offer);
         out.push(note("reservation_lapsed", offer.request, None));
     }
 
@@ -653,17 +651,8 @@
         out.extend(sends(g.messages_to_all()));
         let offer = g.offer;
         let produced = g.log.end();
-        let last = g.last_token.replace(now);
         self.generations.grow(added, self.limits.max_bytes);
-        self.admission.progress(offer, produced);
-        if let Some(last) = last {
-            let count = u32::try_from(tokens.len().max(1)).unwrap_or(u32::MAX);
-            self.learn_step(now.since(last) / count);
-        }
-    }
-
-    fn learn_step(&mut self, step: Duration) {
-        self.step = (self.step * (STEP_WEIGHT - 1) + step) / STEP_WEIGHT;
+        self.admission.progress(now, offer, produced);
     }
 
     fn finish(&mut self, now: Time, id: GenerationId, finish: &Finish, out: &mut Vec<AgentAction>) {
@@ -678,7 +667,11 @@
         out.extend(sends(g.messages_to_all()));
         let offer = g.offer;
         let total = g.log.end();
-        self.admission.release(now, offer);
+        if finish.code == Code::Ok {
+            self.admission.finish(offer);
+        } else {
+            self.admission.release(offer);
+        }
         let event = note("generation_ended", offer.request, Some(finish.code));
         out.push(with_count(event, total));
     }
@@ -777,7 +770,7 @@
             .collect();
         for (offer, state) in waiting {
             if let Offered::Waiting(to, _) = state {
-                self.admission.release(now, offer);
+                self.admission.release(offer);
                 self.refuse(now, to, offer, Code::Leaving, LEAVING_RETRY, out);
             }
         }
@@ -878,7 +871,7 @@
         while let Some(offer) = self.admission.next(now) {
             match self.offers.remove(&offer) {
                 Some(Offered::Waiting(to, demand)) => self.reserve(now, to, offer, demand, out),
-                _ => self.admission.release(now, offer),
+                _ => self.admission.release(offer),
             }
         }
     }
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -55,10 +55,10 @@
     }
 
     fn send_offer(&mut self, now: Time, id: CallId, peer: &Peer, out: &mut Vec<EntryAction>) {
-        self.router.note_sent(&peer.name);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
+        self.router.note_sent(&peer.name, &call.demand);
         call.attempt += 1;
         call.offers += 1;
         call.tried.push(peer.name.clone());
@@ -361,7 +361,7 @@
             if let Some(old) = call.asked() {
                 self.router.note_done(&old.agent.clone());
             }
-            self.router.note_sent(&asked.agent);
+            self.router.note_sent(&asked.agent, &call.demand);
         }
         self.held -= call.held_back.data.len();
         call.held_back = Chunk {
@@ -422,6 +422,8 @@
                 let addr = asked.addr;
                 if now >= *until || now.since(*heard) >= limits.silence {
                     self.give_up_agent(now, id, &agent, out);
+                } else if self.router.has_freer(now, &call.demand, &agent) {
+                    self.move_queued(now, id, agent, out);
                 } else if now.since(*heard) >= limits.poll_after {
                     let offer = offer_of(now, call);
                     out.push(EntryAction::Send(addr, offer));
@@ -438,6 +440,17 @@
         }
     }
 
+    /// Takes a request from one agent's queue to an agent that has room.
+    fn move_queued(&mut self, now: Time, id: CallId, agent: Name, out: &mut Vec<EntryAction>) {
+        self.withdraw(id, out);
+        out.push(EntryAction::Note(Note::new("offer_moved").peer(&agent)));
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.offers = 0;
+            call.tried = vec![agent];
+        }
+        self.offer_next(now, id, out);
+    }
+
     /// Leaves a silent agent, before any start, for another.
     fn give_up_agent(&mut self, now: Time, id: CallId, agent: &Name, out: &mut Vec<EntryAction>) {
         self.withdraw(id, out);
--- a/fireflycroft/src/generation.rs
+++ b/fireflycroft/src/generation.rs
@@ -72,8 +72,6 @@
     pub(crate) resumed: u32,
     /// When the upstream was last heard of; the start until then.
     pub(crate) heard: Time,
-    /// When the upstream last gave a token.
-    pub(crate) last_token: Option<Time>,
 }
 
 impl Generation {
--- a/fireflyd/src/front.rs
+++ b/fireflyd/src/front.rs
@@ -16,12 +16,14 @@
 };
 use futures_util::Stream;
 use poem::listener::{
-    Acceptor, AcceptorExt, Listener, RustlsCertificate, RustlsConfig, TcpListener,
+    Acceptor, AcceptorExt, IntoTlsConfigStream, RustlsCertificate, RustlsConfig, TcpAcceptor,
 };
 use poem::web::{Data, Path};
 use poem::{Body, EndpointExt, Request, Response, Route, Server, handler};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::acceptor::PromptAcceptor;
 use crate::answer::{self, Failure};
 use crate::metrics::Metrics;
 use crate::request::{BadRequest, MAX_BODY, Parsed, check_headers, parse_call, parse_chat};
@@ -88,22 +90,15 @@
         tls: Option<Tls>,
         stop: oneshot::Receiver<()>,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = std::io::Result<()>>)> {
-        let listener = TcpListener::bind(listen.to_string());
+        let listener = TcpListener::bind(listen).await;
+        let listener = TcpAcceptor::from_tokio(listener.context("callers' address")?)?;
         let acceptor = match tls {
-            None => listener
-                .into_acceptor()
-                .await
-                .context("callers' address")?
-                .boxed(),
+            None => PromptAcceptor(listener).boxed(),
             Some(tls) => {
                 let cert = RustlsCertificate::new().cert(tls.cert).key(tls.key);
                 let config = RustlsConfig::new().fallback(cert);
-                listener
-                    .rustls(config)
-                    .into_acceptor()
-                    .await
-                    .context("TLS")?
-                    .boxed()
+                let configs = config.into_stream().context("TLS")?;
+                PromptAcceptor(listener).rustls(configs).boxed()
             }
         };
         let bound = acceptor
@@ -221,7 +216,7 @@
 }
 
 fn refuse(front: &Front, bad: BadRequest) -> Response {
-    front.count("none", bad.code);
+    front.count_unreadable(bad.code);
     log::info!(event = "request_unreadable", code = bad.code.number(), detail:% = bad.detail; "");
     answer::error_response(&Failure {
         detail: Some(bad.detail),
@@ -230,11 +225,12 @@
 }
 
 impl Front {
-    fn count(&self, class: &str, code: Code) {
+    /// Counts a request that the core never saw.
+    fn count_unreadable(&self, code: Code) {
         let code = code.number().to_string();
         self.metrics
             .requests
-            .with_label_values(&[class, &code])
+            .with_label_values(&["none", "none", &code])
             .inc();
     }
 
@@ -282,7 +278,6 @@
                 Some(Reply::Begin(begun)) => point = Some(begun),
                 Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
                 Some(Reply::End(finish)) => {
-                    self.count("call", Code::Ok);
                     return answer::call_response(point.as_ref(), whole, &finish);
                 }
                 Some(Reply::Fail {
@@ -290,7 +285,6 @@
                     retry_after,
                     delivered,
                 }) => {
-                    self.count("call", code);
                     return answer::error_response(&Failure {
                         code,
                         retry_after,
@@ -380,7 +374,6 @@
                     return Some(Ok(answer::token_events(point, &self.model, &chunk)));
                 }
                 Some(Reply::End(finish)) => {
-                    self.front.count(self.class, Code::Ok);
                     let point = self.point.as_ref()?;
                     return Some(Ok(answer::end_events(point, &self.model, &finish)));
                 }
@@ -389,7 +382,6 @@
                     retry_after,
                     delivered,
                 }) => {
-                    self.front.count(self.class, code);
                     return Some(Err(Failure {
                         code,
                         retry_after,
@@ -435,7 +427,6 @@
                 Some(Reply::Begin(point)) => self.point = Some(point),
                 Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
                 Some(Reply::End(finish)) => {
-                    self.front.count(self.class, Code::Ok);
                     let Some(point) = &self.point else {
                         return answer::error_response(&Failure::of(Code::OutcomeUnknown));
                     };
@@ -446,7 +437,6 @@
                     retry_after,
                     delivered,
                 }) => {
-                    self.front.count(self.class, code);
                     return answer::error_response(&Failure {
                         code,
                         retry_after,
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon of the fleet: sockets, files and timers round the core, one file for each job.
 
+mod acceptor;
 pub mod admin;
 pub mod agent;
 pub mod answer;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plain;
 pub mod platform;
 
+mod acceptor;
 mod clock;
 mod hash;
 mod lognormal;
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -11,6 +11,8 @@
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::acceptor::PromptAcceptor;
+
 /// A server in progress. Dropping it stops the server and cuts its connections.
 #[derive(Debug)]
 pub struct Running {
@@ -78,7 +80,7 @@
     E::Endpoint: 'static,
 {
     let addr = listener.local_addr()?;
-    let acceptor = TcpAcceptor::from_tokio(listener)?;
+    let acceptor = PromptAcceptor(TcpAcceptor::from_tokio(listener)?);
     let ep = ep.into_endpoint();
     let signal = stop.clone();
     let server = tokio::spawn(async move {
