--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -45,8 +45,8 @@
 const DEFAULT_BATCH: u64 = 64;
 /// Most requests that wait at one agent.
 const MAX_QUEUE: usize = 256;
-/// Time between two looks at the VM list.
-const VMS_EVERY: Duration = Duration::from_secs(1);
+/// Time between two looks at the VM list; at 1,000 VMs a look reads 95 KB.
+const VMS_EVERY: Duration = Duration::from_secs(20);
 /// Wait before the platform is asked again for the fencing number.
 const FENCE_RETRY: Duration = Duration::from_secs(1);
 /// Longest wait for callers to read the last of their answers.
