--- a/fireflyd/src/entry.rs
+++ b/fireflyd/src/entry.rs
@@ -7,7 +7,6 @@
     CallId, Config, ConfigVersion, Entry, EntryAction, EntryEvent, EntrySetup, Envelope,
     LeaseAnswer, LeaseCall, LeaseSpans, Measured, Message, PlaceLimits, Priority, Reply, Time, Vm,
 };
-use fireflycroft_wire::decode_all;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
@@ -126,12 +125,8 @@
     }
 
     fn on_mail(&mut self, buf: &[u8]) {
-        let (header, messages) = match decode_all(buf) {
-            Ok(decoded) => decoded,
-            Err(e) => {
-                log::warn!(event = "message_unreadable", code = e.code().number(), cause:% = e; "");
-                return;
-            }
+        let Some((header, messages)) = self.node.read(buf) else {
+            return;
         };
         let now = self.node.now();
         let news = self
--- a/fireflyd/src/front.rs
+++ b/fireflyd/src/front.rs
@@ -12,7 +12,7 @@
 use anyhow::Context;
 use bytes::Bytes;
 use fireflycroft::{
-    CHAT_PATH, CallId, Chunk, Code, Delivery, EntryEvent, Name, Reply, ResumePoint,
+    CHAT_PATH, CallId, Chunk, Code, Delivery, EntryEvent, Finish, Name, Reply, ResumePoint,
 };
 use futures_util::Stream;
 use poem::listener::{
@@ -155,6 +155,47 @@
     }
 }
 
+/// A whole answer, as a call came to its good end.
+struct WholeAnswer {
+    point: Option<ResumePoint>,
+    chunk: Chunk,
+    finish: Finish,
+}
+
+impl OpenCall {
+    /// Waits for the whole answer, or for why there is none.
+    async fn collect(&mut self) -> Result<WholeAnswer, Failure> {
+        let mut point = None;
+        let mut chunk = Chunk::default();
+        loop {
+            match self.next().await {
+                Some(Reply::Begin(begun)) => point = Some(begun),
+                Some(Reply::Tokens(next)) => append(&mut chunk, &next),
+                Some(Reply::End(finish)) => {
+                    return Ok(WholeAnswer {
+                        point,
+                        chunk,
+                        finish,
+                    });
+                }
+                Some(Reply::Fail {
+                    code,
+                    retry_after,
+                    delivered,
+                }) => {
+                    return Err(Failure {
+                        code,
+                        retry_after,
+                        delivered,
+                        detail: None,
+                    });
+                }
+                None => return Err(Failure::of(Code::OutcomeUnknown)),
+            }
+        }
+    }
+}
+
 impl Drop for OpenCall {
     fn drop(&mut self) {
         if self.done {
@@ -271,29 +312,9 @@
             Ok(call) => call,
             Err(failure) => return answer::error_response(&failure),
         };
-        let mut point = None;
-        let mut whole = Chunk::default();
-        loop {
-            match call.next().await {
-                Some(Reply::Begin(begun)) => point = Some(begun),
-                Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
-                Some(Reply::End(finish)) => {
-                    return answer::call_response(point.as_ref(), whole, &finish);
-                }
-                Some(Reply::Fail {
-                    code,
-                    retry_after,
-                    delivered,
-                }) => {
-                    return answer::error_response(&Failure {
-                        code,
-                        retry_after,
-                        delivered,
-                        detail: None,
-                    });
-                }
-                None => return answer::error_response(&Failure::of(Code::OutcomeUnknown)),
-            }
+        match call.collect().await {
+            Ok(whole) => answer::call_response(whole.point.as_ref(), whole.chunk, &whole.finish),
+            Err(failure) => answer::error_response(&failure),
         }
     }
 }
@@ -421,31 +442,13 @@
 
     /// Answers with the whole, or with an error status.
     async fn whole(mut self) -> Response {
-        let mut whole = Chunk::default();
-        loop {
-            match self.call.next().await {
-                Some(Reply::Begin(point)) => self.point = Some(point),
-                Some(Reply::Tokens(chunk)) => append(&mut whole, &chunk),
-                Some(Reply::End(finish)) => {
-                    let Some(point) = &self.point else {
-                        return answer::error_response(&Failure::of(Code::OutcomeUnknown));
-                    };
-                    return answer::whole_response(point, &self.model, &whole, &finish);
-                }
-                Some(Reply::Fail {
-                    code,
-                    retry_after,
-                    delivered,
-                }) => {
-                    return answer::error_response(&Failure {
-                        code,
-                        retry_after,
-                        delivered,
-                        detail: None,
-                    });
-                }
-                None => return answer::error_response(&Failure::of(Code::OutcomeUnknown)),
-            }
+        let whole = match self.call.collect().await {
+            Ok(whole) => whole,
+            Err(failure) => return answer::error_response(&failure),
+        };
+        match &whole.point {
+            Some(point) => answer::whole_response(point, &self.model, &whole.chunk, &whole.finish),
+            None => answer::error_response(&Failure::of(Code::OutcomeUnknown)),
         }
     }
 }
--- a/fireflyd/src/node.rs
+++ b/fireflyd/src/node.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use fireflycroft::{Incarnation, MemberSetup, MemberState, Name, Note, Peer, Role, Time};
+use fireflycroft::{Incarnation, MemberSetup, MemberState, Message, Name, Note, Peer, Role, Time};
+use fireflycroft_wire::{Header, decode_all};
 
 use crate::fleet::Fleet;
 use crate::grace::Grace;
@@ -104,6 +105,18 @@
         due
     }
 
+    /// Reads a message of the mailbox; one that cannot be read is logged.
+    #[must_use]
+    pub fn read(&self, buf: &[u8]) -> Option<(Header, Vec<Message>)> {
+        match decode_all(buf) {
+            Ok(decoded) => Some(decoded),
+            Err(e) => {
+                log::warn!(event = "message_unreadable", code = e.code().number(), cause:% = e; "");
+                None
+            }
+        }
+    }
+
     /// Counts the members by state for the metrics.
     pub fn count_members(&self) {
         let states = [
