--- /dev/null
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -0,0 +1,88 @@
+//! News of direct entries, to bytes and back: one datagram holds one of them.
+
+use crate::error::WireError;
+use crate::field::{check_count, id_bytes, read_digest, read_name};
+use crate::generated as pb;
+use crate::limits::{MAX_DATAGRAM_BYTES, MAX_RECORDS};
+use fireflycroft::{CrashCount, EntryNews, Incarnation, Placed, PlacedAt};
+use prost::Message as _;
+use std::net::Ipv4Addr;
+
+/// Writes news as one datagram.
+#[must_use]
+pub fn encode_news(news: &EntryNews) -> Vec<u8> {
+    pb::EntryNews {
+        name: news.name.to_string(),
+        incarnation: news.incarnation.0,
+        config: news.config,
+        upstreams: news.upstreams,
+        hears_store: news.hears_store,
+        placed: news.placed.iter().map(placed).collect(),
+        crashes: news.crashes.iter().map(crash).collect(),
+        peers: news.peers.iter().map(|ip| ip.to_bits()).collect(),
+        leaving: news.leaving,
+    }
+    .encode_to_vec()
+}
+
+/// Reads news from one datagram.
+///
+/// # Errors
+///
+/// When the bytes are no sound news.
+pub fn decode_news(bytes: &[u8]) -> Result<EntryNews, WireError> {
+    check_count(bytes.len(), MAX_DATAGRAM_BYTES, "news")?;
+    let news = pb::EntryNews::decode(bytes)?;
+    check_count(news.placed.len(), MAX_RECORDS, "placed")?;
+    Ok(EntryNews {
+        name: read_name(&news.name, "news.name")?,
+        incarnation: Incarnation(news.incarnation),
+        config: news.config,
+        upstreams: news.upstreams,
+        hears_store: news.hears_store,
+        placed: news
+            .placed
+            .iter()
+            .map(read_placed)
+            .collect::<Result<_, _>>()?,
+        crashes: news
+            .crashes
+            .iter()
+            .map(read_crash)
+            .collect::<Result<_, _>>()?,
+        peers: news.peers.into_iter().map(Ipv4Addr::from_bits).collect(),
+        leaving: news.leaving,
+    })
+}
+
+fn placed(at: &PlacedAt) -> pb::PlacedAt {
+    pb::PlacedAt {
+        instance: at.instance.to_string(),
+        running: at.placed.running,
+        tokens: at.placed.tokens,
+    }
+}
+
+fn read_placed(at: &pb::PlacedAt) -> Result<PlacedAt, WireError> {
+    Ok(PlacedAt {
+        instance: read_name(&at.instance, "placed.instance")?,
+        placed: Placed {
+            running: at.running,
+            tokens: at.tokens,
+        },
+    })
+}
+
+fn crash(crash: &CrashCount) -> pb::CrashCount {
+    pb::CrashCount {
+        content: id_bytes(crash.content.0),
+        count: u32::from(crash.count),
+    }
+}
+
+fn read_crash(crash: &pb::CrashCount) -> Result<CrashCount, WireError> {
+    Ok(CrashCount {
+        content: read_digest(&crash.content, "crash.content")?,
+        count: u8::try_from(crash.count).map_err(|_| WireError::BadValue("crash.count"))?,
+    })
+}
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -436,6 +436,51 @@
     #[prost(uint64, tag = "3")]
     pub fence: u64,
 }
+/// What one direct entry tells the others, in a datagram.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EntryNews {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Version of the configuration in force; zero for none.
+    #[prost(uint64, tag = "3")]
+    pub config: u64,
+    /// Revision of the platform's list of upstreams that is known.
+    #[prost(uint64, tag = "4")]
+    pub upstreams: u64,
+    /// Whether the platform's store answers the sender.
+    #[prost(bool, tag = "5")]
+    pub hears_store: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub placed: ::prost::alloc::vec::Vec<PlacedAt>,
+    #[prost(message, repeated, tag = "7")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashCount>,
+    /// Four bytes of address each, of other entries.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub peers: ::prost::alloc::vec::Vec<u32>,
+    #[prost(bool, tag = "9")]
+    pub leaving: bool,
+}
+/// Work that the sender has placed on one upstream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlacedAt {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+/// Upstreams that content has crashed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashCount {
+    /// Sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub content: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
 /// What a process does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/fireflycroft-wire/src/lib.rs
+++ b/fireflycroft-wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod decode;
 mod encode;
+mod entry_news;
 mod error;
 mod field;
 #[rustfmt::skip]
@@ -16,5 +17,6 @@
 
 pub use decode::{Header, decode, decode_all};
 pub use encode::{encode, encode_all, encode_into};
+pub use entry_news::{decode_news, encode_news};
 pub use error::WireError;
 pub use limits::*;
--- a/fireflycroft-wire/src/limits.rs
+++ b/fireflycroft-wire/src/limits.rs
@@ -26,3 +26,6 @@
 
 /// Models or plain services of one member.
 pub const MAX_SERVES: usize = 256;
+
+/// Bytes of one datagram between direct entries.
+pub const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
--- a/fireflycroft/src/code.rs
+++ b/fireflycroft/src/code.rs
@@ -112,6 +112,8 @@
     ReservationLapsed = 2019, 503, "the reservation lapsed";
     /// The other side holds an older configuration.
     ConfigBehind = 2020, 503, "the configuration is being brought up to date";
+    /// No route of the configuration leads there.
+    RouteUnknown = 2021, 404, "no route leads there";
     /// The whole answer was delivered.
     Ok = 3000, 200, "ok";
     /// The upstream failed after the request began.
--- /dev/null
+++ b/fireflycroft/src/entry_news.rs
@@ -0,0 +1,37 @@
+//! What a direct entry tells the other entries.
+
+use crate::ids::{Digest, Incarnation, Name};
+use crate::pool::PlacedAt;
+use std::net::Ipv4Addr;
+
+/// Upstreams that one content has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashCount {
+    /// Digest of the content.
+    pub content: Digest,
+    /// Upstreams crashed.
+    pub count: u8,
+}
+
+/// State of one direct entry, as it tells the others several times a second.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EntryNews {
+    /// Name of the sender.
+    pub name: Name,
+    /// Life of the sender.
+    pub incarnation: Incarnation,
+    /// Version of the configuration in force there; zero for none.
+    pub config: u64,
+    /// Revision of the list of upstreams known there.
+    pub upstreams: u64,
+    /// Whether the platform's store answers the sender.
+    pub hears_store: bool,
+    /// Work that the sender has placed.
+    pub placed: Vec<PlacedAt>,
+    /// Content that crashed upstreams of late.
+    pub crashes: Vec<CrashCount>,
+    /// Some other entries that the sender knows.
+    pub peers: Vec<Ipv4Addr>,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/fireflycroft/src/pool.rs
@@ -0,0 +1,522 @@
+//! Upstreams that a direct entry drives itself, and its choice among them.
+//!
+//! What this entry has placed is known to it at once; what the others have
+//! placed is known from what they told last. Both are counted in tokens of
+//! memory, prompt and expected answer, since it is memory that engines run out
+//! of. A generation goes where the least of the memory is spoken for.
+
+use crate::ids::Name;
+use crate::time::Time;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It does.
+    Serving,
+    /// It has announced that it leaves.
+    Leaving,
+}
+
+/// One upstream, as the platform's list has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamRecord {
+    /// Id of this life of the upstream; never used twice.
+    pub instance: Name,
+    /// Service that it answers for.
+    pub service: Name,
+    /// Where it listens; may pass to another upstream later.
+    pub addr: SocketAddr,
+    /// Data centre that it runs in.
+    pub data_centre: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+    /// Revision of the list at which the record was written.
+    pub revision: u64,
+}
+
+/// Index of an upstream in the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct UpstreamIx(usize);
+
+/// Work placed on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Placed {
+    /// Requests under way.
+    pub running: u32,
+    /// Tokens of memory that they are expected to need.
+    pub tokens: u64,
+}
+
+/// Work that one entry has placed on one upstream, as it tells the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacedAt {
+    /// The upstream.
+    pub instance: Name,
+    /// What is placed there.
+    pub placed: Placed,
+}
+
+/// What a request needs of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// Places in the batch: one for a run, none for a copy of its memory.
+    pub slots: u32,
+    /// Tokens of memory that it is expected to need; zero for a plain call.
+    pub tokens: u64,
+    /// Parts of its prompt that others may share, folded into one number.
+    pub shared: Option<u64>,
+}
+
+/// What the pool knows of one upstream.
+#[derive(Clone, Debug)]
+struct Upstream {
+    record: UpstreamRecord,
+    memory_tokens: Option<u64>,
+    gone: bool,
+    left_at: Option<Time>,
+    missing_since: Option<Time>,
+    mine: Placed,
+    others: HashMap<Name, (Time, Placed)>,
+    avoid_until: Time,
+    failing: f64,
+    cold_until: Time,
+    read: HashMap<u64, Time>,
+}
+
+/// What changed for those who have work on an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolChange {
+    /// A new upstream came.
+    Came(UpstreamIx),
+    /// An upstream leaves or is gone from the list.
+    Leaves(UpstreamIx),
+}
+
+/// The upstreams known.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    upstreams: Vec<Upstream>,
+    data_centre: Name,
+    revision: u64,
+}
+
+/// Time for which what another entry told counts.
+///
+/// Entries tell every quarter of a second; four lost in a row mean that it is gone.
+const TOLD_FOR: Duration = Duration::from_secs(1);
+
+/// Time for which an upstream that is gone is remembered, so that an older
+/// record can't bring it back.
+const REMEMBER_GONE: Duration = Duration::from_mins(1);
+
+/// Time for which a list after an outage of the store may lack an upstream
+/// that lives; the platform states about two seconds.
+pub const MISSING_FOR: Duration = Duration::from_millis(2_500);
+
+/// Time for which a shared part of a prompt is taken to stay in memory.
+const READ_FOR: Duration = Duration::from_secs(6);
+
+/// Parts of prompts remembered for an upstream.
+const MAX_READ: usize = 256;
+
+/// Weight of the newest outcome in the failing share of an upstream.
+const FAILING_WEIGHT: f64 = 0.15;
+
+/// What a wholly failing upstream costs, against one whose memory is full.
+const FAILING_COST: f64 = 4.0;
+
+/// What another data centre costs, against a full memory.
+const FAR_COST: f64 = 0.02;
+
+/// What a cold upstream costs, against a full memory.
+const COLD_COST: f64 = 0.25;
+
+/// What a full batch costs, against a full memory.
+const BATCH_COST: f64 = 0.5;
+
+/// What a shared part that lies there saves, against a full memory.
+const SHARED_GAIN: f64 = 0.03;
+
+impl Pool {
+    /// An empty pool of an entry in `data_centre`.
+    #[must_use]
+    pub fn new(data_centre: Name) -> Self {
+        Self {
+            upstreams: Vec::new(),
+            data_centre,
+            revision: 0,
+        }
+    }
+
+    /// Highest revision of any record taken.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Upstreams that are not gone.
+    pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        self.upstreams.iter().filter(|u| !u.gone).map(|u| &u.record)
+    }
+
+    /// The record of an upstream.
+    #[must_use]
+    pub fn record(&self, ix: UpstreamIx) -> &UpstreamRecord {
+        &self.upstreams[ix.0].record
+    }
+
+    /// Whether an upstream takes new work, as far as is known.
+    #[must_use]
+    pub fn is_serving(&self, ix: UpstreamIx) -> bool {
+        let u = &self.upstreams[ix.0];
+        !u.gone && u.record.state == UpstreamState::Serving
+    }
+
+    /// When an upstream was first known to leave.
+    #[must_use]
+    pub fn left_at(&self, ix: UpstreamIx) -> Option<Time> {
+        self.upstreams[ix.0].left_at
+    }
+
+    /// The upstream of that instance.
+    #[must_use]
+    pub fn find(&self, instance: &str) -> Option<UpstreamIx> {
+        let at = self
+            .upstreams
+            .iter()
+            .position(|u| &*u.record.instance == instance);
+        at.map(UpstreamIx)
+    }
+
+    /// Takes a record unless it is older than the one held.
+    pub fn learn(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
+        self.revision = self.revision.max(record.revision);
+        let Some(ix) = self.find(&record.instance) else {
+            return Some(self.add(now, record));
+        };
+        let u = &mut self.upstreams[ix.0];
+        u.missing_since = None;
+        if record.revision <= u.record.revision {
+            return None;
+        }
+        let was_serving = !u.gone && u.record.state == UpstreamState::Serving;
+        u.gone = false;
+        u.cold_until = now + record.cold_for;
+        u.record = record;
+        match (was_serving, u.record.state) {
+            (true, UpstreamState::Leaving) => {
+                u.left_at = Some(now);
+                Some(PoolChange::Leaves(ix))
+            }
+            (false, UpstreamState::Serving) => {
+                u.left_at = None;
+                Some(PoolChange::Came(ix))
+            }
+            _ => None,
+        }
+    }
+
+    fn add(&mut self, now: Time, record: UpstreamRecord) -> PoolChange {
+        let leaving = record.state == UpstreamState::Leaving;
+        let upstream = Upstream {
+            cold_until: now + record.cold_for,
+            record,
+            memory_tokens: None,
+            gone: false,
+            left_at: leaving.then_some(now),
+            missing_since: None,
+            mine: Placed::default(),
+            others: HashMap::new(),
+            avoid_until: Time::default(),
+            failing: 0.0,
+            read: HashMap::new(),
+        };
+        let free = |u: &Upstream| {
+            u.gone
+                && u.mine == Placed::default()
+                && u.left_at.is_none_or(|t| now.since(t) > REMEMBER_GONE)
+        };
+        let ix = if let Some(at) = self.upstreams.iter().position(free) {
+            self.upstreams[at] = upstream;
+            UpstreamIx(at)
+        } else {
+            self.upstreams.push(upstream);
+            UpstreamIx(self.upstreams.len() - 1)
+        };
+        if leaving {
+            PoolChange::Leaves(ix)
+        } else {
+            PoolChange::Came(ix)
+        }
+    }
+
+    /// Notes that the list no longer has an upstream, as of `revision`.
+    pub fn forget(&mut self, now: Time, instance: &str, revision: u64) -> Option<PoolChange> {
+        self.revision = self.revision.max(revision);
+        let ix = self.find(instance)?;
+        let u = &mut self.upstreams[ix.0];
+        if u.gone || revision < u.record.revision {
+            return None;
+        }
+        u.record.revision = revision;
+        u.gone = true;
+        u.missing_since = None;
+        if u.left_at.is_some() {
+            return None;
+        }
+        u.left_at = Some(now);
+        Some(PoolChange::Leaves(ix))
+    }
+
+    /// Notes that the list lacks an upstream, which may live all the same.
+    pub fn note_missing(&mut self, now: Time, instance: &str, revision: u64) {
+        self.revision = self.revision.max(revision);
+        if let Some(ix) = self.find(instance) {
+            let u = &mut self.upstreams[ix.0];
+            if !u.gone && revision >= u.record.revision {
+                u.missing_since = u.missing_since.or(Some(now));
+            }
+        }
+    }
+
+    /// Takes a whole list as of `revision`; what it lacks is missing from now on.
+    pub fn learn_all(
+        &mut self,
+        now: Time,
+        records: Vec<UpstreamRecord>,
+        revision: u64,
+    ) -> Vec<PoolChange> {
+        for u in &mut self.upstreams {
+            let listed = records.iter().any(|r| r.instance == u.record.instance);
+            if !u.gone && !listed && u.record.revision <= revision {
+                u.missing_since = u.missing_since.or(Some(now));
+            }
+        }
+        self.revision = self.revision.max(revision);
+        records
+            .into_iter()
+            .filter_map(|record| self.learn(now, record))
+            .collect()
+    }
+
+    /// Forgets upstreams that a list has lacked for [`MISSING_FOR`].
+    pub fn drop_missing(&mut self, now: Time) -> Vec<PoolChange> {
+        let overdue = |u: &Upstream| {
+            u.missing_since
+                .is_some_and(|t| !u.gone && now.since(t) >= MISSING_FOR)
+        };
+        let names: Vec<(Name, u64)> = self
+            .upstreams
+            .iter()
+            .filter(|u| overdue(u))
+            .map(|u| (u.record.instance.clone(), u.record.revision))
+            .collect();
+        names
+            .into_iter()
+            .filter_map(|(name, revision)| self.forget(now, &name, revision))
+            .collect()
+    }
+
+    /// Whether any upstream is missing from the last list.
+    #[must_use]
+    pub fn any_missing(&self) -> bool {
+        self.upstreams.iter().any(|u| u.missing_since.is_some())
+    }
+
+    /// Sets the memory of the engines of a service.
+    pub fn set_memory(&mut self, service: &str, tokens: Option<u64>) {
+        for u in &mut self.upstreams {
+            if &*u.record.service == service {
+                u.memory_tokens = tokens;
+            }
+        }
+    }
+
+    /// Counts a request as placed on an upstream.
+    pub fn place(&mut self, now: Time, ix: UpstreamIx, need: &Need) {
+        let u = &mut self.upstreams[ix.0];
+        u.mine.running += need.slots;
+        u.mine.tokens += need.tokens;
+        if let Some(shared) = need.shared {
+            if u.read.len() >= MAX_READ {
+                u.read.retain(|_, t| now.since(*t) < READ_FOR);
+            }
+            u.read.insert(shared, now);
+        }
+    }
+
+    /// Takes back what [`Pool::place`] counted.
+    pub fn release(&mut self, ix: UpstreamIx, need: &Need) {
+        let mine = &mut self.upstreams[ix.0].mine;
+        mine.running = mine.running.saturating_sub(need.slots);
+        mine.tokens = mine.tokens.saturating_sub(need.tokens);
+    }
+
+    /// Notes whether a request failed through the upstream's fault.
+    pub fn note_outcome(&mut self, ix: UpstreamIx, failed: bool) {
+        let u = &mut self.upstreams[ix.0];
+        let newest = if failed { 1.0 } else { 0.0 };
+        u.failing += FAILING_WEIGHT * (newest - u.failing);
+    }
+
+    /// Leaves an upstream out for a while where there is another.
+    pub fn avoid(&mut self, now: Time, ix: UpstreamIx, span: Duration) {
+        let u = &mut self.upstreams[ix.0];
+        u.avoid_until = u.avoid_until.max(now + span);
+    }
+
+    /// Takes what another entry has placed.
+    pub fn note_others(&mut self, now: Time, entry: &Name, placed: &[PlacedAt]) {
+        for u in &mut self.upstreams {
+            u.others.remove(entry);
+        }
+        for at in placed {
+            if let Some(ix) = self.find(&at.instance) {
+                let others = &mut self.upstreams[ix.0].others;
+                others.insert(entry.clone(), (now, at.placed));
+            }
+        }
+    }
+
+    /// What this entry has placed, to tell the others.
+    #[must_use]
+    pub fn placed(&self) -> Vec<PlacedAt> {
+        let busy = self
+            .upstreams
+            .iter()
+            .filter(|u| u.mine != Placed::default());
+        busy.map(|u| PlacedAt {
+            instance: u.record.instance.clone(),
+            placed: u.mine,
+        })
+        .collect()
+    }
+
+    /// Share of an engine's memory that is spoken for, by all entries.
+    #[must_use]
+    pub fn fill(&self, now: Time, ix: UpstreamIx) -> f64 {
+        let u = &self.upstreams[ix.0];
+        share(u.load(now).tokens, u.memory_tokens.unwrap_or(0))
+    }
+
+    /// Share of the memory of all serving engines of a service that is spoken for.
+    #[must_use]
+    pub fn fill_of(&self, now: Time, service: &str) -> f64 {
+        let serving = self.serving(service);
+        let (used, all) = serving.fold((0, 0), |sum, i| {
+            let u = &self.upstreams[i];
+            let memory = u.memory_tokens.unwrap_or(0);
+            (sum.0 + u.load(now).tokens, sum.1 + memory)
+        });
+        share(used, all)
+    }
+
+    /// Share of the slots of all serving upstreams of a service that is taken.
+    #[must_use]
+    pub fn busy_of(&self, now: Time, service: &str) -> f64 {
+        let serving = self.serving(service);
+        let (running, slots) = serving.fold((0, 0), |sum, i| {
+            let u = &self.upstreams[i];
+            let running = u64::from(u.load(now).running);
+            (sum.0 + running, sum.1 + u64::from(u.record.slots))
+        });
+        share(running, slots)
+    }
+
+    /// Serving upstreams of a service.
+    #[must_use]
+    pub fn count(&self, service: &str) -> usize {
+        self.serving(service).count()
+    }
+
+    /// Chooses an upstream of `service` that is not in `tried`.
+    ///
+    /// One that is avoided is chosen only where there is no other.
+    #[must_use]
+    pub fn choose(
+        &self,
+        now: Time,
+        service: &str,
+        need: &Need,
+        tried: &[UpstreamIx],
+    ) -> Option<UpstreamIx> {
+        let open = || {
+            self.serving(service)
+                .filter(|i| !tried.contains(&UpstreamIx(*i)))
+        };
+        let sound = open().filter(|i| self.upstreams[*i].avoid_until <= now);
+        let best = self.least_cost(now, need, sound);
+        best.or_else(|| self.least_cost(now, need, open()))
+    }
+
+    fn serving(&self, service: &str) -> impl Iterator<Item = usize> {
+        (0..self.upstreams.len()).filter(move |i| {
+            let u = &self.upstreams[*i];
+            let serving = !u.gone && u.record.state == UpstreamState::Serving;
+            serving && &*u.record.service == service
+        })
+    }
+
+    fn least_cost(
+        &self,
+        now: Time,
+        need: &Need,
+        among: impl Iterator<Item = usize>,
+    ) -> Option<UpstreamIx> {
+        let costs = among.map(|i| (i, self.upstreams[i].cost(now, need, &self.data_centre)));
+        let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
+        best.map(|(i, _)| UpstreamIx(i))
+    }
+}
+
+impl Upstream {
+    /// Work of all entries.
+    fn load(&self, now: Time) -> Placed {
+        let told = self.others.values();
+        let fresh = told.filter(|(at, _)| now.since(*at) < TOLD_FOR);
+        fresh.fold(self.mine, |sum, (_, placed)| Placed {
+            running: sum.running + placed.running,
+            tokens: sum.tokens + placed.tokens,
+        })
+    }
+
+    /// Cost of one more request here, against a full memory.
+    fn cost(&self, now: Time, need: &Need, data_centre: &Name) -> f64 {
+        let load = self.load(now);
+        let memory = self
+            .memory_tokens
+            .map_or(0.0, |m| share(load.tokens + need.tokens, m));
+        let batch = share(u64::from(load.running), u64::from(self.record.slots));
+        let far = if self.record.data_centre == *data_centre {
+            0.0
+        } else {
+            FAR_COST
+        };
+        let cold = if self.cold_until > now {
+            COLD_COST
+        } else {
+            0.0
+        };
+        let lies_there = need.shared.and_then(|part| self.read.get(&part));
+        let shared = match lies_there {
+            Some(at) if now.since(*at) < READ_FOR => SHARED_GAIN,
+            _ => 0.0,
+        };
+        memory + BATCH_COST * batch + FAILING_COST * self.failing + far + cold - shared
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    part as f64 / whole as f64
+}
--- /dev/null
+++ b/fireflycroft/src/rescue.rs
@@ -0,0 +1,70 @@
+//! Which runs get a copy of their memory elsewhere, and when.
+//!
+//! A generation that may run only once is lost when its upstream goes, unless
+//! another upstream holds its memory. A copy kept as the run grows also
+//! survives a crash, but takes memory twice; a copy made on notice takes it
+//! only for the moment of moving. So copies are kept while memory is plentiful
+//! and made on notice where it isn't.
+
+use crate::ids::Name;
+use crate::pool::{Need, Pool, UpstreamIx};
+use crate::time::Time;
+
+/// Share of all memory that may be spoken for when a run begins with a copy.
+pub const BACKUP_FILL: f64 = 0.5;
+
+/// Share of one engine's memory that may be spoken for when it takes a copy.
+const BACKUP_FILL_OF_ONE: f64 = 0.75;
+
+/// Answers that are expected to be shorter are done before a copy pays.
+pub const WORTH_SAVING_TOKENS: u64 = 64;
+
+/// What is known of a run when its upstream announces that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunView {
+    /// Tokens relayed so far.
+    pub produced: u64,
+    /// Tokens that the answer is expected to have.
+    pub expected: u64,
+    /// Whether a copy lies on an upstream that stays.
+    pub has_copy: bool,
+}
+
+/// What to do with a run whose upstream leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnNotice {
+    /// Let it run; its copy takes over if it breaks off.
+    LetRun,
+    /// Copy its memory to another upstream and go on there.
+    Move,
+}
+
+/// Decides about a run whose upstream leaves.
+///
+/// A run that seems nearly done is moved all the same: the expected length is
+/// right in the median only, and a moved run that was nearly done costs one
+/// copy, a lost one everything.
+#[must_use]
+pub const fn on_notice(run: &RunView) -> OnNotice {
+    if run.has_copy {
+        OnNotice::LetRun
+    } else {
+        OnNotice::Move
+    }
+}
+
+/// The upstream that is to keep a copy of a run as it grows on `at`, if any.
+#[must_use]
+pub fn pick_backup(
+    pool: &Pool,
+    now: Time,
+    service: &Name,
+    need: &Need,
+    at: UpstreamIx,
+) -> Option<UpstreamIx> {
+    if pool.fill_of(now, service) > BACKUP_FILL {
+        return None;
+    }
+    let keeper = pool.choose(now, service, need, &[at])?;
+    (pool.fill(now, keeper) <= BACKUP_FILL_OF_ONE).then_some(keeper)
+}
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod leader;
 pub mod leases;
 mod link;
-pub mod logs;
 pub mod mailbox;
 pub mod metrics;
 pub mod node;
@@ -29,3 +28,5 @@
 pub mod sse;
 pub mod status;
 pub mod upstream;
+
+pub use fireflylog as logs;
--- a/fireflyd/src/main.rs
+++ b/fireflyd/src/main.rs
@@ -24,7 +24,7 @@
 }
 
 fn start(settings: Settings) -> anyhow::Result<()> {
-    logs::init(settings.log_level)?;
+    logs::init(settings.log_level, logs::Output::Stderr)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
--- /dev/null
+++ b/fireflydirect/src/answer.rs
@@ -0,0 +1,101 @@
+//! Answers to callers: those of upstreams, and the entry's own.
+
+use bytes::Bytes;
+use fireflycroft::{Class, Code};
+use fireflycroft_platform::answer_headers;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, Response, StatusCode};
+use std::fmt;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// Header that carries the result code of the entry's own answers.
+const CODE: HeaderName = HeaderName::from_static("x-firefly-code");
+
+/// Body of an answer, whole or streamed.
+pub type AnswerBody = Pin<Box<dyn Body<Data = Bytes, Error = BrokenStream>>>;
+
+/// Answer to a caller.
+pub type Answer = Response<AnswerBody>;
+
+/// A stream that ends before its end; the connection closes with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokenStream(pub Code);
+
+impl fmt::Display for BrokenStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0.phrase())
+    }
+}
+
+impl std::error::Error for BrokenStream {}
+
+/// Body that is there as a whole.
+#[must_use]
+pub fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
+    use http_body_util::BodyExt;
+    Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
+}
+
+/// Answer of an upstream, unchanged but for the headers of its connection.
+#[must_use]
+pub fn relayed(parts: &Parts, body: AnswerBody) -> Answer {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = answer_headers(&parts.headers);
+    answer
+}
+
+/// The entry's own answer: why the request failed, and when to come back.
+#[must_use]
+pub fn own(code: Code, retry_after: Option<Duration>) -> Answer {
+    let class = match code.class() {
+        Class::Operator => "operator",
+        Class::NotRun => "not_run",
+        Class::Ran => "ran",
+        Class::Unknown => "unknown",
+    };
+    let body = serde_json::json!({"error": {
+        "code": code.number(),
+        "class": class,
+        "message": code.phrase(),
+    }});
+    let mut answer = Response::new(whole(body.to_string()));
+    *answer.status_mut() =
+        StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(CODE, HeaderValue::from(code.number()));
+    if let Some(wait) = retry_after {
+        put_text(headers, RETRY_AFTER, &format!("{:.3}", wait.as_secs_f64()));
+    }
+    answer
+}
+
+/// Tells the caller that the connection closes after this answer.
+pub fn close_after(answer: &mut Answer) {
+    answer
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+fn put_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    // Digits and a point are always a sound value.
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
+
+/// Body that keeps `guard` until it has been sent or dropped.
+#[must_use]
+pub fn guarded<G: 'static>(body: AnswerBody, guard: G) -> AnswerBody {
+    use http_body_util::BodyExt;
+    let guard = std::cell::Cell::new(Some(guard));
+    Box::pin(body.map_frame(move |frame| {
+        let _ = &guard;
+        frame
+    }))
+}
--- /dev/null
+++ b/fireflydirect/src/call.rs
@@ -0,0 +1,224 @@
+//! Getting an answer to a request: one upstream after another, as far as allowed.
+
+use crate::exchange::{Extras, Opened, Unanswered, read_whole, send};
+use crate::job::Job;
+use crate::node::PlacedGuard;
+use bytes::Bytes;
+use fireflycroft::{
+    Code, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx, WORTH_SAVING_TOKENS, pick_backup,
+};
+use hyper::http::response::Parts;
+use std::cell::RefCell;
+use std::time::Duration;
+
+/// When to come back after upstreams were too full: about the time in which some of them end a
+/// request or two.
+const FULL_RETRY: Duration = Duration::from_millis(400);
+
+/// When to come back while no upstream is known: about the time between two looks at the list.
+const NONE_RETRY: Duration = Duration::from_millis(800);
+
+/// Time for which an upstream that couldn't be reached is left out.
+const AVOID_UNREACHABLE: Duration = Duration::from_millis(1_500);
+
+/// Time for which an upstream that turned a request away is left out.
+const AVOID_FULL: Duration = Duration::from_millis(250);
+
+/// Time for which an address that belongs to another instance is left out: until the list
+/// tells.
+const AVOID_MISTAKEN: Duration = Duration::from_secs(5);
+
+/// Objectives after which a plain call that may run again is asked for elsewhere.
+const SILENT_OBJECTIVES: u32 = 3;
+
+/// A stream that has begun.
+pub struct Begun {
+    /// The upstream's head and body.
+    pub opened: Opened,
+    /// Its place on the upstream.
+    pub placed: PlacedGuard,
+    /// Place of the copy that another upstream keeps.
+    pub backup: Option<PlacedGuard>,
+}
+
+/// What a request came to.
+pub enum Reply {
+    /// A whole answer of an upstream.
+    Whole(Parts, Bytes),
+    /// A stream that has begun.
+    Stream(Box<Begun>),
+    /// No answer of an upstream: a code, and when to come back.
+    Own(Code, Option<Duration>),
+}
+
+/// One try at an upstream.
+struct Tried {
+    outcome: TryOutcome,
+    why: String,
+    reply: Option<Reply>,
+}
+
+impl Tried {
+    fn failed(outcome: TryOutcome, why: impl Into<String>) -> Self {
+        Self {
+            outcome,
+            why: why.into(),
+            reply: None,
+        }
+    }
+}
+
+/// Gets an answer before the job's time is up.
+pub async fn obtain(job: &Job) -> Reply {
+    let tries = RefCell::new(Tries::new(job.route.repeat, job.route.max_attempts));
+    let limit = job.node.clock.instant(job.give_up_at);
+    match tokio::time::timeout_at(limit, try_all(job, &tries)).await {
+        Ok(reply) => reply,
+        Err(_) if tries.borrow().may_have_run() => Reply::Own(Code::DeadlineExceeded, None),
+        Err(_) => Reply::Own(Code::Overloaded, Some(FULL_RETRY)),
+    }
+}
+
+async fn try_all(job: &Job, tries: &RefCell<Tries>) -> Reply {
+    let need = job.need();
+    let mut asked = Vec::new();
+    let mut failure = None;
+    loop {
+        let Some(ix) = job.pick(&need, &asked).await else {
+            return nobody(job, tries);
+        };
+        let one = try_one(job, ix, need, tries).await;
+        note(job, ix, &one);
+        asked.push(ix);
+        let next = tries.borrow_mut().after(one.outcome, || job.take_repeat());
+        match (next, one.reply) {
+            (NextStep::TryAgain, reply) => failure = reply.or(failure),
+            (NextStep::Relay, Some(reply)) => return reply,
+            (NextStep::RefuseNotRun, _) => return Reply::Own(Code::Overloaded, Some(FULL_RETRY)),
+            (NextStep::TellUnknown | NextStep::Relay, _) => {
+                return failure.unwrap_or(Reply::Own(Code::OutcomeUnknown, None));
+            }
+        }
+    }
+}
+
+fn nobody(job: &Job, tries: &RefCell<Tries>) -> Reply {
+    log::warn!(event = "no_upstream", req = &*job.request_id, service = &*job.service; "");
+    if tries.borrow().may_have_run() {
+        Reply::Own(Code::OutcomeUnknown, None)
+    } else {
+        Reply::Own(Code::NoUpstream, Some(NONE_RETRY))
+    }
+}
+
+async fn try_one(job: &Job, ix: UpstreamIx, need: Need, tries: &RefCell<Tries>) -> Tried {
+    let placed = job.node.place(ix, need);
+    let backup = place_backup(job, ix, need);
+    let keeper = backup
+        .as_ref()
+        .map(|b| job.node.pool.borrow().record(b.ix).addr);
+    let extras = Extras {
+        backup: keeper,
+        memory: None,
+        last_event_id: job.ask.last_event_id,
+    };
+    let sending = send(job, ix, &extras, || tries.borrow_mut().note_sent());
+    let sent = match silence_limit(job) {
+        Some(limit) => match tokio::time::timeout(limit, sending).await {
+            Ok(sent) => sent,
+            Err(_) => Err(Unanswered::Lost("no answer in time".to_owned())),
+        },
+        None => sending.await,
+    };
+    match sent {
+        Ok(opened) => judge(job, ix, opened, placed, backup).await,
+        Err(Unanswered::NeverSent(why)) => Tried::failed(TryOutcome::NeverSent, why),
+        Err(Unanswered::Lost(why)) => Tried::failed(TryOutcome::Lost, why),
+    }
+}
+
+/// Longest wait for a head when another upstream may be asked instead.
+fn silence_limit(job: &Job) -> Option<Duration> {
+    let plain = job.engine.is_none() && job.route.repeat.may_run_again();
+    plain.then(|| job.route.objective * SILENT_OBJECTIVES)
+}
+
+/// Place for a copy of a long stream, if memory is plentiful.
+pub fn place_backup(job: &Job, at: UpstreamIx, need: Need) -> Option<PlacedGuard> {
+    let keeps = job.engine.is_some_and(|e| e.backups) && job.route.repeat.is_stream();
+    if !keeps || job.expected_tokens() < WORTH_SAVING_TOKENS {
+        return None;
+    }
+    let copy = Need { slots: 0, ..need };
+    let keeper = pick_backup(&job.node.pool.borrow(), job.now(), &job.service, &copy, at)?;
+    Some(job.node.place(keeper, copy))
+}
+
+/// What the head of an answer means for the request.
+async fn judge(
+    job: &Job,
+    ix: UpstreamIx,
+    opened: Opened,
+    placed: PlacedGuard,
+    backup: Option<PlacedGuard>,
+) -> Tried {
+    let status = opened.parts.status;
+    let head = opened.head;
+    match head.claim {
+        RunClaim::MayHaveRun => {}
+        RunClaim::NotRun => {
+            return Tried::failed(TryOutcome::NotRun, format!("turned away with {status}"));
+        }
+        RunClaim::WrongInstance => {
+            return Tried::failed(TryOutcome::WrongInstance, "another instance is there");
+        }
+    }
+    if status.is_success() && !head.sealed {
+        return Tried::failed(TryOutcome::Lost, "an answer without a seal");
+    }
+    if status.is_success() && job.route.repeat.is_stream() {
+        let begun = Begun {
+            opened,
+            placed,
+            backup,
+        };
+        return Tried {
+            outcome: TryOutcome::Answered,
+            why: String::new(),
+            reply: Some(Reply::Stream(Box::new(begun))),
+        };
+    }
+    match read_whole(job, ix, opened).await {
+        Ok((parts, bytes)) => Tried {
+            outcome: if status.is_server_error() {
+                TryOutcome::Failed
+            } else {
+                TryOutcome::Answered
+            },
+            why: status.to_string(),
+            reply: Some(Reply::Whole(parts, bytes)),
+        },
+        Err(why) => Tried::failed(TryOutcome::Lost, why),
+    }
+}
+
+/// Lets the pool learn from a try, and says what came of it.
+fn note(job: &Job, ix: UpstreamIx, tried: &Tried) {
+    let now = job.now();
+    let mut pool = job.node.pool.borrow_mut();
+    pool.note_outcome(ix, tried.outcome != TryOutcome::Answered);
+    match tried.outcome {
+        TryOutcome::NeverSent | TryOutcome::Lost => pool.avoid(now, ix, AVOID_UNREACHABLE),
+        TryOutcome::NotRun => pool.avoid(now, ix, AVOID_FULL),
+        TryOutcome::WrongInstance => pool.avoid(now, ix, AVOID_MISTAKEN),
+        TryOutcome::Failed | TryOutcome::Answered => {}
+    }
+    if tried.outcome != TryOutcome::Answered {
+        log::warn!(
+            event = "try_failed", req = &*job.request_id, route = &*job.route.name,
+            instance = &*pool.record(ix).instance, outcome = format!("{:?}", tried.outcome),
+            why = &*tried.why, age_ms = job.age().as_millis();
+            ""
+        );
+    }
+}
--- /dev/null
+++ b/fireflydirect/src/exchange.rs
@@ -0,0 +1,168 @@
+//! One request to one upstream, up to the head of its answer.
+
+use crate::job::Job;
+use crate::links::Link;
+use bytes::Bytes;
+use fireflycroft::{AnswerHead, Dispatch, MemoryCopy, RunClaim, UpstreamIx};
+use fireflycroft_platform::{read_answer_head, upstream_headers};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest answer of a plain call that is held, in bytes.
+const MAX_WHOLE_ANSWER: usize = 8 << 20;
+
+/// Idle time up to which a connection carries a request that may run only once.
+///
+/// An upstream may close an idle connection at any moment, and a request that crosses the close
+/// is lost; the longer the idle time, the likelier.
+const ONCE_IDLE: Duration = Duration::from_millis(1_200);
+
+/// Idle time up to which a connection carries a request that may run again.
+const REPEATABLE_IDLE: Duration = Duration::from_secs(10);
+
+/// What goes along with a request beside what the caller sent.
+#[derive(Clone, Debug, Default)]
+pub struct Extras {
+    /// Upstream that is to keep a copy of the run's memory.
+    pub backup: Option<SocketAddr>,
+    /// Memory to go on from.
+    pub memory: Option<MemoryCopy>,
+    /// Event after which the stream goes on.
+    pub last_event_id: Option<u64>,
+}
+
+/// Head of an answer, with what is needed to read the rest.
+#[derive(Debug)]
+pub struct Opened {
+    /// Status and headers.
+    pub parts: Parts,
+    /// What they say of the request.
+    pub head: AnswerHead,
+    /// The body, still to come.
+    pub body: Incoming,
+    /// The connection; dropping it ends the upstream's work.
+    pub link: Link,
+}
+
+/// Why no head came.
+#[derive(Debug)]
+pub enum Unanswered {
+    /// No byte of the request left this process.
+    NeverSent(String),
+    /// The request was sent, wholly or in part.
+    Lost(String),
+}
+
+impl fmt::Display for Unanswered {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NeverSent(why) => write!(f, "never sent: {why}"),
+            Self::Lost(why) => write!(f, "lost: {why}"),
+        }
+    }
+}
+
+/// Sends the job's request to an upstream and waits for the head of its answer.
+///
+/// `on_sent` is called before the first byte may leave.
+///
+/// # Errors
+///
+/// See [`Unanswered`].
+pub async fn send(
+    job: &Job,
+    ix: UpstreamIx,
+    extras: &Extras,
+    on_sent: impl FnOnce(),
+) -> Result<Opened, Unanswered> {
+    let record = job.node.pool.borrow().record(ix).clone();
+    let most_idle = if job.route.repeat.may_run_again() {
+        REPEATABLE_IDLE
+    } else {
+        ONCE_IDLE
+    };
+    let links = &job.node.links;
+    let mut link = links
+        .get(&record.instance, record.addr, most_idle)
+        .await
+        .map_err(|e| Unanswered::NeverSent(e.to_string()))?;
+    link.sender
+        .ready()
+        .await
+        .map_err(|e| Unanswered::NeverSent(e.to_string()))?;
+    let req = request(job, &record.instance, extras);
+    on_sent();
+    let response = link.sender.try_send_request(req).await.map_err(|mut e| {
+        let unsent = e.take_message().is_some();
+        let why = e.into_error().to_string();
+        if unsent {
+            Unanswered::NeverSent(why)
+        } else {
+            Unanswered::Lost(why)
+        }
+    })?;
+    let (parts, body) = response.into_parts();
+    let head = read_answer_head(parts.status, &parts.headers, &job.request_id);
+    if !head.is_own {
+        return Err(Unanswered::Lost("an answer to another request".to_owned()));
+    }
+    Ok(Opened {
+        parts,
+        head,
+        body,
+        link,
+    })
+}
+
+fn request(job: &Job, instance: &str, extras: &Extras) -> Request<Full<Bytes>> {
+    let dispatch = Dispatch {
+        instance,
+        workspace: job.workspace.as_deref(),
+        deadline: job.time_left(),
+        priority: job.priority,
+        backup: extras.backup,
+        memory: extras.memory.as_ref(),
+        last_event_id: extras.last_event_id,
+    };
+    let mut req = Request::new(Full::new(job.body.clone()));
+    *req.method_mut() = job.method.clone();
+    *req.uri_mut() = job.uri.clone();
+    *req.headers_mut() = upstream_headers(&job.headers, &dispatch);
+    req
+}
+
+/// Reads the rest of an answer; hands the connection back when it may be used again.
+///
+/// # Errors
+///
+/// Why the body isn't whole.
+pub async fn read_whole(
+    job: &Job,
+    ix: UpstreamIx,
+    opened: Opened,
+) -> Result<(Parts, Bytes), String> {
+    let Opened {
+        parts,
+        head,
+        body,
+        link,
+    } = opened;
+    let whole = Limited::new(body, MAX_WHOLE_ANSWER).collect().await;
+    let bytes = whole.map_err(|e| e.to_string())?.to_bytes();
+    give_back(job, ix, &head, link);
+    Ok((parts, bytes))
+}
+
+/// Hands a connection back after a whole answer, unless the upstream closes it.
+pub fn give_back(job: &Job, ix: UpstreamIx, head: &AnswerHead, link: Link) {
+    if head.closes || head.claim != RunClaim::MayHaveRun {
+        return;
+    }
+    let instance = job.node.pool.borrow().record(ix).instance.clone();
+    job.node.links.put_back(&instance, link, head.keep_alive);
+}
--- /dev/null
+++ b/fireflydirect/src/feed.rs
@@ -0,0 +1,208 @@
+//! Following the platform's store: the configuration and the list of upstreams.
+//!
+//! Each kind is listed once and then watched from the revision of the list. A
+//! list follows again only when the store has dropped its history.
+
+use crate::node::Node;
+use crate::store::StoreClient;
+use fireflycroft::{Name, Time, UpstreamRecord};
+use fireflycroft_platform::{
+    Kind, StoreEvent, StoreFault, StoreObject, list_path, read_events, read_page, read_upstream,
+    watch_path,
+};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time that a watch waits at the store; each wait is a call that is paid for.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
+
+/// Longest time for an answer beyond the wait: the store answers in milliseconds, and slow
+/// periods take it to a few hundred.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// First pause after a failed call; doubles up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest pause after failed calls.
+const MAX_PAUSE: Duration = Duration::from_millis(700);
+
+/// Pause after changes of the list of upstreams, so that several come with one call. A leaving
+/// upstream serves on for a second and a half at least.
+const GATHER: Duration = Duration::from_millis(120);
+
+/// Time after contact with the store is back in which a removed upstream may only be missing.
+const REMOVALS_UNSURE: Duration = Duration::from_secs(3);
+
+/// What a feed does with what it reads.
+struct Feed {
+    node: Rc<Node>,
+    client: StoreClient,
+    kind: Kind,
+    pause: Duration,
+    regained_at: Cell<Option<Time>>,
+    healthy: bool,
+}
+
+/// Follows one kind of object for as long as the process lives.
+pub async fn follow(node: Rc<Node>, kind: Kind) {
+    let client = StoreClient::new(node.place.store.addr);
+    let mut feed = Feed {
+        node,
+        client,
+        kind,
+        pause: FIRST_PAUSE,
+        regained_at: Cell::new(None),
+        healthy: false,
+    };
+    loop {
+        match feed.list().await {
+            Ok(revision) => feed.watch_from(revision).await,
+            Err(why) => feed.rest(&why).await,
+        }
+    }
+}
+
+impl Feed {
+    async fn list(&mut self) -> Result<u64, String> {
+        let mut objects: Vec<StoreObject> = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = objects.last().map(|o| o.name.clone());
+            let path = list_path(self.kind, after.as_deref());
+            let (status, body) = self
+                .client
+                .get(&path, CALL_TIMEOUT)
+                .await
+                .map_err(|e| e.to_string())?;
+            let page = read_page(status, &body).map_err(|e| format!("{status} {e:?}"))?;
+            objects.extend(page.objects);
+            // Changes between two pages come again with a watch from the first one's revision.
+            let first = *revision.get_or_insert(page.revision);
+            if !page.more {
+                self.heard();
+                self.take_list(objects, first);
+                return Ok(first);
+            }
+        }
+    }
+
+    async fn watch_from(&mut self, mut revision: u64) {
+        loop {
+            let path = watch_path(self.kind, revision, WATCH_WAIT);
+            let answer = self.client.get(&path, WATCH_WAIT + CALL_TIMEOUT).await;
+            let read = match answer {
+                Ok((status, body)) => read_events(status, &body).map_err(Some),
+                Err(e) => {
+                    self.rest(&e.to_string()).await;
+                    continue;
+                }
+            };
+            match read {
+                Ok((events, next)) => {
+                    self.heard();
+                    revision = next;
+                    let any = !events.is_empty();
+                    self.take_events(events);
+                    if any && self.kind == Kind::Upstreams {
+                        tokio::time::sleep(GATHER).await;
+                    }
+                }
+                Err(Some(StoreFault::HistoryGone)) => return,
+                Err(fault) => self.rest(&format!("{fault:?}")).await,
+            }
+        }
+    }
+
+    fn heard(&mut self) {
+        self.pause = FIRST_PAUSE;
+        if self.healthy {
+            return;
+        }
+        self.healthy = true;
+        self.regained_at.set(Some(self.node.now()));
+        self.node.hears_store.set(true);
+        log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
+    }
+
+    async fn rest(&mut self, why: &str) {
+        if self.healthy {
+            self.healthy = false;
+            self.node.hears_store.set(false);
+            log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
+        }
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+    }
+
+    fn take_list(&self, objects: Vec<StoreObject>, revision: u64) {
+        match self.kind {
+            Kind::Config => objects.iter().for_each(|o| self.node.adopt(o, "store")),
+            Kind::Upstreams => take_upstreams(&self.node, objects, revision, "store"),
+            Kind::Entries => {}
+        }
+    }
+
+    fn take_events(&self, events: Vec<StoreEvent>) {
+        for event in events {
+            match self.kind {
+                Kind::Config if !event.removed => self.node.adopt(&event.object, "store"),
+                Kind::Upstreams => self.take_upstream(event),
+                Kind::Config | Kind::Entries => {}
+            }
+        }
+    }
+
+    fn take_upstream(&self, event: StoreEvent) {
+        let node = &self.node;
+        let now = node.now();
+        if !event.removed {
+            learn(node, event.object, "store");
+            return;
+        }
+        node.listed.borrow_mut().remove(&event.object.name);
+        let regained = self.regained_at.get();
+        let unsure = regained.is_some_and(|t| now.since(t) < REMOVALS_UNSURE);
+        let mut pool = node.pool.borrow_mut();
+        if unsure {
+            pool.note_missing(now, &event.object.name, event.object.revision);
+            return;
+        }
+        let change = pool.forget(now, &event.object.name, event.object.revision);
+        drop(pool);
+        node.take_changes(change, "store");
+    }
+}
+
+/// Takes a whole list of upstreams.
+pub fn take_upstreams(node: &Node, objects: Vec<StoreObject>, revision: u64, source: &str) {
+    let records: Vec<UpstreamRecord> = objects.iter().filter_map(read_record).collect();
+    let listed = objects.into_iter().map(|o| (o.name.clone(), o));
+    *node.listed.borrow_mut() = listed.collect();
+    let changes = node
+        .pool
+        .borrow_mut()
+        .learn_all(node.now(), records, revision);
+    node.take_changes(changes, source);
+}
+
+fn learn(node: &Node, object: StoreObject, source: &str) {
+    let Some(record) = read_record(&object) else {
+        return;
+    };
+    let name: Name = object.name.clone();
+    node.listed.borrow_mut().insert(name, object);
+    let change = node.pool.borrow_mut().learn(node.now(), record);
+    node.take_changes(change, source);
+}
+
+fn read_record(object: &StoreObject) -> Option<UpstreamRecord> {
+    match read_upstream(object) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            let why = e.to_string();
+            log::warn!(event = "upstream_unreadable", instance = &*object.name, why = why; "");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/fireflydirect/src/generation.rs
@@ -0,0 +1,309 @@
+//! Relaying a stream of events, over as many upstreams as it takes.
+//!
+//! When an upstream breaks off, its connection is dropped first, so that two
+//! runs of one generation never overlap; then the stream goes on from a copy of
+//! the run's memory, or, where the route allows it, is run anew after the last
+//! event that the caller has.
+
+use crate::answer::{Answer, AnswerBody, BrokenStream, relayed};
+use crate::call::{Begun, place_backup};
+use crate::exchange::{Extras, Opened, give_back, send};
+use crate::job::Job;
+use crate::node::PlacedGuard;
+use crate::runs::Run;
+use bytes::Bytes;
+use fireflycroft::{AnswerHead, Code, EventRelay, MemoryCopy, Need, UpstreamIx};
+use futures_util::stream::unfold;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Times that one stream goes on elsewhere.
+const MAX_BREAKS: u32 = 6;
+
+/// Longest wait for a copy that is under way when the stream breaks; a copy of the longest
+/// prompts takes about half a second on an idle link.
+const COPY_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for the head of an answer that goes on from memory.
+const GO_ON_WAIT: Duration = Duration::from_millis(1_500);
+
+/// An answer of an upstream that is being read.
+struct Source {
+    body: Incoming,
+    link: crate::links::Link,
+    head: AnswerHead,
+}
+
+/// A stream on its way to the caller.
+struct Relay {
+    job: Rc<Job>,
+    run: Rc<Run>,
+    placed: PlacedGuard,
+    backup: Option<PlacedGuard>,
+    source: Option<Source>,
+    events: EventRelay,
+    breaks: u32,
+    ended: bool,
+}
+
+/// What was read from an upstream.
+enum Read {
+    Data(Bytes),
+    End,
+    Broke(String),
+    TimeUp,
+}
+
+/// Another place where a stream may go on.
+struct Place {
+    at: UpstreamIx,
+    memory: Option<MemoryCopy>,
+    placed: Option<PlacedGuard>,
+}
+
+/// Answer whose body is relayed from the upstream that has begun it.
+#[must_use]
+pub fn relay(job: Rc<Job>, begun: Begun) -> Answer {
+    let Begun {
+        opened,
+        placed,
+        backup,
+    } = begun;
+    let Opened {
+        parts,
+        head,
+        body,
+        link,
+    } = opened;
+    let mut events = EventRelay::default();
+    if let Some(last) = job.ask.last_event_id {
+        events.start_after(last);
+    }
+    let run = job.node.runs.enter(Run {
+        request_id: job.request_id.clone(),
+        service: job.service.clone(),
+        at: Cell::new(placed.ix),
+        backup: Cell::new(backup.as_ref().map(|b| b.ix)),
+        refuge: RefCell::new(None),
+        moving: Cell::new(false),
+        moved: Notify::new(),
+        produced: Cell::new(0),
+        expected_tokens: job.expected_tokens(),
+        need: job.need(),
+        can_move: job.engine.is_some_and(|e| e.moves),
+    });
+    let relay = Relay {
+        job,
+        run,
+        placed,
+        backup,
+        source: Some(Source { body, link, head }),
+        events,
+        breaks: 0,
+        ended: false,
+    };
+    let body: AnswerBody = Box::pin(StreamBody::new(Box::pin(unfold(relay, Relay::next))));
+    relayed(&parts, body)
+}
+
+impl Relay {
+    async fn next(mut self) -> Option<(Result<Frame<Bytes>, BrokenStream>, Self)> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            match self.read().await {
+                Read::Data(bytes) => match self.events.push(&bytes) {
+                    Ok(out) if out.is_empty() => {}
+                    Ok(out) => {
+                        self.note_progress();
+                        return Some((Ok(Frame::data(Bytes::from(out))), self));
+                    }
+                    Err(fault) => return Some(self.break_off(&format!("{fault:?}"))),
+                },
+                Read::End => {
+                    self.finish();
+                    return None;
+                }
+                Read::Broke(why) => {
+                    if !self.go_on_elsewhere(&why).await {
+                        return Some(self.break_off(&why));
+                    }
+                }
+                Read::TimeUp => return Some(self.break_off("the time is up")),
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Read {
+        let limit = self.job.node.clock.instant(self.job.give_up_at);
+        let Some(source) = &mut self.source else {
+            return Read::Broke("no upstream".to_owned());
+        };
+        let Ok(frame) = tokio::time::timeout_at(limit, source.body.frame()).await else {
+            return Read::TimeUp;
+        };
+        match frame {
+            Some(Ok(frame)) => Read::Data(frame.into_data().unwrap_or_default()),
+            Some(Err(e)) => Read::Broke(e.to_string()),
+            None if self.events.is_mid_event() => Read::Broke("ended within an event".to_owned()),
+            None => Read::End,
+        }
+    }
+
+    fn note_progress(&self) {
+        let per_event = self.job.engine.map_or(1, |e| e.tokens_per_event);
+        let produced = self.events.relayed() * u64::from(per_event);
+        self.run.produced.set(produced);
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        if let Some(source) = self.source.take() {
+            give_back(&self.job, self.placed.ix, &source.head, source.link);
+        }
+        self.job
+            .node
+            .pool
+            .borrow_mut()
+            .note_outcome(self.placed.ix, false);
+        self.say("stream_ended", "");
+    }
+
+    fn break_off(mut self, why: &str) -> (Result<Frame<Bytes>, BrokenStream>, Self) {
+        self.ended = true;
+        self.source = None;
+        self.say("stream_cut", why);
+        (Err(BrokenStream(Code::UpstreamFailed)), self)
+    }
+
+    fn say(&self, event: &str, why: &str) {
+        let job = &self.job;
+        log::info!(
+            event = event, req = &*job.request_id, route = &*job.route.name,
+            instance = &*job.node.pool.borrow().record(self.placed.ix).instance,
+            events = self.events.relayed(), breaks = self.breaks, why = why,
+            age_ms = job.age().as_millis();
+            ""
+        );
+    }
+
+    /// Goes on at another upstream; false when there is no way.
+    async fn go_on_elsewhere(&mut self, why: &str) -> bool {
+        self.source = None;
+        self.events.break_off();
+        self.breaks += 1;
+        self.say("stream_broke", why);
+        if self.breaks > MAX_BREAKS || !self.events.can_go_on() {
+            return false;
+        }
+        self.wait_for_copy().await;
+        let from = self.placed.ix;
+        while let Some(place) = self.next_place(from) {
+            if !self.job.take_repeat() {
+                self.say("budget_spent", "");
+                return false;
+            }
+            if self.go_on_at(place).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn wait_for_copy(&self) {
+        let moved = self.run.moved.notified();
+        if self.run.moving.get() {
+            // A copy that takes longer is of no use: the caller would not bear the pause.
+            let _ = tokio::time::timeout(COPY_WAIT, moved).await;
+        }
+    }
+
+    /// The next place to go on at; each copy is offered once.
+    fn next_place(&mut self, from: UpstreamIx) -> Option<Place> {
+        if let Some(refuge) = self.run.refuge.borrow_mut().take() {
+            return Some(Place {
+                at: refuge.placed.ix,
+                memory: Some(refuge.memory),
+                placed: Some(refuge.placed),
+            });
+        }
+        self.run.backup.set(None);
+        if let Some(backup) = self.backup.take() {
+            let named_by = self.job.node.pool.borrow().record(backup.ix).addr;
+            return Some(Place {
+                at: backup.ix,
+                memory: Some(MemoryCopy {
+                    named_by,
+                    handle: self.job.request_id.clone(),
+                }),
+                placed: None,
+            });
+        }
+        if !self.job.route.repeat.may_run_again() || self.breaks > self.job.route.max_attempts {
+            return None;
+        }
+        let pool = self.job.node.pool.borrow();
+        let at = pool.choose(self.job.now(), &self.job.service, &self.job.need(), &[from])?;
+        Some(Place {
+            at,
+            memory: None,
+            placed: None,
+        })
+    }
+
+    async fn go_on_at(&mut self, place: Place) -> bool {
+        let need = self.need_left();
+        let placed = place
+            .placed
+            .unwrap_or_else(|| self.job.node.place(place.at, need));
+        let backup = place_backup(&self.job, place.at, need);
+        let keeper = backup
+            .as_ref()
+            .map(|b| self.job.node.pool.borrow().record(b.ix).addr);
+        let extras = Extras {
+            backup: keeper,
+            memory: place.memory,
+            last_event_id: self.events.last_id(),
+        };
+        let sending = send(&self.job, place.at, &extras, || ());
+        let opened = match tokio::time::timeout(GO_ON_WAIT, sending).await {
+            Ok(Ok(opened)) if is_stream(&opened) => opened,
+            Ok(Ok(opened)) => return self.refused_at(place.at, &opened.parts.status.to_string()),
+            Ok(Err(e)) => return self.refused_at(place.at, &e.to_string()),
+            Err(_) => return self.refused_at(place.at, "no answer in time"),
+        };
+        self.placed = placed;
+        self.run.at.set(place.at);
+        self.run.backup.set(backup.as_ref().map(|b| b.ix));
+        self.backup = backup;
+        self.source = Some(Source {
+            body: opened.body,
+            link: opened.link,
+            head: opened.head,
+        });
+        self.say("stream_goes_on", "");
+        true
+    }
+
+    fn refused_at(&self, at: UpstreamIx, why: &str) -> bool {
+        let instance = self.job.node.pool.borrow().record(at).instance.clone();
+        log::warn!(
+            event = "go_on_refused", req = &*self.job.request_id, instance = &*instance, why = why;
+            ""
+        );
+        false
+    }
+
+    fn need_left(&self) -> Need {
+        self.job.need()
+    }
+}
+
+fn is_stream(opened: &Opened) -> bool {
+    opened.parts.status.is_success() && opened.head.sealed
+}
--- /dev/null
+++ b/fireflydirect/src/job.rs
@@ -0,0 +1,122 @@
+//! One request of a caller, checked and ready to be sent.
+
+use crate::node::Node;
+use bytes::Bytes;
+use fireflycroft::{Ask, Digest, EngineSpec, Name, Need, RouteSpec, Time, UpstreamIx};
+use hyper::{HeaderMap, Method, Uri};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A request that was let in.
+pub struct Job {
+    /// The process.
+    pub node: Rc<Node>,
+    /// Route that selected the request.
+    pub route: Arc<RouteSpec>,
+    /// Version of the configuration that it is handled by.
+    pub version: u64,
+    /// Service that is to answer.
+    pub service: Name,
+    /// Engines of that service, unless it is a plain one.
+    pub engine: Option<EngineSpec>,
+    /// Workspace of the caller.
+    pub workspace: Option<Name>,
+    /// Urgency for a model engine.
+    pub priority: Option<u8>,
+    /// What the head says.
+    pub ask: Ask,
+    /// The caller's id of this attempt.
+    pub request_id: Name,
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// Body, whole.
+    pub body: Bytes,
+    /// Digest of path, caller and body.
+    pub content: Digest,
+    /// When the head was read.
+    pub arrival: Time,
+    /// When the caller has its final answer at the latest.
+    pub give_up_at: Time,
+}
+
+/// Share of the objective for which a request is held back while there is nobody to send it to.
+const HOLD_SHARE: u32 = 8;
+
+impl Job {
+    /// Time now.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.node.clock.now()
+    }
+
+    /// Time until the answer is given up, by the route or by the caller.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.give_up_at.since(self.now())
+    }
+
+    /// Time since the head was read.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.now().since(self.arrival)
+    }
+
+    /// What the request needs of an upstream.
+    #[must_use]
+    pub fn need(&self) -> Need {
+        let Some(size) = &self.ask.size else {
+            return Need {
+                slots: 1,
+                ..Need::default()
+            };
+        };
+        Need {
+            slots: 1,
+            tokens: u64::from(size.prompt_tokens) + self.expected_tokens(),
+            shared: size.parts.first().map(|p| p.id),
+        }
+    }
+
+    /// Tokens that the answer is expected to have; zero for a plain call.
+    #[must_use]
+    pub fn expected_tokens(&self) -> u64 {
+        let Some(size) = &self.ask.size else {
+            return 0;
+        };
+        let guess = size.length_hint.unwrap_or(size.max_tokens / 2);
+        u64::from(guess.min(size.max_tokens))
+    }
+
+    /// Takes one repeat from the shared budget.
+    #[must_use]
+    pub fn take_repeat(&self) -> bool {
+        let entries = self.node.entries();
+        let mut budget = self.node.budget.borrow_mut();
+        budget.take(self.now(), &self.service, entries)
+    }
+
+    /// An upstream that isn't in `tried`; waits a little while there is none at all.
+    pub async fn pick(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
+        let until = self.arrival + self.route.objective / HOLD_SHARE;
+        loop {
+            if let Some(ix) = self.pick_now(need, tried) {
+                return Some(ix);
+            }
+            let changed = self.node.changed.notified();
+            let until = self.node.clock.instant(until);
+            tokio::time::timeout_at(until, changed).await.ok()?;
+        }
+    }
+
+    fn pick_now(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
+        let pool = self.node.pool.borrow();
+        let now = self.now();
+        let fresh = pool.choose(now, &self.service, need, tried);
+        fresh.or_else(|| pool.choose(now, &self.service, need, &[]))
+    }
+}
--- /dev/null
+++ b/fireflydirect/src/links.rs
@@ -0,0 +1,185 @@
+//! Connections to upstreams: opened, kept for the next request, dropped.
+//!
+//! A [`Link`] that is dropped closes its connection at once, which is how an
+//! upstream learns that nobody waits for the answer any more. Only after a
+//! whole answer is a link handed back for reuse.
+
+use crate::clock::Clock;
+use bytes::Bytes;
+use fireflycroft::{Name, Time};
+use http_body_util::Full;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Longest time for a connection to be set up.
+///
+/// Within a region it takes a few milliseconds; a lost first packet is sent again after a second,
+/// which is longer than it takes to ask another upstream.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Silence after which a peer is asked whether it is there, and time between two questions.
+///
+/// The least that the kernel's keep-alive can be set to.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Questions without an answer that end a connection.
+const PROBES: u32 = 2;
+
+/// Time for which sent bytes may go without an acknowledgement: the length of a stall that
+/// callers bear without leaving.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
+/// Idle time of a connection when the upstream names none.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// Taken off the idle time that an upstream names, so that a request doesn't cross its close.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time for which a connection rests before it is used again, so that bytes that follow an answer
+/// without belonging to it are seen first.
+const REST: Duration = Duration::from_millis(3);
+
+/// Ends a task when dropped.
+#[derive(Debug)]
+struct AbortOnDrop(AbortHandle);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// An open connection to one upstream; closed when dropped.
+#[derive(Debug)]
+pub struct Link {
+    /// Sends one request at a time.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Whether it has served a request before.
+    pub reused: bool,
+    _task: AbortOnDrop,
+}
+
+struct Idle {
+    link: Link,
+    from: Time,
+    until: Time,
+}
+
+/// Connections that wait for their next request, by instance.
+pub struct Links {
+    clock: Clock,
+    idle: RefCell<HashMap<Name, Vec<Idle>>>,
+}
+
+impl Links {
+    /// No connections yet.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// An open connection to an instance, idle for `most_idle` at most or new.
+    ///
+    /// # Errors
+    ///
+    /// When none could be opened within [`CONNECT_TIMEOUT`].
+    pub async fn get(
+        &self,
+        instance: &Name,
+        addr: SocketAddr,
+        most_idle: Duration,
+    ) -> io::Result<Link> {
+        match self.take_idle(instance, most_idle) {
+            Some(link) => Ok(link),
+            None => open(addr).await,
+        }
+    }
+
+    /// Keeps a connection for the next request.
+    pub fn put_back(&self, instance: &Name, mut link: Link, keep_alive: Option<Duration>) {
+        if link.sender.is_closed() {
+            return;
+        }
+        link.reused = true;
+        let idle_for = keep_alive.map_or(IDLE, |t| t.saturating_sub(IDLE_MARGIN));
+        let from = self.clock.now() + REST;
+        let until = from + idle_for;
+        let mut idle = self.idle.borrow_mut();
+        let of_instance = idle.entry(instance.clone()).or_default();
+        of_instance.push(Idle { link, from, until });
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn tidy(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(|i| i.until > now && !i.link.sender.is_closed());
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+
+    fn take_idle(&self, instance: &Name, most_idle: Duration) -> Option<Link> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(instance)?;
+        links.retain(|i| i.until > now && !i.link.sender.is_closed());
+        let usable = |i: &Idle| i.from <= now && now.since(i.from) <= most_idle;
+        let at = links.iter().rposition(usable)?;
+        Some(links.swap_remove(at).link)
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// When it isn't set up within [`CONNECT_TIMEOUT`].
+pub async fn open(addr: SocketAddr) -> io::Result<Link> {
+    let stream = connect(addr).await?;
+    let (sender, conn) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        // The request on the connection gets the error as well; an idle one has nobody to tell.
+        let _ = conn.await;
+    });
+    Ok(Link {
+        sender,
+        reused: false,
+        _task: AbortOnDrop(task.abort_handle()),
+    })
+}
+
+async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
+    watch_over(&stream)?;
+    Ok(stream)
+}
+
+/// Makes the kernel end a connection whose peer has gone silent.
+///
+/// # Errors
+///
+/// When the socket refuses an option.
+pub fn watch_over(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_AFTER)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
--- /dev/null
+++ b/fireflydirect/src/mover.rs
@@ -0,0 +1,140 @@
+//! Moving runs off upstreams that have announced their leaving.
+
+use crate::node::Node;
+use crate::runs::{Refuge, Run};
+use bytes::Bytes;
+use fireflycroft::{OnNotice, UpstreamIx, on_notice};
+use fireflycroft_platform::{MoveOutcome, move_call, read_move};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time for one copy; after that the upstream is gone anyway.
+const COPY_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Upstreams that are asked to take a run before it is left where it is.
+const MAX_TARGETS: usize = 3;
+
+/// Saves runs for as long as the process lives.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        node.leaving.notified().await;
+        let left = std::mem::take(&mut *node.left.borrow_mut());
+        for ix in left {
+            node.runs.drop_backups_at(ix);
+            for run in node.runs.at(ix) {
+                consider(&node, ix, run);
+            }
+        }
+    }
+}
+
+fn consider(node: &Rc<Node>, ix: UpstreamIx, run: Rc<Run>) {
+    let wanted = on_notice(&run.view()) == OnNotice::Move;
+    if !wanted || !run.can_move || run.moving.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        save(&node, ix, &run).await;
+        run.moving.set(false);
+        run.moved.notify_waiters();
+    });
+}
+
+/// Copies a run's memory elsewhere, stops it, and leaves the copy for its relay to go on from.
+async fn save(node: &Rc<Node>, from: UpstreamIx, run: &Run) {
+    let mut tried = vec![from];
+    while tried.len() <= MAX_TARGETS {
+        let chosen = {
+            let pool = node.pool.borrow();
+            pool.choose(node.now(), &run.service, &run.need, &tried)
+        };
+        let Some(to) = chosen.filter(|to| !tried.contains(to)) else {
+            say(node, run, from, None, "nowhere to go");
+            return;
+        };
+        tried.push(to);
+        let placed = node.place(to, run.need);
+        match copy(node, from, to, run, false).await {
+            MoveOutcome::Copied(_) => {}
+            MoveOutcome::NoRoom(None) => {
+                say(node, run, from, Some(to), "no room");
+                continue;
+            }
+            other => {
+                say(node, run, from, Some(to), &format!("{other:?}"));
+                return;
+            }
+        }
+        match copy(node, from, to, run, true).await {
+            MoveOutcome::Copied(memory) => {
+                say(node, run, from, Some(to), "copied");
+                *run.refuge.borrow_mut() = Some(Refuge { placed, memory });
+            }
+            other => say(node, run, from, Some(to), &format!("stopped: {other:?}")),
+        }
+        return;
+    }
+}
+
+async fn copy(
+    node: &Rc<Node>,
+    from: UpstreamIx,
+    to: UpstreamIx,
+    run: &Run,
+    stop: bool,
+) -> MoveOutcome {
+    let calling = call(node, from, to, run, stop);
+    let answer = tokio::time::timeout(COPY_TIMEOUT, calling).await;
+    match answer {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(e)) => {
+            let why = e.to_string();
+            log::warn!(event = "move_failed", req = &*run.request_id, why = why; "");
+            MoveOutcome::Malformed
+        }
+        Err(_) => MoveOutcome::Malformed,
+    }
+}
+
+async fn call(
+    node: &Rc<Node>,
+    from: UpstreamIx,
+    to: UpstreamIx,
+    run: &Run,
+    stop: bool,
+) -> anyhow::Result<MoveOutcome> {
+    let (source, target) = {
+        let pool = node.pool.borrow();
+        (pool.record(from).clone(), pool.record(to).addr)
+    };
+    let (path, body) = move_call(&run.request_id, target, stop);
+    let mut link = node
+        .links
+        .get(&source.instance, source.addr, COPY_TIMEOUT)
+        .await?;
+    link.sender.ready().await?;
+    let req = Request::post(path)
+        .header(HOST, source.addr.to_string())
+        .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
+        .body(Full::new(Bytes::from(body)))?;
+    let response = link.sender.send_request(req).await?;
+    let status = response.status().as_u16();
+    let bytes = response.into_body().collect().await?.to_bytes();
+    node.links.put_back(&source.instance, link, None);
+    Ok(read_move(source.addr, status, &bytes))
+}
+
+fn say(node: &Node, run: &Run, from: UpstreamIx, to: Option<UpstreamIx>, outcome: &str) {
+    let pool = node.pool.borrow();
+    let since = pool.left_at(from).map(|t| node.now().since(t).as_millis());
+    log::info!(
+        event = "run_moved", req = &*run.request_id, from = &*pool.record(from).instance,
+        to = to.map_or("", |to| &*pool.record(to).instance), outcome = outcome,
+        produced = run.produced.get(), notice_age_ms = since;
+        ""
+    );
+}
--- /dev/null
+++ b/fireflydirect/src/node.rs
@@ -0,0 +1,224 @@
+//! What one process knows and shares among its tasks.
+
+use crate::clock::Clock;
+use crate::links::Links;
+use crate::peers::Peers;
+use crate::runs::Runs;
+use fireflycroft::{
+    Catalog, Name, Need, Pool, PoolChange, Quarantine, RepeatBudget, Time, UpstreamIx,
+};
+use fireflycroft_platform::{Place, StoreObject};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{Notify, watch};
+
+/// How far a process has come in stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It serves.
+    Serving,
+    /// It was told to stop: not ready, but still takes what comes.
+    Draining,
+    /// It takes nothing new and closes idle connections.
+    Closing,
+}
+
+/// One process.
+pub struct Node {
+    /// Where it runs.
+    pub place: Place,
+    /// Its clock.
+    pub clock: Clock,
+    /// Configuration in force.
+    pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The same as the store holds it, to hand to other entries.
+    pub published: RefCell<Option<StoreObject>>,
+    /// Upstreams.
+    pub pool: RefCell<Pool>,
+    /// Upstreams as the store holds them, to hand to other entries.
+    pub listed: RefCell<HashMap<Name, StoreObject>>,
+    /// Budget of repeats.
+    pub budget: RefCell<RepeatBudget>,
+    /// Content that crashes upstreams.
+    pub quarantine: RefCell<Quarantine>,
+    /// Connections to upstreams.
+    pub links: Links,
+    /// Streams under way.
+    pub runs: Runs,
+    /// Other entries.
+    pub peers: RefCell<Peers>,
+    /// Whether the store answers.
+    pub hears_store: Cell<bool>,
+    /// Rings when an upstream comes or the configuration changes.
+    pub changed: Notify,
+    /// Rings when there is something to tell the other entries at once.
+    pub urgent: Notify,
+    /// Upstreams that were found to leave, for the task that saves their runs.
+    pub left: RefCell<Vec<UpstreamIx>>,
+    /// Rings when an upstream was found to leave.
+    pub leaving: Notify,
+    /// Calls under way.
+    pub busy: Cell<usize>,
+    stage: watch::Sender<Stage>,
+}
+
+impl Node {
+    /// A process that knows nothing yet.
+    #[must_use]
+    pub fn new(place: Place) -> Self {
+        let clock = Clock::start();
+        let pool = Pool::new(place.data_centre.clone());
+        let budget = RepeatBudget::new(place.bounds.repeats);
+        let peers = Peers::new(&place);
+        Self {
+            clock,
+            catalog: RefCell::default(),
+            published: RefCell::default(),
+            pool: RefCell::new(pool),
+            listed: RefCell::default(),
+            budget: RefCell::new(budget),
+            quarantine: RefCell::default(),
+            links: Links::new(clock),
+            runs: Runs::default(),
+            peers: RefCell::new(peers),
+            hears_store: Cell::new(false),
+            changed: Notify::new(),
+            urgent: Notify::new(),
+            left: RefCell::default(),
+            leaving: Notify::new(),
+            busy: Cell::new(0),
+            stage: watch::Sender::new(Stage::Serving),
+            place,
+        }
+    }
+
+    /// Time now.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// How far the process has come in stopping.
+    #[must_use]
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Sets the stage and tells all who wait for it.
+    pub fn set_stage(&self, stage: Stage) {
+        self.stage.send_replace(stage);
+    }
+
+    /// Follows the stage.
+    #[must_use]
+    pub fn follow_stage(&self) -> watch::Receiver<Stage> {
+        self.stage.subscribe()
+    }
+
+    /// Whether callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.stage() == Stage::Serving && self.catalog.borrow().is_some()
+    }
+
+    /// Version of the configuration in force; zero for none.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.catalog.borrow().as_ref().map_or(0, |c| c.version())
+    }
+
+    /// Entries that share the budget of repeats, this one included.
+    #[must_use]
+    pub fn entries(&self) -> usize {
+        1 + self.peers.borrow().count(self.now())
+    }
+
+    /// Takes a published configuration unless it is not newer than the one in force.
+    pub fn adopt(&self, object: &StoreObject, source: &str) {
+        let catalog = match fireflycroft_platform::read_catalog(object.content.get()) {
+            Ok(catalog) => catalog,
+            Err(e) => {
+                let why = e.to_string();
+                log::error!(event = "config_unreadable", source = source, error = why; "");
+                return;
+            }
+        };
+        let was = self.version();
+        if catalog.version() <= was && was != 0 {
+            return;
+        }
+        log::info!(
+            event = "config_adopted", source = source, version = catalog.version(), was = was,
+            routes = catalog.route_count();
+            ""
+        );
+        for service in catalog.services() {
+            let memory = service.engine.map(|e| e.memory_tokens);
+            let mut pool = self.pool.borrow_mut();
+            pool.set_memory(&service.name, memory);
+        }
+        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        *self.published.borrow_mut() = Some(object.clone());
+        self.changed.notify_waiters();
+        self.urgent.notify_one();
+    }
+
+    /// Sets the memory of engines that came after the configuration.
+    fn set_memory_of(&self, ix: UpstreamIx) {
+        let service = self.pool.borrow().record(ix).service.clone();
+        let catalog = self.catalog.borrow();
+        let spec = catalog.as_ref().and_then(|c| c.service(&service));
+        let memory = spec.and_then(|s| s.engine).map(|e| e.memory_tokens);
+        self.pool.borrow_mut().set_memory(&service, memory);
+    }
+
+    /// Acts on changes of the pool.
+    pub fn take_changes(&self, changes: impl IntoIterator<Item = PoolChange>, source: &str) {
+        for change in changes {
+            let (ix, event) = match change {
+                PoolChange::Came(ix) => (ix, "upstream_came"),
+                PoolChange::Leaves(ix) => (ix, "upstream_leaves"),
+            };
+            let record = self.pool.borrow().record(ix).clone();
+            log::info!(
+                event = event, instance = &*record.instance, service = &*record.service,
+                addr = record.addr.to_string(), revision = record.revision, source = source;
+                ""
+            );
+            match change {
+                PoolChange::Came(ix) => self.set_memory_of(ix),
+                PoolChange::Leaves(ix) => {
+                    self.left.borrow_mut().push(ix);
+                    self.leaving.notify_one();
+                }
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Counts work as placed on an upstream for as long as the guard lives.
+    #[must_use]
+    pub fn place(self: &Rc<Self>, ix: UpstreamIx, need: Need) -> PlacedGuard {
+        self.pool.borrow_mut().place(self.now(), ix, &need);
+        PlacedGuard {
+            node: self.clone(),
+            ix,
+            need,
+        }
+    }
+}
+
+/// Work placed on an upstream; taken back when dropped.
+pub struct PlacedGuard {
+    node: Rc<Node>,
+    /// The upstream.
+    pub ix: UpstreamIx,
+    need: Need,
+}
+
+impl Drop for PlacedGuard {
+    fn drop(&mut self) {
+        self.node.pool.borrow_mut().release(self.ix, &self.need);
+    }
+}
--- /dev/null
+++ b/fireflydirect/src/peers.rs
@@ -0,0 +1,270 @@
+//! What the entries of the fleet tell each other.
+//!
+//! Each entry sends a datagram to the others several times a second, and at
+//! once when it has something urgent. A datagram says what the sender has
+//! placed, which versions it knows and whom it knows; whoever is behind fetches
+//! the rest over TCP from the one that told it. The library that the house
+//! style names for this, `nng`, keeps some 36 threads in a process and memory to
+//! match; a datagram of a few hundred bytes that may be lost needs neither.
+
+use crate::feed::take_upstreams;
+use crate::node::{Node, Stage};
+use crate::state_page::{PeerState, STATE_PATH};
+use crate::store::StoreClient;
+use fireflycroft::{CrashCount, Digest, EntryNews, Incarnation, Time, whole_millis};
+use fireflycroft_platform::Place;
+use fireflycroft_wire::{decode_news, encode_news};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use std::cell::Cell;
+use std::collections::{HashMap, VecDeque};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+
+/// Time between two tellings. Placements change with each request; a quarter of a second is short
+/// against the seconds that a generation lasts.
+const TELL_EVERY: Duration = Duration::from_millis(250);
+
+/// Least time between two tellings, however urgent.
+const TELL_SPACING: Duration = Duration::from_millis(15);
+
+/// Entries told at a time; in a larger fleet they are drawn anew each time.
+const MAX_TOLD: usize = 32;
+
+/// Silence after which an entry no longer counts.
+const HEARD_WITHIN: Duration = Duration::from_secs(2);
+
+/// Silence after which an entry is told nothing more.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// Entries named in a datagram.
+const MAX_NAMED: usize = 8;
+
+/// Crash counts that are told again and again.
+const MAX_CRASHES: usize = 16;
+
+/// Longest datagram read, in bytes.
+const MAX_DATAGRAM: usize = 64 << 10;
+
+/// Longest time for fetching a peer's state: a megabyte over the slowest link.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What is known of another entry.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    heard: Option<Time>,
+    since: Time,
+    leaving: bool,
+}
+
+/// Other entries, and what is to be told to them.
+pub struct Peers {
+    me: Ipv4Addr,
+    incarnation: Incarnation,
+    known: HashMap<Ipv4Addr, Known>,
+    seeds: Vec<Ipv4Addr>,
+    crashes: VecDeque<CrashCount>,
+    fetching: Rc<Cell<bool>>,
+}
+
+impl Peers {
+    /// Knows the seeds of the settings only.
+    #[must_use]
+    pub fn new(place: &Place) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = unix.map_or(0, whole_millis);
+        let seeds = place.seeds.iter().filter_map(|s| v4(s.ip()));
+        Self {
+            me: place.ip,
+            incarnation: Incarnation::begun(millis, rand::rng().next_u64()),
+            known: HashMap::new(),
+            seeds: seeds.filter(|ip| *ip != place.ip).collect(),
+            crashes: VecDeque::new(),
+            fetching: Rc::default(),
+        }
+    }
+
+    /// Other entries that were heard of late and are not stopping.
+    #[must_use]
+    pub fn count(&self, now: Time) -> usize {
+        let counts =
+            |k: &&Known| !k.leaving && k.heard.is_some_and(|t| now.since(t) < HEARD_WITHIN);
+        self.known.values().filter(counts).count()
+    }
+
+    /// Keeps a crash count to be told.
+    pub fn tell_crash(&mut self, content: Digest, count: u8) {
+        self.crashes.retain(|c| c.content != content);
+        self.crashes.push_back(CrashCount { content, count });
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+    }
+
+    /// Takes the sender of news and those whom it names.
+    fn learn(&mut self, now: Time, from: Ipv4Addr, news: &EntryNews) {
+        let known = Known {
+            heard: Some(now),
+            since: now,
+            leaving: news.leaving,
+        };
+        self.known.insert(from, known);
+        for ip in news.peers.iter().filter(|ip| **ip != self.me) {
+            self.known.entry(*ip).or_insert(Known {
+                heard: None,
+                since: now,
+                leaving: false,
+            });
+        }
+    }
+
+    /// Whom to tell now.
+    fn targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        self.known
+            .retain(|_, k| now.since(k.heard.unwrap_or(k.since)) < FORGET_AFTER);
+        let unheard = |ip: &&Ipv4Addr| !self.known.contains_key(*ip);
+        let seeds: Vec<Ipv4Addr> = self.seeds.iter().filter(unheard).copied().collect();
+        let known: Vec<Ipv4Addr> = self.known.keys().copied().collect();
+        let mut targets: Vec<Ipv4Addr> =
+            known.sample(&mut rand::rng(), MAX_TOLD).copied().collect();
+        targets.extend(seeds);
+        targets
+    }
+
+    /// Some entries to name in a datagram.
+    fn named(&self) -> Vec<Ipv4Addr> {
+        let heard = self.known.iter().filter(|(_, k)| k.heard.is_some());
+        let all: Vec<Ipv4Addr> = heard.map(|(ip, _)| *ip).collect();
+        all.sample(&mut rand::rng(), MAX_NAMED).copied().collect()
+    }
+}
+
+/// Tells and listens for as long as the process lives.
+pub async fn run(node: Rc<Node>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    tokio::task::spawn_local(listen(node.clone(), socket.clone()));
+    loop {
+        let wait = tokio::time::timeout(TELL_EVERY, node.urgent.notified());
+        let urgent = wait.await.is_ok();
+        tell(&node, &socket).await;
+        if urgent {
+            tokio::time::sleep(TELL_SPACING).await;
+        }
+    }
+}
+
+async fn tell(node: &Node, socket: &UdpSocket) {
+    let bytes = encode_news(&news(node));
+    let targets = node.peers.borrow_mut().targets(node.now());
+    let port = node.place.peer_ports.0;
+    for ip in targets {
+        // A datagram that can't be sent counts as one that was lost on the way.
+        let _ = socket.send_to(&bytes, SocketAddr::from((ip, port))).await;
+    }
+}
+
+fn news(node: &Node) -> EntryNews {
+    let pool = node.pool.borrow();
+    let peers = node.peers.borrow();
+    EntryNews {
+        name: node.place.vm.clone(),
+        incarnation: peers.incarnation,
+        config: node.version(),
+        upstreams: pool.revision(),
+        hears_store: node.hears_store.get(),
+        placed: pool.placed(),
+        crashes: peers.crashes.iter().copied().collect(),
+        peers: peers.named(),
+        leaving: node.stage() != Stage::Serving,
+    }
+}
+
+async fn listen(node: Rc<Node>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                log::warn!(event = "datagram_failed", error = e.to_string(); "");
+                tokio::time::sleep(TELL_SPACING).await;
+                continue;
+            }
+        };
+        match (decode_news(&buf[..len]), v4(from.ip())) {
+            (Ok(news), Some(ip)) => take(&node, ip, &news),
+            (Err(e), _) => {
+                let from = from.to_string();
+                log::warn!(event = "datagram_unreadable", from = from, error = e.to_string(); "");
+            }
+            (Ok(_), None) => {}
+        }
+    }
+}
+
+fn take(node: &Rc<Node>, from: Ipv4Addr, news: &EntryNews) {
+    if news.name == node.place.vm {
+        return;
+    }
+    let now = node.now();
+    node.peers.borrow_mut().learn(now, from, news);
+    let mut pool = node.pool.borrow_mut();
+    pool.note_others(now, &news.name, &news.placed);
+    let upstreams = pool.revision();
+    drop(pool);
+    for crash in &news.crashes {
+        learn_crash(node, now, crash);
+    }
+    let config_behind = news.config > node.version();
+    let upstreams_behind = !node.hears_store.get() && news.upstreams > upstreams;
+    if config_behind || upstreams_behind {
+        fetch(node, from);
+    }
+}
+
+fn learn_crash(node: &Node, now: Time, crash: &CrashCount) {
+    let mut quarantine = node.quarantine.borrow_mut();
+    if quarantine.learn(now, crash.content, crash.count) {
+        let content = crash.content.to_string();
+        log::warn!(event = "crash_told", content = content, crashes = crash.count; "");
+    }
+}
+
+/// Fetches the state of a peer, one at a time.
+fn fetch(node: &Rc<Node>, from: Ipv4Addr) {
+    let fetching = node.peers.borrow().fetching.clone();
+    if fetching.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        if let Err(e) = fetch_state(&node, from).await {
+            let (from, why) = (from.to_string(), e.to_string());
+            log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
+        }
+        fetching.set(false);
+    });
+}
+
+async fn fetch_state(node: &Node, from: Ipv4Addr) -> anyhow::Result<()> {
+    let addr = SocketAddr::from((from, node.place.peer_ports.0));
+    let mut client = StoreClient::new(addr);
+    let (status, body) = client.get(STATE_PATH, FETCH_TIMEOUT).await?;
+    anyhow::ensure!(status == 200, "status {status}");
+    let state: PeerState = serde_json::from_slice(&body)?;
+    if let Some(config) = &state.config {
+        node.adopt(config, "peer");
+    }
+    if !node.hears_store.get() && state.revision > node.pool.borrow().revision() {
+        take_upstreams(node, state.upstreams, state.revision, "peer");
+    }
+    Ok(())
+}
+
+const fn v4(ip: IpAddr) -> Option<Ipv4Addr> {
+    match ip {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
+    }
+}
--- /dev/null
+++ b/fireflydirect/src/runs.rs
@@ -0,0 +1,95 @@
+//! Streams under way, so that those on an upstream that leaves can be saved.
+
+use crate::node::PlacedGuard;
+use fireflycroft::{MemoryCopy, Name, Need, RunView, UpstreamIx};
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+use tokio::sync::Notify;
+
+/// A copy of a run's memory on another upstream, ready to go on from.
+pub struct Refuge {
+    /// Its place on the upstream where the run goes on.
+    pub placed: PlacedGuard,
+    /// The memory there.
+    pub memory: MemoryCopy,
+}
+
+/// One stream under way.
+pub struct Run {
+    /// The caller's id of the attempt, by which upstreams know the run.
+    pub request_id: Name,
+    /// Service that answers.
+    pub service: Name,
+    /// Upstream that runs it now.
+    pub at: Cell<UpstreamIx>,
+    /// Upstream that keeps a copy as the run grows.
+    pub backup: Cell<Option<UpstreamIx>>,
+    /// Copy that was made on notice.
+    pub refuge: RefCell<Option<Refuge>>,
+    /// Whether a copy is being made on notice.
+    pub moving: Cell<bool>,
+    /// Rings when the copy is done or has failed.
+    pub moved: Notify,
+    /// Tokens relayed so far.
+    pub produced: Cell<u64>,
+    /// Tokens that the answer is expected to have.
+    pub expected_tokens: u64,
+    /// What the run needs of an upstream.
+    pub need: Need,
+    /// Whether its engines can copy its memory.
+    pub can_move: bool,
+}
+
+impl Run {
+    /// What the decision on notice looks at.
+    #[must_use]
+    pub fn view(&self) -> RunView {
+        RunView {
+            produced: self.produced.get(),
+            expected: self.expected_tokens,
+            has_copy: self.backup.get().is_some(),
+        }
+    }
+}
+
+/// All streams under way.
+#[derive(Default)]
+pub struct Runs {
+    runs: RefCell<Vec<Weak<Run>>>,
+}
+
+impl Runs {
+    /// Enters a run; it leaves by being dropped.
+    pub fn enter(&self, run: Run) -> Rc<Run> {
+        let run = Rc::new(run);
+        let mut runs = self.runs.borrow_mut();
+        runs.retain(|r| r.strong_count() > 0);
+        runs.push(Rc::downgrade(&run));
+        run
+    }
+
+    /// Runs on an upstream.
+    #[must_use]
+    pub fn at(&self, ix: UpstreamIx) -> Vec<Rc<Run>> {
+        let runs = self.runs.borrow();
+        let alive = runs.iter().filter_map(Weak::upgrade);
+        alive.filter(|r| r.at.get() == ix).collect()
+    }
+
+    /// Forgets copies that an upstream keeps.
+    pub fn drop_backups_at(&self, ix: UpstreamIx) {
+        let runs = self.runs.borrow();
+        for run in runs.iter().filter_map(Weak::upgrade) {
+            if run.backup.get() == Some(ix) {
+                run.backup.set(None);
+            }
+        }
+    }
+
+    /// Runs under way.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        let runs = self.runs.borrow();
+        runs.iter().filter(|r| r.strong_count() > 0).count()
+    }
+}
--- /dev/null
+++ b/fireflydirect/src/state_page.rs
@@ -0,0 +1,77 @@
+//! What an entry shows other entries and operators over HTTP.
+
+use crate::node::Node;
+use bytes::Bytes;
+use fireflycroft_platform::StoreObject;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use std::convert::Infallible;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+/// Path of the state that other entries fetch.
+pub const STATE_PATH: &str = "/fleet/state";
+
+/// Configuration and upstreams as the platform's store held them.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct PeerState {
+    /// Configuration in force.
+    pub config: Option<StoreObject>,
+    /// Upstreams known.
+    pub upstreams: Vec<StoreObject>,
+    /// Revision of the list of upstreams.
+    pub revision: u64,
+}
+
+/// Answers for as long as the process lives.
+pub async fn answer(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req| {
+                let response = page(&node, &req);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // Whoever asks asks again if its connection breaks.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn page(node: &Node, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match req.uri().path() {
+        STATE_PATH => match serde_json::to_vec(&state(node)) {
+            Ok(body) => Response::new(Full::from(body)),
+            Err(e) => {
+                log::error!(event = "state_unwritable", error = e.to_string(); "");
+                empty(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        },
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn state(node: &Node) -> PeerState {
+    PeerState {
+        config: node.published.borrow().clone(),
+        upstreams: node.listed.borrow().values().cloned().collect(),
+        revision: node.pool.borrow().revision(),
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/fireflyd/src/logs.rs
+++ b/fireflylog/src/lib.rs
@@ -1,4 +1,4 @@
-//! Log lines on standard error: one line of key=value pairs for each event.
+//! Log lines on a standard stream: one line of key=value pairs for each event.
 //!
 //! A line begins with `time` (UTC, with milliseconds), `level` and `event`; the pairs of the event
 //! follow. Within [`in_request`] each line carries `req`, whichever module writes it:
@@ -30,18 +30,34 @@
     static REQUEST: Arc<str>;
 }
 
-/// Sends the log of the process to standard error, from `level` up.
+/// Where the lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
+/// Sends the log of the process to `output`, from `level` up.
 ///
 /// # Errors
 ///
 /// An error when the process has a log already.
-pub fn init(level: log::LevelFilter) -> anyhow::Result<()> {
-    starter_log::stderr()
-        .layout(LineLayout)
-        // The level is checked by the macros, before a line is put together.
-        .filter(LevelFilter::All)
-        .try_apply()
-        .map_err(|e| anyhow::anyhow!("log: {e}"))?;
+pub fn init(level: log::LevelFilter, output: Output) -> anyhow::Result<()> {
+    // The level is checked by the macros, before a line is put together.
+    let all = LevelFilter::All;
+    let applied = match output {
+        Output::Stdout => starter_log::stdout()
+            .layout(LineLayout)
+            .filter(all)
+            .try_apply(),
+        Output::Stderr => starter_log::stderr()
+            .layout(LineLayout)
+            .filter(all)
+            .try_apply(),
+    };
+    applied.map_err(|e| anyhow::anyhow!("log: {e}"))?;
     log::set_max_level(level);
     Ok(())
 }
--- a/fireflyd/tests/logs.rs
+++ b/fireflylog/tests/logs.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, UNIX_EPOCH};
 
-use fireflyd::logs::{LineLayout, in_request, in_request_sync, utc};
+use fireflylog::{LineLayout, in_request, in_request_sync, utc};
 use logforth::Layout;
 use logforth::kv::{Key, Value};
 use logforth::record::{Level, Record};
