Keep copies while memory lasts, and reconsider runs whose keeper leaves

The log of moves shows why: most runs had no copy, since none was made beyond half of the memory; runs whose source and keeper left in the same wave were looked at before the keeper's notice came; one entry's part of the repeats ran out while the others had plenty; moves to another data centre take twice as long on both links. Late first events came from prompts queueing behind each other on one engine.

Ruled out: a slow notice; it reaches every entry within 2 ms of the store.

Change: the cost of an engine counts prompts still to be read; copies are kept while 0.8 of the memory is spoken for; the keeper's leaving makes its runs reconsidered; entries tell each other requests and repeats, and use what the others leave; copies prefer their own data centre; a run stopped without room elsewhere goes on from its source.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -4,7 +4,7 @@
 use crate::field::{check_count, id_bytes, read_digest, read_name};
 use crate::generated as pb;
 use crate::limits::{MAX_DATAGRAM_BYTES, MAX_RECORDS};
-use fireflycroft::{CrashCount, EntryNews, Incarnation, Placed, PlacedAt};
+use fireflycroft::{CrashCount, EntryNews, Incarnation, Placed, PlacedAt, RepeatCount};
 use prost::Message as _;
 use std::net::Ipv4Addr;
 
@@ -18,6 +18,7 @@
         upstreams: news.upstreams,
         hears_store: news.hears_store,
         placed: news.placed.iter().map(placed).collect(),
+        repeats: news.repeats.iter().map(repeats).collect(),
         crashes: news.crashes.iter().map(crash).collect(),
         peers: news.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: news.leaving,
@@ -45,6 +46,11 @@
             .iter()
             .map(read_placed)
             .collect::<Result<_, _>>()?,
+        repeats: news
+            .repeats
+            .iter()
+            .map(read_repeats)
+            .collect::<Result<_, _>>()?,
         crashes: news
             .crashes
             .iter()
@@ -60,6 +66,7 @@
         instance: at.instance.to_string(),
         running: at.placed.running,
         tokens: at.placed.tokens,
+        unread: at.placed.unread,
     }
 }
 
@@ -69,10 +76,27 @@
         placed: Placed {
             running: at.running,
             tokens: at.tokens,
+            unread: at.unread,
         },
     })
 }
 
+fn repeats(count: &RepeatCount) -> pb::RepeatCount {
+    pb::RepeatCount {
+        service: count.service.to_string(),
+        requests: count.requests,
+        repeats: count.repeats,
+    }
+}
+
+fn read_repeats(count: &pb::RepeatCount) -> Result<RepeatCount, WireError> {
+    Ok(RepeatCount {
+        service: read_name(&count.service, "repeats.service")?,
+        requests: count.requests,
+        repeats: count.repeats,
+    })
+}
+
 fn crash(crash: &CrashCount) -> pb::CrashCount {
     pb::CrashCount {
         content: id_bytes(crash.content.0),
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -461,6 +461,18 @@
     pub peers: ::prost::alloc::vec::Vec<u32>,
     #[prost(bool, tag = "9")]
     pub leaving: bool,
+    #[prost(message, repeated, tag = "10")]
+    pub repeats: ::prost::alloc::vec::Vec<RepeatCount>,
+}
+/// Requests and repeats of one service, within the window of the budget.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RepeatCount {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    #[prost(uint32, tag = "3")]
+    pub repeats: u32,
 }
 /// Work that the sender has placed on one upstream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -471,6 +483,9 @@
     pub running: u32,
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    /// Tokens of prompts still to be read.
+    #[prost(uint64, tag = "4")]
+    pub unread: u64,
 }
 /// Upstreams that content has crashed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Digest, Incarnation, Name};
 use crate::pool::PlacedAt;
+use crate::repeat::RepeatCount;
 use std::net::Ipv4Addr;
 
 /// Upstreams that one content has crashed.
@@ -28,6 +29,8 @@
     pub hears_store: bool,
     /// Work that the sender has placed.
     pub placed: Vec<PlacedAt>,
+    /// Requests and repeats of the sender, by service.
+    pub repeats: Vec<RepeatCount>,
     /// Content that crashed upstreams of late.
     pub crashes: Vec<CrashCount>,
     /// Some other entries that the sender knows.
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -52,6 +52,8 @@
     pub running: u32,
     /// Tokens of memory that they are expected to need.
     pub tokens: u64,
+    /// Tokens of prompts that are still to be read.
+    pub unread: u64,
 }
 
 /// Work that one entry has placed on one upstream, as it tells the others.
@@ -70,8 +72,12 @@
     pub slots: u32,
     /// Tokens of memory that it is expected to need; zero for a plain call.
     pub tokens: u64,
+    /// Tokens of its prompt that the upstream has to read first.
+    pub unread: u64,
     /// Parts of its prompt that others may share, folded into one number.
     pub shared: Option<u64>,
+    /// Upstream that its memory is copied from, over links that are shorter within a data centre.
+    pub copied_from: Option<UpstreamIx>,
 }
 
 /// What the pool knows of one upstream.
@@ -135,12 +141,27 @@
 /// What another data centre costs, against a full memory.
 const FAR_COST: f64 = 0.02;
 
+/// What a copy from another data centre costs, against a full memory: it takes twice as long on
+/// the links of both upstreams.
+const FAR_COPY_COST: f64 = 0.15;
+
 /// What a cold upstream costs, against a full memory.
 const COLD_COST: f64 = 0.25;
 
 /// What a full batch costs, against a full memory.
 const BATCH_COST: f64 = 0.5;
 
+/// Share of the memory from which on runs are likely to be preempted.
+const CROWDED: f64 = 0.85;
+
+/// What each share of the memory beyond [`CROWDED`] costs on top.
+const CROWDED_COST: f64 = 4.0;
+
+/// Tokens of prompts still to be read that cost as much as a full memory: an engine that reads
+/// between the steps of its batch takes about two seconds for them, the longest objective of a
+/// first event.
+const UNREAD_TOKENS: u64 = 14_000;
+
 /// What a shared part that lies there saves, against a full memory.
 const SHARED_GAIN: f64 = 0.03;
 
@@ -344,6 +365,7 @@
         let u = &mut self.upstreams[ix.0];
         u.mine.running += need.slots;
         u.mine.tokens += need.tokens;
+        u.mine.unread += need.unread;
         if let Some(shared) = need.shared {
             if u.read.len() >= MAX_READ {
                 u.read.retain(|_, t| now.since(*t) < READ_FOR);
@@ -352,11 +374,19 @@
         }
     }
 
+    /// Notes that the prompt of a placed request has been read; its need changes with it.
+    pub fn note_read(&mut self, ix: UpstreamIx, need: &mut Need) {
+        let mine = &mut self.upstreams[ix.0].mine;
+        mine.unread = mine.unread.saturating_sub(need.unread);
+        need.unread = 0;
+    }
+
     /// Takes back what [`Pool::place`] counted.
     pub fn release(&mut self, ix: UpstreamIx, need: &Need) {
         let mine = &mut self.upstreams[ix.0].mine;
         mine.running = mine.running.saturating_sub(need.slots);
         mine.tokens = mine.tokens.saturating_sub(need.tokens);
+        mine.unread = mine.unread.saturating_sub(need.unread);
     }
 
     /// Notes whether a request failed through the upstream's fault.
@@ -470,7 +500,14 @@
         need: &Need,
         among: impl Iterator<Item = usize>,
     ) -> Option<UpstreamIx> {
-        let costs = among.map(|i| (i, self.upstreams[i].cost(now, need, &self.data_centre)));
+        let source = need.copied_from.map(|ix| &self.upstreams[ix.0].record);
+        let near = source.map(|record| &record.data_centre);
+        let costs = among.map(|i| {
+            let u = &self.upstreams[i];
+            let far_copy = near.is_some_and(|n| *n != u.record.data_centre);
+            let copy = if far_copy { FAR_COPY_COST } else { 0.0 };
+            (i, u.cost(now, need, &self.data_centre) + copy)
+        });
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
         best.map(|(i, _)| UpstreamIx(i))
     }
@@ -484,6 +521,7 @@
         fresh.fold(self.mine, |sum, (_, placed)| Placed {
             running: sum.running + placed.running,
             tokens: sum.tokens + placed.tokens,
+            unread: sum.unread + placed.unread,
         })
     }
 
@@ -493,6 +531,8 @@
         let memory = self
             .memory_tokens
             .map_or(0.0, |m| share(load.tokens + need.tokens, m));
+        let full = (memory - CROWDED).max(0.0) * CROWDED_COST;
+        let reading = share(load.unread, UNREAD_TOKENS);
         let batch = share(u64::from(load.running), u64::from(self.record.slots));
         let far = if self.record.data_centre == *data_centre {
             0.0
@@ -509,7 +549,8 @@
             Some(at) if now.since(*at) < READ_FOR => SHARED_GAIN,
             _ => 0.0,
         };
-        memory + BATCH_COST * batch + FAILING_COST * self.failing + far + cold - shared
+        memory + full + reading + BATCH_COST * batch + FAILING_COST * self.failing + far + cold
+            - shared
     }
 }
 
--- a/fireflycroft/src/rescue.rs
+++ b/fireflycroft/src/rescue.rs
@@ -11,10 +11,10 @@
 use crate::time::Time;
 
 /// Share of all memory that may be spoken for when a run begins with a copy.
-pub const BACKUP_FILL: f64 = 0.5;
+pub const BACKUP_FILL: f64 = 0.8;
 
 /// Share of one engine's memory that may be spoken for when it takes a copy.
-const BACKUP_FILL_OF_ONE: f64 = 0.75;
+const BACKUP_FILL_OF_ONE: f64 = 0.95;
 
 /// Answers that are expected to be shorter are done before a copy pays.
 pub const WORTH_SAVING_TOKENS: u64 = 64;
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -149,7 +149,12 @@
     if !keeps || job.expected_tokens() < WORTH_SAVING_TOKENS {
         return None;
     }
-    let copy = Need { slots: 0, ..need };
+    let copy = Need {
+        slots: 0,
+        unread: 0,
+        copied_from: Some(at),
+        ..need
+    };
     let keeper = pick_backup(&job.node.pool.borrow(), job.now(), &job.service, &copy, at)?;
     Some(job.node.place(keeper, copy))
 }
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -12,7 +12,7 @@
 use crate::node::PlacedGuard;
 use crate::runs::Run;
 use bytes::Bytes;
-use fireflycroft::{AnswerHead, Code, EventRelay, MemoryCopy, Need, UpstreamIx};
+use fireflycroft::{AnswerHead, Code, EventRelay, MemoryCopy, Need, Time, UpstreamIx};
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -48,6 +48,26 @@
     events: EventRelay,
     breaks: u32,
     ended: bool,
+    pauses: Pauses,
+}
+
+/// When events came, for the log.
+#[derive(Clone, Copy, Default)]
+struct Pauses {
+    first: Option<Time>,
+    last: Time,
+    longest: Duration,
+}
+
+impl Pauses {
+    fn note(&mut self, now: Time) {
+        if self.first.is_none() {
+            self.first = Some(now);
+        } else {
+            self.longest = self.longest.max(now.since(self.last));
+        }
+        self.last = now;
+    }
 }
 
 /// What was read from an upstream.
@@ -93,7 +113,10 @@
         moved: Notify::new(),
         produced: Cell::new(0),
         expected_tokens: job.expected_tokens(),
-        need: job.need(),
+        need: Need {
+            unread: 0,
+            ..job.need()
+        },
         can_move: job.engine.is_some_and(|e| e.moves),
     });
     let relay = Relay {
@@ -105,6 +128,7 @@
         events,
         breaks: 0,
         ended: false,
+        pauses: Pauses::default(),
     };
     let body: AnswerBody = Box::pin(StreamBody::new(Box::pin(unfold(relay, Relay::next))));
     relayed(&parts, body)
@@ -155,7 +179,9 @@
         }
     }
 
-    fn note_progress(&self) {
+    fn note_progress(&mut self) {
+        self.pauses.note(self.job.now());
+        self.placed.note_read();
         let per_event = self.job.engine.map_or(1, |e| e.tokens_per_event);
         let produced = self.events.relayed() * u64::from(per_event);
         self.run.produced.set(produced);
@@ -187,6 +213,9 @@
             event = event, req = &*job.request_id, route = &*job.route.name,
             instance = &*job.node.pool.borrow().record(self.placed.ix).instance,
             events = self.events.relayed(), breaks = self.breaks, why = why,
+            first_ms = self.pauses.first.map(|t| t.since(job.arrival).as_millis()),
+            longest_pause_ms = self.pauses.longest.as_millis(),
+            prompt = job.ask.size.as_ref().map(|s| s.prompt_tokens),
             age_ms = job.age().as_millis();
             ""
         );
@@ -257,7 +286,7 @@
     }
 
     async fn go_on_at(&mut self, place: Place) -> bool {
-        let need = self.need_left();
+        let need = self.need_left(place.memory.is_some());
         let placed = place
             .placed
             .unwrap_or_else(|| self.job.node.place(place.at, need));
@@ -299,8 +328,13 @@
         false
     }
 
-    fn need_left(&self) -> Need {
-        self.job.need()
+    /// What the rest of the stream needs; a copy of the memory leaves nothing to read.
+    fn need_left(&self, has_memory: bool) -> Need {
+        let need = self.job.need();
+        Need {
+            unread: if has_memory { 0 } else { need.unread },
+            ..need
+        }
     }
 }
 
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -78,7 +78,9 @@
         Need {
             slots: 1,
             tokens: u64::from(size.prompt_tokens) + self.expected_tokens(),
+            unread: u64::from(size.prompt_tokens),
             shared: size.parts.first().map(|p| p.id),
+            copied_from: None,
         }
     }
 
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -1,9 +1,9 @@
 //! Moving runs off upstreams that have announced their leaving.
 
-use crate::node::Node;
+use crate::node::{Node, PlacedGuard};
 use crate::runs::{Refuge, Run};
 use bytes::Bytes;
-use fireflycroft::{OnNotice, UpstreamIx, on_notice};
+use fireflycroft::{Need, OnNotice, UpstreamIx, on_notice};
 use fireflycroft_platform::{MoveOutcome, move_call, read_move};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -23,15 +23,21 @@
         node.leaving.notified().await;
         let left = std::mem::take(&mut *node.left.borrow_mut());
         for ix in left {
-            node.runs.drop_backups_at(ix);
+            for run in node.runs.drop_backups_at(ix) {
+                if !node.pool.borrow().is_serving(run.at.get()) {
+                    consider(&node, run);
+                }
+            }
             for run in node.runs.at(ix) {
-                consider(&node, ix, run);
+                consider(&node, run);
             }
         }
     }
 }
 
-fn consider(node: &Rc<Node>, ix: UpstreamIx, run: Rc<Run>) {
+/// Starts to move a run off the upstream that runs it, unless it has a copy or is on its way.
+fn consider(node: &Rc<Node>, run: Rc<Run>) {
+    let ix = run.at.get();
     let wanted = on_notice(&run.view()) == OnNotice::Move;
     if !wanted || !run.can_move || run.moving.replace(true) {
         return;
@@ -46,38 +52,66 @@
 
 /// Copies a run's memory elsewhere, stops it, and leaves the copy for its relay to go on from.
 async fn save(node: &Rc<Node>, from: UpstreamIx, run: &Run) {
-    let mut tried = vec![from];
-    while tried.len() <= MAX_TARGETS {
+    let need = Need {
+        copied_from: Some(from),
+        ..run.need
+    };
+    let mut asked = vec![from];
+    while asked.len() <= MAX_TARGETS {
         let chosen = {
             let pool = node.pool.borrow();
-            pool.choose(node.now(), &run.service, &run.need, &tried)
+            pool.choose(node.now(), &run.service, &need, &asked)
         };
-        let Some(to) = chosen.filter(|to| !tried.contains(to)) else {
+        let Some(to) = chosen else {
             say(node, run, from, None, "nowhere to go");
             return;
         };
-        tried.push(to);
-        let placed = node.place(to, run.need);
-        match copy(node, from, to, run, false).await {
-            MoveOutcome::Copied(_) => {}
-            MoveOutcome::NoRoom(None) => {
-                say(node, run, from, Some(to), "no room");
-                continue;
-            }
-            other => {
-                say(node, run, from, Some(to), &format!("{other:?}"));
-                return;
-            }
+        asked.push(to);
+        let placed = node.place(to, need);
+        if try_target(node, from, placed, run).await == Target::Settled {
+            return;
         }
-        match copy(node, from, to, run, true).await {
+    }
+}
+
+/// Whether another target is worth asking.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Target {
+    /// The run is moved, or can't be.
+    Settled,
+    /// This one has no room, and the run goes on where it is.
+    HasNoRoom,
+}
+
+/// Copies while the run goes on, then stops it and copies what is new.
+async fn try_target(node: &Rc<Node>, from: UpstreamIx, placed: PlacedGuard, run: &Run) -> Target {
+    let to = placed.ix;
+    for stop in [false, true] {
+        match copy(node, from, to, run, stop).await {
+            MoveOutcome::Copied(_) if !stop => {}
             MoveOutcome::Copied(memory) => {
-                say(node, run, from, Some(to), "copied");
+                say(node, run, from, Some(to), "moved");
                 *run.refuge.borrow_mut() = Some(Refuge { placed, memory });
+                return Target::Settled;
+            }
+            MoveOutcome::NoRoom(Some(memory)) if stop => {
+                say(node, run, from, Some(to), "stopped, kept at the source");
+                let placed = node.place(from, run.need);
+                *run.refuge.borrow_mut() = Some(Refuge { placed, memory });
+                return Target::Settled;
+            }
+            MoveOutcome::NoRoom(_) => {
+                say(node, run, from, Some(to), "no room");
+                return Target::HasNoRoom;
+            }
+            other => {
+                let what = if stop { "last copy" } else { "first copy" };
+                say(node, run, from, Some(to), &format!("{what}: {other:?}"));
+                return Target::Settled;
             }
-            other => say(node, run, from, Some(to), &format!("stopped: {other:?}")),
         }
-        return;
     }
+    Target::Settled
 }
 
 async fn copy(
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -217,6 +217,14 @@
     need: Need,
 }
 
+impl PlacedGuard {
+    /// Notes that the upstream has read the prompt.
+    pub fn note_read(&mut self) {
+        let mut pool = self.node.pool.borrow_mut();
+        pool.note_read(self.ix, &mut self.need);
+    }
+}
+
 impl Drop for PlacedGuard {
     fn drop(&mut self) {
         self.node.pool.borrow_mut().release(self.ix, &self.need);
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -175,6 +175,7 @@
         upstreams: pool.revision(),
         hears_store: node.hears_store.get(),
         placed: pool.placed(),
+        repeats: node.budget.borrow_mut().tell(node.now()),
         crashes: peers.crashes.iter().copied().collect(),
         peers: peers.named(),
         leaving: node.stage() != Stage::Serving,
@@ -193,7 +194,7 @@
             }
         };
         match (decode_news(&buf[..len]), v4(from.ip())) {
-            (Ok(news), Some(ip)) => take(&node, ip, &news),
+            (Ok(news), Some(ip)) => take(&node, ip, news),
             (Err(e), _) => {
                 let from = from.to_string();
                 log::warn!(event = "datagram_unreadable", from = from, error = e.to_string(); "");
@@ -203,16 +204,19 @@
     }
 }
 
-fn take(node: &Rc<Node>, from: Ipv4Addr, news: &EntryNews) {
+fn take(node: &Rc<Node>, from: Ipv4Addr, news: EntryNews) {
     if news.name == node.place.vm {
         return;
     }
     let now = node.now();
-    node.peers.borrow_mut().learn(now, from, news);
+    node.peers.borrow_mut().learn(now, from, &news);
     let mut pool = node.pool.borrow_mut();
     pool.note_others(now, &news.name, &news.placed);
     let upstreams = pool.revision();
     drop(pool);
+    let mut budget = node.budget.borrow_mut();
+    budget.note_others(now, &news.name, news.repeats);
+    drop(budget);
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -76,14 +76,15 @@
         alive.filter(|r| r.at.get() == ix).collect()
     }
 
-    /// Forgets copies that an upstream keeps.
-    pub fn drop_backups_at(&self, ix: UpstreamIx) {
+    /// Forgets copies that an upstream keeps; gives the runs that had them.
+    pub fn drop_backups_at(&self, ix: UpstreamIx) -> Vec<Rc<Run>> {
         let runs = self.runs.borrow();
-        for run in runs.iter().filter_map(Weak::upgrade) {
-            if run.backup.get() == Some(ix) {
-                run.backup.set(None);
-            }
+        let alive = runs.iter().filter_map(Weak::upgrade);
+        let kept: Vec<Rc<Run>> = alive.filter(|r| r.backup.get() == Some(ix)).collect();
+        for run in &kept {
+            run.backup.set(None);
         }
+        kept
     }
 
     /// Runs under way.
