Stop a moved run when links are calm, and believe a peer's whole list

Cause: moved runs paused 0.1 to 1.5 s, since the last part of a copy queued behind whole copies of other runs on the same link. In an outage for single VMs an upstream that left without a notice stayed "missing" for 2.5 s there, although a peer knew that it was gone; a cut without a reset was noticed after 3 s only. All entries sent new prompts to the same emptiest engine between two tellings.

Ruled out: slow copies as such; the same copies took 4 to 60 ms when nothing else was on the link.

Change: the last part waits until 1.05 s after notice; a peer that follows the store without a gap is believed about what its list lacks; an entry that stays behind what a peer knows for 240 ms asks that peer; leaving is told at once; costs within 0.12 are told apart by draw.

--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -76,6 +76,8 @@
     pub unread: u64,
     /// Parts of its prompt that others may share, folded into one number.
     pub shared: Option<u64>,
+    /// Random number that tells near ties apart, another one for each request.
+    pub draw: u64,
     /// Upstream that its memory is copied from, over links that are shorter within a data centre.
     pub copied_from: Option<UpstreamIx>,
 }
@@ -145,6 +147,12 @@
 /// the links of both upstreams.
 const FAR_COPY_COST: f64 = 0.15;
 
+/// Costs that differ by less are taken for equal, against a full memory.
+///
+/// Entries that decide within the quarter of a second between two tellings see the same upstream
+/// as the best and would all go there.
+const TIE_COST: f64 = 0.12;
+
 /// What a cold upstream costs, against a full memory.
 const COLD_COST: f64 = 0.25;
 
@@ -307,6 +315,26 @@
         }
     }
 
+    /// Forgets upstreams that a list as of `revision` surely lacks.
+    pub fn forget_others(
+        &mut self,
+        now: Time,
+        listed: &[UpstreamRecord],
+        revision: u64,
+    ) -> Vec<PoolChange> {
+        let lacks = |u: &&Upstream| {
+            let known = &u.record;
+            let on_list = listed.iter().any(|r| r.instance == known.instance);
+            !u.gone && !on_list && known.revision <= revision
+        };
+        let names = self.upstreams.iter().filter(lacks);
+        let names: Vec<Name> = names.map(|u| u.record.instance.clone()).collect();
+        names
+            .iter()
+            .filter_map(|name| self.forget(now, name, revision))
+            .collect()
+    }
+
     /// Takes a whole list as of `revision`; what it lacks is missing from now on.
     pub fn learn_all(
         &mut self,
@@ -320,7 +348,6 @@
                 u.missing_since = u.missing_since.or(Some(now));
             }
         }
-        self.revision = self.revision.max(revision);
         records
             .into_iter()
             .filter_map(|record| self.learn(now, record))
@@ -506,7 +533,12 @@
             let u = &self.upstreams[i];
             let far_copy = near.is_some_and(|n| *n != u.record.data_centre);
             let copy = if far_copy { FAR_COPY_COST } else { 0.0 };
-            (i, u.cost(now, need, &self.data_centre) + copy)
+            let tie = if need.tokens > 0 {
+                TIE_COST * draw_for(need.draw, i)
+            } else {
+                0.0
+            };
+            (i, u.cost(now, need, &self.data_centre) + copy + tie)
         });
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
         best.map(|(i, _)| UpstreamIx(i))
@@ -554,6 +586,15 @@
     }
 }
 
+/// A number from 0 to 1 for the upstream at `i`, by a finaliser of the `SplitMix64` generator.
+#[allow(clippy::cast_precision_loss)]
+const fn draw_for(draw: u64, i: usize) -> f64 {
+    let mut z = draw.wrapping_add((i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (z ^ (z >> 31)) as f64 / u64::MAX as f64
+}
+
 #[allow(clippy::cast_precision_loss)]
 fn share(part: u64, whole: u64) -> f64 {
     if whole == 0 {
--- a/fireflycroft/src/rescue.rs
+++ b/fireflycroft/src/rescue.rs
@@ -9,6 +9,7 @@
 use crate::ids::Name;
 use crate::pool::{Need, Pool, UpstreamIx};
 use crate::time::Time;
+use std::time::Duration;
 
 /// Share of all memory that may be spoken for when a run begins with a copy.
 pub const BACKUP_FILL: f64 = 0.8;
@@ -19,6 +20,14 @@
 /// Answers that are expected to be shorter are done before a copy pays.
 pub const WORTH_SAVING_TOKENS: u64 = 64;
 
+/// Time from an upstream's notice to the moment at which a run is stopped for the last part of
+/// its copy, if the rest is copied by then.
+///
+/// All entries copy at once when notice comes, over one link; the last part of an early one would
+/// queue behind whole copies of others while its caller waits. Upstreams that are taken away go
+/// a second and a half after their notice at the earliest.
+pub const STOP_AFTER_NOTICE: Duration = Duration::from_millis(1_050);
+
 /// What is known of a run when its upstream announces that it leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunView {
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -5,12 +5,11 @@
 
 use crate::node::Node;
 use crate::store::StoreClient;
-use fireflycroft::{Name, Time, UpstreamRecord};
+use fireflycroft::{Name, UpstreamRecord};
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, list_path, read_events, read_page, read_upstream,
     watch_path,
 };
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,16 +30,12 @@
 /// upstream serves on for a second and a half at least.
 const GATHER: Duration = Duration::from_millis(120);
 
-/// Time after contact with the store is back in which a removed upstream may only be missing.
-const REMOVALS_UNSURE: Duration = Duration::from_secs(3);
-
 /// What a feed does with what it reads.
 struct Feed {
     node: Rc<Node>,
     client: StoreClient,
     kind: Kind,
     pause: Duration,
-    regained_at: Cell<Option<Time>>,
     healthy: bool,
 }
 
@@ -52,7 +47,6 @@
         client,
         kind,
         pause: FIRST_PAUSE,
-        regained_at: Cell::new(None),
         healthy: false,
     };
     loop {
@@ -120,15 +114,14 @@
             return;
         }
         self.healthy = true;
-        self.regained_at.set(Some(self.node.now()));
-        self.node.hears_store.set(true);
+        self.node.store_since.set(Some(self.node.now()));
         log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
     }
 
     async fn rest(&mut self, why: &str) {
         if self.healthy {
             self.healthy = false;
-            self.node.hears_store.set(false);
+            self.node.store_since.set(None);
             log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
         }
         tokio::time::sleep(self.pause).await;
@@ -161,10 +154,14 @@
             return;
         }
         node.listed.borrow_mut().remove(&event.object.name);
-        let regained = self.regained_at.get();
-        let unsure = regained.is_some_and(|t| now.since(t) < REMOVALS_UNSURE);
+        let sure = node.follows_store();
+        log::info!(
+            event = "upstream_removed", instance = &*event.object.name,
+            revision = event.object.revision, sure = sure;
+            ""
+        );
         let mut pool = node.pool.borrow_mut();
-        if unsure {
+        if !sure {
             pool.note_missing(now, &event.object.name, event.object.revision);
             return;
         }
@@ -174,8 +171,22 @@
     }
 }
 
+/// Takes the list of upstreams of another entry, which follows the store without a gap if `sure`.
+pub fn take_told(node: &Node, objects: Vec<StoreObject>, revision: u64, sure: bool) {
+    if sure {
+        let records: Vec<UpstreamRecord> = objects.iter().filter_map(read_record).collect();
+        let now = node.now();
+        let changes = node
+            .pool
+            .borrow_mut()
+            .forget_others(now, &records, revision);
+        node.take_changes(changes, "peer");
+    }
+    take_upstreams(node, objects, revision, "peer");
+}
+
 /// Takes a whole list of upstreams.
-pub fn take_upstreams(node: &Node, objects: Vec<StoreObject>, revision: u64, source: &str) {
+fn take_upstreams(node: &Node, objects: Vec<StoreObject>, revision: u64, source: &str) {
     let records: Vec<UpstreamRecord> = objects.iter().filter_map(read_record).collect();
     let listed = objects.into_iter().map(|o| (o.name.clone(), o));
     *node.listed.borrow_mut() = listed.collect();
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use fireflycroft::{Ask, Digest, EngineSpec, Name, Need, RouteSpec, Time, UpstreamIx};
 use hyper::{HeaderMap, Method, Uri};
+use rand::Rng;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +81,7 @@
             tokens: u64::from(size.prompt_tokens) + self.expected_tokens(),
             unread: u64::from(size.prompt_tokens),
             shared: size.parts.first().map(|p| p.id),
+            draw: rand::rng().next_u64(),
             copied_from: None,
         }
     }
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -3,7 +3,7 @@
 use crate::node::{Node, PlacedGuard};
 use crate::runs::{Refuge, Run};
 use bytes::Bytes;
-use fireflycroft::{Need, OnNotice, UpstreamIx, on_notice};
+use fireflycroft::{Need, OnNotice, STOP_AFTER_NOTICE, UpstreamIx, on_notice};
 use fireflycroft_platform::{MoveOutcome, move_call, read_move};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -87,6 +87,9 @@
 async fn try_target(node: &Rc<Node>, from: UpstreamIx, placed: PlacedGuard, run: &Run) -> Target {
     let to = placed.ix;
     for stop in [false, true] {
+        if stop {
+            wait_for_calm(node, from).await;
+        }
         match copy(node, from, to, run, stop).await {
             MoveOutcome::Copied(_) if !stop => {}
             MoveOutcome::Copied(memory) => {
@@ -114,6 +117,15 @@
     Target::Settled
 }
 
+/// Waits until the whole copies of other runs are likely to be done.
+async fn wait_for_calm(node: &Node, from: UpstreamIx) {
+    let left_at = node.pool.borrow().left_at(from);
+    if let Some(left_at) = left_at {
+        let stop_at = node.clock.instant(left_at + STOP_AFTER_NOTICE);
+        tokio::time::sleep_until(stop_at).await;
+    }
+}
+
 async fn copy(
     node: &Rc<Node>,
     from: UpstreamIx,
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -11,8 +11,13 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+/// Time after contact with the store is back in which a removed upstream may only be missing: its
+/// entry may have lapsed while the store was away, and comes back within about two seconds.
+const REMOVALS_UNSURE: Duration = Duration::from_secs(3);
+
 /// How far a process has come in stopping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -48,8 +53,8 @@
     pub runs: Runs,
     /// Other entries.
     pub peers: RefCell<Peers>,
-    /// Whether the store answers.
-    pub hears_store: Cell<bool>,
+    /// Since when the store has answered; `None` while it doesn't.
+    pub store_since: Cell<Option<Time>>,
     /// Rings when an upstream comes or the configuration changes.
     pub changed: Notify,
     /// Rings when there is something to tell the other entries at once.
@@ -82,7 +87,7 @@
             links: Links::new(clock),
             runs: Runs::default(),
             peers: RefCell::new(peers),
-            hears_store: Cell::new(false),
+            store_since: Cell::new(None),
             changed: Notify::new(),
             urgent: Notify::new(),
             left: RefCell::default(),
@@ -122,6 +127,20 @@
         self.stage() == Stage::Serving && self.catalog.borrow().is_some()
     }
 
+    /// Whether the store answers.
+    #[must_use]
+    pub fn hears_store(&self) -> bool {
+        self.store_since.get().is_some()
+    }
+
+    /// Whether the store has answered for so long that what its list lacks is gone.
+    #[must_use]
+    pub fn follows_store(&self) -> bool {
+        let now = self.now();
+        let since = self.store_since.get();
+        since.is_some_and(|t| now.since(t) >= REMOVALS_UNSURE)
+    }
+
     /// Version of the configuration in force; zero for none.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -191,6 +210,7 @@
                 PoolChange::Leaves(ix) => {
                     self.left.borrow_mut().push(ix);
                     self.leaving.notify_one();
+                    self.urgent.notify_one();
                 }
             }
         }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -7,7 +7,7 @@
 //! style names for this, `nng`, keeps some 36 threads in a process and memory to
 //! match; a datagram of a few hundred bytes that may be lost needs neither.
 
-use crate::feed::take_upstreams;
+use crate::feed::take_told;
 use crate::node::{Node, Stage};
 use crate::state_page::{PeerState, STATE_PATH};
 use crate::store::StoreClient;
@@ -51,6 +51,10 @@
 /// Longest time for fetching a peer's state: a megabyte over the slowest link.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which the store may owe this entry a change that another one knows: changes are
+/// gathered for about half of it.
+const STORE_PATIENCE: Duration = Duration::from_millis(240);
+
 /// What is known of another entry.
 #[derive(Clone, Copy, Debug)]
 struct Known {
@@ -67,6 +71,8 @@
     seeds: Vec<Ipv4Addr>,
     crashes: VecDeque<CrashCount>,
     fetching: Rc<Cell<bool>>,
+    highest_told: u64,
+    behind_since: Option<Time>,
 }
 
 impl Peers {
@@ -83,6 +89,8 @@
             seeds: seeds.filter(|ip| *ip != place.ip).collect(),
             crashes: VecDeque::new(),
             fetching: Rc::default(),
+            highest_told: 0,
+            behind_since: None,
         }
     }
 
@@ -120,6 +128,18 @@
         }
     }
 
+    /// Notes which revision of the list of upstreams a peer knows; gives the time for which this
+    /// entry has been behind, if the peer is ahead of it.
+    fn note_upstreams(&mut self, now: Time, theirs: u64, mine: u64) -> Option<Duration> {
+        self.highest_told = self.highest_told.max(theirs);
+        if mine >= self.highest_told {
+            self.behind_since = None;
+            return None;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        (theirs > mine).then(|| now.since(since))
+    }
+
     /// Whom to tell now.
     fn targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
         self.known
@@ -173,7 +193,7 @@
         incarnation: peers.incarnation,
         config: node.version(),
         upstreams: pool.revision(),
-        hears_store: node.hears_store.get(),
+        hears_store: node.hears_store(),
         placed: pool.placed(),
         repeats: node.budget.borrow_mut().tell(node.now()),
         crashes: peers.crashes.iter().copied().collect(),
@@ -221,7 +241,15 @@
         learn_crash(node, now, crash);
     }
     let config_behind = news.config > node.version();
-    let upstreams_behind = !node.hears_store.get() && news.upstreams > upstreams;
+    let mut peers = node.peers.borrow_mut();
+    let behind_for = peers.note_upstreams(now, news.upstreams, upstreams);
+    drop(peers);
+    let patience = if node.hears_store() {
+        STORE_PATIENCE
+    } else {
+        Duration::ZERO
+    };
+    let upstreams_behind = behind_for.is_some_and(|span| span >= patience);
     if config_behind || upstreams_behind {
         fetch(node, from);
     }
@@ -260,8 +288,8 @@
     if let Some(config) = &state.config {
         node.adopt(config, "peer");
     }
-    if !node.hears_store.get() && state.revision > node.pool.borrow().revision() {
-        take_upstreams(node, state.upstreams, state.revision, "peer");
+    if state.revision > node.pool.borrow().revision() {
+        take_told(node, state.upstreams, state.revision, state.sure);
     }
     Ok(())
 }
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -26,6 +26,8 @@
     pub upstreams: Vec<StoreObject>,
     /// Revision of the list of upstreams.
     pub revision: u64,
+    /// Whether the store has answered for so long that what the list lacks is gone.
+    pub sure: bool,
 }
 
 /// Answers for as long as the process lives.
@@ -67,6 +69,7 @@
         config: node.published.borrow().clone(),
         upstreams: node.listed.borrow().values().cloned().collect(),
         revision: node.pool.borrow().revision(),
+        sure: node.follows_store() && !node.pool.borrow().any_missing(),
     }
 }
 
