Tell placements at once, learn lengths, refuse generations without room

Cause: on the grown sites memory is what binds: a run needs some 3,400 tokens for nine seconds, and with a sixth of the engines leaving every 3.3 s the offered runs exceed what is there. All entries sent prompts to the same engines between two tellings, engines preempted runs and read them anew, and everybody was late. Hints are right in the median only.

Change: an entry tells at once what it placed and when a prompt was read; lengths are regressed on hints by kind; a run that outgrows its length counts for more; a long generation that would take the best engine beyond 0.9 of its memory is refused as not run, with when to come back. Crashes of upstreams are told from lost connections and counted by content.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -17,6 +17,7 @@
         config: news.config,
         upstreams: news.upstreams,
         hears_store: news.hears_store,
+        changes_only: news.changes_only,
         placed: news.placed.iter().map(placed).collect(),
         repeats: news.repeats.iter().map(repeats).collect(),
         crashes: news.crashes.iter().map(crash).collect(),
@@ -41,6 +42,7 @@
         config: news.config,
         upstreams: news.upstreams,
         hears_store: news.hears_store,
+        changes_only: news.changes_only,
         placed: news
             .placed
             .iter()
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -463,6 +463,9 @@
     pub leaving: bool,
     #[prost(message, repeated, tag = "10")]
     pub repeats: ::prost::alloc::vec::Vec<RepeatCount>,
+    /// Whether placed and repeats tell only what has changed.
+    #[prost(bool, tag = "11")]
+    pub changes_only: bool,
 }
 /// Requests and repeats of one service, within the window of the budget.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -27,6 +27,8 @@
     pub upstreams: u64,
     /// Whether the platform's store answers the sender.
     pub hears_store: bool,
+    /// Whether `placed` tells only what has changed since the last news.
+    pub changes_only: bool,
     /// Work that the sender has placed.
     pub placed: Vec<PlacedAt>,
     /// Requests and repeats of the sender, by service.
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -72,6 +72,8 @@
     pub slots: u32,
     /// Tokens of memory that it is expected to need; zero for a plain call.
     pub tokens: u64,
+    /// Tokens of its prompt, which are part of `tokens`.
+    pub prompt: u64,
     /// Tokens of its prompt that the upstream has to read first.
     pub unread: u64,
     /// Parts of its prompt that others may share, folded into one number.
@@ -98,6 +100,19 @@
     read: HashMap<u64, Time>,
 }
 
+/// Load of an upstream, as a choice saw it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadView {
+    /// Work of all entries.
+    pub placed: Placed,
+    /// Share of its memory that is spoken for; zero for a plain service.
+    pub memory: f64,
+    /// Share of the newest requests that failed there.
+    pub failing: f64,
+    /// Age of the oldest telling that counts.
+    pub age: Duration,
+}
+
 /// What changed for those who have work on an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PoolChange {
@@ -408,6 +423,13 @@
         need.unread = 0;
     }
 
+    /// Counts a placed request as needing `tokens` of memory in all.
+    pub fn grow(&mut self, ix: UpstreamIx, need: &mut Need, tokens: u64) {
+        let mine = &mut self.upstreams[ix.0].mine;
+        mine.tokens += tokens.saturating_sub(need.tokens);
+        need.tokens = need.tokens.max(tokens);
+    }
+
     /// Takes back what [`Pool::place`] counted.
     pub fn release(&mut self, ix: UpstreamIx, need: &Need) {
         let mine = &mut self.upstreams[ix.0].mine;
@@ -430,9 +452,19 @@
     }
 
     /// Takes what another entry has placed.
-    pub fn note_others(&mut self, now: Time, entry: &Name, placed: &[PlacedAt]) {
-        for u in &mut self.upstreams {
-            u.others.remove(entry);
+    ///
+    /// With `changes_only`, what it has told of other upstreams still holds.
+    pub fn note_others(
+        &mut self,
+        now: Time,
+        entry: &Name,
+        placed: &[PlacedAt],
+        changes_only: bool,
+    ) {
+        if !changes_only {
+            for u in &mut self.upstreams {
+                u.others.remove(entry);
+            }
         }
         for at in placed {
             if let Some(ix) = self.find(&at.instance) {
@@ -442,6 +474,17 @@
         }
     }
 
+    /// What this entry has placed on some upstreams, to tell the others.
+    #[must_use]
+    pub fn placed_at(&self, some: impl IntoIterator<Item = UpstreamIx>) -> Vec<PlacedAt> {
+        let at = |ix: UpstreamIx| &self.upstreams[ix.0];
+        let tell = |u: &Upstream| PlacedAt {
+            instance: u.record.instance.clone(),
+            placed: u.mine,
+        };
+        some.into_iter().map(|ix| tell(at(ix))).collect()
+    }
+
     /// What this entry has placed, to tell the others.
     #[must_use]
     pub fn placed(&self) -> Vec<PlacedAt> {
@@ -456,6 +499,28 @@
         .collect()
     }
 
+    /// What is known of an upstream's load, and how old the oldest part of it is.
+    #[must_use]
+    pub fn view(&self, now: Time, ix: UpstreamIx) -> LoadView {
+        let u = &self.upstreams[ix.0];
+        let ages = u.others.values().map(|(at, _)| now.since(*at));
+        let placed = u.load(now);
+        LoadView {
+            placed,
+            memory: share(placed.tokens, u.memory_tokens.unwrap_or(0)),
+            failing: u.failing,
+            age: ages.filter(|a| *a < TOLD_FOR).max().unwrap_or_default(),
+        }
+    }
+
+    /// Share of an engine's memory that would be spoken for with one more request.
+    #[must_use]
+    pub fn fill_with(&self, now: Time, ix: UpstreamIx, need: &Need) -> f64 {
+        let u = &self.upstreams[ix.0];
+        let tokens = u.load(now).tokens + need.tokens;
+        share(tokens, u.memory_tokens.unwrap_or(0))
+    }
+
     /// Share of an engine's memory that is spoken for, by all entries.
     #[must_use]
     pub fn fill(&self, now: Time, ix: UpstreamIx) -> f64 {
--- /dev/null
+++ b/fireflycroft/src/room.rs
@@ -0,0 +1,40 @@
+//! Whether engines have room for one more generation, or it is refused at once.
+//!
+//! An engine whose memory runs out preempts runs in the middle of their answers
+//! and reads them anew, so that all of them end late. Refusing the generations
+//! for which there is no room keeps the others on time. Short and urgent ones
+//! are let in beyond that: they are gone before the memory is needed.
+
+use std::time::Duration;
+
+/// Share of an engine's memory up to which long generations are let in.
+pub const ROOM_FOR_LONG: f64 = 0.9;
+
+/// Share of an engine's memory up to which short generations are let in.
+pub const ROOM_FOR_SHORT: f64 = 1.4;
+
+/// Answers that are expected to be no longer are short.
+pub const SHORT_TOKENS: u64 = 64;
+
+/// Whether a generation is let in on the engine that suits it best, whose memory would be spoken
+/// for to the share `fill` with it.
+#[must_use]
+pub fn is_room(expected_tokens: u64, fill: f64) -> bool {
+    let limit = if expected_tokens <= SHORT_TOKENS {
+        ROOM_FOR_SHORT
+    } else {
+        ROOM_FOR_LONG
+    };
+    fill <= limit
+}
+
+/// When there is likely to be room, if `fill` of all memory is spoken for.
+///
+/// While a little is free somewhere, another engine ends a run within a fraction of a second.
+#[must_use]
+pub fn room_after(fill: f64) -> Duration {
+    const FREE_SECONDS: f64 = 0.5;
+    const SECONDS_BEYOND: f64 = 8.0;
+    let beyond = (fill - 0.9).clamp(0.0, 1.0);
+    Duration::from_secs_f64(FREE_SECONDS + beyond * SECONDS_BEYOND)
+}
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -1,11 +1,13 @@
 //! Getting an answer to a request: one upstream after another, as far as allowed.
 
+use crate::crash;
 use crate::exchange::{Extras, Opened, Unanswered, read_whole, send};
 use crate::job::Job;
 use crate::node::PlacedGuard;
 use bytes::Bytes;
 use fireflycroft::{
-    Code, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx, WORTH_SAVING_TOKENS, pick_backup,
+    Code, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx, WORTH_SAVING_TOKENS, is_room,
+    pick_backup, room_after,
 };
 use hyper::http::response::Parts;
 use std::cell::RefCell;
@@ -87,8 +89,14 @@
         let Some(ix) = job.pick(&need, &asked).await else {
             return nobody(job, tries);
         };
+        if let Some(wait) = no_room(job, ix, &need) {
+            return refuse_for_room(job, ix, tries, wait);
+        }
         let one = try_one(job, ix, need, tries).await;
         note(job, ix, &one);
+        if one.outcome == TryOutcome::Lost {
+            crash::suspect(job, ix);
+        }
         asked.push(ix);
         let next = tries.borrow_mut().after(one.outcome, || job.take_repeat());
         match (next, one.reply) {
@@ -102,6 +110,31 @@
     }
 }
 
+/// When to come back with a generation for which the best engine has no room.
+fn no_room(job: &Job, ix: UpstreamIx, need: &Need) -> Option<Duration> {
+    job.engine?;
+    let pool = job.node.pool.borrow();
+    let now = job.now();
+    let fill = pool.fill_with(now, ix, need);
+    let refused = !is_room(job.expected_tokens(), fill);
+    refused.then(|| room_after(pool.fill_of(now, &job.service)))
+}
+
+fn refuse_for_room(job: &Job, ix: UpstreamIx, tries: &RefCell<Tries>, wait: Duration) -> Reply {
+    let view = job.node.pool.borrow().view(job.now(), ix);
+    log::warn!(
+        event = "no_room", req = &*job.request_id, route = &*job.route.name,
+        expected = job.expected_tokens(), memory = format!("{:.2}", view.memory),
+        told_age_ms = view.age.as_millis(), retry_after_ms = wait.as_millis();
+        ""
+    );
+    if tries.borrow().may_have_run() {
+        Reply::Own(Code::OutcomeUnknown, None)
+    } else {
+        Reply::Own(Code::Overloaded, Some(wait))
+    }
+}
+
 fn nobody(job: &Job, tries: &RefCell<Tries>) -> Reply {
     log::warn!(event = "no_upstream", req = &*job.request_id, service = &*job.service; "");
     if tries.borrow().may_have_run() {
@@ -112,6 +145,7 @@
 }
 
 async fn try_one(job: &Job, ix: UpstreamIx, need: Need, tries: &RefCell<Tries>) -> Tried {
+    note_choice(job, ix);
     let placed = job.node.place(ix, need);
     let backup = place_backup(job, ix, need);
     let keeper = backup
@@ -137,6 +171,21 @@
     }
 }
 
+/// Says where a request goes, and what the choice saw.
+fn note_choice(job: &Job, ix: UpstreamIx) {
+    let pool = job.node.pool.borrow();
+    let view = pool.view(job.now(), ix);
+    let of_service = pool.fill_of(job.now(), &job.service);
+    log::info!(
+        event = "sent", req = &*job.request_id, route = &*job.route.name,
+        instance = &*pool.record(ix).instance, running = view.placed.running,
+        memory = format!("{:.2}", view.memory), unread = view.placed.unread,
+        failing = format!("{:.2}", view.failing), told_age_ms = view.age.as_millis(),
+        service_memory = format!("{of_service:.2}"), age_ms = job.age().as_millis();
+        ""
+    );
+}
+
 /// Longest wait for a head when another upstream may be asked instead.
 fn silence_limit(job: &Job) -> Option<Duration> {
     let plain = job.engine.is_none() && job.route.repeat.may_run_again();
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -7,6 +7,7 @@
 
 use crate::answer::{Answer, AnswerBody, BrokenStream, relayed};
 use crate::call::{Begun, place_backup};
+use crate::crash;
 use crate::exchange::{Extras, Opened, give_back, send};
 use crate::job::Job;
 use crate::node::PlacedGuard;
@@ -185,6 +186,7 @@
         let per_event = self.job.engine.map_or(1, |e| e.tokens_per_event);
         let produced = self.events.relayed() * u64::from(per_event);
         self.run.produced.set(produced);
+        self.placed.note_produced(produced);
     }
 
     fn finish(&mut self) {
@@ -197,9 +199,20 @@
             .pool
             .borrow_mut()
             .note_outcome(self.placed.ix, false);
+        self.learn_length();
         self.say("stream_ended", "");
     }
 
+    fn learn_length(&self) {
+        let job = &self.job;
+        if let Some(size) = &job.ask.size {
+            let (hint, most) = (size.length_hint, size.max_tokens);
+            let tokens = self.run.produced.get();
+            let mut lengths = job.node.lengths.borrow_mut();
+            lengths.learn(&job.route.name, hint, most, tokens);
+        }
+    }
+
     fn break_off(mut self, why: &str) -> (Result<Frame<Bytes>, BrokenStream>, Self) {
         self.ended = true;
         self.source = None;
@@ -216,6 +229,8 @@
             first_ms = self.pauses.first.map(|t| t.since(job.arrival).as_millis()),
             longest_pause_ms = self.pauses.longest.as_millis(),
             prompt = job.ask.size.as_ref().map(|s| s.prompt_tokens),
+            most = job.ask.size.as_ref().map(|s| s.max_tokens),
+            hint = job.ask.size.as_ref().and_then(|s| s.length_hint),
             age_ms = job.age().as_millis();
             ""
         );
@@ -227,6 +242,7 @@
         self.events.break_off();
         self.breaks += 1;
         self.say("stream_broke", why);
+        crash::suspect(&self.job, self.placed.ix);
         if self.breaks > MAX_BREAKS || !self.events.can_go_on() {
             return false;
         }
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -79,6 +79,7 @@
         Need {
             slots: 1,
             tokens: u64::from(size.prompt_tokens) + self.expected_tokens(),
+            prompt: u64::from(size.prompt_tokens),
             unread: u64::from(size.prompt_tokens),
             shared: size.parts.first().map(|p| p.id),
             draw: rand::rng().next_u64(),
@@ -92,8 +93,8 @@
         let Some(size) = &self.ask.size else {
             return 0;
         };
-        let guess = size.length_hint.unwrap_or(size.max_tokens / 2);
-        u64::from(guess.min(size.max_tokens))
+        let lengths = self.node.lengths.borrow();
+        lengths.expect(&self.route.name, size.length_hint, size.max_tokens)
     }
 
     /// Takes one repeat from the shared budget.
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod callers;
 pub mod clock;
+pub mod crash;
 pub mod exchange;
 pub mod feed;
 pub mod generation;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -5,11 +5,11 @@
 use crate::peers::Peers;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, Name, Need, Pool, PoolChange, Quarantine, RepeatBudget, Time, UpstreamIx,
+    Catalog, LengthGuess, Name, Need, Pool, PoolChange, Quarantine, RepeatBudget, Time, UpstreamIx,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -47,6 +47,8 @@
     pub budget: RefCell<RepeatBudget>,
     /// Content that crashes upstreams.
     pub quarantine: RefCell<Quarantine>,
+    /// Lengths of answers.
+    pub lengths: RefCell<LengthGuess>,
     /// Connections to upstreams.
     pub links: Links,
     /// Streams under way.
@@ -59,6 +61,10 @@
     pub changed: Notify,
     /// Rings when there is something to tell the other entries at once.
     pub urgent: Notify,
+    /// Rings when generations were placed or their prompts read.
+    pub placed: Notify,
+    /// Upstreams whose load changed with that.
+    pub loads_changed: RefCell<BTreeSet<UpstreamIx>>,
     /// Upstreams that were found to leave, for the task that saves their runs.
     pub left: RefCell<Vec<UpstreamIx>>,
     /// Rings when an upstream was found to leave.
@@ -84,12 +90,15 @@
             listed: RefCell::default(),
             budget: RefCell::new(budget),
             quarantine: RefCell::default(),
+            lengths: RefCell::default(),
             links: Links::new(clock),
             runs: Runs::default(),
             peers: RefCell::new(peers),
             store_since: Cell::new(None),
             changed: Notify::new(),
             urgent: Notify::new(),
+            placed: Notify::new(),
+            loads_changed: RefCell::default(),
             left: RefCell::default(),
             leaving: Notify::new(),
             busy: Cell::new(0),
@@ -221,12 +230,21 @@
     #[must_use]
     pub fn place(self: &Rc<Self>, ix: UpstreamIx, need: Need) -> PlacedGuard {
         self.pool.borrow_mut().place(self.now(), ix, &need);
+        if need.tokens > 0 {
+            self.note_load(ix);
+        }
         PlacedGuard {
             node: self.clone(),
             ix,
             need,
         }
     }
+
+    /// Notes that the other entries should hear of an upstream's load at once.
+    fn note_load(&self, ix: UpstreamIx) {
+        self.loads_changed.borrow_mut().insert(ix);
+        self.placed.notify_one();
+    }
 }
 
 /// Work placed on an upstream; taken back when dropped.
@@ -237,11 +255,26 @@
     need: Need,
 }
 
+/// Tokens that a run which outgrows its expected length is expected to have more.
+const OUTGROWN_BY: u64 = 128;
+
 impl PlacedGuard {
+    /// Notes the tokens of a run's answer; one that outgrows its expected length needs more.
+    pub fn note_produced(&mut self, tokens: u64) {
+        let needed = self.need.prompt + tokens;
+        if needed > self.need.tokens {
+            let mut pool = self.node.pool.borrow_mut();
+            pool.grow(self.ix, &mut self.need, needed + OUTGROWN_BY);
+        }
+    }
+
     /// Notes that the upstream has read the prompt.
     pub fn note_read(&mut self) {
-        let mut pool = self.node.pool.borrow_mut();
-        pool.note_read(self.ix, &mut self.need);
+        if self.need.unread > 0 {
+            let mut pool = self.node.pool.borrow_mut();
+            pool.note_read(self.ix, &mut self.need);
+            self.node.note_load(self.ix);
+        }
     }
 }
 
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -165,18 +165,41 @@
 pub async fn run(node: Rc<Node>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     tokio::task::spawn_local(listen(node.clone(), socket.clone()));
+    let mut tell_all_at = node.now();
     loop {
-        let wait = tokio::time::timeout(TELL_EVERY, node.urgent.notified());
-        let urgent = wait.await.is_ok();
-        tell(&node, &socket).await;
-        if urgent {
+        let reason = tokio::select! {
+            biased;
+            () = node.urgent.notified() => Reason::Urgent,
+            () = tokio::time::sleep_until(node.clock.instant(tell_all_at)) => Reason::Due,
+            () = node.placed.notified() => Reason::Placed,
+        };
+        let news = match reason {
+            Reason::Urgent | Reason::Due => {
+                tell_all_at = node.now() + TELL_EVERY;
+                all_news(&node)
+            }
+            Reason::Placed => changes(&node),
+        };
+        tell(&node, &socket, &news).await;
+        if reason != Reason::Due {
             tokio::time::sleep(TELL_SPACING).await;
         }
     }
 }
 
-async fn tell(node: &Node, socket: &UdpSocket) {
-    let bytes = encode_news(&news(node));
+/// Why news is sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Reason {
+    /// Something that others must know at once.
+    Urgent,
+    /// The time has come.
+    Due,
+    /// Generations were placed or their prompts read.
+    Placed,
+}
+
+async fn tell(node: &Node, socket: &UdpSocket, news: &EntryNews) {
+    let bytes = encode_news(news);
     let targets = node.peers.borrow_mut().targets(node.now());
     let port = node.place.peer_ports.0;
     for ip in targets {
@@ -185,20 +208,39 @@
     }
 }
 
-fn news(node: &Node) -> EntryNews {
-    let pool = node.pool.borrow();
+/// Everything that the others are told.
+fn all_news(node: &Node) -> EntryNews {
+    node.loads_changed.borrow_mut().clear();
+    let repeats = node.budget.borrow_mut().tell(node.now());
     let peers = node.peers.borrow();
+    EntryNews {
+        repeats,
+        placed: node.pool.borrow().placed(),
+        crashes: peers.crashes.iter().copied().collect(),
+        peers: peers.named(),
+        ..head(node, &peers)
+    }
+}
+
+/// Loads that have changed since the last news.
+fn changes(node: &Node) -> EntryNews {
+    let changed = std::mem::take(&mut *node.loads_changed.borrow_mut());
+    EntryNews {
+        changes_only: true,
+        placed: node.pool.borrow().placed_at(changed),
+        ..head(node, &node.peers.borrow())
+    }
+}
+
+fn head(node: &Node, peers: &Peers) -> EntryNews {
     EntryNews {
         name: node.place.vm.clone(),
         incarnation: peers.incarnation,
         config: node.version(),
-        upstreams: pool.revision(),
+        upstreams: node.pool.borrow().revision(),
         hears_store: node.hears_store(),
-        placed: pool.placed(),
-        repeats: node.budget.borrow_mut().tell(node.now()),
-        crashes: peers.crashes.iter().copied().collect(),
-        peers: peers.named(),
         leaving: node.stage() != Stage::Serving,
+        ..EntryNews::default()
     }
 }
 
@@ -231,12 +273,13 @@
     let now = node.now();
     node.peers.borrow_mut().learn(now, from, &news);
     let mut pool = node.pool.borrow_mut();
-    pool.note_others(now, &news.name, &news.placed);
+    pool.note_others(now, &news.name, &news.placed, news.changes_only);
     let upstreams = pool.revision();
     drop(pool);
-    let mut budget = node.budget.borrow_mut();
-    budget.note_others(now, &news.name, news.repeats);
-    drop(budget);
+    if !news.changes_only {
+        let mut budget = node.budget.borrow_mut();
+        budget.note_others(now, &news.name, news.repeats);
+    }
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{Answer, close_after, own, relayed, whole};
 use crate::call::{Reply, obtain};
+use crate::crash;
 use crate::generation::relay;
 use crate::job::Job;
 use crate::node::{Node, Stage};
@@ -28,6 +29,9 @@
 /// Highest number of the engines' scale of urgency.
 const LEAST_URGENT: u8 = 9;
 
+/// Ranks of routes that are told apart within one rank of workspaces.
+const RANKS_WITHIN: u8 = 3;
+
 /// A refusal before anything was sent.
 struct Refusal {
     code: Code,
@@ -111,19 +115,19 @@
     let service = service.ok_or(come_back(Code::NoUpstream, SOON))?;
     let body = read_body(&catalog, body).await?;
     let content = digest(&parts, &ask, &body);
-    if node.quarantine.borrow().is_refused(content) {
-        return Err(come_back(Code::NotReady, QUARANTINE_RETRY));
+    if crash::is_refused(node, content) {
+        return Err(come_back(Code::Overloaded, QUARANTINE_RETRY));
     }
     node.budget.borrow_mut().note_request(node.now(), &service);
     let engine = catalog.service(&service).and_then(|s| s.engine);
-    let rank = workspace.and_then(|w| w.rank).unwrap_or(route.rank);
+    let workspace_rank = workspace.and_then(|w| w.rank);
     let patience = ask.deadline.map_or(route.timeout, |d| d.min(route.timeout));
     Ok(Job {
         node: node.clone(),
         version: catalog.version(),
         engine,
         workspace: workspace.map(|w| w.name.clone()),
-        priority: engine.map(|_| rank.min(LEAST_URGENT)),
+        priority: engine.map(|_| urgency(workspace_rank, route.rank)),
         give_up_at: arrival + patience,
         route,
         service,
@@ -138,6 +142,15 @@
     })
 }
 
+/// Urgency for a model engine: the workspace's rank goes first, the route's decides within it.
+fn urgency(workspace: Option<u8>, route: u8) -> u8 {
+    let within = route.min(RANKS_WITHIN - 1);
+    let rank = workspace.map_or(route, |w| {
+        w.saturating_mul(RANKS_WITHIN).saturating_add(within)
+    });
+    rank.min(LEAST_URGENT)
+}
+
 fn find_route(catalog: &Catalog, parts: &Parts) -> Option<Arc<RouteSpec>> {
     let header = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
     let host = parts.uri.authority().map(Authority::as_str).or(header)?;
