Let three entries watch the store and tell the others

Ruled out: longer waits, since nearly all watches end by a change.

Change: an entry watches while fewer than three that rank before it watch in good health; watchers put recent changes of the list into their news, with a digest by which the others notice what they missed and fetch it. Changes are gathered for 300 ms instead of 120.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -1,12 +1,16 @@
 //! News of direct entries, to bytes and back: one datagram holds one of them.
 
 use crate::error::WireError;
-use crate::field::{check_count, id_bytes, read_digest, read_name};
+use crate::field::{addr_bytes, check_count, id_bytes, read_addr, read_digest, read_name};
 use crate::generated as pb;
 use crate::limits::{MAX_DATAGRAM_BYTES, MAX_RECORDS};
-use fireflycroft::{CrashCount, EntryNews, Incarnation, Placed, PlacedAt, RepeatCount};
+use fireflycroft::{
+    CrashCount, EntryNews, Incarnation, ListChange, Placed, PlacedAt, RepeatCount, UpstreamRecord,
+    UpstreamState,
+};
 use prost::Message as _;
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 /// Writes news as one datagram.
 #[must_use]
@@ -16,7 +20,9 @@
         incarnation: news.incarnation.0,
         config: news.config,
         upstreams: news.upstreams,
-        hears_store: news.hears_store,
+        watches: news.watches,
+        upstreams_digest: news.upstreams_digest,
+        list_changes: news.list_changes.iter().map(list_change).collect(),
         changes_only: news.changes_only,
         placed: news.placed.iter().map(placed).collect(),
         repeats: news.repeats.iter().map(repeats).collect(),
@@ -41,7 +47,13 @@
         incarnation: Incarnation(news.incarnation),
         config: news.config,
         upstreams: news.upstreams,
-        hears_store: news.hears_store,
+        watches: news.watches,
+        upstreams_digest: news.upstreams_digest,
+        list_changes: news
+            .list_changes
+            .iter()
+            .map(read_list_change)
+            .collect::<Result<_, _>>()?,
         changes_only: news.changes_only,
         placed: news
             .placed
@@ -63,6 +75,50 @@
     })
 }
 
+fn list_change(change: &ListChange) -> pb::ListChange {
+    match change {
+        ListChange::Listed(record) => pb::ListChange {
+            instance: record.instance.to_string(),
+            revision: record.revision,
+            removed: false,
+            service: record.service.to_string(),
+            addr: addr_bytes(record.addr),
+            data_centre: record.data_centre.to_string(),
+            slots: record.slots,
+            leaving: record.state == UpstreamState::Leaving,
+            cold_ms: u32::try_from(record.cold_for.as_millis()).unwrap_or(u32::MAX),
+        },
+        ListChange::Removed { instance, revision } => pb::ListChange {
+            instance: instance.to_string(),
+            revision: *revision,
+            removed: true,
+            ..pb::ListChange::default()
+        },
+    }
+}
+
+fn read_list_change(change: &pb::ListChange) -> Result<ListChange, WireError> {
+    let instance = read_name(&change.instance, "list_change.instance")?;
+    let revision = change.revision;
+    if change.removed {
+        return Ok(ListChange::Removed { instance, revision });
+    }
+    Ok(ListChange::Listed(UpstreamRecord {
+        instance,
+        service: read_name(&change.service, "list_change.service")?,
+        addr: read_addr(&change.addr)?,
+        data_centre: read_name(&change.data_centre, "list_change.data_centre")?,
+        slots: change.slots,
+        state: if change.leaving {
+            UpstreamState::Leaving
+        } else {
+            UpstreamState::Serving
+        },
+        cold_for: Duration::from_millis(u64::from(change.cold_ms)),
+        revision,
+    }))
+}
+
 fn placed(at: &PlacedAt) -> pb::PlacedAt {
     pb::PlacedAt {
         instance: at.instance.to_string(),
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -449,9 +449,9 @@
     /// Revision of the platform's list of upstreams that is known.
     #[prost(uint64, tag = "4")]
     pub upstreams: u64,
-    /// Whether the platform's store answers the sender.
+    /// Whether the sender watches the platform's store and is answered.
     #[prost(bool, tag = "5")]
-    pub hears_store: bool,
+    pub watches: bool,
     #[prost(message, repeated, tag = "6")]
     pub placed: ::prost::alloc::vec::Vec<PlacedAt>,
     #[prost(message, repeated, tag = "7")]
@@ -466,6 +466,33 @@
     /// Whether placed and repeats tell only what has changed.
     #[prost(bool, tag = "11")]
     pub changes_only: bool,
+    #[prost(fixed64, tag = "12")]
+    pub upstreams_digest: u64,
+    #[prost(message, repeated, tag = "13")]
+    pub list_changes: ::prost::alloc::vec::Vec<ListChange>,
+}
+/// A change of the list of upstreams; only instance and revision stand for one that was removed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ListChange {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(bool, tag = "3")]
+    pub removed: bool,
+    #[prost(string, tag = "4")]
+    pub service: ::prost::alloc::string::String,
+    /// Four or sixteen bytes of address, then two of port, in network order.
+    #[prost(bytes = "vec", tag = "5")]
+    pub addr: ::prost::alloc::vec::Vec<u8>,
+    #[prost(string, tag = "6")]
+    pub data_centre: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "7")]
+    pub slots: u32,
+    #[prost(bool, tag = "8")]
+    pub leaving: bool,
+    #[prost(uint32, tag = "9")]
+    pub cold_ms: u32,
 }
 /// Requests and repeats of one service, within the window of the budget.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -1,7 +1,7 @@
 //! What a direct entry tells the other entries.
 
 use crate::ids::{Digest, Incarnation, Name};
-use crate::pool::PlacedAt;
+use crate::pool::{ListChange, PlacedAt};
 use crate::repeat::RepeatCount;
 use std::net::Ipv4Addr;
 
@@ -25,8 +25,12 @@
     pub config: u64,
     /// Revision of the list of upstreams known there.
     pub upstreams: u64,
-    /// Whether the platform's store answers the sender.
-    pub hears_store: bool,
+    /// Digest of that list.
+    pub upstreams_digest: u64,
+    /// Whether the sender watches the platform's store and is answered.
+    pub watches: bool,
+    /// Changes of the list of late, from those that watch.
+    pub list_changes: Vec<ListChange>,
     /// Whether `placed` tells only what has changed since the last news.
     pub changes_only: bool,
     /// Work that the sender has placed.
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -60,6 +60,7 @@
 mod submit;
 mod tidy;
 mod time;
+mod watchers;
 mod work;
 
 pub use admit::*;
@@ -100,4 +101,5 @@
 pub use snapshot::*;
 pub use stream::*;
 pub use time::*;
+pub use watchers::*;
 pub use work::*;
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -5,14 +5,15 @@
 //! memory, prompt and expected answer, since it is memory that engines run out
 //! of. A generation goes where the least of the memory is spoken for.
 
-use crate::ids::Name;
+use crate::ids::{Digest, Name};
 use crate::time::Time;
-use std::collections::HashMap;
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Whether an upstream takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
     /// It does.
     Serving,
@@ -21,7 +22,7 @@
 }
 
 /// One upstream, as the platform's list has it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// Id of this life of the upstream; never used twice.
     pub instance: Name,
@@ -122,14 +123,35 @@
     Leaves(UpstreamIx),
 }
 
+/// A change of the list of upstreams, as entries tell it each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListChange {
+    /// An upstream wrote its record.
+    Listed(UpstreamRecord),
+    /// An upstream is no longer on the list.
+    Removed {
+        /// The upstream.
+        instance: Name,
+        /// Revision of the list at which it went.
+        revision: u64,
+    },
+}
+
 /// The upstreams known.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     upstreams: Vec<Upstream>,
     data_centre: Name,
     revision: u64,
+    changes: VecDeque<(Time, ListChange)>,
 }
 
+/// Changes of the list that are kept to be told.
+const MAX_CHANGES: usize = 16;
+
+/// Time for which a change of the list is told again and again.
+const TELL_FOR: Duration = Duration::from_millis(1_200);
+
 /// Time for which what another entry told counts.
 ///
 /// Entries tell every quarter of a second; four lost in a row mean that it is gone.
@@ -196,6 +218,7 @@
             upstreams: Vec::new(),
             data_centre,
             revision: 0,
+            changes: VecDeque::new(),
         }
     }
 
@@ -243,6 +266,7 @@
     pub fn learn(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
         self.revision = self.revision.max(record.revision);
         let Some(ix) = self.find(&record.instance) else {
+            self.note_change(now, ListChange::Listed(record.clone()));
             return Some(self.add(now, record));
         };
         let u = &mut self.upstreams[ix.0];
@@ -250,6 +274,8 @@
         if record.revision <= u.record.revision {
             return None;
         }
+        self.note_change(now, ListChange::Listed(record.clone()));
+        let u = &mut self.upstreams[ix.0];
         let was_serving = !u.gone && u.record.state == UpstreamState::Serving;
         u.gone = false;
         u.cold_until = now + record.cold_for;
@@ -301,6 +327,40 @@
         }
     }
 
+    fn note_change(&mut self, now: Time, change: ListChange) {
+        self.changes.push_back((now, change));
+        if self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Changes of the list of late, to tell the others.
+    #[must_use]
+    pub fn list_changes(&self, now: Time) -> Vec<ListChange> {
+        let fresh = |(at, _): &&(Time, ListChange)| now.since(*at) < TELL_FOR;
+        let changes = self.changes.iter().filter(fresh);
+        changes.map(|(_, change)| change.clone()).collect()
+    }
+
+    /// Takes a change that another entry told.
+    pub fn take_change(&mut self, now: Time, change: ListChange) -> Option<PoolChange> {
+        match change {
+            ListChange::Listed(record) => self.learn(now, record),
+            ListChange::Removed { instance, revision } => self.forget(now, &instance, revision),
+        }
+    }
+
+    /// Digest of the list; two entries with the same one know the same upstreams.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation)]
+    pub fn digest(&self) -> u64 {
+        let one = |r: &UpstreamRecord| {
+            let revision = r.revision.to_le_bytes();
+            Digest::of(&[r.instance.as_bytes(), &revision]).0 as u64
+        };
+        self.records().fold(0, |sum, record| sum ^ one(record))
+    }
+
     /// Notes that the list no longer has an upstream, as of `revision`.
     pub fn forget(&mut self, now: Time, instance: &str, revision: u64) -> Option<PoolChange> {
         self.revision = self.revision.max(revision);
@@ -312,6 +372,9 @@
         u.record.revision = revision;
         u.gone = true;
         u.missing_since = None;
+        let instance = u.record.instance.clone();
+        self.note_change(now, ListChange::Removed { instance, revision });
+        let u = &mut self.upstreams[ix.0];
         if u.left_at.is_some() {
             return None;
         }
--- /dev/null
+++ b/fireflycroft/src/watchers.rs
@@ -0,0 +1,82 @@
+//! Which entries watch the platform's store for all the others.
+//!
+//! Each waiting watch is a call that is paid for, and each change wakes all of
+//! them, so a few entries watch and tell the others. Every entry decides for
+//! itself, from what it hears: it watches while fewer than [`WATCHERS`] entries
+//! that rank before it watch in good health. So when watchers die, are cut off
+//! from the store or from this entry, the next ones step in without agreement;
+//! one too many for a moment costs a call or two.
+
+use crate::ids::{Digest, Name};
+use crate::time::Time;
+use std::time::Duration;
+
+/// Entries that watch at a time: two may be lost at once, and one more be on its way out.
+pub const WATCHERS: usize = 3;
+
+/// Time for which enough others must have watched before an entry stops to.
+///
+/// A watcher that lost the store in silence finds out after about three seconds.
+pub const STEP_DOWN_AFTER: Duration = Duration::from_secs(4);
+
+/// What an entry knows of another one's watching.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WatchView {
+    /// Name of the other entry.
+    pub name: Name,
+    /// Whether it watches and the store answers it.
+    pub watches: bool,
+}
+
+/// One entry's decision whether to watch, over time.
+#[derive(Clone, Debug)]
+pub struct WatchDuty {
+    rank: Digest,
+    watching: bool,
+    enough_since: Option<Time>,
+}
+
+impl WatchDuty {
+    /// An entry that watches until it hears of enough others.
+    #[must_use]
+    pub fn new(name: &Name) -> Self {
+        Self {
+            rank: rank_of(name),
+            watching: true,
+            enough_since: None,
+        }
+    }
+
+    /// Whether this entry is to watch.
+    #[must_use]
+    pub const fn is_watching(&self) -> bool {
+        self.watching
+    }
+
+    /// Decides anew from what is heard of the others; true when the decision changed.
+    pub fn decide<'a>(
+        &mut self,
+        now: Time,
+        others: impl IntoIterator<Item = &'a WatchView>,
+    ) -> bool {
+        let before = others
+            .into_iter()
+            .filter(|o| o.watches && rank_of(&o.name) < self.rank);
+        let enough = before.count() >= WATCHERS;
+        if !enough {
+            self.enough_since = None;
+            return !std::mem::replace(&mut self.watching, true);
+        }
+        let since = *self.enough_since.get_or_insert(now);
+        let step_down = self.watching && now.since(since) >= STEP_DOWN_AFTER;
+        if step_down {
+            self.watching = false;
+        }
+        step_down
+    }
+}
+
+/// Place in the order of entries, the same at all of them.
+fn rank_of(name: &Name) -> Digest {
+    Digest::of(&[b"watch", name.as_bytes()])
+}
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -5,7 +5,7 @@
 
 use crate::node::Node;
 use crate::store::StoreClient;
-use fireflycroft::{Name, UpstreamRecord};
+use fireflycroft::UpstreamRecord;
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, list_path, read_events, read_page, read_upstream,
     watch_path,
@@ -26,9 +26,11 @@
 /// Longest pause after failed calls.
 const MAX_PAUSE: Duration = Duration::from_millis(700);
 
-/// Pause after changes of the list of upstreams, so that several come with one call. A leaving
-/// upstream serves on for a second and a half at least.
-const GATHER: Duration = Duration::from_millis(120);
+/// Pause after changes of the list of upstreams, so that several come with one call.
+///
+/// Three entries watch, each with pauses of its own, so that the first of them hears of a change
+/// after some 75 ms in the mean; a leaving upstream serves on for a second and a half at least.
+const GATHER: Duration = Duration::from_millis(300);
 
 /// What a feed does with what it reads.
 struct Feed {
@@ -36,7 +38,7 @@
     client: StoreClient,
     kind: Kind,
     pause: Duration,
-    healthy: bool,
+    lost: bool,
 }
 
 /// Follows one kind of object for as long as the process lives.
@@ -47,11 +49,11 @@
         client,
         kind,
         pause: FIRST_PAUSE,
-        healthy: false,
+        lost: false,
     };
     loop {
         match feed.list().await {
-            Ok(revision) => feed.watch_from(revision).await,
+            Ok(revision) => feed.watch_while_on_duty(revision).await,
             Err(why) => feed.rest(&why).await,
         }
     }
@@ -75,12 +77,33 @@
             let first = *revision.get_or_insert(page.revision);
             if !page.more {
                 self.heard();
-                self.take_list(objects, first);
+                self.take_list(&objects, first);
                 return Ok(first);
             }
         }
     }
 
+    /// Watches while this entry is to, then waits until it is again.
+    ///
+    /// A watch that waits at the store is cut short, by closing its connection.
+    async fn watch_while_on_duty(&mut self, revision: u64) {
+        let node = self.node.clone();
+        let off_duty = async {
+            while node.duty.borrow().is_watching() {
+                node.duty_changed.notified().await;
+            }
+        };
+        tokio::select! {
+            () = self.watch_from(revision) => return,
+            () = off_duty => {}
+        }
+        self.client = StoreClient::new(node.place.store.addr);
+        self.node.store_answers.set(false);
+        while !node.duty.borrow().is_watching() {
+            node.duty_changed.notified().await;
+        }
+    }
+
     async fn watch_from(&mut self, mut revision: u64) {
         loop {
             let path = watch_path(self.kind, revision, WATCH_WAIT);
@@ -110,28 +133,30 @@
 
     fn heard(&mut self) {
         self.pause = FIRST_PAUSE;
-        if self.healthy {
+        self.node.store_answers.set(true);
+        if !std::mem::take(&mut self.lost) {
             return;
         }
-        self.healthy = true;
-        self.node.store_since.set(Some(self.node.now()));
+        self.node.regained_at.set(Some(self.node.now()));
         log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
     }
 
     async fn rest(&mut self, why: &str) {
-        if self.healthy {
-            self.healthy = false;
-            self.node.store_since.set(None);
+        self.node.store_answers.set(false);
+        if !std::mem::replace(&mut self.lost, true) {
             log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
         }
         tokio::time::sleep(self.pause).await;
         self.pause = (self.pause * 2).min(MAX_PAUSE);
     }
 
-    fn take_list(&self, objects: Vec<StoreObject>, revision: u64) {
+    fn take_list(&self, objects: &[StoreObject], revision: u64) {
         match self.kind {
             Kind::Config => objects.iter().for_each(|o| self.node.adopt(o, "store")),
-            Kind::Upstreams => take_upstreams(&self.node, objects, revision, "store"),
+            Kind::Upstreams => {
+                let records = objects.iter().filter_map(read_record).collect();
+                take_upstreams(&self.node, records, revision, "store");
+            }
             Kind::Entries => {}
         }
     }
@@ -140,20 +165,21 @@
         for event in events {
             match self.kind {
                 Kind::Config if !event.removed => self.node.adopt(&event.object, "store"),
-                Kind::Upstreams => self.take_upstream(event),
+                Kind::Upstreams => self.take_upstream(&event),
                 Kind::Config | Kind::Entries => {}
             }
         }
     }
 
-    fn take_upstream(&self, event: StoreEvent) {
+    fn take_upstream(&self, event: &StoreEvent) {
         let node = &self.node;
         let now = node.now();
         if !event.removed {
-            learn(node, event.object, "store");
+            let record = read_record(&event.object);
+            let change = record.and_then(|r| node.pool.borrow_mut().learn(now, r));
+            node.take_changes(change, "store");
             return;
         }
-        node.listed.borrow_mut().remove(&event.object.name);
         let sure = node.follows_store();
         log::info!(
             event = "upstream_removed", instance = &*event.object.name,
@@ -172,9 +198,8 @@
 }
 
 /// Takes the list of upstreams of another entry, which follows the store without a gap if `sure`.
-pub fn take_told(node: &Node, objects: Vec<StoreObject>, revision: u64, sure: bool) {
+pub fn take_told(node: &Node, records: Vec<UpstreamRecord>, revision: u64, sure: bool) {
     if sure {
-        let records: Vec<UpstreamRecord> = objects.iter().filter_map(read_record).collect();
         let now = node.now();
         let changes = node
             .pool
@@ -182,31 +207,16 @@
             .forget_others(now, &records, revision);
         node.take_changes(changes, "peer");
     }
-    take_upstreams(node, objects, revision, "peer");
+    take_upstreams(node, records, revision, "peer");
 }
 
 /// Takes a whole list of upstreams.
-fn take_upstreams(node: &Node, objects: Vec<StoreObject>, revision: u64, source: &str) {
-    let records: Vec<UpstreamRecord> = objects.iter().filter_map(read_record).collect();
-    let listed = objects.into_iter().map(|o| (o.name.clone(), o));
-    *node.listed.borrow_mut() = listed.collect();
-    let changes = node
-        .pool
-        .borrow_mut()
-        .learn_all(node.now(), records, revision);
+fn take_upstreams(node: &Node, records: Vec<UpstreamRecord>, revision: u64, source: &str) {
+    let now = node.now();
+    let changes = node.pool.borrow_mut().learn_all(now, records, revision);
     node.take_changes(changes, source);
 }
 
-fn learn(node: &Node, object: StoreObject, source: &str) {
-    let Some(record) = read_record(&object) else {
-        return;
-    };
-    let name: Name = object.name.clone();
-    node.listed.borrow_mut().insert(name, object);
-    let change = node.pool.borrow_mut().learn(node.now(), record);
-    node.take_changes(change, source);
-}
-
 fn read_record(object: &StoreObject) -> Option<UpstreamRecord> {
     match read_upstream(object) {
         Ok(record) => Some(record),
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -5,11 +5,12 @@
 use crate::peers::Peers;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, LengthGuess, Name, Need, Pool, PoolChange, Quarantine, RepeatBudget, Time, UpstreamIx,
+    Catalog, LengthGuess, Need, Pool, PoolChange, Quarantine, RepeatBudget, Time, UpstreamIx,
+    WatchDuty,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -41,8 +42,6 @@
     pub published: RefCell<Option<StoreObject>>,
     /// Upstreams.
     pub pool: RefCell<Pool>,
-    /// Upstreams as the store holds them, to hand to other entries.
-    pub listed: RefCell<HashMap<Name, StoreObject>>,
     /// Budget of repeats.
     pub budget: RefCell<RepeatBudget>,
     /// Content that crashes upstreams.
@@ -55,8 +54,14 @@
     pub runs: Runs,
     /// Other entries.
     pub peers: RefCell<Peers>,
-    /// Since when the store has answered; `None` while it doesn't.
-    pub store_since: Cell<Option<Time>>,
+    /// Whether this entry watches the store for the others.
+    pub duty: RefCell<WatchDuty>,
+    /// Rings when that has changed.
+    pub duty_changed: Notify,
+    /// Whether the store answered the last call.
+    pub store_answers: Cell<bool>,
+    /// When the store answered again after it had been lost.
+    pub regained_at: Cell<Option<Time>>,
     /// Rings when an upstream comes or the configuration changes.
     pub changed: Notify,
     /// Rings when there is something to tell the other entries at once.
@@ -87,14 +92,16 @@
             catalog: RefCell::default(),
             published: RefCell::default(),
             pool: RefCell::new(pool),
-            listed: RefCell::default(),
             budget: RefCell::new(budget),
             quarantine: RefCell::default(),
             lengths: RefCell::default(),
             links: Links::new(clock),
             runs: Runs::default(),
             peers: RefCell::new(peers),
-            store_since: Cell::new(None),
+            duty: RefCell::new(WatchDuty::new(&place.vm)),
+            duty_changed: Notify::new(),
+            store_answers: Cell::new(false),
+            regained_at: Cell::new(None),
             changed: Notify::new(),
             urgent: Notify::new(),
             placed: Notify::new(),
@@ -136,18 +143,19 @@
         self.stage() == Stage::Serving && self.catalog.borrow().is_some()
     }
 
-    /// Whether the store answers.
+    /// Whether this entry watches the store and is answered.
     #[must_use]
-    pub fn hears_store(&self) -> bool {
-        self.store_since.get().is_some()
+    pub fn watches_store(&self) -> bool {
+        self.duty.borrow().is_watching() && self.store_answers.get()
     }
 
     /// Whether the store has answered for so long that what its list lacks is gone.
     #[must_use]
     pub fn follows_store(&self) -> bool {
         let now = self.now();
-        let since = self.store_since.get();
-        since.is_some_and(|t| now.since(t) >= REMOVALS_UNSURE)
+        let regained = self.regained_at.get();
+        let settled = regained.is_none_or(|t| now.since(t) >= REMOVALS_UNSURE);
+        self.watches_store() && settled
     }
 
     /// Version of the configuration in force; zero for none.
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -11,7 +11,9 @@
 use crate::node::{Node, Stage};
 use crate::state_page::{PeerState, STATE_PATH};
 use crate::store::StoreClient;
-use fireflycroft::{CrashCount, Digest, EntryNews, Incarnation, Time, whole_millis};
+use fireflycroft::{
+    CrashCount, Digest, EntryNews, Incarnation, ListChange, Name, Time, WatchView, whole_millis,
+};
 use fireflycroft_platform::Place;
 use fireflycroft_wire::{decode_news, encode_news};
 use rand::Rng;
@@ -36,6 +38,9 @@
 /// Silence after which an entry no longer counts.
 const HEARD_WITHIN: Duration = Duration::from_secs(2);
 
+/// Silence after which a watcher no longer counts: three tellings.
+const WATCHER_HEARD_WITHIN: Duration = Duration::from_millis(800);
+
 /// Silence after which an entry is told nothing more.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -51,16 +56,18 @@
 /// Longest time for fetching a peer's state: a megabyte over the slowest link.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time for which the store may owe this entry a change that another one knows: changes are
-/// gathered for about half of it.
-const STORE_PATIENCE: Duration = Duration::from_millis(240);
+/// Time for which a watcher's list may differ: its changes come by several datagrams, and this
+/// entry may have them from the store a moment later.
+const LIST_PATIENCE: Duration = Duration::from_millis(300);
 
 /// What is known of another entry.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Known {
+    name: Name,
     heard: Option<Time>,
     since: Time,
     leaving: bool,
+    watches: bool,
 }
 
 /// Other entries, and what is to be told to them.
@@ -71,7 +78,6 @@
     seeds: Vec<Ipv4Addr>,
     crashes: VecDeque<CrashCount>,
     fetching: Rc<Cell<bool>>,
-    highest_told: u64,
     behind_since: Option<Time>,
 }
 
@@ -89,7 +95,6 @@
             seeds: seeds.filter(|ip| *ip != place.ip).collect(),
             crashes: VecDeque::new(),
             fetching: Rc::default(),
-            highest_told: 0,
             behind_since: None,
         }
     }
@@ -102,6 +107,16 @@
         self.known.values().filter(counts).count()
     }
 
+    /// What the other entries that are heard do about the store.
+    fn watch_views(&self, now: Time) -> Vec<WatchView> {
+        let heard = |k: &&Known| k.heard.is_some_and(|t| now.since(t) < WATCHER_HEARD_WITHIN);
+        let view = |k: &Known| WatchView {
+            name: k.name.clone(),
+            watches: k.watches,
+        };
+        self.known.values().filter(heard).map(view).collect()
+    }
+
     /// Keeps a crash count to be told.
     pub fn tell_crash(&mut self, content: Digest, count: u8) {
         self.crashes.retain(|c| c.content != content);
@@ -114,30 +129,29 @@
     /// Takes the sender of news and those whom it names.
     fn learn(&mut self, now: Time, from: Ipv4Addr, news: &EntryNews) {
         let known = Known {
+            name: news.name.clone(),
             heard: Some(now),
             since: now,
             leaving: news.leaving,
+            watches: news.watches && !news.leaving,
         };
         self.known.insert(from, known);
         for ip in news.peers.iter().filter(|ip| **ip != self.me) {
             self.known.entry(*ip).or_insert(Known {
+                name: Name::default(),
                 heard: None,
                 since: now,
                 leaving: false,
+                watches: false,
             });
         }
     }
 
-    /// Notes which revision of the list of upstreams a peer knows; gives the time for which this
-    /// entry has been behind, if the peer is ahead of it.
-    fn note_upstreams(&mut self, now: Time, theirs: u64, mine: u64) -> Option<Duration> {
-        self.highest_told = self.highest_told.max(theirs);
-        if mine >= self.highest_told {
-            self.behind_since = None;
-            return None;
-        }
+    /// Notes that a watcher's list differs from this entry's; true when it has for so long that the
+    /// list has to be fetched.
+    fn note_behind(&mut self, now: Time) -> bool {
         let since = *self.behind_since.get_or_insert(now);
-        (theirs > mine).then(|| now.since(since))
+        now.since(since) >= LIST_PATIENCE
     }
 
     /// Whom to tell now.
@@ -175,6 +189,7 @@
         };
         let news = match reason {
             Reason::Urgent | Reason::Due => {
+                decide_duty(&node);
                 tell_all_at = node.now() + TELL_EVERY;
                 all_news(&node)
             }
@@ -187,6 +202,19 @@
     }
 }
 
+/// Decides whether this entry watches the store.
+fn decide_duty(node: &Node) {
+    let now = node.now();
+    let views = node.peers.borrow().watch_views(now);
+    let mut duty = node.duty.borrow_mut();
+    if duty.decide(now, &views) {
+        let watching = duty.is_watching();
+        drop(duty);
+        log::info!(event = "watch_duty", watching = watching, peers = views.len(); "");
+        node.duty_changed.notify_waiters();
+    }
+}
+
 /// Why news is sent.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Reason {
@@ -215,6 +243,7 @@
     let peers = node.peers.borrow();
     EntryNews {
         repeats,
+        list_changes: list_changes(node),
         placed: node.pool.borrow().placed(),
         crashes: peers.crashes.iter().copied().collect(),
         peers: peers.named(),
@@ -232,13 +261,23 @@
     }
 }
 
+/// Changes of the list of upstreams, if this entry has them from the store.
+fn list_changes(node: &Node) -> Vec<ListChange> {
+    if node.watches_store() {
+        node.pool.borrow().list_changes(node.now())
+    } else {
+        Vec::new()
+    }
+}
+
 fn head(node: &Node, peers: &Peers) -> EntryNews {
     EntryNews {
         name: node.place.vm.clone(),
         incarnation: peers.incarnation,
         config: node.version(),
         upstreams: node.pool.borrow().revision(),
-        hears_store: node.hears_store(),
+        upstreams_digest: node.pool.borrow().digest(),
+        watches: node.watches_store(),
         leaving: node.stage() != Stage::Serving,
         ..EntryNews::default()
     }
@@ -274,8 +313,11 @@
     node.peers.borrow_mut().learn(now, from, &news);
     let mut pool = node.pool.borrow_mut();
     pool.note_others(now, &news.name, &news.placed, news.changes_only);
-    let upstreams = pool.revision();
     drop(pool);
+    for change in news.list_changes {
+        let taken = node.pool.borrow_mut().take_change(now, change);
+        node.take_changes(taken, "peer");
+    }
     if !news.changes_only {
         let mut budget = node.budget.borrow_mut();
         budget.note_others(now, &news.name, news.repeats);
@@ -284,15 +326,15 @@
         learn_crash(node, now, crash);
     }
     let config_behind = news.config > node.version();
-    let mut peers = node.peers.borrow_mut();
-    let behind_for = peers.note_upstreams(now, news.upstreams, upstreams);
-    drop(peers);
-    let patience = if node.hears_store() {
-        STORE_PATIENCE
-    } else {
-        Duration::ZERO
+    let upstreams_behind = news.watches && {
+        let pool = node.pool.borrow();
+        let mut peers = node.peers.borrow_mut();
+        if pool.digest() == news.upstreams_digest {
+            peers.behind_since = None;
+        }
+        let behind = pool.digest() != news.upstreams_digest && news.upstreams >= pool.revision();
+        behind && peers.note_behind(now)
     };
-    let upstreams_behind = behind_for.is_some_and(|span| span >= patience);
     if config_behind || upstreams_behind {
         fetch(node, from);
     }
@@ -331,7 +373,7 @@
     if let Some(config) = &state.config {
         node.adopt(config, "peer");
     }
-    if state.revision > node.pool.borrow().revision() {
+    if state.revision >= node.pool.borrow().revision() {
         take_told(node, state.upstreams, state.revision, state.sure);
     }
     Ok(())
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use bytes::Bytes;
+use fireflycroft::UpstreamRecord;
 use fireflycroft_platform::StoreObject;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -23,7 +24,7 @@
     /// Configuration in force.
     pub config: Option<StoreObject>,
     /// Upstreams known.
-    pub upstreams: Vec<StoreObject>,
+    pub upstreams: Vec<UpstreamRecord>,
     /// Revision of the list of upstreams.
     pub revision: u64,
     /// Whether the store has answered for so long that what the list lacks is gone.
@@ -67,7 +68,7 @@
 fn state(node: &Node) -> PeerState {
     PeerState {
         config: node.published.borrow().clone(),
-        upstreams: node.listed.borrow().values().cloned().collect(),
+        upstreams: node.pool.borrow().records().cloned().collect(),
         revision: node.pool.borrow().revision(),
         sure: node.follows_store() && !node.pool.borrow().any_missing(),
     }
