--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -366,7 +366,11 @@
         self.revision = self.revision.max(revision);
         let ix = self.find(instance)?;
         let u = &mut self.upstreams[ix.0];
-        if u.gone || revision < u.record.revision {
+        if revision < u.record.revision {
+            return None;
+        }
+        if u.gone {
+            u.record.revision = revision;
             return None;
         }
         u.record.revision = revision;
--- /dev/null
+++ b/fireflycroft/tests/guess.rs
@@ -0,0 +1,85 @@
+//! Lengths learned from hints and answers.
+
+use fireflycroft::{LengthGuess, Name};
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+cases! {
+    unseen_kind_leans_on_its_bound => unseen_leans();
+    true_hints_are_followed => follows_true_hints();
+    empty_hints_are_ignored => ignores_empty_hints();
+    guess_stays_within_the_bound => within_bound();
+    kinds_are_apart => kinds_apart();
+    without_a_hint_the_mean_is_taken => takes_the_mean();
+}
+
+const MOST: u32 = 2_000;
+
+fn kind() -> Name {
+    Name::from("log")
+}
+
+fn unseen_leans() {
+    let guess = LengthGuess::default();
+    let tokens = guess.expect(&kind(), Some(500), MOST);
+    assert!((300..1_200).contains(&tokens), "{tokens}");
+}
+
+fn follows_true_hints() {
+    let mut guess = LengthGuess::default();
+    for i in 1..400_u32 {
+        let tokens = 10 + i * 37 % 1_900;
+        guess.learn(&kind(), Some(tokens), MOST, u64::from(tokens));
+    }
+    let short = guess.expect(&kind(), Some(50), MOST);
+    let long = guess.expect(&kind(), Some(1_500), MOST);
+    assert!((35..80).contains(&short), "{short}");
+    assert!((1_100..=2_000).contains(&long), "{long}");
+}
+
+fn ignores_empty_hints() {
+    let mut guess = LengthGuess::default();
+    for i in 1..400_u32 {
+        let hint = if i % 2 == 0 { 20 } else { 1_900 };
+        guess.learn(&kind(), Some(hint), MOST, u64::from(300 + i / 2 % 7));
+    }
+    let (low, high) = (
+        guess.expect(&kind(), Some(20), MOST),
+        guess.expect(&kind(), Some(1_900), MOST),
+    );
+    assert!(low.abs_diff(high) < 30, "{low} {high}");
+    assert!((280..330).contains(&low), "{low}");
+}
+
+fn within_bound() {
+    let guess = LengthGuess::default();
+    assert!(guess.expect(&kind(), Some(u32::MAX), MOST) <= u64::from(MOST));
+    assert_eq!(guess.expect(&kind(), None, 0), 0);
+}
+
+fn kinds_apart() {
+    let mut guess = LengthGuess::default();
+    for _ in 0..100 {
+        guess.learn(&Name::from("grade"), Some(10), 72, 8);
+    }
+    assert!(guess.expect(&kind(), Some(500), MOST) > 200);
+    assert!(guess.expect(&Name::from("grade"), Some(10), 72) < 20);
+}
+
+fn takes_the_mean() {
+    let mut guess = LengthGuess::default();
+    for _ in 0..400 {
+        guess.learn(&kind(), Some(100), MOST, 400);
+    }
+    let tokens = guess.expect(&kind(), None, MOST);
+    assert!((350..450).contains(&tokens), "{tokens}");
+}
--- /dev/null
+++ b/fireflycroft/tests/pool.rs
@@ -0,0 +1,351 @@
+//! The table of upstreams a direct entry drives, and its choice among them.
+
+use fireflycroft::{
+    ListChange, MISSING_FOR, Name, Need, Placed, PlacedAt, Pool, PoolChange, Time, UpstreamIx,
+    UpstreamRecord, UpstreamState,
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+cases! {
+    emptier_memory_is_chosen => chooses_emptier_memory();
+    what_others_placed_counts => counts_others();
+    what_others_told_long_ago_does_not => forgets_others();
+    changes_leave_the_rest_of_what_was_told => keeps_the_rest();
+    unread_prompts_are_avoided => avoids_unread();
+    read_prompts_no_longer_count => read_no_longer_counts();
+    leaving_upstream_is_not_chosen => leaving_is_not_chosen();
+    avoided_upstream_is_the_last_resort => avoided_is_last();
+    failing_upstream_is_left_for_a_sound_one => failing_is_left();
+    older_record_changes_nothing => older_changes_nothing();
+    removed_upstream_does_not_come_back_by_an_old_record => removed_stays_away();
+    upstream_that_came_back_serves => came_back_serves();
+    missing_upstream_serves_on_for_a_while => missing_serves_on();
+    missing_upstream_that_is_listed_again_stays => missing_comes_back();
+    list_of_a_sure_peer_removes_at_once => sure_list_removes();
+    told_changes_lead_to_the_same_list => told_changes_converge();
+    outgrown_run_counts_for_more => outgrown_counts();
+    other_service_is_never_chosen => other_service();
+    copy_stays_in_its_data_centre => copy_stays_near();
+}
+
+const MEMORY: u64 = 10_000;
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn record(instance: &str, revision: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        instance: Name::from(instance),
+        service: Name::from("models"),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        data_centre: Name::from("dc"),
+        slots: 16,
+        state: UpstreamState::Serving,
+        cold_for: Duration::ZERO,
+        revision,
+    }
+}
+
+fn leaving(instance: &str, revision: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        state: UpstreamState::Leaving,
+        ..record(instance, revision)
+    }
+}
+
+fn pool(instances: &[&str]) -> Pool {
+    let mut pool = Pool::new(Name::from("dc"));
+    for (i, instance) in instances.iter().enumerate() {
+        pool.learn(at(0), record(instance, 1 + i as u64));
+    }
+    pool.set_memory("models", Some(MEMORY));
+    pool
+}
+
+fn need(tokens: u64) -> Need {
+    Need {
+        slots: 1,
+        tokens,
+        ..Need::default()
+    }
+}
+
+fn chosen(pool: &Pool, now: Time, need: &Need) -> String {
+    let ix = pool.choose(now, "models", need, &[]).unwrap();
+    pool.record(ix).instance.to_string()
+}
+
+fn ix(pool: &Pool, instance: &str) -> UpstreamIx {
+    pool.find(instance).unwrap()
+}
+
+fn told(instance: &str, tokens: u64) -> PlacedAt {
+    PlacedAt {
+        instance: Name::from(instance),
+        placed: Placed {
+            running: 1,
+            tokens,
+            unread: 0,
+        },
+    }
+}
+
+fn chooses_emptier_memory() {
+    let mut pool = pool(&["a", "b"]);
+    let a = ix(&pool, "a");
+    pool.place(at(0), a, &need(5_000));
+    assert_eq!(chosen(&pool, at(0), &need(100)), "b");
+    pool.release(a, &need(5_000));
+    let b = ix(&pool, "b");
+    pool.place(at(0), b, &need(5_000));
+    assert_eq!(chosen(&pool, at(0), &need(100)), "a");
+}
+
+fn counts_others() {
+    let mut pool = pool(&["a", "b"]);
+    pool.note_others(at(0), &Name::from("other"), &[told("a", 5_000)], false);
+    assert_eq!(chosen(&pool, at(100), &need(100)), "b");
+}
+
+fn forgets_others() {
+    let mut pool = pool(&["a", "b"]);
+    pool.note_others(at(0), &Name::from("other"), &[told("a", 9_000)], false);
+    let b = ix(&pool, "b");
+    pool.place(at(5_000), b, &need(5_000));
+    assert_eq!(chosen(&pool, at(5_000), &need(100)), "a");
+}
+
+fn keeps_the_rest() {
+    let mut pool = pool(&["a", "b"]);
+    let other = Name::from("other");
+    pool.note_others(at(0), &other, &[told("a", 1_000), told("b", 2_000)], false);
+    pool.note_others(at(10), &other, &[told("a", 5_000)], true);
+    let fills = ["a", "b"].map(|i| pool.view(at(20), ix(&pool, i)).placed.tokens);
+    assert_eq!(fills, [5_000, 2_000]);
+    pool.note_others(at(30), &other, &[told("a", 5_000)], false);
+    assert_eq!(pool.view(at(40), ix(&pool, "b")).placed.tokens, 0);
+}
+
+fn unread_need() -> Need {
+    Need {
+        unread: 6_000,
+        ..need(3_000)
+    }
+}
+
+fn avoids_unread() {
+    let mut pool = pool(&["a", "b"]);
+    let (a, b) = (ix(&pool, "a"), ix(&pool, "b"));
+    pool.place(at(0), a, &unread_need());
+    pool.place(at(0), b, &need(4_000));
+    assert_eq!(chosen(&pool, at(0), &need(100)), "b");
+}
+
+fn read_no_longer_counts() {
+    let mut pool = pool(&["a", "b"]);
+    let (a, b) = (ix(&pool, "a"), ix(&pool, "b"));
+    let mut unread = unread_need();
+    pool.place(at(0), a, &unread);
+    pool.place(at(0), b, &need(6_000));
+    pool.note_read(a, &mut unread);
+    assert_eq!(chosen(&pool, at(0), &need(100)), "a");
+    pool.release(a, &unread);
+    assert_eq!(pool.view(at(0), a).placed, Placed::default());
+}
+
+fn leaving_is_not_chosen() {
+    let mut pool = pool(&["a", "b"]);
+    let change = pool.learn(at(7), leaving("a", 9));
+    assert_eq!(change, Some(PoolChange::Leaves(ix(&pool, "a"))));
+    assert_eq!(pool.left_at(ix(&pool, "a")), Some(at(7)));
+    assert_eq!(chosen(&pool, at(8), &need(1)), "b");
+    pool.forget(at(9), "b", 10);
+    assert_eq!(pool.choose(at(10), "models", &need(1), &[]), None);
+}
+
+fn avoided_is_last() {
+    let mut pool = pool(&["a", "b"]);
+    let a = ix(&pool, "a");
+    pool.avoid(at(0), a, Duration::from_secs(1));
+    assert_eq!(chosen(&pool, at(500), &need(1)), "b");
+    let only = pool.choose(at(500), "models", &need(1), &[ix(&pool, "b")]);
+    assert_eq!(only, Some(a));
+}
+
+fn failing_is_left() {
+    let mut pool = pool(&["a", "b"]);
+    let a = ix(&pool, "a");
+    for _ in 0..10 {
+        pool.note_outcome(a, true);
+    }
+    let b = ix(&pool, "b");
+    pool.place(at(0), b, &need(5_000));
+    assert_eq!(chosen(&pool, at(0), &need(1)), "b");
+}
+
+fn older_changes_nothing() {
+    let mut pool = pool(&["a"]);
+    pool.learn(at(1), leaving("a", 5));
+    assert_eq!(pool.learn(at(2), record("a", 4)), None);
+    assert!(!pool.is_serving(ix(&pool, "a")));
+}
+
+fn removed_stays_away() {
+    let mut pool = pool(&["a"]);
+    pool.forget(at(1), "a", 6);
+    assert_eq!(pool.learn(at(2), record("a", 1)), None);
+    assert_eq!(pool.count("models"), 0);
+}
+
+fn came_back_serves() {
+    let mut pool = pool(&["a"]);
+    pool.forget(at(1), "a", 6);
+    let change = pool.learn(at(2), record("a", 7));
+    assert_eq!(change, Some(PoolChange::Came(ix(&pool, "a"))));
+    assert_eq!(pool.count("models"), 1);
+}
+
+fn missing_serves_on() {
+    let mut pool = pool(&["a", "b"]);
+    pool.learn_all(at(0), vec![record("b", 2)], 5);
+    assert_eq!(pool.count("models"), 2);
+    assert!(pool.drop_missing(at(100)).is_empty());
+    let later = at(0) + MISSING_FOR;
+    assert_eq!(pool.drop_missing(later).len(), 1);
+    assert_eq!(pool.count("models"), 1);
+}
+
+fn missing_comes_back() {
+    let mut pool = pool(&["a"]);
+    pool.note_missing(at(0), "a", 4);
+    pool.learn(at(1_000), record("a", 5));
+    assert!(pool.drop_missing(at(9_000)).is_empty());
+    assert_eq!(pool.count("models"), 1);
+}
+
+fn sure_list_removes() {
+    let mut pool = pool(&["a", "b"]);
+    let gone = pool.forget_others(at(1), &[record("b", 2)], 8);
+    assert_eq!(gone, vec![PoolChange::Leaves(ix(&pool, "a"))]);
+}
+
+fn told_changes_converge() {
+    let mut from = pool(&["a", "b"]);
+    let mut to = pool(&["a", "b"]);
+    from.learn(at(1), leaving("a", 5));
+    from.forget(at(2), "b", 6);
+    from.learn(at(3), record("c", 7));
+    assert_ne!(from.digest(), to.digest());
+    for change in from.list_changes(at(4)) {
+        to.take_change(at(5), change);
+    }
+    assert_eq!(from.digest(), to.digest());
+    assert_eq!(from.revision(), to.revision());
+    assert!(from.list_changes(at(9_000)).is_empty());
+}
+
+fn outgrown_counts() {
+    let mut pool = pool(&["a"]);
+    let a = ix(&pool, "a");
+    let mut run = need(1_000);
+    pool.place(at(0), a, &run);
+    pool.grow(a, &mut run, 1_500);
+    assert_eq!(pool.view(at(0), a).placed.tokens, 1_500);
+    pool.release(a, &run);
+    assert_eq!(pool.view(at(0), a).placed.tokens, 0);
+}
+
+fn other_service() {
+    let pool = pool(&["a"]);
+    assert_eq!(pool.choose(at(0), "records", &need(0), &[]), None);
+}
+
+fn copy_stays_near() {
+    let mut pool = pool(&["a", "b"]);
+    let far = UpstreamRecord {
+        data_centre: Name::from("far"),
+        ..record("c", 9)
+    };
+    pool.learn(at(0), far);
+    pool.set_memory("models", Some(MEMORY));
+    let b = ix(&pool, "b");
+    pool.place(at(0), b, &need(200));
+    let copy = Need {
+        copied_from: pool.find("a"),
+        ..need(10)
+    };
+    let keeper = pool.choose(at(0), "models", &copy, &[ix(&pool, "a")]);
+    assert_eq!(keeper, Some(b));
+}
+
+fn change() -> impl Strategy<Value = ListChange> {
+    let names = prop::sample::select(vec!["a", "b", "c", "d"]);
+    (names, 1_u64..40, 0_u8..3).prop_map(|(name, revision, kind)| match kind {
+        0 => ListChange::Listed(record(name, revision)),
+        1 => ListChange::Listed(leaving(name, revision)),
+        _ => ListChange::Removed {
+            instance: Name::from(name),
+            revision,
+        },
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever order changes come in, and however often, the newest of each upstream holds.
+    #[test]
+    fn order_of_changes_does_not_matter(
+        changes in prop::collection::vec(change(), 1..30).prop_shuffle(),
+    ) {
+        // One revision is one change, as in the store.
+        let mut seen = std::collections::HashSet::new();
+        let revision_of = |c: &ListChange| match c {
+            ListChange::Listed(r) => r.revision,
+            ListChange::Removed { revision, .. } => *revision,
+        };
+        let once: Vec<ListChange> = changes.into_iter().filter(|c| seen.insert(revision_of(c))).collect();
+        let mut sorted = once.clone();
+        sorted.sort_by_key(revision_of);
+        let build = |changes: &[ListChange]| {
+            let mut pool = pool(&["a", "b", "c", "d"].map(|_| "x")[..1]);
+            for name in ["a", "b", "c", "d"] {
+                pool.learn(at(0), record(name, 0));
+            }
+            for change in changes {
+                pool.take_change(at(1), change.clone());
+            }
+            pool.digest()
+        };
+        prop_assert_eq!(build(&once), build(&sorted));
+    }
+
+    /// Placing and releasing in any order leaves nothing behind.
+    #[test]
+    fn placements_balance(tokens in prop::collection::vec(1_u64..5_000, 1..40)) {
+        let mut pool = pool(&["a", "b", "c"]);
+        let placed: Vec<(UpstreamIx, Need)> = tokens.iter().map(|t| {
+            let need = need(*t);
+            let ix = pool.choose(at(0), "models", &need, &[]).unwrap();
+            pool.place(at(0), ix, &need);
+            (ix, need)
+        }).collect();
+        for (ix, need) in placed {
+            pool.release(ix, &need);
+        }
+        prop_assert!(pool.placed().is_empty());
+    }
+}
