Explain a request from logs, and serve metrics of the direct entry

Cause: on-call engineers have logs and metrics only; `explain` asked nodes for their notes, which the direct entry doesn't keep, and it had no metrics.

Ruled out: a second format of notes for this entry; the lines hold what decided each step already.

Before: a cut dossier took a search over five processes' lines by hand.

--- a/fireflyctl/src/cli.rs
+++ b/fireflyctl/src/cli.rs
@@ -7,7 +7,7 @@
 use crate::failure::{Failure, Result};
 use crate::fleet::Fleet;
 use crate::report::{self, BurnJob};
-use crate::{drain, explain, keys, record, show, status, vms};
+use crate::{drain, explain, keys, record, show, status, story, vms};
 use clap::ArgMatches;
 use fireflycroft::Name;
 use fireflyd::metrics::Metrics;
@@ -63,6 +63,10 @@
         }
         ("explain", _) => {
             let id = text(args, "request-id")?;
+            if let Some(files) = args.get_many::<PathBuf>("logs") {
+                let files: Vec<PathBuf> = files.cloned().collect();
+                return story::explain_logs(&files, id, args.get_flag("json"), console);
+            }
             explain::explain(&fleet(args)?, id, args.get_flag("json"), console).await
         }
         ("report", "record") => {
--- a/fireflyctl/src/command.rs
+++ b/fireflyctl/src/command.rs
@@ -147,12 +147,20 @@
 fn explain_command() -> Command {
     let id = Arg::new("request-id")
         .value_name("REQUEST-ID")
-        .help("Id of the request, 32 hexadecimal digits")
+        .help("Id of the request")
         .env(env_name("request-id"))
         .required(true);
     Command::new("explain")
         .about("Tells what happened to a request, and why")
         .arg(id)
+        .arg(
+            path_flag(
+                "logs",
+                "Files of log lines, - for standard input; the nodes when absent",
+            )
+            .action(clap::ArgAction::Append)
+            .num_args(1..),
+        )
         .arg(switch("json", "Print as JSON"))
 }
 
--- a/fireflyctl/src/lib.rs
+++ b/fireflyctl/src/lib.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod ground;
 mod keys;
+mod log_line;
 mod page;
 mod publish;
 mod record;
@@ -25,6 +26,7 @@
 mod span;
 mod status;
 mod store;
+mod story;
 mod table;
 mod vms;
 mod wait;
@@ -38,6 +40,7 @@
 pub use command::{command, env_name};
 pub use console::Console;
 pub use failure::{Conflict, Failure, FileFault, Result};
+pub use log_line::{LogLine, read_line};
 pub use publish::{
     Base, Outcome, base, confirm_parts, past_document, publish_head, put_head, put_parts, put_past,
     read_back,
@@ -45,3 +48,4 @@
 pub use record::{GoalTally, Interval, Recorder};
 pub use scrape::{Goal, Tallies, Tally, parse_metrics};
 pub use store::{Store, StoreObject};
+pub use story::{Story, StoryLine, tell};
--- /dev/null
+++ b/fireflyctl/src/log_line.rs
@@ -0,0 +1,81 @@
+//! Lines of key=value pairs, as the processes write them.
+
+/// One line of a process's log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogLine {
+    /// Process that wrote it.
+    pub process: String,
+    /// When, as written: UTC with milliseconds, so that it sorts as text.
+    pub time: String,
+    /// What happened.
+    pub event: String,
+    /// Request that it is about.
+    pub req: Option<String>,
+    /// All other pairs, in order.
+    pub pairs: Vec<(String, String)>,
+}
+
+impl LogLine {
+    /// Value of a pair.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&str> {
+        let found = self.pairs.iter().find(|(k, _)| k == key);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Reads a line of the process `process`; `None` when it holds no event.
+///
+/// What stands before the first pair is taken for a collector's prefix; its last word names the
+/// process then.
+#[must_use]
+pub fn read_line(process: &str, text: &str) -> Option<LogLine> {
+    let at = text.find("time=")?;
+    let prefix = text[..at].split_whitespace().last();
+    let mut line = LogLine {
+        process: prefix.unwrap_or(process).to_owned(),
+        time: String::new(),
+        event: String::new(),
+        req: None,
+        pairs: Vec::new(),
+    };
+    for (key, value) in read_pairs(&text[at..]) {
+        match key {
+            "time" => line.time = value,
+            "event" => line.event = value,
+            "req" => line.req = Some(value),
+            "level" => {}
+            _ => line.pairs.push((key.to_owned(), value)),
+        }
+    }
+    (!line.event.is_empty()).then_some(line)
+}
+
+fn read_pairs(text: &str) -> Vec<(&str, String)> {
+    let mut pairs = Vec::new();
+    let mut rest = text.trim();
+    while let Some((key, after)) = rest.split_once('=') {
+        let (value, left) = read_value(after);
+        pairs.push((key.trim(), value));
+        rest = left;
+    }
+    pairs
+}
+
+/// A value and what follows it; quotes and escapes are taken off.
+fn read_value(text: &str) -> (String, &str) {
+    let Some(quoted) = text.strip_prefix('"') else {
+        let end = text.find(' ').unwrap_or(text.len());
+        return (text[..end].to_owned(), text[end..].trim_start());
+    };
+    let mut value = String::new();
+    let mut chars = quoted.char_indices();
+    while let Some((at, c)) = chars.next() {
+        match c {
+            '"' => return (value, quoted[at + 1..].trim_start()),
+            '\\' => value.extend(chars.next().map(|(_, escaped)| escaped)),
+            c => value.push(c),
+        }
+    }
+    (value, "")
+}
--- /dev/null
+++ b/fireflyctl/src/story.rs
@@ -0,0 +1,261 @@
+//! `explain --logs`: what happened to one request, from the logs of the processes.
+//!
+//! The lines of the request are put in order of time. Beside them stand lines
+//! about the upstreams that it met and about the store, shortly before and
+//! after. At the end one sentence says what decided the outcome.
+
+use crate::console::Console;
+use crate::failure::{Failure, Result};
+use crate::log_line::{LogLine, read_line};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashSet};
+use std::fmt::Write as _;
+use std::io::Read as _;
+use std::path::{Path, PathBuf};
+
+/// Lines about the fleet that are shown before the first and after the last line of the request.
+const CONTEXT_LINES: usize = 12;
+
+/// Events about the fleet that may explain what became of a request.
+const OF_THE_FLEET: [&str; 9] = [
+    "upstream_leaves",
+    "upstream_removed",
+    "upstream_crashed",
+    "store_lost",
+    "store_regained",
+    "config_adopted",
+    "stopping",
+    "stopped",
+    "started",
+];
+
+/// Longest pause between events that callers of streams bear without a thought, in milliseconds.
+const LONG_PAUSE_MS: u64 = 180;
+
+/// A request's lines, and what decided its outcome.
+#[derive(Clone, Debug, Serialize)]
+pub struct Story {
+    /// The request.
+    pub request: String,
+    /// Its lines and those about the fleet, in order.
+    pub lines: Vec<StoryLine>,
+    /// What decided the outcome.
+    pub cause: String,
+}
+
+/// One line of a story.
+#[derive(Clone, Debug, Serialize)]
+pub struct StoryLine {
+    /// When, as written.
+    pub time: String,
+    /// Process that wrote it.
+    pub process: String,
+    /// What happened.
+    pub event: String,
+    /// Whether it is about the request itself.
+    pub own: bool,
+    /// What goes with it.
+    pub pairs: BTreeMap<String, String>,
+}
+
+/// Prints the story of a request; `-` among the files is standard input.
+pub(crate) fn explain_logs(
+    files: &[PathBuf],
+    id: &str,
+    json: bool,
+    console: &mut Console<'_>,
+) -> Result<()> {
+    let mut lines = Vec::new();
+    for file in files {
+        let text = read_text(file)?;
+        let name = process_name(file);
+        lines.extend(text.lines().filter_map(|line| read_line(&name, line)));
+    }
+    let Some(story) = tell(lines, id) else {
+        return Err(anyhow::anyhow!("no line of these logs is about request {id}").into());
+    };
+    if json {
+        return console.json(&story);
+    }
+    for line in &story.lines {
+        console.say(show(line))?;
+    }
+    console.say(format!("cause: {}", story.cause))
+}
+
+fn read_text(file: &Path) -> Result<String> {
+    let bytes = if file == Path::new("-") {
+        let mut bytes = Vec::new();
+        std::io::stdin().read_to_end(&mut bytes)?;
+        bytes
+    } else {
+        let read = std::fs::read(file);
+        read.map_err(|e| Failure::Usage(format!("{}: {e}", file.display())))?
+    };
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+fn process_name(file: &Path) -> String {
+    let stem = file.file_stem().unwrap_or_default();
+    stem.to_string_lossy().into_owned()
+}
+
+fn show(line: &StoryLine) -> String {
+    let mark = if line.own { ' ' } else { '|' };
+    let mut text = format!("{}  {}  {mark} {}", line.time, line.process, line.event);
+    for (key, value) in &line.pairs {
+        // Writing to a string can't fail.
+        let _ = write!(text, "  {key}={value}");
+    }
+    text
+}
+
+/// The story of request `id`, if any line is about it.
+#[must_use]
+pub fn tell(mut lines: Vec<LogLine>, id: &str) -> Option<Story> {
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    let is_own = |line: &LogLine| line.req.as_deref() == Some(id);
+    let first = lines.iter().position(is_own)?;
+    let last = lines.iter().rposition(is_own)?;
+    let own: Vec<&LogLine> = lines.iter().filter(|l| is_own(l)).collect();
+    let cause = cause_of(&own, &lines);
+    let met: HashSet<&str> = own.iter().flat_map(|l| instances(l)).collect();
+    let process = own[0].process.as_str();
+    let of_fleet = |line: &LogLine| {
+        let about_met = line.get("instance").is_some_and(|i| met.contains(i));
+        let own_process = line.process == process && line.get("instance").is_none();
+        OF_THE_FLEET.contains(&line.event.as_str()) && (about_met || own_process)
+    };
+    let mut before: Vec<&LogLine> = lines[..first].iter().filter(|l| of_fleet(l)).collect();
+    let skipped = before.len().saturating_sub(CONTEXT_LINES);
+    before.drain(..skipped);
+    let within = lines[first..=last]
+        .iter()
+        .filter(|l| is_own(l) || of_fleet(l));
+    let after = lines[last + 1..]
+        .iter()
+        .filter(|l| of_fleet(l))
+        .take(CONTEXT_LINES);
+    let told = before.into_iter().chain(within).chain(after);
+    Some(Story {
+        request: id.to_owned(),
+        lines: told.map(|l| story_line(l, is_own(l))).collect(),
+        cause,
+    })
+}
+
+fn story_line(line: &LogLine, own: bool) -> StoryLine {
+    StoryLine {
+        time: line.time.clone(),
+        process: line.process.clone(),
+        event: line.event.clone(),
+        own,
+        pairs: line.pairs.iter().cloned().collect(),
+    }
+}
+
+/// Upstreams that a line names.
+fn instances(line: &LogLine) -> impl Iterator<Item = &str> {
+    ["instance", "from", "to"]
+        .into_iter()
+        .filter_map(|key| line.get(key))
+}
+
+/// What decided the outcome, from the request's last line backwards.
+fn cause_of(own: &[&LogLine], all: &[LogLine]) -> String {
+    let last_of = |event: &str| own.iter().rev().find(|l| l.event == event);
+    if let Some(line) = last_of("refused") {
+        return format!("refused before it was sent: {}", code_of(line));
+    }
+    if let Some(line) = last_of("stream_cut") {
+        return cut(line, own, all);
+    }
+    if let Some(line) = last_of("no_room") {
+        let memory = line.get("memory").unwrap_or("?");
+        return format!("refused as not run: the best engine's memory was spoken for to {memory}");
+    }
+    let answered = last_of("answered");
+    if let Some(line) = answered.filter(|l| l.get("code") != Some("3000")) {
+        let tries = own.iter().rev().find(|l| l.event == "try_failed");
+        let why = tries.map_or(String::new(), |t| {
+            let instance = t.get("instance").unwrap_or("?");
+            let outcome = t.get("outcome").unwrap_or("?");
+            format!(
+                "; last try at {instance}: {outcome}, {}",
+                t.get("why").unwrap_or("")
+            )
+        });
+        return format!("{}{why}", code_of(line));
+    }
+    if let Some(line) = last_of("stream_ended") {
+        return ended(line);
+    }
+    match answered {
+        Some(line) if line.get("status").is_some_and(|s| s.starts_with('5')) => {
+            format!(
+                "the upstream answered {}",
+                line.get("status").unwrap_or("?")
+            )
+        }
+        Some(line) => format!("served after {} ms", line.get("age_ms").unwrap_or("?")),
+        None => "no final line: the process was killed, or its log is missing".to_owned(),
+    }
+}
+
+fn code_of(line: &LogLine) -> String {
+    let number = line.get("code").and_then(|c| c.parse().ok());
+    let code = number.and_then(fireflycroft::Code::from_number);
+    code.map_or_else(
+        || "without a code".to_owned(),
+        |code| format!("{} {}", code.number(), code.phrase()),
+    )
+}
+
+/// Why a stream was cut: the upstream's end, and why it didn't go on elsewhere.
+fn cut(line: &LogLine, own: &[&LogLine], all: &[LogLine]) -> String {
+    let instance = line.get("instance").unwrap_or("?");
+    let about = |event: &str| {
+        let mut of_event = all.iter().filter(|l| l.event == event);
+        of_event.any(|l| l.get("instance") == Some(instance))
+    };
+    let end = if about("upstream_leaves") {
+        "which had announced that it leaves"
+    } else if about("upstream_crashed") || about("upstream_removed") {
+        "which crashed"
+    } else {
+        "whose connection was lost"
+    };
+    let has = |event: &str| own.iter().any(|l| l.event == event);
+    let refused = own.iter().rev().find(|l| l.event == "go_on_refused");
+    let next = if has("budget_spent") {
+        "the budget of repeats was spent".to_owned()
+    } else if let Some(refused) = refused {
+        let at = refused.get("instance").unwrap_or("?");
+        format!(
+            "its copy at {at} was of no use: {}",
+            refused.get("why").unwrap_or("?")
+        )
+    } else if let Some(moved) = own.iter().rev().find(|l| l.event == "run_moved") {
+        format!("it was not moved: {}", moved.get("outcome").unwrap_or("?"))
+    } else {
+        "there was no copy of its memory".to_owned()
+    };
+    let events = line.get("events").unwrap_or("?");
+    format!("cut after {events} events by the end of {instance}, {end}; {next}")
+}
+
+fn ended(line: &LogLine) -> String {
+    let number = |key: &str| line.get(key).and_then(|v| v.parse::<u64>().ok());
+    let first = number("first_ms").unwrap_or(0);
+    let pause = number("longest_pause_ms").unwrap_or(0);
+    let breaks = number("breaks").unwrap_or(0);
+    let moved = if breaks > 0 {
+        format!(", after going on elsewhere {breaks} times")
+    } else {
+        String::new()
+    };
+    if pause > LONG_PAUSE_MS {
+        return format!("served whole, late by a pause of {pause} ms{moved}");
+    }
+    format!("served whole, first event after {first} ms{moved}")
+}
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -259,6 +259,8 @@
 /// Lets the pool learn from a try, and says what came of it.
 fn note(job: &Job, ix: UpstreamIx, tried: &Tried) {
     let now = job.now();
+    let outcome = format!("{:?}", tried.outcome);
+    job.node.metrics.tries.with_label_values(&[&outcome]).inc();
     let mut pool = job.node.pool.borrow_mut();
     pool.note_outcome(ix, tried.outcome != TryOutcome::Answered);
     match tried.outcome {
@@ -270,7 +272,7 @@
     if tried.outcome != TryOutcome::Answered {
         log::warn!(
             event = "try_failed", req = &*job.request_id, route = &*job.route.name,
-            instance = &*pool.record(ix).instance, outcome = format!("{:?}", tried.outcome),
+            instance = &*pool.record(ix).instance, outcome = outcome,
             why = &*tried.why, age_ms = job.age().as_millis();
             ""
         );
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -132,6 +132,11 @@
     }
 
     fn heard(&mut self) {
+        self.node
+            .metrics
+            .store_calls
+            .with_label_values(&["answered"])
+            .inc();
         self.pause = FIRST_PAUSE;
         self.node.store_answers.set(true);
         if !std::mem::take(&mut self.lost) {
@@ -142,6 +147,11 @@
     }
 
     async fn rest(&mut self, why: &str) {
+        self.node
+            .metrics
+            .store_calls
+            .with_label_values(&["failed"])
+            .inc();
         self.node.store_answers.set(false);
         if !std::mem::replace(&mut self.lost, true) {
             log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -10,6 +10,7 @@
 use crate::crash;
 use crate::exchange::{Extras, Opened, give_back, send};
 use crate::job::Job;
+use crate::metrics::kind_word;
 use crate::node::PlacedGuard;
 use crate::runs::Run;
 use bytes::Bytes;
@@ -81,6 +82,7 @@
 
 /// Another place where a stream may go on.
 struct Place {
+    way: &'static str,
     at: UpstreamIx,
     memory: Option<MemoryCopy>,
     placed: Option<PlacedGuard>,
@@ -200,9 +202,18 @@
             .borrow_mut()
             .note_outcome(self.placed.ix, false);
         self.learn_length();
+        self.note_end("whole");
         self.say("stream_ended", "");
     }
 
+    fn note_end(&self, end: &str) {
+        let metrics = &self.job.node.metrics;
+        metrics.streams.with_label_values(&[end]).inc();
+        let kind = kind_word(self.job.route.repeat);
+        let pauses = metrics.pause_seconds.with_label_values(&[kind]);
+        pauses.observe(self.pauses.longest.as_secs_f64());
+    }
+
     fn learn_length(&self) {
         let job = &self.job;
         if let Some(size) = &job.ask.size {
@@ -216,6 +227,7 @@
     fn break_off(mut self, why: &str) -> (Result<Frame<Bytes>, BrokenStream>, Self) {
         self.ended = true;
         self.source = None;
+        self.note_end("cut");
         self.say("stream_cut", why);
         (Err(BrokenStream(Code::UpstreamFailed)), self)
     }
@@ -226,11 +238,11 @@
             event = event, req = &*job.request_id, route = &*job.route.name,
             instance = &*job.node.pool.borrow().record(self.placed.ix).instance,
             events = self.events.relayed(), breaks = self.breaks, why = why,
-            first_ms = self.pauses.first.map(|t| t.since(job.arrival).as_millis()),
+            first_ms = or_empty(self.pauses.first.map(|t| t.since(job.arrival).as_millis())),
             longest_pause_ms = self.pauses.longest.as_millis(),
-            prompt = job.ask.size.as_ref().map(|s| s.prompt_tokens),
-            most = job.ask.size.as_ref().map(|s| s.max_tokens),
-            hint = job.ask.size.as_ref().and_then(|s| s.length_hint),
+            prompt = or_empty(job.ask.size.as_ref().map(|s| s.prompt_tokens)),
+            most = or_empty(job.ask.size.as_ref().map(|s| s.max_tokens)),
+            hint = or_empty(job.ask.size.as_ref().and_then(|s| s.length_hint)),
             age_ms = job.age().as_millis();
             ""
         );
@@ -272,6 +284,7 @@
     fn next_place(&mut self, from: UpstreamIx) -> Option<Place> {
         if let Some(refuge) = self.run.refuge.borrow_mut().take() {
             return Some(Place {
+                way: "moved",
                 at: refuge.placed.ix,
                 memory: Some(refuge.memory),
                 placed: Some(refuge.placed),
@@ -281,6 +294,7 @@
         if let Some(backup) = self.backup.take() {
             let named_by = self.job.node.pool.borrow().record(backup.ix).addr;
             return Some(Place {
+                way: "copy",
                 at: backup.ix,
                 memory: Some(MemoryCopy {
                     named_by,
@@ -295,6 +309,7 @@
         let pool = self.job.node.pool.borrow();
         let at = pool.choose(self.job.now(), &self.job.service, &self.job.need(), &[from])?;
         Some(Place {
+            way: "anew",
             at,
             memory: None,
             placed: None,
@@ -331,7 +346,9 @@
             link: opened.link,
             head: opened.head,
         });
-        self.say("stream_goes_on", "");
+        let went_on = &self.job.node.metrics.went_on;
+        went_on.with_label_values(&[place.way]).inc();
+        self.say("stream_goes_on", place.way);
         true
     }
 
@@ -354,6 +371,11 @@
     }
 }
 
+/// A figure for the log; empty when there is none.
+pub fn or_empty(figure: Option<impl std::fmt::Display>) -> String {
+    figure.map_or_else(String::new, |f| f.to_string())
+}
+
 fn is_stream(opened: &Opened) -> bool {
     opened.parts.status.is_success() && opened.head.sealed
 }
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod generation;
 pub mod job;
 pub mod links;
+pub mod metrics;
 pub mod mover;
 pub mod node;
 pub mod peers;
--- /dev/null
+++ b/fireflydirect/src/metrics.rs
@@ -0,0 +1,169 @@
+//! Counters, histograms and gauges of one process.
+//!
+//! Counters and histograms are kept as things happen; gauges are read off the
+//! process when somebody asks.
+
+use crate::node::Node;
+use fireflycroft::{Code, Repeat};
+use prometheus::core::Collector;
+use prometheus::{
+    GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Path under which the metrics are served.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// Bucket bounds in seconds, from a millisecond to the longest route's timeout.
+const SECONDS: [f64; 14] = [
+    0.001, 0.003, 0.01, 0.03, 0.1, 0.15, 0.3, 0.6, 1.0, 1.5, 1.8, 3.0, 10.0, 40.0,
+];
+
+/// The metrics of one process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    answers: IntCounterVec,
+    answer_seconds: HistogramVec,
+    /// Tries at upstreams, by `outcome`.
+    pub tries: IntCounterVec,
+    /// Streams that ended, by `end`: `whole`, `cut`.
+    pub streams: IntCounterVec,
+    /// Times that a stream went on elsewhere, by `way`: `moved`, `copy`, `anew`.
+    pub went_on: IntCounterVec,
+    /// Longest pause of each stream in seconds, by `kind`.
+    pub pause_seconds: HistogramVec,
+    /// Calls of the platform's store, by `result`.
+    pub store_calls: IntCounterVec,
+    running: IntGauge,
+    version: IntGauge,
+    peers: IntGauge,
+    watching: IntGauge,
+    quarantined: IntGauge,
+    memory: GaugeVec,
+    repeats_left: GaugeVec,
+    upstreams: GaugeVec,
+}
+
+/// Word of a kind of request, in labels.
+#[must_use]
+pub const fn kind_word(repeat: Repeat) -> &'static str {
+    match repeat {
+        Repeat::Idempotent => "idempotent",
+        Repeat::Once => "once",
+        Repeat::Stream => "stream",
+        Repeat::ResumableStream => "resumable_stream",
+    }
+}
+
+impl Metrics {
+    /// Metrics on a registry of their own, all at zero.
+    ///
+    /// # Errors
+    ///
+    /// When two names clash.
+    pub fn new() -> prometheus::Result<Self> {
+        let r = Registry::new();
+        Ok(Self {
+            answers: counters(&r, "answers_total", "Answers to callers", &["kind", "code"])?,
+            answer_seconds: seconds(&r, "answer_seconds", "Arrival to answer or first event")?,
+            tries: counters(&r, "tries_total", "Tries at upstreams", &["outcome"])?,
+            streams: counters(&r, "streams_total", "Streams ended", &["end"])?,
+            went_on: counters(&r, "went_on_total", "Streams gone on elsewhere", &["way"])?,
+            pause_seconds: seconds(&r, "pause_seconds", "Longest pause of each stream")?,
+            store_calls: counters(&r, "store_calls_total", "Calls of the store", &["result"])?,
+            running: gauge(&r, "streams_running", "Streams under way")?,
+            version: gauge(&r, "config_version", "Configuration in force")?,
+            peers: gauge(&r, "peers", "Other entries heard of late")?,
+            watching: gauge(
+                &r,
+                "watches_store",
+                "Whether the store answers this watcher",
+            )?,
+            quarantined: gauge(&r, "quarantined", "Contents refused for crashes")?,
+            memory: gauges(&r, "memory_share", "Engine memory spoken for", "service")?,
+            repeats_left: gauges(&r, "repeats_left", "Repeats left in the window", "service")?,
+            upstreams: gauges(&r, "upstreams", "Upstreams that take new work", "service")?,
+            registry: r,
+        })
+    }
+
+    /// Notes an answer to a caller.
+    pub fn note_answer(&self, repeat: Option<Repeat>, code: Code, age: Duration) {
+        let kind = repeat.map_or("none", kind_word);
+        let code = code.number().to_string();
+        self.answers.with_label_values(&[kind, &code]).inc();
+        let seconds = self.answer_seconds.with_label_values(&[kind]);
+        seconds.observe(age.as_secs_f64());
+    }
+
+    /// All metrics of a process in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// When the library can't write them.
+    pub fn render(&self, node: &Node) -> prometheus::Result<String> {
+        self.read_gauges(node);
+        let mut text = String::new();
+        TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
+    fn read_gauges(&self, node: &Node) {
+        let now = node.now();
+        self.running.set(to_i64(node.runs.count()));
+        self.version
+            .set(i64::try_from(node.version()).unwrap_or(i64::MAX));
+        self.peers.set(to_i64(node.entries() - 1));
+        self.watching.set(i64::from(node.watches_store()));
+        let quarantined = node.quarantine.borrow().refused();
+        self.quarantined.set(to_i64(quarantined));
+        let catalog = node.catalog.borrow();
+        for service in catalog.iter().flat_map(|c| c.services()) {
+            let name = &service.name;
+            let pool = node.pool.borrow();
+            let fill = pool.fill_of(now, name);
+            self.memory.with_label_values(&[name]).set(fill);
+            #[allow(clippy::cast_precision_loss)]
+            let count = pool.count(name) as f64;
+            self.upstreams.with_label_values(&[name]).set(count);
+            let left = node.budget.borrow_mut().left(now, name, node.entries());
+            self.repeats_left.with_label_values(&[name]).set(left);
+        }
+    }
+}
+
+fn to_i64(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(format!("firefly_direct_{name}"), help)
+}
+
+fn register<C: Collector + Clone + 'static>(r: &Registry, metric: C) -> prometheus::Result<C> {
+    r.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn counters(
+    r: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> prometheus::Result<IntCounterVec> {
+    register(r, IntCounterVec::new(opts(name, help), labels)?)
+}
+
+fn gauge(r: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    register(r, IntGauge::with_opts(opts(name, help))?)
+}
+
+fn gauges(r: &Registry, name: &str, help: &str, label: &str) -> prometheus::Result<GaugeVec> {
+    register(r, GaugeVec::new(opts(name, help), &[label])?)
+}
+
+fn seconds(r: &Registry, name: &str, help: &str) -> prometheus::Result<HistogramVec> {
+    let opts = HistogramOpts::from(opts(name, help)).buckets(SECONDS.to_vec());
+    register(r, HistogramVec::new(opts, &["kind"])?)
+}
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -1,5 +1,6 @@
 //! Moving runs off upstreams that have announced their leaving.
 
+use crate::generation::or_empty;
 use crate::node::{Node, PlacedGuard};
 use crate::runs::{Refuge, Run};
 use bytes::Bytes;
@@ -180,7 +181,7 @@
     log::info!(
         event = "run_moved", req = &*run.request_id, from = &*pool.record(from).instance,
         to = to.map_or("", |to| &*pool.record(to).instance), outcome = outcome,
-        produced = run.produced.get(), notice_age_ms = since;
+        produced = run.produced.get(), notice_age_ms = or_empty(since);
         ""
     );
 }
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::links::Links;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::runs::Runs;
 use fireflycroft::{
@@ -74,6 +75,8 @@
     pub left: RefCell<Vec<UpstreamIx>>,
     /// Rings when an upstream was found to leave.
     pub leaving: Notify,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// Calls under way.
     pub busy: Cell<usize>,
     stage: watch::Sender<Stage>,
@@ -81,13 +84,16 @@
 
 impl Node {
     /// A process that knows nothing yet.
-    #[must_use]
-    pub fn new(place: Place) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// When two metrics have one name.
+    pub fn new(place: Place) -> anyhow::Result<Self> {
         let clock = Clock::start();
         let pool = Pool::new(place.data_centre.clone());
         let budget = RepeatBudget::new(place.bounds.repeats);
         let peers = Peers::new(&place);
-        Self {
+        Ok(Self {
             clock,
             catalog: RefCell::default(),
             published: RefCell::default(),
@@ -110,8 +116,9 @@
             leaving: Notify::new(),
             busy: Cell::new(0),
             stage: watch::Sender::new(Stage::Serving),
+            metrics: Metrics::new()?,
             place,
-        }
+        })
     }
 
     /// Time now.
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -33,7 +33,7 @@
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let place = settings.read_place()?;
     let mut terminate = signal(SignalKind::terminate())?;
-    let node = Rc::new(Node::new(place));
+    let node = Rc::new(Node::new(place)?);
     start(&node).await?;
     let version = env!("CARGO_PKG_VERSION");
     log::info!(
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -66,6 +66,8 @@
                 version = node.version(), stage = format!("{:?}", node.stage());
                 ""
             );
+            let age = node.now().since(arrival);
+            node.metrics.note_answer(None, refused.code, age);
             own(refused.code, refused.retry_after)
         }
     };
@@ -82,6 +84,8 @@
         Reply::Stream(begun) => (Code::Ok, begun.opened.parts.status.as_u16()),
         Reply::Own(code, _) => (*code, code.status()),
     };
+    let repeat = Some(job.route.repeat);
+    job.node.metrics.note_answer(repeat, code, job.age());
     log::info!(
         event = "answered", req = &*job.request_id, route = &*job.route.name,
         service = &*job.service, code = code.number(), status = status,
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -1,5 +1,6 @@
 //! What an entry shows other entries and operators over HTTP.
 
+use crate::metrics::METRICS_PATH;
 use crate::node::Node;
 use bytes::Bytes;
 use fireflycroft::UpstreamRecord;
@@ -61,6 +62,13 @@
                 empty(StatusCode::INTERNAL_SERVER_ERROR)
             }
         },
+        METRICS_PATH => match node.metrics.render(node) {
+            Ok(text) => Response::new(Full::from(text)),
+            Err(e) => {
+                log::error!(event = "metrics_unwritable", error = e.to_string(); "");
+                empty(StatusCode::INTERNAL_SERVER_ERROR)
+            }
+        },
         _ => empty(StatusCode::NOT_FOUND),
     }
 }
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -384,4 +384,40 @@
         let answer = site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
         assert_eq!(answer.status(), 200);
     }
+
+    failed_requests_are_explained_from_their_ids(site: 1) {
+        let refused = site.id();
+        site.call(0, "GET", "/nowhere/a", &refused).send().await.unwrap();
+        spoil(&site, EngineKind::Plain, AnswerFault::Loses);
+        let unknown = site.id();
+        site.call(0, "POST", "/file/a", &unknown).send().await.unwrap();
+        site.store.remove("servers", "m-1");
+        until("one engine", || async { site.log(0).contains("upstream_leaves") }).await;
+        let cut = site.id();
+        let stream = site.generation(0, "/log/a", 60, &cut).send().await.unwrap();
+        site.engines[0].kill();
+        assert!(stream.text().await.is_err());
+        until("the causes", || async {
+            site.cause(&refused).contains("2021")
+                && site.cause(&unknown).contains("4001") && site.cause(&unknown).contains("Lost")
+                && site.cause(&cut).contains("no copy of its memory")
+        })
+        .await;
+    }
+
+    metrics_tell_what_happened(site: 1) {
+        site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+        let id = site.id();
+        let stream = site.generation(0, "/log/a", 3, &id).send().await.unwrap();
+        assert_eq!(stream.text().await.unwrap(), whole_stream(&id, 3));
+        let text = site.metrics(0).await;
+        for line in [
+            "firefly_direct_answers_total{code=\"3000\",kind=\"idempotent\"} 1",
+            "firefly_direct_streams_total{end=\"whole\"} 1",
+            "firefly_direct_config_version 1",
+            "firefly_direct_upstreams{service=\"models\"} 2",
+        ] {
+            assert!(text.contains(line), "{line} in {text}");
+        }
+    }
 }
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -273,6 +273,29 @@
         fs::read_to_string(&self.entries[entry].log).unwrap_or_default()
     }
 
+    /// What `fireflyctl explain` names as the cause of a request's outcome.
+    pub(crate) fn cause(&self, id: &str) -> String {
+        let texts: Vec<String> = (0..self.entries.len()).map(|e| self.log(e)).collect();
+        let lines = texts.iter().flat_map(|t| t.lines());
+        let lines = lines
+            .filter_map(|l| fireflyctl::read_line("entry", l))
+            .collect();
+        fireflyctl::tell(lines, id).map_or_else(String::new, |s| s.cause)
+    }
+
+    /// Metrics of an entry.
+    pub(crate) async fn metrics(&self, entry: usize) -> String {
+        let url = format!("http://{}/metrics", self.entries[entry].operators);
+        Client::new()
+            .get(url)
+            .send()
+            .await
+            .unwrap()
+            .text()
+            .await
+            .unwrap()
+    }
+
     /// Promises that hold in every test, as upstreams saw them.
     pub(crate) fn check(&self) {
         for run in self.record.runs() {
