Move runs that begin on a leaving engine, and spread moves over targets

Of 128 moves without room nearly all were asked within 200 ms of the notice, when all entries chose the same target.

Change: a run that begins, or goes on, on an engine that leaves is considered at once; targets of copies are drawn within 0.4 of cost, with a pause of 60 ms after one without room; what has to move counts against new generations, and those that come back after a refusal go first. The story shows the fleet's lines of the request's own process only.

`stream_that_begins_after_notice_is_moved` fails without the change (the body ends within a chunk) and passes with it.

--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -165,6 +165,9 @@
 /// that lives; the platform states about two seconds.
 pub const MISSING_FOR: Duration = Duration::from_millis(2_500);
 
+/// Time from an upstream's notice to its end, at which nothing runs there any more.
+const LEAVES_WITHIN: Duration = Duration::from_secs(2);
+
 /// Time for which a shared part of a prompt is taken to stay in memory.
 const READ_FOR: Duration = Duration::from_secs(6);
 
@@ -190,6 +193,10 @@
 /// as the best and would all go there.
 const TIE_COST: f64 = 0.12;
 
+/// The same for copies: when upstreams leave together, all entries look for room for all their
+/// runs within a few milliseconds.
+const COPY_TIE_COST: f64 = 0.4;
+
 /// What a cold upstream costs, against a full memory.
 const COLD_COST: f64 = 0.25;
 
@@ -242,8 +249,7 @@
     /// Whether an upstream takes new work, as far as is known.
     #[must_use]
     pub fn is_serving(&self, ix: UpstreamIx) -> bool {
-        let u = &self.upstreams[ix.0];
-        !u.gone && u.record.state == UpstreamState::Serving
+        self.upstreams[ix.0].is_serving()
     }
 
     /// When an upstream was first known to leave.
@@ -595,13 +601,18 @@
         share(u.load(now).tokens, u.memory_tokens.unwrap_or(0))
     }
 
-    /// Share of the memory of all serving engines of a service that is spoken for.
+    /// Share of the memory of all serving engines of a service that is spoken for, with what runs
+    /// on engines that leave and has to find room on the others.
     #[must_use]
     pub fn fill_of(&self, now: Time, service: &str) -> f64 {
-        let serving = self.serving(service);
-        let (used, all) = serving.fold((0, 0), |sum, i| {
-            let u = &self.upstreams[i];
-            let memory = u.memory_tokens.unwrap_or(0);
+        let of_service = self.upstreams.iter();
+        let of_service = of_service.filter(|u| !u.is_over(now) && &*u.record.service == service);
+        let (used, all) = of_service.fold((0, 0), |sum, u| {
+            let memory = if u.is_serving() {
+                u.memory_tokens.unwrap_or(0)
+            } else {
+                0
+            };
             (sum.0 + u.load(now).tokens, sum.1 + memory)
         });
         share(used, all)
@@ -648,8 +659,7 @@
     fn serving(&self, service: &str) -> impl Iterator<Item = usize> {
         (0..self.upstreams.len()).filter(move |i| {
             let u = &self.upstreams[*i];
-            let serving = !u.gone && u.record.state == UpstreamState::Serving;
-            serving && &*u.record.service == service
+            u.is_serving() && &*u.record.service == service
         })
     }
 
@@ -665,11 +675,7 @@
             let u = &self.upstreams[i];
             let far_copy = near.is_some_and(|n| *n != u.record.data_centre);
             let copy = if far_copy { FAR_COPY_COST } else { 0.0 };
-            let tie = if need.tokens > 0 {
-                TIE_COST * draw_for(need.draw, i)
-            } else {
-                0.0
-            };
+            let tie = tie_cost(need) * draw_for(need.draw, i);
             (i, u.cost(now, need, &self.data_centre) + copy + tie)
         });
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
@@ -678,6 +684,16 @@
 }
 
 impl Upstream {
+    fn is_serving(&self) -> bool {
+        !self.gone && self.record.state == UpstreamState::Serving
+    }
+
+    /// Whether it has left, so that what ran there has ended or moved.
+    fn is_over(&self, now: Time) -> bool {
+        let left = self.left_at.filter(|_| !self.is_serving());
+        left.is_some_and(|t| now.since(t) > LEAVES_WITHIN)
+    }
+
     /// Work of all entries.
     fn load(&self, now: Time) -> Placed {
         let told = self.others.values();
@@ -718,6 +734,15 @@
     }
 }
 
+/// Costs that are taken for equal in this choice.
+const fn tie_cost(need: &Need) -> f64 {
+    match need.copied_from {
+        _ if need.tokens == 0 => 0.0,
+        Some(_) => COPY_TIE_COST,
+        None => TIE_COST,
+    }
+}
+
 /// A number from 0 to 1 for the upstream at `i`, by a finaliser of the `SplitMix64` generator.
 #[allow(clippy::cast_precision_loss)]
 const fn draw_for(draw: u64, i: usize) -> f64 {
--- a/fireflycroft/src/room.rs
+++ b/fireflycroft/src/room.rs
@@ -7,25 +7,48 @@
 
 use std::time::Duration;
 
-/// Share of an engine's memory up to which long generations are let in.
-pub const ROOM_FOR_LONG: f64 = 0.9;
+/// Share of the memory up to which long generations are let in.
+pub const ROOM_FOR_LONG: f64 = 0.8;
 
-/// Share of an engine's memory up to which short generations are let in.
+/// The same for those that come back after a refusal: refusing them twice is worse than refusing
+/// another once.
+pub const ROOM_FOR_RETURNING: f64 = 0.88;
+
+/// Share of the memory up to which short generations are let in.
 pub const ROOM_FOR_SHORT: f64 = 1.4;
 
 /// Answers that are expected to be no longer are short.
 pub const SHORT_TOKENS: u64 = 64;
 
-/// Whether a generation is let in on the engine that suits it best, whose memory would be spoken
-/// for to the share `fill` with it.
+/// A generation that asks to be let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Asking {
+    /// Tokens that its answer is expected to have.
+    pub expected_tokens: u64,
+    /// Whether it comes back after a refusal.
+    pub returns: bool,
+}
+
+/// Memory that would be spoken for with one more generation, as shares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fill {
+    /// On the engine that suits it best.
+    pub engine: f64,
+    /// On all engines of the service.
+    pub service: f64,
+}
+
+/// Whether a generation is let in.
 #[must_use]
-pub fn is_room(expected_tokens: u64, fill: f64) -> bool {
-    let limit = if expected_tokens <= SHORT_TOKENS {
+pub fn is_room(asking: &Asking, fill: &Fill) -> bool {
+    let limit = if asking.expected_tokens <= SHORT_TOKENS {
         ROOM_FOR_SHORT
+    } else if asking.returns {
+        ROOM_FOR_RETURNING
     } else {
         ROOM_FOR_LONG
     };
-    fill <= limit
+    fill.engine.max(fill.service) <= limit
 }
 
 /// When there is likely to be room, if `fill` of all memory is spoken for.
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -1,8 +1,9 @@
 //! Room for generations, copies of runs, and who watches the store.
 
 use fireflycroft::{
-    BACKUP_FILL, Name, Need, OnNotice, Pool, RunView, STEP_DOWN_AFTER, Time, UpstreamRecord,
-    UpstreamState, WATCHERS, WatchDuty, WatchView, is_room, on_notice, pick_backup, room_after,
+    Asking, BACKUP_FILL, Fill, Name, Need, OnNotice, Pool, RunView, STEP_DOWN_AFTER, Time,
+    UpstreamRecord, UpstreamState, WATCHERS, WatchDuty, WatchView, is_room, on_notice, pick_backup,
+    room_after,
 };
 use std::time::Duration;
 
@@ -23,8 +24,10 @@
     copy_is_kept_elsewhere => copy_is_elsewhere();
     no_copy_where_memory_is_short => no_copy_when_short();
     no_copy_where_there_is_nobody_else => no_copy_alone();
-    long_generation_needs_room => assert!(!is_room(500, 1.0) && is_room(500, 0.5));
-    short_generation_is_let_in_beyond => assert!(is_room(10, 1.0) && !is_room(10, 2.0));
+    long_generation_needs_room => assert!(!room(500, false, 1.0, 0.1) && room(500, false, 0.5, 0.5));
+    long_generation_needs_room_for_what_moves => assert!(!room(500, false, 0.5, 1.0));
+    returning_generation_is_let_in_first => assert!(room(500, true, 0.95, 0.5) && !room(500, true, 1.1, 0.5));
+    short_generation_is_let_in_beyond => assert!(room(10, false, 1.0, 1.0) && !room(10, false, 2.0, 1.0));
     fuller_memory_says_come_back_later => assert!(room_after(1.5) > room_after(0.5));
     lone_entry_watches => assert!(WatchDuty::new(&Name::from("a")).is_watching());
     enough_watchers_are_found => enough_watchers();
@@ -40,6 +43,14 @@
     }
 }
 
+fn room(expected_tokens: u64, returns: bool, engine: f64, service: f64) -> bool {
+    let asking = Asking {
+        expected_tokens,
+        returns,
+    };
+    is_room(&asking, &Fill { engine, service })
+}
+
 fn at(millis: u64) -> Time {
     Time::from_millis(millis)
 }
--- a/fireflyctl/src/story.rs
+++ b/fireflyctl/src/story.rs
@@ -122,9 +122,9 @@
     let met: HashSet<&str> = own.iter().flat_map(|l| instances(l)).collect();
     let process = own[0].process.as_str();
     let of_fleet = |line: &LogLine| {
-        let about_met = line.get("instance").is_some_and(|i| met.contains(i));
-        let own_process = line.process == process && line.get("instance").is_none();
-        OF_THE_FLEET.contains(&line.event.as_str()) && (about_met || own_process)
+        let about_met = line.get("instance").is_none_or(|i| met.contains(i));
+        let of_process = line.process == process;
+        OF_THE_FLEET.contains(&line.event.as_str()) && about_met && of_process
     };
     let mut before: Vec<&LogLine> = lines[..first].iter().filter(|l| of_fleet(l)).collect();
     let skipped = before.len().saturating_sub(CONTEXT_LINES);
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -6,8 +6,8 @@
 use crate::node::PlacedGuard;
 use bytes::Bytes;
 use fireflycroft::{
-    Code, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx, WORTH_SAVING_TOKENS, is_room,
-    pick_backup, room_after,
+    Asking, Code, Fill, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx,
+    WORTH_SAVING_TOKENS, is_room, pick_backup, room_after,
 };
 use hyper::http::response::Parts;
 use std::cell::RefCell;
@@ -115,9 +115,16 @@
     job.engine?;
     let pool = job.node.pool.borrow();
     let now = job.now();
-    let fill = pool.fill_with(now, ix, need);
-    let refused = !is_room(job.expected_tokens(), fill);
-    refused.then(|| room_after(pool.fill_of(now, &job.service)))
+    let fill = Fill {
+        engine: pool.fill_with(now, ix, need),
+        service: pool.fill_of(now, &job.service),
+    };
+    let asking = Asking {
+        expected_tokens: job.expected_tokens(),
+        returns: job.returns,
+    };
+    let refused = !is_room(&asking, &fill);
+    refused.then(|| room_after(fill.service))
 }
 
 fn refuse_for_room(job: &Job, ix: UpstreamIx, tries: &RefCell<Tries>, wait: Duration) -> Reply {
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -122,6 +122,8 @@
         },
         can_move: job.engine.is_some_and(|e| e.moves),
     });
+    // Notice may have come between the choice of the upstream and the head of its answer.
+    job.node.save_if_leaving(placed.ix);
     let relay = Relay {
         job,
         run,
@@ -339,6 +341,7 @@
         };
         self.placed = placed;
         self.run.at.set(place.at);
+        self.job.node.save_if_leaving(place.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
         self.source = Some(Source {
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -27,6 +27,8 @@
     pub priority: Option<u8>,
     /// What the head says.
     pub ask: Ask,
+    /// Whether the caller seems to come back with it.
+    pub returns: bool,
     /// The caller's id of this attempt.
     pub request_id: Name,
     /// Method of the request.
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use rand::Rng;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +17,10 @@
 const COPY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Upstreams that are asked to take a run before it is left where it is.
-const MAX_TARGETS: usize = 3;
+const MAX_TARGETS: usize = 6;
+
+/// Pause after an upstream had no room, in which the entries hear of each other's choices.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
 
 /// Saves runs for as long as the process lives.
 pub async fn run(node: Rc<Node>) {
@@ -53,12 +57,13 @@
 
 /// Copies a run's memory elsewhere, stops it, and leaves the copy for its relay to go on from.
 async fn save(node: &Rc<Node>, from: UpstreamIx, run: &Run) {
-    let need = Need {
-        copied_from: Some(from),
-        ..run.need
-    };
     let mut asked = vec![from];
     while asked.len() <= MAX_TARGETS {
+        let need = Need {
+            copied_from: Some(from),
+            draw: rand::rng().next_u64(),
+            ..run.need
+        };
         let chosen = {
             let pool = node.pool.borrow();
             pool.choose(node.now(), &run.service, &need, &asked)
@@ -72,6 +77,7 @@
         if try_target(node, from, placed, run).await == Target::Settled {
             return;
         }
+        tokio::time::sleep(NO_ROOM_PAUSE).await;
     }
 }
 
@@ -177,11 +183,12 @@
 
 fn say(node: &Node, run: &Run, from: UpstreamIx, to: Option<UpstreamIx>, outcome: &str) {
     let pool = node.pool.borrow();
+    let memory = to.map(|to| format!("{:.2}", pool.view(node.now(), to).memory));
     let since = pool.left_at(from).map(|t| node.now().since(t).as_millis());
     log::info!(
         event = "run_moved", req = &*run.request_id, from = &*pool.record(from).instance,
         to = to.map_or("", |to| &*pool.record(to).instance), outcome = outcome,
-        produced = run.produced.get(), notice_age_ms = or_empty(since);
+        memory_there = or_empty(memory), produced = run.produced.get(), notice_age_ms = or_empty(since);
         ""
     );
 }
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -6,12 +6,12 @@
 use crate::peers::Peers;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, LengthGuess, Need, Pool, PoolChange, Quarantine, RepeatBudget, Time, UpstreamIx,
+    Catalog, LengthGuess, Name, Need, Pool, PoolChange, Quarantine, RepeatBudget, Time, UpstreamIx,
     WatchDuty,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -20,6 +20,12 @@
 /// entry may have lapsed while the store was away, and comes back within about two seconds.
 const REMOVALS_UNSURE: Duration = Duration::from_secs(3);
 
+/// Patience that a caller must have lost to count as one that comes back.
+const RETURN_MARGIN: Duration = Duration::from_millis(250);
+
+/// Routes whose callers' patience is remembered.
+const MAX_PATIENCES: usize = 4_096;
+
 /// How far a process has come in stopping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -47,6 +53,8 @@
     pub budget: RefCell<RepeatBudget>,
     /// Content that crashes upstreams.
     pub quarantine: RefCell<Quarantine>,
+    /// Longest patience that callers of a route have stated.
+    pub patience: RefCell<HashMap<Name, Duration>>,
     /// Lengths of answers.
     pub lengths: RefCell<LengthGuess>,
     /// Connections to upstreams.
@@ -100,6 +108,7 @@
             pool: RefCell::new(pool),
             budget: RefCell::new(budget),
             quarantine: RefCell::default(),
+            patience: RefCell::default(),
             lengths: RefCell::default(),
             links: Links::new(clock),
             runs: Runs::default(),
@@ -171,6 +180,18 @@
         self.catalog.borrow().as_ref().map_or(0, |c| c.version())
     }
 
+    /// Whether a caller that will wait so long comes back with a request: callers of a route wait
+    /// equally long at first.
+    pub fn returns(&self, route: &Name, patience: Duration) -> bool {
+        let mut longest = self.patience.borrow_mut();
+        if longest.len() > MAX_PATIENCES {
+            longest.clear();
+        }
+        let longest = longest.entry(route.clone()).or_default();
+        *longest = (*longest).max(patience);
+        patience + RETURN_MARGIN < *longest
+    }
+
     /// Entries that share the budget of repeats, this one included.
     #[must_use]
     pub fn entries(&self) -> usize {
@@ -232,8 +253,7 @@
             match change {
                 PoolChange::Came(ix) => self.set_memory_of(ix),
                 PoolChange::Leaves(ix) => {
-                    self.left.borrow_mut().push(ix);
-                    self.leaving.notify_one();
+                    self.save_if_leaving(ix);
                     self.urgent.notify_one();
                 }
             }
@@ -241,6 +261,14 @@
         self.changed.notify_waiters();
     }
 
+    /// Has the runs of an upstream that leaves saved, if it does.
+    pub fn save_if_leaving(&self, ix: UpstreamIx) {
+        if !self.pool.borrow().is_serving(ix) {
+            self.left.borrow_mut().push(ix);
+            self.leaving.notify_one();
+        }
+    }
+
     /// Counts work as placed on an upstream for as long as the guard lives.
     #[must_use]
     pub fn place(self: &Rc<Self>, ix: UpstreamIx, need: Need) -> PlacedGuard {
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -126,8 +126,10 @@
     let engine = catalog.service(&service).and_then(|s| s.engine);
     let workspace_rank = workspace.and_then(|w| w.rank);
     let patience = ask.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+    let returns = ask.deadline.is_some_and(|d| node.returns(&route.name, d));
     Ok(Job {
         node: node.clone(),
+        returns,
         version: catalog.version(),
         engine,
         workspace: workspace.map(|w| w.name.clone()),
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -203,6 +203,24 @@
         check_runs(&site, &id);
     }
 
+    stream_that_begins_after_notice_is_moved(site: 1) {
+        // Only one other engine is there, so that no copy is kept before the move.
+        spoil(&site, EngineKind::Model, AnswerFault::Slow);
+        site.engines[1].kill();
+        site.store.remove("servers", "m-1");
+        until("one engine", || async { site.log(0).contains("upstream_leaves") }).await;
+        let id = site.id();
+        let call = tokio::spawn(site.generation(0, "/log/a", 300, &id).send());
+        until("the run", || async { !site.record.runs_of(&id).is_empty() }).await;
+        site.add_engine(2).await;
+        until("the engine", || async { site.log(0).contains("instance=m-2") }).await;
+        let leaving = take_away(&site, 0, true);
+        let (stream, ()) = tokio::join!(call, leaving);
+        let text = stream.unwrap().unwrap().text().await.unwrap();
+        assert_eq!(text, whole_stream(&id, 300));
+        check_runs(&site, &id);
+    }
+
     leaving_engine_gets_nothing_new(site: 1) {
         let leaving = &site.engines[0];
         let entry = leaving.entry("models", "draining");
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -22,6 +22,9 @@
 /// Events of a stream whose request names no number.
 const DEFAULT_EVENTS: u64 = 30;
 
+/// Time that a slow engine reads a prompt.
+const READING: Duration = Duration::from_millis(1_000);
+
 /// Time that a plain call takes.
 const WORK: Duration = Duration::from_millis(5);
 
@@ -54,6 +57,8 @@
     Crashes,
     /// It never answers.
     Hangs,
+    /// It reads prompts for a second before it answers.
+    Slow,
 }
 
 /// A running upstream; dropping it ends it.
@@ -337,6 +342,9 @@
         ("X-Response-Seal", "seal"),
         ("Content-Type", "text/event-stream"),
     ];
+    if fault == AnswerFault::Slow {
+        tokio::time::sleep(READING).await;
+    }
     write_stream_head(stream, &headers).await?;
     for number in run.after + 1..=last {
         if fault == AnswerFault::Tears && number == run.after + 5 {
