Leave copies out of what new generations must find room beside

And copies went to other data centres since ties were drawn wider than the distance counted.

Change: copies are counted apart; the door looks at runs only, the choice of an engine and of keepers at both. A copy from another data centre costs 0.4 of a full memory, as much as ties are wide.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -125,6 +125,7 @@
         running: at.placed.running,
         tokens: at.placed.tokens,
         unread: at.placed.unread,
+        copies: at.placed.copies,
     }
 }
 
@@ -135,6 +136,7 @@
             running: at.running,
             tokens: at.tokens,
             unread: at.unread,
+            copies: at.copies,
         },
     })
 }
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -516,6 +516,9 @@
     /// Tokens of prompts still to be read.
     #[prost(uint64, tag = "4")]
     pub unread: u64,
+    /// Tokens that copies of runs elsewhere take.
+    #[prost(uint64, tag = "5")]
+    pub copies: u64,
 }
 /// Upstreams that content has crashed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -58,6 +58,7 @@
                 running: 3,
                 tokens: 9_000,
                 unread: 2_000,
+                copies: 700,
             },
         }],
         repeats: vec![RepeatCount {
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -53,10 +53,49 @@
     pub running: u32,
     /// Tokens of memory that they are expected to need.
     pub tokens: u64,
+    /// Tokens of memory that copies of runs elsewhere take.
+    pub copies: u64,
     /// Tokens of prompts that are still to be read.
     pub unread: u64,
 }
 
+impl Placed {
+    /// Memory in all.
+    const fn memory(&self) -> u64 {
+        self.tokens + self.copies
+    }
+
+    const fn with(self, need: &Need) -> Self {
+        if need.is_copy {
+            return Self {
+                copies: self.copies + need.tokens,
+                ..self
+            };
+        }
+        Self {
+            running: self.running + 1,
+            tokens: self.tokens + need.tokens,
+            unread: self.unread + need.unread,
+            ..self
+        }
+    }
+
+    const fn without(self, need: &Need) -> Self {
+        if need.is_copy {
+            return Self {
+                copies: self.copies.saturating_sub(need.tokens),
+                ..self
+            };
+        }
+        Self {
+            running: self.running.saturating_sub(1),
+            tokens: self.tokens.saturating_sub(need.tokens),
+            unread: self.unread.saturating_sub(need.unread),
+            ..self
+        }
+    }
+}
+
 /// Work that one entry has placed on one upstream, as it tells the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlacedAt {
@@ -69,8 +108,8 @@
 /// What a request needs of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Need {
-    /// Places in the batch: one for a run, none for a copy of its memory.
-    pub slots: u32,
+    /// Whether it is a copy of a run's memory, which takes no place in the batch.
+    pub is_copy: bool,
     /// Tokens of memory that it is expected to need; zero for a plain call.
     pub tokens: u64,
     /// Tokens of its prompt, which are part of `tokens`.
@@ -185,7 +224,7 @@
 
 /// What a copy from another data centre costs, against a full memory: it takes twice as long on
 /// the links of both upstreams.
-const FAR_COPY_COST: f64 = 0.15;
+const FAR_COPY_COST: f64 = 0.4;
 
 /// Costs that differ by less are taken for equal, against a full memory.
 ///
@@ -478,9 +517,7 @@
     /// Counts a request as placed on an upstream.
     pub fn place(&mut self, now: Time, ix: UpstreamIx, need: &Need) {
         let u = &mut self.upstreams[ix.0];
-        u.mine.running += need.slots;
-        u.mine.tokens += need.tokens;
-        u.mine.unread += need.unread;
+        u.mine = u.mine.with(need);
         if let Some(shared) = need.shared {
             if u.read.len() >= MAX_READ {
                 u.read.retain(|_, t| now.since(*t) < READ_FOR);
@@ -506,9 +543,7 @@
     /// Takes back what [`Pool::place`] counted.
     pub fn release(&mut self, ix: UpstreamIx, need: &Need) {
         let mine = &mut self.upstreams[ix.0].mine;
-        mine.running = mine.running.saturating_sub(need.slots);
-        mine.tokens = mine.tokens.saturating_sub(need.tokens);
-        mine.unread = mine.unread.saturating_sub(need.unread);
+        *mine = mine.without(need);
     }
 
     /// Notes whether a request failed through the upstream's fault.
@@ -580,13 +615,14 @@
         let placed = u.load(now);
         LoadView {
             placed,
-            memory: share(placed.tokens, u.memory_tokens.unwrap_or(0)),
+            memory: share(placed.memory(), u.memory_tokens.unwrap_or(0)),
             failing: u.failing,
             age: ages.filter(|a| *a < TOLD_FOR).max().unwrap_or_default(),
         }
     }
 
-    /// Share of an engine's memory that would be spoken for with one more request.
+    /// Share of an engine's memory that would be spoken for with one more request, copies left
+    /// out: they give way to runs.
     #[must_use]
     pub fn fill_with(&self, now: Time, ix: UpstreamIx, need: &Need) -> f64 {
         let u = &self.upstreams[ix.0];
@@ -598,13 +634,23 @@
     #[must_use]
     pub fn fill(&self, now: Time, ix: UpstreamIx) -> f64 {
         let u = &self.upstreams[ix.0];
-        share(u.load(now).tokens, u.memory_tokens.unwrap_or(0))
+        share(u.load(now).memory(), u.memory_tokens.unwrap_or(0))
     }
 
-    /// Share of the memory of all serving engines of a service that is spoken for, with what runs
-    /// on engines that leave and has to find room on the others.
+    /// Share of the memory of all serving engines of a service that is spoken for, copies included.
     #[must_use]
     pub fn fill_of(&self, now: Time, service: &str) -> f64 {
+        self.share_of(now, service, Placed::memory)
+    }
+
+    /// Share of that memory that runs need, with those on engines that leave, which have to find
+    /// room on the others.
+    #[must_use]
+    pub fn runs_fill_of(&self, now: Time, service: &str) -> f64 {
+        self.share_of(now, service, |placed| placed.tokens)
+    }
+
+    fn share_of(&self, now: Time, service: &str, of: impl Fn(&Placed) -> u64) -> f64 {
         let of_service = self.upstreams.iter();
         let of_service = of_service.filter(|u| !u.is_over(now) && &*u.record.service == service);
         let (used, all) = of_service.fold((0, 0), |sum, u| {
@@ -613,7 +659,7 @@
             } else {
                 0
             };
-            (sum.0 + u.load(now).tokens, sum.1 + memory)
+            (sum.0 + of(&u.load(now)), sum.1 + memory)
         });
         share(used, all)
     }
@@ -701,6 +747,7 @@
         fresh.fold(self.mine, |sum, (_, placed)| Placed {
             running: sum.running + placed.running,
             tokens: sum.tokens + placed.tokens,
+            copies: sum.copies + placed.copies,
             unread: sum.unread + placed.unread,
         })
     }
@@ -710,7 +757,7 @@
         let load = self.load(now);
         let memory = self
             .memory_tokens
-            .map_or(0.0, |m| share(load.tokens + need.tokens, m));
+            .map_or(0.0, |m| share(load.memory() + need.tokens, m));
         let full = (memory - CROWDED).max(0.0) * CROWDED_COST;
         let reading = share(load.unread, UNREAD_TOKENS);
         let batch = share(u64::from(load.running), u64::from(self.record.slots));
--- a/fireflycroft/tests/pool.rs
+++ b/fireflycroft/tests/pool.rs
@@ -77,7 +77,6 @@
 
 fn need(tokens: u64) -> Need {
     Need {
-        slots: 1,
         tokens,
         ..Need::default()
     }
@@ -98,6 +97,7 @@
         placed: Placed {
             running: 1,
             tokens,
+            copies: 0,
             unread: 0,
         },
     }
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -115,7 +115,6 @@
     let mut pool = pool(2);
     let source = pool.find("i0").unwrap();
     let need = Need {
-        slots: 1,
         tokens: 15_000,
         ..Need::default()
     };
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -117,7 +117,7 @@
     let now = job.now();
     let fill = Fill {
         engine: pool.fill_with(now, ix, need),
-        service: pool.fill_of(now, &job.service),
+        service: pool.runs_fill_of(now, &job.service),
     };
     let asking = Asking {
         expected_tokens: job.expected_tokens(),
@@ -207,7 +207,7 @@
         return None;
     }
     let copy = Need {
-        slots: 0,
+        is_copy: true,
         unread: 0,
         copied_from: Some(at),
         ..need
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -73,13 +73,10 @@
     #[must_use]
     pub fn need(&self) -> Need {
         let Some(size) = &self.ask.size else {
-            return Need {
-                slots: 1,
-                ..Need::default()
-            };
+            return Need { ..Need::default() };
         };
         Need {
-            slots: 1,
+            is_copy: false,
             tokens: u64::from(size.prompt_tokens) + self.expected_tokens(),
             prompt: u64::from(size.prompt_tokens),
             unread: u64::from(size.prompt_tokens),
