--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -129,10 +129,13 @@
 }
 
 fn refuse_for_room(job: &Job, ix: UpstreamIx, tries: &RefCell<Tries>, wait: Duration) -> Reply {
-    let view = job.node.pool.borrow().view(job.now(), ix);
+    let pool = job.node.pool.borrow();
+    let view = pool.view(job.now(), ix);
+    let of_service = pool.runs_fill_of(job.now(), &job.service);
     log::warn!(
         event = "no_room", req = &*job.request_id, route = &*job.route.name,
         expected = job.expected_tokens(), memory = format!("{:.2}", view.memory),
+        service_memory = format!("{of_service:.2}"),
         told_age_ms = view.age.as_millis(), retry_after_ms = wait.as_millis();
         ""
     );
