Split the pool by job; let the service's memory count later at the door

And the door refused generations for which one engine had room, since the service's memory was held to the same limit though it counts runs that are about to end.

Change: listing follows the list of upstreams, placed says what work is, upstream what one costs, pool keeps the table; nothing else changes there. The service's memory may be fuller by 0.18 than the engine's.

--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -1,7 +1,8 @@
 //! What a direct entry tells the other entries.
 
 use crate::ids::{Digest, Incarnation, Name};
-use crate::pool::{ListChange, PlacedAt};
+use crate::listing::ListChange;
+use crate::placed::PlacedAt;
 use crate::repeat::RepeatCount;
 use std::net::Ipv4Addr;
 
--- /dev/null
+++ b/fireflycroft/src/listing.rs
@@ -0,0 +1,249 @@
+//! Following the list of upstreams: records that come, change, go, and may only be missing.
+//!
+//! Each record carries the revision of the list at which it was written, and the
+//! newest of an upstream holds, whatever order they come in and from whom.
+
+use crate::ids::{Digest, Name};
+use crate::placed::Placed;
+use crate::pool::Pool;
+use crate::time::Time;
+use crate::upstream::{Upstream, UpstreamIx, UpstreamRecord, UpstreamState};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// What changed for those who have work on an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolChange {
+    /// A new upstream came.
+    Came(UpstreamIx),
+    /// An upstream leaves or is gone from the list.
+    Leaves(UpstreamIx),
+}
+
+/// A change of the list of upstreams, as entries tell it each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListChange {
+    /// An upstream wrote its record.
+    Listed(UpstreamRecord),
+    /// An upstream is no longer on the list.
+    Removed {
+        /// The upstream.
+        instance: Name,
+        /// Revision of the list at which it went.
+        revision: u64,
+    },
+}
+
+/// Changes of the list that are kept to be told.
+const MAX_CHANGES: usize = 16;
+
+/// Time for which a change of the list is told again and again.
+const TELL_FOR: Duration = Duration::from_millis(1_200);
+
+/// Time for which an upstream that is gone is remembered, so that an older
+/// record can't bring it back.
+const REMEMBER_GONE: Duration = Duration::from_mins(1);
+
+/// Time for which a list after an outage of the store may lack an upstream
+/// that lives; the platform states about two seconds.
+pub const MISSING_FOR: Duration = Duration::from_millis(2_500);
+
+impl Pool {
+    /// Takes a record unless it is older than the one held.
+    pub fn learn(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
+        self.revision = self.revision.max(record.revision);
+        let Some(ix) = self.find(&record.instance) else {
+            self.note_change(now, ListChange::Listed(record.clone()));
+            return Some(self.add(now, record));
+        };
+        let u = &mut self.upstreams[ix.0];
+        u.missing_since = None;
+        if record.revision <= u.record.revision {
+            return None;
+        }
+        self.note_change(now, ListChange::Listed(record.clone()));
+        let u = &mut self.upstreams[ix.0];
+        let was_serving = !u.gone && u.record.state == UpstreamState::Serving;
+        u.gone = false;
+        u.cold_until = now + record.cold_for;
+        u.record = record;
+        match (was_serving, u.record.state) {
+            (true, UpstreamState::Leaving) => {
+                u.left_at = Some(now);
+                Some(PoolChange::Leaves(ix))
+            }
+            (false, UpstreamState::Serving) => {
+                u.left_at = None;
+                Some(PoolChange::Came(ix))
+            }
+            _ => None,
+        }
+    }
+
+    fn add(&mut self, now: Time, record: UpstreamRecord) -> PoolChange {
+        let leaving = record.state == UpstreamState::Leaving;
+        let upstream = Upstream {
+            cold_until: now + record.cold_for,
+            record,
+            memory_tokens: None,
+            gone: false,
+            left_at: leaving.then_some(now),
+            missing_since: None,
+            mine: Placed::default(),
+            others: HashMap::new(),
+            avoid_until: Time::default(),
+            failing: 0.0,
+            read: HashMap::new(),
+        };
+        let free = |u: &Upstream| {
+            u.gone
+                && u.mine == Placed::default()
+                && u.left_at.is_none_or(|t| now.since(t) > REMEMBER_GONE)
+        };
+        let ix = if let Some(at) = self.upstreams.iter().position(free) {
+            self.upstreams[at] = upstream;
+            UpstreamIx(at)
+        } else {
+            self.upstreams.push(upstream);
+            UpstreamIx(self.upstreams.len() - 1)
+        };
+        if leaving {
+            PoolChange::Leaves(ix)
+        } else {
+            PoolChange::Came(ix)
+        }
+    }
+
+    fn note_change(&mut self, now: Time, change: ListChange) {
+        self.changes.push_back((now, change));
+        if self.changes.len() > MAX_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Changes of the list of late, to tell the others.
+    #[must_use]
+    pub fn list_changes(&self, now: Time) -> Vec<ListChange> {
+        let fresh = |(at, _): &&(Time, ListChange)| now.since(*at) < TELL_FOR;
+        let changes = self.changes.iter().filter(fresh);
+        changes.map(|(_, change)| change.clone()).collect()
+    }
+
+    /// Takes a change that another entry told.
+    pub fn take_change(&mut self, now: Time, change: ListChange) -> Option<PoolChange> {
+        match change {
+            ListChange::Listed(record) => self.learn(now, record),
+            ListChange::Removed { instance, revision } => self.forget(now, &instance, revision),
+        }
+    }
+
+    /// Digest of the list; two entries with the same one know the same upstreams.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation)]
+    pub fn digest(&self) -> u64 {
+        let one = |r: &UpstreamRecord| {
+            let revision = r.revision.to_le_bytes();
+            Digest::of(&[r.instance.as_bytes(), &revision]).0 as u64
+        };
+        self.records().fold(0, |sum, record| sum ^ one(record))
+    }
+
+    /// Notes that the list no longer has an upstream, as of `revision`.
+    pub fn forget(&mut self, now: Time, instance: &str, revision: u64) -> Option<PoolChange> {
+        self.revision = self.revision.max(revision);
+        let ix = self.find(instance)?;
+        let u = &mut self.upstreams[ix.0];
+        if revision < u.record.revision {
+            return None;
+        }
+        if u.gone {
+            u.record.revision = revision;
+            return None;
+        }
+        u.record.revision = revision;
+        u.gone = true;
+        u.missing_since = None;
+        let instance = u.record.instance.clone();
+        self.note_change(now, ListChange::Removed { instance, revision });
+        let u = &mut self.upstreams[ix.0];
+        if u.left_at.is_some() {
+            return None;
+        }
+        u.left_at = Some(now);
+        Some(PoolChange::Leaves(ix))
+    }
+
+    /// Notes that the list lacks an upstream, which may live all the same.
+    pub fn note_missing(&mut self, now: Time, instance: &str, revision: u64) {
+        self.revision = self.revision.max(revision);
+        if let Some(ix) = self.find(instance) {
+            let u = &mut self.upstreams[ix.0];
+            if !u.gone && revision >= u.record.revision {
+                u.missing_since = u.missing_since.or(Some(now));
+            }
+        }
+    }
+
+    /// Forgets upstreams that a list as of `revision` surely lacks.
+    pub fn forget_others(
+        &mut self,
+        now: Time,
+        listed: &[UpstreamRecord],
+        revision: u64,
+    ) -> Vec<PoolChange> {
+        let lacks = |u: &&Upstream| {
+            let known = &u.record;
+            let on_list = listed.iter().any(|r| r.instance == known.instance);
+            !u.gone && !on_list && known.revision <= revision
+        };
+        let names = self.upstreams.iter().filter(lacks);
+        let names: Vec<Name> = names.map(|u| u.record.instance.clone()).collect();
+        names
+            .iter()
+            .filter_map(|name| self.forget(now, name, revision))
+            .collect()
+    }
+
+    /// Takes a whole list as of `revision`; what it lacks is missing from now on.
+    pub fn learn_all(
+        &mut self,
+        now: Time,
+        records: Vec<UpstreamRecord>,
+        revision: u64,
+    ) -> Vec<PoolChange> {
+        for u in &mut self.upstreams {
+            let listed = records.iter().any(|r| r.instance == u.record.instance);
+            if !u.gone && !listed && u.record.revision <= revision {
+                u.missing_since = u.missing_since.or(Some(now));
+            }
+        }
+        records
+            .into_iter()
+            .filter_map(|record| self.learn(now, record))
+            .collect()
+    }
+
+    /// Forgets upstreams that a list has lacked for [`MISSING_FOR`].
+    pub fn drop_missing(&mut self, now: Time) -> Vec<PoolChange> {
+        let overdue = |u: &Upstream| {
+            u.missing_since
+                .is_some_and(|t| !u.gone && now.since(t) >= MISSING_FOR)
+        };
+        let names: Vec<(Name, u64)> = self
+            .upstreams
+            .iter()
+            .filter(|u| overdue(u))
+            .map(|u| (u.record.instance.clone(), u.record.revision))
+            .collect();
+        names
+            .into_iter()
+            .filter_map(|(name, revision)| self.forget(now, &name, revision))
+            .collect()
+    }
+
+    /// Whether any upstream is missing from the last list.
+    #[must_use]
+    pub fn any_missing(&self) -> bool {
+        self.upstreams.iter().any(|u| u.missing_since.is_some())
+    }
+}
--- a/fireflycroft/src/rescue.rs
+++ b/fireflycroft/src/rescue.rs
@@ -7,8 +7,10 @@
 //! and made on notice where it isn't.
 
 use crate::ids::Name;
-use crate::pool::{Need, Pool, UpstreamIx};
+use crate::placed::Need;
+use crate::pool::Pool;
 use crate::time::Time;
+use crate::upstream::UpstreamIx;
 use std::time::Duration;
 
 /// Share of all memory that may be spoken for when a run begins with a copy.
--- a/fireflycroft/src/room.rs
+++ b/fireflycroft/src/room.rs
@@ -24,6 +24,10 @@
 /// Share of the memory that is kept for those of the first rank.
 pub const ROOM_FOR_FIRST: f64 = 0.05;
 
+/// Share by which the memory of all engines may be fuller than that of the one engine: it counts
+/// what runs on engines that leave, part of which ends by itself.
+const SERVICE_LATER: f64 = 0.18;
+
 /// Answers that are expected to be no longer are short.
 pub const SHORT_TOKENS: u64 = 64;
 
@@ -62,7 +66,7 @@
     } else {
         0.0
     };
-    fill.engine.max(fill.service) <= limit + first
+    fill.engine.max(fill.service - SERVICE_LATER) <= limit + first
 }
 
 /// When there is likely to be room, if `fill` of all memory is spoken for.
--- /dev/null
+++ b/fireflycroft/src/upstream.rs
@@ -0,0 +1,188 @@
+//! One upstream as a direct entry sees it, and what one more request there costs.
+
+use crate::ids::Name;
+use crate::placed::{Need, Placed};
+use crate::time::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UpstreamState {
+    /// It does.
+    Serving,
+    /// It has announced that it leaves.
+    Leaving,
+}
+
+/// One upstream, as the platform's list has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamRecord {
+    /// Id of this life of the upstream; never used twice.
+    pub instance: Name,
+    /// Service that it answers for.
+    pub service: Name,
+    /// Where it listens; may pass to another upstream later.
+    pub addr: SocketAddr,
+    /// Data centre that it runs in.
+    pub data_centre: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+    /// Revision of the list at which the record was written.
+    pub revision: u64,
+}
+
+/// Index of an upstream in the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct UpstreamIx(pub(crate) usize);
+
+/// What the pool knows of one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub(crate) record: UpstreamRecord,
+    pub(crate) memory_tokens: Option<u64>,
+    pub(crate) gone: bool,
+    pub(crate) left_at: Option<Time>,
+    pub(crate) missing_since: Option<Time>,
+    pub(crate) mine: Placed,
+    pub(crate) others: HashMap<Name, (Time, Placed)>,
+    pub(crate) avoid_until: Time,
+    pub(crate) failing: f64,
+    pub(crate) cold_until: Time,
+    pub(crate) read: HashMap<u64, Time>,
+}
+
+/// Time for which what another entry told counts.
+///
+/// Entries tell every quarter of a second; four lost in a row mean that it is gone.
+pub(crate) const TOLD_FOR: Duration = Duration::from_secs(1);
+
+/// Time from an upstream's notice to its end, at which nothing runs there any more.
+const LEAVES_WITHIN: Duration = Duration::from_secs(2);
+
+/// Time for which a shared part of a prompt is taken to stay in memory.
+pub(crate) const READ_FOR: Duration = Duration::from_secs(6);
+
+/// What a wholly failing upstream costs, against one whose memory is full.
+const FAILING_COST: f64 = 4.0;
+
+/// What another data centre costs, against a full memory.
+const FAR_COST: f64 = 0.02;
+
+/// What a copy from another data centre costs, against a full memory: it takes twice as long on
+/// the links of both upstreams.
+pub(crate) const FAR_COPY_COST: f64 = 0.4;
+
+/// Costs that differ by less are taken for equal, against a full memory.
+///
+/// Entries that decide within the quarter of a second between two tellings see the same upstream
+/// as the best and would all go there.
+const TIE_COST: f64 = 0.12;
+
+/// The same for copies: when upstreams leave together, all entries look for room for all their
+/// runs within a few milliseconds.
+const COPY_TIE_COST: f64 = 0.4;
+
+/// What a cold upstream costs, against a full memory.
+const COLD_COST: f64 = 0.25;
+
+/// What a full batch costs, against a full memory.
+const BATCH_COST: f64 = 0.5;
+
+/// Share of the memory from which on runs are likely to be preempted.
+const CROWDED: f64 = 0.85;
+
+/// What each share of the memory beyond [`CROWDED`] costs on top.
+const CROWDED_COST: f64 = 4.0;
+
+/// Tokens of prompts still to be read that cost as much as a full memory: an engine that reads
+/// between the steps of its batch takes about two seconds for them, the longest objective of a
+/// first event.
+const UNREAD_TOKENS: u64 = 14_000;
+
+/// What a shared part that lies there saves, against a full memory.
+const SHARED_GAIN: f64 = 0.03;
+
+impl Upstream {
+    pub(crate) fn is_serving(&self) -> bool {
+        !self.gone && self.record.state == UpstreamState::Serving
+    }
+
+    /// Whether it has left, so that what ran there has ended or moved.
+    pub(crate) fn is_over(&self, now: Time) -> bool {
+        let left = self.left_at.filter(|_| !self.is_serving());
+        left.is_some_and(|t| now.since(t) > LEAVES_WITHIN)
+    }
+
+    /// Work of all entries.
+    pub(crate) fn load(&self, now: Time) -> Placed {
+        let told = self.others.values();
+        let fresh = told.filter(|(at, _)| now.since(*at) < TOLD_FOR);
+        fresh.fold(self.mine, |sum, (_, placed)| Placed {
+            running: sum.running + placed.running,
+            tokens: sum.tokens + placed.tokens,
+            copies: sum.copies + placed.copies,
+            unread: sum.unread + placed.unread,
+        })
+    }
+
+    /// Cost of one more request here, against a full memory.
+    pub(crate) fn cost(&self, now: Time, need: &Need, data_centre: &Name) -> f64 {
+        let load = self.load(now);
+        let memory = self
+            .memory_tokens
+            .map_or(0.0, |m| share(load.memory() + need.tokens, m));
+        let full = (memory - CROWDED).max(0.0) * CROWDED_COST;
+        let reading = share(load.unread, UNREAD_TOKENS);
+        let batch = share(u64::from(load.running), u64::from(self.record.slots));
+        let far = if self.record.data_centre == *data_centre {
+            0.0
+        } else {
+            FAR_COST
+        };
+        let cold = if self.cold_until > now {
+            COLD_COST
+        } else {
+            0.0
+        };
+        let lies_there = need.shared.and_then(|part| self.read.get(&part));
+        let shared = match lies_there {
+            Some(at) if now.since(*at) < READ_FOR => SHARED_GAIN,
+            _ => 0.0,
+        };
+        memory + full + reading + BATCH_COST * batch + FAILING_COST * self.failing + far + cold
+            - shared
+    }
+}
+
+/// Costs that are taken for equal in this choice.
+pub(crate) const fn tie_cost(need: &Need) -> f64 {
+    match need.copied_from {
+        _ if need.tokens == 0 => 0.0,
+        Some(_) => COPY_TIE_COST,
+        None => TIE_COST,
+    }
+}
+
+/// A number from 0 to 1 for the upstream at `i`, by a finaliser of the `SplitMix64` generator.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) const fn draw_for(draw: u64, i: usize) -> f64 {
+    let mut z = draw.wrapping_add((i as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (z ^ (z >> 31)) as f64 / u64::MAX as f64
+}
+
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    part as f64 / whole as f64
+}
