Serve short pages and call short calls in one place

Before: three accept loops, two copies of a call.

Conclusion: no behaviour changed but the pause after a failed accept.

--- a/fireflydirect/src/store.rs
+++ b/fireflydirect/src/client.rs
@@ -1,20 +1,20 @@
-//! Calls of the platform's store over one connection that is kept.
+//! Short calls of the platform's store and of other entries, over one connection that is kept.
 
-use crate::links::{Link, open};
+use crate::links::{Link, call_whole, open};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A client of the store; one call at a time.
-pub struct StoreClient {
+/// A client of one address; one call at a time.
+pub struct Client {
     addr: SocketAddr,
     link: Option<Link>,
 }
 
-impl StoreClient {
+impl Client {
     /// A client that isn't connected yet.
     #[must_use]
     pub const fn new(addr: SocketAddr) -> Self {
@@ -73,9 +73,6 @@
         Some(link) => link,
         None => open(addr).await?,
     };
-    link.sender.ready().await?;
-    let response = link.sender.send_request(req).await?;
-    let status = response.status().as_u16();
-    let bytes = response.into_body().collect().await?.to_bytes();
+    let (status, bytes) = call_whole(&mut link, req).await?;
     Ok((link, status, bytes))
 }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -3,8 +3,8 @@
 //! Each kind is listed once and then watched from the revision of the list. A
 //! list follows again only when the store has dropped its history.
 
+use crate::client::Client;
 use crate::node::Node;
-use crate::store::StoreClient;
 use fireflycroft::UpstreamRecord;
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, list_path, read_events, read_page, read_upstream,
@@ -35,7 +35,7 @@
 /// What a feed does with what it reads.
 struct Feed {
     node: Rc<Node>,
-    client: StoreClient,
+    client: Client,
     kind: Kind,
     pause: Duration,
     lost: bool,
@@ -43,7 +43,7 @@
 
 /// Follows one kind of object for as long as the process lives.
 pub async fn follow(node: Rc<Node>, kind: Kind) {
-    let client = StoreClient::new(node.place.store.addr);
+    let client = Client::new(node.place.store.addr);
     let mut feed = Feed {
         node,
         client,
@@ -97,7 +97,7 @@
             () = self.watch_from(revision) => return,
             () = off_duty => {}
         }
-        self.client = StoreClient::new(node.place.store.addr);
+        self.client = Client::new(node.place.store.addr);
         self.node.store_answers.set(false);
         while !node.duty.borrow().is_watching() {
             node.duty_changed.notified().await;
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod answer;
 pub mod call;
 pub mod callers;
+pub mod client;
 pub mod clock;
 pub mod crash;
 pub mod exchange;
@@ -30,5 +31,5 @@
 pub mod runs;
 pub mod serve;
 pub mod settings;
+pub mod small_server;
 pub mod state_page;
-pub mod store;
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -7,7 +7,8 @@
 use crate::clock::Clock;
 use bytes::Bytes;
 use fireflycroft::{Name, Time};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -162,6 +163,22 @@
     })
 }
 
+/// Sends a short call over a link: status and whole body of its answer.
+///
+/// # Errors
+///
+/// When the connection breaks before the answer is whole.
+pub async fn call_whole(
+    link: &mut Link,
+    req: Request<Full<Bytes>>,
+) -> anyhow::Result<(u16, Bytes)> {
+    link.sender.ready().await?;
+    let response = link.sender.send_request(req).await?;
+    let status = response.status().as_u16();
+    let bytes = response.into_body().collect().await?.to_bytes();
+    Ok((status, bytes))
+}
+
 async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
     watch_over(&stream)?;
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -1,12 +1,13 @@
 //! Moving runs off upstreams that have announced their leaving.
 
 use crate::generation::or_empty;
+use crate::links::call_whole;
 use crate::node::{Node, PlacedGuard};
 use crate::runs::{Refuge, Run};
 use bytes::Bytes;
 use fireflycroft::{Need, OnNotice, STOP_AFTER_NOTICE, UpstreamIx, on_notice};
 use fireflycroft_platform::{MoveOutcome, move_call, read_move};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use rand::Rng;
@@ -169,14 +170,11 @@
         .links
         .get(&source.instance, source.addr, COPY_TIMEOUT)
         .await?;
-    link.sender.ready().await?;
     let req = Request::post(path)
         .header(HOST, source.addr.to_string())
         .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
         .body(Full::new(Bytes::from(body)))?;
-    let response = link.sender.send_request(req).await?;
-    let status = response.status().as_u16();
-    let bytes = response.into_body().collect().await?.to_bytes();
+    let (status, bytes) = call_whole(&mut link, req).await?;
     node.links.put_back(&source.instance, link, None);
     Ok(read_move(source.addr, status, &bytes))
 }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -7,10 +7,10 @@
 //! style names for this, `nng`, keeps some 36 threads in a process and memory to
 //! match; a datagram of a few hundred bytes that may be lost needs neither.
 
+use crate::client::Client;
 use crate::feed::take_told;
 use crate::node::{Node, Stage};
 use crate::state_page::{PeerState, STATE_PATH};
-use crate::store::StoreClient;
 use fireflycroft::{
     CrashCount, Digest, EntryNews, Incarnation, ListChange, Name, Time, WatchView, whole_millis,
 };
@@ -366,7 +366,7 @@
 
 async fn fetch_state(node: &Node, from: Ipv4Addr) -> anyhow::Result<()> {
     let addr = SocketAddr::from((from, node.place.peer_ports.0));
-    let mut client = StoreClient::new(addr);
+    let mut client = Client::new(addr);
     let (status, body) = client.get(STATE_PATH, FETCH_TIMEOUT).await?;
     anyhow::ensure!(status == 200, "status {status}");
     let state: PeerState = serde_json::from_slice(&body)?;
--- /dev/null
+++ b/fireflydirect/src/small_server.rs
@@ -0,0 +1,54 @@
+//! Serving short answers to the balancer, other entries and operators.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Wait after a failed accept: descriptors run out for moments only.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A short answer.
+pub type Page = Response<Full<Bytes>>;
+
+/// Answers each request with what `page` gives, for as long as the process lives.
+pub async fn serve(listener: TcpListener, page: impl Fn(&Request<Incoming>) -> Page + 'static) {
+    let page = Rc::new(page);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(talk(stream, page.clone()));
+            }
+            Err(e) => {
+                log::warn!(event = "accept_failed", error = e.to_string(); "");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn talk(stream: TcpStream, page: Rc<impl Fn(&Request<Incoming>) -> Page>) {
+    let service = service_fn(|req| {
+        let answer = page(&req);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    // Whoever asks asks again if its connection breaks.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// A page with a status alone.
+#[must_use]
+pub fn empty(status: StatusCode) -> Page {
+    let mut page = Page::default();
+    *page.status_mut() = status;
+    page
+}
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -2,17 +2,13 @@
 
 use crate::metrics::METRICS_PATH;
 use crate::node::Node;
-use bytes::Bytes;
+use crate::small_server::{self, Page, empty};
 use fireflycroft::UpstreamRecord;
 use fireflycroft_platform::StoreObject;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
@@ -34,26 +30,10 @@
 
 /// Answers for as long as the process lives.
 pub async fn answer(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let node = node.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|req| {
-                let response = page(&node, &req);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            // Whoever asks asks again if its connection breaks.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    small_server::serve(listener, move |req| page(&node, req)).await;
 }
 
-fn page(node: &Node, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn page(node: &Node, req: &Request<Incoming>) -> Page {
     match req.uri().path() {
         STATE_PATH => match serde_json::to_vec(&state(node)) {
             Ok(body) => Response::new(Full::from(body)),
@@ -81,9 +61,3 @@
         sure: node.follows_store() && !node.pool.borrow().any_missing(),
     }
 }
-
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
