Write log lines by a thread of its own, bounded, failures last to go

Cause: lines went to standard output in the serving thread, one write each; a reader that stalls would have held every request up.

Failed answers and cut streams are warnings now.

Ruled out: the library's own asynchronous appender, which drops whatever comes last and counts nothing.

Four cases: order, a stalled reader, room for failures, the line about what was dropped; the first try of the third was a race in the test (the writer could empty the queue between two looks) and was rewritten to wait for the writer first.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -236,8 +236,13 @@
 
     fn say(&self, event: &str, why: &str) {
         let job = &self.job;
-        log::info!(
-            event = event, req = &*job.request_id, route = &*job.route.name,
+        let level = if event == "stream_cut" {
+            log::Level::Warn
+        } else {
+            log::Level::Info
+        };
+        log::log!(
+            level, event = event, req = &*job.request_id, route = &*job.route.name,
             instance = &*job.node.pool.borrow().record(self.placed.ix).instance,
             events = self.events.relayed(), breaks = self.breaks, why = why,
             first_ms = or_empty(self.pauses.first.map(|t| t.since(job.arrival).as_millis())),
--- a/fireflydirect/src/main.rs
+++ b/fireflydirect/src/main.rs
@@ -43,5 +43,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    LocalSet::new().block_on(&runtime, process::run(settings))
+    let ended = LocalSet::new().block_on(&runtime, process::run(settings));
+    log::logger().flush();
+    ended
 }
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -80,8 +80,14 @@
     };
     let repeat = Some(job.route.repeat);
     job.node.metrics.note_answer(repeat, code, job.age());
-    log::info!(
-        event = "answered", req = &*job.request_id, route = &*job.route.name,
+    // What failed is kept before what was served when lines have to be dropped.
+    let level = if code == Code::Ok && status < 500 {
+        log::Level::Info
+    } else {
+        log::Level::Warn
+    };
+    log::log!(
+        level, event = "answered", req = &*job.request_id, route = &*job.route.name,
         service = &*job.service, code = code.number(), status = status,
         version = job.version, age_ms = job.age().as_millis();
         ""
--- a/fireflylog/src/lib.rs
+++ b/fireflylog/src/lib.rs
@@ -9,6 +9,10 @@
 //!
 //! The lines of libraries, which name no event, have `event=log` with `target` and `message`.
 
+mod bounded;
+
+pub use bounded::{BoundedAppend, QUEUE_BYTES};
+
 use std::fmt::Write;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -33,7 +37,7 @@
 /// Where the lines go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Output {
-    /// Standard output.
+    /// Standard output, by a thread of its own, so that a reader that stalls holds nothing up.
     Stdout,
     /// Standard error.
     Stderr,
@@ -48,10 +52,12 @@
     // The level is checked by the macros, before a line is put together.
     let all = LevelFilter::All;
     let applied = match output {
-        Output::Stdout => starter_log::stdout()
-            .layout(LineLayout)
-            .filter(all)
-            .try_apply(),
+        Output::Stdout => {
+            let append = BoundedAppend::start(std::io::stdout())?;
+            starter_log::builder()
+                .dispatch(|d| d.filter(all).append(append))
+                .try_apply()
+        }
         Output::Stderr => starter_log::stderr()
             .layout(LineLayout)
             .filter(all)
--- /dev/null
+++ b/fireflylog/tests/bounded.rs
@@ -0,0 +1,137 @@
+//! Lines are written in order, never waited for, and dropped by rule.
+
+use fireflylog::{BoundedAppend, QUEUE_BYTES};
+use logforth::Append;
+use std::io::{self, Write};
+use std::sync::{Arc, Condvar, Mutex};
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+cases! {
+    lines_come_out_in_order => in_order();
+    stalled_reader_holds_nobody_up => bears_stall();
+    failures_have_room_when_served_lines_have_none => keeps_failures();
+    dropped_lines_are_told_of => tells_of_dropped();
+}
+
+/// A stream whose reader can stall.
+#[derive(Clone, Default)]
+struct Stream {
+    written: Arc<Mutex<Vec<u8>>>,
+    open: Arc<(Mutex<bool>, Condvar)>,
+    asked: Arc<(Mutex<bool>, Condvar)>,
+}
+
+impl Stream {
+    fn open(&self) {
+        *self.open.0.lock().unwrap() = true;
+        self.open.1.notify_all();
+    }
+
+    /// Waits until the writer has a batch in hand that nobody takes.
+    fn until_asked(&self) {
+        let mut asked = self.asked.0.lock().unwrap();
+        while !*asked {
+            asked = self.asked.1.wait(asked).unwrap();
+        }
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.written.lock().unwrap().clone()).unwrap()
+    }
+}
+
+impl Write for Stream {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        *self.asked.0.lock().unwrap() = true;
+        self.asked.1.notify_all();
+        let mut open = self.open.0.lock().unwrap();
+        while !*open {
+            open = self.open.1.wait(open).unwrap();
+        }
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn append() -> (BoundedAppend, Stream) {
+    let stream = Stream::default();
+    (BoundedAppend::start(stream.clone()).unwrap(), stream)
+}
+
+const LINE: usize = 1_000;
+
+fn line(byte: u8) -> Vec<u8> {
+    let mut line = vec![byte; LINE - 1];
+    line.push(b'\n');
+    line
+}
+
+/// Waits until all that was pushed has been written.
+fn written(append: &BoundedAppend, stream: &Stream, holds: impl Fn(&str) -> bool) -> String {
+    stream.open();
+    loop {
+        append.flush().unwrap();
+        let text = stream.text();
+        if holds(&text) {
+            return text;
+        }
+    }
+}
+
+fn in_order() {
+    let (append, stream) = append();
+    for byte in b'a'..=b'j' {
+        append.push(vec![byte, b'\n'], false);
+    }
+    let text = written(&append, &stream, |t| t.len() == 20);
+    assert_eq!(text.replace('\n', ""), "abcdefghij");
+}
+
+/// Fills the queue behind a batch that the writer can't get rid of.
+fn fill(append: &BoundedAppend, stream: &Stream) {
+    append.push(line(b'1'), false);
+    stream.until_asked();
+    for _ in 0..QUEUE_BYTES / LINE {
+        append.push(line(b's'), false);
+    }
+}
+
+fn bears_stall() {
+    let (append, stream) = append();
+    fill(&append, &stream);
+    // Reached without the stream ever taking a byte.
+    assert!(append.dropped().0 > 0);
+}
+
+fn keeps_failures() {
+    let (append, stream) = append();
+    fill(&append, &stream);
+    let before = append.dropped();
+    append.push(line(b's'), false);
+    append.push(line(b'f'), true);
+    let after = append.dropped();
+    assert_eq!(after, (before.0 + 1, 0));
+    written(&append, &stream, |t| t.contains("ffff"));
+}
+
+fn tells_of_dropped() {
+    let (append, stream) = append();
+    fill(&append, &stream);
+    let text = written(&append, &stream, |t| t.contains("event=log_dropped"));
+    assert!(text.contains("of_failures=0"));
+    assert_eq!(append.dropped(), (0, 0));
+}
