--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -148,17 +148,6 @@
         self.records().fold(0, |sum, record| sum ^ one(record))
     }
 
-    /// Notes that an upstream itself says that it leaves, while the list can't be read.
-    pub fn note_leaving(&mut self, now: Time, ix: UpstreamIx) -> Option<PoolChange> {
-        if !self.is_serving(ix) {
-            return None;
-        }
-        let u = &mut self.upstreams[ix.0];
-        u.record.state = UpstreamState::Leaving;
-        u.left_at = Some(now);
-        Some(PoolChange::Leaves(ix))
-    }
-
     /// Notes that the list no longer has an upstream, as of `revision`.
     pub fn forget(&mut self, now: Time, instance: &str, revision: u64) -> Option<PoolChange> {
         self.revision = self.revision.max(revision);
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -170,14 +170,6 @@
         some.into_iter().map(|ix| tell(at(ix))).collect()
     }
 
-    /// Serving upstreams on which this entry has placed work that needs memory.
-    #[must_use]
-    pub fn mine(&self) -> Vec<UpstreamIx> {
-        let all = (0..self.upstreams.len()).map(UpstreamIx);
-        let busy = all.filter(|ix| self.upstreams[ix.0].mine.tokens > 0);
-        busy.filter(|ix| self.is_serving(*ix)).collect()
-    }
-
     /// What this entry has placed, to tell the others.
     #[must_use]
     pub fn placed(&self) -> Vec<PlacedAt> {
--- a/fireflycroft/tests/pool.rs
+++ b/fireflycroft/tests/pool.rs
@@ -35,7 +35,6 @@
     missing_upstream_that_is_listed_again_stays => missing_comes_back();
     list_of_a_sure_peer_removes_at_once => sure_list_removes();
     told_changes_lead_to_the_same_list => told_changes_converge();
-    upstream_that_says_itself_that_it_leaves_is_left => says_itself();
     outgrown_run_counts_for_more => outgrown_counts();
     other_service_is_never_chosen => other_service();
     copy_stays_in_its_data_centre => copy_stays_near();
@@ -258,19 +257,6 @@
     assert!(from.list_changes(at(9_000)).is_empty());
 }
 
-fn says_itself() {
-    let mut pool = pool(&["a", "b"]);
-    let a = ix(&pool, "a");
-    pool.place(at(0), a, &need(100));
-    assert_eq!(pool.mine(), [a]);
-    assert_eq!(pool.note_leaving(at(1), a), Some(PoolChange::Leaves(a)));
-    assert_eq!(pool.note_leaving(at(2), a), None);
-    assert!(pool.mine().is_empty());
-    assert_eq!(chosen(&pool, at(3), &need(1)), "b");
-    pool.learn(at(4), record("a", 9));
-    assert!(pool.is_serving(a));
-}
-
 fn outgrown_counts() {
     let mut pool = pool(&["a"]);
     let a = ix(&pool, "a");
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -28,7 +28,6 @@
 pub mod process;
 pub mod readiness;
 pub mod reload;
-pub mod reports;
 pub mod runs;
 pub mod serve;
 pub mod settings;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -165,12 +165,6 @@
         self.duty.borrow().is_watching() && self.store_answers.get()
     }
 
-    /// Whether any entry that is heard watches the store and is answered.
-    #[must_use]
-    pub fn anybody_watches(&self) -> bool {
-        self.watches_store() || self.peers.borrow().any_watches(self.now())
-    }
-
     /// Whether the store has answered for so long that what its list lacks is gone.
     #[must_use]
     pub fn follows_store(&self) -> bool {
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -117,12 +117,6 @@
         self.known.values().filter(heard).map(view).collect()
     }
 
-    /// Whether another entry watches the store and is answered.
-    #[must_use]
-    pub fn any_watches(&self, now: Time) -> bool {
-        self.watch_views(now).iter().any(|v| v.watches)
-    }
-
     /// Keeps a crash count to be told.
     pub fn tell_crash(&mut self, content: Digest, count: u8) {
         self.crashes.retain(|c| c.content != content);
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -2,7 +2,7 @@
 
 use crate::node::{Node, Stage};
 use crate::settings::Settings;
-use crate::{callers, feed, mover, peers, readiness, reports, state_page};
+use crate::{callers, feed, mover, peers, readiness, state_page};
 use anyhow::Context;
 use fireflycroft_platform::Kind;
 use std::net::SocketAddr;
@@ -67,7 +67,6 @@
     spawn_local(readiness::answer(node.clone(), readiness));
     spawn_local(callers::accept(node.clone(), callers));
     spawn_local(mover::run(node.clone()));
-    spawn_local(reports::run(node.clone()));
     spawn_local(tidy(node.clone()));
     Ok(())
 }
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -221,25 +221,6 @@
         check_runs(&site, &id);
     }
 
-    stream_is_moved_by_its_engines_report_in_an_outage(site: 1) {
-        site.engines[1].kill();
-        site.store.remove("servers", "m-1");
-        until("one engine", || async { site.log(0).contains("upstream_leaves") }).await;
-        let id = site.id();
-        let stream = site.generation(0, "/log/a", 500, &id).send().await.unwrap();
-        site.engine_of(&id).await;
-        site.add_engine(2).await;
-        until("the engine", || async { site.log(0).contains("instance=m-2") }).await;
-        site.store.set_mode(StoreMode::Reset);
-        until("the loss", || async { site.log(0).contains("store_lost") }).await;
-        site.engines[0].report_leaving();
-        until("the report", || async { site.log(0).contains("source=report") }).await;
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
-        site.engines[0].kill();
-        assert_eq!(stream.text().await.unwrap(), whole_stream(&id, 500));
-        check_runs(&site, &id);
-    }
-
     leaving_engine_gets_nothing_new(site: 1) {
         let leaving = &site.engines[0];
         let entry = leaving.entry("models", "draining");
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -76,8 +76,6 @@
     /// Address under which others know it: a proxy's, if there is one.
     known_at: Mutex<SocketAddr>,
     record: Record,
-    /// Whether its report says that it leaves.
-    leaves: Mutex<bool>,
     fault: Mutex<AnswerFault>,
     /// Runs that are to stop for a move, by request.
     stops: Mutex<HashMap<String, Arc<Notify>>>,
@@ -104,7 +102,6 @@
             addr,
             known_at: Mutex::new(addr),
             record,
-            leaves: Mutex::default(),
             fault: Mutex::default(),
             stops: Mutex::default(),
             crash: Notify::new(),
@@ -143,11 +140,6 @@
         *lock(&self.shared.known_at) = addr;
     }
 
-    /// Its report says from now on that it leaves.
-    pub fn report_leaving(&self) {
-        *lock(&self.shared.leaves) = true;
-    }
-
     /// Gives the address to another instance, as after a restart.
     pub fn become_another(&self, instance: &str) {
         instance.clone_into(&mut lock(&self.shared.instance));
@@ -208,13 +200,6 @@
 }
 
 async fn answer(stream: &mut TcpStream, shared: &Shared, req: &Request) -> io::Result<After> {
-    if req.path == "/v1/report" {
-        let leaves = *lock(&shared.leaves);
-        let state = if leaves { "draining" } else { "ready" };
-        let body = json!({"state": state}).to_string();
-        write_answer(stream, 200, &[], body.as_bytes()).await?;
-        return Ok(After::Keep);
-    }
     if req.path == "/v1/kv-move" {
         return move_run(stream, shared, req).await;
     }
