Bound what grows with the fleet: choices, tellings, lists

Every choice looked at all upstreams, each record was found by a walk over all, the digest of the list was hashed anew for each datagram, all news went to 32 entries four times a second, and a missed change fetched the whole list.

Ruled out: the store; it acknowledged changes within 0.2 s at every size.

Change: upstreams are indexed by instance and service; the digest is kept; beyond 64 upstreams a choice looks at 64 drawn ones; beyond 40 entries only watchers tell all, twice a second, the others eight at a time once a second; whoever missed changes asks for those since its revision.

--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -8,7 +8,7 @@
 use crate::pool::Pool;
 use crate::time::Time;
 use crate::upstream::{Upstream, UpstreamIx, UpstreamRecord, UpstreamState};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// What changed for those who have work on an upstream.
@@ -62,7 +62,11 @@
             return None;
         }
         self.note_change(now, ListChange::Listed(record.clone()));
+        self.digest ^= digest_of(&record);
         let u = &mut self.upstreams[ix.0];
+        if !u.gone {
+            self.digest ^= digest_of(&u.record);
+        }
         let was_serving = !u.gone && u.record.state == UpstreamState::Serving;
         u.gone = false;
         u.cold_until = now + record.cold_for;
@@ -84,8 +88,8 @@
         let leaving = record.state == UpstreamState::Leaving;
         let upstream = Upstream {
             cold_until: now + record.cold_for,
+            memory_tokens: self.memory_of.get(&record.service).copied(),
             record,
-            memory_tokens: None,
             gone: false,
             left_at: leaving.then_some(now),
             missing_since: None,
@@ -100,13 +104,20 @@
                 && u.mine == Placed::default()
                 && u.left_at.is_none_or(|t| now.since(t) > REMEMBER_GONE)
         };
-        let ix = if let Some(at) = self.upstreams.iter().position(free) {
+        let service = upstream.record.service.clone();
+        let instance = upstream.record.instance.clone();
+        self.digest ^= digest_of(&upstream.record);
+        let at = if let Some(at) = self.upstreams.iter().position(free) {
+            self.take_out(at);
             self.upstreams[at] = upstream;
-            UpstreamIx(at)
+            at
         } else {
             self.upstreams.push(upstream);
-            UpstreamIx(self.upstreams.len() - 1)
+            self.upstreams.len() - 1
         };
+        self.by_instance.insert(instance, at);
+        self.by_service.entry(service).or_default().push(at);
+        let ix = UpstreamIx(at);
         if leaving {
             PoolChange::Leaves(ix)
         } else {
@@ -114,6 +125,15 @@
         }
     }
 
+    /// Takes an upstream that is gone out of the indices.
+    fn take_out(&mut self, at: usize) {
+        let record = &self.upstreams[at].record;
+        self.by_instance.remove(&record.instance);
+        if let Some(of_service) = self.by_service.get_mut(&record.service) {
+            of_service.retain(|i| *i != at);
+        }
+    }
+
     fn note_change(&mut self, now: Time, change: ListChange) {
         self.changes.push_back((now, change));
         if self.changes.len() > MAX_CHANGES {
@@ -139,13 +159,26 @@
 
     /// Digest of the list; two entries with the same one know the same upstreams.
     #[must_use]
-    #[allow(clippy::cast_possible_truncation)]
-    pub fn digest(&self) -> u64 {
-        let one = |r: &UpstreamRecord| {
-            let revision = r.revision.to_le_bytes();
-            Digest::of(&[r.instance.as_bytes(), &revision]).0 as u64
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Changes since a revision that are still remembered: records, and what was removed.
+    #[must_use]
+    pub fn since(&self, revision: u64) -> (Vec<UpstreamRecord>, Vec<ListChange>) {
+        let newer = self
+            .upstreams
+            .iter()
+            .filter(|u| u.record.revision > revision);
+        let (gone, listed): (Vec<&Upstream>, Vec<&Upstream>) = newer.partition(|u| u.gone);
+        let removed = |u: &Upstream| ListChange::Removed {
+            instance: u.record.instance.clone(),
+            revision: u.record.revision,
         };
-        self.records().fold(0, |sum, record| sum ^ one(record))
+        (
+            listed.into_iter().map(|u| u.record.clone()).collect(),
+            gone.into_iter().map(removed).collect(),
+        )
     }
 
     /// Notes that the list no longer has an upstream, as of `revision`.
@@ -160,6 +193,7 @@
             u.record.revision = revision;
             return None;
         }
+        self.digest ^= digest_of(&u.record);
         u.record.revision = revision;
         u.gone = true;
         u.missing_since = None;
@@ -191,10 +225,10 @@
         listed: &[UpstreamRecord],
         revision: u64,
     ) -> Vec<PoolChange> {
+        let listed: HashSet<&Name> = listed.iter().map(|r| &r.instance).collect();
         let lacks = |u: &&Upstream| {
             let known = &u.record;
-            let on_list = listed.iter().any(|r| r.instance == known.instance);
-            !u.gone && !on_list && known.revision <= revision
+            !u.gone && !listed.contains(&known.instance) && known.revision <= revision
         };
         let names = self.upstreams.iter().filter(lacks);
         let names: Vec<Name> = names.map(|u| u.record.instance.clone()).collect();
@@ -211,8 +245,9 @@
         records: Vec<UpstreamRecord>,
         revision: u64,
     ) -> Vec<PoolChange> {
+        let listed: HashSet<Name> = records.iter().map(|r| r.instance.clone()).collect();
         for u in &mut self.upstreams {
-            let listed = records.iter().any(|r| r.instance == u.record.instance);
+            let listed = listed.contains(&u.record.instance);
             if !u.gone && !listed && u.record.revision <= revision {
                 u.missing_since = u.missing_since.or(Some(now));
             }
@@ -247,3 +282,10 @@
         self.upstreams.iter().any(|u| u.missing_since.is_some())
     }
 }
+
+/// What one record adds to the digest of a list.
+#[allow(clippy::cast_possible_truncation)]
+fn digest_of(record: &UpstreamRecord) -> u64 {
+    let revision = record.revision.to_le_bytes();
+    Digest::of(&[record.instance.as_bytes(), &revision]).0 as u64
+}
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -10,10 +10,11 @@
 use crate::placed::{LoadView, Need, Placed, PlacedAt};
 use crate::time::Time;
 use crate::upstream::{
-    FAR_COPY_COST, READ_FOR, TOLD_FOR, Upstream, UpstreamIx, UpstreamRecord, draw_for, share,
-    tie_cost,
+    FAR_COPY_COST, READ_FOR, TOLD_FOR, Upstream, UpstreamIx, UpstreamRecord, draw_for, draw_index,
+    share, tie_cost,
 };
-use std::collections::VecDeque;
+use std::borrow::Cow;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// The upstreams known.
@@ -23,8 +24,18 @@
     pub(crate) data_centre: Name,
     pub(crate) revision: u64,
     pub(crate) changes: VecDeque<(Time, ListChange)>,
+    pub(crate) by_instance: HashMap<Name, usize>,
+    pub(crate) by_service: HashMap<Name, Vec<usize>>,
+    pub(crate) digest: u64,
+    pub(crate) memory_of: HashMap<Name, u64>,
 }
 
+/// Upstreams of a service beyond which a choice looks at a sample of so many.
+///
+/// The best of 64 drawn ones is as good as the best of all but for one in sixty, and costs the
+/// same in a fleet of any size.
+const SAMPLE: usize = 64;
+
 /// Parts of prompts remembered for an upstream.
 const MAX_READ: usize = 256;
 
@@ -36,10 +47,8 @@
     #[must_use]
     pub fn new(data_centre: Name) -> Self {
         Self {
-            upstreams: Vec::new(),
             data_centre,
-            revision: 0,
-            changes: VecDeque::new(),
+            ..Self::default()
         }
     }
 
@@ -75,19 +84,18 @@
     /// The upstream of that instance.
     #[must_use]
     pub fn find(&self, instance: &str) -> Option<UpstreamIx> {
-        let at = self
-            .upstreams
-            .iter()
-            .position(|u| &*u.record.instance == instance);
-        at.map(UpstreamIx)
+        self.by_instance.get(instance).copied().map(UpstreamIx)
     }
 
     /// Sets the memory of the engines of a service.
-    pub fn set_memory(&mut self, service: &str, tokens: Option<u64>) {
-        for u in &mut self.upstreams {
-            if &*u.record.service == service {
-                u.memory_tokens = tokens;
-            }
+    pub fn set_memory(&mut self, service: &Name, tokens: Option<u64>) {
+        match tokens {
+            Some(tokens) => self.memory_of.insert(service.clone(), tokens),
+            None => self.memory_of.remove(service),
+        };
+        let of_service = self.by_service.get(service).into_iter().flatten();
+        for i in of_service {
+            self.upstreams[*i].memory_tokens = tokens;
         }
     }
 
@@ -228,8 +236,8 @@
     }
 
     fn share_of(&self, now: Time, service: &str, of: impl Fn(&Placed) -> u64) -> f64 {
-        let of_service = self.upstreams.iter();
-        let of_service = of_service.filter(|u| !u.is_over(now) && &*u.record.service == service);
+        let of_service = self.of_service(service).iter().map(|i| &self.upstreams[*i]);
+        let of_service = of_service.filter(|u| !u.is_over(now));
         let (used, all) = of_service.fold((0, 0), |sum, u| {
             let memory = if u.is_serving() {
                 u.memory_tokens.unwrap_or(0)
@@ -257,21 +265,51 @@
         service: &str,
         need: &Need,
         tried: &[UpstreamIx],
+    ) -> Option<UpstreamIx> {
+        let sample = self.sample(service, need.draw);
+        let chosen = self.choose_among(now, &sample, need, tried);
+        if chosen.is_some() || sample.len() < SAMPLE {
+            return chosen;
+        }
+        self.choose_among(now, self.of_service(service), need, tried)
+    }
+
+    fn choose_among(
+        &self,
+        now: Time,
+        among: &[usize],
+        need: &Need,
+        tried: &[UpstreamIx],
     ) -> Option<UpstreamIx> {
         let open = || {
-            self.serving(service)
-                .filter(|i| !tried.contains(&UpstreamIx(*i)))
+            let serving = among
+                .iter()
+                .copied()
+                .filter(|i| self.upstreams[*i].is_serving());
+            serving.filter(|i| !tried.contains(&UpstreamIx(*i)))
         };
         let sound = open().filter(|i| self.upstreams[*i].avoid_until <= now);
         let best = self.least_cost(now, need, sound);
         best.or_else(|| self.least_cost(now, need, open()))
     }
 
+    /// All upstreams of a service, or [`SAMPLE`] drawn ones of many.
+    fn sample(&self, service: &str, draw: u64) -> Cow<'_, [usize]> {
+        let all = self.of_service(service);
+        if all.len() <= SAMPLE {
+            return Cow::Borrowed(all);
+        }
+        let drawn = (0..SAMPLE).map(|k| all[draw_index(draw, k, all.len())]);
+        Cow::Owned(drawn.collect())
+    }
+
+    fn of_service(&self, service: &str) -> &[usize] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
     fn serving(&self, service: &str) -> impl Iterator<Item = usize> {
-        (0..self.upstreams.len()).filter(move |i| {
-            let u = &self.upstreams[*i];
-            u.is_serving() && &*u.record.service == service
-        })
+        let of_service = self.of_service(service).iter().copied();
+        of_service.filter(|i| self.upstreams[*i].is_serving())
     }
 
     fn least_cost(
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -170,6 +170,17 @@
     }
 }
 
+/// The `k`-th index below `len` that a draw gives.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss
+)]
+pub(crate) const fn draw_index(draw: u64, k: usize, len: usize) -> usize {
+    let at = (draw_for(!draw, k) * len as f64) as usize;
+    if at < len { at } else { len - 1 }
+}
+
 /// A number from 0 to 1 for the upstream at `i`, by a finaliser of the `SplitMix64` generator.
 #[allow(clippy::cast_precision_loss)]
 pub(crate) const fn draw_for(draw: u64, i: usize) -> f64 {
--- a/fireflycroft/tests/pool.rs
+++ b/fireflycroft/tests/pool.rs
@@ -71,7 +71,7 @@
     for (i, instance) in instances.iter().enumerate() {
         pool.learn(at(0), record(instance, 1 + i as u64));
     }
-    pool.set_memory("models", Some(MEMORY));
+    pool.set_memory(&Name::from("models"), Some(MEMORY));
     pool
 }
 
@@ -280,7 +280,7 @@
         ..record("c", 9)
     };
     pool.learn(at(0), far);
-    pool.set_memory("models", Some(MEMORY));
+    pool.set_memory(&Name::from("models"), Some(MEMORY));
     let b = ix(&pool, "b");
     pool.place(at(0), b, &need(200));
     let copy = Need {
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -93,7 +93,7 @@
         };
         pool.learn(at(0), record);
     }
-    pool.set_memory("models", Some(10_000));
+    pool.set_memory(&Name::from("models"), Some(10_000));
     pool
 }
 
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -5,7 +5,8 @@
 
 use crate::client::Client;
 use crate::node::Node;
-use fireflycroft::UpstreamRecord;
+use crate::state_page::PeerState;
+use fireflycroft::{ListChange, UpstreamRecord};
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, list_path, read_events, read_page, read_upstream,
     watch_path,
@@ -207,17 +208,27 @@
     }
 }
 
-/// Takes the list of upstreams of another entry, which follows the store without a gap if `sure`.
-pub fn take_told(node: &Node, records: Vec<UpstreamRecord>, revision: u64, sure: bool) {
-    if sure {
-        let now = node.now();
-        let changes = node
-            .pool
-            .borrow_mut()
-            .forget_others(now, &records, revision);
+/// Takes what another entry knows of upstreams; what its whole list lacks is gone if it is sure.
+pub fn take_told(node: &Node, state: PeerState) {
+    let now = node.now();
+    if !state.is_whole {
+        let records = state.upstreams.into_iter().map(ListChange::Listed);
+        let removed = state.removed.into_iter();
+        let removed =
+            removed.map(|(instance, revision)| ListChange::Removed { instance, revision });
+        for change in records.chain(removed) {
+            let taken = node.pool.borrow_mut().take_change(now, change);
+            node.take_changes(taken, "peer");
+        }
+        return;
+    }
+    if state.sure {
+        let mut pool = node.pool.borrow_mut();
+        let changes = pool.forget_others(now, &state.upstreams, state.revision);
+        drop(pool);
         node.take_changes(changes, "peer");
     }
-    take_upstreams(node, records, revision, "peer");
+    take_upstreams(node, state.upstreams, state.revision, "peer");
 }
 
 /// Takes a whole list of upstreams.
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -228,15 +228,6 @@
         self.urgent.notify_one();
     }
 
-    /// Sets the memory of engines that came after the configuration.
-    fn set_memory_of(&self, ix: UpstreamIx) {
-        let service = self.pool.borrow().record(ix).service.clone();
-        let catalog = self.catalog.borrow();
-        let spec = catalog.as_ref().and_then(|c| c.service(&service));
-        let memory = spec.and_then(|s| s.engine).map(|e| e.memory_tokens);
-        self.pool.borrow_mut().set_memory(&service, memory);
-    }
-
     /// Acts on changes of the pool.
     pub fn take_changes(&self, changes: impl IntoIterator<Item = PoolChange>, source: &str) {
         for change in changes {
@@ -250,12 +241,9 @@
                 addr = record.addr.to_string(), revision = record.revision, source = source;
                 ""
             );
-            match change {
-                PoolChange::Came(ix) => self.set_memory_of(ix),
-                PoolChange::Leaves(ix) => {
-                    self.save_if_leaving(ix);
-                    self.urgent.notify_one();
-                }
+            if let PoolChange::Leaves(ix) = change {
+                self.save_if_leaving(ix);
+                self.urgent.notify_one();
             }
         }
         self.changed.notify_waiters();
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -10,7 +10,7 @@
 use crate::client::Client;
 use crate::feed::take_told;
 use crate::node::{Node, Stage};
-use crate::state_page::{PeerState, STATE_PATH};
+use crate::state_page::{PeerState, state_path};
 use fireflycroft::{
     CrashCount, Digest, EntryNews, Incarnation, ListChange, Name, Time, WatchView, whole_millis,
 };
@@ -32,17 +32,30 @@
 /// Least time between two tellings, however urgent.
 const TELL_SPACING: Duration = Duration::from_millis(15);
 
-/// Entries told at a time; in a larger fleet they are drawn anew each time.
-const MAX_TOLD: usize = 32;
+/// Entries that all tell each other everything; in a larger fleet each tells a few, drawn anew
+/// each time.
+const SMALL_FLEET: usize = 40;
+
+/// Entries told at a time in a larger fleet.
+const FEW: usize = 8;
+
+/// Time between two tellings in a larger fleet, of those that watch the store and of the others.
+///
+/// Those that watch tell all: two datagrams a second from each of three are what every entry
+/// reads of them, whatever the size.
+const TELL_EVERY_WATCHING: Duration = Duration::from_millis(500);
+const TELL_EVERY_LARGE: Duration = Duration::from_secs(1);
 
 /// Silence after which an entry no longer counts.
 const HEARD_WITHIN: Duration = Duration::from_secs(2);
 
 /// Silence after which a watcher no longer counts: three tellings.
 const WATCHER_HEARD_WITHIN: Duration = Duration::from_millis(800);
+const WATCHER_HEARD_WITHIN_LARGE: Duration = Duration::from_millis(1_600);
 
 /// Silence after which an entry is told nothing more.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
+const FORGET_AFTER_LARGE: Duration = Duration::from_mins(3);
 
 /// Entries named in a datagram.
 const MAX_NAMED: usize = 8;
@@ -79,6 +92,7 @@
     crashes: VecDeque<CrashCount>,
     fetching: Rc<Cell<bool>>,
     behind_since: Option<Time>,
+    wants_all: bool,
 }
 
 impl Peers {
@@ -96,20 +110,27 @@
             crashes: VecDeque::new(),
             fetching: Rc::default(),
             behind_since: None,
+            wants_all: false,
         }
     }
 
     /// Other entries that were heard of late and are not stopping.
     #[must_use]
     pub fn count(&self, now: Time) -> usize {
-        let counts =
-            |k: &&Known| !k.leaving && k.heard.is_some_and(|t| now.since(t) < HEARD_WITHIN);
+        // In a large fleet each is heard now and then only, so all that are known count.
+        let heard = |k: &Known| k.heard.is_some_and(|t| now.since(t) < HEARD_WITHIN);
+        let counts = |k: &&Known| !k.leaving && (self.is_large() || heard(k));
         self.known.values().filter(counts).count()
     }
 
     /// What the other entries that are heard do about the store.
     fn watch_views(&self, now: Time) -> Vec<WatchView> {
-        let heard = |k: &&Known| k.heard.is_some_and(|t| now.since(t) < WATCHER_HEARD_WITHIN);
+        let within = if self.is_large() {
+            WATCHER_HEARD_WITHIN_LARGE
+        } else {
+            WATCHER_HEARD_WITHIN
+        };
+        let heard = |k: &&Known| k.heard.is_some_and(|t| now.since(t) < within);
         let view = |k: &Known| WatchView {
             name: k.name.clone(),
             watches: k.watches,
@@ -154,15 +175,38 @@
         now.since(since) >= LIST_PATIENCE
     }
 
-    /// Whom to tell now.
-    fn targets(&mut self, now: Time) -> Vec<Ipv4Addr> {
+    /// Whether the fleet is too large for all to tell all.
+    fn is_large(&self) -> bool {
+        self.known.len() > SMALL_FLEET
+    }
+
+    /// Time to the next telling.
+    fn pace(&self, watches: bool) -> Duration {
+        match (self.is_large(), watches) {
+            (false, _) => TELL_EVERY,
+            (true, true) => TELL_EVERY_WATCHING,
+            (true, false) => TELL_EVERY_LARGE,
+        }
+    }
+
+    /// Whom to tell now; `all` in a large fleet as well.
+    fn targets(&mut self, now: Time, all: bool) -> Vec<Ipv4Addr> {
+        let forget_after = if self.is_large() {
+            FORGET_AFTER_LARGE
+        } else {
+            FORGET_AFTER
+        };
         self.known
-            .retain(|_, k| now.since(k.heard.unwrap_or(k.since)) < FORGET_AFTER);
+            .retain(|_, k| now.since(k.heard.unwrap_or(k.since)) < forget_after);
         let unheard = |ip: &&Ipv4Addr| !self.known.contains_key(*ip);
         let seeds: Vec<Ipv4Addr> = self.seeds.iter().filter(unheard).copied().collect();
         let known: Vec<Ipv4Addr> = self.known.keys().copied().collect();
-        let mut targets: Vec<Ipv4Addr> =
-            known.sample(&mut rand::rng(), MAX_TOLD).copied().collect();
+        let most = if all || !self.is_large() {
+            known.len()
+        } else {
+            FEW
+        };
+        let mut targets: Vec<Ipv4Addr> = known.sample(&mut rand::rng(), most).copied().collect();
         targets.extend(seeds);
         targets
     }
@@ -190,7 +234,8 @@
         let news = match reason {
             Reason::Urgent | Reason::Due => {
                 decide_duty(&node);
-                tell_all_at = node.now() + TELL_EVERY;
+                let watches = node.watches_store();
+                tell_all_at = node.now() + node.peers.borrow().pace(watches);
                 all_news(&node)
             }
             Reason::Placed => changes(&node),
@@ -228,7 +273,8 @@
 
 async fn tell(node: &Node, socket: &UdpSocket, news: &EntryNews) {
     let bytes = encode_news(news);
-    let targets = node.peers.borrow_mut().targets(node.now());
+    let all = news.watches && !news.changes_only;
+    let targets = node.peers.borrow_mut().targets(node.now(), all);
     let port = node.place.peer_ports.0;
     for ip in targets {
         // A datagram that can't be sent counts as one that was lost on the way.
@@ -366,16 +412,25 @@
 
 async fn fetch_state(node: &Node, from: Ipv4Addr) -> anyhow::Result<()> {
     let addr = SocketAddr::from((from, node.place.peer_ports.0));
-    let mut client = Client::new(addr);
-    let (status, body) = client.get(STATE_PATH, FETCH_TIMEOUT).await?;
+    let known = if node.peers.borrow().wants_all {
+        0
+    } else {
+        node.pool.borrow().revision()
+    };
+    let path = state_path(node.version(), known);
+    let (status, body) = Client::new(addr).get(&path, FETCH_TIMEOUT).await?;
     anyhow::ensure!(status == 200, "status {status}");
     let state: PeerState = serde_json::from_slice(&body)?;
     if let Some(config) = &state.config {
         node.adopt(config, "peer");
     }
+    let digest = state.digest;
     if state.revision >= node.pool.borrow().revision() {
-        take_told(node, state.upstreams, state.revision, state.sure);
+        take_told(node, state);
     }
+    // Changes that don't lead to the same list leave only the whole of it.
+    let differs = node.pool.borrow().digest() != digest;
+    node.peers.borrow_mut().wants_all = differs;
     Ok(())
 }
 
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -3,7 +3,7 @@
 use crate::metrics::METRICS_PATH;
 use crate::node::Node;
 use crate::small_server::{self, Page, empty};
-use fireflycroft::UpstreamRecord;
+use fireflycroft::{ListChange, Name, UpstreamRecord};
 use fireflycroft_platform::StoreObject;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -20,10 +20,16 @@
 pub struct PeerState {
     /// Configuration in force.
     pub config: Option<StoreObject>,
-    /// Upstreams known.
+    /// Upstreams known that are newer than the revision asked from.
     pub upstreams: Vec<UpstreamRecord>,
+    /// Upstreams that were removed since that revision, with the revision of their removal.
+    pub removed: Vec<(Name, u64)>,
+    /// Whether all upstreams are in it.
+    pub is_whole: bool,
     /// Revision of the list of upstreams.
     pub revision: u64,
+    /// Digest of that list.
+    pub digest: u64,
     /// Whether the store has answered for so long that what the list lacks is gone.
     pub sure: bool,
 }
@@ -35,7 +41,7 @@
 
 fn page(node: &Node, req: &Request<Incoming>) -> Page {
     match req.uri().path() {
-        STATE_PATH => match serde_json::to_vec(&state(node)) {
+        STATE_PATH => match serde_json::to_vec(&state(node, &asked(req))) {
             Ok(body) => Response::new(Full::from(body)),
             Err(e) => {
                 log::error!(event = "state_unwritable", error = e.to_string(); "");
@@ -53,11 +59,46 @@
     }
 }
 
-fn state(node: &Node) -> PeerState {
+/// What the asker knows already, as the query says.
+struct Asked {
+    config: u64,
+    upstreams: u64,
+}
+
+/// Path and query of a state for one who knows these versions.
+#[must_use]
+pub fn state_path(config: u64, upstreams: u64) -> String {
+    format!("{STATE_PATH}?config={config}&upstreams={upstreams}")
+}
+
+fn asked(req: &Request<Incoming>) -> Asked {
+    let query = req.uri().query().unwrap_or_default();
+    let number = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let value = pairs.find(|(n, _)| *n == name).map(|(_, value)| value);
+        value.and_then(|v| v.parse().ok()).unwrap_or(0)
+    };
+    Asked {
+        config: number("config"),
+        upstreams: number("upstreams"),
+    }
+}
+
+fn state(node: &Node, asked: &Asked) -> PeerState {
+    let pool = node.pool.borrow();
+    let (upstreams, removed) = pool.since(asked.upstreams);
+    let removed = removed.into_iter().filter_map(|change| match change {
+        ListChange::Removed { instance, revision } => Some((instance, revision)),
+        ListChange::Listed(_) => None,
+    });
+    let newer = node.version() > asked.config;
     PeerState {
-        config: node.published.borrow().clone(),
-        upstreams: node.pool.borrow().records().cloned().collect(),
-        revision: node.pool.borrow().revision(),
-        sure: node.follows_store() && !node.pool.borrow().any_missing(),
+        config: node.published.borrow().clone().filter(|_| newer),
+        upstreams,
+        removed: removed.collect(),
+        is_whole: asked.upstreams == 0,
+        revision: pool.revision(),
+        digest: pool.digest(),
+        sure: node.follows_store() && !pool.any_missing(),
     }
 }
