Split the upstream clients and the settings of fireflyd by job

Change: engine_messages holds what an engine is asked and answers, plain_client the client of plain services, flags the flags; what was public stays public where it was.

Conclusion: no behaviour changed.

--- /dev/null
+++ b/fireflyd/src/plain_client.rs
@@ -0,0 +1,101 @@
+//! Client of a plain service beside an agent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use reqwest::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use reqwest::{Method, Response, Url};
+
+use crate::upstream::{HOP_BY_HOP, Result, base_url, body, broken, http_client, never_sent};
+
+/// Answer of a plain service, whatever its status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlainAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type, if the service named one.
+    pub content_type: Option<String>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Client of one plain service; cloning shares its connections.
+#[derive(Clone, Debug)]
+pub struct PlainClient {
+    http: reqwest::Client,
+    base: Url,
+    timeout: Duration,
+    max_answer: usize,
+}
+
+impl PlainClient {
+    /// Client of the service at `base`; `timeout` bounds a call, `max_answer` its answer in bytes.
+    ///
+    /// # Errors
+    ///
+    /// An error when `base` is no HTTP URL.
+    pub fn new(base: &str, timeout: Duration, max_answer: usize) -> anyhow::Result<Self> {
+        Ok(Self {
+            http: http_client(timeout)?,
+            base: base_url(base)?,
+            timeout,
+            max_answer,
+        })
+    }
+
+    /// Makes a call; `path` may hold a query.
+    ///
+    /// Headers that concern the caller's own connection are left out.
+    ///
+    /// # Errors
+    ///
+    /// `NeverSent`, `Broken` or `Unusable`; any status is an answer.
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(impl AsRef<str>, impl AsRef<str>)],
+        payload: impl Into<Bytes>,
+    ) -> Result<PlainAnswer> {
+        let method = Method::from_bytes(method.as_bytes()).map_err(never_sent)?;
+        let mut call = self
+            .http
+            .request(method, self.url(path))
+            .timeout(self.timeout)
+            .body(payload.into());
+        for (name, value) in headers {
+            let name = HeaderName::try_from(name.as_ref()).map_err(never_sent)?;
+            let value = HeaderValue::try_from(value.as_ref()).map_err(never_sent)?;
+            if !HOP_BY_HOP.contains(&name.as_str()) {
+                call = call.header(name, value);
+            }
+        }
+        self.answer(call.send().await.map_err(|e| broken(&e))?)
+            .await
+    }
+
+    /// URL of a path below the base; never another host.
+    fn url(&self, path: &str) -> Url {
+        let (path, query) = path
+            .split_once('?')
+            .map_or((path, None), |(path, query)| (path, Some(query)));
+        let mut url = self.base.clone();
+        let prefix = self.base.path().trim_end_matches('/');
+        url.set_path(&format!("{prefix}/{}", path.trim_start_matches('/')));
+        url.set_query(query);
+        url
+    }
+
+    async fn answer(&self, res: Response) -> Result<PlainAnswer> {
+        let content_type = res
+            .headers()
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned);
+        Ok(PlainAnswer {
+            status: res.status().as_u16(),
+            content_type,
+            body: body(res, self.max_answer).await?.into(),
+        })
+    }
+}
