Let only the watchers that are relied on tell all entries

Change: an entry tells all, and tells changes of the list, only while fewer than three that rank before it are heard to watch. Names that misled are changed; fields that nothing read are gone.

`few_are_relied_on_even_while_all_watch` shows three of twenty.

--- a/fireflycroft/src/rescue.rs
+++ b/fireflycroft/src/rescue.rs
@@ -30,17 +30,6 @@
 /// a second and a half after their notice at the earliest.
 pub const STOP_AFTER_NOTICE: Duration = Duration::from_millis(1_050);
 
-/// What is known of a run when its upstream announces that it leaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RunView {
-    /// Tokens relayed so far.
-    pub produced: u64,
-    /// Tokens that the answer is expected to have.
-    pub expected: u64,
-    /// Whether a copy lies on an upstream that stays.
-    pub has_copy: bool,
-}
-
 /// What to do with a run whose upstream leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OnNotice {
@@ -50,14 +39,14 @@
     Move,
 }
 
-/// Decides about a run whose upstream leaves.
+/// Decides about a run whose upstream leaves, by whether a copy of it lies on one that stays.
 ///
 /// A run that seems nearly done is moved all the same: the expected length is
 /// right in the median only, and a moved run that was nearly done costs one
 /// copy, a lost one everything.
 #[must_use]
-pub const fn on_notice(run: &RunView) -> OnNotice {
-    if run.has_copy {
+pub const fn on_notice(has_copy: bool) -> OnNotice {
+    if has_copy {
         OnNotice::LetRun
     } else {
         OnNotice::Move
--- a/fireflycroft/src/watchers.rs
+++ b/fireflycroft/src/watchers.rs
@@ -53,6 +53,13 @@
         self.watching
     }
 
+    /// Whether this entry is one of those that all others rely on: it watches, and too few that
+    /// rank before it are heard to.
+    #[must_use]
+    pub const fn is_relied_on(&self) -> bool {
+        self.watching && self.enough_since.is_none()
+    }
+
     /// Decides anew from what is heard of the others; true when the decision changed.
     pub fn decide<'a>(
         &mut self,
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -2,8 +2,8 @@
 
 use fireflycroft::{
     Asking, BACKUP_FILL, Fill, Name, Need, OnNotice, Pool, ROOM_FOR_FIRST, ROOM_FOR_LONG,
-    ROOM_FOR_RETURNING, RunView, STEP_DOWN_AFTER, Time, UpstreamRecord, UpstreamState, WATCHERS,
-    WatchDuty, WatchView, is_room, on_notice, pick_backup, room_after,
+    ROOM_FOR_RETURNING, STEP_DOWN_AFTER, Time, UpstreamRecord, UpstreamState, WATCHERS, WatchDuty,
+    WatchView, is_room, on_notice, pick_backup, room_after,
 };
 use std::time::Duration;
 
@@ -19,8 +19,8 @@
 }
 
 cases! {
-    run_with_a_copy_goes_on => assert_eq!(on_notice(&run(true)), OnNotice::LetRun);
-    run_without_a_copy_is_moved => assert_eq!(on_notice(&run(false)), OnNotice::Move);
+    run_with_a_copy_goes_on => assert_eq!(on_notice(true), OnNotice::LetRun);
+    run_without_a_copy_is_moved => assert_eq!(on_notice(false), OnNotice::Move);
     copy_is_kept_elsewhere => copy_is_elsewhere();
     no_copy_where_memory_is_short => no_copy_when_short();
     no_copy_where_there_is_nobody_else => no_copy_alone();
@@ -34,14 +34,7 @@
     enough_watchers_are_found => enough_watchers();
     watcher_that_fails_is_replaced => failed_is_replaced();
     watcher_steps_down_late => steps_down_late();
-}
-
-fn run(has_copy: bool) -> RunView {
-    RunView {
-        produced: 10,
-        expected: 500,
-        has_copy,
-    }
+    few_are_relied_on_even_while_all_watch => few_relied_on();
 }
 
 fn room(expected_tokens: u64, returns: bool, engine: f64, service: f64) -> bool {
@@ -193,3 +186,10 @@
     fleet.decide(at(0) + STEP_DOWN_AFTER / 2, None);
     assert_eq!(fleet.watching().len(), 20);
 }
+
+fn few_relied_on() {
+    let mut fleet = Fleet::new(20);
+    fleet.decide(at(0), None);
+    let relied_on = fleet.duties.iter().filter(|d| d.is_relied_on()).count();
+    assert_eq!((fleet.watching().len(), relied_on), (20, WATCHERS));
+}
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -80,8 +80,8 @@
     TimeUp,
 }
 
-/// Another place where a stream may go on.
-struct Place {
+/// Another upstream where a stream may go on, and from what.
+struct Continuation {
     way: &'static str,
     at: UpstreamIx,
     memory: Option<MemoryCopy>,
@@ -115,7 +115,6 @@
         moving: Cell::new(false),
         moved: Notify::new(),
         produced: Cell::new(0),
-        expected_tokens: job.expected_tokens(),
         need: Need {
             unread: 0,
             ..job.need()
@@ -267,12 +266,12 @@
         }
         self.wait_for_copy().await;
         let from = self.placed.ix;
-        while let Some(place) = self.next_place(from) {
+        while let Some(next) = self.continuation(from) {
             if !self.job.take_repeat() {
                 self.say("budget_spent", "");
                 return false;
             }
-            if self.go_on_at(place).await {
+            if self.go_on_at(next).await {
                 return true;
             }
         }
@@ -287,10 +286,10 @@
         }
     }
 
-    /// The next place to go on at; each copy is offered once.
-    fn next_place(&mut self, from: UpstreamIx) -> Option<Place> {
+    /// The next way to go on; each copy is offered once.
+    fn continuation(&mut self, from: UpstreamIx) -> Option<Continuation> {
         if let Some(refuge) = self.run.refuge.borrow_mut().take() {
-            return Some(Place {
+            return Some(Continuation {
                 way: "moved",
                 at: refuge.placed.ix,
                 memory: Some(refuge.memory),
@@ -300,7 +299,7 @@
         self.run.backup.set(None);
         if let Some(backup) = self.backup.take() {
             let named_by = self.job.node.pool.borrow().record(backup.ix).addr;
-            return Some(Place {
+            return Some(Continuation {
                 way: "copy",
                 at: backup.ix,
                 memory: Some(MemoryCopy {
@@ -315,7 +314,7 @@
         }
         let pool = self.job.node.pool.borrow();
         let at = pool.choose(self.job.now(), &self.job.service, &self.job.need(), &[from])?;
-        Some(Place {
+        Some(Continuation {
             way: "anew",
             at,
             memory: None,
@@ -323,30 +322,30 @@
         })
     }
 
-    async fn go_on_at(&mut self, place: Place) -> bool {
-        let need = self.need_left(place.memory.is_some());
-        let placed = place
+    async fn go_on_at(&mut self, next: Continuation) -> bool {
+        let need = self.need_left(next.memory.is_some());
+        let placed = next
             .placed
-            .unwrap_or_else(|| self.job.node.place(place.at, need));
-        let backup = place_backup(&self.job, place.at, need);
+            .unwrap_or_else(|| self.job.node.place(next.at, need));
+        let backup = place_backup(&self.job, next.at, need);
         let keeper = backup
             .as_ref()
             .map(|b| self.job.node.pool.borrow().record(b.ix).addr);
         let extras = Extras {
             backup: keeper,
-            memory: place.memory,
+            memory: next.memory,
             last_event_id: self.events.last_id(),
         };
-        let sending = send(&self.job, place.at, &extras, || ());
+        let sending = send(&self.job, next.at, &extras, || ());
         let opened = match tokio::time::timeout(GO_ON_WAIT, sending).await {
             Ok(Ok(opened)) if is_stream(&opened) => opened,
-            Ok(Ok(opened)) => return self.refused_at(place.at, &opened.parts.status.to_string()),
-            Ok(Err(e)) => return self.refused_at(place.at, &e.to_string()),
-            Err(_) => return self.refused_at(place.at, "no answer in time"),
+            Ok(Ok(opened)) => return self.refused_at(next.at, &opened.parts.status.to_string()),
+            Ok(Err(e)) => return self.refused_at(next.at, &e.to_string()),
+            Err(_) => return self.refused_at(next.at, "no answer in time"),
         };
         self.placed = placed;
-        self.run.at.set(place.at);
-        self.job.node.save_if_leaving(place.at);
+        self.run.at.set(next.at);
+        self.job.node.save_if_leaving(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
         self.source = Some(Source {
@@ -355,8 +354,8 @@
             head: opened.head,
         });
         let went_on = &self.job.node.metrics.went_on;
-        went_on.with_label_values(&[place.way]).inc();
-        self.say("stream_goes_on", place.way);
+        went_on.with_label_values(&[next.way]).inc();
+        self.say("stream_goes_on", next.way);
         true
     }
 
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -44,7 +44,7 @@
 /// Starts to move a run off the upstream that runs it, unless it has a copy or is on its way.
 fn consider(node: &Rc<Node>, run: Rc<Run>) {
     let ix = run.at.get();
-    let wanted = on_notice(&run.view()) == OnNotice::Move;
+    let wanted = on_notice(run.backup.get().is_some()) == OnNotice::Move;
     if !wanted || !run.can_move || run.moving.replace(true) {
         return;
     }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -181,8 +181,8 @@
     }
 
     /// Time to the next telling.
-    fn pace(&self, watches: bool) -> Duration {
-        match (self.is_large(), watches) {
+    fn pace(&self, relied_on: bool) -> Duration {
+        match (self.is_large(), relied_on) {
             (false, _) => TELL_EVERY,
             (true, true) => TELL_EVERY_WATCHING,
             (true, false) => TELL_EVERY_LARGE,
@@ -234,8 +234,8 @@
         let news = match reason {
             Reason::Urgent | Reason::Due => {
                 decide_duty(&node);
-                let watches = node.watches_store();
-                tell_all_at = node.now() + node.peers.borrow().pace(watches);
+                let pace = node.peers.borrow().pace(is_relied_on(&node));
+                tell_all_at = node.now() + pace;
                 all_news(&node)
             }
             Reason::Placed => changes(&node),
@@ -271,9 +271,17 @@
     Placed,
 }
 
+/// Whether the others rely on this entry for what the store says.
+///
+/// After a start of the whole fleet all watch for a moment; if all of them told all, datagrams
+/// would grow with the square of the fleet.
+fn is_relied_on(node: &Node) -> bool {
+    node.watches_store() && node.duty.borrow().is_relied_on()
+}
+
 async fn tell(node: &Node, socket: &UdpSocket, news: &EntryNews) {
     let bytes = encode_news(news);
-    let all = news.watches && !news.changes_only;
+    let all = !news.changes_only && is_relied_on(node);
     let targets = node.peers.borrow_mut().targets(node.now(), all);
     let port = node.place.peer_ports.0;
     for ip in targets {
@@ -309,7 +317,7 @@
 
 /// Changes of the list of upstreams, if this entry has them from the store.
 fn list_changes(node: &Node) -> Vec<ListChange> {
-    if node.watches_store() {
+    if is_relied_on(node) {
         node.pool.borrow().list_changes(node.now())
     } else {
         Vec::new()
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -1,7 +1,7 @@
 //! Streams under way, so that those on an upstream that leaves can be saved.
 
 use crate::node::PlacedGuard;
-use fireflycroft::{MemoryCopy, Name, Need, RunView, UpstreamIx};
+use fireflycroft::{MemoryCopy, Name, Need, UpstreamIx};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use tokio::sync::Notify;
@@ -32,26 +32,12 @@
     pub moved: Notify,
     /// Tokens relayed so far.
     pub produced: Cell<u64>,
-    /// Tokens that the answer is expected to have.
-    pub expected_tokens: u64,
     /// What the run needs of an upstream.
     pub need: Need,
     /// Whether its engines can copy its memory.
     pub can_move: bool,
 }
 
-impl Run {
-    /// What the decision on notice looks at.
-    #[must_use]
-    pub fn view(&self) -> RunView {
-        RunView {
-            produced: self.produced.get(),
-            expected: self.expected_tokens,
-            has_copy: self.backup.get().is_some(),
-        }
-    }
-}
-
 /// All streams under way.
 #[derive(Default)]
 pub struct Runs {
