Go on with a list where it failed, and fetch all only on a real difference

And a peer whose list was merely newer or older than this entry's made it fetch the whole list, 6 MB/s at the busiest.

Change: a failed page is asked for again, with 5 s for a page; the whole list is fetched only when lists differ at the same revision.

--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -8,8 +8,8 @@
 use crate::state_page::PeerState;
 use fireflycroft::{ListChange, UpstreamRecord};
 use fireflycroft_platform::{
-    Kind, StoreEvent, StoreFault, StoreObject, list_path, read_events, read_page, read_upstream,
-    watch_path,
+    Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_events, read_page,
+    read_upstream, watch_path,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +21,9 @@
 /// periods take it to a few hundred.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest time for one page of a list: a megabyte, while every other entry asks for it as well.
+const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// First pause after a failed call; doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -53,37 +56,46 @@
         lost: false,
     };
     loop {
-        match feed.list().await {
-            Ok(revision) => feed.watch_while_on_duty(revision).await,
-            Err(why) => feed.rest(&why).await,
-        }
+        let revision = feed.list().await;
+        feed.watch_while_on_duty(revision).await;
     }
 }
 
 impl Feed {
-    async fn list(&mut self) -> Result<u64, String> {
+    /// Lists all objects, page by page, and gives the revision from which a watch goes on.
+    ///
+    /// A page that fails is asked for again, and not the pages before it: when a whole fleet
+    /// starts anew, each entry asks for the whole list, and starting over would never end.
+    async fn list(&mut self) -> u64 {
         let mut objects: Vec<StoreObject> = Vec::new();
         let mut revision = None;
         loop {
             let after = objects.last().map(|o| o.name.clone());
-            let path = list_path(self.kind, after.as_deref());
-            let (status, body) = self
-                .client
-                .get(&path, CALL_TIMEOUT)
-                .await
-                .map_err(|e| e.to_string())?;
-            let page = read_page(status, &body).map_err(|e| format!("{status} {e:?}"))?;
+            let page = match self.read_page(after.as_deref()).await {
+                Ok(page) => page,
+                Err(why) => {
+                    self.rest(&why).await;
+                    continue;
+                }
+            };
             objects.extend(page.objects);
             // Changes between two pages come again with a watch from the first one's revision.
             let first = *revision.get_or_insert(page.revision);
             if !page.more {
                 self.heard();
                 self.take_list(&objects, first);
-                return Ok(first);
+                return first;
             }
         }
     }
 
+    async fn read_page(&mut self, after: Option<&str>) -> Result<StorePage, String> {
+        let path = list_path(self.kind, after);
+        let answer = self.client.get(&path, LIST_TIMEOUT).await;
+        let (status, body) = answer.map_err(|e| e.to_string())?;
+        read_page(status, &body).map_err(|e| format!("{status} {e:?}"))
+    }
+
     /// Watches while this entry is to, then waits until it is again.
     ///
     /// A watch that waits at the store is cut short, by closing its connection.
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -432,12 +432,13 @@
     if let Some(config) = &state.config {
         node.adopt(config, "peer");
     }
-    let digest = state.digest;
+    let (revision, digest) = (state.revision, state.digest);
     if state.revision >= node.pool.borrow().revision() {
         take_told(node, state);
     }
-    // Changes that don't lead to the same list leave only the whole of it.
-    let differs = node.pool.borrow().digest() != digest;
+    // Changes that don't lead to the same list at the same revision leave only the whole of it.
+    let pool = node.pool.borrow();
+    let differs = pool.revision() == revision && pool.digest() != digest;
     node.peers.borrow_mut().wants_all = differs;
     Ok(())
 }
