--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -18,8 +18,9 @@
 ///
 /// A store that has gone silent towards this entry looks like one without changes until a watch
 /// is overdue. Then another entry has to step in and read what was missed, all within the two
-/// seconds in which a configuration is to be in force. Waits of 15 s cost some 150 calls a day
-/// less, and left a version unknown to the whole fleet for nine seconds.
+/// seconds in which a configuration is to be in force. Waits of 15 s cost fewer calls (617
+/// for 1,044 on a calm day of 24 entries), and left a version unknown to the whole fleet for nine
+/// seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(800);
 
 /// Time after its wait at which a watch is overdue.
@@ -37,7 +38,7 @@
 /// Pause after changes of the list of upstreams, so that several come with one call.
 ///
 /// Three entries watch, each with pauses of its own, so that the first of them hears of a change
-/// after some 75 ms in the mean; a leaving upstream serves on for a second and a half at least.
+/// well before the pause is over; a leaving upstream serves on for a second and a half at least.
 const GATHER: Duration = Duration::from_millis(300);
 
 /// What a feed does with what it reads.
