Draw the ports of an entry together, and show the log of a start that fails

Cause: the tests drew each port of an entry by itself and gave it back before the next was drawn, so two of the four could be the same; the process then ends at its second bind, and the test waits 30 s for nothing. Measured by drawing four in a row 100,000 times: two were the same 43 times. Change: all ports of an entry are held until the last is drawn, and differ from the peers' port; a test holds its network by a listener, so that no other run on the machine shares it; a start that fails shows the end of its log. Ruled out: fireflyd's suites, which keep a list of the addresses given; ports lost between kill and restart, since a test's network is its own and connections to it leave from 127.0.0.1. Before: 43 of 100,000. After: ports_of_an_entry_are_never_the_same draws 8,000 entries, none clashes. Should a start fail again, its message now says why.

--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -5,7 +5,7 @@
 use standins::site::{AnswerFault, EngineKind, RunEnd, StoreMode};
 use std::net::IpAddr;
 use std::time::Duration;
-use support::{KEY, Site, cases, outcome, until, whole_stream};
+use support::{KEY, Site, cases, free_ports, outcome, until, whole_stream};
 
 /// Fault of every upstream of a kind.
 fn spoil(site: &Site, kind: EngineKind, fault: AnswerFault) {
@@ -40,6 +40,23 @@
     }
 }
 
+/// Entries whose ports are drawn: one pair in some 2,000 was the same when each was given back
+/// before the next was drawn.
+const DRAWN: usize = 8_000;
+
+#[test]
+fn ports_of_an_entry_are_never_the_same() {
+    let ip = IpAddr::from([127, 99, 1, 1]);
+    for _ in 0..DRAWN {
+        let [taken] = free_ports(ip, &[]);
+        let mut ports = free_ports::<3>(ip, &[taken]).to_vec();
+        ports.push(taken);
+        ports.sort_unstable();
+        ports.dedup();
+        assert_eq!(ports.len(), 4);
+    }
+}
+
 cases! {
     calls_and_streams_are_served(site: 2) {
         for entry in 0..2 {
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -66,6 +66,7 @@
     pub(crate) proxies: HashMap<String, Proxy>,
     client: Client,
     net: [u8; 2],
+    _claim: TcpListener,
     peer_port: u16,
     version: u64,
     folder: PathBuf,
@@ -75,6 +76,13 @@
 /// Networks of tests, so that none meets another's addresses.
 static NETS: AtomicU8 = AtomicU8::new(1);
 
+/// Port that a test holds on the last address of its network for as long as it uses the network:
+/// below those that the system gives out, so that it can only be held by another test.
+const CLAIM_PORT: u16 = 7_199;
+
+/// Log lines of a failed start that its message shows.
+const SHOWN_LINES: usize = 30;
+
 /// Key of the workspace `brand-a`.
 pub(crate) const KEY: &str = "key-a";
 
@@ -94,15 +102,14 @@
 
     /// Starts store and upstreams; no configuration is published yet.
     pub(crate) async fn without_entries() -> Self {
-        let pid = std::process::id().to_le_bytes()[0] % 100;
-        let net = [100 + pid, NETS.fetch_add(1, Ordering::Relaxed)];
+        let (net, claim) = claim_net();
         let ip = |last| IpAddr::from([127, net[0], net[1], last]);
         let record = Record::default();
         let store = Store::start(ip(200)).await.unwrap();
         let folder =
             std::env::temp_dir().join(format!("fireflydirect-{}-{}", std::process::id(), net[1]));
         fs::create_dir_all(&folder).unwrap();
-        let peer_port = free_port(ip(1));
+        let [peer_port] = free_ports(ip(1), &[]);
         let mut site = Self {
             store,
             engines: Vec::new(),
@@ -113,6 +120,7 @@
             proxies: HashMap::new(),
             client: Client::new(),
             net,
+            _claim: claim,
             peer_port,
             version: 0,
             folder,
@@ -195,12 +203,14 @@
     /// Starts one more entry, at the address that ends with `last`.
     pub(crate) async fn add_entry(&mut self, last: u8) {
         let ip = Ipv4Addr::new(127, self.net[0], self.net[1], last);
-        let addr = |()| SocketAddr::from((ip, free_port(ip.into())));
+        let addrs =
+            free_ports(ip.into(), &[self.peer_port]).map(|port| SocketAddr::from((ip, port)));
+        let [callers, readiness, operators] = addrs;
         let mut entry = Entry {
             ip,
-            callers: addr(()),
-            readiness: addr(()),
-            operators: addr(()),
+            callers,
+            readiness,
+            operators,
             settings: self.folder.join(format!("settings-{last}.json")),
             log: self.folder.join(format!("entry-{last}.log")),
             child: None,
@@ -273,9 +283,25 @@
         fs::write(&self.entries[entry].settings, "{").unwrap();
     }
 
-    /// Waits until an entry says that it is ready.
+    /// Waits until an entry says that it is ready; a failure shows the end of its log.
     pub(crate) async fn until_ready(&self, entry: usize) {
-        until("ready", || async { self.is_ready(entry).await }).await;
+        let end = Instant::now() + PATIENCE;
+        while !self.is_ready(entry).await {
+            assert!(
+                Instant::now() < end,
+                "entry {entry} isn't ready: {}",
+                self.log_end(entry)
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// The last lines of an entry's log.
+    fn log_end(&self, entry: usize) -> String {
+        let log = self.log(entry);
+        let lines: Vec<&str> = log.lines().collect();
+        let from = lines.len().saturating_sub(SHOWN_LINES);
+        lines[from..].join("\n")
     }
 
     /// Whether an entry says that it is ready.
@@ -470,9 +496,34 @@
         "max_attempts": attempts, "public": false, "resumable": resumable})
 }
 
-fn free_port(ip: IpAddr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap().port()
+/// A network that no other test of this machine uses, and the listener that holds it.
+fn claim_net() -> ([u8; 2], TcpListener) {
+    let pid = std::process::id().to_le_bytes()[0] % 100;
+    loop {
+        let net = [100 + pid, NETS.fetch_add(1, Ordering::Relaxed)];
+        let last = IpAddr::from([127, net[0], net[1], 254]);
+        if let Ok(claim) = TcpListener::bind((last, CLAIM_PORT)) {
+            return (net, claim);
+        }
+    }
+}
+
+/// Free ports of an address, all different and none of them in `taken`.
+///
+/// All are held until the last one is drawn. Drawn one after the other, each given back before the
+/// next, two of four are the same once in some 2,000 times, and the process ends at its second bind.
+pub(crate) fn free_ports<const N: usize>(ip: IpAddr, taken: &[u16]) -> [u16; N] {
+    let mut held: Vec<TcpListener> = Vec::new();
+    let mut ports = Vec::new();
+    while ports.len() < N {
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        let port = listener.local_addr().unwrap().port();
+        held.push(listener);
+        if !taken.contains(&port) {
+            ports.push(port);
+        }
+    }
+    ports.try_into().unwrap()
 }
 
 /// Waits until `holds`.
