Try a call to the store again beside one that hangs, by progress and not by time

Change: fireflycroft::Overlap decides. A try that gets no byte for 450 ms gets another beside it, on a connection of its own, three at most, later ones up to the longest pause that the entry's duty allows; the first whole answer wins, and a try that bytes come for is never doubled. Lists use it, and watches once the store is lost: they then only look whether it is back. A peer's state is fetched by a single try that ends after 900 ms without a byte (5 s in all before), from two peers at a time, so that one that hangs delays no other.

--- a/fireflydirect/src/client.rs
+++ b/fireflydirect/src/client.rs
@@ -1,66 +1,134 @@
 //! Short calls of the platform's store and of other entries, over one connection that is kept.
+//!
+//! A call that makes no progress is tried once more on a connection of its own,
+//! beside the one that hangs, as [`fireflycroft::Overlap`] decides.
 
-use crate::links::{Link, call_whole, open};
+use crate::clock::Clock;
+use crate::links::{Link, call_watched, open};
 use bytes::Bytes;
+use fireflycroft::{Overlap, OverlapStep, TryId};
 use http_body_util::Full;
 use hyper::Request;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::header::HOST;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
+use tokio::task::{AbortHandle, JoinSet};
+
+/// Status and body of an answer.
+type Answered = (u16, Bytes);
+
+/// What one try came to.
+type TryEnd = (TryId, anyhow::Result<(Link, Answered)>);
 
 /// A client of one address; one call at a time.
 pub struct Client {
     addr: SocketAddr,
+    clock: Clock,
     link: Option<Link>,
 }
 
+/// The tries of one call that are running.
+struct Running {
+    overlap: Rc<RefCell<Overlap>>,
+    tasks: JoinSet<TryEnd>,
+    handles: HashMap<TryId, AbortHandle>,
+}
+
 impl Client {
     /// A client that isn't connected yet.
     #[must_use]
-    pub const fn new(addr: SocketAddr) -> Self {
-        Self { addr, link: None }
+    pub const fn new(addr: SocketAddr, clock: Clock) -> Self {
+        Self {
+            addr,
+            clock,
+            link: None,
+        }
     }
 
-    /// Reads `path` within `limit`: status and body.
+    /// Reads `path` by the tries that `overlap` allows: status and body.
+    ///
+    /// `on_hang` is called when a try hangs and another one begins beside it.
     ///
     /// # Errors
     ///
-    /// When no whole answer came; the connection is dropped then.
-    pub async fn get(&mut self, path: &str, limit: Duration) -> anyhow::Result<(u16, Bytes)> {
+    /// When all tries failed, or the only one made no progress; their connections are dropped then.
+    pub async fn get(
+        &mut self,
+        path: &str,
+        overlap: Overlap,
+        on_hang: impl Fn(),
+    ) -> anyhow::Result<Answered> {
+        let mut running = Running {
+            overlap: Rc::new(RefCell::new(overlap)),
+            tasks: JoinSet::new(),
+            handles: HashMap::new(),
+        };
+        loop {
+            let step = running.overlap.borrow_mut().next(self.clock.now());
+            match step {
+                OverlapStep::Start(id) => {
+                    if running.overlap.borrow().started() > 1 {
+                        on_hang();
+                    }
+                    self.start(&mut running, id, path)?;
+                }
+                OverlapStep::Abandon(id) => running.abandon(id),
+                OverlapStep::GiveUp => anyhow::bail!("no progress"),
+                OverlapStep::Wait(until) => {
+                    let until = tokio::time::sleep_until(self.clock.instant(until));
+                    let ended = tokio::select! {
+                        ended = running.tasks.join_next() => ended,
+                        () = until => continue,
+                    };
+                    if let Some((link, answered)) = running.take(ended)? {
+                        self.link = Some(link);
+                        return Ok(answered);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, running: &mut Running, id: TryId, path: &str) -> anyhow::Result<()> {
         let req = Request::get(path)
             .header(HOST, self.addr.to_string())
             .body(Full::default())?;
-        self.call(req, limit).await
+        let (addr, clock, link) = (self.addr, self.clock, self.link.take());
+        let overlap = running.overlap.clone();
+        let handle = running.tasks.spawn_local(async move {
+            let note_progress = || overlap.borrow_mut().note_progress(clock.now(), id);
+            (id, exchange(addr, link, req, note_progress).await)
+        });
+        running.handles.insert(id, handle);
+        Ok(())
     }
+}
 
-    /// Sends `body` to `path` within `limit`: status and body.
-    ///
-    /// # Errors
-    ///
-    /// When no whole answer came; the call may have taken effect all the same.
-    pub async fn post(
-        &mut self,
-        path: &str,
-        body: String,
-        limit: Duration,
-    ) -> anyhow::Result<(u16, Bytes)> {
-        let req = Request::post(path)
-            .header(HOST, self.addr.to_string())
-            .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
-            .body(Full::new(Bytes::from(body)))?;
-        self.call(req, limit).await
+impl Running {
+    fn abandon(&mut self, id: TryId) {
+        if let Some(handle) = self.handles.remove(&id) {
+            handle.abort();
+        }
     }
 
-    async fn call(
+    /// What a task that ended means: an answer, one try less, or the end of the call.
+    fn take(
         &mut self,
-        req: Request<Full<Bytes>>,
-        limit: Duration,
-    ) -> anyhow::Result<(u16, Bytes)> {
-        let link = self.link.take();
-        let (link, status, bytes) =
-            tokio::time::timeout(limit, exchange(self.addr, link, req)).await??;
-        self.link = Some(link);
-        Ok((status, bytes))
+        ended: Option<Result<TryEnd, tokio::task::JoinError>>,
+    ) -> anyhow::Result<Option<(Link, Answered)>> {
+        match ended {
+            Some(Ok((_, Ok(answer)))) => Ok(Some(answer)),
+            Some(Ok((id, Err(e)))) => {
+                let was_last = self.overlap.borrow_mut().note_failed(id);
+                if was_last { Err(e) } else { Ok(None) }
+            }
+            // A try that was dropped has nothing to say.
+            Some(Err(e)) if e.is_cancelled() => Ok(None),
+            Some(Err(e)) => Err(e.into()),
+            None => anyhow::bail!("no try is running"),
+        }
     }
 }
 
@@ -68,11 +136,12 @@
     addr: SocketAddr,
     link: Option<Link>,
     req: Request<Full<Bytes>>,
-) -> anyhow::Result<(Link, u16, Bytes)> {
+    on_progress: impl Fn(),
+) -> anyhow::Result<(Link, Answered)> {
     let mut link = match link.filter(|l| !l.sender.is_closed()) {
         Some(link) => link,
         None => open(addr).await?,
     };
-    let (status, bytes) = call_whole(&mut link, req).await?;
-    Ok((link, status, bytes))
+    let answered = call_watched(&mut link, req, on_progress).await?;
+    Ok((link, answered))
 }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -6,11 +6,13 @@
 use crate::client::Client;
 use crate::node::Node;
 use crate::state_page::PeerState;
-use fireflycroft::{ListChange, UpstreamRecord};
+use bytes::Bytes;
+use fireflycroft::{ListChange, Overlap, UpstreamRecord};
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_events, read_page,
     read_upstream, watch_path,
 };
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,8 +28,12 @@
 /// Time after its wait at which a watch is overdue.
 const WATCH_MARGIN: Duration = Duration::from_millis(600);
 
-/// Longest time for one page of a list: a megabyte, while every other entry asks for it as well.
-const LIST_TIMEOUT: Duration = Duration::from_secs(5);
+/// Wait of a watch that only asks whether the store is back.
+const LOOK_WAIT: Duration = Duration::from_millis(1);
+
+/// Time without a byte after which a call is tried once more beside the one that hangs: the store
+/// answers in 4 ms, and in some 200 ms when it is slow.
+const PATIENCE: Duration = Duration::from_millis(450);
 
 /// First pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
@@ -44,18 +50,30 @@
     client: Client,
     kind: Kind,
     pause: Duration,
-    lost: bool,
+    contact: Contact,
+}
+
+/// Whether the store answers, as one feed sees it.
+struct Contact {
+    node: Rc<Node>,
+    kind: Kind,
+    lost: Cell<bool>,
 }
 
 /// Follows one kind of object for as long as the process lives.
 pub async fn follow(node: Rc<Node>, kind: Kind) {
-    let client = Client::new(node.place.store.addr);
+    let client = Client::new(node.place.store.addr, node.clock);
+    let contact = Contact {
+        node: node.clone(),
+        kind,
+        lost: Cell::new(false),
+    };
     let mut feed = Feed {
         node,
         client,
         kind,
         pause: FIRST_PAUSE,
-        lost: false,
+        contact,
     };
     loop {
         let revision = feed.list().await;
@@ -93,11 +111,22 @@
 
     async fn read_page(&mut self, after: Option<&str>) -> Result<StorePage, String> {
         let path = list_path(self.kind, after);
-        let answer = self.client.get(&path, LIST_TIMEOUT).await;
+        let answer = self.get(&path, self.patient()).await;
         let (status, body) = answer.map_err(|e| e.to_string())?;
         read_page(status, &body).map_err(|e| format!("{status} {e:?}"))
     }
 
+    /// Tries that overlap, as often as this entry may call a store that is away.
+    fn patient(&self) -> Overlap {
+        Overlap::new(PATIENCE, self.node.duty.borrow().longest_pause())
+    }
+
+    async fn get(&mut self, path: &str, overlap: Overlap) -> anyhow::Result<(u16, Bytes)> {
+        let contact = &self.contact;
+        let on_hang = || contact.note_lost("no progress");
+        self.client.get(path, overlap, on_hang).await
+    }
+
     /// Watches while this entry is to, then waits until it is again.
     ///
     /// A watch that waits at the store is cut short, by closing its connection.
@@ -112,7 +141,7 @@
             () = self.watch_from(revision) => return,
             () = off_duty => {}
         }
-        self.client = Client::new(node.place.store.addr);
+        self.client = Client::new(node.place.store.addr, node.clock);
         self.node.store_answers.set(false);
         while !node.duty.borrow().is_watching() {
             node.duty_changed.notified().await;
@@ -121,8 +150,7 @@
 
     async fn watch_from(&mut self, mut revision: u64) {
         loop {
-            let path = watch_path(self.kind, revision, WATCH_WAIT);
-            let answer = self.client.get(&path, WATCH_WAIT + WATCH_MARGIN).await;
+            let answer = self.look_or_wait(revision).await;
             let read = match answer {
                 Ok((status, body)) => read_events(status, &body).map_err(Some),
                 Err(e) => {
@@ -146,31 +174,25 @@
         }
     }
 
+    /// Waits for changes; while the store is lost, only asks whether it is back, by tries that
+    /// overlap.
+    async fn look_or_wait(&mut self, revision: u64) -> anyhow::Result<(u16, Bytes)> {
+        if self.contact.lost.get() {
+            let path = watch_path(self.kind, revision, LOOK_WAIT);
+            return self.get(&path, self.patient()).await;
+        }
+        let path = watch_path(self.kind, revision, WATCH_WAIT);
+        self.get(&path, Overlap::single(WATCH_WAIT + WATCH_MARGIN))
+            .await
+    }
+
     fn heard(&mut self) {
-        self.node
-            .metrics
-            .store_calls
-            .with_label_values(&["answered"])
-            .inc();
         self.pause = FIRST_PAUSE;
-        self.node.store_answers.set(true);
-        if !std::mem::take(&mut self.lost) {
-            return;
-        }
-        self.node.regained_at.set(Some(self.node.now()));
-        log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
+        self.contact.note_answer();
     }
 
     async fn rest(&mut self, why: &str) {
-        self.node
-            .metrics
-            .store_calls
-            .with_label_values(&["failed"])
-            .inc();
-        self.node.store_answers.set(false);
-        if !std::mem::replace(&mut self.lost, true) {
-            log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
-        }
+        self.contact.note_lost(why);
         tokio::time::sleep(self.pause).await;
         let longest = self.node.duty.borrow().longest_pause();
         self.pause = (self.pause * 2).min(longest);
@@ -223,11 +245,34 @@
     }
 }
 
+impl Contact {
+    fn note_answer(&self) {
+        let calls = &self.node.metrics.store_calls;
+        calls.with_label_values(&["answered"]).inc();
+        self.node.store_answers.set(true);
+        if !self.lost.replace(false) {
+            return;
+        }
+        self.node.regained_at.set(Some(self.node.now()));
+        log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
+    }
+
+    /// Notes that a call failed or hangs.
+    fn note_lost(&self, why: &str) {
+        let calls = &self.node.metrics.store_calls;
+        calls.with_label_values(&["failed"]).inc();
+        self.node.store_answers.set(false);
+        if !self.lost.replace(true) {
+            log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
+        }
+    }
+}
+
 /// Reads the configuration from the store once; true when it was read.
 pub async fn read_config(node: &Node) -> bool {
-    let mut client = Client::new(node.place.store.addr);
+    let mut client = Client::new(node.place.store.addr, node.clock);
     let path = list_path(Kind::Config, None);
-    let answer = client.get(&path, LIST_TIMEOUT).await;
+    let answer = client.get(&path, Overlap::single(PATIENCE), || ()).await;
     let Ok((status, body)) = answer else {
         return false;
     };
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -5,7 +5,7 @@
 use crate::node::Node;
 use crate::peers::v4;
 use crate::state_page::{PeerState, state_path};
-use fireflycroft::{CrashCount, EntryNews, Time};
+use fireflycroft::{CrashCount, EntryNews, Overlap, Time};
 use fireflycroft_wire::decode_news;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -18,8 +18,9 @@
 /// Pause after a datagram that couldn't be read: the cause lasts for moments only.
 const FAILED_PAUSE: Duration = Duration::from_millis(15);
 
-/// Longest time for fetching a peer's state: a megabyte over the slowest link, shared by several.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a byte after which fetching a peer's state is given up: the next telling starts it
+/// again, perhaps at another peer. A page on its way over a slow link goes on for as long as it takes.
+const FETCH_PATIENCE: Duration = Duration::from_millis(900);
 
 /// Bytes of a configuration from which on it is read from the store.
 ///
@@ -104,23 +105,21 @@
     StoreFirst,
 }
 
-/// Fetches what a peer told of, one at a time.
+/// Fetches what a peer told of, unless enough is being fetched.
 fn fetch(node: &Rc<Node>, from: Ipv4Addr, source: Source) {
-    let fetching = node.peers.borrow().fetching.clone();
-    if fetching.replace(true) {
+    let Some(guard) = node.peers.borrow().begin_fetch(from) else {
         return;
-    }
+    };
     let node = node.clone();
     tokio::task::spawn_local(async move {
+        let _guard = guard;
         if source == Source::StoreFirst && read_config(&node).await {
-            fetching.set(false);
             return;
         }
         if let Err(e) = fetch_state(&node, from).await {
             let (from, why) = (from.to_string(), e.to_string());
             log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
         }
-        fetching.set(false);
     });
 }
 
@@ -132,7 +131,9 @@
         node.pool.borrow().revision()
     };
     let path = state_path(node.version(), known);
-    let (status, body) = Client::new(addr).get(&path, FETCH_TIMEOUT).await?;
+    let mut client = Client::new(addr, node.clock);
+    let overlap = Overlap::single(FETCH_PATIENCE);
+    let (status, body) = client.get(&path, overlap, || ()).await?;
     anyhow::ensure!(status == 200, "status {status}");
     let state: PeerState = serde_json::from_slice(&body)?;
     if let Some(config) = &state.config {
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -171,11 +171,29 @@
 pub async fn call_whole(
     link: &mut Link,
     req: Request<Full<Bytes>>,
+) -> anyhow::Result<(u16, Bytes)> {
+    call_watched(link, req, || ()).await
+}
+
+/// The same, with a call of `on_progress` for the head and each part of the body that comes.
+///
+/// # Errors
+///
+/// When the connection breaks before the answer is whole.
+pub async fn call_watched(
+    link: &mut Link,
+    req: Request<Full<Bytes>>,
+    on_progress: impl Fn(),
 ) -> anyhow::Result<(u16, Bytes)> {
     link.sender.ready().await?;
     let response = link.sender.send_request(req).await?;
+    on_progress();
     let status = response.status().as_u16();
-    let bytes = response.into_body().collect().await?.to_bytes();
+    let body = response.into_body().map_frame(|frame| {
+        on_progress();
+        frame
+    });
+    let bytes = body.collect().await?.to_bytes();
     Ok((status, bytes))
 }
 
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -14,7 +14,7 @@
 use fireflycroft_platform::Place;
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
@@ -55,6 +55,9 @@
 /// Crash counts that are told again and again.
 const MAX_CRASHES: usize = 16;
 
+/// Peers from which the state is fetched at a time, so that one that has gone silent delays no other.
+const MOST_FETCHES: usize = 2;
+
 /// Time for which a watcher's list may differ: its changes come by several datagrams, and this
 /// entry may have them from the store a moment later.
 const LIST_PATIENCE: Duration = Duration::from_millis(300);
@@ -76,7 +79,7 @@
     known: HashMap<Ipv4Addr, Known>,
     seeds: Vec<Ipv4Addr>,
     pub(crate) crashes: VecDeque<CrashCount>,
-    pub(crate) fetching: Rc<Cell<bool>>,
+    fetching: Rc<RefCell<Vec<Ipv4Addr>>>,
     pub(crate) behind_since: Option<Time>,
     pub(crate) wants_all: bool,
 }
@@ -169,6 +172,19 @@
         }
     }
 
+    /// A place to fetch the state of a peer; none while that is under way, or others take all places.
+    pub(crate) fn begin_fetch(&self, from: Ipv4Addr) -> Option<FetchGuard> {
+        let mut fetching = self.fetching.borrow_mut();
+        if fetching.len() >= MOST_FETCHES || fetching.contains(&from) {
+            return None;
+        }
+        fetching.push(from);
+        Some(FetchGuard {
+            fetching: self.fetching.clone(),
+            from,
+        })
+    }
+
     /// Notes that a watcher's list differs from this entry's; true when it has for so long that the
     /// list has to be fetched.
     pub(crate) fn note_behind(&mut self, now: Time) -> bool {
@@ -220,6 +236,18 @@
     }
 }
 
+/// A fetch of a peer's state that is under way; gives up its place when dropped.
+pub(crate) struct FetchGuard {
+    fetching: Rc<RefCell<Vec<Ipv4Addr>>>,
+    from: Ipv4Addr,
+}
+
+impl Drop for FetchGuard {
+    fn drop(&mut self) {
+        self.fetching.borrow_mut().retain(|ip| *ip != self.from);
+    }
+}
+
 /// The address, if it is of the version that the fleet speaks.
 pub(crate) const fn v4(ip: IpAddr) -> Option<Ipv4Addr> {
     match ip {
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -119,6 +119,30 @@
         site.until_ready(0).await;
     }
 
+    first_lists_that_hang_hold_nothing_up(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        site.store.set_mode(StoreMode::HangNext(2));
+        site.add_entry(1).await;
+        site.until_ready(0).await;
+        assert_eq!(site.store.overlapped(), 2, "a try beside each list that hangs");
+        let answer = site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+        assert_eq!(answer.status(), 200);
+    }
+
+    store_that_hangs_is_lost_and_found(site: 1) {
+        site.store.set_mode(StoreMode::Silent);
+        until("the loss", || async { site.log(0).contains("event=store_lost") }).await;
+        site.store.set_mode(StoreMode::Up);
+        until("the return", || async { site.log(0).contains("event=store_regained") }).await;
+        site.publish(&["another"]);
+        until("the key's end", || async {
+            let answer = site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+            outcome(&answer) == (401, Some(2004))
+        })
+        .await;
+    }
+
     full_upstreams_are_refused_as_not_run(site: 1) {
         spoil(&site, EngineKind::Plain, AnswerFault::Full);
         let id = site.id();
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -12,7 +12,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 
-use super::http::{Request, read_request, reset, write_answer, write_chunk, write_stream_head};
+use super::http::{
+    Request, read_request, reset, until_closed, write_answer, write_chunk, write_stream_head,
+};
 use super::record::{Record, Run, RunEnd};
 use crate::sync::lock;
 
@@ -395,17 +397,6 @@
     Ok(After::Keep)
 }
 
-/// Ends when the caller has closed the connection.
-async fn until_closed(stream: &TcpStream) {
-    let mut byte = [0];
-    loop {
-        match stream.peek(&mut byte).await {
-            Ok(0) | Err(_) => return,
-            Ok(_) => tokio::time::sleep(EVENT_EVERY).await,
-        }
-    }
-}
-
 async fn report(stream: &mut TcpStream, shared: &Shared) -> io::Result<After> {
     let leaves_ms = *lock(&shared.leaves_ms);
     let of_run = |id: &String| json!([id, RUN_TOKENS, 1, 5]);
--- a/standins/src/site/http.rs
+++ b/standins/src/site/http.rs
@@ -1,10 +1,14 @@
 //! Reading requests and writing answers by hand, since faults need torn ones.
 
 use std::io;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// Time between two looks at whether a caller has closed its connection.
+const CLOSED_CHECK: Duration = Duration::from_millis(10);
+
 /// Longest head that is read, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
@@ -131,3 +135,14 @@
     let _ = stream.set_zero_linger();
     drop(stream);
 }
+
+/// Ends when the caller has closed the connection.
+pub(super) async fn until_closed(stream: &TcpStream) {
+    let mut byte = [0];
+    loop {
+        match stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => tokio::time::sleep(CLOSED_CHECK).await,
+        }
+    }
+}
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use tokio::task::{JoinHandle, JoinSet};
 
-use super::http::{Request, read_request, reset, write_answer};
+use super::http::{Request, read_request, reset, until_closed, write_answer};
 use crate::sync::lock;
 
 /// How the store treats calls.
@@ -28,6 +28,9 @@
     SilentTo(Vec<IpAddr>),
     /// It turns these callers away with 503.
     Deny(Vec<IpAddr>),
+    /// It never answers the next so many calls, nor anything on their connections, and answers all
+    /// others.
+    HangNext(u32),
 }
 
 #[derive(Clone, Debug)]
@@ -47,6 +50,9 @@
     mode: StoreMode,
     calls: u64,
     calls_by: BTreeMap<IpAddr, u64>,
+    /// Kinds of the calls that hang and whose callers still wait.
+    hanging: Vec<String>,
+    overlapped: u64,
 }
 
 /// The store; dropping it ends it.
@@ -180,6 +186,12 @@
         lock(&self.shared.state).calls
     }
 
+    /// Calls that came while another one of the same kind hung and its caller still waited.
+    #[must_use]
+    pub fn overlapped(&self) -> u64 {
+        lock(&self.shared.state).overlapped
+    }
+
     /// Callers so far, with the number of their calls.
     #[must_use]
     pub fn calls_by(&self) -> BTreeMap<IpAddr, u64> {
@@ -209,6 +221,7 @@
                 }
             }
             Treatment::Reset => return reset(stream),
+            Treatment::Hang => return hang(&stream, &shared, kind_of(&req)).await,
         }
     }
 }
@@ -216,6 +229,23 @@
 enum Treatment {
     Answer(u16, Value),
     Reset,
+    Hang,
+}
+
+/// Answers nothing until the caller has closed the connection.
+async fn hang(stream: &TcpStream, shared: &Shared, kind: &str) {
+    lock(&shared.state).hanging.push(kind.to_owned());
+    until_closed(stream).await;
+    let hanging = &mut lock(&shared.state).hanging;
+    if let Some(at) = hanging.iter().position(|k| k == kind) {
+        hanging.swap_remove(at);
+    }
+}
+
+/// Kind of the objects that a call is about; empty for what is no such call.
+fn kind_of(req: &Request) -> &str {
+    let path = req.path.split('?').next().unwrap_or_default();
+    path.strip_prefix("/v1/objects/").unwrap_or_default()
 }
 
 async fn treat(shared: &Shared, from: IpAddr, req: &Request) -> Treatment {
@@ -223,6 +253,9 @@
         let mut state = lock(&shared.state);
         state.calls += 1;
         *state.calls_by.entry(from).or_default() += 1;
+        if state.hanging.iter().any(|k| k == kind_of(req)) {
+            state.overlapped += 1;
+        }
     }
     loop {
         // Registered before the look, so that no change falls between both.
@@ -248,20 +281,24 @@
 }
 
 fn look(shared: &Shared, from: IpAddr, req: &Request) -> Look {
-    let state = lock(&shared.state);
-    match &state.mode {
+    let mut state = lock(&shared.state);
+    match &mut state.mode {
         StoreMode::Reset => return Look::Done(Treatment::Reset),
         StoreMode::Silent => return Look::Wait,
         StoreMode::Deny(ips) if ips.contains(&from) => {
             return Look::Done(Treatment::Answer(503, json!({})));
         }
         StoreMode::SilentTo(ips) if ips.contains(&from) => return Look::Wait,
-        StoreMode::Up | StoreMode::Deny(_) | StoreMode::SilentTo(_) => {}
+        StoreMode::HangNext(left) if *left > 0 => {
+            *left -= 1;
+            return Look::Done(Treatment::Hang);
+        }
+        StoreMode::Up | StoreMode::Deny(_) | StoreMode::SilentTo(_) | StoreMode::HangNext(_) => {}
     }
-    let path = req.path.split('?').next().unwrap_or_default();
-    let Some(kind) = path.strip_prefix("/v1/objects/") else {
+    let kind = kind_of(req);
+    if kind.is_empty() {
         return Look::Done(Treatment::Answer(404, json!({})));
-    };
+    }
     match req.query("watch").and_then(|r| r.parse().ok()) {
         Some(revision) => watch(&state, kind, revision, req),
         None => Look::Done(Treatment::Answer(200, list(&state, kind))),
