Tell the lives of an upstream apart by its start, and let strangers' records name nobody

Cause: an upstream may start again under its id and then knows nothing of before; the pool took such a record for news of the old life, with its load, paces, connections, copies and runs. And an object of the store that can't be read made a whole page unreadable, or left an upstream in use whose record had been overwritten: a record that named another service was even routed to for the old one, since the index by service was not renewed. In the pool a newer start ends the old life whole and begins a new slot; an older start is stale whatever its revision. Placements, changes and states that entries tell name the life; idle connections are kept by life; what waits for an answer of an ended life gives up at once and goes on from a copy; copies whose keeper or source has started again are not used, since a handle may name another request's memory there; a leaving engine's report of another life is ignored. One log line a change, counters unreadable_total and restarts_total. Ruled out: a new index in place of a life (the old slot's guards would be taken from the new one); moving runs off an upstream whose record was overwritten (it lives, and writes again within a heartbeat). A silent proxy now holds back the end of a connection too, or the restart would be seen by its reset.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -91,6 +91,8 @@
             data_centre: record.data_centre.to_string(),
             slots: record.slots,
             leaving: record.state == UpstreamState::Leaving,
+            unreadable: record.state == UpstreamState::Unreadable,
+            incarnation: record.incarnation.0,
             cold_ms: u32::try_from(record.cold_for.as_millis()).unwrap_or(u32::MAX),
         },
         ListChange::Removed { instance, revision } => pb::ListChange {
@@ -110,14 +112,15 @@
     }
     Ok(ListChange::Listed(UpstreamRecord {
         instance,
+        incarnation: Incarnation(change.incarnation),
         service: read_name(&change.service, "list_change.service")?,
         addr: read_addr(&change.addr)?,
         data_centre: read_name(&change.data_centre, "list_change.data_centre")?,
         slots: change.slots,
-        state: if change.leaving {
-            UpstreamState::Leaving
-        } else {
-            UpstreamState::Serving
+        state: match (change.unreadable, change.leaving) {
+            (true, _) => UpstreamState::Unreadable,
+            (false, true) => UpstreamState::Leaving,
+            (false, false) => UpstreamState::Serving,
         },
         cold_for: Duration::from_millis(u64::from(change.cold_ms)),
         revision,
@@ -133,12 +136,14 @@
         copies: at.placed.copies,
         made_tokens: at.pace.tokens,
         made_micros: at.pace.micros,
+        incarnation: at.incarnation.0,
     }
 }
 
 fn read_placed(at: &pb::PlacedAt) -> Result<PlacedAt, WireError> {
     Ok(PlacedAt {
         instance: read_name(&at.instance, "placed.instance")?,
+        incarnation: Incarnation(at.incarnation),
         placed: Placed {
             running: at.running,
             tokens: at.tokens,
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -496,6 +496,12 @@
     pub leaving: bool,
     #[prost(uint32, tag = "9")]
     pub cold_ms: u32,
+    /// Unix milliseconds of its start; zero where it doesn't say.
+    #[prost(fixed64, tag = "10")]
+    pub incarnation: u64,
+    /// Whether its record can't be read any more.
+    #[prost(bool, tag = "11")]
+    pub unreadable: bool,
 }
 /// Requests and repeats of one service, within the window of the budget.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -527,6 +533,9 @@
     pub made_tokens: u64,
     #[prost(uint64, tag = "7")]
     pub made_micros: u64,
+    /// Which life of the upstream.
+    #[prost(fixed64, tag = "8")]
+    pub incarnation: u64,
 }
 /// Upstreams that content has crashed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -39,6 +39,7 @@
         list_changes: vec![
             ListChange::Listed(UpstreamRecord {
                 instance: Name::from("i-1"),
+                incarnation: Incarnation(1_790_000_000_123),
                 service: Name::from("s"),
                 addr: "127.0.0.1:80".parse().unwrap(),
                 data_centre: Name::from("a"),
@@ -55,6 +56,7 @@
         changes_only: true,
         placed: vec![PlacedAt {
             instance: Name::from("i-1"),
+            incarnation: Incarnation(1_790_000_000_123),
             placed: Placed {
                 running: 3,
                 tokens: 9_000,
--- a/fireflycroft/src/ids.rs
+++ b/fireflycroft/src/ids.rs
@@ -4,6 +4,7 @@
 //! of the next. A generation id names the incarnation of the agent that made
 //! it, so that an id of an agent's former life matches nothing.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,9 +21,19 @@
 pub struct RequestId(pub u128);
 
 /// One life of a process, drawn at its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Whether anything is known of the start.
+    #[must_use]
+    pub const fn is_known(self) -> bool {
+        self.0 != 0
+    }
+}
+
 /// One reservation, and the generation it may become, on one agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GenerationId {
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -2,6 +2,11 @@
 //!
 //! Each record carries the revision of the list at which it was written, and the
 //! newest of an upstream holds, whatever order they come in and from whom.
+//!
+//! An upstream may start again under its id. Its start goes before the revision:
+//! a record of an older start is stale whenever it was written, and one of a
+//! newer start ends the old life, which gets no successor in its place but one
+//! beside it, so that whatever still refers to the old life finds it ended.
 
 use crate::ids::{Digest, Name};
 use crate::pace::SeenPace;
@@ -19,6 +24,15 @@
     Came(UpstreamIx),
     /// An upstream leaves or is gone from the list.
     Leaves(UpstreamIx),
+    /// An upstream started again under its id.
+    Restarted {
+        /// The life that has ended, with all that it ran and held.
+        ended: UpstreamIx,
+        /// The life that has begun.
+        begun: UpstreamIx,
+    },
+    /// The record of an upstream can't be read any more.
+    Unreadable(UpstreamIx),
 }
 
 /// A change of the list of upstreams, as entries tell it each other.
@@ -59,8 +73,14 @@
         };
         let u = &mut self.upstreams[ix.0];
         u.missing_since = None;
-        if record.revision <= u.record.revision {
-            return None;
+        match judge(&u.record, &record) {
+            Word::Stale => return None,
+            Word::Restart => return Some(self.restart(now, ix, record)),
+            Word::Foreign => {
+                let lost = self.unreadable(&record.instance, record.revision)?;
+                return self.learn(now, lost);
+            }
+            Word::News => {}
         }
         self.note_change(now, ListChange::Listed(record.clone()));
         self.digest ^= digest_of(&record);
@@ -81,17 +101,61 @@
                 u.left_at = None;
                 Some(PoolChange::Came(ix))
             }
+            (true, UpstreamState::Unreadable) => Some(PoolChange::Unreadable(ix)),
             _ => None,
         }
     }
 
+    /// Ends a life whose id a later one has taken.
+    fn restart(&mut self, now: Time, old: UpstreamIx, record: UpstreamRecord) -> PoolChange {
+        let u = &mut self.upstreams[old.0];
+        if !u.gone {
+            self.digest ^= digest_of(&u.record);
+        }
+        u.gone = true;
+        u.ended = true;
+        u.left_at = Some(now);
+        u.others.clear();
+        self.note_change(now, ListChange::Listed(record.clone()));
+        PoolChange::Restarted {
+            ended: old,
+            begun: self.insert(now, record),
+        }
+    }
+
+    /// What the list says of an upstream whose record, as of `revision`, can't be read; nothing of
+    /// one that isn't known.
+    #[must_use]
+    pub fn unreadable(&self, instance: &str, revision: u64) -> Option<UpstreamRecord> {
+        let held = &self.upstreams[self.find(instance)?.0];
+        if held.gone {
+            return None;
+        }
+        Some(UpstreamRecord {
+            state: UpstreamState::Unreadable,
+            revision,
+            ..held.record.clone()
+        })
+    }
+
     fn add(&mut self, now: Time, record: UpstreamRecord) -> PoolChange {
+        let leaving = record.state == UpstreamState::Leaving;
+        let ix = self.insert(now, record);
+        if leaving {
+            PoolChange::Leaves(ix)
+        } else {
+            PoolChange::Came(ix)
+        }
+    }
+
+    fn insert(&mut self, now: Time, record: UpstreamRecord) -> UpstreamIx {
         let leaving = record.state == UpstreamState::Leaving;
         let upstream = Upstream {
             cold_until: now + record.cold_for,
             memory_tokens: self.memory_of.get(&record.service).copied(),
             record,
             gone: false,
+            ended: false,
             left_at: leaving.then_some(now),
             missing_since: None,
             mine: Placed::default(),
@@ -119,18 +183,16 @@
         };
         self.by_instance.insert(instance, at);
         self.by_service.entry(service).or_default().push(at);
-        let ix = UpstreamIx(at);
-        if leaving {
-            PoolChange::Leaves(ix)
-        } else {
-            PoolChange::Came(ix)
-        }
+        UpstreamIx(at)
     }
 
     /// Takes an upstream that is gone out of the indices.
     fn take_out(&mut self, at: usize) {
         let record = &self.upstreams[at].record;
-        self.by_instance.remove(&record.instance);
+        // A later life may have taken the id.
+        if self.by_instance.get(&record.instance) == Some(&at) {
+            self.by_instance.remove(&record.instance);
+        }
         if let Some(of_service) = self.by_service.get_mut(&record.service) {
             of_service.retain(|i| *i != at);
         }
@@ -171,7 +233,7 @@
         let newer = self
             .upstreams
             .iter()
-            .filter(|u| u.record.revision > revision);
+            .filter(|u| !u.ended && u.record.revision > revision);
         let (gone, listed): (Vec<&Upstream>, Vec<&Upstream>) = newer.partition(|u| u.gone);
         let removed = |u: &Upstream| ListChange::Removed {
             instance: u.record.instance.clone(),
@@ -285,9 +347,40 @@
     }
 }
 
+/// What a record says against the one that is held.
+enum Word {
+    /// Nothing new.
+    Stale,
+    /// The same life has written it.
+    News,
+    /// A later life has.
+    Restart,
+    /// It is not the upstream's own.
+    Foreign,
+}
+
+/// Tells whose word a record is.
+///
+/// A life keeps its service and its address, and says of its start all along what it said once; a
+/// record that doesn't was written by somebody else.
+fn judge(held: &UpstreamRecord, told: &UpstreamRecord) -> Word {
+    let moved = told.service != held.service || told.addr != held.addr;
+    match (held.incarnation.is_known(), told.incarnation.is_known()) {
+        (true, true) if told.incarnation > held.incarnation => Word::Restart,
+        (true, true) if told.incarnation < held.incarnation => Word::Stale,
+        _ if told.revision <= held.revision => Word::Stale,
+        // What was held without a start was a stranger's word.
+        (false, true) if moved => Word::Restart,
+        (true, false) => Word::Foreign,
+        _ if moved => Word::Foreign,
+        _ => Word::News,
+    }
+}
+
 /// What one record adds to the digest of a list.
 #[allow(clippy::cast_possible_truncation)]
 fn digest_of(record: &UpstreamRecord) -> u64 {
     let revision = record.revision.to_le_bytes();
-    Digest::of(&[record.instance.as_bytes(), &revision]).0 as u64
+    let incarnation = record.incarnation.0.to_le_bytes();
+    Digest::of(&[record.instance.as_bytes(), &revision, &incarnation]).0 as u64
 }
--- a/fireflycroft/src/placed.rs
+++ b/fireflycroft/src/placed.rs
@@ -1,6 +1,6 @@
 //! Work that is placed on upstreams, and what a request needs of one.
 
-use crate::ids::Name;
+use crate::ids::{Incarnation, Name};
 use crate::pace::Pace;
 use crate::upstream::UpstreamIx;
 use std::time::Duration;
@@ -60,6 +60,8 @@
 pub struct PlacedAt {
     /// The upstream.
     pub instance: Name,
+    /// Which life of it.
+    pub incarnation: Incarnation,
     /// What is placed there.
     pub placed: Placed,
     /// How fast it made tokens for this entry.
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -92,7 +92,13 @@
         self.upstreams[ix.0].left_at
     }
 
-    /// The upstream of that instance.
+    /// Whether a later life of the same id is known, so that nothing of this one is left.
+    #[must_use]
+    pub fn is_ended(&self, ix: UpstreamIx) -> bool {
+        self.upstreams[ix.0].ended
+    }
+
+    /// The upstream of that instance, in its latest life.
     #[must_use]
     pub fn find(&self, instance: &str) -> Option<UpstreamIx> {
         self.by_instance.get(instance).copied().map(UpstreamIx)
@@ -177,7 +183,8 @@
 
     /// Takes what another entry has placed.
     ///
-    /// With `changes_only`, what it has told of other upstreams still holds.
+    /// With `changes_only`, what it has told of other upstreams still holds. What it has placed on
+    /// another life of an upstream counts for nothing on this one.
     pub fn note_others(
         &mut self,
         now: Time,
@@ -191,7 +198,9 @@
             }
         }
         for at in placed {
-            if let Some(ix) = self.find(&at.instance) {
+            let known = self.find(&at.instance);
+            let same_life = |ix: &UpstreamIx| self.record(*ix).incarnation == at.incarnation;
+            if let Some(ix) = known.filter(same_life) {
                 let u = &mut self.upstreams[ix.0];
                 u.others.insert(entry.clone(), (now, at.placed));
                 u.pace.note_other(entry, at.pace);
@@ -203,12 +212,8 @@
     #[must_use]
     pub fn placed_at(&self, some: impl IntoIterator<Item = UpstreamIx>) -> Vec<PlacedAt> {
         let at = |ix: UpstreamIx| &self.upstreams[ix.0];
-        let tell = |u: &Upstream| PlacedAt {
-            instance: u.record.instance.clone(),
-            placed: u.mine,
-            pace: u.pace.mine,
-        };
-        some.into_iter().map(|ix| tell(at(ix))).collect()
+        let current = some.into_iter().map(at).filter(|u| !u.ended);
+        current.map(Upstream::placed_at).collect()
     }
 
     /// What this entry has placed, to tell the others.
@@ -217,13 +222,8 @@
         let busy = self
             .upstreams
             .iter()
-            .filter(|u| u.mine != Placed::default());
-        busy.map(|u| PlacedAt {
-            instance: u.record.instance.clone(),
-            placed: u.mine,
-            pace: u.pace.mine,
-        })
-        .collect()
+            .filter(|u| !u.ended && u.mine != Placed::default());
+        busy.map(Upstream::placed_at).collect()
     }
 
     /// What is known of an upstream's load, and how old the oldest part of it is.
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -1,8 +1,8 @@
 //! One upstream as a direct entry sees it, and what one more request there costs.
 
-use crate::ids::Name;
+use crate::ids::{Incarnation, Name};
 use crate::pace::{Pace, SeenPace};
-use crate::placed::{Need, Placed};
+use crate::placed::{Need, Placed, PlacedAt};
 use crate::room::SHORT_TOKENS;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -17,13 +17,27 @@
     Serving,
     /// It has announced that it leaves.
     Leaving,
+    /// Its record was overwritten with what can't be read: nothing new goes there until it writes
+    /// its record again, and what runs there goes on.
+    Unreadable,
+}
+
+/// One life of an upstream, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Life {
+    /// Id, which it may keep when it starts again.
+    pub instance: Name,
+    /// Which start of that id.
+    pub incarnation: Incarnation,
 }
 
 /// One upstream, as the platform's list has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
-    /// Id of this life of the upstream; never used twice.
+    /// Id of the upstream; it may keep it when it starts again.
     pub instance: Name,
+    /// Unix milliseconds of its start; zero where it doesn't say.
+    pub incarnation: Incarnation,
     /// Service that it answers for.
     pub service: Name,
     /// Where it listens; may pass to another upstream later.
@@ -40,7 +54,18 @@
     pub revision: u64,
 }
 
-/// Index of an upstream in the pool.
+impl UpstreamRecord {
+    /// The life that wrote the record.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        Life {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+/// Index of one life of an upstream in the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamIx(pub(crate) usize);
 
@@ -50,6 +75,8 @@
     pub(crate) record: UpstreamRecord,
     pub(crate) memory_tokens: Option<u64>,
     pub(crate) gone: bool,
+    /// Whether a later life has taken its id: all that it ran or held is lost.
+    pub(crate) ended: bool,
     pub(crate) left_at: Option<Time>,
     pub(crate) missing_since: Option<Time>,
     pub(crate) mine: Placed,
@@ -128,15 +155,28 @@
 
 impl Upstream {
     pub(crate) fn is_serving(&self) -> bool {
-        !self.gone && self.record.state == UpstreamState::Serving
+        !self.gone && !self.ended && self.record.state == UpstreamState::Serving
     }
 
     /// Whether it has left, so that what ran there has ended or moved.
     pub(crate) fn is_over(&self, now: Time) -> bool {
+        if self.ended {
+            return true;
+        }
         let left = self.left_at.filter(|_| !self.is_serving());
         left.is_some_and(|t| now.since(t) > LEAVES_WITHIN)
     }
 
+    /// What this entry has placed here, to tell the others.
+    pub(crate) fn placed_at(&self) -> PlacedAt {
+        PlacedAt {
+            instance: self.record.instance.clone(),
+            incarnation: self.record.incarnation,
+            placed: self.mine,
+            pace: self.pace.mine,
+        }
+    }
+
     /// Work of all entries.
     pub(crate) fn load(&self, now: Time) -> Placed {
         let told = self.others.values();
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -1,8 +1,8 @@
 //! Room for generations, copies of runs, and who watches the store.
 
 use fireflycroft::{
-    Asking, BACKUP_FILL, Coming, Departure, Fill, Name, Need, OnNotice, Patiences, Pool,
-    ROOM_FOR_FIRST, ROOM_FOR_LATE, ROOM_FOR_LONG, ROOM_FOR_RETURNING, STEP_DOWN_AFTER,
+    Asking, BACKUP_FILL, Coming, Departure, Fill, Incarnation, Name, Need, OnNotice, Patiences,
+    Pool, ROOM_FOR_FIRST, ROOM_FOR_LATE, ROOM_FOR_LONG, ROOM_FOR_RETURNING, STEP_DOWN_AFTER,
     STOP_AFTER_NOTICE, Time, UpstreamRecord, UpstreamState, WATCHERS, WatchDuty, WatchView, Yields,
     is_room, on_notice, pick_backup, room_after,
 };
@@ -210,6 +210,7 @@
     let mut pool = Pool::new(Name::from("dc"));
     for i in 0..count {
         let record = UpstreamRecord {
+            incarnation: Incarnation::default(),
             instance: Name::from(format!("i{i}")),
             service: Name::from("models"),
             addr: "127.0.0.1:1".parse().unwrap(),
--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -77,6 +77,10 @@
         Ok(Err(e)) => return say_unknown(node, ix, &e.to_string()),
         Err(_) => return say_unknown(node, ix, "no answer in time"),
     };
+    let asked = node.pool.borrow().record(ix).incarnation;
+    if asked.is_known() && report.incarnation != asked {
+        return say_unknown(node, ix, "the report is of another life");
+    }
     let now = node.now();
     let gone_at = report
         .leaves_in
@@ -103,13 +107,13 @@
     let record = node.pool.borrow().record(ix).clone();
     let links = &node.links;
     let mut link = links
-        .get(&record.instance, record.addr, REPORT_TIMEOUT)
+        .get(&record.life(), record.addr, REPORT_TIMEOUT)
         .await?;
     let req = Request::get(report_path())
         .header(HOST, record.addr.to_string())
         .body(Full::new(Bytes::new()))?;
     let (status, bytes) = call_whole(&mut link, req).await?;
     anyhow::ensure!(status == 200, "status {status}");
-    links.put_back(&record.instance, link, None);
+    links.put_back(&record.life(), link, None);
     Ok(read_report(&bytes)?)
 }
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::http::response::Parts;
 use std::fmt;
 use std::net::SocketAddr;
@@ -88,24 +89,26 @@
     };
     let links = &job.node.links;
     let mut link = links
-        .get(&record.instance, record.addr, most_idle)
+        .get(&record.life(), record.addr, most_idle)
         .await
         .map_err(|e| Unanswered::NeverSent(e.to_string()))?;
     link.sender
         .ready()
         .await
         .map_err(|e| Unanswered::NeverSent(e.to_string()))?;
+    // The id alone doesn't tell two lives apart, so the upstream can't refuse what is meant for the
+    // one before.
+    if job.node.pool.borrow().is_ended(ix) {
+        return Err(Unanswered::NeverSent("it started again".to_owned()));
+    }
     let req = request(job, &record.instance, extras);
     on_sent();
-    let response = link.sender.try_send_request(req).await.map_err(|mut e| {
-        let unsent = e.take_message().is_some();
-        let why = e.into_error().to_string();
-        if unsent {
-            Unanswered::NeverSent(why)
-        } else {
-            Unanswered::Lost(why)
+    let response = tokio::select! {
+        response = link.sender.try_send_request(req) => response.map_err(unanswered)?,
+        () = job.node.until_ended(ix) => {
+            return Err(Unanswered::Lost("it started again".to_owned()));
         }
-    })?;
+    };
     let (parts, body) = response.into_parts();
     let head = read_answer_head(parts.status, &parts.headers, &job.request_id);
     if !head.is_own {
@@ -119,6 +122,16 @@
     })
 }
 
+fn unanswered(mut e: TrySendError<Request<Full<Bytes>>>) -> Unanswered {
+    let unsent = e.take_message().is_some();
+    let why = e.into_error().to_string();
+    if unsent {
+        Unanswered::NeverSent(why)
+    } else {
+        Unanswered::Lost(why)
+    }
+}
+
 fn request(job: &Job, instance: &str, extras: &Extras) -> Request<Full<Bytes>> {
     let dispatch = Dispatch {
         instance,
@@ -151,7 +164,10 @@
         body,
         link,
     } = opened;
-    let whole = Limited::new(body, MAX_WHOLE_ANSWER).collect().await;
+    let whole = tokio::select! {
+        whole = Limited::new(body, MAX_WHOLE_ANSWER).collect() => whole,
+        () = job.node.until_ended(ix) => return Err("it started again".to_owned()),
+    };
     let bytes = whole.map_err(|e| e.to_string())?.to_bytes();
     give_back(job, ix, &head, link);
     Ok((parts, bytes))
@@ -162,6 +178,6 @@
     if head.closes || head.claim != RunClaim::MayHaveRun {
         return;
     }
-    let instance = job.node.pool.borrow().record(ix).instance.clone();
-    job.node.links.put_back(&instance, link, head.keep_alive);
+    let life = job.node.pool.borrow().record(ix).life();
+    job.node.links.put_back(&life, link, head.keep_alive);
 }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -7,12 +7,13 @@
 use crate::node::Node;
 use crate::state_page::PeerState;
 use bytes::Bytes;
-use fireflycroft::{ListChange, Overlap, UpstreamRecord};
+use fireflycroft::{ListChange, Name, Overlap, UpstreamRecord};
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_events, read_page,
     read_upstream, watch_path,
 };
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -51,6 +52,8 @@
     kind: Kind,
     pause: Duration,
     contact: Contact,
+    /// Records that were last seen unreadable, with their revisions, so that each is said once.
+    unreadable: HashMap<Name, u64>,
 }
 
 /// Whether the store answers, as one feed sees it.
@@ -74,6 +77,7 @@
         kind,
         pause: FIRST_PAUSE,
         contact,
+        unreadable: HashMap::new(),
     };
     loop {
         let revision = feed.list().await;
@@ -89,6 +93,7 @@
     async fn list(&mut self) -> u64 {
         let mut objects: Vec<StoreObject> = Vec::new();
         let mut revision = None;
+        self.unreadable.clear();
         loop {
             let after = objects.last().map(|o| o.name.clone());
             let page = match self.read_page(after.as_deref()).await {
@@ -98,6 +103,9 @@
                     continue;
                 }
             };
+            self.note_nameless(page.nameless);
+            // What is read of a list that can't be read to its end holds all the same.
+            self.take_objects(&page.objects);
             objects.extend(page.objects);
             // Changes between two pages come again with a watch from the first one's revision.
             let first = *revision.get_or_insert(page.revision);
@@ -159,16 +167,22 @@
                 }
             };
             match read {
-                Ok((events, next)) => {
+                Ok(read) => {
                     self.heard();
-                    revision = next;
-                    let any = !events.is_empty();
-                    self.take_events(events);
+                    revision = read.revision;
+                    self.note_nameless(read.nameless);
+                    let any = !read.events.is_empty();
+                    self.take_events(read.events);
                     if any && self.kind == Kind::Upstreams {
                         tokio::time::sleep(GATHER).await;
                     }
                 }
                 Err(Some(StoreFault::HistoryGone)) => return,
+                // What changed is in the list as well, one object at a time.
+                Err(Some(StoreFault::Malformed)) => {
+                    self.rest("the changes can't be read").await;
+                    return;
+                }
                 Err(fault) => self.rest(&format!("{fault:?}")).await,
             }
         }
@@ -198,18 +212,58 @@
         self.pause = (self.pause * 2).min(longest);
     }
 
-    fn take_list(&self, objects: &[StoreObject], revision: u64) {
-        match self.kind {
-            Kind::Config => objects.iter().for_each(|o| self.node.adopt(o, "store")),
-            Kind::Upstreams => {
-                let records = objects.iter().filter_map(read_record).collect();
-                take_upstreams(&self.node, records, revision, "store");
+    fn take_objects(&mut self, objects: &[StoreObject]) {
+        for object in objects {
+            match self.kind {
+                Kind::Config => self.node.adopt(object, "store"),
+                Kind::Upstreams => self.take_record(object),
+                Kind::Entries => {}
             }
-            Kind::Entries => {}
         }
     }
 
-    fn take_events(&self, events: Vec<StoreEvent>) {
+    /// Takes what a whole list lacks.
+    fn take_list(&mut self, objects: &[StoreObject], revision: u64) {
+        if self.kind == Kind::Upstreams {
+            let records = objects.iter().filter_map(|o| self.read_record(o)).collect();
+            take_upstreams(&self.node, records, revision, "store");
+        }
+    }
+
+    fn take_record(&mut self, object: &StoreObject) {
+        let record = self.read_record(object);
+        let now = self.node.now();
+        let change = record.and_then(|r| self.node.pool.borrow_mut().learn(now, r));
+        self.node.take_changes(change, "store");
+    }
+
+    /// The record of an upstream; what can't be read says so of one that is known.
+    fn read_record(&mut self, object: &StoreObject) -> Option<UpstreamRecord> {
+        let e = match read_upstream(object) {
+            Ok(record) => return Some(record),
+            Err(e) => e,
+        };
+        let (name, revision) = (&object.name, object.revision);
+        if self.unreadable.insert(name.clone(), revision) != Some(revision) {
+            let why = e.to_string();
+            self.node.metrics.note_unreadable("upstream", 1);
+            log::warn!(
+                event = "upstream_unreadable", instance = &**name, revision = revision, why = why;
+                ""
+            );
+        }
+        self.node.pool.borrow().unreadable(name, revision)
+    }
+
+    fn note_nameless(&self, count: usize) {
+        if count > 0 {
+            self.node.metrics.note_unreadable("nameless", count);
+            let kind = format!("{:?}", self.kind);
+            log::warn!(event = "objects_nameless", kind = kind, count = count; "");
+        }
+    }
+
+    fn take_events(&mut self, events: Vec<StoreEvent>) {
         for event in events {
             match self.kind {
                 Kind::Config if !event.removed => self.node.adopt(&event.object, "store"),
@@ -219,15 +273,13 @@
         }
     }
 
-    fn take_upstream(&self, event: &StoreEvent) {
-        let node = &self.node;
-        let now = node.now();
+    fn take_upstream(&mut self, event: &StoreEvent) {
         if !event.removed {
-            let record = read_record(&event.object);
-            let change = record.and_then(|r| node.pool.borrow_mut().learn(now, r));
-            node.take_changes(change, "store");
+            self.take_record(&event.object);
             return;
         }
+        let node = &self.node;
+        let now = node.now();
         let sure = node.follows_store();
         log::info!(
             event = "upstream_removed", instance = &*event.object.name,
@@ -312,14 +364,3 @@
     let changes = node.pool.borrow_mut().learn_all(now, records, revision);
     node.take_changes(changes, source);
 }
-
-fn read_record(object: &StoreObject) -> Option<UpstreamRecord> {
-    match read_upstream(object) {
-        Ok(record) => Some(record),
-        Err(e) => {
-            let why = e.to_string();
-            log::warn!(event = "upstream_unreadable", instance = &*object.name, why = why; "");
-            None
-        }
-    }
-}
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -190,8 +190,13 @@
         let Some(source) = &mut self.source else {
             return Read::Broke("no upstream".to_owned());
         };
-        let Ok(frame) = tokio::time::timeout_at(limit, source.body.frame()).await else {
-            return Read::TimeUp;
+        let frame = tokio::select! {
+            biased;
+            frame = source.body.frame() => frame,
+            () = self.job.node.until_ended(self.placed.ix) => {
+                return Read::Broke("its upstream started again".to_owned());
+            }
+            () = tokio::time::sleep_until(limit) => return Read::TimeUp,
         };
         match frame {
             Some(Ok(frame)) => Read::Data(frame.into_data().unwrap_or_default()),
@@ -331,7 +336,8 @@
 
     /// The next way to go on; each copy is offered once.
     fn continuation(&mut self, from: UpstreamIx) -> Option<Continuation> {
-        if let Some(refuge) = self.run.refuge.borrow_mut().take() {
+        let refuge = self.run.refuge.borrow_mut().take();
+        if let Some(refuge) = refuge.filter(|r| self.holds(&[r.placed.ix, r.source])) {
             return Some(Continuation {
                 way: "moved",
                 at: refuge.placed.ix,
@@ -340,7 +346,8 @@
             });
         }
         self.run.backup.set(None);
-        if let Some(backup) = self.backup.take() {
+        let backup = self.backup.take();
+        if let Some(backup) = backup.filter(|b| self.holds(&[b.ix])) {
             let named_by = self.job.node.pool.borrow().record(backup.ix).addr;
             return Some(Continuation {
                 way: "copy",
@@ -365,6 +372,13 @@
         })
     }
 
+    /// Whether the upstreams that a copy depends on are in the life in which it was made: a handle of
+    /// another life may name the memory of another request.
+    fn holds(&self, upstreams: &[UpstreamIx]) -> bool {
+        let pool = self.job.node.pool.borrow();
+        !upstreams.iter().any(|ix| pool.is_ended(*ix))
+    }
+
     async fn go_on_at(&mut self, next: Continuation) -> bool {
         let need = self.need_left(next.memory.is_some());
         let placed = next
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Clock;
 use bytes::Bytes;
-use fireflycroft::{Name, Time};
+use fireflycroft::{Life, Time};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -74,10 +74,10 @@
     until: Time,
 }
 
-/// Connections that wait for their next request, by instance.
+/// Connections that wait for their next request, by the life of the upstream that they lead to.
 pub struct Links {
     clock: Clock,
-    idle: RefCell<HashMap<Name, Vec<Idle>>>,
+    idle: RefCell<HashMap<Life, Vec<Idle>>>,
 }
 
 impl Links {
@@ -90,25 +90,25 @@
         }
     }
 
-    /// An open connection to an instance, idle for `most_idle` at most or new.
+    /// An open connection to a life of an upstream, idle for `most_idle` at most or new.
     ///
     /// # Errors
     ///
     /// When none could be opened within [`CONNECT_TIMEOUT`].
     pub async fn get(
         &self,
-        instance: &Name,
+        life: &Life,
         addr: SocketAddr,
         most_idle: Duration,
     ) -> io::Result<Link> {
-        match self.take_idle(instance, most_idle) {
+        match self.take_idle(life, most_idle) {
             Some(link) => Ok(link),
             None => open(addr).await,
         }
     }
 
     /// Keeps a connection for the next request.
-    pub fn put_back(&self, instance: &Name, mut link: Link, keep_alive: Option<Duration>) {
+    pub fn put_back(&self, life: &Life, mut link: Link, keep_alive: Option<Duration>) {
         if link.sender.is_closed() {
             return;
         }
@@ -117,8 +117,8 @@
         let from = self.clock.now() + REST;
         let until = from + idle_for;
         let mut idle = self.idle.borrow_mut();
-        let of_instance = idle.entry(instance.clone()).or_default();
-        of_instance.push(Idle { link, from, until });
+        let of_life = idle.entry(life.clone()).or_default();
+        of_life.push(Idle { link, from, until });
     }
 
     /// Closes connections that have been idle for too long.
@@ -131,10 +131,15 @@
         idle.retain(|_, links| !links.is_empty());
     }
 
-    fn take_idle(&self, instance: &Name, most_idle: Duration) -> Option<Link> {
+    /// Closes the idle connections to a life that has ended.
+    pub fn drop_idle(&self, life: &Life) {
+        self.idle.borrow_mut().remove(life);
+    }
+
+    fn take_idle(&self, life: &Life, most_idle: Duration) -> Option<Link> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(instance)?;
+        let links = idle.get_mut(life)?;
         links.retain(|i| i.until > now && !i.link.sender.is_closed());
         let usable = |i: &Idle| i.from <= now && now.since(i.from) <= most_idle;
         let at = links.iter().rposition(usable)?;
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -35,6 +35,8 @@
     pub pause_seconds: HistogramVec,
     /// Calls of the platform's store, by `result`.
     pub store_calls: IntCounterVec,
+    unreadable: IntCounterVec,
+    restarts: IntCounterVec,
     running: IntGauge,
     version: IntGauge,
     peers: IntGauge,
@@ -72,6 +74,13 @@
             went_on: counters(&r, "went_on_total", "Streams gone on elsewhere", &["way"])?,
             pause_seconds: seconds(&r, "pause_seconds", "Longest pause of each stream")?,
             store_calls: counters(&r, "store_calls_total", "Calls of the store", &["result"])?,
+            unreadable: counters(&r, "unreadable_total", "Objects not readable", &["what"])?,
+            restarts: counters(
+                &r,
+                "restarts_total",
+                "Upstreams started again",
+                &["service"],
+            )?,
             running: gauge(&r, "streams_running", "Streams under way")?,
             version: gauge(&r, "config_version", "Configuration in force")?,
             peers: gauge(&r, "peers", "Other entries heard of late")?,
@@ -88,6 +97,18 @@
         })
     }
 
+    /// Notes objects of the store that can't be read: records of `upstream`s, `config`urations, or
+    /// what has not even a name, `nameless`.
+    pub fn note_unreadable(&self, what: &str, count: usize) {
+        let unreadable = self.unreadable.with_label_values(&[what]);
+        unreadable.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+    }
+
+    /// Notes that an upstream started again under its id.
+    pub fn note_restart(&self, service: &str) {
+        self.restarts.with_label_values(&[service]).inc();
+    }
+
     /// Notes an answer to a caller.
     pub fn note_answer(&self, repeat: Option<Repeat>, code: Code, age: Duration) {
         let kind = repeat.map_or("none", kind_word);
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -45,6 +45,10 @@
 /// Starts to move a run off the upstream that runs it, unless it has a copy or is on its way.
 fn consider(node: &Rc<Node>, run: Rc<Run>) {
     let ix = run.at.get();
+    // A life that has ended runs nothing, and its id and address belong to another one.
+    if node.pool.borrow().is_ended(ix) {
+        return;
+    }
     let wanted = on_notice(run.backup.get().is_some()) == OnNotice::Move;
     if !wanted || !run.can_move || run.moving.replace(true) {
         return;
@@ -104,13 +108,21 @@
             MoveOutcome::Copied(_) if !stop => {}
             MoveOutcome::Copied(memory) => {
                 say(node, run, from, Some(to), "moved");
-                *run.refuge.borrow_mut() = Some(Refuge { placed, memory });
+                *run.refuge.borrow_mut() = Some(Refuge {
+                    placed,
+                    memory,
+                    source: from,
+                });
                 return Target::Settled;
             }
             MoveOutcome::NoRoom(Some(memory)) if stop => {
                 say(node, run, from, Some(to), "stopped, kept at the source");
                 let placed = node.place(from, run.need.get());
-                *run.refuge.borrow_mut() = Some(Refuge { placed, memory });
+                *run.refuge.borrow_mut() = Some(Refuge {
+                    placed,
+                    memory,
+                    source: from,
+                });
                 return Target::Settled;
             }
             MoveOutcome::NoRoom(_) => {
@@ -173,14 +185,14 @@
     let (path, body) = move_call(&run.request_id, target, stop);
     let mut link = node
         .links
-        .get(&source.instance, source.addr, COPY_TIMEOUT)
+        .get(&source.life(), source.addr, COPY_TIMEOUT)
         .await?;
     let req = Request::post(path)
         .header(HOST, source.addr.to_string())
         .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
         .body(Full::new(Bytes::from(body)))?;
     let (status, bytes) = call_whole(&mut link, req).await?;
-    node.links.put_back(&source.instance, link, None);
+    node.links.put_back(&source.life(), link, None);
     Ok(read_move(source.addr, status, &bytes))
 }
 
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -72,6 +72,8 @@
     pub regained_at: Cell<Option<Time>>,
     /// Rings when an upstream comes or the configuration changes.
     pub changed: Notify,
+    /// Rings when an upstream has started again.
+    life_ended: Notify,
     /// Rings when there is something to tell the other entries at once.
     pub urgent: Notify,
     /// Rings when generations were placed or their prompts read.
@@ -121,6 +123,7 @@
             store_answers: Cell::new(false),
             regained_at: Cell::new(None),
             changed: Notify::new(),
+            life_ended: Notify::new(),
             urgent: Notify::new(),
             placed: Notify::new(),
             loads_changed: RefCell::default(),
@@ -204,6 +207,7 @@
             Ok(catalog) => catalog,
             Err(e) => {
                 let why = e.to_string();
+                self.metrics.note_unreadable("config", 1);
                 log::error!(event = "config_unreadable", source = source, error = why; "");
                 return;
             }
@@ -235,21 +239,52 @@
             let (ix, event) = match change {
                 PoolChange::Came(ix) => (ix, "upstream_came"),
                 PoolChange::Leaves(ix) => (ix, "upstream_leaves"),
+                PoolChange::Restarted { begun, .. } => (begun, "upstream_restarted"),
+                PoolChange::Unreadable(ix) => (ix, "upstream_set_aside"),
             };
             let record = self.pool.borrow().record(ix).clone();
             log::info!(
-                event = event, instance = &*record.instance, service = &*record.service,
-                addr = record.addr.to_string(), revision = record.revision, source = source;
+                event = event, instance = &*record.instance, incarnation = record.incarnation.0,
+                service = &*record.service, addr = record.addr.to_string(),
+                revision = record.revision, source = source;
                 ""
             );
-            if let PoolChange::Leaves(ix) = change {
-                self.save_if_leaving(ix);
-                self.urgent.notify_one();
+            match change {
+                PoolChange::Leaves(ix) => {
+                    self.save_if_leaving(ix);
+                    self.urgent.notify_one();
+                }
+                PoolChange::Restarted { ended, .. } => {
+                    self.metrics.note_restart(&record.service);
+                    self.end_life(ended);
+                    self.urgent.notify_one();
+                }
+                PoolChange::Came(_) | PoolChange::Unreadable(_) => {}
             }
         }
         self.changed.notify_waiters();
     }
 
+    /// Lets go of all that a life of an upstream held: idle connections, copies, and what waits for
+    /// an answer of it.
+    fn end_life(&self, ix: UpstreamIx) {
+        let life = self.pool.borrow().record(ix).life();
+        self.links.drop_idle(&life);
+        self.save_if_leaving(ix);
+        self.life_ended.notify_waiters();
+    }
+
+    /// Returns once a later life of an upstream is known, after which nothing comes of this one.
+    pub async fn until_ended(&self, ix: UpstreamIx) {
+        loop {
+            let ended = self.life_ended.notified();
+            if self.pool.borrow().is_ended(ix) {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Has the runs of an upstream that leaves saved, if it does.
     pub fn save_if_leaving(&self, ix: UpstreamIx) {
         if !self.pool.borrow().is_serving(ix) {
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -13,6 +13,8 @@
     pub placed: PlacedGuard,
     /// The memory there.
     pub memory: MemoryCopy,
+    /// Upstream that made the copy and gave it its handle.
+    pub source: UpstreamIx,
 }
 
 /// One stream under way.
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -325,6 +325,7 @@
     .await;
     soak.evidence.attempts = callers.attempts();
     soak.evidence.runs = soak.site.record.runs();
+    soak.evidence.foreign_memory = soak.site.record.foreign_memory();
     let breaches = soak.evidence.judge();
     assert!(
         breaches.is_empty(),
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
@@ -15,12 +16,15 @@
 use super::http::{
     Request, read_request, reset, until_closed, write_answer, write_chunk, write_stream_head,
 };
-use super::record::{Record, Run, RunEnd};
+use super::record::{CopyKey, Record, Run, RunEnd};
 use crate::sync::lock;
 
 /// Time between two events of a stream.
 const EVENT_EVERY: Duration = Duration::from_millis(10);
 
+/// Tries to bind an address again, one each [`EVENT_EVERY`].
+const BIND_TRIES: u32 = 500;
+
 /// Events of a stream whose request names no number.
 const DEFAULT_EVENTS: u64 = 30;
 
@@ -77,6 +81,8 @@
 struct Shared {
     kind: EngineKind,
     instance: Mutex<String>,
+    /// Unix milliseconds of the start.
+    born: u64,
     addr: SocketAddr,
     /// Address under which others know it: a proxy's, if there is one.
     known_at: Mutex<SocketAddr>,
@@ -87,6 +93,26 @@
     /// Runs that are to stop for a move, by request.
     stops: Mutex<HashMap<String, Arc<Notify>>>,
     crash: Notify,
+    /// Handles given out in this life.
+    handles: AtomicU64,
+}
+
+impl Shared {
+    fn new(kind: EngineKind, instance: &str, addr: SocketAddr, record: Record, born: u64) -> Self {
+        Self {
+            kind,
+            instance: Mutex::new(instance.to_owned()),
+            born,
+            addr,
+            known_at: Mutex::new(addr),
+            record,
+            fault: Mutex::default(),
+            leaves_ms: Mutex::default(),
+            stops: Mutex::default(),
+            crash: Notify::new(),
+            handles: AtomicU64::new(0),
+        }
+    }
 }
 
 impl Engine {
@@ -103,20 +129,41 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let shared = Arc::new(Shared {
-            kind,
-            instance: Mutex::new(instance.to_owned()),
-            addr,
-            known_at: Mutex::new(addr),
-            record,
-            fault: Mutex::default(),
-            leaves_ms: Mutex::default(),
-            stops: Mutex::default(),
-            crash: Notify::new(),
-        });
+        Ok(Self::run(
+            listener,
+            Shared::new(kind, instance, addr, record, unix_millis()),
+        ))
+    }
+
+    fn run(listener: TcpListener, shared: Shared) -> Self {
+        let shared = Arc::new(shared);
         let (stop, stopped) = watch::channel(false);
         tokio::spawn(accept(listener, shared.clone(), stopped));
-        Ok(Self { shared, stop })
+        Self { shared, stop }
+    }
+
+    /// Ends it and starts it again at once, under the same id and address: it knows nothing of
+    /// before.
+    ///
+    /// # Errors
+    ///
+    /// When the address isn't free within [`BIND_TRIES`].
+    pub async fn start_again(&mut self) -> io::Result<()> {
+        self.kill();
+        let old = &self.shared;
+        let listener = bind_again(old.addr).await?;
+        let born = unix_millis().max(old.born + 1);
+        let record = old.record.clone();
+        let shared = Shared::new(old.kind, &self.instance(), old.addr, record, born);
+        *lock(&shared.known_at) = *lock(&old.known_at);
+        *self = Self::run(listener, shared);
+        Ok(())
+    }
+
+    /// When it started, in Unix milliseconds.
+    #[must_use]
+    pub fn born(&self) -> u64 {
+        self.shared.born
     }
 
     /// Where it listens.
@@ -135,7 +182,8 @@
     #[must_use]
     pub fn entry(&self, service: &str, state: &str) -> Value {
         json!({"service": service, "address": self.addr().to_string(), "zone": "a",
-            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1})
+            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+            "born": self.born()})
     }
 
     /// Spoils the requests to come.
@@ -173,6 +221,23 @@
     }
 }
 
+/// Binds an address that its former owner is about to give up.
+async fn bind_again(addr: SocketAddr) -> io::Result<TcpListener> {
+    let mut tries = 0;
+    loop {
+        match TcpListener::bind(addr).await {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < BIND_TRIES => tries += 1,
+            bound => return bound,
+        }
+        tokio::time::sleep(EVENT_EVERY).await;
+    }
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(u64::MAX))
+}
+
 async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
     let of_talks = stopped.clone();
     let mut talks = JoinSet::new();
@@ -269,14 +334,20 @@
 
 /// Takes the copy that a request names, if it lies here and is its own.
 fn has_copy(shared: &Shared, req: &Request, id: &str) -> bool {
-    let Some((_, handle)) = req.header("kv-from").and_then(|from| from.split_once('/')) else {
+    let Some((named_by, handle)) = req.header("kv-from").and_then(|from| from.split_once('/'))
+    else {
         return false;
     };
-    let here = lock(&shared.known_at).to_string();
-    shared
-        .record
-        .take_copy(&here, handle)
-        .is_some_and(|of| of == id)
+    let copy_of = shared.record.take_copy(&CopyKey {
+        at: lock(&shared.known_at).to_string(),
+        named_by: named_by.to_owned(),
+        handle: handle.to_owned(),
+    });
+    if copy_of.as_deref().is_some_and(|of| of != id) {
+        // The real engine doesn't compare, and would go on from the other's memory.
+        shared.record.note_foreign_memory(id);
+    }
+    copy_of.is_some_and(|of| of == id)
 }
 
 /// A run on record; abandoned if dropped before its end.
@@ -302,7 +373,12 @@
             end: (RunEnd::Running, now),
         });
         if let Some(keeper) = req.header("x-kv-backup") {
-            shared.record.keep_copy(keeper, id, id);
+            let key = CopyKey {
+                at: keeper.to_owned(),
+                named_by: keeper.to_owned(),
+                handle: id.to_owned(),
+            };
+            shared.record.keep_copy(key, id);
         }
         Self { shared, run, after }
     }
@@ -401,7 +477,8 @@
     let leaves_ms = *lock(&shared.leaves_ms);
     let of_run = |id: &String| json!([id, RUN_TOKENS, 1, 5]);
     let runs: Vec<Value> = lock(&shared.stops).keys().map(of_run).collect();
-    let body = json!({"waiting": 0, "running": runs.len(), "leaves_ms": leaves_ms, "runs": runs});
+    let body = json!({"born": shared.born, "waiting": 0, "running": runs.len(),
+        "leaves_ms": leaves_ms, "runs": runs});
     write_answer(stream, 200, &[], body.to_string().as_bytes()).await?;
     Ok(After::Keep)
 }
@@ -414,10 +491,14 @@
         write_answer(stream, 404, &[], b"{}").await?;
         return Ok(After::Keep);
     };
-    let handle = format!("moved-{id}");
-    shared
-        .record
-        .keep_copy(call["to"].as_str().unwrap_or_default(), &handle, id);
+    // Each life counts its handles anew.
+    let handle = format!("h{}", shared.handles.fetch_add(1, Ordering::Relaxed));
+    let key = CopyKey {
+        at: call["to"].as_str().unwrap_or_default().to_owned(),
+        named_by: lock(&shared.known_at).to_string(),
+        handle: handle.clone(),
+    };
+    shared.record.keep_copy(key, id);
     if call["last"] == json!(true) {
         stop.notify_one();
     }
--- a/standins/src/site/judge.rs
+++ b/standins/src/site/judge.rs
@@ -73,6 +73,8 @@
     Overlap(String),
     /// New work on an upstream that had announced its leaving.
     AfterNotice(String),
+    /// A request that was sent to go on from the memory of another one.
+    ForeignMemory(String),
     /// A run that goes on though nobody waits for it.
     LeftRunning(String),
 }
@@ -90,6 +92,8 @@
     pub attempts: Vec<Attempt>,
     /// Runs of upstreams.
     pub runs: Vec<Run>,
+    /// Requests that were sent to go on from the memory of another one.
+    pub foreign_memory: Vec<String>,
     /// Upstreams that announced their leaving, and when.
     pub notices: HashMap<String, Instant>,
     /// Spans in which an entry could not know or act: paused, or cut off.
@@ -111,6 +115,8 @@
             breaches.extend(judge_runs(attempt, &runs));
             breaches.extend(self.judge_overlap(attempt, &runs));
         }
+        let foreign = self.foreign_memory.iter().cloned();
+        breaches.extend(foreign.map(Breach::ForeignMemory));
         let late = self.runs.iter().filter(|run| self.is_after_notice(run));
         breaches.extend(late.map(|r| Breach::AfterNotice(r.request_id.clone())));
         let left = self.runs.iter().filter(|r| r.end.0 == RunEnd::Running);
--- a/standins/src/site/proxy.rs
+++ b/standins/src/site/proxy.rs
@@ -121,16 +121,17 @@
 ) {
     let mut buf = vec![0; PIECE];
     loop {
-        let Ok(len @ 1..) = from.read(&mut buf).await else {
-            return;
-        };
+        let read = from.read(&mut buf).await;
         let holds = |h: &Harm| match h {
             Harm::Silence => true,
             Harm::OneWay => is_answer,
             Harm::None | Harm::Delay(_) | Harm::Reset => false,
         };
-        // The sender lives as long as the proxy.
+        // The end of a connection is held back like its bytes. The sender lives as long as the proxy.
         let _ = harm.wait_for(|h| !holds(h)).await;
+        let Ok(len @ 1..) = read else {
+            return;
+        };
         let delay = match *harm.borrow() {
             Harm::Delay(delay) => delay,
             _ => Duration::ZERO,
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -48,11 +48,23 @@
     inner: Arc<Mutex<Inner>>,
 }
 
+/// Where a copy lies, and its name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct CopyKey {
+    /// Address of the upstream that keeps it.
+    pub(super) at: String,
+    /// Address of the upstream that gave it its handle.
+    pub(super) named_by: String,
+    /// The handle.
+    pub(super) handle: String,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     runs: Vec<Run>,
-    /// Address that keeps a copy, by handle: whose request it is.
-    copies: HashMap<(String, String), String>,
+    /// Whose request each copy is of.
+    copies: HashMap<CopyKey, String>,
+    foreign_memory: Vec<String>,
 }
 
 impl Record {
@@ -78,6 +90,17 @@
         runs.iter().filter(|r| r.end.0 == RunEnd::Running).count()
     }
 
+    /// Requests that were sent to go on from the memory of another one.
+    #[must_use]
+    pub fn foreign_memory(&self) -> Vec<String> {
+        lock(&self.inner).foreign_memory.clone()
+    }
+
+    pub(super) fn note_foreign_memory(&self, request_id: &str) {
+        let mut inner = lock(&self.inner);
+        inner.foreign_memory.push(request_id.to_owned());
+    }
+
     pub(super) fn begin(&self, run: Run) -> usize {
         let mut inner = lock(&self.inner);
         inner.runs.push(run);
@@ -92,18 +115,16 @@
         }
     }
 
-    pub(super) fn keep_copy(&self, at: &str, handle: &str, request_id: &str) {
-        let key = (at.to_owned(), handle.to_owned());
+    pub(super) fn keep_copy(&self, key: CopyKey, request_id: &str) {
         lock(&self.inner).copies.insert(key, request_id.to_owned());
     }
 
     /// Takes a copy, which can be used once.
-    pub(super) fn take_copy(&self, at: &str, handle: &str) -> Option<String> {
-        let key = (at.to_owned(), handle.to_owned());
-        lock(&self.inner).copies.remove(&key)
+    pub(super) fn take_copy(&self, key: &CopyKey) -> Option<String> {
+        lock(&self.inner).copies.remove(key)
     }
 
     pub(super) fn drop_copies_at(&self, at: &str) {
-        lock(&self.inner).copies.retain(|(addr, _), _| addr != at);
+        lock(&self.inner).copies.retain(|key, _| key.at != at);
     }
 }
--- a/standins/tests/site_judge.rs
+++ b/standins/tests/site_judge.rs
@@ -29,6 +29,7 @@
     two_runs_at_once_are_found => finds(&evidence(Kind::Log, whole(), vec![run(0, 3), from_memory(run(1, 4))]), Breach::Overlap);
     work_after_notice_is_found => finds(&after_notice(), Breach::AfterNotice);
     work_after_notice_of_a_paused_entry_is_excused => excuses();
+    memory_of_another_request_is_found => finds(&foreign_memory(), Breach::ForeignMemory);
     run_left_behind_is_found => finds(&evidence(Kind::Log, whole(), vec![left_running()]), Breach::LeftRunning);
 }
 
@@ -70,6 +71,13 @@
     }
 }
 
+fn foreign_memory() -> Evidence {
+    Evidence {
+        foreign_memory: vec!["r".to_owned()],
+        ..evidence(Kind::Log, whole(), vec![run(0, 9)])
+    }
+}
+
 fn whole() -> Outcome {
     Outcome::Whole("owed".to_owned())
 }
