--- /dev/null
+++ b/fireflycroft/tests/outage.rs
@@ -0,0 +1,78 @@
+//! When callers of an entry without a configuration are told to come back, and what they get by it.
+
+use fireflycroft::{SOON, START_TAKES, back_after};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use std::time::Duration;
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+cases! {
+    entry_that_may_only_be_starting_is_tried_again_soon => assert_eq!(back_after(Duration::ZERO, 0.5), SOON);
+    wait_has_bounds => has_bounds();
+    callers_are_spread => spreads();
+    more_callers_are_served_after_short_and_long_outages => serves_more();
+}
+
+fn has_bounds() {
+    for draw in [-3.0, 0.0, 1.0, 70.0] {
+        assert!(back_after(START_TAKES, draw) >= millis(800));
+        assert!(back_after(Duration::from_hours(9), draw) <= millis(1_200));
+    }
+}
+
+fn spreads() {
+    let age = millis(2_000);
+    assert!(back_after(age, 1.0) - back_after(age, 0.0) >= millis(250));
+}
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A kind of caller: time that it waits in all, and time within which its answer is worth most.
+const KINDS: [(Duration, Duration); 3] = [
+    (Duration::from_millis(1_500), Duration::from_millis(100)),
+    (Duration::from_secs(6), Duration::from_millis(1_500)),
+    (Duration::from_secs(39), Duration::from_millis(1_800)),
+];
+
+/// Callers of an outage who come back once, as told but after a third of their time at most: how
+/// many are served after it, and how many of those in time.
+fn play(outage: Duration, wait: impl Fn(Duration, f64) -> Duration) -> (usize, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let (mut served, mut in_time) = (0, 0);
+    for n in 0..3_000_u32 {
+        let arrival = outage.mul_f64(f64::from(n) / 3_000.0);
+        let (patience, objective) = KINDS[(rng.next_u32() % 3) as usize];
+        let draw = f64::from(rng.next_u32()) / f64::from(u32::MAX);
+        let waits = wait(arrival, draw).min(patience / 3);
+        if arrival + waits >= outage {
+            served += 1;
+            in_time += usize::from(waits < objective);
+        }
+    }
+    (served, in_time)
+}
+
+/// Against 0.1 s for everybody: of 3,000 callers of an outage of 1.8 s, 166 were served and 113 of
+/// them in time; now 1,383 are, 1,119 in time.
+fn serves_more() {
+    for outage in [millis(900), millis(1_800), millis(5_000), millis(20_000)] {
+        let before = play(outage, |_, _| millis(100));
+        let now = play(outage, back_after);
+        assert!(now.0 > 2 * before.0, "{outage:?}: {before:?}, then {now:?}");
+        assert!(now.1 > 2 * before.1, "{outage:?}: {before:?}, then {now:?}");
+    }
+    assert_eq!(play(millis(1_800), |_, _| millis(100)), (166, 113));
+    assert_eq!(play(millis(1_800), back_after), (1_383, 1_119));
+}
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -7,7 +7,9 @@
 use crate::job::Job;
 use crate::node::{Node, Stage};
 use bytes::Bytes;
-use fireflycroft::{Ask, Catalog, Code, Coming, Digest, Name, RouteSpec, Time, WorkspaceSpec};
+use fireflycroft::{
+    Ask, Catalog, Code, Coming, Digest, Name, RouteSpec, SOON, Time, WorkspaceSpec, back_after,
+};
 use fireflycroft_platform::read_ask;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -15,14 +17,11 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::Authority;
 use hyper::{Request, Uri};
-use rand::Rng;
+use rand::{Rng, RngExt};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// When to come back to another entry while this one stops or knows no configuration.
-const SOON: Duration = Duration::from_millis(100);
-
 /// When to come back with a request that crashes upstreams: not within any caller's patience.
 const QUARANTINE_RETRY: Duration = Duration::from_hours(1);
 
@@ -111,7 +110,10 @@
         return Err(come_back(Code::Leaving, SOON));
     }
     let catalog = node.catalog.borrow().clone();
-    let catalog = catalog.ok_or(come_back(Code::NotReady, SOON))?;
+    let catalog = catalog.ok_or_else(|| {
+        let age = arrival.since(Time::default());
+        come_back(Code::NotReady, back_after(age, rand::rng().random()))
+    })?;
     let route = find_route(&catalog, &parts).ok_or(refusal(Code::RouteUnknown))?;
     let workspace = check_key(&catalog, &route, &ask)?;
     let request_id = ask.request_id.clone().ok_or(refusal(Code::BadRequest))?;
