Soak restarts under an id, strangers' records, and a store that hangs, is late or lies behind

Change: five more faults; the oracle finds new work by a stranger's record and the memory of another request.

--- a/fireflycroft/tests/outage.rs
+++ b/fireflycroft/tests/outage.rs
@@ -32,7 +32,7 @@
 
 fn spreads() {
     let age = millis(2_000);
-    assert!(back_after(age, 1.0) - back_after(age, 0.0) >= millis(250));
+    assert!(back_after(age, 1.0) >= back_after(age, 0.0) + millis(250));
 }
 
 fn millis(millis: u64) -> Duration {
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -40,6 +40,16 @@
 /// the users' window in which it doesn't count as in touch.
 const EXCUSED_AFTER: Duration = Duration::from_secs(5);
 
+/// Calls on which the store hangs at a time.
+const HANGING: u32 = 4;
+
+/// Time by which late answers of the store come late: slow, and within the entries' patience.
+const LATE: Duration = Duration::from_millis(250);
+
+/// Time for which a stranger's record stays on top of the fault's own: longer than the oracle allows
+/// new work after it.
+const OVERWRITTEN_FOR: Duration = Duration::from_secs(4);
+
 /// Most engines of a soak; addresses end with their numbers.
 const MAX_ENGINES: usize = 40;
 
@@ -67,17 +77,36 @@
     Store,
     Resume(usize),
     StartEntry(usize),
+    OwnRecord(usize),
 }
 
 impl Soak {
-    fn model(&self, pick: usize) -> Option<usize> {
-        let left: Vec<usize> = (0..self.site.engines.len())
+    /// Model engines that have not left.
+    fn present(&self) -> Vec<usize> {
+        (0..self.site.engines.len())
             .filter(|e| !self.announced.contains_key(e))
-            .collect();
-        // Two stay, so that there is always somebody to serve.
+            .collect()
+    }
+
+    /// One that may be taken away: two stay, so that there is always somebody to serve.
+    fn model(&self, pick: usize) -> Option<usize> {
+        let left = self.present();
         (left.len() > 2).then(|| left[pick % left.len()])
     }
 
+    /// One whose record may be overwritten: one stays that has its own.
+    fn with_own_record(&self, pick: usize) -> Option<usize> {
+        let now = Instant::now();
+        let is_overwritten = |engine: &usize| {
+            let instance = self.site.engines[*engine].instance();
+            let mut spans = self.evidence.overwritten.iter();
+            spans.any(|(of, _, to)| *of == instance && now < *to)
+        };
+        let mut left = self.present();
+        left.retain(|e| !is_overwritten(e));
+        (left.len() > 1).then(|| left[pick % left.len()])
+    }
+
     fn any_upstream(&self, pick: usize) -> (EngineKind, usize) {
         if pick.is_multiple_of(2) {
             (EngineKind::Plain, pick / 2 % self.site.plains.len())
@@ -117,6 +146,31 @@
                     self.leave(engine, announced).await;
                 }
             }
+            Fault::RestartEngine { silent } => {
+                let present = self.present();
+                let engine = present[step.pick % present.len()];
+                self.restart(engine, silent, end).await;
+            }
+            Fault::OverwriteRecord => {
+                if let Some(engine) = self.with_own_record(step.pick) {
+                    self.overwrite(engine, step.pick, end + OVERWRITTEN_FOR);
+                }
+            }
+            Fault::HangCalls => {
+                self.excuse(step.span);
+                self.site.store.set_mode(StoreMode::HangNext(HANGING));
+                self.due.push((end, Undo::Store));
+            }
+            Fault::LateStore => {
+                self.excuse(step.span);
+                self.site.store.set_mode(StoreMode::Late(LATE));
+                self.due.push((end, Undo::Store));
+            }
+            Fault::StaleStore => {
+                self.excuse(step.span);
+                self.site.store.set_mode(StoreMode::Stale);
+                self.due.push((end, Undo::Store));
+            }
             Fault::Answers(fault) => {
                 let (kind, number) = self.any_upstream(step.pick);
                 self.upstream(kind, number).set_fault(fault);
@@ -176,6 +230,44 @@
         }
     }
 
+    async fn restart(&mut self, engine: usize, silent: bool, end: Instant) {
+        if silent {
+            self.excuse(end - Instant::now());
+            self.harm(EngineKind::Model, engine, Harm::Silence);
+            let undo = Undo::UpstreamHarm(EngineKind::Model, engine);
+            self.due.push((end, undo));
+        }
+        self.site.engines[engine].start_again().await.unwrap();
+        self.write_own_record(engine).await;
+    }
+
+    async fn write_own_record(&mut self, engine: usize) {
+        let instance = self.site.engines[engine].instance();
+        let now = Instant::now();
+        for (of, _, to) in &mut self.evidence.overwritten {
+            if *of == instance {
+                *to = now.min(*to);
+            }
+        }
+        self.site.enter(EngineKind::Model, engine, "ready").await;
+    }
+
+    /// Overwrites the record of an engine, which writes its own again at `end`.
+    fn overwrite(&mut self, engine: usize, pick: usize, end: Instant) {
+        let instance = self.site.engines[engine].instance();
+        let mut strange = self.site.engines[engine].entry("models", "ready");
+        match pick % 4 {
+            0 => strange["state"] = "asleep".into(),
+            1 => strange["service"] = "records".into(),
+            2 => strange["born"] = "yesterday".into(),
+            _ => strange = "nothing".into(),
+        }
+        self.site.store.put("servers", &instance, &strange);
+        let span = (instance, Instant::now(), end);
+        self.evidence.overwritten.push(span);
+        self.due.push((end, Undo::OwnRecord(engine)));
+    }
+
     async fn leave(&mut self, engine: usize, announced: bool) {
         self.announced.insert(engine, announced);
         if announced {
@@ -212,8 +304,11 @@
         self.site.proxies[&instance].set(harm);
     }
 
-    fn undo(&mut self, undo: Undo) {
+    async fn undo(&mut self, undo: Undo) {
         match undo {
+            // One that has left meanwhile writes nothing more.
+            Undo::OwnRecord(engine) if self.announced.contains_key(&engine) => {}
+            Undo::OwnRecord(engine) => self.write_own_record(engine).await,
             Undo::EndEngine(engine) => self.end_engine(engine),
             Undo::Answers(kind, number) => self.upstream(kind, number).set_fault(AnswerFault::None),
             Undo::UpstreamHarm(kind, number) => self.harm(kind, number, Harm::None),
@@ -234,7 +329,7 @@
         }
     }
 
-    fn undo_due(&mut self, all: bool) {
+    async fn undo_due(&mut self, all: bool) {
         let now = Instant::now();
         let (due, later) = std::mem::take(&mut self.due)
             .into_iter()
@@ -242,20 +337,20 @@
         self.due = later;
         let due: Vec<(Instant, Undo)> = due;
         for (_, undo) in due {
-            self.undo(undo);
+            self.undo(undo).await;
         }
     }
 
     async fn run(&mut self, steps: &[Step], length: Duration) {
         let mut steps = steps.iter().peekable();
         while self.start.elapsed() < length {
-            self.undo_due(false);
+            self.undo_due(false).await;
             while let Some(step) = steps.next_if(|s| s.at <= self.start.elapsed()) {
                 self.apply(step).await;
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        self.undo_due(true);
+        self.undo_due(true).await;
     }
 
     /// After all faults have ended, every entry serves under the newest configuration.
@@ -288,8 +383,13 @@
 
 async fn soak(seed: u64) {
     let seconds = Duration::from_secs(setting("FIREFLY_SOAK_SECONDS", SECONDS));
-    let entries: u8 = setting("FIREFLY_SOAK_ENTRIES", ENTRIES);
     let steps = plan(seed, seconds);
+    play(&format!("seed {seed}"), &steps, seconds).await;
+}
+
+/// Plays faults and checks every promise.
+async fn play(name: &str, steps: &[Step], seconds: Duration) {
+    let entries: u8 = setting("FIREFLY_SOAK_ENTRIES", ENTRIES);
     let mut site = Site::without_entries().await;
     site.go_through_proxies().await;
     site.publish(&[KEY]);
@@ -313,7 +413,7 @@
         due: Vec::new(),
         announced: HashMap::new(),
     };
-    soak.run(&steps, seconds).await;
+    soak.run(steps, seconds).await;
     soak.recover().await;
     callers.end();
     for caller in asking {
@@ -330,23 +430,25 @@
     assert!(
         breaches.is_empty(),
         "{}",
-        report(seed, &steps, &breaches, &soak.site)
+        report(name, steps, &breaches, &soak.site)
     );
     let whole = soak.evidence.attempts.iter();
     let whole = whole
         .filter(|a| matches!(a.outcome, standins::site::Outcome::Whole(_)))
         .count();
     println!(
-        "seed {seed}: {} attempts, {whole} whole, {} faults",
+        "{name}: {} attempts, {whole} whole, {} faults",
         soak.evidence.attempts.len(),
         steps.len()
     );
-    assert!(whole > 0, "seed {seed}: nothing was served");
+    assert!(whole > 0, "{name}: nothing was served");
     soak.site.check();
 }
 
-fn report(seed: u64, steps: &[Step], breaches: &[Breach], site: &Site) -> String {
-    let mut lines = vec![format!("seed {seed}: again by scripts/soak {seed}")];
+fn report(name: &str, steps: &[Step], breaches: &[Breach], site: &Site) -> String {
+    let mut lines = vec![format!(
+        "{name}: again by scripts/soak, with the number of a seed"
+    )];
     lines.extend(steps.iter().map(|s| format!("  {s:?}")));
     for breach in breaches {
         let name = format!("{breach}");
@@ -372,6 +474,20 @@
     }
 }
 
+/// Strangers overwrite one record after the other, and nothing else happens that would excuse work
+/// by them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn strangers_records_bring_no_work() {
+    let step = |millis, pick| Step {
+        at: Duration::from_millis(millis),
+        span: Duration::from_secs(1),
+        fault: Fault::OverwriteRecord,
+        pick,
+    };
+    let steps = [step(200, 0), step(400, 1), step(600, 2)];
+    play("strangers' records", &steps, Duration::from_secs(6)).await;
+}
+
 /// The same seed gives the same plan.
 #[test]
 fn plan_follows_from_the_seed() {
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -17,6 +17,19 @@
     },
     /// An upstream spoils its answers.
     Answers(AnswerFault),
+    /// A model engine starts again under its id, at once or in silence.
+    RestartEngine {
+        /// Whether its connections fall silent before, and stay so for a while.
+        silent: bool,
+    },
+    /// A stranger overwrites the record of a model engine.
+    OverwriteRecord,
+    /// The store hangs on some calls and answers the others.
+    HangCalls,
+    /// The answers of the store come late.
+    LateStore,
+    /// Reads of the store lie behind, and then its history is gone.
+    StaleStore,
     /// The connections to an upstream are harmed.
     UpstreamHarm(Harm),
     /// The connections to the store are harmed.
@@ -69,7 +82,7 @@
 }
 
 fn draw(rng: &mut impl Rng) -> Fault {
-    match rng.random_range(0..16) {
+    match rng.random_range(0..22) {
         0 => Fault::KillEngine,
         1 | 2 => Fault::LeaveEngine { announced: true },
         3 => Fault::LeaveEngine { announced: false },
@@ -82,6 +95,12 @@
         12 => Fault::KillEntry,
         13 => Fault::StopEntry,
         14 => Fault::Reload,
+        15 => Fault::RestartEngine { silent: false },
+        16 => Fault::RestartEngine { silent: true },
+        17 => Fault::OverwriteRecord,
+        18 => Fault::HangCalls,
+        19 => Fault::LateStore,
+        20 => Fault::StaleStore,
         _ => Fault::Publish,
     }
 }
--- a/standins/src/site/judge.rs
+++ b/standins/src/site/judge.rs
@@ -13,6 +13,9 @@
 /// a busy machine.
 const NOTICE: Duration = Duration::from_secs(3);
 
+/// Time after its record was overwritten by a stranger in which an upstream may get new work.
+const SET_ASIDE: Duration = Duration::from_secs(3);
+
 /// What a kind of request promises.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
@@ -73,6 +76,8 @@
     Overlap(String),
     /// New work on an upstream that had announced its leaving.
     AfterNotice(String),
+    /// New work on an upstream whose record a stranger had overwritten.
+    ByStrangersRecord(String),
     /// A request that was sent to go on from the memory of another one.
     ForeignMemory(String),
     /// A run that goes on though nobody waits for it.
@@ -96,6 +101,8 @@
     pub foreign_memory: Vec<String>,
     /// Upstreams that announced their leaving, and when.
     pub notices: HashMap<String, Instant>,
+    /// Upstreams whose records a stranger had overwritten, from when to when.
+    pub overwritten: Vec<(String, Instant, Instant)>,
     /// Spans in which an entry could not know or act: paused, or cut off.
     pub excused: Vec<(Instant, Instant)>,
 }
@@ -119,6 +126,11 @@
         breaches.extend(foreign.map(Breach::ForeignMemory));
         let late = self.runs.iter().filter(|run| self.is_after_notice(run));
         breaches.extend(late.map(|r| Breach::AfterNotice(r.request_id.clone())));
+        let strange = self
+            .runs
+            .iter()
+            .filter(|run| self.is_by_strangers_record(run));
+        breaches.extend(strange.map(|r| Breach::ByStrangersRecord(r.request_id.clone())));
         let left = self.runs.iter().filter(|r| r.end.0 == RunEnd::Running);
         breaches.extend(left.map(|r| Breach::LeftRunning(r.request_id.clone())));
         breaches
@@ -141,6 +153,16 @@
         late && !run.from_memory && !self.is_excused(run.began)
     }
 
+    fn is_by_strangers_record(&self, run: &Run) -> bool {
+        let spans = self
+            .overwritten
+            .iter()
+            .filter(|(i, _, _)| *i == run.instance);
+        let began = run.began;
+        let mut late = spans.map(|(_, from, to)| *from + SET_ASIDE < began && began < *to);
+        late.any(|late| late) && !run.from_memory && !self.is_excused(began)
+    }
+
     fn is_excused(&self, at: Instant) -> bool {
         self.excused
             .iter()
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -31,6 +31,20 @@
     /// It never answers the next so many calls, nor anything on their connections, and answers all
     /// others.
     HangNext(u32),
+    /// Its answers come so much later.
+    Late(Duration),
+    /// Reads show what was there when this began, and watches hear nothing; the history of that
+    /// time is dropped at its end.
+    Stale,
+}
+
+impl StoreMode {
+    const fn delay(&self) -> Duration {
+        match self {
+            Self::Late(delay) => *delay,
+            _ => Duration::ZERO,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -53,6 +67,14 @@
     /// Kinds of the calls that hang and whose callers still wait.
     hanging: Vec<String>,
     overlapped: u64,
+    /// What reads show while they are stale.
+    shown: Option<Snapshot>,
+}
+
+#[derive(Clone, Debug)]
+struct Snapshot {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
 }
 
 /// The store; dropping it ends it.
@@ -176,7 +198,19 @@
 
     /// Treats calls like this from now on.
     pub fn set_mode(&self, mode: StoreMode) {
-        lock(&self.shared.state).mode = mode;
+        let mut state = lock(&self.shared.state);
+        let was_stale = state.shown.take().is_some();
+        if mode == StoreMode::Stale {
+            state.shown = Some(Snapshot {
+                revision: state.revision,
+                objects: state.objects.clone(),
+            });
+        }
+        state.mode = mode;
+        drop(state);
+        if was_stale {
+            self.compact();
+        }
         self.shared.changed.notify_waiters();
     }
 
@@ -261,12 +295,17 @@
         // Registered before the look, so that no change falls between both.
         let changed = shared.changed.notified();
         match look(shared, from, req) {
-            Look::Done(treatment) => return treatment,
+            Look::Done(treatment) => {
+                let late = lock(&shared.state).mode.delay();
+                tokio::time::sleep(late).await;
+                return treatment;
+            }
             Look::Wait => changed.await,
             Look::WaitAtMost(span) => {
                 if tokio::time::timeout(span, changed).await.is_err() {
-                    let revision = lock(&shared.state).revision;
-                    let body = json!({"events": [], "store_revision": revision});
+                    let state = lock(&shared.state);
+                    let shown = state.shown.as_ref().map_or(state.revision, |s| s.revision);
+                    let body = json!({"events": [], "store_revision": shown});
                     return Treatment::Answer(200, body);
                 }
             }
@@ -293,7 +332,12 @@
             *left -= 1;
             return Look::Done(Treatment::Hang);
         }
-        StoreMode::Up | StoreMode::Deny(_) | StoreMode::SilentTo(_) | StoreMode::HangNext(_) => {}
+        StoreMode::Up
+        | StoreMode::Deny(_)
+        | StoreMode::SilentTo(_)
+        | StoreMode::HangNext(_)
+        | StoreMode::Late(_)
+        | StoreMode::Stale => {}
     }
     let kind = kind_of(req);
     if kind.is_empty() {
@@ -306,9 +350,13 @@
 }
 
 fn list(state: &State, kind: &str) -> Value {
-    let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+    let (objects, revision) = match &state.shown {
+        Some(shown) => (&shown.objects, shown.revision),
+        None => (&state.objects, state.revision),
+    };
+    let of_kind = objects.iter().filter(|((k, _), _)| k == kind);
     let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-    json!({"items": items, "more": false, "store_revision": state.revision})
+    json!({"items": items, "more": false, "store_revision": revision})
 }
 
 fn watch(state: &State, kind: &str, revision: u64, req: &Request) -> Look {
@@ -316,7 +364,8 @@
         return Look::Done(Treatment::Answer(410, json!({})));
     }
     let later = state.events.iter();
-    let later = later.filter(|e| e.kind == kind && e.revision > revision);
+    let newest = state.shown.as_ref().map_or(u64::MAX, |s| s.revision);
+    let later = later.filter(|e| e.kind == kind && e.revision > revision && e.revision <= newest);
     let events: Vec<Value> = later
         .map(|e| json!({"object": e.object, "tombstone": e.removed}))
         .collect();
@@ -324,6 +373,6 @@
         let wait = req.query("wait_ms").and_then(|w| w.parse().ok());
         return Look::WaitAtMost(Duration::from_millis(wait.unwrap_or(0)));
     }
-    let body = json!({"events": events, "store_revision": state.revision});
+    let body = json!({"events": events, "store_revision": state.revision.min(newest)});
     Look::Done(Treatment::Answer(200, body))
 }
--- a/standins/tests/site_judge.rs
+++ b/standins/tests/site_judge.rs
@@ -30,6 +30,9 @@
     work_after_notice_is_found => finds(&after_notice(), Breach::AfterNotice);
     work_after_notice_of_a_paused_entry_is_excused => excuses();
     memory_of_another_request_is_found => finds(&foreign_memory(), Breach::ForeignMemory);
+    work_by_a_strangers_record_is_found => finds(&overwritten(run(5, 6)), Breach::ByStrangersRecord);
+    work_just_after_the_record_was_overwritten_is_allowed => assert_eq!(overwritten(run(2, 3)).judge(), []);
+    work_after_its_own_record_is_back_is_allowed => assert_eq!(overwritten(run(9, 10)).judge(), []);
     run_left_behind_is_found => finds(&evidence(Kind::Log, whole(), vec![left_running()]), Breach::LeftRunning);
 }
 
@@ -71,6 +74,14 @@
     }
 }
 
+/// Evidence of a run on an upstream whose record a stranger had overwritten from 0 to 8 s.
+fn overwritten(run: Run) -> Evidence {
+    Evidence {
+        overwritten: vec![("i".to_owned(), at(0), at(8))],
+        ..evidence(Kind::Log, whole(), vec![run])
+    }
+}
+
 fn foreign_memory() -> Evidence {
     Evidence {
         foreign_memory: vec!["r".to_owned()],
