Know returning callers by what they ask, and not by their patience

Cause: the door lets callers in further who come back after a refusal, and told them by the time they say they will still wait. Ruled out: that contents repeat for other reasons: of 1,977 generations 134 had the content of an earlier one, all of them refused before.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -5,7 +5,7 @@
 use crate::generated as pb;
 use crate::limits::{MAX_DATAGRAM_BYTES, MAX_RECORDS};
 use fireflycroft::{
-    CrashCount, EntryNews, Incarnation, ListChange, Pace, Placed, PlacedAt, RepeatCount,
+    CrashCount, EntryNews, Incarnation, ListChange, Pace, Placed, PlacedAt, Refusal, RepeatCount,
     UpstreamRecord, UpstreamState,
 };
 use prost::Message as _;
@@ -33,6 +33,7 @@
         crashes: news.crashes.iter().map(crash).collect(),
         peers: news.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: news.leaving,
+        refused: news.refused.iter().map(refusal).collect(),
     }
     .encode_to_vec()
 }
@@ -77,6 +78,11 @@
             .collect::<Result<_, _>>()?,
         peers: news.peers.into_iter().map(Ipv4Addr::from_bits).collect(),
         leaving: news.leaving,
+        refused: news
+            .refused
+            .iter()
+            .map(read_refusal)
+            .collect::<Result<_, _>>()?,
     })
 }
 
@@ -181,6 +187,20 @@
     })
 }
 
+fn refusal(refusal: &Refusal) -> pb::Refusal {
+    pb::Refusal {
+        content: id_bytes(refusal.content.0),
+        age_ms: u32::try_from(refusal.age.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn read_refusal(refusal: &pb::Refusal) -> Result<Refusal, WireError> {
+    Ok(Refusal {
+        content: read_digest(&refusal.content, "refusal.content")?,
+        age: Duration::from_millis(u64::from(refusal.age_ms)),
+    })
+}
+
 fn crash(crash: &CrashCount) -> pb::CrashCount {
     pb::CrashCount {
         content: id_bytes(crash.content.0),
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -473,6 +473,17 @@
     /// Length of the configuration in bytes.
     #[prost(uint32, tag = "14")]
     pub config_bytes: u32,
+    #[prost(message, repeated, tag = "15")]
+    pub refused: ::prost::alloc::vec::Vec<Refusal>,
+}
+/// A caller who was refused for lack of room and is to come back.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Refusal {
+    /// Sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub content: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 /// A change of the list of upstreams; only instance and revision stand for one that was removed.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -4,6 +4,7 @@
 use crate::listing::ListChange;
 use crate::placed::PlacedAt;
 use crate::repeat::RepeatCount;
+use crate::returns::Refusal;
 use std::net::Ipv4Addr;
 
 /// Upstreams that one content has crashed.
@@ -40,6 +41,8 @@
     pub placed: Vec<PlacedAt>,
     /// Requests and repeats of the sender, by service.
     pub repeats: Vec<RepeatCount>,
+    /// Callers whom the sender has refused of late.
+    pub refused: Vec<Refusal>,
     /// Content that crashed upstreams of late.
     pub crashes: Vec<CrashCount>,
     /// Some other entries that the sender knows.
--- a/fireflycroft/src/room.rs
+++ b/fireflycroft/src/room.rs
@@ -75,9 +75,6 @@
 /// Kinds whose typical generation is remembered.
 const MAX_KINDS: usize = 4_096;
 
-/// Time that a caller must have waited to count as one that comes back.
-const RETURN_MARGIN: Duration = Duration::from_millis(250);
-
 /// Time that a generation takes to its first event on an engine that has room: a prompt is read in
 /// some 200 ms, and half of that again beside others.
 const FIRST_EVENT: Duration = Duration::from_millis(400);
@@ -94,15 +91,13 @@
 }
 
 impl Coming {
-    /// Tells by the time since the caller first asked.
+    /// Tells by the time since the caller was refused, if it was.
     #[must_use]
-    pub fn after(waited: Duration, objective: Duration) -> Self {
-        if waited < RETURN_MARGIN {
-            Self::First
-        } else if waited + FIRST_EVENT < objective {
-            Self::AgainInTime
-        } else {
-            Self::AgainLate
+    pub fn after(waited: Option<Duration>, objective: Duration) -> Self {
+        match waited {
+            None => Self::First,
+            Some(waited) if waited + FIRST_EVENT < objective => Self::AgainInTime,
+            Some(_) => Self::AgainLate,
         }
     }
 }
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -125,8 +125,12 @@
         coming: job.coming,
         rank: job.rank,
     };
-    let refused = !is_room(&asking, &fill);
-    refused.then(|| room_after(fill.service))
+    if is_room(&asking, &fill) {
+        return None;
+    }
+    let mut returns = job.node.returns.borrow_mut();
+    returns.note_refused(now, job.content);
+    Some(room_after(fill.service))
 }
 
 fn refuse_for_room(job: &Job, ix: UpstreamIx, tries: &RefCell<Tries>, wait: Duration) -> Reply {
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -68,6 +68,9 @@
         let mut budget = node.budget.borrow_mut();
         budget.note_others(now, &news.name, news.repeats);
     }
+    for refusal in &news.refused {
+        node.returns.borrow_mut().learn(now, refusal);
+    }
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -7,7 +7,7 @@
 use crate::peers::Peers;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, LengthGuess, Need, Patiences, Pool, PoolChange, Quarantine, RepeatBudget, Time,
+    Catalog, LengthGuess, Need, Pool, PoolChange, Quarantine, RepeatBudget, Returns, Time,
     UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
@@ -50,8 +50,8 @@
     pub budget: RefCell<RepeatBudget>,
     /// Content that crashes upstreams.
     pub quarantine: RefCell<Quarantine>,
-    /// How long callers wait.
-    pub patiences: RefCell<Patiences>,
+    /// Callers who were refused and come back.
+    pub returns: RefCell<Returns>,
     /// Lengths of answers.
     pub lengths: RefCell<LengthGuess>,
     /// What generations bring for the memory that they hold.
@@ -112,7 +112,7 @@
             pool: RefCell::new(pool),
             budget: RefCell::new(budget),
             quarantine: RefCell::default(),
-            patiences: RefCell::default(),
+            returns: RefCell::default(),
             lengths: RefCell::default(),
             yields: RefCell::default(),
             links: Links::new(clock),
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -128,11 +128,8 @@
     let engine = catalog.service(&service).and_then(|s| s.engine);
     let workspace_rank = workspace.and_then(|w| w.rank);
     let patience = ask.deadline.map_or(route.timeout, |d| d.min(route.timeout));
-    let waited = ask.deadline.map(|left| {
-        let mut patiences = node.patiences.borrow_mut();
-        patiences.waited(&route.name, left, route.timeout)
-    });
-    let coming = Coming::after(waited.unwrap_or_default(), route.objective);
+    let waited = node.returns.borrow().waited(node.now(), content);
+    let coming = Coming::after(waited, route.objective);
     let mut job = Job {
         node: node.clone(),
         coming,
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -90,6 +90,7 @@
         repeats,
         list_changes: list_changes(node),
         placed: node.pool.borrow().placed(),
+        refused: node.returns.borrow().tell(node.now()),
         crashes: peers.crashes.iter().copied().collect(),
         peers: peers.named(),
         ..head(node, &peers)
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 use support::{KEY, Site, cases, free_ports, outcome, until, whole_stream};
 
+/// About the time between two tellings of an entry.
+const TELLING: Duration = Duration::from_millis(300);
+
 /// Fault of every upstream of a kind.
 fn spoil(site: &Site, kind: EngineKind, fault: AnswerFault) {
     let upstreams = match kind {
@@ -206,6 +209,37 @@
         assert!(site.metrics(0).await.contains("firefly_direct_unreadable_total{what=\"upstream\"}"));
     }
 
+    /// Each attempt has an id of its own; path, key and body are the same.
+    refused_caller_is_let_in_at_another_entry(site: 2) {
+        let large = |entry: usize, content: String| {
+            site.call(entry, "POST", "/log/a?events=3000", &site.id())
+                .header("X-Token-Usage", "8000,2000")
+                .header("X-Length-Hint", "400")
+                .body(content)
+        };
+        let mut held = Vec::new();
+        let refused = loop {
+            let answer = large(0, format!("held {}", held.len())).send().await.unwrap();
+            if answer.status() != 200 {
+                break answer;
+            }
+            held.push(answer);
+        };
+        assert_eq!(outcome(&refused), (503, Some(2011)));
+        until("what is placed", || async {
+            large(1, site.id()).send().await.unwrap().status() == 503
+        })
+        .await;
+        until("the telling", || async {
+            let content = site.id();
+            assert_eq!(large(0, content.clone()).send().await.unwrap().status(), 503);
+            tokio::time::sleep(TELLING).await;
+            // Asked for the first time here: only the other entry has refused it.
+            large(1, content).send().await.unwrap().status() == 200
+        })
+        .await;
+    }
+
     full_upstreams_are_refused_as_not_run(site: 1) {
         spoil(&site, EngineKind::Plain, AnswerFault::Full);
         let id = site.id();
