Switch off each mechanism of the direct entry by a word

Cause: what each mechanism is worth was never told one by one, and operators had no way to take one out in an incident. Ruled out: a cargo feature each: a build for every word, and none for operators. Before: none could be switched off.

--- /dev/null
+++ b/fireflycroft/src/mechanism.rs
@@ -0,0 +1,123 @@
+//! Mechanisms of the direct entry that can be switched off, one by one.
+//!
+//! All are on. Operators switch one off when it does harm in an incident, and
+//! measurements do to tell what it is worth.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// A mechanism that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Copies of runs that are kept as they grow ([`crate::pick_backup`]).
+    Copies,
+    /// Moving runs off upstreams that leave ([`crate::on_notice`]).
+    Moves,
+    /// Asking upstreams that leave when they are gone ([`crate::Departure`]).
+    Departures,
+    /// Refusing generations for which there is no room ([`crate::is_room`]).
+    Door,
+    /// Knowing refused callers when they come back ([`crate::Returns`]).
+    Returns,
+    /// Letting in first what brings more for its memory ([`crate::Yields`]).
+    Yields,
+    /// Sending prompts where they aren't read too late.
+    Reading,
+    /// Sending long generations to fast engines ([`crate::Pace`]).
+    Pace,
+    /// Sending prompts where a shared part lies.
+    Shared,
+    /// Leaving upstreams alone that fail.
+    Failing,
+    /// Trying a call to the store beside one that hangs ([`crate::Overlap`]).
+    Overlap,
+    /// Sending callers back after an outage ([`crate::back_after`]).
+    Outage,
+}
+
+impl Mechanism {
+    /// All of them.
+    pub const ALL: [Self; 12] = [
+        Self::Copies,
+        Self::Moves,
+        Self::Departures,
+        Self::Door,
+        Self::Returns,
+        Self::Yields,
+        Self::Reading,
+        Self::Pace,
+        Self::Shared,
+        Self::Failing,
+        Self::Overlap,
+        Self::Outage,
+    ];
+
+    /// Its word in settings and logs.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Copies => "copies",
+            Self::Moves => "moves",
+            Self::Departures => "departures",
+            Self::Door => "door",
+            Self::Returns => "returns",
+            Self::Yields => "yields",
+            Self::Reading => "reading",
+            Self::Pace => "pace",
+            Self::Shared => "shared",
+            Self::Failing => "failing",
+            Self::Overlap => "overlap",
+            Self::Outage => "outage",
+        }
+    }
+
+    const fn bit(self) -> u16 {
+        1 << self as u16
+    }
+}
+
+/// No mechanism has that word.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownMechanism(String);
+
+impl fmt::Display for UnknownMechanism {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let words = Mechanism::ALL.map(Mechanism::word).join(", ");
+        write!(f, "{:?} is no mechanism; there are {words}", self.0)
+    }
+}
+
+impl std::error::Error for UnknownMechanism {}
+
+impl FromStr for Mechanism {
+    type Err = UnknownMechanism;
+
+    fn from_str(word: &str) -> Result<Self, Self::Err> {
+        let mut all = Self::ALL.into_iter();
+        all.find(|m| m.word() == word)
+            .ok_or_else(|| UnknownMechanism(word.to_owned()))
+    }
+}
+
+/// Which mechanisms are on; all by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Policy {
+    off: u16,
+}
+
+impl Policy {
+    /// All mechanisms but those.
+    #[must_use]
+    pub fn without(off: impl IntoIterator<Item = Mechanism>) -> Self {
+        let off = off.into_iter();
+        Self {
+            off: off.fold(0, |bits, m| bits | m.bit()),
+        }
+    }
+
+    /// Whether a mechanism is on.
+    #[must_use]
+    pub const fn uses(self, mechanism: Mechanism) -> bool {
+        self.off & mechanism.bit() == 0
+    }
+}
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -7,12 +7,13 @@
 
 use crate::ids::Name;
 use crate::listing::ListChange;
+use crate::mechanism::Policy;
 use crate::pace::Pace;
 use crate::placed::{LoadView, Need, Placed, PlacedAt};
 use crate::time::Time;
 use crate::upstream::{
-    FAR_COPY_COST, READ_FOR, TOLD_FOR, Upstream, UpstreamIx, UpstreamRecord, draw_for, draw_index,
-    share, tie_cost,
+    FAR_COPY_COST, READ_FOR, SeenBy, TOLD_FOR, Upstream, UpstreamIx, UpstreamRecord, draw_for,
+    draw_index, share, tie_cost,
 };
 use std::borrow::Cow;
 use std::collections::{HashMap, VecDeque};
@@ -30,6 +31,7 @@
     pub(crate) digest: u64,
     pub(crate) memory_of: HashMap<Name, u64>,
     pub(crate) pace_of: HashMap<Name, Pace>,
+    pub(crate) policy: Policy,
 }
 
 /// Upstreams of a service beyond which a choice looks at a sample of so many.
@@ -54,6 +56,11 @@
         }
     }
 
+    /// Chooses by these mechanisms from now on.
+    pub const fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// Highest revision of any record taken.
     #[must_use]
     pub const fn revision(&self) -> u64 {
@@ -170,6 +177,14 @@
         u.pace.relative(self.pace_of_service(u))
     }
 
+    fn seen_by(&self, u: &Upstream) -> SeenBy<'_> {
+        SeenBy {
+            data_centre: &self.data_centre,
+            pace: self.pace_of_service(u),
+            policy: self.policy,
+        }
+    }
+
     fn pace_of_service(&self, u: &Upstream) -> Pace {
         let of_service = self.pace_of.get(&u.record.service);
         of_service.copied().unwrap_or_default()
@@ -331,10 +346,7 @@
             let far_copy = near.is_some_and(|n| *n != u.record.data_centre);
             let copy = if far_copy { FAR_COPY_COST } else { 0.0 };
             let tie = tie_cost(need) * draw_for(need.draw, i);
-            (
-                i,
-                u.cost(now, need, &self.data_centre, self.pace_of_service(u)) + copy + tie,
-            )
+            (i, u.cost(now, need, &self.seen_by(u)) + copy + tie)
         });
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
         best.map(|(i, _)| UpstreamIx(i))
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One upstream as a direct entry sees it, and what one more request there costs.
 
 use crate::ids::{Incarnation, Name};
+use crate::mechanism::{Mechanism, Policy};
 use crate::pace::{Pace, SeenPace};
 use crate::placed::{Need, Placed, PlacedAt};
 use crate::room::SHORT_TOKENS;
@@ -153,6 +154,16 @@
 /// What a shared part that lies there saves, against a full memory.
 const SHARED_GAIN: f64 = 0.03;
 
+/// What a choice compares an upstream with.
+pub(crate) struct SeenBy<'a> {
+    /// Data centre of the entry that chooses.
+    pub(crate) data_centre: &'a Name,
+    /// Mean pace of the service.
+    pub(crate) pace: Pace,
+    /// Mechanisms that are on.
+    pub(crate) policy: Policy,
+}
+
 impl Upstream {
     pub(crate) fn is_serving(&self) -> bool {
         !self.gone && !self.ended && self.record.state == UpstreamState::Serving
@@ -190,17 +201,21 @@
     }
 
     /// Cost of one more request here, against a full memory.
-    pub(crate) fn cost(&self, now: Time, need: &Need, data_centre: &Name, pace: Pace) -> f64 {
+    pub(crate) fn cost(&self, now: Time, need: &Need, by: &SeenBy<'_>) -> f64 {
         let load = self.load(now);
         let memory = self
             .memory_tokens
             .map_or(0.0, |m| share(load.memory() + need.tokens, m));
         let full = (memory - CROWDED).max(0.0) * CROWDED_COST;
         let unread = load.unread + need.unread;
-        let reading = share(load.unread, UNREAD_TOKENS)
-            + (share(unread, UNREAD_TOKENS) - LATE_READING).max(0.0) * LATE_READING_COST;
+        let late = (share(unread, UNREAD_TOKENS) - LATE_READING).max(0.0);
+        let reading = if by.policy.uses(Mechanism::Reading) {
+            share(load.unread, UNREAD_TOKENS) + late * LATE_READING_COST
+        } else {
+            0.0
+        };
         let batch = share(u64::from(load.running), u64::from(self.record.slots));
-        let far = if self.record.data_centre == *data_centre {
+        let far = if self.record.data_centre == *by.data_centre {
             0.0
         } else {
             FAR_COST
@@ -210,25 +225,24 @@
         } else {
             0.0
         };
-        let lies_there = need.shared.and_then(|part| self.read.get(&part));
+        let part = need.shared.filter(|_| by.policy.uses(Mechanism::Shared));
+        let lies_there = part.and_then(|part| self.read.get(&part));
         let shared = match lies_there {
             Some(at) if now.since(*at) < READ_FOR => SHARED_GAIN,
             _ => 0.0,
         };
-        let slow = if need.tokens > need.prompt + SHORT_TOKENS && !need.is_copy {
-            PACE_COST * (self.pace.relative(pace) - 1.0).clamp(-0.5, 1.0)
+        let is_long = need.tokens > need.prompt + SHORT_TOKENS && !need.is_copy;
+        let slow = if is_long && by.policy.uses(Mechanism::Pace) {
+            PACE_COST * (self.pace.relative(by.pace) - 1.0).clamp(-0.5, 1.0)
+        } else {
+            0.0
+        };
+        let failing = if by.policy.uses(Mechanism::Failing) {
+            FAILING_COST * self.failing
         } else {
             0.0
         };
-        memory
-            + full
-            + slow
-            + reading
-            + BATCH_COST * batch
-            + FAILING_COST * self.failing
-            + far
-            + cold
-            - shared
+        memory + full + slow + reading + BATCH_COST * batch + failing + far + cold - shared
     }
 }
 
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -6,7 +6,7 @@
 use crate::node::PlacedGuard;
 use bytes::Bytes;
 use fireflycroft::{
-    Asking, Code, Fill, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx,
+    Asking, Code, Fill, Mechanism, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx,
     WORTH_SAVING_TOKENS, is_room, pick_backup, room_after,
 };
 use hyper::http::response::Parts;
@@ -113,6 +113,9 @@
 /// When to come back with a generation for which the best engine has no room.
 fn no_room(job: &Job, ix: UpstreamIx, need: &Need) -> Option<Duration> {
     job.engine?;
+    if !job.node.policy.uses(Mechanism::Door) {
+        return None;
+    }
     let pool = job.node.pool.borrow();
     let now = job.now();
     let fill = Fill {
@@ -211,7 +214,8 @@
 
 /// Place for a copy of a long stream, if memory is plentiful.
 pub fn place_backup(job: &Job, at: UpstreamIx, need: Need) -> Option<PlacedGuard> {
-    let keeps = job.engine.is_some_and(|e| e.backups) && job.route.repeat.is_stream();
+    let can_keep = job.engine.is_some_and(|e| e.backups) && job.route.repeat.is_stream();
+    let keeps = can_keep && job.node.policy.uses(Mechanism::Copies);
     if !keeps || job.expected_tokens() < WORTH_SAVING_TOKENS {
         return None;
     }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use crate::state_page::PeerState;
 use bytes::Bytes;
-use fireflycroft::{ListChange, Name, Overlap, UpstreamRecord};
+use fireflycroft::{ListChange, Mechanism, Name, Overlap, UpstreamRecord};
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_events, read_page,
     read_upstream, watch_path,
@@ -45,6 +45,9 @@
 /// well before the pause is over; a leaving upstream serves on for a second and a half at least.
 const GATHER: Duration = Duration::from_millis(300);
 
+/// Time without a byte after which the only try is given up, where tries don't overlap.
+const HANG_LIMIT: Duration = Duration::from_secs(5);
+
 /// What a feed does with what it reads.
 struct Feed {
     node: Rc<Node>,
@@ -126,6 +129,9 @@
 
     /// Tries that overlap, as often as this entry may call a store that is away.
     fn patient(&self) -> Overlap {
+        if !self.node.policy.uses(Mechanism::Overlap) {
+            return Overlap::single(HANG_LIMIT);
+        }
         Overlap::new(PATIENCE, self.node.duty.borrow().longest_pause())
     }
 
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -6,7 +6,7 @@
 use crate::node::{Node, PlacedGuard};
 use crate::runs::{Refuge, Run};
 use bytes::Bytes;
-use fireflycroft::{Need, OnNotice, UpstreamIx, on_notice};
+use fireflycroft::{Mechanism, Need, OnNotice, UpstreamIx, on_notice};
 use fireflycroft_platform::{MoveOutcome, move_call, read_move};
 use http_body_util::Full;
 use hyper::Request;
@@ -50,10 +50,13 @@
         return;
     }
     let wanted = on_notice(run.backup.get().is_some()) == OnNotice::Move;
-    if !wanted || !run.can_move || run.moving.replace(true) {
+    let can_move = run.can_move && node.policy.uses(Mechanism::Moves);
+    if !wanted || !can_move || run.moving.replace(true) {
         return;
     }
-    departures::note(node, ix, run.token_copy_time);
+    if node.policy.uses(Mechanism::Departures) {
+        departures::note(node, ix, run.token_copy_time);
+    }
     let node = node.clone();
     tokio::task::spawn_local(async move {
         save(&node, ix, &run).await;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -7,7 +7,7 @@
 use crate::peers::Peers;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, LengthGuess, Need, Pool, PoolChange, Quarantine, RepeatBudget, Returns, Time,
+    Catalog, LengthGuess, Need, Policy, Pool, PoolChange, Quarantine, RepeatBudget, Returns, Time,
     UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
@@ -36,6 +36,8 @@
 pub struct Node {
     /// Where it runs.
     pub place: Place,
+    /// Mechanisms that are on.
+    pub policy: Policy,
     /// Its clock.
     pub clock: Clock,
     /// Configuration in force.
@@ -99,12 +101,14 @@
     /// # Errors
     ///
     /// When two metrics have one name.
-    pub fn new(place: Place) -> anyhow::Result<Self> {
+    pub fn new(place: Place, policy: Policy) -> anyhow::Result<Self> {
         let clock = Clock::start();
-        let pool = Pool::new(place.data_centre.clone());
+        let mut pool = Pool::new(place.data_centre.clone());
+        pool.set_policy(policy);
         let budget = RepeatBudget::new(place.bounds.repeats);
         let peers = Peers::new(&place);
         Ok(Self {
+            policy,
             clock,
             catalog: RefCell::default(),
             adopted_at: Cell::new(None),
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -33,12 +33,13 @@
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let place = settings.read_place()?;
     let mut terminate = signal(SignalKind::terminate())?;
-    let node = Rc::new(Node::new(place)?);
+    let node = Rc::new(Node::new(place, settings.policy())?);
     start(&node).await?;
     let version = env!("CARGO_PKG_VERSION");
     log::info!(
         event = "started", vm = &*node.place.vm, data_centre = &*node.place.data_centre,
-        callers = node.place.callers.to_string(), program_version = version;
+        callers = node.place.callers.to_string(), program_version = version,
+        without = settings.without();
         ""
     );
     spawn_local(crate::reload::follow(node.clone(), settings));
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -8,7 +8,8 @@
 use crate::node::{Node, Stage};
 use bytes::Bytes;
 use fireflycroft::{
-    Ask, Catalog, Code, Coming, Digest, Name, RouteSpec, SOON, Time, WorkspaceSpec, back_after,
+    Ask, Catalog, Code, Coming, Digest, Mechanism, Name, RouteSpec, SOON, Time, WorkspaceSpec,
+    back_after,
 };
 use fireflycroft_platform::read_ask;
 use http_body_util::{BodyExt, Limited};
@@ -111,7 +112,11 @@
     }
     let catalog = node.catalog.borrow().clone();
     let catalog = catalog.ok_or_else(|| {
-        let age = arrival.since(Time::default());
+        let age = if node.policy.uses(Mechanism::Outage) {
+            arrival.since(Time::default())
+        } else {
+            Duration::ZERO
+        };
         come_back(Code::NotReady, back_after(age, rand::rng().random()))
     })?;
     let route = find_route(&catalog, &parts).ok_or(refusal(Code::RouteUnknown))?;
@@ -128,7 +133,9 @@
     let engine = catalog.service(&service).and_then(|s| s.engine);
     let workspace_rank = workspace.and_then(|w| w.rank);
     let patience = ask.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+    let knows = node.policy.uses(Mechanism::Returns);
     let waited = node.returns.borrow().waited(node.now(), content);
+    let waited = waited.filter(|_| knows);
     let coming = Coming::after(waited, route.objective);
     let mut job = Job {
         node: node.clone(),
@@ -159,6 +166,9 @@
     let Some(size) = &job.ask.size else {
         return 0.0;
     };
+    if !job.node.policy.uses(Mechanism::Yields) {
+        return 0.0;
+    }
     let prompt = u64::from(size.prompt_tokens);
     let mut yields = job.node.yields.borrow_mut();
     yields.note(&job.route.name, prompt, job.expected_tokens())
--- a/fireflydirect/src/settings.rs
+++ b/fireflydirect/src/settings.rs
@@ -2,6 +2,7 @@
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, Command};
+use fireflycroft::{Mechanism, Policy};
 use fireflycroft_platform::{Place, SETTINGS_ENV, read_settings};
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -15,6 +16,8 @@
     pub log_level: log::LevelFilter,
     /// Whether to check the settings and start nothing.
     pub check_only: bool,
+    /// Mechanisms that are switched off.
+    pub off: Vec<Mechanism>,
 }
 
 impl Settings {
@@ -33,9 +36,27 @@
             file: file.cloned().unwrap_or_default(),
             log_level: level.copied().unwrap_or(log::LevelFilter::Info),
             check_only: matches.get_flag("check-config"),
+            off: matches
+                .get_many("without")
+                .unwrap_or_default()
+                .copied()
+                .collect(),
         })
     }
 
+    /// Mechanisms that are on.
+    #[must_use]
+    pub fn policy(&self) -> Policy {
+        Policy::without(self.off.iter().copied())
+    }
+
+    /// Words of those that are off, for the log.
+    #[must_use]
+    pub fn without(&self) -> String {
+        let words: Vec<&str> = self.off.iter().map(|m| m.word()).collect();
+        words.join(",")
+    }
+
     /// Reads the platform's file.
     ///
     /// # Errors
@@ -68,6 +89,14 @@
                 .value_parser(clap::value_parser!(log::LevelFilter))
                 .help("Least level of the log lines: off, error, warn, info, debug, trace"),
         )
+        .arg(
+            Arg::new("without")
+                .long("without")
+                .env("FIREFLYDIRECT_WITHOUT")
+                .value_delimiter(',')
+                .value_parser(str::parse::<Mechanism>)
+                .help("Mechanisms to switch off, by their words: copies, moves, door and others"),
+        )
         .arg(
             Arg::new("check-config")
                 .long("check-config")
