Count a copy only while its keeper stays, and stop late runs at once

Change: a copy counts only if its keeper serves when the mover looks; where the time to stop has come, a run is stopped at once and copied whole. Test: stream_whose_keeper_left_first_is_moved fails on the code before. Copies still cost more than they bring where notices arrive (docs/FURTHER.md).

--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -49,7 +49,10 @@
     if node.pool.borrow().is_ended(ix) {
         return;
     }
-    let wanted = on_notice(run.backup.get().is_some()) == OnNotice::Move;
+    // A keeper may have left before the run began, while its prompt was read.
+    let keeper = run.backup.get();
+    let has_copy = keeper.is_some_and(|k| node.pool.borrow().is_serving(k));
+    let wanted = on_notice(has_copy) == OnNotice::Move;
     let can_move = run.can_move && node.policy.uses(Mechanism::Moves);
     if !wanted || !can_move || run.moving.replace(true) {
         return;
@@ -101,9 +104,15 @@
 }
 
 /// Copies while the run goes on, then stops it and copies what is new.
+///
+/// Where the time to stop has come, as after a target that had no room for the last part, the run is
+/// stopped at once: a whole copy beside it would not be done before the upstream is gone.
 async fn try_target(node: &Rc<Node>, from: UpstreamIx, placed: PlacedGuard, run: &Run) -> Target {
     let to = placed.ix;
-    for stop in [false, true] {
+    let departure = node.departures.get(from);
+    let is_late = departure.is_some_and(|d| node.now() >= d.stop_at());
+    let stages: &[bool] = if is_late { &[true] } else { &[false, true] };
+    for &stop in stages {
         if stop {
             wait_for_calm(node, from).await;
         }
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -281,6 +281,21 @@
         check_runs(&site, &id);
     }
 
+    /// Engine and keeper announce their leaving while the prompt is read, before the run has begun.
+    stream_whose_keeper_left_first_is_moved(site: 1) {
+        spoil(&site, EngineKind::Model, AnswerFault::Slow);
+        let id = site.id();
+        let call = tokio::spawn(site.generation(0, "/log/a", 300, &id).send());
+        until("the run", || async { !site.record.runs_of(&id).is_empty() }).await;
+        site.add_engine(2).await;
+        until("the engine", || async { site.log(0).contains("instance=m-2") }).await;
+        let both_leave = async { tokio::join!(take_away(&site, 0, true), take_away(&site, 1, true)) };
+        let (stream, _) = tokio::join!(call, both_leave);
+        let text = stream.unwrap().unwrap().text().await.unwrap();
+        assert_eq!(text, whole_stream(&id, 300));
+        check_runs(&site, &id);
+    }
+
     leaving_engine_is_asked_when_it_is_gone(site: 1) {
         // The only other engine comes after the stream has begun, so that no copy is kept.
         site.engines[1].kill();
