Fetch what is lacking one at a time again, and bear a late first byte of a large configuration

Change: one fetch at a time; a large configuration is given 2 s without a byte. Test: none that fails first: the link's width is not in our stand-ins (named in docs/FURTHER.md as missing).

--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -45,6 +45,11 @@
 /// well before the pause is over; a leaving upstream serves on for a second and a half at least.
 const GATHER: Duration = Duration::from_millis(300);
 
+/// The same of a large configuration that all entries read at once: several hundred kilobytes wait
+/// before the first byte on links of 10 Mbit/s. Given up too soon, it is fetched from peers, whose
+/// links are as narrow.
+const CONFIG_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Time without a byte after which the only try is given up, where tries don't overlap.
 const HANG_LIMIT: Duration = Duration::from_secs(5);
 
@@ -330,7 +335,9 @@
 pub async fn read_config(node: &Node) -> bool {
     let mut client = Client::new(node.place.store.addr, node.clock);
     let path = list_path(Kind::Config, None);
-    let answer = client.get(&path, Overlap::single(PATIENCE), || ()).await;
+    let answer = client
+        .get(&path, Overlap::single(CONFIG_PATIENCE), || ())
+        .await;
     let Ok((status, body)) = answer else {
         return false;
     };
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -108,9 +108,9 @@
     StoreFirst,
 }
 
-/// Fetches what a peer told of, unless enough is being fetched.
+/// Fetches what a peer told of, one at a time.
 fn fetch(node: &Rc<Node>, from: Ipv4Addr, source: Source) {
-    let Some(guard) = node.peers.borrow().begin_fetch(from) else {
+    let Some(guard) = node.peers.borrow().begin_fetch() else {
         return;
     };
     let node = node.clone();
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -14,7 +14,7 @@
 use fireflycroft_platform::Place;
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use std::cell::RefCell;
+use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
@@ -55,9 +55,6 @@
 /// Crash counts that are told again and again.
 const MAX_CRASHES: usize = 16;
 
-/// Peers from which the state is fetched at a time, so that one that has gone silent delays no other.
-const MOST_FETCHES: usize = 2;
-
 /// Time for which a watcher's list may differ: its changes come by several datagrams, and this
 /// entry may have them from the store a moment later.
 const LIST_PATIENCE: Duration = Duration::from_millis(300);
@@ -79,7 +76,7 @@
     known: HashMap<Ipv4Addr, Known>,
     seeds: Vec<Ipv4Addr>,
     pub(crate) crashes: VecDeque<CrashCount>,
-    fetching: Rc<RefCell<Vec<Ipv4Addr>>>,
+    fetching: Rc<Cell<bool>>,
     pub(crate) behind_since: Option<Time>,
     pub(crate) wants_all: bool,
 }
@@ -172,16 +169,16 @@
         }
     }
 
-    /// A place to fetch the state of a peer; none while that is under way, or others take all places.
-    pub(crate) fn begin_fetch(&self, from: Ipv4Addr) -> Option<FetchGuard> {
-        let mut fetching = self.fetching.borrow_mut();
-        if fetching.len() >= MOST_FETCHES || fetching.contains(&from) {
+    /// Leave to fetch what is lacking; none while a fetch is under way.
+    ///
+    /// With two at a time each entry took a large configuration twice, over links of 10 Mbit/s that
+    /// carry streams as well: on a day of 28 entries 121 of 1,085 generations were late, 40 with one.
+    pub(crate) fn begin_fetch(&self) -> Option<FetchGuard> {
+        if self.fetching.replace(true) {
             return None;
         }
-        fetching.push(from);
         Some(FetchGuard {
             fetching: self.fetching.clone(),
-            from,
         })
     }
 
@@ -236,15 +233,14 @@
     }
 }
 
-/// A fetch of a peer's state that is under way; gives up its place when dropped.
+/// A fetch that is under way, until it is dropped.
 pub(crate) struct FetchGuard {
-    fetching: Rc<RefCell<Vec<Ipv4Addr>>>,
-    from: Ipv4Addr,
+    fetching: Rc<Cell<bool>>,
 }
 
 impl Drop for FetchGuard {
     fn drop(&mut self) {
-        self.fetching.borrow_mut().retain(|ip| *ip != self.from);
+        self.fetching.set(false);
     }
 }
 
