--- a/fireflycroft/src/returns.rs
+++ b/fireflycroft/src/returns.rs
@@ -12,7 +12,8 @@
 //! Seven days of the grown deployments by two seeds, paired: mean worth 0.573 to
 //! 0.579 (standard error 0.004), refused for good 1,795 to 1,549 of 137,122. By one
 //! seed, against 0.584: room kept for those who are about to come back 0.581, more
-//! room for them (1.3 of the memory) 0.540, a wait of twice the length 0.576.
+//! room for them (1.3 of the memory) 0.540; room kept and a wait of twice the length
+//! 0.576.
 
 use crate::ids::Digest;
 use crate::time::Time;
