Fill both engines before a refused caller is looked for at another entry

Its log: the first refusal came with one run held, since the choice between two near ties is drawn and the other engine was empty; the next draw took that one. Change: one run is held on each engine before, and eight refusals in a row are asked of the other entry, so that only a returning caller can be let in there. Ruled out: the telling of refusals; the failing line comes before it.

--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -121,17 +121,24 @@
                 .header("X-Length-Hint", "400")
                 .body(content)
         };
+        // One on each engine leaves room for a returning caller only. Near ties between the engines
+        // are drawn, so one refusal alone doesn't mean that both are taken.
         let mut held = Vec::new();
-        let refused = loop {
-            let answer = large(0, format!("held {}", held.len())).send().await.unwrap();
-            if answer.status() != 200 {
-                break answer;
+        while held.len() < 2 {
+            let answer = large(0, site.id()).send().await.unwrap();
+            if answer.status() == 200 {
+                held.push(answer);
             }
-            held.push(answer);
-        };
+        }
+        let refused = large(0, site.id()).send().await.unwrap();
         assert_eq!(outcome(&refused), (503, Some(2011)));
         until("what is placed", || async {
-            large(1, site.id()).send().await.unwrap().status() == 503
+            for _ in 0..8 {
+                if large(1, site.id()).send().await.unwrap().status() != 503 {
+                    return false;
+                }
+            }
+            true
         })
         .await;
         until("the telling", || async {
