Log how long contact has stood when a removal is doubted, and which upstreams are missing and back

Cause: on-call engineers saw a removal doubted (sure=false) without the age of contact that decided, and nothing at all when a list lacked an upstream or a missing one came back. So they could not tell which of the two waits kept an upstream that had left, nor from what the waits should follow.

Change: upstream_removed says contact_ms; upstream_missing and upstream_back (with missing_ms and contact_ms) are new, and among the fleet's lines that `explain` shows. No decision changes.

--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -33,6 +33,15 @@
     },
     /// The record of an upstream can't be read any more.
     Unreadable(UpstreamIx),
+    /// The list lacks an upstream, which may live all the same.
+    Missing(UpstreamIx),
+    /// An upstream that was missing is on the list again.
+    Back {
+        /// The upstream.
+        ix: UpstreamIx,
+        /// Time for which it was missing.
+        missing_for: Duration,
+    },
 }
 
 /// A change of the list of upstreams, as entries tell it each other.
@@ -72,7 +81,7 @@
             return Some(self.add(now, record));
         };
         let u = &mut self.upstreams[ix.0];
-        u.missing_since = None;
+        let missing_since = u.missing_since.take();
         match judge(&u.record, &record) {
             Word::Stale => return None,
             Word::Restart => return Some(self.restart(now, ix, record)),
@@ -102,7 +111,10 @@
                 Some(PoolChange::Came(ix))
             }
             (true, UpstreamState::Unreadable) => Some(PoolChange::Unreadable(ix)),
-            _ => None,
+            _ => missing_since.map(|since| PoolChange::Back {
+                ix,
+                missing_for: now.since(since),
+            }),
         }
     }
 
@@ -272,14 +284,20 @@
     }
 
     /// Notes that the list lacks an upstream, which may live all the same.
-    pub fn note_missing(&mut self, now: Time, instance: &str, revision: u64) {
+    pub fn note_missing(&mut self, now: Time, instance: &str, revision: u64) -> Option<PoolChange> {
         self.revision = self.revision.max(revision);
-        if let Some(ix) = self.find(instance) {
-            let u = &mut self.upstreams[ix.0];
-            if !u.gone && revision >= u.record.revision {
-                u.missing_since = u.missing_since.or(Some(now));
-            }
+        let ix = self.find(instance)?;
+        self.mark_missing(now, ix, revision)
+    }
+
+    fn mark_missing(&mut self, now: Time, ix: UpstreamIx, revision: u64) -> Option<PoolChange> {
+        let u = &mut self.upstreams[ix.0];
+        let is_known = u.gone || u.missing_since.is_some();
+        if is_known || u.record.revision > revision {
+            return None;
         }
+        u.missing_since = Some(now);
+        Some(PoolChange::Missing(ix))
     }
 
     /// Forgets upstreams that a list as of `revision` surely lacks.
@@ -310,16 +328,16 @@
         revision: u64,
     ) -> Vec<PoolChange> {
         let listed: HashSet<Name> = records.iter().map(|r| r.instance.clone()).collect();
-        for u in &mut self.upstreams {
-            let listed = listed.contains(&u.record.instance);
-            if !u.gone && !listed && u.record.revision <= revision {
-                u.missing_since = u.missing_since.or(Some(now));
-            }
-        }
-        records
-            .into_iter()
-            .filter_map(|record| self.learn(now, record))
-            .collect()
+        let lacked = self.known().into_iter();
+        let lacked = lacked.filter(|ix| !listed.contains(&self.record(*ix).instance));
+        let lacked: Vec<UpstreamIx> = lacked.collect();
+        let missing = lacked.into_iter();
+        let mut changes: Vec<PoolChange> = missing
+            .filter_map(|ix| self.mark_missing(now, ix, revision))
+            .collect();
+        let learned = records.into_iter().filter_map(|r| self.learn(now, r));
+        changes.extend(learned);
+        changes
     }
 
     /// Forgets upstreams that a list has lacked for [`MISSING_FOR`].
--- a/fireflyctl/src/story.rs
+++ b/fireflyctl/src/story.rs
@@ -17,9 +17,11 @@
 const CONTEXT_LINES: usize = 12;
 
 /// Events about the fleet that may explain what became of a request.
-const OF_THE_FLEET: [&str; 9] = [
+const OF_THE_FLEET: [&str; 11] = [
     "upstream_leaves",
     "upstream_removed",
+    "upstream_missing",
+    "upstream_back",
     "upstream_crashed",
     "store_lost",
     "store_regained",
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -4,6 +4,7 @@
 //! list follows again only when the store has dropped its history.
 
 use crate::client::Client;
+use crate::generation::or_empty;
 use crate::node::Node;
 use crate::state_page::PeerState;
 use bytes::Bytes;
@@ -294,15 +295,16 @@
         let sure = node.follows_store();
         log::info!(
             event = "upstream_removed", instance = &*event.object.name,
-            revision = event.object.revision, sure = sure;
+            revision = event.object.revision, sure = sure,
+            contact_ms = or_empty(node.contact_age().map(|age| age.as_millis()));
             ""
         );
         let mut pool = node.pool.borrow_mut();
-        if !sure {
-            pool.note_missing(now, &event.object.name, event.object.revision);
-            return;
-        }
-        let change = pool.forget(now, &event.object.name, event.object.revision);
+        let change = if sure {
+            pool.forget(now, &event.object.name, event.object.revision)
+        } else {
+            pool.note_missing(now, &event.object.name, event.object.revision)
+        };
         drop(pool);
         node.take_changes(change, "store");
     }
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::departures::Departures;
+use crate::generation::or_empty;
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
@@ -176,12 +177,18 @@
         self.duty.borrow().is_watching() && self.store_answers.get()
     }
 
+    /// Time since the store answered again after it had been lost; none if it never was.
+    #[must_use]
+    pub fn contact_age(&self) -> Option<Duration> {
+        let now = self.now();
+        self.regained_at.get().map(|t| now.since(t))
+    }
+
     /// Whether the store has answered for so long that what its list lacks is gone.
     #[must_use]
     pub fn follows_store(&self) -> bool {
-        let now = self.now();
-        let regained = self.regained_at.get();
-        let settled = regained.is_none_or(|t| now.since(t) >= REMOVALS_UNSURE);
+        let age = self.contact_age();
+        let settled = age.is_none_or(|age| age >= REMOVALS_UNSURE);
         self.watches_store() && settled
     }
 
@@ -245,6 +252,11 @@
                 PoolChange::Leaves(ix) => (ix, "upstream_leaves"),
                 PoolChange::Restarted { begun, .. } => (begun, "upstream_restarted"),
                 PoolChange::Unreadable(ix) => (ix, "upstream_set_aside"),
+                PoolChange::Missing(ix) => (ix, "upstream_missing"),
+                PoolChange::Back { ix, missing_for } => {
+                    self.log_back(ix, missing_for, source);
+                    continue;
+                }
             };
             let record = self.pool.borrow().record(ix).clone();
             log::info!(
@@ -263,12 +275,27 @@
                     self.end_life(ended);
                     self.urgent.notify_one();
                 }
-                PoolChange::Came(_) | PoolChange::Unreadable(_) => {}
+                PoolChange::Came(_)
+                | PoolChange::Unreadable(_)
+                | PoolChange::Missing(_)
+                | PoolChange::Back { .. } => {}
             }
         }
         self.changed.notify_waiters();
     }
 
+    fn log_back(&self, ix: UpstreamIx, missing_for: Duration, source: &str) {
+        let pool = self.pool.borrow();
+        let record = pool.record(ix);
+        log::info!(
+            event = "upstream_back", instance = &*record.instance, revision = record.revision,
+            missing_ms = missing_for.as_millis(),
+            contact_ms = or_empty(self.contact_age().map(|age| age.as_millis())),
+            source = source;
+            ""
+        );
+    }
+
     /// Lets go of all that a life of an upstream held: idle connections, copies, and what waits for
     /// an answer of it.
     fn end_life(&self, ix: UpstreamIx) {
