Show by tests that an upstream that left after an outage, or that a new list lacks, gets more work

- removal_is_believed_once_living_ones_are_back: the reported fault on a real entry.
The store was away, has been back for 2.6 s, an upstream's record is removed.
The entry reads that and goes on sending.
- upstream_that_a_new_list_lacks_gets_nothing: the same cause without any outage.
History is dropped, the entry lists anew, the list lacks an upstream, and that only begins the second wait.
- missing_upstream_told_by_its_old_record_stays_missing: found by reading; an old record told once more ends the doubt, and the upstream is served for good.

Neither of the first two asserts a time: once the entry has said that it read the removal, calls are made, and none may run there.

Ruled out: a removal that is read late.

--- a/fireflycroft/tests/pool.rs
+++ b/fireflycroft/tests/pool.rs
@@ -43,6 +43,7 @@
     upstream_that_came_back_serves => came_back_serves();
     missing_upstream_serves_on_for_a_while => missing_serves_on();
     missing_upstream_that_is_listed_again_stays => missing_comes_back();
+    missing_upstream_told_by_its_old_record_stays_missing => told_again_stays_missing();
     list_of_a_sure_peer_removes_at_once => sure_list_removes();
     told_changes_lead_to_the_same_list => told_changes_converge();
     outgrown_run_counts_for_more => outgrown_counts();
@@ -304,6 +305,16 @@
     assert_eq!(pool.count("models"), 1);
 }
 
+/// Found by reading, after users had seen work on upstreams that had left: told once more by an
+/// entry that hadn't read the removal, an upstream was served for good.
+fn told_again_stays_missing() {
+    let mut pool = pool(&["a", "b"]);
+    pool.note_missing(at(0), "a", 4);
+    pool.learn(at(10), record("a", 1));
+    assert_eq!(pool.drop_missing(at(9_000)).len(), 1);
+    assert_eq!(pool.count("models"), 1);
+}
+
 fn sure_list_removes() {
     let mut pool = pool(&["a", "b"]);
     let gone = pool.forget_others(at(1), &[record("b", 2)], 8);
--- /dev/null
+++ b/fireflydirect/tests/removals.rs
@@ -0,0 +1,73 @@
+//! An upstream that has left the list gets nothing more, whatever the store went through before.
+//!
+//! Users saw requests reach an upstream 2.0 to 2.8 s after its record had been removed; two seconds
+//! are allowed.
+//!
+//! 1. The store was away for four seconds. When it was back, every upstream wrote its record again.
+//! 2. Three seconds later an upstream that announced nothing had its record removed.
+//! 3. All entries read the removal within 25 ms, and doubted it: contact was younger than 3 s, and
+//!    a record that lapsed in an outage may be that of an upstream that lives.
+//! 4. From there they waited another 2.5 s for it to come back, and sent to it meanwhile.
+//!
+//! Cause: two waits in a row. The second began when the removal was read, and not when the store was
+//! back, which is what living upstreams come back after.
+//!
+//! Evidence: `upstream_removed sure=false` with contact of 1,753 to 2,879 ms, `upstream_leaves
+//! source=missing` 2,541 to 2,664 ms later; of 315 upstreams that were missing and came back, the
+//! last did so 1,648 ms after contact was.
+
+mod support;
+
+use standins::site::StoreMode;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::{Site, cases, until};
+
+/// Time after contact is back by which every living upstream is on the list again: the platform
+/// says about two seconds.
+const ALL_BACK: Duration = Duration::from_millis(2_600);
+
+/// Calls of one look at who is chosen; each upstream of two gets some.
+const CALLS: usize = 20;
+
+/// Who runs calls of the plain service that are made now.
+async fn chosen(site: &Site) -> BTreeSet<String> {
+    let mut chosen = BTreeSet::new();
+    for _ in 0..CALLS {
+        let id = site.id();
+        let answer = site.call(0, "GET", "/fetch/a", &id).send().await.unwrap();
+        assert_eq!(answer.status(), 200);
+        chosen.extend(site.record.runs_of(&id).into_iter().map(|r| r.instance));
+    }
+    chosen
+}
+
+/// Whether an entry has written a line of that event about an upstream.
+fn has_line(site: &Site, event: &str, instance: &str) -> bool {
+    let (event, instance) = (format!("event={event} "), format!("instance={instance} "));
+    let log = site.log(0);
+    log.lines()
+        .any(|l| l.contains(&event) && l.contains(&instance))
+}
+
+cases! {
+    removal_is_believed_once_living_ones_are_back(site: 1) {
+        site.store.set_mode(StoreMode::Reset);
+        until("the loss", || async { site.log(0).matches("event=store_lost").count() == 2 }).await;
+        site.store.set_mode(StoreMode::Up);
+        until("the return", || async { site.log(0).matches("event=store_regained").count() == 2 }).await;
+        tokio::time::sleep(ALL_BACK).await;
+        site.store.remove("servers", "p-0");
+        until("the removal", || async { has_line(&site, "upstream_removed", "p-0") }).await;
+        assert!(!chosen(&site).await.contains("p-0"), "sent to one that has left");
+    }
+
+    upstream_that_a_new_list_lacks_gets_nothing(site: 1) {
+        tokio::time::sleep(ALL_BACK).await;
+        site.store.lapse("servers", "p-0");
+        site.store.compact();
+        let noticed = |event| has_line(&site, event, "p-0");
+        until("the list", || async { noticed("upstream_missing") || noticed("upstream_leaves") }).await;
+        assert!(!chosen(&site).await.contains("p-0"), "sent to one that has left");
+    }
+}
