Count the doubt about removals from the store's return, and not anew from each removal

Cause: a removed record was doubted for 3 s after the later of an entry's two watches was answered again, and a doubted upstream was given up 2.5 s after it was found missing, looked at every 0.5 s. Late in the first wait that made 6 s after the return, where living upstreams are listed again after two. A list that lacked an upstream began the second wait even in calm, and any old record that was told ended it.

Doubt begins with the first answer after a silence of one and a half heartbeats, the shortest in which records can lapse, and ends 2.5 s later for all records, on the moment. Outside it a removal or a whole list is believed when it is read. An entry that has just started believes removals, as before, but no longer takes its first list for sure or tells it so: after an outage that list may lack most upstreams. What another entry doubts changes nothing here. A record written before a list that lacks it brings nobody back.

Ruled out: a shorter second wait: it would still begin at the wrong moment.

--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -1,4 +1,4 @@
-//! Following the list of upstreams: records that come, change, go, and may only be missing.
+//! Following the list of upstreams: records that come, change and go.
 //!
 //! Each record carries the revision of the list at which it was written, and the
 //! newest of an upstream holds, whatever order they come in and from whom.
@@ -68,20 +68,14 @@
 /// record can't bring it back.
 const REMEMBER_GONE: Duration = Duration::from_mins(1);
 
-/// Time for which a list after an outage of the store may lack an upstream
-/// that lives; the platform states about two seconds.
-pub const MISSING_FOR: Duration = Duration::from_millis(2_500);
-
 impl Pool {
     /// Takes a record unless it is older than the one held.
     pub fn learn(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
         self.revision = self.revision.max(record.revision);
         let Some(ix) = self.find(&record.instance) else {
-            self.note_change(now, ListChange::Listed(record.clone()));
-            return Some(self.add(now, record));
+            return self.meet(now, record);
         };
-        let u = &mut self.upstreams[ix.0];
-        let missing_since = u.missing_since.take();
+        let u = &self.upstreams[ix.0];
         match judge(&u.record, &record) {
             Word::Stale => return None,
             Word::Restart => return Some(self.restart(now, ix, record)),
@@ -97,6 +91,8 @@
         if !u.gone {
             self.digest ^= digest_of(&u.record);
         }
+        // One that was written before the list lacked it says nothing of now.
+        let was_missing = u.missing.take_if(|m| m.revision < record.revision);
         let was_serving = !u.gone && u.record.state == UpstreamState::Serving;
         u.gone = false;
         u.cold_until = now + record.cold_for;
@@ -111,16 +107,33 @@
                 Some(PoolChange::Came(ix))
             }
             (true, UpstreamState::Unreadable) => Some(PoolChange::Unreadable(ix)),
-            _ => missing_since.map(|since| PoolChange::Back {
+            _ => was_missing.map(|missing| PoolChange::Back {
                 ix,
-                missing_for: now.since(since),
+                missing_for: now.since(missing.since),
             }),
         }
     }
 
+    /// Takes the first record of an upstream.
+    fn meet(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
+        let lacked = self.is_lacked(record.revision);
+        if lacked && self.is_settled(now) {
+            return None;
+        }
+        let revision = self.listed_at;
+        self.note_change(now, ListChange::Listed(record.clone()));
+        let change = self.add(now, record);
+        if lacked && let PoolChange::Came(ix) = change {
+            self.mark_missing(now, ix, revision);
+        }
+        Some(change)
+    }
+
     /// Ends a life whose id a later one has taken.
     fn restart(&mut self, now: Time, old: UpstreamIx, record: UpstreamRecord) -> PoolChange {
         let u = &mut self.upstreams[old.0];
+        // Its id may have gone from the list since the new life wrote its record.
+        let missing = u.missing.take_if(|m| m.revision >= record.revision);
         if !u.gone {
             self.digest ^= digest_of(&u.record);
         }
@@ -129,10 +142,9 @@
         u.left_at = Some(now);
         u.others.clear();
         self.note_change(now, ListChange::Listed(record.clone()));
-        PoolChange::Restarted {
-            ended: old,
-            begun: self.insert(now, record),
-        }
+        let begun = self.insert(now, record);
+        self.upstreams[begun.0].missing = missing;
+        PoolChange::Restarted { ended: old, begun }
     }
 
     /// What the list says of an upstream whose record, as of `revision`, can't be read; nothing of
@@ -169,7 +181,7 @@
             gone: false,
             ended: false,
             left_at: leaving.then_some(now),
-            missing_since: None,
+            missing: None,
             mine: Placed::default(),
             others: HashMap::new(),
             avoid_until: Time::default(),
@@ -272,7 +284,7 @@
         self.digest ^= digest_of(&u.record);
         u.record.revision = revision;
         u.gone = true;
-        u.missing_since = None;
+        u.missing = None;
         let instance = u.record.instance.clone();
         self.note_change(now, ListChange::Removed { instance, revision });
         let u = &mut self.upstreams[ix.0];
@@ -283,23 +295,6 @@
         Some(PoolChange::Leaves(ix))
     }
 
-    /// Notes that the list lacks an upstream, which may live all the same.
-    pub fn note_missing(&mut self, now: Time, instance: &str, revision: u64) -> Option<PoolChange> {
-        self.revision = self.revision.max(revision);
-        let ix = self.find(instance)?;
-        self.mark_missing(now, ix, revision)
-    }
-
-    fn mark_missing(&mut self, now: Time, ix: UpstreamIx, revision: u64) -> Option<PoolChange> {
-        let u = &mut self.upstreams[ix.0];
-        let is_known = u.gone || u.missing_since.is_some();
-        if is_known || u.record.revision > revision {
-            return None;
-        }
-        u.missing_since = Some(now);
-        Some(PoolChange::Missing(ix))
-    }
-
     /// Forgets upstreams that a list as of `revision` surely lacks.
     pub fn forget_others(
         &mut self,
@@ -319,50 +314,6 @@
             .filter_map(|name| self.forget(now, name, revision))
             .collect()
     }
-
-    /// Takes a whole list as of `revision`; what it lacks is missing from now on.
-    pub fn learn_all(
-        &mut self,
-        now: Time,
-        records: Vec<UpstreamRecord>,
-        revision: u64,
-    ) -> Vec<PoolChange> {
-        let listed: HashSet<Name> = records.iter().map(|r| r.instance.clone()).collect();
-        let lacked = self.known().into_iter();
-        let lacked = lacked.filter(|ix| !listed.contains(&self.record(*ix).instance));
-        let lacked: Vec<UpstreamIx> = lacked.collect();
-        let missing = lacked.into_iter();
-        let mut changes: Vec<PoolChange> = missing
-            .filter_map(|ix| self.mark_missing(now, ix, revision))
-            .collect();
-        let learned = records.into_iter().filter_map(|r| self.learn(now, r));
-        changes.extend(learned);
-        changes
-    }
-
-    /// Forgets upstreams that a list has lacked for [`MISSING_FOR`].
-    pub fn drop_missing(&mut self, now: Time) -> Vec<PoolChange> {
-        let overdue = |u: &Upstream| {
-            u.missing_since
-                .is_some_and(|t| !u.gone && now.since(t) >= MISSING_FOR)
-        };
-        let names: Vec<(Name, u64)> = self
-            .upstreams
-            .iter()
-            .filter(|u| overdue(u))
-            .map(|u| (u.record.instance.clone(), u.record.revision))
-            .collect();
-        names
-            .into_iter()
-            .filter_map(|(name, revision)| self.forget(now, &name, revision))
-            .collect()
-    }
-
-    /// Whether any upstream is missing from the last list.
-    #[must_use]
-    pub fn any_missing(&self) -> bool {
-        self.upstreams.iter().any(|u| u.missing_since.is_some())
-    }
 }
 
 /// What a record says against the one that is held.
--- /dev/null
+++ b/fireflycroft/src/missing.rs
@@ -0,0 +1,140 @@
+//! Upstreams that the list lacks: gone, or missing until the store has answered for long enough.
+//!
+//! Whoever reads the store says what it read and when it answered; whether an
+//! upstream that isn't there any more is gone is decided here, by [`StoreContact`].
+//! What another entry tells as removed is gone: it has decided the same.
+
+use crate::contact::StoreContact;
+use crate::ids::Name;
+use crate::listing::PoolChange;
+use crate::pool::Pool;
+use crate::time::Time;
+use crate::upstream::{UpstreamIx, UpstreamRecord};
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// An upstream that the list lacks and that may live.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Missing {
+    /// When it was found missing.
+    pub(crate) since: Time,
+    /// Revision of the list that lacked it.
+    pub(crate) revision: u64,
+}
+
+impl Pool {
+    /// Sets the time between two heartbeats of an upstream.
+    pub const fn set_heartbeat(&mut self, heartbeat: Duration) {
+        self.contact = StoreContact::new(heartbeat);
+    }
+
+    /// Notes that the store answered; true when records may have lapsed before.
+    pub fn note_contact(&mut self, at: Time) -> bool {
+        self.contact.note(at)
+    }
+
+    /// Notes that it didn't.
+    pub const fn note_no_contact(&mut self) {
+        self.contact.note_failure();
+    }
+
+    /// When the store answered, as far as is known.
+    #[must_use]
+    pub const fn contact(&self) -> &StoreContact {
+        &self.contact
+    }
+
+    /// Whether what the list lacks is gone.
+    #[must_use]
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.contact.is_settled(now)
+    }
+
+    /// Takes the removal of a record, read from the store.
+    pub fn remove(&mut self, now: Time, instance: &str, revision: u64) -> Option<PoolChange> {
+        let is_gone = self.contact.believes_removals(now);
+        self.lose(now, instance, revision, is_gone)
+    }
+
+    fn lose(
+        &mut self,
+        now: Time,
+        instance: &str,
+        revision: u64,
+        is_gone: bool,
+    ) -> Option<PoolChange> {
+        if is_gone {
+            return self.forget(now, instance, revision);
+        }
+        self.revision = self.revision.max(revision);
+        let ix = self.find(instance)?;
+        self.mark_missing(now, ix, revision)
+    }
+
+    /// Takes a whole list as of `revision`, read from the store.
+    pub fn take_list(
+        &mut self,
+        now: Time,
+        records: Vec<UpstreamRecord>,
+        revision: u64,
+    ) -> Vec<PoolChange> {
+        let listed: HashSet<Name> = records.iter().map(|r| r.instance.clone()).collect();
+        let known = self.records().map(|r| r.instance.clone());
+        let lacked: Vec<Name> = known.filter(|name| !listed.contains(name)).collect();
+        let are_gone = self.is_settled(now);
+        let lacked = lacked.iter();
+        let mut changes: Vec<PoolChange> = lacked
+            .filter_map(|name| self.lose(now, name, revision, are_gone))
+            .collect();
+        changes.extend(records.into_iter().filter_map(|r| self.learn(now, r)));
+        self.listed_at = self.listed_at.max(revision);
+        changes
+    }
+
+    /// Whether the list that was read last had no such record, though it was written before.
+    ///
+    /// Another entry tells it that hasn't given up the upstream yet; one that is lost before it
+    /// does leaves nobody who would.
+    pub(crate) const fn is_lacked(&self, revision: u64) -> bool {
+        revision <= self.listed_at
+    }
+
+    pub(crate) fn mark_missing(
+        &mut self,
+        now: Time,
+        ix: UpstreamIx,
+        revision: u64,
+    ) -> Option<PoolChange> {
+        let u = &mut self.upstreams[ix.0];
+        let is_known = u.gone || u.missing.is_some();
+        if is_known || u.record.revision > revision {
+            return None;
+        }
+        u.missing = Some(Missing {
+            since: now,
+            revision,
+        });
+        Some(PoolChange::Missing(ix))
+    }
+
+    /// Forgets upstreams that are missing, once they are gone.
+    pub fn drop_missing(&mut self, now: Time) -> Vec<PoolChange> {
+        if !self.is_settled(now) {
+            return Vec::new();
+        }
+        let missing = self.upstreams.iter().filter(|u| !u.gone);
+        let missing = missing.filter_map(|u| Some((u.record.instance.clone(), u.missing?)));
+        let missing: Vec<(Name, Missing)> = missing.collect();
+        let gone = missing.into_iter();
+        gone.filter_map(|(name, missing)| self.forget(now, &name, missing.revision))
+            .collect()
+    }
+
+    /// Whether any upstream is missing.
+    #[must_use]
+    pub fn any_missing(&self) -> bool {
+        self.upstreams
+            .iter()
+            .any(|u| !u.gone && u.missing.is_some())
+    }
+}
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -5,6 +5,7 @@
 //! memory, prompt and expected answer, since it is memory that engines run out
 //! of. A generation goes where the least of the memory is spoken for.
 
+use crate::contact::StoreContact;
 use crate::ids::Name;
 use crate::listing::ListChange;
 use crate::mechanism::Policy;
@@ -25,6 +26,9 @@
     pub(crate) upstreams: Vec<Upstream>,
     pub(crate) data_centre: Name,
     pub(crate) revision: u64,
+    /// Revision of the last whole list that was read from the store.
+    pub(crate) listed_at: u64,
+    pub(crate) contact: StoreContact,
     pub(crate) changes: VecDeque<(Time, ListChange)>,
     pub(crate) by_instance: HashMap<Name, usize>,
     pub(crate) by_service: HashMap<Name, Vec<usize>>,
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Incarnation, Name};
 use crate::mechanism::{Mechanism, Policy};
+use crate::missing::Missing;
 use crate::pace::{Pace, SeenPace};
 use crate::placed::{Need, Placed, PlacedAt};
 use crate::room::SHORT_TOKENS;
@@ -79,7 +80,7 @@
     /// Whether a later life has taken its id: all that it ran or held is lost.
     pub(crate) ended: bool,
     pub(crate) left_at: Option<Time>,
-    pub(crate) missing_since: Option<Time>,
+    pub(crate) missing: Option<Missing>,
     pub(crate) mine: Placed,
     pub(crate) others: HashMap<Name, (Time, Placed)>,
     pub(crate) avoid_until: Time,
--- /dev/null
+++ b/fireflycroft/tests/missing.rs
@@ -0,0 +1,293 @@
+//! Upstreams that the list lacks: which are gone at once, and which only once the doubt ends.
+//!
+//! Users saw requests reach an upstream 2.0 to 2.8 s after its record had been removed, two seconds
+//! being allowed. The store had been away and was back for 2.5 to 3 s; all entries read the removal
+//! at once and waited for 2.5 s from then on, though every living upstream had come back 1.65 s
+//! after the return at the latest. The last cases are of the same cause in other places, found by
+//! reading: an entry that begins to watch, a list read anew, an old record told once more.
+
+#[path = "support/pools.rs"]
+mod pools;
+
+use fireflycroft::{Incarnation, PoolChange, SETTLE_TIME, Time, UpstreamRecord};
+use pools::{at, chosen, ix, need, pool, record};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+
+/// Time between two answers of a watch that hears nothing new.
+const WATCH_WAIT: u64 = 800;
+
+/// Users allow work on an upstream that has left for so long.
+const DRAIN_TIMEOUT: u64 = 2_000;
+
+/// Removals count from this time after the store's return on.
+const STABLE_AFTER: u64 = 3_000;
+
+/// Silence of the store in which a record may lapse: one and a half heartbeats.
+const SHORTEST_TO_LAPSE: u64 = 1_800;
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+cases! {
+    missing_upstream_serves_on_for_a_while => missing_serves_on();
+    missing_upstream_that_is_listed_again_stays => missing_comes_back();
+    missing_upstream_told_by_its_old_record_stays_missing => told_again_stays_missing();
+    removal_after_the_doubt_is_believed_at_once => late_removal();
+    removal_amid_the_doubt_is_believed_at_its_end => early_removal();
+    removal_after_a_short_silence_is_believed_at_once => short_silence();
+    nobody_is_given_up_while_the_store_is_silent => silent_store();
+    list_in_calm_is_believed_at_once => calm_list();
+    first_list_is_doubted => first_list();
+    first_removal_is_believed => first_removal();
+    first_removal_after_a_silence_is_doubted => first_removal_after_silence();
+    what_others_hear_of_the_store_counts => others_contact();
+    old_record_of_one_that_the_list_lacked_brings_nothing => lacked_record();
+    old_record_amid_the_doubt_is_missing_too => lacked_record_in_doubt();
+    later_life_that_is_gone_as_well_is_missing => missing_life();
+}
+
+/// The store answers from one time to another, in milliseconds.
+fn hear(pool: &mut fireflycroft::Pool, from: u64, to: u64) {
+    let mut millis = from;
+    while millis < to {
+        pool.note_contact(at(millis));
+        millis += WATCH_WAIT;
+    }
+    pool.note_contact(at(to));
+}
+
+/// Moment at which the doubt ends that began then.
+fn settled(since: u64) -> Time {
+    at(since) + SETTLE_TIME
+}
+
+fn serves(pool: &fireflycroft::Pool, instance: &str) -> bool {
+    pool.is_serving(ix(pool, instance))
+}
+
+fn missing_serves_on() {
+    let mut pool = pool(&["a", "b"]);
+    hear(&mut pool, 0, 0);
+    pool.take_list(at(0), vec![record("b", 2)], 5);
+    assert_eq!(pool.count("models"), 2);
+    assert!(pool.drop_missing(at(100)).is_empty());
+    hear(&mut pool, 0, 2_500);
+    assert_eq!(pool.drop_missing(settled(0)).len(), 1);
+    assert_eq!(pool.count("models"), 1);
+}
+
+fn missing_comes_back() {
+    let mut pool = pool(&["a"]);
+    pool.note_no_contact();
+    hear(&mut pool, 0, 0);
+    pool.remove(at(0), "a", 4);
+    let a = ix(&pool, "a");
+    let missing_for = Duration::from_secs(1);
+    let back = PoolChange::Back { ix: a, missing_for };
+    assert_eq!(pool.learn(at(1_000), record("a", 5)), Some(back));
+    hear(&mut pool, 0, 9_000);
+    assert!(pool.drop_missing(at(9_000)).is_empty());
+    assert_eq!(pool.count("models"), 1);
+}
+
+fn told_again_stays_missing() {
+    let mut pool = pool(&["a", "b"]);
+    pool.note_no_contact();
+    hear(&mut pool, 0, 0);
+    pool.remove(at(0), "a", 4);
+    pool.learn(at(10), record("a", 1));
+    // Written after the one that is held, and before the removal.
+    pool.learn(at(20), record("a", 3));
+    hear(&mut pool, 0, 9_000);
+    assert_eq!(pool.drop_missing(at(9_000)).len(), 1);
+    assert_eq!(pool.count("models"), 1);
+}
+
+/// The store is away from 4 s to 8 s.
+fn after_outage() -> fireflycroft::Pool {
+    let mut pool = pool(&["a", "b"]);
+    hear(&mut pool, 0, 4_000);
+    hear(&mut pool, 8_000, 8_000);
+    pool
+}
+
+fn late_removal() {
+    let mut pool = after_outage();
+    hear(&mut pool, 8_000, 10_600);
+    let a = ix(&pool, "a");
+    let change = pool.remove(at(10_600), "a", 9);
+    assert_eq!(change, Some(PoolChange::Leaves(a)));
+    assert_eq!(chosen(&pool, at(10_600), &need(1)), "b");
+}
+
+fn early_removal() {
+    let mut pool = after_outage();
+    hear(&mut pool, 8_000, 10_400);
+    let a = ix(&pool, "a");
+    let change = pool.remove(at(10_400), "a", 9);
+    assert_eq!(change, Some(PoolChange::Missing(a)));
+    assert!(serves(&pool, "a"));
+    assert_eq!(pool.contact().settles_at(), Some(settled(8_000)));
+    let gone = pool.drop_missing(settled(8_000));
+    assert_eq!(gone, vec![PoolChange::Leaves(a)]);
+    assert_eq!(
+        pool.record(a).revision,
+        9,
+        "others are told of this removal"
+    );
+}
+
+/// A watch hung on a dead connection for 1.4 s; no heartbeat was missed for it.
+fn short_silence() {
+    let mut pool = pool(&["a", "b"]);
+    hear(&mut pool, 0, 8_000);
+    hear(&mut pool, 9_400, 9_400);
+    pool.remove(at(9_400), "a", 9);
+    assert!(!serves(&pool, "a"));
+}
+
+fn silent_store() {
+    let mut pool = after_outage();
+    pool.remove(at(8_000), "a", 9);
+    // Away again before it was back for long enough.
+    assert!(pool.drop_missing(at(12_000)).is_empty());
+    hear(&mut pool, 14_000, 14_000);
+    assert!(pool.drop_missing(at(14_000)).is_empty());
+    hear(&mut pool, 14_000, 16_500);
+    assert_eq!(pool.drop_missing(at(16_500)).len(), 1);
+}
+
+/// The store dropped its history, and an upstream left before the list was read anew.
+fn calm_list() {
+    let mut pool = pool(&["a", "b"]);
+    hear(&mut pool, 0, 5_000);
+    pool.take_list(at(5_000), vec![record("b", 2)], 9);
+    assert!(!serves(&pool, "a"));
+}
+
+/// An entry that has just started knows upstreams from others, and not how long the store has been
+/// back.
+fn first_list() {
+    let mut pool = pool(&["a", "b"]);
+    hear(&mut pool, 300, 300);
+    pool.take_list(at(300), Vec::new(), 9);
+    assert_eq!(pool.count("models"), 2);
+}
+
+/// It reads that one left which it has just listed.
+fn first_removal() {
+    let mut pool = pool(&["a", "b"]);
+    hear(&mut pool, 300, 1_100);
+    pool.remove(at(1_100), "a", 9);
+    assert!(!serves(&pool, "a"));
+}
+
+/// It starts while the store is away.
+fn first_removal_after_silence() {
+    let mut pool = pool(&["a", "b"]);
+    pool.note_no_contact();
+    hear(&mut pool, 300, 1_100);
+    pool.remove(at(1_100), "a", 9);
+    assert!(serves(&pool, "a"));
+    hear(&mut pool, 1_100, 2_800);
+    assert_eq!(pool.drop_missing(settled(300)).len(), 1);
+}
+
+/// All entries that watch are lost, and another one steps in a second later.
+fn others_contact() {
+    let mut pool = pool(&["a", "b"]);
+    // Told with its age, as the others were answered then.
+    hear(&mut pool, 0, 4_000);
+    let told_at = at(5_000);
+    pool.note_contact(told_at - Duration::from_millis(200));
+    hear(&mut pool, 6_200, 6_200);
+    pool.take_list(at(6_200), vec![record("b", 2)], 9);
+    assert!(!serves(&pool, "a"));
+}
+
+fn lacked_record() {
+    let mut pool = pool(&["b"]);
+    hear(&mut pool, 0, 5_000);
+    pool.take_list(at(5_000), vec![record("b", 1)], 9);
+    assert_eq!(pool.learn(at(5_010), record("a", 8)), None);
+    assert_eq!(pool.count("models"), 1);
+    assert!(pool.learn(at(5_020), record("a", 10)).is_some());
+    assert_eq!(pool.count("models"), 2);
+}
+
+fn lacked_record_in_doubt() {
+    let mut pool = pool(&["b"]);
+    hear(&mut pool, 300, 300);
+    pool.take_list(at(300), vec![record("b", 1)], 9);
+    assert!(pool.learn(at(310), record("a", 8)).is_some());
+    assert!(serves(&pool, "a"));
+    hear(&mut pool, 300, 2_800);
+    assert_eq!(pool.drop_missing(settled(300)).len(), 1);
+}
+
+/// An entry reads that an id is gone before it hears that the id had been taken by a later life.
+fn missing_life() {
+    let life = |started, revision| UpstreamRecord {
+        incarnation: Incarnation(started),
+        ..record("a", revision)
+    };
+    let mut pool = pool(&["b"]);
+    pool.learn(at(0), life(100, 2));
+    pool.note_no_contact();
+    hear(&mut pool, 300, 300);
+    pool.remove(at(300), "a", 6);
+    let change = pool.learn(at(310), life(200, 5)).unwrap();
+    assert!(matches!(change, PoolChange::Restarted { .. }), "{change:?}");
+    hear(&mut pool, 300, 2_800);
+    assert_eq!(pool.drop_missing(settled(300)).len(), 1);
+    assert_eq!(pool.count("models"), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(21),
+        ..ProptestConfig::default()
+    })]
+
+    /// However long the store was away and however late an entry noticed its return, an upstream
+    /// whose removal counts gets nothing once the time allowed is over, and one that is listed again
+    /// as soon as the platform says serves all the time.
+    #[test]
+    fn removals_that_count_are_believed_in_time(
+        outage in 100_u64..20_000,
+        noticed in 0_u64..1_500,
+        removed in STABLE_AFTER..12_000,
+        back in 0_u64..2_000,
+    ) {
+        let mut pool = pool(&["lapses", "leaves"]);
+        let returned = 10_000 + outage;
+        let heard = returned + noticed;
+        hear(&mut pool, 0, 10_000);
+        hear(&mut pool, heard, heard);
+        pool.remove(at(heard), "lapses", 8);
+        let may_lapse = outage >= SHORTEST_TO_LAPSE;
+        let back = (returned + back).max(heard);
+        hear(&mut pool, heard, back);
+        pool.drop_missing(at(back));
+        prop_assert!(serves(&pool, "lapses") || !may_lapse);
+        pool.learn(at(back), record("lapses", 9));
+        let removed = returned + removed;
+        hear(&mut pool, back, removed);
+        pool.drop_missing(at(removed));
+        pool.remove(at(removed), "leaves", 10);
+        hear(&mut pool, removed, removed + DRAIN_TIMEOUT);
+        pool.drop_missing(at(removed + DRAIN_TIMEOUT));
+        prop_assert!(!serves(&pool, "leaves"));
+        prop_assert!(serves(&pool, "lapses"));
+    }
+}
--- a/fireflycroft/tests/pool.rs
+++ b/fireflycroft/tests/pool.rs
@@ -4,8 +4,7 @@
 mod pools;
 
 use fireflycroft::{
-    ListChange, MISSING_FOR, Name, Need, Pace, Placed, PlacedAt, Pool, PoolChange, UpstreamIx,
-    UpstreamRecord,
+    ListChange, Name, Need, Pace, Placed, PlacedAt, Pool, PoolChange, UpstreamIx, UpstreamRecord,
 };
 use pools::{MEMORY, at, chosen, ix, leaving, need, pool, record, told};
 use proptest::prelude::*;
@@ -41,9 +40,6 @@
     older_record_changes_nothing => older_changes_nothing();
     removed_upstream_does_not_come_back_by_an_old_record => removed_stays_away();
     upstream_that_came_back_serves => came_back_serves();
-    missing_upstream_serves_on_for_a_while => missing_serves_on();
-    missing_upstream_that_is_listed_again_stays => missing_comes_back();
-    missing_upstream_told_by_its_old_record_stays_missing => told_again_stays_missing();
     list_of_a_sure_peer_removes_at_once => sure_list_removes();
     told_changes_lead_to_the_same_list => told_changes_converge();
     outgrown_run_counts_for_more => outgrown_counts();
@@ -287,34 +283,6 @@
     assert_eq!(pool.count("models"), 1);
 }
 
-fn missing_serves_on() {
-    let mut pool = pool(&["a", "b"]);
-    pool.learn_all(at(0), vec![record("b", 2)], 5);
-    assert_eq!(pool.count("models"), 2);
-    assert!(pool.drop_missing(at(100)).is_empty());
-    let later = at(0) + MISSING_FOR;
-    assert_eq!(pool.drop_missing(later).len(), 1);
-    assert_eq!(pool.count("models"), 1);
-}
-
-fn missing_comes_back() {
-    let mut pool = pool(&["a"]);
-    pool.note_missing(at(0), "a", 4);
-    pool.learn(at(1_000), record("a", 5));
-    assert!(pool.drop_missing(at(9_000)).is_empty());
-    assert_eq!(pool.count("models"), 1);
-}
-
-/// Found by reading, after users had seen work on upstreams that had left: told once more by an
-/// entry that hadn't read the removal, an upstream was served for good.
-fn told_again_stays_missing() {
-    let mut pool = pool(&["a", "b"]);
-    pool.note_missing(at(0), "a", 4);
-    pool.learn(at(10), record("a", 1));
-    assert_eq!(pool.drop_missing(at(9_000)).len(), 1);
-    assert_eq!(pool.count("models"), 1);
-}
-
 fn sure_list_removes() {
     let mut pool = pool(&["a", "b"]);
     let gone = pool.forget_others(at(1), &[record("b", 2)], 8);
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -103,6 +103,9 @@
         let mut objects: Vec<StoreObject> = Vec::new();
         let mut revision = None;
         self.unreadable.clear();
+        if self.kind == Kind::Upstreams {
+            self.node.listed.set(false);
+        }
         loop {
             let after = objects.last().map(|o| o.name.clone());
             let page = match self.read_page(after.as_deref()).await {
@@ -238,7 +241,14 @@
     fn take_list(&mut self, objects: &[StoreObject], revision: u64) {
         if self.kind == Kind::Upstreams {
             let records = objects.iter().filter_map(|o| self.read_record(o)).collect();
-            take_upstreams(&self.node, records, revision, "store");
+            let now = self.node.now();
+            let changes = self
+                .node
+                .pool
+                .borrow_mut()
+                .take_list(now, records, revision);
+            self.node.take_changes(changes, "store");
+            self.node.listed.set(true);
         }
     }
 
@@ -290,22 +300,15 @@
             self.take_record(&event.object);
             return;
         }
+        let (instance, revision) = (&event.object.name, event.object.revision);
         let node = &self.node;
         let now = node.now();
-        let sure = node.follows_store();
         log::info!(
-            event = "upstream_removed", instance = &*event.object.name,
-            revision = event.object.revision, sure = sure,
-            contact_ms = or_empty(node.contact_age().map(|age| age.as_millis()));
+            event = "upstream_removed", instance = &**instance, revision = revision,
+            contact_ms = or_empty(node.contact_ms()), sure = node.pool.borrow().contact().believes_removals(now);
             ""
         );
-        let mut pool = node.pool.borrow_mut();
-        let change = if sure {
-            pool.forget(now, &event.object.name, event.object.revision)
-        } else {
-            pool.note_missing(now, &event.object.name, event.object.revision)
-        };
-        drop(pool);
+        let change = node.pool.borrow_mut().remove(now, instance, revision);
         node.take_changes(change, "store");
     }
 }
@@ -314,19 +317,17 @@
     fn note_answer(&self) {
         let calls = &self.node.metrics.store_calls;
         calls.with_label_values(&["answered"]).inc();
-        self.node.store_answers.set(true);
-        if !self.lost.replace(false) {
-            return;
+        self.node.note_store_answer();
+        if self.lost.replace(false) {
+            log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
         }
-        self.node.regained_at.set(Some(self.node.now()));
-        log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
     }
 
     /// Notes that a call failed or hangs.
     fn note_lost(&self, why: &str) {
         let calls = &self.node.metrics.store_calls;
         calls.with_label_values(&["failed"]).inc();
-        self.node.store_answers.set(false);
+        self.node.note_store_failure();
         if !self.lost.replace(true) {
             log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
         }
@@ -351,6 +352,8 @@
 }
 
 /// Takes what another entry knows of upstreams; what its whole list lacks is gone if it is sure.
+///
+/// What it doubts stays here as it is: it tells once it has decided.
 pub fn take_told(node: &Node, state: PeerState) {
     let now = node.now();
     if !state.is_whole {
@@ -370,12 +373,8 @@
         drop(pool);
         node.take_changes(changes, "peer");
     }
-    take_upstreams(node, state.upstreams, state.revision, "peer");
-}
-
-/// Takes a whole list of upstreams.
-fn take_upstreams(node: &Node, records: Vec<UpstreamRecord>, revision: u64, source: &str) {
-    let now = node.now();
-    let changes = node.pool.borrow_mut().learn_all(now, records, revision);
-    node.take_changes(changes, source);
+    for record in state.upstreams {
+        let change = node.pool.borrow_mut().learn(now, record);
+        node.take_changes(change, "peer");
+    }
 }
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -8,8 +8,8 @@
 use crate::peers::Peers;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, LengthGuess, Need, Policy, Pool, PoolChange, Quarantine, RepeatBudget, Returns, Time,
-    UpstreamIx, WatchDuty, Yields,
+    Catalog, LengthGuess, Need, Policy, Pool, PoolChange, Quarantine, RepeatBudget, Returns,
+    SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -18,10 +18,6 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
-/// Time after contact with the store is back in which a removed upstream may only be missing: its
-/// entry may have lapsed while the store was away, and comes back within about two seconds.
-const REMOVALS_UNSURE: Duration = Duration::from_secs(3);
-
 /// How far a process has come in stopping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -71,8 +67,8 @@
     pub duty_changed: Notify,
     /// Whether the store answered the last call.
     pub store_answers: Cell<bool>,
-    /// When the store answered again after it had been lost.
-    pub regained_at: Cell<Option<Time>>,
+    /// Whether the list of upstreams has been read whole since this entry watches.
+    pub listed: Cell<bool>,
     /// Rings when an upstream comes or the configuration changes.
     pub changed: Notify,
     /// Rings when an upstream has started again.
@@ -106,6 +102,9 @@
         let clock = Clock::start();
         let mut pool = Pool::new(place.data_centre.clone());
         pool.set_policy(policy);
+        if let Some(heartbeat) = place.heartbeat {
+            pool.set_heartbeat(heartbeat);
+        }
         let budget = RepeatBudget::new(place.bounds.repeats);
         let peers = Peers::new(&place);
         Ok(Self {
@@ -126,7 +125,7 @@
             duty: RefCell::new(WatchDuty::new(&place.vm)),
             duty_changed: Notify::new(),
             store_answers: Cell::new(false),
-            regained_at: Cell::new(None),
+            listed: Cell::new(false),
             changed: Notify::new(),
             life_ended: Notify::new(),
             urgent: Notify::new(),
@@ -177,19 +176,37 @@
         self.duty.borrow().is_watching() && self.store_answers.get()
     }
 
-    /// Time since the store answered again after it had been lost; none if it never was.
+    /// Notes that the store answered this entry.
+    pub fn note_store_answer(&self) {
+        self.store_answers.set(true);
+        let mut pool = self.pool.borrow_mut();
+        if pool.note_contact(self.now()) {
+            log::info!(event = "removals_doubted", for_ms = SETTLE_TIME.as_millis(); "");
+        }
+    }
+
+    /// Notes that a call to the store failed or hangs.
+    pub fn note_store_failure(&self) {
+        self.store_answers.set(false);
+        self.pool.borrow_mut().note_no_contact();
+    }
+
+    /// Milliseconds since the first answer of the store after the last silence in which records may
+    /// have lapsed; none in one.
     #[must_use]
-    pub fn contact_age(&self) -> Option<Duration> {
-        let now = self.now();
-        self.regained_at.get().map(|t| now.since(t))
+    pub fn contact_ms(&self) -> Option<u128> {
+        let pool = self.pool.borrow();
+        let unbroken = pool.contact().unbroken_for(self.now());
+        unbroken.map(|span| span.as_millis())
     }
 
-    /// Whether the store has answered for so long that what its list lacks is gone.
+    /// Whether what the list of upstreams known here lacks is gone, and not only missing or not yet
+    /// read.
     #[must_use]
     pub fn follows_store(&self) -> bool {
-        let age = self.contact_age();
-        let settled = age.is_none_or(|age| age >= REMOVALS_UNSURE);
-        self.watches_store() && settled
+        let pool = self.pool.borrow();
+        let settled = pool.is_settled(self.now()) && !pool.any_missing();
+        self.watches_store() && self.listed.get() && settled
     }
 
     /// Version of the configuration in force; zero for none.
@@ -290,8 +307,7 @@
         log::info!(
             event = "upstream_back", instance = &*record.instance, revision = record.revision,
             missing_ms = missing_for.as_millis(),
-            contact_ms = or_empty(self.contact_age().map(|age| age.as_millis())),
-            source = source;
+            contact_ms = or_empty(self.contact_ms()), source = source;
             ""
         );
     }
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -4,6 +4,7 @@
 use crate::settings::Settings;
 use crate::{callers, feed, hear, mover, readiness, state_page, tell};
 use anyhow::Context;
+use fireflycroft::Time;
 use fireflycroft_platform::Kind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -81,7 +82,7 @@
 
 async fn tidy(node: Rc<Node>) {
     loop {
-        tokio::time::sleep(TIDY_EVERY).await;
+        tokio::time::sleep_until(node.clock.instant(next_tidy(&node))).await;
         node.links.tidy();
         let now = node.now();
         let changes = node.pool.borrow_mut().drop_missing(now);
@@ -90,6 +91,16 @@
     }
 }
 
+/// When to tidy next: at once when doubt about removals ends, since an upstream that has left may
+/// get work until then.
+fn next_tidy(node: &Node) -> Time {
+    let now = node.now();
+    let settles_at = node.pool.borrow().contact().settles_at();
+    let settles_at = settles_at.filter(|at| *at > now);
+    let due = now + TIDY_EVERY;
+    settles_at.map_or(due, |at| at.min(due))
+}
+
 /// Stops without cutting what runs, as far as the grace allows.
 async fn stop(node: &Rc<Node>) {
     let end = node.now() + node.place.bounds.grace.saturating_sub(GRACE_MARGIN);
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -105,6 +105,6 @@
         is_whole: asked.upstreams == 0,
         revision: pool.revision(),
         digest: pool.digest(),
-        sure: node.follows_store() && !pool.any_missing(),
+        sure: node.follows_store(),
     }
 }
