Show by a test that an entry that steps in as a watcher doubts what its list lacks

Looking for the same cause elsewhere: an entry that begins to watch, since all watchers were lost, has not called the store for long. It takes that for a silence of the store, so that an upstream that left meanwhile gets work for another 2.5 s. The other entries had told it of their contact all along.

Four real entries; the three that watch are killed in the moment in which an upstream goes from the list.

--- a/fireflydirect/tests/removals.rs
+++ b/fireflydirect/tests/removals.rs
@@ -30,12 +30,16 @@
 /// Calls of one look at who is chosen; each upstream of two gets some.
 const CALLS: usize = 20;
 
-/// Who runs calls of the plain service that are made now.
-async fn chosen(site: &Site) -> BTreeSet<String> {
+/// Who runs calls of the plain service that are made now through an entry.
+async fn chosen(site: &Site, entry: usize) -> BTreeSet<String> {
     let mut chosen = BTreeSet::new();
     for _ in 0..CALLS {
         let id = site.id();
-        let answer = site.call(0, "GET", "/fetch/a", &id).send().await.unwrap();
+        let answer = site
+            .call(entry, "GET", "/fetch/a", &id)
+            .send()
+            .await
+            .unwrap();
         assert_eq!(answer.status(), 200);
         chosen.extend(site.record.runs_of(&id).into_iter().map(|r| r.instance));
     }
@@ -43,9 +47,9 @@
 }
 
 /// Whether an entry has written a line of that event about an upstream.
-fn has_line(site: &Site, event: &str, instance: &str) -> bool {
+fn has_line(site: &Site, entry: usize, event: &str, instance: &str) -> bool {
     let (event, instance) = (format!("event={event} "), format!("instance={instance} "));
-    let log = site.log(0);
+    let log = site.log(entry);
     log.lines()
         .any(|l| l.contains(&event) && l.contains(&instance))
 }
@@ -58,16 +62,31 @@
         until("the return", || async { site.log(0).matches("event=store_regained").count() == 2 }).await;
         tokio::time::sleep(ALL_BACK).await;
         site.store.remove("servers", "p-0");
-        until("the removal", || async { has_line(&site, "upstream_removed", "p-0") }).await;
-        assert!(!chosen(&site).await.contains("p-0"), "sent to one that has left");
+        until("the removal", || async { has_line(&site, 0, "upstream_removed", "p-0") }).await;
+        assert!(!chosen(&site, 0).await.contains("p-0"), "sent to one that has left");
     }
 
     upstream_that_a_new_list_lacks_gets_nothing(site: 1) {
         tokio::time::sleep(ALL_BACK).await;
         site.store.lapse("servers", "p-0");
         site.store.compact();
-        let noticed = |event| has_line(&site, event, "p-0");
+        let noticed = |event| has_line(&site, 0, event, "p-0");
         until("the list", || async { noticed("upstream_missing") || noticed("upstream_leaves") }).await;
-        assert!(!chosen(&site).await.contains("p-0"), "sent to one that has left");
+        assert!(!chosen(&site, 0).await.contains("p-0"), "sent to one that has left");
+    }
+    /// All that watch are lost in the moment in which an upstream leaves. The one that steps in has
+    /// not called the store for long, and took that for an outage.
+    entry_that_steps_in_believes_its_first_list(site: 4) {
+        let is_off_duty = |site: &Site, e: usize| site.log(e).contains("watching=false");
+        until("one off duty", || async { (0..4).any(|e| is_off_duty(&site, e)) }).await;
+        let steps_in = (0..4).find(|e| is_off_duty(&site, *e)).unwrap();
+        tokio::time::sleep(ALL_BACK).await;
+        site.store.lapse("servers", "p-0");
+        for entry in (0..4).filter(|e| *e != steps_in) {
+            site.entries[entry].kill();
+        }
+        let noticed = |event| has_line(&site, steps_in, event, "p-0");
+        until("the list", || async { noticed("upstream_missing") || noticed("upstream_leaves") }).await;
+        assert!(!chosen(&site, steps_in).await.contains("p-0"), "sent to one that has left");
     }
 }
