Keep the macro that names cases in one place for the core's tests

Cause: 19 test files of the core each had the same ten lines of macro.

Change: tests/support/cases.rs has it, and the files take it from there.

Not taken along: the eight files of other crates with the same lines, one or two in each crate.

--- a/fireflycroft/tests/admit.rs
+++ b/fireflycroft/tests/admit.rs
@@ -1,5 +1,9 @@
 //! Admission at the agent, step by step without a clock.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{
     Admission, AdmitPolicy, Capacity, Demand, Digest, Name, OfferId, Priority, RequestId, Time,
     UpstreamReport, Verdict,
@@ -17,17 +21,6 @@
 const STEP: Duration = Duration::from_millis(20);
 const PATIENCE: Duration = Duration::from_secs(10);
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     empty_upstream_takes_what_fits_at_all => takes_first();
     prompt_beyond_memory_is_too_long => refuses_too_long();
--- a/fireflycroft/tests/attempt.rs
+++ b/fireflycroft/tests/attempt.rs
@@ -1,19 +1,12 @@
 //! What follows from each try, and that "not run" is never said wrongly.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{NextStep, Repeat, Tries, TryOutcome};
 use proptest::prelude::*;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 use NextStep::{RefuseNotRun, Relay, TellUnknown, TryAgain};
 use TryOutcome::{Answered, Failed, Lost, NeverSent, NotRun, WrongInstance};
 
--- a/fireflycroft/tests/catalog.rs
+++ b/fireflycroft/tests/catalog.rs
@@ -1,22 +1,15 @@
 //! Looking up routes, services and keys in a published configuration.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{
     CallerLimits, Catalog, CatalogParts, Name, Repeat, RouteSpec, Target, WorkspaceSpec,
 };
 use proptest::prelude::*;
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     longest_prefix_wins => longest_wins();
     other_host_has_no_routes => assert!(route_name("other", "/a/x").is_none());
--- a/fireflycroft/tests/config.rs
+++ b/fireflycroft/tests/config.rs
@@ -1,5 +1,9 @@
 //! Checking documents, looking things up, and never going back.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{
     Adopted, Brand, Carried, CarriedPart, Config, ConfigCarrier, ConfigVersion, Digest, Document,
     InForce, Inventory, MAX_NAME, Message, Model, Name, NonRepeatable, Objective, Part, Priority,
@@ -13,17 +17,6 @@
 use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 /// A document that the change spoils, and the faults it then has.
 macro_rules! faults {
     ($($name:ident: $change:expr => [$($field:literal: $text:literal),* $(,)?];)+) => {
--- a/fireflycroft/tests/guess.rs
+++ b/fireflycroft/tests/guess.rs
@@ -1,17 +1,10 @@
 //! Lengths learned from hints and answers.
 
-use fireflycroft::{LengthGuess, Name};
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
+use fireflycroft::{LengthGuess, Name};
 
 cases! {
     unseen_kind_leans_on_its_bound => unseen_leans();
--- a/fireflycroft/tests/length.rs
+++ b/fireflycroft/tests/length.rs
@@ -1,5 +1,9 @@
 //! Remaining lengths, against lengths that are known.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{LengthKey, Lengths, MAX_SKETCHES, Name, Priority, Survival};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -9,17 +13,6 @@
 /// Most that a learned probability may be off.
 const TOLERANCE: f64 = 0.06;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     nothing_seen_gives_a_prior => prior_is_a_distribution();
     learns_a_fixed_length => learns(&[300; 400], 300);
--- a/fireflycroft/tests/mechanism.rs
+++ b/fireflycroft/tests/mechanism.rs
@@ -1,22 +1,15 @@
 //! Mechanisms that can be switched off: their words, and that each one off changes a choice.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{
     Incarnation, Mechanism, Name, Need, Policy, Pool, Time, UpstreamIx, UpstreamRecord,
     UpstreamState,
 };
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     all_are_on_by_default => assert!(Mechanism::ALL.iter().all(|m| Policy::default().uses(*m)));
     only_what_is_named_is_off => only_named();
--- a/fireflycroft/tests/missing.rs
+++ b/fireflycroft/tests/missing.rs
@@ -6,6 +6,10 @@
 //! after the return at the latest. The last cases are of the same cause in other places, found by
 //! reading: an entry that begins to watch, a list read anew, an old record told once more.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 #[path = "support/pools.rs"]
 mod pools;
 
@@ -27,17 +31,6 @@
 /// Silence of the store in which a record may lapse: two heartbeats.
 const SHORTEST_TO_LAPSE: u64 = 2_400;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     missing_upstream_serves_on_for_a_while => missing_serves_on();
     missing_upstream_that_is_listed_again_stays => missing_comes_back();
--- a/fireflycroft/tests/outage.rs
+++ b/fireflycroft/tests/outage.rs
@@ -1,21 +1,14 @@
 //! When callers of an entry without a configuration are told to come back, and what they get by it.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{SOON, START_TAKES, back_after};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     entry_that_may_only_be_starting_is_tried_again_soon => assert_eq!(back_after(Duration::ZERO, 0.5), SOON);
     wait_has_bounds => has_bounds();
--- a/fireflycroft/tests/overlap.rs
+++ b/fireflycroft/tests/overlap.rs
@@ -1,19 +1,12 @@
 //! Tries that overlap: when another begins, when one is dropped, and how many there are.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{MOST_TRIES, Overlap, OverlapStep, Time, TryId};
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 const PATIENCE: Duration = Duration::from_millis(450);
 const LONGEST_GAP: Duration = Duration::from_millis(700);
 
--- a/fireflycroft/tests/pool.rs
+++ b/fireflycroft/tests/pool.rs
@@ -1,5 +1,9 @@
 //! The table of upstreams a direct entry drives, and its choice among them.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 #[path = "support/pools.rs"]
 mod pools;
 
@@ -10,17 +14,6 @@
 use proptest::prelude::*;
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     emptier_memory_is_chosen => chooses_emptier_memory();
     what_others_placed_counts => counts_others();
--- a/fireflycroft/tests/pool_lives.rs
+++ b/fireflycroft/tests/pool_lives.rs
@@ -1,5 +1,9 @@
 //! Lives of upstreams in the pool, and records that are not their own.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 #[path = "support/pools.rs"]
 mod pools;
 
@@ -10,17 +14,6 @@
 use pools::{MEMORY, at, chosen, ix, need, pool, record, told};
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     new_start_ends_the_old_life => new_start_ends_old();
     new_start_takes_nothing_over => new_start_is_fresh();
--- a/fireflycroft/tests/quota.rs
+++ b/fireflycroft/tests/quota.rs
@@ -1,21 +1,14 @@
 //! Quotas as token buckets, without a clock.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{Name, Quotas, Time};
 use std::time::Duration;
 
 const SHARE: u64 = 6_000;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     full_bucket_gives_a_minute => gives_a_minute();
     told_time_is_when_it_holds_enough => tells_when();
--- a/fireflycroft/tests/relay.rs
+++ b/fireflycroft/tests/relay.rs
@@ -1,19 +1,12 @@
 //! Streams of events relayed whole, in order and once, over several runs.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{EventRelay, MAX_EVENT, RelayFault};
 use proptest::prelude::*;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     event_is_held_until_it_is_whole => held_until_whole();
     broken_event_is_not_relayed => broken_is_not_relayed();
--- a/fireflycroft/tests/repeat.rs
+++ b/fireflycroft/tests/repeat.rs
@@ -1,20 +1,13 @@
 //! The shared budget of repeats stays within its bound.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{Name, RepeatBudget, RepeatLimits, Time};
 use proptest::prelude::*;
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     slack_is_divided_among_entries => slack_is_divided();
     requests_earn_repeats => requests_earn();
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -1,5 +1,9 @@
 //! Room for generations, copies of runs, and who watches the store.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{
     Asking, BACKUP_FILL, Coming, Departure, Fill, Incarnation, Name, Need, OnNotice, Pool,
     ROOM_FOR_FIRST, ROOM_FOR_LATE, ROOM_FOR_LONG, ROOM_FOR_RETURNING, STEP_DOWN_AFTER,
@@ -8,17 +12,6 @@
 };
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     run_with_a_copy_goes_on => assert_eq!(on_notice(true), OnNotice::LetRun);
     run_without_a_copy_is_moved => assert_eq!(on_notice(false), OnNotice::Move);
--- a/fireflycroft/tests/returns.rs
+++ b/fireflycroft/tests/returns.rs
@@ -1,20 +1,13 @@
 //! Callers who were refused for lack of room: how they are known when they come back.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{Coming, Digest, Refusal, Returns, Time};
 use proptest::prelude::*;
 use std::time::Duration;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 const OBJECTIVE: Duration = Duration::from_millis(1_800);
 
 cases! {
--- a/fireflycroft/tests/route.rs
+++ b/fireflycroft/tests/route.rs
@@ -1,5 +1,9 @@
 //! The entry's choice among agents.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{
     Demand, Digest, IdSource, Incarnation, Load, MemberRecord, MemberState, Name, Peer, Priority,
     Role, RoutePolicy, Router, Time,
@@ -10,17 +14,6 @@
 const NOW: Time = Time::from_millis(1_000);
 const STEP: Duration = Duration::from_millis(20);
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 cases! {
     interactive_gathers_on_the_same_agent_at_all_entries => gathers();
     interactive_goes_on_from_a_filled_agent => goes_on_when_filled(40, 64);
--- a/fireflycroft/tests/snapshot.rs
+++ b/fireflycroft/tests/snapshot.rs
@@ -1,5 +1,9 @@
 //! Cutting a document into parts, putting it together and carrying it.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
 use fireflycroft::{
     Bundle, CarriedPart, ConfigCarrier, ConfigVersion, Digest, Document, Head, Inventory, MAX_PART,
     Message, Name, Part, Priority, PriorityRule, Progress, Quota, Rules, Snapshot, SnapshotError,
@@ -13,17 +17,6 @@
 /// a cut moves, the one behind.
 const REWRITTEN: usize = 2;
 
-macro_rules! cases {
-    ($($name:ident => $body:expr;)+) => {
-        $(
-            #[test]
-            fn $name() {
-                $body
-            }
-        )+
-    };
-}
-
 fn workspace(i: usize) -> Workspace {
     Workspace {
         name: format!("workspace-{i:05}").into(),
