--- a/fireflycroft/src/carrier.rs
+++ b/fireflycroft/src/carrier.rs
@@ -12,10 +12,9 @@
 use crate::config::{Config, Document};
 use crate::ids::Digest;
 use crate::message::{ConfigVersion, Message};
-use crate::snapshot::{
-    Head, MAX_PART, MAX_PARTS, MAX_PAST, MAX_SNAPSHOT, Part, PartName, SnapshotError, assemble,
-    check_parts,
-};
+use crate::part_name::PartName;
+use crate::snapshot::{Head, MAX_PAST, Part, assemble, check_parts};
+use crate::snapshot_error::{MAX_PART, MAX_PARTS, MAX_SNAPSHOT, SnapshotError};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/fireflycroft/src/compile.rs
+++ b/fireflycroft/src/compile.rs
@@ -12,7 +12,8 @@
 use crate::ids::{Digest, Name};
 use crate::inventory::{Brand, Inventory, PriorityRule, Quota, Rules, Workspace};
 use crate::message::ConfigVersion;
-use crate::snapshot::{Head, Item, Part, SnapshotError, items, put, read_items};
+use crate::snapshot::{Head, Item, Part, items, put, read_items};
+use crate::snapshot_error::SnapshotError;
 use crate::work::Priority;
 use std::collections::{HashMap, HashSet};
 use std::fmt::Debug;
--- a/fireflycroft/src/snapshot.rs
+++ b/fireflycroft/src/snapshot.rs
@@ -16,9 +16,10 @@
     Brand, Model, NonRepeatable, Objective, PriorityRule, Quota, Rules, WithoutKey, Workspace,
 };
 use crate::message::ConfigVersion;
+use crate::part_name::PartName;
+use crate::snapshot_error::{MAX_PART, MAX_PARTS, MAX_SNAPSHOT, SnapshotError, malformed};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::fmt;
 use std::sync::Arc;
 
 /// Kind of the platform's objects that hold parts.
@@ -29,24 +30,14 @@
 pub const HEAD_KIND: &str = "config";
 /// Name of the platform's object that holds the head.
 pub const HEAD_NAME: &str = "head";
-/// Most bytes of one part; within a JSON string at most twice as many.
-pub const MAX_PART: usize = 500 * 1024;
 /// Most earlier writes that a head names.
 pub const MAX_PAST: usize = 16;
-/// Most parts of one configuration.
-pub const MAX_PARTS: usize = 2_048;
-/// Most bytes of all parts of one configuration.
-pub const MAX_SNAPSHOT: usize = 64 * 1024 * 1024;
 
 /// Bytes below which a part is not cut, so that a small fleet has one part.
 const MIN_PART: usize = 16 * 1024;
 /// Of so many items beyond the least size, one ends a part.
 const ITEMS_PER_CUT: u16 = 128;
 
-/// Name of a part: BLAKE3 of its bytes.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct PartName([u8; 32]);
-
 /// One immutable part.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -113,33 +104,6 @@
     Unknown,
 }
 
-/// Why a document can't be cut, or parts make no document.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum SnapshotError {
-    /// One item is larger than a part may be.
-    ItemTooLarge {
-        /// Name of the item.
-        item: Name,
-        /// Its bytes.
-        bytes: usize,
-    },
-    /// More parts or bytes than the limits.
-    TooLarge,
-    /// The head's digest is not that of its parts.
-    HeadDigest,
-    /// Not as many parts as the head lists.
-    PartCount {
-        /// Parts that the head lists.
-        wanted: usize,
-        /// Parts given.
-        given: usize,
-    },
-    /// The bytes at this place are not the part that the head lists there.
-    WrongPart(usize),
-    /// The part or head can't be read.
-    Malformed(String),
-}
-
 /// One item of a document.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -239,46 +203,6 @@
     serde_json::from_slice(&part.data).map_err(malformed)
 }
 
-impl PartName {
-    /// Name of a part of these bytes.
-    #[must_use]
-    pub fn of(data: &[u8]) -> Self {
-        Self(*blake3::hash(data).as_bytes())
-    }
-
-    /// Reads a name written by its `Display`.
-    #[must_use]
-    pub fn scan(text: &str) -> Option<Self> {
-        let hash = blake3::Hash::from_hex(text).ok()?;
-        Some(Self(*hash.as_bytes()))
-    }
-}
-
-impl fmt::Display for PartName {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
-    }
-}
-
-impl fmt::Debug for PartName {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        fmt::Display::fmt(self, f)
-    }
-}
-
-impl Serialize for PartName {
-    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.collect_str(self)
-    }
-}
-
-impl<'de> Deserialize<'de> for PartName {
-    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        Self::scan(&text).ok_or_else(|| serde::de::Error::custom("no name of a part"))
-    }
-}
-
 impl Part {
     /// Part of these bytes.
     #[must_use]
@@ -407,28 +331,6 @@
     }
 }
 
-impl fmt::Display for SnapshotError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::ItemTooLarge { item, bytes } => {
-                write!(f, "{item:?} takes {bytes} bytes, at most {MAX_PART}")
-            }
-            Self::TooLarge => write!(
-                f,
-                "the configuration is over {MAX_PARTS} parts or {MAX_SNAPSHOT} bytes"
-            ),
-            Self::HeadDigest => f.write_str("the head's digest is not that of its parts"),
-            Self::PartCount { wanted, given } => {
-                write!(f, "{given} parts given, {wanted} wanted")
-            }
-            Self::WrongPart(i) => write!(f, "part {i} is not what the head lists"),
-            Self::Malformed(why) => write!(f, "unreadable: {why}"),
-        }
-    }
-}
-
-impl std::error::Error for SnapshotError {}
-
 /// Fills parts with items and cuts where an item's name says so.
 #[derive(Default)]
 struct Cutter {
@@ -540,14 +442,10 @@
 }
 
 fn digest_of<'a>(names: impl Iterator<Item = &'a PartName>) -> Digest {
-    let names: Vec<&[u8]> = names.map(|name| name.0.as_slice()).collect();
+    let names: Vec<&[u8]> = names.map(PartName::as_bytes).collect();
     Digest::of(&names)
 }
 
-fn malformed(why: impl fmt::Display) -> SnapshotError {
-    SnapshotError::Malformed(why.to_string())
-}
-
 /// A digest as 32 hexadecimal digits.
 mod digest_hex {
     use crate::ids::Digest;
