--- a/fireflycroft/src/contact.rs
+++ b/fireflycroft/src/contact.rs
@@ -18,7 +18,7 @@
 /// The platform states about two seconds; reading the list may take 0.3 s more. In two days with
 /// three outages each, the last of 315 came back 1.65 s after contact was. An upstream that leaves
 /// counts from 3 s after the return on, and may get work for 2 s, so that doubt has to end 5 s
-/// after it; an entry finds out within 0.7 s that the store is back.
+/// after it; the entries that rank first among the watchers find out within 0.7 s that it is back.
 pub const SETTLE_TIME: Duration = Duration::from_millis(2_500);
 
 /// Time between two heartbeats of an upstream, where nothing else is told: the platform's own.
--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -4,6 +4,7 @@
 //! of other entries too. Its report says so, half a second late, so it is asked
 //! once, as soon as the report can show the notice.
 
+use crate::figure::or_empty;
 use crate::links::call_whole;
 use crate::node::Node;
 use bytes::Bytes;
@@ -91,7 +92,7 @@
     let pool = node.pool.borrow();
     log::info!(
         event = "departure_known", instance = &*pool.record(ix).instance,
-        leaves_in_ms = crate::generation::or_empty(report.leaves_in.map(|l| l.as_millis())),
+        leaves_in_ms = or_empty(report.leaves_in.map(|l| l.as_millis())),
         runs = report.runs.len(), tokens = tokens;
         ""
     );
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -4,7 +4,7 @@
 //! list follows again only when the store has dropped its history.
 
 use crate::client::Client;
-use crate::generation::or_empty;
+use crate::figure::or_empty;
 use crate::node::Node;
 use crate::state_page::PeerState;
 use bytes::Bytes;
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -9,6 +9,7 @@
 use crate::call::{Begun, place_backup};
 use crate::crash;
 use crate::exchange::{Extras, Opened, give_back, send};
+use crate::figure::or_empty;
 use crate::job::Job;
 use crate::metrics::kind_word;
 use crate::node::PlacedGuard;
@@ -436,11 +437,6 @@
     }
 }
 
-/// A figure for the log; empty when there is none.
-pub fn or_empty(figure: Option<impl std::fmt::Display>) -> String {
-    figure.map_or_else(String::new, |f| f.to_string())
-}
-
 fn is_stream(opened: &Opened) -> bool {
     opened.parts.status.is_success() && opened.head.sealed
 }
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod departures;
 pub mod exchange;
 pub mod feed;
+pub mod figure;
 pub mod generation;
 pub mod hear;
 pub mod job;
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -1,7 +1,7 @@
 //! Moving runs off upstreams that have announced their leaving.
 
 use crate::departures;
-use crate::generation::or_empty;
+use crate::figure::or_empty;
 use crate::links::call_whole;
 use crate::node::{Node, PlacedGuard};
 use crate::runs::{Refuge, Run};
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::departures::Departures;
-use crate::generation::or_empty;
+use crate::figure::or_empty;
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
