--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -1,23 +1,15 @@
-//! News of direct entries, to bytes and back: one datagram holds one of them.
+//! News of direct entries, to messages and back.
 
 use crate::error::WireError;
-use crate::field::{addr_bytes, check_count, id_bytes, read_addr, read_digest, read_name};
+use crate::field::{addr_bytes, id_bytes, read_addr, read_all, read_digest, read_name};
 use crate::generated as pb;
-use crate::limits::{MAX_DATAGRAM_BYTES, MAX_RECORDS};
 use fireflycroft::{
-    CrashCount, EntryNews, Incarnation, ListChange, Pace, Placed, PlacedAt, Refusal, RepeatCount,
-    UpstreamRecord, UpstreamState,
+    CrashCount, EntryNews, Incarnation, ListChange, RepeatCount, UpstreamRecord, UpstreamState,
 };
-use prost::Message as _;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-/// Most tokens and microseconds of a pace: a day of an engine's.
-const MAX_PACE: u64 = 1 << 37;
-
-/// Writes news as one datagram.
-#[must_use]
-pub fn encode_news(news: &EntryNews) -> Vec<u8> {
+pub(crate) fn news(news: &EntryNews) -> pb::EntryNews {
     pb::EntryNews {
         name: news.name.to_string(),
         incarnation: news.incarnation.0,
@@ -28,26 +20,15 @@
         store_age_ms: news.store_age.map(millis_of),
         upstreams_digest: news.upstreams_digest,
         list_changes: news.list_changes.iter().map(list_change).collect(),
-        changes_only: news.changes_only,
-        placed: news.placed.iter().map(placed).collect(),
         repeats: news.repeats.iter().map(repeats).collect(),
         crashes: news.crashes.iter().map(crash).collect(),
         peers: news.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: news.leaving,
-        refused: news.refused.iter().map(refusal).collect(),
     }
-    .encode_to_vec()
 }
 
-/// Reads news from one datagram.
-///
-/// # Errors
-///
-/// When the bytes are no sound news.
-pub fn decode_news(bytes: &[u8]) -> Result<EntryNews, WireError> {
-    check_count(bytes.len(), MAX_DATAGRAM_BYTES, "news")?;
-    let news = pb::EntryNews::decode(bytes)?;
-    check_count(news.placed.len(), MAX_RECORDS, "placed")?;
+pub(crate) fn read_news(news: &pb::EntryNews) -> Result<EntryNews, WireError> {
+    let peers = news.peers.iter().copied();
     Ok(EntryNews {
         name: read_name(&news.name, "news.name")?,
         incarnation: Incarnation(news.incarnation),
@@ -57,39 +38,16 @@
         watches: news.watches,
         store_age: news.store_age_ms.map(|ms| Duration::from_millis(ms.into())),
         upstreams_digest: news.upstreams_digest,
-        list_changes: news
-            .list_changes
-            .iter()
-            .map(read_list_change)
-            .collect::<Result<_, _>>()?,
-        changes_only: news.changes_only,
-        placed: news
-            .placed
-            .iter()
-            .map(read_placed)
-            .collect::<Result<_, _>>()?,
-        repeats: news
-            .repeats
-            .iter()
-            .map(read_repeats)
-            .collect::<Result<_, _>>()?,
-        crashes: news
-            .crashes
-            .iter()
-            .map(read_crash)
-            .collect::<Result<_, _>>()?,
-        peers: news.peers.into_iter().map(Ipv4Addr::from_bits).collect(),
+        list_changes: read_all(&news.list_changes, read_list_change)?,
+        repeats: read_all(&news.repeats, read_repeats)?,
+        crashes: read_all(&news.crashes, read_crash)?,
+        peers: peers.map(Ipv4Addr::from_bits).collect(),
         leaving: news.leaving,
-        refused: news
-            .refused
-            .iter()
-            .map(read_refusal)
-            .collect::<Result<_, _>>()?,
     })
 }
 
 /// Whole milliseconds of `span`, at most what the field holds.
-fn millis_of(span: Duration) -> u32 {
+pub(crate) fn millis_of(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -140,44 +98,6 @@
     }))
 }
 
-fn placed(at: &PlacedAt) -> pb::PlacedAt {
-    pb::PlacedAt {
-        instance: at.instance.to_string(),
-        running: at.placed.running,
-        tokens: at.placed.tokens,
-        unread: at.placed.unread,
-        copies: at.placed.copies,
-        made_tokens: at.pace.tokens,
-        made_micros: at.pace.micros,
-        incarnation: at.incarnation.0,
-    }
-}
-
-fn read_placed(at: &pb::PlacedAt) -> Result<PlacedAt, WireError> {
-    Ok(PlacedAt {
-        instance: read_name(&at.instance, "placed.instance")?,
-        incarnation: Incarnation(at.incarnation),
-        placed: Placed {
-            running: at.running,
-            tokens: at.tokens,
-            unread: at.unread,
-            copies: at.copies,
-        },
-        pace: read_pace(at)?,
-    })
-}
-
-/// Refuses a pace whose figures would overflow when summed.
-fn read_pace(at: &pb::PlacedAt) -> Result<Pace, WireError> {
-    if at.made_tokens > MAX_PACE || at.made_micros > MAX_PACE {
-        return Err(WireError::TooLong("placed.made"));
-    }
-    Ok(Pace {
-        tokens: at.made_tokens,
-        micros: at.made_micros,
-    })
-}
-
 fn repeats(count: &RepeatCount) -> pb::RepeatCount {
     pb::RepeatCount {
         service: count.service.to_string(),
@@ -194,20 +114,6 @@
     })
 }
 
-fn refusal(refusal: &Refusal) -> pb::Refusal {
-    pb::Refusal {
-        content: id_bytes(refusal.content.0),
-        age_ms: millis_of(refusal.age),
-    }
-}
-
-fn read_refusal(refusal: &pb::Refusal) -> Result<Refusal, WireError> {
-    Ok(Refusal {
-        content: read_digest(&refusal.content, "refusal.content")?,
-        age: Duration::from_millis(u64::from(refusal.age_ms)),
-    })
-}
-
 fn crash(crash: &CrashCount) -> pb::CrashCount {
     pb::CrashCount {
         content: id_bytes(crash.content.0),
--- a/fireflycroft-wire/src/field.rs
+++ b/fireflycroft-wire/src/field.rs
@@ -92,6 +92,14 @@
     Ok(())
 }
 
+/// Reads each of a list.
+pub(crate) fn read_all<T, U>(
+    all: &[T],
+    read: impl Fn(&T) -> Result<U, WireError>,
+) -> Result<Vec<U>, WireError> {
+    all.iter().map(read).collect()
+}
+
 /// Reads a number into a narrower type.
 pub(crate) fn read_narrow<T: TryFrom<u32>>(
     number: u32,
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -436,7 +436,131 @@
     #[prost(uint64, tag = "3")]
     pub fence: u64,
 }
-/// What one direct entry tells the others, in a datagram.
+/// What one datagram between direct entries holds.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct EntryMessage {
+    #[prost(oneof = "entry_message::Message", tags = "1, 2, 3, 4")]
+    pub message: ::core::option::Option<entry_message::Message>,
+}
+/// Nested message and enum types in `EntryMessage`.
+pub mod entry_message {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Message {
+        #[prost(message, tag = "1")]
+        News(super::EntryNews),
+        #[prost(message, tag = "2")]
+        Report(super::OwnerReport),
+        #[prost(message, tag = "3")]
+        Query(super::OwnerQuery),
+        #[prost(message, tag = "4")]
+        Reply(super::OwnerReply),
+    }
+}
+/// What the sender did, told to the owners of what it concerns.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OwnerReport {
+    #[prost(string, tag = "1")]
+    pub entry: ::prost::alloc::string::String,
+    /// Whether the sender has placed nothing else on upstreams that the receiver owns.
+    #[prost(bool, tag = "2")]
+    pub is_whole: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub placed: ::prost::alloc::vec::Vec<PlacedAt>,
+    #[prost(message, repeated, tag = "4")]
+    pub refused: ::prost::alloc::vec::Vec<Refusal>,
+}
+/// A question to an owner.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OwnerQuery {
+    #[prost(string, tag = "1")]
+    pub entry: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "2")]
+    pub id: u64,
+    #[prost(oneof = "owner_query::Ask", tags = "3, 4, 5")]
+    pub ask: ::core::option::Option<owner_query::Ask>,
+}
+/// Nested message and enum types in `OwnerQuery`.
+pub mod owner_query {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Ask {
+        #[prost(message, tag = "3")]
+        Loads(super::Lives),
+        /// Service to which one request is to be sent once more.
+        #[prost(string, tag = "4")]
+        Repeat(::prost::alloc::string::String),
+        /// Sixteen bytes: what a caller asks who may have been refused.
+        #[prost(bytes, tag = "5")]
+        Refused(::prost::alloc::vec::Vec<u8>),
+    }
+}
+/// Lives of upstreams.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Lives {
+    #[prost(message, repeated, tag = "1")]
+    pub lives: ::prost::alloc::vec::Vec<Life>,
+}
+/// One life of an upstream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Life {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+}
+/// The reply to an OwnerQuery.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OwnerReply {
+    #[prost(string, tag = "1")]
+    pub entry: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "2")]
+    pub id: u64,
+    #[prost(oneof = "owner_reply::Answer", tags = "3, 4, 5")]
+    pub answer: ::core::option::Option<owner_reply::Answer>,
+}
+/// Nested message and enum types in `OwnerReply`.
+pub mod owner_reply {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Answer {
+        #[prost(message, tag = "3")]
+        Loads(super::OwnedLoads),
+        #[prost(message, tag = "4")]
+        Repeat(super::Loan),
+        #[prost(message, tag = "5")]
+        Refused(super::Refused),
+    }
+}
+/// Loads of upstreams, but for the work of the entry that asks.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OwnedLoads {
+    #[prost(message, repeated, tag = "1")]
+    pub loads: ::prost::alloc::vec::Vec<OwnedLoad>,
+}
+/// What an owner knows of one upstream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OwnedLoad {
+    #[prost(message, optional, tag = "1")]
+    pub placed: ::core::option::Option<PlacedAt>,
+    #[prost(bool, tag = "2")]
+    pub serves: bool,
+}
+/// Whether one repeat of a service is lent.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Loan {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub lent: bool,
+}
+/// Time since a caller was refused; absent where it was not.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Refused {
+    /// Sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub content: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, optional, tag = "2")]
+    pub age_ms: ::core::option::Option<u32>,
+}
+/// What one direct entry tells the others.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EntryNews {
     #[prost(string, tag = "1")]
@@ -452,8 +576,6 @@
     /// Whether the sender watches the platform's store and is answered.
     #[prost(bool, tag = "5")]
     pub watches: bool,
-    #[prost(message, repeated, tag = "6")]
-    pub placed: ::prost::alloc::vec::Vec<PlacedAt>,
     #[prost(message, repeated, tag = "7")]
     pub crashes: ::prost::alloc::vec::Vec<CrashCount>,
     /// Four bytes of address each, of other entries.
@@ -463,9 +585,6 @@
     pub leaving: bool,
     #[prost(message, repeated, tag = "10")]
     pub repeats: ::prost::alloc::vec::Vec<RepeatCount>,
-    /// Whether placed and repeats tell only what has changed.
-    #[prost(bool, tag = "11")]
-    pub changes_only: bool,
     #[prost(fixed64, tag = "12")]
     pub upstreams_digest: u64,
     #[prost(message, repeated, tag = "13")]
@@ -473,8 +592,6 @@
     /// Length of the configuration in bytes.
     #[prost(uint32, tag = "14")]
     pub config_bytes: u32,
-    #[prost(message, repeated, tag = "15")]
-    pub refused: ::prost::alloc::vec::Vec<Refusal>,
     /// Time since the platform's store answered the sender itself; absent where it doesn't watch.
     #[prost(uint32, optional, tag = "16")]
     pub store_age_ms: ::core::option::Option<u32>,
--- a/fireflycroft-wire/src/lib.rs
+++ b/fireflycroft-wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod decode;
 mod encode;
+mod entry_message;
 mod entry_news;
 mod error;
 mod field;
@@ -14,9 +15,10 @@
 #[allow(missing_docs, unreachable_pub, clippy::all, clippy::pedantic)]
 mod generated;
 mod limits;
+mod owner_news;
 
 pub use decode::{Header, decode, decode_all};
 pub use encode::{encode, encode_all, encode_into};
-pub use entry_news::{decode_news, encode_news};
+pub use entry_message::{decode_datagram, encode_datagram};
 pub use error::WireError;
 pub use limits::*;
--- /dev/null
+++ b/fireflycroft-wire/src/owner_news.rs
@@ -0,0 +1,215 @@
+//! What direct entries tell owners and ask them, to messages and back.
+
+use crate::entry_news::millis_of;
+use crate::error::WireError;
+use crate::field::{check_count, id_bytes, read_all, read_digest, read_name};
+use crate::generated as pb;
+use crate::limits::MAX_RECORDS;
+use fireflycroft::{
+    Incarnation, Life, OwnedLoad, OwnerAnswer, OwnerAsk, OwnerQuery, OwnerReply, OwnerReport, Pace,
+    Placed, PlacedAt, Refusal,
+};
+use pb::owner_query::Ask;
+use pb::owner_reply::Answer;
+use std::time::Duration;
+
+/// Most tokens and microseconds of a pace: a day of an engine's.
+const MAX_PACE: u64 = 1 << 37;
+
+/// Most requests or tokens of memory placed on an upstream, so that sums can't overflow.
+const MAX_PLACED: u64 = 1 << 20;
+const MAX_TOKENS: u64 = 1 << 37;
+
+pub(crate) fn report(report: &OwnerReport) -> pb::OwnerReport {
+    pb::OwnerReport {
+        entry: report.entry.to_string(),
+        is_whole: report.is_whole,
+        placed: report.placed.iter().map(placed).collect(),
+        refused: report.refused.iter().map(refusal).collect(),
+    }
+}
+
+pub(crate) fn read_report(report: &pb::OwnerReport) -> Result<OwnerReport, WireError> {
+    check_count(report.placed.len(), MAX_RECORDS, "report.placed")?;
+    check_count(report.refused.len(), MAX_RECORDS, "report.refused")?;
+    Ok(OwnerReport {
+        entry: read_name(&report.entry, "report.entry")?,
+        is_whole: report.is_whole,
+        placed: read_all(&report.placed, read_placed)?,
+        refused: read_all(&report.refused, read_refusal)?,
+    })
+}
+
+pub(crate) fn query(query: &OwnerQuery) -> pb::OwnerQuery {
+    let ask = match &query.ask {
+        OwnerAsk::Loads(lives) => Ask::Loads(pb::Lives {
+            lives: lives.iter().map(life).collect(),
+        }),
+        OwnerAsk::Repeat(service) => Ask::Repeat(service.to_string()),
+        OwnerAsk::Refused(content) => Ask::Refused(id_bytes(content.0)),
+    };
+    pb::OwnerQuery {
+        entry: query.entry.to_string(),
+        id: query.id,
+        ask: Some(ask),
+    }
+}
+
+pub(crate) fn read_query(query: &pb::OwnerQuery) -> Result<OwnerQuery, WireError> {
+    let ask = match &query.ask {
+        Some(Ask::Loads(it)) => {
+            check_count(it.lives.len(), MAX_RECORDS, "query.lives")?;
+            OwnerAsk::Loads(read_all(&it.lives, read_life)?)
+        }
+        Some(Ask::Repeat(service)) => OwnerAsk::Repeat(read_name(service, "query.repeat")?),
+        Some(Ask::Refused(content)) => OwnerAsk::Refused(read_digest(content, "query.refused")?),
+        None => return Err(WireError::Missing("query.ask")),
+    };
+    Ok(OwnerQuery {
+        entry: read_name(&query.entry, "query.entry")?,
+        id: query.id,
+        ask,
+    })
+}
+
+pub(crate) fn reply(reply: &OwnerReply) -> pb::OwnerReply {
+    let answer = match &reply.answer {
+        OwnerAnswer::Loads(loads) => Answer::Loads(pb::OwnedLoads {
+            loads: loads.iter().map(owned).collect(),
+        }),
+        OwnerAnswer::Repeat { service, lent } => Answer::Repeat(pb::Loan {
+            service: service.to_string(),
+            lent: *lent,
+        }),
+        OwnerAnswer::Refused { content, age } => Answer::Refused(pb::Refused {
+            content: id_bytes(content.0),
+            age_ms: age.map(millis_of),
+        }),
+    };
+    pb::OwnerReply {
+        entry: reply.entry.to_string(),
+        id: reply.id,
+        answer: Some(answer),
+    }
+}
+
+pub(crate) fn read_reply(reply: &pb::OwnerReply) -> Result<OwnerReply, WireError> {
+    let answer = match &reply.answer {
+        Some(Answer::Loads(it)) => {
+            check_count(it.loads.len(), MAX_RECORDS, "reply.loads")?;
+            OwnerAnswer::Loads(read_all(&it.loads, read_owned)?)
+        }
+        Some(Answer::Repeat(loan)) => OwnerAnswer::Repeat {
+            service: read_name(&loan.service, "reply.service")?,
+            lent: loan.lent,
+        },
+        Some(Answer::Refused(it)) => OwnerAnswer::Refused {
+            content: read_digest(&it.content, "reply.content")?,
+            age: it.age_ms.map(|ms| Duration::from_millis(ms.into())),
+        },
+        None => return Err(WireError::Missing("reply.answer")),
+    };
+    Ok(OwnerReply {
+        entry: read_name(&reply.entry, "reply.entry")?,
+        id: reply.id,
+        answer,
+    })
+}
+
+fn refusal(refusal: &Refusal) -> pb::Refusal {
+    pb::Refusal {
+        content: id_bytes(refusal.content.0),
+        age_ms: millis_of(refusal.age),
+    }
+}
+
+fn read_refusal(refusal: &pb::Refusal) -> Result<Refusal, WireError> {
+    Ok(Refusal {
+        content: read_digest(&refusal.content, "refusal.content")?,
+        age: Duration::from_millis(u64::from(refusal.age_ms)),
+    })
+}
+
+fn life(life: &Life) -> pb::Life {
+    pb::Life {
+        instance: life.instance.to_string(),
+        incarnation: life.incarnation.0,
+    }
+}
+
+fn read_life(life: &pb::Life) -> Result<Life, WireError> {
+    Ok(Life {
+        instance: read_name(&life.instance, "life.instance")?,
+        incarnation: Incarnation(life.incarnation),
+    })
+}
+
+fn owned(load: &OwnedLoad) -> pb::OwnedLoad {
+    let at = PlacedAt {
+        instance: load.life.instance.clone(),
+        incarnation: load.life.incarnation,
+        placed: load.placed,
+        pace: load.pace,
+    };
+    pb::OwnedLoad {
+        placed: Some(placed(&at)),
+        serves: load.serves,
+    }
+}
+
+fn read_owned(load: &pb::OwnedLoad) -> Result<OwnedLoad, WireError> {
+    let at = load.placed.as_ref();
+    let at = read_placed(at.ok_or(WireError::Missing("owned.placed"))?)?;
+    Ok(OwnedLoad {
+        life: Life {
+            instance: at.instance,
+            incarnation: at.incarnation,
+        },
+        serves: load.serves,
+        placed: at.placed,
+        pace: at.pace,
+    })
+}
+
+fn placed(at: &PlacedAt) -> pb::PlacedAt {
+    pb::PlacedAt {
+        instance: at.instance.to_string(),
+        running: at.placed.running,
+        tokens: at.placed.tokens,
+        unread: at.placed.unread,
+        copies: at.placed.copies,
+        made_tokens: at.pace.tokens,
+        made_micros: at.pace.micros,
+        incarnation: at.incarnation.0,
+    }
+}
+
+/// Refuses work whose figures would overflow when summed.
+fn read_placed(at: &pb::PlacedAt) -> Result<PlacedAt, WireError> {
+    let most = at.tokens.max(at.copies).max(at.unread);
+    if u64::from(at.running) > MAX_PLACED || most > MAX_TOKENS {
+        return Err(WireError::TooLong("placed"));
+    }
+    Ok(PlacedAt {
+        instance: read_name(&at.instance, "placed.instance")?,
+        incarnation: Incarnation(at.incarnation),
+        placed: Placed {
+            running: at.running,
+            tokens: at.tokens,
+            unread: at.unread,
+            copies: at.copies,
+        },
+        pace: read_pace(at)?,
+    })
+}
+
+/// Refuses a pace whose figures would overflow when summed.
+fn read_pace(at: &pb::PlacedAt) -> Result<Pace, WireError> {
+    if at.made_tokens > MAX_PACE || at.made_micros > MAX_PACE {
+        return Err(WireError::TooLong("placed.made"));
+    }
+    Ok(Pace {
+        tokens: at.made_tokens,
+        micros: at.made_micros,
+    })
+}
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -1,10 +1,11 @@
-//! News of direct entries to bytes and back, and bytes that are none.
+//! Messages of direct entries to bytes and back, and bytes that are none.
 
 use fireflycroft::{
-    CrashCount, Digest, EntryNews, Incarnation, ListChange, Name, Pace, Placed, PlacedAt, Refusal,
+    CrashCount, Digest, EntryMessage, EntryNews, Incarnation, Life, ListChange, Name, OwnedLoad,
+    OwnerAnswer, OwnerAsk, OwnerQuery, OwnerReply, OwnerReport, Pace, Placed, PlacedAt, Refusal,
     RepeatCount, UpstreamRecord, UpstreamState,
 };
-use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_news, encode_news};
+use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
 use proptest::prelude::*;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -21,10 +22,111 @@
 }
 
 cases! {
-    news_come_back_as_they_were => assert_eq!(decode_news(&encode_news(&news())), Ok(news()));
-    empty_news_come_back => assert_eq!(decode_news(&encode_news(&EntryNews::default())), Ok(EntryNews::default()));
+    news_come_back_as_they_were => comes_back(of_news(news()));
+    empty_news_come_back => comes_back(of_news(EntryNews::default()));
+    report_comes_back_as_it_was => comes_back(EntryMessage::Report(report()));
+    empty_report_comes_back => comes_back(EntryMessage::Report(OwnerReport::default()));
+    queries_come_back_as_they_were => queries().into_iter().for_each(comes_back);
+    replies_come_back_as_they_were => replies().into_iter().for_each(comes_back);
     endless_datagram_is_refused => refuses_endless();
     crash_count_out_of_range_is_refused => refuses_count();
+    load_that_would_overflow_a_sum_is_refused => refuses_huge_load();
+    datagram_without_a_message_is_refused => assert_eq!(decode_datagram(&[]), Err(WireError::Missing("datagram.message")));
+}
+
+fn comes_back(message: EntryMessage) {
+    assert_eq!(decode_datagram(&encode_datagram(&message)), Ok(message));
+}
+
+fn of_news(news: EntryNews) -> EntryMessage {
+    EntryMessage::News(Box::new(news))
+}
+
+fn placed() -> PlacedAt {
+    PlacedAt {
+        instance: Name::from("i-1"),
+        incarnation: Incarnation(1_790_000_000_123),
+        placed: Placed {
+            running: 3,
+            tokens: 9_000,
+            unread: 2_000,
+            copies: 700,
+        },
+        pace: Pace {
+            tokens: 900,
+            micros: 8_100_000,
+        },
+    }
+}
+
+fn report() -> OwnerReport {
+    OwnerReport {
+        entry: Name::from("front-a-1"),
+        is_whole: true,
+        placed: vec![placed()],
+        refused: vec![Refusal {
+            content: Digest(11),
+            age: Duration::from_millis(120),
+        }],
+    }
+}
+
+fn life() -> Life {
+    Life {
+        instance: Name::from("i-1"),
+        incarnation: Incarnation(1_790_000_000_123),
+    }
+}
+
+fn queries() -> [EntryMessage; 3] {
+    let asks = [
+        OwnerAsk::Loads(vec![life()]),
+        OwnerAsk::Repeat(Name::from("s")),
+        OwnerAsk::Refused(Digest(u128::MAX)),
+    ];
+    asks.map(|ask| {
+        EntryMessage::Query(OwnerQuery {
+            entry: Name::from("front-a-1"),
+            id: u64::MAX,
+            ask,
+        })
+    })
+}
+
+fn replies() -> [EntryMessage; 4] {
+    let load = OwnedLoad {
+        life: life(),
+        serves: true,
+        placed: placed().placed,
+        pace: placed().pace,
+    };
+    let refused = |age| OwnerAnswer::Refused {
+        content: Digest(3),
+        age,
+    };
+    let answers = [
+        OwnerAnswer::Loads(vec![load]),
+        OwnerAnswer::Repeat {
+            service: Name::from("s"),
+            lent: true,
+        },
+        refused(Some(Duration::from_millis(310))),
+        refused(None),
+    ];
+    answers.map(|answer| {
+        EntryMessage::Reply(OwnerReply {
+            entry: Name::from("front-a-2"),
+            id: 7,
+            answer,
+        })
+    })
+}
+
+fn refuses_huge_load() {
+    let mut report = report();
+    report.placed[0].placed.tokens = u64::MAX;
+    let bytes = encode_datagram(&EntryMessage::Report(report));
+    assert_eq!(decode_datagram(&bytes), Err(WireError::TooLong("placed")));
 }
 
 fn news() -> EntryNews {
@@ -54,21 +156,6 @@
                 revision: 31,
             },
         ],
-        changes_only: true,
-        placed: vec![PlacedAt {
-            instance: Name::from("i-1"),
-            incarnation: Incarnation(1_790_000_000_123),
-            placed: Placed {
-                running: 3,
-                tokens: 9_000,
-                unread: 2_000,
-                copies: 700,
-            },
-            pace: Pace {
-                tokens: 900,
-                micros: 8_100_000,
-            },
-        }],
         repeats: vec![RepeatCount {
             service: Name::from("s"),
             requests: 40,
@@ -78,10 +165,6 @@
             content: Digest(9),
             count: 2,
         }],
-        refused: vec![Refusal {
-            content: Digest(11),
-            age: Duration::from_millis(120),
-        }],
         peers: vec![Ipv4Addr::new(127, 0, 0, 3)],
         leaving: true,
     }
@@ -89,7 +172,10 @@
 
 fn refuses_endless() {
     let bytes = vec![0; MAX_DATAGRAM_BYTES + 1];
-    assert!(matches!(decode_news(&bytes), Err(WireError::TooLong(_))));
+    assert!(matches!(
+        decode_datagram(&bytes),
+        Err(WireError::TooLong(_))
+    ));
 }
 
 fn refuses_count() {
@@ -97,28 +183,37 @@
     let mut crash = vec![0x0a, 16];
     crash.extend([0; 16]);
     crash.extend([0x10, 0xac, 0x02]);
-    let mut bytes = vec![0x3a, u8::try_from(crash.len()).unwrap()];
-    bytes.extend(crash);
-    assert!(matches!(decode_news(&bytes), Err(WireError::BadValue(_))));
+    let mut news = vec![0x3a, u8::try_from(crash.len()).unwrap()];
+    news.extend(crash);
+    // Field 1 of the datagram, the news.
+    let mut bytes = vec![0x0a, u8::try_from(news.len()).unwrap()];
+    bytes.extend(news);
+    assert!(matches!(
+        decode_datagram(&bytes),
+        Err(WireError::BadValue(_))
+    ));
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Any bytes give news or an error, never a panic.
+    /// Any bytes give a message or an error, never a panic.
     #[test]
     fn any_bytes_are_borne(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
-        let _ = decode_news(&bytes);
+        let _ = decode_datagram(&bytes);
     }
 
     /// A datagram that lost bytes on the way or had some changed is borne as well.
     #[test]
-    fn torn_news_are_borne(len in 0_usize..200, at in 0_usize..200, byte: u8) {
-        let mut bytes = encode_news(&news());
+    fn torn_messages_are_borne(which in 0_usize..9, len in 0_usize..200, at in 0_usize..200, byte: u8) {
+        let mut all = vec![of_news(news()), EntryMessage::Report(report())];
+        all.extend(queries());
+        all.extend(replies());
+        let mut bytes = encode_datagram(&all[which]);
         bytes.truncate(len);
         if let Some(b) = bytes.get_mut(at) {
             *b = byte;
         }
-        let _ = decode_news(&bytes);
+        let _ = decode_datagram(&bytes);
     }
 }
--- a/fireflycroft/src/attempt.rs
+++ b/fireflycroft/src/attempt.rs
@@ -110,7 +110,9 @@
         self.end(outcome)
     }
 
-    const fn may_try_again(&self, outcome: TryOutcome) -> bool {
+    /// Whether another upstream may be tried after this outcome, if the budget allows.
+    #[must_use]
+    pub const fn may_try_again(&self, outcome: TryOutcome) -> bool {
         match outcome {
             TryOutcome::WrongInstance => self.sent <= self.max_attempts,
             TryOutcome::NotRun => self.sent < self.max_attempts,
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -2,9 +2,7 @@
 
 use crate::ids::{Digest, Incarnation, Name};
 use crate::listing::ListChange;
-use crate::placed::PlacedAt;
 use crate::repeat::RepeatCount;
-use crate::returns::Refusal;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -38,14 +36,8 @@
     pub store_age: Option<Duration>,
     /// Changes of the list of late, from those that watch.
     pub list_changes: Vec<ListChange>,
-    /// Whether `placed` tells only what has changed since the last news.
-    pub changes_only: bool,
-    /// Work that the sender has placed.
-    pub placed: Vec<PlacedAt>,
     /// Requests and repeats of the sender, by service.
     pub repeats: Vec<RepeatCount>,
-    /// Callers whom the sender has refused of late.
-    pub refused: Vec<Refusal>,
     /// Content that crashed upstreams of late.
     pub crashes: Vec<CrashCount>,
     /// Some other entries that the sender knows.
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -141,6 +141,7 @@
         u.ended = true;
         u.left_at = Some(now);
         u.others.clear();
+        u.replied = None;
         self.note_change(now, ListChange::Listed(record.clone()));
         let begun = self.insert(now, record);
         self.upstreams[begun.0].missing = missing;
@@ -184,6 +185,7 @@
             missing: None,
             mine: Placed::default(),
             others: HashMap::new(),
+            replied: None,
             avoid_until: Time::default(),
             failing: 0.0,
             read: HashMap::new(),
--- /dev/null
+++ b/fireflycroft/src/loads.rs
@@ -0,0 +1,211 @@
+//! The load of upstreams as entries tell it each other.
+//!
+//! Each entry tells the owners of an upstream ([`crate::owners_of`]) what it has
+//! placed there, at once and again twice a second. Before it places a generation
+//! it asks the owners of some upstreams, and chooses by what they reply.
+
+use crate::ids::Name;
+use crate::owner_news::OwnedLoad;
+use crate::placed::{LoadView, Need, Placed, PlacedAt};
+use crate::pool::Pool;
+use crate::time::Time;
+use crate::upstream::{
+    Life, REPLY_HOLDS, REPLY_IS_FRESH, TOLD_FOR, Upstream, UpstreamIx, draw_index, share,
+};
+use std::time::Duration;
+
+/// Time for which an upstream that its owner knows to leave is left out: news of it is on its way.
+const AVOID_LEAVING: Duration = Duration::from_secs(1);
+
+/// Replies fewer than this leave a choice to all that is believed.
+pub(crate) const FEW_REPLIES: usize = 3;
+
+impl Pool {
+    /// Takes what another entry has placed.
+    ///
+    /// With `changes_only`, what it has told of other upstreams still holds. What it has placed on
+    /// another life of an upstream counts for nothing on this one.
+    pub fn note_others(
+        &mut self,
+        now: Time,
+        entry: &Name,
+        placed: &[PlacedAt],
+        changes_only: bool,
+    ) {
+        if !changes_only {
+            for i in self.told_by.remove(entry).unwrap_or_default() {
+                self.upstreams[i].others.remove(entry);
+            }
+        }
+        for at in placed {
+            let known = self.find(&at.instance);
+            let same_life = |ix: &UpstreamIx| self.record(*ix).incarnation == at.incarnation;
+            if let Some(ix) = known.filter(same_life) {
+                let u = &mut self.upstreams[ix.0];
+                u.others
+                    .retain(|_, (told_at, _)| now.since(*told_at) < TOLD_FOR);
+                u.others.insert(entry.clone(), (now, at.placed));
+                u.pace.note_other(entry, at.pace);
+                self.told_by.entry(entry.clone()).or_default().insert(ix.0);
+            }
+        }
+    }
+
+    /// What this entry has placed on some upstreams, to tell their owners.
+    #[must_use]
+    pub fn placed_at(&self, some: impl IntoIterator<Item = UpstreamIx>) -> Vec<PlacedAt> {
+        let at = |ix: UpstreamIx| &self.upstreams[ix.0];
+        let current = some.into_iter().map(at).filter(|u| !u.ended);
+        current.map(Upstream::placed_at).collect()
+    }
+
+    /// All that this entry has placed, to tell the owners.
+    #[must_use]
+    pub fn placed(&self) -> Vec<PlacedAt> {
+        let busy = self
+            .upstreams
+            .iter()
+            .filter(|u| !u.ended && u.mine != Placed::default());
+        busy.map(Upstream::placed_at).collect()
+    }
+
+    /// What is known of an upstream's load, and how old the oldest part of it is.
+    #[must_use]
+    pub fn view(&self, now: Time, ix: UpstreamIx) -> LoadView {
+        let u = &self.upstreams[ix.0];
+        let ages = u.others.values().map(|(at, _)| now.since(*at));
+        let told = ages.filter(|a| *a < TOLD_FOR).max();
+        let replied = u.reply(now).map(|r| now.since(r.at));
+        let placed = u.load(now);
+        LoadView {
+            placed,
+            memory: share(placed.memory(), u.memory_tokens.unwrap_or(0)),
+            failing: u.failing,
+            age: replied.or(told).unwrap_or_default(),
+        }
+    }
+
+    /// Upstreams whose owners a choice asks: at most so many that serve, those believed to suit best
+    /// and as many drawn ones, which may have become better; and those that leave, whose runs look
+    /// for room on the others.
+    #[must_use]
+    pub fn to_query(
+        &self,
+        now: Time,
+        service: &str,
+        need: &Need,
+        tried: &[UpstreamIx],
+        most: usize,
+    ) -> Vec<UpstreamIx> {
+        let open: Vec<usize> = self.untried(service, tried).collect();
+        let mut asked: Vec<usize> = if open.len() <= most {
+            open
+        } else {
+            let drawn = (0..most / 2).map(|k| open[draw_index(need.draw, k, open.len())]);
+            let drawn: Vec<usize> = drawn.collect();
+            let best = self.cheapest(now, need, &open, most - most / 2);
+            drawn.into_iter().chain(best).collect()
+        };
+        asked.extend(self.leaving(now, service).take(most));
+        asked.sort_unstable();
+        asked.dedup();
+        asked.into_iter().map(UpstreamIx).collect()
+    }
+
+    /// Upstreams of a service that leave and may still run something.
+    fn leaving(&self, now: Time, service: &str) -> impl Iterator<Item = usize> {
+        let of_service = self.of_service(service).iter().copied();
+        of_service.filter(move |i| {
+            let u = &self.upstreams[*i];
+            !u.is_serving() && u.left_at.is_some() && !u.is_over(now)
+        })
+    }
+
+    /// The loads that another entry asks for, but for its own work.
+    #[must_use]
+    pub fn loads_for(&self, now: Time, entry: &Name, lives: &[Life]) -> Vec<OwnedLoad> {
+        let known = lives.iter().filter_map(|life| {
+            let u = &self.upstreams[self.find(&life.instance)?.0];
+            (u.record.incarnation == life.incarnation).then(|| OwnedLoad {
+                life: life.clone(),
+                serves: u.is_serving(),
+                placed: u.mine.plus(u.told(now, Some(entry))),
+                pace: u.pace.but_of(entry),
+            })
+        });
+        known.collect()
+    }
+
+    /// Takes the loads that an owner replied.
+    ///
+    /// Of two owners the one that knows of more is right: the other has begun to own the upstream
+    /// only now, or a report to it was lost.
+    pub fn note_reply(&mut self, now: Time, owner: &Name, loads: &[OwnedLoad]) {
+        for load in loads {
+            let Some(ix) = self.find(&load.life.instance) else {
+                continue;
+            };
+            let u = &mut self.upstreams[ix.0];
+            if u.record.incarnation != load.life.incarnation {
+                continue;
+            }
+            u.note_reply(now, load.placed);
+            u.pace.note_other(owner, load.pace);
+            if !load.serves {
+                u.avoid_until = u.avoid_until.max(now + AVOID_LEAVING);
+            }
+        }
+    }
+}
+
+/// What an owner of an upstream replied.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Replied {
+    pub(crate) at: Time,
+    pub(crate) placed: Placed,
+}
+
+impl Upstream {
+    /// The last reply of its owners, unless it is too old to tell anything.
+    pub(crate) fn reply(&self, now: Time) -> Option<Replied> {
+        self.replied.filter(|r| now.since(r.at) < REPLY_HOLDS)
+    }
+
+    /// Whether its owners have replied just now.
+    pub(crate) fn is_fresh(&self, now: Time) -> bool {
+        self.replied
+            .is_some_and(|r| now.since(r.at) < REPLY_IS_FRESH)
+    }
+
+    fn note_reply(&mut self, now: Time, placed: Placed) {
+        let placed = match self.replied.filter(|_| self.is_fresh(now)) {
+            Some(other) => other.placed.most(placed),
+            None => placed,
+        };
+        self.replied = Some(Replied { at: now, placed });
+    }
+
+    /// Work that others have told this entry of, but for one of them.
+    pub(crate) fn told(&self, now: Time, but_of: Option<&Name>) -> Placed {
+        let told = self.others.iter();
+        let told =
+            told.filter(|(name, (at, _))| Some(*name) != but_of && now.since(*at) < TOLD_FOR);
+        told.fold(Placed::default(), |sum, (_, (_, placed))| sum.plus(*placed))
+    }
+
+    /// Work of all entries.
+    pub(crate) fn load(&self, now: Time) -> Placed {
+        let told = self.told(now, None);
+        // What an owner was told itself goes before an older reply of the other one.
+        let counts = |_: &Replied| self.is_fresh(now) || told == Placed::default();
+        let replied = self.reply(now).filter(counts);
+        self.mine
+            .plus(replied.map_or(told, |r| told.most(r.placed)))
+    }
+
+    /// Whether anything was heard of what others have placed here.
+    pub(crate) fn is_known(&self, now: Time) -> bool {
+        let mut told = self.others.values();
+        self.reply(now).is_some() || told.any(|(at, _)| now.since(*at) < TOLD_FOR)
+    }
+}
--- a/fireflycroft/src/mechanism.rs
+++ b/fireflycroft/src/mechanism.rs
@@ -33,11 +33,13 @@
     Overlap,
     /// Sending callers back after an outage ([`crate::back_after`]).
     Outage,
+    /// Asking the owners of upstreams for their load ([`crate::owners_of`]).
+    Owners,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Copies,
         Self::Moves,
         Self::Departures,
@@ -50,6 +52,7 @@
         Self::Failing,
         Self::Overlap,
         Self::Outage,
+        Self::Owners,
     ];
 
     /// Its word in settings and logs.
@@ -68,6 +71,7 @@
             Self::Failing => "failing",
             Self::Overlap => "overlap",
             Self::Outage => "outage",
+            Self::Owners => "owners",
         }
     }
 
--- a/fireflycroft/src/pace.rs
+++ b/fireflycroft/src/pace.rs
@@ -86,6 +86,12 @@
         self.others.insert(entry.clone(), pace);
     }
 
+    /// What all but one entry have seen.
+    pub(crate) fn but_of(&self, entry: &Name) -> Pace {
+        let others = self.others.iter().filter(|(name, _)| *name != entry);
+        others.fold(self.mine, |sum, (_, pace)| sum.with(*pace))
+    }
+
     /// Time that it takes for a token against what the service's engines take.
     pub(crate) fn relative(&self, service: Pace) -> f64 {
         if service.tokens == 0 || service.micros == 0 {
--- a/fireflycroft/src/placed.rs
+++ b/fireflycroft/src/placed.rs
@@ -24,6 +24,26 @@
         self.tokens + self.copies
     }
 
+    /// This work and that.
+    pub(crate) const fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            tokens: self.tokens + other.tokens,
+            copies: self.copies + other.copies,
+            unread: self.unread + other.unread,
+        }
+    }
+
+    /// The more of each.
+    pub(crate) fn most(self, other: Self) -> Self {
+        Self {
+            running: self.running.max(other.running),
+            tokens: self.tokens.max(other.tokens),
+            copies: self.copies.max(other.copies),
+            unread: self.unread.max(other.unread),
+        }
+    }
+
     pub(crate) const fn with(self, need: &Need) -> Self {
         if need.is_copy {
             return Self {
@@ -96,6 +116,6 @@
     pub memory: f64,
     /// Share of the newest requests that failed there.
     pub failing: f64,
-    /// Age of the oldest telling that counts.
+    /// Age of what an owner replied, or else of the oldest telling that counts.
     pub age: Duration,
 }
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -8,16 +8,17 @@
 use crate::contact::StoreContact;
 use crate::ids::Name;
 use crate::listing::ListChange;
+use crate::loads::FEW_REPLIES;
 use crate::mechanism::Policy;
 use crate::pace::Pace;
-use crate::placed::{LoadView, Need, Placed, PlacedAt};
+use crate::placed::{Need, Placed};
 use crate::time::Time;
 use crate::upstream::{
-    FAR_COPY_COST, READ_FOR, SeenBy, TOLD_FOR, Upstream, UpstreamIx, UpstreamRecord, draw_for,
-    draw_index, share, tie_cost,
+    FAR_COPY_COST, READ_FOR, SeenBy, Upstream, UpstreamIx, UpstreamRecord, draw_for, draw_index,
+    share, tie_cost,
 };
 use std::borrow::Cow;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 /// The upstreams known.
@@ -37,6 +38,8 @@
     pub(crate) digest: u64,
     pub(crate) memory_of: HashMap<Name, u64>,
     pub(crate) pace_of: HashMap<Name, Pace>,
+    /// Upstreams of which each other entry has told this one.
+    pub(crate) told_by: HashMap<Name, HashSet<usize>>,
     pub(crate) policy: Policy,
 }
 
@@ -221,65 +224,6 @@
         u.avoid_until = u.avoid_until.max(now + span);
     }
 
-    /// Takes what another entry has placed.
-    ///
-    /// With `changes_only`, what it has told of other upstreams still holds. What it has placed on
-    /// another life of an upstream counts for nothing on this one.
-    pub fn note_others(
-        &mut self,
-        now: Time,
-        entry: &Name,
-        placed: &[PlacedAt],
-        changes_only: bool,
-    ) {
-        if !changes_only {
-            for u in &mut self.upstreams {
-                u.others.remove(entry);
-            }
-        }
-        for at in placed {
-            let known = self.find(&at.instance);
-            let same_life = |ix: &UpstreamIx| self.record(*ix).incarnation == at.incarnation;
-            if let Some(ix) = known.filter(same_life) {
-                let u = &mut self.upstreams[ix.0];
-                u.others.insert(entry.clone(), (now, at.placed));
-                u.pace.note_other(entry, at.pace);
-            }
-        }
-    }
-
-    /// What this entry has placed on some upstreams, to tell the others.
-    #[must_use]
-    pub fn placed_at(&self, some: impl IntoIterator<Item = UpstreamIx>) -> Vec<PlacedAt> {
-        let at = |ix: UpstreamIx| &self.upstreams[ix.0];
-        let current = some.into_iter().map(at).filter(|u| !u.ended);
-        current.map(Upstream::placed_at).collect()
-    }
-
-    /// What this entry has placed, to tell the others.
-    #[must_use]
-    pub fn placed(&self) -> Vec<PlacedAt> {
-        let busy = self
-            .upstreams
-            .iter()
-            .filter(|u| !u.ended && u.mine != Placed::default());
-        busy.map(Upstream::placed_at).collect()
-    }
-
-    /// What is known of an upstream's load, and how old the oldest part of it is.
-    #[must_use]
-    pub fn view(&self, now: Time, ix: UpstreamIx) -> LoadView {
-        let u = &self.upstreams[ix.0];
-        let ages = u.others.values().map(|(at, _)| now.since(*at));
-        let placed = u.load(now);
-        LoadView {
-            placed,
-            memory: share(placed.memory(), u.memory_tokens.unwrap_or(0)),
-            failing: u.failing,
-            age: ages.filter(|a| *a < TOLD_FOR).max().unwrap_or_default(),
-        }
-    }
-
     /// Share of an engine's memory that would be spoken for with one more request, copies left
     /// out: they give way to runs.
     #[must_use]
@@ -311,8 +255,12 @@
 
     fn share_of(&self, now: Time, service: &str, of: impl Fn(&Placed) -> u64) -> f64 {
         let of_service = self.of_service(service).iter().map(|i| &self.upstreams[*i]);
-        let of_service = of_service.filter(|u| !u.is_over(now));
-        let (used, all) = of_service.fold((0, 0), |sum, u| {
+        let of_service: Vec<&Upstream> = of_service.filter(|u| !u.is_over(now)).collect();
+        // Those whose load is known stand for the others.
+        let known = of_service.iter().filter(|u| u.is_known(now));
+        let known: Vec<&Upstream> = known.copied().collect();
+        let counted = if known.is_empty() { of_service } else { known };
+        let (used, all) = counted.into_iter().fold((0, 0), |sum, u| {
             let memory = if u.is_serving() {
                 u.memory_tokens.unwrap_or(0)
             } else {
@@ -340,16 +288,50 @@
         need: &Need,
         tried: &[UpstreamIx],
     ) -> Option<UpstreamIx> {
-        let untried = |i: &usize| !tried.contains(&UpstreamIx(*i));
-        let open: Vec<usize> = self.serving(service).filter(untried).collect();
+        let open: Vec<usize> = self.untried(service, tried).collect();
         let sound = |i: &usize| self.upstreams[*i].avoid_until <= now;
-        let drawn = sample(&open, need.draw);
+        let drawn = self.known_or_drawn(now, need, &open);
         let best = self.least_cost(now, need, drawn.iter().copied().filter(sound));
         let best = best.or_else(|| self.least_cost(now, need, open.iter().copied().filter(sound)));
         best.or_else(|| self.least_cost(now, need, open.iter().copied()))
     }
 
-    fn of_service(&self, service: &str) -> &[usize] {
+    /// Those whose owners have replied just now; where these are few, [`SAMPLE`] drawn ones.
+    fn known_or_drawn<'a>(&self, now: Time, need: &Need, open: &'a [usize]) -> Cow<'a, [usize]> {
+        let fresh = |i: &&usize| self.upstreams[**i].is_fresh(now);
+        let fresh: Vec<usize> = open.iter().filter(fresh).copied().collect();
+        if fresh.len() >= FEW_REPLIES && need.tokens > 0 {
+            return Cow::Owned(fresh);
+        }
+        sample(open, need.draw)
+    }
+
+    /// Serving upstreams of a service that are not in `tried`.
+    pub(crate) fn untried<'a>(
+        &'a self,
+        service: &str,
+        tried: &'a [UpstreamIx],
+    ) -> impl Iterator<Item = usize> {
+        let untried = |i: &usize| !tried.contains(&UpstreamIx(*i));
+        self.serving(service).filter(untried)
+    }
+
+    /// The `most` of `open` that would cost least.
+    pub(crate) fn cheapest(
+        &self,
+        now: Time,
+        need: &Need,
+        open: &[usize],
+        most: usize,
+    ) -> Vec<usize> {
+        let drawn = sample(open, need.draw);
+        let costs = drawn.iter().map(|i| (self.cost(now, need, *i), *i));
+        let mut costs: Vec<(f64, usize)> = costs.collect();
+        costs.sort_unstable_by(|(a, _), (b, _)| a.total_cmp(b));
+        costs.into_iter().take(most).map(|(_, i)| i).collect()
+    }
+
+    pub(crate) fn of_service(&self, service: &str) -> &[usize] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
@@ -364,18 +346,19 @@
         need: &Need,
         among: impl Iterator<Item = usize>,
     ) -> Option<UpstreamIx> {
-        let source = need.copied_from.map(|ix| &self.upstreams[ix.0].record);
-        let near = source.map(|record| &record.data_centre);
-        let costs = among.map(|i| {
-            let u = &self.upstreams[i];
-            let far_copy = near.is_some_and(|n| *n != u.record.data_centre);
-            let copy = if far_copy { FAR_COPY_COST } else { 0.0 };
-            let tie = tie_cost(need) * draw_for(need.draw, i);
-            (i, u.cost(now, need, &self.seen_by(u)) + copy + tie)
-        });
+        let costs = among.map(|i| (i, self.cost(now, need, i)));
         let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
         best.map(|(i, _)| UpstreamIx(i))
     }
+
+    fn cost(&self, now: Time, need: &Need, i: usize) -> f64 {
+        let u = &self.upstreams[i];
+        let source = need.copied_from.map(|ix| &self.upstreams[ix.0].record);
+        let far_copy = source.is_some_and(|s| s.data_centre != u.record.data_centre);
+        let copy = if far_copy { FAR_COPY_COST } else { 0.0 };
+        let tie = tie_cost(need) * draw_for(need.draw, i);
+        u.cost(now, need, &self.seen_by(u)) + copy + tie
+    }
 }
 
 /// All of `open`, or [`SAMPLE`] drawn ones of many.
--- a/fireflycroft/src/repeat.rs
+++ b/fireflycroft/src/repeat.rs
@@ -1,11 +1,18 @@
 //! The budget of repeats that all entries share, service by service.
 //!
 //! Within a window the fleet may send a share of its requests once more, and a
-//! slack on top. An entry may always use its own part: the share of the requests
-//! that it took itself, and the slack divided by the entries it knows of. Beyond
-//! that it may use what the others leave, as far as they have told: what broke
-//! off at one entry often needs more than its part. Since the last telling every
-//! other entry is taken to have spent as much as this one.
+//! slack on top. An entry may always use its own part: a share of the requests
+//! that it took itself, and of the slack divided by the entries it knows of. When
+//! an upstream breaks off, all its runs go on elsewhere at once, and the entries
+//! that had them need far more than their parts. So beyond its part an entry may
+//! use what the others leave, where it has heard all of them; since the last
+//! telling every other one is taken to have spent as much as this one. Where it
+//! hasn't, it borrows, one repeat at a time, from the owners of the service
+//! ([`crate::owners_of`]), who hear all.
+//!
+//! The parts and what is lent stay together within the bound: part of it is lent
+//! at most, counted against all that was spent, and the parts are half as large
+//! in a large fleet as they are for one entry alone.
 
 use crate::ids::Name;
 use crate::time::Time;
@@ -27,6 +34,17 @@
 /// another window than the one they are counted in.
 const USED_SHARE: f64 = 0.7;
 
+/// Share of the bound up to which repeats are lent. With the parts of a large fleet, half of
+/// [`USED_SHARE`], it makes up the bound.
+const LENT_SHARE: f64 = 0.65;
+
+/// Time until the count of an entry includes what it was lent: two tellings, of which one may be
+/// lost.
+const LENT_UNTOLD: Duration = Duration::from_secs(1);
+
+/// Time for which what was lent may be used.
+const LOAN_HOLDS: Duration = Duration::from_millis(500);
+
 /// Parts of a window that are counted apart.
 const STEPS: u32 = 20;
 
@@ -58,6 +76,10 @@
     counts: HashMap<Name, VecDeque<Count>>,
     others: HashMap<Name, (Time, Vec<RepeatCount>)>,
     since_told: HashMap<Name, u32>,
+    /// When this entry lent repeats that the counts of others may not include yet.
+    lent: HashMap<Name, VecDeque<Time>>,
+    /// When repeats were lent to this entry that it hasn't used.
+    borrowed: HashMap<Name, VecDeque<Time>>,
 }
 
 impl RepeatBudget {
@@ -69,6 +91,8 @@
             counts: HashMap::new(),
             others: HashMap::new(),
             since_told: HashMap::new(),
+            lent: HashMap::new(),
+            borrowed: HashMap::new(),
         }
     }
 
@@ -82,9 +106,9 @@
         self.count(now, service).requests += 1;
     }
 
-    /// Takes one repeat if the budget holds it.
+    /// Takes one repeat if the budget holds it or one was lent.
     pub fn take(&mut self, now: Time, service: &Name, entries: usize) -> bool {
-        if self.left(now, service, entries) < 1.0 {
+        if self.left(now, service, entries) < 1.0 && !self.use_loan(now, service) {
             return false;
         }
         self.count(now, service).repeats += 1;
@@ -95,33 +119,97 @@
     /// Repeats that this entry may still send in the window.
     pub fn left(&mut self, now: Time, service: &Name, entries: usize) -> f64 {
         let mine = self.mine(now, service);
-        let part = self.most(mine.requests, entries) - f64::from(mine.repeats);
+        let part = self.part(mine.requests, entries) - f64::from(mine.repeats);
         part.max(self.left_by_others(now, &mine, entries))
     }
 
+    /// Lends one repeat to another entry, as an owner of the service.
+    ///
+    /// Counts everything that is known to be spent, and what was lent since. What a fleet spent
+    /// before this entry heard of it is unknown, so nothing is lent within a window of its start,
+    /// which is the zero of `now`.
+    pub fn lend(&mut self, now: Time, service: &Name) -> bool {
+        if now.since(Time::default()) < self.limits.window {
+            return false;
+        }
+        let mine = self.mine(now, service);
+        let untold = self.untold_loans(now, service);
+        let of_service = self.heard_within(now, self.limits.window, service);
+        let repeats = of_service.fold(mine.repeats + untold, |sum, c| sum + c.repeats);
+        let of_service = self.heard_within(now, TOLD_FOR, service);
+        let requests = of_service.fold(mine.requests, |sum, c| sum + c.requests);
+        if f64::from(repeats) + 1.0 > LENT_SHARE * self.bound(requests, 1) {
+            return false;
+        }
+        self.lent.entry(service.clone()).or_default().push_back(now);
+        true
+    }
+
+    /// Takes a repeat that an owner lent.
+    pub fn note_loan(&mut self, now: Time, service: &Name) {
+        let loans = self.borrowed.entry(service.clone()).or_default();
+        loans.push_back(now);
+    }
+
+    fn use_loan(&mut self, now: Time, service: &Name) -> bool {
+        let Some(loans) = self.borrowed.get_mut(service) else {
+            return false;
+        };
+        loans.retain(|at| now.since(*at) < LOAN_HOLDS);
+        loans.pop_front().is_some()
+    }
+
+    fn untold_loans(&mut self, now: Time, service: &Name) -> u32 {
+        let Some(lent) = self.lent.get_mut(service) else {
+            return 0;
+        };
+        lent.retain(|at| now.since(*at) < LENT_UNTOLD);
+        u32::try_from(lent.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Counts of a service that other entries told within `span`.
+    fn heard_within<'a>(
+        &'a self,
+        now: Time,
+        span: Duration,
+        service: &'a Name,
+    ) -> impl Iterator<Item = &'a RepeatCount> {
+        let heard = self.others.values();
+        let heard = heard.filter(move |(at, _)| now.since(*at) < span);
+        let counts = heard.flat_map(|(_, counts)| counts);
+        counts.filter(move |c| c.service == *service)
+    }
+
     /// What the entries known leave of the whole bound.
     fn left_by_others(&self, now: Time, mine: &RepeatCount, entries: usize) -> f64 {
-        let fresh = self.others.values();
-        let fresh: Vec<_> = fresh.filter(|(at, _)| now.since(*at) < TOLD_FOR).collect();
-        if fresh.len() + 1 < entries {
+        let mut fresh = self.others.values();
+        let fresh = fresh.by_ref().filter(|(at, _)| now.since(*at) < TOLD_FOR);
+        let fresh = fresh.count();
+        if fresh + 1 < entries {
             return 0.0;
         }
-        let of_service = fresh.iter().flat_map(|(_, counts)| counts);
-        let of_service = of_service.filter(|c| c.service == mine.service);
+        let of_service = self.heard_within(now, TOLD_FOR, &mine.service);
         let (requests, repeats) = of_service.fold((mine.requests, mine.repeats), |sum, c| {
             (sum.0 + c.requests, sum.1 + c.repeats)
         });
         let untold = self.since_told.get(&mine.service).copied().unwrap_or(0);
         #[allow(clippy::cast_precision_loss)]
-        let untold = f64::from(untold) * fresh.len() as f64;
-        self.most(requests, 1) - f64::from(repeats) - untold
+        let untold = f64::from(untold) * fresh as f64;
+        USED_SHARE * self.bound(requests, 1) - f64::from(repeats) - untold
+    }
+
+    /// The part of one of so many entries.
+    #[allow(clippy::cast_precision_loss)]
+    fn part(&self, requests: u32, entries: usize) -> f64 {
+        let share = USED_SHARE * (0.5 + 0.5 / entries.max(1) as f64);
+        share * self.bound(requests, entries)
     }
 
-    /// Repeats for so many requests, with one entry's part of the slack.
+    /// The bound for so many requests, with one entry's part of the slack.
     #[allow(clippy::cast_precision_loss)]
-    fn most(&self, requests: u32, entries: usize) -> f64 {
+    fn bound(&self, requests: u32, entries: usize) -> f64 {
         let slack = self.limits.slack / entries.max(1) as f64;
-        USED_SHARE * (self.limits.ratio * f64::from(requests) + slack)
+        self.limits.ratio * f64::from(requests) + slack
     }
 
     /// Counts of the window, to tell the others.
@@ -133,7 +221,9 @@
 
     /// Takes the counts that another entry told.
     pub fn note_others(&mut self, now: Time, entry: &Name, counts: Vec<RepeatCount>) {
-        self.others.retain(|_, (at, _)| now.since(*at) < TOLD_FOR);
+        // What an entry that has died spent still counts within the window.
+        let window = self.limits.window;
+        self.others.retain(|_, (at, _)| now.since(*at) < window);
         self.others.insert(entry.clone(), (now, counts));
     }
 
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One upstream as a direct entry sees it, and what one more request there costs.
 
 use crate::ids::{Incarnation, Name};
+use crate::loads::Replied;
 use crate::mechanism::{Mechanism, Policy};
 use crate::missing::Missing;
 use crate::pace::{Pace, SeenPace};
@@ -82,7 +83,10 @@
     pub(crate) left_at: Option<Time>,
     pub(crate) missing: Option<Missing>,
     pub(crate) mine: Placed,
+    /// What other entries have told this one as an owner.
     pub(crate) others: HashMap<Name, (Time, Placed)>,
+    /// What an owner has told this entry.
+    pub(crate) replied: Option<Replied>,
     pub(crate) avoid_until: Time,
     pub(crate) failing: f64,
     pub(crate) cold_until: Time,
@@ -92,8 +96,17 @@
 
 /// Time for which what another entry told counts.
 ///
-/// Entries tell every quarter of a second; four lost in a row mean that it is gone.
-pub(crate) const TOLD_FOR: Duration = Duration::from_secs(1);
+/// Entries tell twice a second; three lost in a row mean that it is gone.
+pub(crate) const TOLD_FOR: Duration = Duration::from_millis(1_600);
+
+/// Age up to which a choice goes by what an owner replied: replies are waited for for a little less.
+///
+/// Those of an earlier choice would send the entries of a large fleet to the same few upstreams.
+pub(crate) const REPLY_IS_FRESH: Duration = Duration::from_millis(30);
+
+/// Age up to which a reply tells what to ask next, and how full the service is: loads change by a
+/// run or two in that time.
+pub(crate) const REPLY_HOLDS: Duration = Duration::from_secs(3);
 
 /// Time from an upstream's notice to its end, at which nothing runs there any more.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
@@ -189,18 +202,6 @@
         }
     }
 
-    /// Work of all entries.
-    pub(crate) fn load(&self, now: Time) -> Placed {
-        let told = self.others.values();
-        let fresh = told.filter(|(at, _)| now.since(*at) < TOLD_FOR);
-        fresh.fold(self.mine, |sum, (_, placed)| Placed {
-            running: sum.running + placed.running,
-            tokens: sum.tokens + placed.tokens,
-            copies: sum.copies + placed.copies,
-            unread: sum.unread + placed.unread,
-        })
-    }
-
     /// Cost of one more request here, against a full memory.
     pub(crate) fn cost(&self, now: Time, need: &Need, by: &SeenBy<'_>) -> f64 {
         let load = self.load(now);
--- a/fireflycroft/src/watchers.rs
+++ b/fireflycroft/src/watchers.rs
@@ -74,6 +74,12 @@
         self.watching && self.enough_since.is_none()
     }
 
+    /// Whether fewer than [`WATCHERS`] of the entries that are heard rank before this one.
+    #[must_use]
+    pub const fn is_among_first(&self) -> bool {
+        self.is_among_first
+    }
+
     /// Longest pause between two calls while the store doesn't answer this entry.
     #[must_use]
     pub const fn longest_pause(&self) -> Duration {
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{Extras, Opened, Unanswered, read_whole, send};
 use crate::job::Job;
 use crate::node::PlacedGuard;
+use crate::{repeats, returns};
 use bytes::Bytes;
 use fireflycroft::{
     Asking, Code, Fill, Mechanism, Need, NextStep, RunClaim, Tries, TryOutcome, UpstreamIx,
@@ -89,7 +90,7 @@
         let Some(ix) = job.pick(&need, &asked).await else {
             return nobody(job, tries);
         };
-        if let Some(wait) = no_room(job, ix, &need) {
+        if let Some(wait) = no_room(job, ix, &need).await {
             return refuse_for_room(job, ix, tries, wait);
         }
         let one = try_one(job, ix, need, tries).await;
@@ -98,6 +99,9 @@
             crash::suspect(job, ix);
         }
         asked.push(ix);
+        if tries.borrow().may_try_again(one.outcome) {
+            repeats::prepare(job).await;
+        }
         let next = tries.borrow_mut().after(one.outcome, || job.take_repeat());
         match (next, one.reply) {
             (NextStep::TryAgain, reply) => failure = reply.or(failure),
@@ -111,11 +115,23 @@
 }
 
 /// When to come back with a generation for which the best engine has no room.
-fn no_room(job: &Job, ix: UpstreamIx, need: &Need) -> Option<Duration> {
+///
+/// A caller who was refused before is let in sooner than one who comes first. That is asked only
+/// when the first one would be refused.
+async fn no_room(job: &Job, ix: UpstreamIx, need: &Need) -> Option<Duration> {
     job.engine?;
-    if !job.node.policy.uses(Mechanism::Door) {
+    if !job.node.policy.uses(Mechanism::Door) || has_room(job, ix, need) {
+        return None;
+    }
+    if returns::learn(job).await && has_room(job, ix, need) {
         return None;
     }
+    job.node.note_refused(job.content);
+    let pool = job.node.pool.borrow();
+    Some(room_after(pool.runs_fill_of(job.now(), &job.service)))
+}
+
+fn has_room(job: &Job, ix: UpstreamIx, need: &Need) -> bool {
     let pool = job.node.pool.borrow();
     let now = job.now();
     let fill = Fill {
@@ -125,15 +141,10 @@
     let asking = Asking {
         expected_tokens: job.expected_tokens(),
         yields: job.yields,
-        coming: job.coming,
+        coming: returns::coming(job),
         rank: job.rank,
     };
-    if is_room(&asking, &fill) {
-        return None;
-    }
-    let mut returns = job.node.returns.borrow_mut();
-    returns.note_refused(now, job.content);
-    Some(room_after(fill.service))
+    is_room(&asking, &fill)
 }
 
 fn refuse_for_room(job: &Job, ix: UpstreamIx, tries: &RefCell<Tries>, wait: Duration) -> Reply {
@@ -143,7 +154,7 @@
     log::warn!(
         event = "no_room", req = &*job.request_id, route = &*job.route.name,
         expected = job.expected_tokens(), yields = format!("{:.2}", job.yields),
-        coming = format!("{:?}", job.coming), memory = format!("{:.2}", view.memory),
+        coming = format!("{:?}", returns::coming(job)), memory = format!("{:.2}", view.memory),
         service_memory = format!("{of_service:.2}"),
         told_age_ms = view.age.as_millis(), retry_after_ms = wait.as_millis();
         ""
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -61,6 +61,6 @@
     let crashes = quarantine.crashes(content).saturating_add(1);
     quarantine.learn(now, content, crashes);
     node.peers.borrow_mut().tell_crash(content, crashes);
-    node.urgent.notify_one();
+    node.tell_all_at_once();
     crashes
 }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -27,6 +27,11 @@
 /// seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(800);
 
+/// The same of an entry that watches beside enough others that rank before it: it stands by.
+///
+/// All entries of a fleet watch for some seconds when they start, and each call is paid for.
+const STANDBY_WAIT: Duration = Duration::from_secs(3);
+
 /// Time after its wait at which a watch is overdue.
 const WATCH_MARGIN: Duration = Duration::from_millis(600);
 
@@ -42,6 +47,10 @@
 /// links are as narrow.
 const CONFIG_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Time for each entry known that one which doesn't rank first waits between two pages of a list: all
+/// of them then read some 200 pages a second.
+const PAGE_TIME_FOR_EACH: Duration = Duration::from_millis(5);
+
 /// First pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -89,17 +98,20 @@
         unreadable: HashMap::new(),
     };
     loop {
-        let revision = feed.list().await;
-        feed.watch_while_on_duty(revision).await;
+        match feed.list().await {
+            Some(revision) => feed.watch_while_on_duty(revision).await,
+            None => feed.wait_for_duty().await,
+        }
     }
 }
 
 impl Feed {
-    /// Lists all objects, page by page, and gives the revision from which a watch goes on.
+    /// Lists all objects, page by page, and gives the revision from which a watch goes on; none when
+    /// others have begun to watch for this entry before the end.
     ///
     /// A page that fails is asked for again, and not the pages before it: when a whole fleet
     /// starts anew, each entry asks for the whole list, and starting over would never end.
-    async fn list(&mut self) -> u64 {
+    async fn list(&mut self) -> Option<u64> {
         let mut objects: Vec<StoreObject> = Vec::new();
         let mut revision = None;
         self.unreadable.clear();
@@ -124,11 +136,27 @@
             if !page.more {
                 self.heard();
                 self.take_list(&objects, first);
-                return first;
+                return Some(first);
+            }
+            self.give_way().await;
+            if !self.node.duty.borrow().is_watching() {
+                return None;
             }
         }
     }
 
+    /// Lets the entries that rank first among the watchers read the next page sooner.
+    ///
+    /// The store serves so many pages a second to all. Where hundreds of entries start at once and
+    /// each reads a long list, none has it for half a minute; the first ones have it at once and
+    /// hand it on.
+    async fn give_way(&self) {
+        if !self.node.duty.borrow().is_among_first() {
+            let entries = u32::try_from(self.node.peers.borrow().known()).unwrap_or(u32::MAX);
+            tokio::time::sleep(PAGE_TIME_FOR_EACH.saturating_mul(entries)).await;
+        }
+    }
+
     async fn read_page(&mut self, after: Option<&str>) -> Result<StorePage, String> {
         let path = list_path(self.kind, after);
         let answer = self.get(&path, self.patient()).await;
@@ -164,8 +192,13 @@
             () = self.watch_from(revision) => return,
             () = off_duty => {}
         }
+        self.wait_for_duty().await;
+    }
+
+    async fn wait_for_duty(&mut self) {
+        let node = self.node.clone();
         self.client = Client::new(node.place.store.addr, node.clock);
-        self.node.store_answers.set(false);
+        node.store_answers.set(false);
         while !node.duty.borrow().is_watching() {
             node.duty_changed.notified().await;
         }
@@ -210,9 +243,22 @@
             let path = watch_path(self.kind, revision, LOOK_WAIT);
             return self.get(&path, self.patient()).await;
         }
-        let path = watch_path(self.kind, revision, WATCH_WAIT);
-        self.get(&path, Overlap::single(WATCH_WAIT + WATCH_MARGIN))
-            .await
+        if self.node.duty.borrow().is_relied_on() {
+            return self.watch(revision, WATCH_WAIT).await;
+        }
+        let node = self.node.clone();
+        tokio::select! {
+            answer = self.watch(revision, STANDBY_WAIT) => return answer,
+            () = relied_on(&node) => {}
+        }
+        self.client = Client::new(node.place.store.addr, node.clock);
+        self.watch(revision, WATCH_WAIT).await
+    }
+
+    async fn watch(&mut self, revision: u64, wait: Duration) -> anyhow::Result<(u16, Bytes)> {
+        let path = watch_path(self.kind, revision, wait);
+        let overlap = Overlap::single(wait + WATCH_MARGIN);
+        self.get(&path, overlap).await
     }
 
     fn heard(&mut self) {
@@ -249,6 +295,7 @@
                 .take_list(now, records, revision);
             self.node.take_changes(changes, "store");
             self.node.listed.set(true);
+            self.node.has_whole_list.set(true);
         }
     }
 
@@ -334,6 +381,13 @@
     }
 }
 
+/// Returns once the others rely on this entry for what the store says.
+async fn relied_on(node: &Node) {
+    while !node.duty.borrow().is_relied_on() {
+        node.duty_changed.notified().await;
+    }
+}
+
 /// Reads the configuration from the store once; true when it was read.
 pub async fn read_config(node: &Node) -> bool {
     let mut client = Client::new(node.place.store.addr, node.clock);
@@ -377,4 +431,7 @@
         let change = node.pool.borrow_mut().learn(now, record);
         node.take_changes(change, "peer");
     }
+    node.has_whole_list.set(true);
+    // Others may fetch it here from now on.
+    node.urgent.notify_one();
 }
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -13,6 +13,7 @@
 use crate::job::Job;
 use crate::metrics::kind_word;
 use crate::node::PlacedGuard;
+use crate::repeats;
 use crate::runs::Run;
 use bytes::Bytes;
 use fireflycroft::{AnswerHead, Code, EventRelay, MemoryCopy, Need, Time, UpstreamIx};
@@ -316,7 +317,7 @@
         self.wait_for_copy().await;
         let from = self.placed.ix;
         while let Some(next) = self.continuation(from) {
-            if !self.job.take_repeat() {
+            if !repeats::take(&self.job).await {
                 self.say("budget_spent", "");
                 return false;
             }
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -3,10 +3,12 @@
 use crate::client::Client;
 use crate::feed::{read_config, take_told};
 use crate::node::Node;
-use crate::peers::v4;
+use crate::peers::{Behind, v4};
+use crate::questions;
 use crate::state_page::{PeerState, state_path};
-use fireflycroft::{CrashCount, EntryNews, Overlap, Time};
-use fireflycroft_wire::decode_news;
+use fireflycroft::{CrashCount, EntryMessage, EntryNews, Overlap, Time};
+use fireflycroft_wire::decode_datagram;
+use rand::RngExt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,8 +42,8 @@
                 continue;
             }
         };
-        match (decode_news(&buf[..len]), v4(from.ip())) {
-            (Ok(news), Some(ip)) => take(&node, ip, news),
+        match (decode_datagram(&buf[..len]), v4(from.ip())) {
+            (Ok(message), Some(ip)) => take(&node, ip, message).await,
             (Err(e), _) => {
                 let from = from.to_string();
                 log::warn!(event = "datagram_unreadable", from = from, error = e.to_string(); "");
@@ -51,7 +53,20 @@
     }
 }
 
-fn take(node: &Rc<Node>, from: Ipv4Addr, news: EntryNews) {
+async fn take(node: &Rc<Node>, from: Ipv4Addr, message: EntryMessage) {
+    if from == node.place.ip {
+        return;
+    }
+    node.peers.borrow_mut().note_heard(node.now(), from);
+    match message {
+        EntryMessage::News(news) => take_news(node, from, *news),
+        EntryMessage::Report(report) => questions::take_report(node, &report),
+        EntryMessage::Query(query) => questions::reply(node, from, query).await,
+        EntryMessage::Reply(reply) => questions::take_reply(node, reply),
+    }
+}
+
+fn take_news(node: &Rc<Node>, from: Ipv4Addr, news: EntryNews) {
     if news.name == node.place.vm {
         return;
     }
@@ -60,38 +75,36 @@
     if let Some(age) = news.store_age {
         node.note_contact(now - age, "peer");
     }
-    let mut pool = node.pool.borrow_mut();
-    pool.note_others(now, &news.name, &news.placed, news.changes_only);
-    drop(pool);
-    for change in news.list_changes {
+    for change in news.list_changes.iter().cloned() {
         let taken = node.pool.borrow_mut().take_change(now, change);
         node.take_changes(taken, "peer");
     }
-    if !news.changes_only {
-        let mut budget = node.budget.borrow_mut();
-        budget.note_others(now, &news.name, news.repeats);
-    }
-    for refusal in &news.refused {
-        node.returns.borrow_mut().learn(now, refusal);
-    }
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
-    let config_behind = news.config > node.version();
-    let upstreams_behind = news.watches && {
-        let pool = node.pool.borrow();
-        let mut peers = node.peers.borrow_mut();
-        if pool.digest() == news.upstreams_digest {
-            peers.behind_since = None;
-        }
-        let behind = pool.digest() != news.upstreams_digest && news.upstreams >= pool.revision();
-        behind && peers.note_behind(now)
-    };
-    if config_behind && news.config_bytes > LARGE_CONFIG {
-        fetch(node, from, Source::StoreFirst);
-    } else if config_behind || upstreams_behind {
-        fetch(node, from, Source::Peer);
+    let behind = behind(node, now, &news);
+    if behind.is_any() {
+        let is_large = behind.config.is_some() && news.config_bytes > LARGE_CONFIG;
+        fetch(node, from, behind, is_large);
+    }
+    let mut budget = node.budget.borrow_mut();
+    budget.note_others(now, &news.name, news.repeats);
+}
+
+/// What this entry has to fetch of what another one tells.
+fn behind(node: &Node, now: Time, news: &EntryNews) -> Behind {
+    let pool = node.pool.borrow();
+    let mut peers = node.peers.borrow_mut();
+    let is_same = pool.digest() == news.upstreams_digest;
+    if news.watches && is_same {
+        peers.note_list_held();
     }
+    let is_newer = news.watches && !is_same && news.upstreams >= pool.revision();
+    let told = Behind {
+        config: (news.config > node.version()).then_some(news.config),
+        list: is_newer.then_some(news.upstreams_digest),
+    };
+    peers.note_behind(now, told, node.expects_store())
 }
 
 fn learn_crash(node: &Node, now: Time, crash: &CrashCount) {
@@ -102,49 +115,47 @@
     }
 }
 
-/// Where news is fetched from.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Source {
-    /// From the peer that told of it.
-    Peer,
-    /// A configuration from the store, and from the peer only if the store doesn't answer.
-    StoreFirst,
-}
-
-/// Fetches what a peer told of, one at a time.
-fn fetch(node: &Rc<Node>, from: Ipv4Addr, source: Source) {
+/// Fetches what a peer told of, one at a time; a large configuration from the store, and from a peer
+/// only if the store doesn't answer.
+fn fetch(node: &Rc<Node>, teller: Ipv4Addr, behind: Behind, is_large_config: bool) {
     let Some(guard) = node.peers.borrow().begin_fetch() else {
         return;
     };
     let node = node.clone();
     tokio::task::spawn_local(async move {
         let _guard = guard;
-        if source == Source::StoreFirst && read_config(&node).await {
+        if is_large_config && read_config(&node).await {
             return;
         }
-        if let Err(e) = fetch_state(&node, from).await {
+        if behind.list.is_some() {
+            let spread = node.peers.borrow().spread();
+            tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
+        }
+        let source = node.peers.borrow().source(node.now(), &behind);
+        let from = source.unwrap_or(teller);
+        if let Err(e) = fetch_state(&node, from, &behind).await {
             let (from, why) = (from.to_string(), e.to_string());
             log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
         }
     });
 }
 
-async fn fetch_state(node: &Node, from: Ipv4Addr) -> anyhow::Result<()> {
+async fn fetch_state(node: &Node, from: Ipv4Addr, behind: &Behind) -> anyhow::Result<()> {
     let addr = SocketAddr::from((from, node.place.peer_ports.0));
-    let known = if node.peers.borrow().wants_all {
-        0
-    } else {
-        node.pool.borrow().revision()
-    };
+    let known = known_revision(node, behind);
     let path = state_path(node.version(), known);
     let mut client = Client::new(addr, node.clock);
     let overlap = Overlap::single(FETCH_PATIENCE);
     let (status, body) = client.get(&path, overlap, || ()).await?;
     anyhow::ensure!(status == 200, "status {status}");
     let state: PeerState = serde_json::from_slice(&body)?;
+    node.peers.borrow_mut().learn_of(node.now(), &state.entries);
     if let Some(config) = &state.config {
         node.adopt(config, "peer");
     }
+    if known == NOTHING_NEWER {
+        return Ok(());
+    }
     let (revision, digest) = (state.revision, state.digest);
     if state.revision >= node.pool.borrow().revision() {
         take_told(node, state);
@@ -155,3 +166,17 @@
     node.peers.borrow_mut().wants_all = differs;
     Ok(())
 }
+
+/// Revision after which no change of the list is asked for.
+const NOTHING_NEWER: u64 = u64::MAX;
+
+/// Revision of the list from which on a peer is asked for changes.
+fn known_revision(node: &Node, behind: &Behind) -> u64 {
+    if behind.list.is_none() && node.expects_store() {
+        return NOTHING_NEWER;
+    }
+    if node.peers.borrow().wants_all || !node.has_whole_list.get() {
+        return 0;
+    }
+    node.pool.borrow().revision()
+}
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -1,8 +1,9 @@
 //! One request of a caller, checked and ready to be sent.
 
+use crate::loads;
 use crate::node::Node;
 use bytes::Bytes;
-use fireflycroft::{Ask, Coming, Digest, EngineSpec, Name, Need, RouteSpec, Time, UpstreamIx};
+use fireflycroft::{Ask, Digest, EngineSpec, Name, Need, RouteSpec, Time, UpstreamIx};
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
 use std::rc::Rc;
@@ -27,8 +28,6 @@
     pub rank: u8,
     /// What the head says.
     pub ask: Ask,
-    /// Whether the caller seems to come back with it.
-    pub coming: Coming,
     /// Worth for the memory that it holds, as the logarithm against its kind.
     pub yields: f64,
     /// The caller's id of this attempt.
@@ -121,6 +120,7 @@
     /// An upstream that isn't in `tried`; waits a little while there is none at all.
     pub async fn pick(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
         let until = self.arrival + self.route.objective / HOLD_SHARE;
+        loads::ask(&self.node, &self.service, need, tried).await;
         loop {
             if let Some(ix) = self.pick_now(need, tried) {
                 return Some(ix);
--- /dev/null
+++ b/fireflydirect/src/loads.rs
@@ -0,0 +1,46 @@
+//! Asking the owners of upstreams for their load, before a choice among them.
+
+use crate::node::Node;
+use crate::questions;
+use fireflycroft::{Life, Mechanism, Name, Need, OwnedKey, OwnerAsk, UpstreamIx};
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+
+/// Asks for the load of the upstreams that a choice for `need` is to look at.
+///
+/// Plain calls take no memory and end soon; they go by what this entry sees itself.
+pub async fn ask(node: &Node, service: &Name, need: &Need, tried: &[UpstreamIx]) {
+    if need.tokens == 0 || !node.policy.uses(Mechanism::Owners) {
+        return;
+    }
+    let queries = queries(node, service, need, tried);
+    node.breadth.borrow_mut().note_sent(queries.len());
+    let asks = queries.into_iter();
+    questions::ask(
+        node,
+        asks.map(|(owner, lives)| (owner, OwnerAsk::Loads(lives))),
+    )
+    .await;
+}
+
+/// The upstreams to ask about, by owner.
+fn queries(
+    node: &Node,
+    service: &Name,
+    need: &Need,
+    tried: &[UpstreamIx],
+) -> HashMap<Ipv4Addr, Vec<Life>> {
+    let now = node.now();
+    let most = node.breadth.borrow_mut().upstreams(now);
+    let pool = node.pool.borrow();
+    let peers = node.peers.borrow();
+    let mut queries: HashMap<Ipv4Addr, Vec<Life>> = HashMap::new();
+    for ix in pool.to_query(now, service, need, tried, most) {
+        let life = pool.record(ix).life();
+        let key = OwnedKey::of_upstream(&life.instance);
+        for owner in peers.other_owners(now, key) {
+            queries.entry(owner).or_default().push(life.clone());
+        }
+    }
+    queries
+}
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -35,6 +35,9 @@
     pub pause_seconds: HistogramVec,
     /// Calls of the platform's store, by `result`.
     pub store_calls: IntCounterVec,
+    datagrams: IntCounterVec,
+    datagram_bytes: IntCounterVec,
+    questions: IntCounterVec,
     unreadable: IntCounterVec,
     restarts: IntCounterVec,
     running: IntGauge,
@@ -74,6 +77,24 @@
             went_on: counters(&r, "went_on_total", "Streams gone on elsewhere", &["way"])?,
             pause_seconds: seconds(&r, "pause_seconds", "Longest pause of each stream")?,
             store_calls: counters(&r, "store_calls_total", "Calls of the store", &["result"])?,
+            datagrams: counters(
+                &r,
+                "datagrams_total",
+                "Datagrams to other entries",
+                &["kind"],
+            )?,
+            datagram_bytes: counters(
+                &r,
+                "datagram_bytes_total",
+                "Bytes of datagrams to other entries",
+                &["kind"],
+            )?,
+            questions: counters(
+                &r,
+                "questions_total",
+                "Questions to owners of upstreams",
+                &["end"],
+            )?,
             unreadable: counters(&r, "unreadable_total", "Objects not readable", &["what"])?,
             restarts: counters(
                 &r,
@@ -104,6 +125,19 @@
         unreadable.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
     }
 
+    /// Notes a datagram to another entry.
+    pub fn note_datagram(&self, kind: &str, bytes: usize) {
+        self.datagrams.with_label_values(&[kind]).inc();
+        let sum = self.datagram_bytes.with_label_values(&[kind]);
+        sum.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
+    /// Notes a question to owners, and whether all of them replied in time.
+    pub fn note_question(&self, replied: bool) {
+        let end = if replied { "replied" } else { "timed_out" };
+        self.questions.with_label_values(&[end]).inc();
+    }
+
     /// Notes that an upstream started again under its id.
     pub fn note_restart(&self, service: &str) {
         self.restarts.with_label_values(&[service]).inc();
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -3,6 +3,7 @@
 use crate::departures;
 use crate::figure::or_empty;
 use crate::links::call_whole;
+use crate::loads;
 use crate::node::{Node, PlacedGuard};
 use crate::runs::{Refuge, Run};
 use bytes::Bytes;
@@ -77,6 +78,7 @@
             draw: rand::rng().next_u64(),
             ..run.need.get()
         };
+        loads::ask(node, &run.service, &need, &asked).await;
         let chosen = {
             let pool = node.pool.borrow();
             pool.choose(node.now(), &run.service, &need, &asked)
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -1,15 +1,17 @@
 //! What one process knows and shares among its tasks.
 
 use crate::clock::Clock;
+use crate::datagrams::Datagrams;
 use crate::departures::Departures;
 use crate::figure::or_empty;
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::questions::Questions;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, LengthGuess, Need, Policy, Pool, PoolChange, Quarantine, RepeatBudget, Returns,
-    SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
+    Catalog, Digest, LengthGuess, Need, Policy, Pool, PoolChange, Quarantine, QueryBreadth,
+    Refusal, RepeatBudget, Returns, SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -29,6 +31,9 @@
     Closing,
 }
 
+/// Time within which a store that is well has answered the first call of a process.
+const FIRST_ANSWER_WITHIN: Duration = Duration::from_millis(500);
+
 /// One process.
 pub struct Node {
     /// Where it runs.
@@ -61,26 +66,40 @@
     pub runs: Runs,
     /// Other entries.
     pub peers: RefCell<Peers>,
+    /// The way to them.
+    pub datagrams: Datagrams,
+    /// Questions to owners of upstreams that wait for replies.
+    pub questions: Questions,
+    /// How many upstreams a choice asks about.
+    pub breadth: RefCell<QueryBreadth>,
     /// Whether this entry watches the store for the others.
     pub duty: RefCell<WatchDuty>,
     /// Rings when that has changed.
     pub duty_changed: Notify,
     /// Whether the store answered the last call.
     pub store_answers: Cell<bool>,
+    /// Whether any call has failed yet.
+    store_failed: Cell<bool>,
     /// When it last answered one.
     pub store_answered_at: Cell<Option<Time>>,
     /// Whether the list of upstreams has been read whole since this entry watches.
     pub listed: Cell<bool>,
+    /// Whether it was ever read whole, from the store or another entry.
+    pub has_whole_list: Cell<bool>,
     /// Rings when an upstream comes or the configuration changes.
     pub changed: Notify,
     /// Rings when an upstream has started again.
     life_ended: Notify,
     /// Rings when there is something to tell the other entries at once.
     pub urgent: Notify,
-    /// Rings when generations were placed or their prompts read.
-    pub placed: Notify,
-    /// Upstreams whose load changed with that.
+    /// Whether that has to reach all of them, and not some who tell it on.
+    pub tell_all: Cell<bool>,
+    /// Rings when there is something to report to owners.
+    pub to_report: Notify,
+    /// Upstreams whose load changed since the last report.
     pub loads_changed: RefCell<BTreeSet<UpstreamIx>>,
+    /// Callers who were refused since then.
+    pub refused: RefCell<Vec<Refusal>>,
     /// Upstreams that were found to leave, for the task that saves their runs.
     pub left: RefCell<Vec<UpstreamIx>>,
     /// Rings when an upstream was found to leave.
@@ -110,6 +129,7 @@
         }
         let budget = RepeatBudget::new(place.bounds.repeats);
         let peers = Peers::new(&place);
+        let metrics = Metrics::new()?;
         Ok(Self {
             policy,
             clock,
@@ -125,22 +145,29 @@
             links: Links::new(clock),
             runs: Runs::default(),
             peers: RefCell::new(peers),
+            datagrams: Datagrams::new(place.peer_ports.0, metrics.clone()),
+            questions: Questions::default(),
+            breadth: RefCell::default(),
             duty: RefCell::new(WatchDuty::new(&place.vm)),
             duty_changed: Notify::new(),
             store_answers: Cell::new(false),
+            store_failed: Cell::new(false),
             store_answered_at: Cell::new(None),
             listed: Cell::new(false),
+            has_whole_list: Cell::new(false),
             changed: Notify::new(),
             life_ended: Notify::new(),
             urgent: Notify::new(),
-            placed: Notify::new(),
+            tell_all: Cell::new(false),
+            to_report: Notify::new(),
             loads_changed: RefCell::default(),
+            refused: RefCell::default(),
             left: RefCell::default(),
             leaving: Notify::new(),
             departures: Departures::default(),
             busy: Cell::new(0),
             stage: watch::Sender::new(Stage::Serving),
-            metrics: Metrics::new()?,
+            metrics,
             place,
         })
     }
@@ -180,6 +207,16 @@
         self.duty.borrow().is_watching() && self.store_answers.get()
     }
 
+    /// Whether this entry's own calls of the store are about to bring what is new: it watches, and is
+    /// answered or has just begun to ask.
+    #[must_use]
+    pub fn expects_store(&self) -> bool {
+        let now = self.now();
+        let begins = now.since(Time::default()) < FIRST_ANSWER_WITHIN;
+        let has_begun = begins && !self.store_failed.get();
+        self.duty.borrow().is_watching() && (self.store_answers.get() || has_begun)
+    }
+
     /// Notes that the store answered this entry.
     pub fn note_store_answer(&self) {
         self.store_answers.set(true);
@@ -198,6 +235,7 @@
     /// Notes that a call to the store failed or hangs.
     pub fn note_store_failure(&self) {
         self.store_answers.set(false);
+        self.store_failed.set(true);
         self.pool.borrow_mut().note_no_contact();
     }
 
@@ -364,10 +402,25 @@
         }
     }
 
-    /// Notes that the other entries should hear of an upstream's load at once.
+    /// Notes that the owners of an upstream should hear of its load at once.
     fn note_load(&self, ix: UpstreamIx) {
         self.loads_changed.borrow_mut().insert(ix);
-        self.placed.notify_one();
+        self.to_report.notify_one();
+    }
+
+    /// Notes that a caller was refused for lack of room and told to come back.
+    pub fn note_refused(&self, content: Digest) {
+        let now = self.now();
+        self.returns.borrow_mut().note_refused(now, content);
+        let age = Duration::ZERO;
+        self.refused.borrow_mut().push(Refusal { content, age });
+        self.to_report.notify_one();
+    }
+
+    /// Tells all other entries what is new here.
+    pub fn tell_all_at_once(&self) {
+        self.tell_all.set(true);
+        self.urgent.notify_one();
     }
 }
 
@@ -401,5 +454,8 @@
 impl Drop for PlacedGuard {
     fn drop(&mut self) {
         self.node.pool.borrow_mut().release(self.ix, &self.need);
+        if self.need.tokens > 0 {
+            self.node.note_load(self.ix);
+        }
     }
 }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -1,15 +1,17 @@
 //! The other entries of the fleet, as far as they are known, and whom to tell.
 //!
-//! Each entry sends a datagram to the others several times a second, and at
-//! once when it has something urgent ([`crate::tell`]). A datagram says what the
-//! sender has placed, which versions it knows and whom it knows; whoever is
-//! behind fetches the rest over TCP from the one that told it ([`crate::hear`]).
+//! Each entry sends a datagram to some others several times a second, and at
+//! once when it has something urgent ([`crate::tell`]). A datagram says which
+//! versions the sender knows and whom it knows; whoever is behind fetches the
+//! rest over TCP from the one that told it ([`crate::hear`]). What entries place
+//! on upstreams goes to the owners of those alone ([`crate::loads`]).
 //! The library that the house style names for this, `nng`, keeps some 36 threads
 //! in a process and memory to match; a datagram of a few hundred bytes that may
 //! be lost needs neither.
 
 use fireflycroft::{
-    CrashCount, Digest, EntryNews, Incarnation, Name, PeerOverview, Time, WatchView, whole_millis,
+    CrashCount, Digest, EntryNews, Incarnation, Name, OwnedKey, PeerOverview, Time, WatchView,
+    owners_of, whole_millis,
 };
 use fireflycroft_platform::Place;
 use rand::Rng;
@@ -17,37 +19,38 @@
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::net::{IpAddr, Ipv4Addr};
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Time between two tellings. Placements change with each request; a quarter of a second is short
-/// against the seconds that a generation lasts.
+/// Time between two tellings.
 const TELL_EVERY: Duration = Duration::from_millis(250);
 
-/// Entries that all tell each other everything; in a larger fleet each tells a few, drawn anew
-/// each time.
-const SMALL_FLEET: usize = 40;
+/// Other entries told at a time, drawn anew each time.
+///
+/// What is told this way (versions, repeats, refused callers, who is there) may be a second or two
+/// old. In a fleet of up to so many all tell all; in a larger one each is heard less often, and
+/// what is sent stays the same.
+const TOLD_AT_A_TIME: usize = 10;
 
-/// Entries told at a time in a larger fleet.
-const FEW: usize = 8;
+/// Bounds on the time between two tellings of an entry that watches the store for the others, all of
+/// whom it tells.
+const WATCHER_TELLS_EVERY: RangeInclusive<Duration> = TELL_EVERY..=Duration::from_millis(500);
 
-/// Time between two tellings in a larger fleet, of those that watch the store and of the others.
-///
-/// Those that watch tell all: two datagrams a second from each of three are what every entry
-/// reads of them, whatever the size.
-const TELL_EVERY_WATCHING: Duration = Duration::from_millis(500);
-const TELL_EVERY_LARGE: Duration = Duration::from_secs(1);
+/// Time for each other entry between two such tellings: some 130 datagrams a second.
+const WATCHER_TIME_FOR_EACH: Duration = Duration::from_micros(7_500);
 
-/// Silence after which an entry no longer counts.
-const HEARD_WITHIN: Duration = Duration::from_secs(2);
+/// Tellings of a watcher after whose loss it no longer counts, and a little more.
+const WATCHER_MISSES: f64 = 3.2;
 
-/// Silence after which a watcher no longer counts: three tellings.
-const WATCHER_HEARD_WITHIN: Duration = Duration::from_millis(800);
-const WATCHER_HEARD_WITHIN_LARGE: Duration = Duration::from_millis(1_600);
+/// Time for which an entry that was sent a question may stay silent before it is passed over.
+///
+/// Replies come within milliseconds; a small VM that runs dry of its processor share waits for up
+/// to a tenth of a second.
+const SILENT_AFTER: Duration = Duration::from_millis(400);
 
 /// Silence after which an entry is told nothing more.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
-const FORGET_AFTER_LARGE: Duration = Duration::from_mins(3);
+const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 /// Entries named in a datagram.
 const MAX_NAMED: usize = 8;
@@ -59,14 +62,74 @@
 /// entry may have them from the store a moment later.
 const LIST_PATIENCE: Duration = Duration::from_millis(300);
 
+/// Time for which an entry that the store answers waits for its own calls to bring what a peer has.
+///
+/// When a whole fleet starts, each entry hears of the configuration before its own list is read to
+/// the end. If each fetched all upstreams from the peer that told it, three entries would send the
+/// whole list a hundred times, over links that carry the callers' answers as well.
+const OWN_CALLS_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Time for each other entry over which fetches of what all lack are spread, so that those that have
+/// fetched first hand it on to the others.
+const SPREAD_FOR_EACH: Duration = Duration::from_millis(3);
+
+/// Time for which an entry counts as a source of what it told last.
+const SOURCE_HEARD_WITHIN: Duration = Duration::from_secs(5);
+
+/// What an entry that is behind lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Behind {
+    /// A configuration of this version.
+    pub(crate) config: Option<u64>,
+    /// A list of upstreams with this digest.
+    pub(crate) list: Option<u64>,
+}
+
+impl Behind {
+    pub(crate) const fn is_any(&self) -> bool {
+        self.config.is_some() || self.list.is_some()
+    }
+}
+
 /// What is known of another entry.
 #[derive(Clone, Debug)]
 struct Known {
-    name: Name,
+    name: Option<Name>,
     heard: Option<Time>,
     since: Time,
     leaving: bool,
     watches: bool,
+    /// When it was first sent a question since it was heard.
+    asked: Option<Time>,
+    /// Configuration that it told last.
+    config: u64,
+    /// Digest of the list of upstreams that it told last.
+    list: u64,
+}
+
+impl Known {
+    const fn by_hearsay(now: Time) -> Self {
+        Self {
+            name: None,
+            heard: None,
+            since: now,
+            leaving: false,
+            watches: false,
+            asked: None,
+            config: 0,
+            list: 0,
+        }
+    }
+
+    /// Whether it lives and stays, as far as is known.
+    fn stays(&self, now: Time) -> bool {
+        let silent = self.asked.is_some_and(|t| now.since(t) >= SILENT_AFTER);
+        !self.leaving && !silent
+    }
+
+    fn is_heard_within(&self, now: Time, span: Duration) -> bool {
+        self.heard.is_some_and(|t| now.since(t) < span)
+    }
 }
 
 /// Other entries, and what is to be told to them.
@@ -77,7 +140,8 @@
     seeds: Vec<Ipv4Addr>,
     pub(crate) crashes: VecDeque<CrashCount>,
     fetching: Rc<Cell<bool>>,
-    pub(crate) behind_since: Option<Time>,
+    list_behind_since: Option<Time>,
+    config_behind_since: Option<Time>,
     pub(crate) wants_all: bool,
 }
 
@@ -95,40 +159,76 @@
             seeds: seeds.filter(|ip| *ip != place.ip).collect(),
             crashes: VecDeque::new(),
             fetching: Rc::default(),
-            behind_since: None,
+            list_behind_since: None,
+            config_behind_since: None,
             wants_all: false,
         }
     }
 
-    /// Other entries that were heard of late and are not stopping.
+    /// Other entries that live and stay, as far as is known.
     #[must_use]
     pub fn count(&self, now: Time) -> usize {
-        // In a large fleet each is heard now and then only, so all that are known count.
-        let heard = |k: &Known| k.heard.is_some_and(|t| now.since(t) < HEARD_WITHIN);
-        let counts = |k: &&Known| !k.leaving && (self.is_large() || heard(k));
+        let counts = |k: &&Known| k.heard.is_some() && k.stays(now);
         self.known.values().filter(counts).count()
     }
 
+    /// Other entries that are known, by hearsay too.
+    pub(crate) fn known(&self) -> usize {
+        self.known.len()
+    }
+
+    /// The entries that hold what is known of `key`, this one perhaps among them.
+    pub(crate) fn owners(&self, now: Time, key: OwnedKey) -> impl Iterator<Item = Ipv4Addr> {
+        let others = self.known.iter().filter(move |(_, k)| k.stays(now));
+        owners_of(key, others.map(|(ip, _)| *ip).chain([self.me]))
+    }
+
+    /// Other entries among the owners of `key`.
+    pub(crate) fn other_owners(&self, now: Time, key: OwnedKey) -> impl Iterator<Item = Ipv4Addr> {
+        let me = self.me;
+        self.owners(now, key).filter(move |ip| *ip != me)
+    }
+
+    /// Notes that an entry was sent a question.
+    pub(crate) fn note_asked(&mut self, now: Time, ip: Ipv4Addr) {
+        if let Some(known) = self.known.get_mut(&ip) {
+            known.asked.get_or_insert(now);
+        }
+    }
+
+    /// Notes that an entry was heard.
+    pub(crate) fn note_heard(&mut self, now: Time, ip: Ipv4Addr) {
+        let known = self.known.entry(ip);
+        let known = known.or_insert_with(|| Known::by_hearsay(now));
+        known.heard = Some(now);
+        known.asked = None;
+    }
+
     /// What the other entries that are heard do about the store.
     pub(crate) fn watch_views(&self, now: Time) -> Vec<WatchView> {
-        let within = if self.is_large() {
-            WATCHER_HEARD_WITHIN_LARGE
-        } else {
-            WATCHER_HEARD_WITHIN
-        };
-        let heard = |k: &&Known| k.heard.is_some_and(|t| now.since(t) < within);
-        let view = |k: &Known| WatchView {
-            name: k.name.clone(),
-            watches: k.watches,
+        let within = self.watcher_tells_every().mul_f64(WATCHER_MISSES);
+        let heard = self.known.values();
+        let heard = heard.filter(|k| k.is_heard_within(now, within));
+        let view = |k: &Known| {
+            Some(WatchView {
+                name: k.name.clone()?,
+                watches: k.watches,
+            })
         };
-        self.known.values().filter(heard).map(view).collect()
+        heard.filter_map(view).collect()
+    }
+
+    fn watcher_tells_every(&self) -> Duration {
+        let entries = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
+        let due = WATCHER_TIME_FOR_EACH.saturating_mul(entries);
+        due.clamp(*WATCHER_TELLS_EVERY.start(), *WATCHER_TELLS_EVERY.end())
     }
 
     /// What operators are shown of the other entries.
     #[must_use]
     pub fn overview(&self, now: Time) -> Vec<PeerOverview> {
         let show = |(ip, k): (&Ipv4Addr, &Known)| PeerOverview {
-            name: k.name.clone(),
+            name: k.name.clone().unwrap_or_default(),
             ip: *ip,
             heard_ms: k.heard.map(|t| whole_millis(now.since(t))),
             watches: k.watches,
@@ -151,21 +251,24 @@
     /// Takes the sender of news and those whom it names.
     pub(crate) fn learn(&mut self, now: Time, from: Ipv4Addr, news: &EntryNews) {
         let known = Known {
-            name: news.name.clone(),
+            name: Some(news.name.clone()),
             heard: Some(now),
             since: now,
             leaving: news.leaving,
             watches: news.watches && !news.leaving,
+            asked: None,
+            config: news.config,
+            list: news.upstreams_digest,
         };
         self.known.insert(from, known);
-        for ip in news.peers.iter().filter(|ip| **ip != self.me) {
-            self.known.entry(*ip).or_insert(Known {
-                name: Name::default(),
-                heard: None,
-                since: now,
-                leaving: false,
-                watches: false,
-            });
+        self.learn_of(now, &news.peers);
+    }
+
+    /// Takes entries that another one knows.
+    pub(crate) fn learn_of(&mut self, now: Time, peers: &[Ipv4Addr]) {
+        for ip in peers.iter().filter(|ip| **ip != self.me) {
+            let known = self.known.entry(*ip);
+            known.or_insert_with(|| Known::by_hearsay(now));
         }
     }
 
@@ -182,57 +285,100 @@
         })
     }
 
-    /// Notes that a watcher's list differs from this entry's; true when it has for so long that the
-    /// list has to be fetched.
-    pub(crate) fn note_behind(&mut self, now: Time) -> bool {
-        let since = *self.behind_since.get_or_insert(now);
-        now.since(since) >= LIST_PATIENCE
+    /// What has to be fetched of what an entry told: a configuration at once, a list that differs
+    /// after a moment, both later where the entry's own calls of the store are about to bring them.
+    pub(crate) fn note_behind(&mut self, now: Time, told: Behind, own_calls: bool) -> Behind {
+        let least = if own_calls {
+            OWN_CALLS_PATIENCE
+        } else {
+            Duration::ZERO
+        };
+        Behind {
+            config: overdue(&mut self.config_behind_since, now, told.config, least),
+            list: overdue(
+                &mut self.list_behind_since,
+                now,
+                told.list,
+                least.max(LIST_PATIENCE),
+            ),
+        }
+    }
+
+    /// Notes that this entry has the list that the watchers tell.
+    pub(crate) const fn note_list_held(&mut self) {
+        self.list_behind_since = None;
     }
 
-    /// Whether the fleet is too large for all to tell all.
-    fn is_large(&self) -> bool {
-        self.known.len() > SMALL_FLEET
+    /// Longest pause before a fetch, of which a random part is taken.
+    pub(crate) fn spread(&self) -> Duration {
+        let entries = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
+        SPREAD_FOR_EACH.saturating_mul(entries)
+    }
+
+    /// An entry that has what is lacking; one drawn of all that have.
+    pub(crate) fn source(&self, now: Time, behind: &Behind) -> Option<Ipv4Addr> {
+        let has = |k: &Known| {
+            k.is_heard_within(now, SOURCE_HEARD_WITHIN)
+                && k.stays(now)
+                && behind.config.is_none_or(|v| k.config >= v)
+                && behind.list.is_none_or(|digest| k.list == digest)
+        };
+        let sources = self.known.iter().filter(|(_, k)| has(k));
+        let sources: Vec<Ipv4Addr> = sources.map(|(ip, _)| *ip).collect();
+        sources.choose(&mut rand::rng()).copied()
     }
 
     /// Time to the next telling.
     pub(crate) fn pace(&self, relied_on: bool) -> Duration {
-        match (self.is_large(), relied_on) {
-            (false, _) => TELL_EVERY,
-            (true, true) => TELL_EVERY_WATCHING,
-            (true, false) => TELL_EVERY_LARGE,
+        if relied_on {
+            self.watcher_tells_every()
+        } else {
+            TELL_EVERY
         }
     }
 
-    /// Whom to tell now; `all` in a large fleet as well.
+    /// Whom to tell now: all, or some.
     pub(crate) fn targets(&mut self, now: Time, all: bool) -> Vec<Ipv4Addr> {
-        let forget_after = if self.is_large() {
-            FORGET_AFTER_LARGE
-        } else {
-            FORGET_AFTER
-        };
         self.known
-            .retain(|_, k| now.since(k.heard.unwrap_or(k.since)) < forget_after);
+            .retain(|_, k| now.since(k.heard.unwrap_or(k.since)) < FORGET_AFTER);
         let unheard = |ip: &&Ipv4Addr| !self.known.contains_key(*ip);
         let seeds: Vec<Ipv4Addr> = self.seeds.iter().filter(unheard).copied().collect();
         let known: Vec<Ipv4Addr> = self.known.keys().copied().collect();
-        let most = if all || !self.is_large() {
-            known.len()
-        } else {
-            FEW
-        };
+        let most = if all { known.len() } else { TOLD_AT_A_TIME };
         let mut targets: Vec<Ipv4Addr> = known.sample(&mut rand::rng(), most).copied().collect();
         targets.extend(seeds);
         targets
     }
 
+    /// Entries that live and stay, as far as is known.
+    pub(crate) fn living(&self, now: Time) -> Vec<Ipv4Addr> {
+        let living = |k: &Known| k.heard.is_some() && k.stays(now);
+        let living = self.known.iter().filter(|(_, k)| living(k));
+        living.map(|(ip, _)| *ip).collect()
+    }
+
     /// Some entries to name in a datagram.
-    pub(crate) fn named(&self) -> Vec<Ipv4Addr> {
-        let heard = self.known.iter().filter(|(_, k)| k.heard.is_some());
-        let all: Vec<Ipv4Addr> = heard.map(|(ip, _)| *ip).collect();
-        all.sample(&mut rand::rng(), MAX_NAMED).copied().collect()
+    pub(crate) fn named(&self, now: Time) -> Vec<Ipv4Addr> {
+        let living = self.living(now);
+        living
+            .sample(&mut rand::rng(), MAX_NAMED)
+            .copied()
+            .collect()
     }
 }
 
+/// What has been lacking for long enough, if anything is lacking.
+fn overdue(
+    since: &mut Option<Time>,
+    now: Time,
+    lacking: Option<u64>,
+    patience: Duration,
+) -> Option<u64> {
+    let lacking = lacking?;
+    let since = *since.get_or_insert(now);
+    (now.since(since) >= patience).then_some(lacking)
+}
+
 /// A fetch that is under way, until it is dropped.
 pub(crate) struct FetchGuard {
     fetching: Rc<Cell<bool>>,
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -2,7 +2,7 @@
 
 use crate::node::{Node, Stage};
 use crate::settings::Settings;
-use crate::{callers, feed, hear, mover, readiness, state_page, tell};
+use crate::{callers, feed, hear, mover, readiness, reports, state_page, tell};
 use anyhow::Context;
 use fireflycroft::Time;
 use fireflycroft_platform::Kind;
@@ -65,8 +65,10 @@
     spawn_local(feed::follow(node.clone(), Kind::Config));
     spawn_local(feed::follow(node.clone(), Kind::Upstreams));
     let peer_socket = Rc::new(peer_socket);
-    spawn_local(hear::listen(node.clone(), peer_socket.clone()));
-    spawn_local(tell::run(node.clone(), peer_socket));
+    node.datagrams.set_socket(peer_socket.clone());
+    spawn_local(hear::listen(node.clone(), peer_socket));
+    spawn_local(tell::run(node.clone()));
+    spawn_local(reports::run(node.clone()));
     spawn_local(state_page::answer(node.clone(), peer_listener));
     spawn_local(readiness::answer(node.clone(), readiness));
     spawn_local(callers::accept(node.clone(), callers));
@@ -106,7 +108,7 @@
     let end = node.now() + node.place.bounds.grace.saturating_sub(GRACE_MARGIN);
     log::info!(event = "stopping", busy = node.busy.get(), streams = node.runs.count(); "");
     node.set_stage(Stage::Draining);
-    node.urgent.notify_one();
+    node.tell_all_at_once();
     tokio::time::sleep(DRAIN_FOR).await;
     node.set_stage(Stage::Closing);
     while node.busy.get() > 0 && node.now() < end {
--- /dev/null
+++ b/fireflydirect/src/questions.rs
@@ -0,0 +1,165 @@
+//! Asking owners, and replying to the entries that ask this one.
+//!
+//! See [`fireflycroft::owners_of`] for who owns what. A question ends when all
+//! owners that were asked have replied, or after [`REPLY_WAIT`]; what came until
+//! then is known, and who asked goes by what it believes of the rest.
+
+use crate::node::Node;
+use fireflycroft::{
+    EntryMessage, OwnerAnswer, OwnerAsk, OwnerQuery, OwnerReply, OwnerReport, Refusal,
+};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Longest wait for replies: several round trips between data centres, and far less than any
+/// objective.
+const REPLY_WAIT: Duration = Duration::from_millis(20);
+
+/// Questions that wait for replies.
+#[derive(Default)]
+pub struct Questions {
+    last: Cell<u64>,
+    waiting: RefCell<HashMap<u64, Waiting>>,
+}
+
+/// One question, sent to one owner or more.
+struct Waiting {
+    replies_left: usize,
+    all_replied: Option<oneshot::Sender<()>>,
+}
+
+/// A question that waits for replies, until it is dropped.
+struct Question<'a> {
+    questions: &'a Questions,
+    id: u64,
+    all_replied: oneshot::Receiver<()>,
+}
+
+impl Questions {
+    fn begin(&self, owners: usize) -> Question<'_> {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let (tx, rx) = oneshot::channel();
+        let waiting = Waiting {
+            replies_left: owners,
+            all_replied: Some(tx),
+        };
+        self.waiting.borrow_mut().insert(id, waiting);
+        Question {
+            questions: self,
+            id,
+            all_replied: rx,
+        }
+    }
+
+    /// Notes a reply; the last one ends the wait.
+    fn note_reply(&self, id: u64) {
+        let mut all = self.waiting.borrow_mut();
+        let Some(waiting) = all.get_mut(&id) else {
+            return;
+        };
+        waiting.replies_left = waiting.replies_left.saturating_sub(1);
+        let all_replied = waiting.all_replied.take_if(|_| waiting.replies_left == 0);
+        if let Some(tx) = all_replied {
+            // Who asked may have given up by now.
+            let _ = tx.send(());
+        }
+    }
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.questions.waiting.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Asks owners; returns once all have replied, with true, or when the wait is over.
+pub async fn ask(node: &Node, asks: impl ExactSizeIterator<Item = (Ipv4Addr, OwnerAsk)>) -> bool {
+    if asks.len() == 0 {
+        return true;
+    }
+    let mut question = node.questions.begin(asks.len());
+    for (owner, ask) in asks {
+        node.peers.borrow_mut().note_asked(node.now(), owner);
+        let query = OwnerQuery {
+            entry: node.place.vm.clone(),
+            id: question.id,
+            ask,
+        };
+        let message = EntryMessage::Query(query);
+        node.datagrams.send_all([owner], &message).await;
+    }
+    let replied = tokio::time::timeout(REPLY_WAIT, &mut question.all_replied).await;
+    node.metrics.note_question(replied.is_ok());
+    replied.is_ok()
+}
+
+/// Replies to another entry that asks.
+pub async fn reply(node: &Node, to: Ipv4Addr, query: OwnerQuery) {
+    let reply = OwnerReply {
+        entry: node.place.vm.clone(),
+        id: query.id,
+        answer: answer(node, query),
+    };
+    let message = EntryMessage::Reply(reply);
+    node.datagrams.send_all([to], &message).await;
+}
+
+fn answer(node: &Node, query: OwnerQuery) -> OwnerAnswer {
+    let now = node.now();
+    match query.ask {
+        OwnerAsk::Loads(lives) => {
+            let pool = node.pool.borrow();
+            OwnerAnswer::Loads(pool.loads_for(now, &query.entry, &lives))
+        }
+        OwnerAsk::Repeat(service) => {
+            let lent = node.budget.borrow_mut().lend(now, &service);
+            log::info!(
+                event = "repeat_asked", by = &*query.entry, service = &*service, lent = lent;
+                ""
+            );
+            OwnerAnswer::Repeat { service, lent }
+        }
+        OwnerAsk::Refused(content) => OwnerAnswer::Refused {
+            content,
+            age: node.returns.borrow().waited(now, content),
+        },
+    }
+}
+
+/// Takes what an owner replied.
+pub fn take_reply(node: &Node, reply: OwnerReply) {
+    let now = node.now();
+    match reply.answer {
+        OwnerAnswer::Loads(loads) => {
+            let mut pool = node.pool.borrow_mut();
+            pool.note_reply(now, &reply.entry, &loads);
+        }
+        OwnerAnswer::Repeat { service, lent } => {
+            if lent {
+                node.budget.borrow_mut().note_loan(now, &service);
+            }
+        }
+        OwnerAnswer::Refused { content, age } => {
+            if let Some(age) = age {
+                let mut returns = node.returns.borrow_mut();
+                returns.learn(now, &Refusal { content, age });
+            }
+        }
+    }
+    node.questions.note_reply(reply.id);
+}
+
+/// Takes what another entry reports to this one as an owner.
+pub fn take_report(node: &Node, report: &OwnerReport) {
+    let now = node.now();
+    let mut pool = node.pool.borrow_mut();
+    pool.note_others(now, &report.entry, &report.placed, !report.is_whole);
+    drop(pool);
+    for refusal in &report.refused {
+        node.returns.borrow_mut().learn(now, refusal);
+    }
+}
--- /dev/null
+++ b/fireflydirect/src/repeats.rs
@@ -0,0 +1,43 @@
+//! Borrowing a repeat from the owners of a service when this entry's part is spent.
+
+use crate::job::Job;
+use crate::questions;
+use fireflycroft::{OwnedKey, OwnerAsk};
+
+/// Takes one repeat from the shared budget, borrowing it if need be.
+pub async fn take(job: &Job) -> bool {
+    prepare(job).await;
+    job.take_repeat()
+}
+
+/// Borrows one repeat if this entry's part is spent; owners are asked one after another, since each
+/// one lends.
+pub async fn prepare(job: &Job) {
+    if has_one(job) {
+        return;
+    }
+    let node = &job.node;
+    let key = OwnedKey::of_repeats(&job.service);
+    let owners: Vec<_> = node.peers.borrow().owners(node.now(), key).collect();
+    for owner in owners {
+        if owner == node.place.ip {
+            let mut budget = node.budget.borrow_mut();
+            if budget.lend(job.now(), &job.service) {
+                budget.note_loan(job.now(), &job.service);
+                return;
+            }
+            continue;
+        }
+        let ask = OwnerAsk::Repeat(job.service.clone());
+        // An owner that replied has said all there is to say.
+        if questions::ask(node, [(owner, ask)].into_iter()).await {
+            return;
+        }
+    }
+}
+
+fn has_one(job: &Job) -> bool {
+    let entries = job.node.entries();
+    let mut budget = job.node.budget.borrow_mut();
+    budget.left(job.now(), &job.service, entries) >= 1.0
+}
--- /dev/null
+++ b/fireflydirect/src/returns.rs
@@ -0,0 +1,35 @@
+//! Whether a caller was refused before, by this entry or another one.
+
+use crate::job::Job;
+use crate::questions;
+use fireflycroft::{Coming, Mechanism, OwnedKey, OwnerAsk};
+
+/// Whether the caller comes back, as far as is known here.
+#[must_use]
+pub fn coming(job: &Job) -> Coming {
+    let waited = job.node.returns.borrow().waited(job.arrival, job.content);
+    Coming::after(waited.filter(|_| is_on(job)), job.route.objective)
+}
+
+/// Asks the owners of the request whether its caller was refused; true if it was.
+pub async fn learn(job: &Job) -> bool {
+    if !is_on(job) || coming(job) != Coming::First {
+        return false;
+    }
+    let key = OwnedKey::of_content(job.content);
+    let owners: Vec<_> = job
+        .node
+        .peers
+        .borrow()
+        .other_owners(job.now(), key)
+        .collect();
+    let asks = owners
+        .into_iter()
+        .map(|o| (o, OwnerAsk::Refused(job.content)));
+    questions::ask(&job.node, asks).await;
+    coming(job) != Coming::First
+}
+
+fn is_on(job: &Job) -> bool {
+    job.node.policy.uses(Mechanism::Returns)
+}
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -8,8 +8,7 @@
 use crate::node::{Node, Stage};
 use bytes::Bytes;
 use fireflycroft::{
-    Ask, Catalog, Code, Coming, Digest, Mechanism, Name, RouteSpec, SOON, Time, WorkspaceSpec,
-    back_after,
+    Ask, Catalog, Code, Digest, Mechanism, Name, RouteSpec, SOON, Time, WorkspaceSpec, back_after,
 };
 use fireflycroft_platform::read_ask;
 use http_body_util::{BodyExt, Limited};
@@ -133,13 +132,8 @@
     let engine = catalog.service(&service).and_then(|s| s.engine);
     let workspace_rank = workspace.and_then(|w| w.rank);
     let patience = ask.deadline.map_or(route.timeout, |d| d.min(route.timeout));
-    let knows = node.policy.uses(Mechanism::Returns);
-    let waited = node.returns.borrow().waited(node.now(), content);
-    let waited = waited.filter(|_| knows);
-    let coming = Coming::after(waited, route.objective);
     let mut job = Job {
         node: node.clone(),
-        coming,
         yields: 0.0,
         version: catalog.version(),
         engine,
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
@@ -33,6 +34,9 @@
     pub digest: u64,
     /// Whether the store has answered for so long that what the list lacks is gone.
     pub sure: bool,
+    /// Entries that live, as far as the sender knows.
+    #[serde(default)]
+    pub entries: Vec<Ipv4Addr>,
 }
 
 /// Answers for as long as the process lives.
@@ -106,5 +110,6 @@
         revision: pool.revision(),
         digest: pool.digest(),
         sure: node.follows_store(),
+        entries: node.peers.borrow().living(node.now()),
     }
 }
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -1,37 +1,28 @@
 //! Telling the other entries, and deciding who watches the store for all.
 
 use crate::node::{Node, Stage};
-use crate::peers::Peers;
-use fireflycroft::{EntryNews, ListChange};
-use fireflycroft_wire::encode_news;
-use std::net::SocketAddr;
+use fireflycroft::{EntryMessage, EntryNews, ListChange, OwnedKey};
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
 
 /// Least time between two tellings, however urgent.
 const TELL_SPACING: Duration = Duration::from_millis(15);
 
 /// Tells the others for as long as the process lives.
-pub async fn run(node: Rc<Node>, socket: Rc<UdpSocket>) {
-    let mut tell_all_at = node.now();
+pub async fn run(node: Rc<Node>) {
+    let mut tell_at = node.now();
     loop {
         let reason = tokio::select! {
             biased;
             () = node.urgent.notified() => Reason::Urgent,
-            () = tokio::time::sleep_until(node.clock.instant(tell_all_at)) => Reason::Due,
-            () = node.placed.notified() => Reason::Placed,
+            () = tokio::time::sleep_until(node.clock.instant(tell_at)) => Reason::Due,
         };
-        let news = match reason {
-            Reason::Urgent | Reason::Due => {
-                decide_duty(&node);
-                let pace = node.peers.borrow().pace(is_relied_on(&node));
-                tell_all_at = node.now() + pace;
-                all_news(&node)
-            }
-            Reason::Placed => changes(&node),
-        };
-        tell(&node, &socket, &news).await;
+        decide_duty(&node);
+        let pace = node.peers.borrow().pace(is_relied_on(&node));
+        tell_at = node.now() + pace;
+        tell(&node, reason).await;
         if reason != Reason::Due {
             tokio::time::sleep(TELL_SPACING).await;
         }
@@ -43,10 +34,14 @@
     let now = node.now();
     let views = node.peers.borrow().watch_views(now);
     let mut duty = node.duty.borrow_mut();
-    if duty.decide(now, &views) {
-        let watching = duty.is_watching();
-        drop(duty);
+    let was_relied_on = duty.is_relied_on();
+    let changed = duty.decide(now, &views);
+    let (watching, relied_on) = (duty.is_watching(), duty.is_relied_on());
+    drop(duty);
+    if changed {
         log::info!(event = "watch_duty", watching = watching, peers = views.len(); "");
+    }
+    if changed || relied_on != was_relied_on {
         node.duty_changed.notify_waiters();
     }
 }
@@ -58,8 +53,6 @@
     Urgent,
     /// The time has come.
     Due,
-    /// Generations were placed or their prompts read.
-    Placed,
 }
 
 /// Whether the others rely on this entry for what the store says.
@@ -70,40 +63,44 @@
     node.watches_store() && node.duty.borrow().is_relied_on()
 }
 
-async fn tell(node: &Node, socket: &UdpSocket, news: &EntryNews) {
-    let bytes = encode_news(news);
-    let all = !news.changes_only && is_relied_on(node);
-    let targets = node.peers.borrow_mut().targets(node.now(), all);
-    let port = node.place.peer_ports.0;
-    for ip in targets {
-        // A datagram that can't be sent counts as one that was lost on the way.
-        let _ = socket.send_to(&bytes, SocketAddr::from((ip, port))).await;
-    }
+async fn tell(node: &Node, reason: Reason) {
+    let must_reach_all = reason == Reason::Urgent && node.tell_all.take();
+    let all = must_reach_all || is_relied_on(node);
+    let news = news(node);
+    let mut targets: BTreeSet<Ipv4Addr> = BTreeSet::new();
+    targets.extend(node.peers.borrow_mut().targets(node.now(), all));
+    targets.extend(lenders(node, &news));
+    let message = EntryMessage::News(Box::new(news));
+    node.datagrams.send_all(targets, &message).await;
 }
 
-/// Everything that the others are told.
-fn all_news(node: &Node) -> EntryNews {
-    node.loads_changed.borrow_mut().clear();
-    let repeats = node.budget.borrow_mut().tell(node.now());
+/// Owners of the services that this entry repeats requests to: they lend what is left, and have to
+/// know what was spent.
+fn lenders(node: &Node, news: &EntryNews) -> Vec<Ipv4Addr> {
     let peers = node.peers.borrow();
-    EntryNews {
-        repeats,
-        list_changes: list_changes(node),
-        placed: node.pool.borrow().placed(),
-        refused: node.returns.borrow().tell(node.now()),
-        crashes: peers.crashes.iter().copied().collect(),
-        peers: peers.named(),
-        ..head(node, &peers)
-    }
+    let services = news.repeats.iter().map(|c| &c.service);
+    let owners = services.flat_map(|s| peers.other_owners(node.now(), OwnedKey::of_repeats(s)));
+    owners.collect()
 }
 
-/// Loads that have changed since the last news.
-fn changes(node: &Node) -> EntryNews {
-    let changed = std::mem::take(&mut *node.loads_changed.borrow_mut());
+fn news(node: &Node) -> EntryNews {
+    let now = node.now();
+    let repeats = node.budget.borrow_mut().tell(now);
+    let peers = node.peers.borrow();
     EntryNews {
-        changes_only: true,
-        placed: node.pool.borrow().placed_at(changed),
-        ..head(node, &node.peers.borrow())
+        name: node.place.vm.clone(),
+        incarnation: peers.incarnation,
+        config: node.version(),
+        config_bytes: node.config_bytes(),
+        upstreams: node.pool.borrow().revision(),
+        upstreams_digest: node.pool.borrow().digest(),
+        watches: node.watches_store(),
+        store_age: store_age(node),
+        list_changes: list_changes(node),
+        repeats,
+        crashes: peers.crashes.iter().copied().collect(),
+        peers: peers.named(now),
+        leaving: node.stage() != Stage::Serving,
     }
 }
 
@@ -122,18 +119,3 @@
     let answered_at = answered_at.filter(|_| node.duty.borrow().is_watching());
     answered_at.map(|at| node.now().since(at))
 }
-
-fn head(node: &Node, peers: &Peers) -> EntryNews {
-    EntryNews {
-        name: node.place.vm.clone(),
-        incarnation: peers.incarnation,
-        config: node.version(),
-        config_bytes: node.config_bytes(),
-        upstreams: node.pool.borrow().revision(),
-        upstreams_digest: node.pool.borrow().digest(),
-        watches: node.watches_store(),
-        store_age: store_age(node),
-        leaving: node.stage() != Stage::Serving,
-        ..EntryNews::default()
-    }
-}
