--- a/fireflycroft/src/overview.rs
+++ b/fireflycroft/src/overview.rs
@@ -56,8 +56,11 @@
     pub failing: f64,
     /// Time that it takes for a token, against its service.
     pub pace: f64,
-    /// Age in milliseconds of the oldest telling of other entries that counts.
+    /// Age in milliseconds of what is known of the work of other entries.
     pub told_age_ms: u64,
+    /// Entries that own its load.
+    #[serde(default)]
+    pub owners: Vec<Ipv4Addr>,
 }
 
 /// Another entry.
--- a/fireflyctl/src/entries.rs
+++ b/fireflyctl/src/entries.rs
@@ -114,6 +114,7 @@
             "failing",
             "pace",
             "told ms ago",
+            "owners",
         ],
         View::Peers => &["node", "name", "address", "heard ms ago", "store", "state"],
     }
@@ -147,7 +148,9 @@
     }
 }
 
-fn upstream_cells(node: &str, upstream: &UpstreamOverview) -> [String; 12] {
+fn upstream_cells(node: &str, upstream: &UpstreamOverview) -> [String; 13] {
+    let owners = upstream.owners.iter().map(ToString::to_string);
+    let owners: Vec<String> = owners.collect();
     let state = if upstream.serves {
         "serving"
     } else {
@@ -166,6 +169,7 @@
         format!("{:.2}", upstream.failing),
         format!("{:.2}", upstream.pace),
         upstream.told_age_ms.to_string(),
+        owners.join(" "),
     ]
 }
 
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -133,6 +133,8 @@
         }
         let source = node.peers.borrow().source(node.now(), &behind);
         let from = source.unwrap_or(teller);
+        let what = behind.list.map_or("config", |_| "list");
+        node.metrics.fetches.with_label_values(&[what]).inc();
         if let Err(e) = fetch_state(&node, from, &behind).await {
             let (from, why) = (from.to_string(), e.to_string());
             log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -38,6 +38,8 @@
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
     questions: IntCounterVec,
+    /// States fetched from other entries, by `what` was lacking: `config`, `list`.
+    pub fetches: IntCounterVec,
     unreadable: IntCounterVec,
     restarts: IntCounterVec,
     running: IntGauge,
@@ -95,6 +97,12 @@
                 "Questions to owners of upstreams",
                 &["end"],
             )?,
+            fetches: counters(
+                &r,
+                "fetches_total",
+                "States fetched from entries",
+                &["what"],
+            )?,
             unreadable: counters(&r, "unreadable_total", "Objects not readable", &["what"])?,
             restarts: counters(
                 &r,
--- a/fireflydirect/src/overview.rs
+++ b/fireflydirect/src/overview.rs
@@ -1,7 +1,9 @@
 //! The page by which operators see an entry, the upstreams and the other entries.
 
 use crate::node::{Node, Stage};
-use fireflycroft::{EntryOverview, Pool, Time, UpstreamIx, UpstreamOverview, whole_millis};
+use fireflycroft::{
+    EntryOverview, OwnedKey, Pool, Time, UpstreamIx, UpstreamOverview, whole_millis,
+};
 
 /// Path of the page.
 pub const OVERVIEW_PATH: &str = "/fleet/overview";
@@ -23,14 +25,16 @@
         store_answers: node.store_answers.get(),
         calls: node.busy.get(),
         streams: node.runs.count(),
-        upstreams: known.map(|ix| upstream(&pool, now, ix)).collect(),
+        upstreams: known.map(|ix| upstream(node, &pool, now, ix)).collect(),
         peers: node.peers.borrow().overview(now),
     }
 }
 
-fn upstream(pool: &Pool, now: Time, ix: UpstreamIx) -> UpstreamOverview {
+fn upstream(node: &Node, pool: &Pool, now: Time, ix: UpstreamIx) -> UpstreamOverview {
     let record = pool.record(ix);
     let view = pool.view(now, ix);
+    let key = OwnedKey::of_upstream(&record.instance);
+    let peers = node.peers.borrow();
     UpstreamOverview {
         instance: record.instance.clone(),
         service: record.service.clone(),
@@ -43,6 +47,7 @@
         failing: view.failing,
         pace: pool.relative_pace(ix),
         told_age_ms: whole_millis(view.age),
+        owners: peers.owners(now, key).collect(),
     }
 }
 
