Spread the choices of targets over 40 ms when an upstream leaves

Change: each run waits for a random part of 40 ms before its target is chosen, so that those who choose later see what the first ones took. Copies share one link, so the wait costs nothing that the queue for it doesn't.

Ruled out: reservations at owners for each question, which would need a lease and a release of each; not tried.

--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use rand::Rng;
+use rand::{Rng, RngExt};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +25,12 @@
 /// Pause after an upstream had no room, in which the entries hear of each other's choices.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
 
+/// Time over which the choices of targets are spread when an upstream leaves.
+///
+/// All entries hear of it within milliseconds; choosing at once, they would not know of each other's
+/// choices and crowd on the same few upstreams.
+const SPREAD: Duration = Duration::from_millis(40);
+
 /// Saves runs for as long as the process lives.
 pub async fn run(node: Rc<Node>) {
     loop {
@@ -72,6 +78,8 @@
 /// Copies a run's memory elsewhere, stops it, and leaves the copy for its relay to go on from.
 async fn save(node: &Rc<Node>, from: UpstreamIx, run: &Run) {
     let mut asked = vec![from];
+    let wait = SPREAD.mul_f64(rand::rng().random());
+    tokio::time::sleep(wait).await;
     while asked.len() <= MAX_TARGETS {
         let need = Need {
             copied_from: Some(from),
