Tell owners of upstreams that can't be reached, and bound the calls of a silent store by the fleet

An engine that leaves while the store is silent stays on the list and looks empty, and each of 68 entries found it out for itself.

Change: an entry that can't reach an upstream reports it to the owners, and once two entries have, owners reply that it doesn't serve for 1.5 s. Two, since one alone may be cut off from it. The pause between calls of a store that doesn't answer grows with the entries that are heard, but for those that rank first, so the fleet calls some twenty times a second at any size. Besides, the head of the core's lib.rs says which modules serve which carrier, with an example.

Tests: the core's cases of both fail without them; the calls are bounded at 5, 68 and 350 entries.

--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -468,6 +468,9 @@
     pub placed: ::prost::alloc::vec::Vec<PlacedAt>,
     #[prost(message, repeated, tag = "4")]
     pub refused: ::prost::alloc::vec::Vec<Refusal>,
+    /// Upstreams that the sender couldn't reach of late.
+    #[prost(message, repeated, tag = "5")]
+    pub unreachable: ::prost::alloc::vec::Vec<Life>,
 }
 /// A question to an owner.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/fireflycroft-wire/src/owner_news.rs
+++ b/fireflycroft-wire/src/owner_news.rs
@@ -26,17 +26,20 @@
         is_whole: report.is_whole,
         placed: report.placed.iter().map(placed).collect(),
         refused: report.refused.iter().map(refusal).collect(),
+        unreachable: report.unreachable.iter().map(life).collect(),
     }
 }
 
 pub(crate) fn read_report(report: &pb::OwnerReport) -> Result<OwnerReport, WireError> {
     check_count(report.placed.len(), MAX_RECORDS, "report.placed")?;
     check_count(report.refused.len(), MAX_RECORDS, "report.refused")?;
+    check_count(report.unreachable.len(), MAX_RECORDS, "report.unreachable")?;
     Ok(OwnerReport {
         entry: read_name(&report.entry, "report.entry")?,
         is_whole: report.is_whole,
         placed: read_all(&report.placed, read_placed)?,
         refused: read_all(&report.refused, read_refusal)?,
+        unreachable: read_all(&report.unreachable, read_life)?,
     })
 }
 
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -68,6 +68,7 @@
             content: Digest(11),
             age: Duration::from_millis(120),
         }],
+        unreachable: vec![life()],
     }
 }
 
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -1,7 +1,47 @@
 //! Decisions of a fleet that serves generations of unknown length.
 //!
 //! The crate holds what entries and agents decide and nothing else: no
-//! sockets, files, clocks, threads or global state.
+//! sockets, files, clocks, threads or global state. Time and randomness come in
+//! as arguments, and what is to be done goes out as values.
+//!
+//! Two carriers use it, each with modules of its own:
+//!
+//! - the agents' path (`fireflyd`): [`Entry`] and [`Agent`] with `member`,
+//!   `route`, `admit`, `place`, `lease`, `claim` and what belongs to them;
+//! - the direct entry (`fireflydirect`): [`Pool`] with `upstream`, `listing`,
+//!   `loads`, `pace` and `room` says where a request goes; `owners`, `repeat`,
+//!   `returns`, `watchers` and `contact` say what entries know of each other and
+//!   of the platform's store; `attempt`, `relay` and `rescue` follow a request.
+//!
+//! A direct entry that knows two engines sends a generation to the emptier one:
+//!
+//! ```
+//! use fireflycroft::{Incarnation, Name, Need, Pool, Time, UpstreamRecord, UpstreamState};
+//! use std::time::Duration;
+//!
+//! let record = |instance: &str, revision| UpstreamRecord {
+//!     instance: Name::from(instance),
+//!     incarnation: Incarnation::default(),
+//!     service: Name::from("models"),
+//!     addr: "127.0.0.1:80".parse().unwrap(),
+//!     data_centre: Name::from("a"),
+//!     slots: 24,
+//!     state: UpstreamState::Serving,
+//!     cold_for: Duration::ZERO,
+//!     revision,
+//! };
+//! let now = Time::default();
+//! let mut pool = Pool::new(Name::from("a"));
+//! pool.learn(now, record("i-1", 1));
+//! pool.learn(now, record("i-2", 2));
+//! pool.set_memory(&Name::from("models"), Some(30_000));
+//!
+//! let need = Need { tokens: 4_000, ..Need::default() };
+//! let first = pool.choose(now, "models", &need, &[]).unwrap();
+//! pool.place(now, first, &need);
+//! let second = pool.choose(now, "models", &need, &[]).unwrap();
+//! assert_ne!(first, second);
+//! ```
 
 mod admit;
 mod agent;
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -185,6 +185,7 @@
             missing: None,
             mine: Placed::default(),
             others: HashMap::new(),
+            unreachable: HashMap::new(),
             replied: None,
             avoid_until: Time::default(),
             failing: 0.0,
--- a/fireflycroft/src/loads.rs
+++ b/fireflycroft/src/loads.rs
@@ -17,6 +17,14 @@
 /// Time for which an upstream that its owner knows to leave is left out: news of it is on its way.
 const AVOID_LEAVING: Duration = Duration::from_secs(1);
 
+/// Time for which an upstream that couldn't be reached is taken to be gone; after it somebody tries
+/// again.
+const UNREACHABLE_FOR: Duration = Duration::from_millis(1_500);
+
+/// Entries that have to find an upstream unreachable before others are told: one alone may be cut
+/// off from it.
+const WITNESSES: usize = 2;
+
 /// Replies fewer than this leave a choice to all that is believed.
 pub(crate) const FEW_REPLIES: usize = 3;
 
@@ -128,7 +136,7 @@
             let u = &self.upstreams[self.find(&life.instance)?.0];
             (u.record.incarnation == life.incarnation).then(|| OwnedLoad {
                 life: life.clone(),
-                serves: u.is_serving(),
+                serves: u.is_serving() && u.witnesses(now) < WITNESSES,
                 placed: u.mine.plus(u.told(now, Some(entry))),
                 pace: u.pace.but_of(entry),
             })
@@ -136,6 +144,22 @@
         known.collect()
     }
 
+    /// Notes that an entry couldn't reach an upstream.
+    ///
+    /// Upstreams that leave while the store is silent stay on the list, and look empty. Each entry
+    /// would find out for itself, and refuse callers who find three of them in a row.
+    pub fn note_unreachable(&mut self, now: Time, entry: &Name, life: &Life) {
+        let Some(ix) = self.find(&life.instance) else {
+            return;
+        };
+        let u = &mut self.upstreams[ix.0];
+        if u.record.incarnation == life.incarnation {
+            u.unreachable
+                .retain(|_, at| now.since(*at) < UNREACHABLE_FOR);
+            u.unreachable.insert(entry.clone(), now);
+        }
+    }
+
     /// Takes the loads that an owner replied.
     ///
     /// Of two owners the one that knows of more is right: the other has begun to own the upstream
@@ -171,6 +195,12 @@
         self.replied.filter(|r| now.since(r.at) < REPLY_HOLDS)
     }
 
+    /// Entries that couldn't reach it of late.
+    fn witnesses(&self, now: Time) -> usize {
+        let told = self.unreachable.values();
+        told.filter(|at| now.since(**at) < UNREACHABLE_FOR).count()
+    }
+
     /// Whether its owners have replied just now.
     pub(crate) fn is_fresh(&self, now: Time) -> bool {
         self.replied
--- a/fireflycroft/src/owner_news.rs
+++ b/fireflycroft/src/owner_news.rs
@@ -19,6 +19,8 @@
     pub placed: Vec<PlacedAt>,
     /// Callers whom it has refused of late.
     pub refused: Vec<Refusal>,
+    /// Upstreams that it couldn't reach of late.
+    pub unreachable: Vec<Life>,
 }
 
 /// A question to an owner.
@@ -48,7 +50,7 @@
 pub struct OwnedLoad {
     /// The upstream.
     pub life: Life,
-    /// Whether it takes new work, as far as the owner knows.
+    /// Whether it takes new work and can be reached, as far as the owner knows.
     pub serves: bool,
     /// Work of all entries but the one that asks.
     pub placed: Placed,
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -85,6 +85,8 @@
     pub(crate) mine: Placed,
     /// What other entries have told this one as an owner.
     pub(crate) others: HashMap<Name, (Time, Placed)>,
+    /// Entries that couldn't reach it, and when.
+    pub(crate) unreachable: HashMap<Name, Time>,
     /// What an owner has told this entry.
     pub(crate) replied: Option<Replied>,
     pub(crate) avoid_until: Time,
--- a/fireflycroft/src/watchers.rs
+++ b/fireflycroft/src/watchers.rs
@@ -25,12 +25,16 @@
 /// and tell the others.
 const FIRST_PAUSE_LIMIT: Duration = Duration::from_millis(700);
 
-/// The same of all others.
+/// The same of all others, in a small fleet.
 ///
 /// When the store is away for all, every entry tries: at 350 entries, two lists each, 1,000 calls a
 /// second with the pause of the first, half of what the store takes from all.
 const OTHERS_PAUSE_LIMIT: Duration = Duration::from_millis(2_100);
 
+/// The same for each entry that is heard, in a larger one: together they call some twenty times a
+/// second, whatever the size, so that one finds out soon when the store is back for it alone.
+const PAUSE_FOR_EACH: Duration = Duration::from_millis(100);
+
 /// What an entry knows of another one's watching.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WatchView {
@@ -47,6 +51,7 @@
     watching: bool,
     enough_since: Option<Time>,
     is_among_first: bool,
+    others_pause: Duration,
 }
 
 impl WatchDuty {
@@ -58,6 +63,7 @@
             watching: true,
             enough_since: None,
             is_among_first: true,
+            others_pause: OTHERS_PAUSE_LIMIT,
         }
     }
 
@@ -86,7 +92,7 @@
         if self.is_among_first {
             FIRST_PAUSE_LIMIT
         } else {
-            OTHERS_PAUSE_LIMIT
+            self.others_pause
         }
     }
 
@@ -96,6 +102,9 @@
         now: Time,
         others: impl IntoIterator<Item = &'a WatchView>,
     ) -> bool {
+        let others: Vec<_> = others.into_iter().collect();
+        let heard = u32::try_from(others.len()).unwrap_or(u32::MAX);
+        self.others_pause = OTHERS_PAUSE_LIMIT.max(PAUSE_FOR_EACH.saturating_mul(heard));
         let others = others.into_iter();
         let before: Vec<_> = others.filter(|o| rank_of(&o.name) < self.rank).collect();
         self.is_among_first = before.len() < WATCHERS;
--- a/fireflycroft/tests/owners.rs
+++ b/fireflycroft/tests/owners.rs
@@ -26,6 +26,7 @@
     choice_goes_by_fresh_replies => goes_by_replies();
     owner_that_knows_of_more_is_believed => more_is_believed();
     upstream_that_an_owner_knows_to_leave_is_left_out => leaving_is_left_out();
+    upstream_that_two_entries_could_not_reach_is_left_out => unreachable_is_left_out();
     few_replies_leave_the_choice_to_what_is_believed => few_replies();
     old_reply_no_longer_counts => old_reply();
     what_an_owner_was_told_goes_before_an_old_reply => told_before_old();
@@ -156,6 +157,27 @@
     assert!(!owner.loads_for(at(1), &Name::from("x"), &[life("a")])[0].serves);
 }
 
+/// In an outage of the store 325 callers of a day were refused, each because three upstreams in a row
+/// were gone; they stay on the list and look emptier than the others.
+fn unreachable_is_left_out() {
+    let mut owner = pool(&["a"]);
+    let serves =
+        |owner: &Pool, now| owner.loads_for(at(now), &Name::from("x"), &[life("a")])[0].serves;
+    owner.note_unreachable(at(0), &Name::from("y"), &life("a"));
+    owner.note_unreachable(at(10), &Name::from("y"), &life("a"));
+    assert!(serves(&owner, 20), "one entry alone may be cut off from it");
+    owner.note_unreachable(at(20), &Name::from("z"), &life("a"));
+    assert!(!serves(&owner, 30));
+    assert!(serves(&owner, 3_000), "somebody tries again");
+    let later = Life {
+        incarnation: Incarnation(9),
+        ..life("a")
+    };
+    owner.note_unreachable(at(4_000), &Name::from("y"), &later);
+    owner.note_unreachable(at(4_000), &Name::from("z"), &later);
+    assert!(serves(&owner, 4_010), "that was another life");
+}
+
 fn few_replies() {
     let mut pool = pool(&["a", "b", "c", "d"]);
     reply(&mut pool, &[("a", 9_000)]);
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -41,6 +41,7 @@
     watcher_steps_down_late => steps_down_late();
     few_are_relied_on_even_while_all_watch => few_relied_on();
     few_call_a_store_that_is_away_for_all_often => few_call_often();
+    calls_of_a_silent_store_do_not_grow_with_the_fleet => calls_stay_few();
 }
 
 fn asking(expected_tokens: u64, coming: Coming) -> Asking {
@@ -319,6 +320,23 @@
     assert!(WatchDuty::new(&Name::from("a")).longest_pause() < Duration::from_secs(1));
 }
 
+fn calls_stay_few() {
+    for size in [5, 68, 350] {
+        let mut fleet = Fleet::new(size);
+        let nobody = |i: usize| WatchView {
+            name: Name::from(format!("e{i}")),
+            watches: false,
+        };
+        let views: Vec<WatchView> = (0..size).map(nobody).collect();
+        for (i, duty) in fleet.duties.iter_mut().enumerate() {
+            duty.decide(at(0), views.iter().filter(|v| v.name != fleet.names[i]));
+        }
+        let pauses = fleet.duties.iter().map(|d| d.longest_pause().as_secs_f64());
+        let calls_a_second: f64 = pauses.map(|p| 2.0 / p).sum();
+        assert!(calls_a_second < 40.0, "{size} entries: {calls_a_second}");
+    }
+}
+
 fn few_relied_on() {
     let mut fleet = Fleet::new(20);
     fleet.decide(at(0), None);
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -292,6 +292,9 @@
 fn note(job: &Job, ix: UpstreamIx, tried: &Tried) {
     let now = job.now();
     let outcome = format!("{:?}", tried.outcome);
+    if tried.outcome == TryOutcome::NeverSent {
+        job.node.note_unreachable(ix);
+    }
     job.node.metrics.tries.with_label_values(&[&outcome]).inc();
     let mut pool = job.node.pool.borrow_mut();
     pool.note_outcome(ix, tried.outcome != TryOutcome::Answered);
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -10,7 +10,7 @@
 use crate::questions::Questions;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, Digest, LengthGuess, Need, Policy, Pool, PoolChange, Quarantine, QueryBreadth,
+    Catalog, Digest, LengthGuess, Life, Need, Policy, Pool, PoolChange, Quarantine, QueryBreadth,
     Refusal, RepeatBudget, Returns, SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
@@ -100,6 +100,8 @@
     pub loads_changed: RefCell<BTreeSet<UpstreamIx>>,
     /// Callers who were refused since then.
     pub refused: RefCell<Vec<Refusal>>,
+    /// Upstreams that couldn't be reached since then.
+    pub unreachable: RefCell<Vec<Life>>,
     /// Upstreams that were found to leave, for the task that saves their runs.
     pub left: RefCell<Vec<UpstreamIx>>,
     /// Rings when an upstream was found to leave.
@@ -162,6 +164,7 @@
             to_report: Notify::new(),
             loads_changed: RefCell::default(),
             refused: RefCell::default(),
+            unreachable: RefCell::default(),
             left: RefCell::default(),
             leaving: Notify::new(),
             departures: Departures::default(),
@@ -417,6 +420,15 @@
         self.to_report.notify_one();
     }
 
+    /// Notes that an upstream couldn't be reached, here and for its owners.
+    pub fn note_unreachable(&self, ix: UpstreamIx) {
+        let mut pool = self.pool.borrow_mut();
+        let life = pool.record(ix).life();
+        pool.note_unreachable(self.now(), &self.place.vm, &life);
+        self.unreachable.borrow_mut().push(life);
+        self.to_report.notify_one();
+    }
+
     /// Tells all other entries what is new here.
     pub fn tell_all_at_once(&self) {
         self.tell_all.set(true);
--- a/fireflydirect/src/questions.rs
+++ b/fireflydirect/src/questions.rs
@@ -158,6 +158,9 @@
     let now = node.now();
     let mut pool = node.pool.borrow_mut();
     pool.note_others(now, &report.entry, &report.placed, !report.is_whole);
+    for life in &report.unreachable {
+        pool.note_unreachable(now, &report.entry, life);
+    }
     drop(pool);
     for refusal in &report.refused {
         node.returns.borrow_mut().learn(now, refusal);
--- a/fireflydirect/src/reports.rs
+++ b/fireflydirect/src/reports.rs
@@ -1,10 +1,11 @@
-//! Telling owners what this entry does: work that it places and callers whom it refuses.
+//! Telling owners what this entry does and finds: work that it places, callers whom it refuses and
+//! upstreams that it can't reach.
 //!
 //! Changes are told at once, and all that holds again twice a second, since a
 //! datagram may be lost and an owner may be new.
 
 use crate::node::Node;
-use fireflycroft::{EntryMessage, OwnedKey, OwnerReport, PlacedAt, Refusal};
+use fireflycroft::{EntryMessage, Life, OwnedKey, OwnerReport, PlacedAt, Refusal};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -37,49 +38,63 @@
 async fn report_all(node: &Node) {
     let placed = node.pool.borrow().placed();
     let refused = node.returns.borrow().tell(node.now());
-    report(node, placed, refused, true).await;
+    let news = News {
+        placed,
+        refused,
+        unreachable: Vec::new(),
+    };
+    report(node, news, true).await;
 }
 
 async fn report_changes(node: &Node) {
     let changed = std::mem::take(&mut *node.loads_changed.borrow_mut());
     let placed = node.pool.borrow().placed_at(changed);
-    let refused = std::mem::take(&mut *node.refused.borrow_mut());
-    report(node, placed, refused, false).await;
+    let news = News {
+        placed,
+        refused: std::mem::take(&mut *node.refused.borrow_mut()),
+        unreachable: std::mem::take(&mut *node.unreachable.borrow_mut()),
+    };
+    report(node, news, false).await;
+}
+
+/// What is to be reported, whoever owns it.
+struct News {
+    placed: Vec<PlacedAt>,
+    refused: Vec<Refusal>,
+    unreachable: Vec<Life>,
 }
 
-async fn report(node: &Node, placed: Vec<PlacedAt>, refused: Vec<Refusal>, is_whole: bool) {
-    for (owner, report) in by_owner(node, placed, refused, is_whole) {
+async fn report(node: &Node, news: News, is_whole: bool) {
+    for (owner, mut report) in by_owner(node, news) {
+        report.entry = node.place.vm.clone();
+        report.is_whole = is_whole;
         let message = EntryMessage::Report(report);
         node.datagrams.send_all([owner], &message).await;
     }
 }
 
 /// One report for each owner of what is reported.
-fn by_owner(
-    node: &Node,
-    placed: Vec<PlacedAt>,
-    refused: Vec<Refusal>,
-    is_whole: bool,
-) -> HashMap<Ipv4Addr, OwnerReport> {
+fn by_owner(node: &Node, news: News) -> HashMap<Ipv4Addr, OwnerReport> {
     let now = node.now();
     let peers = node.peers.borrow();
-    let empty = || OwnerReport {
-        entry: node.place.vm.clone(),
-        is_whole,
-        ..OwnerReport::default()
-    };
     let mut reports: HashMap<Ipv4Addr, OwnerReport> = HashMap::new();
-    for at in placed {
+    for at in news.placed {
         for owner in peers.other_owners(now, OwnedKey::of_upstream(&at.instance)) {
-            let report = reports.entry(owner).or_insert_with(empty);
+            let report = reports.entry(owner).or_default();
             report.placed.push(at.clone());
         }
     }
-    for refusal in refused {
+    for refusal in news.refused {
         for owner in peers.other_owners(now, OwnedKey::of_content(refusal.content)) {
-            let report = reports.entry(owner).or_insert_with(empty);
+            let report = reports.entry(owner).or_default();
             report.refused.push(refusal.clone());
         }
     }
+    for life in news.unreachable {
+        for owner in peers.other_owners(now, OwnedKey::of_upstream(&life.instance)) {
+            let report = reports.entry(owner).or_default();
+            report.unreachable.push(life.clone());
+        }
+    }
     reports
 }
