--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -60,6 +60,10 @@
 /// well before the pause is over; a leaving upstream serves on for a second and a half at least.
 const GATHER: Duration = Duration::from_millis(300);
 
+/// The same of an entry that stands by: when a fleet starts, its upstreams enter the list one after the
+/// other, and all entries watch.
+const STANDBY_GATHER: Duration = Duration::from_secs(2);
+
 /// Time without a byte after which the only try is given up, where tries don't overlap.
 const HANG_LIMIT: Duration = Duration::from_secs(5);
 
@@ -222,7 +226,7 @@
                     let any = !read.events.is_empty();
                     self.take_events(read.events);
                     if any && self.kind == Kind::Upstreams {
-                        tokio::time::sleep(GATHER).await;
+                        self.gather().await;
                     }
                 }
                 Err(Some(StoreFault::HistoryGone)) => return,
@@ -236,6 +240,14 @@
         }
     }
 
+    /// Lets changes gather; for longer while this entry only stands by.
+    async fn gather(&self) {
+        tokio::time::sleep(GATHER).await;
+        let standing_by = STANDBY_GATHER.saturating_sub(GATHER);
+        // What is over first ends the pause.
+        let _ = tokio::time::timeout(standing_by, relied_on(&self.node)).await;
+    }
+
     /// Waits for changes; while the store is lost, only asks whether it is back, by tries that
     /// overlap.
     async fn look_or_wait(&mut self, revision: u64) -> anyhow::Result<(u16, Bytes)> {
