Send nothing new to evacuated data centres

Users saw: requests reached engines of a data centre that the operator had evacuated until it was taken back, five seconds being allowed. Cause: nothing read evacuations. Change: entries that watch the store list and watch them, tell the whole list with its revision in every datagram, and all at once when it changes; the newest list is in force. A choice, the memory counted as room, a copy to go on from and the moment before sending leave evacuated upstreams out. They have not left: what runs there ends there. Operators see it (entries status, upstreams, the gauge firefly_direct_evacuated). Read only where the settings bound it, so that other deployments pay no call. Ruled out: moving runs off at once: they may end there, and moves are priced.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -4,7 +4,8 @@
 use crate::field::{addr_bytes, id_bytes, read_addr, read_all, read_digest, read_name};
 use crate::generated as pb;
 use fireflycroft::{
-    CrashCount, EntryNews, Incarnation, ListChange, RepeatCount, UpstreamRecord, UpstreamState,
+    CrashCount, EntryNews, Evacuations, Incarnation, ListChange, RepeatCount, UpstreamRecord,
+    UpstreamState,
 };
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -24,6 +25,7 @@
         crashes: news.crashes.iter().map(crash).collect(),
         peers: news.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: news.leaving,
+        evacuations: Some(evacuations(&news.evacuations)),
     }
 }
 
@@ -43,6 +45,29 @@
         crashes: read_all(&news.crashes, read_crash)?,
         peers: peers.map(Ipv4Addr::from_bits).collect(),
         leaving: news.leaving,
+        evacuations: news
+            .evacuations
+            .as_ref()
+            .map(read_evacuations)
+            .transpose()?
+            .unwrap_or_default(),
+    })
+}
+
+fn evacuations(told: &Evacuations) -> pb::Evacuations {
+    let data_centres = told.data_centres.iter();
+    pb::Evacuations {
+        revision: told.revision,
+        data_centres: data_centres.map(ToString::to_string).collect(),
+    }
+}
+
+fn read_evacuations(told: &pb::Evacuations) -> Result<Evacuations, WireError> {
+    let read = |name: &String| read_name(name, "evacuations.data_centres");
+    let data_centres = read_all(&told.data_centres, read)?;
+    Ok(Evacuations {
+        revision: told.revision,
+        data_centres: data_centres.into_iter().collect(),
     })
 }
 
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -598,6 +598,16 @@
     /// Time since the platform's store answered the sender itself; absent where it doesn't watch.
     #[prost(uint32, optional, tag = "16")]
     pub store_age_ms: ::core::option::Option<u32>,
+    #[prost(message, optional, tag = "17")]
+    pub evacuations: ::core::option::Option<Evacuations>,
+}
+/// The data centres that are evacuated, as of a revision of the platform's store.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Evacuations {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub data_centres: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// A caller who was refused for lack of room and is to come back.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -1,9 +1,9 @@
 //! Messages of direct entries to bytes and back, and bytes that are none.
 
 use fireflycroft::{
-    CrashCount, Digest, EntryMessage, EntryNews, Incarnation, Life, ListChange, Name, OwnedLoad,
-    OwnerAnswer, OwnerAsk, OwnerQuery, OwnerReply, OwnerReport, Pace, Placed, PlacedAt, Refusal,
-    RepeatCount, UpstreamRecord, UpstreamState,
+    CrashCount, Digest, EntryMessage, EntryNews, Evacuations, Incarnation, Life, ListChange, Name,
+    OwnedLoad, OwnerAnswer, OwnerAsk, OwnerQuery, OwnerReply, OwnerReport, Pace, Placed, PlacedAt,
+    Refusal, RepeatCount, UpstreamRecord, UpstreamState,
 };
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
 use proptest::prelude::*;
@@ -140,6 +140,10 @@
         upstreams_digest: u64::MAX,
         watches: true,
         store_age: Some(Duration::from_millis(640)),
+        evacuations: Evacuations {
+            revision: 29,
+            data_centres: [Name::from("a"), Name::from("b")].into(),
+        },
         list_changes: vec![
             ListChange::Listed(UpstreamRecord {
                 instance: Name::from("i-1"),
--- a/fireflycroft/src/attempt.rs
+++ b/fireflycroft/src/attempt.rs
@@ -12,6 +12,8 @@
 pub enum TryOutcome {
     /// No byte of the request left this process.
     NeverSent,
+    /// The same, since the upstream may get nothing new.
+    Withheld,
     /// The upstream said that it did not run the request.
     NotRun,
     /// Another upstream has the address now; it did not run the request.
@@ -93,7 +95,7 @@
     pub fn after(&mut self, outcome: TryOutcome, budget: impl FnOnce() -> bool) -> NextStep {
         match outcome {
             TryOutcome::Answered => return NextStep::Relay,
-            TryOutcome::NeverSent => {
+            TryOutcome::NeverSent | TryOutcome::Withheld => {
                 self.unsent += 1;
                 if self.unsent < MAX_UNSENT {
                     return NextStep::TryAgain;
@@ -119,7 +121,7 @@
             TryOutcome::Failed | TryOutcome::Lost => {
                 self.sent < self.max_attempts && self.repeat.may_run_again()
             }
-            TryOutcome::NeverSent | TryOutcome::Answered => false,
+            TryOutcome::NeverSent | TryOutcome::Withheld | TryOutcome::Answered => false,
         }
     }
 
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -1,5 +1,6 @@
 //! What a direct entry tells the other entries.
 
+use crate::evacuation::Evacuations;
 use crate::ids::{Digest, Incarnation, Name};
 use crate::listing::ListChange;
 use crate::repeat::RepeatCount;
@@ -42,6 +43,8 @@
     pub crashes: Vec<CrashCount>,
     /// Some other entries that the sender knows.
     pub peers: Vec<Ipv4Addr>,
+    /// Data centres that are evacuated.
+    pub evacuations: Evacuations,
     /// Whether the sender is stopping.
     pub leaving: bool,
 }
--- /dev/null
+++ b/fireflycroft/src/evacuation.rs
@@ -0,0 +1,59 @@
+//! Data centres that are evacuated: nothing new goes to their upstreams until they are taken back.
+//!
+//! The operator writes which ones; entries that read the platform's store tell
+//! the whole list to the others, with the revision at which it held, and the
+//! newest list is in force everywhere. An evacuated upstream hasn't left: what
+//! runs there goes on to its end, and its record stays on the list.
+
+use crate::ids::Name;
+use crate::pool::Pool;
+use crate::upstream::UpstreamIx;
+use std::collections::BTreeSet;
+
+/// The data centres that are evacuated, as of a revision of the platform's store.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evacuations {
+    /// Revision at which the list held; zero while nothing is known.
+    pub revision: u64,
+    /// The data centres.
+    pub data_centres: BTreeSet<Name>,
+}
+
+impl Evacuations {
+    /// The list once a data centre is evacuated, or taken back.
+    #[must_use]
+    pub fn with(mut self, data_centre: Name, evacuated: bool) -> Self {
+        if evacuated {
+            self.data_centres.insert(data_centre);
+        } else {
+            self.data_centres.remove(&data_centre);
+        }
+        self
+    }
+}
+
+impl Pool {
+    /// The data centres that are evacuated.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Takes a list of evacuated data centres unless it is not newer than the one in force; true when
+    /// other data centres are evacuated than before.
+    pub fn take_evacuations(&mut self, told: Evacuations) -> bool {
+        if told.revision <= self.evacuations.revision {
+            return false;
+        }
+        let changed = told.data_centres != self.evacuations.data_centres;
+        self.evacuations = told;
+        changed
+    }
+
+    /// Whether an upstream stands in a data centre that is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, ix: UpstreamIx) -> bool {
+        let data_centre = &self.record(ix).data_centre;
+        self.evacuations.data_centres.contains(data_centre)
+    }
+}
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -9,7 +9,8 @@
 //! - the agents' path (`fireflyd`): [`Entry`] and [`Agent`] with `member`,
 //!   `route`, `admit`, `place`, `lease`, `claim` and what belongs to them;
 //! - the direct entry (`fireflydirect`): [`Pool`] with `upstream`, `listing`,
-//!   `loads`, `pace` and `room` says where a request goes; `owners`, `repeat`,
+//!   `loads`, `pace` and `room` says where a request goes, and `evacuation` where
+//!   none may; `owners`, `repeat`,
 //!   `returns`, `watchers` and `contact` say what entries know of each other and
 //!   of the platform's store; `attempt`, `relay` and `rescue` follow a request.
 //!
@@ -65,6 +66,7 @@
 mod dispatch;
 mod entry;
 mod entry_news;
+mod evacuation;
 mod farewell;
 mod generation;
 mod gossip;
@@ -136,6 +138,7 @@
 pub use diff::*;
 pub use entry::*;
 pub use entry_news::*;
+pub use evacuation::*;
 pub use guess::*;
 pub use ids::*;
 pub use inventory::*;
--- a/fireflycroft/src/overview.rs
+++ b/fireflycroft/src/overview.rs
@@ -23,6 +23,9 @@
     pub watches: bool,
     /// Whether the store answered its last call.
     pub store_answers: bool,
+    /// Data centres that are evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<Name>,
     /// Calls under way.
     pub calls: usize,
     /// Streams under way.
@@ -46,6 +49,9 @@
     pub data_centre: Name,
     /// Whether it takes new work.
     pub serves: bool,
+    /// Whether its data centre is evacuated.
+    #[serde(default)]
+    pub evacuated: bool,
     /// Requests of all entries there.
     pub running: u32,
     /// Share of its memory that is spoken for; zero for a plain service.
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -6,6 +6,7 @@
 //! of. A generation goes where the least of the memory is spoken for.
 
 use crate::contact::StoreContact;
+use crate::evacuation::Evacuations;
 use crate::ids::Name;
 use crate::listing::ListChange;
 use crate::loads::FEW_REPLIES;
@@ -41,6 +42,7 @@
     /// Upstreams of which each other entry has told this one.
     pub(crate) told_by: HashMap<Name, HashSet<usize>>,
     pub(crate) policy: Policy,
+    pub(crate) evacuations: Evacuations,
 }
 
 /// Upstreams of a service beyond which a choice looks at a sample of so many.
@@ -261,7 +263,7 @@
         let known: Vec<&Upstream> = known.copied().collect();
         let counted = if known.is_empty() { of_service } else { known };
         let (used, all) = counted.into_iter().fold((0, 0), |sum, u| {
-            let memory = if u.is_serving() {
+            let memory = if u.is_serving() && !self.is_closed(u) {
                 u.memory_tokens.unwrap_or(0)
             } else {
                 0
@@ -271,7 +273,7 @@
         share(used, all)
     }
 
-    /// Serving upstreams of a service.
+    /// Upstreams of a service that take new work.
     #[must_use]
     pub fn count(&self, service: &str) -> usize {
         self.serving(service).count()
@@ -306,7 +308,7 @@
         sample(open, need.draw)
     }
 
-    /// Serving upstreams of a service that are not in `tried`.
+    /// Upstreams of a service that take new work and are not in `tried`.
     pub(crate) fn untried<'a>(
         &'a self,
         service: &str,
@@ -337,7 +339,17 @@
 
     fn serving(&self, service: &str) -> impl Iterator<Item = usize> {
         let of_service = self.of_service(service).iter().copied();
-        of_service.filter(|i| self.upstreams[*i].is_serving())
+        of_service.filter(|i| {
+            let u = &self.upstreams[*i];
+            u.is_serving() && !self.is_closed(u)
+        })
+    }
+
+    /// Whether an upstream is in a data centre that takes nothing new.
+    fn is_closed(&self, u: &Upstream) -> bool {
+        self.evacuations
+            .data_centres
+            .contains(&u.record.data_centre)
     }
 
     fn least_cost(
--- a/fireflyctl/src/entries.rs
+++ b/fireflyctl/src/entries.rs
@@ -96,6 +96,7 @@
             "config",
             "config age s",
             "store",
+            "evacuated",
             "calls",
             "streams",
             "upstreams",
@@ -120,7 +121,7 @@
     }
 }
 
-fn entry_cells(node: &str, entry: &EntryOverview) -> [String; 12] {
+fn entry_cells(node: &str, entry: &EntryOverview) -> [String; 13] {
     let age = entry.config_age_ms.map(|ms| ms / 1_000);
     let serving = entry.upstreams.iter().filter(|u| u.serves).count();
     let heard = entry.peers.iter().filter(|p| p.heard_ms.is_some()).count();
@@ -133,6 +134,7 @@
         entry.config.to_string(),
         or_unknown(age),
         store_phrase(entry.watches, entry.store_answers).to_owned(),
+        entry.evacuated.join(" "),
         entry.calls.to_string(),
         entry.streams.to_string(),
         serving.to_string(),
@@ -151,18 +153,13 @@
 fn upstream_cells(node: &str, upstream: &UpstreamOverview) -> [String; 13] {
     let owners = upstream.owners.iter().map(ToString::to_string);
     let owners: Vec<String> = owners.collect();
-    let state = if upstream.serves {
-        "serving"
-    } else {
-        "leaving"
-    };
     [
         node.to_owned(),
         upstream.instance.to_string(),
         upstream.service.to_string(),
         upstream.addr.to_string(),
         upstream.data_centre.to_string(),
-        state.to_owned(),
+        state_word(upstream).to_owned(),
         upstream.running.to_string(),
         format!("{:.2}", upstream.memory),
         upstream.unread.to_string(),
@@ -173,6 +170,14 @@
     ]
 }
 
+const fn state_word(upstream: &UpstreamOverview) -> &'static str {
+    match (upstream.serves, upstream.evacuated) {
+        (false, _) => "leaving",
+        (true, true) => "evacuated",
+        (true, false) => "serving",
+    }
+}
+
 fn peer_cells(node: &str, peer: &PeerOverview) -> [String; 6] {
     let name = if peer.name.is_empty() {
         UNKNOWN.to_owned()
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -198,6 +198,7 @@
     match sent {
         Ok(opened) => judge(job, ix, opened, placed, backup).await,
         Err(Unanswered::NeverSent(why)) => Tried::failed(TryOutcome::NeverSent, why),
+        Err(Unanswered::Withheld(why)) => Tried::failed(TryOutcome::Withheld, why),
         Err(Unanswered::Lost(why)) => Tried::failed(TryOutcome::Lost, why),
     }
 }
@@ -297,12 +298,14 @@
     }
     job.node.metrics.tries.with_label_values(&[&outcome]).inc();
     let mut pool = job.node.pool.borrow_mut();
-    pool.note_outcome(ix, tried.outcome != TryOutcome::Answered);
+    if tried.outcome != TryOutcome::Withheld {
+        pool.note_outcome(ix, tried.outcome != TryOutcome::Answered);
+    }
     match tried.outcome {
         TryOutcome::NeverSent | TryOutcome::Lost => pool.avoid(now, ix, AVOID_UNREACHABLE),
         TryOutcome::NotRun => pool.avoid(now, ix, AVOID_FULL),
         TryOutcome::WrongInstance => pool.avoid(now, ix, AVOID_MISTAKEN),
-        TryOutcome::Failed | TryOutcome::Answered => {}
+        TryOutcome::Withheld | TryOutcome::Failed | TryOutcome::Answered => {}
     }
     if tried.outcome != TryOutcome::Answered {
         log::warn!(
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -55,6 +55,8 @@
 pub enum Unanswered {
     /// No byte of the request left this process.
     NeverSent(String),
+    /// The same, since the upstream may get nothing new: the upstream is sound.
+    Withheld(String),
     /// The request was sent, wholly or in part.
     Lost(String),
 }
@@ -63,6 +65,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NeverSent(why) => write!(f, "never sent: {why}"),
+            Self::Withheld(why) => write!(f, "withheld: {why}"),
             Self::Lost(why) => write!(f, "lost: {why}"),
         }
     }
@@ -101,6 +104,9 @@
     if !job.node.pool.borrow().may_get_requests(job.now(), ix) {
         return Err(Unanswered::NeverSent("it has ended or left".to_owned()));
     }
+    if job.node.pool.borrow().is_evacuated(ix) {
+        return Err(Unanswered::Withheld("it is evacuated".to_owned()));
+    }
     let req = request(job, &record.instance, extras);
     on_sent();
     let response = tokio::select! {
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -1,4 +1,5 @@
-//! Following the platform's store: the configuration and the list of upstreams.
+//! Following the platform's store: the configuration, the list of upstreams and the data centres that
+//! are evacuated.
 //!
 //! Each kind is listed once and then watched from the revision of the list. A
 //! list follows again only when the store has dropped its history.
@@ -8,7 +9,7 @@
 use crate::node::Node;
 use crate::state_page::PeerState;
 use bytes::Bytes;
-use fireflycroft::{ListChange, Mechanism, Name, Overlap, UpstreamRecord};
+use fireflycroft::{Evacuations, ListChange, Mechanism, Name, Overlap, UpstreamRecord};
 use fireflycroft_platform::{
     Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_events, read_page,
     read_upstream, watch_path,
@@ -27,6 +28,10 @@
 /// seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(800);
 
+/// The same of a watch of evacuations: of the five seconds after which a data centre gets nothing more,
+/// two more may pass until another entry reads for one that the store doesn't answer.
+const EVACUATION_WAIT: Duration = Duration::from_secs(2);
+
 /// The same of an entry that watches beside enough others that rank before it: it stands by.
 ///
 /// All entries of a fleet watch for some seconds when they start, and each call is paid for.
@@ -224,7 +229,7 @@
                     revision = read.revision;
                     self.note_nameless(read.nameless);
                     let any = !read.events.is_empty();
-                    self.take_events(read.events);
+                    self.take_events(read.events, revision);
                     if any && self.kind == Kind::Upstreams {
                         self.gather().await;
                     }
@@ -256,7 +261,7 @@
             return self.get(&path, self.patient()).await;
         }
         if self.node.duty.borrow().is_relied_on() {
-            return self.watch(revision, WATCH_WAIT).await;
+            return self.watch(revision, self.longest_wait()).await;
         }
         let node = self.node.clone();
         tokio::select! {
@@ -264,7 +269,14 @@
             () = relied_on(&node) => {}
         }
         self.client = Client::new(node.place.store.addr, node.clock);
-        self.watch(revision, WATCH_WAIT).await
+        self.watch(revision, self.longest_wait()).await
+    }
+
+    const fn longest_wait(&self) -> Duration {
+        match self.kind {
+            Kind::Evacuations => EVACUATION_WAIT,
+            Kind::Config | Kind::Upstreams | Kind::Entries => WATCH_WAIT,
+        }
     }
 
     async fn watch(&mut self, revision: u64, wait: Duration) -> anyhow::Result<(u16, Bytes)> {
@@ -290,13 +302,22 @@
             match self.kind {
                 Kind::Config => self.node.adopt(object, "store"),
                 Kind::Upstreams => self.take_record(object),
-                Kind::Entries => {}
+                // They hold as a whole list.
+                Kind::Evacuations | Kind::Entries => {}
             }
         }
     }
 
-    /// Takes what a whole list lacks.
+    /// Takes a whole list of evacuations, or what a whole list of upstreams lacks.
     fn take_list(&mut self, objects: &[StoreObject], revision: u64) {
+        if self.kind == Kind::Evacuations {
+            let in_force = objects.iter().filter(|o| !o.deleting);
+            let listed = Evacuations {
+                revision,
+                data_centres: in_force.map(|o| o.name.clone()).collect(),
+            };
+            self.node.take_evacuations(listed, "store");
+        }
         if self.kind == Kind::Upstreams {
             let records = objects.iter().filter_map(|o| self.read_record(o)).collect();
             let now = self.node.now();
@@ -344,16 +365,34 @@
         }
     }
 
-    fn take_events(&mut self, events: Vec<StoreEvent>) {
+    fn take_events(&mut self, events: Vec<StoreEvent>, revision: u64) {
+        if self.kind == Kind::Evacuations && !events.is_empty() {
+            self.take_evacuations(&events, revision);
+            return;
+        }
         for event in events {
             match self.kind {
                 Kind::Config if !event.removed => self.node.adopt(&event.object, "store"),
                 Kind::Upstreams => self.take_upstream(&event),
-                Kind::Config | Kind::Entries => {}
+                Kind::Config | Kind::Evacuations | Kind::Entries => {}
             }
         }
     }
 
+    /// Takes changes of the list of evacuations, which holds as of `revision` with them.
+    fn take_evacuations(&self, events: &[StoreEvent], revision: u64) {
+        let held = self.node.pool.borrow().evacuations().clone();
+        let changed = events.iter().fold(held, |list, event| {
+            let evacuated = !event.removed && !event.object.deleting;
+            list.with(event.object.name.clone(), evacuated)
+        });
+        let changed = Evacuations {
+            revision,
+            ..changed
+        };
+        self.node.take_evacuations(changed, "store");
+    }
+
     fn take_upstream(&mut self, event: &StoreEvent) {
         if !event.removed {
             self.take_record(&event.object);
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -376,10 +376,11 @@
 
     /// Whether a copy at `keeper` that `source` made may be asked for: both are in the life in which it
     /// was made, since a handle of another life may name the memory of another request, and the
-    /// keeper hasn't left for too long.
+    /// keeper hasn't left for too long and isn't evacuated.
     fn holds(&self, keeper: UpstreamIx, source: UpstreamIx) -> bool {
         let pool = self.job.node.pool.borrow();
-        pool.may_get_requests(self.job.now(), keeper) && !pool.is_ended(source)
+        let may_get = pool.may_get_requests(self.job.now(), keeper) && !pool.is_evacuated(keeper);
+        may_get && !pool.is_ended(source)
     }
 
     async fn go_on_at(&mut self, next: Continuation) -> bool {
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -79,6 +79,9 @@
         let taken = node.pool.borrow_mut().take_change(now, change);
         node.take_changes(taken, "peer");
     }
+    if news.evacuations.revision > 0 {
+        node.take_evacuations(news.evacuations.clone(), "peer");
+    }
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -47,6 +47,7 @@
     peers: IntGauge,
     watching: IntGauge,
     quarantined: IntGauge,
+    evacuated: IntGauge,
     memory: GaugeVec,
     repeats_left: GaugeVec,
     upstreams: GaugeVec,
@@ -119,6 +120,7 @@
                 "Whether the store answers this watcher",
             )?,
             quarantined: gauge(&r, "quarantined", "Contents refused for crashes")?,
+            evacuated: gauge(&r, "evacuated", "Data centres evacuated")?,
             memory: gauges(&r, "memory_share", "Engine memory spoken for", "service")?,
             repeats_left: gauges(&r, "repeats_left", "Repeats left in the window", "service")?,
             upstreams: gauges(&r, "upstreams", "Upstreams that take new work", "service")?,
@@ -181,6 +183,8 @@
         self.watching.set(i64::from(node.watches_store()));
         let quarantined = node.quarantine.borrow().refused();
         self.quarantined.set(to_i64(quarantined));
+        let evacuated = node.pool.borrow().evacuations().data_centres.len();
+        self.evacuated.set(to_i64(evacuated));
         let catalog = node.catalog.borrow();
         for service in catalog.iter().flat_map(|c| c.services()) {
             let name = &service.name;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -10,8 +10,8 @@
 use crate::questions::Questions;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, Digest, LengthGuess, Life, Need, Policy, Pool, PoolChange, Quarantine, QueryBreadth,
-    Refusal, RepeatBudget, Returns, SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
+    Catalog, Digest, Evacuations, LengthGuess, Life, Need, Policy, Pool, PoolChange, Quarantine,
+    QueryBreadth, Refusal, RepeatBudget, Returns, SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -312,6 +312,28 @@
         self.urgent.notify_one();
     }
 
+    /// Takes a list of evacuated data centres unless it is not newer than the one in force.
+    ///
+    /// Whoever has it from the store tells all others at once.
+    pub fn take_evacuations(&self, told: Evacuations, source: &str) {
+        let revision = told.revision;
+        let data_centres = told.data_centres.iter();
+        let data_centres: Vec<&str> = data_centres.map(|name| &**name).collect();
+        let data_centres = data_centres.join(",");
+        if !self.pool.borrow_mut().take_evacuations(told) {
+            return;
+        }
+        log::info!(
+            event = "evacuations_changed", data_centres = data_centres, revision = revision,
+            source = source;
+            ""
+        );
+        self.changed.notify_waiters();
+        if self.watches_store() {
+            self.tell_all_at_once();
+        }
+    }
+
     /// Acts on changes of the pool.
     pub fn take_changes(&self, changes: impl IntoIterator<Item = PoolChange>, source: &str) {
         for change in changes {
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -64,6 +64,9 @@
     }
     spawn_local(feed::follow(node.clone(), Kind::Config));
     spawn_local(feed::follow(node.clone(), Kind::Upstreams));
+    if node.place.bounds.evacuate.is_some() {
+        spawn_local(feed::follow(node.clone(), Kind::Evacuations));
+    }
     let peer_socket = Rc::new(peer_socket);
     node.datagrams.set_socket(peer_socket.clone());
     spawn_local(hear::listen(node.clone(), peer_socket));
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -100,6 +100,7 @@
         repeats,
         crashes: peers.crashes.iter().copied().collect(),
         peers: peers.named(now),
+        evacuations: node.pool.borrow().evacuations().clone(),
         leaving: node.stage() != Stage::Serving,
     }
 }
--- /dev/null
+++ b/fireflydirect/tests/processes_evacuated.rs
@@ -0,0 +1,130 @@
+//! Real entries while the operator evacuates a data centre and takes it back.
+//!
+//! Users saw requests reach engines of an evacuated data centre later than allowed, with the store
+//! well and with it away or changed meanwhile.
+
+mod support;
+
+use serde_json::{Value, json};
+use standins::site::StoreMode;
+use std::net::IpAddr;
+use support::{Site, cases, until, whole_stream};
+
+/// Puts the second engine and the second plain service into another data centre.
+async fn split(site: &Site) {
+    for (upstream, service) in [(&site.engines[1], "models"), (&site.plains[1], "records")] {
+        let mut entry = upstream.entry(service, "ready");
+        entry["zone"] = json!("b");
+        site.store.put("servers", &upstream.instance(), &entry);
+    }
+    for entry in 0..site.entries.len() {
+        until("the other data centre", || async {
+            let (_, shown) = site
+                .operate(entry, &["entries", "upstreams", "--json"])
+                .await;
+            shown.matches("\"data_centre\":\"b\"").count() == 2
+        })
+        .await;
+    }
+}
+
+fn evacuate(site: &Site, data_centre: &str) {
+    site.store.put("evacuations", data_centre, &json!({}));
+}
+
+/// Waits until an entry knows that these data centres are evacuated.
+async fn until_known(site: &Site, entry: usize, data_centres: Value) {
+    until("the evacuation", || async {
+        let (_, shown) = site.operate(entry, &["entries", "status", "--json"]).await;
+        let shown: Value = serde_json::from_str(&shown).unwrap();
+        shown[0]["entry"]["evacuated"] == data_centres
+    })
+    .await;
+}
+
+/// Sends calls and generations, none of which may run on the upstreams in `b`.
+async fn check_nothing_new_in_b(site: &Site, entry: usize) {
+    for n in 0..6 {
+        let (call, generation) = (site.id(), site.id());
+        let answer = site.call(entry, "GET", &format!("/fetch/{n}"), &call);
+        assert_eq!(answer.send().await.unwrap().status(), 200);
+        let answer = site.generation(entry, "/log/a", 3, &generation);
+        assert_eq!(answer.send().await.unwrap().status(), 200);
+        for id in [call, generation] {
+            let runs = site.record.runs_of(&id);
+            assert!(
+                runs.iter().all(|run| run.instance.ends_with("-0")),
+                "{runs:?}"
+            );
+        }
+    }
+}
+
+cases! {
+    evacuated_data_centre_gets_nothing_new_and_ends_what_runs(site: 2) {
+        split(&site).await;
+        evacuate(&site, "a");
+        until_known(&site, 0, json!(["a"])).await;
+        let id = site.id();
+        let running = site.generation(0, "/log/a", 150, &id).send().await.unwrap();
+        assert_eq!(site.engine_of(&id).await, 1);
+        site.store.remove("evacuations", "a");
+        evacuate(&site, "b");
+        for entry in 0..2 {
+            until_known(&site, entry, json!(["b"])).await;
+            check_nothing_new_in_b(&site, entry).await;
+        }
+        assert_eq!(running.text().await.unwrap(), whole_stream(&id, 150));
+        assert_eq!(site.record.runs_of(&id).len(), 1, "it was moved");
+    }
+
+    data_centre_that_is_taken_back_serves_again(site: 1) {
+        split(&site).await;
+        evacuate(&site, "a");
+        evacuate(&site, "b");
+        until_known(&site, 0, json!(["a", "b"])).await;
+        let refused = site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+        assert_eq!(refused.status(), 503);
+        assert!(refused.headers().contains_key("retry-after"));
+        site.store.remove("evacuations", "b");
+        until("service", || async {
+            let answer = site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+            answer.status() == 200
+        })
+        .await;
+    }
+
+    entry_cut_off_from_the_store_hears_of_an_evacuation(site: 3) {
+        split(&site).await;
+        let denied = site.entries.iter().take(2).map(|e| IpAddr::V4(e.ip));
+        site.store.set_mode(StoreMode::Deny(denied.collect()));
+        evacuate(&site, "b");
+        for entry in 0..3 {
+            until_known(&site, entry, json!(["b"])).await;
+            check_nothing_new_in_b(&site, entry).await;
+        }
+    }
+
+    entry_that_starts_in_an_outage_hears_of_an_evacuation(site: 1) {
+        split(&site).await;
+        evacuate(&site, "b");
+        until_known(&site, 0, json!(["b"])).await;
+        site.store.set_mode(StoreMode::Reset);
+        site.add_entry(2).await;
+        site.until_ready(1).await;
+        until_known(&site, 1, json!(["b"])).await;
+        check_nothing_new_in_b(&site, 1).await;
+    }
+
+    evacuation_that_no_watch_saw_is_found(site: 2) {
+        split(&site).await;
+        site.store.set_mode(StoreMode::Stale);
+        evacuate(&site, "b");
+        // The history of that time is dropped.
+        site.store.set_mode(StoreMode::Up);
+        for entry in 0..2 {
+            until_known(&site, entry, json!(["b"])).await;
+            check_nothing_new_in_b(&site, entry).await;
+        }
+    }
+}
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -261,7 +261,8 @@
             "internal_port_range": [self.peer_port, self.peer_port], "seeds": seeds,
             "platform": {"address": store},
             "bounds": {"grace_s": 8, "config_apply_ms": 2_000, "drain_timeout_ms": 2_000,
-                "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 56},
+                "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 56,
+                "evacuate_ms": 5_000, "cold_overshoot": 1.5, "cold_slack": 5},
         })
     }
 
