Keep revisions of a restored store apart by its era, and doubt what the copy lacks

Users announced drills: the store comes back from a copy some seconds old, gives its revisions out again and says so by Store-Era. What users would see: an engine that says again that it leaves, at a revision below the one it was known by, goes on getting requests; one that started after the copy was made is taken for gone and its runs are moved. Cause: revisions were compared as if the store never lost one. Change: the era, read off each answer in platform/, stands in the upper bits of a revision, so that a later era is newer than all before; all places that compare stay as they are. An answer of a former era is none; a watch of a former era lists anew; an entry learns the era from others too. From the drill on, what the list lacks is doubted as after an outage, upstreams and evacuations both. A life that had announced its leaving, or was gone, doesn't serve again by the copy's record; it does once it writes anew, or starts again. Configurations go by version and never back. Nothing of ours lies in the store, so no lease or quota is lost. Operators see the era (entries status, the gauge firefly_direct_store_era, the line store_restored). Ruled out: a type of its own for revisions: every record, test and message would change for the same order.

--- a/fireflycroft/src/contact.rs
+++ b/fireflycroft/src/contact.rs
@@ -6,6 +6,9 @@
 //! after an outage may live. What it lacks later is gone, and so is what it lacks
 //! when no outage was long enough for a record to lapse.
 //!
+//! A store that has come back from a copy lacks records that upstreams wrote since
+//! the copy was made; they are written again, and missing until then, as well.
+//!
 //! The doubt ends for all records at one moment, counted from the store's return.
 //! It may not begin anew with each record found missing: an upstream that left
 //! 2.9 s after the return then got work for 2.7 s more, two being allowed.
@@ -61,6 +64,15 @@
         }
     }
 
+    /// Notes that the store has come back from a copy, which lacks the newest records.
+    ///
+    /// Their upstreams write them again, as after an outage.
+    pub const fn note_restored(&mut self, at: Time) {
+        self.answered_at = Some(at);
+        self.unbroken_since = Some(at);
+        self.was_silent = true;
+    }
+
     /// Notes that a call was not answered.
     pub const fn note_failure(&mut self) {
         // Once it has answered, the time to the next answer tells.
--- a/fireflycroft/src/evacuation.rs
+++ b/fireflycroft/src/evacuation.rs
@@ -2,11 +2,15 @@
 //!
 //! The operator writes which ones; entries that read the platform's store tell
 //! the whole list to the others, with the revision at which it held, and the
-//! newest list is in force everywhere. An evacuated upstream hasn't left: what
+//! newest list is in force everywhere. Where the store has come back from a copy,
+//! what was evacuated stays so until its writer has had the time to write it
+//! again. An evacuated upstream hasn't left: what
 //! runs there goes on to its end, and its record stays on the list.
 
 use crate::ids::Name;
 use crate::pool::Pool;
+use crate::revision::era_of;
+use crate::time::Time;
 use crate::upstream::UpstreamIx;
 use std::collections::BTreeSet;
 
@@ -41,19 +45,33 @@
 
     /// Takes a list of evacuated data centres unless it is not newer than the one in force; true when
     /// other data centres are evacuated than before.
-    pub fn take_evacuations(&mut self, told: Evacuations) -> bool {
-        if told.revision <= self.evacuations.revision {
+    pub fn take_evacuations(&mut self, now: Time, told: Evacuations) -> bool {
+        let held = &self.evacuations;
+        if told.revision <= held.revision {
             return false;
         }
-        let changed = told.data_centres != self.evacuations.data_centres;
+        let changed = told.data_centres != held.data_centres;
+        if era_of(told.revision) > era_of(held.revision) && !self.is_settled(now) {
+            let lost = held.data_centres.difference(&told.data_centres);
+            self.doubted_evacuations.extend(lost.cloned());
+        }
         self.evacuations = told;
         changed
     }
 
+    /// Believes the list of a store that has come back from a copy.
+    pub(crate) fn end_doubted_evacuations(&mut self) {
+        self.doubted_evacuations.clear();
+    }
+
+    pub(crate) fn takes_nothing_new(&self, data_centre: &Name) -> bool {
+        let listed = &self.evacuations.data_centres;
+        listed.contains(data_centre) || self.doubted_evacuations.contains(data_centre)
+    }
+
     /// Whether an upstream stands in a data centre that is evacuated.
     #[must_use]
     pub fn is_evacuated(&self, ix: UpstreamIx) -> bool {
-        let data_centre = &self.record(ix).data_centre;
-        self.evacuations.data_centres.contains(data_centre)
+        self.takes_nothing_new(&self.record(ix).data_centre)
     }
 }
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -12,6 +12,7 @@
 use crate::pace::SeenPace;
 use crate::placed::Placed;
 use crate::pool::Pool;
+use crate::revision::era_of;
 use crate::time::Time;
 use crate::upstream::{Upstream, UpstreamIx, UpstreamRecord, UpstreamState};
 use std::collections::{HashMap, HashSet};
@@ -72,6 +73,7 @@
     /// Takes a record unless it is older than the one held.
     pub fn learn(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
         self.revision = self.revision.max(record.revision);
+        let record = self.unless_left_before(record);
         let Some(ix) = self.find(&record.instance) else {
             return self.meet(now, record);
         };
@@ -114,6 +116,25 @@
         }
     }
 
+    /// A record as it stands, but for one that a restored store has of the time before its upstream left.
+    ///
+    /// A life that has announced its leaving, or is gone, doesn't take new work again; until it has
+    /// written its record in the new era, the list has the old one.
+    fn unless_left_before(&self, record: UpstreamRecord) -> UpstreamRecord {
+        let Some(ix) = self.find(&record.instance) else {
+            return record;
+        };
+        let held = &self.upstreams[ix.0];
+        let is_of_later_era = era_of(record.revision) > era_of(held.record.revision);
+        let is_same_life = record.incarnation.is_known() && record.life() == held.record.life();
+        let had_left = held.gone || held.record.state == UpstreamState::Leaving;
+        if is_of_later_era && is_same_life && had_left {
+            let state = UpstreamState::Leaving;
+            return UpstreamRecord { state, ..record };
+        }
+        record
+    }
+
     /// Takes the first record of an upstream.
     fn meet(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
         let lacked = self.is_lacked(record.revision);
--- a/fireflycroft/src/missing.rs
+++ b/fireflycroft/src/missing.rs
@@ -33,6 +33,11 @@
         self.contact.note(at)
     }
 
+    /// Notes that it has come back from a copy.
+    pub const fn note_restored(&mut self, at: Time) {
+        self.contact.note_restored(at);
+    }
+
     /// Notes that it didn't.
     pub const fn note_no_contact(&mut self) {
         self.contact.note_failure();
@@ -122,6 +127,7 @@
         if !self.is_settled(now) {
             return Vec::new();
         }
+        self.end_doubted_evacuations();
         let missing = self.upstreams.iter().filter(|u| !u.gone);
         let missing = missing.filter_map(|u| Some((u.record.instance.clone(), u.missing?)));
         let missing: Vec<(Name, Missing)> = missing.collect();
--- a/fireflycroft/src/overview.rs
+++ b/fireflycroft/src/overview.rs
@@ -26,6 +26,9 @@
     /// Data centres that are evacuated.
     #[serde(default)]
     pub evacuated: Vec<Name>,
+    /// Times that the store has come back from a copy, as far as is known.
+    #[serde(default)]
+    pub store_era: u64,
     /// Calls under way.
     pub calls: usize,
     /// Streams under way.
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -19,7 +19,7 @@
     share, tie_cost,
 };
 use std::borrow::Cow;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 /// The upstreams known.
@@ -43,6 +43,8 @@
     pub(crate) told_by: HashMap<Name, HashSet<usize>>,
     pub(crate) policy: Policy,
     pub(crate) evacuations: Evacuations,
+    /// Data centres that were evacuated when the store came back from a copy that doesn't say so.
+    pub(crate) doubted_evacuations: BTreeSet<Name>,
 }
 
 /// Upstreams of a service beyond which a choice looks at a sample of so many.
@@ -347,9 +349,7 @@
 
     /// Whether an upstream is in a data centre that takes nothing new.
     fn is_closed(&self, u: &Upstream) -> bool {
-        self.evacuations
-            .data_centres
-            .contains(&u.record.data_centre)
+        self.takes_nothing_new(&u.record.data_centre)
     }
 
     fn least_cost(
--- /dev/null
+++ b/fireflycroft/tests/restored.rs
@@ -0,0 +1,207 @@
+//! A store that comes back from a copy: what is newer across its eras, and what is doubted.
+//!
+//! What users would see without it: an engine that says again that it leaves, at a revision below the
+//! one it was known by, goes on getting requests; engines that started after the copy was made are
+//! taken for gone, and their runs are moved.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
+#[path = "support/pools.rs"]
+mod pools;
+
+use fireflycroft::{
+    Evacuations, Incarnation, Name, Pool, SETTLE_TIME, UpstreamRecord, UpstreamState, era_of,
+    number_of, revision_in,
+};
+use pools::{at, ix, record};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+cases! {
+    record_of_a_later_era_goes_before_a_higher_number => later_era_is_newer();
+    record_of_a_former_era_that_comes_late_changes_nothing => former_era_is_stale();
+    removal_of_a_former_era_that_comes_late_changes_nothing => former_removal_is_stale();
+    upstream_that_the_copy_lacks_is_missing_at_first => lacked_is_missing();
+    upstream_that_is_not_written_again_is_gone => not_written_again();
+    upstream_that_left_before_does_not_serve_by_the_copy => left_before();
+    upstream_that_is_gone_does_not_serve_by_the_copy => gone_before();
+    upstream_that_writes_its_record_anew_serves => writes_anew();
+    another_life_of_one_that_left_serves => another_life();
+    evacuation_that_the_copy_lacks_holds_for_a_while => evacuation_is_doubted();
+    evacuation_that_was_ended_in_calm_is_over => evacuation_ends();
+    drill_in_a_drill_doubts_anew => twice();
+}
+
+fn life(instance: &str, revision: u64, state: UpstreamState) -> UpstreamRecord {
+    UpstreamRecord {
+        incarnation: Incarnation(7),
+        state,
+        ..record(instance, revision)
+    }
+}
+
+fn serving(instance: &str, revision: u64) -> UpstreamRecord {
+    life(instance, revision, UpstreamState::Serving)
+}
+
+fn leaving(instance: &str, revision: u64) -> UpstreamRecord {
+    life(instance, revision, UpstreamState::Leaving)
+}
+
+/// A pool that has heard of a calm store for long, with two engines.
+fn calm_pool() -> Pool {
+    let mut pool = Pool::new(Name::from("dc"));
+    pool.learn(at(0), serving("a", revision_in(1, 900)));
+    pool.learn(at(0), serving("b", revision_in(1, 901)));
+    for tick in 0..10 {
+        pool.note_contact(at(tick * 1_000));
+    }
+    assert!(pool.is_settled(at(9_000)));
+    pool
+}
+
+fn serves(pool: &Pool, instance: &str) -> bool {
+    pool.is_serving(ix(pool, instance))
+}
+
+fn later_era_is_newer() {
+    let mut pool = calm_pool();
+    pool.learn(at(9_000), leaving("a", revision_in(2, 12)));
+    assert!(!serves(&pool, "a"));
+}
+
+fn former_era_is_stale() {
+    let mut pool = calm_pool();
+    pool.learn(at(9_000), leaving("a", revision_in(2, 12)));
+    pool.learn(at(9_001), serving("a", revision_in(1, 2_000)));
+    assert!(!serves(&pool, "a"));
+}
+
+fn former_removal_is_stale() {
+    let mut pool = calm_pool();
+    pool.learn(at(9_000), serving("a", revision_in(2, 12)));
+    pool.remove(at(9_001), "a", revision_in(1, 2_000));
+    assert!(serves(&pool, "a"));
+}
+
+fn lacked_is_missing() {
+    let mut pool = calm_pool();
+    pool.note_restored(at(9_000));
+    pool.take_list(
+        at(9_000),
+        vec![serving("a", revision_in(2, 900))],
+        revision_in(2, 950),
+    );
+    assert!(serves(&pool, "b"));
+    assert!(pool.any_missing());
+    pool.learn(at(10_500), serving("b", revision_in(2, 951)));
+    pool.note_contact(at(10_500));
+    pool.note_contact(at(9_000) + SETTLE_TIME);
+    assert!(pool.drop_missing(at(9_000) + SETTLE_TIME).is_empty());
+    assert!(serves(&pool, "b"));
+}
+
+fn not_written_again() {
+    let mut pool = calm_pool();
+    pool.note_restored(at(9_000));
+    pool.take_list(
+        at(9_000),
+        vec![serving("a", revision_in(2, 900))],
+        revision_in(2, 950),
+    );
+    pool.note_contact(at(10_000));
+    let settled = at(9_000) + SETTLE_TIME;
+    assert_eq!(pool.drop_missing(settled).len(), 1);
+    assert!(!serves(&pool, "b"));
+}
+
+fn left_before() {
+    let mut pool = calm_pool();
+    pool.learn(at(9_000), leaving("a", revision_in(1, 990)));
+    pool.note_restored(at(9_100));
+    pool.learn(at(9_100), serving("a", revision_in(2, 900)));
+    assert!(!serves(&pool, "a"));
+}
+
+fn gone_before() {
+    let mut pool = calm_pool();
+    pool.remove(at(9_000), "a", revision_in(1, 990));
+    pool.note_restored(at(9_100));
+    pool.learn(at(9_100), serving("a", revision_in(2, 900)));
+    assert!(!serves(&pool, "a"));
+}
+
+fn writes_anew() {
+    let mut pool = calm_pool();
+    pool.remove(at(9_000), "a", revision_in(1, 990));
+    pool.note_restored(at(9_100));
+    pool.learn(at(9_100), serving("a", revision_in(2, 900)));
+    pool.learn(at(10_000), serving("a", revision_in(2, 951)));
+    assert!(serves(&pool, "a"));
+}
+
+fn another_life() {
+    let mut pool = calm_pool();
+    pool.learn(at(9_000), leaving("a", revision_in(1, 990)));
+    pool.note_restored(at(9_100));
+    let begun = UpstreamRecord {
+        incarnation: Incarnation(8),
+        ..serving("a", revision_in(2, 900))
+    };
+    pool.learn(at(9_100), begun);
+    assert!(serves(&pool, "a"));
+}
+
+fn evacuated(revision: u64, data_centres: &[&str]) -> Evacuations {
+    let names = data_centres.iter().map(|name| Name::from(*name));
+    Evacuations {
+        revision,
+        data_centres: names.collect(),
+    }
+}
+
+fn evacuation_is_doubted() {
+    let mut pool = calm_pool();
+    pool.take_evacuations(at(9_000), evacuated(revision_in(1, 990), &["dc"]));
+    pool.note_restored(at(9_100));
+    pool.take_evacuations(at(9_100), evacuated(revision_in(2, 950), &[]));
+    assert_eq!(pool.count("models"), 0);
+    pool.note_contact(at(10_000));
+    let settled = at(9_100) + SETTLE_TIME;
+    pool.note_contact(settled);
+    pool.drop_missing(settled);
+    assert_eq!(pool.count("models"), 2);
+}
+
+fn evacuation_ends() {
+    let mut pool = calm_pool();
+    pool.take_evacuations(at(9_000), evacuated(revision_in(1, 990), &["dc"]));
+    pool.take_evacuations(at(9_100), evacuated(revision_in(1, 991), &[]));
+    assert_eq!(pool.count("models"), 2);
+}
+
+fn twice() {
+    let mut pool = calm_pool();
+    pool.note_restored(at(9_000));
+    pool.note_contact(at(10_000));
+    pool.note_restored(at(11_000));
+    assert!(!pool.is_settled(at(9_000) + SETTLE_TIME));
+    pool.note_contact(at(12_000));
+    pool.note_contact(at(13_000));
+    assert!(pool.is_settled(at(11_000) + SETTLE_TIME));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(61), ..ProptestConfig::default() })]
+
+    #[test]
+    fn revisions_are_ordered_by_era_then_number(
+        a in (0_u64..1 << 19, 0_u64..1 << 43), b in (0_u64..1 << 19, 0_u64..1 << 43),
+    ) {
+        let (one, other) = (revision_in(a.0, a.1), revision_in(b.0, b.1));
+        prop_assert_eq!(one.cmp(&other), a.cmp(&b));
+        prop_assert_eq!((era_of(one), number_of(one)), a);
+    }
+}
--- a/fireflyctl/src/entries.rs
+++ b/fireflyctl/src/entries.rs
@@ -96,6 +96,7 @@
             "config",
             "config age s",
             "store",
+            "store era",
             "evacuated",
             "calls",
             "streams",
@@ -121,7 +122,7 @@
     }
 }
 
-fn entry_cells(node: &str, entry: &EntryOverview) -> [String; 13] {
+fn entry_cells(node: &str, entry: &EntryOverview) -> [String; 14] {
     let age = entry.config_age_ms.map(|ms| ms / 1_000);
     let serving = entry.upstreams.iter().filter(|u| u.serves).count();
     let heard = entry.peers.iter().filter(|p| p.heard_ms.is_some()).count();
@@ -134,6 +135,7 @@
         entry.config.to_string(),
         or_unknown(age),
         store_phrase(entry.watches, entry.store_answers).to_owned(),
+        entry.store_era.to_string(),
         entry.evacuated.join(" "),
         entry.calls.to_string(),
         entry.streams.to_string(),
--- a/fireflydirect/src/client.rs
+++ b/fireflydirect/src/client.rs
@@ -4,7 +4,7 @@
 //! beside the one that hangs, as [`fireflycroft::Overlap`] decides.
 
 use crate::clock::Clock;
-use crate::links::{Link, call_watched, open};
+use crate::links::{Answered, Link, call_watched, open};
 use bytes::Bytes;
 use fireflycroft::{Overlap, OverlapStep, TryId};
 use http_body_util::Full;
@@ -16,9 +16,6 @@
 use std::rc::Rc;
 use tokio::task::{AbortHandle, JoinSet};
 
-/// Status and body of an answer.
-type Answered = (u16, Bytes);
-
 /// What one try came to.
 type TryEnd = (TryId, anyhow::Result<(Link, Answered)>);
 
@@ -47,7 +44,7 @@
         }
     }
 
-    /// Reads `path` by the tries that `overlap` allows: status and body.
+    /// Reads `path` by the tries that `overlap` allows.
     ///
     /// `on_hang` is called when a try hangs and another one begins beside it.
     ///
--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -113,8 +113,8 @@
     let req = Request::get(report_path())
         .header(HOST, record.addr.to_string())
         .body(Full::new(Bytes::new()))?;
-    let (status, bytes) = call_whole(&mut link, req).await?;
-    anyhow::ensure!(status == 200, "status {status}");
+    let answered = call_whole(&mut link, req).await?;
+    anyhow::ensure!(answered.status == 200, "status {}", answered.status);
     links.put_back(&record.life(), link, None);
-    Ok(read_report(&bytes)?)
+    Ok(read_report(&answered.body)?)
 }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -2,17 +2,18 @@
 //! are evacuated.
 //!
 //! Each kind is listed once and then watched from the revision of the list. A
-//! list follows again only when the store has dropped its history.
+//! list follows again only when the store has dropped its history, or has come
+//! back from a copy and gives out its revisions anew.
 
 use crate::client::Client;
 use crate::figure::or_empty;
+use crate::links::Answered;
 use crate::node::Node;
 use crate::state_page::PeerState;
-use bytes::Bytes;
-use fireflycroft::{Evacuations, ListChange, Mechanism, Name, Overlap, UpstreamRecord};
+use fireflycroft::{Evacuations, ListChange, Mechanism, Name, Overlap, UpstreamRecord, era_of};
 use fireflycroft_platform::{
-    Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_events, read_page,
-    read_upstream, watch_path,
+    Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_era, read_events,
+    read_page, read_upstream, watch_path,
 };
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -142,6 +143,12 @@
             objects.extend(page.objects);
             // Changes between two pages come again with a watch from the first one's revision.
             let first = *revision.get_or_insert(page.revision);
+            if era_of(first) != era_of(page.revision) {
+                // The pages before are of a store that is no more.
+                objects.clear();
+                revision = None;
+                continue;
+            }
             if !page.more {
                 self.heard();
                 self.take_list(&objects, first);
@@ -168,9 +175,11 @@
 
     async fn read_page(&mut self, after: Option<&str>) -> Result<StorePage, String> {
         let path = list_path(self.kind, after);
-        let answer = self.get(&path, self.patient()).await;
-        let (status, body) = answer.map_err(|e| e.to_string())?;
-        read_page(status, &body).map_err(|e| format!("{status} {e:?}"))
+        let answered = self.get(&path, self.patient()).await;
+        let answered = answered.map_err(|e| e.to_string())?;
+        let status = answered.status;
+        let page = read_page(status, &answered.body).map_err(|e| format!("{status} {e:?}"))?;
+        Ok(page.in_era(read_era(&answered.headers)))
     }
 
     /// Tries that overlap, as often as this entry may call a store that is away.
@@ -181,10 +190,15 @@
         Overlap::new(PATIENCE, self.node.duty.borrow().longest_pause())
     }
 
-    async fn get(&mut self, path: &str, overlap: Overlap) -> anyhow::Result<(u16, Bytes)> {
+    /// Sends a call to the store; an answer that the store gave before it came back from a copy is none.
+    async fn get(&mut self, path: &str, overlap: Overlap) -> anyhow::Result<Answered> {
         let contact = &self.contact;
         let on_hang = || contact.note_lost("no progress");
-        self.client.get(path, overlap, on_hang).await
+        let answered = self.client.get(path, overlap, on_hang).await?;
+        let era = read_era(&answered.headers);
+        self.node.note_era(era, "store");
+        anyhow::ensure!(era == self.node.era(), "an answer of a former era");
+        Ok(answered)
     }
 
     /// Watches while this entry is to, then waits until it is again.
@@ -214,10 +228,12 @@
     }
 
     async fn watch_from(&mut self, mut revision: u64) {
-        loop {
+        while era_of(revision) == self.node.era() {
             let answer = self.look_or_wait(revision).await;
             let read = match answer {
-                Ok((status, body)) => read_events(status, &body).map_err(Some),
+                // What it says is of other revisions than those that were asked for.
+                Ok(answered) if read_era(&answered.headers) != era_of(revision) => return,
+                Ok(answered) => read_events(answered.status, &answered.body).map_err(Some),
                 Err(e) => {
                     self.rest(&e.to_string()).await;
                     continue;
@@ -225,6 +241,7 @@
             };
             match read {
                 Ok(read) => {
+                    let read = read.in_era(era_of(revision));
                     self.heard();
                     revision = read.revision;
                     self.note_nameless(read.nameless);
@@ -255,7 +272,7 @@
 
     /// Waits for changes; while the store is lost, only asks whether it is back, by tries that
     /// overlap.
-    async fn look_or_wait(&mut self, revision: u64) -> anyhow::Result<(u16, Bytes)> {
+    async fn look_or_wait(&mut self, revision: u64) -> anyhow::Result<Answered> {
         if self.contact.lost.get() {
             let path = watch_path(self.kind, revision, LOOK_WAIT);
             return self.get(&path, self.patient()).await;
@@ -279,7 +296,7 @@
         }
     }
 
-    async fn watch(&mut self, revision: u64, wait: Duration) -> anyhow::Result<(u16, Bytes)> {
+    async fn watch(&mut self, revision: u64, wait: Duration) -> anyhow::Result<Answered> {
         let path = watch_path(self.kind, revision, wait);
         let overlap = Overlap::single(wait + WATCH_MARGIN);
         self.get(&path, overlap).await
@@ -446,12 +463,13 @@
     let answer = client
         .get(&path, Overlap::single(CONFIG_PATIENCE), || ())
         .await;
-    let Ok((status, body)) = answer else {
+    let Ok(answered) = answer else {
         return false;
     };
-    let Ok(page) = read_page(status, &body) else {
+    let Ok(page) = read_page(answered.status, &answered.body) else {
         return false;
     };
+    let page = page.in_era(read_era(&answered.headers));
     page.objects.iter().for_each(|o| node.adopt(o, "store"));
     true
 }
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -6,7 +6,7 @@
 use crate::peers::{Behind, v4};
 use crate::questions;
 use crate::state_page::{PeerState, state_path};
-use fireflycroft::{CrashCount, EntryMessage, EntryNews, Overlap, Time};
+use fireflycroft::{CrashCount, EntryMessage, EntryNews, Overlap, Time, era_of};
 use fireflycroft_wire::decode_datagram;
 use rand::RngExt;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -72,6 +72,10 @@
     }
     let now = node.now();
     node.peers.borrow_mut().learn(now, from, &news);
+    let revision = news.upstreams.max(news.evacuations.revision);
+    if revision > 0 {
+        node.note_era(era_of(revision), "peer");
+    }
     if let Some(age) = news.store_age {
         node.note_contact(now - age, "peer");
     }
@@ -151,9 +155,10 @@
     let path = state_path(node.version(), known);
     let mut client = Client::new(addr, node.clock);
     let overlap = Overlap::single(FETCH_PATIENCE);
-    let (status, body) = client.get(&path, overlap, || ()).await?;
-    anyhow::ensure!(status == 200, "status {status}");
-    let state: PeerState = serde_json::from_slice(&body)?;
+    let answered = client.get(&path, overlap, || ()).await?;
+    anyhow::ensure!(answered.status == 200, "status {}", answered.status);
+    let state: PeerState = serde_json::from_slice(&answered.body)?;
+    node.note_era(era_of(state.revision), "peer");
     node.peers.borrow_mut().learn_of(node.now(), &state.entries);
     if let Some(config) = &state.config {
         node.adopt(config, "peer");
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use fireflycroft::{Life, Time};
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
 use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{HeaderMap, Request};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::RefCell;
@@ -147,6 +147,17 @@
     }
 }
 
+/// A whole answer to a short call.
+#[derive(Debug)]
+pub struct Answered {
+    /// Its status.
+    pub status: u16,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// Opens a connection.
 ///
 /// # Errors
@@ -168,15 +179,12 @@
     })
 }
 
-/// Sends a short call over a link: status and whole body of its answer.
+/// Sends a short call over a link.
 ///
 /// # Errors
 ///
 /// When the connection breaks before the answer is whole.
-pub async fn call_whole(
-    link: &mut Link,
-    req: Request<Full<Bytes>>,
-) -> anyhow::Result<(u16, Bytes)> {
+pub async fn call_whole(link: &mut Link, req: Request<Full<Bytes>>) -> anyhow::Result<Answered> {
     call_watched(link, req, || ()).await
 }
 
@@ -189,17 +197,20 @@
     link: &mut Link,
     req: Request<Full<Bytes>>,
     on_progress: impl Fn(),
-) -> anyhow::Result<(u16, Bytes)> {
+) -> anyhow::Result<Answered> {
     link.sender.ready().await?;
     let response = link.sender.send_request(req).await?;
     on_progress();
-    let status = response.status().as_u16();
-    let body = response.into_body().map_frame(|frame| {
+    let (parts, body) = response.into_parts();
+    let body = body.map_frame(|frame| {
         on_progress();
         frame
     });
-    let bytes = body.collect().await?.to_bytes();
-    Ok((status, bytes))
+    Ok(Answered {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        body: body.collect().await?.to_bytes(),
+    })
 }
 
 async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -48,6 +48,7 @@
     watching: IntGauge,
     quarantined: IntGauge,
     evacuated: IntGauge,
+    store_era: IntGauge,
     memory: GaugeVec,
     repeats_left: GaugeVec,
     upstreams: GaugeVec,
@@ -121,6 +122,11 @@
             )?,
             quarantined: gauge(&r, "quarantined", "Contents refused for crashes")?,
             evacuated: gauge(&r, "evacuated", "Data centres evacuated")?,
+            store_era: gauge(
+                &r,
+                "store_era",
+                "Times that the store came back from a copy",
+            )?,
             memory: gauges(&r, "memory_share", "Engine memory spoken for", "service")?,
             repeats_left: gauges(&r, "repeats_left", "Repeats left in the window", "service")?,
             upstreams: gauges(&r, "upstreams", "Upstreams that take new work", "service")?,
@@ -185,6 +191,8 @@
         self.quarantined.set(to_i64(quarantined));
         let evacuated = node.pool.borrow().evacuations().data_centres.len();
         self.evacuated.set(to_i64(evacuated));
+        self.store_era
+            .set(i64::try_from(node.era()).unwrap_or(i64::MAX));
         let catalog = node.catalog.borrow();
         for service in catalog.iter().flat_map(|c| c.services()) {
             let name = &service.name;
--- a/fireflydirect/src/mover.rs
+++ b/fireflydirect/src/mover.rs
@@ -213,9 +213,9 @@
         .header(HOST, source.addr.to_string())
         .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
         .body(Full::new(Bytes::from(body)))?;
-    let (status, bytes) = call_whole(&mut link, req).await?;
+    let answered = call_whole(&mut link, req).await?;
     node.links.put_back(&source.life(), link, None);
-    Ok(read_move(source.addr, status, &bytes))
+    Ok(read_move(source.addr, answered.status, &answered.body))
 }
 
 fn say(node: &Node, run: &Run, from: UpstreamIx, to: Option<UpstreamIx>, outcome: &str) {
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -78,6 +78,8 @@
     pub duty_changed: Notify,
     /// Whether the store answered the last call.
     pub store_answers: Cell<bool>,
+    /// Times that the store has come back from a copy; none until it is known.
+    era: Cell<Option<u64>>,
     /// Whether any call has failed yet.
     store_failed: Cell<bool>,
     /// When it last answered one.
@@ -153,6 +155,7 @@
             duty: RefCell::new(WatchDuty::new(&place.vm)),
             duty_changed: Notify::new(),
             store_answers: Cell::new(false),
+            era: Cell::new(None),
             store_failed: Cell::new(false),
             store_answered_at: Cell::new(None),
             listed: Cell::new(false),
@@ -235,6 +238,25 @@
         }
     }
 
+    /// Era of the store, as far as is known.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.era.get().unwrap_or_default()
+    }
+
+    /// Notes the era of the store that an answer or another entry tells.
+    pub fn note_era(&self, era: u64, source: &str) {
+        let was = self.era.get();
+        if was.is_some_and(|was| era <= was) {
+            return;
+        }
+        self.era.set(Some(era));
+        if let Some(was) = was {
+            log::warn!(event = "store_restored", era = era, was = was, source = source; "");
+            self.pool.borrow_mut().note_restored(self.now());
+        }
+    }
+
     /// Notes that a call to the store failed or hangs.
     pub fn note_store_failure(&self) {
         self.store_answers.set(false);
@@ -320,7 +342,8 @@
         let data_centres = told.data_centres.iter();
         let data_centres: Vec<&str> = data_centres.map(|name| &**name).collect();
         let data_centres = data_centres.join(",");
-        if !self.pool.borrow_mut().take_evacuations(told) {
+        let now = self.now();
+        if !self.pool.borrow_mut().take_evacuations(now, told) {
             return;
         }
         log::info!(
--- a/fireflydirect/src/overview.rs
+++ b/fireflydirect/src/overview.rs
@@ -24,6 +24,7 @@
         watches: node.duty.borrow().is_watching(),
         store_answers: node.store_answers.get(),
         evacuated: pool.evacuations().data_centres.iter().cloned().collect(),
+        store_era: node.era(),
         calls: node.busy.get(),
         streams: node.runs.count(),
         upstreams: known.map(|ix| upstream(node, &pool, now, ix)).collect(),
--- a/fireflydirect/tests/removals.rs
+++ b/fireflydirect/tests/removals.rs
@@ -30,6 +30,9 @@
 /// Time for which an upstream that leaves may get work, as the settings have it.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Kinds of objects that an entry follows in the store.
+const FEEDS: usize = 3;
+
 /// Calls of one look at who is chosen; each upstream of two gets some.
 const CALLS: usize = 20;
 
@@ -60,9 +63,9 @@
 cases! {
     removal_is_believed_once_living_ones_are_back(site: 1) {
         site.store.set_mode(StoreMode::Reset);
-        until("the loss", || async { site.log(0).matches("event=store_lost").count() == 2 }).await;
+        until("the loss", || async { site.log(0).matches("event=store_lost").count() == FEEDS }).await;
         site.store.set_mode(StoreMode::Up);
-        until("the return", || async { site.log(0).matches("event=store_regained").count() == 2 }).await;
+        until("the return", || async { site.log(0).matches("event=store_regained").count() == FEEDS }).await;
         tokio::time::sleep(ALL_BACK).await;
         site.store.remove("servers", "p-0");
         until("the removal", || async { has_line(&site, 0, "upstream_removed", "p-0") }).await;
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -16,4 +16,4 @@
 pub use judge::{Attempt, Breach, Evidence, Kind, Outcome};
 pub use proxy::{Harm, Proxy};
 pub use record::{Record, Run, RunEnd};
-pub use store::{Store, StoreMode};
+pub use store::{Snapshot, Store, StoreMode};
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -69,10 +69,13 @@
     overlapped: u64,
     /// What reads show while they are stale.
     shown: Option<Snapshot>,
+    /// Times that it came back from a copy.
+    era: u64,
 }
 
+/// A copy of what the store held at one moment.
 #[derive(Clone, Debug)]
-struct Snapshot {
+pub struct Snapshot {
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
 }
@@ -196,15 +199,31 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// A copy of what it holds now.
+    #[must_use]
+    pub fn copy(&self) -> Snapshot {
+        lock(&self.shared.state).copy()
+    }
+
+    /// Comes back from a copy: what was written since is gone, its revisions are given out again, and
+    /// a watch from one of them has to list.
+    pub fn restore(&self, copy: Snapshot) {
+        let mut state = lock(&self.shared.state);
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.events.clear();
+        state.dropped_below = copy.revision;
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Treats calls like this from now on.
     pub fn set_mode(&self, mode: StoreMode) {
         let mut state = lock(&self.shared.state);
         let was_stale = state.shown.take().is_some();
         if mode == StoreMode::Stale {
-            state.shown = Some(Snapshot {
-                revision: state.revision,
-                objects: state.objects.clone(),
-            });
+            state.shown = Some(state.copy());
         }
         state.mode = mode;
         drop(state);
@@ -233,6 +252,15 @@
     }
 }
 
+impl State {
+    fn copy(&self) -> Snapshot {
+        Snapshot {
+            revision: self.revision,
+            objects: self.objects.clone(),
+        }
+    }
+}
+
 async fn accept(listener: TcpListener, caller: Option<IpAddr>, shared: Arc<Shared>) {
     while let Ok((stream, from)) = listener.accept().await {
         let caller = caller.unwrap_or(from.ip());
@@ -245,7 +273,8 @@
     while let Ok(Some(req)) = read_request(&mut stream, &mut buf).await {
         match treat(&shared, from, &req).await {
             Treatment::Answer(status, body) => {
-                let headers = [("Content-Type", "application/json")];
+                let era = lock(&shared.state).era.to_string();
+                let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
                 let body = body.to_string();
                 if write_answer(&mut stream, status, &headers, body.as_bytes())
                     .await
@@ -360,7 +389,7 @@
 }
 
 fn watch(state: &State, kind: &str, revision: u64, req: &Request) -> Look {
-    if revision < state.dropped_below {
+    if revision < state.dropped_below || revision > state.revision {
         return Look::Done(Treatment::Answer(410, json!({})));
     }
     let later = state.events.iter();
