Read evacuations only where other entries rely on it

Change: an entry reads evacuations once others have relied on it for a second, and where the store is lost waits until a feed whose calls overlap has found it. All others hear of them in each datagram.

--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -70,6 +70,13 @@
 /// other, and all entries watch.
 const STANDBY_GATHER: Duration = Duration::from_secs(2);
 
+/// Time for which an entry has to be relied on before it reads evacuations: all entries of a fleet that
+/// starts are until they hear of each other, and each call is paid for.
+const RELIED_ON_FOR: Duration = Duration::from_secs(1);
+
+/// Time between two looks at whether another feed of this entry is answered again.
+const CONTACT_CHECK: Duration = Duration::from_millis(200);
+
 /// Time without a byte after which the only try is given up, where tries don't overlap.
 const HANG_LIMIT: Duration = Duration::from_secs(5);
 
@@ -108,6 +115,7 @@
         unreadable: HashMap::new(),
     };
     loop {
+        feed.until_due().await;
         match feed.list().await {
             Some(revision) => feed.watch_while_on_duty(revision).await,
             None => feed.wait_for_duty().await,
@@ -184,7 +192,7 @@
 
     /// Tries that overlap, as often as this entry may call a store that is away.
     fn patient(&self) -> Overlap {
-        if !self.node.policy.uses(Mechanism::Overlap) {
+        if self.kind == Kind::Evacuations || !self.node.policy.uses(Mechanism::Overlap) {
             return Overlap::single(HANG_LIMIT);
         }
         Overlap::new(PATIENCE, self.node.duty.borrow().longest_pause())
@@ -206,8 +214,9 @@
     /// A watch that waits at the store is cut short, by closing its connection.
     async fn watch_while_on_duty(&mut self, revision: u64) {
         let node = self.node.clone();
+        let kind = self.kind;
         let off_duty = async {
-            while node.duty.borrow().is_watching() {
+            while is_on_duty(&node, kind) {
                 node.duty_changed.notified().await;
             }
         };
@@ -221,6 +230,9 @@
     async fn wait_for_duty(&mut self) {
         let node = self.node.clone();
         self.client = Client::new(node.place.store.addr, node.clock);
+        if self.kind == Kind::Evacuations {
+            return;
+        }
         node.store_answers.set(false);
         while !node.duty.borrow().is_watching() {
             node.duty_changed.notified().await;
@@ -231,7 +243,7 @@
         while era_of(revision) == self.node.era() {
             let answer = self.look_or_wait(revision).await;
             let read = match answer {
-                // What it says is of other revisions than those that were asked for.
+                // The store came back from a copy while the watch waited.
                 Ok(answered) if read_era(&answered.headers) != era_of(revision) => return,
                 Ok(answered) => read_events(answered.status, &answered.body).map_err(Some),
                 Err(e) => {
@@ -312,6 +324,32 @@
         tokio::time::sleep(self.pause).await;
         let longest = self.node.duty.borrow().longest_pause();
         self.pause = (self.pause * 2).min(longest);
+        if self.kind == Kind::Evacuations {
+            self.until_answered().await;
+        }
+    }
+
+    /// Returns once a feed whose calls overlap has found the store again.
+    async fn until_answered(&self) {
+        while !self.node.store_answers.get() {
+            tokio::time::sleep(CONTACT_CHECK).await;
+        }
+    }
+
+    /// Returns when this entry is to read its kind of object: evacuations once others rely on it for
+    /// them, everything else at once.
+    async fn until_due(&self) {
+        if self.kind != Kind::Evacuations {
+            return;
+        }
+        loop {
+            relied_on(&self.node).await;
+            tokio::time::sleep(RELIED_ON_FOR).await;
+            self.until_answered().await;
+            if self.node.duty.borrow().is_relied_on() {
+                return;
+            }
+        }
     }
 
     fn take_objects(&mut self, objects: &[StoreObject]) {
@@ -449,6 +487,17 @@
     }
 }
 
+/// Whether an entry is to follow a kind of object: evacuations while others rely on it, everything else
+/// while it watches at all.
+fn is_on_duty(node: &Node, kind: Kind) -> bool {
+    let duty = node.duty.borrow();
+    if kind == Kind::Evacuations {
+        duty.is_relied_on()
+    } else {
+        duty.is_watching()
+    }
+}
+
 /// Returns once the others rely on this entry for what the store says.
 async fn relied_on(node: &Node) {
     while !node.duty.borrow().is_relied_on() {
