Bound what the fleet sends to a cold upstream

Cause: nothing did. Change: each entry keeps to a share of the bound, by the number of entries that it knows, those lost within a minute included, and by a hash of its name and the upstream's where there is less than one request for each. Requests, repeats, runs that go on, calls for moves and reports count, over any second. A choice leaves out an upstream whose share is spent; where only such are left the caller is told at once when to come back. An entry that has just started takes the fleet to have 512 entries for two seconds. Two ways were weighed: shares lent by the upstream's two owners give all of the bound to whoever needs it, and break it when entries that are cut off from each other see other owners; a fixed part needs no message and holds then too. Since an engine is cold for a second, what is left unused is little. Tests: random fleets of 5, 23, 68 and 350 entries, rates of 1 to 200 a second: no second with more than the bound; a fleet that starts as a whole; halves; real entries before cold engines.

--- a/fireflycroft/src/catalog.rs
+++ b/fireflycroft/src/catalog.rs
@@ -115,6 +115,8 @@
     pub name: Name,
     /// Connections that one upstream accepts from all callers.
     pub max_connections: u32,
+    /// Requests a second that an upstream bears while it is cold; none where it bears any.
+    pub cold_rate: Option<f64>,
     /// Set for model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -9,8 +9,8 @@
 //! - the agents' path (`fireflyd`): [`Entry`] and [`Agent`] with `member`,
 //!   `route`, `admit`, `place`, `lease`, `claim` and what belongs to them;
 //! - the direct entry (`fireflydirect`): [`Pool`] with `upstream`, `listing`,
-//!   `loads`, `pace` and `room` says where a request goes, and `evacuation` where
-//!   none may; `owners`, `repeat`,
+//!   `loads`, `pace` and `room` says where a request goes, and `evacuation`
+//!   and `cold` where none may; `owners`, `repeat`,
 //!   `returns`, `watchers` and `contact` say what entries know of each other and
 //!   of the platform's store; `attempt`, `relay` and `rescue` follow a request.
 //!
@@ -58,6 +58,7 @@
 mod catch_up;
 mod claim;
 mod code;
+mod cold;
 mod compile;
 mod config;
 mod contact;
@@ -133,6 +134,7 @@
 pub use catalog::*;
 pub use claim::*;
 pub use code::*;
+pub use cold::*;
 pub use compile::*;
 pub use config::*;
 pub use contact::*;
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -8,6 +8,7 @@
 //! newer start ends the old life, which gets no successor in its place but one
 //! beside it, so that whatever still refers to the old life finds it ended.
 
+use crate::cold::SentLately;
 use crate::ids::{Digest, Name};
 use crate::pace::SeenPace;
 use crate::placed::Placed;
@@ -200,6 +201,7 @@
             cold_until: now + record.cold_for,
             memory_tokens: self.memory_of.get(&record.service).copied(),
             record,
+            sent_lately: SentLately::default(),
             gone: false,
             ended: false,
             left_at: leaving.then_some(now),
--- a/fireflycroft/src/overview.rs
+++ b/fireflycroft/src/overview.rs
@@ -55,6 +55,9 @@
     /// Whether its data centre is evacuated.
     #[serde(default)]
     pub evacuated: bool,
+    /// How much longer it is cold, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// Requests of all entries there.
     pub running: u32,
     /// Share of its memory that is spoken for; zero for a plain service.
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -5,6 +5,7 @@
 //! memory, prompt and expected answer, since it is memory that engines run out
 //! of. A generation goes where the least of the memory is spoken for.
 
+use crate::cold::ColdShare;
 use crate::contact::StoreContact;
 use crate::evacuation::Evacuations;
 use crate::ids::Name;
@@ -42,6 +43,9 @@
     /// Upstreams of which each other entry has told this one.
     pub(crate) told_by: HashMap<Name, HashSet<usize>>,
     pub(crate) policy: Policy,
+    pub(crate) cold: ColdShare,
+    /// Requests a second that a cold upstream bears, by service.
+    pub(crate) cold_rate_of: HashMap<Name, f64>,
     pub(crate) evacuations: Evacuations,
     /// Data centres that were evacuated when the store came back from a copy that doesn't say so.
     pub(crate) doubted_evacuations: BTreeSet<Name>,
@@ -292,7 +296,7 @@
         need: &Need,
         tried: &[UpstreamIx],
     ) -> Option<UpstreamIx> {
-        let open: Vec<usize> = self.untried(service, tried).collect();
+        let open: Vec<usize> = self.untried(now, service, tried).collect();
         let sound = |i: &usize| self.upstreams[*i].avoid_until <= now;
         let drawn = self.known_or_drawn(now, need, &open);
         let best = self.least_cost(now, need, drawn.iter().copied().filter(sound));
@@ -313,11 +317,15 @@
     /// Upstreams of a service that take new work and are not in `tried`.
     pub(crate) fn untried<'a>(
         &'a self,
+        now: Time,
         service: &str,
         tried: &'a [UpstreamIx],
     ) -> impl Iterator<Item = usize> {
-        let untried = |i: &usize| !tried.contains(&UpstreamIx(*i));
-        self.serving(service).filter(untried)
+        let takes = move |i: &usize| {
+            let is_spent = self.has_cold_share_spent(now, &self.upstreams[*i]);
+            !is_spent && !tried.contains(&UpstreamIx(*i))
+        };
+        self.serving(service).filter(takes)
     }
 
     /// The `most` of `open` that would cost least.
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -1,5 +1,6 @@
 //! One upstream as a direct entry sees it, and what one more request there costs.
 
+use crate::cold::SentLately;
 use crate::ids::{Incarnation, Name};
 use crate::loads::Replied;
 use crate::mechanism::{Mechanism, Policy};
@@ -92,6 +93,8 @@
     pub(crate) avoid_until: Time,
     pub(crate) failing: f64,
     pub(crate) cold_until: Time,
+    /// Requests of this entry, where a cold one bears only so many.
+    pub(crate) sent_lately: SentLately,
     pub(crate) read: HashMap<u64, Time>,
     pub(crate) pace: SeenPace,
 }
--- a/fireflyctl/src/entries.rs
+++ b/fireflyctl/src/entries.rs
@@ -173,10 +173,11 @@
 }
 
 const fn state_word(upstream: &UpstreamOverview) -> &'static str {
-    match (upstream.serves, upstream.evacuated) {
-        (false, _) => "leaving",
-        (true, true) => "evacuated",
-        (true, false) => "serving",
+    match upstream {
+        u if !u.serves => "leaving",
+        u if u.evacuated => "evacuated",
+        u if u.cold_ms > 0 => "cold",
+        _ => "serving",
     }
 }
 
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -104,9 +104,7 @@
     if !job.node.pool.borrow().may_get_requests(job.now(), ix) {
         return Err(Unanswered::NeverSent("it has ended or left".to_owned()));
     }
-    if job.node.pool.borrow().is_evacuated(ix) {
-        return Err(Unanswered::Withheld("it is evacuated".to_owned()));
-    }
+    note_sending(job, ix)?;
     let req = request(job, &record.instance, extras);
     on_sent();
     let response = tokio::select! {
@@ -128,6 +126,19 @@
     })
 }
 
+/// Counts a request to an upstream that may get one.
+fn note_sending(job: &Job, ix: UpstreamIx) -> Result<(), Unanswered> {
+    let mut pool = job.node.pool.borrow_mut();
+    if pool.is_evacuated(ix) {
+        return Err(Unanswered::Withheld("it is evacuated".to_owned()));
+    }
+    if pool.is_cold_share_spent(job.now(), ix) {
+        return Err(Unanswered::Withheld("it is cold".to_owned()));
+    }
+    pool.note_sending(job.now(), ix);
+    Ok(())
+}
+
 fn unanswered(mut e: TrySendError<Request<Full<Bytes>>>) -> Unanswered {
     let unsent = e.take_message().is_some();
     let why = e.into_error().to_string();
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -10,8 +10,9 @@
 use crate::questions::Questions;
 use crate::runs::Runs;
 use fireflycroft::{
-    Catalog, Digest, Evacuations, LengthGuess, Life, Need, Policy, Pool, PoolChange, Quarantine,
-    QueryBreadth, Refusal, RepeatBudget, Returns, SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
+    ALL_HEARD_AFTER, Catalog, Digest, ENTRIES_AT_START, Evacuations, LengthGuess, Life, Need,
+    Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, RepeatBudget, Returns,
+    SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -131,6 +132,9 @@
         if let Some(heartbeat) = place.heartbeat {
             pool.set_heartbeat(heartbeat);
         }
+        if let Some(limits) = place.bounds.cold {
+            pool.set_cold_limits(&place.vm, limits);
+        }
         let budget = RepeatBudget::new(place.bounds.repeats);
         let peers = Peers::new(&place);
         let metrics = Metrics::new()?;
@@ -302,6 +306,16 @@
         1 + self.peers.borrow().count(self.now())
     }
 
+    /// Counts the entries that may send to a cold upstream.
+    pub fn count_entries(&self) {
+        let now = self.now();
+        let mut entries = 1 + self.peers.borrow().known();
+        if now.since(Time::default()) < ALL_HEARD_AFTER {
+            entries = entries.max(ENTRIES_AT_START);
+        }
+        self.pool.borrow_mut().set_entries(entries);
+    }
+
     /// Takes a published configuration unless it is not newer than the one in force.
     pub fn adopt(&self, object: &StoreObject, source: &str) {
         let catalog = match fireflycroft_platform::read_catalog(object.content.get()) {
@@ -326,6 +340,7 @@
             let memory = service.engine.map(|e| e.memory_tokens);
             let mut pool = self.pool.borrow_mut();
             pool.set_memory(&service.name, memory);
+            pool.set_cold_rate(&service.name, service.cold_rate);
         }
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         *self.published.borrow_mut() = Some(object.clone());
--- a/fireflydirect/src/overview.rs
+++ b/fireflydirect/src/overview.rs
@@ -44,6 +44,7 @@
         data_centre: record.data_centre.clone(),
         serves: pool.is_serving(ix),
         evacuated: pool.is_evacuated(ix),
+        cold_ms: whole_millis(pool.cold_for(now, ix)),
         running: view.placed.running,
         memory: view.memory,
         unread: view.placed.unread,
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -63,6 +63,8 @@
     _claim: TcpListener,
     peer_port: u16,
     version: u64,
+    /// Requests a second that a cold engine bears, as the next configuration says; zero for any.
+    pub(crate) cold_per_s: f64,
     folder: PathBuf,
     ids: AtomicU64,
 }
@@ -110,6 +112,7 @@
             _claim: claim,
             peer_port,
             version: 0,
+            cold_per_s: 0.0,
             folder,
             ids: AtomicU64::new(0),
         };
@@ -178,7 +181,8 @@
         let config = json!({
             "version": self.version,
             "routes": routes,
-            "services": [{"name": "models", "max_connections": 100, "engine": engine},
+            "services": [{"name": "models", "max_connections": 100, "engine": engine,
+                    "cold_per_s": self.cold_per_s},
                 {"name": "records", "max_connections": 100}],
             "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
