Keep requests in the home regions of their route and workspace

Cause: allowed_regions was not read; a deployment of two regions would have run requests anywhere. Change: settings give the region of each data centre, routes and workspaces their homes; a request of both is bound by both. The homes stand in its need, so that every choice for it, of an upstream, of a keeper of its copy, of a target of a move, looks at those alone; where there is none it is told to come back. No body leaves the entry that its caller connected to, as before. Ruled out: homes kept by service: a route and a workspace share services.

--- a/fireflycroft/src/catalog.rs
+++ b/fireflycroft/src/catalog.rs
@@ -69,6 +69,8 @@
     pub max_attempts: u32,
     /// Whether a caller needs no key.
     pub open: bool,
+    /// Regions in which its requests may run; any where none is named.
+    pub homes: Vec<Name>,
 }
 
 impl RouteSpec {
@@ -143,6 +145,8 @@
     pub keys: Vec<Name>,
     /// Urgency that goes before the route's.
     pub rank: Option<u8>,
+    /// Regions in which requests of its callers may run; any where none is named.
+    pub homes: Vec<Name>,
 }
 
 /// What a catalog is made of.
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -9,8 +9,8 @@
 //! - the agents' path (`fireflyd`): [`Entry`] and [`Agent`] with `member`,
 //!   `route`, `admit`, `place`, `lease`, `claim` and what belongs to them;
 //! - the direct entry (`fireflydirect`): [`Pool`] with `upstream`, `listing`,
-//!   `loads`, `pace` and `room` says where a request goes, and `evacuation`
-//!   and `cold` where none may; `owners`, `repeat`,
+//!   `loads`, `pace` and `room` says where a request goes, and
+//!   `evacuation`, `cold` and `region` where it may not; `owners`, `repeat`,
 //!   `returns`, `watchers` and `contact` say what entries know of each other and
 //!   of the platform's store; `attempt`, `relay` and `rescue` follow a request.
 //!
@@ -102,6 +102,7 @@
 mod quarantine;
 mod quota;
 mod reconcile;
+mod region;
 mod relay;
 mod repeat;
 mod rescue;
@@ -166,6 +167,7 @@
 pub use pool::*;
 pub use quarantine::*;
 pub use quota::*;
+pub use region::*;
 pub use relay::*;
 pub use repeat::*;
 pub use rescue::*;
--- a/fireflycroft/src/loads.rs
+++ b/fireflycroft/src/loads.rs
@@ -105,7 +105,7 @@
         tried: &[UpstreamIx],
         most: usize,
     ) -> Vec<UpstreamIx> {
-        let open: Vec<usize> = self.untried(now, service, tried).collect();
+        let open: Vec<usize> = self.untried(now, service, need, tried).collect();
         let mut asked: Vec<usize> = if open.len() <= most {
             open
         } else {
--- a/fireflycroft/src/placed.rs
+++ b/fireflycroft/src/placed.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Incarnation, Name};
 use crate::pace::Pace;
+use crate::region::RegionSet;
 use crate::upstream::UpstreamIx;
 use std::time::Duration;
 
@@ -103,6 +104,8 @@
     pub shared: Option<u64>,
     /// Random number that tells near ties apart, another one for each request.
     pub draw: u64,
+    /// Regions in which it may run; none where any will do.
+    pub homes: Option<RegionSet>,
     /// Upstream that its memory is copied from, over links that are shorter within a data centre.
     pub copied_from: Option<UpstreamIx>,
 }
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::mechanism::Policy;
 use crate::pace::Pace;
 use crate::placed::{Need, Placed};
+use crate::region::Regions;
 use crate::time::Time;
 use crate::upstream::{
     FAR_COPY_COST, READ_FOR, SeenBy, Upstream, UpstreamIx, UpstreamRecord, draw_for, draw_index,
@@ -43,6 +44,7 @@
     /// Upstreams of which each other entry has told this one.
     pub(crate) told_by: HashMap<Name, HashSet<usize>>,
     pub(crate) policy: Policy,
+    pub(crate) regions: Regions,
     pub(crate) cold: ColdShare,
     /// Requests a second that a cold upstream bears, by service.
     pub(crate) cold_rate_of: HashMap<Name, f64>,
@@ -296,7 +298,7 @@
         need: &Need,
         tried: &[UpstreamIx],
     ) -> Option<UpstreamIx> {
-        let open: Vec<usize> = self.untried(now, service, tried).collect();
+        let open: Vec<usize> = self.untried(now, service, need, tried).collect();
         let sound = |i: &usize| self.upstreams[*i].avoid_until <= now;
         let drawn = self.known_or_drawn(now, need, &open);
         let best = self.least_cost(now, need, drawn.iter().copied().filter(sound));
@@ -314,16 +316,19 @@
         sample(open, need.draw)
     }
 
-    /// Upstreams of a service that take new work and are not in `tried`.
+    /// Upstreams of a service that may be chosen for `need` and are not in `tried`.
     pub(crate) fn untried<'a>(
         &'a self,
         now: Time,
         service: &str,
+        need: &Need,
         tried: &'a [UpstreamIx],
     ) -> impl Iterator<Item = usize> {
+        let homes = need.homes;
         let takes = move |i: &usize| {
-            let is_spent = self.has_cold_share_spent(now, &self.upstreams[*i]);
-            !is_spent && !tried.contains(&UpstreamIx(*i))
+            let u = &self.upstreams[*i];
+            let is_home = self.is_home(homes, &u.record.data_centre);
+            is_home && !self.has_cold_share_spent(now, u) && !tried.contains(&UpstreamIx(*i))
         };
         self.serving(service).filter(takes)
     }
--- a/fireflycroft/tests/catalog.rs
+++ b/fireflycroft/tests/catalog.rs
@@ -35,6 +35,7 @@
         targets: Vec::new(),
         max_attempts: 1,
         open: false,
+        homes: Vec::new(),
     }
 }
 
@@ -53,6 +54,7 @@
             name: Name::from("w"),
             keys: vec![Name::from("k1"), Name::from("k2")],
             rank: None,
+            homes: Vec::new(),
         }]),
     }
 }
--- a/fireflycroft/tests/mechanism.rs
+++ b/fireflycroft/tests/mechanism.rs
@@ -84,6 +84,7 @@
     unread: 1_000,
     shared: Some(5),
     draw: 0,
+    homes: None,
     copied_from: None,
 };
 
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -3,7 +3,7 @@
 use crate::loads;
 use crate::node::Node;
 use bytes::Bytes;
-use fireflycroft::{Ask, Digest, EngineSpec, Name, Need, RouteSpec, Time, UpstreamIx};
+use fireflycroft::{Ask, Digest, EngineSpec, Name, Need, RegionSet, RouteSpec, Time, UpstreamIx};
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
 use std::rc::Rc;
@@ -22,6 +22,8 @@
     pub service: Name,
     /// Engines of that service, unless it is a plain one.
     pub engine: Option<EngineSpec>,
+    /// Regions in which it may run; none where any will do.
+    pub homes: Option<RegionSet>,
     /// Workspace of the caller.
     pub workspace: Option<Name>,
     /// Urgency that the operator gave workspace or route; 0 goes first.
@@ -80,7 +82,10 @@
     #[must_use]
     pub fn need_beyond(&self, made: u64) -> Need {
         let Some(size) = &self.ask.size else {
-            return Need { ..Need::default() };
+            return Need {
+                homes: self.homes,
+                ..Need::default()
+            };
         };
         Need {
             is_copy: false,
@@ -89,6 +94,7 @@
             unread: u64::from(size.prompt_tokens),
             shared: size.parts.first().map(|p| p.id),
             draw: rand::rng().next_u64(),
+            homes: self.homes,
             copied_from: None,
         }
     }
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -11,7 +11,7 @@
 use crate::runs::Runs;
 use fireflycroft::{
     ALL_HEARD_AFTER, Catalog, Digest, ENTRIES_AT_START, Evacuations, LengthGuess, Life, Need,
-    Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, RepeatBudget, Returns,
+    Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, Regions, RepeatBudget, Returns,
     SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
@@ -128,6 +128,7 @@
         let clock = Clock::start();
         let mut pool = Pool::new(place.data_centre.clone());
         pool.set_policy(policy);
+        pool.set_regions(Regions::new(place.regions.iter().cloned()));
         pool.set_drain_timeout(place.bounds.drain_timeout);
         if let Some(heartbeat) = place.heartbeat {
             pool.set_heartbeat(heartbeat);
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -130,6 +130,8 @@
     }
     node.budget.borrow_mut().note_request(node.now(), &service);
     let engine = catalog.service(&service).and_then(|s| s.engine);
+    let workspace_homes = workspace.map_or(&[][..], |w| &w.homes);
+    let homes = node.pool.borrow().homes(&route.homes, workspace_homes);
     let workspace_rank = workspace.and_then(|w| w.rank);
     let patience = ask.deadline.map_or(route.timeout, |d| d.min(route.timeout));
     let mut job = Job {
@@ -137,6 +139,7 @@
         yields: 0.0,
         version: catalog.version(),
         engine,
+        homes,
         workspace: workspace.map(|w| w.name.clone()),
         rank: workspace_rank.unwrap_or(route.rank),
         give_up_at: arrival + patience,
--- /dev/null
+++ b/fireflydirect/tests/processes_home.rs
@@ -0,0 +1,82 @@
+//! A real entry whose routes and workspaces have home regions.
+
+mod support;
+
+use serde_json::json;
+use support::{KEY, Site, cases, until};
+
+/// Puts the second engine and the second plain service into the data centre `b`, in the region
+/// `south`.
+async fn split(site: &Site) {
+    for (upstream, service) in [(&site.engines[1], "models"), (&site.plains[1], "records")] {
+        let mut entry = upstream.entry(service, "ready");
+        entry["zone"] = json!("b");
+        site.store.put("servers", &upstream.instance(), &entry);
+    }
+    until("the other data centre", || async {
+        let (_, shown) = site.operate(0, &["entries", "upstreams", "--json"]).await;
+        shown.matches("\"data_centre\":\"b\"").count() == 2
+    })
+    .await;
+}
+
+async fn until_in_force(site: &Site, version: u64) {
+    until("the configuration", || async {
+        let (_, shown) = site.operate(0, &["entries", "status", "--json"]).await;
+        shown.contains(&format!("\"config\":{version},"))
+    })
+    .await;
+}
+
+/// Sends calls and generations, all of which have to run on upstreams whose ids end like this.
+async fn check_all_run_at(site: &Site, end: &str) {
+    for n in 0..8 {
+        let (call, generation) = (site.id(), site.id());
+        let answer = site.call(0, "GET", &format!("/fetch/{n}"), &call);
+        assert_eq!(answer.send().await.unwrap().status(), 200);
+        let answer = site
+            .generation(0, "/log/a", 3, &generation)
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(answer.status(), 200);
+        answer.text().await.unwrap();
+        for id in [call, generation] {
+            let runs = site.record.runs_of(&id);
+            assert!(
+                runs.iter().all(|run| run.instance.ends_with(end)),
+                "{runs:?}"
+            );
+        }
+    }
+}
+
+cases! {
+    routes_with_a_home_stay_there(site: 1) {
+        split(&site).await;
+        site.route_homes = vec!["south"];
+        site.publish(&[KEY]);
+        until_in_force(&site, 2).await;
+        check_all_run_at(&site, "-1").await;
+    }
+
+    workspaces_with_a_home_stay_there(site: 1) {
+        split(&site).await;
+        site.workspace_homes = vec!["south"];
+        site.publish(&[KEY]);
+        until_in_force(&site, 2).await;
+        check_all_run_at(&site, "-1").await;
+    }
+
+    request_without_any_home_left_is_told_to_come_back(site: 1) {
+        split(&site).await;
+        site.route_homes = vec!["north"];
+        site.workspace_homes = vec!["south"];
+        site.publish(&[KEY]);
+        until_in_force(&site, 2).await;
+        let answer = site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("retry-after"));
+        assert!(site.record.runs().is_empty());
+    }
+}
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -65,6 +65,10 @@
     version: u64,
     /// Requests a second that a cold engine bears, as the next configuration says; zero for any.
     pub(crate) cold_per_s: f64,
+    /// Home regions of all routes of the next configuration.
+    pub(crate) route_homes: Vec<&'static str>,
+    /// Home regions of `brand-a`.
+    pub(crate) workspace_homes: Vec<&'static str>,
     folder: PathBuf,
     ids: AtomicU64,
 }
@@ -113,6 +117,8 @@
             peer_port,
             version: 0,
             cold_per_s: 0.0,
+            route_homes: Vec::new(),
+            workspace_homes: Vec::new(),
             folder,
             ids: AtomicU64::new(0),
         };
@@ -176,6 +182,9 @@
             .iter()
             .map(|(name, prefix)| route(name, prefix, "safe", "records", false, 2));
         routes.extend(added);
+        for route in &mut routes {
+            route["allowed_regions"] = json!(self.route_homes);
+        }
         let engine = json!({"slots": 8, "kv_capacity_tokens": 20_000, "moves": true,
             "backups": true, "stride": 4});
         let config = json!({
@@ -186,7 +195,8 @@
                 {"name": "records", "max_connections": 100}],
             "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-            "tenants": [{"name": "brand-a", "api_keys": keys, "priority": 1}],
+            "tenants": [{"name": "brand-a", "api_keys": keys, "priority": 1,
+                "allowed_regions": self.workspace_homes}],
         });
         self.store.put("config", "main", &config);
     }
@@ -261,6 +271,7 @@
             .collect();
         json!({
             "node_name": format!("front-{}", entry.ip), "ip": entry.ip.to_string(), "zone": "a",
+            "zones": {"a": "north", "b": "south"},
             "listen": {"front": entry.callers, "ready": entry.readiness, "control": entry.operators},
             "internal_port_range": [self.peer_port, self.peer_port], "seeds": seeds,
             "platform": {"address": store},
