Fetch lists of upstreams from where they are complete, within the data centre

Cause: some 500 upstreams leave at once, a datagram carries the newest 16 changes. Who heard those asked for what was newer than the newest, found the list different at the same revision, and fetched all of it (0.8 MB), at each telling. Change: an entry knows up to which revision its list is complete, by its own reading of the store, by a fetch, or by the digest of an entry that is; it asks from there on. A difference at a revision up to which both are complete still brings the whole list. An upstream known before that only said that it leaves is handed on by its name. The source is an entry of the own data centre once one has the list; three in each go across, in the mean. After a fetch the pause before the next begins anew. Ruled out: gossip of datagrams: ten others four times a second are some 20 kB a second at every size.

--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -600,6 +600,11 @@
     pub store_age_ms: ::core::option::Option<u32>,
     #[prost(message, optional, tag = "17")]
     pub evacuations: ::core::option::Option<Evacuations>,
+    /// Revision of that list up to which every change is known.
+    #[prost(uint64, tag = "18")]
+    pub upstreams_complete: u64,
+    #[prost(string, tag = "19")]
+    pub data_centre: ::prost::alloc::string::String,
 }
 /// The data centres that are evacuated, as of a revision of the platform's store.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -138,6 +138,8 @@
         config_bytes: 90_000,
         upstreams: 31,
         upstreams_digest: u64::MAX,
+        upstreams_complete: 30,
+        data_centre: Name::from("a"),
         watches: true,
         store_age: Some(Duration::from_millis(640)),
         evacuations: Evacuations {
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -21,6 +21,8 @@
 pub struct EntryNews {
     /// Name of the sender.
     pub name: Name,
+    /// Data centre of the sender.
+    pub data_centre: Name,
     /// Life of the sender.
     pub incarnation: Incarnation,
     /// Version of the configuration in force there; zero for none.
@@ -29,6 +31,8 @@
     pub config_bytes: u32,
     /// Revision of the list of upstreams known there.
     pub upstreams: u64,
+    /// Revision up to which every change of that list is known there.
+    pub upstreams_complete: u64,
     /// Digest of that list.
     pub upstreams_digest: u64,
     /// Whether the sender watches the platform's store and is answered.
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -60,6 +60,17 @@
     },
 }
 
+/// Changes of the list since a revision, as entries hand them to those who know it as of then.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChangesSince {
+    /// Records that were written.
+    pub listed: Vec<UpstreamRecord>,
+    /// Upstreams, known before, that only said that they leave, with the revision.
+    pub leaving: Vec<(Name, u64)>,
+    /// Upstreams that are no longer on the list, with the revision of their removal.
+    pub removed: Vec<(Name, u64)>,
+}
+
 /// Changes of the list that are kept to be told.
 const MAX_CHANGES: usize = 16;
 
@@ -200,6 +211,7 @@
         let upstream = Upstream {
             cold_until: now + record.cold_for,
             memory_tokens: self.memory_of.get(&record.service).copied(),
+            met_at: record.revision,
             record,
             sent_lately: SentLately::default(),
             gone: false,
@@ -277,22 +289,39 @@
         self.digest
     }
 
-    /// Changes since a revision that are still remembered: records, and what was removed.
+    /// Changes since a revision that are still remembered.
     #[must_use]
-    pub fn since(&self, revision: u64) -> (Vec<UpstreamRecord>, Vec<ListChange>) {
-        let newer = self
-            .upstreams
-            .iter()
-            .filter(|u| !u.ended && u.record.revision > revision);
-        let (gone, listed): (Vec<&Upstream>, Vec<&Upstream>) = newer.partition(|u| u.gone);
-        let removed = |u: &Upstream| ListChange::Removed {
-            instance: u.record.instance.clone(),
-            revision: u.record.revision,
+    pub fn since(&self, revision: u64) -> ChangesSince {
+        let mut changes = ChangesSince::default();
+        for u in &self.upstreams {
+            if u.ended || u.record.revision <= revision {
+                continue;
+            }
+            let word = (u.record.instance.clone(), u.record.revision);
+            let is_known = u.met_at <= revision;
+            match u.record.state {
+                _ if u.gone => changes.removed.push(word),
+                UpstreamState::Leaving if is_known => changes.leaving.push(word),
+                _ => changes.listed.push(u.record.clone()),
+            }
+        }
+        changes
+    }
+
+    /// Notes that an upstream has said that it leaves, as of `revision`.
+    pub fn learn_leaving(
+        &mut self,
+        now: Time,
+        instance: &str,
+        revision: u64,
+    ) -> Option<PoolChange> {
+        let held = &self.upstreams[self.find(instance)?.0].record;
+        let record = UpstreamRecord {
+            state: UpstreamState::Leaving,
+            revision,
+            ..held.clone()
         };
-        (
-            listed.into_iter().map(|u| u.record.clone()).collect(),
-            gone.into_iter().map(removed).collect(),
-        )
+        self.learn(now, record)
     }
 
     /// Notes that the list no longer has an upstream, as of `revision`.
--- a/fireflycroft/src/missing.rs
+++ b/fireflycroft/src/missing.rs
@@ -93,6 +93,7 @@
             .collect();
         changes.extend(records.into_iter().filter_map(|r| self.learn(now, r)));
         self.listed_at = self.listed_at.max(revision);
+        self.note_complete(revision);
         changes
     }
 
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -30,6 +30,8 @@
     pub(crate) upstreams: Vec<Upstream>,
     pub(crate) data_centre: Name,
     pub(crate) revision: u64,
+    /// Revision up to which every change of the list is known; some later ones may be, too.
+    pub(crate) complete_to: u64,
     /// Revision of the last whole list that was read from the store.
     pub(crate) listed_at: u64,
     pub(crate) contact: StoreContact,
@@ -90,6 +92,17 @@
         self.revision
     }
 
+    /// Revision up to which every change of the list is known.
+    #[must_use]
+    pub const fn complete_to(&self) -> u64 {
+        self.complete_to
+    }
+
+    /// Notes that every change of the list up to a revision is known.
+    pub fn note_complete(&mut self, revision: u64) {
+        self.complete_to = self.complete_to.max(revision);
+    }
+
     /// Upstreams that are not gone.
     pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
         self.upstreams.iter().filter(|u| !u.gone).map(|u| &u.record)
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -78,6 +78,8 @@
 pub(crate) struct Upstream {
     pub(crate) record: UpstreamRecord,
     pub(crate) memory_tokens: Option<u64>,
+    /// Revision of the first record that was taken of it.
+    pub(crate) met_at: u64,
     pub(crate) gone: bool,
     /// Whether a later life has taken its id: all that it ran or held is lost.
     pub(crate) ended: bool,
--- /dev/null
+++ b/fireflycroft/tests/listing_gaps.rs
@@ -0,0 +1,96 @@
+//! Lists of which the newest changes are known, and older ones are not.
+//!
+//! Users' sweeps showed the links between data centres full: of some 500 changes of one moment a
+//! datagram carries the newest 16. An entry that heard them asked for what was newer still, found its
+//! list different at the same revision, and fetched the whole of it, again and again.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
+#[path = "support/pools.rs"]
+mod pools;
+
+use fireflycroft::{ChangesSince, Name, Pool, UpstreamState};
+use pools::{at, ix, leaving, record};
+
+cases! {
+    changes_older_than_those_heard_are_asked_for => gap_is_fetched();
+    upstream_that_only_says_that_it_leaves_is_handed_on_by_name => leaving_by_name();
+    upstream_that_came_and_leaves_is_handed_on_whole => new_and_leaving();
+    leaving_of_one_that_is_not_known_is_passed_over => unknown_leaving();
+    list_read_from_the_store_is_complete => list_is_complete();
+}
+
+const UPSTREAMS: u64 = 300;
+
+/// A pool that has read the list from the store.
+fn listed() -> Pool {
+    let mut pool = Pool::new(Name::from("dc"));
+    let records = (0..UPSTREAMS).map(|i| record(&format!("i-{i}"), 1 + i));
+    pool.note_contact(at(0));
+    pool.take_list(at(0), records.collect(), UPSTREAMS);
+    pool
+}
+
+/// Takes what another entry hands on.
+fn take(pool: &mut Pool, changes: ChangesSince, complete_to: u64) {
+    for record in changes.listed {
+        pool.learn(at(2), record);
+    }
+    for (instance, revision) in changes.leaving {
+        pool.learn_leaving(at(2), &instance, revision);
+    }
+    for (instance, revision) in changes.removed {
+        pool.forget(at(2), &instance, revision);
+    }
+    pool.note_complete(complete_to);
+}
+
+fn gap_is_fetched() {
+    let (mut watcher, mut other) = (listed(), listed());
+    for i in 0..100 {
+        watcher.learn(at(1), leaving(&format!("i-{i}"), 1_000 + i));
+    }
+    watcher.note_complete(1_099);
+    for change in watcher.list_changes(at(1)) {
+        other.take_change(at(1), change);
+    }
+    assert_eq!(other.revision(), watcher.revision());
+    assert_ne!(other.digest(), watcher.digest());
+    assert_eq!(other.complete_to(), UPSTREAMS);
+    let changes = watcher.since(other.complete_to());
+    take(&mut other, changes, watcher.complete_to());
+    assert_eq!(other.digest(), watcher.digest());
+    assert_eq!(other.complete_to(), 1_099);
+}
+
+fn leaving_by_name() {
+    let mut watcher = listed();
+    watcher.learn(at(1), leaving("i-7", 1_000));
+    let changes = watcher.since(UPSTREAMS);
+    assert_eq!(changes.leaving, [(Name::from("i-7"), 1_000)]);
+    assert!(changes.listed.is_empty());
+    let mut other = listed();
+    take(&mut other, changes, 1_000);
+    assert!(!other.is_serving(ix(&other, "i-7")));
+    assert_eq!(other.digest(), watcher.digest());
+}
+
+fn new_and_leaving() {
+    let mut watcher = listed();
+    watcher.learn(at(1), record("new", 900));
+    watcher.learn(at(1), leaving("new", 1_000));
+    let changes = watcher.since(UPSTREAMS);
+    assert_eq!(changes.listed.len(), 1);
+    assert_eq!(changes.listed[0].state, UpstreamState::Leaving);
+}
+
+fn unknown_leaving() {
+    let mut pool = listed();
+    assert_eq!(pool.learn_leaving(at(1), "stranger", 1_000), None);
+}
+
+fn list_is_complete() {
+    assert_eq!(listed().complete_to(), UPSTREAMS);
+}
--- a/fireflycroft/tests/pool_lives.rs
+++ b/fireflycroft/tests/pool_lives.rs
@@ -129,7 +129,8 @@
     pool.learn(at(10), life("a", 200, 5));
     assert!(pool.placed().is_empty());
     assert!(pool.placed_at([old]).is_empty());
-    let (listed, removed) = pool.since(0);
+    let changes = pool.since(0);
+    let (listed, removed) = (changes.listed, changes.removed);
     assert_eq!(listed, [life("a", 200, 5)]);
     assert!(removed.is_empty());
 }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -259,6 +259,9 @@
                     self.note_nameless(read.nameless);
                     let any = !read.events.is_empty();
                     self.take_events(read.events, revision);
+                    if self.kind == Kind::Upstreams {
+                        self.node.pool.borrow_mut().note_complete(revision);
+                    }
                     if any && self.kind == Kind::Upstreams {
                         self.gather().await;
                     }
@@ -537,6 +540,12 @@
             let taken = node.pool.borrow_mut().take_change(now, change);
             node.take_changes(taken, "peer");
         }
+        for (instance, revision) in state.leaving {
+            let mut pool = node.pool.borrow_mut();
+            let change = pool.learn_leaving(now, &instance, revision);
+            drop(pool);
+            node.take_changes(change, "peer");
+        }
         return;
     }
     if state.sure {
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -100,16 +100,20 @@
 
 /// What this entry has to fetch of what another one tells.
 fn behind(node: &Node, now: Time, news: &EntryNews) -> Behind {
-    let pool = node.pool.borrow();
+    let mut pool = node.pool.borrow_mut();
     let mut peers = node.peers.borrow_mut();
     let is_same = pool.digest() == news.upstreams_digest;
+    if is_same {
+        pool.note_complete(news.upstreams_complete);
+    }
     if news.watches && is_same {
         peers.note_list_held();
     }
-    let is_newer = news.watches && !is_same && news.upstreams >= pool.revision();
+    let is_ahead = news.upstreams_complete > pool.complete_to();
+    let is_newer = !is_same && (is_ahead || news.upstreams >= pool.revision());
     let told = Behind {
         config: (news.config > node.version()).then_some(news.config),
-        list: is_newer.then_some(news.upstreams_digest),
+        list: (news.watches && is_newer).then_some(news.upstreams_complete),
     };
     peers.note_behind(now, told, node.expects_store())
 }
@@ -134,12 +138,12 @@
         if is_large_config && read_config(&node).await {
             return;
         }
-        if behind.list.is_some() {
-            let spread = node.peers.borrow().spread();
-            tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
-        }
-        let source = node.peers.borrow().source(node.now(), &behind);
-        let from = source.unwrap_or(teller);
+        let from = match behind.list {
+            Some(_) if node.peers.borrow().wants_all => None,
+            Some(_) => list_source(&node, &behind).await,
+            None => node.peers.borrow().source(node.now(), &behind),
+        };
+        let from = from.unwrap_or(teller);
         let what = behind.list.map_or("config", |_| "list");
         node.metrics.fetches.with_label_values(&[what]).inc();
         if let Err(e) = fetch_state(&node, from, &behind).await {
@@ -149,6 +153,32 @@
     });
 }
 
+/// An entry to fetch the list from: one of this data centre as soon as any has it.
+///
+/// Links between data centres carry the list once for some entries of each data centre, and not for
+/// all of them.
+async fn list_source(node: &Node, behind: &Behind) -> Option<Ipv4Addr> {
+    for _ in 0..NEAR_TRIES {
+        let (spread, share) = {
+            let peers = node.peers.borrow();
+            (peers.spread(), peers.far_share(&node.place.data_centre))
+        };
+        let wait = spread.mul_f64(rand::rng().random());
+        tokio::time::sleep(wait).await;
+        let near = {
+            let peers = node.peers.borrow();
+            peers.near_source(node.now(), behind, &node.place.data_centre)
+        };
+        if near.is_some() {
+            return near;
+        }
+        if rand::rng().random::<f64>() < share {
+            break;
+        }
+    }
+    node.peers.borrow().source(node.now(), behind)
+}
+
 async fn fetch_state(node: &Node, from: Ipv4Addr, behind: &Behind) -> anyhow::Result<()> {
     let addr = SocketAddr::from((from, node.place.peer_ports.0));
     let known = known_revision(node, behind);
@@ -166,17 +196,22 @@
     if known == NOTHING_NEWER {
         return Ok(());
     }
-    let (revision, digest) = (state.revision, state.digest);
-    if state.revision >= node.pool.borrow().revision() {
-        take_told(node, state);
-    }
-    // Changes that don't lead to the same list at the same revision leave only the whole of it.
-    let pool = node.pool.borrow();
+    let (revision, digest, complete_to) = (state.revision, state.digest, state.complete_to);
+    take_told(node, state);
+    let mut pool = node.pool.borrow_mut();
+    pool.note_complete(complete_to);
+    // Changes that don't lead to the same list at a revision up to which all of them are known leave
+    // only the whole of it.
     let differs = pool.revision() == revision && pool.digest() != digest;
-    node.peers.borrow_mut().wants_all = differs;
+    let mut peers = node.peers.borrow_mut();
+    peers.wants_all = differs && complete_to == revision;
+    peers.note_list_fetched();
     Ok(())
 }
 
+/// Times that an entry waits for one of its data centre to have the list.
+const NEAR_TRIES: u32 = 3;
+
 /// Revision after which no change of the list is asked for.
 const NOTHING_NEWER: u64 = u64::MAX;
 
@@ -188,5 +223,5 @@
     if node.peers.borrow().wants_all || !node.has_whole_list.get() {
         return 0;
     }
-    node.pool.borrow().revision()
+    node.pool.borrow().complete_to()
 }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -73,6 +73,9 @@
 /// fetched first hand it on to the others.
 const SPREAD_FOR_EACH: Duration = Duration::from_millis(3);
 
+/// Entries of a data centre that fetch from another one at a time, in the mean.
+const FAR_FETCHES: f64 = 3.0;
+
 /// Time for which an entry counts as a source of what it told last.
 const SOURCE_HEARD_WITHIN: Duration = Duration::from_secs(5);
 
@@ -81,7 +84,7 @@
 pub(crate) struct Behind {
     /// A configuration of this version.
     pub(crate) config: Option<u64>,
-    /// A list of upstreams with this digest.
+    /// A list of upstreams that is complete up to this revision.
     pub(crate) list: Option<u64>,
 }
 
@@ -99,18 +102,20 @@
     since: Time,
     leaving: bool,
     watches: bool,
+    data_centre: Name,
     /// When it was first sent a question since it was heard.
     asked: Option<Time>,
     /// Configuration that it told last.
     config: u64,
-    /// Digest of the list of upstreams that it told last.
+    /// Revision up to which its list of upstreams was complete, as it told last.
     list: u64,
 }
 
 impl Known {
-    const fn by_hearsay(now: Time) -> Self {
+    fn by_hearsay(now: Time) -> Self {
         Self {
             name: None,
+            data_centre: Name::default(),
             heard: None,
             since: now,
             leaving: false,
@@ -256,9 +261,10 @@
             since: now,
             leaving: news.leaving,
             watches: news.watches && !news.leaving,
+            data_centre: news.data_centre.clone(),
             asked: None,
             config: news.config,
-            list: news.upstreams_digest,
+            list: news.upstreams_complete,
         };
         self.known.insert(from, known);
         self.learn_of(now, &news.peers);
@@ -309,6 +315,11 @@
         self.list_behind_since = None;
     }
 
+    /// Notes that the list was fetched: what it lacks from here on is new.
+    pub(crate) const fn note_list_fetched(&mut self) {
+        self.list_behind_since = None;
+    }
+
     /// Longest pause before a fetch, of which a random part is taken.
     pub(crate) fn spread(&self) -> Duration {
         let entries = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
@@ -317,11 +328,42 @@
 
     /// An entry that has what is lacking; one drawn of all that have.
     pub(crate) fn source(&self, now: Time, behind: &Behind) -> Option<Ipv4Addr> {
+        self.source_among(now, behind, |_| true)
+    }
+
+    /// The same in a data centre.
+    pub(crate) fn near_source(
+        &self,
+        now: Time,
+        behind: &Behind,
+        data_centre: &Name,
+    ) -> Option<Ipv4Addr> {
+        self.source_among(now, behind, |k| k.data_centre == *data_centre)
+    }
+
+    /// Share of the entries of a data centre that fetch from another one where none there has what is
+    /// lacking.
+    #[allow(clippy::cast_precision_loss)]
+    pub(crate) fn far_share(&self, data_centre: &Name) -> f64 {
+        let near = self
+            .known
+            .values()
+            .filter(|k| k.data_centre == *data_centre);
+        (FAR_FETCHES / (1 + near.count()) as f64).min(1.0)
+    }
+
+    fn source_among(
+        &self,
+        now: Time,
+        behind: &Behind,
+        counts: impl Fn(&Known) -> bool,
+    ) -> Option<Ipv4Addr> {
         let has = |k: &Known| {
-            k.is_heard_within(now, SOURCE_HEARD_WITHIN)
+            counts(k)
+                && k.is_heard_within(now, SOURCE_HEARD_WITHIN)
                 && k.stays(now)
                 && behind.config.is_none_or(|v| k.config >= v)
-                && behind.list.is_none_or(|digest| k.list == digest)
+                && behind.list.is_none_or(|revision| k.list >= revision)
         };
         let sources = self.known.iter().filter(|(_, k)| has(k));
         let sources: Vec<Ipv4Addr> = sources.map(|(ip, _)| *ip).collect();
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::overview::{OVERVIEW_PATH, overview};
 use crate::small_server::{self, Page, empty};
-use fireflycroft::{ListChange, Name, UpstreamRecord};
+use fireflycroft::{Name, UpstreamRecord};
 use fireflycroft_platform::StoreObject;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -24,12 +24,18 @@
     pub config: Option<StoreObject>,
     /// Upstreams known that are newer than the revision asked from.
     pub upstreams: Vec<UpstreamRecord>,
+    /// Upstreams known before that only said since that they leave, with the revision.
+    #[serde(default)]
+    pub leaving: Vec<(Name, u64)>,
     /// Upstreams that were removed since that revision, with the revision of their removal.
     pub removed: Vec<(Name, u64)>,
     /// Whether all upstreams are in it.
     pub is_whole: bool,
     /// Revision of the list of upstreams.
     pub revision: u64,
+    /// Revision up to which every change of it is known.
+    #[serde(default)]
+    pub complete_to: u64,
     /// Digest of that list.
     pub digest: u64,
     /// Whether the store has answered for so long that what the list lacks is gone.
@@ -96,18 +102,16 @@
 
 fn state(node: &Node, asked: &Asked) -> PeerState {
     let pool = node.pool.borrow();
-    let (upstreams, removed) = pool.since(asked.upstreams);
-    let removed = removed.into_iter().filter_map(|change| match change {
-        ListChange::Removed { instance, revision } => Some((instance, revision)),
-        ListChange::Listed(_) => None,
-    });
+    let changes = pool.since(asked.upstreams);
     let newer = node.version() > asked.config;
     PeerState {
         config: node.published.borrow().clone().filter(|_| newer),
-        upstreams,
-        removed: removed.collect(),
+        upstreams: changes.listed,
+        leaving: changes.leaving,
+        removed: changes.removed,
         is_whole: asked.upstreams == 0,
         revision: pool.revision(),
+        complete_to: pool.complete_to(),
         digest: pool.digest(),
         sure: node.follows_store(),
         entries: node.peers.borrow().living(node.now()),
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -95,6 +95,8 @@
         config_bytes: node.config_bytes(),
         upstreams: node.pool.borrow().revision(),
         upstreams_digest: node.pool.borrow().digest(),
+        upstreams_complete: node.pool.borrow().complete_to(),
+        data_centre: node.place.data_centre.clone(),
         watches: node.watches_store(),
         store_age: store_age(node),
         list_changes: list_changes(node),
