Split what is taken from the store off the feed, and move measurements out of comments

No decision changes. Ruled out: a feed for each kind; calls, waits and contact are the same for all three.

--- a/fireflycroft/src/contact.rs
+++ b/fireflycroft/src/contact.rs
@@ -18,8 +18,7 @@
 
 /// Time after the store's return by which living upstreams are on the list again.
 ///
-/// The platform states about two seconds; reading the list may take 0.3 s more. In two days with
-/// three outages each, the last of 315 came back 1.65 s after contact was. An upstream that leaves
+/// The platform states about two seconds; reading the list may take 0.3 s more. An upstream that leaves
 /// counts from 3 s after the return on, and may get work for 2 s, so that doubt has to end 5 s
 /// after it; the entries that rank first among the watchers find out within 0.7 s that it is back.
 pub const SETTLE_TIME: Duration = Duration::from_millis(2_500);
@@ -30,9 +29,7 @@
 /// Heartbeats that the store may be silent for before a record can lapse.
 ///
 /// Three in a row have to be missing, and the last one before the silence is up to one old, so two
-/// pass at least. Of 63 upstreams 1 lapsed in outages of 1.8 s and none in those of 2 s, with
-/// heartbeats of 1.2 s; 21 did in those of 2.4 s. The silence that an entry sees is longer than the
-/// outage. A connection that hangs shows after 1.4 s, the loss of all entries that watch after 2.1 s
+/// pass at least. The silence that an entry sees is longer than the outage. A connection that hangs shows after 1.4 s, the loss of all entries that watch after 2.1 s
 /// at most; neither may pass for an outage.
 const HARMLESS_HEARTBEATS: u32 = 2;
 
--- a/fireflycroft/src/outage.rs
+++ b/fireflycroft/src/outage.rs
@@ -16,10 +16,6 @@
 
 /// Mean wait in an outage: the longest after which a generation can still begin within the 1.5 and
 /// 1.8 s that the users' kinds have for it. Callers bear a third of the time that they have left.
-///
-/// Two deployments, all entries killed in an outage, 15 plays each: with 0.1 s for everybody 1,323
-/// callers were refused for good, with 1 s 976. A wait that grew with the age of the outage, up to
-/// 4 s, served as many, 55 fewer of them in time; one of 2 s served 128 more, all late.
 const OUTAGE_WAIT: Duration = Duration::from_secs(1);
 
 /// Share of the wait by which callers are spread, so that they don't all return in one moment.
--- a/fireflycroft/src/rescue.rs
+++ b/fireflycroft/src/rescue.rs
@@ -34,8 +34,6 @@
 const LAST_PARTS: Duration = Duration::from_millis(250);
 
 /// Age that a report of an engine may have at most when it comes.
-///
-/// It was 500 ms in all reports of a day with ten notices to a sixth of the engines each.
 pub const REPORT_AGE: Duration = Duration::from_millis(600);
 
 /// Whole copies take longer than their memory over an idle link, since some go to other data
--- a/fireflycroft/src/returns.rs
+++ b/fireflycroft/src/returns.rs
@@ -2,18 +2,10 @@
 //!
 //! Each attempt of a caller has an id of its own, and what a caller says of the
 //! time that it will still wait tells nothing of the time that it has waited:
-//! callers of one kind differ by a sixth in it, and of 197 refusals of a day 156
-//! were of callers taken for late returning ones by it, nearly all of them first
-//! ones. So a returning caller is known by what it asks: path, key and body.
+//! callers of one kind differ by a sixth in it. So a returning caller is known by what it asks: path, key and body.
 //! Entries tell each other whom they refused, since callers return to any of them.
 //!
 //! All of it is lost with an entry, and then its callers count as new ones.
-//!
-//! Seven days of the grown deployments by two seeds, paired: mean worth 0.573 to
-//! 0.579 (standard error 0.004), refused for good 1,795 to 1,549 of 137,122. By one
-//! seed, against 0.584: room kept for those who are about to come back 0.581, more
-//! room for them (1.3 of the memory) 0.540; room kept and a wait of twice the length
-//! 0.576.
 
 use crate::ids::Digest;
 use crate::time::Time;
--- a/fireflycroft/src/room.rs
+++ b/fireflycroft/src/room.rs
@@ -11,17 +11,13 @@
 //! length; and what comes back too late for its objective brings little.
 //!
 //! Ranks of workspaces and routes decide here, at the door. Told to the
-//! engines, they make them preempt running answers for waiting ones: 88 runs a
-//! day in the mean of eight plays of the largest deployment, and 24 without.
+//! engines, they would make them preempt running answers for waiting ones.
 
 use crate::ids::Name;
 use std::collections::HashMap;
 use std::time::Duration;
 
 /// Share of the memory up to which long generations are let in.
-///
-/// Grown deployments, mean worth of the days with trouble, with [`ROOM_FOR_RETURNING`]: 0.72 and 0.95
-/// gave 0.576 and 0.538, 0.80 and 1.02 gave 0.597 and 0.548 (a score of each).
 pub const ROOM_FOR_LONG: f64 = 0.8;
 
 /// The same for those that come back after a refusal: refusing them twice is worse than refusing
@@ -33,9 +29,6 @@
 pub const ROOM_FOR_LATE: f64 = 0.9;
 
 /// Share of the memory up to which a generation of e times the worth for its memory goes further.
-///
-/// Kerlann's and Celje's grown deployments, mean of a score each: 0.612 and 0.612 without, 0.659 and
-/// 0.681 with it and [`ROOM_FOR_LATE`].
 const ROOM_BY_YIELD: f64 = 0.25;
 
 /// Share of the memory up to which short generations are let in.
@@ -148,9 +141,7 @@
 /// When there is likely to be room, if `fill` of all memory is spoken for.
 ///
 /// Some engine ends a run within a fraction of a second, however full all are, and a caller who comes
-/// back soon is still in time for its objective. Longer waits, of up to eight seconds where memory
-/// was overbooked, brought most of them back too late: 0.579 and 0.530 with them on the grown
-/// deployments, 0.588 and 0.534 without.
+/// back soon is still in time for its objective.
 #[must_use]
 pub fn room_after(fill: f64) -> Duration {
     const FREE_SECONDS: f64 = 0.3;
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -164,8 +164,7 @@
 
 /// What each share beyond [`LATE_READING`] costs on top.
 ///
-/// Engines that have just started are empty, and all prompts went there: of 60 generations whose
-/// first event took over 1.5 s on a calm day, 49 had 3,000 to 11,000 tokens to be read before them.
+/// Without it all prompts go to engines that have just started, since these are empty.
 const LATE_READING_COST: f64 = 4.0;
 
 /// What an engine that takes twice the mean time for a token costs a long generation, against a
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -6,17 +6,15 @@
 //! back from a copy and gives out its revisions anew.
 
 use crate::client::Client;
-use crate::figure::or_empty;
+use crate::intake::Intake;
 use crate::links::Answered;
 use crate::node::Node;
-use crate::state_page::PeerState;
-use fireflycroft::{Evacuations, ListChange, Mechanism, Name, Overlap, UpstreamRecord, era_of};
+use fireflycroft::{Mechanism, Overlap, era_of};
 use fireflycroft_platform::{
-    Kind, StoreEvent, StoreFault, StoreObject, StorePage, list_path, read_era, read_events,
-    read_page, read_upstream, watch_path,
+    Kind, StoreFault, StoreObject, StorePage, list_path, read_era, read_events, read_page,
+    watch_path,
 };
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,9 +22,7 @@
 ///
 /// A store that has gone silent towards this entry looks like one without changes until a watch
 /// is overdue. Then another entry has to step in and read what was missed, all within the two
-/// seconds in which a configuration is to be in force. Waits of 15 s cost fewer calls (617
-/// for 1,044 on a calm day of 24 entries), and left a version unknown to the whole fleet for nine
-/// seconds.
+/// seconds in which a configuration is to be in force.
 const WATCH_WAIT: Duration = Duration::from_millis(800);
 
 /// The same of a watch of evacuations: of the five seconds after which a data centre gets nothing more,
@@ -80,15 +76,14 @@
 /// Time without a byte after which the only try is given up, where tries don't overlap.
 const HANG_LIMIT: Duration = Duration::from_secs(5);
 
-/// What a feed does with what it reads.
+/// One kind of object, read from the store.
 struct Feed {
     node: Rc<Node>,
     client: Client,
     kind: Kind,
     pause: Duration,
     contact: Contact,
-    /// Records that were last seen unreadable, with their revisions, so that each is said once.
-    unreadable: HashMap<Name, u64>,
+    intake: Intake,
 }
 
 /// Whether the store answers, as one feed sees it.
@@ -107,12 +102,12 @@
         lost: Cell::new(false),
     };
     let mut feed = Feed {
+        intake: Intake::new(node.clone(), kind),
         node,
         client,
         kind,
         pause: FIRST_PAUSE,
         contact,
-        unreadable: HashMap::new(),
     };
     loop {
         feed.until_due().await;
@@ -132,10 +127,7 @@
     async fn list(&mut self) -> Option<u64> {
         let mut objects: Vec<StoreObject> = Vec::new();
         let mut revision = None;
-        self.unreadable.clear();
-        if self.kind == Kind::Upstreams {
-            self.node.listed.set(false);
-        }
+        self.intake.begin_list();
         loop {
             let after = objects.last().map(|o| o.name.clone());
             let page = match self.read_page(after.as_deref()).await {
@@ -145,9 +137,9 @@
                     continue;
                 }
             };
-            self.note_nameless(page.nameless);
+            self.intake.note_nameless(page.nameless);
             // What is read of a list that can't be read to its end holds all the same.
-            self.take_objects(&page.objects);
+            self.intake.take_objects(&page.objects);
             objects.extend(page.objects);
             // Changes between two pages come again with a watch from the first one's revision.
             let first = *revision.get_or_insert(page.revision);
@@ -159,7 +151,7 @@
             }
             if !page.more {
                 self.heard();
-                self.take_list(&objects, first);
+                self.intake.take_list(&objects, first);
                 return Some(first);
             }
             self.give_way().await;
@@ -256,9 +248,9 @@
                     let read = read.in_era(era_of(revision));
                     self.heard();
                     revision = read.revision;
-                    self.note_nameless(read.nameless);
+                    self.intake.note_nameless(read.nameless);
                     let any = !read.events.is_empty();
-                    self.take_events(read.events, revision);
+                    self.intake.take_events(read.events, revision);
                     if self.kind == Kind::Upstreams {
                         self.node.pool.borrow_mut().note_complete(revision);
                     }
@@ -354,119 +346,6 @@
             }
         }
     }
-
-    fn take_objects(&mut self, objects: &[StoreObject]) {
-        for object in objects {
-            match self.kind {
-                Kind::Config => self.node.adopt(object, "store"),
-                Kind::Upstreams => self.take_record(object),
-                // They hold as a whole list.
-                Kind::Evacuations | Kind::Entries => {}
-            }
-        }
-    }
-
-    /// Takes a whole list of evacuations, or what a whole list of upstreams lacks.
-    fn take_list(&mut self, objects: &[StoreObject], revision: u64) {
-        if self.kind == Kind::Evacuations {
-            let in_force = objects.iter().filter(|o| !o.deleting);
-            let listed = Evacuations {
-                revision,
-                data_centres: in_force.map(|o| o.name.clone()).collect(),
-            };
-            self.node.take_evacuations(listed, "store");
-        }
-        if self.kind == Kind::Upstreams {
-            let records = objects.iter().filter_map(|o| self.read_record(o)).collect();
-            let now = self.node.now();
-            let changes = self
-                .node
-                .pool
-                .borrow_mut()
-                .take_list(now, records, revision);
-            self.node.take_changes(changes, "store");
-            self.node.listed.set(true);
-            self.node.has_whole_list.set(true);
-        }
-    }
-
-    fn take_record(&mut self, object: &StoreObject) {
-        let record = self.read_record(object);
-        let now = self.node.now();
-        let change = record.and_then(|r| self.node.pool.borrow_mut().learn(now, r));
-        self.node.take_changes(change, "store");
-    }
-
-    /// The record of an upstream; what can't be read says so of one that is known.
-    fn read_record(&mut self, object: &StoreObject) -> Option<UpstreamRecord> {
-        let e = match read_upstream(object) {
-            Ok(record) => return Some(record),
-            Err(e) => e,
-        };
-        let (name, revision) = (&object.name, object.revision);
-        if self.unreadable.insert(name.clone(), revision) != Some(revision) {
-            let why = e.to_string();
-            self.node.metrics.note_unreadable("upstream", 1);
-            log::warn!(
-                event = "upstream_unreadable", instance = &**name, revision = revision, why = why;
-                ""
-            );
-        }
-        self.node.pool.borrow().unreadable(name, revision)
-    }
-
-    fn note_nameless(&self, count: usize) {
-        if count > 0 {
-            self.node.metrics.note_unreadable("nameless", count);
-            let kind = format!("{:?}", self.kind);
-            log::warn!(event = "objects_nameless", kind = kind, count = count; "");
-        }
-    }
-
-    fn take_events(&mut self, events: Vec<StoreEvent>, revision: u64) {
-        if self.kind == Kind::Evacuations && !events.is_empty() {
-            self.take_evacuations(&events, revision);
-            return;
-        }
-        for event in events {
-            match self.kind {
-                Kind::Config if !event.removed => self.node.adopt(&event.object, "store"),
-                Kind::Upstreams => self.take_upstream(&event),
-                Kind::Config | Kind::Evacuations | Kind::Entries => {}
-            }
-        }
-    }
-
-    /// Takes changes of the list of evacuations, which holds as of `revision` with them.
-    fn take_evacuations(&self, events: &[StoreEvent], revision: u64) {
-        let held = self.node.pool.borrow().evacuations().clone();
-        let changed = events.iter().fold(held, |list, event| {
-            let evacuated = !event.removed && !event.object.deleting;
-            list.with(event.object.name.clone(), evacuated)
-        });
-        let changed = Evacuations {
-            revision,
-            ..changed
-        };
-        self.node.take_evacuations(changed, "store");
-    }
-
-    fn take_upstream(&mut self, event: &StoreEvent) {
-        if !event.removed {
-            self.take_record(&event.object);
-            return;
-        }
-        let (instance, revision) = (&event.object.name, event.object.revision);
-        let node = &self.node;
-        let now = node.now();
-        log::info!(
-            event = "upstream_removed", instance = &**instance, revision = revision,
-            contact_ms = or_empty(node.contact_ms()), sure = node.pool.borrow().contact().believes_removals(now);
-            ""
-        );
-        let change = node.pool.borrow_mut().remove(now, instance, revision);
-        node.take_changes(change, "store");
-    }
 }
 
 impl Contact {
@@ -525,40 +404,3 @@
     page.objects.iter().for_each(|o| node.adopt(o, "store"));
     true
 }
-
-/// Takes what another entry knows of upstreams; what its whole list lacks is gone if it is sure.
-///
-/// What it doubts stays here as it is: it tells once it has decided.
-pub fn take_told(node: &Node, state: PeerState) {
-    let now = node.now();
-    if !state.is_whole {
-        let records = state.upstreams.into_iter().map(ListChange::Listed);
-        let removed = state.removed.into_iter();
-        let removed =
-            removed.map(|(instance, revision)| ListChange::Removed { instance, revision });
-        for change in records.chain(removed) {
-            let taken = node.pool.borrow_mut().take_change(now, change);
-            node.take_changes(taken, "peer");
-        }
-        for (instance, revision) in state.leaving {
-            let mut pool = node.pool.borrow_mut();
-            let change = pool.learn_leaving(now, &instance, revision);
-            drop(pool);
-            node.take_changes(change, "peer");
-        }
-        return;
-    }
-    if state.sure {
-        let mut pool = node.pool.borrow_mut();
-        let changes = pool.forget_others(now, &state.upstreams, state.revision);
-        drop(pool);
-        node.take_changes(changes, "peer");
-    }
-    for record in state.upstreams {
-        let change = node.pool.borrow_mut().learn(now, record);
-        node.take_changes(change, "peer");
-    }
-    node.has_whole_list.set(true);
-    // Others may fetch it here from now on.
-    node.urgent.notify_one();
-}
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -1,7 +1,8 @@
 //! Hearing the other entries, and fetching what this one lacks.
 
 use crate::client::Client;
-use crate::feed::{read_config, take_told};
+use crate::feed::read_config;
+use crate::intake::take_told;
 use crate::node::Node;
 use crate::peers::{Behind, v4};
 use crate::questions;
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod figure;
 pub mod generation;
 pub mod hear;
+pub mod intake;
 pub mod job;
 pub mod links;
 pub mod loads;
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -280,8 +280,8 @@
 
     /// Leave to fetch what is lacking; none while a fetch is under way.
     ///
-    /// With two at a time each entry took a large configuration twice, over links of 10 Mbit/s that
-    /// carry streams as well: on a day of 28 entries 121 of 1,085 generations were late, 40 with one.
+    /// With two at a time each entry would take a large configuration twice, over links of 10 Mbit/s
+    /// that carry streams as well.
     pub(crate) fn begin_fetch(&self) -> Option<FetchGuard> {
         if self.fetching.replace(true) {
             return None;
