Soak entries with drills of the store among all other faults

The drill was proved case by case; together with engines that leave, entries that are killed and stores that hang it was not. A second plan adds drills to that of a seed, some in series, from copies 0.3 to 1.8 s old; upstreams and operator write again 1.5 s later. The plans of the seeds kept so far stay as they were, so the drills have a test of their own (FIREFLY_SOAK_DRILL_SEEDS).

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -14,7 +14,7 @@
 use reqwest::Client;
 use soak_parts::callers::Callers;
 use soak_parts::harmed::Soak;
-use soak_parts::plan::{Fault, Step, plan};
+use soak_parts::plan::{Fault, Step, plan, plan_with_drills};
 use standins::site::{Breach, Harm};
 use std::time::Duration;
 use support::{KEY, Site, until};
@@ -26,6 +26,9 @@
 ///   there, for the upstream's own, and sent it calls of that service.
 const SEEDS: &str = "1,2,3,15725";
 
+/// The same of soaks with drills of the store.
+const DRILL_SEEDS: &str = "1,2";
+
 /// Length of a soak that names none, in seconds.
 const SECONDS: u64 = 5;
 
@@ -137,6 +140,17 @@
     }
 }
 
+/// Drills of the store among all other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drills_among_faults_keep_the_promises() {
+    let seeds: String = setting("FIREFLY_SOAK_DRILL_SEEDS", DRILL_SEEDS.to_owned());
+    let seconds = Duration::from_secs(setting("FIREFLY_SOAK_SECONDS", SECONDS));
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_with_drills(seed, seconds);
+        play(&format!("drills, seed {seed}"), &steps, seconds).await;
+    }
+}
+
 /// Strangers overwrite one record after the other, and nothing else happens that would excuse work
 /// by them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/fireflydirect/tests/soak_parts/harmed.rs
+++ b/fireflydirect/tests/soak_parts/harmed.rs
@@ -2,7 +2,7 @@
 
 use crate::soak_parts::plan::{Fault, Step};
 use crate::support::{KEY, Site};
-use standins::site::{AnswerFault, EngineKind, Evidence, Harm, StoreMode};
+use standins::site::{AnswerFault, EngineKind, Evidence, Harm, Snapshot, StoreMode};
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
@@ -25,6 +25,9 @@
 /// new work after it.
 const OVERWRITTEN_FOR: Duration = Duration::from_secs(4);
 
+/// Time after a drill of the store in which upstreams and the operator have written again.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Most engines of a soak; addresses end with their numbers.
 const MAX_ENGINES: usize = 40;
 
@@ -36,6 +39,8 @@
     /// What has to be undone, and when.
     due: Vec<(Instant, Undo)>,
     announced: HashMap<usize, bool>,
+    /// Copies of the store that it has yet to come back from.
+    copies: HashMap<usize, Snapshot>,
     /// Service that strangers name. Entries that knew an upstream see that it can't have changed to
     /// one that is there; those that start anew have nothing to tell that by, and the platform's
     /// strangers name one that isn't there.
@@ -52,6 +57,9 @@
     Resume(usize),
     StartEntry(usize),
     OwnRecord(usize),
+    /// The store comes back from the copy of that number.
+    Drill(usize),
+    WriteAgain,
 }
 
 impl Soak {
@@ -64,6 +72,7 @@
             evidence: Evidence::default(),
             due: Vec::new(),
             announced: HashMap::new(),
+            copies: HashMap::new(),
             strange_service,
         }
     }
@@ -177,6 +186,7 @@
                 self.due.push((end, Undo::Store));
             }
             Fault::Compact => self.site.store.compact(),
+            Fault::Drill => self.begin_drill(step.span),
             Fault::DenyEntry => {
                 self.excuse(step.span);
                 // Through the proxy all entries look alike, so the store turns all of it away.
@@ -218,6 +228,13 @@
         }
     }
 
+    fn begin_drill(&mut self, span: Duration) {
+        self.excuse(span + WRITTEN_AGAIN_AFTER);
+        let number = self.copies.len();
+        self.copies.insert(number, self.site.store.copy());
+        self.due.push((Instant::now() + span, Undo::Drill(number)));
+    }
+
     async fn restart(&mut self, engine: usize, silent: bool, end: Instant) {
         if silent {
             self.excuse(end - Instant::now());
@@ -297,6 +314,12 @@
             // One that has left meanwhile writes nothing more.
             Undo::OwnRecord(engine) if self.announced.contains_key(&engine) => {}
             Undo::OwnRecord(engine) => self.write_own_record(engine).await,
+            Undo::Drill(number) => {
+                self.site.store.restore(self.copies[&number].clone());
+                let again = Instant::now() + WRITTEN_AGAIN_AFTER;
+                self.due.push((again, Undo::WriteAgain));
+            }
+            Undo::WriteAgain => self.write_all_again().await,
             Undo::EndEngine(engine) => self.end_engine(engine),
             Undo::Answers(kind, number) => self.upstream(kind, number).set_fault(AnswerFault::None),
             Undo::UpstreamHarm(kind, number) => self.harm(kind, number, Harm::None),
@@ -317,6 +340,29 @@
         }
     }
 
+    /// Upstreams and the operator write what the copy may lack; records of those that are gone lapse.
+    async fn write_all_again(&mut self) {
+        for engine in self.present() {
+            self.write_own_record(engine).await;
+        }
+        let left: Vec<(usize, bool)> = self.announced.iter().map(|(e, a)| (*e, *a)).collect();
+        for (engine, announced) in left {
+            if announced && self.serves_on(engine) {
+                self.site.enter(EngineKind::Model, engine, "draining").await;
+            } else {
+                let instance = self.site.engines[engine].instance();
+                self.site.store.remove("servers", &instance);
+            }
+        }
+        self.site.publish(&[KEY]);
+    }
+
+    /// Whether an engine that has left is yet to end.
+    fn serves_on(&self, engine: usize) -> bool {
+        let mut due = self.due.iter();
+        due.any(|(_, undo)| matches!(undo, Undo::EndEngine(e) if *e == engine))
+    }
+
     async fn undo_due(&mut self, all: bool) {
         let now = Instant::now();
         let (due, later) = std::mem::take(&mut self.due)
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -36,6 +36,9 @@
     StoreHarm(Harm),
     /// The store drops its history.
     Compact,
+    /// The store comes back from a copy that was made when this began; upstreams and the operator
+    /// write again a moment later.
+    Drill,
     /// The store turns one entry away.
     DenyEntry,
     /// An entry stands still.
@@ -81,6 +84,24 @@
     steps
 }
 
+/// The same with drills of the store among the faults, some of them one right after the other.
+pub(crate) fn plan_with_drills(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut steps = plan(seed, length);
+    let mut at = Duration::from_millis(600);
+    while at < length {
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(rng.random_range(300..1_800)),
+            fault: Fault::Drill,
+            pick: 0,
+        });
+        at += Duration::from_millis(rng.random_range(700..2_500));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 fn draw(rng: &mut impl Rng) -> Fault {
     match rng.random_range(0..22) {
         0 => Fault::KillEngine,
