--- a/fireflycroft/tests/evacuation.rs
+++ b/fireflycroft/tests/evacuation.rs
@@ -11,7 +11,7 @@
 mod pools;
 
 use fireflycroft::{Evacuations, Name, Pool, UpstreamRecord};
-use pools::{MEMORY, at, chosen, ix, need, record};
+use pools::{MEMORY, at, chosen, evacuated, ix, need, record};
 
 cases! {
     evacuated_upstream_gets_nothing_new => nothing_new();
@@ -43,14 +43,6 @@
     pool
 }
 
-fn evacuated(revision: u64, data_centres: &[&str]) -> Evacuations {
-    let names = data_centres.iter().map(|name| Name::from(*name));
-    Evacuations {
-        revision,
-        data_centres: names.collect(),
-    }
-}
-
 fn nothing_new() {
     let mut pool = two_places();
     assert_eq!(chosen(&pool, at(0), &need(100)), "a");
--- a/fireflycroft/tests/restored.rs
+++ b/fireflycroft/tests/restored.rs
@@ -12,10 +12,10 @@
 mod pools;
 
 use fireflycroft::{
-    Evacuations, Incarnation, Name, Pool, SETTLE_TIME, UpstreamRecord, UpstreamState, era_of,
-    number_of, revision_in,
+    Incarnation, Name, Pool, SETTLE_TIME, UpstreamRecord, UpstreamState, era_of, number_of,
+    revision_in,
 };
-use pools::{at, ix, record};
+use pools::{at, evacuated, ix, record};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -86,14 +86,16 @@
     assert!(serves(&pool, "a"));
 }
 
+/// The store comes back from a copy that has the first engine only.
+fn restore_without_b(pool: &mut Pool) {
+    pool.note_restored(at(9_000));
+    let copied = vec![serving("a", revision_in(2, 900))];
+    pool.take_list(at(9_000), copied, revision_in(2, 950));
+}
+
 fn lacked_is_missing() {
     let mut pool = calm_pool();
-    pool.note_restored(at(9_000));
-    pool.take_list(
-        at(9_000),
-        vec![serving("a", revision_in(2, 900))],
-        revision_in(2, 950),
-    );
+    restore_without_b(&mut pool);
     assert!(serves(&pool, "b"));
     assert!(pool.any_missing());
     pool.learn(at(10_500), serving("b", revision_in(2, 951)));
@@ -105,12 +107,7 @@
 
 fn not_written_again() {
     let mut pool = calm_pool();
-    pool.note_restored(at(9_000));
-    pool.take_list(
-        at(9_000),
-        vec![serving("a", revision_in(2, 900))],
-        revision_in(2, 950),
-    );
+    restore_without_b(&mut pool);
     pool.note_contact(at(10_000));
     let settled = at(9_000) + SETTLE_TIME;
     assert_eq!(pool.drop_missing(settled).len(), 1);
@@ -154,14 +151,6 @@
     assert!(serves(&pool, "a"));
 }
 
-fn evacuated(revision: u64, data_centres: &[&str]) -> Evacuations {
-    let names = data_centres.iter().map(|name| Name::from(*name));
-    Evacuations {
-        revision,
-        data_centres: names.collect(),
-    }
-}
-
 fn evacuation_is_doubted() {
     let mut pool = calm_pool();
     pool.take_evacuations(at(9_000), evacuated(revision_in(1, 990), &["dc"]));
--- a/fireflycroft/tests/support/pools.rs
+++ b/fireflycroft/tests/support/pools.rs
@@ -4,8 +4,8 @@
 #![allow(dead_code)]
 
 use fireflycroft::{
-    Incarnation, Name, Need, Pace, Placed, PlacedAt, Pool, Time, UpstreamIx, UpstreamRecord,
-    UpstreamState,
+    Evacuations, Incarnation, Name, Need, Pace, Placed, PlacedAt, Pool, Time, UpstreamIx,
+    UpstreamRecord, UpstreamState,
 };
 use std::time::Duration;
 
@@ -50,6 +50,15 @@
     pool
 }
 
+/// The list of data centres that are evacuated, as of a revision.
+pub(crate) fn evacuated(revision: u64, data_centres: &[&str]) -> Evacuations {
+    let names = data_centres.iter().map(|name| Name::from(*name));
+    Evacuations {
+        revision,
+        data_centres: names.collect(),
+    }
+}
+
 /// Need of so many tokens.
 pub(crate) fn need(tokens: u64) -> Need {
     Need {
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -4,7 +4,7 @@
 //! process when somebody asks.
 
 use crate::node::Node;
-use fireflycroft::{Code, Repeat};
+use fireflycroft::{Code, Pool, Repeat, Time};
 use prometheus::core::Collector;
 use prometheus::{
     GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -48,6 +48,7 @@
     watching: IntGauge,
     quarantined: IntGauge,
     evacuated: IntGauge,
+    cold: IntGauge,
     store_era: IntGauge,
     memory: GaugeVec,
     repeats_left: GaugeVec,
@@ -122,6 +123,7 @@
             )?,
             quarantined: gauge(&r, "quarantined", "Contents refused for crashes")?,
             evacuated: gauge(&r, "evacuated", "Data centres evacuated")?,
+            cold: gauge(&r, "cold_upstreams", "Upstreams that are cold")?,
             store_era: gauge(
                 &r,
                 "store_era",
@@ -180,6 +182,15 @@
         Ok(text)
     }
 
+    /// Reads which upstreams get less than others, or nothing new.
+    fn read_places(&self, pool: &Pool, now: Time) {
+        let evacuated = pool.evacuations().data_centres.len();
+        self.evacuated.set(to_i64(evacuated));
+        let known = pool.known().into_iter();
+        let cold = known.filter(|ix| !pool.cold_for(now, *ix).is_zero());
+        self.cold.set(to_i64(cold.count()));
+    }
+
     fn read_gauges(&self, node: &Node) {
         let now = node.now();
         self.running.set(to_i64(node.runs.count()));
@@ -189,8 +200,7 @@
         self.watching.set(i64::from(node.watches_store()));
         let quarantined = node.quarantine.borrow().refused();
         self.quarantined.set(to_i64(quarantined));
-        let evacuated = node.pool.borrow().evacuations().data_centres.len();
-        self.evacuated.set(to_i64(evacuated));
+        self.read_places(&node.pool.borrow(), now);
         self.store_era
             .set(i64::try_from(node.era()).unwrap_or(i64::MAX));
         let catalog = node.catalog.borrow();
--- a/fireflydirect/tests/processes_evacuated.rs
+++ b/fireflydirect/tests/processes_evacuated.rs
@@ -10,24 +10,6 @@
 use std::net::IpAddr;
 use support::{Site, cases, until, whole_stream};
 
-/// Puts the second engine and the second plain service into another data centre.
-async fn split(site: &Site) {
-    for (upstream, service) in [(&site.engines[1], "models"), (&site.plains[1], "records")] {
-        let mut entry = upstream.entry(service, "ready");
-        entry["zone"] = json!("b");
-        site.store.put("servers", &upstream.instance(), &entry);
-    }
-    for entry in 0..site.entries.len() {
-        until("the other data centre", || async {
-            let (_, shown) = site
-                .operate(entry, &["entries", "upstreams", "--json"])
-                .await;
-            shown.matches("\"data_centre\":\"b\"").count() == 2
-        })
-        .await;
-    }
-}
-
 fn evacuate(site: &Site, data_centre: &str) {
     site.store.put("evacuations", data_centre, &json!({}));
 }
@@ -35,9 +17,7 @@
 /// Waits until an entry knows that these data centres are evacuated.
 async fn until_known(site: &Site, entry: usize, data_centres: Value) {
     until("the evacuation", || async {
-        let (_, shown) = site.operate(entry, &["entries", "status", "--json"]).await;
-        let shown: Value = serde_json::from_str(&shown).unwrap();
-        shown[0]["entry"]["evacuated"] == data_centres
+        site.status(entry).await["evacuated"] == data_centres
     })
     .await;
 }
@@ -62,7 +42,7 @@
 
 cases! {
     evacuated_data_centre_gets_nothing_new_and_ends_what_runs(site: 2) {
-        split(&site).await;
+        site.split().await;
         evacuate(&site, "a");
         until_known(&site, 0, json!(["a"])).await;
         let id = site.id();
@@ -79,7 +59,7 @@
     }
 
     data_centre_that_is_taken_back_serves_again(site: 1) {
-        split(&site).await;
+        site.split().await;
         evacuate(&site, "a");
         evacuate(&site, "b");
         until_known(&site, 0, json!(["a", "b"])).await;
@@ -95,7 +75,7 @@
     }
 
     entry_cut_off_from_the_store_hears_of_an_evacuation(site: 3) {
-        split(&site).await;
+        site.split().await;
         let denied = site.entries.iter().take(2).map(|e| IpAddr::V4(e.ip));
         site.store.set_mode(StoreMode::Deny(denied.collect()));
         evacuate(&site, "b");
@@ -106,7 +86,7 @@
     }
 
     entry_that_starts_in_an_outage_hears_of_an_evacuation(site: 1) {
-        split(&site).await;
+        site.split().await;
         evacuate(&site, "b");
         until_known(&site, 0, json!(["b"])).await;
         site.store.set_mode(StoreMode::Reset);
@@ -117,7 +97,7 @@
     }
 
     evacuation_that_no_watch_saw_is_found(site: 2) {
-        split(&site).await;
+        site.split().await;
         site.store.set_mode(StoreMode::Stale);
         evacuate(&site, "b");
         // The history of that time is dropped.
--- a/fireflydirect/tests/processes_home.rs
+++ b/fireflydirect/tests/processes_home.rs
@@ -2,28 +2,11 @@
 
 mod support;
 
-use serde_json::json;
 use support::{KEY, Site, cases, until};
 
-/// Puts the second engine and the second plain service into the data centre `b`, in the region
-/// `south`.
-async fn split(site: &Site) {
-    for (upstream, service) in [(&site.engines[1], "models"), (&site.plains[1], "records")] {
-        let mut entry = upstream.entry(service, "ready");
-        entry["zone"] = json!("b");
-        site.store.put("servers", &upstream.instance(), &entry);
-    }
-    until("the other data centre", || async {
-        let (_, shown) = site.operate(0, &["entries", "upstreams", "--json"]).await;
-        shown.matches("\"data_centre\":\"b\"").count() == 2
-    })
-    .await;
-}
-
 async fn until_in_force(site: &Site, version: u64) {
     until("the configuration", || async {
-        let (_, shown) = site.operate(0, &["entries", "status", "--json"]).await;
-        shown.contains(&format!("\"config\":{version},"))
+        site.status(0).await["config"] == version
     })
     .await;
 }
@@ -53,7 +36,7 @@
 
 cases! {
     routes_with_a_home_stay_there(site: 1) {
-        split(&site).await;
+        site.split().await;
         site.route_homes = vec!["south"];
         site.publish(&[KEY]);
         until_in_force(&site, 2).await;
@@ -61,7 +44,7 @@
     }
 
     workspaces_with_a_home_stay_there(site: 1) {
-        split(&site).await;
+        site.split().await;
         site.workspace_homes = vec!["south"];
         site.publish(&[KEY]);
         until_in_force(&site, 2).await;
@@ -69,7 +52,7 @@
     }
 
     request_without_any_home_left_is_told_to_come_back(site: 1) {
-        split(&site).await;
+        site.split().await;
         site.route_homes = vec!["north"];
         site.workspace_homes = vec!["south"];
         site.publish(&[KEY]);
--- a/fireflydirect/tests/processes_restored.rs
+++ b/fireflydirect/tests/processes_restored.rs
@@ -14,9 +14,7 @@
 /// Waits until an entry knows this era.
 async fn until_era(site: &Site, entry: usize, era: u64) {
     until("the era", || async {
-        let (_, shown) = site.operate(entry, &["entries", "status", "--json"]).await;
-        let shown: Value = serde_json::from_str(&shown).unwrap();
-        shown[0]["entry"]["store_era"] == era
+        site.status(entry).await["store_era"] == era
     })
     .await;
 }
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -409,6 +409,31 @@
         tokio::task::spawn_blocking(run).await.unwrap()
     }
 
+    /// What an entry shows operators of itself.
+    pub(crate) async fn status(&self, entry: usize) -> Value {
+        let (_, shown) = self.operate(entry, &["entries", "status", "--json"]).await;
+        let shown: Value = serde_json::from_str(&shown).unwrap();
+        shown[0]["entry"].clone()
+    }
+
+    /// Puts the second engine and the second plain service into the data centre `b`, in the region
+    /// `south`.
+    pub(crate) async fn split(&self) {
+        for (upstream, service) in [(&self.engines[1], "models"), (&self.plains[1], "records")] {
+            let mut entry = upstream.entry(service, "ready");
+            entry["zone"] = json!("b");
+            self.store.put("servers", &upstream.instance(), &entry);
+        }
+        for entry in 0..self.entries.len() {
+            until("the other data centre", || async {
+                let args = ["entries", "upstreams", "--json"];
+                let (_, shown) = self.operate(entry, &args).await;
+                shown.matches("\"data_centre\":\"b\"").count() == 2
+            })
+            .await;
+        }
+    }
+
     /// Metrics of an entry.
     pub(crate) async fn metrics(&self, entry: usize) -> String {
         let url = format!("http://{}/metrics", self.entries[entry].operators);
