Split what goes in and out of entry, membership and admission off their files

entry.rs (630 lines), admit.rs (526) and member.rs (505) held the types that others exchange with them, so that files needed each other in circles. These stand below both now: entry_io.rs, offer.rs, member_record.rs.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -4,13 +4,14 @@
 //! to come. Time, messages and what the upstream does come in as
 //! [`AgentEvent`]s; what is to be done comes out as [`AgentAction`]s.
 
-use crate::admit::{Admission, AdmitPolicy, Capacity, OfferId, UpstreamReport};
+use crate::admit::Admission;
 use crate::code::Code;
 use crate::generation::Generation;
 use crate::ids::{GenerationId, Name, Peer, RequestId};
 use crate::message::{ConfigVersion, Envelope, Finish, Load, Message, Standing};
 use crate::news::News;
 use crate::note::Note;
+use crate::offer::{AdmitPolicy, Capacity, OfferId, UpstreamReport};
 use crate::order::{Order, Orders};
 use crate::quarantine::Quarantine;
 use crate::store::Store;
--- a/fireflycroft/src/catch_up.rs
+++ b/fireflycroft/src/catch_up.rs
@@ -6,7 +6,8 @@
 //! what is in force and offered anew. Only past a bound is its caller told.
 
 use crate::code::Code;
-use crate::entry::{Call, Entry, EntryAction, Phase};
+use crate::entry::{Call, Entry, Phase};
+use crate::entry_io::EntryAction;
 use crate::ids::CallId;
 use crate::note::Note;
 use crate::time::Time;
--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -1,9 +1,8 @@
 //! Reading a generation and handing it to the caller, once and in order.
 
 use crate::code::{Class, Code};
-use crate::entry::{
-    Call, Delivery, Entry, EntryAction, EntryLimits, Origin, Phase, Reading, Reply, ResumePoint,
-};
+use crate::entry::{Call, Entry, Origin, Phase, Reading};
+use crate::entry_io::{Delivery, EntryAction, EntryLimits, Reply, ResumePoint};
 use crate::generation::WINDOW;
 use crate::ids::{CallId, GenerationId, Incarnation, Name, Peer, RequestId};
 use crate::message::{Finish, Message, Standing};
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -5,7 +5,8 @@
 
 use crate::claim::{ClaimAnswer, ClaimNext, ClaimRecord, ClaimRun};
 use crate::code::Code;
-use crate::entry::{Asked, Call, Entry, EntryAction, Origin, Phase, Reading};
+use crate::entry::{Asked, Call, Entry, Origin, Phase, Reading};
+use crate::entry_io::EntryAction;
 use crate::ids::{CallId, GenerationId, Name, Peer, RequestId};
 use crate::message::Message;
 use crate::note::Note;
--- a/fireflycroft/src/farewell.rs
+++ b/fireflycroft/src/farewell.rs
@@ -5,7 +5,8 @@
 //! again those that did not answer.
 
 use crate::ids::Role;
-use crate::member::{MemberAction, MemberState, Members};
+use crate::member::Members;
+use crate::member_record::{MemberAction, MemberState};
 use crate::message::Message;
 use crate::note::Note;
 use crate::roster::{MemberIx, OWN};
--- a/fireflycroft/src/generation.rs
+++ b/fireflycroft/src/generation.rs
@@ -4,10 +4,10 @@
 //! then finished. Readers are attached to it at a token; each is sent what
 //! it has not yet acknowledged, within a window.
 
-use crate::admit::OfferId;
 use crate::code::Code;
 use crate::ids::{GenerationId, Name, RequestId};
 use crate::message::{Finish, Message, Standing};
+use crate::offer::OfferId;
 use crate::stream::TokenLog;
 use crate::time::Time;
 use crate::work::Demand;
--- a/fireflycroft/src/gossip.rs
+++ b/fireflycroft/src/gossip.rs
@@ -7,7 +7,7 @@
 
 use crate::allowance::Allowance;
 use crate::ids::Name;
-use crate::member::{MemberRecord, MemberState};
+use crate::member_record::{MemberRecord, MemberState};
 use crate::roster::{MemberIx, Roster};
 use crate::time::Time;
 
--- a/fireflycroft/src/merge.rs
+++ b/fireflycroft/src/merge.rs
@@ -5,7 +5,8 @@
 //! Leaving is kept for the rest of a life; bad news by hearsay is checked.
 
 use crate::ids::Peer;
-use crate::member::{MemberAction, MemberRecord, MemberState, Members, SUSPECT_SPAN};
+use crate::member::{Members, SUSPECT_SPAN};
+use crate::member_record::{MemberAction, MemberRecord, MemberState};
 use crate::note::Note;
 use crate::probe::ProbeKind;
 use crate::roster::{MemberIx, OWN};
--- a/fireflycroft/src/message.rs
+++ b/fireflycroft/src/message.rs
@@ -8,7 +8,7 @@
 
 use crate::code::Code;
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
-use crate::member::MemberRecord;
+use crate::member_record::MemberRecord;
 use crate::order::Order;
 use crate::stream::Chunk;
 use crate::work::{Demand, Work};
--- a/fireflycroft/src/ping.rs
+++ b/fireflycroft/src/ping.rs
@@ -5,7 +5,8 @@
 //! that it can refute the doubt at once.
 
 use crate::ids::{Name, Peer};
-use crate::member::{MemberAction, MemberRecord, MemberState, Members};
+use crate::member::Members;
+use crate::member_record::{MemberAction, MemberRecord, MemberState};
 use crate::merge::Source;
 use crate::message::Message;
 use crate::probe::ProbeKind;
--- a/fireflycroft/src/probe.rs
+++ b/fireflycroft/src/probe.rs
@@ -7,7 +7,8 @@
 //! then, so that the halves of a divided fleet find each other again.
 
 use crate::allowance::Allowance;
-use crate::member::{GRACE, MemberAction, MemberState, Members, SUSPECT_SPAN};
+use crate::member::{GRACE, Members, SUSPECT_SPAN};
+use crate::member_record::{MemberAction, MemberState};
 use crate::message::Message;
 use crate::note::Note;
 use crate::ping::doubts;
--- a/fireflycroft/src/reconcile.rs
+++ b/fireflycroft/src/reconcile.rs
@@ -9,7 +9,8 @@
 use crate::allowance::Allowance;
 use crate::gossip::Payload;
 use crate::ids::Peer;
-use crate::member::{MemberAction, MemberRecord, Members};
+use crate::member::Members;
+use crate::member_record::{MemberAction, MemberRecord};
 use crate::merge::Source;
 use crate::message::Message;
 use crate::roster::{OWN, PARTS, is_of_name};
--- a/fireflycroft/src/reserve.rs
+++ b/fireflycroft/src/reserve.rs
@@ -4,7 +4,6 @@
 //! or is refused and remembered, so that a copy gets the same answer. Only a
 //! start that names a live reservation runs it.
 
-use crate::admit::{OfferId, Verdict};
 use crate::agent::{
     Agent, AgentAction, DOWN_RETRY, LEAVING_RETRY, Offered, note, queued, refused, sends, stand,
 };
@@ -12,6 +11,7 @@
 use crate::generation::{Generation, Stage};
 use crate::ids::{Digest, GenerationId, RequestId};
 use crate::message::{Message, Standing};
+use crate::offer::{OfferId, Verdict};
 use crate::stream::TokenLog;
 use crate::time::Time;
 use crate::work::{Demand, Work};
--- a/fireflycroft/src/resume.rs
+++ b/fireflycroft/src/resume.rs
@@ -3,7 +3,7 @@
 //! An id reads `request.incarnation.serial.next.agent`. It is unguessable by
 //! its request, and worth nothing to another workspace: the agent compares.
 
-use crate::entry::ResumePoint;
+use crate::entry_io::ResumePoint;
 use crate::ids::{Name, scan_generation_id, scan_request_id};
 
 /// Longest event id that is read.
--- a/fireflycroft/src/roster.rs
+++ b/fireflycroft/src/roster.rs
@@ -6,7 +6,8 @@
 //! each process forgets them in its own time.
 
 use crate::ids::{Digest, Name};
-use crate::member::{MAX_MEMBERS, MemberRecord, MemberState};
+use crate::member::MAX_MEMBERS;
+use crate::member_record::{MemberRecord, MemberState};
 use crate::time::Time;
 use std::collections::HashSet;
 use std::net::SocketAddr;
--- a/fireflycroft/src/route.rs
+++ b/fireflycroft/src/route.rs
@@ -4,7 +4,7 @@
 //! last reply; what this entry has sent since is added to it.
 
 use crate::ids::{Digest, IdSource, Name, Peer};
-use crate::member::{MemberRecord, MemberState};
+use crate::member_record::{MemberRecord, MemberState};
 use crate::message::Load;
 use crate::time::Time;
 use crate::work::{Demand, Priority};
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -3,7 +3,8 @@
 use crate::burn::{Goal, Measured, Pace, meets};
 use crate::code::Code;
 use crate::config::{Config, WorkspaceIx};
-use crate::entry::{Call, Entry, EntryAction, Phase, Reply, Submission};
+use crate::entry::{Call, Entry, Phase};
+use crate::entry_io::{EntryAction, Reply, Submission};
 use crate::ids::{CallId, Digest, Name};
 use crate::inventory::WithoutKey;
 use crate::note::Note;
--- a/fireflycroft/src/tidy.rs
+++ b/fireflycroft/src/tidy.rs
@@ -1,11 +1,11 @@
 //! What the agent does by the clock, and when it is to leave.
 
-use crate::admit::OfferId;
 use crate::agent::{Agent, AgentAction, LEAVING_RETRY, Offered};
 use crate::code::Code;
 use crate::generation::{Generation, Stage};
 use crate::ids::GenerationId;
 use crate::note::Note;
+use crate::offer::OfferId;
 use crate::time::Time;
 
 impl Agent {
