--- a/fireflycroft/tests/door_load.rs
+++ b/fireflycroft/tests/door_load.rs
@@ -1,8 +1,7 @@
 //! A load played at the door in virtual time, and what callers get.
 //!
-//! Users' callers were refused while the engines had room for four more of every ten that ran: where a
-//! request takes a fifth of an engine, a limit that falls by a quarter of the memory for a low yield
-//! leaves engines half empty.
+//! Users' callers were refused while a fifth of all memory and more was free: where a request takes a
+//! fifth of an engine, a limit that falls by a quarter of the memory for a low yield leaves room unused.
 
 #[macro_use]
 #[path = "support/cases.rs"]
