Log, count and show the rate limits that upstreams name in their answers

Cause: after the incident nobody could tell whether an entry had read a rate limit, which, and from which answer; an answer that named one was relayed and forgotten. Change: platform/ decodes the header into AnswerHead::rate_limit; the pool keeps the latest word for each upstream; rate_limit_changed, the figure in `sent`, the state `limited` of `entries upstreams` and a gauge show it. No decision goes by it yet. A word counts from a moment: a rate from when it was heard, its absence from when the request had been sent, so that an entry that stood still lifts nothing by an old answer.

--- a/fireflycroft/src/ask.rs
+++ b/fireflycroft/src/ask.rs
@@ -1,6 +1,7 @@
 //! What a caller of a direct entry asks, and what an upstream says of it.
 
 use crate::ids::Name;
+use crate::rate_limit::RateLimit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -78,7 +79,7 @@
     WrongInstance,
 }
 
-/// What the head of an upstream's answer says of the request.
+/// What the head of an upstream's answer says of the request, and of the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
     /// Whether the answer belongs to the request.
@@ -91,4 +92,6 @@
     pub closes: bool,
     /// How long the connection may be idle.
     pub keep_alive: Option<Duration>,
+    /// Rate that the upstream takes, while it is in need.
+    pub rate_limit: Option<RateLimit>,
 }
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -10,7 +10,7 @@
 //!   `route`, `admit`, `place`, `lease`, `claim` and what belongs to them;
 //! - the direct entry (`fireflydirect`): [`Pool`] with `upstream`, `listing`,
 //!   `loads`, `pace` and `room` says where a request goes, and
-//!   `evacuation`, `cold` and `region` where it may not; `owners`, `repeat`,
+//!   `evacuation`, `cold`, `rate_limit` and `region` where it may not; `owners`, `repeat`,
 //!   `returns`, `watchers` and `contact` say what entries know of each other and
 //!   of the platform's store; `attempt`, `relay` and `rescue` follow a request.
 //!
@@ -104,6 +104,7 @@
 mod probe;
 mod quarantine;
 mod quota;
+mod rate_limit;
 mod reconcile;
 mod region;
 mod relay;
@@ -173,6 +174,7 @@
 pub use pool::*;
 pub use quarantine::*;
 pub use quota::*;
+pub use rate_limit::*;
 pub use region::*;
 pub use relay::*;
 pub use repeat::*;
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -13,6 +13,7 @@
 use crate::pace::SeenPace;
 use crate::placed::Placed;
 use crate::pool::Pool;
+use crate::rate_limit::KnownRate;
 use crate::revision::era_of;
 use crate::time::Time;
 use crate::upstream::{Upstream, UpstreamIx, UpstreamRecord, UpstreamState};
@@ -214,6 +215,7 @@
             met_at: record.revision,
             record,
             sent_lately: SentLately::default(),
+            rate: KnownRate::default(),
             gone: false,
             ended: false,
             left_at: leaving.then_some(now),
--- a/fireflycroft/src/overview.rs
+++ b/fireflycroft/src/overview.rs
@@ -58,6 +58,9 @@
     /// How much longer it is cold, in milliseconds.
     #[serde(default)]
     pub cold_ms: u64,
+    /// Requests a second that it takes from all entries, while it names such a limit.
+    #[serde(default)]
+    pub rate_limit: Option<f64>,
     /// Requests of all entries there.
     pub running: u32,
     /// Share of its memory that is spoken for; zero for a plain service.
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -7,6 +7,7 @@
 use crate::missing::Missing;
 use crate::pace::{Pace, SeenPace};
 use crate::placed::{Need, Placed, PlacedAt};
+use crate::rate_limit::KnownRate;
 use crate::room::SHORT_TOKENS;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
@@ -97,6 +98,7 @@
     pub(crate) cold_until: Time,
     /// Requests of this entry, where a cold one bears only so many.
     pub(crate) sent_lately: SentLately,
+    pub(crate) rate: KnownRate,
     pub(crate) read: HashMap<u64, Time>,
     pub(crate) pace: SeenPace,
 }
--- a/fireflyctl/src/entries.rs
+++ b/fireflyctl/src/entries.rs
@@ -177,6 +177,7 @@
         u if !u.serves => "leaving",
         u if u.evacuated => "evacuated",
         u if u.cold_ms > 0 => "cold",
+        u if u.rate_limit.is_some() => "limited",
         _ => "serving",
     }
 }
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -2,6 +2,7 @@
 
 use crate::crash;
 use crate::exchange::{Extras, Opened, Unanswered, read_whole, send};
+use crate::figure::or_empty;
 use crate::job::Job;
 use crate::node::PlacedGuard;
 use crate::{repeats, returns};
@@ -213,7 +214,8 @@
         instance = &*pool.record(ix).instance, running = view.placed.running,
         memory = format!("{:.2}", view.memory), unread = view.placed.unread,
         failing = format!("{:.2}", view.failing), told_age_ms = view.age.as_millis(),
-        service_memory = format!("{of_service:.2}"), age_ms = job.age().as_millis();
+        service_memory = format!("{of_service:.2}"), rate_limit = or_empty(pool.rate_limit(ix)),
+        age_ms = job.age().as_millis();
         ""
     );
 }
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request to one upstream, up to the head of its answer.
 
+use crate::conditions;
 use crate::job::Job;
 use crate::links::Link;
 use bytes::Bytes;
@@ -105,6 +106,7 @@
         return Err(Unanswered::NeverSent("it has ended or left".to_owned()));
     }
     note_sending(job, ix)?;
+    let sent = job.now();
     let req = request(job, &record.instance, extras);
     on_sent();
     let response = tokio::select! {
@@ -118,6 +120,7 @@
     if !head.is_own {
         return Err(Unanswered::Lost("an answer to another request".to_owned()));
     }
+    conditions::take(job, ix, sent, &head);
     Ok(Opened {
         parts,
         head,
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod callers;
 pub mod client;
 pub mod clock;
+pub mod conditions;
 pub mod crash;
 pub mod datagrams;
 pub mod departures;
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -49,6 +49,7 @@
     quarantined: IntGauge,
     evacuated: IntGauge,
     cold: IntGauge,
+    rate_limited: IntGauge,
     store_era: IntGauge,
     memory: GaugeVec,
     repeats_left: GaugeVec,
@@ -124,6 +125,11 @@
             quarantined: gauge(&r, "quarantined", "Contents refused for crashes")?,
             evacuated: gauge(&r, "evacuated", "Data centres evacuated")?,
             cold: gauge(&r, "cold_upstreams", "Upstreams that are cold")?,
+            rate_limited: gauge(
+                &r,
+                "rate_limited_upstreams",
+                "Upstreams that name a rate limit",
+            )?,
             store_era: gauge(
                 &r,
                 "store_era",
@@ -186,9 +192,13 @@
     fn read_places(&self, pool: &Pool, now: Time) {
         let evacuated = pool.evacuations().data_centres.len();
         self.evacuated.set(to_i64(evacuated));
-        let known = pool.known().into_iter();
-        let cold = known.filter(|ix| !pool.cold_for(now, *ix).is_zero());
+        let known = pool.known();
+        let cold = known
+            .iter()
+            .filter(|ix| !pool.cold_for(now, **ix).is_zero());
         self.cold.set(to_i64(cold.count()));
+        let limited = known.iter().filter(|ix| pool.rate_limit(**ix).is_some());
+        self.rate_limited.set(to_i64(limited.count()));
     }
 
     fn read_gauges(&self, node: &Node) {
--- a/fireflydirect/src/overview.rs
+++ b/fireflydirect/src/overview.rs
@@ -2,7 +2,7 @@
 
 use crate::node::{Node, Stage};
 use fireflycroft::{
-    EntryOverview, OwnedKey, Pool, Time, UpstreamIx, UpstreamOverview, whole_millis,
+    EntryOverview, OwnedKey, Pool, RateLimit, Time, UpstreamIx, UpstreamOverview, whole_millis,
 };
 
 /// Path of the page.
@@ -45,6 +45,7 @@
         serves: pool.is_serving(ix),
         evacuated: pool.is_evacuated(ix),
         cold_ms: whole_millis(pool.cold_for(now, ix)),
+        rate_limit: pool.rate_limit(ix).map(RateLimit::per_second),
         running: view.placed.running,
         memory: view.memory,
         unread: view.placed.unread,
