--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -14,7 +14,8 @@
 use tokio::task::JoinSet;
 
 use super::http::{
-    Request, read_request, reset, until_closed, write_answer, write_chunk, write_stream_head,
+    Headers, Request, read_request, reset, until_closed, write_answer, write_chunk,
+    write_stream_head,
 };
 use super::record::{CopyKey, Record, Run, RunEnd};
 use super::start::{bind_again, close_port, unix_millis};
@@ -86,6 +87,8 @@
     known_at: Mutex<SocketAddr>,
     record: Record,
     fault: Mutex<AnswerFault>,
+    /// Headers that all its answers carry beside their own, by name.
+    said: Mutex<HashMap<String, String>>,
     /// Milliseconds until it is gone, as its report says.
     leaves_ms: Mutex<Option<u32>>,
     /// Runs that are to stop for a move, by request.
@@ -105,12 +108,33 @@
             known_at: Mutex::new(addr),
             record,
             fault: Mutex::default(),
+            said: Mutex::default(),
             leaves_ms: Mutex::default(),
             stops: Mutex::default(),
             crash: Notify::new(),
             handles: AtomicU64::new(0),
         }
     }
+
+    /// These headers, and those that all answers carry.
+    fn with_said(&self, own: &[(&str, &str)]) -> Headers {
+        let owned = |(name, value): (&str, &str)| (name.to_owned(), value.to_owned());
+        let own = own.iter().copied().map(owned);
+        let said = lock(&self.said);
+        let said = said.iter().map(|(n, v)| owned((n, v)));
+        own.chain(said).collect()
+    }
+
+    /// Writes a whole answer to a request.
+    async fn answer(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
+        write_answer(stream, status, &self.with_said(headers), body).await
+    }
 }
 
 impl Engine {
@@ -189,6 +213,15 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Says so in a header of all answers to requests, or no longer.
+    pub fn say(&self, name: &str, value: Option<&str>) {
+        let mut said = lock(&self.shared.said);
+        match value {
+            Some(value) => said.insert(name.to_owned(), value.to_owned()),
+            None => said.remove(name),
+        };
+    }
+
     /// Says in its report that it is gone after so many milliseconds.
     pub fn say_leaving(&self, after_ms: u32) {
         *lock(&self.shared.leaves_ms) = Some(after_ms);
@@ -273,21 +306,27 @@
         .is_some_and(|i| i != instance)
     {
         let headers = [("X-Instance-Id", instance.as_str())];
-        write_answer(stream, 421, &headers, b"").await?;
+        shared.answer(stream, 421, &headers, b"").await?;
         return Ok(After::Keep);
     }
     let Some(id) = req.header("x-request-id") else {
-        write_answer(stream, 400, &[("X-Not-Executed", "1")], b"").await?;
+        shared
+            .answer(stream, 400, &[("X-Not-Executed", "1")], b"")
+            .await?;
         return Ok(After::Keep);
     };
     let fault = *lock(&shared.fault);
     if fault == AnswerFault::Full {
-        write_answer(stream, 503, &[("X-Not-Executed", "1")], b"").await?;
+        shared
+            .answer(stream, 503, &[("X-Not-Executed", "1")], b"")
+            .await?;
         return Ok(After::Keep);
     }
     let from_memory = req.header("kv-from").is_some();
     if from_memory && !has_copy(shared, req, id) {
-        write_answer(stream, 503, &[("X-Not-Executed", "1")], b"").await?;
+        shared
+            .answer(stream, 503, &[("X-Not-Executed", "1")], b"")
+            .await?;
         return Ok(After::Keep);
     }
     let run = Running::begin(shared, req, id, &instance);
@@ -306,11 +345,11 @@
         }
         AnswerFault::Fails => {
             let headers = [("X-Request-Id", id), ("X-Response-Seal", "seal")];
-            write_answer(stream, 500, &headers, b"failed").await?;
+            shared.answer(stream, 500, &headers, b"failed").await?;
             run.end(RunEnd::Complete);
             Ok(After::Keep)
         }
-        _ if shared.kind == EngineKind::Plain => plain(stream, req, id, fault, &run).await,
+        _ if shared.kind == EngineKind::Plain => plain(stream, shared, req, id, fault, &run).await,
         _ => generate(stream, shared, req, id, fault, &run).await,
     }
 }
@@ -379,6 +418,7 @@
 
 async fn plain(
     stream: &mut TcpStream,
+    shared: &Shared,
     req: &Request,
     id: &str,
     fault: AnswerFault,
@@ -396,11 +436,15 @@
         run.end(RunEnd::Broken);
         return Ok(After::Reset);
     }
-    write_answer(stream, 200, &headers, body.as_bytes()).await?;
+    shared
+        .answer(stream, 200, &headers, body.as_bytes())
+        .await?;
     run.end(RunEnd::Complete);
     if fault == AnswerFault::Doubles {
         let other = [("X-Request-Id", "of-another"), ("X-Response-Seal", "seal")];
-        write_answer(stream, 200, &other, b"an answer of another request").await?;
+        shared
+            .answer(stream, 200, &other, b"an answer of another request")
+            .await?;
     }
     Ok(After::Keep)
 }
@@ -430,7 +474,7 @@
     if fault == AnswerFault::Slow {
         tokio::time::sleep(READING).await;
     }
-    write_stream_head(stream, &headers).await?;
+    write_stream_head(stream, &shared.with_said(&headers)).await?;
     for number in run.after + 1..=last {
         if fault == AnswerFault::Tears && number == run.after + 5 {
             let half = event(id, number);
@@ -462,7 +506,7 @@
     let runs: Vec<Value> = lock(&shared.stops).keys().map(of_run).collect();
     let body = json!({"born": shared.born, "waiting": 0, "running": runs.len(),
         "leaves_ms": leaves_ms, "runs": runs});
-    write_answer(stream, 200, &[], body.to_string().as_bytes()).await?;
+    write_answer(stream, 200, &Headers::new(), body.to_string().as_bytes()).await?;
     Ok(After::Keep)
 }
 
@@ -471,7 +515,7 @@
     let id = call["id"].as_str().unwrap_or_default();
     let stop = lock(&shared.stops).get(id).cloned();
     let Some(stop) = stop else {
-        write_answer(stream, 404, &[], b"{}").await?;
+        write_answer(stream, 404, &Headers::new(), b"{}").await?;
         return Ok(After::Keep);
     };
     // Each life counts its handles anew.
@@ -486,6 +530,6 @@
         stop.notify_one();
     }
     let body = json!({"handle": handle, "created": 1}).to_string();
-    write_answer(stream, 200, &[], body.as_bytes()).await?;
+    write_answer(stream, 200, &Headers::new(), body.as_bytes()).await?;
     Ok(After::Keep)
 }
--- a/standins/src/site/http.rs
+++ b/standins/src/site/http.rs
@@ -12,6 +12,9 @@
 /// Longest head that is read, in bytes.
 const MAX_HEAD: usize = 64 << 10;
 
+/// Names and values of the headers of an answer.
+pub(super) type Headers = Vec<(String, String)>;
+
 /// One request.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Request {
@@ -90,7 +93,7 @@
 pub(super) async fn write_answer(
     stream: &mut TcpStream,
     status: u16,
-    headers: &[(&str, &str)],
+    headers: &[(impl AsRef<str>, impl AsRef<str>)],
     body: &[u8],
 ) -> io::Result<()> {
     let mut bytes = head(status, headers);
@@ -100,10 +103,7 @@
 }
 
 /// Writes the head of an answer whose body comes in chunks.
-pub(super) async fn write_stream_head(
-    stream: &mut TcpStream,
-    headers: &[(&str, &str)],
-) -> io::Result<()> {
+pub(super) async fn write_stream_head(stream: &mut TcpStream, headers: &Headers) -> io::Result<()> {
     let mut bytes = head(200, headers);
     bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
     stream.write_all(&bytes).await
@@ -117,10 +117,10 @@
     stream.write_all(&bytes).await
 }
 
-fn head(status: u16, headers: &[(&str, &str)]) -> Vec<u8> {
+fn head(status: u16, headers: &[(impl AsRef<str>, impl AsRef<str>)]) -> Vec<u8> {
     let lines = headers
         .iter()
-        .map(|(name, value)| format!("{name}: {value}\r\n"));
+        .map(|(name, value)| format!("{}: {}\r\n", name.as_ref(), value.as_ref()));
     let first = format!("HTTP/1.1 {status} Status\r\n");
     first
         .into_bytes()
