Tell other entries of the rates that upstreams name, and of their end

Cause: a rate is known to an entry from its own answers alone. One that sends an upstream nothing for now can't hear that the rate was lifted, and each of many entries would have to overload the upstream once to hear of it. Change: news carry up to four rates, those that changed first, the others in turn; a word that counts from a later moment holds, and a lifted rate is told for 10 s; none is carried while no upstream is in need. Before (the line that takes them switched off): an entry that sends nothing waits for 30 s in vain for the limit; after: it hears of both within the test. Ruled out: owners' replies as the carrier, since plain calls ask no owners. Conclusion: all know; nobody keeps to it yet.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -4,8 +4,8 @@
 use crate::field::{addr_bytes, id_bytes, read_addr, read_all, read_digest, read_name};
 use crate::generated as pb;
 use fireflycroft::{
-    CrashCount, EntryNews, Evacuations, Incarnation, ListChange, RepeatCount, UpstreamRecord,
-    UpstreamState,
+    CrashCount, EntryNews, Evacuations, Incarnation, Life, ListChange, RateLimit, RepeatCount,
+    ToldRate, UpstreamRecord, UpstreamState,
 };
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -28,6 +28,7 @@
         peers: news.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: news.leaving,
         evacuations: Some(evacuations(&news.evacuations)),
+        rate_limits: news.rate_limits.iter().map(told_rate).collect(),
     }
 }
 
@@ -55,6 +56,27 @@
             .map(read_evacuations)
             .transpose()?
             .unwrap_or_default(),
+        rate_limits: read_all(&news.rate_limits, read_told_rate)?,
+    })
+}
+
+fn told_rate(told: &ToldRate) -> pb::ToldRate {
+    pb::ToldRate {
+        instance: told.life.instance.to_string(),
+        incarnation: told.life.incarnation.0,
+        thousandths: told.limit.map(RateLimit::thousandths),
+        age_ms: millis_of(told.age),
+    }
+}
+
+fn read_told_rate(told: &pb::ToldRate) -> Result<ToldRate, WireError> {
+    Ok(ToldRate {
+        life: Life {
+            instance: read_name(&told.instance, "rate_limits.instance")?,
+            incarnation: Incarnation(told.incarnation),
+        },
+        limit: told.thousandths.map(RateLimit::from_thousandths),
+        age: Duration::from_millis(told.age_ms.into()),
     })
 }
 
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -605,6 +605,21 @@
     pub upstreams_complete: u64,
     #[prost(string, tag = "19")]
     pub data_centre: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "20")]
+    pub rate_limits: ::prost::alloc::vec::Vec<ToldRate>,
+}
+/// The requests a second that an upstream takes from all entries together.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ToldRate {
+    #[prost(string, tag = "1")]
+    pub instance: ::prost::alloc::string::String,
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Thousandths of a request a second; absent once the upstream takes any rate again.
+    #[prost(uint32, optional, tag = "3")]
+    pub thousandths: ::core::option::Option<u32>,
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
 }
 /// The data centres that are evacuated, as of a revision of the platform's store.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -3,7 +3,7 @@
 use fireflycroft::{
     CrashCount, Digest, EntryMessage, EntryNews, Evacuations, Incarnation, Life, ListChange, Name,
     OwnedLoad, OwnerAnswer, OwnerAsk, OwnerQuery, OwnerReply, OwnerReport, Pace, Placed, PlacedAt,
-    Refusal, RepeatCount, UpstreamRecord, UpstreamState,
+    RateLimit, Refusal, RepeatCount, ToldRate, UpstreamRecord, UpstreamState,
 };
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
 use proptest::prelude::*;
@@ -168,6 +168,18 @@
             requests: 40,
             repeats: 2,
         }],
+        rate_limits: vec![
+            ToldRate {
+                life: life(),
+                limit: RateLimit::new(2.5),
+                age: Duration::from_millis(70),
+            },
+            ToldRate {
+                life: life(),
+                limit: None,
+                age: Duration::ZERO,
+            },
+        ],
         crashes: vec![CrashCount {
             content: Digest(9),
             count: 2,
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -3,6 +3,7 @@
 use crate::evacuation::Evacuations;
 use crate::ids::{Digest, Incarnation, Name};
 use crate::listing::ListChange;
+use crate::rate_limit::ToldRate;
 use crate::repeat::RepeatCount;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -49,6 +50,8 @@
     pub peers: Vec<Ipv4Addr>,
     /// Data centres that are evacuated.
     pub evacuations: Evacuations,
+    /// Rates that upstreams name, or named until a short while ago.
+    pub rate_limits: Vec<ToldRate>,
     /// Whether the sender is stopping.
     pub leaving: bool,
 }
--- a/fireflycroft/src/rate_limit.rs
+++ b/fireflycroft/src/rate_limit.rs
@@ -7,8 +7,9 @@
 
 use crate::pool::Pool;
 use crate::time::Time;
-use crate::upstream::UpstreamIx;
+use crate::upstream::{Life, Upstream, UpstreamIx};
 use std::fmt;
+use std::time::Duration;
 
 /// Requests a second that an upstream takes from all entries together, to a thousandth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -50,12 +51,33 @@
     }
 }
 
+/// The rate of an upstream, as entries tell it each other.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToldRate {
+    /// The upstream.
+    pub life: Life,
+    /// The rate that it names; none once it takes any again.
+    pub limit: Option<RateLimit>,
+    /// Time since the moment from which that counts.
+    pub age: Duration,
+}
+
+/// Rates told at a time; more take turns.
+const MAX_TOLD: usize = 4;
+
+/// Time for which it is told that an upstream takes any rate again: tellings reach all entries of a
+/// large fleet within a few seconds.
+const LIFTED_TOLD_FOR: Duration = Duration::from_secs(10);
+
 /// What is known of an upstream's rate.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct KnownRate {
     limit: Option<RateLimit>,
-    /// Moment from which that counts.
-    as_of: Time,
+    /// Moment from which that counts; none until a rate is first known.
+    as_of: Option<Time>,
+    changed_at: Time,
+    /// When it was told last, if it was since it changed.
+    told_at: Option<Time>,
 }
 
 /// A rate that an upstream names, and the one before.
@@ -77,9 +99,37 @@
         sent: Time,
         named: Option<RateLimit>,
     ) -> Option<RateChange> {
-        let known = &mut self.upstreams[ix.0].rate;
         let as_of = if named.is_some() { now } else { sent };
-        known.take(as_of, named)
+        self.upstreams[ix.0].rate.take(now, as_of, named)
+    }
+
+    /// Takes a rate that another entry told; tells whether it is another one than before.
+    pub fn take_rate(&mut self, now: Time, told: &ToldRate) -> Option<(UpstreamIx, RateChange)> {
+        let ix = self.find(&told.life.instance)?;
+        let u = &mut self.upstreams[ix.0];
+        if u.record.incarnation != told.life.incarnation {
+            return None;
+        }
+        let change = u.rate.take(now, now - told.age, told.limit)?;
+        Some((ix, change))
+    }
+
+    /// Rates to tell the others now: those in force and those lifted of late, the longest untold
+    /// first.
+    pub fn tell_rates(&mut self, now: Time) -> Vec<ToldRate> {
+        let known = self.upstreams.iter_mut().filter(|u| !u.gone);
+        let mut known: Vec<&mut Upstream> = known.filter(|u| u.rate.is_news(now)).collect();
+        known.sort_by_key(|u| u.rate.told_at);
+        known.truncate(MAX_TOLD);
+        let told = known.into_iter().filter_map(|u| {
+            u.rate.told_at = Some(now);
+            Some(ToldRate {
+                life: u.record.life(),
+                limit: u.rate.limit,
+                age: now.since(u.rate.as_of?),
+            })
+        });
+        told.collect()
     }
 
     /// The rate that an upstream names.
@@ -91,12 +141,25 @@
 
 impl KnownRate {
     /// Takes a word that counts from `as_of`, unless a later one is known.
-    fn take(&mut self, as_of: Time, limit: Option<RateLimit>) -> Option<RateChange> {
-        if as_of <= self.as_of {
+    fn take(&mut self, now: Time, as_of: Time, limit: Option<RateLimit>) -> Option<RateChange> {
+        let says_nothing = self.limit.is_none() && limit.is_none();
+        if says_nothing || self.as_of.is_some_and(|known| as_of <= known) {
             return None;
         }
-        self.as_of = as_of;
+        self.as_of = Some(as_of);
         let was = std::mem::replace(&mut self.limit, limit);
-        (was != limit).then_some(RateChange { was, is: limit })
+        if was == limit {
+            return None;
+        }
+        self.changed_at = now;
+        self.told_at = None;
+        Some(RateChange { was, is: limit })
+    }
+
+    /// Whether other entries may not have heard of it.
+    fn is_news(&self, now: Time) -> bool {
+        let is_lifted_of_late =
+            self.as_of.is_some() && now.since(self.changed_at) < LIFTED_TOLD_FOR;
+        self.limit.is_some() || is_lifted_of_late
     }
 }
--- a/fireflydirect/src/conditions.rs
+++ b/fireflydirect/src/conditions.rs
@@ -1,9 +1,9 @@
-//! What upstreams say in the heads of their answers of the requests to come.
+//! What upstreams say of the requests to come, in the heads of their answers or as other entries tell.
 
 use crate::figure::or_empty;
 use crate::job::Job;
 use crate::node::Node;
-use fireflycroft::{AnswerHead, RateChange, RunClaim, Time, UpstreamIx};
+use fireflycroft::{AnswerHead, RateChange, RunClaim, Time, ToldRate, UpstreamIx};
 
 /// Takes what the head of an answer to a request of `sent` says of the upstream.
 pub fn take(job: &Job, ix: UpstreamIx, sent: Time, head: &AnswerHead) {
@@ -17,6 +17,17 @@
         .note_rate_limit(node.now(), ix, sent, head.rate_limit);
     if let Some(change) = change {
         say_rate_changed(node, ix, change, "answer");
+        node.urgent.notify_one();
+    }
+}
+
+/// Takes rates of upstreams that another entry told.
+pub fn take_told(node: &Node, rates: &[ToldRate]) {
+    for told in rates {
+        let change = node.pool.borrow_mut().take_rate(node.now(), told);
+        if let Some((ix, change)) = change {
+            say_rate_changed(node, ix, change, "peer");
+        }
     }
 }
 
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -1,6 +1,7 @@
 //! Hearing the other entries, and fetching what this one lacks.
 
 use crate::client::Client;
+use crate::conditions;
 use crate::feed::read_config;
 use crate::intake::take_told;
 use crate::node::Node;
@@ -87,6 +88,7 @@
     if news.evacuations.revision > 0 {
         node.take_evacuations(news.evacuations.clone(), "peer");
     }
+    conditions::take_told(node, &news.rate_limits);
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -87,6 +87,7 @@
 fn news(node: &Node) -> EntryNews {
     let now = node.now();
     let repeats = node.budget.borrow_mut().tell(now);
+    let rate_limits = node.pool.borrow_mut().tell_rates(now);
     let peers = node.peers.borrow();
     EntryNews {
         name: node.place.vm.clone(),
@@ -104,6 +105,7 @@
         crashes: peers.crashes.iter().copied().collect(),
         peers: peers.named(now),
         evacuations: node.pool.borrow().evacuations().clone(),
+        rate_limits,
         leaving: node.stage() != Stage::Serving,
     }
 }
--- a/fireflydirect/tests/processes_rate_limit.rs
+++ b/fireflydirect/tests/processes_rate_limit.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::time::{Duration, Instant};
-use support::{Site, cases};
+use support::{Site, cases, until};
 
 /// Header in which an upstream names its rate.
 const RATE_LIMIT: &str = "Server-Limit";
@@ -43,7 +43,34 @@
     most
 }
 
+/// Waits until an entry shows that a plain upstream is limited, or no longer.
+async fn until_limited(site: &Site, entry: usize, is_limited: bool) {
+    until("word of the limit", || async {
+        let (_, shown) = site.operate(entry, &["entries", "upstreams"]).await;
+        shown.contains(" limited ") == is_limited
+    })
+    .await;
+}
+
 cases! {
+    entry_hears_of_a_limit_and_of_its_end_from_another_one(site: 2) {
+        let only = &site.plains[0];
+        site.store.put("servers", "p-1", &site.plains[1].entry("records", "draining"));
+        only.say(RATE_LIMIT, Some("50"));
+        // The call may go to the upstream that leaves until that has been heard of.
+        until("an answer that names the limit", || async {
+            let id = site.id();
+            site.call(0, "GET", "/fetch/a", &id).send().await.unwrap();
+            let (_, shown) = site.operate(0, &["entries", "upstreams"]).await;
+            shown.contains(" limited ")
+        })
+        .await;
+        until_limited(&site, 1, true).await;
+        only.say(RATE_LIMIT, None);
+        site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+        until_limited(&site, 1, false).await;
+    }
+
     limited_upstream_gets_no_more_than_it_named_from_all_entries(site: 3) {
         site.plains[0].say(RATE_LIMIT, Some("2"));
         call_all(&site, 20, Duration::from_millis(1_500)).await;
