Keep to the rates that upstreams in need name, over the whole fleet

What callers' upstreams saw: one that named 2.6 requests a second got 82 in 4 s. Cause: no decision knew the rate. Class: a bound over all entries that each entry meets alone, as with cold upstreams and repeats before. Change: the requests that a rate allows in 4 s (up to 20 s for very low ones) are divided among the entries by rank (FleetView), without questions; a choice leaves out an upstream whose share is spent, and so does the last look before a request goes out. Why it works: parts of one whole number can't add up to more, whatever entries send when; the owners of the upstream rank first, so two entries hear of the end of the lowest rate. Ruled out: permits lent by owners, a question before each request for what a division gives without; a bucket that saves up unused requests, since all of a large fleet could spend theirs at once. Conclusion: the rate is kept by design; what is left is uneven demand, where entries without callers leave their shares unused.

--- a/fireflycroft/src/cold.rs
+++ b/fireflycroft/src/cold.rs
@@ -13,22 +13,14 @@
 use crate::pool::Pool;
 use crate::time::Time;
 use crate::upstream::{Upstream, UpstreamIx};
-use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Span in which requests are counted.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Span in which requests to a cold upstream are counted.
+pub(crate) const COLD_SPAN: Duration = Duration::from_secs(1);
 
 /// Standard deviations by which the shares of all entries stay below the bound.
 const DEVIATIONS: f64 = 4.0;
 
-/// Entries that one which has just started takes the fleet to have at least: it has heard of few, and
-/// the others of a fleet that starts as a whole have too.
-pub const ENTRIES_AT_START: usize = 512;
-
-/// Time after its start in which an entry hears of nearly all others.
-pub const ALL_HEARD_AFTER: Duration = Duration::from_secs(2);
-
 /// Bound on the requests to a cold upstream in any second: a multiple of the rate that it bears, and
 /// some more.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -43,7 +35,6 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ColdShare {
     entry: Name,
-    entries: usize,
     limits: Option<ColdLimits>,
 }
 
@@ -54,12 +45,12 @@
         clippy::cast_sign_loss,
         clippy::cast_precision_loss
     )]
-    fn most(&self, upstream: &Name, per_second: f64) -> usize {
+    fn most(&self, entries: usize, upstream: &Name, per_second: f64) -> usize {
         let Some(limits) = self.limits else {
             return usize::MAX;
         };
         let bound = per_second * limits.overshoot + limits.slack;
-        let share = mean_below(bound) / self.entries.max(1) as f64;
+        let share = mean_below(bound) / entries.max(1) as f64;
         let whole = share.floor();
         let drawn = self.draw(upstream) < share - whole;
         whole as usize + usize::from(drawn)
@@ -79,40 +70,15 @@
     root * root
 }
 
-/// When this entry sent requests to an upstream of late.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct SentLately(VecDeque<Time>);
-
-impl SentLately {
-    fn count(&self, now: Time) -> usize {
-        self.0.iter().filter(|at| now.since(**at) < WINDOW).count()
-    }
-
-    fn note(&mut self, now: Time) {
-        while self.0.front().is_some_and(|at| now.since(*at) >= WINDOW) {
-            self.0.pop_front();
-        }
-        self.0.push_back(now);
-    }
-}
-
 impl Pool {
     /// Keeps to these limits of cold upstreams as the entry of that name.
     pub fn set_cold_limits(&mut self, entry: &Name, limits: ColdLimits) {
         self.cold = ColdShare {
             entry: entry.clone(),
-            entries: ENTRIES_AT_START,
             limits: Some(limits),
         };
     }
 
-    /// Sets the entries that may send to a cold upstream, this one included.
-    ///
-    /// Those that were lost a short while ago count: they may only be cut off.
-    pub const fn set_entries(&mut self, entries: usize) {
-        self.cold.entries = entries;
-    }
-
     /// Sets the requests a second that a cold upstream of a service bears; none where it bears any.
     pub fn set_cold_rate(&mut self, service: &Name, per_second: Option<f64>) {
         match per_second {
@@ -139,15 +105,10 @@
         }
         let rate = self.cold_rate_of.get(&u.record.service);
         rate.is_some_and(|rate| {
-            u.sent_lately.count(now) >= self.cold.most(&u.record.instance, *rate)
+            let most = self
+                .cold
+                .most(self.fleet.entries(), &u.record.instance, *rate);
+            u.sent_lately.count(now, COLD_SPAN) >= most
         })
     }
-
-    /// Notes that a request is about to be sent to an upstream.
-    pub fn note_sending(&mut self, now: Time, ix: UpstreamIx) {
-        let u = &mut self.upstreams[ix.0];
-        if self.cold_rate_of.contains_key(&u.record.service) {
-            u.sent_lately.note(now);
-        }
-    }
 }
--- /dev/null
+++ b/fireflycroft/src/fleet_view.rs
@@ -0,0 +1,69 @@
+//! The entries of the fleet as one of them knows them, and its part of what all may do together.
+//!
+//! Entries rank each other by rendezvous hashing ([`crate::owners_of`]), so
+//! those that know the same others divide a whole number without agreement and
+//! without a remainder: the first in rank get one more. Entries that were lost a
+//! short while ago count, since they may only be cut off.
+
+use crate::owners::OwnedKey;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+/// Entries that one which has just started takes the fleet to have at least: it has heard of few, and
+/// the others of a fleet that starts as a whole have too.
+pub const ENTRIES_AT_START: usize = 512;
+
+/// Time after its start in which an entry hears of nearly all others.
+pub const ALL_HEARD_AFTER: Duration = Duration::from_secs(2);
+
+/// The entries that an entry knows, by hearsay too.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetView {
+    me: Ipv4Addr,
+    others: Vec<Ipv4Addr>,
+    /// Entries that are taken to be there without having been heard of.
+    unheard: usize,
+}
+
+impl FleetView {
+    /// The fleet of this entry and `others`.
+    #[must_use]
+    pub fn new(me: Ipv4Addr, others: impl IntoIterator<Item = Ipv4Addr>) -> Self {
+        Self {
+            me,
+            others: others.into_iter().collect(),
+            unheard: 0,
+        }
+    }
+
+    /// The same fleet, taken to have at least so many entries.
+    #[must_use]
+    pub fn at_least(mut self, entries: usize) -> Self {
+        self.unheard = entries.saturating_sub(1 + self.others.len());
+        self
+    }
+
+    /// Number of entries, this one included.
+    #[must_use]
+    pub const fn entries(&self) -> usize {
+        1 + self.others.len() + self.unheard
+    }
+
+    /// This entry's part of `whole`; those that weren't heard of are taken to rank before it.
+    pub(crate) fn part(&self, key: OwnedKey, whole: usize) -> usize {
+        let each = whole / self.entries();
+        let left = whole % self.entries();
+        if left <= self.unheard {
+            return each;
+        }
+        let before = self.others.iter();
+        let before = before.filter(|ip| key.rank(**ip) > key.rank(self.me));
+        each + usize::from(before.count() + self.unheard < left)
+    }
+}
+
+impl Default for FleetView {
+    fn default() -> Self {
+        Self::new(Ipv4Addr::UNSPECIFIED, [])
+    }
+}
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -8,13 +8,13 @@
 //! newer start ends the old life, which gets no successor in its place but one
 //! beside it, so that whatever still refers to the old life finds it ended.
 
-use crate::cold::SentLately;
 use crate::ids::{Digest, Name};
 use crate::pace::SeenPace;
 use crate::placed::Placed;
 use crate::pool::Pool;
 use crate::rate_limit::KnownRate;
 use crate::revision::era_of;
+use crate::sent_lately::SentLately;
 use crate::time::Time;
 use crate::upstream::{Upstream, UpstreamIx, UpstreamRecord, UpstreamState};
 use std::collections::{HashMap, HashSet};
--- a/fireflycroft/src/owners.rs
+++ b/fireflycroft/src/owners.rs
@@ -48,7 +48,7 @@
 
     /// Rank of an entry for this key, by the finaliser of the `SplitMix64` generator; the highest
     /// go first.
-    const fn rank(self, entry: Ipv4Addr) -> u64 {
+    pub(crate) const fn rank(self, entry: Ipv4Addr) -> u64 {
         let mut z = self.0 ^ (entry.to_bits() as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -5,15 +5,17 @@
 //! memory, prompt and expected answer, since it is memory that engines run out
 //! of. A generation goes where the least of the memory is spoken for.
 
-use crate::cold::ColdShare;
+use crate::cold::{COLD_SPAN, ColdShare};
 use crate::contact::StoreContact;
 use crate::evacuation::Evacuations;
+use crate::fleet_view::FleetView;
 use crate::ids::Name;
 use crate::listing::ListChange;
 use crate::loads::FEW_REPLIES;
 use crate::mechanism::Policy;
 use crate::pace::Pace;
 use crate::placed::{Need, Placed};
+use crate::rate_limit::LONGEST_RATE_SPAN;
 use crate::region::Regions;
 use crate::time::Time;
 use crate::upstream::{
@@ -47,6 +49,7 @@
     pub(crate) told_by: HashMap<Name, HashSet<usize>>,
     pub(crate) policy: Policy,
     pub(crate) regions: Regions,
+    pub(crate) fleet: FleetView,
     pub(crate) cold: ColdShare,
     /// Requests a second that a cold upstream bears, by service.
     pub(crate) cold_rate_of: HashMap<Name, f64>,
@@ -129,6 +132,21 @@
         self.upstreams[ix.0].is_serving()
     }
 
+    /// Shares what the fleet may send among these entries.
+    pub fn set_fleet(&mut self, fleet: FleetView) {
+        self.fleet = fleet;
+    }
+
+    /// Notes that a request is about to be sent to an upstream.
+    pub fn note_sending(&mut self, now: Time, ix: UpstreamIx) {
+        let u = &mut self.upstreams[ix.0];
+        if u.rate.is_known() {
+            u.sent_lately.note(now, LONGEST_RATE_SPAN);
+        } else if self.cold_rate_of.contains_key(&u.record.service) {
+            u.sent_lately.note(now, COLD_SPAN);
+        }
+    }
+
     /// Sets the time for which an upstream that leaves may get requests.
     pub const fn set_drain_timeout(&mut self, timeout: Duration) {
         self.drain_timeout = timeout;
@@ -341,11 +359,16 @@
         let takes = move |i: &usize| {
             let u = &self.upstreams[*i];
             let is_home = self.is_home(homes, &u.record.data_centre);
-            is_home && !self.has_cold_share_spent(now, u) && !tried.contains(&UpstreamIx(*i))
+            is_home && !self.has_share_spent(now, u) && !tried.contains(&UpstreamIx(*i))
         };
         self.serving(service).filter(takes)
     }
 
+    /// Whether this entry has sent an upstream all that it may for now.
+    fn has_share_spent(&self, now: Time, u: &Upstream) -> bool {
+        self.has_cold_share_spent(now, u) || self.has_rate_share_spent(now, u)
+    }
+
     /// The `most` of `open` that would cost least.
     pub(crate) fn cheapest(
         &self,
@@ -365,7 +388,7 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
-    fn serving(&self, service: &str) -> impl Iterator<Item = usize> {
+    pub(crate) fn serving(&self, service: &str) -> impl Iterator<Item = usize> {
         let of_service = self.of_service(service).iter().copied();
         of_service.filter(|i| {
             let u = &self.upstreams[*i];
--- a/fireflycroft/src/rate_limit.rs
+++ b/fireflycroft/src/rate_limit.rs
@@ -4,7 +4,16 @@
 //! name it. Answers overtake each other, and an entry that stood still reads old
 //! ones late, so each word counts from a moment: a rate from when it was heard,
 //! its absence from when the request that was answered had been sent.
-
+//!
+//! Nobody is asked for leave: the requests of a span are divided among the
+//! entries ([`FleetView`]), and each keeps to its part. The owners of the upstream
+//! come first, so that a rate too low for all still has entries that hear of its
+//! end.
+
+use crate::fleet_view::FleetView;
+use crate::ids::Name;
+use crate::owners::OwnedKey;
+use crate::placed::Need;
 use crate::pool::Pool;
 use crate::time::Time;
 use crate::upstream::{Life, Upstream, UpstreamIx};
@@ -51,6 +60,40 @@
     }
 }
 
+/// Span in which requests to a limited upstream are counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Requests of the fleet that every rate has room for, in a longer span if need be: their answers tell
+/// when it has been lifted.
+const LEAST: f64 = 2.0;
+
+/// Longest span, for rates of next to nothing.
+pub(crate) const LONGEST_RATE_SPAN: Duration = Duration::from_secs(20);
+
+/// Requests of the whole fleet to one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Allowance {
+    requests: usize,
+    span: Duration,
+}
+
+impl Allowance {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn of(limit: RateLimit) -> Self {
+        let span = SPAN.as_secs_f64().max(LEAST / limit.per_second());
+        let span = span.min(LONGEST_RATE_SPAN.as_secs_f64());
+        Self {
+            requests: (limit.per_second() * span).max(LEAST) as usize,
+            span: Duration::from_secs_f64(span),
+        }
+    }
+
+    /// Requests of one entry in the span.
+    fn share(&self, fleet: &FleetView, upstream: &Name) -> usize {
+        fleet.part(OwnedKey::of_upstream(upstream), self.requests)
+    }
+}
+
 /// The rate of an upstream, as entries tell it each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ToldRate {
@@ -132,6 +175,36 @@
         told.collect()
     }
 
+    /// Whether an upstream names a rate and has had this entry's share of requests for now.
+    #[must_use]
+    pub fn is_rate_share_spent(&self, now: Time, ix: UpstreamIx) -> bool {
+        self.has_rate_share_spent(now, &self.upstreams[ix.0])
+    }
+
+    pub(crate) fn has_rate_share_spent(&self, now: Time, u: &Upstream) -> bool {
+        self.until_rate_share(now, u)
+            .is_some_and(|wait| wait > Duration::ZERO)
+    }
+
+    /// Time until a limited upstream may get a request of this entry: zero now, and a whole span where
+    /// this entry has no share.
+    fn until_rate_share(&self, now: Time, u: &Upstream) -> Option<Duration> {
+        let allowance = Allowance::of(u.rate.limit?);
+        let share = allowance.share(&self.fleet, &u.record.instance);
+        let wait = u.sent_lately.until_fewer(now, share, allowance.span);
+        Some(wait.unwrap_or(allowance.span))
+    }
+
+    /// Time until a limited upstream that could serve `need` gets a request of this entry again; none
+    /// where none has had its share.
+    #[must_use]
+    pub fn until_any_rate_share(&self, now: Time, service: &str, need: &Need) -> Option<Duration> {
+        let open = self.serving(service).map(|i| &self.upstreams[i]);
+        let open = open.filter(|u| self.is_home(need.homes, &u.record.data_centre));
+        let waits = open.filter_map(|u| self.until_rate_share(now, u));
+        waits.filter(|wait| !wait.is_zero()).min()
+    }
+
     /// The rate that an upstream names.
     #[must_use]
     pub fn rate_limit(&self, ix: UpstreamIx) -> Option<RateLimit> {
@@ -156,6 +229,11 @@
         Some(RateChange { was, is: limit })
     }
 
+    /// Whether the upstream has ever named one.
+    pub(crate) const fn is_known(&self) -> bool {
+        self.as_of.is_some()
+    }
+
     /// Whether other entries may not have heard of it.
     fn is_news(&self, now: Time) -> bool {
         let is_lifted_of_late =
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -1,6 +1,5 @@
 //! One upstream as a direct entry sees it, and what one more request there costs.
 
-use crate::cold::SentLately;
 use crate::ids::{Incarnation, Name};
 use crate::loads::Replied;
 use crate::mechanism::{Mechanism, Policy};
@@ -9,6 +8,7 @@
 use crate::placed::{Need, Placed, PlacedAt};
 use crate::rate_limit::KnownRate;
 use crate::room::SHORT_TOKENS;
+use crate::sent_lately::SentLately;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
--- a/fireflycroft/tests/rate_limit.rs
+++ b/fireflycroft/tests/rate_limit.rs
@@ -7,8 +7,11 @@
 #[path = "support/pools.rs"]
 mod pools;
 
-use fireflycroft::{Incarnation, Life, Name, Pool, RateChange, RateLimit, ToldRate};
-use pools::{at, ix, pool};
+use fireflycroft::{FleetView, Incarnation, Life, Name, Pool, RateChange, RateLimit, ToldRate};
+use pools::{at, chosen, ix, need, pool};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 cases! {
@@ -19,6 +22,15 @@
     rate_of_another_life_counts_for_nothing => other_life();
     lifted_rate_is_told_for_a_while => lifted_is_told();
     many_rates_take_turns => rates_take_turns();
+    share_of_a_rate_is_spent_and_comes_back => share_is_spent();
+    choice_leaves_out_an_upstream_whose_share_is_spent => choice_goes_elsewhere();
+    upstream_without_a_rate_gets_any_number => no_rate();
+    entry_that_has_just_started_has_no_share => starting_entry();
+    wait_for_a_share_ends_when_the_oldest_request_leaves_the_span => wait_ends();
+    fleet_uses_the_whole_rate => whole_rate_is_used();
+    rate_too_low_for_all_leaves_two_entries_that_hear_of_its_end => low_rate_is_probed();
+    rate_of_nothing_is_probed_seldom => zero_rate_is_probed();
+    fleet_of_hundreds_keeps_a_low_rate_at_once => first_burst_is_bounded();
     answer_to_a_request_sent_before_the_limit_does_not_lift_it => old_answer_lifts_nothing();
 }
 
@@ -141,3 +153,157 @@
     assert_eq!(answer(&mut pool, 90, 5_000, None), None);
     assert_eq!(pool.rate_limit(ix(&pool, "a")), rate(2.5));
 }
+
+/// Addresses of a fleet of so many entries.
+fn addrs(entries: usize) -> Vec<Ipv4Addr> {
+    let last = u32::try_from(entries).unwrap();
+    (1..=last)
+        .map(|i| Ipv4Addr::from_bits(0x0a01_0000 + i))
+        .collect()
+}
+
+/// A pool of each entry of such a fleet, all of which know that `a` names a rate.
+fn fleet(entries: usize, per_second: f64) -> Vec<Pool> {
+    let all = addrs(entries);
+    let of_entry = |me: &Ipv4Addr| {
+        let mut pool = pool(&["a"]);
+        let others = all.iter().copied().filter(|ip| ip != me);
+        pool.set_fleet(FleetView::new(*me, others));
+        answer(&mut pool, 0, 1, rate(per_second));
+        pool
+    };
+    all.iter().map(of_entry).collect()
+}
+
+/// Sends at once all that an entry may send.
+fn send_all(pool: &mut Pool, millis: u64) -> usize {
+    let a = ix(pool, "a");
+    let mut sent = 0;
+    while sent < 10_000 && !pool.is_rate_share_spent(at(millis), a) {
+        pool.note_sending(at(millis), a);
+        sent += 1;
+    }
+    sent
+}
+
+fn share_is_spent() {
+    let mut fleet = fleet(1, 2.5);
+    assert_eq!(send_all(&mut fleet[0], 10), 10);
+    assert_eq!(send_all(&mut fleet[0], 4_009), 0);
+    assert_eq!(send_all(&mut fleet[0], 4_010), 10);
+}
+
+fn choice_goes_elsewhere() {
+    let mut pool = pool(&["a", "b"]);
+    pool.set_memory(&Name::from("models"), Some(10_000));
+    let b = ix(&pool, "b");
+    pool.place(at(0), b, &need(9_000));
+    answer(&mut pool, 0, 1, rate(1.0));
+    assert_eq!(chosen(&pool, at(2), &need(100)), "a");
+    send_all(&mut pool, 2);
+    assert_eq!(chosen(&pool, at(3), &need(100)), "b");
+}
+
+fn no_rate() {
+    let mut pool = pool(&["a"]);
+    assert_eq!(send_all(&mut pool, 0), 10_000);
+    answer(&mut pool, 0, 1, rate(1.0));
+    send_all(&mut pool, 2);
+    answer(&mut pool, 3, 4, None);
+    assert_eq!(send_all(&mut pool, 5), 10_000);
+}
+
+fn starting_entry() {
+    let mut pool = pool(&["a"]);
+    let others = addrs(5);
+    pool.set_fleet(FleetView::new(Ipv4Addr::new(10, 9, 9, 9), others).at_least(512));
+    answer(&mut pool, 0, 1, rate(20.0));
+    assert_eq!(send_all(&mut pool, 2), 0);
+}
+
+fn wait_ends() {
+    let mut fleet = fleet(1, 0.5);
+    let wait = |pool: &Pool, now| pool.until_any_rate_share(at(now), "models", &need(1));
+    assert_eq!(wait(&fleet[0], 9), None);
+    let a = ix(&fleet[0], "a");
+    fleet[0].note_sending(at(10), a);
+    assert_eq!(wait(&fleet[0], 10), None);
+    fleet[0].note_sending(at(500), a);
+    assert_eq!(wait(&fleet[0], 1_000), Some(Duration::from_millis(3_010)));
+    assert_eq!(wait(&fleet[0], 4_010), None);
+}
+
+/// Requests of a fleet whose entries have more callers than they may send on.
+fn sent_in(entries: usize, per_second: f64, millis: u64) -> usize {
+    let mut fleet = fleet(entries, per_second);
+    let times = (10..millis).step_by(50);
+    let at_once = |now| {
+        fleet
+            .iter_mut()
+            .map(|pool| send_all(pool, now))
+            .sum::<usize>()
+    };
+    times.map(at_once).sum()
+}
+
+fn whole_rate_is_used() {
+    for entries in [1, 5, 23, 350] {
+        for per_second in [1.25, 2.5, 100.0] {
+            let sent = sent_in(entries, per_second, 12_000);
+            let named = per_second * 12.0;
+            let share = f64::from(u32::try_from(sent).unwrap()) / named;
+            assert!(
+                (0.98..=1.02).contains(&share),
+                "{entries} at {per_second}: {share}"
+            );
+        }
+    }
+}
+
+fn low_rate_is_probed() {
+    for entries in [2, 5, 68, 350] {
+        let mut fleet = fleet(entries, 0.2);
+        let able = fleet.iter_mut().map(|pool| send_all(pool, 10));
+        let able: Vec<usize> = able.filter(|sent| *sent > 0).collect();
+        assert_eq!(able, [1, 1], "{entries}");
+    }
+}
+
+fn zero_rate_is_probed() {
+    assert_eq!(sent_in(5, 0.0, 60_000), 6);
+}
+
+fn first_burst_is_bounded() {
+    let mut fleet = fleet(350, 1.2);
+    let sent: usize = fleet.iter_mut().map(|pool| send_all(pool, 10)).sum();
+    assert_eq!(sent, 4);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(71), cases: 24, ..ProptestConfig::default()
+    })]
+
+    /// Whenever entries send, and as much as each may, no span has more than the users' bound.
+    #[test]
+    fn no_span_has_more_than_the_bound(
+        entries in prop::sample::select(vec![1_usize, 5, 23, 68, 350]),
+        per_second in 0.0_f64..20.0,
+        starts in prop::collection::vec(10_u64..4_000, 350),
+    ) {
+        let mut sent: Vec<u64> = Vec::new();
+        for (pool, start) in fleet(entries, per_second).iter_mut().zip(&starts) {
+            for millis in (*start..13_000).step_by(190) {
+                let count = send_all(pool, millis);
+                sent.extend(std::iter::repeat_n(millis, count));
+            }
+        }
+        sent.sort_unstable();
+        let bound = per_second * 4.0 * 1.5 + 5.0;
+        for (i, from) in sent.iter().enumerate() {
+            let within = sent[i..].iter().take_while(|t| **t < from + 4_000).count();
+            let within = f64::from(u32::try_from(within).unwrap());
+            prop_assert!(within <= bound, "{} within 4 s, {} allowed", within, bound);
+        }
+    }
+}
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -12,7 +12,9 @@
     WORTH_SAVING_TOKENS, is_room, pick_backup, room_after,
 };
 use hyper::http::response::Parts;
+use rand::RngExt;
 use std::cell::RefCell;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// When to come back after upstreams were too full: about the time in which some of them end a
@@ -22,6 +24,10 @@
 /// When to come back while no upstream is known: about the time between two looks at the list.
 const NONE_RETRY: Duration = Duration::from_millis(800);
 
+/// Bounds on when to come back after upstreams had all that their rates allow this entry: others
+/// have shares of their own.
+const RATE_RETRY: RangeInclusive<Duration> = Duration::from_millis(200)..=Duration::from_secs(1);
+
 /// Time for which an upstream that couldn't be reached is left out.
 const AVOID_UNREACHABLE: Duration = Duration::from_millis(1_500);
 
@@ -89,7 +95,7 @@
     let mut failure = None;
     loop {
         let Some(ix) = job.pick(&need, &asked).await else {
-            return nobody(job, tries);
+            return nobody(job, &need, tries);
         };
         if let Some(wait) = no_room(job, ix, &need).await {
             return refuse_for_room(job, ix, tries, wait);
@@ -115,6 +121,13 @@
     }
 }
 
+/// When to come back where this entry has a share of a rate after `wait`, spread so that callers who
+/// were refused together don't return together.
+fn rate_back_after(wait: Duration) -> Duration {
+    let latest = wait.clamp(*RATE_RETRY.start(), *RATE_RETRY.end());
+    latest.mul_f64(rand::rng().random_range(0.5..=1.0))
+}
+
 /// When to come back with a generation for which the best engine has no room.
 ///
 /// A caller who was refused before is let in sooner than one who comes first. That is asked only
@@ -167,12 +180,19 @@
     }
 }
 
-fn nobody(job: &Job, tries: &RefCell<Tries>) -> Reply {
-    log::warn!(event = "no_upstream", req = &*job.request_id, service = &*job.service; "");
+fn nobody(job: &Job, need: &Need, tries: &RefCell<Tries>) -> Reply {
+    let limited_for = job.until_rate_share(need);
+    log::warn!(
+        event = "no_upstream", req = &*job.request_id, service = &*job.service,
+        limited_ms = or_empty(limited_for.map(|wait| wait.as_millis()));
+        ""
+    );
     if tries.borrow().may_have_run() {
-        Reply::Own(Code::OutcomeUnknown, None)
-    } else {
-        Reply::Own(Code::NoUpstream, Some(NONE_RETRY))
+        return Reply::Own(Code::OutcomeUnknown, None);
+    }
+    match limited_for {
+        Some(wait) => Reply::Own(Code::Overloaded, Some(rate_back_after(wait))),
+        None => Reply::Own(Code::NoUpstream, Some(NONE_RETRY)),
     }
 }
 
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -138,6 +138,9 @@
     if pool.is_cold_share_spent(job.now(), ix) {
         return Err(Unanswered::Withheld("it is cold".to_owned()));
     }
+    if pool.is_rate_share_spent(job.now(), ix) {
+        return Err(Unanswered::Withheld("its rate limit is spent".to_owned()));
+    }
     pool.note_sending(job.now(), ix);
     Ok(())
 }
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -123,7 +123,8 @@
         budget.take(self.now(), &self.service, entries)
     }
 
-    /// An upstream that isn't in `tried`; waits a little while there is none at all.
+    /// An upstream that isn't in `tried`; waits a little while there is none at all, unless the rates
+    /// of all are known to be spent for longer.
     pub async fn pick(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
         let until = self.arrival + self.route.objective / HOLD_SHARE;
         loads::ask(&self.node, &self.service, need, tried).await;
@@ -132,11 +133,28 @@
                 return Some(ix);
             }
             let changed = self.node.changed.notified();
-            let until = self.node.clock.instant(until);
-            tokio::time::timeout_at(until, changed).await.ok()?;
+            let wake_at = match self.until_rate_share(need) {
+                Some(wait) => self.now() + wait,
+                None if self.now() < until => until,
+                None => return None,
+            };
+            if wake_at > until {
+                return None;
+            }
+            let wake_at = self.node.clock.instant(wake_at);
+            // Whatever woke it, the next look tells.
+            let _ = tokio::time::timeout_at(wake_at, changed).await;
         }
     }
 
+    /// Time until this entry has a share of the rate of a limited upstream; none where there is none
+    /// whose share is spent.
+    #[must_use]
+    pub fn until_rate_share(&self, need: &Need) -> Option<Duration> {
+        let pool = self.node.pool.borrow();
+        pool.until_any_rate_share(self.now(), &self.service, need)
+    }
+
     fn pick_now(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
         let pool = self.node.pool.borrow();
         let now = self.now();
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -10,9 +10,9 @@
 use crate::questions::Questions;
 use crate::runs::Runs;
 use fireflycroft::{
-    ALL_HEARD_AFTER, Catalog, Digest, ENTRIES_AT_START, Evacuations, LengthGuess, Life, Need,
-    Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, Regions, RepeatBudget, Returns,
-    SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
+    ALL_HEARD_AFTER, Catalog, Digest, ENTRIES_AT_START, Evacuations, FleetView, LengthGuess, Life,
+    Need, Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, Regions, RepeatBudget,
+    Returns, SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -133,6 +133,7 @@
         if let Some(heartbeat) = place.heartbeat {
             pool.set_heartbeat(heartbeat);
         }
+        pool.set_fleet(FleetView::default().at_least(ENTRIES_AT_START));
         if let Some(limits) = place.bounds.cold {
             pool.set_cold_limits(&place.vm, limits);
         }
@@ -307,14 +308,13 @@
         1 + self.peers.borrow().count(self.now())
     }
 
-    /// Counts the entries that may send to a cold upstream.
-    pub fn count_entries(&self) {
-        let now = self.now();
-        let mut entries = 1 + self.peers.borrow().known();
-        if now.since(Time::default()) < ALL_HEARD_AFTER {
-            entries = entries.max(ENTRIES_AT_START);
+    /// Tells the pool who the entries are.
+    pub fn review_fleet(&self) {
+        let mut fleet = FleetView::new(self.place.ip, self.peers.borrow().addrs());
+        if self.now().since(Time::default()) < ALL_HEARD_AFTER {
+            fleet = fleet.at_least(ENTRIES_AT_START);
         }
-        self.pool.borrow_mut().set_entries(entries);
+        self.pool.borrow_mut().set_fleet(fleet);
     }
 
     /// Takes a published configuration unless it is not newer than the one in force.
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -182,6 +182,11 @@
         self.known.len()
     }
 
+    /// Addresses of the same.
+    pub(crate) fn addrs(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.known.keys().copied()
+    }
+
     /// The entries that hold what is known of `key`, this one perhaps among them.
     pub(crate) fn owners(&self, now: Time, key: OwnedKey) -> impl Iterator<Item = Ipv4Addr> {
         let others = self.known.iter().filter(move |(_, k)| k.stays(now));
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -20,7 +20,7 @@
             () = tokio::time::sleep_until(node.clock.instant(tell_at)) => Reason::Due,
         };
         decide_duty(&node);
-        node.count_entries();
+        node.review_fleet();
         let pace = node.peers.borrow().pace(is_relied_on(&node));
         tell_at = node.now() + pace;
         tell(&node, reason).await;
