Log what upstreams' answers say of their leaving

Cause: after the incident nobody could tell whether an answer had told an entry that its upstream leaves, and when; it was relayed and forgotten. No decision goes by it.

--- a/fireflycroft/src/ask.rs
+++ b/fireflycroft/src/ask.rs
@@ -92,6 +92,8 @@
     pub closes: bool,
     /// How long the connection may be idle.
     pub keep_alive: Option<Duration>,
+    /// Whether the upstream leaves.
+    pub leaving: bool,
     /// Rate that the upstream takes, while it is in need.
     pub rate_limit: Option<RateLimit>,
 }
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -77,6 +77,7 @@
 mod ids;
 mod inventory;
 mod lease;
+mod leaving;
 mod length;
 mod listing;
 mod loads;
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -219,6 +219,7 @@
             gone: false,
             ended: false,
             left_at: leaving.then_some(now),
+            said_leaving_at: None,
             missing: None,
             mine: Placed::default(),
             others: HashMap::new(),
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -85,6 +85,8 @@
     /// Whether a later life has taken its id: all that it ran or held is lost.
     pub(crate) ended: bool,
     pub(crate) left_at: Option<Time>,
+    /// When an answer first said that it leaves.
+    pub(crate) said_leaving_at: Option<Time>,
     pub(crate) missing: Option<Missing>,
     pub(crate) mine: Placed,
     /// What other entries have told this one as an owner.
--- a/fireflydirect/src/conditions.rs
+++ b/fireflydirect/src/conditions.rs
@@ -11,6 +11,9 @@
         return;
     }
     let node = &job.node;
+    if head.leaving && node.pool.borrow_mut().note_said_leaving(node.now(), ix) {
+        say_leaving(node, ix);
+    }
     let change = node
         .pool
         .borrow_mut()
@@ -31,6 +34,17 @@
     }
 }
 
+fn say_leaving(node: &Node, ix: UpstreamIx) {
+    let pool = node.pool.borrow();
+    let record = pool.record(ix);
+    log::info!(
+        event = "leaving_answered", instance = &*record.instance, service = &*record.service,
+        listed_as = format!("{:?}", record.state), revision = record.revision,
+        store_answers = node.store_answers.get(), contact_ms = or_empty(node.contact_ms());
+        ""
+    );
+}
+
 fn say_rate_changed(node: &Node, ix: UpstreamIx, change: RateChange, source: &str) {
     let pool = node.pool.borrow();
     let record = pool.record(ix);
