Show that an upstream whose answers say that it leaves goes on getting requests

What callers' upstreams saw: with the store silent, all of 60 calls that came over two seconds after such an answer reached the upstream. Cause: leaving is known from the store's list alone. Ruled out: a busy store or a restart, since there is neither.

--- /dev/null
+++ b/fireflydirect/tests/processes_leaving.rs
@@ -0,0 +1,53 @@
+//! Real entries before upstreams that say in their answers that they leave.
+
+mod support;
+
+use standins::site::StoreMode;
+use std::time::{Duration, Instant};
+use support::{Site, cases, until};
+
+/// Header in which an upstream says that it leaves.
+const LEAVING: &str = "Server-Leaving";
+
+/// Time after which an upstream that leaves gets nothing more: the users' bound.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Calls an entry until an upstream has answered one.
+async fn call_until_run_by(site: &Site, entry: usize, instance: &str) {
+    until("a run of the upstream", || async {
+        let id = site.id();
+        site.call(entry, "GET", "/fetch/a", &id)
+            .send()
+            .await
+            .unwrap();
+        site.record
+            .runs_of(&id)
+            .iter()
+            .any(|run| run.instance == instance)
+    })
+    .await;
+}
+
+/// Runs of an upstream that began after `from`.
+fn runs_after(site: &Site, instance: &str, from: Instant) -> usize {
+    let runs = site.record.runs();
+    let late = runs
+        .iter()
+        .filter(|r| r.instance == instance && r.began > from);
+    late.count()
+}
+
+cases! {
+    upstream_whose_answers_say_that_it_leaves_gets_nothing_more_in_an_outage(site: 1) {
+        site.store.set_mode(StoreMode::Silent);
+        site.plains[0].say(LEAVING, Some("1"));
+        call_until_run_by(&site, 0, "p-0").await;
+        tokio::time::sleep(DRAIN_TIMEOUT).await;
+        let bound = Instant::now();
+        for _ in 0..60 {
+            let call = site.call(0, "GET", "/fetch/a", &site.id());
+            assert_eq!(call.send().await.unwrap().status(), 200);
+        }
+        assert_eq!(runs_after(&site, "p-0", bound), 0);
+    }
+}
