Keep what an answer says of requests to come in a type of its own

Change: Conditions holds what an upstream says of the requests to come; AnswerHead has it beside what it says of the request. Conclusion: form only.

--- a/fireflycroft/src/ask.rs
+++ b/fireflycroft/src/ask.rs
@@ -79,6 +79,15 @@
     WrongInstance,
 }
 
+/// What an upstream says in an answer of the requests to come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Conditions {
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Rate that it takes, while it is in need.
+    pub rate_limit: Option<RateLimit>,
+}
+
 /// What the head of an upstream's answer says of the request, and of the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -92,8 +101,6 @@
     pub closes: bool,
     /// How long the connection may be idle.
     pub keep_alive: Option<Duration>,
-    /// Whether the upstream leaves.
-    pub leaving: bool,
-    /// Rate that the upstream takes, while it is in need.
-    pub rate_limit: Option<RateLimit>,
+    /// What the upstream says of requests to come.
+    pub conditions: Conditions,
 }
--- a/fireflydirect/src/conditions.rs
+++ b/fireflydirect/src/conditions.rs
@@ -11,13 +11,13 @@
         return;
     }
     let node = &job.node;
-    if head.leaving && node.pool.borrow_mut().note_said_leaving(node.now(), ix) {
+    if head.conditions.leaving && node.pool.borrow_mut().note_said_leaving(node.now(), ix) {
         say_leaving(node, ix);
     }
-    let change = node
-        .pool
-        .borrow_mut()
-        .note_rate_limit(node.now(), ix, sent, head.rate_limit);
+    let change =
+        node.pool
+            .borrow_mut()
+            .note_rate_limit(node.now(), ix, sent, head.conditions.rate_limit);
     if let Some(change) = change {
         say_rate_changed(node, ix, change, "answer");
         node.urgent.notify_one();
