Send nothing new to upstreams whose answers say that they leave

What callers' upstreams saw: with the store away, one that had said in an answer that it leaves was sent requests for 13 s more, the first beyond the bound after 2,038 ms. Cause: the notice was taken from the store's list alone, whose write was acknowledged 12.7 s later. Class: a belief with one source, where others carry the same word. Change: the first word holds, the list's or the upstream's own, for the rest of that life; a record of before that comes late doesn't undo it, and a later record of the leaving doesn't extend the time for requests chosen before. Its runs are saved as after a notice in the list. Entries tell each other, four at a time, as long as the list doesn't say the same. Why it works: whoever the rule binds has the word itself, before it relays the answer. Looked for elsewhere: answers to moves and reports may carry the word too; both are asked only of upstreams that are known to leave. Ruled out: telling all entries at once, which costs the square of a large fleet when a busy upstream leaves. Conclusion: mended.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -3,6 +3,7 @@
 use crate::error::WireError;
 use crate::field::{addr_bytes, id_bytes, read_addr, read_all, read_digest, read_name};
 use crate::generated as pb;
+use crate::owner_news::{life, read_life};
 use fireflycroft::{
     CrashCount, EntryNews, Evacuations, Incarnation, Life, ListChange, RateLimit, RepeatCount,
     ToldRate, UpstreamRecord, UpstreamState,
@@ -29,6 +30,7 @@
         leaving: news.leaving,
         evacuations: Some(evacuations(&news.evacuations)),
         rate_limits: news.rate_limits.iter().map(told_rate).collect(),
+        said_leaving: news.said_leaving.iter().map(life).collect(),
     }
 }
 
@@ -57,6 +59,7 @@
             .transpose()?
             .unwrap_or_default(),
         rate_limits: read_all(&news.rate_limits, read_told_rate)?,
+        said_leaving: read_all(&news.said_leaving, read_life)?,
     })
 }
 
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -607,6 +607,9 @@
     pub data_centre: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "20")]
     pub rate_limits: ::prost::alloc::vec::Vec<ToldRate>,
+    /// Upstreams that said in their answers that they leave, and that the list has as serving.
+    #[prost(message, repeated, tag = "21")]
+    pub said_leaving: ::prost::alloc::vec::Vec<Life>,
 }
 /// The requests a second that an upstream takes from all entries together.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/src/owner_news.rs
+++ b/fireflycroft-wire/src/owner_news.rs
@@ -133,14 +133,14 @@
     })
 }
 
-fn life(life: &Life) -> pb::Life {
+pub(crate) fn life(life: &Life) -> pb::Life {
     pb::Life {
         instance: life.instance.to_string(),
         incarnation: life.incarnation.0,
     }
 }
 
-fn read_life(life: &pb::Life) -> Result<Life, WireError> {
+pub(crate) fn read_life(life: &pb::Life) -> Result<Life, WireError> {
     Ok(Life {
         instance: read_name(&life.instance, "life.instance")?,
         incarnation: Incarnation(life.incarnation),
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -168,6 +168,7 @@
             requests: 40,
             repeats: 2,
         }],
+        said_leaving: vec![life()],
         rate_limits: vec![
             ToldRate {
                 life: life(),
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -5,6 +5,7 @@
 use crate::listing::ListChange;
 use crate::rate_limit::ToldRate;
 use crate::repeat::RepeatCount;
+use crate::upstream::Life;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     pub peers: Vec<Ipv4Addr>,
     /// Data centres that are evacuated.
     pub evacuations: Evacuations,
+    /// Upstreams that said in their answers that they leave, and that the list has as serving.
+    pub said_leaving: Vec<Life>,
     /// Rates that upstreams name, or named until a short while ago.
     pub rate_limits: Vec<ToldRate>,
     /// Whether the sender is stopping.
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -9,6 +9,7 @@
 //! beside it, so that whatever still refers to the old life finds it ended.
 
 use crate::ids::{Digest, Name};
+use crate::leaving::SaidLeaving;
 use crate::pace::SeenPace;
 use crate::placed::Placed;
 use crate::pool::Pool;
@@ -108,7 +109,7 @@
         }
         // One that was written before the list lacked it says nothing of now.
         let was_missing = u.missing.take_if(|m| m.revision < record.revision);
-        let was_serving = !u.gone && u.record.state == UpstreamState::Serving;
+        let was_serving = u.is_serving();
         u.gone = false;
         u.cold_until = now + record.cold_for;
         u.record = record;
@@ -117,7 +118,7 @@
                 u.left_at = Some(now);
                 Some(PoolChange::Leaves(ix))
             }
-            (false, UpstreamState::Serving) => {
+            (false, UpstreamState::Serving) if u.is_serving() => {
                 u.left_at = None;
                 Some(PoolChange::Came(ix))
             }
@@ -219,7 +220,7 @@
             gone: false,
             ended: false,
             left_at: leaving.then_some(now),
-            said_leaving_at: None,
+            said_leaving: SaidLeaving::default(),
             missing: None,
             mine: Placed::default(),
             others: HashMap::new(),
--- a/fireflycroft/src/rate_limit.rs
+++ b/fireflycroft/src/rate_limit.rs
@@ -16,7 +16,7 @@
 use crate::placed::Need;
 use crate::pool::Pool;
 use crate::time::Time;
-use crate::upstream::{Life, Upstream, UpstreamIx};
+use crate::upstream::{Life, Upstream, UpstreamIx, longest_untold};
 use std::fmt;
 use std::time::Duration;
 
@@ -161,10 +161,9 @@
     /// first.
     pub fn tell_rates(&mut self, now: Time) -> Vec<ToldRate> {
         let known = self.upstreams.iter_mut().filter(|u| !u.gone);
-        let mut known: Vec<&mut Upstream> = known.filter(|u| u.rate.is_news(now)).collect();
-        known.sort_by_key(|u| u.rate.told_at);
-        known.truncate(MAX_TOLD);
-        let told = known.into_iter().filter_map(|u| {
+        let news = known.filter(|u| u.rate.is_news(now));
+        let told = longest_untold(news, |u| u.rate.told_at, MAX_TOLD);
+        let told = told.into_iter().filter_map(|u| {
             u.rate.told_at = Some(now);
             Some(ToldRate {
                 life: u.record.life(),
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One upstream as a direct entry sees it, and what one more request there costs.
 
 use crate::ids::{Incarnation, Name};
+use crate::leaving::SaidLeaving;
 use crate::loads::Replied;
 use crate::mechanism::{Mechanism, Policy};
 use crate::missing::Missing;
@@ -85,8 +86,7 @@
     /// Whether a later life has taken its id: all that it ran or held is lost.
     pub(crate) ended: bool,
     pub(crate) left_at: Option<Time>,
-    /// When an answer first said that it leaves.
-    pub(crate) said_leaving_at: Option<Time>,
+    pub(crate) said_leaving: SaidLeaving,
     pub(crate) missing: Option<Missing>,
     pub(crate) mine: Placed,
     /// What other entries have told this one as an owner.
@@ -190,6 +190,11 @@
 
 impl Upstream {
     pub(crate) fn is_serving(&self) -> bool {
+        self.is_listed_as_serving() && !self.has_said_leaving()
+    }
+
+    /// Whether the list has it, and as one that takes new work.
+    pub(crate) fn is_listed_as_serving(&self) -> bool {
         !self.gone && !self.ended && self.record.state == UpstreamState::Serving
     }
 
@@ -258,6 +263,18 @@
     }
 }
 
+/// The `most` of some upstreams that were told to other entries longest ago.
+pub(crate) fn longest_untold<'a>(
+    some: impl Iterator<Item = &'a mut Upstream>,
+    told_at: impl Fn(&Upstream) -> Option<Time>,
+    most: usize,
+) -> Vec<&'a mut Upstream> {
+    let mut some: Vec<&mut Upstream> = some.collect();
+    some.sort_by_key(|u| told_at(u));
+    some.truncate(most);
+    some
+}
+
 /// Costs that are taken for equal in this choice.
 pub(crate) const fn tie_cost(need: &Need) -> f64 {
     match need.copied_from {
--- a/fireflydirect/src/conditions.rs
+++ b/fireflydirect/src/conditions.rs
@@ -3,7 +3,7 @@
 use crate::figure::or_empty;
 use crate::job::Job;
 use crate::node::Node;
-use fireflycroft::{AnswerHead, RateChange, RunClaim, Time, ToldRate, UpstreamIx};
+use fireflycroft::{AnswerHead, Life, RateChange, RunClaim, Time, ToldRate, UpstreamIx};
 
 /// Takes what the head of an answer to a request of `sent` says of the upstream.
 pub fn take(job: &Job, ix: UpstreamIx, sent: Time, head: &AnswerHead) {
@@ -11,8 +11,9 @@
         return;
     }
     let node = &job.node;
-    if head.conditions.leaving && node.pool.borrow_mut().note_said_leaving(node.now(), ix) {
-        say_leaving(node, ix);
+    if head.conditions.leaving {
+        let change = node.pool.borrow_mut().note_said_leaving(node.now(), ix);
+        node.take_changes(change, "answer");
     }
     let change =
         node.pool
@@ -25,7 +26,7 @@
 }
 
 /// Takes rates of upstreams that another entry told.
-pub fn take_told(node: &Node, rates: &[ToldRate]) {
+pub fn take_told_rates(node: &Node, rates: &[ToldRate]) {
     for told in rates {
         let change = node.pool.borrow_mut().take_rate(node.now(), told);
         if let Some((ix, change)) = change {
@@ -34,15 +35,12 @@
     }
 }
 
-fn say_leaving(node: &Node, ix: UpstreamIx) {
-    let pool = node.pool.borrow();
-    let record = pool.record(ix);
-    log::info!(
-        event = "leaving_answered", instance = &*record.instance, service = &*record.service,
-        listed_as = format!("{:?}", record.state), revision = record.revision,
-        store_answers = node.store_answers.get(), contact_ms = or_empty(node.contact_ms());
-        ""
-    );
+/// Takes upstreams that leave, as another entry has heard from themselves.
+pub fn take_told_leaving(node: &Node, lives: &[Life]) {
+    for life in lives {
+        let change = node.pool.borrow_mut().take_said_leaving(node.now(), life);
+        node.take_changes(change, "peer_answer");
+    }
 }
 
 fn say_rate_changed(node: &Node, ix: UpstreamIx, change: RateChange, source: &str) {
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -88,7 +88,8 @@
     if news.evacuations.revision > 0 {
         node.take_evacuations(news.evacuations.clone(), "peer");
     }
-    conditions::take_told(node, &news.rate_limits);
+    conditions::take_told_rates(node, &news.rate_limits);
+    conditions::take_told_leaving(node, &news.said_leaving);
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -88,6 +88,7 @@
     let now = node.now();
     let repeats = node.budget.borrow_mut().tell(now);
     let rate_limits = node.pool.borrow_mut().tell_rates(now);
+    let said_leaving = node.pool.borrow_mut().tell_said_leaving(now);
     let peers = node.peers.borrow();
     EntryNews {
         name: node.place.vm.clone(),
@@ -106,6 +107,7 @@
         peers: peers.named(now),
         evacuations: node.pool.borrow().evacuations().clone(),
         rate_limits,
+        said_leaving,
         leaving: node.stage() != Stage::Serving,
     }
 }
--- a/fireflydirect/tests/processes_leaving.rs
+++ b/fireflydirect/tests/processes_leaving.rs
@@ -4,7 +4,7 @@
 
 use standins::site::StoreMode;
 use std::time::{Duration, Instant};
-use support::{Site, cases, until};
+use support::{Site, cases, check_runs, until, whole_stream};
 
 /// Header in which an upstream says that it leaves.
 const LEAVING: &str = "Server-Leaving";
@@ -37,7 +37,48 @@
     late.count()
 }
 
+/// Waits until an entry shows that some upstream leaves.
+async fn until_leaving(site: &Site, entry: usize) {
+    until("word of the leaving", || async {
+        let (_, shown) = site.operate(entry, &["entries", "upstreams"]).await;
+        shown.contains(" leaving ")
+    })
+    .await;
+}
+
 cases! {
+    entry_hears_from_another_one_what_an_answer_said(site: 2) {
+        site.store.set_mode(StoreMode::Silent);
+        site.plains[0].say(LEAVING, Some("1"));
+        call_until_run_by(&site, 0, "p-0").await;
+        until_leaving(&site, 1).await;
+        let bound = Instant::now();
+        for _ in 0..20 {
+            let call = site.call(1, "GET", "/fetch/a", &site.id());
+            assert_eq!(call.send().await.unwrap().status(), 200);
+        }
+        assert_eq!(runs_after(&site, "p-0", bound), 0);
+    }
+
+    run_goes_on_elsewhere_when_its_answer_says_that_the_engine_leaves(site: 1) {
+        site.store.set_mode(StoreMode::Silent);
+        for engine in &site.engines {
+            engine.say(LEAVING, Some("1"));
+            engine.say_leaving(1_700);
+        }
+        let id = site.id();
+        let stream = site.large_prompt(0, "/log/a", 300, &id).send();
+        let engine = site.engine_of(&id);
+        let (answer, engine) = futures_util::future::join(stream, engine).await;
+        // The other one stays; only this one's answer was heard.
+        until_leaving(&site, 0).await;
+        let body = answer.unwrap().text().await.unwrap();
+        assert_eq!(body, whole_stream(&id, 300));
+        let runs = site.record.runs_of(&id);
+        assert_ne!(runs.last().unwrap().instance, site.engines[engine].instance());
+        check_runs(&site, &id);
+    }
+
     upstream_whose_answers_say_that_it_leaves_gets_nothing_more_in_an_outage(site: 1) {
         site.store.set_mode(StoreMode::Silent);
         site.plains[0].say(LEAVING, Some("1"));
