Say in one place what keeps requests from a sound upstream

Cause: the choice among upstreams and the last look before a request goes out each listed evacuation, cold shares and rate shares, in other words; one more reason would have had to be added to both. Change: Pool::withheld gives the reason, both ask it, and the wait until an upstream is free again stands beside it. Behaviour as before; tests of cold upstreams ask for the reason in place of a flag, which is as strict. Ruled out: leaving the checks apart. Conclusion: form only, before the next reason.

--- a/fireflycroft/src/cold.rs
+++ b/fireflycroft/src/cold.rs
@@ -94,11 +94,6 @@
     }
 
     /// Whether an upstream is cold and has this entry's share of requests for now.
-    #[must_use]
-    pub fn is_cold_share_spent(&self, now: Time, ix: UpstreamIx) -> bool {
-        self.has_cold_share_spent(now, &self.upstreams[ix.0])
-    }
-
     pub(crate) fn has_cold_share_spent(&self, now: Time, u: &Upstream) -> bool {
         if u.cold_until <= now {
             return false;
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -130,6 +130,7 @@
 mod time;
 mod upstream;
 mod watchers;
+mod withheld;
 mod work;
 
 pub use admit::*;
@@ -195,4 +196,5 @@
 pub use time::*;
 pub use upstream::*;
 pub use watchers::*;
+pub use withheld::*;
 pub use work::*;
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -359,16 +359,11 @@
         let takes = move |i: &usize| {
             let u = &self.upstreams[*i];
             let is_home = self.is_home(homes, &u.record.data_centre);
-            is_home && !self.has_share_spent(now, u) && !tried.contains(&UpstreamIx(*i))
+            is_home && self.withheld_of(now, u).is_none() && !tried.contains(&UpstreamIx(*i))
         };
         self.serving(service).filter(takes)
     }
 
-    /// Whether this entry has sent an upstream all that it may for now.
-    fn has_share_spent(&self, now: Time, u: &Upstream) -> bool {
-        self.has_cold_share_spent(now, u) || self.has_rate_share_spent(now, u)
-    }
-
     /// The `most` of `open` that would cost least.
     pub(crate) fn cheapest(
         &self,
--- a/fireflycroft/src/rate_limit.rs
+++ b/fireflycroft/src/rate_limit.rs
@@ -13,7 +13,6 @@
 use crate::fleet_view::FleetView;
 use crate::ids::Name;
 use crate::owners::OwnedKey;
-use crate::placed::Need;
 use crate::pool::Pool;
 use crate::time::Time;
 use crate::upstream::{Life, Upstream, UpstreamIx, longest_untold};
@@ -175,11 +174,6 @@
     }
 
     /// Whether an upstream names a rate and has had this entry's share of requests for now.
-    #[must_use]
-    pub fn is_rate_share_spent(&self, now: Time, ix: UpstreamIx) -> bool {
-        self.has_rate_share_spent(now, &self.upstreams[ix.0])
-    }
-
     pub(crate) fn has_rate_share_spent(&self, now: Time, u: &Upstream) -> bool {
         self.until_rate_share(now, u)
             .is_some_and(|wait| wait > Duration::ZERO)
@@ -187,23 +181,13 @@
 
     /// Time until a limited upstream may get a request of this entry: zero now, and a whole span where
     /// this entry has no share.
-    fn until_rate_share(&self, now: Time, u: &Upstream) -> Option<Duration> {
+    pub(crate) fn until_rate_share(&self, now: Time, u: &Upstream) -> Option<Duration> {
         let allowance = Allowance::of(u.rate.limit?);
         let share = allowance.share(&self.fleet, &u.record.instance);
         let wait = u.sent_lately.until_fewer(now, share, allowance.span);
         Some(wait.unwrap_or(allowance.span))
     }
 
-    /// Time until a limited upstream that could serve `need` gets a request of this entry again; none
-    /// where none has had its share.
-    #[must_use]
-    pub fn until_any_rate_share(&self, now: Time, service: &str, need: &Need) -> Option<Duration> {
-        let open = self.serving(service).map(|i| &self.upstreams[i]);
-        let open = open.filter(|u| self.is_home(need.homes, &u.record.data_centre));
-        let waits = open.filter_map(|u| self.until_rate_share(now, u));
-        waits.filter(|wait| !wait.is_zero()).min()
-    }
-
     /// The rate that an upstream names.
     #[must_use]
     pub fn rate_limit(&self, ix: UpstreamIx) -> Option<RateLimit> {
--- /dev/null
+++ b/fireflycroft/src/withheld.rs
@@ -0,0 +1,59 @@
+//! What keeps requests from an upstream that is sound and takes new work.
+
+use crate::placed::Need;
+use crate::pool::Pool;
+use crate::time::Time;
+use crate::upstream::{Upstream, UpstreamIx};
+use std::fmt;
+use std::time::Duration;
+
+/// Why an upstream gets no request of this entry for now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// Its data centre is evacuated.
+    Evacuated,
+    /// It is cold, and this entry has sent its share.
+    ColdShareSpent,
+    /// It names a rate, and this entry has sent its share.
+    RateShareSpent,
+}
+
+impl fmt::Display for Withheld {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Evacuated => "it is evacuated",
+            Self::ColdShareSpent => "it is cold",
+            Self::RateShareSpent => "its rate limit is spent",
+        })
+    }
+}
+
+impl Pool {
+    /// Why an upstream gets no request of this entry now; none where it may get one.
+    #[must_use]
+    pub fn withheld(&self, now: Time, ix: UpstreamIx) -> Option<Withheld> {
+        self.withheld_of(now, &self.upstreams[ix.0])
+    }
+
+    pub(crate) fn withheld_of(&self, now: Time, u: &Upstream) -> Option<Withheld> {
+        if self.takes_nothing_new(&u.record.data_centre) {
+            Some(Withheld::Evacuated)
+        } else if self.has_cold_share_spent(now, u) {
+            Some(Withheld::ColdShareSpent)
+        } else if self.has_rate_share_spent(now, u) {
+            Some(Withheld::RateShareSpent)
+        } else {
+            None
+        }
+    }
+
+    /// Time until an upstream that could serve `need`, and that gets no request of this entry by its
+    /// own word, gets one again; none where there is no such upstream.
+    #[must_use]
+    pub fn until_any_is_free(&self, now: Time, service: &str, need: &Need) -> Option<Duration> {
+        let open = self.serving(service).map(|i| &self.upstreams[i]);
+        let open = open.filter(|u| self.is_home(need.homes, &u.record.data_centre));
+        let waits = open.filter_map(|u| self.until_rate_share(now, u));
+        waits.filter(|wait| !wait.is_zero()).min()
+    }
+}
--- a/fireflycroft/tests/cold.rs
+++ b/fireflycroft/tests/cold.rs
@@ -11,7 +11,7 @@
 mod pools;
 
 use fireflycroft::{
-    ColdLimits, ENTRIES_AT_START, FleetView, Name, Pool, UpstreamIx, UpstreamRecord,
+    ColdLimits, ENTRIES_AT_START, FleetView, Name, Pool, UpstreamIx, UpstreamRecord, Withheld,
 };
 use pools::{at, chosen, ix, need, record};
 use proptest::prelude::*;
@@ -63,7 +63,7 @@
 /// Sends at once all that an entry may send.
 fn send_all(pool: &mut Pool, millis: u64, engine: UpstreamIx) -> usize {
     let mut sent = 0;
-    while sent < 10_000 && !pool.is_cold_share_spent(at(millis), engine) {
+    while sent < 10_000 && pool.withheld(at(millis), engine).is_none() {
         pool.note_sending(at(millis), engine);
         sent += 1;
     }
@@ -101,11 +101,11 @@
 fn cold_again() {
     let mut pool = pool_of(0, 1, 30.0, &["a"]);
     let a = ix(&pool, "a");
-    assert!(!pool.is_cold_share_spent(at(70_000), a));
+    assert_eq!(pool.withheld(at(70_000), a), None);
     pool.learn(at(70_000), cold("a", 9, 2_000));
     send_all(&mut pool, 70_000, a);
-    assert!(pool.is_cold_share_spent(at(70_500), a));
-    assert!(!pool.is_cold_share_spent(at(72_000), a));
+    assert_eq!(pool.withheld(at(70_500), a), Some(Withheld::ColdShareSpent));
+    assert_eq!(pool.withheld(at(72_000), a), None);
 }
 
 fn choice_goes_elsewhere() {
--- a/fireflycroft/tests/rate_limit.rs
+++ b/fireflycroft/tests/rate_limit.rs
@@ -179,7 +179,7 @@
 fn send_all(pool: &mut Pool, millis: u64) -> usize {
     let a = ix(pool, "a");
     let mut sent = 0;
-    while sent < 10_000 && !pool.is_rate_share_spent(at(millis), a) {
+    while sent < 10_000 && pool.withheld(at(millis), a).is_none() {
         pool.note_sending(at(millis), a);
         sent += 1;
     }
@@ -223,7 +223,7 @@
 
 fn wait_ends() {
     let mut fleet = fleet(1, 0.5);
-    let wait = |pool: &Pool, now| pool.until_any_rate_share(at(now), "models", &need(1));
+    let wait = |pool: &Pool, now| pool.until_any_is_free(at(now), "models", &need(1));
     assert_eq!(wait(&fleet[0], 9), None);
     let a = ix(&fleet[0], "a");
     fleet[0].note_sending(at(10), a);
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -24,9 +24,9 @@
 /// When to come back while no upstream is known: about the time between two looks at the list.
 const NONE_RETRY: Duration = Duration::from_millis(800);
 
-/// Bounds on when to come back after upstreams had all that their rates allow this entry: others
-/// have shares of their own.
-const RATE_RETRY: RangeInclusive<Duration> = Duration::from_millis(200)..=Duration::from_secs(1);
+/// Bounds on when to come back while upstreams want nothing more of this entry: they may take
+/// requests of others.
+const FREE_RETRY: RangeInclusive<Duration> = Duration::from_millis(200)..=Duration::from_secs(1);
 
 /// Time for which an upstream that couldn't be reached is left out.
 const AVOID_UNREACHABLE: Duration = Duration::from_millis(1_500);
@@ -121,10 +121,10 @@
     }
 }
 
-/// When to come back where this entry has a share of a rate after `wait`, spread so that callers who
-/// were refused together don't return together.
-fn rate_back_after(wait: Duration) -> Duration {
-    let latest = wait.clamp(*RATE_RETRY.start(), *RATE_RETRY.end());
+/// When to come back where an upstream takes a request of this entry after `wait`, spread so that
+/// callers who were refused together don't return together.
+fn free_back_after(wait: Duration) -> Duration {
+    let latest = wait.clamp(*FREE_RETRY.start(), *FREE_RETRY.end());
     latest.mul_f64(rand::rng().random_range(0.5..=1.0))
 }
 
@@ -181,17 +181,17 @@
 }
 
 fn nobody(job: &Job, need: &Need, tries: &RefCell<Tries>) -> Reply {
-    let limited_for = job.until_rate_share(need);
+    let free_in = job.until_any_is_free(need);
     log::warn!(
         event = "no_upstream", req = &*job.request_id, service = &*job.service,
-        limited_ms = or_empty(limited_for.map(|wait| wait.as_millis()));
+        free_in_ms = or_empty(free_in.map(|wait| wait.as_millis()));
         ""
     );
     if tries.borrow().may_have_run() {
         return Reply::Own(Code::OutcomeUnknown, None);
     }
-    match limited_for {
-        Some(wait) => Reply::Own(Code::Overloaded, Some(rate_back_after(wait))),
+    match free_in {
+        Some(wait) => Reply::Own(Code::Overloaded, Some(free_back_after(wait))),
         None => Reply::Own(Code::NoUpstream, Some(NONE_RETRY)),
     }
 }
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -132,14 +132,8 @@
 /// Counts a request to an upstream that may get one.
 fn note_sending(job: &Job, ix: UpstreamIx) -> Result<(), Unanswered> {
     let mut pool = job.node.pool.borrow_mut();
-    if pool.is_evacuated(ix) {
-        return Err(Unanswered::Withheld("it is evacuated".to_owned()));
-    }
-    if pool.is_cold_share_spent(job.now(), ix) {
-        return Err(Unanswered::Withheld("it is cold".to_owned()));
-    }
-    if pool.is_rate_share_spent(job.now(), ix) {
-        return Err(Unanswered::Withheld("its rate limit is spent".to_owned()));
+    if let Some(why) = pool.withheld(job.now(), ix) {
+        return Err(Unanswered::Withheld(why.to_string()));
     }
     pool.note_sending(job.now(), ix);
     Ok(())
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -123,8 +123,8 @@
         budget.take(self.now(), &self.service, entries)
     }
 
-    /// An upstream that isn't in `tried`; waits a little while there is none at all, unless the rates
-    /// of all are known to be spent for longer.
+    /// An upstream that isn't in `tried`; waits a little while there is none at all, unless it is known
+    /// that there will be none for longer.
     pub async fn pick(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
         let until = self.arrival + self.route.objective / HOLD_SHARE;
         loads::ask(&self.node, &self.service, need, tried).await;
@@ -133,7 +133,7 @@
                 return Some(ix);
             }
             let changed = self.node.changed.notified();
-            let wake_at = match self.until_rate_share(need) {
+            let wake_at = match self.until_any_is_free(need) {
                 Some(wait) => self.now() + wait,
                 None if self.now() < until => until,
                 None => return None,
@@ -147,12 +147,12 @@
         }
     }
 
-    /// Time until this entry has a share of the rate of a limited upstream; none where there is none
-    /// whose share is spent.
+    /// Time until one of the upstreams that want nothing of this entry for now takes a request again;
+    /// none where there is no such upstream.
     #[must_use]
-    pub fn until_rate_share(&self, need: &Need) -> Option<Duration> {
+    pub fn until_any_is_free(&self, need: &Need) -> Option<Duration> {
         let pool = self.node.pool.borrow();
-        pool.until_any_rate_share(self.now(), &self.service, need)
+        pool.until_any_is_free(self.now(), &self.service, need)
     }
 
     fn pick_now(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
