Send nothing to an upstream for the pause that it asks for

Cause: an upstream that turned a request away was only less liked for 250 ms, and chosen all the same where there was no other; its own word was relayed and forgotten. Ruled out: telling others, since the word is meant for the entry that was answered.

--- a/fireflycroft/src/ask.rs
+++ b/fireflycroft/src/ask.rs
@@ -86,6 +86,8 @@
     pub leaving: bool,
     /// Rate that it takes, while it is in need.
     pub rate_limit: Option<RateLimit>,
+    /// Time for which it wants nothing more of the entry that it turned away.
+    pub pause: Option<Duration>,
 }
 
 /// What the head of an upstream's answer says of the request, and of the upstream.
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -227,6 +227,7 @@
             unreachable: HashMap::new(),
             replied: None,
             avoid_until: Time::default(),
+            paused_until: Time::default(),
             failing: 0.0,
             read: HashMap::new(),
             pace: SeenPace::default(),
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -96,6 +96,7 @@
     /// What an owner has told this entry.
     pub(crate) replied: Option<Replied>,
     pub(crate) avoid_until: Time,
+    pub(crate) paused_until: Time,
     pub(crate) failing: f64,
     pub(crate) cold_until: Time,
     /// Requests of this entry, where a cold one bears only so many.
--- a/fireflycroft/src/withheld.rs
+++ b/fireflycroft/src/withheld.rs
@@ -16,6 +16,8 @@
     ColdShareSpent,
     /// It names a rate, and this entry has sent its share.
     RateShareSpent,
+    /// It turned a request of this entry away and asked for a pause.
+    Paused,
 }
 
 impl fmt::Display for Withheld {
@@ -24,6 +26,7 @@
             Self::Evacuated => "it is evacuated",
             Self::ColdShareSpent => "it is cold",
             Self::RateShareSpent => "its rate limit is spent",
+            Self::Paused => "it asked for a pause",
         })
     }
 }
@@ -42,6 +45,8 @@
             Some(Withheld::ColdShareSpent)
         } else if self.has_rate_share_spent(now, u) {
             Some(Withheld::RateShareSpent)
+        } else if now < u.paused_until {
+            Some(Withheld::Paused)
         } else {
             None
         }
@@ -53,7 +58,16 @@
     pub fn until_any_is_free(&self, now: Time, service: &str, need: &Need) -> Option<Duration> {
         let open = self.serving(service).map(|i| &self.upstreams[i]);
         let open = open.filter(|u| self.is_home(need.homes, &u.record.data_centre));
-        let waits = open.filter_map(|u| self.until_rate_share(now, u));
+        let waits = open.map(|u| {
+            let until_share = self.until_rate_share(now, u).unwrap_or_default();
+            until_share.max(u.paused_until.since(now))
+        });
         waits.filter(|wait| !wait.is_zero()).min()
     }
+
+    /// Notes that an upstream turned a request of this entry away and wants nothing more for a pause.
+    pub fn pause(&mut self, now: Time, ix: UpstreamIx, span: Duration) {
+        let u = &mut self.upstreams[ix.0];
+        u.paused_until = u.paused_until.max(now + span);
+    }
 }
--- a/fireflydirect/src/conditions.rs
+++ b/fireflydirect/src/conditions.rs
@@ -4,6 +4,7 @@
 use crate::job::Job;
 use crate::node::Node;
 use fireflycroft::{AnswerHead, Life, RateChange, RunClaim, Time, ToldRate, UpstreamIx};
+use std::time::Duration;
 
 /// Takes what the head of an answer to a request of `sent` says of the upstream.
 pub fn take(job: &Job, ix: UpstreamIx, sent: Time, head: &AnswerHead) {
@@ -11,6 +12,10 @@
         return;
     }
     let node = &job.node;
+    if let Some(span) = head.conditions.pause {
+        node.pool.borrow_mut().pause(node.now(), ix, span);
+        say_paused(node, ix, span);
+    }
     if head.conditions.leaving {
         let change = node.pool.borrow_mut().note_said_leaving(node.now(), ix);
         node.take_changes(change, "answer");
@@ -43,6 +48,16 @@
     }
 }
 
+fn say_paused(node: &Node, ix: UpstreamIx, span: Duration) {
+    let pool = node.pool.borrow();
+    let record = pool.record(ix);
+    log::info!(
+        event = "upstream_paused", instance = &*record.instance, service = &*record.service,
+        for_ms = span.as_millis();
+        ""
+    );
+}
+
 fn say_rate_changed(node: &Node, ix: UpstreamIx, change: RateChange, source: &str) {
     let pool = node.pool.borrow();
     let record = pool.record(ix);
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -87,6 +87,8 @@
     known_at: Mutex<SocketAddr>,
     record: Record,
     fault: Mutex<AnswerFault>,
+    /// Requests that it turned away.
+    turned_away: AtomicUsize,
     /// Headers that all its answers carry beside their own, by name.
     said: Mutex<HashMap<String, String>>,
     /// Milliseconds until it is gone, as its report says.
@@ -108,6 +110,7 @@
             known_at: Mutex::new(addr),
             record,
             fault: Mutex::default(),
+            turned_away: AtomicUsize::new(0),
             said: Mutex::default(),
             leaves_ms: Mutex::default(),
             stops: Mutex::default(),
@@ -213,6 +216,12 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Requests that it has turned away since its start.
+    #[must_use]
+    pub fn turned_away(&self) -> usize {
+        self.shared.turned_away.load(Ordering::Relaxed)
+    }
+
     /// Says so in a header of all answers to requests, or no longer.
     pub fn say(&self, name: &str, value: Option<&str>) {
         let mut said = lock(&self.shared.said);
@@ -317,6 +326,7 @@
     };
     let fault = *lock(&shared.fault);
     if fault == AnswerFault::Full {
+        shared.turned_away.fetch_add(1, Ordering::Relaxed);
         shared
             .answer(stream, 503, &[("X-Not-Executed", "1")], b"")
             .await?;
