Name the upstream of a told rate by its life on the wire, too

Cause: the message repeated the two fields of Life beside it. Ruled out: keeping both spellings. Round trips and torn messages pass as before.

--- a/fireflycroft-wire/src/entry_news.rs
+++ b/fireflycroft-wire/src/entry_news.rs
@@ -5,8 +5,8 @@
 use crate::generated as pb;
 use crate::owner_news::{life, read_life};
 use fireflycroft::{
-    CrashCount, EntryNews, Evacuations, Incarnation, Life, ListChange, RateLimit, RepeatCount,
-    ToldRate, UpstreamRecord, UpstreamState,
+    CrashCount, EntryNews, Evacuations, Incarnation, ListChange, RateLimit, RepeatCount, ToldRate,
+    UpstreamRecord, UpstreamState,
 };
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -65,19 +65,16 @@
 
 fn told_rate(told: &ToldRate) -> pb::ToldRate {
     pb::ToldRate {
-        instance: told.life.instance.to_string(),
-        incarnation: told.life.incarnation.0,
+        life: Some(life(&told.life)),
         thousandths: told.limit.map(RateLimit::thousandths),
         age_ms: millis_of(told.age),
     }
 }
 
 fn read_told_rate(told: &pb::ToldRate) -> Result<ToldRate, WireError> {
+    let told_life = told.life.as_ref();
     Ok(ToldRate {
-        life: Life {
-            instance: read_name(&told.instance, "rate_limits.instance")?,
-            incarnation: Incarnation(told.incarnation),
-        },
+        life: read_life(told_life.ok_or(WireError::Missing("rate_limits.life"))?)?,
         limit: told.thousandths.map(RateLimit::from_thousandths),
         age: Duration::from_millis(told.age_ms.into()),
     })
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -614,14 +614,12 @@
 /// The requests a second that an upstream takes from all entries together.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ToldRate {
-    #[prost(string, tag = "1")]
-    pub instance: ::prost::alloc::string::String,
-    #[prost(fixed64, tag = "2")]
-    pub incarnation: u64,
+    #[prost(message, optional, tag = "1")]
+    pub life: ::core::option::Option<Life>,
     /// Thousandths of a request a second; absent once the upstream takes any rate again.
-    #[prost(uint32, optional, tag = "3")]
+    #[prost(uint32, optional, tag = "2")]
     pub thousandths: ::core::option::Option<u32>,
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "3")]
     pub age_ms: u32,
 }
 /// The data centres that are evacuated, as of a revision of the platform's store.
