Soak entries before upstreams that name rates

Cause: no upstream of the soak has ever named a rate, so nothing here could find that the fleet kept to none. Change: a seeded plan in which upstreams name rates among all other faults, a scripted run in which nothing excuses more, and an oracle that counts runs within 4 s by the users' rule from the first answer on. Seeds of the older plans give the same faults as before. Ruled out: drawing the new fault in the old plans, which would change what their seeds play.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -14,7 +14,7 @@
 use reqwest::Client;
 use soak_parts::callers::Callers;
 use soak_parts::harmed::Soak;
-use soak_parts::plan::{Fault, Step, plan, plan_with_drills};
+use soak_parts::plan::{Fault, Step, plan, plan_with_conditions, plan_with_drills};
 use standins::site::{Breach, Harm};
 use std::time::Duration;
 use support::{KEY, Site, until};
@@ -29,6 +29,9 @@
 /// The same of soaks with drills of the store.
 const DRILL_SEEDS: &str = "1,2";
 
+/// The same of soaks with upstreams that say what they want of requests to come.
+const CONDITION_SEEDS: &str = "1,2,3";
+
 /// Length of a soak that names none, in seconds.
 const SECONDS: u64 = 5;
 
@@ -151,6 +154,31 @@
     }
 }
 
+/// Upstreams that name rates among all other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn conditions_among_faults_keep_the_promises() {
+    let seeds: String = setting("FIREFLY_SOAK_CONDITION_SEEDS", CONDITION_SEEDS.to_owned());
+    let seconds = Duration::from_secs(setting("FIREFLY_SOAK_SECONDS", SECONDS));
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_with_conditions(seed, seconds);
+        play(&format!("conditions, seed {seed}"), &steps, seconds).await;
+    }
+}
+
+/// An upstream in need names its rate while callers press, and nothing happens that would excuse
+/// more.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstreams_in_need_get_what_they_name() {
+    let step = |millis, pick| Step {
+        at: Duration::from_millis(millis),
+        span: Duration::from_secs(6),
+        fault: Fault::NameRate,
+        pick,
+    };
+    let steps = [step(300, 0), step(900, 1), step(1_200, 2), step(1_500, 5)];
+    play("rates", &steps, Duration::from_secs(9)).await;
+}
+
 /// Strangers overwrite one record after the other, and nothing else happens that would excuse work
 /// by them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/fireflydirect/tests/soak_parts/harmed.rs
+++ b/fireflydirect/tests/soak_parts/harmed.rs
@@ -2,7 +2,7 @@
 
 use crate::soak_parts::plan::{Fault, Step};
 use crate::support::{KEY, Site};
-use standins::site::{AnswerFault, EngineKind, Evidence, Harm, Snapshot, StoreMode};
+use standins::site::{AnswerFault, EngineKind, Evidence, Harm, NamedRate, Snapshot, StoreMode};
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
@@ -15,6 +15,13 @@
 /// the users' window in which it doesn't count as in touch.
 const EXCUSED_AFTER: Duration = Duration::from_secs(5);
 
+/// Header in which an upstream names the requests a second that it takes from all entries.
+const RATE_LIMIT: &str = "Server-Limit";
+
+/// Time for which a rate is named on top of the fault's own: longer than the span in which requests
+/// are counted.
+const RATE_FOR: Duration = Duration::from_secs(5);
+
 /// Calls on which the store hangs at a time.
 const HANGING: u32 = 4;
 
@@ -57,6 +64,8 @@
     Resume(usize),
     StartEntry(usize),
     OwnRecord(usize),
+    /// An upstream takes any rate again.
+    Rate(EngineKind, usize),
     /// The store comes back from the copy of that number.
     Drill(usize),
     WriteAgain,
@@ -196,14 +205,7 @@
                     .set_mode(StoreMode::Deny(vec![proxy, self.site.store.addr().ip()]));
                 self.due.push((end, Undo::Store));
             }
-            Fault::PauseEntry => {
-                let entry = step.pick % self.site.entries.len();
-                if self.site.entries[entry].is_running() {
-                    self.excuse(step.span);
-                    self.site.entries[entry].signal("STOP");
-                    self.due.push((end, Undo::Resume(entry)));
-                }
-            }
+            Fault::PauseEntry => self.pause_entry(step),
             Fault::KillEntry => {
                 let entry = step.pick % self.site.entries.len();
                 self.excuse(step.span);
@@ -225,9 +227,40 @@
                 }
             }
             Fault::Publish => self.site.publish(&[KEY]),
+            Fault::NameRate => self.name_rate(step.pick, end + RATE_FOR),
+        }
+    }
+
+    fn pause_entry(&mut self, step: &Step) {
+        let entry = step.pick % self.site.entries.len();
+        if self.site.entries[entry].is_running() {
+            self.excuse(step.span);
+            self.site.entries[entry].signal("STOP");
+            let end = Instant::now() + step.span;
+            self.due.push((end, Undo::Resume(entry)));
         }
     }
 
+    /// Lets an upstream name a rate until `end`, unless it names one.
+    fn name_rate(&mut self, pick: usize, end: Instant) {
+        let (kind, number) = self.any_upstream(pick);
+        let upstream = self.upstream(kind, number);
+        let now = Instant::now();
+        let instance = upstream.instance();
+        let mut rates = self.evidence.rates.iter();
+        if rates.any(|r| r.instance == instance && now < r.span.1) {
+            return;
+        }
+        let per_second = u32::try_from(pick % 4).unwrap();
+        upstream.say(RATE_LIMIT, Some(&per_second.to_string()));
+        self.evidence.rates.push(NamedRate {
+            instance,
+            per_second,
+            span: (now, end),
+        });
+        self.due.push((end, Undo::Rate(kind, number)));
+    }
+
     fn begin_drill(&mut self, span: Duration) {
         self.excuse(span + WRITTEN_AGAIN_AFTER);
         let number = self.copies.len();
@@ -243,6 +276,14 @@
             self.due.push((end, undo));
         }
         self.site.engines[engine].start_again().await.unwrap();
+        let instance = self.site.engines[engine].instance();
+        let now = Instant::now();
+        // The life that named a rate has ended.
+        for rate in &mut self.evidence.rates {
+            if rate.instance == instance {
+                rate.span.1 = rate.span.1.min(now);
+            }
+        }
         self.write_own_record(engine).await;
     }
 
@@ -321,6 +362,7 @@
             }
             Undo::WriteAgain => self.write_all_again().await,
             Undo::EndEngine(engine) => self.end_engine(engine),
+            Undo::Rate(kind, number) => self.upstream(kind, number).say(RATE_LIMIT, None),
             Undo::Answers(kind, number) => self.upstream(kind, number).set_fault(AnswerFault::None),
             Undo::UpstreamHarm(kind, number) => self.harm(kind, number, Harm::None),
             Undo::Store => {
@@ -334,6 +376,7 @@
             }
             Undo::StartEntry(entry) => {
                 if !self.site.entries[entry].is_running() {
+                    self.evidence.restarts.push(Instant::now());
                     self.site.entries[entry].start();
                 }
             }
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -51,6 +51,8 @@
     Reload,
     /// The operator publishes the next version.
     Publish,
+    /// An upstream names a rate in its answers.
+    NameRate,
 }
 
 /// A fault with its moment and length; `pick` chooses whom it meets.
@@ -102,6 +104,24 @@
     steps
 }
 
+/// The same with upstreams that say in their answers what they want of requests to come.
+pub(crate) fn plan_with_conditions(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let mut steps = plan(seed, length);
+    let mut at = Duration::from_millis(400);
+    while at < length {
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(rng.random_range(500..2_500)),
+            fault: Fault::NameRate,
+            pick: rng.random_range(0..1_000),
+        });
+        at += Duration::from_millis(rng.random_range(300..1_500));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 fn draw(rng: &mut impl Rng) -> Fault {
     match rng.random_range(0..22) {
         0 => Fault::KillEngine,
--- a/standins/src/site/judge.rs
+++ b/standins/src/site/judge.rs
@@ -15,6 +15,12 @@
 /// Time after its record was overwritten by a stranger in which an upstream may get new work.
 const SET_ASIDE: Duration = Duration::from_secs(3);
 
+/// Time in which an upstream's answer reaches an entry, and word of it all others.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+
+/// Span in which requests to a limited upstream are counted: the users' bound.
+const RATE_SPAN: Duration = Duration::from_secs(4);
+
 /// What a kind of request promises.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Kind {
@@ -75,6 +81,8 @@
     Overlap(String),
     /// New work on an upstream that had announced its leaving.
     AfterNotice(String),
+    /// More new work on an upstream than the rate that it named allows.
+    OverLimit(String),
     /// New work on an upstream whose record a stranger had overwritten.
     ByStrangersRecord(String),
     /// A request that was sent to go on from the memory of another one.
@@ -89,6 +97,26 @@
     }
 }
 
+/// A rate that an upstream named in its answers for a while.
+#[derive(Clone, Debug)]
+pub struct NamedRate {
+    /// The upstream.
+    pub instance: String,
+    /// Requests a second.
+    pub per_second: u32,
+    /// From when to when.
+    pub span: (Instant, Instant),
+}
+
+impl NamedRate {
+    /// Runs that the users' rule allows in any [`RATE_SPAN`].
+    fn allowed(&self) -> usize {
+        let seconds = usize::try_from(RATE_SPAN.as_secs()).unwrap_or(usize::MAX);
+        let named = usize::try_from(self.per_second).unwrap_or(usize::MAX);
+        named.saturating_mul(seconds) * 3 / 2 + 5
+    }
+}
+
 /// What is known of one test.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -100,8 +128,12 @@
     pub foreign_memory: Vec<String>,
     /// Upstreams that announced their leaving, and when.
     pub notices: HashMap<String, Instant>,
+    /// Rates that upstreams named.
+    pub rates: Vec<NamedRate>,
     /// Upstreams whose records a stranger had overwritten, from when to when.
     pub overwritten: Vec<(String, Instant, Instant)>,
+    /// When entries were started again: they have to hear of rates anew.
+    pub restarts: Vec<Instant>,
     /// Spans in which an entry could not know or act: paused, or cut off.
     pub excused: Vec<(Instant, Instant)>,
 }
@@ -125,6 +157,8 @@
         breaches.extend(foreign.map(Breach::ForeignMemory));
         let late = self.runs.iter().filter(|run| self.is_after_notice(run));
         breaches.extend(late.map(|r| Breach::AfterNotice(r.request_id.clone())));
+        let over = self.rates.iter().filter(|rate| self.is_over(rate));
+        breaches.extend(over.map(|rate| Breach::OverLimit(rate.instance.clone())));
         let strange = self
             .runs
             .iter()
@@ -152,6 +186,32 @@
         late && !self.is_excused(run.began)
     }
 
+    /// Whether more began on an upstream in some span than the rate that it named allows, of what
+    /// entries sent once they had an answer that named it.
+    fn is_over(&self, rate: &NamedRate) -> bool {
+        let (from, to) = rate.span;
+        let runs = self.runs.iter().filter(|r| r.instance == rate.instance);
+        let within = runs.map(|r| r.began).filter(|b| from < *b && *b < to);
+        let mut began: Vec<Instant> = within.collect();
+        began.sort_unstable();
+        let Some(told) = began.first().map(|first| *first + TOLD_WITHIN) else {
+            return false;
+        };
+        began.retain(|b| *b > told);
+        began.iter().enumerate().any(|(i, first)| {
+            let in_span = began[i..].iter().take_while(|b| **b < *first + RATE_SPAN);
+            let in_span: Vec<&Instant> = in_span.collect();
+            let mut all = in_span.iter();
+            let is_excused = all.any(|b| self.is_excused(**b) || self.has_just_restarted(**b));
+            in_span.len() > rate.allowed() && !is_excused
+        })
+    }
+
+    fn has_just_restarted(&self, at: Instant) -> bool {
+        let mut restarts = self.restarts.iter();
+        restarts.any(|r| *r <= at && at < *r + 2 * TOLD_WITHIN)
+    }
+
     fn is_by_strangers_record(&self, run: &Run) -> bool {
         let spans = self
             .overwritten
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -13,7 +13,7 @@
 mod store;
 
 pub use engine::{AnswerFault, Engine, EngineKind};
-pub use judge::{Attempt, Breach, Evidence, Kind, Outcome};
+pub use judge::{Attempt, Breach, Evidence, Kind, NamedRate, Outcome};
 pub use proxy::{Harm, Proxy};
 pub use record::{Record, Run, RunEnd};
 pub use store::{Snapshot, Store, StoreMode};
--- a/standins/tests/site_judge.rs
+++ b/standins/tests/site_judge.rs
@@ -1,6 +1,6 @@
 //! The oracle of the soak finds each promise broken when it is.
 
-use standins::site::{Attempt, Breach, Evidence, Kind, Outcome, Run, RunEnd};
+use standins::site::{Attempt, Breach, Evidence, Kind, NamedRate, Outcome, Run, RunEnd};
 use std::time::{Duration, Instant};
 
 macro_rules! cases {
@@ -33,9 +33,26 @@
     work_by_a_strangers_record_is_found => finds(&overwritten(run(5, 6)), Breach::ByStrangersRecord);
     work_just_after_the_record_was_overwritten_is_allowed => assert_eq!(overwritten(run(2, 3)).judge(), []);
     work_after_its_own_record_is_back_is_allowed => assert_eq!(overwritten(run(9, 10)).judge(), []);
+    more_than_the_named_rate_is_found => {
+        assert_eq!(limited(12).judge(), [Breach::OverLimit("i".to_owned())]);
+    };
+    named_rate_and_what_the_rule_adds_is_allowed => assert_eq!(limited(11).judge(), []);
     run_left_behind_is_found => finds(&evidence(Kind::Log, whole(), vec![left_running()]), Breach::LeftRunning);
 }
 
+/// An upstream that names one a second, and so many runs at once after the first.
+fn limited(at_once: usize) -> Evidence {
+    let mut runs = vec![run(2, 3)];
+    runs.extend((0..at_once).map(|_| run(4, 5)));
+    let mut evidence = evidence(Kind::Fetch, whole(), runs);
+    evidence.rates.push(NamedRate {
+        instance: "i".to_owned(),
+        per_second: 1,
+        span: (at(1), at(20)),
+    });
+    evidence
+}
+
 /// The moment from which tests count.
 fn zero() -> Instant {
     use std::sync::OnceLock;
