Soak entries before upstreams whose answers tell of leaving and pauses

Cause: upstreams of the soak announced their leaving in the store's list alone, and turned requests away without a word of when to come again. Change: the answers of engines say that they leave up to seconds before the store hears of it, plain upstreams ask for pauses, among all other faults; a scripted run has the first alone, and the oracle counts work from the first such answer.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -154,7 +154,7 @@
     }
 }
 
-/// Upstreams that name rates among all other faults.
+/// Upstreams that name rates, say that they leave or ask for pauses, among all other faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn conditions_among_faults_keep_the_promises() {
     let seeds: String = setting("FIREFLY_SOAK_CONDITION_SEEDS", CONDITION_SEEDS.to_owned());
@@ -179,6 +179,19 @@
     play("rates", &steps, Duration::from_secs(9)).await;
 }
 
+/// Answers of engines say that they leave, and the store hears of it seconds later.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_whose_answers_say_that_they_leave_get_nothing() {
+    let step = |millis, pick| Step {
+        at: Duration::from_millis(millis),
+        span: Duration::from_secs(7),
+        fault: Fault::SayLeaving,
+        pick,
+    };
+    let steps = [step(300, 0), step(900, 1)];
+    play("leaving by answers", &steps, Duration::from_secs(8)).await;
+}
+
 /// Strangers overwrite one record after the other, and nothing else happens that would excuse work
 /// by them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/fireflydirect/tests/soak_parts/harmed.rs
+++ b/fireflydirect/tests/soak_parts/harmed.rs
@@ -22,6 +22,13 @@
 /// are counted.
 const RATE_FOR: Duration = Duration::from_secs(5);
 
+/// Header in which an upstream says that it leaves.
+const LEAVING: &str = "Server-Leaving";
+
+/// Header in which an upstream that turns a request away asks for a pause, and the pause.
+const RETRY_AFTER: &str = "Retry-After";
+const PAUSE_SECONDS: &str = "1.5";
+
 /// Calls on which the store hangs at a time.
 const HANGING: u32 = 4;
 
@@ -66,6 +73,10 @@
     OwnRecord(usize),
     /// An upstream takes any rate again.
     Rate(EngineKind, usize),
+    /// The store hears that a model engine leaves, which ends later.
+    Listed(usize),
+    /// A plain upstream takes requests again.
+    Pause(usize),
     /// The store comes back from the copy of that number.
     Drill(usize),
     WriteAgain,
@@ -228,6 +239,8 @@
             }
             Fault::Publish => self.site.publish(&[KEY]),
             Fault::NameRate => self.name_rate(step.pick, end + RATE_FOR),
+            Fault::SayLeaving => self.say_leaving(step.pick, end).await,
+            Fault::AskPause => self.ask_pause(step.pick % 2, end),
         }
     }
 
@@ -241,6 +254,14 @@
         }
     }
 
+    /// Lets a plain upstream turn requests away and ask for pauses until `end`.
+    fn ask_pause(&mut self, plain: usize, end: Instant) {
+        let upstream = &self.site.plains[plain];
+        upstream.say(RETRY_AFTER, Some(PAUSE_SECONDS));
+        upstream.set_fault(AnswerFault::Full);
+        self.due.push((end, Undo::Pause(plain)));
+    }
+
     /// Lets an upstream name a rate until `end`, unless it names one.
     fn name_rate(&mut self, pick: usize, end: Instant) {
         let (kind, number) = self.any_upstream(pick);
@@ -261,6 +282,20 @@
         self.due.push((end, Undo::Rate(kind, number)));
     }
 
+    /// Lets the answers of an engine say that it leaves; the store hears of it at `listed_at`.
+    async fn say_leaving(&mut self, pick: usize, listed_at: Instant) {
+        let Some(engine) = self.model(pick) else {
+            return;
+        };
+        self.announced.insert(engine, true);
+        self.replace_engine().await;
+        let upstream = &self.site.engines[engine];
+        upstream.say(LEAVING, Some("1"));
+        let said = (upstream.instance(), Instant::now());
+        self.evidence.said_leaving.extend([said]);
+        self.due.push((listed_at, Undo::Listed(engine)));
+    }
+
     fn begin_drill(&mut self, span: Duration) {
         self.excuse(span + WRITTEN_AGAIN_AFTER);
         let number = self.copies.len();
@@ -363,6 +398,17 @@
             Undo::WriteAgain => self.write_all_again().await,
             Undo::EndEngine(engine) => self.end_engine(engine),
             Undo::Rate(kind, number) => self.upstream(kind, number).say(RATE_LIMIT, None),
+            Undo::Listed(engine) => {
+                let instance = self.site.engines[engine].instance();
+                self.evidence.notices.insert(instance, Instant::now());
+                self.site.enter(EngineKind::Model, engine, "draining").await;
+                let end = Instant::now() + SERVES_ON[engine % SERVES_ON.len()];
+                self.due.push((end, Undo::EndEngine(engine)));
+            }
+            Undo::Pause(plain) => {
+                self.site.plains[plain].say(RETRY_AFTER, None);
+                self.site.plains[plain].set_fault(AnswerFault::None);
+            }
             Undo::Answers(kind, number) => self.upstream(kind, number).set_fault(AnswerFault::None),
             Undo::UpstreamHarm(kind, number) => self.harm(kind, number, Harm::None),
             Undo::Store => {
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -53,6 +53,10 @@
     Publish,
     /// An upstream names a rate in its answers.
     NameRate,
+    /// The answers of a model engine say that it leaves; the store hears of it later.
+    SayLeaving,
+    /// A plain upstream turns requests away and asks for a pause.
+    AskPause,
 }
 
 /// A fault with its moment and length; `pick` chooses whom it meets.
@@ -113,7 +117,11 @@
         steps.push(Step {
             at,
             span: Duration::from_millis(rng.random_range(500..2_500)),
-            fault: Fault::NameRate,
+            fault: match rng.random_range(0..4) {
+                0 | 1 => Fault::NameRate,
+                2 => Fault::SayLeaving,
+                _ => Fault::AskPause,
+            },
             pick: rng.random_range(0..1_000),
         });
         at += Duration::from_millis(rng.random_range(300..1_500));
--- a/standins/src/site/judge.rs
+++ b/standins/src/site/judge.rs
@@ -128,6 +128,8 @@
     pub foreign_memory: Vec<String>,
     /// Upstreams that announced their leaving, and when.
     pub notices: HashMap<String, Instant>,
+    /// Upstreams whose answers said from some moment on that they leave.
+    pub said_leaving: HashMap<String, Instant>,
     /// Rates that upstreams named.
     pub rates: Vec<NamedRate>,
     /// Upstreams whose records a stranger had overwritten, from when to when.
@@ -181,11 +183,21 @@
     }
 
     fn is_after_notice(&self, run: &Run) -> bool {
-        let notice = self.notices.get(&run.instance);
-        let late = notice.is_some_and(|at| run.began.saturating_duration_since(*at) > NOTICE);
+        let is_late = |notice: Instant| run.began.saturating_duration_since(notice) > NOTICE;
+        let listed = self.notices.get(&run.instance).copied();
+        let answered = self.first_answer_of_leaving(&run.instance);
+        let late = listed.is_some_and(is_late) || answered.is_some_and(is_late);
         late && !self.is_excused(run.began)
     }
 
+    /// When entries have an answer of an upstream that says that it leaves.
+    fn first_answer_of_leaving(&self, instance: &str) -> Option<Instant> {
+        let since = self.said_leaving.get(instance)?;
+        let runs = self.runs.iter().filter(|r| r.instance == instance);
+        let first = runs.map(|r| r.began).filter(|began| began > since).min();
+        first.map(|began| began + TOLD_WITHIN)
+    }
+
     /// Whether more began on an upstream in some span than the rate that it named allows, of what
     /// entries sent once they had an answer that named it.
     fn is_over(&self, rate: &NamedRate) -> bool {
--- a/standins/tests/site_judge.rs
+++ b/standins/tests/site_judge.rs
@@ -33,6 +33,8 @@
     work_by_a_strangers_record_is_found => finds(&overwritten(run(5, 6)), Breach::ByStrangersRecord);
     work_just_after_the_record_was_overwritten_is_allowed => assert_eq!(overwritten(run(2, 3)).judge(), []);
     work_after_its_own_record_is_back_is_allowed => assert_eq!(overwritten(run(9, 10)).judge(), []);
+    work_after_an_answer_said_that_it_leaves_is_found => finds(&said_leaving(8), Breach::AfterNotice);
+    work_soon_after_such_an_answer_is_allowed => assert_eq!(said_leaving(4).judge(), []);
     more_than_the_named_rate_is_found => {
         assert_eq!(limited(12).judge(), [Breach::OverLimit("i".to_owned())]);
     };
@@ -40,6 +42,14 @@
     run_left_behind_is_found => finds(&evidence(Kind::Log, whole(), vec![left_running()]), Breach::LeftRunning);
 }
 
+/// Runs of an engine whose answers say from second 1 on that it leaves: at 2, and later.
+fn said_leaving(later: u64) -> Evidence {
+    let runs = vec![run(2, 3), run(later, later + 1)];
+    let mut evidence = evidence(Kind::Fetch, whole(), runs);
+    evidence.said_leaving.insert("i".to_owned(), at(1));
+    evidence
+}
+
 /// An upstream that names one a second, and so many runs at once after the first.
 fn limited(at_once: usize) -> Evidence {
     let mut runs = vec![run(2, 3)];
