Split what is known of the store, and placed work, off the node's file

Cause: fireflydirect/src/node.rs had grown to 534 lines with four jobs. Change: contact holds what an entry knows of the platform's store, placed the guard of placed work; the functions are moved, none is changed. 406 lines are left. Ruled out: moving the changes of the pool as well, which touch most of what the node shares. Tests as before.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -4,7 +4,7 @@
 use crate::exchange::{Extras, Opened, Unanswered, read_whole, send};
 use crate::figure::or_empty;
 use crate::job::Job;
-use crate::node::PlacedGuard;
+use crate::placed::PlacedGuard;
 use crate::{repeats, returns};
 use bytes::Bytes;
 use fireflycroft::{
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -12,7 +12,7 @@
 use crate::figure::or_empty;
 use crate::job::Job;
 use crate::metrics::kind_word;
-use crate::node::PlacedGuard;
+use crate::placed::PlacedGuard;
 use crate::repeats;
 use crate::runs::Run;
 use bytes::Bytes;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -11,8 +11,8 @@
 use crate::runs::Runs;
 use fireflycroft::{
     ALL_HEARD_AFTER, Catalog, Digest, ENTRIES_AT_START, Evacuations, FleetView, LengthGuess, Life,
-    Need, Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, Regions, RepeatBudget,
-    Returns, SETTLE_TIME, Time, UpstreamIx, WatchDuty, Yields,
+    Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, Regions, RepeatBudget, Returns,
+    Time, UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -32,9 +32,6 @@
     Closing,
 }
 
-/// Time within which a store that is well has answered the first call of a process.
-const FIRST_ANSWER_WITHIN: Duration = Duration::from_millis(500);
-
 /// One process.
 pub struct Node {
     /// Where it runs.
@@ -80,9 +77,9 @@
     /// Whether the store answered the last call.
     pub store_answers: Cell<bool>,
     /// Times that the store has come back from a copy; none until it is known.
-    era: Cell<Option<u64>>,
+    pub(crate) era: Cell<Option<u64>>,
     /// Whether any call has failed yet.
-    store_failed: Cell<bool>,
+    pub(crate) store_failed: Cell<bool>,
     /// When it last answered one.
     pub store_answered_at: Cell<Option<Time>>,
     /// Whether the list of upstreams has been read whole since this entry watches.
@@ -213,81 +210,6 @@
         self.stage() == Stage::Serving && self.catalog.borrow().is_some()
     }
 
-    /// Whether this entry watches the store and is answered.
-    #[must_use]
-    pub fn watches_store(&self) -> bool {
-        self.duty.borrow().is_watching() && self.store_answers.get()
-    }
-
-    /// Whether this entry's own calls of the store are about to bring what is new: it watches, and is
-    /// answered or has just begun to ask.
-    #[must_use]
-    pub fn expects_store(&self) -> bool {
-        let now = self.now();
-        let begins = now.since(Time::default()) < FIRST_ANSWER_WITHIN;
-        let has_begun = begins && !self.store_failed.get();
-        self.duty.borrow().is_watching() && (self.store_answers.get() || has_begun)
-    }
-
-    /// Notes that the store answered this entry.
-    pub fn note_store_answer(&self) {
-        self.store_answers.set(true);
-        self.store_answered_at.set(Some(self.now()));
-        self.note_contact(self.now(), "store");
-    }
-
-    /// Notes that the store answered this or another entry.
-    pub fn note_contact(&self, at: Time, source: &str) {
-        if self.pool.borrow_mut().note_contact(at) {
-            let for_ms = SETTLE_TIME.as_millis();
-            log::info!(event = "removals_doubted", source = source, for_ms = for_ms; "");
-        }
-    }
-
-    /// Era of the store, as far as is known.
-    #[must_use]
-    pub fn era(&self) -> u64 {
-        self.era.get().unwrap_or_default()
-    }
-
-    /// Notes the era of the store that an answer or another entry tells.
-    pub fn note_era(&self, era: u64, source: &str) {
-        let was = self.era.get();
-        if was.is_some_and(|was| era <= was) {
-            return;
-        }
-        self.era.set(Some(era));
-        if let Some(was) = was {
-            log::warn!(event = "store_restored", era = era, was = was, source = source; "");
-            self.pool.borrow_mut().note_restored(self.now());
-        }
-    }
-
-    /// Notes that a call to the store failed or hangs.
-    pub fn note_store_failure(&self) {
-        self.store_answers.set(false);
-        self.store_failed.set(true);
-        self.pool.borrow_mut().note_no_contact();
-    }
-
-    /// Milliseconds since the first answer of the store after the last silence in which records may
-    /// have lapsed; none in one.
-    #[must_use]
-    pub fn contact_ms(&self) -> Option<u128> {
-        let pool = self.pool.borrow();
-        let unbroken = pool.contact().unbroken_for(self.now());
-        unbroken.map(|span| span.as_millis())
-    }
-
-    /// Whether what the list of upstreams known here lacks is gone, and not only missing or not yet
-    /// read.
-    #[must_use]
-    pub fn follows_store(&self) -> bool {
-        let pool = self.pool.borrow();
-        let settled = pool.is_settled(self.now()) && !pool.any_missing();
-        self.watches_store() && self.listed.get() && settled
-    }
-
     /// Version of the configuration in force; zero for none.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -452,22 +374,8 @@
         }
     }
 
-    /// Counts work as placed on an upstream for as long as the guard lives.
-    #[must_use]
-    pub fn place(self: &Rc<Self>, ix: UpstreamIx, need: Need) -> PlacedGuard {
-        self.pool.borrow_mut().place(self.now(), ix, &need);
-        if need.tokens > 0 {
-            self.note_load(ix);
-        }
-        PlacedGuard {
-            node: self.clone(),
-            ix,
-            need,
-        }
-    }
-
     /// Notes that the owners of an upstream should hear of its load at once.
-    fn note_load(&self, ix: UpstreamIx) {
+    pub(crate) fn note_load(&self, ix: UpstreamIx) {
         self.loads_changed.borrow_mut().insert(ix);
         self.to_report.notify_one();
     }
@@ -496,39 +404,3 @@
         self.urgent.notify_one();
     }
 }
-
-/// Work placed on an upstream; taken back when dropped.
-pub struct PlacedGuard {
-    node: Rc<Node>,
-    /// The upstream.
-    pub ix: UpstreamIx,
-    need: Need,
-}
-
-impl PlacedGuard {
-    /// Notes the memory that a run is expected to need by now, if it is more than before.
-    pub fn note_needed(&mut self, tokens: u64) {
-        if tokens > self.need.tokens {
-            let mut pool = self.node.pool.borrow_mut();
-            pool.grow(self.ix, &mut self.need, tokens);
-        }
-    }
-
-    /// Notes that the upstream has read the prompt.
-    pub fn note_read(&mut self) {
-        if self.need.unread > 0 {
-            let mut pool = self.node.pool.borrow_mut();
-            pool.note_read(self.ix, &mut self.need);
-            self.node.note_load(self.ix);
-        }
-    }
-}
-
-impl Drop for PlacedGuard {
-    fn drop(&mut self) {
-        self.node.pool.borrow_mut().release(self.ix, &self.need);
-        if self.need.tokens > 0 {
-            self.node.note_load(self.ix);
-        }
-    }
-}
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -1,6 +1,6 @@
 //! Streams under way, so that those on an upstream that leaves can be saved.
 
-use crate::node::PlacedGuard;
+use crate::placed::PlacedGuard;
 use fireflycroft::{MemoryCopy, Name, Need, UpstreamIx};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
