Play uneven callers before a service whose upstreams all name rates

Cause: shares are equal while a balancer that hashes few callers brings entries unequal traffic, so some shares go unused. Test in virtual time: five entries that get 38 to 6 in 100 of forty calls a second, three upstreams that name 2.9 each. The bound asserted is four fifths, the aim that most of the rate is used. Conclusion: equal shares stay.

--- a/fireflycroft/tests/rate_limit.rs
+++ b/fireflycroft/tests/rate_limit.rs
@@ -31,6 +31,7 @@
     rate_too_low_for_all_leaves_two_entries_that_hear_of_its_end => low_rate_is_probed();
     rate_of_nothing_is_probed_seldom => zero_rate_is_probed();
     fleet_of_hundreds_keeps_a_low_rate_at_once => first_burst_is_bounded();
+    callers_of_a_limited_service_get_most_of_its_rate => uneven_callers_are_served();
     answer_to_a_request_sent_before_the_limit_does_not_lift_it => old_answer_lifts_nothing();
 }
 
@@ -260,6 +261,42 @@
     }
 }
 
+/// Of a hundred callers, those that come to each of five entries: as uneven as a balancer that
+/// hashes few callers makes them.
+const CALLERS_AT: [u64; 5] = [38, 27, 18, 11, 6];
+
+/// Forty calls a second come to a service whose three upstreams name 2.9 each.
+fn uneven_callers_are_served() {
+    let names = ["a", "b", "c"];
+    let mut fleet = fleet(5, 2.9);
+    for (i, pool) in fleet.iter_mut().enumerate() {
+        for (revision, name) in (2..).zip(&names[1..]) {
+            pool.learn(at(0), pools::record(name, revision));
+            let upstream = ix(pool, name);
+            pool.note_rate_limit(at(1), upstream, at(0), rate(2.9));
+        }
+        assert_eq!(pool.count("models"), 3, "entry {i}");
+    }
+    let mut served = 0_u32;
+    for call in 0..1_600_u64 {
+        let now = at(10 + call * 25);
+        let drawn = call * 61 % 100;
+        let mut below = 0;
+        let entry = CALLERS_AT.iter().position(|share| {
+            below += share;
+            drawn < below
+        });
+        let pool = &mut fleet[entry.unwrap()];
+        if let Some(chosen) = pool.choose(now, "models", &need(0), &[]) {
+            pool.note_sending(now, chosen);
+            served += 1;
+        }
+    }
+    let named = 3.0 * 2.9 * 40.0;
+    let share = f64::from(served) / named;
+    assert!((0.8..=1.1).contains(&share), "{share}");
+}
+
 fn low_rate_is_probed() {
     for entries in [2, 5, 68, 350] {
         let mut fleet = fleet(entries, 0.2);
