Let only a success lift the rate that an upstream named

Cause: any answer without a rate lifted it for the whole fleet, a failure too, which may have been answered before the upstream looked at its need. Change: a rate is lifted by a sealed success to a request sent after the rate was last named; failures and refusals lift nothing, and still name one. Ruled out: two answers in a row, which delays the end by seconds for entries with a small share.

--- a/fireflycroft/tests/rate_limit.rs
+++ b/fireflycroft/tests/rate_limit.rs
@@ -292,9 +292,8 @@
             served += 1;
         }
     }
-    let named = 3.0 * 2.9 * 40.0;
-    let share = f64::from(served) / named;
-    assert!((0.8..=1.1).contains(&share), "{share}");
+    let of_rate = f64::from(served) / (3.0 * 2.9 * 40.0);
+    assert!((0.8..=1.1).contains(&of_rate), "{of_rate}");
 }
 
 fn low_rate_is_probed() {
--- a/fireflydirect/src/conditions.rs
+++ b/fireflydirect/src/conditions.rs
@@ -3,27 +3,36 @@
 use crate::figure::or_empty;
 use crate::job::Job;
 use crate::node::Node;
-use fireflycroft::{AnswerHead, Life, RateChange, RunClaim, Time, ToldRate, UpstreamIx};
+use fireflycroft::{AnswerHead, Life, RateChange, RateLimit, RunClaim, Time, ToldRate, UpstreamIx};
+use hyper::StatusCode;
 use std::time::Duration;
 
 /// Takes what the head of an answer to a request of `sent` says of the upstream.
-pub fn take(job: &Job, ix: UpstreamIx, sent: Time, head: &AnswerHead) {
+pub fn take(job: &Job, ix: UpstreamIx, sent: Time, status: StatusCode, head: &AnswerHead) {
     if head.claim == RunClaim::WrongInstance {
         return;
     }
     let node = &job.node;
-    if let Some(span) = head.conditions.pause {
+    let said = &head.conditions;
+    if let Some(span) = said.pause {
         node.pool.borrow_mut().pause(node.now(), ix, span);
         say_paused(node, ix, span);
     }
-    if head.conditions.leaving {
+    if said.leaving {
         let change = node.pool.borrow_mut().note_said_leaving(node.now(), ix);
         node.take_changes(change, "answer");
     }
-    let change =
-        node.pool
-            .borrow_mut()
-            .note_rate_limit(node.now(), ix, sent, head.conditions.rate_limit);
+    // A failure may have been answered before the upstream looked at its need.
+    let tells_rate = said.rate_limit.is_some() || (status.is_success() && head.sealed);
+    if tells_rate {
+        take_rate(node, ix, sent, said.rate_limit);
+    }
+}
+
+fn take_rate(node: &Node, ix: UpstreamIx, sent: Time, named: Option<RateLimit>) {
+    let mut pool = node.pool.borrow_mut();
+    let change = pool.note_rate_limit(node.now(), ix, sent, named);
+    drop(pool);
     if let Some(change) = change {
         say_rate_changed(node, ix, change, "answer");
         node.urgent.notify_one();
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -120,7 +120,7 @@
     if !head.is_own {
         return Err(Unanswered::Lost("an answer to another request".to_owned()));
     }
-    conditions::take(job, ix, sent, &head);
+    conditions::take(job, ix, sent, parts.status, &head);
     Ok(Opened {
         parts,
         head,
--- a/fireflydirect/tests/processes_rate_limit.rs
+++ b/fireflydirect/tests/processes_rate_limit.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use standins::site::AnswerFault;
 use std::time::{Duration, Instant};
 use support::{Site, cases, outcome, until};
 
@@ -79,6 +80,23 @@
         until_limited(&site, 1, false).await;
     }
 
+    answer_that_failed_lifts_no_limit(site: 1) {
+        let upstream = &site.plains[0];
+        site.store.put("servers", "p-1", &site.plains[1].entry("records", "draining"));
+        upstream.say(RATE_LIMIT, Some("50"));
+        tokio::time::sleep(ALL_HEARD).await;
+        site.call(0, "POST", "/file/a", &site.id()).send().await.unwrap();
+        until_limited(&site, 0, true).await;
+        upstream.say(RATE_LIMIT, None);
+        upstream.set_fault(AnswerFault::Fails);
+        let failed = site.call(0, "POST", "/file/a", &site.id()).send().await.unwrap();
+        assert_eq!(failed.status(), 500);
+        until_limited(&site, 0, true).await;
+        upstream.set_fault(AnswerFault::None);
+        site.call(0, "POST", "/file/a", &site.id()).send().await.unwrap();
+        until_limited(&site, 0, false).await;
+    }
+
     callers_are_served_by_the_upstream_that_is_not_limited(site: 2) {
         site.plains[0].say(RATE_LIMIT, Some("1"));
         tokio::time::sleep(ALL_HEARD).await;
