Give the caller an upstream's own failure when nobody else may be asked

What callers saw: 502 with 4001 in place of the upstream's sealed 500, when a second try found no upstream. Cause: the loop over tries forgot the answer at hand when there was nobody left to ask; it was rare while any upstream might be asked twice, and is usual now that one with a spent rate may not. Change: the failure at hand goes to the caller, also where the next engine has no room. Evidence: the test got 502 on the code before, 500 with the seal after. Ruled out: refusing with 503, since it has run. Conclusion: an upstream's answer that is ready is delivered.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -95,10 +95,10 @@
     let mut failure = None;
     loop {
         let Some(ix) = job.pick(&need, &asked).await else {
-            return nobody(job, &need, tries);
+            return failure.unwrap_or_else(|| nobody(job, &need, tries));
         };
         if let Some(wait) = no_room(job, ix, &need).await {
-            return refuse_for_room(job, ix, tries, wait);
+            return failure.unwrap_or_else(|| refuse_for_room(job, ix, tries, wait));
         }
         let one = try_one(job, ix, need, tries).await;
         note(job, ix, &one);
--- a/fireflydirect/tests/processes_rate_limit.rs
+++ b/fireflydirect/tests/processes_rate_limit.rs
@@ -97,6 +97,21 @@
         until_limited(&site, 0, false).await;
     }
 
+    failure_of_an_upstream_reaches_its_caller_when_nobody_else_may_be_asked(site: 1) {
+        site.store.put("servers", "p-1", &site.plains[1].entry("records", "draining"));
+        site.plains[0].say(RATE_LIMIT, Some("1"));
+        site.plains[0].set_fault(AnswerFault::Fails);
+        tokio::time::sleep(ALL_HEARD).await;
+        // Each call may be tried twice; four requests are allowed once the rate is known.
+        for _ in 0..3 {
+            let id = site.id();
+            let answer = site.call(0, "GET", "/fetch/a", &id).send().await.unwrap();
+            assert_eq!(answer.status(), 500);
+            assert!(answer.headers().contains_key("x-response-seal"));
+        }
+        assert_eq!(site.record.runs().len(), 1 + 4);
+    }
+
     callers_are_served_by_the_upstream_that_is_not_limited(site: 2) {
         site.plains[0].say(RATE_LIMIT, Some("1"));
         tokio::time::sleep(ALL_HEARD).await;
