Count requests of a rate in a span that makes them a whole number

Cause: the requests that a rate allows in 4 s were cut to a whole number, so a rate of 0.7 a second was used to 0.71 and one of 1.2 to 0.83 of it by the same arithmetic. Change: the number is rounded up and the span made as long as that number takes, 4 s to some 5 s, up to 20 s for very low rates. Evidence: rate_of_no_whole_number_in_a_span_is_used_as_well failed at 0.714 before and passes now. Why it is safe: no 4 s have more than the number rounded up, one more than the rate at most; the property over random fleets and starts holds. One exact figure in a test follows the rule: 350 entries at once send 5 at 1.2 a second, was 4; allowed are 12.

--- a/fireflycroft/src/rate_limit.rs
+++ b/fireflycroft/src/rate_limit.rs
@@ -59,7 +59,8 @@
     }
 }
 
-/// Span in which requests to a limited upstream are counted.
+/// Shortest span in which requests to a limited upstream are counted; most are a little longer, so that
+/// a whole number of requests makes up the rate.
 const SPAN: Duration = Duration::from_secs(4);
 
 /// Requests of the fleet that every rate has room for, in a longer span if need be: their answers tell
@@ -79,10 +80,10 @@
 impl Allowance {
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn of(limit: RateLimit) -> Self {
-        let span = SPAN.as_secs_f64().max(LEAST / limit.per_second());
-        let span = span.min(LONGEST_RATE_SPAN.as_secs_f64());
+        let requests = (limit.per_second() * SPAN.as_secs_f64()).ceil().max(LEAST);
+        let span = (requests / limit.per_second()).min(LONGEST_RATE_SPAN.as_secs_f64());
         Self {
-            requests: (limit.per_second() * span).max(LEAST) as usize,
+            requests: requests as usize,
             span: Duration::from_secs_f64(span),
         }
     }
