Hold the ports of an entry's test for as long as it runs

Cause: the harness bound a listener, let it go and handed its port on. A process that is being started beside holds copies of all descriptors until it runs its program, so the port went on listening there, and whoever asked the system in between could be given it.

Test first: 1,500 draws of four ports, bound as a process binds them while four threads start processes.

Change: ports are held by sockets that are bound and never listen, for as long as the entry is there; beside such a socket a process may bind and listen. The tests of the agents' path draw theirs by such sockets too; they don't hold them, since a library's listener may not allow it.

Ruled out: the stand-in store's doors (they are bound at another address), connections going out (the system gives them no port that a socket has bound). Not held: the port of datagrams, which a process binds alone.

--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -1,7 +1,7 @@
 //! Platform, upstreams, agents and entries as separate processes.
 
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use standins::caller::{Caller, Got, Request};
 use standins::oracle::{Breach, Runs, judge};
+use tokio::net::TcpSocket;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::process::{Process, run};
@@ -518,11 +519,16 @@
 }
 
 /// An address that is free and was not given before.
+///
+/// Its socket never listens: a copy of it in a process that is just being started would keep others
+/// from listening there.
 fn free(host: IpAddr) -> SocketAddr {
     let mut given = GIVEN.lock().unwrap();
     loop {
-        let listener = TcpListener::bind((host, 0)).unwrap();
-        let addr = listener.local_addr().unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(SocketAddr::from((host, 0))).unwrap();
+        let addr = socket.local_addr().unwrap();
         if !given.contains(&addr) {
             given.push(addr);
             return addr;
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use standins::site::{AnswerFault, EngineKind, RunEnd};
-use std::net::IpAddr;
+use std::net::{IpAddr, TcpListener};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use support::{KEY, Site, cases, check_runs, free_ports, outcome, until, whole_stream};
 
@@ -42,8 +44,8 @@
 fn ports_of_an_entry_are_never_the_same() {
     let ip = IpAddr::from([127, 99, 1, 1]);
     for _ in 0..DRAWN {
-        let [taken] = free_ports(ip, &[]);
-        let mut ports = free_ports::<3>(ip, &[taken]).to_vec();
+        let [taken] = free_ports(ip, &[]).numbers;
+        let mut ports = free_ports::<3>(ip, &[taken]).numbers.to_vec();
         ports.push(taken);
         ports.sort_unstable();
         ports.dedup();
@@ -51,6 +53,35 @@
     }
 }
 
+/// Starts whose ports are bound as a process binds them, while other processes are started beside.
+const STARTS: usize = 1_500;
+
+/// A process that is being started holds copies of all descriptors until it runs its program, and
+/// whoever asks the system for a port may be given one that was let go.
+#[test]
+fn ports_of_an_entry_stay_its_own_while_others_start() {
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while !over.load(Ordering::Relaxed) {
+                    Command::new("true").status().unwrap();
+                }
+            });
+        }
+        let ip = IpAddr::from([127, 99, 2, 1]);
+        let start = || -> std::io::Result<Vec<TcpListener>> {
+            let ports = free_ports::<4>(ip, &[]);
+            let bound = ports.numbers.map(|port| TcpListener::bind((ip, port)));
+            bound.into_iter().collect()
+        };
+        let failed = (0..STARTS).filter(|_| start().is_err());
+        let failed = failed.count();
+        over.store(true, Ordering::Relaxed);
+        assert_eq!(failed, 0, "starts of {STARTS} whose ports were taken");
+    });
+}
+
 cases! {
     calls_and_streams_are_served(site: 2) {
         for entry in 0..2 {
--- a/fireflydirect/tests/support/entry.rs
+++ b/fireflydirect/tests/support/entry.rs
@@ -5,6 +5,9 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
+use super::ports::HeldPorts;
+use tokio::net::TcpSocket;
+
 /// An entry process.
 pub(crate) struct Entry {
     /// Address of the VM.
@@ -15,6 +18,8 @@
     pub(super) settings: PathBuf,
     pub(super) log: PathBuf,
     pub(super) child: Option<Child>,
+    pub(super) _ports: HeldPorts<3>,
+    pub(super) _peer_port: TcpSocket,
 }
 
 impl Entry {
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use entry::Entry;
-use ports::claim_net;
+use ports::{HeldPorts, claim_net, hold};
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use standins::site::{Engine, EngineKind, Proxy, Record, RunEnd, Store};
@@ -61,7 +61,7 @@
     client: Client,
     net: [u8; 2],
     _claim: TcpListener,
-    peer_port: u16,
+    peer_port: HeldPorts<1>,
     version: u64,
     /// Requests a second that a cold engine bears, as the next configuration says; zero for any.
     pub(crate) cold_per_s: f64,
@@ -102,7 +102,7 @@
         let folder =
             std::env::temp_dir().join(format!("fireflydirect-{}-{}", std::process::id(), net[1]));
         fs::create_dir_all(&folder).unwrap();
-        let [peer_port] = free_ports(ip(1), &[]);
+        let peer_port = free_ports(ip(1), &[]);
         let mut site = Self {
             store,
             engines: Vec::new(),
@@ -204,8 +204,9 @@
     /// Starts one more entry, at the address that ends with `last`.
     pub(crate) async fn add_entry(&mut self, last: u8) {
         let ip = Ipv4Addr::new(127, self.net[0], self.net[1], last);
-        let addrs =
-            free_ports(ip.into(), &[self.peer_port]).map(|port| SocketAddr::from((ip, port)));
+        let [peer_port] = self.peer_port.numbers;
+        let ports = free_ports(ip.into(), &[peer_port]);
+        let addrs = ports.numbers.map(|port| SocketAddr::from((ip, port)));
         let [callers, readiness, operators] = addrs;
         let mut entry = Entry {
             ip,
@@ -215,6 +216,8 @@
             settings: self.folder.join(format!("settings-{last}.json")),
             log: self.folder.join(format!("entry-{last}.log")),
             child: None,
+            _ports: ports,
+            _peer_port: hold(ip.into(), peer_port),
         };
         let store = match &self.store_proxy {
             Some(proxy) => proxy.addr(),
@@ -266,6 +269,7 @@
     }
 
     fn settings(&self, entry: &Entry, store: SocketAddr) -> Value {
+        let [peer_port] = self.peer_port.numbers;
         let seeds: Vec<String> = (1..4)
             .map(|last| format!("127.{}.{}.{last}:9", self.net[0], self.net[1]))
             .collect();
@@ -273,7 +277,7 @@
             "node_name": format!("front-{}", entry.ip), "ip": entry.ip.to_string(), "zone": "a",
             "zones": {"a": "north", "b": "south"},
             "listen": {"front": entry.callers, "ready": entry.readiness, "control": entry.operators},
-            "internal_port_range": [self.peer_port, self.peer_port], "seeds": seeds,
+            "internal_port_range": [peer_port, peer_port], "seeds": seeds,
             "platform": {"address": store},
             "bounds": {"grace_s": 8, "config_apply_ms": 2_000, "drain_timeout_ms": 2_000,
                 "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 56,
--- a/fireflydirect/tests/support/ports.rs
+++ b/fireflydirect/tests/support/ports.rs
@@ -1,7 +1,8 @@
 //! Networks and ports that no other test uses.
 
-use std::net::{IpAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
+use tokio::net::TcpSocket;
 
 /// Networks of tests, so that none meets another's addresses.
 static NETS: AtomicU8 = AtomicU8::new(1);
@@ -22,20 +23,43 @@
     }
 }
 
-/// Free ports of an address, all different and none of them in `taken`.
+/// Ports of an address that the system gives to nobody else until this is dropped.
 ///
-/// All are held until the last one is drawn. Drawn one after the other, each given back before the
-/// next, two of four are the same once in some 2,000 times, and the process ends at its second bind.
-pub(crate) fn free_ports<const N: usize>(ip: IpAddr, taken: &[u16]) -> [u16; N] {
-    let mut held: Vec<TcpListener> = Vec::new();
-    let mut ports = Vec::new();
-    while ports.len() < N {
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        let port = listener.local_addr().unwrap().port();
-        held.push(listener);
+/// Each is bound by a socket that never listens, beside which a process may bind and listen: both
+/// allow the address to be used again. A listener that is let go may live on in another process that
+/// is just being started, and the system may give its port to whoever asks.
+pub(crate) struct HeldPorts<const N: usize> {
+    /// The ports, all different.
+    pub(crate) numbers: [u16; N],
+    _sockets: Vec<TcpSocket>,
+}
+
+/// Free ports of an address, none of them in `taken`.
+pub(crate) fn free_ports<const N: usize>(ip: IpAddr, taken: &[u16]) -> HeldPorts<N> {
+    let mut sockets = Vec::new();
+    let mut numbers = Vec::new();
+    while numbers.len() < N {
+        let socket = hold(ip, 0);
+        let port = socket.local_addr().unwrap().port();
+        sockets.push(socket);
         if !taken.contains(&port) {
-            ports.push(port);
+            numbers.push(port);
         }
     }
-    ports.try_into().unwrap()
+    HeldPorts {
+        numbers: numbers.try_into().unwrap(),
+        _sockets: sockets,
+    }
+}
+
+/// Holds a port of an address for one that will listen there; zero for any that is free.
+pub(super) fn hold(ip: IpAddr, port: u16) -> TcpSocket {
+    let socket = match ip {
+        IpAddr::V4(_) => TcpSocket::new_v4(),
+        IpAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(SocketAddr::from((ip, port))).unwrap();
+    socket
 }
