Let few entries watch the store, at a start and when watchers are lost

Cause: every entry began as a watcher and read the whole list, and every entry that didn't hear three healthy watchers ranking before it stepped in at once: whoever starts, and all entries whenever one watcher is lost. What grew with the fleet is the number of those that step in, each with a list.

Change: the seeds of the settings, which all know, begin as watchers. Others step in when fewer than three are heard to watch at all, eight at a time in the order of their ranks, which is now that of addresses, since those are known by hearsay too. Watchers are named first in news, and an entry that has just started is told at once, so that both find each other. Pauses between pages by the number of entries are gone. store_calls_total says kind and call.

Ruled out: stepping in later by a wait for each entry (two seconds at 412, and a small fleet would wait as long); handing the list to all that start from the seeds alone (some 70 MB over three links).

--- a/fireflycroft/src/owners.rs
+++ b/fireflycroft/src/owners.rs
@@ -35,6 +35,11 @@
         Self::folded(Digest::of(&[b"repeats", service.as_bytes()]))
     }
 
+    /// The order in which entries watch the platform's store for the others.
+    pub(crate) const fn of_watch() -> Self {
+        Self(0)
+    }
+
     /// A request, by the digest of what is asked.
     #[must_use]
     pub const fn of_content(content: Digest) -> Self {
--- a/fireflycroft/src/watchers.rs
+++ b/fireflycroft/src/watchers.rs
@@ -2,13 +2,19 @@
 //!
 //! Each waiting watch is a call that is paid for, and each change wakes all of
 //! them, so a few entries watch and tell the others. Every entry decides for
-//! itself, from what it hears: it watches while fewer than [`WATCHERS`] entries
-//! that rank before it watch in good health. So when watchers die, are cut off
-//! from the store or from this entry, the next ones step in without agreement;
-//! one too many for a moment costs a call or two.
+//! itself, from what it hears, and one too many for a moment costs some calls.
+//!
+//! The seeds of the settings, which all entries know, begin as watchers. Another
+//! entry steps in when it hears fewer than [`WATCHERS`] that watch in good health:
+//! at once if it ranks among the first of those known, later the further behind it
+//! ranks. So the loss of watchers costs a few lists of the store, whatever the
+//! size of the fleet, and a store that turns most entries away is still found by
+//! one that it answers. Who watches beside enough others that rank before it
+//! steps down.
 
-use crate::ids::{Digest, Name};
+use crate::owners::OwnedKey;
 use crate::time::Time;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 /// Entries that watch at a time: two may be lost at once, and one more be on its way out.
@@ -19,6 +25,16 @@
 /// A watcher that lost the store in silence finds out after about three seconds.
 pub const STEP_DOWN_AFTER: Duration = Duration::from_secs(4);
 
+/// Time that an entry which has just started takes to hear of those that watch.
+const HEARD_OF_WITHIN: Duration = Duration::from_secs(1);
+
+/// Entries that step in at a time when too few watch: enough that three of them are answered even
+/// if the store turns half of the fleet away.
+const STEP_IN_TOGETHER: usize = 8;
+
+/// Time between two such groups: one lists the store and is heard within it.
+const STEP_IN_EVERY: Duration = Duration::from_secs(1);
+
 /// Longest pause between calls to a store that doesn't answer, of the entries that rank first.
 ///
 /// A configuration is to be in force two seconds after the store took it; these entries hear of it
@@ -26,42 +42,55 @@
 const FIRST_PAUSE_LIMIT: Duration = Duration::from_millis(700);
 
 /// The same of all others, in a small fleet.
-///
-/// When the store is away for all, every entry tries: at 350 entries, two lists each, 1,000 calls a
-/// second with the pause of the first, half of what the store takes from all.
 const OTHERS_PAUSE_LIMIT: Duration = Duration::from_millis(2_100);
 
-/// The same for each entry that is heard, in a larger one: together they call some twenty times a
+/// The same for each entry that is known, in a larger one: together they call some twenty times a
 /// second, whatever the size, so that one finds out soon when the store is back for it alone.
 const PAUSE_FOR_EACH: Duration = Duration::from_millis(100);
 
 /// What an entry knows of another one's watching.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WatchView {
-    /// Name of the other entry.
-    pub name: Name,
-    /// Whether it watches and the store answers it.
+    /// Address of the other entry.
+    pub addr: Ipv4Addr,
+    /// Whether it is heard of late.
+    pub heard: bool,
+    /// Whether it is heard to watch, and the store answers it.
     pub watches: bool,
 }
 
 /// One entry's decision whether to watch, over time.
 #[derive(Clone, Debug)]
 pub struct WatchDuty {
-    rank: Digest,
+    rank: u64,
     watching: bool,
+    /// Since when enough others that rank before this entry watch.
     enough_since: Option<Time>,
+    /// Since when too few watch, as long as this entry doesn't.
+    too_few_since: Option<Time>,
     is_among_first: bool,
     others_pause: Duration,
 }
 
+/// What one look at the others comes to.
+#[derive(Default)]
+struct Look {
+    known: usize,
+    heard: usize,
+    watching: usize,
+    before: usize,
+    watching_before: usize,
+}
+
 impl WatchDuty {
-    /// An entry that watches until it hears of enough others.
+    /// An entry of which nothing is heard yet; whether it `begins` as a watcher is for it to say.
     #[must_use]
-    pub fn new(name: &Name) -> Self {
+    pub fn new(me: Ipv4Addr, begins: bool) -> Self {
         Self {
-            rank: rank_of(name),
-            watching: true,
+            rank: rank_of(me),
+            watching: begins,
             enough_since: None,
+            too_few_since: (!begins).then(Time::default),
             is_among_first: true,
             others_pause: OTHERS_PAUSE_LIMIT,
         }
@@ -80,12 +109,6 @@
         self.watching && self.enough_since.is_none()
     }
 
-    /// Whether fewer than [`WATCHERS`] of the entries that are heard rank before this one.
-    #[must_use]
-    pub const fn is_among_first(&self) -> bool {
-        self.is_among_first
-    }
-
     /// Longest pause between two calls while the store doesn't answer this entry.
     #[must_use]
     pub const fn longest_pause(&self) -> Duration {
@@ -96,33 +119,74 @@
         }
     }
 
-    /// Decides anew from what is heard of the others; true when the decision changed.
+    /// Decides anew from what is known of the others; true when the decision changed.
     pub fn decide<'a>(
         &mut self,
         now: Time,
         others: impl IntoIterator<Item = &'a WatchView>,
     ) -> bool {
-        let others: Vec<_> = others.into_iter().collect();
-        let heard = u32::try_from(others.len()).unwrap_or(u32::MAX);
-        self.others_pause = OTHERS_PAUSE_LIMIT.max(PAUSE_FOR_EACH.saturating_mul(heard));
-        let others = others.into_iter();
-        let before: Vec<_> = others.filter(|o| rank_of(&o.name) < self.rank).collect();
-        self.is_among_first = before.len() < WATCHERS;
-        let enough = before.iter().filter(|o| o.watches).count() >= WATCHERS;
-        if !enough {
+        let look = self.look(others);
+        let known = u32::try_from(look.known).unwrap_or(u32::MAX);
+        self.others_pause = OTHERS_PAUSE_LIMIT.max(PAUSE_FOR_EACH.saturating_mul(known));
+        self.is_among_first = look.before < WATCHERS;
+        let was = self.watching;
+        if was {
+            self.step_down_if_enough(now, &look);
+        } else {
+            self.step_in_if_too_few(now, &look);
+        }
+        self.watching != was
+    }
+
+    fn look<'a>(&self, others: impl IntoIterator<Item = &'a WatchView>) -> Look {
+        others.into_iter().fold(Look::default(), |look, other| {
+            let is_before = rank_of(other.addr) > self.rank;
+            Look {
+                known: look.known + 1,
+                heard: look.heard + usize::from(other.heard),
+                watching: look.watching + usize::from(other.watches),
+                before: look.before + usize::from(is_before),
+                watching_before: look.watching_before + usize::from(is_before && other.watches),
+            }
+        })
+    }
+
+    fn step_down_if_enough(&mut self, now: Time, look: &Look) {
+        if look.watching_before < WATCHERS {
             self.enough_since = None;
-            return !std::mem::replace(&mut self.watching, true);
+            return;
         }
         let since = *self.enough_since.get_or_insert(now);
-        let step_down = self.watching && now.since(since) >= STEP_DOWN_AFTER;
-        if step_down {
+        if now.since(since) >= STEP_DOWN_AFTER {
             self.watching = false;
+            self.enough_since = None;
+        }
+    }
+
+    fn step_in_if_too_few(&mut self, now: Time, look: &Look) {
+        if look.watching >= WATCHERS {
+            self.too_few_since = None;
+            return;
+        }
+        let since = *self.too_few_since.get_or_insert(now);
+        let begins_until = Time::default() + HEARD_OF_WITHIN;
+        if now >= begins_until.max(since + turn(look)) {
+            self.watching = true;
+            self.too_few_since = None;
         }
-        step_down
     }
 }
 
-/// Place in the order of entries, the same at all of them.
-fn rank_of(name: &Name) -> Digest {
-    Digest::of(&[b"watch", name.as_bytes()])
+/// Time after which an entry's turn to step in has come.
+///
+/// Its place among those known says little where nobody is heard.
+fn turn(look: &Look) -> Duration {
+    let group = u32::try_from(look.before / STEP_IN_TOGETHER).unwrap_or(u32::MAX);
+    let group = if look.heard == 0 { group.min(1) } else { group };
+    STEP_IN_EVERY.saturating_mul(group)
+}
+
+/// Place in the order of entries, the same at all of them; the highest go first.
+const fn rank_of(entry: Ipv4Addr) -> u64 {
+    OwnedKey::of_watch().rank(entry)
 }
--- a/fireflycroft/tests/rescue.rs
+++ b/fireflycroft/tests/rescue.rs
@@ -10,6 +10,7 @@
     STOP_AFTER_NOTICE, Time, UpstreamRecord, UpstreamState, WATCHERS, WatchDuty, WatchView, Yields,
     is_room, on_notice, pick_backup, room_after,
 };
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 cases! {
@@ -35,7 +36,7 @@
     first_rank_is_let_in_first => first_rank();
     short_generation_is_let_in_beyond => assert!(room(10, Coming::First, 1.0, 1.0) && !room(10, Coming::First, 2.0, 1.0));
     fuller_memory_says_come_back_later => assert!(room_after(1.5) > room_after(0.5));
-    lone_entry_watches => assert!(WatchDuty::new(&Name::from("a")).is_watching());
+    lone_entry_watches => assert!(WatchDuty::new(addr(0), true).is_watching());
     enough_watchers_are_found => enough_watchers();
     watcher_that_fails_is_replaced => failed_is_replaced();
     watcher_steps_down_late => steps_down_late();
@@ -239,17 +240,31 @@
     assert_eq!(keeper, None);
 }
 
+fn addr(number: usize) -> Ipv4Addr {
+    Ipv4Addr::from_bits(0x0a01_0000 + u32::try_from(number).unwrap())
+}
+
+/// An entry that is heard, and doesn't watch.
+fn idle(number: usize) -> WatchView {
+    WatchView {
+        addr: addr(number),
+        heard: true,
+        watches: false,
+    }
+}
+
 /// Entries that hear each other and whose watches the store answers, but for `cut`.
 struct Fleet {
-    names: Vec<Name>,
+    addrs: Vec<Ipv4Addr>,
     duties: Vec<WatchDuty>,
 }
 
 impl Fleet {
     fn new(count: usize) -> Self {
-        let names: Vec<Name> = (0..count).map(|i| Name::from(format!("e{i}"))).collect();
-        let duties = names.iter().map(WatchDuty::new).collect();
-        Self { names, duties }
+        let addrs: Vec<Ipv4Addr> = (0..count).map(addr).collect();
+        let duties = addrs.iter().map(|addr| WatchDuty::new(*addr, true));
+        let duties = duties.collect();
+        Self { addrs, duties }
     }
 
     fn watching(&self) -> Vec<usize> {
@@ -258,14 +273,15 @@
     }
 
     fn decide(&mut self, now: Time, cut: Option<usize>) {
-        let views: Vec<WatchView> = (0..self.names.len())
+        let views: Vec<WatchView> = (0..self.addrs.len())
             .map(|i| WatchView {
-                name: self.names[i].clone(),
+                addr: self.addrs[i],
+                heard: true,
                 watches: self.duties[i].is_watching() && Some(i) != cut,
             })
             .collect();
         for (i, duty) in self.duties.iter_mut().enumerate() {
-            let others = views.iter().filter(|v| v.name != self.names[i]);
+            let others = views.iter().filter(|v| v.addr != self.addrs[i]);
             duty.decide(now, others);
         }
     }
@@ -306,30 +322,22 @@
 /// fleet's size.
 fn few_call_often() {
     let mut fleet = Fleet::new(20);
-    let nobody = |i: usize| WatchView {
-        name: Name::from(format!("e{i}")),
-        watches: false,
-    };
-    let views: Vec<WatchView> = (0..20).map(nobody).collect();
+    let views: Vec<WatchView> = (0..20).map(idle).collect();
     for (i, duty) in fleet.duties.iter_mut().enumerate() {
-        duty.decide(at(0), views.iter().filter(|v| v.name != fleet.names[i]));
+        duty.decide(at(0), views.iter().filter(|v| v.addr != fleet.addrs[i]));
     }
     assert_eq!(fleet.watching().len(), 20);
     let often = |d: &&WatchDuty| d.longest_pause() < Duration::from_secs(1);
     assert_eq!(fleet.duties.iter().filter(often).count(), WATCHERS);
-    assert!(WatchDuty::new(&Name::from("a")).longest_pause() < Duration::from_secs(1));
+    assert!(WatchDuty::new(addr(0), true).longest_pause() < Duration::from_secs(1));
 }
 
 fn calls_stay_few() {
     for size in [5, 68, 350] {
         let mut fleet = Fleet::new(size);
-        let nobody = |i: usize| WatchView {
-            name: Name::from(format!("e{i}")),
-            watches: false,
-        };
-        let views: Vec<WatchView> = (0..size).map(nobody).collect();
+        let views: Vec<WatchView> = (0..size).map(idle).collect();
         for (i, duty) in fleet.duties.iter_mut().enumerate() {
-            duty.decide(at(0), views.iter().filter(|v| v.name != fleet.names[i]));
+            duty.decide(at(0), views.iter().filter(|v| v.addr != fleet.addrs[i]));
         }
         let pauses = fleet.duties.iter().map(|d| d.longest_pause().as_secs_f64());
         let calls_a_second: f64 = pauses.map(|p| 2.0 / p).sum();
--- a/fireflydirect/src/contact.rs
+++ b/fireflydirect/src/contact.rs
@@ -2,11 +2,21 @@
 
 use crate::node::Node;
 use fireflycroft::{SETTLE_TIME, Time};
+use std::cell::Cell;
 use std::time::Duration;
 
 /// Time within which a store that is well has answered the first call of a process.
 const FIRST_ANSWER_WITHIN: Duration = Duration::from_millis(500);
 
+/// A copy of the store that is being read.
+pub(crate) struct CopyGuard<'a>(&'a Cell<usize>);
+
+impl Drop for CopyGuard<'_> {
+    fn drop(&mut self) {
+        self.0.update(|n| n - 1);
+    }
+}
+
 impl Node {
     /// Whether this entry watches the store and is answered.
     #[must_use]
@@ -14,16 +24,25 @@
         self.duty.borrow().is_watching() && self.store_answers.get()
     }
 
-    /// Whether this entry's own calls of the store are about to bring what is new: it watches, and is
-    /// answered or has just begun to ask.
+    /// Whether this entry's own calls of the store are about to bring what is new: it reads a copy, or
+    /// watches and is answered or has just begun to ask.
     #[must_use]
     pub fn expects_store(&self) -> bool {
+        if self.copies_read.get() > 0 {
+            return true;
+        }
         let now = self.now();
         let begins = now.since(Time::default()) < FIRST_ANSWER_WITHIN;
         let has_begun = begins && !self.store_failed.get();
         self.duty.borrow().is_watching() && (self.store_answers.get() || has_begun)
     }
 
+    /// Notes that a copy of the store is being read, until the guard is dropped.
+    pub(crate) fn begin_copy(&self) -> CopyGuard<'_> {
+        self.copies_read.update(|n| n + 1);
+        CopyGuard(&self.copies_read)
+    }
+
     /// Notes that the store answered this entry.
     pub fn note_store_answer(&self) {
         self.store_answers.set(true);
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -4,15 +4,19 @@
 //! Each kind is listed once and then watched from the revision of the list. A
 //! list follows again only when the store has dropped its history, or has come
 //! back from a copy and gives out its revisions anew.
+//!
+//! An entry that doesn't watch reads it all once when it starts, from any copy of
+//! the store, and hears from then on of what changes.
 
 use crate::client::Client;
 use crate::intake::Intake;
 use crate::links::Answered;
+use crate::metrics::StoreCall;
 use crate::node::Node;
-use fireflycroft::{Mechanism, Overlap, era_of};
+use fireflycroft::{Mechanism, Name, Overlap, era_of};
 use fireflycroft_platform::{
-    Kind, StoreFault, StoreObject, StorePage, list_path, read_era, read_events, read_page,
-    watch_path,
+    Kind, StoreFault, StoreObject, StorePage, copy_path, list_path, read_era, read_events,
+    read_page, watch_path,
 };
 use std::cell::Cell;
 use std::rc::Rc;
@@ -31,7 +35,7 @@
 
 /// The same of an entry that watches beside enough others that rank before it: it stands by.
 ///
-/// All entries of a fleet watch for some seconds when they start, and each call is paid for.
+/// Several step in at a time when watchers are lost, and each call is paid for.
 const STANDBY_WAIT: Duration = Duration::from_secs(3);
 
 /// Time after its wait at which a watch is overdue.
@@ -49,10 +53,6 @@
 /// links are as narrow.
 const CONFIG_PATIENCE: Duration = Duration::from_secs(2);
 
-/// Time for each entry known that one which doesn't rank first waits between two pages of a list: all
-/// of them then read some 200 pages a second.
-const PAGE_TIME_FOR_EACH: Duration = Duration::from_millis(5);
-
 /// First pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -63,11 +63,11 @@
 const GATHER: Duration = Duration::from_millis(300);
 
 /// The same of an entry that stands by: when a fleet starts, its upstreams enter the list one after the
-/// other, and all entries watch.
+/// other.
 const STANDBY_GATHER: Duration = Duration::from_secs(2);
 
-/// Time for which an entry has to be relied on before it reads evacuations: all entries of a fleet that
-/// starts are until they hear of each other, and each call is paid for.
+/// Time for which an entry has to be relied on before it reads evacuations: several are when watchers
+/// are lost, until they hear of each other, and each call is paid for.
 const RELIED_ON_FOR: Duration = Duration::from_secs(1);
 
 /// Time between two looks at whether another feed of this entry is answered again.
@@ -109,6 +109,10 @@
         pause: FIRST_PAUSE,
         contact,
     };
+    if !is_on_duty(&feed.node, kind) {
+        feed.read_copy_at_start().await;
+        feed.wait_for_duty().await;
+    }
     loop {
         feed.until_due().await;
         match feed.list().await {
@@ -118,6 +122,32 @@
     }
 }
 
+/// The pages of one list that have been read.
+#[derive(Default)]
+struct Listing {
+    objects: Vec<StoreObject>,
+    /// Revision of the first page: changes between two pages come again with a watch from there.
+    revision: Option<u64>,
+}
+
+impl Listing {
+    /// Name after which the next page begins.
+    fn last(&self) -> Option<Name> {
+        self.objects.last().map(|o| o.name.clone())
+    }
+
+    /// Takes the next page, unless it is of a later era than those before, which are void then.
+    fn take(&mut self, page: StorePage) -> bool {
+        let first = *self.revision.get_or_insert(page.revision);
+        if era_of(first) != era_of(page.revision) {
+            *self = Self::default();
+            return false;
+        }
+        self.objects.extend(page.objects);
+        true
+    }
+}
+
 impl Feed {
     /// Lists all objects, page by page, and gives the revision from which a watch goes on; none when
     /// others have begun to watch for this entry before the end.
@@ -125,57 +155,74 @@
     /// A page that fails is asked for again, and not the pages before it: when a whole fleet
     /// starts anew, each entry asks for the whole list, and starting over would never end.
     async fn list(&mut self) -> Option<u64> {
-        let mut objects: Vec<StoreObject> = Vec::new();
-        let mut revision = None;
+        let mut listing = Listing::default();
         self.intake.begin_list();
         loop {
-            let after = objects.last().map(|o| o.name.clone());
-            let page = match self.read_page(after.as_deref()).await {
-                Ok(page) => page,
-                Err(why) => {
-                    self.rest(&why).await;
-                    continue;
+            match self.read_page(StoreCall::List, &mut listing).await {
+                Ok(true) => {}
+                Ok(false) => {
+                    self.heard();
+                    return self.take_list(listing);
                 }
-            };
-            self.intake.note_nameless(page.nameless);
-            // What is read of a list that can't be read to its end holds all the same.
-            self.intake.take_objects(&page.objects);
-            objects.extend(page.objects);
-            // Changes between two pages come again with a watch from the first one's revision.
-            let first = *revision.get_or_insert(page.revision);
-            if era_of(first) != era_of(page.revision) {
-                // The pages before are of a store that is no more.
-                objects.clear();
-                revision = None;
-                continue;
-            }
-            if !page.more {
-                self.heard();
-                self.intake.take_list(&objects, first);
-                return Some(first);
+                Err(why) => self.rest(&why).await,
             }
-            self.give_way().await;
-            if !self.node.duty.borrow().is_watching() {
+            if !is_on_duty(&self.node, self.kind) {
                 return None;
             }
         }
     }
 
-    /// Lets the entries that rank first among the watchers read the next page sooner.
+    /// Reads the next page of a list; true when the list goes on.
+    async fn read_page(&mut self, call: StoreCall, listing: &mut Listing) -> Result<bool, String> {
+        let after = listing.last();
+        let path = match call {
+            StoreCall::Copy => copy_path(self.kind, after.as_deref()),
+            StoreCall::List | StoreCall::Watch => list_path(self.kind, after.as_deref()),
+        };
+        let page = self.get_page(call, &path).await?;
+        self.intake.note_nameless(page.nameless);
+        // What is read of a list that can't be read to its end holds all the same.
+        self.intake.take_objects(&page.objects);
+        let more = page.more;
+        Ok(!listing.take(page) || more)
+    }
+
+    fn take_list(&mut self, listing: Listing) -> Option<u64> {
+        let revision = listing.revision?;
+        self.intake.take_list(&listing.objects, revision);
+        Some(revision)
+    }
+
+    /// Reads all objects once, from any copy of the store, for an entry that starts beside watchers:
+    /// what has changed since then it hears of the others.
     ///
-    /// The store serves so many pages a second to all. Where hundreds of entries start at once and
-    /// each reads a long list, none has it for half a minute; the first ones have it at once and
-    /// hand it on.
-    async fn give_way(&self) {
-        if !self.node.duty.borrow().is_among_first() {
-            let entries = u32::try_from(self.node.peers.borrow().known()).unwrap_or(u32::MAX);
-            tokio::time::sleep(PAGE_TIME_FOR_EACH.saturating_mul(entries)).await;
+    /// When a whole fleet starts, nobody could hand it all to each of them as soon.
+    async fn read_copy_at_start(&mut self) {
+        if self.kind == Kind::Evacuations {
+            return;
+        }
+        let node = self.node.clone();
+        let _reading = node.begin_copy();
+        let begins_to_watch = on_duty(&node, self.kind);
+        let read = tokio::select! {
+            read = self.read_copy() => read,
+            () = begins_to_watch => return,
+        };
+        if let Err(why) = read {
+            let kind = format!("{:?}", self.kind);
+            log::warn!(event = "store_copy_unread", kind = kind, why = why; "");
         }
     }
 
-    async fn read_page(&mut self, after: Option<&str>) -> Result<StorePage, String> {
-        let path = list_path(self.kind, after);
-        let answered = self.get(&path, self.patient()).await;
+    async fn read_copy(&mut self) -> Result<(), String> {
+        let mut listing = Listing::default();
+        while self.read_page(StoreCall::Copy, &mut listing).await? {}
+        self.take_list(listing);
+        Ok(())
+    }
+
+    async fn get_page(&mut self, call: StoreCall, path: &str) -> Result<StorePage, String> {
+        let answered = self.get(call, path, self.patient()).await;
         let answered = answered.map_err(|e| e.to_string())?;
         let status = answered.status;
         let page = read_page(status, &answered.body).map_err(|e| format!("{status} {e:?}"))?;
@@ -191,10 +238,21 @@
     }
 
     /// Sends a call to the store; an answer that the store gave before it came back from a copy is none.
-    async fn get(&mut self, path: &str, overlap: Overlap) -> anyhow::Result<Answered> {
+    async fn get(
+        &mut self,
+        call: StoreCall,
+        path: &str,
+        overlap: Overlap,
+    ) -> anyhow::Result<Answered> {
         let contact = &self.contact;
-        let on_hang = || contact.note_lost("no progress");
-        let answered = self.client.get(path, overlap, on_hang).await?;
+        let on_hang = || {
+            contact.node.metrics.note_store_call(self.kind, call, false);
+            contact.note_lost("no progress");
+        };
+        let answered = self.client.get(path, overlap, on_hang).await;
+        let metrics = &self.node.metrics;
+        metrics.note_store_call(self.kind, call, answered.is_ok());
+        let answered = answered?;
         let era = read_era(&answered.headers);
         self.node.note_era(era, "store");
         anyhow::ensure!(era == self.node.era(), "an answer of a former era");
@@ -226,9 +284,7 @@
             return;
         }
         node.store_answers.set(false);
-        while !node.duty.borrow().is_watching() {
-            node.duty_changed.notified().await;
-        }
+        on_duty(&node, self.kind).await;
     }
 
     async fn watch_from(&mut self, mut revision: u64) {
@@ -282,7 +338,7 @@
     async fn look_or_wait(&mut self, revision: u64) -> anyhow::Result<Answered> {
         if self.contact.lost.get() {
             let path = watch_path(self.kind, revision, LOOK_WAIT);
-            return self.get(&path, self.patient()).await;
+            return self.get(StoreCall::Watch, &path, self.patient()).await;
         }
         if self.node.duty.borrow().is_relied_on() {
             return self.watch(revision, self.longest_wait()).await;
@@ -306,7 +362,7 @@
     async fn watch(&mut self, revision: u64, wait: Duration) -> anyhow::Result<Answered> {
         let path = watch_path(self.kind, revision, wait);
         let overlap = Overlap::single(wait + WATCH_MARGIN);
-        self.get(&path, overlap).await
+        self.get(StoreCall::Watch, &path, overlap).await
     }
 
     fn heard(&mut self) {
@@ -350,8 +406,6 @@
 
 impl Contact {
     fn note_answer(&self) {
-        let calls = &self.node.metrics.store_calls;
-        calls.with_label_values(&["answered"]).inc();
         self.node.note_store_answer();
         if self.lost.replace(false) {
             log::info!(event = "store_regained", kind = format!("{:?}", self.kind); "");
@@ -360,8 +414,6 @@
 
     /// Notes that a call failed or hangs.
     fn note_lost(&self, why: &str) {
-        let calls = &self.node.metrics.store_calls;
-        calls.with_label_values(&["failed"]).inc();
         self.node.note_store_failure();
         if !self.lost.replace(true) {
             log::warn!(event = "store_lost", kind = format!("{:?}", self.kind), why = why; "");
@@ -380,6 +432,13 @@
     }
 }
 
+/// Returns once an entry is to follow a kind of object.
+async fn on_duty(node: &Node, kind: Kind) {
+    while !is_on_duty(node, kind) {
+        node.duty_changed.notified().await;
+    }
+}
+
 /// Returns once the others rely on this entry for what the store says.
 async fn relied_on(node: &Node) {
     while !node.duty.borrow().is_relied_on() {
@@ -394,6 +453,8 @@
     let answer = client
         .get(&path, Overlap::single(CONFIG_PATIENCE), || ())
         .await;
+    let metrics = &node.metrics;
+    metrics.note_store_call(Kind::Config, StoreCall::List, answer.is_ok());
     let Ok(answered) = answer else {
         return false;
     };
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -8,6 +8,7 @@
 use crate::peers::{Behind, v4};
 use crate::questions;
 use crate::state_page::{PeerState, state_path};
+use crate::tell;
 use fireflycroft::{CrashCount, EntryMessage, EntryNews, Overlap, Time, era_of};
 use fireflycroft_wire::decode_datagram;
 use rand::RngExt;
@@ -73,7 +74,12 @@
         return;
     }
     let now = node.now();
+    let greets = node.peers.borrow_mut().may_greet(from, news.incarnation);
     node.peers.borrow_mut().learn(now, from, &news);
+    if greets {
+        let node = node.clone();
+        tokio::task::spawn_local(async move { tell::greet(&node, from).await });
+    }
     let revision = news.upstreams.max(news.evacuations.revision);
     if revision > 0 {
         node.note_era(era_of(revision), "peer");
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use crate::node::Node;
 use fireflycroft::{Code, Pool, Repeat, Time};
+use fireflycroft_platform::Kind;
 use prometheus::core::Collector;
 use prometheus::{
     GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -67,6 +68,36 @@
     }
 }
 
+/// Calls of the store, as they are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreCall {
+    /// A page of a list.
+    List,
+    /// A page of a list that any copy of the store gives.
+    Copy,
+    /// A wait for changes.
+    Watch,
+}
+
+impl StoreCall {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::List => "list",
+            Self::Copy => "copy",
+            Self::Watch => "watch",
+        }
+    }
+}
+
+const fn object_word(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Config => "config",
+        Kind::Upstreams => "upstreams",
+        Kind::Evacuations => "evacuations",
+        Kind::Entries => "entries",
+    }
+}
+
 impl Metrics {
     /// Metrics on a registry of their own, all at zero.
     ///
@@ -82,7 +113,12 @@
             streams: counters(&r, "streams_total", "Streams ended", &["end"])?,
             went_on: counters(&r, "went_on_total", "Streams gone on elsewhere", &["way"])?,
             pause_seconds: seconds(&r, "pause_seconds", "Longest pause of each stream")?,
-            store_calls: counters(&r, "store_calls_total", "Calls of the store", &["result"])?,
+            store_calls: counters(
+                &r,
+                "store_calls_total",
+                "Calls of the store",
+                &["kind", "call", "result"],
+            )?,
             datagrams: counters(
                 &r,
                 "datagrams_total",
@@ -149,6 +185,13 @@
         unreadable.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
     }
 
+    /// Notes a call of the store for a kind of object, and whether it was answered.
+    pub(crate) fn note_store_call(&self, kind: Kind, call: StoreCall, answered: bool) {
+        let result = if answered { "answered" } else { "failed" };
+        let labels = [object_word(kind), call.word(), result];
+        self.store_calls.with_label_values(&labels).inc();
+    }
+
     /// Notes a datagram to another entry.
     pub fn note_datagram(&self, kind: &str, bytes: usize) {
         self.datagrams.with_label_values(&[kind]).inc();
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -32,6 +32,11 @@
     Closing,
 }
 
+/// Whether an entry watches the store from its start on: the seeds do, which all others know.
+fn begins_to_watch(place: &Place) -> bool {
+    place.seeds.is_empty() || place.seeds.iter().any(|seed| seed.ip() == place.ip)
+}
+
 /// One process.
 pub struct Node {
     /// Where it runs.
@@ -74,6 +79,8 @@
     pub duty: RefCell<WatchDuty>,
     /// Rings when that has changed.
     pub duty_changed: Notify,
+    /// Kinds of objects that are being read from any copy of the store.
+    pub(crate) copies_read: Cell<usize>,
     /// Whether the store answered the last call.
     pub store_answers: Cell<bool>,
     /// Times that the store has come back from a copy; none until it is known.
@@ -155,8 +162,9 @@
             datagrams: Datagrams::new(place.peer_ports.0, metrics.clone()),
             questions: Questions::default(),
             breadth: RefCell::default(),
-            duty: RefCell::new(WatchDuty::new(&place.vm)),
+            duty: RefCell::new(WatchDuty::new(place.ip, begins_to_watch(&place))),
             duty_changed: Notify::new(),
+            copies_read: Cell::new(0),
             store_answers: Cell::new(false),
             era: Cell::new(None),
             store_failed: Cell::new(false),
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -10,8 +10,8 @@
 //! be lost needs neither.
 
 use fireflycroft::{
-    CrashCount, Digest, EntryNews, Incarnation, Name, OwnedKey, PeerOverview, Time, WatchView,
-    owners_of, whole_millis,
+    CrashCount, Digest, EntryNews, Incarnation, Name, OwnedKey, PeerOverview, Time, WATCHERS,
+    WatchView, owners_of, whole_millis,
 };
 use fireflycroft_platform::Place;
 use rand::Rng;
@@ -105,6 +105,8 @@
     data_centre: Name,
     /// When it was first sent a question since it was heard.
     asked: Option<Time>,
+    /// Life that was heard last.
+    incarnation: Option<Incarnation>,
     /// Configuration that it told last.
     config: u64,
     /// Revision up to which its list of upstreams was complete, as it told last.
@@ -121,6 +123,7 @@
             leaving: false,
             watches: false,
             asked: None,
+            incarnation: None,
             config: 0,
             list: 0,
         }
@@ -148,6 +151,8 @@
     list_behind_since: Option<Time>,
     config_behind_since: Option<Time>,
     pub(crate) wants_all: bool,
+    /// Entries that have just started and may be told at once, until the next telling.
+    greetings_left: usize,
 }
 
 impl Peers {
@@ -167,6 +172,7 @@
             list_behind_since: None,
             config_behind_since: None,
             wants_all: false,
+            greetings_left: TOLD_AT_A_TIME,
         }
     }
 
@@ -177,12 +183,7 @@
         self.known.values().filter(counts).count()
     }
 
-    /// Other entries that are known, by hearsay too.
-    pub(crate) fn known(&self) -> usize {
-        self.known.len()
-    }
-
-    /// Addresses of the same.
+    /// Addresses of the other entries that are known, by hearsay too.
     pub(crate) fn addrs(&self) -> impl Iterator<Item = Ipv4Addr> {
         self.known.keys().copied()
     }
@@ -214,18 +215,27 @@
         known.asked = None;
     }
 
-    /// What the other entries that are heard do about the store.
+    /// What the other entries that stay do about the store.
     pub(crate) fn watch_views(&self, now: Time) -> Vec<WatchView> {
         let within = self.watcher_tells_every().mul_f64(WATCHER_MISSES);
-        let heard = self.known.values();
-        let heard = heard.filter(|k| k.is_heard_within(now, within));
-        let view = |k: &Known| {
-            Some(WatchView {
-                name: k.name.clone()?,
-                watches: k.watches,
-            })
+        let others = self.known.iter().filter(|(_, k)| k.stays(now));
+        let view = |(addr, k): (&Ipv4Addr, &Known)| {
+            let heard = k.is_heard_within(now, within);
+            WatchView {
+                addr: *addr,
+                heard,
+                watches: heard && k.watches,
+            }
         };
-        heard.filter_map(view).collect()
+        others.map(view).collect()
+    }
+
+    /// Leave to tell an entry at once what this one knows: it has just started, and knows of few.
+    pub(crate) fn may_greet(&mut self, from: Ipv4Addr, incarnation: Incarnation) -> bool {
+        let is_known = |k: &Known| k.incarnation == Some(incarnation);
+        let greets = self.greetings_left > 0 && !self.known.get(&from).is_some_and(is_known);
+        self.greetings_left -= usize::from(greets);
+        greets
     }
 
     fn watcher_tells_every(&self) -> Duration {
@@ -268,6 +278,7 @@
             watches: news.watches && !news.leaving,
             data_centre: news.data_centre.clone(),
             asked: None,
+            incarnation: Some(news.incarnation),
             config: news.config,
             list: news.upstreams_complete,
         };
@@ -386,6 +397,7 @@
 
     /// Whom to tell now: all, or some.
     pub(crate) fn targets(&mut self, now: Time, all: bool) -> Vec<Ipv4Addr> {
+        self.greetings_left = TOLD_AT_A_TIME;
         self.known
             .retain(|_, k| now.since(k.heard.unwrap_or(k.since)) < FORGET_AFTER);
         let unheard = |ip: &&Ipv4Addr| !self.known.contains_key(*ip);
@@ -404,13 +416,18 @@
         living.map(|(ip, _)| *ip).collect()
     }
 
-    /// Some entries to name in a datagram.
+    /// Some entries to name in a datagram, those first that watch the store: whoever has just started
+    /// is to hear of them.
     pub(crate) fn named(&self, now: Time) -> Vec<Ipv4Addr> {
+        let views = self.watch_views(now).into_iter();
+        let watching = views.filter(|v| v.watches).map(|v| v.addr);
+        let mut named: Vec<Ipv4Addr> = watching.take(WATCHERS).collect();
         let living = self.living(now);
-        living
-            .sample(&mut rand::rng(), MAX_NAMED)
-            .copied()
-            .collect()
+        let sample = living.sample(&mut rand::rng(), MAX_NAMED).copied();
+        let others: Vec<Ipv4Addr> = sample.filter(|ip| !named.contains(ip)).collect();
+        named.extend(others);
+        named.truncate(MAX_NAMED);
+        named
     }
 }
 
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -12,6 +12,8 @@
 
 /// Tells the others for as long as the process lives.
 pub async fn run(node: Rc<Node>) {
+    let begins = node.duty.borrow().is_watching();
+    log::info!(event = "watch_duty", watching = begins, peers = 0; "");
     let mut tell_at = node.now();
     loop {
         let reason = tokio::select! {
@@ -75,6 +77,12 @@
     node.datagrams.send_all(targets, &message).await;
 }
 
+/// Tells one entry that has just started.
+pub(crate) async fn greet(node: &Node, newcomer: Ipv4Addr) {
+    let message = EntryMessage::News(Box::new(news(node)));
+    node.datagrams.send_all([newcomer], &message).await;
+}
+
 /// Owners of the services that this entry repeats requests to: they lend what is left, and have to
 /// know what was spent.
 fn lenders(node: &Node, news: &EntryNews) -> Vec<Ipv4Addr> {
