Hand on what differs between versions of a configuration

What grew with the fleet is the number of readers of a text that hardly changes.

Change: entries keep former configurations for ten seconds and give an asker what leads from its own to the one in force: runs that are equal, found by blocks of 32 bytes, and the text between. The digest of the result is checked. A large configuration of which that isn't known, or would save little, is read from the store as before, from any copy first.

Tests first: six entries, a version of 604 routes after which one more comes; before, all six read it from the store, now only those that watch. A key changed among 5,000 takes under 1,000 bytes; a property over random edits; a change for another text is refused.

Ruled out: reading it from copies of the store alone (they may be seconds behind); a first try counted only the text told as the size of a change, so that 600 like routes passed for a small one (the existing test of large configurations failed).

--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -11,12 +11,11 @@
 use crate::client::Client;
 use crate::intake::Intake;
 use crate::links::Answered;
-use crate::metrics::StoreCall;
 use crate::node::Node;
+use crate::store_call::{StoreCall, page_path};
 use fireflycroft::{Mechanism, Name, Overlap, era_of};
 use fireflycroft_platform::{
-    Kind, StoreFault, StoreObject, StorePage, copy_path, list_path, read_era, read_events,
-    read_page, watch_path,
+    Kind, StoreFault, StoreObject, StorePage, read_era, read_events, read_page, watch_path,
 };
 use std::cell::Cell;
 use std::rc::Rc;
@@ -175,10 +174,7 @@
     /// Reads the next page of a list; true when the list goes on.
     async fn read_page(&mut self, call: StoreCall, listing: &mut Listing) -> Result<bool, String> {
         let after = listing.last();
-        let path = match call {
-            StoreCall::Copy => copy_path(self.kind, after.as_deref()),
-            StoreCall::List | StoreCall::Watch => list_path(self.kind, after.as_deref()),
-        };
+        let path = page_path(call, self.kind, after.as_deref());
         let page = self.get_page(call, &path).await?;
         self.intake.note_nameless(page.nameless);
         // What is read of a list that can't be read to its end holds all the same.
@@ -223,10 +219,7 @@
 
     async fn get_page(&mut self, call: StoreCall, path: &str) -> Result<StorePage, String> {
         let answered = self.get(call, path, self.patient()).await;
-        let answered = answered.map_err(|e| e.to_string())?;
-        let status = answered.status;
-        let page = read_page(status, &answered.body).map_err(|e| format!("{status} {e:?}"))?;
-        Ok(page.in_era(read_era(&answered.headers)))
+        decode_page(&answered.map_err(|e| e.to_string())?)
     }
 
     /// Tries that overlap, as often as this entry may call a store that is away.
@@ -446,22 +439,37 @@
     }
 }
 
-/// Reads the configuration from the store once; true when it was read.
-pub async fn read_config(node: &Node) -> bool {
+/// Reads a configuration of this version or a later one from the store; true when it was read.
+///
+/// Any copy of the store may have it by now, at a tenth of the price.
+pub(crate) async fn read_config(node: &Node, version: u64) -> bool {
+    for call in [StoreCall::Copy, StoreCall::List] {
+        read_config_by(node, call).await;
+        if node.version() >= version {
+            return true;
+        }
+    }
+    false
+}
+
+async fn read_config_by(node: &Node, call: StoreCall) {
     let mut client = Client::new(node.place.store.addr, node.clock);
-    let path = list_path(Kind::Config, None);
-    let answer = client
-        .get(&path, Overlap::single(CONFIG_PATIENCE), || ())
-        .await;
+    let path = page_path(call, Kind::Config, None);
+    let overlap = Overlap::single(CONFIG_PATIENCE);
+    let answer = client.get(&path, overlap, || ()).await;
     let metrics = &node.metrics;
-    metrics.note_store_call(Kind::Config, StoreCall::List, answer.is_ok());
-    let Ok(answered) = answer else {
-        return false;
-    };
-    let Ok(page) = read_page(answered.status, &answered.body) else {
-        return false;
-    };
-    let page = page.in_era(read_era(&answered.headers));
-    page.objects.iter().for_each(|o| node.adopt(o, "store"));
-    true
+    metrics.note_store_call(Kind::Config, call, answer.is_ok());
+    let page = answer
+        .map_err(|e| e.to_string())
+        .and_then(|answered| decode_page(&answered));
+    match page {
+        Ok(page) => page.objects.iter().for_each(|o| node.adopt(o, "store")),
+        Err(why) => log::warn!(event = "config_unread", call = call.word(), why = why; ""),
+    }
+}
+
+fn decode_page(answered: &Answered) -> Result<StorePage, String> {
+    let status = answered.status;
+    let page = read_page(status, &answered.body).map_err(|e| format!("{status} {e:?}"))?;
+    Ok(page.in_era(read_era(&answered.headers)))
 }
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use crate::peers::{Behind, v4};
 use crate::questions;
-use crate::state_page::{PeerState, state_path};
+use crate::state_page::{Asked, PeerState, state_path};
 use crate::tell;
 use fireflycroft::{CrashCount, EntryMessage, EntryNews, Overlap, Time, era_of};
 use fireflycroft_wire::decode_datagram;
@@ -27,12 +27,6 @@
 /// again, perhaps at another peer. A page on its way over a slow link goes on for as long as it takes.
 const FETCH_PATIENCE: Duration = Duration::from_millis(900);
 
-/// Bytes of a configuration from which on it is read from the store.
-///
-/// Told of a configuration, twenty entries fetch it from one peer at once. Over the slowest links
-/// of 10 Mbit/s, 400 kB then took over six seconds; the store's link is a hundred times wider.
-const LARGE_CONFIG: u32 = 64 << 10;
-
 /// Takes what the others tell, for as long as the process lives.
 pub async fn listen(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -101,8 +95,7 @@
     }
     let behind = behind(node, now, &news);
     if behind.is_any() {
-        let is_large = behind.config.is_some() && news.config_bytes > LARGE_CONFIG;
-        fetch(node, from, behind, is_large);
+        fetch(node, from, behind);
     }
     let mut budget = node.budget.borrow_mut();
     budget.note_others(now, &news.name, news.repeats);
@@ -136,18 +129,17 @@
     }
 }
 
-/// Fetches what a peer told of, one at a time; a large configuration from the store, and from a peer
-/// only if the store doesn't answer.
-fn fetch(node: &Rc<Node>, teller: Ipv4Addr, behind: Behind, is_large_config: bool) {
+/// Fetches what a peer told of, one at a time.
+///
+/// A configuration that peers don't hand over, since it is large and what differs isn't known, is read
+/// from the store, and from a peer only if the store doesn't answer.
+fn fetch(node: &Rc<Node>, teller: Ipv4Addr, behind: Behind) {
     let Some(guard) = node.peers.borrow().begin_fetch() else {
         return;
     };
     let node = node.clone();
     tokio::task::spawn_local(async move {
         let _guard = guard;
-        if is_large_config && read_config(&node).await {
-            return;
-        }
         let from = match behind.list {
             Some(_) if node.peers.borrow().wants_all => None,
             Some(_) => list_source(&node, &behind).await,
@@ -156,7 +148,14 @@
         let from = from.unwrap_or(teller);
         let what = behind.list.map_or("config", |_| "list");
         node.metrics.fetches.with_label_values(&[what]).inc();
-        if let Err(e) = fetch_state(&node, from, &behind).await {
+        let mut fetched = fetch_state(&node, from, &behind, false).await;
+        let lacking = behind.config.filter(|v| *v > node.version());
+        if let (Ok(()), Some(version)) = (&fetched, lacking)
+            && !read_config(&node, version).await
+        {
+            fetched = fetch_state(&node, from, &behind, true).await;
+        }
+        if let Err(e) = fetched {
             let (from, why) = (from.to_string(), e.to_string());
             log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
         }
@@ -189,19 +188,31 @@
     node.peers.borrow().source(node.now(), behind)
 }
 
-async fn fetch_state(node: &Node, from: Ipv4Addr, behind: &Behind) -> anyhow::Result<()> {
+async fn fetch_state(
+    node: &Node,
+    from: Ipv4Addr,
+    behind: &Behind,
+    whole_config: bool,
+) -> anyhow::Result<()> {
     let addr = SocketAddr::from((from, node.place.peer_ports.0));
     let known = known_revision(node, behind);
-    let path = state_path(node.version(), known);
+    let path = state_path(&Asked {
+        config: node.version(),
+        config_revision: node.configs.borrow().revision(),
+        whole_config,
+        upstreams: known,
+    });
     let mut client = Client::new(addr, node.clock);
     let overlap = Overlap::single(FETCH_PATIENCE);
     let answered = client.get(&path, overlap, || ()).await?;
     anyhow::ensure!(answered.status == 200, "status {}", answered.status);
-    let state: PeerState = serde_json::from_slice(&answered.body)?;
+    let mut state: PeerState = serde_json::from_slice(&answered.body)?;
     node.note_era(era_of(state.revision), "peer");
     node.peers.borrow_mut().learn_of(node.now(), &state.entries);
-    if let Some(config) = &state.config {
-        node.adopt(config, "peer");
+    let handover = state.config.take();
+    let config = handover.and_then(|h| node.configs.borrow().receive(h));
+    if let Some(config) = config {
+        node.adopt(&config, "peer");
     }
     if known == NOTHING_NEWER {
         return Ok(());
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -4,6 +4,7 @@
 //! process when somebody asks.
 
 use crate::node::Node;
+use crate::store_call::StoreCall;
 use fireflycroft::{Code, Pool, Repeat, Time};
 use fireflycroft_platform::Kind;
 use prometheus::core::Collector;
@@ -68,27 +69,6 @@
     }
 }
 
-/// Calls of the store, as they are counted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum StoreCall {
-    /// A page of a list.
-    List,
-    /// A page of a list that any copy of the store gives.
-    Copy,
-    /// A wait for changes.
-    Watch,
-}
-
-impl StoreCall {
-    const fn word(self) -> &'static str {
-        match self {
-            Self::List => "list",
-            Self::Copy => "copy",
-            Self::Watch => "watch",
-        }
-    }
-}
-
 const fn object_word(kind: Kind) -> &'static str {
     match kind {
         Kind::Config => "config",
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -1,6 +1,7 @@
 //! What one process knows and shares among its tasks.
 
 use crate::clock::Clock;
+use crate::config_history::ConfigHistory;
 use crate::datagrams::Datagrams;
 use crate::departures::Departures;
 use crate::figure::or_empty;
@@ -50,7 +51,7 @@
     /// When it was taken.
     pub adopted_at: Cell<Option<Time>>,
     /// The same as the store holds it, to hand to other entries.
-    pub published: RefCell<Option<StoreObject>>,
+    pub configs: RefCell<ConfigHistory>,
     /// Upstreams.
     pub pool: RefCell<Pool>,
     /// Budget of repeats.
@@ -149,7 +150,7 @@
             clock,
             catalog: RefCell::default(),
             adopted_at: Cell::new(None),
-            published: RefCell::default(),
+            configs: RefCell::default(),
             pool: RefCell::new(pool),
             budget: RefCell::new(budget),
             quarantine: RefCell::default(),
@@ -227,9 +228,7 @@
     /// Length of the configuration in force in bytes; zero for none.
     #[must_use]
     pub fn config_bytes(&self) -> u32 {
-        let published = self.published.borrow();
-        let bytes = published.as_ref().map_or(0, |p| p.content.get().len());
-        u32::try_from(bytes).unwrap_or(u32::MAX)
+        u32::try_from(self.configs.borrow().bytes()).unwrap_or(u32::MAX)
     }
 
     /// Entries that share the budget of repeats, this one included.
@@ -274,8 +273,9 @@
             pool.set_cold_rate(&service.name, service.cold_rate);
         }
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
-        *self.published.borrow_mut() = Some(object.clone());
-        self.adopted_at.set(Some(self.now()));
+        let now = self.now();
+        self.configs.borrow_mut().take(now, object.clone());
+        self.adopted_at.set(Some(now));
         self.changed.notify_waiters();
         self.urgent.notify_one();
     }
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -93,6 +93,7 @@
         let changes = node.pool.borrow_mut().drop_missing(now);
         node.take_changes(changes, "missing");
         node.quarantine.borrow_mut().expire(now);
+        node.configs.borrow_mut().tidy(now);
     }
 }
 
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -1,11 +1,11 @@
 //! What an entry shows other entries and operators over HTTP.
 
+use crate::config_history::ConfigHandover;
 use crate::metrics::METRICS_PATH;
 use crate::node::Node;
 use crate::overview::{OVERVIEW_PATH, overview};
 use crate::small_server::{self, Page, empty};
 use fireflycroft::{Name, UpstreamRecord};
-use fireflycroft_platform::StoreObject;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -20,8 +20,9 @@
 /// Configuration and upstreams as the platform's store held them.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct PeerState {
-    /// Configuration in force.
-    pub config: Option<StoreObject>,
+    /// Configuration in force, if the asker's is older and it can be handed over.
+    #[serde(default)]
+    pub config: Option<ConfigHandover>,
     /// Upstreams known that are newer than the revision asked from.
     pub upstreams: Vec<UpstreamRecord>,
     /// Upstreams known before that only said since that they leave, with the revision.
@@ -76,15 +77,25 @@
 }
 
 /// What the asker knows already, as the query says.
-struct Asked {
-    config: u64,
-    upstreams: u64,
+pub struct Asked {
+    /// Version of the configuration.
+    pub config: u64,
+    /// Revision at which the store holds that.
+    pub config_revision: u64,
+    /// Whether the configuration is wanted whole, however large it is.
+    pub whole_config: bool,
+    /// Revision up to which every change of the list of upstreams is known.
+    pub upstreams: u64,
 }
 
-/// Path and query of a state for one who knows these versions.
+/// Path and query of a state for one who knows so much.
 #[must_use]
-pub fn state_path(config: u64, upstreams: u64) -> String {
-    format!("{STATE_PATH}?config={config}&upstreams={upstreams}")
+pub fn state_path(asked: &Asked) -> String {
+    let whole = u8::from(asked.whole_config);
+    format!(
+        "{STATE_PATH}?config={}&config_revision={}&whole_config={whole}&upstreams={}",
+        asked.config, asked.config_revision, asked.upstreams
+    )
 }
 
 fn asked(req: &Request<Incoming>) -> Asked {
@@ -96,6 +107,8 @@
     };
     Asked {
         config: number("config"),
+        config_revision: number("config_revision"),
+        whole_config: number("whole_config") > 0,
         upstreams: number("upstreams"),
     }
 }
@@ -104,8 +117,10 @@
     let pool = node.pool.borrow();
     let changes = pool.since(asked.upstreams);
     let newer = node.version() > asked.config;
+    let configs = node.configs.borrow();
+    let config = configs.since(asked.config_revision, asked.whole_config);
     PeerState {
-        config: node.published.borrow().clone().filter(|_| newer),
+        config: config.filter(|_| newer),
         upstreams: changes.listed,
         leaving: changes.leaving,
         removed: changes.removed,
--- a/fireflydirect/tests/processes_store.rs
+++ b/fireflydirect/tests/processes_store.rs
@@ -158,4 +158,23 @@
         until("the version", || async { (0..6).all(|e| adopted(&site, e).is_some()) }).await;
         assert!((0..6).all(|e| adopted(&site, e) == Some(true)), "one link had to carry it for all");
     }
+
+    change_of_a_large_configuration_is_handed_on(site: 6) {
+        let names: Vec<(String, String)> = (0..601).map(|i| (format!("n{i}"), format!("/n{i}/"))).collect();
+        let routes: Vec<(&str, &str)> = names.iter().map(|(n, p)| (n.as_str(), p.as_str())).collect();
+        let source = |site: &Site, e: usize, count: &str| {
+            let log = site.log(e);
+            let line = log.lines().find(|l| l.contains("event=config_adopted") && l.contains(count));
+            line.map(|l| l.contains("source=store"))
+        };
+        let known = |site: &Site, count: &str| (0..6).all(|e| source(site, e, count).is_some());
+        site.publish_routes(&[KEY], &routes[..600]);
+        until("the large version", || async { known(&site, "routes=604") }).await;
+        site.publish_routes(&[KEY], &routes);
+        until("the next version", || async { known(&site, "routes=605") }).await;
+        let watching = (0..6).filter(|e| site.log(*e).contains("watching=true")).count();
+        let from_store = (0..6).filter(|e| source(&site, *e, "routes=605") == Some(true)).count();
+        assert!(from_store <= watching, "{from_store} read all of it, {watching} watch");
+        assert!(watching < 6, "{watching} watch");
+    }
 }
