Look for the first configuration in copies of the store

Cause: when the operator writes the first configuration of all, every entry that is told of it and can't be handed it, since it is large, asked any copy of the store, which lacked it as yet, and then the store itself: one call for each entry.

Change: who has no configuration at all looks at copies up to five times more, 0.6 s apart, before it asks the store; a store that doesn't answer is not waited for, and the whole comes from a peer as before.

Ruled out: the same for a later version, which is handed on as what differs or has to be in force within the users' bound.

--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -52,6 +52,12 @@
 /// links are as narrow.
 const CONFIG_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Further looks for the first configuration of all in copies of the store.
+const FIRST_CONFIG_LOOKS: u32 = 5;
+
+/// Pause before each of them.
+const FIRST_CONFIG_PAUSE: Duration = Duration::from_millis(600);
+
 /// First pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -441,18 +447,25 @@
 
 /// Reads a configuration of this version or a later one from the store; true when it was read.
 ///
-/// Any copy of the store may have it by now, at a tenth of the price.
+/// Any copy of the store may have it by now, at a tenth of the price. The first configuration of all
+/// may take some seconds to be there, and nobody waits for it.
 pub(crate) async fn read_config(node: &Node, version: u64) -> bool {
-    for call in [StoreCall::Copy, StoreCall::List] {
-        read_config_by(node, call).await;
-        if node.version() >= version {
-            return true;
+    let mut answered = read_config_by(node, StoreCall::Copy).await;
+    for _ in 0..FIRST_CONFIG_LOOKS {
+        if !answered || node.version() > 0 {
+            break;
         }
+        tokio::time::sleep(FIRST_CONFIG_PAUSE).await;
+        answered = read_config_by(node, StoreCall::Copy).await;
+    }
+    if answered && node.version() < version {
+        read_config_by(node, StoreCall::List).await;
     }
-    false
+    node.version() >= version
 }
 
-async fn read_config_by(node: &Node, call: StoreCall) {
+/// Reads the configuration once; true when the store answered.
+async fn read_config_by(node: &Node, call: StoreCall) -> bool {
     let mut client = Client::new(node.place.store.addr, node.clock);
     let path = page_path(call, Kind::Config, None);
     let overlap = Overlap::single(CONFIG_PATIENCE);
@@ -462,10 +475,11 @@
     let page = answer
         .map_err(|e| e.to_string())
         .and_then(|answered| decode_page(&answered));
-    match page {
+    match &page {
         Ok(page) => page.objects.iter().for_each(|o| node.adopt(o, "store")),
         Err(why) => log::warn!(event = "config_unread", call = call.word(), why = why; ""),
     }
+    page.is_ok()
 }
 
 fn decode_page(answered: &Answered) -> Result<StorePage, String> {
