Give an entry no part of a fleet that it doesn't know yet

Cause: an entry that had just started took the fleet to have 512 entries, and to have heard of nearly all after two seconds. Both hold only while the fleet is small: of 1,000 entries that start together, each takes twice its part of what a cold or limited upstream may get; and names come at some 320 a second, so that two seconds bring most of 412 and half of 1,000.

Change: for its first two seconds an entry knows nothing of the fleet's size and takes no part. News say how many entries the sender knows; who hears of far more from a watcher, to which all that start tell, fetches their addresses at once. The length of the configuration is told no more, since nobody asks it.

Test first: entries that start together before one cold upstream that may get 50 requests in a second, 5, 350, 1,000 and 2,000 of them. A constant holds for one size of a fleet; now none sends, and a settled fleet of any of these sizes sends between 1 and 50. Ruled out: a larger constant, which holds at no size in particular.

--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -592,9 +592,6 @@
     pub upstreams_digest: u64,
     #[prost(message, repeated, tag = "13")]
     pub list_changes: ::prost::alloc::vec::Vec<ListChange>,
-    /// Length of the configuration in bytes.
-    #[prost(uint32, tag = "14")]
-    pub config_bytes: u32,
     /// Time since the platform's store answered the sender itself; absent where it doesn't watch.
     #[prost(uint32, optional, tag = "16")]
     pub store_age_ms: ::core::option::Option<u32>,
@@ -610,6 +607,9 @@
     /// Upstreams that said in their answers that they leave, and that the list has as serving.
     #[prost(message, repeated, tag = "21")]
     pub said_leaving: ::prost::alloc::vec::Vec<Life>,
+    /// Entries that the sender knows to live, itself included.
+    #[prost(uint32, tag = "22")]
+    pub entries: u32,
 }
 /// The requests a second that an upstream takes from all entries together.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_news.rs
+++ b/fireflycroft-wire/tests/entry_news.rs
@@ -135,7 +135,7 @@
         name: Name::from("front-a-1"),
         incarnation: Incarnation(5),
         config: 7,
-        config_bytes: 90_000,
+        entries: 412,
         upstreams: 31,
         upstreams_digest: u64::MAX,
         upstreams_complete: 30,
--- a/fireflycroft/src/entry_news.rs
+++ b/fireflycroft/src/entry_news.rs
@@ -29,8 +29,8 @@
     pub incarnation: Incarnation,
     /// Version of the configuration in force there; zero for none.
     pub config: u64,
-    /// Length of that configuration in bytes.
-    pub config_bytes: u32,
+    /// Entries that the sender knows to live, itself included.
+    pub entries: u32,
     /// Revision of the list of upstreams known there.
     pub upstreams: u64,
     /// Revision up to which every change of that list is known there.
--- a/fireflycroft/src/fleet_view.rs
+++ b/fireflycroft/src/fleet_view.rs
@@ -9,11 +9,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-/// Entries that one which has just started takes the fleet to have at least: it has heard of few, and
-/// the others of a fleet that starts as a whole have too.
-pub const ENTRIES_AT_START: usize = 512;
-
-/// Time after its start in which an entry hears of nearly all others.
+/// Time after its start in which an entry hears of nearly all others: those that watch the store have
+/// heard from each of them, and name them all.
 pub const ALL_HEARD_AFTER: Duration = Duration::from_secs(2);
 
 /// The entries that an entry knows, by hearsay too.
@@ -36,6 +33,15 @@
         }
     }
 
+    /// A fleet of which nothing is known yet, so that no part of anything is this entry's.
+    ///
+    /// An entry that has just started has heard of few, and in a fleet that starts as a whole so have
+    /// the others.
+    #[must_use]
+    pub fn unknown(me: Ipv4Addr) -> Self {
+        Self::new(me, []).at_least(usize::MAX)
+    }
+
     /// The same fleet, taken to have at least so many entries.
     #[must_use]
     pub fn at_least(mut self, entries: usize) -> Self {
@@ -46,7 +52,7 @@
     /// Number of entries, this one included.
     #[must_use]
     pub const fn entries(&self) -> usize {
-        1 + self.others.len() + self.unheard
+        (1 + self.others.len()).saturating_add(self.unheard)
     }
 
     /// This entry's part of `whole`; those that weren't heard of are taken to rank before it.
--- a/fireflycroft/tests/cold.rs
+++ b/fireflycroft/tests/cold.rs
@@ -10,12 +10,11 @@
 #[path = "support/pools.rs"]
 mod pools;
 
-use fireflycroft::{
-    ColdLimits, ENTRIES_AT_START, FleetView, Name, Pool, UpstreamIx, UpstreamRecord, Withheld,
-};
+use fireflycroft::{ColdLimits, FleetView, Name, Pool, UpstreamIx, UpstreamRecord, Withheld};
 use pools::{at, chosen, ix, need, record};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 cases! {
@@ -27,6 +26,7 @@
     choice_leaves_out_a_spent_share => choice_goes_elsewhere();
     all_cold_upstreams_serve_a_small_fleet => small_fleet_serves();
     fleet_that_starts_as_a_whole_keeps_the_bound => starting_fleet();
+    fleet_of_any_size_keeps_the_bound_and_serves => fleet_of_any_size();
     halves_that_are_cut_off_keep_the_bound => halves();
 }
 
@@ -133,15 +133,30 @@
 }
 
 fn starting_fleet() {
-    let sent: usize = (0..350)
-        .map(|entry| {
-            let mut pool = pool_of(entry, 1, 30.0, &["a"]);
-            pool.set_fleet(fleet_of(ENTRIES_AT_START));
-            let a = ix(&pool, "a");
-            send_all(&mut pool, 0, a)
-        })
-        .sum();
-    assert!(sent <= 50, "{sent}");
+    for entries in [5, 350, 1_000, 2_000] {
+        let sent: usize = (0..entries)
+            .map(|entry| {
+                let mut pool = pool_of(entry, 1, 30.0, &["a"]);
+                pool.set_fleet(FleetView::unknown(Ipv4Addr::LOCALHOST));
+                let a = ix(&pool, "a");
+                send_all(&mut pool, 0, a)
+            })
+            .sum();
+        assert!(sent <= 50, "{entries} entries: {sent}");
+    }
+}
+
+fn fleet_of_any_size() {
+    for entries in [5, 412, 1_000, 2_000] {
+        let sent: usize = (0..entries)
+            .map(|entry| {
+                let mut pool = pool_of(entry, entries, 30.0, &["a"]);
+                let a = ix(&pool, "a");
+                send_all(&mut pool, 0, a)
+            })
+            .sum();
+        assert!((1..=50).contains(&sent), "{entries} entries: {sent}");
+    }
 }
 
 /// Each half goes on counting the entries that it doesn't hear any more.
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -93,6 +93,9 @@
     for crash in &news.crashes {
         learn_crash(node, now, crash);
     }
+    if node.peers.borrow().lacks_entries(now, &news) {
+        fetch_entries(node, from);
+    }
     let behind = behind(node, now, &news);
     if behind.is_any() {
         fetch(node, from, behind);
@@ -156,8 +159,7 @@
             fetched = fetch_state(&node, from, &behind, true).await;
         }
         if let Err(e) = fetched {
-            let (from, why) = (from.to_string(), e.to_string());
-            log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
+            note_failed_fetch(from, &e);
         }
     });
 }
@@ -188,25 +190,57 @@
     node.peers.borrow().source(node.now(), behind)
 }
 
+/// Fetches whom a peer knows.
+fn fetch_entries(node: &Rc<Node>, from: Ipv4Addr) {
+    let Some(guard) = node.peers.borrow().begin_fetch() else {
+        return;
+    };
+    node.metrics.fetches.with_label_values(&["entries"]).inc();
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        let _guard = guard;
+        let asked = Asked {
+            config: u64::MAX,
+            config_revision: 0,
+            whole_config: false,
+            upstreams: NOTHING_NEWER,
+        };
+        match get_state(&node, from, &asked).await {
+            Ok(state) => node.peers.borrow_mut().learn_of(node.now(), &state.entries),
+            Err(e) => note_failed_fetch(from, &e),
+        }
+    });
+}
+
+fn note_failed_fetch(from: Ipv4Addr, why: &anyhow::Error) {
+    let (from, why) = (from.to_string(), why.to_string());
+    log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
+}
+
+/// The state of another entry beyond what this one knows.
+async fn get_state(node: &Node, from: Ipv4Addr, asked: &Asked) -> anyhow::Result<PeerState> {
+    let addr = SocketAddr::from((from, node.place.peer_ports.0));
+    let mut client = Client::new(addr, node.clock);
+    let overlap = Overlap::single(FETCH_PATIENCE);
+    let answered = client.get(&state_path(asked), overlap, || ()).await?;
+    anyhow::ensure!(answered.status == 200, "status {}", answered.status);
+    Ok(serde_json::from_slice(&answered.body)?)
+}
+
 async fn fetch_state(
     node: &Node,
     from: Ipv4Addr,
     behind: &Behind,
     whole_config: bool,
 ) -> anyhow::Result<()> {
-    let addr = SocketAddr::from((from, node.place.peer_ports.0));
     let known = known_revision(node, behind);
-    let path = state_path(&Asked {
+    let asked = Asked {
         config: node.version(),
         config_revision: node.configs.borrow().revision(),
         whole_config,
         upstreams: known,
-    });
-    let mut client = Client::new(addr, node.clock);
-    let overlap = Overlap::single(FETCH_PATIENCE);
-    let answered = client.get(&path, overlap, || ()).await?;
-    anyhow::ensure!(answered.status == 200, "status {}", answered.status);
-    let mut state: PeerState = serde_json::from_slice(&answered.body)?;
+    };
+    let mut state = get_state(node, from, &asked).await?;
     node.note_era(era_of(state.revision), "peer");
     node.peers.borrow_mut().learn_of(node.now(), &state.entries);
     let handover = state.config.take();
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -11,9 +11,9 @@
 use crate::questions::Questions;
 use crate::runs::Runs;
 use fireflycroft::{
-    ALL_HEARD_AFTER, Catalog, Digest, ENTRIES_AT_START, Evacuations, FleetView, LengthGuess, Life,
-    Policy, Pool, PoolChange, Quarantine, QueryBreadth, Refusal, Regions, RepeatBudget, Returns,
-    Time, UpstreamIx, WatchDuty, Yields,
+    ALL_HEARD_AFTER, Catalog, Digest, Evacuations, FleetView, LengthGuess, Life, Policy, Pool,
+    PoolChange, Quarantine, QueryBreadth, Refusal, Regions, RepeatBudget, Returns, Time,
+    UpstreamIx, WatchDuty, Yields,
 };
 use fireflycroft_platform::{Place, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -138,7 +138,7 @@
         if let Some(heartbeat) = place.heartbeat {
             pool.set_heartbeat(heartbeat);
         }
-        pool.set_fleet(FleetView::default().at_least(ENTRIES_AT_START));
+        pool.set_fleet(FleetView::unknown(place.ip));
         if let Some(limits) = place.bounds.cold {
             pool.set_cold_limits(&place.vm, limits);
         }
@@ -225,12 +225,6 @@
         self.catalog.borrow().as_ref().map_or(0, |c| c.version())
     }
 
-    /// Length of the configuration in force in bytes; zero for none.
-    #[must_use]
-    pub fn config_bytes(&self) -> u32 {
-        u32::try_from(self.configs.borrow().bytes()).unwrap_or(u32::MAX)
-    }
-
     /// Entries that share the budget of repeats, this one included.
     #[must_use]
     pub fn entries(&self) -> usize {
@@ -239,10 +233,12 @@
 
     /// Tells the pool who the entries are.
     pub fn review_fleet(&self) {
-        let mut fleet = FleetView::new(self.place.ip, self.peers.borrow().addrs());
-        if self.now().since(Time::default()) < ALL_HEARD_AFTER {
-            fleet = fleet.at_least(ENTRIES_AT_START);
-        }
+        let has_just_started = self.now().since(Time::default()) < ALL_HEARD_AFTER;
+        let fleet = if has_just_started {
+            FleetView::unknown(self.place.ip)
+        } else {
+            FleetView::new(self.place.ip, self.peers.borrow().addrs())
+        };
         self.pool.borrow_mut().set_fleet(fleet);
     }
 
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -55,6 +55,9 @@
 /// Entries named in a datagram.
 const MAX_NAMED: usize = 8;
 
+/// Part of the entries known, as a divisor, by which another one has to know of more to be asked.
+const LACKING_PART: usize = 10;
+
 /// Crash counts that are told again and again.
 const MAX_CRASHES: usize = 16;
 
@@ -230,6 +233,14 @@
         others.map(view).collect()
     }
 
+    /// Whether an entry that all others tell knows of far more of them than this one, beyond what a
+    /// datagram or two would name.
+    pub(crate) fn lacks_entries(&self, now: Time, news: &EntryNews) -> bool {
+        let told = usize::try_from(news.entries).unwrap_or(usize::MAX);
+        let known = 1 + self.known.values().filter(|k| k.stays(now)).count();
+        news.watches && told > known + known / LACKING_PART + MAX_NAMED
+    }
+
     /// Leave to tell an entry at once what this one knows: it has just started, and knows of few.
     pub(crate) fn may_greet(&mut self, from: Ipv4Addr, incarnation: Incarnation) -> bool {
         let is_known = |k: &Known| k.incarnation == Some(incarnation);
--- a/fireflydirect/src/tell.rs
+++ b/fireflydirect/src/tell.rs
@@ -102,7 +102,7 @@
         name: node.place.vm.clone(),
         incarnation: peers.incarnation,
         config: node.version(),
-        config_bytes: node.config_bytes(),
+        entries: u32::try_from(node.entries()).unwrap_or(u32::MAX),
         upstreams: node.pool.borrow().revision(),
         upstreams_digest: node.pool.borrow().digest(),
         upstreams_complete: node.pool.borrow().complete_to(),
