Let requests wait for what an entry reads at its start

Cause: after all lost power, an entry of 412 on a small VM has its configuration 0.29 s after it starts and its list of upstreams after 0.5 to 0.75 s; callers who met it before were refused (no configuration, no upstream), and mostly had no further try.

Change: a process that is younger than a second holds a request until both are there, for a quarter of the caller's time at most; then it refuses as before.

Test first: an entry whose first two lists hang, half a second: 503 before, 200 now.

Ruled out: holding while the store is known to fail only (other entries hand the same over meanwhile); holding for as long as a caller bears (who isn't read within a third of its time goes elsewhere).

--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -11,6 +11,7 @@
 //! other entries ([`peers`]); it all hangs on one [`node::Node`].
 
 pub mod answer;
+pub mod beginning;
 pub mod call;
 pub mod callers;
 pub mod client;
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -1,6 +1,7 @@
 //! One request of a caller: checked, sent on, answered.
 
 use crate::answer::{Answer, close_after, own, relayed, whole};
+use crate::beginning::until_begun;
 use crate::call::{Reply, obtain};
 use crate::crash;
 use crate::generation::relay;
@@ -109,6 +110,7 @@
     if node.stage() == Stage::Closing {
         return Err(come_back(Code::Leaving, SOON));
     }
+    until_begun(node, ask.deadline).await;
     let catalog = node.catalog.borrow().clone();
     let catalog = catalog.ok_or_else(|| {
         let age = if node.policy.uses(Mechanism::Outage) {
--- a/fireflydirect/tests/processes_store.rs
+++ b/fireflydirect/tests/processes_store.rs
@@ -22,6 +22,17 @@
         assert!(site.store.overlapped() >= 2, "a try beside each list that hangs");
     }
 
+    caller_of_an_entry_that_has_just_started_is_served(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        site.store.set_mode(StoreMode::HangNext(2));
+        site.add_entry(1).await;
+        until("the start", || async { site.log(0).contains("event=started") }).await;
+        let answer = site.call(0, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+        // The lists come within half a second, by a second try beside the first.
+        assert_eq!(answer.status(), 200, "{}", site.log(0));
+    }
+
     store_that_hangs_is_lost_and_found(site: 1) {
         site.store.set_mode(StoreMode::Silent);
         until("the loss", || async { site.log(0).contains("event=store_lost") }).await;
