Read a copy of the store again once it answers somebody

Cause: an entry that starts in an outage failed to read its copy once and then waited for others.

Change: such an entry reads its copy again when it is told that the store answers somebody, unless it was handed all by then. Until then it calls nobody, so that an outage costs no more at any size.

Test: six entries that start while the store resets every connection serve after its return.

--- a/fireflycroft/tests/watchers.rs
+++ b/fireflycroft/tests/watchers.rs
@@ -173,6 +173,13 @@
         self.entries[entry].lost = Some(self.now);
     }
 
+    /// Has the store answer all, or nobody.
+    fn answer_all(&mut self, answered: bool) {
+        for entry in &mut self.entries {
+            entry.answered = answered;
+        }
+    }
+
     /// Entries that watch and are answered.
     fn watching(&self) -> Vec<usize> {
         let all = self.entries.iter().enumerate();
@@ -196,7 +203,9 @@
 fn starts_without(lost: &[usize]) {
     for size in SIZES {
         let mut fleet = Fleet::new(size);
-        lost.iter().for_each(|seed| fleet.lose(*seed));
+        for seed in lost {
+            fleet.lose(*seed);
+        }
         fleet.run(Duration::from_secs(3));
         let sound = size - lost.len();
         assert!(
@@ -220,7 +229,9 @@
 fn lost_watchers() {
     for size in SIZES {
         let mut fleet = Fleet::settled(size);
-        fleet.watching().into_iter().for_each(|i| fleet.lose(i));
+        for entry in fleet.watching() {
+            fleet.lose(entry);
+        }
         fleet.run(SILENCE + 2 * STEP);
         let left = size - WATCHERS;
         assert!(
@@ -259,7 +270,7 @@
 fn store_away() {
     for size in SIZES {
         let mut fleet = Fleet::settled(size);
-        fleet.entries.iter_mut().for_each(|e| e.answered = false);
+        fleet.answer_all(false);
         let outage = Duration::from_secs(10);
         fleet.run(outage);
         let a_second = fleet.vain_calls / outage.as_secs_f64();
@@ -267,7 +278,7 @@
             a_second <= CALLS_A_SECOND,
             "{size} entries: {a_second} calls a second"
         );
-        fleet.entries.iter_mut().for_each(|e| e.answered = true);
+        fleet.answer_all(true);
         fleet.run(2 * STEP_DOWN_AFTER);
         assert_eq!(fleet.watching().len(), WATCHERS, "{size} entries");
     }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -58,6 +58,9 @@
 /// Pause before each of them.
 const FIRST_CONFIG_PAUSE: Duration = Duration::from_millis(600);
 
+/// Pause after a copy of the store that couldn't be read.
+const COPY_PAUSE: Duration = Duration::from_millis(600);
+
 /// First pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -167,7 +170,7 @@
                 Ok(true) => {}
                 Ok(false) => {
                     self.heard();
-                    return self.take_list(listing);
+                    return self.take_list(&listing);
                 }
                 Err(why) => self.rest(&why).await,
             }
@@ -189,7 +192,7 @@
         Ok(!listing.take(page) || more)
     }
 
-    fn take_list(&mut self, listing: Listing) -> Option<u64> {
+    fn take_list(&mut self, listing: &Listing) -> Option<u64> {
         let revision = listing.revision?;
         self.intake.take_list(&listing.objects, revision);
         Some(revision)
@@ -204,22 +207,45 @@
             return;
         }
         let node = self.node.clone();
-        let _reading = node.begin_copy();
         let begins_to_watch = on_duty(&node, self.kind);
-        let read = tokio::select! {
-            read = self.read_copy() => read,
-            () = begins_to_watch => return,
-        };
-        if let Err(why) = read {
+        tokio::select! {
+            () = self.read_copy_until_known() => {}
+            () = begins_to_watch => {}
+        }
+    }
+
+    /// Reads a copy of the store until that succeeds or others have handed over what it says; again
+    /// only once the store answers somebody.
+    async fn read_copy_until_known(&mut self) {
+        while let Err(why) = self.read_copy().await {
             let kind = format!("{:?}", self.kind);
             log::warn!(event = "store_copy_unread", kind = kind, why = why; "");
+            loop {
+                tokio::time::sleep(COPY_PAUSE).await;
+                if self.is_known() {
+                    return;
+                }
+                if self.node.contact_ms().is_some() {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn is_known(&self) -> bool {
+        match self.kind {
+            Kind::Config => self.node.version() > 0,
+            Kind::Upstreams => self.node.has_whole_list.get(),
+            Kind::Evacuations | Kind::Entries => true,
         }
     }
 
     async fn read_copy(&mut self) -> Result<(), String> {
+        let node = self.node.clone();
+        let _reading = node.begin_copy();
         let mut listing = Listing::default();
         while self.read_page(StoreCall::Copy, &mut listing).await? {}
-        self.take_list(listing);
+        self.take_list(&listing);
         Ok(())
     }
 
--- a/fireflydirect/tests/processes_store.rs
+++ b/fireflydirect/tests/processes_store.rs
@@ -59,6 +59,26 @@
         assert_ne!(first, IpAddr::V4(site.entries[1].ip));
     }
 
+    fleet_that_starts_in_an_outage_serves_after_it(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        site.store.set_mode(StoreMode::Reset);
+        for last in 1..=6 {
+            site.add_entry(last).await;
+        }
+        until("the failures", || async {
+            (0..6).all(|e| site.log(e).contains("store_lost") || site.log(e).contains("store_copy_unread"))
+        })
+        .await;
+        site.store.set_mode(StoreMode::Up);
+        for entry in 0..6 {
+            until("an answer", || async {
+                site.call(entry, "GET", "/fetch/a", &site.id()).send().await.unwrap().status() == 200
+            })
+            .await;
+        }
+    }
+
     entry_turned_away_by_the_store_learns_changes(site: 2) {
         let denied = IpAddr::V4(site.entries[1].ip);
         site.store.set_mode(StoreMode::Deny(vec![denied]));
