Weigh an engine's pace more for long generations

By its site file an event takes four steps, 15 + 0.12 n ms each while a prompt is read beside n runs; three in four engines take 1.2 times as long, and all take 2.5 times as long in spans of 600 ms: 180 + 1.44 n ms (docs/design/late-streams.md). On the engines that take 0.55 of the usual time the same pause is 83 ms.

Change: the weight of an engine's pace, as learnt from what is relayed, in the cost of a long generation rises from 0.4 to 1.0 of a full memory. It answers a load of long generations before engines of unlike speeds, and is nothing where they are alike.

--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -178,7 +178,7 @@
 
 /// What an engine that takes twice the mean time for a token costs a long generation, against a
 /// full memory.
-const PACE_COST: f64 = 0.4;
+const PACE_COST: f64 = 1.0;
 
 /// What a shared part that lies there saves, against a full memory.
 const SHARED_GAIN: f64 = 0.03;
