Split the reading of one configuration off the feeds

Change: config_read holds it, moved as it was; a comment that told of all entries listing at a start says why pages aren't read again.

--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -47,17 +47,6 @@
 /// answers in 4 ms, and in some 200 ms when it is slow.
 const PATIENCE: Duration = Duration::from_millis(450);
 
-/// The same of a large configuration that all entries read at once: several hundred kilobytes wait
-/// before the first byte on links of 10 Mbit/s. Given up too soon, it is fetched from peers, whose
-/// links are as narrow.
-const CONFIG_PATIENCE: Duration = Duration::from_secs(2);
-
-/// Further looks for the first configuration of all in copies of the store.
-const FIRST_CONFIG_LOOKS: u32 = 5;
-
-/// Pause before each of them.
-const FIRST_CONFIG_PAUSE: Duration = Duration::from_millis(600);
-
 /// Pause after a copy of the store that couldn't be read.
 const COPY_PAUSE: Duration = Duration::from_millis(600);
 
@@ -160,8 +149,8 @@
     /// Lists all objects, page by page, and gives the revision from which a watch goes on; none when
     /// others have begun to watch for this entry before the end.
     ///
-    /// A page that fails is asked for again, and not the pages before it: when a whole fleet
-    /// starts anew, each entry asks for the whole list, and starting over would never end.
+    /// A page that fails is asked for again, and not the pages before it: a store that answers some
+    /// calls only would never be read to the end.
     async fn list(&mut self) -> Option<u64> {
         let mut listing = Listing::default();
         self.intake.begin_list();
@@ -471,44 +460,8 @@
     }
 }
 
-/// Reads a configuration of this version or a later one from the store; true when it was read.
-///
-/// Any copy of the store may have it by now, at a tenth of the price. The first configuration of all
-/// may take some seconds to be there, and nobody waits for it.
-pub(crate) async fn read_config(node: &Node, version: u64) -> bool {
-    let mut answered = read_config_by(node, StoreCall::Copy).await;
-    for _ in 0..FIRST_CONFIG_LOOKS {
-        if !answered || node.version() > 0 {
-            break;
-        }
-        tokio::time::sleep(FIRST_CONFIG_PAUSE).await;
-        answered = read_config_by(node, StoreCall::Copy).await;
-    }
-    if answered && node.version() < version {
-        read_config_by(node, StoreCall::List).await;
-    }
-    node.version() >= version
-}
-
-/// Reads the configuration once; true when the store answered.
-async fn read_config_by(node: &Node, call: StoreCall) -> bool {
-    let mut client = Client::new(node.place.store.addr, node.clock);
-    let path = page_path(call, Kind::Config, None);
-    let overlap = Overlap::single(CONFIG_PATIENCE);
-    let answer = client.get(&path, overlap, || ()).await;
-    let metrics = &node.metrics;
-    metrics.note_store_call(Kind::Config, call, answer.is_ok());
-    let page = answer
-        .map_err(|e| e.to_string())
-        .and_then(|answered| decode_page(&answered));
-    match &page {
-        Ok(page) => page.objects.iter().for_each(|o| node.adopt(o, "store")),
-        Err(why) => log::warn!(event = "config_unread", call = call.word(), why = why; ""),
-    }
-    page.is_ok()
-}
-
-fn decode_page(answered: &Answered) -> Result<StorePage, String> {
+/// The page that an answer to a list holds.
+pub(crate) fn decode_page(answered: &Answered) -> Result<StorePage, String> {
     let status = answered.status;
     let page = read_page(status, &answered.body).map_err(|e| format!("{status} {e:?}"))?;
     Ok(page.in_era(read_era(&answered.headers)))
--- a/fireflydirect/src/hear.rs
+++ b/fireflydirect/src/hear.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::conditions;
-use crate::feed::read_config;
+use crate::config_read::read_config;
 use crate::intake::take_told;
 use crate::node::Node;
 use crate::peers::{Behind, v4};
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod clock;
 pub mod conditions;
 pub mod config_history;
+pub mod config_read;
 pub mod contact;
 pub mod crash;
 pub mod datagrams;
