Log software versions of upstreams, and callers who take streams up

Cause: no line told whether a stream crossed versions within an answer or over a caller's tries; the record's version wasn't decoded at all. Change: the record's version and the caller's Resumes are decoded; the lines of upstreams, choices and streams name them, and announcements carry the version. No decision reads them.

--- a/fireflycroft-wire/src/entry_announcement.rs
+++ b/fireflycroft-wire/src/entry_announcement.rs
@@ -5,8 +5,8 @@
 use crate::generated as pb;
 use crate::owner_messages::{MAX_TOKENS, life, read_life};
 use fireflycroft::{
-    CrashCount, EntryAnnouncement, Evacuations, Incarnation, ListChange, PauseCounts, RateLimit,
-    RetryCount, ServiceDemand, ToldRate, UpstreamRecord, UpstreamState,
+    CrashCount, EntryAnnouncement, Evacuations, Incarnation, ListChange, Name, PauseCounts,
+    RateLimit, RetryCount, ServiceDemand, ToldRate, UpstreamRecord, UpstreamState,
 };
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -145,6 +145,10 @@
             unreadable: record.state == UpstreamState::Unreadable,
             incarnation: record.incarnation.0,
             cold_ms: millis(record.cold_for),
+            software_version: record
+                .software_version
+                .as_ref()
+                .map_or_else(String::new, ToString::to_string),
         },
         ListChange::Removed { instance, revision } => pb::ListChange {
             instance: instance.to_string(),
@@ -167,6 +171,7 @@
         service: read_name(&change.service, "list_change.service")?,
         addr: read_addr(&change.addr)?,
         data_centre: read_name(&change.data_centre, "list_change.data_centre")?,
+        software_version: read_software_version(&change.software_version)?,
         slots: change.slots,
         state: match (change.unreadable, change.leaving) {
             (true, _) => UpstreamState::Unreadable,
@@ -178,6 +183,12 @@
     }))
 }
 
+/// Reads a software version; an empty one is unknown.
+fn read_software_version(text: &str) -> Result<Option<Name>, WireError> {
+    let version = read_name(text, "list_change.software_version")?;
+    Ok(Some(version).filter(|v| !v.is_empty()))
+}
+
 fn retry_count(count: &RetryCount) -> pb::RepeatCount {
     pb::RepeatCount {
         service: count.service.to_string(),
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -703,6 +703,9 @@
     /// Whether its record is no longer readable.
     #[prost(bool, tag = "11")]
     pub unreadable: bool,
+    /// Version of its software; empty if unknown.
+    #[prost(string, tag = "12")]
+    pub software_version: ::prost::alloc::string::String,
 }
 /// Requests and retries of one service within the budget's window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -162,6 +162,7 @@
                 service: Name::from("s"),
                 addr: "127.0.0.1:80".parse().unwrap(),
                 data_centre: Name::from("a"),
+                software_version: Some(Name::from("v1.1")),
                 slots: 24,
                 state: UpstreamState::Leaving,
                 cold_for: Duration::from_millis(250),
--- a/fireflycroft/src/http_head.rs
+++ b/fireflycroft/src/http_head.rs
@@ -40,6 +40,8 @@
     pub size: Option<GenerationSize>,
     /// Identifier of the last event received, when the caller resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Identifier of the attempt that brought the stream's first event, when the caller resumes it.
+    pub resumes: Option<Name>,
 }
 
 /// Location of a copy of a run's memory.
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -26,6 +26,7 @@
 //!     service: Name::from("models"),
 //!     addr: "127.0.0.1:80".parse().unwrap(),
 //!     data_centre: Name::from("a"),
+//!     software_version: Some(Name::from("v1")),
 //!     slots: 24,
 //!     state: UpstreamState::Serving,
 //!     cold_for: Duration::ZERO,
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -51,6 +51,8 @@
     pub addr: SocketAddr,
     /// Data centre that it runs in.
     pub data_centre: Name,
+    /// Version of its software, not of its weights; `None` if not stated.
+    pub software_version: Option<Name>,
     /// Maximum concurrent requests.
     pub slots: u32,
     /// Whether it takes new work.
--- a/fireflycroft/tests/departure_watch.rs
+++ b/fireflycroft/tests/departure_watch.rs
@@ -73,6 +73,7 @@
             service: Name::from("models"),
             addr: "127.0.0.1:1".parse().unwrap(),
             data_centre: Name::from("dc"),
+            software_version: Some(Name::from("v1")),
             slots: 8,
             state: UpstreamState::Serving,
             cold_for: Duration::ZERO,
--- a/fireflycroft/tests/mechanism.rs
+++ b/fireflycroft/tests/mechanism.rs
@@ -57,6 +57,7 @@
             service: Name::from("models"),
             addr: "127.0.0.1:1".parse().unwrap(),
             data_centre: Name::from("dc"),
+            software_version: Some(Name::from("v1")),
             slots: 32,
             state: UpstreamState::Serving,
             cold_for: Duration::ZERO,
--- a/fireflycroft/tests/support/pools.rs
+++ b/fireflycroft/tests/support/pools.rs
@@ -25,6 +25,7 @@
         service: Name::from("models"),
         addr: "127.0.0.1:1".parse().unwrap(),
         data_centre: Name::from("dc"),
+        software_version: Some(Name::from("v1")),
         slots: 16,
         state: UpstreamState::Serving,
         cold_for: Duration::ZERO,
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -354,6 +354,8 @@
         failing = format!("{:.2}", view.failing), told_age_ms = view.age.as_millis(),
         service_memory = format!("{of_service:.2}"), rate_limit = or_empty(pool.rate_limit(ix)),
         speed = format!("{:.2}", view.speed), risk = format!("{:.3}", view.risk),
+        software_version = or_empty(pool.record(ix).software_version.as_ref()),
+        after = or_empty(job.head.last_event_id), resumes = or_empty(job.head.resumes.as_ref()),
         age_ms = job.age().as_millis();
         ""
     );
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -345,9 +345,12 @@
         } else {
             log::Level::Info
         };
+        let pool = job.node.pool.borrow();
+        let upstream = pool.record(self.assignment.ix);
         log::log!(
             level, event = event, req = &*job.request_id, route = &*job.route.name,
-            instance = &*job.node.pool.borrow().record(self.assignment.ix).instance,
+            instance = &*upstream.instance,
+            software_version = or_empty(upstream.software_version.as_ref()),
             events = self.events.relayed(), breaks = self.breaks, why = why,
             first_ms = or_empty(self.event_times.first.map(|t| t.since(job.arrival).as_millis())),
             longest_pause_ms = self.event_times.longest.as_millis(),
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -343,6 +343,7 @@
             log::info!(
                 event = event, instance = &*record.instance, incarnation = record.incarnation.0,
                 service = &*record.service, addr = record.addr.to_string(),
+                software_version = or_empty(record.software_version.as_ref()),
                 revision = record.revision, source = source;
                 ""
             );
