--- /dev/null
+++ b/fireflydirect/tests/processes_versions.rs
@@ -0,0 +1,250 @@
+//! Entry processes before engines of several software versions.
+
+mod support;
+
+use reqwest::RequestBuilder;
+use standins::site::{StoreMode, last_event};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use support::{KEY, Site, outcome, until};
+
+/// Events of a stream that lasts longer than the notice of an engine that leaves.
+const LONG: u64 = 200;
+
+/// Events of a stream that callers take up.
+const SHORT: u64 = 40;
+
+/// Events after which callers break off.
+const READ: u64 = 5;
+
+/// Streams that callers take up in one test.
+const TAKE_UPS: usize = 12;
+
+/// Defines test cases, each run on a site with engines of the given versions and a number of entries.
+macro_rules! cases {
+    ($($name:ident($site:ident: $versions:expr, $entries:literal) $body:block)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                #[allow(unused_mut)]
+                let mut $site = site_of(&$versions, $entries).await;
+                $body
+                $site.check();
+            }
+        )+
+    };
+}
+
+/// Starts a site with one model engine of each of `versions` and `entries` entries.
+async fn site_of(versions: &[&str], entries: u8) -> Site {
+    let mut site = Site::without_entries().await;
+    for (number, version) in versions.iter().enumerate() {
+        if number >= site.engines.len() {
+            site.start_engine(u8::try_from(number).unwrap()).await;
+        }
+        site.engines[number].set_version(version);
+        list(&site, number, "ready");
+    }
+    site.publish(&[KEY]);
+    for entry in 0..entries {
+        site.add_entry(entry + 1).await;
+    }
+    for entry in 0..usize::from(entries) {
+        site.until_ready(entry).await;
+        until("all engines", || async {
+            site.log(entry).matches("event=upstream_came").count()
+                >= versions.len() + site.plains.len()
+        })
+        .await;
+    }
+    site
+}
+
+/// Writes the record of a model engine.
+fn list(site: &Site, engine: usize, state: &str) {
+    let engine = &site.engines[engine];
+    let record = engine.registration("models", state);
+    site.store.put("servers", &engine.instance(), &record);
+}
+
+/// Reads a stream until `events` have come, or it ends or breaks off.
+async fn read(req: RequestBuilder, events: u64) -> String {
+    let mut body = String::new();
+    let Ok(mut answer) = req.send().await else {
+        return body;
+    };
+    while last_event(&body).unwrap_or(0) < events {
+        match answer.chunk().await {
+            Ok(Some(chunk)) => body.push_str(&String::from_utf8_lossy(&chunk)),
+            Ok(None) | Err(_) => break,
+        }
+    }
+    body
+}
+
+/// Returns the versions that the events of some bodies name.
+fn versions(bodies: &[&str]) -> BTreeSet<String> {
+    let lines = bodies.iter().flat_map(|b| b.lines());
+    let events = lines.filter_map(|l| l.strip_prefix("data: "));
+    events
+        .map(|e| e.split(' ').nth(2).unwrap_or("v1").to_owned())
+        .collect()
+}
+
+/// Reads a whole stream while its engine comes to harm; returns its body and the engine.
+async fn harm_engine(
+    site: &Site,
+    req: RequestBuilder,
+    id: &str,
+    harm: impl AsyncFnOnce(usize),
+) -> (String, usize) {
+    let harmed = async {
+        let engine = site.engine_of(id).await;
+        // The caller has some events by then.
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        harm(engine).await;
+        engine
+    };
+    futures_util::future::join(read(req, LONG), harmed).await
+}
+
+/// Breaks a stream off after a few events; returns its body.
+async fn begin(site: &Site, entry: usize, id: &str) -> String {
+    let begun = read(site.stream(entry, "/grade/a", SHORT, id), READ).await;
+    assert!(last_event(&begun) >= Some(READ), "{begun}");
+    begun
+}
+
+/// Takes a stream up after the events in `begun`, naming its first attempt.
+fn take_up(
+    site: &Site,
+    entry: usize,
+    id: &str,
+    first: Option<&str>,
+    begun: &str,
+) -> RequestBuilder {
+    let last = last_event(begun).unwrap().to_string();
+    let req = site.stream(entry, "/grade/a", SHORT, id);
+    let req = req.header("Last-Event-Id", last);
+    match first {
+        Some(first) => req.header("Resumes", first),
+        None => req,
+    }
+}
+
+/// Takes streams up at other entries; returns how many went on, all of them at one version.
+async fn take_streams_up(site: &Site, from: usize, to: usize) -> usize {
+    let mut went_on = 0;
+    for _ in 0..TAKE_UPS {
+        let (first, second) = (site.id(), site.id());
+        let begun = begin(site, from, &first).await;
+        let rest = read(take_up(site, to, &second, Some(&first), &begun), SHORT).await;
+        assert_eq!(versions(&[&begun, &rest]).len(), 1, "{begun}{rest}");
+        went_on += usize::from(last_event(&rest) == Some(SHORT));
+    }
+    went_on
+}
+
+cases! {
+    crashed_stream_stays_off_copies_at_another_version(site: ["v1", "v2"], 1) {
+        let id = site.id();
+        let req = site.generation(0, "/log/a", LONG, &id);
+        let (body, _) = harm_engine(&site, req, &id, async |e| site.engines[e].kill()).await;
+        assert_eq!(versions(&[&body]).len(), 1, "{body}");
+        assert!(last_event(&body) < Some(LONG), "{body}");
+    }
+
+    crashed_stream_goes_on_from_its_copy_at_the_same_version(site: ["v1", "v2", "v1", "v2"], 1) {
+        for _ in 0..2 {
+            let id = site.id();
+            let req = site.generation(0, "/log/a", LONG, &id);
+            let (body, engine) = harm_engine(&site, req, &id, async |e| site.engines[e].kill()).await;
+            assert_eq!(versions(&[&body]).len(), 1, "{body}");
+            assert_eq!(last_event(&body), Some(LONG), "{body}");
+            site.store.remove("servers", &site.engines[engine].instance());
+            let gone = format!("event=upstream_leaves instance={}", site.engines[engine].instance());
+            until("the removal", || async { site.log(0).contains(&gone) }).await;
+        }
+    }
+
+    crashed_resumable_stream_stays_off_another_version(site: ["v1", "v2"], 1) {
+        let id = site.id();
+        let req = site.stream(0, "/grade/a", LONG, &id);
+        let (body, _) = harm_engine(&site, req, &id, async |e| site.engines[e].kill()).await;
+        assert_eq!(versions(&[&body]).len(), 1, "{body}");
+        assert!(last_event(&body) < Some(LONG), "{body}");
+    }
+
+    stream_of_a_leaving_engine_is_not_moved_to_another_version(site: ["v1", "v2"], 1) {
+        let id = site.id();
+        let req = site.large_prompt(0, "/log/a", LONG, &id);
+        let (body, _) = harm_engine(&site, req, &id, async |e| list(&site, e, "draining")).await;
+        assert_eq!(versions(&[&body]).len(), 1, "{body}");
+        assert_eq!(last_event(&body), Some(LONG), "{body}");
+        assert_eq!(site.record.copy_count(), 0);
+    }
+
+    standby_copies_stay_at_the_version(site: ["v1", "v2"], 1) {
+        site.store.set_mode(StoreMode::Silent);
+        until("the watch", || async { site.log(0).contains("event=departure_watch active=true") }).await;
+        let id = site.id();
+        let req = site.large_prompt(0, "/log/a", LONG, &id);
+        let (body, _) = harm_engine(&site, req, &id, async |e| {
+            site.engines[e].report_leaving(1_500);
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            site.engines[e].kill();
+        }).await;
+        assert_eq!(versions(&[&body]).len(), 1, "{body}");
+        assert_eq!(site.record.copy_count(), 0);
+    }
+
+    streams_taken_up_at_another_entry_stay_at_their_version(site: ["v1", "v2", "v1", "v2"], 2) {
+        assert_eq!(take_streams_up(&site, 0, 1).await, TAKE_UPS);
+    }
+
+    streams_taken_up_after_their_entry_died_stay_at_their_version(site: ["v1", "v2", "v1", "v2"], 3) {
+        let mut begun = Vec::new();
+        for _ in 0..TAKE_UPS {
+            let first = site.id();
+            let body = begin(&site, 0, &first).await;
+            begun.push((first, body));
+        }
+        site.entries[0].kill();
+        for (first, body) in begun {
+            let rest = read(take_up(&site, 1, &site.id(), Some(&first), &body), SHORT).await;
+            assert_eq!(versions(&[&body, &rest]).len(), 1, "{body}{rest}");
+            assert_eq!(last_event(&rest), Some(SHORT), "{rest}");
+        }
+    }
+
+    stream_whose_version_nobody_knows_is_refused(site: ["v1", "v2", "v1", "v2"], 2) {
+        let begun = begin(&site, 0, &site.id()).await;
+        for first in [None, Some("never-seen")] {
+            let id = site.id();
+            let answer = take_up(&site, 1, &id, first, &begun).send().await.unwrap();
+            assert_eq!(outcome(&answer).0, 503, "{first:?}");
+            assert!(site.record.runs_of(&id).is_empty());
+        }
+    }
+
+    stream_of_an_engine_without_a_version_goes_on_nowhere(site: ["", ""], 1) {
+        let id = site.id();
+        let req = site.generation(0, "/log/a", LONG, &id);
+        let (body, _) = harm_engine(&site, req, &id, async |e| site.engines[e].kill()).await;
+        assert!(last_event(&body) < Some(LONG), "{body}");
+    }
+
+    stream_taken_up_stays_off_an_id_that_came_back_at_another_version(site: ["v1", "v2"], 2) {
+        site.store.remove("servers", &site.engines[1].instance());
+        for entry in 0..2 {
+            until("one engine", || async { site.log(entry).contains("event=upstream_leaves instance=m-1") }).await;
+        }
+        let first = site.id();
+        let begun = begin(&site, 0, &first).await;
+        site.engines[0].set_version("v3");
+        site.engines[0].restart().await.unwrap();
+        let id = site.id();
+        let rest = read(take_up(&site, 1, &id, Some(&first), &begun), SHORT).await;
+        assert_eq!(versions(&[&begun, &rest]).len(), 1, "{begun}{rest}");
+    }
+}
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -15,11 +15,12 @@
 
 use reqwest::Client;
 use soak_parts::callers::Callers;
-use soak_parts::faults::Soak;
+use soak_parts::faults::{Soak, other_version};
 use soak_parts::plan::{
     Fault, Step, plan, plan_with_conditions, plan_with_drills, plan_with_unheard_departures,
+    plan_with_versions,
 };
-use standins::site::{Attempt, Breach, Outcome, ProxyFault};
+use standins::site::{Attempt, Breach, FIRST_VERSION, Outcome, ProxyFault};
 use std::time::Duration;
 use support::{KEY, Site, until};
 
@@ -44,6 +45,9 @@
 /// Default seeds of soaks with engines that leave while the store is silent.
 const DEFAULT_UNHEARD_SEEDS: &str = "1,2,3";
 
+/// Default seeds of soaks with engines of two software versions.
+const DEFAULT_VERSION_SEEDS: &str = "1,2,3";
+
 /// Default length of a soak in seconds.
 const DEFAULT_SECONDS: u64 = 5;
 
@@ -75,12 +79,26 @@
     /// Mechanisms that entries go without, separated by commas.
     without: &'static str,
     callers: fn(Callers) -> Callers,
+    /// Initial model engines.
+    engines: u8,
+    /// Whether every second of these has another software version.
+    two_versions: bool,
 }
 
 /// No change.
 const UNCHANGED: Changes = Changes {
     without: "",
     callers: |callers| callers,
+    engines: INITIAL_ENGINES,
+    two_versions: false,
+};
+
+/// Three engines of each of two software versions, and callers who take streams up.
+const VERSIONS: Changes = Changes {
+    callers: Callers::breaking_off,
+    engines: 6,
+    two_versions: true,
+    ..UNCHANGED
 };
 
 /// Outcome of a soak that kept every guarantee.
@@ -108,9 +126,14 @@
         .any(|s| matches!(s.fault, Fault::KillEntry | Fault::StopEntry));
     let mut site = Site::without_entries().await;
     site.without = changes.without;
-    for number in 2..INITIAL_ENGINES {
+    for number in 2..changes.engines {
         site.start_engine(number).await;
     }
+    for engine in site.engines.iter().skip(1).step_by(2) {
+        if changes.two_versions {
+            engine.set_version(other_version(FIRST_VERSION));
+        }
+    }
     site.use_proxies().await;
     site.log_objective_ms = LOG_OBJECTIVE_MS;
     site.publish(&[KEY]);
@@ -256,6 +279,43 @@
     }
 }
 
+/// Engines of two software versions replace each other, combined with all other faults; some callers break their
+/// streams off and take them up elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn versions_among_faults_keep_the_promises() {
+    let seeds: String = env_or(
+        "FIREFLY_SOAK_VERSION_SEEDS",
+        DEFAULT_VERSION_SEEDS.to_owned(),
+    );
+    let seconds = Duration::from_secs(env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS));
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_with_versions(seed, seconds);
+        run_plan_with(VERSIONS, &format!("versions, seed {seed}"), &steps, seconds).await;
+    }
+}
+
+/// Releases replace engines and engines crash, and no fault excuses streams that don't go on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_taken_up_in_releases_go_on() {
+    let step = |millis, pick, fault| Step {
+        at: Duration::from_millis(millis),
+        span: Duration::from_secs(1),
+        fault,
+        pick,
+    };
+    let steps = [
+        step(800, 0, Fault::Release),
+        step(1_600, 1, Fault::KillEngine),
+        step(2_400, 2, Fault::Release),
+        step(3_200, 3, Fault::ChangeVersion),
+        step(4_000, 0, Fault::KillEngine),
+        step(4_800, 1, Fault::Release),
+    ];
+    let outcomes = run_plan_with(VERSIONS, "releases", &steps, Duration::from_secs(6)).await;
+    let taken_up = outcomes.attempts.iter().filter(|a| a.resumes.is_some());
+    assert!(taken_up.count() >= 12, "too few were taken up");
+}
+
 /// Streams go on when their engines leave in an outage, told by nothing but reports and closes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_outlive_engines_that_leave_unheard() {
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -1,12 +1,12 @@
 //! Callers of a soak: they send requests over persistent connections and record the outcomes.
 
-use crate::support::{KEY, whole_stream};
+use crate::support::{KEY, rest_of_stream};
 use reqwest::Client;
-use standins::site::{Attempt, Outcome, RequestKind};
+use standins::site::{Attempt, Outcome, RequestKind, last_event};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout of a caller for a complete answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -26,6 +26,28 @@
 /// Time after which callers leave who may be held by then.
 const SHORT_PATIENCE: Duration = Duration::from_millis(400);
 
+/// One caller in so many breaks its stream off and takes it up.
+const BREAKING_CALLERS: u64 = 8;
+
+/// Events after which such a caller breaks off.
+const EVENTS_BEFORE_BREAK: u64 = 5;
+
+/// Times that a caller takes its stream up.
+const MAX_TAKE_UPS: u64 = 3;
+
+/// Time from a break to the next attempt.
+const TAKE_UP_DELAY: Duration = Duration::from_millis(40);
+
+/// Stream that a caller takes up.
+struct Held {
+    /// Its first attempt.
+    first: String,
+    /// Last event that has come.
+    last: u64,
+    /// Attempts to take it up, this one included.
+    attempts: u64,
+}
+
 /// State shared by all callers.
 #[derive(Clone, Debug)]
 pub(crate) struct Callers {
@@ -35,6 +57,8 @@
     next: Arc<AtomicU64>,
     /// Whether streams need most of an engine's memory, and some callers leave soon.
     crowd: bool,
+    /// Whether some callers break their streams off to take them up elsewhere.
+    breaks: bool,
 }
 
 impl Callers {
@@ -46,6 +70,7 @@
             ended: Arc::default(),
             next: Arc::default(),
             crowd: false,
+            breaks: false,
         }
     }
 
@@ -58,6 +83,14 @@
         }
     }
 
+    /// Makes some callers break their streams off and take them up elsewhere.
+    pub(crate) fn breaking_off(self) -> Self {
+        Self {
+            breaks: true,
+            ..self
+        }
+    }
+
     /// Returns the attempts that have ended.
     pub(crate) fn attempts(&self) -> Vec<Attempt> {
         self.attempts.lock().unwrap().clone()
@@ -72,14 +105,26 @@
     pub(crate) async fn run(self, client: Client) {
         while !self.ended.load(Ordering::Relaxed) {
             let number = self.next.fetch_add(1, Ordering::Relaxed);
-            let attempt = self.attempt(&client, number).await;
+            let attempt = self.attempt(&client, number, None).await;
+            let mut held = held_stream(&attempt, None);
             self.attempts.lock().unwrap().push(attempt);
+            while let Some(stream) = held {
+                tokio::time::sleep(TAKE_UP_DELAY).await;
+                let attempt = self.attempt(&client, number, Some(&stream)).await;
+                held = held_stream(&attempt, Some(stream));
+                self.attempts.lock().unwrap().push(attempt);
+            }
             tokio::time::sleep(REQUEST_DELAY).await;
         }
     }
 
-    async fn attempt(&self, client: &Client, number: u64) -> Attempt {
-        let id = format!("s{number}");
+    async fn attempt(&self, client: &Client, number: u64, held: Option<&Held>) -> Attempt {
+        let (after, attempts) = held.map_or((0, 0), |h| (h.last, h.attempts));
+        let id = if attempts == 0 {
+            format!("s{number}")
+        } else {
+            format!("s{number}-{attempts}")
+        };
         let kind = match number % 4 {
             0 => RequestKind::Fetch,
             1 => RequestKind::File,
@@ -101,12 +146,12 @@
             RequestKind::Log => (
                 "POST",
                 format!("/log/a?events={events}"),
-                whole_stream(&id, events),
+                rest_of_stream(&id, after, events),
             ),
             RequestKind::Grade => (
                 "POST",
                 format!("/grade/a?events={events}"),
-                whole_stream(&id, events),
+                rest_of_stream(&id, after, events),
             ),
         };
         let is_stream = matches!(kind, RequestKind::Log | RequestKind::Grade);
@@ -117,7 +162,7 @@
             path
         };
         // The load on entries is uneven, as behind a load balancer.
-        let entry = usize::try_from(number * number).unwrap_or(0) % self.entries.len();
+        let entry = usize::try_from(number * number + attempts).unwrap_or(0) % self.entries.len();
         let mut req = client
             .request(
                 method.parse().unwrap(),
@@ -134,25 +179,59 @@
                 .header("X-Length-Hint", (events * 4).to_string())
                 .body(format!("prompt {number}"));
         }
+        if let Some(held) = held {
+            req = req
+                .header("Resumes", &held.first)
+                .header("Last-Event-Id", held.last.to_string());
+        }
+        let breaks_off = self.breaks && held.is_none() && number % BREAKING_CALLERS == 3;
+        let until = if breaks_off {
+            EVENTS_BEFORE_BREAK
+        } else {
+            u64::MAX
+        };
         let patience = if crowds && number % LEAVING_CALLERS == 2 {
             SHORT_PATIENCE
         } else {
             ANSWER_TIMEOUT
         };
-        let outcome = match tokio::time::timeout(patience, read(req)).await {
+        let began = Instant::now();
+        let outcome = match tokio::time::timeout(patience, read(req, until)).await {
             Ok(outcome) => outcome,
             Err(_) => Outcome::NoAnswer,
         };
         Attempt {
             id,
+            resumes: held.map(|h| h.first.clone()),
             kind: if crowds { RequestKind::Log } else { kind },
+            began,
             expected_body,
             outcome,
         }
     }
 }
 
-async fn read(req: reqwest::RequestBuilder) -> Outcome {
+/// Returns the stream that the caller of an ended attempt holds a part of and may take up.
+fn held_stream(attempt: &Attempt, held: Option<Held>) -> Option<Held> {
+    let attempts = held.as_ref().map_or(0, |h| h.attempts);
+    if attempt.kind != RequestKind::Grade || attempts >= MAX_TAKE_UPS {
+        return None;
+    }
+    let received = match &attempt.outcome {
+        Outcome::Complete(_) => return None,
+        Outcome::Truncated(body) => last_event(body),
+        Outcome::NotRun(_) | Outcome::Failed(_) | Outcome::NoAnswer => None,
+    };
+    let last = received.or(held.as_ref().map(|h| h.last))?;
+    Some(Held {
+        first: held.map_or_else(|| attempt.id.clone(), |h| h.first),
+        last,
+        attempts: attempts + 1,
+    })
+}
+
+/// Reads an answer, until one of its events has come.
+async fn read(req: reqwest::RequestBuilder, until: u64) -> Outcome {
     let Ok(mut answer) = req.send().await else {
         return Outcome::NoAnswer;
     };
@@ -164,6 +243,10 @@
     }
     let mut body = Vec::new();
     loop {
+        let text = String::from_utf8_lossy(&body);
+        if last_event(&text) >= Some(until) {
+            return Outcome::Truncated(text.into_owned());
+        }
         match answer.chunk().await {
             Ok(Some(chunk)) => body.extend_from_slice(&chunk),
             Ok(None) => return Outcome::Complete(String::from_utf8_lossy(&body).into_owned()),
--- a/fireflydirect/tests/soak_parts/conditions.rs
+++ b/fireflydirect/tests/soak_parts/conditions.rs
@@ -49,7 +49,8 @@
             return;
         };
         self.announced.insert(engine, true);
-        self.replace_engine().await;
+        self.replace_engine(engine).await;
+        self.end_serving(engine);
         let upstream = &self.site.engines[engine];
         upstream.set_header(LEAVING, Some("1"));
         let announced = (upstream.instance(), Instant::now());
@@ -81,7 +82,8 @@
             return;
         };
         self.announced.insert(engine, false);
-        self.replace_engine().await;
+        self.replace_engine(engine).await;
+        self.end_serving(engine);
         let upstream = &self.site.engines[engine];
         upstream.close_connections();
         upstream.report_leaving(u32::try_from(DRAIN_TIMES[0].as_millis()).unwrap());
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -2,7 +2,9 @@
 
 use crate::soak_parts::plan::{Fault, Step};
 use crate::support::{KEY, Site};
-use standins::site::{AnswerFault, EngineKind, Evidence, ProxyFault, Snapshot, StoreMode};
+use standins::site::{
+    AnswerFault, EngineKind, Evidence, FIRST_VERSION, ProxyFault, ServingSpan, Snapshot, StoreMode,
+};
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
@@ -29,6 +31,9 @@
 /// Time after a restore drill in which upstreams and the operator rewrite their records.
 const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Software version beside the first one.
+const SECOND_VERSION: &str = "v2";
+
 /// Maximum engines of a soak; addresses end with their numbers.
 const MAX_ENGINES: usize = 40;
 
@@ -46,6 +51,17 @@
     /// existing service; restarted entries can't, and foreign records of the platform name one that
     /// doesn't exist.
     foreign_service: &'static str,
+    /// Version and start of the engines that serve, by number.
+    serving: HashMap<usize, (String, Instant)>,
+}
+
+/// Returns the other one of the two software versions.
+pub(crate) fn other_version(version: &str) -> &'static str {
+    if version == FIRST_VERSION {
+        SECOND_VERSION
+    } else {
+        FIRST_VERSION
+    }
 }
 
 /// Action that ends a fault.
@@ -72,7 +88,7 @@
 impl Soak {
     /// Creates a soak without faults; foreign records name `foreign_service`.
     pub(crate) fn new(site: Site, foreign_service: &'static str) -> Self {
-        Self {
+        let mut soak = Self {
             site,
             start: Instant::now(),
             evidence: Evidence::default(),
@@ -80,6 +96,23 @@
             announced: HashMap::new(),
             copies: HashMap::new(),
             foreign_service,
+            serving: HashMap::new(),
+        };
+        for engine in 0..soak.site.engines.len() {
+            soak.begin_serving(engine);
+        }
+        soak
+    }
+
+    fn begin_serving(&mut self, engine: usize) {
+        let version = self.site.engines[engine].version();
+        self.serving.insert(engine, (version, Instant::now()));
+    }
+
+    pub(super) fn end_serving(&mut self, engine: usize) {
+        if let Some((version, since)) = self.serving.remove(&engine) {
+            let span = (since, Instant::now());
+            self.evidence.serving.push(ServingSpan { version, span });
         }
     }
 
@@ -124,12 +157,20 @@
             .push((now, now + span + EXCUSE_MARGIN));
     }
 
-    pub(super) async fn replace_engine(&mut self) {
+    /// Starts an engine of the same version in place of one that goes.
+    pub(super) async fn replace_engine(&mut self, engine: usize) {
+        let version = self.site.engines[engine].version();
+        self.add_engine(&version).await;
+    }
+
+    async fn add_engine(&mut self, version: &str) {
         let number = self.site.engines.len();
         if number < MAX_ENGINES {
             let last = u8::try_from(number).unwrap();
             self.site.start_engine(last).await;
+            self.site.engines[number].set_version(version);
             self.site.register(EngineKind::Model, number, "ready").await;
+            self.begin_serving(number);
         }
     }
 
@@ -139,7 +180,7 @@
             Fault::KillEngine => {
                 if let Some(engine) = self.pick_removable_engine(step.pick) {
                     self.announced.insert(engine, false);
-                    self.replace_engine().await;
+                    self.replace_engine(engine).await;
                     self.end_engine(engine);
                 }
             }
@@ -147,8 +188,24 @@
                 if let Some(engine) = self.pick_removable_engine(step.pick) {
                     let serves_on = DRAIN_TIMES[step.pick % DRAIN_TIMES.len()];
                     self.start_leaving(engine, announced, serves_on).await;
+                    self.replace_engine(engine).await;
+                }
+            }
+            Fault::Release => {
+                if let Some(engine) = self.pick_removable_engine(step.pick) {
+                    let version = other_version(&self.site.engines[engine].version());
+                    self.add_engine(version).await;
+                    let serves_on = DRAIN_TIMES[step.pick % DRAIN_TIMES.len()];
+                    self.start_leaving(engine, true, serves_on).await;
                 }
             }
+            Fault::ChangeVersion => {
+                let active_engines = self.active_engines();
+                let engine = active_engines[step.pick % active_engines.len()];
+                let version = other_version(&self.site.engines[engine].version());
+                self.site.engines[engine].set_version(version);
+                self.restart(engine, false, end).await;
+            }
             Fault::RestartEngine { silent } => {
                 let active_engines = self.active_engines();
                 let engine = active_engines[step.pick % active_engines.len()];
@@ -176,6 +233,9 @@
             }
             Fault::Answers(fault) => {
                 let (kind, number) = self.pick_upstream(step.pick);
+                if kind == EngineKind::Model {
+                    self.end_serving(number);
+                }
                 self.upstream(kind, number).set_fault(fault);
                 self.pending_undos.push((end, Undo::Answers(kind, number)));
             }
@@ -257,7 +317,9 @@
             let undo = Undo::UpstreamConnection(EngineKind::Model, engine);
             self.pending_undos.push((end, undo));
         }
+        self.end_serving(engine);
         self.site.engines[engine].restart().await.unwrap();
+        self.begin_serving(engine);
         let instance = self.site.engines[engine].instance();
         let now = Instant::now();
         // The incarnation that stated the rate limit has ended.
@@ -291,6 +353,7 @@
             _ => foreign = "nothing".into(),
         }
         self.site.store.put("servers", &instance, &foreign);
+        self.end_serving(engine);
         let span = (instance, Instant::now(), end);
         self.evidence.overwritten.push(span);
         self.pending_undos.push((end, Undo::OwnRecord(engine)));
@@ -298,6 +361,7 @@
 
     async fn start_leaving(&mut self, engine: usize, announced: bool, serves_on: Duration) {
         self.announced.insert(engine, announced);
+        self.end_serving(engine);
         if announced {
             let instance = self.site.engines[engine].instance();
             self.evidence.notices.insert(instance, Instant::now());
@@ -311,12 +375,12 @@
                 .insert(instance.clone(), Instant::now());
             self.site.store.remove("servers", &instance);
         }
-        self.replace_engine().await;
         self.pending_undos
             .push((Instant::now() + serves_on, Undo::EndEngine(engine)));
     }
 
-    fn end_engine(&self, engine: usize) {
+    fn end_engine(&mut self, engine: usize) {
+        self.end_serving(engine);
         let engine = &self.site.engines[engine];
         engine.kill();
         self.site.store.remove("servers", &engine.instance());
@@ -421,6 +485,9 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         self.undo_due(true).await;
+        for engine in 0..self.site.engines.len() {
+            self.end_serving(engine);
+        }
     }
 
     /// Checks that after all faults every entry serves with the newest configuration.
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -57,6 +57,10 @@
     SendLeaveNotice,
     /// A plain upstream rejects requests with a pause.
     RequestPause,
+    /// A model engine leaves, replaced by one of the other software version.
+    Release,
+    /// A model engine restarts under its id at the other software version.
+    ChangeVersion,
     /// The store falls silent, and a model engine leaves meanwhile, told by its report alone.
     LeaveUnheard,
 }
@@ -150,6 +154,30 @@
     steps
 }
 
+/// Adds engines that are replaced by another software version to the plan, and crashes of entries and engines.
+pub(crate) fn plan_with_versions(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    let mut steps = plan(seed, length);
+    let mut at = Duration::from_millis(400);
+    while at < length {
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(rng.random_range(200..1_500)),
+            fault: match rng.random_range(0..6) {
+                0 | 1 => Fault::Release,
+                2 => Fault::ChangeVersion,
+                3 => Fault::KillEngine,
+                4 => Fault::KillEntry,
+                _ => Fault::UpstreamConnection(ProxyFault::Reset),
+            },
+            pick: rng.random_range(0..1_000),
+        });
+        at += Duration::from_millis(rng.random_range(200..1_000));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 fn draw_fault(rng: &mut impl Rng) -> Fault {
     match rng.random_range(0..22) {
         0 => Fault::KillEngine,
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -522,8 +522,13 @@
 
 /// Returns the complete stream of a generation of `events` events.
 pub(crate) fn whole_stream(id: &str, events: u64) -> String {
+    rest_of_stream(id, 0, events)
+}
+
+/// Returns the events of a generation of `events` events that come after one of them.
+pub(crate) fn rest_of_stream(id: &str, after: u64, events: u64) -> String {
     let event = |n| format!("id: {n}\ndata: {id} {n}\n\n");
-    (1..=events).map(event).collect()
+    (after + 1..=events).map(event).collect()
 }
 
 /// Checks that the runs of a request don't overlap and each resumes from the memory of the previous.
--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -1,10 +1,11 @@
 //! Oracle of the guarantees, based on the records of callers and upstreams.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::time::{Duration, Instant};
 
 use super::record::{Run, RunEnd};
+use super::versions::{last_event, versions_of, without_versions};
 
 /// Longest allowed overlap of two runs of one request; set by the users.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
@@ -18,6 +19,12 @@
 /// Time in which an upstream's answer reaches an entry and its contents reach all other entries.
 const PROPAGATION_TIME: Duration = Duration::from_secs(1);
 
+/// Taken-up streams from which their share is judged; set by the users.
+const MIN_TAKE_UPS: usize = 12;
+
+/// Engines of its version that must serve for a taken-up stream to be judged; set by the users.
+const MIN_SERVING: usize = 2;
+
 /// Window in which requests to a rate-limited upstream are counted; set by the users.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
 
@@ -60,14 +67,43 @@
 pub struct Attempt {
     /// Id of the request.
     pub id: String,
+    /// First attempt of the stream that it takes up.
+    pub resumes: Option<String>,
     /// Kind of the request.
     pub kind: RequestKind,
+    /// Start time.
+    pub began: Instant,
     /// Complete body that the caller expects.
     pub expected_body: String,
     /// Result of the attempt.
     pub outcome: Outcome,
 }
 
+impl Attempt {
+    /// Returns the first attempt of its stream.
+    fn stream(&self) -> &str {
+        self.resumes.as_deref().unwrap_or(&self.id)
+    }
+
+    /// Returns the body that the caller received of a stream.
+    fn events(&self) -> Option<&str> {
+        let is_stream = matches!(self.kind, RequestKind::Log | RequestKind::Grade);
+        match &self.outcome {
+            Outcome::Complete(body) | Outcome::Truncated(body) if is_stream => Some(body),
+            _ => None,
+        }
+    }
+
+    /// Returns whether it brought the whole rest of its stream, or at least an event.
+    fn goes_on(&self) -> bool {
+        match &self.outcome {
+            Outcome::Complete(_) => true,
+            Outcome::Truncated(body) => last_event(body).is_some(),
+            Outcome::NotRun(_) | Outcome::Failed(_) | Outcome::NoAnswer => false,
+        }
+    }
+}
+
 /// A violated guarantee, with the id of the request or upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Breach {
@@ -89,6 +125,10 @@
     ForeignMemory(String),
     /// A run still in progress without a waiting caller.
     LeftRunning(String),
+    /// Events of several software versions in one stream, in one answer or over a caller's attempts.
+    MixedVersions(String),
+    /// Too few of the streams that callers take up go on; with their share and that of new streams.
+    LostStreams(String),
 }
 
 impl fmt::Display for Breach {
@@ -117,6 +157,15 @@
     }
 }
 
+/// A time in which a model engine served.
+#[derive(Clone, Debug)]
+pub struct ServingSpan {
+    /// Version of its software.
+    pub version: String,
+    /// Start and end.
+    pub span: (Instant, Instant),
+}
+
 /// Records of one test.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -138,6 +187,8 @@
     pub restarts: Vec<Instant>,
     /// Periods in which an entry couldn't receive or act, because it was paused or disconnected.
     pub excused: Vec<(Instant, Instant)>,
+    /// Times in which model engines served.
+    pub serving: Vec<ServingSpan>,
 }
 
 impl Evidence {
@@ -168,9 +219,65 @@
         breaches.extend(on_overwritten.map(|r| Breach::OverwrittenRecord(r.request_id.clone())));
         let left_running = self.runs.iter().filter(|r| r.end.0 == RunEnd::Running);
         breaches.extend(left_running.map(|r| Breach::LeftRunning(r.request_id.clone())));
+        breaches.extend(self.mixed_streams().map(Breach::MixedVersions));
+        breaches.extend(self.lost_streams().map(Breach::LostStreams));
         breaches
     }
 
+    /// Returns the attempts of each stream, by its first one.
+    fn streams(&self) -> HashMap<&str, Vec<&Attempt>> {
+        let mut streams: HashMap<&str, Vec<&Attempt>> = HashMap::new();
+        for attempt in &self.attempts {
+            streams.entry(attempt.stream()).or_default().push(attempt);
+        }
+        streams
+    }
+
+    /// Returns the streams with events of several software versions.
+    fn mixed_streams(&self) -> impl Iterator<Item = String> {
+        let versions = |attempts: &[&Attempt]| {
+            let events = attempts.iter().filter_map(|a| a.events());
+            let versions: BTreeSet<&str> = events.flat_map(versions_of).collect();
+            versions.len()
+        };
+        let mixed = self.streams().into_iter();
+        let mixed = mixed.filter(move |(_, attempts)| versions(attempts) > 1);
+        mixed.map(|(stream, _)| stream.to_owned())
+    }
+
+    /// Returns the shares of taken-up and of new streams that go on, if the first is under half of the
+    /// second.
+    fn lost_streams(&self) -> Option<String> {
+        let judged = |a: &&Attempt| a.kind == RequestKind::Grade && !self.is_excused(a.began);
+        let judged = self.attempts.iter().filter(judged);
+        let (taken_up, new): (Vec<_>, Vec<_>) = judged.partition(|a| a.resumes.is_some());
+        let taken_up: Vec<&Attempt> = taken_up
+            .into_iter()
+            .filter(|a| self.is_version_served(a))
+            .collect();
+        if taken_up.len() < MIN_TAKE_UPS {
+            return None;
+        }
+        let going_on = |attempts: &[&Attempt]| attempts.iter().filter(|a| a.goes_on()).count();
+        let (going, begun) = (going_on(&taken_up), going_on(&new));
+        let is_lost = going * 2 * new.len() < begun * taken_up.len();
+        let text = format!("{going}/{} {begun}/{}", taken_up.len(), new.len());
+        is_lost.then_some(text)
+    }
+
+    /// Returns whether enough engines of a taken-up stream's version served as the attempt began.
+    fn is_version_served(&self, attempt: &Attempt) -> bool {
+        let mut before = self.attempts.iter();
+        let before = before.find(|a| a.id == attempt.stream());
+        let first = before.and_then(Attempt::events);
+        let Some(version) = first.and_then(|events| versions_of(events).next()) else {
+            return false;
+        };
+        let at = attempt.began;
+        let serves = |s: &&ServingSpan| s.version == version && s.span.0 <= at && at < s.span.1;
+        self.serving.iter().filter(serves).count() >= MIN_SERVING
+    }
+
     fn check_overlap(&self, attempt: &Attempt, runs: &[&Run]) -> Option<Breach> {
         if attempt.kind == RequestKind::Fetch {
             return None;
@@ -243,8 +350,8 @@
 
 fn check_answer(attempt: &Attempt) -> Option<Breach> {
     let is_valid = match &attempt.outcome {
-        Outcome::Complete(body) => *body == attempt.expected_body,
-        Outcome::Truncated(body) => attempt.expected_body.starts_with(body.as_str()),
+        Outcome::Complete(body) => without_versions(body) == attempt.expected_body,
+        Outcome::Truncated(body) => attempt.expected_body.starts_with(&without_versions(body)),
         Outcome::NotRun(_) | Outcome::Failed(_) | Outcome::NoAnswer => true,
     };
     (!is_valid).then(|| Breach::WrongBody(attempt.id.clone()))
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -50,6 +50,9 @@
     Slow,
 }
 
+/// Software version of an upstream that was given no other; its events don't name it.
+pub const FIRST_VERSION: &str = "v1";
+
 /// A running upstream; dropping it stops it.
 #[derive(Debug)]
 pub struct Engine {
@@ -64,6 +67,8 @@
     /// Start time, in Unix milliseconds.
     pub(super) born: u64,
     addr: SocketAddr,
+    /// Version of its software.
+    pub(super) version: Mutex<String>,
     /// Address that others use: the proxy's, if there is one.
     pub(super) advertised_addr: Mutex<SocketAddr>,
     pub(super) record: Record,
@@ -90,6 +95,7 @@
             instance: Mutex::new(instance.to_owned()),
             born,
             addr,
+            version: Mutex::new(FIRST_VERSION.to_owned()),
             advertised_addr: Mutex::new(addr),
             record,
             fault: Mutex::default(),
@@ -164,10 +170,22 @@
         let record = old.record.clone();
         let shared = Shared::new(old.kind, &self.instance(), old.addr, record, born);
         *lock(&shared.advertised_addr) = *lock(&old.advertised_addr);
+        *lock(&shared.version) = self.version();
         *self = Self::run(listener, shared);
         Ok(())
     }
 
+    /// Returns the version of its software.
+    #[must_use]
+    pub fn version(&self) -> String {
+        lock(&self.shared.version).clone()
+    }
+
+    /// Sets the version of its software, before its first request or a restart.
+    pub fn set_version(&self, version: &str) {
+        version.clone_into(&mut lock(&self.shared.version));
+    }
+
     /// Returns the start time, in Unix milliseconds.
     #[must_use]
     pub fn born(&self) -> u64 {
@@ -190,7 +208,7 @@
     #[must_use]
     pub fn registration(&self, service: &str, state: &str) -> Value {
         json!({"service": service, "address": self.addr().to_string(), "zone": "a",
-            "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+            "version": self.version(), "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
             "born": self.born()})
     }
 
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -12,9 +12,11 @@
 mod runs;
 mod start;
 mod store;
+mod versions;
 
-pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind};
-pub use engine::{AnswerFault, Engine, EngineKind};
+pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
+pub use engine::{AnswerFault, Engine, EngineKind, FIRST_VERSION};
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
 pub use store::{Snapshot, Store, StoreMode};
+pub use versions::last_event;
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -28,6 +28,8 @@
     pub request_id: String,
     /// Id of the upstream.
     pub instance: String,
+    /// Version of its software.
+    pub version: String,
     /// Workspace sent to the upstream.
     pub workspace: Option<String>,
     /// Whether the caller's key reached the upstream.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use super::engine::{AnswerFault, ConnectionAction, Shared};
+use super::engine::{AnswerFault, ConnectionAction, FIRST_VERSION, Shared};
 use super::http::{Headers, Request, until_closed, write_answer, write_chunk, write_stream_head};
 use super::record::{CopyKey, Run, RunEnd};
 use crate::sync::lock;
@@ -45,6 +45,7 @@
         let run = shared.record.begin(Run {
             request_id: id.to_owned(),
             instance: instance.to_owned(),
+            version: lock(&shared.version).clone(),
             workspace: req.header("x-tenant").map(ToOwned::to_owned),
             saw_key: req.header("x-credential").is_some(),
             after,
@@ -107,9 +108,12 @@
     Ok(ConnectionAction::Keep)
 }
 
-/// Formats an event, which contains the id of its request.
-fn event(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {id} {number}\n\n")
+/// Formats an event, which contains the id of its request and any version but the first.
+fn event(id: &str, number: u64, version: &str) -> String {
+    if version == FIRST_VERSION {
+        return format!("id: {number}\ndata: {id} {number}\n\n");
+    }
+    format!("id: {number}\ndata: {id} {number} {version}\n\n")
 }
 
 pub(super) async fn stream_generation(
@@ -122,6 +126,7 @@
 ) -> io::Result<ConnectionAction> {
     let last_event = req.query("events").and_then(|e| e.parse().ok());
     let last_event: u64 = last_event.unwrap_or(DEFAULT_EVENTS);
+    let version = lock(&shared.version).clone();
     let stop = Arc::new(Notify::new());
     lock(&shared.stop_signals).insert(id.to_owned(), stop.clone());
     let headers = [
@@ -135,12 +140,12 @@
     write_stream_head(stream, &shared.with_extra_headers(&headers)).await?;
     for number in run.after + 1..=last_event {
         if fault == AnswerFault::Truncate && number == run.after + 5 {
-            let half = event(id, number);
+            let half = event(id, number, &version);
             write_chunk(stream, &half.as_bytes()[..half.len() / 2]).await?;
             run.end(RunEnd::Broken);
             return Ok(ConnectionAction::Reset);
         }
-        write_chunk(stream, event(id, number).as_bytes()).await?;
+        write_chunk(stream, event(id, number, &version).as_bytes()).await?;
         tokio::select! {
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
             () = stop.notified() => {
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -1,6 +1,8 @@
 //! Tests that the soak's oracle finds each violated guarantee, and none where all hold.
 
-use standins::site::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, Run, RunEnd};
+use standins::site::{
+    AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, Run, RunEnd, ServingSpan,
+};
 use std::time::{Duration, Instant};
 
 macro_rules! cases {
@@ -39,6 +41,18 @@
         assert_eq!(rate_limited(12).find_breaches(), [Breach::RateExceeded("i".to_owned())]);
     };
     named_rate_and_what_the_rule_adds_is_allowed => assert_eq!(rate_limited(11).find_breaches(), []);
+    events_of_two_versions_in_one_answer_are_found =>
+        assert_mixed(&[("r", None, "id: 1\ndata: r 1\n\nid: 2\ndata: r 2 v2\n\n")]);
+    events_of_two_versions_over_two_attempts_are_found =>
+        assert_mixed(&[("r", None, "id: 1\ndata: r 1 v2\n\n"), ("s", Some("r"), "id: 2\ndata: s 2 v3\n\n")]);
+    events_of_one_version_over_two_attempts_are_allowed =>
+        assert_eq!(streams(&[("r", None, "id: 1\ndata: r 1 v2\n\n"), ("s", Some("r"), "id: 2\ndata: s 2 v2\n\n")]).find_breaches(), []);
+    taken_up_streams_that_go_on_less_than_half_as_often_are_found => {
+        assert_eq!(taken_up(5, 12, 2).find_breaches(), [Breach::LostStreams("5/12 12/12".to_owned())]);
+    };
+    half_of_the_taken_up_streams_is_enough => assert_eq!(taken_up(6, 12, 2).find_breaches(), []);
+    few_taken_up_streams_are_not_judged => assert_eq!(taken_up(0, 11, 2).find_breaches(), []);
+    streams_of_a_version_with_one_engine_are_not_judged => assert_eq!(taken_up(0, 12, 1).find_breaches(), []);
     run_left_behind_is_found => assert_breach(&evidence(RequestKind::Log, complete(), vec![left_running()]), Breach::LeftRunning);
 }
 
@@ -80,6 +94,7 @@
     Run {
         request_id: "r".to_owned(),
         instance: "i".to_owned(),
+        version: "v1".to_owned(),
         workspace: None,
         saw_key: false,
         after: 0,
@@ -125,7 +140,9 @@
 fn evidence(kind: RequestKind, outcome: Outcome, runs: Vec<Run>) -> Evidence {
     let attempt = Attempt {
         id: "r".to_owned(),
+        resumes: None,
         kind,
+        began: at(0),
         expected_body: "owed".to_owned(),
         outcome,
     };
@@ -136,6 +153,49 @@
     }
 }
 
+/// Returns evidence of cut streams, each with its id, the attempt that it takes up and its body.
+fn streams(attempts: &[(&str, Option<&str>, &str)]) -> Evidence {
+    let attempt = |(id, resumes, body): &(&str, Option<&str>, &str)| Attempt {
+        id: (*id).to_owned(),
+        resumes: resumes.map(str::to_owned),
+        kind: RequestKind::Grade,
+        expected_body: body.replace(" v2", "").replace(" v3", ""),
+        outcome: Outcome::Truncated((*body).to_owned()),
+        began: at(1),
+    };
+    Evidence {
+        attempts: attempts.iter().map(attempt).collect(),
+        ..Evidence::default()
+    }
+}
+
+fn assert_mixed(attempts: &[(&str, Option<&str>, &str)]) {
+    assert_breach(&streams(attempts), Breach::MixedVersions);
+}
+
+/// Returns evidence of streams that were all cut after an event and taken up, of which `going` go on, while
+/// `serving` engines of their version serve.
+fn taken_up(going: usize, all: usize, serving: usize) -> Evidence {
+    let mut evidence = Evidence::default();
+    for i in 0..all {
+        let (first, second) = (format!("r{i}"), format!("s{i}"));
+        let begun = format!("id: 1\ndata: {first} 1\n\n");
+        let rest = format!("id: 2\ndata: {second} 2\n\n");
+        let rest = if i < going { rest.as_str() } else { "" };
+        let attempts = [
+            (first.as_str(), None, begun.as_str()),
+            (second.as_str(), Some(first.as_str()), rest),
+        ];
+        evidence.attempts.extend(streams(&attempts).attempts);
+    }
+    let span = ServingSpan {
+        version: "v1".to_owned(),
+        span: (at(0), at(9)),
+    };
+    evidence.serving = vec![span; serving];
+    evidence
+}
+
 fn after_notice() -> Evidence {
     let mut evidence = evidence(RequestKind::Log, complete(), vec![run(10, 11)]);
     evidence.notices.insert("i".to_owned(), at(1));
