Let a stream go on only at the software version that began it

Cause: backups, moves, standby copies and new runs went to the engine of least cost; the version of the record was no input to any choice. The class: a choice that takes all upstreams of a service for interchangeable. Change: a need names the version that its upstream must have; a stream takes that of the engine that began it, for copies too, and one of unknown version goes on nowhere. An id that changes its version is another's or another life's. While a version is drained its last engines may continue a stream as long as they get requests, and an engine that refused is not tried twice for one break. Ruled out: refusing every continuation; it loses streams that other engines of their version can serve (crashed_stream_goes_on_from_its_copy_at_the_same_version). Conclusion: within one answer; callers who return elsewhere come next.

--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -91,9 +91,16 @@
         let Some(ix) = self.find(&record.instance) else {
             return self.add_new(now, record);
         };
-        let u = &self.upstreams[ix.0];
-        match classify(&u.record, &record) {
-            RecordKind::Stale => return None,
+        let u = &mut self.upstreams[ix.0];
+        match classify(&u.record, u.removed, &record) {
+            RecordKind::Stale => {
+                if u.record.revision == record.revision
+                    && u.record.incarnation == record.incarnation
+                {
+                    u.learn_version(&record);
+                }
+                return None;
+            }
             RecordKind::Restart => return Some(self.restart(now, ix, record)),
             RecordKind::Foreign => {
                 let lost = self.unreadable(&record.instance, record.revision)?;
@@ -101,6 +108,12 @@
             }
             RecordKind::Update => {}
         }
+        u.learn_version(&record);
+        let software_version = u.record.software_version.clone();
+        let record = UpstreamRecord {
+            software_version,
+            ..record
+        };
         self.record_change(now, ListChange::Listed(record.clone()));
         self.digest ^= digest_of(&record);
         let u = &mut self.upstreams[ix.0];
@@ -215,6 +228,7 @@
             cold_until: now + record.cold_for,
             memory_tokens: self.memory_of.get(&record.service).copied(),
             first_revision: record.revision,
+            version: record.version_key(),
             record,
             sent_requests: SentRequests::default(),
             rate: KnownRate::default(),
@@ -387,10 +401,11 @@
 
 /// Classifies a received record against the held one.
 ///
-/// An incarnation never changes its service, its address or a start that it has stated; a record that
-/// does was written by someone else.
-fn classify(held: &UpstreamRecord, received: &UpstreamRecord) -> RecordKind {
-    let moved = received.service != held.service || received.addr != held.addr;
+/// An incarnation never changes its service, its address, or a software version or start that it has stated; a
+/// record that does was written by someone else, or by a later incarnation if the held one was removed.
+fn classify(held: &UpstreamRecord, is_removed: bool, received: &UpstreamRecord) -> RecordKind {
+    let has_other_version = received.contradicts_version(held);
+    let moved = received.service != held.service || received.addr != held.addr || has_other_version;
     match (held.incarnation.is_known(), received.incarnation.is_known()) {
         (true, true) if received.incarnation > held.incarnation => RecordKind::Restart,
         (true, true) if received.incarnation < held.incarnation => RecordKind::Stale,
@@ -398,6 +413,7 @@
         // The held record, which states no start, was foreign.
         (false, true) if moved => RecordKind::Restart,
         (true, false) => RecordKind::Foreign,
+        _ if is_removed && has_other_version => RecordKind::Restart,
         _ if moved => RecordKind::Foreign,
         _ => RecordKind::Update,
     }
--- a/fireflycroft/src/placed.rs
+++ b/fireflycroft/src/placed.rs
@@ -4,6 +4,7 @@
 use crate::ids::{Incarnation, Name};
 use crate::pace::Pace;
 use crate::region::RegionSet;
+use crate::software_version::VersionKey;
 use crate::upstream::UpstreamIx;
 use std::time::Duration;
 
@@ -119,6 +120,8 @@
     pub homes: Option<RegionSet>,
     /// Upstream from which its memory is copied; links are shorter within a data centre.
     pub copied_from: Option<UpstreamIx>,
+    /// Software version that the upstream must have; `None` for any.
+    pub version: Option<VersionKey>,
 }
 
 impl Need {
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -463,13 +463,24 @@
         need: &Need,
         tried: &'a [UpstreamIx],
     ) -> impl Iterator<Item = usize> {
-        let regions = need.homes;
-        let is_candidate = move |i: &usize| {
-            let u = &self.upstreams[*i];
-            let is_home = self.is_home(regions, &u.record.data_centre);
-            is_home && self.withheld_reason(now, u).is_none() && !tried.contains(&UpstreamIx(*i))
-        };
-        self.serving(service).filter(is_candidate)
+        let need = *need;
+        self.serving(service)
+            .filter(move |i| self.is_candidate(now, &need, tried, *i))
+    }
+
+    /// Returns whether an upstream may get a request with this need now, apart from its leaving.
+    pub(crate) fn is_candidate(
+        &self,
+        now: Time,
+        need: &Need,
+        tried: &[UpstreamIx],
+        i: usize,
+    ) -> bool {
+        let u = &self.upstreams[i];
+        self.is_home(need.homes, &u.record.data_centre)
+            && u.has_version_for(need)
+            && self.withheld_reason(now, u).is_none()
+            && !tried.contains(&UpstreamIx(i))
     }
 
     /// Returns up to `max_count` of `open` with the least cost.
@@ -510,6 +521,17 @@
         self.is_closed_to_new_work(&u.record.data_centre)
     }
 
+    /// Returns the candidate with the least cost.
+    pub(crate) fn least_cost_of(
+        &self,
+        now: Time,
+        service: &str,
+        need: &Need,
+        candidates: &mut dyn Iterator<Item = usize>,
+    ) -> Option<UpstreamIx> {
+        self.least_cost(now, need, &self.cost_context(service), candidates)
+    }
+
     fn least_cost(
         &self,
         now: Time,
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -11,6 +11,7 @@
 use crate::placed::{Need, Placed, PlacedAt};
 use crate::rate_limit::KnownRate;
 use crate::sent_requests::SentRequests;
+use crate::software_version::VersionKey;
 use crate::time::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -82,6 +83,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub(crate) record: UpstreamRecord,
+    /// Version of its software, if it is known.
+    pub(crate) version: Option<VersionKey>,
     pub(crate) memory_tokens: Option<u64>,
     /// Revision of its first record.
     pub(crate) first_revision: u64,
--- a/fireflycroft/tests/mechanism.rs
+++ b/fireflycroft/tests/mechanism.rs
@@ -87,6 +87,7 @@
     draw: 0,
     homes: None,
     copied_from: None,
+    version: None,
 };
 
 /// Checks that for some draws the second engine is chosen only with the mechanism, and for none
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -367,7 +367,8 @@
     plain.then(|| job.route.objective * SILENCE_TIMEOUT_OBJECTIVES)
 }
 
-/// Assigns the memory backup of a long stream to an upstream, if memory is plentiful.
+/// Assigns the memory backup of a long stream to an upstream of the same software version, if memory is
+/// plentiful.
 pub fn assign_backup(job: &Job, at: UpstreamIx, need: Need) -> Option<AssignmentGuard> {
     let can_back_up_stream =
         job.engine.is_some_and(|e| e.can_back_up) && job.route.kind.is_stream();
@@ -375,10 +376,12 @@
     if !is_enabled || job.expected_tokens() < MIN_BACKUP_TOKENS {
         return None;
     }
+    let version = job.node.pool.borrow().version(at)?;
     let copy = Need {
         is_copy: true,
         unread: 0,
         copied_from: Some(at),
+        version: Some(version),
         ..need
     };
     let risk = standby_copies::risk_at_start(job, at, &need);
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -3,7 +3,7 @@
 //! When an upstream fails, its connection is dropped first, so that two runs of
 //! one generation never overlap. The stream then resumes from a copy of the
 //! run's memory or, where the route allows it, from a new run after the last
-//! event that the caller has.
+//! event that the caller has, in both cases at the software version that began it.
 
 use crate::answer::{Answer, AnswerBody, BrokenStream, relayed_answer};
 use crate::assignment::AssignmentGuard;
@@ -18,7 +18,7 @@
 use crate::standby_copies;
 use bytes::Bytes;
 use fireflycroft::{
-    Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time, UpstreamIx,
+    Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time, UpstreamIx, VersionKey,
 };
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
@@ -56,6 +56,8 @@
     job: Rc<Job>,
     run: Rc<Run>,
     assignment: AssignmentGuard,
+    /// Software version that began the stream; the stream can't go on if it is unknown.
+    version: Option<VersionKey>,
     backup: Option<AssignmentGuard>,
     source: Option<Source>,
     events: EventRelay,
@@ -138,6 +140,7 @@
     if let Some(last) = job.head.last_event_id {
         events.resume_after(last);
     }
+    let version = job.node.pool.borrow().version(assignment.ix);
     let run = job.node.runs.register(Run {
         request_id: job.request_id.clone(),
         service: job.service.clone(),
@@ -150,9 +153,10 @@
         produced: Cell::new(0),
         need: Cell::new(Need {
             unread: 0,
+            version,
             ..job.need()
         }),
-        can_migrate: job.engine.is_some_and(|e| e.can_migrate),
+        can_migrate: job.engine.is_some_and(|e| e.can_migrate) && version.is_some(),
         token_copy_time: job.engine.map_or(Duration::ZERO, |e| e.token_copy_time),
     });
     // A leave notice may have arrived between the choice of the upstream and its response head.
@@ -161,6 +165,7 @@
         job,
         run,
         assignment,
+        version,
         backup,
         source: Some(Source { body, link, head }),
         events,
@@ -241,10 +246,7 @@
         self.run.produced.set(produced);
         if produced >= self.estimated_at + ESTIMATE_INTERVAL_TOKENS {
             self.estimated_at = produced;
-            let need = Need {
-                unread: 0,
-                ..self.job.need_beyond(produced)
-            };
+            let need = self.remaining_need(true);
             self.run.need.set(need);
             self.assignment.grow_to(need.tokens);
         }
@@ -378,8 +380,9 @@
         self.wait_for_copy().await;
         let silent_for = self.job.now().since(self.event_times.last);
         standby_copies::check_source(&self.job.node, &self.run, silent_for).await;
-        let from = self.assignment.ix;
-        while let Some(next) = self.next_continuation(from) {
+        let mut tried = vec![self.assignment.ix];
+        while let Some(next) = self.next_continuation(&tried) {
+            let at = next.at;
             if !retries::take(&self.job).await {
                 self.log_event("budget_spent", "");
                 return false;
@@ -387,6 +390,7 @@
             if self.resume_at(next).await {
                 return true;
             }
+            tried.push(at);
         }
         false
     }
@@ -399,8 +403,10 @@
         }
     }
 
-    /// Returns the next possible continuation; each copy is used once.
-    fn next_continuation(&mut self, from: UpstreamIx) -> Option<Continuation> {
+    /// Returns the next possible continuation; each copy is used once, and a new run begins at an upstream that
+    /// was not tried.
+    fn next_continuation(&mut self, tried: &[UpstreamIx]) -> Option<Continuation> {
+        self.version?;
         let migration_copy = self.run.migration_copy.borrow_mut().take();
         if let Some(migration_copy) =
             migration_copy.filter(|r| self.is_copy_usable(r.assignment.ix, r.source))
@@ -432,8 +438,9 @@
         if !self.job.route.kind.is_retryable() || self.breaks > self.job.route.max_attempts {
             return None;
         }
+        let need = self.remaining_need(false);
         let pool = self.job.node.pool.borrow();
-        let at = pool.choose(self.job.now(), &self.job.service, &self.job.need(), &[from])?;
+        let at = pool.choose_to_continue(self.job.now(), &self.job.service, &need, tried)?;
         Some(Continuation {
             method: "anew",
             at,
@@ -445,12 +452,13 @@
     /// Returns whether a copy at `backup_holder` that `source` made may be used.
     ///
     /// Both must still be in the incarnation in which it was made, since a handle of another one may
-    /// name the memory of another request. The holder must still accept requests and not be
-    /// evacuated.
+    /// name the memory of another request. The holder must still accept requests, not be evacuated and have
+    /// the software version that began the stream.
     fn is_copy_usable(&self, backup_holder: UpstreamIx, source: UpstreamIx) -> bool {
         let pool = self.job.node.pool.borrow();
         let may_get = pool.may_get_requests(self.job.now(), backup_holder)
-            && !pool.is_evacuated(backup_holder);
+            && !pool.is_evacuated(backup_holder)
+            && pool.version(backup_holder) == self.version;
         may_get && !pool.is_ended(source)
     }
 
@@ -507,6 +515,7 @@
         let need = self.job.need_beyond(self.run.produced.get());
         Need {
             unread: if has_memory { 0 } else { need.unread },
+            version: self.version,
             ..need
         }
     }
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -98,6 +98,7 @@
             draw: rand::rng().next_u64(),
             homes: self.homes,
             copied_from: None,
+            version: None,
         }
     }
 
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -177,13 +177,7 @@
     async fn apply(&mut self, step: &Step) {
         let end = Instant::now() + step.span;
         match step.fault {
-            Fault::KillEngine => {
-                if let Some(engine) = self.pick_removable_engine(step.pick) {
-                    self.announced.insert(engine, false);
-                    self.replace_engine(engine).await;
-                    self.end_engine(engine);
-                }
-            }
+            Fault::KillEngine => self.kill_engine(step.pick).await,
             Fault::LeaveEngine { announced } => {
                 if let Some(engine) = self.pick_removable_engine(step.pick) {
                     let serves_on = DRAIN_TIMES[step.pick % DRAIN_TIMES.len()];
@@ -191,21 +185,8 @@
                     self.replace_engine(engine).await;
                 }
             }
-            Fault::Release => {
-                if let Some(engine) = self.pick_removable_engine(step.pick) {
-                    let version = other_version(&self.site.engines[engine].version());
-                    self.add_engine(version).await;
-                    let serves_on = DRAIN_TIMES[step.pick % DRAIN_TIMES.len()];
-                    self.start_leaving(engine, true, serves_on).await;
-                }
-            }
-            Fault::ChangeVersion => {
-                let active_engines = self.active_engines();
-                let engine = active_engines[step.pick % active_engines.len()];
-                let version = other_version(&self.site.engines[engine].version());
-                self.site.engines[engine].set_version(version);
-                self.restart(engine, false, end).await;
-            }
+            Fault::Release => self.release(step.pick).await,
+            Fault::ChangeVersion => self.change_version(step.pick, end).await,
             Fault::RestartEngine { silent } => {
                 let active_engines = self.active_engines();
                 let engine = active_engines[step.pick % active_engines.len()];
@@ -292,6 +273,35 @@
         }
     }
 
+    async fn kill_engine(&mut self, pick: usize) {
+        if let Some(engine) = self.pick_removable_engine(pick) {
+            self.announced.insert(engine, false);
+            self.replace_engine(engine).await;
+            self.end_engine(engine);
+        }
+    }
+
+    /// Replaces an engine by one of the other version.
+    async fn release(&mut self, pick: usize) {
+        let Some(engine) = self.pick_removable_engine(pick) else {
+            return;
+        };
+        let version = other_version(&self.site.engines[engine].version());
+        self.add_engine(version).await;
+        let serves_on = DRAIN_TIMES[pick % DRAIN_TIMES.len()];
+        self.start_leaving(engine, true, serves_on).await;
+    }
+
+    /// Restarts an engine under its id at the other version.
+    async fn change_version(&mut self, pick: usize, end: Instant) {
+        let active_engines = self.active_engines();
+        let engine = active_engines[pick % active_engines.len()];
+        let version = other_version(&self.site.engines[engine].version());
+        self.end_serving(engine);
+        self.site.engines[engine].set_version(version);
+        self.restart(engine, false, end).await;
+    }
+
     fn pause_entry(&mut self, step: &Step) {
         let entry = step.pick % self.site.entries.len();
         if self.site.entries[entry].is_running() {
