Continue taken-up streams at the version that began them, wherever the caller returns

Cause: the entry that gets such a caller knew nothing of where its stream began; the class is state that only the lost process had. It goes to that service and version, is admitted like one who returns, and may end at an engine that leaves if no other is left. If nobody knows, it is refused as not run (2022), unless the list is fresh and showed one version for as long as a stream can last. Contradicting reports leave an origin unknown. Test changed: caller_that_comes_back_gets_the_rest took up a stream that never began; it now begins one, names it, and compares the whole rest. Conclusion: an engine that starts again under its id is still taken for the former one; it stays listed.

--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -471,6 +471,9 @@
     /// Upstreams that the sender recently failed to reach.
     #[prost(message, repeated, tag = "5")]
     pub unreachable: ::prost::alloc::vec::Vec<Life>,
+    /// Streams that the sender began.
+    #[prost(message, repeated, tag = "6")]
+    pub streams: ::prost::alloc::vec::Vec<StreamStart>,
 }
 /// A query to an owner.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -479,7 +482,7 @@
     pub entry: ::prost::alloc::string::String,
     #[prost(fixed64, tag = "2")]
     pub id: u64,
-    #[prost(oneof = "owner_query::Ask", tags = "3, 4, 5")]
+    #[prost(oneof = "owner_query::Ask", tags = "3, 4, 5, 6")]
     pub ask: ::core::option::Option<owner_query::Ask>,
 }
 /// Nested message and enum types in `OwnerQuery`.
@@ -494,6 +497,9 @@
         /// Digest of the content of a possibly refused caller; sixteen bytes.
         #[prost(bytes, tag = "5")]
         Refused(::prost::alloc::vec::Vec<u8>),
+        /// Digest of a stream that a caller takes up; sixteen bytes.
+        #[prost(bytes, tag = "6")]
+        Stream(::prost::alloc::vec::Vec<u8>),
     }
 }
 /// Incarnations of upstreams.
@@ -517,7 +523,7 @@
     pub entry: ::prost::alloc::string::String,
     #[prost(fixed64, tag = "2")]
     pub id: u64,
-    #[prost(oneof = "owner_reply::Answer", tags = "3, 4, 5")]
+    #[prost(oneof = "owner_reply::Answer", tags = "3, 4, 5, 6")]
     pub answer: ::core::option::Option<owner_reply::Answer>,
 }
 /// Nested message and enum types in `OwnerReply`.
@@ -530,8 +536,30 @@
         Repeat(super::Loan),
         #[prost(message, tag = "5")]
         Refused(super::Refused),
+        #[prost(message, tag = "6")]
+        Stream(super::StreamFound),
     }
 }
+/// Where a stream began.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamStart {
+    /// Sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub stream: ::prost::alloc::vec::Vec<u8>,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub software_version: ::prost::alloc::string::String,
+    /// Remaining time for which a caller may take the stream up.
+    #[prost(uint32, tag = "4")]
+    pub keep_ms: u32,
+}
+/// Where a stream began; absent if it isn't known.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamFound {
+    #[prost(message, optional, tag = "1")]
+    pub start: ::core::option::Option<StreamStart>,
+}
 /// Loads of upstreams, without the work of the querying entry.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct OwnedLoads {
--- a/fireflycroft-wire/src/owner_messages.rs
+++ b/fireflycroft-wire/src/owner_messages.rs
@@ -7,7 +7,7 @@
 use crate::limits::MAX_RECORDS;
 use fireflycroft::{
     Incarnation, OwnedLoad, OwnerQuery, OwnerQueryBody, OwnerReply, OwnerReplyBody, OwnerReport,
-    Pace, Placed, PlacedAt, Refusal, UpstreamIncarnation,
+    Pace, Placed, PlacedAt, Refusal, StreamOrigin, StreamStart, UpstreamIncarnation,
 };
 use pb::owner_query::Ask;
 use pb::owner_reply::Answer;
@@ -32,6 +32,7 @@
         placed: report.placed.iter().map(placed).collect(),
         refused: report.refused.iter().map(refusal).collect(),
         unreachable: report.unreachable.iter().map(life).collect(),
+        streams: report.streams.iter().map(stream_start).collect(),
     }
 }
 
@@ -39,12 +40,14 @@
     check_count(report.placed.len(), MAX_RECORDS, "report.placed")?;
     check_count(report.refused.len(), MAX_RECORDS, "report.refused")?;
     check_count(report.unreachable.len(), MAX_RECORDS, "report.unreachable")?;
+    check_count(report.streams.len(), MAX_RECORDS, "report.streams")?;
     Ok(OwnerReport {
         entry: read_name(&report.entry, "report.entry")?,
         is_whole: report.is_whole,
         placed: read_all(&report.placed, read_placed)?,
         refused: read_all(&report.refused, read_refusal)?,
         unreachable: read_all(&report.unreachable, read_life)?,
+        streams: read_all(&report.streams, read_stream_start)?,
     })
 }
 
@@ -55,6 +58,7 @@
         }),
         OwnerQueryBody::Retry(service) => Ask::Repeat(service.to_string()),
         OwnerQueryBody::Refused(content) => Ask::Refused(id_bytes(content.0)),
+        OwnerQueryBody::Stream(stream) => Ask::Stream(id_bytes(stream.0)),
     };
     pb::OwnerQuery {
         entry: query.entry.to_string(),
@@ -73,6 +77,7 @@
         Some(Ask::Refused(content)) => {
             OwnerQueryBody::Refused(read_digest(content, "query.refused")?)
         }
+        Some(Ask::Stream(stream)) => OwnerQueryBody::Stream(read_digest(stream, "query.stream")?),
         None => return Err(WireError::Missing("query.ask")),
     };
     Ok(OwnerQuery {
@@ -102,6 +107,9 @@
             waited_ms: millis(*waited),
             expected_ms: millis(*expected_in),
         }),
+        OwnerReplyBody::Stream(start) => Answer::Stream(pb::StreamFound {
+            start: start.as_ref().map(stream_start),
+        }),
     };
     pb::OwnerReply {
         entry: reply.entry.to_string(),
@@ -126,6 +134,9 @@
             waited: Duration::from_millis(it.waited_ms.into()),
             expected_in: Duration::from_millis(it.expected_ms.into()),
         },
+        Some(Answer::Stream(found)) => {
+            OwnerReplyBody::Stream(found.start.as_ref().map(read_stream_start).transpose()?)
+        }
         None => return Err(WireError::Missing("reply.answer")),
     };
     Ok(OwnerReply {
@@ -135,6 +146,31 @@
     })
 }
 
+fn stream_start(start: &StreamStart) -> pb::StreamStart {
+    pb::StreamStart {
+        stream: id_bytes(start.stream.0),
+        service: start.origin.service.to_string(),
+        software_version: start.origin.software_version.to_string(),
+        keep_ms: millis(start.keep_for),
+    }
+}
+
+/// Reads where a stream began; rejects an empty version, which is an unknown one.
+fn read_stream_start(start: &pb::StreamStart) -> Result<StreamStart, WireError> {
+    let software_version = read_name(&start.software_version, "stream.software_version")?;
+    if software_version.is_empty() {
+        return Err(WireError::Missing("stream.software_version"));
+    }
+    Ok(StreamStart {
+        stream: read_digest(&start.stream, "stream.stream")?,
+        origin: StreamOrigin {
+            service: read_name(&start.service, "stream.service")?,
+            software_version,
+        },
+        keep_for: Duration::from_millis(u64::from(start.keep_ms)),
+    })
+}
+
 fn refusal(refusal: &Refusal) -> pb::Refusal {
     pb::Refusal {
         content: id_bytes(refusal.content.0),
--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -3,8 +3,8 @@
 use fireflycroft::{
     CrashCount, Digest, EntryAnnouncement, EntryMessage, Evacuations, Incarnation, ListChange,
     Name, OwnedLoad, OwnerQuery, OwnerQueryBody, OwnerReply, OwnerReplyBody, OwnerReport, Pace,
-    PauseCounts, Placed, PlacedAt, RateLimit, Refusal, RetryCount, ServiceDemand, ToldRate,
-    UpstreamIncarnation, UpstreamRecord, UpstreamState,
+    PauseCounts, Placed, PlacedAt, RateLimit, Refusal, RetryCount, ServiceDemand, StreamOrigin,
+    StreamStart, ToldRate, UpstreamIncarnation, UpstreamRecord, UpstreamState,
 };
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
 use proptest::prelude::*;
@@ -76,6 +76,18 @@
             expected_in: Duration::from_millis(1_250),
         }],
         unreachable: vec![life()],
+        streams: vec![stream_start()],
+    }
+}
+
+fn stream_start() -> StreamStart {
+    StreamStart {
+        stream: Digest(13),
+        origin: StreamOrigin {
+            service: Name::from("models"),
+            software_version: Name::from("v1.2"),
+        },
+        keep_for: Duration::from_millis(11_900),
     }
 }
 
@@ -86,11 +98,12 @@
     }
 }
 
-fn queries() -> [EntryMessage; 3] {
+fn queries() -> [EntryMessage; 4] {
     let bodies = [
         OwnerQueryBody::Loads(vec![life()]),
         OwnerQueryBody::Retry(Name::from("s")),
         OwnerQueryBody::Refused(Digest(u128::MAX)),
+        OwnerQueryBody::Stream(Digest(u128::MAX)),
     ];
     bodies.map(|body| {
         EntryMessage::Query(OwnerQuery {
@@ -101,7 +114,7 @@
     })
 }
 
-fn replies() -> [EntryMessage; 4] {
+fn replies() -> [EntryMessage; 6] {
     let load = OwnedLoad {
         upstream: life(),
         serves: true,
@@ -122,6 +135,8 @@
         },
         refused(Some(Duration::from_millis(310))),
         refused(None),
+        OwnerReplyBody::Stream(Some(stream_start())),
+        OwnerReplyBody::Stream(None),
     ];
     bodies.map(|body| {
         EntryMessage::Reply(OwnerReply {
--- a/fireflycroft/src/code.rs
+++ b/fireflycroft/src/code.rs
@@ -114,6 +114,8 @@
     ConfigOutdated = 2020, 503, "the configuration is being brought up to date";
     /// No route of the configuration matches.
     RouteUnknown = 2021, 404, "no route leads there";
+    /// The upstream version that began the stream to continue is not known.
+    OriginUnknown = 2022, 503, "it is not known where the stream began";
     /// The whole answer was delivered.
     Ok = 3000, 200, "ok";
     /// The upstream failed after the request began.
--- a/fireflycroft/src/owner_messages.rs
+++ b/fireflycroft/src/owner_messages.rs
@@ -5,6 +5,7 @@
 use crate::pace::Pace;
 use crate::placed::{Placed, PlacedAt};
 use crate::returning_callers::Refusal;
+use crate::stream_origin::StreamStart;
 use crate::upstream::UpstreamIncarnation;
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
     pub refused: Vec<Refusal>,
     /// Upstreams that the sender recently failed to reach.
     pub unreachable: Vec<UpstreamIncarnation>,
+    /// Streams that the sender began.
+    pub streams: Vec<StreamStart>,
 }
 
 /// Query to an owner.
@@ -43,6 +46,8 @@
     Retry(Name),
     /// Whether the caller of a request with this content was recently refused.
     Refused(Digest),
+    /// Where the stream with this digest began.
+    Stream(Digest),
 }
 
 /// Load of one upstream as known to its owner.
@@ -92,6 +97,8 @@
         /// Retry delay that the caller was given.
         expected_in: Duration,
     },
+    /// Where a stream began, if it is known.
+    Stream(Option<StreamStart>),
 }
 
 /// Content of one datagram between direct entries.
--- a/fireflycroft/src/owners.rs
+++ b/fireflycroft/src/owners.rs
@@ -9,7 +9,8 @@
 //! The owners of a key are the entries that rank highest for it by rendezvous hashing: each entry
 //! ranks all live entries it knows by a hash of key and address. Entries with the same view find
 //! the same owners without coordination, and a joining or leaving entry changes only the owners of
-//! its share of the keys. There are two, so that the loss of one loses no knowledge.
+//! its share of the keys. There are two, so that the loss of one loses no knowledge; the origins of streams
+//! have more, since nobody else can tell them again ([`crate::STREAM_OWNERS`]).
 
 use crate::ids::Digest;
 use std::net::Ipv4Addr;
@@ -45,6 +46,12 @@
         Self::folded(content)
     }
 
+    /// Returns the key of a stream's origin, from its digest.
+    #[must_use]
+    pub const fn of_stream(stream: Digest) -> Self {
+        Self::folded(stream)
+    }
+
     #[allow(clippy::cast_possible_truncation)]
     const fn folded(digest: Digest) -> Self {
         Self(digest.0 as u64 ^ (digest.0 >> 64) as u64)
@@ -65,7 +72,15 @@
     key: OwnedKey,
     entries: impl IntoIterator<Item = Ipv4Addr>,
 ) -> impl Iterator<Item = Ipv4Addr> {
-    let mut owners: [Option<(u64, Ipv4Addr)>; OWNERS_PER_KEY] = [None; OWNERS_PER_KEY];
+    highest_ranked::<OWNERS_PER_KEY>(key, entries)
+}
+
+/// Returns the `N` entries that rank highest for `key`, in this order.
+pub fn highest_ranked<const N: usize>(
+    key: OwnedKey,
+    entries: impl IntoIterator<Item = Ipv4Addr>,
+) -> impl Iterator<Item = Ipv4Addr> {
+    let mut owners: [Option<(u64, Ipv4Addr)>; N] = [None; N];
     for entry in entries {
         let mut ranked = Some((key.rank(entry), entry));
         for slot in &mut owners {
--- a/fireflydirect/src/departure_watch.rs
+++ b/fireflydirect/src/departure_watch.rs
@@ -177,6 +177,13 @@
     pub fn is_store_silent(&self) -> bool {
         self.departure_watch.borrow().is_active()
     }
+
+    /// Returns whether the list of upstreams is as new as an entry that the store answers has it.
+    #[must_use]
+    pub fn is_list_fresh(&self) -> bool {
+        let contact = store_contact(self);
+        contact.answered_at.is_some() && !contact.is_silent(self.now())
+    }
 }
 
 /// Records that an engine closes a connection, which one that leaves does; queries it at once.
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -248,7 +248,7 @@
     fn is_known(&self) -> bool {
         match self.kind {
             Kind::Config => self.node.config_version() > 0,
-            Kind::Upstreams => self.node.has_complete_list.get(),
+            Kind::Upstreams => self.node.has_complete_list(),
             Kind::Evacuations | Kind::Entries => true,
         }
     }
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -16,6 +16,7 @@
 use crate::retries;
 use crate::runs::Run;
 use crate::standby_copies;
+use crate::stream_origins::{OriginGuard, record_start};
 use bytes::Bytes;
 use fireflycroft::{
     Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time, UpstreamIx, VersionKey,
@@ -58,6 +59,8 @@
     assignment: AssignmentGuard,
     /// Software version that began the stream; the stream can't go on if it is unknown.
     version: Option<VersionKey>,
+    /// Origin of a resumable stream, while it lasts.
+    _origin: Option<OriginGuard>,
     backup: Option<AssignmentGuard>,
     source: Option<Source>,
     events: EventRelay,
@@ -161,11 +164,13 @@
     });
     // A leave notice may have arrived between the choice of the upstream and its response head.
     job.node.migrate_if_departing(assignment.ix);
+    let origin = version.and_then(|_| record_start(&job, assignment.ix));
     let relay = Relay {
         job,
         run,
         assignment,
         version,
+        _origin: origin,
         backup,
         source: Some(Source { body, link, head }),
         events,
--- a/fireflydirect/src/ingest.rs
+++ b/fireflydirect/src/ingest.rs
@@ -67,7 +67,7 @@
                 .apply_list(now, records, revision);
             self.node.apply_pool_changes(changes, "store");
             self.node.upstreams_listed.set(true);
-            self.node.has_complete_list.set(true);
+            self.node.record_complete_list();
         }
     }
 
@@ -189,7 +189,7 @@
         let change = node.pool.borrow_mut().upsert(now, record);
         node.apply_pool_changes(change, "peer");
     }
-    node.has_complete_list.set(true);
+    node.record_complete_list();
     // Other entries may fetch the list here from now on.
     node.announce_now.notify_one();
 }
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -4,7 +4,8 @@
 use crate::node::Node;
 use bytes::Bytes;
 use fireflycroft::{
-    Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec, Time, UpstreamIx,
+    Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec, StreamOrigin, Time,
+    UpstreamIx, VersionKey,
 };
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
@@ -32,6 +33,8 @@
     pub rank: u8,
     /// Decoded request head.
     pub head: RequestHead,
+    /// Where the stream began that it continues.
+    pub origin: Option<StreamOrigin>,
     /// Value per memory held, as a logarithm relative to its kind.
     pub value_density: f64,
     /// The caller's id of this attempt.
@@ -83,9 +86,12 @@
     /// Returns the need once `made` tokens of the answer are generated.
     #[must_use]
     pub fn need_beyond(&self, made: u64) -> Need {
+        let origin = self.origin.as_ref();
+        let version = origin.map(|o| VersionKey::of(&o.software_version));
         let Some(size) = &self.head.size else {
             return Need {
                 homes: self.homes,
+                version,
                 ..Need::default()
             };
         };
@@ -98,7 +104,7 @@
             draw: rand::rng().next_u64(),
             homes: self.homes,
             copied_from: None,
-            version: None,
+            version,
         }
     }
 
@@ -161,7 +167,10 @@
     fn pick_now(&self, need: &Need, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
         let pool = self.node.pool.borrow();
         let now = self.now();
-        let untried = pool.choose(now, &self.service, need, tried);
-        untried.or_else(|| pool.choose(now, &self.service, need, &[]))
+        let choose = |tried| match self.origin {
+            Some(_) => pool.choose_to_continue(now, &self.service, need, tried),
+            None => pool.choose(now, &self.service, need, tried),
+        };
+        choose(tried).or_else(|| choose(&[]))
     }
 }
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -54,3 +54,4 @@
 pub mod state_page;
 pub mod store_call;
 pub mod store_connectivity;
+pub mod stream_origins;
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -33,6 +33,8 @@
     pub streams: IntCounterVec,
     /// Streams resumed on another upstream, by `way`: `moved`, `copy`, `anew`.
     pub resumed: IntCounterVec,
+    /// Streams that callers took up, by `source` of the origin: `own`, `owner`, `sole version`, `unknown`.
+    pub taken_up: IntCounterVec,
     /// Longest pause of each stream in seconds, by `kind`.
     pub pause_seconds: HistogramVec,
     /// Calls to the platform's store, by `kind`, `call` and `result`.
@@ -107,6 +109,12 @@
                 "Streams resumed on another upstream",
                 &["way"],
             )?,
+            taken_up: counters(
+                &r,
+                "taken_up_total",
+                "Streams that callers took up",
+                &["source"],
+            )?,
             pause_seconds: seconds(&r, "pause_seconds", "Longest pause of each stream")?,
             store_calls: counters(
                 &r,
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -13,8 +13,8 @@
 use fireflycroft::{
     Catalog, DepartureRate, DepartureWatch, Evacuations, FULL_VIEW_AFTER, FleetView, HoldTimes,
     LengthEstimator, Policy, Pool, PoolChange, Quarantine, QueryBudget, Refusal, Regions,
-    ReturningCallers, SharedRetryBudget, Time, UpstreamIncarnation, UpstreamIx, ValueDensities,
-    WaitQueue, WaitingDemand, WatcherRole,
+    ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time, UpstreamIncarnation,
+    UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
 use fireflycroft_platform::{PlatformSettings, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -62,6 +62,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// Refused callers, who may return.
     pub returning_callers: RefCell<ReturningCallers>,
+    /// Origins of streams that callers may take up.
+    pub stream_origins: RefCell<StreamOrigins>,
     /// Generations held until engines have memory for them.
     pub wait_queue: RefCell<WaitQueue>,
     /// Memory for which generations wait elsewhere, or which returning callers will need.
@@ -104,8 +106,8 @@
     pub last_store_response: Cell<Option<Time>>,
     /// Whether the complete list of upstreams has been read since this entry began to watch.
     pub upstreams_listed: Cell<bool>,
-    /// Whether the complete list was ever read, from the store or another entry.
-    pub has_complete_list: Cell<bool>,
+    /// Time from which on the list of upstreams is known, from the store or another entry.
+    pub listed_since: Cell<Option<Time>>,
     /// Notified when an upstream appears or changes, or the configuration changes.
     pub routing_changed: Notify,
     /// Notified when an upstream has restarted.
@@ -120,6 +122,8 @@
     pub loads_changed: RefCell<BTreeSet<UpstreamIx>>,
     /// Refusals of callers since the last report.
     pub unreported_refusals: RefCell<Vec<Refusal>>,
+    /// Streams begun since the last report.
+    pub unreported_starts: RefCell<Vec<StreamStart>>,
     /// Upstreams found unreachable since the last report.
     pub unreported_unreachable: RefCell<Vec<UpstreamIncarnation>>,
     /// Upstreams found to be departing, for the task that migrates their runs.
@@ -173,6 +177,7 @@
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::default(),
             returning_callers: RefCell::default(),
+            stream_origins: RefCell::default(),
             wait_queue: RefCell::default(),
             waiting_demand: RefCell::default(),
             hold_times: RefCell::default(),
@@ -194,7 +199,7 @@
             any_store_failure: Cell::new(false),
             last_store_response: Cell::new(None),
             upstreams_listed: Cell::new(false),
-            has_complete_list: Cell::new(false),
+            listed_since: Cell::new(None),
             routing_changed: Notify::new(),
             incarnation_ended: Notify::new(),
             announce_now: Notify::new(),
@@ -202,6 +207,7 @@
             report_due: Notify::new(),
             loads_changed: RefCell::default(),
             unreported_refusals: RefCell::default(),
+            unreported_starts: RefCell::default(),
             unreported_unreachable: RefCell::default(),
             departing: RefCell::default(),
             departure_found: Notify::new(),
@@ -251,6 +257,18 @@
         self.catalog.borrow().as_ref().map_or(0, |c| c.version())
     }
 
+    /// Records that the complete list of upstreams was read.
+    pub fn record_complete_list(&self) {
+        let since = self.listed_since.get().unwrap_or_else(|| self.now());
+        self.listed_since.set(Some(since));
+    }
+
+    /// Returns whether the complete list of upstreams was ever read.
+    #[must_use]
+    pub fn has_complete_list(&self) -> bool {
+        self.listed_since.get().is_some()
+    }
+
     /// Returns the number of entries that share the retry budget, including this one.
     #[must_use]
     pub fn entries(&self) -> usize {
--- a/fireflydirect/src/owner_queries.rs
+++ b/fireflydirect/src/owner_queries.rs
@@ -5,6 +5,7 @@
 //! requester uses its own state for the rest.
 
 use crate::node::Node;
+use crate::stream_origins;
 use fireflycroft::{
     EntryMessage, OwnerQuery, OwnerQueryBody, OwnerReply, OwnerReplyBody, OwnerReport, Refusal,
 };
@@ -135,6 +136,9 @@
                 expected_in: refusal.map(|r| r.expected_in).unwrap_or_default(),
             }
         }
+        OwnerQueryBody::Stream(stream) => {
+            OwnerReplyBody::Stream(node.stream_origins.borrow().start(now, stream))
+        }
     }
 }
 
@@ -168,6 +172,7 @@
                 returns.apply_refusal(now, &refusal);
             }
         }
+        OwnerReplyBody::Stream(start) => stream_origins::apply(node, now, start),
     }
     node.owner_queries.record_reply(reply.id);
 }
@@ -186,4 +191,5 @@
             .borrow_mut()
             .apply_refusal(now, refusal);
     }
+    stream_origins::apply(node, now, report.streams.iter().cloned());
 }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -9,8 +9,8 @@
 //! memory to match; datagrams of a few hundred bytes that may be lost need neither.
 
 use fireflycroft::{
-    CrashCount, Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview, Time,
-    WATCHERS, WatcherView, owners_of, whole_millis,
+    CrashCount, Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview,
+    STREAM_OWNERS, Time, WATCHERS, WatcherView, highest_ranked, owners_of, whole_millis,
 };
 use fireflycroft_platform::PlatformSettings;
 use rand::Rng;
@@ -211,6 +211,13 @@
         self.owners(now, key).filter(move |ip| *ip != me)
     }
 
+    /// Returns the owners of a stream's origin other than this entry.
+    pub(crate) fn stream_owners(&self, now: Time, stream: Digest) -> Vec<Ipv4Addr> {
+        let others = self.known.iter().filter(|(_, k)| k.is_available(now));
+        let others = others.map(|(ip, _)| *ip);
+        highest_ranked::<STREAM_OWNERS>(OwnedKey::of_stream(stream), others).collect()
+    }
+
     /// Records a query sent to an entry.
     pub(crate) fn record_query(&mut self, now: Time, ip: Ipv4Addr) {
         if let Some(known) = self.known.get_mut(&ip) {
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -295,7 +295,7 @@
     if missing.list.is_none() && node.awaits_store_data() {
         return NO_LIST_CHANGES;
     }
-    if node.peers.borrow().needs_full_list || !node.has_complete_list.get() {
+    if node.peers.borrow().needs_full_list || !node.has_complete_list() {
         return 0;
     }
     node.pool.borrow().complete_to()
--- a/fireflydirect/src/reports.rs
+++ b/fireflydirect/src/reports.rs
@@ -1,10 +1,13 @@
-//! Reports to owners: work placed on upstreams, refused callers and unreachable upstreams.
+//! Reports to owners: work placed on upstreams, refused callers, unreachable upstreams and begun streams.
 //!
 //! Changes are reported at once. The full state is reported twice a second as well, since a
 //! datagram may be lost and an owner may be new.
 
 use crate::node::Node;
-use fireflycroft::{EntryMessage, OwnedKey, OwnerReport, PlacedAt, Refusal, UpstreamIncarnation};
+use crate::stream_origins;
+use fireflycroft::{
+    EntryMessage, OwnedKey, OwnerReport, PlacedAt, Refusal, StreamStart, UpstreamIncarnation,
+};
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -41,6 +44,7 @@
         placed,
         refused,
         unreachable: Vec::new(),
+        streams: stream_origins::due(node),
     };
     report(node, items, true).await;
 }
@@ -52,6 +56,7 @@
         placed,
         refused: std::mem::take(&mut *node.unreported_refusals.borrow_mut()),
         unreachable: std::mem::take(&mut *node.unreported_unreachable.borrow_mut()),
+        streams: std::mem::take(&mut *node.unreported_starts.borrow_mut()),
     };
     report(node, items, false).await;
 }
@@ -61,6 +66,7 @@
     placed: Vec<PlacedAt>,
     refused: Vec<Refusal>,
     unreachable: Vec<UpstreamIncarnation>,
+    streams: Vec<StreamStart>,
 }
 
 async fn report(node: &Node, items: ReportItems, is_whole: bool) {
@@ -95,5 +101,11 @@
             report.unreachable.push(incarnation.clone());
         }
     }
+    for start in items.streams {
+        for owner in peers.stream_owners(now, start.stream) {
+            let report = reports.entry(owner).or_default();
+            report.streams.push(start.clone());
+        }
+    }
     reports
 }
--- a/fireflydirect/src/returning_callers.rs
+++ b/fireflydirect/src/returning_callers.rs
@@ -9,6 +9,10 @@
 /// Returns whether the caller is a new or returning one, as far as is known here.
 #[must_use]
 pub fn arrival_kind(job: &Job) -> ArrivalKind {
+    // It was admitted once, and a refusal would waste what it has received.
+    if job.origin.is_some() {
+        return ArrivalKind::AgainInTime;
+    }
     let held = if hold::is_called_for(job) {
         job.age()
     } else {
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -7,10 +7,11 @@
 use crate::job::Job;
 use crate::node::{Node, Stage};
 use crate::startup_wait::until_loaded;
+use crate::stream_origins::{self, Continued};
 use bytes::Bytes;
 use fireflycroft::{
-    Catalog, Code, Digest, Mechanism, Name, RequestHead, RouteSpec, STARTUP_RETRY_AFTER, Time,
-    WorkspaceSpec, unconfigured_retry_after,
+    Catalog, Code, Digest, Mechanism, Name, RequestHead, RouteSpec, STARTUP_RETRY_AFTER,
+    StreamOrigin, Time, WorkspaceSpec, unconfigured_retry_after,
 };
 use fireflycroft_platform::read_request_head;
 use http_body_util::{BodyExt, Limited};
@@ -24,8 +25,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Retry delay for content that crashes upstreams: longer than any caller's timeout.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_hours(1);
+/// Retry delay for what no later attempt gets either: longer than any caller's timeout.
+const FINAL_RETRY_AFTER: Duration = Duration::from_hours(1);
 
 /// Refusal of a request before anything was sent.
 struct Refusal {
@@ -127,12 +128,13 @@
     let route = find_route(&catalog, &parts).ok_or(refusal(Code::RouteUnknown))?;
     let workspace = check_key(&catalog, &route, &head)?;
     let request_id = head.request_id.clone().ok_or(refusal(Code::BadRequest))?;
-    let service = route.target(rand::rng().next_u32()).cloned();
+    let origin = find_origin(node, &route, &head).await?;
+    let service = stream_origins::target(&route, origin.as_ref(), rand::rng().next_u32());
     let service = service.ok_or(refusal_with_retry(Code::NoUpstream, STARTUP_RETRY_AFTER))?;
     let body = read_request_body(&catalog, body).await?;
     let content = digest(&parts, &head, &body);
     if crash::is_refused(node, content) {
-        return Err(refusal_with_retry(Code::Overloaded, QUARANTINE_RETRY_AFTER));
+        return Err(refusal_with_retry(Code::Overloaded, FINAL_RETRY_AFTER));
     }
     node.retry_budget
         .borrow_mut()
@@ -159,6 +161,7 @@
         route,
         service,
         head,
+        origin,
         request_id,
         method: parts.method,
         uri: origin_form(&parts.uri),
@@ -171,6 +174,26 @@
     Ok(job)
 }
 
+/// Finds out where the stream began that a request continues; none if it continues no stream.
+async fn find_origin(
+    node: &Node,
+    route: &RouteSpec,
+    head: &RequestHead,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    match stream_origins::find(node, route, head).await {
+        Continued::Nothing => Ok(None),
+        Continued::Stream(origin) => Ok(Some(origin)),
+        Continued::Unknown { may_be_found } => {
+            let retry_after = if may_be_found {
+                STARTUP_RETRY_AFTER
+            } else {
+                FINAL_RETRY_AFTER
+            };
+            Err(refusal_with_retry(Code::OriginUnknown, retry_after))
+        }
+    }
+}
+
 /// Returns the value density of a generation; zero for a plain call.
 fn value_density(job: &Job) -> f64 {
     let Some(size) = &job.head.size else {
--- a/fireflydirect/src/startup_wait.rs
+++ b/fireflydirect/src/startup_wait.rs
@@ -31,5 +31,5 @@
 }
 
 fn is_loaded(node: &Node) -> bool {
-    node.catalog.borrow().is_some() && node.has_complete_list.get()
+    node.catalog.borrow().is_some() && node.has_complete_list()
 }
--- /dev/null
+++ b/fireflydirect/src/stream_origins.rs
@@ -0,0 +1,168 @@
+//! Origins of resumable streams: reported to owners, and looked up when a caller takes a stream up.
+//!
+//! See [`fireflycroft::StreamOrigins`] for what is known by whom.
+
+use crate::job::Job;
+use crate::log_value::or_empty;
+use crate::node::Node;
+use crate::owner_queries;
+use fireflycroft::{
+    Digest, Name, OwnerQueryBody, RequestHead, RequestKind, RouteSpec, StreamOrigin, StreamStart,
+    Time, UpstreamIx, stream_digest,
+};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Time for which a stream may be taken up, as a multiple of its route's timeout: the first attempt may last
+/// that long, and the caller returns within the rest of its own time.
+const KEEP_TIMEOUTS: u32 = 2;
+
+/// Longest time for which one version is known to be a service's only one.
+const MAX_SOLE_TIME: Duration = Duration::from_mins(1);
+
+/// Stream that this entry relays, recorded as its own until dropped.
+pub struct OriginGuard {
+    node: Rc<Node>,
+    stream: Digest,
+}
+
+impl Drop for OriginGuard {
+    fn drop(&mut self) {
+        self.node.stream_origins.borrow_mut().end(self.stream);
+    }
+}
+
+/// What a request continues.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Continued {
+    /// Nothing: it begins a stream, or is a plain call.
+    Nothing,
+    /// A stream that began there.
+    Stream(StreamOrigin),
+    /// A stream whose origin isn't known.
+    Unknown {
+        /// Whether another attempt may find it out.
+        may_be_found: bool,
+    },
+}
+
+/// Records the origin of a resumable stream whose response head has arrived, and reports it to its owners.
+#[must_use]
+pub fn record_start(job: &Job, at: UpstreamIx) -> Option<OriginGuard> {
+    if job.route.kind != RequestKind::ResumableStream {
+        return None;
+    }
+    let node = &job.node;
+    let record = node.pool.borrow().record(at).clone();
+    let start = StreamStart {
+        stream: stream_digest(job.head.resumes.as_ref().unwrap_or(&job.request_id)),
+        origin: StreamOrigin {
+            service: record.service,
+            software_version: record.software_version?,
+        },
+        keep_for: job.route.timeout * KEEP_TIMEOUTS,
+    };
+    let stream = start.stream;
+    node.stream_origins
+        .borrow_mut()
+        .begin(node.now(), start.clone());
+    node.unreported_starts.borrow_mut().push(start);
+    node.report_due.notify_one();
+    Some(OriginGuard {
+        node: node.clone(),
+        stream,
+    })
+}
+
+/// Finds out which stream a request continues, and where that began.
+pub async fn find(node: &Node, route: &RouteSpec, head: &RequestHead) -> Continued {
+    let holds_events = head.last_event_id.is_some_and(|last| last > 0);
+    if !route.kind.is_stream() || !(holds_events || head.resumes.is_some()) {
+        return Continued::Nothing;
+    }
+    let stream = head.resumes.as_deref().map(stream_digest);
+    let mut source = "own";
+    let mut origin = stream.and_then(|s| known_origin(node, s));
+    let mut all_replied = true;
+    if let Some(stream) = stream.filter(|_| origin.is_none()) {
+        source = "owner";
+        all_replied = query_owners(node, stream).await;
+        origin = known_origin(node, stream);
+    }
+    if origin.is_none() {
+        source = "sole version";
+        origin = sole_origin(node, route);
+    }
+    log::info!(
+        event = "stream_taken_up", req = &*head.request_id.clone().unwrap_or_default(),
+        resumes = or_empty(head.resumes.as_ref()), after = or_empty(head.last_event_id),
+        service = or_empty(origin.as_ref().map(|o| &o.service)),
+        software_version = or_empty(origin.as_ref().map(|o| &o.software_version)),
+        source = if origin.is_some() { source } else { "" }, all_replied = all_replied;
+        ""
+    );
+    let outcome = if origin.is_some() { source } else { "unknown" };
+    node.metrics.taken_up.with_label_values(&[outcome]).inc();
+    match origin {
+        Some(origin) => Continued::Stream(origin),
+        None => Continued::Unknown {
+            may_be_found: !all_replied,
+        },
+    }
+}
+
+fn known_origin(node: &Node, stream: Digest) -> Option<StreamOrigin> {
+    let origins = node.stream_origins.borrow();
+    origins.origin(node.now(), stream).cloned()
+}
+
+/// Queries the owners of a stream for its origin; returns whether all replied.
+async fn query_owners(node: &Node, stream: Digest) -> bool {
+    let owners = node.peers.borrow().stream_owners(node.now(), stream);
+    let queries = owners
+        .into_iter()
+        .map(|owner| (owner, OwnerQueryBody::Stream(stream)));
+    owner_queries::query_owners(node, queries).await
+}
+
+/// Returns the origin that all streams of a route have: its service has had one version for longer than any of
+/// them can last.
+fn sole_origin(node: &Node, route: &RouteSpec) -> Option<StreamOrigin> {
+    let [target] = &route.targets[..] else {
+        return None;
+    };
+    let lasts = route.timeout * KEEP_TIMEOUTS;
+    let known_for = node.now().since(node.listed_since.get()?);
+    if lasts > MAX_SOLE_TIME || known_for < lasts || !node.is_list_fresh() {
+        return None;
+    }
+    Some(StreamOrigin {
+        service: target.service.clone(),
+        software_version: node.pool.borrow().sole_version(&target.service)?,
+    })
+}
+
+/// Returns the service that a request goes to: the one that began its stream, if its route still allows it.
+#[must_use]
+pub fn target(route: &RouteSpec, origin: Option<&StreamOrigin>, draw: u32) -> Option<Name> {
+    let Some(origin) = origin else {
+        return route.target(draw).cloned();
+    };
+    let mut targets = route.targets.iter();
+    let target = targets.find(|t| t.service == origin.service);
+    target.map(|t| t.service.clone())
+}
+
+/// Returns the streams to report again to their owners.
+#[must_use]
+pub fn due(node: &Node) -> Vec<StreamStart> {
+    node.stream_origins.borrow_mut().due(node.now())
+}
+
+/// Applies reported origins.
+pub fn apply(node: &Node, now: Time, starts: impl IntoIterator<Item = StreamStart>) {
+    let mut origins = node.stream_origins.borrow_mut();
+    for start in starts {
+        origins.apply(now, start);
+    }
+}
--- a/fireflydirect/tests/processes.rs
+++ b/fireflydirect/tests/processes.rs
@@ -7,7 +7,9 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use support::{KEY, Site, cases, check_runs, free_ports, outcome, until, whole_stream};
+use support::{
+    KEY, Site, cases, check_runs, free_ports, outcome, rest_of_stream, until, whole_stream,
+};
 
 /// Approximate time between two announcements of an entry.
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(300);
@@ -279,10 +281,13 @@
     }
 
     caller_that_comes_back_gets_the_rest(site: 1) {
-        let id = site.id();
-        let stream = site.generation(0, "/grade/a", 20, &id).header("Last-Event-Id", "12");
-        let text = stream.send().await.unwrap().text().await.unwrap();
-        assert!(text.starts_with("id: 13\n") && text.ends_with(&format!("{id} 20\n\n")), "{text}");
+        let (first, second) = (site.id(), site.id());
+        let begun = site.generation(0, "/grade/a", 20, &first).send().await.unwrap();
+        assert_eq!(begun.text().await.unwrap(), whole_stream(&first, 20));
+        let rest = site.generation(0, "/grade/a", 20, &second);
+        let rest = rest.header("Resumes", &first).header("Last-Event-Id", "12");
+        let rest = rest.send().await.unwrap().text().await.unwrap();
+        assert_eq!(rest, rest_of_stream(&second, 12, 20));
     }
 
     stream_is_moved_when_its_engine_leaves(site: 1) {
--- a/fireflydirect/tests/processes_versions.rs
+++ b/fireflydirect/tests/processes_versions.rs
@@ -161,9 +161,16 @@
             let (body, engine) = harm_engine(&site, req, &id, async |e| site.engines[e].kill()).await;
             assert_eq!(versions(&[&body]).len(), 1, "{body}");
             assert_eq!(last_event(&body), Some(LONG), "{body}");
+            // Another one of its version takes its place, so that the next stream has where to go on.
+            let number = site.engines.len();
+            site.start_engine(u8::try_from(number).unwrap()).await;
+            site.engines[number].set_version(&site.engines[engine].version());
+            list(&site, number, "ready");
             site.store.remove("servers", &site.engines[engine].instance());
             let gone = format!("event=upstream_leaves instance={}", site.engines[engine].instance());
-            until("the removal", || async { site.log(0).contains(&gone) }).await;
+            let came = format!("event=upstream_came instance={}", site.engines[number].instance());
+            let both = || async { site.log(0).contains(&gone) && site.log(0).contains(&came) };
+            until("the replacement", both).await;
         }
     }
 
@@ -227,6 +234,23 @@
         }
     }
 
+    unnamed_stream_goes_on_once_its_service_had_one_version_for_long(site: ["v1", "v1"], 2) {
+        site.grade_timeout_ms = 1_000;
+        site.publish(&[KEY]);
+        until("the timeout", || async { site.log(1).contains("version=2 was=1") }).await;
+        let begun = begin(&site, 0, &site.id()).await;
+        until("the sole version", || async {
+            let id = site.id();
+            let rest = read(take_up(&site, 1, &id, None, &begun), SHORT).await;
+            last_event(&rest) == Some(SHORT)
+        })
+        .await;
+        site.store.set_mode(StoreMode::Silent);
+        until("the silence", || async { site.log(1).contains("event=departure_watch active=true") }).await;
+        let answer = take_up(&site, 1, &site.id(), None, &begun).send().await.unwrap();
+        assert_eq!(outcome(&answer), (503, Some(2022)));
+    }
+
     stream_of_an_engine_without_a_version_goes_on_nowhere(site: ["", ""], 1) {
         let id = site.id();
         let req = site.generation(0, "/log/a", LONG, &id);
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -73,6 +73,8 @@
     pub(crate) without: &'static str,
     /// Objective of the `log` route of the next configuration, in milliseconds.
     pub(crate) log_objective_ms: u64,
+    /// Timeout of the `grade` route of the next configuration, in milliseconds.
+    pub(crate) grade_timeout_ms: u64,
     folder: PathBuf,
     ids: AtomicU64,
 }
@@ -129,6 +131,7 @@
             workspace_homes: Vec::new(),
             without: "",
             log_objective_ms: 1_500,
+            grade_timeout_ms: 20_000,
             folder,
             ids: AtomicU64::new(0),
         };
@@ -197,6 +200,7 @@
             .map(|(name, prefix)| route(name, prefix, "safe", "records", false, 2));
         routes.extend(added);
         routes[0]["target_latency_ms"] = json!(self.log_objective_ms);
+        routes[1]["timeout_ms"] = json!(self.grade_timeout_ms);
         for route in &mut routes {
             route["allowed_regions"] = json!(self.route_homes);
         }
