Confirm an engine's incarnation before its version counts for a stream

Callers could get a stream of two versions from an engine that had started again under its id, at another version, before the list said so. Cause: the version was read off the record of an incarnation while the request reached a later one, which has the same id and address and refuses nothing. The class: what a name had is taken for what answers to it. Change: on a new connection to an upstream that states its start, the report is fetched once the response head is there; one that shows the expected start proves the connection. Without that proof a stream doesn't go on and takes none up; a report of a later start ends the former incarnation at this entry and, by announcement, at the others, at a version that is unknown until listed. Upstreams that state no start have a new id after each, and cost no call. Ruled out: asking before the request, since the restart may come between; time stamps, since clocks differ.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -4,6 +4,7 @@
 use crate::crash;
 use crate::exchange::{ResponseStart, SendError, SendOptions, read_body, send};
 use crate::hold::{self, HeldGuard};
+use crate::incarnations::confirmed_version;
 use crate::job::Job;
 use crate::log_value::or_empty;
 use crate::{retries, returning_callers, standby_copies};
@@ -11,7 +12,8 @@
 use fireflycroft::{
     AdmissionDecision, AdmissionRequest, ArrivalKind, AttemptOutcome, Attempts, Code,
     MIN_BACKUP_TOKENS, Mechanism, MemoryUsage, Need, NextStep, RunClaim, SHORT_TOKENS, UpstreamIx,
-    capacity_expected_after, decide_admission, decide_held_admission, pick_backup_holder,
+    VersionKey, capacity_expected_after, decide_admission, decide_held_admission,
+    pick_backup_holder,
 };
 use hyper::http::response::Parts;
 use rand::RngExt;
@@ -51,6 +53,8 @@
     pub assignment: AssignmentGuard,
     /// Assignment of the memory backup to another upstream.
     pub backup: Option<AssignmentGuard>,
+    /// Software version of the upstream, if it is known.
+    pub version: Option<VersionKey>,
 }
 
 /// Reply to a request.
@@ -395,7 +399,7 @@
 async fn interpret_head(
     job: &Job,
     ix: UpstreamIx,
-    response: ResponseStart,
+    mut response: ResponseStart,
     assignment: AssignmentGuard,
     backup: Option<AssignmentGuard>,
 ) -> AttemptResult {
@@ -420,10 +424,15 @@
         return AttemptResult::failed(AttemptOutcome::Lost, "response without a seal");
     }
     if status.is_success() && job.route.kind.is_stream() {
+        let version = confirmed_version(&job.node, ix, &mut response.link).await;
+        if job.origin.is_some() && version.is_none() {
+            return AttemptResult::failed(AttemptOutcome::Lost, "its version is uncertain");
+        }
         let stream = StartedStream {
             response,
             assignment,
             backup,
+            version,
         };
         return AttemptResult {
             outcome: AttemptOutcome::Answered,
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -10,6 +10,7 @@
 use crate::call::{StartedStream, assign_backup};
 use crate::crash;
 use crate::exchange::{ResponseStart, SendOptions, release_link, send};
+use crate::incarnations::confirmed_version;
 use crate::job::Job;
 use crate::log_value::or_empty;
 use crate::metrics::kind_label;
@@ -132,6 +133,7 @@
         response,
         assignment,
         backup,
+        version,
     } = stream;
     let ResponseStart {
         parts,
@@ -143,7 +145,6 @@
     if let Some(last) = job.head.last_event_id {
         events.resume_after(last);
     }
-    let version = job.node.pool.borrow().version(assignment.ix);
     let run = job.node.runs.register(Run {
         request_id: job.request_id.clone(),
         service: job.service.clone(),
@@ -483,7 +484,16 @@
         };
         let sending = send(&self.job, next.at, &options, || ());
         let response = match tokio::time::timeout(RESUME_TIMEOUT, sending).await {
-            Ok(Ok(response)) if is_stream(&response) => response,
+            Ok(Ok(mut response)) if is_stream(&response) => {
+                let node = &self.job.node;
+                if confirmed_version(node, next.at, &mut response.link)
+                    .await
+                    .is_none()
+                {
+                    return self.log_resume_refused(next.at, "its version is uncertain");
+                }
+                response
+            }
             Ok(Ok(response)) => {
                 return self.log_resume_refused(next.at, &response.parts.status.to_string());
             }
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod feed;
 pub mod generation;
 pub mod hold;
+pub mod incarnations;
 pub mod ingest;
 pub mod job;
 pub mod links;
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -64,6 +64,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has served a request before.
     pub reused: bool,
+    /// Whether it is known to lead to the incarnation that it was opened for.
+    pub confirmed: bool,
     _task: AbortOnDrop,
 }
 
@@ -179,6 +181,7 @@
     Ok(Link {
         sender,
         reused: false,
+        confirmed: false,
         _task: AbortOnDrop(task.abort_handle()),
     })
 }
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -109,12 +109,7 @@
                 "Streams resumed on another upstream",
                 &["way"],
             )?,
-            taken_up: counters(
-                &r,
-                "taken_up_total",
-                "Streams that callers took up",
-                &["source"],
-            )?,
+            taken_up: counters(&r, "taken_up_total", "Streams taken up", &["source"])?,
             pause_seconds: seconds(&r, "pause_seconds", "Longest pause of each stream")?,
             store_calls: counters(
                 &r,
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -200,10 +200,10 @@
         let id = name.split('"').nth(1).unwrap_or_default();
         lines.push(name.clone());
         lines.push(format!("  {:#?}", site.record.runs_of(id)));
-        let mark = format!("req={id} ");
+        let marks = [format!("req={id} "), format!("req={id}-")];
         for entry in 0..site.entries.len() {
             let log = site.log(entry);
-            let of_request = log.lines().filter(|l| l.contains(&mark));
+            let of_request = log.lines().filter(|l| marks.iter().any(|m| l.contains(m)));
             lines.extend(of_request.map(|l| format!("  {l}")));
         }
     }
