Resume a broken stream of an agent's engine only at the version that began it

On the project's own path a caller could get tokens of two software versions: an engine whose software is replaced may keep its streams, and the agent resumed a broken one whoever answered. Cause: the agent knew its engine by address and stream id only; the same class as on the direct path. Evidence: with the versions not compared the new cases fail: stream_does_not_go_on_at_another_software_version and stream_of_unknown_software_version_is_not_resumed end whole, and engine_upgraded_behind_a_cut_link brings no 3001. Change: the head of an engine's stream states the version of its software; the agent keeps that of the first tokens, and a resumption at another or an unknown one ends the generation as lost. Stand-in engines state a version, and one can be replaced while they keep their streams; the model of the fleet has both. Looked for elsewhere: an offer, a fresh start before the first token and a whole answer held back begin at token zero; a caller who returns reaches the agent of its own generation. None of them joins two runs. Conclusion: nothing goes on at another version on this path either.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -82,6 +82,13 @@
 pub enum AgentEvent {
     /// A message from another process of the fleet.
     Message(Box<Envelope>),
+    /// The upstream opened the stream, at its start or when it is resumed.
+    Opened {
+        /// The generation.
+        generation: GenerationId,
+        /// Version of the upstream's software; `None` if it states none.
+        software_version: Option<Name>,
+    },
     /// The upstream produced tokens.
     Tokens {
         /// The generation.
@@ -228,6 +235,10 @@
     pub fn on_event(&mut self, now: Time, event: AgentEvent, out: &mut Vec<AgentAction>) {
         match event {
             AgentEvent::Message(envelope) => self.on_message(now, *envelope, out),
+            AgentEvent::Opened {
+                generation,
+                software_version,
+            } => self.on_opened(now, generation, software_version, out),
             AgentEvent::Tokens { generation, tokens } => {
                 self.on_tokens(now, generation, &tokens, out);
             }
--- a/fireflycroft/src/agent_generations.rs
+++ b/fireflycroft/src/agent_generations.rs
@@ -76,6 +76,26 @@
         self.finish_with_code(now, id, code, "stopped", out);
     }
 
+    /// Records the version that begins the tokens, or ends a generation that another version would continue.
+    pub(crate) fn on_opened(
+        &mut self,
+        now: Time,
+        id: GenerationId,
+        software_version: Option<Name>,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(g) = self.find(id).filter(|g| g.is_running()) else {
+            return;
+        };
+        if g.log.end() == 0 {
+            g.software_version = software_version;
+        } else if software_version.is_none() || g.software_version != software_version {
+            out.push(AgentAction::Stop(id));
+            out.push(note("software_version_changed", request_of(g), None));
+            self.on_lost(now, id, out);
+        }
+    }
+
     pub(crate) fn on_tokens(
         &mut self,
         now: Time,
--- a/fireflycroft/src/agent_reservations.rs
+++ b/fireflycroft/src/agent_reservations.rs
@@ -164,6 +164,7 @@
             end_delivered: false,
             unread_since: None,
             resume_count: 0,
+            software_version: None,
             last_output: now,
         };
         self.generations.insert(generation);
--- a/fireflycroft/tests/point1_tokens.rs
+++ b/fireflycroft/tests/point1_tokens.rs
@@ -101,6 +101,30 @@
         assert_eq!(world.outcome(second), Some(Outcome::Whole));
     }
 
+    /// The upstream keeps its streams while its software is replaced.
+    stream_does_not_go_on_at_another_software_version(world) {
+        set_upstream_modes(world, UpstreamMode::Upgrade(40));
+        let call = world.submit(0, long()).unwrap();
+        world.advance(10_000);
+        assert_eq!(world.outcome(call), Some(Outcome::Failed(Code::UpstreamFailed)));
+        assert_eq!(world.next_token(call), 40);
+    }
+
+    broken_stream_is_resumed_at_the_same_software_version(world) {
+        set_upstream_modes(world, UpstreamMode::Break(40));
+        let call = world.submit(0, long()).unwrap();
+        world.advance(10_000);
+        assert_eq!(world.outcome(call), Some(Outcome::Whole));
+    }
+
+    stream_of_unknown_software_version_is_not_resumed(world) {
+        world.states_versions = false;
+        set_upstream_modes(world, UpstreamMode::Break(40));
+        let call = world.submit(0, long()).unwrap();
+        world.advance(10_000);
+        assert_eq!(world.outcome(call), Some(Outcome::Failed(Code::UpstreamFailed)));
+    }
+
     agent_link_cut_for_two_seconds(world) {
         let call = world.submit(0, long()).unwrap();
         world.advance(200);
--- a/fireflycroft/tests/support/oracle.rs
+++ b/fireflycroft/tests/support/oracle.rs
@@ -201,6 +201,13 @@
         number
     }
 
+    /// Records that another run goes on where one broke off; returns it.
+    pub(crate) fn record_other_run(&mut self, run: usize) -> usize {
+        let other = self.runs[run].clone();
+        self.runs.push(other);
+        self.runs.len() - 1
+    }
+
     fn check_run(&mut self, number: usize, call: usize, start: &RunStart) {
         let record = &self.calls[call];
         let spec = record.spec;
--- a/fireflycroft/tests/support/upstream.rs
+++ b/fireflycroft/tests/support/upstream.rs
@@ -14,6 +14,8 @@
     Refuse,
     /// Breaks the next stream to reach that token; it can be resumed.
     Break(u64),
+    /// Breaks the next stream to reach that token; software of another version resumes it.
+    Upgrade(u64),
     /// Breaks the next stream to reach that token; it cannot be resumed.
     Lose(u64),
     /// Dies when a stream reaches that token.
@@ -32,6 +34,8 @@
     pub(crate) epoch: u64,
     /// Whether a broken stream can be resumed.
     pub(crate) resumable: bool,
+    /// Whether another software version resumes it.
+    pub(crate) upgraded: bool,
 }
 
 /// Next step of a stream.
@@ -65,6 +69,7 @@
                 sent: 0,
                 epoch: 0,
                 resumable: true,
+                upgraded: false,
             },
         );
     }
@@ -84,12 +89,18 @@
                 self.mode = UpstreamMode::Serve;
                 return StreamStep::Die;
             }
-            UpstreamMode::Break(n) | UpstreamMode::Lose(n) if active.sent == n => {
-                active.resumable = matches!(self.mode, UpstreamMode::Break(_));
+            UpstreamMode::Break(n) | UpstreamMode::Upgrade(n) | UpstreamMode::Lose(n)
+                if active.sent == n =>
+            {
+                active.resumable = !matches!(self.mode, UpstreamMode::Lose(_));
+                active.upgraded = matches!(self.mode, UpstreamMode::Upgrade(_));
                 self.mode = UpstreamMode::Serve;
                 return StreamStep::Break;
             }
-            UpstreamMode::Die(n) | UpstreamMode::Break(n) | UpstreamMode::Lose(n)
+            UpstreamMode::Die(n)
+            | UpstreamMode::Break(n)
+            | UpstreamMode::Upgrade(n)
+            | UpstreamMode::Lose(n)
                 if n > active.sent =>
             {
                 limit = limit.min(n);
--- a/fireflycroft/tests/support/world.rs
+++ b/fireflycroft/tests/support/world.rs
@@ -126,6 +126,8 @@
     upstreams: Vec<Upstream>,
     queue: BTreeMap<(u64, u64), ScheduledEvent>,
     sequence: u64,
+    /// Upstreams state their software versions.
+    pub(crate) states_versions: bool,
     /// Callers don't consume their tokens.
     callers_stalled: bool,
     /// Time of the last injected fault.
@@ -160,6 +162,7 @@
             upstreams: vec![Upstream::default(); AGENTS],
             queue: BTreeMap::new(),
             sequence: 0,
+            states_versions: true,
             callers_stalled: false,
             last_fault: 0,
             highest_version: 1,
--- a/fireflycroft/tests/support/world/services.rs
+++ b/fireflycroft/tests/support/world/services.rs
@@ -124,6 +124,7 @@
             self.oracle.check_run_config(run, own, offered);
         }
         self.upstreams[agent].begin(generation, run, content);
+        self.open(agent, generation, "v1");
         self.schedule(5 * MS, ScheduledEvent::Emit(agent, generation, 0));
     }
 
@@ -149,6 +150,16 @@
             .check_run_after_leave(run, offered_after_leave, since);
     }
 
+    /// Opens the stream of a generation at an upstream of that software version, unless it states none.
+    fn open(&mut self, agent: usize, generation: GenerationId, version: &str) {
+        let stated = self.states_versions.then(|| Name::from(version));
+        let event = AgentEvent::Opened {
+            generation,
+            software_version: stated,
+        };
+        self.drive_agent(agent, event);
+    }
+
     pub(super) fn emit(&mut self, agent: usize, generation: GenerationId, epoch: u64) {
         let current = self.upstreams[agent]
             .active
@@ -207,17 +218,20 @@
 
     pub(super) fn reattach(&mut self, agent: usize, generation: GenerationId) {
         let active = self.upstreams[agent].active.get_mut(&generation);
-        match active {
-            Some(active) if active.resumable => {
-                active.epoch += 1;
-                let epoch = active.epoch;
-                self.schedule(MS, ScheduledEvent::Emit(agent, generation, epoch));
-            }
-            _ => {
-                self.upstreams[agent].active.remove(&generation);
-                self.drive_agent(agent, AgentEvent::Lost { generation });
-            }
+        let Some(active) = active.filter(|a| a.resumable) else {
+            self.upstreams[agent].active.remove(&generation);
+            self.drive_agent(agent, AgentEvent::Lost { generation });
+            return;
+        };
+        active.epoch += 1;
+        let epoch = active.epoch;
+        let version = if active.upgraded { "v2" } else { "v1" };
+        if active.upgraded {
+            // Its tokens belong to no run that the caller has tokens of.
+            active.run = self.oracle.record_other_run(active.run);
         }
+        self.open(agent, generation, version);
+        self.schedule(MS, ScheduledEvent::Emit(agent, generation, epoch));
     }
 
     /// Crashes the upstream with all its runs; it comes up again later.
--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -41,6 +41,11 @@
 /// Event on the stream of a generation.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EngineEvent {
+    /// Head of the stream; the first event.
+    Opened {
+        /// Version of the engine's software; `None` if it states none.
+        software_version: Option<Arc<str>>,
+    },
     /// Next tokens that arrived together.
     Tokens(Vec<Token>),
     /// End of the generation; the last event.
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -302,6 +302,10 @@
 async fn relay(generation: GenerationId, mut stream: EngineStream, tx: &mpsc::Sender<AgentInput>) {
     while let Some(event) = stream.next().await {
         let event = match event {
+            EngineEvent::Opened { software_version } => AgentEvent::Opened {
+                generation,
+                software_version,
+            },
             EngineEvent::Tokens(tokens) => AgentEvent::Tokens {
                 generation,
                 tokens: tokens.into_iter().map(|t| t.text.into_bytes()).collect(),
--- a/fireflyd/src/upstream.rs
+++ b/fireflyd/src/upstream.rs
@@ -6,6 +6,7 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
@@ -28,6 +29,8 @@
 const EVENTS_MARGIN: Duration = Duration::from_secs(2);
 /// Header with the identifier of the request across systems.
 pub(crate) const REQUEST_ID: &str = "x-request-id";
+/// Header of the version of an engine's software.
+const SOFTWARE_VERSION: &str = "x-software-version";
 /// Caller headers that apply only to the caller's own connection.
 pub(crate) const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -318,10 +321,17 @@
 }
 
 fn events(res: Response) -> EngineStream {
+    let version = res.headers().get(SOFTWARE_VERSION);
+    let version = version
+        .and_then(|v| v.to_str().ok())
+        .filter(|v| !v.is_empty());
+    let opened = EngineEvent::Opened {
+        software_version: version.map(Arc::from),
+    };
     let open = OpenStream {
         res,
         decoder: Decoder::default(),
-        pending: VecDeque::new(),
+        pending: VecDeque::from([opened]),
     };
     let events = stream::unfold(open, |mut open| async move {
         let event = open.next().await?;
--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -24,6 +24,7 @@
     engine_restarted_at_once => engine_restarted(40);
     upstream_link_cut_after_1 => upstream_link_cut(1);
     upstream_link_cut_after_40 => upstream_link_cut(40);
+    engine_upgraded_behind_a_cut_link => engine_upgraded();
     agent_frozen_2_s => agent_frozen(Duration::from_secs(2));
     agent_frozen_5_s => agent_frozen(Duration::from_secs(5));
     agent_frozen_6_s => agent_frozen(Duration::from_secs(6));
@@ -125,8 +126,8 @@
     fleet.assert_guarantees(&[got, next]);
 }
 
-/// The engine continues without a connection; the agent reattaches.
-async fn upstream_link_cut(after: u64) {
+/// Starts a fleet whose only engine is behind a link.
+async fn linked_fleet() -> (Fleet, Link) {
     let mut fleet = Fleet::start(Spec {
         engines: 1,
         ..Spec::default()
@@ -136,6 +137,12 @@
     fleet.agents[0].process.kill();
     fleet.agents[0] = fleet.start_engine_agent(0, &format!("http://{}", link.addr()));
     fleet.await_ready().await;
+    (fleet, link)
+}
+
+/// The engine continues without a connection; the agent reattaches.
+async fn upstream_link_cut(after: u64) {
+    let (fleet, link) = linked_fleet().await;
     let mut session = fleet.caller().begin(stream("m", 400), 0);
     assert!(session.read_until_tokens(after).await);
     link.cut();
@@ -145,6 +152,18 @@
     assert_eq!(fleet.runs().count("m"), 1);
 }
 
+/// Software of another version goes on with the engine's streams; the caller gets none of its tokens.
+async fn engine_upgraded() {
+    let (fleet, link) = linked_fleet().await;
+    let mut session = fleet.caller().begin(stream("m", 4_000), 0);
+    assert!(session.read_until_tokens(40).await);
+    fleet.upgrade_engine(0, "v2").await;
+    link.cut();
+    let got = session.finish().await;
+    assert_eq!(got.code(), Some(3_001), "{got:?}");
+    assert_eq!(got.last().delivered, Some(got.last().tokens));
+}
+
 /// The stream stalls with its agent and resumes without a gap.
 async fn agent_frozen(duration: Duration) {
     let mut fleet = Fleet::start(Spec::default()).await;
--- a/fireflyd/tests/sse.rs
+++ b/fireflyd/tests/sse.rs
@@ -268,21 +268,37 @@
 #[tokio::test]
 async fn a_generation_is_read_to_its_end() {
     let (events, seen) = run_generation(full_response("200 OK", &(choice("a") + END))).await;
+    let opened = EngineEvent::Opened {
+        software_version: None,
+    };
     let want = (
         vec![token("a", None)],
-        vec![finished(FinishReason::Stop, USAGE)],
+        vec![opened, finished(FinishReason::Stop, USAGE)],
     );
     assert_eq!(joined(events), want);
     assert!(seen.starts_with("POST /v1/chat/completions "), "{seen}");
     assert!(seen.contains("x-request-id: r1"), "{seen}");
 }
 
+#[tokio::test]
+async fn software_version_of_an_engine_is_read() {
+    let head = head("200 OK", END.len()).replacen("\r\n", "\r\nx-software-version: v1.2\r\n", 1);
+    let (events, _) = run_generation(head + END).await;
+    let opened = EngineEvent::Opened {
+        software_version: Some("v1.2".into()),
+    };
+    assert_eq!(events.first(), Some(&opened));
+}
+
 #[tokio::test]
 async fn a_generation_cut_in_the_middle_breaks() {
     let (events, _) = run_generation(head("200 OK", 9999) + &choice("a")).await;
     let (tokens, others) = joined(events);
     assert_eq!(tokens, [token("a", None)]);
-    assert!(matches!(&others[..], [EngineEvent::Broken { .. }]));
+    assert!(matches!(
+        &others[..],
+        [EngineEvent::Opened { .. }, EngineEvent::Broken { .. }]
+    ));
 }
 
 macro_rules! generate_error_cases {
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -363,6 +363,13 @@
         }
     }
 
+    /// Replaces the software of an engine, which keeps its streams.
+    pub async fn upgrade_engine(&self, engine: usize, version: &str) {
+        let patch = json!({ "software_version": version });
+        self.post(&self.engines[engine], "/standin/faults", patch)
+            .await;
+    }
+
     /// Returns the number of reads that the platform has answered.
     pub async fn platform_reads(&self) -> u64 {
         let url = format!("{}/standin/calls", self.platform.url());
--- a/standins/src/bin/standin-engine.rs
+++ b/standins/src/bin/standin-engine.rs
@@ -26,6 +26,11 @@
         &cfg.models.join(","),
         "Models loaded at startup, comma-separated",
     ))
+    .arg(flag(
+        "software-version",
+        &cfg.software_version,
+        "Version of its software; empty to state none",
+    ))
     .arg(flag("seed", &cfg.seed, "Seed of random output lengths"))
     .arg(flag(
         "step-base-ms",
@@ -106,8 +111,10 @@
 
 fn config(matches: &ArgMatches) -> anyhow::Result<Config> {
     let models: String = value(matches, "models")?;
+    let software_version: String = value(matches, "software-version")?;
     Ok(Config {
         models: models.split(',').map(Arc::from).collect(),
+        software_version: software_version.into(),
         seed: value(matches, "seed")?,
         step_base_ms: value(matches, "step-base-ms")?,
         step_per_seq_ms: value(matches, "step-per-seq-ms")?,
--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -101,7 +101,7 @@
 ) -> Response {
     let stream = req.stream;
     match state.submit(submission(req, headers)) {
-        Ok(reader) if stream => sse::stream_response(reader, 0),
+        Ok(reader) if stream => sse::stream_response(reader, 0, &state.software_version()),
         Ok(reader) => sse::completion_response(reader).await,
         Err(err) => refusal_response(err),
     }
@@ -136,7 +136,9 @@
     Query(query): Query<ResumeQuery>,
 ) -> Response {
     match state.stream(&id) {
-        Some(stream) => sse::stream_response(stream.attach(), query.from),
+        Some(stream) => {
+            sse::stream_response(stream.attach(), query.from, &state.software_version())
+        }
         None => reply::failure(StatusCode::NOT_FOUND, "no such stream"),
     }
 }
--- a/standins/src/engine/config.rs
+++ b/standins/src/engine/config.rs
@@ -10,6 +10,8 @@
 pub struct Config {
     /// Models loaded at startup.
     pub models: Vec<Arc<str>>,
+    /// Version of its software; empty to state none.
+    pub software_version: Arc<str>,
     /// Seed of random output lengths.
     pub seed: u64,
     /// Base duration of a decode step, in milliseconds.
@@ -52,6 +54,7 @@
     fn default() -> Self {
         Self {
             models: vec![Arc::from("small")],
+            software_version: Arc::from("v1"),
             seed: 1,
             step_base_ms: 12.0,
             step_per_seq_ms: 0.4,
--- a/standins/src/engine/sse.rs
+++ b/standins/src/engine/sse.rs
@@ -14,6 +14,9 @@
 /// Header of the stream id for resumption.
 const STREAM_ID_HEADER: &str = "x-stream-id";
 
+/// Header of the version of the engine's software.
+const SOFTWARE_VERSION_HEADER: &str = "x-software-version";
+
 /// The final event of a stream.
 const DONE_EVENT: &str = "data: [DONE]\n\n";
 
@@ -81,7 +84,7 @@
 }
 
 /// Streams the tokens from index `from` on.
-pub(super) fn stream_response(reader: Reader, from: u64) -> Response {
+pub(super) fn stream_response(reader: Reader, from: u64, software_version: &str) -> Response {
     let id = Arc::clone(&reader.stream.id);
     let cursor = Cursor {
         reader,
@@ -92,10 +95,13 @@
         let chunk = cursor.next_chunk().await?;
         Some((Ok::<_, io::Error>(chunk), cursor))
     });
-    Response::builder()
+    let mut head = Response::builder()
         .content_type("text/event-stream")
-        .header(STREAM_ID_HEADER, &*id)
-        .body(Body::from_bytes_stream(chunks))
+        .header(STREAM_ID_HEADER, &*id);
+    if !software_version.is_empty() {
+        head = head.header(SOFTWARE_VERSION_HEADER, software_version);
+    }
+    head.body(Body::from_bytes_stream(chunks))
 }
 
 /// Waits for the end of a generation and returns its whole text.
--- a/standins/src/engine/state.rs
+++ b/standins/src/engine/state.rs
@@ -19,13 +19,15 @@
 use crate::sync::lock;
 
 /// A change of the faults; omitted fields keep their values.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct FaultPatch {
     /// Multiplier of step durations.
     pub(super) slow_factor: Option<f64>,
     /// Clock time for which the engine is frozen, in milliseconds.
     pub(super) freeze_ms: Option<u64>,
+    /// Version of the software that goes on with its streams.
+    pub(super) software_version: Option<Arc<str>>,
 }
 
 /// The whole state of an engine.
@@ -38,6 +40,7 @@
     pub(super) stop: Stop,
     pub(super) work_added: Notify,
     core: Mutex<Core>,
+    software_version: Mutex<Arc<str>>,
     pace: Mutex<PaceFaults>,
 }
 
@@ -63,6 +66,7 @@
             stop,
             work_added: Notify::new(),
             core: Mutex::new(core),
+            software_version: Mutex::new(Arc::clone(&cfg.software_version)),
             pace: Mutex::new(PaceFaults {
                 slow_factor: cfg.slow_factor,
                 frozen_until: Instant::now(),
@@ -138,6 +142,9 @@
 
     /// Applies a change of the faults.
     pub(super) fn patch_faults(&self, patch: FaultPatch) {
+        if let Some(version) = patch.software_version {
+            *lock(&self.software_version) = version;
+        }
         let mut pace = lock(&self.pace);
         if let Some(factor) = patch.slow_factor {
             pace.slow_factor = factor;
@@ -147,6 +154,11 @@
         }
     }
 
+    /// Returns the version of its software.
+    pub(super) fn software_version(&self) -> Arc<str> {
+        Arc::clone(&lock(&self.software_version))
+    }
+
     /// Returns the end of the latest freeze.
     pub(super) fn frozen_until(&self) -> Instant {
         lock(&self.pace).frozen_until
