Tell callers of unknown streams truly whether to come back, and learn versions late

Cause: an entry that has just started knows no owners, took none asked for all replied, and sent a caller away for good whose stream others knew. A stream whose service its route no longer allows was told to come back soon. An upstream heard of from a process that knows no versions kept an unknown one until it changed. The search for an origin is a function. Ruled out: adding the version to the digest of the list, since entries of two builds would fetch whole lists from each other all the while.

--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -94,9 +94,7 @@
         let u = &mut self.upstreams[ix.0];
         match classify(&u.record, u.removed, &record) {
             RecordKind::Stale => {
-                if u.record.revision == record.revision
-                    && u.record.incarnation == record.incarnation
-                {
+                if is_same_incarnation(&u.record, &record) {
                     u.learn_version(&record);
                 }
                 return None;
@@ -419,6 +417,13 @@
     }
 }
 
+/// Returns whether two records are of one incarnation, as far as they state it.
+fn is_same_incarnation(held: &UpstreamRecord, received: &UpstreamRecord) -> bool {
+    received.incarnation == held.incarnation
+        && received.service == held.service
+        && received.addr == held.addr
+}
+
 /// Returns the contribution of a record to the digest of the list.
 #[allow(clippy::cast_possible_truncation)]
 fn digest_of(record: &UpstreamRecord) -> u64 {
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -130,7 +130,14 @@
     let request_id = head.request_id.clone().ok_or(refusal(Code::BadRequest))?;
     let origin = find_origin(node, &route, &head).await?;
     let service = stream_origins::target(&route, origin.as_ref(), rand::rng().next_u32());
-    let service = service.ok_or(refusal_with_retry(Code::NoUpstream, STARTUP_RETRY_AFTER))?;
+    let service = service.ok_or_else(|| {
+        let retry_after = if origin.is_some() {
+            FINAL_RETRY_AFTER
+        } else {
+            STARTUP_RETRY_AFTER
+        };
+        refusal_with_retry(Code::NoUpstream, retry_after)
+    })?;
     let body = read_request_body(&catalog, body).await?;
     let content = digest(&parts, &head, &body);
     if crash::is_refused(node, content) {
--- a/fireflydirect/src/stream_origins.rs
+++ b/fireflydirect/src/stream_origins.rs
@@ -7,8 +7,8 @@
 use crate::node::Node;
 use crate::owner_queries;
 use fireflycroft::{
-    Digest, Name, OwnerQueryBody, RequestHead, RequestKind, RouteSpec, StreamOrigin, StreamStart,
-    Time, UpstreamIx, stream_digest,
+    Digest, FULL_VIEW_AFTER, Name, OwnerQueryBody, RequestHead, RequestKind, RouteSpec,
+    StreamOrigin, StreamStart, Time, UpstreamIx, stream_digest,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -74,39 +74,69 @@
     })
 }
 
+/// Outcome of the search for a stream's origin.
+struct SearchResult {
+    origin: Option<StreamOrigin>,
+    /// Who knew it, for log and metrics.
+    source: &'static str,
+    /// Whether another attempt may find it out.
+    may_be_found: bool,
+}
+
+impl SearchResult {
+    fn by(source: &'static str, origin: StreamOrigin) -> Self {
+        Self {
+            origin: Some(origin),
+            source,
+            may_be_found: true,
+        }
+    }
+}
+
 /// Finds out which stream a request continues, and where that began.
 pub async fn find(node: &Node, route: &RouteSpec, head: &RequestHead) -> Continued {
     let holds_events = head.last_event_id.is_some_and(|last| last > 0);
     if !route.kind.is_stream() || !(holds_events || head.resumes.is_some()) {
         return Continued::Nothing;
     }
-    let stream = head.resumes.as_deref().map(stream_digest);
-    let mut source = "own";
-    let mut origin = stream.and_then(|s| known_origin(node, s));
-    let mut all_replied = true;
-    if let Some(stream) = stream.filter(|_| origin.is_none()) {
-        source = "owner";
-        all_replied = query_owners(node, stream).await;
-        origin = known_origin(node, stream);
-    }
-    if origin.is_none() {
-        source = "sole version";
-        origin = sole_origin(node, route);
-    }
+    let found = search(node, route, head.resumes.as_deref()).await;
+    let origin = found.origin.as_ref();
     log::info!(
-        event = "stream_taken_up", req = &*head.request_id.clone().unwrap_or_default(),
+        event = "stream_taken_up", req = or_empty(head.request_id.as_ref()),
         resumes = or_empty(head.resumes.as_ref()), after = or_empty(head.last_event_id),
-        service = or_empty(origin.as_ref().map(|o| &o.service)),
-        software_version = or_empty(origin.as_ref().map(|o| &o.software_version)),
-        source = if origin.is_some() { source } else { "" }, all_replied = all_replied;
+        service = or_empty(origin.map(|o| &o.service)),
+        software_version = or_empty(origin.map(|o| &o.software_version)),
+        source = found.source, may_be_found = found.may_be_found;
         ""
     );
-    let outcome = if origin.is_some() { source } else { "unknown" };
-    node.metrics.taken_up.with_label_values(&[outcome]).inc();
-    match origin {
-        Some(origin) => Continued::Stream(origin),
-        None => Continued::Unknown {
-            may_be_found: !all_replied,
+    let taken_up = &node.metrics.taken_up;
+    taken_up.with_label_values(&[found.source]).inc();
+    let may_be_found = found.may_be_found;
+    found
+        .origin
+        .map_or(Continued::Unknown { may_be_found }, Continued::Stream)
+}
+
+/// Searches for the origin of a stream, by the attempt that brought its first event if the caller names it.
+async fn search(node: &Node, route: &RouteSpec, first_attempt: Option<&str>) -> SearchResult {
+    let mut may_be_found = false;
+    if let Some(stream) = first_attempt.map(stream_digest) {
+        if let Some(origin) = known_origin(node, stream) {
+            return SearchResult::by("own", origin);
+        }
+        let all_replied = query_owners(node, stream).await;
+        if let Some(origin) = known_origin(node, stream) {
+            return SearchResult::by("owner", origin);
+        }
+        let knows_all_owners = node.now().since(Time::default()) >= FULL_VIEW_AFTER;
+        may_be_found = !all_replied || !knows_all_owners;
+    }
+    match sole_origin(node, route) {
+        Some(origin) => SearchResult::by("sole version", origin),
+        None => SearchResult {
+            origin: None,
+            source: "unknown",
+            may_be_found,
         },
     }
 }
