--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -12,7 +12,8 @@
 //!   `admission_limit` selects the upstream of a request, and `evacuation`, `cold`, `rate_limit`
 //!   and `region` exclude upstreams; `owners`, `retry_budget`, `returning_callers`, `watchers` and
 //!   `store_connectivity` hold state about other entries and about the platform's store;
-//!   `attempt`, `relay` and `failover` handle one request.
+//!   `attempt`, `relay` and `failover` handle one request; `software_version` and `stream_origin`
+//!   restrict where its stream may go on.
 //!
 //! A direct entry that knows two engines sends a generation to the less loaded one:
 //!
--- a/fireflycroft/src/software_version.rs
+++ b/fireflycroft/src/software_version.rs
@@ -29,9 +29,7 @@
     pub fn version_key(&self) -> Option<VersionKey> {
         self.software_version.as_deref().map(VersionKey::of)
     }
-}
 
-impl UpstreamRecord {
     /// Returns whether the other record states another software version.
     pub(crate) fn contradicts_version(&self, other: &Self) -> bool {
         let versions = self
--- a/fireflycroft/src/stream_origin.rs
+++ b/fireflycroft/src/stream_origin.rs
@@ -35,8 +35,11 @@
 /// Maximum number of known origins.
 const MAX_KNOWN: usize = 16_384;
 
-/// Interval between removals of expired origins while the limit is reached.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between removals of expired origins.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The same while the limit is reached.
+const FULL_SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Service and software version of the upstream that began a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -119,7 +122,8 @@
 
     /// Applies an origin reported by another entry.
     pub fn apply(&mut self, now: Time, start: StreamStart) {
-        if !self.has_capacity(now) {
+        self.sweep(now);
+        if self.is_full() && !self.known.contains_key(&start.stream) {
             return;
         }
         let until = now + start.keep_for.min(MAX_KEEP);
@@ -137,13 +141,20 @@
         known.until = known.until.max(until);
     }
 
-    fn has_capacity(&mut self, now: Time) -> bool {
-        let is_full = self.known.len() >= MAX_KNOWN;
-        if is_full && now.since(self.swept) >= SWEEP_INTERVAL {
+    fn is_full(&self) -> bool {
+        self.known.len() >= MAX_KNOWN
+    }
+
+    fn sweep(&mut self, now: Time) {
+        let interval = if self.is_full() {
+            FULL_SWEEP_INTERVAL
+        } else {
+            SWEEP_INTERVAL
+        };
+        if now.since(self.swept) >= interval {
             self.swept = now;
             self.known.retain(|_, k| k.until > now);
         }
-        self.known.len() < MAX_KNOWN
     }
 
     /// Returns the origin of a stream, if it is known.
--- a/fireflycroft/tests/stream_origin.rs
+++ b/fireflycroft/tests/stream_origin.rs
@@ -24,6 +24,8 @@
     new_stream_is_reported_again => assert_eq!(own().due(at(500)).len(), 1);
     stream_that_lasts_is_reported_now_and_then => repeats();
     ended_stream_is_reported_no_more => assert_eq!(ended().due(at(2_500)), []);
+    known_origins_are_bounded => bounds_known();
+    expired_origins_make_room => makes_room();
     origins_of_others_are_not_reported => assert_eq!(reported(&["v1"]).due(at(100)), []);
     attempts_of_different_callers_are_different_streams => assert_ne!(stream_digest("a"), stream_digest("b"));
     owners_of_a_stream_outlast_two_of_them => outlasts();
@@ -86,6 +88,31 @@
     assert_eq!(origins.due(at(4_000)).len(), 1);
 }
 
+fn fill(origins: &mut StreamOrigins, millis: u64, streams: std::ops::Range<u128>) {
+    for stream in streams {
+        let start = StreamStart {
+            stream: Digest(stream),
+            ..start("v1")
+        };
+        origins.apply(at(millis), start);
+    }
+}
+
+fn bounds_known() {
+    let mut origins = StreamOrigins::default();
+    fill(&mut origins, 0, 0..20_000);
+    assert_eq!(origins.origin(at(0), Digest(19_999)), None);
+    origins.apply(at(0), start("v2"));
+    assert_eq!(origins.origin(at(0), STREAM), None, "contradicted");
+}
+
+fn makes_room() {
+    let mut origins = StreamOrigins::default();
+    fill(&mut origins, 0, 0..20_000);
+    fill(&mut origins, 12_000, 20_000..20_001);
+    assert!(origins.origin(at(12_000), Digest(20_000)).is_some());
+}
+
 /// Owners that are left find a stream when two of the former ones are gone, in any fleet.
 fn outlasts() {
     let entries: Vec<Ipv4Addr> = (1..=9).map(|i| Ipv4Addr::new(10, 0, 0, i)).collect();
