--- a/fireflydirect/tests/processes_versions.rs
+++ b/fireflydirect/tests/processes_versions.rs
@@ -56,6 +56,11 @@
                 >= versions.len() + site.plains.len()
         })
         .await;
+        let others = format!("firefly_direct_peers {}", entries - 1);
+        until("the other entries", || async {
+            site.metrics(entry).await.contains(&others)
+        })
+        .await;
     }
     site
 }
@@ -224,6 +229,40 @@
         }
     }
 
+    stream_goes_on_when_its_entry_and_two_owners_are_lost(site: ["v1", "v2", "v1", "v2"], 5) {
+        let first = site.id();
+        let begun = begin(&site, 0, &first).await;
+        for entry in 0..3 {
+            site.entries[entry].kill();
+        }
+        let rest = read(take_up(&site, 3, &site.id(), Some(&first), &begun), SHORT).await;
+        assert_eq!(versions(&[&begun, &rest]).len(), 1, "{begun}{rest}");
+        assert_eq!(last_event(&rest), Some(SHORT), "{rest}");
+    }
+
+    stream_whose_entry_and_owners_are_lost_is_refused(site: ["v1", "v2", "v1", "v2"], 2) {
+        let first = site.id();
+        let begun = begin(&site, 0, &first).await;
+        site.entries[0].kill();
+        site.entries[1].kill();
+        site.entries[1].start();
+        site.until_ready(1).await;
+        let answer = take_up(&site, 1, &site.id(), Some(&first), &begun).send().await.unwrap();
+        assert_eq!(outcome(&answer), (503, Some(2022)));
+    }
+
+    stream_goes_on_at_the_last_engine_of_a_drained_version(site: ["v1", "v2"], 2) {
+        let first = site.id();
+        let begun = begin(&site, 0, &first).await;
+        let engine = site.engine_of(&first).await;
+        list(&site, engine, "draining");
+        let leaves = format!("event=upstream_leaves instance={}", site.engines[engine].instance());
+        until("the notice", || async { site.log(1).contains(&leaves) }).await;
+        let rest = read(take_up(&site, 1, &site.id(), Some(&first), &begun), SHORT).await;
+        assert_eq!(versions(&[&begun, &rest]).len(), 1, "{begun}{rest}");
+        assert_eq!(last_event(&rest), Some(SHORT), "{rest}");
+    }
+
     stream_whose_version_nobody_knows_is_refused(site: ["v1", "v2", "v1", "v2"], 2) {
         let begun = begin(&site, 0, &site.id()).await;
         for first in [None, Some("never-seen")] {
