--- a/fireflydirect/tests/processes_versions.rs
+++ b/fireflydirect/tests/processes_versions.rs
@@ -179,6 +179,31 @@
         }
     }
 
+    stream_of_an_engine_that_dies_with_its_first_event_goes_on(site: ["v1", "v1", "v1"], 1) {
+        for _ in 0..5 {
+            let id = site.id();
+            let req = site.generation(0, "/log/a", LONG, &id);
+            let kill = async {
+                while site.record.runs_of(&id).is_empty() {
+                    tokio::task::yield_now().await;
+                }
+                let engine = site.engine_of(&id).await;
+                site.engines[engine].kill();
+                engine
+            };
+            let (body, engine) = futures_util::future::join(read(req, LONG), kill).await;
+            assert_eq!(last_event(&body), Some(LONG), "{}", site.log(0));
+            let number = site.engines.len();
+            site.start_engine(u8::try_from(number).unwrap()).await;
+            list(&site, number, "ready");
+            site.store.remove("servers", &site.engines[engine].instance());
+            let gone = format!("event=upstream_leaves instance={}", site.engines[engine].instance());
+            let came = format!("event=upstream_came instance={}", site.engines[number].instance());
+            let both = || async { site.log(0).contains(&gone) && site.log(0).contains(&came) };
+            until("the replacement", both).await;
+        }
+    }
+
     crashed_resumable_stream_stays_off_another_version(site: ["v1", "v2"], 1) {
         let id = site.id();
         let req = site.stream(0, "/grade/a", LONG, &id);
