Confirm an engine's incarnation over the connection before a stream is sent on it

Callers lost streams whose engine died within milliseconds of its head: the report that was to confirm its incarnation failed, and a stream of unknown version goes on nowhere, not even from its copy. Cause: the proof was asked for after the head, on another connection. Change: the report goes over the very connection, before the first stream on it; whatever it leads to then, it leads to until it breaks. An engine that closes after its report, or gives none, gets another connection, confirmed after the head as before. Same number of calls. Ruled out: taking a failed report for a good one, since a restart fails it too. It concerns upstreams that state their start.

--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -4,7 +4,7 @@
 //! entries too. Its report states them up to half a second late, so the engine
 //! is queried once, as soon as the report can reflect the leave notice.
 
-use crate::links::call;
+use crate::links::{Link, call};
 use crate::log_value::or_empty;
 use crate::node::Node;
 use bytes::Bytes;
@@ -15,11 +15,12 @@
 use hyper::header::HOST;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Timeout for a report, which is of use for about a second only.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Idle time of a connection on which a report is asked for: longer than between two queries.
 const MAX_IDLE: Duration = Duration::from_secs(1);
@@ -167,17 +168,26 @@
     let mut link = links
         .get(&record.upstream_incarnation(), record.addr, MAX_IDLE)
         .await?;
+    let fetched = fetch_report_over(&mut link, record.addr).await?;
+    if !fetched.closes {
+        links.put_back(&record.upstream_incarnation(), link, None);
+    }
+    Ok(fetched)
+}
+
+/// Fetches the report of the engine at the other end of a connection; there is no timeout.
+///
+/// # Errors
+///
+/// If the connection breaks, or the answer is not a report.
+pub async fn fetch_report_over(link: &mut Link, addr: SocketAddr) -> anyhow::Result<FetchedReport> {
     let req = Request::get(report_path())
-        .header(HOST, record.addr.to_string())
+        .header(HOST, addr.to_string())
         .body(Full::new(Bytes::new()))?;
-    let response = call(&mut link, req).await?;
+    let response = call(link, req).await?;
     anyhow::ensure!(response.status == 200, "status {}", response.status);
-    let closes = closes_connection(&response.headers);
-    if !closes {
-        links.put_back(&record.upstream_incarnation(), link, None);
-    }
     Ok(FetchedReport {
         report: read_report(&response.body)?,
-        closes,
+        closes: closes_connection(&response.headers),
     })
 }
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends one request to one upstream and receives its response.
 
 use crate::conditions;
+use crate::incarnations::confirm_link;
 use crate::job::Job;
 use crate::links::Link;
 use bytes::Bytes;
@@ -96,6 +97,11 @@
         .get(&record.upstream_incarnation(), record.addr, max_idle)
         .await
         .map_err(|e| SendError::NeverSent(e.to_string()))?;
+    if job.route.kind.is_stream() {
+        link = confirm_link(&job.node, ix, link)
+            .await
+            .map_err(|e| SendError::NeverSent(e.to_string()))?;
+    }
     link.sender
         .ready()
         .await
