Log prompt parts, incarnations and progress where an upstream crashes

'sent' and 'upstream_crashed' now list the parts that other requests may share (all but the last one), and 'upstream_crashed' names the instance, its start, the age of the response head and the reads since.

No decision changed.

--- a/fireflycroft/src/http_head.rs
+++ b/fireflycroft/src/http_head.rs
@@ -1,6 +1,6 @@
 //! Parsed heads of callers' requests and upstreams' responses.
 
-use crate::ids::Name;
+use crate::ids::{Name, PartId};
 use crate::rate_limit::RateLimit;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,6 +38,8 @@
     pub deadline: Option<Duration>,
     /// Size of the generation; `None` for other requests.
     pub size: Option<GenerationSize>,
+    /// Parts of the prompt that other requests may share, in order: all but the last one.
+    pub shared_parts: Vec<PartId>,
     /// Identifier of the last event received, when the caller resumes a stream.
     pub last_event_id: Option<u64>,
     /// Identifier of the attempt that brought the stream's first event, when the caller resumes it.
--- a/fireflycroft/src/ids.rs
+++ b/fireflycroft/src/ids.rs
@@ -47,6 +47,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest(pub u128);
 
+/// Id of a part of a prompt that several requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartId(pub u64);
+
 /// Role of a process in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Role {
@@ -113,6 +117,19 @@
         }
         Self(first_half(&hasher.finalize()))
     }
+
+    /// Returns the digest folded to 64 bits.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation)]
+    pub const fn folded(self) -> u64 {
+        self.0 as u64 ^ (self.0 >> 64) as u64
+    }
+}
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
 }
 
 /// Parses a request id as written by its `Display`.
--- a/fireflycroft/src/owners.rs
+++ b/fireflycroft/src/owners.rs
@@ -52,9 +52,8 @@
         Self::folded(stream)
     }
 
-    #[allow(clippy::cast_possible_truncation)]
     const fn folded(digest: Digest) -> Self {
-        Self(digest.0 as u64 ^ (digest.0 >> 64) as u64)
+        Self(digest.folded())
     }
 
     /// Returns the rank of an entry for this key, by the finaliser of the `SplitMix64` generator;
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -1,12 +1,12 @@
 //! Obtains a reply to a request, with attempts at one upstream after another as far as allowed.
 
 use crate::assignment::AssignmentGuard;
-use crate::crash;
+use crate::crash::{self, Progress};
 use crate::exchange::{ResponseStart, SendError, SendOptions, read_body, send};
 use crate::hold::{self, HeldGuard};
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
-use crate::log_value::or_empty;
+use crate::log_value::{list, or_empty};
 use crate::{retries, returning_callers, standby_copies};
 use bytes::Bytes;
 use fireflycroft::{
@@ -129,7 +129,7 @@
         let result = attempt(job, ix, need, attempts).await;
         record_attempt(job, ix, &result);
         if result.outcome == AttemptOutcome::Lost {
-            crash::check_for_crash(job, ix);
+            crash::check_for_crash(job, ix, Progress::default());
         }
         tried.push(ix);
         if attempts.borrow().may_retry(result.outcome) {
@@ -360,6 +360,7 @@
         speed = format!("{:.2}", view.speed), risk = format!("{:.3}", view.risk),
         software_version = or_empty(pool.record(ix).software_version.as_ref()),
         after = or_empty(job.head.last_event_id), resumes = or_empty(job.head.resumes.as_ref()),
+        parts = list(&job.head.shared_parts),
         age_ms = job.age().as_millis();
         ""
     );
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -8,8 +8,9 @@
 
 use crate::job::Job;
 use crate::links::open;
+use crate::log_value::{list, or_empty};
 use crate::node::Node;
-use fireflycroft::{Digest, UpstreamIx};
+use fireflycroft::{Digest, Time, UpstreamIx};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,18 +27,45 @@
     node.quarantine.borrow().crashes(content) >= CRASH_LIMIT
 }
 
+/// Progress of an answer at one upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Arrival of the response head; `None` before it.
+    head_at: Option<Time>,
+    /// Reads since then that brought whole events.
+    reads: u64,
+}
+
+impl Progress {
+    /// Returns the progress of an answer whose head has just arrived.
+    #[must_use]
+    pub const fn begun(now: Time) -> Self {
+        Self {
+            head_at: Some(now),
+            reads: 0,
+        }
+    }
+
+    /// Records a read that brought whole events.
+    pub const fn record_data(&mut self) {
+        self.reads += 1;
+    }
+}
+
 /// Checks whether the upstream of a broken request has crashed.
 ///
 /// A departing upstream ended as planned.
-pub fn check_for_crash(job: &Job, ix: UpstreamIx) {
+pub fn check_for_crash(job: &Job, ix: UpstreamIx, progress: Progress) {
     let node = job.node.clone();
     if node.pool.borrow().left_at(ix).is_some() {
         return;
     }
     let content = job.content;
     let request_id = job.request_id.clone();
+    let parts = list(&job.head.shared_parts);
     tokio::task::spawn_local(async move {
-        let addr = node.pool.borrow().record(ix).addr;
+        let record = node.pool.borrow().record(ix).clone();
+        let addr = record.addr;
         let Err(e) = open(addr).await else {
             return;
         };
@@ -48,7 +76,10 @@
         let content = content.to_string();
         log::warn!(
             event = "upstream_crashed", req = &*request_id, addr = addr.to_string(),
-            content = content, crashes = crashes, why = e.to_string();
+            instance = &*record.instance, started_at = record.incarnation.0,
+            content = content, crashes = crashes, parts = parts,
+            head_age_ms = or_empty(progress.head_at.map(|at| node.now().since(at).as_millis())),
+            reads = progress.reads, why = e.to_string();
             ""
         );
     });
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -8,7 +8,7 @@
 use crate::answer::{Answer, AnswerBody, BrokenStream, relayed_answer};
 use crate::assignment::AssignmentGuard;
 use crate::call::{StartedStream, assign_backup};
-use crate::crash;
+use crate::crash::{self, Progress};
 use crate::exchange::{ResponseStart, SendOptions, release_link, send};
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
@@ -67,6 +67,8 @@
     events: EventRelay,
     breaks: u32,
     ended: bool,
+    /// Progress at the current upstream.
+    progress: Progress,
     event_times: EventTimes,
     pace_window: Option<PaceWindow>,
     last_event: Option<LastEvent>,
@@ -165,6 +167,7 @@
     });
     // A leave notice may have arrived between the choice of the upstream and its response head.
     job.node.migrate_if_departing(assignment.ix);
+    let progress = Progress::begun(job.now());
     let origin = version.and_then(|_| record_start(&job, assignment.ix));
     let relay = Relay {
         job,
@@ -177,6 +180,7 @@
         events,
         breaks: 0,
         ended: false,
+        progress,
         event_times: EventTimes::default(),
         pace_window: None,
         last_event: None,
@@ -245,6 +249,7 @@
     }
 
     fn record_progress(&mut self) {
+        self.progress.record_data();
         self.event_times.record(self.job.now());
         self.assignment.record_prompt_read();
         let per_event = self.job.engine.map_or(1, |e| e.tokens_per_event);
@@ -379,7 +384,7 @@
         self.events.discard_partial();
         self.breaks += 1;
         self.log_event("stream_broke", why);
-        crash::check_for_crash(&self.job, self.assignment.ix);
+        crash::check_for_crash(&self.job, self.assignment.ix, self.progress);
         if self.breaks > MAX_RESUMPTIONS || !self.events.can_resume() {
             return false;
         }
@@ -505,6 +510,7 @@
         self.job.node.migrate_if_departing(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
+        self.progress = Progress::begun(self.job.now());
         self.source = Some(Source {
             body: response.body,
             link: response.link,
