Show that a part of a prompt crashes engine after engine

Stand-ins: upstreams of the site end 40 ms after the head of an answer whose prompt shares a given part, plain ones before their answer; runs record the parts. Callers of the project's own path send conversations of several messages.

--- a/fireflyd/tests/processes_hostile.rs
+++ b/fireflyd/tests/processes_hostile.rs
@@ -18,12 +18,15 @@
 const PROMPT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Most upstreams that one request may crash.
 const MAX_CRASHES: usize = 2;
+/// Most upstreams that a message may crash; set by the users.
+const MAX_MESSAGE_CRASHES: usize = 5;
 
 crate::cases! {
     poison_stream_resent_through_both_entries => poison(Request::stream);
     poison_whole_resent_through_both_entries => poison(Request::non_streaming);
     poison_at_once_through_both_entries => poison_at_once();
     poison_after_tokens => poison_after_tokens();
+    message_that_crashes_engines_in_different_conversations => poison_message();
     poison_leaves_its_neighbours_an_answer => poison_neighbours();
     wrong_fleet_key => wrong_fleet_key();
     fleet_key_rolled_without_a_stop => fleet_key_rolled();
@@ -207,6 +210,39 @@
     assert_serves(&fleet).await;
 }
 
+/// Conversations that share a message, no two alike, are refused once it has crashed engines; others are served.
+async fn poison_message() {
+    let fleet = Fleet::start(Spec {
+        engines: 8,
+        ..Spec::default()
+    })
+    .await;
+    let caller = fleet.caller();
+    let poison = |n: usize| {
+        let request = Request::stream(&format!("p{n}"), DOSSIERS, "model-a", 50);
+        request.after("shared greeting").after("[[crash]] shared")
+    };
+    let sound = |n: usize| {
+        let request = Request::stream(&format!("s{n}"), DOSSIERS, "model-a", 50);
+        request.after("shared greeting")
+    };
+    let mut all = vec![caller.run(sound(0), 0).await];
+    for n in 0..2 * MAX_MESSAGE_CRASHES {
+        all.push(caller.run(poison(n), n).await);
+    }
+    for entry in 0..2 {
+        let last = caller.run(poison(100 + entry), entry);
+        let last = within(PROMPT_TIMEOUT, "the final answer", last).await;
+        assert_eq!(last.code(), Some(2_014), "{last:?}");
+        let other = caller.run(sound(1 + entry), entry).await;
+        assert!(other.is_complete(), "{other:?}");
+        all.extend([last, other]);
+    }
+    fleet.assert_guarantees(&all);
+    let crashes = fleet.runs().crashes.len();
+    assert!(crashes <= MAX_MESSAGE_CRASHES, "{crashes} crashes");
+}
+
 /// Requests on a crashed engine are restarted if nothing of them was delivered.
 async fn poison_neighbours() {
     let fleet = Fleet::start(Spec {
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -137,19 +137,22 @@
         };
         for i in 0..2 {
             site.add_engine(i).await;
-            let plain = site
-                .upstream(EngineKind::Plain, &format!("p-{i}"), 150 + i)
-                .await;
-            site.store.put(
-                "servers",
-                &plain.instance(),
-                &plain.registration("records", "ready"),
-            );
-            site.plains.push(plain);
+            site.add_plain(i).await;
         }
         site
     }
 
+    /// Starts a plain service and registers it in the store.
+    pub(crate) async fn add_plain(&mut self, number: u8) {
+        let instance = format!("p-{number}");
+        let plain = self
+            .upstream(EngineKind::Plain, &instance, 150 + number)
+            .await;
+        let record = plain.registration("records", "ready");
+        self.store.put("servers", &instance, &record);
+        self.plains.push(plain);
+    }
+
     async fn upstream(&self, kind: EngineKind, instance: &str, last: u8) -> Engine {
         let addr = SocketAddr::from(([127, self.net[0], self.net[1], last], 0));
         Engine::start(kind, instance, addr, self.record.clone())
--- a/standins/src/caller/request.rs
+++ b/standins/src/caller/request.rs
@@ -15,6 +15,8 @@
         stream: bool,
         /// Further directives to the engine in the prompt.
         directives: String,
+        /// Earlier messages of the conversation.
+        history: Vec<String>,
     },
     /// A `POST` call of a plain service.
     Call {
@@ -52,6 +54,7 @@
                 tokens,
                 stream: true,
                 directives: String::new(),
+                history: Vec::new(),
             },
             idempotency_key: None,
             keeps_body: false,
@@ -104,6 +107,15 @@
         self
     }
 
+    /// Adds an earlier message of the conversation.
+    #[must_use]
+    pub fn after(mut self, text: &str) -> Self {
+        if let Work::Generate { history, .. } = &mut self.work {
+            history.push(text.to_owned());
+        }
+        self
+    }
+
     /// Returns the tokens in a complete answer; `None` for a call.
     #[must_use]
     pub fn tokens(&self) -> Option<u64> {
@@ -135,11 +147,15 @@
                 tokens,
                 stream,
                 directives,
+                history,
             } => {
                 let content = format!("[[mark={mark}]][[len={tokens}]]{directives} hello");
+                let last = [&content].into_iter();
+                let messages = history.iter().chain(last);
+                let messages = messages.map(|text| json!({"role": "user", "content": text}));
                 json!({
                     "model": model,
-                    "messages": [{"role": "user", "content": content}],
+                    "messages": messages.collect::<Vec<_>>(),
                     "max_tokens": tokens + 1,
                     "stream": stream,
                 })
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -83,7 +83,7 @@
     pub(super) closes: AtomicBool,
     /// Signals that stop runs for a migration, by request.
     pub(super) stop_signals: Mutex<HashMap<String, Arc<Notify>>>,
-    crash: Notify,
+    pub(super) crash: Notify,
     /// Number of the next handle in this incarnation.
     pub(super) next_handle: AtomicU64,
 }
@@ -381,6 +381,7 @@
             run.end(RunEnd::Complete);
             Ok(ConnectionAction::Keep)
         }
+        _ if shared.kind == EngineKind::Plain && run.crashes => run.crash().await,
         _ if shared.kind == EngineKind::Plain => {
             answer_plain(stream, shared, req, id, fault, &run).await
         }
--- a/standins/src/site/http.rs
+++ b/standins/src/site/http.rs
@@ -31,6 +31,22 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    /// Returns the ids of the prompt's parts but the last.
+    pub(super) fn shared_parts(&self) -> Vec<String> {
+        let list = self.header("x-prompt-prefix").unwrap_or_default();
+        let id = |entry: &str| {
+            entry
+                .split(':')
+                .next()
+                .unwrap_or_default()
+                .trim()
+                .to_owned()
+        };
+        let mut ids: Vec<String> = list.split(',').map(id).collect();
+        ids.pop();
+        ids
+    }
+
     /// Returns the value of a query parameter.
     pub(super) fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.path.split_once('?')?;
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -19,6 +19,8 @@
     Migrated,
     /// Broken off by a fault of the upstream.
     Broken,
+    /// Crashed its upstream by a part of its prompt.
+    Crashed,
 }
 
 /// One run of a request on one upstream.
@@ -38,6 +40,8 @@
     pub after: u64,
     /// Whether it resumed from the memory of an earlier run.
     pub from_memory: bool,
+    /// Parts of the prompt that other requests may share: all but the last.
+    pub shared_parts: Vec<String>,
     /// Start time.
     pub began: Instant,
     /// State and its time; the start time while in progress.
@@ -67,6 +71,8 @@
     /// Request ids of the copies.
     copies: HashMap<CopyKey, String>,
     foreign_memory: Vec<String>,
+    /// Parts of prompts that crash any upstream that begins an answer on them.
+    crashing_parts: Vec<String>,
 }
 
 impl Record {
@@ -98,6 +104,32 @@
         lock(&self.inner).foreign_memory.clone()
     }
 
+    /// Makes a part of prompts crash each upstream that begins an answer on it.
+    pub fn crash_on(&self, part: &str) {
+        lock(&self.inner).crashing_parts.push(part.to_owned());
+    }
+
+    /// Returns whether one of these parts crashes upstreams.
+    pub(super) fn is_crashing(&self, parts: &[String]) -> bool {
+        let inner = lock(&self.inner);
+        parts.iter().any(|p| inner.crashing_parts.contains(p))
+    }
+
+    /// Returns the runs whose prompt shares a part.
+    #[must_use]
+    pub fn runs_with(&self, part: &str) -> Vec<Run> {
+        let mut runs = self.runs();
+        runs.retain(|r| r.shared_parts.iter().any(|p| p == part));
+        runs
+    }
+
+    /// Returns the number of upstreams that a part has crashed.
+    #[must_use]
+    pub fn crashes_of(&self, part: &str) -> usize {
+        let runs = self.runs_with(part);
+        runs.iter().filter(|r| r.end.0 == RunEnd::Crashed).count()
+    }
+
     pub(super) fn record_foreign_memory(&self, request_id: &str) {
         let mut inner = lock(&self.inner);
         inner.foreign_memory.push(request_id.to_owned());
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -27,6 +27,9 @@
 /// Time that a slow engine needs to read a prompt.
 const PROMPT_READ_TIME: Duration = Duration::from_secs(1);
 
+/// Time from the head of an answer to the crash by a part of its prompt.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+
 /// Duration of a plain call.
 const PLAIN_CALL_TIME: Duration = Duration::from_millis(5);
 
@@ -35,6 +38,8 @@
     shared: &'a Shared,
     run: usize,
     after: u64,
+    /// Whether a part of its prompt crashes the upstream.
+    pub(super) crashes: bool,
 }
 
 impl<'a> ActiveRun<'a> {
@@ -42,6 +47,8 @@
         let after = req.header("last-event-id").and_then(|l| l.parse().ok());
         let after = after.unwrap_or(0);
         let now = Instant::now();
+        let shared_parts = req.shared_parts();
+        let crashes = shared.record.is_crashing(&shared_parts);
         let run = shared.record.begin(Run {
             request_id: id.to_owned(),
             instance: instance.to_owned(),
@@ -50,6 +57,7 @@
             saw_key: req.header("x-credential").is_some(),
             after,
             from_memory: req.header("kv-from").is_some(),
+            shared_parts,
             began: now,
             end: (RunEnd::Running, now),
         });
@@ -61,7 +69,19 @@
             };
             shared.record.insert_copy(key, id);
         }
-        Self { shared, run, after }
+        Self {
+            shared,
+            run,
+            after,
+            crashes,
+        }
+    }
+
+    /// Crashes the upstream.
+    pub(super) async fn crash(&self) -> io::Result<ConnectionAction> {
+        self.end(RunEnd::Crashed);
+        self.shared.crash.notify_one();
+        std::future::pending().await
     }
 
     pub(super) fn end(&self, end: RunEnd) {
@@ -138,6 +158,10 @@
         tokio::time::sleep(PROMPT_READ_TIME).await;
     }
     write_stream_head(stream, &shared.with_extra_headers(&headers)).await?;
+    if run.crashes {
+        tokio::time::sleep(CRASH_DELAY).await;
+        return run.crash().await;
+    }
     for number in run.after + 1..=last_event {
         if fault == AnswerFault::Truncate && number == run.after + 5 {
             let half = event(id, number, &version);
