Refuse the part of a prompt that crashes upstreams, whatever else holds it

Cause: what crashes upstreams was known by the digest of path, key and body. No two requests were alike, so each digest reached the crashes of its own retries at most. The class: an identity narrower than the cause.

Change: crash_evidence, in the core. An incarnation that ended counts once against each shared part of the answers that were beginning there, whoever saw it; an answer that goes on past its beginning clears its parts. Three crashes refuse a part never seen sound, five any other; of parts under the same crashes the one never seen sound goes first, then the later one, and its crashes count against no other. Until answers elsewhere had the time to clear it, it is put off for 0.3 or 0.5 s. Crashes, sound parts and refusals travel in announcements. A request that crashed two upstreams as it began isn't tried again. A refused part is tried again by one request after 20 s, 80 s and so on.

Ruled out: refusing by first part, key or route, which sound requests share; counting by part what was queued or long under way; counts that merge by the greater, under which two crashes told at once look like one; connections that time out, which a cut gives as well.

--- a/fireflycroft-wire/src/entry_announcement.rs
+++ b/fireflycroft-wire/src/entry_announcement.rs
@@ -1,7 +1,10 @@
 //! Conversion of direct entries' announcements to generated types and back.
 
+use crate::crash_evidence::{
+    part_crash, read_part_crash, read_refused_part, read_sound_part, refused_part, sound_part,
+};
 use crate::error::WireError;
-use crate::field::{addr_bytes, id_bytes, read_addr, read_all, read_digest, read_name};
+use crate::field::{addr_bytes, id_bytes, millis, read_addr, read_all, read_digest, read_name};
 use crate::generated as pb;
 use crate::owner_messages::{MAX_TOKENS, life, read_life};
 use fireflycroft::{
@@ -29,6 +32,13 @@
         list_changes: announcement.list_changes.iter().map(list_change).collect(),
         repeats: announcement.retries.iter().map(retry_count).collect(),
         crashes: announcement.crashes.iter().map(crash_count).collect(),
+        part_crashes: announcement.part_crashes.iter().map(part_crash).collect(),
+        sound_parts: announcement.sound_parts.iter().map(sound_part).collect(),
+        refused_parts: announcement
+            .refused_parts
+            .iter()
+            .map(refused_part)
+            .collect(),
         peers: announcement.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: announcement.leaving,
         evacuations: Some(evacuations(&announcement.evacuations)),
@@ -59,6 +69,17 @@
         list_changes: read_all(&announcement.list_changes, read_list_change)?,
         retries: read_all(&announcement.repeats, read_retry_count)?,
         crashes: read_all(&announcement.crashes, read_crash_count)?,
+        part_crashes: read_all(&announcement.part_crashes, read_part_crash)?,
+        sound_parts: announcement
+            .sound_parts
+            .iter()
+            .map(read_sound_part)
+            .collect(),
+        refused_parts: announcement
+            .refused_parts
+            .iter()
+            .map(read_refused_part)
+            .collect(),
         peers: peers.map(Ipv4Addr::from_bits).collect(),
         leaving: announcement.leaving,
         evacuations: announcement
@@ -126,11 +147,6 @@
     })
 }
 
-/// Returns the whole milliseconds of `duration`, limited to the field's range.
-pub(crate) fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
 fn list_change(change: &ListChange) -> pb::ListChange {
     match change {
         ListChange::Listed(record) => pb::ListChange {
--- a/fireflycroft-wire/src/field.rs
+++ b/fireflycroft-wire/src/field.rs
@@ -19,6 +19,11 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Returns the whole milliseconds of `duration`, limited to the field's range.
+pub(crate) fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Returns the bytes of an identifier or digest.
 pub(crate) fn id_bytes(id: u128) -> Vec<u8> {
     id.to_be_bytes().to_vec()
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -648,6 +648,47 @@
     pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
     #[prost(message, repeated, tag = "24")]
     pub pauses: ::prost::alloc::vec::Vec<PauseCount>,
+    #[prost(message, repeated, tag = "25")]
+    pub part_crashes: ::prost::alloc::vec::Vec<PartCrash>,
+    #[prost(message, repeated, tag = "26")]
+    pub sound_parts: ::prost::alloc::vec::Vec<SoundPart>,
+    #[prost(message, repeated, tag = "27")]
+    pub refused_parts: ::prost::alloc::vec::Vec<RefusedPart>,
+}
+/// An upstream that ended as an answer began there.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartCrash {
+    /// Digest of the incarnation that ended.
+    #[prost(fixed64, tag = "1")]
+    pub ended: u64,
+    /// Parts of the answer's prompt that other requests may share, in order.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
+    /// Whether the answer is known to have begun.
+    #[prost(bool, tag = "3")]
+    pub begun: bool,
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
+/// A part of prompts on which an answer went on.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SoundPart {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+/// A part of prompts that the sender refuses.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RefusedPart {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Incarnations of upstreams that ended under it.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+    /// Time since the last of them.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 /// Memory that generations need which wait for it at the sender, or are expected to return to it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/src/lib.rs
+++ b/fireflycroft-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! the header of one sender and any number of messages. Decoding arbitrary
 //! bytes returns a value or a [`WireError`] and never panics.
 
+mod crash_evidence;
 mod decode;
 mod encode;
 mod entry_announcement;
--- a/fireflycroft-wire/src/owner_messages.rs
+++ b/fireflycroft-wire/src/owner_messages.rs
@@ -1,8 +1,7 @@
 //! Conversion of reports and queries to owners to generated types and back.
 
-use crate::entry_announcement::millis;
 use crate::error::WireError;
-use crate::field::{check_count, id_bytes, read_all, read_digest, read_name};
+use crate::field::{check_count, id_bytes, millis, read_all, read_digest, read_name};
 use crate::generated as pb;
 use crate::limits::MAX_RECORDS;
 use fireflycroft::{
--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -1,9 +1,10 @@
 //! Round trips of messages between direct entries, and rejection of invalid bytes.
 
 use fireflycroft::{
-    CrashCount, Digest, EntryAnnouncement, EntryMessage, Evacuations, Incarnation, ListChange,
-    Name, OwnedLoad, OwnerQuery, OwnerQueryBody, OwnerReply, OwnerReplyBody, OwnerReport, Pace,
-    PauseCounts, Placed, PlacedAt, RateLimit, Refusal, RetryCount, ServiceDemand, StreamOrigin,
+    CrashCount, CrashId, CrashReport, Digest, EntryAnnouncement, EntryMessage, Evacuations,
+    Incarnation, ListChange, MAX_SHARED_PARTS, Name, OwnedLoad, OwnerQuery, OwnerQueryBody,
+    OwnerReply, OwnerReplyBody, OwnerReport, Pace, PartId, PauseCounts, Placed, PlacedAt,
+    RateLimit, Refusal, RefusedPart, RetryCount, ServiceDemand, SoundPart, StreamOrigin,
     StreamStart, ToldRate, UpstreamIncarnation, UpstreamRecord, UpstreamState,
 };
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
@@ -24,6 +25,7 @@
 
 cases! {
     announcement_round_trip => round_trips(announcement_message(announcement()));
+    crash_of_too_many_parts_is_an_error => refuses_parts();
     empty_announcement_round_trip => round_trips(announcement_message(EntryAnnouncement::default()));
     report_round_trip => round_trips(EntryMessage::Report(report()));
     empty_report_round_trip => round_trips(EntryMessage::Report(OwnerReport::default()));
@@ -219,6 +221,21 @@
             content: Digest(9),
             count: 2,
         }],
+        part_crashes: vec![CrashReport {
+            ended: CrashId(u64::MAX),
+            parts: vec![PartId(0x5c1e), PartId(7)],
+            begun: true,
+            age: Duration::from_millis(40),
+        }],
+        sound_parts: vec![SoundPart {
+            part: PartId(7),
+            age: Duration::from_millis(900),
+        }],
+        refused_parts: vec![RefusedPart {
+            part: PartId(0x5c1e),
+            crashes: 3,
+            age: Duration::from_secs(80),
+        }],
         peers: vec![Ipv4Addr::new(127, 0, 0, 3)],
         leaving: true,
     }
@@ -232,6 +249,23 @@
     ));
 }
 
+fn refuses_parts() {
+    let announcement = EntryAnnouncement {
+        part_crashes: vec![CrashReport {
+            ended: CrashId(1),
+            parts: vec![PartId(2); MAX_SHARED_PARTS + 1],
+            begun: true,
+            age: Duration::ZERO,
+        }],
+        ..EntryAnnouncement::default()
+    };
+    let bytes = encode_datagram(&announcement_message(announcement));
+    assert!(matches!(
+        decode_datagram(&bytes),
+        Err(WireError::TooLong("part_crashes.parts"))
+    ));
+}
+
 fn refuses_count() {
     // Field 7, a crash count: sixteen bytes of content, then a count of 300.
     let mut crash = vec![0x0a, 16];
--- a/fireflycroft/src/code.rs
+++ b/fireflycroft/src/code.rs
@@ -116,6 +116,8 @@
     RouteUnknown = 2021, 404, "no route leads there";
     /// The upstream version that began the stream to continue is not known.
     OriginUnknown = 2022, 503, "it is not known where the stream began";
+    /// A part of the prompt crashes the upstreams that begin an answer on it.
+    PartRefused = 2023, 503, "a part of the prompt crashes upstreams";
     /// The whole answer was delivered.
     Ok = 3000, 200, "ok";
     /// The upstream failed after the request began.
--- a/fireflycroft/src/overview.rs
+++ b/fireflycroft/src/overview.rs
@@ -33,12 +33,26 @@
     pub calls: usize,
     /// Streams in progress.
     pub streams: usize,
+    /// Parts of prompts that it refuses, the last crash first.
+    #[serde(default)]
+    pub refused_parts: Vec<RefusedPartOverview>,
     /// Upstreams that are not gone.
     pub upstreams: Vec<UpstreamOverview>,
     /// Other entries.
     pub peers: Vec<PeerOverview>,
 }
 
+/// A part of prompts that an entry refuses.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RefusedPartOverview {
+    /// Its id, in hexadecimal digits.
+    pub part: Name,
+    /// Incarnations of upstreams that ended under it.
+    pub crashes: u32,
+    /// Milliseconds since the last of them.
+    pub crash_age_ms: u64,
+}
+
 /// One upstream as seen by the entry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct UpstreamOverview {
--- a/fireflycroft/src/owners.rs
+++ b/fireflycroft/src/owners.rs
@@ -12,7 +12,7 @@
 //! its share of the keys. There are two, so that the loss of one loses no knowledge; the origins of streams
 //! have more, since nobody else can tell them again ([`crate::STREAM_OWNERS`]).
 
-use crate::ids::Digest;
+use crate::ids::{Digest, PartId};
 use std::net::Ipv4Addr;
 
 /// Number of owners of a key.
@@ -46,6 +46,12 @@
         Self::folded(content)
     }
 
+    /// Returns the key of a refused part of prompts.
+    #[must_use]
+    pub const fn of_part(part: PartId) -> Self {
+        Self(part.0)
+    }
+
     /// Returns the key of a stream's origin, from its digest.
     #[must_use]
     pub const fn of_stream(stream: Digest) -> Self {
--- a/fireflyctl/src/cli.rs
+++ b/fireflyctl/src/cli.rs
@@ -57,6 +57,9 @@
         ("key", "digest") => keys::print_digest(text(args, "key")?, console),
         ("fleet-key", "new") => keys::print_new_fleet_key(*required(args, "id")?, console),
         ("status", _) => status::status(&fleet(args)?, console).await,
+        ("entries", "release") => {
+            entries::release(*required(args, "part")?, &fleet(args)?, console).await
+        }
         ("entries", _) => {
             let view = match job {
                 "upstreams" => View::Upstreams,
--- a/fireflyctl/src/command.rs
+++ b/fireflyctl/src/command.rs
@@ -156,6 +156,17 @@
     ))
     .subcommand(view("upstreams", "Shows the upstreams known to each entry"))
     .subcommand(view("peers", "Shows the other entries known to each entry"))
+    .subcommand(
+        Command::new("release")
+            .about("Releases a part of prompts that is refused since it crashes upstreams")
+            .arg(
+                Arg::new("part")
+                    .value_name("PART")
+                    .help("Id of the part, in hexadecimal digits, as `entries status --json` shows it")
+                    .value_parser(|id: &str| u64::from_str_radix(id, 16))
+                    .required(true),
+            ),
+    )
 }
 
 fn drain_command() -> Command {
--- a/fireflyctl/src/entries.rs
+++ b/fireflyctl/src/entries.rs
@@ -45,6 +45,18 @@
     Err(Failure::NoAnswer(silent))
 }
 
+/// Releases a refused part of prompts at all entries given; each tells the others.
+pub(crate) async fn release(part: u64, fleet: &Fleet, console: &mut Console<'_>) -> Result<()> {
+    fleet.require_nodes()?;
+    let mut table = Table::new(&["node", "part", "result"]);
+    for node in fleet.nodes() {
+        let released = fleet.release_part(node, part).await?;
+        let result = if released { "released" } else { "not refused" };
+        table.row([node.as_str(), &format!("{part:x}"), result]);
+    }
+    console.print(table)
+}
+
 fn to_json(view: View, answers: &[Answer<EntryOverview>]) -> serde_json::Value {
     let row_json = |(node, answer): &Answer<EntryOverview>| match (answer, view) {
         (Err(error), _) => serde_json::json!({"node": node, "error": error}),
--- a/fireflyctl/src/fleet.rs
+++ b/fireflyctl/src/fleet.rs
@@ -57,6 +57,11 @@
         Ok(Self { http, nodes })
     }
 
+    /// Returns the admin addresses of the nodes.
+    pub(crate) fn nodes(&self) -> &[String] {
+        &self.nodes
+    }
+
     /// Fails when no nodes are given.
     pub(crate) fn require_nodes(&self) -> Result<()> {
         if self.nodes.is_empty() {
@@ -92,6 +97,18 @@
         self.query(node, "/status").await
     }
 
+    /// Tells a direct entry to release a refused part of prompts; returns whether it was refused there.
+    pub(crate) async fn release_part(&self, node: &str, part: u64) -> Result<bool> {
+        let url = format!("http://{node}/fleet/parts/release?part={part:x}");
+        let res = self.http.post(url).send().await;
+        let res = res.map_err(unreachable(node))?;
+        if res.status() == StatusCode::NOT_FOUND {
+            return Ok(false);
+        }
+        res.error_for_status().map_err(unreachable(node))?;
+        Ok(true)
+    }
+
     /// Tells a node to drain.
     pub(crate) async fn drain(&self, node: &str) -> Result<()> {
         let req = self.http.post(format!("http://{node}/drain"));
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -7,12 +7,13 @@
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
 use crate::log_value::{list, or_empty};
+use crate::parts;
 use crate::{retries, returning_callers, standby_copies};
 use bytes::Bytes;
 use fireflycroft::{
     AdmissionDecision, AdmissionRequest, ArrivalKind, AttemptOutcome, Attempts, Code,
-    MIN_BACKUP_TOKENS, Mechanism, MemoryUsage, Need, NextStep, RunClaim, SHORT_TOKENS, UpstreamIx,
-    VersionKey, capacity_expected_after, decide_admission, decide_held_admission,
+    MIN_BACKUP_TOKENS, Mechanism, MemoryUsage, Need, NextStep, PartVerdict, RunClaim, SHORT_TOKENS,
+    UpstreamIx, VersionKey, capacity_expected_after, decide_admission, decide_held_admission,
     pick_backup_holder,
 };
 use hyper::http::response::Parts;
@@ -101,6 +102,12 @@
     let mut failure = None;
     let mut held: Option<HeldGuard> = None;
     loop {
+        if let Some(verdict) = parts::verdict_on(job) {
+            if let Some(held) = held.take() {
+                held.refuse();
+            }
+            return failure.unwrap_or_else(|| refuse_for_part(job, attempts, &verdict));
+        }
         let Some(ix) = job.pick(&need, &tried).await else {
             if let Some(held) = held.take() {
                 held.refuse();
@@ -123,15 +130,23 @@
                 });
             }
         };
+        // The part may have been refused during the wait.
+        if parts::verdict_on(job).is_some() {
+            continue;
+        }
         if let Some(held) = held.take() {
             held.admit();
         }
+        job.tries_part_again.set(false);
         let result = attempt(job, ix, need, attempts).await;
         record_attempt(job, ix, &result);
         if result.outcome == AttemptOutcome::Lost {
-            crash::check_for_crash(job, ix, Progress::default());
+            crash::check_for_crash(job, ix, Progress::default()).await;
         }
         tried.push(ix);
+        if crash::is_last_try_over(job) {
+            return failure.unwrap_or(Reply::Error(Code::OutcomeUnknown, None));
+        }
         if attempts.borrow().may_retry(result.outcome) {
             retries::request_grant(job).await;
         }
@@ -161,6 +176,16 @@
     latest.mul_f64(rand::rng().random_range(0.5..=1.0))
 }
 
+/// Refuses a request because of a part of its prompt before it is sent, or sent once more.
+fn refuse_for_part(job: &Job, attempts: &RefCell<Attempts>, verdict: &PartVerdict) -> Reply {
+    parts::log_refusal(&job.request_id, verdict);
+    if attempts.borrow().may_have_run() {
+        Reply::Error(Code::OutcomeUnknown, None)
+    } else {
+        Reply::Error(Code::PartRefused, Some(parts::retry_after(verdict)))
+    }
+}
+
 /// Refusal of a generation for which the engines lack capacity.
 struct CapacityRefusal {
     decision: AdmissionDecision,
@@ -442,15 +467,20 @@
         };
     }
     match read_body(job, ix, response).await {
-        Ok((parts, bytes)) => AttemptResult {
-            outcome: if status.is_server_error() {
-                AttemptOutcome::Failed
-            } else {
-                AttemptOutcome::Answered
-            },
-            why: status.to_string(),
-            reply: Some(Reply::Whole(parts, bytes)),
-        },
+        Ok((head, bytes)) => {
+            if status.is_success() {
+                parts::record_sound(job);
+            }
+            AttemptResult {
+                outcome: if status.is_server_error() {
+                    AttemptOutcome::Failed
+                } else {
+                    AttemptOutcome::Answered
+                },
+                why: status.to_string(),
+                reply: Some(Reply::Whole(head, bytes)),
+            }
+        }
         Err(why) => AttemptResult::failed(AttemptOutcome::Lost, why),
     }
 }
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -1,16 +1,18 @@
-//! Detects upstream crashes and counts them by request content.
+//! Detects upstream crashes, counts them by request content and collects evidence about the parts of prompts.
 //!
 //! A request that breaks may have crashed its upstream, or only lost its
-//! connection. A new connection shows which: a crashed upstream is unreachable
-//! for some seconds. Each crash is counted for the content that ran there and
-//! announced to all entries at once, since the caller may send the same content
-//! to any of them again.
+//! connection. A new connection shows which: a crashed upstream refuses it for
+//! some seconds. Each crash is counted for the content that ran there, and told with the
+//! shared parts of an answer that was beginning. All entries hear of it at once, since the next such
+//! request may come to any of them.
 
 use crate::job::Job;
 use crate::links::open;
 use crate::log_value::{list, or_empty};
 use crate::node::Node;
-use fireflycroft::{Digest, Time, UpstreamIx};
+use crate::parts;
+use fireflycroft::{CrashId, CrashReport, Digest, Time, UpstreamIx, UpstreamRecord};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +23,22 @@
 /// Time for which a crashed upstream is avoided; it restarts within some seconds.
 const AVOID_CRASHED: Duration = Duration::from_secs(3);
 
+/// Reads with whole events after which an answer is past its beginning.
+const BEGINNING_READS: u64 = 3;
+
+/// Shortest time from the head of an answer to the end of its beginning; a part that crashes upstreams does so
+/// within a tenth of a second.
+const BEGINNING_TIME: Duration = Duration::from_millis(250);
+
+/// Upstreams that one request may crash as its answer begins; the next one to crash tells which of its parts it was.
+const MAX_CRASHED_BEGINNINGS: u32 = 2;
+
+/// Returns whether a request has crashed so many upstreams that it is tried no more.
+#[must_use]
+pub fn is_last_try_over(job: &Job) -> bool {
+    job.crashed_beginnings.get() >= MAX_CRASHED_BEGINNINGS
+}
+
 /// Returns whether content is refused because of crashes.
 #[must_use]
 pub fn is_refused(node: &Node, content: Digest) -> bool {
@@ -47,42 +65,73 @@
     }
 
     /// Records a read that brought whole events.
-    pub const fn record_data(&mut self) {
+    pub const fn record_read(&mut self) {
         self.reads += 1;
     }
+
+    /// Returns whether the answer has gone on past its beginning.
+    #[must_use]
+    pub fn is_past_beginning(&self, now: Time) -> bool {
+        let lasted = self
+            .head_at
+            .is_some_and(|at| now.since(at) >= BEGINNING_TIME);
+        lasted && self.reads >= BEGINNING_READS
+    }
 }
 
-/// Checks whether the upstream of a broken request has crashed.
+/// Checks whether the upstream of a broken request has crashed, and records it.
 ///
 /// A departing upstream ended as planned.
-pub fn check_for_crash(job: &Job, ix: UpstreamIx, progress: Progress) {
-    let node = job.node.clone();
+pub async fn check_for_crash(job: &Job, ix: UpstreamIx, progress: Progress) {
+    let node = &job.node;
     if node.pool.borrow().left_at(ix).is_some() {
         return;
     }
-    let content = job.content;
-    let request_id = job.request_id.clone();
-    let parts = list(&job.head.shared_parts);
-    tokio::task::spawn_local(async move {
-        let record = node.pool.borrow().record(ix).clone();
-        let addr = record.addr;
-        let Err(e) = open(addr).await else {
-            return;
-        };
-        if node.pool.borrow().left_at(ix).is_some() {
-            return;
-        }
-        let crashes = record_crash(&node, ix, content);
-        let content = content.to_string();
-        log::warn!(
-            event = "upstream_crashed", req = &*request_id, addr = addr.to_string(),
-            instance = &*record.instance, started_at = record.incarnation.0,
-            content = content, crashes = crashes, parts = parts,
-            head_age_ms = or_empty(progress.head_at.map(|at| node.now().since(at).as_millis())),
-            reads = progress.reads, why = e.to_string();
-            ""
-        );
-    });
+    let record = node.pool.borrow().record(ix).clone();
+    let Err(e) = open(record.addr).await else {
+        return;
+    };
+    if node.pool.borrow().left_at(ix).is_some() {
+        return;
+    }
+    let crashes = record_crash(node, ix, job.content);
+    // A crashed upstream's VM still answers; one that is cut off or without power doesn't.
+    if e.kind() == io::ErrorKind::ConnectionRefused && !progress.is_past_beginning(job.now()) {
+        record_beginning(job, &record, progress);
+    }
+    let content = job.content.to_string();
+    log::warn!(
+        event = "upstream_crashed", req = &*job.request_id, addr = record.addr.to_string(),
+        instance = &*record.instance, started_at = record.incarnation.0,
+        content = content, crashes = crashes, parts = list(&job.head.shared_parts),
+        head_age_ms = or_empty(progress.head_at.map(|at| job.now().since(at).as_millis())),
+        reads = progress.reads, why = e.to_string();
+        ""
+    );
+    node.announce_to_all_now();
+}
+
+/// Records that an upstream ended as the answer to a request was beginning there.
+///
+/// A whole answer shows no beginning, so it counts as one until it is complete.
+fn record_beginning(job: &Job, record: &UpstreamRecord, progress: Progress) {
+    if job.head.shared_parts.is_empty() {
+        return;
+    }
+    let report = CrashReport {
+        ended: CrashId::of(&record.upstream_incarnation()),
+        parts: job.head.shared_parts.clone(),
+        begun: progress.head_at.is_some() || !job.route.kind.is_stream(),
+        age: Duration::ZERO,
+    };
+    if report.begun {
+        let crashed = job.crashed_beginnings.get();
+        job.crashed_beginnings.set(crashed + 1);
+    }
+    let mut evidence = job.node.crash_evidence.borrow_mut();
+    evidence.record_crash(job.now(), report);
+    drop(evidence);
+    parts::judge(&job.node);
 }
 
 fn record_crash(node: &Rc<Node>, ix: UpstreamIx, content: Digest) -> u8 {
@@ -92,6 +141,5 @@
     let crashes = quarantine.crashes(content).saturating_add(1);
     quarantine.record(now, content, crashes);
     node.peers.borrow_mut().add_crash(content, crashes);
-    node.announce_to_all_now();
     crashes
 }
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -14,13 +14,15 @@
 use crate::job::Job;
 use crate::log_value::or_empty;
 use crate::metrics::kind_label;
+use crate::parts;
 use crate::retries;
 use crate::runs::Run;
 use crate::standby_copies;
 use crate::stream_origins::{OriginGuard, record_start};
 use bytes::Bytes;
 use fireflycroft::{
-    Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time, UpstreamIx, VersionKey,
+    Code, EventRelay, Gap, MemoryCopy, Need, PartVerdict, PausePeak, ResponseHead, Time,
+    UpstreamIx, VersionKey,
 };
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
@@ -67,8 +69,10 @@
     events: EventRelay,
     breaks: u32,
     ended: bool,
-    /// Progress at the current upstream.
+    /// Progress at the current upstream, until it goes on past its beginning.
     progress: Progress,
+    /// Whether it has gone on past its beginning.
+    is_sound: bool,
     event_times: EventTimes,
     pace_window: Option<PaceWindow>,
     last_event: Option<LastEvent>,
@@ -181,6 +185,7 @@
         breaks: 0,
         ended: false,
         progress,
+        is_sound: false,
         event_times: EventTimes::default(),
         pace_window: None,
         last_event: None,
@@ -249,7 +254,11 @@
     }
 
     fn record_progress(&mut self) {
-        self.progress.record_data();
+        self.progress.record_read();
+        if !self.is_sound && self.progress.is_past_beginning(self.job.now()) {
+            self.is_sound = true;
+            parts::record_sound(&self.job);
+        }
         self.event_times.record(self.job.now());
         self.assignment.record_prompt_read();
         let per_event = self.job.engine.map_or(1, |e| e.tokens_per_event);
@@ -312,6 +321,7 @@
 
     fn finish(&mut self) {
         self.ended = true;
+        parts::record_sound(&self.job);
         if let Some(source) = self.source.take() {
             release_link(&self.job, self.assignment.ix, &source.head, source.link);
         }
@@ -384,7 +394,14 @@
         self.events.discard_partial();
         self.breaks += 1;
         self.log_event("stream_broke", why);
-        crash::check_for_crash(&self.job, self.assignment.ix, self.progress);
+        self.check_for_crash().await;
+        if let Some(verdict) = self.verdict() {
+            parts::log_refusal(&self.job.request_id, &verdict);
+            return false;
+        }
+        if crash::is_last_try_over(&self.job) && !self.is_sound {
+            return false;
+        }
         if self.breaks > MAX_RESUMPTIONS || !self.events.can_resume() {
             return false;
         }
@@ -406,6 +423,27 @@
         false
     }
 
+    /// Returns why the stream may not go on because of a part of its prompt; one that has gone on past its beginning
+    /// speaks for its parts itself, until they are refused.
+    fn verdict(&self) -> Option<PartVerdict> {
+        let verdict = parts::verdict_on(&self.job)?;
+        let is_refused = matches!(verdict, PartVerdict::Refused(_));
+        (is_refused || !self.is_sound).then_some(verdict)
+    }
+
+    /// Checks whether the upstream has crashed: at once if the answer was beginning, since a part of its prompt may be
+    /// the cause, and aside otherwise.
+    async fn check_for_crash(&self) {
+        let (job, ix, progress) = (self.job.clone(), self.assignment.ix, self.progress);
+        if progress.is_past_beginning(job.now()) {
+            tokio::task::spawn_local(async move {
+                crash::check_for_crash(&job, ix, progress).await;
+            });
+        } else {
+            crash::check_for_crash(&job, ix, progress).await;
+        }
+    }
+
     async fn wait_for_copy(&self) {
         let ended = self.run.migration_ended.notified();
         if self.run.migrating.get() && self.run.standby_holder().is_none() {
@@ -510,7 +548,9 @@
         self.job.node.migrate_if_departing(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
-        self.progress = Progress::begun(self.job.now());
+        if !self.is_sound {
+            self.progress = Progress::begun(self.job.now());
+        }
         self.source = Some(Source {
             body: response.body,
             link: response.link,
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -9,6 +9,7 @@
 };
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,6 +50,10 @@
     pub body: Bytes,
     /// Digest of path, caller and body.
     pub content: Digest,
+    /// Upstreams that crashed as its answer was beginning there.
+    pub crashed_beginnings: Cell<u32>,
+    /// Whether it is still to try a refused part of its prompt again.
+    pub tries_part_again: Cell<bool>,
     /// Time at which the head was read.
     pub arrival: Time,
     /// Latest time of the final answer.
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod overview;
 pub mod owner_queries;
 pub mod page_server;
+pub mod parts;
 pub mod peers;
 pub mod process;
 pub mod readiness;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -11,10 +11,10 @@
 use crate::peers::Peers;
 use crate::runs::{MigrationCopy, Runs};
 use fireflycroft::{
-    Catalog, DepartureRate, DepartureWatch, Evacuations, FULL_VIEW_AFTER, FleetView, HoldTimes,
-    LengthEstimator, Policy, Pool, PoolChange, Quarantine, QueryBudget, Refusal, Regions,
-    ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time, UpstreamIncarnation,
-    UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
+    Catalog, CrashEvidence, DepartureRate, DepartureWatch, Evacuations, FULL_VIEW_AFTER, FleetView,
+    HoldTimes, LengthEstimator, Policy, Pool, PoolChange, Quarantine, QueryBudget, Refusal,
+    Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time,
+    UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
 use fireflycroft_platform::{PlatformSettings, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -60,6 +60,8 @@
     pub retry_budget: RefCell<SharedRetryBudget>,
     /// Content that crashed upstreams.
     pub quarantine: RefCell<Quarantine>,
+    /// Evidence about the parts of prompts that crash upstreams.
+    pub crash_evidence: RefCell<CrashEvidence>,
     /// Refused callers, who may return.
     pub returning_callers: RefCell<ReturningCallers>,
     /// Origins of streams that callers may take up.
@@ -176,6 +178,7 @@
             pool: RefCell::new(pool),
             retry_budget: RefCell::new(retry_budget),
             quarantine: RefCell::default(),
+            crash_evidence: RefCell::default(),
             returning_callers: RefCell::default(),
             stream_origins: RefCell::default(),
             wait_queue: RefCell::default(),
--- a/fireflydirect/src/overview.rs
+++ b/fireflydirect/src/overview.rs
@@ -2,7 +2,8 @@
 
 use crate::node::{Node, Stage};
 use fireflycroft::{
-    EntryOverview, OwnedKey, Pool, RateLimit, Time, UpstreamIx, UpstreamOverview, whole_millis,
+    EntryOverview, OwnedKey, Pool, RateLimit, RefusedPartOverview, Time, UpstreamIx,
+    UpstreamOverview, whole_millis,
 };
 
 /// Path of the page.
@@ -30,11 +31,22 @@
         store_era: node.store_era(),
         calls: node.calls_in_flight.get(),
         streams: node.runs.count(),
+        refused_parts: refused_parts(node, now),
         upstreams: known.map(|ix| upstream(node, &pool, now, ix)).collect(),
         peers: node.peers.borrow().overview(now),
     }
 }
 
+fn refused_parts(node: &Node, now: Time) -> Vec<RefusedPartOverview> {
+    let refused = node.crash_evidence.borrow().refused(now);
+    let shown = refused.into_iter().map(|r| RefusedPartOverview {
+        part: r.part.to_string().into(),
+        crashes: r.crashes,
+        crash_age_ms: whole_millis(r.age),
+    });
+    shown.collect()
+}
+
 fn upstream(node: &Node, pool: &Pool, now: Time, ix: UpstreamIx) -> UpstreamOverview {
     let record = pool.record(ix);
     let view = pool.view(now, ix);
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -7,6 +7,7 @@
 use crate::ingest::apply_peer_state;
 use crate::node::Node;
 use crate::owner_queries;
+use crate::parts;
 use crate::peers::{MissingState, v4};
 use crate::state_page::{PeerState, StateQuery, state_path};
 use fireflycroft::{CrashCount, EntryAnnouncement, EntryMessage, HedgedCall, Time, era_of};
@@ -101,6 +102,7 @@
     for crash in &announcement.crashes {
         record_crash(node, now, crash);
     }
+    parts::apply(node, &announcement);
     if node.peers.borrow().lacks_entries(now, &announcement) {
         fetch_entries(node, from);
     }
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -6,12 +6,13 @@
 use crate::generation::relay;
 use crate::job::Job;
 use crate::node::{Node, Stage};
+use crate::parts;
 use crate::startup_wait::until_loaded;
 use crate::stream_origins::{self, Continued};
 use bytes::Bytes;
 use fireflycroft::{
-    Catalog, Code, Digest, Mechanism, Name, RequestHead, RouteSpec, STARTUP_RETRY_AFTER,
-    StreamOrigin, Time, WorkspaceSpec, unconfigured_retry_after,
+    Catalog, Code, Digest, Mechanism, Name, PartVerdict, RequestHead, RouteSpec,
+    STARTUP_RETRY_AFTER, StreamOrigin, Time, WorkspaceSpec, unconfigured_retry_after,
 };
 use fireflycroft_platform::read_request_head;
 use http_body_util::{BodyExt, Limited};
@@ -21,12 +22,13 @@
 use hyper::http::uri::Authority;
 use hyper::{HeaderMap, Request, Uri};
 use rand::{Rng, RngExt};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Retry delay for what no later attempt gets either: longer than any caller's timeout.
-const FINAL_RETRY_AFTER: Duration = Duration::from_hours(1);
+pub(crate) const FINAL_RETRY_AFTER: Duration = Duration::from_hours(1);
 
 /// Refusal of a request before anything was sent.
 struct Refusal {
@@ -128,6 +130,7 @@
     let route = find_route(&catalog, &parts).ok_or(refusal(Code::RouteUnknown))?;
     let workspace = check_key(&catalog, &route, &head)?;
     let request_id = head.request_id.clone().ok_or(refusal(Code::BadRequest))?;
+    let tries_part_again = check_parts(node, &request_id, &head)?;
     let origin = find_origin(node, &route, &head).await?;
     let service = stream_origins::target(&route, origin.as_ref(), rand::rng().next_u32());
     let service = service.ok_or_else(|| {
@@ -175,12 +178,31 @@
         headers: parts.headers,
         body,
         content,
+        crashed_beginnings: Cell::new(0),
+        tries_part_again: Cell::new(tries_part_again),
         arrival,
     };
     job.value_density = value_density(&job);
     Ok(job)
 }
 
+/// Refuses a request that shares a part with those that crash upstreams; returns whether it tries a refused part again.
+fn check_parts(node: &Node, request_id: &str, head: &RequestHead) -> Result<bool, Refusal> {
+    match parts::verdict(node, &head.shared_parts) {
+        None => Ok(false),
+        Some(PartVerdict::Refused(part)) if parts::may_try_again(node, request_id, &part) => {
+            Ok(true)
+        }
+        Some(verdict) => {
+            parts::log_refusal(request_id, &verdict);
+            Err(refusal_with_retry(
+                Code::PartRefused,
+                parts::retry_after(&verdict),
+            ))
+        }
+    }
+}
+
 /// Finds out where the stream began that a request continues; none if it continues no stream.
 async fn find_origin(
     node: &Node,
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -5,10 +5,11 @@
 use crate::node::Node;
 use crate::overview::{OVERVIEW_PATH, overview};
 use crate::page_server::{self, Page, empty};
-use fireflycroft::{Name, UpstreamRecord};
+use crate::parts;
+use fireflycroft::{Name, PartId, UpstreamRecord};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -17,6 +18,9 @@
 /// Path of the state that other entries fetch.
 pub const STATE_PATH: &str = "/fleet/state";
 
+/// Path on which an operator releases the refused part that its query names.
+pub const RELEASE_PATH: &str = "/fleet/parts/release";
+
 /// Configuration and upstreams as held by the platform's store.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct PeerState {
@@ -58,6 +62,7 @@
     match req.uri().path() {
         STATE_PATH => as_json(&peer_state(node, &parse_query(req))),
         OVERVIEW_PATH => as_json(&overview(node)),
+        RELEASE_PATH => release_part(node, req),
         METRICS_PATH => match node.metrics.render(node) {
             Ok(text) => Response::new(Full::from(text)),
             Err(e) => {
@@ -69,6 +74,23 @@
     }
 }
 
+/// Releases the part named as `part=ID`, in hexadecimal digits; 404 if it isn't refused here.
+fn release_part(node: &Node, req: &Request<Incoming>) -> Page {
+    if req.method() != Method::POST {
+        return empty(StatusCode::METHOD_NOT_ALLOWED);
+    }
+    let query = req.uri().query().unwrap_or_default();
+    let id = query.strip_prefix("part=");
+    let Some(part) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    if parts::release(node, PartId(part)) {
+        empty(StatusCode::NO_CONTENT)
+    } else {
+        empty(StatusCode::NOT_FOUND)
+    }
+}
+
 fn as_json(value: &impl Serialize) -> Page {
     match serde_json::to_vec(value) {
         Ok(body) => Response::new(Full::from(body)),
--- a/fireflydirect/tests/processes_crashing_parts.rs
+++ b/fireflydirect/tests/processes_crashing_parts.rs
@@ -74,7 +74,8 @@
     let parts: String = parts.iter().map(|p| format!("{p}:80,")).collect();
     let path = format!("{path}/{id}");
     site.stream(entry, &path, SHORT, id)
-        .header("X-Token-Usage", "500,200")
+        // Too short for a backup, from which it would go on at once.
+        .header("X-Token-Usage", "500,20")
         .header("X-Prompt-Prefix", format!("{parts}{}:200", last_part(id)))
 }
 
