--- a/fireflydirect/tests/processes_crashing_parts.rs
+++ b/fireflydirect/tests/processes_crashing_parts.rs
@@ -71,12 +71,14 @@
 
 /// Builds a stream with these shared parts, and a last part and a path that no other one has.
 fn stream(site: &Site, entry: usize, path: &str, id: &str, parts: &[&str]) -> RequestBuilder {
-    let parts: String = parts.iter().map(|p| format!("{p}:80,")).collect();
+    let last = format!("{}:200", last_part(id));
+    let parts = parts.iter().map(|p| format!("{p}:80")).chain([last]);
+    let parts: Vec<String> = parts.collect();
     let path = format!("{path}/{id}");
     site.stream(entry, &path, SHORT, id)
         // Too short for a backup, from which it would go on at once.
         .header("X-Token-Usage", "500,20")
-        .header("X-Prompt-Prefix", format!("{parts}{}:200", last_part(id)))
+        .header("X-Prompt-Prefix", parts.join(","))
 }
 
 /// Returns the last part of a request's prompt.
