Refuse messages that crash the engines of the own path, whatever follows them

What callers saw: conversations that share a message ended every engine, 8 of 8 in the test, and callers waited for minutes.

Cause: the same as on the platform's path. The quarantine knows a request by its whole content, and no two conversations are alike.

Change: an entry names the messages but the last by their digests. Evidence has one type and one encoding on both paths.

Before: message_that_crashes_engines_in_different_conversations fails after 189 s, no final answer. After: passes, the file's 26 tests take 14 s. Wire: Demand has a field more, and there is one message more; an older build ignores the first and drops the second.

--- a/fireflycroft-wire/src/decode.rs
+++ b/fireflycroft-wire/src/decode.rs
@@ -1,5 +1,6 @@
 //! Decoding of packets into the core's types.
 
+use crate::crash_evidence::{read_part_evidence, read_parts};
 use crate::error::WireError;
 use crate::field::{
     check_count, read_addr, read_code, read_digest, read_generation, read_member_state, read_name,
@@ -108,6 +109,7 @@
         Kind::Detach(detach) => read_detach(&detach),
         Kind::Cancel(cancel) => read_cancel(cancel),
         Kind::Crashes(crashes) => read_crashes(&crashes),
+        Kind::PartEvidence(told) => read_part_evidence(&told).map(Message::PartEvidence),
         Kind::Ping(probe) => read_ping(probe),
         Kind::Pong(probe) => read_pong(probe),
         Kind::PingVia(via) => read_ping_via(via),
@@ -299,6 +301,7 @@
         content: read_digest(&demand.content, "demand.content")?,
         retryable: demand.repeatable,
         crashes: read_narrow(demand.crashes, "demand.crashes")?,
+        shared_parts: read_parts(&demand.parts, "demand.parts")?,
     })
 }
 
--- a/fireflycroft-wire/src/encode.rs
+++ b/fireflycroft-wire/src/encode.rs
@@ -3,6 +3,7 @@
 //! Encoding can't fail. The limits are enforced by the decoder: a value that
 //! exceeds them is encoded, and rejected by the receiver.
 
+use crate::crash_evidence::part_evidence;
 use crate::field::{
     addr_bytes, generation, id_bytes, member_state, micros, priority, role, standing,
 };
@@ -226,6 +227,7 @@
             content: id_bytes(content.0),
             count: u32::from(*count),
         }),
+        Message::PartEvidence(evidence) => Kind::PartEvidence(part_evidence(evidence)),
         Message::Ping {
             nonce,
             records,
@@ -314,6 +316,7 @@
         content: id_bytes(demand.content.0),
         repeatable: demand.retryable,
         crashes: u32::from(demand.crashes),
+        parts: demand.shared_parts.iter().map(|p| p.0).collect(),
     }
 }
 
--- a/fireflycroft-wire/src/entry_announcement.rs
+++ b/fireflycroft-wire/src/entry_announcement.rs
@@ -1,8 +1,6 @@
 //! Conversion of direct entries' announcements to generated types and back.
 
-use crate::crash_evidence::{
-    part_crash, read_part_crash, read_refused_part, read_sound_part, refused_part, sound_part,
-};
+use crate::crash_evidence::{part_evidence, read_part_evidence};
 use crate::error::WireError;
 use crate::field::{addr_bytes, id_bytes, millis, read_addr, read_all, read_digest, read_name};
 use crate::generated as pb;
@@ -32,13 +30,7 @@
         list_changes: announcement.list_changes.iter().map(list_change).collect(),
         repeats: announcement.retries.iter().map(retry_count).collect(),
         crashes: announcement.crashes.iter().map(crash_count).collect(),
-        part_crashes: announcement.part_crashes.iter().map(part_crash).collect(),
-        sound_parts: announcement.sound_parts.iter().map(sound_part).collect(),
-        refused_parts: announcement
-            .refused_parts
-            .iter()
-            .map(refused_part)
-            .collect(),
+        part_evidence: Some(part_evidence(&announcement.part_evidence)),
         peers: announcement.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: announcement.leaving,
         evacuations: Some(evacuations(&announcement.evacuations)),
@@ -69,17 +61,12 @@
         list_changes: read_all(&announcement.list_changes, read_list_change)?,
         retries: read_all(&announcement.repeats, read_retry_count)?,
         crashes: read_all(&announcement.crashes, read_crash_count)?,
-        part_crashes: read_all(&announcement.part_crashes, read_part_crash)?,
-        sound_parts: announcement
-            .sound_parts
-            .iter()
-            .map(read_sound_part)
-            .collect(),
-        refused_parts: announcement
-            .refused_parts
-            .iter()
-            .map(read_refused_part)
-            .collect(),
+        part_evidence: announcement
+            .part_evidence
+            .as_ref()
+            .map(read_part_evidence)
+            .transpose()?
+            .unwrap_or_default(),
         peers: peers.map(Ipv4Addr::from_bits).collect(),
         leaving: announcement.leaving,
         evacuations: announcement
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -55,7 +55,7 @@
 pub struct Body {
     #[prost(
         oneof = "body::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 22, 23, 18, 19, 20, 21"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 22, 23, 18, 19, 20, 21, 24"
     )]
     pub kind: ::core::option::Option<body::Kind>,
 }
@@ -109,6 +109,8 @@
         ViewHashes(super::ViewHashes),
         #[prost(message, tag = "21")]
         ViewPage(super::ViewPage),
+        #[prost(message, tag = "24")]
+        PartEvidence(super::PartEvidence),
     }
 }
 /// Identifier of a reservation and of the generation started from it.
@@ -142,6 +144,9 @@
     pub repeatable: bool,
     #[prost(uint32, tag = "9")]
     pub crashes: u32,
+    /// Digests of the prompt's messages but the last, in order.
+    #[prost(fixed64, repeated, tag = "10")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
 }
 /// Work: a generation by a model.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -648,12 +653,18 @@
     pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
     #[prost(message, repeated, tag = "24")]
     pub pauses: ::prost::alloc::vec::Vec<PauseCount>,
-    #[prost(message, repeated, tag = "25")]
-    pub part_crashes: ::prost::alloc::vec::Vec<PartCrash>,
-    #[prost(message, repeated, tag = "26")]
-    pub sound_parts: ::prost::alloc::vec::Vec<SoundPart>,
-    #[prost(message, repeated, tag = "27")]
-    pub refused_parts: ::prost::alloc::vec::Vec<RefusedPart>,
+    #[prost(message, optional, tag = "25")]
+    pub part_evidence: ::core::option::Option<PartEvidence>,
+}
+/// Evidence about parts of prompts that crash upstreams.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct PartEvidence {
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: ::prost::alloc::vec::Vec<PartCrash>,
+    #[prost(message, repeated, tag = "2")]
+    pub sound: ::prost::alloc::vec::Vec<SoundPart>,
+    #[prost(message, repeated, tag = "3")]
+    pub refused: ::prost::alloc::vec::Vec<RefusedPart>,
 }
 /// An upstream that ended as an answer began there.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -3,8 +3,8 @@
 use fireflycroft::{
     CrashCount, CrashId, CrashReport, Digest, EntryAnnouncement, EntryMessage, Evacuations,
     Incarnation, ListChange, MAX_SHARED_PARTS, Name, OwnedLoad, OwnerQuery, OwnerQueryBody,
-    OwnerReply, OwnerReplyBody, OwnerReport, Pace, PartId, PauseCounts, Placed, PlacedAt,
-    RateLimit, Refusal, RefusedPart, RetryCount, ServiceDemand, SoundPart, StreamOrigin,
+    OwnerReply, OwnerReplyBody, OwnerReport, Pace, PartEvidence, PartId, PauseCounts, Placed,
+    PlacedAt, RateLimit, Refusal, RefusedPart, RetryCount, ServiceDemand, SoundPart, StreamOrigin,
     StreamStart, ToldRate, UpstreamIncarnation, UpstreamRecord, UpstreamState,
 };
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
@@ -221,21 +221,23 @@
             content: Digest(9),
             count: 2,
         }],
-        part_crashes: vec![CrashReport {
-            ended: CrashId(u64::MAX),
-            parts: vec![PartId(0x5c1e), PartId(7)],
-            begun: true,
-            age: Duration::from_millis(40),
-        }],
-        sound_parts: vec![SoundPart {
-            part: PartId(7),
-            age: Duration::from_millis(900),
-        }],
-        refused_parts: vec![RefusedPart {
-            part: PartId(0x5c1e),
-            crashes: 3,
-            age: Duration::from_secs(80),
-        }],
+        part_evidence: PartEvidence {
+            crashes: vec![CrashReport {
+                ended: CrashId(u64::MAX),
+                parts: vec![PartId(0x5c1e), PartId(7)],
+                begun: true,
+                age: Duration::from_millis(40),
+            }],
+            sound: vec![SoundPart {
+                part: PartId(7),
+                age: Duration::from_millis(900),
+            }],
+            refused: vec![RefusedPart {
+                part: PartId(0x5c1e),
+                crashes: 3,
+                age: Duration::from_secs(80),
+            }],
+        },
         peers: vec![Ipv4Addr::new(127, 0, 0, 3)],
         leaving: true,
     }
@@ -251,18 +253,21 @@
 
 fn refuses_parts() {
     let announcement = EntryAnnouncement {
-        part_crashes: vec![CrashReport {
-            ended: CrashId(1),
-            parts: vec![PartId(2); MAX_SHARED_PARTS + 1],
-            begun: true,
-            age: Duration::ZERO,
-        }],
+        part_evidence: PartEvidence {
+            crashes: vec![CrashReport {
+                ended: CrashId(1),
+                parts: vec![PartId(2); MAX_SHARED_PARTS + 1],
+                begun: true,
+                age: Duration::ZERO,
+            }],
+            ..PartEvidence::default()
+        },
         ..EntryAnnouncement::default()
     };
     let bytes = encode_datagram(&announcement_message(announcement));
     assert!(matches!(
         decode_datagram(&bytes),
-        Err(WireError::TooLong("part_crashes.parts"))
+        Err(WireError::TooLong("part_crash.parts"))
     ));
 }
 
--- a/fireflycroft-wire/tests/support/mod.rs
+++ b/fireflycroft-wire/tests/support/mod.rs
@@ -1,9 +1,9 @@
 //! Strategies that generate every message of the core.
 
 use fireflycroft::{
-    Chunk, Code, ConfigVersion, Demand, Digest, Envelope, Finish, GenerationId, Incarnation, Load,
-    MemberRecord, MemberState, Message, Name, Order, OrderKind, Peer, Priority, RequestId, Role,
-    Standing, Work,
+    Chunk, Code, ConfigVersion, CrashId, CrashReport, Demand, Digest, Envelope, Finish,
+    GenerationId, Incarnation, Load, MemberRecord, MemberState, Message, Name, Order, OrderKind,
+    PartEvidence, PartId, Peer, Priority, RefusedPart, RequestId, Role, SoundPart, Standing, Work,
 };
 use proptest::collection::vec;
 use proptest::option;
@@ -215,7 +215,18 @@
     );
     let page = vec(record(), 0..4).prop_map(|records| Message::ViewPage { records });
     prop_oneof![
-        crashes, probe, reply, via, parts, hashes, page, pull, part, order, answer
+        part_evidence(),
+        crashes,
+        probe,
+        reply,
+        via,
+        parts,
+        hashes,
+        page,
+        pull,
+        part,
+        order,
+        answer
     ]
 }
 
@@ -237,22 +248,62 @@
     )
 }
 
+fn parts() -> impl Strategy<Value = Vec<PartId>> {
+    vec(any::<u64>().prop_map(PartId), 0..4)
+}
+
+fn age() -> impl Strategy<Value = Duration> {
+    any::<u32>().prop_map(|ms| Duration::from_millis(ms.into()))
+}
+
+fn part_evidence() -> impl Strategy<Value = Message> {
+    let crash = (any::<u64>(), parts(), any::<bool>(), age());
+    let crash = crash.prop_map(|(ended, parts, begun, age)| CrashReport {
+        ended: CrashId(ended),
+        parts,
+        begun,
+        age,
+    });
+    let part = || any::<u64>().prop_map(PartId);
+    let sound = (part(), age()).prop_map(|(part, age)| SoundPart { part, age });
+    let refused = (part(), any::<u32>(), age());
+    let refused = refused.prop_map(|(part, crashes, age)| RefusedPart { part, crashes, age });
+    let all = (vec(crash, 0..3), vec(sound, 0..3), vec(refused, 0..3));
+    all.prop_map(|(crashes, sound, refused)| {
+        Message::PartEvidence(PartEvidence {
+            crashes,
+            sound,
+            refused,
+        })
+    })
+}
+
 fn demand() -> impl Strategy<Value = Demand> {
     let priority = select(vec![Priority::Batch, Priority::Interactive]);
     let counts = any::<(u32, u32, bool, u8)>();
-    (name(), name(), priority, counts, digest(), digest()).prop_map(
-        |(workspace, target, priority, counts, prefix, content)| Demand {
-            workspace,
-            target,
-            priority,
-            prompt_tokens: counts.0,
-            max_tokens: counts.1,
-            prefix,
-            content,
-            retryable: counts.2,
-            crashes: counts.3,
-        },
+    (
+        name(),
+        name(),
+        priority,
+        counts,
+        digest(),
+        digest(),
+        parts(),
     )
+        .prop_map(
+            |(workspace, target, priority, counts, prefix, content, shared_parts)| Demand {
+                workspace,
+                target,
+                priority,
+                prompt_tokens: counts.0,
+                max_tokens: counts.1,
+                prefix,
+                content,
+                shared_parts,
+                retryable: counts.2,
+                crashes: counts.3,
+            },
+        )
 }
 
 fn work() -> impl Strategy<Value = Work> {
--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -8,6 +8,7 @@
 use crate::admit::Admission;
 use crate::code::Code;
 use crate::crash_announcements::CrashAnnouncements;
+use crate::crash_evidence::CrashEvidence;
 use crate::generation::Generation;
 use crate::generation_store::GenerationStore;
 use crate::ids::{GenerationId, Name, Peer, RequestId};
@@ -200,6 +201,12 @@
     pub(crate) next_serial: u64,
     pub(crate) quarantine: Quarantine,
     pub(crate) crash_announcements: CrashAnnouncements,
+    pub(crate) crash_evidence: CrashEvidence,
+    /// Number of times that the upstream has ended.
+    pub(crate) upstream_ends: u64,
+    /// Whether it has evidence to tell, and when it last did.
+    pub(crate) tells_parts: bool,
+    pub(crate) parts_told: Time,
     pub(crate) upstream_up: bool,
     pub(crate) leaving: bool,
     pub(crate) orders: Orders,
@@ -224,6 +231,10 @@
             next_serial: 1,
             quarantine: Quarantine::default(),
             crash_announcements: CrashAnnouncements::default(),
+            crash_evidence: CrashEvidence::default(),
+            upstream_ends: 0,
+            tells_parts: false,
+            parts_told: Time::default(),
             upstream_up: false,
             leaving: false,
             orders: Orders::default(),
@@ -358,6 +369,7 @@
             Message::Crashes { content, count } => {
                 self.quarantine.record(now, content, count);
             }
+            Message::PartEvidence(told) => self.on_part_evidence(now, &told, out),
             _ => {}
         }
     }
--- a/fireflycroft/src/agent_generations.rs
+++ b/fireflycroft/src/agent_generations.rs
@@ -107,6 +107,7 @@
             return;
         };
         g.last_output = now;
+        let passed = g.log.end();
         let before = g.log.bytes();
         for token in tokens {
             g.log.push(token);
@@ -118,6 +119,7 @@
         self.generations
             .record_added_bytes(added, self.limits.max_bytes);
         self.admission.record_progress(now, offer, produced);
+        self.record_part_progress(now, id, passed, false, out);
     }
 
     pub(crate) fn finish(
@@ -140,6 +142,7 @@
         let total = g.log.end();
         if finish.code == Code::Ok {
             self.admission.finish(offer);
+            self.record_part_progress(now, id, total, true, out);
         } else {
             self.admission.release(offer);
         }
@@ -203,6 +206,7 @@
     /// the generations.
     pub(crate) fn on_upstream_down(&mut self, now: Time, out: &mut Vec<AgentAction>) {
         self.upstream_up = false;
+        self.record_part_crashes(now, out);
         let lost: Vec<(GenerationId, Digest, u8)> = self
             .generations
             .values()
--- a/fireflycroft/src/agent_maintenance.rs
+++ b/fireflycroft/src/agent_maintenance.rs
@@ -38,6 +38,7 @@
         self.stop_stalled(now, out);
         self.remove_old_records(now);
         self.quarantine.expire(now);
+        self.tick_parts(now, out);
         out.extend(
             self.crash_announcements
                 .due(now)
--- a/fireflycroft/src/agent_reservations.rs
+++ b/fireflycroft/src/agent_reservations.rs
@@ -34,7 +34,7 @@
         if self.answer_duplicate(now, from, offer, out) {
             return;
         }
-        if let Some((code, retry)) = self.refusal_reason(&demand, config_differs) {
+        if let Some((code, retry)) = self.refusal_reason(now, &demand, config_differs) {
             self.refuse(now, from, offer, code, retry, out);
             return;
         }
@@ -93,6 +93,7 @@
 
     pub(crate) fn refusal_reason(
         &self,
+        now: Time,
         demand: &Demand,
         config_differs: bool,
     ) -> Option<(Code, Duration)> {
@@ -105,6 +106,9 @@
         if self.quarantine.is_refused(demand.content) {
             return Some((Code::Quarantined, Duration::ZERO));
         }
+        if self.refuses_parts(now, &demand.shared_parts) {
+            return Some((Code::PartRefused, Duration::ZERO));
+        }
         if config_differs {
             return Some((Code::ConfigOutdated, SHORT_RETRY_AFTER));
         }
--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -115,6 +115,25 @@
     pub age: Duration,
 }
 
+/// Evidence that a process tells others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PartEvidence {
+    /// Upstreams that recently ended as answers began there.
+    pub crashes: Vec<CrashReport>,
+    /// Parts seen sound that were suspected of a crash.
+    pub sound: Vec<SoundPart>,
+    /// Parts that the sender refuses: those with the latest crashes.
+    pub refused: Vec<RefusedPart>,
+}
+
+impl PartEvidence {
+    /// Returns whether there is nothing to tell.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.sound.is_empty() && self.refused.is_empty()
+    }
+}
+
 /// Why a request may not be sent because of a part of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartVerdict {
@@ -189,7 +208,7 @@
     /// Parts that are refused at the given time unless they are seen sound before.
     suspended: Vec<(PartId, Time)>,
     /// Sound parts to tell, with the time since which they are told.
-    to_tell: VecDeque<(PartId, Time)>,
+    sound_news: VecDeque<(PartId, Time)>,
     /// Time at which the reports are to be judged again.
     judge_at: Option<Time>,
     /// Whether a part known to be sound waits to be told.
@@ -271,6 +290,19 @@
         true
     }
 
+    /// Applies evidence that another process told.
+    pub fn apply(&mut self, now: Time, told: &PartEvidence) {
+        for SoundPart { part, age } in &told.sound {
+            self.record_sound(now, &[*part], *age);
+        }
+        for report in &told.crashes {
+            self.record_crash(now, report.clone());
+        }
+        for refused in &told.refused {
+            self.adopt(now, *refused);
+        }
+    }
+
     /// Judges the reports if that is due; returns the parts that are refused from now on.
     pub fn judge(&mut self, now: Time) -> Vec<RefusedPart> {
         if self.judge_at.is_none_or(|at| now < at) {
@@ -332,9 +364,19 @@
         refused
     }
 
-    /// Returns recent crashes, to be told to other processes.
+    /// Returns what to tell other processes: recent crashes and sound parts, and refused parts.
     #[must_use]
-    pub fn crashes_to_tell(&self, now: Time) -> Vec<CrashReport> {
+    pub fn to_tell(&self, now: Time) -> PartEvidence {
+        let mut refused = self.refused(now);
+        refused.truncate(MAX_TOLD_REFUSED);
+        PartEvidence {
+            crashes: self.crashes_to_tell(now),
+            sound: self.sound_to_tell(now),
+            refused,
+        }
+    }
+
+    fn crashes_to_tell(&self, now: Time) -> Vec<CrashReport> {
         let recent = self.crashes.iter().rev();
         let recent = recent.take_while(|c| now.since(c.at) < TELL_FOR);
         let told = recent.take(MAX_TOLD).map(|c| CrashReport {
@@ -344,10 +386,8 @@
         told.collect()
     }
 
-    /// Returns sound parts that were suspected or refused, to be told to other processes.
-    #[must_use]
-    pub fn sound_to_tell(&self, now: Time) -> Vec<SoundPart> {
-        let recent = self.to_tell.iter().rev();
+    fn sound_to_tell(&self, now: Time) -> Vec<SoundPart> {
+        let recent = self.sound_news.iter().rev();
         let recent = recent.filter(|(_, since)| now.since(*since) < TELL_FOR);
         let told = recent.take(MAX_TOLD).filter_map(|(part, _)| {
             let age = now.since(self.seen_sound(*part)?);
@@ -356,14 +396,6 @@
         told.collect()
     }
 
-    /// Returns refused parts, to be told to other processes: those with the latest crashes.
-    #[must_use]
-    pub fn refused_to_tell(&self, now: Time) -> Vec<RefusedPart> {
-        let mut refused = self.refused(now);
-        refused.truncate(MAX_TOLD_REFUSED);
-        refused
-    }
-
     /// Returns once whether there is a sound part to tell since the last call.
     pub fn take_news(&mut self) -> bool {
         std::mem::take(&mut self.has_news)
@@ -374,7 +406,7 @@
         self.crashes.retain(|c| now.since(c.at) < REPORT_RETENTION);
         self.refused
             .retain(|_, r| now.since(r.last_crash) < REFUSAL_RETENTION);
-        self.to_tell
+        self.sound_news
             .retain(|(_, since)| now.since(*since) < TELL_FOR);
     }
 
@@ -403,11 +435,11 @@
     }
 
     fn tell(&mut self, now: Time, part: PartId) {
-        self.to_tell.retain(|(p, _)| *p != part);
-        if self.to_tell.len() >= MAX_TOLD {
-            self.to_tell.pop_front();
+        self.sound_news.retain(|(p, _)| *p != part);
+        if self.sound_news.len() >= MAX_TOLD {
+            self.sound_news.pop_front();
         }
-        self.to_tell.push_back((part, now));
+        self.sound_news.push_back((part, now));
         self.has_news = true;
     }
 
--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -248,7 +248,10 @@
         };
         let crashes = self.quarantine.crashes(call.demand.content);
         let allowed = call.may_restart(self.limits.max_starts);
-        if !allowed || crashes >= CRASH_LIMIT || !self.retries.spend() {
+        let parts = &call.demand.shared_parts;
+        let is_refused =
+            crashes >= CRASH_LIMIT || self.crash_evidence.verdict(now, parts).is_some();
+        if !allowed || is_refused || !self.retries.spend() {
             self.fail(id, code, None, out);
             return;
         }
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -224,6 +224,10 @@
         if call.refusal != Some(Code::Overloaded) {
             call.refusal = Some(code);
         }
+        if code == Code::PartRefused {
+            self.fail(id, Code::Quarantined, None, out);
+            return;
+        }
         if code == Code::Quarantined {
             let content = call.demand.content;
             self.quarantine
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -8,6 +8,7 @@
 use crate::claim::ClaimAttempt;
 use crate::code::{Class, Code};
 use crate::config::{ActiveConfig, AdoptOutcome, Config};
+use crate::crash_evidence::CrashEvidence;
 use crate::entry_io::{Delivery, EntryAction, EntryEvent, EntryLimits, EntrySetup, Reply};
 use crate::ids::{CallId, Digest, GenerationId, IdSource, Name, RequestId};
 use crate::log_event::LogEvent;
@@ -135,6 +136,7 @@
     /// Bytes of whole answers buffered for all calls.
     pub(crate) buffered_bytes: usize,
     pub(crate) quarantine: Quarantine,
+    pub(crate) crash_evidence: CrashEvidence,
     pub(crate) quotas: Quotas,
     pub(crate) retries: RestartBudget,
     pub(crate) entries: u32,
@@ -156,6 +158,7 @@
             by_request: HashMap::new(),
             buffered_bytes: 0,
             quarantine: Quarantine::default(),
+            crash_evidence: CrashEvidence::default(),
             quotas: Quotas::default(),
             retries: RestartBudget::default(),
             entries: 1,
@@ -279,6 +282,10 @@
             Message::Crashes { content, count } => {
                 self.quarantine.record(now, content, count);
             }
+            Message::PartEvidence(told) => {
+                self.crash_evidence.apply(now, &told);
+                self.judge_parts(now, out);
+            }
             _ => {}
         }
     }
@@ -323,6 +330,16 @@
             self.tick_call(now, id, out);
         }
         self.quarantine.expire(now);
+        self.crash_evidence.expire(now);
+        self.judge_parts(now, out);
+    }
+
+    fn judge_parts(&mut self, now: Time, out: &mut Vec<EntryAction>) {
+        for refused in self.crash_evidence.judge(now) {
+            let event = LogEvent::new("part_refused").part(refused.part);
+            let event = event.count(u64::from(refused.crashes));
+            out.push(EntryAction::LogEvent(event));
+        }
     }
 
     /// Clears `leaving` reports older than their lifetime.
--- a/fireflycroft/src/entry_announcement.rs
+++ b/fireflycroft/src/entry_announcement.rs
@@ -1,6 +1,6 @@
 //! State announced by a direct entry to the other entries.
 
-use crate::crash_evidence::{CrashReport, RefusedPart, SoundPart};
+use crate::crash_evidence::PartEvidence;
 use crate::evacuation::Evacuations;
 use crate::ids::{Digest, Incarnation, Name};
 use crate::interference::PauseCounts;
@@ -58,12 +58,8 @@
     pub retries: Vec<RetryCount>,
     /// Content that recently crashed upstreams.
     pub crashes: Vec<CrashCount>,
-    /// Upstreams that recently ended as answers began there.
-    pub part_crashes: Vec<CrashReport>,
-    /// Parts of prompts seen sound that were suspected of a crash.
-    pub sound_parts: Vec<SoundPart>,
-    /// Parts of prompts that the sender refuses.
-    pub refused_parts: Vec<RefusedPart>,
+    /// Evidence about parts of prompts that crash upstreams.
+    pub part_evidence: PartEvidence,
     /// Some other entries known to the sender.
     pub peers: Vec<Ipv4Addr>,
     /// Evacuated data centres.
--- a/fireflycroft/src/entry_io.rs
+++ b/fireflycroft/src/entry_io.rs
@@ -3,7 +3,7 @@
 use crate::claim::{ClaimAnswer, ClaimOp};
 use crate::code::Code;
 use crate::config::Config;
-use crate::ids::{CallId, Digest, GenerationId, Name, RequestId};
+use crate::ids::{CallId, Digest, GenerationId, Name, PartId, RequestId};
 use crate::log_event::LogEvent;
 use crate::member_record::MemberRecord;
 use crate::message::{Envelope, Finish, Message};
@@ -121,6 +121,8 @@
     pub max_tokens: u32,
     /// Digest of the prompt's prefix.
     pub prefix: Digest,
+    /// Messages of the prompt but the last, which other requests may share.
+    pub shared_parts: Vec<PartId>,
     /// Form of the answer.
     pub delivery: Delivery,
     /// Value of the `Idempotency-Key` header.
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -52,6 +52,7 @@
 mod agent_generations;
 mod agent_maintenance;
 mod agent_orders;
+mod agent_parts;
 mod agent_reservations;
 mod attempt;
 mod await_config;
--- a/fireflycroft/src/log_event.rs
+++ b/fireflycroft/src/log_event.rs
@@ -1,7 +1,7 @@
 //! Events that the core reports for the daemon to log and count.
 
 use crate::code::Code;
-use crate::ids::{Name, RequestId};
+use crate::ids::{Name, PartId, RequestId};
 
 /// An event to log and count.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,6 +12,8 @@
     pub request: Option<RequestId>,
     /// The other process.
     pub peer: Option<Name>,
+    /// Part of a prompt concerned.
+    pub part: Option<PartId>,
     /// Result code.
     pub code: Option<Code>,
     /// A number whose meaning depends on the event.
@@ -26,6 +28,7 @@
             event,
             request: None,
             peer: None,
+            part: None,
             code: None,
             count: 0,
         }
@@ -45,6 +48,13 @@
         self
     }
 
+    /// Adds the part of a prompt concerned.
+    #[must_use]
+    pub const fn part(mut self, part: PartId) -> Self {
+        self.part = Some(part);
+        self
+    }
+
     /// Adds a result code.
     #[must_use]
     pub const fn code(mut self, code: Code) -> Self {
--- a/fireflycroft/src/message.rs
+++ b/fireflycroft/src/message.rs
@@ -7,6 +7,7 @@
 //! message may be lost, duplicated or reordered.
 
 use crate::code::Code;
+use crate::crash_evidence::PartEvidence;
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
 use crate::member_record::MemberRecord;
 use crate::order::Order;
@@ -215,6 +216,8 @@
         /// Number of upstreams crashed.
         count: u8,
     },
+    /// Agent: evidence about parts of prompts that crash upstreams.
+    PartEvidence(PartEvidence),
     /// Holder of the fleet's lease: an order to be executed.
     Order(Order),
     /// Agent: outcome of an order.
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -2,9 +2,10 @@
 
 use crate::code::Code;
 use crate::config::{Config, WorkspaceIx};
+use crate::crash_evidence::PartVerdict;
 use crate::entry::{Call, Entry, Phase};
 use crate::entry_io::{EntryAction, Reply, Submission};
-use crate::ids::{CallId, Digest, Name};
+use crate::ids::{CallId, Digest, Name, PartId};
 use crate::inventory::WithoutKey;
 use crate::log_event::LogEvent;
 use crate::objective::{LatencyGoal, MeasuredRequest, TokenTiming, met_objective};
@@ -132,6 +133,9 @@
         if self.quarantine.is_refused(demand.content) && submission.resume.is_none() {
             return Err(permanent_refusal(Code::Quarantined));
         }
+        if submission.resume.is_none() {
+            self.check_parts(now, &demand.shared_parts)?;
+        }
         let charged = self.charge(now, &config, ix, submission)?;
         let max_wait = config.max_wait(demand.priority);
         let brand = config.brand_name(ix).clone();
@@ -147,6 +151,23 @@
         })
     }
 
+    /// Refuses a request that shares a part with those that crash upstreams, unless it tries the part again.
+    fn check_parts(&mut self, now: Time, parts: &[PartId]) -> Result<(), Refusal> {
+        match self.crash_evidence.verdict(now, parts) {
+            None => Ok(()),
+            Some(PartVerdict::Refused(refused))
+                if self.crash_evidence.take_probe(now, refused.part) =>
+            {
+                Ok(())
+            }
+            Some(PartVerdict::Refused(_)) => Err(permanent_refusal(Code::Quarantined)),
+            Some(PartVerdict::Suspended { wait, .. }) => Err(Refusal {
+                code: Code::PartRefused,
+                retry_after: Some(wait),
+            }),
+        }
+    }
+
     fn demand(
         &self,
         config: &Config,
@@ -163,6 +184,7 @@
             max_tokens: submission.max_tokens,
             prefix: submission.prefix,
             content,
+            shared_parts: submission.shared_parts.clone(),
             retryable: repeatable,
             crashes: self.quarantine.crashes(content),
         }
--- a/fireflycroft/src/work.rs
+++ b/fireflycroft/src/work.rs
@@ -1,6 +1,6 @@
 //! The work of a request and its demand on an upstream.
 
-use crate::ids::{Digest, Name};
+use crate::ids::{Digest, Name, PartId};
 use std::sync::Arc;
 
 /// Priority of a request.
@@ -53,6 +53,8 @@
     pub prefix: Digest,
     /// Digest of the whole content, for quarantine.
     pub content: Digest,
+    /// Messages of the prompt but the last, which other requests may share.
+    pub shared_parts: Vec<PartId>,
     /// Whether it may be run again after a failure.
     pub retryable: bool,
     /// Number of upstreams that crashed while running this content.
--- a/fireflycroft/tests/admit.rs
+++ b/fireflycroft/tests/admit.rs
@@ -58,6 +58,7 @@
         prompt_tokens: prompt,
         max_tokens: 8_192,
         prefix: Digest(0),
+        shared_parts: Vec::new(),
         content: Digest(0),
         retryable: true,
         crashes: 0,
--- a/fireflycroft/tests/crash_evidence.rs
+++ b/fireflycroft/tests/crash_evidence.rs
@@ -203,7 +203,7 @@
         assert!(evidence.adopt(at(0), told));
         assert!(!evidence.adopt(at(1), told));
         assert_eq!(refused(&mut evidence, 0), [BAD]);
-        assert_eq!(evidence.refused_to_tell(at(0)), [told]);
+        assert_eq!(evidence.to_tell(at(0)).refused, [told]);
     }
 
     refusal_older_than_a_sound_answer_is_contradicted(evidence) {
@@ -211,22 +211,22 @@
         let told = RefusedPart { part: PartId(BAD), crashes: 3, age: Duration::from_secs(9) };
         assert!(!evidence.adopt(at(10), told));
         assert!(evidence.take_news());
-        assert_eq!(evidence.sound_to_tell(at(10))[0].part, PartId(BAD));
+        assert_eq!(evidence.to_tell(at(10)).sound[0].part, PartId(BAD));
     }
 
     part_known_to_be_sound_is_told_when_a_crash_is(evidence) {
         sound(&mut evidence, 0, &[FIRST]);
-        assert!(evidence.sound_to_tell(at(0)).is_empty());
+        assert!(evidence.to_tell(at(0)).sound.is_empty());
         evidence.record_crash(at(2_000), report(1, &[FIRST, BAD]));
-        let told = evidence.sound_to_tell(at(2_000));
+        let told = evidence.to_tell(at(2_000)).sound;
         assert_eq!((told[0].part, told[0].age), (PartId(FIRST), Duration::from_secs(2)));
-        assert!(evidence.sound_to_tell(at(9_000)).is_empty());
+        assert!(evidence.to_tell(at(9_000)).sound.is_empty());
     }
 
     crashes_are_told_for_some_seconds(evidence) {
         evidence.record_crash(at(0), report(1, &[BAD]));
-        assert_eq!(evidence.crashes_to_tell(at(1_000))[0].age, Duration::from_secs(1));
-        assert!(evidence.crashes_to_tell(at(6_000)).is_empty());
+        assert_eq!(evidence.to_tell(at(1_000)).crashes[0].age, Duration::from_secs(1));
+        assert!(evidence.to_tell(at(6_000)).crashes.is_empty());
     }
 
     request_without_shared_parts_is_no_evidence(evidence) {
@@ -240,11 +240,11 @@
             evidence.record_crash(at(number), report(number, &parts));
             sound(&mut evidence, number, &[number]);
         }
-        let told = evidence.crashes_to_tell(at(5_000));
-        assert!(told.len() <= 8);
-        assert!(told.iter().all(|c| c.parts.len() <= MAX_SHARED_PARTS));
-        assert!(evidence.sound_to_tell(at(5_000)).len() <= 8);
-        assert!(evidence.refused_to_tell(at(5_000)).len() <= 16);
+        let told = evidence.to_tell(at(5_000));
+        assert!(told.crashes.len() <= 8);
+        assert!(told.crashes.iter().all(|c| c.parts.len() <= MAX_SHARED_PARTS));
+        assert!(told.sound.len() <= 8);
+        assert!(told.refused.len() <= 16);
     }
 }
 
--- a/fireflycroft/tests/objective.rs
+++ b/fireflycroft/tests/objective.rs
@@ -68,6 +68,7 @@
         prompt_tokens: 1,
         max_tokens: 100,
         prefix: Digest(0),
+        shared_parts: Vec::new(),
         delivery: Delivery::Stream,
         idempotency_key: None,
         never_retry: false,
--- a/fireflycroft/tests/recheck.rs
+++ b/fireflycroft/tests/recheck.rs
@@ -64,6 +64,7 @@
         prompt_tokens: 1,
         max_tokens: 9,
         prefix: Digest(0),
+        shared_parts: Vec::new(),
         delivery: Delivery::Whole,
         idempotency_key: None,
         never_retry: false,
--- a/fireflycroft/tests/route.rs
+++ b/fireflycroft/tests/route.rs
@@ -81,6 +81,7 @@
         prompt_tokens: 100,
         max_tokens: 1_000,
         prefix: Digest(0),
+        shared_parts: Vec::new(),
         content: Digest(0),
         retryable: true,
         crashes: 0,
--- a/fireflycroft/tests/support/fleet.rs
+++ b/fireflycroft/tests/support/fleet.rs
@@ -277,6 +277,7 @@
             prompt_tokens: 20,
             max_tokens: 500,
             prefix: Digest(0),
+            shared_parts: Vec::new(),
             delivery: if self.whole {
                 Delivery::Whole
             } else {
--- a/fireflyd/src/node.rs
+++ b/fireflyd/src/node.rs
@@ -139,6 +139,11 @@
         self.journal.add(log_event);
         let code = log_event.code.map_or(0, fireflycroft::Code::number);
         let peer = log_event.peer.as_deref().unwrap_or("-");
+        if let Some(part) = log_event.part {
+            let part = part.to_string();
+            log::info!(event = log_event.event, part = part, count = log_event.count; "");
+            return;
+        }
         match log_event.request {
             Some(req) => {
                 log::info!(event = log_event.event, req:% = req, peer = peer, code = code, count = log_event.count; "");
--- a/fireflyd/src/request.rs
+++ b/fireflyd/src/request.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use fireflycroft::{
-    CHAT_PATH, Code, Delivery, Digest, Name, Priority, ResumePoint, Submission, Work, digest_key,
-    parse_event_id,
+    CHAT_PATH, Code, Delivery, Digest, MAX_SHARED_PARTS, Name, PartId, Priority, ResumePoint,
+    Submission, Work, digest_key, parse_event_id,
 };
 use poem::http::HeaderMap;
 use serde::Deserialize;
@@ -107,6 +107,7 @@
         prompt_tokens: estimate_tokens(&chat.messages),
         max_tokens: chat.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
         prefix: digest_prefix(&chat),
+        shared_parts: digest_shared_parts(&chat),
         delivery: if chat.stream {
             Delivery::Stream
         } else {
@@ -147,6 +148,7 @@
         prompt_tokens: 1,
         max_tokens: 1,
         prefix: Digest::of(&[]),
+        shared_parts: Vec::new(),
         delivery: Delivery::Whole,
         idempotency_key: parse_idempotency_key(headers)?,
         never_retry: !is_idempotent(&method),
@@ -213,6 +215,14 @@
     u32::try_from(tokens).unwrap_or(u32::MAX)
 }
 
+/// Returns the digests of the messages that other requests may share: all but the last, the first ones of a long
+/// conversation.
+fn digest_shared_parts(chat: &ChatRequest) -> Vec<PartId> {
+    let shared = chat.messages.split_last().map_or(&[][..], |(_, rest)| rest);
+    let part = |m: &ChatMessage| PartId(Digest::of(&[m.content.as_bytes()]).folded());
+    shared.iter().take(MAX_SHARED_PARTS).map(part).collect()
+}
+
 fn digest_prefix(chat: &ChatRequest) -> Digest {
     let mut prefix_bytes = Vec::with_capacity(PREFIX_BYTES);
     for message in &chat.messages {
--- a/fireflydirect/src/announce.rs
+++ b/fireflydirect/src/announce.rs
@@ -2,7 +2,6 @@
 
 use crate::hold;
 use crate::node::{Node, Stage};
-use crate::parts;
 use fireflycroft::{EntryAnnouncement, EntryMessage, ListChange, OwnedKey};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
@@ -95,7 +94,7 @@
     let rate_limits = node.pool.borrow_mut().rates_to_announce(now);
     let departing = node.pool.borrow_mut().leave_notices_to_announce(now);
     let peers = node.peers.borrow();
-    let mut announcement = EntryAnnouncement {
+    EntryAnnouncement {
         name: node.place.vm.clone(),
         incarnation: peers.incarnation,
         config: node.config_version(),
@@ -109,6 +108,7 @@
         list_changes: list_changes(node),
         retries,
         crashes: peers.crashes.iter().copied().collect(),
+        part_evidence: node.crash_evidence.borrow().to_tell(now),
         peers: peers.listed_peers(now),
         evacuations: node.pool.borrow().evacuations().clone(),
         rate_limits,
@@ -116,10 +116,7 @@
         demands: hold::demands(node),
         pauses: node.pool.borrow().pause_counts(),
         leaving: node.stage() != Stage::Serving,
-        ..EntryAnnouncement::default()
-    };
-    parts::add_to(node, now, &mut announcement);
-    announcement
+    }
 }
 
 /// Returns changes of the list of upstreams, if this entry has them from the store.
--- a/fireflydirect/src/parts.rs
+++ b/fireflydirect/src/parts.rs
@@ -1,10 +1,11 @@
 //! Refuses requests whose prompts share a part that crashes upstreams, and tells the other entries.
 
 use crate::job::Job;
+use crate::log_value::list;
 use crate::node::Node;
 use crate::serve::FINAL_RETRY_AFTER;
 use fireflycroft::{
-    CrashReport, EntryAnnouncement, OwnedKey, PartId, PartVerdict, RefusedPart, SoundPart, Time,
+    CrashReport, OwnedKey, PartEvidence, PartId, PartVerdict, RefusedPart, SoundPart,
 };
 use rand::RngExt;
 use std::time::Duration;
@@ -138,23 +139,15 @@
     tell_news(node);
 }
 
-/// Adds the evidence to an announcement.
-pub fn add_to(node: &Node, now: Time, announcement: &mut EntryAnnouncement) {
-    let evidence = node.crash_evidence.borrow();
-    announcement.part_crashes = evidence.crashes_to_tell(now);
-    announcement.sound_parts = evidence.sound_to_tell(now);
-    announcement.refused_parts = evidence.refused_to_tell(now);
-}
-
 /// Applies the evidence in another entry's announcement.
-pub fn apply(node: &Node, announcement: &EntryAnnouncement) {
-    for SoundPart { part, age } in &announcement.sound_parts {
+pub fn apply(node: &Node, told: &PartEvidence) {
+    for SoundPart { part, age } in &told.sound {
         clear(node, &[*part], *age, "peer");
     }
-    for report in &announcement.part_crashes {
+    for report in &told.crashes {
         apply_crash(node, report);
     }
-    for refused in &announcement.refused_parts {
+    for refused in &told.refused {
         let is_news = node.crash_evidence.borrow_mut().adopt(node.now(), *refused);
         if is_news {
             log_refused(refused, "peer");
@@ -172,7 +165,7 @@
     if is_news {
         log::info!(
             event = "part_crash_told", ended = format!("{:016x}", report.ended.0),
-            parts = crate::log_value::list(&report.parts), begun = report.begun,
+            parts = list(&report.parts), begun = report.begun,
             age_ms = report.age.as_millis();
             ""
         );
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -102,7 +102,7 @@
     for crash in &announcement.crashes {
         record_crash(node, now, crash);
     }
-    parts::apply(node, &announcement);
+    parts::apply(node, &announcement.part_evidence);
     if node.peers.borrow().lacks_entries(now, &announcement) {
         fetch_entries(node, from);
     }
