Carry evidence about parts in a message that older builds read

An unknown kind of message invalidates the whole packet for an older build, and evidence is broadcast in the packets that carry tokens: during a rolling upgrade each crash would cost it some of them.

Evidence now travels as a field of the message of crash counts, whose count is zero then. An older build reads a count that is no news. Round trips of both pass; no run beside an older build was made.

--- a/fireflycroft-wire/src/decode.rs
+++ b/fireflycroft-wire/src/decode.rs
@@ -109,7 +109,6 @@
         Kind::Detach(detach) => read_detach(&detach),
         Kind::Cancel(cancel) => read_cancel(cancel),
         Kind::Crashes(crashes) => read_crashes(&crashes),
-        Kind::PartEvidence(told) => read_part_evidence(&told).map(Message::PartEvidence),
         Kind::Ping(probe) => read_ping(probe),
         Kind::Pong(probe) => read_pong(probe),
         Kind::PingVia(via) => read_ping_via(via),
@@ -222,6 +221,9 @@
 }
 
 fn read_crashes(crashes: &pb::Crashes) -> Result<Message, WireError> {
+    if let Some(evidence) = &crashes.parts {
+        return read_part_evidence(evidence).map(Message::PartEvidence);
+    }
     Ok(Message::Crashes {
         content: read_digest(&crashes.content, "crashes.content")?,
         count: read_narrow(crashes.count, "crashes.count")?,
--- a/fireflycroft-wire/src/encode.rs
+++ b/fireflycroft-wire/src/encode.rs
@@ -226,8 +226,13 @@
         Message::Crashes { content, count } => Kind::Crashes(pb::Crashes {
             content: id_bytes(content.0),
             count: u32::from(*count),
+            parts: None,
+        }),
+        Message::PartEvidence(evidence) => Kind::Crashes(pb::Crashes {
+            content: id_bytes(0),
+            count: 0,
+            parts: Some(part_evidence(evidence)),
         }),
-        Message::PartEvidence(evidence) => Kind::PartEvidence(part_evidence(evidence)),
         Message::Ping {
             nonce,
             records,
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -55,7 +55,7 @@
 pub struct Body {
     #[prost(
         oneof = "body::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 22, 23, 18, 19, 20, 21, 24"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 22, 23, 18, 19, 20, 21"
     )]
     pub kind: ::core::option::Option<body::Kind>,
 }
@@ -109,8 +109,6 @@
         ViewHashes(super::ViewHashes),
         #[prost(message, tag = "21")]
         ViewPage(super::ViewPage),
-        #[prost(message, tag = "24")]
-        PartEvidence(super::PartEvidence),
     }
 }
 /// Identifier of a reservation and of the generation started from it.
@@ -331,13 +329,16 @@
     #[prost(message, optional, tag = "1")]
     pub generation: ::core::option::Option<Generation>,
 }
-/// Number of upstreams crashed by one content.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+/// Number of upstreams crashed by one content; with evidence about parts of prompts the count is zero, which says
+/// nothing to a reader that knows of no parts.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Crashes {
     #[prost(bytes = "vec", tag = "1")]
     pub content: ::prost::alloc::vec::Vec<u8>,
     #[prost(uint32, tag = "2")]
     pub count: u32,
+    #[prost(message, optional, tag = "3")]
+    pub parts: ::core::option::Option<PartEvidence>,
 }
 /// Record of one member.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
