Go on with a stream that ends with its connection before its first event

What callers saw: a success with no event, where an upstream whose streams end with their connection closed it after the head. To the entry it looked whole, and the parts of its prompt looked sound.

Cause: an end of the connection counts as that of the stream unless it comes within an event. Before the first event there is none to be within.

--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -69,6 +69,12 @@
         self.reads += 1;
     }
 
+    /// Returns whether a whole event has come.
+    #[must_use]
+    pub const fn has_data(&self) -> bool {
+        self.reads > 0
+    }
+
     /// Returns whether the answer has gone on past its beginning.
     #[must_use]
     pub fn is_past_beginning(&self, now: Time) -> bool {
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -249,10 +249,16 @@
             None if self.events.is_mid_event() => {
                 Read::Broke("response ended within an event".to_owned())
             }
+            None if !self.has_begun() => Read::Broke("response ended before an event".to_owned()),
             None => Read::End,
         }
     }
 
+    /// Returns whether an event has come, here or before the caller took the stream up.
+    const fn has_begun(&self) -> bool {
+        self.events.relayed() > 0 || self.events.last_id().is_some()
+    }
+
     fn record_progress(&mut self) {
         self.progress.record_read();
         if !self.is_sound && self.progress.is_past_beginning(self.job.now()) {
@@ -321,7 +327,9 @@
 
     fn finish(&mut self) {
         self.ended = true;
-        parts::record_sound(&self.job);
+        if self.progress.has_data() {
+            parts::record_sound(&self.job);
+        }
         if let Some(source) = self.source.take() {
             release_link(&self.job, self.assignment.ix, &source.head, source.link);
         }
--- a/fireflydirect/tests/processes_framing.rs
+++ b/fireflydirect/tests/processes_framing.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    stream_that_ends_before_its_first_event_has_broken_off(site: 1) {
+        end_with_connection(&site);
+        site.engines[0].set_fault(AnswerFault::NoEvents);
+        for _ in 0..6 {
+            let id = site.id();
+            let answer = site.stream(0, "/grade/a", 20, &id).send().await.unwrap();
+            assert_eq!(answer.text().await.unwrap(), whole_stream(&id, 20));
+        }
+    }
+
     entry_that_gets_most_new_connections_serves_them(site: 3) {
         let ids: Vec<String> = (0..CROWD).map(|_| site.id()).collect();
         let url = format!("http://{}", site.callers_of(0));
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -43,6 +43,8 @@
     Truncate,
     /// Closes the connection in the middle of the fifth event, or of the body.
     CutInEvent,
+    /// Closes the connection after the head of a stream.
+    NoEvents,
     /// Sends another request's answer after each answer.
     Duplicate,
     /// Crashes at the start of a run.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -178,6 +178,10 @@
     }
     let framing = shared.framing();
     write_stream_head(stream, &shared.with_extra_headers(&headers), framing).await?;
+    if fault == AnswerFault::NoEvents {
+        run.end(RunEnd::Broken);
+        return Ok(ConnectionAction::Close);
+    }
     if run.crashes {
         tokio::time::sleep(CRASH_DELAY).await;
         return run.crash().await;
