Soak entries with streams that crash engines by a part of their prompts

Callers of the soak send streams with shared parts; after the first 150 requests every fifth stream has a part that crashes its engine, no two alike, and sound ones share the first parts and the key. Engines that it ends start again after 1.5 s. The plan kills, replaces and restarts engines, and stops, kills and pauses entries beside that. Engines are listed at their own addresses there: a proxy accepts connections for one that has crashed, which looks alive.

The oracle learns two guarantees, with the users' figures: at most three requests with such a part reach upstreams later than 3 s after the fifth crash, and from 6 s after it sound streams beside the part begin at least half as often as before. Six tests show where each turns red.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -14,11 +14,11 @@
 mod support;
 
 use reqwest::Client;
-use soak_parts::callers::Callers;
+use soak_parts::callers::{BAD_PART, Callers};
 use soak_parts::faults::{Soak, other_version};
 use soak_parts::plan::{
-    Fault, Step, plan, plan_with_conditions, plan_with_drills, plan_with_unheard_departures,
-    plan_with_versions,
+    Fault, Step, plan, plan_with_conditions, plan_with_crashing_parts, plan_with_drills,
+    plan_with_unheard_departures, plan_with_versions,
 };
 use standins::site::{Attempt, Breach, FIRST_VERSION, Outcome, ProxyFault};
 use std::time::Duration;
@@ -48,6 +48,12 @@
 /// Default seeds of soaks with engines of two software versions.
 const DEFAULT_VERSION_SEEDS: &str = "1,2,3";
 
+/// Default seeds of soaks with a part of prompts that crashes engines.
+const DEFAULT_PART_SEEDS: &str = "1,2";
+
+/// Shortest soak in which requests after the refusal of a part are judged, in seconds.
+const MIN_PART_SECONDS: u64 = 9;
+
 /// Default length of a soak in seconds.
 const DEFAULT_SECONDS: u64 = 5;
 
@@ -83,6 +89,8 @@
     engines: u8,
     /// Whether every second of these has another software version.
     two_versions: bool,
+    /// Whether a part of prompts crashes engines.
+    crashing_part: bool,
 }
 
 /// No change.
@@ -91,6 +99,15 @@
     callers: |callers| callers,
     engines: INITIAL_ENGINES,
     two_versions: false,
+    crashing_part: false,
+};
+
+/// Streams of which some crash engines by a part of their prompts.
+const CRASHING_PARTS: Changes = Changes {
+    callers: Callers::crashing,
+    engines: 6,
+    crashing_part: true,
+    ..UNCHANGED
 };
 
 /// Three engines of each of two software versions, and callers who take streams up.
@@ -134,6 +151,10 @@
             engine.set_version(other_version(FIRST_VERSION));
         }
     }
+    if changes.crashing_part {
+        site.direct_engines = true;
+        site.record.crash_on(BAD_PART);
+    }
     site.use_proxies().await;
     site.log_objective_ms = LOG_OBJECTIVE_MS;
     site.publish(&[KEY]);
@@ -164,6 +185,7 @@
     .await;
     soak.evidence.attempts = callers.attempts();
     soak.evidence.runs = soak.site.record.runs();
+    soak.evidence.crashing_parts = soak.site.record.crashing_parts();
     soak.evidence.foreign_memory = soak.site.record.foreign_memory();
     let breaches = soak.evidence.find_breaches();
     assert!(
@@ -294,6 +316,31 @@
     }
 }
 
+/// Streams crash engines by a part of their prompts, no two alike, combined with other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_parts_among_faults_keep_the_promises() {
+    let seeds: String = env_or("FIREFLY_SOAK_PART_SEEDS", DEFAULT_PART_SEEDS.to_owned());
+    let seconds = env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS).max(MIN_PART_SECONDS);
+    let seconds = Duration::from_secs(seconds);
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_with_crashing_parts(seed, seconds);
+        let name = format!("crashing parts, seed {seed}");
+        run_plan_with(CRASHING_PARTS, &name, &steps, seconds).await;
+    }
+}
+
+/// The same without other faults, for long enough to judge sound requests that share the other parts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sound_requests_beside_a_crashing_part_begin() {
+    run_plan_with(
+        CRASHING_PARTS,
+        "crashing part",
+        &[],
+        Duration::from_secs(14),
+    )
+    .await;
+}
+
 /// Releases replace engines and engines crash, and no fault excuses streams that don't go on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_taken_up_in_releases_go_on() {
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -38,6 +38,19 @@
 /// Time from a break to the next attempt.
 const TAKE_UP_DELAY: Duration = Duration::from_millis(40);
 
+/// Part of prompts that crashes engines.
+pub(crate) const BAD_PART: &str = "bad1";
+
+/// Requests before the first with [`BAD_PART`].
+const SOUND_REQUESTS: u64 = 150;
+
+/// One stream in so many has [`BAD_PART`].
+const BAD_STREAMS: u64 = 5;
+
+/// Different first and second parts of prompts.
+const FIRST_PARTS: u64 = 3;
+const SECOND_PARTS: u64 = 7;
+
 /// Stream that a caller takes up.
 struct Held {
     /// Its first attempt.
@@ -59,6 +72,8 @@
     crowd: bool,
     /// Whether some callers break their streams off to take them up elsewhere.
     breaks: bool,
+    /// Whether some streams have a part in their prompts that crashes engines.
+    crashes: bool,
 }
 
 impl Callers {
@@ -71,6 +86,7 @@
             next: Arc::default(),
             crowd: false,
             breaks: false,
+            crashes: false,
         }
     }
 
@@ -91,6 +107,30 @@
         }
     }
 
+    /// Makes some streams crash engines by a part of their prompts; no two are alike, and sound ones share the
+    /// other parts.
+    pub(crate) fn crashing(self) -> Self {
+        Self {
+            crashes: true,
+            ..self
+        }
+    }
+
+    /// Returns the parts of a stream's prompt that others share.
+    fn shared_parts(&self, number: u64) -> Vec<String> {
+        if !self.crashes {
+            return Vec::new();
+        }
+        let first = format!("f{}", number / 4 % FIRST_PARTS);
+        let is_bad = number >= SOUND_REQUESTS && number / 4 % BAD_STREAMS == 0;
+        let second = if is_bad {
+            BAD_PART.to_owned()
+        } else {
+            format!("c{}", number / 4 % SECOND_PARTS)
+        };
+        vec![first, second]
+    }
+
     /// Returns the attempts that have ended.
     pub(crate) fn attempts(&self) -> Vec<Attempt> {
         self.attempts.lock().unwrap().clone()
@@ -155,6 +195,11 @@
             ),
         };
         let is_stream = matches!(kind, RequestKind::Log | RequestKind::Grade);
+        let shared_parts = if is_stream {
+            self.shared_parts(number)
+        } else {
+            Vec::new()
+        };
         let crowds = self.crowd && is_stream;
         let path = if crowds {
             format!("/log/a?events={events}")
@@ -179,6 +224,12 @@
                 .header("X-Length-Hint", (events * 4).to_string())
                 .body(format!("prompt {number}"));
         }
+        if !shared_parts.is_empty() {
+            let last = format!("ffff{number:x}:200");
+            let parts = shared_parts.iter().map(|p| format!("{p}:80"));
+            let parts: Vec<String> = parts.chain([last]).collect();
+            req = req.header("X-Prompt-Prefix", parts.join(","));
+        }
         if let Some(held) = held {
             req = req
                 .header("Resumes", &held.first)
@@ -204,6 +255,7 @@
             id,
             resumes: held.map(|h| h.first.clone()),
             kind: if crowds { RequestKind::Log } else { kind },
+            shared_parts,
             began,
             expected_body,
             outcome,
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -5,7 +5,7 @@
 use standins::site::{
     AnswerFault, EngineKind, Evidence, FIRST_VERSION, ProxyFault, ServingSpan, Snapshot, StoreMode,
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -31,6 +31,9 @@
 /// Time after a restore drill in which upstreams and the operator rewrite their records.
 const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Time from a crash by a part of a prompt to the engine's next start.
+const REVIVE_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Software version beside the first one.
 const SECOND_VERSION: &str = "v2";
 
@@ -51,6 +54,8 @@
     /// existing service; restarted entries can't, and foreign records of the platform name one that
     /// doesn't exist.
     foreign_service: &'static str,
+    /// Engines that a part of a prompt has crashed and that start again.
+    crashed: HashSet<usize>,
     /// Version and start of the engines that serve, by number.
     serving: HashMap<usize, (String, Instant)>,
 }
@@ -83,6 +88,8 @@
     /// The store is restored from the snapshot of that number.
     Drill(usize),
     RewriteRecords,
+    /// An engine that a part of a prompt has crashed starts again.
+    Revive(usize),
 }
 
 impl Soak {
@@ -96,6 +103,7 @@
             announced: HashMap::new(),
             copies: HashMap::new(),
             foreign_service,
+            crashed: HashSet::new(),
             serving: HashMap::new(),
         };
         for engine in 0..soak.site.engines.len() {
@@ -405,7 +413,10 @@
 
     fn set_harm(&self, kind: EngineKind, number: usize, harm: ProxyFault) {
         let instance = self.upstream(kind, number).instance();
-        self.site.proxies[&instance].set_fault(harm);
+        // Engines at their own addresses have no proxy.
+        if let Some(proxy) = self.site.proxies.get(&instance) {
+            proxy.set_fault(harm);
+        }
     }
 
     async fn undo(&mut self, undo: Undo) {
@@ -420,6 +431,7 @@
             }
             Undo::RewriteRecords => self.rewrite_records().await,
             Undo::EndEngine(engine) => self.end_engine(engine),
+            Undo::Revive(engine) => self.revive(engine).await,
             Undo::Rate(kind, number) => self.lift_rate_limit(kind, number),
             Undo::ListLeaving(engine) => self.list_leaving(engine).await,
             Undo::Pause(plain) => self.end_pause(plain),
@@ -447,6 +459,23 @@
         }
     }
 
+    /// Plans the restart of engines that a part of a prompt has crashed.
+    fn note_crashed(&mut self) {
+        for engine in self.active_engines() {
+            if self.site.engines[engine].has_crashed() && self.crashed.insert(engine) {
+                self.end_serving(engine);
+                let at = Instant::now() + REVIVE_DELAY;
+                self.pending_undos.push((at, Undo::Revive(engine)));
+            }
+        }
+    }
+
+    async fn revive(&mut self, engine: usize) {
+        if self.crashed.remove(&engine) && !self.announced.contains_key(&engine) {
+            self.restart(engine, false, Instant::now()).await;
+        }
+    }
+
     /// Upstreams and the operator rewrite what the snapshot may lack; records of gone ones expire.
     async fn rewrite_records(&mut self) {
         for engine in self.active_engines() {
@@ -489,6 +518,7 @@
         let mut steps = steps.iter().peekable();
         while self.start.elapsed() < length {
             self.undo_due(false).await;
+            self.note_crashed();
             while let Some(step) = steps.next_if(|s| s.at <= self.start.elapsed()) {
                 self.apply(step).await;
             }
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -178,6 +178,34 @@
     steps
 }
 
+/// Returns faults beside which engines are crashed by a part of prompts: few of them excuse what reaches engines.
+pub(crate) fn plan_with_crashing_parts(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8));
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(400);
+    while at < length {
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(rng.random_range(200..1_500)),
+            fault: match rng.random_range(0..16) {
+                0..4 => Fault::KillEngine,
+                4..6 => Fault::LeaveEngine { announced: true },
+                6..8 => Fault::RestartEngine { silent: false },
+                8..10 => Fault::StopEntry,
+                10 => Fault::KillEntry,
+                11 => Fault::PauseEntry,
+                12 => Fault::Reload,
+                13 => Fault::Publish,
+                14 => Fault::Compact,
+                _ => Fault::Answers(draw_answer_fault(&mut rng)),
+            },
+            pick: rng.random_range(0..1_000),
+        });
+        at += Duration::from_millis(rng.random_range(200..1_500));
+    }
+    steps
+}
+
 fn draw_fault(rng: &mut impl Rng) -> Fault {
     match rng.random_range(0..22) {
         0 => Fault::KillEngine,
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -75,6 +75,9 @@
     pub(crate) log_objective_ms: u64,
     /// Timeout of the `grade` route of the next configuration, in milliseconds.
     pub(crate) grade_timeout_ms: u64,
+    /// Whether model engines are listed at their own addresses instead of a proxy's, which accepts connections also
+    /// for an engine that has crashed.
+    pub(crate) direct_engines: bool,
     folder: PathBuf,
     ids: AtomicU64,
 }
@@ -132,6 +135,7 @@
             without: "",
             log_objective_ms: 1_500,
             grade_timeout_ms: 20_000,
+            direct_engines: false,
             folder,
             ids: AtomicU64::new(0),
         };
@@ -271,6 +275,10 @@
         };
         let instance = upstream.instance();
         let mut entry = upstream.registration(service, state);
+        if kind == EngineKind::Model && self.direct_engines {
+            self.store.put("servers", &instance, &entry);
+            return;
+        }
         if !self.proxies.contains_key(&instance) {
             let proxy = Proxy::start(upstream.addr()).await.unwrap();
             self.proxies.insert(instance.clone(), proxy);
--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -25,6 +25,20 @@
 /// Engines of its version that must serve for a taken-up stream to be judged; set by the users.
 const MIN_SERVING: usize = 2;
 
+/// Upstreams that a part of prompts may crash before it is known to do so; set by the users.
+const MAX_PART_CRASHES: usize = 5;
+
+/// Time from the last of these crashes to the refusal of the part at all entries; set by the users.
+const PART_REFUSAL_TIME: Duration = Duration::from_secs(3);
+
+/// Requests with the part that may reach upstreams even so; set by the users.
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// Time from these crashes from which sound requests with the same other parts are judged, and the number of
+/// them from which they are; set by the users.
+const PART_RECOVERY_TIME: Duration = Duration::from_secs(6);
+const MIN_PART_ATTEMPTS: usize = 20;
+
 /// Window in which requests to a rate-limited upstream are counted; set by the users.
 const RATE_WINDOW: Duration = Duration::from_secs(4);
 
@@ -71,6 +85,8 @@
     pub resumes: Option<String>,
     /// Kind of the request.
     pub kind: RequestKind,
+    /// Parts of its prompt that other requests share.
+    pub shared_parts: Vec<String>,
     /// Start time.
     pub began: Instant,
     /// Complete body that the caller expects.
@@ -127,6 +143,10 @@
     LeftRunning(String),
     /// Events of several software versions in one stream, in one answer or over a caller's attempts.
     MixedVersions(String),
+    /// Too many requests with a part of their prompts that is known to crash upstreams reached upstreams.
+    PartServed(String),
+    /// Too few sound requests begin that share the other parts of those; with their share and that before.
+    LostBeside(String),
     /// Too few of the streams that callers take up go on; with their share and that of new streams.
     LostStreams(String),
 }
@@ -189,6 +209,8 @@
     pub excused: Vec<(Instant, Instant)>,
     /// Times in which model engines served.
     pub serving: Vec<ServingSpan>,
+    /// Parts of prompts that crash upstreams.
+    pub crashing_parts: Vec<String>,
 }
 
 impl Evidence {
@@ -221,6 +243,11 @@
         breaches.extend(left_running.map(|r| Breach::LeftRunning(r.request_id.clone())));
         breaches.extend(self.mixed_streams().map(Breach::MixedVersions));
         breaches.extend(self.lost_streams().map(Breach::LostStreams));
+        for part in &self.crashing_parts {
+            let served = self.is_part_served(part);
+            breaches.extend(served.then(|| Breach::PartServed(part.clone())));
+            breaches.extend(self.lost_beside(part).map(Breach::LostBeside));
+        }
         breaches
     }
 
@@ -265,6 +292,56 @@
         is_lost.then_some(text)
     }
 
+    /// Returns the times at which a part crashed upstreams, in order.
+    fn crashes_of(&self, part: &str) -> Vec<Instant> {
+        let crashed = self.runs.iter().filter(|r| r.end.0 == RunEnd::Crashed);
+        let crashed = crashed.filter(|r| r.shared_parts.iter().any(|p| p == part));
+        let mut crashes: Vec<Instant> = crashed.map(|r| r.end.1).collect();
+        crashes.sort_unstable();
+        crashes
+    }
+
+    fn is_part_served(&self, part: &str) -> bool {
+        let crashes = self.crashes_of(part);
+        let Some(known_at) = crashes.get(MAX_PART_CRASHES - 1) else {
+            return false;
+        };
+        let with_part = self.runs.iter();
+        let with_part = with_part.filter(|r| r.shared_parts.iter().any(|p| p == part));
+        let late = with_part.filter(|r| r.began > *known_at + PART_REFUSAL_TIME);
+        late.filter(|r| !self.is_excused(r.began)).count() > MAX_LATE_ARRIVALS
+    }
+
+    /// Returns the shares of sound streams beside a part that begin after and before its crashes, if the first is
+    /// under half of the second.
+    fn lost_beside(&self, part: &str) -> Option<String> {
+        let crashes = self.crashes_of(part);
+        let known_at = crashes.get(MAX_PART_CRASHES - 1).or(crashes.last())?;
+        let first = crashes.first()?;
+        let has = |a: &Attempt, part: &str| a.shared_parts.iter().any(|p| p == part);
+        let bad = self.attempts.iter().filter(|a| has(a, part));
+        let others: BTreeSet<&str> = bad
+            .flat_map(|a| &a.shared_parts)
+            .map(String::as_str)
+            .collect();
+        let beside = self.attempts.iter().filter(|a| !has(a, part));
+        let beside = beside.filter(|a| others.iter().any(|p| has(a, p)));
+        let judged = beside.filter(|a| a.resumes.is_none() && !self.is_excused(a.began));
+        let (before, later): (Vec<_>, Vec<_>) = judged.partition(|a| a.began < *first);
+        let after: Vec<&Attempt> = later
+            .into_iter()
+            .filter(|a| a.began > *known_at + PART_RECOVERY_TIME)
+            .collect();
+        if before.len().min(after.len()) < MIN_PART_ATTEMPTS {
+            return None;
+        }
+        let begun = |attempts: &[&Attempt]| attempts.iter().filter(|a| a.goes_on()).count();
+        let (served, usual) = (begun(&after), begun(&before));
+        let is_lost = served * 2 * before.len() < usual * after.len();
+        let text = format!("{part}: {served}/{} {usual}/{}", after.len(), before.len());
+        is_lost.then_some(text)
+    }
+
     /// Returns whether enough engines of a taken-up stream's version served as the attempt began.
     fn is_version_served(&self, attempt: &Attempt) -> bool {
         let mut before = self.attempts.iter();
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -88,6 +88,8 @@
     pub(super) closes: AtomicBool,
     /// Whether answers end with their connection, with neither a length nor chunks.
     pub(super) ends_with_connection: AtomicBool,
+    /// Whether a part of a prompt has crashed it.
+    pub(super) has_crashed: AtomicBool,
     /// Signals that stop runs for a migration, by request.
     pub(super) stop_signals: Mutex<HashMap<String, Arc<Notify>>>,
     pub(super) crash: Notify,
@@ -111,6 +113,7 @@
             leaves_ms: Mutex::default(),
             closes: AtomicBool::new(false),
             ends_with_connection: AtomicBool::new(false),
+            has_crashed: AtomicBool::new(false),
             stop_signals: Mutex::default(),
             crash: Notify::new(),
             next_handle: AtomicU64::new(0),
@@ -266,6 +269,12 @@
             .store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether a part of a prompt has crashed it since its start.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.shared.has_crashed.load(Ordering::Relaxed)
+    }
+
     /// Sets the address that others use.
     pub fn set_advertised_addr(&self, addr: SocketAddr) {
         *lock(&self.shared.advertised_addr) = addr;
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -109,6 +109,12 @@
         lock(&self.inner).crashing_parts.push(part.to_owned());
     }
 
+    /// Returns the parts that crash upstreams.
+    #[must_use]
+    pub fn crashing_parts(&self) -> Vec<String> {
+        lock(&self.inner).crashing_parts.clone()
+    }
+
     /// Returns whether one of these parts crashes upstreams.
     pub(super) fn is_crashing(&self, parts: &[String]) -> bool {
         let inner = lock(&self.inner);
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -82,6 +82,7 @@
     /// Crashes the upstream.
     pub(super) async fn crash(&self) -> io::Result<ConnectionAction> {
         self.end(RunEnd::Crashed);
+        self.shared.has_crashed.store(true, Ordering::Relaxed);
         self.shared.crash.notify_one();
         std::future::pending().await
     }
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -53,6 +53,19 @@
     half_of_the_taken_up_streams_is_enough => assert_eq!(taken_up(6, 12, 2).find_breaches(), []);
     few_taken_up_streams_are_not_judged => assert_eq!(taken_up(0, 11, 2).find_breaches(), []);
     streams_of_a_version_with_one_engine_are_not_judged => assert_eq!(taken_up(0, 12, 1).find_breaches(), []);
+    requests_with_a_part_known_to_crash_upstreams_are_found => {
+        assert_eq!(crashing(&[9, 10, 11, 12]).find_breaches(), [Breach::PartServed("bad".to_owned())]);
+    };
+    three_late_requests_with_such_a_part_are_allowed => assert_eq!(crashing(&[9, 10, 11]).find_breaches(), []);
+    requests_soon_after_the_fifth_crash_are_allowed => assert_eq!(crashing(&[7, 7, 7, 7, 8]).find_breaches(), []);
+    late_requests_at_a_paused_entry_are_excused => {
+        let excused = Evidence { excused: vec![(at(8), at(13))], ..crashing(&[9, 10, 11, 12]) };
+        assert_eq!(excused.find_breaches(), []);
+    };
+    sound_requests_beside_such_a_part_that_begin_less_than_half_as_often_are_found => {
+        assert_eq!(beside(9).find_breaches(), [Breach::LostBeside("bad: 9/20 20/20".to_owned())]);
+    };
+    half_of_the_sound_requests_beside_it_is_enough => assert_eq!(beside(10).find_breaches(), []);
     run_left_behind_is_found => assert_breach(&evidence(RequestKind::Log, complete(), vec![left_running()]), Breach::LeftRunning);
 }
 
@@ -65,6 +78,51 @@
     evidence
 }
 
+/// Returns five runs that a part crashed in the seconds up to 5, and runs with it that begin at the given times.
+fn crashing(later: &[u64]) -> Evidence {
+    let with_part = |run: Run| Run {
+        shared_parts: vec!["bad".to_owned()],
+        ..run
+    };
+    let crashed = |second| Run {
+        end: (RunEnd::Crashed, at(second)),
+        ..run(second, second)
+    };
+    let runs = (1..=5).map(crashed);
+    let runs = runs.chain(later.iter().map(|second| run(*second, *second)));
+    Evidence {
+        crashing_parts: vec!["bad".to_owned()],
+        ..evidence(
+            RequestKind::Grade,
+            complete(),
+            runs.map(with_part).collect(),
+        )
+    }
+}
+
+/// Returns twenty sound attempts before the crashes of a part, and twenty after them of which `begun` go on.
+fn beside(begun: usize) -> Evidence {
+    let attempt = |parts: &[&str], second, is_begun: bool| Attempt {
+        id: "s".to_owned(),
+        resumes: None,
+        kind: RequestKind::Grade,
+        shared_parts: parts.iter().map(|p| (*p).to_owned()).collect(),
+        began: at(second),
+        expected_body: "owed".to_owned(),
+        outcome: if is_begun {
+            complete()
+        } else {
+            Outcome::NotRun(503)
+        },
+    };
+    let mut evidence = crashing(&[]);
+    evidence.attempts = vec![attempt(&["first", "bad"], 1, false)];
+    let before = (0..20).map(|_| attempt(&["first"], 0, true));
+    let after = (0..20).map(|n| attempt(&["first"], 12, n < begun));
+    evidence.attempts.extend(before.chain(after));
+    evidence
+}
+
 /// Returns runs of an upstream that announces one request per second: one run, then `concurrent`
 /// runs at once.
 fn rate_limited(concurrent: usize) -> Evidence {
@@ -143,6 +201,7 @@
         id: "r".to_owned(),
         resumes: None,
         kind,
+        shared_parts: Vec::new(),
         began: at(0),
         expected_body: "owed".to_owned(),
         outcome,
@@ -160,6 +219,7 @@
         id: (*id).to_owned(),
         resumes: resumes.map(str::to_owned),
         kind: RequestKind::Grade,
+        shared_parts: Vec::new(),
         expected_body: body.replace(" v2", "").replace(" v3", ""),
         outcome: Outcome::Truncated((*body).to_owned()),
         began: at(1),
