Check aside for a crash where no part of the prompt can be the cause

The mend waited for the check of a lost request's upstream before each retry. An upstream that is cut off takes 300 ms to tell, which a plain call with an objective of 300 ms doesn't have.

The retry waits only where the prompt has shared parts and the answer wasn't past its beginning, so that no part reaches one more upstream than it must.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -20,6 +20,7 @@
 use rand::RngExt;
 use std::cell::RefCell;
 use std::ops::RangeInclusive;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Retry delay given while upstreams are full: about the time in which some of them complete one or
@@ -86,7 +87,7 @@
 }
 
 /// Obtains a reply before the job's deadline.
-pub async fn obtain(job: &Job) -> Reply {
+pub async fn obtain(job: &Rc<Job>) -> Reply {
     let attempts = RefCell::new(Attempts::new(job.route.kind, job.route.max_attempts));
     let limit = job.node.clock.instant(job.deadline);
     match tokio::time::timeout_at(limit, try_upstreams(job, &attempts)).await {
@@ -96,7 +97,7 @@
     }
 }
 
-async fn try_upstreams(job: &Job, attempts: &RefCell<Attempts>) -> Reply {
+async fn try_upstreams(job: &Rc<Job>, attempts: &RefCell<Attempts>) -> Reply {
     let need = job.need();
     let mut tried = Vec::new();
     let mut failure = None;
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -87,8 +87,18 @@
 
 /// Checks whether the upstream of a broken request has crashed, and records it.
 ///
+/// The next try of a request waits for it if a part of its prompt may be the cause; otherwise it is checked aside,
+/// since an upstream that is cut off takes [`crate::links::CONNECT_TIMEOUT`] to tell.
+pub async fn check_for_crash(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
+    if !job.head.shared_parts.is_empty() && !progress.is_past_beginning(job.now()) {
+        return check(job, ix, progress).await;
+    }
+    let job = job.clone();
+    tokio::task::spawn_local(async move { check(&job, ix, progress).await });
+}
+
 /// A departing upstream ended as planned.
-pub async fn check_for_crash(job: &Job, ix: UpstreamIx, progress: Progress) {
+async fn check(job: &Job, ix: UpstreamIx, progress: Progress) {
     let node = &job.node;
     if node.pool.borrow().left_at(ix).is_some() {
         return;
@@ -121,16 +131,13 @@
 ///
 /// A whole answer shows no beginning, so it counts as one until it is complete.
 fn record_beginning(job: &Job, record: &UpstreamRecord, progress: Progress) {
-    if job.head.shared_parts.is_empty() {
-        return;
-    }
     let report = CrashReport {
         ended: CrashId::of(&record.upstream_incarnation()),
         parts: job.head.shared_parts.clone(),
         begun: progress.head_at.is_some() || !job.route.kind.is_stream(),
         age: Duration::ZERO,
     };
-    if report.begun {
+    if report.begun && !report.parts.is_empty() {
         let crashed = job.crashed_beginnings.get();
         job.crashed_beginnings.set(crashed + 1);
     }
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -402,7 +402,7 @@
         self.events.discard_partial();
         self.breaks += 1;
         self.log_event("stream_broke", why);
-        self.check_for_crash().await;
+        crash::check_for_crash(&self.job, self.assignment.ix, self.progress).await;
         if let Some(verdict) = self.verdict() {
             parts::log_refusal(&self.job.request_id, &verdict);
             return false;
@@ -439,19 +439,6 @@
         (is_refused || !self.is_sound).then_some(verdict)
     }
 
-    /// Checks whether the upstream has crashed: at once if the answer was beginning, since a part of its prompt may be
-    /// the cause, and aside otherwise.
-    async fn check_for_crash(&self) {
-        let (job, ix, progress) = (self.job.clone(), self.assignment.ix, self.progress);
-        if progress.is_past_beginning(job.now()) {
-            tokio::task::spawn_local(async move {
-                crash::check_for_crash(&job, ix, progress).await;
-            });
-        } else {
-            crash::check_for_crash(&job, ix, progress).await;
-        }
-    }
-
     async fn wait_for_copy(&self) {
         let ended = self.run.migration_ended.notified();
         if self.run.migrating.get() && self.run.standby_holder().is_none() {
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -58,6 +58,7 @@
     peers: IntGauge,
     watching: IntGauge,
     quarantined: IntGauge,
+    refused_parts: IntGauge,
     evacuated: IntGauge,
     cold_upstreams: IntGauge,
     rate_limited: IntGauge,
@@ -172,6 +173,7 @@
                 "Whether the store answers this watcher",
             )?,
             quarantined: gauge(&r, "quarantined", "Contents quarantined for crashes")?,
+            refused_parts: gauge(&r, "refused_parts", "Parts refused for crashes")?,
             evacuated: gauge(&r, "evacuated", "Data centres evacuated")?,
             cold_upstreams: gauge(&r, "cold_upstreams", "Upstreams that are cold")?,
             rate_limited: gauge(&r, "rate_limited_upstreams", "Upstreams with a rate limit")?,
@@ -283,6 +285,8 @@
         self.watching.set(i64::from(node.watches_store()));
         let quarantined = node.quarantine.borrow().refused_count();
         self.quarantined.set(to_i64(quarantined));
+        let refused = node.crash_evidence.borrow().refused(node.now());
+        self.refused_parts.set(to_i64(refused.len()));
         self.read_upstream_gauges(&node.pool.borrow(), now);
         self.store_era
             .set(i64::try_from(node.store_era()).unwrap_or(i64::MAX));
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -122,7 +122,7 @@
             return Vec::new();
         }
         let first = format!("f{}", number / 4 % FIRST_PARTS);
-        let is_bad = number >= SOUND_REQUESTS && number / 4 % BAD_STREAMS == 0;
+        let is_bad = number >= SOUND_REQUESTS && (number / 4).is_multiple_of(BAD_STREAMS);
         let second = if is_bad {
             BAD_PART.to_owned()
         } else {
@@ -225,10 +225,7 @@
                 .body(format!("prompt {number}"));
         }
         if !shared_parts.is_empty() {
-            let last = format!("ffff{number:x}:200");
-            let parts = shared_parts.iter().map(|p| format!("{p}:80"));
-            let parts: Vec<String> = parts.chain([last]).collect();
-            req = req.header("X-Prompt-Prefix", parts.join(","));
+            req = req.header("X-Prompt-Prefix", prompt_parts(&shared_parts, number));
         }
         if let Some(held) = held {
             req = req
@@ -263,6 +260,13 @@
     }
 }
 
+/// Returns the parts of a prompt, of which the last is the request's own.
+fn prompt_parts(shared: &[String], number: u64) -> String {
+    let shared = shared.iter().map(|p| format!("{p}:80"));
+    let parts: Vec<String> = shared.chain([format!("ffff{number:x}:200")]).collect();
+    parts.join(",")
+}
+
 /// Returns the stream that the caller of an ended attempt holds a part of and may take up.
 fn held_stream(attempt: &Attempt, held: Option<Held>) -> Option<Held> {
     let attempts = held.as_ref().map_or(0, |h| h.attempts);
--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -294,11 +294,12 @@
 
     /// Returns the times at which a part crashed upstreams, in order.
     fn crashes_of(&self, part: &str) -> Vec<Instant> {
-        let crashed = self.runs.iter().filter(|r| r.end.0 == RunEnd::Crashed);
-        let crashed = crashed.filter(|r| r.shared_parts.iter().any(|p| p == part));
-        let mut crashes: Vec<Instant> = crashed.map(|r| r.end.1).collect();
-        crashes.sort_unstable();
-        crashes
+        let with_part = self.runs.iter();
+        let with_part = with_part.filter(|r| r.shared_parts.iter().any(|p| p == part));
+        let ended = with_part.filter(|r| r.end.0 == RunEnd::Crashed);
+        let mut times: Vec<Instant> = ended.map(|r| r.end.1).collect();
+        times.sort_unstable();
+        times
     }
 
     fn is_part_served(&self, part: &str) -> bool {
