Explain to operators that a request was refused for a part of its prompt

fireflyctl explain showed a code only. It now names the part, how many upstreams ended under it and how long ago.

--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -25,6 +25,7 @@
 
 cases! {
     announcement_round_trip => round_trips(announcement_message(announcement()));
+    evidence_takes_few_bytes => evidence_size();
     crash_of_too_many_parts_is_an_error => refuses_parts();
     empty_announcement_round_trip => round_trips(announcement_message(EntryAnnouncement::default()));
     report_round_trip => round_trips(EntryMessage::Report(report()));
@@ -251,6 +252,34 @@
     ));
 }
 
+/// A crash under three parts, a sound one and a refused one, told several times a second while they are news.
+fn evidence_size() {
+    let size = |announcement| encode_datagram(&announcement_message(announcement)).len();
+    let told = EntryAnnouncement {
+        part_evidence: PartEvidence {
+            crashes: vec![CrashReport {
+                ended: CrashId(u64::MAX),
+                parts: vec![PartId(u64::MAX); 3],
+                begun: true,
+                age: Duration::from_secs(5),
+            }],
+            sound: vec![SoundPart {
+                part: PartId(u64::MAX),
+                age: Duration::from_secs(5),
+            }],
+            refused: vec![RefusedPart {
+                part: PartId(u64::MAX),
+                crashes: 5,
+                age: Duration::from_hours(1),
+            }],
+        },
+        ..EntryAnnouncement::default()
+    };
+    let bytes = size(told) - size(EntryAnnouncement::default());
+    println!("{bytes} bytes");
+    assert!(bytes <= 100, "{bytes} bytes");
+}
+
 fn refuses_parts() {
     let announcement = EntryAnnouncement {
         part_evidence: PartEvidence {
--- a/fireflyctl/src/timeline.rs
+++ b/fireflyctl/src/timeline.rs
@@ -171,6 +171,15 @@
 /// Describes the cause of the outcome, looking backwards from the request's last line.
 fn cause_of(own: &[&LogLine], all: &[LogLine]) -> String {
     let last_of = |event: &str| own.iter().rev().find(|l| l.event == event);
+    if let Some(line) = last_of("refused_for_part") {
+        let of = |key| line.get(key).unwrap_or("?");
+        return format!(
+            "part {} of its prompt crashes upstreams: {} ended, the last {} ms before",
+            of("part"),
+            of("crashes"),
+            of("age_ms")
+        );
+    }
     if let Some(line) = last_of("refused") {
         return format!("refused before it was sent: {}", code_of(line));
     }
--- a/fireflydirect/tests/processes_crashing_parts.rs
+++ b/fireflydirect/tests/processes_crashing_parts.rs
@@ -324,6 +324,9 @@
         site.record.crash_on(BAD);
         send_until_refused(&site, &[0, 1], "/log", &["f1", BAD]).await;
         check_refused_everywhere(&site, 2, "/log", &["f1", BAD]).await;
+        let id = site.id();
+        stream(&site, 0, "/log", &id, &["f1", BAD]).send().await.unwrap();
+        until("the cause", || async { site.cause(&id).contains("part bad1 of its prompt crashes upstreams") }).await;
         let shown = site.status(1).await;
         assert_eq!(shown["refused_parts"][0]["part"], BAD, "{shown}");
         let (exit, shown) = site.run_fireflyctl(0, &["entries", "release", BAD]).await;
