--- a/fireflydirect/src/parts.rs
+++ b/fireflydirect/src/parts.rs
@@ -125,10 +125,11 @@
     let cleared = evidence.record_sound(node.now(), parts, age);
     drop(evidence);
     for sound in cleared {
-        let event = if was_refused.contains(&sound.part) {
-            "part_released"
-        } else {
-            "part_cleared"
+        let event = match (was_refused.contains(&sound.part), source) {
+            (true, _) => "part_released",
+            // Its own line stands at the entry that told it.
+            (false, "peer") => continue,
+            (false, _) => "part_cleared",
         };
         log::info!(
             event = event, part = sound.part.to_string(), age_ms = sound.age.as_millis(),
