Put own-path callers off while a message is found out, and refuse queued offers

Two faults of the own path, found by reading: an agent refused an offer for good while its message was only suspended, up to half a second, so that callers of a sound message could get 2014; and an offer that waited at an agent ran although its message was refused meanwhile, one more crash for each.

Agents now refuse a suspended message as overloaded, with the time left, and refuse waiting offers as soon as their message is refused. Refused parts are tried again after 30 s instead of 20, and a process that adopts a refusal counts its crashes beyond the third as tries: entries that start one after the other would each try the part after their own first interval otherwise, more than the three late arrivals that users allow.

--- a/fireflycroft/src/agent_parts.rs
+++ b/fireflycroft/src/agent_parts.rs
@@ -4,13 +4,16 @@
 //! again for some seconds since messages may be lost, and refuses offers of refused parts itself, so that an entry
 //! that has just started learns of them with its first offer.
 
-use crate::agent::{Agent, AgentAction};
-use crate::crash_evidence::{CrashId, CrashReport, PartEvidence};
+use crate::agent::{Agent, AgentAction, OfferState};
+use crate::code::Code;
+use crate::crash_evidence::{CrashId, CrashReport, PartEvidence, PartVerdict};
 use crate::generation::Generation;
 use crate::ids::{Digest, GenerationId, PartId};
 use crate::log_event::LogEvent;
 use crate::message::Message;
+use crate::offer::OfferId;
 use crate::time::Time;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Tokens after which an answer is past its beginning.
@@ -84,15 +87,41 @@
     ) {
         self.crash_evidence.apply(now, told);
         self.judge_parts(now, out);
+        if !told.refused.is_empty() {
+            self.refuse_waiting_parts(now, out);
+        }
         if self.crash_evidence.take_news() {
             self.tells_parts = true;
             self.tell_parts(now, out);
         }
     }
 
-    /// Returns whether an offer with these parts is refused.
-    pub(crate) fn refuses_parts(&self, now: Time, parts: &[PartId]) -> bool {
-        self.crash_evidence.verdict(now, parts).is_some()
+    /// Returns the code and retry delay with which an offer of these parts is refused.
+    pub(crate) fn part_refusal(&self, now: Time, parts: &[PartId]) -> Option<(Code, Duration)> {
+        match self.crash_evidence.verdict(now, parts)? {
+            PartVerdict::Refused(_) => Some((Code::PartRefused, Duration::ZERO)),
+            PartVerdict::Suspended { wait, .. } => Some((Code::Overloaded, wait)),
+        }
+    }
+
+    /// Refuses the waiting offers of refused parts.
+    fn refuse_waiting_parts(&mut self, now: Time, out: &mut Vec<AgentAction>) {
+        let refused = |state: &OfferState| match state {
+            OfferState::Waiting(to, demand) => {
+                let refusal = self.part_refusal(now, &demand.shared_parts);
+                let (code, _) = refusal.filter(|(code, _)| *code == Code::PartRefused)?;
+                Some((*to, code))
+            }
+            _ => None,
+        };
+        let waiting = self.offers.iter();
+        let waiting: Vec<(OfferId, SocketAddr, Code)> = waiting
+            .filter_map(|(offer, state)| refused(state).map(|(to, code)| (*offer, to, code)))
+            .collect();
+        for (offer, to, code) in waiting {
+            self.admission.release(offer);
+            self.refuse(now, to, offer, code, Duration::ZERO, out);
+        }
     }
 
     /// Judges the evidence, and tells it again as long as there is some that this agent knows first-hand.
@@ -105,7 +134,11 @@
     }
 
     fn judge_parts(&mut self, now: Time, out: &mut Vec<AgentAction>) {
-        for refused in self.crash_evidence.judge(now) {
+        let refused = self.crash_evidence.judge(now);
+        if !refused.is_empty() {
+            self.refuse_waiting_parts(now, out);
+        }
+        for refused in refused {
             let event = LogEvent::new("part_refused").part(refused.part);
             let event = event.count(u64::from(refused.crashes));
             out.push(AgentAction::LogEvent(event));
--- a/fireflycroft/src/agent_reservations.rs
+++ b/fireflycroft/src/agent_reservations.rs
@@ -106,8 +106,8 @@
         if self.quarantine.is_refused(demand.content) {
             return Some((Code::Quarantined, Duration::ZERO));
         }
-        if self.refuses_parts(now, &demand.shared_parts) {
-            return Some((Code::PartRefused, Duration::ZERO));
+        if let Some(refusal) = self.part_refusal(now, &demand.shared_parts) {
+            return Some(refusal);
         }
         if config_differs {
             return Some((Code::ConfigOutdated, SHORT_RETRY_AFTER));
--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -61,7 +61,7 @@
 const MAX_TOLD_REFUSED: usize = 16;
 
 /// Time from the refusal of a part, or the last try, to the next request that tries it again.
-const PROBE_INTERVAL: Duration = Duration::from_secs(20);
+const PROBE_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Factor by which the interval grows with each try that crashed an upstream.
 const PROBE_BACKOFF: u32 = 4;
@@ -286,6 +286,12 @@
             return false;
         }
         self.refuse(now, told.part, told.crashes, last_crash);
+        if let Some(refusal) = self.refused.get_mut(&told.part) {
+            // How often the part was tried again isn't told; the crashes say at most how often.
+            let known = u32::try_from(UNKNOWN_PART_CRASHES).unwrap_or(u32::MAX);
+            refusal.failed_probes = told.crashes.saturating_sub(known);
+            refusal.next_probe = now + refusal.probe_interval();
+        }
         self.judge_at = Some(now);
         true
     }
