Tell crashes on whatever their age, and for a shorter time where others saw them

Found by reading: what is told stopped at the first report older than 5 s, in the order of arrival, so that one crash told late hid all others from the announcements. And every entry told every crash on for 5 s, up to 8 of them in 40 datagrams a second; who saw it does so still, others for a second.

--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -51,9 +51,12 @@
 /// Parts per generation of those seen sound; the older of two generations is forgotten.
 const SOUND_GENERATION: usize = 2_048;
 
-/// Time for which a crash or a sound part is told again, since messages may be lost.
+/// Time for which a sound part, or a crash that was seen here, is told again, since messages may be lost.
 const TELL_FOR: Duration = Duration::from_secs(5);
 
+/// The same for a crash that another process told.
+const RETELL_FOR: Duration = Duration::from_secs(1);
+
 /// Maximum number of crashes, and of sound parts, told at a time.
 const MAX_TOLD: usize = 8;
 
@@ -126,14 +129,6 @@
     pub refused: Vec<RefusedPart>,
 }
 
-impl PartEvidence {
-    /// Returns whether there is nothing to tell.
-    #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.sound.is_empty() && self.refused.is_empty()
-    }
-}
-
 /// Why a request may not be sent because of a part of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartVerdict {
@@ -162,6 +157,8 @@
 #[derive(Clone, Debug)]
 struct Crash {
     at: Time,
+    /// Time until which it is told.
+    tell_until: Time,
     report: CrashReport,
 }
 
@@ -182,6 +179,20 @@
             age: now.since(self.last_crash),
         }
     }
+
+    fn probe_interval(&self) -> Duration {
+        let factor = PROBE_BACKOFF.saturating_pow(self.failed_probes);
+        PROBE_INTERVAL.saturating_mul(factor).min(REFUSAL_RETENTION)
+    }
+
+    fn record_crash(&mut self, at: Time) {
+        self.crashes = self.crashes.saturating_add(1);
+        self.last_crash = self.last_crash.max(at);
+        if at.since(self.since) > REFUSAL_LAG {
+            self.failed_probes += 1;
+            self.next_probe = at + self.probe_interval();
+        }
+    }
 }
 
 /// A part with unexplained crashes since it was last seen sound.
@@ -216,8 +227,17 @@
 }
 
 impl CrashEvidence {
-    /// Records a crash; returns whether it was news.
-    pub fn record_crash(&mut self, now: Time, mut report: CrashReport) -> bool {
+    /// Records a crash that was seen here; returns whether it was news.
+    pub fn record_crash(&mut self, now: Time, report: CrashReport) -> bool {
+        self.insert_crash(now, report, TELL_FOR)
+    }
+
+    /// Records a crash that another process told; returns whether it was news.
+    pub fn record_told_crash(&mut self, now: Time, report: CrashReport) -> bool {
+        self.insert_crash(now, report, RETELL_FOR)
+    }
+
+    fn insert_crash(&mut self, now: Time, mut report: CrashReport, tell_for: Duration) -> bool {
         report.parts.truncate(MAX_SHARED_PARTS);
         let is_known = |c: &Crash| {
             c.report.ended == report.ended
@@ -240,7 +260,11 @@
         if self.crashes.len() >= MAX_REPORTS {
             self.crashes.pop_front();
         }
-        self.crashes.push_back(Crash { at, report });
+        self.crashes.push_back(Crash {
+            at,
+            tell_until: now + tell_for,
+            report,
+        });
         self.judge_at = Some(now);
         true
     }
@@ -302,7 +326,7 @@
             self.record_sound(now, &[*part], *age);
         }
         for report in &told.crashes {
-            self.record_crash(now, report.clone());
+            self.record_told_crash(now, report.clone());
         }
         for refused in &told.refused {
             self.adopt(now, *refused);
@@ -384,7 +408,7 @@
 
     fn crashes_to_tell(&self, now: Time) -> Vec<CrashReport> {
         let recent = self.crashes.iter().rev();
-        let recent = recent.take_while(|c| now.since(c.at) < TELL_FOR);
+        let recent = recent.filter(|c| now < c.tell_until);
         let told = recent.take(MAX_TOLD).map(|c| CrashReport {
             age: now.since(c.at),
             ..c.report.clone()
@@ -472,7 +496,7 @@
         let explained = self.crashes.iter().filter(is_refused);
         let explained: HashSet<CrashId> = explained.map(|c| c.report.ended).collect();
         let mut suspects: HashMap<PartId, Suspect> = HashMap::new();
-        for Crash { at, report } in &self.crashes {
+        for Crash { at, report, .. } in &self.crashes {
             if explained.contains(&report.ended) {
                 continue;
             }
@@ -539,19 +563,3 @@
         self.all.retain(|c| !crashes.contains(c));
     }
 }
-
-impl Refusal {
-    fn probe_interval(&self) -> Duration {
-        let factor = PROBE_BACKOFF.saturating_pow(self.failed_probes);
-        PROBE_INTERVAL.saturating_mul(factor).min(REFUSAL_RETENTION)
-    }
-
-    fn record_crash(&mut self, at: Time) {
-        self.crashes = self.crashes.saturating_add(1);
-        self.last_crash = self.last_crash.max(at);
-        if at.since(self.since) > REFUSAL_LAG {
-            self.failed_probes += 1;
-            self.next_probe = at + self.probe_interval();
-        }
-    }
-}
--- a/fireflycroft/tests/crash_evidence.rs
+++ b/fireflycroft/tests/crash_evidence.rs
@@ -236,6 +236,16 @@
         assert!(evidence.to_tell(at(6_000)).crashes.is_empty());
     }
 
+    crash_that_was_told_late_hides_no_other_one(evidence) {
+        evidence.record_crash(at(9_000), report(1, &[BAD]));
+        let late = CrashReport { age: Duration::from_secs(8), ..report(2, &[BAD]) };
+        evidence.record_told_crash(at(9_000), late);
+        assert_eq!(evidence.to_tell(at(9_100)).crashes.len(), 2);
+        // What others told is told on for a shorter time.
+        let told = evidence.to_tell(at(11_000)).crashes;
+        assert_eq!(told.iter().map(|c| c.ended).collect::<Vec<_>>(), [CrashId(1)]);
+    }
+
     request_without_shared_parts_is_no_evidence(evidence) {
         assert!(!evidence.record_crash(at(0), report(1, &[])));
         assert_eq!(evidence.verdict(at(0), &[]), None);
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -145,7 +145,7 @@
             crash::check_for_crash(job, ix, Progress::default()).await;
         }
         tried.push(ix);
-        if crash::is_last_try_over(job) {
+        if crash::has_crashed_too_many(job) {
             return failure.unwrap_or(Reply::Error(Code::OutcomeUnknown, None));
         }
         if attempts.borrow().may_retry(result.outcome) {
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -33,9 +33,9 @@
 /// Upstreams that one request may crash as its answer begins; the next one to crash tells which of its parts it was.
 const MAX_CRASHED_BEGINNINGS: u32 = 2;
 
-/// Returns whether a request has crashed so many upstreams that it is tried no more.
+/// Returns whether a request has crashed so many upstreams, as its answer began, that it is tried no more.
 #[must_use]
-pub fn is_last_try_over(job: &Job) -> bool {
+pub fn has_crashed_too_many(job: &Job) -> bool {
     job.crashed_beginnings.get() >= MAX_CRASHED_BEGINNINGS
 }
 
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -407,7 +407,7 @@
             parts::log_refusal(&self.job.request_id, &verdict);
             return false;
         }
-        if crash::is_last_try_over(&self.job) && !self.is_sound {
+        if crash::has_crashed_too_many(&self.job) && !self.is_sound {
             return false;
         }
         if self.breaks > MAX_RESUMPTIONS || !self.events.can_resume() {
--- a/fireflydirect/src/parts.rs
+++ b/fireflydirect/src/parts.rs
@@ -162,7 +162,7 @@
     let is_news = node
         .crash_evidence
         .borrow_mut()
-        .record_crash(node.now(), report.clone());
+        .record_told_crash(node.now(), report.clone());
     if is_news {
         log::info!(
             event = "part_crash_told", ended = format!("{:016x}", report.ended.0),
