Try refused parts again only where the try of each is due

A request with two refused parts was let through when the first of them was due, one more arrival of the second. Found by reading; it needs two refused parts in one prompt and 30 s.

--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -375,14 +375,21 @@
         refused.map(PartVerdict::Refused).or_else(suspended)
     }
 
-    /// Takes the try of a refused part that is due; true for one request at a time.
-    pub fn take_probe(&mut self, now: Time, part: PartId) -> bool {
-        let refusal = self.refused.get_mut(&part);
-        let Some(refusal) = refusal.filter(|r| r.next_probe <= now) else {
+    /// Takes the try of all refused parts of a request if it is due for each; true for one request at a time.
+    pub fn take_probe(&mut self, now: Time, parts: &[PartId]) -> bool {
+        let parts = || parts.iter().take(MAX_SHARED_PARTS);
+        let mut refused = parts().filter_map(|p| self.refused.get(p));
+        if refused.any(|r| now < r.next_probe) {
             return false;
-        };
-        refusal.next_probe = now + refusal.probe_interval();
-        true
+        }
+        let mut is_taken = false;
+        for part in parts() {
+            if let Some(refusal) = self.refused.get_mut(part) {
+                refusal.next_probe = now + refusal.probe_interval();
+                is_taken = true;
+            }
+        }
+        is_taken
     }
 
     /// Returns all refused parts.
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -155,11 +155,7 @@
     fn check_parts(&mut self, now: Time, parts: &[PartId]) -> Result<(), Refusal> {
         match self.crash_evidence.verdict(now, parts) {
             None => Ok(()),
-            Some(PartVerdict::Refused(refused))
-                if self.crash_evidence.take_probe(now, refused.part) =>
-            {
-                Ok(())
-            }
+            Some(PartVerdict::Refused(_)) if self.crash_evidence.take_probe(now, parts) => Ok(()),
             Some(PartVerdict::Refused(_)) => Err(permanent_refusal(Code::Quarantined)),
             Some(PartVerdict::Suspended { wait, .. }) => Err(Refusal {
                 code: Code::PartRefused,
--- a/fireflycroft/tests/crash_evidence.rs
+++ b/fireflycroft/tests/crash_evidence.rs
@@ -185,11 +185,11 @@
     refused_part_is_tried_again_at_growing_intervals(evidence) {
         let now = crash(&mut evidence, 0, 3, &[BAD]);
         assert_eq!(refused(&mut evidence, now), [BAD]);
-        assert!(!evidence.take_probe(at(now + 5_000), PartId(BAD)));
+        assert!(!evidence.take_probe(at(now + 5_000), &[PartId(FIRST), PartId(BAD)]));
         let mut probes = 0;
         for second in 0..200 {
             let now = now + 1_000 + second * 1_000;
-            if evidence.take_probe(at(now), PartId(BAD)) {
+            if evidence.take_probe(at(now), &[PartId(FIRST), PartId(BAD)]) {
                 probes += 1;
                 evidence.record_crash(at(now + 100), report(now, &[BAD]));
                 evidence.judge(at(now + 100));
@@ -201,8 +201,18 @@
     entry_that_adopts_a_refusal_tries_the_part_no_sooner_than_others(evidence) {
         let told = RefusedPart { part: PartId(BAD), crashes: 4, age: Duration::ZERO };
         evidence.adopt(at(0), told);
-        assert!(!evidence.take_probe(at(40_000), PartId(BAD)));
-        assert!(evidence.take_probe(at(130_000), PartId(BAD)));
+        assert!(!evidence.take_probe(at(40_000), &[PartId(FIRST), PartId(BAD)]));
+        assert!(evidence.take_probe(at(130_000), &[PartId(FIRST), PartId(BAD)]));
+    }
+
+    request_with_two_refused_parts_tries_them_when_both_are_due(evidence) {
+        crash(&mut evidence, 0, 3, &[BAD]);
+        let now = crash(&mut evidence, 20_000, 3, &[0xbad2]);
+        assert_eq!(refused(&mut evidence, now), [BAD, 0xbad2]);
+        let both = [PartId(BAD), PartId(0xbad2)];
+        assert!(!evidence.take_probe(at(40_000), &both));
+        assert!(evidence.take_probe(at(60_000), &both));
+        assert!(!evidence.take_probe(at(60_000), &both[..1]));
     }
 
     refusal_is_adopted_and_told_on(evidence) {
--- a/fireflydirect/src/parts.rs
+++ b/fireflydirect/src/parts.rs
@@ -75,17 +75,19 @@
 
 /// Decides whether a request with a refused part may try it again: one at a time, at one entry.
 #[must_use]
-pub fn may_try_again(node: &Node, request_id: &str, refused: &RefusedPart) -> bool {
+pub fn may_try_again(
+    node: &Node,
+    request_id: &str,
+    parts: &[PartId],
+    refused: &RefusedPart,
+) -> bool {
     let now = node.now();
     let key = OwnedKey::of_part(refused.part);
     let owner = node.peers.borrow().owners(now, key).next();
     if owner != Some(node.place.ip) {
         return false;
     }
-    let tries = node
-        .crash_evidence
-        .borrow_mut()
-        .take_probe(now, refused.part);
+    let tries = node.crash_evidence.borrow_mut().take_probe(now, parts);
     if tries {
         log::info!(
             event = "part_tried_again", req = request_id, part = refused.part.to_string(),
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -190,7 +190,9 @@
 fn check_parts(node: &Node, request_id: &str, head: &RequestHead) -> Result<bool, Refusal> {
     match parts::verdict(node, &head.shared_parts) {
         None => Ok(false),
-        Some(PartVerdict::Refused(part)) if parts::may_try_again(node, request_id, &part) => {
+        Some(PartVerdict::Refused(part))
+            if parts::may_try_again(node, request_id, &head.shared_parts, &part) =>
+        {
             Ok(true)
         }
         Some(verdict) => {
