--- a/fireflyctl/src/command.rs
+++ b/fireflyctl/src/command.rs
@@ -163,6 +163,7 @@
                 Arg::new("part")
                     .value_name("PART")
                     .help("Id of the part, in hexadecimal digits, as `entries status --json` shows it")
+                    .env(env_name("part"))
                     .value_parser(|id: &str| u64::from_str_radix(id, 16))
                     .required(true),
             ),
