--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -24,10 +24,10 @@
 /// Crashes at which a part is refused that was never seen sound.
 pub const UNKNOWN_PART_CRASHES: usize = 3;
 
-/// Crashes at which any other part is refused, and one whose answers got no head before the crash.
+/// Crashes at which a part is refused that was seen sound before, or whose answers ended before their heads.
 pub const PART_CRASHES: usize = 5;
 
-/// Time from the first crash in which answers elsewhere show that a part never seen before is sound.
+/// Time from the first crash in which answers in progress show that a part never seen sound is.
 const UNKNOWN_PART_SPAN: Duration = Duration::from_millis(300);
 
 /// The same for a part that was seen sound before.
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -1,10 +1,9 @@
 //! Detects upstream crashes, counts them by request content and collects evidence about the parts of prompts.
 //!
-//! A request that breaks may have crashed its upstream, or only lost its
-//! connection. A new connection shows which: a crashed upstream refuses it for
-//! some seconds. Each crash is counted for the content that ran there, and told with the
-//! shared parts of an answer that was beginning. All entries hear of it at once, since the next such
-//! request may come to any of them.
+//! A request that breaks may have crashed its upstream, or only lost its connection. A new connection shows which: a
+//! crashed upstream refuses it for some seconds. Each crash is counted for the content that ran there, and reported with
+//! the shared parts of an answer that was beginning. All entries hear of it at once, since the next such request may come
+//! to any of them.
 
 use crate::job::Job;
 use crate::links::open;
@@ -97,7 +96,7 @@
     tokio::task::spawn_local(async move { check(&job, ix, progress).await });
 }
 
-/// A departing upstream ended as planned.
+/// Opens a connection to the upstream, and records a crash if it can't; a departing upstream ended as planned.
 async fn check(job: &Job, ix: UpstreamIx, progress: Progress) {
     let node = &job.node;
     if node.pool.borrow().left_at(ix).is_some() {
