--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
 from standins import *  # noqa: E402,F403
 
-ENGINES, ENTRIES, CALLERS = 3, 3, 10
+ENGINES, ENTRIES, CALLERS = 3, 3, 16
 # As on the sheet: 439 pieces of 2,000 bytes at most.
 EVENTS, EVENT_BYTES = 439, 1000
 EVENT_GAP_S = 0.01
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -26,6 +26,9 @@
 TENANT = "tenant-a"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
+# Every process that the case has started.
+PROCESSES = []
+
 
 class CannotRun(Exception):
     """The case could not be set up; it says nothing about the rule."""
@@ -379,6 +382,7 @@
         with open(self.output, "ab") as output:
             self.process = subprocess.Popen([PROGRAM], cwd=ROOT, env=env, stdout=output,
                                             stderr=output, stdin=subprocess.DEVNULL)
+        PROCESSES.append(self.process)
         self.site.log(f"entry {self.number} started")
 
     def signal(self, number):
@@ -539,12 +543,11 @@
             await entry.until_ready()
 
     def end_processes(self):
-        for entry in self.entries:
-            if entry.process is not None and entry.process.poll() is None:
-                entry.process.kill()
-        for entry in self.entries:
-            if entry.process is not None:
-                entry.process.wait()
+        for process in PROCESSES:
+            if process.poll() is None:
+                process.kill()
+        for process in PROCESSES:
+            process.wait()
         if os.environ.get("KEEP_LOGS"):
             print("logs in", self.folder)
         else:
@@ -633,7 +636,12 @@
         # Tasks of stand-ins that still wait need no orderly end.
         os._exit(result)
 
+    def end_early(*_):
+        for process in PROCESSES:
+            process.kill()
+        os._exit(COULD_NOT_RUN)
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
+        signal.signal(number, end_early)
     log.say(f"trouble: {'yes' if trouble() else 'no'}")
     asyncio.run(play())
