Log the content of sent requests and who told a crash count

Cause: the hypotheses of the incident can't be told apart by logs. `sent` names no content, so that a retry or a stream that goes on can't be set beside the crashes of its request; `crash_told` doesn't say who told; a count that is told no more leaves no line; a refusal has a code only. Change: `content` in `sent`, `from` in `crash_told`, `crash_count_untold`, `refused_for_content`. No logic changes. Conclusion: with these lines each hypothesis has one that speaks for or against it.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -386,7 +386,7 @@
         speed = format!("{:.2}", view.speed), risk = format!("{:.3}", view.risk),
         software_version = or_empty(pool.record(ix).software_version.as_ref()),
         after = or_empty(job.head.last_event_id), resumes = or_empty(job.head.resumes.as_ref()),
-        parts = list(&job.head.shared_parts),
+        parts = list(&job.head.shared_parts), content = job.content.to_string(),
         age_ms = job.age().as_millis();
         ""
     );
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -44,6 +44,15 @@
     node.quarantine.borrow().crashes(content) >= CRASH_LIMIT
 }
 
+/// Logs that a request is not sent because of its content.
+pub fn log_refusal(node: &Node, request_id: &str, content: Digest) {
+    log::warn!(
+        event = "refused_for_content", req = request_id, content = content.to_string(),
+        crashes = node.quarantine.borrow().crashes(content);
+        ""
+    );
+}
+
 /// Progress of an answer at one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -295,8 +295,14 @@
     pub fn add_crash(&mut self, content: Digest, count: u8) {
         self.crashes.retain(|c| c.content != content);
         self.crashes.push_back(CrashCount { content, count });
-        if self.crashes.len() > MAX_CRASH_COUNTS {
-            self.crashes.pop_front();
+        if self.crashes.len() > MAX_CRASH_COUNTS
+            && let Some(untold) = self.crashes.pop_front()
+        {
+            log::warn!(
+                event = "crash_count_untold", content = untold.content.to_string(),
+                crashes = untold.count;
+                ""
+            );
         }
     }
 
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -100,7 +100,7 @@
     conditions::apply_announced_rates(node, &announcement.rate_limits);
     conditions::apply_announced_leaving(node, &announcement.departing);
     for crash in &announcement.crashes {
-        record_crash(node, now, crash);
+        record_crash(node, now, from, crash);
     }
     parts::apply(node, &announcement.part_evidence);
     if node.peers.borrow().lacks_entries(now, &announcement) {
@@ -138,11 +138,14 @@
     peers.overdue_state(now, announced, node.awaits_store_data())
 }
 
-fn record_crash(node: &Node, now: Time, crash: &CrashCount) {
+fn record_crash(node: &Node, now: Time, from: Ipv4Addr, crash: &CrashCount) {
     let mut quarantine = node.quarantine.borrow_mut();
     if quarantine.record(now, crash.content, crash.count) {
-        let content = crash.content.to_string();
-        log::warn!(event = "crash_told", content = content, crashes = crash.count; "");
+        log::warn!(
+            event = "crash_told", content = crash.content.to_string(), crashes = crash.count,
+            from = from.to_string();
+            ""
+        );
     }
 }
 
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -144,6 +144,7 @@
     let body = read_request_body(&catalog, body).await?;
     let content = digest(&parts, &head, &body);
     if crash::is_refused(node, content) {
+        crash::log_refusal(node, &request_id, content);
         return Err(refusal_with_retry(Code::Overloaded, FINAL_RETRY_AFTER));
     }
     node.retry_budget
