--- a/fireflydirect/tests/processes_crashing_parts.rs
+++ b/fireflydirect/tests/processes_crashing_parts.rs
@@ -5,7 +5,8 @@
 use reqwest::RequestBuilder;
 use standins::site::Engine;
 use std::time::Duration;
-use support::{KEY, Site, outcome, until, whole_stream};
+use support::crashes::{site_of, until_acquainted};
+use support::{Site, outcome, until, whole_stream};
 
 /// Part that crashes engines.
 const BAD: &str = "bad1";
@@ -29,7 +30,7 @@
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
                 #[allow(unused_mut)]
-                let mut $site = site_of($entries).await;
+                let mut $site = site_of(ENGINES, $entries).await;
                 $body
                 $site.check();
             }
@@ -37,38 +38,6 @@
     };
 }
 
-async fn site_of(entries: u8) -> Site {
-    let mut site = Site::without_entries().await;
-    for number in 2..ENGINES {
-        site.add_engine(number).await;
-    }
-    site.publish(&[KEY]);
-    for entry in 0..entries {
-        site.add_entry(entry + 1).await;
-    }
-    for entry in 0..usize::from(entries) {
-        site.until_ready(entry).await;
-        until("all upstreams", || async {
-            let came = site.log(entry).matches("event=upstream_came").count();
-            came >= usize::from(ENGINES) + site.plains.len()
-        })
-        .await;
-    }
-    until_acquainted(&site, usize::from(entries)).await;
-    site
-}
-
-/// Waits until each entry knows the others.
-async fn until_acquainted(site: &Site, entries: usize) {
-    for entry in 0..entries {
-        let others = format!("firefly_direct_peers {}", entries - 1);
-        until("the other entries", || async {
-            site.metrics(entry).await.contains(&others)
-        })
-        .await;
-    }
-}
-
 /// Builds a stream with these shared parts, and a last part and a path that no other one has.
 fn stream(site: &Site, entry: usize, path: &str, id: &str, parts: &[&str]) -> RequestBuilder {
     let last = format!("{}:200", last_part(id));
--- a/fireflydirect/tests/support/entry.rs
+++ b/fireflydirect/tests/support/entry.rs
@@ -15,6 +15,8 @@
     pub(super) callers: SocketAddr,
     pub(super) readiness: SocketAddr,
     pub(super) operators: SocketAddr,
+    /// Address of the store as it reaches it.
+    pub(super) store: SocketAddr,
     pub(super) settings: PathBuf,
     pub(super) log: PathBuf,
     /// Mechanisms that are off, as in the settings.
@@ -57,9 +59,7 @@
 
     /// Sends the process a signal.
     pub(crate) fn signal(&self, name: &str) {
-        let id = self.child.as_ref().unwrap().id().to_string();
-        let sent = Command::new("kill").args(["-s", name, &id]).status();
-        assert!(sent.unwrap().success());
+        signal_all(std::slice::from_ref(self), name);
     }
 
     /// Returns whether the process is running.
@@ -88,3 +88,11 @@
         assert!(status.unwrap().unwrap().success());
     }
 }
+
+/// Sends processes a signal at one moment.
+pub(crate) fn signal_all(entries: &[Entry], name: &str) {
+    let ids = entries.iter().map(|e| e.child.as_ref().unwrap().id());
+    let ids = ids.map(|id| id.to_string());
+    let sent = Command::new("kill").args(["-s", name]).args(ids).status();
+    assert!(sent.unwrap().success());
+}
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -3,8 +3,11 @@
 // Each test file uses a different part of it.
 #![allow(dead_code, unused_macros, unused_imports)]
 
+pub(crate) mod crashes;
 mod entry;
+mod operators;
 mod ports;
+mod requests;
 
 use std::collections::HashMap;
 use std::fs;
@@ -15,6 +18,7 @@
 use std::time::{Duration, Instant};
 
 use entry::Entry;
+pub(crate) use entry::signal_all;
 use ports::{ReservedPorts, claim_net, reserve};
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
@@ -78,6 +82,8 @@
     /// Whether model engines are listed at their own addresses instead of a proxy's, which accepts connections also
     /// for an engine that has crashed.
     pub(crate) direct_engines: bool,
+    /// Last octets of the addresses that settings written later name as seeds.
+    pub(crate) seeds: Vec<u8>,
     folder: PathBuf,
     ids: AtomicU64,
 }
@@ -136,6 +142,7 @@
             log_objective_ms: 1_500,
             grade_timeout_ms: 20_000,
             direct_engines: false,
+            seeds: vec![1, 2, 3],
             folder,
             ids: AtomicU64::new(0),
         };
@@ -239,6 +246,7 @@
             callers,
             readiness,
             operators,
+            store: operators,
             settings: self.folder.join(format!("settings-{last}.json")),
             log: self.folder.join(format!("entry-{last}.log")),
             without: self.without,
@@ -246,11 +254,11 @@
             _ports: ports,
             _peer_port: reserve(ip.into(), peer_port),
         };
-        let store = match &self.store_proxy {
+        entry.store = match &self.store_proxy {
             Some(proxy) => proxy.addr(),
             None => self.store.add_listener(ip.into()).await.unwrap(),
         };
-        fs::write(&entry.settings, self.settings(&entry, store).to_string()).unwrap();
+        self.write_settings(&entry);
         entry.start();
         self.entries.push(entry);
     }
@@ -299,9 +307,15 @@
         self.entries[entry].callers
     }
 
-    fn settings(&self, entry: &Entry, store: SocketAddr) -> Value {
+    /// Writes the settings file of an entry.
+    pub(crate) fn write_settings(&self, entry: &Entry) {
+        fs::write(&entry.settings, self.settings(entry).to_string()).unwrap();
+    }
+
+    fn settings(&self, entry: &Entry) -> Value {
         let [peer_port] = self.peer_port.numbers;
-        let seeds: Vec<String> = (1..4)
+        let seeds = self.seeds.iter();
+        let seeds: Vec<String> = seeds
             .map(|last| format!("127.{}.{}.{last}:9", self.net[0], self.net[1]))
             .collect();
         json!({
@@ -309,7 +323,7 @@
             "zones": {"a": "north", "b": "south"},
             "listen": {"front": entry.callers, "ready": entry.readiness, "control": entry.operators},
             "internal_port_range": [peer_port, peer_port], "seeds": seeds,
-            "platform": {"address": store},
+            "platform": {"address": entry.store},
             "bounds": {"grace_s": 8, "config_apply_ms": 2_000, "drain_timeout_ms": 2_000,
                 "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 56,
                 "evacuate_ms": 5_000, "cold_overshoot": 1.5, "cold_slack": 5},
@@ -349,59 +363,6 @@
         response.is_ok_and(|r| r.status() == 200)
     }
 
-    /// Returns a new request id.
-    pub(crate) fn id(&self) -> String {
-        format!("r{}", self.ids.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Builds a plain call with the key of `brand-a`.
-    pub(crate) fn call(&self, entry: usize, method: &str, path: &str, id: &str) -> RequestBuilder {
-        let method = method.parse().unwrap();
-        let url = format!("http://{}{path}", self.entries[entry].callers);
-        self.client
-            .request(method, url)
-            .header("Host", "site.example")
-            .header("X-Request-Id", id)
-            .header("X-Deadline-Ms", "20000")
-            .header("X-Credential", KEY)
-    }
-
-    /// Builds a generation of `events` events.
-    pub(crate) fn generation(
-        &self,
-        entry: usize,
-        path: &str,
-        events: u64,
-        id: &str,
-    ) -> RequestBuilder {
-        self.stream(entry, path, events, id)
-            .header("X-Token-Usage", "500,2000")
-            .header("X-Length-Hint", "400")
-            .header("X-Prompt-Prefix", "a1:80,b2:420")
-    }
-
-    /// Builds a generation whose prompt fills two fifths of an engine.
-    ///
-    /// Its expected answer is too short for a backup, which would load the other engine as much.
-    pub(crate) fn large_prompt(
-        &self,
-        entry: usize,
-        path: &str,
-        events: u64,
-        id: &str,
-    ) -> RequestBuilder {
-        self.stream(entry, path, events, id)
-            .header("X-Token-Usage", "8000,60")
-            .header("X-Prompt-Prefix", "c3:8000")
-    }
-
-    /// Builds a request for a stream without its size.
-    pub(crate) fn stream(&self, entry: usize, path: &str, events: u64, id: &str) -> RequestBuilder {
-        self.call(entry, "POST", &format!("{path}?events={events}"), id)
-            .header("X-Model", "m")
-            .body("prompt")
-    }
-
     /// Returns the engine of a request's latest run.
     pub(crate) async fn engine_of(&self, id: &str) -> usize {
         until("the run", || async { !self.record.runs_of(id).is_empty() }).await;
@@ -418,43 +379,6 @@
         fs::read_to_string(&self.entries[entry].log).unwrap_or_default()
     }
 
-    /// Returns the cause of a request's outcome that `fireflyctl explain` shows.
-    pub(crate) fn cause(&self, id: &str) -> String {
-        let texts: Vec<String> = (0..self.entries.len()).map(|e| self.log(e)).collect();
-        let lines = texts.iter().flat_map(|t| t.lines());
-        let lines = lines
-            .filter_map(|l| fireflyctl::parse_line("entry", l))
-            .collect();
-        fireflyctl::build_timeline(lines, id).map_or_else(String::new, |s| s.cause)
-    }
-
-    /// Runs `fireflyctl` against an entry; returns its exit status and standard output.
-    pub(crate) async fn run_fireflyctl(&self, entry: usize, args: &[&str]) -> (u8, String) {
-        let node = self.entries[entry].operators.to_string();
-        let first = ["fireflyctl", "--nodes", &node];
-        let all = first.iter().chain(args);
-        let all: Vec<String> = all.map(|a| (*a).to_owned()).collect();
-        let run = move || {
-            let (mut out, mut err) = (Vec::new(), Vec::new());
-            let mut console = fireflyctl::Console {
-                out: &mut out,
-                err: &mut err,
-            };
-            let exit = fireflyctl::run(all, &mut console);
-            (exit, String::from_utf8(out).unwrap())
-        };
-        tokio::task::spawn_blocking(run).await.unwrap()
-    }
-
-    /// Returns the status that an entry shows operators.
-    pub(crate) async fn status(&self, entry: usize) -> Value {
-        let (_, shown) = self
-            .run_fireflyctl(entry, &["entries", "status", "--json"])
-            .await;
-        let shown: Value = serde_json::from_str(&shown).unwrap();
-        shown[0]["entry"].clone()
-    }
-
     /// Moves the second engine and the second plain service to the data centre `b` in region `south`.
     pub(crate) async fn split_data_centres(&self) {
         for (upstream, service) in [(&self.engines[1], "models"), (&self.plains[1], "records")] {
--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -28,10 +28,13 @@
 /// Upstreams that a part of prompts may crash before it is known to do so; set by the users.
 const MAX_PART_CRASHES: usize = 5;
 
-/// Time from the last of these crashes to the refusal of the part at all entries; set by the users.
-const PART_REFUSAL_TIME: Duration = Duration::from_secs(3);
+/// Upstreams that a request that comes again may crash before it is known to do so; set by the users.
+const MAX_REQUEST_CRASHES: usize = 3;
 
-/// Requests with the part that may reach upstreams even so; set by the users.
+/// Time from the last of these crashes to the refusal at all entries; set by the users.
+const REFUSAL_TIME: Duration = Duration::from_secs(3);
+
+/// Requests that may reach upstreams even so; set by the users.
 const MAX_LATE_ARRIVALS: usize = 3;
 
 /// Time from these crashes from which sound requests with the same other parts are judged, and the number of
@@ -145,6 +148,8 @@
     MixedVersions(String),
     /// Too many requests with a part of their prompts that is known to crash upstreams reached upstreams.
     PartServed(String),
+    /// A request that is known to crash upstreams reached upstreams too often; with its path.
+    RequestServed(String),
     /// Too few sound requests begin that share the other parts of those; with their share and that before.
     LostBeside(String),
     /// Too few of the streams that callers take up go on; with their share and that of new streams.
@@ -211,6 +216,8 @@
     pub serving: Vec<ServingSpan>,
     /// Parts of prompts that crash upstreams.
     pub crashing_parts: Vec<String>,
+    /// Paths of requests that crash upstreams.
+    pub crashing_paths: Vec<String>,
 }
 
 impl Evidence {
@@ -248,6 +255,11 @@
             breaches.extend(served.then(|| Breach::PartServed(part.clone())));
             breaches.extend(self.lost_beside(part).map(Breach::LostBeside));
         }
+        for path in &self.crashing_paths {
+            let late = self.late_arrivals(MAX_REQUEST_CRASHES, |r| r.path == *path);
+            let served = late > MAX_LATE_ARRIVALS;
+            breaches.extend(served.then(|| Breach::RequestServed(path.clone())));
+        }
         breaches
     }
 
@@ -292,31 +304,34 @@
         is_lost.then_some(text)
     }
 
-    /// Returns the times at which a part crashed upstreams, in order.
-    fn crashes_of(&self, part: &str) -> Vec<Instant> {
-        let with_part = self.runs.iter();
-        let with_part = with_part.filter(|r| r.shared_parts.iter().any(|p| p == part));
-        let ended = with_part.filter(|r| r.end.0 == RunEnd::Crashed);
-        let mut times: Vec<Instant> = ended.map(|r| r.end.1).collect();
+    /// Returns the times at which these runs crashed upstreams, in order.
+    fn crashes_of(&self, is_of: impl Fn(&Run) -> bool) -> Vec<Instant> {
+        let ended = self.runs.iter().filter(|r| r.end.0 == RunEnd::Crashed);
+        let mut times: Vec<Instant> = ended.filter(|r| is_of(r)).map(|r| r.end.1).collect();
         times.sort_unstable();
         times
     }
 
-    fn is_part_served(&self, part: &str) -> bool {
-        let crashes = self.crashes_of(part);
-        let Some(known_at) = crashes.get(MAX_PART_CRASHES - 1) else {
-            return false;
+    /// Returns how many of these runs began later than [`REFUSAL_TIME`] after they had crashed `limit` upstreams.
+    fn late_arrivals(&self, limit: usize, is_of: impl Fn(&Run) -> bool) -> usize {
+        let crashes = self.crashes_of(&is_of);
+        let Some(known_at) = crashes.get(limit - 1) else {
+            return 0;
         };
-        let with_part = self.runs.iter();
-        let with_part = with_part.filter(|r| r.shared_parts.iter().any(|p| p == part));
-        let late = with_part.filter(|r| r.began > *known_at + PART_REFUSAL_TIME);
-        late.filter(|r| !self.is_excused(r.began)).count() > MAX_LATE_ARRIVALS
+        let late = self.runs.iter().filter(|r| is_of(r));
+        let late = late.filter(|r| r.began > *known_at + REFUSAL_TIME);
+        late.filter(|r| !self.is_excused(r.began)).count()
+    }
+
+    fn is_part_served(&self, part: &str) -> bool {
+        let late = self.late_arrivals(MAX_PART_CRASHES, |r| shares(r, part));
+        late > MAX_LATE_ARRIVALS
     }
 
     /// Returns the shares of sound streams beside a part that begin after and before its crashes, if the first is
     /// under half of the second.
     fn lost_beside(&self, part: &str) -> Option<String> {
-        let crashes = self.crashes_of(part);
+        let crashes = self.crashes_of(|r| shares(r, part));
         let known_at = crashes.get(MAX_PART_CRASHES - 1).or(crashes.last())?;
         let first = crashes.first()?;
         let has = |a: &Attempt, part: &str| a.shared_parts.iter().any(|p| p == part);
@@ -426,6 +441,11 @@
     }
 }
 
+/// Returns whether a run's prompt shares a part.
+fn shares(run: &Run, part: &str) -> bool {
+    run.shared_parts.iter().any(|p| p == part)
+}
+
 fn check_answer(attempt: &Attempt) -> Option<Breach> {
     let is_valid = match &attempt.outcome {
         Outcome::Complete(body) => without_versions(body) == attempt.expected_body,
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -88,7 +88,7 @@
     pub(super) closes: AtomicBool,
     /// Whether answers end with their connection, with neither a length nor chunks.
     pub(super) ends_with_connection: AtomicBool,
-    /// Whether a part of a prompt has crashed it.
+    /// Whether a request has crashed it.
     pub(super) has_crashed: AtomicBool,
     /// Signals that stop runs for a migration, by request.
     pub(super) stop_signals: Mutex<HashMap<String, Arc<Notify>>>,
@@ -269,7 +269,7 @@
             .store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether a part of a prompt has crashed it since its start.
+    /// Returns whether a request has crashed it since its start.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
         self.shared.has_crashed.load(Ordering::Relaxed)
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -19,7 +19,7 @@
     Migrated,
     /// Broken off by a fault of the upstream.
     Broken,
-    /// Crashed its upstream by a part of its prompt.
+    /// Crashed its upstream by its path or a part of its prompt.
     Crashed,
 }
 
@@ -40,6 +40,8 @@
     pub after: u64,
     /// Whether it resumed from the memory of an earlier run.
     pub from_memory: bool,
+    /// Path of the request.
+    pub path: String,
     /// Parts of the prompt that other requests may share: all but the last.
     pub shared_parts: Vec<String>,
     /// Start time.
@@ -73,6 +75,8 @@
     foreign_memory: Vec<String>,
     /// Parts of prompts that crash any upstream that begins an answer on them.
     crashing_parts: Vec<String>,
+    /// Paths of requests that crash any upstream that begins to run them.
+    crashing_paths: Vec<String>,
 }
 
 impl Record {
@@ -115,10 +119,30 @@
         lock(&self.inner).crashing_parts.clone()
     }
 
-    /// Returns whether one of these parts crashes upstreams.
-    pub(super) fn is_crashing(&self, parts: &[String]) -> bool {
+    /// Makes requests with a path crash each upstream that begins to run them.
+    pub fn crash_on_path(&self, path: &str) {
+        lock(&self.inner).crashing_paths.push(path.to_owned());
+    }
+
+    /// Returns the paths of requests that crash upstreams.
+    #[must_use]
+    pub fn crashing_paths(&self) -> Vec<String> {
+        lock(&self.inner).crashing_paths.clone()
+    }
+
+    /// Returns whether a request with this path and these parts crashes upstreams.
+    pub(super) fn is_crashing(&self, path: &str, parts: &[String]) -> bool {
         let inner = lock(&self.inner);
-        parts.iter().any(|p| inner.crashing_parts.contains(p))
+        let has_part = parts.iter().any(|p| inner.crashing_parts.contains(p));
+        has_part || inner.crashing_paths.iter().any(|p| p == path)
+    }
+
+    /// Returns the runs of requests with a path.
+    #[must_use]
+    pub fn runs_on(&self, path: &str) -> Vec<Run> {
+        let mut runs = self.runs();
+        runs.retain(|r| r.path == path);
+        runs
     }
 
     /// Returns the runs whose prompt shares a part.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -29,7 +29,7 @@
 /// Time that a slow engine needs to read a prompt.
 const PROMPT_READ_TIME: Duration = Duration::from_secs(1);
 
-/// Time from the head of an answer to the crash by a part of its prompt.
+/// Time from the head of an answer to the crash that its request causes.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 
 /// Duration of a plain call.
@@ -40,7 +40,7 @@
     shared: &'a Shared,
     run: usize,
     after: u64,
-    /// Whether a part of its prompt crashes the upstream.
+    /// Whether its path or a part of its prompt crashes the upstream.
     pub(super) crashes: bool,
 }
 
@@ -50,7 +50,8 @@
         let after = after.unwrap_or(0);
         let now = Instant::now();
         let shared_parts = req.shared_parts();
-        let crashes = shared.record.is_crashing(&shared_parts);
+        let path = req.path.split('?').next().unwrap_or_default();
+        let crashes = shared.record.is_crashing(path, &shared_parts);
         let run = shared.record.begin(Run {
             request_id: id.to_owned(),
             instance: instance.to_owned(),
@@ -59,6 +60,7 @@
             saw_key: req.header("x-credential").is_some(),
             after,
             from_memory: req.header("kv-from").is_some(),
+            path: path.to_owned(),
             shared_parts,
             began: now,
             end: (RunEnd::Running, now),
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -157,6 +157,7 @@
         saw_key: false,
         after: 0,
         from_memory: false,
+        path: String::new(),
         shared_parts: Vec::new(),
         began: at(from),
         end: (RunEnd::Complete, at(to)),
