Fail on crash counts that restarts in turn wipe out on the own path

The same cause looked for on the project's own path: `quarantine` and `crash_announcements` tell a count five times and never again, and what a process was told it doesn't tell. In the simulated world a request that crashed two upstreams, the limit, crashes two more once entries and agents have started again one after the other (4 where 2 are allowed). Crashes at one moment pass there and stay as a guard.

--- a/fireflycroft/tests/poison.rs
+++ b/fireflycroft/tests/poison.rs
@@ -67,6 +67,30 @@
         assert!(crashes(world) <= u32::from(CRASH_LIMIT), "{}", crashes(world));
     }
 
+    crashes_at_one_moment_all_count(world) {
+        for entry in 0..3 {
+            world.submit(entry, poison());
+        }
+        world.advance(1_000);
+        let at_once = crashes(world);
+        assert!(at_once > 1, "one agent ran them all");
+        world.advance(4_000);
+        send_sequentially(world, poison(), &[0, 1, 2, 0, 1, 2]);
+        let limit = at_once.max(u32::from(CRASH_LIMIT));
+        assert!(crashes(world) <= limit, "{} after {at_once}", crashes(world));
+    }
+
+    sent_again_after_all_entries_and_agents_started_again_in_turn(world) {
+        send_sequentially(world, poison(), &[0, 1, 2]);
+        let before = crashes(world);
+        for proc in support::fleet::Proc::all() {
+            world.kill(proc);
+            world.advance(6_000);
+        }
+        send_sequentially(world, poison(), &[0, 1, 2, 0, 1, 2]);
+        assert_eq!(crashes(world), before);
+    }
+
     quarantined_request_gets_its_answer_at_once(world) {
         send_sequentially(world, poison(), &[0, 1, 2]);
         world.advance(100);
