--- a/fireflycroft-wire/src/decode.rs
+++ b/fireflycroft-wire/src/decode.rs
@@ -1,6 +1,6 @@
 //! Decoding of packets into the core's types.
 
-use crate::crash_evidence::{read_part_evidence, read_parts};
+use crate::crash_evidence::{read_crash_count, read_crash_news, read_parts};
 use crate::error::WireError;
 use crate::field::{
     check_count, read_addr, read_code, read_digest, read_generation, read_member_state, read_name,
@@ -13,8 +13,8 @@
     MAX_BODIES, MAX_CHUNK_TOKENS, MAX_HASHES, MAX_PACKET_BYTES, MAX_PARTS, MAX_RECORDS, MAX_SERVES,
 };
 use fireflycroft::{
-    Chunk, ConfigVersion, Demand, Envelope, Finish, Incarnation, Load, MemberRecord, Message,
-    Order, OrderKind, Peer, Work,
+    CRASH_LIMIT, Chunk, ConfigVersion, CrashId, CrashNews, Demand, Envelope, Finish, Incarnation,
+    Load, MemberRecord, Message, Order, OrderKind, Peer, Work,
 };
 use prost::Message as _;
 use std::time::Duration;
@@ -222,12 +222,15 @@
 
 fn read_crashes(crashes: &pb::Crashes) -> Result<Message, WireError> {
     if let Some(evidence) = &crashes.parts {
-        return read_part_evidence(evidence).map(Message::PartEvidence);
+        return read_crash_news(evidence).map(Message::CrashNews);
     }
-    Ok(Message::Crashes {
-        content: read_digest(&crashes.content, "crashes.content")?,
-        count: read_narrow(crashes.count, "crashes.count")?,
-    })
+    let content = read_digest(&crashes.content, "crashes.content")?;
+    let count: u8 = read_narrow(crashes.count, "crashes.count")?;
+    let refused = read_crash_count(content, count.into(), CRASH_LIMIT.into());
+    Ok(Message::CrashNews(CrashNews {
+        refused: refused.into_iter().collect(),
+        ..CrashNews::default()
+    }))
 }
 
 fn read_ping(probe: pb::Probe) -> Result<Message, WireError> {
@@ -346,6 +349,7 @@
         prompt_tokens: finish.prompt_tokens,
         preemptions: finish.preemptions,
         crashes: read_narrow(finish.crashes, "finish.crashes")?,
+        ended: finish.ended.map(CrashId),
     })
 }
 
--- a/fireflycroft-wire/src/encode.rs
+++ b/fireflycroft-wire/src/encode.rs
@@ -3,7 +3,7 @@
 //! Encoding can't fail. The limits are enforced by the decoder: a value that
 //! exceeds them is encoded, and rejected by the receiver.
 
-use crate::crash_evidence::part_evidence;
+use crate::crash_evidence::crash_news;
 use crate::field::{
     addr_bytes, generation, id_bytes, member_state, micros, priority, role, standing,
 };
@@ -223,15 +223,10 @@
 /// Converts the messages about the fleet itself.
 fn fleet_message(message: &Message) -> Option<Kind> {
     Some(match message {
-        Message::Crashes { content, count } => Kind::Crashes(pb::Crashes {
-            content: id_bytes(content.0),
-            count: u32::from(*count),
-            parts: None,
-        }),
-        Message::PartEvidence(evidence) => Kind::Crashes(pb::Crashes {
+        Message::CrashNews(news) => Kind::Crashes(pb::Crashes {
             content: id_bytes(0),
             count: 0,
-            parts: Some(part_evidence(evidence)),
+            parts: Some(crash_news(news)),
         }),
         Message::Ping {
             nonce,
@@ -362,6 +357,7 @@
         prompt_tokens: finish.prompt_tokens,
         preemptions: finish.preemptions,
         crashes: u32::from(finish.crashes),
+        ended: finish.ended.map(|e| e.0),
     }
 }
 
--- a/fireflycroft-wire/src/entry_announcement.rs
+++ b/fireflycroft-wire/src/entry_announcement.rs
@@ -1,17 +1,23 @@
 //! Conversion of direct entries' announcements to generated types and back.
 
-use crate::crash_evidence::{part_evidence, read_part_evidence};
+use crate::crash_evidence::{crash_news, read_crash_count, read_crash_news};
 use crate::error::WireError;
-use crate::field::{addr_bytes, id_bytes, millis, read_addr, read_all, read_digest, read_name};
+use crate::field::{
+    addr_bytes, check_count, millis, read_addr, read_all, read_digest, read_name, read_narrow,
+};
 use crate::generated as pb;
+use crate::limits::MAX_RECORDS;
 use crate::owner_messages::{MAX_TOKENS, life, read_life};
 use fireflycroft::{
-    CrashCount, EntryAnnouncement, Evacuations, Incarnation, ListChange, Name, PauseCounts,
+    CrashNews, EntryAnnouncement, Evacuations, Incarnation, ListChange, Name, PauseCounts,
     RateLimit, RetryCount, ServiceDemand, ToldRate, UpstreamRecord, UpstreamState,
 };
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+/// Crashes at which direct entries of builds that count them refuse a content.
+const ENTRY_CRASH_LIMIT: u32 = 3;
+
 /// Maximum ratios of pauses that are counted.
 const MAX_PAUSE_RATIOS: usize = 256;
 
@@ -29,8 +35,8 @@
         data_centre: announcement.data_centre.to_string(),
         list_changes: announcement.list_changes.iter().map(list_change).collect(),
         repeats: announcement.retries.iter().map(retry_count).collect(),
-        crashes: announcement.crashes.iter().map(crash_count).collect(),
-        part_evidence: Some(part_evidence(&announcement.part_evidence)),
+        crashes: Vec::new(),
+        part_evidence: Some(crash_news(&announcement.crash_news)),
         peers: announcement.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: announcement.leaving,
         evacuations: Some(evacuations(&announcement.evacuations)),
@@ -60,13 +66,7 @@
         data_centre: read_name(&announcement.data_centre, "news.data_centre")?,
         list_changes: read_all(&announcement.list_changes, read_list_change)?,
         retries: read_all(&announcement.repeats, read_retry_count)?,
-        crashes: read_all(&announcement.crashes, read_crash_count)?,
-        part_evidence: announcement
-            .part_evidence
-            .as_ref()
-            .map(read_part_evidence)
-            .transpose()?
-            .unwrap_or_default(),
+        crash_news: read_news_of_crashes(announcement)?,
         peers: peers.map(Ipv4Addr::from_bits).collect(),
         leaving: announcement.leaving,
         evacuations: announcement
@@ -228,16 +228,16 @@
     })
 }
 
-fn crash_count(crash_count: &CrashCount) -> pb::CrashCount {
-    pb::CrashCount {
-        content: id_bytes(crash_count.content.0),
-        count: u32::from(crash_count.count),
+/// Reads evidence about crashes, and the counts of builds that know none about contents.
+fn read_news_of_crashes(announcement: &pb::EntryNews) -> Result<CrashNews, WireError> {
+    let evidence = announcement.part_evidence.as_ref();
+    let mut news = evidence.map(read_crash_news).transpose()?;
+    let refused = &mut news.get_or_insert_default().refused;
+    check_count(announcement.crashes.len(), MAX_RECORDS, "news.crashes")?;
+    for count in &announcement.crashes {
+        let content = read_digest(&count.content, "crash.content")?;
+        let _: u8 = read_narrow(count.count, "crash.count")?;
+        refused.extend(read_crash_count(content, count.count, ENTRY_CRASH_LIMIT));
     }
-}
-
-fn read_crash_count(crash_count: &pb::CrashCount) -> Result<CrashCount, WireError> {
-    Ok(CrashCount {
-        content: read_digest(&crash_count.content, "crash.content")?,
-        count: u8::try_from(crash_count.count).map_err(|_| WireError::BadValue("crash.count"))?,
-    })
+    Ok(news.unwrap_or_default())
 }
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -282,6 +282,9 @@
     pub preemptions: u32,
     #[prost(uint32, tag = "8")]
     pub crashes: u32,
+    /// Digest of the upstream's incarnation whose end broke it off.
+    #[prost(fixed64, optional, tag = "9")]
+    pub ended: ::core::option::Option<u64>,
 }
 /// Tokens of a generation, and its end with the last of them.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -329,8 +332,8 @@
     #[prost(message, optional, tag = "1")]
     pub generation: ::core::option::Option<Generation>,
 }
-/// Number of upstreams crashed by one content; with evidence about parts of prompts the count is zero, which says
-/// nothing to a reader that knows of no parts.
+/// Evidence about requests that crash upstreams. Builds that know none tell the number of upstreams crashed by one
+/// content instead; with evidence the count is zero, which says nothing to them.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Crashes {
     #[prost(bytes = "vec", tag = "1")]
@@ -619,6 +622,7 @@
     /// Whether the sender watches the platform's store and gets answers.
     #[prost(bool, tag = "5")]
     pub watches: bool,
+    /// Told by builds that know no evidence about contents.
     #[prost(message, repeated, tag = "7")]
     pub crashes: ::prost::alloc::vec::Vec<CrashCount>,
     /// IPv4 addresses of some other entries.
@@ -657,7 +661,7 @@
     #[prost(message, optional, tag = "25")]
     pub part_evidence: ::core::option::Option<PartEvidence>,
 }
-/// Evidence about parts of prompts that crash upstreams.
+/// Evidence about parts of prompts, and contents of requests, that crash upstreams.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PartEvidence {
     #[prost(message, repeated, tag = "1")]
@@ -666,6 +670,11 @@
     pub sound: ::prost::alloc::vec::Vec<SoundPart>,
     #[prost(message, repeated, tag = "3")]
     pub refused: ::prost::alloc::vec::Vec<RefusedPart>,
+    /// The same of contents.
+    #[prost(message, repeated, tag = "4")]
+    pub sound_contents: ::prost::alloc::vec::Vec<SoundPart>,
+    #[prost(message, repeated, tag = "5")]
+    pub refused_contents: ::prost::alloc::vec::Vec<RefusedPart>,
 }
 /// An upstream that ended as an answer began there.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -681,6 +690,9 @@
     pub begun: bool,
     #[prost(uint32, tag = "4")]
     pub age_ms: u32,
+    /// Folded digest of the request's path, caller and body.
+    #[prost(fixed64, optional, tag = "5")]
+    pub content: ::core::option::Option<u64>,
 }
 /// A part of prompts on which an answer went on.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/src/lib.rs
+++ b/fireflycroft-wire/src/lib.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod owner_messages;
 
+pub use crash_evidence::{decode_crash_news, encode_crash_news};
 pub use decode::{Header, decode, decode_all};
 pub use encode::{encode, encode_all, encode_into};
 pub use entry_message::{decode_datagram, encode_datagram};
--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -1,11 +1,12 @@
 //! Round trips of messages between direct entries, and rejection of invalid bytes.
 
 use fireflycroft::{
-    CrashCount, CrashId, CrashReport, Digest, EntryAnnouncement, EntryMessage, Evacuations,
-    Incarnation, ListChange, MAX_SHARED_PARTS, Name, OwnedLoad, OwnerQuery, OwnerQueryBody,
-    OwnerReply, OwnerReplyBody, OwnerReport, Pace, PartEvidence, PartId, PauseCounts, Placed,
-    PlacedAt, RateLimit, Refusal, RefusedPart, RetryCount, ServiceDemand, SoundPart, StreamOrigin,
-    StreamStart, ToldRate, UpstreamIncarnation, UpstreamRecord, UpstreamState,
+    ContentId, CrashId, CrashNews, CrashReport, Digest, EntryAnnouncement, EntryMessage,
+    Evacuations, Incarnation, ListChange, MAX_SHARED_PARTS, Name, OwnedLoad, OwnerQuery,
+    OwnerQueryBody, OwnerReply, OwnerReplyBody, OwnerReport, Pace, PartId, PauseCounts, Placed,
+    PlacedAt, RateLimit, Refusal, RefusedSuspect, RetryCount, ServiceDemand, SoundSuspect,
+    StreamOrigin, StreamStart, Suspect, ToldRate, UpstreamIncarnation, UpstreamRecord,
+    UpstreamState,
 };
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
 use proptest::prelude::*;
@@ -218,32 +219,40 @@
                 age: Duration::ZERO,
             },
         ],
-        crashes: vec![CrashCount {
-            content: Digest(9),
-            count: 2,
-        }],
-        part_evidence: PartEvidence {
+        crash_news: CrashNews {
             crashes: vec![CrashReport {
                 ended: CrashId(u64::MAX),
-                parts: vec![PartId(0x5c1e), PartId(7)],
+                suspects: vec![part(0x5c1e), part(7), content(9)],
                 begun: true,
                 age: Duration::from_millis(40),
             }],
-            sound: vec![SoundPart {
-                part: PartId(7),
-                age: Duration::from_millis(900),
-            }],
-            refused: vec![RefusedPart {
-                part: PartId(0x5c1e),
-                crashes: 3,
-                age: Duration::from_secs(80),
-            }],
+            sound: [part(7), content(9)]
+                .map(|suspect| SoundSuspect {
+                    suspect,
+                    age: Duration::from_millis(900),
+                })
+                .to_vec(),
+            refused: [part(0x5c1e), content(10)]
+                .map(|suspect| RefusedSuspect {
+                    suspect,
+                    crashes: 3,
+                    age: Duration::from_secs(80),
+                })
+                .to_vec(),
         },
         peers: vec![Ipv4Addr::new(127, 0, 0, 3)],
         leaving: true,
     }
 }
 
+const fn part(id: u64) -> Suspect {
+    Suspect::Part(PartId(id))
+}
+
+const fn content(id: u64) -> Suspect {
+    Suspect::Content(ContentId(id))
+}
+
 fn refuses_oversized() {
     let bytes = vec![0; MAX_DATAGRAM_BYTES + 1];
     assert!(matches!(
@@ -256,19 +265,24 @@
 fn evidence_size() {
     let size = |announcement| encode_datagram(&announcement_message(announcement)).len();
     let told = EntryAnnouncement {
-        part_evidence: PartEvidence {
+        crash_news: CrashNews {
             crashes: vec![CrashReport {
                 ended: CrashId(u64::MAX),
-                parts: vec![PartId(u64::MAX); 3],
+                suspects: vec![
+                    part(u64::MAX),
+                    part(u64::MAX),
+                    part(u64::MAX),
+                    content(u64::MAX),
+                ],
                 begun: true,
                 age: Duration::from_secs(5),
             }],
-            sound: vec![SoundPart {
-                part: PartId(u64::MAX),
+            sound: vec![SoundSuspect {
+                suspect: part(u64::MAX),
                 age: Duration::from_secs(5),
             }],
-            refused: vec![RefusedPart {
-                part: PartId(u64::MAX),
+            refused: vec![RefusedSuspect {
+                suspect: part(u64::MAX),
                 crashes: 5,
                 age: Duration::from_hours(1),
             }],
@@ -282,14 +296,14 @@
 
 fn refuses_parts() {
     let announcement = EntryAnnouncement {
-        part_evidence: PartEvidence {
+        crash_news: CrashNews {
             crashes: vec![CrashReport {
                 ended: CrashId(1),
-                parts: vec![PartId(2); MAX_SHARED_PARTS + 1],
+                suspects: vec![part(2); MAX_SHARED_PARTS + 1],
                 begun: true,
                 age: Duration::ZERO,
             }],
-            ..PartEvidence::default()
+            ..CrashNews::default()
         },
         ..EntryAnnouncement::default()
     };
--- a/fireflycroft-wire/tests/faults.rs
+++ b/fireflycroft-wire/tests/faults.rs
@@ -1,8 +1,8 @@
 //! Each kind of malformed packet gives its own error.
 
 use fireflycroft::{
-    Chunk, Code, ConfigVersion, GenerationId, Incarnation, MemberRecord, MemberState, Message,
-    Peer, RequestId, Role,
+    Chunk, Code, ConfigVersion, Digest, GenerationId, Incarnation, MemberRecord, MemberState,
+    Message, Peer, RequestId, Role, Suspect,
 };
 use fireflycroft_wire::{
     MAX_BODIES, MAX_CHUNK_TOKENS, MAX_HASHES, MAX_NAME_BYTES, MAX_PACKET_BYTES, MAX_PARTS,
@@ -251,3 +251,14 @@
     parts_at_the_bound: view_parts(MAX_PARTS);
     records_at_the_bound: ping(MAX_SERVES, MAX_RECORDS);
 }
+
+/// Counts of builds that know no evidence about contents refuse from the limit on, and say nothing below it.
+#[test]
+fn crash_counts_of_older_builds_are_read() {
+    let refused = |count| match decode_all(&raw_crashes(16, count)).unwrap().1.as_slice() {
+        [Message::CrashNews(news)] => news.refused.clone(),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(refused(1), []);
+    assert_eq!(refused(2)[0].suspect, Suspect::of_content(Digest(0)));
+}
--- a/fireflycroft-wire/tests/support/mod.rs
+++ b/fireflycroft-wire/tests/support/mod.rs
@@ -1,9 +1,10 @@
 //! Strategies that generate every message of the core.
 
 use fireflycroft::{
-    Chunk, Code, ConfigVersion, CrashId, CrashReport, Demand, Digest, Envelope, Finish,
-    GenerationId, Incarnation, Load, MemberRecord, MemberState, Message, Name, Order, OrderKind,
-    PartEvidence, PartId, Peer, Priority, RefusedPart, RequestId, Role, SoundPart, Standing, Work,
+    Chunk, Code, ConfigVersion, ContentId, CrashId, CrashNews, CrashReport, Demand, Digest,
+    Envelope, Finish, GenerationId, Incarnation, Load, MemberRecord, MemberState, Message, Name,
+    Order, OrderKind, PartId, Peer, Priority, RefusedSuspect, RequestId, Role, SoundSuspect,
+    Standing, Suspect, Work,
 };
 use proptest::collection::vec;
 use proptest::option;
@@ -152,8 +153,6 @@
 }
 
 fn fleet_message() -> impl Strategy<Value = Message> {
-    let crashes =
-        (digest(), any::<u8>()).prop_map(|(content, count)| Message::Crashes { content, count });
     let probe =
         (any::<u64>(), vec(record(), 0..4), any::<u64>()).prop_map(|(nonce, records, view)| {
             Message::Ping {
@@ -215,8 +214,7 @@
     );
     let page = vec(record(), 0..4).prop_map(|records| Message::ViewPage { records });
     prop_oneof![
-        part_evidence(),
-        crashes,
+        crash_news(),
         probe,
         reply,
         via,
@@ -256,26 +254,53 @@
     any::<u32>().prop_map(|ms| Duration::from_millis(ms.into()))
 }
 
-fn part_evidence() -> impl Strategy<Value = Message> {
+fn content_of(id: u64) -> Suspect {
+    Suspect::Content(ContentId(id))
+}
+
+fn content() -> impl Strategy<Value = Suspect> {
+    any::<u64>().prop_map(content_of)
+}
+
+fn crash_news() -> impl Strategy<Value = Message> {
     let crash = (any::<u64>(), parts(), any::<bool>(), age());
-    let crash = crash.prop_map(|(ended, parts, begun, age)| CrashReport {
+    let crash = (crash, proptest::option::of(any::<u64>()));
+    let crash = crash.prop_map(|((ended, parts, begun, age), content)| CrashReport {
         ended: CrashId(ended),
-        parts,
+        suspects: parts
+            .into_iter()
+            .map(Suspect::Part)
+            .chain(content.map(content_of))
+            .collect(),
         begun,
         age,
     });
-    let part = || any::<u64>().prop_map(PartId);
-    let sound = (part(), age()).prop_map(|(part, age)| SoundPart { part, age });
-    let refused = (part(), any::<u32>(), age());
-    let refused = refused.prop_map(|(part, crashes, age)| RefusedPart { part, crashes, age });
-    let all = (vec(crash, 0..3), vec(sound, 0..3), vec(refused, 0..3));
-    all.prop_map(|(crashes, sound, refused)| {
-        Message::PartEvidence(PartEvidence {
+    let part = || any::<u64>().prop_map(|id| Suspect::Part(PartId(id)));
+    let sound = |suspect| (suspect, age()).prop_map(|(suspect, age)| SoundSuspect { suspect, age });
+    let refused = |suspect| {
+        (suspect, any::<u32>(), age()).prop_map(|(suspect, crashes, age)| RefusedSuspect {
+            suspect,
             crashes,
-            sound,
-            refused,
+            age,
         })
-    })
+    };
+    // Parts come before contents on the wire.
+    let all = (
+        vec(crash, 0..3),
+        vec(sound(part().boxed()), 0..3),
+        vec(sound(content().boxed()), 0..3),
+        vec(refused(part().boxed()), 0..3),
+        vec(refused(content().boxed()), 0..3),
+    );
+    all.prop_map(
+        |(crashes, sound, sound_contents, refused, refused_contents)| {
+            Message::CrashNews(CrashNews {
+                crashes,
+                sound: [sound, sound_contents].concat(),
+                refused: [refused, refused_contents].concat(),
+            })
+        },
+    )
 }
 
 fn demand() -> impl Strategy<Value = Demand> {
@@ -334,7 +359,7 @@
 }
 
 fn finish() -> impl Strategy<Value = Finish> {
-    let counts = any::<(u64, u16, u32, u32, u8)>();
+    let counts = any::<(u64, u16, u32, u32, u8, Option<u64>)>();
     (counts, select(Code::ALL), name(), name()).prop_map(|(counts, code, reason, content_type)| {
         Finish {
             total: counts.0,
@@ -345,6 +370,7 @@
             prompt_tokens: counts.2,
             preemptions: counts.3,
             crashes: counts.4,
+            ended: counts.5.map(CrashId),
         }
     })
 }
--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -6,8 +6,8 @@
 //! [`AgentAction`]s.
 
 use crate::admit::Admission;
+use crate::agent_crashes::content_limits;
 use crate::code::Code;
-use crate::crash_announcements::CrashAnnouncements;
 use crate::crash_evidence::CrashEvidence;
 use crate::generation::Generation;
 use crate::generation_store::GenerationStore;
@@ -16,7 +16,6 @@
 use crate::message::{ConfigVersion, Envelope, Finish, Load, Message, Standing};
 use crate::offer::{AdmitPolicy, Capacity, OfferId, UpstreamReport};
 use crate::order::{Order, Orders};
-use crate::quarantine::Quarantine;
 use crate::time::Time;
 use crate::work::{Demand, Work};
 use std::collections::BTreeMap;
@@ -199,14 +198,12 @@
     pub(crate) offers: BTreeMap<OfferId, OfferState>,
     pub(crate) generations: GenerationStore,
     pub(crate) next_serial: u64,
-    pub(crate) quarantine: Quarantine,
-    pub(crate) crash_announcements: CrashAnnouncements,
     pub(crate) crash_evidence: CrashEvidence,
     /// Number of times that the upstream has ended.
     pub(crate) upstream_ends: u64,
     /// Whether it has evidence to tell, and when it last did.
-    pub(crate) tells_parts: bool,
-    pub(crate) parts_told: Time,
+    pub(crate) tells_crashes: bool,
+    pub(crate) crashes_told: Time,
     pub(crate) upstream_up: bool,
     pub(crate) leaving: bool,
     pub(crate) orders: Orders,
@@ -229,12 +226,10 @@
             offers: BTreeMap::new(),
             generations: GenerationStore::default(),
             next_serial: 1,
-            quarantine: Quarantine::default(),
-            crash_announcements: CrashAnnouncements::default(),
-            crash_evidence: CrashEvidence::default(),
+            crash_evidence: CrashEvidence::with_content_limits(content_limits()),
             upstream_ends: 0,
-            tells_parts: false,
-            parts_told: Time::default(),
+            tells_crashes: false,
+            crashes_told: Time::default(),
             upstream_up: false,
             leaving: false,
             orders: Orders::default(),
@@ -317,7 +312,7 @@
     /// Returns the number of quarantined digests.
     #[must_use]
     pub fn quarantined(&self) -> usize {
-        self.quarantine.refused_count()
+        self.crash_evidence.refused_contents()
     }
 
     fn on_message(&mut self, now: Time, envelope: Envelope, out: &mut Vec<AgentAction>) {
@@ -366,10 +361,7 @@
             }
             Message::Cancel { generation } => self.on_cancel(now, generation, out),
             Message::Order(order) => self.on_order(from, order, out),
-            Message::Crashes { content, count } => {
-                self.quarantine.record(now, content, count);
-            }
-            Message::PartEvidence(told) => self.on_part_evidence(now, &told, out),
+            Message::CrashNews(told) => self.on_crash_news(now, from, &told, out),
             _ => {}
         }
     }
--- a/fireflycroft/src/agent_generations.rs
+++ b/fireflycroft/src/agent_generations.rs
@@ -4,10 +4,11 @@
     Agent, AgentAction, note, request_of, send_actions, status_message, with_count,
 };
 use crate::code::Code;
+use crate::crash_report::Suspect;
 use crate::generation::{Generation, Stage};
-use crate::ids::{Digest, GenerationId, Name, RequestId};
+use crate::ids::{GenerationId, Name, RequestId};
 use crate::log_event::LogEvent;
-use crate::message::{Finish, Message, Standing};
+use crate::message::{Finish, Standing};
 use crate::time::Time;
 use std::net::SocketAddr;
 
@@ -119,7 +120,7 @@
         self.generations
             .record_added_bytes(added, self.limits.max_bytes);
         self.admission.record_progress(now, offer, produced);
-        self.record_part_progress(now, id, passed, false, out);
+        self.record_progress(now, id, passed, false, out);
     }
 
     pub(crate) fn finish(
@@ -142,7 +143,7 @@
         let total = g.log.end();
         if finish.code == Code::Ok {
             self.admission.finish(offer);
-            self.record_part_progress(now, id, total, true, out);
+            self.record_progress(now, id, total, true, out);
         } else {
             self.admission.release(offer);
         }
@@ -158,11 +159,8 @@
         reason: &str,
         out: &mut Vec<AgentAction>,
     ) {
-        let Some(content) = self.find(id).map(|g| g.demand.content) else {
-            return;
-        };
-        let crashes = self.quarantine.crashes(content);
-        if let Some(finish) = self.find(id).map(|g| g.finish_with(code, reason, crashes)) {
+        let finish = self.find(id).map(|g| g.finish_with(code, reason));
+        if let Some(finish) = finish {
             self.finish(now, id, &finish, out);
         }
     }
@@ -202,31 +200,25 @@
         self.finish_with_code(now, id, Code::UpstreamFailed, "upstream failed", out);
     }
 
-    /// Counts a crash for every running content, broadcasts the counts and ends
-    /// the generations.
+    /// Records the crash for every running generation, and ends them.
     pub(crate) fn on_upstream_down(&mut self, now: Time, out: &mut Vec<AgentAction>) {
         self.upstream_up = false;
-        self.record_part_crashes(now, out);
-        let lost: Vec<(GenerationId, Digest, u8)> = self
-            .generations
-            .values()
-            .filter(|g| g.is_running())
-            .map(|g| (g.id, g.demand.content, g.demand.crashes))
+        let ended = self.record_crashes(now, out);
+        let running = self.generations.values().filter(|g| g.is_running());
+        let lost: Vec<(GenerationId, Finish)> = running
+            .map(|g| {
+                let content = Suspect::of_content(g.demand.content);
+                let crashes = self.crash_evidence.crashes_under(content);
+                let finish = Finish {
+                    crashes: u8::try_from(crashes).unwrap_or(u8::MAX),
+                    ended: Some(ended),
+                    ..g.finish_with(Code::UpstreamFailed, "upstream failed")
+                };
+                (g.id, finish)
+            })
             .collect();
-        for (_, content, known) in &lost {
-            let count = self
-                .quarantine
-                .crashes(*content)
-                .max(*known)
-                .saturating_add(1);
-            if self.quarantine.record(now, *content, count) {
-                let content = *content;
-                self.crash_announcements.add(now, content, count);
-                out.push(AgentAction::Broadcast(Message::Crashes { content, count }));
-            }
-        }
-        for (id, _, _) in lost {
-            self.on_lost(now, id, out);
+        for (id, finish) in lost {
+            self.finish(now, id, &finish, out);
         }
         out.push(AgentAction::LogEvent(LogEvent::new("upstream_down")));
     }
--- a/fireflycroft/src/agent_maintenance.rs
+++ b/fireflycroft/src/agent_maintenance.rs
@@ -37,14 +37,7 @@
         self.stop_unread(now, out);
         self.stop_stalled(now, out);
         self.remove_old_records(now);
-        self.quarantine.expire(now);
-        self.tick_parts(now, out);
-        out.extend(
-            self.crash_announcements
-                .due(now)
-                .into_iter()
-                .map(AgentAction::Broadcast),
-        );
+        self.tick_crashes(now, out);
     }
 
     pub(crate) fn expire_due_reservations(&mut self, now: Time, out: &mut Vec<AgentAction>) {
--- a/fireflycroft/src/agent_reservations.rs
+++ b/fireflycroft/src/agent_reservations.rs
@@ -9,6 +9,7 @@
     refusal_message, send_actions, status_message,
 };
 use crate::code::Code;
+use crate::crash_report::Suspect;
 use crate::generation::{Generation, Stage};
 use crate::ids::{Digest, GenerationId, RequestId};
 use crate::message::{Message, Standing};
@@ -103,10 +104,7 @@
         if !self.upstream_up || !self.serves.contains(&demand.target) {
             return Some((Code::NoUpstream, LONG_RETRY_AFTER));
         }
-        if self.quarantine.is_refused(demand.content) {
-            return Some((Code::Quarantined, Duration::ZERO));
-        }
-        if let Some(refusal) = self.part_refusal(now, &demand.shared_parts) {
+        if let Some(refusal) = self.crash_refusal(now, demand) {
             return Some(refusal);
         }
         if config_differs {
@@ -115,22 +113,23 @@
         if self.offers.len() >= self.limits.max_offers {
             return Some((Code::Overloaded, LONG_RETRY_AFTER));
         }
-        let suspect = demand.crashes.max(self.quarantine.crashes(demand.content)) > 0;
-        if suspect && self.runs_another_suspect(demand.content) {
+        if self.is_suspect(demand) && self.runs_another_suspect(demand.content) {
             return Some((Code::Overloaded, LONG_RETRY_AFTER));
         }
         None
     }
 
     pub(crate) fn runs_another_suspect(&self, content: Digest) -> bool {
-        let is_suspect = |g: &Generation| {
-            let crashes = self.quarantine.crashes(g.demand.content);
-            g.demand.content != content && g.demand.crashes.max(crashes) > 0
-        };
         let active = |g: &Generation| matches!(g.stage, Stage::Running | Stage::Reserved(_));
         self.generations
             .values()
-            .any(|g| active(g) && is_suspect(g))
+            .any(|g| active(g) && g.demand.content != content && self.is_suspect(&g.demand))
+    }
+
+    /// Returns whether an upstream ended under the same content since it was last seen sound.
+    fn is_suspect(&self, demand: &Demand) -> bool {
+        let content = Suspect::of_content(demand.content);
+        demand.crashes > 0 || self.crash_evidence.crashes_under(content) > 0
     }
 
     pub(crate) fn refuse(
--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -1,293 +1,145 @@
-//! Which part of a prompt crashes the upstreams that begin an answer on it.
+//! What crashes the upstreams that begin an answer: a part that prompts share, or one request that comes again.
 //!
 //! Requests that crash upstreams need not be alike: a shared part of their prompts may be the cause, in any place but
-//! the last. An upstream that ends is evidence against each shared part of the answers that were beginning there. It
-//! is known by its incarnation, so that it counts once, whoever saw it end. An answer that goes on past its beginning
-//! is evidence for each of its shared parts, and clears them of all earlier crashes.
+//! the last. Or it is one request alone, which its caller sends again. An upstream that ends is evidence against each
+//! of these suspects of the answers that were beginning there. It is known by its incarnation, so that it counts once,
+//! whoever saw it end. An answer that goes on past its beginning clears its suspects of all earlier crashes.
 //!
-//! A part is refused once enough incarnations have ended under it since it was last seen sound. Of several parts that
-//! were in the same requests, one that was never seen sound is refused first, then the later one in the prompt, which
-//! fewer requests share. Its crashes then count against no other part. A part that was seen sound before needs more
-//! crashes over a longer time, since the loss of a rack ends many upstreams with the same popular part at once.
+//! A suspect is refused once enough incarnations have ended under it since it was last seen sound; [`crate::suspicion`]
+//! decides which of several that were under the same crashes. One that was seen sound before needs more crashes over a
+//! longer time, since the loss of a rack ends many upstreams with the same popular part or call at once.
 //!
-//! While answers elsewhere may still show that a part is sound, requests with it are put off for a moment.
+//! While answers elsewhere may still show that a suspect is sound, its requests are put off for a moment.
 //!
-//! A refused part is tried again by one request now and then, at growing intervals, and is released when an answer
-//! on it goes on.
-
-use crate::ids::{Digest, PartId};
+//! A refused suspect is tried again by one request now and then, at growing intervals, and is released when an answer
+//! under it goes on.
+
+use crate::crash_report::{
+    CrashNews, CrashReport, CrashVerdict, MAX_SHARED_PARTS, RefusedSuspect, SoundSuspect, Suspect,
+};
+use crate::crash_reports::{CrashReports, KeptReport};
+use crate::refusals::Refusals;
+use crate::sound_suspects::SoundSuspects;
+use crate::suspicion::{Blame, ContentLimits, Suspicion, UNKNOWN_PART_CRASHES, assign_blame};
 use crate::time::Time;
-use crate::upstream::UpstreamIncarnation;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
-/// Crashes at which a part is refused that was never seen sound.
-pub const UNKNOWN_PART_CRASHES: usize = 3;
-
-/// Crashes at which a part is refused that was seen sound before, or whose answers ended before their heads.
-pub const PART_CRASHES: usize = 5;
-
-/// Time from the first crash in which answers in progress show that a part never seen sound is.
-const UNKNOWN_PART_SPAN: Duration = Duration::from_millis(300);
-
-/// The same for a part that was seen sound before.
-const SOUND_PART_SPAN: Duration = Duration::from_millis(500);
-
-/// Maximum number of shared parts of one request that are considered.
-pub const MAX_SHARED_PARTS: usize = 64;
-
-/// Maximum number of crash reports; the oldest is dropped first.
-const MAX_REPORTS: usize = 256;
-
-/// Retention of a crash report.
-const REPORT_RETENTION: Duration = Duration::from_mins(10);
-
-/// Maximum number of refused parts; the one whose last crash is the oldest is dropped first.
-const MAX_REFUSED: usize = 64;
-
-/// Retention of a refused part after its last crash.
-const REFUSAL_RETENTION: Duration = Duration::from_hours(1);
-
-/// Parts per generation of those seen sound; the older of two generations is forgotten.
-const SOUND_GENERATION: usize = 2_048;
-
-/// Time for which a sound part, or a crash that was seen here, is told again, since messages may be lost.
+/// Time for which a crash that was seen here is told, since messages may be lost.
 const TELL_FOR: Duration = Duration::from_secs(5);
 
 /// The same for a crash that another process told.
 const RETELL_FOR: Duration = Duration::from_secs(1);
 
-/// Maximum number of crashes, and of sound parts, told at a time.
+/// Maximum number of crashes told at a time.
 const MAX_TOLD: usize = 8;
 
-/// Maximum number of refused parts told at a time.
-const MAX_TOLD_REFUSED: usize = 16;
-
-/// Time from the refusal of a part, or the last try, to the next request that tries it again.
-const PROBE_INTERVAL: Duration = Duration::from_secs(30);
-
-/// Factor by which the interval grows with each try that crashed an upstream.
-const PROBE_BACKOFF: u32 = 4;
-
-/// Time after a refusal in which requests sent before it may still crash upstreams.
-const REFUSAL_LAG: Duration = Duration::from_secs(5);
+/// Maximum number of crashes told to a process that knows none.
+const MAX_TOLD_TO_NEWCOMERS: usize = 64;
 
-/// Id of an incarnation of an upstream that has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct CrashId(pub u64);
+/// Maximum number of suspects that are remembered as exonerated.
+const MAX_EXONERATED: usize = 256;
 
-impl CrashId {
-    /// Returns the id of the end of an incarnation.
-    #[must_use]
-    pub fn of(ended: &UpstreamIncarnation) -> Self {
-        let start = ended.incarnation.0.to_le_bytes();
-        Self(Digest::of(&[ended.instance.as_bytes(), &start]).folded())
-    }
-}
-
-/// An upstream that ended while an answer was beginning there.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashReport {
-    /// The incarnation that ended.
-    pub ended: CrashId,
-    /// Shared parts of the answer's prompt, in order.
-    pub parts: Vec<PartId>,
-    /// Whether the answer is known to have begun.
-    pub begun: bool,
-    /// Time since the crash.
-    pub age: Duration,
-}
-
-/// A part on which an answer went on past its beginning.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SoundPart {
-    /// The part.
-    pub part: PartId,
-    /// Time since then.
-    pub age: Duration,
-}
-
-/// A part that is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RefusedPart {
-    /// The part.
-    pub part: PartId,
-    /// Incarnations that ended under it, as far as is known.
-    pub crashes: u32,
-    /// Time since the last of them.
-    pub age: Duration,
-}
-
-/// Evidence that a process tells others.
+/// Changes of what is refused.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct PartEvidence {
-    /// Upstreams that recently ended as answers began there.
-    pub crashes: Vec<CrashReport>,
-    /// Parts seen sound that were suspected of a crash.
-    pub sound: Vec<SoundPart>,
-    /// Parts that the sender refuses: those with the latest crashes.
-    pub refused: Vec<RefusedPart>,
-}
-
-/// Why a request may not be sent because of a part of its prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartVerdict {
-    /// The part crashes upstreams.
-    Refused(RefusedPart),
-    /// The part may crash upstreams.
-    Suspended {
-        /// The part.
-        part: PartId,
-        /// Time until it is known better.
-        wait: Duration,
-    },
-}
-
-impl PartVerdict {
-    /// Returns the part.
-    #[must_use]
-    pub const fn part(&self) -> PartId {
-        match self {
-            Self::Refused(refused) => refused.part,
-            Self::Suspended { part, .. } => *part,
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Crash {
-    at: Time,
-    /// Time until which it is told.
-    tell_until: Time,
-    report: CrashReport,
-}
-
-#[derive(Clone, Debug)]
-struct Refusal {
-    since: Time,
-    last_crash: Time,
-    crashes: u32,
-    failed_probes: u32,
-    next_probe: Time,
-}
-
-impl Refusal {
-    fn told(&self, now: Time, part: PartId) -> RefusedPart {
-        RefusedPart {
-            part,
-            crashes: self.crashes,
-            age: now.since(self.last_crash),
-        }
-    }
-
-    fn probe_interval(&self) -> Duration {
-        let factor = PROBE_BACKOFF.saturating_pow(self.failed_probes);
-        PROBE_INTERVAL.saturating_mul(factor).min(REFUSAL_RETENTION)
-    }
-
-    fn record_crash(&mut self, at: Time) {
-        self.crashes = self.crashes.saturating_add(1);
-        self.last_crash = self.last_crash.max(at);
-        if at.since(self.since) > REFUSAL_LAG {
-            self.failed_probes += 1;
-            self.next_probe = at + self.probe_interval();
-        }
-    }
-}
-
-/// A part with unexplained crashes since it was last seen sound.
-#[derive(Clone, Debug)]
-struct Suspect {
-    part: PartId,
-    was_sound: bool,
-    /// Crashes under answers that are known to have begun.
-    begun: HashSet<CrashId>,
-    all: HashSet<CrashId>,
-    first: Time,
-    last: Time,
-    /// Place in the prompt.
-    place: usize,
+pub struct Judgement {
+    /// Suspects refused from now on.
+    pub refused: Vec<RefusedSuspect>,
+    /// Suspects refused no more, since others explain all of their crashes.
+    pub exonerated: Vec<Suspect>,
 }
 
-/// Evidence about the shared parts of prompts, as known to one process.
+/// Evidence about the suspects of crashes, as known to one process.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
-    crashes: VecDeque<Crash>,
-    /// Times at which parts were last seen sound, in two generations.
-    sound: [HashMap<PartId, Time>; 2],
-    refused: HashMap<PartId, Refusal>,
-    /// Parts that are refused at the given time unless they are seen sound before.
-    suspended: Vec<(PartId, Time)>,
-    /// Sound parts to tell, with the time since which they are told.
-    sound_news: VecDeque<(PartId, Time)>,
+    content_limits: ContentLimits,
+    reports: CrashReports,
+    sound: SoundSuspects,
+    refusals: Refusals,
+    /// Suspects that are refused at the given time unless they are seen sound before.
+    suspended: Vec<(Suspect, Time)>,
+    /// Crashes of which other suspects explained all, so that no refusal for them is adopted.
+    exonerated: HashMap<Suspect, u32>,
     /// Time at which the reports are to be judged again.
     judge_at: Option<Time>,
-    /// Whether a part known to be sound waits to be told.
-    has_news: bool,
 }
 
 impl CrashEvidence {
+    /// Creates evidence without reports, with other limits for contents than the default ones.
+    #[must_use]
+    pub fn with_content_limits(content_limits: ContentLimits) -> Self {
+        Self {
+            content_limits,
+            ..Self::default()
+        }
+    }
+
     /// Records a crash that was seen here; returns whether it was news.
     pub fn record_crash(&mut self, now: Time, report: CrashReport) -> bool {
-        self.insert_crash(now, report, TELL_FOR)
+        self.insert_crash(now, report, TELL_FOR, true)
     }
 
     /// Records a crash that another process told; returns whether it was news.
     pub fn record_told_crash(&mut self, now: Time, report: CrashReport) -> bool {
-        self.insert_crash(now, report, RETELL_FOR)
+        self.insert_crash(now, report, RETELL_FOR, false)
     }
 
-    fn insert_crash(&mut self, now: Time, mut report: CrashReport, tell_for: Duration) -> bool {
-        report.parts.truncate(MAX_SHARED_PARTS);
-        let is_known = |c: &Crash| {
-            c.report.ended == report.ended
-                && c.report.parts == report.parts
-                && (c.report.begun || !report.begun)
-        };
-        if report.parts.is_empty() || self.crashes.iter().any(is_known) {
+    fn insert_crash(
+        &mut self,
+        now: Time,
+        mut report: CrashReport,
+        tell_for: Duration,
+        is_own: bool,
+    ) -> bool {
+        let mut parts = 0;
+        report.suspects.retain(|s| {
+            parts += usize::from(!s.is_content());
+            s.is_content() || parts <= MAX_SHARED_PARTS
+        });
+        if report.suspects.is_empty() || self.reports.contains(&report) {
             return false;
         }
-        let at = now - report.age;
-        for part in &report.parts {
-            if self.seen_sound(*part).is_some() {
-                self.tell(now, *part);
+        for suspect in &report.suspects {
+            if self.sound.last(*suspect).is_some() {
+                self.sound.tell(now, *suspect);
             }
-            let is_first = self.refused.contains_key(part) && self.is_first_report(&report, *part);
-            if let Some(refusal) = self.refused.get_mut(part).filter(|_| is_first) {
-                refusal.record_crash(at);
+            if !self.reports.has_crash(report.ended, *suspect) {
+                self.refusals.record_crash(*suspect, now - report.age);
+                self.exonerated.remove(suspect);
             }
         }
-        if self.crashes.len() >= MAX_REPORTS {
-            self.crashes.pop_front();
-        }
-        self.crashes.push_back(Crash {
-            at,
-            tell_until: now + tell_for,
-            report,
-        });
+        self.reports.insert(now, report, tell_for, is_own);
         self.judge_at = Some(now);
         true
     }
 
-    /// Records that an answer with these shared parts went on past its beginning `age` ago; returns those of them
-    /// that were refused or suspected.
-    pub fn record_sound(&mut self, now: Time, parts: &[PartId], age: Duration) -> Vec<SoundPart> {
+    /// Records that an answer with these suspects went on past its beginning `age` ago; returns those of them that were
+    /// refused or suspected.
+    pub fn record_sound(
+        &mut self,
+        now: Time,
+        suspects: &[Suspect],
+        age: Duration,
+    ) -> Vec<SoundSuspect> {
         let at = now - age;
         let mut cleared = Vec::new();
-        for part in parts.iter().take(MAX_SHARED_PARTS) {
-            let suspected = self.is_suspected(*part);
-            let known = self.seen_sound(*part).unwrap_or_default();
-            self.insert_sound(*part, at.max(known));
-            let released = self.refused.get(part).is_some_and(|r| at > r.last_crash);
-            if released {
-                self.refused.remove(part);
-                // What caused these crashes is unknown again; blaming the parts beside it would refuse them all in turn.
-                self.crashes
-                    .retain(|c| c.at >= at || !c.report.parts.contains(part));
+        for suspect in suspects {
+            let is_suspected = self.is_suspected(*suspect);
+            self.sound.record(*suspect, at);
+            let last_crash = self.refusals.last_crash(*suspect);
+            let is_released = last_crash.is_some_and(|last| at > last);
+            if is_released {
+                self.refusals.remove(*suspect);
+                // What caused these crashes is unknown again; blaming the suspects beside it would refuse them all in
+                // turn.
+                self.reports.remove_under(*suspect, at);
             }
-            if released || suspected && !self.is_suspected(*part) {
-                self.tell(now, *part);
-                cleared.push(SoundPart { part: *part, age });
+            if is_released || is_suspected && !self.is_suspected(*suspect) {
+                self.sound.tell(now, *suspect);
+                cleared.push(SoundSuspect {
+                    suspect: *suspect,
+                    age,
+                });
             }
         }
         if !cleared.is_empty() {
@@ -296,34 +148,41 @@
         cleared
     }
 
-    /// Adopts the refusal of a part that another process told; returns whether it was news.
+    /// Adopts the refusal of a suspect that another process told; returns whether it was news.
     ///
-    /// Evidence that the part was sound after its last crash is told in return.
-    pub fn adopt(&mut self, now: Time, told: RefusedPart) -> bool {
-        let last_crash = now - told.age;
-        if self.seen_sound(told.part).is_some_and(|at| at > last_crash) {
-            self.tell(now, told.part);
+    /// Evidence that the suspect was sound after its last crash is told in return.
+    pub fn adopt(&mut self, now: Time, told: RefusedSuspect) -> bool {
+        let RefusedSuspect {
+            suspect,
+            crashes,
+            age,
+        } = told;
+        let sound = self.sound.last(suspect);
+        if sound.is_some_and(|at| at > now - age) {
+            self.sound.tell(now, suspect);
             return false;
         }
-        if let Some(refusal) = self.refused.get_mut(&told.part) {
-            refusal.crashes = refusal.crashes.max(told.crashes);
+        if self.refusals.contains(suspect) {
+            self.refusals.record_count(suspect, crashes);
             return false;
         }
-        self.refuse(now, told.part, told.crashes, last_crash);
-        if let Some(refusal) = self.refused.get_mut(&told.part) {
-            // How often the part was tried again isn't told; the crashes say at most how often.
-            let known = u32::try_from(UNKNOWN_PART_CRASHES).unwrap_or(u32::MAX);
-            refusal.failed_probes = told.crashes.saturating_sub(known);
-            refusal.next_probe = now + refusal.probe_interval();
+        if self.exonerated.get(&suspect).is_some_and(|c| *c >= crashes) {
+            return false;
         }
+        let limit = if suspect.is_content() {
+            self.content_limits.crashes
+        } else {
+            UNKNOWN_PART_CRASHES
+        };
+        self.refusals.adopt(now, told, to_u32(limit));
         self.judge_at = Some(now);
         true
     }
 
     /// Applies evidence that another process told.
-    pub fn apply(&mut self, now: Time, told: &PartEvidence) {
-        for SoundPart { part, age } in &told.sound {
-            self.record_sound(now, &[*part], *age);
+    pub fn apply(&mut self, now: Time, told: &CrashNews) {
+        for SoundSuspect { suspect, age } in &told.sound {
+            self.record_sound(now, &[*suspect], *age);
         }
         for report in &told.crashes {
             self.record_told_crash(now, report.clone());
@@ -333,240 +192,148 @@
         }
     }
 
-    /// Judges the reports if that is due; returns the parts that are refused from now on.
-    pub fn judge(&mut self, now: Time) -> Vec<RefusedPart> {
+    /// Judges the reports if that is due; returns what is refused from now on, or no more.
+    pub fn judge(&mut self, now: Time) -> Judgement {
+        let mut judgement = Judgement::default();
         if self.judge_at.is_none_or(|at| now < at) {
-            return Vec::new();
+            return judgement;
         }
         self.suspended.clear();
-        let mut refused = Vec::new();
-        let mut suspects = self.suspects();
-        while let Some(suspect) = take_worst(&mut suspects) {
-            let due = suspect.first + suspect.span();
-            if due <= now {
-                let crashes = u32::try_from(suspect.all.len()).unwrap_or(u32::MAX);
-                self.refuse(now, suspect.part, crashes, suspect.last);
-                let refusal = self.refused.get(&suspect.part);
-                refused.extend(refusal.map(|r| r.told(now, suspect.part)));
-            } else {
-                self.suspended.push((suspect.part, due));
-            }
-            for other in &mut suspects {
-                other.remove_explained(&suspect.all);
+        let Blame { blamed, exonerated } = assign_blame(self.suspicions(), &self.content_limits);
+        for Suspicion { suspect, .. } in &exonerated {
+            self.exonerate(*suspect);
+            judgement.exonerated.push(*suspect);
+        }
+        for suspicion in blamed.iter().filter(|s| s.refused_for == 0) {
+            let suspect = suspicion.suspect;
+            let due = suspicion.due(&self.content_limits);
+            if now < due {
+                self.suspended.push((suspect, due));
+                continue;
             }
+            let crashes = to_u32(suspicion.all.len());
+            self.refusals.insert(now, suspect, crashes, suspicion.last);
+            judgement.refused.extend(self.refusals.get(now, suspect));
         }
         self.judge_at = self.suspended.iter().map(|(_, until)| *until).min();
-        refused
+        judgement
+    }
+
+    fn exonerate(&mut self, suspect: Suspect) {
+        if self.exonerated.len() >= MAX_EXONERATED {
+            self.exonerated.clear();
+        }
+        let crashes = self.refusals.crashes(suspect);
+        self.exonerated.insert(suspect, crashes);
+        self.refusals.remove(suspect);
     }
 
-    /// Returns why a request with these shared parts may not be sent; `None` if it may.
+    /// Returns why a request with these suspects may not be sent; `None` if it may.
     #[must_use]
-    pub fn verdict(&self, now: Time, parts: &[PartId]) -> Option<PartVerdict> {
-        let parts = || parts.iter().take(MAX_SHARED_PARTS);
-        let refused = parts().find_map(|p| Some(self.refused.get(p)?.told(now, *p)));
+    pub fn verdict(&self, now: Time, suspects: &[Suspect]) -> Option<CrashVerdict> {
+        let mut refused = suspects.iter().filter_map(|s| self.refusals.get(now, *s));
         let suspended = || {
             let mut suspended = self.suspended.iter();
-            let found = suspended.find(|(p, until)| now < *until && parts().any(|q| q == p));
-            found.map(|(part, until)| PartVerdict::Suspended {
-                part: *part,
+            let found = suspended.find(|(s, until)| now < *until && suspects.contains(s));
+            found.map(|(suspect, until)| CrashVerdict::Suspended {
+                suspect: *suspect,
                 wait: until.since(now),
             })
         };
-        refused.map(PartVerdict::Refused).or_else(suspended)
+        let refused = refused.next().map(CrashVerdict::Refused);
+        refused.or_else(suspended)
     }
 
-    /// Takes the try of all refused parts of a request if it is due for each; true for one request at a time.
-    pub fn take_probe(&mut self, now: Time, parts: &[PartId]) -> bool {
-        let parts = || parts.iter().take(MAX_SHARED_PARTS);
-        let mut refused = parts().filter_map(|p| self.refused.get(p));
-        if refused.any(|r| now < r.next_probe) {
-            return false;
-        }
-        let mut is_taken = false;
-        for part in parts() {
-            if let Some(refusal) = self.refused.get_mut(part) {
-                refusal.next_probe = now + refusal.probe_interval();
-                is_taken = true;
-            }
-        }
-        is_taken
+    /// Takes the try of all refused suspects of a request if it is due for each; true for one request at a time.
+    pub fn take_probe(&mut self, now: Time, suspects: &[Suspect]) -> bool {
+        self.refusals.take_probe(now, suspects)
     }
 
-    /// Returns all refused parts.
+    /// Returns all refused suspects.
     #[must_use]
-    pub fn refused(&self, now: Time) -> Vec<RefusedPart> {
-        let refused = self.refused.iter();
-        let mut refused: Vec<RefusedPart> = refused.map(|(p, r)| r.told(now, *p)).collect();
-        refused.sort_by_key(|r| (r.age, r.part));
-        refused
+    pub fn refused(&self, now: Time) -> Vec<RefusedSuspect> {
+        self.refusals.all(now)
     }
 
-    /// Returns what to tell other processes: recent crashes and sound parts, and refused parts.
+    /// Returns the number of refused contents.
     #[must_use]
-    pub fn to_tell(&self, now: Time) -> PartEvidence {
-        let mut refused = self.refused(now);
-        refused.truncate(MAX_TOLD_REFUSED);
-        PartEvidence {
-            crashes: self.crashes_to_tell(now),
-            sound: self.sound_to_tell(now),
-            refused,
-        }
+    pub fn refused_contents(&self) -> usize {
+        self.refusals.contents()
     }
 
-    fn crashes_to_tell(&self, now: Time) -> Vec<CrashReport> {
-        let recent = self.crashes.iter().rev();
-        let recent = recent.filter(|c| now < c.tell_until);
-        let told = recent.take(MAX_TOLD).map(|c| CrashReport {
-            age: now.since(c.at),
-            ..c.report.clone()
-        });
-        told.collect()
-    }
-
-    fn sound_to_tell(&self, now: Time) -> Vec<SoundPart> {
-        let recent = self.sound_news.iter().rev();
-        let recent = recent.filter(|(_, since)| now.since(*since) < TELL_FOR);
-        let told = recent.take(MAX_TOLD).filter_map(|(part, _)| {
-            let age = now.since(self.seen_sound(*part)?);
-            Some(SoundPart { part: *part, age })
-        });
-        told.collect()
-    }
-
-    /// Returns once whether there is a sound part to tell since the last call.
-    pub fn take_news(&mut self) -> bool {
-        std::mem::take(&mut self.has_news)
-    }
-
-    /// Removes what has expired.
-    pub fn expire(&mut self, now: Time) {
-        self.crashes.retain(|c| now.since(c.at) < REPORT_RETENTION);
-        self.refused
-            .retain(|_, r| now.since(r.last_crash) < REFUSAL_RETENTION);
-        self.sound_news
-            .retain(|(_, since)| now.since(*since) < TELL_FOR);
+    /// Returns the number of upstreams that ended under a suspect since it was last seen sound, as far as is known.
+    #[must_use]
+    pub fn crashes_under(&self, suspect: Suspect) -> usize {
+        let refused_for = usize::try_from(self.refusals.crashes(suspect)).unwrap_or(usize::MAX);
+        let since = self.sound.last(suspect);
+        self.reports.count_under(suspect, since).max(refused_for)
     }
 
-    /// Returns whether an upstream ended under a part since it was last seen sound.
-    fn is_suspected(&self, part: PartId) -> bool {
-        let sound = self.seen_sound(part);
-        let mut crashes = self.crashes.iter();
-        crashes.any(|c| c.report.parts.contains(&part) && sound.is_none_or(|at| c.at >= at))
+    /// Returns what to tell other processes now: recent crashes and sound suspects, and refused ones.
+    pub fn news_to_tell(&mut self, now: Time) -> CrashNews {
+        CrashNews {
+            crashes: self.reports.take_to_tell(now, MAX_TOLD),
+            sound: self.sound.to_tell(now),
+            refused: self.refusals.take_to_tell(now),
+        }
     }
 
-    /// Returns whether no earlier report has the same crash under a part.
-    fn is_first_report(&self, report: &CrashReport, part: PartId) -> bool {
-        let mut same = self.crashes.iter().map(|c| &c.report);
-        !same.any(|r| r.ended == report.ended && r.parts.contains(&part))
+    /// Returns whether a crash that was seen here has never been told.
+    #[must_use]
+    pub fn has_untold(&self, now: Time) -> bool {
+        self.reports.has_untold(now)
     }
 
-    fn seen_sound(&self, part: PartId) -> Option<Time> {
-        self.sound.iter().find_map(|g| g.get(&part)).copied()
+    /// Returns what to tell a process that knows nothing.
+    #[must_use]
+    pub fn all_to_tell(&self, now: Time) -> CrashNews {
+        CrashNews {
+            crashes: self.reports.weightiest(now, MAX_TOLD_TO_NEWCOMERS),
+            sound: self.sound.to_tell(now),
+            refused: self.refusals.all(now),
+        }
     }
 
-    fn insert_sound(&mut self, part: PartId, at: Time) {
-        if self.sound[0].len() >= SOUND_GENERATION && !self.sound[0].contains_key(&part) {
-            self.sound[1] = std::mem::take(&mut self.sound[0]);
-        }
-        self.sound[0].insert(part, at);
+    /// Returns once whether there is a sound suspect to tell since the last call.
+    pub fn take_news(&mut self) -> bool {
+        self.sound.take_news()
     }
 
-    fn tell(&mut self, now: Time, part: PartId) {
-        self.sound_news.retain(|(p, _)| *p != part);
-        if self.sound_news.len() >= MAX_TOLD {
-            self.sound_news.pop_front();
-        }
-        self.sound_news.push_back((part, now));
-        self.has_news = true;
+    /// Removes what has expired.
+    pub fn expire(&mut self, now: Time) {
+        self.reports.expire(now);
+        self.refusals.expire(now);
+        self.sound.expire(now);
     }
 
-    fn refuse(&mut self, now: Time, part: PartId, crashes: u32, last_crash: Time) {
-        if self.refused.len() >= MAX_REFUSED {
-            let oldest = self.refused.iter().min_by_key(|(_, r)| r.last_crash);
-            if let Some(oldest) = oldest.map(|(p, _)| *p) {
-                self.refused.remove(&oldest);
-            }
-        }
-        let refusal = Refusal {
-            since: now,
-            last_crash,
-            crashes,
-            failed_probes: 0,
-            next_probe: now + PROBE_INTERVAL,
-        };
-        self.refused.insert(part, refusal);
+    /// Returns whether an upstream ended under a suspect since it was last seen sound.
+    fn is_suspected(&self, suspect: Suspect) -> bool {
+        let sound = self.sound.last(suspect);
+        let last = self.reports.last_under(suspect);
+        last.is_some_and(|last| sound.is_none_or(|at| last >= at))
     }
 
-    /// Counts the crashes that no refused part explains, by part.
-    fn suspects(&self) -> Vec<Suspect> {
-        let is_refused = |c: &&Crash| c.report.parts.iter().any(|p| self.refused.contains_key(p));
-        let explained = self.crashes.iter().filter(is_refused);
-        let explained: HashSet<CrashId> = explained.map(|c| c.report.ended).collect();
-        let mut suspects: HashMap<PartId, Suspect> = HashMap::new();
-        for Crash { at, report, .. } in &self.crashes {
-            if explained.contains(&report.ended) {
-                continue;
-            }
-            for (place, part) in report.parts.iter().enumerate() {
-                let sound = self.seen_sound(*part);
+    /// Returns the suspects of crashes since each was last seen sound.
+    fn suspicions(&self) -> Vec<Suspicion> {
+        let mut suspicions: HashMap<Suspect, Suspicion> = HashMap::new();
+        for KeptReport { at, report, .. } in self.reports.iter() {
+            for (place, suspect) in report.suspects.iter().enumerate() {
+                let sound = self.sound.last(*suspect);
                 if sound.is_some_and(|sound| sound > *at) {
                     continue;
                 }
-                let suspect = suspects
-                    .entry(*part)
-                    .or_insert_with(|| Suspect::new(*part, sound.is_some(), *at));
-                suspect.all.insert(report.ended);
-                if report.begun {
-                    suspect.begun.insert(report.ended);
-                }
-                suspect.first = suspect.first.min(*at);
-                suspect.last = suspect.last.max(*at);
-                suspect.place = suspect.place.max(place);
+                let suspicion = suspicions.entry(*suspect).or_insert_with(|| {
+                    let refused_for = self.refusals.crashes(*suspect);
+                    let refused_for = usize::try_from(refused_for).unwrap_or(usize::MAX);
+                    Suspicion::new(*suspect, sound.is_some(), *at, refused_for)
+                });
+                suspicion.add(report.ended, report.begun, *at, place);
             }
         }
-        suspects.into_values().collect()
+        suspicions.into_values().collect()
     }
 }
 
-/// Removes and returns the suspect to be refused before all others; `None` if none has enough crashes.
-fn take_worst(suspects: &mut Vec<Suspect>) -> Option<Suspect> {
-    let enough = suspects.iter().enumerate().filter(|(_, s)| s.has_enough());
-    let worst = enough.max_by_key(|(_, s)| (!s.was_sound, s.begun.len(), s.place, s.part));
-    let worst = worst.map(|(i, _)| i)?;
-    Some(suspects.swap_remove(worst))
-}
-
-impl Suspect {
-    fn new(part: PartId, was_sound: bool, at: Time) -> Self {
-        Self {
-            part,
-            was_sound,
-            begun: HashSet::new(),
-            all: HashSet::new(),
-            first: at,
-            last: at,
-            place: 0,
-        }
-    }
-
-    fn has_enough(&self) -> bool {
-        if self.was_sound {
-            return self.begun.len() >= PART_CRASHES;
-        }
-        self.begun.len() >= UNKNOWN_PART_CRASHES || self.all.len() >= PART_CRASHES
-    }
-
-    /// Returns the time from the first crash in which answers elsewhere may clear the part.
-    const fn span(&self) -> Duration {
-        if self.was_sound {
-            SOUND_PART_SPAN
-        } else {
-            UNKNOWN_PART_SPAN
-        }
-    }
-
-    fn remove_explained(&mut self, crashes: &HashSet<CrashId>) {
-        self.begun.retain(|c| !crashes.contains(c));
-        self.all.retain(|c| !crashes.contains(c));
-    }
+fn to_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -7,7 +7,6 @@
 use crate::ids::{CallId, GenerationId, Incarnation, Name, Peer, RequestId};
 use crate::log_event::LogEvent;
 use crate::message::{Finish, Message, Standing};
-use crate::quarantine::CRASH_LIMIT;
 use crate::stream::{Chunk, ChunkOutcome, Cursor};
 use crate::time::Time;
 use std::time::Duration;
@@ -157,10 +156,9 @@
         if reading.cursor.next != finish.total {
             return;
         }
-        let content = call.demand.content;
-        if finish.crashes > 0 && self.quarantine.record(now, content, finish.crashes) {
-            let count = finish.crashes;
-            out.push(EntryAction::Broadcast(Message::Crashes { content, count }));
+        if let Some(ended) = finish.ended {
+            let suspects = call.demand.suspects();
+            self.record_crash(now, ended, suspects, out);
         }
         if finish.code == Code::Ok {
             self.complete(id, finish, out);
@@ -246,11 +244,10 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let crashes = self.quarantine.crashes(call.demand.content);
+        let crashes = self.known_crashes(call.demand.content);
         let allowed = call.may_restart(self.limits.max_starts);
-        let parts = &call.demand.shared_parts;
-        let is_refused =
-            crashes >= CRASH_LIMIT || self.crash_evidence.verdict(now, parts).is_some();
+        let verdict = self.crash_evidence.verdict(now, &call.demand.suspects());
+        let is_refused = verdict.is_some();
         if !allowed || is_refused || !self.retries.spend() {
             self.fail(id, code, None, out);
             return;
--- a/fireflycroft/src/dispatch.rs
+++ b/fireflycroft/src/dispatch.rs
@@ -230,8 +230,7 @@
         }
         if code == Code::Quarantined {
             let content = call.demand.content;
-            self.quarantine
-                .record(now, content, crate::quarantine::CRASH_LIMIT);
+            self.record_refused_content(now, content);
             self.fail(id, code, None, out);
             return;
         }
--- a/fireflycroft/src/entry.rs
+++ b/fireflycroft/src/entry.rs
@@ -5,6 +5,7 @@
 //! [`EntryEvent`]s, outputs are [`EntryAction`]s. `submit` holds the checks,
 //! `dispatch` offers, claims and starts, `deliver` reads tokens.
 
+use crate::agent_crashes::content_limits;
 use crate::claim::ClaimAttempt;
 use crate::code::{Class, Code};
 use crate::config::{ActiveConfig, AdoptOutcome, Config};
@@ -15,7 +16,6 @@
 use crate::member_record::{MemberRecord, MemberState};
 use crate::message::{ConfigVersion, Envelope, Load, Message};
 use crate::objective::{LatencyGoal, MeasuredRequest, TokenTiming, met_objective};
-use crate::quarantine::Quarantine;
 use crate::quota::Quotas;
 use crate::restart_budget::RestartBudget;
 use crate::route::{AgentView, Router};
@@ -135,8 +135,9 @@
     pub(crate) by_request: HashMap<RequestId, CallId>,
     /// Bytes of whole answers buffered for all calls.
     pub(crate) buffered_bytes: usize,
-    pub(crate) quarantine: Quarantine,
     pub(crate) crash_evidence: CrashEvidence,
+    /// Agents asked for evidence of crashes.
+    pub(crate) crash_questions: usize,
     pub(crate) quotas: Quotas,
     pub(crate) retries: RestartBudget,
     pub(crate) entries: u32,
@@ -157,8 +158,8 @@
             calls: BTreeMap::new(),
             by_request: HashMap::new(),
             buffered_bytes: 0,
-            quarantine: Quarantine::default(),
-            crash_evidence: CrashEvidence::default(),
+            crash_evidence: CrashEvidence::with_content_limits(content_limits()),
+            crash_questions: 0,
             quotas: Quotas::default(),
             retries: RestartBudget::default(),
             entries: 1,
@@ -234,7 +235,7 @@
     /// Returns the number of quarantined content digests.
     #[must_use]
     pub fn quarantined(&self) -> usize {
-        self.quarantine.refused_count()
+        self.crash_evidence.refused_contents()
     }
 
     fn on_message(&mut self, now: Time, envelope: Envelope, out: &mut Vec<EntryAction>) {
@@ -279,13 +280,7 @@
                 generation,
                 standing,
             } => self.on_stand(now, reader, generation, standing, out),
-            Message::Crashes { content, count } => {
-                self.quarantine.record(now, content, count);
-            }
-            Message::PartEvidence(told) => {
-                self.crash_evidence.apply(now, &told);
-                self.judge_parts(now, out);
-            }
+            Message::CrashNews(told) => self.on_crash_news(now, &told, out),
             _ => {}
         }
     }
@@ -311,6 +306,9 @@
             .map(|a| a.peer.incarnation);
         self.router.upsert(record);
         let dead = record.state == MemberState::Dead;
+        if !dead && before != Some(record.peer.incarnation) {
+            self.meet_agent(now, record.peer.addr, out);
+        }
         let replaced = before.is_some_and(|old| old != record.peer.incarnation);
         if replaced || dead {
             let alive = (!dead).then_some(record.peer.incarnation);
@@ -329,17 +327,8 @@
         for id in ids {
             self.tick_call(now, id, out);
         }
-        self.quarantine.expire(now);
         self.crash_evidence.expire(now);
-        self.judge_parts(now, out);
-    }
-
-    fn judge_parts(&mut self, now: Time, out: &mut Vec<EntryAction>) {
-        for refused in self.crash_evidence.judge(now) {
-            let event = LogEvent::new("part_refused").part(refused.part);
-            let event = event.count(u64::from(refused.crashes));
-            out.push(EntryAction::LogEvent(event));
-        }
+        self.judge_crashes(now, out);
     }
 
     /// Clears `leaving` reports older than their lifetime.
--- a/fireflycroft/src/entry_announcement.rs
+++ b/fireflycroft/src/entry_announcement.rs
@@ -1,8 +1,8 @@
 //! State announced by a direct entry to the other entries.
 
-use crate::crash_evidence::PartEvidence;
+use crate::crash_report::CrashNews;
 use crate::evacuation::Evacuations;
-use crate::ids::{Digest, Incarnation, Name};
+use crate::ids::{Incarnation, Name};
 use crate::interference::PauseCounts;
 use crate::listing::ListChange;
 use crate::rate_limit::ToldRate;
@@ -11,15 +11,6 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-/// Number of upstreams crashed by one content.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CrashCount {
-    /// Digest of the content.
-    pub content: Digest,
-    /// Upstreams crashed.
-    pub count: u8,
-}
-
 /// Memory that generations need which wait at an entry, or are expected to return to one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceDemand {
@@ -56,10 +47,8 @@
     pub list_changes: Vec<ListChange>,
     /// The sender's requests and retries, by service.
     pub retries: Vec<RetryCount>,
-    /// Content that recently crashed upstreams.
-    pub crashes: Vec<CrashCount>,
-    /// Evidence about parts of prompts that crash upstreams.
-    pub part_evidence: PartEvidence,
+    /// Evidence about requests that crash upstreams.
+    pub crash_news: CrashNews,
     /// Some other entries known to the sender.
     pub peers: Vec<Ipv4Addr>,
     /// Evacuated data centres.
--- a/fireflycroft/src/generation.rs
+++ b/fireflycroft/src/generation.rs
@@ -215,7 +215,7 @@
     }
 
     /// Returns the result of a generation that the agent itself ends.
-    pub(crate) fn finish_with(&self, code: Code, reason: &str, crashes: u8) -> Finish {
+    pub(crate) fn finish_with(&self, code: Code, reason: &str) -> Finish {
         Finish {
             total: self.log.end(),
             code,
@@ -224,7 +224,8 @@
             content_type: Name::from(""),
             prompt_tokens: self.demand.prompt_tokens,
             preemptions: 0,
-            crashes,
+            crashes: 0,
+            ended: None,
         }
     }
 }
--- a/fireflycroft/src/ids.rs
+++ b/fireflycroft/src/ids.rs
@@ -51,6 +51,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PartId(pub u64);
 
+/// Id of a request that may come again: the folded digest of its path, caller and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ContentId(pub u64);
+
 /// Role of a process in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Role {
@@ -132,6 +136,12 @@
     }
 }
 
+impl fmt::Display for ContentId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Parses a request id as written by its `Display`.
 #[must_use]
 pub fn parse_request_id(text: &str) -> Option<RequestId> {
--- a/fireflycroft/src/log_event.rs
+++ b/fireflycroft/src/log_event.rs
@@ -1,7 +1,8 @@
 //! Events that the core reports for the daemon to log and count.
 
 use crate::code::Code;
-use crate::ids::{Name, PartId, RequestId};
+use crate::crash_report::Suspect;
+use crate::ids::{Name, RequestId};
 
 /// An event to log and count.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,8 +13,8 @@
     pub request: Option<RequestId>,
     /// The other process.
     pub peer: Option<Name>,
-    /// Part of a prompt concerned.
-    pub part: Option<PartId>,
+    /// Part of a prompt or content concerned.
+    pub suspect: Option<Suspect>,
     /// Result code.
     pub code: Option<Code>,
     /// A number whose meaning depends on the event.
@@ -28,7 +29,7 @@
             event,
             request: None,
             peer: None,
-            part: None,
+            suspect: None,
             code: None,
             count: 0,
         }
@@ -48,10 +49,10 @@
         self
     }
 
-    /// Adds the part of a prompt concerned.
+    /// Adds the part of a prompt or the content concerned.
     #[must_use]
-    pub const fn part(mut self, part: PartId) -> Self {
-        self.part = Some(part);
+    pub const fn suspect(mut self, suspect: Suspect) -> Self {
+        self.suspect = Some(suspect);
         self
     }
 
--- a/fireflycroft/src/message.rs
+++ b/fireflycroft/src/message.rs
@@ -7,7 +7,7 @@
 //! message may be lost, duplicated or reordered.
 
 use crate::code::Code;
-use crate::crash_evidence::PartEvidence;
+use crate::crash_report::{CrashId, CrashNews};
 use crate::ids::{Digest, GenerationId, Name, Peer, RequestId};
 use crate::member_record::MemberRecord;
 use crate::order::Order;
@@ -77,6 +77,8 @@
     pub preemptions: u32,
     /// Known number of upstreams that this content crashed.
     pub crashes: u8,
+    /// End of the upstream that broke it off.
+    pub ended: Option<CrashId>,
 }
 
 /// State of a generation, as reported by an agent to a reader.
@@ -209,15 +211,8 @@
         /// The generation.
         generation: GenerationId,
     },
-    /// Any: crash count of a content.
-    Crashes {
-        /// Digest of the content.
-        content: Digest,
-        /// Number of upstreams crashed.
-        count: u8,
-    },
-    /// Agent: evidence about parts of prompts that crash upstreams.
-    PartEvidence(PartEvidence),
+    /// Any: evidence about requests that crash upstreams; without any, a question for it.
+    CrashNews(CrashNews),
     /// Holder of the fleet's lease: an order to be executed.
     Order(Order),
     /// Agent: outcome of an order.
--- a/fireflycroft/src/overview.rs
+++ b/fireflycroft/src/overview.rs
@@ -36,6 +36,9 @@
     /// Parts of prompts that it refuses, the last crash first.
     #[serde(default)]
     pub refused_parts: Vec<RefusedPartOverview>,
+    /// Contents of requests that it refuses, the last crash first.
+    #[serde(default)]
+    pub refused_contents: Vec<RefusedContentOverview>,
     /// Upstreams that are not gone.
     pub upstreams: Vec<UpstreamOverview>,
     /// Other entries.
@@ -53,6 +56,17 @@
     pub crash_age_ms: u64,
 }
 
+/// A content of requests that an entry refuses.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RefusedContentOverview {
+    /// Its id, in hexadecimal digits.
+    pub content: Name,
+    /// Incarnations of upstreams that ended under it.
+    pub crashes: u32,
+    /// Milliseconds since the last of them.
+    pub crash_age_ms: u64,
+}
+
 /// One upstream as seen by the entry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct UpstreamOverview {
--- a/fireflycroft/src/owners.rs
+++ b/fireflycroft/src/owners.rs
@@ -12,7 +12,8 @@
 //! its share of the keys. There are two, so that the loss of one loses no knowledge; the origins of streams
 //! have more, since nobody else can tell them again ([`crate::STREAM_OWNERS`]).
 
-use crate::ids::{Digest, PartId};
+use crate::crash_report::Suspect;
+use crate::ids::Digest;
 use std::net::Ipv4Addr;
 
 /// Number of owners of a key.
@@ -46,10 +47,10 @@
         Self::folded(content)
     }
 
-    /// Returns the key of a refused part of prompts.
+    /// Returns the key of a refused part of prompts or content.
     #[must_use]
-    pub const fn of_part(part: PartId) -> Self {
-        Self(part.0)
+    pub const fn of_suspect(suspect: Suspect) -> Self {
+        Self(suspect.id())
     }
 
     /// Returns the key of a stream's origin, from its digest.
--- a/fireflycroft/src/submit.rs
+++ b/fireflycroft/src/submit.rs
@@ -2,10 +2,9 @@
 
 use crate::code::Code;
 use crate::config::{Config, WorkspaceIx};
-use crate::crash_evidence::PartVerdict;
 use crate::entry::{Call, Entry, Phase};
 use crate::entry_io::{EntryAction, Reply, Submission};
-use crate::ids::{CallId, Digest, Name, PartId};
+use crate::ids::{CallId, Digest, Name};
 use crate::inventory::WithoutKey;
 use crate::log_event::LogEvent;
 use crate::objective::{LatencyGoal, MeasuredRequest, TokenTiming, met_objective};
@@ -16,9 +15,9 @@
 use std::time::Duration;
 
 /// Refusal of a request before it is offered to any agent.
-struct Refusal {
-    code: Code,
-    retry_after: Option<Duration>,
+pub(crate) struct Refusal {
+    pub(crate) code: Code,
+    pub(crate) retry_after: Option<Duration>,
 }
 
 const fn permanent_refusal(code: Code) -> Refusal {
@@ -130,11 +129,8 @@
         }
         let retry_rules = check_retry_rules(&config, ix, submission)?;
         let demand = self.demand(&config, ix, submission, retry_rules.repeatable);
-        if self.quarantine.is_refused(demand.content) && submission.resume.is_none() {
-            return Err(permanent_refusal(Code::Quarantined));
-        }
         if submission.resume.is_none() {
-            self.check_parts(now, &demand.shared_parts)?;
+            self.check_suspects(now, &demand.suspects())?;
         }
         let charged = self.charge(now, &config, ix, submission)?;
         let max_wait = config.max_wait(demand.priority);
@@ -151,19 +147,6 @@
         })
     }
 
-    /// Refuses a request that shares a part with those that crash upstreams, unless it tries the part again.
-    fn check_parts(&mut self, now: Time, parts: &[PartId]) -> Result<(), Refusal> {
-        match self.crash_evidence.verdict(now, parts) {
-            None => Ok(()),
-            Some(PartVerdict::Refused(_)) if self.crash_evidence.take_probe(now, parts) => Ok(()),
-            Some(PartVerdict::Refused(_)) => Err(permanent_refusal(Code::Quarantined)),
-            Some(PartVerdict::Suspended { wait, .. }) => Err(Refusal {
-                code: Code::PartRefused,
-                retry_after: Some(wait),
-            }),
-        }
-    }
-
     fn demand(
         &self,
         config: &Config,
@@ -182,7 +165,7 @@
             content,
             shared_parts: submission.shared_parts.clone(),
             retryable: repeatable,
-            crashes: self.quarantine.crashes(content),
+            crashes: self.known_crashes(content),
         }
     }
 
--- /dev/null
+++ b/fireflycroft/src/suspicion.rs
@@ -0,0 +1,172 @@
+//! Which suspects are to blame for crashes that several of them share.
+//!
+//! A suspect never seen sound is blamed before one that was, then the one under more crashes, then the later one in the
+//! prompt, which fewer requests share, and a request's content before its parts. A crash under a blamed suspect
+//! counts against no other one, until one of them is under a crash without it: that takes back all that it shared.
+
+use crate::crash_report::{CrashId, Suspect};
+use crate::time::Time;
+use std::cmp::Reverse;
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// Crashes at which a part is refused that was never seen sound.
+pub const UNKNOWN_PART_CRASHES: usize = 3;
+
+/// Crashes at which a part is refused that was seen sound before, or whose answers ended before their heads.
+pub const PART_CRASHES: usize = 5;
+
+/// Time from the first crash in which answers in progress show that a part never seen sound is.
+const UNKNOWN_SPAN: Duration = Duration::from_millis(300);
+
+/// The same for a part that was seen sound before.
+const SOUND_PART_SPAN: Duration = Duration::from_millis(500);
+
+/// Shortest time over which a content seen sound before crashes upstreams and is in no sound answer.
+///
+/// Longer than it takes to lose a rack, in which many callers may have the same call in progress.
+const SOUND_CONTENT_SPAN: Duration = Duration::from_secs(1);
+
+/// When a request's content is refused that was never seen sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ContentLimits {
+    /// Crashes at which it is.
+    pub crashes: usize,
+    /// Time from the first crash in which answers in progress may show that it is sound.
+    pub span: Duration,
+}
+
+impl Default for ContentLimits {
+    fn default() -> Self {
+        Self {
+            crashes: 3,
+            span: UNKNOWN_SPAN,
+        }
+    }
+}
+
+/// A suspect with crashes since it was last seen sound.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) suspect: Suspect,
+    pub(crate) was_sound: bool,
+    /// Crashes under answers that are known to have begun.
+    begun: HashSet<CrashId>,
+    pub(crate) all: HashSet<CrashId>,
+    pub(crate) first: Time,
+    pub(crate) last: Time,
+    /// Place in the prompt; the content comes last.
+    place: usize,
+    /// Crashes for which it is refused already; zero if it isn't.
+    pub(crate) refused_for: usize,
+}
+
+/// Suspects by whether they are to blame.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Blame {
+    /// Those that are refused, or to be refused.
+    pub(crate) blamed: Vec<Suspicion>,
+    /// Those that were refused for crashes which all have another cause.
+    pub(crate) exonerated: Vec<Suspicion>,
+}
+
+impl Suspicion {
+    pub(crate) fn new(suspect: Suspect, was_sound: bool, at: Time, refused_for: usize) -> Self {
+        Self {
+            suspect,
+            was_sound,
+            begun: HashSet::new(),
+            all: HashSet::new(),
+            first: at,
+            last: at,
+            place: 0,
+            refused_for,
+        }
+    }
+
+    /// Adds a crash under an answer at this place in its prompt.
+    pub(crate) fn add(&mut self, ended: CrashId, begun: bool, at: Time, place: usize) {
+        self.all.insert(ended);
+        if begun {
+            self.begun.insert(ended);
+        }
+        self.first = self.first.min(at);
+        self.last = self.last.max(at);
+        let place = if self.suspect.is_content() {
+            usize::MAX
+        } else {
+            place
+        };
+        self.place = self.place.max(place);
+    }
+
+    /// Returns the time at which it is refused, unless it is seen sound before.
+    pub(crate) fn due(&self, limits: &ContentLimits) -> Time {
+        let span = match (self.suspect, self.was_sound) {
+            (Suspect::Content(_), true) => SOUND_CONTENT_SPAN,
+            (Suspect::Content(_), false) => limits.span,
+            (Suspect::Part(_), true) => SOUND_PART_SPAN,
+            (Suspect::Part(_), false) => UNKNOWN_SPAN,
+        };
+        self.first + span
+    }
+
+    /// Returns whether these crashes are enough to refuse it.
+    fn is_enough(&self, crashes: &HashSet<CrashId>, limits: &ContentLimits) -> bool {
+        let begun = self.begun.intersection(crashes).count();
+        match (self.suspect, self.was_sound) {
+            (Suspect::Content(_), true) => {
+                let lasted = self.last.since(self.first) >= SOUND_CONTENT_SPAN;
+                crashes.len() >= PART_CRASHES && lasted
+            }
+            (Suspect::Content(_), false) => crashes.len() >= limits.crashes,
+            (Suspect::Part(_), true) => begun >= PART_CRASHES,
+            (Suspect::Part(_), false) => {
+                begun >= UNKNOWN_PART_CRASHES || crashes.len() >= PART_CRASHES
+            }
+        }
+    }
+
+    /// Returns whether it is to blame, where other suspects explain some crashes.
+    fn is_blamed(&self, explained: &HashSet<CrashId>, limits: &ContentLimits) -> bool {
+        let unexplained = self.all.difference(explained).copied();
+        let unexplained: HashSet<CrashId> = unexplained.collect();
+        if unexplained.is_empty() {
+            return false;
+        }
+        if self.refused_for > 0 {
+            return true;
+        }
+        let counted = if self.was_sound {
+            &unexplained
+        } else {
+            &self.all
+        };
+        self.is_enough(counted, limits)
+    }
+
+    /// Returns whether all crashes for which it is refused are known here.
+    fn is_known_whole(&self) -> bool {
+        self.all.len() >= self.refused_for
+    }
+}
+
+/// Decides which suspects are to blame.
+pub(crate) fn assign_blame(mut suspicions: Vec<Suspicion>, limits: &ContentLimits) -> Blame {
+    let severity = |s: &Suspicion| {
+        let begun = s.begun.len().max(s.refused_for);
+        (!s.was_sound, begun, s.all.len(), s.place, s.suspect)
+    };
+    suspicions.sort_by_key(|s| Reverse(severity(s)));
+    let mut explained = HashSet::new();
+    let mut blame = Blame::default();
+    for suspicion in suspicions {
+        if suspicion.is_blamed(&explained, limits) {
+            explained.extend(suspicion.all.iter().copied());
+            blame.blamed.push(suspicion);
+        } else if suspicion.refused_for > 0 && suspicion.is_known_whole() {
+            blame.exonerated.push(suspicion);
+        }
+    }
+    blame
+}
--- a/fireflycroft/tests/agent_parts.rs
+++ b/fireflycroft/tests/agent_parts.rs
@@ -2,8 +2,8 @@
 
 use fireflycroft::{
     AdmitPolicy, Agent, AgentAction, AgentEvent, AgentLimits, AgentSetup, Capacity, Code,
-    ConfigVersion, CrashId, CrashReport, Demand, Digest, Envelope, Incarnation, Message,
-    PartEvidence, PartId, Peer, Priority, RefusedPart, RequestId, Role, SoundPart, Time,
+    ConfigVersion, CrashId, CrashNews, CrashReport, Demand, Digest, Envelope, Incarnation, Message,
+    PartId, Peer, Priority, RefusedSuspect, RequestId, Role, SoundSuspect, Suspect, Time,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,7 +42,7 @@
 fn crash(ended: u64) -> CrashReport {
     CrashReport {
         ended: CrashId(ended),
-        parts: vec![FIRST, BAD],
+        suspects: vec![Suspect::Part(FIRST), Suspect::Part(BAD)],
         begun: true,
         age: Duration::ZERO,
     }
@@ -103,8 +103,8 @@
         });
     }
 
-    fn told(&mut self, evidence: PartEvidence) {
-        self.receive(Message::PartEvidence(evidence));
+    fn told(&mut self, evidence: CrashNews) {
+        self.receive(Message::CrashNews(evidence));
     }
 
     /// Returns the answers to an offer: the code of a refusal, or none for an acceptance.
@@ -120,15 +120,15 @@
     }
 }
 
-fn refused() -> PartEvidence {
-    let part = RefusedPart {
-        part: BAD,
+fn refused() -> CrashNews {
+    let part = RefusedSuspect {
+        suspect: Suspect::Part(BAD),
         crashes: 3,
         age: Duration::from_secs(1),
     };
-    PartEvidence {
+    CrashNews {
         refused: vec![part],
-        ..PartEvidence::default()
+        ..CrashNews::default()
     }
 }
 
@@ -143,7 +143,7 @@
 
     part_that_is_being_found_out_gets_no_final_refusal(site: 2) {
         let crashes = (1..=3).map(crash).collect();
-        site.told(PartEvidence { crashes, ..PartEvidence::default() });
+        site.told(CrashNews { crashes, ..CrashNews::default() });
         site.offer(1, &[FIRST, BAD]);
         assert_eq!(site.answers(1), [Some(Code::Overloaded)]);
         site.now = site.now + Duration::from_secs(1);
@@ -162,8 +162,8 @@
 
     sound_part_is_released(site: 2) {
         site.told(refused());
-        let sound = SoundPart { part: BAD, age: Duration::ZERO };
-        site.told(PartEvidence { sound: vec![sound], ..PartEvidence::default() });
+        let sound = SoundSuspect { suspect: Suspect::Part(BAD), age: Duration::ZERO };
+        site.told(CrashNews { sound: vec![sound], ..CrashNews::default() });
         site.offer(1, &[BAD]);
         assert_eq!(site.answers(1), [None]);
     }
--- a/fireflycroft/tests/objective.rs
+++ b/fireflycroft/tests/objective.rs
@@ -188,6 +188,7 @@
             prompt_tokens: 1,
             preemptions: 0,
             crashes: 0,
+            ended: None,
         };
         self.tokens(chunk, Some(finish));
     }
--- a/fireflycroft/tests/point3_not_run.rs
+++ b/fireflycroft/tests/point3_not_run.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use fireflycroft::{CRASH_LIMIT, Class, Code};
+use fireflycroft::{Class, Code};
 use support::cases;
 use support::fleet::{CallSpec, ENGINES, Kind, Proc};
 use support::link::NetworkMode;
@@ -39,7 +39,7 @@
         let call = world.submit(0, spec).unwrap();
         world.advance(10);
         let first = world.agent_of(call).unwrap();
-        world.announce_crashes_to_agents(first, &spec, CRASH_LIMIT);
+        world.announce_refusal_to_agents(first, &spec);
         world.advance(2_000);
         assert_eq!(code(world, call), Code::OutcomeUnknown);
     }
--- a/fireflycroft/tests/support/world/services.rs
+++ b/fireflycroft/tests/support/world/services.rs
@@ -7,9 +7,10 @@
 use crate::support::oracle::{RunStart, token};
 use crate::support::upstream::{StreamStep, UpstreamMode};
 use fireflycroft::{
-    AgentEvent, CallId, ClaimAnswer, ClaimOp, Code, ConfigVersion, Digest, EntryEvent, Finish,
-    GenerationId, Message, Name,
+    AgentEvent, CRASH_LIMIT, CallId, ClaimAnswer, ClaimOp, Code, ConfigVersion, CrashNews, Digest,
+    EntryEvent, Finish, GenerationId, Message, Name, RefusedSuspect, Suspect,
 };
+use std::time::Duration;
 
 impl World {
     pub(super) fn claim(&mut self, entry: usize, call: CallId, key: Digest, op: ClaimOp) {
@@ -212,6 +213,7 @@
             prompt_tokens: 0,
             preemptions: 0,
             crashes: 0,
+            ended: None,
         };
         self.drive_agent(agent, AgentEvent::Finished { generation, finish });
     }
@@ -254,15 +256,19 @@
         self.drive_agent(agent, AgentEvent::UpstreamUp);
     }
 
-    /// Sends a crash count of the content to all agents but one, and to no entry.
-    pub(crate) fn announce_crashes_to_agents(&mut self, except: usize, spec: &CallSpec, count: u8) {
-        let content = spec.digest();
+    /// Tells all agents but one, and no entry, that the content is refused.
+    pub(crate) fn announce_refusal_to_agents(&mut self, except: usize, spec: &CallSpec) {
+        let refused = RefusedSuspect {
+            suspect: Suspect::of_content(spec.digest()),
+            crashes: CRASH_LIMIT.into(),
+            age: Duration::ZERO,
+        };
+        let news = CrashNews {
+            refused: vec![refused],
+            ..CrashNews::default()
+        };
         for to in (0..AGENTS).filter(|a| *a != except).map(Proc::Agent) {
-            self.send(
-                Proc::Entry(0),
-                to.addr(),
-                Message::Crashes { content, count },
-            );
+            self.send(Proc::Entry(0), to.addr(), Message::CrashNews(news.clone()));
         }
     }
 }
--- a/fireflyd/src/node.rs
+++ b/fireflyd/src/node.rs
@@ -139,9 +139,14 @@
         self.journal.add(log_event);
         let code = log_event.code.map_or(0, fireflycroft::Code::number);
         let peer = log_event.peer.as_deref().unwrap_or("-");
-        if let Some(part) = log_event.part {
-            let part = part.to_string();
-            log::info!(event = log_event.event, part = part, count = log_event.count; "");
+        if let Some(suspect) = log_event.suspect {
+            let id = suspect.to_string();
+            let (part, content) = if suspect.is_content() {
+                ("", &*id)
+            } else {
+                (&*id, "")
+            };
+            log::info!(event = log_event.event, part = part, content = content, count = log_event.count; "");
             return;
         }
         match log_event.request {
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -321,6 +321,7 @@
                     prompt_tokens: u32::try_from(usage.prompt_tokens).unwrap_or(u32::MAX),
                     preemptions: u32::try_from(usage.preemptions).unwrap_or(u32::MAX),
                     crashes: 0,
+                    ended: None,
                 },
             },
             EngineEvent::Broken { cause } => {
@@ -363,6 +364,7 @@
         prompt_tokens: 0,
         preemptions: 0,
         crashes: 0,
+        ended: None,
     };
     send(tx, AgentEvent::Finished { generation, finish }).await;
 }
--- a/fireflydirect/src/announce.rs
+++ b/fireflydirect/src/announce.rs
@@ -71,6 +71,9 @@
     targets.extend(retry_owners(node, &announcement));
     let message = EntryMessage::Announcement(Box::new(announcement));
     node.datagrams.send_all(targets, &message).await;
+    if to_all && node.crash_evidence.borrow().has_untold(node.now()) {
+        node.announce_to_all_now();
+    }
 }
 
 /// Announces this entry to one that has just started.
@@ -107,8 +110,7 @@
         store_age: store_age(node),
         list_changes: list_changes(node),
         retries,
-        crashes: peers.crashes.iter().copied().collect(),
-        part_evidence: node.crash_evidence.borrow().to_tell(now),
+        crash_news: node.crash_evidence.borrow_mut().news_to_tell(now),
         peers: peers.listed_peers(now),
         evacuations: node.pool.borrow().evacuations().clone(),
         rate_limits,
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -7,12 +7,12 @@
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
 use crate::log_value::{list, or_empty};
-use crate::parts;
+use crate::suspects;
 use crate::{retries, returning_callers, standby_copies};
 use bytes::Bytes;
 use fireflycroft::{
-    AdmissionDecision, AdmissionRequest, ArrivalKind, AttemptOutcome, Attempts, Code,
-    MIN_BACKUP_TOKENS, Mechanism, MemoryUsage, Need, NextStep, PartVerdict, RunClaim, SHORT_TOKENS,
+    AdmissionDecision, AdmissionRequest, ArrivalKind, AttemptOutcome, Attempts, Code, CrashVerdict,
+    MIN_BACKUP_TOKENS, Mechanism, MemoryUsage, Need, NextStep, RunClaim, SHORT_TOKENS, Suspect,
     UpstreamIx, VersionKey, capacity_expected_after, decide_admission, decide_held_admission,
     pick_backup_holder,
 };
@@ -103,11 +103,11 @@
     let mut failure = None;
     let mut held: Option<HeldGuard> = None;
     loop {
-        if let Some(verdict) = parts::verdict_on(job) {
+        if let Some(verdict) = suspects::verdict_on(job) {
             if let Some(held) = held.take() {
                 held.refuse();
             }
-            return failure.unwrap_or_else(|| refuse_for_part(job, attempts, &verdict));
+            return failure.unwrap_or_else(|| refuse_for_crashes(job, attempts, &verdict));
         }
         let Some(ix) = job.pick(&need, &tried).await else {
             if let Some(held) = held.take() {
@@ -131,14 +131,13 @@
                 });
             }
         };
-        // The part may have been refused during the wait.
-        if parts::verdict_on(job).is_some() {
+        // It may have been refused during the wait.
+        if suspects::verdict_on(job).is_some() {
             continue;
         }
         if let Some(held) = held.take() {
             held.admit();
         }
-        job.tries_part_again.set(false);
         let result = attempt(job, ix, need, attempts).await;
         record_attempt(job, ix, &result);
         if result.outcome == AttemptOutcome::Lost {
@@ -177,13 +176,14 @@
     latest.mul_f64(rand::rng().random_range(0.5..=1.0))
 }
 
-/// Refuses a request because of a part of its prompt before it is sent, or sent once more.
-fn refuse_for_part(job: &Job, attempts: &RefCell<Attempts>, verdict: &PartVerdict) -> Reply {
-    parts::log_refusal(&job.request_id, verdict);
+/// Refuses a request that may crash upstreams before it is sent, or sent once more.
+fn refuse_for_crashes(job: &Job, attempts: &RefCell<Attempts>, verdict: &CrashVerdict) -> Reply {
+    suspects::log_refusal(&job.request_id, verdict);
     if attempts.borrow().may_have_run() {
         Reply::Error(Code::OutcomeUnknown, None)
     } else {
-        Reply::Error(Code::PartRefused, Some(parts::retry_after(verdict)))
+        let retry_after = suspects::retry_after(verdict);
+        Reply::Error(suspects::code(verdict), Some(retry_after))
     }
 }
 
@@ -355,6 +355,7 @@
         backup: backup_holder,
         memory: None,
         last_event_id: job.head.last_event_id,
+        is_sound: false,
     };
     let sending = send(job, ix, &options, || attempts.borrow_mut().record_sent());
     let sent = match silence_timeout(job) {
@@ -386,7 +387,7 @@
         speed = format!("{:.2}", view.speed), risk = format!("{:.3}", view.risk),
         software_version = or_empty(pool.record(ix).software_version.as_ref()),
         after = or_empty(job.head.last_event_id), resumes = or_empty(job.head.resumes.as_ref()),
-        parts = list(&job.head.shared_parts), content = job.content.to_string(),
+        parts = list(&job.head.shared_parts), content = Suspect::of_content(job.content).to_string(),
         age_ms = job.age().as_millis();
         ""
     );
@@ -470,7 +471,7 @@
     match read_body(job, ix, response).await {
         Ok((head, bytes)) => {
             if status.is_success() {
-                parts::record_sound(job);
+                suspects::record_sound(job);
             }
             AttemptResult {
                 outcome: if status.is_server_error() {
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::incarnations::confirm_link;
 use crate::job::Job;
 use crate::links::Link;
+use crate::suspects;
 use bytes::Bytes;
 use fireflycroft::{Dispatch, MemoryCopy, ResponseHead, RunClaim, UpstreamIx};
 use fireflycroft_platform::{read_response_head, upstream_headers};
@@ -37,6 +38,8 @@
     pub memory: Option<MemoryCopy>,
     /// Event after which the stream resumes.
     pub last_event_id: Option<u64>,
+    /// Whether the answer has gone on past its beginning.
+    pub is_sound: bool,
 }
 
 /// Response head, with what is needed to read the body.
@@ -57,7 +60,7 @@
 pub enum SendError {
     /// No byte of the request left this process.
     NeverSent(String),
-    /// Not sent either, since a healthy upstream may get no new requests.
+    /// Not sent either, since the upstream may get no new requests now, or the request crashes upstreams.
     Withheld(String),
     /// The request was sent, fully or in part.
     Lost(String),
@@ -113,7 +116,14 @@
             "the upstream has ended or left".to_owned(),
         ));
     }
+    if let Some(verdict) = suspects::verdict_on_answer(job, options.is_sound) {
+        return Err(SendError::Withheld(format!(
+            "{} crashes upstreams",
+            verdict.suspect()
+        )));
+    }
     count_sending(job, ix)?;
+    job.tries_suspect_again.set(false);
     let sent_at = job.now();
     let req = request(job, &record.instance, options);
     on_sent();
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -14,15 +14,14 @@
 use crate::job::Job;
 use crate::log_value::or_empty;
 use crate::metrics::kind_label;
-use crate::parts;
 use crate::retries;
 use crate::runs::Run;
 use crate::standby_copies;
 use crate::stream_origins::{OriginGuard, record_start};
+use crate::suspects;
 use bytes::Bytes;
 use fireflycroft::{
-    Code, EventRelay, Gap, MemoryCopy, Need, PartVerdict, PausePeak, ResponseHead, Time,
-    UpstreamIx, VersionKey,
+    Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time, UpstreamIx, VersionKey,
 };
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
@@ -263,7 +262,7 @@
         self.progress.record_read();
         if !self.is_sound && self.progress.is_past_beginning(self.job.now()) {
             self.is_sound = true;
-            parts::record_sound(&self.job);
+            suspects::record_sound(&self.job);
         }
         self.event_times.record(self.job.now());
         self.assignment.record_prompt_read();
@@ -328,7 +327,7 @@
     fn finish(&mut self) {
         self.ended = true;
         if self.progress.has_data() {
-            parts::record_sound(&self.job);
+            suspects::record_sound(&self.job);
         }
         if let Some(source) = self.source.take() {
             release_link(&self.job, self.assignment.ix, &source.head, source.link);
@@ -403,8 +402,7 @@
         self.breaks += 1;
         self.log_event("stream_broke", why);
         crash::check_for_crash(&self.job, self.assignment.ix, self.progress).await;
-        if let Some(verdict) = self.verdict() {
-            parts::log_refusal(&self.job.request_id, &verdict);
+        if self.is_refused() {
             return false;
         }
         if crash::has_crashed_too_many(&self.job) && !self.is_sound {
@@ -431,12 +429,13 @@
         false
     }
 
-    /// Returns why the stream may not go on because of a part of its prompt; one that has gone on past its beginning
-    /// speaks for its parts itself, until they are refused.
-    fn verdict(&self) -> Option<PartVerdict> {
-        let verdict = parts::verdict_on(&self.job)?;
-        let is_refused = matches!(verdict, PartVerdict::Refused(_));
-        (is_refused || !self.is_sound).then_some(verdict)
+    /// Returns whether the stream may not go on because its request may crash upstreams.
+    fn is_refused(&self) -> bool {
+        let verdict = suspects::verdict_on_answer(&self.job, self.is_sound);
+        if let Some(verdict) = &verdict {
+            suspects::log_refusal(&self.job.request_id, verdict);
+        }
+        verdict.is_some()
     }
 
     async fn wait_for_copy(&self) {
@@ -519,6 +518,7 @@
             backup: backup_holder,
             memory: next.memory,
             last_event_id: self.events.last_id(),
+            is_sound: self.is_sound,
         };
         let sending = send(&self.job, next.at, &options, || ());
         let response = match tokio::time::timeout(RESUME_TIMEOUT, sending).await {
--- a/fireflydirect/src/hold.rs
+++ b/fireflydirect/src/hold.rs
@@ -4,7 +4,7 @@
 
 use crate::job::Job;
 use crate::node::{Node, Stage};
-use crate::{parts, returning_callers, serve};
+use crate::{returning_callers, serve, suspects};
 use fireflycroft::{
     AdmissionDecision, ArrivalKind, Code, Mechanism, MemoryUsage, Name, Need, Refusal,
     ServiceDemand, Shortage, Time, WaitClaim, WaitId, leaves_time_to_wait, must_begin_by,
@@ -298,7 +298,7 @@
             () = node.capacity_released.notified() => {}
             () = tokio::time::sleep(rest.min(held.time_left())) => {}
         }
-        if parts::verdict_on(job).is_some() {
+        if suspects::verdict_on(job).is_some() {
             return true;
         }
         let is_due = node.now() >= look_at || may_have_memory(job, last);
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use bytes::Bytes;
 use fireflycroft::{
-    Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec, StreamOrigin, Time,
+    Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec, StreamOrigin, Suspect, Time,
     UpstreamIx, VersionKey,
 };
 use hyper::{HeaderMap, Method, Uri};
@@ -50,10 +50,12 @@
     pub body: Bytes,
     /// Digest of path, caller and body.
     pub content: Digest,
+    /// What it has in common with other requests that may crash upstreams.
+    pub suspects: Vec<Suspect>,
     /// Upstreams that crashed as its answer was beginning there.
     pub crashed_beginnings: Cell<u32>,
-    /// Whether it is still to try a refused part of its prompt again.
-    pub tries_part_again: Cell<bool>,
+    /// Whether it is still to try a refused suspect again.
+    pub tries_suspect_again: Cell<bool>,
     /// Time at which the head was read.
     pub arrival: Time,
     /// Latest time of the final answer.
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -39,7 +39,7 @@
 pub mod overview;
 pub mod owner_queries;
 pub mod page_server;
-pub mod parts;
+
 pub mod peers;
 pub mod process;
 pub mod readiness;
@@ -57,3 +57,4 @@
 pub mod store_call;
 pub mod store_connectivity;
 pub mod stream_origins;
+pub mod suspects;
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -283,7 +283,7 @@
             .set(i64::try_from(node.config_version()).unwrap_or(i64::MAX));
         self.peers.set(to_i64(node.entries() - 1));
         self.watching.set(i64::from(node.watches_store()));
-        let quarantined = node.quarantine.borrow().refused_count();
+        let quarantined = node.crash_evidence.borrow().refused_contents();
         self.quarantined.set(to_i64(quarantined));
         let refused = node.crash_evidence.borrow().refused(node.now());
         self.refused_parts.set(to_i64(refused.len()));
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -12,9 +12,9 @@
 use crate::runs::{MigrationCopy, Runs};
 use fireflycroft::{
     Catalog, CrashEvidence, DepartureRate, DepartureWatch, Evacuations, FULL_VIEW_AFTER, FleetView,
-    HoldTimes, LengthEstimator, Policy, Pool, PoolChange, Quarantine, QueryBudget, Refusal,
-    Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time,
-    UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
+    HoldTimes, LengthEstimator, Policy, Pool, PoolChange, QueryBudget, Refusal, Regions,
+    ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time, UpstreamIncarnation,
+    UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
 use fireflycroft_platform::{PlatformSettings, StoreObject};
 use std::cell::{Cell, RefCell};
@@ -58,9 +58,7 @@
     pub pool: RefCell<Pool>,
     /// Retry budget, shared with the other entries.
     pub retry_budget: RefCell<SharedRetryBudget>,
-    /// Content that crashed upstreams.
-    pub quarantine: RefCell<Quarantine>,
-    /// Evidence about the parts of prompts that crash upstreams.
+    /// Evidence about requests that crash upstreams.
     pub crash_evidence: RefCell<CrashEvidence>,
     /// Refused callers, who may return.
     pub returning_callers: RefCell<ReturningCallers>,
@@ -177,7 +175,6 @@
             configs: RefCell::default(),
             pool: RefCell::new(pool),
             retry_budget: RefCell::new(retry_budget),
-            quarantine: RefCell::default(),
             crash_evidence: RefCell::default(),
             returning_callers: RefCell::default(),
             stream_origins: RefCell::default(),
--- a/fireflydirect/src/overview.rs
+++ b/fireflydirect/src/overview.rs
@@ -2,8 +2,8 @@
 
 use crate::node::{Node, Stage};
 use fireflycroft::{
-    EntryOverview, OwnedKey, Pool, RateLimit, RefusedPartOverview, Time, UpstreamIx,
-    UpstreamOverview, whole_millis,
+    EntryOverview, OwnedKey, Pool, RateLimit, RefusedContentOverview, RefusedPartOverview, Time,
+    UpstreamIx, UpstreamOverview, whole_millis,
 };
 
 /// Path of the page.
@@ -32,6 +32,7 @@
         calls: node.calls_in_flight.get(),
         streams: node.runs.count(),
         refused_parts: refused_parts(node, now),
+        refused_contents: refused_contents(node, now),
         upstreams: known.map(|ix| upstream(node, &pool, now, ix)).collect(),
         peers: node.peers.borrow().overview(now),
     }
@@ -39,8 +40,20 @@
 
 fn refused_parts(node: &Node, now: Time) -> Vec<RefusedPartOverview> {
     let refused = node.crash_evidence.borrow().refused(now);
-    let shown = refused.into_iter().map(|r| RefusedPartOverview {
-        part: r.part.to_string().into(),
+    let parts = refused.iter().filter(|r| !r.suspect.is_content());
+    let shown = parts.map(|r| RefusedPartOverview {
+        part: r.suspect.to_string().into(),
+        crashes: r.crashes,
+        crash_age_ms: whole_millis(r.age),
+    });
+    shown.collect()
+}
+
+fn refused_contents(node: &Node, now: Time) -> Vec<RefusedContentOverview> {
+    let refused = node.crash_evidence.borrow().refused(now);
+    let contents = refused.iter().filter(|r| r.suspect.is_content());
+    let shown = contents.map(|r| RefusedContentOverview {
+        content: r.suspect.to_string().into(),
         crashes: r.crashes,
         crash_age_ms: whole_millis(r.age),
     });
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -9,14 +9,14 @@
 //! memory to match; datagrams of a few hundred bytes that may be lost need neither.
 
 use fireflycroft::{
-    CrashCount, Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview,
-    STREAM_OWNERS, Time, WATCHERS, WatcherView, highest_ranked, owners_of, whole_millis,
+    Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview, STREAM_OWNERS, Time,
+    WATCHERS, WatcherView, highest_ranked, owners_of, whole_millis,
 };
 use fireflycroft_platform::PlatformSettings;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::cell::Cell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr};
 use std::ops::RangeInclusive;
 use std::rc::Rc;
@@ -60,9 +60,6 @@
 /// its list is fetched.
 const MISSING_PEERS_DIVISOR: usize = 10;
 
-/// Maximum number of crash counts that are announced repeatedly.
-const MAX_CRASH_COUNTS: usize = 16;
-
 /// Time for which a watcher's list may differ: its changes arrive in several datagrams, and may
 /// reach this entry from the store shortly after.
 const LIST_GRACE: Duration = Duration::from_millis(300);
@@ -157,7 +154,6 @@
     pub(crate) incarnation: Incarnation,
     known: HashMap<Ipv4Addr, PeerRecord>,
     seeds: Vec<Ipv4Addr>,
-    pub(crate) crashes: VecDeque<CrashCount>,
     fetching: Rc<Cell<bool>>,
     list_missing_since: Option<Time>,
     config_missing_since: Option<Time>,
@@ -172,13 +168,11 @@
     pub fn new(place: &PlatformSettings) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH);
         let millis = unix.map_or(0, whole_millis);
-        let seeds = place.seeds.iter().filter_map(|s| v4(s.ip()));
         Self {
             me: place.ip,
             incarnation: Incarnation::started_at(millis, rand::rng().next_u64()),
             known: HashMap::new(),
-            seeds: seeds.filter(|ip| *ip != place.ip).collect(),
-            crashes: VecDeque::new(),
+            seeds: seeds_of(place),
             fetching: Rc::default(),
             list_missing_since: None,
             config_missing_since: None,
@@ -291,21 +285,6 @@
         all
     }
 
-    /// Adds a crash count to be announced.
-    pub fn add_crash(&mut self, content: Digest, count: u8) {
-        self.crashes.retain(|c| c.content != content);
-        self.crashes.push_back(CrashCount { content, count });
-        if self.crashes.len() > MAX_CRASH_COUNTS
-            && let Some(untold) = self.crashes.pop_front()
-        {
-            log::warn!(
-                event = "crash_count_untold", content = untold.content.to_string(),
-                crashes = untold.count;
-                ""
-            );
-        }
-    }
-
     /// Applies an announcement: updates its sender and adds the entries that it lists.
     pub(crate) fn apply_announcement(
         &mut self,
@@ -486,6 +465,12 @@
     }
 }
 
+/// Returns the seeds other than the entry itself.
+fn seeds_of(place: &PlatformSettings) -> Vec<Ipv4Addr> {
+    let seeds = place.seeds.iter().filter_map(|s| v4(s.ip()));
+    seeds.filter(|ip| *ip != place.ip).collect()
+}
+
 /// Returns what has been lacking for at least the grace period.
 fn overdue(
     since: &mut Option<Time>,
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -98,7 +98,6 @@
         let now = node.now();
         let changes = node.pool.borrow_mut().remove_missing(now);
         node.apply_pool_changes(changes, "missing");
-        node.quarantine.borrow_mut().expire(now);
         node.crash_evidence.borrow_mut().expire(now);
         node.configs.borrow_mut().remove_expired(now);
     }
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -7,10 +7,10 @@
 use crate::ingest::apply_peer_state;
 use crate::node::Node;
 use crate::owner_queries;
-use crate::parts;
 use crate::peers::{MissingState, v4};
 use crate::state_page::{PeerState, StateQuery, state_path};
-use fireflycroft::{CrashCount, EntryAnnouncement, EntryMessage, HedgedCall, Time, era_of};
+use crate::suspects;
+use fireflycroft::{EntryAnnouncement, EntryMessage, HedgedCall, Time, era_of};
 use fireflycroft_wire::decode_datagram;
 use rand::RngExt;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -99,10 +99,7 @@
     }
     conditions::apply_announced_rates(node, &announcement.rate_limits);
     conditions::apply_announced_leaving(node, &announcement.departing);
-    for crash in &announcement.crashes {
-        record_crash(node, now, from, crash);
-    }
-    parts::apply(node, &announcement.part_evidence);
+    suspects::apply(node, from, &announcement.crash_news);
     if node.peers.borrow().lacks_entries(now, &announcement) {
         fetch_entries(node, from);
     }
@@ -138,17 +135,6 @@
     peers.overdue_state(now, announced, node.awaits_store_data())
 }
 
-fn record_crash(node: &Node, now: Time, from: Ipv4Addr, crash: &CrashCount) {
-    let mut quarantine = node.quarantine.borrow_mut();
-    if quarantine.record(now, crash.content, crash.count) {
-        log::warn!(
-            event = "crash_told", content = crash.content.to_string(), crashes = crash.count,
-            from = from.to_string();
-            ""
-        );
-    }
-}
-
 /// Fetches announced state that is missing here, one fetch at a time.
 ///
 /// A large configuration is not sent by peers if its difference from the one here is unknown. It
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -2,17 +2,16 @@
 
 use crate::answer::{Answer, close_after, error_answer, relayed_answer, whole_body};
 use crate::call::{Reply, obtain};
-use crate::crash;
 use crate::generation::relay;
 use crate::job::Job;
 use crate::node::{Node, Stage};
-use crate::parts;
 use crate::startup_wait::until_loaded;
 use crate::stream_origins::{self, Continued};
+use crate::suspects;
 use bytes::Bytes;
 use fireflycroft::{
-    Catalog, Code, Digest, Mechanism, Name, PartVerdict, RequestHead, RouteSpec,
-    STARTUP_RETRY_AFTER, StreamOrigin, Time, WorkspaceSpec, unconfigured_retry_after,
+    Catalog, Code, CrashVerdict, Digest, Mechanism, Name, RequestHead, RouteSpec,
+    STARTUP_RETRY_AFTER, StreamOrigin, Suspect, Time, WorkspaceSpec, unconfigured_retry_after,
 };
 use fireflycroft_platform::read_request_head;
 use http_body_util::{BodyExt, Limited};
@@ -130,7 +129,13 @@
     let route = find_route(&catalog, &parts).ok_or(refusal(Code::RouteUnknown))?;
     let workspace = check_key(&catalog, &route, &head)?;
     let request_id = head.request_id.clone().ok_or(refusal(Code::BadRequest))?;
-    let tries_part_again = check_parts(node, &request_id, &head)?;
+    let parts_alone: Vec<Suspect> = head
+        .shared_parts
+        .iter()
+        .copied()
+        .map(Suspect::Part)
+        .collect();
+    let tries_part_again = check_suspects(node, &request_id, &parts_alone)?;
     let origin = find_origin(node, &route, &head).await?;
     let service = stream_origins::target(&route, origin.as_ref(), rand::rng().next_u32());
     let service = service.ok_or_else(|| {
@@ -143,10 +148,9 @@
     })?;
     let body = read_request_body(&catalog, body).await?;
     let content = digest(&parts, &head, &body);
-    if crash::is_refused(node, content) {
-        crash::log_refusal(node, &request_id, content);
-        return Err(refusal_with_retry(Code::Overloaded, FINAL_RETRY_AFTER));
-    }
+    let content_alone = [Suspect::of_content(content)];
+    let tries_content_again = check_suspects(node, &request_id, &content_alone)?;
+    let suspects = Suspect::of_request(&head.shared_parts, content);
     node.retry_budget
         .borrow_mut()
         .record_request(node.now(), &service);
@@ -179,29 +183,28 @@
         headers: parts.headers,
         body,
         content,
+        suspects,
         crashed_beginnings: Cell::new(0),
-        tries_part_again: Cell::new(tries_part_again),
+        tries_suspect_again: Cell::new(tries_part_again || tries_content_again),
         arrival,
     };
     job.value_density = value_density(&job);
     Ok(job)
 }
 
-/// Refuses a request that shares a part with those that crash upstreams; returns whether it tries a refused part again.
-fn check_parts(node: &Node, request_id: &str, head: &RequestHead) -> Result<bool, Refusal> {
-    match parts::verdict(node, &head.shared_parts) {
+/// Refuses a request whose suspects crash upstreams; returns whether it tries a refused one again.
+fn check_suspects(node: &Node, request_id: &str, suspects: &[Suspect]) -> Result<bool, Refusal> {
+    match suspects::verdict(node, suspects) {
         None => Ok(false),
-        Some(PartVerdict::Refused(part))
-            if parts::may_try_again(node, request_id, &head.shared_parts, &part) =>
+        Some(CrashVerdict::Refused(refused))
+            if suspects::may_try_again(node, request_id, suspects, &refused) =>
         {
             Ok(true)
         }
         Some(verdict) => {
-            parts::log_refusal(request_id, &verdict);
-            Err(refusal_with_retry(
-                Code::PartRefused,
-                parts::retry_after(&verdict),
-            ))
+            suspects::log_refusal(request_id, &verdict);
+            let retry_after = suspects::retry_after(&verdict);
+            Err(refusal_with_retry(suspects::code(&verdict), retry_after))
         }
     }
 }
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -5,8 +5,8 @@
 use crate::node::Node;
 use crate::overview::{OVERVIEW_PATH, overview};
 use crate::page_server::{self, Page, empty};
-use crate::parts;
-use fireflycroft::{Name, PartId, UpstreamRecord};
+use crate::suspects;
+use fireflycroft::{Name, UpstreamRecord};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -18,7 +18,7 @@
 /// Path of the state that other entries fetch.
 pub const STATE_PATH: &str = "/fleet/state";
 
-/// Path on which an operator releases the refused part that its query names.
+/// Path on which an operator releases the refused part or content that its query names.
 pub const RELEASE_PATH: &str = "/fleet/parts/release";
 
 /// Configuration and upstreams as held by the platform's store.
@@ -74,17 +74,17 @@
     }
 }
 
-/// Releases the part named as `part=ID`, in hexadecimal digits; 404 if it isn't refused here.
+/// Releases the part or content named as `part=ID`, in hexadecimal digits; 404 if it isn't refused here.
 fn release_part(node: &Node, req: &Request<Incoming>) -> Page {
     if req.method() != Method::POST {
         return empty(StatusCode::METHOD_NOT_ALLOWED);
     }
     let query = req.uri().query().unwrap_or_default();
     let id = query.strip_prefix("part=");
-    let Some(part) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
+    let Some(id) = id.and_then(|id| u64::from_str_radix(id, 16).ok()) else {
         return empty(StatusCode::BAD_REQUEST);
     };
-    if parts::release(node, PartId(part)) {
+    if suspects::release(node, id) {
         empty(StatusCode::NO_CONTENT)
     } else {
         empty(StatusCode::NOT_FOUND)
--- /dev/null
+++ b/fireflydirect/src/suspects.rs
@@ -0,0 +1,227 @@
+//! Refuses requests that crash upstreams, and tells the other entries.
+
+use crate::job::Job;
+use crate::log_value::list;
+use crate::node::Node;
+use crate::serve::FINAL_RETRY_AFTER;
+use fireflycroft::{
+    Code, CrashNews, CrashReport, CrashVerdict, OwnedKey, RefusedSuspect, SoundSuspect, Suspect,
+};
+use rand::RngExt;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+/// Mean number of entries that tell all others at once that a suspect is sound; in a large fleet many of them know it,
+/// and the rest tell it in their regular announcements.
+const URGENT_TELLERS: f64 = 8.0;
+
+/// Judges the evidence, and logs what is refused from now on, or no more.
+pub fn judge(node: &Node) {
+    let judgement = node.crash_evidence.borrow_mut().judge(node.now());
+    for refused in &judgement.refused {
+        log_refused(refused, "own");
+    }
+    for suspect in judgement.exonerated {
+        log_released(suspect, Duration::ZERO, "own");
+    }
+}
+
+/// Returns the values of the log fields `part` and `content` for a suspect; one of them is empty.
+fn fields(suspect: Suspect) -> (String, String) {
+    match suspect {
+        Suspect::Part(part) => (part.to_string(), String::new()),
+        Suspect::Content(content) => (String::new(), content.to_string()),
+    }
+}
+
+fn log_refused(refused: &RefusedSuspect, source: &str) {
+    let (part, content) = fields(refused.suspect);
+    log::warn!(
+        event = "part_refused", part = part, content = content, crashes = refused.crashes,
+        age_ms = refused.age.as_millis(), source = source;
+        ""
+    );
+}
+
+fn log_released(suspect: Suspect, age: Duration, source: &str) {
+    let (part, content) = fields(suspect);
+    log::info!(
+        event = "part_released", part = part, content = content, age_ms = age.as_millis(),
+        source = source;
+        ""
+    );
+}
+
+/// Returns why a request with these suspects may not be sent; `None` if it may.
+#[must_use]
+pub fn verdict(node: &Node, suspects: &[Suspect]) -> Option<CrashVerdict> {
+    judge(node);
+    let evidence = node.crash_evidence.borrow();
+    evidence.verdict(node.now(), suspects)
+}
+
+/// Returns the verdict on a request before it is sent, or sent once more; none on one that tries a suspect again.
+#[must_use]
+pub fn verdict_on(job: &Job) -> Option<CrashVerdict> {
+    if job.tries_suspect_again.get() {
+        return None;
+    }
+    verdict(&job.node, &job.suspects)
+}
+
+/// Returns the verdict on a request whose answer may have gone on past its beginning: then it speaks for itself until it
+/// is refused.
+#[must_use]
+pub fn verdict_on_answer(job: &Job, is_sound: bool) -> Option<CrashVerdict> {
+    let verdict = verdict_on(job)?;
+    let is_refused = matches!(verdict, CrashVerdict::Refused(_));
+    (is_refused || !is_sound).then_some(verdict)
+}
+
+/// Returns the code of the answer to a request that is not sent because of a verdict.
+#[must_use]
+pub const fn code(verdict: &CrashVerdict) -> Code {
+    match verdict.suspect() {
+        Suspect::Part(_) => Code::PartRefused,
+        Suspect::Content(_) => Code::Overloaded,
+    }
+}
+
+/// Returns the retry delay of a request that is not sent because of a verdict.
+#[must_use]
+pub const fn retry_after(verdict: &CrashVerdict) -> Duration {
+    match verdict {
+        CrashVerdict::Refused(_) => FINAL_RETRY_AFTER,
+        CrashVerdict::Suspended { wait, .. } => *wait,
+    }
+}
+
+/// Logs that a request is not sent because of a verdict.
+pub fn log_refusal(request_id: &str, verdict: &CrashVerdict) {
+    let (crashes, age) = match verdict {
+        CrashVerdict::Refused(refused) => (refused.crashes, refused.age),
+        CrashVerdict::Suspended { .. } => (0, Duration::ZERO),
+    };
+    let (part, content) = fields(verdict.suspect());
+    let event = if part.is_empty() {
+        "refused_for_content"
+    } else {
+        "refused_for_part"
+    };
+    log::warn!(
+        event = event, req = request_id, part = part, content = content, crashes = crashes,
+        age_ms = age.as_millis(), retry_after_ms = retry_after(verdict).as_millis();
+        ""
+    );
+}
+
+/// Decides whether a request with a refused suspect may try it again: one at a time, at one entry.
+#[must_use]
+pub fn may_try_again(
+    node: &Node,
+    request_id: &str,
+    suspects: &[Suspect],
+    refused: &RefusedSuspect,
+) -> bool {
+    let now = node.now();
+    let key = OwnedKey::of_suspect(refused.suspect);
+    let owner = node.peers.borrow().owners(now, key).next();
+    if owner != Some(node.place.ip) {
+        return false;
+    }
+    let tries = node.crash_evidence.borrow_mut().take_probe(now, suspects);
+    if tries {
+        let (part, content) = fields(refused.suspect);
+        log::info!(
+            event = "part_tried_again", req = request_id, part = part, content = content,
+            crashes = refused.crashes, age_ms = refused.age.as_millis();
+            ""
+        );
+    }
+    tries
+}
+
+/// Records that an answer went on past its beginning, or is complete.
+pub fn record_sound(job: &Job) {
+    clear(&job.node, &job.suspects, Duration::ZERO, "own");
+}
+
+/// Releases a part or content by its id on an operator's word; returns whether it was refused.
+pub fn release(node: &Node, id: u64) -> bool {
+    let refused = node.crash_evidence.borrow().refused(node.now());
+    let named = refused.iter().map(|r| r.suspect).filter(|s| s.id() == id);
+    let named: Vec<Suspect> = named.collect();
+    if !named.is_empty() {
+        clear(node, &named, Duration::ZERO, "operator");
+        node.announce_to_all_now();
+    }
+    !named.is_empty()
+}
+
+fn clear(node: &Node, suspects: &[Suspect], age: Duration, source: &str) {
+    let mut evidence = node.crash_evidence.borrow_mut();
+    let refused = evidence.refused(node.now());
+    let cleared = evidence.record_sound(node.now(), suspects, age);
+    drop(evidence);
+    for sound in cleared {
+        if refused.iter().any(|r| r.suspect == sound.suspect) {
+            log_released(sound.suspect, age, source);
+        } else if source != "peer" {
+            // Where another entry told it, the line stands there.
+            log_cleared(sound.suspect, age, source);
+        }
+    }
+    tell_news(node);
+}
+
+fn log_cleared(suspect: Suspect, age: Duration, source: &str) {
+    let (part, content) = fields(suspect);
+    log::info!(
+        event = "part_cleared", part = part, content = content, age_ms = age.as_millis(),
+        source = source;
+        ""
+    );
+}
+
+/// Applies evidence that another entry told.
+pub fn apply(node: &Node, from: Ipv4Addr, told: &CrashNews) {
+    for SoundSuspect { suspect, age } in &told.sound {
+        clear(node, &[*suspect], *age, "peer");
+    }
+    for report in &told.crashes {
+        apply_crash(node, from, report);
+    }
+    for refused in &told.refused {
+        let is_news = node.crash_evidence.borrow_mut().adopt(node.now(), *refused);
+        if is_news {
+            log_refused(refused, "peer");
+        }
+    }
+    judge(node);
+    tell_news(node);
+}
+
+fn apply_crash(node: &Node, from: Ipv4Addr, report: &CrashReport) {
+    let mut evidence = node.crash_evidence.borrow_mut();
+    if !evidence.record_told_crash(node.now(), report.clone()) {
+        return;
+    }
+    let (contents, parts): (Vec<&Suspect>, Vec<&Suspect>) =
+        report.suspects.iter().partition(|s| s.is_content());
+    let crashes = contents.iter().map(|s| evidence.crashes_under(**s)).max();
+    log::info!(
+        event = "crash_told", ended = format!("{:016x}", report.ended.0), parts = list(&parts),
+        content = list(&contents), crashes = crashes.unwrap_or(0), begun = report.begun,
+        age_ms = report.age.as_millis(), from = from.to_string();
+        ""
+    );
+}
+
+/// Tells all entries at once that a suspect is sound, unless others do.
+fn tell_news(node: &Node) {
+    let has_news = node.crash_evidence.borrow_mut().take_news();
+    let entries = u32::try_from(node.entries()).unwrap_or(u32::MAX);
+    if has_news && rand::rng().random::<f64>() * f64::from(entries) < URGENT_TELLERS {
+        node.announce_to_all_now();
+    }
+}
