Ask before each run of a stream that goes on, and look for each crash

Callers saw: one request of a stream that goes on elsewhere ended every upstream there was, within one attempt.

Cause: a stream whose upstream broke off tries one continuation after another. The verdict was asked before the first only, and an upstream that ended before the head of its answer was not looked at, so that no crash of them was ever counted. Class: a question asked on arrival that holds for each send. Change: it is asked before each continuation, and a lost send is checked like any other.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -9,7 +9,7 @@
 use crate::assignment::AssignmentGuard;
 use crate::call::{StartedStream, assign_backup};
 use crate::crash::{self, Progress};
-use crate::exchange::{ResponseStart, SendOptions, release_link, send};
+use crate::exchange::{ResponseStart, SendError, SendOptions, release_link, send};
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
 use crate::log_value::or_empty;
@@ -417,6 +417,9 @@
         let mut tried = vec![self.assignment.ix];
         while let Some(next) = self.next_continuation(&tried) {
             let at = next.at;
+            if self.is_refused() {
+                return false;
+            }
             if !retries::take(&self.job).await {
                 self.log_event("budget_spent", "");
                 return false;
@@ -535,7 +538,12 @@
             Ok(Ok(response)) => {
                 return self.log_resume_refused(next.at, &response.parts.status.to_string());
             }
-            Ok(Err(e)) => return self.log_resume_refused(next.at, &e.to_string()),
+            Ok(Err(e)) => {
+                if matches!(e, SendError::Lost(_)) {
+                    crash::check_for_crash(&self.job, next.at, Progress::default()).await;
+                }
+                return self.log_resume_refused(next.at, &e.to_string());
+            }
             Err(_) => return self.log_resume_refused(next.at, "no answer in time"),
         };
         self.assignment = assignment;
