Count crashes of upstreams that are back before they are looked for

Callers saw: nothing; a request that crashes upstreams isn't refused where the entry looks late, since it was paused.

Cause: a crash was known by a refused connection alone. An upstream that has started again accepts one, and one that the list shows as ended was passed over as if it had left as planned. Change: a broken answer whose upstream's id or address the list gives to a later incarnation, now or within 5 s, counts; a departure excuses an end only once the time allowed for it is over. No call is added: the list comes anyway.

--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -85,6 +85,7 @@
 mod hedging;
 mod http_head;
 mod ids;
+mod incarnation_end;
 mod interference;
 mod inventory;
 mod lease;
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -184,6 +184,7 @@
         if !u.removed {
             self.digest ^= digest_of(&u.record);
         }
+        u.crashed = u.is_serving();
         u.removed = true;
         u.ended = true;
         u.left_at = Some(now);
@@ -232,6 +233,7 @@
             rate: KnownRate::default(),
             removed: false,
             ended: false,
+            crashed: false,
             left_at: is_leaving.then_some(now),
             leave_notice: LeaveNotice::default(),
             missing: None,
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -92,6 +92,8 @@
     pub(crate) removed: bool,
     /// Whether a later incarnation has taken its id: its runs and its memory are lost.
     pub(crate) ended: bool,
+    /// Whether it was serving when that became known.
+    pub(crate) crashed: bool,
     /// Time at which it was first known to leave.
     pub(crate) left_at: Option<Time>,
     pub(crate) leave_notice: LeaveNotice,
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -1,7 +1,8 @@
 //! Detects upstream crashes, and reports them with what the answers that were beginning there have in common.
 //!
 //! A request that breaks may have crashed its upstream, or only lost its connection. A new connection shows which: a
-//! crashed upstream refuses it for some seconds. All entries hear of a crash at once, since the next such request may come to any of them.
+//! crashed upstream refuses it for some seconds. Where the check comes later than the next start, the list of upstreams
+//! tells. All entries hear of a crash at once, since the next such request may come to any of them.
 
 use crate::job::Job;
 use crate::links::open;
@@ -11,6 +12,7 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::timeout_at;
 
 /// Time for which a crashed upstream is avoided; it restarts within some seconds.
 const AVOID_CRASHED: Duration = Duration::from_secs(3);
@@ -22,6 +24,9 @@
 /// within a tenth of a second.
 const BEGINNING_TIME: Duration = Duration::from_millis(250);
 
+/// Time in which an upstream that has crashed and started again is listed.
+const LISTING_TIME: Duration = Duration::from_secs(5);
+
 /// Upstreams that one request may crash as its answer begins; the next one to crash tells which of its parts it was.
 const MAX_CRASHED_BEGINNINGS: u32 = 2;
 
@@ -83,15 +88,18 @@
     tokio::task::spawn_local(async move { check(&job, ix, progress).await });
 }
 
-/// Records a crash if the upstream accepts no connection; a departing upstream ended as planned.
+/// Records a crash if a later incarnation of the upstream is known, or it accepts no connection.
 async fn check(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
     let addr = job.node.pool.borrow().record(ix).addr;
-    if job.node.pool.borrow().left_at(ix).is_some() {
+    if has_left(job, ix) {
         return;
     }
+    if has_started_again(job, ix) {
+        return record_crash(job, ix, progress, "it has started again");
+    }
     match open(addr).await {
-        Ok(_) => {}
-        Err(_) if job.node.pool.borrow().left_at(ix).is_some() => {}
+        Ok(_) => watch_listing(job, ix, progress),
+        Err(_) if has_left(job, ix) => {}
         // A crashed upstream's VM still answers; one that is cut off or without power doesn't.
         Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
             record_crash(job, ix, progress, &e.to_string());
@@ -100,6 +108,39 @@
     }
 }
 
+/// Returns whether an upstream left so long ago that its end was planned.
+fn has_left(job: &Job, ix: UpstreamIx) -> bool {
+    let pool = job.node.pool.borrow();
+    let left_at = pool.left_at(ix).filter(|_| !pool.has_crashed(ix));
+    left_at.is_some_and(|at| job.now().since(at) >= job.node.place.bounds.drain_timeout)
+}
+
+/// Returns whether the list has a later incarnation of an upstream, under its id or at its address.
+fn has_started_again(job: &Job, ix: UpstreamIx) -> bool {
+    let pool = job.node.pool.borrow();
+    pool.has_crashed(ix) || pool.is_address_taken(ix)
+}
+
+/// Records a crash once the upstream behind a connection turns out to be a later one.
+fn watch_listing(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
+    if progress.is_past_beginning(job.now()) {
+        return;
+    }
+    let job = job.clone();
+    let until = job.node.clock.instant(job.now() + LISTING_TIME);
+    tokio::task::spawn_local(async move {
+        loop {
+            let changed = job.node.routing_changed.notified();
+            if has_started_again(&job, ix) {
+                return record_crash(&job, ix, progress, "it had started again");
+            }
+            if timeout_at(until, changed).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
 /// Avoids an upstream that is cut off or without power: no request is to blame.
 fn record_unreachable(job: &Job, ix: UpstreamIx, why: &str) {
     let mut pool = job.node.pool.borrow_mut();
