Learn what is known of crashes before an entry that has started serves

Callers saw: nothing by itself; an entry that is ready before it has heard of the others sends requests that all of them refuse, and what they know of a request that has crashed one or two upstreams it was never told.

Cause: knowledge came with announcements, whenever the first arrived, and crashes are told for seconds only. Change: an entry that starts asks those that it knows, eight at a time, over TCP for all refusals and the weightiest 64 reports. It is ready once one that has served before has answered; after 0.4 s if all answered that they know nothing; after 1 s in any case. Requests that come meanwhile wait as they do for the configuration. Calls: one a start and peer asked, none to the store.

Ruled out: the platform's store (a call for each start and refusal, and a second place for one belief).

--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod config_history;
 pub mod config_read;
 pub mod crash;
+pub mod crash_sync;
 pub mod datagrams;
 pub mod departure_watch;
 pub mod departures;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -60,6 +60,8 @@
     pub retry_budget: RefCell<SharedRetryBudget>,
     /// Evidence about requests that crash upstreams.
     pub crash_evidence: RefCell<CrashEvidence>,
+    /// Whether what the other entries know of them has come, or nobody knows anything.
+    crash_knowledge: Cell<bool>,
     /// Refused callers, who may return.
     pub returning_callers: RefCell<ReturningCallers>,
     /// Origins of streams that callers may take up.
@@ -176,6 +178,7 @@
             pool: RefCell::new(pool),
             retry_budget: RefCell::new(retry_budget),
             crash_evidence: RefCell::default(),
+            crash_knowledge: Cell::new(false),
             returning_callers: RefCell::default(),
             stream_origins: RefCell::default(),
             wait_queue: RefCell::default(),
@@ -248,7 +251,20 @@
     /// Returns whether the balancer should send callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.stage() == Stage::Serving && self.catalog.borrow().is_some()
+        let is_informed = self.catalog.borrow().is_some() && self.has_crash_knowledge();
+        self.stage() == Stage::Serving && is_informed
+    }
+
+    /// Returns whether this entry knows what the others know of crashes.
+    #[must_use]
+    pub fn has_crash_knowledge(&self) -> bool {
+        self.crash_knowledge.get()
+    }
+
+    /// Records that it does, or that nobody knows anything.
+    pub fn record_crash_knowledge(&self) {
+        self.crash_knowledge.set(true);
+        self.routing_changed.notify_waiters();
     }
 
     /// Returns the version of the active configuration; zero if there is none.
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -193,6 +193,18 @@
         self.known.keys().copied()
     }
 
+    /// Returns up to `most` entries to ask: those heard from, then the seeds.
+    pub(crate) fn to_ask(&self, most: usize) -> Vec<Ipv4Addr> {
+        let heard = self.known.iter();
+        let heard = heard.filter(|(_, k)| k.last_received.is_some());
+        let heard: Vec<Ipv4Addr> = heard.map(|(ip, _)| *ip).collect();
+        let mut asked: Vec<Ipv4Addr> = heard.sample(&mut rand::rng(), most).copied().collect();
+        let seeds = self.seeds.iter().filter(|ip| !heard.contains(ip));
+        asked.extend(seeds);
+        asked.truncate(most);
+        asked
+    }
+
     /// Returns the owners of `key`, possibly including this entry.
     pub(crate) fn owners(&self, now: Time, key: OwnedKey) -> impl Iterator<Item = Ipv4Addr> {
         let others = self.known.iter().filter(move |(_, k)| k.is_available(now));
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -3,7 +3,7 @@
 use crate::node::{Node, Stage};
 use crate::settings::Settings;
 use crate::{
-    announce, callers, departure_watch, feed, migration, readiness, receive, reports,
+    announce, callers, crash_sync, departure_watch, feed, migration, readiness, receive, reports,
     standby_copies, state_page,
 };
 use anyhow::Context;
@@ -77,6 +77,7 @@
     spawn_local(announce::run(node.clone()));
     spawn_local(reports::run(node.clone()));
     spawn_local(state_page::serve(node.clone(), peer_listener));
+    spawn_local(crash_sync::run(node.clone()));
     spawn_local(readiness::serve(node.clone(), readiness));
     spawn_local(callers::accept(node.clone(), callers));
     spawn_local(migration::run(node.clone()));
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints for other entries and operators.
 
 use crate::config_history::ConfigPayload;
+use crate::crash_sync::{self, CRASHES_PATH};
 use crate::metrics::METRICS_PATH;
 use crate::node::Node;
 use crate::overview::{OVERVIEW_PATH, overview};
@@ -61,6 +62,7 @@
 fn page(node: &Node, req: &Request<Incoming>) -> Page {
     match req.uri().path() {
         STATE_PATH => as_json(&peer_state(node, &parse_query(req))),
+        CRASHES_PATH => crash_sync::page(node),
         OVERVIEW_PATH => as_json(&overview(node)),
         RELEASE_PATH => release_part(node, req),
         METRICS_PATH => match node.metrics.render(node) {
