Take over the seeds that reloaded settings name

Callers saw: nothing by itself; entries that start with seeds that are all stale each counted alone, and a reload of the right ones didn't mend it.

Cause: seeds were read at the start only. Change: a reload, by signal or by the file's change, sets them, and the next announcement goes to those not known yet.

--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -193,6 +193,11 @@
         self.known.keys().copied()
     }
 
+    /// Sets the seeds, as the settings name them now.
+    pub(crate) fn set_seeds(&mut self, place: &PlatformSettings) {
+        self.seeds = seeds_of(place);
+    }
+
     /// Returns up to `most` entries to ask: those heard from, then the seeds.
     pub(crate) fn to_ask(&self, most: usize) -> Vec<Ipv4Addr> {
         let heard = self.known.iter();
--- a/fireflydirect/src/reload.rs
+++ b/fireflydirect/src/reload.rs
@@ -36,6 +36,8 @@
     match settings.read_place() {
         Ok(place) => {
             log::info!(event = "reloaded", signalled = signalled; "");
+            node.peers.borrow_mut().set_seeds(&place);
+            node.announce_now.notify_one();
             let mut budget = node.retry_budget.borrow_mut();
             budget.set_limits(place.bounds.retry_limits);
         }
