Play a request that comes again in the soak, and one that waits

Cause: stand-ins, checker and soak played parts of prompts that crash engines, and no request that comes again alike. The checker counts arrivals later than 3 s after the third crash (`RequestServed`, three allowed); two cases of its own. A request that is held for memory at one entry while another one learns that it crashes upstreams is refused.

--- a/fireflydirect/tests/processes_crashing_requests.rs
+++ b/fireflydirect/tests/processes_crashing_requests.rs
@@ -7,7 +7,7 @@
 use standins::site::{AnswerFault, RunEnd};
 use std::time::{Duration, Instant};
 use support::crashes::{site_of, until_acquainted, until_informed};
-use support::{Site, outcome, signal_all, until, whole_stream};
+use support::{KEY, Site, outcome, signal_all, until, whole_stream};
 
 /// Path of the stream that crashes its upstreams.
 const BAD: &str = "/log/bad";
@@ -287,6 +287,34 @@
         assert!(crashes <= CRASHES, "{crashes} crashes");
     }
 
+    held_request_is_refused_once_it_is_known(site: 2) {
+        site.log_objective_ms = 16_000;
+        site.publish(&[KEY]);
+        for entry in 0..2 {
+            until("the configuration", || async {
+                site.log(entry).contains("event=config_adopted source=store version=2")
+                    || site.log(entry).contains("event=config_adopted source=peer version=2")
+            }).await;
+        }
+        let crowd = |entry: usize, path: &str, id: &str, events: u64| {
+            let req = site.stream(entry, path, events, id);
+            let req = req.header("X-Token-Usage", "16000,500").header("X-Length-Hint", "500");
+            req.header("X-Prompt-Prefix", "a1:80,b2:15920")
+        };
+        // It has to know how long a run takes.
+        let first = crowd(1, "/log/first", &site.id(), 20).send().await.unwrap();
+        first.bytes().await.unwrap();
+        let ids: Vec<String> = (0..ENGINES).map(|_| site.id()).collect();
+        let begun = ids.iter().map(|id| crowd(1, &format!("/log/{id}"), id, 900).send());
+        let begun = join_all(begun).await;
+        let held = tokio::spawn(is_refused(crowd(1, BAD, &site.id(), SHORT)));
+        until("the hold", || async { site.log(1).contains("event=held ") }).await;
+        send_bad(&site, 0, CRASHES).await;
+        assert!(held.await.unwrap(), "{}", site.log(1));
+        assert_eq!(crash_times(&site, BAD).len(), CRASHES);
+        drop(begun);
+    }
+
     stream_that_goes_on_at_another_engine_stops_at_the_third_crash(site: 1) {
         for engine in &site.engines {
             engine.set_fault(AnswerFault::Truncate);
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -14,13 +14,13 @@
 mod support;
 
 use reqwest::Client;
-use soak_parts::callers::{BAD_PART, Callers};
+use soak_parts::callers::{BAD_PART, BAD_PATH, Callers};
 use soak_parts::faults::{Soak, other_version};
 use soak_parts::plan::{
-    Fault, Step, plan, plan_with_conditions, plan_with_crashing_parts, plan_with_drills,
+    Fault, Step, plan, plan_beside_crashes, plan_with_conditions, plan_with_drills,
     plan_with_unheard_departures, plan_with_versions,
 };
-use standins::site::{Attempt, Breach, FIRST_VERSION, Outcome, ProxyFault};
+use standins::site::{Attempt, Breach, FIRST_VERSION, Outcome, ProxyFault, Run, RunEnd};
 use std::time::Duration;
 use support::{KEY, Site, until};
 
@@ -51,8 +51,11 @@
 /// Default seeds of soaks with a part of prompts that crashes engines.
 const DEFAULT_PART_SEEDS: &str = "1,2";
 
-/// Shortest soak in which requests after the refusal of a part are judged, in seconds.
-const MIN_PART_SECONDS: u64 = 9;
+/// Default seeds of soaks with a request that crashes engines and comes again.
+const DEFAULT_REQUEST_SEEDS: &str = "1,2,3";
+
+/// Shortest soak in which requests after a refusal are judged, in seconds.
+const MIN_CRASH_SECONDS: u64 = 9;
 
 /// Default length of a soak in seconds.
 const DEFAULT_SECONDS: u64 = 5;
@@ -91,6 +94,8 @@
     two_versions: bool,
     /// Whether a part of prompts crashes engines.
     crashing_part: bool,
+    /// Whether a request that comes again does.
+    crashing_request: bool,
 }
 
 /// No change.
@@ -100,6 +105,15 @@
     engines: INITIAL_ENGINES,
     two_versions: false,
     crashing_part: false,
+    crashing_request: false,
+};
+
+/// Streams beside one that crashes engines and comes again.
+const CRASHING_REQUESTS: Changes = Changes {
+    callers: Callers::repeating,
+    engines: 6,
+    crashing_request: true,
+    ..UNCHANGED
 };
 
 /// Streams of which some crash engines by a part of their prompts.
@@ -123,6 +137,8 @@
     attempts: Vec<Attempt>,
     /// Generations that were held.
     held: usize,
+    /// Engines that a request or a part of its prompt crashed.
+    crashes: usize,
 }
 
 /// Runs a fault plan and checks every guarantee.
@@ -151,10 +167,13 @@
             engine.set_version(other_version(FIRST_VERSION));
         }
     }
+    site.direct_engines = changes.crashing_part || changes.crashing_request;
     if changes.crashing_part {
-        site.direct_engines = true;
         site.record.crash_on(BAD_PART);
     }
+    if changes.crashing_request {
+        site.record.crash_on_path(BAD_PATH);
+    }
     site.use_proxies().await;
     site.log_objective_ms = LOG_OBJECTIVE_MS;
     site.publish(&[KEY]);
@@ -186,6 +205,7 @@
     soak.evidence.attempts = callers.attempts();
     soak.evidence.runs = soak.site.record.runs();
     soak.evidence.crashing_parts = soak.site.record.crashing_parts();
+    soak.evidence.crashing_paths = soak.site.record.crashing_paths();
     soak.evidence.foreign_memory = soak.site.record.foreign_memory();
     let breaches = soak.evidence.find_breaches();
     assert!(
@@ -206,9 +226,11 @@
     let logs = (0..usize::from(entries)).map(|e| soak.site.log(e));
     let held = logs.map(|log| log.matches(" event=held ").count()).sum();
     soak.site.check();
+    let crashed = |r: &&Run| r.end.0 == RunEnd::Crashed;
     Outcomes {
-        attempts: soak.evidence.attempts,
         held,
+        crashes: soak.evidence.runs.iter().filter(crashed).count(),
+        attempts: soak.evidence.attempts,
     }
 }
 
@@ -320,16 +342,34 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crashing_parts_among_faults_keep_the_promises() {
     let seeds: String = env_or("FIREFLY_SOAK_PART_SEEDS", DEFAULT_PART_SEEDS.to_owned());
-    let seconds = env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS).max(MIN_PART_SECONDS);
+    let seconds = env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS).max(MIN_CRASH_SECONDS);
     let seconds = Duration::from_secs(seconds);
     for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
-        let steps = plan_with_crashing_parts(seed, seconds);
+        let steps = plan_beside_crashes(seed, seconds);
         let name = format!("crashing parts, seed {seed}");
         run_plan_with(CRASHING_PARTS, &name, &steps, seconds).await;
     }
 }
 
-/// The same without other faults, for long enough to judge sound requests that share the other parts.
+/// One request crashes engines and comes again, at any entry, combined with other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crashing_requests_among_faults_keep_the_promises() {
+    let seeds: String = env_or(
+        "FIREFLY_SOAK_REQUEST_SEEDS",
+        DEFAULT_REQUEST_SEEDS.to_owned(),
+    );
+    let seconds = env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS).max(MIN_CRASH_SECONDS);
+    let seconds = Duration::from_secs(seconds);
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_beside_crashes(seed, seconds);
+        let name = format!("crashing requests, seed {seed}");
+        let outcomes = run_plan_with(CRASHING_REQUESTS, &name, &steps, seconds).await;
+        println!("{name}: {} engines crashed", outcomes.crashes);
+    }
+}
+
+/// Streams crash engines by a part, without other faults, for long enough to judge sound requests that share the other
+/// parts.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sound_requests_beside_a_crashing_part_begin() {
     run_plan_with(
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -47,6 +47,12 @@
 /// One stream in so many has [`BAD_PART`].
 const BAD_STREAMS: u64 = 5;
 
+/// Path of the request that crashes engines.
+pub(crate) const BAD_PATH: &str = "/log/bad";
+
+/// Events that a stream on that path would have.
+const BAD_EVENTS: u64 = 40;
+
 /// Different first and second parts of prompts.
 const FIRST_PARTS: u64 = 3;
 const SECOND_PARTS: u64 = 7;
@@ -74,6 +80,8 @@
     breaks: bool,
     /// Whether some streams have a part in their prompts that crashes engines.
     crashes: bool,
+    /// Whether some callers send the same request again and again, which crashes engines.
+    repeats: bool,
 }
 
 impl Callers {
@@ -87,9 +95,24 @@
             crowd: false,
             breaks: false,
             crashes: false,
+            repeats: false,
+        }
+    }
+
+    /// Makes some callers send one request again and again that crashes engines; it shares parts with sound ones.
+    pub(crate) fn repeating(self) -> Self {
+        Self {
+            repeats: true,
+            ..self
         }
     }
 
+    /// Returns whether a stream is the request that crashes engines.
+    fn is_bad(&self, number: u64) -> bool {
+        let comes_again = (number / 4).is_multiple_of(BAD_STREAMS) && number % 4 == 2;
+        self.repeats && number >= SOUND_REQUESTS && comes_again
+    }
+
     /// Makes all streams need most of an engine's memory, on a route whose objective leaves time to wait,
     /// and some of their callers leave soon.
     pub(crate) fn crowding(self) -> Self {
@@ -118,11 +141,12 @@
 
     /// Returns the parts of a stream's prompt that others share.
     fn shared_parts(&self, number: u64) -> Vec<String> {
-        if !self.crashes {
+        if !self.crashes && !self.repeats {
             return Vec::new();
         }
         let first = format!("f{}", number / 4 % FIRST_PARTS);
-        let is_bad = number >= SOUND_REQUESTS && (number / 4).is_multiple_of(BAD_STREAMS);
+        let is_bad =
+            self.crashes && number >= SOUND_REQUESTS && (number / 4).is_multiple_of(BAD_STREAMS);
         let second = if is_bad {
             BAD_PART.to_owned()
         } else {
@@ -171,7 +195,12 @@
             2 => RequestKind::Log,
             _ => RequestKind::Grade,
         };
-        let events = 2 + number * 7 % EVENT_COUNT_RANGE;
+        let is_bad = self.is_bad(number);
+        let events = if is_bad {
+            BAD_EVENTS
+        } else {
+            2 + number * 7 % EVENT_COUNT_RANGE
+        };
         let (method, path, expected_body) = match kind {
             RequestKind::Fetch => (
                 "GET",
@@ -201,10 +230,10 @@
             Vec::new()
         };
         let crowds = self.crowd && is_stream;
-        let path = if crowds {
-            format!("/log/a?events={events}")
-        } else {
-            path
+        let path = match (crowds, is_bad) {
+            (true, _) => format!("/log/a?events={events}"),
+            (_, true) => format!("{BAD_PATH}?events={events}"),
+            _ => path,
         };
         // The load on entries is uneven, as behind a load balancer.
         let entry = usize::try_from(number * number + attempts).unwrap_or(0) % self.entries.len();
@@ -222,7 +251,11 @@
             req = req
                 .header("X-Token-Usage", size)
                 .header("X-Length-Hint", (events * 4).to_string())
-                .body(format!("prompt {number}"));
+                .body(if is_bad {
+                    "prompt".to_owned()
+                } else {
+                    format!("prompt {number}")
+                });
         }
         if !shared_parts.is_empty() {
             req = req.header("X-Prompt-Prefix", prompt_parts(&shared_parts, number));
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -178,8 +178,8 @@
     steps
 }
 
-/// Returns faults beside which engines are crashed by a part of prompts: few of them excuse what reaches engines.
-pub(crate) fn plan_with_crashing_parts(seed: u64, length: Duration) -> Vec<Step> {
+/// Returns faults beside which requests crash engines: few of them excuse what reaches engines.
+pub(crate) fn plan_beside_crashes(seed: u64, length: Duration) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8));
     let mut steps = Vec::new();
     let mut at = Duration::from_millis(400);
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -58,6 +58,11 @@
     };
     three_late_requests_with_such_a_part_are_allowed => assert_eq!(crashing(&[9, 10, 11]).find_breaches(), []);
     requests_soon_after_the_fifth_crash_are_allowed => assert_eq!(crashing(&[7, 7, 7, 7, 8]).find_breaches(), []);
+    request_that_comes_again_after_its_third_crash_is_found => {
+        let evidence = crashing_request(&[7, 7, 8, 9]);
+        assert_eq!(evidence.find_breaches(), [Breach::RequestServed("/bad".to_owned())]);
+    };
+    three_late_arrivals_of_it_are_allowed => assert_eq!(crashing_request(&[6, 6, 6, 7, 8, 9]).find_breaches(), []);
     late_requests_at_a_paused_entry_are_excused => {
         let excused = Evidence { excused: vec![(at(8), at(13))], ..crashing(&[9, 10, 11, 12]) };
         assert_eq!(excused.find_breaches(), []);
@@ -100,6 +105,24 @@
     }
 }
 
+/// Returns three runs in which a request crashed upstreams up to second 3, and later ones that begin at the given times.
+fn crashing_request(later: &[u64]) -> Evidence {
+    let on_path = |run: Run| Run {
+        path: "/bad".to_owned(),
+        ..run
+    };
+    let crashed = |second| Run {
+        end: (RunEnd::Crashed, at(second)),
+        ..run(second, second)
+    };
+    let runs = (1..=3).map(crashed);
+    let runs = runs.chain(later.iter().map(|second| run(*second, *second)));
+    Evidence {
+        crashing_paths: vec!["/bad".to_owned()],
+        ..evidence(RequestKind::Grade, complete(), runs.map(on_path).collect())
+    }
+}
+
 /// Returns twenty sound attempts before the crashes of a part, and twenty after them of which `begun` go on.
 fn beside(begun: usize) -> Evidence {
     let attempt = |parts: &[&str], second, is_begun: bool| Attempt {
