Wait for answers that the kernel has not taken when a process stops

Callers saw: after SIGTERM 5 to 8 of 16 callers who read slowly got no complete answer, with most of the grace period left.

Cause: a call was over once the HTTP library had taken the last piece of its answer; the process then ended with what the library still held. Change: it waits for the connections that have brought calls to close, within the grace period, and says in `stopped` how many it gave up (`unwritten`). Connections without a call aren't waited for. Stand-in engines pad their events on request.

--- a/fireflydirect/src/callers.rs
+++ b/fireflydirect/src/callers.rs
@@ -27,8 +27,38 @@
 
 /// Calls in progress on a connection, and the time since which it is idle.
 struct Activity {
+    node: Rc<Node>,
     calls: Cell<usize>,
     since: Cell<Time>,
+    /// Whether it has brought a call, so that the process waits for it to close.
+    has_answers: Cell<bool>,
+}
+
+impl Activity {
+    fn new(node: &Rc<Node>) -> Self {
+        Self {
+            node: node.clone(),
+            calls: Cell::new(0),
+            since: Cell::new(node.now()),
+            has_answers: Cell::new(false),
+        }
+    }
+
+    fn record_answer(&self) {
+        if !self.has_answers.replace(true) {
+            let connections = &self.node.answering_connections;
+            connections.set(connections.get() + 1);
+        }
+    }
+}
+
+impl Drop for Activity {
+    fn drop(&mut self) {
+        if self.has_answers.get() {
+            let connections = &self.node.answering_connections;
+            connections.set(connections.get() - 1);
+        }
+    }
 }
 
 /// Guard that counts a call in progress until dropped.
@@ -41,6 +71,7 @@
     fn begin(node: &Rc<Node>, activity: &Rc<Activity>) -> Self {
         node.calls_in_flight.set(node.calls_in_flight.get() + 1);
         activity.calls.set(activity.calls.get() + 1);
+        activity.record_answer();
         Self {
             node: node.clone(),
             activity: activity.clone(),
@@ -76,10 +107,7 @@
 async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
     // A socket that rejects the option is closed already, which the first read reports.
     let _ = stream.set_nodelay(true);
-    let activity = Rc::new(Activity {
-        calls: Cell::new(0),
-        since: Cell::new(node.now()),
-    });
+    let activity = Rc::new(Activity::new(&node));
     let service = service_fn(|req| {
         let active_call = ActiveCall::begin(&node, &activity);
         let node = node.clone();
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -144,6 +144,8 @@
     pub metrics: Metrics,
     /// Number of calls in progress.
     pub calls_in_flight: Cell<usize>,
+    /// Number of open connections that have brought a call, whose answer may wait to be written.
+    pub answering_connections: Cell<usize>,
     stage: watch::Sender<Stage>,
 }
 
@@ -219,6 +221,7 @@
             departure_rate: RefCell::default(),
             unused_copies: RefCell::default(),
             calls_in_flight: Cell::new(0),
+            answering_connections: Cell::new(0),
             stage: watch::Sender::new(Stage::Serving),
             metrics,
             place,
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -115,6 +115,9 @@
 }
 
 /// Stops the process; work in flight may finish within the grace period.
+///
+/// An answer is over when its connection has closed: the HTTP library holds the last bytes that a slow caller has not
+/// taken yet, and closes a connection only once the kernel has them all.
 async fn stop(node: &Rc<Node>) {
     let end = node.now() + node.place.bounds.grace.saturating_sub(GRACE_MARGIN);
     log::info!(event = "stopping", busy = node.calls_in_flight.get(), streams = node.runs.count(); "");
@@ -122,8 +125,12 @@
     node.announce_to_all_now();
     tokio::time::sleep(DRAIN_PERIOD).await;
     node.set_stage(Stage::Closing);
-    while node.calls_in_flight.get() > 0 && node.now() < end {
+    while node.answering_connections.get() > 0 && node.now() < end {
         tokio::time::sleep(STOP_CHECK).await;
     }
-    log::info!(event = "stopped", busy = node.calls_in_flight.get(); "");
+    log::info!(
+        event = "stopped", busy = node.calls_in_flight.get(),
+        unwritten = node.answering_connections.get();
+        ""
+    );
 }
--- /dev/null
+++ b/fireflydirect/tests/processes_stop.rs
@@ -0,0 +1,89 @@
+//! Entry processes that are stopped while callers still read.
+
+mod support;
+
+use socket2::{Domain, Socket, Type};
+use std::time::{Duration, Instant};
+use support::{KEY, Site, cases};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Receive buffer and segments of a caller, in bytes; with them the kernel buffers little for it.
+const RECEIVE_BUFFER: usize = 6_000;
+const SEGMENT: u32 = 500;
+
+/// Size of an event, in bytes, and events of an answer.
+const EVENT_BYTES: usize = 1_000;
+const EVENTS: u64 = 400;
+
+/// Bytes that a caller reads at a time, and the pause between two reads: some 6 s for an answer.
+const READ_BYTES: usize = 1_000;
+const READ_PAUSE: Duration = Duration::from_millis(14);
+
+/// Callers who read at a time; for each of them the last bytes wait in the entry at another moment.
+const READERS: usize = 16;
+
+/// Grace period of the users, in which an entry has to end.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Opens a connection with a small window and sends a request for a stream of [`EVENTS`] large events.
+async fn request(site: &Site, id: &str) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
+    socket.set_tcp_mss(SEGMENT).unwrap();
+    socket.connect(&site.callers_of(0).into()).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let mut stream = TcpStream::from_std(socket.into()).unwrap();
+    let head = format!(
+        "POST /log/a?events={EVENTS}&padding={EVENT_BYTES} HTTP/1.1\r\nHost: site.example\r\n\
+         X-Request-Id: {id}\r\nX-Deadline-Ms: 20000\r\nX-Credential: {KEY}\r\nX-Model: m\r\n\
+         Content-Length: 6\r\n\r\nprompt"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Reads an answer slowly to the end of its connection; returns whether it is whole.
+async fn read_slowly(mut stream: TcpStream) -> bool {
+    let mut buf = vec![0; READ_BYTES];
+    let mut tail = Vec::new();
+    while let Ok(len @ 1..) = stream.read(&mut buf).await {
+        tail.extend_from_slice(&buf[..len]);
+        tail.drain(..tail.len().saturating_sub(64));
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+    tail.ends_with(b"0\r\n\r\n")
+}
+
+cases! {
+    stopped_entry_hands_over_answers_that_are_read_slowly(site: 1) {
+        let ids: Vec<String> = (0..READERS).map(|_| site.id()).collect();
+        let mut readers = Vec::new();
+        for id in &ids {
+            readers.push(tokio::spawn(read_slowly(request(&site, id).await)));
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        site.entries[0].signal("TERM");
+        let stopped = Instant::now();
+        site.entries[0].wait_for_exit().await;
+        let took = stopped.elapsed();
+        assert!(took < GRACE, "{took:?}");
+        for reader in readers {
+            assert!(reader.await.unwrap(), "{}", site.log(0));
+        }
+    }
+
+    stopped_entry_ends_soon_where_idle_connections_are_open(site: 1) {
+        let call = site.call(0, "GET", "/fetch/a", &site.id());
+        call.send().await.unwrap().text().await.unwrap();
+        let idle = TcpStream::connect(site.callers_of(0)).await.unwrap();
+        let mut partial = TcpStream::connect(site.callers_of(0)).await.unwrap();
+        partial.write_all(b"GET /fetch/a HTTP/1.1\r\nHost: site").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        site.entries[0].signal("TERM");
+        let stopped = Instant::now();
+        site.entries[0].wait_for_exit().await;
+        assert!(stopped.elapsed() < GRACE / 2, "{}", site.log(0));
+        drop((idle, partial));
+    }
+}
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -158,6 +158,14 @@
     format!("id: {number}\ndata: {id} {number} {version}\n\n")
 }
 
+/// Formats a comment of some length, which belongs to no event.
+fn padding(len: usize) -> String {
+    if len == 0 {
+        return String::new();
+    }
+    format!(":{}\n", "p".repeat(len))
+}
+
 pub(super) async fn stream_generation(
     stream: &mut TcpStream,
     shared: &Shared,
@@ -168,6 +176,11 @@
 ) -> io::Result<ConnectionAction> {
     let last_event = req.query("events").and_then(|e| e.parse().ok());
     let last_event: u64 = last_event.unwrap_or(DEFAULT_EVENTS);
+    let padding = padding(
+        req.query("padding")
+            .and_then(|p| p.parse().ok())
+            .unwrap_or(0),
+    );
     let version = lock(&shared.version).clone();
     let stop = Arc::new(Notify::new());
     lock(&shared.stop_signals).insert(id.to_owned(), stop.clone());
@@ -197,7 +210,8 @@
             run.end(RunEnd::Broken);
             return Ok(broken_off(fault));
         }
-        write_piece(stream, event(id, number, &version).as_bytes(), framing).await?;
+        let piece = format!("{padding}{}", event(id, number, &version));
+        write_piece(stream, piece.as_bytes(), framing).await?;
         tokio::select! {
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
             () = stop.notified() => {
