Ask all owners of a stream for its origin

Cause: the entry that begins a stream ranks the others without itself, the one that is asked for the rest ranks them without itself but with the first, and asked three: where the first ranks among them, the third owner isn't asked. Change: four are asked. One query more for a stream that is taken up and that the entry doesn't know.

Before: all pairs of nine entries, three asked: an owner left out in the first stream tried. After: none in 100 streams.

--- a/fireflycroft/src/stream_origin.rs
+++ b/fireflycroft/src/stream_origin.rs
@@ -20,6 +20,11 @@
 /// With three, half of the fleet may be lost at once and seven of eight origins are still known.
 pub const STREAM_OWNERS: usize = 3;
 
+/// Entries asked for a stream's origin: its owners by the view of whoever asks, and one more.
+///
+/// The entry that began the stream leaves itself out of the owners; whoever asks can't know which entry that was.
+pub const STREAM_OWNERS_ASKED: usize = STREAM_OWNERS + 1;
+
 /// Longest time for which an origin is kept, so that a report can't fill the memory for long.
 const MAX_KEEP: Duration = Duration::from_mins(2);
 
--- a/fireflycroft/tests/stream_origin.rs
+++ b/fireflycroft/tests/stream_origin.rs
@@ -7,8 +7,8 @@
 mod pools;
 
 use fireflycroft::{
-    Digest, Name, OwnedKey, STREAM_OWNERS, StreamOrigin, StreamOrigins, StreamStart,
-    UpstreamRecord, highest_ranked, stream_digest,
+    Digest, Name, OwnedKey, STREAM_OWNERS, STREAM_OWNERS_ASKED, StreamOrigin, StreamOrigins,
+    StreamStart, UpstreamRecord, highest_ranked, stream_digest,
 };
 use pools::{at, pool, record};
 use std::net::Ipv4Addr;
@@ -29,6 +29,7 @@
     origins_of_others_are_not_reported => assert_eq!(reported(&["v1"]).due(at(100)), []);
     attempts_of_different_callers_are_different_streams => assert_ne!(stream_digest("a"), stream_digest("b"));
     owners_of_a_stream_outlast_two_of_them => outlasts();
+    each_owner_that_was_told_is_asked => told_are_asked();
     only_version_of_a_service_is_the_sole_one => assert_eq!(sole(&[Some("v1"), Some("v1")]).as_deref(), Some("v1"));
     second_version_leaves_no_sole_one => assert_eq!(sole(&[Some("v1"), Some("v2")]), None);
     unknown_version_leaves_no_sole_one => assert_eq!(sole(&[Some("v1"), None]), None);
@@ -127,6 +128,24 @@
     }
 }
 
+/// Whoever began a stream and whoever asks leave themselves out; all that were told are asked, or ask.
+fn told_are_asked() {
+    let entries: Vec<Ipv4Addr> = (1..=9).map(|i| Ipv4Addr::new(10, 0, 0, i)).collect();
+    for stream in 0..100 {
+        let key = OwnedKey::of_stream(Digest(stream));
+        let others = |of: Ipv4Addr| entries.iter().copied().filter(move |e| *e != of);
+        for (relays, asks) in (0..9).flat_map(|a| (0..9).map(move |b| (a, b))) {
+            let (relays, asks) = (entries[relays], entries[asks]);
+            let mut told = highest_ranked::<STREAM_OWNERS>(key, others(relays));
+            let asked: Vec<_> = highest_ranked::<STREAM_OWNERS_ASKED>(key, others(asks)).collect();
+            assert!(
+                told.all(|e| e == asks || asked.contains(&e)),
+                "{relays} {asks}"
+            );
+        }
+    }
+}
+
 fn sole(versions: &[Option<&str>]) -> Option<Name> {
     let mut pool = pool(&[]);
     for (i, version) in versions.iter().enumerate() {
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -9,8 +9,8 @@
 //! memory to match; datagrams of a few hundred bytes that may be lost need neither.
 
 use fireflycroft::{
-    Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview, STREAM_OWNERS, Time,
-    WATCHERS, WatcherView, highest_ranked, owners_of, whole_millis,
+    Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview, STREAM_OWNERS,
+    STREAM_OWNERS_ASKED, Time, WATCHERS, WatcherView, highest_ranked, owners_of, whole_millis,
 };
 use fireflycroft_platform::PlatformSettings;
 use rand::Rng;
@@ -222,11 +222,20 @@
         self.owners(now, key).filter(move |ip| *ip != me)
     }
 
-    /// Returns the owners of a stream's origin other than this entry.
+    /// Returns the owners of the origin of a stream that this entry has begun.
     pub(crate) fn stream_owners(&self, now: Time, stream: Digest) -> Vec<Ipv4Addr> {
+        self.others_ranked::<STREAM_OWNERS>(now, stream)
+    }
+
+    /// Returns the entries to ask for the origin of a stream that another entry has begun.
+    pub(crate) fn stream_owners_to_ask(&self, now: Time, stream: Digest) -> Vec<Ipv4Addr> {
+        self.others_ranked::<STREAM_OWNERS_ASKED>(now, stream)
+    }
+
+    fn others_ranked<const N: usize>(&self, now: Time, stream: Digest) -> Vec<Ipv4Addr> {
         let others = self.known.iter().filter(|(_, k)| k.is_available(now));
         let others = others.map(|(ip, _)| *ip);
-        highest_ranked::<STREAM_OWNERS>(OwnedKey::of_stream(stream), others).collect()
+        highest_ranked::<N>(OwnedKey::of_stream(stream), others).collect()
     }
 
     /// Records a query sent to an entry.
--- a/fireflydirect/src/stream_origins.rs
+++ b/fireflydirect/src/stream_origins.rs
@@ -148,7 +148,7 @@
 
 /// Queries the owners of a stream for its origin; returns whether all replied.
 async fn query_owners(node: &Node, stream: Digest) -> bool {
-    let owners = node.peers.borrow().stream_owners(node.now(), stream);
+    let owners = node.peers.borrow().stream_owners_to_ask(node.now(), stream);
     let queries = owners
         .into_iter()
         .map(|owner| (owner, OwnerQueryBody::Stream(stream)));
