Believe an answer to an entry's own call only by its id

Cause: moves, releases and reports took the next answer on a kept connection for theirs, and gave the connection back to callers' requests. Class: an answer known by its place instead of its id. Change: one module for these calls. Each has an id, which upstreams echo; another id isn't believed, none only on a new connection, used once. They have connections of their own; a call that finds a late answer in its place is sent again on a new one. Stand-in engines echo ids, and send answers about memory twice on request.

--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -4,9 +4,10 @@
 //! entries too. Its report states them up to half a second late, so the engine
 //! is queried once, as soon as the report can reflect the leave notice.
 
-use crate::links::{Link, call};
+use crate::links::{CallResponse, Link};
 use crate::log_value::or_empty;
 use crate::node::Node;
+use crate::own_calls::{call_over, call_upstream};
 use bytes::Bytes;
 use fireflycroft::{Departure, MAX_REPORT_AGE, Time, UpstreamIx};
 use fireflycroft_platform::{EngineReport, closes_connection, read_report, report_path};
@@ -164,15 +165,9 @@
 async fn send_query(node: &Node, ix: UpstreamIx) -> anyhow::Result<FetchedReport> {
     let record = node.pool.borrow().record(ix).clone();
     node.pool.borrow_mut().record_sending(node.now(), ix);
-    let links = &node.links;
-    let mut link = links
-        .get(&record.upstream_incarnation(), record.addr, MAX_IDLE)
-        .await?;
-    let fetched = fetch_report_over(&mut link, record.addr).await?;
-    if !fetched.closes {
-        links.put_back(&record.upstream_incarnation(), link, None);
-    }
-    Ok(fetched)
+    let req = report_request(record.addr)?;
+    let response = call_upstream(&node.own_links, &record, MAX_IDLE, req).await?;
+    read_fetched(&response)
 }
 
 /// Fetches the report of the engine at the other end of a connection; there is no timeout.
@@ -181,10 +176,21 @@
 ///
 /// If the connection breaks, or the answer is not a report.
 pub async fn fetch_report_over(link: &mut Link, addr: SocketAddr) -> anyhow::Result<FetchedReport> {
-    let req = Request::get(report_path())
-        .header(HOST, addr.to_string())
-        .body(Full::new(Bytes::new()))?;
-    let response = call(link, req).await?;
+    let answer = call_over(link, report_request(addr)?).await?;
+    let fetched = read_fetched(&answer.response)?;
+    Ok(FetchedReport {
+        // A second answer without an id couldn't be told from the next request's.
+        closes: fetched.closes || !answer.is_tied,
+        ..fetched
+    })
+}
+
+fn report_request(addr: SocketAddr) -> anyhow::Result<Request<Full<Bytes>>> {
+    let req = Request::get(report_path()).header(HOST, addr.to_string());
+    Ok(req.body(Full::new(Bytes::new()))?)
+}
+
+fn read_fetched(response: &CallResponse) -> anyhow::Result<FetchedReport> {
     anyhow::ensure!(response.status == 200, "status {}", response.status);
     Ok(FetchedReport {
         report: read_report(&response.body)?,
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod migration;
 pub mod node;
 pub mod overview;
+pub mod own_calls;
 pub mod owner_queries;
 pub mod page_server;
 
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -5,6 +5,7 @@
 //! after a complete response.
 
 use crate::clock::Clock;
+use crate::own_calls::EchoingUpstreams;
 use bytes::Bytes;
 use fireflycroft::{Time, UpstreamIncarnation};
 use http_body_util::{BodyExt, Full};
@@ -79,6 +80,8 @@
 pub struct Links {
     clock: Clock,
     idle: RefCell<HashMap<UpstreamIncarnation, Vec<Idle>>>,
+    /// Upstreams whose answers to this entry's own calls bear ids.
+    pub(crate) echoing: EchoingUpstreams,
 }
 
 impl Links {
@@ -88,6 +91,7 @@
         Self {
             clock,
             idle: RefCell::default(),
+            echoing: EchoingUpstreams::default(),
         }
     }
 
@@ -140,6 +144,7 @@
     /// Closes the idle connections to an incarnation that has ended.
     pub fn close_idle(&self, incarnation: &UpstreamIncarnation) {
         self.idle.borrow_mut().remove(incarnation);
+        self.echoing.remove(incarnation);
     }
 
     fn take_idle(&self, incarnation: &UpstreamIncarnation, max_idle: Duration) -> Option<Link> {
--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -2,10 +2,10 @@
 
 use crate::assignment::AssignmentGuard;
 use crate::departures;
-use crate::links::call;
 use crate::loads;
 use crate::log_value::or_empty;
 use crate::node::Node;
+use crate::own_calls::call_upstream;
 use crate::runs::{MigrationCopy, Run};
 use crate::standby_copies;
 use bytes::Bytes;
@@ -246,17 +246,11 @@
     };
     node.pool.borrow_mut().record_sending(node.now(), from);
     let (path, body) = migration_call(&run.request_id, target, stop);
-    let mut link = node
-        .links
-        .get(&source.upstream_incarnation(), source.addr, COPY_TIMEOUT)
-        .await?;
     let req = Request::post(path)
         .header(HOST, source.addr.to_string())
         .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
         .body(Full::new(Bytes::from(body)))?;
-    let response = call(&mut link, req).await?;
-    node.links
-        .put_back(&source.upstream_incarnation(), link, None);
+    let response = call_upstream(&node.own_links, &source, COPY_TIMEOUT, req).await?;
     Ok(read_migration(source.addr, response.status, &response.body))
 }
 
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -78,8 +78,10 @@
     pub lengths: RefCell<LengthEstimator>,
     /// Value of generations per memory held.
     pub value_densities: RefCell<ValueDensities>,
-    /// Connections to upstreams.
+    /// Connections to upstreams, for callers' requests.
     pub links: Links,
+    /// Connections to upstreams for calls of this entry's own, whose late answers meet no caller's request.
+    pub own_links: Links,
     /// Streams in progress.
     pub runs: Runs,
     /// The other entries.
@@ -190,6 +192,7 @@
             lengths: RefCell::default(),
             value_densities: RefCell::default(),
             links: Links::new(clock),
+            own_links: Links::new(clock),
             runs: Runs::default(),
             peers: RefCell::new(peers),
             datagrams: Datagrams::new(place.peer_ports.0, metrics.clone()),
@@ -422,6 +425,7 @@
     fn end_incarnation(&self, ix: UpstreamIx) {
         let incarnation = self.pool.borrow().record(ix).upstream_incarnation();
         self.links.close_idle(&incarnation);
+        self.own_links.close_idle(&incarnation);
         self.migrate_if_departing(ix);
         self.incarnation_ended.notify_waiters();
     }
--- /dev/null
+++ b/fireflydirect/src/own_calls.rs
@@ -0,0 +1,98 @@
+//! Calls of this entry's own to upstreams: moves and releases of memory, reports.
+//!
+//! An upstream may send an answer twice, the second time where the answer to the next request on the connection is
+//! expected. So each call has an id of its own, which the upstream echoes, and goes over a connection that no caller's
+//! request uses. Where the upstream echoes none, an answer is believed only on a new connection, which is used once.
+
+use crate::links::{self, CallResponse, Link, Links};
+use bytes::Bytes;
+use fireflycroft::{UpstreamIncarnation, UpstreamRecord};
+use fireflycroft_platform::{answered_id, closes_connection, set_request_id};
+use http_body_util::Full;
+use hyper::Request;
+use rand::Rng;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// Upstreams that echo the ids of calls.
+#[derive(Default)]
+pub struct EchoingUpstreams {
+    known: RefCell<HashSet<UpstreamIncarnation>>,
+}
+
+/// Answer to a call.
+pub struct OwnAnswer {
+    /// The response.
+    pub response: CallResponse,
+    /// Whether it bears the id of its call, so that a later answer to it can be told.
+    pub is_tied: bool,
+}
+
+/// Sends a call over a connection.
+///
+/// # Errors
+///
+/// If the connection breaks, the answer bears the id of another request, or bears none on a connection that was used
+/// before.
+pub async fn call_over(
+    link: &mut Link,
+    mut req: Request<Full<Bytes>>,
+) -> anyhow::Result<OwnAnswer> {
+    let id = format!("{:016x}", rand::rng().next_u64());
+    set_request_id(req.headers_mut(), &id);
+    let was_used = link.reused;
+    link.reused = true;
+    let response = links::call(link, req).await?;
+    let answered = answered_id(&response.headers);
+    let is_tied = answered == Some(&id);
+    anyhow::ensure!(is_tied || answered.is_none(), "answer to another request");
+    anyhow::ensure!(
+        is_tied || !was_used,
+        "answer without an id on a used connection"
+    );
+    Ok(OwnAnswer { response, is_tied })
+}
+
+/// Sends a call to an upstream, over a kept connection if the upstream is known to echo ids.
+///
+/// # Errors
+///
+/// As [`call_over`], or if no connection can be opened.
+pub async fn call_upstream(
+    links: &Links,
+    to: &UpstreamRecord,
+    max_idle: Duration,
+    req: Request<Full<Bytes>>,
+) -> anyhow::Result<CallResponse> {
+    let incarnation = to.upstream_incarnation();
+    let echoes = links.echoing.known.borrow().contains(&incarnation);
+    let mut link = if echoes {
+        links.get(&incarnation, to.addr, max_idle).await?
+    } else {
+        links::open(to.addr).await?
+    };
+    let mut answer = call_over(&mut link, req.clone()).await;
+    if echoes && answer.is_err() {
+        // A late answer may have taken the place of this one.
+        link = links::open(to.addr).await?;
+        answer = call_over(&mut link, req).await;
+    }
+    let answer = answer?;
+    if answer.is_tied {
+        let mut known = links.echoing.known.borrow_mut();
+        known.insert(incarnation.clone());
+        drop(known);
+        if !closes_connection(&answer.response.headers) {
+            links.put_back(&incarnation, link, None);
+        }
+    }
+    Ok(answer.response)
+}
+
+impl EchoingUpstreams {
+    /// Forgets an incarnation that has ended.
+    pub fn remove(&self, incarnation: &UpstreamIncarnation) {
+        self.known.borrow_mut().remove(incarnation);
+    }
+}
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -96,6 +96,7 @@
     loop {
         tokio::time::sleep_until(node.clock.instant(next_maintenance(&node))).await;
         node.links.close_expired();
+        node.own_links.close_expired();
         let now = node.now();
         let changes = node.pool.borrow_mut().remove_missing(now);
         node.apply_pool_changes(changes, "missing");
--- a/fireflydirect/src/standby_copies.rs
+++ b/fireflydirect/src/standby_copies.rs
@@ -5,13 +5,13 @@
 
 use crate::departures::fetch_report;
 use crate::job::Job;
-use crate::links::call;
 use crate::loads;
 use crate::log_value::or_empty;
 use crate::migration::{
     MAX_START_DELAY, MAX_TARGETS, NO_CAPACITY_DELAY, copy_memory, start_migration, wait_until_stop,
 };
 use crate::node::Node;
+use crate::own_calls::call_upstream;
 use crate::runs::{MigrationCopy, Run};
 use bytes::Bytes;
 use fireflycroft::{
@@ -311,16 +311,10 @@
 async fn send_release(node: &Node, source: UpstreamIx, memory: &MemoryCopy) -> anyhow::Result<()> {
     let record = node.pool.borrow().record(source).clone();
     node.pool.borrow_mut().record_sending(node.now(), source);
-    let incarnation = record.upstream_incarnation();
-    let mut link = node
-        .links
-        .get(&incarnation, record.addr, RELEASE_TIMEOUT)
-        .await?;
     let req = Request::delete(release_path(&memory.handle))
         .header(HOST, record.addr.to_string())
         .body(Full::new(Bytes::new()))?;
-    call(&mut link, req).await?;
-    node.links.put_back(&incarnation, link, None);
+    call_upstream(&node.own_links, &record, RELEASE_TIMEOUT, req).await?;
     Ok(())
 }
 
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -14,7 +14,7 @@
 
 use super::http::{Framing, Headers, Request, read_request, reset, until_closed, write_answer};
 use super::record::{CopyKey, Record, RunEnd};
-use super::runs::{ActiveRun, answer_plain, migrate_run, send_report, stream_generation};
+use super::runs::{ActiveRun, OwnAnswer, answer_plain, migrate_run, report, stream_generation};
 use super::start::{bind_with_retries, close_port, unix_millis};
 use crate::sync::lock;
 
@@ -88,6 +88,10 @@
     pub(super) closes: AtomicBool,
     /// Whether answers end with their connection, with neither a length nor chunks.
     pub(super) ends_with_connection: AtomicBool,
+    /// Whether it sends each answer about a run's memory once more where the next one is expected.
+    repeats_move_answers: AtomicBool,
+    /// Whether answers to such calls don't bear their ids.
+    is_silent_about_ids: AtomicBool,
     /// Whether a request has crashed it.
     pub(super) has_crashed: AtomicBool,
     /// Signals that stop runs for a migration, by request.
@@ -113,6 +117,8 @@
             leaves_ms: Mutex::default(),
             closes: AtomicBool::new(false),
             ends_with_connection: AtomicBool::new(false),
+            repeats_move_answers: AtomicBool::new(false),
+            is_silent_about_ids: AtomicBool::new(false),
             has_crashed: AtomicBool::new(false),
             stop_signals: Mutex::default(),
             crash: Notify::new(),
@@ -269,6 +275,16 @@
             .store(true, Ordering::Relaxed);
     }
 
+    /// Makes it send each answer about a run's memory once more where the next one on the connection is expected; answers to
+    /// calls of an entry's own bear their ids or not.
+    pub fn repeat_move_answers(&self, with_ids: bool) {
+        let shared = &self.shared;
+        shared.repeats_move_answers.store(true, Ordering::Relaxed);
+        shared
+            .is_silent_about_ids
+            .store(!with_ids, Ordering::Relaxed);
+    }
+
     /// Returns whether a request has crashed it since its start.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -326,13 +342,14 @@
     mut closed: watch::Receiver<bool>,
 ) {
     let mut buf = Vec::new();
+    let mut second = None;
     loop {
         let read = tokio::select! {
             read = read_request(&mut stream, &mut buf) => read,
             _ = closed.wait_for(|c| *c) => return reset(stream),
         };
         let Ok(Some(req)) = read else { return };
-        match answer(&mut stream, &shared, &req).await {
+        match answer(&mut stream, &shared, &req, &mut second).await {
             Ok(ConnectionAction::Keep) => {}
             Ok(ConnectionAction::Reset) => return reset(stream),
             Ok(ConnectionAction::Close) => {
@@ -352,22 +369,42 @@
     Close,
 }
 
+/// Returns the answer to a call of an entry's own; `None` for a request.
+fn answer_own(shared: &Shared, req: &Request) -> Option<OwnAnswer> {
+    if let Some(handle) = req.path.strip_prefix("/v1/kv-handle/") {
+        let addr = lock(&shared.advertised_addr).to_string();
+        shared.record.drop_copy(&addr, handle);
+        return Some(OwnAnswer::new(200, "{}".to_owned()));
+    }
+    match req.path.as_str() {
+        "/v1/kv-move" => Some(migrate_run(shared, req)),
+        "/v1/report" => Some(report(shared)),
+        _ => None,
+    }
+}
+
+/// Answers a request; `second` is an earlier answer on the connection that is sent once more, first.
 async fn answer(
     stream: &mut TcpStream,
     shared: &Shared,
     req: &Request,
+    second: &mut Option<OwnAnswer>,
 ) -> io::Result<ConnectionAction> {
-    if req.path == "/v1/kv-move" {
-        return migrate_run(stream, shared, req).await;
-    }
-    if req.path == "/v1/report" {
-        return send_report(stream, shared).await;
+    if let Some(second) = second.take() {
+        second.write(stream).await?;
     }
-    if let Some(handle) = req.path.strip_prefix("/v1/kv-handle/") {
-        shared
-            .record
-            .drop_copy(&lock(&shared.advertised_addr).to_string(), handle);
-        write_answer(stream, 200, &Headers::new(), b"{}").await?;
+    if let Some(mut own) = answer_own(shared, req) {
+        let id = req.header("x-request-id");
+        if let Some(id) = id.filter(|_| !shared.is_silent_about_ids.load(Ordering::Relaxed)) {
+            own.headers.push(("X-Request-Id".to_owned(), id.to_owned()));
+        }
+        own.write(stream).await?;
+        if shared.closes.load(Ordering::Relaxed) && req.path == "/v1/report" {
+            stream.shutdown().await?;
+        }
+        let repeats = shared.repeats_move_answers.load(Ordering::Relaxed);
+        let is_repeated = repeats && req.path.starts_with("/v1/kv-");
+        *second = is_repeated.then_some(own);
         return Ok(ConnectionAction::Keep);
     }
     let instance = lock(&shared.instance).clone();
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -244,40 +244,49 @@
     }
 }
 
-pub(super) async fn send_report(
-    stream: &mut TcpStream,
-    shared: &Shared,
-) -> io::Result<ConnectionAction> {
+/// Answer to a call of an entry's own.
+#[derive(Clone, Debug)]
+pub(super) struct OwnAnswer {
+    pub(super) status: u16,
+    pub(super) headers: Headers,
+    pub(super) body: String,
+}
+
+impl OwnAnswer {
+    pub(super) fn new(status: u16, body: String) -> Self {
+        Self {
+            status,
+            headers: Headers::new(),
+            body,
+        }
+    }
+
+    pub(super) async fn write(&self, stream: &mut TcpStream) -> io::Result<()> {
+        write_answer(stream, self.status, &self.headers, self.body.as_bytes()).await
+    }
+}
+
+pub(super) fn report(shared: &Shared) -> OwnAnswer {
     let leaves_ms = *lock(&shared.leaves_ms);
     let row = |id: &String| json!([id, RUN_TOKENS, 1, 5]);
     let runs: Vec<Value> = lock(&shared.stop_signals).keys().map(row).collect();
     let state = leaves_ms.map_or("ready", |_| "draining");
     let body = json!({"born": shared.born, "waiting": 0, "running": runs.len(),
         "state": state, "leaves_ms": leaves_ms, "runs": runs});
-    let closes = shared.closes.load(Ordering::Relaxed);
-    let headers: &[(&str, &str)] = if closes {
-        &[("Connection", "close")]
-    } else {
-        &[]
-    };
-    write_answer(stream, 200, headers, body.to_string().as_bytes()).await?;
-    if closes {
-        stream.shutdown().await?;
+    let mut answer = OwnAnswer::new(200, body.to_string());
+    if shared.closes.load(Ordering::Relaxed) {
+        let close = ("Connection".to_owned(), "close".to_owned());
+        answer.headers = [close].into_iter().collect();
     }
-    Ok(ConnectionAction::Keep)
+    answer
 }
 
-pub(super) async fn migrate_run(
-    stream: &mut TcpStream,
-    shared: &Shared,
-    req: &Request,
-) -> io::Result<ConnectionAction> {
+pub(super) fn migrate_run(shared: &Shared, req: &Request) -> OwnAnswer {
     let call: Value = serde_json::from_slice(&req.body).unwrap_or_default();
     let id = call["id"].as_str().unwrap_or_default();
     let stop = lock(&shared.stop_signals).get(id).cloned();
     let Some(stop) = stop else {
-        write_answer(stream, 404, &Headers::new(), b"{}").await?;
-        return Ok(ConnectionAction::Keep);
+        return OwnAnswer::new(404, "{}".to_owned());
     };
     // Each incarnation counts its handles from 0.
     let handle = format!("h{}", shared.next_handle.fetch_add(1, Ordering::Relaxed));
@@ -290,7 +299,5 @@
     if call["last"] == json!(true) {
         stop.notify_one();
     }
-    let body = json!({"handle": handle, "created": 1}).to_string();
-    write_answer(stream, 200, &Headers::new(), body.as_bytes()).await?;
-    Ok(ConnectionAction::Keep)
+    OwnAnswer::new(200, json!({"handle": handle, "created": 1}).to_string())
 }
