End no upstream by a foreign entry with a later start

Callers saw: streams of sound upstreams cut (12 of 12), and nothing served there for good (0 of 120), after an entry of another writer with an unknown service and a later start.

Cause: a later start alone made a record a restart; from then on the upstream's own records were stale. Class: a conclusion from one field, and a belief that nothing takes back. Change: a record of a service unknown to the active configuration ends no incarnation; it counts once a configuration names the service. Newer records with an earlier start that go on for 5 s, none of the held start between, end the false incarnation; two at one moment don't, as an existing test wants.

--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -79,6 +79,7 @@
 mod evacuation;
 mod failover;
 mod fleet_view;
+mod foreign_record;
 mod generation;
 mod generation_store;
 mod gossip;
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -91,8 +91,16 @@
         let Some(ix) = self.find(&record.instance) else {
             return self.add_new(now, record);
         };
+        let is_of_unknown_service =
+            self.names_unknown_service(&self.upstreams[ix.0].record, &record);
         let u = &mut self.upstreams[ix.0];
-        match classify(&u.record, u.removed, &record) {
+        let kind = classify(&u.record, u.removed, &record);
+        if is_of_unknown_service && matches!(kind, RecordKind::Restart) {
+            u.awaits_service = Some(record.clone());
+            let lost = self.unreadable(&record.instance, record.revision)?;
+            return self.upsert(now, lost);
+        }
+        match kind {
             RecordKind::Stale => {
                 if is_same_incarnation(&u.record, &record) {
                     u.learn_version(&record);
@@ -100,6 +108,10 @@
                 return None;
             }
             RecordKind::Restart => return Some(self.restart(now, ix, record)),
+            RecordKind::Contradiction => {
+                let is_wrong = u.record_contradiction(now);
+                return is_wrong.then(|| self.restart(now, ix, record));
+            }
             RecordKind::Foreign => {
                 let lost = self.unreadable(&record.instance, record.revision)?;
                 return self.upsert(now, lost);
@@ -107,6 +119,7 @@
             RecordKind::Update => {}
         }
         u.learn_version(&record);
+        u.record_own(&record);
         let software_version = u.record.software_version.clone();
         let record = UpstreamRecord {
             software_version,
@@ -234,6 +247,8 @@
             removed: false,
             ended: false,
             crashed: false,
+            awaits_service: None,
+            contradicted_since: None,
             left_at: is_leaving.then_some(now),
             leave_notice: LeaveNotice::default(),
             missing: None,
@@ -395,6 +410,8 @@
     Update,
     /// Record of a later incarnation.
     Restart,
+    /// Newer record with an earlier start.
+    Contradiction,
     /// Not written by the upstream itself.
     Foreign,
 }
@@ -408,8 +425,8 @@
     let moved = received.service != held.service || received.addr != held.addr || has_other_version;
     match (held.incarnation.is_known(), received.incarnation.is_known()) {
         (true, true) if received.incarnation > held.incarnation => RecordKind::Restart,
-        (true, true) if received.incarnation < held.incarnation => RecordKind::Stale,
         _ if received.revision <= held.revision => RecordKind::Stale,
+        (true, true) if received.incarnation < held.incarnation => RecordKind::Contradiction,
         // The held record, which states no start, was foreign.
         (false, true) if moved => RecordKind::Restart,
         (true, false) => RecordKind::Foreign,
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -45,6 +45,8 @@
     pub(crate) by_service: HashMap<Name, Vec<usize>>,
     pub(crate) digest: u64,
     pub(crate) memory_of: HashMap<Name, u64>,
+    /// Services of the active configuration; `None` before the first.
+    pub(crate) services: Option<HashSet<Name>>,
     pub(crate) pace_of: HashMap<Name, Pace>,
     pub(crate) pauses_of: HashMap<Name, ServicePauses>,
     /// Upstreams with announced work, by the entry that announced it.
--- a/fireflycroft/src/upstream.rs
+++ b/fireflycroft/src/upstream.rs
@@ -94,6 +94,10 @@
     pub(crate) ended: bool,
     /// Whether it was serving when that became known.
     pub(crate) crashed: bool,
+    /// Record under its id that names a service unknown as yet.
+    pub(crate) awaits_service: Option<UpstreamRecord>,
+    /// Time since which newer records state an earlier start, and none this one.
+    pub(crate) contradicted_since: Option<Time>,
     /// Time at which it was first known to leave.
     pub(crate) left_at: Option<Time>,
     pub(crate) leave_notice: LeaveNotice,
--- a/fireflycroft/tests/pool_incarnations.rs
+++ b/fireflycroft/tests/pool_incarnations.rs
@@ -29,6 +29,81 @@
     upstream_with_a_readable_record_serves_again => readable_again();
     foreign_record_is_not_chosen => foreign_record();
     unreadable_record_is_announced => unreadable_is_announced();
+    later_start_of_an_unknown_service_ends_no_incarnation => unknown_service();
+    record_of_a_service_counts_once_a_configuration_names_it => service_named_later();
+    upstream_that_goes_on_to_state_an_earlier_start_is_believed => set_back();
+    old_record_with_an_earlier_start_says_nothing => old_start();
+}
+
+fn services(names: &[&str]) -> Vec<Name> {
+    names.iter().copied().map(Name::from).collect()
+}
+
+fn of_service(service: &str, start: u64, revision: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        service: Name::from(service),
+        ..incarnation_record("a", start, revision)
+    }
+}
+
+fn unknown_service() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    pool.set_services(at(0), services(&["models"]));
+    let change = pool.upsert(at(10), of_service("nowhere", 900, 5));
+    assert_eq!(change, Some(PoolChange::Unreadable(a)));
+    assert!(!pool.is_ended(a));
+    let change = pool.upsert(at(20), incarnation_record("a", 100, 6));
+    assert_eq!(change, Some(PoolChange::Available(a)));
+    // A configuration that comes later doesn't bring the stranger's record back.
+    assert_eq!(
+        pool.set_services(at(30), services(&["models", "nowhere"])),
+        []
+    );
+    assert_eq!(pool.count("models"), 1);
+}
+
+fn service_named_later() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    pool.set_services(at(0), services(&["models"]));
+    pool.upsert(at(10), of_service("records", 900, 5));
+    let changes = pool.set_services(at(20), services(&["models", "records"]));
+    let begun = ix(&pool, "a");
+    assert_eq!(changes, [PoolChange::Restarted { ended: a, begun }]);
+    assert_eq!((pool.count("models"), pool.count("records")), (0, 1));
+}
+
+fn set_back() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    for heartbeat in 0..5 {
+        let record = incarnation_record("a", 40, 5 + heartbeat);
+        assert_eq!(pool.upsert(at(1_000 * heartbeat), record), None);
+    }
+    assert!(!pool.is_ended(a));
+    let change = pool
+        .upsert(at(5_000), incarnation_record("a", 40, 10))
+        .unwrap();
+    let begun = ix(&pool, "a");
+    assert_eq!(change, PoolChange::Restarted { ended: a, begun });
+    assert!(pool.is_serving(begun));
+    // One of the held start in between says that the others were late.
+    let (mut pool, a) = pool_of_one_incarnation();
+    pool.upsert(at(0), incarnation_record("a", 40, 5));
+    pool.upsert(at(2_000), incarnation_record("a", 100, 6));
+    assert_eq!(pool.upsert(at(6_000), incarnation_record("a", 40, 7)), None);
+    assert!(!pool.is_ended(a));
+}
+
+fn old_start() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    pool.upsert(at(5), incarnation_record("a", 200, 9));
+    let begun = ix(&pool, "a");
+    for revision in 2..9 {
+        assert_eq!(
+            pool.upsert(at(10), incarnation_record("a", 100, revision)),
+            None
+        );
+    }
+    assert!(pool.is_ended(a) && pool.is_serving(begun));
 }
 
 fn incarnation_record(instance: &str, start: u64, revision: u64) -> UpstreamRecord {
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -334,8 +334,11 @@
             pool.set_memory(&service.name, memory);
             pool.set_cold_rate(&service.name, service.cold_rate);
         }
-        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         let now = self.now();
+        let services = catalog.services().iter().map(|s| s.name.clone());
+        let changes = self.pool.borrow_mut().set_services(now, services);
+        self.apply_pool_changes(changes, "config");
+        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         self.configs.borrow_mut().activate(now, object.clone());
         self.config_adopted_at.set(Some(now));
         self.routing_changed.notify_waiters();
