Try parts again at once that may be refused for another's crashes

Callers saw: sound parts that share prompts with two bad ones refused for half a minute.

Cause: two parts blamed for crashes that both were under were refused alike. Change: where each crash of a refused part may have another part as its cause, the part is in doubt until its fifth crash: requests in which it is the only suspect try it, one in half a second at its owner, others are told to come back in that time. Blame itself is assigned anew at each judgement since the evidence holds contents.

--- a/fireflycroft/src/agent_crashes.rs
+++ b/fireflycroft/src/agent_crashes.rs
@@ -137,7 +137,9 @@
                 Some((Code::Quarantined, Duration::ZERO))
             }
             CrashVerdict::Refused(_) => Some((Code::PartRefused, Duration::ZERO)),
-            CrashVerdict::Suspended { wait, .. } => Some((Code::Overloaded, wait)),
+            CrashVerdict::Doubted { wait, .. } | CrashVerdict::Suspended { wait, .. } => {
+                Some((Code::Overloaded, wait))
+            }
         }
     }
 
--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -204,8 +204,13 @@
             self.exonerate(*suspect);
             judgement.exonerated.push(*suspect);
         }
-        for suspicion in blamed.iter().filter(|s| s.refused_for == 0) {
+        for suspicion in &blamed {
             let suspect = suspicion.suspect;
+            if suspicion.refused_for > 0 {
+                self.refusals
+                    .set_doubted(now, suspect, suspicion.is_doubted);
+                continue;
+            }
             let due = suspicion.due(&self.content_limits);
             if now < due {
                 self.suspended.push((suspect, due));
@@ -213,6 +218,8 @@
             }
             let crashes = to_u32(suspicion.all.len());
             self.refusals.insert(now, suspect, crashes, suspicion.last);
+            self.refusals
+                .set_doubted(now, suspect, suspicion.is_doubted);
             judgement.refused.extend(self.refusals.get(now, suspect));
         }
         self.judge_at = self.suspended.iter().map(|(_, until)| *until).min();
@@ -231,7 +238,10 @@
     /// Returns why a request with these suspects may not be sent; `None` if it may.
     #[must_use]
     pub fn verdict(&self, now: Time, suspects: &[Suspect]) -> Option<CrashVerdict> {
-        let mut refused = suspects.iter().filter_map(|s| self.refusals.get(now, *s));
+        let refused = suspects.iter();
+        let refused = refused.filter_map(|s| Some((*s, self.refusals.get(now, *s)?)));
+        // A request is refused in doubt only if each of its refused suspects is.
+        let refused = refused.min_by_key(|(s, _)| self.refusals.doubted_for(now, *s).is_some());
         let suspended = || {
             let mut suspended = self.suspended.iter();
             let found = suspended.find(|(s, until)| now < *until && suspects.contains(s));
@@ -240,13 +250,26 @@
                 wait: until.since(now),
             })
         };
-        let refused = refused.next().map(CrashVerdict::Refused);
+        let refused = refused.map(|(suspect, refused)| {
+            let wait = self.refusals.doubted_for(now, suspect);
+            let wait = wait.filter(|_| self.suspected_parts(suspects) <= 1);
+            wait.map_or(CrashVerdict::Refused(refused), |wait| {
+                CrashVerdict::Doubted { refused, wait }
+            })
+        });
         refused.or_else(suspended)
     }
 
     /// Takes the try of all refused suspects of a request if it is due for each; true for one request at a time.
     pub fn take_probe(&mut self, now: Time, suspects: &[Suspect]) -> bool {
-        self.refusals.take_probe(now, suspects)
+        let settles = self.suspected_parts(suspects) <= 1;
+        self.refusals.take_probe(now, suspects, settles)
+    }
+
+    /// Returns how many of a request's parts an upstream ended under since they were last seen sound.
+    fn suspected_parts(&self, suspects: &[Suspect]) -> usize {
+        let parts = suspects.iter().filter(|s| !s.is_content());
+        parts.filter(|s| self.is_suspected(**s)).count()
     }
 
     /// Returns all refused suspects.
--- a/fireflycroft/src/crash_report.rs
+++ b/fireflycroft/src/crash_report.rs
@@ -127,6 +127,13 @@
 pub enum CrashVerdict {
     /// The suspect crashes upstreams.
     Refused(RefusedSuspect),
+    /// The suspect is refused, but other ones may have caused its crashes: it is tried again soon.
+    Doubted {
+        /// The refusal.
+        refused: RefusedSuspect,
+        /// Time until it may be known better.
+        wait: Duration,
+    },
     /// The suspect may crash upstreams.
     Suspended {
         /// The suspect.
@@ -141,7 +148,7 @@
     #[must_use]
     pub const fn suspect(&self) -> Suspect {
         match self {
-            Self::Refused(refused) => refused.suspect,
+            Self::Refused(refused) | Self::Doubted { refused, .. } => refused.suspect,
             Self::Suspended { suspect, .. } => *suspect,
         }
     }
--- a/fireflycroft/src/entry_crashes.rs
+++ b/fireflycroft/src/entry_crashes.rs
@@ -94,17 +94,21 @@
     ) -> Result<(), Refusal> {
         match self.crash_evidence.verdict(now, suspects) {
             None => Ok(()),
-            Some(CrashVerdict::Refused(_)) if self.crash_evidence.take_probe(now, suspects) => {
+            Some(CrashVerdict::Refused(_) | CrashVerdict::Doubted { .. })
+                if self.crash_evidence.take_probe(now, suspects) =>
+            {
                 Ok(())
             }
             Some(CrashVerdict::Refused(_)) => Err(Refusal {
                 code: Code::Quarantined,
                 retry_after: None,
             }),
-            Some(CrashVerdict::Suspended { wait, .. }) => Err(Refusal {
-                code: Code::PartRefused,
-                retry_after: Some(wait),
-            }),
+            Some(CrashVerdict::Doubted { wait, .. } | CrashVerdict::Suspended { wait, .. }) => {
+                Err(Refusal {
+                    code: Code::PartRefused,
+                    retry_after: Some(wait),
+                })
+            }
         }
     }
 
--- a/fireflycroft/src/refusals.rs
+++ b/fireflycroft/src/refusals.rs
@@ -20,6 +20,9 @@
 /// Time from a refusal, or the last try, to the next request that tries the suspect again.
 const PROBE_INTERVAL: Duration = Duration::from_secs(30);
 
+/// The same for a suspect whose crashes may all have another cause.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Factor by which the interval of a part grows with each try that crashed an upstream.
 const PROBE_BACKOFF: u32 = 4;
 
@@ -34,6 +37,8 @@
     crashes: u32,
     failed_probes: u32,
     next_probe: Time,
+    /// Whether all of its crashes may have another cause.
+    is_doubted: bool,
 }
 
 impl Refusal {
@@ -47,6 +52,9 @@
 
     /// Returns the time to the next try. The same request is worth one try; a part may be in sound requests too.
     fn probe_interval(&self, suspect: Suspect) -> Duration {
+        if self.is_doubted {
+            return DOUBT_INTERVAL;
+        }
         if suspect.is_content() && self.failed_probes > 0 {
             return RETENTION;
         }
@@ -97,10 +105,28 @@
             crashes,
             failed_probes: 0,
             next_probe: now + PROBE_INTERVAL,
+            is_doubted: false,
         };
         self.refused.insert(suspect, refusal);
     }
 
+    /// Records whether all crashes of a refused suspect may have another cause; while they may, it is tried again soon.
+    pub(crate) fn set_doubted(&mut self, now: Time, suspect: Suspect, is_doubted: bool) {
+        let Some(refusal) = self.refused.get_mut(&suspect) else {
+            return;
+        };
+        if refusal.is_doubted != is_doubted {
+            refusal.is_doubted = is_doubted;
+            refusal.next_probe = now + refusal.probe_interval(suspect);
+        }
+    }
+
+    /// Returns the time to the next try of a suspect that is refused in doubt.
+    pub(crate) fn doubted_for(&self, now: Time, suspect: Suspect) -> Option<Duration> {
+        let refusal = self.refused.get(&suspect).filter(|r| r.is_doubted)?;
+        Some(refusal.next_probe.since(now).max(DOUBT_INTERVAL / 2))
+    }
+
     /// Refuses a suspect that another process refuses at `limit` crashes.
     ///
     /// How often it was tried again isn't told; the crashes say at most how often.
@@ -138,9 +164,15 @@
     }
 
     /// Takes the try of all refused suspects of a request if it is due for each; true for one request at a time.
-    pub(crate) fn take_probe(&mut self, now: Time, suspects: &[Suspect]) -> bool {
+    ///
+    /// A request that would settle no doubt, since it has several of the suspects, tries them no sooner than others do.
+    pub(crate) fn take_probe(&mut self, now: Time, suspects: &[Suspect], settles: bool) -> bool {
+        let is_due = |r: &Refusal| {
+            let is_in_turn = settles || !r.is_doubted || now >= r.last_crash + PROBE_INTERVAL;
+            is_in_turn && now >= r.next_probe
+        };
         let mut refused = suspects.iter().filter_map(|s| self.refused.get(s));
-        if refused.any(|r| now < r.next_probe) {
+        if refused.any(|r| !is_due(r)) {
             return false;
         }
         let mut is_taken = false;
--- a/fireflycroft/src/suspicion.rs
+++ b/fireflycroft/src/suspicion.rs
@@ -59,6 +59,8 @@
     place: usize,
     /// Crashes for which it is refused already; zero if it isn't.
     pub(crate) refused_for: usize,
+    /// Whether another part may have caused each of its crashes.
+    pub(crate) is_doubted: bool,
 }
 
 /// Suspects by whether they are to blame.
@@ -81,6 +83,7 @@
             last: at,
             place: 0,
             refused_for,
+            is_doubted: false,
         }
     }
 
@@ -145,6 +148,22 @@
         self.is_enough(counted, limits)
     }
 
+    /// Returns whether it is a part that may have caused crashes of others: never seen sound, and under two or more.
+    fn is_rival(&self) -> bool {
+        !self.suspect.is_content() && !self.was_sound && self.all.len() > 1
+    }
+
+    /// Returns whether another part is blamed for some of its crashes as well, and rivals may have caused all of them.
+    fn is_in_doubt(&self, blamed: &[Self], rivals: &[Self]) -> bool {
+        let is_other = |s: &&Self| s.suspect != self.suspect && s.is_rival();
+        let shares = |s: &Self| !s.all.is_disjoint(&self.all);
+        if !self.is_rival() || self.all.len() >= PART_CRASHES {
+            return false;
+        }
+        let explains = |c: &CrashId| rivals.iter().filter(is_other).any(|s| s.all.contains(c));
+        blamed.iter().filter(is_other).any(shares) && self.all.iter().all(explains)
+    }
+
     /// Returns whether all crashes for which it is refused are known here.
     fn is_known_whole(&self) -> bool {
         self.all.len() >= self.refused_for
@@ -153,6 +172,11 @@
 
 /// Decides which suspects are to blame.
 pub(crate) fn assign_blame(mut suspicions: Vec<Suspicion>, limits: &ContentLimits) -> Blame {
+    let rivals: Vec<Suspicion> = suspicions
+        .iter()
+        .filter(|s| s.is_rival())
+        .cloned()
+        .collect();
     let severity = |s: &Suspicion| {
         let begun = s.begun.len().max(s.refused_for);
         (!s.was_sound, begun, s.all.len(), s.place, s.suspect)
@@ -168,5 +192,13 @@
             blame.exonerated.push(suspicion);
         }
     }
+    let doubted: Vec<bool> = blame
+        .blamed
+        .iter()
+        .map(|s| s.is_in_doubt(&blame.blamed, &rivals))
+        .collect();
+    for (suspicion, is_doubted) in blame.blamed.iter_mut().zip(doubted) {
+        suspicion.is_doubted = is_doubted;
+    }
     blame
 }
--- a/fireflycroft/tests/crash_evidence.rs
+++ b/fireflycroft/tests/crash_evidence.rs
@@ -101,6 +101,17 @@
     parts
 }
 
+/// Returns whether a request with these parts is sent.
+fn may_begin(evidence: &mut CrashEvidence, now: u64, parts: &[u64]) -> bool {
+    let parts: Vec<Suspect> = parts.iter().copied().map(part).collect();
+    evidence.judge(at(now));
+    match evidence.verdict(at(now), &parts) {
+        None => true,
+        Some(CrashVerdict::Suspended { .. }) => false,
+        Some(_) => evidence.take_probe(at(now), &parts),
+    }
+}
+
 fn is_suspended(evidence: &CrashEvidence, now: u64, part: u64) -> bool {
     let verdict = evidence.verdict(at(now), &[self::part(part)]);
     matches!(verdict, Some(CrashVerdict::Suspended { .. }))
@@ -368,6 +379,35 @@
         assert!(!evidence.adopt(at(now + 3_000), told));
     }
 
+    sound_parts_beside_two_bad_ones_are_served_soon(evidence) {
+        let kinds: [&[u64]; 3] = [&[FIRST, BAD, 0xf4], &[FIRST, 0xf4, 0xbad2, 0xf5], &[FIRST, BAD, 0xbad2, 0xf5]];
+        let (mut crashes, mut last) = ([0, 0], 0);
+        sound(&mut evidence, 0, &[FIRST]);
+        for number in 0..40 {
+            let now = 100 + number * 250;
+            let parts = kinds[usize::try_from(number).unwrap() % 3];
+            if may_begin(&mut evidence, now, parts) {
+                evidence.record_crash(at(now + 40), report(now, parts));
+                crashes = [crashes[0] + usize::from(parts.contains(&BAD)), crashes[1] + usize::from(parts.contains(&0xbad2))];
+                last = now + 40;
+            }
+            sound(&mut evidence, now + 60, &[FIRST]);
+        }
+        assert!(crashes.iter().all(|c| *c <= PART_CRASHES), "{crashes:?}");
+        let mut served = Vec::new();
+        for step in 0..8 {
+            for part in [0xf4, 0xf5] {
+                let now = last + step * 250;
+                if may_begin(&mut evidence, now, &[FIRST, part]) {
+                    sound(&mut evidence, now + 10, &[FIRST, part]);
+                    served.push(part);
+                }
+            }
+        }
+        assert!(served.contains(&0xf4) && served.contains(&0xf5), "{served:x?}");
+        assert!(!may_begin(&mut evidence, last + 2_500, &[FIRST, BAD]));
+    }
+
     newcomer_that_is_told_all_refuses_what_the_teller_does(evidence) {
         for ended in 0..3 {
             evidence.record_crash(at(0), report_of(ended, &[CONTENT]));
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -196,7 +196,7 @@
 fn check_suspects(node: &Node, request_id: &str, suspects: &[Suspect]) -> Result<bool, Refusal> {
     match suspects::verdict(node, suspects) {
         None => Ok(false),
-        Some(CrashVerdict::Refused(refused))
+        Some(CrashVerdict::Refused(refused) | CrashVerdict::Doubted { refused, .. })
             if suspects::may_try_again(node, request_id, suspects, &refused) =>
         {
             Ok(true)
--- a/fireflydirect/src/suspects.rs
+++ b/fireflydirect/src/suspects.rs
@@ -92,14 +92,16 @@
 pub const fn retry_after(verdict: &CrashVerdict) -> Duration {
     match verdict {
         CrashVerdict::Refused(_) => FINAL_RETRY_AFTER,
-        CrashVerdict::Suspended { wait, .. } => *wait,
+        CrashVerdict::Doubted { wait, .. } | CrashVerdict::Suspended { wait, .. } => *wait,
     }
 }
 
 /// Logs that a request is not sent because of a verdict.
 pub fn log_refusal(request_id: &str, verdict: &CrashVerdict) {
     let (crashes, age) = match verdict {
-        CrashVerdict::Refused(refused) => (refused.crashes, refused.age),
+        CrashVerdict::Refused(refused) | CrashVerdict::Doubted { refused, .. } => {
+            (refused.crashes, refused.age)
+        }
         CrashVerdict::Suspended { .. } => (0, Duration::ZERO),
     };
     let (part, content) = fields(verdict.suspect());
@@ -209,8 +211,13 @@
     let (contents, parts): (Vec<&Suspect>, Vec<&Suspect>) =
         report.suspects.iter().partition(|s| s.is_content());
     let crashes = contents.iter().map(|s| evidence.crashes_under(**s)).max();
+    let event = if parts.is_empty() {
+        "crash_told"
+    } else {
+        "part_crash_told"
+    };
     log::info!(
-        event = "crash_told", ended = format!("{:016x}", report.ended.0), parts = list(&parts),
+        event = event, ended = format!("{:016x}", report.ended.0), parts = list(&parts),
         content = list(&contents), crashes = crashes.unwrap_or(0), begun = report.begun,
         age_ms = report.age.as_millis(), from = from.to_string();
         ""
--- a/fireflydirect/tests/processes_crashing_parts.rs
+++ b/fireflydirect/tests/processes_crashing_parts.rs
@@ -179,6 +179,34 @@
         check_refused_everywhere(&site, 2, "/grade", &["f1", BAD]).await;
     }
 
+    sound_parts_beside_two_bad_ones_are_served_within_two_seconds(site: 3) {
+        site.record.crash_on(BAD);
+        site.record.crash_on("bad2");
+        check_sound(&site, 0, "/log", &["f1"]).await;
+        let kinds: [&[&str]; 3] = [&["f1", BAD, "f4"], &["f1", "f4", "bad2", "f5"], &["f1", BAD, "bad2", "f5"]];
+        for number in 0..24 {
+            is_refused(&site, number % 3, "/log", kinds[number / 3 % 3]).await;
+            check_sound(&site, number % 3, "/log", &["f1"]).await;
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        for bad in [BAD, "bad2"] {
+            assert!(site.record.crashes_of(bad) <= MAX_CRASHES, "{bad}: {}", site.record.crashes_of(bad));
+        }
+        for part in ["f4", "f5"] {
+            let end = std::time::Instant::now() + Duration::from_secs(2);
+            let mut number = 0;
+            while is_refused(&site, number % 3, "/log", &["f1", part]).await {
+                assert!(std::time::Instant::now() < end, "{part} {}", site.log(0));
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                number += 1;
+            }
+        }
+        for entry in 0..3 {
+            check_sound(&site, entry, "/log", &["f1", "f4"]).await;
+            check_sound(&site, entry, "/log", &["f1", "f5"]).await;
+        }
+    }
+
     whole_answers_count_as_well(site: 2) {
         site.record.crash_on(BAD);
         for number in 2..8 {
