--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -81,10 +81,18 @@
     crowd: bool,
     /// Whether some callers break their streams off to take them up elsewhere.
     breaks: bool,
-    /// Whether some streams have a part in their prompts that crashes engines.
-    crashes: bool,
-    /// Whether some callers send the same request again and again, which crashes engines.
-    repeats: bool,
+    /// What crashes engines.
+    cause: CrashCause,
+}
+
+/// What some streams have that crashes engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashCause {
+    Nothing,
+    /// A part of their prompts; no two of them are alike.
+    Part,
+    /// They are one request, which comes again and again.
+    Request,
 }
 
 impl Callers {
@@ -97,15 +105,14 @@
             next: Arc::default(),
             crowd: false,
             breaks: false,
-            crashes: false,
-            repeats: false,
+            cause: CrashCause::Nothing,
         }
     }
 
     /// Makes some callers send one request again and again that crashes engines; it shares parts with sound ones.
     pub(crate) fn repeating(self) -> Self {
         Self {
-            repeats: true,
+            cause: CrashCause::Request,
             ..self
         }
     }
@@ -113,7 +120,7 @@
     /// Returns whether a stream is the request that crashes engines.
     fn is_bad(&self, number: u64) -> bool {
         let comes_again = (number / 4).is_multiple_of(BAD_STREAMS) && number % 4 == 2;
-        self.repeats && number >= FIRST_REPEAT && comes_again
+        self.cause == CrashCause::Request && number >= FIRST_REPEAT && comes_again
     }
 
     /// Makes all streams need most of an engine's memory, on a route whose objective leaves time to wait,
@@ -137,19 +144,20 @@
     /// other parts.
     pub(crate) fn crashing(self) -> Self {
         Self {
-            crashes: true,
+            cause: CrashCause::Part,
             ..self
         }
     }
 
     /// Returns the parts of a stream's prompt that others share.
     fn shared_parts(&self, number: u64) -> Vec<String> {
-        if !self.crashes && !self.repeats {
+        if self.cause == CrashCause::Nothing {
             return Vec::new();
         }
         let first = format!("f{}", number / 4 % FIRST_PARTS);
-        let is_bad =
-            self.crashes && number >= SOUND_REQUESTS && (number / 4).is_multiple_of(BAD_STREAMS);
+        let is_bad = self.cause == CrashCause::Part
+            && number >= SOUND_REQUESTS
+            && (number / 4).is_multiple_of(BAD_STREAMS);
         let second = if is_bad {
             BAD_PART.to_owned()
         } else {
@@ -204,28 +212,7 @@
         } else {
             2 + number * 7 % EVENT_COUNT_RANGE
         };
-        let (method, path, expected_body) = match kind {
-            RequestKind::Fetch => (
-                "GET",
-                "/fetch/a".to_owned(),
-                format!("GET /fetch/a for {id}"),
-            ),
-            RequestKind::File => (
-                "POST",
-                "/file/a".to_owned(),
-                format!("POST /file/a for {id}"),
-            ),
-            RequestKind::Log => (
-                "POST",
-                format!("/log/a?events={events}"),
-                rest_of_stream(&id, after, events),
-            ),
-            RequestKind::Grade => (
-                "POST",
-                format!("/grade/a?events={events}"),
-                rest_of_stream(&id, after, events),
-            ),
-        };
+        let (method, path, expected_body) = call_of(kind, &id, after, events);
         let is_stream = matches!(kind, RequestKind::Log | RequestKind::Grade);
         let shared_parts = if is_stream {
             self.shared_parts(number)
@@ -346,3 +333,29 @@
         }
     }
 }
+
+/// Returns method, path and expected body of a request.
+fn call_of(kind: RequestKind, id: &str, after: u64, events: u64) -> (&'static str, String, String) {
+    match kind {
+        RequestKind::Fetch => (
+            "GET",
+            "/fetch/a".to_owned(),
+            format!("GET /fetch/a for {id}"),
+        ),
+        RequestKind::File => (
+            "POST",
+            "/file/a".to_owned(),
+            format!("POST /file/a for {id}"),
+        ),
+        RequestKind::Log => (
+            "POST",
+            format!("/log/a?events={events}"),
+            rest_of_stream(id, after, events),
+        ),
+        RequestKind::Grade => (
+            "POST",
+            format!("/grade/a?events={events}"),
+            rest_of_stream(id, after, events),
+        ),
+    }
+}
