--- a/fireflycroft/src/incarnation_end.rs
+++ b/fireflycroft/src/incarnation_end.rs
@@ -1,10 +1,23 @@
-//! Ends of incarnations that only the list of upstreams shows: an upstream may have started again before anybody
-//! found that it had crashed.
+//! Departures and ends of incarnations, as the list of upstreams shows them: an upstream may have started again before
+//! anybody found that it had crashed.
 
 use crate::pool::Pool;
+use crate::time::Time;
 use crate::upstream::UpstreamIx;
 
 impl Pool {
+    /// Returns the time at which an upstream was first known to leave.
+    #[must_use]
+    pub fn left_at(&self, ix: UpstreamIx) -> Option<Time> {
+        self.upstreams[ix.0].left_at
+    }
+
+    /// Returns whether a later incarnation of its id is known, so that its runs and memory are lost.
+    #[must_use]
+    pub fn is_ended(&self, ix: UpstreamIx) -> bool {
+        self.upstreams[ix.0].ended
+    }
+
     /// Returns whether a later incarnation has taken an upstream's id while the upstream was serving.
     #[must_use]
     pub fn has_crashed(&self, ix: UpstreamIx) -> bool {
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -169,18 +169,6 @@
         !u.ended && left.is_none_or(|t| now.since(t) < allowed)
     }
 
-    /// Returns the time at which an upstream was first known to leave.
-    #[must_use]
-    pub fn left_at(&self, ix: UpstreamIx) -> Option<Time> {
-        self.upstreams[ix.0].left_at
-    }
-
-    /// Returns whether a later incarnation of its id is known, so that its runs and memory are lost.
-    #[must_use]
-    pub fn is_ended(&self, ix: UpstreamIx) -> bool {
-        self.upstreams[ix.0].ended
-    }
-
     /// Returns the latest incarnation of an instance.
     #[must_use]
     pub fn find(&self, instance: &str) -> Option<UpstreamIx> {
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -9,6 +9,7 @@
 use crate::assignment::AssignmentGuard;
 use crate::call::{StartedStream, assign_backup};
 use crate::crash::{self, Progress};
+use crate::event_times::EventTimes;
 use crate::exchange::{ResponseStart, SendError, SendOptions, release_link, send};
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
@@ -85,16 +86,6 @@
     produced: u64,
 }
 
-/// Arrival times of events, for log and metrics.
-#[derive(Clone, Copy, Default)]
-struct EventTimes {
-    first: Option<Time>,
-    last: Time,
-    longest: Duration,
-    /// Start of the longest gap.
-    longest_since: Time,
-}
-
 /// Last event of an unbroken span on one upstream, and the pauses since.
 #[derive(Clone, Copy)]
 struct LastEvent {
@@ -103,18 +94,6 @@
     peak: PausePeak,
 }
 
-impl EventTimes {
-    fn record(&mut self, now: Time) {
-        if self.first.is_none() {
-            self.first = Some(now);
-        } else if now.since(self.last) > self.longest {
-            self.longest = now.since(self.last);
-            self.longest_since = self.last;
-        }
-        self.last = now;
-    }
-}
-
 /// Result of a read from an upstream.
 enum Read {
     Data(Bytes),
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod datagrams;
 pub mod departure_watch;
 pub mod departures;
+pub(crate) mod event_times;
 pub mod exchange;
 pub mod feed;
 pub mod generation;
@@ -42,6 +43,7 @@
 pub mod owner_queries;
 pub mod page_server;
 
+pub(crate) mod peer_record;
 pub mod peers;
 pub mod process;
 pub mod readiness;
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -8,6 +8,7 @@
 //! The library that the house style names for this, `nng`, keeps some 36 threads in a process and
 //! memory to match; datagrams of a few hundred bytes that may be lost need neither.
 
+use crate::peer_record::PeerRecord;
 use fireflycroft::{
     Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview, STREAM_OWNERS,
     STREAM_OWNERS_ASKED, Time, WATCHERS, WatcherView, highest_ranked, owners_of, whole_millis,
@@ -43,13 +44,6 @@
 /// announcements and some margin.
 const WATCHER_SILENT_INTERVALS: f64 = 3.2;
 
-/// Time without a datagram after a query, after which an entry counts as silent and is
-/// skipped.
-///
-/// Replies arrive within milliseconds; a small VM whose processor share is used up waits for up
-/// to a tenth of a second.
-const QUERY_SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Silence after which an entry is forgotten.
 const PEER_RETENTION: Duration = Duration::from_mins(1);
 
@@ -97,57 +91,6 @@
     }
 }
 
-/// State of another entry.
-#[derive(Clone, Debug)]
-struct PeerRecord {
-    name: Option<Name>,
-    last_received: Option<Time>,
-    known_since: Time,
-    leaving: bool,
-    watches: bool,
-    /// Whether it watches, and the store doesn't answer it any more.
-    is_unanswered: bool,
-    data_centre: Name,
-    /// Time of the first query to it since its last datagram.
-    queried_at: Option<Time>,
-    /// Incarnation in its last announcement.
-    incarnation: Option<Incarnation>,
-    /// Version of the configuration in its last announcement.
-    config: u64,
-    /// Revision up to which its list of upstreams was complete, by its last announcement.
-    list_complete_to: u64,
-}
-
-impl PeerRecord {
-    fn second_hand(now: Time) -> Self {
-        Self {
-            name: None,
-            data_centre: Name::default(),
-            last_received: None,
-            known_since: now,
-            leaving: false,
-            watches: false,
-            is_unanswered: false,
-            queried_at: None,
-            incarnation: None,
-            config: 0,
-            list_complete_to: 0,
-        }
-    }
-
-    /// Returns whether it is neither leaving nor silent, as far as is known.
-    fn is_available(&self, now: Time) -> bool {
-        let silent = self
-            .queried_at
-            .is_some_and(|t| now.since(t) >= QUERY_SILENCE_TIMEOUT);
-        !self.leaving && !silent
-    }
-
-    fn received_within(&self, now: Time, span: Duration) -> bool {
-        self.last_received.is_some_and(|t| now.since(t) < span)
-    }
-}
-
 /// The other entries, and what is to be announced to them.
 pub struct Peers {
     me: Ipv4Addr,
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -10,6 +10,8 @@
     mod conditions;
     pub(crate) mod faults;
     pub(crate) mod plan;
+    mod records;
+    pub(crate) mod report;
 }
 mod support;
 
@@ -20,7 +22,8 @@
     Fault, Step, plan, plan_beside_crashes, plan_with_conditions, plan_with_drills,
     plan_with_unheard_departures, plan_with_versions,
 };
-use standins::site::{Attempt, Breach, FIRST_VERSION, Outcome, ProxyFault, Run, RunEnd};
+use soak_parts::report::report;
+use standins::site::{Attempt, FIRST_VERSION, Outcome, ProxyFault, Run, RunEnd};
 use std::time::Duration;
 use support::{KEY, Site, until};
 
@@ -237,26 +240,6 @@
     }
 }
 
-fn report(name: &str, steps: &[Step], breaches: &[Breach], site: &Site) -> String {
-    let mut lines = vec![format!(
-        "{name}: rerun with scripts/soak and the number of the seed"
-    )];
-    lines.extend(steps.iter().map(|s| format!("  {s:?}")));
-    for breach in breaches {
-        let name = format!("{breach}");
-        let id = name.split('"').nth(1).unwrap_or_default();
-        lines.push(name.clone());
-        lines.push(format!("  {:#?}", site.record.runs_of(id)));
-        let marks = [format!("req={id} "), format!("req={id}-")];
-        for entry in 0..site.entries.len() {
-            let log = site.log(entry);
-            let of_request = log.lines().filter(|l| marks.iter().any(|m| l.contains(m)));
-            lines.extend(of_request.map(|l| format!("  {l}")));
-        }
-    }
-    lines.join("\n")
-}
-
 /// Every seed, one after another, keeps all guarantees.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_keep_the_promises() {
@@ -357,17 +340,17 @@
 /// One request crashes engines and comes again, at any entry, combined with other faults.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crashing_requests_among_faults_keep_the_promises() {
-    let seeds: String = env_or(
-        "FIREFLY_SOAK_REQUEST_SEEDS",
-        DEFAULT_REQUEST_SEEDS.to_owned(),
-    );
+    let seeds = DEFAULT_REQUEST_SEEDS.to_owned();
+    let seeds: String = env_or("FIREFLY_SOAK_REQUEST_SEEDS", seeds);
     let seconds = env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS).max(MIN_REQUEST_SECONDS);
     let seconds = Duration::from_secs(seconds);
     for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
         let steps = plan_beside_crashes(seed, seconds);
         let name = format!("crashing requests, seed {seed}");
-        let outcomes = run_plan_with(CRASHING_REQUESTS, &name, &steps, seconds).await;
-        println!("{name}: {} engines crashed", outcomes.crashes);
+        let crashes = run_plan_with(CRASHING_REQUESTS, &name, &steps, seconds)
+            .await
+            .crashes;
+        println!("{name}: {crashes} engines crashed");
     }
 }
 
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -53,7 +53,7 @@
     /// Service named in foreign records. Entries that know an upstream detect a change to another
     /// existing service; restarted entries can't, and foreign records of the platform name one that
     /// doesn't exist.
-    foreign_service: &'static str,
+    pub(super) foreign_service: &'static str,
     /// Engines that a part of a prompt has crashed and that start again.
     crashed: HashSet<usize>,
     /// Version and start of the engines that serve, by number.
@@ -125,7 +125,7 @@
     }
 
     /// Returns the model engines that have not left.
-    fn active_engines(&self) -> Vec<usize> {
+    pub(super) fn active_engines(&self) -> Vec<usize> {
         (0..self.site.engines.len())
             .filter(|e| !self.announced.contains_key(e))
             .collect()
@@ -349,34 +349,6 @@
         self.write_own_record(engine).await;
     }
 
-    async fn write_own_record(&mut self, engine: usize) {
-        let instance = self.site.engines[engine].instance();
-        let now = Instant::now();
-        for (of, _, to) in &mut self.evidence.overwritten {
-            if *of == instance {
-                *to = now.min(*to);
-            }
-        }
-        self.site.register(EngineKind::Model, engine, "ready").await;
-    }
-
-    /// Overwrites the record of an engine, which rewrites its own at `end`.
-    fn overwrite_record(&mut self, engine: usize, pick: usize, end: Instant) {
-        let instance = self.site.engines[engine].instance();
-        let mut foreign = self.site.engines[engine].registration("models", "ready");
-        match pick % 4 {
-            0 => foreign["state"] = "asleep".into(),
-            1 => foreign["service"] = self.foreign_service.into(),
-            2 => foreign["born"] = "yesterday".into(),
-            _ => foreign = "nothing".into(),
-        }
-        self.site.store.put("servers", &instance, &foreign);
-        self.end_serving(engine);
-        let span = (instance, Instant::now(), end);
-        self.evidence.overwritten.push(span);
-        self.pending_undos.push((end, Undo::OwnRecord(engine)));
-    }
-
     async fn start_leaving(&mut self, engine: usize, announced: bool, serves_on: Duration) {
         self.announced.insert(engine, announced);
         self.end_serving(engine);
@@ -476,27 +448,8 @@
         }
     }
 
-    /// Upstreams and the operator rewrite what the snapshot may lack; records of gone ones expire.
-    async fn rewrite_records(&mut self) {
-        for engine in self.active_engines() {
-            self.write_own_record(engine).await;
-        }
-        let departed: Vec<(usize, bool)> = self.announced.iter().map(|(e, a)| (*e, *a)).collect();
-        for (engine, announced) in departed {
-            if announced && self.serves_on(engine) {
-                self.site
-                    .register(EngineKind::Model, engine, "draining")
-                    .await;
-            } else {
-                let instance = self.site.engines[engine].instance();
-                self.site.store.remove("servers", &instance);
-            }
-        }
-        self.site.publish(&[KEY]);
-    }
-
     /// Returns whether an engine that has left still serves.
-    fn serves_on(&self, engine: usize) -> bool {
+    pub(super) fn serves_on(&self, engine: usize) -> bool {
         let mut due = self.pending_undos.iter();
         due.any(|(_, undo)| matches!(undo, Undo::EndEngine(e) if *e == engine))
     }
