Have entries that meet late tell each other what each has learnt of crashes

Callers saw: nothing by itself; entries that were cut off from each other for longer than crashes are told, or had stale seeds, each went on with its own count.

Cause: crashes are told for five seconds after they are seen. Change: an entry that hears of another for the first time, when both have run for five seconds, asks it for all its evidence, over TCP as one that starts does. At a start of the fleet nobody does.

Before: 11 s after the crashes, two at one entry and one at another, the request was sent once more.

--- a/fireflycroft/src/ids.rs
+++ b/fireflycroft/src/ids.rs
@@ -90,6 +90,12 @@
         let mask = (1 << INCARNATION_RANDOM_BITS) - 1;
         Self((unix_millis << INCARNATION_RANDOM_BITS) | (random & mask))
     }
+
+    /// Returns the wall-clock time at which the process started, in Unix milliseconds.
+    #[must_use]
+    pub const fn unix_millis(self) -> u64 {
+        self.0 >> INCARNATION_RANDOM_BITS
+    }
 }
 
 impl fmt::Display for RequestId {
--- a/fireflydirect/src/crash_sync.rs
+++ b/fireflydirect/src/crash_sync.rs
@@ -2,20 +2,20 @@
 //!
 //! A request that crashes upstreams may come to it at once. It asks the entries that it knows until one of those that
 //! have served before answers. Where all have just started nobody knows anything, which it can't be told: so it waits
-//! for a short time only, while requests that have come wait with it.
+//! for a short time only, while requests that have come wait with it. Entries that meet late ask each other as well.
 
 use crate::client::Client;
 use crate::node::Node;
 use crate::page_server::{Page, empty};
 use crate::suspects;
-use fireflycroft::{HedgedCall, Time};
+use fireflycroft::{HedgedCall, Incarnation, Time, whole_millis};
 use fireflycroft_wire::{decode_crash_news, encode_crash_news};
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::task::JoinSet;
 
 /// Path of the evidence that other entries fetch.
@@ -36,6 +36,9 @@
 /// Time for which an entry goes on asking while it serves.
 const ASK_FOR: Duration = Duration::from_secs(10);
 
+/// Age of two entries from which they should have heard of each other.
+const MET_LATE_AFTER: Duration = Duration::from_secs(5);
+
 /// Entries asked in one round.
 const MAX_ASKED: usize = 8;
 
@@ -56,6 +59,19 @@
     }
 }
 
+/// Asks an entry that is heard of for the first time what it knows, if neither has just started: they have been cut off
+/// from each other, or had stale seeds, and crashes are told for seconds only.
+pub fn meet(node: &Rc<Node>, from: Ipv4Addr, incarnation: Incarnation) {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now = unix.map_or(0, whole_millis);
+    let its_age = Duration::from_millis(now.saturating_sub(incarnation.unix_millis()));
+    let own_age = node.now().since(Time::default());
+    if own_age.min(its_age) >= MET_LATE_AFTER {
+        let node = node.clone();
+        tokio::task::spawn_local(async move { ask(&node, from).await });
+    }
+}
+
 /// Outcome of a round of queries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Round {
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -4,6 +4,7 @@
 use crate::client::Client;
 use crate::conditions;
 use crate::config_read::read_config;
+use crate::crash_sync;
 use crate::ingest::apply_peer_state;
 use crate::node::Node;
 use crate::owner_queries;
@@ -78,6 +79,7 @@
         .borrow_mut()
         .apply_announcement(now, from, &announcement);
     if introduces {
+        crash_sync::meet(node, from, announcement.incarnation);
         let node = node.clone();
         tokio::task::spawn_local(async move { announce::introduce(&node, from).await });
     }
--- a/fireflydirect/tests/processes_crashing_requests.rs
+++ b/fireflydirect/tests/processes_crashing_requests.rs
@@ -359,6 +359,8 @@
         send_bad(&site, 1, 2).await;
         send_bad(&site, 2, 1).await;
         assert_eq!(crash_times(&site, BAD).len(), CRASHES);
+        // Longer than crashes are told, and than an entry that has started asks.
+        tokio::time::sleep(Duration::from_secs(11)).await;
         site.seeds = vec![1];
         for entry in 1..3 {
             site.write_settings(&site.entries[entry]);
