Name the instance that an entry's own call is meant for

Callers saw: nothing.

Cause: since own calls have ids, another service at the address no longer rejects them for want of one. Change: they name the instance that they are meant for, like callers' requests, so that any other one rejects them. Stand-in plain services take calls about memory for requests, as real ones do.

--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -9,7 +9,7 @@
 use crate::node::Node;
 use crate::own_calls::{call_over, call_upstream};
 use bytes::Bytes;
-use fireflycroft::{Departure, MAX_REPORT_AGE, Time, UpstreamIx};
+use fireflycroft::{Departure, MAX_REPORT_AGE, Time, UpstreamIx, UpstreamRecord};
 use fireflycroft_platform::{EngineReport, closes_connection, read_report, report_path};
 use http_body_util::Full;
 use hyper::Request;
@@ -175,8 +175,11 @@
 /// # Errors
 ///
 /// If the connection breaks, or the answer is not a report.
-pub async fn fetch_report_over(link: &mut Link, addr: SocketAddr) -> anyhow::Result<FetchedReport> {
-    let answer = call_over(link, report_request(addr)?).await?;
+pub async fn fetch_report_over(
+    link: &mut Link,
+    to: &UpstreamRecord,
+) -> anyhow::Result<FetchedReport> {
+    let answer = call_over(link, &to.instance, report_request(to.addr)?).await?;
     let fetched = read_fetched(&answer.response)?;
     Ok(FetchedReport {
         // A second answer without an id couldn't be told from the next request's.
--- a/fireflydirect/src/incarnations.rs
+++ b/fireflydirect/src/incarnations.rs
@@ -25,7 +25,7 @@
     if link.confirmed || !record.incarnation.is_known() {
         return Ok(link);
     }
-    match timeout(REPORT_TIMEOUT, fetch_report_over(&mut link, record.addr)).await {
+    match timeout(REPORT_TIMEOUT, fetch_report_over(&mut link, &record)).await {
         Ok(Ok(fetched)) if fetched.report.incarnation != record.incarnation => {
             record_restart(node, ix, fetched.report.incarnation);
             return Err(io::Error::other("the upstream has started again"));
--- a/fireflydirect/src/own_calls.rs
+++ b/fireflydirect/src/own_calls.rs
@@ -2,12 +2,12 @@
 //!
 //! An upstream may send an answer twice, the second time where the answer to the next request on the connection is
 //! expected. So each call has an id of its own, which the upstream echoes, and goes over a connection that no caller's
-//! request uses. Where the upstream echoes none, an answer is believed only on a new connection, which is used once.
+//! request uses; it names the instance that it is meant for, since the address may be another one's by now. Where the upstream echoes none, an answer is believed only on a new connection, which is used once.
 
 use crate::links::{self, CallResponse, Link, Links};
 use bytes::Bytes;
 use fireflycroft::{UpstreamIncarnation, UpstreamRecord};
-use fireflycroft_platform::{answered_id, closes_connection, set_request_id};
+use fireflycroft_platform::{address_call, answered_id, closes_connection};
 use http_body_util::Full;
 use hyper::Request;
 use rand::Rng;
@@ -29,7 +29,7 @@
     pub is_tied: bool,
 }
 
-/// Sends a call over a connection.
+/// Sends a call to an instance over a connection.
 ///
 /// # Errors
 ///
@@ -37,10 +37,11 @@
 /// before.
 pub async fn call_over(
     link: &mut Link,
+    instance: &str,
     mut req: Request<Full<Bytes>>,
 ) -> anyhow::Result<OwnAnswer> {
     let id = format!("{:016x}", rand::rng().next_u64());
-    set_request_id(req.headers_mut(), &id);
+    address_call(req.headers_mut(), &id, instance);
     let was_used = link.reused;
     link.reused = true;
     let response = links::call(link, req).await?;
@@ -72,11 +73,11 @@
     } else {
         links::open(to.addr).await?
     };
-    let mut answer = call_over(&mut link, req.clone()).await;
+    let mut answer = call_over(&mut link, &to.instance, req.clone()).await;
     if echoes && answer.is_err() {
         // A late answer may have taken the place of this one.
         link = links::open(to.addr).await?;
-        answer = call_over(&mut link, req).await;
+        answer = call_over(&mut link, &to.instance, req).await;
     }
     let answer = answer?;
     if answer.is_tied {
--- a/fireflydirect/tests/processes_second_answers.rs
+++ b/fireflydirect/tests/processes_second_answers.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use futures_util::future::join_all;
+use standins::site::{Engine, EngineKind};
 use support::{Site, cases, until, whole_stream};
 
 /// Events of a stream that outlasts the departure of its engine.
@@ -56,6 +57,30 @@
         leave_amid_second_answers(&mut site, false).await;
     }
 
+    own_call_at_an_address_taken_by_another_service_runs_nothing(site: 1) {
+        let id = site.id();
+        let req = site.stream(0, "/log/a", LONG, &id);
+        let answer = req.header("X-Token-Usage", "500,20").send().await.unwrap();
+        let leaving = site.engine_of(&id).await;
+        let record = site.engines[leaving].registration("models", "draining");
+        site.store.put("servers", &site.engines[leaving].instance(), &record);
+        until("the notice", || async { site.log(0).contains("event=upstream_leaves") }).await;
+        site.engines[leaving].kill();
+        let addr = site.engines[leaving].addr();
+        let taker = loop {
+            let start = Engine::start(EngineKind::Plain, "p-9", addr, site.record.clone());
+            if let Ok(taker) = start.await {
+                break taker;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+        };
+        let _ = answer.text().await;
+        until("the question", || async { site.log(0).contains("event=departure_unknown") }).await;
+        let foreign = site.record.runs().into_iter().find(|r| r.instance == "p-9");
+        assert!(foreign.is_none(), "{foreign:?}");
+        drop(taker);
+    }
+
     second_answer_to_a_move_is_no_answer_to_a_request(site: 1) {
         leave_amid_second_answers(&mut site, false).await;
         for _ in 0..20 {
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -393,7 +393,8 @@
     if let Some(second) = second.take() {
         second.write(stream).await?;
     }
-    if let Some(mut own) = answer_own(shared, req) {
+    let is_model = shared.kind == EngineKind::Model;
+    if let Some(mut own) = answer_own(shared, req).filter(|_| is_model) {
         let id = req.header("x-request-id");
         if let Some(id) = id.filter(|_| !shared.is_silent_about_ids.load(Ordering::Relaxed)) {
             own.headers.push(("X-Request-Id".to_owned(), id.to_owned()));
