--- a/fireflydirect/tests/processes_crashing_parts.rs
+++ b/fireflydirect/tests/processes_crashing_parts.rs
@@ -125,7 +125,9 @@
 /// Returns the log lines of an entry about crashes.
 fn crashes_seen(site: &Site, entry: usize) -> String {
     let log = site.log(entry);
-    let lines = log.lines().filter(|l| l.contains("crash") || l.contains("event=part_"));
+    let lines = log
+        .lines()
+        .filter(|l| l.contains("crash") || l.contains("event=part_"));
     lines.collect::<Vec<_>>().join("\n")
 }
 
