Linger until callers have read the last answer, or a limit is reached

For that second their answers stood in sockets of a process that had ended; they are lost where the network goes with the process, or the kernel bounds or resets such sockets.

Cause: the end of an answer was still read off the producer, now the kernel's buffer in place of the library's. Callers' connections now end in two steps: the own side is shut down, then input is dropped until the caller has closed too, or for 5 s without a write or read, 30 s in all. The process waits for its connections as before, within the grace period.

Before: the new test failed (the process was gone before any of its readers had ended its answer). After: passes. A caller that is silent holds a connection for 5 s after its last answer; readiness goes at SIGTERM as before. The length of the kernel's send queue was ruled out as the sign: reading it needs unsafe code.

--- a/fireflyd/src/acceptor.rs
+++ b/fireflyd/src/acceptor.rs
@@ -1,29 +1,29 @@
-//! TCP acceptor that turns Nagle's algorithm off.
+//! TCP acceptor of callers' connections.
 
 use std::io;
 
+use fireflynet::LingeringStream;
 use poem::http::uri::Scheme;
 use poem::listener::{Acceptor, TcpAcceptor};
 use poem::web::{LocalAddr, RemoteAddr};
-use tokio::net::TcpStream;
 
-/// Accepts TCP connections with `TCP_NODELAY` set.
+/// Accepts TCP connections with `TCP_NODELAY` set, which linger until their callers have read the last answer.
 ///
 /// A token is a small write: Nagle's algorithm with delayed acknowledgements
 /// may delay it by 40 ms.
-pub(crate) struct NoDelayAcceptor(pub(crate) TcpAcceptor);
+pub(crate) struct CallerAcceptor(pub(crate) TcpAcceptor);
 
-impl Acceptor for NoDelayAcceptor {
-    type Io = TcpStream;
+impl Acceptor for CallerAcceptor {
+    type Io = LingeringStream;
 
     fn local_addr(&self) -> Vec<LocalAddr> {
         self.0.local_addr()
     }
 
-    async fn accept(&mut self) -> io::Result<(TcpStream, LocalAddr, RemoteAddr, Scheme)> {
-        let accepted = self.0.accept().await?;
+    async fn accept(&mut self) -> io::Result<(LingeringStream, LocalAddr, RemoteAddr, Scheme)> {
+        let (stream, local, remote, scheme) = self.0.accept().await?;
         // A connection already closed fails at its first read.
-        let _ = accepted.0.set_nodelay(true);
-        Ok(accepted)
+        let _ = stream.set_nodelay(true);
+        Ok((LingeringStream::new(stream), local, remote, scheme))
     }
 }
--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -23,7 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::acceptor::NoDelayAcceptor;
+use crate::acceptor::CallerAcceptor;
 use crate::answer::{self, Failure};
 use crate::metrics::Metrics;
 use crate::request::{
@@ -96,12 +96,12 @@
         let listener = TcpListener::bind(listen).await;
         let listener = TcpAcceptor::from_tokio(listener.context("callers' address")?)?;
         let acceptor = match tls {
-            None => NoDelayAcceptor(listener).boxed(),
+            None => CallerAcceptor(listener).boxed(),
             Some(tls) => {
                 let cert = RustlsCertificate::new().cert(tls.cert).key(tls.key);
                 let config = RustlsConfig::new().fallback(cert);
                 let configs = config.into_stream().context("TLS")?;
-                NoDelayAcceptor(listener).rustls(configs).boxed()
+                CallerAcceptor(listener).rustls(configs).boxed()
             }
         };
         let bound = acceptor
--- a/fireflydirect/src/callers.rs
+++ b/fireflydirect/src/callers.rs
@@ -3,6 +3,7 @@
 use crate::node::{Node, Stage};
 use crate::serve::serve;
 use fireflycroft::Time;
+use fireflynet::LingeringStream;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -119,7 +120,7 @@
     let conn = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
     let mut conn = pin!(conn);
     let mut closing = false;
     loop {
--- a/fireflydirect/tests/processes_stop.rs
+++ b/fireflydirect/tests/processes_stop.rs
@@ -3,6 +3,8 @@
 mod support;
 
 use socket2::{Domain, Socket, Type};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use support::{KEY, Site, cases};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,6 +18,9 @@
 const EVENT_BYTES: usize = 1_000;
 const EVENTS: u64 = 400;
 
+/// Events of an answer that the kernel holds whole well before its caller has read it.
+const SHORT: u64 = 300;
+
 /// Bytes that a caller reads at a time, and the pause between two reads: some 6 s for an answer.
 const READ_BYTES: usize = 1_000;
 const READ_PAUSE: Duration = Duration::from_millis(14);
@@ -26,8 +31,8 @@
 /// Grace period of the users, in which an entry has to end.
 const GRACE: Duration = Duration::from_secs(8);
 
-/// Opens a connection with a small window and sends a request for a stream of [`EVENTS`] large events.
-async fn request(site: &Site, id: &str) -> TcpStream {
+/// Opens a connection with a small window and sends a request for a stream of large events.
+async fn request(site: &Site, id: &str, events: u64) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
     socket.set_tcp_mss(SEGMENT).unwrap();
@@ -35,7 +40,7 @@
     socket.set_nonblocking(true).unwrap();
     let mut stream = TcpStream::from_std(socket.into()).unwrap();
     let head = format!(
-        "POST /log/a?events={EVENTS}&padding={EVENT_BYTES} HTTP/1.1\r\nHost: site.example\r\n\
+        "POST /log/a?events={events}&padding={EVENT_BYTES} HTTP/1.1\r\nHost: site.example\r\n\
          X-Request-Id: {id}\r\nX-Deadline-Ms: 20000\r\nX-Credential: {KEY}\r\nX-Model: m\r\n\
          Content-Length: 6\r\n\r\nprompt"
     );
@@ -43,8 +48,9 @@
     stream
 }
 
-/// Reads an answer slowly to the end of its connection; returns whether it is whole.
-async fn read_slowly(mut stream: TcpStream) -> bool {
+/// Reads an answer slowly to the end of its connection, counted in `ended` before it is closed; returns whether it is
+/// whole.
+async fn read_slowly(mut stream: TcpStream, ended: Arc<AtomicUsize>) -> bool {
     let mut buf = vec![0; READ_BYTES];
     let mut tail = Vec::new();
     while let Ok(len @ 1..) = stream.read(&mut buf).await {
@@ -52,15 +58,18 @@
         tail.drain(..tail.len().saturating_sub(64));
         tokio::time::sleep(READ_PAUSE).await;
     }
+    ended.fetch_add(1, Ordering::SeqCst);
     tail.ends_with(b"0\r\n\r\n")
 }
 
 cases! {
     stopped_entry_hands_over_answers_that_are_read_slowly(site: 1) {
         let ids: Vec<String> = (0..READERS).map(|_| site.id()).collect();
+        let ended = Arc::new(AtomicUsize::new(0));
         let mut readers = Vec::new();
         for id in &ids {
-            readers.push(tokio::spawn(read_slowly(request(&site, id).await)));
+            let stream = request(&site, id, EVENTS).await;
+            readers.push(tokio::spawn(read_slowly(stream, ended.clone())));
         }
         tokio::time::sleep(Duration::from_millis(500)).await;
         site.entries[0].signal("TERM");
@@ -73,6 +82,23 @@
         }
     }
 
+    stopped_entry_stays_until_its_callers_have_read_what_the_kernel_holds(site: 1) {
+        let ids: Vec<String> = (0..READERS).map(|_| site.id()).collect();
+        let ended = Arc::new(AtomicUsize::new(0));
+        let mut readers = Vec::new();
+        for id in &ids {
+            let stream = request(&site, id, SHORT).await;
+            readers.push(tokio::spawn(read_slowly(stream, ended.clone())));
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        site.entries[0].signal("TERM");
+        site.entries[0].wait_for_exit().await;
+        assert_eq!(ended.load(Ordering::SeqCst), READERS, "{}", site.log(0));
+        for reader in readers {
+            assert!(reader.await.unwrap(), "{}", site.log(0));
+        }
+    }
+
     stopped_entry_ends_soon_where_idle_connections_are_open(site: 1) {
         let call = site.call(0, "GET", "/fetch/a", &site.id());
         call.send().await.unwrap().text().await.unwrap();
