Say that a connection closes after a rejection whose body isn't read

Cause: the entry answers before it has read the body, and closed with unread input, on which the kernel resets the connection and drops the answer. With the lingering close the rest is read and dropped, and the answer comes whole. Here the answer also says that the connection closes, so that no further request is sent on it; small bodies come with their heads, and their connections are kept. Pages for peers and operators close in the same way.

Ruled out: reading the body before the rejection, which would hold back an answer that is known.

--- a/fireflydirect/src/page_server.rs
+++ b/fireflydirect/src/page_server.rs
@@ -1,6 +1,7 @@
 //! HTTP server for short responses to the balancer, other entries and operators.
 
 use bytes::Bytes;
+use fireflynet::LingeringStream;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -41,7 +42,7 @@
     });
     // Clients retry the request when their connection breaks.
     let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service)
         .await;
 }
 
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -15,7 +15,7 @@
 };
 use fireflycroft_platform::read_request_head;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::http::uri::Authority;
@@ -29,6 +29,10 @@
 /// Retry delay for what no later attempt gets either: longer than any caller's timeout.
 pub(crate) const FINAL_RETRY_AFTER: Duration = Duration::from_hours(1);
 
+/// Largest body of a refused request after which its connection is kept, in bytes; the rest of a larger one would have
+/// to be read first.
+const KEPT_BODY_BYTES: u64 = 16 << 10;
+
 /// Refusal of a request before anything was sent.
 struct Refusal {
     code: Code,
@@ -53,6 +57,10 @@
 pub async fn serve(node: Rc<Node>, req: Request<Incoming>) -> Answer {
     let arrival = node.now();
     let (parts, body) = req.into_parts();
+    let is_body_small = body
+        .size_hint()
+        .upper()
+        .is_some_and(|b| b <= KEPT_BODY_BYTES);
     let head = read_request_head(&parts.headers);
     let request_id = head.request_id.clone().unwrap_or_default();
     let mut answer = match admit(&node, arrival, parts, head, body).await {
@@ -65,7 +73,11 @@
             );
             let age = node.now().since(arrival);
             node.metrics.record_answer(None, refused.code, age);
-            error_answer(refused.code, refused.retry_after)
+            let mut answer = error_answer(refused.code, refused.retry_after);
+            if !is_body_small {
+                close_after(&mut answer);
+            }
+            answer
         }
     };
     if node.stage() != Stage::Serving {
