Guard the daemon's entry against the same two faults of its connections

On the project's own path the causes were the same: the entry left while its caller had yet to read what the kernel held, and answered 413 and 404 into connections that it closed with unread input.

A key is checked there after the body is read, so that 401 needs no test of its own.

--- a/fireflyd/tests/processes_hostile.rs
+++ b/fireflyd/tests/processes_hostile.rs
@@ -71,6 +71,8 @@
         chat(f, COUNTER).json(&chat_body)
     });
     header_flood => header_flood();
+    caller_that_still_sends_gets_the_rejection_of_a_large_body => rejected_while_sending("/v1/chat/completions", 413);
+    caller_that_still_sends_gets_the_rejection_of_an_unknown_path => rejected_while_sending("/nowhere", 404);
     garbage_on_every_port => garbage();
 }
 
@@ -347,6 +349,27 @@
     assert_serves(&fleet).await;
 }
 
+/// Sends whole requests before the answers are read.
+async fn rejected_while_sending(path: &str, status: u16) {
+    const BODY_BYTES: usize = 6 << 20;
+    let fleet = Fleet::start(one_engine()).await;
+    let addr = fleet.entries[0].callers.unwrap();
+    for _ in 0..8 {
+        let mut caller = TcpStream::connect(addr).await.unwrap();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {COUNTER}\r\n\
+             content-length: {BODY_BYTES}\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.unwrap();
+        caller.write_all(&vec![b'b'; BODY_BYTES]).await.unwrap();
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.unwrap();
+        let begins = format!("HTTP/1.1 {status} ");
+        assert!(answer.starts_with(&begins), "{answer}");
+    }
+    assert_serves(&fleet).await;
+}
+
 /// Sends invalid bytes to the callers', operators' and peers' ports.
 async fn garbage() {
     let mut fleet = Fleet::start(one_engine()).await;
--- a/fireflyd/tests/processes_leaving.rs
+++ b/fireflyd/tests/processes_leaving.rs
@@ -10,7 +10,7 @@
 use standins::caller::{Caller, Request, RequestOutcome, Session};
 use support::{COUNTER, DOSSIERS, Fleet, Node, Spec, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep};
 
@@ -35,6 +35,7 @@
     entry_stop_keeps_queued_calls => entry_stops_with_queue();
     entry_stop_waits_for_a_slow_reader => entry_stops_with_slow_reader();
     entry_stop_waits_for_a_slow_reader_of_a_whole => entry_stops_with_slow_response_reader();
+    entry_stop_outlasts_a_reader_of_what_the_kernel_holds => entry_stops_with_sent_response();
     idle_entry_refuses_before_it_leaves => idle_entry_stops();
     entry_and_agent_stop_together => both_stop();
 }
@@ -322,30 +323,36 @@
     assert!(fleet.entries[0].process.ended().await.success());
 }
 
-/// The entry holds a complete response that its caller reads slowly through a
-/// small receive buffer.
-async fn entry_stops_with_slow_response_reader() {
-    const BODY_BYTES: usize = 700_000;
-    // The echo writes a control character as six bytes, so that the response
-    // exceeds the system's socket buffers.
-    const RESPONSE_BYTES: usize = 6 * BODY_BYTES;
-    let mut fleet = Fleet::start(Spec {
-        plain: true,
-        ..Spec::default()
-    })
-    .await;
+/// Opens a connection with a small receive buffer, and asks for an echo of `body_bytes` control characters, each of
+/// which is six bytes of the response; returns the connection and the response's first bytes.
+async fn begin_echo(fleet: &Fleet, body_bytes: usize) -> (TcpStream, Vec<u8>) {
     let socket = TcpSocket::new_v4().unwrap();
     socket.set_recv_buffer_size(4_096).unwrap();
     let entry = fleet.entries[0].callers.unwrap();
     let mut caller = socket.connect(entry).await.unwrap();
     let head = format!(
         "POST /services/records/file HTTP/1.1\r\nhost: entry\r\n\
-         authorization: Bearer {COUNTER}\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+         authorization: Bearer {COUNTER}\r\ncontent-length: {body_bytes}\r\n\r\n"
     );
     caller.write_all(head.as_bytes()).await.unwrap();
-    caller.write_all(&vec![1; BODY_BYTES]).await.unwrap();
+    caller.write_all(&vec![1; body_bytes]).await.unwrap();
     let mut answer = vec![0; 64];
     caller.read_exact(&mut answer).await.unwrap();
+    (caller, answer)
+}
+
+/// The entry holds a complete response that its caller reads slowly through a
+/// small receive buffer.
+async fn entry_stops_with_slow_response_reader() {
+    // The response exceeds the system's socket buffers.
+    const BODY_BYTES: usize = 700_000;
+    const RESPONSE_BYTES: usize = 6 * BODY_BYTES;
+    let mut fleet = Fleet::start(Spec {
+        plain: true,
+        ..Spec::default()
+    })
+    .await;
+    let (mut caller, mut answer) = begin_echo(&fleet, BODY_BYTES).await;
     fleet.entries[0].process.terminate();
     sleep(Duration::from_secs(2)).await;
     caller.read_to_end(&mut answer).await.unwrap();
@@ -357,6 +364,28 @@
     assert!(fleet.entries[0].process.ended().await.success());
 }
 
+/// The system's socket buffers hold the whole response, which its caller reads after a while.
+async fn entry_stops_with_sent_response() {
+    const BODY_BYTES: usize = 100_000;
+    let mut fleet = Fleet::start(Spec {
+        plain: true,
+        ..Spec::default()
+    })
+    .await;
+    let (mut caller, mut answer) = begin_echo(&fleet, BODY_BYTES).await;
+    fleet.entries[0].process.terminate();
+    sleep(Duration::from_secs(1)).await;
+    caller.read_to_end(&mut answer).await.unwrap();
+    assert!(
+        answer.len() >= 6 * BODY_BYTES,
+        "{} bytes came",
+        answer.len()
+    );
+    assert!(fleet.entries[0].process.is_alive(), "it left too soon");
+    drop(caller);
+    assert!(fleet.entries[0].process.ended().await.success());
+}
+
 /// An idle entry refuses work for the grace period, so that the load balancer notices.
 async fn idle_entry_stops() {
     let mut fleet = Fleet::start(Spec {
