Pin what a stop and a half-closed caller mean for requests in flight

A caller that ends its sending side after the request is taken for one that has left, as before: TCP shows the end of a sending side and a close alike until something is written, and a caller that has closed must not keep an engine at work for longer than half a second (GONE). With half-closed callers kept, a plain call would run on unseen until its answer was written.

--- a/fireflydirect/tests/processes_stop.rs
+++ b/fireflydirect/tests/processes_stop.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use socket2::{Domain, Socket, Type};
+use standins::site::RunEnd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
-use support::{KEY, Site, cases};
+use support::{KEY, Site, cases, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -112,4 +113,52 @@
         assert!(stopped.elapsed() < GRACE / 2, "{}", site.log(0));
         drop((idle, partial));
     }
+
+    stopped_entry_serves_a_request_whose_body_is_on_its_way(site: 1) {
+        let id = site.id();
+        let mut stream = TcpStream::connect(site.callers_of(0)).await.unwrap();
+        let head = format!(
+            "POST /file/a HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: 20000\r\nX-Credential: {KEY}\r\nContent-Length: 30000\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let sender = async {
+            for _ in 0..30 {
+                stream.write_all(&[b'b'; 1_000]).await.unwrap();
+                tokio::time::sleep(Duration::from_millis(120)).await;
+            }
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap();
+            answer
+        };
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            site.entries[0].signal("TERM");
+        };
+        let (answer, ()) = tokio::join!(sender, stop);
+        assert!(answer.contains(&format!("POST /file/a for {id}")), "{answer}");
+        site.entries[0].wait_for_exit().await;
+    }
+
+    caller_that_ends_its_sending_side_has_left(site: 1) {
+        let id = site.id();
+        let mut stream = request(&site, &id, EVENTS).await;
+        site.engine_of(&id).await;
+        stream.shutdown().await.unwrap();
+        until("the end of the run", || async { site.record.running_count() == 0 }).await;
+        assert_eq!(site.record.runs_of(&id)[0].end.0, RunEnd::Abandoned);
+    }
+
+    caller_that_reads_nothing_holds_a_stopped_entry_no_longer_than_the_grace_period(site: 1) {
+        let id = site.id();
+        let silent = request(&site, &id, EVENTS).await;
+        site.engine_of(&id).await;
+        site.entries[0].signal("TERM");
+        let stopped = Instant::now();
+        until("the end of readiness", || async { !site.is_ready(0).await }).await;
+        assert!(site.entries[0].is_running());
+        site.entries[0].wait_for_exit().await;
+        assert!(stopped.elapsed() < GRACE, "{}", site.log(0));
+        drop(silent);
+    }
 }
