Play slow readers around planned work in the soak

What the soak lacked: callers who read slowly. Every second stream of the new plan has up to 122 KB and is read at some 50 KB/s through a small window, while entries stop in series and overlapping, reload and start again, versions come and engines leave. Nothing of that may cut an answer: a new check, `CutByPlannedWork`, judges the answers that break off and the runs without an answer; a request that crossed a close is allowed.

The runner of plans moves into a file of its own, and the tests of stops and the soak share one slow reader.

--- a/fireflydirect/tests/processes_stop.rs
+++ b/fireflydirect/tests/processes_stop.rs
@@ -2,19 +2,15 @@
 
 mod support;
 
-use socket2::{Domain, Socket, Type};
 use standins::site::RunEnd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
+use support::slow_reader::{Pace, connect, is_whole, read_slowly};
 use support::{KEY, Site, cases, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Receive buffer and segments of a caller, in bytes; with them the kernel buffers little for it.
-const RECEIVE_BUFFER: usize = 6_000;
-const SEGMENT: u32 = 500;
-
 /// Size of an event, in bytes, and events of an answer.
 const EVENT_BYTES: usize = 1_000;
 const EVENTS: u64 = 400;
@@ -22,9 +18,11 @@
 /// Events of an answer that the kernel holds whole well before its caller has read it.
 const SHORT: u64 = 300;
 
-/// Bytes that a caller reads at a time, and the pause between two reads: some 6 s for an answer.
-const READ_BYTES: usize = 1_000;
-const READ_PAUSE: Duration = Duration::from_millis(14);
+/// Pace at which a caller needs some 6 s for an answer of [`EVENTS`].
+const PACE: Pace = Pace {
+    bytes: 1_000,
+    pause: Duration::from_millis(14),
+};
 
 /// Callers who read at a time; for each of them the last bytes wait in the entry at another moment.
 const READERS: usize = 16;
@@ -34,12 +32,7 @@
 
 /// Opens a connection with a small window and sends a request for a stream of large events.
 async fn request(site: &Site, id: &str, events: u64) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_recv_buffer_size(RECEIVE_BUFFER).unwrap();
-    socket.set_tcp_mss(SEGMENT).unwrap();
-    socket.connect(&site.callers_of(0).into()).unwrap();
-    socket.set_nonblocking(true).unwrap();
-    let mut stream = TcpStream::from_std(socket.into()).unwrap();
+    let mut stream = connect(site.callers_of(0)).unwrap();
     let head = format!(
         "POST /log/a?events={events}&padding={EVENT_BYTES} HTTP/1.1\r\nHost: site.example\r\n\
          X-Request-Id: {id}\r\nX-Deadline-Ms: 20000\r\nX-Credential: {KEY}\r\nX-Model: m\r\n\
@@ -49,18 +42,11 @@
     stream
 }
 
-/// Reads an answer slowly to the end of its connection, counted in `ended` before it is closed; returns whether it is
-/// whole.
-async fn read_slowly(mut stream: TcpStream, ended: Arc<AtomicUsize>) -> bool {
-    let mut buf = vec![0; READ_BYTES];
-    let mut tail = Vec::new();
-    while let Ok(len @ 1..) = stream.read(&mut buf).await {
-        tail.extend_from_slice(&buf[..len]);
-        tail.drain(..tail.len().saturating_sub(64));
-        tokio::time::sleep(READ_PAUSE).await;
-    }
+/// Reads an answer slowly, counted in `ended` before its connection is closed; returns whether it is whole.
+async fn read(mut stream: TcpStream, ended: Arc<AtomicUsize>) -> bool {
+    let answer = read_slowly(&mut stream, PACE).await;
     ended.fetch_add(1, Ordering::SeqCst);
-    tail.ends_with(b"0\r\n\r\n")
+    is_whole(&answer)
 }
 
 cases! {
@@ -70,7 +56,7 @@
         let mut readers = Vec::new();
         for id in &ids {
             let stream = request(&site, id, EVENTS).await;
-            readers.push(tokio::spawn(read_slowly(stream, ended.clone())));
+            readers.push(tokio::spawn(read(stream, ended.clone())));
         }
         tokio::time::sleep(Duration::from_millis(500)).await;
         site.entries[0].signal("TERM");
@@ -89,7 +75,7 @@
         let mut readers = Vec::new();
         for id in &ids {
             let stream = request(&site, id, SHORT).await;
-            readers.push(tokio::spawn(read_slowly(stream, ended.clone())));
+            readers.push(tokio::spawn(read(stream, ended.clone())));
         }
         tokio::time::sleep(Duration::from_millis(500)).await;
         site.entries[0].signal("TERM");
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -12,20 +12,21 @@
     pub(crate) mod plan;
     mod records;
     pub(crate) mod report;
+    pub(crate) mod run;
 }
 mod support;
 
-use reqwest::Client;
-use soak_parts::callers::{BAD_PART, BAD_PATH, Callers};
-use soak_parts::faults::{Soak, other_version};
+use soak_parts::callers::Callers;
 use soak_parts::plan::{
-    Fault, Step, plan, plan_beside_crashes, plan_with_conditions, plan_with_drills,
-    plan_with_unheard_departures, plan_with_versions,
+    Fault, Step, plan, plan_beside_crashes, plan_of_planned_work, plan_with_conditions,
+    plan_with_drills, plan_with_unheard_departures, plan_with_versions,
 };
-use soak_parts::report::report;
-use standins::site::{Attempt, FIRST_VERSION, Outcome, ProxyFault, Run, RunEnd};
+use soak_parts::run::{
+    CRASHING_PARTS, CRASHING_REQUESTS, Changes, SLOW_READERS, UNCHANGED, VERSIONS, env_or,
+    run_plan, run_plan_with,
+};
+use standins::site::{Attempt, Outcome, ProxyFault};
 use std::time::Duration;
-use support::{KEY, Site, until};
 
 /// Seeds of the short run; each that has ever failed is kept, with its cause.
 ///
@@ -57,6 +58,12 @@
 /// Default seeds of soaks with a request that crashes engines and comes again.
 const DEFAULT_REQUEST_SEEDS: &str = "1,2,3";
 
+/// Default seeds of soaks with readers that are slow, before planned work.
+const DEFAULT_READER_SEEDS: &str = "1,2";
+
+/// Shortest of these soaks, in seconds: an entry that stops is gone for most of that.
+const MIN_READER_SECONDS: u64 = 12;
+
 /// Shortest soak in which requests after a refusal are judged, in seconds.
 const MIN_CRASH_SECONDS: u64 = 9;
 
@@ -66,180 +73,12 @@
 /// Default length of a soak in seconds.
 const DEFAULT_SECONDS: u64 = 5;
 
-/// Default number of entries.
-const DEFAULT_ENTRIES: u8 = 3;
-
-/// Objective of the `log` route, a quarter of which is longer than most runs take.
-const LOG_OBJECTIVE_MS: u64 = 16_000;
-
-/// Concurrent callers.
-const CALLER_COUNT: usize = 12;
-
-/// Initial model engines: two always stay, so with fewer none would be removed.
-const INITIAL_ENGINES: u8 = 4;
-
-fn env_or<T: std::str::FromStr>(name: &str, default: T) -> T {
-    let given = std::env::var(name).ok().and_then(|text| text.parse().ok());
-    given.unwrap_or(default)
-}
-
 async fn soak(seed: u64) {
     let seconds = Duration::from_secs(env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS));
     let steps = plan(seed, seconds);
     run_plan(&format!("seed {seed}"), &steps, seconds).await;
 }
 
-/// Changes to a soak beside its fault plan.
-struct Changes {
-    /// Mechanisms that entries go without, separated by commas.
-    without: &'static str,
-    callers: fn(Callers) -> Callers,
-    /// Initial model engines.
-    engines: u8,
-    /// Whether every second of these has another software version.
-    two_versions: bool,
-    /// Whether a part of prompts crashes engines.
-    crashing_part: bool,
-    /// Whether a request that comes again does.
-    crashing_request: bool,
-}
-
-/// No change.
-const UNCHANGED: Changes = Changes {
-    without: "",
-    callers: |callers| callers,
-    engines: INITIAL_ENGINES,
-    two_versions: false,
-    crashing_part: false,
-    crashing_request: false,
-};
-
-/// Streams beside one that crashes engines and comes again.
-const CRASHING_REQUESTS: Changes = Changes {
-    callers: Callers::repeating,
-    engines: 6,
-    crashing_request: true,
-    ..UNCHANGED
-};
-
-/// Streams of which some crash engines by a part of their prompts.
-const CRASHING_PARTS: Changes = Changes {
-    callers: Callers::crashing,
-    engines: 6,
-    crashing_part: true,
-    ..UNCHANGED
-};
-
-/// Three engines of each of two software versions, and callers who take streams up.
-const VERSIONS: Changes = Changes {
-    callers: Callers::breaking_off,
-    engines: 6,
-    two_versions: true,
-    ..UNCHANGED
-};
-
-/// Outcome of a soak that kept every guarantee.
-struct Outcomes {
-    attempts: Vec<Attempt>,
-    /// Generations that were held.
-    held: usize,
-    /// Engines that a request or a part of its prompt crashed.
-    crashes: usize,
-}
-
-/// Runs a fault plan and checks every guarantee.
-async fn run_plan(name: &str, steps: &[Step], seconds: Duration) -> Outcomes {
-    run_plan_with(UNCHANGED, name, steps, seconds).await
-}
-
-/// The same with changes.
-async fn run_plan_with(
-    changes: Changes,
-    name: &str,
-    steps: &[Step],
-    seconds: Duration,
-) -> Outcomes {
-    let entries: u8 = env_or("FIREFLY_SOAK_ENTRIES", DEFAULT_ENTRIES);
-    let restarts = steps
-        .iter()
-        .any(|s| matches!(s.fault, Fault::KillEntry | Fault::StopEntry));
-    let mut site = Site::without_entries().await;
-    site.without = changes.without;
-    for number in 2..changes.engines {
-        site.start_engine(number).await;
-    }
-    for engine in site.engines.iter().skip(1).step_by(2) {
-        if changes.two_versions {
-            engine.set_version(other_version(FIRST_VERSION));
-        }
-    }
-    site.direct_engines = changes.crashing_part || changes.crashing_request;
-    if changes.crashing_part {
-        site.record.crash_on(BAD_PART);
-    }
-    if changes.crashing_request {
-        site.record.crash_on_path(BAD_PATH);
-    }
-    site.use_proxies().await;
-    site.log_objective_ms = LOG_OBJECTIVE_MS;
-    site.publish(&[KEY]);
-    for i in 0..entries {
-        site.add_entry(i + 1).await;
-    }
-    for entry in 0..usize::from(entries) {
-        site.until_ready(entry).await;
-    }
-    let addrs = (0..usize::from(entries))
-        .map(|e| site.callers_of(e))
-        .collect();
-    let callers = (changes.callers)(Callers::new(addrs));
-    let caller_tasks: Vec<_> = (0..CALLER_COUNT)
-        .map(|_| tokio::spawn(callers.clone().run(Client::new())))
-        .collect();
-    let foreign_service = if restarts { "nowhere" } else { "records" };
-    let mut soak = Soak::new(site, foreign_service);
-    soak.run(steps, seconds).await;
-    soak.recover().await;
-    callers.end();
-    for caller in caller_tasks {
-        caller.await.unwrap();
-    }
-    until("the last run's end", || async {
-        soak.site.record.running_count() == 0
-    })
-    .await;
-    soak.evidence.attempts = callers.attempts();
-    soak.evidence.runs = soak.site.record.runs();
-    soak.evidence.crashing_parts = soak.site.record.crashing_parts();
-    soak.evidence.crashing_paths = soak.site.record.crashing_paths();
-    soak.evidence.foreign_memory = soak.site.record.foreign_memory();
-    let breaches = soak.evidence.find_breaches();
-    assert!(
-        breaches.is_empty(),
-        "{}",
-        report(name, steps, &breaches, &soak.site)
-    );
-    let complete = soak.evidence.attempts.iter();
-    let complete = complete
-        .filter(|a| matches!(a.outcome, Outcome::Complete(_)))
-        .count();
-    println!(
-        "{name}: {} attempts, {complete} whole, {} faults",
-        soak.evidence.attempts.len(),
-        steps.len()
-    );
-    assert!(complete > 0, "{name}: nothing was served");
-    let logs = (0..usize::from(entries)).map(|e| soak.site.log(e));
-    let held = logs.map(|log| log.matches(" event=held ").count()).sum();
-    soak.site.check();
-    let crashed = |r: &&Run| r.end.0 == RunEnd::Crashed;
-    Outcomes {
-        held,
-        crashes: soak.evidence.runs.iter().filter(crashed).count(),
-        attempts: soak.evidence.attempts,
-    }
-}
-
 /// Every seed, one after another, keeps all guarantees.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_keep_the_promises() {
@@ -354,6 +193,20 @@
     }
 }
 
+/// Large answers are read slowly while entries stop, reload and start again, and engines leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_readers_around_planned_work_get_whole_answers() {
+    let seeds = DEFAULT_READER_SEEDS.to_owned();
+    let seeds: String = env_or("FIREFLY_SOAK_READER_SEEDS", seeds);
+    let seconds = env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS).max(MIN_READER_SECONDS);
+    let seconds = Duration::from_secs(seconds);
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_of_planned_work(seed, seconds);
+        let name = format!("slow readers, seed {seed}");
+        run_plan_with(SLOW_READERS, &name, &steps, seconds).await;
+    }
+}
+
 /// Streams crash engines by a part, without other faults, for long enough to judge sound requests that share the other
 /// parts.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -1,5 +1,6 @@
 //! Callers of a soak: they send requests over persistent connections and record the outcomes.
 
+use crate::support::slow_reader::{self, Pace};
 use crate::support::{KEY, rest_of_stream};
 use reqwest::Client;
 use standins::site::{Attempt, Outcome, RequestKind, last_event};
@@ -7,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
 
 /// Timeout of a caller for a complete answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -56,6 +58,15 @@
 /// Events that a stream on that path would have.
 const BAD_EVENTS: u64 = 40;
 
+/// Padding of each event of a stream that is read slowly, in bytes.
+const PADDING: usize = 1_000;
+
+/// Pace at which the longest of these takes a third of its caller's timeout.
+const SLOW_PACE: Pace = Pace {
+    bytes: 800,
+    pause: Duration::from_millis(16),
+};
+
 /// Different first and second parts of prompts.
 const FIRST_PARTS: u64 = 3;
 const SECOND_PARTS: u64 = 7;
@@ -81,13 +92,15 @@
     crowd: bool,
     /// Whether some callers break their streams off to take them up elsewhere.
     breaks: bool,
+    /// Whether every second stream is large and read slowly.
+    reads_slowly: bool,
     /// What crashes engines.
     cause: CrashCause,
 }
 
 /// What some streams have that crashes engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CrashCause {
+pub(crate) enum CrashCause {
     Nothing,
     /// A part of their prompts; no two of them are alike.
     Part,
@@ -105,6 +118,7 @@
             next: Arc::default(),
             crowd: false,
             breaks: false,
+            reads_slowly: false,
             cause: CrashCause::Nothing,
         }
     }
@@ -140,6 +154,14 @@
         }
     }
 
+    /// Makes every second stream large, read slowly over a connection of its own.
+    pub(crate) fn reading_slowly(self) -> Self {
+        Self {
+            reads_slowly: true,
+            ..self
+        }
+    }
+
     /// Makes some streams crash engines by a part of their prompts; no two are alike, and sound ones share the
     /// other parts.
     pub(crate) fn crashing(self) -> Self {
@@ -267,7 +289,15 @@
             ANSWER_TIMEOUT
         };
         let began = Instant::now();
-        let outcome = match tokio::time::timeout(patience, read(req, until)).await {
+        let is_slow = self.reads_slowly && is_stream && (number / 4).is_multiple_of(2);
+        let answer = async {
+            if is_slow {
+                read_slow_stream(self.entries[entry], &path, &id).await
+            } else {
+                read(req, until).await
+            }
+        };
+        let outcome = match tokio::time::timeout(patience, answer).await {
             Ok(outcome) => outcome,
             Err(_) => Outcome::NoAnswer,
         };
@@ -334,6 +364,36 @@
     }
 }
 
+/// Sends a request for a stream of padded events and reads it slowly.
+async fn read_slow_stream(entry: SocketAddr, path: &str, id: &str) -> Outcome {
+    let Ok(mut stream) = slow_reader::connect(entry) else {
+        return Outcome::NoAnswer;
+    };
+    let head = format!(
+        "POST {path}&padding={PADDING} HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: {}\r\nX-Credential: {KEY}\r\nContent-Length: 6\r\n\r\nprompt",
+        ANSWER_TIMEOUT.as_millis()
+    );
+    if stream.write_all(head.as_bytes()).await.is_err() {
+        return Outcome::NoAnswer;
+    }
+    let answer = slow_reader::read_slowly(&mut stream, SLOW_PACE).await;
+    let Some((status, body)) = slow_reader::decode(&answer) else {
+        return Outcome::NoAnswer;
+    };
+    let body = String::from_utf8_lossy(&body);
+    let events: String = body
+        .split_inclusive('\n')
+        .filter(|l| !l.starts_with(':'))
+        .collect();
+    match status {
+        200 if slow_reader::is_whole(&answer) => Outcome::Complete(events),
+        200 => Outcome::Truncated(events),
+        408 | 421 | 429 | 503 => Outcome::NotRun(status),
+        _ => Outcome::Failed(status),
+    }
+}
+
 /// Returns method, path and expected body of a request.
 fn call_of(kind: RequestKind, id: &str, after: u64, events: u64) -> (&'static str, String, String) {
     match kind {
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -206,6 +206,28 @@
     steps
 }
 
+/// Returns planned work alone, most of it stops of entries: it may cut no answer.
+pub(crate) fn plan_of_planned_work(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(40));
+    let mut steps = Vec::new();
+    let mut at = Duration::from_millis(600);
+    while at < length {
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(rng.random_range(200..1_500)),
+            fault: match rng.random_range(0..6) {
+                0..3 => Fault::StopEntry,
+                3 => Fault::Reload,
+                4 => Fault::Publish,
+                _ => Fault::LeaveEngine { announced: true },
+            },
+            pick: rng.random_range(0..1_000),
+        });
+        at += Duration::from_millis(rng.random_range(100..1_800));
+    }
+    steps
+}
+
 fn draw_fault(rng: &mut impl Rng) -> Fault {
     match rng.random_range(0..22) {
         0 => Fault::KillEngine,
--- /dev/null
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -0,0 +1,186 @@
+//! Runs a fault plan on a site and checks every guarantee.
+
+use crate::soak_parts::callers::{BAD_PART, BAD_PATH, Callers, CrashCause};
+use crate::soak_parts::faults::{Soak, other_version};
+use crate::soak_parts::plan::{Fault, Step};
+use crate::soak_parts::report::report;
+use crate::support::{KEY, Site, until};
+use reqwest::Client;
+use standins::site::{Attempt, FIRST_VERSION, Outcome, Run, RunEnd};
+use std::time::Duration;
+
+/// Default number of entries.
+const DEFAULT_ENTRIES: u8 = 3;
+
+/// Objective of the `log` route, a quarter of which is longer than most runs take.
+const LOG_OBJECTIVE_MS: u64 = 16_000;
+
+/// Concurrent callers.
+const CALLER_COUNT: usize = 12;
+
+/// Initial model engines: two always stay, so with fewer none would be removed.
+const INITIAL_ENGINES: u8 = 4;
+
+/// Returns the value of an environment variable, or the default.
+pub(crate) fn env_or<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let given = std::env::var(name).ok().and_then(|text| text.parse().ok());
+    given.unwrap_or(default)
+}
+
+/// Changes to a soak beside its fault plan.
+pub(crate) struct Changes {
+    /// Mechanisms that entries go without, separated by commas.
+    pub(crate) without: &'static str,
+    pub(crate) callers: fn(Callers) -> Callers,
+    /// Initial model engines.
+    pub(crate) engines: u8,
+    /// Whether every second of these has another software version.
+    pub(crate) two_versions: bool,
+    /// What crashes engines.
+    pub(crate) cause: CrashCause,
+    /// Whether the plan has planned work only, which may cut no answer.
+    pub(crate) is_planned: bool,
+}
+
+/// No change.
+pub(crate) const UNCHANGED: Changes = Changes {
+    without: "",
+    callers: |callers| callers,
+    engines: INITIAL_ENGINES,
+    two_versions: false,
+    cause: CrashCause::Nothing,
+    is_planned: false,
+};
+
+/// Streams beside one that crashes engines and comes again.
+pub(crate) const CRASHING_REQUESTS: Changes = Changes {
+    callers: Callers::repeating,
+    engines: 6,
+    cause: CrashCause::Request,
+    ..UNCHANGED
+};
+
+/// Streams of which some crash engines by a part of their prompts.
+pub(crate) const CRASHING_PARTS: Changes = Changes {
+    callers: Callers::crashing,
+    engines: 6,
+    cause: CrashCause::Part,
+    ..UNCHANGED
+};
+
+/// Three engines of each of two software versions, and callers who take streams up.
+pub(crate) const VERSIONS: Changes = Changes {
+    callers: Callers::breaking_off,
+    engines: 6,
+    two_versions: true,
+    ..UNCHANGED
+};
+
+/// Large streams that are read slowly, before planned work only.
+pub(crate) const SLOW_READERS: Changes = Changes {
+    callers: Callers::reading_slowly,
+    is_planned: true,
+    ..UNCHANGED
+};
+
+/// Outcome of a soak that kept every guarantee.
+pub(crate) struct Outcomes {
+    pub(crate) attempts: Vec<Attempt>,
+    /// Generations that were held.
+    pub(crate) held: usize,
+    /// Engines that a request or a part of its prompt crashed.
+    pub(crate) crashes: usize,
+}
+
+/// Runs a fault plan and checks every guarantee.
+pub(crate) async fn run_plan(name: &str, steps: &[Step], seconds: Duration) -> Outcomes {
+    run_plan_with(UNCHANGED, name, steps, seconds).await
+}
+
+/// The same with changes.
+pub(crate) async fn run_plan_with(
+    changes: Changes,
+    name: &str,
+    steps: &[Step],
+    seconds: Duration,
+) -> Outcomes {
+    let entries: u8 = env_or("FIREFLY_SOAK_ENTRIES", DEFAULT_ENTRIES);
+    let restarts = steps
+        .iter()
+        .any(|s| matches!(s.fault, Fault::KillEntry | Fault::StopEntry));
+    let mut site = Site::without_entries().await;
+    site.without = changes.without;
+    for number in 2..changes.engines {
+        site.start_engine(number).await;
+    }
+    for engine in site.engines.iter().skip(1).step_by(2) {
+        if changes.two_versions {
+            engine.set_version(other_version(FIRST_VERSION));
+        }
+    }
+    site.direct_engines = changes.cause != CrashCause::Nothing;
+    match changes.cause {
+        CrashCause::Nothing => {}
+        CrashCause::Part => site.record.crash_on(BAD_PART),
+        CrashCause::Request => site.record.crash_on_path(BAD_PATH),
+    }
+    site.use_proxies().await;
+    site.log_objective_ms = LOG_OBJECTIVE_MS;
+    site.publish(&[KEY]);
+    for i in 0..entries {
+        site.add_entry(i + 1).await;
+    }
+    for entry in 0..usize::from(entries) {
+        site.until_ready(entry).await;
+    }
+    let addrs = (0..usize::from(entries))
+        .map(|e| site.callers_of(e))
+        .collect();
+    let callers = (changes.callers)(Callers::new(addrs));
+    let caller_tasks: Vec<_> = (0..CALLER_COUNT)
+        .map(|_| tokio::spawn(callers.clone().run(Client::new())))
+        .collect();
+    let foreign_service = if restarts { "nowhere" } else { "records" };
+    let mut soak = Soak::new(site, foreign_service);
+    soak.run(steps, seconds).await;
+    soak.recover().await;
+    callers.end();
+    for caller in caller_tasks {
+        caller.await.unwrap();
+    }
+    until("the last run's end", || async {
+        soak.site.record.running_count() == 0
+    })
+    .await;
+    soak.evidence.attempts = callers.attempts();
+    soak.evidence.runs = soak.site.record.runs();
+    soak.evidence.crashing_parts = soak.site.record.crashing_parts();
+    soak.evidence.crashing_paths = soak.site.record.crashing_paths();
+    soak.evidence.is_planned = changes.is_planned;
+    soak.evidence.foreign_memory = soak.site.record.foreign_memory();
+    let breaches = soak.evidence.find_breaches();
+    assert!(
+        breaches.is_empty(),
+        "{}",
+        report(name, steps, &breaches, &soak.site)
+    );
+    let complete = soak.evidence.attempts.iter();
+    let complete = complete
+        .filter(|a| matches!(a.outcome, Outcome::Complete(_)))
+        .count();
+    println!(
+        "{name}: {} attempts, {complete} whole, {} faults",
+        soak.evidence.attempts.len(),
+        steps.len()
+    );
+    assert!(complete > 0, "{name}: nothing was served");
+    let logs = (0..usize::from(entries)).map(|e| soak.site.log(e));
+    let held = logs.map(|log| log.matches(" event=held ").count()).sum();
+    soak.site.check();
+    let crashed = |r: &&Run| r.end.0 == RunEnd::Crashed;
+    Outcomes {
+        held,
+        crashes: soak.evidence.runs.iter().filter(crashed).count(),
+        attempts: soak.evidence.attempts,
+    }
+}
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod operators;
 mod ports;
 mod requests;
+pub(crate) mod slow_reader;
 
 use std::collections::HashMap;
 use std::fs;
--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -152,6 +152,8 @@
     RequestServed(String),
     /// Too few sound requests begin that share the other parts of those; with their share and that before.
     LostBeside(String),
+    /// An answer cut off though nothing but planned work went on.
+    CutByPlannedWork(String),
     /// Too few of the streams that callers take up go on; with their share and that of new streams.
     LostStreams(String),
 }
@@ -218,6 +220,8 @@
     pub crashing_parts: Vec<String>,
     /// Paths of requests that crash upstreams.
     pub crashing_paths: Vec<String>,
+    /// Whether nothing but planned work went on.
+    pub is_planned: bool,
 }
 
 impl Evidence {
@@ -234,6 +238,8 @@
             breaches.extend(check_answer(attempt));
             breaches.extend(check_runs(attempt, &runs));
             breaches.extend(self.check_overlap(attempt, &runs));
+            let cut = self.is_planned && is_cut(attempt, &runs);
+            breaches.extend(cut.then(|| Breach::CutByPlannedWork(attempt.id.clone())));
         }
         let foreign = self.foreign_memory.iter().cloned();
         breaches.extend(foreign.map(Breach::ForeignMemory));
@@ -446,6 +452,15 @@
     run.shared_parts.iter().any(|p| p == part)
 }
 
+/// Returns whether a request that has run got no complete answer.
+fn is_cut(attempt: &Attempt, runs: &[&Run]) -> bool {
+    match attempt.outcome {
+        Outcome::Truncated(_) => true,
+        Outcome::NoAnswer | Outcome::Failed(_) => !runs.is_empty(),
+        Outcome::Complete(_) | Outcome::NotRun(_) => false,
+    }
+}
+
 fn check_answer(attempt: &Attempt) -> Option<Breach> {
     let is_valid = match &attempt.outcome {
         Outcome::Complete(body) => without_versions(body) == attempt.expected_body,
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -71,9 +71,23 @@
         assert_eq!(beside(9).find_breaches(), [Breach::LostBeside("bad: 9/20 20/20".to_owned())]);
     };
     half_of_the_sound_requests_beside_it_is_enough => assert_eq!(beside(10).find_breaches(), []);
+    answer_cut_by_planned_work_is_found =>
+        assert_breach(&planned(Outcome::Truncated("ow".into()), vec![run(0, 1)]), Breach::CutByPlannedWork);
+    run_without_an_answer_in_planned_work_is_found =>
+        assert_breach(&planned(Outcome::NoAnswer, vec![run(0, 1)]), Breach::CutByPlannedWork);
+    request_that_crossed_the_close_in_planned_work_is_allowed =>
+        assert_eq!(planned(Outcome::NoAnswer, vec![]).find_breaches(), []);
     run_left_behind_is_found => assert_breach(&evidence(RequestKind::Log, complete(), vec![left_running()]), Breach::LeftRunning);
 }
 
+/// Returns evidence of a stream beside planned work.
+fn planned(outcome: Outcome, runs: Vec<Run>) -> Evidence {
+    Evidence {
+        is_planned: true,
+        ..evidence(RequestKind::Log, outcome, runs)
+    }
+}
+
 /// Returns runs of an upstream whose answers carry a leave notice from second 1 on: one at second
 /// 2 and one at `second_start`.
 fn departing(second_start: u64) -> Evidence {
