End no upstream by a record of another service with a later start

Callers saw: where a foreign record under an upstream's id named a service that is known and a later start, the upstream's streams were cut and it was shut out for some five seconds.

An upstream never changes its service, so the record is doubtful: it is set aside, what runs goes on, and the upstream's own record brings it back. If records of that start go on to come for five seconds with none of the held start between, they are believed; the same record read again doesn't count. A record that waited for a configuration to name its service still counts at once.

--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -8,6 +8,7 @@
 //! a newer start ends the old incarnation. The new incarnation gets an entry of its
 //! own in the pool, so that references to the old one find it ended.
 
+use crate::foreign_record::StartClaim;
 use crate::ids::{Digest, Name};
 use crate::interference::ReadingShare;
 use crate::leave_notice::LeaveNotice;
@@ -91,33 +92,28 @@
         let Some(ix) = self.find(&record.instance) else {
             return self.add_new(now, record);
         };
-        let is_of_unknown_service =
-            self.names_unknown_service(&self.upstreams[ix.0].record, &record);
-        let u = &mut self.upstreams[ix.0];
+        let u = &self.upstreams[ix.0];
         let kind = classify(&u.record, u.removed, &record);
-        if is_of_unknown_service && matches!(kind, RecordKind::Restart) {
-            u.awaits_service = Some(record.clone());
-            let lost = self.unreadable(&record.instance, record.revision)?;
-            return self.upsert(now, lost);
-        }
         match kind {
             RecordKind::Stale => {
+                let u = &mut self.upstreams[ix.0];
                 if is_same_incarnation(&u.record, &record) {
                     u.learn_version(&record);
                 }
                 return None;
             }
-            RecordKind::Restart => return Some(self.restart(now, ix, record)),
-            RecordKind::Contradiction => {
-                let is_wrong = u.record_contradiction(now);
-                return is_wrong.then(|| self.restart(now, ix, record));
+            RecordKind::Restart => {
+                let claim = self.judge_restart(now, ix, &record);
+                return self.apply_start(now, ix, record, &claim);
             }
-            RecordKind::Foreign => {
-                let lost = self.unreadable(&record.instance, record.revision)?;
-                return self.upsert(now, lost);
+            RecordKind::Contradiction => {
+                let claim = self.judge_earlier_start(now, ix);
+                return self.apply_start(now, ix, record, &claim);
             }
+            RecordKind::Foreign => return self.set_aside(now, &record),
             RecordKind::Update => {}
         }
+        let u = &mut self.upstreams[ix.0];
         u.learn_version(&record);
         u.record_own(&record);
         let software_version = u.record.software_version.clone();
@@ -154,6 +150,27 @@
         }
     }
 
+    /// Applies a record that states another start than the held one.
+    fn apply_start(
+        &mut self,
+        now: Time,
+        ix: UpstreamIx,
+        record: UpstreamRecord,
+        claim: &StartClaim,
+    ) -> Option<PoolChange> {
+        match claim {
+            StartClaim::Credible => Some(self.restart(now, ix, record)),
+            StartClaim::Doubtful => self.set_aside(now, &record),
+            StartClaim::Late => None,
+        }
+    }
+
+    /// Holds an upstream's record for unreadable, since another one that may be foreign has taken its place.
+    fn set_aside(&mut self, now: Time, record: &UpstreamRecord) -> Option<PoolChange> {
+        let lost = self.unreadable(&record.instance, record.revision)?;
+        self.upsert(now, lost)
+    }
+
     /// Returns the record, set to leaving if its upstream left before the store was restored.
     ///
     /// An incarnation that announced its leaving, or was removed, never takes new work again. Until it
@@ -190,7 +207,12 @@
     }
 
     /// Ends an incarnation and adds the later one that has taken its id.
-    fn restart(&mut self, now: Time, old: UpstreamIx, record: UpstreamRecord) -> PoolChange {
+    pub(crate) fn restart(
+        &mut self,
+        now: Time,
+        old: UpstreamIx,
+        record: UpstreamRecord,
+    ) -> PoolChange {
         let u = &mut self.upstreams[old.0];
         // The id may have been removed from the list since the new incarnation wrote its record.
         let missing = u.missing.take_if(|m| m.revision >= record.revision);
--- a/fireflycroft/tests/pool_incarnations.rs
+++ b/fireflycroft/tests/pool_incarnations.rs
@@ -33,6 +33,8 @@
     record_of_a_service_counts_once_a_configuration_names_it => service_named_later();
     upstream_that_goes_on_to_state_an_earlier_start_is_believed => set_back();
     old_record_with_an_earlier_start_says_nothing => old_start();
+    later_start_of_another_service_ends_no_incarnation => other_service();
+    later_start_of_another_service_counts_once_it_goes_on => other_service_goes_on();
 }
 
 fn services(names: &[&str]) -> Vec<Name> {
@@ -93,6 +95,37 @@
     assert!(!pool.is_ended(a));
 }
 
+fn other_service() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    pool.set_services(at(0), services(&["models", "records"]));
+    let change = pool.upsert(at(10), of_service("records", 900, 5));
+    assert_eq!(change, Some(PoolChange::Unreadable(a)));
+    assert!(!pool.is_ended(a));
+    let change = pool.upsert(at(1_200), incarnation_record("a", 100, 6));
+    assert_eq!(change, Some(PoolChange::Available(a)));
+    assert_eq!((pool.count("models"), pool.count("records")), (1, 0));
+    pool.upsert(at(2_000), of_service("records", 900, 7));
+    // The same record is read again.
+    assert_eq!(pool.upsert(at(9_000), of_service("records", 900, 7)), None);
+    assert!(!pool.is_ended(a));
+}
+
+fn other_service_goes_on() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    pool.set_services(at(0), services(&["models", "records"]));
+    for heartbeat in 0..5 {
+        pool.upsert(
+            at(1_000 * heartbeat),
+            of_service("records", 900, 5 + heartbeat),
+        );
+        assert!(!pool.is_ended(a));
+    }
+    let change = pool.upsert(at(5_000), of_service("records", 900, 10));
+    let begun = ix(&pool, "a");
+    assert_eq!(change, Some(PoolChange::Restarted { ended: a, begun }));
+    assert_eq!((pool.count("models"), pool.count("records")), (0, 1));
+}
+
 fn old_start() {
     let (mut pool, a) = pool_of_one_incarnation();
     pool.upsert(at(5), incarnation_record("a", 200, 9));
--- a/fireflydirect/tests/processes_incarnations.rs
+++ b/fireflydirect/tests/processes_incarnations.rs
@@ -42,26 +42,11 @@
     }
 
     strangers_record_with_a_later_start_ends_no_stream(site: 1) {
-        let id = site.id();
-        let stream = site.generation(0, "/log/a", 150, &id).send().await.unwrap();
-        let engine = site.engine_of(&id).await;
-        let instance = site.engines[engine].instance();
-        let mut foreign = site.engines[engine].registration("nowhere", "ready");
-        foreign["born"] = (site.engines[engine].born() + 60_000).into();
-        site.store.put("servers", &instance, &foreign);
-        let marked = format!("event=upstream_set_aside instance={instance}");
-        until("the foreign record", || async { site.log(0).contains(&marked) }).await;
-        let own = site.engines[engine].registration("models", "ready");
-        site.store.put("servers", &instance, &own);
-        assert_eq!(stream.text().await.unwrap(), whole_stream(&id, 150), "{}", site.log(0));
-        let came = format!("event=upstream_came instance={instance}");
-        until("its own record", || async { site.log(0).matches(&came).count() == 2 }).await;
-        site.store.remove("servers", &site.engines[1 - engine].instance());
-        until("the new stream", || async {
-            let id = site.id();
-            let stream = site.generation(0, "/log/a", 3, &id).send().await.unwrap();
-            stream.text().await.unwrap() == whole_stream(&id, 3)
-        }).await;
+        check_later_start(&site, "nowhere").await;
+    }
+
+    strangers_record_of_a_known_service_with_a_later_start_ends_no_stream(site: 1) {
+        check_later_start(&site, "records").await;
     }
 
     /// Foreign records of several kinds overwrite an engine's record; the engine rewrites its own.
@@ -92,3 +77,40 @@
         assert!(site.metrics(0).await.contains("firefly_direct_unreadable_total{what=\"upstream\"}"));
     }
 }
+
+/// Overwrites an engine's record with one of this service and a later start while a stream runs there.
+async fn check_later_start(site: &Site, service: &str) {
+    let id = site.id();
+    let stream = site.generation(0, "/log/a", 150, &id).send().await.unwrap();
+    let engine = site.engine_of(&id).await;
+    let instance = site.engines[engine].instance();
+    let mut foreign = site.engines[engine].registration(service, "ready");
+    foreign["born"] = (site.engines[engine].born() + 60_000).into();
+    site.store.put("servers", &instance, &foreign);
+    let marked = format!("event=upstream_set_aside instance={instance}");
+    until("the foreign record", || async {
+        site.log(0).contains(&marked)
+    })
+    .await;
+    let own = site.engines[engine].registration("models", "ready");
+    site.store.put("servers", &instance, &own);
+    assert_eq!(
+        stream.text().await.unwrap(),
+        whole_stream(&id, 150),
+        "{}",
+        site.log(0)
+    );
+    let came = format!("event=upstream_came instance={instance}");
+    until("its own record", || async {
+        site.log(0).matches(&came).count() == 2
+    })
+    .await;
+    site.store
+        .remove("servers", &site.engines[1 - engine].instance());
+    until("the new stream", || async {
+        let id = site.id();
+        let stream = site.generation(0, "/log/a", 3, &id).send().await.unwrap();
+        stream.text().await.unwrap() == whole_stream(&id, 3)
+    })
+    .await;
+}
--- a/fireflydirect/tests/soak_parts/records.rs
+++ b/fireflydirect/tests/soak_parts/records.rs
@@ -25,10 +25,8 @@
             0 => foreign["state"] = "asleep".into(),
             1 => {
                 foreign["service"] = self.foreign_service.into();
-                if self.foreign_service != "records" {
-                    // A stranger's own start, later than the engine's.
-                    foreign["born"] = (self.site.engines[engine].born() + 60_000).into();
-                }
+                // A stranger's own start, later than the engine's.
+                foreign["born"] = (self.site.engines[engine].born() + 60_000).into();
             }
             2 => foreign["born"] = "yesterday".into(),
             _ => foreign = "nothing".into(),
