Believe a leave notice of an upstream whose clock was set back

Callers saw: an upstream that starts while its VM's clock is ahead, again once that is right, and then leaves, got requests for some five seconds after its notice, longer than allowed.

Cause: its records have an earlier start than the held one, and such records said nothing until they had gone on for five seconds, since an incarnation that has ended may write late. Now a leave notice with an earlier start sets the upstream aside at once, unless that incarnation is known to have ended: no new work goes there, what runs goes on. If the notice was late after all, the next record of the held start takes it back.

--- a/fireflycroft/src/foreign_record.rs
+++ b/fireflycroft/src/foreign_record.rs
@@ -7,7 +7,9 @@
 //! come, and none of the held start between them, the held start was wrong: it was foreign, or the upstream's clock has
 //! been set back since.
 //!
-//! While a record is doubtful, its upstream gets no new work, and what runs there goes on.
+//! While a record is doubtful, its upstream gets no new work, and what runs there goes on. A leave notice with an earlier
+//! start counts as doubtful, unless its incarnation is known to have ended: the upstream may have started again with its
+//! clock set back, and leave.
 
 use crate::ids::Name;
 use crate::listing::PoolChange;
@@ -59,12 +61,26 @@
     }
 
     /// Judges a newer record with an earlier start.
-    pub(crate) fn judge_earlier_start(&mut self, now: Time, ix: UpstreamIx) -> StartClaim {
+    pub(crate) fn judge_earlier_start(
+        &mut self,
+        now: Time,
+        ix: UpstreamIx,
+        record: &UpstreamRecord,
+    ) -> StartClaim {
         if self.upstreams[ix.0].record_contradiction(now) {
-            StartClaim::Credible
-        } else {
-            StartClaim::Late
+            return StartClaim::Credible;
+        }
+        if record.state == UpstreamState::Leaving && !self.has_ended(record) {
+            return StartClaim::Doubtful;
         }
+        StartClaim::Late
+    }
+
+    /// Returns whether the incarnation of a record is known to have ended.
+    fn has_ended(&self, record: &UpstreamRecord) -> bool {
+        let of_record = record.upstream_incarnation();
+        let mut ended = self.upstreams.iter().filter(|u| u.ended);
+        ended.any(|u| u.record.upstream_incarnation() == of_record)
     }
 
     /// Sets the services of the active configuration, and applies the records that waited for one of them.
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -107,7 +107,7 @@
                 return self.apply_start(now, ix, record, &claim);
             }
             RecordKind::Contradiction => {
-                let claim = self.judge_earlier_start(now, ix);
+                let claim = self.judge_earlier_start(now, ix, &record);
                 return self.apply_start(now, ix, record, &claim);
             }
             RecordKind::Foreign => return self.set_aside(now, &record),
--- a/fireflycroft/tests/pool_incarnations.rs
+++ b/fireflycroft/tests/pool_incarnations.rs
@@ -33,6 +33,8 @@
     record_of_a_service_counts_once_a_configuration_names_it => service_named_later();
     upstream_that_goes_on_to_state_an_earlier_start_is_believed => set_back();
     old_record_with_an_earlier_start_says_nothing => old_start();
+    upstream_that_leaves_after_its_clock_was_set_back_gets_no_work => set_back_and_leaving();
+    leave_notice_of_an_unseen_earlier_start_is_taken_back => late_leave_notice();
     later_start_of_another_service_ends_no_incarnation => other_service();
     later_start_of_another_service_counts_once_it_goes_on => other_service_goes_on();
 }
@@ -95,6 +97,28 @@
     assert!(!pool.is_ended(a));
 }
 
+fn leaving_record(start: u64, revision: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        state: UpstreamState::Leaving,
+        ..incarnation_record("a", start, revision)
+    }
+}
+
+fn set_back_and_leaving() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    let change = pool.upsert(at(10), leaving_record(40, 5));
+    assert_eq!(change, Some(PoolChange::Unreadable(a)));
+    assert_eq!(pool.count("models"), 0);
+    assert!(!pool.is_ended(a), "its runs continue");
+}
+
+fn late_leave_notice() {
+    let (mut pool, a) = pool_of_one_incarnation();
+    pool.upsert(at(10), leaving_record(40, 5));
+    let change = pool.upsert(at(1_000), incarnation_record("a", 100, 6));
+    assert_eq!(change, Some(PoolChange::Available(a)));
+}
+
 fn other_service() {
     let (mut pool, a) = pool_of_one_incarnation();
     pool.set_services(at(0), services(&["models", "records"]));
--- a/fireflydirect/tests/processes_incarnations.rs
+++ b/fireflydirect/tests/processes_incarnations.rs
@@ -49,6 +49,22 @@
         check_later_start(&site, "records").await;
     }
 
+    engine_that_leaves_after_its_clock_was_set_back_gets_no_requests(site: 1) {
+        site.engines[0].set_clock_back();
+        site.engines[0].restart().await.unwrap();
+        let instance = site.engines[0].instance();
+        let record = site.engines[0].registration("models", "draining");
+        site.store.put("servers", &instance, &record);
+        let marked = format!("event=upstream_set_aside instance={instance}");
+        until("the leave notice", || async { site.log(0).contains(&marked) }).await;
+        for _ in 0..12 {
+            let id = site.id();
+            let stream = site.stream(0, "/log/a", 3, &id).send().await.unwrap();
+            assert_eq!(stream.text().await.unwrap(), whole_stream(&id, 3));
+            assert_ne!(site.engine_of(&id).await, 0, "{}", site.log(0));
+        }
+    }
+
     /// Foreign records of several kinds overwrite an engine's record; the engine rewrites its own.
     records_of_strangers_name_nobody(site: 1) {
         let other_service = site.engines[0].registration("records", "ready");
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -198,6 +198,9 @@
             Fault::RestartEngine { silent } => {
                 let active_engines = self.active_engines();
                 let engine = active_engines[step.pick % active_engines.len()];
+                if step.pick.is_multiple_of(3) {
+                    self.site.engines[engine].set_clock_back();
+                }
                 self.restart(engine, silent, end).await;
             }
             Fault::OverwriteRecord => {
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -58,6 +58,9 @@
 /// Software version of an upstream that was given no other; its events don't name it.
 pub const FIRST_VERSION: &str = "v1";
 
+/// Step of a clock that is set back, in milliseconds.
+const CLOCK_STEP_MS: u64 = 4_000;
+
 /// A running upstream; dropping it stops it.
 #[derive(Debug)]
 pub struct Engine {
@@ -92,6 +95,8 @@
     repeats_move_answers: AtomicBool,
     /// Whether answers to such calls don't bear their ids.
     is_silent_about_ids: AtomicBool,
+    /// Whether its clock is set back before its next start.
+    is_clock_set_back: AtomicBool,
     /// Whether a request has crashed it.
     pub(super) has_crashed: AtomicBool,
     /// Signals that stop runs for a migration, by request.
@@ -119,6 +124,7 @@
             ends_with_connection: AtomicBool::new(false),
             repeats_move_answers: AtomicBool::new(false),
             is_silent_about_ids: AtomicBool::new(false),
+            is_clock_set_back: AtomicBool::new(false),
             has_crashed: AtomicBool::new(false),
             stop_signals: Mutex::default(),
             crash: Notify::new(),
@@ -192,7 +198,11 @@
         self.kill();
         let old = &self.shared;
         let listener = bind_with_retries(old.addr).await?;
-        let born = unix_millis().max(old.born + 1);
+        let born = if old.is_clock_set_back.load(Ordering::Relaxed) {
+            old.born - CLOCK_STEP_MS
+        } else {
+            unix_millis().max(old.born + 1)
+        };
         let record = old.record.clone();
         let shared = Shared::new(old.kind, &self.instance(), old.addr, record, born);
         *lock(&shared.advertised_addr) = *lock(&old.advertised_addr);
@@ -201,6 +211,11 @@
         Ok(())
     }
 
+    /// Sets the clock of its VM back, so that its next start is earlier than this one.
+    pub fn set_clock_back(&self) {
+        self.shared.is_clock_set_back.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the version of its software.
     #[must_use]
     pub fn version(&self) -> String {
