Check what entries share once their stale seeds are corrected

Two tests more: retries at one entry leave fewer to another, an upstream gets no more than the rate that it names from all three, and cold engines no more than they bear. Entries with stale seeds have a place of their own in the tests' site.

--- a/fireflydirect/tests/processes_cold.rs
+++ b/fireflydirect/tests/processes_cold.rs
@@ -21,20 +21,20 @@
     site.store.put("servers", &engine.instance(), &entry);
 }
 
-async fn until_cold(site: &Site) {
+async fn until_cold(site: &Site, entry: usize) {
     until("cold engines", || async {
-        let (_, shown) = site.run_fireflyctl(0, &["entries", "upstreams"]).await;
+        let (_, shown) = site.run_fireflyctl(entry, &["entries", "upstreams"]).await;
         shown.matches(" cold ").count() == site.engines.len()
     })
     .await;
 }
 
 /// Sends generations at once; returns how many ran and how many were refused with a retry delay.
-async fn send_at_once(site: &Site, count: usize) -> (usize, usize) {
+async fn send_at_once(site: &Site, entry: usize, count: usize) -> (usize, usize) {
     let ids: Vec<String> = (0..count).map(|_| site.id()).collect();
     let sent = ids
         .iter()
-        .map(|id| site.generation(0, "/log/a", 2, id).send());
+        .map(|id| site.generation(entry, "/log/a", 2, id).send());
     let answers = futures_util::future::join_all(sent).await;
     let refused = answers.iter().filter(|answer| {
         let answer = answer.as_ref().unwrap();
@@ -52,8 +52,8 @@
         tokio::time::sleep(PEER_DISCOVERY_TIME).await;
         make_cold(&site, 0, 60_000);
         make_cold(&site, 1, 60_000);
-        until_cold(&site).await;
-        let (ran, refused) = send_at_once(&site, 30).await;
+        until_cold(&site, 0).await;
+        let (ran, refused) = send_at_once(&site, 0, 30).await;
         assert!((1..=2 * MAX_COLD_REQUESTS).contains(&ran), "{ran} ran");
         assert_eq!(ran + refused, 30);
     }
@@ -67,10 +67,28 @@
             site.run_fireflyctl(0, &["entries", "upstreams"]).await.1.contains(" cold ")
         })
         .await;
-        let (ran, refused) = send_at_once(&site, 8).await;
+        let (ran, refused) = send_at_once(&site, 0, 8).await;
         assert_eq!((ran, refused), (8, 0));
         let runs = site.record.runs();
         let on_cold = runs.iter().filter(|run| run.instance == "m-0").count();
         assert!(on_cold <= MAX_COLD_REQUESTS, "{on_cold}");
     }
+
+    cold_engines_get_no_more_from_entries_that_had_stale_seeds(site: 1) {
+        site.cold_per_s = 1.0;
+        site.publish(&[KEY]);
+        site.add_strangers().await;
+        site.correct_seeds().await;
+        tokio::time::sleep(PEER_DISCOVERY_TIME).await;
+        make_cold(&site, 0, 60_000);
+        make_cold(&site, 1, 60_000);
+        for entry in 0..3 {
+            until_cold(&site, entry).await;
+        }
+        let sent = futures_util::future::join_all((0..3).map(|entry| send_at_once(&site, entry, 20)));
+        let (ran, refused): (Vec<usize>, Vec<usize>) = sent.await.into_iter().unzip();
+        let ran: usize = ran.iter().sum();
+        assert!((1..=2 * MAX_COLD_REQUESTS).contains(&ran), "{ran} ran");
+        assert_eq!(ran + refused.iter().sum::<usize>(), 60);
+    }
 }
--- a/fireflydirect/tests/processes_crashing_requests.rs
+++ b/fireflydirect/tests/processes_crashing_requests.rs
@@ -8,7 +8,7 @@
 use reqwest::RequestBuilder;
 use standins::site::{AnswerFault, RunEnd};
 use std::time::{Duration, Instant};
-use support::crashes::{lines_about, site_of, until_acquainted, until_informed};
+use support::crashes::{lines_about, site_of, until_informed};
 use support::{KEY, Site, outcome, signal_all, until, whole_stream};
 
 /// Path of the stream that crashes its upstreams.
@@ -383,23 +383,13 @@
     }
 
     entries_with_stale_seeds_merge_what_each_has_learnt(site: 1) {
-        site.seeds = vec![240, 241];
-        site.add_entry(8).await;
-        site.add_entry(9).await;
-        for entry in 1..3 {
-            until_informed(&site, entry).await;
-        }
+        site.add_strangers().await;
         send_bad(&site, 1, 2).await;
         send_bad(&site, 2, 1).await;
         assert_eq!(crash_times(&site, BAD).len(), CRASHES);
         // Longer than crashes are told, and than an entry that has started asks.
         tokio::time::sleep(Duration::from_secs(11)).await;
-        site.seeds = vec![1];
-        for entry in 1..3 {
-            site.write_settings(&site.entries[entry]);
-            site.entries[entry].signal("HUP");
-        }
-        until_acquainted(&site, 3).await;
+        site.correct_seeds().await;
         tokio::time::sleep(PAUSE).await;
         for entry in 0..3 {
             assert_eq!(send_bad(&site, entry, 1).await, 1, "{}", site.log(entry));
--- a/fireflydirect/tests/processes_rate_limit.rs
+++ b/fireflydirect/tests/processes_rate_limit.rs
@@ -16,6 +16,12 @@
 /// Requests allowed in that window at a limit of 2 per second: 1.5 times the limit, plus 5.
 const MAX_LIMITED_REQUESTS: usize = 17;
 
+/// Metric of the retries that an entry may still grant for plain calls.
+const RETRIES_LEFT: &str = "firefly_direct_repeats_left{service=\"records\"}";
+
+/// Retries at one entry that leave fewer to another.
+const SHARED_RETRIES: u32 = 10;
+
 /// Time in which a started entry discovers the number of entries.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_millis(2_300);
 
@@ -155,4 +161,32 @@
         let most = max_runs_in_window(&site, "p-0", limit_known_at);
         assert!(most <= MAX_LIMITED_REQUESTS, "{most} within {RATE_WINDOW:?}");
     }
+
+    retries_and_limits_are_shared_by_entries_that_had_stale_seeds(site: 1) {
+        site.add_strangers().await;
+        let alone = site.metric(2, RETRIES_LEFT).await;
+        site.correct_seeds().await;
+        for plain in &site.plains {
+            plain.set_fault(AnswerFault::Error);
+        }
+        for _ in 0..SHARED_RETRIES {
+            site.call(1, "GET", "/fetch/a", &site.id()).send().await.unwrap();
+        }
+        for plain in &site.plains {
+            plain.set_fault(AnswerFault::None);
+        }
+        until("the retries of the other entry", || async {
+            site.metric(2, RETRIES_LEFT).await <= alone - f64::from(SHARED_RETRIES) / 2.0
+        })
+        .await;
+        for plain in &site.plains {
+            plain.set_header(RATE_LIMIT, Some("2"));
+        }
+        let begun = Instant::now();
+        call_all(&site, 10, Duration::from_secs(7)).await;
+        for plain in &site.plains {
+            let most = max_runs_in_window(&site, &plain.instance(), begun + Duration::from_secs(1));
+            assert!((1..=MAX_LIMITED_REQUESTS).contains(&most), "{most}");
+        }
+    }
 }
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod ports;
 mod requests;
 pub(crate) mod slow_reader;
+mod stale_seeds;
 
 use std::collections::HashMap;
 use std::fs;
