--- a/fireflydirect/tests/processes_rejections.rs
+++ b/fireflydirect/tests/processes_rejections.rs
@@ -47,6 +47,20 @@
 }
 
 cases! {
+    caller_that_still_sends_gets_the_rejection_of_a_long_head(site: 1) {
+        for _ in 0..REQUESTS {
+            let mut stream = TcpStream::connect(site.callers_of(0)).await.unwrap();
+            stream.write_all(b"POST /file/a HTTP/1.1\r\nHost: site.example\r\n").await.unwrap();
+            for number in 0..40_000 {
+                let line = format!("X-{number}: {}\r\n", "1".repeat(100));
+                stream.write_all(line.as_bytes()).await.unwrap();
+            }
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap();
+            assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+        }
+    }
+
     caller_that_still_sends_gets_the_rejection_of_an_unknown_route(site: 1) {
         site = check_rejected(site, "/nowhere/a", KEY, 404).await;
     }
