List a request that comes again after all entries were stopped

Known: its plan stops all three entries within two seconds. That all entries lost at once forget is an open limit of the design. To be shown in a run that fails, and the check to be told of it, or the limit to be mended.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -58,6 +58,9 @@
 /// Default seeds of soaks with a request that crashes engines and comes again.
 const DEFAULT_REQUEST_SEEDS: &str = "1,2,3";
 
+/// Seed of a plan beside crashes in which all entries stop at once.
+const ALL_STOPPED_SEED: u64 = 32_677;
+
 /// Default seeds of soaks with readers that are slow, before planned work.
 const DEFAULT_READER_SEEDS: &str = "1,2";
 
@@ -193,6 +196,14 @@
     }
 }
 
+/// All entries stop within two seconds, so that what they know of the request is lost, and it comes again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_comes_again_after_all_entries_stopped_is_refused() {
+    let seconds = Duration::from_secs(MIN_REQUEST_SECONDS);
+    let steps = plan_beside_crashes(ALL_STOPPED_SEED, seconds);
+    run_plan_with(CRASHING_REQUESTS, "all stopped", &steps, seconds).await;
+}
+
 /// Large answers are read slowly while entries stop, reload and start again, and engines leave.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slow_readers_around_planned_work_get_whole_answers() {
