Fail on crowds of clients that keep to no limit, on both paths

What callers would see: clients that nobody controls end an entry. Each test starts the system's own processes with the memory and descriptors of a VM lowered in its settings, lets a crowd send, stay and leave, and checks that the process lives, that its memory and descriptors stay under those of the VM, and that an ordinary request is answered beside the crowd and after it. One crowd plays at a time. Crowds and bounds are fixed here, before the product is changed.

The stand-in's plain service answers with as many bytes as the query asks for.

--- /dev/null
+++ b/fireflyd/tests/processes_crowds.rs
@@ -0,0 +1,161 @@
+//! Entries of the fleet's own path before clients that keep to no limit: each process stays within its VM's memory and
+//! descriptors, and serves the callers beside them.
+
+mod support;
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use standins::caller::Request;
+use standins::crowd::{Client, Crowd, Watch, chunk, long_headers};
+use support::{COUNTER, DOSSIERS, Fleet, GRADES, Spec};
+use tokio::sync::{Mutex, MutexGuard};
+
+/// Largest body, in bytes.
+const BODY_LIMIT: usize = 768 << 10;
+
+/// Memory of the VM in MB.
+const MEMORY_MB: u64 = 64;
+
+/// Descriptors of the VM, and a number that a crowd exceeds.
+const MAX_FDS: &str = "2000";
+const FEW_FDS: &str = "400";
+
+/// Attempts of a caller beside a crowd, who comes back after a refusal.
+const ATTEMPTS: usize = 8;
+
+/// Pause before a caller comes back.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Where a crowd connects.
+#[derive(Clone, Copy)]
+enum Port {
+    Callers,
+    Admin,
+}
+
+/// Waits until no other crowd of this file plays.
+async fn take_turn() -> MutexGuard<'static, ()> {
+    static TURN: OnceLock<Mutex<()>> = OnceLock::new();
+    TURN.get_or_init(Mutex::default).lock().await
+}
+
+/// Sends an ordinary request, again after a refusal, as callers do.
+async fn is_served(fleet: &Fleet, mark: &str) -> bool {
+    for attempt in 0..ATTEMPTS {
+        let mark = format!("{mark}-{attempt}");
+        let got = fleet
+            .call(Request::stream(&mark, DOSSIERS, "model-a", 5), 0)
+            .await;
+        if got.is_complete() {
+            return true;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    false
+}
+
+/// Lets a crowd come, stay and leave; checks the entry before and after it has left.
+async fn check_survives(max_fds: &'static str, count: usize, port: Port, client: Client) {
+    let _turn = take_turn().await;
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        entries: 1,
+        plain: true,
+        daemon_env: vec![("FIREFLYD_MEMORY_MB", "64"), ("FIREFLYD_MAX_FDS", max_fds)],
+        ..Spec::default()
+    })
+    .await;
+    let watch = Watch::start(fleet.entries[0].process.id());
+    let addr = match port {
+        Port::Callers => fleet.entries[0].callers.unwrap(),
+        Port::Admin => fleet.entries[0].admin,
+    };
+    let crowd = Crowd::gather(addr, count, client).await;
+    let served_beside = is_served(&fleet, "beside").await;
+    crowd.dismiss().await;
+    let served_after = is_served(&fleet, "after").await;
+    assert!(fleet.entries[0].process.is_alive());
+    let peak = watch.end().unwrap();
+    let figures = format!(
+        "{} KB of {MEMORY_MB} MB, {} descriptors of {max_fds}",
+        peak.memory >> 10,
+        peak.descriptors
+    );
+    println!("{figures}");
+    assert!(served_beside, "not served beside the crowd; {figures}");
+    assert!(served_after, "not served after the crowd; {figures}");
+    assert!(peak.memory < MEMORY_MB * 1_000_000, "{figures}");
+    assert!(peak.descriptors <= max_fds.parse().unwrap(), "{figures}");
+}
+
+macro_rules! crowds {
+    ($($name:ident: $max_fds:expr, $count:literal, $port:ident, $client:expr;)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                check_survives($max_fds, $count, Port::$port, $client).await;
+            }
+        )+
+    };
+}
+
+crowds! {
+    own_path_bodies_that_stop_short_of_their_end: MAX_FDS, 120, Callers, Client {
+        piece: vec![b'b'; BODY_LIMIT - 1],
+        pieces: 1,
+        ..announced(BODY_LIMIT)
+    };
+    own_path_bodies_in_large_chunks_that_stop_short_of_their_end: MAX_FDS, 200, Callers, Client {
+        piece: chunk(64 << 10),
+        pieces: 12,
+        ..chunked()
+    };
+    own_path_bodies_in_chunks_of_one_byte_that_stop_short_of_their_end: MAX_FDS, 20, Callers, Client {
+        piece: chunk(1).repeat(1 << 10),
+        pieces: 256,
+        ..chunked()
+    };
+    own_path_bodies_sent_far_over_the_limit: MAX_FDS, 120, Callers, Client {
+        piece: chunk(64 << 10),
+        pieces: 64,
+        ..chunked()
+    };
+    own_path_heads_without_an_end: MAX_FDS, 400, Callers, Client {
+        head: format!("POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\n{}", long_headers(300_000)),
+        ..Client::default()
+    };
+    own_path_answers_that_nobody_reads: MAX_FDS, 150, Callers, Client {
+        head: format!(
+            "POST /services/records/file HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {GRADES}\r\n\
+             idempotency-key: {{id}}\r\ncontent-length: 700000\r\n\r\n"
+        ),
+        piece: vec![b'b'; 700_000],
+        pieces: 1,
+        awaits_answer: true,
+    };
+    own_path_connections_that_send_nothing: FEW_FDS, 600, Callers, Client::default();
+    own_path_heads_without_an_end_at_the_admin_port: FEW_FDS, 600, Admin, Client {
+        head: format!("GET /metrics HTTP/1.1\r\n{}", long_headers(300_000)),
+        ..Client::default()
+    };
+}
+
+/// Returns the beginning of a request; `rest` ends its head.
+fn request(rest: &str) -> Client {
+    Client {
+        head: format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\n\
+             authorization: Bearer {COUNTER}\r\n{rest}\r\n\r\n"
+        ),
+        ..Client::default()
+    }
+}
+
+fn announced(len: usize) -> Client {
+    request(&format!("content-length: {len}"))
+}
+
+fn chunked() -> Client {
+    request("transfer-encoding: chunked")
+}
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -38,6 +38,8 @@
     pub plain_flags: Vec<&'static str>,
     /// Additional flags of each daemon.
     pub daemon_flags: Vec<&'static str>,
+    /// Environment variables of each daemon.
+    pub daemon_env: Vec<(&'static str, &'static str)>,
 }
 
 impl Default for Spec {
@@ -49,6 +51,7 @@
             engine_flags: vec!["--time-scale", "4"],
             plain_flags: Vec::new(),
             daemon_flags: vec!["--drain-grace-ms", "300"],
+            daemon_env: Vec::new(),
         }
     }
 }
@@ -79,6 +82,7 @@
     /// Callers' address; only for an entry.
     pub callers: Option<SocketAddr>,
     args: Vec<String>,
+    env: Vec<(&'static str, &'static str)>,
     log: PathBuf,
 }
 
@@ -239,12 +243,13 @@
         args.extend(to_strings(&self.spec.daemon_flags));
         let log = self.dir.join(format!("{name}.log"));
         Node {
-            process: Process::start("fireflyd", &args, &log),
+            process: Process::start("fireflyd", &args, &self.spec.daemon_env, &log),
             name: name.to_owned(),
             mailbox,
             admin,
             callers: None,
             args,
+            env: self.spec.daemon_env.clone(),
             log,
         }
     }
@@ -452,7 +457,7 @@
         args.extend(to_strings(&["--run-log", &run_log.display().to_string()]));
         args.extend(to_strings(flags));
         Self {
-            process: Process::start(program, &args, &log),
+            process: Process::start(program, &args, &[], &log),
             addr,
             run_log,
             program,
@@ -464,7 +469,7 @@
     /// Kills the stand-in and restarts it at the same address.
     pub async fn restart(&mut self) {
         self.process.kill();
-        self.process = Process::start(self.program, &self.args, &self.log);
+        self.process = Process::start(self.program, &self.args, &[], &self.log);
         self.await_listening().await;
     }
 
@@ -490,7 +495,7 @@
 
     /// Starts the daemon again after its exit.
     pub fn start_again(&mut self) {
-        self.process = Process::start("fireflyd", &self.args, &self.log);
+        self.process = Process::start("fireflyd", &self.args, &self.env, &self.log);
     }
 
     /// Returns the callers' base URL of an entry; empty for an agent.
--- a/fireflyd/tests/support/process.rs
+++ b/fireflyd/tests/support/process.rs
@@ -18,11 +18,13 @@
     pub fn start(
         program: &str,
         args: impl IntoIterator<Item = impl AsRef<OsStr>>,
+        env: &[(&str, &str)],
         log: &Path,
     ) -> Self {
         let out = File::options().create(true).append(true).open(log).unwrap();
         let child = Command::new(program_path(program))
             .args(args)
+            .envs(env.iter().copied())
             .stdin(Stdio::null())
             .stdout(out.try_clone().unwrap())
             .stderr(out)
@@ -34,6 +36,11 @@
         }
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process and waits for its exit.
     pub fn kill(&mut self) {
         // The process may have exited already.
--- a/fireflydirect/tests/support/entry.rs
+++ b/fireflydirect/tests/support/entry.rs
@@ -48,6 +48,11 @@
         self.child = Some(child);
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     /// Kills the process with SIGKILL.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -86,6 +86,10 @@
     pub(crate) direct_engines: bool,
     /// Last octets of the addresses that settings written later name as seeds.
     pub(crate) seeds: Vec<u8>,
+    /// Memory of the VM in settings written later, in MB, and its descriptors; not named if there are none.
+    pub(crate) limits: Option<(u64, usize)>,
+    /// Largest body of the next configuration, in bytes.
+    pub(crate) body_limit: usize,
     folder: PathBuf,
     ids: AtomicU64,
 }
@@ -104,14 +108,19 @@
     /// entries are ready.
     pub(crate) async fn start(entries: u8) -> Self {
         let mut site = Self::without_entries().await;
-        site.publish(&[KEY]);
+        site.start_entries(entries).await;
+        site
+    }
+
+    /// Publishes the configuration, starts `entries` entries, and waits until they are ready.
+    pub(crate) async fn start_entries(&mut self, entries: u8) {
+        self.publish(&[KEY]);
         for i in 0..entries {
-            site.add_entry(i + 1).await;
+            self.add_entry(i + 1).await;
         }
-        for i in 0..site.entries.len() {
-            site.until_ready(i).await;
+        for i in 0..self.entries.len() {
+            self.until_ready(i).await;
         }
-        site
     }
 
     /// Starts store and upstreams; no configuration is published yet.
@@ -145,6 +154,8 @@
             grade_timeout_ms: 20_000,
             direct_engines: false,
             seeds: vec![1, 2, 3],
+            limits: None,
+            body_limit: 65_536,
             folder,
             ids: AtomicU64::new(0),
         };
@@ -228,7 +239,7 @@
             "services": [{"name": "models", "max_connections": 100, "engine": engine,
                     "cold_per_s": self.cold_per_s},
                 {"name": "records", "max_connections": 100}],
-            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
+            "limits": {"max_header_bytes": 16_384, "max_body_bytes": self.body_limit,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
             "tenants": [{"name": "brand-a", "api_keys": keys, "priority": 1,
                 "allowed_regions": self.workspace_homes}],
@@ -309,6 +320,16 @@
         self.entries[entry].callers
     }
 
+    /// Returns the address for readiness checks of an entry.
+    pub(crate) fn readiness_of(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].readiness
+    }
+
+    /// Returns the address for operators of an entry.
+    pub(crate) fn operators_of(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].operators
+    }
+
     /// Writes the settings file of an entry.
     pub(crate) fn write_settings(&self, entry: &Entry) {
         fs::write(&entry.settings, self.settings(entry).to_string()).unwrap();
@@ -320,7 +341,7 @@
         let seeds: Vec<String> = seeds
             .map(|last| format!("127.{}.{}.{last}:9", self.net[0], self.net[1]))
             .collect();
-        json!({
+        let mut settings = json!({
             "node_name": format!("front-{}", entry.ip), "ip": entry.ip.to_string(), "zone": "a",
             "zones": {"a": "north", "b": "south"},
             "listen": {"front": entry.callers, "ready": entry.readiness, "control": entry.operators},
@@ -329,7 +350,11 @@
             "bounds": {"grace_s": 8, "config_apply_ms": 2_000, "drain_timeout_ms": 2_000,
                 "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 56,
                 "evacuate_ms": 5_000, "cold_overshoot": 1.5, "cold_slack": 5},
-        })
+        });
+        if let Some((memory_mb, max_fds)) = self.limits {
+            settings["limits"] = json!({"memory_mb": memory_mb, "max_fds": max_fds});
+        }
+        settings
     }
 
     /// Makes the settings file of an entry invalid.
@@ -351,7 +376,7 @@
     }
 
     /// Returns the last lines of an entry's log.
-    fn log_tail(&self, entry: usize) -> String {
+    pub(crate) fn log_tail(&self, entry: usize) -> String {
         let log = self.log(entry);
         let lines: Vec<&str> = log.lines().collect();
         let from = lines.len().saturating_sub(LOG_TAIL_LINES);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod cli;
+pub mod crowd;
 pub mod demo;
 pub mod engine;
 pub mod load;
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -111,7 +111,9 @@
 ) -> io::Result<ConnectionAction> {
     tokio::time::sleep(PLAIN_CALL_TIME).await;
     let headers = [("X-Request-Id", id), ("X-Response-Seal", "seal")];
-    let body = format!("{} {} for {id}", req.method, req.path);
+    let length = req.query("answer_bytes").and_then(|b| b.parse().ok());
+    let mut body = format!("{} {} for {id}", req.method, req.path);
+    body.extend(std::iter::repeat_n('a', length.unwrap_or(0)));
     if shared.framing() == Framing::UntilClose {
         let headers = shared.with_extra_headers(&headers);
         write_stream_head(stream, &headers, Framing::UntilClose).await?;
