Collect a caller's body in one buffer, however it is cut into chunks

What callers saw: an entry that ran out of memory under a single proper body of 4 MiB in chunks of one byte, well inside the limits.

Cause: the collected body was a list of frames. A frame of one byte is an entry of the list and keeps the whole buffer that it was read into. Now each frame is copied into one buffer and let go, so that a body costs its length, or twice that while the buffer grows.

--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -300,12 +300,19 @@
 }
 
 async fn read_request_body(catalog: &Catalog, body: Incoming) -> Result<Bytes, Refusal> {
-    let limit = catalog.limits().body_bytes;
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(refusal(Code::BodyTooLarge)),
-        Err(_) => Err(refusal(Code::BadRequest)),
+    // One buffer, since a frame may be a single byte and keep the whole buffer that it was read into.
+    let mut whole = Vec::new();
+    let mut body = Limited::new(body, catalog.limits().body_bytes);
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => whole.extend_from_slice(frame.data_ref().map_or(&[], Bytes::as_ref)),
+            Err(e) if e.is::<http_body_util::LengthLimitError>() => {
+                return Err(refusal(Code::BodyTooLarge));
+            }
+            Err(_) => return Err(refusal(Code::BadRequest)),
+        }
     }
+    Ok(whole.into())
 }
 
 /// Returns the digest that identifies a repeated request independently of its id.
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -81,6 +81,8 @@
     pub(crate) log_objective_ms: u64,
     /// Timeout of the `grade` route of the next configuration, in milliseconds.
     pub(crate) grade_timeout_ms: u64,
+    /// Timeout of the routes to plain services of the next configuration, in milliseconds.
+    pub(crate) plain_timeout_ms: u64,
     /// Whether model engines are listed at their own addresses instead of a proxy's, which accepts connections also
     /// for an engine that has crashed.
     pub(crate) direct_engines: bool,
@@ -152,6 +154,7 @@
             without: "",
             log_objective_ms: 1_500,
             grade_timeout_ms: 20_000,
+            plain_timeout_ms: 20_000,
             direct_engines: false,
             seeds: vec![1, 2, 3],
             limits: None,
@@ -228,6 +231,9 @@
         routes.extend(added);
         routes[0]["target_latency_ms"] = json!(self.log_objective_ms);
         routes[1]["timeout_ms"] = json!(self.grade_timeout_ms);
+        for route in &mut routes[2..BASE_ROUTES] {
+            route["timeout_ms"] = json!(self.plain_timeout_ms);
+        }
         for route in &mut routes {
             route["allowed_regions"] = json!(self.route_homes);
         }
