Keep the bodies of all callers within a share of the VM's memory

What callers saw: an entry that ended for want of memory, with all that it served, under some dozens of clients that send large bodies and stop short of their end.

Cause: each body was collected before anything asked whether there was room, and no count of the bytes of all bodies existed. The memory of the VM in the settings was read by nobody.

Change: each connection has an account. The buffer of a body is reserved as it grows (what it costs, not what it carries; an announced body costs nothing until it is sent), and the guard goes with the bytes, so that a request that is kept for a retry or a long stream counts until its end. Half of the VM's memory is for callers. A table in the core decides who gives way: the connection with the largest product of bytes and time, unless its request is being served. So a crowd just short of its end gives way to callers who come later, and doesn't lock them out. Large bodies get half of that memory, small ones find room in a further quarter. A request that gives way, or for which there is no room, is answered 503 (2024, not run, Retry-After up to 1 s); a body that still arrives at the deadline of its caller or route 408 (2025), and one that is announced over the limit 413 before any of it is read. A log line and a counter for each connection that gives way; gauges of connections and reserved memory.

Ruled out: refusing newcomers only (the crowd would stay in possession); a rate in bytes a second (the deadline bounds a body that nobody needs room from, and a slow link stays legal).

--- a/fireflycroft/src/code.rs
+++ b/fireflycroft/src/code.rs
@@ -118,6 +118,10 @@
     OriginUnknown = 2022, 503, "it is not known where the stream began";
     /// A part of the prompt crashes the upstreams that begin an answer on it.
     PartRefused = 2023, 503, "a part of the prompt crashes upstreams";
+    /// The process has no memory for the body.
+    NoMemory = 2024, 503, "the process has no memory for this request";
+    /// The body did not arrive in time.
+    BodyTimeout = 2025, 408, "the body did not arrive in time";
     /// The whole answer was delivered.
     Ok = 3000, 200, "ok";
     /// The upstream failed after the request began.
--- /dev/null
+++ b/fireflycroft/src/connection_limits.rs
@@ -0,0 +1,88 @@
+//! Share of a VM's memory and descriptors that callers' connections may use.
+//!
+//! The rest belongs to what serves them: connections to upstreams, the store and peers, and the state of the fleet.
+
+/// Size in bytes of a connection's buffers before any of them grows, and of its task.
+pub const CONNECTION_BYTES: u64 = 16 << 10;
+
+/// Largest request body or answer that counts as small, in bytes.
+pub const SMALL_BYTES: u64 = 64 << 10;
+
+/// Memory of a VM that isn't known, in bytes.
+const DEFAULT_MEMORY_BYTES: u64 = 256 << 20;
+
+/// Descriptors of a VM that aren't known.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+
+/// Descriptors of a VM that are reserved for files.
+const FILE_DESCRIPTORS: usize = 200;
+
+/// Divisor of the VM's memory that gives the part for callers.
+const CALLER_MEMORY_DIVISOR: u64 = 2;
+
+/// Divisors of the parts for a server of short pages.
+const PAGE_MEMORY_DIVISOR: u64 = 32;
+const PAGE_SOCKET_DIVISOR: usize = 16;
+
+/// Fewest connections of any server.
+const MIN_CONNECTIONS: usize = 16;
+
+/// What the connections of one server may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionLimits {
+    /// Memory in bytes.
+    pub memory: u64,
+    /// Connections.
+    pub connections: usize,
+}
+
+/// What a reservation of memory is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Bytes that a caller sends; refused first as memory runs short.
+    Input,
+    /// An answer, whose request has run.
+    Answer,
+}
+
+impl ConnectionLimits {
+    /// Returns the limits for callers on a VM with so much memory in bytes and so many descriptors, if they are known.
+    #[must_use]
+    pub fn for_callers(memory: Option<u64>, descriptors: Option<usize>) -> Self {
+        let sockets = sockets(descriptors);
+        Self {
+            memory: memory.unwrap_or(DEFAULT_MEMORY_BYTES) / CALLER_MEMORY_DIVISOR,
+            connections: (sockets - sockets / 4).max(MIN_CONNECTIONS),
+        }
+    }
+
+    /// Returns the limits for a server of short pages on such a VM.
+    #[must_use]
+    pub fn for_pages(memory: Option<u64>, descriptors: Option<usize>) -> Self {
+        let connections = (sockets(descriptors) / PAGE_SOCKET_DIVISOR).max(MIN_CONNECTIONS);
+        let memory = memory.unwrap_or(DEFAULT_MEMORY_BYTES) / PAGE_MEMORY_DIVISOR;
+        Self {
+            memory: memory.max(MIN_CONNECTIONS as u64 * 2 * CONNECTION_BYTES),
+            connections,
+        }
+    }
+
+    /// Returns the memory up to which a reservation is granted to a connection that then holds `held` bytes.
+    ///
+    /// Large bodies get half, so that small ones always find room, and all input less than answers do.
+    #[must_use]
+    pub const fn memory_for(&self, purpose: Purpose, held: u64) -> u64 {
+        let is_small = held <= SMALL_BYTES + CONNECTION_BYTES;
+        match purpose {
+            Purpose::Input if is_small => self.memory / 4 * 3,
+            Purpose::Input => self.memory / 2,
+            Purpose::Answer if is_small => self.memory,
+            Purpose::Answer => self.memory / 8 * 7,
+        }
+    }
+}
+
+fn sockets(descriptors: Option<usize>) -> usize {
+    let descriptors = descriptors.unwrap_or(DEFAULT_DESCRIPTORS);
+    descriptors.saturating_sub(FILE_DESCRIPTORS)
+}
--- a/fireflydirect/src/callers.rs
+++ b/fireflydirect/src/callers.rs
@@ -3,7 +3,7 @@
 use crate::node::{Node, Stage};
 use crate::serve::serve;
 use fireflycroft::Time;
-use fireflynet::LingeringStream;
+use fireflynet::{Account, CallGuard, LingeringStream};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -66,16 +66,18 @@
 struct ActiveCall {
     node: Rc<Node>,
     activity: Rc<Activity>,
+    _call: CallGuard,
 }
 
 impl ActiveCall {
-    fn begin(node: &Rc<Node>, activity: &Rc<Activity>) -> Self {
+    fn begin(node: &Rc<Node>, activity: &Rc<Activity>, account: &Account) -> Self {
         node.calls_in_flight.set(node.calls_in_flight.get() + 1);
         activity.calls.set(activity.calls.get() + 1);
         activity.record_answer();
         Self {
             node: node.clone(),
             activity: activity.clone(),
+            _call: account.begin_call(),
         }
     }
 }
@@ -94,8 +96,10 @@
 pub async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(node.clone(), stream));
+            Ok((stream, peer)) => {
+                if let Some(account) = node.callers.open(peer) {
+                    tokio::task::spawn_local(serve_connection(node.clone(), stream, account));
+                }
             }
             Err(e) => {
                 log::warn!(event = "accept_failed", error = e.to_string(); "");
@@ -105,15 +109,16 @@
     }
 }
 
-async fn serve_connection(node: Rc<Node>, stream: TcpStream) {
+async fn serve_connection(node: Rc<Node>, stream: TcpStream, account: Account) {
     // A socket that rejects the option is closed already, which the first read reports.
     let _ = stream.set_nodelay(true);
     let activity = Rc::new(Activity::new(&node));
     let service = service_fn(|req| {
-        let active_call = ActiveCall::begin(&node, &activity);
+        let active_call = ActiveCall::begin(&node, &activity, &account);
         let node = node.clone();
+        let account = account.clone();
         async move {
-            let answer = serve(node, req).await;
+            let answer = serve(node, account, req).await;
             Ok::<_, Infallible>(answer.map(|body| crate::answer::with_guard(body, active_call)))
         }
     });
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -7,6 +7,7 @@
     Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec, StreamOrigin, Suspect, Time,
     UpstreamIx, VersionKey,
 };
+use fireflynet::Account;
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
 use std::cell::Cell;
@@ -44,6 +45,8 @@
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
+    /// Account of the caller's connection.
+    pub account: Account,
     /// Headers as the caller sent them.
     pub headers: HeaderMap,
     /// Complete body.
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -49,6 +49,10 @@
     pub standby_copies: IntCounterVec,
     /// States fetched from other entries, by `what` was missing: `config`, `list`, `entries`.
     pub fetches: IntCounterVec,
+    /// Callers' connections that gave way to others, by `shortage`: `memory`, `descriptors`.
+    pub evictions: IntCounterVec,
+    caller_connections: IntGauge,
+    caller_memory: IntGauge,
     unreadable: IntCounterVec,
     restarts: IntCounterVec,
     hold_seconds: HistogramVec,
@@ -155,6 +159,18 @@
                 "States fetched from entries",
                 &["what"],
             )?,
+            evictions: counters(
+                &r,
+                "caller_evictions_total",
+                "Callers' connections that gave way to others",
+                &["shortage"],
+            )?,
+            caller_connections: gauge(&r, "caller_connections", "Open connections of callers")?,
+            caller_memory: gauge(
+                &r,
+                "caller_memory_bytes",
+                "Memory reserved for callers' connections",
+            )?,
             unreadable: counters(
                 &r,
                 "unreadable_total",
@@ -279,6 +295,10 @@
         let now = node.now();
         self.running.set(to_i64(node.runs.count()));
         self.held.set(to_i64(node.wait_queue.borrow().len()));
+        let callers = node.callers.usage();
+        self.caller_connections.set(to_i64(callers.connections));
+        self.caller_memory
+            .set(i64::try_from(callers.memory).unwrap_or(i64::MAX));
         self.config_version
             .set(i64::try_from(node.config_version()).unwrap_or(i64::MAX));
         self.peers.set(to_i64(node.entries() - 1));
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -11,12 +11,13 @@
 use crate::peers::Peers;
 use crate::runs::{MigrationCopy, Runs};
 use fireflycroft::{
-    Catalog, CrashEvidence, DepartureRate, DepartureWatch, Evacuations, FULL_VIEW_AFTER, FleetView,
-    HoldTimes, LengthEstimator, Policy, Pool, PoolChange, QueryBudget, Refusal, Regions,
-    ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time, UpstreamIncarnation,
-    UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
+    Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Evacuations,
+    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, Policy, Pool, PoolChange, QueryBudget,
+    Refusal, Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time,
+    UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
 use fireflycroft_platform::{PlatformSettings, StoreObject};
+use fireflynet::Callers;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -144,6 +145,8 @@
     pub unused_copies: RefCell<Vec<MigrationCopy>>,
     /// Counters, histograms and gauges.
     pub metrics: Metrics,
+    /// Accounts of callers' connections.
+    pub callers: Callers,
     /// Number of calls in progress.
     pub calls_in_flight: Cell<usize>,
     /// Number of open connections that have brought a call, whose answer may wait to be written.
@@ -173,6 +176,11 @@
         let retry_budget = SharedRetryBudget::new(place.bounds.retry_limits);
         let peers = Peers::new(&place);
         let metrics = Metrics::new()?;
+        let evictions = metrics.evictions.clone();
+        let limits = ConnectionLimits::for_callers(place.memory, place.descriptors);
+        let callers = Callers::new("callers", limits, move |shortage| {
+            evictions.with_label_values(&[shortage.name()]).inc();
+        });
         Ok(Self {
             policy,
             clock,
@@ -223,6 +231,7 @@
             departure_watch: RefCell::default(),
             departure_rate: RefCell::default(),
             unused_copies: RefCell::default(),
+            callers,
             calls_in_flight: Cell::new(0),
             answering_connections: Cell::new(0),
             stage: watch::Sender::new(Stage::Serving),
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -14,7 +14,7 @@
     STARTUP_RETRY_AFTER, StreamOrigin, Suspect, Time, WorkspaceSpec, unconfigured_retry_after,
 };
 use fireflycroft_platform::read_request_head;
-use http_body_util::{BodyExt, Limited};
+use fireflynet::{Account, CollectError, collect_request};
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -29,6 +29,10 @@
 /// Retry delay for what no later attempt gets either: longer than any caller's timeout.
 pub(crate) const FINAL_RETRY_AFTER: Duration = Duration::from_hours(1);
 
+/// Longest retry delay where other requests hold the memory: those that no longer arrive have given way by then. It is
+/// spread at random, so that callers who were refused together don't return together.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Largest body of a refused request after which its connection is kept, in bytes; the rest of a larger one would have
 /// to be read first.
 const KEPT_BODY_BYTES: u64 = 16 << 10;
@@ -54,7 +58,7 @@
 }
 
 /// Answers one request.
-pub async fn serve(node: Rc<Node>, req: Request<Incoming>) -> Answer {
+pub async fn serve(node: Rc<Node>, account: Account, req: Request<Incoming>) -> Answer {
     let arrival = node.now();
     let (parts, body) = req.into_parts();
     let is_body_small = body
@@ -63,7 +67,7 @@
         .is_some_and(|b| b <= KEPT_BODY_BYTES);
     let head = read_request_head(&parts.headers);
     let request_id = head.request_id.clone().unwrap_or_default();
-    let mut answer = match admit(&node, arrival, parts, head, body).await {
+    let mut answer = match admit(&node, arrival, parts, head, body, account).await {
         Ok(job) => answer_job(Rc::new(job)).await,
         Err(refused) => {
             log::warn!(
@@ -121,6 +125,7 @@
     parts: Parts,
     head: RequestHead,
     body: Incoming,
+    account: Account,
 ) -> Result<Job, Refusal> {
     if node.stage() == Stage::Closing {
         return Err(refusal_with_retry(Code::Leaving, STARTUP_RETRY_AFTER));
@@ -158,7 +163,12 @@
         };
         refusal_with_retry(Code::NoUpstream, retry_after)
     })?;
-    let body = read_request_body(&catalog, body).await?;
+    let timeout = head
+        .deadline
+        .map_or(route.timeout, |d| d.min(route.timeout));
+    let deadline = arrival + timeout;
+    let limit = catalog.limits().body_bytes;
+    let body = read_request_body(node, body, limit, &account, deadline).await?;
     let content = digest(&parts, &head, &body);
     let content_alone = [Suspect::of_content(content)];
     let tries_content_again = check_suspects(node, &request_id, &content_alone)?;
@@ -173,9 +183,6 @@
         .borrow()
         .homes(&route.allowed_regions, workspace_homes);
     let workspace_rank = workspace.and_then(|w| w.rank);
-    let timeout = head
-        .deadline
-        .map_or(route.timeout, |d| d.min(route.timeout));
     let mut job = Job {
         node: node.clone(),
         value_density: 0.0,
@@ -184,7 +191,7 @@
         homes,
         workspace: workspace.map(|w| w.name.clone()),
         rank: workspace_rank.unwrap_or(route.rank),
-        deadline: arrival + timeout,
+        deadline,
         route,
         service,
         head,
@@ -192,6 +199,7 @@
         request_id,
         method: parts.method,
         uri: origin_form(&parts.uri),
+        account,
         headers: parts.headers,
         body,
         content,
@@ -299,20 +307,25 @@
     Ok(workspace)
 }
 
-async fn read_request_body(catalog: &Catalog, body: Incoming) -> Result<Bytes, Refusal> {
-    // One buffer, since a frame may be a single byte and keep the whole buffer that it was read into.
-    let mut whole = Vec::new();
-    let mut body = Limited::new(body, catalog.limits().body_bytes);
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => whole.extend_from_slice(frame.data_ref().map_or(&[], Bytes::as_ref)),
-            Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-                return Err(refusal(Code::BodyTooLarge));
-            }
-            Err(_) => return Err(refusal(Code::BadRequest)),
+/// Reads the body until the request's deadline, after which no answer would be of use.
+async fn read_request_body(
+    node: &Node,
+    body: Incoming,
+    limit: usize,
+    account: &Account,
+    deadline: Time,
+) -> Result<Bytes, Refusal> {
+    let collected = collect_request(body, limit, account);
+    match tokio::time::timeout_at(node.clock.instant(deadline), collected).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(CollectError::TooLarge)) => Err(refusal(Code::BodyTooLarge)),
+        Ok(Err(CollectError::NoRoom)) => {
+            let wait = NO_MEMORY_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..=1.0));
+            Err(refusal_with_retry(Code::NoMemory, wait))
         }
+        Ok(Err(CollectError::Broken(_))) => Err(refusal(Code::BadRequest)),
+        Err(_) => Err(refusal(Code::BodyTimeout)),
     }
-    Ok(whole.into())
 }
 
 /// Returns the digest that identifies a repeated request independently of its id.
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -20,6 +20,14 @@
 //! # }
 //! ```
 
+//!
+//! And a server whose clients keep to no limit runs out of memory or descriptors. [`Callers`] keeps an account of each
+//! connection, and [`collect_request`] reserves the memory of bodies as they come.
+
+mod callers;
+mod collect;
 mod lingering;
 
+pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
+pub use collect::{CollectError, collect_request};
 pub use lingering::LingeringStream;
