Close the longest idle connection for a new one where descriptors run short

What callers saw: connections that send nothing, or that go on sending after a rejection, take all descriptors of an entry; for as long as they stay nobody else gets in, and the entry opens no connection to upstreams or the store.

Cause: the entry accepted what came, and the descriptors of the VM in the settings were read by nobody. A lingering close keeps a descriptor for up to 30 s.

Change: three quarters of the VM's descriptors, less the 200 for files, are for callers. Beyond that the table closes the longest idle connection, then the longest in its head, then the longest whose answer isn't read, then the longest in its body; a newcomer is turned away only where every connection is being served. A lingering connection counts as idle. The stream of a connection fails once it has to give way, and its task is woken for that.

Ruled out: leaving newcomers in the listener's queue, where they would wait for seconds.

--- a/fireflydirect/src/callers.rs
+++ b/fireflydirect/src/callers.rs
@@ -3,7 +3,7 @@
 use crate::node::{Node, Stage};
 use crate::serve::serve;
 use fireflycroft::Time;
-use fireflynet::{Account, CallGuard, LingeringStream};
+use fireflynet::{Account, CallGuard, CallerStream};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -100,6 +100,8 @@
                 if let Some(account) = node.callers.open(peer) {
                     tokio::task::spawn_local(serve_connection(node.clone(), stream, account));
                 }
+                // Connections that give way to it close before the next one comes.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 log::warn!(event = "accept_failed", error = e.to_string(); "");
@@ -113,6 +115,7 @@
     // A socket that rejects the option is closed already, which the first read reports.
     let _ = stream.set_nodelay(true);
     let activity = Rc::new(Activity::new(&node));
+    let stream = CallerStream::new(stream, account.clone());
     let service = service_fn(|req| {
         let active_call = ActiveCall::begin(&node, &activity, &account);
         let node = node.clone();
@@ -125,7 +128,7 @@
     let conn = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut conn = pin!(conn);
     let mut closing = false;
     loop {
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -22,12 +22,15 @@
 
 //!
 //! And a server whose clients keep to no limit runs out of memory or descriptors. [`Callers`] keeps an account of each
-//! connection, and [`collect_request`] reserves the memory of bodies as they come.
+//! connection, [`CallerStream`] closes those that have to give way, and [`collect_request`] reserves the memory of
+//! bodies as they come.
 
+mod caller_stream;
 mod callers;
 mod collect;
 mod lingering;
 
+pub use caller_stream::CallerStream;
 pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
 pub use collect::{CollectError, collect_request};
 pub use lingering::LingeringStream;
