Read from callers in pieces that don't grow the connection's buffer

What callers saw: memory over the VM's under many small bodies, though the bodies' bytes were counted and within their share.

Cause: the HTTP library doubles its read buffer, up to 64 KiB, each time a read fills it, and each connection keeps it. So a connection with a body under way held four times what it was counted for. Reads of less than 8 KiB leave the buffer at its first size, plus the length of a head that is longer.

--- a/fireflynet/src/caller_stream.rs
+++ b/fireflynet/src/caller_stream.rs
@@ -4,10 +4,14 @@
 use crate::lingering::LingeringStream;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Most bytes of one read, which keeps the HTTP library from growing its buffer under a long body: it doubles the
+/// buffer once a read has filled 8 KiB.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// TCP stream of a caller, which fails once its account has to give way; it closes like a [`LingeringStream`] otherwise.
 #[derive(Debug)]
 pub struct CallerStream {
@@ -45,7 +49,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.check(cx)?;
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let len = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let read = part.filled().len();
+        buf.advance(read);
+        Poll::Ready(Ok(()))
     }
 }
 
