Hold request heads to the configured limits, and count the buffers that they grow

What callers saw: an entry over its memory under heads that never end, whose connections were never closed: the idle timeout leaves a head alone that is half read.

Cause: the configuration's limits on the size and time of a head were decoded and used nowhere. The buffer of a connection could grow to 64 KiB, uncounted.

Change: the connection's buffer is twice the configured size (16 to 64 KiB), a longer head gets 431 as before; a head that takes over twice the configured time closes its connection, which says by itself that nothing was run. Twice, since callers count headers alone and the network adds to their time; no caller inside the limits meets it. What a head makes the buffer grow is reserved on the connection's account until it closes, so that it can give way to others.

--- a/fireflydirect/src/callers.rs
+++ b/fireflydirect/src/callers.rs
@@ -2,13 +2,14 @@
 
 use crate::node::{Node, Stage};
 use crate::serve::serve;
-use fireflycroft::Time;
-use fireflynet::{Account, CallGuard, CallerStream};
+use fireflycroft::{CallerLimits, Time};
+use fireflynet::{Account, CallGuard, CallerStream, HeadLimits};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::ops::RangeInclusive;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,8 +21,15 @@
 /// Delay after a failed accept: shortages of descriptors are brief.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Largest request head in bytes, and the size of the connection's buffer.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bounds of the size of a connection's buffer in bytes, which the largest request head has to fit into.
+const BUFFER_BYTES: RangeInclusive<usize> = 16 << 10..=64 << 10;
+
+/// Timeout of a request head while there is no configuration.
+const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Multiple of the configured limits on a request head that is enforced: callers count the size of the headers alone,
+/// and the network adds to the time that they take.
+const HEAD_SLACK: u32 = 2;
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 128;
@@ -115,7 +123,8 @@
     // A socket that rejects the option is closed already, which the first read reports.
     let _ = stream.set_nodelay(true);
     let activity = Rc::new(Activity::new(&node));
-    let stream = CallerStream::new(stream, account.clone());
+    let limits = head_limits(node.catalog.borrow().as_ref().map(|c| c.limits()));
+    let stream = CallerStream::new(stream, account.clone(), limits);
     let service = service_fn(|req| {
         let active_call = ActiveCall::begin(&node, &activity, &account);
         let node = node.clone();
@@ -126,7 +135,7 @@
         }
     });
     let conn = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(limits.bytes)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     let mut conn = pin!(conn);
@@ -169,6 +178,18 @@
     }
 }
 
+/// Returns the limits on a request head that apply under a configuration, if there is one.
+fn head_limits(configured: Option<&CallerLimits>) -> HeadLimits {
+    let (bytes, time) = configured.map_or((usize::MAX, DEFAULT_HEADER_TIMEOUT), |limits| {
+        (limits.header_bytes, limits.header_timeout)
+    });
+    let bytes = bytes.saturating_mul(HEAD_SLACK as usize);
+    HeadLimits {
+        bytes: bytes.clamp(*BUFFER_BYTES.start(), *BUFFER_BYTES.end()),
+        time: time * HEAD_SLACK,
+    }
+}
+
 fn idle_timeout(node: &Node) -> Duration {
     let catalog = node.catalog.borrow();
     let limit = catalog.as_ref().map(|c| c.limits().idle_timeout);
--- a/fireflynet/src/caller_stream.rs
+++ b/fireflynet/src/caller_stream.rs
@@ -1,22 +1,49 @@
-//! A caller's connection that closes when its account has to give way.
+//! A caller's connection that closes when its account has to give way, or when a head exceeds its limits.
 
-use crate::callers::Account;
+use crate::callers::{Account, Charge};
 use crate::lingering::LingeringStream;
+use fireflycroft::{CONNECTION_BYTES, Phase, Purpose};
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
 
 /// Most bytes of one read, which keeps the HTTP library from growing its buffer under a long body: it doubles the
 /// buffer once a read has filled 8 KiB.
 const MAX_READ_BYTES: usize = (8 << 10) - 1;
 
-/// TCP stream of a caller, which fails once its account has to give way; it closes like a [`LingeringStream`] otherwise.
+/// What the head of a request may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// Size in bytes.
+    pub bytes: usize,
+    /// Time from its first byte to its last.
+    pub time: Duration,
+}
+
+/// TCP stream of a caller, which fails once its account has to give way or a head exceeds its limits; it closes like a
+/// [`LingeringStream`] otherwise.
 #[derive(Debug)]
 pub struct CallerStream {
     stream: LingeringStream,
     account: Account,
+    limits: HeadLimits,
+    head: Head,
+    /// Memory of buffers that have grown with a head; they stay as long as the connection.
+    grown: Option<Charge>,
+}
+
+/// Head that is arriving.
+#[derive(Debug, Default)]
+struct Head {
+    /// Requests that had begun before it.
+    calls_before: u64,
+    bytes: usize,
+    /// Timer of the limit; none before its first byte.
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 fn evicted() -> io::Error {
@@ -26,10 +53,13 @@
 impl CallerStream {
     /// Wraps an accepted stream.
     #[must_use]
-    pub fn new(stream: TcpStream, account: Account) -> Self {
+    pub fn new(stream: TcpStream, account: Account, limits: HeadLimits) -> Self {
         Self {
             stream: LingeringStream::new(stream),
             account,
+            limits,
+            head: Head::default(),
+            grown: None,
         }
     }
 
@@ -40,6 +70,51 @@
         }
         Ok(())
     }
+
+    /// Fails if a head that still isn't complete exceeds a limit.
+    fn check_head(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        let calls = self.account.calls_begun();
+        if calls != self.head.calls_before {
+            self.head = Head {
+                calls_before: calls,
+                ..Head::default()
+            };
+        }
+        if self.head.bytes > self.limits.bytes {
+            log::warn!(event = "head_too_long", account:? = self.account, bytes = self.head.bytes; "");
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let Some(timer) = &mut self.head.timer else {
+            return Ok(());
+        };
+        if timer.as_mut().poll(cx).is_ready() {
+            log::warn!(event = "head_timed_out", account:? = self.account, bytes = self.head.bytes; "");
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        Ok(())
+    }
+
+    /// Records bytes that came while no request was being served.
+    fn record_head(&mut self, bytes: usize) -> io::Result<()> {
+        if self.head.timer.is_none() {
+            self.account.set_phase(Phase::Head);
+            self.head.timer = Some(Box::pin(sleep(self.limits.time)));
+        }
+        self.head.bytes += bytes;
+        // The HTTP library doubles its buffer as the head grows.
+        let needed = 2 * (self.head.bytes as u64).saturating_sub(CONNECTION_BYTES / 2);
+        let is_granted = match &mut self.grown {
+            Some(grown) if needed > grown.bytes() => {
+                grown.grow(needed - grown.bytes(), Purpose::Input)
+            }
+            None if needed > 0 => {
+                self.grown = self.account.reserve(needed, Purpose::Input);
+                self.grown.is_some()
+            }
+            _ => true,
+        };
+        if is_granted { Ok(()) } else { Err(evicted()) }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -49,11 +124,15 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.check(cx)?;
+        self.check_head(cx)?;
         let len = buf.remaining().min(MAX_READ_BYTES);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let read = part.filled().len();
         buf.advance(read);
+        if read > 0 && !self.account.is_serving() {
+            self.record_head(read)?;
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -30,7 +30,7 @@
 mod collect;
 mod lingering;
 
-pub use caller_stream::CallerStream;
+pub use caller_stream::{CallerStream, HeadLimits};
 pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
 pub use collect::{CollectError, collect_request};
 pub use lingering::LingeringStream;
