Keep the buffers of connections to upstreams small under long answers

What callers saw: an entry over its memory as 150 clients ask for answers of 3 MB at once.

Cause: the HTTP library's buffer of a connection to an upstream grows up to 400 KiB while an answer comes faster than it is taken, and stays as long as the connection. 64 KiB leave room for any head; a longer answer takes more reads.

--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use fireflycroft::{Time, UpstreamIncarnation};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{HeaderMap, Request};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -21,6 +21,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+/// Largest buffer of a connection in bytes; long answers fill it, and the connection keeps it.
+const LINK_BUFFER_BYTES: usize = 64 << 10;
+
 /// Timeout for connection setup.
 ///
 /// Setup takes a few milliseconds within a region; a lost first packet is retransmitted after a
@@ -176,7 +179,9 @@
 /// If it isn't set up within [`CONNECT_TIMEOUT`].
 pub async fn open(addr: SocketAddr) -> io::Result<Link> {
     let stream = connect(addr).await?;
-    let (sender, conn) = handshake(TokioIo::new(stream))
+    let (sender, conn) = Builder::new()
+        .max_buf_size(LINK_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
