Count answers that their callers have not read yet, and close the longest unread

What callers saw: an entry over its memory under clients that ask for large answers, one or a hundred in one write, and read none.

Cause: a whole answer is collected before any of it is sent, and stays in the connection until the caller has taken it. Nothing counted it.

Change: answers are collected in memory that is reserved on the connection's account, and the guard goes with the bytes until the last of them is written. A connection whose caller takes nothing counts as one that may give way, since the time of the write that has to wait; so answers find room in what nobody reads.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -2,7 +2,7 @@
 
 use crate::assignment::AssignmentGuard;
 use crate::crash::{self, Progress};
-use crate::exchange::{ResponseStart, SendError, SendOptions, read_body, send};
+use crate::exchange::{BodyError, ResponseStart, SendError, SendOptions, read_body, send};
 use crate::hold::{self, HeldGuard};
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
@@ -483,7 +483,13 @@
                 reply: Some(Reply::Whole(head, bytes)),
             }
         }
-        Err(why) => AttemptResult::failed(AttemptOutcome::Lost, why),
+        // Another attempt would find no more memory for its answer.
+        Err(BodyError::NoMemory) => AttemptResult {
+            outcome: AttemptOutcome::Answered,
+            why: "no memory for the answer".to_owned(),
+            reply: Some(Reply::Error(Code::AnswerTooLarge, None)),
+        },
+        Err(BodyError::Broken(why)) => AttemptResult::failed(AttemptOutcome::Lost, why),
     }
 }
 
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use fireflycroft::{Dispatch, MemoryCopy, ResponseHead, RunClaim, UpstreamIx};
 use fireflycroft_platform::{read_response_head, upstream_headers};
-use http_body_util::{BodyExt, Full, Limited};
+use fireflynet::{CollectError, collect_answer};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -76,6 +77,15 @@
     }
 }
 
+/// Reason for an incomplete response body.
+#[derive(Debug)]
+pub enum BodyError {
+    /// Other answers hold the memory.
+    NoMemory,
+    /// The upstream broke it off, or it is too large.
+    Broken(String),
+}
+
 /// Sends the job's request to an upstream and waits for the response head.
 ///
 /// `on_sent` is called before the first byte may leave.
@@ -192,7 +202,7 @@
     job: &Job,
     ix: UpstreamIx,
     response: ResponseStart,
-) -> Result<(Parts, Bytes), String> {
+) -> Result<(Parts, Bytes), BodyError> {
     let ResponseStart {
         parts,
         head,
@@ -200,10 +210,15 @@
         link,
     } = response;
     let whole = tokio::select! {
-        whole = Limited::new(body, MAX_BUFFERED_BODY_BYTES).collect() => whole,
-        () = job.node.until_ended(ix) => return Err("the upstream restarted".to_owned()),
+        whole = collect_answer(body, MAX_BUFFERED_BODY_BYTES, &job.account) => whole,
+        () = job.node.until_ended(ix) => {
+            return Err(BodyError::Broken("the upstream restarted".to_owned()));
+        }
     };
-    let bytes = whole.map_err(|e| e.to_string())?.to_bytes();
+    let bytes = whole.map_err(|e| match e {
+        CollectError::NoRoom => BodyError::NoMemory,
+        e => BodyError::Broken(e.to_string()),
+    })?;
     release_link(job, ix, &head, link);
     Ok((parts, bytes))
 }
--- a/fireflynet/src/caller_stream.rs
+++ b/fireflynet/src/caller_stream.rs
@@ -34,6 +34,8 @@
     head: Head,
     /// Memory of buffers that have grown with a head; they stay as long as the connection.
     grown: Option<Charge>,
+    /// Whether the last write had to wait for the caller to read.
+    is_blocked: bool,
 }
 
 /// Head that is arriving.
@@ -60,6 +62,7 @@
             limits,
             head: Head::default(),
             grown: None,
+            is_blocked: false,
         }
     }
 
@@ -115,6 +118,14 @@
         };
         if is_granted { Ok(()) } else { Err(evicted()) }
     }
+
+    /// Records whether a write had to wait.
+    fn record_write<T>(&mut self, written: &Poll<T>) {
+        if written.is_pending() != self.is_blocked {
+            self.is_blocked = written.is_pending();
+            self.account.set_blocked(self.is_blocked);
+        }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -144,7 +155,9 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check(cx)?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -153,7 +166,9 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check(cx)?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/fireflynet/src/collect.rs
+++ b/fireflynet/src/collect.rs
@@ -75,6 +75,22 @@
     }
 }
 
+/// Collects an upstream's answer of at most `limit` bytes for a caller.
+///
+/// # Errors
+///
+/// See [`CollectError`]; the rest of the answer is left unread.
+pub async fn collect_answer<B>(
+    body: B,
+    limit: usize,
+    account: &Account,
+) -> Result<Bytes, CollectError<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    collect(body, limit, account, Purpose::Answer).await
+}
+
 async fn collect<B>(
     body: B,
     limit: usize,
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -22,8 +22,8 @@
 
 //!
 //! And a server whose clients keep to no limit runs out of memory or descriptors. [`Callers`] keeps an account of each
-//! connection, [`CallerStream`] closes those that have to give way, and [`collect_request`] reserves the memory of
-//! bodies as they come.
+//! connection, [`CallerStream`] closes those that have to give way, and [`collect_request`] and
+//! [`collect_answer`] reserve the memory of bodies as they come.
 
 mod caller_stream;
 mod callers;
@@ -32,5 +32,5 @@
 
 pub use caller_stream::{CallerStream, HeadLimits};
 pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
-pub use collect::{CollectError, collect_request};
+pub use collect::{CollectError, collect_answer, collect_request};
 pub use lingering::LingeringStream;
