Bound what clients of the readiness and operators' ports may hold

What callers saw: an entry over its memory and descriptors under 600 clients that send heads without an end to the balancer's, operators' or peers' port.

Cause: the page server accepted what came, left each head as long as the library allows (some 400 KiB), had no time limit, and held each page until its reader took it.

The memory of a page is reserved until it is written; without room it is 503.

--- a/fireflycroft/src/connection_limits.rs
+++ b/fireflycroft/src/connection_limits.rs
@@ -20,8 +20,8 @@
 /// Divisor of the VM's memory that gives the part for callers.
 const CALLER_MEMORY_DIVISOR: u64 = 2;
 
-/// Divisors of the parts for a server of short pages.
-const PAGE_MEMORY_DIVISOR: u64 = 32;
+/// Divisors of the VM's memory and sockets that give the parts for a server of pages.
+const PAGE_MEMORY_DIVISOR: u64 = 8;
 const PAGE_SOCKET_DIVISOR: usize = 16;
 
 /// Fewest connections of any server.
@@ -52,18 +52,16 @@
         let sockets = sockets(descriptors);
         Self {
             memory: memory.unwrap_or(DEFAULT_MEMORY_BYTES) / CALLER_MEMORY_DIVISOR,
-            connections: (sockets - sockets / 4).max(MIN_CONNECTIONS),
+            connections: (sockets / 8 * 5).max(MIN_CONNECTIONS),
         }
     }
 
-    /// Returns the limits for a server of short pages on such a VM.
+    /// Returns the limits for a server of pages for operators, peers or the balancer on such a VM.
     #[must_use]
     pub fn for_pages(memory: Option<u64>, descriptors: Option<usize>) -> Self {
-        let connections = (sockets(descriptors) / PAGE_SOCKET_DIVISOR).max(MIN_CONNECTIONS);
-        let memory = memory.unwrap_or(DEFAULT_MEMORY_BYTES) / PAGE_MEMORY_DIVISOR;
         Self {
-            memory: memory.max(MIN_CONNECTIONS as u64 * 2 * CONNECTION_BYTES),
-            connections,
+            memory: memory.unwrap_or(DEFAULT_MEMORY_BYTES) / PAGE_MEMORY_DIVISOR,
+            connections: (sockets(descriptors) / PAGE_SOCKET_DIVISOR).max(MIN_CONNECTIONS),
         }
     }
 
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -49,7 +49,7 @@
     pub standby_copies: IntCounterVec,
     /// States fetched from other entries, by `what` was missing: `config`, `list`, `entries`.
     pub fetches: IntCounterVec,
-    /// Callers' connections that gave way to others, by `shortage`: `memory`, `descriptors`.
+    /// Connections that gave way to others or were refused, by `server` and `shortage`: `memory`, `descriptors`.
     pub evictions: IntCounterVec,
     caller_connections: IntGauge,
     caller_memory: IntGauge,
@@ -161,9 +161,9 @@
             )?,
             evictions: counters(
                 &r,
-                "caller_evictions_total",
-                "Callers' connections that gave way to others",
-                &["shortage"],
+                "evicted_connections_total",
+                "Connections that gave way to others or were refused",
+                &["server", "shortage"],
             )?,
             caller_connections: gauge(&r, "caller_connections", "Open connections of callers")?,
             caller_memory: gauge(
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -41,6 +41,16 @@
     place.seeds.is_empty() || place.seeds.iter().any(|seed| seed.ip() == place.ip)
 }
 
+/// Creates the accounts of a server's connections, whose evictions are counted.
+fn accounts(server: &'static str, limits: ConnectionLimits, metrics: &Metrics) -> Callers {
+    let evictions = metrics.evictions.clone();
+    Callers::new(server, limits, move |shortage| {
+        evictions
+            .with_label_values(&[server, shortage.name()])
+            .inc();
+    })
+}
+
 /// Shared state of one process.
 pub struct Node {
     /// The platform's settings: addresses, data centre, bounds.
@@ -176,11 +186,8 @@
         let retry_budget = SharedRetryBudget::new(place.bounds.retry_limits);
         let peers = Peers::new(&place);
         let metrics = Metrics::new()?;
-        let evictions = metrics.evictions.clone();
         let limits = ConnectionLimits::for_callers(place.memory, place.descriptors);
-        let callers = Callers::new("callers", limits, move |shortage| {
-            evictions.with_label_values(&[shortage.name()]).inc();
-        });
+        let callers = accounts("callers", limits, &metrics);
         Ok(Self {
             policy,
             clock,
@@ -240,6 +247,13 @@
         })
     }
 
+    /// Returns the accounts for a server of pages.
+    #[must_use]
+    pub fn page_callers(&self, server: &'static str) -> Callers {
+        let limits = ConnectionLimits::for_pages(self.place.memory, self.place.descriptors);
+        accounts(server, limits, &self.metrics)
+    }
+
     /// Returns the time since the start of the process.
     #[must_use]
     pub fn now(&self) -> Time {
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -64,7 +64,7 @@
     let callers = bind(place.caller_addr).await?;
     if let Some(operators) = place.operator_addr {
         let listener = bind(operators).await?;
-        spawn_local(state_page::serve(node.clone(), listener));
+        spawn_local(state_page::serve(node.clone(), listener, "operators"));
     }
     spawn_local(feed::follow(node.clone(), Kind::Config));
     spawn_local(feed::follow(node.clone(), Kind::Upstreams));
@@ -76,7 +76,7 @@
     spawn_local(receive::listen(node.clone(), peer_socket));
     spawn_local(announce::run(node.clone()));
     spawn_local(reports::run(node.clone()));
-    spawn_local(state_page::serve(node.clone(), peer_listener));
+    spawn_local(state_page::serve(node.clone(), peer_listener, "peers"));
     spawn_local(crash_sync::run(node.clone()));
     spawn_local(readiness::serve(node.clone(), readiness));
     spawn_local(callers::accept(node.clone(), callers));
--- a/fireflydirect/src/readiness.rs
+++ b/fireflydirect/src/readiness.rs
@@ -10,7 +10,10 @@
 
 /// Serves the endpoint for as long as the process lives.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    page_server::serve(listener, move |req| page(&node, req)).await;
+    page_server::serve(listener, node.page_callers("readiness"), move |req| {
+        page(&node, req)
+    })
+    .await;
 }
 
 fn page(node: &Node, req: &Request<Incoming>) -> Page {
--- a/fireflydirect/src/state_page.rs
+++ b/fireflydirect/src/state_page.rs
@@ -55,8 +55,9 @@
 }
 
 /// Serves the endpoints for as long as the process lives.
-pub async fn serve(node: Rc<Node>, listener: TcpListener) {
-    page_server::serve(listener, move |req| page(&node, req)).await;
+pub async fn serve(node: Rc<Node>, listener: TcpListener, server: &'static str) {
+    let callers = node.page_callers(server);
+    page_server::serve(listener, callers, move |req| page(&node, req)).await;
 }
 
 fn page(node: &Node, req: &Request<Incoming>) -> Page {
--- a/fireflynet/src/callers.rs
+++ b/fireflynet/src/callers.rs
@@ -2,6 +2,7 @@
 //!
 //! [`ConnectionTable`] decides who gives way; this module tells the connections.
 
+use bytes::Bytes;
 use fireflycroft::{
     ConnectionId, ConnectionLimits, ConnectionTable, Eviction, Phase, Purpose, Time,
 };
@@ -94,6 +95,18 @@
     account: Account,
 }
 
+/// Bytes with the reservation of their memory.
+struct HeldBytes {
+    bytes: Bytes,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -348,6 +361,15 @@
         reservation.is_granted
     }
 
+    /// Keeps the reservation until the last of `bytes` is dropped.
+    #[must_use]
+    pub fn hold(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _charge: self,
+        })
+    }
+
     /// Returns all but `bytes`.
     pub fn shrink_to(&mut self, bytes: u64) {
         let returned = self.bytes.saturating_sub(bytes);
