Give connections of the own path's callers accounts, which bound them and their heads

What callers saw: an entry of the agents' path that holds the descriptors of 600 connections that send nothing, and some 400 KiB for each head that never ends.

Cause: its HTTP server accepts what comes, reads a head of any size up to the library's limit, and knows neither the VM's memory nor its descriptors.

Change: the acceptor uses the accounts, limits and decisions of the direct entry. Handlers mark the time of a request's service by the address of its connection.

--- a/fireflyd/src/flags.rs
+++ b/fireflyd/src/flags.rs
@@ -41,7 +41,7 @@
 
 pub(crate) const CHECK_CONFIG: &str = "check-config";
 
-pub(crate) const FLAGS: [Flag; 30] = [
+pub(crate) const FLAGS: [Flag; 32] = [
     flag("role", "What the process does: entry or agent"),
     flag("name", "Name of the process, unique in the fleet"),
     flag("data-centre", "Data centre the process runs in"),
@@ -126,6 +126,16 @@
         "60000",
         "Milliseconds the tokens of a stream without a reader are kept",
     ),
+    flag_or(
+        "memory-mb",
+        "1024",
+        "Megabytes of memory of the VM; half of it is for what callers send and don't read",
+    ),
+    flag_or(
+        "max-fds",
+        "4096",
+        "Descriptors of the VM; five eighths of them, less 200, are for callers",
+    ),
     flag_or(
         "log-level",
         "info",
--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -23,6 +23,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
+use fireflynet::{Account, CallGuard, Callers};
+
 use crate::acceptor::CallerAcceptor;
 use crate::answer::{self, Failure};
 use crate::metrics::Metrics;
@@ -48,6 +50,7 @@
     tx: mpsc::Sender<FrontendEvent>,
     next_call: Arc<AtomicU64>,
     metrics: Metrics,
+    callers: Callers,
 }
 
 /// TLS certificate and key of the callers' address.
@@ -65,16 +68,24 @@
     tx: mpsc::Sender<FrontendEvent>,
     rx: mpsc::UnboundedReceiver<Reply>,
     done: bool,
+    _service: Service,
+}
+
+/// Request in service, with the account of its connection.
+struct Service {
+    _account: Account,
+    _guard: CallGuard,
 }
 
 impl Frontend {
     /// Creates a front end that sends its calls to `tx`.
     #[must_use]
-    pub fn new(tx: mpsc::Sender<FrontendEvent>, metrics: Metrics) -> Self {
+    pub fn new(tx: mpsc::Sender<FrontendEvent>, metrics: Metrics, callers: Callers) -> Self {
         Self {
             tx,
             next_call: Arc::new(AtomicU64::new(1)),
             metrics,
+            callers,
         }
     }
 
@@ -95,13 +106,17 @@
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = std::io::Result<()>>)> {
         let listener = TcpListener::bind(listen).await;
         let listener = TcpAcceptor::from_tokio(listener.context("callers' address")?)?;
+        let acceptor = CallerAcceptor {
+            listener,
+            callers: self.callers.clone(),
+        };
         let acceptor = match tls {
-            None => CallerAcceptor(listener).boxed(),
+            None => acceptor.boxed(),
             Some(tls) => {
                 let cert = RustlsCertificate::new().cert(tls.cert).key(tls.key);
                 let config = RustlsConfig::new().fallback(cert);
                 let configs = config.into_stream().context("TLS")?;
-                CallerAcceptor(listener).rustls(configs).boxed()
+                acceptor.rustls(configs).boxed()
             }
         };
         let bound = acceptor
@@ -122,7 +137,21 @@
         Ok((bound, server))
     }
 
-    async fn open(&self, event: impl FnOnce(CallId) -> EntryEvent) -> Result<OpenCall, Failure> {
+    /// Marks the beginning of a request's service; `None` if its connection is closed already.
+    fn begin(&self, req: &Request) -> Option<Service> {
+        let peer = req.remote_addr().as_socket_addr()?;
+        let account = self.callers.account_of(*peer)?;
+        Some(Service {
+            _guard: account.begin_call(),
+            _account: account,
+        })
+    }
+
+    async fn open(
+        &self,
+        service: Service,
+        event: impl FnOnce(CallId) -> EntryEvent,
+    ) -> Result<OpenCall, Failure> {
         let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = mpsc::unbounded_channel();
         let stopped = |_| Failure::of(Code::Leaving);
@@ -139,6 +168,7 @@
             tx: self.tx.clone(),
             rx,
             done: false,
+            _service: service,
         })
     }
 }
@@ -214,12 +244,15 @@
 
 #[handler]
 async fn serve_chat(req: &Request, body: Body, frontend: Data<&Frontend>) -> Response {
+    let Some(service) = frontend.begin(req) else {
+        return answer::error_response(&Failure::of(Code::Withdrawn));
+    };
     let parsed = match read_body(req, body).await {
         Ok(buf) => parse_chat(req.headers(), buf),
         Err(bad) => Err(bad),
     };
     match parsed {
-        Ok(parsed) => frontend.serve_chat(parsed).await,
+        Ok(parsed) => frontend.serve_chat(service, parsed).await,
         Err(bad) => refuse(frontend.0, bad),
     }
 }
@@ -231,6 +264,9 @@
     Path((service, path)): Path<(String, String)>,
     frontend: Data<&Frontend>,
 ) -> Response {
+    let Some(running) = frontend.begin(req) else {
+        return answer::error_response(&Failure::of(Code::Withdrawn));
+    };
     let path = match req.uri().query() {
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
@@ -240,7 +276,7 @@
         Err(bad) => Err(bad),
     };
     match parsed {
-        Ok(parsed) => frontend.serve_call(parsed).await,
+        Ok(parsed) => frontend.serve_call(running, parsed).await,
         Err(bad) => refuse(frontend.0, bad),
     }
 }
@@ -278,13 +314,13 @@
             .inc();
     }
 
-    async fn serve_chat(&self, parsed: ParsedRequest) -> Response {
+    async fn serve_chat(&self, service: Service, parsed: ParsedRequest) -> Response {
         let class_label = class_label(&parsed);
         let ParsedRequest { submission, target } = parsed;
         let delivery = submission.delivery;
         let received = Instant::now();
         let opened = self
-            .open(|id| EntryEvent::Submit(id, Box::new(submission)))
+            .open(service, |id| EntryEvent::Submit(id, Box::new(submission)))
             .await;
         let call = match opened {
             Ok(call) => call,
@@ -306,10 +342,10 @@
         }
     }
 
-    async fn serve_call(&self, parsed: ParsedRequest) -> Response {
+    async fn serve_call(&self, service: Service, parsed: ParsedRequest) -> Response {
         let ParsedRequest { submission, .. } = parsed;
         let opened = self
-            .open(|id| EntryEvent::Submit(id, Box::new(submission)))
+            .open(service, |id| EntryEvent::Submit(id, Box::new(submission)))
             .await;
         let mut call = match opened {
             Ok(call) => call,
--- a/fireflyd/src/metrics.rs
+++ b/fireflyd/src/metrics.rs
@@ -5,6 +5,8 @@
 
 use std::fmt::Write;
 
+use fireflycroft::ConnectionLimits;
+use fireflynet::Callers;
 use prometheus::core::Collector;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -50,6 +52,8 @@
     pub members: IntGaugeVec,
     /// Request digests in quarantine.
     pub quarantined_digests: IntGauge,
+    /// Connections that gave way to others or were refused, by `server` and `shortage`: `memory`, `descriptors`.
+    evicted_connections: IntCounterVec,
 }
 
 /// Metrics of the mailbox.
@@ -128,10 +132,25 @@
             )?,
             members: gauge_vec(&registry, "members", "Known members", &["state"])?,
             quarantined_digests: gauge(&registry, "quarantined_digests", "Digests in quarantine")?,
+            evicted_connections: counter_vec(
+                &registry,
+                "evicted_connections_total",
+                "Connections that gave way to others or were refused",
+                &["server", "shortage"],
+            )?,
             registry,
         })
     }
 
+    /// Creates the accounts of a server's connections, whose evictions are counted.
+    #[must_use]
+    pub fn accounts(&self, server: &'static str, limits: ConnectionLimits) -> Callers {
+        let evicted = self.evicted_connections.clone();
+        Callers::new(server, limits, move |shortage| {
+            evicted.with_label_values(&[server, shortage.name()]).inc();
+        })
+    }
+
     /// Renders all metrics in the Prometheus text format.
     #[must_use]
     pub fn render(&self) -> String {
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -7,8 +7,8 @@
 
 use anyhow::Context;
 use fireflycroft::{
-    AdmitPolicy, AgentEvent, AgentLimits, AgentSetup, Capacity, Config, EntryLimits, EntrySetup,
-    LeaseAnswer, LeaseOp, Name, Role, RoutePolicy, Vm,
+    AdmitPolicy, AgentEvent, AgentLimits, AgentSetup, Capacity, Config, ConnectionLimits,
+    EntryLimits, EntrySetup, LeaseAnswer, LeaseOp, Name, Role, RoutePolicy, Vm,
 };
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -143,7 +143,11 @@
 ) -> anyhow::Result<()> {
     let (calls_tx, calls) = mpsc::channel(QUEUE_CAPACITY);
     let (tx, inputs) = mpsc::channel(QUEUE_CAPACITY);
-    let frontend = Frontend::new(calls_tx, components.node.metrics.clone());
+    let metrics = components.node.metrics.clone();
+    let vm = settings.vm;
+    let limits = ConnectionLimits::for_callers(Some(vm.memory), Some(vm.descriptors));
+    let callers = metrics.accounts("callers", limits);
+    let frontend = Frontend::new(calls_tx, metrics, callers);
     let (stop, stopped) = oneshot::channel();
     let tls = read_tls(&entry)?;
     let (callers, server) = frontend.bind(entry.listen, tls, stopped).await?;
--- a/fireflyd/src/setting_check.rs
+++ b/fireflyd/src/setting_check.rs
@@ -12,11 +12,17 @@
 use crate::flags::{AGENT_ONLY, CHECK_CONFIG, ENTRY_ONLY, FLAGS, Flag, env_name};
 use crate::settings::{
     AgentSettings, EntrySettings, Role, RoleSettings, SettingFault, Settings, Timeouts, TlsFiles,
-    UpstreamKind,
+    UpstreamKind, VmResources,
 };
 
 /// Maximum length of a name in bytes.
 const MAX_NAME: usize = 63;
+/// Bounds of a VM's memory in megabytes: room for a few of the largest bodies, and a large machine.
+const MIN_MEMORY_MB: u64 = 32;
+const MAX_MEMORY_MB: u64 = 4_000_000;
+/// Bounds of a VM's descriptors.
+const MIN_DESCRIPTORS: u64 = 256;
+const MAX_DESCRIPTORS: u64 = 10_000_000;
 /// Maximum timeout in milliseconds: an hour.
 const MAX_MS: u64 = 3_600_000;
 
@@ -88,6 +94,7 @@
         let fleet_keys_file = self.required("fleet-keys-file", "a file");
         let port_file = self.text("port-file").map(PathBuf::from);
         let timeouts = self.timeouts();
+        let vm = self.vm();
         let levels = "off, error, warn, info, debug or trace";
         let log_level = self.parsed("log-level", levels);
         let policy = self.name("policy");
@@ -103,6 +110,7 @@
             fleet_keys_file: fleet_keys_file?.into(),
             port_file,
             timeouts: timeouts?,
+            vm: vm?,
             log_level: log_level?,
             policy: policy?,
             check_config: check_config?,
@@ -218,6 +226,15 @@
         })
     }
 
+    fn vm(&mut self) -> Option<VmResources> {
+        let megabytes = self.count_between("memory-mb", MIN_MEMORY_MB, MAX_MEMORY_MB);
+        let descriptors = self.count_between("max-fds", MIN_DESCRIPTORS, MAX_DESCRIPTORS);
+        Some(VmResources {
+            memory: megabytes? * 1_000_000,
+            descriptors: usize::try_from(descriptors?).ok()?,
+        })
+    }
+
     fn check_config(&mut self, matches: &ArgMatches) -> Option<bool> {
         if matches.get_flag(CHECK_CONFIG) {
             return Some(true);
@@ -322,6 +339,16 @@
         }
     }
 
+    fn count_between(&mut self, flag: &'static str, min: u64, max: u64) -> Option<u64> {
+        let allowed = format!("{min} to {max}");
+        let count = self.parsed(flag, &allowed)?;
+        if (min..=max).contains(&count) {
+            Some(count)
+        } else {
+            self.fault(flag, allowed)
+        }
+    }
+
     fn optional_count(&mut self, flag: &'static str) -> Option<u64> {
         self.text(flag)?;
         let allowed = "a whole number from 1";
--- a/fireflyd/src/settings.rs
+++ b/fireflyd/src/settings.rs
@@ -60,6 +60,8 @@
     pub port_file: Option<PathBuf>,
     /// Timeouts.
     pub timeouts: Timeouts,
+    /// Memory and descriptors of the VM.
+    pub vm: VmResources,
     /// Minimum log level.
     pub log_level: log::LevelFilter,
     /// Name of the routing policy.
@@ -116,6 +118,15 @@
     pub checks_fence: bool,
 }
 
+/// Memory and descriptors of a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VmResources {
+    /// Memory in bytes.
+    pub memory: u64,
+    /// Descriptors.
+    pub descriptors: usize,
+}
+
 /// Timeouts of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
--- a/fireflyd/tests/settings.rs
+++ b/fireflyd/tests/settings.rs
@@ -82,6 +82,7 @@
     an_agent_of_a_plain_service: plain(), [];
     an_ipv6_mailbox: entry(), [("mailbox", "[::1]:7000")];
     several_seeds: entry(), [("seeds", "127.0.0.1:1, 127.0.0.1:2")];
+    a_small_vm: entry(), [("memory-mb", "32"), ("max-fds", "256")];
     no_drain_grace: entry(), [("drain-grace-ms", "0")];
     an_empty_optional_setting: entry(), [("port-file", "")];
 }
@@ -117,6 +118,8 @@
     a_timeout_of_zero: entry(), [("offer-timeout-ms", "0")] => "offer-timeout-ms", Some("0");
     a_timeout_over_an_hour: entry(), [("retain-ms", "3600001")] => "retain-ms", Some("3600001");
     a_timeout_with_unit: entry(), [("stall-timeout-ms", "1s")] => "stall-timeout-ms", Some("1s");
+    a_memory_that_is_too_small: entry(), [("memory-mb", "31")] => "memory-mb", Some("31");
+    descriptors_that_are_too_few: entry(), [("max-fds", "255")] => "max-fds", Some("255");
     a_negative_timeout: entry(), [("stall-timeout-ms", "-1")] => "stall-timeout-ms", Some("-1");
     an_unknown_level: entry(), [("log-level", "loud")] => "log-level", Some("loud");
     an_upstream_for_an_entry: entry(), [("upstream", "http://h")] => "upstream", Some("http://h");
