Keep the bodies of the own path's callers within a share of the VM's memory

What callers saw: an entry of the agents' path over its memory under clients whose bodies stop short of their end, or go far over the limit.

Cause: as on the direct path, each body was read before anything asked for room.

Change: the same accounts and decisions. A body is collected in memory that is reserved as it grows, announced bodies over the limit get 413 unread, one that gives way or finds no room 503 (2024) with a Retry-After of 1 s. As much again is reserved for the message to the agent, until the call ends. No deadline is set for a body here, since callers name none; one that stands still gives way first.

--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -23,14 +23,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
-use fireflynet::{Account, CallGuard, Callers};
+use fireflynet::Callers;
 
 use crate::acceptor::CallerAcceptor;
 use crate::answer::{self, Failure};
 use crate::metrics::Metrics;
-use crate::request::{
-    BadRequest, MAX_BODY_BYTES, ParsedRequest, check_headers, parse_call, parse_chat,
-};
+use crate::request::{BadRequest, ParsedRequest, parse_call, parse_chat};
+use crate::service::{NO_MEMORY_RETRY_AFTER, Service};
 
 /// Tokens consumed by a caller between two reports to the entry.
 const CONSUMED_STEP_TOKENS: u64 = 128;
@@ -71,12 +70,6 @@
     _service: Service,
 }
 
-/// Request in service, with the account of its connection.
-struct Service {
-    _account: Account,
-    _guard: CallGuard,
-}
-
 impl Frontend {
     /// Creates a front end that sends its calls to `tx`.
     #[must_use]
@@ -137,16 +130,6 @@
         Ok((bound, server))
     }
 
-    /// Marks the beginning of a request's service; `None` if its connection is closed already.
-    fn begin(&self, req: &Request) -> Option<Service> {
-        let peer = req.remote_addr().as_socket_addr()?;
-        let account = self.callers.account_of(*peer)?;
-        Some(Service {
-            _guard: account.begin_call(),
-            _account: account,
-        })
-    }
-
     async fn open(
         &self,
         service: Service,
@@ -244,10 +227,10 @@
 
 #[handler]
 async fn serve_chat(req: &Request, body: Body, frontend: Data<&Frontend>) -> Response {
-    let Some(service) = frontend.begin(req) else {
+    let Some(mut service) = Service::begin(&frontend.callers, req) else {
         return answer::error_response(&Failure::of(Code::Withdrawn));
     };
-    let parsed = match read_body(req, body).await {
+    let parsed = match service.read_body(req, body).await {
         Ok(buf) => parse_chat(req.headers(), buf),
         Err(bad) => Err(bad),
     };
@@ -264,14 +247,14 @@
     Path((service, path)): Path<(String, String)>,
     frontend: Data<&Frontend>,
 ) -> Response {
-    let Some(running) = frontend.begin(req) else {
+    let Some(mut running) = Service::begin(&frontend.callers, req) else {
         return answer::error_response(&Failure::of(Code::Withdrawn));
     };
     let path = match req.uri().query() {
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
     };
-    let parsed = match read_body(req, body).await {
+    let parsed = match running.read_body(req, body).await {
         Ok(buf) => parse_call(req.headers(), req.method().as_str(), &service, &path, buf),
         Err(bad) => Err(bad),
     };
@@ -281,25 +264,12 @@
     }
 }
 
-async fn read_body(req: &Request, body: Body) -> Result<Vec<u8>, BadRequest> {
-    check_headers(req.headers())?;
-    body.into_bytes_limit(MAX_BODY_BYTES)
-        .await
-        .map(Vec::from)
-        .map_err(|e| BadRequest {
-            code: match e {
-                poem::error::ReadBodyError::PayloadTooLarge => Code::BodyTooLarge,
-                _ => Code::BadRequest,
-            },
-            detail: e.to_string(),
-        })
-}
-
 fn refuse(frontend: &Frontend, bad: BadRequest) -> Response {
     frontend.count_unreadable(bad.code);
     log::info!(event = "request_unreadable", code = bad.code.number(), detail:% = bad.detail; "");
     answer::error_response(&Failure {
         detail: Some(bad.detail),
+        retry_after: (bad.code == Code::NoMemory).then_some(NO_MEMORY_RETRY_AFTER),
         ..Failure::of(bad.code)
     })
 }
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod process;
 pub mod request;
 pub mod runner;
+mod service;
 mod setting_check;
 pub mod settings;
 pub mod sse;
--- /dev/null
+++ b/fireflyd/src/service.rs
@@ -0,0 +1,75 @@
+//! What a caller's request holds while it is served.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fireflycroft::{Code, Purpose};
+use fireflynet::{Account, CallGuard, Callers, Charge, CollectError, collect_request};
+use http_body_util::combinators::BoxBody;
+use poem::{Body, Request};
+
+use crate::request::{BadRequest, MAX_BODY_BYTES, check_headers};
+
+/// Retry delay where other requests hold the memory: those that no longer arrive have given way by then.
+pub(crate) const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Request in service, with the account of its connection.
+pub(crate) struct Service {
+    account: Account,
+    /// Memory of its body.
+    body: Option<Charge>,
+    _guard: CallGuard,
+}
+
+impl Service {
+    /// Marks the beginning of a request's service; `None` if its connection is closed already.
+    pub(crate) fn begin(callers: &Callers, req: &Request) -> Option<Self> {
+        let peer = req.remote_addr().as_socket_addr()?;
+        let account = callers.account_of(*peer)?;
+        Some(Self {
+            _guard: account.begin_call(),
+            account,
+            body: None,
+        })
+    }
+
+    /// Reads the body, whose memory stays reserved until the end of the service.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the headers or the body are too large, there is no memory for it, or it broke off.
+    pub(crate) async fn read_body(
+        &mut self,
+        req: &Request,
+        body: Body,
+    ) -> Result<Vec<u8>, BadRequest> {
+        check_headers(req.headers())?;
+        let body: BoxBody<Bytes, io::Error> = body.into();
+        let collected = collect_request(body, MAX_BODY_BYTES, &self.account).await;
+        let (bytes, charge) = collected.map_err(refusal)?.into_parts();
+        self.body = charge;
+        // The message to the agent holds the body once more.
+        let has_room = match &mut self.body {
+            Some(charge) => charge.grow(charge.bytes(), Purpose::Input),
+            None => true,
+        };
+        if has_room {
+            Ok(bytes)
+        } else {
+            Err(refusal(CollectError::NoRoom))
+        }
+    }
+}
+
+fn refusal(e: CollectError<io::Error>) -> BadRequest {
+    let code = match e {
+        CollectError::TooLarge => Code::BodyTooLarge,
+        CollectError::NoRoom => Code::NoMemory,
+        CollectError::Broken(_) => Code::BadRequest,
+    };
+    BadRequest {
+        code,
+        detail: e.to_string(),
+    }
+}
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -219,6 +219,7 @@
         CollectError::NoRoom => BodyError::NoMemory,
         e => BodyError::Broken(e.to_string()),
     })?;
+    let bytes = bytes.into_bytes();
     release_link(job, ix, &head, link);
     Ok((parts, bytes))
 }
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -317,7 +317,7 @@
 ) -> Result<Bytes, Refusal> {
     let collected = collect_request(body, limit, account);
     match tokio::time::timeout_at(node.clock.instant(deadline), collected).await {
-        Ok(Ok(body)) => Ok(body),
+        Ok(Ok(body)) => Ok(body.into_bytes()),
         Ok(Err(CollectError::TooLarge)) => Err(refusal(Code::BodyTooLarge)),
         Ok(Err(CollectError::NoRoom)) => {
             let wait = NO_MEMORY_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..=1.0));
--- a/fireflynet/src/collect.rs
+++ b/fireflynet/src/collect.rs
@@ -41,12 +41,12 @@
     body: B,
     limit: usize,
     account: &Account,
-) -> Result<Bytes, CollectError<B::Error>>
+) -> Result<Collected, CollectError<B::Error>>
 where
     B: Body<Data = Bytes> + Unpin,
 {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(Collected::default());
     }
     let _receiving = Receiving::begin(account);
     tokio::select! {
@@ -84,7 +84,7 @@
     body: B,
     limit: usize,
     account: &Account,
-) -> Result<Bytes, CollectError<B::Error>>
+) -> Result<Collected, CollectError<B::Error>>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -96,7 +96,7 @@
     limit: usize,
     account: &Account,
     purpose: Purpose,
-) -> Result<Bytes, CollectError<B::Error>>
+) -> Result<Collected, CollectError<B::Error>>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -105,11 +105,8 @@
         return Err(CollectError::TooLarge);
     }
     let expected = announced.upper().and_then(|b| usize::try_from(b).ok());
-    let mut buf = Buffer {
-        bytes: Vec::new(),
-        charge: None,
-        most: expected.unwrap_or(limit).min(limit),
-    };
+    let most = expected.unwrap_or(limit).min(limit);
+    let mut buf = Collected::default();
     let mut body = pin!(body);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(CollectError::Broken)?.into_data() else {
@@ -118,31 +115,47 @@
         if buf.bytes.len() + data.len() > limit {
             return Err(CollectError::TooLarge);
         }
-        if !buf.append(&data, account, purpose) {
+        if !buf.append(&data, most, account, purpose) {
             return Err(CollectError::NoRoom);
         }
     }
-    Ok(buf.into_bytes())
+    buf.shrink();
+    Ok(buf)
 }
 
-/// Contiguous bytes, whose capacity is reserved.
-struct Buffer {
+/// Contiguous bytes, whose memory is reserved.
+#[derive(Debug, Default)]
+pub struct Collected {
     bytes: Vec<u8>,
     charge: Option<Charge>,
-    /// Most bytes that are expected.
-    most: usize,
 }
 
-impl AsRef<[u8]> for Buffer {
+impl AsRef<[u8]> for Collected {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
-impl Buffer {
-    fn append(&mut self, data: &[u8], account: &Account, purpose: Purpose) -> bool {
+impl Collected {
+    /// Returns the bytes, which keep the reservation until the last of them is dropped.
+    #[must_use]
+    pub fn into_bytes(self) -> Bytes {
+        if self.bytes.is_empty() {
+            return Bytes::new();
+        }
+        Bytes::from_owner(self)
+    }
+
+    /// Returns the bytes and their reservation, if there are any.
+    #[must_use]
+    pub fn into_parts(self) -> (Vec<u8>, Option<Charge>) {
+        (self.bytes, self.charge)
+    }
+
+    /// Appends to a body of which at most `most` bytes are expected.
+    fn append(&mut self, data: &[u8], most: usize, account: &Account, purpose: Purpose) -> bool {
         let len = self.bytes.len() + data.len();
-        if len > self.bytes.capacity() && !self.grow(len, account, purpose) {
+        if len > self.bytes.capacity() && !self.grow(len, most, account, purpose) {
             return false;
         }
         self.bytes.extend_from_slice(data);
@@ -150,13 +163,13 @@
     }
 
     /// Grows to at least `len` bytes; old and new memory are both held for a moment.
-    fn grow(&mut self, len: usize, account: &Account, purpose: Purpose) -> bool {
-        let first = if self.most as u64 <= SMALL_BYTES {
-            self.most
+    fn grow(&mut self, len: usize, most: usize, account: &Account, purpose: Purpose) -> bool {
+        let first = if most as u64 <= SMALL_BYTES {
+            most
         } else {
             MIN_BUFFER_BYTES
         };
-        let doubled = (2 * self.bytes.capacity()).max(first).min(self.most);
+        let doubled = (2 * self.bytes.capacity()).max(first).min(most);
         let capacity = doubled.max(len);
         let Some(charge) = account.reserve(capacity as u64, purpose) else {
             return false;
@@ -166,14 +179,11 @@
         true
     }
 
-    fn into_bytes(mut self) -> Bytes {
-        if self.bytes.is_empty() {
-            return Bytes::new();
-        }
+    /// Returns the memory that isn't used.
+    fn shrink(&mut self) {
         self.bytes.shrink_to_fit();
         if let Some(charge) = &mut self.charge {
             charge.shrink_to(self.bytes.capacity() as u64);
         }
-        Bytes::from_owner(self)
     }
 }
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -32,5 +32,5 @@
 
 pub use caller_stream::{CallerStream, HeadLimits};
 pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
-pub use collect::{CollectError, collect_answer, collect_request};
+pub use collect::{CollectError, Collected, collect_answer, collect_request};
 pub use lingering::LingeringStream;
