Count whole answers of the own path until their callers have read them

What callers saw: an entry of the agents' path over its memory under clients that ask for whole answers and read none.

Cause: the tokens of a whole answer, and the response made of them, were held uncounted until the caller had taken the last byte.

Change: memory is reserved on the connection's account as tokens arrive, and goes with the bytes of the response; a connection that takes nothing may give way. Streams are relayed no faster than they are read and need no such count.

--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -67,7 +67,7 @@
     tx: mpsc::Sender<FrontendEvent>,
     rx: mpsc::UnboundedReceiver<Reply>,
     done: bool,
-    _service: Service,
+    service: Service,
 }
 
 impl Frontend {
@@ -151,7 +151,7 @@
             tx: self.tx.clone(),
             rx,
             done: false,
-            _service: service,
+            service,
         })
     }
 }
@@ -186,7 +186,12 @@
         loop {
             match self.next().await {
                 Some(Reply::Begin(begun)) => resume_point = Some(begun),
-                Some(Reply::Tokens(next)) => append(&mut chunk, &next),
+                Some(Reply::Tokens(next)) => {
+                    if !self.service.reserve_answer(next.data.len()) {
+                        return Err(Failure::of(Code::AnswerTooLarge));
+                    }
+                    append(&mut chunk, &next);
+                }
                 Some(Reply::End(finish)) => {
                     return Ok(WholeAnswer {
                         resume_point,
@@ -323,7 +328,9 @@
         };
         match call.collect().await {
             Ok(whole) => {
-                answer::call_response(whole.resume_point.as_ref(), whole.chunk, &whole.finish)
+                let point = whole.resume_point.as_ref();
+                let res = answer::call_response(point, whole.chunk, &whole.finish);
+                call.service.hold(res).await
             }
             Err(failure) => answer::error_response(&failure),
         }
@@ -463,7 +470,9 @@
         };
         match &whole.resume_point {
             Some(resume_point) => {
-                answer::completion_response(resume_point, &self.model, &whole.chunk, &whole.finish)
+                let WholeAnswer { chunk, finish, .. } = &whole;
+                let res = answer::completion_response(resume_point, &self.model, chunk, finish);
+                self.call.service.hold(res).await
             }
             None => answer::error_response(&Failure::of(Code::OutcomeUnknown)),
         }
--- a/fireflyd/src/service.rs
+++ b/fireflyd/src/service.rs
@@ -7,7 +7,8 @@
 use fireflycroft::{Code, Purpose};
 use fireflynet::{Account, CallGuard, Callers, Charge, CollectError, collect_request};
 use http_body_util::combinators::BoxBody;
-use poem::{Body, Request};
+use poem::http::StatusCode;
+use poem::{Body, Request, Response};
 
 use crate::request::{BadRequest, MAX_BODY_BYTES, check_headers};
 
@@ -19,6 +20,8 @@
     account: Account,
     /// Memory of its body.
     body: Option<Charge>,
+    /// Memory of what has come of its answer, if that is collected.
+    answer: Option<Charge>,
     _guard: CallGuard,
 }
 
@@ -31,6 +34,7 @@
             _guard: account.begin_call(),
             account,
             body: None,
+            answer: None,
         })
     }
 
@@ -60,6 +64,31 @@
             Err(refusal(CollectError::NoRoom))
         }
     }
+
+    /// Reserves memory for more of the answer; returns false if others hold it.
+    pub(crate) fn reserve_answer(&mut self, bytes: usize) -> bool {
+        let bytes = bytes as u64;
+        if let Some(charge) = &mut self.answer {
+            return charge.grow(bytes, Purpose::Answer);
+        }
+        self.answer = self.account.reserve(bytes, Purpose::Answer);
+        self.answer.is_some()
+    }
+
+    /// Keeps the answer's memory reserved until the response with it is written.
+    pub(crate) async fn hold(&mut self, res: Response) -> Response {
+        let Some(charge) = self.answer.take() else {
+            return res;
+        };
+        let (parts, body) = res.into_parts();
+        match body.into_bytes().await {
+            Ok(bytes) => Response::from_parts(parts, Body::from_bytes(charge.hold(bytes))),
+            Err(e) => {
+                log::error!(event = "answer_unreadable", error:% = e; "");
+                StatusCode::INTERNAL_SERVER_ERROR.into()
+            }
+        }
+    }
 }
 
 fn refusal(e: CollectError<io::Error>) -> BadRequest {
