Bound what clients of the own path's admin port may hold

What callers saw: a process of the agents' path over its memory and descriptors under 600 clients that send heads without an end to its admin port.

--- a/fireflyd/src/admin.rs
+++ b/fireflyd/src/admin.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use fireflycroft::{ConfigBundle, RequestId, parse_request_id};
+use fireflycroft::{ConfigBundle, ConnectionLimits, RequestId, parse_request_id};
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Json, Path};
@@ -13,6 +13,7 @@
 use serde_json::Value;
 use tokio::net::TcpListener;
 
+use crate::acceptor::CallerAcceptor;
 use crate::metrics::Metrics;
 
 /// Content type of the Prometheus text format.
@@ -77,7 +78,7 @@
 }
 
 impl Admin {
-    /// Serves on `listener` until `stop` completes.
+    /// Serves on `listener` until `stop` completes, with connections that stay within `limits`.
     ///
     /// # Errors
     ///
@@ -85,9 +86,13 @@
     pub async fn serve(
         self,
         listener: TcpListener,
+        limits: ConnectionLimits,
         stop: impl Future<Output = ()> + Send + 'static,
     ) -> anyhow::Result<()> {
-        let acceptor = TcpAcceptor::from_tokio(listener)?;
+        let acceptor = CallerAcceptor {
+            listener: TcpAcceptor::from_tokio(listener)?,
+            callers: self.metrics.accounts("admin", limits),
+        };
         let routes = Route::new()
             .at("/metrics", get(metrics))
             .at("/health/live", get(live))
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -356,7 +356,9 @@
         .await
         .context("admin address")?;
     let bound = listener.local_addr()?;
-    tokio::spawn(admin.serve(listener, std::future::pending()));
+    let vm = settings.vm;
+    let limits = ConnectionLimits::for_pages(Some(vm.memory), Some(vm.descriptors));
+    tokio::spawn(admin.serve(listener, limits, std::future::pending()));
     Ok(bound)
 }
 
--- a/fireflyd/tests/admin.rs
+++ b/fireflyd/tests/admin.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use fireflycroft::{ConfigBundle, ConfigTransfer, ConfigVersion, Document, split};
+use fireflycroft::{
+    ConfigBundle, ConfigTransfer, ConfigVersion, ConnectionLimits, Document, split,
+};
 use fireflyd::admin::{Admin, Readiness};
 use fireflyd::metrics::Metrics;
 use fireflyd::port_file::write_port_file;
@@ -36,7 +38,7 @@
         }),
     };
     let (stop, stopped) = oneshot::channel();
-    let task = tokio::spawn(admin.clone().serve(listener, async move {
+    let task = tokio::spawn(admin.clone().serve(listener, limits(), async move {
         let _ = stopped.await;
     }));
     Served {
@@ -54,6 +56,10 @@
     (res.status().as_u16(), res.text().await.unwrap())
 }
 
+fn limits() -> ConnectionLimits {
+    ConnectionLimits::for_pages(None, None)
+}
+
 macro_rules! call_cases {
     ($($name:ident: $method:ident $path:expr => $status:expr, $body:expr;)*) => {$(
         #[tokio::test]
@@ -97,7 +103,7 @@
     admin.config = Arc::new(move || transfer.bundle());
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
     let url = format!("http://{}/config", listener.local_addr().unwrap());
-    let task = tokio::spawn(admin.serve(listener, std::future::pending()));
+    let task = tokio::spawn(admin.serve(listener, limits(), std::future::pending()));
     let (status, body) = call(reqwest::Method::GET, url).await;
     let bundle: ConfigBundle = serde_json::from_str(&body).unwrap();
     assert_eq!((status, bundle.head.version), (200, 7));
