--- a/fireflycroft/tests/connection_table.rs
+++ b/fireflycroft/tests/connection_table.rs
@@ -195,10 +195,9 @@
                         reserved.get_mut(&id).unwrap().push(bytes);
                     }
                 },
-                Step::Release(i) => if let Some(id) = nth(i) {
-                    if let Some(bytes) = reserved.get_mut(&id).unwrap().pop() {
-                        table.release(id, bytes);
-                    }
+                Step::Release(i) => if let Some(id) = nth(i)
+                    && let Some(bytes) = reserved.get_mut(&id).unwrap().pop() {
+                    table.release(id, bytes);
                 },
                 Step::Readmit(i) => if let Some(id) = nth(i) {
                     // Only a connection whose memory was released is counted again.
--- a/fireflyd/src/service.rs
+++ b/fireflyd/src/service.rs
@@ -51,7 +51,7 @@
         check_headers(req.headers())?;
         let body: BoxBody<Bytes, io::Error> = body.into();
         let collected = collect_request(body, MAX_BODY_BYTES, &self.account).await;
-        let (bytes, charge) = collected.map_err(refusal)?.into_parts();
+        let (bytes, charge) = collected.map_err(|e| refusal(&e))?.into_parts();
         self.body = charge;
         // The message to the agent holds the body once more.
         let has_room = match &mut self.body {
@@ -61,7 +61,7 @@
         if has_room {
             Ok(bytes)
         } else {
-            Err(refusal(CollectError::NoRoom))
+            Err(refusal(&CollectError::NoRoom))
         }
     }
 
@@ -91,7 +91,7 @@
     }
 }
 
-fn refusal(e: CollectError<io::Error>) -> BadRequest {
+fn refusal(e: &CollectError<io::Error>) -> BadRequest {
     let code = match e {
         CollectError::TooLarge => Code::BodyTooLarge,
         CollectError::NoRoom => Code::NoMemory,
--- a/fireflydirect/src/metrics.rs
+++ b/fireflydirect/src/metrics.rs
@@ -7,6 +7,7 @@
 use crate::store_call::StoreCall;
 use fireflycroft::{Code, Pool, RequestKind, Time};
 use fireflycroft_platform::Kind;
+use fireflynet::Usage;
 use prometheus::core::Collector;
 use prometheus::{
     GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -49,10 +50,8 @@
     pub standby_copies: IntCounterVec,
     /// States fetched from other entries, by `what` was missing: `config`, `list`, `entries`.
     pub fetches: IntCounterVec,
-    /// Connections that gave way to others or were refused, by `server` and `shortage`: `memory`, `descriptors`.
-    pub evictions: IntCounterVec,
-    caller_connections: IntGauge,
-    caller_memory: IntGauge,
+    /// Connections to this process.
+    pub connections: ConnectionMetrics,
     unreadable: IntCounterVec,
     restarts: IntCounterVec,
     hold_seconds: HistogramVec,
@@ -75,6 +74,40 @@
     slow_engines: GaugeVec,
 }
 
+/// Metrics of the connections to one process.
+#[derive(Clone, Debug)]
+pub struct ConnectionMetrics {
+    /// Connections that gave way to others or were refused, by `server` and `shortage`: `memory`, `descriptors`.
+    pub evicted: IntCounterVec,
+    callers: IntGauge,
+    caller_memory: IntGauge,
+}
+
+impl ConnectionMetrics {
+    fn new(r: &Registry) -> prometheus::Result<Self> {
+        Ok(Self {
+            evicted: counters(
+                r,
+                "evicted_connections_total",
+                "Connections that gave way to others or were refused",
+                &["server", "shortage"],
+            )?,
+            callers: gauge(r, "caller_connections", "Open connections of callers")?,
+            caller_memory: gauge(
+                r,
+                "caller_memory_bytes",
+                "Memory reserved for callers' connections",
+            )?,
+        })
+    }
+
+    fn read(&self, usage: Usage) {
+        self.callers.set(to_i64(usage.connections));
+        let memory = i64::try_from(usage.memory).unwrap_or(i64::MAX);
+        self.caller_memory.set(memory);
+    }
+}
+
 /// Returns the label of a kind of request.
 #[must_use]
 pub const fn kind_label(request_kind: RequestKind) -> &'static str {
@@ -159,18 +192,7 @@
                 "States fetched from entries",
                 &["what"],
             )?,
-            evictions: counters(
-                &r,
-                "evicted_connections_total",
-                "Connections that gave way to others or were refused",
-                &["server", "shortage"],
-            )?,
-            caller_connections: gauge(&r, "caller_connections", "Open connections of callers")?,
-            caller_memory: gauge(
-                &r,
-                "caller_memory_bytes",
-                "Memory reserved for callers' connections",
-            )?,
+            connections: ConnectionMetrics::new(&r)?,
             unreadable: counters(
                 &r,
                 "unreadable_total",
@@ -295,10 +317,7 @@
         let now = node.now();
         self.running.set(to_i64(node.runs.count()));
         self.held.set(to_i64(node.wait_queue.borrow().len()));
-        let callers = node.callers.usage();
-        self.caller_connections.set(to_i64(callers.connections));
-        self.caller_memory
-            .set(i64::try_from(callers.memory).unwrap_or(i64::MAX));
+        self.connections.read(node.callers.usage());
         self.config_version
             .set(i64::try_from(node.config_version()).unwrap_or(i64::MAX));
         self.peers.set(to_i64(node.entries() - 1));
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -43,11 +43,9 @@
 
 /// Creates the accounts of a server's connections, whose evictions are counted.
 fn accounts(server: &'static str, limits: ConnectionLimits, metrics: &Metrics) -> Callers {
-    let evictions = metrics.evictions.clone();
+    let evicted = metrics.connections.evicted.clone();
     Callers::new(server, limits, move |shortage| {
-        evictions
-            .with_label_values(&[server, shortage.name()])
-            .inc();
+        evicted.with_label_values(&[server, shortage.name()]).inc();
     })
 }
 
--- a/standins/src/crowd.rs
+++ b/standins/src/crowd.rs
@@ -117,7 +117,8 @@
 pub fn long_headers(len: usize) -> String {
     const LINES: usize = 20;
     let value = "h".repeat(len / LINES);
-    (0..LINES).map(|n| format!("X-H{n}: {value}\r\n")).collect()
+    let lines: Vec<String> = (0..LINES).map(|n| format!("X-H{n}: {value}\r\n")).collect();
+    lines.concat()
 }
 
 /// What a process held at most.
