Count requests in service and what the kernel holds for their connections

What callers saw: an entry far over its VM's memory under clients that begin streams, read nothing and go on sending. What is received and not read counts as memory of the VM.

Cause: three things weren't counted. A request in service holds, besides its body, a connection to an upstream whose buffer grows to 64 KiB, and what waits to be written. The kernel's receive buffer of a connection grows to megabytes and fills while the request is served. Its send buffer grows to megabytes as well, so that a caller who reads nothing doesn't show for as long.

Change: each request reserves 48 KiB for its time in service, before anything else is done for it; without room it gets 503 (2024), not run. Connections to upstreams for callers' requests are read in short pieces, as callers' are. Listeners ask for receive buffers of 16 KiB and send buffers of 64 KiB, which the kernel doubles and then leaves alone; an idle connection counts with its receive buffer, 48 KiB in all.

--- a/fireflycroft/src/connection_limits.rs
+++ b/fireflycroft/src/connection_limits.rs
@@ -2,8 +2,20 @@
 //!
 //! The rest belongs to what serves them: connections to upstreams, the store and peers, and the state of the fleet.
 
-/// Size in bytes of a connection's buffers before any of them grows, and of its task.
-pub const CONNECTION_BYTES: u64 = 16 << 10;
+/// Size in bytes of the kernel's receive buffer of a connection, which doubles it; it counts as memory of the VM.
+pub const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+
+/// Size in bytes of the kernel's send buffer of a connection: small enough that a caller who reads nothing soon shows.
+pub const SEND_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Size in bytes of a connection's read buffer before it grows.
+pub const READ_BUFFER_BYTES: u64 = 8 << 10;
+
+/// Size in bytes of an idle connection: its read buffer, as much again for writing, and the kernel's receive buffer.
+pub const CONNECTION_BYTES: u64 = 2 * (READ_BUFFER_BYTES + RECEIVE_BUFFER_BYTES as u64);
+
+/// Size in bytes of a request in service besides its body: what waits to be written, and its connection to an upstream.
+pub const CALL_BYTES: u64 = 48 << 10;
 
 /// Largest request body or answer that counts as small, in bytes.
 pub const SMALL_BYTES: u64 = 64 << 10;
@@ -70,7 +82,7 @@
     /// Large bodies get half, so that small ones always find room, and all input less than answers do.
     #[must_use]
     pub const fn memory_for(&self, purpose: Purpose, held: u64) -> u64 {
-        let is_small = held <= SMALL_BYTES + CONNECTION_BYTES;
+        let is_small = held <= CONNECTION_BYTES + CALL_BYTES + SMALL_BYTES;
         match purpose {
             Purpose::Input if is_small => self.memory / 4 * 3,
             Purpose::Input => self.memory / 2,
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -169,7 +169,10 @@
 pub use compile::*;
 pub use config::*;
 pub use config_transfer::*;
-pub use connection_limits::{CONNECTION_BYTES, ConnectionLimits, Purpose, SMALL_BYTES};
+pub use connection_limits::{
+    CALL_BYTES, CONNECTION_BYTES, ConnectionLimits, Purpose, READ_BUFFER_BYTES,
+    RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, SMALL_BYTES,
+};
 pub use connection_table::{ConnectionId, ConnectionTable, Eviction, Opening, Phase, Reservation};
 pub use crash_evidence::*;
 pub use crash_report::*;
--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -20,7 +20,6 @@
 };
 use poem::web::{Data, Path};
 use poem::{Body, EndpointExt, Request, Response, Route, Server, handler};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
 use fireflynet::Callers;
@@ -97,8 +96,8 @@
         tls: Option<Tls>,
         stop: oneshot::Receiver<()>,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = std::io::Result<()>>)> {
-        let listener = TcpListener::bind(listen).await;
-        let listener = TcpAcceptor::from_tokio(listener.context("callers' address")?)?;
+        let listener = fireflynet::listen(listen).context("callers' address")?;
+        let listener = TcpAcceptor::from_tokio(listener)?;
         let acceptor = CallerAcceptor {
             listener,
             callers: self.callers.clone(),
@@ -232,8 +231,9 @@
 
 #[handler]
 async fn serve_chat(req: &Request, body: Body, frontend: Data<&Frontend>) -> Response {
-    let Some(mut service) = Service::begin(&frontend.callers, req) else {
-        return answer::error_response(&Failure::of(Code::Withdrawn));
+    let mut service = match Service::begin(&frontend.callers, req) {
+        Ok(service) => service,
+        Err(bad) => return refuse(frontend.0, bad),
     };
     let parsed = match service.read_body(req, body).await {
         Ok(buf) => parse_chat(req.headers(), buf),
@@ -252,8 +252,9 @@
     Path((service, path)): Path<(String, String)>,
     frontend: Data<&Frontend>,
 ) -> Response {
-    let Some(mut running) = Service::begin(&frontend.callers, req) else {
-        return answer::error_response(&Failure::of(Code::Withdrawn));
+    let mut running = match Service::begin(&frontend.callers, req) {
+        Ok(running) => running,
+        Err(bad) => return refuse(frontend.0, bad),
     };
     let path = match req.uri().query() {
         Some(query) => format!("/{path}?{query}"),
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -11,7 +11,6 @@
     EntryLimits, EntrySetup, LeaseAnswer, LeaseOp, Name, Role, RoutePolicy, Vm,
 };
 use serde_json::{Value, json};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -352,9 +351,7 @@
         explain: Arc::new(move |id| journal.explain(id)),
         drain: Arc::new(drain),
     };
-    let listener = TcpListener::bind(settings.admin_listen)
-        .await
-        .context("admin address")?;
+    let listener = fireflynet::listen(settings.admin_listen).context("admin address")?;
     let bound = listener.local_addr()?;
     let vm = settings.vm;
     let limits = ConnectionLimits::for_pages(Some(vm.memory), Some(vm.descriptors));
--- a/fireflyd/src/service.rs
+++ b/fireflyd/src/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fireflycroft::{Code, Purpose};
+use fireflycroft::{CALL_BYTES, Code, Purpose};
 use fireflynet::{Account, CallGuard, Callers, Charge, CollectError, collect_request};
 use http_body_util::combinators::BoxBody;
 use poem::http::StatusCode;
@@ -18,6 +18,8 @@
 /// Request in service, with the account of its connection.
 pub(crate) struct Service {
     account: Account,
+    /// Memory of its buffers.
+    _buffers: Charge,
     /// Memory of its body.
     body: Option<Charge>,
     /// Memory of what has come of its answer, if that is collected.
@@ -26,11 +28,21 @@
 }
 
 impl Service {
-    /// Marks the beginning of a request's service; `None` if its connection is closed already.
-    pub(crate) fn begin(callers: &Callers, req: &Request) -> Option<Self> {
-        let peer = req.remote_addr().as_socket_addr()?;
-        let account = callers.account_of(*peer)?;
-        Some(Self {
+    /// Marks the beginning of a request's service.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if there is no memory for it, or its connection is closed already.
+    pub(crate) fn begin(callers: &Callers, req: &Request) -> Result<Self, BadRequest> {
+        let peer = req.remote_addr().as_socket_addr();
+        let account = peer.and_then(|peer| callers.account_of(*peer));
+        let account = account.ok_or_else(|| BadRequest {
+            code: Code::Withdrawn,
+            detail: "the connection is closed".to_owned(),
+        })?;
+        let buffers = account.reserve(CALL_BYTES, Purpose::Input);
+        Ok(Self {
+            _buffers: buffers.ok_or_else(|| refusal(&CollectError::NoRoom))?,
             _guard: account.begin_call(),
             account,
             body: None,
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -7,7 +7,7 @@
     Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec, StreamOrigin, Suspect, Time,
     UpstreamIx, VersionKey,
 };
-use fireflynet::Account;
+use fireflynet::{Account, Charge};
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
 use std::cell::Cell;
@@ -47,6 +47,8 @@
     pub uri: Uri,
     /// Account of the caller's connection.
     pub account: Account,
+    /// Memory of its buffers.
+    pub memory: Charge,
     /// Headers as the caller sent them.
     pub headers: HeaderMap,
     /// Complete body.
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -8,6 +8,7 @@
 use crate::own_calls::EchoingUpstreams;
 use bytes::Bytes;
 use fireflycroft::{Time, UpstreamIncarnation};
+use fireflynet::ShortReads;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{HeaderMap, Request};
@@ -18,6 +19,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -111,7 +113,7 @@
     ) -> io::Result<Link> {
         match self.take_idle(incarnation, max_idle) {
             Some(link) => Ok(link),
-            None => open(addr).await,
+            None => open_for_callers(addr).await,
         }
     }
 
@@ -178,7 +180,15 @@
 ///
 /// If it isn't set up within [`CONNECT_TIMEOUT`].
 pub async fn open(addr: SocketAddr) -> io::Result<Link> {
-    let stream = connect(addr).await?;
+    start(connect(addr).await?).await
+}
+
+/// Opens a connection for answers that callers may not read as fast as they come.
+async fn open_for_callers(addr: SocketAddr) -> io::Result<Link> {
+    start(ShortReads(connect(addr).await?)).await
+}
+
+async fn start(stream: impl AsyncRead + AsyncWrite + Unpin + 'static) -> io::Result<Link> {
     let (sender, conn) = Builder::new()
         .max_buf_size(LINK_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -59,11 +59,11 @@
     let peer_socket = UdpSocket::bind(peer_addr)
         .await
         .with_context(|| format!("binding {peer_addr}"))?;
-    let peer_listener = bind(peer_addr).await?;
-    let readiness = bind(place.readiness_addr).await?;
-    let callers = bind(place.caller_addr).await?;
+    let peer_listener = bind(peer_addr)?;
+    let readiness = bind(place.readiness_addr)?;
+    let callers = bind(place.caller_addr)?;
     if let Some(operators) = place.operator_addr {
-        let listener = bind(operators).await?;
+        let listener = bind(operators)?;
         spawn_local(state_page::serve(node.clone(), listener, "operators"));
     }
     spawn_local(feed::follow(node.clone(), Kind::Config));
@@ -87,9 +87,8 @@
     Ok(())
 }
 
-async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
-    let listener = TcpListener::bind(addr).await;
-    listener.with_context(|| format!("binding {addr}"))
+fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    fireflynet::listen(addr).with_context(|| format!("binding {addr}"))
 }
 
 async fn maintain(node: Rc<Node>) {
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -10,8 +10,9 @@
 use crate::suspects;
 use bytes::Bytes;
 use fireflycroft::{
-    Catalog, Code, CrashVerdict, Digest, Mechanism, Name, RequestHead, RouteSpec,
-    STARTUP_RETRY_AFTER, StreamOrigin, Suspect, Time, WorkspaceSpec, unconfigured_retry_after,
+    CALL_BYTES, Catalog, Code, CrashVerdict, Digest, Mechanism, Name, Purpose, RequestHead,
+    RouteSpec, STARTUP_RETRY_AFTER, StreamOrigin, Suspect, Time, WorkspaceSpec,
+    unconfigured_retry_after,
 };
 use fireflycroft_platform::read_request_head;
 use fireflynet::{Account, CollectError, collect_request};
@@ -57,6 +58,11 @@
     }
 }
 
+fn refusal_without_memory() -> Refusal {
+    let wait = NO_MEMORY_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..=1.0));
+    refusal_with_retry(Code::NoMemory, wait)
+}
+
 /// Answers one request.
 pub async fn serve(node: Rc<Node>, account: Account, req: Request<Incoming>) -> Answer {
     let arrival = node.now();
@@ -130,6 +136,8 @@
     if node.stage() == Stage::Closing {
         return Err(refusal_with_retry(Code::Leaving, STARTUP_RETRY_AFTER));
     }
+    let memory = account.reserve(CALL_BYTES, Purpose::Input);
+    let memory = memory.ok_or_else(refusal_without_memory)?;
     until_loaded(node, head.deadline).await;
     let catalog = node.catalog.borrow().clone();
     let catalog = catalog.ok_or_else(|| {
@@ -200,6 +208,7 @@
         method: parts.method,
         uri: origin_form(&parts.uri),
         account,
+        memory,
         headers: parts.headers,
         body,
         content,
@@ -319,10 +328,7 @@
     match tokio::time::timeout_at(node.clock.instant(deadline), collected).await {
         Ok(Ok(body)) => Ok(body.into_bytes()),
         Ok(Err(CollectError::TooLarge)) => Err(refusal(Code::BodyTooLarge)),
-        Ok(Err(CollectError::NoRoom)) => {
-            let wait = NO_MEMORY_RETRY_AFTER.mul_f64(rand::rng().random_range(0.5..=1.0));
-            Err(refusal_with_retry(Code::NoMemory, wait))
-        }
+        Ok(Err(CollectError::NoRoom)) => Err(refusal_without_memory()),
         Ok(Err(CollectError::Broken(_))) => Err(refusal(Code::BadRequest)),
         Err(_) => Err(refusal(Code::BodyTimeout)),
     }
--- a/fireflydirect/tests/processes_crowds.rs
+++ b/fireflydirect/tests/processes_crowds.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use standins::crowd::{Client, Crowd, Watch, chunk, long_headers};
+use standins::crowd::{Client, Crowd, Watch, chunk, long_headers, unread_bytes};
 use std::sync::OnceLock;
 use std::time::Duration;
 use support::{KEY, Site, outcome};
@@ -208,6 +208,18 @@
     )
 }
 
+/// Returns a request for a stream that is too long for the kernel's buffers.
+fn unread_stream() -> Client {
+    Client {
+        head: head(
+            "POST /log/a?events=3000&padding=1000",
+            KEY,
+            "X-Model: m\r\nContent-Length: 1\r\n\r\nx",
+        ),
+        ..Client::default()
+    }
+}
+
 fn announced(len: usize) -> Client {
     Client {
         head: head(
@@ -227,6 +239,34 @@
     }
 }
 
+/// What the kernel holds for the entry counts as its memory, too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bytes_behind_requests_stay_within_the_memory_of_the_vm() {
+    let _turn = take_turn().await;
+    let site = start_site(SMALL_MEMORY_MB, MAX_FDS).await;
+    let watch = Watch::start(site.entries[0].id());
+    let client = Client {
+        piece: vec![b'b'; 64 << 10],
+        pieces: 16,
+        ..unread_stream()
+    };
+    let addr = site.callers_of(0);
+    let crowd = Crowd::gather(addr, 400, client).await;
+    let unread = unread_bytes(addr);
+    let served = is_served(&site).await;
+    crowd.dismiss().await;
+    let held = watch.end().unwrap().memory + unread;
+    let figures = format!(
+        "{} KB of {SMALL_MEMORY_MB} MB, {} unread",
+        held >> 10,
+        unread >> 10
+    );
+    println!("{figures}");
+    assert!(served, "{figures}");
+    assert!(held < SMALL_MEMORY_MB * 1_000_000, "{figures}");
+    site.check();
+}
+
 /// The entry takes as long as it needs for millions of chunks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_body_in_chunks_of_one_byte_is_served() {
--- a/fireflynet/src/caller_stream.rs
+++ b/fireflynet/src/caller_stream.rs
@@ -2,7 +2,8 @@
 
 use crate::callers::{Account, Charge};
 use crate::lingering::LingeringStream;
-use fireflycroft::{CONNECTION_BYTES, Phase, Purpose};
+use crate::short_reads::ShortReads;
+use fireflycroft::{Phase, Purpose, READ_BUFFER_BYTES};
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -11,10 +12,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-/// Most bytes of one read, which keeps the HTTP library from growing its buffer under a long body: it doubles the
-/// buffer once a read has filled 8 KiB.
-const MAX_READ_BYTES: usize = (8 << 10) - 1;
-
 /// What the head of a request may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeadLimits {
@@ -28,7 +25,7 @@
 /// [`LingeringStream`] otherwise.
 #[derive(Debug)]
 pub struct CallerStream {
-    stream: LingeringStream,
+    stream: ShortReads<LingeringStream>,
     account: Account,
     limits: HeadLimits,
     head: Head,
@@ -57,7 +54,7 @@
     #[must_use]
     pub fn new(stream: TcpStream, account: Account, limits: HeadLimits) -> Self {
         Self {
-            stream: LingeringStream::new(stream),
+            stream: ShortReads(LingeringStream::new(stream)),
             account,
             limits,
             head: Head::default(),
@@ -84,14 +81,14 @@
             };
         }
         if self.head.bytes > self.limits.bytes {
-            log::warn!(event = "head_too_long", account:? = self.account, bytes = self.head.bytes; "");
+            log::warn!(event = "head_too_long", peer:% = self.account.peer(), bytes = self.head.bytes; "");
             return Err(io::ErrorKind::InvalidData.into());
         }
         let Some(timer) = &mut self.head.timer else {
             return Ok(());
         };
         if timer.as_mut().poll(cx).is_ready() {
-            log::warn!(event = "head_timed_out", account:? = self.account, bytes = self.head.bytes; "");
+            log::warn!(event = "head_timed_out", peer:% = self.account.peer(), bytes = self.head.bytes; "");
             return Err(io::ErrorKind::TimedOut.into());
         }
         Ok(())
@@ -105,7 +102,7 @@
         }
         self.head.bytes += bytes;
         // The HTTP library doubles its buffer as the head grows.
-        let needed = 2 * (self.head.bytes as u64).saturating_sub(CONNECTION_BYTES / 2);
+        let needed = 2 * (self.head.bytes as u64).saturating_sub(READ_BUFFER_BYTES);
         let is_granted = match &mut self.grown {
             Some(grown) if needed > grown.bytes() => {
                 grown.grow(needed - grown.bytes(), Purpose::Input)
@@ -136,11 +133,9 @@
     ) -> Poll<io::Result<()>> {
         self.check(cx)?;
         self.check_head(cx)?;
-        let len = buf.remaining().min(MAX_READ_BYTES);
-        let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
-        let read = part.filled().len();
-        buf.advance(read);
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
         if read > 0 && !self.account.is_serving() {
             self.record_head(read)?;
         }
--- a/fireflynet/src/callers.rs
+++ b/fireflynet/src/callers.rs
@@ -282,6 +282,11 @@
         }
     }
 
+    /// Returns the address of the caller.
+    pub(crate) fn peer(&self) -> SocketAddr {
+        self.inner.peer
+    }
+
     /// Returns how many requests have begun on the connection.
     pub(crate) fn calls_begun(&self) -> u64 {
         self.inner.calls_begun.load(Ordering::Relaxed)
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -29,8 +29,12 @@
 mod callers;
 mod collect;
 mod lingering;
+mod listen;
+mod short_reads;
 
 pub use caller_stream::{CallerStream, HeadLimits};
 pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
 pub use collect::{CollectError, Collected, collect_answer, collect_request};
 pub use lingering::LingeringStream;
+pub use listen::listen;
+pub use short_reads::ShortReads;
--- a/standins/src/crowd.rs
+++ b/standins/src/crowd.rs
@@ -168,6 +168,24 @@
     }
 }
 
+/// Returns the bytes that the kernel holds for the connections of an address, since nobody has read them.
+///
+/// # Panics
+///
+/// Panics if the kernel lists no connections.
+#[must_use]
+pub fn unread_bytes(addr: SocketAddr) -> u64 {
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let port = format!(":{:04X}", addr.port());
+    let unread = sockets.lines().skip(1).filter_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (_, unread) = fields[4].split_once(':')?;
+        fields[1].ends_with(&port).then_some(())?;
+        u64::from_str_radix(unread, 16).ok()
+    });
+    unread.sum()
+}
+
 fn proc_path(id: u32, name: &str) -> PathBuf {
     ["/proc", &id.to_string(), name].iter().collect()
 }
