--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -90,7 +90,7 @@
     ///
     /// Returns an error when the address cannot be bound or the certificate
     /// cannot be read.
-    pub async fn bind(
+    pub fn bind(
         self,
         listen: SocketAddr,
         tls: Option<Tls>,
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -149,13 +149,12 @@
     let frontend = Frontend::new(calls_tx, metrics, callers);
     let (stop, stopped) = oneshot::channel();
     let tls = read_tls(&entry)?;
-    let (callers, server) = frontend.bind(entry.listen, tls, stopped).await?;
+    let (callers, server) = frontend.bind(entry.listen, tls, stopped)?;
     let server = tokio::spawn(server);
     let admin = serve_admin(settings, &components, {
         let tx = tx.clone();
         move || drop(tx.try_send(EntryInput::Leave))
-    })
-    .await?;
+    })?;
     report_addresses(settings, &components, admin, Some(callers))?;
     tokio::spawn(leave_on_signal({
         let tx = tx.clone();
@@ -210,8 +209,7 @@
     let admin = serve_admin(settings, &components, {
         let tx = tx.clone();
         move || drop(tx.try_send(AgentInput::Leave))
-    })
-    .await?;
+    })?;
     report_addresses(settings, &components, admin, None)?;
     tokio::spawn(leave_on_signal({
         let tx = tx.clone();
@@ -336,7 +334,7 @@
 }
 
 /// Serves the operators' interface; returns its bound address.
-async fn serve_admin(
+fn serve_admin(
     settings: &Settings,
     components: &Components,
     drain: impl Fn() + Send + Sync + 'static,
