--- a/fireflyd/tests/processes_crowds.rs
+++ b/fireflyd/tests/processes_crowds.rs
@@ -32,6 +32,7 @@
 enum Port {
     Callers,
     Admin,
+    Mailbox,
 }
 
 /// Waits until no other crowd of this file plays.
@@ -70,6 +71,7 @@
     let addr = match port {
         Port::Callers => fleet.entries[0].callers.unwrap(),
         Port::Admin => fleet.entries[0].admin,
+        Port::Mailbox => fleet.entries[0].mailbox,
     };
     let crowd = Crowd::gather(addr, count, client).await;
     let served_beside = is_served(&fleet, "beside").await;
@@ -135,6 +137,12 @@
         awaits_answer: true,
     };
     own_path_connections_that_send_nothing: FEW_FDS, 600, Callers, Client::default();
+    own_path_connections_to_the_mailbox_that_send_nothing: FEW_FDS, 600, Mailbox, Client::default();
+    own_path_bytes_to_the_mailbox_that_are_no_message: MAX_FDS, 200, Mailbox, Client {
+        piece: vec![0x7f; 64 << 10],
+        pieces: 64,
+        ..Client::default()
+    };
     own_path_heads_without_an_end_at_the_admin_port: FEW_FDS, 600, Admin, Client {
         head: format!("GET /metrics HTTP/1.1\r\n{}", long_headers(300_000)),
         ..Client::default()
--- a/fireflydirect/tests/processes_crowds.rs
+++ b/fireflydirect/tests/processes_crowds.rs
@@ -184,6 +184,27 @@
         awaits_answer: true,
         ..Client::default()
     };
+    chunk_extensions_without_an_end: SMALL_MEMORY_MB, MAX_FDS, 100, Callers, Client {
+        head: chunked("/file/a", KEY).head + "1;",
+        piece: vec![b'e'; 64 << 10],
+        pieces: 16,
+        ..Client::default()
+    };
+    trailers_without_an_end: SMALL_MEMORY_MB, MAX_FDS, 100, Callers, Client {
+        head: chunked("/file/a", KEY).head + "0\r\n",
+        piece: long_headers(64 << 10).into_bytes(),
+        pieces: 16,
+        ..Client::default()
+    };
+    long_ids_and_keys: SMALL_MEMORY_MB, MAX_FDS, 800, Callers, Client {
+        head: format!(
+            "POST /file/{long} HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {{id}}-{long}\r\n\
+             X-Credential: {long}\r\nX-Model: {long}\r\nContent-Length: 1\r\n\r\nx",
+            long = "l".repeat(3_500),
+        ),
+        awaits_answer: true,
+        ..Client::default()
+    };
     connections_that_send_nothing: MEMORY_MB, FEW_FDS, 600, Callers, Client::default();
     connections_that_go_on_sending_after_a_rejection: MEMORY_MB, FEW_FDS, 600, Callers, Client {
         piece: chunk(64 << 10),
