Refuse all bodies of a connection that gives way, where it carries several

What callers saw: nothing yet; found by reading. The own path's server also speaks HTTP/2, where one connection carries several requests. Its bodies shared one sign to give way, which woke one of them, and a request that began beside a body made the connection count as being served, so that it kept its memory.

Change: the connection counts its bodies; all are refused together, and it counts as served only once none arrives.

Before: bodies_of_one_connection_are_refused_together hung (ended after 60 s) on the code before; after: passes in milliseconds. No client of HTTP/2 was tried against a process.

--- a/fireflynet/src/callers.rs
+++ b/fireflynet/src/callers.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Waker};
@@ -75,6 +76,8 @@
     peer: SocketAddr,
     calls_begun: AtomicU64,
     calls_ended: AtomicU64,
+    /// Bodies that are arriving: several where a connection carries several requests at once.
+    bodies: AtomicU64,
     has_to_close: AtomicBool,
     has_to_refuse: AtomicBool,
     refusal: Notify,
@@ -230,6 +233,7 @@
             peer,
             calls_begun: AtomicU64::new(0),
             calls_ended: AtomicU64::new(0),
+            bodies: AtomicU64::new(0),
             has_to_close: AtomicBool::new(false),
             has_to_refuse: AtomicBool::new(false),
             refusal: Notify::new(),
@@ -239,7 +243,7 @@
 
     fn refuse(&self) {
         self.has_to_refuse.store(true, Ordering::Release);
-        self.refusal.notify_one();
+        self.refusal.notify_waiters();
     }
 
     fn close(&self) {
@@ -276,7 +280,9 @@
     #[must_use]
     pub fn begin_call(&self) -> CallGuard {
         self.inner.calls_begun.fetch_add(1, Ordering::Relaxed);
-        self.set_phase(Phase::Busy);
+        if self.inner.bodies.load(Ordering::Acquire) == 0 {
+            self.set_phase(Phase::Busy);
+        }
         CallGuard {
             account: self.clone(),
         }
@@ -323,18 +329,30 @@
         has_to_close()
     }
 
-    /// Waits until the request whose body is arriving has to be refused.
+    /// Waits until requests whose bodies are arriving have to be refused.
     pub(crate) async fn until_refused(&self) {
-        while !self.inner.has_to_refuse.load(Ordering::Acquire) {
-            self.inner.refusal.notified().await;
+        let mut refusal = pin!(self.inner.refusal.notified());
+        refusal.as_mut().enable();
+        if !self.inner.has_to_refuse.load(Ordering::Acquire) {
+            refusal.await;
         }
     }
 
-    /// Counts the connection again if its request was refused.
-    pub(crate) fn readmit(&self) {
+    /// Records that a body begins to arrive.
+    pub(crate) fn begin_body(&self) {
+        self.inner.bodies.fetch_add(1, Ordering::AcqRel);
+        self.set_phase(Phase::Body);
+    }
+
+    /// Records that a body arrives no longer; after the last, a connection that was refused counts again.
+    pub(crate) fn end_body(&self) {
+        if self.inner.bodies.fetch_sub(1, Ordering::AcqRel) > 1 {
+            return;
+        }
         if self.inner.has_to_refuse.swap(false, Ordering::AcqRel) {
             lock(&self.inner.shared.state).table.readmit(self.inner.id);
         }
+        self.set_phase(Phase::Busy);
     }
 }
 
--- a/fireflynet/src/collect.rs
+++ b/fireflynet/src/collect.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{Account, Charge};
 use bytes::Bytes;
-use fireflycroft::{Phase, Purpose, SMALL_BYTES};
+use fireflycroft::{Purpose, SMALL_BYTES};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use std::fmt;
@@ -63,15 +63,14 @@
 
 impl<'a> Receiving<'a> {
     fn begin(account: &'a Account) -> Self {
-        account.set_phase(Phase::Body);
+        account.begin_body();
         Self { account }
     }
 }
 
 impl Drop for Receiving<'_> {
     fn drop(&mut self) {
-        self.account.readmit();
-        self.account.set_phase(Phase::Busy);
+        self.account.end_body();
     }
 }
 
--- a/fireflynet/tests/callers.rs
+++ b/fireflynet/tests/callers.rs
@@ -133,6 +133,25 @@
         assert_eq!(body.as_ref().len(), 60 << 14);
     }
 
+    bodies_of_one_connection_are_refused_together(server: 4 << 20, 10) {
+        let (first, second) = (server.open(1).unwrap(), server.open(2).unwrap());
+        let mut refused = tokio::task::JoinSet::new();
+        for _ in 0..2 {
+            let first = first.clone();
+            let endless = futures_util::StreamExt::chain(frames(20, 16 << 10), futures_util::stream::pending());
+            refused.spawn(async move {
+                let _call = first.begin_call();
+                collect_request(Box::pin(StreamBody::new(endless)), 2 << 20, &first).await.unwrap_err()
+            });
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        let body = collect_request(frames(60, 16 << 10), 2 << 20, &second).await.unwrap();
+        assert_eq!(refused.join_all().await, [CollectError::NoRoom, CollectError::NoRoom]);
+        assert_eq!(server.evicted.load(Ordering::SeqCst), 1);
+        drop(body);
+        assert_eq!(server.held(), 2 * CONNECTION_BYTES);
+    }
+
     answer_keeps_its_memory_until_it_is_dropped(server: 1 << 20, 10) {
         let account = server.open(1).unwrap();
         let answer = collect_answer(frames(10, 1_000), 1 << 20, &account).await.unwrap();
