Judge late arrivals of a crashing request only at entries that have run for 3 s

The trace of a failing run shows its four late arrivals at 10.304 to 10.356 s, from entries started at 9.26 and 10.26 s, so that had run for 1.1 s at most.

Change: the checker knows the entry of each attempt and when entries were started again, and leaves out arrivals from an entry that started less than 3 s before. It is as strict for all others: an arrival from an entry that has run for 3 s, or from another entry than the one that started, counts as before (a test each, and one for what is left out).

Ruled out for now: a mend of what all entries lost at once forget. That the list still shows upstreams' ends doesn't say which request ended them.

--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -306,6 +306,7 @@
             resumes: held.map(|h| h.first.clone()),
             kind: if crowds { RequestKind::Log } else { kind },
             shared_parts,
+            entry,
             began,
             expected_body,
             outcome,
--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -31,6 +31,9 @@
 /// Upstreams that a request that comes again may crash before it is known to do so; set by the users.
 const MAX_REQUEST_CRASHES: usize = 3;
 
+/// Time for which an entry has to run before the rules with a time bound hold for it.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
 /// Time from the last of these crashes to the refusal at all entries; set by the users.
 const REFUSAL_TIME: Duration = Duration::from_secs(3);
 
@@ -90,6 +93,8 @@
     pub kind: RequestKind,
     /// Parts of its prompt that other requests share.
     pub shared_parts: Vec<String>,
+    /// Entry that it was sent to.
+    pub entry: usize,
     /// Start time.
     pub began: Instant,
     /// Complete body that the caller expects.
@@ -210,8 +215,8 @@
     pub rates: Vec<AnnouncedRate>,
     /// Upstreams with overwritten records, with start and end.
     pub overwritten: Vec<(String, Instant, Instant)>,
-    /// Restarts of entries, which have to receive rates again.
-    pub restarts: Vec<Instant>,
+    /// Entries that were started again, which have to learn rates and crashes anew, with the times.
+    pub restarts: Vec<(usize, Instant)>,
     /// Periods in which an entry couldn't receive or act, because it was paused or disconnected.
     pub excused: Vec<(Instant, Instant)>,
     /// Times in which model engines served.
@@ -318,7 +323,8 @@
         times
     }
 
-    /// Returns how many of these runs began later than [`REFUSAL_TIME`] after they had crashed `limit` upstreams.
+    /// Returns how many of these runs began later than [`REFUSAL_TIME`] after they had crashed `limit` upstreams, by
+    /// entries that had run for [`STABLE_WINDOW`].
     fn late_arrivals(&self, limit: usize, is_of: impl Fn(&Run) -> bool) -> usize {
         let crashes = self.crashes_of(&is_of);
         let Some(known_at) = crashes.get(limit - 1) else {
@@ -326,7 +332,17 @@
         };
         let late = self.runs.iter().filter(|r| is_of(r));
         let late = late.filter(|r| r.began > *known_at + REFUSAL_TIME);
-        late.filter(|r| !self.is_excused(r.began)).count()
+        let late = late.filter(|r| !self.is_excused(r.began));
+        late.filter(|r| !self.is_from_new_entry(r)).count()
+    }
+
+    /// Returns whether the entry that sent a run had started less than [`STABLE_WINDOW`] before.
+    fn is_from_new_entry(&self, run: &Run) -> bool {
+        let attempt = self.attempts.iter().find(|a| a.id == run.request_id);
+        attempt.is_some_and(|attempt| {
+            let mut starts = self.restarts.iter().filter(|(e, _)| *e == attempt.entry);
+            starts.any(|(_, at)| *at <= run.began && run.began < *at + STABLE_WINDOW)
+        })
     }
 
     fn is_part_served(&self, part: &str) -> bool {
@@ -427,7 +443,7 @@
 
     fn has_just_restarted(&self, at: Instant) -> bool {
         let mut restarts = self.restarts.iter();
-        restarts.any(|r| *r <= at && at < *r + 2 * PROPAGATION_TIME)
+        restarts.any(|(_, r)| *r <= at && at < *r + 2 * PROPAGATION_TIME)
     }
 
     fn is_on_overwritten_record(&self, run: &Run) -> bool {
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -63,6 +63,18 @@
         assert_eq!(evidence.find_breaches(), [Breach::RequestServed("/bad".to_owned())]);
     };
     three_late_arrivals_of_it_are_allowed => assert_eq!(crashing_request(&[6, 6, 6, 7, 8, 9]).find_breaches(), []);
+    late_arrivals_of_it_from_an_entry_that_has_just_started_are_allowed => {
+        let started = Evidence { restarts: vec![(0, at(6))], ..crashing_request(&[7, 7, 8, 8]) };
+        assert_eq!(started.find_breaches(), []);
+    };
+    late_arrivals_of_it_from_an_entry_that_has_run_for_the_stable_window_are_found => {
+        let started = Evidence { restarts: vec![(0, at(6))], ..crashing_request(&[9, 9, 10, 11]) };
+        assert_eq!(started.find_breaches(), [Breach::RequestServed("/bad".to_owned())]);
+    };
+    late_arrivals_of_it_beside_another_entry_that_has_just_started_are_found => {
+        let started = Evidence { restarts: vec![(1, at(6))], ..crashing_request(&[7, 7, 8, 8]) };
+        assert_eq!(started.find_breaches(), [Breach::RequestServed("/bad".to_owned())]);
+    };
     late_requests_at_a_paused_entry_are_excused => {
         let excused = Evidence { excused: vec![(at(8), at(13))], ..crashing(&[9, 10, 11, 12]) };
         assert_eq!(excused.find_breaches(), []);
@@ -144,6 +156,7 @@
         resumes: None,
         kind: RequestKind::Grade,
         shared_parts: parts.iter().map(|p| (*p).to_owned()).collect(),
+        entry: 0,
         began: at(second),
         expected_body: "owed".to_owned(),
         outcome: if is_begun {
@@ -240,6 +253,7 @@
         resumes: None,
         kind,
         shared_parts: Vec::new(),
+        entry: 0,
         began: at(0),
         expected_body: "owed".to_owned(),
         outcome,
@@ -258,6 +272,7 @@
         resumes: resumes.map(str::to_owned),
         kind: RequestKind::Grade,
         shared_parts: Vec::new(),
+        entry: 0,
         expected_body: body.replace(" v2", "").replace(" v3", ""),
         outcome: Outcome::Truncated((*body).to_owned()),
         began: at(1),
