Log pages and whole answers that are refused for want of memory

Cause: a page without memory was answered 503, and a whole answer of the own path 502, with no line in the process that did so; no error goes without one.

--- a/fireflyd/src/service.rs
+++ b/fireflyd/src/service.rs
@@ -80,11 +80,17 @@
     /// Reserves memory for more of the answer; returns false if others hold it.
     pub(crate) fn reserve_answer(&mut self, bytes: usize) -> bool {
         let bytes = bytes as u64;
-        if let Some(charge) = &mut self.answer {
-            return charge.grow(bytes, Purpose::Answer);
+        let is_granted = match &mut self.answer {
+            Some(charge) => charge.grow(bytes, Purpose::Answer),
+            none => {
+                *none = self.account.reserve(bytes, Purpose::Answer);
+                none.is_some()
+            }
+        };
+        if !is_granted {
+            log::warn!(event = "answer_without_memory", bytes = bytes; "");
         }
-        self.answer = self.account.reserve(bytes, Purpose::Answer);
-        self.answer.is_some()
+        is_granted
     }
 
     /// Keeps the answer's memory reserved until the response with it is written.
--- a/fireflydirect/src/page_server.rs
+++ b/fireflydirect/src/page_server.rs
@@ -80,10 +80,11 @@
         Ok(whole) => whole.to_bytes(),
         Err(never) => match never {},
     };
-    match account.reserve(bytes.len() as u64, Purpose::Answer) {
-        Some(charge) => Response::from_parts(parts, Full::new(charge.hold(bytes))),
-        None => empty(StatusCode::SERVICE_UNAVAILABLE),
-    }
+    let Some(charge) = account.reserve(bytes.len() as u64, Purpose::Answer) else {
+        log::warn!(event = "page_refused", bytes = bytes.len(); "");
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    Response::from_parts(parts, Full::new(charge.hold(bytes)))
 }
 
 /// Returns a response with a status and no body.
