Keep an agent's answers within a share of its VM's memory

What callers could do: end an agent for want of memory with ordinary calls. It keeps what its upstream answered for a minute, for callers who come back, up to 64 MiB whatever its VM has. 120 answers of 700 KB, one after the other and all read, took 145,868 KB of a VM of 64 MB.

Change: a sixteenth of the VM's memory, 64 MiB at most. At the default of 1,024 MB that is 61 MiB.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -22,6 +22,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Divisor of the VM's memory that gives the part for answers kept: their buffers, and what the allocator keeps of those
+/// that an answer has passed through, take several times their bytes.
+const KEPT_MEMORY_DIVISOR: u64 = 16;
+
 /// Limits and timeouts of an agent.
 #[derive(Clone, Copy, Debug)]
 pub struct AgentLimits {
@@ -46,6 +50,19 @@
     pub max_resumes: u32,
 }
 
+impl AgentLimits {
+    /// Returns the limits of an agent on a VM with so much memory in bytes.
+    #[must_use]
+    pub fn for_vm(memory: u64) -> Self {
+        let limits = Self::default();
+        let share = usize::try_from(memory / KEPT_MEMORY_DIVISOR).unwrap_or(usize::MAX);
+        Self {
+            max_bytes: share.min(limits.max_bytes),
+            ..limits
+        }
+    }
+}
+
 impl Default for AgentLimits {
     fn default() -> Self {
         Self {
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -243,7 +243,7 @@
         capacity,
         limits: AgentLimits {
             unread_timeout: settings.timeouts.retain,
-            ..AgentLimits::default()
+            ..AgentLimits::for_vm(settings.vm.memory)
         },
     };
     let agent_loop = AgentLoop::new(
--- a/fireflyd/tests/processes_crowds.rs
+++ b/fireflyd/tests/processes_crowds.rs
@@ -274,3 +274,25 @@
     };
     check_survives_in_turn(40, client).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_answers_that_an_agent_keeps_stay_within_the_memory_of_its_vm() {
+    let _turn = take_turn().await;
+    let fleet = start_fleet(MAX_FDS).await;
+    let watch = Watch::start(fleet.agents[1].process.id());
+    let url = format!(
+        "http://{}/services/records/file",
+        fleet.entries[0].callers.unwrap()
+    );
+    let body = "b".repeat(700_000);
+    for number in 0..120 {
+        let call = fleet.http.post(&url).bearer_auth(GRADES);
+        let call = call.header("idempotency-key", format!("large-{number}"));
+        let answer = call.body(body.clone()).send().await.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert!(answer.text().await.unwrap().len() > body.len());
+    }
+    let peak = watch.end().unwrap().memory;
+    println!("{} KB of {MEMORY_MB} MB", peak >> 10);
+    assert!(peak < MEMORY_MB * 1_000_000, "{} KB", peak >> 10);
+}
