Guard direct entries against crowds that come a few at a time

The own path held all crowds that came at once and none that came in turn: a crowd at once is turned away for its bodies, so that its answers never pile up. Not run on the code before the mends of this issue.

--- a/fireflydirect/tests/processes_crowds.rs
+++ b/fireflydirect/tests/processes_crowds.rs
@@ -319,3 +319,65 @@
     assert!(peak < MEMORY_MB * 1_000_000, "{} KB", peak >> 10);
     site.check();
 }
+
+/// Lets clients come a few at a time, so that each finds room for its request, however little is left for its answer.
+async fn check_survives_in_turn(waves: usize, client: Client) {
+    let _turn = take_turn().await;
+    let mut site = start_site(MEMORY_MB, MAX_FDS).await;
+    let watch = Watch::start(site.entries[0].id());
+    let mut crowds = Vec::new();
+    for _ in 0..waves {
+        crowds.push(Crowd::gather(site.callers_of(0), 4, client.clone()).await);
+    }
+    let served_beside = is_served(&site).await;
+    for crowd in crowds {
+        crowd.dismiss().await;
+    }
+    let served_after = is_served(&site).await;
+    assert!(site.entries[0].is_running(), "{}", site.log_tail(0));
+    let peak = watch.end().unwrap().memory;
+    println!("{} KB of {MEMORY_MB} MB", peak >> 10);
+    assert!(served_beside, "{} KB", peak >> 10);
+    assert!(served_after, "{} KB", peak >> 10);
+    assert!(peak < MEMORY_MB * 1_000_000, "{} KB", peak >> 10);
+    site.check();
+}
+
+macro_rules! crowds_in_turn {
+    ($($name:ident: $waves:literal, $client:expr;)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                check_survives_in_turn($waves, $client).await;
+            }
+        )+
+    };
+}
+
+crowds_in_turn! {
+    answers_that_nobody_reads_as_clients_come_in_turn: 40, Client {
+        head: head("GET /fetch/a?answer_bytes=3000000", KEY, "\r\n"),
+        awaits_answer: true,
+        ..Client::default()
+    };
+    streams_that_nobody_reads_as_clients_come_in_turn: 100, Client {
+        awaits_answer: true,
+        ..unread_stream()
+    };
+    bodies_that_stop_short_of_their_end_as_clients_come_in_turn: 20, Client {
+        piece: vec![b'b'; BODY_LIMIT - 1],
+        pieces: 1,
+        ..announced(BODY_LIMIT)
+    };
+    bodies_in_chunks_of_one_byte_as_clients_come_in_turn: 4, Client {
+        piece: chunk(1).repeat(1 << 10),
+        pieces: 1 << 10,
+        ..chunked("/file/a", KEY)
+    };
+    whole_bodies_whose_answers_nobody_reads_as_clients_come_in_turn: 40, Client {
+        head: head("POST /file/a?answer_bytes=3000000", KEY, &format!("Content-Length: {BODY_LIMIT}\r\n\r\n")),
+        piece: vec![b'b'; BODY_LIMIT],
+        pieces: 1,
+        awaits_answer: true,
+    };
+}
