--- a/fireflycroft/src/stream.rs
+++ b/fireflycroft/src/stream.rs
@@ -65,9 +65,6 @@
     }
 }
 
-/// Bytes held for each token besides its own: its length and its start.
-const TOKEN_OVERHEAD_BYTES: usize = size_of::<u32>() + size_of::<usize>();
-
 /// Tokens of one generation, kept for readers that attach later.
 #[derive(Clone, Debug, Default)]
 pub struct TokenLog {
@@ -88,10 +85,10 @@
         self.held.offset
     }
 
-    /// Returns the bytes held, with what each token takes besides its own.
+    /// Returns the bytes held.
     #[must_use]
     pub fn bytes(&self) -> usize {
-        self.held.data.len() + self.held.lens.len() * TOKEN_OVERHEAD_BYTES
+        self.held.data.len()
     }
 
     /// Appends one token.
@@ -115,10 +112,9 @@
 
     /// Drops the oldest tokens until at least `bytes` bytes are freed.
     pub fn release_bytes(&mut self, bytes: usize) {
-        let starts = self.starts.iter().enumerate();
-        let too_few =
-            |(count, start): &(usize, &usize)| *start + count * TOKEN_OVERHEAD_BYTES < bytes;
-        let count = starts.take_while(too_few).count();
+        let kept = self.held.data.len().saturating_sub(bytes);
+        let at_most = |start: &usize| self.held.data.len() - *start > kept;
+        let count = self.starts.iter().take_while(|s| at_most(s)).count();
         self.release_below(self.held.offset + count as u64);
     }
 
