--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod client;
 pub mod clock;
 pub mod conditions;
+mod config_adoption;
 pub mod config_history;
 pub mod config_read;
 pub mod crash;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -329,43 +329,6 @@
         self.pool.borrow_mut().set_fleet(fleet);
     }
 
-    /// Adopts a published configuration if it is newer than the active one.
-    pub fn adopt_config(&self, object: &StoreObject, source: &str) {
-        let catalog = match fireflycroft_platform::read_catalog(object.content.get()) {
-            Ok(catalog) => catalog,
-            Err(e) => {
-                let why = e.to_string();
-                self.metrics.record_unreadable("config", 1);
-                log::error!(event = "config_unreadable", source = source, error = why; "");
-                return;
-            }
-        };
-        let was = self.config_version();
-        if catalog.version() <= was && was != 0 {
-            return;
-        }
-        log::info!(
-            event = "config_adopted", source = source, version = catalog.version(), was = was,
-            routes = catalog.route_count();
-            ""
-        );
-        for service in catalog.services() {
-            let memory = service.engine.map(|e| e.memory_tokens);
-            let mut pool = self.pool.borrow_mut();
-            pool.set_memory(&service.name, memory);
-            pool.set_cold_rate(&service.name, service.cold_rate);
-        }
-        let now = self.now();
-        let services = catalog.services().iter().map(|s| s.name.clone());
-        let changes = self.pool.borrow_mut().set_services(now, services);
-        self.apply_pool_changes(changes, "config");
-        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
-        self.configs.borrow_mut().activate(now, object.clone());
-        self.config_adopted_at.set(Some(now));
-        self.routing_changed.notify_waiters();
-        self.announce_now.notify_one();
-    }
-
     /// Applies a list of evacuated data centres if it is newer than the active one.
     ///
     /// An entry that watches the store announces the change to all others at once.
