Take only config/main for the configuration

Cause: the kind config was read as a whole, and whatever object held a valid configuration with a higher version was adopted and handed on. Class: a container is believed where one thing in it is meant.

The name is decoded in platform/, and adoption, which store, reads of replicas and other entries all pass, takes no other object. One that is passed over is logged once for each revision.

Ruled out for these: a lost change (all entries log the same adoption from the same object).

--- a/fireflydirect/src/config_adoption.rs
+++ b/fireflydirect/src/config_adoption.rs
@@ -1,16 +1,22 @@
 //! Adoption of the operator's configuration, from the store or another entry.
 //!
-//! Versions only grow: an object is adopted if its version is higher than the active one's, whoever
-//! sends it and whenever it was written.
+//! One object of the store is the configuration; drafts, copies and whatever else is kept beside it
+//! count for nothing, even if they hold a valid configuration, and even if another entry took one of
+//! them for it. Versions only grow: the configuration is adopted if its version is higher than the
+//! active one's, whoever sends it and whenever it was written.
 
 use crate::node::Node;
 use fireflycroft::Catalog;
-use fireflycroft_platform::{StoreObject, read_catalog};
+use fireflycroft_platform::{StoreObject, is_configuration, read_catalog};
 use std::rc::Rc;
 
 impl Node {
-    /// Adopts a published configuration if it is newer than the active one.
+    /// Adopts the configuration if it is newer than the active one; passes over any other object.
     pub fn adopt_config(&self, object: &StoreObject, source: &str) {
+        if !is_configuration(object) {
+            self.log_passed_over(object, source);
+            return;
+        }
         let catalog = match read_catalog(object.content.get()) {
             Ok(catalog) => catalog,
             Err(e) => {
@@ -38,6 +44,17 @@
         self.activate_config(catalog, object);
     }
 
+    /// Logs an object that isn't the configuration, once for each of its revisions.
+    fn log_passed_over(&self, object: &StoreObject, source: &str) {
+        if self.configs.borrow_mut().record_passed_over(object) {
+            log::warn!(
+                event = "config_passed_over", source = source, version = self.config_version(),
+                name = &*object.name, revision = object.revision;
+                ""
+            );
+        }
+    }
+
     /// Logs a configuration written after the active one that has no higher version.
     fn log_kept(&self, object: &StoreObject, offered: &Catalog, source: &str) {
         let held = self.configs.borrow().revision();
--- a/fireflydirect/src/config_history.rs
+++ b/fireflydirect/src/config_history.rs
@@ -4,12 +4,12 @@
 //! reaches hundreds of entries without each of them reading hundreds of kilobytes from the store
 //! or over one link.
 
-use fireflycroft::{TextChange, Time};
+use fireflycroft::{Name, TextChange, Time};
 use fireflycroft_platform::StoreObject;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// Retention of a previous configuration, for entries that still hold it.
@@ -19,6 +19,9 @@
 /// quickly.
 const MAX_PREVIOUS: usize = 8;
 
+/// Objects beside the configuration whose revisions are remembered.
+const MAX_PASSED_OVER: usize = 64;
+
 /// Size in bytes above which a configuration is sent whole only on explicit request.
 ///
 /// After an announcement, twenty entries fetch it from one peer at once: 400 kB then took over
@@ -52,6 +55,8 @@
     /// The change computed last: entries that are out of date at the same time request the same
     /// one.
     last_change: RefCell<Option<ConfigChange>>,
+    /// Revisions of objects beside the configuration that have been passed over.
+    passed_over: HashMap<Name, u64>,
 }
 
 impl ConfigHistory {
@@ -66,6 +71,18 @@
         self.last_change.take();
     }
 
+    /// Records an object that isn't the configuration; returns whether this revision of it is new.
+    pub fn record_passed_over(&mut self, object: &StoreObject) -> bool {
+        if self.passed_over.len() >= MAX_PASSED_OVER && !self.passed_over.contains_key(&object.name)
+        {
+            self.passed_over.clear();
+        }
+        let held = self
+            .passed_over
+            .insert(object.name.clone(), object.revision);
+        held != Some(object.revision)
+    }
+
     /// Removes previous configurations whose retention is over.
     pub fn remove_expired(&mut self, now: Time) {
         self.previous
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -16,7 +16,7 @@
     Refusal, Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time,
     UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
-use fireflycroft_platform::{PlatformSettings, StoreObject};
+use fireflycroft_platform::PlatformSettings;
 use fireflynet::Callers;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
--- /dev/null
+++ b/fireflydirect/tests/processes_config.rs
@@ -0,0 +1,61 @@
+//! Entry processes whose store holds more than the operator's configuration.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{KEY, Site, cases, outcome, until};
+
+/// Version of the configurations in objects beside the operator's.
+const OTHER_VERSION: u64 = 1_000;
+
+/// Returns a valid configuration without routes.
+fn without_routes(version: u64) -> Value {
+    json!({"version": version, "routes": [],
+        "services": [{"name": "models", "max_connections": 100}, {"name": "records", "max_connections": 100}],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
+            "idle_timeout_ms": 15_000}})
+}
+
+/// Waits until all entries serve a path.
+async fn until_served(site: &Site, path: &str) {
+    for entry in 0..site.entries.len() {
+        until("an answer", || async {
+            let answer = site
+                .call(entry, "GET", path, &site.id())
+                .send()
+                .await
+                .unwrap();
+            outcome(&answer).0 == 200
+        })
+        .await;
+    }
+}
+
+/// Waits until an entry has read an object of the kind `config`.
+async fn until_read(site: &Site, name: &str) {
+    let name = format!(" name={name} ");
+    until("the object", || async {
+        (0..site.entries.len()).any(|e| site.log(e).contains(&name))
+    })
+    .await;
+}
+
+cases! {
+    configuration_beside_the_operators_is_not_adopted_at_the_start(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.store.put("config", "draft", &without_routes(OTHER_VERSION));
+        site.start_entries(3).await;
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_served(&site, "/new/a").await;
+    }
+
+    configuration_written_beside_the_operators_changes_nothing(site: 3) {
+        site.store.put("config", "archive", &without_routes(OTHER_VERSION));
+        until_read(&site, "archive").await;
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_served(&site, "/new/a").await;
+        site.store.remove("config", "archive");
+        site.publish_routes(&[KEY], &[("newer", "/newer/")]);
+        until_served(&site, "/newer/a").await;
+    }
+}
