--- a/fireflydirect/tests/processes_config.rs
+++ b/fireflydirect/tests/processes_config.rs
@@ -8,6 +8,19 @@
 /// Version of the configurations in objects beside the operator's.
 const OTHER_VERSION: u64 = 1_000;
 
+/// Names that mean something else in a path, or can't stand there.
+const ODD_NAMES: [&str; 9] = [
+    "a b",
+    "a#b",
+    "a%41",
+    "a&wait_ms=1",
+    "a+b",
+    "a/b",
+    "a?b",
+    "a\"b",
+    "\u{e9}",
+];
+
 /// Returns a valid configuration without routes.
 fn without_routes(version: u64) -> Value {
     json!({"version": version, "routes": [],
@@ -58,4 +71,16 @@
         site.publish_routes(&[KEY], &[("newer", "/newer/")]);
         until_served(&site, "/newer/a").await;
     }
+
+    lists_go_on_after_any_name(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.store.set_page_size(1);
+        for kind in ["config", "servers", "evacuations"] {
+            for name in ODD_NAMES {
+                site.store.put(kind, name, &json!("of somebody else"));
+            }
+        }
+        site.start_entries(2).await;
+        until_served(&site, "/fetch/a").await;
+    }
 }
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -71,6 +72,8 @@
     stale_view: Option<Snapshot>,
     /// Number of restores from a snapshot.
     era: u64,
+    /// Most objects in a page of a list.
+    page_size: Option<usize>,
 }
 
 /// Copy of the store's contents.
@@ -233,6 +236,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Sets the most objects in a page of a list.
+    pub fn set_page_size(&self, objects: usize) {
+        lock(&self.shared.state).page_size = Some(objects);
+    }
+
     /// Returns the number of calls, including rejected ones.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -378,18 +386,29 @@
     }
     match req.query("watch").and_then(|r| r.parse().ok()) {
         Some(revision) => watch(&state, kind, revision, req),
-        None => Decision::Done(Reply::Answer(200, list(&state, kind))),
+        None => Decision::Done(Reply::Answer(200, list(&state, kind, &after_of(req)))),
     }
 }
 
-fn list(state: &State, kind: &str) -> Value {
+/// Returns the name after which a list begins; empty for its first page.
+fn after_of(req: &Request) -> String {
+    let after = req.query("after").unwrap_or_default();
+    percent_decode_str(after).decode_utf8_lossy().into_owned()
+}
+
+/// Returns the page of a list that follows the name `after`.
+fn list(state: &State, kind: &str, after: &str) -> Value {
     let (objects, revision) = match &state.stale_view {
         Some(stale_view) => (&stale_view.objects, stale_view.revision),
         None => (&state.objects, state.revision),
     };
-    let of_kind = objects.iter().filter(|((k, _), _)| k == kind);
-    let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-    json!({"items": items, "more": false, "store_revision": revision})
+    let of_page = |(k, name): &(String, String)| k == kind && name.as_str() > after;
+    let rest = objects.iter().filter(|(key, _)| of_page(key));
+    let mut items: Vec<&Value> = rest.map(|(_, object)| object).collect();
+    let page_size = state.page_size.unwrap_or(usize::MAX);
+    let more = items.len() > page_size;
+    items.truncate(page_size);
+    json!({"items": items, "more": more, "store_revision": revision})
 }
 
 fn watch(state: &State, kind: &str, revision: u64, req: &Request) -> Decision {
