--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -17,9 +17,10 @@
 use crate::links::CallResponse;
 use crate::node::Node;
 use crate::store_call::{StoreCall, page_path};
-use fireflycroft::{HedgedCall, Mechanism, Name, era_of};
+use crate::store_list::StoreList;
+use fireflycroft::{HedgedCall, Mechanism, era_of};
 use fireflycroft_platform::{
-    Kind, StoreError, StoreObject, StorePage, read_era, read_events, read_page, watch_path,
+    Kind, StoreError, StorePage, read_era, read_events, read_page, watch_path,
 };
 use std::cell::Cell;
 use std::rc::Rc;
@@ -139,40 +140,13 @@
     }
 }
 
-/// Pages read so far of one list.
-#[derive(Default)]
-struct Listing {
-    objects: Vec<StoreObject>,
-    /// Revision of the first page: a watch from there repeats changes made between two pages.
-    revision: Option<u64>,
-}
-
-impl Listing {
-    /// Returns the name after which the next page begins.
-    fn last_name(&self) -> Option<Name> {
-        self.objects.last().map(|o| o.name.clone())
-    }
-
-    /// Appends the next page; if it is of another era than the first, drops all pages and returns
-    /// false.
-    fn append(&mut self, page: StorePage) -> bool {
-        let first = *self.revision.get_or_insert(page.revision);
-        if era_of(first) != era_of(page.revision) {
-            *self = Self::default();
-            return false;
-        }
-        self.objects.extend(page.objects);
-        true
-    }
-}
-
 impl Feed {
     /// Lists all objects, page by page, and returns the revision to watch from.
     ///
     /// A failed page is retried without the pages before it: otherwise a list would never be
     /// complete while the store answers only some calls.
     async fn list(&mut self) -> Option<u64> {
-        let mut listing = Listing::default();
+        let mut list = StoreList::default();
         self.ingest.begin_list();
         loop {
             let is_on_trial = self.node.watcher_role.borrow().is_on_trial();
@@ -181,11 +155,11 @@
             } else {
                 StoreCall::List
             };
-            match self.read_page(call, &mut listing).await {
+            match self.read_page(call, &mut list).await {
                 Ok(more) => {
                     self.connectivity.record_response();
                     if !more {
-                        return self.apply_list(&listing);
+                        return self.apply_list(&list);
                     }
                 }
                 Err(why) => self.back_off(&why).await,
@@ -194,20 +168,19 @@
     }
 
     /// Reads the next page of a list; returns true if more pages follow.
-    async fn read_page(&mut self, call: StoreCall, listing: &mut Listing) -> Result<bool, String> {
-        let after = listing.last_name();
+    async fn read_page(&mut self, call: StoreCall, list: &mut StoreList) -> Result<bool, String> {
+        let after = list.last_name();
         let path = page_path(call, self.kind, after.as_deref());
         let page = self.get_page(call, &path).await?;
         self.ingest.record_nameless(page.unnamed);
         // Objects of an incomplete list are valid as well.
         self.ingest.apply_objects(&page.objects);
-        let more = page.more;
-        Ok(!listing.append(page) || more)
+        list.append(page).map_err(|e| e.to_string())
     }
 
-    fn apply_list(&mut self, listing: &Listing) -> Option<u64> {
-        let revision = listing.revision?;
-        self.ingest.apply_list(&listing.objects, revision);
+    fn apply_list(&mut self, list: &StoreList) -> Option<u64> {
+        let revision = list.revision()?;
+        self.ingest.apply_list(list.objects(), revision);
         Some(revision)
     }
 
@@ -256,9 +229,9 @@
     async fn read_replica(&mut self) -> Result<(), String> {
         let node = self.node.clone();
         let _reading = node.begin_replica_read();
-        let mut listing = Listing::default();
-        while self.read_page(StoreCall::Replica, &mut listing).await? {}
-        self.apply_list(&listing);
+        let mut list = StoreList::default();
+        while self.read_page(StoreCall::Replica, &mut list).await? {}
+        self.apply_list(&list);
         Ok(())
     }
 
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -61,5 +61,6 @@
 pub mod state_page;
 pub mod store_call;
 pub mod store_connectivity;
+pub mod store_list;
 pub mod stream_origins;
 pub mod suspects;
