Read the configuration by its name where no entry sends it

An entry that reads a configuration from the store, since no other sends a large one, took the first page of the list of its kind: with other objects before main (a page of one here; 500 objects or 1 MB on the pages) it found none, and fetched hundreds of kilobytes from another entry instead, or nothing if that had none either.

The object is read by its name, one call whatever else the kind holds. The stand-in store serves single objects.

--- a/fireflydirect/src/config_read.rs
+++ b/fireflydirect/src/config_read.rs
@@ -1,11 +1,13 @@
 //! Reading of a configuration from the store, for an entry that gets it from no peer.
 
 use crate::client::Client;
-use crate::feed::decode_page;
+use crate::links::CallResponse;
 use crate::node::Node;
-use crate::store_call::{StoreCall, page_path};
+use crate::store_call::StoreCall;
 use fireflycroft::HedgedCall;
-use fireflycroft_platform::Kind;
+use fireflycroft_platform::{
+    Kind, StoreObject, config_path, config_replica_path, read_era, read_object,
+};
 use std::time::Duration;
 
 /// Retries when no replica of the store has a first configuration yet.
@@ -41,20 +43,27 @@
 /// Reads the configuration once and adopts it; returns true if the store answered.
 async fn read_config_once(node: &Node, call: StoreCall) -> bool {
     let mut client = Client::new(node.place.store.addr, node.clock);
-    let path = page_path(call, Kind::Config, None);
+    let path = match call {
+        StoreCall::Replica => config_replica_path(),
+        StoreCall::List | StoreCall::Trial | StoreCall::Watch => config_path(),
+    };
     let hedged_call = HedgedCall::single(CONFIG_TIMEOUT);
     let answer = client.get(&path, hedged_call, || ()).await;
     let metrics = &node.metrics;
     metrics.record_store_call(Kind::Config, call, answer.is_ok());
-    let page = answer
+    let read = answer
         .map_err(|e| e.to_string())
-        .and_then(|responded| decode_page(&responded));
-    match &page {
-        Ok(page) => page
-            .objects
-            .iter()
-            .for_each(|o| node.adopt_config(o, "store")),
+        .and_then(|response| decode_object(&response));
+    match &read {
+        Ok(object) => object.iter().for_each(|o| node.adopt_config(o, "store")),
         Err(why) => log::warn!(event = "config_unread", call = call.label(), why = why; ""),
     }
-    page.is_ok()
+    read.is_ok()
+}
+
+/// Decodes the response to a call for one object.
+fn decode_object(response: &CallResponse) -> Result<Option<StoreObject>, String> {
+    let status = response.status;
+    let object = read_object(status, &response.body).map_err(|e| format!("{status} {e:?}"))?;
+    Ok(object.map(|o| o.in_era(read_era(&response.headers))))
 }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -521,7 +521,7 @@
 }
 
 /// Decodes the response to a list request.
-pub(crate) fn decode_page(answered: &CallResponse) -> Result<StorePage, String> {
+fn decode_page(answered: &CallResponse) -> Result<StorePage, String> {
     let status = answered.status;
     let page = read_page(status, &answered.body).map_err(|e| format!("{status} {e:?}"))?;
     Ok(page.in_era(read_era(&answered.headers)))
--- a/fireflydirect/tests/processes_config.rs
+++ b/fireflydirect/tests/processes_config.rs
@@ -83,4 +83,15 @@
         site.start_entries(2).await;
         until_served(&site, "/fetch/a").await;
     }
+
+    large_configuration_behind_other_objects_is_read_from_the_store(site: 6) {
+        site.store.set_page_size(1);
+        site.store.put("config", "archive", &without_routes(OTHER_VERSION));
+        let names: Vec<(String, String)> = (0..600).map(|i| (format!("n{i}"), format!("/n{i}/"))).collect();
+        let routes: Vec<(&str, &str)> = names.iter().map(|(n, p)| (n.as_str(), p.as_str())).collect();
+        site.publish_routes(&[KEY], &routes);
+        until_served(&site, "/n599/a").await;
+        let adopted = "event=config_adopted source=store version=2";
+        assert!((0..6).all(|e| site.log(e).contains(adopted)), "an entry had it sent by a peer");
+    }
 }
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -262,6 +262,12 @@
 }
 
 impl State {
+    /// Returns the objects that reads see.
+    fn visible_objects(&self) -> &BTreeMap<(String, String), Value> {
+        let stale_view = self.stale_view.as_ref();
+        stale_view.map_or(&self.objects, |s| &s.objects)
+    }
+
     fn snapshot(&self) -> Snapshot {
         Snapshot {
             revision: self.revision,
@@ -317,7 +323,15 @@
 /// Returns the kind of objects that a call reads; empty for any other call.
 fn object_kind(req: &Request) -> &str {
     let path = req.path.split('?').next().unwrap_or_default();
-    path.strip_prefix("/v1/objects/").unwrap_or_default()
+    let kind = path.strip_prefix("/v1/objects/").unwrap_or_default();
+    kind.split('/').next().unwrap_or_default()
+}
+
+/// Returns the name of the one object that a call reads.
+fn object_name(req: &Request) -> Option<String> {
+    let path = req.path.split('?').next()?;
+    let (_, name) = path.strip_prefix("/v1/objects/")?.split_once('/')?;
+    Some(percent_decode_str(name).decode_utf8_lossy().into_owned())
 }
 
 async fn handle(shared: &Shared, caller: IpAddr, req: &Request) -> Reply {
@@ -384,6 +398,12 @@
     if kind.is_empty() {
         return Decision::Done(Reply::Answer(404, json!({})));
     }
+    if let Some(name) = object_name(req) {
+        let key = (kind.to_owned(), name);
+        let object = state.visible_objects().get(&key);
+        let (status, body) = object.map_or((404, json!({})), |o| (200, o.clone()));
+        return Decision::Done(Reply::Answer(status, body));
+    }
     match req.query("watch").and_then(|r| r.parse().ok()) {
         Some(revision) => watch(&state, kind, revision, req),
         None => Decision::Done(Reply::Answer(200, list(&state, kind, &after_of(req)))),
@@ -398,10 +418,11 @@
 
 /// Returns the page of a list that follows the name `after`.
 fn list(state: &State, kind: &str, after: &str) -> Value {
-    let (objects, revision) = match &state.stale_view {
-        Some(stale_view) => (&stale_view.objects, stale_view.revision),
-        None => (&state.objects, state.revision),
-    };
+    let objects = state.visible_objects();
+    let revision = state
+        .stale_view
+        .as_ref()
+        .map_or(state.revision, |s| s.revision);
     let of_page = |(k, name): &(String, String)| k == kind && name.as_str() > after;
     let rest = objects.iter().filter(|(key, _)| of_page(key));
     let mut items: Vec<&Value> = rest.map(|(_, object)| object).collect();
