Fetch no more from an entry what it wrongly takes for the configuration

During an upgrade an entry of the older build may hold a stranger's object as its configuration.

A version for which an entry handed out another object, or an unreadable one, is not fetched from it again, nor looked for in the store on its word; its next version is.

--- a/fireflydirect/src/config_adoption.rs
+++ b/fireflydirect/src/config_adoption.rs
@@ -11,11 +11,12 @@
 use std::rc::Rc;
 
 impl Node {
-    /// Adopts the configuration if it is newer than the active one; passes over any other object.
-    pub fn adopt_config(&self, object: &StoreObject, source: &str) {
+    /// Adopts the configuration if it is newer than the active one; returns false for an object that is unreadable or
+    /// another one.
+    pub fn adopt_config(&self, object: &StoreObject, source: &str) -> bool {
         if !is_configuration(object) {
             self.log_passed_over(object, source);
-            return;
+            return false;
         }
         let catalog = match read_catalog(object.content.get()) {
             Ok(catalog) => catalog,
@@ -27,13 +28,13 @@
                     name = &*object.name, revision = object.revision;
                     ""
                 );
-                return;
+                return false;
             }
         };
         let was = self.config_version();
         if catalog.version() <= was && was != 0 {
             self.log_kept(object, &catalog, source);
-            return;
+            return true;
         }
         log::info!(
             event = "config_adopted", source = source, version = catalog.version(), was = was,
@@ -42,6 +43,7 @@
             ""
         );
         self.activate_config(catalog, object);
+        true
     }
 
     /// Logs an object that isn't the configuration, once for each of its revisions.
--- a/fireflydirect/src/config_read.rs
+++ b/fireflydirect/src/config_read.rs
@@ -55,7 +55,10 @@
         .map_err(|e| e.to_string())
         .and_then(|response| decode_object(&response));
     match &read {
-        Ok(object) => object.iter().for_each(|o| node.adopt_config(o, "store")),
+        Ok(Some(object)) => {
+            node.adopt_config(object, "store");
+        }
+        Ok(None) => {}
         Err(why) => log::warn!(event = "config_unread", call = call.label(), why = why; ""),
     }
     read.is_ok()
--- a/fireflydirect/src/ingest.rs
+++ b/fireflydirect/src/ingest.rs
@@ -39,7 +39,9 @@
     pub fn apply_objects(&mut self, objects: &[StoreObject]) {
         for object in objects {
             match self.kind {
-                Kind::Config => self.node.adopt_config(object, "store"),
+                Kind::Config => {
+                    self.node.adopt_config(object, "store");
+                }
                 Kind::Upstreams => self.apply_record(object),
                 // Evacuations are valid as a complete list only.
                 Kind::Evacuations | Kind::Entries => {}
@@ -114,7 +116,9 @@
         }
         for event in events {
             match self.kind {
-                Kind::Config if !event.removed => self.node.adopt_config(&event.object, "store"),
+                Kind::Config if !event.removed => {
+                    self.node.adopt_config(&event.object, "store");
+                }
                 Kind::Upstreams => self.apply_upstream_event(&event),
                 Kind::Config | Kind::Evacuations | Kind::Entries => {}
             }
--- a/fireflydirect/src/peer_record.rs
+++ b/fireflydirect/src/peer_record.rs
@@ -27,6 +27,8 @@
     pub(crate) incarnation: Option<Incarnation>,
     /// Version of the configuration in its last announcement.
     pub(crate) config: u64,
+    /// Version for which it handed out something else than the configuration.
+    pub(crate) refused_config: Option<u64>,
     /// Revision up to which its list of upstreams was complete, by its last announcement.
     pub(crate) list_complete_to: u64,
 }
@@ -44,6 +46,7 @@
             queried_at: None,
             incarnation: None,
             config: 0,
+            refused_config: None,
             list_complete_to: 0,
         }
     }
@@ -56,6 +59,11 @@
         !self.leaving && !silent
     }
 
+    /// Returns whether it announces a configuration of at least this version, as far as is known rightly.
+    pub(crate) fn has_config(&self, version: u64) -> bool {
+        self.config >= version && self.refused_config != Some(self.config)
+    }
+
     pub(crate) fn received_within(&self, now: Time, span: Duration) -> bool {
         self.last_received.is_some_and(|t| now.since(t) < span)
     }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -261,7 +261,9 @@
         from: Ipv4Addr,
         announcement: &EntryAnnouncement,
     ) {
+        let before = self.known.get(&from);
         let known = PeerRecord {
+            refused_config: before.and_then(|k| k.refused_config),
             name: Some(announcement.name.clone()),
             last_received: Some(now),
             known_since: now,
@@ -324,6 +326,18 @@
         }
     }
 
+    /// Records that what an entry hands out for its announced version isn't the configuration.
+    pub(crate) fn refuse_config(&mut self, from: Ipv4Addr) {
+        if let Some(known) = self.known.get_mut(&from) {
+            known.refused_config = Some(known.config);
+        }
+    }
+
+    /// Returns whether an entry announces a configuration of at least this version, as far as is known rightly.
+    pub(crate) fn has_config(&self, from: Ipv4Addr, version: u64) -> bool {
+        self.known.get(&from).is_some_and(|k| k.has_config(version))
+    }
+
     /// Records that the list equals the one that watchers announce.
     pub(crate) const fn record_list_current(&mut self) {
         self.list_missing_since = None;
@@ -376,7 +390,7 @@
             counts(k)
                 && k.received_within(now, SOURCE_MAX_AGE)
                 && k.is_available(now)
-                && missing.config.is_none_or(|v| k.config >= v)
+                && missing.config.is_none_or(|v| k.has_config(v))
                 && missing
                     .list
                     .is_none_or(|revision| k.list_complete_to >= revision)
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -129,7 +129,7 @@
     if node.peers.borrow().lacks_entries(now, &announcement) {
         fetch_entries(node, from);
     }
-    let missing = missing_state(node, now, &announcement);
+    let missing = missing_state(node, now, from, &announcement);
     if missing.is_any() {
         fetch(node, from, missing);
     }
@@ -142,7 +142,12 @@
 }
 
 /// Returns what this entry has to fetch after an announcement.
-fn missing_state(node: &Node, now: Time, announcement: &EntryAnnouncement) -> MissingState {
+fn missing_state(
+    node: &Node,
+    now: Time,
+    from: Ipv4Addr,
+    announcement: &EntryAnnouncement,
+) -> MissingState {
     let mut pool = node.pool.borrow_mut();
     let mut peers = node.peers.borrow_mut();
     let is_same = pool.digest() == announcement.upstreams_digest;
@@ -155,7 +160,8 @@
     let is_ahead = announcement.upstreams_complete > pool.complete_to();
     let is_newer = !is_same && (is_ahead || announcement.upstreams >= pool.revision());
     let announced = MissingState {
-        config: (announcement.config > node.config_version()).then_some(announcement.config),
+        config: Some(announcement.config)
+            .filter(|v| *v > node.config_version() && peers.has_config(from, *v)),
         list: (announcement.watches && is_newer).then_some(announcement.upstreams_complete),
     };
     peers.overdue_state(now, announced, node.awaits_store_data())
@@ -181,7 +187,9 @@
         let what = missing.list.map_or("config", |_| "list");
         node.metrics.fetches.with_label_values(&[what]).inc();
         let mut fetched = fetch_state(&node, from, &missing, false).await;
-        let lacking = missing.config.filter(|v| *v > node.config_version());
+        let lacking = missing
+            .config
+            .filter(|v| *v > node.config_version() && node.peers.borrow().has_config(from, *v));
         if let (Ok(()), Some(version)) = (&fetched, lacking)
             && !read_config(&node, version).await
         {
@@ -282,8 +290,10 @@
         .add_second_hand(node.now(), &state.entries);
     let payload = state.config.take();
     let config = payload.and_then(|h| node.configs.borrow().reconstruct(h));
-    if let Some(config) = config {
-        node.adopt_config(&config, "peer");
+    if let Some(config) = config
+        && !node.adopt_config(&config, "peer")
+    {
+        node.peers.borrow_mut().refuse_config(from);
     }
     if known == NO_LIST_CHANGES {
         return Ok(());
--- a/fireflydirect/tests/processes_config.rs
+++ b/fireflydirect/tests/processes_config.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use serde_json::{Value, json};
-use support::{KEY, Site, cases, outcome, until};
+use support::{KEY, OtherBuild, Site, cases, outcome, until};
 
 /// Version of the configurations in objects beside the operator's.
 const OTHER_VERSION: u64 = 1_000;
@@ -72,6 +72,17 @@
         until_served(&site, "/newer/a").await;
     }
 
+    configuration_that_another_build_took_for_the_operators_is_fetched_once(site: 1) {
+        let draft = json!({"name": "draft", "revision": 99, "content": without_routes(OTHER_VERSION)});
+        let other = OtherBuild::start(&site, OTHER_VERSION, json!({"Whole": draft})).await;
+        until_read(&site, "draft").await;
+        let announced = other.announced();
+        until("further announcements", || async { other.announced() >= announced + 40 }).await;
+        assert!(other.fetched() <= 2, "fetched {} times", other.fetched());
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_served(&site, "/new/a").await;
+    }
+
     lists_go_on_after_any_name(site: 0) {
         let mut site = Site::without_entries().await;
         site.store.set_page_size(1);
@@ -91,7 +102,10 @@
         let routes: Vec<(&str, &str)> = names.iter().map(|(n, p)| (n.as_str(), p.as_str())).collect();
         site.publish_routes(&[KEY], &routes);
         until_served(&site, "/n599/a").await;
-        let adopted = "event=config_adopted source=store version=2";
-        assert!((0..6).all(|e| site.log(e).contains(adopted)), "an entry had it sent by a peer");
+        for entry in 0..6 {
+            let line = || site.log(entry).lines().find(|l| l.contains("config_adopted") && l.contains(" version=2 ")).map(ToOwned::to_owned);
+            until("the log line", || async { line().is_some() }).await;
+            assert!(line().unwrap().contains("source=store"), "entry {entry} had it sent by another");
+        }
     }
 }
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod crashes;
 mod entry;
 mod operators;
+mod other_build;
 mod ports;
 mod requests;
 pub(crate) mod slow_reader;
@@ -21,6 +22,7 @@
 
 use entry::Entry;
 pub(crate) use entry::signal_all;
+pub(crate) use other_build::OtherBuild;
 use ports::{ReservedPorts, claim_net, reserve};
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
