Play strangers' objects beside the configuration in the soak

Now strangers fill each kind with odd names on short pages, and write a configuration with a higher version beside each of the operator's.

--- a/fireflydirect/tests/processes_config.rs
+++ b/fireflydirect/tests/processes_config.rs
@@ -2,33 +2,10 @@
 
 mod support;
 
-use serde_json::{Value, json};
+use serde_json::json;
+use support::strangers::{OTHER_VERSION, without_routes};
 use support::{KEY, OtherBuild, Site, cases, outcome, until};
 
-/// Version of the configurations in objects beside the operator's.
-const OTHER_VERSION: u64 = 1_000;
-
-/// Names that mean something else in a path, or can't stand there.
-const ODD_NAMES: [&str; 9] = [
-    "a b",
-    "a#b",
-    "a%41",
-    "a&wait_ms=1",
-    "a+b",
-    "a/b",
-    "a?b",
-    "a\"b",
-    "\u{e9}",
-];
-
-/// Returns a valid configuration without routes.
-fn without_routes(version: u64) -> Value {
-    json!({"version": version, "routes": [],
-        "services": [{"name": "models", "max_connections": 100}, {"name": "records", "max_connections": 100}],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536, "header_timeout_ms": 3_000,
-            "idle_timeout_ms": 15_000}})
-}
-
 /// Waits until all entries serve a path.
 async fn until_served(site: &Site, path: &str) {
     for entry in 0..site.entries.len() {
@@ -85,12 +62,7 @@
 
     lists_go_on_after_any_name(site: 0) {
         let mut site = Site::without_entries().await;
-        site.store.set_page_size(1);
-        for kind in ["config", "servers", "evacuations"] {
-            for name in ODD_NAMES {
-                site.store.put(kind, name, &json!("of somebody else"));
-            }
-        }
+        site.put_odd_names(1);
         site.start_entries(2).await;
         until_served(&site, "/fetch/a").await;
     }
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -54,6 +54,8 @@
     /// existing service; restarted entries can't, and foreign records of the platform name one that
     /// doesn't exist.
     pub(super) foreign_service: &'static str,
+    /// Configurations that strangers have written.
+    pub(super) strangers_configs: u64,
     /// Engines that a part of a prompt has crashed and that start again.
     crashed: HashSet<usize>,
     /// Version and start of the engines that serve, by number.
@@ -103,6 +105,7 @@
             announced: HashMap::new(),
             copies: HashMap::new(),
             foreign_service,
+            strangers_configs: 0,
             crashed: HashSet::new(),
             serving: HashMap::new(),
         };
@@ -276,7 +279,7 @@
                     self.site.entries[entry].signal("HUP");
                 }
             }
-            Fault::Publish => self.site.publish(&[KEY]),
+            Fault::Publish => self.publish_among_strangers(&[]),
             Fault::StateRateLimit => self.state_rate_limit(step.pick, end),
             Fault::SendLeaveNotice => self.send_leave_notice(step.pick, end).await,
             Fault::LeaveUnheard => self.leave_unheard(step.pick, step.span).await,
@@ -491,7 +494,7 @@
         for entry in 0..self.site.entries.len() {
             self.site.entries[entry].restart_if_ended();
         }
-        self.site.publish_routes(&[KEY], &[("last", "/last/")]);
+        self.publish_among_strangers(&[("last", "/last/")]);
         for entry in 0..self.site.entries.len() {
             let start = Instant::now();
             while !self.serves_new_route(entry).await {
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -21,6 +21,9 @@
 /// Initial model engines: two always stay, so with fewer none would be removed.
 const INITIAL_ENGINES: u8 = 4;
 
+/// Most objects in a page of the store's lists.
+const PAGE_SIZE: usize = 3;
+
 /// Returns the value of an environment variable, or the default.
 pub(crate) fn env_or<T: std::str::FromStr>(name: &str, default: T) -> T {
     let given = std::env::var(name).ok().and_then(|text| text.parse().ok());
@@ -126,6 +129,7 @@
     }
     site.use_proxies().await;
     site.log_objective_ms = LOG_OBJECTIVE_MS;
+    site.put_odd_names(PAGE_SIZE);
     site.publish(&[KEY]);
     for i in 0..entries {
         site.add_entry(i + 1).await;
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -11,6 +11,7 @@
 mod requests;
 pub(crate) mod slow_reader;
 mod stale_seeds;
+pub(crate) mod strangers;
 
 use std::collections::HashMap;
 use std::fs;
