--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -1,7 +1,7 @@
 //! Injects and undoes a soak's faults, and records the evidence for the checker.
 
 use crate::soak_parts::plan::{Fault, Step};
-use crate::support::{KEY, Site};
+use crate::support::Site;
 use standins::site::{
     AnswerFault, EngineKind, Evidence, FIRST_VERSION, ProxyFault, ServingSpan, Snapshot, StoreMode,
 };
