--- a/fireflydirect/tests/processes_config.rs
+++ b/fireflydirect/tests/processes_config.rs
@@ -49,6 +49,14 @@
         until_served(&site, "/newer/a").await;
     }
 
+    removed_configuration_stays_in_force_until_the_next(site: 2) {
+        site.store.remove("config", "main");
+        site.store.compact();
+        until_served(&site, "/fetch/a").await;
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_served(&site, "/new/a").await;
+    }
+
     configuration_that_another_build_took_for_the_operators_is_fetched_once(site: 1) {
         let draft = json!({"name": "draft", "revision": 99, "content": without_routes(OTHER_VERSION)});
         let other = OtherBuild::start(&site, OTHER_VERSION, json!({"Whole": draft})).await;
