Log how a stream's body is framed and what became of orders to stop its run

What callers saw: a stream without length or chunks, whose run was ordered to stop, ended as complete. The logs couldn't tell this from a stream that ended by itself: `stream_ended` named neither the framing nor the order, and an order was logged only once it was answered.

Now `stop_ordered` is logged when an order is sent, and the lines of a stream bear `framing` and `stop_order`. For that the calls to upstreams tell whether one that failed can have arrived, and whether an answer is that to a repeat: an order that goes over a kept connection and fails there is sent a second time, and the second may be refused as the first has stopped the run.

No change of logic.

--- a/fireflycroft/src/http_head.rs
+++ b/fireflycroft/src/http_head.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::{Name, PartId};
 use crate::rate_limit::RateLimit;
+use crate::stream_end::BodyFraming;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -107,6 +108,8 @@
     pub closes: bool,
     /// Idle timeout of the connection.
     pub keep_alive: Option<Duration>,
+    /// How the end of the body is told.
+    pub framing: BodyFraming,
     /// Conditions for further requests.
     pub conditions: UpstreamConditions,
 }
--- /dev/null
+++ b/fireflycroft/src/stream_end.rs
@@ -0,0 +1,81 @@
+//! What the end of a stream's body means.
+//!
+//! A body without a length or chunks ends with its connection, and so does one whose run was ordered to stop. Only what is
+//! known of the orders tells the two apart.
+
+/// How the end of a body is told from a connection that breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By its stated length.
+    Length,
+    /// By an empty chunk.
+    Chunks,
+    /// Not at all: it ends with its connection.
+    UntilClose,
+}
+
+/// What is known of the orders to stop a run at one upstream, the weightier the later in this list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopOrder {
+    /// None has left this process.
+    #[default]
+    NotSent,
+    /// Refused, since there is no such run.
+    NoSuchRun,
+    /// Refused, since another copy of the run is in progress.
+    Busy,
+    /// Sent and not answered yet.
+    Out,
+    /// Carried out.
+    Stopped,
+    /// Not answered, so that it may have been carried out, or be so yet.
+    Lost,
+}
+
+impl BodyFraming {
+    /// Returns its name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
+impl StopOrder {
+    /// Records that an order is sent.
+    pub fn send(&mut self) {
+        *self = (*self).max(Self::Out);
+    }
+
+    /// Records what became of the order that is out; a run that may have been stopped before remains so.
+    pub fn settle(&mut self, outcome: Self) {
+        if *self == Self::Out {
+            *self = outcome;
+        } else {
+            *self = (*self).max(outcome);
+        }
+    }
+
+    /// Records that a new run of the request begins at the upstream, which only an order of unknown outcome may still stop.
+    pub fn begin_run(&mut self) {
+        if !matches!(self, Self::Out | Self::Lost) {
+            *self = Self::NotSent;
+        }
+    }
+
+    /// Returns its name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotSent => "none",
+            Self::NoSuchRun => "no_such_run",
+            Self::Busy => "busy",
+            Self::Out => "out",
+            Self::Stopped => "stopped",
+            Self::Lost => "lost",
+        }
+    }
+}
--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -166,8 +166,8 @@
     let record = node.pool.borrow().record(ix).clone();
     node.pool.borrow_mut().record_sending(node.now(), ix);
     let req = report_request(record.addr)?;
-    let response = call_upstream(&node.own_links, &record, MAX_IDLE, req).await?;
-    read_fetched(&response)
+    let answer = call_upstream(&node.own_links, &record, MAX_IDLE, req).await?;
+    read_fetched(&answer.response)
 }
 
 /// Fetches the report of the engine at the other end of a connection; there is no timeout.
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -18,11 +18,13 @@
 use crate::retries;
 use crate::runs::Run;
 use crate::standby_copies;
+use crate::stop_orders::StopOrders;
 use crate::stream_origins::{OriginGuard, record_start};
 use crate::suspects;
 use bytes::Bytes;
 use fireflycroft::{
-    Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time, UpstreamIx, VersionKey,
+    BodyFraming, Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time,
+    UpstreamIx, VersionKey,
 };
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
@@ -67,6 +69,7 @@
     backup: Option<AssignmentGuard>,
     source: Option<Source>,
     events: EventRelay,
+    framing: BodyFraming,
     breaks: u32,
     ended: bool,
     /// Progress at the current upstream, until it goes on past its beginning.
@@ -137,6 +140,7 @@
         migration_copy: RefCell::new(None),
         began: job.now(),
         migrating: Cell::new(false),
+        stop_orders: StopOrders::default(),
         migration_ended: Notify::new(),
         produced: Cell::new(0),
         need: Cell::new(Need {
@@ -160,6 +164,7 @@
         backup,
         source: Some(Source { body, link, head }),
         events,
+        framing: head.framing,
         breaks: 0,
         ended: false,
         progress,
@@ -361,6 +366,8 @@
             instance = &*upstream.instance,
             software_version = or_empty(upstream.software_version.as_ref()),
             events = self.events.relayed(), breaks = self.breaks, why = why,
+            framing = self.framing.name(),
+            stop_order = self.run.stop_orders.at(self.assignment.ix).name(),
             first_ms = or_empty(self.event_times.first.map(|t| t.since(job.arrival).as_millis())),
             longest_pause_ms = self.event_times.longest.as_millis(),
             longest_pause_at_ms = self.event_times.longest_since.since(job.arrival).as_millis(),
@@ -527,6 +534,8 @@
         };
         self.assignment = assignment;
         self.run.at.set(next.at);
+        self.run.stop_orders.begin_run(next.at);
+        self.framing = response.head.framing;
         self.job.node.migrate_if_departing(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
--- /dev/null
+++ b/fireflydirect/src/memory_copy.rs
@@ -0,0 +1,103 @@
+//! Calls that copy a run's memory to another upstream.
+
+use crate::node::Node;
+use crate::own_calls::{CallError, call_upstream};
+use crate::runs::Run;
+use crate::stop_orders::CopyAnswer;
+use bytes::Bytes;
+use fireflycroft::{StopOrder, UpstreamIx};
+use fireflycroft_platform::{MigrationOutcome, migration_call, read_migration};
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, Uri};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Timeout for one copy; after it the upstream is gone anyway.
+const COPY_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Copies a run's memory from one upstream to another, while it goes on.
+pub async fn copy_memory(
+    node: &Rc<Node>,
+    from: UpstreamIx,
+    to: UpstreamIx,
+    run: &Run,
+) -> MigrationOutcome {
+    request_copy(node, from, to, run, false).await.0
+}
+
+/// Stops a run and copies the rest of its memory.
+pub async fn stop_and_copy(
+    node: &Rc<Node>,
+    from: UpstreamIx,
+    to: UpstreamIx,
+    run: &Run,
+) -> MigrationOutcome {
+    run.stop_orders.send(from);
+    log_order(node, run, from, to);
+    let (outcome, order) = request_copy(node, from, to, run, true).await;
+    run.stop_orders.settle(from, order);
+    outcome
+}
+
+/// Returns the outcome, also of the order to stop the run that the call bears if `stop`.
+async fn request_copy(
+    node: &Rc<Node>,
+    from: UpstreamIx,
+    to: UpstreamIx,
+    run: &Run,
+    stop: bool,
+) -> (MigrationOutcome, StopOrder) {
+    let calling = tokio::time::timeout(COPY_TIMEOUT, send_copy(node, from, to, run, stop));
+    let (why, order) = match calling.await {
+        Ok(Ok(answer)) => {
+            let order = answer.stop_order();
+            return (answer.outcome, order);
+        }
+        Ok(Err(e)) if !e.may_have_arrived => (e.to_string(), StopOrder::NotSent),
+        Ok(Err(e)) => (e.to_string(), StopOrder::Lost),
+        Err(_) => ("no answer in time".to_owned(), StopOrder::Lost),
+    };
+    let order_name = if stop { order.name() } else { "" };
+    log::warn!(event = "move_failed", req = &*run.request_id, why = why, stop_order = order_name; "");
+    (MigrationOutcome::Malformed, order)
+}
+
+async fn send_copy(
+    node: &Rc<Node>,
+    from: UpstreamIx,
+    to: UpstreamIx,
+    run: &Run,
+    stop: bool,
+) -> Result<CopyAnswer, CallError> {
+    let (source, target) = {
+        let pool = node.pool.borrow();
+        (pool.record(from).clone(), pool.record(to).addr)
+    };
+    node.pool.borrow_mut().record_sending(node.now(), from);
+    let (path, body) = migration_call(&run.request_id, target, stop);
+    let mut req = Request::new(Full::new(Bytes::from(body)));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = Uri::from_static(path);
+    let headers = req.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(host) = HeaderValue::from_str(&source.addr.to_string()) {
+        headers.insert(HOST, host);
+    }
+    let answer = call_upstream(&node.own_links, &source, COPY_TIMEOUT, req).await?;
+    let response = &answer.response;
+    Ok(CopyAnswer {
+        outcome: read_migration(source.addr, response.status, &response.body),
+        is_repeat: answer.is_repeat,
+    })
+}
+
+fn log_order(node: &Node, run: &Run, from: UpstreamIx, to: UpstreamIx) {
+    let pool = node.pool.borrow();
+    log::info!(
+        event = "stop_ordered", req = &*run.request_id, from = &*pool.record(from).instance,
+        to = &*pool.record(to).instance, before = run.stop_orders.at(from).name(),
+        produced = run.produced.get();
+        ""
+    );
+}
--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -4,23 +4,16 @@
 use crate::departures;
 use crate::loads;
 use crate::log_value::or_empty;
+use crate::memory_copy::{copy_memory, stop_and_copy};
 use crate::node::Node;
-use crate::own_calls::call_upstream;
 use crate::runs::{MigrationCopy, Run};
 use crate::standby_copies;
-use bytes::Bytes;
 use fireflycroft::{DepartureAction, Mechanism, Need, UpstreamIx, departure_action};
-use fireflycroft_platform::{MigrationOutcome, migration_call, read_migration};
-use http_body_util::Full;
-use hyper::Request;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use fireflycroft_platform::MigrationOutcome;
 use rand::{Rng, RngExt};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Timeout for one copy; after it the upstream is gone anyway.
-const COPY_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Targets tried before a run is left where it is.
 pub(crate) const MAX_TARGETS: usize = 6;
 
@@ -145,10 +138,13 @@
     };
     let mut first_copy = None;
     for &stop in stages {
-        if stop {
+        let outcome = if stop {
             wait_until_stop(node, from).await;
-        }
-        match copy_memory(node, from, to, run, stop).await {
+            stop_and_copy(node, from, to, run).await
+        } else {
+            copy_memory(node, from, to, run).await
+        };
+        match outcome {
             MigrationOutcome::Copied(memory) if !stop => first_copy = Some(memory),
             MigrationOutcome::Copied(memory) => {
                 log_outcome(node, run, from, Some(to), "moved");
@@ -213,47 +209,6 @@
     }
 }
 
-pub(crate) async fn copy_memory(
-    node: &Rc<Node>,
-    from: UpstreamIx,
-    to: UpstreamIx,
-    run: &Run,
-    stop: bool,
-) -> MigrationOutcome {
-    let request = request_copy(node, from, to, run, stop);
-    let answer = tokio::time::timeout(COPY_TIMEOUT, request).await;
-    match answer {
-        Ok(Ok(outcome)) => outcome,
-        Ok(Err(e)) => {
-            let why = e.to_string();
-            log::warn!(event = "move_failed", req = &*run.request_id, why = why; "");
-            MigrationOutcome::Malformed
-        }
-        Err(_) => MigrationOutcome::Malformed,
-    }
-}
-
-async fn request_copy(
-    node: &Rc<Node>,
-    from: UpstreamIx,
-    to: UpstreamIx,
-    run: &Run,
-    stop: bool,
-) -> anyhow::Result<MigrationOutcome> {
-    let (source, target) = {
-        let pool = node.pool.borrow();
-        (pool.record(from).clone(), pool.record(to).addr)
-    };
-    node.pool.borrow_mut().record_sending(node.now(), from);
-    let (path, body) = migration_call(&run.request_id, target, stop);
-    let req = Request::post(path)
-        .header(HOST, source.addr.to_string())
-        .header(CONTENT_TYPE, HeaderValue::from_static("application/json"))
-        .body(Full::new(Bytes::from(body)))?;
-    let response = call_upstream(&node.own_links, &source, COPY_TIMEOUT, req).await?;
-    Ok(read_migration(source.addr, response.status, &response.body))
-}
-
 pub(crate) fn log_outcome(
     node: &Node,
     run: &Run,
--- a/fireflydirect/src/own_calls.rs
+++ b/fireflydirect/src/own_calls.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::fmt;
 use std::time::Duration;
 
 /// Upstreams that echo the ids of calls.
@@ -27,6 +28,28 @@
     pub response: CallResponse,
     /// Whether it bears the id of its call, so that a later answer to it can be told.
     pub is_tied: bool,
+    /// Whether the upstream may have got the call before, unanswered.
+    pub is_repeat: bool,
+}
+
+/// Reason why a call has no answer.
+#[derive(Debug)]
+pub struct CallError {
+    /// Whether the upstream may have got the call all the same.
+    pub may_have_arrived: bool,
+    why: anyhow::Error,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.why)
+    }
+}
+
+impl std::error::Error for CallError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&*self.why)
+    }
 }
 
 /// Sends a call to an instance over a connection.
@@ -52,34 +75,46 @@
         is_tied || !was_used,
         "answer without an id on a used connection"
     );
-    Ok(OwnAnswer { response, is_tied })
+    Ok(OwnAnswer {
+        response,
+        is_tied,
+        is_repeat: false,
+    })
 }
 
 /// Sends a call to an upstream, over a kept connection if the upstream is known to echo ids.
 ///
 /// # Errors
 ///
-/// As [`call_over`], or if no connection can be opened.
+/// As [`call_over`], or if no connection can be opened; the error says whether the call may have arrived.
 pub async fn call_upstream(
     links: &Links,
     to: &UpstreamRecord,
     max_idle: Duration,
     req: Request<Full<Bytes>>,
-) -> anyhow::Result<CallResponse> {
+) -> Result<OwnAnswer, CallError> {
     let incarnation = to.upstream_incarnation();
     let echoes = links.echoing.known.borrow().contains(&incarnation);
     let mut link = if echoes {
-        links.get(&incarnation, to.addr, max_idle).await?
+        links.get(&incarnation, to.addr, max_idle).await
     } else {
-        links::open(to.addr).await?
-    };
+        links::open(to.addr).await
+    }
+    .map_err(|e| call_error(e.into(), false))?;
     let mut answer = call_over(&mut link, &to.instance, req.clone()).await;
-    if echoes && answer.is_err() {
+    let mut is_repeat = false;
+    if echoes && let Err(e) = &answer {
         // A late answer may have taken the place of this one.
-        link = links::open(to.addr).await?;
+        is_repeat = !is_unsent(e);
+        link = links::open(to.addr)
+            .await
+            .map_err(|e| call_error(e.into(), is_repeat))?;
         answer = call_over(&mut link, &to.instance, req).await;
     }
-    let answer = answer?;
+    let answer = answer.map_err(|e| {
+        let may_have_arrived = is_repeat || !is_unsent(&e);
+        call_error(e, may_have_arrived)
+    })?;
     if answer.is_tied {
         let mut known = links.echoing.known.borrow_mut();
         known.insert(incarnation.clone());
@@ -88,7 +123,23 @@
             links.put_back(&incarnation, link, None);
         }
     }
-    Ok(answer.response)
+    Ok(OwnAnswer {
+        is_repeat,
+        ..answer
+    })
+}
+
+const fn call_error(why: anyhow::Error, may_have_arrived: bool) -> CallError {
+    CallError {
+        may_have_arrived,
+        why,
+    }
+}
+
+/// Returns whether a call failed before any of it left this process.
+fn is_unsent(e: &anyhow::Error) -> bool {
+    let e = e.downcast_ref::<hyper::Error>();
+    e.is_some_and(hyper::Error::is_canceled)
 }
 
 impl EchoingUpstreams {
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -1,6 +1,7 @@
 //! Streams in progress, for the migration of those on departing upstreams.
 
 use crate::assignment::AssignmentGuard;
+use crate::stop_orders::StopOrders;
 use fireflycroft::{MemoryCopy, Name, Need, Time, UpstreamIx};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
@@ -33,6 +34,8 @@
     pub migration_copy: RefCell<Option<MigrationCopy>>,
     /// Whether a migration is in progress.
     pub migrating: Cell<bool>,
+    /// Orders to stop it.
+    pub stop_orders: StopOrders,
     /// Notified when the migration is complete or has failed.
     pub migration_ended: Notify,
     /// Time of the response head.
--- a/fireflydirect/src/standby_copies.rs
+++ b/fireflydirect/src/standby_copies.rs
@@ -7,8 +7,9 @@
 use crate::job::Job;
 use crate::loads;
 use crate::log_value::or_empty;
+use crate::memory_copy::copy_memory;
 use crate::migration::{
-    MAX_START_DELAY, MAX_TARGETS, NO_CAPACITY_DELAY, copy_memory, start_migration, wait_until_stop,
+    MAX_START_DELAY, MAX_TARGETS, NO_CAPACITY_DELAY, start_migration, wait_until_stop,
 };
 use crate::node::Node;
 use crate::own_calls::call_upstream;
@@ -172,7 +173,7 @@
         };
         tried.push(to);
         let assignment = node.assign(to, need);
-        match copy_memory(node, from, to, run, false).await {
+        match copy_memory(node, from, to, run).await {
             MigrationOutcome::Copied(memory) if run.at.get() == from => {
                 log_copy(node, run, from, Some(to), "made");
                 *run.migration_copy.borrow_mut() = Some(MigrationCopy {
@@ -202,7 +203,7 @@
     if run.at.get() != from || run.standby_holder() != Some(to) {
         return;
     }
-    if let MigrationOutcome::Copied(memory) = copy_memory(node, from, to, run, false).await
+    if let MigrationOutcome::Copied(memory) = copy_memory(node, from, to, run).await
         && let Some(copy) = run.migration_copy.borrow_mut().as_mut()
         && run.at.get() == from
     {
