Teach the stand-in engines how a run is stopped and what its order may be answered

On a run's last move they reset the stream, answered 200 at once, and went on to take orders for runs that had ended.

moves().answer_stops says what is done on the next order, moves().hold_ends keeps the close of a run that has ended back until an order comes, so that the two cross.

--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use serde_json::{Value, json};
@@ -13,8 +13,11 @@
 use tokio::task::JoinSet;
 
 use super::http::{Framing, Headers, Request, read_request, reset, until_closed, write_answer};
-use super::record::{CopyKey, Record, RunEnd};
-use super::runs::{ActiveRun, OwnAnswer, answer_plain, migrate_run, report, stream_generation};
+use super::moves::Moves;
+use super::record::{Record, RunEnd};
+use super::runs::{
+    ActiveRun, OwnAnswer, answer_plain, report, stream_generation, take_matching_copy,
+};
 use super::start::{bind_with_retries, close_port, unix_millis};
 use crate::sync::lock;
 
@@ -99,11 +102,9 @@
     is_clock_set_back: AtomicBool,
     /// Whether a request has crashed it.
     pub(super) has_crashed: AtomicBool,
-    /// Signals that stop runs for a migration, by request.
-    pub(super) stop_signals: Mutex<HashMap<String, Arc<Notify>>>,
+    /// Runs that can be moved.
+    pub(super) moves: Moves,
     pub(super) crash: Notify,
-    /// Number of the next handle in this incarnation.
-    pub(super) next_handle: AtomicU64,
 }
 
 impl Shared {
@@ -126,9 +127,8 @@
             is_silent_about_ids: AtomicBool::new(false),
             is_clock_set_back: AtomicBool::new(false),
             has_crashed: AtomicBool::new(false),
-            stop_signals: Mutex::default(),
+            moves: Moves::default(),
             crash: Notify::new(),
-            next_handle: AtomicU64::new(0),
         }
     }
 
@@ -300,6 +300,12 @@
             .store(!with_ids, Ordering::Relaxed);
     }
 
+    /// Returns its behaviour on moves of runs.
+    #[must_use]
+    pub fn moves(&self) -> &Moves {
+        &self.shared.moves
+    }
+
     /// Returns whether a request has crashed it since its start.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -392,7 +398,6 @@
         return Some(OwnAnswer::new(200, "{}".to_owned()));
     }
     match req.path.as_str() {
-        "/v1/kv-move" => Some(migrate_run(shared, req)),
         "/v1/report" => Some(report(shared)),
         _ => None,
     }
@@ -409,7 +414,17 @@
         second.write(stream).await?;
     }
     let is_model = shared.kind == EngineKind::Model;
-    if let Some(mut own) = answer_own(shared, req).filter(|_| is_model) {
+    let own = if is_model && req.path == "/v1/kv-move" {
+        let addr = lock(&shared.advertised_addr).to_string();
+        let answer = shared.moves.answer(addr, &shared.record, &req.body);
+        let Some(own) = answer.await else {
+            return Ok(ConnectionAction::Reset);
+        };
+        Some(own)
+    } else {
+        answer_own(shared, req).filter(|_| is_model)
+    };
+    if let Some(mut own) = own {
         let id = req.header("x-request-id");
         if let Some(id) = id.filter(|_| !shared.is_silent_about_ids.load(Ordering::Relaxed)) {
             own.headers.push(("X-Request-Id".to_owned(), id.to_owned()));
@@ -480,21 +495,3 @@
         _ => stream_generation(stream, shared, req, id, fault, &run).await,
     }
 }
-
-/// Removes the copy of memory named by a request; returns whether it was stored here for this
-/// request.
-fn take_matching_copy(shared: &Shared, req: &Request, id: &str) -> bool {
-    let Some((issuer, handle)) = req.header("kv-from").and_then(|from| from.split_once('/')) else {
-        return false;
-    };
-    let owner = shared.record.take_copy(&CopyKey {
-        holder: lock(&shared.advertised_addr).to_string(),
-        issuer: issuer.to_owned(),
-        handle: handle.to_owned(),
-    });
-    if owner.as_deref().is_some_and(|of| of != id) {
-        // The real engine doesn't compare ids and would resume from the other request's memory.
-        shared.record.record_foreign_memory(id);
-    }
-    owner.is_some_and(|of| of == id)
-}
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod engine;
 mod http;
+mod moves;
 mod proxy;
 mod record;
 mod runs;
@@ -16,6 +17,7 @@
 
 pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
 pub use engine::{AnswerFault, Engine, EngineKind, FIRST_VERSION};
+pub use moves::{Moves, StopAnswer};
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
 pub use store::{Snapshot, Store, StoreMode};
--- /dev/null
+++ b/standins/src/site/moves.rs
@@ -0,0 +1,159 @@
+//! Moves of runs to other upstreams, and what an upstream answers to the last one, which stops the run.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use super::record::{CopyKey, Record};
+use super::runs::OwnAnswer;
+use crate::sync::lock;
+
+/// What an upstream does on the last move of a run, once unless stated otherwise; then it copies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StopAnswer {
+    /// Stops the run and copies its memory.
+    #[default]
+    Copied,
+    /// Stops the run and keeps its memory, since the target has no room.
+    Kept,
+    /// The same, but names no handle.
+    KeptUnnamed,
+    /// The same, with a handle that fits in no header.
+    KeptUnusable,
+    /// Stops the run and loses the answer.
+    Lost,
+    /// Stops the run and loses the answer, as those to all further moves.
+    AllLost,
+    /// Lets the run go on, as another move of it is in progress.
+    Busy,
+}
+
+/// Runs of an upstream that can be moved, and its behaviour on moves.
+#[derive(Debug, Default)]
+pub struct Moves {
+    /// Signals that stop runs, by request.
+    stop_signals: Mutex<HashMap<String, Arc<Notify>>>,
+    /// Number of the next handle in this incarnation.
+    next_handle: AtomicU64,
+    behaviour: Mutex<(StopAnswer, Duration)>,
+    holds_ends: AtomicBool,
+    ordered: Notify,
+}
+
+/// A run that can be moved, until it is dropped.
+pub(super) struct MovableRun<'a> {
+    moves: &'a Moves,
+    id: String,
+    pub(super) stop: Arc<Notify>,
+}
+
+impl Drop for MovableRun<'_> {
+    fn drop(&mut self) {
+        let mut signals = lock(&self.moves.stop_signals);
+        // Another run of the request may have begun since.
+        if signals
+            .get(&self.id)
+            .is_some_and(|s| Arc::ptr_eq(s, &self.stop))
+        {
+            signals.remove(&self.id);
+        }
+    }
+}
+
+impl Moves {
+    /// Sets what it does on the next last move of a run, and after which time it answers.
+    pub fn answer_stops(&self, answer: StopAnswer, after: Duration) {
+        *lock(&self.behaviour) = (answer, after);
+    }
+
+    /// Makes a run that has ended close its stream only when its last move is asked for.
+    pub fn hold_ends(&self) {
+        self.holds_ends.store(true, Ordering::Relaxed);
+    }
+
+    fn take_behaviour(&self) -> (StopAnswer, Duration) {
+        let mut behaviour = lock(&self.behaviour);
+        if behaviour.0 == StopAnswer::AllLost {
+            return *behaviour;
+        }
+        std::mem::take(&mut *behaviour)
+    }
+
+    /// Returns the requests of the runs in progress.
+    pub(super) fn running(&self) -> Vec<String> {
+        lock(&self.stop_signals).keys().cloned().collect()
+    }
+
+    pub(super) fn begin(&self, id: &str) -> MovableRun<'_> {
+        let stop = Arc::new(Notify::new());
+        lock(&self.stop_signals).insert(id.to_owned(), stop.clone());
+        MovableRun {
+            moves: self,
+            id: id.to_owned(),
+            stop,
+        }
+    }
+
+    /// Waits until a run that has ended may close its stream.
+    pub(super) async fn until_end_is_due(&self) {
+        if self.holds_ends.load(Ordering::Relaxed) {
+            self.ordered.notified().await;
+        }
+    }
+
+    /// Answers a move called at the upstream at `addr`; `None` if the answer is lost.
+    pub(super) async fn answer(
+        &self,
+        addr: String,
+        record: &Record,
+        body: &[u8],
+    ) -> Option<OwnAnswer> {
+        let call: Value = serde_json::from_slice(body).unwrap_or_default();
+        let id = call["id"].as_str().unwrap_or_default();
+        let is_last = call["last"] == json!(true);
+        let (answer, after) = if is_last {
+            self.take_behaviour()
+        } else {
+            Default::default()
+        };
+        let stop = lock(&self.stop_signals).get(id).cloned();
+        if is_last {
+            self.ordered.notify_one();
+        }
+        let stops = is_last && answer != StopAnswer::Busy;
+        if let Some(stop) = stop.as_ref().filter(|_| stops) {
+            stop.notify_one();
+            lock(&self.stop_signals).remove(id);
+        }
+        tokio::time::sleep(after).await;
+        let Some(_) = stop else {
+            return (answer != StopAnswer::AllLost).then(|| OwnAnswer::new(404, "{}".to_owned()));
+        };
+        let holder = match answer {
+            StopAnswer::Lost | StopAnswer::AllLost => return None,
+            StopAnswer::Busy => return Some(OwnAnswer::new(409, "{}".to_owned())),
+            StopAnswer::KeptUnnamed => return Some(OwnAnswer::new(503, "{}".to_owned())),
+            StopAnswer::KeptUnusable => {
+                let body = json!({"handle": "h\u{7}\n"});
+                return Some(OwnAnswer::new(503, body.to_string()));
+            }
+            StopAnswer::Kept => addr.clone(),
+            StopAnswer::Copied => call["to"].as_str().unwrap_or_default().to_owned(),
+        };
+        // Each incarnation counts its handles from 0.
+        let handle = format!("h{}", self.next_handle.fetch_add(1, Ordering::Relaxed));
+        let key = CopyKey {
+            holder,
+            issuer: addr,
+            handle: handle.clone(),
+        };
+        record.insert_copy(key, id);
+        let status = if answer == StopAnswer::Kept { 503 } else { 200 };
+        let body = json!({"handle": handle, "created": 1});
+        Some(OwnAnswer::new(status, body.to_string()))
+    }
+}
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -1,14 +1,12 @@
 //! Runs of requests on an upstream of the site, their migration and the load report.
 
 use std::io;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 
 use super::engine::{AnswerFault, ConnectionAction, FIRST_VERSION, Shared};
 use super::http::{
@@ -185,8 +183,7 @@
             .unwrap_or(0),
     );
     let version = lock(&shared.version).clone();
-    let stop = Arc::new(Notify::new());
-    lock(&shared.stop_signals).insert(id.to_owned(), stop.clone());
+    let movable = shared.moves.begin(id);
     let headers = [
         ("X-Request-Id", id),
         ("X-Response-Seal", "seal"),
@@ -217,9 +214,9 @@
         write_piece(stream, piece.as_bytes(), framing).await?;
         tokio::select! {
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
-            () = stop.notified() => {
+            () = movable.stop.notified() => {
                 run.end(RunEnd::Migrated);
-                return Ok(ConnectionAction::Reset);
+                return Ok(ConnectionAction::Close);
             }
             () = until_closed(stream) => {
                 run.end(RunEnd::Abandoned);
@@ -227,8 +224,10 @@
             }
         }
     }
-    write_piece(stream, b"", framing).await?;
+    drop(movable);
     run.end(RunEnd::Complete);
+    shared.moves.until_end_is_due().await;
+    write_piece(stream, b"", framing).await?;
     Ok(after_answer(framing))
 }
 
@@ -272,7 +271,7 @@
 pub(super) fn report(shared: &Shared) -> OwnAnswer {
     let leaves_ms = *lock(&shared.leaves_ms);
     let row = |id: &String| json!([id, RUN_TOKENS, 1, 5]);
-    let runs: Vec<Value> = lock(&shared.stop_signals).keys().map(row).collect();
+    let runs: Vec<Value> = shared.moves.running().iter().map(row).collect();
     let state = leaves_ms.map_or("ready", |_| "draining");
     let body = json!({"born": shared.born, "waiting": 0, "running": runs.len(),
         "state": state, "leaves_ms": leaves_ms, "runs": runs});
@@ -284,23 +283,20 @@
     answer
 }
 
-pub(super) fn migrate_run(shared: &Shared, req: &Request) -> OwnAnswer {
-    let call: Value = serde_json::from_slice(&req.body).unwrap_or_default();
-    let id = call["id"].as_str().unwrap_or_default();
-    let stop = lock(&shared.stop_signals).get(id).cloned();
-    let Some(stop) = stop else {
-        return OwnAnswer::new(404, "{}".to_owned());
-    };
-    // Each incarnation counts its handles from 0.
-    let handle = format!("h{}", shared.next_handle.fetch_add(1, Ordering::Relaxed));
-    let key = CopyKey {
-        holder: call["to"].as_str().unwrap_or_default().to_owned(),
-        issuer: lock(&shared.advertised_addr).to_string(),
-        handle: handle.clone(),
+/// Removes the copy of memory named by a request; returns whether it was stored here for this
+/// request.
+pub(super) fn take_matching_copy(shared: &Shared, req: &Request, id: &str) -> bool {
+    let Some((issuer, handle)) = req.header("kv-from").and_then(|from| from.split_once('/')) else {
+        return false;
     };
-    shared.record.insert_copy(key, id);
-    if call["last"] == json!(true) {
-        stop.notify_one();
+    let owner = shared.record.take_copy(&CopyKey {
+        holder: lock(&shared.advertised_addr).to_string(),
+        issuer: issuer.to_owned(),
+        handle: handle.to_owned(),
+    });
+    if owner.as_deref().is_some_and(|of| of != id) {
+        // The real engine doesn't compare ids and would resume from the other request's memory.
+        shared.record.record_foreign_memory(id);
     }
-    OwnAnswer::new(200, json!({"handle": handle, "created": 1}).to_string())
+    owner.is_some_and(|of| of == id)
 }
