Decide what the end of a stream's body means from its framing and the orders to stop its run

A body without length or chunks ends with its connection, whether its run ended or was ordered to stop. What tells the two apart is a table of its own now, without I/O, with a test for each row: with a length or chunks the framing decides; else no order, or orders that were all refused (404, 409) or never left, mean the end; a run that was stopped (200, 503 with or without a handle) or may have been (answer lost, late, or unusable) is broken off; an order that is out is waited for. What is known of the orders only ever gets weightier, so a refusal doesn't unsay an earlier stop. Asking once more proves nothing: a stopped run is no run either.

Not used yet.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -1,7 +1,8 @@
 //! What the end of a stream's body means.
 //!
 //! A body without a length or chunks ends with its connection, and so does one whose run was ordered to stop. Only what is
-//! known of the orders tells the two apart.
+//! known of the orders tells the two apart. Asking again proves nothing: an upstream has no such run whether the run ended by
+//! itself or was stopped.
 
 /// How the end of a body is told from a connection that breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,28 @@
     Lost,
 }
 
+/// Meaning of the end of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// The body is whole.
+    Whole,
+    /// The outcome of an order will tell; broken off if it doesn't come.
+    Undecided,
+    /// A part, or not proven to be more.
+    BrokenOff,
+}
+
+/// Returns what the end of a body in order means, after these orders to stop its run.
+#[must_use]
+pub const fn body_end(framing: BodyFraming, order: StopOrder) -> BodyEnd {
+    match (framing, order) {
+        (BodyFraming::Length | BodyFraming::Chunks, _)
+        | (_, StopOrder::NotSent | StopOrder::NoSuchRun | StopOrder::Busy) => BodyEnd::Whole,
+        (BodyFraming::UntilClose, StopOrder::Out) => BodyEnd::Undecided,
+        (BodyFraming::UntilClose, StopOrder::Stopped | StopOrder::Lost) => BodyEnd::BrokenOff,
+    }
+}
+
 impl BodyFraming {
     /// Returns its name in logs.
     #[must_use]
@@ -45,6 +68,12 @@
 }
 
 impl StopOrder {
+    /// Returns whether the run is, or may be, stopped by an order that isn't out any more.
+    #[must_use]
+    pub const fn may_have_stopped(self) -> bool {
+        matches!(self, Self::Stopped | Self::Lost)
+    }
+
     /// Records that an order is sent.
     pub fn send(&mut self) {
         *self = (*self).max(Self::Out);
--- /dev/null
+++ b/fireflycroft/tests/stream_end.rs
@@ -0,0 +1,72 @@
+//! Meaning of the end of a body, by its framing and the orders to stop its run.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
+use fireflycroft::BodyEnd::{self, BrokenOff, Undecided, Whole};
+use fireflycroft::BodyFraming::{Chunks, Length, UntilClose};
+use fireflycroft::StopOrder::{self, Busy, Lost, NoSuchRun, NotSent, Out, Stopped};
+use fireflycroft::body_end;
+
+const ALL: [StopOrder; 6] = [NotSent, NoSuchRun, Busy, Out, Stopped, Lost];
+
+cases! {
+    length_decides_beside_any_order => assert!(ALL.iter().all(|o| body_end(Length, *o) == Whole));
+    chunks_decide_beside_any_order => assert!(ALL.iter().all(|o| body_end(Chunks, *o) == Whole));
+    close_is_the_end_without_an_order => assert_eq!(end_after(&[]), Whole);
+    close_beside_an_order_that_is_out_waits => assert_eq!(body_end(UntilClose, Out), Undecided);
+    close_after_no_such_run_is_the_end => assert_eq!(end_after(&[NoSuchRun]), Whole);
+    close_after_a_refusal_is_the_end => assert_eq!(end_after(&[Busy]), Whole);
+    close_after_an_order_that_never_left_is_the_end => assert_eq!(end_after(&[NotSent]), Whole);
+    close_after_a_stop_is_a_break => assert_eq!(end_after(&[Stopped]), BrokenOff);
+    close_after_a_lost_order_is_a_break => assert_eq!(end_after(&[Lost]), BrokenOff);
+    no_such_run_after_a_stop_is_a_break => assert_eq!(end_after(&[Stopped, NoSuchRun]), BrokenOff);
+    no_such_run_after_a_lost_order_is_a_break => assert_eq!(end_after(&[Lost, NoSuchRun]), BrokenOff);
+    refusal_after_a_lost_order_is_a_break => assert_eq!(end_after(&[Busy, Lost, Busy, NotSent]), BrokenOff);
+    stop_after_refusals_is_a_break => assert_eq!(end_after(&[Busy, NoSuchRun, Stopped]), BrokenOff);
+    order_that_is_out_after_a_stop_is_not_waited_for => assert_eq!(with_another_out(Stopped), BrokenOff);
+    order_that_is_out_after_a_refusal_is_waited_for => assert_eq!(with_another_out(Busy), Undecided);
+    new_run_forgets_a_stop => assert_eq!(end_of_next_run(Stopped), Whole);
+    new_run_may_be_stopped_by_a_lost_order => assert_eq!(end_of_next_run(Lost), BrokenOff);
+    outcomes_never_unsay_a_stop => never_unsaid();
+}
+
+fn after(outcomes: &[StopOrder]) -> StopOrder {
+    let mut order = StopOrder::default();
+    for outcome in outcomes {
+        order.send();
+        order.settle(*outcome);
+    }
+    order
+}
+
+fn end_after(outcomes: &[StopOrder]) -> BodyEnd {
+    body_end(UntilClose, after(outcomes))
+}
+
+fn with_another_out(first: StopOrder) -> BodyEnd {
+    let mut order = after(&[first]);
+    order.send();
+    body_end(UntilClose, order)
+}
+
+fn end_of_next_run(outcome: StopOrder) -> BodyEnd {
+    let mut order = after(&[outcome]);
+    order.begin_run();
+    body_end(UntilClose, order)
+}
+
+fn never_unsaid() {
+    let settled = [NotSent, NoSuchRun, Busy, Stopped, Lost];
+    for a in settled {
+        for b in settled {
+            for c in settled {
+                let outcomes = [a, b, c];
+                let has_stopped = outcomes.iter().any(|o| o.may_have_stopped());
+                let expected = if has_stopped { BrokenOff } else { Whole };
+                assert_eq!(end_after(&outcomes), expected, "{outcomes:?}");
+            }
+        }
+    }
+}
