Take the close of a stream without length for its end only where no order can have stopped its run

What callers saw: a stream without length or chunks was ordered to make its last move; its upstream stopped the run and closed the connection in order, and the caller got the part as a complete answer, while the copy lay unused.

Cause: the relay took the end of the body for the end of the stream, although the end of a connection says nothing where the entry itself has had the run stopped. Class: an end that isn't marked, taken for the end that was hoped for.

A stream that was stopped, or may have been, has broken off: it goes on from its copy, or the memory kept at its source, or is cut; one whose orders were all refused is whole. An order that was sent twice, the second over a new connection, counts as lost if the second is refused: the first may have stopped the run. The reading of an upstream's body is a module of its own now; generation.rs and migration.rs end shorter.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -20,15 +20,15 @@
 use crate::standby_copies;
 use crate::stop_orders::StopOrders;
 use crate::stream_origins::{OriginGuard, record_start};
+use crate::stream_source::{Read, Source, fault_of_end, wait_for_copy};
 use crate::suspects;
 use bytes::Bytes;
 use fireflycroft::{
-    BodyFraming, Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, ResponseHead, Time,
-    UpstreamIx, VersionKey,
+    BodyFraming, Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, Time, UpstreamIx, VersionKey,
 };
 use futures_util::stream::unfold;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,10 +37,6 @@
 /// Failovers allowed per stream.
 const MAX_RESUMPTIONS: u32 = 6;
 
-/// Timeout for a copy in progress when the stream breaks; copying the longest prompts takes about
-/// half a second on an idle link.
-const COPY_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Tokens between two estimates of an answer's length.
 const ESTIMATE_INTERVAL_TOKENS: u64 = 64;
 
@@ -50,13 +46,6 @@
 /// Timeout for the response head of a resumed stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Upstream response being read.
-struct Source {
-    body: Incoming,
-    link: crate::links::Link,
-    head: ResponseHead,
-}
-
 /// State of a stream being relayed.
 struct Relay {
     job: Rc<Job>,
@@ -97,14 +86,6 @@
     peak: PausePeak,
 }
 
-/// Result of a read from an upstream.
-enum Read {
-    Data(Bytes),
-    End,
-    Broke(String),
-    TimeUp,
-}
-
 /// Upstream on which a stream may resume, and the memory to resume from.
 struct Continuation {
     method: &'static str,
@@ -122,12 +103,8 @@
         backup,
         version,
     } = stream;
-    let ResponseStart {
-        parts,
-        head,
-        body,
-        link,
-    } = response;
+    let framing = response.head.framing;
+    let (parts, source) = Source::of(response);
     let mut events = EventRelay::default();
     if let Some(last) = job.head.last_event_id {
         events.resume_after(last);
@@ -141,6 +118,7 @@
         began: job.now(),
         migrating: Cell::new(false),
         stop_orders: StopOrders::default(),
+        copy_limit: Cell::new(None),
         migration_ended: Notify::new(),
         produced: Cell::new(0),
         need: Cell::new(Need {
@@ -162,9 +140,9 @@
         version,
         _origin: origin,
         backup,
-        source: Some(Source { body, link, head }),
+        source: Some(source),
         events,
-        framing: head.framing,
+        framing,
         breaks: 0,
         ended: false,
         progress,
@@ -214,32 +192,17 @@
     }
 
     async fn read(&mut self) -> Read {
-        let limit = self.job.node.clock.instant(self.job.deadline);
         let Some(source) = &mut self.source else {
             return Read::Broke("no upstream".to_owned());
         };
-        let frame = tokio::select! {
-            biased;
-            frame = source.body.frame() => frame,
-            () = self.job.node.until_ended(self.assignment.ix) => {
-                return Read::Broke("its upstream started again".to_owned());
-            }
-            () = tokio::time::sleep_until(limit) => return Read::TimeUp,
-        };
-        match frame {
-            Some(Ok(frame)) => Read::Data(frame.into_data().unwrap_or_default()),
-            Some(Err(e)) => Read::Broke(e.to_string()),
-            None if self.events.is_mid_event() => {
-                Read::Broke("response ended within an event".to_owned())
-            }
-            None if !self.has_begun() => Read::Broke("response ended before an event".to_owned()),
-            None => Read::End,
+        let node = &self.job.node;
+        let deadline = node.clock.instant(self.job.deadline);
+        let read = source.read(node, self.assignment.ix, deadline).await;
+        if !matches!(read, Read::End) {
+            return read;
         }
-    }
-
-    /// Returns whether an event has come, here or before the caller took the stream up.
-    const fn has_begun(&self) -> bool {
-        self.events.relayed() > 0 || self.events.last_id().is_some()
+        let fault = fault_of_end(&self.run, self.framing, &self.events).await;
+        fault.map_or(read, Read::Broke)
     }
 
     fn record_progress(&mut self) {
@@ -397,7 +360,7 @@
         if self.breaks > MAX_RESUMPTIONS || !self.events.can_resume() {
             return false;
         }
-        self.wait_for_copy().await;
+        wait_for_copy(&self.run).await;
         let silent_for = self.job.now().since(self.event_times.last);
         standby_copies::check_source(&self.job.node, &self.run, silent_for).await;
         let mut tried = vec![self.assignment.ix];
@@ -427,14 +390,6 @@
         verdict.is_some()
     }
 
-    async fn wait_for_copy(&self) {
-        let ended = self.run.migration_ended.notified();
-        if self.run.migrating.get() && self.run.standby_holder().is_none() {
-            // A slower copy is of no use, since the caller doesn't tolerate a longer pause.
-            let _ = tokio::time::timeout(COPY_TIMEOUT, ended).await;
-        }
-    }
-
     /// Returns the next possible continuation; each copy is used once, and a new run begins at an upstream that
     /// was not tried.
     fn next_continuation(&mut self, tried: &[UpstreamIx]) -> Option<Continuation> {
@@ -542,11 +497,7 @@
         if !self.is_sound {
             self.progress = Progress::begun(self.job.now());
         }
-        self.source = Some(Source {
-            body: response.body,
-            link: response.link,
-            head: response.head,
-        });
+        self.source = Some(Source::of(response).1);
         let resumptions = &self.job.node.metrics.resumed;
         resumptions.with_label_values(&[next.method]).inc();
         self.log_event("stream_goes_on", next.method);
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -65,4 +65,5 @@
 pub mod store_connectivity;
 pub mod store_list;
 pub mod stream_origins;
+pub mod stream_source;
 pub mod suspects;
--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -33,8 +33,8 @@
     to: UpstreamIx,
     run: &Run,
 ) -> MigrationOutcome {
-    run.stop_orders.send(from);
     log_order(node, run, from, to);
+    run.stop_orders.send(from);
     let (outcome, order) = request_copy(node, from, to, run, true).await;
     run.stop_orders.settle(from, order);
     outcome
--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -6,7 +6,7 @@
 use crate::log_value::or_empty;
 use crate::memory_copy::{copy_memory, stop_and_copy};
 use crate::node::Node;
-use crate::runs::{MigrationCopy, Run};
+use crate::runs::Run;
 use crate::standby_copies;
 use fireflycroft::{DepartureAction, Mechanism, Need, UpstreamIx, departure_action};
 use fireflycroft_platform::MigrationOutcome;
@@ -148,29 +148,13 @@
             MigrationOutcome::Copied(memory) if !stop => first_copy = Some(memory),
             MigrationOutcome::Copied(memory) => {
                 log_outcome(node, run, from, Some(to), "moved");
-                *run.migration_copy.borrow_mut() = Some(MigrationCopy {
-                    assignment,
-                    memory,
-                    source: from,
-                    stands_by: false,
-                });
+                run.store_copy(assignment, memory, from);
                 return TargetOutcome::Settled;
             }
             MigrationOutcome::NoCapacity(Some(memory)) if stop => {
-                log_outcome(
-                    node,
-                    run,
-                    from,
-                    Some(to),
-                    "stopped, memory kept at the source",
-                );
-                let assignment = node.assign(from, run.need.get());
-                *run.migration_copy.borrow_mut() = Some(MigrationCopy {
-                    assignment,
-                    memory,
-                    source: from,
-                    stands_by: false,
-                });
+                let what = "stopped, memory kept at the source";
+                log_outcome(node, run, from, Some(to), what);
+                run.store_copy(node.assign(from, run.need.get()), memory, from);
                 return TargetOutcome::Settled;
             }
             MigrationOutcome::NoCapacity(_) => {
@@ -183,12 +167,7 @@
                 // The upstream may be gone already; what was copied before lacks a few tokens.
                 let is_lost = other == MigrationOutcome::Malformed;
                 if let Some(memory) = first_copy.filter(|_| is_lost) {
-                    *run.migration_copy.borrow_mut() = Some(MigrationCopy {
-                        assignment,
-                        memory,
-                        source: from,
-                        stands_by: false,
-                    });
+                    run.store_copy(assignment, memory, from);
                 }
                 return TargetOutcome::Settled;
             }
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -7,6 +7,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// A copy of a run's memory, ready to resume from.
 pub struct MigrationCopy {
@@ -36,6 +37,8 @@
     pub migrating: Cell<bool>,
     /// Orders to stop it.
     pub stop_orders: StopOrders,
+    /// Time until which the relay waits for a copy, if its stream broke beside an order to stop.
+    pub copy_limit: Cell<Option<Instant>>,
     /// Notified when the migration is complete or has failed.
     pub migration_ended: Notify,
     /// Time of the response head.
@@ -57,6 +60,16 @@
 }
 
 impl Run {
+    /// Stores a copy that its stopped run resumes from.
+    pub fn store_copy(&self, assignment: AssignmentGuard, memory: MemoryCopy, source: UpstreamIx) {
+        *self.migration_copy.borrow_mut() = Some(MigrationCopy {
+            assignment,
+            memory,
+            source,
+            stands_by: false,
+        });
+    }
+
     /// Returns the holder of its standby copy, if it has one.
     #[must_use]
     pub fn standby_holder(&self) -> Option<UpstreamIx> {
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -4,11 +4,13 @@
 use fireflycroft_platform::MigrationOutcome;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use tokio::sync::Notify;
 
 /// What is known of the orders to stop one run.
 #[derive(Default)]
 pub struct StopOrders {
     by_upstream: RefCell<HashMap<UpstreamIx, StopOrder>>,
+    settled: Notify,
 }
 
 /// Answer to a call that copies memory.
@@ -39,6 +41,18 @@
     pub fn settle(&self, ix: UpstreamIx, outcome: StopOrder) {
         let mut orders = self.by_upstream.borrow_mut();
         orders.entry(ix).or_default().settle(outcome);
+        self.settled.notify_waiters();
+    }
+
+    /// Waits until no order to an upstream is out.
+    pub async fn until_settled(&self, ix: UpstreamIx) {
+        loop {
+            let settled = self.settled.notified();
+            if self.at(ix) != StopOrder::Out {
+                return;
+            }
+            settled.await;
+        }
     }
 
     /// Records that the request's run begins at an upstream.
