Go on from the copy before where a stopped run's last move gave none

What callers saw: a stream whose run was stopped, and whose order was answered 503 without a handle, or sent twice and refused the second time, was cut, though a copy without its last few tokens lay at the target.

Cause: the copy before was used only where the order had no readable answer; a refusal counted as "the run goes on" even where an earlier order may have stopped it. Class: one answer read without what was known before.

Now whatever may have stopped the run lets it go on from the copy before. A 503 without a handle still leads on to other targets where there is no such copy.

--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -157,15 +157,16 @@
                 run.store_copy(node.assign(from, run.need.get()), memory, from);
                 return TargetOutcome::Settled;
             }
-            MigrationOutcome::NoCapacity(_) => {
+            MigrationOutcome::NoCapacity(_) if first_copy.is_none() || !stop => {
                 log_outcome(node, run, from, Some(to), "no room");
                 return TargetOutcome::NoCapacity;
             }
             other => {
                 let what = if stop { "last copy" } else { "first copy" };
                 log_outcome(node, run, from, Some(to), &format!("{what}: {other:?}"));
-                // The upstream may be gone already; what was copied before lacks a few tokens.
-                let is_lost = other == MigrationOutcome::Malformed;
+                // What was copied before lacks a few tokens, but the upstream may be gone already, or the run stopped.
+                let is_lost = other == MigrationOutcome::Malformed
+                    || run.stop_orders.at(from).may_have_stopped();
                 if let Some(memory) = first_copy.filter(|_| is_lost) {
                     run.store_copy(assignment, memory, from);
                 }
--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -134,8 +134,10 @@
     moved_stream_waits_for_its_copy(UntilClose, Copied, AFTER_CLOSE, "/log/a", LONG) moved;
     stopped_stream_goes_on_at_its_source(UntilClose, Kept, Duration::ZERO, "/log/a", LONG) went_on_at_its_source;
     stopped_stream_waits_for_the_memory_at_its_source(UntilClose, Kept, AFTER_CLOSE, "/log/a", LONG) went_on_at_its_source;
+    stream_whose_memory_has_no_handle_goes_on_from_the_copy_before(UntilClose, KeptUnnamed, AFTER_CLOSE, "/log/a", LONG) moved;
     stream_whose_order_got_no_answer_goes_on_from_the_copy_before(UntilClose, AllLost, Duration::ZERO, "/log/a", LONG) moved;
     stream_whose_order_got_no_answer_after_the_close_goes_on(UntilClose, AllLost, AFTER_CLOSE, "/log/a", LONG) moved;
+    stream_stopped_by_an_order_that_was_sent_twice_goes_on(UntilClose, Lost, Duration::ZERO, "/log/a", LONG) moved;
     stream_whose_order_is_answered_too_late_is_no_whole_one(UntilClose, Copied, TOO_LATE, "/log/a", LONG) broken_off;
     resumable_stream_whose_order_is_answered_too_late_begins_anew(UntilClose, Copied, TOO_LATE, "/grade/a", LONG) began_anew;
     stream_that_ends_by_itself_beside_an_order_is_whole(UntilClose, Copied, Duration::ZERO, "/log/a", SHORT) ended_by_itself;
@@ -144,7 +146,9 @@
 
     chunked_stream_goes_on_from_its_copy(Chunks, Copied, AFTER_CLOSE, "/log/a", LONG) moved;
     chunked_stream_goes_on_at_its_source(Chunks, Kept, AFTER_CLOSE, "/log/a", LONG) went_on_at_its_source;
+    chunked_stream_whose_memory_has_no_handle_goes_on(Chunks, KeptUnnamed, AFTER_CLOSE, "/log/a", LONG) moved;
     chunked_stream_whose_order_got_no_answer_goes_on(Chunks, AllLost, AFTER_CLOSE, "/log/a", LONG) moved;
+    chunked_stream_stopped_by_an_order_that_was_sent_twice_goes_on(Chunks, Lost, Duration::ZERO, "/log/a", LONG) moved;
     chunked_stream_whose_order_is_answered_too_late_is_no_whole_one(Chunks, Copied, TOO_LATE, "/log/a", LONG) broken_off;
     chunked_stream_that_ends_by_itself_beside_an_order_is_whole(Chunks, Lost, AFTER_CLOSE, "/log/a", SHORT) ended_by_itself;
     chunked_stream_whose_order_was_refused_is_whole(Chunks, Busy, AFTER_CLOSE, "/log/a", LONG) went_on;
