--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -135,6 +135,7 @@
     stopped_stream_goes_on_at_its_source(UntilClose, Kept, Duration::ZERO, "/log/a", LONG) went_on_at_its_source;
     stopped_stream_waits_for_the_memory_at_its_source(UntilClose, Kept, AFTER_CLOSE, "/log/a", LONG) went_on_at_its_source;
     stream_whose_memory_has_no_handle_goes_on_from_the_copy_before(UntilClose, KeptUnnamed, AFTER_CLOSE, "/log/a", LONG) moved;
+    stream_whose_handle_fits_in_no_header_goes_on_from_the_copy_before(UntilClose, KeptUnusable, AFTER_CLOSE, "/log/a", LONG) moved;
     stream_whose_order_got_no_answer_goes_on_from_the_copy_before(UntilClose, AllLost, Duration::ZERO, "/log/a", LONG) moved;
     stream_whose_order_got_no_answer_after_the_close_goes_on(UntilClose, AllLost, AFTER_CLOSE, "/log/a", LONG) moved;
     stream_stopped_by_an_order_that_was_sent_twice_goes_on(UntilClose, Lost, Duration::ZERO, "/log/a", LONG) moved;
