Reset a caller's connection where a cut answer would look complete by its end

What callers saw: nobody has reported it. A caller that speaks HTTP/1.0 gets a stream without chunks, which ends with its connection; where the entry had to cut it, it closed the connection in order, and the part looked whole.

Now such an answer is marked from its head to its end, and a connection that carries the mark ends with a reset: after a cut, and also where the connection has to give way to others. Answers with a length, and those in chunks, are as before.

The own path's callers weren't tried.

--- a/fireflydirect/src/answer.rs
+++ b/fireflydirect/src/answer.rs
@@ -3,13 +3,15 @@
 use bytes::Bytes;
 use fireflycroft::{Class, Code};
 use fireflycroft_platform::response_headers;
+use fireflynet::Unfinished;
 use http_body_util::Full;
-use hyper::body::Body;
+use hyper::body::{Body, Frame};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response, StatusCode};
 use std::fmt;
 use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 /// Header that carries the result code of the entry's own answers.
@@ -99,3 +101,35 @@
         frame
     }))
 }
+
+/// Returns a body whose connection ends with a reset until the body is whole; one with a length is returned as it is.
+#[must_use]
+pub fn marked_until_whole(body: AnswerBody, mark: Unfinished) -> AnswerBody {
+    if body.size_hint().exact().is_some() {
+        return body;
+    }
+    mark.set(true);
+    Box::pin(MarkedBody { body, mark })
+}
+
+/// Body that takes its mark away at its end.
+struct MarkedBody {
+    body: AnswerBody,
+    mark: Unfinished,
+}
+
+impl Body for MarkedBody {
+    type Data = Bytes;
+    type Error = BrokenStream;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
+        let frame = ready!(self.body.as_mut().poll_frame(cx));
+        if frame.is_none() {
+            self.mark.set(false);
+        }
+        Poll::Ready(frame)
+    }
+}
--- a/fireflydirect/src/callers.rs
+++ b/fireflydirect/src/callers.rs
@@ -1,11 +1,14 @@
 //! Accepts and serves callers' connections.
 
+use crate::answer::{marked_until_whole, with_guard};
 use crate::node::{Node, Stage};
 use crate::serve::serve;
 use fireflycroft::{CallerLimits, Time};
 use fireflynet::{Account, CallGuard, CallerStream, HeadLimits};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Version};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -125,13 +128,22 @@
     let activity = Rc::new(Activity::new(&node));
     let limits = head_limits(node.catalog.borrow().as_ref().map(|c| c.limits()));
     let stream = CallerStream::new(stream, account.clone(), limits);
-    let service = service_fn(|req| {
+    let unfinished = stream.unfinished();
+    let service = service_fn(|req: Request<Incoming>| {
         let active_call = ActiveCall::begin(&node, &activity, &account);
         let node = node.clone();
         let account = account.clone();
+        // A caller of this version knows no chunks.
+        let unfinished = (req.version() == Version::HTTP_10).then(|| unfinished.clone());
         async move {
             let answer = serve(node, account, req).await;
-            Ok::<_, Infallible>(answer.map(|body| crate::answer::with_guard(body, active_call)))
+            Ok::<_, Infallible>(answer.map(|body| {
+                let body = match unfinished {
+                    Some(mark) => marked_until_whole(body, mark),
+                    None => body,
+                };
+                with_guard(body, active_call)
+            }))
         }
     });
     let conn = http1::Builder::new()
--- a/fireflydirect/tests/processes_framing.rs
+++ b/fireflydirect/tests/processes_framing.rs
@@ -7,10 +7,26 @@
 use standins::site::AnswerFault;
 use std::time::Duration;
 use support::{KEY, Site, outcome, whole_stream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Requests that come to one entry at once, each on a new connection.
 const CROWD: usize = 150;
 
+/// Reads the answer to a stream's request of a caller that knows no chunks, until its connection ends.
+async fn answer_without_chunks(site: &Site, events: u64) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(site.callers_of(0)).await?;
+    let request = format!(
+        "POST /log/a?events={events} HTTP/1.0\r\nHost: site.example\r\nX-Request-Id: {}\r\nX-Deadline-Ms: 20000\r\n\
+         X-Credential: {KEY}\r\nX-Model: m\r\nContent-Length: 0\r\n\r\n",
+        site.id()
+    );
+    stream.write_all(request.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
 fn end_with_connection(site: &Site) {
     for upstream in site.engines.iter().chain(&site.plains) {
         upstream.end_answers_with_connection();
@@ -93,6 +109,19 @@
         }
     }
 
+    stream_is_whole_to_a_caller_without_chunks(site: 1) {
+        let answer = answer_without_chunks(&site, 20).await.unwrap();
+        assert!(answer.ends_with("r0 20\n\n"), "{answer}");
+    }
+
+    cut_stream_does_not_look_whole_to_a_caller_without_chunks(site: 1) {
+        for engine in &site.engines {
+            engine.set_fault(AnswerFault::Truncate);
+        }
+        let answer = answer_without_chunks(&site, 20).await;
+        assert!(answer.is_err(), "a part looked whole: {answer:?}");
+    }
+
     entry_that_gets_most_new_connections_serves_them(site: 3) {
         let ids: Vec<String> = (0..CROWD).map(|_| site.id()).collect();
         let url = format!("http://{}", site.callers_of(0));
--- a/fireflynet/src/caller_stream.rs
+++ b/fireflynet/src/caller_stream.rs
@@ -3,6 +3,7 @@
 use crate::callers::{Account, Charge};
 use crate::lingering::LingeringStream;
 use crate::short_reads::ShortReads;
+use crate::unfinished::Unfinished;
 use fireflycroft::{Phase, Purpose, READ_BUFFER_BYTES};
 use std::io;
 use std::pin::Pin;
@@ -33,6 +34,7 @@
     grown: Option<Charge>,
     /// Whether the last write had to wait for the caller to read.
     is_blocked: bool,
+    unfinished: Unfinished,
 }
 
 /// Head that is arriving.
@@ -60,9 +62,16 @@
             head: Head::default(),
             grown: None,
             is_blocked: false,
+            unfinished: Unfinished::default(),
         }
     }
 
+    /// Returns the mark of an answer that a close would complete; the connection ends with a reset while it is set.
+    #[must_use]
+    pub fn unfinished(&self) -> Unfinished {
+        self.unfinished.clone()
+    }
+
     /// Fails if the connection has to give way.
     fn check(&self, cx: &Context<'_>) -> io::Result<()> {
         if self.account.poll_has_to_close(cx) {
@@ -125,6 +134,14 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.unfinished.get() {
+            self.stream.0.reset_on_drop();
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -175,7 +192,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.account.poll_has_to_close(cx) {
+        if self.account.poll_has_to_close(cx) || self.unfinished.get() {
             return Poll::Ready(Ok(()));
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -31,6 +31,7 @@
 mod lingering;
 mod listen;
 mod short_reads;
+mod unfinished;
 
 pub use caller_stream::{CallerStream, HeadLimits};
 pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
@@ -38,3 +39,4 @@
 pub use lingering::LingeringStream;
 pub use listen::listen;
 pub use short_reads::ShortReads;
+pub use unfinished::Unfinished;
--- a/fireflynet/src/lingering.rs
+++ b/fireflynet/src/lingering.rs
@@ -47,6 +47,12 @@
         }
     }
 
+    /// Makes the connection end with a reset when this is dropped.
+    pub(crate) fn reset_on_drop(&self) {
+        // A socket that rejects the option is closed already.
+        let _ = self.stream.set_zero_linger();
+    }
+
     /// Ends the own side once; returns when lingering ends without input.
     fn poll_end_own_side(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.closing.is_none() {
