Guard streams beside dying engines, backups, standby copies and other entries' orders

Looked for the cause of the stopped runs elsewhere: an engine that dies while the order is out; a stream whose backup makes a move unnecessary; standby copies, which stop nothing; a stream taken up at another entry whose first entry orders the run to stop.

--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use standins::site::{RunEnd, StopAnswer};
+use standins::site::{RunEnd, StopAnswer, StoreMode, last_event};
 use std::time::Duration;
 use support::{Site, check_runs, until, whole_stream};
 
@@ -43,13 +43,13 @@
                 let site = Site::start(1).await;
                 for engine in &site.engines {
                     engine.moves().answer_stops(StopAnswer::$answer, $after);
-                    if Framing::$framing == Framing::UntilClose {
-                        engine.end_answers_with_connection();
-                    }
                     if $events == SHORT {
                         engine.moves().hold_ends();
                     }
                 }
+                if Framing::$framing == Framing::UntilClose {
+                    end_with_connection(&site);
+                }
                 let played = play(&site, $path, $events).await;
                 $check(&site, &played);
                 site.check();
@@ -66,15 +66,14 @@
         answer.unwrap().text().await.ok()
     };
     let leave = async {
-        let engine = &site.engines[site.engine_of(&id).await];
-        let record = engine.registration("models", "draining");
-        site.store.put("servers", &engine.instance(), &record);
+        let engine = site.engine_of(&id).await;
+        drain(site, engine);
         until("the order", || async {
             site.log(0)
                 .contains(&format!("event=stop_ordered req={id}"))
         })
         .await;
-        engine.instance()
+        site.engines[engine].instance()
     };
     let (body, left) = futures_util::future::join(stream, leave).await;
     Played { body, id, left }
@@ -154,3 +153,92 @@
     chunked_stream_that_ends_by_itself_beside_an_order_is_whole(Chunks, Lost, AFTER_CLOSE, "/log/a", SHORT) ended_by_itself;
     chunked_stream_whose_order_was_refused_is_whole(Chunks, Busy, AFTER_CLOSE, "/log/a", LONG) went_on;
 }
+
+/// Returns how many runs an entry has ordered to stop.
+fn orders(site: &Site, entry: usize) -> usize {
+    site.log(entry).matches("event=stop_ordered").count()
+}
+
+/// Makes an engine say that it leaves.
+fn drain(site: &Site, engine: usize) {
+    let engine = &site.engines[engine];
+    let record = engine.registration("models", "draining");
+    site.store.put("servers", &engine.instance(), &record);
+}
+
+fn end_with_connection(site: &Site) {
+    for engine in &site.engines {
+        engine.end_answers_with_connection();
+    }
+}
+
+support::cases! {
+    stream_whose_engine_dies_beside_its_order_goes_on(site: 1) {
+        end_with_connection(&site);
+        for engine in &site.engines {
+            engine.moves().answer_stops(StopAnswer::Copied, TOO_LATE);
+        }
+        let dies = async {
+            until("the order", || async { orders(&site, 0) > 0 }).await;
+            let engine = site.engine_of("r0").await;
+            site.engines[engine].kill();
+        };
+        let (played, ()) = futures_util::future::join(play(&site, "/log/a", LONG), dies).await;
+        moved(&site, &played);
+    }
+
+    stream_with_a_backup_ends_by_itself_at_its_leaving_engine(site: 1) {
+        end_with_connection(&site);
+        let id = site.id();
+        let stream = async {
+            let answer = site.generation(0, "/log/a", LONG, &id).send().await.unwrap();
+            answer.text().await.ok()
+        };
+        let leave = async { drain(&site, site.engine_of(&id).await) };
+        let (body, ()) = futures_util::future::join(stream, leave).await;
+        untouched(&site, &Played { body, id, left: String::new() }, LONG);
+        assert_eq!(orders(&site, 0), 0);
+    }
+
+    standby_copies_stop_no_run(site: 1) {
+        end_with_connection(&site);
+        site.store.set_mode(StoreMode::Silent);
+        until("the watch", || async { site.log(0).contains("event=departure_watch active=true") }).await;
+        let id = site.id();
+        let stream = async {
+            let answer = site.large_prompt(0, "/log/a", LONG, &id).send().await.unwrap();
+            answer.text().await.ok()
+        };
+        let leave = async { site.engines[site.engine_of(&id).await].report_leaving(9_000) };
+        let (body, ()) = futures_util::future::join(stream, leave).await;
+        untouched(&site, &Played { body, id, left: String::new() }, LONG);
+        assert!(site.log(0).contains("event=standby_copy "));
+        assert_eq!(orders(&site, 0), 0);
+    }
+
+    stream_taken_up_elsewhere_is_not_stopped_by_the_order_of_its_first_entry(site: 2) {
+        end_with_connection(&site);
+        let first = site.id();
+        let mut answer = site.large_prompt(0, "/grade/a", LONG, &first).send().await.unwrap();
+        let mut begun = String::new();
+        while last_event(&begun).unwrap_or(0) < 5 {
+            begun.push_str(&String::from_utf8_lossy(&answer.chunk().await.unwrap().unwrap()));
+        }
+        let engine = site.engine_of(&first).await;
+        let second = site.id();
+        let last = last_event(&begun).unwrap().to_string();
+        let rest = async {
+            let req = site.large_prompt(1, "/grade/a", LONG, &second);
+            let answer = req.header("Last-Event-Id", last).header("Resumes", &first).send().await;
+            answer.unwrap().text().await.ok()
+        };
+        let leave = async {
+            site.engine_of(&second).await;
+            drain(&site, engine);
+            until("the order", || async { orders(&site, 0) > 0 }).await;
+            drop(answer);
+        };
+        let (rest, ()) = futures_util::future::join(rest, leave).await;
+        assert_eq!(last_event(&rest.expect("broken off")), Some(LONG), "{}", site.log(1));
+    }
+}
