Go on from the copy before also while the last move has no answer yet

What callers saw: a stream whose run was stopped, and whose order was answered later than a break is waited for (1.5 s), was cut, or read its prompt again where it may be resumed, though a copy without its last few tokens lay at the target.

Cause: the copy before was held by the task that waited for the order's answer, so the relay couldn't reach it. Class: what is needed for a fallback kept by the one that is waited for.

The copy is the run's own now, and the relay takes it where the last move gave none in time. A copy that comes after its stream has gone on elsewhere isn't stored for it any more: it would be of an earlier part.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -115,6 +115,7 @@
         at: Cell::new(assignment.ix),
         backup: Cell::new(backup.as_ref().map(|b| b.ix)),
         migration_copy: RefCell::new(None),
+        earlier_copy: RefCell::new(None),
         began: job.now(),
         migrating: Cell::new(false),
         stop_orders: StopOrders::default(),
@@ -408,6 +409,15 @@
                 assignment: (!stands_by).then_some(migration_copy.assignment),
             });
         }
+        let earlier = self.run.earlier_copy.take();
+        if let Some(earlier) = earlier.filter(|c| self.is_copy_usable(c.at, c.source)) {
+            return Some(Continuation {
+                method: "moved",
+                at: earlier.at,
+                memory: Some(earlier.memory),
+                assignment: None,
+            });
+        }
         self.run.backup.set(None);
         let backup = self.backup.take();
         if let Some(backup) = backup.filter(|b| self.is_copy_usable(b.ix, b.ix)) {
@@ -489,6 +499,7 @@
         };
         self.assignment = assignment;
         self.run.at.set(next.at);
+        self.run.earlier_copy.take();
         self.run.stop_orders.begin_run(next.at);
         self.framing = response.head.framing;
         self.job.node.migrate_if_departing(next.at);
--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -6,7 +6,7 @@
 use crate::log_value::or_empty;
 use crate::memory_copy::{copy_memory, stop_and_copy};
 use crate::node::Node;
-use crate::runs::Run;
+use crate::runs::{EarlierCopy, Run};
 use crate::standby_copies;
 use fireflycroft::{DepartureAction, Mechanism, Need, UpstreamIx, departure_action};
 use fireflycroft_platform::MigrationOutcome;
@@ -136,7 +136,7 @@
     } else {
         &[false, true]
     };
-    let mut first_copy = None;
+    let mut has_copy = false;
     for &stop in stages {
         let outcome = if stop {
             wait_until_stop(node, from).await;
@@ -145,7 +145,15 @@
             copy_memory(node, from, to, run).await
         };
         match outcome {
-            MigrationOutcome::Copied(memory) if !stop => first_copy = Some(memory),
+            MigrationOutcome::Copied(memory) if !stop => {
+                let earlier = EarlierCopy {
+                    at: to,
+                    memory,
+                    source: from,
+                };
+                run.earlier_copy.replace(Some(earlier));
+                has_copy = true;
+            }
             MigrationOutcome::Copied(memory) => {
                 log_outcome(node, run, from, Some(to), "moved");
                 run.store_copy(assignment, memory, from);
@@ -157,19 +165,13 @@
                 run.store_copy(node.assign(from, run.need.get()), memory, from);
                 return TargetOutcome::Settled;
             }
-            MigrationOutcome::NoCapacity(_) if first_copy.is_none() || !stop => {
+            MigrationOutcome::NoCapacity(_) if !has_copy => {
                 log_outcome(node, run, from, Some(to), "no room");
                 return TargetOutcome::NoCapacity;
             }
             other => {
                 let what = if stop { "last copy" } else { "first copy" };
                 log_outcome(node, run, from, Some(to), &format!("{what}: {other:?}"));
-                // What was copied before lacks a few tokens, but the upstream may be gone already, or the run stopped.
-                let is_lost = other == MigrationOutcome::Malformed
-                    || run.stop_orders.at(from).may_have_stopped();
-                if let Some(memory) = first_copy.filter(|_| is_lost) {
-                    run.store_copy(assignment, memory, from);
-                }
                 return TargetOutcome::Settled;
             }
         }
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -21,6 +21,16 @@
     pub stands_by: bool,
 }
 
+/// A copy made before the last move, which lacks the tokens since.
+pub struct EarlierCopy {
+    /// Upstream that holds it.
+    pub at: UpstreamIx,
+    /// Memory copy there.
+    pub memory: MemoryCopy,
+    /// Upstream that made the copy and issued its handle.
+    pub source: UpstreamIx,
+}
+
 /// A stream in progress.
 pub struct Run {
     /// The caller's id of the attempt, which identifies the run at upstreams.
@@ -33,6 +43,8 @@
     pub backup: Cell<Option<UpstreamIx>>,
     /// Copy made after a leave notice, or while departures may go unannounced.
     pub migration_copy: RefCell<Option<MigrationCopy>>,
+    /// Copy to go on from where the last move gives none in time.
+    pub earlier_copy: RefCell<Option<EarlierCopy>>,
     /// Whether a migration is in progress.
     pub migrating: Cell<bool>,
     /// Orders to stop it.
@@ -60,8 +72,11 @@
 }
 
 impl Run {
-    /// Stores a copy that its stopped run resumes from.
+    /// Stores a copy that its stopped run resumes from, unless the stream has gone on elsewhere meanwhile.
     pub fn store_copy(&self, assignment: AssignmentGuard, memory: MemoryCopy, source: UpstreamIx) {
+        if self.at.get() != source {
+            return;
+        }
         *self.migration_copy.borrow_mut() = Some(MigrationCopy {
             assignment,
             memory,
