--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -1,11 +1,13 @@
 //! Streams in progress, for the migration of those on departing upstreams.
 
 use crate::assignment::AssignmentGuard;
+use crate::stop_orders::StopOrders;
 use fireflycroft::{MemoryCopy, Name, Need, Time, UpstreamIx};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// A copy of a run's memory, ready to resume from.
 pub struct MigrationCopy {
@@ -19,6 +21,16 @@
     pub stands_by: bool,
 }
 
+/// A copy made before the last move, which lacks the tokens since.
+pub struct EarlierCopy {
+    /// Upstream that holds it.
+    pub at: UpstreamIx,
+    /// Memory copy there.
+    pub memory: MemoryCopy,
+    /// Upstream that made the copy and issued its handle.
+    pub source: UpstreamIx,
+}
+
 /// A stream in progress.
 pub struct Run {
     /// The caller's id of the attempt, which identifies the run at upstreams.
@@ -31,8 +43,14 @@
     pub backup: Cell<Option<UpstreamIx>>,
     /// Copy made after a leave notice, or while departures may go unannounced.
     pub migration_copy: RefCell<Option<MigrationCopy>>,
+    /// Copy to go on from where the last move gives none in time.
+    pub earlier_copy: RefCell<Option<EarlierCopy>>,
     /// Whether a migration is in progress.
     pub migrating: Cell<bool>,
+    /// Orders to stop it.
+    pub stop_orders: StopOrders,
+    /// Time until which the relay waits for a copy, if its stream broke beside an order to stop.
+    pub copy_limit: Cell<Option<Instant>>,
     /// Notified when the migration is complete or has failed.
     pub migration_ended: Notify,
     /// Time of the response head.
@@ -54,6 +72,19 @@
 }
 
 impl Run {
+    /// Stores a copy that its stopped run resumes from, unless the stream has gone on elsewhere meanwhile.
+    pub fn store_copy(&self, assignment: AssignmentGuard, memory: MemoryCopy, source: UpstreamIx) {
+        if self.at.get() != source {
+            return;
+        }
+        *self.migration_copy.borrow_mut() = Some(MigrationCopy {
+            assignment,
+            memory,
+            source,
+            stands_by: false,
+        });
+    }
+
     /// Returns the holder of its standby copy, if it has one.
     #[must_use]
     pub fn standby_holder(&self) -> Option<UpstreamIx> {
--- /dev/null
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -0,0 +1,252 @@
+//! Entry processes whose streams are stopped for a move, or end by themselves beside it.
+
+mod support;
+
+use standins::site::{RunEnd, StopAnswer, StoreMode, last_event};
+use std::time::Duration;
+use support::{Site, check_runs, until, whole_stream};
+
+/// Events of a stream that outlasts the notice of its engine, which stops its run.
+const LONG: u64 = 200;
+
+/// Events of a stream that ends before its run is ordered to stop.
+const SHORT: u64 = 60;
+
+/// Time of an answer that comes after the close of the stream.
+const AFTER_CLOSE: Duration = Duration::from_millis(300);
+
+/// Time of an answer for which nobody waits.
+const TOO_LATE: Duration = Duration::from_secs(5);
+
+/// How the bodies of engines end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Chunks,
+    UntilClose,
+}
+
+/// What becomes of a stream whose engine leaves.
+struct Played {
+    /// The body; `None` if it was broken off.
+    body: Option<String>,
+    id: String,
+    /// Engine that left.
+    left: String,
+}
+
+/// Defines test cases on a site whose engines answer the last move of a run in a given way.
+macro_rules! cases {
+    ($($name:ident($framing:ident, $answer:ident, $after:expr, $path:literal, $events:expr) $check:expr;)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let site = Site::start(1).await;
+                for engine in &site.engines {
+                    engine.moves().answer_stops(StopAnswer::$answer, $after);
+                    if $events == SHORT {
+                        engine.moves().hold_ends();
+                    }
+                }
+                if Framing::$framing == Framing::UntilClose {
+                    end_with_connection(&site);
+                }
+                let played = play(&site, $path, $events).await;
+                $check(&site, &played);
+                site.check();
+            }
+        )+
+    };
+}
+
+/// Reads a stream whose engine says that it leaves, until its run has been ordered to stop.
+async fn play(site: &Site, path: &str, events: u64) -> Played {
+    let id = site.id();
+    let stream = async {
+        let answer = site.large_prompt(0, path, events, &id).send().await;
+        answer.unwrap().text().await.ok()
+    };
+    let leave = async {
+        let engine = site.engine_of(&id).await;
+        drain(site, engine);
+        until("the order", || async {
+            site.log(0)
+                .contains(&format!("event=stop_ordered req={id}"))
+        })
+        .await;
+        site.engines[engine].instance()
+    };
+    let (body, left) = futures_util::future::join(stream, leave).await;
+    Played { body, id, left }
+}
+
+/// Checks that a stream is whole and that no piece was lost or given twice.
+fn is_whole(site: &Site, played: &Played, events: u64) {
+    let body = played.body.as_deref().unwrap_or("broken off");
+    let whole = whole_stream(&played.id, events);
+    assert!(body == whole, "{body}\n{}", site.log(0));
+}
+
+/// Checks that a stopped run went on elsewhere, from memory.
+fn moved(site: &Site, played: &Played) {
+    is_whole(site, played, LONG);
+    check_runs(site, &played.id);
+    let runs = site.record.runs_of(&played.id);
+    assert_eq!(runs[0].end.0, RunEnd::Migrated);
+    assert!(runs[1].from_memory && runs[1].instance != played.left);
+}
+
+/// Checks that a stopped run went on where it was, from the memory kept there.
+fn went_on_at_its_source(site: &Site, played: &Played) {
+    is_whole(site, played, LONG);
+    check_runs(site, &played.id);
+    let runs = site.record.runs_of(&played.id);
+    assert!(runs[1].from_memory && runs[1].instance == played.left);
+}
+
+/// Checks that a part wasn't given out as a whole answer.
+fn broken_off(site: &Site, played: &Played) {
+    assert_eq!(played.body, None, "{}", site.log(0));
+}
+
+/// Checks that the order stopped nothing.
+fn untouched(site: &Site, played: &Played, events: u64) {
+    is_whole(site, played, events);
+    assert_eq!(site.record.runs_of(&played.id).len(), 1);
+}
+
+fn ended_by_itself(site: &Site, played: &Played) {
+    untouched(site, played, SHORT);
+}
+
+fn went_on(site: &Site, played: &Played) {
+    untouched(site, played, LONG);
+}
+
+cases! {
+    moved_stream_goes_on_from_its_copy(UntilClose, Copied, Duration::ZERO, "/log/a", LONG) moved;
+    moved_stream_waits_for_its_copy(UntilClose, Copied, AFTER_CLOSE, "/log/a", LONG) moved;
+    stopped_stream_goes_on_at_its_source(UntilClose, Kept, Duration::ZERO, "/log/a", LONG) went_on_at_its_source;
+    stopped_stream_waits_for_the_memory_at_its_source(UntilClose, Kept, AFTER_CLOSE, "/log/a", LONG) went_on_at_its_source;
+    stream_whose_memory_has_no_handle_goes_on_from_the_copy_before(UntilClose, KeptUnnamed, AFTER_CLOSE, "/log/a", LONG) moved;
+    stream_whose_handle_fits_in_no_header_goes_on_from_the_copy_before(UntilClose, KeptUnusable, AFTER_CLOSE, "/log/a", LONG) moved;
+    stream_whose_order_got_no_answer_goes_on_from_the_copy_before(UntilClose, AllLost, Duration::ZERO, "/log/a", LONG) moved;
+    stream_whose_order_got_no_answer_after_the_close_goes_on(UntilClose, AllLost, AFTER_CLOSE, "/log/a", LONG) moved;
+    stream_stopped_by_an_order_that_was_sent_twice_goes_on(UntilClose, Lost, Duration::ZERO, "/log/a", LONG) moved;
+    stream_whose_order_is_answered_too_late_goes_on_from_the_copy_before(UntilClose, Copied, TOO_LATE, "/log/a", LONG) moved;
+    resumable_stream_whose_order_is_answered_too_late_goes_on_from_the_copy_before(UntilClose, Copied, TOO_LATE, "/grade/a", LONG) moved;
+    stream_that_ends_by_itself_beside_an_order_is_whole(UntilClose, Copied, Duration::ZERO, "/log/a", SHORT) ended_by_itself;
+    stream_that_ends_by_itself_before_the_order_is_answered_is_whole(UntilClose, Copied, AFTER_CLOSE, "/log/a", SHORT) ended_by_itself;
+    stream_whose_order_was_refused_is_whole(UntilClose, Busy, AFTER_CLOSE, "/log/a", LONG) went_on;
+
+    chunked_stream_goes_on_from_its_copy(Chunks, Copied, AFTER_CLOSE, "/log/a", LONG) moved;
+    chunked_stream_goes_on_at_its_source(Chunks, Kept, AFTER_CLOSE, "/log/a", LONG) went_on_at_its_source;
+    chunked_stream_whose_memory_has_no_handle_goes_on(Chunks, KeptUnnamed, AFTER_CLOSE, "/log/a", LONG) moved;
+    chunked_stream_whose_order_got_no_answer_goes_on(Chunks, AllLost, AFTER_CLOSE, "/log/a", LONG) moved;
+    chunked_stream_stopped_by_an_order_that_was_sent_twice_goes_on(Chunks, Lost, Duration::ZERO, "/log/a", LONG) moved;
+    chunked_stream_whose_order_is_answered_too_late_goes_on_from_the_copy_before(Chunks, Copied, TOO_LATE, "/log/a", LONG) moved;
+    chunked_stream_that_ends_by_itself_beside_an_order_is_whole(Chunks, Lost, AFTER_CLOSE, "/log/a", SHORT) ended_by_itself;
+    chunked_stream_whose_order_was_refused_is_whole(Chunks, Busy, AFTER_CLOSE, "/log/a", LONG) went_on;
+}
+
+/// Returns how many runs an entry has ordered to stop.
+fn orders(site: &Site, entry: usize) -> usize {
+    site.log(entry).matches("event=stop_ordered").count()
+}
+
+/// Makes an engine say that it leaves.
+fn drain(site: &Site, engine: usize) {
+    let engine = &site.engines[engine];
+    let record = engine.registration("models", "draining");
+    site.store.put("servers", &engine.instance(), &record);
+}
+
+fn end_with_connection(site: &Site) {
+    for engine in &site.engines {
+        engine.end_answers_with_connection();
+    }
+}
+
+support::cases! {
+    stream_whose_engine_dies_beside_its_order_goes_on(site: 1) {
+        end_with_connection(&site);
+        for engine in &site.engines {
+            engine.moves().answer_stops(StopAnswer::Copied, TOO_LATE);
+        }
+        let dies = async {
+            until("the order", || async { orders(&site, 0) > 0 }).await;
+            let engine = site.engine_of("r0").await;
+            site.engines[engine].kill();
+        };
+        let (played, ()) = futures_util::future::join(play(&site, "/log/a", LONG), dies).await;
+        moved(&site, &played);
+    }
+
+    stopped_stream_without_a_copy_is_no_whole_one(site: 1) {
+        end_with_connection(&site);
+        for engine in &site.engines {
+            engine.moves().answer_stops(StopAnswer::KeptUnnamed, AFTER_CLOSE);
+        }
+        let holder_dies = async {
+            until("the order", || async { orders(&site, 0) > 0 }).await;
+            let engine = site.engine_of("r0").await;
+            site.engines[1 - engine].kill();
+        };
+        let (played, ()) = futures_util::future::join(play(&site, "/log/a", LONG), holder_dies).await;
+        broken_off(&site, &played);
+    }
+
+    stream_with_a_backup_ends_by_itself_at_its_leaving_engine(site: 1) {
+        end_with_connection(&site);
+        let id = site.id();
+        let stream = async {
+            let answer = site.generation(0, "/log/a", LONG, &id).send().await.unwrap();
+            answer.text().await.ok()
+        };
+        let leave = async { drain(&site, site.engine_of(&id).await) };
+        let (body, ()) = futures_util::future::join(stream, leave).await;
+        untouched(&site, &Played { body, id, left: String::new() }, LONG);
+        assert_eq!(orders(&site, 0), 0);
+    }
+
+    standby_copies_stop_no_run(site: 1) {
+        end_with_connection(&site);
+        site.store.set_mode(StoreMode::Silent);
+        until("the watch", || async { site.log(0).contains("event=departure_watch active=true") }).await;
+        let id = site.id();
+        let stream = async {
+            let answer = site.large_prompt(0, "/log/a", LONG, &id).send().await.unwrap();
+            answer.text().await.ok()
+        };
+        let leave = async { site.engines[site.engine_of(&id).await].report_leaving(9_000) };
+        let (body, ()) = futures_util::future::join(stream, leave).await;
+        untouched(&site, &Played { body, id, left: String::new() }, LONG);
+        assert!(site.log(0).contains("event=standby_copy "));
+        assert_eq!(orders(&site, 0), 0);
+    }
+
+    stream_taken_up_elsewhere_is_not_stopped_by_the_order_of_its_first_entry(site: 2) {
+        end_with_connection(&site);
+        let first = site.id();
+        let mut answer = site.large_prompt(0, "/grade/a", LONG, &first).send().await.unwrap();
+        let mut begun = String::new();
+        while last_event(&begun).unwrap_or(0) < 5 {
+            begun.push_str(&String::from_utf8_lossy(&answer.chunk().await.unwrap().unwrap()));
+        }
+        let engine = site.engine_of(&first).await;
+        let second = site.id();
+        let last = last_event(&begun).unwrap().to_string();
+        let rest = async {
+            let req = site.large_prompt(1, "/grade/a", LONG, &second);
+            let answer = req.header("Last-Event-Id", last).header("Resumes", &first).send().await;
+            answer.unwrap().text().await.ok()
+        };
+        let leave = async {
+            site.engine_of(&second).await;
+            drain(&site, engine);
+            until("the order", || async { orders(&site, 0) > 0 }).await;
+            drop(answer);
+        };
+        let (rest, ()) = futures_util::future::join(rest, leave).await;
+        assert_eq!(last_event(&rest.expect("broken off")), Some(LONG), "{}", site.log(1));
+    }
+}
