Refuse requests on connections that come after a stopping entry has closed

What callers saw: an entry that stops closed a connection that was opened late in the grace, or that had brought nothing so far, as soon as the request came, with no answer and no Retry-After, while it still lived for the requests it had. Cause: from the stage Closing on every connection is shut down gracefully, and the HTTP library closes one on which nothing was read or written yet at once. Class: the end of a connection taken for the end of what its caller sends. Change: a connection that has brought no call is left open until the process ends; its request gets the 503 of a leaving entry. Connections that have served close as before, and the process waits for none that has brought nothing. Ruled out: keeping all connections open; idle ones would hold the process for the whole grace. The test failed before: an empty answer on the connection opened before the stop.

--- a/fireflydirect/src/callers.rs
+++ b/fireflydirect/src/callers.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::pending;
 use std::ops::RangeInclusive;
 use std::pin::pin;
 use std::rc::Rc;
@@ -153,11 +154,16 @@
 }
 
 /// Waits until the process is closing or the connection exceeds its idle timeout.
+///
+/// A request may be on its way on a connection that has brought none, and gets a refusal.
 async fn until_close_due(node: &Node, activity: &Activity) {
     let mut stage = node.subscribe_stage();
     let closing = async {
         // Can't fail, since the node owns the sender.
         let _ = stage.wait_for(|s| *s == Stage::Closing).await;
+        if !activity.has_answers.get() {
+            pending::<()>().await;
+        }
     };
     tokio::select! {
         () = closing => {}
--- a/fireflydirect/tests/processes_stop.rs
+++ b/fireflydirect/tests/processes_stop.rs
@@ -86,6 +86,22 @@
         }
     }
 
+    request_on_a_connection_opened_after_the_closing_gets_a_refusal(site: 1) {
+        let lasting = request(&site, &site.id(), 700).await;
+        let mut early = TcpStream::connect(site.callers_of(0)).await.unwrap();
+        site.entries[0].signal("TERM");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let mut late = TcpStream::connect(site.callers_of(0)).await.unwrap();
+        for stream in [&mut early, &mut late] {
+            stream.write_all(b"GET /fetch/a HTTP/1.1\r\nHost: site.example\r\n\r\n").await.unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.unwrap();
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?} {}", site.log(0));
+        }
+        drop(lasting);
+        site.entries[0].wait_for_exit().await;
+    }
+
     stopped_entry_ends_soon_where_idle_connections_are_open(site: 1) {
         let call = site.call(0, "GET", "/fetch/a", &site.id());
         call.send().await.unwrap().text().await.unwrap();
