Answer what a stopping entry still has at the end of the grace, and plan short graces

What callers saw: a call that an upstream still worked on at the end of the grace period lost its connection without an answer, also one that may not be repeated; so did a request whose body was still arriving. With a grace of 2 s nothing was refused or ended at all: the entry accepted requests for a fixed 2.6 s, so that it would have been killed meanwhile. Cause: the process ended at the end of the grace without a word to those that waited, and the time for which it accepts requests did not depend on the grace. Class: a bound that holds for one setting only; an end of a wait that isn't passed on to who waits. What may have run is answered 502 (4001), what wasn't passed on 503 (2013) with Retry-After. Ruled out: 504, which says that the caller's time is over; ending the work sooner. The three tests failed before: no answer (`None`) for the call running at the end, no answer before the end of the connection for the body, and no refusal 1.2 s after SIGTERM with a grace of 2 s. After: they pass.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -8,7 +8,7 @@
 use crate::job::Job;
 use crate::log_value::{list, or_empty};
 use crate::suspects;
-use crate::{retries, returning_callers, standby_copies};
+use crate::{retries, returning_callers, standby_copies, stopping};
 use bytes::Bytes;
 use fireflycroft::{
     AdmissionDecision, AdmissionRequest, ArrivalKind, AttemptOutcome, Attempts, Code, CrashVerdict,
@@ -90,7 +90,13 @@
 pub async fn obtain(job: &Rc<Job>) -> Reply {
     let attempts = RefCell::new(Attempts::new(job.route.kind, job.route.max_attempts));
     let limit = job.node.clock.instant(job.deadline);
-    match tokio::time::timeout_at(limit, try_upstreams(job, &attempts)).await {
+    let trying = tokio::time::timeout_at(limit, try_upstreams(job, &attempts));
+    let tried = tokio::select! {
+        biased;
+        tried = trying => tried,
+        () = stopping::until_last_answers(&job.node) => Ok(stopping::reply(&attempts.borrow())),
+    };
+    match tried {
         Ok(reply) => reply,
         Err(_) if attempts.borrow().may_have_run() => Reply::Error(Code::DeadlineExceeded, None),
         Err(_) => Reply::Error(Code::Overloaded, Some(FULL_RETRY_AFTER)),
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod standby_copies;
 pub mod startup_wait;
 pub mod state_page;
+pub mod stopping;
 pub mod store_call;
 pub mod store_connectivity;
 pub mod store_list;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -12,9 +12,9 @@
 use crate::runs::{MigrationCopy, Runs};
 use fireflycroft::{
     Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Evacuations,
-    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, Policy, Pool, PoolChange, QueryBudget,
-    Refusal, Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time,
-    UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
+    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, PlannedStop, Policy, Pool, PoolChange,
+    QueryBudget, Refusal, Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart,
+    Time, UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
 use fireflycroft_platform::PlatformSettings;
 use fireflynet::Callers;
@@ -159,6 +159,8 @@
     pub calls_in_flight: Cell<usize>,
     /// Number of open connections that have brought a call, whose answer may wait to be written.
     pub answering_connections: Cell<usize>,
+    /// Times of the stop, once it has begun.
+    pub planned_stop: Cell<Option<PlannedStop>>,
     stage: watch::Sender<Stage>,
 }
 
@@ -239,6 +241,7 @@
             callers,
             calls_in_flight: Cell::new(0),
             answering_connections: Cell::new(0),
+            planned_stop: Cell::new(None),
             stage: watch::Sender::new(Stage::Serving),
             metrics,
             place,
--- a/fireflydirect/src/process.rs
+++ b/fireflydirect/src/process.rs
@@ -7,7 +7,7 @@
     standby_copies, state_page,
 };
 use anyhow::Context;
-use fireflycroft::Time;
+use fireflycroft::{PlannedStop, Time};
 use fireflycroft_platform::Kind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,14 +16,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
 
-/// Time for which a terminating process still accepts new requests: the balancer checks readiness
-/// once a second and redirects callers after two refusals.
-const DRAIN_PERIOD: Duration = Duration::from_millis(2_600);
-
-/// Part of the grace period kept in reserve: work still running is cut before the period ends, so
-/// that the process exits by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(150);
-
 /// Interval between checks for work still in flight during a stop.
 const STOP_CHECK: Duration = Duration::from_millis(25);
 
@@ -119,13 +111,15 @@
 /// An answer is over when its connection has closed: the HTTP library holds the last bytes that a slow caller has not
 /// taken yet, and closes a connection only once the kernel has them all.
 async fn stop(node: &Rc<Node>) {
-    let end = node.now() + node.place.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let planned = PlannedStop::new(node.now(), node.place.bounds.grace);
+    node.planned_stop.set(Some(planned));
     log::info!(event = "stopping", busy = node.calls_in_flight.get(), streams = node.runs.count(); "");
     node.set_stage(Stage::Draining);
     node.announce_to_all_now();
-    tokio::time::sleep(DRAIN_PERIOD).await;
+    tokio::time::sleep_until(node.clock.instant(planned.accepts_until)).await;
     node.set_stage(Stage::Closing);
-    while node.answering_connections.get() > 0 && node.now() < end {
+    tokio::time::sleep_until(node.clock.instant(planned.refuses_until)).await;
+    while node.answering_connections.get() > 0 && node.now() < planned.ends_at {
         tokio::time::sleep(STOP_CHECK).await;
     }
     log::info!(
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::job::Job;
 use crate::node::{Node, Stage};
 use crate::startup_wait::until_loaded;
+use crate::stopping;
 use crate::stream_origins::{self, Continued};
 use crate::suspects;
 use bytes::Bytes;
@@ -176,7 +177,14 @@
         .map_or(route.timeout, |d| d.min(route.timeout));
     let deadline = arrival + timeout;
     let limit = catalog.limits().body_bytes;
-    let body = read_request_body(node, body, limit, &account, deadline).await?;
+    let body = read_request_body(node, body, limit, &account, deadline);
+    let body = tokio::select! {
+        biased;
+        body = body => body?,
+        () = stopping::until_last_answers(node) => {
+            return Err(refusal_with_retry(Code::Leaving, STARTUP_RETRY_AFTER));
+        }
+    };
     let content = digest(&parts, &head, &body);
     let content_alone = [Suspect::of_content(content)];
     let tries_content_again = check_suspects(node, &request_id, &content_alone)?;
--- /dev/null
+++ b/fireflydirect/tests/processes_late_requests.rs
@@ -0,0 +1,107 @@
+//! Entry processes that are stopped while requests come late in the grace period.
+
+mod support;
+
+use serde_json::json;
+use std::time::Duration;
+use support::{KEY, Site, cases, outcome, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Code of what a stopping process refuses.
+const LEAVING: (u16, Option<u32>) = (503, Some(2013));
+
+/// Code of what it has passed on without an outcome.
+const UNKNOWN: (u16, Option<u32>) = (502, Some(4001));
+
+/// Starts the entry of a site again with another grace period.
+async fn set_grace(site: &mut Site, seconds: f64) {
+    site.entries[0].restart_with("/bounds/grace_s", json!(seconds));
+    site.until_ready(0).await;
+}
+
+/// Stops the entry and waits for the time from then on.
+async fn stop(site: &Site, wait: Duration) {
+    site.entries[0].signal("TERM");
+    until("the end of readiness", || async { !site.is_ready(0).await }).await;
+    tokio::time::sleep(wait).await;
+}
+
+/// Waits until an upstream works on a request.
+async fn until_run(site: &Site, id: &str) {
+    until("the run", || async { !site.record.runs_of(id).is_empty() }).await;
+}
+
+/// Calls a service that needs some time; returns the outcome, none if there is no answer.
+async fn call(
+    site: &Site,
+    method: &str,
+    path: &str,
+    work_ms: u64,
+    id: &str,
+) -> Option<(u16, Option<u32>)> {
+    let path = format!("{path}?work_ms={work_ms}");
+    let answer = site.call(0, method, &path, id).send().await.ok()?;
+    let outcome = outcome(&answer);
+    answer.text().await.ok()?;
+    Some(outcome)
+}
+
+/// Sends a head, and half a body; returns the connection on which the rest is due.
+async fn begin_body(site: &Site, id: &str, query: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(site.callers_of(0)).await.unwrap();
+    let head = format!(
+        "POST /file/a{query} HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 20000\r\nX-Credential: {KEY}\r\nContent-Length: 6\r\n\r\npro"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Reads an answer up to the end of its connection, which may be a reset.
+async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut answer = Vec::new();
+    // What came before a reset is the answer.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+cases! {
+    call_that_is_still_running_at_the_end_of_the_grace_gets_an_answer(site: 1) {
+        set_grace(&mut site, 3.0).await;
+        let id = site.id();
+        let stopping = async {
+            until_run(&site, &id).await;
+            stop(&site, Duration::ZERO).await;
+        };
+        let (answer, ()) = tokio::join!(call(&site, "POST", "/file/a", 9_000, &id), stopping);
+        assert_eq!(answer, Some(UNKNOWN), "{}", site.log(0));
+        site.entries[0].wait_for_exit().await;
+    }
+
+    entry_with_a_short_grace_refuses_before_its_end_and_exits_by_itself(site: 1) {
+        set_grace(&mut site, 2.0).await;
+        let first = site.id();
+        let early = call(&site, "POST", "/file/a", 9_000, &first);
+        let late = async {
+            until_run(&site, &first).await;
+            stop(&site, Duration::from_millis(1_200)).await;
+            call(&site, "POST", "/file/a", 5, &site.id()).await
+        };
+        let (early, late) = tokio::join!(early, late);
+        assert_eq!(late, Some(LEAVING), "{}", site.log(0));
+        assert_eq!(early, Some(UNKNOWN), "{}", site.log(0));
+        until("the exit", || async { site.log(0).contains("event=stopped") }).await;
+        site.entries[0].wait_for_exit().await;
+    }
+
+    request_whose_body_never_ends_gets_an_answer(site: 1) {
+        set_grace(&mut site, 3.0).await;
+        let id = site.id();
+        let stream = begin_body(&site, &id, "").await;
+        stop(&site, Duration::ZERO).await;
+        let answer = read_to_end(stream).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer} {}", site.log(0));
+        site.entries[0].wait_for_exit().await;
+    }
+}
--- a/fireflydirect/tests/support/entry.rs
+++ b/fireflydirect/tests/support/entry.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, Stdio};
 
 use super::ports::ReservedPorts;
+use serde_json::Value;
 use tokio::net::TcpSocket;
 
 /// An entry process.
@@ -48,6 +49,16 @@
         self.child = Some(child);
     }
 
+    /// Starts it again with another value in its settings.
+    pub(crate) fn restart_with(&mut self, pointer: &str, value: Value) {
+        self.kill();
+        let settings = fs::read(&self.settings).unwrap();
+        let mut settings: Value = serde_json::from_slice(&settings).unwrap();
+        *settings.pointer_mut(pointer).unwrap() = value;
+        fs::write(&self.settings, settings.to_string()).unwrap();
+        self.start();
+    }
+
     /// Returns the id of the process.
     pub(crate) fn id(&self) -> u32 {
         self.child.as_ref().unwrap().id()
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -32,7 +32,7 @@
 /// Time from the head of an answer to the crash that its request causes.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 
-/// Duration of a plain call.
+/// Duration of a plain call when the request doesn't give one.
 const PLAIN_CALL_TIME: Duration = Duration::from_millis(5);
 
 /// A recorded run; marked as abandoned if dropped before its end.
@@ -109,7 +109,8 @@
     fault: AnswerFault,
     run: &ActiveRun<'_>,
 ) -> io::Result<ConnectionAction> {
-    tokio::time::sleep(PLAIN_CALL_TIME).await;
+    let work_ms = req.query("work_ms").and_then(|ms| ms.parse().ok());
+    tokio::time::sleep(work_ms.map_or(PLAIN_CALL_TIME, Duration::from_millis)).await;
     let headers = [("X-Request-Id", id), ("X-Response-Seal", "seal")];
     let length = req.query("answer_bytes").and_then(|b| b.parse().ok());
     let mut body = format!("{} {} for {id}", req.method, req.path);
