Pass on nothing late in a planned stop that is expected to outlast the grace

What callers saw: an entry that stops passed on whatever came in its first 2.6 s, and what came before and had its body or its second attempt later, also where the upstream needs longer than is left; at the end of the grace it was given up on, among it calls and streams that may not be repeated. Cause: whether a request is passed on depended on the stage at its head alone, never on the time that is left and that it needs. Class: a check made once, before a wait that may be long. Change: before each attempt an entry that stops compares the time left with the time that the request is expected to take: a sized stream's expected length at the service's pace, else mean and two deviations of its route so far (`RunTimes`, in the core), else its objective. What would end too late is refused as not run with Retry-After, or gets the outcome of its earlier attempt. A body that arrives too late for that is refused as well. A resumable stream is passed on: cut, it goes on at another entry. Ruled out: refusing everything from SIGTERM on, which refuses what would be served; a fixed bound, since what is left depends on the grace and the work.

--- a/fireflycroft/src/planned_stop.rs
+++ b/fireflycroft/src/planned_stop.rs
@@ -1,6 +1,7 @@
-//! Schedule of a planned stop.
+//! Schedule of a planned stop, and what is still passed on while it lasts.
 //!
-//! Balancers need a few readiness checks to send callers elsewhere, so new requests are accepted for a while.
+//! Balancers need a few readiness checks to send callers elsewhere, so new requests are accepted for a while. Work that
+//! can't be expected to end before the grace period does is refused as not run while another entry can still serve it.
 
 use crate::time::Time;
 use std::time::Duration;
@@ -42,4 +43,17 @@
             ends_at: now + until_exit,
         }
     }
+
+    /// Returns the latest time at which work that takes `expected` has to begin.
+    #[must_use]
+    pub fn must_begin_by(&self, expected: Duration) -> Time {
+        let left = self.last_answers_at.since(Time::default());
+        Time::default() + left.saturating_sub(expected)
+    }
+
+    /// Returns whether work that takes `expected` ends in time if it begins at `now`.
+    #[must_use]
+    pub fn leaves_time_for(&self, now: Time, expected: Duration) -> bool {
+        now <= self.must_begin_by(expected)
+    }
 }
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -141,6 +141,12 @@
         if suspects::verdict_on(job).is_some() {
             continue;
         }
+        if !stopping::leaves_time_for(job) {
+            if let Some(held) = held.take() {
+                held.refuse();
+            }
+            return failure.unwrap_or_else(|| stopping::reply(&attempts.borrow()));
+        }
         if let Some(held) = held.take() {
             held.admit();
         }
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -13,8 +13,9 @@
 use fireflycroft::{
     Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Evacuations,
     FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, PlannedStop, Policy, Pool, PoolChange,
-    QueryBudget, Refusal, Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart,
-    Time, UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
+    QueryBudget, Refusal, Regions, ReturningCallers, RunTimes, SharedRetryBudget, StreamOrigins,
+    StreamStart, Time, UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand,
+    WatcherRole,
 };
 use fireflycroft_platform::PlatformSettings;
 use fireflynet::Callers;
@@ -81,6 +82,8 @@
     pub waiting_demand: RefCell<WaitingDemand>,
     /// Time for which runs hold memory.
     pub hold_times: RefCell<HoldTimes>,
+    /// Time that upstreams need for the requests of a route.
+    pub run_times: RefCell<RunTimes>,
     /// Notified when work of this entry has released memory.
     pub capacity_released: Notify,
     /// Estimates of answer lengths.
@@ -203,6 +206,7 @@
             wait_queue: RefCell::default(),
             waiting_demand: RefCell::default(),
             hold_times: RefCell::default(),
+            run_times: RefCell::default(),
             capacity_released: Notify::new(),
             lengths: RefCell::default(),
             value_densities: RefCell::default(),
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -1,12 +1,12 @@
 //! Admits, runs and answers callers' requests.
 
-use crate::answer::{Answer, close_after, error_answer, relayed_answer, whole_body};
+use crate::answer::{Answer, close_after, error_answer, relayed_answer, whole_body, with_guard};
 use crate::call::{Reply, obtain};
 use crate::generation::relay;
 use crate::job::Job;
 use crate::node::{Node, Stage};
 use crate::startup_wait::until_loaded;
-use crate::stopping;
+use crate::stopping::{self, RunTimeGuard};
 use crate::stream_origins::{self, Continued};
 use crate::suspects;
 use bytes::Bytes;
@@ -98,6 +98,7 @@
 }
 
 async fn answer_job(job: Rc<Job>) -> Answer {
+    let began = job.now();
     let reply = obtain(&job).await;
     let (code, status) = match &reply {
         Reply::Whole(parts, _) => (Code::Ok, parts.status.as_u16()),
@@ -119,8 +120,14 @@
         ""
     );
     match reply {
-        Reply::Whole(parts, bytes) => relayed_answer(&parts, whole_body(bytes)),
-        Reply::Stream(stream) => relay(job, *stream),
+        Reply::Whole(parts, bytes) => {
+            drop(RunTimeGuard::new(&job, began));
+            relayed_answer(&parts, whole_body(bytes))
+        }
+        Reply::Stream(stream) => {
+            let run_time = RunTimeGuard::new(&job, began);
+            relay(job, *stream).map(|body| with_guard(body, run_time))
+        }
         Reply::Error(code, retry_after) => error_answer(code, retry_after),
     }
 }
@@ -181,7 +188,7 @@
     let body = tokio::select! {
         biased;
         body = body => body?,
-        () = stopping::until_last_answers(node) => {
+        () = stopping::until_too_late(node, &route) => {
             return Err(refusal_with_retry(Code::Leaving, STARTUP_RETRY_AFTER));
         }
     };
--- a/fireflydirect/tests/processes_late_requests.rs
+++ b/fireflydirect/tests/processes_late_requests.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
+use reqwest::RequestBuilder;
 use serde_json::json;
+use standins::site::AnswerFault;
 use std::time::Duration;
 use support::{KEY, Site, cases, outcome, until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -47,6 +49,23 @@
     Some(outcome)
 }
 
+/// Lets the entry learn how long calls of a route take.
+async fn learn(site: &Site, method: &str, path: &str, work_ms: u64) {
+    let id = site.id();
+    assert_eq!(
+        call(site, method, path, work_ms, &id).await,
+        Some((200, None))
+    );
+}
+
+/// Builds a generation that outlasts any grace period.
+fn long_stream(site: &Site, path: &str, id: &str) -> RequestBuilder {
+    site.stream(0, path, 1_500, id)
+        .header("X-Token-Usage", "500,20000")
+        .header("X-Length-Hint", "9000")
+        .header("X-Prompt-Prefix", "a1:80,b2:420")
+}
+
 /// Sends a head, and half a body; returns the connection on which the rest is due.
 async fn begin_body(site: &Site, id: &str, query: &str) -> TcpStream {
     let mut stream = TcpStream::connect(site.callers_of(0)).await.unwrap();
@@ -67,6 +86,24 @@
 }
 
 cases! {
+    late_call_that_may_not_be_repeated_and_outlasts_the_grace_is_refused(site: 1) {
+        set_grace(&mut site, 6.0).await;
+        learn(&site, "POST", "/file/a", 4_000).await;
+        stop(&site, Duration::from_millis(2_200)).await;
+        let id = site.id();
+        assert_eq!(call(&site, "POST", "/file/a", 4_000, &id).await, Some(LEAVING));
+        assert_eq!(site.record.runs_of(&id).len(), 0, "{}", site.log(0));
+        site.entries[0].wait_for_exit().await;
+    }
+
+    late_call_that_ends_within_the_grace_is_served(site: 1) {
+        learn(&site, "POST", "/file/a", 2_000).await;
+        stop(&site, Duration::from_secs(2)).await;
+        let id = site.id();
+        assert_eq!(call(&site, "POST", "/file/a", 2_000, &id).await, Some((200, None)));
+        site.entries[0].wait_for_exit().await;
+    }
+
     call_that_is_still_running_at_the_end_of_the_grace_gets_an_answer(site: 1) {
         set_grace(&mut site, 3.0).await;
         let id = site.id();
@@ -95,6 +132,19 @@
         site.entries[0].wait_for_exit().await;
     }
 
+    request_whose_body_ends_late_in_the_grace_is_not_passed_on(site: 1) {
+        learn(&site, "POST", "/file/a", 2_500).await;
+        let id = site.id();
+        let mut stream = begin_body(&site, &id, "?work_ms=2500").await;
+        stop(&site, Duration::from_secs(6)).await;
+        // The connection may have been closed after the refusal.
+        let _ = stream.write_all(b"mpt").await;
+        let answer = read_to_end(stream).await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer} {}", site.log(0));
+        assert_eq!(site.record.runs_of(&id).len(), 0, "{}", site.log(0));
+        site.entries[0].wait_for_exit().await;
+    }
+
     request_whose_body_never_ends_gets_an_answer(site: 1) {
         set_grace(&mut site, 3.0).await;
         let id = site.id();
@@ -104,4 +154,54 @@
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer} {}", site.log(0));
         site.entries[0].wait_for_exit().await;
     }
+
+    late_stream_that_outlasts_the_grace_and_can_t_be_resumed_is_refused(site: 1) {
+        let learnt = site.generation(0, "/log/a", 400, &site.id());
+        learnt.send().await.unwrap().text().await.unwrap();
+        stop(&site, Duration::from_millis(1_500)).await;
+        let id = site.id();
+        let answer = long_stream(&site, "/log/a", &id).send().await.unwrap();
+        assert_eq!(outcome(&answer), LEAVING, "{}", site.log(0));
+        assert_eq!(site.record.runs_of(&id).len(), 0);
+        site.entries[0].wait_for_exit().await;
+    }
+
+    late_stream_that_outlasts_the_grace_and_can_be_resumed_is_passed_on(site: 1) {
+        let learnt = site.generation(0, "/grade/a", 400, &site.id());
+        learnt.send().await.unwrap().text().await.unwrap();
+        stop(&site, Duration::from_millis(1_500)).await;
+        let answer = long_stream(&site, "/grade/a", &site.id()).send().await.unwrap();
+        assert_eq!(outcome(&answer), (200, None), "{}", site.log(0));
+        drop(answer);
+        site.entries[0].wait_for_exit().await;
+    }
+
+    second_attempt_that_would_outlast_the_grace_is_not_begun(site: 1) {
+        learn(&site, "GET", "/fetch/a", 4_000).await;
+        for plain in &site.plains {
+            plain.set_fault(AnswerFault::Hang);
+        }
+        stop(&site, Duration::ZERO).await;
+        let id = site.id();
+        assert_eq!(call(&site, "GET", "/fetch/a", 5, &id).await, Some(UNKNOWN));
+        assert_eq!(site.record.runs_of(&id).len(), 1, "{}", site.log(0));
+        site.entries[0].wait_for_exit().await;
+    }
+
+    request_behind_another_one_is_not_passed_on_after_the_stop(site: 1) {
+        let (first, second) = (site.id(), site.id());
+        let mut stream = TcpStream::connect(site.callers_of(0)).await.unwrap();
+        let head = |id: &str| format!(
+            "GET /fetch/a?work_ms=1000 HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {id}\r\n\
+             X-Deadline-Ms: 20000\r\nX-Credential: {KEY}\r\n\r\n"
+        );
+        let both = head(&first) + &head(&second);
+        stream.write_all(both.as_bytes()).await.unwrap();
+        until_run(&site, &first).await;
+        stop(&site, Duration::ZERO).await;
+        let answer = read_to_end(stream).await;
+        assert!(answer.contains(&format!("for {first}")), "{answer}");
+        assert_eq!(site.record.runs_of(&second).len(), 0, "{}", site.log(0));
+        site.entries[0].wait_for_exit().await;
+    }
 }
