--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -1,19 +1,20 @@
 //! Obtains a reply to a request, with attempts at one upstream after another as far as allowed.
 
 use crate::assignment::AssignmentGuard;
+use crate::choice_log;
 use crate::crash::{self, Progress};
 use crate::exchange::{BodyError, ResponseStart, SendError, SendOptions, read_body, send};
 use crate::hold::{self, HeldGuard};
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
-use crate::log_value::{list, or_empty};
+use crate::log_value::or_empty;
 use crate::suspects;
 use crate::{retries, returning_callers, standby_copies, stopping};
 use bytes::Bytes;
 use fireflycroft::{
     AdmissionDecision, AdmissionRequest, ArrivalKind, AttemptOutcome, Attempts, Code, CrashVerdict,
-    MIN_BACKUP_TOKENS, Mechanism, MemoryUsage, Need, NextStep, RunClaim, SHORT_TOKENS, Suspect,
-    UpstreamIx, VersionKey, capacity_expected_after, decide_admission, decide_held_admission,
+    MIN_BACKUP_TOKENS, Mechanism, MemoryUsage, Need, NextStep, RunClaim, SHORT_TOKENS, UpstreamIx,
+    VersionKey, capacity_expected_after, decide_admission, decide_held_admission,
     pick_backup_holder,
 };
 use hyper::http::response::Parts;
@@ -357,7 +358,7 @@
     need: Need,
     attempts: &RefCell<Attempts>,
 ) -> AttemptResult {
-    log_choice(job, ix);
+    choice_log::record(job, ix);
     let assignment = job.node.assign(ix, need);
     let backup = assign_backup(job, ix, need);
     let backup_holder = backup
@@ -385,26 +386,6 @@
     }
 }
 
-/// Logs the chosen upstream and the state that the choice was based on.
-fn log_choice(job: &Job, ix: UpstreamIx) {
-    let pool = job.node.pool.borrow();
-    let view = pool.view(job.now(), ix);
-    let of_service = pool.service_memory_share(job.now(), &job.service);
-    log::info!(
-        event = "sent", req = &*job.request_id, route = &*job.route.name,
-        instance = &*pool.record(ix).instance, running = view.placed.running,
-        memory = format!("{:.2}", view.memory), unread = view.placed.unread,
-        failing = format!("{:.2}", view.failing), told_age_ms = view.age.as_millis(),
-        service_memory = format!("{of_service:.2}"), rate_limit = or_empty(pool.rate_limit(ix)),
-        speed = format!("{:.2}", view.speed), risk = format!("{:.3}", view.risk),
-        software_version = or_empty(pool.record(ix).software_version.as_ref()),
-        after = or_empty(job.head.last_event_id), resumes = or_empty(job.head.resumes.as_ref()),
-        parts = list(&job.head.shared_parts), content = Suspect::of_content(job.content).to_string(),
-        age_ms = job.age().as_millis();
-        ""
-    );
-}
-
 /// Returns the timeout for a response head if another upstream may be tried instead.
 fn silence_timeout(job: &Job) -> Option<Duration> {
     let plain = job.engine.is_none() && job.route.kind.is_retryable();
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod assignment;
 pub mod call;
 pub mod callers;
+pub mod choice_log;
 pub mod client;
 pub mod clock;
 pub mod conditions;
