Take a response whose status is none of an answer for a lost one

What callers saw: where an engine in trouble sent a status line with 101 or one of 600 to 999, the caller got that as the answer, with the engine's seal and body; a call that may be repeated wasn't tried elsewhere. Cause: the HTTP library takes any three digits from 100 up for a status, and of the preliminary ones passes 101 on; the entry relayed what is no success as it came. Class: what a library lets through taken for what the protocol allows. Change: a response with a status outside 200 to 599 is a lost one, at the first attempt and where a stream goes on: 502 (4001), or one more attempt where the kind of route allows it. Ruled out: status 000, 0, 99, 099, 1000, letters, none, no status line, an unknown version and a preliminary answer alone: the library refuses them, callers got 502 before as well. Own calls (report, kv-move) believe a few statuses only, and the store's answers likewise: streams are served whole beside them, and the entry goes on once the store does. All stay as guards. Five tests failed before: calls answered 101, 600 and 999, streams answered 101 and 999 (`left: (101, None), right: (502, Some(4001))` and alike). After: all 26 pass.

--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -16,11 +16,15 @@
 use hyper::http::response::Parts;
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 /// Largest buffered response body of a plain call, in bytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 8 << 20;
 
+/// Status codes of answers; others are preliminary, or not HTTP.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Idle time up to which a connection is reused for a request that may run only once.
 ///
 /// An upstream may close an idle connection at any time, and a request sent during the close is
@@ -144,6 +148,10 @@
         }
     };
     let (parts, body) = response.into_parts();
+    if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+        let why = format!("status {} is none of an answer", parts.status.as_u16());
+        return Err(SendError::Lost(why));
+    }
     let head = read_response_head(parts.status, &parts.headers, &job.request_id);
     if !head.is_own {
         return Err(SendError::Lost("response to another request".to_owned()));
--- a/standins/src/site/http.rs
+++ b/standins/src/site/http.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Interval of checks for a connection closed by the caller.
@@ -31,6 +31,14 @@
         found.map(|(_, value)| value.as_str())
     }
 
+    /// Returns the request as it is sent.
+    pub(super) fn to_bytes(&self) -> Vec<u8> {
+        let lines = self.headers.iter().map(|(n, v)| format!("{n}: {v}\r\n"));
+        let start_line = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        let head: String = std::iter::once(start_line).chain(lines).collect();
+        [head.as_bytes(), b"\r\n", &self.body].concat()
+    }
+
     /// Returns the ids of the prompt's parts but the last.
     pub(super) fn shared_parts(&self) -> Vec<String> {
         let list = self.header("x-prompt-prefix").unwrap_or_default();
@@ -58,7 +66,7 @@
 /// Reads the next request of a connection. Returns `None` at the end of the connection or when
 /// the head is too long.
 pub(super) async fn read_request(
-    stream: &mut TcpStream,
+    stream: &mut (impl AsyncRead + Unpin),
     buf: &mut Vec<u8>,
 ) -> io::Result<Option<Request>> {
     let head_len = loop {
@@ -98,7 +106,7 @@
     }
 }
 
-async fn read_more(stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<usize> {
+async fn read_more(stream: &mut (impl AsyncRead + Unpin), buf: &mut Vec<u8>) -> io::Result<usize> {
     stream.read_buf(buf).await
 }
 
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -4,6 +4,7 @@
 //! runs in one process on loopback addresses, and method calls inject faults. An
 //! oracle checks the guarantees against the recorded runs of upstreams.
 
+mod broken_answers;
 mod checker;
 mod engine;
 mod http;
@@ -14,6 +15,7 @@
 mod store;
 mod versions;
 
+pub use broken_answers::{BrokenAnswer, BrokenServer};
 pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
 pub use engine::{AnswerFault, Engine, EngineKind, FIRST_VERSION};
 pub use proxy::{Proxy, ProxyFault};
