--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -12,9 +12,10 @@
 use crate::runs::{MigrationCopy, Runs};
 use fireflycroft::{
     Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Evacuations,
-    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, Policy, Pool, PoolChange, QueryBudget,
-    Refusal, Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time,
-    UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
+    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, PlannedStop, Policy, Pool, PoolChange,
+    QueryBudget, Refusal, Regions, ReturningCallers, RunTimes, SharedRetryBudget, StreamOrigins,
+    StreamStart, Time, UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand,
+    WatcherRole,
 };
 use fireflycroft_platform::PlatformSettings;
 use fireflynet::Callers;
@@ -81,6 +82,8 @@
     pub waiting_demand: RefCell<WaitingDemand>,
     /// Time for which runs hold memory.
     pub hold_times: RefCell<HoldTimes>,
+    /// Time that upstreams need for the requests of a route.
+    pub run_times: RefCell<RunTimes>,
     /// Notified when work of this entry has released memory.
     pub capacity_released: Notify,
     /// Estimates of answer lengths.
@@ -159,6 +162,8 @@
     pub calls_in_flight: Cell<usize>,
     /// Number of open connections that have brought a call, whose answer may wait to be written.
     pub answering_connections: Cell<usize>,
+    /// Times of the stop, once it has begun.
+    pub planned_stop: Cell<Option<PlannedStop>>,
     stage: watch::Sender<Stage>,
 }
 
@@ -201,6 +206,7 @@
             wait_queue: RefCell::default(),
             waiting_demand: RefCell::default(),
             hold_times: RefCell::default(),
+            run_times: RefCell::default(),
             capacity_released: Notify::new(),
             lengths: RefCell::default(),
             value_densities: RefCell::default(),
@@ -239,6 +245,7 @@
             callers,
             calls_in_flight: Cell::new(0),
             answering_connections: Cell::new(0),
+            planned_stop: Cell::new(None),
             stage: watch::Sender::new(Stage::Serving),
             metrics,
             place,
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -1,11 +1,12 @@
 //! Admits, runs and answers callers' requests.
 
-use crate::answer::{Answer, close_after, error_answer, relayed_answer, whole_body};
+use crate::answer::{Answer, close_after, error_answer, relayed_answer, whole_body, with_guard};
 use crate::call::{Reply, obtain};
 use crate::generation::relay;
 use crate::job::Job;
 use crate::node::{Node, Stage};
 use crate::startup_wait::until_loaded;
+use crate::stopping::{self, RunTimeGuard};
 use crate::stream_origins::{self, Continued};
 use crate::suspects;
 use bytes::Bytes;
@@ -97,6 +98,7 @@
 }
 
 async fn answer_job(job: Rc<Job>) -> Answer {
+    let began = job.now();
     let reply = obtain(&job).await;
     let (code, status) = match &reply {
         Reply::Whole(parts, _) => (Code::Ok, parts.status.as_u16()),
@@ -118,8 +120,14 @@
         ""
     );
     match reply {
-        Reply::Whole(parts, bytes) => relayed_answer(&parts, whole_body(bytes)),
-        Reply::Stream(stream) => relay(job, *stream),
+        Reply::Whole(parts, bytes) => {
+            drop(RunTimeGuard::new(&job, began));
+            relayed_answer(&parts, whole_body(bytes))
+        }
+        Reply::Stream(stream) => {
+            let run_time = RunTimeGuard::new(&job, began);
+            relay(job, *stream).map(|body| with_guard(body, run_time))
+        }
         Reply::Error(code, retry_after) => error_answer(code, retry_after),
     }
 }
@@ -176,7 +184,14 @@
         .map_or(route.timeout, |d| d.min(route.timeout));
     let deadline = arrival + timeout;
     let limit = catalog.limits().body_bytes;
-    let body = read_request_body(node, body, limit, &account, deadline).await?;
+    let body = read_request_body(node, body, limit, &account, deadline);
+    let body = tokio::select! {
+        biased;
+        body = body => body?,
+        () = stopping::until_too_late(node, &route) => {
+            return Err(refusal_with_retry(Code::Leaving, STARTUP_RETRY_AFTER));
+        }
+    };
     let content = digest(&parts, &head, &body);
     let content_alone = [Suspect::of_content(content)];
     let tries_content_again = check_suspects(node, &request_id, &content_alone)?;
