Take the platform's answer for the object asked for only

The answer to a read of `config/head` was taken whatever kind and name stood in it, so a store, proxy or cache that hands out another object would put a draft with a higher version in force, and the node takes no lower version afterwards.

Class: an object taken for ours by what it holds. A read whose answer names another object is invalid now, as one that can't be parsed, and is tried again; claims and the lease use the same call.

Ruled out by guards that passed before, too: a head that is no object, one whose digest isn't that of its parts, a part half written; each is passed over, and the next read takes the right one. The own path lists nothing: head and parts are read by name, parts are checked against the digest that is their name, and names are escaped segment by segment.

Before: head_of_another_kind_is_not_taken and head_under_another_name_is_not_taken failed.

--- a/fireflyd/src/platform.rs
+++ b/fireflyd/src/platform.rs
@@ -219,10 +219,15 @@
     ///
     /// # Errors
     ///
-    /// `NotFound`, `Unavailable` or `Invalid`.
+    /// `NotFound`, `Unavailable` or `Invalid`, also for the answer of another object.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Object> {
         let req = self.request(Method::GET, self.object_url(kind, name)?);
-        self.read("get", req).await
+        let object: Object = self.read("get", req).await?;
+        if *object.kind != *kind || *object.name != *name {
+            let found = format!("{}/{} instead of {kind}/{name}", object.kind, object.name);
+            return Err(PlatformError::Invalid(found));
+        }
+        Ok(object)
     }
 
     /// Writes an object under a condition and returns its new version.
--- a/fireflyd/tests/platform_client.rs
+++ b/fireflyd/tests/platform_client.rs
@@ -5,11 +5,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use fireflycroft::{ConfigVersion, Document, split};
+use fireflyd::config_feed::ConfigFeed;
 use fireflyd::metrics::Metrics;
 use fireflyd::platform::{Condition, MAX_VALUE_BYTES, PlatformClient, PlatformError, VmState};
 use poem::listener::TcpAcceptor;
 use poem::{Endpoint, Request, Response, Server};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -303,3 +305,71 @@
     assert!(text.contains("firefly_platform_calls_total{kind=\"put\",result=\"ok\"} 1"));
     assert!(text.contains("firefly_platform_calls_total{kind=\"get\",result=\"not_found\"} 2"));
 }
+
+fn object(kind: &str, name: &str, version: u64, value: &Value) -> Value {
+    json!({"kind": kind, "name": name, "version": version, "value": value})
+}
+
+/// Returns the objects that hold a configuration's head and its only part.
+fn configuration(version: u64, revision: u64) -> [Value; 2] {
+    let snapshot = split(&Document::default()).unwrap();
+    let part = &snapshot.parts[0];
+    let head = snapshot.head(ConfigVersion(version), 0, "anna".into(), "t".into());
+    let head = serde_json::to_value(head).unwrap();
+    let part_name = part.name.to_string();
+    [
+        object("config", "head", revision, &head),
+        object("config-part", &part_name, 1, &part.to_value().unwrap()),
+    ]
+}
+
+/// Returns the head with another value at a JSON pointer.
+fn changed_head(pointer: &str, value: Value) -> Value {
+    let [mut head, _] = configuration(8, 7);
+    *head.pointer_mut(pointer).unwrap() = value;
+    head
+}
+
+/// Lets a member follow the scripted platform until it has made that many calls; returns its version and the calls.
+async fn follow(answers: impl IntoIterator<Item = Value>, calls: usize) -> (u64, Vec<String>) {
+    let fake = FakePlatform::new(answers.into_iter().map(|a| response(200, &a))).await;
+    let (feed, _configs) = ConfigFeed::new();
+    let following = tokio::spawn(feed.clone().follow(client(&fake.url, RESPONSE_TIMEOUT)));
+    while fake.requests().len() < calls {
+        tokio::task::yield_now().await;
+    }
+    following.abort();
+    let uris = fake.requests().into_iter().map(|(_, uri, _)| uri);
+    (feed.version().0, uris.collect())
+}
+
+macro_rules! foreign_head_cases {
+    ($($name:ident: $first:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let answers = [$first].into_iter().chain(configuration(3, 9));
+            let (version, uris) = follow(answers, 4).await;
+            assert_eq!(version, 3);
+            assert_eq!(uris[..2], ["/v1/objects/config/head", "/v1/objects/config/head"]);
+        }
+    )*};
+}
+
+foreign_head_cases! {
+    head_that_is_no_head_does_not_shut_out_the_next: object("config", "head", 7, &json!(7));
+    head_of_another_kind_is_not_taken: changed_head("/kind", json!("draft"));
+    head_under_another_name_is_not_taken: changed_head("/name", json!("draft"));
+    head_whose_digest_is_not_of_its_parts_is_not_taken: changed_head("/value/parts", json!([]));
+}
+
+#[tokio::test]
+async fn part_that_is_half_written_is_fetched_again() {
+    let [head, _] = configuration(3, 9);
+    let name = split(&Document::default()).unwrap().parts[0]
+        .name
+        .to_string();
+    let torn = object("config-part", &name, 1, &json!("[{\"sett"));
+    let answers = [head, torn].into_iter().chain(configuration(3, 9));
+    let (version, uris) = follow(answers, 5).await;
+    assert_eq!((version, uris.len()), (3, 5), "{uris:?}");
+}
