Watch the configuration from where the last watch ended

Cause: a watch tells of all objects of the kind, and the next one began at the head's own revision. It begins now at the revision that the last watch reached, unless that told of the head itself (a stale read is tried again as before) or a read found another head.

Before: other_objects_beside_the_head_do_not_end_each_watch_at_once failed (since=5 again).

--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -132,6 +132,7 @@
     pub async fn follow(self, platform: PlatformClient) {
         let mut delay = MIN_RETRY_DELAY;
         let mut last_revision = None;
+        let mut watched = None;
         loop {
             match self.poll(&platform).await {
                 Ok(revision) => {
@@ -139,8 +140,11 @@
                     if last_revision.replace(revision) == Some(revision) {
                         // A stale read: a watch from this revision would return at once.
                         tokio::time::sleep(MIN_RETRY_DELAY).await;
+                    } else {
+                        watched = None;
                     }
-                    self.wait_for_next_poll(&platform, revision).await;
+                    let since = watched.unwrap_or(revision);
+                    watched = self.wait_for_next_poll(&platform, since).await;
                 }
                 Err(e) => {
                     log::warn!(event = "config_read_failed", cause:% = e; "");
@@ -151,21 +155,28 @@
         }
     }
 
-    /// Waits for the next read: on a watch if this member is a watcher,
-    /// otherwise for a fixed time.
-    async fn wait_for_next_poll(&self, platform: &PlatformClient, revision: u64) {
+    /// Waits until the next read: on a watch from `since` if this member is a watcher,
+    /// otherwise for a fixed time. Returns the revision up to which the head is known to be unchanged.
+    async fn wait_for_next_poll(&self, platform: &PlatformClient, since: u64) -> Option<u64> {
         if self.watching.load(Ordering::Relaxed) {
-            if let Err(e) = platform.watch(HEAD_KIND, revision, WATCH_TIMEOUT).await {
-                log::warn!(event = "config_watch_failed", cause:% = e; "");
-                tokio::time::sleep(MIN_RETRY_DELAY).await;
-            }
-            return;
+            return match platform.watch(HEAD_KIND, since, WATCH_TIMEOUT).await {
+                Ok(seen) => {
+                    let changed = seen.changes.iter().any(|c| &*c.name == HEAD_NAME);
+                    (!changed).then_some(seen.revision)
+                }
+                Err(e) => {
+                    log::warn!(event = "config_watch_failed", cause:% = e; "");
+                    tokio::time::sleep(MIN_RETRY_DELAY).await;
+                    None
+                }
+            };
         }
         let mut waited = Duration::ZERO;
         while waited < POLL_INTERVAL && !self.watching.load(Ordering::Relaxed) {
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             waited += ROLE_CHECK_INTERVAL;
         }
+        None
     }
 
     /// Reads the head and any new parts; returns the revision to watch from.
--- a/fireflyd/tests/platform_client.rs
+++ b/fireflyd/tests/platform_client.rs
@@ -330,6 +330,11 @@
     head
 }
 
+fn watched(revision: u64, name: &str) -> Value {
+    let change = json!({"name": name, "version": revision, "value": 7});
+    json!({"revision": revision, "changes": [change]})
+}
+
 /// Lets a member follow the scripted platform until it has made that many calls; returns its version and the calls.
 async fn follow(answers: impl IntoIterator<Item = Value>, calls: usize) -> (u64, Vec<String>) {
     let fake = FakePlatform::new(answers.into_iter().map(|a| response(200, &a))).await;
@@ -373,3 +378,20 @@
     let (version, uris) = follow(answers, 5).await;
     assert_eq!((version, uris.len()), (3, 5), "{uris:?}");
 }
+
+#[tokio::test]
+async fn other_objects_beside_the_head_do_not_end_each_watch_at_once() {
+    let [head, part] = configuration(3, 5);
+    let [again, _] = configuration(3, 5);
+    let (_, uris) = follow([head, part, watched(9, "draft"), again], 5).await;
+    assert!(uris[2].starts_with("/v1/watch/config?since=5&"), "{uris:?}");
+    assert!(uris[4].starts_with("/v1/watch/config?since=9&"), "{uris:?}");
+}
+
+#[tokio::test]
+async fn head_that_changed_is_watched_from_where_it_was_read() {
+    let [head, part] = configuration(3, 5);
+    let [stale, _] = configuration(3, 5);
+    let (_, uris) = follow([head, part, watched(9, "head"), stale], 5).await;
+    assert!(uris[4].starts_with("/v1/watch/config?since=5&"), "{uris:?}");
+}
