Pass over records of the VM list that can't be read

One record of another form made the whole list unreadable, so no member learned from it that a VM leaves, nor of new ones, for as long as the record stood there; nothing was logged.

Each record is read for itself; one that can't be is logged as `vm_unreadable` with its name and passed over.

Before: vm_that_is_unreadable_hides_no_other failed (invalid: the list as a whole).

--- a/fireflyd/src/platform.rs
+++ b/fireflyd/src/platform.rs
@@ -167,7 +167,7 @@
 
 #[derive(Deserialize)]
 struct VmList {
-    vms: Vec<Vm>,
+    vms: Vec<Value>,
 }
 
 #[derive(Deserialize)]
@@ -175,6 +175,17 @@
     version: u64,
 }
 
+/// Returns the VM of a record; logs one that can't be read.
+fn read_vm(record: Value) -> Option<Vm> {
+    let name = record.get("name").map(Value::to_string);
+    let vm = serde_json::from_value(record);
+    vm.inspect_err(|e| {
+        let name = name.as_deref().unwrap_or("-");
+        log::warn!(event = "vm_unreadable", name = name, cause:% = e; "");
+    })
+    .ok()
+}
+
 /// Whether a call can have an effect.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Effect {
@@ -291,14 +302,15 @@
         self.read("watch", req).await
     }
 
-    /// Reads the VM list.
+    /// Reads the VM list, without the records that can't be read.
     ///
     /// # Errors
     ///
     /// `Unavailable` or `Invalid`.
     pub async fn vms(&self) -> Result<Vec<Vm>> {
         let req = self.request(Method::GET, self.url(&["vms"])?);
-        self.read("vms", req).await.map(|list: VmList| list.vms)
+        let list: VmList = self.read("vms", req).await?;
+        Ok(list.vms.into_iter().filter_map(read_vm).collect())
     }
 
     fn request(&self, method: Method, url: Url) -> RequestBuilder {
--- a/fireflyd/tests/platform_client.rs
+++ b/fireflyd/tests/platform_client.rs
@@ -395,3 +395,14 @@
     let (_, uris) = follow([head, part, watched(9, "head"), stale], 5).await;
     assert!(uris[4].starts_with("/v1/watch/config?since=5&"), "{uris:?}");
 }
+
+#[tokio::test]
+async fn vm_that_is_unreadable_hides_no_other() {
+    let vm = |name: &str| json!({"name": name, "address": "127.0.0.1:1", "data_centre": "a", "role": "entry", "state": "live"});
+    let odd = json!({"name": 7, "state": ["leaving"]});
+    let list = json!({"vms": [vm("vm1"), odd, 7, vm("vm2")]});
+    let fake = FakePlatform::new([response(200, &list)]).await;
+    let vms = client(&fake.url, RESPONSE_TIMEOUT).vms().await.unwrap();
+    let names: Vec<&str> = vms.iter().map(|vm| &*vm.name).collect();
+    assert_eq!(names, ["vm1", "vm2"]);
+}
