Name object and revision where the own path takes or can't read a configuration

A VM list that can't be read was passed over in silence.

Now `config_read_failed` names head or part with its revision, `config_adopted` says version, the one before and the revision, and `vms_read_failed` gives the cause.

The test writes objects of the same kind with a higher version and odd names, then 7 over the head: the active version stays, requests are served, the log names the object, and the next head is taken at once. That none of these is taken held before; the log line is what failed: objects_that_are_not_the_configuration timed out waiting for it, and passes now.

--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -8,6 +8,7 @@
 //! takes tens of milliseconds and would delay streams, and on one thread the
 //! allocator reuses the memory of the previous version.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -16,7 +17,7 @@
 
 use fireflycroft::{
     CompleteConfig, Config, ConfigBundle, ConfigFault, ConfigTransfer, ConfigVersion, Digest,
-    HEAD_KIND, HEAD_NAME, Head, Message, PART_KIND, Part, Progress, ReceivedPart,
+    HEAD_KIND, HEAD_NAME, Head, Message, PART_KIND, Part, PartName, Progress, ReceivedPart,
 };
 use tokio::sync::watch;
 
@@ -186,34 +187,41 @@
             Err(PlatformError::NotFound) => return Ok(0),
             Err(e) => return Err(e),
         };
-        let head: Head = serde_json::from_value(object.value)
-            .map_err(|e| PlatformError::Invalid(format!("configuration head: {e}")))?;
-        if head.config_version() > self.transfer().version() {
-            self.fetch(platform, head).await?;
+        let revision = object.version;
+        let unreadable = |cause: &dyn Display| {
+            let head = format!("{HEAD_KIND}/{HEAD_NAME} at revision {revision}: {cause}");
+            PlatformError::Invalid(head)
+        };
+        let head: Head = serde_json::from_value(object.value).map_err(|e| unreadable(&e))?;
+        let was = self.transfer().version();
+        let version = head.config_version();
+        if version > was {
+            let parts = self.fetch(platform, &head).await?;
+            let installed = self.transfer().install(head, parts);
+            if let Some(complete) = installed.map_err(|e| unreadable(&e))? {
+                log::info!(event = "config_adopted", source = "platform", version = version.0, was = was.0, revision = revision; "");
+                self.submit(complete);
+            }
         }
-        Ok(object.version)
+        Ok(revision)
     }
 
-    async fn fetch(&self, platform: &PlatformClient, head: Head) -> Result<(), PlatformError> {
+    /// Reads the parts that `head` lists.
+    async fn fetch(
+        &self,
+        platform: &PlatformClient,
+        head: &Head,
+    ) -> Result<Vec<Part>, PlatformError> {
         let mut parts = Vec::with_capacity(head.parts.len());
         for name in &head.parts {
             let cached = self.transfer().part(name).cloned();
-            if let Some(part) = cached {
-                parts.push(part);
-                continue;
-            }
-            let object = platform.get(PART_KIND, &name.to_string()).await?;
-            let part = Part::from_value(*name, &object.value)
-                .map_err(|e| PlatformError::Invalid(format!("configuration part: {e}")))?;
+            let part = match cached {
+                Some(part) => part,
+                None => read_part(platform, *name).await?,
+            };
             parts.push(part);
         }
-        let installed = self.transfer().install(head, parts);
-        match installed {
-            Ok(Some(complete)) => self.submit(complete),
-            Ok(None) => {}
-            Err(e) => return Err(PlatformError::Invalid(format!("configuration: {e}"))),
-        }
-        Ok(())
+        Ok(parts)
     }
 
     fn submit(&self, complete: CompleteConfig) {
@@ -245,6 +253,20 @@
     }
 }
 
+async fn read_part(platform: &PlatformClient, name: PartName) -> Result<Part, PlatformError> {
+    let unreadable = |revision: u64, cause: &dyn Display| {
+        let part = format!("{PART_KIND}/{name} at revision {revision}: {cause}");
+        PlatformError::Invalid(part)
+    };
+    match platform.get(PART_KIND, &name.to_string()).await {
+        Ok(object) => {
+            Part::from_value(name, &object.value).map_err(|e| unreadable(object.version, &e))
+        }
+        Err(PlatformError::NotFound) => Err(unreadable(0, &PlatformError::NotFound)),
+        Err(e) => Err(e),
+    }
+}
+
 /// Compiles queued versions and publishes them to `tx` until the feed is dropped.
 fn compile_all(queue: &Receiver<CompleteConfig>, tx: &watch::Sender<Option<Arc<Config>>>) {
     while let Ok(next) = queue.recv() {
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -402,8 +402,12 @@
         if !feed.is_watching() {
             continue;
         }
-        let Ok(list) = platform.vms().await else {
-            continue;
+        let list = match platform.vms().await {
+            Ok(list) => list,
+            Err(e) => {
+                log::warn!(event = "vms_read_failed", cause:% = e; "");
+                continue;
+            }
         };
         let vms = list.iter().filter_map(read_vm).collect();
         if tx.send(wrap(vms)).await.is_err() {
--- a/fireflyd/tests/processes_hostile.rs
+++ b/fireflyd/tests/processes_hostile.rs
@@ -74,6 +74,7 @@
     caller_that_still_sends_gets_the_rejection_of_a_large_body => rejected_while_sending("/v1/chat/completions", 413);
     caller_that_still_sends_gets_the_rejection_of_an_unknown_path => rejected_while_sending("/nowhere", 404);
     garbage_on_every_port => garbage();
+    objects_that_are_not_the_configuration => foreign_objects();
 }
 
 fn chat_body(model: &str) -> Value {
@@ -390,3 +391,49 @@
     assert_serves(&fleet).await;
     assert!(fleet.entries[0].process.is_alive() && fleet.agents[0].process.is_alive());
 }
+
+async fn put_config(fleet: &Fleet, name: &str, value: &Value) {
+    let url = format!("{}/v1/objects/config/{name}", fleet.platform.url());
+    let res = fleet.http.put(url).json(value).send().await.unwrap();
+    assert!(res.status().is_success(), "{name}: {}", res.status());
+}
+
+/// Others write beside the head and over it: the active version stays, the log names the object, the next one is taken.
+async fn foreign_objects() {
+    let fleet = Fleet::start(one_engine()).await;
+    let version = fleet.version(&fleet.entries[0]).await;
+    let url = format!("{}/v1/objects/config/head", fleet.platform.url());
+    let head: Value = fleet
+        .http
+        .get(url)
+        .send()
+        .await
+        .unwrap()
+        .json()
+        .await
+        .unwrap();
+    let with_version = |version: u64| {
+        let mut head = head["value"].clone();
+        head["version"] = json!(version);
+        head
+    };
+    for name in ["draft", "head/old", "zz%20%C3%A4%3Fb%23c", "%2e%2e%2fhead"] {
+        put_config(&fleet, name, &with_version(version + 50)).await;
+    }
+    put_config(&fleet, "head", &json!(7)).await;
+    until("an unreadable head is logged", || {
+        let log = |name| fs::read_to_string(fleet.path(name)).unwrap();
+        let logged = [log("entry-1.log"), log("agent-1.log")];
+        std::future::ready(logged.iter().any(|l| l.contains("config/head at revision")))
+    })
+    .await;
+    assert_serves(&fleet).await;
+    put_config(&fleet, "head", &with_version(version + 1)).await;
+    for node in fleet.nodes() {
+        until("the next version", || async {
+            fleet.version(node).await != version
+        })
+        .await;
+        assert_eq!(fleet.version(node).await, version + 1);
+    }
+}
