Don't take a run that its engine cancelled for a complete answer

Callers got 200, some of the tokens, `finish_reason` "cancelled" and the end marker, with code 3000 in logs and figures: a stream cut short that looked complete, and for a whole answer a short text. An engine ends a run so when somebody else cancels it, or when the agent was away for longer than the engine keeps a stream without a reader (10 s at the stand-in).

Cause: the agent took every reason of an engine for the end of the answer. A run that an agent itself orders to stop is over for it before the engine hears of it, so a reason "cancelled" that is still read is never on its own order: the run counts as lost now. A stream ends with 3001 and how far it got; a whole answer, of which nothing was delivered, starts afresh.

Before: engine_cancels_a_stream_of_its_own and engine_cancels_a_whole_of_its_own failed (End: Complete after 20 and 2 of 4,000 tokens). After: both pass. stream_of_an_old_caller_whose_engine_dies passed before, too, and stays as a guard: a caller on HTTP/1.0, whose answer ends with the connection, gets no end marker when it is cut.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -89,7 +89,7 @@
         match text {
             "stop" => Self::Stop,
             "length" => Self::Length,
-            "cancelled" | "canceled" | "abort" => Self::Cancelled,
+            "cancelled" | "canceled" | "abort" | "aborted" => Self::Cancelled,
             other => Self::Other(other.into()),
         }
     }
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -310,6 +310,14 @@
                 generation,
                 tokens: tokens.into_iter().map(|t| t.text.into_bytes()).collect(),
             },
+            EngineEvent::Finished {
+                reason: FinishReason::Cancelled,
+                ..
+            } => {
+                // A run that is cancelled on an order from here is no longer read.
+                log::warn!(event = "upstream_cancelled", generation:% = generation; "");
+                AgentEvent::Lost { generation }
+            }
             EngineEvent::Finished { reason, usage } => AgentEvent::Finished {
                 generation,
                 finish: Finish {
--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -5,14 +5,19 @@
 
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use standins::caller::{End, Request};
 use support::{DOSSIERS, Fleet, LOGS, Link, Spec, until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Slow-down of the engines at which the first step takes more than a second.
 const SLOW_FIRST_STEP_FACTOR: u32 = 500;
 
+/// Tokens of an answer that lasts long enough to be cancelled.
+const WHOLE_TOKENS: u64 = 800;
+
 crate::cases! {
     entry_killed_after_1 => entry_killed(1);
     entry_killed_after_40 => entry_killed(40);
@@ -25,6 +30,9 @@
     upstream_link_cut_after_1 => upstream_link_cut(1);
     upstream_link_cut_after_40 => upstream_link_cut(40);
     engine_upgraded_behind_a_cut_link => engine_upgraded();
+    engine_cancels_a_stream_of_its_own => engine_cancels(true);
+    engine_cancels_a_whole_of_its_own => engine_cancels(false);
+    stream_of_an_old_caller_whose_engine_dies => old_caller_cut();
     agent_frozen_2_s => agent_frozen(Duration::from_secs(2));
     agent_frozen_5_s => agent_frozen(Duration::from_secs(5));
     agent_frozen_6_s => agent_frozen(Duration::from_secs(6));
@@ -164,6 +172,105 @@
     assert_eq!(got.last().delivered, Some(got.last().tokens));
 }
 
+/// Returns the engine's id of the stream that began last.
+fn stream_id(fleet: &Fleet, engine: usize) -> String {
+    let log = std::fs::read_to_string(&fleet.engines[engine].run_log).unwrap();
+    let line = log.lines().rfind(|l| l.contains("\"started\"")).unwrap();
+    let event: Value = serde_json::from_str(line).unwrap();
+    event["stream_id"].as_str().unwrap().to_owned()
+}
+
+/// A generation that its engine ends as cancelled, without an order from here, is not complete.
+/// A whole answer starts afresh.
+async fn engine_cancels(streams: bool) {
+    let fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let request = if streams {
+        stream("m", 4_000)
+    } else {
+        Request::non_streaming("m", DOSSIERS, "model-a", WHOLE_TOKENS)
+    };
+    let mut session = fleet.caller().begin(request, 0);
+    if streams {
+        assert!(session.read_until_tokens(20).await);
+    }
+    let call = tokio::spawn(session.finish());
+    let engine = fleet.engine_of("m").await;
+    let id = stream_id(&fleet, engine);
+    let url = format!("{}/v1/streams/{id}/cancel", fleet.engines[engine].url());
+    assert!(
+        fleet
+            .http
+            .post(url)
+            .send()
+            .await
+            .unwrap()
+            .status()
+            .is_success()
+    );
+    let got = call.await.unwrap();
+    fleet.assert_guarantees(std::slice::from_ref(&got));
+    let afresh = !streams && got.last().tokens == WHOLE_TOKENS;
+    assert!(afresh || got.code() == Some(3_001), "{got:?}");
+}
+
+/// Sends a request as HTTP/1.0, whose answer may end with its connection; returns all that comes.
+async fn call_as_http_1_0(fleet: &Fleet, body: &str) -> String {
+    let mut caller = TcpStream::connect(fleet.entries[0].callers.unwrap())
+        .await
+        .unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.0\r\nhost: entry\r\nauthorization: Bearer {DOSSIERS}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+/// Its answer ends with the connection; the cut one has no end marker.
+async fn old_caller_cut() {
+    let mut fleet = Fleet::start(Spec {
+        engines: 1,
+        ..Spec::default()
+    })
+    .await;
+    let body = |tokens: u32| {
+        json!({
+            "model": "model-a", "stream": true, "max_tokens": tokens + 1,
+            "messages": [{"role": "user", "content": format!("[[mark=old]][[len={tokens}]]")}],
+        })
+        .to_string()
+    };
+    let whole = call_as_http_1_0(&fleet, &body(9)).await;
+    assert!(whole.ends_with("data: [DONE]\n\n"), "{whole}");
+    let text = body(8_000);
+    let (cut, ()) = tokio::join!(call_as_http_1_0(&fleet, &text), async {
+        until("the long one begins", || {
+            std::future::ready(fleet.runs().count("old") == 2)
+        })
+        .await;
+        sleep(Duration::from_millis(300)).await;
+        let kill = std::process::Command::new("kill")
+            .args(["-KILL", &fleet.engines[0].process.id().to_string()])
+            .status();
+        assert!(kill.unwrap().success());
+    });
+    assert!(!cut.contains("[DONE]"), "{cut}");
+    assert!(
+        cut.contains("event: error")
+            || cut.starts_with("HTTP/1.0 502")
+            || cut.starts_with("HTTP/1.1 502"),
+        "{cut}"
+    );
+    fleet.engines[0].process.kill();
+}
+
 /// The stream stalls with its agent and resumes without a gap.
 async fn agent_frozen(duration: Duration) {
     let mut fleet = Fleet::start(Spec::default()).await;
