Take a head that is no HTTP response for no answer, and not for a crash

Callers of a plain service got a status 999 as the answer. A status line of 000 (0, 99, 1000, letters, none) from an engine was not passed on, but cut every other stream there: after 000 on one request the streams beside it ended with 3001, and the next request was refused, 503 with 2012, as the agent took the engine for gone.

Cause: bytes that are no response counted as a connection that broke, so the agent asked the engine to resume the stream, which it had never begun, and took its 404 for a restart. Class: a sign of one exchange taken for one of the whole upstream. A head that can't be parsed, or a status outside 200 to 599, is `NoAnswer` now: sent, may have run, upstream alive. A connection that closes without an answer is a break as before, so that crashes are found as fast.

The stand-ins learn it by a door before them that answers some requests with bytes of the test's choice (`standins::trouble`).

--- a/fireflyd/src/plain_client.rs
+++ b/fireflyd/src/plain_client.rs
@@ -1,5 +1,6 @@
 //! Client of a plain service beside an agent.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,10 +8,14 @@
 use reqwest::{Method, Response, Url};
 
 use crate::upstream::{
-    HOP_BY_HOP, Result, base_url, http_client, never_sent, read_body, transport_error,
+    HOP_BY_HOP, Result, UpstreamError, base_url, http_client, never_sent, read_body,
+    transport_error,
 };
 
-/// Response of a plain service, with any status.
+/// Statuses with which a response ends a call.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Response of a plain service, with any final status.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlainResponse {
     /// HTTP status.
@@ -52,7 +57,7 @@
     ///
     /// # Errors
     ///
-    /// Returns `NeverSent`, `Broken` or `Unusable`; an HTTP error status is a response.
+    /// Returns `NeverSent`, `Broken`, `NoAnswer` or `Unusable`; an HTTP error status is a response.
     pub async fn call(
         &self,
         method: &str,
@@ -90,13 +95,17 @@
     }
 
     async fn read_response(&self, res: Response) -> Result<PlainResponse> {
+        let status = res.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(UpstreamError::NoAnswer(format!("status {status}")));
+        }
         let content_type = res
             .headers()
             .get(CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
         Ok(PlainResponse {
-            status: res.status().as_u16(),
+            status,
             content_type,
             body: read_body(res, self.max_response_bytes).await?.into(),
         })
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -118,7 +118,9 @@
                 send(tx, AgentEvent::UpstreamDown).await;
                 send(tx, AgentEvent::UpstreamUp).await;
             }
-            Err(UpstreamError::Broken(_)) => send(tx, AgentEvent::Broken { generation }).await,
+            Err(UpstreamError::Broken(_) | UpstreamError::NoAnswer(_)) => {
+                send(tx, AgentEvent::Broken { generation }).await
+            }
             Err(UpstreamError::Answered { .. } | UpstreamError::Unusable(_)) => {
                 send(tx, AgentEvent::Lost { generation }).await;
             }
@@ -294,6 +296,7 @@
             _ => return AgentEvent::Lost { generation },
         },
         UpstreamError::Broken(_) => return AgentEvent::Broken { generation },
+        UpstreamError::NoAnswer(_) => return AgentEvent::Lost { generation },
         UpstreamError::Unusable(_) => Code::UpstreamRefused,
     };
     AgentEvent::NotStarted { generation, code }
--- a/fireflyd/src/upstream.rs
+++ b/fireflyd/src/upstream.rs
@@ -5,6 +5,7 @@
 //! neither retry nor follow redirects.
 
 use std::collections::VecDeque;
+use std::error::Error;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
     },
     /// Sent, but no complete response was received: may have run.
     Broken(String),
+    /// Sent, and what came back is no answer: may have run.
+    NoAnswer(String),
     /// Run and answered, but the body is too large or invalid.
     Unusable(String),
 }
@@ -70,6 +73,7 @@
             Self::NeverSent(reason) => write!(f, "never sent: {reason}"),
             Self::Answered { status, .. } => write!(f, "answered with status {status}"),
             Self::Broken(reason) => write!(f, "broken after sending: {reason}"),
+            Self::NoAnswer(reason) => write!(f, "no answer: {reason}"),
             Self::Unusable(reason) => write!(f, "unusable answer: {reason}"),
         }
     }
@@ -258,11 +262,25 @@
 pub(crate) fn transport_error(e: &reqwest::Error) -> UpstreamError {
     if e.is_connect() || e.is_builder() {
         never_sent(e)
+    } else if is_unreadable(e) {
+        UpstreamError::NoAnswer(e.to_string())
     } else {
         UpstreamError::Broken(e.to_string())
     }
 }
 
+/// Returns whether bytes came that are no HTTP response, so that the upstream hasn't ended.
+fn is_unreadable(e: &reqwest::Error) -> bool {
+    let mut cause = e.source();
+    while let Some(inner) = cause {
+        if let Some(e) = inner.downcast_ref::<hyper::Error>() {
+            return e.is_parse();
+        }
+        cause = inner.source();
+    }
+    false
+}
+
 /// Sends a call and returns an error for any unsuccessful status.
 pub(crate) async fn send(call: RequestBuilder) -> Result<Response> {
     let res = call.send().await.map_err(|e| transport_error(&e))?;
--- /dev/null
+++ b/fireflyd/tests/processes_trouble.rs
@@ -0,0 +1,170 @@
+//! Upstreams in trouble behind the agents of the fleet's own path: bytes that are no answer are never passed on as one,
+//! end in bounded time and memory, and leave the requests beside them alone.
+
+mod support;
+
+use reqwest::{RequestBuilder, Response};
+use serde_json::{Value, json};
+use standins::caller::Request;
+use standins::trouble::{Door, Trouble};
+use support::{COUNTER, DOSSIERS, Fleet, GRADES, Spec};
+
+/// Request of a run at an engine.
+const RUN: &str = "POST /v1/chat/completions";
+/// Request of a call that may not be repeated.
+const FILE: &str = "POST /file";
+
+crate::cases! {
+    odd_statuses_of_an_engine => odd_statuses(RUN, chat);
+    odd_statuses_of_a_plain_service => odd_statuses("GET /records", read);
+    odd_statuses_of_a_call_that_may_not_be_repeated => odd_statuses(FILE, file);
+    odd_status_leaves_the_streams_beside_it => odd_status_beside();
+}
+
+/// A fleet whose upstreams stand behind doors.
+struct Doors {
+    fleet: Fleet,
+    engine: Door,
+    plain: Door,
+}
+
+impl Doors {
+    async fn open(trouble: Trouble) -> Self {
+        let mut fleet = Fleet::start(Spec {
+            engines: 1,
+            entries: 1,
+            plain: true,
+            daemon_env: vec![("FIREFLYD_MEMORY_MB", "64")],
+            ..Spec::default()
+        })
+        .await;
+        let engine = Door::open(fleet.engines[0].addr, trouble.clone())
+            .await
+            .unwrap();
+        let records = fleet.plain.as_ref().unwrap().addr;
+        let plain = Door::open(records, trouble).await.unwrap();
+        for agent in &mut fleet.agents {
+            agent.process.kill();
+        }
+        fleet.agents = vec![
+            fleet.start_engine_agent(0, &engine.url()),
+            fleet.start_plain_agent(&plain.url()),
+        ];
+        fleet.await_ready().await;
+        Self {
+            fleet,
+            engine,
+            plain,
+        }
+    }
+
+    fn set(&self, trouble: &Trouble) {
+        self.engine.set(trouble.clone());
+        self.plain.set(trouble.clone());
+    }
+}
+
+fn chat(fleet: &Fleet, mark: &str) -> RequestBuilder {
+    let body = json!({
+        "model": "model-a", "max_tokens": 10,
+        "messages": [{"role": "user", "content": format!("[[mark={mark}]][[len=9]]")}],
+    });
+    let url = format!("{}/v1/chat/completions", fleet.entries[0].url());
+    fleet.http.post(url).bearer_auth(COUNTER).json(&body)
+}
+
+fn read(fleet: &Fleet, mark: &str) -> RequestBuilder {
+    let url = format!("{}/services/records/records/{mark}", fleet.entries[0].url());
+    fleet.http.get(url).bearer_auth(COUNTER)
+}
+
+fn file(fleet: &Fleet, mark: &str) -> RequestBuilder {
+    let url = format!("{}/services/records/file", fleet.entries[0].url());
+    let call = fleet.http.post(url).bearer_auth(GRADES);
+    call.header("idempotency-key", mark)
+        .body(format!("[[mark={mark}]]"))
+}
+
+/// Fails unless the answer is an error of the system's own that doesn't promise that nothing ran.
+async fn assert_own_error(res: Response, about: &str) {
+    let (status, coded) = (res.status(), res.headers().contains_key("x-firefly-code"));
+    let body: Value = res.json().await.unwrap_or_default();
+    assert_eq!(status, 502, "{about}: {body}");
+    assert!(
+        coded && body["error"]["class"] != "not_run",
+        "{about}: {body}"
+    );
+}
+
+/// A head with such a status line is no answer.
+async fn odd_statuses(to: &'static str, call: fn(&Fleet, &str) -> RequestBuilder) {
+    let doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    let statuses = [
+        " 000 Odd",
+        " 0 Odd",
+        " 99 Odd",
+        " 1000 Odd",
+        " abc Odd",
+        " ",
+        "",
+        " 999 Odd",
+        " 101 Switching Protocols",
+    ];
+    for (n, status) in statuses.iter().enumerate() {
+        let first = format!(
+            "HTTP/1.1{status}\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{{}}"
+        );
+        doors.set(&Trouble {
+            to,
+            first: first.into_bytes(),
+            ..Trouble::default()
+        });
+        let res = call(&doors.fleet, &format!("odd{n}")).send().await.unwrap();
+        assert_own_error(res, status).await;
+        doors.set(&Trouble {
+            to: "none",
+            ..Trouble::default()
+        });
+        let res = call(&doors.fleet, &format!("after{n}"))
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(
+            res.status(),
+            200,
+            "after {status:?}: {:?}",
+            res.text().await
+        );
+    }
+    if to == FILE {
+        assert_eq!(doors.plain.begun(), statuses.len());
+    }
+}
+
+/// A stream that runs on the same engine meanwhile goes on.
+async fn odd_status_beside() {
+    let doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    let mut session = doors
+        .fleet
+        .caller()
+        .begin(Request::stream("beside", DOSSIERS, "model-a", 600), 0);
+    assert!(session.read_until_tokens(5).await);
+    doors.set(&Trouble {
+        to: RUN,
+        first: b"HTTP/1.1 000 Odd\r\n\r\n".to_vec(),
+        ..Trouble::default()
+    });
+    let res = chat(&doors.fleet, "odd").send().await.unwrap();
+    assert_own_error(res, "beside a stream").await;
+    let got = session.finish().await;
+    assert!(got.is_complete(), "{got:?}");
+    doors.fleet.assert_guarantees(&[got]);
+}
--- a/fireflyd/tests/sse.rs
+++ b/fireflyd/tests/sse.rs
@@ -319,6 +319,8 @@
     a_redirect_is_not_followed: full_response("307 Temporary Redirect", "") => UpstreamError::Answered { status: 307, .. },
     a_generation_without_an_answer_is_broken: String::new() => UpstreamError::Broken(_),
     a_generation_cut_within_the_head_is_broken: "HTTP/1.1 2".to_owned() => UpstreamError::Broken(_),
+    a_status_of_zeros_is_no_answer: full_response("000 Odd", "{}") => UpstreamError::NoAnswer(_),
+    bytes_are_no_answer: "\u{1}\u{2}\r\n\r\n".to_owned() => UpstreamError::NoAnswer(_),
 }
 
 #[tokio::test]
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -187,39 +187,34 @@
             self.agents.push(agent);
         }
         if let Some(url) = self.plain.as_ref().map(StandIn::url) {
-            let flags = [
-                "--role",
-                "agent",
-                "--upstream",
-                &url,
-                "--upstream-kind",
-                "plain",
-                "--upstream-name",
-                "records",
-                "--service",
-                "records",
-            ];
-            let agent = self.node("agent-records", unused_addr(self.host), &flags);
-            self.agents.push(agent);
+            self.agents.push(self.start_plain_agent(&url));
         }
     }
 
     /// Starts the agent of the engine with index `n`, which it reaches at `url`.
     pub fn start_engine_agent(&self, n: usize, url: &str) -> Node {
+        let name = format!("agent-{}", n + 1);
         let upstream = format!("engine-{}", n + 1);
-        let flags = [
-            "--role",
-            "agent",
-            "--upstream",
+        self.start_agent(&name, "engine", &upstream, "--models model-a,model-b", url)
+    }
+
+    /// Starts the plain service's agent, which reaches it at `url`.
+    pub fn start_plain_agent(&self, url: &str) -> Node {
+        self.start_agent(
+            "agent-records",
+            "plain",
+            "records",
+            "--service records",
             url,
-            "--upstream-kind",
-            "engine",
-            "--upstream-name",
-            &upstream,
-            "--models",
-            "model-a,model-b",
-        ];
-        self.node(&format!("agent-{}", n + 1), unused_addr(self.host), &flags)
+        )
+    }
+
+    fn start_agent(&self, name: &str, kind: &str, upstream: &str, serves: &str, url: &str) -> Node {
+        let flags = format!(
+            "--role agent --upstream {url} --upstream-kind {kind} --upstream-name {upstream} {serves}"
+        );
+        let flags: Vec<&str> = flags.split(' ').collect();
+        self.node(name, unused_addr(self.host), &flags)
     }
 
     /// Starts a daemon that uses another fleet key file.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod plain;
 pub mod platform;
 pub mod site;
+pub mod trouble;
 
 mod acceptor;
 mod clock;
