Don't end an engine's other streams because it forgot one

Where an engine broke off one stream and no longer knew it, all other streams there ended with 3001, though they ran on: after an answer without length or chunks that closed before its first event, within an event, after `[DONE]` without a reason, or with an event that is none, a stream beside it was cut after 23 of 600 tokens. None of these ever looked complete to its own caller.

Cause: a 404 to the agent's attempt to resume a stream was taken for a restart of the engine. The agent tells its core `Forgotten` now: only this run is lost if another one has had tokens since it broke, which a restarted engine can't give; else all are, with the evidence of a crash, as before.

Before: event_that_is_none_, end_without_a_reason_, answer_that_ends_within_an_event_ and answer_that_ends_before_an_event_leaves_the_streams_beside_it failed. After: processes_trouble passes, 8 of 8, processes_streams, 23 of 23, processes_hostile, 29 of 29, and fleet, poison, point1_tokens, agent_parts and software_version of the core.

--- a/fireflycroft/src/agent.rs
+++ b/fireflycroft/src/agent.rs
@@ -137,6 +137,11 @@
         /// The generation.
         generation: GenerationId,
     },
+    /// The upstream answers, but does not know the broken stream.
+    Forgotten {
+        /// The generation.
+        generation: GenerationId,
+    },
     /// The upstream does not answer; its generations are lost.
     UpstreamDown,
     /// The upstream answers.
@@ -273,6 +278,7 @@
             }
             AgentEvent::Broken { generation } => self.on_broken(now, generation, out),
             AgentEvent::Lost { generation } => self.on_lost(now, generation, out),
+            AgentEvent::Forgotten { generation } => self.on_forgotten(now, generation, out),
             AgentEvent::UpstreamDown => self.on_upstream_down(now, out),
             AgentEvent::UpstreamUp => self.upstream_up = true,
             AgentEvent::Report(report) => self.admission.record_report(report),
--- a/fireflycroft/src/agent_generations.rs
+++ b/fireflycroft/src/agent_generations.rs
@@ -188,6 +188,7 @@
             return;
         }
         g.resume_count += 1;
+        g.broken_at = now;
         let from = g.log.end();
         out.push(AgentAction::Resume {
             generation: id,
@@ -200,6 +201,23 @@
         self.finish_with_code(now, id, Code::UpstreamFailed, "upstream failed", out);
     }
 
+    /// Ends a generation that its upstream no longer knows; all of them, as after a crash, unless another has had
+    /// tokens since this one broke.
+    pub(crate) fn on_forgotten(&mut self, now: Time, id: GenerationId, out: &mut Vec<AgentAction>) {
+        let running = self.find(id).filter(|g| g.is_running());
+        let Some(broken_at) = running.map(|g| g.broken_at) else {
+            return;
+        };
+        let goes_on =
+            |g: &Generation| g.is_running() && g.log.end() > 0 && g.last_output > broken_at;
+        if self.generations.values().any(goes_on) {
+            self.on_lost(now, id, out);
+        } else {
+            self.on_upstream_down(now, out);
+            self.upstream_up = true;
+        }
+    }
+
     /// Records the crash for every running generation, and ends them.
     pub(crate) fn on_upstream_down(&mut self, now: Time, out: &mut Vec<AgentAction>) {
         self.upstream_up = false;
--- a/fireflycroft/src/agent_reservations.rs
+++ b/fireflycroft/src/agent_reservations.rs
@@ -167,6 +167,7 @@
             end_delivered: false,
             unread_since: None,
             resume_count: 0,
+            broken_at: Time::default(),
             software_version: None,
             last_output: now,
         };
--- a/fireflycroft/src/generation.rs
+++ b/fireflycroft/src/generation.rs
@@ -71,6 +71,8 @@
     pub(crate) unread_since: Option<Time>,
     /// Number of times the upstream stream was resumed.
     pub(crate) resume_count: u32,
+    /// Time of the last break of the upstream stream; zero before the first.
+    pub(crate) broken_at: Time,
     /// Software version of the upstream that began the tokens, if it is known.
     pub(crate) software_version: Option<Name>,
     /// Time of the upstream's last output; the start before the first one.
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -114,9 +114,7 @@
                 status: STATUS_NOT_FOUND,
                 ..
             }) => {
-                // The engine answers but doesn't know the stream: it has restarted.
-                send(tx, AgentEvent::UpstreamDown).await;
-                send(tx, AgentEvent::UpstreamUp).await;
+                send(tx, AgentEvent::Forgotten { generation }).await;
             }
             Err(UpstreamError::Broken(_) | UpstreamError::NoAnswer(_)) => {
                 send(tx, AgentEvent::Broken { generation }).await
--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -11,6 +11,8 @@
 
 /// Request of a run at an engine.
 const RUN: &str = "POST /v1/chat/completions";
+/// Head of an answer whose body ends with its connection.
+const OPENED: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
 /// Request of a call that may not be repeated.
 const FILE: &str = "POST /file";
 
@@ -18,7 +20,11 @@
     odd_statuses_of_an_engine => odd_statuses(RUN, chat);
     odd_statuses_of_a_plain_service => odd_statuses("GET /records", read);
     odd_statuses_of_a_call_that_may_not_be_repeated => odd_statuses(FILE, file);
-    odd_status_leaves_the_streams_beside_it => odd_status_beside();
+    odd_status_leaves_the_streams_beside_it => beside("HTTP/1.1 000 Odd\r\n\r\n", "");
+    event_that_is_none_leaves_the_streams_beside_it => beside(OPENED, "data: {oops\n\n");
+    end_without_a_reason_leaves_the_streams_beside_it => beside(OPENED, "data: [DONE]\n\n");
+    answer_that_ends_within_an_event_leaves_the_streams_beside_it => beside(OPENED, "data: {\"cho");
+    answer_that_ends_before_an_event_leaves_the_streams_beside_it => beside(OPENED, "");
 }
 
 /// A fleet whose upstreams stand behind doors.
@@ -145,8 +151,8 @@
     }
 }
 
-/// A stream that runs on the same engine meanwhile goes on.
-async fn odd_status_beside() {
+/// A request gets these bytes, then the end of the connection; a stream on the same engine goes on.
+async fn beside(head: &str, body: &str) {
     let doors = Doors::open(Trouble {
         to: "none",
         ..Trouble::default()
@@ -159,7 +165,7 @@
     assert!(session.read_until_tokens(5).await);
     doors.set(&Trouble {
         to: RUN,
-        first: b"HTTP/1.1 000 Odd\r\n\r\n".to_vec(),
+        first: format!("{head}{body}").into_bytes(),
         ..Trouble::default()
     });
     let res = chat(&doors.fleet, "odd").send().await.unwrap();
