Bound the memory of answers that an agent is reading

Callers saw nothing until the agent was ended for want of memory: bodies that go on until their caller closes took 307 MB of a VM with 64 MB at 40 calls of a plain service, and events without an end 75 MB at 40 streams of an engine.

Cause: each answer had a bound of its own (8 MiB, 1 MiB for an event), all together had none. Class: bounds per exchange without one for the process, as with callers that keep to no limit. What an agent reads comes out of a quarter of its VM's memory now, given back when the answer has been handed on. At the default of 1,024 MB 32 answers of the largest size are read at once, as far as their buffers are grown by doubling.

Ruled out by tests that passed before, too: bytes without an end in or before a head, headers, chunk extensions, trailers, bodies of errors that come fast, a body that trickles (closed by the time limit of a call). Each caller gets 502 or 503, all connections are closed, and the next caller is served.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -153,6 +153,11 @@
         tokens.into_iter().chain(last).collect()
     }
 
+    /// Returns the memory of its buffer in bytes.
+    pub(crate) fn buffered(&self) -> usize {
+        self.sse.capacity()
+    }
+
     /// Returns the last event when the connection ends; `None` if it was returned before.
     pub fn end(&mut self, cause: impl Into<String>) -> Option<EngineEvent> {
         if self.ended {
--- a/fireflyd/src/flags.rs
+++ b/fireflyd/src/flags.rs
@@ -129,7 +129,7 @@
     flag_or(
         "memory-mb",
         "1024",
-        "Megabytes of memory of the VM; half of it is for what callers send and don't read, a sixteenth for answers kept (agent)",
+        "Megabytes of memory of the VM; half of it is for what callers send and don't read, a sixteenth for answers kept and a quarter for answers being read (agent)",
     ),
     flag_or(
         "max-fds",
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod platform;
 pub mod port_file;
 pub mod process;
+mod read_memory;
 pub mod request;
 pub mod runner;
 mod service;
--- a/fireflyd/src/plain_client.rs
+++ b/fireflyd/src/plain_client.rs
@@ -8,7 +8,7 @@
 use reqwest::{Method, Response, Url};
 
 use crate::upstream::{
-    HOP_BY_HOP, Result, UpstreamError, base_url, http_client, never_sent, read_body,
+    HOP_BY_HOP, ReadMemory, Result, UpstreamError, base_url, http_client, never_sent, read_body,
     transport_error,
 };
 
@@ -33,6 +33,7 @@
     base: Url,
     timeout: Duration,
     max_response_bytes: usize,
+    memory: ReadMemory,
 }
 
 impl PlainClient {
@@ -48,9 +49,16 @@
             base: base_url(base)?,
             timeout,
             max_response_bytes,
+            memory: ReadMemory::default(),
         })
     }
 
+    /// Reads answers within `memory`.
+    #[must_use]
+    pub fn with_memory(self, memory: ReadMemory) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Makes a call; `path` may include a query.
     ///
     /// Headers of the caller's own connection, such as `host`, are omitted.
@@ -107,7 +115,7 @@
         Ok(PlainResponse {
             status,
             content_type,
-            body: read_body(res, self.max_response_bytes).await?.into(),
+            body: read_body(res, self.max_response_bytes, &self.memory).await?,
         })
     }
 }
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -31,7 +31,7 @@
 use crate::runner::Runner;
 use crate::settings::{AgentSettings, EntrySettings, RoleSettings, Settings, UpstreamKind};
 use crate::status::Status;
-use crate::upstream::{EngineClient, PlainClient};
+use crate::upstream::{EngineClient, PlainClient, ReadMemory};
 
 /// Capacity of the queues of calls and inputs of an event loop.
 const QUEUE_CAPACITY: usize = 16 * 1024;
@@ -262,15 +262,19 @@
 
 fn open_runner(settings: &Settings, agent: &AgentSettings) -> anyhow::Result<Runner> {
     let timeouts = settings.timeouts;
+    let memory = ReadMemory::for_vm(settings.vm.memory);
     Ok(match agent.kind {
-        UpstreamKind::Engine => {
-            Runner::Engine(EngineClient::new(&agent.upstream, timeouts.upstream)?)
-        }
-        UpstreamKind::Plain => Runner::Plain(PlainClient::new(
-            &agent.upstream,
-            timeouts.plain_call,
-            MAX_PLAIN_RESPONSE_BYTES,
-        )?),
+        UpstreamKind::Engine => Runner::Engine(
+            EngineClient::new(&agent.upstream, timeouts.upstream)?.with_memory(memory),
+        ),
+        UpstreamKind::Plain => Runner::Plain(
+            PlainClient::new(
+                &agent.upstream,
+                timeouts.plain_call,
+                MAX_PLAIN_RESPONSE_BYTES,
+            )?
+            .with_memory(memory),
+        ),
     })
 }
 
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -117,7 +117,7 @@
                 send(tx, AgentEvent::Forgotten { generation }).await;
             }
             Err(UpstreamError::Broken(_) | UpstreamError::NoAnswer(_)) => {
-                send(tx, AgentEvent::Broken { generation }).await
+                send(tx, AgentEvent::Broken { generation }).await;
             }
             Err(UpstreamError::Answered { .. } | UpstreamError::Unusable(_)) => {
                 send(tx, AgentEvent::Lost { generation }).await;
--- a/fireflyd/src/sse.rs
+++ b/fireflyd/src/sse.rs
@@ -86,6 +86,11 @@
         self.buf.extend_from_slice(chunk);
     }
 
+    /// Returns the memory of the buffer in bytes.
+    pub(crate) fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Returns the next complete event, if there is one.
     ///
     /// # Errors
--- a/fireflyd/src/upstream.rs
+++ b/fireflyd/src/upstream.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
 use reqwest::header::RETRY_AFTER;
@@ -19,6 +20,8 @@
 
 pub use crate::engine_messages::*;
 pub use crate::plain_client::*;
+pub use crate::read_memory::ReadMemory;
+use crate::read_memory::{HeldBytes, Reserved};
 
 /// Default timeout of a short call.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -90,6 +93,7 @@
     http: reqwest::Client,
     base: Url,
     timeout: Duration,
+    memory: ReadMemory,
 }
 
 impl EngineClient {
@@ -104,9 +108,16 @@
             http: http_client(timeout)?,
             base: base_url(base)?,
             timeout,
+            memory: ReadMemory::default(),
         })
     }
 
+    /// Reads answers within `memory`.
+    #[must_use]
+    pub fn with_memory(self, memory: ReadMemory) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Starts a generation and returns its events; the wait for the response head has no timeout.
     ///
     /// # Errors
@@ -128,7 +139,7 @@
         if let Some(id) = &req.request_id {
             call = call.header(REQUEST_ID, &**id);
         }
-        Ok(events(send(call).await?))
+        Ok(events(send(call).await?, &self.memory))
     }
 
     /// Resumes the stream of a generation at token `from`.
@@ -139,7 +150,7 @@
     pub async fn resume(&self, stream_id: &str, from: u64) -> Result<EngineStream> {
         let mut url = self.url(&["v1", "streams", stream_id])?;
         url.query_pairs_mut().append_pair("from", &from.to_string());
-        Ok(events(send(self.http.get(url)).await?))
+        Ok(events(send(self.http.get(url)).await?, &self.memory))
     }
 
     /// Cancels a generation.
@@ -172,7 +183,7 @@
             .append_pair("since", &since.to_string())
             .append_pair("timeout_ms", &wait.as_millis().to_string());
         let call = self.http.get(url).timeout(wait + EVENTS_MARGIN);
-        parse(&read_body(send(call).await?, MAX_REPORT_BYTES).await?)
+        parse(&read_body(send(call).await?, MAX_REPORT_BYTES, &self.memory).await?)
     }
 
     /// Sends an order.
@@ -232,7 +243,14 @@
     }
 
     async fn report<T: DeserializeOwned>(&self, call: RequestBuilder) -> Result<T> {
-        parse(&read_body(send(self.with_timeout(call)).await?, MAX_REPORT_BYTES).await?)
+        parse(
+            &read_body(
+                send(self.with_timeout(call)).await?,
+                MAX_REPORT_BYTES,
+                &self.memory,
+            )
+            .await?,
+        )
     }
 }
 
@@ -314,7 +332,12 @@
     String::from_utf8_lossy(&buf).into_owned()
 }
 
-pub(crate) async fn read_body(mut res: Response, limit: usize) -> Result<Vec<u8>> {
+pub(crate) async fn read_body(
+    mut res: Response,
+    limit: usize,
+    memory: &ReadMemory,
+) -> Result<Bytes> {
+    let mut reserved = memory.reserve();
     let mut buf = Vec::new();
     // The response has started, so an error can no longer mean that the call was never sent.
     let to_broken = |e: reqwest::Error| UpstreamError::Broken(e.to_string());
@@ -323,8 +346,12 @@
             return Err(UpstreamError::Unusable(format!("over {limit} bytes")));
         }
         buf.extend_from_slice(&chunk);
+        if !reserved.grow_to(buf.capacity()) {
+            let reason = format!("no memory for over {} bytes", buf.len());
+            return Err(UpstreamError::Unusable(reason));
+        }
     }
-    Ok(buf)
+    Ok(Bytes::from_owner(HeldBytes::new(buf, reserved)))
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
@@ -336,9 +363,10 @@
     res: Response,
     decoder: Decoder,
     pending: VecDeque<EngineEvent>,
+    reserved: Reserved,
 }
 
-fn events(res: Response) -> EngineStream {
+fn events(res: Response, memory: &ReadMemory) -> EngineStream {
     let version = res.headers().get(SOFTWARE_VERSION);
     let version = version
         .and_then(|v| v.to_str().ok())
@@ -350,6 +378,7 @@
         res,
         decoder: Decoder::default(),
         pending: VecDeque::from([opened]),
+        reserved: memory.reserve(),
     };
     let events = stream::unfold(open, |mut open| async move {
         let event = open.next().await?;
@@ -368,7 +397,13 @@
                 return None;
             }
             match self.res.chunk().await {
-                Ok(Some(chunk)) => self.pending.extend(self.decoder.feed(&chunk)),
+                Ok(Some(chunk)) => {
+                    self.pending.extend(self.decoder.feed(&chunk));
+                    if !self.reserved.grow_to(self.decoder.buffered()) {
+                        self.pending
+                            .extend(self.decoder.end("no memory for an event"));
+                    }
+                }
                 Ok(None) => return self.decoder.end("closed before the end"),
                 Err(e) => return self.decoder.end(e.to_string()),
             }
--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -3,22 +3,48 @@
 
 mod support;
 
+use std::time::Duration;
+
+use futures_util::future::join_all;
 use reqwest::{RequestBuilder, Response};
 use serde_json::{Value, json};
 use standins::caller::Request;
+use standins::crowd::Watch;
 use standins::trouble::{Door, Trouble};
-use support::{COUNTER, DOSSIERS, Fleet, GRADES, Spec};
+use support::{COUNTER, DOSSIERS, Fleet, GRADES, Spec, WAIT_TIMEOUT, until};
 
 /// Request of a run at an engine.
 const RUN: &str = "POST /v1/chat/completions";
 /// Head of an answer whose body ends with its connection.
 const OPENED: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+/// Heads of answers in chunks, up to an extension and up to a trailer.
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
+const TRAILER: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+/// Bytes written at once of those without an end.
+const PIECE_BYTES: usize = 64 << 10;
+/// Memory of the VM in MB, and the calls that meet bytes without an end at once.
+const MEMORY_MB: u64 = 64;
+const CROWD: usize = 40;
+/// Request of a read.
+const READ: &str = "GET /records";
 /// Request of a call that may not be repeated.
 const FILE: &str = "POST /file";
 
 crate::cases! {
+    bytes_without_end_in_a_head_of_an_engine => without_end(RUN, chat, "HTTP/1.1 200 OK\r\nx: ", "h");
+    bytes_without_end_for_a_head_of_an_engine => without_end(RUN, chat, "", "\u{1}");
+    headers_without_end_of_an_engine => without_end(RUN, chat, "HTTP/1.1 200 OK\r\n", "x: h\r\n");
+    event_without_end_of_an_engine => without_end(RUN, chat, OPENED, "data: d");
+    error_without_end_of_an_engine => without_end(RUN, chat, "HTTP/1.1 500 Odd\r\n\r\n", "e");
+    chunk_extension_without_end_of_an_engine => without_end(RUN, chat, CHUNKED, "e");
+    trailer_without_end_of_an_engine => without_end(RUN, chat, TRAILER, "x: t\r\n");
+    bytes_without_end_in_a_head_of_a_plain_service => without_end(READ, read, "HTTP/1.1 200 OK\r\nx: ", "h");
+    bytes_without_end_in_a_body_of_a_plain_service => without_end(READ, read, "HTTP/1.1 200 OK\r\n\r\n", "b");
+    chunk_extension_without_end_of_a_plain_service => without_end(READ, read, CHUNKED, "e");
+    trailer_without_end_of_a_plain_service => without_end(READ, read, TRAILER, "x: t\r\n");
+    body_that_trickles_from_a_plain_service => trickle(READ, read, "HTTP/1.1 200 OK\r\n\r\n");
     odd_statuses_of_an_engine => odd_statuses(RUN, chat);
-    odd_statuses_of_a_plain_service => odd_statuses("GET /records", read);
+    odd_statuses_of_a_plain_service => odd_statuses(READ, read);
     odd_statuses_of_a_call_that_may_not_be_repeated => odd_statuses(FILE, file);
     odd_status_leaves_the_streams_beside_it => beside("HTTP/1.1 000 Odd\r\n\r\n", "");
     event_that_is_none_leaves_the_streams_beside_it => beside(OPENED, "data: {oops\n\n");
@@ -40,6 +66,7 @@
             engines: 1,
             entries: 1,
             plain: true,
+            daemon_flags: vec!["--plain-timeout-ms", "3000"],
             daemon_env: vec![("FIREFLYD_MEMORY_MB", "64")],
             ..Spec::default()
         })
@@ -174,3 +201,103 @@
     assert!(got.is_complete(), "{got:?}");
     doors.fleet.assert_guarantees(&[got]);
 }
+
+/// Many callers meet bytes that go on until the agent closes: it stays within its memory, each gets an error, and others are
+/// served beside them.
+async fn without_end(
+    to: &'static str,
+    call: fn(&Fleet, &str) -> RequestBuilder,
+    first: &str,
+    piece: &str,
+) {
+    let mut doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    let watches: Vec<Watch> = doors
+        .fleet
+        .nodes()
+        .map(|n| Watch::start(n.process.id()))
+        .collect();
+    let pieces = piece.repeat(PIECE_BYTES / piece.len());
+    doors.set(&Trouble {
+        to,
+        first: first.into(),
+        piece: pieces.into(),
+        ..Trouble::default()
+    });
+    let calls: Vec<_> = (0..CROWD)
+        .map(|n| {
+            call(&doors.fleet, &format!("m{n}"))
+                .timeout(WAIT_TIMEOUT)
+                .send()
+        })
+        .collect();
+    let answers = join_all(calls).await;
+    doors.set(&Trouble {
+        to: "none",
+        ..Trouble::default()
+    });
+    for answer in answers {
+        let res = answer.unwrap();
+        assert!(matches!(res.status().as_u16(), 502 | 503), "{res:?}");
+    }
+    assert_served_after(&mut doors, call).await;
+    for watch in watches {
+        let peak = watch.end().unwrap().memory;
+        println!("{} KB of {MEMORY_MB} MB", peak >> 10);
+        assert!(
+            peak < MEMORY_MB * 1_000_000,
+            "{} KB of {MEMORY_MB} MB",
+            peak >> 10
+        );
+    }
+}
+
+/// Bytes that come too slowly to reach a bound end by the time limit of the call.
+async fn trickle(to: &'static str, call: fn(&Fleet, &str) -> RequestBuilder, first: &str) {
+    let mut doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    doors.set(&Trouble {
+        to,
+        first: first.into(),
+        piece: b"t".into(),
+        pause: Duration::from_millis(50),
+    });
+    let res = call(&doors.fleet, "m")
+        .timeout(WAIT_TIMEOUT)
+        .send()
+        .await
+        .unwrap();
+    assert_own_error(res, "trickling").await;
+    doors.set(&Trouble {
+        to: "none",
+        ..Trouble::default()
+    });
+    assert_served_after(&mut doors, call).await;
+}
+
+/// Fails unless the next caller is served, every answer in trouble has been closed, and the daemons live.
+async fn assert_served_after(doors: &mut Doors, call: fn(&Fleet, &str) -> RequestBuilder) {
+    until("the next caller is served", || async {
+        let res = call(&doors.fleet, "after").send().await;
+        res.is_ok_and(|r| r.status() == 200)
+    })
+    .await;
+    for door in [&doors.engine, &doors.plain] {
+        until("connections are closed", || {
+            std::future::ready(door.ended() == door.begun())
+        })
+        .await;
+    }
+    let mut nodes = doors
+        .fleet
+        .entries
+        .iter_mut()
+        .chain(&mut doors.fleet.agents);
+    assert!(nodes.all(|n| n.process.is_alive()));
+}
