Answer an engine's error without waiting for the end of its body

A caller whose engine answered with an error, 503 with a time to come back among them, and then sent its body slowly or not at all waited with it for as long as a run may be silent, 10 minutes. The first 4 KiB of the body are kept for the log, and their reading had no time limit. They have a second now; the connection is closed then.

Before: error_that_trickles_from_an_engine failed, no answer within 30 s. After: it passes, with 502, as error_without_end_of_an_engine and body_that_trickles_from_a_plain_service did before, too.

--- a/fireflyd/src/upstream.rs
+++ b/fireflyd/src/upstream.rs
@@ -27,6 +27,8 @@
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of bytes kept of an error response's body.
 const MAX_ERROR_BODY_BYTES: usize = 4096;
+/// Time in which it must arrive.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of an engine's response to a short call in bytes.
 const MAX_REPORT_BYTES: usize = 8 << 20;
 /// Extra time for an events call beyond its requested wait.
@@ -319,15 +321,19 @@
     })
 }
 
-/// Reads the start of an error response's body, as far as it is received.
+/// Reads the start of an error response's body, as far as it is received in time.
 async fn read_body_prefix(mut res: Response) -> String {
     let mut buf = Vec::new();
-    while buf.len() < MAX_ERROR_BODY_BYTES {
-        let Ok(Some(chunk)) = res.chunk().await else {
-            break;
-        };
-        buf.extend_from_slice(&chunk);
-    }
+    let read = async {
+        while buf.len() < MAX_ERROR_BODY_BYTES {
+            let Ok(Some(chunk)) = res.chunk().await else {
+                break;
+            };
+            buf.extend_from_slice(&chunk);
+        }
+    };
+    // What came until then tells enough.
+    let _ = tokio::time::timeout(ERROR_BODY_TIMEOUT, read).await;
     buf.truncate(MAX_ERROR_BODY_BYTES);
     String::from_utf8_lossy(&buf).into_owned()
 }
--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -42,6 +42,7 @@
     bytes_without_end_in_a_body_of_a_plain_service => without_end(READ, read, "HTTP/1.1 200 OK\r\n\r\n", "b");
     chunk_extension_without_end_of_a_plain_service => without_end(READ, read, CHUNKED, "e");
     trailer_without_end_of_a_plain_service => without_end(READ, read, TRAILER, "x: t\r\n");
+    error_that_trickles_from_an_engine => trickle(RUN, chat, "HTTP/1.1 500 Odd\r\n\r\n");
     body_that_trickles_from_a_plain_service => trickle(READ, read, "HTTP/1.1 200 OK\r\n\r\n");
     odd_statuses_of_an_engine => odd_statuses(RUN, chat);
     odd_statuses_of_a_plain_service => odd_statuses(READ, read);
