End a stream of bytes that holds no token

An engine that sends comments without an end kept its callers waiting for as long as a run may be silent, 10 minutes, and its agent busy with them: the bound on an event doesn't hold for many short ones. A stream that brings over 2 MiB without a token, twice the longest event, breaks now; it is resumed, then lost, as one whose event has no end.

Left: bytes that trickle without a token, and interim responses (1xx) without an end, which the HTTP library skips, end at those 10 minutes.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -6,8 +6,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::sse::{SseEvent, SseReader};
+use crate::sse::{MAX_EVENT_BYTES, SseEvent, SseReader};
 
+/// Most bytes between two tokens, such as comments; the largest event is half as long.
+const MAX_IDLE_BYTES: usize = 2 * MAX_EVENT_BYTES;
 /// Data of the last event of a stream.
 const DONE: &[u8] = b"[DONE]";
 
@@ -136,6 +138,8 @@
     sse: SseReader,
     reason: Option<FinishReason>,
     usage: Usage,
+    /// Bytes since the last token.
+    idle_bytes: usize,
     pub(crate) ended: bool,
 }
 
@@ -148,11 +152,24 @@
         self.sse.push(chunk);
         let mut tokens = Vec::new();
         let last = self.decode_available(&mut tokens);
+        self.idle_bytes = if tokens.is_empty() {
+            self.idle_bytes + chunk.len()
+        } else {
+            0
+        };
+        let last = last.or_else(|| self.too_idle());
         self.ended = last.is_some();
         let tokens = (!tokens.is_empty()).then_some(EngineEvent::Tokens(tokens));
         tokens.into_iter().chain(last).collect()
     }
 
+    /// Ends a stream of many bytes without a token.
+    fn too_idle(&self) -> Option<EngineEvent> {
+        (self.idle_bytes > MAX_IDLE_BYTES).then(|| EngineEvent::Broken {
+            cause: format!("no token in {MAX_IDLE_BYTES} bytes"),
+        })
+    }
+
     /// Returns the memory of its buffer in bytes.
     pub(crate) fn buffered(&self) -> usize {
         self.sse.capacity()
--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -35,6 +35,7 @@
     bytes_without_end_for_a_head_of_an_engine => without_end(RUN, chat, "", "\u{1}");
     headers_without_end_of_an_engine => without_end(RUN, chat, "HTTP/1.1 200 OK\r\n", "x: h\r\n");
     event_without_end_of_an_engine => without_end(RUN, chat, OPENED, "data: d");
+    comments_without_end_of_an_engine => without_end(RUN, chat, OPENED, ": c\n\n");
     error_without_end_of_an_engine => without_end(RUN, chat, "HTTP/1.1 500 Odd\r\n\r\n", "e");
     chunk_extension_without_end_of_an_engine => without_end(RUN, chat, CHUNKED, "e");
     trailer_without_end_of_an_engine => without_end(RUN, chat, TRAILER, "x: t\r\n");
