Tell callers who come after an entry's last work when to come back

A request that came when the grace was over and the last call had ended, while the entry still wrote answers out, on a kept connection or with a body that arrived slowly, was refused as not run (503, 2013), but without Retry-After.

The entry's loop has ended then, and the front end's own refusal lacked the delay. It is a second now, as another entry serves it.

--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -33,6 +33,9 @@
 /// Tokens consumed by a caller between two reports to the entry.
 const CONSUMED_STEP_TOKENS: u64 = 128;
 
+/// Delay told to callers that come once the entry has ended its work; other entries take theirs.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Input of the entry's loop from the HTTP server.
 #[derive(Debug)]
 pub enum FrontendEvent {
@@ -133,7 +136,10 @@
     ) -> Result<OpenCall, Failure> {
         let id = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = mpsc::unbounded_channel();
-        let stopped = |_| Failure::of(Code::Leaving);
+        let stopped = |_| Failure {
+            retry_after: Some(STOPPED_RETRY_AFTER),
+            ..Failure::of(Code::Leaving)
+        };
         self.tx
             .send(FrontendEvent::Open(id, tx))
             .await
