--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -8,6 +8,7 @@
 //! takes tens of milliseconds and would delay streams, and on one thread the
 //! allocator reuses the memory of the previous version.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -16,7 +17,7 @@
 
 use fireflycroft::{
     CompleteConfig, Config, ConfigBundle, ConfigFault, ConfigTransfer, ConfigVersion, Digest,
-    HEAD_KIND, HEAD_NAME, Head, Message, PART_KIND, Part, Progress, ReceivedPart,
+    HEAD_KIND, HEAD_NAME, Head, Message, PART_KIND, Part, PartName, Progress, ReceivedPart,
 };
 use tokio::sync::watch;
 
@@ -132,6 +133,7 @@
     pub async fn follow(self, platform: PlatformClient) {
         let mut delay = MIN_RETRY_DELAY;
         let mut last_revision = None;
+        let mut watched = None;
         loop {
             match self.poll(&platform).await {
                 Ok(revision) => {
@@ -139,8 +141,11 @@
                     if last_revision.replace(revision) == Some(revision) {
                         // A stale read: a watch from this revision would return at once.
                         tokio::time::sleep(MIN_RETRY_DELAY).await;
+                    } else {
+                        watched = None;
                     }
-                    self.wait_for_next_poll(&platform, revision).await;
+                    let since = watched.unwrap_or(revision);
+                    watched = self.wait_for_next_poll(&platform, since).await;
                 }
                 Err(e) => {
                     log::warn!(event = "config_read_failed", cause:% = e; "");
@@ -151,21 +156,28 @@
         }
     }
 
-    /// Waits for the next read: on a watch if this member is a watcher,
-    /// otherwise for a fixed time.
-    async fn wait_for_next_poll(&self, platform: &PlatformClient, revision: u64) {
+    /// Waits until the next read: on a watch from `since` if this member is a watcher,
+    /// otherwise for a fixed time. Returns the revision up to which the head is known to be unchanged.
+    async fn wait_for_next_poll(&self, platform: &PlatformClient, since: u64) -> Option<u64> {
         if self.watching.load(Ordering::Relaxed) {
-            if let Err(e) = platform.watch(HEAD_KIND, revision, WATCH_TIMEOUT).await {
-                log::warn!(event = "config_watch_failed", cause:% = e; "");
-                tokio::time::sleep(MIN_RETRY_DELAY).await;
-            }
-            return;
+            return match platform.watch(HEAD_KIND, since, WATCH_TIMEOUT).await {
+                Ok(seen) => {
+                    let changed = seen.changes.iter().any(|c| &*c.name == HEAD_NAME);
+                    (!changed).then_some(seen.revision)
+                }
+                Err(e) => {
+                    log::warn!(event = "config_watch_failed", cause:% = e; "");
+                    tokio::time::sleep(MIN_RETRY_DELAY).await;
+                    None
+                }
+            };
         }
         let mut waited = Duration::ZERO;
         while waited < POLL_INTERVAL && !self.watching.load(Ordering::Relaxed) {
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             waited += ROLE_CHECK_INTERVAL;
         }
+        None
     }
 
     /// Reads the head and any new parts; returns the revision to watch from.
@@ -175,34 +187,41 @@
             Err(PlatformError::NotFound) => return Ok(0),
             Err(e) => return Err(e),
         };
-        let head: Head = serde_json::from_value(object.value)
-            .map_err(|e| PlatformError::Invalid(format!("configuration head: {e}")))?;
-        if head.config_version() > self.transfer().version() {
-            self.fetch(platform, head).await?;
+        let revision = object.version;
+        let unreadable = |cause: &dyn Display| {
+            let head = format!("{HEAD_KIND}/{HEAD_NAME} at revision {revision}: {cause}");
+            PlatformError::Invalid(head)
+        };
+        let head: Head = serde_json::from_value(object.value).map_err(|e| unreadable(&e))?;
+        let was = self.transfer().version();
+        let version = head.config_version();
+        if version > was {
+            let parts = self.fetch(platform, &head).await?;
+            let installed = self.transfer().install(head, parts);
+            if let Some(complete) = installed.map_err(|e| unreadable(&e))? {
+                log::info!(event = "config_adopted", source = "platform", version = version.0, was = was.0, revision = revision; "");
+                self.submit(complete);
+            }
         }
-        Ok(object.version)
+        Ok(revision)
     }
 
-    async fn fetch(&self, platform: &PlatformClient, head: Head) -> Result<(), PlatformError> {
+    /// Reads the parts that `head` lists.
+    async fn fetch(
+        &self,
+        platform: &PlatformClient,
+        head: &Head,
+    ) -> Result<Vec<Part>, PlatformError> {
         let mut parts = Vec::with_capacity(head.parts.len());
         for name in &head.parts {
             let cached = self.transfer().part(name).cloned();
-            if let Some(part) = cached {
-                parts.push(part);
-                continue;
-            }
-            let object = platform.get(PART_KIND, &name.to_string()).await?;
-            let part = Part::from_value(*name, &object.value)
-                .map_err(|e| PlatformError::Invalid(format!("configuration part: {e}")))?;
+            let part = match cached {
+                Some(part) => part,
+                None => read_part(platform, *name).await?,
+            };
             parts.push(part);
         }
-        let installed = self.transfer().install(head, parts);
-        match installed {
-            Ok(Some(complete)) => self.submit(complete),
-            Ok(None) => {}
-            Err(e) => return Err(PlatformError::Invalid(format!("configuration: {e}"))),
-        }
-        Ok(())
+        Ok(parts)
     }
 
     fn submit(&self, complete: CompleteConfig) {
@@ -234,6 +253,20 @@
     }
 }
 
+async fn read_part(platform: &PlatformClient, name: PartName) -> Result<Part, PlatformError> {
+    let unreadable = |revision: u64, cause: &dyn Display| {
+        let part = format!("{PART_KIND}/{name} at revision {revision}: {cause}");
+        PlatformError::Invalid(part)
+    };
+    match platform.get(PART_KIND, &name.to_string()).await {
+        Ok(object) => {
+            Part::from_value(name, &object.value).map_err(|e| unreadable(object.version, &e))
+        }
+        Err(PlatformError::NotFound) => Err(unreadable(0, &PlatformError::NotFound)),
+        Err(e) => Err(e),
+    }
+}
+
 /// Compiles queued versions and publishes them to `tx` until the feed is dropped.
 fn compile_all(queue: &Receiver<CompleteConfig>, tx: &watch::Sender<Option<Arc<Config>>>) {
     while let Ok(next) = queue.recv() {
--- a/fireflyd/src/plain_client.rs
+++ b/fireflyd/src/plain_client.rs
@@ -1,5 +1,6 @@
 //! Client of a plain service beside an agent.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,10 +8,14 @@
 use reqwest::{Method, Response, Url};
 
 use crate::upstream::{
-    HOP_BY_HOP, Result, base_url, http_client, never_sent, read_body, transport_error,
+    HOP_BY_HOP, ReadMemory, Result, UpstreamError, base_url, http_client, never_sent, read_body,
+    transport_error,
 };
 
-/// Response of a plain service, with any status.
+/// Statuses with which a response ends a call.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Response of a plain service, with any final status.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlainResponse {
     /// HTTP status.
@@ -28,6 +33,7 @@
     base: Url,
     timeout: Duration,
     max_response_bytes: usize,
+    memory: ReadMemory,
 }
 
 impl PlainClient {
@@ -43,16 +49,23 @@
             base: base_url(base)?,
             timeout,
             max_response_bytes,
+            memory: ReadMemory::default(),
         })
     }
 
+    /// Reads answers within `memory`.
+    #[must_use]
+    pub fn with_memory(self, memory: ReadMemory) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Makes a call; `path` may include a query.
     ///
     /// Headers of the caller's own connection, such as `host`, are omitted.
     ///
     /// # Errors
     ///
-    /// Returns `NeverSent`, `Broken` or `Unusable`; an HTTP error status is a response.
+    /// Returns `NeverSent`, `Broken`, `NoAnswer` or `Unusable`; an HTTP error status is a response.
     pub async fn call(
         &self,
         method: &str,
@@ -90,15 +103,19 @@
     }
 
     async fn read_response(&self, res: Response) -> Result<PlainResponse> {
+        let status = res.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(UpstreamError::NoAnswer(format!("status {status}")));
+        }
         let content_type = res
             .headers()
             .get(CONTENT_TYPE)
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
         Ok(PlainResponse {
-            status: res.status().as_u16(),
+            status,
             content_type,
-            body: read_body(res, self.max_response_bytes).await?.into(),
+            body: read_body(res, self.max_response_bytes, &self.memory).await?,
         })
     }
 }
--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -114,11 +114,11 @@
                 status: STATUS_NOT_FOUND,
                 ..
             }) => {
-                // The engine answers but doesn't know the stream: it has restarted.
-                send(tx, AgentEvent::UpstreamDown).await;
-                send(tx, AgentEvent::UpstreamUp).await;
+                send(tx, AgentEvent::Forgotten { generation }).await;
+            }
+            Err(UpstreamError::Broken(_) | UpstreamError::NoAnswer(_)) => {
+                send(tx, AgentEvent::Broken { generation }).await;
             }
-            Err(UpstreamError::Broken(_)) => send(tx, AgentEvent::Broken { generation }).await,
             Err(UpstreamError::Answered { .. } | UpstreamError::Unusable(_)) => {
                 send(tx, AgentEvent::Lost { generation }).await;
             }
@@ -294,6 +294,7 @@
             _ => return AgentEvent::Lost { generation },
         },
         UpstreamError::Broken(_) => return AgentEvent::Broken { generation },
+        UpstreamError::NoAnswer(_) => return AgentEvent::Lost { generation },
         UpstreamError::Unusable(_) => Code::UpstreamRefused,
     };
     AgentEvent::NotStarted { generation, code }
@@ -310,6 +311,14 @@
                 generation,
                 tokens: tokens.into_iter().map(|t| t.text.into_bytes()).collect(),
             },
+            EngineEvent::Finished {
+                reason: FinishReason::Cancelled,
+                ..
+            } => {
+                // A run that is cancelled on an order from here is no longer read.
+                log::warn!(event = "upstream_cancelled", generation:% = generation; "");
+                AgentEvent::Lost { generation }
+            }
             EngineEvent::Finished { reason, usage } => AgentEvent::Finished {
                 generation,
                 finish: Finish {
--- a/fireflyd/src/upstream.rs
+++ b/fireflyd/src/upstream.rs
@@ -5,11 +5,13 @@
 //! neither retry nor follow redirects.
 
 use std::collections::VecDeque;
+use std::error::Error;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream;
 use reqwest::header::RETRY_AFTER;
@@ -18,11 +20,15 @@
 
 pub use crate::engine_messages::*;
 pub use crate::plain_client::*;
+pub use crate::read_memory::ReadMemory;
+use crate::read_memory::{HeldBytes, Reserved};
 
 /// Default timeout of a short call.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of bytes kept of an error response's body.
 const MAX_ERROR_BODY_BYTES: usize = 4096;
+/// Time in which it must arrive.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum size of an engine's response to a short call in bytes.
 const MAX_REPORT_BYTES: usize = 8 << 20;
 /// Extra time for an events call beyond its requested wait.
@@ -60,6 +66,8 @@
     },
     /// Sent, but no complete response was received: may have run.
     Broken(String),
+    /// Sent, and what came back is no answer: may have run.
+    NoAnswer(String),
     /// Run and answered, but the body is too large or invalid.
     Unusable(String),
 }
@@ -70,6 +78,7 @@
             Self::NeverSent(reason) => write!(f, "never sent: {reason}"),
             Self::Answered { status, .. } => write!(f, "answered with status {status}"),
             Self::Broken(reason) => write!(f, "broken after sending: {reason}"),
+            Self::NoAnswer(reason) => write!(f, "no answer: {reason}"),
             Self::Unusable(reason) => write!(f, "unusable answer: {reason}"),
         }
     }
@@ -86,6 +95,7 @@
     http: reqwest::Client,
     base: Url,
     timeout: Duration,
+    memory: ReadMemory,
 }
 
 impl EngineClient {
@@ -100,9 +110,16 @@
             http: http_client(timeout)?,
             base: base_url(base)?,
             timeout,
+            memory: ReadMemory::default(),
         })
     }
 
+    /// Reads answers within `memory`.
+    #[must_use]
+    pub fn with_memory(self, memory: ReadMemory) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Starts a generation and returns its events; the wait for the response head has no timeout.
     ///
     /// # Errors
@@ -124,7 +141,7 @@
         if let Some(id) = &req.request_id {
             call = call.header(REQUEST_ID, &**id);
         }
-        Ok(events(send(call).await?))
+        Ok(events(send(call).await?, &self.memory))
     }
 
     /// Resumes the stream of a generation at token `from`.
@@ -135,7 +152,7 @@
     pub async fn resume(&self, stream_id: &str, from: u64) -> Result<EngineStream> {
         let mut url = self.url(&["v1", "streams", stream_id])?;
         url.query_pairs_mut().append_pair("from", &from.to_string());
-        Ok(events(send(self.http.get(url)).await?))
+        Ok(events(send(self.http.get(url)).await?, &self.memory))
     }
 
     /// Cancels a generation.
@@ -168,7 +185,7 @@
             .append_pair("since", &since.to_string())
             .append_pair("timeout_ms", &wait.as_millis().to_string());
         let call = self.http.get(url).timeout(wait + EVENTS_MARGIN);
-        parse(&read_body(send(call).await?, MAX_REPORT_BYTES).await?)
+        parse(&read_body(send(call).await?, MAX_REPORT_BYTES, &self.memory).await?)
     }
 
     /// Sends an order.
@@ -228,7 +245,14 @@
     }
 
     async fn report<T: DeserializeOwned>(&self, call: RequestBuilder) -> Result<T> {
-        parse(&read_body(send(self.with_timeout(call)).await?, MAX_REPORT_BYTES).await?)
+        parse(
+            &read_body(
+                send(self.with_timeout(call)).await?,
+                MAX_REPORT_BYTES,
+                &self.memory,
+            )
+            .await?,
+        )
     }
 }
 
@@ -258,11 +282,25 @@
 pub(crate) fn transport_error(e: &reqwest::Error) -> UpstreamError {
     if e.is_connect() || e.is_builder() {
         never_sent(e)
+    } else if is_unreadable(e) {
+        UpstreamError::NoAnswer(e.to_string())
     } else {
         UpstreamError::Broken(e.to_string())
     }
 }
 
+/// Returns whether bytes came that are no HTTP response, so that the upstream hasn't ended.
+fn is_unreadable(e: &reqwest::Error) -> bool {
+    let mut cause = e.source();
+    while let Some(inner) = cause {
+        if let Some(e) = inner.downcast_ref::<hyper::Error>() {
+            return e.is_parse();
+        }
+        cause = inner.source();
+    }
+    false
+}
+
 /// Sends a call and returns an error for any unsuccessful status.
 pub(crate) async fn send(call: RequestBuilder) -> Result<Response> {
     let res = call.send().await.map_err(|e| transport_error(&e))?;
@@ -283,20 +321,29 @@
     })
 }
 
-/// Reads the start of an error response's body, as far as it is received.
+/// Reads the start of an error response's body, as far as it is received in time.
 async fn read_body_prefix(mut res: Response) -> String {
     let mut buf = Vec::new();
-    while buf.len() < MAX_ERROR_BODY_BYTES {
-        let Ok(Some(chunk)) = res.chunk().await else {
-            break;
-        };
-        buf.extend_from_slice(&chunk);
-    }
+    let read = async {
+        while buf.len() < MAX_ERROR_BODY_BYTES {
+            let Ok(Some(chunk)) = res.chunk().await else {
+                break;
+            };
+            buf.extend_from_slice(&chunk);
+        }
+    };
+    // What came until then tells enough.
+    let _ = tokio::time::timeout(ERROR_BODY_TIMEOUT, read).await;
     buf.truncate(MAX_ERROR_BODY_BYTES);
     String::from_utf8_lossy(&buf).into_owned()
 }
 
-pub(crate) async fn read_body(mut res: Response, limit: usize) -> Result<Vec<u8>> {
+pub(crate) async fn read_body(
+    mut res: Response,
+    limit: usize,
+    memory: &ReadMemory,
+) -> Result<Bytes> {
+    let mut reserved = memory.reserve();
     let mut buf = Vec::new();
     // The response has started, so an error can no longer mean that the call was never sent.
     let to_broken = |e: reqwest::Error| UpstreamError::Broken(e.to_string());
@@ -305,8 +352,12 @@
             return Err(UpstreamError::Unusable(format!("over {limit} bytes")));
         }
         buf.extend_from_slice(&chunk);
+        if !reserved.grow_to(buf.capacity()) {
+            let reason = format!("no memory for over {} bytes", buf.len());
+            return Err(UpstreamError::Unusable(reason));
+        }
     }
-    Ok(buf)
+    Ok(Bytes::from_owner(HeldBytes::new(buf, reserved)))
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
@@ -318,9 +369,10 @@
     res: Response,
     decoder: Decoder,
     pending: VecDeque<EngineEvent>,
+    reserved: Reserved,
 }
 
-fn events(res: Response) -> EngineStream {
+fn events(res: Response, memory: &ReadMemory) -> EngineStream {
     let version = res.headers().get(SOFTWARE_VERSION);
     let version = version
         .and_then(|v| v.to_str().ok())
@@ -332,6 +384,7 @@
         res,
         decoder: Decoder::default(),
         pending: VecDeque::from([opened]),
+        reserved: memory.reserve(),
     };
     let events = stream::unfold(open, |mut open| async move {
         let event = open.next().await?;
@@ -350,7 +403,13 @@
                 return None;
             }
             match self.res.chunk().await {
-                Ok(Some(chunk)) => self.pending.extend(self.decoder.feed(&chunk)),
+                Ok(Some(chunk)) => {
+                    self.pending.extend(self.decoder.feed(&chunk));
+                    if !self.reserved.grow_to(self.decoder.buffered()) {
+                        self.pending
+                            .extend(self.decoder.end("no memory for an event"));
+                    }
+                }
                 Ok(None) => return self.decoder.end("closed before the end"),
                 Err(e) => return self.decoder.end(e.to_string()),
             }
--- /dev/null
+++ b/fireflyd/tests/processes_trouble.rs
@@ -0,0 +1,305 @@
+//! Upstreams in trouble behind the agents of the fleet's own path: bytes that are no answer are never passed on as one,
+//! end in bounded time and memory, and leave the requests beside them alone.
+
+mod support;
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use reqwest::{RequestBuilder, Response};
+use serde_json::{Value, json};
+use standins::caller::Request;
+use standins::crowd::Watch;
+use standins::trouble::{Door, Trouble};
+use support::{COUNTER, DOSSIERS, Fleet, GRADES, Spec, WAIT_TIMEOUT, until};
+
+/// Request of a run at an engine.
+const RUN: &str = "POST /v1/chat/completions";
+/// Head of an answer whose body ends with its connection.
+const OPENED: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+/// Heads of answers in chunks, up to an extension and up to a trailer.
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
+const TRAILER: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+/// Bytes written at once of those without an end.
+const PIECE_BYTES: usize = 64 << 10;
+/// Memory of the VM in MB, and the calls that meet bytes without an end at once.
+const MEMORY_MB: u64 = 64;
+const CROWD: usize = 40;
+/// Request of a read.
+const READ: &str = "GET /records";
+/// Request of a call that may not be repeated.
+const FILE: &str = "POST /file";
+
+crate::cases! {
+    bytes_without_end_in_a_head_of_an_engine => without_end(RUN, chat, "HTTP/1.1 200 OK\r\nx: ", "h");
+    bytes_without_end_for_a_head_of_an_engine => without_end(RUN, chat, "", "\u{1}");
+    headers_without_end_of_an_engine => without_end(RUN, chat, "HTTP/1.1 200 OK\r\n", "x: h\r\n");
+    event_without_end_of_an_engine => without_end(RUN, chat, OPENED, "data: d");
+    comments_without_end_of_an_engine => without_end(RUN, chat, OPENED, ": c\n\n");
+    error_without_end_of_an_engine => without_end(RUN, chat, "HTTP/1.1 500 Odd\r\n\r\n", "e");
+    chunk_extension_without_end_of_an_engine => without_end(RUN, chat, CHUNKED, "e");
+    trailer_without_end_of_an_engine => without_end(RUN, chat, TRAILER, "x: t\r\n");
+    bytes_without_end_in_a_head_of_a_plain_service => without_end(READ, read, "HTTP/1.1 200 OK\r\nx: ", "h");
+    bytes_without_end_in_a_body_of_a_plain_service => without_end(READ, read, "HTTP/1.1 200 OK\r\n\r\n", "b");
+    chunk_extension_without_end_of_a_plain_service => without_end(READ, read, CHUNKED, "e");
+    trailer_without_end_of_a_plain_service => without_end(READ, read, TRAILER, "x: t\r\n");
+    error_that_trickles_from_an_engine => trickle(RUN, chat, "HTTP/1.1 500 Odd\r\n\r\n");
+    body_that_trickles_from_a_plain_service => trickle(READ, read, "HTTP/1.1 200 OK\r\n\r\n");
+    odd_statuses_of_an_engine => odd_statuses(RUN, chat);
+    odd_statuses_of_a_plain_service => odd_statuses(READ, read);
+    odd_statuses_of_a_call_that_may_not_be_repeated => odd_statuses(FILE, file);
+    odd_status_leaves_the_streams_beside_it => beside("HTTP/1.1 000 Odd\r\n\r\n", "");
+    event_that_is_none_leaves_the_streams_beside_it => beside(OPENED, "data: {oops\n\n");
+    end_without_a_reason_leaves_the_streams_beside_it => beside(OPENED, "data: [DONE]\n\n");
+    answer_that_ends_within_an_event_leaves_the_streams_beside_it => beside(OPENED, "data: {\"cho");
+    answer_that_ends_before_an_event_leaves_the_streams_beside_it => beside(OPENED, "");
+}
+
+/// A fleet whose upstreams stand behind doors.
+struct Doors {
+    fleet: Fleet,
+    engine: Door,
+    plain: Door,
+}
+
+impl Doors {
+    async fn open(trouble: Trouble) -> Self {
+        let mut fleet = Fleet::start(Spec {
+            engines: 1,
+            entries: 1,
+            plain: true,
+            daemon_flags: vec!["--plain-timeout-ms", "3000"],
+            daemon_env: vec![("FIREFLYD_MEMORY_MB", "64")],
+            ..Spec::default()
+        })
+        .await;
+        let engine = Door::open(fleet.engines[0].addr, trouble.clone())
+            .await
+            .unwrap();
+        let records = fleet.plain.as_ref().unwrap().addr;
+        let plain = Door::open(records, trouble).await.unwrap();
+        for agent in &mut fleet.agents {
+            agent.process.kill();
+        }
+        fleet.agents = vec![
+            fleet.start_engine_agent(0, &engine.url()),
+            fleet.start_plain_agent(&plain.url()),
+        ];
+        fleet.await_ready().await;
+        Self {
+            fleet,
+            engine,
+            plain,
+        }
+    }
+
+    fn set(&self, trouble: &Trouble) {
+        self.engine.set(trouble.clone());
+        self.plain.set(trouble.clone());
+    }
+}
+
+fn chat(fleet: &Fleet, mark: &str) -> RequestBuilder {
+    let body = json!({
+        "model": "model-a", "max_tokens": 10,
+        "messages": [{"role": "user", "content": format!("[[mark={mark}]][[len=9]]")}],
+    });
+    let url = format!("{}/v1/chat/completions", fleet.entries[0].url());
+    fleet.http.post(url).bearer_auth(COUNTER).json(&body)
+}
+
+fn read(fleet: &Fleet, mark: &str) -> RequestBuilder {
+    let url = format!("{}/services/records/records/{mark}", fleet.entries[0].url());
+    fleet.http.get(url).bearer_auth(COUNTER)
+}
+
+fn file(fleet: &Fleet, mark: &str) -> RequestBuilder {
+    let url = format!("{}/services/records/file", fleet.entries[0].url());
+    let call = fleet.http.post(url).bearer_auth(GRADES);
+    call.header("idempotency-key", mark)
+        .body(format!("[[mark={mark}]]"))
+}
+
+/// Fails unless the answer is an error of the system's own that doesn't promise that nothing ran.
+async fn assert_own_error(res: Response, about: &str) {
+    let (status, coded) = (res.status(), res.headers().contains_key("x-firefly-code"));
+    let body: Value = res.json().await.unwrap_or_default();
+    assert_eq!(status, 502, "{about}: {body}");
+    assert!(
+        coded && body["error"]["class"] != "not_run",
+        "{about}: {body}"
+    );
+}
+
+/// A head with such a status line is no answer.
+async fn odd_statuses(to: &'static str, call: fn(&Fleet, &str) -> RequestBuilder) {
+    let doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    let statuses = [
+        " 000 Odd",
+        " 0 Odd",
+        " 99 Odd",
+        " 1000 Odd",
+        " abc Odd",
+        " ",
+        "",
+        " 999 Odd",
+        " 101 Switching Protocols",
+    ];
+    for (n, status) in statuses.iter().enumerate() {
+        let first = format!(
+            "HTTP/1.1{status}\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{{}}"
+        );
+        doors.set(&Trouble {
+            to,
+            first: first.into_bytes(),
+            ..Trouble::default()
+        });
+        let res = call(&doors.fleet, &format!("odd{n}")).send().await.unwrap();
+        assert_own_error(res, status).await;
+        doors.set(&Trouble {
+            to: "none",
+            ..Trouble::default()
+        });
+        let res = call(&doors.fleet, &format!("after{n}"))
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(
+            res.status(),
+            200,
+            "after {status:?}: {:?}",
+            res.text().await
+        );
+    }
+    if to == FILE {
+        assert_eq!(doors.plain.begun(), statuses.len());
+    }
+}
+
+/// A request gets these bytes, then the end of the connection; a stream on the same engine goes on.
+async fn beside(head: &str, body: &str) {
+    let doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    let mut session = doors
+        .fleet
+        .caller()
+        .begin(Request::stream("beside", DOSSIERS, "model-a", 600), 0);
+    assert!(session.read_until_tokens(5).await);
+    doors.set(&Trouble {
+        to: RUN,
+        first: format!("{head}{body}").into_bytes(),
+        ..Trouble::default()
+    });
+    let res = chat(&doors.fleet, "odd").send().await.unwrap();
+    assert_own_error(res, "beside a stream").await;
+    let got = session.finish().await;
+    assert!(got.is_complete(), "{got:?}");
+    doors.fleet.assert_guarantees(&[got]);
+}
+
+/// Many callers meet bytes that go on until the agent closes: it stays within its memory, each gets an error, and others are
+/// served beside them.
+async fn without_end(
+    to: &'static str,
+    call: fn(&Fleet, &str) -> RequestBuilder,
+    first: &str,
+    piece: &str,
+) {
+    let mut doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    let watches: Vec<Watch> = doors
+        .fleet
+        .nodes()
+        .map(|n| Watch::start(n.process.id()))
+        .collect();
+    let pieces = piece.repeat(PIECE_BYTES / piece.len());
+    doors.set(&Trouble {
+        to,
+        first: first.into(),
+        piece: pieces.into(),
+        ..Trouble::default()
+    });
+    let calls: Vec<_> = (0..CROWD)
+        .map(|n| {
+            call(&doors.fleet, &format!("m{n}"))
+                .timeout(WAIT_TIMEOUT)
+                .send()
+        })
+        .collect();
+    let answers = join_all(calls).await;
+    doors.set(&Trouble {
+        to: "none",
+        ..Trouble::default()
+    });
+    for answer in answers {
+        let res = answer.unwrap();
+        assert!(matches!(res.status().as_u16(), 502 | 503), "{res:?}");
+    }
+    assert_served_after(&mut doors, call).await;
+    for watch in watches {
+        let peak = watch.end().unwrap().memory;
+        println!("{} KB of {MEMORY_MB} MB", peak >> 10);
+        assert!(
+            peak < MEMORY_MB * 1_000_000,
+            "{} KB of {MEMORY_MB} MB",
+            peak >> 10
+        );
+    }
+}
+
+/// Bytes that come too slowly to reach a bound end by the time limit of the call.
+async fn trickle(to: &'static str, call: fn(&Fleet, &str) -> RequestBuilder, first: &str) {
+    let mut doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    doors.set(&Trouble {
+        to,
+        first: first.into(),
+        piece: b"t".into(),
+        pause: Duration::from_millis(50),
+    });
+    let res = call(&doors.fleet, "m")
+        .timeout(WAIT_TIMEOUT)
+        .send()
+        .await
+        .unwrap();
+    assert_own_error(res, "trickling").await;
+    doors.set(&Trouble {
+        to: "none",
+        ..Trouble::default()
+    });
+    assert_served_after(&mut doors, call).await;
+}
+
+/// Fails unless the next caller is served, every answer in trouble has been closed, and the daemons live.
+async fn assert_served_after(doors: &mut Doors, call: fn(&Fleet, &str) -> RequestBuilder) {
+    until("the next caller is served", || async {
+        let res = call(&doors.fleet, "after").send().await;
+        res.is_ok_and(|r| r.status() == 200)
+    })
+    .await;
+    for door in [&doors.engine, &doors.plain] {
+        until("connections are closed", || {
+            std::future::ready(door.ended() == door.begun())
+        })
+        .await;
+    }
+    let mut nodes = doors
+        .fleet
+        .entries
+        .iter_mut()
+        .chain(&mut doors.fleet.agents);
+    assert!(nodes.all(|n| n.process.is_alive()));
+}
