Continue no stream of unknown origin by the timeout of the moment

What callers saw: all entries ended at once around a release and came back; callers took their broken streams up, with and without naming the first attempt, and got 200 with text of two software versions. Cause: when nobody knows where a stream began, its service's only version was taken for its own once that had been the only one for twice the route's timeout, as the route has it now. A new entry knows neither the versions that left before it started nor the timeouts that were in force then, and with a timeout of 1 s it was sure after 2 s. It was the same with a route that had just been moved to another service, with no entry ended. Class: a bound on the past is read from the present state. Change: the time is a constant of two minutes, which no configuration can lower. The pool remembers the versions of removed upstreams for as long, by service; until now it took the upstreams whose slots weren't reused, and forgot one a minute after it began to leave. An entry remembers which paths were led elsewhere, or under a timeout of more than a minute, for as long. Where that can't be known the stream is refused as not run (2022). Moved, not weakened: the test that an unnamed stream goes on once its service had one version for long is in processes_rejoined now. It waits longer, as the time is two minutes, on a timeout of 20 s instead of 1 s; what goes on and what is refused is the same. The cases of the sole version are in their own file; removed upstreams are judged over two minutes instead of one. Share: of the streams cut by the end of all entries none goes on within two minutes, at one version or two; of those with a surviving owner all did (streams_that_a_surviving_owner_knows_go_on).

--- a/fireflycroft/src/catalog.rs
+++ b/fireflycroft/src/catalog.rs
@@ -253,6 +253,11 @@
         &self.services
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &RouteSpec> {
+        self.routes.iter().map(|r| &**r)
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub const fn route_count(&self) -> usize {
--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -85,6 +85,17 @@
 const REMOVED_RETENTION: Duration = Duration::from_mins(1);
 
 impl Pool {
+    /// Returns the revision up to which every change of the list is known.
+    #[must_use]
+    pub const fn complete_to(&self) -> u64 {
+        self.complete_to
+    }
+
+    /// Records that every change of the list up to a revision is known.
+    pub fn record_complete(&mut self, revision: u64) {
+        self.complete_to = self.complete_to.max(revision);
+    }
+
     /// Inserts or updates an upstream by its record, unless the held one is newer.
     pub fn upsert(&mut self, now: Time, record: UpstreamRecord) -> Option<PoolChange> {
         self.revision = self.revision.max(record.revision);
@@ -220,6 +231,8 @@
             self.digest ^= digest_of(&u.record);
         }
         u.crashed = u.is_serving();
+        let (service, version) = (&u.record.service, u.record.software_version.as_ref());
+        self.left_versions.record(now, service, version);
         u.removed = true;
         u.ended = true;
         u.left_at = Some(now);
@@ -393,6 +406,8 @@
         u.record.revision = revision;
         u.removed = true;
         u.missing = None;
+        let (service, version) = (&u.record.service, u.record.software_version.as_ref());
+        self.left_versions.record(now, service, version);
         let instance = u.record.instance.clone();
         self.record_change(now, ListChange::Removed { instance, revision });
         let u = &mut self.upstreams[ix.0];
--- a/fireflycroft/src/pool.rs
+++ b/fireflycroft/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::placed::{Need, Placed};
 use crate::rate_limit::MAX_RATE_SPAN;
 use crate::region::Regions;
+use crate::sole_version::LeftVersions;
 use crate::store_connectivity::StoreConnectivity;
 use crate::time::Time;
 use crate::upstream::{
@@ -58,6 +59,7 @@
     /// Requests per second that a cold upstream can take, by service.
     pub(crate) cold_rate_of: HashMap<Name, f64>,
     pub(crate) evacuations: Evacuations,
+    pub(crate) left_versions: LeftVersions,
     /// Data centres evacuated before the store was restored from a backup that doesn't list them.
     pub(crate) unconfirmed_evacuations: BTreeSet<Name>,
 }
@@ -99,17 +101,6 @@
         self.revision
     }
 
-    /// Returns the revision up to which every change of the list is known.
-    #[must_use]
-    pub const fn complete_to(&self) -> u64 {
-        self.complete_to
-    }
-
-    /// Records that every change of the list up to a revision is known.
-    pub fn record_complete(&mut self, revision: u64) {
-        self.complete_to = self.complete_to.max(revision);
-    }
-
     /// Returns the records of the upstreams that have not been removed.
     pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
         self.upstreams
--- a/fireflycroft/src/stream_origin.rs
+++ b/fireflycroft/src/stream_origin.rs
@@ -7,10 +7,10 @@
 //!
 //! What is known of a stream never changes: reports that contradict each other leave its origin unknown. When
 //! its entry and all owners are lost, the origin is lost as well, and the stream can't be continued unless
-//! its service had one version throughout ([`Pool::sole_version`]).
+//! its service had one version throughout ([`Pool::sole_version`](crate::Pool::sole_version)).
 
 use crate::ids::{Digest, Name};
-use crate::pool::Pool;
+use crate::sole_version::MAX_STREAM_AGE;
 use crate::time::Time;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -25,9 +25,6 @@
 /// The entry that began the stream leaves itself out of the owners; whoever asks can't know which entry that was.
 pub const STREAM_OWNERS_ASKED: usize = STREAM_OWNERS + 1;
 
-/// Longest time for which an origin is kept, so that a report can't fill the memory for long.
-const MAX_KEEP: Duration = Duration::from_mins(2);
-
 /// Time after the start of a stream in which its origin is reported repeatedly.
 const REPORT_FOR: Duration = Duration::from_millis(600);
 
@@ -131,7 +128,7 @@
         if self.is_full() && !self.known.contains_key(&start.stream) {
             return;
         }
-        let until = now + start.keep_for.min(MAX_KEEP);
+        let until = now + start.keep_for.min(MAX_STREAM_AGE);
         let known = self.known.entry(start.stream);
         let known = known.or_insert_with(|| Known {
             origin: Some(start.origin.clone()),
@@ -193,17 +190,3 @@
         due.into_iter().filter_map(|s| self.start(now, s)).collect()
     }
 }
-
-impl Pool {
-    /// Returns the software version of a service that was the only one for as long as upstreams are remembered;
-    /// `None` if there were several or an upstream stated none.
-    ///
-    /// Removed upstreams are remembered for a minute at least.
-    #[must_use]
-    pub fn sole_version(&self, service: &str) -> Option<Name> {
-        let of_service = self.of_service(service).iter();
-        let mut versions = of_service.map(|i| self.upstreams[*i].record.software_version.as_ref());
-        let first = versions.next()??;
-        versions.all(|v| v == Some(first)).then(|| first.clone())
-    }
-}
--- a/fireflycroft/tests/stream_origin.rs
+++ b/fireflycroft/tests/stream_origin.rs
@@ -8,9 +8,9 @@
 
 use fireflycroft::{
     Digest, Name, OwnedKey, STREAM_OWNERS, STREAM_OWNERS_ASKED, StreamOrigin, StreamOrigins,
-    StreamStart, UpstreamRecord, highest_ranked, stream_digest,
+    StreamStart, highest_ranked, stream_digest,
 };
-use pools::{at, pool, record};
+use pools::at;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -30,11 +30,6 @@
     attempts_of_different_callers_are_different_streams => assert_ne!(stream_digest("a"), stream_digest("b"));
     owners_of_a_stream_outlast_two_of_them => outlasts();
     each_owner_that_was_told_is_asked => told_are_asked();
-    only_version_of_a_service_is_the_sole_one => assert_eq!(sole(&[Some("v1"), Some("v1")]).as_deref(), Some("v1"));
-    second_version_leaves_no_sole_one => assert_eq!(sole(&[Some("v1"), Some("v2")]), None);
-    unknown_version_leaves_no_sole_one => assert_eq!(sole(&[Some("v1"), None]), None);
-    removed_upstream_counts_still => removed_counts();
-    service_without_upstreams_has_no_sole_version => assert_eq!(sole(&[]), None);
 }
 
 const STREAM: Digest = Digest(7);
@@ -145,26 +140,3 @@
         }
     }
 }
-
-fn sole(versions: &[Option<&str>]) -> Option<Name> {
-    let mut pool = pool(&[]);
-    for (i, version) in versions.iter().enumerate() {
-        let record = UpstreamRecord {
-            software_version: version.map(Name::from),
-            ..record(&format!("i{i}"), i as u64 + 1)
-        };
-        pool.upsert(at(0), record);
-    }
-    pool.sole_version("models")
-}
-
-fn removed_counts() {
-    let mut pool = pool(&["i"]);
-    pool.remove(at(0), "i", 2);
-    let next = UpstreamRecord {
-        software_version: Some(Name::from("v2")),
-        ..record("j", 3)
-    };
-    pool.upsert(at(59_000), next);
-    assert_eq!(pool.sole_version("models"), None);
-}
--- a/fireflydirect/src/config_adoption.rs
+++ b/fireflydirect/src/config_adoption.rs
@@ -81,7 +81,10 @@
         let services = catalog.services().iter().map(|s| s.name.clone());
         let changes = self.pool.borrow_mut().set_services(now, services);
         self.apply_pool_changes(changes, "config");
-        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        let replaced = self.catalog.borrow_mut().replace(Rc::new(catalog));
+        if let (Some(old), Some(new)) = (replaced, self.catalog.borrow().as_ref()) {
+            self.route_changes.borrow_mut().record(now, &old, new);
+        }
         self.configs.borrow_mut().activate(now, object.clone());
         self.config_adopted_at.set(Some(now));
         self.routing_changed.notify_waiters();
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -13,8 +13,9 @@
 use fireflycroft::{
     Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Evacuations,
     FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, Policy, Pool, PoolChange, QueryBudget,
-    Refusal, Regions, ReturningCallers, SharedRetryBudget, StreamOrigins, StreamStart, Time,
-    UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
+    Refusal, Regions, ReturningCallers, RouteChanges, SharedRetryBudget, StreamOrigins,
+    StreamStart, Time, UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue, WaitingDemand,
+    WatcherRole,
 };
 use fireflycroft_platform::PlatformSettings;
 use fireflynet::Callers;
@@ -75,6 +76,8 @@
     pub returning_callers: RefCell<ReturningCallers>,
     /// Origins of streams that callers may take up.
     pub stream_origins: RefCell<StreamOrigins>,
+    /// Recent changes of where requests go.
+    pub route_changes: RefCell<RouteChanges>,
     /// Generations held until engines have memory for them.
     pub wait_queue: RefCell<WaitQueue>,
     /// Memory for which generations wait elsewhere, or which returning callers will need.
@@ -198,6 +201,7 @@
             crash_knowledge: Cell::new(false),
             returning_callers: RefCell::default(),
             stream_origins: RefCell::default(),
+            route_changes: RefCell::default(),
             wait_queue: RefCell::default(),
             waiting_demand: RefCell::default(),
             hold_times: RefCell::default(),
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -161,7 +161,7 @@
         .map(Suspect::Part)
         .collect();
     let tries_part_again = check_suspects(node, &request_id, &parts_alone)?;
-    let origin = find_origin(node, &route, &head).await?;
+    let origin = find_origin(node, &route, &parts, &head).await?;
     let service = stream_origins::target(&route, origin.as_ref(), rand::rng().next_u32());
     let service = service.ok_or_else(|| {
         let retry_after = if origin.is_some() {
@@ -242,9 +242,10 @@
 async fn find_origin(
     node: &Node,
     route: &RouteSpec,
+    parts: &Parts,
     head: &RequestHead,
 ) -> Result<Option<StreamOrigin>, Refusal> {
-    match stream_origins::find(node, route, head).await {
+    match stream_origins::find(node, route, parts.uri.path(), head).await {
         Continued::Nothing => Ok(None),
         Continued::Stream(origin) => Ok(Some(origin)),
         Continued::Unknown { may_be_found } => {
--- a/fireflydirect/src/stream_origins.rs
+++ b/fireflydirect/src/stream_origins.rs
@@ -7,19 +7,15 @@
 use crate::node::Node;
 use crate::owner_queries;
 use fireflycroft::{
-    Digest, FULL_VIEW_AFTER, Name, OwnerQueryBody, RequestHead, RequestKind, RouteSpec,
-    StreamOrigin, StreamStart, Time, UpstreamIx, stream_digest,
+    Digest, FULL_VIEW_AFTER, MAX_STREAM_AGE, Name, OwnerQueryBody, RequestHead, RequestKind,
+    RouteSpec, StreamOrigin, StreamStart, Time, UpstreamIx, has_sole_timeout, stream_digest,
 };
 use std::rc::Rc;
-use std::time::Duration;
 
 /// Time for which a stream may be taken up, as a multiple of its route's timeout: the first attempt may last
 /// that long, and the caller returns within the rest of its own time.
 const KEEP_TIMEOUTS: u32 = 2;
 
-/// Longest time for which one version is known to be a service's only one.
-const MAX_SOLE_TIME: Duration = Duration::from_mins(1);
-
 /// Stream that this entry relays, recorded as its own until dropped.
 pub struct OriginGuard {
     node: Rc<Node>,
@@ -94,12 +90,12 @@
 }
 
 /// Finds out which stream a request continues, and where that began.
-pub async fn find(node: &Node, route: &RouteSpec, head: &RequestHead) -> Continued {
+pub async fn find(node: &Node, route: &RouteSpec, path: &str, head: &RequestHead) -> Continued {
     let holds_events = head.last_event_id.is_some_and(|last| last > 0);
     if !route.kind.is_stream() || !(holds_events || head.resumes.is_some()) {
         return Continued::Nothing;
     }
-    let found = search(node, route, head.resumes.as_deref()).await;
+    let found = search(node, route, path, head.resumes.as_deref()).await;
     let origin = found.origin.as_ref();
     log::info!(
         event = "stream_taken_up", req = or_empty(head.request_id.as_ref()),
@@ -118,7 +114,12 @@
 }
 
 /// Searches for the origin of a stream, by the attempt that brought its first event if the caller names it.
-async fn search(node: &Node, route: &RouteSpec, first_attempt: Option<&str>) -> SearchResult {
+async fn search(
+    node: &Node,
+    route: &RouteSpec,
+    path: &str,
+    first_attempt: Option<&str>,
+) -> SearchResult {
     let mut may_be_found = false;
     if let Some(stream) = first_attempt.map(stream_digest) {
         if let Some(origin) = known_origin(node, stream) {
@@ -131,7 +132,7 @@
         let knows_all_owners = node.now().since(Time::default()) >= FULL_VIEW_AFTER;
         may_be_found = !all_replied || !knows_all_owners;
     }
-    match sole_origin(node, route) {
+    match sole_origin(node, route, path) {
         Some(origin) => SearchResult::by("sole version", origin),
         None => SearchResult {
             origin: None,
@@ -155,20 +156,22 @@
     owner_queries::query_owners(node, queries).await
 }
 
-/// Returns the origin that all streams of a route have: its service has had one version for longer than any of
-/// them can last.
-fn sole_origin(node: &Node, route: &RouteSpec) -> Option<StreamOrigin> {
+/// Returns the origin that all streams on a path have: it has led to one service, and that has had one version, for
+/// longer than any of them can last.
+fn sole_origin(node: &Node, route: &RouteSpec, path: &str) -> Option<StreamOrigin> {
     let [target] = &route.targets[..] else {
         return None;
     };
-    let lasts = route.timeout * KEEP_TIMEOUTS;
-    let known_for = node.now().since(node.listed_since.get()?);
-    if lasts > MAX_SOLE_TIME || known_for < lasts || !node.is_list_fresh() {
+    let (now, listed_since) = (node.now(), node.listed_since.get()?);
+    let route_changes = node.route_changes.borrow();
+    let since = listed_since.max(route_changes.unchanged_since(&route.host, path));
+    if !has_sole_timeout(route) || now.since(since) < MAX_STREAM_AGE || !node.is_list_fresh() {
         return None;
     }
+    let pool = node.pool.borrow();
     Some(StreamOrigin {
         service: target.service.clone(),
-        software_version: node.pool.borrow().sole_version(&target.service)?,
+        software_version: pool.sole_version(now, &target.service)?,
     })
 }
 
--- a/fireflydirect/tests/processes_versions.rs
+++ b/fireflydirect/tests/processes_versions.rs
@@ -4,16 +4,13 @@
 
 use reqwest::RequestBuilder;
 use standins::site::{StoreMode, last_event};
-use std::collections::BTreeSet;
 use std::time::Duration;
+use support::streams::{SHORT, list, read, site_of, take_up, versions};
 use support::{KEY, Site, outcome, until};
 
 /// Events of a stream that lasts longer than the notice of an engine that leaves.
 const LONG: u64 = 200;
 
-/// Events of a stream that callers take up.
-const SHORT: u64 = 40;
-
 /// Events after which callers break off.
 const READ: u64 = 5;
 
@@ -35,67 +32,6 @@
     };
 }
 
-/// Starts a site with one model engine of each of `versions` and `entries` entries.
-async fn site_of(versions: &[&str], entries: u8) -> Site {
-    let mut site = Site::without_entries().await;
-    for (number, version) in versions.iter().enumerate() {
-        if number >= site.engines.len() {
-            site.start_engine(u8::try_from(number).unwrap()).await;
-        }
-        site.engines[number].set_version(version);
-        list(&site, number, "ready");
-    }
-    site.publish(&[KEY]);
-    for entry in 0..entries {
-        site.add_entry(entry + 1).await;
-    }
-    for entry in 0..usize::from(entries) {
-        site.until_ready(entry).await;
-        until("all engines", || async {
-            site.log(entry).matches("event=upstream_came").count()
-                >= versions.len() + site.plains.len()
-        })
-        .await;
-        let others = format!("firefly_direct_peers {}", entries - 1);
-        until("the other entries", || async {
-            site.metrics(entry).await.contains(&others)
-        })
-        .await;
-    }
-    site
-}
-
-/// Writes the record of a model engine.
-fn list(site: &Site, engine: usize, state: &str) {
-    let engine = &site.engines[engine];
-    let record = engine.registration("models", state);
-    site.store.put("servers", &engine.instance(), &record);
-}
-
-/// Reads a stream until `events` have come, or it ends or breaks off.
-async fn read(req: RequestBuilder, events: u64) -> String {
-    let mut body = String::new();
-    let Ok(mut answer) = req.send().await else {
-        return body;
-    };
-    while last_event(&body).unwrap_or(0) < events {
-        match answer.chunk().await {
-            Ok(Some(chunk)) => body.push_str(&String::from_utf8_lossy(&chunk)),
-            Ok(None) | Err(_) => break,
-        }
-    }
-    body
-}
-
-/// Returns the versions that the events of some bodies name.
-fn versions(bodies: &[&str]) -> BTreeSet<String> {
-    let lines = bodies.iter().flat_map(|b| b.lines());
-    let events = lines.filter_map(|l| l.strip_prefix("data: "));
-    events
-        .map(|e| e.split(' ').nth(2).unwrap_or("v1").to_owned())
-        .collect()
-}
-
 /// Reads a whole stream while its engine comes to harm; returns its body and the engine.
 async fn harm_engine(
     site: &Site,
@@ -120,23 +56,6 @@
     begun
 }
 
-/// Takes a stream up after the events in `begun`, naming its first attempt.
-fn take_up(
-    site: &Site,
-    entry: usize,
-    id: &str,
-    first: Option<&str>,
-    begun: &str,
-) -> RequestBuilder {
-    let last = last_event(begun).unwrap().to_string();
-    let req = site.stream(entry, "/grade/a", SHORT, id);
-    let req = req.header("Last-Event-Id", last);
-    match first {
-        Some(first) => req.header("Resumes", first),
-        None => req,
-    }
-}
-
 /// Takes streams up at other entries; returns how many went on, all of them at one version.
 async fn take_streams_up(site: &Site, from: usize, to: usize) -> usize {
     let mut went_on = 0;
@@ -302,23 +221,6 @@
         }
     }
 
-    unnamed_stream_goes_on_once_its_service_had_one_version_for_long(site: ["v1", "v1"], 2) {
-        site.grade_timeout_ms = 1_000;
-        site.publish(&[KEY]);
-        until("the timeout", || async { site.log(1).contains("version=2 was=1") }).await;
-        let begun = begin(&site, 0, &site.id()).await;
-        until("the sole version", || async {
-            let id = site.id();
-            let rest = read(take_up(&site, 1, &id, None, &begun), SHORT).await;
-            last_event(&rest) == Some(SHORT)
-        })
-        .await;
-        site.store.set_mode(StoreMode::Silent);
-        until("the silence", || async { site.log(1).contains("event=departure_watch active=true") }).await;
-        let answer = take_up(&site, 1, &site.id(), None, &begun).send().await.unwrap();
-        assert_eq!(outcome(&answer), (503, Some(2022)));
-    }
-
     stream_of_an_engine_without_a_version_goes_on_nowhere(site: ["", ""], 1) {
         let id = site.id();
         let req = site.generation(0, "/log/a", LONG, &id);
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses a different part of it.
 #![allow(dead_code, unused_macros, unused_imports)]
 
+mod configuration;
 pub(crate) mod crashes;
 mod entry;
 mod operators;
@@ -11,6 +12,7 @@
 mod requests;
 pub(crate) mod slow_reader;
 mod stale_seeds;
+pub(crate) mod streams;
 
 use std::collections::HashMap;
 use std::fs;
@@ -81,6 +83,8 @@
     pub(crate) without: &'static str,
     /// Objective of the `log` route of the next configuration, in milliseconds.
     pub(crate) log_objective_ms: u64,
+    /// Service of the `grade` route of the next configuration.
+    pub(crate) grade_service: &'static str,
     /// Timeout of the `grade` route of the next configuration, in milliseconds.
     pub(crate) grade_timeout_ms: u64,
     /// Timeout of the routes to plain services of the next configuration, in milliseconds.
@@ -155,6 +159,7 @@
             workspace_homes: Vec::new(),
             without: "",
             log_objective_ms: 1_500,
+            grade_service: "models",
             grade_timeout_ms: 20_000,
             plain_timeout_ms: 20_000,
             direct_engines: false,
@@ -212,49 +217,6 @@
         self.engines.push(engine);
     }
 
-    /// Publishes the next configuration version, with these keys for `brand-a`.
-    pub(crate) fn publish(&mut self, keys: &[&str]) {
-        self.publish_routes(keys, &[]);
-    }
-
-    /// Publishes the next configuration version with additional routes, each a name and a prefix.
-    pub(crate) fn publish_routes(&mut self, keys: &[&str], more: &[(&str, &str)]) {
-        self.version += 1;
-        let mut routes = vec![
-            route("log", "/log/", "streaming", "models", false, 1),
-            route("grade", "/grade/", "streaming", "models", true, 2),
-            route("file", "/file/", "unsafe", "records", false, 1),
-            route("fetch", "/fetch/", "safe", "records", false, 2),
-        ];
-        assert_eq!(routes.len(), BASE_ROUTES);
-        let added = more
-            .iter()
-            .map(|(name, prefix)| route(name, prefix, "safe", "records", false, 2));
-        routes.extend(added);
-        routes[0]["target_latency_ms"] = json!(self.log_objective_ms);
-        routes[1]["timeout_ms"] = json!(self.grade_timeout_ms);
-        for route in &mut routes[2..BASE_ROUTES] {
-            route["timeout_ms"] = json!(self.plain_timeout_ms);
-        }
-        for route in &mut routes {
-            route["allowed_regions"] = json!(self.route_homes);
-        }
-        let engine = json!({"slots": 8, "kv_capacity_tokens": 20_000, "moves": true,
-            "backups": true, "stride": 4});
-        let config = json!({
-            "version": self.version,
-            "routes": routes,
-            "services": [{"name": "models", "max_connections": 100, "engine": engine,
-                    "cold_per_s": self.cold_per_s},
-                {"name": "records", "max_connections": 100}],
-            "limits": {"max_header_bytes": 16_384, "max_body_bytes": self.body_limit,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-            "tenants": [{"name": "brand-a", "api_keys": keys, "priority": 1,
-                "allowed_regions": self.workspace_homes}],
-        });
-        self.store.put("config", "main", &config);
-    }
-
     /// Starts another entry, at the address that ends with `last`.
     pub(crate) async fn add_entry(&mut self, last: u8) {
         let ip = Ipv4Addr::new(127, self.net[0], self.net[1], last);
@@ -465,22 +427,18 @@
     }
 }
 
-fn route(
-    name: &str,
-    prefix: &str,
-    kind: &str,
-    service: &str,
-    resumable: bool,
-    attempts: u32,
-) -> Value {
-    json!({"name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
-        "timeout_ms": 20_000, "target_latency_ms": 1_500, "priority": 1, "service": service,
-        "max_attempts": attempts, "public": false, "resumable": resumable})
+/// Waits until `holds` returns true; `what` names the condition in the failure message.
+pub(crate) async fn until<F: Future<Output = bool>>(what: &str, holds: impl FnMut() -> F) {
+    until_within(WAIT_TIMEOUT, what, holds).await;
 }
 
-/// Waits until `holds` returns true; `what` names the condition in the failure message.
-pub(crate) async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
-    let end = Instant::now() + WAIT_TIMEOUT;
+/// The same with a timeout.
+pub(crate) async fn until_within<F: Future<Output = bool>>(
+    timeout: Duration,
+    what: &str,
+    mut holds: impl FnMut() -> F,
+) {
+    let end = Instant::now() + timeout;
     while !holds().await {
         assert!(Instant::now() < end, "waited too long for {what}");
         tokio::time::sleep(Duration::from_millis(10)).await;
