--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -43,9 +43,6 @@
                 let site = Site::start(1).await;
                 for engine in &site.engines {
                     engine.moves().answer_stops(StopAnswer::$answer, $after);
-                    if $events == SHORT {
-                        engine.moves().hold_ends();
-                    }
                 }
                 if Framing::$framing == Framing::UntilClose {
                     end_with_connection(&site);
@@ -67,6 +64,9 @@
     };
     let leave = async {
         let engine = site.engine_of(&id).await;
+        if events == SHORT {
+            site.engines[engine].moves().hold_ends();
+        }
         drain(site, engine);
         until("the order", || async {
             site.log(0)
@@ -118,6 +118,10 @@
     untouched(site, played, SHORT);
 }
 
+fn whole_after_all(site: &Site, played: &Played) {
+    is_whole(site, played, SHORT);
+}
+
 fn went_on(site: &Site, played: &Played) {
     untouched(site, played, LONG);
 }
@@ -136,6 +140,7 @@
     resumable_stream_whose_order_is_answered_too_late_goes_on_from_the_copy_before(UntilClose, Copied, TOO_LATE, "/grade/a", LONG) moved;
     stream_that_ends_by_itself_beside_an_order_is_whole(UntilClose, Copied, Duration::ZERO, "/log/a", SHORT) ended_by_itself;
     stream_that_ends_by_itself_before_the_order_is_answered_is_whole(UntilClose, Copied, AFTER_CLOSE, "/log/a", SHORT) ended_by_itself;
+    stream_that_ends_by_itself_beside_a_lost_order_is_whole(UntilClose, AllLost, AFTER_CLOSE, "/log/a", SHORT) whole_after_all;
     stream_whose_order_was_refused_is_whole(UntilClose, Busy, AFTER_CLOSE, "/log/a", LONG) went_on;
 
     chunked_stream_goes_on_from_its_copy(Chunks, Copied, AFTER_CLOSE, "/log/a", LONG) moved;
@@ -181,6 +186,23 @@
         moved(&site, &played);
     }
 
+    stream_whose_engine_started_again_beside_its_order_is_no_whole_one(site: 1) {
+        end_with_connection(&site);
+        for engine in &site.engines {
+            engine.moves().answer_stops(StopAnswer::Copied, TOO_LATE);
+        }
+        let starts_again = async {
+            until("the order", || async { orders(&site, 0) > 0 }).await;
+            let engine = &site.engines[site.engine_of("r0").await];
+            let mut record = engine.registration("models", "ready");
+            record["born"] = (engine.born() + 1).into();
+            site.store.put("servers", &engine.instance(), &record);
+            until("the new start", || async { site.log(0).contains("event=upstream_restarted") }).await;
+        };
+        let (played, ()) = futures_util::future::join(play(&site, "/log/a", LONG), starts_again).await;
+        broken_off(&site, &played);
+    }
+
     stopped_stream_without_a_copy_is_no_whole_one(site: 1) {
         end_with_connection(&site);
         for engine in &site.engines {
