Guard taken up streams against two versions after all entries were killed

On the own path an agent keeps a stream, and the event's id names agent, generation and token, so nothing that an entry knew is needed to take it up, and an agent resumes at its engine only at the version that began the tokens. The tests kill all entries and start them again: with engines of two versions beside each other (six streams, each whole and of one generation), with engines that restart at the other's version meanwhile (each ends with an error), and with an engine that goes on with its streams at another version behind a cut link (3001).

--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -30,6 +30,13 @@
     upstream_link_cut_after_1 => upstream_link_cut(1);
     upstream_link_cut_after_40 => upstream_link_cut(40);
     engine_upgraded_behind_a_cut_link => engine_upgraded();
+    all_entries_killed_beside_another_version => entries_killed(|_| {});
+    all_entries_killed_while_engines_restart_at_another_version => entries_killed(|fleet| {
+        for engine in &mut fleet.engines {
+            engine.process.kill();
+        }
+    });
+    all_entries_killed_while_an_engine_is_upgraded => entries_killed_at_upgrade();
     engine_cancels_a_stream_of_its_own => engine_cancels(true);
     engine_cancels_a_whole_of_its_own => engine_cancels(false);
     stream_of_an_old_caller_whose_engine_dies => old_caller_cut();
@@ -271,6 +278,69 @@
     fleet.engines[0].process.kill();
 }
 
+fn kill_entries(fleet: &mut Fleet) {
+    for entry in &mut fleet.entries {
+        entry.process.kill();
+    }
+}
+
+async fn start_entries_again(fleet: &mut Fleet) {
+    for entry in &mut fleet.entries {
+        entry.start_again();
+    }
+    fleet.await_ready().await;
+}
+
+/// Engines of two versions serve when all entries die: each taken up stream is of one generation, whole or with an error.
+async fn entries_killed(meanwhile: fn(&mut Fleet)) {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    fleet.upgrade_engine(1, "v2").await;
+    let mut sessions = Vec::new();
+    for n in 0..6 {
+        let mut session = fleet.caller().begin(stream(&format!("m{n}"), 3_000), n);
+        assert!(session.read_until_tokens(20).await);
+        sessions.push(session);
+    }
+    kill_entries(&mut fleet);
+    meanwhile(&mut fleet);
+    let mut survive = true;
+    for engine in &mut fleet.engines {
+        if !engine.process.is_alive() {
+            survive = false;
+            engine.restart().await;
+        }
+    }
+    if !survive {
+        fleet.upgrade_engine(0, "v2").await;
+        fleet.upgrade_engine(1, "v1").await;
+    }
+    start_entries_again(&mut fleet).await;
+    let mut all = Vec::new();
+    for session in sessions {
+        all.push(session.finish().await);
+    }
+    fleet.assert_guarantees(&all);
+    assert!(
+        all.iter()
+            .all(|g| g.attempts.len() == 1 && g.is_complete() == survive),
+        "{all:#?}"
+    );
+}
+
+/// The engine goes on with its streams at another version, and its agent's connection breaks, while no entry lives.
+async fn entries_killed_at_upgrade() {
+    let (mut fleet, link) = linked_fleet().await;
+    let mut session = fleet.caller().begin(stream("m", 4_000), 0);
+    assert!(session.read_until_tokens(40).await);
+    kill_entries(&mut fleet);
+    fleet.upgrade_engine(0, "v2").await;
+    link.cut();
+    start_entries_again(&mut fleet).await;
+    let got = session.finish().await;
+    fleet.assert_guarantees(std::slice::from_ref(&got));
+    assert_eq!(got.code(), Some(3_001), "{got:?}");
+}
+
 /// The stream stalls with its agent and resumes without a gap.
 async fn agent_frozen(duration: Duration) {
     let mut fleet = Fleet::start(Spec::default()).await;
