Pause before asking a peer again that handed on no configuration

What it handed on was never taken: a head is checked against its version and digest, a part against its name.

Such a peer is asked for nothing for a second; others, and the platform, are.

--- a/fireflyd/src/config_feed.rs
+++ b/fireflyd/src/config_feed.rs
@@ -8,12 +8,13 @@
 //! takes tens of milliseconds and would delay streams, and on one thread the
 //! allocator reuses the memory of the previous version.
 
+use std::collections::HashMap;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fireflycroft::{
     CompleteConfig, Config, ConfigBundle, ConfigFault, ConfigTransfer, ConfigVersion, Digest,
@@ -30,6 +31,8 @@
 /// Delay after a failed call, doubled up to the maximum.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Time in which a peer that handed on a faulty version is asked for none.
+const FAULTY_PEER_PAUSE: Duration = Duration::from_secs(1);
 /// Time between two reads by a member that does not watch.
 const POLL_INTERVAL: Duration = Duration::from_secs(30);
 /// Time between two checks whether this member has become a watcher.
@@ -42,6 +45,8 @@
     compiled: watch::Receiver<Option<Arc<Config>>>,
     to_compile: Sender<CompleteConfig>,
     watching: Arc<AtomicBool>,
+    /// When peers last handed on what is no configuration.
+    faulty_peers: Arc<Mutex<HashMap<SocketAddr, Instant>>>,
 }
 
 impl ConfigFeed {
@@ -56,6 +61,7 @@
             compiled: rx.clone(),
             to_compile,
             watching: Arc::new(AtomicBool::new(true)),
+            faulty_peers: Arc::default(),
         };
         (feed, rx)
     }
@@ -71,8 +77,11 @@
         self.watching.load(Ordering::Relaxed)
     }
 
-    /// Requests a version later than the current one from a peer.
+    /// Requests a version later than the current one from a peer, unless it handed on a faulty one just now.
     pub fn pull(&self, from: SocketAddr, out: &mut Outbox) {
+        if self.faulty_peers().contains_key(&from) {
+            return;
+        }
         let transfer = self.transfer();
         out.push(
             from,
@@ -124,6 +133,7 @@
             Progress::Ignored => {}
             Progress::Invalid(e) => {
                 transfer.abandon();
+                self.faulty_peers().insert(from, Instant::now());
                 log::warn!(event = "config_part_faulty", peer:% = from, cause:% = e; "");
             }
         }
@@ -230,6 +240,14 @@
         }
     }
 
+    /// Returns the peers not to be asked at present.
+    fn faulty_peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
+        let peers = self.faulty_peers.lock();
+        let mut peers = peers.unwrap_or_else(PoisonError::into_inner);
+        peers.retain(|_, at| at.elapsed() < FAULTY_PEER_PAUSE);
+        peers
+    }
+
     fn transfer(&self) -> MutexGuard<'_, ConfigTransfer> {
         self.transfer.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/fireflyd/src/outbox.rs
+++ b/fireflyd/src/outbox.rs
@@ -26,6 +26,12 @@
         self.by_addr.entry(to).or_default().push(message);
     }
 
+    /// Returns whether no message was added since the last flush.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_addr.is_empty()
+    }
+
     /// Sends all messages added since the last flush.
     pub fn flush(
         &mut self,
--- a/fireflyd/tests/platform_client.rs
+++ b/fireflyd/tests/platform_client.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use fireflycroft::{ConfigVersion, Document, split};
+use fireflycroft::{ConfigVersion, Digest, Document, Message, split};
 use fireflyd::config_feed::ConfigFeed;
 use fireflyd::metrics::Metrics;
+use fireflyd::outbox::Outbox;
 use fireflyd::platform::{Condition, MAX_VALUE_BYTES, PlatformClient, PlatformError, VmState};
 use poem::listener::TcpAcceptor;
 use poem::{Endpoint, Request, Response, Server};
@@ -406,3 +407,24 @@
     let names: Vec<&str> = vms.iter().map(|vm| &*vm.name).collect();
     assert_eq!(names, ["vm1", "vm2"]);
 }
+
+#[test]
+fn peer_that_hands_on_what_is_no_configuration_is_not_asked_at_its_every_message() {
+    let (feed, _configs) = ConfigFeed::new();
+    let [peer, other] = [7_001, 7_002].map(|port| (Ipv4Addr::LOCALHOST, port).into());
+    let asks = |of| {
+        let mut out = Outbox::default();
+        feed.pull(of, &mut out);
+        !out.is_empty()
+    };
+    assert!(asks(peer));
+    let part = Message::ConfigPart {
+        version: ConfigVersion(9),
+        part: 0,
+        parts: 1,
+        digest: Digest::of(&[]),
+        data: b"7".as_slice().into(),
+    };
+    feed.on_message(peer, &part, &mut Outbox::default());
+    assert_eq!((asks(peer), asks(other)), (false, true));
+}
