Believe an engine's tokens in the order of their numbers only

Agents number tokens as they come, so nothing behind them can notice.

Cause: the index that an engine gives each token was read and then dropped. A token that doesn't follow the one before, or isn't the one asked for on a resumed stream, breaks the stream now; it is resumed from what is there, and lost if that doesn't help. Engines that give no index are believed as before.

Before: a_gap_between_tokens_breaks, a_token_that_comes_twice_breaks, resumed_too_early_breaks, resumed_too_late_breaks (sse) and stream_that_lacks_a_token_is_no_answer (processes_trouble) failed.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -138,12 +138,23 @@
     sse: SseReader,
     reason: Option<FinishReason>,
     usage: Usage,
+    /// Index due next, if the engine numbers its tokens.
+    next_offset: Option<u64>,
     /// Bytes since the last token.
     idle_bytes: usize,
     pub(crate) ended: bool,
 }
 
 impl Decoder {
+    /// Creates a decoder of a stream that is resumed at token `from`.
+    #[must_use]
+    pub fn resumed(from: u64) -> Self {
+        Self {
+            next_offset: Some(from),
+            ..Self::default()
+        }
+    }
+
     /// Returns the events that `chunk` completes; none after the last event.
     pub fn feed(&mut self, chunk: &[u8]) -> Vec<EngineEvent> {
         if self.ended {
@@ -163,6 +174,19 @@
         tokens.into_iter().chain(last).collect()
     }
 
+    /// Returns an error for a token that does not follow the one before, as far as they are numbered.
+    fn check_offset(&mut self, token: &Token) -> std::result::Result<(), String> {
+        let due = self.next_offset.take();
+        let Some(offset) = token.offset else {
+            return Ok(());
+        };
+        if let Some(due) = due.filter(|due| *due != offset) {
+            return Err(format!("token {offset} instead of {due}"));
+        }
+        self.next_offset = offset.checked_add(1);
+        Ok(())
+    }
+
     /// Ends a stream of many bytes without a token.
     fn too_idle(&self) -> Option<EngineEvent> {
         (self.idle_bytes > MAX_IDLE_BYTES).then(|| EngineEvent::Broken {
@@ -231,7 +255,10 @@
         }
         self.usage = chunk.usage.unwrap_or(self.usage);
         if let Some(choice) = chunk.choices.into_iter().next() {
-            tokens.extend(token(choice.delta, event));
+            if let Some(token) = token(choice.delta, event) {
+                self.check_offset(&token)?;
+                tokens.push(token);
+            }
             let reason = choice.finish_reason.as_deref().map(FinishReason::from);
             self.reason = reason.or(self.reason.take());
         }
--- a/fireflyd/src/upstream.rs
+++ b/fireflyd/src/upstream.rs
@@ -141,7 +141,8 @@
         if let Some(id) = &req.request_id {
             call = call.header(REQUEST_ID, &**id);
         }
-        Ok(events(send(call).await?, &self.memory))
+        let decoder = Decoder::default();
+        Ok(events(send(call).await?, decoder, &self.memory))
     }
 
     /// Resumes the stream of a generation at token `from`.
@@ -152,7 +153,8 @@
     pub async fn resume(&self, stream_id: &str, from: u64) -> Result<EngineStream> {
         let mut url = self.url(&["v1", "streams", stream_id])?;
         url.query_pairs_mut().append_pair("from", &from.to_string());
-        Ok(events(send(self.http.get(url)).await?, &self.memory))
+        let res = send(self.http.get(url)).await?;
+        Ok(events(res, Decoder::resumed(from), &self.memory))
     }
 
     /// Cancels a generation.
@@ -372,7 +374,7 @@
     reserved: Reserved,
 }
 
-fn events(res: Response, memory: &ReadMemory) -> EngineStream {
+fn events(res: Response, decoder: Decoder, memory: &ReadMemory) -> EngineStream {
     let version = res.headers().get(SOFTWARE_VERSION);
     let version = version
         .and_then(|v| v.to_str().ok())
@@ -382,7 +384,7 @@
     };
     let open = OpenStream {
         res,
-        decoder: Decoder::default(),
+        decoder,
         pending: VecDeque::from([opened]),
         reserved: memory.reserve(),
     };
--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -17,6 +17,9 @@
 const RUN: &str = "POST /v1/chat/completions";
 /// Head of an answer whose body ends with its connection.
 const OPENED: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+/// Events of a stream without its second token.
+const GAP: &str = "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n\
+    id: 2\ndata: {\"choices\":[{\"delta\":{\"content\":\"c\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
 /// Heads of answers in chunks, up to an extension and up to a trailer.
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
 const TRAILER: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
@@ -52,6 +55,7 @@
     event_that_is_none_leaves_the_streams_beside_it => beside(OPENED, "data: {oops\n\n");
     end_without_a_reason_leaves_the_streams_beside_it => beside(OPENED, "data: [DONE]\n\n");
     answer_that_ends_within_an_event_leaves_the_streams_beside_it => beside(OPENED, "data: {\"cho");
+    stream_that_lacks_a_token_is_no_answer => beside(OPENED, GAP);
     answer_that_ends_before_an_event_leaves_the_streams_beside_it => beside(OPENED, "");
 }
 
--- a/fireflyd/tests/sse.rs
+++ b/fireflyd/tests/sse.rs
@@ -116,6 +116,10 @@
     )
 }
 
+fn numbered(id: u64) -> String {
+    format!("id: {id}\n{}", choice("a"))
+}
+
 macro_rules! decode_cases {
     ($($name:ident: $text:expr => $want:expr;)*) => {$(
         #[test]
@@ -140,6 +144,14 @@
         finished(FinishReason::Stop, USAGE),
     ];
     an_opening_event_without_text_does_not: choice("") + END => [finished(FinishReason::Stop, USAGE)];
+    a_gap_between_tokens_breaks: numbered(4) + &numbered(6) + END => [
+        EngineEvent::Tokens(vec![token("a", Some(4))]),
+        broken("token 6 instead of 5"),
+    ];
+    a_token_that_comes_twice_breaks: numbered(4) + &numbered(4) + END => [
+        EngineEvent::Tokens(vec![token("a", Some(4))]),
+        broken("token 4 instead of 5"),
+    ];
     a_cut_breaks: choice("a") => [EngineEvent::Tokens(vec![token("a", None)]), broken("cut")];
     a_cut_after_the_reason_is_an_end: END.replace("data: [DONE]\n\n", "") => [finished(FinishReason::Stop, USAGE)];
     an_end_without_reason_breaks: "data: [DONE]\n\n".to_owned() => [broken("end without a reason")];
@@ -290,6 +302,25 @@
     assert_eq!(events.first(), Some(&opened));
 }
 
+macro_rules! resume_cases {
+    ($($name:ident: $first:expr => $breaks:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (url, _served) = serve_once(full_response("200 OK", &(numbered($first) + END))).await;
+            let stream = EngineClient::new(&url, TIMEOUT).unwrap().resume("s1", 7).await.unwrap();
+            let events: Vec<EngineEvent> = stream.collect().await;
+            let breaks = matches!(events.last(), Some(EngineEvent::Broken { .. }));
+            assert_eq!(breaks, $breaks, "{events:?}");
+        }
+    )*};
+}
+
+resume_cases! {
+    resumed_where_it_broke: 7 => false;
+    resumed_too_early_breaks: 6 => true;
+    resumed_too_late_breaks: 8 => true;
+}
+
 #[tokio::test]
 async fn a_generation_cut_in_the_middle_breaks() {
     let (events, _) = run_generation(head("200 OK", 9999) + &choice("a")).await;
