--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -46,6 +46,8 @@
     bytes_without_end_in_a_body_of_a_plain_service => without_end(READ, read, "HTTP/1.1 200 OK\r\n\r\n", "b");
     chunk_extension_without_end_of_a_plain_service => without_end(READ, read, CHUNKED, "e");
     trailer_without_end_of_a_plain_service => without_end(READ, read, TRAILER, "x: t\r\n");
+    interim_responses_without_end_of_an_engine => interim(1);
+    interim_responses_without_end_of_several_runs => interim(10);
     error_that_trickles_from_an_engine => trickle(RUN, chat, "HTTP/1.1 500 Odd\r\n\r\n");
     body_that_trickles_from_a_plain_service => trickle(READ, read, "HTTP/1.1 200 OK\r\n\r\n");
     odd_statuses_of_an_engine => odd_statuses(RUN, chat);
@@ -261,6 +263,38 @@
     }
 }
 
+/// The HTTP library skips these; their callers give up, and others are served beside them within the agent's memory.
+async fn interim(count: usize) {
+    let doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    let watch = Watch::start(doors.fleet.agents[0].process.id());
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(PIECE_BYTES / 25);
+    doors.set(&Trouble {
+        to: RUN,
+        piece: interim.into(),
+        ..Trouble::default()
+    });
+    let calls: Vec<_> = (0..count)
+        .map(|n| chat(&doors.fleet, &format!("m{n}")).send())
+        .collect();
+    assert!(join_all(calls).await.iter().all(Result::is_err));
+    doors.set(&Trouble {
+        to: "none",
+        ..Trouble::default()
+    });
+    let got = doors
+        .fleet
+        .call(Request::stream("after", DOSSIERS, "model-a", 50), 0)
+        .await;
+    assert!(got.is_complete(), "{got:?}");
+    let peak = watch.end().unwrap().memory;
+    println!("{} KB of {MEMORY_MB} MB", peak >> 10);
+    assert!(peak < MEMORY_MB * 1_000_000, "{} KB", peak >> 10);
+}
+
 /// Bytes that come too slowly to reach a bound end by the time limit of the call.
 async fn trickle(to: &'static str, call: fn(&Fleet, &str) -> RequestBuilder, first: &str) {
     let mut doors = Doors::open(Trouble {
