Bound what an entry reads of an answer to a call of its own

What callers saw: nothing yet; an entry before a server in trouble that sends a body without end would have ended for want of memory. Cause: bodies of answers to own calls (report, move), of the store's (lists, watches) and of other entries' were collected whole, whatever their size; only callers' requests and the answers to them were bounded. Each frame was kept as it came, with the buffer that it lay in, and a body that makes progress had no end in time either. Class: a bound on what comes from one side only. Change: the body is copied into one buffer of at most 1 MiB for an engine's answer, an eighth of the VM's memory (4 MiB at least) for the store's and other entries'; beyond that the call has failed and its connection is closed.

--- a/fireflycroft/src/connection_limits.rs
+++ b/fireflycroft/src/connection_limits.rs
@@ -39,6 +39,22 @@
 /// Fewest connections of any server.
 const MIN_CONNECTIONS: usize = 16;
 
+/// Divisor of the VM's memory that gives the largest answer of the store or of another entry.
+const FLEET_ANSWER_DIVISOR: u64 = 8;
+
+/// Least bound of such an answer, in bytes: some pages of a list.
+const MIN_FLEET_ANSWER_BYTES: u64 = 4 << 20;
+
+/// Largest answer of an upstream to an entry's own call, in bytes: a report names hundreds of runs.
+pub const MAX_OWN_ANSWER_BYTES: usize = 1 << 20;
+
+/// Returns the size in bytes of the largest answer of the store or of another entry that a VM with so much memory reads.
+#[must_use]
+pub fn max_fleet_answer(memory: Option<u64>) -> usize {
+    let share = memory.unwrap_or(DEFAULT_MEMORY_BYTES) / FLEET_ANSWER_DIVISOR;
+    usize::try_from(share.max(MIN_FLEET_ANSWER_BYTES)).unwrap_or(usize::MAX)
+}
+
 /// What the connections of one server may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionLimits {
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -172,8 +172,8 @@
 pub use config::*;
 pub use config_transfer::*;
 pub use connection_limits::{
-    CALL_BYTES, CONNECTION_BYTES, ConnectionLimits, Purpose, READ_BUFFER_BYTES,
-    RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, SMALL_BYTES,
+    CALL_BYTES, CONNECTION_BYTES, ConnectionLimits, MAX_OWN_ANSWER_BYTES, Purpose,
+    READ_BUFFER_BYTES, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, SMALL_BYTES, max_fleet_answer,
 };
 pub use connection_table::{ConnectionId, ConnectionTable, Eviction, Opening, Phase, Reservation};
 pub use crash_evidence::*;
--- a/fireflydirect/src/client.rs
+++ b/fireflydirect/src/client.rs
@@ -6,8 +6,9 @@
 
 use crate::clock::Clock;
 use crate::links::{CallResponse, Link, call_with_progress, open};
+use crate::node::Node;
 use bytes::Bytes;
-use fireflycroft::{AttemptId, HedgeStep, HedgedCall};
+use fireflycroft::{AttemptId, HedgeStep, HedgedCall, max_fleet_answer};
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::HOST;
@@ -24,6 +25,7 @@
 pub struct Client {
     addr: SocketAddr,
     clock: Clock,
+    max_bytes: usize,
     link: Option<Link>,
 }
 
@@ -35,12 +37,13 @@
 }
 
 impl Client {
-    /// Creates a client without a connection.
+    /// Creates a client of a process without a connection.
     #[must_use]
-    pub const fn new(addr: SocketAddr, clock: Clock) -> Self {
+    pub fn new(addr: SocketAddr, node: &Node) -> Self {
         Self {
             addr,
-            clock,
+            clock: node.clock,
+            max_bytes: max_fleet_answer(node.place.memory),
             link: None,
         }
     }
@@ -100,10 +103,14 @@
             .header(HOST, self.addr.to_string())
             .body(Full::default())?;
         let (addr, clock, link) = (self.addr, self.clock, self.link.take());
+        let max_bytes = self.max_bytes;
         let hedged_call = running.hedged_call.clone();
         let handle = running.tasks.spawn_local(async move {
             let record_progress = || hedged_call.borrow_mut().record_progress(clock.now(), id);
-            (id, exchange(addr, link, req, record_progress).await)
+            (
+                id,
+                exchange(addr, link, req, max_bytes, record_progress).await,
+            )
         });
         running.handles.insert(id, handle);
         Ok(())
@@ -140,12 +147,13 @@
     addr: SocketAddr,
     link: Option<Link>,
     req: Request<Full<Bytes>>,
+    max_bytes: usize,
     on_progress: impl Fn(),
 ) -> anyhow::Result<(Link, CallResponse)> {
     let mut link = match link.filter(|l| !l.sender.is_closed()) {
         Some(link) => link,
         None => open(addr).await?,
     };
-    let answered = call_with_progress(&mut link, req, on_progress).await?;
+    let answered = call_with_progress(&mut link, req, max_bytes, on_progress).await?;
     Ok((link, answered))
 }
--- a/fireflydirect/src/config_read.rs
+++ b/fireflydirect/src/config_read.rs
@@ -42,7 +42,7 @@
 
 /// Reads the configuration once and adopts it; returns true if the store answered.
 async fn read_config_once(node: &Node, call: StoreCall) -> bool {
-    let mut client = Client::new(node.place.store.addr, node.clock);
+    let mut client = Client::new(node.place.store.addr, node);
     let path = match call {
         StoreCall::Replica => config_replica_path(),
         StoreCall::List | StoreCall::Trial | StoreCall::Watch => config_path(),
--- a/fireflydirect/src/crash_sync.rs
+++ b/fireflydirect/src/crash_sync.rs
@@ -103,7 +103,7 @@
 
 async fn ask(node: &Rc<Node>, ip: Ipv4Addr) -> Round {
     let addr = SocketAddr::from((ip, node.place.peer_ports.0));
-    let mut client = Client::new(addr, node.clock);
+    let mut client = Client::new(addr, node);
     let asked_at = node.now();
     let query = client.get(CRASHES_PATH, HedgedCall::single(QUERY_TIMEOUT), || ());
     let answer = match tokio::time::timeout(QUERY_TIMEOUT, query).await {
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -116,7 +116,7 @@
 
 /// Follows one kind of object for as long as the process lives.
 pub async fn follow(node: Rc<Node>, kind: Kind) {
-    let client = Client::new(node.place.store.addr, node.clock);
+    let client = Client::new(node.place.store.addr, &node);
     let connectivity = Rc::new(Connectivity {
         node: node.clone(),
         kind,
@@ -312,7 +312,7 @@
 
     async fn wait_until_following(&mut self) {
         let node = self.node.clone();
-        self.client = Client::new(node.place.store.addr, node.clock);
+        self.client = Client::new(node.place.store.addr, &node);
         self.connectivity.failures.set(0);
         self.connectivity.lost.set(false);
         if self.kind == Kind::Evacuations {
@@ -384,7 +384,7 @@
                 answer = self.watch(revision, STANDBY_WAIT) => return answer,
                 () = until_primary(&node) => {}
             }
-            self.client = Client::new(node.place.store.addr, node.clock);
+            self.client = Client::new(node.place.store.addr, &node);
         }
         if self.kind == Kind::Config {
             return self.watch(revision, self.longest_wait()).await;
@@ -394,7 +394,7 @@
             () = until_store_silent(&node) => {}
         }
         self.connectivity.record_lost("the store is silent");
-        self.client = Client::new(node.place.store.addr, node.clock);
+        self.client = Client::new(node.place.store.addr, &node);
         until_store_responds(&node).await;
         self.watch(revision, self.longest_wait()).await
     }
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -7,7 +7,7 @@
 use crate::clock::Clock;
 use crate::own_calls::EchoingUpstreams;
 use bytes::Bytes;
-use fireflycroft::{Time, UpstreamIncarnation};
+use fireflycroft::{MAX_OWN_ANSWER_BYTES, Time, UpstreamIncarnation};
 use fireflynet::ShortReads;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -210,33 +210,38 @@
 ///
 /// # Errors
 ///
-/// If the connection breaks before the response is complete.
+/// If the connection breaks before the response is complete, or its body is over [`MAX_OWN_ANSWER_BYTES`].
 pub async fn call(link: &mut Link, req: Request<Full<Bytes>>) -> anyhow::Result<CallResponse> {
-    call_with_progress(link, req, || ()).await
+    call_with_progress(link, req, MAX_OWN_ANSWER_BYTES, || ()).await
 }
 
 /// Sends a short call, calling `on_progress` for the head and each frame of the body.
 ///
 /// # Errors
 ///
-/// If the connection breaks before the response is complete.
+/// If the connection breaks before the response is complete, or its body is over `max_bytes`.
 pub async fn call_with_progress(
     link: &mut Link,
     req: Request<Full<Bytes>>,
+    max_bytes: usize,
     on_progress: impl Fn(),
 ) -> anyhow::Result<CallResponse> {
     link.sender.ready().await?;
     let response = link.sender.send_request(req).await?;
     on_progress();
-    let (parts, body) = response.into_parts();
-    let body = body.map_frame(|frame| {
+    let (parts, mut body) = response.into_parts();
+    // Frames aren't kept as they come: each may hold a buffer far larger than its bytes.
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
         on_progress();
-        frame
-    });
+        let data = frame?.into_data().unwrap_or_default();
+        anyhow::ensure!(bytes.len() + data.len() <= max_bytes, "answer is too large");
+        bytes.extend_from_slice(&data);
+    }
     Ok(CallResponse {
         status: parts.status.as_u16(),
         headers: parts.headers,
-        body: body.collect().await?.to_bytes(),
+        body: bytes.into(),
     })
 }
 
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -263,7 +263,7 @@
 /// Fetches the state of another entry beyond what this one knows.
 async fn get_state(node: &Node, from: Ipv4Addr, query: &StateQuery) -> anyhow::Result<PeerState> {
     let addr = SocketAddr::from((from, node.place.peer_ports.0));
-    let mut client = Client::new(addr, node.clock);
+    let mut client = Client::new(addr, node);
     let hedged_call = HedgedCall::single(FETCH_TIMEOUT);
     let answered = client.get(&state_path(query), hedged_call, || ()).await?;
     anyhow::ensure!(answered.status == 200, "status {}", answered.status);
--- a/fireflydirect/tests/support/broken_servers.rs
+++ b/fireflydirect/tests/support/broken_servers.rs
@@ -1,5 +1,8 @@
 //! Upstreams in trouble before the real ones of a site.
 
+// Each test file uses a different part of it.
+#![allow(dead_code)]
+
 use crate::support::Site;
 use serde_json::json;
 use standins::site::{BrokenAnswer, BrokenServer};
@@ -51,6 +54,14 @@
     server
 }
 
+/// Returns the address at which an entry answers others.
+pub(crate) fn peer_addr(site: &Site, entry: usize) -> SocketAddr {
+    let settings = std::fs::read(site.entries[entry].settings_path()).unwrap();
+    let settings: serde_json::Value = serde_json::from_slice(&settings).unwrap();
+    let port = settings["internal_port_range"][0].as_u64().unwrap();
+    SocketAddr::from((site.entries[entry].ip, u16::try_from(port).unwrap()))
+}
+
 /// Returns what breaks no answer.
 pub(crate) fn intact() -> BrokenAnswer {
     BrokenAnswer {
--- a/fireflydirect/tests/support/entry.rs
+++ b/fireflydirect/tests/support/entry.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use super::ports::ReservedPorts;
@@ -59,6 +59,11 @@
         self.start();
     }
 
+    /// Returns the path of its settings.
+    pub(crate) fn settings_path(&self) -> &Path {
+        &self.settings
+    }
+
     /// Returns the id of the process.
     pub(crate) fn id(&self) -> u32 {
         self.child.as_ref().unwrap().id()
