Abandon an attempt of a hedged call whose bytes come without end

What callers saw: nothing yet; an entry whose store or peer sends a few bytes again and again would have waited for that answer for good, and so have missed what the store holds. Cause: attempts are timed by their progress alone, so that a long page over a slow link isn't cut; bytes that lead nowhere are progress, too. Class: a wait without an end where the other side keeps it alive. Change: an attempt is abandoned after 60 s, whatever arrives; another one begins, or the call fails if no more are allowed. Ruled out: a shorter bound, which a large list over a slow link would reach. Two tests of the core failed before ("it goes on without end" after 120 s of simulated time).

--- a/fireflycroft/src/hedging.rs
+++ b/fireflycroft/src/hedging.rs
@@ -4,7 +4,7 @@
 //! long before a call to it times out. A short timeout is no solution either: a long page takes
 //! time when a whole fleet reads it. Attempts are therefore timed by their progress. While bytes
 //! arrive, no other attempt starts; after a period without any, another one starts in parallel, and
-//! the first complete response is used.
+//! the first complete response is used. An attempt whose bytes have no end is abandoned all the same.
 //!
 //! With a fixed timeout of 5 s per attempt, a fleet restarted during an outage of the store served
 //! nobody for 3.2 s after the store was back.
@@ -16,6 +16,9 @@
 /// megabyte is held at most three times.
 pub const MAX_HEDGED_ATTEMPTS: usize = 3;
 
+/// Time after which an attempt is abandoned although bytes arrive.
+const MAX_ATTEMPT_TIME: Duration = Duration::from_mins(1);
+
 /// Factor by which the delay grows with each further attempt.
 const HEDGE_DELAY_GROWTH: f64 = 1.5;
 
@@ -32,10 +35,18 @@
     Abandon(AttemptId),
     /// Wait for a response until this time.
     Wait(Time),
-    /// Fail the call: no progress within the timeout, and no further attempt is allowed.
+    /// Fail the call: no progress or no end within the timeouts, and no further attempt is allowed.
     GiveUp,
 }
 
+/// An attempt that runs.
+#[derive(Clone, Copy, Debug)]
+struct RunningAttempt {
+    id: AttemptId,
+    since: Time,
+    progress_at: Time,
+}
+
 /// Attempts of one call.
 #[derive(Clone, Debug)]
 pub struct HedgedCall {
@@ -45,7 +56,7 @@
     max_attempts: usize,
     /// Attempts that may be started in all.
     max_started: u64,
-    running: Vec<(AttemptId, Time)>,
+    running: Vec<RunningAttempt>,
     started: u64,
 }
 
@@ -82,11 +93,16 @@
 
     /// Returns the next step at `now`.
     pub fn next(&mut self, now: Time) -> HedgeStep {
-        let Some(progress_at) = self.running.iter().map(|(_, at)| *at).max() else {
-            return self.start(now);
-        };
-        if now.since(progress_at) < self.delay {
-            return HedgeStep::Wait(progress_at + self.delay);
+        let endless = |a: &RunningAttempt| now.since(a.since) >= MAX_ATTEMPT_TIME;
+        if let Some(at) = self.running.iter().position(endless) {
+            return HedgeStep::Abandon(self.running.remove(at).id);
+        }
+        let progress_at = self.running.iter().map(|a| a.progress_at).max();
+        let since = self.running.iter().map(|a| a.since).min();
+        if let (Some(progress_at), Some(since)) = (progress_at, since)
+            && now.since(progress_at) < self.delay
+        {
+            return HedgeStep::Wait((progress_at + self.delay).min(since + MAX_ATTEMPT_TIME));
         }
         if self.started >= self.max_started {
             return HedgeStep::GiveUp;
@@ -94,8 +110,7 @@
         if self.running.len() < self.max_attempts {
             return self.start(now);
         }
-        let (oldest, _) = self.running.remove(0);
-        HedgeStep::Abandon(oldest)
+        HedgeStep::Abandon(self.running.remove(0).id)
     }
 
     fn start(&mut self, now: Time) -> HedgeStep {
@@ -104,21 +119,25 @@
         }
         self.started += 1;
         let id = AttemptId(self.started);
-        self.running.push((id, now));
+        self.running.push(RunningAttempt {
+            id,
+            since: now,
+            progress_at: now,
+        });
         HedgeStep::Start(id)
     }
 
     /// Records that an attempt received bytes.
     pub fn record_progress(&mut self, now: Time, id: AttemptId) {
         self.delay = self.progress_timeout;
-        if let Some((_, at)) = self.running.iter_mut().find(|(i, _)| *i == id) {
-            *at = now;
+        if let Some(attempt) = self.running.iter_mut().find(|a| a.id == id) {
+            attempt.progress_at = now;
         }
     }
 
     /// Records a failed attempt; returns true if it was the last one running.
     pub fn record_failure(&mut self, id: AttemptId) -> bool {
-        self.running.retain(|(i, _)| *i != id);
+        self.running.retain(|a| a.id != id);
         self.running.is_empty()
     }
 
--- a/fireflycroft/tests/hedging.rs
+++ b/fireflycroft/tests/hedging.rs
@@ -19,6 +19,8 @@
     failed_attempt_leaves_the_others => leaves_others();
     progress_shortens_the_delay_again => shortens_delay();
     minute_of_silence_takes_bounded_attempts => bounded();
+    answer_without_end_is_abandoned_after_a_minute => abandons_endless();
+    single_answer_without_end_fails => gives_up_on_endless();
     returned_peer_is_called_within_the_longest_delay => called_soon();
 }
 
@@ -75,6 +77,38 @@
     assert_eq!(call.next(at(850)), HedgeStep::GiveUp);
 }
 
+/// Lets an attempt make progress until it is abandoned; returns when that is.
+fn abandoned_at(call: &mut HedgedCall, id: AttemptId) -> Time {
+    let mut now = at(0);
+    loop {
+        match call.next(now) {
+            HedgeStep::Wait(until) => now = until.min(now + PROGRESS_TIMEOUT / 2),
+            HedgeStep::Abandon(abandoned) => {
+                assert_eq!(abandoned, id);
+                return now;
+            }
+            other => panic!("{other:?}"),
+        }
+        assert!(now < at(120_000), "it goes on without end");
+        call.record_progress(now, id);
+    }
+}
+
+fn abandons_endless() {
+    let mut call = hedged_call();
+    let endless = start(&mut call, at(0));
+    let now = abandoned_at(&mut call, endless);
+    assert_eq!(now, at(60_000));
+    assert_ne!(start(&mut call, now), endless);
+}
+
+fn gives_up_on_endless() {
+    let mut call = HedgedCall::single(PROGRESS_TIMEOUT);
+    let endless = start(&mut call, at(0));
+    let now = abandoned_at(&mut call, endless);
+    assert_eq!(call.next(now), HedgeStep::GiveUp);
+}
+
 fn leaves_others() {
     let mut call = hedged_call();
     let first = start(&mut call, at(0));
