End all entries at once in the soak of versions

The plans with two software versions kill all entries at once every 4 to 8 s for 20 to 300 ms; meanwhile the timeout of streams changes between 1 s and 20 s, and every second time one version takes over. A quarter of the callers takes a broken stream up after 3.5 s, an eighth doesn't name the first attempt.

--- a/fireflydirect/tests/processes_versions.rs
+++ b/fireflydirect/tests/processes_versions.rs
@@ -6,7 +6,7 @@
 use standins::site::{StoreMode, last_event};
 use std::time::Duration;
 use support::streams::{SHORT, list, read, site_of, take_up, versions};
-use support::{KEY, Site, outcome, until};
+use support::{Site, outcome, until};
 
 /// Events of a stream that lasts longer than the notice of an engine that leaves.
 const LONG: u64 = 200;
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -8,6 +8,7 @@
 mod soak_parts {
     pub(crate) mod callers;
     mod conditions;
+    mod entries;
     pub(crate) mod faults;
     pub(crate) mod plan;
     mod records;
@@ -22,8 +23,8 @@
     plan_with_drills, plan_with_unheard_departures, plan_with_versions,
 };
 use soak_parts::run::{
-    CRASHING_PARTS, CRASHING_REQUESTS, Changes, SLOW_READERS, UNCHANGED, VERSIONS, env_or,
-    run_plan, run_plan_with,
+    CRASHING_PARTS, CRASHING_REQUESTS, Changes, LATE_RETURNS, SLOW_READERS, UNCHANGED, VERSIONS,
+    env_or, run_plan, run_plan_with,
 };
 use standins::site::{Attempt, Outcome, ProxyFault};
 use std::time::Duration;
@@ -253,6 +254,32 @@
     assert!(taken_up.count() >= 12, "too few were taken up");
 }
 
+/// All entries end twice and one version takes over meanwhile; callers come back once the new entries know one only.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_taken_up_late_after_all_entries_ended_stay_at_their_version() {
+    let step = |millis, fault| Step {
+        at: Duration::from_millis(millis),
+        span: Duration::from_millis(50),
+        fault,
+        pick: 0,
+    };
+    let steps = [
+        step(1_500, Fault::KillEntries),
+        step(6_500, Fault::Release),
+        step(6_600, Fault::Release),
+        step(7_500, Fault::KillEntries),
+    ];
+    let outcomes = run_plan_with(
+        LATE_RETURNS,
+        "all entries ended",
+        &steps,
+        Duration::from_secs(12),
+    );
+    let outcomes = outcomes.await;
+    let taken_up = outcomes.attempts.iter().filter(|a| a.resumes.is_some());
+    assert!(taken_up.count() >= 3, "too few were taken up");
+}
+
 /// Streams go on when their engines leave in an outage, told by nothing but reports and closes.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_outlive_engines_that_leave_unheard() {
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -40,6 +40,15 @@
 /// Time from a break to the next attempt.
 const TAKE_UP_DELAY: Duration = Duration::from_millis(40);
 
+/// The same for a caller that comes back late: longer than twice the shortest timeout of its route.
+const LATE_TAKE_UP_DELAY: Duration = Duration::from_millis(3_500);
+
+/// Requests whose callers come back late: divisor and remainder of their numbers.
+const LATE: (u64, u64) = (16, 7);
+
+/// Requests whose callers don't name the first attempt, in the same way.
+const UNNAMED: (u64, u64) = (32, 15);
+
 /// Part of prompts that crashes engines.
 pub(crate) const BAD_PART: &str = "bad1";
 
@@ -90,14 +99,22 @@
     next: Arc<AtomicU64>,
     /// Whether streams need most of an engine's memory, and some callers leave soon.
     crowd: bool,
-    /// Whether some callers break their streams off to take them up elsewhere.
-    breaks: bool,
+    /// Whether some callers break their streams off to take them up elsewhere, and who comes back late.
+    breaks: BreaksOff,
     /// Whether every second stream is large and read slowly.
     reads_slowly: bool,
     /// What crashes engines.
     cause: CrashCause,
 }
 
+/// Whether callers break streams off, and which of those whose streams break come back late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BreaksOff {
+    Never,
+    SomeLate,
+    AllLate,
+}
+
 /// What some streams have that crashes engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CrashCause {
@@ -117,7 +134,7 @@
             ended: Arc::default(),
             next: Arc::default(),
             crowd: false,
-            breaks: false,
+            breaks: BreaksOff::Never,
             reads_slowly: false,
             cause: CrashCause::Nothing,
         }
@@ -149,7 +166,15 @@
     /// Makes some callers break their streams off and take them up elsewhere.
     pub(crate) fn breaking_off(self) -> Self {
         Self {
-            breaks: true,
+            breaks: BreaksOff::SomeLate,
+            ..self
+        }
+    }
+
+    /// Makes some callers break their streams off, and all take them up late.
+    pub(crate) fn returning_late(self) -> Self {
+        Self {
+            breaks: BreaksOff::AllLate,
             ..self
         }
     }
@@ -206,7 +231,7 @@
             let mut held = held_stream(&attempt, None);
             self.attempts.lock().unwrap().push(attempt);
             while let Some(stream) = held {
-                tokio::time::sleep(TAKE_UP_DELAY).await;
+                tokio::time::sleep(self.take_up_delay(number, &stream)).await;
                 let attempt = self.attempt(&client, number, Some(&stream)).await;
                 held = held_stream(&attempt, Some(stream));
                 self.attempts.lock().unwrap().push(attempt);
@@ -215,6 +240,16 @@
         }
     }
 
+    /// Returns the time after which a caller takes its stream up.
+    fn take_up_delay(&self, number: u64, held: &Held) -> Duration {
+        let is_late = self.breaks == BreaksOff::AllLate || number % LATE.0 == LATE.1;
+        if is_late && held.attempts == 1 {
+            LATE_TAKE_UP_DELAY
+        } else {
+            TAKE_UP_DELAY
+        }
+    }
+
     async fn attempt(&self, client: &Client, number: u64, held: Option<&Held>) -> Attempt {
         let (after, attempts) = held.map_or((0, 0), |h| (h.last, h.attempts));
         let id = if attempts == 0 {
@@ -273,11 +308,13 @@
             req = req.header("X-Prompt-Prefix", prompt_parts(&shared_parts, number));
         }
         if let Some(held) = held {
-            req = req
-                .header("Resumes", &held.first)
-                .header("Last-Event-Id", held.last.to_string());
+            req = req.header("Last-Event-Id", held.last.to_string());
+            if number % UNNAMED.0 != UNNAMED.1 {
+                req = req.header("Resumes", &held.first);
+            }
         }
-        let breaks_off = self.breaks && held.is_none() && number % BREAKING_CALLERS == 3;
+        let breaks_off =
+            self.breaks != BreaksOff::Never && held.is_none() && number % BREAKING_CALLERS == 3;
         let until = if breaks_off {
             EVENTS_BEFORE_BREAK
         } else {
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -171,7 +171,7 @@
         self.add_engine(&version).await;
     }
 
-    async fn add_engine(&mut self, version: &str) {
+    pub(super) async fn add_engine(&mut self, version: &str) {
         let number = self.site.engines.len();
         if number < MAX_ENGINES {
             let last = u8::try_from(number).unwrap();
@@ -256,20 +256,9 @@
                 self.pending_undos.push((end, Undo::Store));
             }
             Fault::PauseEntry => self.pause_entry(step),
-            Fault::KillEntry => {
-                let entry = step.pick % self.site.entries.len();
-                self.excuse_failures(step.span);
-                self.site.entries[entry].kill();
-                self.pending_undos.push((end, Undo::StartEntry(entry)));
-            }
-            Fault::StopEntry => {
-                let entry = step.pick % self.site.entries.len();
-                if self.site.entries[entry].is_running() {
-                    self.site.entries[entry].signal("TERM");
-                    self.pending_undos
-                        .push((end + Duration::from_secs(8), Undo::StartEntry(entry)));
-                }
-            }
+            Fault::KillEntry => self.kill_entry(step),
+            Fault::KillEntries => self.kill_entries(step).await,
+            Fault::StopEntry => self.stop_entry(step),
             Fault::Reload => {
                 let entry = step.pick % self.site.entries.len();
                 if self.site.entries[entry].is_running() {
@@ -313,16 +302,6 @@
         self.restart(engine, false, end).await;
     }
 
-    fn pause_entry(&mut self, step: &Step) {
-        let entry = step.pick % self.site.entries.len();
-        if self.site.entries[entry].is_running() {
-            self.excuse_failures(step.span);
-            self.site.entries[entry].signal("STOP");
-            let end = Instant::now() + step.span;
-            self.pending_undos.push((end, Undo::Resume(entry)));
-        }
-    }
-
     fn begin_drill(&mut self, span: Duration) {
         self.excuse_failures(span + REWRITE_DELAY);
         let number = self.copies.len();
@@ -372,7 +351,7 @@
             .push((Instant::now() + serves_on, Undo::EndEngine(engine)));
     }
 
-    fn end_engine(&mut self, engine: usize) {
+    pub(super) fn end_engine(&mut self, engine: usize) {
         self.end_serving(engine);
         let engine = &self.site.engines[engine];
         engine.kill();
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -45,6 +45,9 @@
     PauseEntry,
     /// An entry is killed and restarted.
     KillEntry,
+    /// All entries are killed at once and restarted; meanwhile the timeout of streams changes, and one software
+    /// version may take over.
+    KillEntries,
     /// An entry is stopped gracefully and restarted.
     StopEntry,
     /// An entry reloads its settings.
@@ -154,7 +157,8 @@
     steps
 }
 
-/// Adds engines that are replaced by another software version to the plan, and crashes of entries and engines.
+/// Adds engines that are replaced by another software version to the plan, and crashes of entries, alone and all at
+/// once, and of engines.
 pub(crate) fn plan_with_versions(seed: u64, length: Duration) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
     let mut steps = plan(seed, length);
@@ -174,6 +178,16 @@
         });
         at += Duration::from_millis(rng.random_range(200..1_000));
     }
+    let mut at = Duration::from_millis(rng.random_range(600..2_000));
+    while at < length {
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(rng.random_range(20..300)),
+            fault: Fault::KillEntries,
+            pick: rng.random_range(0..1_000),
+        });
+        at += Duration::from_millis(rng.random_range(4_000..8_000));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -76,6 +76,12 @@
     ..UNCHANGED
 };
 
+/// The same, with callers who take their streams up late.
+pub(crate) const LATE_RETURNS: Changes = Changes {
+    callers: Callers::returning_late,
+    ..VERSIONS
+};
+
 /// Large streams that are read slowly, before planned work only.
 pub(crate) const SLOW_READERS: Changes = Changes {
     callers: Callers::reading_slowly,
@@ -105,9 +111,12 @@
     seconds: Duration,
 ) -> Outcomes {
     let entries: u8 = env_or("FIREFLY_SOAK_ENTRIES", DEFAULT_ENTRIES);
-    let restarts = steps
-        .iter()
-        .any(|s| matches!(s.fault, Fault::KillEntry | Fault::StopEntry));
+    let restarts = steps.iter().any(|s| {
+        matches!(
+            s.fault,
+            Fault::KillEntry | Fault::KillEntries | Fault::StopEntry
+        )
+    });
     let mut site = Site::without_entries().await;
     site.without = changes.without;
     for number in 2..changes.engines {
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -22,8 +22,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use entry::Entry;
-pub(crate) use entry::signal_all;
+pub(crate) use entry::{Entry, signal_all};
 pub(crate) use other_build::OtherBuild;
 use ports::{ReservedPorts, claim_net, reserve};
 use reqwest::{Client, RequestBuilder, Response};
