Keep the origin of a stream for thirty seconds at least

What callers saw: with 1.5 s as its route's timeout a stream could be taken up for 3 s from its start. A caller who had been refused with a time to wait, or was slow to return, was refused for good where two versions serve, though its entry and its owners were alive and had known the origin a moment before. Cause: origins were kept for twice the route's timeout. Class: a bound on what a caller does is read from what an entry does. Change: they are kept for 30 s at least, two minutes at most as before. Test: stream_goes_on_when_its_caller_returns_after_twice_the_timeout; without the change it failed, none of one went on. Cost: by count, not measured, at 5 streams a second and entry and three owners some 600 origins instead of 60 for a timeout of 1.5 s; the limit stays 16,384.

--- a/fireflydirect/src/stream_origins.rs
+++ b/fireflydirect/src/stream_origins.rs
@@ -11,11 +11,15 @@
     RouteSpec, StreamOrigin, StreamStart, Time, UpstreamIx, has_sole_timeout, stream_digest,
 };
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Time for which a stream may be taken up, as a multiple of its route's timeout: the first attempt may last
 /// that long, and the caller returns within the rest of its own time.
 const KEEP_TIMEOUTS: u32 = 2;
 
+/// Shortest time for which a stream may be taken up: a refused caller waits before it returns.
+const MIN_KEEP: Duration = Duration::from_secs(30);
+
 /// Stream that this entry relays, recorded as its own until dropped.
 pub struct OriginGuard {
     node: Rc<Node>,
@@ -56,7 +60,7 @@
             service: record.service,
             software_version: record.software_version?,
         },
-        keep_for: job.route.timeout * KEEP_TIMEOUTS,
+        keep_for: (job.route.timeout * KEEP_TIMEOUTS).max(MIN_KEEP),
     };
     let stream = start.stream;
     node.stream_origins
--- a/fireflydirect/tests/processes_rejoined.rs
+++ b/fireflydirect/tests/processes_rejoined.rs
@@ -139,9 +139,14 @@
 
 /// Takes streams up at once and later, with and without their first attempts; returns how many went on.
 async fn take_all_up(site: &Site, held: &[Held]) -> usize {
+    take_all_up_at(site, held, &RETURNS).await
+}
+
+/// The same at other times.
+async fn take_all_up_at(site: &Site, held: &[Held], returns: &[u64]) -> usize {
     let mut went_on = vec![false; held.len()];
     let began = tokio::time::Instant::now();
-    for seconds in RETURNS {
+    for seconds in returns.iter().copied() {
         tokio::time::sleep_until(began + Duration::from_secs(seconds)).await;
         for (i, Held { first, body }) in held.iter().enumerate() {
             for first in [Some(first.as_str()), None] {
@@ -238,6 +243,14 @@
         assert_eq!(take_all_up(&site, &held).await, held.len());
     }
 
+    stream_goes_on_when_its_caller_returns_after_twice_the_timeout(site: ["v1", "v2", "v1", "v2"], 2) {
+        site.grade_timeout_ms = SHORTENED_MS;
+        site.publish(&[KEY]);
+        until("the timeout", || async { site.log(0).contains("version=2 was=1") }).await;
+        let held = [begin(&site).await];
+        assert_eq!(take_all_up_at(&site, &held, &[3]).await, 1);
+    }
+
     streams_of_entries_that_ended_stay_off_the_version_that_is_left(site: ["v1", "v2", "v1", "v2"], 5) {
         let held = cut_streams(&mut site, 0..4).await;
         end_version(&site, "v1");
