--- a/fireflydirect/tests/processes_endless_answers.rs
+++ b/fireflydirect/tests/processes_endless_answers.rs
@@ -8,11 +8,14 @@
 use broken_servers::{
     MAX_FDS, MEMORY_MB, answered, break_store, break_upstreams, intact, peer_addr,
 };
+use fireflycroft::{EntryAnnouncement, EntryMessage};
+use fireflycroft_wire::encode_datagram;
 use standins::crowd::Watch;
 use standins::site::{BrokenAnswer, BrokenServer};
 use std::net::SocketAddr;
 use std::sync::OnceLock;
 use support::{KEY, Site, outcome, until, whole_stream};
+use tokio::net::UdpSocket;
 use tokio::sync::{Mutex, MutexGuard};
 
 /// Callers at a time.
@@ -189,6 +192,33 @@
     check_entry(&mut site, &[server], watch).await;
 }
 
+/// Lets another entry announce a configuration, and answer the call for it without end.
+async fn check_state(start: &str, rest: &str) {
+    let _turn = take_turn().await;
+    let mut site = start_site().await;
+    site.start_entries(1).await;
+    let watch = Watch::start(site.entries[0].id());
+    let own = peer_addr(&site, 0);
+    let [a, b, c, _] = site.entries[0].ip.octets();
+    let peer = SocketAddr::from(([a, b, c, 2], own.port()));
+    let nobody = SocketAddr::from((peer.ip(), 9));
+    let server = BrokenServer::start(peer, nobody, endless("/fleet/state", start, rest)).unwrap();
+    let socket = UdpSocket::bind((peer.ip(), 0)).await.unwrap();
+    let announcement = encode_datagram(&EntryMessage::Announcement(Box::new(EntryAnnouncement {
+        name: "front-2".into(),
+        data_centre: "a".into(),
+        config: 1_000,
+        ..EntryAnnouncement::default()
+    })));
+    until("a broken answer", || async {
+        socket.send_to(&announcement, own).await.unwrap();
+        server.answered() > 0
+    })
+    .await;
+    check_call_served(&site).await;
+    check_entry(&mut site, &[server], watch).await;
+}
+
 macro_rules! endless_answers {
     ($($name:ident: $check:ident($($part:expr),+);)+) => {
         $(
@@ -240,6 +270,8 @@
     list_answered_with_chunks: check_store("", after_head!("Transfer-Encoding: chunked\r\n\r\n"), "4\r\naaaa\r\n");
     watch_answered_with_a_body: check_store("watch=", after_head!("\r\n"), "a");
     watch_answered_with_events: check_store("watch=", after_head!("\r\n{\"events\":["), "{},");
+    entry_told_the_state_with_a_header: check_state(after_head!("X-Long: "), "a");
+    entry_told_the_state_with_a_body: check_state(after_head!("\r\n"), "a");
     entry_answered_by_another_with_a_header: check_other_entry(after_head!("X-Long: "), "a");
     entry_answered_by_another_with_a_body: check_other_entry(after_head!("\r\n"), "a");
 }
--- a/fireflydirect/tests/processes_late_requests.rs
+++ b/fireflydirect/tests/processes_late_requests.rs
@@ -16,6 +16,9 @@
 /// Code of what it has passed on without an outcome.
 const UNKNOWN: (u16, Option<u32>) = (502, Some(4001));
 
+/// Interval between two calls throughout a stop.
+const CALL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Starts the entry of a site again with another grace period.
 async fn set_grace(site: &mut Site, seconds: f64) {
     site.entries[0].restart_with("/bounds/grace_s", json!(seconds));
@@ -85,6 +88,34 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Sends calls of these times throughout a stop; one that gets no answer wasn't passed on.
+async fn check_whole_stop(site: &mut Site, grace: f64, work_ms: u64) {
+    set_grace(site, grace).await;
+    learn(site, "POST", "/file/a", work_ms).await;
+    site.entries[0].signal("TERM");
+    let mut calls = Vec::new();
+    while site.entries[0].is_running() {
+        let id = site.id();
+        let path = format!("/file/a?work_ms={work_ms}");
+        let sent = site.call(0, "POST", &path, &id).send();
+        let answer = async move { sent.await.ok().map(|answer| outcome(&answer)) };
+        calls.push((id, tokio::spawn(answer)));
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    for (id, answer) in calls {
+        let is_served = match answer.await.unwrap() {
+            Some((200, None)) => true,
+            Some(outcome) => {
+                assert_eq!(outcome, LEAVING, "{}", site.log(0));
+                false
+            }
+            None => false,
+        };
+        let runs = site.record.runs_of(&id).len();
+        assert_eq!(runs, usize::from(is_served), "{id} {}", site.log(0));
+    }
+}
+
 cases! {
     late_call_that_may_not_be_repeated_and_outlasts_the_grace_is_refused(site: 1) {
         set_grace(&mut site, 6.0).await;
@@ -204,4 +235,16 @@
         assert_eq!(site.record.runs_of(&second).len(), 0, "{}", site.log(0));
         site.entries[0].wait_for_exit().await;
     }
+
+    calls_throughout_a_grace_of_2_s_are_served_or_not_run(site: 1) {
+        check_whole_stop(&mut site, 2.0, 700).await;
+    }
+
+    calls_throughout_a_grace_of_3_s_are_served_or_not_run(site: 1) {
+        check_whole_stop(&mut site, 3.0, 700).await;
+    }
+
+    calls_throughout_a_grace_of_5_s_are_served_or_not_run(site: 1) {
+        check_whole_stop(&mut site, 5.0, 2_700).await;
+    }
 }
