--- a/fireflydirect/tests/processes_rejoined.rs
+++ b/fireflydirect/tests/processes_rejoined.rs
@@ -237,6 +237,19 @@
         take_all_up(&site, &held).await;
     }
 
+    streams_of_engines_without_a_version_stay_off_a_later_one(site: ["", ""], 3) {
+        site.grade_timeout_ms = SHORTENED_MS;
+        site.publish(&[KEY]);
+        for entry in 0..3 {
+            until("the timeout", || async { site.log(entry).contains("version=2 was=1") }).await;
+        }
+        let held = cut_streams(&mut site, 0..3).await;
+        begin_version(&mut site, "v2").await;
+        end_version(&site, "");
+        start_again(&mut site).await;
+        take_all_up(&site, &held).await;
+    }
+
     streams_that_a_surviving_owner_knows_go_on(site: ["v1", "v2", "v1", "v2"], 4) {
         let held = cut_streams(&mut site, 0..3).await;
         start_again(&mut site).await;
