Accept at the fleet's own port with the bound that other ports have

Cause: the messaging library's listener accepts whatever comes. Its public interface has no bound for it: a TCP listener's options are the port, no delay and keep-alive, a connection is first told of once its handshake is done, and no transport takes one that was accepted elsewhere. Class: descriptors and memory that a client decides about, without an owner who counts them.

Change: the daemon accepts itself and reads the published framing (fireflyd::inbox): a header of eight bytes each way, then length and content. The library still sends, so the bytes on the wire are as before. A connection has an account, with the limits of a server of pages, until it has brought a frame with the fleet's seal; as descriptors or memory run short, the longest silent stranger gives way. Members give way to nobody. A wrong header, none within 10 s, too long a frame, or silence for twice the time after which its sender closes a link ends a connection. The account gets one method to wait for its eviction; the guard against the library's receiving faults is gone with its use.

Ruled out: a relay in the process to a transport inside it (two more copies of each message, and the library's descriptors stay); a list of addresses (a member may come from one that nobody has told of; the seal proves more); a count in the pipe events (too late).

Four older cases use a plain socket whose dial blocks its thread, and run on two threads now, since the answering side no longer has threads of its own; what they check is unchanged.

--- a/fireflyd/examples/mailbox_latency.rs
+++ b/fireflyd/examples/mailbox_latency.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use fireflycroft::ConnectionLimits;
 use fireflyd::keyring::{KeyRing, SharedKeyRing};
 use fireflyd::mailbox::{Limits, Mailbox};
 use fireflyd::metrics::Metrics;
@@ -15,8 +16,15 @@
 
 fn open(keys: &SharedKeyRing) -> anyhow::Result<(Mailbox, Receiver<Vec<u8>>)> {
     let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let metrics = Metrics::new()?.mailbox;
-    Mailbox::open(local, keys.clone(), Limits::default(), metrics)
+    let metrics = Metrics::new()?;
+    let strangers = metrics.accounts("mailbox", ConnectionLimits::for_pages(None, None));
+    Mailbox::open(
+        local,
+        keys.clone(),
+        Limits::default(),
+        metrics.mailbox,
+        strangers,
+    )
 }
 
 async fn round_trips(
--- a/fireflyd/src/http_server.rs
+++ b/fireflyd/src/http_server.rs
@@ -23,7 +23,7 @@
 use crate::acceptor::HEAD_LIMITS;
 
 /// Delay after a failed accept: shortages of descriptors are brief.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Serves the connections of `acceptor` until `stop` completes, and those that are open then until they have ended or
 /// `grace` is over.
@@ -72,7 +72,8 @@
     }
 }
 
-fn log_panic(ended: Result<(), tokio::task::JoinError>) {
+/// Logs the panic of a connection's task.
+pub(crate) fn log_panic(ended: Result<(), tokio::task::JoinError>) {
     if let Err(e) = ended {
         log::error!(event = "connection_panicked", error:% = e; "");
     }
--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod frontend;
 pub mod grace_period;
 mod http_server;
+mod inbox;
 pub mod journal;
 pub mod keyring;
 pub mod leader;
--- a/fireflyd/src/link.rs
+++ b/fireflyd/src/link.rs
@@ -310,7 +310,7 @@
 /// Cancels the operation of `aio`, frees it, and only then closes its socket.
 ///
 /// Waits for callbacks, so it must not be called from one; no further operation may start.
-pub(crate) fn stop(aio: Aio, socket: &Socket) {
+fn stop(aio: Aio, socket: &Socket) {
     aio.cancel();
     aio.wait();
     // Freeing waits for a timeout that is being handled.
--- a/fireflyd/src/mailbox.rs
+++ b/fireflyd/src/mailbox.rs
@@ -1,35 +1,33 @@
-//! Messages between the fleet's processes, over `nng` push and pull sockets on TCP.
+//! Messages between the fleet's processes, over the push and pull sockets of `nng` on TCP.
 //!
-//! Each process listens on one pull socket, its mailbox, and dials one push socket for each
-//! destination. Nothing here waits or retries: a message is dropped and counted when its queue is
-//! full or when it isn't sent within [`Limits::max_age`], and the layers above recover from the
-//! loss. A message may also be lost with its connection.
+//! Each process listens at one address, its mailbox, as a pull socket does, and dials one push
+//! socket for each destination. Nothing here waits or retries: a message is dropped and counted
+//! when its queue is full or when it isn't sent within [`Limits::max_age`], and the layers above
+//! recover from the loss. A message may also be lost with its connection.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
-use std::sync::{Arc, Mutex, PoisonError, RwLock, Weak};
+use std::sync::{Arc, PoisonError, RwLock, Weak};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use nng::options::transport::tcp::BoundPort;
-use nng::options::{Options, RecvMaxSize};
-use nng::{Aio, AioResult, Listener, Protocol, Socket};
+use fireflynet::Callers;
 use tokio::sync::mpsc;
 
+use crate::inbox::{Inbox, Receiver};
 use crate::keyring::{SEAL_LEN, SharedKeyRing};
-use crate::link::{Peer, RetiredLink, run_janitor, stop};
+use crate::link::{Peer, RetiredLink, run_janitor};
 use crate::metrics::MailboxMetrics;
 
 /// Largest payload of a message in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// Largest sealed message in bytes; longer ones are dropped and counted.
 pub const MAX_FRAME_BYTES: usize = MAX_MESSAGE_BYTES + SEAL_LEN;
-/// Receive limit in bytes beyond which `nng` closes the connection.
-///
-/// It is above [`MAX_FRAME_BYTES`], so that a slightly longer frame is counted and doesn't cost
-/// its sender the connection.
-const DISCONNECT_FRAME_BYTES: usize = 2 * MAX_FRAME_BYTES;
+/// Multiple of [`Limits::idle`] after which a receiver closes a silent connection; its sender has
+/// closed it by then.
+const RECEIVE_IDLE_FACTOR: u32 = 2;
+
 /// Limits of a mailbox.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -67,18 +65,18 @@
 }
 
 struct Shared {
-    local: SocketAddr,
+    inbox: Inbox,
     keys: SharedKeyRing,
     limits: Limits,
     metrics: MailboxMetrics,
     peers: RwLock<HashMap<SocketAddr, Arc<Peer>>>,
     retired: Sender<RetiredLink>,
-    _inbox: Inbox,
 }
 
 impl Mailbox {
     /// Listens at `listen` (port 0 lets the system choose) and returns the mailbox with the
-    /// receiver of its opened messages.
+    /// receiver of its opened messages; `strangers` are the accounts of connections that have
+    /// brought no message of the fleet. Receives on the current runtime.
     ///
     /// # Errors
     ///
@@ -88,24 +86,25 @@
         keys: SharedKeyRing,
         limits: Limits,
         metrics: MailboxMetrics,
+        strangers: Callers,
     ) -> anyhow::Result<(Self, mpsc::Receiver<Vec<u8>>)> {
         let (tx, rx) = mpsc::channel(limits.inbox);
-        let reader = Reader {
+        let receiver = Receiver {
             keys: keys.clone(),
             metrics: metrics.clone(),
+            strangers,
+            idle: RECEIVE_IDLE_FACTOR * limits.idle,
             tx,
         };
-        let inbox = Inbox::listen(listen, reader).with_context(|| format!("mailbox {listen}"))?;
-        let port = inbox.listener.get_opt::<BoundPort>()?;
+        let inbox = Inbox::listen(listen, receiver).with_context(|| format!("mailbox {listen}"))?;
         let (retired, retired_rx) = std::sync::mpsc::channel();
         let shared = Arc::new(Shared {
-            local: SocketAddr::new(listen.ip(), port),
+            inbox,
             keys,
             limits,
             metrics,
             peers: RwLock::default(),
             retired,
-            _inbox: inbox,
         });
         let weak = Arc::downgrade(&shared);
         std::thread::Builder::new()
@@ -117,7 +116,7 @@
     /// Returns the listening address with the actual port.
     #[must_use]
     pub fn local_addr(&self) -> SocketAddr {
-        self.shared.local
+        self.shared.inbox.local_addr()
     }
 
     /// Queues `payload` for the mailbox at `to` without waiting.
@@ -178,133 +177,3 @@
         shared.close_idle(Instant::now());
     }
 }
-
-/// Opens received frames and queues their payloads.
-struct Reader {
-    keys: SharedKeyRing,
-    metrics: MailboxMetrics,
-    tx: mpsc::Sender<Vec<u8>>,
-}
-
-impl Reader {
-    fn on_frame(&self, frame: &[u8]) {
-        if frame.len() > MAX_FRAME_BYTES {
-            self.metrics.dropped.with_label_values(&["too_long"]).inc();
-            return;
-        }
-        let Ok(payload) = self.keys.get().open(frame).map(<[u8]>::to_vec) else {
-            self.metrics.refused_seal.inc();
-            return;
-        };
-        self.metrics.received.inc();
-        self.metrics.received_bytes.inc_by(frame.len() as u64);
-        if self.tx.try_send(payload).is_err() {
-            self.metrics
-                .dropped
-                .with_label_values(&["inbox_full"])
-                .inc();
-        }
-    }
-}
-
-/// Guards a socket: no operation starts after it is closed.
-struct Gate {
-    open: Mutex<bool>,
-}
-
-impl Gate {
-    fn new() -> Self {
-        Self {
-            open: Mutex::new(true),
-        }
-    }
-
-    /// Starts an operation, or fails with `Closed`.
-    fn begin(&self, start: impl FnOnce() -> nng::Result<()>) -> nng::Result<()> {
-        // The lock is held until the operation can be cancelled.
-        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if *open {
-            start()
-        } else {
-            Err(nng::Error::Closed)
-        }
-    }
-
-    fn close(&self) {
-        *self.open.lock().unwrap_or_else(PoisonError::into_inner) = false;
-    }
-}
-
-/// Listening socket; dropping it waits for its callback and closes it.
-struct Inbox {
-    state: Arc<InboxState>,
-    /// `Some` until the drop.
-    aio: Option<Aio>,
-    listener: Listener,
-}
-
-/// State used by the callback of the inbox.
-struct InboxState {
-    socket: Socket,
-    gate: Gate,
-    reader: Reader,
-}
-
-impl Inbox {
-    fn listen(addr: SocketAddr, reader: Reader) -> nng::Result<Self> {
-        let socket = Socket::new(Protocol::Pull0)?;
-        socket.set_opt::<RecvMaxSize>(DISCONNECT_FRAME_BYTES)?;
-        let state = Arc::new(InboxState {
-            socket,
-            gate: Gate::new(),
-            reader,
-        });
-        let weak = Arc::downgrade(&state);
-        let aio = Aio::new(move |aio, res| {
-            if let Some(state) = weak.upgrade() {
-                state.on_received(&aio, &res);
-            }
-        })?;
-        let listener = Listener::new(&state.socket, &url(addr))?;
-        state.receive(&aio)?;
-        Ok(Self {
-            state,
-            aio: Some(aio),
-            listener,
-        })
-    }
-}
-
-impl Drop for Inbox {
-    fn drop(&mut self) {
-        self.state.gate.close();
-        if let Some(aio) = self.aio.take() {
-            stop(aio, &self.state.socket);
-        }
-    }
-}
-
-impl InboxState {
-    fn receive(&self, aio: &Aio) -> nng::Result<()> {
-        self.gate.begin(|| self.socket.recv_async(aio))
-    }
-
-    fn on_received(&self, aio: &Aio, res: &AioResult) {
-        match res {
-            AioResult::Recv(Ok(msg)) => self.reader.on_frame(msg.as_slice()),
-            AioResult::Recv(Err(nng::Error::Closed | nng::Error::Canceled)) => return,
-            AioResult::Recv(Err(e)) => {
-                log::warn!(event = "mailbox_receive_failed", cause:% = e; "");
-            }
-            AioResult::Send(_) | AioResult::Sleep(_) => {}
-        }
-        match self.receive(aio) {
-            Ok(()) | Err(nng::Error::Closed) => {}
-            Err(e) => log::error!(event = "mailbox_receive_ended", cause:% = e; ""),
-        }
-    }
-}
-
-fn url(addr: SocketAddr) -> String {
-    format!("tcp://{addr}")
-}
--- a/fireflyd/src/process.rs
+++ b/fireflyd/src/process.rs
@@ -87,11 +87,14 @@
         KEY_CHECK_INTERVAL,
     ));
     let metrics = Metrics::new()?;
+    let vm = settings.vm;
+    let limits = ConnectionLimits::for_pages(Some(vm.memory), Some(vm.descriptors));
     let (mailbox, mail) = Mailbox::open(
         settings.mailbox,
         keys,
         Limits::default(),
         metrics.mailbox.clone(),
+        metrics.accounts("mailbox", limits),
     )?;
     let platform = PlatformClient::new(
         &settings.platform,
--- a/fireflyd/tests/mailbox.rs
+++ b/fireflyd/tests/mailbox.rs
@@ -3,15 +3,24 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use fireflycroft::ConnectionLimits;
 use fireflyd::keyring::{KEY_LEN, KeyRing, SharedKeyRing};
 use fireflyd::mailbox::{Limits, MAX_FRAME_BYTES, MAX_MESSAGE_BYTES, Mailbox};
 use fireflyd::metrics::{MailboxMetrics, Metrics};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::Receiver;
 
 const OLD: (u8, [u8; KEY_LEN]) = (1, [0x11; KEY_LEN]);
 const NEW: (u8, [u8; KEY_LEN]) = (2, [0x22; KEY_LEN]);
 /// Longest wait for an event.
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Connections without a sealed message that the mailboxes keep.
+const MAX_STRANGERS: usize = 16;
+const STRANGER_LIMITS: ConnectionLimits = ConnectionLimits {
+    memory: 8 << 20,
+    connections: MAX_STRANGERS,
+};
 /// Interval at which a counter is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -20,6 +29,7 @@
     rx: Receiver<Vec<u8>>,
     keys: SharedKeyRing,
     metrics: MailboxMetrics,
+    all: Metrics,
 }
 
 impl Endpoint {
@@ -33,13 +43,17 @@
         limits: Limits,
     ) -> anyhow::Result<Self> {
         let keys = SharedKeyRing::new(ring(keys));
-        let metrics = Metrics::new().unwrap().mailbox;
-        let (mailbox, rx) = Mailbox::open(listen, keys.clone(), limits, metrics.clone())?;
+        let all = Metrics::new().unwrap();
+        let strangers = all.accounts("mailbox", STRANGER_LIMITS);
+        let metrics = all.mailbox.clone();
+        let (mailbox, rx) =
+            Mailbox::open(listen, keys.clone(), limits, metrics.clone(), strangers)?;
         Ok(Self {
             mailbox,
             rx,
             keys,
             metrics,
+            all,
         })
     }
 
@@ -54,6 +68,13 @@
             .expect("the mailbox ended")
     }
 
+    /// Returns whether a stranger has given way for want of `shortage`.
+    fn has_evicted(&self, shortage: &str) -> bool {
+        let name =
+            format!("evicted_connections_total{{server=\"mailbox\",shortage=\"{shortage}\"}}");
+        self.all.render().contains(&name)
+    }
+
     fn dropped(&self, cause: &str) -> u64 {
         self.metrics.dropped.with_label_values(&[cause]).get()
     }
@@ -111,7 +132,8 @@
 
 macro_rules! refused_frame_cases {
     ($($name:ident: $len:expr, sealed $sealed:expr => $counted:expr;)*) => {$(
-        #[tokio::test]
+        // The plain socket blocks its thread.
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
         async fn $name() {
             let mut b = Endpoint::new(&[OLD]);
             let mut frame = vec![3; $len];
@@ -136,7 +158,7 @@
     an_unsealed_frame_is_refused: 100, sealed false => Some(|b| b.metrics.refused_seal.get());
     a_frame_shorter_than_a_seal_is_refused: 3, sealed false => Some(|b| b.metrics.refused_seal.get());
     a_frame_over_the_bound_is_counted: MAX_MESSAGE_BYTES + 1, sealed true => Some(|b| b.dropped("too_long"));
-    // nng closes this connection before the frame is read, so it isn't counted.
+    // Its connection is closed before the frame is read, so it isn't counted.
     a_frame_far_over_the_bound_is_cut: 4 * MAX_FRAME_BYTES, sealed true => None;
 }
 
@@ -359,3 +381,90 @@
     }
     flood.abort();
 }
+
+/// Opens connections that send `bytes` and stay, each once the one before has been accepted.
+async fn strangers(to: &Endpoint, count: usize, bytes: &[u8]) -> Vec<TcpStream> {
+    let mut strangers = Vec::new();
+    for _ in 0..count {
+        let mut stranger = TcpStream::connect(to.addr()).await.unwrap();
+        stranger.write_all(bytes).await.unwrap();
+        // The header of the mailbox.
+        let _ = stranger.read_exact(&mut [0; 8]).await;
+        strangers.push(stranger);
+    }
+    strangers
+}
+
+/// Returns whether the mailbox closes the connection.
+async fn is_closed(stranger: &mut TcpStream) -> bool {
+    tokio::time::timeout(TIMEOUT, stranger.read_to_end(&mut Vec::new()))
+        .await
+        .is_ok()
+}
+
+/// Returns the beginning of a connection that announces a frame.
+fn announcement(len: u64) -> Vec<u8> {
+    [b"\0SP\0\0\x50\0\0", &len.to_be_bytes()[..]].concat()
+}
+
+macro_rules! stranger_cases {
+    ($($name:ident: $bytes:expr => $shortage:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (a, mut b) = (Endpoint::new(&[OLD]), Endpoint::new(&[OLD]));
+            a.mailbox.send(b.addr(), b"before".to_vec());
+            assert_eq!(b.next().await, b"before");
+            let mut crowd = strangers(&b, 3 * MAX_STRANGERS, &$bytes).await;
+            assert!(b.has_evicted($shortage));
+            // The oldest have given way to the newest.
+            for stranger in &mut crowd[..2 * MAX_STRANGERS] {
+                assert!(is_closed(stranger).await);
+            }
+            a.mailbox.send(b.addr(), b"beside".to_vec());
+            assert_eq!(b.next().await, b"beside");
+            let c = Endpoint::new(&[OLD]);
+            c.mailbox.send(b.addr(), b"new".to_vec());
+            assert_eq!(b.next().await, b"new");
+            assert_eq!((a.dropped("link"), c.dropped("link")), (0, 0));
+        }
+    )*};
+}
+
+stranger_cases! {
+    silent_strangers_give_way_to_newcomers: [] => "descriptors";
+    strangers_that_stop_after_the_handshake_give_way_to_newcomers: announcement(0)[..8] => "descriptors";
+    strangers_that_announce_a_frame_and_stop_give_way_to_newcomers: announcement(MAX_FRAME_BYTES as u64) => "memory";
+}
+
+macro_rules! closed_cases {
+    ($($name:ident: $bytes:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let b = Endpoint::new(&[OLD]);
+            let mut crowd = strangers(&b, 1, &$bytes).await;
+            assert!(is_closed(&mut crowd[0]).await);
+        }
+    )*};
+}
+
+closed_cases! {
+    a_client_that_is_no_push_socket_is_closed: [b'G'; 8];
+    a_client_of_another_protocol_is_closed: *b"\0SP\0\0\x30\0\0";
+    a_client_that_never_shakes_hands_is_closed: [];
+    a_client_that_announces_too_long_a_frame_is_closed: announcement(u64::MAX);
+}
+
+#[tokio::test]
+async fn a_member_that_falls_silent_is_closed() {
+    let limits = Limits {
+        idle: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    let mut b = Endpoint::at(any_port(), &[OLD], limits).unwrap();
+    let mut frame = b"once".to_vec();
+    ring(&[OLD]).seal(&mut frame);
+    let first = [announcement(frame.len() as u64), frame].concat();
+    let mut member = strangers(&b, 1, &first).await;
+    assert_eq!(b.next().await, b"once");
+    assert!(is_closed(&mut member[0]).await);
+}
--- a/fireflynet/src/callers.rs
+++ b/fireflynet/src/callers.rs
@@ -8,11 +8,12 @@
 };
 use std::collections::HashMap;
 use std::fmt;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
-use std::task::{Context, Waker};
+use std::task::{Context, Poll, Waker};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -303,7 +304,8 @@
         self.calls_begun() > self.inner.calls_ended.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn set_phase(&self, phase: Phase) {
+    /// Records what the connection does from now on.
+    pub fn set_phase(&self, phase: Phase) {
         let now = self.inner.shared.now();
         let mut state = lock(&self.inner.shared.state);
         state.table.set_phase(now, self.inner.id, phase);
@@ -329,6 +331,17 @@
         has_to_close()
     }
 
+    /// Waits until the connection has to be closed; one task of a connection may do so.
+    pub async fn until_closed(&self) {
+        poll_fn(|cx| {
+            if self.poll_has_to_close(cx) {
+                return Poll::Ready(());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Waits until requests whose bodies are arriving have to be refused.
     pub(crate) async fn until_refused(&self) {
         let mut refusal = pin!(self.inner.refusal.notified());
