Hold a large answer and a large message without spare memory

What callers saw: on an x86-64 machine of 8 cores, an entry whose callers leave 700 KB answers unread grew to 62 to 66 MB on a VM of 64 MB, and would have been ended for want of memory with all its callers' calls. The accounts admitted what they should; the process held more for it than they count.

Cause: two buffers that grow by doubling, so that each large one held up to twice its bytes. - A call's whole answer comes from the entry's loop in one chunk. The handler copied it piece by piece into a vector of its own, on another thread: for 700 KB a buffer of 1 MB that lasts until the caller has read, and the first copy left a hole in the loop thread's heap. One copy and 300 KB of spare memory for each answer. - The seal of a message is appended to a buffer that is exactly full: 17 bytes doubled it, from 700 KB to 1.4 MB, in the queue to the agent and afterwards in the heap.

Class: memory held beside the account.

Change: the first chunk of a whole answer becomes the answer, and its spare memory is returned; a seal reserves what it appends. No limit, bound or message changes.

Ruled out: the test's bounds and crowd stay as they are. Settings of the C library's allocator can't be made by the process without unsafe code.

Not run on arm64.

a_seal_leaves_a_message_without_spare_memory failed before: a capacity of 1,000,000 for 500,017 bytes.

--- a/fireflyd/src/frontend.rs
+++ b/fireflyd/src/frontend.rs
@@ -192,7 +192,7 @@
                     if !self.service.reserve_answer(next.data.len()) {
                         return Err(Failure::of(Code::AnswerTooLarge));
                     }
-                    append(&mut chunk, &next);
+                    append(&mut chunk, next);
                 }
                 Some(Reply::End(finish)) => {
                     return Ok(WholeAnswer {
@@ -341,7 +341,13 @@
     }
 }
 
-fn append(whole: &mut Chunk, chunk: &Chunk) {
+/// Appends to an answer; the first chunk becomes the answer, without a copy or spare memory.
+fn append(whole: &mut Chunk, chunk: Chunk) {
+    if whole.count() == 0 {
+        *whole = chunk;
+        whole.data.shrink_to_fit();
+        return;
+    }
     for token in chunk.tokens() {
         whole.push(token);
     }
--- a/fireflyd/src/keyring.rs
+++ b/fireflyd/src/keyring.rs
@@ -121,6 +121,8 @@
     /// Appends key id and tag to `buf`.
     pub fn seal(&self, buf: &mut Vec<u8>) {
         let key = &self.keys[0];
+        // A large message takes no spare memory.
+        buf.reserve_exact(SEAL_LEN);
         buf.push(key.id);
         let tag = blake3::keyed_hash(&key.secret, buf);
         buf.extend_from_slice(&tag.as_bytes()[..TAG_LEN]);
--- a/fireflyd/tests/keyring.rs
+++ b/fireflyd/tests/keyring.rs
@@ -146,3 +146,9 @@
     watch.abort();
     std::fs::remove_file(&path).unwrap();
 }
+
+#[test]
+fn a_seal_leaves_a_message_without_spare_memory() {
+    let buf = sealed(&ring(&[OLD]), &b"offer".repeat(100_000));
+    assert_eq!(buf.capacity(), buf.len());
+}
