Count no entry as a watcher that takes another object for the configuration

An upgraded entry beside three watchers of the older build that hold a stranger's object learnt nothing of changes to config/main: it relies on watchers for them, they announce their stranger's version only, and that is refused once.

Class: a duty is left to whoever says that it does it. An entry whose announced version is refused doesn't count as a watcher, so that those beside it step in.

Before: entry_beside_watchers_that_hold_another_object_learns_of_changes failed (the added route wasn't served in 30 s). After: passes, as do the six others of the file.

--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -205,7 +205,8 @@
             WatcherView {
                 addr: *addr,
                 is_alive,
-                watches: is_alive && k.watches,
+                // One that takes another object for the configuration announces no change of it.
+                watches: is_alive && k.watches && k.has_config(k.config),
                 is_unanswered: is_alive && k.is_unanswered,
             }
         };
--- a/fireflydirect/tests/processes_config.rs
+++ b/fireflydirect/tests/processes_config.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use support::strangers::{OTHER_VERSION, without_routes};
 use support::{KEY, OtherBuild, Site, cases, outcome, until};
 
@@ -30,6 +30,12 @@
     .await;
 }
 
+/// Returns another object than the configuration, as an entry hands it out.
+fn draft() -> Value {
+    let draft = json!({"name": "draft", "revision": 99, "content": without_routes(OTHER_VERSION)});
+    json!({"Whole": draft})
+}
+
 cases! {
     configuration_beside_the_operators_is_not_adopted_at_the_start(site: 0) {
         let mut site = Site::without_entries().await;
@@ -58,8 +64,7 @@
     }
 
     configuration_that_another_build_took_for_the_operators_is_fetched_once(site: 1) {
-        let draft = json!({"name": "draft", "revision": 99, "content": without_routes(OTHER_VERSION)});
-        let other = OtherBuild::start(&site, OTHER_VERSION, json!({"Whole": draft})).await;
+        let other = OtherBuild::start(&site, 9, 1, OTHER_VERSION, &draft()).await;
         until_read(&site, "draft").await;
         let announced = other.announced();
         until("further announcements", || async { other.announced() >= announced + 40 }).await;
@@ -68,6 +73,20 @@
         until_served(&site, "/new/a").await;
     }
 
+    entry_beside_watchers_that_hold_another_object_learns_of_changes(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        let mut others = Vec::new();
+        for seed in 1..=3 {
+            others.push(OtherBuild::start(&site, seed, 4, OTHER_VERSION, &draft()).await);
+        }
+        site.add_entry(4).await;
+        site.until_ready(0).await;
+        until_read(&site, "draft").await;
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_served(&site, "/new/a").await;
+    }
+
     lists_go_on_after_any_name(site: 0) {
         let mut site = Site::without_entries().await;
         site.put_odd_names(1);
--- a/fireflydirect/tests/support/other_build.rs
+++ b/fireflydirect/tests/support/other_build.rs
@@ -4,7 +4,7 @@
 use fireflycroft::{EntryAnnouncement, EntryMessage, Incarnation};
 use fireflycroft_wire::encode_datagram;
 use serde_json::{Value, json};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -12,9 +12,6 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 
-/// Last octet of its address.
-const LAST_OCTET: u8 = 9;
-
 /// Interval between two announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -26,19 +23,20 @@
 }
 
 impl OtherBuild {
-    /// Starts one that announces a version to the first entry and hands out `config` for it.
-    pub(crate) async fn start(site: &Site, version: u64, config: Value) -> Self {
+    /// Starts one, at the address that ends with `last`, that says that it watches the store; it announces a version to
+    /// the entry whose address ends with `to` and hands out `config` for it.
+    pub(crate) async fn start(site: &Site, last: u8, to: u8, version: u64, config: &Value) -> Self {
         let [port] = site.peer_port.numbers;
-        let ip = Ipv4Addr::new(127, site.net[0], site.net[1], LAST_OCTET);
-        let addr = SocketAddr::from((ip, port));
-        let to = SocketAddr::from((site.entries[0].ip, port));
+        let addr = |last| SocketAddr::from(([127, site.net[0], site.net[1], last], port));
+        let (addr, to) = (addr(last), addr(to));
         let socket = UdpSocket::bind(addr).await.unwrap();
         let listener = TcpListener::bind(addr).await.unwrap();
         let announced = Arc::new(AtomicUsize::new(0));
         let fetched = Arc::new(AtomicUsize::new(0));
         let mut tasks = JoinSet::new();
-        tasks.spawn(announce(socket, to, version, announced.clone()));
-        tasks.spawn(hand_out(listener, config, fetched.clone()));
+        let announcement = announcement(last, version);
+        tasks.spawn(announce(socket, to, announcement, announced.clone()));
+        tasks.spawn(hand_out(listener, config.clone(), fetched.clone()));
         Self {
             announced,
             fetched,
@@ -57,15 +55,25 @@
     }
 }
 
-async fn announce(socket: UdpSocket, to: SocketAddr, version: u64, announced: Arc<AtomicUsize>) {
-    let announcement = EntryAnnouncement {
-        name: "front-other".into(),
+fn announcement(last: u8, version: u64) -> EntryAnnouncement {
+    EntryAnnouncement {
+        name: format!("other-{last}").into(),
         data_centre: "a".into(),
         incarnation: Incarnation(1),
         config: version,
         entries: 1,
+        watches: true,
+        store_age: Some(Duration::ZERO),
         ..EntryAnnouncement::default()
-    };
+    }
+}
+
+async fn announce(
+    socket: UdpSocket,
+    to: SocketAddr,
+    announcement: EntryAnnouncement,
+    announced: Arc<AtomicUsize>,
+) {
     let bytes = encode_datagram(&EntryMessage::Announcement(Box::new(announcement)));
     loop {
         // The entry may be gone at the end of a test.
