Refuse the version that an entry announced when it was asked

What an entry hands out while it changes its configuration was set against what it announces by the time the answer is read: a peer that gets from a stranger's object to the right configuration meanwhile would have the right version refused, from that entry, also after its next start. Found by the review, by reading; the race is small and has no test of its own. The version is noted as the fetch begins, and the next incarnation of the entry begins without a refused one.

--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -262,7 +262,8 @@
         from: Ipv4Addr,
         announcement: &EntryAnnouncement,
     ) {
-        let before = self.known.get(&from);
+        let is_same = |k: &&PeerRecord| k.incarnation == Some(announcement.incarnation);
+        let before = self.known.get(&from).filter(is_same);
         let known = PeerRecord {
             refused_config: before.and_then(|k| k.refused_config),
             name: Some(announcement.name.clone()),
@@ -327,10 +328,15 @@
         }
     }
 
-    /// Records that what an entry hands out for its announced version isn't the configuration.
-    pub(crate) fn refuse_config(&mut self, from: Ipv4Addr) {
+    /// Returns the version that an entry announces.
+    pub(crate) fn announced_config(&self, from: Ipv4Addr) -> Option<u64> {
+        self.known.get(&from).map(|k| k.config)
+    }
+
+    /// Records that what an entry handed out while it announced `version` isn't the configuration.
+    pub(crate) fn refuse_config(&mut self, from: Ipv4Addr, version: Option<u64>) {
         if let Some(known) = self.known.get_mut(&from) {
-            known.refused_config = Some(known.config);
+            known.refused_config = version;
         }
     }
 
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -283,6 +283,7 @@
         whole_config,
         upstreams: known,
     };
+    let announced = node.peers.borrow().announced_config(from);
     let mut state = get_state(node, from, &query).await?;
     node.record_store_era(era_of(state.revision), "peer");
     node.peers
@@ -293,7 +294,7 @@
     if let Some(config) = config
         && !node.adopt_config(&config, "peer")
     {
-        node.peers.borrow_mut().refuse_config(from);
+        node.peers.borrow_mut().refuse_config(from, announced);
     }
     if known == NO_LIST_CHANGES {
         return Ok(());
