Read the configuration by its name past a first page that lacks it

An entry that starts, or lists anew as a watcher, read the whole kind config page by page, with the contents of everybody's objects, before it had the configuration or watched on: 207 calls with 200 objects before main on pages of one. On a slow link that is the time in which it answers 503, and in which a change is late; what was read was kept in memory to no use; a page that leads nowhere made a sound store count as silent.

One page tells the revision to watch from, and if the configuration isn't on it, it is read by its name; no object of the kind is kept.

Before: many_objects_before_the_configuration_cost_no_call_each failed (207 calls). After: passes, as do the seven others of the file.

--- a/fireflydirect/src/config_read.rs
+++ b/fireflydirect/src/config_read.rs
@@ -43,12 +43,8 @@
 /// Reads the configuration once and adopts it; returns true if the store answered.
 async fn read_config_once(node: &Node, call: StoreCall) -> bool {
     let mut client = Client::new(node.place.store.addr, node);
-    let path = match call {
-        StoreCall::Replica => config_replica_path(),
-        StoreCall::List | StoreCall::Trial | StoreCall::Watch => config_path(),
-    };
     let hedged_call = HedgedCall::single(CONFIG_TIMEOUT);
-    let answer = client.get(&path, hedged_call, || ()).await;
+    let answer = client.get(&config_call(call), hedged_call, || ()).await;
     let metrics = &node.metrics;
     metrics.record_store_call(Kind::Config, call, answer.is_ok());
     let read = answer
@@ -64,8 +60,16 @@
     read.is_ok()
 }
 
+/// Returns the path of a call that reads the configuration.
+pub(crate) fn config_call(call: StoreCall) -> String {
+    match call {
+        StoreCall::Replica => config_replica_path(),
+        StoreCall::List | StoreCall::Trial | StoreCall::Watch => config_path(),
+    }
+}
+
 /// Decodes the response to a call for one object.
-fn decode_object(response: &CallResponse) -> Result<Option<StoreObject>, String> {
+pub(crate) fn decode_object(response: &CallResponse) -> Result<Option<StoreObject>, String> {
     let status = response.status;
     let object = read_object(status, &response.body).map_err(|e| format!("{status} {e:?}"))?;
     Ok(object.map(|o| o.in_era(read_era(&response.headers))))
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -13,6 +13,7 @@
 //! store, and receives later changes from other entries.
 
 use crate::client::Client;
+use crate::config_read::{config_call, decode_object};
 use crate::ingest::Ingest;
 use crate::links::CallResponse;
 use crate::node::Node;
@@ -20,7 +21,7 @@
 use crate::store_list::StoreList;
 use fireflycroft::{HedgedCall, Mechanism, era_of};
 use fireflycroft_platform::{
-    Kind, StoreError, StorePage, read_era, read_events, read_page, watch_path,
+    Kind, StoreError, StorePage, is_configuration, read_era, read_events, read_page, watch_path,
 };
 use std::cell::Cell;
 use std::rc::Rc;
@@ -171,13 +172,31 @@
     async fn read_page(&mut self, call: StoreCall, list: &mut StoreList) -> Result<bool, String> {
         let after = list.last_name();
         let path = page_path(call, self.kind, after.as_deref());
-        let page = self.get_page(call, &path).await?;
+        let mut page = self.get_page(call, &path).await?;
         self.ingest.record_nameless(page.unnamed);
         // Objects of an incomplete list are valid as well.
         self.ingest.apply_objects(&page.objects);
+        if self.kind == Kind::Config {
+            self.read_past(call, &page).await?;
+            page.objects.clear();
+            page.more = false;
+        }
         list.append(page).map_err(|e| e.to_string())
     }
 
+    /// Reads the configuration by its name if the first page of its kind doesn't hold it; the page's revision is the
+    /// one to watch from.
+    async fn read_past(&mut self, call: StoreCall, page: &StorePage) -> Result<(), String> {
+        if !page.more || page.objects.iter().any(is_configuration) {
+            return Ok(());
+        }
+        let path = config_call(call);
+        let answered = self.get(call, &path, self.hedged_call(call)).await;
+        let object = decode_object(&answered.map_err(|e| e.to_string())?)?;
+        self.ingest.apply_objects(object.as_slice());
+        Ok(())
+    }
+
     fn apply_list(&mut self, list: &StoreList) -> Option<u64> {
         let revision = list.revision()?;
         self.ingest.apply_list(list.objects(), revision);
--- a/fireflydirect/tests/processes_config.rs
+++ b/fireflydirect/tests/processes_config.rs
@@ -6,6 +6,9 @@
 use support::strangers::{OTHER_VERSION, without_routes};
 use support::{KEY, OtherBuild, Site, cases, outcome, until};
 
+/// Objects of somebody else beside the configuration.
+const MANY: u64 = 200;
+
 /// Waits until all entries serve a path.
 async fn until_served(site: &Site, path: &str) {
     for entry in 0..site.entries.len() {
@@ -94,6 +97,17 @@
         until_served(&site, "/fetch/a").await;
     }
 
+    many_objects_before_the_configuration_cost_no_call_each(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.store.set_page_size(1);
+        for number in 0..MANY {
+            site.store.put("config", &format!("a{number}"), &json!("of somebody else"));
+        }
+        site.start_entries(1).await;
+        until_served(&site, "/fetch/a").await;
+        assert!(site.store.calls() < MANY, "{} calls", site.store.calls());
+    }
+
     large_configuration_behind_other_objects_is_read_from_the_store(site: 6) {
         site.store.set_page_size(1);
         site.store.put("config", "archive", &without_routes(OTHER_VERSION));
