Let the tests of late requests wait on events with room for slow machines

The call after the acceptance of a short grace was sent at a fixed time, 0.65 s before the exit, and two late ones 0.6 s and 1.1 s before the entry refuses everything. The first is now sent until it is refused, the others go earlier; what they check is the same.

--- a/fireflydirect/tests/processes_late_requests.rs
+++ b/fireflydirect/tests/processes_late_requests.rs
@@ -129,7 +129,7 @@
 
     late_call_that_ends_within_the_grace_is_served(site: 1) {
         learn(&site, "POST", "/file/a", 2_000).await;
-        stop(&site, Duration::from_secs(2)).await;
+        stop(&site, Duration::from_secs(1)).await;
         let id = site.id();
         assert_eq!(call(&site, "POST", "/file/a", 2_000, &id).await, Some((200, None)));
         site.entries[0].wait_for_exit().await;
@@ -153,11 +153,13 @@
         let early = call(&site, "POST", "/file/a", 9_000, &first);
         let late = async {
             until_run(&site, &first).await;
-            stop(&site, Duration::from_millis(1_200)).await;
-            call(&site, "POST", "/file/a", 5, &site.id()).await
+            stop(&site, Duration::ZERO).await;
+            until("a refusal", || async {
+                call(&site, "POST", "/file/a", 5, &site.id()).await == Some(LEAVING)
+            })
+            .await;
         };
-        let (early, late) = tokio::join!(early, late);
-        assert_eq!(late, Some(LEAVING), "{}", site.log(0));
+        let (early, ()) = tokio::join!(early, late);
         assert_eq!(early, Some(UNKNOWN), "{}", site.log(0));
         until("the exit", || async { site.log(0).contains("event=stopped") }).await;
         site.entries[0].wait_for_exit().await;
@@ -200,7 +202,7 @@
     late_stream_that_outlasts_the_grace_and_can_be_resumed_is_passed_on(site: 1) {
         let learnt = site.generation(0, "/grade/a", 400, &site.id());
         learnt.send().await.unwrap().text().await.unwrap();
-        stop(&site, Duration::from_millis(1_500)).await;
+        stop(&site, Duration::from_millis(500)).await;
         let answer = long_stream(&site, "/grade/a", &site.id()).send().await.unwrap();
         assert_eq!(outcome(&answer), (200, None), "{}", site.log(0));
         drop(answer);
