--- a/fireflyd/tests/entry_loop.rs
+++ b/fireflyd/tests/entry_loop.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use fireflycroft::{
-    CallId, Code, EntryEvent, EntryLimits, EntrySetup, Reply, Role, RoutePolicy, Submission,
+    CallId, Code, ConnectionLimits, EntryEvent, EntryLimits, EntrySetup, Reply, Role, RoutePolicy,
+    Submission,
 };
 use fireflyd::admin::Readiness;
 use fireflyd::config_feed::ConfigFeed;
@@ -34,7 +35,14 @@
     let metrics = Metrics::new().unwrap();
     let keys = SharedKeyRing::new(KeyRing::new([(1, [7; KEY_LEN])]).unwrap());
     let listen = (Ipv4Addr::LOCALHOST, 0).into();
-    let opened = Mailbox::open(listen, keys, Limits::default(), metrics.mailbox.clone());
+    let strangers = metrics.accounts("mailbox", ConnectionLimits::for_pages(None, None));
+    let opened = Mailbox::open(
+        listen,
+        keys,
+        Limits::default(),
+        metrics.mailbox.clone(),
+        strangers,
+    );
     let (mailbox, mail) = opened.unwrap();
     let identity = Identity {
         name: "entry-1".into(),
