Play stale seeds in the soak

The soak has a plan for them now, in a file of its own: for three seconds, in which nobody knows anybody, entries and engines are killed, versions come and the store drops its history; then the settings file has the right seeds and SIGHUP says so, all entries have to know each other, and upstreams name rates beside planned work. All guarantees of the soak are checked. No rate is named so late that it is lifted before it is over: the checker judges it till then.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -13,6 +13,7 @@
     mod records;
     pub(crate) mod report;
     pub(crate) mod run;
+    mod stale_seeds;
 }
 mod support;
 
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -4,6 +4,7 @@
 use crate::soak_parts::faults::{Soak, other_version};
 use crate::soak_parts::plan::{Fault, Step};
 use crate::soak_parts::report::report;
+use crate::soak_parts::stale_seeds::STALE_SEEDS;
 use crate::support::{KEY, Site, until};
 use reqwest::Client;
 use standins::site::{Attempt, FIRST_VERSION, Outcome, Run, RunEnd};
@@ -40,6 +41,8 @@
     pub(crate) cause: CrashCause,
     /// Whether the plan has planned work only, which may cut no answer.
     pub(crate) is_planned: bool,
+    /// Time at which the seeds of the entries, all wrong till then, are corrected.
+    pub(crate) corrected_at: Option<Duration>,
 }
 
 /// No change.
@@ -50,6 +53,7 @@
     two_versions: false,
     cause: CrashCause::Nothing,
     is_planned: false,
+    corrected_at: None,
 };
 
 /// Streams beside one that crashes engines and comes again.
@@ -127,6 +131,9 @@
     site.use_proxies().await;
     site.log_objective_ms = LOG_OBJECTIVE_MS;
     site.publish(&[KEY]);
+    if changes.corrected_at.is_some() {
+        site.seeds = STALE_SEEDS.to_vec();
+    }
     for i in 0..entries {
         site.add_entry(i + 1).await;
     }
@@ -142,7 +149,10 @@
         .collect();
     let foreign_service = if restarts { "nowhere" } else { "records" };
     let mut soak = Soak::new(site, foreign_service);
-    soak.run(steps, seconds).await;
+    match changes.corrected_at {
+        None => soak.run(steps, seconds).await,
+        Some(at) => soak.run_with_stale_seeds(at, steps, seconds).await,
+    }
     soak.recover().await;
     callers.end();
     for caller in caller_tasks {
