Play stopped runs whose streams are reset

Since the stand-in engines close a stopped stream in order, no case played the reset that other engines answer with. Two cases, with chunks and without length: the stream is reset, the order is answered 300 ms later. Both pass on the code as it is; the break is logged as an error of the body.

--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -165,6 +165,20 @@
     site.store.put("servers", &engine.instance(), &record);
 }
 
+/// Checks that a stream goes on whose stopped run was reset before the order was answered.
+async fn plays_a_reset(site: &Site) {
+    for engine in &site.engines {
+        engine.moves().reset_stopped();
+        engine.moves().answer_stops(StopAnswer::Copied, AFTER_CLOSE);
+    }
+    let played = play(site, "/log/a", LONG).await;
+    moved(site, &played);
+    assert!(
+        site.log(0).contains("error reading a body"),
+        "no reset was seen"
+    );
+}
+
 fn end_with_connection(site: &Site) {
     for engine in &site.engines {
         engine.end_answers_with_connection();
@@ -172,6 +186,15 @@
 }
 
 support::cases! {
+    stream_whose_connection_is_reset_beside_its_order_goes_on(site: 1) {
+        end_with_connection(&site);
+        plays_a_reset(&site).await;
+    }
+
+    chunked_stream_whose_connection_is_reset_beside_its_order_goes_on(site: 1) {
+        plays_a_reset(&site).await;
+    }
+
     stream_whose_engine_dies_beside_its_order_goes_on(site: 1) {
         end_with_connection(&site);
         for engine in &site.engines {
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
+use super::engine::ConnectionAction;
 use super::record::{CopyKey, Record};
 use super::runs::OwnAnswer;
 use crate::sync::lock;
@@ -41,6 +42,7 @@
     next_handle: AtomicU64,
     behaviour: Mutex<(StopAnswer, Duration)>,
     holds_ends: AtomicBool,
+    resets: AtomicBool,
     ordered: Notify,
 }
 
@@ -75,6 +77,20 @@
         self.holds_ends.store(true, Ordering::Relaxed);
     }
 
+    /// Makes it reset the streams of stopped runs, where it would close them in order.
+    pub fn reset_stopped(&self) {
+        self.resets.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns how the connection of a stopped run ends.
+    pub(super) fn stopped_end(&self) -> ConnectionAction {
+        if self.resets.load(Ordering::Relaxed) {
+            ConnectionAction::Reset
+        } else {
+            ConnectionAction::Close
+        }
+    }
+
     fn take_behaviour(&self) -> (StopAnswer, Duration) {
         let mut behaviour = lock(&self.behaviour);
         if behaviour.0 == StopAnswer::AllLost {
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -217,7 +217,7 @@
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
             () = movable.stop.notified() => {
                 run.end(RunEnd::Migrated);
-                return Ok(ConnectionAction::Close);
+                return Ok(shared.moves.stopped_end());
             }
             () = until_closed(stream) => {
                 run.end(RunEnd::Abandoned);
