--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -20,12 +20,11 @@
 use crate::standby_copies;
 use crate::stop_orders::StopOrders;
 use crate::stream_origins::{OriginGuard, record_start};
+use crate::stream_pace::{StreamPace, tokens_per_event};
 use crate::stream_source::{Read, Source, fault_of_end, wait_for_copy};
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{
-    BodyFraming, Code, EventRelay, Gap, MemoryCopy, Need, PausePeak, Time, UpstreamIx, VersionKey,
-};
+use fireflycroft::{BodyFraming, Code, EventRelay, MemoryCopy, Need, UpstreamIx, VersionKey};
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -40,9 +39,6 @@
 /// Tokens between two estimates of an answer's length.
 const ESTIMATE_INTERVAL_TOKENS: u64 = 64;
 
-/// Tokens per measurement of an upstream's pace: about half a second.
-const PACE_WINDOW_TOKENS: u64 = 64;
-
 /// Timeout for the response head of a resumed stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -66,26 +62,10 @@
     /// Whether it has gone on past its beginning.
     is_sound: bool,
     event_times: EventTimes,
-    pace_window: Option<PaceWindow>,
-    last_event: Option<LastEvent>,
+    pace: StreamPace,
     estimated_at: u64,
 }
 
-/// Start of a window over which an upstream's pace is measured.
-#[derive(Clone, Copy)]
-struct PaceWindow {
-    since: Time,
-    produced: u64,
-}
-
-/// Last event of an unbroken span on one upstream, and the pauses since.
-#[derive(Clone, Copy)]
-struct LastEvent {
-    at: Time,
-    produced: u64,
-    peak: PausePeak,
-}
-
 /// Upstream on which a stream may resume, and the memory to resume from.
 struct Continuation {
     method: &'static str,
@@ -149,8 +129,7 @@
         progress,
         is_sound: false,
         event_times: EventTimes::default(),
-        pace_window: None,
-        last_event: None,
+        pace: StreamPace::default(),
         estimated_at: 0,
     };
     let body: AnswerBody = Box::pin(StreamBody::new(Box::pin(unfold(relay, Relay::next))));
@@ -214,7 +193,7 @@
         }
         self.event_times.record(self.job.now());
         self.assignment.record_prompt_read();
-        let per_event = self.job.engine.map_or(1, |e| e.tokens_per_event);
+        let per_event = tokens_per_event(&self.job);
         let produced = self.events.relayed() * u64::from(per_event);
         self.run.produced.set(produced);
         if produced >= self.estimated_at + ESTIMATE_INTERVAL_TOKENS {
@@ -223,53 +202,7 @@
             self.run.need.set(need);
             self.assignment.grow_to(need.tokens);
         }
-        self.record_pace(produced);
-        self.record_gap(produced, per_event);
-    }
-
-    /// Records the gap since the last event, for the speed of the upstream and the pauses of its service.
-    fn record_gap(&mut self, produced: u64, event_tokens: u32) {
-        let now = self.job.now();
-        let mut peak = PausePeak::default();
-        if self.last_event.is_some_and(|e| e.produced == produced) {
-            return;
-        }
-        if let Some(last) = self.last_event {
-            peak = last.peak;
-            let gap = Gap {
-                tokens: produced - last.produced,
-                span: now.since(last.at),
-                event_tokens,
-                objective: self.job.route.gap_objective,
-            };
-            let node = &self.job.node;
-            let ix = self.assignment.ix;
-            let is_news = node.pool.borrow_mut().record_gap(ix, &gap, &mut peak);
-            if is_news {
-                node.record_load_change(ix);
-            }
-            self.assignment.set_slowed(peak.is_slowed());
-        }
-        self.last_event = Some(LastEvent {
-            at: now,
-            produced,
-            peak,
-        });
-    }
-
-    /// Measures the upstream's pace over windows of [`PACE_WINDOW_TOKENS`] tokens.
-    fn record_pace(&mut self, produced: u64) {
-        let now = self.job.now();
-        let since = *self.pace_window.get_or_insert(PaceWindow {
-            since: now,
-            produced,
-        });
-        let tokens = produced - since.produced;
-        if tokens >= PACE_WINDOW_TOKENS {
-            let mut pool = self.job.node.pool.borrow_mut();
-            pool.record_pace(self.assignment.ix, tokens, now.since(since.since));
-            self.pace_window = None;
-        }
+        self.pace.record(&self.job, &mut self.assignment, produced);
     }
 
     fn finish(&mut self) {
@@ -346,8 +279,7 @@
     /// Resumes the stream on another upstream; false if that is impossible.
     async fn resume_elsewhere(&mut self, why: &str) -> bool {
         self.source = None;
-        self.pace_window = None;
-        self.last_event = None;
+        self.pace = StreamPace::default();
         self.events.discard_partial();
         self.breaks += 1;
         self.log_event("stream_broke", why);
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -67,5 +67,6 @@
 pub mod store_connectivity;
 pub mod store_list;
 pub mod stream_origins;
+pub mod stream_pace;
 pub mod stream_source;
 pub mod suspects;
