Cut a stream at its deadline, also while it waits to go on

Callers saw: a stream whose order to stop had no answer as its deadline passed got its end only after the wait for the copy, up to 1.5 s later, and after more calls. Cause: the waits for the order's outcome and the copy, and all that a broken stream does to go on, knew no deadline; only reads did. So a request was sent after its deadline (X-Deadline-Ms: 0) and a retry taken. Class: a wait with a bound of its own beside the request's. Change: what a broken stream does to go on is dropped at the deadline, no continuation begins after it, and the wait for an order's outcome ends with it. Checks for crashes are tasks of their own, so that dropping one wait loses no evidence. Test: two cases (deadline 1.6 s, order unanswered from 1.06 s on). On the old sources both failed: two runs of the request where one was expected, the second sent after the deadline. Now: one run, cut with 'deadline exceeded'.

--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -81,11 +81,13 @@
 /// The next try of a request waits for it if the request may be the cause; otherwise it is checked aside, since an
 /// upstream that is cut off takes [`crate::links::CONNECT_TIMEOUT`] to tell.
 pub async fn check_for_crash(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
-    if !progress.is_past_beginning(job.now()) {
-        return check(job, ix, progress).await;
-    }
+    let waits = !progress.is_past_beginning(job.now());
     let job = job.clone();
-    tokio::task::spawn_local(async move { check(&job, ix, progress).await });
+    // A task of its own, since a crash is recorded also if nobody waits for it any more.
+    let checking = tokio::task::spawn_local(async move { check(&job, ix, progress).await });
+    if waits && let Err(e) = checking.await {
+        log::error!(event = "crash_check_failed", why = e.to_string(); "");
+    }
 }
 
 /// Records a crash if a later incarnation of the upstream is known, or it accepts no connection.
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -32,6 +32,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
 
 /// Failovers allowed per stream.
 const MAX_RESUMPTIONS: u32 = 6;
@@ -42,6 +43,9 @@
 /// Timeout for the response head of a resumed stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Reason in logs for a stream that is cut at its deadline.
+const DEADLINE_EXCEEDED: &str = "deadline exceeded";
+
 /// State of a stream being relayed.
 struct Relay {
     job: Rc<Job>,
@@ -162,26 +166,35 @@
                     return None;
                 }
                 Read::Broke(why) => {
-                    if !self.resume_elsewhere(&why).await {
+                    let deadline = self.deadline();
+                    let resumed = timeout_at(deadline, self.resume_elsewhere(&why)).await;
+                    if self.job.time_left().is_zero() {
+                        return Some(self.cut(DEADLINE_EXCEEDED));
+                    }
+                    if !resumed.unwrap_or(false) {
                         return Some(self.cut(&why));
                     }
                 }
-                Read::TimeUp => return Some(self.cut("deadline exceeded")),
+                Read::TimeUp => return Some(self.cut(DEADLINE_EXCEEDED)),
             }
         }
     }
 
+    fn deadline(&self) -> Instant {
+        self.job.node.clock.instant(self.job.deadline)
+    }
+
     async fn read(&mut self) -> Read {
+        let deadline = self.deadline();
         let Some(source) = &mut self.source else {
             return Read::Broke("no upstream".to_owned());
         };
         let node = &self.job.node;
-        let deadline = node.clock.instant(self.job.deadline);
         let read = source.read(node, self.assignment.ix, deadline).await;
         if !matches!(read, Read::End) {
             return read;
         }
-        let fault = fault_of_end(&self.run, self.framing, &self.events).await;
+        let fault = fault_of_end(&self.run, self.framing, &self.events, deadline).await;
         fault.map_or(read, Read::Broke)
     }
 
@@ -276,7 +289,7 @@
         );
     }
 
-    /// Resumes the stream on another upstream; false if that is impossible.
+    /// Resumes the stream on another upstream; false if that is impossible. May be dropped at the deadline.
     async fn resume_elsewhere(&mut self, why: &str) -> bool {
         self.source = None;
         self.pace = StreamPace::default();
@@ -299,7 +312,8 @@
         let mut tried = vec![self.assignment.ix];
         while let Some(next) = self.next_continuation(&tried) {
             let at = next.at;
-            if self.is_refused() {
+            // Nothing is sent, and no retry taken, for an answer that would come too late.
+            if self.is_refused() || self.job.time_left().is_zero() {
                 return false;
             }
             if !retries::take(&self.job).await {
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -68,8 +68,13 @@
     }
 }
 
-/// Returns why a body that ended in order isn't whole; `None` if it is.
-pub async fn fault_of_end(run: &Run, framing: BodyFraming, events: &EventRelay) -> Option<String> {
+/// Returns why a body that ended in order isn't whole, at the stream's `deadline` at the latest; `None` if it is.
+pub async fn fault_of_end(
+    run: &Run,
+    framing: BodyFraming,
+    events: &EventRelay,
+    deadline: Instant,
+) -> Option<String> {
     // An event may have come before the caller took the stream up.
     let has_begun = events.relayed() > 0 || events.last_id().is_some();
     let why = if events.is_mid_event() {
@@ -77,7 +82,7 @@
     } else if !has_begun {
         "response ended before an event"
     } else {
-        match judge_end(run, framing).await {
+        match judge_end(run, framing, deadline).await {
             BodyEnd::Whole => return None,
             BodyEnd::BrokenOff => "connection ended, and its run was ordered to stop",
             BodyEnd::Undecided => "connection ended, and the order to stop its run isn't answered",
@@ -86,13 +91,13 @@
     Some(why.to_owned())
 }
 
-async fn judge_end(run: &Run, framing: BodyFraming) -> BodyEnd {
+async fn judge_end(run: &Run, framing: BodyFraming, deadline: Instant) -> BodyEnd {
     let at = run.at.get();
     let end = body_end(framing, run.stop_orders.at(at));
     if end != BodyEnd::Undecided {
         return end;
     }
-    let until = Instant::now() + COPY_TIMEOUT;
+    let until = deadline.min(Instant::now() + COPY_TIMEOUT);
     run.copy_limit.set(Some(until));
     let settled = run.stop_orders.until_settled(at);
     // An outcome that comes later is treated as none.
--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -165,6 +165,27 @@
     site.store.put("servers", &engine.instance(), &record);
 }
 
+/// Checks that a stream is cut at its deadline, while its order has no answer, and isn't sent again.
+async fn is_cut_at_its_deadline(site: &Site) {
+    for engine in &site.engines {
+        engine.moves().answer_stops(StopAnswer::Copied, TOO_LATE);
+    }
+    let id = site.id();
+    let deadline = [("x-deadline-ms".parse().unwrap(), "1600".parse().unwrap())];
+    let req = site.large_prompt(0, "/log/a", LONG, &id);
+    let req = req.headers(deadline.into_iter().collect());
+    let stream = async { req.send().await.unwrap().text().await.ok() };
+    let leave = async { drain(site, site.engine_of(&id).await) };
+    let (body, ()) = futures_util::future::join(stream, leave).await;
+    assert_eq!(body, None, "{}", site.log(0));
+    until("the cut", || async {
+        site.log(0).contains("deadline exceeded")
+    })
+    .await;
+    assert_eq!(orders(site, 0), 1, "{}", site.log(0));
+    assert_eq!(site.record.runs_of(&id).len(), 1, "{}", site.log(0));
+}
+
 /// Checks that a stream goes on whose stopped run was reset before the order was answered.
 async fn plays_a_reset(site: &Site) {
     for engine in &site.engines {
@@ -195,6 +216,15 @@
         plays_a_reset(&site).await;
     }
 
+    stream_whose_order_has_no_answer_is_cut_at_its_deadline(site: 1) {
+        end_with_connection(&site);
+        is_cut_at_its_deadline(&site).await;
+    }
+
+    chunked_stream_whose_order_has_no_answer_is_cut_at_its_deadline(site: 1) {
+        is_cut_at_its_deadline(&site).await;
+    }
+
     stream_whose_engine_dies_beside_its_order_goes_on(site: 1) {
         end_with_connection(&site);
         for engine in &site.engines {
