Tell an order that an upstream refused from one that may have stopped the run

Callers saw: a stream without length or chunks that ended by itself after such an order was taken for broken off, so it was sent once more (or cut, where there is no copy). Cause: the status alone was read, so 429 and 400 counted as lost and 503 with X-Not-Executed as stopped. Class: a part of an answer is left unread. A handle, a 404 and a 409 weigh more, and a refusal of a repeat says nothing, as before. 503 without the header and without a handle stays a stop. Test: two cases without length; with the refusal not read (the code as it was) both had two runs of the request instead of one.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -21,6 +21,8 @@
     /// None has left this process.
     #[default]
     NotSent,
+    /// Refused without being carried out.
+    Refused,
     /// Refused, since there is no such run.
     NoSuchRun,
     /// Refused, since another copy of the run is in progress.
@@ -49,7 +51,9 @@
 pub const fn body_end(framing: BodyFraming, order: StopOrder) -> BodyEnd {
     match (framing, order) {
         (BodyFraming::Length | BodyFraming::Chunks, _)
-        | (_, StopOrder::NotSent | StopOrder::NoSuchRun | StopOrder::Busy) => BodyEnd::Whole,
+        | (_, StopOrder::NotSent | StopOrder::Refused | StopOrder::NoSuchRun | StopOrder::Busy) => {
+            BodyEnd::Whole
+        }
         (BodyFraming::UntilClose, StopOrder::Out) => BodyEnd::Undecided,
         (BodyFraming::UntilClose, StopOrder::Stopped | StopOrder::Lost) => BodyEnd::BrokenOff,
     }
@@ -100,6 +104,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::NotSent => "none",
+            Self::Refused => "refused",
             Self::NoSuchRun => "no_such_run",
             Self::Busy => "busy",
             Self::Out => "out",
--- a/fireflycroft/tests/stream_end.rs
+++ b/fireflycroft/tests/stream_end.rs
@@ -6,10 +6,10 @@
 
 use fireflycroft::BodyEnd::{self, BrokenOff, Undecided, Whole};
 use fireflycroft::BodyFraming::{Chunks, Length, UntilClose};
-use fireflycroft::StopOrder::{self, Busy, Lost, NoSuchRun, NotSent, Out, Stopped};
+use fireflycroft::StopOrder::{self, Busy, Lost, NoSuchRun, NotSent, Out, Refused, Stopped};
 use fireflycroft::body_end;
 
-const ALL: [StopOrder; 6] = [NotSent, NoSuchRun, Busy, Out, Stopped, Lost];
+const ALL: [StopOrder; 7] = [NotSent, Refused, NoSuchRun, Busy, Out, Stopped, Lost];
 
 cases! {
     length_decides_beside_any_order => assert!(ALL.iter().all(|o| body_end(Length, *o) == Whole));
@@ -17,6 +17,8 @@
     close_is_the_end_without_an_order => assert_eq!(end_after(&[]), Whole);
     close_beside_an_order_that_is_out_waits => assert_eq!(body_end(UntilClose, Out), Undecided);
     close_after_no_such_run_is_the_end => assert_eq!(end_after(&[NoSuchRun]), Whole);
+    close_after_an_order_that_was_not_carried_out_is_the_end => assert_eq!(end_after(&[Refused]), Whole);
+    refusal_after_a_stop_is_a_break => assert_eq!(end_after(&[Stopped, Refused]), BrokenOff);
     close_after_a_refusal_is_the_end => assert_eq!(end_after(&[Busy]), Whole);
     close_after_an_order_that_never_left_is_the_end => assert_eq!(end_after(&[NotSent]), Whole);
     close_after_a_stop_is_a_break => assert_eq!(end_after(&[Stopped]), BrokenOff);
@@ -58,7 +60,7 @@
 }
 
 fn never_unsaid() {
-    let settled = [NotSent, NoSuchRun, Busy, Stopped, Lost];
+    let settled = [NotSent, Refused, NoSuchRun, Busy, Stopped, Lost];
     for a in settled {
         for b in settled {
             for c in settled {
--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -6,7 +6,7 @@
 use crate::stop_orders::CopyAnswer;
 use bytes::Bytes;
 use fireflycroft::{StopOrder, UpstreamIx};
-use fireflycroft_platform::{MigrationOutcome, migration_call, read_migration};
+use fireflycroft_platform::{MigrationOutcome, is_refused, migration_call, read_migration};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, Uri};
@@ -88,6 +88,7 @@
     let response = &answer.response;
     Ok(CopyAnswer {
         outcome: read_migration(source.addr, response.status, &response.body),
+        is_refused: is_refused(response.status, &response.headers),
         is_repeat: answer.is_repeat,
     })
 }
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -17,6 +17,8 @@
 pub struct CopyAnswer {
     /// What the upstream answered.
     pub outcome: MigrationOutcome,
+    /// Whether it says that the call wasn't carried out.
+    pub is_refused: bool,
     /// Whether it may have got the call before, unanswered.
     pub is_repeat: bool,
 }
@@ -69,12 +71,16 @@
     #[must_use]
     pub const fn stop_order(&self) -> StopOrder {
         match &self.outcome {
-            MigrationOutcome::Copied(_) | MigrationOutcome::NoCapacity(_) => StopOrder::Stopped,
+            MigrationOutcome::Copied(_) | MigrationOutcome::NoCapacity(Some(_)) => {
+                StopOrder::Stopped
+            }
+            MigrationOutcome::NoCapacity(None) if !self.is_refused => StopOrder::Stopped,
             // The first of the two may have stopped what the second didn't find.
             _ if self.is_repeat => StopOrder::Lost,
             MigrationOutcome::NoSuchRun => StopOrder::NoSuchRun,
             MigrationOutcome::Busy => StopOrder::Busy,
-            MigrationOutcome::Malformed => StopOrder::Lost,
+            _ if self.is_refused => StopOrder::Refused,
+            MigrationOutcome::Malformed | MigrationOutcome::NoCapacity(None) => StopOrder::Lost,
         }
     }
 }
--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -142,6 +142,8 @@
     stream_that_ends_by_itself_before_the_order_is_answered_is_whole(UntilClose, Copied, AFTER_CLOSE, "/log/a", SHORT) ended_by_itself;
     stream_that_ends_by_itself_beside_a_lost_order_is_whole(UntilClose, AllLost, AFTER_CLOSE, "/log/a", SHORT) whole_after_all;
     stream_whose_order_was_refused_is_whole(UntilClose, Busy, AFTER_CLOSE, "/log/a", LONG) went_on;
+    stream_whose_order_was_not_executed_is_whole(UntilClose, NotExecuted, AFTER_CLOSE, "/log/a", LONG) went_on;
+    stream_whose_order_was_one_too_many_is_whole(UntilClose, TooMany, AFTER_CLOSE, "/log/a", LONG) went_on;
 
     chunked_stream_goes_on_from_its_copy(Chunks, Copied, AFTER_CLOSE, "/log/a", LONG) moved;
     chunked_stream_goes_on_at_its_source(Chunks, Kept, AFTER_CLOSE, "/log/a", LONG) went_on_at_its_source;
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -31,6 +31,16 @@
     AllLost,
     /// Lets the run go on, as another move of it is in progress.
     Busy,
+    /// Lets the run go on, and states that nothing was done.
+    NotExecuted,
+    /// Lets the run go on, as there are too many calls.
+    TooMany,
+}
+
+impl StopAnswer {
+    const fn lets_go_on(self) -> bool {
+        matches!(self, Self::Busy | Self::NotExecuted | Self::TooMany)
+    }
 }
 
 /// Runs of an upstream that can be moved, and its behaviour on moves.
@@ -140,7 +150,7 @@
         if is_last {
             self.ordered.notify_one();
         }
-        let stops = is_last && answer != StopAnswer::Busy;
+        let stops = is_last && !answer.lets_go_on();
         if let Some(stop) = stop.as_ref().filter(|_| stops) {
             stop.notify_one();
             lock(&self.stop_signals).remove(id);
@@ -152,6 +162,13 @@
         let holder = match answer {
             StopAnswer::Lost | StopAnswer::AllLost => return None,
             StopAnswer::Busy => return Some(OwnAnswer::new(409, "{}".to_owned())),
+            StopAnswer::NotExecuted => {
+                let mut answer = OwnAnswer::new(503, "{}".to_owned());
+                let header = ("X-Not-Executed".to_owned(), "1".to_owned());
+                answer.headers = [header].into_iter().collect();
+                return Some(answer);
+            }
+            StopAnswer::TooMany => return Some(OwnAnswer::new(429, "{}".to_owned())),
             StopAnswer::KeptUnnamed => return Some(OwnAnswer::new(503, "{}".to_owned())),
             StopAnswer::KeptUnusable => {
                 let body = json!({"handle": "h\u{7}\n"});
