Know the orders to stop a run by the upstream's incarnation

Cause: what is known of orders was kept by the index of the upstream in the pool, which is another upstream's a minute after the first one is gone. A lost order never wears off, so a long stream that came to an upstream with that index would be taken for stopped as it ended. Class: a reused key outlives what it named. Change: the key is the incarnation. One whose start became known since the order counts as the same.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -194,7 +194,7 @@
         if !matches!(read, Read::End) {
             return read;
         }
-        let fault = fault_of_end(&self.run, self.framing, &self.events, deadline).await;
+        let fault = fault_of_end(node, &self.run, self.framing, &self.events, deadline).await;
         fault.map_or(read, Read::Broke)
     }
 
@@ -277,7 +277,7 @@
             software_version = or_empty(upstream.software_version.as_ref()),
             events = self.events.relayed(), breaks = self.breaks, why = why,
             framing = self.framing.name(),
-            stop_order = self.run.stop_orders.at(self.assignment.ix).name(),
+            stop_order = self.run.stop_orders.at(&upstream.upstream_incarnation()).name(),
             first_ms = or_empty(self.event_times.first.map(|t| t.since(job.arrival).as_millis())),
             longest_pause_ms = self.event_times.longest.as_millis(),
             longest_pause_at_ms = self.event_times.longest_since.since(job.arrival).as_millis(),
@@ -446,7 +446,14 @@
         self.assignment = assignment;
         self.run.at.set(next.at);
         self.run.earlier_copy.take();
-        self.run.stop_orders.begin_run(next.at);
+        let begun = self
+            .job
+            .node
+            .pool
+            .borrow()
+            .record(next.at)
+            .upstream_incarnation();
+        self.run.stop_orders.begin_run(&begun);
         self.framing = response.head.framing;
         self.job.node.migrate_if_departing(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -34,9 +34,10 @@
     run: &Run,
 ) -> MigrationOutcome {
     log_order(node, run, from, to);
-    run.stop_orders.send(from);
+    let ordered = node.pool.borrow().record(from).upstream_incarnation();
+    run.stop_orders.send(&ordered);
     let (outcome, order) = request_copy(node, from, to, run, true).await;
-    run.stop_orders.settle(from, order);
+    run.stop_orders.settle(&ordered, order);
     outcome
 }
 
@@ -95,9 +96,11 @@
 
 fn log_order(node: &Node, run: &Run, from: UpstreamIx, to: UpstreamIx) {
     let pool = node.pool.borrow();
+    let source = pool.record(from);
+    let before = run.stop_orders.at(&source.upstream_incarnation());
     log::info!(
-        event = "stop_ordered", req = &*run.request_id, from = &*pool.record(from).instance,
-        to = &*pool.record(to).instance, before = run.stop_orders.at(from).name(),
+        event = "stop_ordered", req = &*run.request_id, from = &*source.instance,
+        to = &*pool.record(to).instance, before = before.name(),
         produced = run.produced.get();
         ""
     );
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -1,15 +1,16 @@
-//! Orders to stop a run for its migration, by the upstream that they went to.
+//! Orders to stop a run for its migration, by the incarnation of the upstream that they went to.
+//!
+//! An index in the pool may be another upstream's later, while the run goes on.
 
-use fireflycroft::{StopOrder, UpstreamIx};
+use fireflycroft::{StopOrder, UpstreamIncarnation};
 use fireflycroft_platform::MigrationOutcome;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use tokio::sync::Notify;
 
 /// What is known of the orders to stop one run.
 #[derive(Default)]
 pub struct StopOrders {
-    by_upstream: RefCell<HashMap<UpstreamIx, StopOrder>>,
+    by_upstream: RefCell<Vec<(UpstreamIncarnation, StopOrder)>>,
     settled: Notify,
 }
 
@@ -26,31 +27,28 @@
 impl StopOrders {
     /// Returns what is known of the orders to an upstream.
     #[must_use]
-    pub fn at(&self, ix: UpstreamIx) -> StopOrder {
-        self.by_upstream
-            .borrow()
-            .get(&ix)
-            .copied()
-            .unwrap_or_default()
+    pub fn at(&self, upstream: &UpstreamIncarnation) -> StopOrder {
+        let orders = self.by_upstream.borrow();
+        let known = orders.iter().find(|(at, _)| may_be_same(at, upstream));
+        known.map_or_else(StopOrder::default, |(_, order)| *order)
     }
 
     /// Records that an order is sent.
-    pub fn send(&self, ix: UpstreamIx) {
-        self.by_upstream.borrow_mut().entry(ix).or_default().send();
+    pub fn send(&self, upstream: &UpstreamIncarnation) {
+        self.update(upstream, StopOrder::send);
     }
 
     /// Records what became of an order.
-    pub fn settle(&self, ix: UpstreamIx, outcome: StopOrder) {
-        let mut orders = self.by_upstream.borrow_mut();
-        orders.entry(ix).or_default().settle(outcome);
+    pub fn settle(&self, upstream: &UpstreamIncarnation, outcome: StopOrder) {
+        self.update(upstream, |order| order.settle(outcome));
         self.settled.notify_waiters();
     }
 
     /// Waits until no order to an upstream is out.
-    pub async fn until_settled(&self, ix: UpstreamIx) {
+    pub async fn until_settled(&self, upstream: &UpstreamIncarnation) {
         loop {
             let settled = self.settled.notified();
-            if self.at(ix) != StopOrder::Out {
+            if self.at(upstream) != StopOrder::Out {
                 return;
             }
             settled.await;
@@ -58,14 +56,28 @@
     }
 
     /// Records that the request's run begins at an upstream.
-    pub fn begin_run(&self, ix: UpstreamIx) {
+    pub fn begin_run(&self, upstream: &UpstreamIncarnation) {
+        self.update(upstream, StopOrder::begin_run);
+    }
+
+    fn update(&self, upstream: &UpstreamIncarnation, change: impl FnOnce(&mut StopOrder)) {
         let mut orders = self.by_upstream.borrow_mut();
-        if let Some(order) = orders.get_mut(&ix) {
-            order.begin_run();
+        if let Some((_, order)) = orders.iter_mut().find(|(at, _)| may_be_same(at, upstream)) {
+            return change(order);
         }
+        let mut order = StopOrder::default();
+        change(&mut order);
+        orders.push((upstream.clone(), order));
     }
 }
 
+/// Returns whether an order to `ordered` may have reached the run at `upstream`, whose start may have become known since.
+fn may_be_same(ordered: &UpstreamIncarnation, upstream: &UpstreamIncarnation) -> bool {
+    let is_known = ordered.incarnation.is_known();
+    ordered.instance == upstream.instance
+        && (!is_known || ordered.incarnation == upstream.incarnation)
+}
+
 impl CopyAnswer {
     /// Returns what the answer says about the order to stop that its call bore.
     #[must_use]
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -70,6 +70,7 @@
 
 /// Returns why a body that ended in order isn't whole, at the stream's `deadline` at the latest; `None` if it is.
 pub async fn fault_of_end(
+    node: &Node,
     run: &Run,
     framing: BodyFraming,
     events: &EventRelay,
@@ -82,7 +83,7 @@
     } else if !has_begun {
         "response ended before an event"
     } else {
-        match judge_end(run, framing, deadline).await {
+        match judge_end(node, run, framing, deadline).await {
             BodyEnd::Whole => return None,
             BodyEnd::BrokenOff => "connection ended, and its run was ordered to stop",
             BodyEnd::Undecided => "connection ended, and the order to stop its run isn't answered",
@@ -91,18 +92,22 @@
     Some(why.to_owned())
 }
 
-async fn judge_end(run: &Run, framing: BodyFraming, deadline: Instant) -> BodyEnd {
-    let at = run.at.get();
-    let end = body_end(framing, run.stop_orders.at(at));
+async fn judge_end(node: &Node, run: &Run, framing: BodyFraming, deadline: Instant) -> BodyEnd {
+    let at = node
+        .pool
+        .borrow()
+        .record(run.at.get())
+        .upstream_incarnation();
+    let end = body_end(framing, run.stop_orders.at(&at));
     if end != BodyEnd::Undecided {
         return end;
     }
     let until = deadline.min(Instant::now() + COPY_TIMEOUT);
     run.copy_limit.set(Some(until));
-    let settled = run.stop_orders.until_settled(at);
+    let settled = run.stop_orders.until_settled(&at);
     // An outcome that comes later is treated as none.
     let _ = tokio::time::timeout_at(until, settled).await;
-    body_end(framing, run.stop_orders.at(at))
+    body_end(framing, run.stop_orders.at(&at))
 }
 
 /// Waits for a copy in progress, as long as callers tolerate a pause.
