Keep the copy before while a run goes on at its source, and free copies that come too late

Callers saw: a stream whose run was stopped, went on at its source from the memory kept there, and was stopped there again without an answer was cut, though a copy lay at the target. Upstreams kept the copy of a last move that was answered after the stream had gone on until it expired. Cause: any continuation dropped the copy before, and a copy that came too late was dropped without a word to its holder. Class: something still of use, or still held elsewhere, is let go with its local record. Change: the copy before goes only when the run goes on elsewhere; a copy that comes too late is among the unused ones, which the review of copies frees. Test: two cases, both failed on the old sources: 'broken off' instead of 200 events; a copy still held 30 s after the answer.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -445,7 +445,9 @@
         };
         self.assignment = assignment;
         self.run.at.set(next.at);
-        self.run.earlier_copy.take();
+        let mut earlier = self.run.earlier_copy.borrow_mut();
+        earlier.take_if(|c| c.source != next.at);
+        drop(earlier);
         let begun = self
             .job
             .node
--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -156,13 +156,13 @@
             }
             MigrationOutcome::Copied(memory) => {
                 log_outcome(node, run, from, Some(to), "moved");
-                run.store_copy(assignment, memory, from);
+                run.store_copy(node, assignment, memory, from);
                 return TargetOutcome::Settled;
             }
             MigrationOutcome::NoCapacity(Some(memory)) if stop => {
                 let what = "stopped, memory kept at the source";
                 log_outcome(node, run, from, Some(to), what);
-                run.store_copy(node.assign(from, run.need.get()), memory, from);
+                run.store_copy(node, node.assign(from, run.need.get()), memory, from);
                 return TargetOutcome::Settled;
             }
             MigrationOutcome::NoCapacity(_) if !has_copy => {
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -154,7 +154,7 @@
     pub departure_watch: RefCell<DepartureWatch>,
     /// Departures of upstreams seen, for the risk of runs.
     pub departure_rate: RefCell<DepartureRate>,
-    /// Standby copies of runs that have ended, to be freed.
+    /// Copies that no run resumes from any more, to be freed.
     pub unused_copies: RefCell<Vec<MigrationCopy>>,
     /// Counters, histograms and gauges.
     pub metrics: Metrics,
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -1,6 +1,7 @@
 //! Streams in progress, for the migration of those on departing upstreams.
 
 use crate::assignment::AssignmentGuard;
+use crate::node::Node;
 use crate::stop_orders::StopOrders;
 use fireflycroft::{MemoryCopy, Name, Need, Time, UpstreamIx};
 use std::cell::{Cell, RefCell};
@@ -72,17 +73,25 @@
 }
 
 impl Run {
-    /// Stores a copy that its stopped run resumes from, unless the stream has gone on elsewhere meanwhile.
-    pub fn store_copy(&self, assignment: AssignmentGuard, memory: MemoryCopy, source: UpstreamIx) {
-        if self.at.get() != source {
-            return;
-        }
-        *self.migration_copy.borrow_mut() = Some(MigrationCopy {
+    /// Stores a copy that its stopped run resumes from; frees it if the stream has gone on elsewhere meanwhile.
+    pub fn store_copy(
+        &self,
+        node: &Node,
+        assignment: AssignmentGuard,
+        memory: MemoryCopy,
+        source: UpstreamIx,
+    ) {
+        let copy = MigrationCopy {
             assignment,
             memory,
             source,
             stands_by: false,
-        });
+        };
+        if self.at.get() == source {
+            *self.migration_copy.borrow_mut() = Some(copy);
+        } else {
+            node.unused_copies.borrow_mut().push(copy);
+        }
     }
 
     /// Returns the holder of its standby copy, if it has one.
--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -15,6 +15,9 @@
 /// Time of an answer that comes after the close of the stream.
 const AFTER_CLOSE: Duration = Duration::from_millis(300);
 
+/// Time of an answer that comes after the stream has gone on without it.
+const LATE: Duration = Duration::from_millis(2_500);
+
 /// Time of an answer for which nobody waits.
 const TOO_LATE: Duration = Duration::from_secs(5);
 
@@ -103,6 +106,14 @@
     assert!(runs[1].from_memory && runs[1].instance == played.left);
 }
 
+/// Checks that a run that went on where it was, and was stopped there again, went on elsewhere.
+fn stopped_twice(site: &Site, played: &Played) {
+    is_whole(site, played, LONG);
+    check_runs(site, &played.id);
+    let runs = site.record.runs_of(&played.id);
+    assert!(runs[1].instance == played.left && runs[2].instance != played.left);
+}
+
 /// Checks that a part wasn't given out as a whole answer.
 fn broken_off(site: &Site, played: &Played) {
     assert_eq!(played.body, None, "{}", site.log(0));
@@ -144,6 +155,7 @@
     stream_whose_order_was_refused_is_whole(UntilClose, Busy, AFTER_CLOSE, "/log/a", LONG) went_on;
     stream_whose_order_was_not_executed_is_whole(UntilClose, NotExecuted, AFTER_CLOSE, "/log/a", LONG) went_on;
     stream_whose_order_was_one_too_many_is_whole(UntilClose, TooMany, AFTER_CLOSE, "/log/a", LONG) went_on;
+    stream_stopped_once_more_at_its_source_goes_on_from_the_copy_before(UntilClose, KeptThenLost, AFTER_CLOSE, "/log/a", LONG) stopped_twice;
 
     chunked_stream_goes_on_from_its_copy(Chunks, Copied, AFTER_CLOSE, "/log/a", LONG) moved;
     chunked_stream_goes_on_at_its_source(Chunks, Kept, AFTER_CLOSE, "/log/a", LONG) went_on_at_its_source;
@@ -209,6 +221,16 @@
 }
 
 support::cases! {
+    copy_that_comes_too_late_is_freed(site: 1) {
+        for engine in &site.engines {
+            engine.moves().answer_stops(StopAnswer::Copied, LATE);
+        }
+        let played = play(&site, "/log/a", LONG).await;
+        moved(&site, &played);
+        until("the late copy", || async { site.log(0).contains("outcome=moved") }).await;
+        until("its end", || async { site.record.copy_count() == 0 }).await;
+    }
+
     stream_whose_connection_is_reset_beside_its_order_goes_on(site: 1) {
         end_with_connection(&site);
         plays_a_reset(&site).await;
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -21,6 +21,8 @@
     Copied,
     /// Stops the run and keeps its memory, since the target has no room.
     Kept,
+    /// The same once, then stops runs and loses the answers.
+    KeptThenLost,
     /// The same, but names no handle.
     KeptUnnamed,
     /// The same, with a handle that fits in no header.
@@ -106,7 +108,11 @@
         if behaviour.0 == StopAnswer::AllLost {
             return *behaviour;
         }
-        std::mem::take(&mut *behaviour)
+        let taken = std::mem::take(&mut *behaviour);
+        if taken.0 == StopAnswer::KeptThenLost {
+            *behaviour = (StopAnswer::AllLost, taken.1);
+        }
+        taken
     }
 
     /// Returns the requests of the runs in progress.
@@ -174,18 +180,19 @@
                 let body = json!({"handle": "h\u{7}\n"});
                 return Some(OwnAnswer::new(503, body.to_string()));
             }
-            StopAnswer::Kept => addr.clone(),
+            StopAnswer::Kept | StopAnswer::KeptThenLost => addr.clone(),
             StopAnswer::Copied => call["to"].as_str().unwrap_or_default().to_owned(),
         };
         // Each incarnation counts its handles from 0.
         let handle = format!("h{}", self.next_handle.fetch_add(1, Ordering::Relaxed));
+        let holder_keeps = holder == addr;
         let key = CopyKey {
             holder,
             issuer: addr,
             handle: handle.clone(),
         };
         record.insert_copy(key, id);
-        let status = if answer == StopAnswer::Kept { 503 } else { 200 };
+        let status = if holder_keeps { 503 } else { 200 };
         let body = json!({"handle": handle, "created": 1});
         Some(OwnAnswer::new(status, body.to_string()))
     }
