Learn how long answers take from those of success alone, and from their sending on

Callers saw: late in the grace a call that outlasts it was passed on and answered 502 (outcome unknown) instead of refused, where quick failures on its route had come before. Cause: the time of any answer counted, also of errors and of streams that were cut or left, and from before the request's hold and its earlier tries. Class: a mean over things of different kinds. Change: a whole answer with a status of success counts, and a stream when it has come whole, from the time at which its request was sent. That time on hold no longer counts was read only.

--- a/fireflycroft/src/run_times.rs
+++ b/fireflycroft/src/run_times.rs
@@ -28,7 +28,7 @@
 }
 
 impl RunTimes {
-    /// Records the time from sending a request to the end of its answer.
+    /// Records the time from sending a request to the end of its answer, if it succeeded.
     pub fn record(&mut self, route: &Name, took: Duration) {
         let took = took.as_secs_f64();
         if let Some(earlier) = self.routes.get_mut(route) {
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -157,6 +157,7 @@
         return Err(SendError::Lost("response to another request".to_owned()));
     }
     conditions::apply_head(job, ix, sent_at, parts.status, &head);
+    job.sent_at.set(sent_at);
     Ok(ResponseStart {
         parts,
         head,
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -19,12 +19,13 @@
 use crate::runs::Run;
 use crate::standby_copies;
 use crate::stop_orders::StopOrders;
+use crate::stopping::record_run_time;
 use crate::stream_origins::{OriginGuard, record_start};
 use crate::stream_pace::{StreamPace, tokens_per_event};
 use crate::stream_source::{Read, Source, fault_of_end, wait_for_copy};
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{BodyFraming, Code, EventRelay, MemoryCopy, Need, UpstreamIx, VersionKey};
+use fireflycroft::{BodyFraming, Code, EventRelay, MemoryCopy, Need, Time, UpstreamIx, VersionKey};
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -61,6 +62,8 @@
     framing: BodyFraming,
     breaks: u32,
     ended: bool,
+    /// Time at which its first run was sent.
+    sent_at: Time,
     /// Progress at the current upstream, until it goes on past its beginning.
     progress: Progress,
     /// Whether it has gone on past its beginning.
@@ -88,6 +91,7 @@
         version,
     } = stream;
     let framing = response.head.framing;
+    let sent_at = job.sent_at.get();
     let (parts, source) = Source::of(response);
     let mut events = EventRelay::default();
     if let Some(last) = job.head.last_event_id {
@@ -130,6 +134,7 @@
         framing,
         breaks: 0,
         ended: false,
+        sent_at,
         progress,
         is_sound: false,
         event_times: EventTimes::default(),
@@ -232,6 +237,7 @@
             .borrow_mut()
             .record_outcome(self.assignment.ix, false);
         self.record_length();
+        record_run_time(&self.job, self.sent_at);
         self.record_end("whole");
         self.log_event("stream_ended", "");
     }
@@ -444,10 +450,7 @@
             Err(_) => return self.log_resume_refused(next.at, "no answer in time"),
         };
         self.assignment = assignment;
-        self.run.at.set(next.at);
-        let mut earlier = self.run.earlier_copy.borrow_mut();
-        earlier.take_if(|c| c.source != next.at);
-        drop(earlier);
+        self.run.go_on_at(next.at);
         let begun = self
             .job
             .node
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -61,6 +61,8 @@
     pub crashed_beginnings: Cell<u32>,
     /// Whether it is still to try a refused suspect again.
     pub tries_suspect_again: Cell<bool>,
+    /// Time at which the request was sent to the upstream whose answer came last.
+    pub sent_at: Cell<Time>,
     /// Time at which the head was read.
     pub arrival: Time,
     /// Latest time of the final answer.
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -73,6 +73,13 @@
 }
 
 impl Run {
+    /// Records that it goes on at an upstream; the copy before is kept only at its source.
+    pub fn go_on_at(&self, ix: UpstreamIx) {
+        self.at.set(ix);
+        let mut earlier = self.earlier_copy.borrow_mut();
+        earlier.take_if(|copy| copy.source != ix);
+    }
+
     /// Stores a copy that its stopped run resumes from; frees it if the stream has gone on elsewhere meanwhile.
     pub fn store_copy(
         &self,
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -1,12 +1,12 @@
 //! Admits, runs and answers callers' requests.
 
-use crate::answer::{Answer, close_after, error_answer, relayed_answer, whole_body, with_guard};
+use crate::answer::{Answer, close_after, error_answer, relayed_answer, whole_body};
 use crate::call::{Reply, obtain};
 use crate::generation::relay;
 use crate::job::Job;
 use crate::node::{Node, Stage};
 use crate::startup_wait::until_loaded;
-use crate::stopping::{self, RunTimeGuard};
+use crate::stopping::{self, record_run_time};
 use crate::stream_origins::{self, Continued};
 use crate::suspects;
 use bytes::Bytes;
@@ -98,7 +98,6 @@
 }
 
 async fn answer_job(job: Rc<Job>) -> Answer {
-    let began = job.now();
     let reply = obtain(&job).await;
     let (code, status) = match &reply {
         Reply::Whole(parts, _) => (Code::Ok, parts.status.as_u16()),
@@ -121,13 +120,12 @@
     );
     match reply {
         Reply::Whole(parts, bytes) => {
-            drop(RunTimeGuard::new(&job, began));
+            if parts.status.is_success() {
+                record_run_time(&job, job.sent_at.get());
+            }
             relayed_answer(&parts, whole_body(bytes))
         }
-        Reply::Stream(stream) => {
-            let run_time = RunTimeGuard::new(&job, began);
-            relay(job, *stream).map(|body| with_guard(body, run_time))
-        }
+        Reply::Stream(stream) => relay(job, *stream),
         Reply::Error(code, retry_after) => error_answer(code, retry_after),
     }
 }
@@ -230,6 +228,7 @@
         suspects,
         crashed_beginnings: Cell::new(0),
         tries_suspect_again: Cell::new(tries_part_again || tries_content_again),
+        sent_at: Cell::new(arrival),
         arrival,
     };
     job.value_density = value_density(&job);
--- a/fireflydirect/src/stopping.rs
+++ b/fireflydirect/src/stopping.rs
@@ -8,7 +8,6 @@
 use crate::node::{Node, Stage};
 use fireflycroft::{Attempts, Code, RequestKind, RouteSpec, STARTUP_RETRY_AFTER, Time};
 use std::future::pending;
-use std::rc::Rc;
 use std::time::Duration;
 
 /// Returns the reply to a request that gets no other before the process ends.
@@ -21,29 +20,13 @@
     }
 }
 
-/// Records the time that an answer took, when dropped.
-pub struct RunTimeGuard {
-    job: Rc<Job>,
-    since: Time,
-}
-
-impl RunTimeGuard {
-    /// Measures from `since` on.
-    #[must_use]
-    pub fn new(job: &Rc<Job>, since: Time) -> Self {
-        Self {
-            job: job.clone(),
-            since,
-        }
-    }
-}
-
-impl Drop for RunTimeGuard {
-    fn drop(&mut self) {
-        let took = self.job.now().since(self.since);
-        let mut run_times = self.job.node.run_times.borrow_mut();
-        run_times.record(&self.job.route.name, took);
-    }
+/// Records the time that a whole answer of success took since `sent_at`.
+///
+/// Failures and time on hold don't tell how long the next request takes.
+pub fn record_run_time(job: &Job, sent_at: Time) {
+    let took = job.now().since(sent_at);
+    let mut run_times = job.node.run_times.borrow_mut();
+    run_times.record(&job.route.name, took);
 }
 
 /// Returns whether a request that is sent now is expected to end before the process does.
--- a/fireflydirect/tests/processes_late_requests.rs
+++ b/fireflydirect/tests/processes_late_requests.rs
@@ -16,6 +16,9 @@
 /// Code of what it has passed on without an outcome.
 const UNKNOWN: (u16, Option<u32>) = (502, Some(4001));
 
+/// Failures that would hide how long answers take.
+const FAILURES: usize = 40;
+
 /// Interval between two calls throughout a stop.
 const CALL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -127,6 +130,25 @@
         site.entries[0].wait_for_exit().await;
     }
 
+    late_call_that_outlasts_the_grace_is_refused_after_quick_failures(site: 1) {
+        set_grace(&mut site, 6.0).await;
+        learn(&site, "POST", "/file/a", 4_000).await;
+        for plain in &site.plains {
+            plain.set_fault(AnswerFault::Error);
+        }
+        for _ in 0..FAILURES {
+            let id = site.id();
+            assert_eq!(call(&site, "POST", "/file/a", 5, &id).await, Some((500, None)));
+        }
+        for plain in &site.plains {
+            plain.set_fault(AnswerFault::None);
+        }
+        stop(&site, Duration::from_millis(2_200)).await;
+        let id = site.id();
+        assert_eq!(call(&site, "POST", "/file/a", 4_000, &id).await, Some(LEAVING), "{}", site.log(0));
+        site.entries[0].wait_for_exit().await;
+    }
+
     late_call_that_ends_within_the_grace_is_served(site: 1) {
         learn(&site, "POST", "/file/a", 2_000).await;
         stop(&site, Duration::from_secs(1)).await;
