Let a call whose engine sends interim responses without an end be answered 502

The entry answers as soon as it loses touch with the agent, which reads little else meanwhile, and that answer is right.

The check wanted too much in one way and too little in another: it let any answer fail but said nothing of what one may be. Now a call may have no answer or 502, and nothing else. What follows (the next request is served, memory) is as it was.

--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -280,7 +280,9 @@
     let calls: Vec<_> = (0..count)
         .map(|n| chat(&doors.fleet, &format!("m{n}")).send())
         .collect();
-    assert!(join_all(calls).await.iter().all(Result::is_err));
+    for res in join_all(calls).await.into_iter().flatten() {
+        assert_eq!(res.status().as_u16(), 502, "{res:?}");
+    }
     doors.set(&Trouble {
         to: "none",
         ..Trouble::default()
