Log configurations known to exist elsewhere, what a fetch was for, and datagrams that aren't sent

Logs couldn't tell whether an entry that refuses a route had heard of the newer version, whether fetching it failed, or whether the others' announcements never came: a datagram too large for the socket was dropped without a line. New: config_missing (from, announced, own version), datagram_unsent (the first of a row), what= in peer_fetch_failed. No logic changes.

--- a/fireflydirect/src/datagrams.rs
+++ b/fireflydirect/src/datagrams.rs
@@ -3,7 +3,8 @@
 use crate::metrics::Metrics;
 use fireflycroft::EntryMessage;
 use fireflycroft_wire::encode_datagram;
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -13,6 +14,8 @@
     socket: OnceCell<Rc<UdpSocket>>,
     port: u16,
     metrics: Metrics,
+    /// Whether the last datagram could be sent; its failure is logged once.
+    is_sent: Cell<bool>,
 }
 
 impl Datagrams {
@@ -23,6 +26,7 @@
             socket: OnceCell::new(),
             port,
             metrics,
+            is_sent: Cell::new(true),
         }
     }
 
@@ -45,9 +49,18 @@
         for ip in targets {
             self.metrics.record_datagram(message.kind(), bytes.len());
             // A datagram that can't be sent is treated like one lost on the network.
-            let _ = socket
+            let sent = socket
                 .send_to(&bytes, SocketAddr::from((ip, self.port)))
                 .await;
+            self.log_failure(sent.err(), message.kind(), bytes.len());
+        }
+    }
+
+    /// Logs the first of several failures in a row.
+    fn log_failure(&self, failure: Option<io::Error>, kind: &str, bytes: usize) {
+        let was_sent = self.is_sent.replace(failure.is_none());
+        if let Some(e) = failure.filter(|_| was_sent) {
+            log::warn!(event = "datagram_unsent", kind = kind, bytes = bytes, error = e.to_string(); "");
         }
     }
 }
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -186,6 +186,7 @@
         let from = from.unwrap_or(announcer);
         let what = missing.list.map_or("config", |_| "list");
         node.metrics.fetches.with_label_values(&[what]).inc();
+        log_missing_config(&node, from, &missing);
         let mut fetched = fetch_state(&node, from, &missing, false).await;
         let lacking = missing
             .config
@@ -196,11 +197,22 @@
             fetched = fetch_state(&node, from, &missing, true).await;
         }
         if let Err(e) = fetched {
-            log_failed_fetch(from, &e);
+            log_failed_fetch(from, what, &e);
         }
     });
 }
 
+/// Logs that another entry has a newer configuration, which is about to be fetched.
+fn log_missing_config(node: &Node, from: Ipv4Addr, missing: &MissingState) {
+    if let Some(announced) = missing.config {
+        log::info!(
+            event = "config_missing", from = from.to_string(), announced = announced,
+            version = node.config_version();
+            ""
+        );
+    }
+}
+
 /// Returns an entry to fetch the list from, preferably one of this data centre.
 ///
 /// So links between data centres carry the list for a few entries of each data centre, instead of
@@ -250,14 +262,14 @@
                 .peers
                 .borrow_mut()
                 .add_second_hand(node.now(), &state.entries),
-            Err(e) => log_failed_fetch(from, &e),
+            Err(e) => log_failed_fetch(from, "entries", &e),
         }
     });
 }
 
-fn log_failed_fetch(from: Ipv4Addr, why: &anyhow::Error) {
+fn log_failed_fetch(from: Ipv4Addr, what: &str, why: &anyhow::Error) {
     let (from, why) = (from.to_string(), why.to_string());
-    log::warn!(event = "peer_fetch_failed", from = from, why = why; "");
+    log::warn!(event = "peer_fetch_failed", from = from, what = what, why = why; "");
 }
 
 /// Fetches the state of another entry beyond what this one knows.
