--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -46,7 +46,8 @@
 pub mod owner_queries;
 pub mod page_server;
 
-pub(crate) mod peer_record;
+pub(crate) mod peer_fetch;
+mod peer_record;
 pub mod peers;
 pub mod process;
 pub mod readiness;
