Announce nothing that a receiver can't read, and read no record that can't be announced

What callers saw: 404 (2021) on a route of a confirmed configuration, at the entries that don't watch the store, while a record with a long name is news. Cause: a receiver reads names of up to 1,024 bytes and rejects the whole announcement for a longer one; the sender took any name that the store held. So one record of a stranger silenced all entries towards each other for 1.2 s after each of its writes, an evacuation for as long as it stood. Why this works: the bound stands in the core now.

--- a/fireflycroft-wire/src/entry_announcement.rs
+++ b/fireflycroft-wire/src/entry_announcement.rs
@@ -10,7 +10,7 @@
 use crate::owner_messages::{MAX_TOKENS, life, read_life};
 use fireflycroft::{
     CrashNews, EntryAnnouncement, Evacuations, Incarnation, ListChange, Name, PauseCounts,
-    RateLimit, RetryCount, ServiceDemand, ToldRate, UpstreamRecord, UpstreamState,
+    RateLimit, RetryCount, ServiceDemand, ToldRate, UpstreamRecord, UpstreamState, is_tellable,
 };
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -33,20 +33,30 @@
         upstreams_digest: announcement.upstreams_digest,
         upstreams_complete: announcement.upstreams_complete,
         data_centre: announcement.data_centre.to_string(),
-        list_changes: announcement.list_changes.iter().map(list_change).collect(),
-        repeats: announcement.retries.iter().map(retry_count).collect(),
+        list_changes: readable(&announcement.list_changes, list_change, read_list_change),
+        repeats: readable(&announcement.retries, retry_count, read_retry_count),
         crashes: Vec::new(),
         part_evidence: Some(crash_news(&announcement.crash_news)),
         peers: announcement.peers.iter().map(|ip| ip.to_bits()).collect(),
         leaving: announcement.leaving,
         evacuations: Some(evacuations(&announcement.evacuations)),
-        rate_limits: announcement.rate_limits.iter().map(rate_limit).collect(),
-        said_leaving: announcement.departing.iter().map(life).collect(),
-        demands: announcement.demands.iter().map(demand).collect(),
-        pauses: announcement.pauses.iter().map(pause_count).collect(),
+        rate_limits: readable(&announcement.rate_limits, rate_limit, read_rate_limit),
+        said_leaving: readable(&announcement.departing, life, read_life),
+        demands: readable(&announcement.demands, demand, read_demand),
+        pauses: readable(&announcement.pauses, pause_count, read_pause_count),
     }
 }
 
+/// Converts the elements that a receiver can read: for any other one it would reject the whole announcement.
+fn readable<T, U, V>(
+    all: &[T],
+    convert: impl Fn(&T) -> U,
+    read: impl Fn(&U) -> Result<V, WireError>,
+) -> Vec<U> {
+    let converted = all.iter().map(convert);
+    converted.filter(|it| read(it).is_ok()).collect()
+}
+
 pub(crate) fn read_announcement(
     announcement: &pb::EntryNews,
 ) -> Result<EntryAnnouncement, WireError> {
@@ -119,6 +129,7 @@
 
 fn evacuations(evacuations: &Evacuations) -> pb::Evacuations {
     let data_centres = evacuations.data_centres.iter();
+    let data_centres = data_centres.filter(|name| is_tellable(name));
     pb::Evacuations {
         revision: evacuations.revision,
         data_centres: data_centres.map(ToString::to_string).collect(),
--- a/fireflycroft-wire/src/limits.rs
+++ b/fireflycroft-wire/src/limits.rs
@@ -6,8 +6,7 @@
 /// Maximum number of messages in a packet.
 pub const MAX_BODIES: usize = 4_096;
 
-/// Maximum size in bytes of a name: process, data centre, brand, workspace, model, service.
-pub const MAX_NAME_BYTES: usize = 1_024;
+pub use fireflycroft::MAX_NAME_BYTES;
 
 /// Maximum size in bytes of a text given by a caller or an upstream: path, header, reason.
 pub const MAX_TEXT_BYTES: usize = 64 * 1024;
--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -8,7 +8,9 @@
     StreamOrigin, StreamStart, Suspect, ToldRate, UpstreamIncarnation, UpstreamRecord,
     UpstreamState,
 };
-use fireflycroft_wire::{MAX_DATAGRAM_BYTES, WireError, decode_datagram, encode_datagram};
+use fireflycroft_wire::{
+    MAX_DATAGRAM_BYTES, MAX_NAME_BYTES, WireError, decode_datagram, encode_datagram,
+};
 use proptest::prelude::*;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -33,6 +35,7 @@
     empty_report_round_trip => round_trips(EntryMessage::Report(OwnerReport::default()));
     query_round_trip => queries().into_iter().for_each(round_trips);
     reply_round_trip => replies().into_iter().for_each(round_trips);
+    what_no_receiver_can_read_is_left_out => leaves_out_unreadable();
     oversized_datagram_is_refused => refuses_oversized();
     crash_count_out_of_range_is_refused => refuses_count();
     load_that_would_overflow_a_sum_is_refused => refuses_huge_load();
@@ -353,3 +356,29 @@
         let _ = decode_datagram(&bytes);
     }
 }
+
+/// An upstream whose name is too long is left out, and the rest of the announcement arrives.
+fn leaves_out_unreadable() {
+    let mut told = announcement();
+    let sent = told.list_changes.clone();
+    told.list_changes.push(ListChange::Removed {
+        instance: "i".repeat(MAX_NAME_BYTES + 1).into(),
+        revision: 32,
+    });
+    told.evacuations
+        .data_centres
+        .insert("z".repeat(MAX_NAME_BYTES + 1).into());
+    let EntryMessage::Announcement(read) =
+        decode_datagram(&encode_datagram(&announcement_message(told))).unwrap()
+    else {
+        panic!("no announcement");
+    };
+    assert_eq!(read.list_changes, sent);
+    assert!(
+        !read
+            .evacuations
+            .data_centres
+            .iter()
+            .any(|z| z.len() > MAX_NAME_BYTES)
+    );
+}
--- a/fireflycroft/src/ids.rs
+++ b/fireflycroft/src/ids.rs
@@ -12,6 +12,15 @@
 /// Name of a process, VM, brand, workspace, model or service.
 pub type Name = Arc<str>;
 
+/// Maximum size of a name in bytes; processes tell each other no longer ones.
+pub const MAX_NAME_BYTES: usize = 1_024;
+
+/// Returns whether processes can tell each other a name.
+#[must_use]
+pub const fn is_tellable(name: &str) -> bool {
+    name.len() <= MAX_NAME_BYTES
+}
+
 /// Number of a caller's call within one entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
--- a/fireflydirect/src/ingest.rs
+++ b/fireflydirect/src/ingest.rs
@@ -3,7 +3,7 @@
 use crate::log_value::or_empty;
 use crate::node::Node;
 use crate::state_page::PeerState;
-use fireflycroft::{Evacuations, ListChange, Name, UpstreamRecord};
+use fireflycroft::{Evacuations, ListChange, Name, UpstreamRecord, is_tellable};
 use fireflycroft_platform::{Kind, StoreEvent, StoreObject, read_upstream};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -52,7 +52,9 @@
     /// Applies a complete list of evacuations or upstreams.
     pub fn apply_list(&mut self, objects: &[StoreObject], revision: u64) {
         if self.kind == Kind::Evacuations {
-            let active = objects.iter().filter(|o| !o.deleting);
+            let active = objects
+                .iter()
+                .filter(|o| !o.deleting && is_tellable(&o.name));
             let listed = Evacuations {
                 revision,
                 data_centres: active.map(|o| o.name.clone()).collect(),
@@ -128,7 +130,8 @@
     /// Applies changes to the list of evacuations, whose revision is `revision` with them.
     fn apply_evacuations(&self, events: &[StoreEvent], revision: u64) {
         let held = self.node.pool.borrow().evacuations().clone();
-        let changed = events.iter().fold(held, |list, event| {
+        let events = events.iter().filter(|e| is_tellable(&e.object.name));
+        let changed = events.fold(held, |list, event| {
             let evacuated = !event.removed && !event.object.deleting;
             list.with(event.object.name.clone(), evacuated)
         });
--- /dev/null
+++ b/fireflydirect/tests/processes_handed_on.rs
@@ -0,0 +1,104 @@
+//! Entry processes that learn of changes from the others, beside odd objects in the store.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{KEY, Site, cases, until};
+
+/// Entries of a site of which the first three watch the store.
+const IDLE: [usize; 2] = [3, 4];
+
+/// Text that is longer than any name that entries tell each other.
+fn long_text() -> String {
+    "1234567890".repeat(200)
+}
+
+/// Text that makes whatever holds it longer than any datagram.
+fn huge_text() -> String {
+    "1234567890".repeat(9_000)
+}
+
+/// Returns a record of an upstream that nobody knows, with one member replaced.
+fn record_with(member: &str, value: Value) -> Value {
+    let mut record = json!({"service": "records", "address": "127.0.0.1:9", "zone": "a", "version": "v1", "slots": 1,
+        "state": "ready", "born": 1});
+    record[member] = value;
+    record
+}
+
+/// Waits until an entry has logged something.
+async fn until_logged(site: &Site, entry: usize, line: &str) {
+    until(line, || async { site.log(entry).contains(line) }).await;
+}
+
+/// Waits until all entries know each other.
+async fn until_met(site: &Site) {
+    let all = format!("firefly_direct_peers {}", site.entries.len() - 1);
+    for entry in 0..site.entries.len() {
+        until("the other entries", || async {
+            site.metrics(entry).await.contains(&all)
+        })
+        .await;
+    }
+}
+
+/// Publishes a route and checks that the entries that don't watch learn of it from the others, as always.
+async fn check_handed_on(site: &mut Site) {
+    site.publish_routes(&[KEY], &[("new", "/new/")]);
+    for entry in IDLE {
+        until_logged(site, entry, " version=2 ").await;
+        let log = site.log(entry);
+        let adopted = log
+            .lines()
+            .find(|l| l.contains("config_adopted") && l.contains(" version=2 "));
+        assert!(adopted.is_some_and(|l| l.contains("source=peer")), "{log}");
+    }
+    for entry in 0..site.entries.len() {
+        let log = site.log(entry);
+        assert!(!log.contains("datagram_unreadable"), "{log}");
+        assert!(!log.contains("datagram_unsent"), "{log}");
+    }
+}
+
+/// Writes a record of a stranger and checks that the next configuration reaches all entries beside it.
+async fn check_beside_record(site: &mut Site, name: &str, record: &Value) {
+    until_met(site).await;
+    site.store.put("servers", name, record);
+    site.add_plain(2).await;
+    for entry in 0..3 {
+        until_logged(site, entry, "instance=p-2").await;
+    }
+    check_handed_on(site).await;
+}
+
+cases! {
+    configuration_is_handed_on_beside_a_service_with_a_long_name(site: 5) {
+        check_beside_record(&mut site, "x", &record_with("service", json!(long_text()))).await;
+    }
+
+    configuration_is_handed_on_beside_a_data_centre_with_a_long_name(site: 5) {
+        check_beside_record(&mut site, "x", &record_with("zone", json!(long_text()))).await;
+    }
+
+    configuration_is_handed_on_beside_a_long_software_version(site: 5) {
+        check_beside_record(&mut site, "x", &record_with("version", json!(long_text()))).await;
+    }
+
+    configuration_is_handed_on_beside_an_upstream_with_a_long_name(site: 5) {
+        check_beside_record(&mut site, &long_text(), &record_with("slots", json!(1))).await;
+    }
+
+    configuration_is_handed_on_beside_a_record_larger_than_a_datagram(site: 5) {
+        check_beside_record(&mut site, "x", &record_with("zone", json!(huge_text()))).await;
+    }
+
+    configuration_is_handed_on_beside_an_evacuation_with_a_long_name(site: 5) {
+        until_met(&site).await;
+        site.store.put("evacuations", &long_text(), &json!({}));
+        site.store.put("evacuations", "b", &json!({}));
+        for entry in 0..5 {
+            until_logged(&site, entry, "evacuations_changed data_centres=b").await;
+        }
+        check_handed_on(&mut site).await;
+    }
+}
