Leave out what makes an announcement too large for a datagram

What callers saw: 404 on a route of a confirmed configuration at the entries that don't watch the store, for as long as a stranger's 200 evacuations with long names (180 kB) stood there. Cause: an announcement that no datagram holds was handed to the socket and dropped; versions, list, evidence of crashes and evacuations go by one datagram, so the largest of them costs all. Change: list changes (others fetch them), evacuations and evidence are left out, in this order, until it fits; announcement_shortened says so. The bound is what a datagram over IPv4 holds. Evidence: configuration_is_handed_on_beside_more_evacuations_than_a_datagram_holds failed on the commit before with datagram_unsent, and passes. Left: with evacuations left out, entries that don't watch hear of none.

--- a/fireflycroft-wire/src/limits.rs
+++ b/fireflycroft-wire/src/limits.rs
@@ -26,5 +26,5 @@
 /// Maximum number of models or plain services of a member.
 pub const MAX_SERVES: usize = 256;
 
-/// Maximum size in bytes of a datagram between direct entries.
-pub const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+/// Maximum size in bytes of a datagram between direct entries, as much as one over IPv4 holds.
+pub const MAX_DATAGRAM_BYTES: usize = 65_507;
--- a/fireflydirect/src/announce.rs
+++ b/fireflydirect/src/announce.rs
@@ -2,7 +2,8 @@
 
 use crate::hold;
 use crate::node::{Node, Stage};
-use fireflycroft::{EntryAnnouncement, EntryMessage, ListChange, OwnedKey};
+use fireflycroft::{CrashNews, EntryAnnouncement, EntryMessage, Evacuations, ListChange, OwnedKey};
+use fireflycroft_wire::{MAX_DATAGRAM_BYTES, encode_datagram};
 use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -11,6 +12,13 @@
 /// Minimum interval between two announcements, however urgent.
 const ANNOUNCE_MIN_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Parts that an announcement can do without, in the order in which they are left out.
+const OPTIONAL_PARTS: [fn(&mut EntryAnnouncement); 3] = [
+    |announcement| announcement.list_changes.clear(),
+    |announcement| announcement.evacuations = Evacuations::default(),
+    |announcement| announcement.crash_news = CrashNews::default(),
+];
+
 /// Announces for as long as the process lives.
 pub async fn run(node: Rc<Node>) {
     let begins = node.watcher_role.borrow().is_watching();
@@ -69,8 +77,9 @@
     let mut targets: BTreeSet<Ipv4Addr> = BTreeSet::new();
     targets.extend(node.peers.borrow_mut().targets(node.now(), all));
     targets.extend(retry_owners(node, &announcement));
-    let message = EntryMessage::Announcement(Box::new(announcement));
-    node.datagrams.send_all(targets, &message).await;
+    node.datagrams
+        .send_all(targets, &sendable(announcement))
+        .await;
     if to_all && node.crash_evidence.borrow().has_untold(node.now()) {
         node.announce_to_all_now();
     }
@@ -78,10 +87,26 @@
 
 /// Announces this entry to one that has just started.
 pub(crate) async fn introduce(node: &Node, newcomer: Ipv4Addr) {
-    let message = EntryMessage::Announcement(Box::new(announcement(node)));
+    let message = sendable(announcement(node));
     node.datagrams.send_all([newcomer], &message).await;
 }
 
+/// Returns the message of an announcement, without parts that make it too large for a datagram.
+///
+/// Others fetch the list of upstreams if they lack a change; versions and watchers they hear of by announcements alone.
+fn sendable(mut announcement: EntryAnnouncement) -> EntryMessage {
+    for leave_out in OPTIONAL_PARTS {
+        let message = EntryMessage::Announcement(Box::new(announcement.clone()));
+        let bytes = encode_datagram(&message).len();
+        if bytes <= MAX_DATAGRAM_BYTES {
+            return message;
+        }
+        log::warn!(event = "announcement_shortened", bytes = bytes; "");
+        leave_out(&mut announcement);
+    }
+    EntryMessage::Announcement(Box::new(announcement))
+}
+
 /// Returns the owners of services whose requests this entry retries: they grant the retries that
 /// are left, and need to know the number used.
 fn retry_owners(node: &Node, announcement: &EntryAnnouncement) -> Vec<Ipv4Addr> {
--- a/fireflydirect/tests/processes_handed_on.rs
+++ b/fireflydirect/tests/processes_handed_on.rs
@@ -101,4 +101,13 @@
         }
         check_handed_on(&mut site).await;
     }
+
+    configuration_is_handed_on_beside_more_evacuations_than_a_datagram_holds(site: 5) {
+        until_met(&site).await;
+        for number in 0..200 {
+            site.store.put("evacuations", &format!("{number}{}", "x".repeat(900)), &json!({}));
+        }
+        until_logged(&site, 0, "evacuations_changed").await;
+        check_handed_on(&mut site).await;
+    }
 }
