Fetch configuration and list of upstreams apart, and read the store if no entry hands the former out

Cause: an entry that hears of a newer version fetches it from another one, in one answer with the list of upstreams and one fetch at a time. A fetch that failed led nowhere but to the next fetch: the store was read only after one that succeeded and brought too little. And a list that was slow, too large or unreadable held the configuration up or took it along. Class: what must arrive shares one way with what may not, and that way is the only one. Change: two fetches, each with a guard of its own; a configuration that the announcer doesn't hand out is read from the store, then asked for whole; a pause of 250 ms after all three fail. Evidence: configuration_that_no_other_entry_hands_out_is_read_from_the_store (the answer to the fetch can't be read) and configuration_comes_beside_a_list_that_does_not_end failed on the commit before, 404 for 30 s, and pass.

--- a/fireflydirect/src/peer_fetch.rs
+++ b/fireflydirect/src/peer_fetch.rs
@@ -23,50 +23,97 @@
 /// Revision in a query that requests no changes of the list.
 const NO_LIST_CHANGES: u64 = u64::MAX;
 
-/// Fetches announced state that is missing here, one fetch at a time.
+/// Version in a query that requests no configuration.
+const NO_CONFIG: u64 = u64::MAX;
+
+/// Pause after a configuration that neither an entry nor the store handed out.
+const FAILED_FETCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Fetches announced state that is missing here, one fetch of each kind at a time.
 ///
-/// A large configuration is not sent by peers if its difference from the one here is unknown. It
-/// is read from the store, and from a peer only if the store doesn't answer.
+/// Configuration and list are fetched apart, so that a list that is slow, large or unreadable doesn't hold up the
+/// configuration.
 pub(crate) fn fetch(node: &Rc<Node>, announcer: Ipv4Addr, missing: MissingState) {
-    let Some(guard) = node.peers.borrow().begin_fetch() else {
+    if let Some(version) = missing.config {
+        fetch_config(node, announcer, version);
+    }
+    if missing.list.is_some() {
+        fetch_list(node, announcer, missing);
+    }
+}
+
+fn fetch_config(node: &Rc<Node>, announcer: Ipv4Addr, version: u64) {
+    let Some(guard) = node.peers.borrow().begin_config_fetch() else {
         return;
     };
+    node.metrics.fetches.with_label_values(&["config"]).inc();
     let node = node.clone();
     tokio::task::spawn_local(async move {
         let _guard = guard;
-        let from = match missing.list {
-            Some(_) if node.peers.borrow().needs_full_list => None,
-            Some(_) => list_source(&node, &missing).await,
-            None => node.peers.borrow().source(node.now(), &missing),
-        };
-        let from = from.unwrap_or(announcer);
-        let what = missing.list.map_or("config", |_| "list");
-        node.metrics.fetches.with_label_values(&[what]).inc();
-        log_missing_config(&node, from, &missing);
-        let mut fetched = fetch_state(&node, from, &missing, false).await;
-        let lacking = missing
-            .config
-            .filter(|v| *v > node.config_version() && node.peers.borrow().has_config(from, *v));
-        if let (Ok(()), Some(version)) = (&fetched, lacking)
-            && !read_config(&node, version).await
-        {
-            fetched = fetch_state(&node, from, &missing, true).await;
-        }
-        if let Err(e) = fetched {
-            log_failed_fetch(from, what, &e);
+        if !obtain_config(&node, announcer, version).await {
+            tokio::time::sleep(FAILED_FETCH_PAUSE).await;
         }
     });
 }
 
-/// Logs that another entry has a newer configuration, which is about to be fetched.
-fn log_missing_config(node: &Node, from: Ipv4Addr, missing: &MissingState) {
-    if let Some(announced) = missing.config {
-        log::info!(
-            event = "config_missing", from = from.to_string(), announced = announced,
-            version = node.config_version();
-            ""
-        );
+/// Obtains an announced configuration from an entry that has it, else from the store; returns false if neither hands
+/// it out.
+///
+/// A large configuration is not sent by peers if its difference from the one here is unknown. It is read from the
+/// store, and from a peer only if the store doesn't answer.
+async fn obtain_config(node: &Node, announcer: Ipv4Addr, version: u64) -> bool {
+    let from = config_source(node, announcer, version);
+    log::info!(
+        event = "config_missing", from = from.to_string(), announced = version,
+        version = node.config_version();
+        ""
+    );
+    let fetched = request_config(node, from, false).await;
+    if let Err(e) = &fetched {
+        log_failed_fetch(from, "config", e);
     }
+    let is_refused = fetched.is_ok() && !node.peers.borrow().has_config(from, version);
+    if node.config_version() >= version || is_refused || read_config(node, version).await {
+        return true;
+    }
+    let from = config_source(node, announcer, version);
+    if let Err(e) = request_config(node, from, true).await {
+        log_failed_fetch(from, "config", &e);
+    }
+    node.config_version() >= version
+}
+
+fn config_source(node: &Node, announcer: Ipv4Addr, version: u64) -> Ipv4Addr {
+    let missing = MissingState {
+        config: Some(version),
+        list: None,
+    };
+    let source = node.peers.borrow().source(node.now(), &missing);
+    source.unwrap_or(announcer)
+}
+
+fn fetch_list(node: &Rc<Node>, announcer: Ipv4Addr, missing: MissingState) {
+    let Some(guard) = node.peers.borrow().begin_list_fetch() else {
+        return;
+    };
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        let _guard = guard;
+        let missing = MissingState {
+            config: None,
+            ..missing
+        };
+        let from = if node.peers.borrow().needs_full_list {
+            None
+        } else {
+            list_source(&node, &missing).await
+        };
+        let from = from.unwrap_or(announcer);
+        node.metrics.fetches.with_label_values(&["list"]).inc();
+        if let Err(e) = request_list(&node, from).await {
+            log_failed_fetch(from, "list", &e);
+        }
+    });
 }
 
 /// Returns an entry to fetch the list from, preferably one of this data centre.
@@ -100,7 +147,7 @@
 
 /// Fetches the addresses of the entries that a peer knows.
 pub(crate) fn fetch_entries(node: &Rc<Node>, from: Ipv4Addr) {
-    let Some(guard) = node.peers.borrow().begin_fetch() else {
+    let Some(guard) = node.peers.borrow().begin_list_fetch() else {
         return;
     };
     node.metrics.fetches.with_label_values(&["entries"]).inc();
@@ -108,17 +155,13 @@
     tokio::task::spawn_local(async move {
         let _guard = guard;
         let query = StateQuery {
-            config: u64::MAX,
+            config: NO_CONFIG,
             config_revision: 0,
             whole_config: false,
             upstreams: NO_LIST_CHANGES,
         };
-        match get_state(&node, from, &query).await {
-            Ok(state) => node
-                .peers
-                .borrow_mut()
-                .add_second_hand(node.now(), &state.entries),
-            Err(e) => log_failed_fetch(from, "entries", &e),
+        if let Err(e) = get_state(&node, from, &query).await {
+            log_failed_fetch(from, "entries", &e);
         }
     });
 }
@@ -135,28 +178,26 @@
     let hedged_call = HedgedCall::single(FETCH_TIMEOUT);
     let answered = client.get(&state_path(query), hedged_call, || ()).await?;
     anyhow::ensure!(answered.status == 200, "status {}", answered.status);
-    Ok(serde_json::from_slice(&answered.body)?)
+    let state: PeerState = serde_json::from_slice(&answered.body)?;
+    node.record_store_era(era_of(state.revision), "peer");
+    let mut peers = node.peers.borrow_mut();
+    peers.add_second_hand(node.now(), &state.entries);
+    Ok(state)
 }
 
-async fn fetch_state(
-    node: &Node,
-    from: Ipv4Addr,
-    missing: &MissingState,
-    whole_config: bool,
-) -> anyhow::Result<()> {
-    let known = list_base_revision(node, missing);
+/// Fetches the configuration from another entry, however large it is if `whole`; an entry that has just started and
+/// gets no list from the store fetches that as well.
+async fn request_config(node: &Node, from: Ipv4Addr, whole: bool) -> anyhow::Result<()> {
+    let lacks_list = !node.has_complete_list() && !node.awaits_store_data();
+    let brings_list = lacks_list && !whole;
     let query = StateQuery {
         config: node.config_version(),
         config_revision: node.configs.borrow().revision(),
-        whole_config,
-        upstreams: known,
+        whole_config: whole,
+        upstreams: if brings_list { 0 } else { NO_LIST_CHANGES },
     };
     let announced = node.peers.borrow().announced_config(from);
     let mut state = get_state(node, from, &query).await?;
-    node.record_store_era(era_of(state.revision), "peer");
-    node.peers
-        .borrow_mut()
-        .add_second_hand(node.now(), &state.entries);
     let payload = state.config.take();
     let config = payload.and_then(|h| node.configs.borrow().reconstruct(h));
     if let Some(config) = config
@@ -164,9 +205,26 @@
     {
         node.peers.borrow_mut().refuse_config(from, announced);
     }
-    if known == NO_LIST_CHANGES {
-        return Ok(());
+    if brings_list {
+        apply_list(node, state);
     }
+    Ok(())
+}
+
+/// Fetches the list of upstreams from another entry, as far as its changes aren't known here.
+async fn request_list(node: &Node, from: Ipv4Addr) -> anyhow::Result<()> {
+    let query = StateQuery {
+        config: NO_CONFIG,
+        config_revision: 0,
+        whole_config: false,
+        upstreams: list_base_revision(node),
+    };
+    let state = get_state(node, from, &query).await?;
+    apply_list(node, state);
+    Ok(())
+}
+
+fn apply_list(node: &Node, state: PeerState) {
     let (revision, digest, complete_to) = (state.revision, state.digest, state.complete_to);
     apply_peer_state(node, state);
     let mut pool = node.pool.borrow_mut();
@@ -177,14 +235,10 @@
     let mut peers = node.peers.borrow_mut();
     peers.needs_full_list = differs && complete_to == revision;
     peers.record_list_fetched();
-    Ok(())
 }
 
 /// Returns the revision of the list from which changes are requested.
-fn list_base_revision(node: &Node, missing: &MissingState) -> u64 {
-    if missing.list.is_none() && node.awaits_store_data() {
-        return NO_LIST_CHANGES;
-    }
+fn list_base_revision(node: &Node) -> u64 {
     if node.peers.borrow().needs_full_list || !node.has_complete_list() {
         return 0;
     }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -97,7 +97,8 @@
     pub(crate) incarnation: Incarnation,
     known: HashMap<Ipv4Addr, PeerRecord>,
     seeds: Vec<Ipv4Addr>,
-    fetching: Rc<Cell<bool>>,
+    fetching_config: Rc<Cell<bool>>,
+    fetching_list: Rc<Cell<bool>>,
     list_missing_since: Option<Time>,
     config_missing_since: Option<Time>,
     pub(crate) needs_full_list: bool,
@@ -116,7 +117,8 @@
             incarnation: Incarnation::started_at(millis, rand::rng().next_u64()),
             known: HashMap::new(),
             seeds: seeds_of(place),
-            fetching: Rc::default(),
+            fetching_config: Rc::default(),
+            fetching_list: Rc::default(),
             list_missing_since: None,
             config_missing_since: None,
             needs_full_list: false,
@@ -290,17 +292,17 @@
         }
     }
 
-    /// Begins a fetch of missing state; `None` while one is in progress.
+    /// Begins a fetch of the configuration; `None` while one is in progress.
     ///
     /// With two at a time each entry would fetch a large configuration twice, over links of 10
     /// Mbit/s that carry streams as well.
-    pub(crate) fn begin_fetch(&self) -> Option<FetchGuard> {
-        if self.fetching.replace(true) {
-            return None;
-        }
-        Some(FetchGuard {
-            fetching: self.fetching.clone(),
-        })
+    pub(crate) fn begin_config_fetch(&self) -> Option<FetchGuard> {
+        FetchGuard::begin(&self.fetching_config)
+    }
+
+    /// Begins a fetch of the list of upstreams or of entries; `None` while one is in progress.
+    pub(crate) fn begin_list_fetch(&self) -> Option<FetchGuard> {
+        FetchGuard::begin(&self.fetching_list)
     }
 
     /// Returns the announced state that has to be fetched: a configuration at once, a list that
@@ -478,6 +480,13 @@
     fetching: Rc<Cell<bool>>,
 }
 
+impl FetchGuard {
+    fn begin(fetching: &Rc<Cell<bool>>) -> Option<Self> {
+        let fetching = fetching.clone();
+        (!fetching.replace(true)).then_some(Self { fetching })
+    }
+}
+
 impl Drop for FetchGuard {
     fn drop(&mut self) {
         self.fetching.set(false);
--- a/fireflydirect/tests/processes_handed_on.rs
+++ b/fireflydirect/tests/processes_handed_on.rs
@@ -1,9 +1,10 @@
-//! Entry processes that learn of changes from the others, beside odd objects in the store.
+//! Entry processes that learn of changes from the others, beside odd objects in the store and entries
+//! that hand nothing out.
 
 mod support;
 
 use serde_json::{Value, json};
-use support::{KEY, Site, cases, until};
+use support::{KEY, OtherBuild, Site, cases, outcome, until};
 
 /// Entries of a site of which the first three watch the store.
 const IDLE: [usize; 2] = [3, 4];
@@ -71,6 +72,26 @@
     check_handed_on(site).await;
 }
 
+/// Adds an entry beside others that watch the store, so that it doesn't.
+async fn add_idle_entry(site: &mut Site) {
+    site.add_entry(4).await;
+    site.until_ready(0).await;
+    assert!(!site.log(0).contains("watching=true"), "{}", site.log(0));
+}
+
+/// Waits until the only entry serves the route added last.
+async fn until_new_route_is_served(site: &Site) {
+    until("an answer", || async {
+        let answer = site
+            .call(0, "GET", "/new/a", &site.id())
+            .send()
+            .await
+            .unwrap();
+        outcome(&answer).0 == 200
+    })
+    .await;
+}
+
 cases! {
     configuration_is_handed_on_beside_a_service_with_a_long_name(site: 5) {
         check_beside_record(&mut site, "x", &record_with("service", json!(long_text()))).await;
@@ -110,4 +131,32 @@
         until_logged(&site, 0, "evacuations_changed").await;
         check_handed_on(&mut site).await;
     }
+
+    configuration_that_no_other_entry_hands_out_is_read_from_the_store(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        let state = json!("nothing that can be read");
+        let mut others = Vec::new();
+        for seed in 1..=3 {
+            others.push(OtherBuild::start(&site, seed, 4, 2, &state).await);
+        }
+        add_idle_entry(&mut site).await;
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_new_route_is_served(&site).await;
+        assert!(site.log(0).contains("peer_fetch_failed"), "{}", site.log(0));
+    }
+
+    configuration_comes_beside_a_list_that_does_not_end(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        let mut others = Vec::new();
+        for seed in 1..=3 {
+            others.push(OtherBuild::with_an_endless_list(&site, seed, 4).await);
+        }
+        add_idle_entry(&mut site).await;
+        until("a fetch of the list", || async { others.iter().any(|o| o.fetched() > 0) }).await;
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        others.push(OtherBuild::start(&site, 5, 4, 2, &site.whole_config()).await);
+        until_new_route_is_served(&site).await;
+    }
 }
--- a/fireflydirect/tests/support/configuration.rs
+++ b/fireflydirect/tests/support/configuration.rs
@@ -54,6 +54,14 @@
                 "allowed_regions": self.workspace_homes}],
         });
         self.store.put("config", "main", &config);
+        self.published = config;
+    }
+
+    /// Returns the published configuration as an entry hands it out.
+    pub(crate) fn whole_config(&self) -> Value {
+        let object =
+            json!({"name": "main", "revision": u64::from(u32::MAX), "content": self.published});
+        json!({"Whole": object})
     }
 }
 
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -73,6 +73,7 @@
     _claim: TcpListener,
     peer_port: ReservedPorts<1>,
     version: u64,
+    published: Value,
     /// Rate limit of cold engines per second in the next configuration; zero for none.
     pub(crate) cold_per_s: f64,
     /// Allowed regions of all routes of the next configuration.
@@ -154,6 +155,7 @@
             _claim: claim,
             peer_port,
             version: 0,
+            published: Value::Null,
             cold_per_s: 0.0,
             route_homes: Vec::new(),
             workspace_homes: Vec::new(),
--- a/fireflydirect/tests/support/other_build.rs
+++ b/fireflydirect/tests/support/other_build.rs
@@ -9,9 +9,26 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::task::JoinSet;
 
+/// Revision of the store that no test reaches.
+const LATE_REVISION: u64 = 1 << 40;
+
+/// What one hands out as its state.
+enum Answer {
+    /// A state with this configuration.
+    State(Value),
+    /// Bytes without an end.
+    Endless,
+}
+
+/// Length that an answer without an end states.
+const ENDLESS_BYTES: usize = 1 << 20;
+
+/// Interval between two bytes of an answer without an end.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Interval between two announcements.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -26,6 +43,28 @@
     /// Starts one, at the address that ends with `last`, that says that it watches the store; it announces a version to
     /// the entry whose address ends with `to` and hands out `config` for it.
     pub(crate) async fn start(site: &Site, last: u8, to: u8, version: u64, config: &Value) -> Self {
+        let answer = Answer::State(config.clone());
+        Self::start_with(site, last, to, announcement(last, version), answer).await
+    }
+
+    /// Starts one that announces another list of upstreams than the entry knows, and hands it out without an end.
+    pub(crate) async fn with_an_endless_list(site: &Site, last: u8, to: u8) -> Self {
+        let announcement = EntryAnnouncement {
+            upstreams: LATE_REVISION,
+            upstreams_complete: LATE_REVISION,
+            upstreams_digest: 1,
+            ..announcement(last, 1)
+        };
+        Self::start_with(site, last, to, announcement, Answer::Endless).await
+    }
+
+    async fn start_with(
+        site: &Site,
+        last: u8,
+        to: u8,
+        announcement: EntryAnnouncement,
+        answer: Answer,
+    ) -> Self {
         let [port] = site.peer_port.numbers;
         let addr = |last| SocketAddr::from(([127, site.net[0], site.net[1], last], port));
         let (addr, to) = (addr(last), addr(to));
@@ -34,9 +73,8 @@
         let announced = Arc::new(AtomicUsize::new(0));
         let fetched = Arc::new(AtomicUsize::new(0));
         let mut tasks = JoinSet::new();
-        let announcement = announcement(last, version);
         tasks.spawn(announce(socket, to, announcement, announced.clone()));
-        tasks.spawn(hand_out(listener, config.clone(), fetched.clone()));
+        tasks.spawn(hand_out(listener, answer, fetched.clone()));
         Self {
             announced,
             fetched,
@@ -83,14 +121,21 @@
     }
 }
 
-async fn hand_out(listener: TcpListener, config: Value, fetched: Arc<AtomicUsize>) {
+async fn hand_out(listener: TcpListener, answer: Answer, fetched: Arc<AtomicUsize>) {
+    let (config, is_endless) = match answer {
+        Answer::State(config) => (config, false),
+        Answer::Endless => (Value::Null, true),
+    };
     let state = json!({"config": config, "upstreams": [], "removed": [], "is_whole": false,
         "revision": 0, "digest": 0, "sure": false});
     let body = state.to_string();
-    let answer = format!(
-        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+    let length = if is_endless {
+        ENDLESS_BYTES
+    } else {
         body.len()
-    );
+    };
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}");
     while let Ok((mut stream, _)) = listener.accept().await {
         let mut head = vec![0; 4_096];
         // A request head fits into one read on loopback.
@@ -100,5 +145,15 @@
         }
         // The entry may have closed the connection.
         let _ = stream.write_all(answer.as_bytes()).await;
+        if is_endless {
+            tokio::spawn(trickle(stream));
+        }
+    }
+}
+
+/// Sends bytes until the entry closes the connection.
+async fn trickle(mut stream: TcpStream) {
+    while stream.write_all(b" ").await.is_ok() {
+        tokio::time::sleep(TRICKLE_INTERVAL).await;
     }
 }
