--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -74,6 +74,8 @@
     era: u64,
     /// Most objects in a page of a list.
     page_size: Option<usize>,
+    /// Contents that are sent as they are, by the texts that stand for them.
+    raw: BTreeMap<String, String>,
 }
 
 /// Copy of the store's contents.
@@ -166,6 +168,17 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Writes an object whose content is sent as this text, which no parser has seen.
+    pub fn put_text(&self, kind: &str, name: &str, spec: &str) {
+        let stand_in = {
+            let raw = &mut lock(&self.shared.state).raw;
+            let stand_in = format!("@raw-{}@", raw.len());
+            raw.insert(stand_in.clone(), spec.to_owned());
+            stand_in
+        };
+        self.put(kind, name, &json!(stand_in));
+    }
+
     /// Removes an object with an event.
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = lock(&self.shared.state);
@@ -268,6 +281,14 @@
         stale_view.map_or(&self.objects, |s| &s.objects)
     }
 
+    /// Returns an answer's text, with the contents that are sent as they are.
+    fn text_of(&self, body: &Value) -> String {
+        let raw = self.raw.iter();
+        raw.fold(body.to_string(), |text, (stand_in, spec)| {
+            text.replace(&json!(stand_in).to_string(), spec)
+        })
+    }
+
     fn snapshot(&self) -> Snapshot {
         Snapshot {
             revision: self.revision,
@@ -288,9 +309,11 @@
     while let Ok(Some(req)) = read_request(&mut stream, &mut buf).await {
         match handle(&shared, caller, &req).await {
             Reply::Answer(status, body) => {
-                let era = lock(&shared.state).era.to_string();
+                let (era, body) = {
+                    let state = lock(&shared.state);
+                    (state.era.to_string(), state.text_of(&body))
+                };
                 let headers = [("Content-Type", "application/json"), ("Store-Era", &era)];
-                let body = body.to_string();
                 if write_answer(&mut stream, status, &headers, body.as_bytes())
                     .await
                     .is_err()
