Read the own path's lists and watches past an element that can't be parsed

Cause: an answer was parsed whole, contents included, so that one content made all of it invalid. Class: a container that is read only if all that it holds can be. The direct path splits its pages before it reads them; this one does so now, for VMs, lists and watches. A change whose content can't be read counts as a change. Evidence: four tests of platform_client failed on the code before, and pass.

--- a/fireflyd/src/platform.rs
+++ b/fireflyd/src/platform.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::metrics::Metrics;
 
@@ -23,6 +24,9 @@
 /// Maximum size of an object's value in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Maximum size of a logged name in bytes.
+const MAX_LOGGED_NAME: usize = 200;
+
 /// Error of a platform call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlatformError {
@@ -104,10 +108,9 @@
 }
 
 /// Page of a list of objects, ordered by name.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
     /// Store revision from which to watch.
-    #[serde(default)]
     pub revision: u64,
     /// Objects; fewer than the limit on the last page.
     pub objects: Vec<Object>,
@@ -124,19 +127,40 @@
 
 /// Change of an object.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(from = "RawChange")]
 pub struct Change {
     /// Name of the object.
     pub name: Arc<str>,
     /// Version after the change.
     pub version: u64,
     /// Whether the object was deleted.
-    #[serde(default)]
     pub deleted: bool,
-    /// New value, unless deleted.
-    #[serde(default)]
+    /// New value, unless deleted or unreadable.
     pub value: Option<Value>,
 }
 
+#[derive(Deserialize)]
+struct RawChange {
+    name: Arc<str>,
+    version: u64,
+    #[serde(default)]
+    deleted: bool,
+    #[serde(default)]
+    value: Option<Box<RawValue>>,
+}
+
+impl From<RawChange> for Change {
+    fn from(raw: RawChange) -> Self {
+        let value = raw.value.as_deref().map(RawValue::get);
+        Self {
+            name: raw.name,
+            version: raw.version,
+            deleted: raw.deleted,
+            value: value.and_then(|text| serde_json::from_str(text).ok()),
+        }
+    }
+}
+
 /// VM as listed by the platform; the list may be out of date.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct Vm {
@@ -167,7 +191,20 @@
 
 #[derive(Deserialize)]
 struct VmList {
-    vms: Vec<Value>,
+    vms: Vec<Box<RawValue>>,
+}
+
+#[derive(Deserialize)]
+struct RawPage {
+    #[serde(default)]
+    revision: u64,
+    objects: Vec<Box<RawValue>>,
+}
+
+/// Name in a record that is otherwise unreadable.
+#[derive(Deserialize)]
+struct Named {
+    name: Box<RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -175,13 +212,14 @@
     version: u64,
 }
 
-/// Returns the VM of a record; logs one that can't be read.
-fn read_vm(record: Value) -> Option<Vm> {
-    let name = record.get("name").map(Value::to_string);
-    let vm = serde_json::from_value(record);
-    vm.inspect_err(|e| {
-        let name = name.as_deref().unwrap_or("-");
-        log::warn!(event = "vm_unreadable", name = name, cause:% = e; "");
+/// Returns an element of a list; logs one that can't be read as `event`.
+fn read_element<T: DeserializeOwned>(element: &RawValue, event: &str) -> Option<T> {
+    let read = serde_json::from_str(element.get());
+    read.inspect_err(|e| {
+        let named: Option<Named> = serde_json::from_str(element.get()).ok();
+        let name = named.as_ref().map_or("-", |n| n.name.get());
+        let name = name.get(..MAX_LOGGED_NAME).unwrap_or(name);
+        log::warn!(event = event, name = name, cause:% = e; "");
     })
     .ok()
 }
@@ -275,7 +313,7 @@
         self.write("delete", conditional(req, condition)).await
     }
 
-    /// Lists up to `limit` objects of a kind whose names come after `after`.
+    /// Lists up to `limit` objects of a kind whose names come after `after`, without those that can't be read.
     ///
     /// # Errors
     ///
@@ -285,7 +323,14 @@
         url.query_pairs_mut()
             .append_pair("after", after)
             .append_pair("limit", &limit.to_string());
-        self.read("list", self.request(Method::GET, url)).await
+        let page: RawPage = self.read("list", self.request(Method::GET, url)).await?;
+        let objects = page.objects.iter();
+        Ok(Page {
+            revision: page.revision,
+            objects: objects
+                .filter_map(|o| read_element(o, "object_unreadable"))
+                .collect(),
+        })
     }
 
     /// Waits up to `wait` for changes of a kind after revision `since`.
@@ -310,7 +355,10 @@
     pub async fn vms(&self) -> Result<Vec<Vm>> {
         let req = self.request(Method::GET, self.url(&["vms"])?);
         let list: VmList = self.read("vms", req).await?;
-        Ok(list.vms.into_iter().filter_map(read_vm).collect())
+        let vms = list.vms.iter();
+        Ok(vms
+            .filter_map(|vm| read_element(vm, "vm_unreadable"))
+            .collect())
     }
 
     fn request(&self, method: Method, url: Url) -> RequestBuilder {
--- a/fireflyd/tests/platform_client.rs
+++ b/fireflyd/tests/platform_client.rs
@@ -408,6 +408,46 @@
     assert_eq!(names, ["vm1", "vm2"]);
 }
 
+/// Returns an answer of the platform whose text no parser has seen.
+fn text_response(text: &str) -> Response {
+    Response::builder()
+        .content_type("application/json")
+        .body(text.to_owned())
+}
+
+macro_rules! odd_value_cases {
+    ($($name:ident: $value:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let odd: String = $value;
+            let vm = |name: &str| format!(r#"{{"name": "{name}", "address": "127.0.0.1:1", "data_centre": "a", "role": "entry", "state": "live"}}"#);
+            let object = |name: &str, value: &str| format!(r#"{{"kind": "config", "name": "{name}", "version": 2, "value": {value}}}"#);
+            let fake = FakePlatform::new([
+                text_response(&format!(r#"{{"vms": [{}, {{"name": "odd", "extra": {odd}}}, {odd}, {}]}}"#, vm("vm1"), vm("vm2"))),
+                text_response(&format!(r#"{{"revision": 8, "objects": [{}, {}]}}"#, object("odd", &odd), object("b", "7"))),
+                text_response(&format!(r#"{{"revision": 9, "changes": [{{"name": "odd", "version": 9, "value": {odd}}}, {{"name": "b", "version": 10, "value": 7}}]}}"#)),
+            ])
+            .await;
+            let client = client(&fake.url, RESPONSE_TIMEOUT);
+            let vms = client.vms().await.unwrap();
+            let names: Vec<&str> = vms.iter().map(|vm| &*vm.name).collect();
+            assert_eq!(names, ["vm1", "vm2"]);
+            let page = client.list("config", "", 10).await.unwrap();
+            assert_eq!((page.revision, page.objects.last().unwrap().value.clone()), (8, json!(7)));
+            let seen = client.watch("config", 8, Duration::from_millis(500)).await.unwrap();
+            let names: Vec<&str> = seen.changes.iter().map(|c| &*c.name).collect();
+            assert_eq!((seen.revision, names), (9, vec!["odd", "b"]));
+        }
+    )*};
+}
+
+odd_value_cases! {
+    value_that_is_nested_very_deeply_hides_no_other: format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    number_beyond_any_bound_hides_no_other: "1e999".to_owned();
+    number_of_many_digits_hides_no_other: "1234567890".repeat(50);
+    text_of_half_a_character_hides_no_other: r#""\ud800""#.to_owned();
+}
+
 #[test]
 fn peer_that_hands_on_what_is_no_configuration_is_not_asked_at_its_every_message() {
     let (feed, _configs) = ConfigFeed::new();
--- a/fireflydirect/tests/processes_odd_records.rs
+++ b/fireflydirect/tests/processes_odd_records.rs
@@ -83,6 +83,8 @@
     start_beyond_any_number => record(r#""born": 123456789012345678901234567890"#);
     start_at_the_last_number => record(r#""born": 18446744073709551615"#);
     version_that_is_a_number_without_bounds => record(r#""version": 1e999"#);
+    member_with_half_a_character => record(r#""models": "\ud800""#);
+    data_centre_of_half_a_character => r#"{"service": "records", "address": "127.0.0.1:9", "zone": "\ud800", "state": "ready"}"#.to_owned();
     port_out_of_range => r#"{"service": "records", "address": "127.0.0.1:99999", "zone": "a", "state": "ready"}"#.to_owned();
     port_below_zero => r#"{"service": "records", "address": "127.0.0.1:-1", "zone": "a", "state": "ready"}"#.to_owned();
     port_zero => r#"{"service": "records", "address": "127.0.0.1:0", "zone": "a", "state": "ready"}"#.to_owned();
