--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -53,6 +53,9 @@
     odd_statuses_of_an_engine => odd_statuses(RUN, chat);
     odd_statuses_of_a_plain_service => odd_statuses(READ, read);
     odd_statuses_of_a_call_that_may_not_be_repeated => odd_statuses(FILE, file);
+    heads_of_an_engine_that_are_cut => cut_heads(RUN, chat);
+    heads_of_a_plain_service_that_are_cut => cut_heads(READ, read);
+    heads_of_a_call_that_may_not_be_repeated_that_are_cut => cut_heads(FILE, file);
     odd_status_leaves_the_streams_beside_it => beside("HTTP/1.1 000 Odd\r\n\r\n", "");
     event_that_is_none_leaves_the_streams_beside_it => beside(OPENED, "data: {oops\n\n");
     end_without_a_reason_leaves_the_streams_beside_it => beside(OPENED, "data: [DONE]\n\n");
@@ -186,6 +189,41 @@
     }
 }
 
+/// A head that stops before its end, in order, is no answer; it is cut within each of its lines.
+async fn cut_heads(to: &'static str, call: fn(&Fleet, &str) -> RequestBuilder) {
+    let doors = Doors::open(Trouble {
+        to: "none",
+        ..Trouble::default()
+    })
+    .await;
+    for framing in [
+        "content-length: 2",
+        "transfer-encoding: chunked",
+        "connection: close",
+    ] {
+        let head =
+            format!("HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n{framing}\r\n\r\n");
+        for cut in (0..head.len()).step_by(9) {
+            doors.set(&Trouble {
+                to,
+                first: head.as_bytes()[..cut].to_vec(),
+                ..Trouble::default()
+            });
+            let mark = format!("cut{cut}-{}", framing.len());
+            let res = call(&doors.fleet, &mark)
+                .timeout(WAIT_TIMEOUT)
+                .send()
+                .await
+                .unwrap();
+            assert!(
+                matches!(res.status().as_u16(), 502 | 503),
+                "{res:?} for {:?}",
+                &head[..cut]
+            );
+        }
+    }
+}
+
 /// A request gets these bytes, then the end of the connection; a stream on the same engine goes on.
 async fn beside(head: &str, body: &str) {
     let doors = Doors::open(Trouble {
