Take the list of upstreams for fresh by a sign of itself, not of the store alone

Cause: where nobody knows a stream's origin its service's only version counts, if the list is fresh, and it counted as fresh while the store answered any entry. That holds from the first announcement after a cut on, though the list is fetched 300 ms later; for a watcher from its first answer on, before it has listed; and for what waited in the sockets of a process that stood still. Class: a sign of the channel taken for a sign of what comes over it. Change: list_currency in the core, by doubts and signs; the entry refuses (2022) with a time to come back while in doubt. The standstill is seen by the clock and by the time of day, since a suspended VM's clock stands still too. The waits of the feed moved to a module of their own. Evidence: entry_whose_list_differs_from_the_watchers_joins_no_stream_of_unknown_origin got 200 on the commit before, and passes. Two tests with an entry stopped for 4 s passed before as well (guards). Ruled out: owners that reply (the origin is believed first), entries that watch and are in touch.

--- a/fireflydirect/src/announce.rs
+++ b/fireflydirect/src/announce.rs
@@ -30,6 +30,7 @@
             () = node.announce_now.notified() => Reason::Urgent,
             () = tokio::time::sleep_until(node.clock.instant(announce_at)) => Reason::Due,
         };
+        node.record_turn();
         update_watcher_role(&node);
         node.update_fleet_view();
         let interval = node
--- a/fireflydirect/src/departure_watch.rs
+++ b/fireflydirect/src/departure_watch.rs
@@ -178,9 +178,9 @@
         self.departure_watch.borrow().is_active()
     }
 
-    /// Returns whether the list of upstreams is as new as an entry that the store answers has it.
+    /// Returns whether the store answers this or another entry now.
     #[must_use]
-    pub fn is_list_fresh(&self) -> bool {
+    pub fn hears_store(&self) -> bool {
         let contact = store_contact(self);
         contact.answered_at.is_some() && !contact.is_silent(self.now())
     }
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -14,12 +14,15 @@
 
 use crate::client::Client;
 use crate::config_read::{config_call, decode_object};
+use crate::following::{
+    should_follow, until_primary, until_should_follow, until_store_responds, until_store_silent,
+};
 use crate::ingest::Ingest;
 use crate::links::CallResponse;
 use crate::node::Node;
 use crate::store_call::{StoreCall, page_path};
 use crate::store_list::StoreList;
-use fireflycroft::{HedgedCall, Mechanism, era_of};
+use fireflycroft::{HedgedCall, Mechanism, Time, era_of};
 use fireflycroft_platform::{
     Kind, StoreError, StorePage, is_configuration, read_era, read_events, read_page, watch_path,
 };
@@ -149,6 +152,10 @@
     async fn list(&mut self) -> Option<u64> {
         let mut list = StoreList::default();
         self.ingest.begin_list();
+        let began = self.node.now();
+        if self.kind == Kind::Upstreams {
+            self.node.list_currency.borrow_mut().doubt(began);
+        }
         loop {
             let is_on_trial = self.node.watcher_role.borrow().is_on_trial();
             let call = if is_on_trial {
@@ -160,7 +167,9 @@
                 Ok(more) => {
                     self.connectivity.record_response();
                     if !more {
-                        return self.apply_list(&list);
+                        let revision = self.apply_list(&list);
+                        self.confirm_list(began);
+                        return revision;
                     }
                 }
                 Err(why) => self.back_off(&why).await,
@@ -168,6 +177,13 @@
         }
     }
 
+    /// Records that the list of upstreams was read by a call sent at `sent`.
+    fn confirm_list(&self, sent: Time) {
+        if self.kind == Kind::Upstreams {
+            self.node.list_currency.borrow_mut().confirm(sent);
+        }
+    }
+
     /// Reads the next page of a list; returns true if more pages follow.
     async fn read_page(&mut self, call: StoreCall, list: &mut StoreList) -> Result<bool, String> {
         let after = list.last_name();
@@ -345,6 +361,7 @@
 
     async fn watch_from(&mut self, mut revision: u64) {
         while era_of(revision) == self.node.store_era() {
+            let sent = self.node.now();
             let answer = self.probe_or_watch(revision).await;
             let read = match answer {
                 // The store was restored from a backup while the watch waited.
@@ -359,6 +376,7 @@
                 Ok(read) => {
                     let read = read.in_era(era_of(revision));
                     self.connectivity.record_response();
+                    self.confirm_list(sent);
                     revision = read.revision;
                     self.ingest.record_nameless(read.unnamed);
                     let any_events = !read.events.is_empty();
@@ -500,45 +518,6 @@
     }
 }
 
-/// Returns whether an entry is to follow a kind of object: evacuations while it is a primary
-/// watcher, the configuration while it watches or tries to, upstreams once it watches.
-fn should_follow(node: &Node, kind: Kind) -> bool {
-    let role = node.watcher_role.borrow();
-    match kind {
-        Kind::Evacuations => role.is_primary(),
-        Kind::Upstreams | Kind::Entries => role.is_watching() && !role.is_on_trial(),
-        Kind::Config => role.is_watching(),
-    }
-}
-
-/// Waits until an entry is to follow a kind of object.
-async fn until_should_follow(node: &Node, kind: Kind) {
-    while !should_follow(node, kind) {
-        node.watcher_role_changed.notified().await;
-    }
-}
-
-/// Waits until this entry is a primary watcher, on which the others rely for the store's state.
-async fn until_primary(node: &Node) {
-    while !node.watcher_role.borrow().is_primary() {
-        node.watcher_role_changed.notified().await;
-    }
-}
-
-/// Waits until the store answers this entry.
-async fn until_store_responds(node: &Node) {
-    while !node.store_responding.get() {
-        node.store_state_changed.notified().await;
-    }
-}
-
-/// Waits until the store ceases to answer this entry.
-async fn until_store_silent(node: &Node) {
-    while node.store_responding.get() {
-        node.store_state_changed.notified().await;
-    }
-}
-
 /// Decodes the response to a list request.
 fn decode_page(answered: &CallResponse) -> Result<StorePage, String> {
     let status = answered.status;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -12,10 +12,10 @@
 use crate::runs::{MigrationCopy, Runs};
 use fireflycroft::{
     Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Evacuations,
-    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, PlannedStop, Policy, Pool, PoolChange,
-    QueryBudget, Refusal, Regions, ReturningCallers, RouteChanges, RunTimes, SharedRetryBudget,
-    StreamOrigins, StreamStart, Time, UpstreamIncarnation, UpstreamIx, ValueDensities, WaitQueue,
-    WaitingDemand, WatcherRole,
+    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, ListCurrency, PlannedStop, Policy,
+    Pool, PoolChange, QueryBudget, Refusal, Regions, ReturningCallers, RouteChanges, RunTimes,
+    SharedRetryBudget, StreamOrigins, StreamStart, Time, UpstreamIncarnation, UpstreamIx,
+    ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
 use fireflycroft_platform::PlatformSettings;
 use fireflynet::Callers;
@@ -126,6 +126,8 @@
     pub upstreams_listed: Cell<bool>,
     /// Time from which on the list of upstreams is known, from the store or another entry.
     pub listed_since: Cell<Option<Time>>,
+    /// Signs that the list of upstreams is as current as the store's.
+    pub(crate) list_currency: RefCell<ListCurrency>,
     /// Notified when an upstream appears or changes, or the configuration changes.
     pub routing_changed: Notify,
     /// Notified when an upstream has restarted.
@@ -230,6 +232,7 @@
             last_store_response: Cell::new(None),
             upstreams_listed: Cell::new(false),
             listed_since: Cell::new(None),
+            list_currency: RefCell::default(),
             routing_changed: Notify::new(),
             incarnation_ended: Notify::new(),
             announce_now: Notify::new(),
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -200,7 +200,7 @@
 
     /// Returns the available other entries' roles as watchers of the store.
     pub(crate) fn watcher_views(&self, now: Time) -> Vec<WatcherView> {
-        let within = self.watcher_interval().mul_f64(WATCHER_SILENT_INTERVALS);
+        let within = self.watcher_silence();
         let others = self.known.iter().filter(|(_, k)| k.is_available(now));
         let view = |(addr, k): (&Ipv4Addr, &PeerRecord)| {
             let is_alive = k.received_within(now, within);
@@ -233,6 +233,11 @@
         introduces
     }
 
+    /// Returns the silence after which a watcher no longer counts.
+    pub(crate) fn watcher_silence(&self) -> Duration {
+        self.watcher_interval().mul_f64(WATCHER_SILENT_INTERVALS)
+    }
+
     fn watcher_interval(&self) -> Duration {
         let entries = u32::try_from(self.known.len()).unwrap_or(u32::MAX);
         let due = WATCHER_TIME_PER_PEER.saturating_mul(entries);
--- a/fireflydirect/src/receive.rs
+++ b/fireflydirect/src/receive.rs
@@ -63,6 +63,7 @@
     if from == node.place.ip {
         return;
     }
+    node.record_turn();
     node.peers.borrow_mut().record_received(node.now(), from);
     match message {
         EntryMessage::Announcement(announcement) => {
@@ -120,7 +121,7 @@
     if node.peers.borrow().lacks_entries(now, &announcement) {
         fetch_entries(node, from);
     }
-    let missing = missing_state(node, now, from, &announcement);
+    let missing = missing_state(node, now - on_way, from, &announcement);
     if missing.is_any() {
         fetch(node, from, missing);
     }
@@ -132,24 +133,31 @@
     budget.apply_report(now, &announcement.name, announcement.retries);
 }
 
-/// Returns what this entry has to fetch after an announcement.
+/// Returns what this entry has to fetch after an announcement sent at `sent` or later; records whether it is a sign
+/// that the list of upstreams is current.
 fn missing_state(
     node: &Node,
-    now: Time,
+    sent: Time,
     from: Ipv4Addr,
     announcement: &EntryAnnouncement,
 ) -> MissingState {
+    let now = node.now();
     let mut pool = node.pool.borrow_mut();
     let mut peers = node.peers.borrow_mut();
+    let mut currency = node.list_currency.borrow_mut();
     let is_same = pool.digest() == announcement.upstreams_digest;
     if is_same {
         pool.record_complete(announcement.upstreams_complete);
     }
     if announcement.watches && is_same {
         peers.record_list_current();
+        currency.confirm(sent);
     }
     let is_ahead = announcement.upstreams_complete > pool.complete_to();
     let is_newer = !is_same && (is_ahead || announcement.upstreams >= pool.revision());
+    if announcement.watches && is_newer && !node.watches_store() {
+        currency.doubt(now);
+    }
     let announced = MissingState {
         config: Some(announcement.config)
             .filter(|v| *v > node.config_version() && peers.has_config(from, *v)),
--- a/fireflydirect/src/stream_origins.rs
+++ b/fireflydirect/src/stream_origins.rs
@@ -136,6 +136,8 @@
         let knows_all_owners = node.now().since(Time::default()) >= FULL_VIEW_AFTER;
         may_be_found = !all_replied || !knows_all_owners;
     }
+    // A list that is behind soon isn't any more.
+    may_be_found |= node.hears_store() && !node.is_list_fresh();
     match sole_origin(node, route, path) {
         Some(origin) => SearchResult::by("sole version", origin),
         None => SearchResult {
--- a/fireflydirect/tests/support/other_build.rs
+++ b/fireflydirect/tests/support/other_build.rs
@@ -2,11 +2,11 @@
 
 use super::Site;
 use fireflycroft::{EntryAnnouncement, EntryMessage, Incarnation};
-use fireflycroft_wire::encode_datagram;
+use fireflycroft_wire::{MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -36,6 +36,7 @@
 pub(crate) struct OtherBuild {
     announced: Arc<AtomicUsize>,
     fetched: Arc<AtomicUsize>,
+    has_other_list: Arc<AtomicBool>,
     _tasks: JoinSet<()>,
 }
 
@@ -58,6 +59,17 @@
         Self::start_with(site, last, to, announcement, Answer::Endless).await
     }
 
+    /// Starts one that announces the list of upstreams that the entry has, until it is to have another one, which it
+    /// never hands out.
+    pub(crate) async fn with_the_same_list(site: &Site, last: u8, to: u8) -> Self {
+        Self::start_with(site, last, to, announcement(last, 1), Answer::Endless).await
+    }
+
+    /// Has it announce another list from now on.
+    pub(crate) fn take_another_list(&self) {
+        self.has_other_list.store(true, Ordering::Relaxed);
+    }
+
     async fn start_with(
         site: &Site,
         last: u8,
@@ -73,11 +85,20 @@
         let announced = Arc::new(AtomicUsize::new(0));
         let fetched = Arc::new(AtomicUsize::new(0));
         let mut tasks = JoinSet::new();
-        tasks.spawn(announce(socket, to, announcement, announced.clone()));
+        let has_other_list = Arc::new(AtomicBool::new(announcement.upstreams == LATE_REVISION));
+        let other_list = has_other_list.clone();
+        tasks.spawn(announce(
+            socket,
+            to,
+            announcement,
+            announced.clone(),
+            other_list,
+        ));
         tasks.spawn(hand_out(listener, answer, fetched.clone()));
         Self {
             announced,
             fetched,
+            has_other_list,
             _tasks: tasks,
         }
     }
@@ -109,11 +130,26 @@
 async fn announce(
     socket: UdpSocket,
     to: SocketAddr,
-    announcement: EntryAnnouncement,
+    mut announcement: EntryAnnouncement,
     announced: Arc<AtomicUsize>,
+    has_other_list: Arc<AtomicBool>,
 ) {
-    let bytes = encode_datagram(&EntryMessage::Announcement(Box::new(announcement)));
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
+        while let Ok((len, _)) = socket.try_recv_from(&mut buf) {
+            if let Ok(EntryMessage::Announcement(heard)) = decode_datagram(&buf[..len])
+                && !has_other_list.load(Ordering::Relaxed)
+            {
+                announcement.upstreams_digest = heard.upstreams_digest;
+            }
+        }
+        if has_other_list.load(Ordering::Relaxed) {
+            announcement.upstreams = LATE_REVISION;
+            announcement.upstreams_complete = LATE_REVISION;
+            announcement.upstreams_digest = 1;
+        }
+        let message = EntryMessage::Announcement(Box::new(announcement.clone()));
+        let bytes = encode_datagram(&message);
         // The entry may be gone at the end of a test.
         let _ = socket.send_to(&bytes, to).await;
         announced.fetch_add(1, Ordering::Relaxed);
