Let the list that a doubt begins end it

A watcher that reads its list anew doubts the one it has and confirms the new one as of the same time, and stayed in doubt until its next watch was answered, up to two seconds later: callers without their first attempt would have been refused meanwhile. Found by reading the mend afresh; a sign from the doubt on counts now, by a test of the core.

--- a/fireflycroft/src/list_currency.rs
+++ b/fireflycroft/src/list_currency.rs
@@ -20,7 +20,7 @@
 pub struct ListCurrency {
     /// Time as of which the list was last current.
     confirmed_at: Option<Time>,
-    /// Time up to which signs count for nothing.
+    /// Time before which signs count for nothing.
     doubted_until: Time,
     /// Last turn of the process, by its clock and by the time of day.
     last_turn: Option<(Time, Duration)>,
@@ -54,6 +54,6 @@
     #[must_use]
     pub fn is_current(&self, now: Time, max_age: Duration) -> bool {
         self.confirmed_at
-            .is_some_and(|at| at > self.doubted_until && now.since(at) < max_age)
+            .is_some_and(|at| at >= self.doubted_until && now.since(at) < max_age)
     }
 }
