Ask all entries of a soak on the routes that configurations add, beside strangers' long names

Each configuration adds a route now, on which every entry in touch is asked 2 s later; strangers write a record with a long service, data centre or version, at times larger than a datagram or nested very deeply, and an evacuation with such a name; a scripted run has six entries.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -8,6 +8,7 @@
 mod soak_parts {
     pub(crate) mod callers;
     mod conditions;
+    mod configurations;
     mod entries;
     pub(crate) mod faults;
     pub(crate) mod plan;
@@ -334,6 +335,26 @@
     run_plan("leaving by answers", &steps, Duration::from_secs(8)).await;
 }
 
+/// Configurations follow each other beside strangers' objects, and reach entries that don't watch the store, too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn configurations_among_strangers_objects_reach_all_entries() {
+    let step = |millis, pick, fault| Step {
+        at: Duration::from_millis(millis),
+        span: Duration::from_millis(500),
+        fault,
+        pick,
+    };
+    let mut steps: Vec<Step> = (1..9).map(|n| step(n * 900, 0, Fault::Publish)).collect();
+    steps.push(step(2_300, 0, Fault::OverwriteRecord));
+    steps.push(step(4_100, 3, Fault::OverwriteRecord));
+    steps.sort_by_key(|step| step.at);
+    let changes = Changes {
+        entries: 6,
+        ..UNCHANGED
+    };
+    run_plan_with(changes, "new routes", &steps, Duration::from_secs(10)).await;
+}
+
 /// Foreign records overwrite engines' records, and no other fault excuses work because of them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn strangers_records_bring_no_work() {
--- a/fireflydirect/tests/soak_parts/entries.rs
+++ b/fireflydirect/tests/soak_parts/entries.rs
@@ -2,7 +2,7 @@
 
 use crate::soak_parts::faults::{Soak, Undo};
 use crate::soak_parts::plan::Step;
-use crate::support::{Entry, KEY, signal_all};
+use crate::support::{Entry, signal_all};
 use std::time::{Duration, Instant};
 
 /// Time that an entry has to stop.
@@ -48,7 +48,7 @@
             self.start_later(entry, step.span);
         }
         self.site.grade_timeout_ms = TIMEOUTS_MS[step.pick / 2 % TIMEOUTS_MS.len()];
-        self.site.publish(&[KEY]);
+        self.publish_among_strangers(&[]);
         if step.pick.is_multiple_of(2) {
             self.complete_release().await;
         }
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -1,5 +1,6 @@
 //! Injects and undoes a soak's faults, and records the evidence for the checker.
 
+use crate::soak_parts::configurations::Asked;
 use crate::soak_parts::plan::{Fault, Step};
 use crate::support::Site;
 use standins::site::{
@@ -54,8 +55,8 @@
     /// existing service; restarted entries can't, and foreign records of the platform name one that
     /// doesn't exist.
     pub(super) foreign_service: &'static str,
-    /// Configurations that strangers have written.
-    pub(super) strangers_configs: u64,
+    /// Requests on routes that configurations added.
+    pub(crate) asked: Asked,
     /// Engines that a part of a prompt has crashed and that start again.
     crashed: HashSet<usize>,
     /// Version and start of the engines that serve, by number.
@@ -90,6 +91,8 @@
     /// The store is restored from the snapshot of that number.
     Drill(usize),
     RewriteRecords,
+    /// Entries are asked on the route of that number.
+    AskOnRoute(usize),
     /// An engine that a part of a prompt has crashed starts again.
     Revive(usize),
 }
@@ -105,7 +108,7 @@
             announced: HashMap::new(),
             copies: HashMap::new(),
             foreign_service,
-            strangers_configs: 0,
+            asked: Asked::default(),
             crashed: HashSet::new(),
             serving: HashMap::new(),
         };
@@ -387,6 +390,7 @@
                 self.pending_undos.push((rewrite_at, Undo::RewriteRecords));
             }
             Undo::RewriteRecords => self.rewrite_records().await,
+            Undo::AskOnRoute(number) => self.ask_on_route(number).await,
             Undo::EndEngine(engine) => self.end_engine(engine),
             Undo::Revive(engine) => self.revive(engine).await,
             Undo::Rate(kind, number) => self.lift_rate_limit(kind, number),
--- a/fireflydirect/tests/soak_parts/records.rs
+++ b/fireflydirect/tests/soak_parts/records.rs
@@ -1,20 +1,10 @@
 //! Records of a soak's engines in the store, by the engines themselves and by strangers.
 
 use crate::soak_parts::faults::{Soak, Undo};
-use crate::support::KEY;
-use crate::support::strangers::{OTHER_VERSION, without_routes};
 use standins::site::EngineKind;
 use std::time::Instant;
 
 impl Soak {
-    /// Publishes the next configuration, with additional routes, beside a stranger's, which no entry may adopt.
-    pub(super) fn publish_among_strangers(&mut self, more: &[(&str, &str)]) {
-        self.strangers_configs += 1;
-        let config = without_routes(OTHER_VERSION + self.strangers_configs);
-        self.site.store.put("config", "archive", &config);
-        self.site.publish_routes(&[KEY], more);
-    }
-
     pub(super) async fn write_own_record(&mut self, engine: usize) {
         let instance = self.site.engines[engine].instance();
         let now = Instant::now();
@@ -63,6 +53,6 @@
                 self.site.store.remove("servers", &instance);
             }
         }
-        self.site.publish(&[KEY]);
+        self.publish_among_strangers(&[]);
     }
 }
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -1,6 +1,7 @@
 //! Runs a fault plan on a site and checks every guarantee.
 
 use crate::soak_parts::callers::{BAD_PART, BAD_PATH, Callers, CrashCause};
+use crate::soak_parts::configurations::Asked;
 use crate::soak_parts::faults::{Soak, other_version};
 use crate::soak_parts::plan::{Fault, Step};
 use crate::soak_parts::report::report;
@@ -36,6 +37,8 @@
     /// Mechanisms that entries go without, separated by commas.
     pub(crate) without: &'static str,
     pub(crate) callers: fn(Callers) -> Callers,
+    /// Number of entries, unless another one is asked for; more than three, so that some don't watch the store.
+    pub(crate) entries: u8,
     /// Initial model engines.
     pub(crate) engines: u8,
     /// Whether every second of these has another software version.
@@ -52,6 +55,7 @@
 pub(crate) const UNCHANGED: Changes = Changes {
     without: "",
     callers: |callers| callers,
+    entries: DEFAULT_ENTRIES,
     engines: INITIAL_ENGINES,
     two_versions: false,
     cause: CrashCause::Nothing,
@@ -117,7 +121,7 @@
     steps: &[Step],
     seconds: Duration,
 ) -> Outcomes {
-    let entries: u8 = env_or("FIREFLY_SOAK_ENTRIES", DEFAULT_ENTRIES);
+    let entries: u8 = env_or("FIREFLY_SOAK_ENTRIES", changes.entries);
     let restarts = steps.iter().any(|s| {
         matches!(
             s.fault,
@@ -187,6 +191,14 @@
         "{}",
         report(name, steps, &breaches, &soak.site)
     );
+    let Asked {
+        judged, refused, ..
+    } = &soak.asked;
+    assert!(
+        refused.is_empty(),
+        "{name}: routes were refused too late, of {judged} requests: {refused:?}"
+    );
+    println!("{name}: {judged} requests on new routes");
     let complete = soak.evidence.attempts.iter();
     let complete = complete
         .filter(|a| matches!(a.outcome, Outcome::Complete(_)))
--- a/fireflydirect/tests/support/strangers.rs
+++ b/fireflydirect/tests/support/strangers.rs
@@ -22,6 +22,14 @@
 /// Version of the configurations in objects beside the operator's.
 pub(crate) const OTHER_VERSION: u64 = 1_000;
 
+/// Levels of a text that is nested more deeply than a stack holds calls.
+const LEVELS: usize = 200_000;
+
+/// Returns a content that is nested very deeply.
+pub(crate) fn nested_text() -> String {
+    format!("{}1{}", "[".repeat(LEVELS), "]".repeat(LEVELS))
+}
+
 /// Returns a valid configuration without routes.
 pub(crate) fn without_routes(version: u64) -> Value {
     let services = ["models", "records"].map(|name| json!({"name": name, "max_connections": 100}));
