Take a watcher for alive by its announcements alone

What callers saw: 404 (2021) on a route of a confirmed configuration, at the entries that don't watch the store and only there, for as long as the watchers' announcements don't arrive: 30 s in the test and 38 s in the soak of the sources before. Cause: any datagram of a watcher kept it alive, and its last announcement kept it a watcher. Reports, queries and replies are small and go on while announcements are too large, rejected or lost; so an entry that hears no state from any watcher relied on them for good and never stepped in. Class: a sign of the channel taken for a sign of what comes over it, as with the freshness of lists. Change: the time of the last announcement is kept by itself; watchers, and entries that state is fetched from, count by that. Evidence: entry_that_hears_no_announcement_of_a_watcher_reads_the_store failed on the commit before (404 for 30 s), and passes.

--- /dev/null
+++ b/fireflydirect/src/fetch_guard.rs
@@ -0,0 +1,23 @@
+//! Guards that allow one fetch of a kind at a time.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Guard of a fetch in progress.
+pub(crate) struct FetchGuard {
+    fetching: Rc<Cell<bool>>,
+}
+
+impl FetchGuard {
+    /// Begins a fetch; `None` while one is in progress.
+    pub(crate) fn begin(fetching: &Rc<Cell<bool>>) -> Option<Self> {
+        let fetching = fetching.clone();
+        (!fetching.replace(true)).then_some(Self { fetching })
+    }
+}
+
+impl Drop for FetchGuard {
+    fn drop(&mut self) {
+        self.fetching.set(false);
+    }
+}
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -29,6 +29,7 @@
 pub(crate) mod event_times;
 pub mod exchange;
 pub mod feed;
+mod fetch_guard;
 mod following;
 pub mod generation;
 pub mod hold;
--- a/fireflydirect/src/peer_record.rs
+++ b/fireflydirect/src/peer_record.rs
@@ -14,7 +14,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PeerRecord {
     pub(crate) name: Option<Name>,
+    /// Time of its last datagram of any kind.
     pub(crate) last_received: Option<Time>,
+    /// Time of its last announcement: what is known of its state is as old.
+    pub(crate) announced_at: Option<Time>,
     pub(crate) known_since: Time,
     pub(crate) leaving: bool,
     pub(crate) watches: bool,
@@ -39,6 +42,7 @@
             name: None,
             data_centre: Name::default(),
             last_received: None,
+            announced_at: None,
             known_since: now,
             leaving: false,
             watches: false,
@@ -64,7 +68,8 @@
         self.config >= version && self.refused_config != Some(self.config)
     }
 
-    pub(crate) fn received_within(&self, now: Time, span: Duration) -> bool {
-        self.last_received.is_some_and(|t| now.since(t) < span)
+    /// Returns whether its last announcement is younger than `span`; its other datagrams tell nothing of its state.
+    pub(crate) fn has_announced_within(&self, now: Time, span: Duration) -> bool {
+        self.announced_at.is_some_and(|t| now.since(t) < span)
     }
 }
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -8,6 +8,7 @@
 //! The library that the house style names for this, `nng`, keeps some 36 threads in a process and
 //! memory to match; datagrams of a few hundred bytes that may be lost need neither.
 
+use crate::fetch_guard::FetchGuard;
 use crate::peer_record::PeerRecord;
 use fireflycroft::{
     Digest, EntryAnnouncement, Incarnation, Name, OwnedKey, PeerOverview, STREAM_OWNERS,
@@ -73,7 +74,7 @@
 /// Mean number of entries of a data centre that fetch from another data centre at a time.
 const REMOTE_FETCHES: f64 = 3.0;
 
-/// Time since its last datagram for which an entry counts as a source of the announced state.
+/// Time since its last announcement for which an entry counts as a source of the announced state.
 const SOURCE_MAX_AGE: Duration = Duration::from_secs(5);
 
 /// State that an out-of-date entry lacks.
@@ -203,7 +204,7 @@
         let within = self.watcher_silence();
         let others = self.known.iter().filter(|(_, k)| k.is_available(now));
         let view = |(addr, k): (&Ipv4Addr, &PeerRecord)| {
-            let is_alive = k.received_within(now, within);
+            let is_alive = k.has_announced_within(now, within);
             WatcherView {
                 addr: *addr,
                 is_alive,
@@ -275,6 +276,7 @@
             refused_config: before.and_then(|k| k.refused_config),
             name: Some(announcement.name.clone()),
             last_received: Some(now),
+            announced_at: Some(now),
             known_since: now,
             leaving: announcement.leaving,
             watches: announcement.watches && !announcement.leaving,
@@ -402,7 +404,7 @@
     ) -> Option<Ipv4Addr> {
         let has = |k: &PeerRecord| {
             counts(k)
-                && k.received_within(now, SOURCE_MAX_AGE)
+                && k.has_announced_within(now, SOURCE_MAX_AGE)
                 && k.is_available(now)
                 && missing.config.is_none_or(|v| k.has_config(v))
                 && missing
@@ -480,24 +482,6 @@
     (now.since(since) >= grace).then_some(lacking)
 }
 
-/// Guard of a fetch in progress.
-pub(crate) struct FetchGuard {
-    fetching: Rc<Cell<bool>>,
-}
-
-impl FetchGuard {
-    fn begin(fetching: &Rc<Cell<bool>>) -> Option<Self> {
-        let fetching = fetching.clone();
-        (!fetching.replace(true)).then_some(Self { fetching })
-    }
-}
-
-impl Drop for FetchGuard {
-    fn drop(&mut self) {
-        self.fetching.set(false);
-    }
-}
-
 /// Returns the address if it is IPv4, which the fleet uses.
 pub(crate) const fn v4(ip: IpAddr) -> Option<Ipv4Addr> {
     match ip {
--- a/fireflydirect/tests/processes_handed_on.rs
+++ b/fireflydirect/tests/processes_handed_on.rs
@@ -159,4 +159,19 @@
         others.push(OtherBuild::start(&site, 5, 4, 2, &site.whole_config()).await);
         until_new_route_is_served(&site).await;
     }
+
+    entry_that_hears_no_announcement_of_a_watcher_reads_the_store(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        let mut others = Vec::new();
+        for seed in 1..=3 {
+            others.push(OtherBuild::start(&site, seed, 4, 1, &Value::Null).await);
+        }
+        add_idle_entry(&mut site).await;
+        for other in &others {
+            other.stop_announcing();
+        }
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_new_route_is_served(&site).await;
+    }
 }
--- a/fireflydirect/tests/support/other_build.rs
+++ b/fireflydirect/tests/support/other_build.rs
@@ -1,7 +1,7 @@
 //! An entry of another build, as far as others hear of it.
 
 use super::Site;
-use fireflycroft::{EntryAnnouncement, EntryMessage, Incarnation};
+use fireflycroft::{EntryAnnouncement, EntryMessage, Incarnation, OwnerReport};
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -37,6 +37,7 @@
     announced: Arc<AtomicUsize>,
     fetched: Arc<AtomicUsize>,
     has_other_list: Arc<AtomicBool>,
+    is_quiet: Arc<AtomicBool>,
     _tasks: JoinSet<()>,
 }
 
@@ -70,6 +71,11 @@
         self.has_other_list.store(true, Ordering::Relaxed);
     }
 
+    /// Has it announce nothing from now on; its reports go on.
+    pub(crate) fn stop_announcing(&self) {
+        self.is_quiet.store(true, Ordering::Relaxed);
+    }
+
     async fn start_with(
         site: &Site,
         last: u8,
@@ -87,18 +93,21 @@
         let mut tasks = JoinSet::new();
         let has_other_list = Arc::new(AtomicBool::new(announcement.upstreams == LATE_REVISION));
         let other_list = has_other_list.clone();
-        tasks.spawn(announce(
+        let is_quiet = Arc::new(AtomicBool::new(false));
+        let sender = Sender {
             socket,
             to,
-            announcement,
-            announced.clone(),
-            other_list,
-        ));
+            announced: announced.clone(),
+            has_other_list: other_list,
+            is_quiet: is_quiet.clone(),
+        };
+        tasks.spawn(sender.announce(announcement));
         tasks.spawn(hand_out(listener, answer, fetched.clone()));
         Self {
             announced,
             fetched,
             has_other_list,
+            is_quiet,
             _tasks: tasks,
         }
     }
@@ -127,33 +136,43 @@
     }
 }
 
-async fn announce(
+/// What one sends, until it ends.
+struct Sender {
     socket: UdpSocket,
     to: SocketAddr,
-    mut announcement: EntryAnnouncement,
     announced: Arc<AtomicUsize>,
     has_other_list: Arc<AtomicBool>,
-) {
-    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        while let Ok((len, _)) = socket.try_recv_from(&mut buf) {
-            if let Ok(EntryMessage::Announcement(heard)) = decode_datagram(&buf[..len])
-                && !has_other_list.load(Ordering::Relaxed)
-            {
-                announcement.upstreams_digest = heard.upstreams_digest;
+    is_quiet: Arc<AtomicBool>,
+}
+
+impl Sender {
+    async fn announce(self, mut announcement: EntryAnnouncement) {
+        let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        let report = encode_datagram(&EntryMessage::Report(OwnerReport::default()));
+        loop {
+            let has_other_list = self.has_other_list.load(Ordering::Relaxed);
+            while let Ok((len, _)) = self.socket.try_recv_from(&mut buf) {
+                if let Ok(EntryMessage::Announcement(heard)) = decode_datagram(&buf[..len])
+                    && !has_other_list
+                {
+                    announcement.upstreams_digest = heard.upstreams_digest;
+                }
             }
+            if has_other_list {
+                announcement.upstreams = LATE_REVISION;
+                announcement.upstreams_complete = LATE_REVISION;
+                announcement.upstreams_digest = 1;
+            }
+            let message = EntryMessage::Announcement(Box::new(announcement.clone()));
+            // The entry may be gone at the end of a test.
+            let _ = self.socket.send_to(&report, self.to).await;
+            if !self.is_quiet.load(Ordering::Relaxed) {
+                let bytes = encode_datagram(&message);
+                let _ = self.socket.send_to(&bytes, self.to).await;
+                self.announced.fetch_add(1, Ordering::Relaxed);
+            }
+            tokio::time::sleep(ANNOUNCE_INTERVAL).await;
         }
-        if has_other_list.load(Ordering::Relaxed) {
-            announcement.upstreams = LATE_REVISION;
-            announcement.upstreams_complete = LATE_REVISION;
-            announcement.upstreams_digest = 1;
-        }
-        let message = EntryMessage::Announcement(Box::new(announcement.clone()));
-        let bytes = encode_datagram(&message);
-        // The entry may be gone at the end of a test.
-        let _ = socket.send_to(&bytes, to).await;
-        announced.fetch_add(1, Ordering::Relaxed);
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
     }
 }
 
