Read a configuration from the store whose transfer from another entry doesn't end

What callers saw: 404 on a route of a confirmed configuration at an entry that doesn't watch, while the entry that it fetched the configuration from sends a byte now and then: 30 s in the test and on. Cause: the fetch was bounded by silence alone, and one runs at a time, so it held all others up. Change: 1.2 s for it, after which the store is read; the whole configuration, asked of an entry when the store gives none, may still take any time, over slow links. Evidence: configuration_whose_transfer_does_not_end_is_read_from_the_store failed on the commit before (404 for 30 s), and passes.

--- a/fireflydirect/src/peer_fetch.rs
+++ b/fireflydirect/src/peer_fetch.rs
@@ -17,6 +17,10 @@
 /// any time.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Longest time for a configuration from another entry before it is read from the store, which leaves time for that
+/// within the two seconds in which it has to be active.
+const MAX_CONFIG_FETCH_TIME: Duration = Duration::from_millis(1_200);
+
 /// Number of waits for an entry of this data centre that has the list.
 const NEARBY_ATTEMPTS: u32 = 3;
 
@@ -68,7 +72,8 @@
         version = node.config_version();
         ""
     );
-    let fetched = request_config(node, from, false).await;
+    let fetched = tokio::time::timeout(MAX_CONFIG_FETCH_TIME, request_config(node, from, false));
+    let fetched = fetched.await.unwrap_or_else(|e| Err(e.into()));
     if let Err(e) = &fetched {
         log_failed_fetch(from, "config", e);
     }
--- a/fireflydirect/tests/processes_handed_on.rs
+++ b/fireflydirect/tests/processes_handed_on.rs
@@ -174,4 +174,17 @@
         site.publish_routes(&[KEY], &[("new", "/new/")]);
         until_new_route_is_served(&site).await;
     }
+
+    configuration_whose_transfer_does_not_end_is_read_from_the_store(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        let mut others = Vec::new();
+        for seed in 1..=3 {
+            others.push(OtherBuild::with_an_endless_state(&site, seed, 4, 2).await);
+        }
+        add_idle_entry(&mut site).await;
+        until("a fetch of the state", || async { others.iter().any(|o| o.fetched() > 0) }).await;
+        site.publish_routes(&[KEY], &[("new", "/new/")]);
+        until_new_route_is_served(&site).await;
+    }
 }
--- a/fireflydirect/tests/support/other_build.rs
+++ b/fireflydirect/tests/support/other_build.rs
@@ -60,6 +60,11 @@
         Self::start_with(site, last, to, announcement, Answer::Endless).await
     }
 
+    /// Starts one that announces a version and hands out its state without an end.
+    pub(crate) async fn with_an_endless_state(site: &Site, last: u8, to: u8, version: u64) -> Self {
+        Self::start_with(site, last, to, announcement(last, version), Answer::Endless).await
+    }
+
     /// Starts one that announces the list of upstreams that the entry has, until it is to have another one, which it
     /// never hands out.
     pub(crate) async fn with_the_same_list(site: &Site, last: u8, to: u8) -> Self {
