Tell a caller to come back only where a fresh list would name its stream's origin

While the list is in doubt a stream of unknown origin was refused with a short Retry-After also where the service had several versions, or the entry was too young to name the only one: its caller would have come back for nothing.

--- a/fireflydirect/src/stream_origins.rs
+++ b/fireflydirect/src/stream_origins.rs
@@ -136,9 +136,11 @@
         let knows_all_owners = node.now().since(Time::default()) >= FULL_VIEW_AFTER;
         may_be_found = !all_replied || !knows_all_owners;
     }
+    let sole = sole_origin(node, route, path);
+    let is_fresh = node.is_list_fresh();
     // A list that is behind soon isn't any more.
-    may_be_found |= node.hears_store() && !node.is_list_fresh();
-    match sole_origin(node, route, path) {
+    may_be_found |= sole.is_some() && !is_fresh;
+    match sole.filter(|_| is_fresh) {
         Some(origin) => SearchResult::by("sole version", origin),
         None => SearchResult {
             origin: None,
@@ -163,7 +165,7 @@
 }
 
 /// Returns the origin that all streams on a path have: it has led to one service, and that has had one version, for
-/// longer than any of them can last.
+/// longer than any of them can last, as far as this entry's list shows.
 fn sole_origin(node: &Node, route: &RouteSpec, path: &str) -> Option<StreamOrigin> {
     let [target] = &route.targets[..] else {
         return None;
@@ -171,7 +173,7 @@
     let (now, listed_since) = (node.now(), node.listed_since.get()?);
     let route_changes = node.route_changes.borrow();
     let since = listed_since.max(route_changes.unchanged_since(&route.host, path));
-    if !has_sole_timeout(route) || now.since(since) < MAX_STREAM_AGE || !node.is_list_fresh() {
+    if !has_sole_timeout(route) || now.since(since) < MAX_STREAM_AGE {
         return None;
     }
     let pool = node.pool.borrow();
