--- a/fireflydirect/tests/processes_cut_heads.rs
+++ b/fireflydirect/tests/processes_cut_heads.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use broken_servers::start_site;
+use reqwest::RequestBuilder;
 use standins::site::BrokenAnswer;
 use support::outcome;
 
@@ -22,7 +23,15 @@
     )
 }
 
-/// Cuts the head at each of its bytes; no caller gets a success.
+/// Sends a request, whose answer's head comes up to here; its caller gets no success.
+async fn check_no_success(req: RequestBuilder, head: &str) {
+    let answer = req.send().await.unwrap();
+    let got = outcome(&answer);
+    let text = answer.text().await;
+    assert!(got.0 >= 500, "{got:?} {text:?} for {head:?}");
+}
+
+/// Cuts the head at each of its bytes.
 async fn check_call(framing: &str, end: &str) {
     let head = head(framing);
     let (site, servers) = start_site(false, &BrokenAnswer::default()).await;
@@ -37,15 +46,7 @@
             });
         }
         for (method, path) in [("POST", "/file/a"), ("GET", "/fetch/a")] {
-            let call = site.call(0, method, path, &site.id()).send().await;
-            let answer = call.unwrap();
-            let got = outcome(&answer);
-            assert!(
-                got.0 >= 500,
-                "{got:?} {:?} for {:?}",
-                answer.text().await,
-                &head[..cut]
-            );
+            check_no_success(site.call(0, method, path, &site.id()), &head[..cut]).await;
         }
     }
     site.check();
@@ -65,18 +66,8 @@
             for server in &servers {
                 server.set_answer(broken(cut));
             }
-            let call = site
-                .stream(0, &format!("{path}a"), 10, &site.id())
-                .send()
-                .await;
-            let answer = call.unwrap();
-            let got = outcome(&answer);
-            assert!(
-                got.0 >= 500,
-                "{got:?} {:?} for {:?}",
-                answer.text().await,
-                &head[..cut]
-            );
+            let req = site.stream(0, &format!("{path}a"), 10, &site.id());
+            check_no_success(req, &head[..cut]).await;
         }
         site.check();
     }
