Wait until the entry has seen the other list before taking a stream up

The test waited for announcements to be sent, not to be read: on a machine under load its first caller could come before. It waits for the entry's fetch of the other list now, and checks the same.

--- a/fireflydirect/tests/processes_out_of_step.rs
+++ b/fireflydirect/tests/processes_out_of_step.rs
@@ -136,12 +136,13 @@
     site.until_ready(0).await;
     until_sole(&site, 0).await;
     let held = begin(&site, 0).await;
-    let heard = watchers[0].announced();
+    let fetched = || watchers.iter().map(OtherBuild::fetched).sum::<usize>();
+    let fetched_before = fetched();
     for watcher in &watchers {
         watcher.take_another_list();
     }
-    until("an announcement", || async {
-        watchers[0].announced() > heard + 2
+    until("a fetch of the other list", || async {
+        fetched() > fetched_before
     })
     .await;
     for _ in 0..5 {
