Release a fetch's guard only where it was taken

Cause: the guard that begins a fetch was built before it was known whether one was in progress, and dropped at once where it was; its Drop let the next fetch begin beside the running one. So each announcement began another: 419 fetches of a configuration in three seconds at 28 entries, over links of 10 Mbit/s. Ruled out: more watchers (4 changes of duty each).

--- a/fireflydirect/src/fetch_guard.rs
+++ b/fireflydirect/src/fetch_guard.rs
@@ -11,8 +11,12 @@
 impl FetchGuard {
     /// Begins a fetch; `None` while one is in progress.
     pub(crate) fn begin(fetching: &Rc<Cell<bool>>) -> Option<Self> {
-        let fetching = fetching.clone();
-        (!fetching.replace(true)).then_some(Self { fetching })
+        if fetching.replace(true) {
+            return None;
+        }
+        Some(Self {
+            fetching: fetching.clone(),
+        })
     }
 }
 
--- a/fireflydirect/tests/processes_handed_on.rs
+++ b/fireflydirect/tests/processes_handed_on.rs
@@ -187,4 +187,20 @@
         site.publish_routes(&[KEY], &[("new", "/new/")]);
         until_new_route_is_served(&site).await;
     }
+
+    one_list_is_fetched_at_a_time(site: 0) {
+        let mut site = Site::without_entries().await;
+        site.publish(&[KEY]);
+        let mut others = Vec::new();
+        for seed in 1..=3 {
+            others.push(OtherBuild::with_an_endless_list(&site, seed, 4).await);
+        }
+        add_idle_entry(&mut site).await;
+        let fetched = || others.iter().map(OtherBuild::fetched).sum::<usize>();
+        until("a fetch of the list", || async { fetched() > 0 }).await;
+        let announced = others[0].announced();
+        until("further announcements", || async { others[0].announced() >= announced + 40 }).await;
+        // One more may be of the configuration, at the start.
+        assert!(fetched() <= 2, "fetched {} times", fetched());
+    }
 }
