--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,36 @@
+//! Cases of the second review. Each plays a small deployment on loopback addresses and says by its exit status whether a
+//! rule was broken (1), held (0), or the case couldn't run (2).
+
+mod cold_engines;
+mod crashing_request;
+mod engine;
+mod fleet;
+mod http;
+mod max_attempts;
+mod site;
+mod store;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, record] = &args[..] else {
+        eprintln!("usage: review-case CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
+    let played = match case.as_str() {
+        "crashing-request" => crashing_request::play(record, trouble),
+        "cold-engines" => cold_engines::play(record, trouble),
+        "max-attempts" => max_attempts::play(record, trouble),
+        _ => Err(std::io::Error::other("no such case")),
+    };
+    match played {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("the case couldn't run: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
