--- a/review/standins-2/src/crashing_request.rs
+++ b/review/standins-2/src/crashing_request.rs
@@ -26,8 +26,10 @@
 
 pub fn play(record: &str, trouble: bool) -> io::Result<bool> {
     let behaviour = |_| Behaviour {
-        crashes_on: Some(BAD.to_owned()),
+        crashes_on: Some((BAD.to_owned(), 1)),
         breaks_off: 0.0,
+        loses: 0.0,
+        is_active: Default::default(),
         gap: Duration::from_millis(20),
         cold_for: Duration::ZERO,
         seed: 1,
@@ -88,17 +90,9 @@
     let other = &site.entries[(*turn + 2) % site.entries.len()];
     *turn += 1;
     let id = site.new_id();
-    let reply = site.generate(entry.front, &id, &format!("{BAD}?events=20"), "e4402b7d:250", "250,80", "bad");
-    site.note(&format!(
-        "bad request {id} to entry {}: status {} whole {} retry-after {:?}",
-        entry.number, reply.status, reply.is_whole, reply.header("retry-after")
-    ));
+    site.generate(entry.front, &id, &format!("{BAD}?events=20"), "e4402b7d:250", "250,80", "bad");
     let id = site.new_id();
-    let reply = site.generate(other.front, &id, "/log/sound?events=5", "e4402b7e:250", "250,20", &id);
-    site.note(&format!(
-        "sound request {id} to entry {}: status {} whole {}",
-        other.number, reply.status, reply.is_whole
-    ));
+    site.generate(other.front, &id, "/log/sound?events=5", "e4402b7e:250", "250,20", &id);
     thread::sleep(until.saturating_duration_since(Instant::now()));
 }
 
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -2,8 +2,10 @@
 
 use crate::http::{answer, begin_chunks, chunk, After, Request, Server};
 use crate::store::Store;
+use std::collections::HashSet;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -25,6 +27,8 @@
     BrokenOff,
     Crashed,
     CallerLeft,
+    /// The request was run to its end, and its answer was lost on the way.
+    AnswerLost,
 }
 
 /// A request that an engine began to run.
@@ -35,13 +39,15 @@
     pub path: String,
     pub instance: String,
     pub after: Option<u64>,
+    /// Copy of the run's memory from which it goes on.
+    pub from_copy: Option<String>,
     pub end: End,
     pub ended: Instant,
 }
 
-/// Runs of all engines of a case.
+/// Runs of all engines of a case, and the copies of their memory by holder's address and request id.
 #[derive(Clone, Default)]
-pub struct Runs(Arc<Mutex<Vec<Run>>>);
+pub struct Runs(Arc<Mutex<Vec<Run>>>, Arc<Mutex<HashSet<(String, String)>>>);
 
 impl Runs {
     fn begin(&self, req: &Request, id: &str, instance: &str) -> usize {
@@ -53,6 +59,7 @@
             path: req.path.clone(),
             instance: instance.to_owned(),
             after: req.header("last-event-id").and_then(|l| l.parse().ok()),
+            from_copy: req.header("kv-from").map(str::to_owned),
             end: End::Running,
             ended: now,
         });
@@ -65,6 +72,19 @@
         runs[at].ended = Instant::now();
     }
 
+    /// Keeps a copy of a run's memory at a holder.
+    fn copy(&self, holder: &str, id: &str) {
+        self.1.lock().unwrap().insert((holder.to_owned(), id.to_owned()));
+    }
+
+    /// Uses a copy, `HOLDER/ID`; false if there is none. A copy can be used once.
+    fn use_copy(&self, name: &str) -> bool {
+        let Some((holder, id)) = name.split_once('/') else {
+            return false;
+        };
+        self.1.lock().unwrap().remove(&(holder.to_owned(), id.to_owned()))
+    }
+
     pub fn all(&self) -> Vec<Run> {
         self.0.lock().unwrap().clone()
     }
@@ -73,10 +93,14 @@
 /// What the engines of a case do.
 #[derive(Clone)]
 pub struct Behaviour {
-    /// Path of the request that crashes an engine with the first event of its answer.
-    pub crashes_on: Option<String>,
+    /// Path of the request that crashes an engine, and the event of its answer in whose place it does.
+    pub crashes_on: Option<(String, u64)>,
     /// Share of its answers that an engine breaks off.
     pub breaks_off: f64,
+    /// Share of its answers that an engine loses on their way, by a reset, while it runs the request to its end.
+    pub loses: f64,
+    /// Whether answers are broken off and lost now.
+    pub is_active: Arc<AtomicBool>,
     /// Time between two events.
     pub gap: Duration,
     /// Time for which it is cold after its start, as its records say.
@@ -94,10 +118,8 @@
     crashed: Mutex<bool>,
 }
 
-/// An engine, with what keeps its record in the store up to date; it comes back after a crash.
-pub struct Engine {
-    pub addr: SocketAddr,
-}
+/// Engines; each keeps its record in the store up to date, and comes back after a crash.
+pub struct Engine;
 
 impl Engine {
     /// Starts an engine; its first id is `name`-1.
@@ -107,7 +129,7 @@
         store: &Arc<Store>,
         behaviour: &Behaviour,
         runs: &Runs,
-    ) -> io::Result<Self> {
+    ) -> io::Result<()> {
         let (store, runs) = (store.clone(), runs.clone());
         let (name, behaviour) = (name.to_owned(), behaviour.clone());
         let (life, server) = begin(addr, &name, 1, &behaviour, &runs)?;
@@ -134,7 +156,7 @@
                 }
             }
         });
-        Ok(Self { addr })
+        Ok(())
     }
 }
 
@@ -181,7 +203,7 @@
 fn record(life: &Life, addr: SocketAddr, cold: Duration, sequence: u32) -> String {
     format!(
         "{{\"service\":\"models\",\"address\":\"{addr}\",\"zone\":\"a\",\"version\":\"v1\",\
-         \"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":{},\"stage\":\"unified\",\
+         \"slots\":24,\"state\":\"ready\",\"cold_remaining_ms\":{},\"stage\":\"unified\",\
          \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\
          \"born\":{}}}",
         cold.as_millis(),
@@ -216,11 +238,13 @@
     if path == "/v1/report" {
         let running = life.runs.all();
         let running = running.iter().filter(|r| r.instance == life.instance && r.end == End::Running);
+        let names: Vec<String> = running.map(|r| format!("[\"{}\",100,1,5]", r.id)).collect();
         let report = format!(
             "{{\"stage\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"busy\":false,\"sequence\":1,\"waiting\":0,\"running\":{},\"kv_used\":0,\
-             \"kv_total\":34638,\"handles\":0,\"state\":\"ready\",\"runs\":[],\"born\":{}}}",
-            running.count(),
+             \"kv_total\":34638,\"handles\":0,\"state\":\"ready\",\"runs\":[{}],\"born\":{}}}",
+            names.len(),
+            names.join(","),
             life.born
         );
         let headers = [("Content-Type", "application/json"), ("X-Request-Id", id.as_str())];
@@ -231,6 +255,14 @@
         answer(stream, 200, &[("X-Instance-Id", life.instance.as_str())], b"")?;
         return Ok(After::Keep);
     }
+    if path == "/v1/kv-move" {
+        answer(stream, 503, &[("X-Not-Executed", "1"), ("X-Request-Id", &id)], b"{}")?;
+        return Ok(After::Keep);
+    }
+    if req.header("kv-from").is_some_and(|copy| !life.runs.use_copy(copy)) {
+        answer(stream, 503, &[("X-Not-Executed", "1"), ("X-Request-Id", &id)], b"")?;
+        return Ok(After::Keep);
+    }
     if id.is_empty() || path.starts_with("/v1/") {
         answer(stream, 400, &[("X-Not-Executed", "1"), ("X-Request-Id", &id)], b"")?;
         return Ok(After::Keep);
@@ -243,8 +275,14 @@
     let events: u64 = req.query("events").and_then(|e| e.parse().ok()).unwrap_or(4);
     let first = req.header("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
     let at = life.runs.begin(req, id, &life.instance);
-    let crashes = life.behaviour.crashes_on.as_deref() == req.path.split('?').next();
-    let breaks = !crashes && draw(life) < life.behaviour.breaks_off;
+    let path = req.path.split('?').next().unwrap_or_default();
+    let crashes = life.behaviour.crashes_on.as_ref().filter(|(on, _)| on == path);
+    let crashes_at = crashes.map(|(_, event)| first + event);
+    let is_active = life.behaviour.is_active.load(Ordering::SeqCst);
+    let breaks = is_active && crashes.is_none() && draw(life) < life.behaviour.breaks_off;
+    let loses = is_active && !breaks && crashes.is_none() && draw(life) < life.behaviour.loses;
+    let lost_at = first + (events.saturating_sub(first) / 4).max(1);
+    let backup = req.header("x-kv-backup");
     let headers = [
         ("X-Request-Id", id),
         ("X-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
@@ -256,7 +294,7 @@
         for n in first + 1..=events {
             thread::sleep(life.behaviour.gap);
             let event = format!("id: {n}\ndata: {id} {n}\n\n");
-            if crashes {
+            if crashes_at == Some(n) {
                 return Ok(End::Crashed);
             }
             if breaks && (n == events || n > first + 1) {
@@ -264,7 +302,20 @@
                 chunk(stream, &event.as_bytes()[..5])?;
                 return Ok(End::BrokenOff);
             }
+            if loses && n >= lost_at {
+                // The channel is reset; the engine works on to the end.
+                if n == lost_at {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                if n == events {
+                    return Ok(End::AnswerLost);
+                }
+                continue;
+            }
             chunk(stream, event.as_bytes())?;
+            if let Some(holder) = backup {
+                life.runs.copy(holder, id);
+            }
         }
         chunk(stream, b"")?;
         Ok(End::Whole)
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -9,10 +9,8 @@
 
 /// A request as a server read it.
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
 }
 
 impl Request {
@@ -126,13 +124,10 @@
     };
     let (start, headers) = parse_head(&head);
     let length = find(&headers, "content-length").and_then(|l| l.parse().ok());
-    let body = read_exact(stream, buf, length.unwrap_or(0))?;
-    let mut words = start.split(' ').map(str::to_owned);
+    read_exact(stream, buf, length.unwrap_or(0))?;
     Ok(Some(Request {
-        method: words.next().unwrap_or_default(),
-        path: words.next().unwrap_or_default(),
+        path: start.split(' ').nth(1).unwrap_or_default().to_owned(),
         headers,
-        body,
     }))
 }
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,8 @@
 mod engine;
 mod fleet;
 mod http;
+mod late_crash;
+mod lost_answers;
 mod max_attempts;
 mod site;
 mod store;
@@ -22,6 +24,8 @@
     let played = match case.as_str() {
         "crashing-request" => crashing_request::play(record, trouble),
         "cold-engines" => cold_engines::play(record, trouble),
+        "late-crash" => late_crash::play(record, trouble),
+        "lost-answers" => lost_answers::play(record, trouble),
         "max-attempts" => max_attempts::play(record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins-2/src/max_attempts.rs
+++ b/review/standins-2/src/max_attempts.rs
@@ -4,6 +4,7 @@
 use crate::site::{Route, Site};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,16 +22,23 @@
 /// Requests that may run on more engines, as the pages allow.
 const MAX_BEYOND: usize = 3;
 
-const CALLERS: usize = 15;
-const TRAFFIC: Duration = Duration::from_secs(95);
+/// Times for which they do so, one after the other, with a pause between two.
+const WINDOWS: usize = 13;
+const WINDOW: Duration = Duration::from_secs(6);
+const PAUSE: Duration = Duration::from_secs(1);
+
+const CALLERS: usize = 30;
 const EVENTS: u64 = 5;
 
 pub fn play(record: &str, trouble: bool) -> io::Result<bool> {
     let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let seed = seed.map_or(1, |t| t.subsec_nanos().into());
+    let active = Arc::new(AtomicBool::new(false));
     let behaviour = |number| Behaviour {
         crashes_on: None,
         breaks_off: if trouble && number < FAULTY { BREAKS_OFF } else { 0.0 },
+        loses: 0.0,
+        is_active: active.clone(),
         gap: Duration::from_millis(7),
         cold_for: Duration::ZERO,
         seed,
@@ -41,13 +49,19 @@
     site.start_entries()?;
     thread::sleep(Duration::from_secs(4));
     let site = Arc::new(site);
-    let end = Instant::now() + TRAFFIC;
+    let end = Instant::now() + (WINDOW + PAUSE) * WINDOWS as u32;
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let site = site.clone();
             thread::spawn(move || call(&site, caller, end))
         })
         .collect();
+    for _ in 0..WINDOWS {
+        active.store(true, Ordering::SeqCst);
+        thread::sleep(WINDOW);
+        active.store(false, Ordering::SeqCst);
+        thread::sleep(PAUSE);
+    }
     let mut answers = BTreeMap::new();
     for caller in callers {
         for (answer, count) in caller.join().map_err(|_| io::Error::other("a caller failed"))? {
@@ -80,12 +94,9 @@
     }
     let beyond: Vec<&String> =
         engines.iter().filter(|(_, e)| e.len() > MAX_ATTEMPTS).map(|(id, _)| id).collect();
-    for run in runs.iter().filter(|r| beyond.contains(&&r.id)) {
-        let at = run.at.duration_since(site.began).as_secs_f64();
-        site.note(&format!(
-            "run at {at:.3} id {} on {} after {:?} ended {:?}",
-            run.id, run.instance, run.after, run.end
-        ));
+    site.note_runs();
+    for id in &beyond {
+        site.note(&format!("{id} ran on {:?}", engines[*id]));
     }
     let again = runs.len() - engines.len();
     site.note(&format!(
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -21,15 +21,14 @@
 const STORE: u8 = 200;
 
 pub struct Site {
-    pub store: Arc<Store>,
     pub entries: Vec<Entry>,
     pub runs: Runs,
     pub began: Instant,
     record: Mutex<File>,
     ids: AtomicU64,
-    _engines: Vec<Engine>,
+    store: Arc<Store>,
     _folder: Folder,
-    _net: Net,
+    net: Net,
 }
 
 /// One route of the configuration.
@@ -57,31 +56,33 @@
         let config = config(routes, cold_per_s);
         store.put("config", "main", &config);
         let runs = Runs::default();
-        let mut started = Vec::new();
-        for number in 0..engines {
-            let addr = net.free(FIRST_ENGINE + number)?;
-            let name = format!("m{number}");
-            started.push(Engine::start(addr, &name, &store, &behaviours(number), &runs)?);
-        }
         let mut of_fleet = Vec::new();
         for number in 1..=entries {
             of_fleet.push(Entry::new(&net, &folder.0, number, &[1, 2, 3], store.addr)?);
         }
         let site = Self {
-            store,
             entries: of_fleet,
             runs,
             began: Instant::now(),
             record: Mutex::new(File::create(record)?),
             ids: AtomicU64::new(1),
-            _engines: started,
+            store,
             _folder: folder,
-            _net: net,
+            net,
         };
+        for number in 0..engines {
+            site.add_engine(number, &behaviours(number))?;
+        }
         site.note(&format!("configuration: {config}"));
         Ok(site)
     }
 
+    /// Starts an engine; the id of its first life is `mNUMBER-1`.
+    pub fn add_engine(&self, number: u8, behaviour: &Behaviour) -> io::Result<()> {
+        let addr = self.net.free(FIRST_ENGINE + number)?;
+        Engine::start(addr, &format!("m{number}"), &self.store, behaviour, &self.runs)
+    }
+
     /// Starts all entries and waits until they are ready.
     pub fn start_entries(&mut self) -> io::Result<()> {
         for entry in &mut self.entries {
@@ -121,14 +122,25 @@
             ("Host", "site.example"),
             ("X-Request-Id", id),
             ("X-Credential", KEY),
-            ("X-Deadline-Ms", "6000"),
+            ("X-Deadline-Ms", "39000"),
             ("X-Model", "m"),
             ("X-Token-Usage", tokens),
             ("X-Prompt-Prefix", parts),
+            ("X-Length-Hint", tokens.split(',').nth(1).unwrap_or_default()),
         ];
         let headers: Vec<(String, String)> =
             headers.iter().map(|(n, v)| ((*n).to_owned(), (*v).to_owned())).collect();
-        http::request(to, "POST", path, &headers, body.as_bytes(), Duration::from_secs(7))
+        let sent = self.began.elapsed().as_secs_f64();
+        let wait = Duration::from_secs(12);
+        let reply = http::request(to, "POST", path, &headers, body.as_bytes(), wait);
+        self.note(&format!(
+            "sent {id} at {sent:.3} to {to} path {path}; answered {} retry-after {:?}, {} bytes, whole {}",
+            reply.status,
+            reply.header("retry-after"),
+            reply.body.len(),
+            reply.is_whole
+        ));
+        reply
     }
 
     /// Writes all runs of the engines to the record.
@@ -137,8 +149,8 @@
             let at = run.at.duration_since(self.began).as_secs_f64();
             let ended = run.ended.duration_since(self.began).as_secs_f64();
             self.note(&format!(
-                "run at {at:.3} id {} path {} on {} after {:?} ended {:?} at {ended:.3}",
-                run.id, run.path, run.instance, run.after, run.end
+                "run at {at:.3} id {} path {} on {} after {:?} from copy {:?} ended {:?} at {ended:.3}",
+                run.id, run.path, run.instance, run.after, run.from_copy, run.end
             ));
         }
     }
@@ -150,7 +162,7 @@
         .map(|r| {
             format!(
                 "{{\"name\":\"{}\",\"host\":\"site.example\",\"path_prefix\":\"{}\",\
-                 \"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":1500,\
+                 \"kind\":\"streaming\",\"timeout_ms\":39000,\"target_latency_ms\":1500,\
                  \"priority\":0,\"service\":\"models\",\"max_attempts\":{},\"public\":false,\
                  \"session_affinity\":true,\"resumable\":{},\"target_gap_ms\":180}}",
                 r.name, r.prefix, r.max_attempts, r.resumable
@@ -165,8 +177,8 @@
     format!(
         "{{\"version\":7,\"routes\":[{}],\"services\":[{{\"name\":\"models\",\
          \"health_path\":\"/healthz\",\"max_connections\":442,\"protocol\":\"h1\",\"tls\":false,{cold}\
-         \"engine\":{{\"slots\":64,\"kv_capacity_tokens\":34638,\"kv_token_bytes\":18432,\
-         \"link_mbps\":2700.0,\"stride\":4,\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\
+         \"engine\":{{\"slots\":24,\"kv_capacity_tokens\":34638,\"kv_token_bytes\":18432,\
+         \"link_mbps\":2700.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\
          \"handle_ttl_s\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
