--- a/review/standins-2/src/cold_engines.rs
+++ b/review/standins-2/src/cold_engines.rs
@@ -41,12 +41,15 @@
         breaks_off: 0.0,
         loses: 0.0,
         is_active: Arc::default(),
+        states_born: true,
+        leaves: Default::default(),
+        exits: Default::default(),
         gap: Duration::from_millis(100),
         cold_for,
         seed: 1,
     };
     let warm = |_| behaviour(Duration::ZERO);
-    let routes = [Route { name: "grade", prefix: "/grade/", resumable: false, max_attempts: 1 }];
+    let routes = [Route { name: "grade", prefix: "/grade/", kind: "streaming", resumable: false, max_attempts: 1 }];
     let mut site = Site::new("cold", record, ENTRIES, ENGINES, warm, &routes, COLD_PER_S)?;
     site.start_entries()?;
     thread::sleep(Duration::from_secs(5));
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -103,6 +103,11 @@
     pub is_active: Arc<AtomicBool>,
     /// Time between two events.
     pub gap: Duration,
+    /// Whether it states its start, `born`.
+    pub states_born: bool,
+    /// Whether it has to leave, and whether it has to exit now, for good.
+    pub leaves: Arc<AtomicBool>,
+    pub exits: Arc<AtomicBool>,
     /// Time for which it is cold after its start, as its records say.
     pub cold_for: Duration,
     pub seed: u64,
@@ -140,6 +145,10 @@
                 live(&life, addr, &store);
                 server.stop();
                 let removed = life.instance.clone();
+                if behaviour.exits.load(Ordering::SeqCst) {
+                    store.remove("servers", &removed);
+                    return;
+                }
                 let from = store.clone();
                 thread::spawn(move || {
                     thread::sleep(HEARTBEAT * SILENT_HEARTBEATS);
@@ -182,32 +191,42 @@
     Ok((life, server))
 }
 
-/// Writes the engine's record until it crashes.
+/// Writes the engine's record until it crashes or exits, at each status report that brings a change or finds the store come back.
 fn live(life: &Life, addr: SocketAddr, store: &Store) {
     let mut sequence = 0;
     let mut due = Instant::now();
-    while !*life.crashed.lock().unwrap() {
-        if Instant::now() >= due {
+    let mut written: Option<(u64, bool)> = None;
+    while !*life.crashed.lock().unwrap() && !life.behaviour.exits.load(Ordering::SeqCst) {
+        let leaves = life.behaviour.leaves.load(Ordering::SeqCst);
+        let begins_to_leave = leaves && written.is_some_and(|(_, left)| !left);
+        if Instant::now() >= due || begins_to_leave {
             sequence += 1;
-            due += HEARTBEAT;
-            // An entry of the store changes only if more than the sequence does.
+            due = Instant::now() + HEARTBEAT;
             let cold = life.behaviour.cold_for.saturating_sub(life.started.elapsed());
-            if sequence == 1 || !life.behaviour.cold_for.is_zero() {
-                store.put("servers", &life.instance, &record(life, addr, cold, sequence));
+            let now = (store.era(), leaves);
+            // An entry of the store changes only if more than the sequence does.
+            let is_news = written != Some(now) || !life.behaviour.cold_for.is_zero();
+            let record = record(life, addr, cold, sequence, leaves);
+            if is_news && store.put("servers", &life.instance, &record) {
+                written = Some(now);
             }
         }
         thread::sleep(Duration::from_millis(2));
     }
 }
 
-fn record(life: &Life, addr: SocketAddr, cold: Duration, sequence: u32) -> String {
+fn record(life: &Life, addr: SocketAddr, cold: Duration, sequence: u32, leaves: bool) -> String {
+    let state = if leaves { "draining" } else { "ready" };
+    let born = if life.behaviour.states_born {
+        format!(",\"born\":{}", life.born)
+    } else {
+        String::new()
+    };
     format!(
         "{{\"service\":\"models\",\"address\":\"{addr}\",\"zone\":\"a\",\"version\":\"v1\",\
-         \"slots\":24,\"state\":\"ready\",\"cold_remaining_ms\":{},\"stage\":\"unified\",\
-         \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\
-         \"born\":{}}}",
-        cold.as_millis(),
-        life.born
+         \"slots\":24,\"state\":\"{state}\",\"cold_remaining_ms\":{},\"stage\":\"unified\",\
+         \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence}{born}}}",
+        cold.as_millis()
     )
 }
 
@@ -242,10 +261,11 @@
         let report = format!(
             "{{\"stage\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"busy\":false,\"sequence\":1,\"waiting\":0,\"running\":{},\"kv_used\":0,\
-             \"kv_total\":34638,\"handles\":0,\"state\":\"ready\",\"runs\":[{}],\"born\":{}}}",
+             \"kv_total\":34638,\"handles\":0,\"state\":\"{}\",\"runs\":[{}]{}}}",
             names.len(),
+            if life.behaviour.leaves.load(Ordering::SeqCst) { "draining" } else { "ready" },
             names.join(","),
-            life.born
+            if life.behaviour.states_born { format!(",\"born\":{}", life.born) } else { String::new() }
         );
         let headers = [("Content-Type", "application/json"), ("X-Request-Id", id.as_str())];
         answer(stream, 200, &headers, report.as_bytes())?;
--- a/review/standins-2/src/lost_answers.rs
+++ b/review/standins-2/src/lost_answers.rs
@@ -37,11 +37,14 @@
         breaks_off: 0.0,
         loses: if trouble && number < FAULTY { LOSES } else { 0.0 },
         is_active: active.clone(),
+        states_born: true,
+        leaves: Default::default(),
+        exits: Default::default(),
         gap: GAP,
         cold_for: Duration::ZERO,
         seed,
     };
-    let routes = [Route { name: "log", prefix: "/log/", resumable: false, max_attempts: 1 }];
+    let routes = [Route { name: "log", prefix: "/log/", kind: "streaming", resumable: false, max_attempts: 1 }];
     let mut site = Site::new("lost-answers", record, ENTRIES, ENGINES, behaviour, &routes, 0)?;
     site.start_entries()?;
     thread::sleep(Duration::from_secs(4));
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -26,7 +26,7 @@
     pub began: Instant,
     record: Mutex<File>,
     ids: AtomicU64,
-    store: Arc<Store>,
+    pub store: Arc<Store>,
     _folder: Folder,
     net: Net,
 }
@@ -35,6 +35,8 @@
 pub struct Route {
     pub name: &'static str,
     pub prefix: &'static str,
+    /// `streaming`, or a kind of plain calls; then the service is a plain one.
+    pub kind: &'static str,
     pub resumable: bool,
     pub max_attempts: u32,
 }
@@ -162,10 +164,10 @@
         .map(|r| {
             format!(
                 "{{\"name\":\"{}\",\"host\":\"site.example\",\"path_prefix\":\"{}\",\
-                 \"kind\":\"streaming\",\"timeout_ms\":39000,\"target_latency_ms\":1500,\
+                 \"kind\":\"{}\",\"timeout_ms\":39000,\"target_latency_ms\":1500,\
                  \"priority\":0,\"service\":\"models\",\"max_attempts\":{},\"public\":false,\
                  \"session_affinity\":true,\"resumable\":{},\"target_gap_ms\":180}}",
-                r.name, r.prefix, r.max_attempts, r.resumable
+                r.name, r.prefix, r.kind, r.max_attempts, r.resumable
             )
         })
         .collect();
@@ -174,12 +176,16 @@
     } else {
         String::new()
     };
+    let engine = if routes.iter().any(|r| r.contains("streaming")) {
+        ",\"engine\":{\"slots\":24,\"kv_capacity_tokens\":34638,\"kv_token_bytes\":18432,\
+         \"link_mbps\":2700.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\
+         \"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_ttl_s\":5.0,\"models\":[{\"name\":\"m\"}]}"
+    } else {
+        ""
+    };
     format!(
-        "{{\"version\":7,\"routes\":[{}],\"services\":[{{\"name\":\"models\",\
-         \"health_path\":\"/healthz\",\"max_connections\":442,\"protocol\":\"h1\",\"tls\":false,{cold}\
-         \"engine\":{{\"slots\":24,\"kv_capacity_tokens\":34638,\"kv_token_bytes\":18432,\
-         \"link_mbps\":2700.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\
-         \"handle_ttl_s\":5.0,\"models\":[{{\"name\":\"m\"}}]}}}}],\
+        "{{\"version\":7,\"routes\":[{}],\"services\":[{{\"name\":\"models\",{cold}\
+         \"health_path\":\"/healthz\",\"max_connections\":442,\"protocol\":\"h1\",\"tls\":false{engine}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"tenant-a\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}",
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -16,6 +16,16 @@
     objects: BTreeMap<(String, String), (u64, String)>,
     /// Revision, kind, name, content, whether the object was removed.
     events: Vec<(u64, String, String, String, bool)>,
+    /// Number of times that it came back from a copy.
+    era: u64,
+    /// Whether it answers nobody now.
+    is_away: bool,
+}
+
+/// A copy of the store.
+pub struct Snapshot {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, String)>,
 }
 
 #[derive(Default)]
@@ -35,6 +45,7 @@
     pub fn start(addr: SocketAddr) -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
         shared.state.lock().unwrap().revision = 100;
+        shared.state.lock().unwrap().era = 1;
         let state = shared.clone();
         let server = Server::start(addr, move |req, stream| handle(&state, req, stream))?;
         Ok(Self {
@@ -44,9 +55,12 @@
         })
     }
 
-    /// Writes an object; `content` is JSON.
-    pub fn put(&self, kind: &str, name: &str, content: &str) {
+    /// Writes an object; `content` is JSON. Returns whether the store acknowledges it.
+    pub fn put(&self, kind: &str, name: &str, content: &str) -> bool {
         let mut state = self.shared.state.lock().unwrap();
+        if state.is_away {
+            return false;
+        }
         state.revision += 1;
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
@@ -54,6 +68,35 @@
         let event = (revision, kind.to_owned(), name.to_owned(), content.to_owned(), false);
         state.events.push(event);
         self.shared.changed.notify_all();
+        true
+    }
+
+    pub fn era(&self) -> u64 {
+        self.shared.state.lock().unwrap().era
+    }
+
+    pub fn snapshot(&self) -> Snapshot {
+        let state = self.shared.state.lock().unwrap();
+        Snapshot {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// Answers nobody from now on, and cuts off watches.
+    pub fn go_away(&self) {
+        self.shared.state.lock().unwrap().is_away = true;
+        self.shared.changed.notify_all();
+    }
+
+    /// Comes back from a copy: what was written since is gone, and revisions go back.
+    pub fn come_back_from(&self, copy: Snapshot) {
+        let mut state = self.shared.state.lock().unwrap();
+        state.events.retain(|(r, ..)| *r <= copy.revision);
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.era += 1;
+        state.is_away = false;
     }
 
     /// Removes an object, if it is there.
@@ -82,17 +125,25 @@
         answer(stream, 404, &[], b"")?;
         return Ok(After::Keep);
     };
+    if shared.state.lock().unwrap().is_away {
+        return Ok(After::Close);
+    }
     let (status, body) = match rest.split_once('/') {
         Some((kind, name)) => one(shared, kind, name),
         None => match req.query("watch").and_then(|w| w.parse().ok()) {
             Some(from) => {
                 let wait = req.query("wait_ms").and_then(|w| w.parse().ok());
-                watch(shared, rest, from, Duration::from_millis(wait.unwrap_or(0)))
+                match watch(shared, rest, from, Duration::from_millis(wait.unwrap_or(0))) {
+                    Some(answer) => answer,
+                    None => return Ok(After::Close),
+                }
             }
             None => list(shared, rest, req.query("after").unwrap_or_default()),
         },
     };
-    answer(stream, status, &[("Content-Type", "application/json")], body.as_bytes())?;
+    let era = shared.state.lock().unwrap().era.to_string();
+    let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+    answer(stream, status, &headers, body.as_bytes())?;
     Ok(After::Keep)
 }
 
@@ -115,10 +166,18 @@
     (200, body)
 }
 
-fn watch(shared: &Shared, kind: &str, from: u64, wait: Duration) -> (u16, String) {
+/// Returns the answer to a watch; none if it is cut off.
+fn watch(shared: &Shared, kind: &str, from: u64, wait: Duration) -> Option<(u16, String)> {
     let until = Instant::now() + wait;
     let mut state = shared.state.lock().unwrap();
+    let era = state.era;
     loop {
+        if state.is_away || state.era != era {
+            return None;
+        }
+        if from > state.revision {
+            return Some((410, "{}".to_owned()));
+        }
         let news = state.events.iter().filter(|(r, k, ..)| *r > from && k == kind);
         let news: Vec<String> = news
             .map(|(r, _, n, c, gone)| {
@@ -130,7 +189,7 @@
             let events = news.join(",");
             let revision = state.revision;
             let body = format!("{{\"events\":[{events}],\"store_revision\":{revision}}}");
-            return (200, body);
+            return Some((200, body));
         }
         state = shared.changed.wait_timeout(state, left).unwrap().0;
     }
