--- a/review/standins-2/src/back_from_a_copy.rs
+++ b/review/standins-2/src/back_from_a_copy.rs
@@ -3,8 +3,8 @@
 use crate::engine::{Behaviour, End};
 use crate::site::{Route, Site};
 use std::io;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -42,13 +42,27 @@
         loses: 0.0,
         is_active: Arc::default(),
         states_born: false,
-        leaves: if number == LEAVING { leaves.clone() } else { Arc::default() },
-        exits: if number == LEAVING { exits.clone() } else { Arc::default() },
+        leaves: if number == LEAVING {
+            leaves.clone()
+        } else {
+            Arc::default()
+        },
+        exits: if number == LEAVING {
+            exits.clone()
+        } else {
+            Arc::default()
+        },
         gap: Duration::from_millis(20),
         cold_for: Duration::ZERO,
         seed: 1,
     };
-    let routes = [Route { name: "grade", prefix: "/grade/", kind: "unsafe", resumable: false, max_attempts: 1 }];
+    let routes = [Route {
+        name: "grade",
+        prefix: "/grade/",
+        kind: "unsafe",
+        resumable: false,
+        max_attempts: 1,
+    }];
     let mut site = Site::new("copy", record, ENTRIES, ENGINES, behaviour, &routes, 0)?;
     site.start_entries()?;
     thread::sleep(Duration::from_secs(8));
@@ -81,11 +95,17 @@
     thread::sleep(UNTIL.saturating_sub(acknowledged.elapsed()));
     ends.store(true, Ordering::SeqCst);
     for caller in callers {
-        caller.join().map_err(|_| io::Error::other("a caller failed"))?;
+        caller
+            .join()
+            .map_err(|_| io::Error::other("a caller failed"))?;
     }
     site.note_runs();
     for entry in &site.entries {
-        for line in entry.log_lines(&["event=started", "instance=m1-1 incarnation", "store_restored"]) {
+        for line in entry.log_lines(&[
+            "event=started",
+            "instance=m1-1 incarnation",
+            "store_restored",
+        ]) {
             site.note(&format!("entry {}: {line}", entry.number));
         }
     }
@@ -96,7 +116,14 @@
     let to = site.entries[caller % site.entries.len()].front;
     while !ends.load(Ordering::SeqCst) {
         let id = site.new_id();
-        site.generate(to, &id, "/grade/short?events=10", "e4402b7e:50", "50,40", &id);
+        site.generate(
+            to,
+            &id,
+            "/grade/short?events=10",
+            "e4402b7e:50",
+            "50,40",
+            &id,
+        );
         thread::sleep(PAUSE);
     }
 }
@@ -109,8 +136,13 @@
         .filter(|r| r.at > acknowledged + DRAIN_TIMEOUT)
         .map(|r| r.at - acknowledged)
         .collect();
-    let cut = runs.iter().filter(|r| r.instance == "m1-1" && r.end != End::Whole);
-    site.note(&format!("{} runs on engine m1-1 were cut by its exit", cut.count()));
+    let cut = runs
+        .iter()
+        .filter(|r| r.instance == "m1-1" && r.end != End::Whole);
+    site.note(&format!(
+        "{} runs on engine m1-1 were cut by its exit",
+        cut.count()
+    ));
     site.note(&format!(
         "{} of {} requests reached engine m1-1 later than {} ms after the store had acknowledged that \
          it is draining; first and last after {:?} and {:?}",
--- a/review/standins-2/src/cold_engines.rs
+++ b/review/standins-2/src/cold_engines.rs
@@ -49,7 +49,13 @@
         seed: 1,
     };
     let warm = |_| behaviour(Duration::ZERO);
-    let routes = [Route { name: "grade", prefix: "/grade/", kind: "streaming", resumable: false, max_attempts: 1 }];
+    let routes = [Route {
+        name: "grade",
+        prefix: "/grade/",
+        kind: "streaming",
+        resumable: false,
+        max_attempts: 1,
+    }];
     let mut site = Site::new("cold", record, ENTRIES, ENGINES, warm, &routes, COLD_PER_S)?;
     site.start_entries()?;
     thread::sleep(Duration::from_secs(5));
@@ -86,14 +92,21 @@
     site.note("a cold engine is added");
     let mut statuses = BTreeMap::new();
     for caller in callers {
-        for (status, count) in caller.join().map_err(|_| io::Error::other("a caller failed"))? {
+        for (status, count) in caller
+            .join()
+            .map_err(|_| io::Error::other("a caller failed"))?
+        {
             *statuses.entry(status).or_insert(0) += count;
         }
     }
     site.note(&format!("answers by status: {statuses:?}"));
     site.note_runs();
     for entry in &site.entries {
-        for line in entry.log_lines(&["event=started", "instance=m4-1"]).iter().take(3) {
+        for line in entry
+            .log_lines(&["event=started", "instance=m4-1"])
+            .iter()
+            .take(3)
+        {
             site.note(&format!("entry {}: {line}", entry.number));
         }
     }
@@ -106,7 +119,14 @@
     while Instant::now() < end {
         let id = site.new_id();
         let to = site.entries[entry].front;
-        let reply = site.generate(to, &id, "/grade/short?events=4", "e4402b7e:50", "50,16", &id);
+        let reply = site.generate(
+            to,
+            &id,
+            "/grade/short?events=4",
+            "e4402b7e:50",
+            "50,16",
+            &id,
+        );
         *counts.entry(reply.status).or_insert(0) += 1;
         thread::sleep(PAUSE);
     }
@@ -123,7 +143,10 @@
     let mut times: Vec<Instant> = times.filter(while_cold).collect();
     times.sort_unstable();
     let within = |at: &Instant| {
-        times.iter().filter(|t| *t >= at && **t < *at + Duration::from_secs(1)).count()
+        times
+            .iter()
+            .filter(|t| *t >= at && **t < *at + Duration::from_secs(1))
+            .count()
     };
     let most = times.iter().map(within).max().unwrap_or(0);
     site.note(&format!(
--- a/review/standins-2/src/crashing_request.rs
+++ b/review/standins-2/src/crashing_request.rs
@@ -37,7 +37,13 @@
         cold_for: Duration::ZERO,
         seed: 1,
     };
-    let routes = [Route { name: "log", prefix: "/log/", kind: "streaming", resumable: false, max_attempts: 1 }];
+    let routes = [Route {
+        name: "log",
+        prefix: "/log/",
+        kind: "streaming",
+        resumable: false,
+        max_attempts: 1,
+    }];
     let mut site = Site::new("crashing", record, ENTRIES, ENGINES, behaviour, &routes, 0)?;
     site.start_entries()?;
     thread::sleep(STABLE_WINDOW);
@@ -73,10 +79,17 @@
     }
     site.note_runs();
     let late = site.runs.all();
-    let late = late.iter().filter(|r| r.path.starts_with(BAD) && r.at > third + STABLE_WINDOW);
+    let late = late
+        .iter()
+        .filter(|r| r.path.starts_with(BAD) && r.at > third + STABLE_WINDOW);
     let late = late.count();
     for entry in &site.entries {
-        for line in entry.log_lines(&["event=started", "part_refused", "part_tried_again", "upstream_crashed"]) {
+        for line in entry.log_lines(&[
+            "event=started",
+            "part_refused",
+            "part_tried_again",
+            "upstream_crashed",
+        ]) {
             site.note(&format!("entry {}: {line}", entry.number));
         }
     }
@@ -93,9 +106,23 @@
     let other = &site.entries[(*turn + 2) % site.entries.len()];
     *turn += 1;
     let id = site.new_id();
-    site.generate(entry.front, &id, &format!("{BAD}?events=20"), "e4402b7d:250", "250,80", "bad");
+    site.generate(
+        entry.front,
+        &id,
+        &format!("{BAD}?events=20"),
+        "e4402b7d:250",
+        "250,80",
+        "bad",
+    );
     let id = site.new_id();
-    site.generate(other.front, &id, "/log/sound?events=5", "e4402b7e:250", "250,20", &id);
+    site.generate(
+        other.front,
+        &id,
+        "/log/sound?events=5",
+        "e4402b7e:250",
+        "250,20",
+        &id,
+    );
     thread::sleep(until.saturating_duration_since(Instant::now()));
 }
 
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -1,6 +1,6 @@
 //! Model engines: they stream events, may break an answer off, and crash under one request.
 
-use crate::http::{answer, begin_chunks, chunk, After, Request, Server};
+use crate::http::{After, Request, Server, answer, begin_chunks, chunk};
 use crate::store::Store;
 use std::collections::HashSet;
 use std::io;
@@ -74,7 +74,10 @@
 
     /// Keeps a copy of a run's memory at a holder.
     fn copy(&self, holder: &str, id: &str) {
-        self.1.lock().unwrap().insert((holder.to_owned(), id.to_owned()));
+        self.1
+            .lock()
+            .unwrap()
+            .insert((holder.to_owned(), id.to_owned()));
     }
 
     /// Uses a copy, `HOLDER/ID`; false if there is none. A copy can be used once.
@@ -82,7 +85,10 @@
         let Some((holder, id)) = name.split_once('/') else {
             return false;
         };
-        self.1.lock().unwrap().remove(&(holder.to_owned(), id.to_owned()))
+        self.1
+            .lock()
+            .unwrap()
+            .remove(&(holder.to_owned(), id.to_owned()))
     }
 
     pub fn all(&self) -> Vec<Run> {
@@ -176,7 +182,9 @@
     behaviour: &Behaviour,
     runs: &Runs,
 ) -> io::Result<(Arc<Life>, Server)> {
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let life = Arc::new(Life {
         instance: format!("{name}-{number}"),
         born: u64::try_from(unix.as_millis()).unwrap_or(0),
@@ -202,7 +210,10 @@
         if Instant::now() >= due || begins_to_leave {
             sequence += 1;
             due = Instant::now() + HEARTBEAT;
-            let cold = life.behaviour.cold_for.saturating_sub(life.started.elapsed());
+            let cold = life
+                .behaviour
+                .cold_for
+                .saturating_sub(life.started.elapsed());
             let now = (store.era(), leaves);
             // An entry of the store changes only if more than the sequence does.
             let is_news = written != Some(now) || !life.behaviour.cold_for.is_zero();
@@ -250,41 +261,80 @@
     let id = req.header("x-request-id").unwrap_or_default().to_owned();
     let expected = req.header("x-expect-instance");
     if expected.is_some_and(|i| i != life.instance) {
-        let headers = [("X-Instance-Id", life.instance.as_str()), ("X-Request-Id", &id)];
+        let headers = [
+            ("X-Instance-Id", life.instance.as_str()),
+            ("X-Request-Id", &id),
+        ];
         answer(stream, 421, &headers, b"")?;
         return Ok(After::Keep);
     }
     if path == "/v1/report" {
         let running = life.runs.all();
-        let running = running.iter().filter(|r| r.instance == life.instance && r.end == End::Running);
+        let running = running
+            .iter()
+            .filter(|r| r.instance == life.instance && r.end == End::Running);
         let names: Vec<String> = running.map(|r| format!("[\"{}\",100,1,5]", r.id)).collect();
         let report = format!(
             "{{\"stage\":\"unified\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"busy\":false,\"sequence\":1,\"waiting\":0,\"running\":{},\"kv_used\":0,\
              \"kv_total\":34638,\"handles\":0,\"state\":\"{}\",\"runs\":[{}]{}}}",
             names.len(),
-            if life.behaviour.leaves.load(Ordering::SeqCst) { "draining" } else { "ready" },
+            if life.behaviour.leaves.load(Ordering::SeqCst) {
+                "draining"
+            } else {
+                "ready"
+            },
             names.join(","),
-            if life.behaviour.states_born { format!(",\"born\":{}", life.born) } else { String::new() }
+            if life.behaviour.states_born {
+                format!(",\"born\":{}", life.born)
+            } else {
+                String::new()
+            }
         );
-        let headers = [("Content-Type", "application/json"), ("X-Request-Id", id.as_str())];
+        let headers = [
+            ("Content-Type", "application/json"),
+            ("X-Request-Id", id.as_str()),
+        ];
         answer(stream, 200, &headers, report.as_bytes())?;
         return Ok(After::Keep);
     }
     if path == "/healthz" {
-        answer(stream, 200, &[("X-Instance-Id", life.instance.as_str())], b"")?;
+        answer(
+            stream,
+            200,
+            &[("X-Instance-Id", life.instance.as_str())],
+            b"",
+        )?;
         return Ok(After::Keep);
     }
     if path == "/v1/kv-move" {
-        answer(stream, 503, &[("X-Not-Executed", "1"), ("X-Request-Id", &id)], b"{}")?;
+        answer(
+            stream,
+            503,
+            &[("X-Not-Executed", "1"), ("X-Request-Id", &id)],
+            b"{}",
+        )?;
         return Ok(After::Keep);
     }
-    if req.header("kv-from").is_some_and(|copy| !life.runs.use_copy(copy)) {
-        answer(stream, 503, &[("X-Not-Executed", "1"), ("X-Request-Id", &id)], b"")?;
+    if req
+        .header("kv-from")
+        .is_some_and(|copy| !life.runs.use_copy(copy))
+    {
+        answer(
+            stream,
+            503,
+            &[("X-Not-Executed", "1"), ("X-Request-Id", &id)],
+            b"",
+        )?;
         return Ok(After::Keep);
     }
     if id.is_empty() || path.starts_with("/v1/") {
-        answer(stream, 400, &[("X-Not-Executed", "1"), ("X-Request-Id", &id)], b"")?;
+        answer(
+            stream,
+            400,
+            &[("X-Not-Executed", "1"), ("X-Request-Id", &id)],
+            b"",
+        )?;
         return Ok(After::Keep);
     }
     run(life, req, &id, stream)
@@ -292,11 +342,21 @@
 
 /// Streams the answer to a request.
 fn run(life: &Life, req: &Request, id: &str, stream: &mut TcpStream) -> io::Result<After> {
-    let events: u64 = req.query("events").and_then(|e| e.parse().ok()).unwrap_or(4);
-    let first = req.header("last-event-id").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let events: u64 = req
+        .query("events")
+        .and_then(|e| e.parse().ok())
+        .unwrap_or(4);
+    let first = req
+        .header("last-event-id")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
     let at = life.runs.begin(req, id, &life.instance);
     let path = req.path.split('?').next().unwrap_or_default();
-    let crashes = life.behaviour.crashes_on.as_ref().filter(|(on, _)| on == path);
+    let crashes = life
+        .behaviour
+        .crashes_on
+        .as_ref()
+        .filter(|(on, _)| on == path);
     let crashes_at = crashes.map(|(_, event)| first + event);
     let is_active = life.behaviour.is_active.load(Ordering::SeqCst);
     let breaks = is_active && crashes.is_none() && draw(life) < life.behaviour.breaks_off;
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -30,7 +30,12 @@
             let port = 20_000 + (n % 9_000) as u16;
             let claim = TcpListener::bind((Ipv4Addr::new(127, a, b, 254), port));
             if let Ok(claim) = claim {
-                return Ok(Self { a, b, port, _claim: claim });
+                return Ok(Self {
+                    a,
+                    b,
+                    port,
+                    _claim: claim,
+                });
             }
         }
         Err(io::Error::other("no loopback net is free"))
@@ -67,7 +72,10 @@
     ) -> io::Result<Self> {
         let (front, ready, control) = (net.free(number)?, net.free(number)?, net.free(number)?);
         let ip = net.ip(number);
-        let seeds: Vec<String> = seeds.iter().map(|n| format!("\"{}:9\"", net.ip(*n))).collect();
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|n| format!("\"{}:9\"", net.ip(*n)))
+            .collect();
         let seeds = seeds.join(",");
         let inner = net.port;
         let text = format!(
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -266,7 +266,11 @@
         return Ok(());
     };
     let (start, headers) = parse_head(&head);
-    reply.status = start.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    reply.status = start
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
     reply.headers = headers;
     if reply.header("transfer-encoding").is_some() {
         read_chunks(&mut stream, &mut buf, reply)
--- a/review/standins-2/src/late_crash.rs
+++ b/review/standins-2/src/late_crash.rs
@@ -39,8 +39,22 @@
         cold_for: Duration::ZERO,
         seed: 1,
     };
-    let routes = [Route { name: "log", prefix: "/log/", kind: "streaming", resumable: false, max_attempts: 1 }];
-    let mut site = Site::new("late-crash", record, ENTRIES, ENGINES, behaviour, &routes, 0)?;
+    let routes = [Route {
+        name: "log",
+        prefix: "/log/",
+        kind: "streaming",
+        resumable: false,
+        max_attempts: 1,
+    }];
+    let mut site = Site::new(
+        "late-crash",
+        record,
+        ENTRIES,
+        ENGINES,
+        behaviour,
+        &routes,
+        0,
+    )?;
     site.start_entries()?;
     thread::sleep(STABLE_WINDOW);
     let end = Instant::now() + COMES_FOR;
@@ -56,7 +70,13 @@
     }
     site.note_runs();
     for entry in &site.entries {
-        for line in entry.log_lines(&["event=started", "part_", "refused", "upstream_crashed", "stream_cut"]) {
+        for line in entry.log_lines(&[
+            "event=started",
+            "part_",
+            "refused",
+            "upstream_crashed",
+            "stream_cut",
+        ]) {
             site.note(&format!("entry {}: {line}", entry.number));
         }
     }
@@ -69,20 +89,32 @@
     let entry = &site.entries[turn % site.entries.len()];
     let id = site.new_id();
     let path = format!("{BAD}?events=20");
-    site.generate(entry.front, &id, &path, "5c1e07a2:80,e4402b7d:250", "330,400", "bad");
+    site.generate(
+        entry.front,
+        &id,
+        &path,
+        "5c1e07a2:80,e4402b7d:250",
+        "330,400",
+        "bad",
+    );
     thread::sleep(until.saturating_duration_since(Instant::now()));
 }
 
 /// Counts the arrivals at engines later than allowed.
 fn judge(site: &Site) -> bool {
     let runs = site.runs.all();
-    let crashed: Vec<Instant> =
-        runs.iter().filter(|r| r.end == End::Crashed).map(|r| r.ended).collect();
+    let crashed: Vec<Instant> = runs
+        .iter()
+        .filter(|r| r.end == End::Crashed)
+        .map(|r| r.ended)
+        .collect();
     let Some(third) = crashed.get(2) else {
         site.note(&format!("{} crashes", crashed.len()));
         return true;
     };
-    let late = runs.iter().filter(|r| r.path.starts_with(BAD) && r.at > *third + STABLE_WINDOW);
+    let late = runs
+        .iter()
+        .filter(|r| r.path.starts_with(BAD) && r.at > *third + STABLE_WINDOW);
     let late = late.count();
     site.note(&format!(
         "{} crashes; {late} arrivals at engines later than 3 s after the third, the rule allows {MAX_LATE}",
--- a/review/standins-2/src/lost_answers.rs
+++ b/review/standins-2/src/lost_answers.rs
@@ -4,8 +4,8 @@
 use crate::site::{Route, Site};
 use std::collections::BTreeMap;
 use std::io;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -35,7 +35,11 @@
     let behaviour = |number| Behaviour {
         crashes_on: None,
         breaks_off: 0.0,
-        loses: if trouble && number < FAULTY { LOSES } else { 0.0 },
+        loses: if trouble && number < FAULTY {
+            LOSES
+        } else {
+            0.0
+        },
         is_active: active.clone(),
         states_born: true,
         leaves: Default::default(),
@@ -44,8 +48,22 @@
         cold_for: Duration::ZERO,
         seed,
     };
-    let routes = [Route { name: "log", prefix: "/log/", kind: "streaming", resumable: false, max_attempts: 1 }];
-    let mut site = Site::new("lost-answers", record, ENTRIES, ENGINES, behaviour, &routes, 0)?;
+    let routes = [Route {
+        name: "log",
+        prefix: "/log/",
+        kind: "streaming",
+        resumable: false,
+        max_attempts: 1,
+    }];
+    let mut site = Site::new(
+        "lost-answers",
+        record,
+        ENTRIES,
+        ENGINES,
+        behaviour,
+        &routes,
+        0,
+    )?;
     site.start_entries()?;
     thread::sleep(Duration::from_secs(4));
     let site = Arc::new(site);
@@ -66,14 +84,19 @@
     }
     let mut answers = BTreeMap::new();
     for caller in callers {
-        for (answer, count) in caller.join().map_err(|_| io::Error::other("a caller failed"))? {
+        for (answer, count) in caller
+            .join()
+            .map_err(|_| io::Error::other("a caller failed"))?
+        {
             *answers.entry(answer).or_insert(0) += count;
         }
     }
     // Runs whose answers were lost go on for some seconds.
     thread::sleep(Duration::from_secs(3));
     site.note_runs();
-    site.note(&format!("answers by status and whether they are whole: {answers:?}"));
+    site.note(&format!(
+        "answers by status and whether they are whole: {answers:?}"
+    ));
     Ok(judge(&site))
 }
 
@@ -94,7 +117,10 @@
     let mut by_id = BTreeMap::new();
     let runs = site.runs.all();
     for run in &runs {
-        by_id.entry(run.id.clone()).or_insert_with(Vec::new).push(run);
+        by_id
+            .entry(run.id.clone())
+            .or_insert_with(Vec::new)
+            .push(run);
     }
     let mut overlapping = 0;
     for (id, of_id) in &by_id {
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -82,7 +82,13 @@
     /// Starts an engine; the id of its first life is `mNUMBER-1`.
     pub fn add_engine(&self, number: u8, behaviour: &Behaviour) -> io::Result<()> {
         let addr = self.net.free(FIRST_ENGINE + number)?;
-        Engine::start(addr, &format!("m{number}"), &self.store, behaviour, &self.runs)
+        Engine::start(
+            addr,
+            &format!("m{number}"),
+            &self.store,
+            behaviour,
+            &self.runs,
+        )
     }
 
     /// Starts all entries and waits until they are ready.
@@ -107,7 +113,10 @@
     }
 
     pub fn new_id(&self) -> String {
-        format!("{:016x}", self.ids.fetch_add(1, Ordering::SeqCst) | 0x9c41_0000_0000_0000)
+        format!(
+            "{:016x}",
+            self.ids.fetch_add(1, Ordering::SeqCst) | 0x9c41_0000_0000_0000
+        )
     }
 
     /// Sends a generation and reads its answer as far as it comes.
@@ -128,10 +137,15 @@
             ("X-Model", "m"),
             ("X-Token-Usage", tokens),
             ("X-Prompt-Prefix", parts),
-            ("X-Length-Hint", tokens.split(',').nth(1).unwrap_or_default()),
+            (
+                "X-Length-Hint",
+                tokens.split(',').nth(1).unwrap_or_default(),
+            ),
         ];
-        let headers: Vec<(String, String)> =
-            headers.iter().map(|(n, v)| ((*n).to_owned(), (*v).to_owned())).collect();
+        let headers: Vec<(String, String)> = headers
+            .iter()
+            .map(|(n, v)| ((*n).to_owned(), (*v).to_owned()))
+            .collect();
         let sent = self.began.elapsed().as_secs_f64();
         let wait = Duration::from_secs(12);
         let reply = http::request(to, "POST", path, &headers, body.as_bytes(), wait);
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: lists, single objects and watches, as far as an entry calls them.
 
-use crate::http::{answer, After, Request, Server};
+use crate::http::{After, Request, Server, answer};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -65,7 +65,13 @@
         let revision = state.revision;
         let key = (kind.to_owned(), name.to_owned());
         state.objects.insert(key, (revision, content.to_owned()));
-        let event = (revision, kind.to_owned(), name.to_owned(), content.to_owned(), false);
+        let event = (
+            revision,
+            kind.to_owned(),
+            name.to_owned(),
+            content.to_owned(),
+            false,
+        );
         state.events.push(event);
         self.shared.changed.notify_all();
         true
@@ -106,7 +112,13 @@
             return;
         };
         state.revision += 1;
-        let event = (state.revision, kind.to_owned(), name.to_owned(), content, true);
+        let event = (
+            state.revision,
+            kind.to_owned(),
+            name.to_owned(),
+            content,
+            true,
+        );
         state.events.push(event);
         self.shared.changed.notify_all();
     }
@@ -142,7 +154,10 @@
         },
     };
     let era = shared.state.lock().unwrap().era.to_string();
-    let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+    let headers = [
+        ("Content-Type", "application/json"),
+        ("Store-Era", era.as_str()),
+    ];
     answer(stream, status, &headers, body.as_bytes())?;
     Ok(After::Keep)
 }
@@ -157,7 +172,10 @@
 
 fn list(shared: &Shared, kind: &str, after: &str) -> (u16, String) {
     let state = shared.state.lock().unwrap();
-    let of_kind = state.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+    let of_kind = state
+        .objects
+        .iter()
+        .filter(|((k, n), _)| k == kind && n.as_str() > after);
     let all: Vec<String> = of_kind.map(|((_, n), (r, c))| object(n, *r, c)).collect();
     let more = all.len() > PAGE;
     let items = all[..all.len().min(PAGE)].join(",");
@@ -178,7 +196,10 @@
         if from > state.revision {
             return Some((410, "{}".to_owned()));
         }
-        let news = state.events.iter().filter(|(r, k, ..)| *r > from && k == kind);
+        let news = state
+            .events
+            .iter()
+            .filter(|(r, k, ..)| *r > from && k == kind);
         let news: Vec<String> = news
             .map(|(r, _, n, c, gone)| {
                 format!("{{\"tombstone\":{gone},\"object\":{}}}", object(n, *r, c))
