--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -127,6 +127,8 @@
     runs: Runs,
     random: Mutex<u64>,
     crashed: Mutex<bool>,
+    /// Answers while some are lost.
+    counted: AtomicU64,
 }
 
 /// Engines; each keeps its record in the store up to date, and comes back after a crash.
@@ -193,6 +195,7 @@
         runs: runs.clone(),
         random: Mutex::new(behaviour.seed ^ hash(name) | 1),
         crashed: Mutex::new(false),
+        counted: AtomicU64::new(0),
     });
     let of_life = life.clone();
     let server = Server::start(addr, move |req, stream| handle(&of_life, req, stream))?;
@@ -340,6 +343,15 @@
     run(life, req, &id, stream)
 }
 
+/// Counts an answer, and returns whether it is the one of so many that is lost.
+fn is_turn_to_lose(life: &Life) -> bool {
+    if life.behaviour.loses <= 0.0 {
+        return false;
+    }
+    let every = (1.0 / life.behaviour.loses).ceil() as u64;
+    life.counted.fetch_add(1, Ordering::SeqCst) % every == every - 1
+}
+
 /// Streams the answer to a request.
 fn run(life: &Life, req: &Request, id: &str, stream: &mut TcpStream) -> io::Result<After> {
     let events: u64 = req
@@ -360,7 +372,7 @@
     let crashes_at = crashes.map(|(_, event)| first + event);
     let is_active = life.behaviour.is_active.load(Ordering::SeqCst);
     let breaks = is_active && crashes.is_none() && draw(life) < life.behaviour.breaks_off;
-    let loses = is_active && !breaks && crashes.is_none() && draw(life) < life.behaviour.loses;
+    let loses = is_active && !breaks && crashes.is_none() && is_turn_to_lose(life);
     let lost_at = first + (events.saturating_sub(first) / 4).max(1);
     let backup = req.header("x-kv-backup");
     let headers = [
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -3,7 +3,8 @@
 use crate::http;
 use std::fs::{self, File};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -12,6 +13,17 @@
 /// The program that the deploy file builds and starts.
 const PROGRAM: &str = "target/release/fireflydirect";
 
+/// `PR_SET_PDEATHSIG` and `SIGKILL` of Linux.
+const SET_SIGNAL_AT_PARENTS_END: i32 = 1;
+const KILL: u64 = 9;
+
+extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Last octets of the entries' addresses.
+const ENTRY_OCTETS: std::ops::RangeInclusive<u8> = 1..=6;
+
 /// Addresses of one case, all of them in a loopback net of its own.
 pub struct Net {
     a: u8,
@@ -29,7 +41,12 @@
             let (a, b) = ((n % 120 + 100) as u8, (n / 120 % 250 + 1) as u8);
             let port = 20_000 + (n % 9_000) as u16;
             let claim = TcpListener::bind((Ipv4Addr::new(127, a, b, 254), port));
-            if let Ok(claim) = claim {
+            let Ok(claim) = claim else { continue };
+            let is_free = |last| {
+                let addr = (Ipv4Addr::new(127, a, b, last), port);
+                UdpSocket::bind(addr).is_ok() && TcpListener::bind(addr).is_ok()
+            };
+            if ENTRY_OCTETS.into_iter().all(is_free) {
                 return Ok(Self {
                     a,
                     b,
@@ -110,12 +127,20 @@
     /// Starts the process as the deploy file does.
     pub fn start(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        command
             .env("FIREFLYCROFT_SETTINGS", &self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        // The process ends with this one, however that ends. The call is safe between fork and exec.
+        unsafe {
+            command.pre_exec(|| match prctl(SET_SIGNAL_AT_PARENTS_END, KILL) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
+        let child = command.spawn()?;
         self.child = Some(child);
         Ok(())
     }
