Wait until a run is over before its request goes on elsewhere

Cause: the entry took the end of its connection for the end of the run. It opened a connection to see whether the engine had crashed, found that it hadn't, and sent the request on all the same. Shown by the entry's lines of one request: stream_broke, no upstream_crashed, stream_goes_on within a few ms, while the engine listed the run. Ruled out: an order to stop that was overtaken (stop_order=none in all of them), a crash taken for a reset (no engine started again), a second send by the caller (one sent line a request).

Change: run_end orders the run to stop, as for a move: an engine that has no such run says so at once, one that works on stops and gives its memory. Where the order isn't carried out the report tells; the stream waits as long as its caller does, and is cut if the run still may go on. An engine that refuses connections, has started again or can't be reached needs no proof. The same on related paths: a new run of a resumable stream, the next try of one that had no head, a try to go on that was lost itself, standby and earlier copies. continuation holds what was generation's choice of copies.

The address of an engine that has ended refuses connections, so the tests of resumed streams without an answer close the stand-in before a killed engine as well; they checked one answer before and check the same one now.

--- a/fireflycroft/src/catalog.rs
+++ b/fireflycroft/src/catalog.rs
@@ -73,7 +73,25 @@
     pub allowed_regions: Vec<Name>,
 }
 
+/// Shortest pause of a stream after which its caller may abandon it; set by the users, as the factors below.
+const MIN_ABANDONED_PAUSE: Duration = Duration::from_secs(2);
+
+/// The same as a multiple of the objective for the first event.
+const ABANDONED_PAUSE_OBJECTIVES: u32 = 4;
+
+/// The same as a multiple of the objective for the gap between two events.
+const ABANDONED_PAUSE_GAPS: u32 = 8;
+
 impl RouteSpec {
+    /// Returns the pause after which callers abandon a stream.
+    #[must_use]
+    pub fn abandoned_pause(&self) -> Duration {
+        let gap = self.gap_objective.unwrap_or(Duration::ZERO);
+        MIN_ABANDONED_PAUSE
+            .max(self.objective * ABANDONED_PAUSE_OBJECTIVES)
+            .max(gap * ABANDONED_PAUSE_GAPS)
+    }
+
     /// Returns the service for a request with the random number `draw`.
     #[must_use]
     pub fn target(&self, draw: u32) -> Option<&Name> {
--- a/fireflycroft/tests/catalog.rs
+++ b/fireflycroft/tests/catalog.rs
@@ -20,6 +20,19 @@
     shares_follow_weights => follow_weights();
     no_weights_take_the_first => assert_eq!(target(&[("a", 0), ("b", 0)], 5), "a");
     configuration_without_workspaces_requires_no_keys => requires_no_keys();
+    callers_of_quick_routes_bear_two_seconds => assert_eq!(abandoned_pause(300, None), 2_000);
+    callers_bear_four_times_the_objective => assert_eq!(abandoned_pause(1_800, Some(180)), 7_200);
+    callers_bear_eight_times_the_gap => assert_eq!(abandoned_pause(300, Some(1_000)), 8_000);
+}
+
+/// Returns the pause in milliseconds after which callers abandon a stream with these objectives.
+fn abandoned_pause(objective: u64, gap: Option<u64>) -> u128 {
+    let route = RouteSpec {
+        objective: Duration::from_millis(objective),
+        gap_objective: gap.map(Duration::from_millis),
+        ..route("a", "/a/")
+    };
+    route.abandoned_pause().as_millis()
 }
 
 fn route(name: &str, prefix: &str) -> RouteSpec {
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -8,6 +8,8 @@
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
 use crate::log_value::or_empty;
+use crate::run_end::{self, BrokenRun};
+use crate::runs::Run;
 use crate::suspects;
 use crate::{retries, returning_callers, standby_copies, stopping};
 use bytes::Bytes;
@@ -153,14 +155,17 @@
         }
         let result = attempt(job, ix, need, attempts).await;
         record_attempt(job, ix, &result);
-        if result.outcome == AttemptOutcome::Lost {
-            crash::check_for_crash(job, ix, Progress::default()).await;
-        }
+        let retries = attempts.borrow().may_retry(result.outcome);
+        let may_run =
+            result.outcome == AttemptOutcome::Lost && !is_over_after_loss(job, ix, retries).await;
         tried.push(ix);
         if crash::has_crashed_too_many(job) {
             return failure.unwrap_or(Reply::Error(Code::OutcomeUnknown, None));
         }
-        if attempts.borrow().may_retry(result.outcome) {
+        if may_run {
+            return failure.unwrap_or(Reply::Error(Code::OutcomeUnknown, None));
+        }
+        if retries {
             retries::request_grant(job).await;
         }
         let next = attempts
@@ -179,6 +184,28 @@
     }
 }
 
+/// Checks a lost request's upstream for a crash; a generation that is to be sent elsewhere waits until nothing runs it
+/// there. Returns false if something may.
+async fn is_over_after_loss(job: &Rc<Job>, ix: UpstreamIx, retries: bool) -> bool {
+    let contact = crash::check_for_crash(job, ix, Progress::default()).await;
+    if job.engine.is_none() || !retries {
+        return true;
+    }
+    let version = job.node.pool.borrow().version(ix);
+    let run = Run::new(job, ix, None, version);
+    let broken = BrokenRun {
+        at: ix,
+        contact,
+        sent_by: job.now(),
+    };
+    let patience_end = job.arrival + job.route.abandoned_pause();
+    let is_over = run_end::until_over(job, &run, broken, patience_end).await;
+    // The request begins anew, without the memory of a run that was stopped.
+    let unused = run.migration_copy.take();
+    job.node.unused_copies.borrow_mut().extend(unused);
+    is_over
+}
+
 /// Returns the retry delay where a rate-limited upstream accepts a request after `wait`, spread at
 /// random so that callers who were refused together don't return together.
 fn rate_limited_retry_after(wait: Duration) -> Duration {
--- /dev/null
+++ b/fireflydirect/src/continuation.rs
@@ -0,0 +1,89 @@
+//! Where a stream that broke off may go on: the copies of its run's memory, in order, then a new run.
+
+use crate::assignment::AssignmentGuard;
+use crate::job::Job;
+use crate::runs::Run;
+use fireflycroft::{MemoryCopy, Need, UpstreamIx, VersionKey};
+
+/// Upstream on which a stream may resume, and the memory to resume from.
+pub(crate) struct Continuation {
+    /// Name of the way in logs and metrics.
+    pub(crate) method: &'static str,
+    pub(crate) at: UpstreamIx,
+    /// Copy of the run's memory; none for a new run.
+    pub(crate) memory: Option<MemoryCopy>,
+    pub(crate) assignment: Option<AssignmentGuard>,
+}
+
+/// The copies of a run's memory.
+pub(crate) struct Copies<'a> {
+    pub(crate) job: &'a Job,
+    pub(crate) run: &'a Run,
+    pub(crate) backup: &'a mut Option<AssignmentGuard>,
+    /// Software version that began the stream.
+    pub(crate) version: VersionKey,
+}
+
+impl Copies<'_> {
+    /// Returns the next usable copy; each is used once.
+    pub(crate) fn take_next(&mut self) -> Option<Continuation> {
+        let migration_copy = self.run.migration_copy.borrow_mut().take();
+        if let Some(copy) = migration_copy.filter(|c| self.is_usable(c.assignment.ix, c.source)) {
+            // A standby copy is counted as one; the run that goes on from it is counted anew.
+            let stands_by = copy.stands_by;
+            return Some(Continuation {
+                method: if stands_by { "standby" } else { "moved" },
+                at: copy.assignment.ix,
+                memory: Some(copy.memory),
+                assignment: (!stands_by).then_some(copy.assignment),
+            });
+        }
+        let earlier = self.run.earlier_copy.take();
+        if let Some(earlier) = earlier.filter(|c| self.is_usable(c.at, c.source)) {
+            return Some(Continuation {
+                method: "moved",
+                at: earlier.at,
+                memory: Some(earlier.memory),
+                assignment: None,
+            });
+        }
+        self.run.backup.set(None);
+        let backup = self.backup.take();
+        let backup = backup.filter(|b| self.is_usable(b.ix, b.ix))?;
+        let issued_by = self.job.node.pool.borrow().record(backup.ix).addr;
+        Some(Continuation {
+            method: "copy",
+            at: backup.ix,
+            memory: Some(MemoryCopy {
+                issued_by,
+                handle: self.job.request_id.clone(),
+            }),
+            assignment: None,
+        })
+    }
+
+    /// Returns whether a copy at `holder` that `source` made may be used.
+    ///
+    /// Both must still be in the incarnation in which it was made, since a handle of another one may
+    /// name the memory of another request. The holder must still accept requests, not be evacuated and have
+    /// the software version that began the stream.
+    fn is_usable(&self, holder: UpstreamIx, source: UpstreamIx) -> bool {
+        let pool = self.job.node.pool.borrow();
+        let may_get = pool.may_get_requests(self.job.now(), holder)
+            && !pool.is_evacuated(holder)
+            && pool.version(holder) == Some(self.version);
+        may_get && !pool.is_ended(source)
+    }
+}
+
+/// Returns an upstream for a new run, other than those tried.
+pub(crate) fn anew(job: &Job, need: &Need, tried: &[UpstreamIx]) -> Option<Continuation> {
+    let pool = job.node.pool.borrow();
+    let at = pool.choose_to_continue(job.now(), &job.service, need, tried)?;
+    Some(Continuation {
+        method: "anew",
+        at,
+        memory: None,
+        assignment: None,
+    })
+}
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -36,6 +36,29 @@
     job.crashed_beginnings.get() >= MAX_CRASHED_BEGINNINGS
 }
 
+/// What a new connection to the upstream of a broken request shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// Its incarnation has ended, and all its runs with it.
+    Ended,
+    /// Nothing answers there: it is cut off, or its VM is without power.
+    Silent,
+    /// It accepts connections, so that it may work on the request.
+    Answers,
+}
+
+impl Contact {
+    /// Returns its name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Silent => "silent",
+            Self::Answers => "answers",
+        }
+    }
+}
+
 /// Progress of an answer at one upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Progress {
@@ -77,36 +100,41 @@
 }
 
 /// Checks whether the upstream of a broken request has crashed, and records it.
-///
-/// The next try of a request waits for it if the request may be the cause; otherwise it is checked aside, since an
-/// upstream that is cut off takes [`crate::links::CONNECT_TIMEOUT`] to tell.
-pub async fn check_for_crash(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
-    let waits = !progress.is_past_beginning(job.now());
+pub async fn check_for_crash(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) -> Contact {
     let job = job.clone();
     // A task of its own, since a crash is recorded also if nobody waits for it any more.
     let checking = tokio::task::spawn_local(async move { check(&job, ix, progress).await });
-    if waits && let Err(e) = checking.await {
+    checking.await.unwrap_or_else(|e| {
         log::error!(event = "crash_check_failed", why = e.to_string(); "");
-    }
+        Contact::Answers
+    })
 }
 
 /// Records a crash if a later incarnation of the upstream is known, or it accepts no connection.
-async fn check(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
-    let addr = job.node.pool.borrow().record(ix).addr;
+async fn check(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) -> Contact {
+    let contact = contact(job, ix).await;
     if has_left(job, ix) {
-        return;
+        return contact;
     }
+    match contact {
+        Contact::Ended => record_crash(job, ix, progress),
+        Contact::Silent => record_silent(job, ix),
+        Contact::Answers => watch_listing(job, ix, progress),
+    }
+    contact
+}
+
+/// Opens a connection to an upstream, unless a later incarnation of it is known.
+pub async fn contact(job: &Job, ix: UpstreamIx) -> Contact {
     if has_started_again(job, ix) {
-        return record_crash(job, ix, progress, "it has started again");
+        return Contact::Ended;
     }
+    let addr = job.node.pool.borrow().record(ix).addr;
     match open(addr).await {
-        Ok(_) => watch_listing(job, ix, progress),
-        Err(_) if has_left(job, ix) => {}
+        Ok(_) => Contact::Answers,
         // A crashed upstream's VM still answers; one that is cut off or without power doesn't.
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            record_crash(job, ix, progress, &e.to_string());
-        }
-        Err(e) => record_unreachable(job, ix, &e.to_string()),
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Contact::Ended,
+        Err(_) => Contact::Silent,
     }
 }
 
@@ -134,7 +162,7 @@
         loop {
             let changed = job.node.routing_changed.notified();
             if has_started_again(&job, ix) {
-                return record_crash(&job, ix, progress, "it had started again");
+                return record_crash(&job, ix, progress);
             }
             if timeout_at(until, changed).await.is_err() {
                 return;
@@ -144,18 +172,23 @@
 }
 
 /// Avoids an upstream that is cut off or without power: no request is to blame.
-fn record_unreachable(job: &Job, ix: UpstreamIx, why: &str) {
+fn record_silent(job: &Job, ix: UpstreamIx) {
     let mut pool = job.node.pool.borrow_mut();
     pool.avoid(job.now(), ix, AVOID_CRASHED);
     log::warn!(
         event = "upstream_silent", req = &*job.request_id, addr = pool.record(ix).addr.to_string(),
-        instance = &*pool.record(ix).instance, why = why;
+        instance = &*pool.record(ix).instance, why = "it accepts no connection in time";
         ""
     );
 }
 
-fn record_crash(job: &Job, ix: UpstreamIx, progress: Progress, why: &str) {
+fn record_crash(job: &Job, ix: UpstreamIx, progress: Progress) {
     let node = &job.node;
+    let why = if has_started_again(job, ix) {
+        "it has started again"
+    } else {
+        "it refuses connections"
+    };
     let record = node.pool.borrow().record(ix).clone();
     node.pool.borrow_mut().avoid(job.now(), ix, AVOID_CRASHED);
     if !progress.is_past_beginning(job.now()) {
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -1,14 +1,16 @@
 //! Relays a stream of events to the caller, with failover between upstreams.
 //!
-//! When an upstream fails, its connection is dropped first, so that two runs of
-//! one generation never overlap. The stream then resumes from a copy of the
-//! run's memory or, where the route allows it, from a new run after the last
-//! event that the caller has, in both cases at the software version that began it.
+//! When an upstream fails, its connection is dropped, and the stream waits until its
+//! run is known to have ended, so that two runs of one generation never overlap. It
+//! then resumes from a copy of the run's memory or, where the route allows it, from a
+//! new run after the last event that the caller has, in both cases at the software
+//! version that began it.
 
 use crate::answer::{Answer, AnswerBody, BrokenStream, relayed_answer};
 use crate::assignment::AssignmentGuard;
 use crate::call::{StartedStream, assign_backup};
-use crate::crash::{self, Progress};
+use crate::continuation::{self, Continuation, Copies};
+use crate::crash::{self, Contact, Progress};
 use crate::event_times::EventTimes;
 use crate::exchange::{ResponseStart, SendError, SendOptions, release_link, send};
 use crate::incarnations::confirmed_version;
@@ -16,28 +18,29 @@
 use crate::log_value::or_empty;
 use crate::metrics::kind_label;
 use crate::retries;
+use crate::run_end::{self, BrokenRun};
 use crate::runs::Run;
 use crate::standby_copies;
-use crate::stop_orders::StopOrders;
 use crate::stopping::record_run_time;
 use crate::stream_origins::{OriginGuard, record_start};
 use crate::stream_pace::{StreamPace, tokens_per_event};
 use crate::stream_source::{Read, Source, fault_of_end, wait_for_copy};
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{BodyFraming, Code, EventRelay, MemoryCopy, Need, Time, UpstreamIx, VersionKey};
+use fireflycroft::{BodyFraming, Code, EventRelay, Need, RunClaim, Time, UpstreamIx, VersionKey};
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 /// Failovers allowed per stream.
 const MAX_RESUMPTIONS: u32 = 6;
 
+/// Upstreams tried for one failover.
+const MAX_CONTINUATIONS: usize = 6;
+
 /// Tokens between two estimates of an answer's length.
 const ESTIMATE_INTERVAL_TOKENS: u64 = 64;
 
@@ -73,12 +76,14 @@
     estimated_at: u64,
 }
 
-/// Upstream on which a stream may resume, and the memory to resume from.
-struct Continuation {
-    method: &'static str,
-    at: UpstreamIx,
-    memory: Option<MemoryCopy>,
-    assignment: Option<AssignmentGuard>,
+/// Result of an attempt to resume a stream at an upstream.
+enum Resumption {
+    /// The stream goes on there.
+    GoesOn,
+    /// It doesn't, and nothing runs there.
+    NotRun,
+    /// It doesn't, but its request may run there.
+    MayRun(Contact),
 }
 
 /// Returns an answer whose body is relayed from a started stream.
@@ -97,27 +102,9 @@
     if let Some(last) = job.head.last_event_id {
         events.resume_after(last);
     }
-    let run = job.node.runs.register(Run {
-        request_id: job.request_id.clone(),
-        service: job.service.clone(),
-        at: Cell::new(assignment.ix),
-        backup: Cell::new(backup.as_ref().map(|b| b.ix)),
-        migration_copy: RefCell::new(None),
-        earlier_copy: RefCell::new(None),
-        began: job.now(),
-        migrating: Cell::new(false),
-        stop_orders: StopOrders::default(),
-        copy_limit: Cell::new(None),
-        migration_ended: Notify::new(),
-        produced: Cell::new(0),
-        need: Cell::new(Need {
-            unread: 0,
-            version,
-            ..job.need()
-        }),
-        can_migrate: job.engine.is_some_and(|e| e.can_migrate) && version.is_some(),
-        token_copy_time: job.engine.map_or(Duration::ZERO, |e| e.token_copy_time),
-    });
+    let backup_holder = backup.as_ref().map(|b| b.ix);
+    let run = Run::new(&job, assignment.ix, backup_holder, version);
+    let run = job.node.runs.register(run);
     // A leave notice may have arrived between the choice of the upstream and its response head.
     job.node.migrate_if_departing(assignment.ix);
     let progress = Progress::begun(job.now());
@@ -302,19 +289,39 @@
         self.events.discard_partial();
         self.breaks += 1;
         self.log_event("stream_broke", why);
-        crash::check_for_crash(&self.job, self.assignment.ix, self.progress).await;
+        let at = self.assignment.ix;
+        let contact = crash::check_for_crash(&self.job, at, self.progress).await;
         if self.is_refused() {
             return false;
         }
         if crash::has_crashed_too_many(&self.job) && !self.is_sound {
             return false;
         }
-        if self.breaks > MAX_RESUMPTIONS || !self.events.can_resume() {
+        let can_resume = self.events.can_resume() && self.version.is_some();
+        if self.breaks > MAX_RESUMPTIONS || !can_resume {
             return false;
         }
         wait_for_copy(&self.run).await;
         let silent_for = self.job.now().since(self.event_times.last);
         standby_copies::check_source(&self.job.node, &self.run, silent_for).await;
+        let sent_by = self.job.sent_at.get();
+        self.is_over_at(at, contact, sent_by).await && self.try_continuations().await
+    }
+
+    /// Waits until the run at an upstream is over, as long as the caller does; false if it may go on.
+    async fn is_over_at(&self, at: UpstreamIx, contact: Contact, sent_by: Time) -> bool {
+        let last = self.event_times.last.max(self.job.arrival);
+        let patience_end = last + self.job.route.abandoned_pause();
+        let broken = BrokenRun {
+            at,
+            contact,
+            sent_by,
+        };
+        run_end::until_over(&self.job, &self.run, broken, patience_end).await
+    }
+
+    /// Resumes the stream at one upstream after another, as far as it may be sent on.
+    async fn try_continuations(&mut self) -> bool {
         let mut tried = vec![self.assignment.ix];
         while let Some(next) = self.next_continuation(&tried) {
             let at = next.at;
@@ -326,10 +333,19 @@
                 self.log_event("budget_spent", "");
                 return false;
             }
-            if self.resume_at(next).await {
-                return true;
+            match self.resume_at(next).await {
+                Resumption::GoesOn => return true,
+                Resumption::NotRun => {}
+                Resumption::MayRun(contact) => {
+                    if !self.is_over_at(at, contact, self.job.now()).await {
+                        return false;
+                    }
+                }
             }
             tried.push(at);
+            if tried.len() > MAX_CONTINUATIONS {
+                return false;
+            }
         }
         false
     }
@@ -343,75 +359,25 @@
         verdict.is_some()
     }
 
-    /// Returns the next possible continuation; each copy is used once, and a new run begins at an upstream that
-    /// was not tried.
+    /// Returns the next possible continuation.
     fn next_continuation(&mut self, tried: &[UpstreamIx]) -> Option<Continuation> {
-        self.version?;
-        let migration_copy = self.run.migration_copy.borrow_mut().take();
-        if let Some(migration_copy) =
-            migration_copy.filter(|r| self.is_copy_usable(r.assignment.ix, r.source))
-        {
-            let at = migration_copy.assignment.ix;
-            // A standby copy is counted as one; the run that goes on from it is counted anew.
-            let stands_by = migration_copy.stands_by;
-            return Some(Continuation {
-                method: if stands_by { "standby" } else { "moved" },
-                at,
-                memory: Some(migration_copy.memory),
-                assignment: (!stands_by).then_some(migration_copy.assignment),
-            });
-        }
-        let earlier = self.run.earlier_copy.take();
-        if let Some(earlier) = earlier.filter(|c| self.is_copy_usable(c.at, c.source)) {
-            return Some(Continuation {
-                method: "moved",
-                at: earlier.at,
-                memory: Some(earlier.memory),
-                assignment: None,
-            });
-        }
-        self.run.backup.set(None);
-        let backup = self.backup.take();
-        if let Some(backup) = backup.filter(|b| self.is_copy_usable(b.ix, b.ix)) {
-            let issued_by = self.job.node.pool.borrow().record(backup.ix).addr;
-            return Some(Continuation {
-                method: "copy",
-                at: backup.ix,
-                memory: Some(MemoryCopy {
-                    issued_by,
-                    handle: self.job.request_id.clone(),
-                }),
-                assignment: None,
-            });
-        }
-        if !self.job.route.kind.is_retryable() || self.breaks > self.job.route.max_attempts {
-            return None;
-        }
+        let kind = self.job.route.kind;
+        let may_run_anew = kind.is_retryable() && self.breaks <= self.job.route.max_attempts;
         let need = self.remaining_need(false);
-        let pool = self.job.node.pool.borrow();
-        let at = pool.choose_to_continue(self.job.now(), &self.job.service, &need, tried)?;
-        Some(Continuation {
-            method: "anew",
-            at,
-            memory: None,
-            assignment: None,
-        })
-    }
-
-    /// Returns whether a copy at `backup_holder` that `source` made may be used.
-    ///
-    /// Both must still be in the incarnation in which it was made, since a handle of another one may
-    /// name the memory of another request. The holder must still accept requests, not be evacuated and have
-    /// the software version that began the stream.
-    fn is_copy_usable(&self, backup_holder: UpstreamIx, source: UpstreamIx) -> bool {
-        let pool = self.job.node.pool.borrow();
-        let may_get = pool.may_get_requests(self.job.now(), backup_holder)
-            && !pool.is_evacuated(backup_holder)
-            && pool.version(backup_holder) == self.version;
-        may_get && !pool.is_ended(source)
+        let mut copies = Copies {
+            job: &self.job,
+            run: &self.run,
+            backup: &mut self.backup,
+            version: self.version?,
+        };
+        if let Some(copy) = copies.take_next() {
+            return Some(copy);
+        }
+        let anew = || continuation::anew(&self.job, &need, tried);
+        may_run_anew.then(anew).flatten()
     }
 
-    async fn resume_at(&mut self, next: Continuation) -> bool {
+    async fn resume_at(&mut self, next: Continuation) -> Resumption {
         let need = self.remaining_need(next.memory.is_some());
         let assignment = next
             .assignment
@@ -434,20 +400,31 @@
                     .await
                     .is_none()
                 {
-                    return self.log_resume_refused(next.at, "its version is uncertain");
+                    self.log_resume_refused(next.at, "its version is uncertain");
+                    return Resumption::MayRun(Contact::Answers);
                 }
                 response
             }
             Ok(Ok(response)) => {
-                return self.log_resume_refused(next.at, &response.parts.status.to_string());
+                self.log_resume_refused(next.at, &response.parts.status.to_string());
+                return match response.head.claim {
+                    RunClaim::MayHaveRun => Resumption::MayRun(Contact::Answers),
+                    RunClaim::NotRun | RunClaim::WrongInstance => Resumption::NotRun,
+                };
             }
             Ok(Err(e)) => {
-                if matches!(e, SendError::Lost(_)) {
-                    crash::check_for_crash(&self.job, next.at, Progress::default()).await;
+                self.log_resume_refused(next.at, &e.to_string());
+                if !matches!(e, SendError::Lost(_)) {
+                    return Resumption::NotRun;
                 }
-                return self.log_resume_refused(next.at, &e.to_string());
+                let progress = Progress::default();
+                let contact = crash::check_for_crash(&self.job, next.at, progress).await;
+                return Resumption::MayRun(contact);
+            }
+            Err(_) => {
+                self.log_resume_refused(next.at, "no answer in time");
+                return Resumption::MayRun(crash::contact(&self.job, next.at).await);
             }
-            Err(_) => return self.log_resume_refused(next.at, "no answer in time"),
         };
         self.assignment = assignment;
         self.run.go_on_at(next.at);
@@ -470,16 +447,15 @@
         let resumptions = &self.job.node.metrics.resumed;
         resumptions.with_label_values(&[next.method]).inc();
         self.log_event("stream_goes_on", next.method);
-        true
+        Resumption::GoesOn
     }
 
-    fn log_resume_refused(&self, at: UpstreamIx, why: &str) -> bool {
+    fn log_resume_refused(&self, at: UpstreamIx, why: &str) {
         let instance = self.job.node.pool.borrow().record(at).instance.clone();
         log::warn!(
             event = "go_on_refused", req = &*self.job.request_id, instance = &*instance, why = why;
             ""
         );
-        false
     }
 
     /// Returns the need of the remaining stream; with a copy of the memory no prompt is unread.
--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -5,7 +5,7 @@
 use crate::runs::Run;
 use crate::stop_orders::CopyAnswer;
 use bytes::Bytes;
-use fireflycroft::{StopOrder, UpstreamIx};
+use fireflycroft::{StopOrder, UpstreamIncarnation, UpstreamIx};
 use fireflycroft_platform::{MigrationOutcome, is_refused, migration_call, read_migration};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -26,19 +26,47 @@
     request_copy(node, from, to, run, false).await.0
 }
 
-/// Stops a run and copies the rest of its memory.
+/// Stops a run and copies the rest of its memory; returns what became of the order to stop it, too.
 pub async fn stop_and_copy(
     node: &Rc<Node>,
     from: UpstreamIx,
     to: UpstreamIx,
     run: &Run,
-) -> MigrationOutcome {
+) -> (MigrationOutcome, StopOrder) {
     log_order(node, run, from, to);
     let ordered = node.pool.borrow().record(from).upstream_incarnation();
-    run.stop_orders.send(&ordered);
-    let (outcome, order) = request_copy(node, from, to, run, true).await;
-    run.stop_orders.settle(&ordered, order);
-    outcome
+    let order = OrderGuard::send(run, ordered);
+    let (outcome, settled) = request_copy(node, from, to, run, true).await;
+    order.settle(settled);
+    (outcome, settled)
+}
+
+/// An order to stop a run; lost if dropped before its outcome is known.
+struct OrderGuard<'a> {
+    run: &'a Run,
+    ordered: UpstreamIncarnation,
+    outcome: StopOrder,
+}
+
+impl<'a> OrderGuard<'a> {
+    fn send(run: &'a Run, ordered: UpstreamIncarnation) -> Self {
+        run.stop_orders.send(&ordered);
+        Self {
+            run,
+            ordered,
+            outcome: StopOrder::Lost,
+        }
+    }
+
+    fn settle(mut self, outcome: StopOrder) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for OrderGuard<'_> {
+    fn drop(&mut self) {
+        self.run.stop_orders.settle(&self.ordered, self.outcome);
+    }
 }
 
 /// Returns the outcome, also of the order to stop the run that the call bears if `stop`.
--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -140,7 +140,7 @@
     for &stop in stages {
         let outcome = if stop {
             wait_until_stop(node, from).await;
-            stop_and_copy(node, from, to, run).await
+            stop_and_copy(node, from, to, run).await.0
         } else {
             copy_memory(node, from, to, run).await
         };
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -1,9 +1,10 @@
 //! Streams in progress, for the migration of those on departing upstreams.
 
 use crate::assignment::AssignmentGuard;
+use crate::job::Job;
 use crate::node::Node;
 use crate::stop_orders::StopOrders;
-use fireflycroft::{MemoryCopy, Name, Need, Time, UpstreamIx};
+use fireflycroft::{MemoryCopy, Name, Need, Time, UpstreamIx, VersionKey};
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -73,6 +74,37 @@
 }
 
 impl Run {
+    /// Creates the run of a request that was sent to an upstream.
+    #[must_use]
+    pub fn new(
+        job: &Job,
+        at: UpstreamIx,
+        backup: Option<UpstreamIx>,
+        version: Option<VersionKey>,
+    ) -> Self {
+        Self {
+            request_id: job.request_id.clone(),
+            service: job.service.clone(),
+            at: Cell::new(at),
+            backup: Cell::new(backup),
+            migration_copy: RefCell::new(None),
+            earlier_copy: RefCell::new(None),
+            began: job.now(),
+            migrating: Cell::new(false),
+            stop_orders: StopOrders::default(),
+            copy_limit: Cell::new(None),
+            migration_ended: Notify::new(),
+            produced: Cell::new(0),
+            need: Cell::new(Need {
+                unread: 0,
+                version,
+                ..job.need()
+            }),
+            can_migrate: job.engine.is_some_and(|e| e.can_migrate) && version.is_some(),
+            token_copy_time: job.engine.map_or(Duration::ZERO, |e| e.token_copy_time),
+        }
+    }
+
     /// Records that it goes on at an upstream; the copy before is kept only at its source.
     pub fn go_on_at(&self, ix: UpstreamIx) {
         self.at.set(ix);
--- /dev/null
+++ b/fireflydirect/tests/processes_lost_answers.rs
@@ -0,0 +1,133 @@
+//! Entry processes whose engines lose the rest of an answer and work on.
+
+mod support;
+
+use reqwest::RequestBuilder;
+use standins::site::{AnswerFault, Loss, RunEnd, StopAnswer};
+use std::time::Duration;
+use support::{Site, until, whole_stream};
+
+/// Events of a stream.
+const EVENTS: u64 = 200;
+
+/// Places at which its rest is lost: after its head, after its first events, in its middle, near its end.
+const HEAD: u64 = 0;
+const START: u64 = 3;
+const MIDDLE: u64 = 60;
+const NEAR_END: u64 = 195;
+
+/// Longest time for which two engines may work on one request; set by the users.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+/// Engines of a site, half of which lose answers.
+const ENGINES: u8 = 4;
+
+/// Streams at a time.
+const STREAMS: usize = 12;
+
+/// Whether engines carry out orders to stop runs.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Orders {
+    CarriedOut,
+    Refused,
+}
+
+/// Defines test cases, each with streams on a path of which some lose their rest.
+macro_rules! cases {
+    ($($name:ident($req:ident, $path:literal, $after:expr, $loss:ident, $orders:ident);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let site = site().await;
+                for engine in &site.engines[..usize::from(ENGINES / 2)] {
+                    engine.set_fault(AnswerFault::LoseRest($after, Loss::$loss));
+                    if Orders::$orders == Orders::Refused {
+                        engine.moves().answer_stops(StopAnswer::NeverExecuted, Duration::ZERO);
+                    }
+                }
+                let req = |id: &str| site.$req(0, $path, EVENTS, id);
+                let ids = play(&site, req, Orders::$orders).await;
+                until("the end of all runs", || async { site.record.running_count() == 0 }).await;
+                for id in &ids {
+                    check_overlap(&site, id);
+                }
+                assert!(count_lost(&site) > 0, "no answer was lost");
+                site.check();
+            }
+        )+
+    };
+}
+
+async fn site() -> Site {
+    let mut site = Site::without_entries().await;
+    for number in 2..ENGINES {
+        site.add_engine(number).await;
+    }
+    site.start_entries(1).await;
+    until("all engines", || async {
+        site.log(0).matches("event=upstream_came").count() >= site.engines.len() + site.plains.len()
+    })
+    .await;
+    site
+}
+
+/// Reads some streams to their ends; where orders are carried out all of them are whole.
+async fn play(site: &Site, req: impl Fn(&str) -> RequestBuilder, orders: Orders) -> Vec<String> {
+    let ids: Vec<String> = (0..STREAMS).map(|_| site.id()).collect();
+    let read = ids.iter().map(|id| async {
+        let mut answer = req(id).send().await.unwrap();
+        let mut body = String::new();
+        while let Ok(Some(bytes)) = answer.chunk().await {
+            body.push_str(&String::from_utf8_lossy(&bytes));
+        }
+        body
+    });
+    let bodies = futures_util::future::join_all(read).await;
+    for (id, body) in ids.iter().zip(&bodies) {
+        let whole = whole_stream(id, EVENTS);
+        if orders == Orders::CarriedOut {
+            assert!(*body == whole, "{id}: {body}\n{}", site.log(0));
+        } else {
+            assert!(whole.starts_with(body.as_str()), "{id}: {body}");
+        }
+    }
+    ids
+}
+
+/// Checks that no engine works on a request while a later one has long gone on with it.
+fn check_overlap(site: &Site, id: &str) {
+    let runs = site.record.runs_of(id);
+    for pair in runs.windows(2) {
+        let overlap = pair[0].end.1.saturating_duration_since(pair[1].began);
+        let log = site.log(0);
+        let log: Vec<&str> = log.lines().filter(|l| l.contains(id)).collect();
+        assert!(overlap <= MAX_OVERLAP, "{overlap:?}: {runs:#?} {log:#?}");
+    }
+}
+
+/// Returns the number of runs that went on unheard, to their end or until they were stopped.
+fn count_lost(site: &Site) -> usize {
+    let runs = site.record.runs();
+    let lost = runs.iter().filter(|r| {
+        let is_unheard = r.end.0 == RunEnd::Unheard;
+        is_unheard || r.end.0 == RunEnd::Migrated
+    });
+    lost.count()
+}
+
+cases! {
+    stream_does_not_go_on_beside_a_run_reset_in_its_middle(generation, "/log/a", MIDDLE, Reset, CarriedOut);
+    stream_does_not_go_on_beside_a_run_reset_after_its_head(generation, "/log/a", HEAD, Reset, CarriedOut);
+    stream_does_not_go_on_beside_a_run_reset_after_its_first_events(generation, "/log/a", START, Reset, CarriedOut);
+    stream_does_not_go_on_beside_a_run_reset_near_its_end(generation, "/log/a", NEAR_END, Reset, CarriedOut);
+    stream_does_not_go_on_beside_a_run_closed_in_its_middle(generation, "/log/a", MIDDLE, Close, CarriedOut);
+    stream_does_not_go_on_beside_a_run_closed_after_its_head(generation, "/log/a", HEAD, Close, CarriedOut);
+    stream_does_not_go_on_beside_a_run_that_is_not_stopped(generation, "/log/a", MIDDLE, Reset, Refused);
+    stream_does_not_go_on_beside_a_closed_run_that_is_not_stopped(generation, "/log/a", HEAD, Close, Refused);
+    resumable_stream_does_not_go_on_beside_a_run_reset_in_its_middle(generation, "/grade/a", MIDDLE, Reset, CarriedOut);
+    resumable_stream_does_not_run_anew_beside_a_run_reset_in_its_middle(stream, "/grade/a", MIDDLE, Reset, CarriedOut);
+    resumable_stream_does_not_run_anew_beside_a_run_reset_after_its_head(stream, "/grade/a", HEAD, Reset, CarriedOut);
+    resumable_stream_does_not_run_anew_beside_a_run_closed_near_its_end(stream, "/grade/a", NEAR_END, Close, CarriedOut);
+    resumable_stream_does_not_run_anew_beside_a_run_that_is_not_stopped(stream, "/grade/a", MIDDLE, Reset, Refused);
+    resumable_stream_does_not_run_anew_beside_a_closed_run_that_is_not_stopped(stream, "/grade/a", START, Close, Refused);
+}
--- a/fireflydirect/tests/processes_no_answers.rs
+++ b/fireflydirect/tests/processes_no_answers.rs
@@ -61,7 +61,7 @@
 
 /// A stream that broke off gets nothing of such an answer where it would go on.
 async fn check_resumed_stream(status_line: &str) {
-    let (site, servers) = start_site(true, &intact()).await;
+    let (site, mut servers) = start_site(true, &intact()).await;
     let id = site.id();
     let request = site.generation(0, "/grade/a", 200, &id);
     let begun = request.send().await.unwrap();
@@ -74,6 +74,8 @@
         });
     }
     site.engines[at].kill();
+    // The address of an engine that has ended refuses connections.
+    drop(servers.remove(at));
     let text = begun.text().await;
     assert!(text.is_err(), "{text:?} {}", site.log(0));
     assert!(answered(&servers) > 0, "{}", site.log(0));
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -16,7 +16,7 @@
 use super::moves::Moves;
 use super::record::{Record, RunEnd};
 use super::runs::{
-    ActiveRun, OwnAnswer, answer_plain, report, stream_generation, take_matching_copy,
+    ActiveRun, OwnAnswer, UnheardRun, answer_plain, report, stream_generation, take_matching_copy,
 };
 use super::start::{bind_with_retries, close_port, unix_millis};
 use crate::sync::lock;
@@ -56,6 +56,17 @@
     Hang,
     /// Takes a second to read the prompt before it answers.
     Slow,
+    /// Loses the rest of a stream's first answer after this many events, and works on to the end unless it is stopped.
+    LoseRest(u64, Loss),
+}
+
+/// How a connection ends on which the rest of an answer is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// By a reset.
+    Reset,
+    /// In order, before the end of the body.
+    Close,
 }
 
 /// Software version of an upstream that was given no other; its events don't name it.
@@ -378,16 +389,26 @@
                 let _ = stream.shutdown().await;
                 return;
             }
+            Ok(ConnectionAction::WorkOn(run, Loss::Reset)) => {
+                reset(stream);
+                return run.work_on().await;
+            }
+            Ok(ConnectionAction::WorkOn(run, Loss::Close)) => {
+                drop(stream);
+                return run.work_on().await;
+            }
             Err(_) => return,
         }
     }
 }
 
 /// Action on a connection after a request.
-pub(super) enum ConnectionAction {
+pub(super) enum ConnectionAction<'a> {
     Keep,
     Reset,
     Close,
+    /// Ends before the run does.
+    WorkOn(UnheardRun<'a>, Loss),
 }
 
 /// Returns the answer to a call of an entry's own; `None` for a request.
@@ -404,12 +425,12 @@
 }
 
 /// Answers a request; `second` is an earlier answer on the connection that is sent once more, first.
-async fn answer(
+async fn answer<'a>(
     stream: &mut TcpStream,
-    shared: &Shared,
+    shared: &'a Shared,
     req: &Request,
     second: &mut Option<OwnAnswer>,
-) -> io::Result<ConnectionAction> {
+) -> io::Result<ConnectionAction<'a>> {
     if let Some(second) = second.take() {
         second.write(stream).await?;
     }
@@ -492,6 +513,6 @@
         _ if shared.kind == EngineKind::Plain => {
             answer_plain(stream, shared, req, id, fault, &run).await
         }
-        _ => stream_generation(stream, shared, req, id, fault, &run).await,
+        _ => stream_generation(stream, shared, req, id, fault, run).await,
     }
 }
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -18,7 +18,7 @@
 
 pub use broken_answers::{BrokenAnswer, BrokenServer};
 pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
-pub use engine::{AnswerFault, Engine, EngineKind, FIRST_VERSION};
+pub use engine::{AnswerFault, Engine, EngineKind, FIRST_VERSION, Loss};
 pub use moves::{Moves, StopAnswer};
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -35,13 +35,22 @@
     Busy,
     /// Lets the run go on, and states that nothing was done.
     NotExecuted,
+    /// Lets all runs go on, and states the same each time.
+    NeverExecuted,
     /// Lets the run go on, as there are too many calls.
     TooMany,
 }
 
 impl StopAnswer {
     const fn lets_go_on(self) -> bool {
-        matches!(self, Self::Busy | Self::NotExecuted | Self::TooMany)
+        matches!(
+            self,
+            Self::Busy | Self::NotExecuted | Self::NeverExecuted | Self::TooMany
+        )
+    }
+
+    const fn is_lasting(self) -> bool {
+        matches!(self, Self::AllLost | Self::NeverExecuted)
     }
 }
 
@@ -95,7 +104,7 @@
     }
 
     /// Returns how the connection of a stopped run ends.
-    pub(super) fn stopped_end(&self) -> ConnectionAction {
+    pub(super) fn stopped_end<'a>(&self) -> ConnectionAction<'a> {
         if self.resets.load(Ordering::Relaxed) {
             ConnectionAction::Reset
         } else {
@@ -105,7 +114,7 @@
 
     fn take_behaviour(&self) -> (StopAnswer, Duration) {
         let mut behaviour = lock(&self.behaviour);
-        if behaviour.0 == StopAnswer::AllLost {
+        if behaviour.0.is_lasting() {
             return *behaviour;
         }
         let taken = std::mem::take(&mut *behaviour);
@@ -168,7 +177,7 @@
         let holder = match answer {
             StopAnswer::Lost | StopAnswer::AllLost => return None,
             StopAnswer::Busy => return Some(OwnAnswer::new(409, "{}".to_owned())),
-            StopAnswer::NotExecuted => {
+            StopAnswer::NotExecuted | StopAnswer::NeverExecuted => {
                 let mut answer = OwnAnswer::new(503, "{}".to_owned());
                 let header = ("X-Not-Executed".to_owned(), "1".to_owned());
                 answer.headers = [header].into_iter().collect();
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -15,6 +15,8 @@
     Complete,
     /// The caller closed the connection.
     Abandoned,
+    /// The request was run to its end, and the rest of the answer was lost.
+    Unheard,
     /// Stopped to continue on another upstream.
     Migrated,
     /// Broken off by a fault of the upstream.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -12,6 +12,7 @@
 use super::http::{
     Framing, Headers, Request, until_closed, write_answer, write_piece, write_stream_head,
 };
+use super::moves::MovableRun;
 use super::record::{CopyKey, Run, RunEnd};
 use crate::sync::lock;
 
@@ -80,7 +81,7 @@
     }
 
     /// Crashes the upstream, unless another run has.
-    pub(super) async fn crash(&self) -> io::Result<ConnectionAction> {
+    pub(super) async fn crash(&self) -> io::Result<ConnectionAction<'a>> {
         if !self.shared.has_crashed.swap(true, Ordering::Relaxed) {
             self.end(RunEnd::Crashed);
             self.shared.crash.notify_one();
@@ -99,14 +100,32 @@
     }
 }
 
-pub(super) async fn answer_plain(
+/// A run whose answer isn't heard any more.
+pub(super) struct UnheardRun<'a> {
+    run: ActiveRun<'a>,
+    movable: MovableRun<'a>,
+    /// Time until its end.
+    left: Duration,
+}
+
+impl UnheardRun<'_> {
+    /// Runs to the end, unless it is stopped for a move.
+    pub(super) async fn work_on(self) {
+        tokio::select! {
+            () = tokio::time::sleep(self.left) => self.run.end(RunEnd::Unheard),
+            () = self.movable.stop.notified() => self.run.end(RunEnd::Migrated),
+        }
+    }
+}
+
+pub(super) async fn answer_plain<'a>(
     stream: &mut TcpStream,
     shared: &Shared,
     req: &Request,
     id: &str,
     fault: AnswerFault,
-    run: &ActiveRun<'_>,
-) -> io::Result<ConnectionAction> {
+    run: &ActiveRun<'a>,
+) -> io::Result<ConnectionAction<'a>> {
     let work_ms = req.query("work_ms").and_then(|ms| ms.parse().ok());
     tokio::time::sleep(work_ms.map_or(PLAIN_CALL_TIME, Duration::from_millis)).await;
     let headers = [("X-Request-Id", id), ("X-Response-Seal", "seal")];
@@ -168,14 +187,14 @@
     format!(":{}\n", "p".repeat(len))
 }
 
-pub(super) async fn stream_generation(
+pub(super) async fn stream_generation<'a>(
     stream: &mut TcpStream,
-    shared: &Shared,
+    shared: &'a Shared,
     req: &Request,
     id: &str,
     fault: AnswerFault,
-    run: &ActiveRun<'_>,
-) -> io::Result<ConnectionAction> {
+    run: ActiveRun<'a>,
+) -> io::Result<ConnectionAction<'a>> {
     let last_event = req.query("events").and_then(|e| e.parse().ok());
     let last_event: u64 = last_event.unwrap_or(DEFAULT_EVENTS);
     let padding = padding(
@@ -211,6 +230,15 @@
             run.end(RunEnd::Broken);
             return Ok(broken_off(fault));
         }
+        if let AnswerFault::LoseRest(after, how) = fault
+            && number > after
+            && shared.record.runs_of(id).len() == 1
+        {
+            let events = u32::try_from(last_event - number).unwrap_or(u32::MAX);
+            let left = EVENT_INTERVAL * events;
+            let unheard = UnheardRun { run, movable, left };
+            return Ok(ConnectionAction::WorkOn(unheard, how));
+        }
         let piece = format!("{padding}{}", event(id, number, &version));
         write_piece(stream, piece.as_bytes(), framing).await?;
         tokio::select! {
@@ -232,7 +260,7 @@
     Ok(after_answer(framing))
 }
 
-const fn after_answer(framing: Framing) -> ConnectionAction {
+const fn after_answer<'a>(framing: Framing) -> ConnectionAction<'a> {
     match framing {
         Framing::Chunked => ConnectionAction::Keep,
         Framing::UntilClose => ConnectionAction::Close,
@@ -240,7 +268,7 @@
 }
 
 /// Returns how the connection of an answer ends that is broken off.
-const fn broken_off(fault: AnswerFault) -> ConnectionAction {
+const fn broken_off<'a>(fault: AnswerFault) -> ConnectionAction<'a> {
     match fault {
         AnswerFault::CutInEvent => ConnectionAction::Close,
         _ => ConnectionAction::Reset,
