Count crashes at any point of an answer against its request

Each attempt that had a backup went on from it and crashed the next engine.

Cause: an answer that lasted 250 ms and brought three reads counted as proof that its request is sound: it cleared all earlier crashes, and a crash that came after it was no evidence. Progress so far was taken for what only the end shows. Ruled out: crashes that weren't seen (each has its upstream_crashed line), evidence that wasn't told (one entry alone never refused it either), a content that differs (one digest in all sent lines).

Change: a crash counts against the content of every answer in progress. Only a complete answer, made in one run, clears a content. One in progress speaks for it as far as it got past the points of the crashes, in time and in events, and for as long as its own upstream lives; entries tell each other of these survivors. Parts of prompts are judged as before. A lost rack ends popular requests in one moment, so late crashes refuse a content only over a second.

--- a/fireflycroft-wire/src/crash_evidence.rs
+++ b/fireflycroft-wire/src/crash_evidence.rs
@@ -5,8 +5,8 @@
 use crate::generated as pb;
 use crate::limits::MAX_RECORDS;
 use fireflycroft::{
-    ContentId, CrashId, CrashNews, CrashReport, Digest, MAX_SHARED_PARTS, PartId, RefusedSuspect,
-    SoundSuspect, Suspect,
+    ContentId, CrashId, CrashNews, CrashReport, Digest, MAX_SHARED_PARTS, PartId, Reach,
+    RefusedSuspect, SoundSuspect, Survivor, Suspect,
 };
 use prost::Message as _;
 use std::time::Duration;
@@ -35,6 +35,7 @@
         refused: refused_suspects(refused),
         sound_contents: sound_suspects(sound_contents),
         refused_contents: refused_suspects(refused_contents),
+        survivors: news.survivors.iter().map(survivor).collect(),
     }
 }
 
@@ -45,6 +46,8 @@
     check_count(news.crashes.len(), MAX_RECORDS, "part_evidence.crashes")?;
     check_count(sound, MAX_RECORDS, "part_evidence.sound")?;
     check_count(refused, MAX_RECORDS, "part_evidence.refused")?;
+    let survivors = news.survivors.len();
+    check_count(survivors, MAX_RECORDS, "part_evidence.survivors")?;
     let sound = news.sound.iter().map(|s| read_sound(s, part));
     let refused = news.refused.iter().map(|r| read_refused(r, part));
     let sound_contents = news.sound_contents.iter();
@@ -57,6 +60,7 @@
         refused: refused
             .chain(refused_contents.map(|r| read_refused(r, content)))
             .collect(),
+        survivors: news.survivors.iter().map(read_survivor).collect(),
     })
 }
 
@@ -97,6 +101,8 @@
         begun: report.begun,
         age_ms: millis(report.age),
         content: contents.next().map(Suspect::id),
+        lasted_ms: millis(report.reach.lasted),
+        events: report.reach.events,
     }
 }
 
@@ -108,9 +114,34 @@
         suspects: parts.chain(crash.content.map(content)).collect(),
         begun: crash.begun,
         age: Duration::from_millis(crash.age_ms.into()),
+        reach: read_reach(crash.lasted_ms, crash.events),
     })
 }
 
+fn survivor(survivor: &Survivor) -> pb::Survivor {
+    pb::Survivor {
+        content: survivor.content.id(),
+        at: survivor.at.0,
+        lasted_ms: millis(survivor.reach.lasted),
+        events: survivor.reach.events,
+    }
+}
+
+fn read_survivor(survivor: &pb::Survivor) -> Survivor {
+    Survivor {
+        content: content(survivor.content),
+        at: CrashId(survivor.at),
+        reach: read_reach(survivor.lasted_ms, survivor.events),
+    }
+}
+
+fn read_reach(lasted_ms: u32, events: u64) -> Reach {
+    Reach {
+        lasted: Duration::from_millis(lasted_ms.into()),
+        events,
+    }
+}
+
 fn sound_suspects(sound: Vec<&SoundSuspect>) -> Vec<pb::SoundPart> {
     let sound = sound.into_iter().map(|s| pb::SoundPart {
         part: s.suspect.id(),
--- a/fireflycroft-wire/src/generated.rs
+++ b/fireflycroft-wire/src/generated.rs
@@ -675,8 +675,24 @@
     pub sound_contents: ::prost::alloc::vec::Vec<SoundPart>,
     #[prost(message, repeated, tag = "5")]
     pub refused_contents: ::prost::alloc::vec::Vec<RefusedPart>,
+    #[prost(message, repeated, tag = "6")]
+    pub survivors: ::prost::alloc::vec::Vec<Survivor>,
 }
-/// An upstream that ended as an answer began there.
+/// An answer that got further than others with its content had when their upstreams ended.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Survivor {
+    #[prost(fixed64, tag = "1")]
+    pub content: u64,
+    /// Digest of the incarnation of its upstream.
+    #[prost(fixed64, tag = "2")]
+    pub at: u64,
+    /// Time from its head to its last event.
+    #[prost(uint32, tag = "3")]
+    pub lasted_ms: u32,
+    #[prost(uint64, tag = "4")]
+    pub events: u64,
+}
+/// An upstream that ended under an answer.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PartCrash {
     /// Digest of the incarnation that ended.
@@ -693,6 +709,11 @@
     /// Folded digest of the request's path, caller and body.
     #[prost(fixed64, optional, tag = "5")]
     pub content: ::core::option::Option<u64>,
+    /// Time from the answer's head to its last event, and whole events.
+    #[prost(uint32, tag = "6")]
+    pub lasted_ms: u32,
+    #[prost(uint64, tag = "7")]
+    pub events: u64,
 }
 /// A part of prompts on which an answer went on.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/fireflycroft-wire/tests/entry_messages.rs
+++ b/fireflycroft-wire/tests/entry_messages.rs
@@ -4,8 +4,8 @@
     ContentId, CrashId, CrashNews, CrashReport, Digest, EntryAnnouncement, EntryMessage,
     Evacuations, Incarnation, ListChange, MAX_SHARED_PARTS, Name, OwnedLoad, OwnerQuery,
     OwnerQueryBody, OwnerReply, OwnerReplyBody, OwnerReport, Pace, PartId, PauseCounts, Placed,
-    PlacedAt, RateLimit, Refusal, RefusedSuspect, RetryCount, ServiceDemand, SoundSuspect,
-    StreamOrigin, StreamStart, Suspect, ToldRate, UpstreamIncarnation, UpstreamRecord,
+    PlacedAt, RateLimit, Reach, Refusal, RefusedSuspect, RetryCount, ServiceDemand, SoundSuspect,
+    StreamOrigin, StreamStart, Survivor, Suspect, ToldRate, UpstreamIncarnation, UpstreamRecord,
     UpstreamState,
 };
 use fireflycroft_wire::{
@@ -227,6 +227,7 @@
                 ended: CrashId(u64::MAX),
                 suspects: vec![part(0x5c1e), part(7), content(9)],
                 begun: true,
+                reach: reach(),
                 age: Duration::from_millis(40),
             }],
             sound: [part(7), content(9)]
@@ -242,12 +243,25 @@
                     age: Duration::from_secs(80),
                 })
                 .to_vec(),
+            survivors: vec![Survivor {
+                content: content(9),
+                at: CrashId(11),
+                reach: reach(),
+            }],
         },
         peers: vec![Ipv4Addr::new(127, 0, 0, 3)],
         leaving: true,
     }
 }
 
+/// Returns how far a long answer gets.
+const fn reach() -> Reach {
+    Reach {
+        lasted: Duration::from_secs(39),
+        events: 250,
+    }
+}
+
 const fn part(id: u64) -> Suspect {
     Suspect::Part(PartId(id))
 }
@@ -278,6 +292,7 @@
                     content(u64::MAX),
                 ],
                 begun: true,
+                reach: reach(),
                 age: Duration::from_secs(5),
             }],
             sound: vec![SoundSuspect {
@@ -289,6 +304,7 @@
                 crashes: 5,
                 age: Duration::from_hours(1),
             }],
+            survivors: Vec::new(),
         },
         ..EntryAnnouncement::default()
     };
@@ -304,6 +320,7 @@
                 ended: CrashId(1),
                 suspects: vec![part(2); MAX_SHARED_PARTS + 1],
                 begun: true,
+                reach: Reach::default(),
                 age: Duration::ZERO,
             }],
             ..CrashNews::default()
--- a/fireflycroft-wire/tests/support/mod.rs
+++ b/fireflycroft-wire/tests/support/mod.rs
@@ -3,8 +3,8 @@
 use fireflycroft::{
     Chunk, Code, ConfigVersion, ContentId, CrashId, CrashNews, CrashReport, Demand, Digest,
     Envelope, Finish, GenerationId, Incarnation, Load, MemberRecord, MemberState, Message, Name,
-    Order, OrderKind, PartId, Peer, Priority, RefusedSuspect, RequestId, Role, SoundSuspect,
-    Standing, Suspect, Work,
+    Order, OrderKind, PartId, Peer, Priority, Reach, RefusedSuspect, RequestId, Role, SoundSuspect,
+    Standing, Survivor, Suspect, Work,
 };
 use proptest::collection::vec;
 use proptest::option;
@@ -262,10 +262,14 @@
     any::<u64>().prop_map(content_of)
 }
 
+fn reach() -> impl Strategy<Value = Reach> {
+    (age(), any::<u64>()).prop_map(|(lasted, events)| Reach { lasted, events })
+}
+
 fn crash_news() -> impl Strategy<Value = Message> {
     let crash = (any::<u64>(), parts(), any::<bool>(), age());
-    let crash = (crash, proptest::option::of(any::<u64>()));
-    let crash = crash.prop_map(|((ended, parts, begun, age), content)| CrashReport {
+    let crash = (crash, proptest::option::of(any::<u64>()), reach());
+    let crash = crash.prop_map(|((ended, parts, begun, age), content, reach)| CrashReport {
         ended: CrashId(ended),
         suspects: parts
             .into_iter()
@@ -273,8 +277,15 @@
             .chain(content.map(content_of))
             .collect(),
         begun,
+        reach,
         age,
     });
+    let survivor = (content(), any::<u64>(), reach());
+    let survivor = survivor.prop_map(|(content, at, reach)| Survivor {
+        content,
+        at: CrashId(at),
+        reach,
+    });
     let part = || any::<u64>().prop_map(|id| Suspect::Part(PartId(id)));
     let sound = |suspect| (suspect, age()).prop_map(|(suspect, age)| SoundSuspect { suspect, age });
     let refused = |suspect| {
@@ -291,13 +302,15 @@
         vec(sound(content().boxed()), 0..3),
         vec(refused(part().boxed()), 0..3),
         vec(refused(content().boxed()), 0..3),
+        vec(survivor, 0..3),
     );
     all.prop_map(
-        |(crashes, sound, sound_contents, refused, refused_contents)| {
+        |(crashes, sound, sound_contents, refused, refused_contents, survivors)| {
             Message::CrashNews(CrashNews {
                 crashes,
                 sound: [sound, sound_contents].concat(),
                 refused: [refused, refused_contents].concat(),
+                survivors,
             })
         },
     )
--- a/fireflycroft/src/agent_crashes.rs
+++ b/fireflycroft/src/agent_crashes.rs
@@ -7,7 +7,7 @@
 use crate::agent::{Agent, AgentAction, OfferState};
 use crate::code::Code;
 use crate::crash_evidence::Judgement;
-use crate::crash_report::{CrashId, CrashNews, CrashReport, CrashVerdict, Suspect};
+use crate::crash_report::{CrashId, CrashNews, CrashReport, CrashVerdict, Reach, Suspect};
 use crate::generation::Generation;
 use crate::ids::{Digest, GenerationId};
 use crate::log_event::LogEvent;
@@ -66,6 +66,7 @@
                 ended,
                 suspects: suspects_of(g),
                 begun: true,
+                reach: Reach::default(),
                 age: Duration::ZERO,
             })
             .collect();
--- a/fireflycroft/src/crash_evidence.rs
+++ b/fireflycroft/src/crash_evidence.rs
@@ -1,9 +1,14 @@
-//! What crashes the upstreams that begin an answer: a part that prompts share, or one request that comes again.
+//! What crashes the upstreams of answers: a part that prompts share, or one request that comes again.
 //!
 //! Requests that crash upstreams need not be alike: a shared part of their prompts may be the cause, in any place but
-//! the last. Or it is one request alone, which its caller sends again. An upstream that ends is evidence against each
-//! of these suspects of the answers that were beginning there. It is known by its incarnation, so that it counts once,
-//! whoever saw it end. An answer that goes on past its beginning clears its suspects of all earlier crashes.
+//! the last. Or it is one request alone, which its caller sends again: its content. An upstream that ends is evidence
+//! against the parts of the answers that were beginning there, and against the contents of all that were in progress,
+//! since a request may crash its upstream at any point of its answer. It is known by its incarnation, so that it counts
+//! once, whoever saw it end.
+//!
+//! An answer that goes on past its beginning clears its parts of all earlier crashes, and a complete one its content.
+//! One in progress speaks against the crashes under its content that came at an earlier point of their answers, for as
+//! long as its own upstream lives.
 //!
 //! A suspect is refused once enough incarnations have ended under it since it was last seen sound; [`crate::suspicion`]
 //! decides which of several that were under the same crashes. One that was seen sound before needs more crashes over a
@@ -15,11 +20,13 @@
 //! under it goes on.
 
 use crate::crash_report::{
-    CrashNews, CrashReport, CrashVerdict, MAX_SHARED_PARTS, RefusedSuspect, SoundSuspect, Suspect,
+    CrashNews, CrashReport, CrashVerdict, MAX_SHARED_PARTS, Reach, RefusedSuspect, SoundSuspect,
+    Survivor, Suspect,
 };
 use crate::crash_reports::{CrashReports, KeptReport};
 use crate::refusals::Refusals;
 use crate::sound_suspects::SoundSuspects;
+use crate::survivors::Survivors;
 use crate::suspicion::{Blame, ContentLimits, Suspicion, UNKNOWN_PART_CRASHES, assign_blame};
 use crate::time::Time;
 use std::collections::HashMap;
@@ -55,6 +62,7 @@
     content_limits: ContentLimits,
     reports: CrashReports,
     sound: SoundSuspects,
+    survivors: Survivors,
     refusals: Refusals,
     /// Suspects that are refused at the given time unless they are seen sound before.
     suspended: Vec<(Suspect, Time)>,
@@ -107,14 +115,35 @@
                 self.refusals.record_crash(*suspect, now - report.age);
                 self.exonerated.remove(suspect);
             }
+            self.survivors.remove(*suspect, report.ended);
         }
         self.reports.insert(now, report, tell_for, is_own);
         self.judge_at = Some(now);
         true
     }
 
-    /// Records that an answer with these suspects went on past its beginning `age` ago; returns those of them that were
-    /// refused or suspected.
+    /// Records an answer in progress; returns whether it got past a crash under its content that nothing else speaks
+    /// against.
+    pub fn record_survivor(&mut self, now: Time, survivor: Survivor) -> bool {
+        let Survivor { content, at, reach } = survivor;
+        if self.reports.is_empty() {
+            return false;
+        }
+        let crashes = self.reports.reaches_under(content);
+        let known = self.survivors.of(content);
+        let is_open = |crash: &Reach| !known.iter().any(|s| s.reach.is_beyond(crash));
+        let mut others = crashes.values();
+        let is_news = others.any(|crash| reach.is_beyond(crash) && is_open(crash));
+        if !is_news || crashes.contains_key(&at) {
+            return false;
+        }
+        self.survivors.record(now, survivor);
+        self.judge_at = Some(now);
+        true
+    }
+
+    /// Records that a part was in an answer that went on past its beginning, or any suspect in a complete one, `age`
+    /// ago; returns those of them that were refused or suspected.
     pub fn record_sound(
         &mut self,
         now: Time,
@@ -126,6 +155,7 @@
         for suspect in suspects {
             let is_suspected = self.is_suspected(*suspect);
             self.sound.record(*suspect, at);
+            self.survivors.forget(*suspect);
             let last_crash = self.refusals.last_crash(*suspect);
             let is_released = last_crash.is_some_and(|last| at > last);
             if is_released {
@@ -211,6 +241,9 @@
         for refused in &told.refused {
             self.adopt(now, *refused);
         }
+        for survivor in &told.survivors {
+            self.record_survivor(now, *survivor);
+        }
     }
 
     /// Judges the reports if that is due; returns what is refused from now on, or no more.
@@ -319,6 +352,7 @@
             crashes: self.reports.take_to_tell(now, MAX_TOLD),
             sound: self.sound.to_tell(now),
             refused: self.refusals.take_to_tell(now),
+            survivors: self.survivors.to_tell(now),
         }
     }
 
@@ -335,12 +369,14 @@
             crashes: self.reports.weightiest(now, MAX_TOLD_TO_NEWCOMERS),
             sound: self.sound.to_tell(now),
             refused: self.refusals.all(now),
+            survivors: self.survivors.to_tell(now),
         }
     }
 
-    /// Returns once whether there is a sound suspect to tell since the last call.
+    /// Returns once whether there is a sound suspect or a survivor to tell since the last call.
     pub fn take_news(&mut self) -> bool {
-        self.sound.take_news()
+        let has_survivors = self.survivors.take_news();
+        self.sound.take_news() || has_survivors
     }
 
     /// Removes what has expired.
@@ -348,6 +384,7 @@
         self.reports.expire(now);
         self.refusals.expire(now);
         self.sound.expire(now);
+        self.survivors.expire(now);
     }
 
     /// Returns whether an upstream ended under a suspect since it was last seen sound.
@@ -371,9 +408,12 @@
                     let refused_for = usize::try_from(refused_for).unwrap_or(usize::MAX);
                     Suspicion::new(*suspect, sound.is_some(), *at, refused_for)
                 });
-                suspicion.add(report.ended, report.begun, *at, place);
+                suspicion.add(report, *at, place);
             }
         }
+        for suspicion in suspicions.values_mut() {
+            suspicion.weigh(self.survivors.of(suspicion.suspect));
+        }
         suspicions.into_values().collect()
     }
 }
--- a/fireflycroft/src/crash_report.rs
+++ b/fireflycroft/src/crash_report.rs
@@ -70,20 +70,68 @@
     }
 }
 
-/// An upstream that ended while an answer was beginning there.
+/// Shortest time from the head of an answer to the end of its beginning; a part that crashes upstreams does so
+/// within a tenth of a second.
+const BEGINNING_TIME: Duration = Duration::from_millis(250);
+
+/// Events after which an answer is past its beginning.
+const BEGINNING_EVENTS: u64 = 3;
+
+/// How far an answer got at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Reach {
+    /// Time from its head to its last event.
+    pub lasted: Duration,
+    /// Whole events.
+    pub events: u64,
+}
+
+impl Reach {
+    /// Returns whether an answer got so much further than another one, in time and in events, that what ended the
+    /// other one would have ended it too.
+    ///
+    /// Upstreams differ in speed, and a cause may lie at an event or at a time, so that one of the two alone shows
+    /// nothing.
+    #[must_use]
+    pub fn is_beyond(&self, other: &Self) -> bool {
+        let lasts = self.lasted >= other.lasted.saturating_add(BEGINNING_TIME);
+        lasts && self.events >= other.events.saturating_add(BEGINNING_EVENTS)
+    }
+
+    /// Returns whether an answer has gone on past its beginning.
+    #[must_use]
+    pub fn is_past_beginning(&self) -> bool {
+        self.is_beyond(&Self::default())
+    }
+}
+
+/// An upstream that ended while an answer was in progress there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
     /// The incarnation that ended.
     pub ended: CrashId,
-    /// Suspects of the answer's request: shared parts in order, then its content.
+    /// Suspects of the answer's request: shared parts in order, then its content; past its beginning the content alone.
     pub suspects: Vec<Suspect>,
     /// Whether the answer is known to have begun.
     pub begun: bool,
+    /// How far it had got.
+    pub reach: Reach,
     /// Time since the crash.
     pub age: Duration,
 }
 
-/// A suspect under which an answer went on past its beginning.
+/// An answer in progress that has got further than others with the same content had when their upstreams ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Survivor {
+    /// Content of its request.
+    pub content: Suspect,
+    /// Incarnation of its upstream.
+    pub at: CrashId,
+    /// How far it has got there.
+    pub reach: Reach,
+}
+
+/// A suspect under which an answer is complete, or a part with which one went on past its beginning.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SoundSuspect {
     /// The suspect.
@@ -106,19 +154,24 @@
 /// Evidence that a process tells others; without any, it asks them for theirs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashNews {
-    /// Upstreams that recently ended as answers began there.
+    /// Upstreams that recently ended under answers.
     pub crashes: Vec<CrashReport>,
     /// Suspects of a crash that were seen sound.
     pub sound: Vec<SoundSuspect>,
     /// Suspects that the sender refuses.
     pub refused: Vec<RefusedSuspect>,
+    /// Answers that went on past the crashes of others.
+    pub survivors: Vec<Survivor>,
 }
 
 impl CrashNews {
     /// Returns whether it tells nothing.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.sound.is_empty() && self.refused.is_empty()
+        self.crashes.is_empty()
+            && self.sound.is_empty()
+            && self.refused.is_empty()
+            && self.survivors.is_empty()
     }
 }
 
--- a/fireflycroft/src/crash_reports.rs
+++ b/fireflycroft/src/crash_reports.rs
@@ -1,10 +1,10 @@
 //! Reports of crashes that are kept and told, within bounds.
 //!
-//! An upstream that ends leaves a report for each answer that was beginning there, most of them of bystanders. So a
+//! An upstream that ends leaves a report for each answer that was in progress there, most of them of bystanders. So a
 //! report is worth as much as the crashes that it shares with others: those of the suspect under most crashes are
 //! dropped last and told first, and all are told in turn.
 
-use crate::crash_report::{CrashId, CrashReport, Suspect};
+use crate::crash_report::{CrashId, CrashReport, Reach, Suspect};
 use crate::time::Time;
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -59,6 +59,7 @@
             k.report.ended == report.ended
                 && k.report.suspects == report.suspects
                 && (k.report.begun || !report.begun)
+                && k.report.reach >= report.reach
         })
     }
 
@@ -68,6 +69,23 @@
         same.any(|k| k.report.suspects.contains(&suspect))
     }
 
+    /// Returns the crashes under a suspect, each with how far the answers there had got.
+    pub(crate) fn reaches_under(&self, suspect: Suspect) -> HashMap<CrashId, Reach> {
+        let mut reaches: HashMap<CrashId, Reach> = HashMap::new();
+        for KeptReport { report, .. } in &self.kept {
+            if report.suspects.contains(&suspect) {
+                let reach = reaches.entry(report.ended).or_default();
+                *reach = report.reach.max(*reach);
+            }
+        }
+        reaches
+    }
+
+    /// Returns whether there are none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
     /// Returns the time of the last crash under a suspect.
     pub(crate) fn last_under(&self, suspect: Suspect) -> Option<Time> {
         let under = self.kept.iter();
--- a/fireflycroft/src/entry_crashes.rs
+++ b/fireflycroft/src/entry_crashes.rs
@@ -5,7 +5,9 @@
 
 use crate::agent_crashes::CRASH_LIMIT;
 use crate::code::Code;
-use crate::crash_report::{CrashId, CrashNews, CrashReport, CrashVerdict, RefusedSuspect, Suspect};
+use crate::crash_report::{
+    CrashId, CrashNews, CrashReport, CrashVerdict, Reach, RefusedSuspect, Suspect,
+};
 use crate::entry::Entry;
 use crate::entry_io::EntryAction;
 use crate::ids::Digest;
@@ -56,6 +58,7 @@
             ended,
             suspects,
             begun: true,
+            reach: Reach::default(),
             age: Duration::ZERO,
         };
         if self.crash_evidence.record_told_crash(now, report.clone()) {
--- a/fireflycroft/src/lib.rs
+++ b/fireflycroft/src/lib.rs
@@ -149,6 +149,7 @@
 mod stream_end;
 mod stream_origin;
 mod submit;
+mod survivors;
 mod suspicion;
 mod text_change;
 mod time;
--- a/fireflycroft/src/suspicion.rs
+++ b/fireflycroft/src/suspicion.rs
@@ -4,10 +4,10 @@
 //! prompt, which fewer requests share, and a request's content before its parts. A crash under a blamed suspect
 //! counts against no other one, until one of them is under a crash without it: that takes back all that it shared.
 
-use crate::crash_report::{CrashId, Suspect};
+use crate::crash_report::{CrashId, CrashReport, Reach, Survivor, Suspect};
 use crate::time::Time;
 use std::cmp::Reverse;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Crashes at which a part is refused that was never seen sound.
@@ -22,7 +22,7 @@
 /// The same for a part that was seen sound before.
 const SOUND_PART_SPAN: Duration = Duration::from_millis(500);
 
-/// Shortest time over which a content seen sound before crashes upstreams and is in no sound answer.
+/// Shortest time over which a content seen sound before, or past the beginning of its answers, crashes upstreams.
 ///
 /// Longer than it takes to lose a rack, in which many callers may have the same call in progress.
 const SOUND_CONTENT_SPAN: Duration = Duration::from_secs(1);
@@ -52,7 +52,12 @@
     pub(crate) was_sound: bool,
     /// Crashes under answers that are known to have begun.
     begun: HashSet<CrashId>,
+    /// Crashes that no surviving answer speaks against.
     pub(crate) all: HashSet<CrashId>,
+    /// All crashes, each with its time and how far the furthest answer there had got.
+    known: HashMap<CrashId, (Time, Reach)>,
+    /// Those of them at the furthest point of its answers, as far as is known.
+    standing: HashSet<CrashId>,
     pub(crate) first: Time,
     pub(crate) last: Time,
     /// Place in the prompt; the content comes last.
@@ -79,6 +84,8 @@
             was_sound,
             begun: HashSet::new(),
             all: HashSet::new(),
+            known: HashMap::new(),
+            standing: HashSet::new(),
             first: at,
             last: at,
             place: 0,
@@ -87,12 +94,14 @@
         }
     }
 
-    /// Adds a crash under an answer at this place in its prompt.
-    pub(crate) fn add(&mut self, ended: CrashId, begun: bool, at: Time, place: usize) {
-        self.all.insert(ended);
-        if begun {
-            self.begun.insert(ended);
+    /// Adds a crash at a time under an answer in whose prompt it has this place.
+    pub(crate) fn add(&mut self, report: &CrashReport, at: Time, place: usize) {
+        self.all.insert(report.ended);
+        if report.begun {
+            self.begun.insert(report.ended);
         }
+        let (_, reach) = self.known.entry(report.ended).or_insert((at, report.reach));
+        *reach = report.reach.max(*reach);
         self.first = self.first.min(at);
         self.last = self.last.max(at);
         let place = if self.suspect.is_content() {
@@ -103,6 +112,52 @@
         self.place = self.place.max(place);
     }
 
+    /// Weighs the crashes under a content by how far other answers with it got.
+    ///
+    /// A crash doesn't count if an answer that survives got past the point at which it came. One whose answer got past
+    /// that point and then ended with its upstream leaves it doubtful.
+    pub(crate) fn weigh(&mut self, survivors: &[Survivor]) {
+        if !self.suspect.is_content() {
+            return;
+        }
+        let known = &self.known;
+        let survived = |crash: &Reach| survivors.iter().any(|s| s.reach.is_beyond(crash));
+        let passed = |crash: &Reach| known.values().any(|(_, other)| other.is_beyond(crash));
+        self.all.retain(|id| !survived(&known[id].1));
+        self.begun.retain(|id| self.all.contains(id));
+        let standing = self.all.iter().filter(|id| !passed(&known[*id].1));
+        self.standing = standing.copied().collect();
+        if let Some((first, last)) = self.span_of(&self.all) {
+            (self.first, self.last) = (first, last);
+        }
+    }
+
+    /// Returns the times of the first and last of some crashes.
+    fn span_of(&self, crashes: &HashSet<CrashId>) -> Option<(Time, Time)> {
+        let times = || crashes.iter().map(|id| self.known[id].0);
+        Some((times().min()?, times().max()?))
+    }
+
+    /// Returns whether crashes came over longer than it takes to lose a rack.
+    fn is_lasting(&self, crashes: &HashSet<CrashId>) -> bool {
+        let span = self.span_of(crashes);
+        span.is_some_and(|(first, last)| last.since(first) >= SOUND_CONTENT_SPAN)
+    }
+
+    /// Returns whether these crashes under a content that was in no complete answer are enough to refuse it.
+    fn is_enough_for_unknown_content(
+        &self,
+        crashes: &HashSet<CrashId>,
+        limits: &ContentLimits,
+    ) -> bool {
+        let standing = self.standing.intersection(crashes).copied();
+        let standing: HashSet<CrashId> = standing.collect();
+        let is_late = |id: &CrashId| self.known[id].1.is_past_beginning();
+        let is_sure = !standing.iter().any(is_late) || self.is_lasting(&standing);
+        standing.len() >= limits.crashes && is_sure
+            || crashes.len() >= PART_CRASHES && self.is_lasting(crashes)
+    }
+
     /// Returns the time at which it is refused, unless it is seen sound before.
     pub(crate) fn due(&self, limits: &ContentLimits) -> Time {
         let span = match (self.suspect, self.was_sound) {
@@ -119,10 +174,9 @@
         let begun = self.begun.intersection(crashes).count();
         match (self.suspect, self.was_sound) {
             (Suspect::Content(_), true) => {
-                let lasted = self.last.since(self.first) >= SOUND_CONTENT_SPAN;
-                crashes.len() >= PART_CRASHES && lasted
+                crashes.len() >= PART_CRASHES && self.is_lasting(crashes)
             }
-            (Suspect::Content(_), false) => crashes.len() >= limits.crashes,
+            (Suspect::Content(_), false) => self.is_enough_for_unknown_content(crashes, limits),
             (Suspect::Part(_), true) => begun >= PART_CRASHES,
             (Suspect::Part(_), false) => {
                 begun >= UNKNOWN_PART_CRASHES || crashes.len() >= PART_CRASHES
@@ -137,7 +191,8 @@
         if unexplained.is_empty() {
             return false;
         }
-        if self.refused_for > 0 {
+        let is_weaker = self.all.len() < self.known.len();
+        if self.refused_for > 0 && !is_weaker {
             return true;
         }
         let counted = if self.was_sound {
@@ -166,7 +221,7 @@
 
     /// Returns whether all crashes for which it is refused are known here.
     fn is_known_whole(&self) -> bool {
-        self.all.len() >= self.refused_for
+        self.known.len() >= self.refused_for
     }
 }
 
--- a/fireflycroft/tests/agent_parts.rs
+++ b/fireflycroft/tests/agent_parts.rs
@@ -3,7 +3,7 @@
 use fireflycroft::{
     AdmitPolicy, Agent, AgentAction, AgentEvent, AgentLimits, AgentSetup, Capacity, Code,
     ConfigVersion, CrashId, CrashNews, CrashReport, Demand, Digest, Envelope, Incarnation, Message,
-    PartId, Peer, Priority, RefusedSuspect, RequestId, Role, SoundSuspect, Suspect, Time,
+    PartId, Peer, Priority, Reach, RefusedSuspect, RequestId, Role, SoundSuspect, Suspect, Time,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,6 +44,7 @@
         ended: CrashId(ended),
         suspects: vec![Suspect::Part(FIRST), Suspect::Part(BAD)],
         begun: true,
+        reach: Reach::default(),
         age: Duration::ZERO,
     }
 }
--- a/fireflycroft/tests/crash_evidence.rs
+++ b/fireflycroft/tests/crash_evidence.rs
@@ -2,7 +2,7 @@
 
 use fireflycroft::{
     ContentId, CrashEvidence, CrashId, CrashReport, CrashVerdict, MAX_SHARED_PARTS, PART_CRASHES,
-    PartId, RefusedSuspect, Suspect, Time, UNKNOWN_PART_CRASHES,
+    PartId, Reach, RefusedSuspect, Suspect, Time, UNKNOWN_PART_CRASHES,
 };
 use proptest::prelude::*;
 use std::collections::HashSet;
@@ -43,6 +43,7 @@
         ended: CrashId(ended),
         suspects: parts.iter().copied().map(part).collect(),
         begun: true,
+        reach: Reach::default(),
         age: Duration::ZERO,
     }
 }
--- a/fireflycroft/tests/told_sound.rs
+++ b/fireflycroft/tests/told_sound.rs
@@ -1,7 +1,8 @@
 //! Sound answers that another process told, in messages that were on their way for an unknown time.
 
 use fireflycroft::{
-    CrashEvidence, CrashId, CrashReport, PartId, SoundSuspect, Suspect, Time, UNKNOWN_PART_CRASHES,
+    CrashEvidence, CrashId, CrashReport, PartId, Reach, SoundSuspect, Suspect, Time,
+    UNKNOWN_PART_CRASHES,
 };
 use std::time::Duration;
 
@@ -33,6 +34,7 @@
             ended: CrashId(number),
             suspects: vec![PART],
             begun: true,
+            reach: Reach::default(),
             age: Duration::ZERO,
         };
         evidence.record_crash(now, report);
@@ -53,7 +55,7 @@
 
 cases! {
     answer_that_may_be_older_clears_no_crash(evidence) {
-        let report = CrashReport { ended: CrashId(1), suspects: vec![PART], begun: true, age: Duration::ZERO };
+        let report = CrashReport { ended: CrashId(1), suspects: vec![PART], begun: true, reach: Reach::default(), age: Duration::ZERO };
         evidence.record_crash(at(1_000), report);
         assert!(!tell(&mut evidence, 1_500, 50, 500));
         assert!(tell(&mut evidence, 1_500, 50, 400));
--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -491,7 +491,7 @@
     match read_body(job, ix, response).await {
         Ok((head, bytes)) => {
             if status.is_success() {
-                suspects::record_sound(job);
+                suspects::record_complete(job);
             }
             AttemptResult {
                 outcome: if status.is_server_error() {
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -1,4 +1,4 @@
-//! Detects upstream crashes, and reports them with what the answers that were beginning there have in common.
+//! Detects upstream crashes, and reports them with what the answers in progress there have in common.
 //!
 //! A request that breaks may have crashed its upstream, or only lost its connection. A new connection shows which: a
 //! crashed upstream refuses it for some seconds. Where the check comes later than the next start, the list of upstreams
@@ -8,7 +8,7 @@
 use crate::links::open;
 use crate::log_value::{list, or_empty};
 use crate::suspects;
-use fireflycroft::{CrashId, CrashReport, Suspect, Time, UpstreamIx, UpstreamRecord};
+use fireflycroft::{CrashId, CrashReport, Reach, Suspect, Time, UpstreamIx, UpstreamRecord};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +66,10 @@
     head_at: Option<Time>,
     /// Reads since then that brought whole events.
     reads: u64,
+    /// How far it has got.
+    reach: Reach,
+    /// Whether it went on past its beginning at an upstream before.
+    was_sound: bool,
 }
 
 impl Progress {
@@ -75,12 +79,34 @@
         Self {
             head_at: Some(now),
             reads: 0,
+            reach: Reach {
+                lasted: Duration::ZERO,
+                events: 0,
+            },
+            was_sound: false,
+        }
+    }
+
+    /// Returns the progress of this answer where its stream goes on at another upstream.
+    #[must_use]
+    pub fn resumed(&self, now: Time) -> Self {
+        Self {
+            was_sound: self.is_past_beginning(),
+            ..Self::begun(now)
         }
     }
 
     /// Records a read that brought whole events.
-    pub const fn record_read(&mut self) {
+    pub fn record_read(&mut self, now: Time, events: u64) {
         self.reads += 1;
+        self.reach.events += events;
+        self.reach.lasted = self.head_at.map_or(Duration::ZERO, |at| now.since(at));
+    }
+
+    /// Returns how far the answer has got at the upstream.
+    #[must_use]
+    pub const fn reach(&self) -> Reach {
+        self.reach
     }
 
     /// Returns whether a whole event has come.
@@ -89,13 +115,11 @@
         self.reads > 0
     }
 
-    /// Returns whether the answer has gone on past its beginning.
+    /// Returns whether the answer has gone on past its beginning, here or at an upstream before.
     #[must_use]
-    pub fn is_past_beginning(&self, now: Time) -> bool {
-        let lasted = self
-            .head_at
-            .is_some_and(|at| now.since(at) >= BEGINNING_TIME);
-        lasted && self.reads >= BEGINNING_READS
+    pub const fn is_past_beginning(&self) -> bool {
+        let lasted = self.reach.lasted.as_nanos() >= BEGINNING_TIME.as_nanos();
+        self.was_sound || lasted && self.reads >= BEGINNING_READS
     }
 }
 
@@ -153,9 +177,6 @@
 
 /// Records a crash once the upstream behind a connection turns out to be a later one.
 fn watch_listing(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
-    if progress.is_past_beginning(job.now()) {
-        return;
-    }
     let job = job.clone();
     let until = job.node.clock.instant(job.now() + LISTING_TIME);
     tokio::task::spawn_local(async move {
@@ -191,9 +212,7 @@
     };
     let record = node.pool.borrow().record(ix).clone();
     node.pool.borrow_mut().avoid(job.now(), ix, AVOID_CRASHED);
-    if !progress.is_past_beginning(job.now()) {
-        record_beginning(job, &record, progress);
-    }
+    record_evidence(job, &record, progress);
     let content = Suspect::of_content(job.content);
     let crashes = node.crash_evidence.borrow().crashes_under(content);
     log::warn!(
@@ -201,23 +220,29 @@
         instance = &*record.instance, started_at = record.incarnation.0,
         content = content.to_string(), crashes = crashes, parts = list(&job.head.shared_parts),
         head_age_ms = or_empty(progress.head_at.map(|at| job.now().since(at).as_millis())),
-        reads = progress.reads, why = why;
+        reads = progress.reads, events = progress.reach.events,
+        lasted_ms = progress.reach.lasted.as_millis(), why = why;
         ""
     );
     node.announce_to_all_now();
 }
 
-/// Records that an upstream ended as the answer to a request was beginning there.
+/// Records that an upstream ended under the answer to a request, as evidence against its content and, at its
+/// beginning, against the parts of its prompt.
 ///
 /// A whole answer shows no beginning, so it counts as one until it is complete.
-fn record_beginning(job: &Job, record: &UpstreamRecord, progress: Progress) {
+fn record_evidence(job: &Job, record: &UpstreamRecord, progress: Progress) {
+    let is_beginning = !progress.is_past_beginning();
+    let mut suspects = job.suspects.clone();
+    suspects.retain(|s| is_beginning || s.is_content());
     let report = CrashReport {
         ended: CrashId::of(&record.upstream_incarnation()),
-        suspects: job.suspects.clone(),
+        suspects,
         begun: progress.head_at.is_some() || !job.route.kind.is_stream(),
+        reach: progress.reach,
         age: Duration::ZERO,
     };
-    if report.begun && !job.head.shared_parts.is_empty() {
+    if report.begun && is_beginning && !job.head.shared_parts.is_empty() {
         let crashed = job.crashed_beginnings.get();
         job.crashed_beginnings.set(crashed + 1);
     }
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -44,6 +44,9 @@
 /// Tokens between two estimates of an answer's length.
 const ESTIMATE_INTERVAL_TOKENS: u64 = 64;
 
+/// Interval at which the progress of an answer is held against crashes under its content.
+const SURVIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Timeout for the response head of a resumed stream.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -64,11 +67,17 @@
     events: EventRelay,
     framing: BodyFraming,
     breaks: u32,
+    /// Whether an upstream ended under it.
+    lost_upstream: bool,
     ended: bool,
     /// Time at which its first run was sent.
     sent_at: Time,
-    /// Progress at the current upstream, until it goes on past its beginning.
+    /// Progress at the current upstream.
     progress: Progress,
+    /// Events relayed when it was recorded last.
+    relayed_before: u64,
+    /// Time at which it was last held against crashes.
+    survival_checked: Time,
     /// Whether it has gone on past its beginning.
     is_sound: bool,
     event_times: EventTimes,
@@ -120,9 +129,12 @@
         events,
         framing,
         breaks: 0,
+        lost_upstream: false,
         ended: false,
         sent_at,
         progress,
+        relayed_before: 0,
+        survival_checked: sent_at,
         is_sound: false,
         event_times: EventTimes::default(),
         pace: StreamPace::default(),
@@ -191,12 +203,20 @@
     }
 
     fn record_progress(&mut self) {
-        self.progress.record_read();
-        if !self.is_sound && self.progress.is_past_beginning(self.job.now()) {
+        let now = self.job.now();
+        let relayed = self.events.relayed();
+        self.progress
+            .record_read(now, relayed - self.relayed_before);
+        self.relayed_before = relayed;
+        if !self.is_sound && self.progress.is_past_beginning() {
             self.is_sound = true;
-            suspects::record_sound(&self.job);
+            suspects::record_past_beginning(&self.job);
+        }
+        if now.since(self.survival_checked) >= SURVIVAL_CHECK_INTERVAL {
+            self.survival_checked = now;
+            suspects::record_survivor(&self.job, self.assignment.ix, self.progress.reach());
         }
-        self.event_times.record(self.job.now());
+        self.event_times.record(now);
         self.assignment.record_prompt_read();
         let per_event = tokens_per_event(&self.job);
         let produced = self.events.relayed() * u64::from(per_event);
@@ -213,7 +233,7 @@
     fn finish(&mut self) {
         self.ended = true;
         if self.progress.has_data() {
-            suspects::record_sound(&self.job);
+            self.record_soundness();
         }
         if let Some(source) = self.source.take() {
             release_link(&self.job, self.assignment.ix, &source.head, source.link);
@@ -229,6 +249,16 @@
         self.log_event("stream_ended", "");
     }
 
+    /// Records what a complete answer shows; one that was made in parts shows no more than its last run.
+    fn record_soundness(&self) {
+        if self.lost_upstream || self.job.head.last_event_id.is_some() {
+            suspects::record_past_beginning(&self.job);
+            suspects::record_survivor(&self.job, self.assignment.ix, self.progress.reach());
+        } else {
+            suspects::record_complete(&self.job);
+        }
+    }
+
     fn record_end(&self, end: &str) {
         let metrics = &self.job.node.metrics;
         metrics.streams.with_label_values(&[end]).inc();
@@ -291,6 +321,7 @@
         self.log_event("stream_broke", why);
         let at = self.assignment.ix;
         let contact = crash::check_for_crash(&self.job, at, self.progress).await;
+        self.lost_upstream |= contact == Contact::Ended;
         if self.is_refused() {
             return false;
         }
@@ -337,6 +368,7 @@
                 Resumption::GoesOn => return true,
                 Resumption::NotRun => {}
                 Resumption::MayRun(contact) => {
+                    self.lost_upstream |= contact == Contact::Ended;
                     if !self.is_over_at(at, contact, self.job.now()).await {
                         return false;
                     }
@@ -440,9 +472,7 @@
         self.job.node.migrate_if_departing(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
-        if !self.is_sound {
-            self.progress = Progress::begun(self.job.now());
-        }
+        self.progress = self.progress.resumed(self.job.now());
         self.source = Some(Source::of(response).1);
         let resumptions = &self.job.node.metrics.resumed;
         resumptions.with_label_values(&[next.method]).inc();
--- a/fireflydirect/src/suspects.rs
+++ b/fireflydirect/src/suspects.rs
@@ -5,7 +5,8 @@
 use crate::node::Node;
 use crate::serve::FINAL_RETRY_AFTER;
 use fireflycroft::{
-    Code, CrashNews, CrashReport, CrashVerdict, OwnedKey, RefusedSuspect, SoundSuspect, Suspect,
+    Code, CrashId, CrashNews, CrashReport, CrashVerdict, OwnedKey, Reach, RefusedSuspect,
+    SoundSuspect, Survivor, Suspect, UpstreamIx,
 };
 use rand::RngExt;
 use std::net::Ipv4Addr;
@@ -146,11 +147,43 @@
     tries
 }
 
-/// Records that an answer went on past its beginning, or is complete.
-pub fn record_sound(job: &Job) {
+/// Records that an answer is complete.
+pub fn record_complete(job: &Job) {
     clear(&job.node, &job.suspects, "own");
 }
 
+/// Records that an answer went on past its beginning, which clears the parts of its prompt.
+pub fn record_past_beginning(job: &Job) {
+    let parts = job.suspects.iter().filter(|s| !s.is_content());
+    let parts: Vec<Suspect> = parts.copied().collect();
+    clear(&job.node, &parts, "own");
+}
+
+/// Records how far an answer in progress has got.
+pub fn record_survivor(job: &Job, at: UpstreamIx, reach: Reach) {
+    let node = &job.node;
+    let survivor = Survivor {
+        content: Suspect::of_content(job.content),
+        at: CrashId::of(&node.pool.borrow().record(at).upstream_incarnation()),
+        reach,
+    };
+    apply_survivor(node, survivor, "own");
+    tell_news(node);
+}
+
+fn apply_survivor(node: &Node, survivor: Survivor, source: &str) {
+    let mut evidence = node.crash_evidence.borrow_mut();
+    if !evidence.record_survivor(node.now(), survivor) {
+        return;
+    }
+    log::info!(
+        event = "content_survived", content = survivor.content.to_string(),
+        at = format!("{:016x}", survivor.at.0), events = survivor.reach.events,
+        lasted_ms = survivor.reach.lasted.as_millis(), source = source;
+        ""
+    );
+}
+
 /// Releases a part or content by its id on an operator's word; returns whether it was refused.
 pub fn release(node: &Node, id: u64) -> bool {
     let refused = node.crash_evidence.borrow().refused(node.now());
@@ -217,6 +250,9 @@
             log_refused(refused, "peer");
         }
     }
+    for survivor in &told.survivors {
+        apply_survivor(node, *survivor, "peer");
+    }
     judge(node);
     tell_news(node);
 }
@@ -237,6 +273,7 @@
     log::info!(
         event = event, ended = format!("{:016x}", report.ended.0), parts = list(&parts),
         content = list(&contents), crashes = crashes.unwrap_or(0), begun = report.begun,
+        events = report.reach.events, lasted_ms = report.reach.lasted.as_millis(),
         age_ms = report.age.as_millis(), from = from.to_string();
         ""
     );
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -509,7 +509,7 @@
             run.end(RunEnd::Complete);
             Ok(ConnectionAction::Keep)
         }
-        _ if shared.kind == EngineKind::Plain && run.crashes => run.crash().await,
+        _ if shared.kind == EngineKind::Plain && run.crash_point.is_some() => run.crash().await,
         _ if shared.kind == EngineKind::Plain => {
             answer_plain(stream, shared, req, id, fault, &run).await
         }
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -77,8 +77,8 @@
     foreign_memory: Vec<String>,
     /// Parts of prompts that crash any upstream that begins an answer on them.
     crashing_parts: Vec<String>,
-    /// Paths of requests that crash any upstream that begins to run them.
-    crashing_paths: Vec<String>,
+    /// Paths of requests that crash any upstream that runs them, each with the events before it, run by run.
+    crashing_paths: HashMap<String, Vec<u64>>,
 }
 
 impl Record {
@@ -123,20 +123,35 @@
 
     /// Makes requests with a path crash each upstream that begins to run them.
     pub fn crash_on_path(&self, path: &str) {
-        lock(&self.inner).crashing_paths.push(path.to_owned());
+        self.crash_after(path, &[0]);
+    }
+
+    /// Makes requests with a path crash each upstream that runs them, after as many events as stated for one run after
+    /// the other.
+    pub fn crash_after(&self, path: &str, events: &[u64]) {
+        let mut inner = lock(&self.inner);
+        inner
+            .crashing_paths
+            .insert(path.to_owned(), events.to_vec());
     }
 
     /// Returns the paths of requests that crash upstreams.
     #[must_use]
     pub fn crashing_paths(&self) -> Vec<String> {
-        lock(&self.inner).crashing_paths.clone()
+        let inner = lock(&self.inner);
+        inner.crashing_paths.keys().cloned().collect()
     }
 
-    /// Returns whether a request with this path and these parts crashes upstreams.
-    pub(super) fn is_crashing(&self, path: &str, parts: &[String]) -> bool {
+    /// Returns the events after which the next run on this path and with these parts crashes its upstream; `None` if it
+    /// doesn't.
+    pub(super) fn crash_point(&self, path: &str, parts: &[String]) -> Option<u64> {
         let inner = lock(&self.inner);
-        let has_part = parts.iter().any(|p| inner.crashing_parts.contains(p));
-        has_part || inner.crashing_paths.iter().any(|p| p == path)
+        if parts.iter().any(|p| inner.crashing_parts.contains(p)) {
+            return Some(0);
+        }
+        let points = inner.crashing_paths.get(path)?;
+        let runs = inner.runs.iter().filter(|r| r.path == path).count();
+        points.get(runs % points.len().max(1)).copied()
     }
 
     /// Returns the runs of requests with a path.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -39,8 +39,8 @@
     shared: &'a Shared,
     run: usize,
     after: u64,
-    /// Whether its path or a part of its prompt crashes the upstream.
-    pub(super) crashes: bool,
+    /// Events after which its path or a part of its prompt crashes the upstream.
+    pub(super) crash_point: Option<u64>,
 }
 
 impl<'a> ActiveRun<'a> {
@@ -50,7 +50,7 @@
         let now = Instant::now();
         let shared_parts = req.shared_parts();
         let path = req.path.split('?').next().unwrap_or_default();
-        let crashes = shared.record.is_crashing(path, &shared_parts);
+        let crash_point = shared.record.crash_point(path, &shared_parts);
         let run = shared.record.begin(Run {
             request_id: id.to_owned(),
             instance: instance.to_owned(),
@@ -76,7 +76,7 @@
             shared,
             run,
             after,
-            crashes,
+            crash_point,
         }
     }
 
@@ -218,11 +218,14 @@
         run.end(RunEnd::Broken);
         return Ok(ConnectionAction::Close);
     }
-    if run.crashes {
+    if run.crash_point == Some(0) {
         tokio::time::sleep(CRASH_DELAY).await;
         return run.crash().await;
     }
     for number in run.after + 1..=last_event {
+        if run.crash_point == Some(number - run.after - 1) {
+            return run.crash().await;
+        }
         let breaks = matches!(fault, AnswerFault::Truncate | AnswerFault::CutInEvent);
         if breaks && number == run.after + 5 {
             let half = event(id, number, &version);
