Count the upstreams of a resumable stream against its route

Callers' streams that were broken off twice ran on a third upstream, where `max_attempts` of their route was 2.

Cause: a stream that broke asked whether it may run anew by its number of breaks (`breaks <= max_attempts`). Breaks are one behind the upstreams it was sent to, and attempts before the head weren't in the number at all.

Change: each request keeps the upstreams to which it was sent to begin a run (`AttemptedUpstreams`), from its first attempt on. A stream may run anew while they are fewer than `max_attempts`. Upstreams that ended or are cut off are taken out, as the rule says; a run that goes on from a copy of its memory is the same run and isn't counted.

Ruled out: `breaks < max_attempts` alone. It counts breaks at upstreams that ended, so a sound stream would be cut while upstreams are lost, and still leaves attempts before the head out.

Before: `resumable_stream_runs_at_no_more_engines_than_its_route_allows` failed, three runs where two are allowed. After: it passes, with `engines_that_ended_do_not_count_for_a_resumable_stream`, which passed before as well, and with processes, processes_versions, processes_lost_answers and processes_late_crashes (80 cases in all).

--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -137,6 +137,9 @@
 /// Records a crash if a later incarnation of the upstream is known, or it accepts no connection.
 async fn check(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) -> Contact {
     let contact = contact(job, ix).await;
+    if contact != Contact::Answers {
+        job.attempted.borrow_mut().record_lost(ix);
+    }
     if has_left(job, ix) {
         return contact;
     }
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -140,6 +140,9 @@
     job.tries_suspect_again.set(false);
     let sent_at = job.now();
     let req = request(job, &record.instance, options);
+    if options.memory.is_none() {
+        job.attempted.borrow_mut().record_sent(ix);
+    }
     on_sent();
     let response = tokio::select! {
         response = link.sender.try_send_request(req) => response.map_err(send_error)?,
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -393,8 +393,13 @@
 
     /// Returns the next possible continuation.
     fn next_continuation(&mut self, tried: &[UpstreamIx]) -> Option<Continuation> {
-        let kind = self.job.route.kind;
-        let may_run_anew = kind.is_retryable() && self.breaks <= self.job.route.max_attempts;
+        let route = &self.job.route;
+        let allows_another = self
+            .job
+            .attempted
+            .borrow()
+            .allows_another(route.max_attempts);
+        let may_run_anew = route.kind.is_retryable() && allows_another;
         let need = self.remaining_need(false);
         let mut copies = Copies {
             job: &self.job,
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -4,13 +4,13 @@
 use crate::node::Node;
 use bytes::Bytes;
 use fireflycroft::{
-    Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec, StreamOrigin, Suspect, Time,
-    UpstreamIx, VersionKey,
+    AttemptedUpstreams, Digest, EngineSpec, Name, Need, RegionSet, RequestHead, RouteSpec,
+    StreamOrigin, Suspect, Time, UpstreamIx, VersionKey,
 };
 use fireflynet::{Account, Charge};
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,6 +57,8 @@
     pub content: Digest,
     /// What it has in common with other requests that may crash upstreams.
     pub suspects: Vec<Suspect>,
+    /// Upstreams to which it was sent to begin a run.
+    pub attempted: RefCell<AttemptedUpstreams>,
     /// Upstreams that crashed as its answer was beginning there.
     pub crashed_beginnings: Cell<u32>,
     /// Whether it is still to try a refused suspect again.
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -23,7 +23,7 @@
 use hyper::http::uri::Authority;
 use hyper::{HeaderMap, Request, Uri};
 use rand::{Rng, RngExt};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -226,6 +226,7 @@
         body,
         content,
         suspects,
+        attempted: RefCell::default(),
         crashed_beginnings: Cell::new(0),
         tries_suspect_again: Cell::new(tries_part_again || tries_content_again),
         sent_at: Cell::new(arrival),
