Stop a generation at its upstream when the agent gives it up

The project's own path had the end of a connection taken for the end of a run as well: the caller heard `UpstreamFailed`, or its request was restarted at another upstream, while the first upstream went on with the generation.

Cause: `Agent::on_lost`, reached when a stream can't be resumed or broke more often than `max_resumes`, ended the generation at the agent only. Just the change of the software version sent a stop.

Change: `on_lost` stops what is still running before it ends it, at the one place that all of these ways pass.

Ruled out: a stop when the upstream is down or has ended; nothing runs there then. Holding the caller's answer back until the stop is answered: the entry restarts only requests that may be repeated and of which the caller has received nothing, so a few milliseconds of two runs break no rule there.

Before: `lost_generation_is_stopped_before_its_caller_hears` and `generation_that_broke_too_often_is_stopped` failed, no stop. After: they pass; fireflycroft and fireflyd pass whole.

--- a/fireflycroft/src/agent_generations.rs
+++ b/fireflycroft/src/agent_generations.rs
@@ -91,7 +91,6 @@
         if g.log.end() == 0 {
             g.software_version = software_version;
         } else if software_version.is_none() || g.software_version != software_version {
-            out.push(AgentAction::Stop(id));
             out.push(note("software_version_changed", request_of(g), None));
             self.on_lost(now, id, out);
         }
@@ -197,7 +196,12 @@
         out.push(note("upstream_stream_broken", request_of(g), None));
     }
 
+    /// Ends a generation whose tokens can no longer be read, and stops it at its upstream, which may go on with it.
     pub(crate) fn on_lost(&mut self, now: Time, id: GenerationId, out: &mut Vec<AgentAction>) {
+        if self.find(id).is_none_or(|g| !g.is_running()) {
+            return;
+        }
+        out.push(AgentAction::Stop(id));
         self.finish_with_code(now, id, Code::UpstreamFailed, "upstream failed", out);
     }
 
