--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -22,11 +22,11 @@
 use soak_parts::callers::Callers;
 use soak_parts::plan::{
     Fault, Step, plan, plan_beside_crashes, plan_of_planned_work, plan_with_conditions,
-    plan_with_drills, plan_with_unheard_departures, plan_with_versions,
+    plan_with_drills, plan_with_lost_answers, plan_with_unheard_departures, plan_with_versions,
 };
 use soak_parts::run::{
-    CRASHING_PARTS, CRASHING_REQUESTS, Changes, LATE_RETURNS, SLOW_READERS, UNCHANGED, VERSIONS,
-    env_or, run_plan, run_plan_with,
+    CRASHING_PARTS, CRASHING_REQUESTS, Changes, LATE_CRASHES, LATE_RETURNS, SLOW_READERS,
+    UNCHANGED, VERSIONS, env_or, run_plan, run_plan_with,
 };
 use standins::site::{Attempt, Outcome, ProxyFault};
 use std::time::Duration;
@@ -61,6 +61,12 @@
 /// Default seeds of soaks with a request that crashes engines and comes again.
 const DEFAULT_REQUEST_SEEDS: &str = "1,2,3";
 
+/// Default seeds of soaks with a request that crashes engines at any point of its answer.
+const DEFAULT_LATE_CRASH_SEEDS: &str = "1,2";
+
+/// Default seeds of soaks with engines whose answers are lost while their runs go on.
+const DEFAULT_LOST_ANSWER_SEEDS: &str = "1,2,3";
+
 /// Seed of a plan beside crashes in which all entries stop at once.
 const ALL_STOPPED_SEED: u64 = 32_677;
 
@@ -199,6 +205,36 @@
     }
 }
 
+/// One request crashes engines at any point of its answer and comes again, combined with other faults.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_crashes_among_faults_keep_the_promises() {
+    let seeds = DEFAULT_LATE_CRASH_SEEDS.to_owned();
+    let seeds: String = env_or("FIREFLY_SOAK_LATE_CRASH_SEEDS", seeds);
+    let seconds = env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS).max(MIN_REQUEST_SECONDS);
+    let seconds = Duration::from_secs(seconds);
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_beside_crashes(seed, seconds);
+        let name = format!("late crashes, seed {seed}");
+        let crashes = run_plan_with(LATE_CRASHES, &name, &steps, seconds)
+            .await
+            .crashes;
+        println!("{name}: {crashes} engines crashed");
+    }
+}
+
+/// Answers are lost while their runs go on, combined with other faults: no request runs twice at a time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answers_among_faults_keep_the_promises() {
+    let seeds = DEFAULT_LOST_ANSWER_SEEDS.to_owned();
+    let seeds: String = env_or("FIREFLY_SOAK_LOST_ANSWER_SEEDS", seeds);
+    let seconds = Duration::from_secs(env_or("FIREFLY_SOAK_SECONDS", DEFAULT_SECONDS));
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let steps = plan_with_lost_answers(seed, seconds);
+        let name = format!("lost answers, seed {seed}");
+        run_plan(&name, &steps, seconds).await;
+    }
+}
+
 /// All entries stop within two seconds, so that what they know of the request is lost, and it comes again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_comes_again_after_all_entries_stopped_is_refused() {
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use standins::site::{AnswerFault, ProxyFault};
+use standins::site::{AnswerFault, Loss, ProxyFault};
 use std::time::Duration;
 
 /// A fault or an operation on the site.
@@ -220,6 +220,30 @@
     steps
 }
 
+/// Adds engines whose answers are lost while their runs go on to few other faults.
+pub(crate) fn plan_with_lost_answers(seed: u64, length: Duration) -> Vec<Step> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(56));
+    let mut steps = plan_beside_crashes(seed, length);
+    let mut at = Duration::from_millis(500);
+    while at < length {
+        let how = if rng.random() {
+            Loss::Reset
+        } else {
+            Loss::Close
+        };
+        steps.push(Step {
+            at,
+            span: Duration::from_millis(rng.random_range(300..1_500)),
+            fault: Fault::Answers(AnswerFault::LoseRest(rng.random_range(0..8), how)),
+            // An odd number picks a model engine.
+            pick: rng.random_range(0..500) * 2 + 1,
+        });
+        at += Duration::from_millis(rng.random_range(100..900));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Returns planned work alone, most of it stops of entries: it may cut no answer.
 pub(crate) fn plan_of_planned_work(seed: u64, length: Duration) -> Vec<Step> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(40));
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -45,6 +45,8 @@
     pub(crate) two_versions: bool,
     /// What crashes engines.
     pub(crate) cause: CrashCause,
+    /// Events after which the runs of a request that crashes engines do so, one run after the other.
+    pub(crate) crash_points: &'static [u64],
     /// Whether the plan has planned work only, which may cut no answer.
     pub(crate) is_planned: bool,
     /// Time at which the seeds of the entries, all wrong till then, are corrected.
@@ -59,6 +61,7 @@
     engines: INITIAL_ENGINES,
     two_versions: false,
     cause: CrashCause::Nothing,
+    crash_points: &[0],
     is_planned: false,
     corrected_at: None,
 };
@@ -71,6 +74,12 @@
     ..UNCHANGED
 };
 
+/// The same, with crashes at any point of its answer.
+pub(crate) const LATE_CRASHES: Changes = Changes {
+    crash_points: &[0, 12, 38, 25],
+    ..CRASHING_REQUESTS
+};
+
 /// Streams of which some crash engines by a part of their prompts.
 pub(crate) const CRASHING_PARTS: Changes = Changes {
     callers: Callers::crashing,
@@ -142,7 +151,7 @@
     match changes.cause {
         CrashCause::Nothing => {}
         CrashCause::Part => site.record.crash_on(BAD_PART),
-        CrashCause::Request => site.record.crash_on_path(BAD_PATH),
+        CrashCause::Request => site.record.crash_after(BAD_PATH, changes.crash_points),
     }
     site.use_proxies().await;
     site.log_objective_ms = LOG_OBJECTIVE_MS;
