Move the capacity check and the faults of answers to files of their own

Pure moves: capacity_check from call, Resumption to continuation, AnswerFault and Loss from the stand-in's engine to faults.

--- a/fireflydirect/src/continuation.rs
+++ b/fireflydirect/src/continuation.rs
@@ -1,6 +1,7 @@
 //! Where a stream that broke off may go on: the copies of its run's memory, in order, then a new run.
 
 use crate::assignment::AssignmentGuard;
+use crate::crash::Contact;
 use crate::job::Job;
 use crate::runs::Run;
 use fireflycroft::{MemoryCopy, Need, UpstreamIx, VersionKey};
@@ -15,6 +16,16 @@
     pub(crate) assignment: Option<AssignmentGuard>,
 }
 
+/// Result of an attempt to resume a stream at an upstream.
+pub(crate) enum Resumption {
+    /// The stream goes on there.
+    GoesOn,
+    /// It doesn't, and nothing runs there.
+    NotRun,
+    /// It doesn't, but its request may run there.
+    MayRun(Contact),
+}
+
 /// The copies of a run's memory.
 pub(crate) struct Copies<'a> {
     pub(crate) job: &'a Job,
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -9,7 +9,7 @@
 use crate::answer::{Answer, AnswerBody, BrokenStream, relayed_answer};
 use crate::assignment::AssignmentGuard;
 use crate::call::{StartedStream, assign_backup};
-use crate::continuation::{self, Continuation, Copies};
+use crate::continuation::{self, Continuation, Copies, Resumption};
 use crate::crash::{self, Contact, Progress};
 use crate::event_times::EventTimes;
 use crate::exchange::{ResponseStart, SendError, SendOptions, release_link, send};
@@ -85,16 +85,6 @@
     estimated_at: u64,
 }
 
-/// Result of an attempt to resume a stream at an upstream.
-enum Resumption {
-    /// The stream goes on there.
-    GoesOn,
-    /// It doesn't, and nothing runs there.
-    NotRun,
-    /// It doesn't, but its request may run there.
-    MayRun(Contact),
-}
-
 /// Returns an answer whose body is relayed from a started stream.
 #[must_use]
 pub fn relay(job: Rc<Job>, stream: StartedStream) -> Answer {
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod assignment;
 pub mod call;
 pub mod callers;
+mod capacity_check;
 pub mod choice_log;
 pub mod client;
 pub mod clock;
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod broken_answers;
 mod checker;
 mod engine;
+mod faults;
 mod http;
 mod moves;
 mod proxy;
@@ -18,7 +19,8 @@
 
 pub use broken_answers::{BrokenAnswer, BrokenServer};
 pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
-pub use engine::{AnswerFault, Engine, EngineKind, FIRST_VERSION, Loss};
+pub use engine::{Engine, EngineKind, FIRST_VERSION};
+pub use faults::{AnswerFault, Loss};
 pub use moves::{Moves, StopAnswer};
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -8,7 +8,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::engine::{AnswerFault, ConnectionAction, FIRST_VERSION, Shared};
+use super::engine::{ConnectionAction, FIRST_VERSION, Shared};
+use super::faults::AnswerFault;
 use super::http::{
     Framing, Headers, Request, until_closed, write_answer, write_piece, write_stream_head,
 };
