Keep a leaving across a restore for upstreams that state no start

Cause: with_departure_kept asked for a known start. Records of some deployments state none; there each start has an id of its own (PROTOCOL, Engines), so that the same id is the same incarnation. Shown by the entries' lines: upstream_leaves, store_restored, upstream_came of one instance with incarnation=0. Ruled out: a leaving that was not heard of; a new start under the id, which those deployments don't have. A record that states a start after one without is of another incarnation, as before.

Change: equal incarnations, stated or not, are the same. Stand-ins can omit their start, in the record and in reports.

--- a/fireflycroft/src/listing.rs
+++ b/fireflycroft/src/listing.rs
@@ -185,15 +185,16 @@
     /// Returns the record, set to leaving if its upstream left before the store was restored.
     ///
     /// An incarnation that announced its leaving, or was removed, never takes new work again. Until it
-    /// writes its record in the new era, the restored list contains an older one.
+    /// writes its record in the new era, the restored list contains an older one. Where records state no
+    /// start, each incarnation has an id of its own.
     fn with_departure_kept(&self, record: UpstreamRecord) -> UpstreamRecord {
         let Some(ix) = self.find(&record.instance) else {
             return record;
         };
         let held = &self.upstreams[ix.0];
         let is_of_later_era = era_of(record.revision) > era_of(held.record.revision);
-        let is_same_incarnation = record.incarnation.is_known()
-            && record.upstream_incarnation() == held.record.upstream_incarnation();
+        let is_same_incarnation =
+            record.upstream_incarnation() == held.record.upstream_incarnation();
         let had_left = held.removed || held.record.state == UpstreamState::Leaving;
         if is_of_later_era && is_same_incarnation && had_left {
             let state = UpstreamState::Leaving;
--- a/fireflycroft/tests/restored.rs
+++ b/fireflycroft/tests/restored.rs
@@ -28,6 +28,10 @@
     upstream_that_left_before_does_not_serve_by_the_copy => left_before();
     upstream_that_is_gone_does_not_serve_by_the_copy => gone_before();
     upstream_that_writes_its_record_anew_serves => writes_anew();
+    upstream_that_states_no_start_and_left_does_not_serve_by_the_copy => left_without_start();
+    upstream_that_states_no_start_and_is_gone_does_not_serve_by_the_copy => gone_without_start();
+    upstream_that_states_no_start_and_writes_its_record_anew_serves => anew_without_start();
+    upstream_that_states_its_start_after_the_restore_serves => start_stated_later();
     another_incarnation_of_one_that_left_serves => another_incarnation();
     evacuation_that_the_copy_lacks_holds_for_a_while => evacuation_is_unconfirmed();
     evacuation_ended_without_outage_is_over => evacuation_ends();
@@ -139,6 +143,55 @@
     assert!(serves(&pool, "a"));
 }
 
+/// Returns a record without a start, as of a deployment on which none is stated.
+fn without_start(of: UpstreamRecord) -> UpstreamRecord {
+    UpstreamRecord {
+        incarnation: Incarnation::default(),
+        ..of
+    }
+}
+
+/// Creates a pool with an upstream that states no start.
+fn pool_without_starts() -> Pool {
+    let mut pool = settled_pool();
+    pool.upsert(at(9_000), without_start(serving("c", revision_in(1, 902))));
+    assert!(serves(&pool, "c"));
+    pool
+}
+
+fn left_without_start() {
+    let mut pool = pool_without_starts();
+    pool.upsert(at(9_000), without_start(leaving("c", revision_in(1, 990))));
+    pool.record_store_restored(at(9_100));
+    pool.upsert(at(9_100), without_start(serving("c", revision_in(2, 902))));
+    assert!(!serves(&pool, "c"));
+}
+
+fn gone_without_start() {
+    let mut pool = pool_without_starts();
+    pool.apply_removal(at(9_000), "c", revision_in(1, 990));
+    pool.record_store_restored(at(9_100));
+    pool.upsert(at(9_100), without_start(serving("c", revision_in(2, 902))));
+    assert!(!serves(&pool, "c"));
+}
+
+fn anew_without_start() {
+    let mut pool = pool_without_starts();
+    pool.apply_removal(at(9_000), "c", revision_in(1, 990));
+    pool.record_store_restored(at(9_100));
+    pool.upsert(at(9_100), without_start(serving("c", revision_in(2, 902))));
+    pool.upsert(at(10_000), without_start(serving("c", revision_in(2, 951))));
+    assert!(serves(&pool, "c"));
+}
+
+fn start_stated_later() {
+    let mut pool = pool_without_starts();
+    pool.upsert(at(9_000), without_start(leaving("c", revision_in(1, 990))));
+    pool.record_store_restored(at(9_100));
+    pool.upsert(at(9_100), serving("c", revision_in(2, 951)));
+    assert!(serves(&pool, "c"));
+}
+
 fn another_incarnation() {
     let mut pool = settled_pool();
     pool.upsert(at(9_000), leaving("a", revision_in(1, 990)));
--- a/fireflydirect/tests/processes_restored.rs
+++ b/fireflydirect/tests/processes_restored.rs
@@ -86,6 +86,26 @@
         }
     }
 
+    upstream_without_a_start_that_left_is_not_believed_to_serve(site: 2) {
+        site.start_engine(2).await;
+        site.engines[2].omit_start();
+        announce_state(&site, 2, "ready");
+        for entry in 0..2 {
+            until("the new engine", || serves(&site, entry, "m-2")).await;
+        }
+        let copy = site.store.snapshot();
+        announce_state(&site, 2, "draining");
+        for entry in 0..2 {
+            until_leaving(&site, entry, "m-2").await;
+        }
+        site.store.restore(copy);
+        announce_state(&site, 0, "draining");
+        for entry in 0..2 {
+            until_leaving(&site, entry, "m-0").await;
+            assert!(!serves(&site, entry, "m-2").await, "{}", site.log(entry));
+        }
+    }
+
     engine_that_started_since_the_copy_goes_on(site: 2) {
         let copy = site.store.snapshot();
         site.add_engine(2).await;
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -73,6 +73,8 @@
     is_silent_about_ids: AtomicBool,
     /// Whether its clock is set back before its next start.
     is_clock_set_back: AtomicBool,
+    /// Whether what it says of itself states no start.
+    omits_start: AtomicBool,
     /// Whether a request has crashed it.
     pub(super) has_crashed: AtomicBool,
     /// Runs that can be moved.
@@ -99,12 +101,21 @@
             repeats_move_answers: AtomicBool::new(false),
             is_silent_about_ids: AtomicBool::new(false),
             is_clock_set_back: AtomicBool::new(false),
+            omits_start: AtomicBool::new(false),
             has_crashed: AtomicBool::new(false),
             moves: Moves::default(),
             crash: Notify::new(),
         }
     }
 
+    /// Returns what it says of itself, with its start unless it states none.
+    pub(super) fn with_start(&self, mut said: Value) -> Value {
+        if !self.omits_start.load(Ordering::Relaxed) {
+            said["born"] = json!(self.born);
+        }
+        said
+    }
+
     /// Returns how answers that are written in pieces end.
     pub(super) fn framing(&self) -> Framing {
         if self.ends_with_connection.load(Ordering::Relaxed) {
@@ -189,6 +200,11 @@
         self.shared.is_clock_set_back.store(true, Ordering::Relaxed);
     }
 
+    /// Makes it state no start from now on.
+    pub fn omit_start(&self) {
+        self.shared.omits_start.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the version of its software.
     #[must_use]
     pub fn version(&self) -> String {
@@ -221,9 +237,9 @@
     /// Returns the record with which the upstream registers in the store.
     #[must_use]
     pub fn registration(&self, service: &str, state: &str) -> Value {
-        json!({"service": service, "address": self.addr().to_string(), "zone": "a",
-            "version": self.version(), "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1,
-            "born": self.born()})
+        let said = json!({"service": service, "address": self.addr().to_string(), "zone": "a",
+            "version": self.version(), "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1});
+        self.shared.with_start(said)
     }
 
     /// Sets the fault for subsequent requests.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -306,8 +306,9 @@
     let row = |id: &String| json!([id, RUN_TOKENS, 1, 5]);
     let runs: Vec<Value> = shared.moves.running().iter().map(row).collect();
     let state = leaves_ms.map_or("ready", |_| "draining");
-    let body = json!({"born": shared.born, "waiting": 0, "running": runs.len(),
-        "state": state, "leaves_ms": leaves_ms, "runs": runs});
+    let said = json!({"waiting": 0, "running": runs.len(), "state": state, "leaves_ms": leaves_ms,
+        "runs": runs});
+    let body = shared.with_start(said);
     let mut answer = OwnAnswer::new(200, body.to_string());
     if shared.closes.load(Ordering::Relaxed) {
         let close = ("Connection".to_owned(), "close".to_owned());
