Cut long values of log lines

Beside a record of the store that is a text of 1 MB, other lines of the entries were lost: the operator missed that an upstream came (text_instead_of_a_record).

Cause: the line of the unreadable record has the whole text in its reason. With 1,000,176 bytes it fills the queue of 1 MiB of the writer, so that lines logged within its batch are dropped. Shown by the logs of a failed run: that line at all four entries, and event=log_dropped lines=1 at those that miss upstream_came. Ruled out: that entries don't follow the list then; with nothing but the line cut the test passes, which waits for the upstreams that come after the record.

Change: a value is cut to 4 KiB, between characters, with its length after it, for any line of both programs.

--- a/fireflylog/src/lib.rs
+++ b/fireflylog/src/lib.rs
@@ -8,6 +8,7 @@
 //! ```
 //!
 //! Lines without an event, as logged by libraries, have `event=log` with `target` and `message`.
+//! Values are cut at [`MAX_VALUE_BYTES`].
 
 mod bounded;
 
@@ -27,6 +28,8 @@
 const REQUEST_ID_KEY: &str = "req";
 /// Event name of a line without one.
 const DEFAULT_EVENT: &str = "log";
+/// Longest value in a line, in bytes: one line can't fill the queue, so that no others are dropped for it.
+pub const MAX_VALUE_BYTES: usize = 4 << 10;
 const SECONDS_PER_DAY: u64 = 86_400;
 
 tokio::task_local! {
@@ -113,8 +116,18 @@
         self.value(value);
     }
 
-    /// Writes a value, quoted if it is empty or contains other than plain characters.
+    /// Writes a value, cut to [`MAX_VALUE_BYTES`] with its length after it.
     fn value(&mut self, value: &str) {
+        let kept = &value[..value.floor_char_boundary(MAX_VALUE_BYTES)];
+        if kept.len() < value.len() {
+            self.quoted_if_needed(&format!("{kept}... {} bytes", value.len()));
+        } else {
+            self.quoted_if_needed(value);
+        }
+    }
+
+    /// Writes a value, quoted if it is empty or contains other than plain characters.
+    fn quoted_if_needed(&mut self, value: &str) {
         if !value.is_empty() && value.chars().all(is_plain) {
             self.text.push_str(value);
             return;
--- a/fireflylog/tests/logs.rs
+++ b/fireflylog/tests/logs.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, UNIX_EPOCH};
 
-use fireflylog::{LineLayout, in_request, in_request_sync, utc};
+use fireflylog::{LineLayout, MAX_VALUE_BYTES, in_request, in_request_sync, utc};
 use logforth::Layout;
 use logforth::kv::{Key, Value};
 use logforth::record::{Level, Record};
@@ -53,6 +53,12 @@
         => "level=info event=e v=\"a=b\"";
     other_scripts_are_kept: Info, [("event", Value::str("e")), ("v", Value::str("Čelje"))], ""
         => "level=info event=e v=\"Čelje\"";
+    a_value_of_the_longest_length_is_kept: Info, [("event", Value::str("e")), ("v", Value::str(&"a".repeat(MAX_VALUE_BYTES)))], ""
+        => format!("level=info event=e v={}", "a".repeat(MAX_VALUE_BYTES));
+    a_longer_value_is_cut: Info, [("event", Value::str("e")), ("v", Value::str(&"a".repeat(1_000_000)))], ""
+        => format!("level=info event=e v=\"{}... 1000000 bytes\"", "a".repeat(MAX_VALUE_BYTES));
+    a_longer_message_is_cut_between_characters: Info, [("event", Value::str("e"))], &format!("a{}", "č".repeat(MAX_VALUE_BYTES))
+        => format!("level=info event=e message=\"a{}... {} bytes\"", "č".repeat(MAX_VALUE_BYTES / 2 - 1), 2 * MAX_VALUE_BYTES + 1);
     a_key_stays_one_word: Info, [("event", Value::str("e")), ("a b=", Value::u64(1))], ""
         => "level=info event=e a_b_=1";
 }
