Take an upstream that ends every connection for ended

Cause: the engine was gone, but something before it, a proxy, still accepted connections and reset each. So the contact check said that it answers, the order to stop was lost, no report came, and until_over waited as long as the caller does. Shown by the stream's lines: stop_ordered, move_failed why="Connection reset by peer" stop_order=lost, run_may_go_on why="its upstream gives no report" waited_ms=5635. Ruled out: a run that worked on (it had ended with its engine); an engine that is slow to answer: a check without an answer in time doesn't count.

Change: four checks in a row in which the upstream ends its connections without an answer, over some 0.4 s, show that it has ended. One that works on answers at least one of them; a connection that is kept open shows nothing, as before.

--- a/fireflydirect/src/own_calls.rs
+++ b/fireflydirect/src/own_calls.rs
@@ -14,6 +14,7 @@
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::fmt;
+use std::io;
 use std::time::Duration;
 
 /// Upstreams that echo the ids of calls.
@@ -136,6 +137,18 @@
     }
 }
 
+/// Returns whether a call failed because its connection ended without an answer.
+#[must_use]
+pub fn is_connection_end(e: &anyhow::Error) -> bool {
+    let is_end = |cause: &(dyn std::error::Error + 'static)| {
+        let http = cause.downcast_ref::<hyper::Error>();
+        let io = cause.downcast_ref::<io::Error>();
+        http.is_some_and(|e| e.is_incomplete_message() || e.is_closed() || e.is_canceled())
+            || io.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionReset)
+    };
+    e.chain().any(is_end)
+}
+
 /// Returns whether a call failed before any of it left this process.
 fn is_unsent(e: &anyhow::Error) -> bool {
     let e = e.downcast_ref::<hyper::Error>();
--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -3,12 +3,14 @@
 //! A connection that breaks shows nothing about the run behind it: most upstreams drop a request whose connection closes,
 //! but one may lose an answer on its way and work on. So the run is ordered to stop, as for a move. An upstream that has
 //! no such run says so at once, and one that works on stops and gives its memory, from which the stream goes on. Where
-//! the order isn't carried out, the upstream's report tells whether it still lists the run.
+//! the order isn't carried out, the upstream's report tells whether it still lists the run. An upstream that ends every
+//! connection without an answer has ended itself, behind something that accepts connections for it.
 
 use crate::crash::{self, Contact};
 use crate::departures::fetch_report;
 use crate::job::Job;
 use crate::memory_copy::stop_and_copy;
+use crate::own_calls::is_connection_end;
 use crate::runs::{MigrationCopy, Run};
 use fireflycroft::{MAX_REPORT_AGE, MemoryCopy, Need, StopOrder, Time, UpstreamIx};
 use fireflycroft_platform::MigrationOutcome;
@@ -26,6 +28,9 @@
 /// Shortest time in which a run is given the chance to be over; longer than one check.
 const MIN_WAIT: Duration = Duration::from_secs(1);
 
+/// Checks in a row in which the upstream ends its connections without an answer, until it is taken for ended.
+const MAX_UNANSWERED: u32 = 4;
+
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunState {
@@ -33,6 +38,8 @@
     Over(&'static str),
     /// It may go on; with what was found last.
     Open(&'static str),
+    /// It may go on; its upstream ended the connection without an answer.
+    Unanswered,
 }
 
 /// A run whose connection broke.
@@ -61,12 +68,18 @@
     let deadline = job.node.clock.instant(until);
     let mut broken = broken;
     let mut pause = FIRST_PAUSE;
+    let mut unanswered = 0;
     loop {
         let checking = timeout_at(deadline, check(job, run, broken));
         let state = checking
             .await
             .unwrap_or(RunState::Open("no answer in time"));
-        match state {
+        unanswered = if state == RunState::Unanswered {
+            unanswered + 1
+        } else {
+            0
+        };
+        match resolve(state, unanswered) {
             RunState::Over(why) => {
                 log(job, at, broke_at, "run_over", why);
                 return true;
@@ -75,13 +88,24 @@
                 log(job, at, broke_at, "run_may_go_on", why);
                 return false;
             }
-            RunState::Open(_) => tokio::time::sleep(pause).await,
+            RunState::Open(_) | RunState::Unanswered => tokio::time::sleep(pause).await,
         }
         pause = (pause * 2).min(MAX_PAUSE);
         broken.contact = crash::contact(job, at).await;
     }
 }
 
+/// Returns what is known after a number of checks in a row without an answer.
+const fn resolve(state: RunState, unanswered: u32) -> RunState {
+    match state {
+        RunState::Unanswered if unanswered >= MAX_UNANSWERED => {
+            RunState::Over("its upstream answers on no connection")
+        }
+        RunState::Unanswered => RunState::Open("its upstream ends connections without an answer"),
+        RunState::Over(_) | RunState::Open(_) => state,
+    }
+}
+
 async fn check(job: &Rc<Job>, run: &Run, broken: BrokenRun) -> RunState {
     match broken.contact {
         Contact::Ended => return RunState::Over("its upstream has ended"),
@@ -157,10 +181,11 @@
 async fn check_report(job: &Job, run: &Run, broken: BrokenRun) -> RunState {
     let node = &job.node;
     let at = broken.at;
-    let Ok(fetched) = fetch_report(node, at).await else {
-        return RunState::Open("its upstream gives no report");
+    let report = match fetch_report(node, at).await {
+        Ok(fetched) => fetched.report,
+        Err(e) if is_connection_end(&e) => return RunState::Unanswered,
+        Err(_) => return RunState::Open("its upstream gives no report"),
     };
-    let report = fetched.report;
     let expected = node.pool.borrow().record(at).incarnation;
     if expected.is_known() && report.incarnation != expected {
         return RunState::Over("its upstream has started again");
--- a/fireflydirect/tests/processes_lost_answers.rs
+++ b/fireflydirect/tests/processes_lost_answers.rs
@@ -5,7 +5,7 @@
 use reqwest::RequestBuilder;
 use standins::site::{AnswerFault, Loss, RunEnd, StopAnswer};
 use std::time::Duration;
-use support::{Site, until, whole_stream};
+use support::{KEY, Site, until, whole_stream};
 
 /// Events of a stream.
 const EVENTS: u64 = 200;
@@ -58,16 +58,56 @@
     };
 }
 
-async fn site() -> Site {
+/// Defines test cases of a stream whose engine ends behind a proxy, which goes on accepting connections.
+macro_rules! ended {
+    ($($name:ident($req:ident, $path:literal);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let site = site_behind_proxies().await;
+                let id = site.id();
+                let answer = site.$req(0, $path, EVENTS, &id).send().await.unwrap();
+                let kill = async {
+                    tokio::time::sleep(Duration::from_millis(500)).await;
+                    site.engines[site.engine_of(&id).await].kill();
+                };
+                let (body, ()) = futures_util::future::join(answer.text(), kill).await;
+                let body = body.unwrap_or_default();
+                assert!(body == whole_stream(&id, EVENTS), "{body} {}", site.log(0));
+                check_overlap(&site, &id);
+                site.check();
+            }
+        )+
+    };
+}
+
+async fn site_behind_proxies() -> Site {
     let mut site = Site::without_entries().await;
     for number in 2..ENGINES {
-        site.add_engine(number).await;
+        site.start_engine(number).await;
     }
-    site.start_entries(1).await;
+    site.use_proxies().await;
+    site.publish(&[KEY]);
+    site.add_entry(1).await;
+    site.until_ready(0).await;
+    until_listed(&site).await;
+    site
+}
+
+async fn until_listed(site: &Site) {
     until("all engines", || async {
         site.log(0).matches("event=upstream_came").count() >= site.engines.len() + site.plains.len()
     })
     .await;
+}
+
+async fn site() -> Site {
+    let mut site = Site::without_entries().await;
+    for number in 2..ENGINES {
+        site.add_engine(number).await;
+    }
+    site.start_entries(1).await;
+    until_listed(&site).await;
     site
 }
 
@@ -131,3 +171,8 @@
     resumable_stream_does_not_run_anew_beside_a_run_that_is_not_stopped(stream, "/grade/a", MIDDLE, Reset, Refused);
     resumable_stream_does_not_run_anew_beside_a_closed_run_that_is_not_stopped(stream, "/grade/a", START, Close, Refused);
 }
+
+ended! {
+    stream_goes_on_from_its_copy_while_its_ended_engine_accepts_connections(generation, "/log/a");
+    resumable_stream_goes_on_while_its_ended_engine_accepts_connections(stream, "/grade/a");
+}
--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -71,7 +71,9 @@
 const ALL_STOPPED_SEED: u64 = 32_677;
 
 /// Default seeds of soaks with readers that are slow, before planned work.
-const DEFAULT_READER_SEEDS: &str = "1,2";
+///
+/// - 3733: a stream was cut whose engine had ended behind a proxy that accepts connections.
+const DEFAULT_READER_SEEDS: &str = "1,2,3733";
 
 /// Shortest of these soaks, in seconds: an entry that stops is gone for most of that.
 const MIN_READER_SECONDS: u64 = 12;
