Log what ended a stream and what its order to stop was answered

stream_ended says by what the body ended (last chunk, stated length or close), stream_broke the whole chain of the error, and both how long ago the last order to stop was sent. stop_answered is the answer to an order: its status, whether it answers a repeat, and what it says of the run.

No decision changes. Not needed: a line for each chunk, since the last one is told by the body's end.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -69,6 +69,16 @@
             Self::UntilClose => "until_close",
         }
     }
+
+    /// Returns the name of what ends a body in order, in logs.
+    #[must_use]
+    pub const fn end_mark(self) -> &'static str {
+        match self {
+            Self::Length => "stated length",
+            Self::Chunks => "last chunk",
+            Self::UntilClose => "close",
+        }
+    }
 }
 
 impl StopOrder {
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -236,7 +236,7 @@
         self.record_length();
         record_run_time(&self.job, self.sent_at);
         self.record_end("whole");
-        self.log_event("stream_ended", "");
+        self.log_event("stream_ended", self.framing.end_mark());
     }
 
     /// Records what a complete answer shows; one that was made in parts shows no more than its last run.
@@ -284,6 +284,7 @@
         };
         let pool = job.node.pool.borrow();
         let upstream = pool.record(self.assignment.ix);
+        let last_order = self.run.stop_orders.last_sent();
         log::log!(
             level, event = event, req = &*job.request_id, route = &*job.route.name,
             instance = &*upstream.instance,
@@ -291,6 +292,7 @@
             events = self.events.relayed(), breaks = self.breaks, why = why,
             framing = self.framing.name(),
             stop_order = self.run.stop_orders.at(&upstream.upstream_incarnation()).name(),
+            stop_order_age_ms = or_empty(last_order.map(|t| job.now().since(t).as_millis())),
             first_ms = or_empty(self.event_times.first.map(|t| t.since(job.arrival).as_millis())),
             longest_pause_ms = self.event_times.longest.as_millis(),
             longest_pause_at_ms = self.event_times.longest_since.since(job.arrival).as_millis(),
--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -1,11 +1,12 @@
 //! Calls that copy a run's memory to another upstream.
 
+use crate::log_value::or_empty;
 use crate::node::Node;
 use crate::own_calls::{CallError, call_upstream};
 use crate::runs::Run;
 use crate::stop_orders::CopyAnswer;
 use bytes::Bytes;
-use fireflycroft::{StopOrder, UpstreamIncarnation, UpstreamIx};
+use fireflycroft::{StopOrder, Time, UpstreamIncarnation, UpstreamIx};
 use fireflycroft_platform::{MigrationOutcome, is_refused, migration_call, read_migration};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
@@ -35,7 +36,7 @@
 ) -> (MigrationOutcome, StopOrder) {
     log_order(node, run, from, to);
     let ordered = node.pool.borrow().record(from).upstream_incarnation();
-    let order = OrderGuard::send(run, ordered);
+    let order = OrderGuard::send(run, ordered, node.now());
     let (outcome, settled) = request_copy(node, from, to, run, true).await;
     order.settle(settled);
     (outcome, settled)
@@ -49,8 +50,8 @@
 }
 
 impl<'a> OrderGuard<'a> {
-    fn send(run: &'a Run, ordered: UpstreamIncarnation) -> Self {
-        run.stop_orders.send(&ordered);
+    fn send(run: &'a Run, ordered: UpstreamIncarnation, now: Time) -> Self {
+        run.stop_orders.send(&ordered, now);
         Self {
             run,
             ordered,
@@ -81,6 +82,9 @@
     let (why, order) = match calling.await {
         Ok(Ok(answer)) => {
             let order = answer.stop_order();
+            if stop {
+                log_answer(node, run, from, &answer, order);
+            }
             return (answer.outcome, order);
         }
         Ok(Err(e)) if !e.may_have_arrived => (e.to_string(), StopOrder::NotSent),
@@ -116,6 +120,7 @@
     let answer = call_upstream(&node.own_links, &source, COPY_TIMEOUT, req).await?;
     let response = &answer.response;
     Ok(CopyAnswer {
+        status: response.status,
         outcome: read_migration(source.addr, response.status, &response.body),
         is_refused: is_refused(response.status, &response.headers),
         is_repeat: answer.is_repeat,
@@ -133,3 +138,15 @@
         ""
     );
 }
+
+/// Logs the answer to an order, and what it says of the run.
+fn log_answer(node: &Node, run: &Run, from: UpstreamIx, answer: &CopyAnswer, order: StopOrder) {
+    let pool = node.pool.borrow();
+    let sent = run.stop_orders.last_sent();
+    log::info!(
+        event = "stop_answered", req = &*run.request_id, from = &*pool.record(from).instance,
+        status = answer.status, is_repeat = answer.is_repeat, is_refused = answer.is_refused,
+        stop_order = order.name(), after_ms = or_empty(sent.map(|t| node.now().since(t).as_millis()));
+        ""
+    );
+}
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -2,20 +2,23 @@
 //!
 //! An index in the pool may be another upstream's later, while the run goes on.
 
-use fireflycroft::{StopOrder, UpstreamIncarnation};
+use fireflycroft::{StopOrder, Time, UpstreamIncarnation};
 use fireflycroft_platform::MigrationOutcome;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use tokio::sync::Notify;
 
 /// What is known of the orders to stop one run.
 #[derive(Default)]
 pub struct StopOrders {
     by_upstream: RefCell<Vec<(UpstreamIncarnation, StopOrder)>>,
+    last_sent: Cell<Option<Time>>,
     settled: Notify,
 }
 
 /// Answer to a call that copies memory.
 pub struct CopyAnswer {
+    /// Its status.
+    pub status: u16,
     /// What the upstream answered.
     pub outcome: MigrationOutcome,
     /// Whether it says that the call wasn't carried out.
@@ -33,8 +36,15 @@
         known.map_or_else(StopOrder::default, |(_, order)| *order)
     }
 
+    /// Returns the time at which the last order was sent, to any upstream.
+    #[must_use]
+    pub const fn last_sent(&self) -> Option<Time> {
+        self.last_sent.get()
+    }
+
     /// Records that an order is sent.
-    pub fn send(&self, upstream: &UpstreamIncarnation) {
+    pub fn send(&self, upstream: &UpstreamIncarnation, now: Time) {
+        self.last_sent.set(Some(now));
         self.update(upstream, StopOrder::send);
     }
 
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -62,7 +62,7 @@
         };
         match frame {
             Some(Ok(frame)) => Read::Data(frame.into_data().unwrap_or_default()),
-            Some(Err(e)) => Read::Broke(e.to_string()),
+            Some(Err(e)) => Read::Broke(format!("{:#}", anyhow::Error::from(e))),
             None => Read::End,
         }
     }
--- a/fireflydirect/tests/stop_orders.rs
+++ b/fireflydirect/tests/stop_orders.rs
@@ -1,7 +1,7 @@
 //! What is known of the orders to stop a run, by the upstream that they went to.
 
 use fireflycroft::StopOrder::{self, Lost, NotSent, Out, Stopped};
-use fireflycroft::{Incarnation, UpstreamIncarnation};
+use fireflycroft::{Incarnation, Time, UpstreamIncarnation};
 use fireflydirect::stop_orders::StopOrders;
 
 /// Defines test cases: an order to an upstream and its outcome, and what is then known at another one.
@@ -29,7 +29,7 @@
     at: &UpstreamIncarnation,
 ) -> StopOrder {
     let orders = StopOrders::default();
-    orders.send(ordered);
+    orders.send(ordered, Time::default());
     if let Some(outcome) = outcome {
         orders.settle(ordered, outcome);
     }
