Take the last chunk of a run that was ordered to stop for no proof of its end

Callers saw a part as a complete answer: the last move stopped a run, its engine closed the stream in order, and the stream came in chunks.

The lines of a failing test, in this order: stop_ordered, stream_ended events=96 why="last chunk" framing=chunks stop_order=out, stop_answered status=200 stop_order=stopped, run_moved outcome=moved.

Change: only a stated length is proof; a last chunk means what a close does, so that the orders decide. The stand-in engines end stopped streams in eight ways. The unit test that chunks decide beside any order is wrong by this and is replaced with one that both framings mean the same at each order, and with one for each row.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -1,15 +1,15 @@
 //! What the end of a stream's body means.
 //!
-//! A body without a length or chunks ends with its connection, and so does one whose run was ordered to stop. Only what is
-//! known of the orders tells the two apart. Asking again proves nothing: an upstream has no such run whether the run ended by
-//! itself or was stopped.
+//! A body whose length isn't stated ends when its run does: in order, with its last chunk or its connection, whether the
+//! run ended by itself or was ordered to stop. Only what is known of the orders tells the two apart. Asking again proves
+//! nothing: an upstream has no such run in either case.
 
 /// How the end of a body is told from a connection that breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
     /// By its stated length.
     Length,
-    /// By an empty chunk.
+    /// By an empty chunk, the last one.
     Chunks,
     /// Not at all: it ends with its connection.
     UntilClose,
@@ -50,12 +50,14 @@
 #[must_use]
 pub const fn body_end(framing: BodyFraming, order: StopOrder) -> BodyEnd {
     match (framing, order) {
-        (BodyFraming::Length | BodyFraming::Chunks, _)
+        (BodyFraming::Length, _)
         | (_, StopOrder::NotSent | StopOrder::Refused | StopOrder::NoSuchRun | StopOrder::Busy) => {
             BodyEnd::Whole
         }
-        (BodyFraming::UntilClose, StopOrder::Out) => BodyEnd::Undecided,
-        (BodyFraming::UntilClose, StopOrder::Stopped | StopOrder::Lost) => BodyEnd::BrokenOff,
+        (BodyFraming::Chunks | BodyFraming::UntilClose, StopOrder::Out) => BodyEnd::Undecided,
+        (BodyFraming::Chunks | BodyFraming::UntilClose, StopOrder::Stopped | StopOrder::Lost) => {
+            BodyEnd::BrokenOff
+        }
     }
 }
 
--- a/fireflycroft/tests/stream_end.rs
+++ b/fireflycroft/tests/stream_end.rs
@@ -13,7 +13,12 @@
 
 cases! {
     length_decides_beside_any_order => assert!(ALL.iter().all(|o| body_end(Length, *o) == Whole));
-    chunks_decide_beside_any_order => assert!(ALL.iter().all(|o| body_end(Chunks, *o) == Whole));
+    last_chunk_means_what_a_close_does => assert!(ALL.iter().all(|o| body_end(Chunks, *o) == body_end(UntilClose, *o)));
+    last_chunk_is_the_end_without_an_order => assert_eq!(body_end(Chunks, NotSent), Whole);
+    last_chunk_beside_an_order_that_is_out_waits => assert_eq!(body_end(Chunks, Out), Undecided);
+    last_chunk_after_a_stop_is_a_break => assert_eq!(body_end(Chunks, Stopped), BrokenOff);
+    last_chunk_after_a_lost_order_is_a_break => assert_eq!(body_end(Chunks, Lost), BrokenOff);
+    last_chunk_after_orders_that_stopped_nothing_is_the_end => assert!([Refused, NoSuchRun, Busy].iter().all(|o| body_end(Chunks, *o) == Whole));
     close_is_the_end_without_an_order => assert_eq!(end_after(&[]), Whole);
     close_beside_an_order_that_is_out_waits => assert_eq!(body_end(UntilClose, Out), Undecided);
     close_after_no_such_run_is_the_end => assert_eq!(end_after(&[NoSuchRun]), Whole);
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -85,8 +85,10 @@
     } else {
         match judge_end(node, run, framing, deadline).await {
             BodyEnd::Whole => return None,
-            BodyEnd::BrokenOff => "connection ended, and its run was ordered to stop",
-            BodyEnd::Undecided => "connection ended, and the order to stop its run isn't answered",
+            BodyEnd::BrokenOff => "response ended in order, but its run was ordered to stop",
+            BodyEnd::Undecided => {
+                "response ended in order, but the order to stop its run isn't answered"
+            }
         }
     };
     Some(why.to_owned())
--- /dev/null
+++ b/fireflydirect/tests/processes_ended_chunks.rs
@@ -0,0 +1,73 @@
+//! Entry processes whose upstreams end the chunked streams of stopped runs in order, as a body that is whole.
+
+mod support;
+
+use standins::site::{RunEnd, StopAnswer, StoppedEnd};
+use std::time::Duration;
+use support::{Site, check_runs, until, whole_stream};
+
+/// Events of a stream that outlasts the notice of its engine, which stops its run.
+const LONG: u64 = 200;
+
+/// Time of an answer that comes after the end of the body.
+const AFTER_END: Duration = Duration::from_millis(300);
+
+/// Time of an answer for which nobody waits.
+const TOO_LATE: Duration = Duration::from_secs(5);
+
+/// Defines test cases on a site whose engines end stopped streams and answer their orders in a given way.
+macro_rules! cases {
+    ($($name:ident($end:ident, $answer:ident, $after:expr, $path:literal);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let site = Site::start(1).await;
+                for engine in &site.engines {
+                    engine.moves().end_stopped(StoppedEnd::$end);
+                    engine.moves().answer_stops(StopAnswer::$answer, $after);
+                }
+                goes_on(&site, $path).await;
+                site.check();
+            }
+        )+
+    };
+}
+
+/// Checks that a stream whose engine leaves, and stops its run, goes on and becomes whole.
+async fn goes_on(site: &Site, path: &str) {
+    let id = site.id();
+    let stream = async {
+        let answer = site.large_prompt(0, path, LONG, &id).send().await;
+        answer.unwrap().text().await.ok()
+    };
+    let leave = async {
+        let engine = &site.engines[site.engine_of(&id).await];
+        let record = engine.registration("models", "draining");
+        site.store.put("servers", &engine.instance(), &record);
+        until("the stop", || async {
+            site.record.runs_of(&id)[0].end.0 == RunEnd::Migrated
+        })
+        .await;
+    };
+    let (body, ()) = futures_util::future::join(stream, leave).await;
+    let body = body.unwrap_or_else(|| "broken off".to_owned());
+    assert!(body == whole_stream(&id, LONG), "{body}\n{}", site.log(0));
+    check_runs(site, &id);
+    assert!(site.record.runs_of(&id)[1].from_memory);
+}
+
+cases! {
+    stopped_stream_with_a_last_chunk_goes_on_from_its_copy(LastChunk, Copied, Duration::ZERO, "/log/a");
+    stopped_stream_with_a_last_chunk_waits_for_its_copy(LastChunk, Copied, AFTER_END, "/log/a");
+    stopped_stream_with_a_last_chunk_goes_on_at_its_source(LastChunk, Kept, AFTER_END, "/log/a");
+    stopped_stream_with_a_last_chunk_goes_on_without_a_handle(LastChunk, KeptUnnamed, AFTER_END, "/log/a");
+    stopped_stream_with_a_last_chunk_goes_on_beside_a_lost_order(LastChunk, AllLost, Duration::ZERO, "/log/a");
+    stopped_stream_with_a_last_chunk_goes_on_beside_an_order_lost_once(LastChunk, Lost, Duration::ZERO, "/log/a");
+    stopped_stream_with_a_last_chunk_goes_on_beside_a_late_answer(LastChunk, Copied, TOO_LATE, "/log/a");
+    resumable_stopped_stream_with_a_last_chunk_goes_on(LastChunk, AllLost, AFTER_END, "/grade/a");
+    stopped_stream_with_a_last_chunk_and_a_close_goes_on(LastChunkAndClose, Copied, AFTER_END, "/log/a");
+    stopped_stream_with_trailers_goes_on(Trailers, Copied, AFTER_END, "/log/a");
+    stopped_stream_that_closes_within_the_size_of_a_chunk_goes_on(WithinSize, Copied, AFTER_END, "/log/a");
+    stopped_stream_that_closes_within_a_chunk_goes_on(WithinChunk, Copied, AFTER_END, "/log/a");
+    stopped_stream_that_closes_within_its_last_chunk_goes_on(WithinLastChunk, Copied, AFTER_END, "/log/a");
+}
--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use standins::site::{RunEnd, StopAnswer, StoreMode, last_event};
+use standins::site::{RunEnd, StopAnswer, StoppedEnd, StoreMode, last_event};
 use std::time::Duration;
 use support::{Site, check_runs, until, whole_stream};
 
@@ -203,7 +203,7 @@
 /// Checks that a stream goes on whose stopped run was reset before the order was answered.
 async fn plays_a_reset(site: &Site) {
     for engine in &site.engines {
-        engine.moves().reset_stopped();
+        engine.moves().end_stopped(StoppedEnd::Reset);
         engine.moves().answer_stops(StopAnswer::Copied, AFTER_CLOSE);
     }
     let played = play(site, "/log/a", LONG).await;
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -21,7 +21,7 @@
 pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
 pub use engine::{Engine, EngineKind, FIRST_VERSION};
 pub use faults::{AnswerFault, Loss};
-pub use moves::{Moves, StopAnswer};
+pub use moves::{Moves, StopAnswer, StoppedEnd};
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
 pub use store::{Snapshot, Store, StoreMode};
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use super::engine::ConnectionAction;
+use super::http::Framing;
 use super::record::{CopyKey, Record};
 use super::runs::OwnAnswer;
 use crate::sync::lock;
@@ -54,6 +55,51 @@
     }
 }
 
+/// How an upstream ends the stream of a run that was stopped. A body without chunks just ends with its connection.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoppedEnd {
+    /// Closes the connection between two chunks.
+    #[default]
+    Close,
+    /// Resets the connection.
+    Reset,
+    /// Sends the last chunk and keeps the connection.
+    LastChunk,
+    /// Sends the last chunk and closes the connection.
+    LastChunkAndClose,
+    /// Sends the last chunk with trailers and keeps the connection.
+    Trailers,
+    /// Closes the connection within the size of a chunk.
+    WithinSize,
+    /// Closes the connection within a chunk, before its event.
+    WithinChunk,
+    /// Closes the connection after the size of the last chunk, before the empty line.
+    WithinLastChunk,
+}
+
+impl StoppedEnd {
+    /// Returns the bytes that are sent at last on a body with this framing.
+    pub(super) const fn bytes(self, framing: Framing) -> &'static [u8] {
+        match (framing, self) {
+            (Framing::UntilClose, _) | (_, Self::Close | Self::Reset) => b"",
+            (_, Self::LastChunk | Self::LastChunkAndClose) => b"0\r\n\r\n",
+            (_, Self::Trailers) => b"0\r\nX-Trailer: 1\r\n\r\n",
+            (_, Self::WithinSize) => b"1",
+            (_, Self::WithinChunk) => b"10\r\n",
+            (_, Self::WithinLastChunk) => b"0\r\n",
+        }
+    }
+
+    /// Returns what becomes of the connection.
+    pub(super) const fn action<'a>(self, framing: Framing) -> ConnectionAction<'a> {
+        match (framing, self) {
+            (_, Self::Reset) => ConnectionAction::Reset,
+            (Framing::Chunked, Self::LastChunk | Self::Trailers) => ConnectionAction::Keep,
+            _ => ConnectionAction::Close,
+        }
+    }
+}
+
 /// Runs of an upstream that can be moved, and its behaviour on moves.
 #[derive(Debug, Default)]
 pub struct Moves {
@@ -63,7 +109,7 @@
     next_handle: AtomicU64,
     behaviour: Mutex<(StopAnswer, Duration)>,
     holds_ends: AtomicBool,
-    resets: AtomicBool,
+    stopped_end: Mutex<StoppedEnd>,
     ordered: Notify,
 }
 
@@ -98,18 +144,14 @@
         self.holds_ends.store(true, Ordering::Relaxed);
     }
 
-    /// Makes it reset the streams of stopped runs, where it would close them in order.
-    pub fn reset_stopped(&self) {
-        self.resets.store(true, Ordering::Relaxed);
+    /// Sets how it ends the streams of stopped runs.
+    pub fn end_stopped(&self, end: StoppedEnd) {
+        *lock(&self.stopped_end) = end;
     }
 
-    /// Returns how the connection of a stopped run ends.
-    pub(super) fn stopped_end<'a>(&self) -> ConnectionAction<'a> {
-        if self.resets.load(Ordering::Relaxed) {
-            ConnectionAction::Reset
-        } else {
-            ConnectionAction::Close
-        }
+    /// Returns how the stream of a stopped run ends.
+    pub(super) fn stopped_end(&self) -> StoppedEnd {
+        *lock(&self.stopped_end)
     }
 
     fn take_behaviour(&self) -> (StopAnswer, Duration) {
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -249,7 +249,9 @@
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
             () = movable.stop.notified() => {
                 run.end(RunEnd::Migrated);
-                return Ok(shared.moves.stopped_end());
+                let end = shared.moves.stopped_end();
+                stream.write_all(end.bytes(framing)).await?;
+                return Ok(end.action(framing));
             }
             () = until_closed(stream) => {
                 run.end(RunEnd::Abandoned);
