--- a/fireflydirect/src/continuation.rs
+++ b/fireflydirect/src/continuation.rs
@@ -1,10 +1,19 @@
-//! Where a stream that broke off may go on: the copies of its run's memory, in order, then a new run.
+//! Where a stream that broke off may go on: the copies of its run's memory, in order, then a new run; and the request that
+//! sends it there.
 
 use crate::assignment::AssignmentGuard;
-use crate::crash::Contact;
+use crate::crash::{self, Contact, Progress};
+use crate::exchange::{ResponseStart, SendError, SendOptions, send};
+use crate::incarnations::confirmed_version;
 use crate::job::Job;
 use crate::runs::Run;
-use fireflycroft::{MemoryCopy, Need, UpstreamIx, VersionKey};
+use fireflycroft::{MemoryCopy, Need, RunClaim, UpstreamIx, VersionKey};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Timeout for the response head of a resumed stream.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Upstream on which a stream may resume, and the memory to resume from.
 pub(crate) struct Continuation {
@@ -98,3 +107,53 @@
         assignment: None,
     })
 }
+
+/// Sends a stream's request to an upstream, to go on there.
+///
+/// # Errors
+///
+/// What is known of its run there, if the stream doesn't go on.
+pub(crate) async fn send_on(
+    job: &Rc<Job>,
+    at: UpstreamIx,
+    options: &SendOptions,
+) -> Result<ResponseStart, Resumption> {
+    match timeout(RESUME_TIMEOUT, send(job, at, options, || ())).await {
+        Ok(Ok(mut response)) if is_stream(&response) => {
+            let version = confirmed_version(&job.node, at, &mut response.link).await;
+            if version.is_none() {
+                log_refusal(job, at, "its version is uncertain");
+                return Err(Resumption::MayRun(Contact::Answers));
+            }
+            Ok(response)
+        }
+        Ok(Ok(response)) => {
+            log_refusal(job, at, &response.parts.status.to_string());
+            Err(match response.head.claim {
+                RunClaim::MayHaveRun => Resumption::MayRun(Contact::Answers),
+                RunClaim::NotRun | RunClaim::WrongInstance => Resumption::NotRun,
+            })
+        }
+        Ok(Err(e)) => {
+            log_refusal(job, at, &e.to_string());
+            if !matches!(e, SendError::Lost(_)) {
+                return Err(Resumption::NotRun);
+            }
+            let contact = crash::check_for_crash(job, at, Progress::default()).await;
+            Err(Resumption::MayRun(contact))
+        }
+        Err(_) => {
+            log_refusal(job, at, "no answer in time");
+            Err(Resumption::MayRun(crash::contact(job, at).await))
+        }
+    }
+}
+
+fn is_stream(response: &ResponseStart) -> bool {
+    response.parts.status.is_success() && response.head.sealed
+}
+
+fn log_refusal(job: &Job, at: UpstreamIx, why: &str) {
+    let instance = job.node.pool.borrow().record(at).instance.clone();
+    log::warn!(event = "go_on_refused", req = &*job.request_id, instance = &*instance, why = why; "");
+}
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -12,8 +12,7 @@
 use crate::continuation::{self, Continuation, Copies, Resumption};
 use crate::crash::{self, Contact, Progress};
 use crate::event_times::EventTimes;
-use crate::exchange::{ResponseStart, SendError, SendOptions, release_link, send};
-use crate::incarnations::confirmed_version;
+use crate::exchange::{SendOptions, release_link};
 use crate::job::Job;
 use crate::log_value::or_empty;
 use crate::metrics::kind_label;
@@ -27,7 +26,7 @@
 use crate::stream_source::{Read, Source, fault_of_end, wait_for_copy};
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{BodyFraming, Code, EventRelay, Need, RunClaim, Time, UpstreamIx, VersionKey};
+use fireflycroft::{BodyFraming, Code, EventRelay, Need, Time, UpstreamIx, VersionKey};
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -47,9 +46,6 @@
 /// Interval at which the progress of an answer is held against crashes under its content.
 const SURVIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Timeout for the response head of a resumed stream.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Reason in logs for a stream that is cut at its deadline.
 const DEADLINE_EXCEEDED: &str = "deadline exceeded";
 
@@ -421,39 +417,9 @@
             last_event_id: self.events.last_id(),
             is_sound: self.is_sound,
         };
-        let sending = send(&self.job, next.at, &options, || ());
-        let response = match tokio::time::timeout(RESUME_TIMEOUT, sending).await {
-            Ok(Ok(mut response)) if is_stream(&response) => {
-                let node = &self.job.node;
-                if confirmed_version(node, next.at, &mut response.link)
-                    .await
-                    .is_none()
-                {
-                    self.log_resume_refused(next.at, "its version is uncertain");
-                    return Resumption::MayRun(Contact::Answers);
-                }
-                response
-            }
-            Ok(Ok(response)) => {
-                self.log_resume_refused(next.at, &response.parts.status.to_string());
-                return match response.head.claim {
-                    RunClaim::MayHaveRun => Resumption::MayRun(Contact::Answers),
-                    RunClaim::NotRun | RunClaim::WrongInstance => Resumption::NotRun,
-                };
-            }
-            Ok(Err(e)) => {
-                self.log_resume_refused(next.at, &e.to_string());
-                if !matches!(e, SendError::Lost(_)) {
-                    return Resumption::NotRun;
-                }
-                let progress = Progress::default();
-                let contact = crash::check_for_crash(&self.job, next.at, progress).await;
-                return Resumption::MayRun(contact);
-            }
-            Err(_) => {
-                self.log_resume_refused(next.at, "no answer in time");
-                return Resumption::MayRun(crash::contact(&self.job, next.at).await);
-            }
+        let response = match continuation::send_on(&self.job, next.at, &options).await {
+            Ok(response) => response,
+            Err(failed) => return failed,
         };
         self.assignment = assignment;
         self.run.go_on_at(next.at);
@@ -477,14 +443,6 @@
         Resumption::GoesOn
     }
 
-    fn log_resume_refused(&self, at: UpstreamIx, why: &str) {
-        let instance = self.job.node.pool.borrow().record(at).instance.clone();
-        log::warn!(
-            event = "go_on_refused", req = &*self.job.request_id, instance = &*instance, why = why;
-            ""
-        );
-    }
-
     /// Returns the need of the remaining stream; with a copy of the memory no prompt is unread.
     fn remaining_need(&self, has_memory: bool) -> Need {
         let need = self.job.need_beyond(self.run.produced.get());
@@ -495,7 +453,3 @@
         }
     }
 }
-
-fn is_stream(response: &ResponseStart) -> bool {
-    response.parts.status.is_success() && response.head.sealed
-}
