Wait for a late answer to an order where its stream can't go on without it

Callers of a stream whose run ended by itself beside an order that was answered late got it cut, where no copy of its memory was usable: its holder was gone, or there had been no time to make one. So did callers of a stopped stream whose only copy came late.

Cause: after 1.5 s an order counted as lost for good, also where the stream had nothing to go on from and its caller still waited.

Change: a stream that can't go on waits for the order's outcome while its caller does. It is whole if the order stopped nothing, and goes on if a copy came. The request may still be tried at other copies before, as it was.

Ruled out: a longer wait for all streams, which would stall those that can go on from the copy made before.

--- a/fireflydirect/src/continuation.rs
+++ b/fireflydirect/src/continuation.rs
@@ -96,8 +96,13 @@
     }
 }
 
-/// Returns an upstream for a new run, other than those tried.
+/// Returns an upstream for a new run, other than those tried, if the request may run anew.
 pub(crate) fn anew(job: &Job, need: &Need, tried: &[UpstreamIx]) -> Option<Continuation> {
+    let route = &job.route;
+    let attempted = job.attempted.borrow();
+    if !route.kind.is_retryable() || !attempted.allows_another(route.max_attempts) {
+        return None;
+    }
     let pool = job.node.pool.borrow();
     let at = pool.choose_to_continue(job.now(), &job.service, need, tried)?;
     Some(Continuation {
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -23,10 +23,12 @@
 use crate::stopping::record_run_time;
 use crate::stream_origins::{OriginGuard, record_start};
 use crate::stream_pace::{StreamPace, tokens_per_event};
-use crate::stream_source::{Read, Source, fault_of_end, wait_for_copy};
+use crate::stream_source::{Read, Source, fault_of_end, is_whole_after_all, wait_for_copy};
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{BodyFraming, Code, EventRelay, Need, Time, UpstreamIx, VersionKey};
+use fireflycroft::{
+    BodyFraming, Code, EventRelay, Need, Time, UpstreamIncarnation, UpstreamIx, VersionKey,
+};
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -62,6 +64,8 @@
     source: Option<Source>,
     events: EventRelay,
     framing: BodyFraming,
+    /// Upstream whose body ended while an order to stop its run was out.
+    undecided_at: Option<UpstreamIncarnation>,
     breaks: u32,
     /// Whether an upstream ended under it.
     lost_upstream: bool,
@@ -81,6 +85,16 @@
     estimated_at: u64,
 }
 
+/// What becomes of a stream that broke off.
+enum AfterBreak {
+    /// It goes on elsewhere.
+    GoesOn,
+    /// It is whole, since its run ended by itself.
+    Whole,
+    /// It can't go on.
+    Lost,
+}
+
 /// Returns an answer whose body is relayed from a started stream.
 #[must_use]
 pub fn relay(job: Rc<Job>, stream: StartedStream) -> Answer {
@@ -114,6 +128,7 @@
         source: Some(source),
         events,
         framing,
+        undecided_at: None,
         breaks: 0,
         lost_upstream: false,
         ended: false,
@@ -156,13 +171,17 @@
                     return None;
                 }
                 Read::Broke(why) => {
-                    let deadline = self.deadline();
-                    let resumed = timeout_at(deadline, self.resume_elsewhere(&why)).await;
-                    if self.job.time_left().is_zero() {
-                        return Some(self.cut(DEADLINE_EXCEEDED));
-                    }
-                    if !resumed.unwrap_or(false) {
-                        return Some(self.cut(&why));
+                    let after = timeout_at(self.deadline(), self.handle_break(&why)).await;
+                    match after.unwrap_or(AfterBreak::Lost) {
+                        _ if self.job.time_left().is_zero() => {
+                            return Some(self.cut(DEADLINE_EXCEEDED));
+                        }
+                        AfterBreak::GoesOn => {}
+                        AfterBreak::Whole => {
+                            self.finish();
+                            return None;
+                        }
+                        AfterBreak::Lost => return Some(self.cut(&why)),
                     }
                 }
                 Read::TimeUp => return Some(self.cut(DEADLINE_EXCEEDED)),
@@ -185,7 +204,30 @@
             return read;
         }
         let fault = fault_of_end(node, &self.run, self.framing, &self.events, deadline).await;
-        fault.map_or(read, Read::Broke)
+        let Some(fault) = fault else {
+            return read;
+        };
+        self.undecided_at = fault.is_undecided.then(|| {
+            let pool = node.pool.borrow();
+            pool.record(self.assignment.ix).upstream_incarnation()
+        });
+        Read::Broke(fault.why.to_owned())
+    }
+
+    /// Returns whether a stream that can't go on ended by itself, as soon as that is known while the caller waits.
+    async fn is_whole_after_all(&mut self) -> bool {
+        let Some(at) = self.undecided_at.take() else {
+            return false;
+        };
+        let deadline = self.deadline();
+        let until = deadline.min(self.job.node.clock.instant(self.patience_end()));
+        is_whole_after_all(&self.run, &at, self.framing, until).await
+    }
+
+    /// Returns the time at which the caller gives up if no event comes.
+    fn patience_end(&self) -> Time {
+        let last = self.event_times.last.max(self.job.arrival);
+        last + self.job.route.abandoned_pause()
     }
 
     fn record_progress(&mut self) {
@@ -229,7 +271,7 @@
             .pool
             .borrow_mut()
             .record_outcome(self.assignment.ix, false);
-        self.record_length();
+        self.job.record_length(self.run.produced.get());
         record_run_time(&self.job, self.sent_at);
         self.record_end("whole");
         self.log_event("stream_ended", self.framing.end_mark());
@@ -253,16 +295,6 @@
         pauses.observe(self.event_times.longest.as_secs_f64());
     }
 
-    fn record_length(&self) {
-        let job = &self.job;
-        if let Some(size) = &job.head.size {
-            let (hint, most) = (size.length_hint, size.max_tokens);
-            let tokens = self.run.produced.get();
-            let mut lengths = job.node.lengths.borrow_mut();
-            lengths.record(&job.route.name, hint, most, tokens);
-        }
-    }
-
     fn cut(mut self, why: &str) -> (Result<Frame<Bytes>, BrokenStream>, Self) {
         self.ended = true;
         self.source = None;
@@ -300,7 +332,23 @@
         );
     }
 
-    /// Resumes the stream on another upstream; false if that is impossible. May be dropped at the deadline.
+    /// Goes on elsewhere; where it can't, waits for the outcome of an order that was out as the body ended. May be
+    /// dropped at the deadline.
+    async fn handle_break(&mut self, why: &str) -> AfterBreak {
+        if self.resume_elsewhere(why).await {
+            return AfterBreak::GoesOn;
+        }
+        if self.is_whole_after_all().await {
+            return AfterBreak::Whole;
+        }
+        let has_copy = self.run.migration_copy.borrow().is_some();
+        if has_copy && self.try_continuations().await {
+            return AfterBreak::GoesOn;
+        }
+        AfterBreak::Lost
+    }
+
+    /// Resumes the stream on another upstream; false if that is impossible.
     async fn resume_elsewhere(&mut self, why: &str) -> bool {
         self.source = None;
         self.pace = StreamPace::default();
@@ -329,14 +377,12 @@
 
     /// Waits until the run at an upstream is over, as long as the caller does; false if it may go on.
     async fn is_over_at(&self, at: UpstreamIx, contact: Contact, sent_by: Time) -> bool {
-        let last = self.event_times.last.max(self.job.arrival);
-        let patience_end = last + self.job.route.abandoned_pause();
         let broken = BrokenRun {
             at,
             contact,
             sent_by,
         };
-        run_end::until_over(&self.job, &self.run, broken, patience_end).await
+        run_end::until_over(&self.job, &self.run, broken, self.patience_end()).await
     }
 
     /// Resumes the stream at one upstream after another, as far as it may be sent on.
@@ -381,13 +427,6 @@
 
     /// Returns the next possible continuation.
     fn next_continuation(&mut self, tried: &[UpstreamIx]) -> Option<Continuation> {
-        let route = &self.job.route;
-        let allows_another = self
-            .job
-            .attempted
-            .borrow()
-            .allows_another(route.max_attempts);
-        let may_run_anew = route.kind.is_retryable() && allows_another;
         let need = self.remaining_need(false);
         let mut copies = Copies {
             job: &self.job,
@@ -395,11 +434,8 @@
             backup: &mut self.backup,
             version: self.version?,
         };
-        if let Some(copy) = copies.take_next() {
-            return Some(copy);
-        }
-        let anew = || continuation::anew(&self.job, &need, tried);
-        may_run_anew.then(anew).flatten()
+        let copy = copies.take_next();
+        copy.or_else(|| continuation::anew(&self.job, &need, tried))
     }
 
     async fn resume_at(&mut self, next: Continuation) -> Resumption {
@@ -432,6 +468,7 @@
             .upstream_incarnation();
         self.run.stop_orders.begin_run(&begun);
         self.framing = response.head.framing;
+        self.undecided_at = None;
         self.job.node.migrate_if_departing(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -140,6 +140,15 @@
         lengths.expect_beyond(&self.route.name, size.length_hint, size.max_tokens, made)
     }
 
+    /// Records the length of a complete answer in tokens.
+    pub fn record_length(&self, tokens: u64) {
+        if let Some(size) = &self.head.size {
+            let (hint, most) = (size.length_hint, size.max_tokens);
+            let mut lengths = self.node.lengths.borrow_mut();
+            lengths.record(&self.route.name, hint, most, tokens);
+        }
+    }
+
     /// Takes one retry from the shared budget.
     #[must_use]
     pub fn take_retry(&self) -> bool {
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -5,7 +5,9 @@
 use crate::node::Node;
 use crate::runs::Run;
 use bytes::Bytes;
-use fireflycroft::{BodyEnd, BodyFraming, EventRelay, ResponseHead, UpstreamIx, body_end};
+use fireflycroft::{
+    BodyEnd, BodyFraming, EventRelay, ResponseHead, UpstreamIncarnation, UpstreamIx, body_end,
+};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
@@ -68,6 +70,14 @@
     }
 }
 
+/// Why a body that ended in order isn't taken for whole.
+pub struct EndFault {
+    /// Reason in logs.
+    pub why: &'static str,
+    /// Whether an order to stop its run is out, whose outcome may yet prove it whole.
+    pub is_undecided: bool,
+}
+
 /// Returns why a body that ended in order isn't whole, at the stream's `deadline` at the latest; `None` if it is.
 pub async fn fault_of_end(
     node: &Node,
@@ -75,9 +85,10 @@
     framing: BodyFraming,
     events: &EventRelay,
     deadline: Instant,
-) -> Option<String> {
+) -> Option<EndFault> {
     // An event may have come before the caller took the stream up.
     let has_begun = events.relayed() > 0 || events.last_id().is_some();
+    let mut is_undecided = false;
     let why = if events.is_mid_event() {
         "response ended within an event"
     } else if !has_begun {
@@ -87,11 +98,24 @@
             BodyEnd::Whole => return None,
             BodyEnd::BrokenOff => "response ended in order, but its run was ordered to stop",
             BodyEnd::Undecided => {
+                is_undecided = true;
                 "response ended in order, but the order to stop its run isn't answered"
             }
         }
     };
-    Some(why.to_owned())
+    Some(EndFault { why, is_undecided })
+}
+
+/// Returns whether an order that was out as a body ended stopped nothing, as soon as that is known until `deadline`.
+pub async fn is_whole_after_all(
+    run: &Run,
+    at: &UpstreamIncarnation,
+    framing: BodyFraming,
+    deadline: Instant,
+) -> bool {
+    // An outcome that comes later is treated as none.
+    let _ = tokio::time::timeout_at(deadline, run.stop_orders.until_settled(at)).await;
+    body_end(framing, run.stop_orders.at(at)) == BodyEnd::Whole
 }
 
 async fn judge_end(node: &Node, run: &Run, framing: BodyFraming, deadline: Instant) -> BodyEnd {
@@ -106,9 +130,8 @@
     }
     let until = deadline.min(Instant::now() + COPY_TIMEOUT);
     run.copy_limit.set(Some(until));
-    let settled = run.stop_orders.until_settled(&at);
-    // An outcome that comes later is treated as none.
-    let _ = tokio::time::timeout_at(until, settled).await;
+    // The stream goes on from a copy meanwhile, if there is one.
+    let _ = tokio::time::timeout_at(until, run.stop_orders.until_settled(&at)).await;
     body_end(framing, run.stop_orders.at(&at))
 }
 
--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use standins::site::{RunEnd, StopAnswer, StoppedEnd, StoreMode, last_event};
+use standins::site::{AnswerFault, RunEnd, StopAnswer, StoppedEnd, StoreMode, last_event};
 use std::time::Duration;
 use support::{Site, check_runs, until, whole_stream};
 
@@ -15,6 +15,12 @@
 /// Time of an answer that comes after the close of the stream.
 const AFTER_CLOSE: Duration = Duration::from_millis(300);
 
+/// Time of an answer that comes after copies are tried without it, and while the caller still waits.
+const AFTER_COPIES: Duration = Duration::from_millis(1_800);
+
+/// Time to read a prompt after which the run is past the time at which those of its leaving engine are stopped.
+const PAST_STOP: Duration = Duration::from_millis(1_400);
+
 /// Time of an answer that comes after the stream has gone on without it.
 const LATE: Duration = Duration::from_millis(2_500);
 
@@ -214,6 +220,38 @@
     );
 }
 
+/// Checks that a stream that ended by itself is whole, though its order is refused late and its copy's holder is gone.
+async fn is_whole_without_its_copy(site: &Site) {
+    for engine in &site.engines {
+        let moves = engine.moves();
+        moves.answer_stops(StopAnswer::Copied, AFTER_COPIES);
+    }
+    let holder_dies = async {
+        until("the order", || async { orders(site, 0) > 0 }).await;
+        let engine = site.engine_of("r0").await;
+        site.engines[1 - engine].kill();
+    };
+    let playing = play(site, "/log/a", SHORT);
+    let played = futures_util::future::join(playing, holder_dies).await.0;
+    ended_by_itself(site, &played);
+}
+
+/// Checks that a stream without a copy, which begins so late that it is stopped at once, waits for the copy of its order.
+async fn waits_for_its_only_copy(site: &Site) {
+    for engine in &site.engines {
+        engine.set_fault(AnswerFault::SlowBy(PAST_STOP));
+        let moves = engine.moves();
+        moves.answer_stops(StopAnswer::Copied, AFTER_COPIES);
+    }
+    let others_are_fast = async {
+        let engine = site.engine_of("r0").await;
+        site.engines[1 - engine].set_fault(AnswerFault::None);
+    };
+    let playing = play(site, "/log/a", LONG);
+    let played = futures_util::future::join(playing, others_are_fast).await.0;
+    moved(site, &played);
+}
+
 fn end_with_connection(site: &Site) {
     for engine in &site.engines {
         engine.end_answers_with_connection();
@@ -294,6 +332,27 @@
         broken_off(&site, &played);
     }
 
+    stream_that_ended_by_itself_is_whole_without_its_copy(site: 1) {
+        end_with_connection(&site);
+        is_whole_without_its_copy(&site).await;
+    }
+
+    chunked_stream_that_ended_by_itself_is_whole_without_its_copy(site: 1) {
+        is_whole_without_its_copy(&site).await;
+    }
+
+    stopped_stream_waits_for_its_only_copy(site: 1) {
+        end_with_connection(&site);
+        waits_for_its_only_copy(&site).await;
+    }
+
+    chunked_stopped_stream_waits_for_its_only_copy(site: 1) {
+        for engine in &site.engines {
+            engine.moves().end_stopped(StoppedEnd::LastChunk);
+        }
+        waits_for_its_only_copy(&site).await;
+    }
+
     stream_with_a_backup_ends_by_itself_at_its_leaving_engine(site: 1) {
         end_with_connection(&site);
         let id = site.id();
--- a/standins/src/site/faults.rs
+++ b/standins/src/site/faults.rs
@@ -1,5 +1,7 @@
 //! Faults of an upstream's answers.
 
+use std::time::Duration;
+
 /// Faults of an upstream's answers to requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AnswerFault {
@@ -26,6 +28,8 @@
     Hang,
     /// Takes a second to read the prompt before it answers.
     Slow,
+    /// Takes this long to do so.
+    SlowBy(Duration),
     /// Loses the rest of a stream's first answer after this many events, and works on to the end unless it is stopped.
     LoseRest(u64, Loss),
 }
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -210,8 +210,10 @@
         ("X-Response-Seal", "seal"),
         ("Content-Type", "text/event-stream"),
     ];
-    if fault == AnswerFault::Slow {
-        tokio::time::sleep(PROMPT_READ_TIME).await;
+    match fault {
+        AnswerFault::Slow => tokio::time::sleep(PROMPT_READ_TIME).await,
+        AnswerFault::SlowBy(time) => tokio::time::sleep(time).await,
+        _ => {}
     }
     let framing = shared.framing();
     write_stream_head(stream, &shared.with_extra_headers(&headers), framing).await?;
