Order a run to stop that began where an earlier one of its request was stopped

An engine worked on a request for 1.1 s beside the engine at which its stream went on. The run there had been stopped and its memory kept; the stream was sent back to it, the answer was lost before its head, and the relay took the new run for stopped, since the old one had been (run_over why="it was stopped before", twice, 3 ms apart).

Cause: what is known of the orders was forgotten only once the answer's head had come, not when the new run could begin.

Change: a new run begins for the orders when its request is sent.

Ruled out: a late answer to the first order, which had come before. The stand-in engine can lose the answers of runs that go on.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -459,14 +459,6 @@
         };
         self.assignment = assignment;
         self.run.go_on_at(next.at);
-        let begun = self
-            .job
-            .node
-            .pool
-            .borrow()
-            .record(next.at)
-            .upstream_incarnation();
-        self.run.stop_orders.begin_run(&begun);
         self.framing = response.head.framing;
         self.undecided_at = None;
         self.job.node.migrate_if_departing(next.at);
--- a/fireflydirect/tests/processes_stopped_runs.rs
+++ b/fireflydirect/tests/processes_stopped_runs.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use standins::site::{AnswerFault, RunEnd, StopAnswer, StoppedEnd, StoreMode, last_event};
+use standins::site::{AnswerFault, Loss, RunEnd, StopAnswer, StoppedEnd, StoreMode, last_event};
 use std::time::Duration;
 use support::{Site, check_runs, until, whole_stream};
 
@@ -353,6 +353,21 @@
         waits_for_its_only_copy(&site).await;
     }
 
+    run_that_goes_on_unheard_at_its_source_is_stopped_before_the_next(site: 1) {
+        for engine in &site.engines {
+            engine.moves().answer_stops(StopAnswer::Kept, Duration::ZERO);
+        }
+        let loses = async {
+            let engine = site.engine_of("r0").await;
+            site.engines[engine].set_fault(AnswerFault::LoseResumed(Loss::Reset));
+        };
+        let playing = play(&site, "/log/a", LONG);
+        let played = futures_util::future::join(playing, loses).await.0;
+        is_whole(&site, &played, LONG);
+        let ends: Vec<RunEnd> = site.record.runs_of(&played.id).iter().map(|run| run.end.0).collect();
+        assert_eq!(ends, [RunEnd::Migrated, RunEnd::Migrated, RunEnd::Complete], "{}", site.log(0));
+    }
+
     stream_with_a_backup_ends_by_itself_at_its_leaving_engine(site: 1) {
         end_with_connection(&site);
         let id = site.id();
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use super::engine::{ConnectionAction, FIRST_VERSION, Shared};
-use super::faults::AnswerFault;
+use super::faults::{AnswerFault, Loss};
 use super::http::{
     Framing, Headers, Request, until_closed, write_answer, write_piece, write_stream_head,
 };
@@ -210,6 +210,12 @@
         ("X-Response-Seal", "seal"),
         ("Content-Type", "text/event-stream"),
     ];
+    if let AnswerFault::LoseResumed(how) = fault
+        && run.after > 0
+    {
+        let events = last_event - run.after;
+        return Ok(lose(run, movable, events, how));
+    }
     match fault {
         AnswerFault::Slow => tokio::time::sleep(PROMPT_READ_TIME).await,
         AnswerFault::SlowBy(time) => tokio::time::sleep(time).await,
@@ -240,10 +246,7 @@
             && number > after
             && shared.record.runs_of(id).len() == 1
         {
-            let events = u32::try_from(last_event - number).unwrap_or(u32::MAX);
-            let left = EVENT_INTERVAL * events;
-            let unheard = UnheardRun { run, movable, left };
-            return Ok(ConnectionAction::WorkOn(unheard, how));
+            return Ok(lose(run, movable, last_event - number, how));
         }
         let piece = format!("{padding}{}", event(id, number, &version));
         write_piece(stream, piece.as_bytes(), framing).await?;
@@ -268,6 +271,18 @@
     Ok(after_answer(framing))
 }
 
+/// Loses the answer of a run that has some events left.
+fn lose<'a>(
+    run: ActiveRun<'a>,
+    movable: MovableRun<'a>,
+    events: u64,
+    how: Loss,
+) -> ConnectionAction<'a> {
+    let events = u32::try_from(events).unwrap_or(u32::MAX);
+    let left = EVENT_INTERVAL * events;
+    ConnectionAction::WorkOn(UnheardRun { run, movable, left }, how)
+}
+
 const fn after_answer<'a>(framing: Framing) -> ConnectionAction<'a> {
     match framing {
         Framing::Chunked => ConnectionAction::Keep,
