Let resets through the site's proxies arrive as resets

A proxy closed its callers' connection in order, and reset it only then, whatever had ended it: dropping the halves of a split socket shuts its writing down first. So a body without a length that was reset by its upstream, or by the proxy's own fault, looked whole to an entry, which has to take a close for its end.

The halves are borrowed now, and the connection is reset where one of the two sides was, or the proxy's fault is a reset. A close stays a close without a reset behind it.

--- a/standins/src/site/proxy.rs
+++ b/standins/src/site/proxy.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
@@ -100,35 +100,44 @@
     }
 }
 
+/// What ended the forwarding on a connection.
+enum End {
+    Closed,
+    Reset,
+}
+
 async fn forward(
-    stream: TcpStream,
+    mut stream: TcpStream,
     to: SocketAddr,
     fault: watch::Receiver<ProxyFault>,
     reset_signal: Arc<Notify>,
 ) {
-    let Ok(upstream) = TcpStream::connect(to).await else {
+    let Ok(mut upstream) = TcpStream::connect(to).await else {
         return super::http::reset(stream);
     };
-    // Closing the socket after a `Reset` fault must reset the connection.
-    let _ = stream.set_zero_linger();
-    let (from_caller, to_caller) = stream.into_split();
-    let (from_upstream, to_upstream) = upstream.into_split();
+    let (from_caller, to_caller) = stream.split();
+    let (from_upstream, to_upstream) = upstream.split();
     let is_answer = true;
     let requests = copy_one_way(from_caller, to_upstream, fault.clone(), !is_answer);
-    let answers = copy_one_way(from_upstream, to_caller, fault, is_answer);
-    tokio::select! {
-        () = requests => {}
-        () = answers => {}
-        () = reset_signal.notified() => {}
+    let answers = copy_one_way(from_upstream, to_caller, fault.clone(), is_answer);
+    let end = tokio::select! {
+        end = requests => end,
+        end = answers => end,
+        () = reset_signal.notified() => End::Reset,
+    };
+    // The upstream may have been killed after the fault, which looks like a close.
+    let is_reset = matches!(end, End::Reset) || *fault.borrow() == ProxyFault::Reset;
+    if is_reset {
+        super::http::reset(stream);
     }
 }
 
 async fn copy_one_way(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut fault: watch::Receiver<ProxyFault>,
     is_answer: bool,
-) {
+) -> End {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let read = from.read(&mut buf).await;
@@ -140,8 +149,10 @@
         // The end of a connection is held back like its bytes. The wait fails only when the proxy
         // is dropped.
         let _ = fault.wait_for(|fault| !is_blocked(fault)).await;
-        let Ok(len @ 1..) = read else {
-            return;
+        let len = match read {
+            Ok(0) => return End::Closed,
+            Ok(len) => len,
+            Err(_) => return End::Reset,
         };
         let delay = match *fault.borrow() {
             ProxyFault::Delay(delay) => delay,
@@ -149,7 +160,7 @@
         };
         tokio::time::sleep(delay).await;
         if to.write_all(&buf[..len]).await.is_err() {
-            return;
+            return End::Reset;
         }
     }
 }
