Give the soak's engines and the start of its site functions of their own

What happens to model engines (they start, leave, restart, end) moves to engines.rs; start_site and collect are parts of run_plan_with.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -9,6 +9,7 @@
     pub(crate) mod callers;
     mod conditions;
     mod configurations;
+    mod engines;
     mod entries;
     pub(crate) mod faults;
     pub(crate) mod plan;
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -2,7 +2,8 @@
 
 use crate::soak_parts::callers::{BAD_PART, BAD_PATH, Callers, CrashCause};
 use crate::soak_parts::configurations::Asked;
-use crate::soak_parts::faults::{Soak, other_version};
+use crate::soak_parts::engines::other_version;
+use crate::soak_parts::faults::Soak;
 use crate::soak_parts::plan::{Fault, Step};
 use crate::soak_parts::report::report;
 use crate::soak_parts::stale_seeds::STALE_SEEDS;
@@ -123,20 +124,8 @@
     run_plan_with(UNCHANGED, name, steps, seconds).await
 }
 
-/// The same with changes.
-pub(crate) async fn run_plan_with(
-    changes: Changes,
-    name: &str,
-    steps: &[Step],
-    seconds: Duration,
-) -> Outcomes {
-    let entries: u8 = env_or("FIREFLY_SOAK_ENTRIES", changes.entries);
-    let restarts = steps.iter().any(|s| {
-        matches!(
-            s.fault,
-            Fault::KillEntry | Fault::KillEntries | Fault::StopEntry
-        )
-    });
+/// Starts a site and its entries, and waits until they are ready.
+async fn start_site(changes: &Changes, entries: u8) -> Site {
     let mut site = Site::without_entries().await;
     site.without = changes.without;
     for number in 2..changes.engines {
@@ -166,6 +155,36 @@
     for entry in 0..usize::from(entries) {
         site.until_ready(entry).await;
     }
+    site
+}
+
+/// Collects what callers and upstreams saw.
+fn collect(soak: &mut Soak, callers: &Callers, changes: &Changes) {
+    let record = &soak.site.record;
+    let evidence = &mut soak.evidence;
+    evidence.attempts = callers.attempts();
+    evidence.runs = record.runs();
+    evidence.crashing_parts = record.crashing_parts();
+    evidence.crashing_paths = record.crashing_paths();
+    evidence.is_planned = changes.is_planned;
+    evidence.foreign_memory = record.foreign_memory();
+}
+
+/// The same with changes.
+pub(crate) async fn run_plan_with(
+    changes: Changes,
+    name: &str,
+    steps: &[Step],
+    seconds: Duration,
+) -> Outcomes {
+    let entries: u8 = env_or("FIREFLY_SOAK_ENTRIES", changes.entries);
+    let restarts = steps.iter().any(|s| {
+        matches!(
+            s.fault,
+            Fault::KillEntry | Fault::KillEntries | Fault::StopEntry
+        )
+    });
+    let site = start_site(&changes, entries).await;
     let addrs = (0..usize::from(entries))
         .map(|e| site.callers_of(e))
         .collect();
@@ -188,12 +207,7 @@
         soak.site.record.running_count() == 0
     })
     .await;
-    soak.evidence.attempts = callers.attempts();
-    soak.evidence.runs = soak.site.record.runs();
-    soak.evidence.crashing_parts = soak.site.record.crashing_parts();
-    soak.evidence.crashing_paths = soak.site.record.crashing_paths();
-    soak.evidence.is_planned = changes.is_planned;
-    soak.evidence.foreign_memory = soak.site.record.foreign_memory();
+    collect(&mut soak, &callers, &changes);
     let breaches = soak.evidence.find_breaches();
     assert!(
         breaches.is_empty(),
