--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -6,6 +6,7 @@
 
 mod broken_answers;
 mod checker;
+mod crashes;
 mod engine;
 mod faults;
 mod http;
