Judge streams whose runs ended by themselves in the soak's checker

A stream whose run ended by itself is whole also beside an order to stop it that was refused or came too late, but a soak didn't notice when it was cut or run again: the caller's part was a beginning of its own body, and the new run was one that its kind allows.

The checker judges it from what callers and upstreams saw: a run that the upstream ended by itself, and then a part at the caller or a further run (EndedButBroken). Excused are upstreams whose answers were faulty, lost or late in that time, excused entries, and a copy of the memory made between the end and what followed, as where an order reaches a run while it ends. What became of such streams is counted. Soaks whose callers break streams off themselves aren't judged.

A caller that takes a stopped stream for whole without its last events was found before this change (WrongBody); a case says so now.

--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -338,6 +338,7 @@
             Ok(outcome) => outcome,
             Err(_) => Outcome::NoAnswer,
         };
+        let ended = Instant::now();
         Attempt {
             id,
             resumes: held.map(|h| h.first.clone()),
@@ -345,6 +346,7 @@
             shared_parts,
             entry,
             began,
+            ended,
             expected_body,
             outcome,
         }
--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use super::ends::Disturbance;
 use super::record::{Run, RunEnd};
 use super::versions::{last_event, versions_of, without_versions};
 
@@ -77,6 +78,8 @@
     pub entry: usize,
     /// Start time.
     pub began: Instant,
+    /// Time of its result.
+    pub ended: Instant,
     /// Complete body that the caller expects.
     pub expected_body: String,
     /// Result of the attempt.
@@ -141,6 +144,8 @@
     CutByPlannedWork(String),
     /// Too few of the streams that callers take up go on; with their share and that of new streams.
     LostStreams(String),
+    /// A stream whose run ended by itself that was cut or run again, though nothing kept its end back.
+    EndedButBroken(String),
 }
 
 impl fmt::Display for Breach {
@@ -207,6 +212,12 @@
     pub crashing_paths: Vec<String>,
     /// Whether nothing but planned work went on.
     pub is_planned: bool,
+    /// Times in which answers of upstreams were faulty, could be lost, or came late.
+    pub disturbances: Vec<Disturbance>,
+    /// Requests of which copies of memory were made, with the times.
+    pub copies: Vec<(String, Instant)>,
+    /// Whether callers read streams to their ends, so that broken ones are judged.
+    pub are_read_to_the_end: bool,
 }
 
 impl Evidence {
@@ -242,6 +253,7 @@
         breaches.extend(self.mixed_streams().map(Breach::MixedVersions));
         breaches.extend(self.lost_streams().map(Breach::LostStreams));
         breaches.extend(self.crash_breaches());
+        breaches.extend(self.end_breaches());
         breaches
     }
 
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod broken_answers;
 mod checker;
 mod crashes;
+mod ends;
 mod engine;
 mod faults;
 mod http;
@@ -20,6 +21,7 @@
 
 pub use broken_answers::{BrokenAnswer, BrokenServer};
 pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
+pub use ends::{Disturbance, EndedStreams};
 pub use engine::{Engine, EngineKind, FIRST_VERSION};
 pub use faults::{AnswerFault, Loss};
 pub use moves::{Moves, StopAnswer, StoppedEnd};
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -74,6 +74,8 @@
     runs: Vec<Run>,
     /// Request ids of the copies.
     copies: HashMap<CopyKey, String>,
+    /// Request ids of all copies made so far, with the times.
+    copied: Vec<(String, Instant)>,
     foreign_memory: Vec<String>,
     /// Parts of prompts that crash any upstream that begins an answer on them.
     crashing_parts: Vec<String>,
@@ -177,6 +179,12 @@
         runs.iter().filter(|r| r.end.0 == RunEnd::Crashed).count()
     }
 
+    /// Returns the requests of which copies of memory were made, with the times.
+    #[must_use]
+    pub fn copied(&self) -> Vec<(String, Instant)> {
+        lock(&self.inner).copied.clone()
+    }
+
     pub(super) fn record_foreign_memory(&self, request_id: &str) {
         let mut inner = lock(&self.inner);
         inner.foreign_memory.push(request_id.to_owned());
@@ -197,7 +205,10 @@
     }
 
     pub(super) fn insert_copy(&self, key: CopyKey, request_id: &str) {
-        lock(&self.inner).copies.insert(key, request_id.to_owned());
+        let mut inner = lock(&self.inner);
+        inner.copies.insert(key, request_id.to_owned());
+        let copied = (request_id.to_owned(), Instant::now());
+        inner.copied.push(copied);
     }
 
     /// Removes a copy, which can be used once, and returns its request id.
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -1,7 +1,8 @@
 //! Tests that the soak's oracle finds each violated guarantee, and none where all hold.
 
 use standins::site::{
-    AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, Run, RunEnd, ServingSpan,
+    AnnouncedRate, Attempt, Breach, Disturbance, EndedStreams, Evidence, Outcome, RequestKind, Run,
+    RunEnd, ServingSpan,
 };
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,7 @@
     sound_evidence_has_no_breach => assert_eq!(evidence(RequestKind::Log, complete(), vec![run(0, 9)]).find_breaches(), []);
     foreign_body_is_found => assert_breach(&evidence(RequestKind::Fetch, Outcome::Complete("other".into()), vec![]), Breach::WrongBody);
     body_that_only_looks_whole_is_found => assert_breach(&evidence(RequestKind::Log, Outcome::Complete("ow".into()), vec![]), Breach::WrongBody);
+    stopped_stream_that_looks_whole_without_its_last_events_is_found => assert_breach(&stopped_early(), Breach::WrongBody);
     wrong_part_is_found => assert_breach(&evidence(RequestKind::Log, Outcome::Truncated("we".into()), vec![]), Breach::WrongBody);
     part_of_the_body_is_allowed => assert_eq!(evidence(RequestKind::Log, Outcome::Truncated("ow".into()), vec![]).find_breaches(), []);
     second_run_is_found => assert_breach(&evidence(RequestKind::File, complete(), vec![run(0, 1), run(2, 3)]), Breach::RanMoreThanOnce);
@@ -89,6 +91,44 @@
         assert_breach(&planned(Outcome::NoAnswer, vec![run(0, 1)]), Breach::CutByPlannedWork);
     request_that_crossed_the_close_in_planned_work_is_allowed =>
         assert_eq!(planned(Outcome::NoAnswer, vec![]).find_breaches(), []);
+    cut_stream_whose_run_ended_by_itself_is_found => assert_breach(&ended(part(), vec![run(0, 3)]), Breach::EndedButBroken);
+    unanswered_stream_whose_run_ended_by_itself_is_found =>
+        assert_breach(&ended(Outcome::NoAnswer, vec![run(0, 3)]), Breach::EndedButBroken);
+    new_run_after_one_that_ended_by_itself_is_found =>
+        assert_breach(&ended(complete(), vec![run(0, 3), run(4, 5)]), Breach::EndedButBroken);
+    run_from_a_copy_of_one_that_ended_by_itself_is_found =>
+        assert_breach(&copied(1, vec![run(0, 3), from_memory(run(4, 5))]), Breach::EndedButBroken);
+    run_from_a_copy_made_after_its_end_is_allowed =>
+        assert_eq!(copied(3, vec![run(0, 3), from_memory(run(4, 5))]).find_breaches(), []);
+    new_run_after_a_stopped_one_is_allowed => assert_eq!(ended(complete(), vec![stopped(0, 3), run(4, 5)]).find_breaches(), []);
+    cut_stream_of_a_stopped_run_is_allowed => assert_eq!(ended(part(), vec![stopped(0, 3)]).find_breaches(), []);
+    cut_stream_whose_upstream_lost_answers_is_excused => assert_eq!(disturbed("i", (2, 4)).find_breaches(), []);
+    cut_stream_whose_upstream_lost_answers_before_is_found => assert_breach(&disturbed("i", (0, 0)), Breach::EndedButBroken);
+    cut_stream_whose_upstream_loses_answers_later_is_found => assert_breach(&disturbed("i", (9, 9)), Breach::EndedButBroken);
+    cut_stream_beside_an_upstream_that_lost_answers_is_found => assert_breach(&disturbed("j", (2, 4)), Breach::EndedButBroken);
+    cut_stream_of_a_paused_entry_is_excused => {
+        let paused = Evidence { excused: vec![(at(4), at(9))], ..ended(part(), vec![run(1, 3)]) };
+        assert_eq!(paused.find_breaches(), []);
+    };
+    cut_call_is_not_judged_as_a_stream => {
+        let mut call = ended(part(), vec![run(0, 3)]);
+        call.attempts[0].kind = RequestKind::Fetch;
+        assert_eq!(call.find_breaches(), []);
+    };
+    stream_that_its_caller_breaks_off_is_not_judged => {
+        let left = Evidence { are_read_to_the_end: false, ..ended(part(), vec![run(0, 3)]) };
+        assert_eq!(left.find_breaches(), []);
+    };
+    ended_streams_are_counted => {
+        let mut all = ended(complete(), vec![run(0, 3)]);
+        all.attempts.extend(disturbed("i", (2, 4)).attempts);
+        all.attempts[1].id = "s".to_owned();
+        all.runs.push(Run { request_id: "s".to_owned(), ..run(0, 3) });
+        let found = |excused, broken: &[&str]| EndedStreams { whole: 1, excused, broken: broken.iter().map(|id| (*id).to_owned()).collect() };
+        assert_eq!(all.ended_streams(), found(0, &["s"]));
+        all.disturbances = disturbed("i", (2, 4)).disturbances;
+        assert_eq!(all.ended_streams(), found(1, &[]));
+    };
     run_left_behind_is_found => assert_breach(&evidence(RequestKind::Log, complete(), vec![left_running()]), Breach::LeftRunning);
 }
 
@@ -100,6 +140,55 @@
     }
 }
 
+/// Returns evidence of a stream that its caller takes for whole though its run was stopped before its last event.
+fn stopped_early() -> Evidence {
+    let mut evidence = streams(&[("r", None, "id: 1\ndata: r 1\n\n")]);
+    let attempt = &mut evidence.attempts[0];
+    attempt.outcome = Outcome::Complete(attempt.expected_body.clone());
+    attempt.expected_body.push_str("id: 2\ndata: r 2\n\n");
+    evidence.runs = vec![stopped(0, 1)];
+    evidence
+}
+
+/// Returns evidence of a stream that its caller reads to the end, till second 8.
+fn ended(outcome: Outcome, runs: Vec<Run>) -> Evidence {
+    Evidence {
+        are_read_to_the_end: true,
+        ..evidence(RequestKind::Grade, outcome, runs)
+    }
+}
+
+/// Returns evidence of a stream that is cut after its run from second 1 to 3, and of an upstream that lost answers.
+fn disturbed(instance: &str, span: (u64, u64)) -> Evidence {
+    let disturbance = Disturbance {
+        instance: instance.to_owned(),
+        span: (at(span.0), at(span.1)),
+    };
+    Evidence {
+        disturbances: vec![disturbance],
+        ..ended(part(), vec![run(1, 3)])
+    }
+}
+
+/// Returns evidence of a whole stream of whose memory a copy was made.
+fn copied(second: u64, runs: Vec<Run>) -> Evidence {
+    Evidence {
+        copies: vec![("r".to_owned(), at(second))],
+        ..ended(complete(), runs)
+    }
+}
+
+fn part() -> Outcome {
+    Outcome::Truncated("ow".to_owned())
+}
+
+fn stopped(from: u64, to: u64) -> Run {
+    Run {
+        end: (RunEnd::Migrated, at(to)),
+        ..run(from, to)
+    }
+}
+
 /// Returns runs of an upstream whose answers carry a leave notice from second 1 on: one at second
 /// 2 and one at `second_start`.
 fn departing(second_start: u64) -> Evidence {
@@ -158,6 +247,7 @@
         shared_parts: parts.iter().map(|p| (*p).to_owned()).collect(),
         entry: 0,
         began: at(second),
+        ended: at(second),
         expected_body: "owed".to_owned(),
         outcome: if is_begun {
             complete()
@@ -255,6 +345,7 @@
         shared_parts: Vec::new(),
         entry: 0,
         began: at(0),
+        ended: at(8),
         expected_body: "owed".to_owned(),
         outcome,
     };
@@ -276,6 +367,7 @@
         expected_body: body.replace(" v2", "").replace(" v3", ""),
         outcome: Outcome::Truncated((*body).to_owned()),
         began: at(1),
+        ended: at(2),
     };
     Evidence {
         attempts: attempts.iter().map(attempt).collect(),
