Excuse a run that ends as its caller gives up

A run that ends less than 1 s before its caller gives up excuses now that the caller didn't get the end, and nothing else: a new run does not, and an end that is withheld for longer is still found.

Before: site_checker's new case run_that_ends_as_its_caller_gives_up_is_excused fails (found).

--- a/standins/src/site/checker.rs
+++ b/standins/src/site/checker.rs
@@ -80,6 +80,8 @@
     pub began: Instant,
     /// Time of its result.
     pub ended: Instant,
+    /// Time that the caller waits for it.
+    pub patience: Duration,
     /// Complete body that the caller expects.
     pub expected_body: String,
     /// Result of the attempt.
--- a/standins/tests/site_checker.rs
+++ b/standins/tests/site_checker.rs
@@ -6,6 +6,9 @@
 };
 use std::time::{Duration, Instant};
 
+/// Time that callers wait.
+const PATIENCE: Duration = Duration::from_secs(8);
+
 macro_rules! cases {
     ($($name:ident => $body:expr;)+) => {
         $(
@@ -110,6 +113,13 @@
         let paused = Evidence { excused: vec![(at(4), at(9))], ..ended(part(), vec![run(1, 3)]) };
         assert_eq!(paused.find_breaches(), []);
     };
+    run_that_ends_as_its_caller_gives_up_is_excused => assert_eq!(ended(Outcome::NoAnswer, vec![run(0, 7)]).find_breaches(), []);
+    end_withheld_until_its_caller_gives_up_is_found => assert_breach(&ended(Outcome::NoAnswer, vec![run(0, 6)]), Breach::EndedButBroken);
+    run_again_after_one_that_ends_late_is_found => {
+        let mut late = ended(complete(), vec![run(0, 7), run(7, 8)]);
+        late.attempts[0].ended = at(9);
+        assert_breach(&late, Breach::EndedButBroken);
+    };
     cut_call_is_not_judged_as_a_stream => {
         let mut call = ended(part(), vec![run(0, 3)]);
         call.attempts[0].kind = RequestKind::Fetch;
@@ -248,6 +258,7 @@
         entry: 0,
         began: at(second),
         ended: at(second),
+        patience: PATIENCE,
         expected_body: "owed".to_owned(),
         outcome: if is_begun {
             complete()
@@ -346,6 +357,7 @@
         entry: 0,
         began: at(0),
         ended: at(8),
+        patience: PATIENCE,
         expected_body: "owed".to_owned(),
         outcome,
     };
@@ -368,6 +380,7 @@
         outcome: Outcome::Truncated((*body).to_owned()),
         began: at(1),
         ended: at(2),
+        patience: PATIENCE,
     };
     Evidence {
         attempts: attempts.iter().map(attempt).collect(),
