Play stopped runs in the soak

An engine that ended the stream of a stopped run in order, with its last chunk, was taken for one that had ended by itself, and the soak couldn't see it: its engines closed stopped streams without a last chunk, and copied on every order.

The new plan has engines that leave in series, among other faults. Each ends stopped streams in one of eight ways, and answers orders to stop with refusals alone, in time, or in any way, drawn anew every 10 ms: copied, kept, kept unnamed or with a handle of no use, lost, lost and carried out on the next run, busy, not executed, too many; at once, within 0.7 s, or as late as 2.5 s. Every second engine ends its answers with their connections; where such an engine ends, its proxy resets them, since a close would look like the end of an answer. Streams have up to 241 events, so that they outlast the second between a notice and its orders or end close to it.

--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -17,6 +17,7 @@
     pub(crate) mod report;
     pub(crate) mod run;
     mod stale_seeds;
+    mod stopped_runs;
 }
 mod support;
 
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -19,6 +19,9 @@
 /// Number of different stream lengths, which alternate from 2 events upwards.
 const EVENT_COUNT_RANGE: u64 = 120;
 
+/// The same where some streams outlast the notice of their engines.
+const LONG_EVENT_COUNT_RANGE: u64 = 240;
+
 /// Prompt and maximum answer of which an engine holds one.
 const CROWD_SIZE: &str = "16000,500";
 
@@ -103,6 +106,8 @@
     breaks: BreaksOff,
     /// Whether every second stream is large and read slowly.
     reads_slowly: bool,
+    /// Number of different stream lengths.
+    event_counts: u64,
     /// What crashes engines.
     cause: CrashCause,
 }
@@ -136,6 +141,7 @@
             crowd: false,
             breaks: BreaksOff::Never,
             reads_slowly: false,
+            event_counts: EVENT_COUNT_RANGE,
             cause: CrashCause::Nothing,
         }
     }
@@ -187,6 +193,14 @@
         }
     }
 
+    /// Makes some streams outlast the notice of their engines.
+    pub(crate) fn streaming_long(self) -> Self {
+        Self {
+            event_counts: LONG_EVENT_COUNT_RANGE,
+            ..self
+        }
+    }
+
     /// Makes some streams crash engines by a part of their prompts; no two are alike, and sound ones share the
     /// other parts.
     pub(crate) fn crashing(self) -> Self {
@@ -262,7 +276,7 @@
         let events = if is_bad {
             BAD_EVENTS
         } else {
-            2 + number * 7 % EVENT_COUNT_RANGE
+            2 + number * 7 % self.event_counts
         };
         let (method, path, expected_body) = call_of(kind, &id, after, events);
         let is_stream = matches!(kind, RequestKind::Log | RequestKind::Grade);
--- a/fireflydirect/tests/soak_parts/engines.rs
+++ b/fireflydirect/tests/soak_parts/engines.rs
@@ -60,6 +60,7 @@
             let last = u8::try_from(number).unwrap();
             self.site.start_engine(last).await;
             self.site.engines[number].set_version(version);
+            self.set_framing(number);
             self.site.register(EngineKind::Model, number, "ready").await;
             self.begin_serving(number);
         }
@@ -97,12 +98,20 @@
     pub(super) async fn restart(&mut self, engine: usize, silent: bool, end: Instant) {
         if silent {
             self.excuse_failures(end - Instant::now());
+            self.disturb(EngineKind::Model, engine, end);
             self.set_harm(EngineKind::Model, engine, ProxyFault::BlockAll);
             let undo = Undo::UpstreamConnection(EngineKind::Model, engine);
             self.pending_undos.push((end, undo));
         }
         self.end_serving(engine);
+        if !silent {
+            self.reset_connections(engine);
+        }
         self.site.engines[engine].restart().await.unwrap();
+        self.set_framing(engine);
+        if !silent {
+            self.accept_connections(engine);
+        }
         self.begin_serving(engine);
         let instance = self.site.engines[engine].instance();
         let now = Instant::now();
@@ -142,6 +151,7 @@
 
     pub(super) fn end_engine(&mut self, engine: usize) {
         self.end_serving(engine);
+        self.reset_connections(engine);
         let engine = &self.site.engines[engine];
         engine.kill();
         self.site.store.remove("servers", &engine.instance());
--- a/fireflydirect/tests/soak_parts/faults.rs
+++ b/fireflydirect/tests/soak_parts/faults.rs
@@ -2,6 +2,7 @@
 
 use crate::soak_parts::configurations::Asked;
 use crate::soak_parts::plan::{Fault, Step};
+use crate::soak_parts::stopped_runs::StoppedRuns;
 use crate::support::Site;
 use standins::site::{AnswerFault, EngineKind, Evidence, ProxyFault, Snapshot, StoreMode};
 use std::collections::{HashMap, HashSet};
@@ -50,6 +51,8 @@
     pub(super) crashed: HashSet<usize>,
     /// Version and start of the engines that serve, by number.
     pub(super) serving: HashMap<usize, (String, Instant)>,
+    /// Engines whose runs are stopped.
+    pub(super) stopped_runs: StoppedRuns,
 }
 
 /// Action that ends a fault.
@@ -91,6 +94,7 @@
             asked: Asked::default(),
             crashed: HashSet::new(),
             serving: HashMap::new(),
+            stopped_runs: StoppedRuns::default(),
         };
         for engine in 0..soak.site.engines.len() {
             soak.begin_serving(engine);
@@ -172,11 +176,13 @@
                 if kind == EngineKind::Model {
                     self.end_serving(number);
                 }
+                self.disturb(kind, number, end);
                 self.upstream(kind, number).set_fault(fault);
                 self.pending_undos.push((end, Undo::Answers(kind, number)));
             }
             Fault::UpstreamConnection(harm) => {
                 let (kind, number) = self.pick_upstream(step.pick);
+                self.disturb(kind, number, end);
                 self.set_harm(kind, number, harm);
                 // A cut upstream can't detect that its caller has disconnected.
                 self.excuse_failures(step.span);
@@ -213,6 +219,7 @@
             Fault::StateRateLimit => self.state_rate_limit(step.pick, end),
             Fault::SendLeaveNotice => self.send_leave_notice(step.pick, end).await,
             Fault::LeaveUnheard => self.leave_unheard(step.pick, step.span).await,
+            Fault::StopRuns { end, orders } => self.leave_with_stops(step, end, orders).await,
             Fault::RequestPause => self.request_pause(step.pick % 2, end),
         }
     }
@@ -299,6 +306,7 @@
         while self.start.elapsed() < length {
             self.undo_due(false).await;
             self.note_crashed();
+            self.draw_stop_answers();
             while let Some(step) = steps.next_if(|s| s.at <= self.start.elapsed()) {
                 self.apply(step).await;
             }
--- a/fireflydirect/tests/soak_parts/plan.rs
+++ b/fireflydirect/tests/soak_parts/plan.rs
@@ -1,8 +1,9 @@
 //! Fault plan of a soak, determined by the seed.
 
+use crate::soak_parts::stopped_runs::Orders;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use standins::site::{AnswerFault, Loss, ProxyFault};
+use standins::site::{AnswerFault, Loss, ProxyFault, StoppedEnd};
 use std::time::Duration;
 
 /// A fault or an operation on the site.
@@ -66,6 +67,13 @@
     ChangeVersion,
     /// The store falls silent, and a model engine leaves meanwhile, told by its report alone.
     LeaveUnheard,
+    /// A model engine leaves, with or without a leave notice, and is replaced; its runs are stopped.
+    StopRuns {
+        /// How the streams of stopped runs end.
+        end: StoppedEnd,
+        /// How it answers orders to stop.
+        orders: Orders,
+    },
 }
 
 /// A fault with its time, duration and target.
@@ -290,7 +298,7 @@
     }
 }
 
-fn draw_answer_fault(rng: &mut impl Rng) -> AnswerFault {
+pub(super) fn draw_answer_fault(rng: &mut impl Rng) -> AnswerFault {
     match rng.random_range(0..7) {
         0 => AnswerFault::Reject,
         1 => AnswerFault::Error,
--- a/fireflydirect/tests/soak_parts/report.rs
+++ b/fireflydirect/tests/soak_parts/report.rs
@@ -1,4 +1,4 @@
-//! Report of a soak that broke a guarantee.
+//! Report of a soak that broke a guarantee, and figures from logs.
 
 use crate::soak_parts::plan::Step;
 use crate::support::Site;
@@ -24,3 +24,10 @@
     }
     lines.join("\n")
 }
+
+/// Returns the number of streams in logs that ended by themselves though their last upstream was ordered to stop them.
+pub(crate) fn ended_beside_orders(logs: &[String]) -> usize {
+    let lines = logs.iter().flat_map(|log| log.lines());
+    let ended = lines.filter(|l| l.contains(" event=stream_ended "));
+    ended.filter(|l| !l.contains(" stop_order=none ")).count()
+}
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -5,7 +5,7 @@
 use crate::soak_parts::engines::other_version;
 use crate::soak_parts::faults::Soak;
 use crate::soak_parts::plan::{Fault, Step};
-use crate::soak_parts::report::report;
+use crate::soak_parts::report::{ended_beside_orders, report};
 use crate::soak_parts::stale_seeds::STALE_SEEDS;
 use crate::support::{KEY, Site, until};
 use reqwest::Client;
@@ -38,6 +38,8 @@
     /// Mechanisms that entries go without, separated by commas.
     pub(crate) without: &'static str,
     pub(crate) callers: fn(Callers) -> Callers,
+    /// Number of concurrent callers, unless there are more entries.
+    pub(crate) caller_count: usize,
     /// Number of entries, unless another one is asked for; more than three, so that some don't watch the store.
     pub(crate) entries: u8,
     /// Initial model engines.
@@ -52,12 +54,15 @@
     pub(crate) is_planned: bool,
     /// Time at which the seeds of the entries, all wrong till then, are corrected.
     pub(crate) corrected_at: Option<Duration>,
+    /// Whether every second engine ends its answers with their connections, and the ends of streams are judged.
+    pub(crate) stops_runs: bool,
 }
 
 /// No change.
 pub(crate) const UNCHANGED: Changes = Changes {
     without: "",
     callers: |callers| callers,
+    caller_count: CALLER_COUNT,
     entries: DEFAULT_ENTRIES,
     engines: INITIAL_ENGINES,
     two_versions: false,
@@ -65,6 +70,7 @@
     crash_points: &[0],
     is_planned: false,
     corrected_at: None,
+    stops_runs: false,
 };
 
 /// Streams beside one that crashes engines and comes again.
@@ -117,6 +123,8 @@
     pub(crate) held: usize,
     /// Engines that a request or a part of its prompt crashed.
     pub(crate) crashes: usize,
+    /// Runs that were stopped to go on elsewhere.
+    pub(crate) stopped: usize,
 }
 
 /// Runs a fault plan and checks every guarantee.
@@ -167,6 +175,8 @@
     evidence.crashing_parts = record.crashing_parts();
     evidence.crashing_paths = record.crashing_paths();
     evidence.is_planned = changes.is_planned;
+    evidence.are_read_to_the_end = changes.stops_runs;
+    evidence.copies = record.copied();
     evidence.foreign_memory = record.foreign_memory();
 }
 
@@ -189,11 +199,13 @@
         .map(|e| site.callers_of(e))
         .collect();
     let callers = (changes.callers)(Callers::new(addrs));
-    let caller_tasks: Vec<_> = (0..CALLER_COUNT)
-        .map(|_| tokio::spawn(callers.clone().run(Client::new())))
-        .collect();
     let foreign_service = if restarts { "nowhere" } else { "records" };
     let mut soak = Soak::new(site, foreign_service);
+    soak.begin_stops(changes.stops_runs);
+    let caller_count = changes.caller_count.max(usize::from(entries));
+    let caller_tasks: Vec<_> = (0..caller_count)
+        .map(|_| tokio::spawn(callers.clone().run(Client::new())))
+        .collect();
     match changes.corrected_at {
         None => soak.run(steps, seconds).await,
         Some(at) => soak.run_with_stale_seeds(at, steps, seconds).await,
@@ -233,12 +245,24 @@
     );
     assert!(complete > 0, "{name}: nothing was served");
     let logs = (0..usize::from(entries)).map(|e| soak.site.log(e));
-    let held = logs.map(|log| log.matches(" event=held ").count()).sum();
+    let logs: Vec<String> = logs.collect();
+    let held = logs.iter().map(|log| log.matches(" event=held ").count());
+    let held = held.sum();
     soak.site.check();
-    let crashed = |r: &&Run| r.end.0 == RunEnd::Crashed;
+    let ended_so = |end| move |r: &&Run| r.end.0 == end;
+    let count = |end| soak.evidence.runs.iter().filter(ended_so(end)).count();
+    let stopped = count(RunEnd::Migrated);
+    let ended = soak.evidence.ended_streams();
+    if changes.stops_runs {
+        let beside = ended_beside_orders(&logs);
+        println!(
+            "{name}: {stopped} runs stopped, {beside} streams ended beside an order, {ended:?}"
+        );
+    }
     Outcomes {
         held,
-        crashes: soak.evidence.runs.iter().filter(crashed).count(),
+        crashes: count(RunEnd::Crashed),
+        stopped,
         attempts: soak.evidence.attempts,
     }
 }
