--- a/fireflydirect/tests/soak.rs
+++ b/fireflydirect/tests/soak.rs
@@ -9,6 +9,7 @@
     pub(crate) mod callers;
     mod conditions;
     mod configurations;
+    mod engines;
     mod entries;
     pub(crate) mod faults;
     pub(crate) mod plan;
@@ -16,6 +17,7 @@
     pub(crate) mod report;
     pub(crate) mod run;
     mod stale_seeds;
+    mod stopped_runs;
 }
 mod support;
 
--- a/fireflydirect/tests/soak_parts/callers.rs
+++ b/fireflydirect/tests/soak_parts/callers.rs
@@ -19,6 +19,9 @@
 /// Number of different stream lengths, which alternate from 2 events upwards.
 const EVENT_COUNT_RANGE: u64 = 120;
 
+/// The same where some streams outlast the notice of their engines.
+const LONG_EVENT_COUNT_RANGE: u64 = 240;
+
 /// Prompt and maximum answer of which an engine holds one.
 const CROWD_SIZE: &str = "16000,500";
 
@@ -103,6 +106,8 @@
     breaks: BreaksOff,
     /// Whether every second stream is large and read slowly.
     reads_slowly: bool,
+    /// Number of different stream lengths.
+    event_counts: u64,
     /// What crashes engines.
     cause: CrashCause,
 }
@@ -136,6 +141,7 @@
             crowd: false,
             breaks: BreaksOff::Never,
             reads_slowly: false,
+            event_counts: EVENT_COUNT_RANGE,
             cause: CrashCause::Nothing,
         }
     }
@@ -187,6 +193,14 @@
         }
     }
 
+    /// Makes some streams outlast the notice of their engines.
+    pub(crate) fn streaming_long(self) -> Self {
+        Self {
+            event_counts: LONG_EVENT_COUNT_RANGE,
+            ..self
+        }
+    }
+
     /// Makes some streams crash engines by a part of their prompts; no two are alike, and sound ones share the
     /// other parts.
     pub(crate) fn crashing(self) -> Self {
@@ -257,17 +271,12 @@
         } else {
             format!("s{number}-{attempts}")
         };
-        let kind = match number % 4 {
-            0 => RequestKind::Fetch,
-            1 => RequestKind::File,
-            2 => RequestKind::Log,
-            _ => RequestKind::Grade,
-        };
+        let kind = kind_of(number);
         let is_bad = self.is_bad(number);
         let events = if is_bad {
             BAD_EVENTS
         } else {
-            2 + number * 7 % EVENT_COUNT_RANGE
+            2 + number * 7 % self.event_counts
         };
         let (method, path, expected_body) = call_of(kind, &id, after, events);
         let is_stream = matches!(kind, RequestKind::Log | RequestKind::Grade);
@@ -338,6 +347,7 @@
             Ok(outcome) => outcome,
             Err(_) => Outcome::NoAnswer,
         };
+        let ended = Instant::now();
         Attempt {
             id,
             resumes: held.map(|h| h.first.clone()),
@@ -345,6 +355,8 @@
             shared_parts,
             entry,
             began,
+            ended,
+            patience,
             expected_body,
             outcome,
         }
@@ -432,6 +444,15 @@
     }
 }
 
+const fn kind_of(number: u64) -> RequestKind {
+    match number % 4 {
+        0 => RequestKind::Fetch,
+        1 => RequestKind::File,
+        2 => RequestKind::Log,
+        _ => RequestKind::Grade,
+    }
+}
+
 /// Returns method, path and expected body of a request.
 fn call_of(kind: RequestKind, id: &str, after: u64, events: u64) -> (&'static str, String, String) {
     match kind {
