Expect the first of two calls of an order after the second has stopped the run

Cause: a repeat that stopped the run counted as the only call, so the next run there began without an order in doubt. The lines: stop_answered is_repeat=true stop_order=stopped, stream_goes_on at the same instance, stream_ended stop_order=none.

Change: such an order has an outcome of its own, after which the next run there may be stopped by the first call yet.

Ruled out: never repeating an order, which would lose the newer copy that a repeat may give.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -33,6 +33,8 @@
     Stopped,
     /// Not answered, so that it may have been carried out, or be so yet.
     Lost,
+    /// Carried out by the second of two calls, so that the first may be carried out yet.
+    StoppedByRepeat,
 }
 
 /// Meaning of the end of a body.
@@ -55,9 +57,10 @@
             BodyEnd::Whole
         }
         (BodyFraming::Chunks | BodyFraming::UntilClose, StopOrder::Out) => BodyEnd::Undecided,
-        (BodyFraming::Chunks | BodyFraming::UntilClose, StopOrder::Stopped | StopOrder::Lost) => {
-            BodyEnd::BrokenOff
-        }
+        (
+            BodyFraming::Chunks | BodyFraming::UntilClose,
+            StopOrder::Stopped | StopOrder::Lost | StopOrder::StoppedByRepeat,
+        ) => BodyEnd::BrokenOff,
     }
 }
 
@@ -87,7 +90,7 @@
     /// Returns whether the run is, or may be, stopped by an order that isn't out any more.
     #[must_use]
     pub const fn may_have_stopped(self) -> bool {
-        matches!(self, Self::Stopped | Self::Lost)
+        matches!(self, Self::Stopped | Self::Lost | Self::StoppedByRepeat)
     }
 
     /// Records that an order is sent.
@@ -106,9 +109,11 @@
 
     /// Records that a new run of the request begins at the upstream, which only an order of unknown outcome may still stop.
     pub fn begin_run(&mut self) {
-        if !matches!(self, Self::Out | Self::Lost) {
-            *self = Self::NotSent;
-        }
+        *self = match *self {
+            Self::StoppedByRepeat => Self::Lost,
+            Self::Out | Self::Lost => *self,
+            _ => Self::NotSent,
+        };
     }
 
     /// Returns its name in logs.
@@ -122,6 +127,7 @@
             Self::Out => "out",
             Self::Stopped => "stopped",
             Self::Lost => "lost",
+            Self::StoppedByRepeat => "stopped_by_repeat",
         }
     }
 }
--- a/fireflycroft/tests/stream_end.rs
+++ b/fireflycroft/tests/stream_end.rs
@@ -6,10 +6,21 @@
 
 use fireflycroft::BodyEnd::{self, BrokenOff, Undecided, Whole};
 use fireflycroft::BodyFraming::{Chunks, Length, UntilClose};
-use fireflycroft::StopOrder::{self, Busy, Lost, NoSuchRun, NotSent, Out, Refused, Stopped};
+use fireflycroft::StopOrder::{
+    self, Busy, Lost, NoSuchRun, NotSent, Out, Refused, Stopped, StoppedByRepeat,
+};
 use fireflycroft::body_end;
 
-const ALL: [StopOrder; 7] = [NotSent, Refused, NoSuchRun, Busy, Out, Stopped, Lost];
+const ALL: [StopOrder; 8] = [
+    NotSent,
+    Refused,
+    NoSuchRun,
+    Busy,
+    Out,
+    Stopped,
+    Lost,
+    StoppedByRepeat,
+];
 
 cases! {
     length_decides_beside_any_order => assert!(ALL.iter().all(|o| body_end(Length, *o) == Whole));
@@ -36,6 +47,9 @@
     order_that_is_out_after_a_refusal_is_waited_for => assert_eq!(with_another_out(Busy), Undecided);
     new_run_forgets_a_stop => assert_eq!(end_of_next_run(Stopped), Whole);
     new_run_may_be_stopped_by_a_lost_order => assert_eq!(end_of_next_run(Lost), BrokenOff);
+    close_after_a_stop_by_a_repeat_is_a_break => assert_eq!(end_after(&[StoppedByRepeat]), BrokenOff);
+    new_run_may_be_stopped_by_the_first_of_two_calls => assert_eq!(end_of_next_run(StoppedByRepeat), BrokenOff);
+    run_that_the_first_of_two_calls_may_stop_stays_so => assert_eq!(end_after(&[StoppedByRepeat, Stopped]), BrokenOff);
     outcomes_never_unsay_a_stop => never_unsaid();
 }
 
@@ -65,7 +79,15 @@
 }
 
 fn never_unsaid() {
-    let settled = [NotSent, Refused, NoSuchRun, Busy, Stopped, Lost];
+    let settled = [
+        NotSent,
+        Refused,
+        NoSuchRun,
+        Busy,
+        Stopped,
+        Lost,
+        StoppedByRepeat,
+    ];
     for a in settled {
         for b in settled {
             for c in settled {
--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -115,7 +115,9 @@
     let at = broken.at;
     let upstream = job.node.pool.borrow().record(at).upstream_incarnation();
     match run.stop_orders.at(&upstream) {
-        StopOrder::Stopped => return RunState::Over("it was stopped before"),
+        StopOrder::Stopped | StopOrder::StoppedByRepeat => {
+            return RunState::Over("it was stopped before");
+        }
         // A second order couldn't tell what becomes of the first.
         StopOrder::Out | StopOrder::Lost => {}
         _ => {
@@ -160,7 +162,7 @@
             store(node.assign(at, run.need.get()), memory);
             Some("it was stopped, its memory is kept there")
         }
-        (_, StopOrder::Stopped) => Some("it was stopped"),
+        (_, StopOrder::Stopped | StopOrder::StoppedByRepeat) => Some("it was stopped"),
         _ => None,
     }
 }
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -92,17 +92,22 @@
     /// Returns what the answer says about the order to stop that its call bore.
     #[must_use]
     pub const fn stop_order(&self) -> StopOrder {
+        let has_stopped = match &self.outcome {
+            MigrationOutcome::Copied(_) | MigrationOutcome::NoCapacity(Some(_)) => true,
+            MigrationOutcome::NoCapacity(None) => !self.is_refused,
+            _ => false,
+        };
         match &self.outcome {
-            MigrationOutcome::Copied(_) | MigrationOutcome::NoCapacity(Some(_)) => {
-                StopOrder::Stopped
-            }
-            MigrationOutcome::NoCapacity(None) if !self.is_refused => StopOrder::Stopped,
+            _ if has_stopped && self.is_repeat => StopOrder::StoppedByRepeat,
+            _ if has_stopped => StopOrder::Stopped,
             // The first of the two may have stopped what the second didn't find.
             _ if self.is_repeat => StopOrder::Lost,
             MigrationOutcome::NoSuchRun => StopOrder::NoSuchRun,
             MigrationOutcome::Busy => StopOrder::Busy,
             _ if self.is_refused => StopOrder::Refused,
-            MigrationOutcome::Malformed | MigrationOutcome::NoCapacity(None) => StopOrder::Lost,
+            MigrationOutcome::Malformed
+            | MigrationOutcome::Copied(_)
+            | MigrationOutcome::NoCapacity(_) => StopOrder::Lost,
         }
     }
 }
