--- a/fireflycroft/tests/lost_generations.rs
+++ b/fireflycroft/tests/lost_generations.rs
@@ -7,31 +7,29 @@
 mod cases;
 
 use agent_site::Site;
-use fireflycroft::{
-    AgentAction, AgentEvent, AgentLimits, Code, GenerationId, Message, RequestId, Work,
-};
+use fireflycroft::{AgentAction, AgentEvent, AgentLimits, Code, Message};
 
 cases! {
     lost_generation_is_stopped_before_its_caller_hears => {
-        let (mut site, generation) = running();
+        let (mut site, generation) = Site::running();
         site.apply(AgentEvent::Lost { generation });
         assert_eq!(ends(&site), [End::Stopped, End::Told]);
     };
     generation_that_broke_too_often_is_stopped => {
-        let (mut site, generation) = running();
+        let (mut site, generation) = Site::running();
         for _ in 0..=AgentLimits::default().max_resumes {
             site.apply(AgentEvent::Broken { generation });
         }
         assert_eq!(ends(&site), [End::Stopped, End::Told]);
     };
     generation_of_another_version_is_stopped_once => {
-        let (mut site, generation) = running();
+        let (mut site, generation) = Site::running();
         site.apply(AgentEvent::Tokens { generation, tokens: vec![b"a".to_vec()] });
         site.apply(AgentEvent::Opened { generation, software_version: Some("b".into()) });
         assert_eq!(ends(&site), [End::Stopped, End::Told]);
     };
     generation_of_an_ended_upstream_has_nothing_to_stop => {
-        let (mut site, _) = running();
+        let (mut site, _) = Site::running();
         site.apply(AgentEvent::UpstreamDown);
         assert_eq!(ends(&site), [End::Told]);
     };
@@ -58,22 +56,3 @@
     };
     site.out.iter().filter_map(end).collect()
 }
-
-/// Returns an agent with a running generation.
-fn running() -> (Site, GenerationId) {
-    let mut site = Site::new(1);
-    site.offer(1, &[]);
-    assert_eq!(site.answers(1), [None]);
-    let accepted = site.out.iter().find_map(|action| match action {
-        AgentAction::Send(_, Message::Accept { generation, .. }) => Some(*generation),
-        _ => None,
-    });
-    let generation = accepted.expect("an idle agent accepts");
-    let body = b"{}".as_slice().into();
-    site.receive(Message::Start {
-        request: RequestId(1),
-        generation,
-        work: Work::Generate { body },
-    });
-    (site, generation)
-}
--- a/fireflycroft/tests/support/agent_site.rs
+++ b/fireflycroft/tests/support/agent_site.rs
@@ -1,9 +1,11 @@
 //! An agent and the messages that it is sent.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use fireflycroft::{
     AdmitPolicy, Agent, AgentAction, AgentEvent, AgentLimits, AgentSetup, Capacity, Code,
-    ConfigVersion, Demand, Digest, Envelope, Incarnation, Message, PartId, Peer, Priority,
-    RequestId, Role, Time,
+    ConfigVersion, Demand, Digest, Envelope, GenerationId, Incarnation, Message, PartId, Peer,
+    Priority, RequestId, Role, Time, Work,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +48,38 @@
         site
     }
 
+    /// Returns an agent with a running generation, that of request 1.
+    pub(crate) fn running() -> (Self, GenerationId) {
+        let mut site = Self::new(1);
+        let generation = site.start(1);
+        (site, generation)
+    }
+
+    /// Offers a request, which the agent must accept at once, and starts it.
+    pub(crate) fn start(&mut self, request: u128) -> GenerationId {
+        self.offer(request, &[]);
+        assert_eq!(self.answers(request), [None]);
+        let accepted = self.out.iter().find_map(|action| match action {
+            AgentAction::Send(
+                _,
+                Message::Accept {
+                    request: of,
+                    generation,
+                    ..
+                },
+            ) if of.0 == request => Some(*generation),
+            _ => None,
+        });
+        let generation = accepted.expect("an idle agent accepts");
+        let body = b"{}".as_slice().into();
+        self.receive(Message::Start {
+            request: RequestId(request),
+            generation,
+            work: Work::Generate { body },
+        });
+        generation
+    }
+
     pub(crate) fn apply(&mut self, event: AgentEvent) {
         self.agent.on_event(self.now, event, &mut self.out);
     }
--- a/fireflyd/tests/processes_streams.rs
+++ b/fireflyd/tests/processes_streams.rs
@@ -5,11 +5,9 @@
 
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::json;
 use standins::caller::{End, Request};
-use support::{DOSSIERS, Fleet, LOGS, Link, Spec, until};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use support::{DOSSIERS, Fleet, LOGS, Spec, chat_as_http_1_0, linked_fleet, until};
 use tokio::time::sleep;
 
 /// Slow-down of the engines at which the first step takes more than a second.
@@ -141,23 +139,9 @@
     fleet.assert_guarantees(&[got, next]);
 }
 
-/// Starts a fleet whose only engine is behind a link.
-async fn linked_fleet() -> (Fleet, Link) {
-    let mut fleet = Fleet::start(Spec {
-        engines: 1,
-        ..Spec::default()
-    })
-    .await;
-    let link = Link::open(fleet.engines[0].addr).await;
-    fleet.agents[0].process.kill();
-    fleet.agents[0] = fleet.start_engine_agent(0, &format!("http://{}", link.addr()));
-    fleet.await_ready().await;
-    (fleet, link)
-}
-
 /// The engine continues without a connection; the agent reattaches.
 async fn upstream_link_cut(after: u64) {
-    let (fleet, link) = linked_fleet().await;
+    let (fleet, link) = linked_fleet(Spec::default()).await;
     let mut session = fleet.caller().begin(stream("m", 400), 0);
     assert!(session.read_until_tokens(after).await);
     link.cut();
@@ -169,7 +153,7 @@
 
 /// Software of another version goes on with the engine's streams; the caller gets none of its tokens.
 async fn engine_upgraded() {
-    let (fleet, link) = linked_fleet().await;
+    let (fleet, link) = linked_fleet(Spec::default()).await;
     let mut session = fleet.caller().begin(stream("m", 4_000), 0);
     assert!(session.read_until_tokens(40).await);
     fleet.upgrade_engine(0, "v2").await;
@@ -179,14 +163,6 @@
     assert_eq!(got.last().delivered, Some(got.last().tokens));
 }
 
-/// Returns the engine's id of the stream that began last.
-fn stream_id(fleet: &Fleet, engine: usize) -> String {
-    let log = std::fs::read_to_string(&fleet.engines[engine].run_log).unwrap();
-    let line = log.lines().rfind(|l| l.contains("\"started\"")).unwrap();
-    let event: Value = serde_json::from_str(line).unwrap();
-    event["stream_id"].as_str().unwrap().to_owned()
-}
-
 /// A generation that its engine ends as cancelled, without an order from here, is not complete.
 /// A whole answer starts afresh.
 async fn engine_cancels(streams: bool) {
@@ -206,40 +182,13 @@
     }
     let call = tokio::spawn(session.finish());
     let engine = fleet.engine_of("m").await;
-    let id = stream_id(&fleet, engine);
-    let url = format!("{}/v1/streams/{id}/cancel", fleet.engines[engine].url());
-    assert!(
-        fleet
-            .http
-            .post(url)
-            .send()
-            .await
-            .unwrap()
-            .status()
-            .is_success()
-    );
+    fleet.cancel_at_engine(engine).await;
     let got = call.await.unwrap();
     fleet.assert_guarantees(std::slice::from_ref(&got));
     let afresh = !streams && got.last().tokens == WHOLE_TOKENS;
     assert!(afresh || got.code() == Some(3_001), "{got:?}");
 }
 
-/// Sends a request as HTTP/1.0, whose answer may end with its connection; returns all that comes.
-async fn call_as_http_1_0(fleet: &Fleet, body: &str) -> String {
-    let mut caller = TcpStream::connect(fleet.entries[0].callers.unwrap())
-        .await
-        .unwrap();
-    let head = format!(
-        "POST /v1/chat/completions HTTP/1.0\r\nhost: entry\r\nauthorization: Bearer {DOSSIERS}\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    caller.write_all(head.as_bytes()).await.unwrap();
-    let mut answer = String::new();
-    caller.read_to_string(&mut answer).await.unwrap();
-    answer
-}
-
 /// Its answer ends with the connection; the cut one has no end marker.
 async fn old_caller_cut() {
     let mut fleet = Fleet::start(Spec {
@@ -254,10 +203,10 @@
         })
         .to_string()
     };
-    let whole = call_as_http_1_0(&fleet, &body(9)).await;
+    let whole = chat_as_http_1_0(&fleet, &body(9)).await;
     assert!(whole.ends_with("data: [DONE]\n\n"), "{whole}");
     let text = body(8_000);
-    let (cut, ()) = tokio::join!(call_as_http_1_0(&fleet, &text), async {
+    let (cut, ()) = tokio::join!(chat_as_http_1_0(&fleet, &text), async {
         until("the long one begins", || {
             std::future::ready(fleet.runs().count("old") == 2)
         })
@@ -329,7 +278,7 @@
 
 /// The engine goes on with its streams at another version, and its agent's connection breaks, while no entry lives.
 async fn entries_killed_at_upgrade() {
-    let (mut fleet, link) = linked_fleet().await;
+    let (mut fleet, link) = linked_fleet(Spec::default()).await;
     let mut session = fleet.caller().begin(stream("m", 4_000), 0);
     assert!(session.read_until_tokens(40).await);
     kill_entries(&mut fleet);
--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -10,8 +10,8 @@
 use serde_json::{Value, json};
 use standins::caller::Request;
 use standins::crowd::Watch;
-use standins::trouble::{Door, Trouble};
-use support::{COUNTER, DOSSIERS, Fleet, GRADES, Spec, WAIT_TIMEOUT, until};
+use standins::trouble::Trouble;
+use support::{COUNTER, DOSSIERS, Doors, Fleet, GRADES, WAIT_TIMEOUT, until};
 
 /// Request of a run at an engine.
 const RUN: &str = "POST /v1/chat/completions";
@@ -64,50 +64,6 @@
     answer_that_ends_before_an_event_leaves_the_streams_beside_it => beside(OPENED, "");
 }
 
-/// A fleet whose upstreams stand behind doors.
-struct Doors {
-    fleet: Fleet,
-    engine: Door,
-    plain: Door,
-}
-
-impl Doors {
-    async fn open(trouble: Trouble) -> Self {
-        let mut fleet = Fleet::start(Spec {
-            engines: 1,
-            entries: 1,
-            plain: true,
-            daemon_flags: vec!["--plain-timeout-ms", "3000"],
-            daemon_env: vec![("FIREFLYD_MEMORY_MB", "64")],
-            ..Spec::default()
-        })
-        .await;
-        let engine = Door::open(fleet.engines[0].addr, trouble.clone())
-            .await
-            .unwrap();
-        let records = fleet.plain.as_ref().unwrap().addr;
-        let plain = Door::open(records, trouble).await.unwrap();
-        for agent in &mut fleet.agents {
-            agent.process.kill();
-        }
-        fleet.agents = vec![
-            fleet.start_engine_agent(0, &engine.url()),
-            fleet.start_plain_agent(&plain.url()),
-        ];
-        fleet.await_ready().await;
-        Self {
-            fleet,
-            engine,
-            plain,
-        }
-    }
-
-    fn set(&self, trouble: &Trouble) {
-        self.engine.set(trouble.clone());
-        self.plain.set(trouble.clone());
-    }
-}
-
 fn chat(fleet: &Fleet, mark: &str) -> RequestBuilder {
     let body = json!({
         "model": "model-a", "max_tokens": 10,
--- a/fireflyd/tests/sse.rs
+++ b/fireflyd/tests/sse.rs
@@ -1,25 +1,20 @@
 //! Event parser, decoder of engine streams with any chunk boundaries, and upstream clients.
 
+#[path = "support/answers.rs"]
+mod answers;
+
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
+use answers::{END, TIMEOUT, choice, full_response, head, numbered, request, serve_once};
 use fireflyd::sse::{MAX_EVENT_BYTES, SseEvent, SseReader, TooLong, parse_event};
 use fireflyd::upstream::{
-    Decoder, EngineClient, EngineEvent, EngineOrder, FencedOrder, FinishReason, GenerateRequest,
-    OrderOutcome, PlainClient, Token, UpstreamError, Usage,
+    Decoder, EngineClient, EngineEvent, EngineOrder, FencedOrder, FinishReason, OrderOutcome,
+    PlainClient, Token, UpstreamError, Usage,
 };
 use futures_util::StreamExt;
 use proptest::prelude::*;
 use proptest::test_runner::{FileFailurePersistence, RngAlgorithm, RngSeed};
 use serde_json::json;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
-
-/// Timeout of calls that must end with a response.
-const TIMEOUT: Duration = Duration::from_secs(30);
-
-const END: &str = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}],\
-    \"usage\":{\"prompt_tokens\":3,\"completion_tokens\":2,\"preemptions\":1}}\n\ndata: [DONE]\n\n";
 
 fn data(text: &str) -> SseEvent {
     SseEvent {
@@ -109,17 +104,6 @@
     out
 }
 
-fn choice(text: &str) -> String {
-    format!(
-        "data: {}\n\n",
-        json!({"choices": [{"delta": {"content": text}}]})
-    )
-}
-
-fn numbered(id: u64) -> String {
-    format!("id: {id}\n{}", choice("a"))
-}
-
 macro_rules! decode_cases {
     ($($name:ident: $text:expr => $want:expr;)*) => {$(
         #[test]
@@ -225,30 +209,6 @@
     }
 }
 
-/// Serves one connection: sends `answer` after the request's headers, then closes.
-async fn serve_once(answer: String) -> (String, tokio::task::JoinHandle<String>) {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
-    let url = format!("http://{}", listener.local_addr().unwrap());
-    let served = tokio::spawn(async move {
-        let (mut socket, _) = listener.accept().await.unwrap();
-        let mut seen = Vec::new();
-        while !seen.windows(4).any(|end| end == b"\r\n\r\n") {
-            socket.read_buf(&mut seen).await.unwrap();
-        }
-        socket.write_all(answer.as_bytes()).await.unwrap();
-        String::from_utf8_lossy(&seen).into_owned()
-    });
-    (url, served)
-}
-
-fn head(status: &str, len: usize) -> String {
-    format!("HTTP/1.1 {status}\r\ncontent-type: text/plain\r\ncontent-length: {len}\r\n\r\n")
-}
-
-fn full_response(status: &str, body: &str) -> String {
-    head(status, body.len()) + body
-}
-
 fn refusing_address() -> (tokio::net::TcpSocket, String) {
     let bound = tokio::net::TcpSocket::new_v4().unwrap();
     bound.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
@@ -256,17 +216,6 @@
     (bound, url)
 }
 
-fn request() -> GenerateRequest {
-    GenerateRequest {
-        model: "m".into(),
-        messages: json!([{"role": "user", "content": "x"}]),
-        max_tokens: 8,
-        priority: 0,
-        stream_id: "s1".into(),
-        request_id: Some("r1".into()),
-    }
-}
-
 async fn run_generation(answer: String) -> (Vec<EngineEvent>, String) {
     let (url, served) = serve_once(answer).await;
     let client = EngineClient::new(&url, TIMEOUT).unwrap();
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -352,24 +352,6 @@
         self.post(&self.platform, "/standin/faults", faults).await;
     }
 
-    /// Multiplies the step time of all running engines by `factor`.
-    pub async fn slow_engines(&mut self, factor: u32) {
-        for engine in 0..self.engines.len() {
-            if self.engines[engine].process.is_alive() {
-                let faults = json!({ "slow_factor": factor });
-                self.post(&self.engines[engine], "/standin/faults", faults)
-                    .await;
-            }
-        }
-    }
-
-    /// Replaces the software of an engine, which keeps its streams.
-    pub async fn upgrade_engine(&self, engine: usize, version: &str) {
-        let patch = json!({ "software_version": version });
-        self.post(&self.engines[engine], "/standin/faults", patch)
-            .await;
-    }
-
     /// Returns the number of reads that the platform has answered.
     pub async fn platform_reads(&self) -> u64 {
         let url = format!("{}/standin/calls", self.platform.url());
@@ -384,7 +366,7 @@
         self.post(&self.platform, "/standin/vms", list).await;
     }
 
-    async fn post(&self, to: &StandIn, path: &str, body: Value) {
+    pub(super) async fn post(&self, to: &StandIn, path: &str, body: Value) {
         let url = format!("{}{path}", to.url());
         let res = self.http.post(url).json(&body).send().await.unwrap();
         assert!(res.status().is_success(), "{path}: {}", res.status());
@@ -408,16 +390,6 @@
         Runs::read(stand_ins.map(|s| &s.run_log)).unwrap()
     }
 
-    /// Waits for a generation with that mark; returns the index of the engine on
-    /// which the latest one started.
-    pub async fn engine_of(&self, mark: &str) -> usize {
-        until(&format!("{mark} began"), || {
-            std::future::ready(!self.runs().log_indexes(mark).is_empty())
-        })
-        .await;
-        self.runs().log_indexes(mark)[0]
-    }
-
     /// Fails the test if a guarantee was violated for one of these callers.
     pub fn assert_guarantees(&self, all: &[RequestOutcome]) {
         let breaches: Vec<Breach> = find_breaches(&self.runs(), all);
--- a/fireflyd/tests/support/link.rs
+++ b/fireflyd/tests/support/link.rs
@@ -7,6 +7,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use super::{Fleet, Spec};
+
 /// The proxy; it stops with the test's runtime.
 pub struct Link {
     addr: SocketAddr,
@@ -48,3 +50,13 @@
         () = cut.notified() => {}
     }
 }
+
+/// Starts a fleet whose only engine is behind a link.
+pub async fn linked_fleet(spec: Spec) -> (Fleet, Link) {
+    let mut fleet = Fleet::start(Spec { engines: 1, ..spec }).await;
+    let link = Link::open(fleet.engines[0].addr).await;
+    fleet.agents[0].process.kill();
+    fleet.agents[0] = fleet.start_engine_agent(0, &format!("http://{}", link.addr()));
+    fleet.await_ready().await;
+    (fleet, link)
+}
--- a/fireflyd/tests/support/mod.rs
+++ b/fireflyd/tests/support/mod.rs
@@ -8,13 +8,18 @@
     reason = "each test file uses a part"
 )]
 
+mod doors;
+mod engines;
 mod fleet;
 mod link;
+mod old_caller;
 mod process;
 mod wait;
 
+pub use doors::Doors;
 pub use fleet::{Fleet, Node, Spec, StandIn};
-pub use link::Link;
+pub use link::{Link, linked_fleet};
+pub use old_caller::{chat_as_http_1_0, send_as_http_1_0};
 pub use process::{Process, run};
 pub use wait::{WAIT_TIMEOUT, until, within};
 
