Let the stand-in engine end bodies without their marks, and cancellations come to nothing

A cancelled generation's body may end in order without a reason, or with the closing event only; a body may end so while its generation goes on; and a cancellation may be refused, answered as if there were no such stream, carried out without an answer, or late.

Ruled out: breaking a body by an error of its stream. poem's server polls the connection once more after it, and hyper then writes the last chunk, so that the body ends in order. The daemons' own server returns after such an error.

--- a/standins/src/engine/api.rs
+++ b/standins/src/engine/api.rs
@@ -7,13 +7,15 @@
 use poem::web::{Data, Json, Path, Query};
 use poem::{EndpointExt, IntoEndpoint, Request, Response, Route, get, handler, post};
 use serde::Deserialize;
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 
 use super::core::{Submission, SubmitError};
 use super::orders::FencedOrder;
 use super::prompt::Prompt;
 use super::sse;
 use super::state::{FaultPatch, State};
+use super::stream::Reader;
+use super::stream_faults::CancelOutcome;
 use crate::reply;
 use crate::sync::lock;
 
@@ -29,6 +31,9 @@
 /// Default timeout of an events query, in milliseconds.
 const DEFAULT_EVENTS_TIMEOUT_MS: u64 = 10_000;
 
+/// Delay of a cancellation that is carried out late.
+const LATE_CANCEL_DELAY: Duration = Duration::from_millis(500);
+
 /// Body of a generation request.
 #[derive(Debug, Deserialize)]
 struct ChatRequest {
@@ -101,7 +106,7 @@
 ) -> Response {
     let stream = req.stream;
     match state.submit(submission(req, headers)) {
-        Ok(reader) if stream => sse::stream_response(reader, 0, &state.software_version()),
+        Ok(reader) if stream => stream_response(state, reader, 0),
         Ok(reader) => sse::completion_response(reader).await,
         Err(err) => refusal_response(err),
     }
@@ -136,22 +141,36 @@
     Query(query): Query<ResumeQuery>,
 ) -> Response {
     match state.stream(&id) {
-        Some(stream) => {
-            sse::stream_response(stream.attach(), query.from, &state.software_version())
-        }
+        Some(stream) => stream_response(state, stream.attach(), query.from),
         None => reply::failure(StatusCode::NOT_FOUND, "no such stream"),
     }
 }
 
+fn stream_response(state: &State, reader: Reader, from: u64) -> Response {
+    let version = state.software_version();
+    sse::stream_response(reader, from, &version, state.stream_faults())
+}
+
 #[handler]
-fn cancel(Data(state): Data<&Arc<State>>, Path(id): Path<String>) -> Response {
-    match state.stream(&id) {
-        Some(stream) => {
-            state.cancel(&stream);
-            reply::ok(&"cancelled")
+async fn cancel(Data(state): Data<&Arc<State>>, Path(id): Path<String>) -> Response {
+    let outcome = lock(&state.stream_faults()).cancel;
+    let no_such_stream = || reply::failure(StatusCode::NOT_FOUND, "no such stream");
+    let Some(stream) = state.stream(&id) else {
+        return no_such_stream();
+    };
+    match outcome {
+        CancelOutcome::Refused => {
+            return reply::failure(StatusCode::SERVICE_UNAVAILABLE, "refused");
         }
-        None => reply::failure(StatusCode::NOT_FOUND, "no such stream"),
+        CancelOutcome::Unknown => return no_such_stream(),
+        CancelOutcome::Late => sleep(LATE_CANCEL_DELAY).await,
+        CancelOutcome::Done | CancelOutcome::Lost => {}
+    }
+    state.cancel(&stream);
+    if outcome == CancelOutcome::Lost {
+        std::future::pending::<()>().await;
     }
+    reply::ok(&"cancelled")
 }
 
 #[handler]
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod sse;
 mod state;
 mod stream;
+mod stream_faults;
 mod text;
 
 use std::io;
--- a/standins/src/engine/sse.rs
+++ b/standins/src/engine/sse.rs
@@ -2,14 +2,16 @@
 
 use std::fmt::Write;
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use futures_util::stream;
 use poem::{Body, Response};
 use serde::Serialize;
 
 use super::stream::{EndReason, Progress, Reader, Stream};
+use super::stream_faults::{BodyEnd, StreamFaults};
 use crate::reply;
+use crate::sync::lock;
 
 /// Header of the stream id for resumption.
 const STREAM_ID_HEADER: &str = "x-stream-id";
@@ -84,12 +86,18 @@
 }
 
 /// Streams the tokens from index `from` on.
-pub(super) fn stream_response(reader: Reader, from: u64, software_version: &str) -> Response {
+pub(super) fn stream_response(
+    reader: Reader,
+    from: u64,
+    software_version: &str,
+    faults: Arc<Mutex<StreamFaults>>,
+) -> Response {
     let id = Arc::clone(&reader.stream.id);
     let cursor = Cursor {
         reader,
         next: from,
         done: false,
+        faults,
     };
     let chunks = stream::unfold(cursor, |mut cursor| async move {
         let chunk = cursor.next_chunk().await?;
@@ -133,6 +141,7 @@
     reader: Reader,
     next: u64,
     done: bool,
+    faults: Arc<Mutex<StreamFaults>>,
 }
 
 impl Cursor {
@@ -144,6 +153,14 @@
             if !chunk.is_empty() {
                 return Some(chunk);
             }
+            match self.unmarked_end(progress) {
+                None | Some(BodyEnd::Marked) => {}
+                Some(BodyEnd::Closing) => {
+                    self.done = true;
+                    return Some(DONE_EVENT.to_owned());
+                }
+                Some(BodyEnd::InOrder) => return None,
+            }
             self.reader.progress.changed().await.ok()?;
         }
         None
@@ -151,16 +168,29 @@
 
     fn render_events(&mut self, progress: Progress) -> String {
         let mut buf = String::new();
-        while self.next < progress.generated {
+        let faults = *lock(&self.faults);
+        let limit = faults.early_limit();
+        while self.next < limit.unwrap_or(u64::MAX).min(progress.generated) {
             self.write_token(&mut buf, progress);
             self.next += 1;
         }
-        if progress.end.is_some() {
+        let is_unmarked =
+            progress.end == Some(EndReason::Cancelled) && faults.cancelled_end != BodyEnd::Marked;
+        let is_reached = limit.is_none_or(|limit| progress.generated < limit);
+        if progress.end.is_some() && is_reached && !is_unmarked {
             self.write_end(&mut buf, progress);
         }
         buf
     }
 
+    /// Returns how the body ends now without the marks of a generation's end.
+    fn unmarked_end(&self, progress: Progress) -> Option<BodyEnd> {
+        let mut faults = lock(&self.faults);
+        let early = faults.take_early_end(self.next);
+        let is_cancelled = progress.end == Some(EndReason::Cancelled);
+        early.or_else(|| is_cancelled.then_some(faults.cancelled_end))
+    }
+
     fn write_token(&mut self, buf: &mut String, progress: Progress) {
         let last = self.next + 1 == progress.generated && ended_with_token(progress.end);
         let content = self.reader.stream.text.token(self.next);
--- a/standins/src/engine/state.rs
+++ b/standins/src/engine/state.rs
@@ -15,6 +15,7 @@
 use super::log::RunEvent;
 use super::orders::{FencedOrder, Orders, StaleFence};
 use super::stream::{Reader, Stream};
+use super::stream_faults::{BodyEnd, CancelOutcome, EarlyEnd, StreamFaults};
 use crate::server::Stop;
 use crate::sync::lock;
 
@@ -28,6 +29,12 @@
     pub(super) freeze_ms: Option<u64>,
     /// Version of the software that goes on with its streams.
     pub(super) software_version: Option<Arc<str>>,
+    /// End of the bodies of cancelled generations.
+    pub(super) cancelled_end: Option<BodyEnd>,
+    /// What becomes of cancellations.
+    pub(super) cancel: Option<CancelOutcome>,
+    /// End of bodies before that of their generation.
+    pub(super) early_end: Option<EarlyEnd>,
 }
 
 /// The whole state of an engine.
@@ -41,6 +48,7 @@
     pub(super) work_added: Notify,
     core: Mutex<Core>,
     software_version: Mutex<Arc<str>>,
+    stream_faults: Arc<Mutex<StreamFaults>>,
     pace: Mutex<PaceFaults>,
 }
 
@@ -67,6 +75,7 @@
             work_added: Notify::new(),
             core: Mutex::new(core),
             software_version: Mutex::new(Arc::clone(&cfg.software_version)),
+            stream_faults: Arc::default(),
             pace: Mutex::new(PaceFaults {
                 slow_factor: cfg.slow_factor,
                 frozen_until: Instant::now(),
@@ -145,6 +154,10 @@
         if let Some(version) = patch.software_version {
             *lock(&self.software_version) = version;
         }
+        let mut streams = lock(&self.stream_faults);
+        streams.cancelled_end = patch.cancelled_end.unwrap_or(streams.cancelled_end);
+        streams.cancel = patch.cancel.unwrap_or(streams.cancel);
+        streams.early_end = patch.early_end.or(streams.early_end);
         let mut pace = lock(&self.pace);
         if let Some(factor) = patch.slow_factor {
             pace.slow_factor = factor;
@@ -159,6 +172,11 @@
         Arc::clone(&lock(&self.software_version))
     }
 
+    /// Returns the faults of its streams.
+    pub(super) fn stream_faults(&self) -> Arc<Mutex<StreamFaults>> {
+        Arc::clone(&self.stream_faults)
+    }
+
     /// Returns the end of the latest freeze.
     pub(super) fn frozen_until(&self) -> Instant {
         lock(&self.pace).frozen_until
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -27,6 +27,14 @@
     resume_after_the_end => resume_after_end();
     abandoned_stream_is_cancelled => abandoned_stream();
     cancel_ends_stream => cancel();
+    cancelled_body_ends_with_its_last_chunk => cancelled_end("in_order", false);
+    cancelled_body_ends_with_its_closing_event => cancelled_end("closing", true);
+    cancel_refused => cancel_outcome("refused", Some(503), false);
+    cancel_of_no_such_stream => cancel_outcome("unknown", Some(404), false);
+    cancel_whose_answer_is_lost => cancel_outcome("lost", None, true);
+    cancel_that_comes_late => cancel_outcome("late", Some(200), true);
+    body_ends_early_with_its_last_chunk => early_end("in_order", false);
+    body_ends_early_with_its_closing_event => early_end("closing", true);
     stream_id_in_use => stream_id_in_use();
     stream_ids_begin_again_after_restart => stream_ids_after_restart();
     old_fence_refused => stale_fence(true, 409);
@@ -272,6 +280,59 @@
     assert_eq!(logged_events(&cfg, "cancelled")[0]["stream_id"], "mine");
 }
 
+async fn set_faults(running: &Running, faults: Value) {
+    let url = format!("{}/standin/faults", running.url());
+    assert_eq!(post(url, &faults).await.0, 200);
+}
+
+/// Reads a body that states no reason to its last chunk; returns whether it brought the closing event.
+async fn read_unmarked(res: Response) -> bool {
+    let body = res.text().await.unwrap();
+    assert!(body.contains("\"finish_reason\":null"), "{body}");
+    assert!(!body.contains("\"finish_reason\":\""), "{body}");
+    body.contains("[DONE]")
+}
+
+async fn cancelled_end(end: &str, closes: bool) {
+    let running = start(&slow_config()).await;
+    set_faults(&running, j!({ "cancelled_end": end })).await;
+    let res = send(&running, &request("[[len=64]]", &Value::Null)).await;
+    let load = format!("{}/v1/load", running.url());
+    wait_until(|| async { get(&load).await.1["used_tokens"].as_u64() > Some(1) }).await;
+    let url = format!("{}/v1/streams/s1/cancel", running.url());
+    assert_eq!(post(url, &Value::Null).await.0, 200);
+    assert_eq!(within_timeout(read_unmarked(res)).await, closes);
+}
+
+async fn cancel_outcome(outcome: &str, status: Option<u16>, is_cancelled: bool) {
+    let cfg = slow_config();
+    let running = start(&cfg).await;
+    set_faults(&running, j!({ "cancel": outcome })).await;
+    let mut events = generate(&running, "[[len=64]]", &Value::Null).await;
+    events.token().await;
+    let url = format!("{}/v1/streams/s1/cancel", running.url());
+    let answer = tokio::spawn(async move { post(url, &Value::Null).await.0 });
+    if let Some(status) = status {
+        assert_eq!(answer.await.unwrap(), status);
+    } else {
+        wait_until(|| async { !logged_events(&cfg, "cancelled").is_empty() }).await;
+        assert!(!answer.is_finished());
+    }
+    assert_eq!(!logged_events(&cfg, "cancelled").is_empty(), is_cancelled);
+}
+
+/// The stream goes on from there.
+async fn early_end(end: &str, closes: bool) {
+    let running = start(&fast_config()).await;
+    let early = j!({ "before": 3, "end": end, "bodies": 1 });
+    set_faults(&running, j!({ "early_end": early })).await;
+    let res = send(&running, &request("[[len=40]]", &Value::Null)).await;
+    assert_eq!(within_timeout(read_unmarked(res)).await, closes);
+    let rest = resume_from(&running, "s1", 3).await.rest().await;
+    assert_eq!(rest.len(), 37);
+    check_tokens(&rest, 3);
+}
+
 async fn stream_id_in_use() {
     let cfg = slow_config();
     let running = start(&cfg).await;
