Believe an engine's tokens from the first number on, all of them numbered or none

A caller got 200 with the rest of an answer whose first tokens its engine had left out, or with a gap beside which the engine had sent a token without a number: the agent compared a number only with that of the token right before, and with none at the beginning of a generation.

The decoder counts from the token that the stream was asked for, 0 at the start. Tokens with and without numbers in one stream break it, since it can't be told where those without belong.

Ruled out: counting a token without a number as the one that is due. It passes a stream whose unnumbered token stands for two.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -138,8 +138,10 @@
     sse: SseReader,
     reason: Option<FinishReason>,
     usage: Usage,
-    /// Index due next, if the engine numbers its tokens.
-    next_offset: Option<u64>,
+    /// Index of the next token, if the engine numbers its tokens.
+    next_offset: u64,
+    /// Whether the engine numbers its tokens; unknown before the first.
+    is_numbered: Option<bool>,
     /// Bytes since the last token.
     idle_bytes: usize,
     pub(crate) ended: bool,
@@ -150,7 +152,7 @@
     #[must_use]
     pub fn resumed(from: u64) -> Self {
         Self {
-            next_offset: Some(from),
+            next_offset: from,
             ..Self::default()
         }
     }
@@ -174,16 +176,18 @@
         tokens.into_iter().chain(last).collect()
     }
 
-    /// Returns an error for a token that does not follow the one before, as far as they are numbered.
+    /// Returns an error for a token that does not follow the one before, as far as the stream's tokens are numbered: all or
+    /// none.
     fn check_offset(&mut self, token: &Token) -> std::result::Result<(), String> {
-        let due = self.next_offset.take();
-        let Some(offset) = token.offset else {
-            return Ok(());
-        };
-        if let Some(due) = due.filter(|due| *due != offset) {
+        let is_numbered = token.offset.is_some();
+        if *self.is_numbered.get_or_insert(is_numbered) != is_numbered {
+            return Err("tokens with and without numbers".to_owned());
+        }
+        let due = self.next_offset;
+        if let Some(offset) = token.offset.filter(|offset| *offset != due) {
             return Err(format!("token {offset} instead of {due}"));
         }
-        self.next_offset = offset.checked_add(1);
+        self.next_offset = due.saturating_add(1);
         Ok(())
     }
 
--- a/fireflyd/tests/processes_trouble.rs
+++ b/fireflyd/tests/processes_trouble.rs
@@ -20,6 +20,12 @@
 /// Events of a stream without its second token.
 const GAP: &str = "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n\
     id: 2\ndata: {\"choices\":[{\"delta\":{\"content\":\"c\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+/// Events of a stream without its first token.
+const LATE_START: &str = "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"b\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+/// Events of a stream whose gap has a token without a number.
+const HIDDEN_GAP: &str = "id: 0\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n\
+    data: {\"choices\":[{\"delta\":{\"content\":\"?\"}}]}\n\n\
+    id: 5\ndata: {\"choices\":[{\"delta\":{\"content\":\"f\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
 /// Heads of answers in chunks, up to an extension and up to a trailer.
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;";
 const TRAILER: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
@@ -61,6 +67,8 @@
     end_without_a_reason_leaves_the_streams_beside_it => beside(OPENED, "data: [DONE]\n\n");
     answer_that_ends_within_an_event_leaves_the_streams_beside_it => beside(OPENED, "data: {\"cho");
     stream_that_lacks_a_token_is_no_answer => beside(OPENED, GAP);
+    stream_that_lacks_its_first_token_is_no_answer => beside(OPENED, LATE_START);
+    stream_with_an_unnumbered_token_in_a_gap_is_no_answer => beside(OPENED, HIDDEN_GAP);
     answer_that_ends_before_an_event_leaves_the_streams_beside_it => beside(OPENED, "");
 }
 
--- a/fireflyd/tests/sse.rs
+++ b/fireflyd/tests/sse.rs
@@ -119,23 +119,24 @@
         EngineEvent::Tokens(vec![token("a", None), token("b", None)]),
         finished(FinishReason::Stop, USAGE),
     ];
-    numbered_tokens: "id: 4\n".to_owned() + &choice("a") + END => [
-        EngineEvent::Tokens(vec![token("a", Some(4))]),
+    numbered_tokens: numbered(0) + END => [
+        EngineEvent::Tokens(vec![token("a", Some(0))]),
         finished(FinishReason::Stop, USAGE),
     ];
-    a_numbered_token_without_text_counts: "id: 4\n".to_owned() + &choice("") + END => [
-        EngineEvent::Tokens(vec![token("", Some(4))]),
+    a_numbered_token_without_text_counts: "id: 0\n".to_owned() + &choice("") + END => [
+        EngineEvent::Tokens(vec![token("", Some(0))]),
         finished(FinishReason::Stop, USAGE),
     ];
     an_opening_event_without_text_does_not: choice("") + END => [finished(FinishReason::Stop, USAGE)];
-    a_gap_between_tokens_breaks: numbered(4) + &numbered(6) + END => [
-        EngineEvent::Tokens(vec![token("a", Some(4))]),
-        broken("token 6 instead of 5"),
+    a_gap_between_tokens_breaks: numbered(0) + &numbered(2) + END => [
+        EngineEvent::Tokens(vec![token("a", Some(0))]),
+        broken("token 2 instead of 1"),
     ];
-    a_token_that_comes_twice_breaks: numbered(4) + &numbered(4) + END => [
-        EngineEvent::Tokens(vec![token("a", Some(4))]),
-        broken("token 4 instead of 5"),
+    a_token_that_comes_twice_breaks: numbered(0) + &numbered(0) + END => [
+        EngineEvent::Tokens(vec![token("a", Some(0))]),
+        broken("token 0 instead of 1"),
     ];
+    a_gap_before_the_first_token_breaks: numbered(4) + &numbered(5) + END => [broken("token 4 instead of 0")];
     a_cut_breaks: choice("a") => [EngineEvent::Tokens(vec![token("a", None)]), broken("cut")];
     a_cut_after_the_reason_is_an_end: END.replace("data: [DONE]\n\n", "") => [finished(FinishReason::Stop, USAGE)];
     an_end_without_reason_breaks: "data: [DONE]\n\n".to_owned() => [broken("end without a reason")];
--- a/fireflyd/tests/stream_ends.rs
+++ b/fireflyd/tests/stream_ends.rs
@@ -67,7 +67,14 @@
 number_cases! {
     tokens_from_the_first_are_whole: Decoder::default(), numbered(0) + &numbered(1) + END => Whole;
     tokens_without_numbers_are_whole: Decoder::default(), choice("a") + &choice("b") + END => Whole;
+    first_token_missing_breaks: Decoder::default(), numbered(1) + &numbered(2) + END => Broken;
+    first_tokens_missing_breaks: Decoder::default(), numbered(7) + END => Broken;
+    unnumbered_token_in_a_gap_breaks: Decoder::default(), numbered(0) + &choice("b") + &numbered(5) + END => Broken;
+    unnumbered_token_before_a_gap_breaks: Decoder::default(), choice("a") + &numbered(5) + END => Broken;
+    unnumbered_token_after_the_last_breaks: Decoder::default(), numbered(0) + &choice("b") + END => Broken;
+    unnumbered_token_before_the_first_breaks: Decoder::default(), choice("a") + &numbered(0) + END => Broken;
     resumed_tokens_are_whole: Decoder::resumed(7), numbered(7) + &numbered(8) + END => Whole;
+    resumed_unnumbered_token_in_a_gap_breaks: Decoder::resumed(7), numbered(7) + &choice("b") + &numbered(12) + END => Broken;
     resumed_at_the_end_is_whole: Decoder::resumed(7), END => Whole;
     resumed_before_the_first_without_numbers_is_whole: Decoder::resumed(0), choice("a") + END => Whole;
 }
