Believe a resumed stream's tokens by their numbers only

A caller got an answer as whole whose engine had answered the resumption with its beginning, without numbers: the tokens came twice. Nothing but numbers shows that a stream goes on where it was asked to, and the agent's own count is that of the events it has read, which an engine need not share that puts several tokens into one.

A stream that is resumed after its first token breaks at a token without a number. An engine that numbers none is served as before until its connection breaks; its stream then ends with an error, and a whole answer of which nothing was passed on begins afresh where that is allowed.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -148,11 +148,12 @@
 }
 
 impl Decoder {
-    /// Creates a decoder of a stream that is resumed at token `from`.
+    /// Creates a decoder of a stream that is resumed at token `from`; only numbers show that it goes on there.
     #[must_use]
     pub fn resumed(from: u64) -> Self {
         Self {
             next_offset: from,
+            is_numbered: (from > 0).then_some(true),
             ..Self::default()
         }
     }
--- a/fireflyd/tests/processes_ends.rs
+++ b/fireflyd/tests/processes_ends.rs
@@ -52,6 +52,8 @@
     part_with_its_last_chunk => part("transfer-encoding: chunked", Some("0\r\n\r\n"));
     part_cut_in_chunks => part("transfer-encoding: chunked", Some(""));
     part_to_the_close => part("connection: close", None);
+    resumed_without_numbers => resumed("");
+    resumed_from_the_first_token => resumed("id: 0\n");
     plain_answer_cut_in_chunks => plain_cut("transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n");
     plain_answer_cut_in_its_last_chunk => plain_cut("transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0");
     plain_answer_cut_below_its_length => plain_cut("content-length: 5\r\n\r\nbody");
@@ -315,6 +317,19 @@
     assert!(doors.engine.begun() > 0);
 }
 
+/// An engine answers a resumption with its answer from the beginning.
+async fn resumed(number: &str) {
+    let last = "{\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":\"stop\"}]}";
+    let events = format!("{number}data: {last}\n\ndata: [DONE]\n\n");
+    let head = "HTTP/1.1 200 OK\r\nx-software-version: v1\r\nconnection: close\r\n\r\n";
+    let doors = Doors::open(trouble("GET /v1/streams", &(head.to_owned() + &events))).await;
+    early(&doors.fleet, "in_order", 1).await;
+    let got = doors.fleet.call(request(true, "m", SHORT), 0).await;
+    assert_cut(&doors.fleet, &got);
+    assert_eq!(got.last().tokens, EARLY);
+    assert!(doors.engine.begun() > 0);
+}
+
 async fn plain_cut(rest: &str) {
     let head = format!("HTTP/1.1 200 OK\r\n{rest}");
     let doors = Doors::open(trouble("GET /records", &head)).await;
--- a/fireflyd/tests/stream_ends.rs
+++ b/fireflyd/tests/stream_ends.rs
@@ -74,6 +74,7 @@
     unnumbered_token_after_the_last_breaks: Decoder::default(), numbered(0) + &choice("b") + END => Broken;
     unnumbered_token_before_the_first_breaks: Decoder::default(), choice("a") + &numbered(0) + END => Broken;
     resumed_tokens_are_whole: Decoder::resumed(7), numbered(7) + &numbered(8) + END => Whole;
+    resumed_tokens_without_numbers_break: Decoder::resumed(7), choice("a") + &choice("b") + END => Broken;
     resumed_unnumbered_token_in_a_gap_breaks: Decoder::resumed(7), numbered(7) + &choice("b") + &numbered(12) + END => Broken;
     resumed_at_the_end_is_whole: Decoder::resumed(7), END => Whole;
     resumed_before_the_first_without_numbers_is_whole: Decoder::resumed(0), choice("a") + END => Whole;
