Take an empty reason of an engine for none

A caller got 200 with two tokens of an answer, "aa" with an empty finish_reason, whose engine states an empty reason with each token that isn't the last and whose connection then closed: any reason in an event was taken for the end of the generation, and the close behind it for no more than a missing closing event.

Ruled out: a list of the reasons that are known. Engines name others, which are passed on by name.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -264,7 +264,8 @@
                 self.check_offset(&token)?;
                 tokens.push(token);
             }
-            let reason = choice.finish_reason.as_deref().map(FinishReason::from);
+            let reason = choice.finish_reason.filter(|reason| !reason.is_empty());
+            let reason = reason.as_deref().map(FinishReason::from);
             self.reason = reason.or(self.reason.take());
         }
         Ok(None)
--- a/fireflyd/tests/processes_ends.rs
+++ b/fireflyd/tests/processes_ends.rs
@@ -48,10 +48,11 @@
     body_of_a_whole_ends_always_with_its_last_chunk => whole_ends_always("in_order");
     body_ends_always_for_an_old_caller => ends_for_an_old_caller(true);
     body_of_a_whole_ends_always_for_an_old_caller => ends_for_an_old_caller(false);
-    part_of_stated_length => part("content-length: LENGTH", None);
-    part_with_its_last_chunk => part("transfer-encoding: chunked", Some("0\r\n\r\n"));
-    part_cut_in_chunks => part("transfer-encoding: chunked", Some(""));
-    part_to_the_close => part("connection: close", None);
+    part_of_stated_length => part(tokens("null"), "content-length: LENGTH", None);
+    part_with_its_last_chunk => part(tokens("null"), "transfer-encoding: chunked", Some("0\r\n\r\n"));
+    part_cut_in_chunks => part(tokens("null"), "transfer-encoding: chunked", Some(""));
+    part_to_the_close => part(tokens("null"), "connection: close", None);
+    part_with_an_empty_reason => part(tokens("\"\""), "connection: close", None);
     resumed_without_numbers => resumed("");
     resumed_from_the_first_token => resumed("id: 0\n");
     plain_answer_cut_in_chunks => plain_cut("transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n");
@@ -300,12 +301,17 @@
     }
 }
 
-/// An engine's body holds two tokens and ends as its framing says.
-async fn part(framing: &str, last_chunk: Option<&str>) {
-    let event = |n: u32| {
-        format!("id: {n}\ndata: {{\"choices\":[{{\"delta\":{{\"content\":\"a\"}}}}]}}\n\n")
+/// Returns two tokens of an engine, the first with this reason.
+fn tokens(reason: &str) -> String {
+    let event = |n: u32, reason: &str| {
+        let choice = format!("{{\"delta\":{{\"content\":\"a\"}},\"finish_reason\":{reason}}}");
+        format!("id: {n}\ndata: {{\"choices\":[{choice}]}}\n\n")
     };
-    let body = event(0) + &event(1);
+    event(0, reason) + &event(1, "null")
+}
+
+/// An engine's body is a part and ends as its framing says.
+async fn part(body: String, framing: &str, last_chunk: Option<&str>) {
     let framing = framing.replace("LENGTH", &body.len().to_string());
     let body = match last_chunk {
         Some(last) => format!("{:x}\r\n{body}\r\n{last}", body.len()),
