Take a reason for that of the end only if no token follows it

A caller got 200 for an answer whose engine had stated a reason with a token, sent another one, and closed the connection before the rest: the reason was kept from any earlier event, so that the close counted as a missing closing event only.

A token with text takes an earlier reason back; an event without text, such as that with the usage, doesn't.

--- a/fireflyd/src/engine_messages.rs
+++ b/fireflyd/src/engine_messages.rs
@@ -262,6 +262,10 @@
         if let Some(choice) = chunk.choices.into_iter().next() {
             if let Some(token) = token(choice.delta, event) {
                 self.check_offset(&token)?;
+                if !token.text.is_empty() {
+                    // An earlier reason was not that of the end.
+                    self.reason = None;
+                }
                 tokens.push(token);
             }
             let reason = choice.finish_reason.filter(|reason| !reason.is_empty());
--- a/fireflyd/tests/processes_ends.rs
+++ b/fireflyd/tests/processes_ends.rs
@@ -53,6 +53,7 @@
     part_cut_in_chunks => part(tokens("null"), "transfer-encoding: chunked", Some(""));
     part_to_the_close => part(tokens("null"), "connection: close", None);
     part_with_an_empty_reason => part(tokens("\"\""), "connection: close", None);
+    part_with_a_reason_before_its_last_token => part(tokens("\"stop\""), "connection: close", None);
     resumed_without_numbers => resumed("");
     resumed_from_the_first_token => resumed("id: 0\n");
     plain_answer_cut_in_chunks => plain_cut("transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n");
--- a/fireflyd/tests/stream_ends.rs
+++ b/fireflyd/tests/stream_ends.rs
@@ -93,6 +93,11 @@
     empty_reason_is_none: token_with_reason("") + &token_with_reason("") => Broken;
     empty_reason_before_the_closing_event_is_none: token_with_reason("") + &done_only() => Broken;
     empty_reasons_before_a_reason: token_with_reason("") + &token_with_reason("stop") => Whole;
+    reason_before_a_further_token_is_none: token_with_reason("stop") + &choice("b") => Broken;
+    reason_before_a_further_token_and_the_closing_event_is_none:
+        token_with_reason("length") + &choice("b") + &done_only() => Broken;
+    reason_before_an_event_without_text:
+        token_with_reason("stop") + &choice("") + &done_only() => Whole;
     reason_before_the_usage: token_with_reason("stop") + "data: {\"choices\":[],\"usage\":{}}\n\n" => Whole;
     reason_within_an_event: token_with_reason("stop").replace("\n\n", "\n") => Broken;
 }
