Tell a caller of a stream its generation before an end without a token

A caller that came back with the last token of an answer, since its entry had died before the end, got 502 with 4001 (contact lost, whether the request ran is not known) although the answer was whole and kept; so did the caller of a stream whose engine ended without a token. The entry told a stream its generation with the first token only, and the front end, which needs it for the id of the end, gave up.

The entry tells it before the end where no token came. The core's oracle now counts an end without it as a violation.

--- a/fireflycroft/src/deliver.rs
+++ b/fireflycroft/src/deliver.rs
@@ -182,11 +182,16 @@
             self.quotas.charge(&call.demand.workspace, finish.total);
         }
         out.push(call.measurement(finish.code));
+        let answer = std::mem::take(&mut call.buffered);
+        if !call.begin_sent {
+            let next = match call.delivery {
+                Delivery::Stream => finish.total,
+                Delivery::Whole => answer.offset,
+            };
+            let point = resume_point_of(&call, next);
+            out.extend(point.map(|p| EntryAction::Reply(id, Reply::Begin(p))));
+        }
         if call.delivery == Delivery::Whole {
-            let answer = std::mem::take(&mut call.buffered);
-            if let Some(point) = resume_point_of(&call, answer.offset) {
-                out.push(EntryAction::Reply(id, Reply::Begin(point)));
-            }
             out.push(EntryAction::Reply(id, Reply::Tokens(answer)));
         }
         let event = LogEvent::new("request_done")
--- a/fireflycroft/src/entry_io.rs
+++ b/fireflycroft/src/entry_io.rs
@@ -174,7 +174,7 @@
 /// A reply to a caller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
-    /// The generation has started; tokens follow.
+    /// The generation has started; tokens or the end follow.
     Begin(ResumePoint),
     /// Next tokens.
     Tokens(Chunk),
--- a/fireflycroft/tests/support/oracle.rs
+++ b/fireflycroft/tests/support/oracle.rs
@@ -358,6 +358,9 @@
     }
 
     fn on_end(&mut self, call: usize, finish: &Finish) {
+        if self.calls[call].point.is_none() {
+            self.violation(1, format!("call {call} ended before its begin"));
+        }
         let record = &self.calls[call];
         let next = record.next;
         let workspace = fleet::workspace_name(record.spec.workspace);
--- a/fireflyd/tests/processes_ends.rs
+++ b/fireflyd/tests/processes_ends.rs
@@ -39,6 +39,9 @@
     unread_stream_whose_stop_is_refused => unread("in_order", "refused");
     unread_stream_whose_stop_is_lost => unread("closing", "lost");
     stream_that_ended_before_its_caller_came_back => ended_unread();
+    stream_whose_caller_holds_its_last_token => resumed_at_the_end();
+    answer_without_a_token_as_a_stream => without_tokens(true);
+    answer_without_a_token_as_a_whole => without_tokens(false);
     body_ends_once_with_its_last_chunk => ends_once(true, "in_order");
     body_ends_once_with_its_closing_event => ends_once(true, "closing");
     body_of_a_whole_ends_once_with_its_last_chunk => ends_once(false, "in_order");
@@ -203,6 +206,45 @@
     assert_eq!(fleet.runs().count("m"), 1);
 }
 
+fn post(fleet: &Fleet, entry: usize, body: String) -> RequestBuilder {
+    let url = format!("{}/v1/chat/completions", fleet.entries[entry].url());
+    let call = fleet.http.post(url).bearer_auth(COUNTER).body(body);
+    call.timeout(WAIT_TIMEOUT)
+}
+
+async fn assert_ends_whole(res: Response) {
+    let status = res.status();
+    let text = res.text().await.unwrap();
+    assert!(
+        status.is_success() && text.contains("\"finish_reason\":\"stop\""),
+        "{text}"
+    );
+    assert!(!text.contains("\"content\":\"a"), "{text}");
+}
+
+/// The entry may die between the last token and the end.
+async fn resumed_at_the_end() {
+    let fleet = Fleet::start(Spec::default()).await;
+    let body = chat_body("m", true);
+    let whole = post(&fleet, 0, body.clone()).send().await.unwrap();
+    let whole = whole.text().await.unwrap();
+    let last_token = whole.lines().filter(|l| l.starts_with("id: ")).nth_back(1);
+    let id = last_token.unwrap().trim_start_matches("id: ").to_owned();
+    for entry in 0..fleet.entries.len() {
+        let rest = post(&fleet, entry, body.clone()).header("last-event-id", &id);
+        assert_ends_whole(rest.send().await.unwrap()).await;
+    }
+    assert_eq!(fleet.runs().count("m"), 1);
+}
+
+async fn without_tokens(streams: bool) {
+    let end = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", end.len());
+    let doors = Doors::open(trouble("POST /v1/chat", &(head + end))).await;
+    let call = post(&doors.fleet, 0, chat_body("m", streams));
+    assert_ends_whole(call.send().await.unwrap()).await;
+}
+
 async fn early(fleet: &Fleet, end: &str, bodies: u32) {
     let early = json!({ "before": EARLY, "end": end, "bodies": bodies });
     for engine in 0..fleet.engines.len() {
@@ -272,9 +314,7 @@
 }
 
 fn chat(fleet: &Fleet) -> RequestBuilder {
-    let url = format!("{}/v1/chat/completions", fleet.entries[0].url());
-    let call = fleet.http.post(url).bearer_auth(COUNTER);
-    call.body(chat_body("part", false)).timeout(WAIT_TIMEOUT)
+    post(fleet, 0, chat_body("part", false))
 }
 
 fn read(fleet: &Fleet) -> RequestBuilder {
