Log an order to stop a generation that failed

What became of an order to an engine to stop a generation was dropped, so a log couldn't tell an engine that stopped a run from one that refused, didn't know it or didn't answer, and went on with it.

Measured: before, 3 of 3 new cases of processes_ends (_is_logged) waited for the line in vain; after, 3 of 3 passed.

--- a/fireflyd/src/runner.rs
+++ b/fireflyd/src/runner.rs
@@ -127,9 +127,11 @@
 
     /// Cancels a generation.
     pub async fn cancel(&self, generation: GenerationId) {
-        if let Self::Engine(engine) = self {
-            // If cancelling fails, the generation runs to its end.
-            let _ = engine.cancel(&generation.to_string()).await;
+        if let Self::Engine(engine) = self
+            && let Err(e) = engine.cancel(&generation.to_string()).await
+        {
+            // The generation may run to its end.
+            log::warn!(event = "cancel_failed", generation:% = generation, cause:% = e; "");
         }
     }
 
--- a/fireflyd/tests/processes_ends.rs
+++ b/fireflyd/tests/processes_ends.rs
@@ -30,6 +30,9 @@
     stop_of_no_such_generation => stopped("in_order", "unknown");
     stop_whose_answer_is_lost => stopped("in_order", "lost");
     stop_that_comes_late => stopped("in_order", "late");
+    stop_refused_is_logged => stop_is_logged("refused", "answered with status 503");
+    stop_of_no_such_generation_is_logged => stop_is_logged("unknown", "answered with status 404");
+    stop_without_an_answer_is_logged => stop_is_logged("lost", "broken after sending");
     whole_stopped_before_the_last_chunk => whole_stopped("in_order", "done");
     whole_whose_stop_is_refused => whole_stopped("in_order", "refused");
     whole_whose_stop_is_lost => whole_stopped("closing", "lost");
@@ -99,6 +102,19 @@
     assert!(next.is_complete(), "{next:?}");
 }
 
+async fn stop_is_logged(cancel: &str, cause: &str) {
+    let (fleet, link) = linked_fleet(Spec::default()).await;
+    let mut session = fleet.caller().begin(request(true, "m", LONG), 0);
+    assert!(session.read_until_tokens(EARLY).await);
+    stop_by_upgrade(&fleet, &link, "in_order", cancel).await;
+    until("the failed order is logged", || async {
+        let log = fleet.agents[0].log_text();
+        let mut lines = log.lines();
+        lines.any(|l| l.contains("event=cancel_failed") && l.contains(cause))
+    })
+    .await;
+}
+
 /// Nothing of the stopped run comes; its caller asks again, and gets an answer of one run.
 async fn whole_stopped(end: &str, cancel: &str) {
     let (fleet, link) = linked_fleet(Spec::default()).await;
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -465,6 +465,11 @@
         self.process = Process::start("fireflyd", &self.args, &self.env, &self.log);
     }
 
+    /// Returns what it has logged.
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap()
+    }
+
     /// Returns the callers' base URL of an entry; empty for an agent.
     pub fn url(&self) -> String {
         self.callers
