Drop log lines that can't be written instead of ending the daemon

Found beside the look at ends: as the disk of this machine ran full in a run of all tests of fireflyd, an entry ended in the middle of a line of its log, and its callers' connections were refused. The log library panics where it can write neither the line to standard error nor, there again, why; all streams of the process go with it. With standard error at /dev/full fireflyd ended with status 101.

An appender of our own leaves out what can't be written. The other stream, standard output, had one already that does.

--- a/fireflyd/tests/processes_hostile.rs
+++ b/fireflyd/tests/processes_hostile.rs
@@ -74,6 +74,7 @@
     caller_that_still_sends_gets_the_rejection_of_a_large_body => rejected_while_sending("/v1/chat/completions", 413);
     caller_that_still_sends_gets_the_rejection_of_an_unknown_path => rejected_while_sending("/nowhere", 404);
     garbage_on_every_port => garbage();
+    logs_on_a_full_disk => logs_on_a_full_disk();
     objects_that_are_not_the_configuration => foreign_objects();
 }
 
@@ -437,3 +438,17 @@
         assert_eq!(fleet.version(node).await, version + 1);
     }
 }
+
+/// The daemons lose their lines and serve on.
+async fn logs_on_a_full_disk() {
+    let mut fleet = Fleet::start(Spec::default()).await;
+    let nodes = fleet.entries.iter_mut().chain(&mut fleet.agents);
+    nodes.for_each(support::Node::restart_with_full_log);
+    fleet.await_ready().await;
+    let got = fleet
+        .call(Request::stream("m", DOSSIERS, "model-a", 50), 0)
+        .await;
+    assert!(got.is_complete(), "{got:?}");
+    let mut nodes = fleet.entries.iter_mut().chain(&mut fleet.agents);
+    assert!(nodes.all(|n| n.process.is_alive()));
+}
--- a/fireflyd/tests/support/fleet.rs
+++ b/fireflyd/tests/support/fleet.rs
@@ -465,6 +465,12 @@
         self.process = Process::start("fireflyd", &self.args, &self.env, &self.log);
     }
 
+    /// Kills the daemon and restarts it with a log on a full disk.
+    pub fn restart_with_full_log(&mut self) {
+        self.log = "/dev/full".into();
+        self.restart();
+    }
+
     /// Returns what it has logged.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log).unwrap()
--- a/fireflylog/src/lib.rs
+++ b/fireflylog/src/lib.rs
@@ -11,6 +11,7 @@
 //! Values are cut at [`MAX_VALUE_BYTES`].
 
 mod bounded;
+mod stderr;
 
 pub use bounded::{BoundedAppend, QUEUE_BYTES};
 
@@ -60,9 +61,8 @@
                 .dispatch(|d| d.filter(all).append(append))
                 .try_apply()
         }
-        Output::Stderr => starter_log::stderr()
-            .layout(LineLayout)
-            .filter(all)
+        Output::Stderr => starter_log::builder()
+            .dispatch(|d| d.filter(all).append(stderr::StderrAppend))
             .try_apply(),
     };
     applied.map_err(|e| anyhow::anyhow!("log: {e}"))?;
