Count the crash of an upstream whose port closes after its connections

Cause: the end of an upstream was looked for with one new connection, right after the break. A port that was still open passed for a living upstream, and only the list could correct that, within 5 s, if the upstream came back in that time. The wait for the end of a run did connect again and did see the end, but didn't record it; and since the stream counted as made in one run, its whole answer cleared its content. Class: one look taken for a fact. Ruled out: evidence that was lost on its way (the entry that saw the break told nothing until then).

Change: an upstream that accepts a connection is checked again after 50 and 300 ms; every check that shows its end records the crash, once for each upstream of a request, with the progress of the answer; so does the check of a try to go on that had no answer in time. Whatever shows that an upstream ended under an answer keeps its completion from clearing the content. Stand-ins close their ports first, as before, or some time after their connections.

Left: an upstream that ends behind something that goes on accepting connections counts only once it is listed anew.

--- a/fireflydirect/src/call.rs
+++ b/fireflydirect/src/call.rs
@@ -196,6 +196,7 @@
         at: ix,
         contact,
         sent_by: job.now(),
+        progress: Progress::default(),
     };
     let patience_end = job.arrival + job.route.abandoned_pause();
     let is_over = run_end::until_over(job, &run, broken, patience_end).await;
--- a/fireflydirect/src/continuation.rs
+++ b/fireflydirect/src/continuation.rs
@@ -149,7 +149,8 @@
         }
         Err(_) => {
             log_refusal(job, at, "no answer in time");
-            Err(Resumption::MayRun(crash::contact(job, at).await))
+            let contact = crash::check_for_crash(job, at, Progress::default()).await;
+            Err(Resumption::MayRun(contact))
         }
     }
 }
--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -1,8 +1,9 @@
 //! Detects upstream crashes, and reports them with what the answers in progress there have in common.
 //!
 //! A request that breaks may have crashed its upstream, or only lost its connection. A new connection shows which: a
-//! crashed upstream refuses it for some seconds. Where the check comes later than the next start, the list of upstreams
-//! tells. All entries hear of a crash at once, since the next such request may come to any of them.
+//! crashed upstream refuses it for some seconds. One that ends may close its connections before its port, so an upstream
+//! that accepts the connection is checked again for a short time. Where the check comes later than the next start, the
+//! list of upstreams tells. All entries hear of a crash at once, since the next such request may come to any of them.
 
 use crate::job::Job;
 use crate::links::open;
@@ -24,6 +25,9 @@
 /// within a tenth of a second.
 const BEGINNING_TIME: Duration = Duration::from_millis(250);
 
+/// Pauses before the further checks of an upstream that accepted a connection.
+const RECHECK_PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(250)];
+
 /// Time in which an upstream that has crashed and started again is listed.
 const LISTING_TIME: Duration = Duration::from_secs(5);
 
@@ -136,23 +140,35 @@
 
 /// Records a crash if a later incarnation of the upstream is known, or it accepts no connection.
 async fn check(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) -> Contact {
-    let contact = contact(job, ix).await;
-    if contact != Contact::Answers {
-        job.attempted.borrow_mut().record_lost(ix);
-    }
+    let contact = check_again(job, ix, progress).await;
     if has_left(job, ix) {
         return contact;
     }
     match contact {
-        Contact::Ended => record_crash(job, ix, progress),
+        Contact::Ended => {}
         Contact::Silent => record_silent(job, ix),
-        Contact::Answers => watch_listing(job, ix, progress),
+        Contact::Answers => watch(job, ix, progress),
+    }
+    contact
+}
+
+/// Checks the upstream of a broken request once more, and records its crash unless that has been done.
+pub async fn check_again(job: &Job, ix: UpstreamIx, progress: Progress) -> Contact {
+    let contact = contact(job, ix).await;
+    if contact != Contact::Answers {
+        job.attempted.borrow_mut().record_lost(ix);
+    }
+    if contact == Contact::Ended {
+        job.lost_upstream.set(true);
+        if !has_left(job, ix) {
+            record_crash(job, ix, progress);
+        }
     }
     contact
 }
 
 /// Opens a connection to an upstream, unless a later incarnation of it is known.
-pub async fn contact(job: &Job, ix: UpstreamIx) -> Contact {
+async fn contact(job: &Job, ix: UpstreamIx) -> Contact {
     if has_started_again(job, ix) {
         return Contact::Ended;
     }
@@ -178,11 +194,17 @@
     pool.has_crashed(ix) || pool.is_address_taken(ix)
 }
 
-/// Records a crash once the upstream behind a connection turns out to be a later one.
-fn watch_listing(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
+/// Records a crash once an upstream that accepted a connection turns out to have ended.
+fn watch(job: &Rc<Job>, ix: UpstreamIx, progress: Progress) {
     let job = job.clone();
-    let until = job.node.clock.instant(job.now() + LISTING_TIME);
     tokio::task::spawn_local(async move {
+        let until = job.node.clock.instant(job.now() + LISTING_TIME);
+        for pause in RECHECK_PAUSES {
+            tokio::time::sleep(pause).await;
+            if check_again(&job, ix, progress).await == Contact::Ended {
+                return;
+            }
+        }
         loop {
             let changed = job.node.routing_changed.notified();
             if has_started_again(&job, ix) {
@@ -206,7 +228,12 @@
     );
 }
 
+/// Records a crash, once for each upstream of a request.
 fn record_crash(job: &Job, ix: UpstreamIx, progress: Progress) {
+    if !job.crashed_under.borrow_mut().insert(ix) {
+        return;
+    }
+    job.lost_upstream.set(true);
     let node = &job.node;
     let why = if has_started_again(job, ix) {
         "it has started again"
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -10,7 +10,7 @@
 use crate::assignment::AssignmentGuard;
 use crate::call::{StartedStream, assign_backup};
 use crate::continuation::{self, Continuation, Copies, Resumption};
-use crate::crash::{self, Contact, Progress};
+use crate::crash::{self, Progress};
 use crate::event_times::EventTimes;
 use crate::exchange::{SendOptions, release_link};
 use crate::job::Job;
@@ -67,8 +67,6 @@
     /// Upstream whose body ended while an order to stop its run was out.
     undecided_at: Option<UpstreamIncarnation>,
     breaks: u32,
-    /// Whether an upstream ended under it.
-    lost_upstream: bool,
     ended: bool,
     /// Time at which its first run was sent.
     sent_at: Time,
@@ -130,7 +128,6 @@
         framing,
         undecided_at: None,
         breaks: 0,
-        lost_upstream: false,
         ended: false,
         sent_at,
         progress,
@@ -279,7 +276,7 @@
 
     /// Records what a complete answer shows; one that was made in parts shows no more than its last run.
     fn record_soundness(&self) {
-        if self.lost_upstream || self.job.head.last_event_id.is_some() {
+        if self.job.lost_upstream.get() || self.job.head.last_event_id.is_some() {
             suspects::record_past_beginning(&self.job);
             suspects::record_survivor(&self.job, self.assignment.ix, self.progress.reach());
         } else {
@@ -357,7 +354,6 @@
         self.log_event("stream_broke", why);
         let at = self.assignment.ix;
         let contact = crash::check_for_crash(&self.job, at, self.progress).await;
-        self.lost_upstream |= contact == Contact::Ended;
         if self.is_refused() {
             return false;
         }
@@ -372,16 +368,17 @@
         let silent_for = self.job.now().since(self.event_times.last);
         standby_copies::check_source(&self.job.node, &self.run, silent_for).await;
         let sent_by = self.job.sent_at.get();
-        self.is_over_at(at, contact, sent_by).await && self.try_continuations().await
-    }
-
-    /// Waits until the run at an upstream is over, as long as the caller does; false if it may go on.
-    async fn is_over_at(&self, at: UpstreamIx, contact: Contact, sent_by: Time) -> bool {
         let broken = BrokenRun {
             at,
             contact,
             sent_by,
+            progress: self.progress,
         };
+        self.is_over(broken).await && self.try_continuations().await
+    }
+
+    /// Waits until a run is over, as long as the caller does; false if it may go on.
+    async fn is_over(&self, broken: BrokenRun) -> bool {
         run_end::until_over(&self.job, &self.run, broken, self.patience_end()).await
     }
 
@@ -402,8 +399,13 @@
                 Resumption::GoesOn => return true,
                 Resumption::NotRun => {}
                 Resumption::MayRun(contact) => {
-                    self.lost_upstream |= contact == Contact::Ended;
-                    if !self.is_over_at(at, contact, self.job.now()).await {
+                    let broken = BrokenRun {
+                        at,
+                        contact,
+                        sent_by: self.job.now(),
+                        progress: Progress::default(),
+                    };
+                    if !self.is_over(broken).await {
                         return false;
                     }
                 }
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use rand::Rng;
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,6 +63,10 @@
     pub attempted: RefCell<AttemptedUpstreams>,
     /// Orders to stop its runs.
     pub stop_orders: Rc<StopOrders>,
+    /// Whether an upstream ended under its answer.
+    pub lost_upstream: Cell<bool>,
+    /// Upstreams whose crashes under it are recorded.
+    pub crashed_under: RefCell<HashSet<UpstreamIx>>,
     /// Upstreams that crashed as its answer was beginning there.
     pub crashed_beginnings: Cell<u32>,
     /// Whether it is still to try a refused suspect again.
--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -6,7 +6,7 @@
 //! the order isn't carried out, the upstream's report tells whether it still lists the run. An upstream that ends every
 //! connection without an answer has ended itself, behind something that accepts connections for it.
 
-use crate::crash::{self, Contact};
+use crate::crash::{self, Contact, Progress};
 use crate::departures::fetch_report;
 use crate::job::Job;
 use crate::memory_copy::stop_and_copy;
@@ -36,6 +36,8 @@
 enum RunState {
     /// It has ended, or its upstream can't be reached; with the reason in logs.
     Over(&'static str),
+    /// Its upstream has ended.
+    UpstreamEnded(&'static str),
     /// It may go on; with what was found last.
     Open(&'static str),
     /// It may go on; its upstream ended the connection without an answer.
@@ -51,6 +53,8 @@
     pub(crate) contact: Contact,
     /// Time at which its request was sent at the latest.
     pub(crate) sent_by: Time,
+    /// Progress of its answer.
+    pub(crate) progress: Progress,
 }
 
 /// Waits until a run is over; false if it may still go on at `patience_end`.
@@ -84,6 +88,11 @@
                 log(job, at, broke_at, "run_over", why);
                 return true;
             }
+            RunState::UpstreamEnded(why) => {
+                job.lost_upstream.set(true);
+                log(job, at, broke_at, "run_over", why);
+                return true;
+            }
             RunState::Open(why) if job.now() + pause >= until => {
                 log(job, at, broke_at, "run_may_go_on", why);
                 return false;
@@ -91,7 +100,7 @@
             RunState::Open(_) | RunState::Unanswered => tokio::time::sleep(pause).await,
         }
         pause = (pause * 2).min(MAX_PAUSE);
-        broken.contact = crash::contact(job, at).await;
+        broken.contact = crash::check_again(job, at, broken.progress).await;
     }
 }
 
@@ -99,16 +108,16 @@
 const fn resolve(state: RunState, unanswered: u32) -> RunState {
     match state {
         RunState::Unanswered if unanswered >= MAX_UNANSWERED => {
-            RunState::Over("its upstream answers on no connection")
+            RunState::UpstreamEnded("its upstream answers on no connection")
         }
         RunState::Unanswered => RunState::Open("its upstream ends connections without an answer"),
-        RunState::Over(_) | RunState::Open(_) => state,
+        RunState::Over(_) | RunState::UpstreamEnded(_) | RunState::Open(_) => state,
     }
 }
 
 async fn check(job: &Rc<Job>, run: &Run, broken: BrokenRun) -> RunState {
     match broken.contact {
-        Contact::Ended => return RunState::Over("its upstream has ended"),
+        Contact::Ended => return RunState::UpstreamEnded("its upstream has ended"),
         Contact::Silent => return RunState::Over("its upstream can't be reached"),
         Contact::Answers => {}
     }
@@ -190,7 +199,7 @@
     };
     let expected = node.pool.borrow().record(at).incarnation;
     if expected.is_known() && report.incarnation != expected {
-        return RunState::Over("its upstream has started again");
+        return RunState::UpstreamEnded("its upstream has started again");
     }
     match report.has_run(&run.request_id) {
         Some(true) => RunState::Open("its upstream lists it"),
--- a/fireflydirect/tests/processes_late_crashes.rs
+++ b/fireflydirect/tests/processes_late_crashes.rs
@@ -33,18 +33,23 @@
 const ENTRIES: u8 = 3;
 const ENGINES: u8 = 30;
 
+/// Time from the end of an upstream's connections to the closing of its port.
+const PORT_DELAY: Duration = Duration::from_millis(30);
+
 /// Callers who send popular streams, the events of each, and the time for which they do.
 const CALLERS: usize = 12;
 const POPULAR_EVENTS: u64 = 60;
 const POPULAR_FOR: Duration = Duration::from_secs(5);
 
-/// Defines test cases of a request that crashes each upstream after a number of events, run by run.
+/// Defines test cases of a request that crashes each upstream after a number of events, run by run; its port may close
+/// some time after its connections.
 macro_rules! crashing {
-    ($($name:ident($req:ident, $path:ident, $events:expr);)+) => {
+    ($($name:ident($req:ident, $path:ident, $events:expr $(, $port_delay:ident)?);)+) => {
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
                 let site = site_of(ENGINES, ENTRIES).await;
+                $(site.record.close_ports_after($port_delay);)?
                 site.record.crash_after($path, &$events);
                 come_again(&site, |entry, id| site.$req(entry, $path, EVENTS, id)).await;
                 check_late(&site, $path);
@@ -56,11 +61,12 @@
 
 /// Defines test cases of streams that many callers send alike, while engines are lost at an interval.
 macro_rules! popular {
-    ($($name:ident($req:ident, $path:literal, $lost:literal, $interval:expr);)+) => {
+    ($($name:ident($req:ident, $path:literal, $lost:literal, $interval:expr $(, $port_delay:ident)?);)+) => {
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
                 let site = site_of(ENGINES, ENTRIES).await;
+                $(site.record.close_ports_after($port_delay);)?
                 let end = Instant::now() + POPULAR_FOR;
                 let req = |entry: usize, id: &str| site.$req(entry, $path, POPULAR_EVENTS, id);
                 let callers = (0..CALLERS).map(|caller| call_alike(&site, caller, &req, end));
@@ -147,6 +153,10 @@
     resumable_request_that_crashes_in_its_middle_is_refused(stream, RESUMABLE, [40]);
     resumable_request_that_crashes_late_in_a_long_answer_is_refused(stream, RESUMABLE, [150]);
     resumable_request_that_crashes_under_its_copies_is_refused(generation, RESUMABLE, [40]);
+    request_that_crashes_upstreams_whose_ports_close_late_is_refused(stream, BAD, [40], PORT_DELAY);
+    request_that_crashes_upstreams_whose_ports_close_late_as_it_begins_is_refused(stream, BAD, [0], PORT_DELAY);
+    request_that_crashes_upstreams_whose_ports_close_late_under_its_copies_is_refused(generation, BAD, [40], PORT_DELAY);
+    resumable_request_that_crashes_upstreams_whose_ports_close_late_is_refused(stream, RESUMABLE, [40], PORT_DELAY);
 }
 
 popular! {
@@ -155,6 +165,8 @@
     popular_streams_with_copies_are_served_while_engines_are_lost_in_turn(generation, "/log/popular", 12, Duration::from_millis(300));
     popular_resumable_streams_are_served_while_engines_are_lost_in_turn(stream, "/grade/popular", 12, Duration::from_millis(300));
     popular_resumable_streams_are_served_while_engines_are_lost_at_once(stream, "/grade/popular", 12, Duration::ZERO);
+    popular_streams_are_served_while_engines_whose_ports_close_late_are_lost_in_turn(stream, "/log/popular", 12, Duration::from_millis(300), PORT_DELAY);
+    popular_resumable_streams_are_served_while_engines_whose_ports_close_late_are_lost_at_once(stream, "/grade/popular", 12, Duration::ZERO, PORT_DELAY);
 }
 
 support::cases! {
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -19,7 +19,7 @@
 use super::runs::{
     ActiveRun, OwnAnswer, UnheardRun, answer_plain, report, stream_generation, take_matching_copy,
 };
-use super::start::{bind_with_retries, close_port, unix_millis};
+use super::start::{bind_with_retries, close, unix_millis};
 use crate::sync::lock;
 
 /// Kinds of upstreams.
@@ -327,8 +327,6 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
-    // Close the port before resetting connections, so that a client that sees the reset can't
-    // reconnect.
     let (closing, closed) = watch::channel(false);
     let mut connections = JoinSet::new();
     loop {
@@ -341,9 +339,12 @@
             _ = stopped.wait_for(|s| *s) => break,
         }
     }
-    close_port(listener);
-    closing.send_replace(true);
-    connections.shutdown().await;
+    let port_delay = shared.record.port_delay();
+    let end_connections = async move {
+        closing.send_replace(true);
+        connections.shutdown().await;
+    };
+    close(listener, port_delay, end_connections).await;
 }
 
 async fn serve_connection(
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::sync::lock;
 
@@ -81,6 +81,8 @@
     crashing_parts: Vec<String>,
     /// Paths of requests that crash any upstream that runs them, each with the events before it, run by run.
     crashing_paths: HashMap<String, Vec<u64>>,
+    /// Time from the end of an upstream's connections to the closing of its port.
+    port_delay: Option<Duration>,
 }
 
 impl Record {
@@ -137,6 +139,15 @@
             .insert(path.to_owned(), events.to_vec());
     }
 
+    /// Makes upstreams that end close their ports this long after their connections.
+    pub fn close_ports_after(&self, delay: Duration) {
+        lock(&self.inner).port_delay = Some(delay);
+    }
+
+    pub(super) fn port_delay(&self) -> Option<Duration> {
+        lock(&self.inner).port_delay
+    }
+
     /// Returns the paths of requests that crash upstreams.
     #[must_use]
     pub fn crashing_paths(&self) -> Vec<String> {
--- a/standins/src/site/start.rs
+++ b/standins/src/site/start.rs
@@ -33,11 +33,31 @@
     elapsed.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Closes a port and resets its connections: the port first, so that a client that sees the reset can't reconnect, or
+/// some time after them.
+pub(super) async fn close(
+    listener: TcpListener,
+    port_delay: Option<Duration>,
+    end_connections: impl Future<Output = ()>,
+) {
+    match port_delay {
+        None => {
+            close_port(listener);
+            end_connections.await;
+        }
+        Some(delay) => {
+            end_connections.await;
+            tokio::time::sleep(delay).await;
+            close_port(listener);
+        }
+    }
+}
+
 /// Closes a port for new connections at once.
 ///
 /// Between fork and exec, a child process holds a copy of every descriptor. A listener that is only
 /// dropped would accept connections in that time.
-pub(super) fn close_port(listener: TcpListener) {
+fn close_port(listener: TcpListener) {
     // Fails only when the socket is closed already.
     let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
     drop(listener);
