Don't take an upstream that resets new connections for ended or out of reach

Cause: two places of run_end and crash took a reset for more than it says. Any failure to connect but a refusal counted as a machine out of reach, after which the run counts as over at once; and four checks in a row that ended without an answer counted as the end of the upstream. Class: an answer that doesn't come taken for a fact. Evidence: run_over why="its upstream can't be reached" waited_ms=0 for an upstream at which other runs went on; with that place mended alone, run_over why="its upstream answers on no connection" waited_ms=365. Ruled out: an order that was overtaken (stop_order=none, or lost).

Change: only an address that doesn't answer in time, or has no route, is out of reach; and an upstream at which another run has had an event since the last check hasn't ended. The proxy of the tests can reset new connections alone.

Left: without another run of this entry there, such an upstream can't be told from one that has ended.

--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -10,7 +10,7 @@
 use crate::log_value::{list, or_empty};
 use crate::suspects;
 use fireflycroft::{CrashId, CrashReport, Reach, Suspect, Time, UpstreamIx, UpstreamRecord};
-use std::io;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout_at;
@@ -173,11 +173,14 @@
         return Contact::Ended;
     }
     let addr = job.node.pool.borrow().record(ix).addr;
-    match open(addr).await {
-        Ok(_) => Contact::Answers,
+    match open(addr).await.map_err(|e| e.kind()) {
         // A crashed upstream's VM still answers; one that is cut off or without power doesn't.
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Contact::Ended,
-        Err(_) => Contact::Silent,
+        Err(ErrorKind::ConnectionRefused) => Contact::Ended,
+        Err(ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable) => {
+            Contact::Silent
+        }
+        // One at its limit of connections resets new ones and works on.
+        Ok(_) | Err(_) => Contact::Answers,
     }
 }
 
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -242,6 +242,7 @@
             suspects::record_survivor(&self.job, self.assignment.ix, self.progress.reach());
         }
         self.event_times.record(now);
+        self.run.heard_at.set(now);
         self.assignment.record_prompt_read();
         let per_event = tokens_per_event(&self.job);
         let produced = self.events.relayed() * u64::from(per_event);
--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -4,7 +4,8 @@
 //! but one may lose an answer on its way and work on. So the run is ordered to stop, as for a move. An upstream that has
 //! no such run says so at once, and one that works on stops and gives its memory, from which the stream goes on. Where
 //! the order isn't carried out, the upstream's report tells whether it still lists the run. An upstream that ends every
-//! connection without an answer has ended itself, behind something that accepts connections for it.
+//! connection without an answer has ended itself, behind something that accepts connections for it; unless other runs
+//! there go on, since one at its limit resets new connections.
 
 use crate::crash::{self, Contact, Progress};
 use crate::departures::fetch_report;
@@ -73,12 +74,15 @@
     let mut broken = broken;
     let mut pause = FIRST_PAUSE;
     let mut unanswered = 0;
+    let mut checked_at = broke_at;
     loop {
         let checking = timeout_at(deadline, check(job, run, broken));
         let state = checking
             .await
             .unwrap_or(RunState::Open("no answer in time"));
-        unanswered = if state == RunState::Unanswered {
+        let is_alive = job.node.runs.is_heard(at, checked_at);
+        checked_at = job.now();
+        unanswered = if state == RunState::Unanswered && !is_alive {
             unanswered + 1
         } else {
             0
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -57,6 +57,8 @@
     pub migration_ended: Notify,
     /// Time of the response head.
     pub began: Time,
+    /// Time of the last event.
+    pub heard_at: Cell<Time>,
     /// Tokens relayed so far.
     pub produced: Cell<u64>,
     /// Need of the remaining run on an upstream.
@@ -94,6 +96,7 @@
             stop_orders: job.stop_orders.clone(),
             copy_limit: Cell::new(None),
             migration_ended: Notify::new(),
+            heard_at: Cell::new(job.now()),
             produced: Cell::new(0),
             need: Cell::new(Need {
                 unread: 0,
@@ -160,6 +163,12 @@
         alive.filter(|r| r.at.get() == ix).collect()
     }
 
+    /// Returns whether a run on an upstream has had an event since a time.
+    #[must_use]
+    pub fn is_heard(&self, ix: UpstreamIx, since: Time) -> bool {
+        self.at(ix).iter().any(|r| r.heard_at.get() > since)
+    }
+
     /// Returns all runs.
     #[must_use]
     pub fn all(&self) -> Vec<Rc<Run>> {
--- a/fireflydirect/tests/processes_lost_answers.rs
+++ b/fireflydirect/tests/processes_lost_answers.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use reqwest::RequestBuilder;
-use standins::site::{AnswerFault, Loss, RunEnd, StopAnswer};
+use futures_util::future::join_all;
+use reqwest::{RequestBuilder, Response};
+use standins::site::{AnswerFault, Loss, ProxyFault, RunEnd, StopAnswer};
 use std::time::Duration;
 use support::{KEY, Site, until, whole_stream};
 
@@ -19,6 +20,9 @@
 /// Longest time for which two engines may work on one request; set by the users.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
+/// Events of a stream that outlasts others.
+const LONG: u64 = 600;
+
 /// Engines of a site, half of which lose answers.
 const ENGINES: u8 = 4;
 
@@ -81,6 +85,50 @@
     };
 }
 
+/// Defines test cases of streams whose engine loses their rest and resets new connections, while earlier ones go on there.
+macro_rules! at_limit {
+    ($($name:ident($req:ident, $path:literal);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let site = site_behind_proxies().await;
+                let earlier = begin(&site, |id| site.$req(0, $path, LONG, id)).await;
+                site.engines[0].set_fault(AnswerFault::LoseRest(MIDDLE, Loss::Reset));
+                let lost = begin(&site, |id| site.$req(0, $path, EVENTS, id)).await;
+                site.proxies[&site.engines[0].instance()].set_fault(ProxyFault::ResetNew);
+                let all = earlier.into_iter().chain(lost);
+                join_all(all.map(|(id, answer)| read_to_end(&site, id, answer))).await;
+                assert!(count_lost(&site) > 0, "no answer was lost");
+                site.check();
+            }
+        )+
+    };
+}
+
+/// Begins some streams.
+async fn begin(site: &Site, req: impl Fn(&str) -> RequestBuilder) -> Vec<(String, Response)> {
+    let begun = (0..STREAMS).map(|_| async {
+        let id = site.id();
+        let answer = req(&id).send().await.unwrap();
+        (id, answer)
+    });
+    join_all(begun).await
+}
+
+/// Reads a stream as far as it goes, and checks that its runs didn't overlap.
+async fn read_to_end(site: &Site, id: String, mut answer: Response) {
+    let mut body = String::new();
+    while let Ok(Some(bytes)) = answer.chunk().await {
+        body.push_str(&String::from_utf8_lossy(&bytes));
+    }
+    until("the end of its runs", || async {
+        let runs = site.record.runs_of(&id);
+        runs.iter().all(|r| r.end.0 != RunEnd::Running)
+    })
+    .await;
+    check_overlap(site, &id);
+}
+
 async fn site_behind_proxies() -> Site {
     let mut site = Site::without_entries().await;
     for number in 2..ENGINES {
@@ -122,7 +170,7 @@
         }
         body
     });
-    let bodies = futures_util::future::join_all(read).await;
+    let bodies = join_all(read).await;
     for (id, body) in ids.iter().zip(&bodies) {
         let whole = whole_stream(id, EVENTS);
         if orders == Orders::CarriedOut {
@@ -172,6 +220,11 @@
     resumable_stream_does_not_run_anew_beside_a_closed_run_that_is_not_stopped(stream, "/grade/a", START, Close, Refused);
 }
 
+at_limit! {
+    stream_does_not_go_on_beside_a_run_whose_engine_resets_new_connections(generation, "/log/a");
+    resumable_stream_does_not_run_anew_beside_a_run_whose_engine_resets_new_connections(stream, "/grade/a");
+}
+
 ended! {
     stream_goes_on_from_its_copy_while_its_ended_engine_accepts_connections(generation, "/log/a");
     resumable_stream_goes_on_while_its_ended_engine_accepts_connections(stream, "/grade/a");
--- a/standins/src/site/proxy.rs
+++ b/standins/src/site/proxy.rs
@@ -28,6 +28,8 @@
     BlockAll,
     /// Resets open connections at once, and new ones on arrival.
     Reset,
+    /// Resets new connections on arrival, as an upstream at its limit does.
+    ResetNew,
 }
 
 /// A proxy to one address; dropping it stops it.
@@ -92,7 +94,7 @@
     reset_signal: Arc<Notify>,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
-        if *fault.borrow() == ProxyFault::Reset {
+        if matches!(*fault.borrow(), ProxyFault::Reset | ProxyFault::ResetNew) {
             super::http::reset(stream);
             continue;
         }
@@ -144,7 +146,9 @@
         let is_blocked = |fault: &ProxyFault| match fault {
             ProxyFault::BlockAll => true,
             ProxyFault::BlockAnswers => is_answer,
-            ProxyFault::None | ProxyFault::Delay(_) | ProxyFault::Reset => false,
+            ProxyFault::None | ProxyFault::Delay(_) | ProxyFault::Reset | ProxyFault::ResetNew => {
+                false
+            }
         };
         // The end of a connection is held back like its bytes. The wait fails only when the proxy
         // is dropped.
