Count no crash against a request that a refused one beside it explains

Callers whose stream lost three engines within a moment, two of them to a request that was refused for crashing engines, got 503 with an hour to come back each time they took it up, until a request tried it after half a minute.

Cause: a content that was never seen sound was judged by all crashes that it was under as soon as one had no other explanation. That rule is for parts of one prompt, where the first crash without the companion settles which of two it was. Contents of requests beside each other aren't in that relation.

Change: crashes that a content shares with a suspect that is refused already, or is under more crashes, don't count against it. Where as many upstreams ended under both, both are refused as before: nothing tells them apart.

--- a/fireflycroft/src/suspicion.rs
+++ b/fireflycroft/src/suspicion.rs
@@ -3,6 +3,9 @@
 //! A suspect never seen sound is blamed before one that was, then the one under more crashes, then the later one in the
 //! prompt, which fewer requests share, and a request's content before its parts. A crash under a blamed suspect
 //! counts against no other one, until one of them is under a crash without it: that takes back all that it shared.
+//!
+//! It takes nothing back for a content that is under fewer crashes, or isn't refused while the blamed suspect is: a
+//! bystander may lose some upstreams to a request that crashes all of its own, and one more to something else.
 
 use crate::crash_report::{CrashId, CrashReport, Reach, Survivor, Suspect};
 use crate::time::Time;
@@ -184,8 +187,39 @@
         }
     }
 
+    /// Returns the strength of the evidence against it.
+    fn weight(&self) -> (usize, usize) {
+        (self.begun.len().max(self.refused_for), self.all.len())
+    }
+
+    /// Returns whether it is refused, and no surviving answer speaks for it.
+    fn is_surely_refused(&self) -> bool {
+        self.refused_for > 0 && self.all.len() == self.known.len()
+    }
+
+    /// Returns whether it explains the crashes that it shares with a content: that isn't refused as it is, or is under
+    /// fewer crashes.
+    fn outweighs(&self, content: &Self) -> bool {
+        let is_refused = self.is_surely_refused() && content.refused_for == 0;
+        self.suspect != content.suspect && (is_refused || self.weight() > content.weight())
+    }
+
+    /// Returns the crashes that count against a content, beside others that are to blame.
+    fn without_those_of(&self, others: &[&Self]) -> HashSet<CrashId> {
+        let stronger = others.iter().filter(|s| s.outweighs(self));
+        let stronger: Vec<&&Self> = stronger.collect();
+        let is_explained = |id: &&CrashId| stronger.iter().any(|s| s.all.contains(*id));
+        let own = self.all.iter().filter(|id| !is_explained(id));
+        own.copied().collect()
+    }
+
     /// Returns whether it is to blame, where other suspects explain some crashes.
-    fn is_blamed(&self, explained: &HashSet<CrashId>, limits: &ContentLimits) -> bool {
+    fn is_blamed(
+        &self,
+        explained: &HashSet<CrashId>,
+        others: &[&Self],
+        limits: &ContentLimits,
+    ) -> bool {
         let unexplained = self.all.difference(explained).copied();
         let unexplained: HashSet<CrashId> = unexplained.collect();
         if unexplained.is_empty() {
@@ -195,12 +229,11 @@
         if self.refused_for > 0 && !is_weaker {
             return true;
         }
-        let counted = if self.was_sound {
-            &unexplained
-        } else {
-            &self.all
-        };
-        self.is_enough(counted, limits)
+        match (self.suspect, self.was_sound) {
+            (_, true) => self.is_enough(&unexplained, limits),
+            (Suspect::Content(_), false) => self.is_enough(&self.without_those_of(others), limits),
+            (Suspect::Part(_), false) => self.is_enough(&self.all, limits),
+        }
     }
 
     /// Returns whether it is a part that may have caused crashes of others: never seen sound, and under two or more.
@@ -232,15 +265,18 @@
         .filter(|s| s.is_rival())
         .cloned()
         .collect();
-    let severity = |s: &Suspicion| {
-        let begun = s.begun.len().max(s.refused_for);
-        (!s.was_sound, begun, s.all.len(), s.place, s.suspect)
-    };
+    let refused: Vec<Suspicion> = suspicions
+        .iter()
+        .filter(|s| s.is_surely_refused())
+        .cloned()
+        .collect();
+    let severity = |s: &Suspicion| (!s.was_sound, s.weight(), s.place, s.suspect);
     suspicions.sort_by_key(|s| Reverse(severity(s)));
     let mut explained = HashSet::new();
     let mut blame = Blame::default();
     for suspicion in suspicions {
-        if suspicion.is_blamed(&explained, limits) {
+        let others: Vec<&Suspicion> = refused.iter().chain(&blame.blamed).collect();
+        if suspicion.is_blamed(&explained, &others, limits) {
             explained.extend(suspicion.all.iter().copied());
             blame.blamed.push(suspicion);
         } else if suspicion.refused_for > 0 && suspicion.is_known_whole() {
