Take an answer made in parts for no proof that its request is sound

A request that had crashed two engines counted as sound again, and a sound stream that lost three engines with it was refused in its place, for good.

Cause: only a complete answer made in one run clears a content. Whether it was was told by whether an engine was found ended when the stream broke. One that has started again at its address accepts connections, as one does whose connection alone failed; then the last run counted as the whole answer. Here 33 events came from one engine and seven from another, and the request crashes engines after 38.

Change: a stream whose events came from more than one run clears nothing.

The check counts an engine as serving from its start, before entries can know of it; it is left as it is.

--- a/fireflydirect/src/crash.rs
+++ b/fireflydirect/src/crash.rs
@@ -159,7 +159,7 @@
         job.attempted.borrow_mut().record_lost(ix);
     }
     if contact == Contact::Ended {
-        job.lost_upstream.set(true);
+        job.is_in_parts.set(true);
         if !has_left(job, ix) {
             record_crash(job, ix, progress);
         }
@@ -236,7 +236,7 @@
     if !job.crashed_under.borrow_mut().insert(ix) {
         return;
     }
-    job.lost_upstream.set(true);
+    job.is_in_parts.set(true);
     let node = &job.node;
     let why = if has_started_again(job, ix) {
         "it has started again"
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -277,7 +277,7 @@
 
     /// Records what a complete answer shows; one that was made in parts shows no more than its last run.
     fn record_soundness(&self) {
-        if self.job.lost_upstream.get() || self.job.head.last_event_id.is_some() {
+        if self.job.is_in_parts.get() || self.job.head.last_event_id.is_some() {
             suspects::record_past_beginning(&self.job);
             suspects::record_survivor(&self.job, self.assignment.ix, self.progress.reach());
         } else {
@@ -461,6 +461,9 @@
             Err(failed) => return failed,
         };
         self.assignment = assignment;
+        if self.events.relayed() > 0 {
+            self.job.is_in_parts.set(true);
+        }
         self.run.go_on_at(next.at);
         self.framing = response.head.framing;
         self.undecided_at = None;
--- a/fireflydirect/src/job.rs
+++ b/fireflydirect/src/job.rs
@@ -63,8 +63,8 @@
     pub attempted: RefCell<AttemptedUpstreams>,
     /// Orders to stop its runs.
     pub stop_orders: Rc<StopOrders>,
-    /// Whether an upstream ended under its answer.
-    pub lost_upstream: Cell<bool>,
+    /// Whether an upstream ended under its answer, or more than one run made a part of it.
+    pub is_in_parts: Cell<bool>,
     /// Upstreams whose crashes under it are recorded.
     pub crashed_under: RefCell<HashSet<UpstreamIx>>,
     /// Upstreams that crashed as its answer was beginning there.
--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -93,7 +93,7 @@
                 return true;
             }
             RunState::UpstreamEnded(why) => {
-                job.lost_upstream.set(true);
+                job.is_in_parts.set(true);
                 log(job, at, broke_at, "run_over", why);
                 return true;
             }
--- a/fireflydirect/src/serve.rs
+++ b/fireflydirect/src/serve.rs
@@ -228,7 +228,7 @@
         suspects,
         attempted: RefCell::default(),
         stop_orders: Rc::default(),
-        lost_upstream: Cell::new(false),
+        is_in_parts: Cell::new(false),
         crashed_under: RefCell::default(),
         crashed_beginnings: Cell::new(0),
         tries_suspect_again: Cell::new(tries_part_again || tries_content_again),
--- a/fireflydirect/tests/processes_late_crashes.rs
+++ b/fireflydirect/tests/processes_late_crashes.rs
@@ -4,9 +4,9 @@
 
 use futures_util::future::join_all;
 use reqwest::RequestBuilder;
-use standins::site::RunEnd;
+use standins::site::{AnswerFault, Loss, RunEnd};
 use std::time::{Duration, Instant};
-use support::crashes::{lines_about, site_of};
+use support::crashes::{lines_about, site_of, until_informed};
 use support::{Site, check_runs, until, whole_stream};
 
 /// Path of the stream that crashes its upstreams, and of the same where it may be resumed.
@@ -169,7 +169,37 @@
     popular_resumable_streams_are_served_while_engines_whose_ports_close_late_are_lost_at_once(stream, "/grade/popular", 12, Duration::ZERO, PORT_DELAY);
 }
 
+/// Sends a stream that may be resumed; returns its status and whether it came whole.
+async fn resumable(site: &Site, events: u64) -> (u16, bool) {
+    let id = site.id();
+    let answer = site.stream(0, RESUMABLE, events, &id).send().await.unwrap();
+    let status = answer.status().as_u16();
+    let body = answer.text().await.unwrap_or_default();
+    (status, body == whole_stream(&id, events))
+}
+
 support::cases! {
+    answer_made_in_parts_by_runs_that_live_clears_no_crash(site: 1) {
+        for number in 2..7 {
+            site.add_engine(number).await;
+        }
+        until_informed(&site, 0).await;
+        site.record.crash_after(RESUMABLE, &[50]);
+        resumable(&site, 60).await;
+        resumable(&site, 60).await;
+        for engine in &site.engines {
+            engine.set_fault(AnswerFault::LoseRest(45, Loss::Reset));
+        }
+        let answered = resumable(&site, 60).await;
+        assert_eq!(answered, (200, true), "{}", lines_about(&site, 0));
+        for engine in &site.engines {
+            engine.set_fault(AnswerFault::None);
+        }
+        resumable(&site, 60).await;
+        let (status, _) = resumable(&site, 60).await;
+        assert_eq!(status, 503, "{}", lines_about(&site, 0));
+    }
+
     stream_goes_on_from_copies_of_three_engines_lost_at_its_points(site: 1) {
         for number in 2..6 {
             site.add_engine(number).await;
