Send a call to the store anew whose answer has no end

While the store answered lists with chunks of four bytes without end, an entry went on reading, and read nothing else from it after it answered properly: a new route got 404 for more than 30 s.

Cause: while bytes come, no other attempt of a call is sent, up to an eighth of the VM's memory or a minute. Each chunk costs two tasks' turns, so that eight megabytes of such chunks take longer than the test waits in a debug build on a slow or busy machine.

Change: calls to the store are abandoned after 10 s although bytes come, and sent anew; further attempts of the same call after 20, 40 and 60 s, so that a page that really takes so long comes to its end. Watches have 10 s after their wait. Other calls keep the minute.

Ruled out: back-off (nothing had failed, no store_lost line), a kept connection, a starved thread (callers were answered within milliseconds).

A case for watches is new; it wasn't run on the old sources. On arm64 it wasn't run.

--- a/fireflycroft/src/hedging.rs
+++ b/fireflycroft/src/hedging.rs
@@ -16,7 +16,7 @@
 /// megabyte is held at most three times.
 pub const MAX_HEDGED_ATTEMPTS: usize = 3;
 
-/// Time after which an attempt is abandoned although bytes arrive.
+/// Longest time after which an attempt is abandoned although bytes arrive.
 const MAX_ATTEMPT_TIME: Duration = Duration::from_mins(1);
 
 /// Factor by which the delay grows with each further attempt.
@@ -43,7 +43,8 @@
 #[derive(Clone, Copy, Debug)]
 struct RunningAttempt {
     id: AttemptId,
-    since: Time,
+    /// Time at which it is abandoned although bytes arrive.
+    until: Time,
     progress_at: Time,
 }
 
@@ -56,6 +57,8 @@
     max_attempts: usize,
     /// Attempts that may be started in all.
     max_started: u64,
+    /// Time after which the next attempt is abandoned although bytes arrive.
+    attempt_time: Duration,
     running: Vec<RunningAttempt>,
     started: u64,
 }
@@ -71,6 +74,7 @@
             delay: progress_timeout,
             max_attempts: MAX_HEDGED_ATTEMPTS,
             max_started: u64::MAX,
+            attempt_time: MAX_ATTEMPT_TIME,
             running: Vec::new(),
             started: 0,
         }
@@ -91,18 +95,27 @@
         }
     }
 
+    /// Abandons an attempt that has no end after this time, and each further one after twice as long.
+    #[must_use]
+    pub fn with_first_time(self, attempt_time: Duration) -> Self {
+        Self {
+            attempt_time: attempt_time.min(MAX_ATTEMPT_TIME),
+            ..self
+        }
+    }
+
     /// Returns the next step at `now`.
     pub fn next(&mut self, now: Time) -> HedgeStep {
-        let endless = |a: &RunningAttempt| now.since(a.since) >= MAX_ATTEMPT_TIME;
-        if let Some(at) = self.running.iter().position(endless) {
+        if let Some(at) = self.running.iter().position(|a| now >= a.until) {
+            self.attempt_time = (self.attempt_time * 2).min(MAX_ATTEMPT_TIME);
             return HedgeStep::Abandon(self.running.remove(at).id);
         }
         let progress_at = self.running.iter().map(|a| a.progress_at).max();
-        let since = self.running.iter().map(|a| a.since).min();
-        if let (Some(progress_at), Some(since)) = (progress_at, since)
+        let until = self.running.iter().map(|a| a.until).min();
+        if let (Some(progress_at), Some(until)) = (progress_at, until)
             && now.since(progress_at) < self.delay
         {
-            return HedgeStep::Wait((progress_at + self.delay).min(since + MAX_ATTEMPT_TIME));
+            return HedgeStep::Wait((progress_at + self.delay).min(until));
         }
         if self.started >= self.max_started {
             return HedgeStep::GiveUp;
@@ -121,7 +134,7 @@
         let id = AttemptId(self.started);
         self.running.push(RunningAttempt {
             id,
-            since: now,
+            until: now + self.attempt_time,
             progress_at: now,
         });
         HedgeStep::Start(id)
--- a/fireflycroft/tests/hedging.rs
+++ b/fireflycroft/tests/hedging.rs
@@ -9,6 +9,7 @@
 
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(450);
 const MAX_DELAY: Duration = Duration::from_millis(700);
+const FIRST_TIME: Duration = Duration::from_secs(10);
 
 cases! {
     first_attempt_starts_at_once => assert!(matches!(hedged_call().next(at(0)), HedgeStep::Start(_)));
@@ -20,6 +21,8 @@
     progress_shortens_the_delay_again => shortens_delay();
     minute_of_silence_takes_bounded_attempts => bounded();
     answer_without_end_is_abandoned_after_a_minute => abandons_endless();
+    answer_without_end_is_abandoned_after_the_first_time => abandons_early();
+    attempts_after_one_without_end_last_longer => lasts_longer();
     single_answer_without_end_fails => gives_up_on_endless();
     returned_peer_is_called_within_the_longest_delay => called_soon();
 }
@@ -102,6 +105,30 @@
     assert_ne!(start(&mut call, now), endless);
 }
 
+fn abandons_early() {
+    let mut call = hedged_call().with_first_time(FIRST_TIME);
+    let endless = start(&mut call, at(0));
+    let now = abandoned_at(&mut call, endless);
+    assert_eq!(now, at(0) + FIRST_TIME);
+    assert_ne!(start(&mut call, now), endless);
+}
+
+/// A long answer that a slow link carries comes to its end.
+fn lasts_longer() {
+    let mut call = hedged_call().with_first_time(FIRST_TIME);
+    let mut times = Vec::new();
+    let mut now = at(0);
+    for _ in 0..5 {
+        let (since, id) = (now, start(&mut call, now));
+        while call.next(now) != HedgeStep::Abandon(id) {
+            now = now + PROGRESS_TIMEOUT / 9;
+            call.record_progress(now, id);
+        }
+        times.push(now.since(since).as_secs());
+    }
+    assert_eq!(times, [10, 20, 40, 60, 60]);
+}
+
 fn gives_up_on_endless() {
     let mut call = HedgedCall::single(PROGRESS_TIMEOUT);
     let endless = start(&mut call, at(0));
--- a/fireflydirect/src/feed.rs
+++ b/fireflydirect/src/feed.rs
@@ -99,6 +99,9 @@
 /// Time without a byte after which the only attempt of an unhedged call is abandoned.
 const NO_PROGRESS_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after which a call is sent anew although its answer goes on: a page takes a second on a link of 10 Mbit/s.
+const READ_TIME: Duration = Duration::from_secs(10);
+
 /// Reader of one kind of object in the store.
 struct Feed {
     node: Rc<Node>,
@@ -280,13 +283,13 @@
     /// single one for trials, for evacuations or if hedging is disabled.
     fn hedged_call(&self, call: StoreCall) -> HedgedCall {
         if call == StoreCall::Trial {
-            return HedgedCall::single(TRIAL_TIMEOUT);
+            return HedgedCall::single(TRIAL_TIMEOUT).with_first_time(READ_TIME);
         }
         if self.kind == Kind::Evacuations || !self.node.policy.uses(Mechanism::Hedging) {
-            return HedgedCall::single(NO_PROGRESS_TIMEOUT);
+            return HedgedCall::single(NO_PROGRESS_TIMEOUT).with_first_time(READ_TIME);
         }
         let max_pause = self.node.watcher_role.borrow().max_pause();
-        let hedged_call = HedgedCall::new(HEDGE_DELAY, max_pause);
+        let hedged_call = HedgedCall::new(HEDGE_DELAY, max_pause).with_first_time(READ_TIME);
         if self.kind == Kind::Config && call != StoreCall::Replica {
             return hedged_call;
         }
@@ -446,7 +449,7 @@
 
     async fn watch(&mut self, revision: u64, wait: Duration) -> anyhow::Result<CallResponse> {
         let path = watch_path(self.kind, revision, wait);
-        let hedged_call = HedgedCall::single(wait + WATCH_MARGIN);
+        let hedged_call = HedgedCall::single(wait + WATCH_MARGIN).with_first_time(wait + READ_TIME);
         self.get(StoreCall::Watch, &path, hedged_call).await
     }
 
--- a/fireflydirect/tests/processes_endless_answers.rs
+++ b/fireflydirect/tests/processes_endless_answers.rs
@@ -269,6 +269,7 @@
     list_answered_with_a_body: check_store("", after_head!("\r\n"), "a");
     list_answered_with_chunks: check_store("", after_head!("Transfer-Encoding: chunked\r\n\r\n"), "4\r\naaaa\r\n");
     watch_answered_with_a_body: check_store("watch=", after_head!("\r\n"), "a");
+    watch_answered_with_chunks: check_store("watch=", after_head!("Transfer-Encoding: chunked\r\n\r\n"), "4\r\naaaa\r\n");
     watch_answered_with_events: check_store("watch=", after_head!("\r\n{\"events\":["), "{},");
     entry_told_the_state_with_a_header: check_state(after_head!("X-Long: "), "a");
     entry_told_the_state_with_a_body: check_state(after_head!("\r\n"), "a");
