Bound the bytes before the head of an engine's answer

Ten runs whose engine answered 100 Continue without end kept an agent from everything else: the next request got no whole answer within 30 s in some runs, and a late one in the others.

Cause: the HTTP library reads and drops interim responses as long as bytes are there and gives way only after some 128 reads of up to its whole buffer; the process has two threads. The wait for the head of a generation has no timeout but the bound on silence of ten minutes, and the client library offers neither a bound nor a way to wrap its connections.

Change: calls that begin or resume a generation go over a connection of their own, whose reader fails once a megabyte has come without a head; the run is lost then, as after other bytes that are no answer.

Ruled out: counting interim responses by the library's hook, which can't end the reading that holds the thread.

--- a/fireflyd/src/lib.rs
+++ b/fireflyd/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod claims;
 pub mod config_feed;
+mod engine_link;
 mod engine_messages;
 pub mod entry;
 mod flags;
--- a/fireflyd/src/upstream.rs
+++ b/fireflyd/src/upstream.rs
@@ -18,6 +18,7 @@
 use reqwest::{RequestBuilder, Response, Url};
 use serde::de::DeserializeOwned;
 
+use crate::engine_link;
 pub use crate::engine_messages::*;
 pub use crate::plain_client::*;
 pub use crate::read_memory::ReadMemory;
@@ -142,7 +143,7 @@
             call = call.header(REQUEST_ID, &**id);
         }
         let decoder = Decoder::default();
-        Ok(events(send(call).await?, decoder, &self.memory))
+        Ok(events(self.send_alone(call).await?, decoder, &self.memory))
     }
 
     /// Resumes the stream of a generation at token `from`.
@@ -153,7 +154,7 @@
     pub async fn resume(&self, stream_id: &str, from: u64) -> Result<EngineStream> {
         let mut url = self.url(&["v1", "streams", stream_id])?;
         url.query_pairs_mut().append_pair("from", &from.to_string());
-        let res = send(self.http.get(url)).await?;
+        let res = self.send_alone(self.http.get(url)).await?;
         Ok(events(res, Decoder::resumed(from), &self.memory))
     }
 
@@ -242,6 +243,11 @@
         Ok(url)
     }
 
+    /// Sends the call of a generation, whose wait for the head has no timeout.
+    async fn send_alone(&self, call: RequestBuilder) -> Result<Response> {
+        succeeded(engine_link::send(call, connect_timeout(self.timeout)).await?).await
+    }
+
     fn with_timeout(&self, call: RequestBuilder) -> RequestBuilder {
         call.timeout(self.timeout)
     }
@@ -258,13 +264,17 @@
     }
 }
 
+/// Half of the timeout, so that a failed connection isn't mistaken for a lost response.
+fn connect_timeout(timeout: Duration) -> Duration {
+    timeout / 2
+}
+
 pub(crate) fn http_client(timeout: Duration) -> anyhow::Result<reqwest::Client> {
     let http = reqwest::Client::builder()
         .no_proxy()
         .redirect(reqwest::redirect::Policy::none())
         .retry(reqwest::retry::never())
-        // Half of the timeout, so that a failed connection isn't mistaken for a lost response.
-        .connect_timeout(timeout / 2)
+        .connect_timeout(connect_timeout(timeout))
         .tcp_nodelay(true)
         .build()?;
     Ok(http)
@@ -305,7 +315,11 @@
 
 /// Sends a call and returns an error for any unsuccessful status.
 pub(crate) async fn send(call: RequestBuilder) -> Result<Response> {
-    let res = call.send().await.map_err(|e| transport_error(&e))?;
+    succeeded(call.send().await.map_err(|e| transport_error(&e))?).await
+}
+
+/// Returns an error for any unsuccessful status.
+async fn succeeded(res: Response) -> Result<Response> {
     if res.status().is_success() {
         return Ok(res);
     }
--- a/fireflyd/tests/sse.rs
+++ b/fireflyd/tests/sse.rs
@@ -252,6 +252,32 @@
     assert_eq!(events.first(), Some(&opened));
 }
 
+/// Returns an answer after so many interim responses.
+fn after_interim(count: usize) -> String {
+    "HTTP/1.1 100 Continue\r\n\r\n".repeat(count) + &full_response("200 OK", END)
+}
+
+#[tokio::test]
+async fn an_answer_after_interim_responses_is_read() {
+    let (events, _) = run_generation(after_interim(1_000)).await;
+    assert_eq!(
+        joined(events).1.last(),
+        Some(&finished(FinishReason::Stop, USAGE))
+    );
+}
+
+#[tokio::test]
+async fn interim_responses_of_megabytes_are_no_answer() {
+    let (url, _served) = serve_once(after_interim(1_000_000)).await;
+    let client = EngineClient::new(&url, TIMEOUT).unwrap();
+    let begun = client.generate(&request()).await;
+    let failed = begun.err();
+    assert!(
+        matches!(failed, Some(UpstreamError::NoAnswer(_))),
+        "{failed:?}"
+    );
+}
+
 macro_rules! resume_cases {
     ($($name:ident: $first:expr => $breaks:expr;)*) => {$(
         #[tokio::test]
--- a/fireflynet/src/lib.rs
+++ b/fireflynet/src/lib.rs
@@ -25,6 +25,7 @@
 //! connection, [`CallerStream`] closes those that have to give way, and [`collect_request`] and
 //! [`collect_answer`] reserve the memory of bodies as they come.
 
+mod bounded_head;
 mod caller_stream;
 mod callers;
 mod collect;
@@ -33,6 +34,7 @@
 mod short_reads;
 mod unfinished;
 
+pub use bounded_head::{BoundedHead, HeadArrival};
 pub use caller_stream::{CallerStream, HeadLimits};
 pub use callers::{Account, CallGuard, Callers, Charge, Shortage, Usage};
 pub use collect::{CollectError, Collected, collect_answer, collect_request};
