Let entries that no seed answers find each other through the store

Cause: an entry that starts finds others by its seeds alone, and 2 s of silence counted as a fleet of one.

Change: the watchers of the store and entries that hear from nobody keep an object there each, and list these after writing their own. A lone entry whose object no list has shown takes the fleet for unknown, up to 30 s. The mechanism can be switched off (discovery); the tests and the soak of stale seeds do so, since what they check is that corrected seeds suffice.

--- a/fireflycroft/src/mechanism.rs
+++ b/fireflycroft/src/mechanism.rs
@@ -43,11 +43,13 @@
     Interference,
     /// Bounded waits of generations for capacity, and reservations for refused ones.
     Waiting,
+    /// Discovery of entries through the store, while no seed answers ([`crate::Discovery`]).
+    Discovery,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Backups,
         Self::Migrations,
         Self::Departures,
@@ -65,6 +67,7 @@
         Self::StandbyCopies,
         Self::Interference,
         Self::Waiting,
+        Self::Discovery,
     ];
 
     /// Returns its name in settings and logs.
@@ -88,6 +91,7 @@
             Self::StandbyCopies => "standby_copies",
             Self::Interference => "interference",
             Self::Waiting => "waiting",
+            Self::Discovery => "discovery",
         }
     }
 
--- /dev/null
+++ b/fireflycroft/tests/discovery.rs
@@ -0,0 +1,122 @@
+//! When an entry makes itself known in the store, and looks there for others.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
+use fireflycroft::DiscoveryStep::{List, ListReplica, Register, Withdraw};
+use fireflycroft::{Discovery, DiscoveryStep, EntryDuty, Surroundings, Time};
+use std::time::Duration;
+
+/// An entry that hears from others and is relied on by none.
+const SETTLED: Surroundings = Surroundings {
+    is_seed: false,
+    hears_others: true,
+    duty: EntryDuty::Ordinary,
+};
+
+const ALONE: Surroundings = Surroundings {
+    hears_others: false,
+    ..SETTLED
+};
+
+const SEED_ALONE: Surroundings = Surroundings {
+    is_seed: true,
+    ..ALONE
+};
+
+const RELIED_ON: Surroundings = Surroundings {
+    duty: EntryDuty::ReliedOn,
+    ..SETTLED
+};
+
+cases! {
+    entry_that_hears_others_makes_no_call => assert_eq!(steps(SETTLED, 60_000), []);
+    seed_that_hears_nobody_makes_no_call => assert_eq!(steps(SEED_ALONE, 60_000), []);
+    entry_waits_for_its_seeds_first => assert_eq!(steps(ALONE, 500), []);
+    lone_entry_registers_before_it_lists => assert_eq!(steps(ALONE, 1_000), [Register, List]);
+    lists_become_rarer => assert!(steps(ALONE, 60_000).len() <= 14);
+    entry_that_is_relied_on_makes_itself_known => assert_eq!(steps(RELIED_ON, 20_000), [Register, List]);
+    entry_that_is_relied_on_lists_again => assert_eq!(steps(RELIED_ON, 45_000), [Register, List, ListReplica]);
+    entry_that_is_relied_on_briefly_makes_no_call => assert_eq!(steps(RELIED_ON, 1_500), []);
+    object_that_is_lost_is_written_again => written_again();
+    entry_that_stops_removes_its_object => removed_at_a_stop();
+    object_is_removed_once_others_are_heard => removed_later();
+    failed_calls_pause => assert_eq!(attempts_that_fail(), 5);
+    lone_entry_knows_no_fleet_until_it_sees_itself => pending_until_visible();
+    entry_that_is_never_answered_is_alone_in_the_end => assert!(!Discovery::default().is_pending(at(31_000), ALONE));
+    seed_is_alone_at_once => assert!(!Discovery::default().is_pending(at(1_000), SEED_ALONE));
+}
+
+fn at(ms: u64) -> Time {
+    Time::default() + Duration::from_millis(ms)
+}
+
+/// Returns the steps up to an age in milliseconds, all of which succeed.
+fn steps(around: Surroundings, age_ms: u64) -> Vec<DiscoveryStep> {
+    let mut discovery = Discovery::default();
+    let mut taken = Vec::new();
+    for ms in (0..=age_ms).step_by(100) {
+        if let Some(step) = discovery.next_step(at(ms), around) {
+            taken.push(step);
+            record(&mut discovery, at(ms), step);
+        }
+    }
+    taken
+}
+
+fn record(discovery: &mut Discovery, now: Time, step: DiscoveryStep) {
+    match step {
+        Register => discovery.record_registered(),
+        List | ListReplica => discovery.record_listed(now, true),
+        Withdraw => discovery.record_withdrawn(),
+    }
+}
+
+fn removed_later() {
+    let mut discovery = Discovery::default();
+    discovery.record_registered();
+    assert_eq!(discovery.next_step(at(2_000), SETTLED), None);
+    assert_eq!(discovery.next_step(at(8_000), SETTLED), Some(Withdraw));
+    discovery.record_withdrawn();
+    assert_eq!(discovery.next_step(at(20_000), SETTLED), None);
+}
+
+fn attempts_that_fail() -> usize {
+    let mut discovery = Discovery::default();
+    let mut attempts = 0;
+    for ms in (0..=5_500).step_by(100) {
+        if discovery.next_step(at(ms), ALONE).is_some() {
+            attempts += 1;
+            discovery.record_failure(at(ms));
+        }
+    }
+    attempts
+}
+
+fn pending_until_visible() {
+    let mut discovery = Discovery::default();
+    assert!(discovery.is_pending(at(3_000), ALONE));
+    assert!(!discovery.is_pending(at(3_000), SETTLED));
+    discovery.record_listed(at(3_000), false);
+    assert!(discovery.is_pending(at(3_100), ALONE));
+    discovery.record_listed(at(4_000), true);
+    assert!(!discovery.is_pending(at(4_100), ALONE));
+}
+
+fn written_again() {
+    let mut discovery = Discovery::default();
+    discovery.record_registered();
+    discovery.record_listed(at(1_000), false);
+    assert_eq!(discovery.next_step(at(1_100), ALONE), Some(Register));
+}
+
+fn removed_at_a_stop() {
+    let mut discovery = Discovery::default();
+    discovery.record_registered();
+    let around = Surroundings {
+        duty: EntryDuty::Stopping,
+        ..RELIED_ON
+    };
+    assert_eq!(discovery.next_step(at(1_000), around), Some(Withdraw));
+}
--- a/fireflydirect/src/announce.rs
+++ b/fireflydirect/src/announce.rs
@@ -1,5 +1,6 @@
 //! Announcing this entry's state to the others, and choosing the watchers of the store.
 
+use crate::discovery;
 use crate::hold;
 use crate::node::{Node, Stage};
 use fireflycroft::{CrashNews, EntryAnnouncement, EntryMessage, Evacuations, ListChange, OwnedKey};
@@ -32,6 +33,7 @@
         };
         node.record_turn();
         update_watcher_role(&node);
+        discovery::review(&node);
         node.update_fleet_view();
         let interval = node
             .peers
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod datagrams;
 pub mod departure_watch;
 pub mod departures;
+mod discovery;
 pub(crate) mod event_times;
 pub mod exchange;
 pub mod feed;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -4,6 +4,7 @@
 use crate::config_history::ConfigHistory;
 use crate::datagrams::Datagrams;
 use crate::departures::Departures;
+use crate::discovery;
 use crate::links::Links;
 use crate::log_value::or_empty;
 use crate::metrics::Metrics;
@@ -11,10 +12,10 @@
 use crate::peers::Peers;
 use crate::runs::{MigrationCopy, Runs};
 use fireflycroft::{
-    Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Evacuations,
-    FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, ListCurrency, PlannedStop, Policy,
-    Pool, PoolChange, QueryBudget, Refusal, Regions, ReturningCallers, RouteChanges, RunTimes,
-    SharedRetryBudget, StreamOrigins, StreamStart, Time, UpstreamIncarnation, UpstreamIx,
+    Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Discovery,
+    Evacuations, FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, ListCurrency, PlannedStop,
+    Policy, Pool, PoolChange, QueryBudget, Refusal, Regions, ReturningCallers, RouteChanges,
+    RunTimes, SharedRetryBudget, StreamOrigins, StreamStart, Time, UpstreamIncarnation, UpstreamIx,
     ValueDensities, WaitQueue, WaitingDemand, WatcherRole,
 };
 use fireflycroft_platform::PlatformSettings;
@@ -106,6 +107,10 @@
     pub owner_queries: OwnerQueries,
     /// Budget of queries, which limits the upstreams whose load is queried before a choice.
     pub query_budget: RefCell<QueryBudget>,
+    /// Discovery of entries through the store.
+    pub(crate) discovery: RefCell<Discovery>,
+    /// Whether a call for it is in progress.
+    pub(crate) discovering: Cell<bool>,
     /// Role of this entry among the watchers of the store.
     pub watcher_role: RefCell<WatcherRole>,
     /// Notified when the role changes.
@@ -222,6 +227,8 @@
             datagrams: Datagrams::new(place.peer_ports.0, metrics.clone()),
             owner_queries: OwnerQueries::default(),
             query_budget: RefCell::default(),
+            discovery: RefCell::default(),
+            discovering: Cell::default(),
             watcher_role: RefCell::new(WatcherRole::new(place.ip, watches_initially(&place))),
             watcher_role_changed: Notify::new(),
             replica_reads: Cell::new(0),
@@ -271,6 +278,12 @@
         self.clock.now()
     }
 
+    /// Returns whether all entries know this one by their settings.
+    #[must_use]
+    pub fn is_seed(&self) -> bool {
+        watches_initially(&self.place)
+    }
+
     /// Returns the current stage.
     #[must_use]
     pub fn stage(&self) -> Stage {
@@ -334,7 +347,7 @@
     /// Updates the pool's view of the entries in the fleet.
     pub fn update_fleet_view(&self) {
         let has_just_started = self.now().since(Time::default()) < FULL_VIEW_AFTER;
-        let fleet = if has_just_started {
+        let fleet = if has_just_started || discovery::is_pending(self) {
             FleetView::unknown(self.place.ip)
         } else {
             FleetView::new(self.place.ip, self.peers.borrow().addrs())
--- a/fireflydirect/src/peers.rs
+++ b/fireflydirect/src/peers.rs
@@ -299,6 +299,12 @@
         }
     }
 
+    /// Returns whether an entry that is known second-hand has sent nothing for some time since.
+    pub(crate) fn is_unheard_for(&self, now: Time, ip: Ipv4Addr, time: Duration) -> bool {
+        let known = self.known.get(&ip);
+        known.is_some_and(|k| k.last_received.is_none() && now.since(k.known_since) >= time)
+    }
+
     /// Begins a fetch of the configuration; `None` while one is in progress.
     ///
     /// With two at a time each entry would fetch a large configuration twice, over links of 10
--- a/fireflydirect/tests/soak_parts/run.rs
+++ b/fireflydirect/tests/soak_parts/run.rs
@@ -156,6 +156,7 @@
     site.publish(&[KEY]);
     if changes.corrected_at.is_some() {
         site.seeds = STALE_SEEDS.to_vec();
+        site.without = "discovery";
     }
     for i in 0..entries {
         site.add_entry(i + 1).await;
--- a/fireflydirect/tests/support/stale_seeds.rs
+++ b/fireflydirect/tests/support/stale_seeds.rs
@@ -4,8 +4,14 @@
 use super::crashes::{until_acquainted, until_informed};
 
 impl Site {
-    /// Starts two more entries that don't know the first one, nor each other.
+    /// Starts two more entries that don't know the first one, nor each other, and don't look for others in the store.
     pub(crate) async fn add_strangers(&mut self) {
+        self.without = "discovery";
+        self.add_entries_without_seeds().await;
+    }
+
+    /// Starts two more entries whose seeds don't answer.
+    pub(crate) async fn add_entries_without_seeds(&mut self) {
         self.seeds = vec![240, 241];
         for last in [8, 9] {
             self.add_entry(last).await;
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -148,23 +148,7 @@
 
     /// Writes an object, as its owner would.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
-        let mut state = lock(&self.shared.state);
-        state.revision += 1;
-        let revision = state.revision;
-        let object = json!({
-            "metadata": {"name": name, "revision": revision, "created": 1, "finalizers": [],
-                "deleting": false},
-            "spec": spec,
-        });
-        let key = (kind.to_owned(), name.to_owned());
-        state.objects.insert(key, object.clone());
-        state.events.push(Event {
-            kind: kind.to_owned(),
-            revision,
-            object,
-            removed: false,
-        });
-        drop(state);
+        lock(&self.shared.state).put(kind, name, spec);
         self.shared.changed.notify_waiters();
     }
 
@@ -181,21 +165,7 @@
 
     /// Removes an object with an event.
     pub fn remove(&self, kind: &str, name: &str) {
-        let mut state = lock(&self.shared.state);
-        let key = (kind.to_owned(), name.to_owned());
-        let Some(mut object) = state.objects.remove(&key) else {
-            return;
-        };
-        state.revision += 1;
-        let revision = state.revision;
-        object["metadata"]["revision"] = json!(revision);
-        state.events.push(Event {
-            kind: kind.to_owned(),
-            revision,
-            object,
-            removed: true,
-        });
-        drop(state);
+        lock(&self.shared.state).remove(kind, name);
         self.shared.changed.notify_waiters();
     }
 
@@ -275,6 +245,40 @@
 }
 
 impl State {
+    fn put(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
+        self.revision += 1;
+        let object = json!({
+            "metadata": {"name": name, "revision": self.revision, "created": 1, "finalizers": [],
+                "deleting": false},
+            "spec": spec,
+        });
+        let key = (kind.to_owned(), name.to_owned());
+        self.objects.insert(key, object.clone());
+        self.record(kind, object.clone(), false);
+        object
+    }
+
+    /// Removes an object; returns whether there was one.
+    fn remove(&mut self, kind: &str, name: &str) -> bool {
+        let key = (kind.to_owned(), name.to_owned());
+        let Some(mut object) = self.objects.remove(&key) else {
+            return false;
+        };
+        self.revision += 1;
+        object["metadata"]["revision"] = json!(self.revision);
+        self.record(kind, object, true);
+        true
+    }
+
+    fn record(&mut self, kind: &str, object: Value, removed: bool) {
+        self.events.push(Event {
+            kind: kind.to_owned(),
+            revision: self.revision,
+            object,
+            removed,
+        });
+    }
+
     /// Returns the objects that reads see.
     fn visible_objects(&self) -> &BTreeMap<(String, String), Value> {
         let stale_view = self.stale_view.as_ref();
@@ -422,17 +426,39 @@
         return Decision::Done(Reply::Answer(404, json!({})));
     }
     if let Some(name) = object_name(req) {
+        if req.method == "DELETE" {
+            let removed = state.remove(kind, &name);
+            shared.changed.notify_waiters();
+            return Decision::Done(Reply::Answer(if removed { 200 } else { 404 }, json!({})));
+        }
         let key = (kind.to_owned(), name);
         let object = state.visible_objects().get(&key);
         let (status, body) = object.map_or((404, json!({})), |o| (200, o.clone()));
         return Decision::Done(Reply::Answer(status, body));
     }
+    if req.method == "POST" {
+        shared.changed.notify_waiters();
+        return Decision::Done(create(&mut state, kind, &req.body));
+    }
     match req.query("watch").and_then(|r| r.parse().ok()) {
         Some(revision) => watch(&state, kind, revision, req),
         None => Decision::Done(Reply::Answer(200, list(&state, kind, &after_of(req)))),
     }
 }
 
+/// Creates the object that a call bears, unless there is one of its name.
+fn create(state: &mut State, kind: &str, body: &[u8]) -> Reply {
+    let call: Value = serde_json::from_slice(body).unwrap_or_default();
+    let Some(name) = call["metadata"]["name"].as_str() else {
+        return Reply::Answer(400, json!({}));
+    };
+    let key = (kind.to_owned(), name.to_owned());
+    if let Some(object) = state.objects.get(&key) {
+        return Reply::Answer(409, object.clone());
+    }
+    Reply::Answer(200, state.put(kind, name, &call["spec"]))
+}
+
 /// Returns the name after which a list begins; empty for its first page.
 fn after_of(req: &Request) -> String {
     let after = req.query("after").unwrap_or_default();
