Play every end of a stream beside every answer to its order

The tests of stopped runs had two framings, eight ends and one stream a site. The stand-ins now state lengths, answer in HTTP/1.0 and beside other codings, end bodies in 14 ways, answer orders in nine more, and take a play for one request, so that a site has a stream of each kind at once:

- processes_stream_ends: 30 pairs of framing and end of a stopped run, beside 18 outcomes of its order.
Each must go on from memory.
- processes_lone_runs: 15 pairs, runs of which there is no copy yet, beside 16 outcomes.
They go on or are cut, and none looks complete.
- processes_own_ends: 29 pairs of streams that end by themselves, beside 14 outcomes, and an order that is never sent.
Each must be whole, with one run wherever the outcome tells.

--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod operators;
 mod other_build;
+pub(crate) mod plays;
 mod ports;
 mod requests;
 pub(crate) mod slow_reader;
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -10,16 +10,17 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
-use tokio::task::JoinSet;
 
-use super::faults::{AnswerFault, Loss};
-use super::http::{Framing, Headers, Request, read_request, reset, until_closed, write_answer};
+use super::connections::{ConnectionAction, accept};
+use super::faults::AnswerFault;
+use super::framing::Framing;
+use super::http::{Headers, Request, until_closed, write_answer};
 use super::moves::Moves;
 use super::record::{Record, RunEnd};
 use super::runs::{
-    ActiveRun, OwnAnswer, UnheardRun, answer_plain, report, stream_generation, take_matching_copy,
+    ActiveRun, OwnAnswer, answer_plain, report, stream_generation, take_matching_copy,
 };
-use super::start::{bind_with_retries, close_port, unix_millis};
+use super::start::{bind_with_retries, unix_millis};
 use crate::sync::lock;
 
 /// Kinds of upstreams.
@@ -75,6 +76,9 @@
     is_clock_set_back: AtomicBool,
     /// Whether what it says of itself states no start.
     omits_start: AtomicBool,
+    /// Whether it closes its port, and the connections of calls, once it has copied the memory of a run that goes on.
+    refuses_after_copies: AtomicBool,
+    pub(super) refuse: Notify,
     /// Whether a request has crashed it.
     pub(super) has_crashed: AtomicBool,
     /// Runs that can be moved.
@@ -102,6 +106,8 @@
             is_silent_about_ids: AtomicBool::new(false),
             is_clock_set_back: AtomicBool::new(false),
             omits_start: AtomicBool::new(false),
+            refuses_after_copies: AtomicBool::new(false),
+            refuse: Notify::new(),
             has_crashed: AtomicBool::new(false),
             moves: Moves::default(),
             crash: Notify::new(),
@@ -116,6 +122,11 @@
         said
     }
 
+    /// Returns the fault of requests that come now.
+    pub(super) fn fault(&self) -> AnswerFault {
+        *lock(&self.fault)
+    }
+
     /// Returns how answers that are written in pieces end.
     pub(super) fn framing(&self) -> Framing {
         if self.ends_with_connection.load(Ordering::Relaxed) {
@@ -247,6 +258,12 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Returns the fault for requests that come now.
+    #[must_use]
+    pub fn fault(&self) -> AnswerFault {
+        self.shared.fault()
+    }
+
     /// Returns the number of requests rejected since the start.
     #[must_use]
     pub fn rejected(&self) -> usize {
@@ -272,6 +289,13 @@
         self.shared.closes.store(true, Ordering::Relaxed);
     }
 
+    /// Makes it refuse connections, and close those of calls, once it has copied the memory of a run that goes on.
+    pub fn refuse_after_copies(&self) {
+        self.shared
+            .refuses_after_copies
+            .store(true, Ordering::Relaxed);
+    }
+
     /// Makes its answers end with their connection, with neither a length nor chunks.
     pub fn end_answers_with_connection(&self) {
         self.shared
@@ -326,69 +350,6 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>, mut stopped: watch::Receiver<bool>) {
-    // Close the port before resetting connections, so that a client that sees the reset can't
-    // reconnect.
-    let (closing, closed) = watch::channel(false);
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((stream, _)) = accepted else { return };
-                connections.spawn(serve_connection(stream, shared.clone(), closed.clone()));
-            }
-            () = shared.crash.notified() => break,
-            _ = stopped.wait_for(|s| *s) => break,
-        }
-    }
-    close_port(listener);
-    closing.send_replace(true);
-    connections.shutdown().await;
-}
-
-async fn serve_connection(
-    mut stream: TcpStream,
-    shared: Arc<Shared>,
-    mut closed: watch::Receiver<bool>,
-) {
-    let mut buf = Vec::new();
-    let mut second = None;
-    loop {
-        let read = tokio::select! {
-            read = read_request(&mut stream, &mut buf) => read,
-            _ = closed.wait_for(|c| *c) => return reset(stream),
-        };
-        let Ok(Some(req)) = read else { return };
-        match answer(&mut stream, &shared, &req, &mut second).await {
-            Ok(ConnectionAction::Keep) => {}
-            Ok(ConnectionAction::Reset) => return reset(stream),
-            Ok(ConnectionAction::Close) => {
-                // Fails when the caller has closed it already.
-                let _ = stream.shutdown().await;
-                return;
-            }
-            Ok(ConnectionAction::WorkOn(run, Loss::Reset)) => {
-                reset(stream);
-                return run.work_on().await;
-            }
-            Ok(ConnectionAction::WorkOn(run, Loss::Close)) => {
-                drop(stream);
-                return run.work_on().await;
-            }
-            Err(_) => return,
-        }
-    }
-}
-
-/// Action on a connection after a request.
-pub(super) enum ConnectionAction<'a> {
-    Keep,
-    Reset,
-    Close,
-    /// Ends before the run does.
-    WorkOn(UnheardRun<'a>, Loss),
-}
-
 /// Returns the answer to a call of an entry's own; `None` for a request.
 fn answer_own(shared: &Shared, req: &Request) -> Option<OwnAnswer> {
     if let Some(handle) = req.path.strip_prefix("/v1/kv-handle/") {
@@ -403,7 +364,7 @@
 }
 
 /// Answers a request; `second` is an earlier answer on the connection that is sent once more, first.
-async fn answer<'a>(
+pub(super) async fn answer<'a>(
     stream: &mut TcpStream,
     shared: &'a Shared,
     req: &Request,
@@ -413,7 +374,8 @@
         second.write(stream).await?;
     }
     let is_model = shared.kind == EngineKind::Model;
-    let own = if is_model && req.path == "/v1/kv-move" {
+    let is_move = is_model && req.path == "/v1/kv-move";
+    let own = if is_move {
         let addr = lock(&shared.advertised_addr).to_string();
         let answer = shared.moves.answer(addr, &shared.record, &req.body);
         let Some(own) = answer.await else {
@@ -429,6 +391,10 @@
             own.headers.push(("X-Request-Id".to_owned(), id.to_owned()));
         }
         own.write(stream).await?;
+        if is_move && shared.refuses_after_copies.load(Ordering::Relaxed) {
+            shared.refuse.notify_one();
+            return Ok(ConnectionAction::Close);
+        }
         if shared.closes.load(Ordering::Relaxed) && req.path == "/v1/report" {
             stream.shutdown().await?;
         }
@@ -452,7 +418,7 @@
             .await?;
         return Ok(ConnectionAction::Keep);
     };
-    let fault = *lock(&shared.fault);
+    let fault = shared.fault();
     if fault == AnswerFault::Reject {
         shared.rejected.fetch_add(1, Ordering::Relaxed);
         shared
--- a/standins/src/site/faults.rs
+++ b/standins/src/site/faults.rs
@@ -30,6 +30,8 @@
     Slow,
     /// Takes this long to do so.
     SlowBy(Duration),
+    /// Begins a stream's answer only when this fault is taken back.
+    HoldHead,
     /// Loses the rest of a stream's first answer after this many events, and works on to the end unless it is stopped.
     LoseRest(u64, Loss),
 }
--- a/standins/src/site/http.rs
+++ b/standins/src/site/http.rs
@@ -127,46 +127,8 @@
     stream.write_all(&bytes).await
 }
 
-/// How the body of an answer that is written in pieces ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Framing {
-    /// With an empty chunk.
-    Chunked,
-    /// With its connection.
-    UntilClose,
-}
-
-/// Writes the head of an answer whose body comes in pieces.
-pub(super) async fn write_stream_head(
-    stream: &mut TcpStream,
-    headers: &Headers,
-    framing: Framing,
-) -> io::Result<()> {
-    let mut bytes = head(200, headers);
-    let line: &[u8] = match framing {
-        Framing::Chunked => b"Transfer-Encoding: chunked\r\n\r\n",
-        Framing::UntilClose => b"Connection: close\r\n\r\n",
-    };
-    bytes.extend_from_slice(line);
-    stream.write_all(&bytes).await
-}
-
-/// Writes one piece of a body; an empty chunk ends it.
-pub(super) async fn write_piece(
-    stream: &mut TcpStream,
-    chunk: &[u8],
-    framing: Framing,
-) -> io::Result<()> {
-    if framing == Framing::UntilClose {
-        return stream.write_all(chunk).await;
-    }
-    let mut bytes = format!("{:x}\r\n", chunk.len()).into_bytes();
-    bytes.extend_from_slice(chunk);
-    bytes.extend_from_slice(b"\r\n");
-    stream.write_all(&bytes).await
-}
-
-fn head(status: u16, headers: &[(impl AsRef<str>, impl AsRef<str>)]) -> Vec<u8> {
+/// Returns the status line and these headers, without the empty line.
+pub(super) fn head(status: u16, headers: &[(impl AsRef<str>, impl AsRef<str>)]) -> Vec<u8> {
     let lines = headers
         .iter()
         .map(|(name, value)| format!("{}: {}\r\n", name.as_ref(), value.as_ref()));
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -6,10 +6,13 @@
 
 mod broken_answers;
 mod checker;
+mod connections;
 mod engine;
 mod faults;
+mod framing;
 mod http;
 mod moves;
+mod plays;
 mod proxy;
 mod record;
 mod runs;
@@ -21,7 +24,9 @@
 pub use checker::{AnnouncedRate, Attempt, Breach, Evidence, Outcome, RequestKind, ServingSpan};
 pub use engine::{Engine, EngineKind, FIRST_VERSION};
 pub use faults::{AnswerFault, Loss};
+pub use framing::Framing;
 pub use moves::{Moves, StopAnswer, StoppedEnd};
+pub use plays::Play;
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
 pub use store::{Snapshot, Store, StoreMode};
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -8,8 +8,8 @@
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use super::engine::ConnectionAction;
-use super::http::Framing;
+use super::connections::ConnectionAction;
+use super::framing::Framing;
 use super::record::{CopyKey, Record};
 use super::runs::OwnAnswer;
 use crate::sync::lock;
@@ -35,6 +35,8 @@
     Lost,
     /// Stops the run and loses the answer, as those to all further moves.
     AllLost,
+    /// Loses the call, and lets the run go on.
+    NeverArrived,
     /// Loses the call, and carries it out on the next run of the same request.
     CarriedOutLate,
     /// Lets the run go on, as another move of it is in progress.
@@ -45,20 +47,49 @@
     NeverExecuted,
     /// Lets the run go on, as there are too many calls.
     TooMany,
+    /// Lets the run go on, as the call is meant for another upstream.
+    Misdirected,
+    /// Lets the run go on, as the call has no meaning.
+    Meaningless,
+    /// Stops the run and copies its memory, but names no handle.
+    CopiedUnnamed,
+    /// Stops the run and copies its memory; the answer breaks off before its stated length.
+    CutLength,
+    /// The same, with an answer that breaks off between chunks.
+    CutChunks,
+    /// The same, with an answer that breaks off where only its connection ends it.
+    CutUntilClose,
+    /// Stops the run and keeps its memory; the answer breaks off where only its connection ends it.
+    KeptCut,
 }
 
 impl StopAnswer {
     const fn lets_go_on(self) -> bool {
         matches!(
             self,
-            Self::CarriedOutLate
+            Self::NeverArrived
+                | Self::CarriedOutLate
                 | Self::Busy
                 | Self::NotExecuted
                 | Self::NeverExecuted
                 | Self::TooMany
+                | Self::Misdirected
+                | Self::Meaningless
         )
     }
 
+    /// Returns the status of an answer that says that the run wasn't stopped.
+    const fn refusal(self) -> Option<u16> {
+        match self {
+            Self::Busy => Some(409),
+            Self::NotExecuted | Self::NeverExecuted => Some(503),
+            Self::TooMany => Some(429),
+            Self::Misdirected => Some(421),
+            Self::Meaningless => Some(400),
+            _ => None,
+        }
+    }
+
     const fn is_lasting(self) -> bool {
         matches!(self, Self::AllLost | Self::NeverExecuted)
     }
@@ -78,32 +109,56 @@
     LastChunkAndClose,
     /// Sends the last chunk with trailers and keeps the connection.
     Trailers,
+    /// Sends the last chunk with an extension and keeps the connection.
+    Extension,
+    /// Ends its half of the connection between two chunks and waits until the caller closes.
+    HalfClose,
+    /// Closes the connection within an event.
+    WithinEvent,
+    /// Sends the last chunk within an event and keeps the connection.
+    LastChunkWithinEvent,
     /// Closes the connection within the size of a chunk.
     WithinSize,
     /// Closes the connection within a chunk, before its event.
     WithinChunk,
     /// Closes the connection after the size of the last chunk, before the empty line.
     WithinLastChunk,
+    /// Closes the connection within the empty line of the last chunk.
+    WithinLastLine,
+    /// Closes the connection after the trailers of the last chunk, before the empty line.
+    WithinTrailers,
 }
 
 impl StoppedEnd {
     /// Returns the bytes that are sent at last on a body with this framing.
     pub(super) const fn bytes(self, framing: Framing) -> &'static [u8] {
-        match (framing, self) {
-            (Framing::UntilClose, _) | (_, Self::Close | Self::Reset) => b"",
-            (_, Self::LastChunk | Self::LastChunkAndClose) => b"0\r\n\r\n",
-            (_, Self::Trailers) => b"0\r\nX-Trailer: 1\r\n\r\n",
-            (_, Self::WithinSize) => b"1",
-            (_, Self::WithinChunk) => b"10\r\n",
-            (_, Self::WithinLastChunk) => b"0\r\n",
+        match self {
+            Self::WithinEvent if framing.is_chunked() => b"5\r\nid: 9\r\n",
+            Self::WithinEvent => b"id: 9",
+            _ if !framing.is_chunked() => b"",
+            Self::Close | Self::Reset | Self::HalfClose => b"",
+            Self::LastChunk | Self::LastChunkAndClose => b"0\r\n\r\n",
+            Self::Trailers => b"0\r\nX-Trailer: 1\r\n\r\n",
+            Self::Extension => b"0;last=\"1\"\r\n\r\n",
+            Self::LastChunkWithinEvent => b"5\r\nid: 9\r\n0\r\n\r\n",
+            Self::WithinSize => b"1",
+            Self::WithinChunk => b"10\r\n",
+            Self::WithinLastChunk => b"0\r\n",
+            Self::WithinLastLine => b"0\r\n\r",
+            Self::WithinTrailers => b"0\r\nX-Trailer: 1\r\n",
         }
     }
 
     /// Returns what becomes of the connection.
     pub(super) const fn action<'a>(self, framing: Framing) -> ConnectionAction<'a> {
-        match (framing, self) {
-            (_, Self::Reset) => ConnectionAction::Reset,
-            (Framing::Chunked, Self::LastChunk | Self::Trailers) => ConnectionAction::Keep,
+        match self {
+            Self::Reset => ConnectionAction::Reset,
+            Self::HalfClose => ConnectionAction::HalfClose,
+            Self::LastChunk | Self::Trailers | Self::Extension | Self::LastChunkWithinEvent
+                if framing.is_chunked() || framing.is_length() =>
+            {
+                ConnectionAction::Keep
+            }
             _ => ConnectionAction::Close,
         }
     }
@@ -122,6 +177,8 @@
     holds_ends: AtomicBool,
     stopped_end: Mutex<StoppedEnd>,
     ordered: Notify,
+    /// Signals of the last moves that were asked for, by request.
+    ordered_runs: Mutex<HashMap<String, Arc<Notify>>>,
 }
 
 /// A run that can be moved, until it is dropped.
@@ -199,9 +256,17 @@
         }
     }
 
-    /// Waits until a run that has ended may close its stream.
-    pub(super) async fn until_end_is_due(&self) {
-        if self.holds_ends.load(Ordering::Relaxed) {
+    /// Returns the signal that the last move of a request's run was asked for.
+    fn ordered_run(&self, id: &str) -> Arc<Notify> {
+        let mut ordered = lock(&self.ordered_runs);
+        ordered.entry(id.to_owned()).or_default().clone()
+    }
+
+    /// Waits until a run that has ended may close its stream; `holds` if only its own last move counts.
+    pub(super) async fn until_end_is_due(&self, id: &str, holds: bool) {
+        if holds {
+            self.ordered_run(id).notified().await;
+        } else if self.holds_ends.load(Ordering::Relaxed) {
             self.ordered.notified().await;
         }
     }
@@ -217,13 +282,15 @@
         let id = call["id"].as_str().unwrap_or_default();
         let is_last = call["last"] == json!(true);
         let (answer, after) = if is_last {
-            self.take_behaviour()
+            let played = record.next_stop_answer(id);
+            played.unwrap_or_else(|| self.take_behaviour())
         } else {
             Default::default()
         };
         let stop = lock(&self.stop_signals).get(id).cloned();
         if is_last {
             self.ordered.notify_one();
+            self.ordered_run(id).notify_one();
         }
         let stops = is_last && !answer.lets_go_on();
         if let Some(stop) = stop.as_ref().filter(|_| stops) {
@@ -231,42 +298,75 @@
             lock(&self.stop_signals).remove(id);
         }
         tokio::time::sleep(after).await;
-        if answer == StopAnswer::CarriedOutLate {
-            lock(&self.late_orders).insert(id.to_owned());
-            return None;
+        match answer {
+            StopAnswer::NeverArrived => return None,
+            StopAnswer::CarriedOutLate => {
+                lock(&self.late_orders).insert(id.to_owned());
+                return None;
+            }
+            _ => {}
+        }
+        if let Some(refusal) = refusal(answer, record, id, stop.is_some()) {
+            return Some(refusal);
         }
-        let Some(_) = stop else {
+        if stop.is_none() {
             return (answer != StopAnswer::AllLost).then(|| OwnAnswer::new(404, "{}".to_owned()));
-        };
+        }
+        let to = call["to"].as_str().unwrap_or_default();
+        self.carry_out(answer, addr, to, record, id)
+    }
+
+    /// Copies or keeps the memory of a run; `None` if the answer is lost.
+    fn carry_out(
+        &self,
+        answer: StopAnswer,
+        addr: String,
+        to: &str,
+        record: &Record,
+        id: &str,
+    ) -> Option<OwnAnswer> {
         let holder = match answer {
-            StopAnswer::Lost | StopAnswer::AllLost | StopAnswer::CarriedOutLate => return None,
-            StopAnswer::Busy => return Some(OwnAnswer::new(409, "{}".to_owned())),
-            StopAnswer::NotExecuted | StopAnswer::NeverExecuted => {
-                let mut answer = OwnAnswer::new(503, "{}".to_owned());
-                let header = ("X-Not-Executed".to_owned(), "1".to_owned());
-                answer.headers = [header].into_iter().collect();
-                return Some(answer);
-            }
-            StopAnswer::TooMany => return Some(OwnAnswer::new(429, "{}".to_owned())),
+            StopAnswer::Lost | StopAnswer::AllLost => return None,
             StopAnswer::KeptUnnamed => return Some(OwnAnswer::new(503, "{}".to_owned())),
+            StopAnswer::CopiedUnnamed => return Some(OwnAnswer::new(200, "{}".to_owned())),
             StopAnswer::KeptUnusable => {
                 let body = json!({"handle": "h\u{7}\n"});
                 return Some(OwnAnswer::new(503, body.to_string()));
             }
-            StopAnswer::Kept | StopAnswer::KeptThenLost => addr.clone(),
-            StopAnswer::Copied => call["to"].as_str().unwrap_or_default().to_owned(),
+            StopAnswer::Kept | StopAnswer::KeptThenLost | StopAnswer::KeptCut => addr.clone(),
+            _ => to.to_owned(),
         };
         // Each incarnation counts its handles from 0.
         let handle = format!("h{}", self.next_handle.fetch_add(1, Ordering::Relaxed));
-        let holder_keeps = holder == addr;
+        let status = if holder == addr { 503 } else { 200 };
         let key = CopyKey {
             holder,
             issuer: addr,
             handle: handle.clone(),
         };
         record.insert_copy(key, id);
-        let status = if holder_keeps { 503 } else { 200 };
         let body = json!({"handle": handle, "created": 1});
-        Some(OwnAnswer::new(status, body.to_string()))
+        let mut carried_out = OwnAnswer::new(status, body.to_string());
+        carried_out.cut = match answer {
+            StopAnswer::CutLength => Some(Framing::Length),
+            StopAnswer::CutChunks => Some(Framing::Chunked),
+            StopAnswer::CutUntilClose | StopAnswer::KeptCut => Some(Framing::UntilClose),
+            _ => None,
+        };
+        Some(carried_out)
+    }
+}
+
+/// Returns the answer to a move that is refused; of a run that has ended only if that was set for its request.
+fn refusal(answer: StopAnswer, record: &Record, id: &str, is_running: bool) -> Option<OwnAnswer> {
+    let status = answer.refusal()?;
+    if !is_running && record.play_of(id).is_none() {
+        return None;
+    }
+    let mut refusal = OwnAnswer::new(status, "{}".to_owned());
+    if status == 503 {
+        let header = ("X-Not-Executed".to_owned(), "1".to_owned());
+        refusal.headers = [header].into_iter().collect();
     }
+    Some(refusal)
 }
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::moves::StopAnswer;
+use super::plays::{Play, Playing};
 use crate::sync::lock;
 
 /// State or end of a run.
@@ -79,6 +81,8 @@
     crashing_parts: Vec<String>,
     /// Paths of requests that crash any upstream that runs them, each with the events before it, run by run.
     crashing_paths: HashMap<String, Vec<u64>>,
+    /// Behaviour towards requests, by id.
+    plays: HashMap<String, Playing>,
 }
 
 impl Record {
@@ -177,6 +181,33 @@
         runs.iter().filter(|r| r.end.0 == RunEnd::Crashed).count()
     }
 
+    /// Sets what upstreams do with the runs of a request.
+    pub fn play(&self, request_id: &str, play: Play) {
+        let playing = Playing::new(play);
+        lock(&self.inner)
+            .plays
+            .insert(request_id.to_owned(), playing);
+    }
+
+    /// Returns what upstreams do with the runs of a request, if that was set.
+    pub(super) fn play_of(&self, request_id: &str) -> Option<Play> {
+        let inner = lock(&self.inner);
+        inner.plays.get(request_id).map(|playing| playing.play)
+    }
+
+    /// Returns the next answer to a last move of a request's run, if that was set.
+    pub(super) fn next_stop_answer(&self, request_id: &str) -> Option<(StopAnswer, Duration)> {
+        let mut inner = lock(&self.inner);
+        inner.plays.get_mut(request_id).map(Playing::next_answer)
+    }
+
+    /// Returns how many last moves of the runs of a request were asked for that has a play.
+    #[must_use]
+    pub fn last_moves_of(&self, request_id: &str) -> usize {
+        let inner = lock(&self.inner);
+        inner.plays.get(request_id).map_or(0, |p| p.given)
+    }
+
     pub(super) fn record_foreign_memory(&self, request_id: &str) {
         let mut inner = lock(&self.inner);
         inner.foreign_memory.push(request_id.to_owned());
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -8,12 +8,12 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::engine::{ConnectionAction, FIRST_VERSION, Shared};
+use super::connections::ConnectionAction;
+use super::engine::{FIRST_VERSION, Shared};
 use super::faults::AnswerFault;
-use super::http::{
-    Framing, Headers, Request, until_closed, write_answer, write_piece, write_stream_head,
-};
-use super::moves::MovableRun;
+use super::framing::{Framing, write_head, write_piece, write_stream_head};
+use super::http::{Headers, Request, until_closed, write_answer};
+use super::moves::{MovableRun, StoppedEnd};
 use super::record::{CopyKey, Run, RunEnd};
 use crate::sync::lock;
 
@@ -135,7 +135,7 @@
     body.extend(std::iter::repeat_n('a', length.unwrap_or(0)));
     if shared.framing() == Framing::UntilClose {
         let headers = shared.with_extra_headers(&headers);
-        write_stream_head(stream, &headers, Framing::UntilClose).await?;
+        write_stream_head(stream, &headers, Framing::UntilClose, body.len()).await?;
         let breaks = fault == AnswerFault::Truncate;
         let sent = if breaks { body.len() / 2 } else { body.len() };
         stream.write_all(&body.as_bytes()[..sent]).await?;
@@ -213,10 +213,18 @@
     match fault {
         AnswerFault::Slow => tokio::time::sleep(PROMPT_READ_TIME).await,
         AnswerFault::SlowBy(time) => tokio::time::sleep(time).await,
+        AnswerFault::HoldHead => {
+            while shared.fault() == AnswerFault::HoldHead {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
+        }
         _ => {}
     }
-    let framing = shared.framing();
-    write_stream_head(stream, &shared.with_extra_headers(&headers), framing).await?;
+    let play = shared.record.play_of(id);
+    let framing = play.map_or_else(|| shared.framing(), |p| p.framing);
+    let pieces = (run.after + 1..=last_event).map(|n| padding.len() + event(id, n, &version).len());
+    let headers = shared.with_extra_headers(&headers);
+    write_stream_head(stream, &headers, framing, pieces.sum()).await?;
     if fault == AnswerFault::NoEvents {
         run.end(RunEnd::Broken);
         return Ok(ConnectionAction::Close);
@@ -251,7 +259,7 @@
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
             () = movable.stop.notified() => {
                 run.end(RunEnd::Migrated);
-                let end = shared.moves.stopped_end();
+                let end = play.map_or_else(|| shared.moves.stopped_end(), |p| p.stopped_end);
                 stream.write_all(end.bytes(framing)).await?;
                 return Ok(end.action(framing));
             }
@@ -263,16 +271,13 @@
     }
     drop(movable);
     run.end(RunEnd::Complete);
-    shared.moves.until_end_is_due().await;
-    write_piece(stream, b"", framing).await?;
-    Ok(after_answer(framing))
-}
-
-const fn after_answer<'a>(framing: Framing) -> ConnectionAction<'a> {
-    match framing {
-        Framing::Chunked => ConnectionAction::Keep,
-        Framing::UntilClose => ConnectionAction::Close,
-    }
+    let first = play.filter(|_| run.after == 0);
+    let holds = first.is_some_and(|p| p.holds_end);
+    shared.moves.until_end_is_due(id, holds).await;
+    tokio::time::sleep(first.map_or(Duration::ZERO, |p| p.close_delay)).await;
+    let end = first.map_or(StoppedEnd::LastChunk, |p| p.own_end);
+    stream.write_all(end.bytes(framing)).await?;
+    Ok(end.action(framing))
 }
 
 /// Returns how the connection of an answer ends that is broken off.
@@ -289,6 +294,8 @@
     pub(super) status: u16,
     pub(super) headers: Headers,
     pub(super) body: String,
+    /// Framing of an answer that breaks off in its middle.
+    pub(super) cut: Option<Framing>,
 }
 
 impl OwnAnswer {
@@ -297,12 +304,24 @@
             status,
             headers: Headers::new(),
             body,
+            cut: None,
         }
     }
 
     pub(super) async fn write(&self, stream: &mut TcpStream) -> io::Result<()> {
+        if let Some(framing) = self.cut {
+            return self.write_half(stream, framing).await;
+        }
         write_answer(stream, self.status, &self.headers, self.body.as_bytes()).await
     }
+
+    /// Writes half of the answer and ends the connection.
+    async fn write_half(&self, stream: &mut TcpStream, framing: Framing) -> io::Result<()> {
+        let body = self.body.as_bytes();
+        write_head(stream, self.status, &self.headers, framing, body.len()).await?;
+        write_piece(stream, &body[..body.len() / 2], framing).await?;
+        stream.shutdown().await
+    }
 }
 
 pub(super) fn report(shared: &Shared) -> OwnAnswer {
