Wait for the copy of a late order where a body broke off beside it, too

Callers saw a stream cut 1.5 s after its run was stopped, though the copy came while they still waited: where no copy had been made before, and the body broke off by a reset, within an event, short of its length or between chunks.

Cause: only a stream whose body ended in order, undecided, waited for the order. Change: every stream that may go on waits for an order that is out where it broke; only one that ended in order may turn out whole by it. One that can't go on at all (no ids, too many breaks, unknown version) is cut at once, as before.

Ruled out: that the copy can't be used then; it is, as soon as it is waited for. A cut may come later by this, at the caller's patience at the latest.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -27,7 +27,7 @@
 use crate::suspects;
 use bytes::Bytes;
 use fireflycroft::{
-    BodyFraming, Code, EventRelay, Need, Time, UpstreamIncarnation, UpstreamIx, VersionKey,
+    BodyEnd, BodyFraming, Code, EventRelay, Need, Time, UpstreamIncarnation, UpstreamIx, VersionKey,
 };
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
@@ -64,8 +64,8 @@
     source: Option<Source>,
     events: EventRelay,
     framing: BodyFraming,
-    /// Upstream whose body ended while an order to stop its run was out.
-    undecided_at: Option<UpstreamIncarnation>,
+    /// What the end of the body meant when it came.
+    body_end: BodyEnd,
     breaks: u32,
     /// Whether an upstream ended under it.
     lost_upstream: bool,
@@ -128,7 +128,7 @@
         source: Some(source),
         events,
         framing,
-        undecided_at: None,
+        body_end: BodyEnd::BrokenOff,
         breaks: 0,
         lost_upstream: false,
         ended: false,
@@ -207,21 +207,17 @@
         let Some(fault) = fault else {
             return read;
         };
-        self.undecided_at = fault.is_undecided.then(|| {
-            let pool = node.pool.borrow();
-            pool.record(self.assignment.ix).upstream_incarnation()
-        });
+        self.body_end = fault.end;
         Read::Broke(fault.why.to_owned())
     }
 
-    /// Returns whether a stream that can't go on ended by itself, as soon as that is known while the caller waits.
-    async fn is_whole_after_all(&mut self) -> bool {
-        let Some(at) = self.undecided_at.take() else {
-            return false;
-        };
+    /// Waits while the caller does for the outcome of an order that is out where the stream broke; returns whether it
+    /// shows that the stream ended by itself.
+    async fn is_whole_after_all(&mut self, broke_at: &UpstreamIncarnation) -> bool {
         let deadline = self.deadline();
         let until = deadline.min(self.job.node.clock.instant(self.patience_end()));
-        is_whole_after_all(&self.run, &at, self.framing, until).await
+        let is_whole = is_whole_after_all(&self.run, broke_at, self.framing, until).await;
+        self.body_end == BodyEnd::Undecided && is_whole
     }
 
     /// Returns the time at which the caller gives up if no event comes.
@@ -332,13 +328,19 @@
         );
     }
 
-    /// Goes on elsewhere; where it can't, waits for the outcome of an order that was out as the body ended. May be
-    /// dropped at the deadline.
+    /// Goes on elsewhere; where it can't, waits for the outcome of an order that is out. May be dropped at the deadline.
     async fn handle_break(&mut self, why: &str) -> AfterBreak {
+        let broke_at = {
+            let pool = self.job.node.pool.borrow();
+            pool.record(self.assignment.ix).upstream_incarnation()
+        };
         if self.resume_elsewhere(why).await {
             return AfterBreak::GoesOn;
         }
-        if self.is_whole_after_all().await {
+        if self.body_end != BodyEnd::Undecided && !self.can_resume() {
+            return AfterBreak::Lost;
+        }
+        if self.is_whole_after_all(&broke_at).await {
             return AfterBreak::Whole;
         }
         let has_copy = self.run.migration_copy.borrow().is_some();
@@ -348,6 +350,12 @@
         AfterBreak::Lost
     }
 
+    /// Returns whether the stream may go on at all.
+    fn can_resume(&self) -> bool {
+        let is_known = self.events.can_resume() && self.version.is_some();
+        is_known && self.breaks <= MAX_RESUMPTIONS
+    }
+
     /// Resumes the stream on another upstream; false if that is impossible.
     async fn resume_elsewhere(&mut self, why: &str) -> bool {
         self.source = None;
@@ -364,8 +372,7 @@
         if crash::has_crashed_too_many(&self.job) && !self.is_sound {
             return false;
         }
-        let can_resume = self.events.can_resume() && self.version.is_some();
-        if self.breaks > MAX_RESUMPTIONS || !can_resume {
+        if !self.can_resume() {
             return false;
         }
         wait_for_copy(&self.run).await;
@@ -468,7 +475,7 @@
             .upstream_incarnation();
         self.run.stop_orders.begin_run(&begun);
         self.framing = response.head.framing;
-        self.undecided_at = None;
+        self.body_end = BodyEnd::BrokenOff;
         self.job.node.migrate_if_departing(next.at);
         self.run.backup.set(backup.as_ref().map(|b| b.ix));
         self.backup = backup;
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -74,8 +74,8 @@
 pub struct EndFault {
     /// Reason in logs.
     pub why: &'static str,
-    /// Whether an order to stop its run is out, whose outcome may yet prove it whole.
-    pub is_undecided: bool,
+    /// What its end means: undecided while an order to stop its run is out, whose outcome may yet prove it whole.
+    pub end: BodyEnd,
 }
 
 /// Returns why a body that ended in order isn't whole, at the stream's `deadline` at the latest; `None` if it is.
@@ -88,22 +88,22 @@
 ) -> Option<EndFault> {
     // An event may have come before the caller took the stream up.
     let has_begun = events.relayed() > 0 || events.last_id().is_some();
-    let mut is_undecided = false;
+    let mut end = BodyEnd::BrokenOff;
     let why = if events.is_mid_event() {
         "response ended within an event"
     } else if !has_begun {
         "response ended before an event"
     } else {
-        match judge_end(node, run, framing, deadline).await {
+        end = judge_end(node, run, framing, deadline).await;
+        match end {
             BodyEnd::Whole => return None,
             BodyEnd::BrokenOff => "response ended in order, but its run was ordered to stop",
             BodyEnd::Undecided => {
-                is_undecided = true;
                 "response ended in order, but the order to stop its run isn't answered"
             }
         }
     };
-    Some(EndFault { why, is_undecided })
+    Some(EndFault { why, end })
 }
 
 /// Returns whether an order that was out as a body ended stopped nothing, as soon as that is known until `deadline`.
--- a/fireflydirect/tests/processes_lone_runs.rs
+++ b/fireflydirect/tests/processes_lone_runs.rs
@@ -19,6 +19,9 @@
 /// Time of an answer that comes after the end of the body.
 const AFTER_END: Duration = Duration::from_millis(300);
 
+/// Time of an answer that comes after copies are tried without it.
+const AFTER_COPIES: Duration = Duration::from_millis(1_800);
+
 /// Ends of stopped streams.
 const ENDS: &[(Framing, StoppedEnd)] = &[
     (Chunked, LastChunk),
@@ -98,6 +101,7 @@
 cases! {
     lone_streams_go_on_from_their_copy(&[Copied], AT_ONCE, "/log/a") all_went_on;
     lone_streams_wait_for_their_copy(&[Copied], AFTER_END, "/log/a") all_went_on;
+    lone_streams_wait_long_for_their_copy(&[Copied], AFTER_COPIES, "/log/a") all_went_on;
     lone_streams_kept_at_their_source_are_no_parts(&[Kept], AFTER_END, "/log/a") none_is_a_part;
     lone_streams_without_a_handle_are_cut(&[KeptUnnamed], AFTER_END, "/log/a") all_were_cut;
     lone_streams_without_a_usable_handle_are_cut(&[KeptUnusable], AFTER_END, "/log/a") all_were_cut;
