Count an order that comes before the head of the run that it stops

Callers saw a part as a complete answer: a run was stopped, went on at its source from the memory kept there (503 with a handle), and was stopped once more before its head came. Its stream, closed in order, read as ended by itself, with chunks and until the close.

Lines of the trace, in this order: stop_answered status=503, stop_ordered before=stopped, stream_goes_on at the same instance, stream_ended events=4 of 200 stop_order=none, stop_answered status=200. The second order is no accident: the first stream that goes on at a leaving engine has all runs there moved again, those too whose heads are still to come.

Cause: the state of the orders was reset when the new run's head came, which forgot those sent since its request; and one that was out was forgotten beside an earlier stop, which weighs more.

Change: the state is reset as a request is sent, for every attempt, and the number of orders that are out is kept beside the weightiest outcome. So an outcome of one order no longer hides another that is out. By reading: a request to go on at the source that got no answer counted as stopped by the order before it, so that the stream could go on elsewhere beside it.

Ruled out: that the stand-in stops runs that nobody ordered to stop (each has its stop_ordered), and a missing last chunk.

The unit tests call the same sequences on the new type, and five more.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -15,7 +15,7 @@
     UntilClose,
 }
 
-/// What is known of the orders to stop a run at one upstream, the weightier the later in this list.
+/// What is known of an order to stop a run, the weightier the later in this list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopOrder {
     /// None has left this process.
@@ -90,27 +90,6 @@
         matches!(self, Self::Stopped | Self::Lost)
     }
 
-    /// Records that an order is sent.
-    pub fn send(&mut self) {
-        *self = (*self).max(Self::Out);
-    }
-
-    /// Records what became of the order that is out; a run that may have been stopped before remains so.
-    pub fn settle(&mut self, outcome: Self) {
-        if *self == Self::Out {
-            *self = outcome;
-        } else {
-            *self = (*self).max(outcome);
-        }
-    }
-
-    /// Records that a new run of the request begins at the upstream, which only an order of unknown outcome may still stop.
-    pub fn begin_run(&mut self) {
-        if !matches!(self, Self::Out | Self::Lost) {
-            *self = Self::NotSent;
-        }
-    }
-
     /// Returns its name in logs.
     #[must_use]
     pub const fn name(self) -> &'static str {
@@ -125,3 +104,43 @@
         }
     }
 }
+
+/// What is known of all orders to stop a request's runs at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StopOrderLog {
+    /// Weightiest outcome of those that aren't out any more.
+    settled: StopOrder,
+    /// Number of those that are out.
+    out: u32,
+}
+
+impl StopOrderLog {
+    /// Returns what they say of the run there.
+    #[must_use]
+    pub const fn known(&self) -> StopOrder {
+        if self.out > 0 && !self.settled.may_have_stopped() {
+            StopOrder::Out
+        } else {
+            self.settled
+        }
+    }
+
+    /// Records that an order is sent.
+    pub const fn send(&mut self) {
+        self.out += 1;
+    }
+
+    /// Records what became of an order that was out; a run that may have been stopped before remains so.
+    pub fn settle(&mut self, outcome: StopOrder) {
+        self.out = self.out.saturating_sub(1);
+        self.settled = self.settled.max(outcome);
+    }
+
+    /// Records that a new run of the request may begin there, which only an order that is out or has no outcome may still
+    /// stop.
+    pub fn begin_run(&mut self) {
+        if self.settled != StopOrder::Lost {
+            self.settled = StopOrder::NotSent;
+        }
+    }
+}
--- a/fireflycroft/tests/stream_end.rs
+++ b/fireflycroft/tests/stream_end.rs
@@ -7,7 +7,7 @@
 use fireflycroft::BodyEnd::{self, BrokenOff, Undecided, Whole};
 use fireflycroft::BodyFraming::{Chunks, Length, UntilClose};
 use fireflycroft::StopOrder::{self, Busy, Lost, NoSuchRun, NotSent, Out, Refused, Stopped};
-use fireflycroft::body_end;
+use fireflycroft::{StopOrderLog, body_end};
 
 const ALL: [StopOrder; 7] = [NotSent, Refused, NoSuchRun, Busy, Out, Stopped, Lost];
 
@@ -36,32 +36,56 @@
     order_that_is_out_after_a_refusal_is_waited_for => assert_eq!(with_another_out(Busy), Undecided);
     new_run_forgets_a_stop => assert_eq!(end_of_next_run(Stopped), Whole);
     new_run_may_be_stopped_by_a_lost_order => assert_eq!(end_of_next_run(Lost), BrokenOff);
+    order_that_is_out_as_the_next_run_begins_is_waited_for => assert_eq!(end_beside_the_next_run(None), Undecided);
+    order_that_is_out_as_the_next_run_begins_may_stop_it => assert_eq!(end_beside_the_next_run(Some(Stopped)), BrokenOff);
+    order_that_finds_no_run_as_the_next_one_begins_is_none => assert_eq!(end_beside_the_next_run(Some(NoSuchRun)), Whole);
+    outcome_of_one_order_leaves_another_out => assert_eq!(end_after_one_of_two(NoSuchRun), Undecided);
+    stop_by_one_order_is_a_break_beside_another => assert_eq!(end_after_one_of_two(Stopped), BrokenOff);
     outcomes_never_unsay_a_stop => never_unsaid();
 }
 
-fn after(outcomes: &[StopOrder]) -> StopOrder {
-    let mut order = StopOrder::default();
+fn after(outcomes: &[StopOrder]) -> StopOrderLog {
+    let mut orders = StopOrderLog::default();
     for outcome in outcomes {
-        order.send();
-        order.settle(*outcome);
+        orders.send();
+        orders.settle(*outcome);
     }
-    order
+    orders
 }
 
 fn end_after(outcomes: &[StopOrder]) -> BodyEnd {
-    body_end(UntilClose, after(outcomes))
+    body_end(UntilClose, after(outcomes).known())
 }
 
 fn with_another_out(first: StopOrder) -> BodyEnd {
-    let mut order = after(&[first]);
-    order.send();
-    body_end(UntilClose, order)
+    let mut orders = after(&[first]);
+    orders.send();
+    body_end(UntilClose, orders.known())
 }
 
 fn end_of_next_run(outcome: StopOrder) -> BodyEnd {
-    let mut order = after(&[outcome]);
-    order.begin_run();
-    body_end(UntilClose, order)
+    let mut orders = after(&[outcome]);
+    orders.begin_run();
+    body_end(UntilClose, orders.known())
+}
+
+/// Returns what an end means after a run was stopped, and the next one began beside an order that is out, or settled so.
+fn end_beside_the_next_run(settled: Option<StopOrder>) -> BodyEnd {
+    let mut orders = after(&[Stopped]);
+    orders.send();
+    orders.begin_run();
+    if let Some(outcome) = settled {
+        orders.settle(outcome);
+    }
+    body_end(UntilClose, orders.known())
+}
+
+fn end_after_one_of_two(outcome: StopOrder) -> BodyEnd {
+    let mut orders = StopOrderLog::default();
+    orders.send();
+    orders.send();
+    orders.settle(outcome);
+    body_end(UntilClose, orders.known())
 }
 
 fn never_unsaid() {
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -143,6 +143,8 @@
     if options.memory.is_none() {
         job.attempted.borrow_mut().record_sent(ix);
     }
+    // An order that is sent from now on may stop this run.
+    job.stop_orders.begin_run(&record.upstream_incarnation());
     on_sent();
     let response = tokio::select! {
         response = link.sender.try_send_request(req) => response.map_err(send_error)?,
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -460,20 +460,16 @@
             last_event_id: self.events.last_id(),
             is_sound: self.is_sound,
         };
+        if next.at == self.assignment.ix {
+            // Its memory is kept there, since it was stopped.
+            self.body_end = BodyEnd::BrokenOff;
+        }
         let response = match continuation::send_on(&self.job, next.at, &options).await {
             Ok(response) => response,
             Err(failed) => return failed,
         };
         self.assignment = assignment;
         self.run.go_on_at(next.at);
-        let begun = self
-            .job
-            .node
-            .pool
-            .borrow()
-            .record(next.at)
-            .upstream_incarnation();
-        self.run.stop_orders.begin_run(&begun);
         self.framing = response.head.framing;
         self.body_end = BodyEnd::BrokenOff;
         self.job.node.migrate_if_departing(next.at);
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -2,7 +2,7 @@
 //!
 //! An index in the pool may be another upstream's later, while the run goes on.
 
-use fireflycroft::{StopOrder, Time, UpstreamIncarnation};
+use fireflycroft::{StopOrder, StopOrderLog, Time, UpstreamIncarnation};
 use fireflycroft_platform::MigrationOutcome;
 use std::cell::{Cell, RefCell};
 use tokio::sync::Notify;
@@ -10,7 +10,7 @@
 /// What is known of the orders to stop one run.
 #[derive(Default)]
 pub struct StopOrders {
-    by_upstream: RefCell<Vec<(UpstreamIncarnation, StopOrder)>>,
+    by_upstream: RefCell<Vec<(UpstreamIncarnation, StopOrderLog)>>,
     last_sent: Cell<Option<Time>>,
     settled: Notify,
 }
@@ -33,7 +33,7 @@
     pub fn at(&self, upstream: &UpstreamIncarnation) -> StopOrder {
         let orders = self.by_upstream.borrow();
         let known = orders.iter().find(|(at, _)| may_be_same(at, upstream));
-        known.map_or_else(StopOrder::default, |(_, order)| *order)
+        known.map_or_else(StopOrder::default, |(_, orders)| orders.known())
     }
 
     /// Returns the time at which the last order was sent, to any upstream.
@@ -45,12 +45,12 @@
     /// Records that an order is sent.
     pub fn send(&self, upstream: &UpstreamIncarnation, now: Time) {
         self.last_sent.set(Some(now));
-        self.update(upstream, StopOrder::send);
+        self.update(upstream, StopOrderLog::send);
     }
 
     /// Records what became of an order.
     pub fn settle(&self, upstream: &UpstreamIncarnation, outcome: StopOrder) {
-        self.update(upstream, |order| order.settle(outcome));
+        self.update(upstream, |orders| orders.settle(outcome));
         self.settled.notify_waiters();
     }
 
@@ -65,19 +65,21 @@
         }
     }
 
-    /// Records that the request's run begins at an upstream.
+    /// Records that the request's run may begin at an upstream from now on.
     pub fn begin_run(&self, upstream: &UpstreamIncarnation) {
-        self.update(upstream, StopOrder::begin_run);
+        self.update(upstream, StopOrderLog::begin_run);
     }
 
-    fn update(&self, upstream: &UpstreamIncarnation, change: impl FnOnce(&mut StopOrder)) {
-        let mut orders = self.by_upstream.borrow_mut();
-        if let Some((_, order)) = orders.iter_mut().find(|(at, _)| may_be_same(at, upstream)) {
-            return change(order);
+    fn update(&self, upstream: &UpstreamIncarnation, change: impl FnOnce(&mut StopOrderLog)) {
+        let mut by_upstream = self.by_upstream.borrow_mut();
+        let known = by_upstream.iter_mut();
+        let mut known = known.filter(|(at, _)| may_be_same(at, upstream));
+        if let Some((_, orders)) = known.next() {
+            return change(orders);
         }
-        let mut order = StopOrder::default();
-        change(&mut order);
-        orders.push((upstream.clone(), order));
+        let mut orders = StopOrderLog::default();
+        change(&mut orders);
+        by_upstream.push((upstream.clone(), orders));
     }
 }
 
--- a/fireflydirect/tests/processes_lone_runs.rs
+++ b/fireflydirect/tests/processes_lone_runs.rs
@@ -67,6 +67,7 @@
 ) -> Play {
     Play {
         framing,
+        head_delay: Duration::ZERO,
         stopped_end,
         own_end: LastChunk,
         holds_end: false,
--- a/fireflydirect/tests/processes_own_ends.rs
+++ b/fireflydirect/tests/processes_own_ends.rs
@@ -126,6 +126,7 @@
 ) -> Play {
     Play {
         framing,
+        head_delay: Duration::ZERO,
         stopped_end: Close,
         own_end,
         holds_end,
--- a/fireflydirect/tests/processes_stream_ends.rs
+++ b/fireflydirect/tests/processes_stream_ends.rs
@@ -14,6 +14,9 @@
 /// Events of a stream that outlasts the notice of its engine, which stops its run.
 const LONG: u64 = 200;
 
+/// Time to the head of a run that goes on, within which it is stopped again.
+const LATE_HEAD: Duration = Duration::from_millis(400);
+
 /// Time of an answer that comes before the end of the body is judged.
 const AT_ONCE: Duration = Duration::ZERO;
 
@@ -80,6 +83,27 @@
     };
 }
 
+/// Defines test cases of runs that go on at their source with late heads, whose orders are answered in a given way; the
+/// first of them to go on there has them all stopped again.
+macro_rules! again {
+    ($($name:ident($ends:expr, $answers:expr, $after:ident);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let mut site = Site::start(1).await;
+                let heads = [AT_ONCE, LATE_HEAD, LATE_HEAD, AT_ONCE];
+                let plays = $ends.iter().flat_map(|end| {
+                    heads.map(|head_delay| (Play { head_delay, ..stopped(*end, $answers, $after) }, LONG))
+                });
+                let plays: Vec<(Play, u64)> = plays.collect();
+                let played = play_all(&mut site, "/log/a", &plays).await;
+                all_went_on(&site, &played);
+                site.check();
+            }
+        )+
+    };
+}
+
 const fn stopped(
     (framing, stopped_end): (Framing, StoppedEnd),
     answers: &'static [StopAnswer],
@@ -87,6 +111,7 @@
 ) -> Play {
     Play {
         framing,
+        head_delay: Duration::ZERO,
         stopped_end,
         own_end: LastChunk,
         holds_end: false,
@@ -141,3 +166,8 @@
     stopped_streams_go_on_after_a_cut_answer_that_names_no_handle(OTHERS, &[KeptCut], AFTER_END, "/log/a");
     resumable_stopped_streams_go_on(OTHERS, &[AllLost, AllLost], AFTER_END, "/grade/a");
 }
+
+again! {
+    chunks_stopped_again_before_their_heads_go_on([(Chunked, LastChunk), (Chunked, Trailers)], &[Kept], AT_ONCE);
+    streams_stopped_again_before_their_heads_go_on([(UntilClose, Close), (OldUntilClose, Close)], &[Kept], AT_ONCE);
+}
--- a/standins/src/site/plays.rs
+++ b/standins/src/site/plays.rs
@@ -10,6 +10,8 @@
 pub struct Play {
     /// How the end of its stream is told.
     pub framing: Framing,
+    /// Time to the head of a run that goes on from memory.
+    pub head_delay: Duration,
     /// How its stream ends when its run is stopped.
     pub stopped_end: StoppedEnd,
     /// How its stream ends when its first run does.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -221,6 +221,9 @@
         _ => {}
     }
     let play = shared.record.play_of(id);
+    if let Some(play) = play.filter(|_| run.after > 0) {
+        tokio::time::sleep(play.head_delay).await;
+    }
     let framing = play.map_or_else(|| shared.framing(), |p| p.framing);
     let pieces = (run.after + 1..=last_event).map(|n| padding.len() + event(id, n, &version).len());
     let headers = shared.with_extra_headers(&headers);
