Race the ends of streams with the orders to stop their runs

None may be cut, short or doubled.

A stream that the stand-in holds ends only when its memory was copied: in one run the targets came so late that two ended before it, were never ordered to stop and never closed.

--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -177,7 +177,8 @@
     holds_ends: AtomicBool,
     stopped_end: Mutex<StoppedEnd>,
     ordered: Notify,
-    /// Signals of the last moves that were asked for, by request.
+    /// Signals of the first and the last moves that were asked for, by request.
+    copied_runs: Mutex<HashMap<String, Arc<Notify>>>,
     ordered_runs: Mutex<HashMap<String, Arc<Notify>>>,
 }
 
@@ -256,16 +257,15 @@
         }
     }
 
-    /// Returns the signal that the last move of a request's run was asked for.
-    fn ordered_run(&self, id: &str) -> Arc<Notify> {
-        let mut ordered = lock(&self.ordered_runs);
-        ordered.entry(id.to_owned()).or_default().clone()
+    /// Waits until the memory of a request's run was copied while it goes on.
+    pub(super) async fn until_copied(&self, id: &str) {
+        signal(&self.copied_runs, id).notified().await;
     }
 
     /// Waits until a run that has ended may close its stream; `holds` if only its own last move counts.
     pub(super) async fn until_end_is_due(&self, id: &str, holds: bool) {
         if holds {
-            self.ordered_run(id).notified().await;
+            signal(&self.ordered_runs, id).notified().await;
         } else if self.holds_ends.load(Ordering::Relaxed) {
             self.ordered.notified().await;
         }
@@ -290,7 +290,9 @@
         let stop = lock(&self.stop_signals).get(id).cloned();
         if is_last {
             self.ordered.notify_one();
-            self.ordered_run(id).notify_one();
+            signal(&self.ordered_runs, id).notify_one();
+        } else {
+            signal(&self.copied_runs, id).notify_one();
         }
         let stops = is_last && !answer.lets_go_on();
         if let Some(stop) = stop.as_ref().filter(|_| stops) {
@@ -357,6 +359,11 @@
     }
 }
 
+/// Returns the signal of a request.
+fn signal(signals: &Mutex<HashMap<String, Arc<Notify>>>, id: &str) -> Arc<Notify> {
+    lock(signals).entry(id.to_owned()).or_default().clone()
+}
+
 /// Returns the answer to a move that is refused; of a run that has ended only if that was set for its request.
 fn refusal(answer: StopAnswer, record: &Record, id: &str, is_running: bool) -> Option<OwnAnswer> {
     let status = answer.refusal()?;
--- a/standins/src/site/plays.rs
+++ b/standins/src/site/plays.rs
@@ -1,6 +1,6 @@
 //! What upstreams do with the run of one request, instead of what each does with all.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::framing::Framing;
 use super::moves::{StopAnswer, StoppedEnd};
@@ -16,7 +16,7 @@
     pub stopped_end: StoppedEnd,
     /// How its stream ends when its first run does.
     pub own_end: StoppedEnd,
-    /// Whether its first run, when it has ended, closes its stream only when its last move is asked for.
+    /// Whether its first run ends only when its memory was copied, and closes its stream only when its last move is asked for.
     pub holds_end: bool,
     /// Time from then to the close.
     pub close_delay: Duration,
@@ -30,12 +30,18 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Playing {
     pub(super) play: Play,
-    pub(super) given: usize,
+    given: usize,
+    /// Time at which the first last move was asked for.
+    pub(super) ordered_at: Option<Instant>,
 }
 
 impl Playing {
     pub(super) const fn new(play: Play) -> Self {
-        Self { play, given: 0 }
+        Self {
+            play,
+            given: 0,
+            ordered_at: None,
+        }
     }
 
     /// Returns the next answer to a last move, and the time after which it comes.
@@ -47,6 +53,7 @@
             Duration::ZERO
         };
         self.given += 1;
+        self.ordered_at.get_or_insert_with(Instant::now);
         (answer.unwrap_or_default(), after)
     }
 }
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -201,11 +201,11 @@
         inner.plays.get_mut(request_id).map(Playing::next_answer)
     }
 
-    /// Returns how many last moves of the runs of a request were asked for that has a play.
+    /// Returns the time at which the first last move of a run was asked for, of a request that has a play.
     #[must_use]
-    pub fn last_moves_of(&self, request_id: &str) -> usize {
+    pub fn ordered_at(&self, request_id: &str) -> Option<Instant> {
         let inner = lock(&self.inner);
-        inner.plays.get(request_id).map_or(0, |p| p.given)
+        inner.plays.get(request_id)?.ordered_at
     }
 
     pub(super) fn record_foreign_memory(&self, request_id: &str) {
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -272,10 +272,13 @@
             }
         }
     }
-    drop(movable);
-    run.end(RunEnd::Complete);
     let first = play.filter(|_| run.after == 0);
     let holds = first.is_some_and(|p| p.holds_end);
+    if holds {
+        shared.moves.until_copied(id).await;
+    }
+    drop(movable);
+    run.end(RunEnd::Complete);
     shared.moves.until_end_is_due(id, holds).await;
     tokio::time::sleep(first.map_or(Duration::ZERO, |p| p.close_delay)).await;
     let end = first.map_or(StoppedEnd::LastChunk, |p| p.own_end);
