Play the ends of other bodies, and streams that are stopped again

The same cause could act elsewhere on the direct path: a body taken for whole that isn't.

Ruled out by reading: a stated length is passed on to no caller.

--- a/fireflydirect/tests/processes_lone_runs.rs
+++ b/fireflydirect/tests/processes_lone_runs.rs
@@ -67,6 +67,7 @@
 ) -> Play {
     Play {
         framing,
+        padding: [0, 0],
         head_delay: Duration::ZERO,
         stopped_end,
         own_end: LastChunk,
--- a/fireflydirect/tests/processes_lost_answers.rs
+++ b/fireflydirect/tests/processes_lost_answers.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use reqwest::RequestBuilder;
-use standins::site::{AnswerFault, Loss, RunEnd, StopAnswer};
+use standins::site::{AnswerFault, Framing, Loss, RunEnd, StopAnswer};
 use std::time::Duration;
 use support::{KEY, Site, until, whole_stream};
 
@@ -58,6 +58,32 @@
     };
 }
 
+/// Defines test cases of streams whose engines lose their rest, refuse to stop their runs and break their reports off, with a
+/// framing.
+macro_rules! unreported {
+    ($($name:ident($framing:ident);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let site = site().await;
+                for engine in &site.engines[..usize::from(ENGINES / 2)] {
+                    engine.set_fault(AnswerFault::LoseRest(MIDDLE, Loss::Reset));
+                    engine.moves().answer_stops(StopAnswer::NeverExecuted, Duration::ZERO);
+                    engine.cut_reports(Framing::$framing);
+                }
+                let req = |id: &str| site.stream(0, "/grade/a", EVENTS, id);
+                let ids = play(&site, req, Orders::Refused).await;
+                until("the end of all runs", || async { site.record.running_count() == 0 }).await;
+                for id in &ids {
+                    check_overlap(&site, id);
+                }
+                assert!(count_lost(&site) > 0, "no answer was lost");
+                site.check();
+            }
+        )+
+    };
+}
+
 /// Defines test cases of a stream whose engine ends behind a proxy, which goes on accepting connections.
 macro_rules! ended {
     ($($name:ident($req:ident, $path:literal);)+) => {
@@ -176,3 +202,10 @@
     stream_goes_on_from_its_copy_while_its_ended_engine_accepts_connections(generation, "/log/a");
     resumable_stream_goes_on_while_its_ended_engine_accepts_connections(stream, "/grade/a");
 }
+
+unreported! {
+    report_cut_before_its_length_does_not_end_a_run(Length);
+    report_cut_in_chunks_does_not_end_a_run(Chunked);
+    report_cut_with_its_connection_does_not_end_a_run(UntilClose);
+    report_of_an_old_engine_cut_with_its_connection_does_not_end_a_run(OldUntilClose);
+}
--- a/fireflydirect/tests/processes_own_ends.rs
+++ b/fireflydirect/tests/processes_own_ends.rs
@@ -126,6 +126,7 @@
 ) -> Play {
     Play {
         framing,
+        padding: [0, 0],
         head_delay: Duration::ZERO,
         stopped_end: Close,
         own_end,
--- a/fireflydirect/tests/processes_racing_ends.rs
+++ b/fireflydirect/tests/processes_racing_ends.rs
@@ -105,6 +105,7 @@
     let close_delay = draw(rng, 0..MAX_CLOSE_DELAY);
     let play = Play {
         framing,
+        padding: [0, 0],
         head_delay: Duration::ZERO,
         stopped_end: pick(rng, ends),
         own_end: pick(rng, ends),
--- a/fireflydirect/tests/processes_stream_ends.rs
+++ b/fireflydirect/tests/processes_stream_ends.rs
@@ -104,6 +104,23 @@
     };
 }
 
+/// Defines test cases of streams whose stated length is none of theirs any more when they go on with other comments.
+macro_rules! other_lengths {
+    ($($name:ident($framing:ident, $padding:expr);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let mut site = Site::start(1).await;
+                let play = stopped(($framing, Close), &[Copied], AT_ONCE);
+                let play = Play { padding: $padding, ..play };
+                let played = play_all(&mut site, "/log/a", &[(play, LONG), (play, LONG)]).await;
+                all_went_on(&site, &played);
+                site.check();
+            }
+        )+
+    };
+}
+
 const fn stopped(
     (framing, stopped_end): (Framing, StoppedEnd),
     answers: &'static [StopAnswer],
@@ -111,6 +128,7 @@
 ) -> Play {
     Play {
         framing,
+        padding: [0, 0],
         head_delay: Duration::ZERO,
         stopped_end,
         own_end: LastChunk,
@@ -171,3 +189,10 @@
     chunks_stopped_again_before_their_heads_go_on([(Chunked, LastChunk), (Chunked, Trailers)], &[Kept], AT_ONCE);
     streams_stopped_again_before_their_heads_go_on([(UntilClose, Close), (OldUntilClose, Close)], &[Kept], AT_ONCE);
 }
+
+other_lengths! {
+    stated_stream_that_goes_on_with_more_bytes_is_whole(Length, [0, 20]);
+    stated_stream_that_goes_on_with_fewer_bytes_is_whole(Length, [20, 0]);
+    stated_stream_of_an_old_engine_that_goes_on_with_more_bytes_is_whole(OldLength, [0, 20]);
+    chunks_beside_a_length_that_go_on_with_more_bytes_are_whole(ChunkedBesideLength, [0, 20]);
+}
--- a/fireflydirect/tests/support/plays.rs
+++ b/fireflydirect/tests/support/plays.rs
@@ -1,9 +1,11 @@
 //! Streams of engines that leave, each with a play of its own.
 
+use super::streams::list;
 use super::{Site, until, whole_stream};
 use reqwest::RequestBuilder;
 use standins::site::{AnswerFault, Play, Run};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 
 /// Engines that streams begin at; all leave.
 const SOURCES: usize = 2;
@@ -25,9 +27,14 @@
 }
 
 impl Played {
-    /// Returns whether it is complete, with each piece once.
+    /// Returns whether it is complete, with each piece once; comments are no pieces.
     pub(crate) fn is_whole(&self, events: u64) -> bool {
-        self.body.as_deref() == Some(&*whole_stream(&self.id, events))
+        let is_comment = |line: &&str| line.starts_with(':');
+        let body = self.body.as_ref().map(|body| {
+            let lines = body.split_inclusive('\n');
+            lines.filter(|l| !is_comment(l)).collect::<String>()
+        });
+        body.as_deref() == Some(&*whole_stream(&self.id, events))
     }
 }
 
@@ -55,43 +62,31 @@
         .header("X-Prompt-Prefix", format!("{part:x}:900"))
 }
 
-/// Reads streams, one of each play and with so many events, whose engines say that they leave once all were sent; engines that hold heads
-/// begin their answers when runs are stopped at once.
+/// Streams that are being read.
+pub(crate) type Reading = Vec<JoinHandle<Played>>;
+
+/// Reads streams, one of each play and with so many events, whose engines say that they leave once all were sent; engines
+/// that hold heads begin their answers when runs are stopped at once.
 pub(crate) async fn play_all(site: &mut Site, path: &str, plays: &[(Play, u64)]) -> Vec<Played> {
-    let reading: Vec<_> = plays
+    let reading = begin(site, path, plays).await;
+    finish(reading).await
+}
+
+/// The same, until the first engines have said that they leave.
+pub(crate) async fn begin(site: &mut Site, path: &str, plays: &[(Play, u64)]) -> Reading {
+    let reading = plays
         .iter()
-        .map(|(play, events)| {
-            let id = site.id();
-            site.record.play(&id, *play);
-            let req = request(site, path, *events, &id);
-            let play = *play;
-            tokio::spawn(async move {
-                let body = match req.send().await {
-                    Ok(answer) => answer.text().await.ok(),
-                    Err(_) => None,
-                };
-                Played { play, id, body }
-            })
-        })
+        .map(|(play, events)| read(site, path, *play, *events))
         .collect();
     until("the runs", || async {
         site.record.runs().len() >= plays.len()
     })
     .await;
     for number in 2..=LAST_TARGET {
-        site.add_engine(number).await;
+        add_target(site, number).await;
     }
-    until("the targets", || async {
-        let came = |n| format!("instance=m-{n}");
-        let log = site.log(0);
-        let lines = log.lines().filter(|l| l.contains("event=upstream_came"));
-        let lines = lines.collect::<Vec<_>>().join("\n");
-        (2..=LAST_TARGET).all(|n| lines.contains(&came(n)))
-    })
-    .await;
-    for engine in &site.engines[..SOURCES] {
-        let record = engine.registration("models", "draining");
-        site.store.put("servers", &engine.instance(), &record);
+    for engine in 0..SOURCES {
+        list(site, engine, "draining");
     }
     if site.engines[0].fault() == AnswerFault::HoldHead {
         until("the notices", || async {
@@ -103,6 +98,31 @@
             engine.set_fault(AnswerFault::None);
         }
     }
+    reading
+}
+
+fn read(site: &Site, path: &str, play: Play, events: u64) -> JoinHandle<Played> {
+    let id = site.id();
+    site.record.play(&id, play);
+    let req = request(site, path, events, &id);
+    tokio::spawn(async move {
+        let body = match req.send().await {
+            Ok(answer) => answer.text().await.ok(),
+            Err(_) => None,
+        };
+        Played { play, id, body }
+    })
+}
+
+/// Starts an engine and waits until the entry knows it.
+pub(crate) async fn add_target(site: &mut Site, number: u8) {
+    site.add_engine(number).await;
+    let came = format!("event=upstream_came instance=m-{number} ");
+    until("the target", || async { site.log(0).contains(&came) }).await;
+}
+
+/// Waits until streams have ended.
+pub(crate) async fn finish(reading: Reading) -> Vec<Played> {
     let mut played = Vec::new();
     for reading in reading {
         played.push(reading.await.unwrap());
--- a/standins/src/site/engine.rs
+++ b/standins/src/site/engine.rs
@@ -78,6 +78,8 @@
     omits_start: AtomicBool,
     /// Whether it closes its port, and the connections of calls, once it has copied the memory of a run that goes on.
     refuses_after_copies: AtomicBool,
+    /// Framing of its reports, which break off in their middle.
+    pub(super) cut_reports: Mutex<Option<Framing>>,
     pub(super) refuse: Notify,
     /// Whether a request has crashed it.
     pub(super) has_crashed: AtomicBool,
@@ -107,6 +109,7 @@
             is_clock_set_back: AtomicBool::new(false),
             omits_start: AtomicBool::new(false),
             refuses_after_copies: AtomicBool::new(false),
+            cut_reports: Mutex::default(),
             refuse: Notify::new(),
             has_crashed: AtomicBool::new(false),
             moves: Moves::default(),
@@ -289,6 +292,11 @@
         self.shared.closes.store(true, Ordering::Relaxed);
     }
 
+    /// Makes its reports break off in their middle.
+    pub fn cut_reports(&self, framing: Framing) {
+        *lock(&self.shared.cut_reports) = Some(framing);
+    }
+
     /// Makes it refuse connections, and close those of calls, once it has copied the memory of a run that goes on.
     pub fn refuse_after_copies(&self) {
         self.shared
--- a/standins/src/site/plays.rs
+++ b/standins/src/site/plays.rs
@@ -10,6 +10,8 @@
 pub struct Play {
     /// How the end of its stream is told.
     pub framing: Framing,
+    /// Bytes of comments before each event of its first run and of those that go on.
+    pub padding: [usize; 2],
     /// Time to the head of a run that goes on from memory.
     pub head_delay: Duration,
     /// How its stream ends when its run is stopped.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -133,6 +133,14 @@
     let length = req.query("answer_bytes").and_then(|b| b.parse().ok());
     let mut body = format!("{} {} for {id}", req.method, req.path);
     body.extend(std::iter::repeat_n('a', length.unwrap_or(0)));
+    if let Some(play) = shared.record.play_of(id) {
+        let headers = shared.with_extra_headers(&headers);
+        write_stream_head(stream, &headers, play.framing, body.len()).await?;
+        write_piece(stream, body.as_bytes(), play.framing).await?;
+        stream.write_all(play.own_end.bytes(play.framing)).await?;
+        run.end(RunEnd::Complete);
+        return Ok(play.own_end.action(play.framing));
+    }
     if shared.framing() == Framing::UntilClose {
         let headers = shared.with_extra_headers(&headers);
         write_stream_head(stream, &headers, Framing::UntilClose, body.len()).await?;
@@ -198,11 +206,10 @@
 ) -> io::Result<ConnectionAction<'a>> {
     let last_event = req.query("events").and_then(|e| e.parse().ok());
     let last_event: u64 = last_event.unwrap_or(DEFAULT_EVENTS);
-    let padding = padding(
-        req.query("padding")
-            .and_then(|p| p.parse().ok())
-            .unwrap_or(0),
-    );
+    let play = shared.record.play_of(id);
+    let padding_bytes = req.query("padding").and_then(|p| p.parse().ok());
+    let played = play.map_or(0, |p| p.padding[usize::from(run.after > 0)]);
+    let padding = padding(padding_bytes.unwrap_or(played));
     let version = lock(&shared.version).clone();
     let movable = shared.moves.begin(id);
     let headers = [
@@ -220,7 +227,6 @@
         }
         _ => {}
     }
-    let play = shared.record.play_of(id);
     if let Some(play) = play.filter(|_| run.after > 0) {
         tokio::time::sleep(play.head_delay).await;
     }
@@ -339,6 +345,7 @@
         "runs": runs});
     let body = shared.with_start(said);
     let mut answer = OwnAnswer::new(200, body.to_string());
+    answer.cut = *lock(&shared.cut_reports);
     if shared.closes.load(Ordering::Relaxed) {
         let close = ("Connection".to_owned(), "close".to_owned());
         answer.headers = [close].into_iter().collect();
