Draw ends evenly around their orders, and end held streams without one

Few streams were stopped in the race, since their orders came later than the middle of the drawn ends.

--- a/fireflydirect/tests/processes_racing_ends.rs
+++ b/fireflydirect/tests/processes_racing_ends.rs
@@ -20,7 +20,7 @@
 const STREAMS: usize = 14;
 
 /// Events of streams that end some 400 ms before to 400 ms after the order.
-const ABOUT_ORDER: std::ops::Range<u64> = 85..155;
+const ABOUT_ORDER: std::ops::Range<u64> = 95..185;
 
 /// Events of a stream that ends before the order, and is closed after it.
 const BEFORE_ORDER: u64 = 60;
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -17,6 +17,9 @@
 /// Time from the beginning of a run to an earlier order that stops it.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(60);
 
+/// Longest time for which an end is held for an order.
+const MAX_HOLD: Duration = Duration::from_secs(4);
+
 /// What an upstream does on the last move of a run, once unless stated otherwise; then it copies.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StopAnswer {
@@ -265,7 +268,9 @@
     /// Waits until a run that has ended may close its stream; `holds` if only its own last move counts.
     pub(super) async fn until_end_is_due(&self, id: &str, holds: bool) {
         if holds {
-            signal(&self.ordered_runs, id).notified().await;
+            // None comes where an entry makes standby copies instead.
+            let ordered = signal(&self.ordered_runs, id);
+            let _ = tokio::time::timeout(MAX_HOLD, ordered.notified()).await;
         } else if self.holds_ends.load(Ordering::Relaxed) {
             self.ordered.notified().await;
         }
