Order every played run to stop, also where the store seems silent

On a busy machine an entry may take the store for silent, since stand-ins and entries share the cores, and makes standby copies instead of moves: then no run is stopped, and a test of stopped runs has nothing to show.

--- a/fireflydirect/tests/processes_lone_runs.rs
+++ b/fireflydirect/tests/processes_lone_runs.rs
@@ -8,7 +8,7 @@
 use standins::site::{AnswerFault, Play, RunEnd};
 use std::time::Duration;
 use support::Site;
-use support::plays::{Played, faults, play_all};
+use support::plays::{self, Played, faults, play_all};
 
 /// Events of a stream that outlasts the notice of its engine, which stops its run.
 const LONG: u64 = 200;
@@ -47,7 +47,7 @@
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                let mut site = Site::start(1).await;
+                let mut site = plays::site().await;
                 for engine in &site.engines {
                     engine.set_fault(AnswerFault::HoldHead);
                 }
--- a/fireflydirect/tests/processes_own_ends.rs
+++ b/fireflydirect/tests/processes_own_ends.rs
@@ -7,7 +7,7 @@
 use standins::site::StopAnswer::{self, *};
 use standins::site::StoppedEnd::{self, *};
 use std::time::Duration;
-use support::plays::{Played, faults, play_all};
+use support::plays::{self, Played, faults, play_all};
 use support::{Site, until};
 
 /// Events of a stream that ends before its run is ordered to stop.
@@ -88,7 +88,7 @@
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                let mut site = Site::start(1).await;
+                let mut site = plays::site().await;
                 let held = $events == SHORT;
                 let plays: Vec<(Play, u64)> = $ends.iter().map(|end| (ended(*end, held, $answers, $after), $events)).collect();
                 let played = play_all(&mut site, "/log/a", &plays).await;
@@ -105,7 +105,7 @@
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                let mut site = Site::start(1).await;
+                let mut site = plays::site().await;
                 for engine in &site.engines {
                     engine.refuse_after_copies();
                 }
--- a/fireflydirect/tests/processes_racing_ends.rs
+++ b/fireflydirect/tests/processes_racing_ends.rs
@@ -13,8 +13,7 @@
 use standins::site::{Play, Run, RunEnd};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
-use support::Site;
-use support::plays::{Played, faults, play_all};
+use support::plays::{self, Played, faults, play_all};
 
 /// Streams of a seed.
 const STREAMS: usize = 14;
@@ -126,7 +125,7 @@
 ) -> String {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let plays: Vec<(Play, u64)> = (0..STREAMS).map(|_| drawn(&mut rng, orders)).collect();
-    let mut site = Site::start(1).await;
+    let mut site = plays::site().await;
     let played = play_all(&mut site, path, &plays).await;
     for (p, (_, events)) in played.iter().zip(&plays) {
         let runs = site.record.runs_of(&p.id);
--- a/fireflydirect/tests/processes_stopped_again.rs
+++ b/fireflydirect/tests/processes_stopped_again.rs
@@ -7,7 +7,7 @@
 use standins::site::StoppedEnd::{self, *};
 use standins::site::{Play, RunEnd, StoreMode};
 use std::time::Duration;
-use support::plays::{Played, add_target, begin, faults, finish};
+use support::plays::{self, Played, add_target, begin, faults, finish};
 use support::streams::list;
 use support::{Site, check_runs, until, whole_stream};
 
@@ -35,7 +35,7 @@
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                let mut site = Site::start(1).await;
+                let mut site = plays::site().await;
                 let plays: Vec<(Play, u64)> = ENDS.iter().map(|end| (stopped(*end, $answers), LONG)).collect();
                 let reading = begin(&mut site, $path, &plays).await;
                 until("the copies", || async { times_gone_on(&site) >= plays.len() }).await;
--- a/fireflydirect/tests/processes_stream_ends.rs
+++ b/fireflydirect/tests/processes_stream_ends.rs
@@ -9,7 +9,7 @@
 use standins::site::{Play, RunEnd};
 use std::time::Duration;
 use support::Site;
-use support::plays::{Played, faults, play_all};
+use support::plays::{self, Played, faults, play_all};
 
 /// Events of a stream that outlasts the notice of its engine, which stops its run.
 const LONG: u64 = 200;
@@ -73,7 +73,7 @@
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                let mut site = Site::start(1).await;
+                let mut site = plays::site().await;
                 let plays: Vec<(Play, u64)> = $ends.iter().map(|end| (stopped(*end, $answers, $after), LONG)).collect();
                 let played = play_all(&mut site, $path, &plays).await;
                 all_went_on(&site, &played);
@@ -90,7 +90,7 @@
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                let mut site = Site::start(1).await;
+                let mut site = plays::site().await;
                 let heads = [AT_ONCE, LATE_HEAD, LATE_HEAD, AT_ONCE];
                 let plays = $ends.iter().flat_map(|end| {
                     heads.map(|head_delay| (Play { head_delay, ..stopped(*end, $answers, $after) }, LONG))
@@ -110,7 +110,7 @@
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                let mut site = Site::start(1).await;
+                let mut site = plays::site().await;
                 let play = stopped(($framing, Close), &[Copied], AT_ONCE);
                 let play = Play { padding: $padding, ..play };
                 let played = play_all(&mut site, "/log/a", &[(play, LONG), (play, LONG)]).await;
--- a/fireflydirect/tests/support/plays.rs
+++ b/fireflydirect/tests/support/plays.rs
@@ -38,6 +38,14 @@
     }
 }
 
+/// Starts a site whose runs are ordered to stop also when its store is silent, as it may seem on a busy machine.
+pub(crate) async fn site() -> Site {
+    let mut site = Site::without_entries().await;
+    site.without = "standby_copies";
+    site.start_entries(1).await;
+    site
+}
+
 /// Returns what is wrong with some streams, each with its play and runs; `is_good` tells of one and its runs.
 pub(crate) fn faults(
     site: &Site,
