--- a/fireflydirect/src/assignment.rs
+++ b/fireflydirect/src/assignment.rs
@@ -1,7 +1,7 @@
 //! Work that this entry has assigned to upstreams.
 
 use crate::node::Node;
-use fireflycroft::{Need, Time, UpstreamIx};
+use fireflycroft::{Need, Time, UpstreamIncarnation, UpstreamIx};
 use std::rc::Rc;
 
 impl Node {
@@ -33,6 +33,16 @@
 }
 
 impl AssignmentGuard {
+    /// Returns the incarnation of the upstream that is known now.
+    #[must_use]
+    pub fn incarnation(&self) -> UpstreamIncarnation {
+        self.node
+            .pool
+            .borrow()
+            .record(self.ix)
+            .upstream_incarnation()
+    }
+
     /// Raises the run's memory need to `tokens`, if that is more than before.
     pub fn grow_to(&mut self, tokens: u64) {
         if tokens > self.need.tokens {
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -6,12 +6,15 @@
 
 mod broken_answers;
 mod checker;
+mod connections;
 mod crashes;
 mod ends;
 mod engine;
 mod faults;
+mod framing;
 mod http;
 mod moves;
+mod plays;
 mod proxy;
 mod record;
 mod runs;
@@ -24,7 +27,9 @@
 pub use ends::{Disturbance, EndedStreams};
 pub use engine::{Engine, EngineKind, FIRST_VERSION};
 pub use faults::{AnswerFault, Loss};
+pub use framing::Framing;
 pub use moves::{Moves, StopAnswer, StoppedEnd};
+pub use plays::Play;
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
 pub use store::{Snapshot, Store, StoreMode};
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::moves::StopAnswer;
+use super::plays::{Play, Playing};
 use crate::sync::lock;
 
 /// State or end of a run.
@@ -83,6 +85,8 @@
     crashing_paths: HashMap<String, Vec<u64>>,
     /// Time from the end of an upstream's connections to the closing of its port.
     port_delay: Option<Duration>,
+    /// Behaviour towards requests, by id.
+    plays: HashMap<String, Playing>,
 }
 
 impl Record {
@@ -196,6 +200,33 @@
         lock(&self.inner).copied.clone()
     }
 
+    /// Sets what upstreams do with the runs of a request.
+    pub fn play(&self, request_id: &str, play: Play) {
+        let playing = Playing::new(play);
+        lock(&self.inner)
+            .plays
+            .insert(request_id.to_owned(), playing);
+    }
+
+    /// Returns what upstreams do with the runs of a request, if that was set.
+    pub(super) fn play_of(&self, request_id: &str) -> Option<Play> {
+        let inner = lock(&self.inner);
+        inner.plays.get(request_id).map(|playing| playing.play)
+    }
+
+    /// Returns the next answer to a last move of a request's run, if that was set.
+    pub(super) fn next_stop_answer(&self, request_id: &str) -> Option<(StopAnswer, Duration)> {
+        let mut inner = lock(&self.inner);
+        inner.plays.get_mut(request_id).map(Playing::next_answer)
+    }
+
+    /// Returns the time at which the first last move of a run was asked for, of a request that has a play.
+    #[must_use]
+    pub fn ordered_at(&self, request_id: &str) -> Option<Instant> {
+        let inner = lock(&self.inner);
+        inner.plays.get(request_id)?.ordered_at
+    }
+
     pub(super) fn record_foreign_memory(&self, request_id: &str) {
         let mut inner = lock(&self.inner);
         inner.foreign_memory.push(request_id.to_owned());
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -8,12 +8,12 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::engine::{ConnectionAction, FIRST_VERSION, Shared};
+use super::connections::ConnectionAction;
+use super::engine::{FIRST_VERSION, Shared};
 use super::faults::{AnswerFault, Loss};
-use super::http::{
-    Framing, Headers, Request, until_closed, write_answer, write_piece, write_stream_head,
-};
-use super::moves::MovableRun;
+use super::framing::{Framing, write_head, write_piece, write_stream_head};
+use super::http::{Headers, Request, until_closed, write_answer};
+use super::moves::{MovableRun, StoppedEnd};
 use super::record::{CopyKey, Run, RunEnd};
 use crate::sync::lock;
 
@@ -133,9 +133,17 @@
     let length = req.query("answer_bytes").and_then(|b| b.parse().ok());
     let mut body = format!("{} {} for {id}", req.method, req.path);
     body.extend(std::iter::repeat_n('a', length.unwrap_or(0)));
+    if let Some(play) = shared.record.play_of(id) {
+        let headers = shared.with_extra_headers(&headers);
+        write_stream_head(stream, &headers, play.framing, body.len()).await?;
+        write_piece(stream, body.as_bytes(), play.framing).await?;
+        stream.write_all(play.own_end.bytes(play.framing)).await?;
+        run.end(RunEnd::Complete);
+        return Ok(play.own_end.action(play.framing));
+    }
     if shared.framing() == Framing::UntilClose {
         let headers = shared.with_extra_headers(&headers);
-        write_stream_head(stream, &headers, Framing::UntilClose).await?;
+        write_stream_head(stream, &headers, Framing::UntilClose, body.len()).await?;
         let breaks = fault == AnswerFault::Truncate;
         let sent = if breaks { body.len() / 2 } else { body.len() };
         stream.write_all(&body.as_bytes()[..sent]).await?;
@@ -198,11 +206,10 @@
 ) -> io::Result<ConnectionAction<'a>> {
     let last_event = req.query("events").and_then(|e| e.parse().ok());
     let last_event: u64 = last_event.unwrap_or(DEFAULT_EVENTS);
-    let padding = padding(
-        req.query("padding")
-            .and_then(|p| p.parse().ok())
-            .unwrap_or(0),
-    );
+    let play = shared.record.play_of(id);
+    let padding_bytes = req.query("padding").and_then(|p| p.parse().ok());
+    let played = play.map_or(0, |p| p.padding[usize::from(run.after > 0)]);
+    let padding = padding(padding_bytes.unwrap_or(played));
     let version = lock(&shared.version).clone();
     let movable = shared.moves.begin(id);
     let headers = [
@@ -219,10 +226,20 @@
     match fault {
         AnswerFault::Slow => tokio::time::sleep(PROMPT_READ_TIME).await,
         AnswerFault::SlowBy(time) => tokio::time::sleep(time).await,
+        AnswerFault::HoldHead => {
+            while shared.fault() == AnswerFault::HoldHead {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
+        }
         _ => {}
     }
-    let framing = shared.framing();
-    write_stream_head(stream, &shared.with_extra_headers(&headers), framing).await?;
+    if let Some(play) = play.filter(|_| run.after > 0) {
+        tokio::time::sleep(play.head_delay).await;
+    }
+    let framing = play.map_or_else(|| shared.framing(), |p| p.framing);
+    let pieces = (run.after + 1..=last_event).map(|n| padding.len() + event(id, n, &version).len());
+    let headers = shared.with_extra_headers(&headers);
+    write_stream_head(stream, &headers, framing, pieces.sum()).await?;
     if fault == AnswerFault::NoEvents {
         run.end(RunEnd::Broken);
         return Ok(ConnectionAction::Close);
@@ -254,7 +271,7 @@
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
             () = movable.stop.notified() => {
                 run.end(RunEnd::Migrated);
-                let end = shared.moves.stopped_end();
+                let end = play.map_or_else(|| shared.moves.stopped_end(), |p| p.stopped_end);
                 stream.write_all(end.bytes(framing)).await?;
                 return Ok(end.action(framing));
             }
@@ -264,11 +281,18 @@
             }
         }
     }
+    let first = play.filter(|_| run.after == 0);
+    let holds = first.is_some_and(|p| p.holds_end);
+    if holds {
+        shared.moves.until_copied(id).await;
+    }
     drop(movable);
     run.end(RunEnd::Complete);
-    shared.moves.until_end_is_due().await;
-    write_piece(stream, b"", framing).await?;
-    Ok(after_answer(framing))
+    shared.moves.until_end_is_due(id, holds).await;
+    tokio::time::sleep(first.map_or(Duration::ZERO, |p| p.close_delay)).await;
+    let end = first.map_or(StoppedEnd::LastChunk, |p| p.own_end);
+    stream.write_all(end.bytes(framing)).await?;
+    Ok(end.action(framing))
 }
 
 /// Loses the answer of a run that has some events left.
@@ -283,13 +307,6 @@
     ConnectionAction::WorkOn(UnheardRun { run, movable, left }, how)
 }
 
-const fn after_answer<'a>(framing: Framing) -> ConnectionAction<'a> {
-    match framing {
-        Framing::Chunked => ConnectionAction::Keep,
-        Framing::UntilClose => ConnectionAction::Close,
-    }
-}
-
 /// Returns how the connection of an answer ends that is broken off.
 const fn broken_off<'a>(fault: AnswerFault) -> ConnectionAction<'a> {
     match fault {
@@ -304,6 +321,8 @@
     pub(super) status: u16,
     pub(super) headers: Headers,
     pub(super) body: String,
+    /// Framing of an answer that breaks off in its middle.
+    pub(super) cut: Option<Framing>,
 }
 
 impl OwnAnswer {
@@ -312,12 +331,24 @@
             status,
             headers: Headers::new(),
             body,
+            cut: None,
         }
     }
 
     pub(super) async fn write(&self, stream: &mut TcpStream) -> io::Result<()> {
+        if let Some(framing) = self.cut {
+            return self.write_half(stream, framing).await;
+        }
         write_answer(stream, self.status, &self.headers, self.body.as_bytes()).await
     }
+
+    /// Writes half of the answer and ends the connection.
+    async fn write_half(&self, stream: &mut TcpStream, framing: Framing) -> io::Result<()> {
+        let body = self.body.as_bytes();
+        write_head(stream, self.status, &self.headers, framing, body.len()).await?;
+        write_piece(stream, &body[..body.len() / 2], framing).await?;
+        stream.shutdown().await
+    }
 }
 
 pub(super) fn report(shared: &Shared) -> OwnAnswer {
@@ -329,6 +360,7 @@
         "runs": runs});
     let body = shared.with_start(said);
     let mut answer = OwnAnswer::new(200, body.to_string());
+    answer.cut = *lock(&shared.cut_reports);
     if shared.closes.load(Ordering::Relaxed) {
         let close = ("Connection".to_owned(), "close".to_owned());
         answer.headers = [close].into_iter().collect();
--- a/standins/src/site/start.rs
+++ b/standins/src/site/start.rs
@@ -36,19 +36,19 @@
 /// Closes a port and resets its connections: the port first, so that a client that sees the reset can't reconnect, or
 /// some time after them.
 pub(super) async fn close(
-    listener: TcpListener,
+    listener: Option<TcpListener>,
     port_delay: Option<Duration>,
     end_connections: impl Future<Output = ()>,
 ) {
     match port_delay {
         None => {
-            close_port(listener);
+            listener.into_iter().for_each(close_port);
             end_connections.await;
         }
         Some(delay) => {
             end_connections.await;
             tokio::time::sleep(delay).await;
-            close_port(listener);
+            listener.into_iter().for_each(close_port);
         }
     }
 }
@@ -57,7 +57,7 @@
 ///
 /// Between fork and exec, a child process holds a copy of every descriptor. A listener that is only
 /// dropped would accept connections in that time.
-fn close_port(listener: TcpListener) {
+pub(super) fn close_port(listener: TcpListener) {
     // Fails only when the socket is closed already.
     let _ = SockRef::from(&listener).shutdown(Shutdown::Both);
     drop(listener);
