--- a/fireflycroft/src/suspicion.rs
+++ b/fireflycroft/src/suspicion.rs
@@ -4,9 +4,10 @@
 //! prompt, which fewer requests share, and a request's content before its parts. A crash under a blamed suspect
 //! counts against no other one, until one of them is under a crash without it: that takes back all that it shared.
 //!
-//! It takes nothing back for a content that is under fewer crashes than the blamed suspect, or under as many and not
-//! refused yet: a bystander may lose some upstreams to a request that crashes all of its own, and one more to something
-//! else. Under more crashes than any other it is judged by all, so that no bystander refused by mistake hides it.
+//! A content doesn't get its shared crashes back from a blamed suspect under more crashes, nor from one under as many that
+//! is refused while it isn't: a bystander may lose some upstreams to a request that crashes all of its own, and one more
+//! to something else. A content under more crashes than any other suspect is judged by all of them, so that no bystander
+//! refused by mistake hides it.
 
 use crate::crash_report::{CrashId, CrashReport, Reach, Survivor, Suspect};
 use crate::time::Time;
--- a/fireflyd/src/engine_link.rs
+++ b/fireflyd/src/engine_link.rs
@@ -1,7 +1,8 @@
 //! Connections to a model engine that each carry one answer, for calls whose wait for the head has no timeout.
 //!
 //! The head is read within a bound of bytes: otherwise interim responses without end would hold a thread of the
-//! process. What comes after it is read as the caller takes it.
+//! process. What comes after it is read as the caller takes it. Keep-alive and timeouts are those of the HTTP client that
+//! sends all other calls.
 
 use std::error::Error;
 use std::io;
--- a/fireflydirect/tests/processes_stream_ends.rs
+++ b/fireflydirect/tests/processes_stream_ends.rs
@@ -104,7 +104,8 @@
     };
 }
 
-/// Defines test cases of streams whose stated length is none of theirs any more when they go on with other comments.
+/// Defines test cases of streams with a stated length that go on with comments of another size, so that the caller's
+/// stream has another length.
 macro_rules! other_lengths {
     ($($name:ident($framing:ident, $padding:expr);)+) => {
         $(
--- a/fireflydirect/tests/soak_parts/stopped_runs.rs
+++ b/fireflydirect/tests/soak_parts/stopped_runs.rs
@@ -24,7 +24,7 @@
 /// One seed in so many has backups, beside which few runs are ordered to stop.
 const SEEDS_WITH_BACKUPS: u64 = 4;
 
-/// Longest delay of answers that entries wait for, and of those that they may not, in milliseconds.
+/// Longest delays, in milliseconds, of answers that entries wait for, and of those that may come too late.
 const PROMPT_MS: u64 = 700;
 const LATE_MS: u64 = 2_500;
 
--- a/fireflydirect/tests/support/plays.rs
+++ b/fireflydirect/tests/support/plays.rs
@@ -18,7 +18,7 @@
 
 /// What became of a stream.
 pub(crate) struct Played {
-    /// What its engines did with it.
+    /// How its engines treat it.
     pub(crate) play: Play,
     /// Id of its request.
     pub(crate) id: String,
@@ -38,7 +38,7 @@
     }
 }
 
-/// Starts a site whose runs are ordered to stop also when its store is silent, as it may seem on a busy machine.
+/// Starts a site without standby copies: its runs are ordered to stop even while its store seems silent, as on a busy machine.
 pub(crate) async fn site() -> Site {
     let mut site = Site::without_entries().await;
     site.without = "standby_copies";
@@ -46,7 +46,7 @@
     site
 }
 
-/// Returns what is wrong with some streams, each with its play and runs; `is_good` tells of one and its runs.
+/// Returns what is wrong with some streams, each with its play and runs; `is_good` judges one by its runs.
 pub(crate) fn faults(
     site: &Site,
     played: &[Played],
@@ -62,7 +62,7 @@
     faults.join("\n")
 }
 
-/// Builds the request for a stream whose prompt it shares with none and is too short for a backup.
+/// Builds the request for a stream whose prompt is shared by no other one, and too short for a backup.
 fn request(site: &Site, path: &str, events: u64, id: &str) -> RequestBuilder {
     let part = 0xd000 + id[1..].parse::<u32>().unwrap();
     site.stream(0, path, events, id)
@@ -73,8 +73,8 @@
 /// Streams that are being read.
 pub(crate) type Reading = Vec<JoinHandle<Played>>;
 
-/// Reads streams, one of each play and with so many events, whose engines say that they leave once all were sent; engines
-/// that hold heads begin their answers when runs are stopped at once.
+/// Reads streams, one of each play and with so many events; their engines say that they leave once all streams were
+/// requested. Engines that hold heads begin their answers at the time from which runs are stopped at once.
 pub(crate) async fn play_all(site: &mut Site, path: &str, plays: &[(Play, u64)]) -> Vec<Played> {
     let reading = begin(site, path, plays).await;
     finish(reading).await
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -268,7 +268,7 @@
     /// Waits until a run that has ended may close its stream; `holds` if only its own last move counts.
     pub(super) async fn until_end_is_due(&self, id: &str, holds: bool) {
         if holds {
-            // None comes where an entry makes standby copies instead.
+            // No order comes where an entry makes standby copies instead.
             let ordered = signal(&self.ordered_runs, id);
             let _ = tokio::time::timeout(MAX_HOLD, ordered.notified()).await;
         } else if self.holds_ends.load(Ordering::Relaxed) {
