Tell the orders to one run from those to the next at the same upstream

Cause: all orders of a request to one upstream shared one state, which was reset as its next run was sent. So the answer to an order that was sent for one run was taken for a verdict on another: a stop of the run before for proof that this one is over (a second run may then begin beside it), and a reset of a known stop for 'none', by which a body that was ended by an order looked whole. The place that went on at the source reset the meaning of the end by hand instead.

Change: each order keeps the run that it was sent for and the run that had begun last as it was settled. What it says of a run follows from both: a stop that may be of either run is known as 'lost' for both, a stop before the run began says nothing of it, and a verdict on a body is asked for the run that made it. The reset by hand is gone. The age of an order in log lines is that of an order to the same upstream.

Ruled out: to keep the reset and wait for all orders before a run is sent again; a lost answer would hold the stream for seconds.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -2,7 +2,10 @@
 //!
 //! A body whose length isn't stated ends when its run does: in order, with its last chunk or its connection, whether the
 //! run ended by itself or was ordered to stop. Only what is known of the orders tells the two apart. Asking again proves
-//! nothing: an upstream has no such run in either case.
+//! nothing: an upstream has no such run in either case. A request may run at an upstream more than once, and an order may be
+//! answered after the next run began; then it may have stopped either.
+
+use crate::time::Time;
 
 /// How the end of a body is told from a connection that breaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,43 +112,100 @@
     }
 }
 
+/// A run of a request at one upstream, by the order in which they began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunNumber(u32);
+
+/// Place of an order in its log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopOrderIx(usize);
+
 /// What is known of all orders to stop a request's runs at one upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StopOrderLog {
-    /// Weightiest outcome of those that aren't out any more.
-    settled: StopOrder,
-    /// Number of those that are out.
-    out: u32,
+    orders: Vec<SentOrder>,
+    /// The run that began last.
+    run: RunNumber,
+}
+
+/// An order that was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SentOrder {
+    sent_at: Time,
+    sent_in: RunNumber,
+    settled: Option<Settled>,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Settled {
+    outcome: StopOrder,
+    /// The run that had begun last by then.
+    during: RunNumber,
 }
 
 impl StopOrderLog {
-    /// Returns what they say of the run there.
+    /// Returns the run that began last.
     #[must_use]
-    pub const fn known(&self) -> StopOrder {
-        if self.out > 0 && !self.settled.may_have_stopped() {
-            StopOrder::Out
-        } else {
-            self.settled
-        }
+    pub const fn run(&self) -> RunNumber {
+        self.run
+    }
+
+    /// Returns what all orders say of a run, whether it goes on or not.
+    #[must_use]
+    pub fn known(&self, run: RunNumber) -> StopOrder {
+        let said = self.orders_for(run).map(|order| order.says_of(run));
+        said.max().unwrap_or_default()
+    }
+
+    /// Returns the time at which the last order that may stop a run was sent.
+    #[must_use]
+    pub fn last_sent(&self, run: RunNumber) -> Option<Time> {
+        self.orders_for(run).map(|order| order.sent_at).max()
     }
 
     /// Records that an order is sent.
-    pub const fn send(&mut self) {
-        self.out += 1;
+    pub fn send(&mut self, now: Time) -> StopOrderIx {
+        self.orders.push(SentOrder {
+            sent_at: now,
+            sent_in: self.run,
+            settled: None,
+        });
+        StopOrderIx(self.orders.len() - 1)
+    }
+
+    /// Records what became of an order.
+    pub fn settle(&mut self, order: StopOrderIx, outcome: StopOrder) {
+        let during = self.run;
+        if let Some(order) = self.orders.get_mut(order.0) {
+            order.settled = Some(Settled { outcome, during });
+        }
+    }
+
+    /// Records that a new run of the request may begin there.
+    pub const fn begin_run(&mut self) {
+        self.run = RunNumber(self.run.0 + 1);
     }
 
-    /// Records what became of an order that was out; a run that may have been stopped before remains so.
-    pub fn settle(&mut self, outcome: StopOrder) {
-        self.out = self.out.saturating_sub(1);
-        self.settled = self.settled.max(outcome);
+    fn orders_for(&self, run: RunNumber) -> impl Iterator<Item = &SentOrder> {
+        self.orders.iter().filter(move |order| order.sent_in <= run)
     }
+}
 
-    /// Records that a new run of the request may begin there, which only an order that is out or has no outcome may still
-    /// stop.
-    pub fn begin_run(&mut self) {
-        self.settled = match self.settled {
-            StopOrder::Lost | StopOrder::StoppedByRepeat => StopOrder::Lost,
-            _ => StopOrder::NotSent,
+impl SentOrder {
+    /// Returns what it says of a run that it may have reached: one that was there as it was sent, or a later one.
+    fn says_of(self, run: RunNumber) -> StopOrder {
+        let Some(Settled { outcome, during }) = self.settled else {
+            return StopOrder::Out;
         };
+        match outcome {
+            // The first of two calls may come yet, too.
+            StopOrder::Lost | StopOrder::StoppedByRepeat if run > during => StopOrder::Lost,
+            _ if run > during => StopOrder::NotSent,
+            StopOrder::Stopped | StopOrder::StoppedByRepeat if self.sent_in < during => {
+                StopOrder::Lost
+            }
+            _ => outcome,
+        }
     }
 }
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -20,15 +20,14 @@
 use crate::run_end::{self, BrokenRun};
 use crate::runs::Run;
 use crate::standby_copies;
+use crate::stop_orders::RunKey;
 use crate::stopping::record_run_time;
 use crate::stream_origins::{OriginGuard, record_start};
 use crate::stream_pace::{StreamPace, tokens_per_event};
 use crate::stream_source::{Read, Source, fault_of_end, is_whole_after_all, wait_for_copy};
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{
-    BodyEnd, BodyFraming, Code, EventRelay, Need, Time, UpstreamIncarnation, UpstreamIx, VersionKey,
-};
+use fireflycroft::{BodyEnd, BodyFraming, Code, EventRelay, Need, Time, UpstreamIx, VersionKey};
 use futures_util::stream::unfold;
 use http_body_util::StreamBody;
 use hyper::body::Frame;
@@ -210,10 +209,10 @@
 
     /// Waits while the caller does for the outcome of an order that is out where the stream broke; returns whether it
     /// shows that the stream ended by itself.
-    async fn is_whole_after_all(&mut self, broke_at: &UpstreamIncarnation) -> bool {
+    async fn is_whole_after_all(&mut self, broke: &RunKey) -> bool {
         let deadline = self.deadline();
         let until = deadline.min(self.job.node.clock.instant(self.patience_end()));
-        let is_whole = is_whole_after_all(&self.run, broke_at, self.framing, until).await;
+        let is_whole = is_whole_after_all(&self.run, broke, self.framing, until).await;
         self.body_end == BodyEnd::Undecided && is_whole
     }
 
@@ -306,14 +305,15 @@
         };
         let pool = job.node.pool.borrow();
         let upstream = pool.record(self.assignment.ix);
-        let last_order = self.run.stop_orders.last_sent();
+        let incarnation = upstream.upstream_incarnation();
+        let last_order = self.run.stop_orders.last_sent(&incarnation);
         log::log!(
             level, event = event, req = &*job.request_id, route = &*job.route.name,
             instance = &*upstream.instance,
             software_version = or_empty(upstream.software_version.as_ref()),
             events = self.events.relayed(), breaks = self.breaks, why = why,
             framing = self.framing.name(),
-            stop_order = self.run.stop_orders.at(&upstream.upstream_incarnation()).name(),
+            stop_order = self.run.stop_orders.at(&incarnation).name(),
             stop_order_age_ms = or_empty(last_order.map(|t| job.now().since(t).as_millis())),
             first_ms = or_empty(self.event_times.first.map(|t| t.since(job.arrival).as_millis())),
             longest_pause_ms = self.event_times.longest.as_millis(),
@@ -328,14 +328,14 @@
 
     /// Goes on elsewhere; where it can't, waits for the outcome of an order that is out. May be dropped at the deadline.
     async fn handle_break(&mut self, why: &str) -> AfterBreak {
-        let broke_at = self.assignment.incarnation();
+        let broke = self.run.stop_orders.run_at(&self.assignment.incarnation());
         if self.resume_elsewhere(why).await {
             return AfterBreak::GoesOn;
         }
         if self.body_end != BodyEnd::Undecided && !self.can_resume() {
             return AfterBreak::Lost;
         }
-        if self.is_whole_after_all(&broke_at).await {
+        if self.is_whole_after_all(&broke).await {
             return AfterBreak::Whole;
         }
         let has_copy = self.run.migration_copy.borrow().is_some();
@@ -460,10 +460,6 @@
             last_event_id: self.events.last_id(),
             is_sound: self.is_sound,
         };
-        if next.at == self.assignment.ix {
-            // Its memory is kept there, since it was stopped.
-            self.body_end = BodyEnd::BrokenOff;
-        }
         let response = match continuation::send_on(&self.job, next.at, &options).await {
             Ok(response) => response,
             Err(failed) => return failed,
--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -1,10 +1,9 @@
 //! Calls that copy a run's memory to another upstream.
 
-use crate::log_value::or_empty;
 use crate::node::Node;
 use crate::own_calls::{CallError, call_upstream};
 use crate::runs::Run;
-use crate::stop_orders::CopyAnswer;
+use crate::stop_orders::{CopyAnswer, OrderKey};
 use bytes::Bytes;
 use fireflycroft::{StopOrder, Time, UpstreamIncarnation, UpstreamIx};
 use fireflycroft_platform::{MigrationOutcome, is_refused, migration_call, read_migration};
@@ -36,7 +35,7 @@
 ) -> (MigrationOutcome, StopOrder) {
     log_order(node, run, from, to);
     let ordered = node.pool.borrow().record(from).upstream_incarnation();
-    let order = OrderGuard::send(run, ordered, node.now());
+    let order = OrderGuard::send(run, &ordered, node.now());
     let (outcome, settled) = request_copy(node, from, to, run, true).await;
     order.settle(settled);
     (outcome, settled)
@@ -45,16 +44,15 @@
 /// An order to stop a run; lost if dropped before its outcome is known.
 struct OrderGuard<'a> {
     run: &'a Run,
-    ordered: UpstreamIncarnation,
+    order: OrderKey,
     outcome: StopOrder,
 }
 
 impl<'a> OrderGuard<'a> {
-    fn send(run: &'a Run, ordered: UpstreamIncarnation, now: Time) -> Self {
-        run.stop_orders.send(&ordered, now);
+    fn send(run: &'a Run, ordered: &UpstreamIncarnation, now: Time) -> Self {
         Self {
             run,
-            ordered,
+            order: run.stop_orders.send(ordered, now),
             outcome: StopOrder::Lost,
         }
     }
@@ -66,7 +64,7 @@
 
 impl Drop for OrderGuard<'_> {
     fn drop(&mut self) {
-        self.run.stop_orders.settle(&self.ordered, self.outcome);
+        self.run.stop_orders.settle(self.order, self.outcome);
     }
 }
 
@@ -78,12 +76,13 @@
     run: &Run,
     stop: bool,
 ) -> (MigrationOutcome, StopOrder) {
+    let sent_at = node.now();
     let calling = tokio::time::timeout(COPY_TIMEOUT, send_copy(node, from, to, run, stop));
     let (why, order) = match calling.await {
         Ok(Ok(answer)) => {
             let order = answer.stop_order();
             if stop {
-                log_answer(node, run, from, &answer, order);
+                log_answer(node, run, from, &answer, sent_at);
             }
             return (answer.outcome, order);
         }
@@ -140,13 +139,12 @@
 }
 
 /// Logs the answer to an order, and what it says of the run.
-fn log_answer(node: &Node, run: &Run, from: UpstreamIx, answer: &CopyAnswer, order: StopOrder) {
+fn log_answer(node: &Node, run: &Run, from: UpstreamIx, answer: &CopyAnswer, sent_at: Time) {
     let pool = node.pool.borrow();
-    let sent = run.stop_orders.last_sent();
     log::info!(
         event = "stop_answered", req = &*run.request_id, from = &*pool.record(from).instance,
         status = answer.status, is_repeat = answer.is_repeat, is_refused = answer.is_refused,
-        stop_order = order.name(), after_ms = or_empty(sent.map(|t| node.now().since(t).as_millis()));
+        stop_order = answer.stop_order().name(), after_ms = node.now().since(sent_at).as_millis();
         ""
     );
 }
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -1,20 +1,33 @@
-//! Orders to stop a run for its migration, by the incarnation of the upstream that they went to.
+//! Orders to stop the runs of a request for their migration, by the incarnation of the upstream that they went to.
 //!
-//! An index in the pool may be another upstream's later, while the run goes on.
+//! An index in the pool may be another upstream's later, while a run goes on.
 
-use fireflycroft::{StopOrder, StopOrderLog, Time, UpstreamIncarnation};
+use fireflycroft::{RunNumber, StopOrder, StopOrderIx, StopOrderLog, Time, UpstreamIncarnation};
 use fireflycroft_platform::MigrationOutcome;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use tokio::sync::Notify;
 
-/// What is known of the orders to stop one run.
+/// What is known of the orders to stop the runs of one request.
 #[derive(Default)]
 pub struct StopOrders {
     by_upstream: RefCell<Vec<(UpstreamIncarnation, StopOrderLog)>>,
-    last_sent: Cell<Option<Time>>,
     settled: Notify,
 }
 
+/// A run of the request at one upstream.
+#[derive(Clone, Debug)]
+pub struct RunKey {
+    at: UpstreamIncarnation,
+    run: RunNumber,
+}
+
+/// An order that was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderKey {
+    upstream: usize,
+    order: StopOrderIx,
+}
+
 /// Answer to a call that copies memory.
 pub struct CopyAnswer {
     /// Its status.
@@ -28,37 +41,56 @@
 }
 
 impl StopOrders {
-    /// Returns what is known of the orders to an upstream.
+    /// Returns the run that began last at an upstream.
+    #[must_use]
+    pub fn run_at(&self, upstream: &UpstreamIncarnation) -> RunKey {
+        let run = self.log_at(upstream, StopOrderLog::run);
+        RunKey {
+            at: upstream.clone(),
+            run: run.unwrap_or_default(),
+        }
+    }
+
+    /// Returns what is known of the orders to a run.
+    #[must_use]
+    pub fn to_run(&self, run: &RunKey) -> StopOrder {
+        let known = self.log_at(&run.at, |orders| orders.known(run.run));
+        known.unwrap_or_default()
+    }
+
+    /// Returns what is known of the orders to the run that began last at an upstream.
     #[must_use]
     pub fn at(&self, upstream: &UpstreamIncarnation) -> StopOrder {
-        let orders = self.by_upstream.borrow();
-        let known = orders.iter().find(|(at, _)| may_be_same(at, upstream));
-        known.map_or_else(StopOrder::default, |(_, orders)| orders.known())
+        self.to_run(&self.run_at(upstream))
     }
 
-    /// Returns the time at which the last order was sent, to any upstream.
+    /// Returns the time at which the last order to an upstream was sent.
     #[must_use]
-    pub const fn last_sent(&self) -> Option<Time> {
-        self.last_sent.get()
+    pub fn last_sent(&self, upstream: &UpstreamIncarnation) -> Option<Time> {
+        self.log_at(upstream, |orders| orders.last_sent(orders.run()))?
     }
 
     /// Records that an order is sent.
-    pub fn send(&self, upstream: &UpstreamIncarnation, now: Time) {
-        self.last_sent.set(Some(now));
-        self.update(upstream, StopOrderLog::send);
+    pub fn send(&self, upstream: &UpstreamIncarnation, now: Time) -> OrderKey {
+        self.update(upstream, |upstream, orders| OrderKey {
+            upstream,
+            order: orders.send(now),
+        })
     }
 
     /// Records what became of an order.
-    pub fn settle(&self, upstream: &UpstreamIncarnation, outcome: StopOrder) {
-        self.update(upstream, |orders| orders.settle(outcome));
+    pub fn settle(&self, order: OrderKey, outcome: StopOrder) {
+        if let Some((_, orders)) = self.by_upstream.borrow_mut().get_mut(order.upstream) {
+            orders.settle(order.order, outcome);
+        }
         self.settled.notify_waiters();
     }
 
-    /// Waits until no order to an upstream is out.
-    pub async fn until_settled(&self, upstream: &UpstreamIncarnation) {
+    /// Waits until no order to a run is out.
+    pub async fn until_settled(&self, run: &RunKey) {
         loop {
             let settled = self.settled.notified();
-            if self.at(upstream) != StopOrder::Out {
+            if self.to_run(run) != StopOrder::Out {
                 return;
             }
             settled.await;
@@ -67,19 +99,33 @@
 
     /// Records that the request's run may begin at an upstream from now on.
     pub fn begin_run(&self, upstream: &UpstreamIncarnation) {
-        self.update(upstream, StopOrderLog::begin_run);
+        self.update(upstream, |_, orders| orders.begin_run());
+    }
+
+    fn log_at<T>(
+        &self,
+        upstream: &UpstreamIncarnation,
+        read: impl FnOnce(&StopOrderLog) -> T,
+    ) -> Option<T> {
+        let by_upstream = self.by_upstream.borrow();
+        let mut known = by_upstream.iter();
+        let known = known.find(|(at, _)| may_be_same(at, upstream));
+        known.map(|(_, orders)| read(orders))
     }
 
-    fn update(&self, upstream: &UpstreamIncarnation, change: impl FnOnce(&mut StopOrderLog)) {
+    fn update<T>(
+        &self,
+        upstream: &UpstreamIncarnation,
+        change: impl FnOnce(usize, &mut StopOrderLog) -> T,
+    ) -> T {
         let mut by_upstream = self.by_upstream.borrow_mut();
-        let known = by_upstream.iter_mut();
-        let mut known = known.filter(|(at, _)| may_be_same(at, upstream));
-        if let Some((_, orders)) = known.next() {
-            return change(orders);
+        let mut known = by_upstream.iter();
+        let ix = known.position(|(at, _)| may_be_same(at, upstream));
+        let ix = ix.unwrap_or(by_upstream.len());
+        if ix == by_upstream.len() {
+            by_upstream.push((upstream.clone(), StopOrderLog::default()));
         }
-        let mut orders = StopOrderLog::default();
-        change(&mut orders);
-        by_upstream.push((upstream.clone(), orders));
+        change(ix, &mut by_upstream[ix].1)
     }
 }
 
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -4,10 +4,9 @@
 use crate::links::Link;
 use crate::node::Node;
 use crate::runs::Run;
+use crate::stop_orders::RunKey;
 use bytes::Bytes;
-use fireflycroft::{
-    BodyEnd, BodyFraming, EventRelay, ResponseHead, UpstreamIncarnation, UpstreamIx, body_end,
-};
+use fireflycroft::{BodyEnd, BodyFraming, EventRelay, ResponseHead, UpstreamIx, body_end};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
@@ -109,13 +108,13 @@
 /// Returns whether an order that was out as a body ended stopped nothing, as soon as that is known until `deadline`.
 pub async fn is_whole_after_all(
     run: &Run,
-    at: &UpstreamIncarnation,
+    broke: &RunKey,
     framing: BodyFraming,
     deadline: Instant,
 ) -> bool {
     // An outcome that comes later is treated as none.
-    let _ = tokio::time::timeout_at(deadline, run.stop_orders.until_settled(at)).await;
-    body_end(framing, run.stop_orders.at(at)) == BodyEnd::Whole
+    let _ = tokio::time::timeout_at(deadline, run.stop_orders.until_settled(broke)).await;
+    body_end(framing, run.stop_orders.to_run(broke)) == BodyEnd::Whole
 }
 
 async fn judge_end(node: &Node, run: &Run, framing: BodyFraming, deadline: Instant) -> BodyEnd {
@@ -124,15 +123,16 @@
         .borrow()
         .record(run.at.get())
         .upstream_incarnation();
-    let end = body_end(framing, run.stop_orders.at(&at));
+    let ended = run.stop_orders.run_at(&at);
+    let end = body_end(framing, run.stop_orders.to_run(&ended));
     if end != BodyEnd::Undecided {
         return end;
     }
     let until = deadline.min(Instant::now() + COPY_TIMEOUT);
     run.copy_limit.set(Some(until));
     // The stream goes on from a copy meanwhile, if there is one.
-    let _ = tokio::time::timeout_at(until, run.stop_orders.until_settled(&at)).await;
-    body_end(framing, run.stop_orders.at(&at))
+    let _ = tokio::time::timeout_at(until, run.stop_orders.until_settled(&ended)).await;
+    body_end(framing, run.stop_orders.to_run(&ended))
 }
 
 /// Waits for a copy in progress, as long as callers tolerate a pause.
--- a/fireflydirect/tests/stop_orders.rs
+++ b/fireflydirect/tests/stop_orders.rs
@@ -29,9 +29,9 @@
     at: &UpstreamIncarnation,
 ) -> StopOrder {
     let orders = StopOrders::default();
-    orders.send(ordered, Time::default());
+    let order = orders.send(ordered, Time::default());
     if let Some(outcome) = outcome {
-        orders.settle(ordered, outcome);
+        orders.settle(order, outcome);
     }
     orders.at(at)
 }
