Go on from a late order's copy only where the stream's run is over

Cause: a stream that didn't go on tried its copies once more after the wait for an order, whatever had kept it from going on. So it went on from a standby copy beside a run that its upstream still listed (TWICE), and one without event ids, which can't go on, began anew behind its first events once the late answer had left a copy.

Change: a stream that doesn't go on says whether its run is over and nothing was left to go on from, or whether it was barred; only in the first case is the copy tried that came meanwhile. A barred one still waits where the order's outcome may show it whole.

Ruled out: to leave standby copies out of the second try; a moved copy beside a run that may go on would be as wrong.

--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -82,6 +82,15 @@
     estimated_at: u64,
 }
 
+/// Why a stream that broke off doesn't go on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Halt {
+    /// Its run is over, and nothing is left to go on from.
+    NothingLeft,
+    /// Its run, or another of its request, may go on, or it may not go on itself.
+    Barred,
+}
+
 /// What becomes of a stream that broke off.
 enum AfterBreak {
     /// It goes on elsewhere.
@@ -329,17 +338,18 @@
     /// Goes on elsewhere; where it can't, waits for the outcome of an order that is out. May be dropped at the deadline.
     async fn handle_break(&mut self, why: &str) -> AfterBreak {
         let broke = self.run.stop_orders.run_at(&self.assignment.incarnation());
-        if self.resume_elsewhere(why).await {
+        let Err(halt) = self.resume_elsewhere(why).await else {
             return AfterBreak::GoesOn;
-        }
-        if self.body_end != BodyEnd::Undecided && !self.can_resume() {
+        };
+        if self.body_end != BodyEnd::Undecided && halt == Halt::Barred {
             return AfterBreak::Lost;
         }
         if self.is_whole_after_all(&broke).await {
             return AfterBreak::Whole;
         }
+        // The order may have left a copy.
         let has_copy = self.run.migration_copy.borrow().is_some();
-        if has_copy && self.try_continuations().await {
+        if halt == Halt::NothingLeft && has_copy && self.try_continuations().await.is_ok() {
             return AfterBreak::GoesOn;
         }
         AfterBreak::Lost
@@ -351,8 +361,8 @@
         is_known && self.breaks <= MAX_RESUMPTIONS
     }
 
-    /// Resumes the stream on another upstream; false if that is impossible.
-    async fn resume_elsewhere(&mut self, why: &str) -> bool {
+    /// Resumes the stream on another upstream, if that is possible.
+    async fn resume_elsewhere(&mut self, why: &str) -> Result<(), Halt> {
         self.source = None;
         self.pace = StreamPace::default();
         self.events.discard_partial();
@@ -360,14 +370,9 @@
         self.log_event("stream_broke", why);
         let at = self.assignment.ix;
         let contact = crash::check_for_crash(&self.job, at, self.progress).await;
-        if self.is_refused() {
-            return false;
-        }
-        if crash::has_crashed_too_many(&self.job) && !self.is_sound {
-            return false;
-        }
-        if !self.can_resume() {
-            return false;
+        let has_crashed_too_many = crash::has_crashed_too_many(&self.job) && !self.is_sound;
+        if self.is_refused() || has_crashed_too_many || !self.can_resume() {
+            return Err(Halt::Barred);
         }
         wait_for_copy(&self.run).await;
         let silent_for = self.job.now().since(self.event_times.last);
@@ -379,7 +384,10 @@
             sent_by,
             progress: self.progress,
         };
-        self.is_over(broken).await && self.try_continuations().await
+        if !self.is_over(broken).await {
+            return Err(Halt::Barred);
+        }
+        self.try_continuations().await
     }
 
     /// Waits until a run is over, as long as the caller does; false if it may go on.
@@ -388,20 +396,20 @@
     }
 
     /// Resumes the stream at one upstream after another, as far as it may be sent on.
-    async fn try_continuations(&mut self) -> bool {
+    async fn try_continuations(&mut self) -> Result<(), Halt> {
         let mut tried = vec![self.assignment.ix];
         while let Some(next) = self.next_continuation(&tried) {
             let at = next.at;
             // Nothing is sent, and no retry taken, for an answer that would come too late.
             if self.is_refused() || self.job.time_left().is_zero() {
-                return false;
+                return Err(Halt::Barred);
             }
             if !retries::take(&self.job).await {
                 self.log_event("budget_spent", "");
-                return false;
+                return Err(Halt::Barred);
             }
             match self.resume_at(next).await {
-                Resumption::GoesOn => return true,
+                Resumption::GoesOn => return Ok(()),
                 Resumption::NotRun => {}
                 Resumption::MayRun(contact) => {
                     let broken = BrokenRun {
@@ -411,16 +419,16 @@
                         progress: Progress::default(),
                     };
                     if !self.is_over(broken).await {
-                        return false;
+                        return Err(Halt::Barred);
                     }
                 }
             }
             tried.push(at);
             if tried.len() > MAX_CONTINUATIONS {
-                return false;
+                return Err(Halt::Barred);
             }
         }
-        false
+        Err(Halt::NothingLeft)
     }
 
     /// Returns whether the stream may not go on because its request may crash upstreams.
--- a/fireflydirect/tests/processes_ended_chunks.rs
+++ b/fireflydirect/tests/processes_ended_chunks.rs
@@ -12,6 +12,9 @@
 /// Time of an answer that comes after the end of the body.
 const AFTER_END: Duration = Duration::from_millis(300);
 
+/// Time of an answer that comes once the stream was about to go on without it.
+const LATE: Duration = Duration::from_millis(2_200);
+
 /// Time of an answer for which nobody waits.
 const TOO_LATE: Duration = Duration::from_secs(5);
 
@@ -100,4 +103,22 @@
         let (body, ()) = futures_util::future::join(stream, faults).await;
         assert!(body == whole_stream(&id, LONG), "{body}\n{}", site.log(0));
     }
+
+    stopped_stream_without_ids_does_not_begin_again_from_a_late_copy(site: 1) {
+        let id = site.id();
+        for engine in &site.engines {
+            engine.set_fault(AnswerFault::NoIds);
+            engine.moves().end_stopped(StoppedEnd::LastChunk);
+            engine.moves().answer_stops(StopAnswer::Copied, LATE);
+        }
+        let answer = site.large_prompt(0, "/log/a", LONG, &id).send().await.unwrap();
+        let engine = &site.engines[site.engine_of(&id).await];
+        let record = engine.registration("models", "draining");
+        site.store.put("servers", &engine.instance(), &record);
+        let body = answer.text().await;
+        assert!(body.is_err(), "{body:?}\n{}", site.log(0));
+        let runs = site.record.runs_of(&id);
+        assert_eq!(runs.len(), 1, "{runs:#?}\n{}", site.log(0));
+        assert_eq!(runs[0].end.0, RunEnd::Migrated);
+    }
 }
--- a/fireflydirect/tests/processes_lost_answers.rs
+++ b/fireflydirect/tests/processes_lost_answers.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use reqwest::{RequestBuilder, Response};
-use standins::site::{AnswerFault, Framing, Loss, ProxyFault, RunEnd, StopAnswer};
+use standins::site::{AnswerFault, Framing, Loss, ProxyFault, RunEnd, StopAnswer, StoreMode};
 use std::time::Duration;
 use support::{KEY, Site, until, whole_stream};
 
@@ -23,6 +23,12 @@
 /// Events of a stream that outlasts others.
 const LONG: u64 = 600;
 
+/// Events of a stream that outlasts its caller's patience beside a lost answer.
+const LONGEST: u64 = 1_400;
+
+/// Events after which its rest is lost; a standby copy is made meanwhile.
+const AFTER_COPY: u64 = 300;
+
 /// Engines of a site, half of which lose answers.
 const ENGINES: u8 = 4;
 
@@ -229,6 +235,54 @@
     lost.count()
 }
 
+/// Checks a stream with a standby copy whose engine loses its rest, works on and doesn't let it be stopped.
+async fn check_beside_standby_copy(path: &str) {
+    let site = Site::start(1).await;
+    for engine in &site.engines {
+        engine.set_fault(AnswerFault::LoseRest(AFTER_COPY, Loss::Reset));
+        engine
+            .moves()
+            .answer_stops(StopAnswer::NeverExecuted, Duration::ZERO);
+    }
+    site.store.set_mode(StoreMode::Silent);
+    until("the watch", || async {
+        site.log(0).contains("event=departure_watch active=true")
+    })
+    .await;
+    let id = site.id();
+    let answer = site
+        .large_prompt(0, path, LONGEST, &id)
+        .send()
+        .await
+        .unwrap();
+    site.engines[site.engine_of(&id).await].report_leaving(30_000);
+    let reading = read_to_end(&site, id.clone(), answer);
+    reading.await;
+    let log = site.log(0);
+    assert!(
+        log.contains("end=made") && log.contains("event=run_may_go_on"),
+        "{log}"
+    );
+    site.check();
+}
+
+/// Defines test cases of such streams on a path.
+macro_rules! standing_by {
+    ($($name:ident($path:literal);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                check_beside_standby_copy($path).await;
+            }
+        )+
+    };
+}
+
+standing_by! {
+    standby_copy_does_not_run_beside_a_run_that_is_not_stopped("/log/a");
+    standby_copy_of_a_resumable_stream_does_not_run_beside_a_run_that_is_not_stopped("/grade/a");
+}
+
 cases! {
     stream_does_not_go_on_beside_a_run_reset_in_its_middle(generation, "/log/a", MIDDLE, Reset, CarriedOut);
     stream_does_not_go_on_beside_a_run_reset_after_its_head(generation, "/log/a", HEAD, Reset, CarriedOut);
--- a/standins/src/site/faults.rs
+++ b/standins/src/site/faults.rs
@@ -32,6 +32,8 @@
     SlowBy(Duration),
     /// Begins a stream's answer only when this fault is taken back.
     HoldHead,
+    /// Sends events without ids.
+    NoIds,
     /// Loses the rest of a stream's first answer after this many events, and works on to the end unless it is stopped.
     LoseRest(u64, Loss),
     /// Loses the answers of runs that go on after an event, before their heads, and works on to the end unless stopped.
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -265,7 +265,11 @@
         {
             return Ok(lose(run, movable, last_event - number, how));
         }
-        let piece = format!("{padding}{}", event(id, number, &version));
+        let mut event = event(id, number, &version);
+        if fault == AnswerFault::NoIds {
+            event = event.split_off(event.find("data:").unwrap_or_default());
+        }
+        let piece = format!("{padding}{event}");
         write_piece(stream, piece.as_bytes(), framing).await?;
         tokio::select! {
             () = tokio::time::sleep(EVENT_INTERVAL) => {}
