Judge the end of an answer that isn't a stream by the orders to its run

A call to a model engine on a route without streams, whose first run was lost, was answered 200 with some 6 of 100 events as the whole body.

Cause: such a run is ordered to stop before the call is repeated, as that of a stream. An order without an outcome may be carried out on the next run at the same upstream, which then ends its body in order, in chunks or with its connection. Only streams held that end against what is known of the orders.

Change: a body that is read in full is whole only if body_end says so; else the attempt counts as lost, as after a connection that breaks.

Ruled out: an order while such an answer is read (only streams are registered for moves, and a call isn't repeated before its order has an outcome or counts as lost); orders of other entries (they name the id of an attempt of theirs).

--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::links::Link;
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{Dispatch, MemoryCopy, ResponseHead, RunClaim, UpstreamIx};
+use fireflycroft::{BodyEnd, Dispatch, MemoryCopy, ResponseHead, RunClaim, UpstreamIx, body_end};
 use fireflycroft_platform::{read_response_head, upstream_headers};
 use fireflynet::{CollectError, collect_answer};
 use http_body_util::Full;
@@ -207,7 +207,7 @@
     req
 }
 
-/// Reads the response body and releases the connection.
+/// Reads the response body and releases the connection. A body that an order to stop its run may have ended isn't whole.
 ///
 /// # Errors
 ///
@@ -223,6 +223,7 @@
         body,
         link,
     } = response;
+    let at = job.node.pool.borrow().record(ix).upstream_incarnation();
     let whole = tokio::select! {
         whole = collect_answer(body, MAX_BUFFERED_BODY_BYTES, &job.account) => whole,
         () = job.node.until_ended(ix) => {
@@ -234,6 +235,11 @@
         e => BodyError::Broken(e.to_string()),
     })?;
     let bytes = bytes.into_bytes();
+    // No order is out: all are waited for before a request is sent again.
+    if body_end(head.framing, job.stop_orders.at(&at)) != BodyEnd::Whole {
+        let why = "response ended in order, but its run may have been ordered to stop";
+        return Err(BodyError::Broken(why.to_owned()));
+    }
     release_link(job, ix, &head, link);
     Ok((parts, bytes))
 }
--- a/fireflydirect/tests/support/configuration.rs
+++ b/fireflydirect/tests/support/configuration.rs
@@ -17,7 +17,7 @@
             route(
                 "grade",
                 "/grade/",
-                "streaming",
+                self.grade_kind,
                 self.grade_service,
                 true,
                 self.grade_attempts,
--- a/fireflydirect/tests/support/mod.rs
+++ b/fireflydirect/tests/support/mod.rs
@@ -87,6 +87,8 @@
     pub(crate) log_objective_ms: u64,
     /// Service of the `grade` route of the next configuration.
     pub(crate) grade_service: &'static str,
+    /// Kind of the `grade` route of the next configuration.
+    pub(crate) grade_kind: &'static str,
     /// Upstreams to which a request of the `grade` route of the next configuration may be sent.
     pub(crate) grade_attempts: u32,
     /// Timeout of the `grade` route of the next configuration, in milliseconds.
@@ -165,6 +167,7 @@
             without: "",
             log_objective_ms: 1_500,
             grade_service: "models",
+            grade_kind: "streaming",
             grade_attempts: 2,
             grade_timeout_ms: 20_000,
             plain_timeout_ms: 20_000,
