Take no answer for whole that its engine ends at its deadline

A caller got a part of an answer as a whole one: an engine that stops work at its deadline may end its body in order, and that end came before the entry's own cut.

Cause: an engine is given the time left, rounded down, so its deadline comes up to a millisecond before the entry's; and one that stops with the last event that fits in ends a whole interval before. A body without a stated length that ends in order counts as whole.

Change: for streams engines are given 250 ms more than is left (the platform allows 500 ms beyond the caller's deadline), so that the entry cuts first, and what ends in order before its own deadline is whole. Plain calls are given what is left as before, since their engines say at the end of their time that nothing ran; a successful body without a stated length that ends within the last 10 ms gets the reply of the deadline (504, 4004).

Ruled out: refusing late ends alone, which takes whole streams for parts and misses an engine that stops with its last event; the margin for plain calls, which would cost callers the engine's promise. The path of fireflyd and its agents gives engines no deadline: a generation that is stopped there ends with a code.

Not mended: an entry that is itself held up past deadline and margin reads the end first, and takes it for whole.

--- a/fireflycroft/src/http_head.rs
+++ b/fireflycroft/src/http_head.rs
@@ -63,7 +63,7 @@
     pub instance: &'a str,
     /// Workspace of the caller.
     pub workspace: Option<&'a str>,
-    /// Remaining time of the request.
+    /// Time that the upstream gets.
     pub deadline: Duration,
     /// Upstream that holds the memory backup of the run.
     pub backup: Option<SocketAddr>,
--- a/fireflydirect/src/exchange.rs
+++ b/fireflydirect/src/exchange.rs
@@ -6,7 +6,9 @@
 use crate::links::Link;
 use crate::suspects;
 use bytes::Bytes;
-use fireflycroft::{BodyEnd, Dispatch, MemoryCopy, ResponseHead, RunClaim, UpstreamIx, body_end};
+use fireflycroft::{
+    BodyEnd, BodyFraming, Dispatch, MemoryCopy, ResponseHead, RunClaim, UpstreamIx, body_end,
+};
 use fireflycroft_platform::{read_response_head, upstream_headers};
 use fireflynet::{CollectError, collect_answer};
 use http_body_util::Full;
@@ -34,6 +36,17 @@
 /// Idle time up to which a connection is reused for a retryable request.
 const RETRYABLE_MAX_IDLE: Duration = Duration::from_secs(10);
 
+/// Time that an upstream gets for a stream beyond the stream's own deadline.
+///
+/// An upstream stops work at the deadline that it is given, and may end its stream in order then, or with the last event that
+/// can come before. So the stream is cut first, and one that ends before its own deadline is whole. Half of what the platform
+/// allows beyond the caller's deadline.
+const STREAM_DEADLINE_MARGIN: Duration = Duration::from_millis(250);
+
+/// Time before a plain call's deadline in which a body in order without a stated length isn't taken for whole: the upstream,
+/// whose time is rounded down, may have stopped its work.
+const PLAIN_DEADLINE_MARGIN: Duration = Duration::from_millis(10);
+
 /// Options added to a caller's request.
 #[derive(Clone, Debug, Default)]
 pub struct SendOptions {
@@ -195,7 +208,7 @@
     let dispatch = Dispatch {
         instance,
         workspace: job.workspace.as_deref(),
-        deadline: job.time_left(),
+        deadline: upstream_time(job),
         backup: options.backup,
         memory: options.memory.as_ref(),
         last_event_id: options.last_event_id,
@@ -207,8 +220,21 @@
     req
 }
 
+/// Returns the time that an upstream is given for the job's request.
+fn upstream_time(job: &Job) -> Duration {
+    let margin = if job.route.kind.is_stream() {
+        STREAM_DEADLINE_MARGIN
+    } else {
+        Duration::ZERO
+    };
+    job.time_left() + margin
+}
+
 /// Reads the response body and releases the connection. A body that an order to stop its run may have ended isn't whole.
 ///
+/// Never returns if the upstream may have ended a successful response in order because its time was over; the caller stops
+/// waiting at the job's deadline.
+///
 /// # Errors
 ///
 /// The reason for an incomplete body.
@@ -240,6 +266,11 @@
         let why = "response ended in order, but its run may have been ordered to stop";
         return Err(BodyError::Broken(why.to_owned()));
     }
+    let is_proven = head.framing == BodyFraming::Length || job.time_left() > PLAIN_DEADLINE_MARGIN;
+    if parts.status.is_success() && !is_proven {
+        // The reply is that of the deadline, and a retry would find no time.
+        std::future::pending::<()>().await;
+    }
     release_link(job, ix, &head, link);
     Ok((parts, bytes))
 }
--- a/standins/src/site/faults.rs
+++ b/standins/src/site/faults.rs
@@ -34,6 +34,9 @@
     HoldHead,
     /// Sends events without ids.
     NoIds,
+    /// Stops runs at the deadlines that it was given, a stream's with the last event that can come before, and ends their
+    /// answers in order.
+    StopAtDeadline,
     /// Loses the rest of a stream's first answer after this many events, and works on to the end unless it is stopped.
     LoseRest(u64, Loss),
     /// Loses the answers of runs that go on after an event, before their heads, and works on to the end unless stopped.
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -87,6 +87,8 @@
     port_delay: Option<Duration>,
     /// Behaviour towards requests, by id.
     plays: HashMap<String, Playing>,
+    /// Times that upstreams were given for a request, by its id.
+    times_given: HashMap<String, Vec<Duration>>,
 }
 
 impl Record {
@@ -227,6 +229,23 @@
         inner.plays.get(request_id)?.ordered_at
     }
 
+    /// Returns the times that upstreams were given for a request, run by run.
+    #[must_use]
+    pub fn times_given(&self, request_id: &str) -> Vec<Duration> {
+        let inner = lock(&self.inner);
+        inner
+            .times_given
+            .get(request_id)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    pub(super) fn record_time_given(&self, request_id: &str, time: Duration) {
+        let mut inner = lock(&self.inner);
+        let times = inner.times_given.entry(request_id.to_owned());
+        times.or_default().push(time);
+    }
+
     pub(super) fn record_foreign_memory(&self, request_id: &str) {
         let mut inner = lock(&self.inner);
         inner.foreign_memory.push(request_id.to_owned());
--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -40,6 +40,8 @@
     shared: &'a Shared,
     run: usize,
     after: u64,
+    /// Time at which it is to stop, if it was given any.
+    deadline: Option<Instant>,
     /// Events after which its path or a part of its prompt crashes the upstream.
     pub(super) crash_point: Option<u64>,
 }
@@ -49,6 +51,11 @@
         let after = req.header("last-event-id").and_then(|l| l.parse().ok());
         let after = after.unwrap_or(0);
         let now = Instant::now();
+        let time_given = req.header("x-deadline-ms").and_then(|ms| ms.parse().ok());
+        let time_given = time_given.map(Duration::from_millis);
+        if let Some(time) = time_given {
+            shared.record.record_time_given(id, time);
+        }
         let shared_parts = req.shared_parts();
         let path = req.path.split('?').next().unwrap_or_default();
         let crash_point = shared.record.crash_point(path, &shared_parts);
@@ -77,10 +84,17 @@
             shared,
             run,
             after,
+            deadline: time_given.map(|time| now + time),
             crash_point,
         }
     }
 
+    /// Returns the time at which it stops and ends its answer in order, if it does so at its deadline.
+    fn stop_at(&self, fault: AnswerFault) -> Option<Instant> {
+        self.deadline
+            .filter(|_| fault == AnswerFault::StopAtDeadline)
+    }
+
     /// Crashes the upstream, unless another run has.
     pub(super) async fn crash(&self) -> io::Result<ConnectionAction<'a>> {
         if !self.shared.has_crashed.swap(true, Ordering::Relaxed) {
@@ -136,6 +150,13 @@
     if let Some(play) = shared.record.play_of(id) {
         let headers = shared.with_extra_headers(&headers);
         write_stream_head(stream, &headers, play.framing, body.len()).await?;
+        if let Some(stop_at) = run.stop_at(fault) {
+            write_piece(stream, &body.as_bytes()[..body.len() / 2], play.framing).await?;
+            tokio::time::sleep_until(stop_at.into()).await;
+            run.end(RunEnd::Broken);
+            stream.write_all(play.own_end.bytes(play.framing)).await?;
+            return Ok(play.own_end.action(play.framing));
+        }
         write_piece(stream, body.as_bytes(), play.framing).await?;
         stream.write_all(play.own_end.bytes(play.framing)).await?;
         run.end(RunEnd::Complete);
@@ -265,6 +286,15 @@
         {
             return Ok(lose(run, movable, last_event - number, how));
         }
+        if run
+            .stop_at(fault)
+            .is_some_and(|at| at < Instant::now() + EVENT_INTERVAL)
+        {
+            run.end(RunEnd::Broken);
+            let end = play.map_or(StoppedEnd::LastChunk, |p| p.own_end);
+            stream.write_all(end.bytes(framing)).await?;
+            return Ok(end.action(framing));
+        }
         let mut event = event(id, number, &version);
         if fault == AnswerFault::NoIds {
             event = event.split_off(event.find("data:").unwrap_or_default());
