--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -209,6 +209,15 @@
     format!("id: {number}\ndata: {id} {number} {version}\n\n")
 }
 
+/// Formats an event of a stream, without its id if that is the fault.
+fn stream_event(id: &str, number: u64, version: &str, fault: AnswerFault) -> String {
+    let mut event = event(id, number, version);
+    if fault == AnswerFault::NoIds {
+        event = event.split_off(event.find("data:").unwrap_or_default());
+    }
+    event
+}
+
 /// Formats a comment of some length, which belongs to no event.
 fn padding(len: usize) -> String {
     if len == 0 {
@@ -295,10 +304,7 @@
             stream.write_all(end.bytes(framing)).await?;
             return Ok(end.action(framing));
         }
-        let mut event = event(id, number, &version);
-        if fault == AnswerFault::NoIds {
-            event = event.split_off(event.find("data:").unwrap_or_default());
-        }
+        let event = stream_event(id, number, &version, fault);
         let piece = format!("{padding}{event}");
         write_piece(stream, piece.as_bytes(), framing).await?;
         tokio::select! {
