--- a/standins/src/site/runs.rs
+++ b/standins/src/site/runs.rs
@@ -226,6 +226,20 @@
     format!(":{}\n", "p".repeat(len))
 }
 
+/// Waits as long as a fault has the head of an answer wait.
+async fn wait_before_head(shared: &Shared, fault: AnswerFault) {
+    match fault {
+        AnswerFault::Slow => tokio::time::sleep(PROMPT_READ_TIME).await,
+        AnswerFault::SlowBy(time) => tokio::time::sleep(time).await,
+        AnswerFault::HoldHead => {
+            while shared.fault() == AnswerFault::HoldHead {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
+        }
+        _ => {}
+    }
+}
+
 pub(super) async fn stream_generation<'a>(
     stream: &mut TcpStream,
     shared: &'a Shared,
@@ -253,16 +267,7 @@
         let events = last_event - run.after;
         return Ok(lose(run, movable, events, how));
     }
-    match fault {
-        AnswerFault::Slow => tokio::time::sleep(PROMPT_READ_TIME).await,
-        AnswerFault::SlowBy(time) => tokio::time::sleep(time).await,
-        AnswerFault::HoldHead => {
-            while shared.fault() == AnswerFault::HoldHead {
-                tokio::time::sleep(EVENT_INTERVAL).await;
-            }
-        }
-        _ => {}
-    }
+    wait_before_head(shared, fault).await;
     if let Some(play) = play.filter(|_| run.after > 0) {
         tokio::time::sleep(play.head_delay).await;
     }
