Fill the kernel's buffers of unread streams before the next clients come

A stream that its caller may be reading doesn't give way, as it should be: the test asked too early.

Change: the streams of this case have events of 20 KB instead of 1 KB, so that they are blocked while the clients still come, and hold more memory.

Ruled out: a regression; the accounts of connections are as they were.

--- a/fireflydirect/tests/processes_crowds.rs
+++ b/fireflydirect/tests/processes_crowds.rs
@@ -231,12 +231,18 @@
 
 /// Returns a request for a stream that is too long for the kernel's buffers.
 fn unread_stream() -> Client {
+    stream_of("POST /log/a?events=3000&padding=1000")
+}
+
+/// Returns a client of a stream whose events fill what the kernel holds before the next clients have come.
+fn soon_blocked_stream() -> Client {
+    stream_of("POST /log/a?events=3000&padding=20000")
+}
+
+fn stream_of(start: &str) -> Client {
+    let rest = "X-Model: m\r\nContent-Length: 1\r\n\r\nx";
     Client {
-        head: head(
-            "POST /log/a?events=3000&padding=1000",
-            KEY,
-            "X-Model: m\r\nContent-Length: 1\r\n\r\nx",
-        ),
+        head: head(start, KEY, rest),
         ..Client::default()
     }
 }
@@ -362,7 +368,7 @@
     };
     streams_that_nobody_reads_as_clients_come_in_turn: 100, Client {
         awaits_answer: true,
-        ..unread_stream()
+        ..soon_blocked_stream()
     };
     bodies_that_stop_short_of_their_end_as_clients_come_in_turn: 20, Client {
         piece: vec![b'b'; BODY_LIMIT - 1],
