Make no discovery call to a store that is known not to answer

With six entries a silent store got 42 calls in five seconds, where 40 are allowed: silent_store_is_called_by_few_and_changes_no_duty failed.

Cause: a watcher registers itself 2 s after it came on duty. If the store is silent by then, the call fails after 1 s and is made again after another second, for as long as the silence lasts.

Change: an entry that watches makes no such call until its own probes are answered; one that has stepped back makes none until another watcher is answered. One that hears of nobody and doesn't watch yet may call: it begins to watch within about 2 s of its start, so its own probes decide then.

Ruled out: a change of duties or of the probes' pace, as the calls beyond the probes are the failed registrations (4 of each of three watchers in 50 calls, by their discovery_failed lines). A longer pause after a failure alone: it leaves calls to a store that is known to be lost.

--- a/fireflycroft/src/discovery.rs
+++ b/fireflycroft/src/discovery.rs
@@ -52,6 +52,8 @@
     pub hears_others: bool,
     /// What it does for them.
     pub duty: EntryDuty,
+    /// Whether it knows that the store doesn't answer.
+    pub is_store_silent: bool,
 }
 
 /// Call to the store that is due.
@@ -81,9 +83,9 @@
 }
 
 impl Discovery {
-    /// Returns the call that is due.
+    /// Returns the call that is due; none to a silent store, which the watchers probe.
     pub fn next_step(&mut self, now: Time, around: Surroundings) -> Option<DiscoveryStep> {
-        if now < self.retry_at {
+        if now < self.retry_at || around.is_store_silent {
             return None;
         }
         let is_orphan = is_orphan(now, around);
--- a/fireflycroft/tests/discovery.rs
+++ b/fireflycroft/tests/discovery.rs
@@ -13,6 +13,7 @@
     is_seed: false,
     hears_others: true,
     duty: EntryDuty::Ordinary,
+    is_store_silent: false,
 };
 
 const ALONE: Surroundings = Surroundings {
@@ -30,6 +31,14 @@
     ..SETTLED
 };
 
+/// The same while the store is silent.
+const fn in_silence(around: Surroundings) -> Surroundings {
+    Surroundings {
+        is_store_silent: true,
+        ..around
+    }
+}
+
 cases! {
     entry_that_hears_others_makes_no_call => assert_eq!(steps(SETTLED, 60_000), []);
     seed_that_hears_nobody_makes_no_call => assert_eq!(steps(SEED_ALONE, 60_000), []);
@@ -42,6 +51,10 @@
     object_that_is_lost_is_written_again => written_again();
     entry_that_stops_removes_its_object => removed_at_a_stop();
     object_is_removed_once_others_are_heard => removed_later();
+    watcher_of_a_silent_store_makes_no_call => assert_eq!(steps(in_silence(RELIED_ON), 60_000), []);
+    lone_entry_makes_no_call_to_a_silent_store => assert_eq!(steps(in_silence(ALONE), 60_000), []);
+    entry_registers_once_the_store_answers => registered_after_silence();
+    object_that_is_not_needed_outlasts_a_silence => removed_after_silence();
     failed_calls_pause => assert_eq!(attempts_that_fail(), 5);
     lone_entry_knows_no_fleet_until_it_sees_itself => pending_until_visible();
     entry_that_is_never_answered_is_alone_in_the_end => assert!(!Discovery::default().is_pending(at(31_000), ALONE));
@@ -120,3 +133,27 @@
     };
     assert_eq!(discovery.next_step(at(1_000), around), Some(Withdraw));
 }
+
+fn registered_after_silence() {
+    for around in [ALONE, RELIED_ON] {
+        let mut discovery = Discovery::default();
+        let next = |d: &mut Discovery, ms, around| d.next_step(at(ms), around);
+        assert_eq!(
+            next(&mut discovery, 1_000, around).is_some(),
+            around == ALONE
+        );
+        assert_eq!(next(&mut discovery, 60_000, in_silence(around)), None);
+        assert_eq!(next(&mut discovery, 60_100, around), Some(Register));
+    }
+}
+
+fn removed_after_silence() {
+    let mut discovery = Discovery::default();
+    discovery.record_registered();
+    assert_eq!(discovery.next_step(at(2_000), SETTLED), None);
+    for duty in [EntryDuty::Ordinary, EntryDuty::Stopping] {
+        let around = in_silence(Surroundings { duty, ..SETTLED });
+        assert_eq!(discovery.next_step(at(60_000), around), None);
+    }
+    assert_eq!(discovery.next_step(at(60_100), SETTLED), Some(Withdraw));
+}
--- a/fireflydirect/src/discovery.rs
+++ b/fireflydirect/src/discovery.rs
@@ -71,13 +71,26 @@
     } else {
         EntryDuty::Ordinary
     };
+    let hears_others = node.peers.borrow().count(node.now()) > 0;
     Surroundings {
         is_seed: node.is_seed(),
-        hears_others: node.peers.borrow().count(node.now()) > 0,
+        hears_others,
         duty,
+        is_store_silent: is_store_silent(node, hears_others),
     }
 }
 
+/// Returns whether the store answers neither this entry, if it watches it, nor another one.
+///
+/// One that hears of nobody doesn't know; it watches soon.
+fn is_store_silent(node: &Node, hears_others: bool) -> bool {
+    if node.watcher_role.borrow().is_watching() {
+        return !node.store_responding.get();
+    }
+    let views = node.peers.borrow().watcher_views(node.now());
+    hears_others && !views.iter().any(|v| v.watches)
+}
+
 async fn take(node: &Rc<Node>, step: DiscoveryStep) -> anyhow::Result<()> {
     match step {
         DiscoveryStep::Register => register(node).await,
