Take no contradictory answer for a refused order, nor a bare 503 for a stop

An answer 200 to an order, or a 503 with a handle that no request can name, counted as refused if it bore the mark that nothing was done: the stopped run's stream, ended in order, was given out as whole. And a 503 with neither mark nor handle counted as a stop, so that a stream went on elsewhere beside its run, which had never been stopped.

Change: a success, or a handle of any kind, is no refusal; a 503 without a usable handle that isn't marked leaves the order open (lost), and the report tells whether its run has ended.

Ruled out: 404 and 409 beside the mark (the outcome is read first).

--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -121,7 +121,7 @@
     Ok(CopyAnswer {
         status: response.status,
         outcome: read_migration(source.addr, response.status, &response.body),
-        is_refused: is_refused(response.status, &response.headers),
+        is_refused: is_refused(response.status, &response.headers, &response.body),
         is_repeat: answer.is_repeat,
     })
 }
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -140,11 +140,10 @@
     /// Returns what the answer says about the order to stop that its call bore.
     #[must_use]
     pub const fn stop_order(&self) -> StopOrder {
-        let has_stopped = match &self.outcome {
-            MigrationOutcome::Copied(_) | MigrationOutcome::NoCapacity(Some(_)) => true,
-            MigrationOutcome::NoCapacity(None) => !self.is_refused,
-            _ => false,
-        };
+        let has_stopped = matches!(
+            &self.outcome,
+            MigrationOutcome::Copied(_) | MigrationOutcome::NoCapacity(Some(_))
+        );
         match &self.outcome {
             _ if has_stopped && self.is_repeat => StopOrder::StoppedByRepeat,
             _ if has_stopped => StopOrder::Stopped,
--- a/fireflydirect/tests/processes_lone_runs.rs
+++ b/fireflydirect/tests/processes_lone_runs.rs
@@ -108,6 +108,8 @@
     lone_streams_without_a_handle_are_cut(&[KeptUnnamed], AFTER_END, "/log/a") all_were_cut;
     lone_streams_without_a_usable_handle_are_cut(&[KeptUnusable], AFTER_END, "/log/a") all_were_cut;
     lone_streams_whose_answer_names_no_copy_are_cut(&[CopiedUnnamed], AFTER_END, "/log/a") all_were_cut;
+    lone_streams_whose_answer_names_no_copy_and_says_that_nothing_was_done_are_cut(&[CopiedMarked], AFTER_END, "/log/a") all_were_cut;
+    lone_streams_without_a_usable_handle_whose_answer_says_that_nothing_was_done_are_cut(&[KeptMarked], AFTER_END, "/log/a") all_were_cut;
     lone_streams_whose_answer_is_cut_before_its_length_are_cut(&[CutLength, Copied], AFTER_END, "/log/a") all_were_cut;
     lone_streams_whose_answer_is_cut_in_chunks_are_cut(&[CutChunks, Busy], AFTER_END, "/log/a") all_were_cut;
     lone_streams_whose_answer_is_cut_with_its_connection_are_cut(&[CutUntilClose], AFTER_END, "/log/a") all_were_cut;
--- a/fireflydirect/tests/processes_lost_answers.rs
+++ b/fireflydirect/tests/processes_lost_answers.rs
@@ -35,11 +35,22 @@
 /// Streams at a time.
 const STREAMS: usize = 12;
 
-/// Whether engines carry out orders to stop runs.
+/// Whether engines carry out orders to stop runs, or else what they answer.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Orders {
     CarriedOut,
     Refused,
+    Unavailable,
+}
+
+impl Orders {
+    const fn answer(self) -> StopAnswer {
+        match self {
+            Self::CarriedOut => StopAnswer::Copied,
+            Self::Refused => StopAnswer::NeverExecuted,
+            Self::Unavailable => StopAnswer::Unavailable,
+        }
+    }
 }
 
 /// Defines test cases, each with streams on a path of which some lose their rest.
@@ -51,9 +62,7 @@
                 let site = site().await;
                 for engine in &site.engines[..usize::from(ENGINES / 2)] {
                     engine.set_fault(AnswerFault::LoseRest($after, Loss::$loss));
-                    if Orders::$orders == Orders::Refused {
-                        engine.moves().answer_stops(StopAnswer::NeverExecuted, Duration::ZERO);
-                    }
+                    engine.moves().answer_stops(Orders::$orders.answer(), Duration::ZERO);
                 }
                 let req = |id: &str| site.$req(0, $path, EVENTS, id);
                 let ids = play(&site, req, Orders::$orders).await;
@@ -292,12 +301,14 @@
     stream_does_not_go_on_beside_a_run_closed_after_its_head(generation, "/log/a", HEAD, Close, CarriedOut);
     stream_does_not_go_on_beside_a_run_that_is_not_stopped(generation, "/log/a", MIDDLE, Reset, Refused);
     stream_does_not_go_on_beside_a_closed_run_that_is_not_stopped(generation, "/log/a", HEAD, Close, Refused);
+    stream_does_not_go_on_beside_a_run_whose_order_finds_its_engine_unavailable(generation, "/log/a", MIDDLE, Reset, Unavailable);
     resumable_stream_does_not_go_on_beside_a_run_reset_in_its_middle(generation, "/grade/a", MIDDLE, Reset, CarriedOut);
     resumable_stream_does_not_run_anew_beside_a_run_reset_in_its_middle(stream, "/grade/a", MIDDLE, Reset, CarriedOut);
     resumable_stream_does_not_run_anew_beside_a_run_reset_after_its_head(stream, "/grade/a", HEAD, Reset, CarriedOut);
     resumable_stream_does_not_run_anew_beside_a_run_closed_near_its_end(stream, "/grade/a", NEAR_END, Close, CarriedOut);
     resumable_stream_does_not_run_anew_beside_a_run_that_is_not_stopped(stream, "/grade/a", MIDDLE, Reset, Refused);
     resumable_stream_does_not_run_anew_beside_a_closed_run_that_is_not_stopped(stream, "/grade/a", START, Close, Refused);
+    resumable_stream_does_not_run_anew_beside_a_run_whose_order_finds_its_engine_unavailable(stream, "/grade/a", MIDDLE, Reset, Unavailable);
 }
 
 at_limit! {
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -34,6 +34,8 @@
     KeptUnnamed,
     /// The same, with a handle that fits in no header.
     KeptUnusable,
+    /// The same, and states that nothing was done.
+    KeptMarked,
     /// Stops the run and loses the answer.
     Lost,
     /// Stops the run and loses the answer, as those to all further moves.
@@ -48,6 +50,8 @@
     NotExecuted,
     /// Lets all runs go on, and states the same each time.
     NeverExecuted,
+    /// Lets all runs go on, and states neither that nothing was done nor a handle each time.
+    Unavailable,
     /// Lets the run go on, as there are too many calls.
     TooMany,
     /// Lets the run go on, as the call is meant for another upstream.
@@ -56,6 +60,8 @@
     Meaningless,
     /// Stops the run and copies its memory, but names no handle.
     CopiedUnnamed,
+    /// The same, and states that nothing was done.
+    CopiedMarked,
     /// Stops the run and copies its memory; the answer breaks off before its stated length.
     CutLength,
     /// The same, with an answer that breaks off between chunks.
@@ -75,6 +81,7 @@
                 | Self::Busy
                 | Self::NotExecuted
                 | Self::NeverExecuted
+                | Self::Unavailable
                 | Self::TooMany
                 | Self::Misdirected
                 | Self::Meaningless
@@ -85,7 +92,7 @@
     const fn refusal(self) -> Option<u16> {
         match self {
             Self::Busy => Some(409),
-            Self::NotExecuted | Self::NeverExecuted => Some(503),
+            Self::NotExecuted | Self::NeverExecuted | Self::Unavailable => Some(503),
             Self::TooMany => Some(429),
             Self::Misdirected => Some(421),
             Self::Meaningless => Some(400),
@@ -94,7 +101,18 @@
     }
 
     const fn is_lasting(self) -> bool {
-        matches!(self, Self::AllLost | Self::NeverExecuted)
+        matches!(
+            self,
+            Self::AllLost | Self::NeverExecuted | Self::Unavailable
+        )
+    }
+
+    /// Returns whether an answer states that nothing was done.
+    const fn is_marked(self) -> bool {
+        matches!(
+            self,
+            Self::NotExecuted | Self::NeverExecuted | Self::CopiedMarked | Self::KeptMarked
+        )
     }
 }
 
@@ -335,10 +353,12 @@
         let holder = match answer {
             StopAnswer::Lost | StopAnswer::AllLost => return None,
             StopAnswer::KeptUnnamed => return Some(OwnAnswer::new(503, "{}".to_owned())),
-            StopAnswer::CopiedUnnamed => return Some(OwnAnswer::new(200, "{}".to_owned())),
-            StopAnswer::KeptUnusable => {
+            StopAnswer::CopiedUnnamed | StopAnswer::CopiedMarked => {
+                return Some(marked(answer, 200, "{}".to_owned()));
+            }
+            StopAnswer::KeptUnusable | StopAnswer::KeptMarked => {
                 let body = json!({"handle": "h\u{7}\n"});
-                return Some(OwnAnswer::new(503, body.to_string()));
+                return Some(marked(answer, 503, body.to_string()));
             }
             StopAnswer::Kept | StopAnswer::KeptThenLost | StopAnswer::KeptCut => addr.clone(),
             _ => to.to_owned(),
@@ -375,10 +395,15 @@
     if !is_running && record.play_of(id).is_none() {
         return None;
     }
-    let mut refusal = OwnAnswer::new(status, "{}".to_owned());
-    if status == 503 {
+    Some(marked(answer, status, "{}".to_owned()))
+}
+
+/// Returns an answer that states that nothing was done, if it is to.
+fn marked(answer: StopAnswer, status: u16, body: String) -> OwnAnswer {
+    let mut own = OwnAnswer::new(status, body);
+    if answer.is_marked() {
         let header = ("X-Not-Executed".to_owned(), "1".to_owned());
-        refusal.headers = [header].into_iter().collect();
+        own.headers = [header].into_iter().collect();
     }
-    Some(refusal)
+    own
 }
