Free the copies of memory that ended streams leave at engines

Copies of runs whose streams had ended stayed at engines, with a slot each, until they expired there.

Cause: only a standby copy was freed with its stream. The copy made before the last move never was, nor one that the last move made and nothing went on from; a copy that came after the stream's end was stored in a run that nobody reads; and copies that turned out unusable, or whose request failed, were dropped.

Change: a run knows that its stream has ended and which copy it went on from. What comes later is freed, what the stream won't go on from any more at the next review, and the rest with its end. Copies of a run by one upstream at one holder are one, whatever their handles, so the moved stream costs no call more. Nothing is freed at a source that has started again, whose handles may name the memory of other requests; no test plays that.

Ruled out: freeing the copy before at the last move, since the stream goes on from it where that has no outcome.

Not mended: a copy whose answer nobody waits for, since the relay that asked for it is gone, has no known handle and expires.

--- a/fireflydirect/src/continuation.rs
+++ b/fireflydirect/src/continuation.rs
@@ -6,7 +6,7 @@
 use crate::exchange::{ResponseStart, SendError, SendOptions, send};
 use crate::incarnations::confirmed_version;
 use crate::job::Job;
-use crate::runs::Run;
+use crate::runs::{MigrationCopy, Run};
 use fireflycroft::{MemoryCopy, Need, RunClaim, UpstreamIx, VersionKey};
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,7 +47,9 @@
 impl Copies<'_> {
     /// Returns the next usable copy; each is used once.
     pub(crate) fn take_next(&mut self) -> Option<Continuation> {
-        let migration_copy = self.run.migration_copy.borrow_mut().take();
+        let migration_copy = self.run.migration_copy.take();
+        self.run
+            .take(migration_copy.as_ref().map(MigrationCopy::place));
         if let Some(copy) = migration_copy.filter(|c| self.is_usable(c.assignment.ix, c.source)) {
             // A standby copy is counted as one; the run that goes on from it is counted anew.
             let stands_by = copy.stands_by;
@@ -59,6 +61,7 @@
             });
         }
         let earlier = self.run.earlier_copy.take();
+        self.run.take(earlier.clone());
         if let Some(earlier) = earlier.filter(|c| self.is_usable(c.at, c.source)) {
             return Some(Continuation {
                 method: "moved",
@@ -67,6 +70,7 @@
                 assignment: None,
             });
         }
+        self.run.take(None);
         self.run.backup.set(None);
         let backup = self.backup.take();
         let backup = backup.filter(|b| self.is_usable(b.ix, b.ix))?;
--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -151,7 +151,7 @@
                     memory,
                     source: from,
                 };
-                run.earlier_copy.replace(Some(earlier));
+                run.store_earlier(node, earlier);
                 has_copy = true;
             }
             MigrationOutcome::Copied(memory) => {
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -10,7 +10,7 @@
 use crate::metrics::Metrics;
 use crate::owner_queries::OwnerQueries;
 use crate::peers::Peers;
-use crate::runs::{MigrationCopy, Runs};
+use crate::runs::{Runs, UnusedCopies};
 use fireflycroft::{
     Catalog, ConnectionLimits, CrashEvidence, DepartureRate, DepartureWatch, Discovery,
     Evacuations, FULL_VIEW_AFTER, FleetView, HoldTimes, LengthEstimator, ListCurrency, PlannedStop,
@@ -162,7 +162,7 @@
     /// Departures of upstreams seen, for the risk of runs.
     pub departure_rate: RefCell<DepartureRate>,
     /// Copies that no run resumes from any more, to be freed.
-    pub unused_copies: RefCell<Vec<MigrationCopy>>,
+    pub unused_copies: RefCell<UnusedCopies>,
     /// Counters, histograms and gauges.
     pub metrics: Metrics,
     /// Accounts of callers' connections.
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -23,7 +23,8 @@
     pub stands_by: bool,
 }
 
-/// A copy made before the last move, which lacks the tokens since.
+/// Place and name of a copy of a run's memory.
+#[derive(Clone, Debug)]
 pub struct EarlierCopy {
     /// Upstream that holds it.
     pub at: UpstreamIx,
@@ -33,6 +34,69 @@
     pub source: UpstreamIx,
 }
 
+impl EarlierCopy {
+    /// Returns whether both name one copy: an upstream that copies a run to a holder again copies only what is new.
+    fn is_same_copy(&self, other: &Self) -> bool {
+        self.source == other.source && self.at == other.at
+    }
+}
+
+impl MigrationCopy {
+    /// Returns its place and name.
+    #[must_use]
+    pub fn place(&self) -> EarlierCopy {
+        EarlierCopy {
+            at: self.assignment.ix,
+            memory: self.memory.clone(),
+            source: self.source,
+        }
+    }
+}
+
+/// Copies that no run resumes from any more, to be freed.
+#[derive(Default)]
+pub struct UnusedCopies(Vec<UnusedCopy>);
+
+/// A copy to be freed; its memory counts as assigned until then, if it did before.
+pub struct UnusedCopy {
+    /// Upstream that made the copy and issued its handle.
+    pub source: UpstreamIx,
+    /// Memory copy.
+    pub memory: MemoryCopy,
+    _assignment: Option<AssignmentGuard>,
+}
+
+impl Extend<MigrationCopy> for UnusedCopies {
+    fn extend<T: IntoIterator<Item = MigrationCopy>>(&mut self, copies: T) {
+        let unused = |copy: MigrationCopy| UnusedCopy {
+            source: copy.source,
+            memory: copy.memory,
+            _assignment: Some(copy.assignment),
+        };
+        self.0.extend(copies.into_iter().map(unused));
+    }
+}
+
+impl Extend<EarlierCopy> for UnusedCopies {
+    fn extend<T: IntoIterator<Item = EarlierCopy>>(&mut self, copies: T) {
+        let unused = |copy: EarlierCopy| UnusedCopy {
+            source: copy.source,
+            memory: copy.memory,
+            _assignment: None,
+        };
+        self.0.extend(copies.into_iter().map(unused));
+    }
+}
+
+impl IntoIterator for UnusedCopies {
+    type Item = UnusedCopy;
+    type IntoIter = std::vec::IntoIter<UnusedCopy>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.into_iter()
+    }
+}
+
 /// A stream in progress.
 pub struct Run {
     /// The caller's id of the attempt, which identifies the run at upstreams.
@@ -47,6 +111,14 @@
     pub migration_copy: RefCell<Option<MigrationCopy>>,
     /// Copy to go on from where the last move gives none in time.
     pub earlier_copy: RefCell<Option<EarlierCopy>>,
+    /// Copy that the stream is going on from, if that works.
+    taken: RefCell<Option<EarlierCopy>>,
+    /// Copy that the current run went on from.
+    in_use: RefCell<Option<EarlierCopy>>,
+    /// Copies that it won't go on from any more.
+    superseded: RefCell<Vec<EarlierCopy>>,
+    /// Whether its stream has ended.
+    is_over: Cell<bool>,
     /// Whether a migration is in progress.
     pub migrating: Cell<bool>,
     /// Orders to stop the runs of its request.
@@ -91,6 +163,10 @@
             backup: Cell::new(backup),
             migration_copy: RefCell::new(None),
             earlier_copy: RefCell::new(None),
+            taken: RefCell::new(None),
+            in_use: RefCell::new(None),
+            superseded: RefCell::default(),
+            is_over: Cell::new(false),
             began: job.now(),
             migrating: Cell::new(false),
             stop_orders: job.stop_orders.clone(),
@@ -111,11 +187,13 @@
     /// Records that it goes on at an upstream; the copy before is kept only at its source.
     pub fn go_on_at(&self, ix: UpstreamIx) {
         self.at.set(ix);
+        self.in_use.replace(self.taken.take());
         let mut earlier = self.earlier_copy.borrow_mut();
-        earlier.take_if(|copy| copy.source != ix);
+        let earlier = earlier.take_if(|copy| copy.source != ix);
+        self.superseded.borrow_mut().extend(earlier);
     }
 
-    /// Stores a copy that its stopped run resumes from; frees it if the stream has gone on elsewhere meanwhile.
+    /// Stores a copy that its stopped run resumes from; frees it if the stream has ended or gone on elsewhere meanwhile.
     pub fn store_copy(
         &self,
         node: &Node,
@@ -129,11 +207,75 @@
             source,
             stands_by: false,
         };
-        if self.at.get() == source {
-            *self.migration_copy.borrow_mut() = Some(copy);
-        } else {
-            node.unused_copies.borrow_mut().push(copy);
+        self.store(node, copy);
+    }
+
+    /// Stores a copy to resume from; frees it if the stream has ended or gone on elsewhere meanwhile.
+    pub fn store(&self, node: &Node, copy: MigrationCopy) {
+        if self.is_over.get() || self.at.get() != copy.source {
+            node.unused_copies.borrow_mut().extend([copy]);
+            return;
+        }
+        let replaced = self.migration_copy.replace(Some(copy));
+        let replaced = replaced.map(|copy| copy.place());
+        self.superseded.borrow_mut().extend(replaced);
+    }
+
+    /// Stores a copy to go on from where its last move gives none; frees it if the stream has ended.
+    pub fn store_earlier(&self, node: &Node, copy: EarlierCopy) {
+        if self.is_over.get() {
+            node.unused_copies.borrow_mut().extend([copy]);
+            return;
+        }
+        let replaced = self.earlier_copy.replace(Some(copy));
+        self.superseded.borrow_mut().extend(replaced);
+    }
+
+    /// Records that the stream is to go on from a copy, or from none; from the one before it couldn't.
+    pub fn take(&self, copy: Option<EarlierCopy>) {
+        let failed = self.taken.replace(copy);
+        self.superseded.borrow_mut().extend(failed);
+    }
+
+    /// Returns the copies that it won't go on from any more, unless it runs from them or is to go on from them by other
+    /// names.
+    pub fn take_superseded(&self) -> Vec<EarlierCopy> {
+        let migration_copy = self
+            .migration_copy
+            .borrow()
+            .as_ref()
+            .map(MigrationCopy::place);
+        let wanted = [
+            migration_copy,
+            self.earlier_copy.borrow().clone(),
+            self.taken.borrow().clone(),
+        ];
+        let is = |copy: &EarlierCopy, others: &[Option<EarlierCopy>]| {
+            let mut others = others.iter().flatten();
+            others.any(|other| other.is_same_copy(copy))
+        };
+        let in_use = [self.in_use.borrow().clone()];
+        let mut superseded = self.superseded.borrow_mut();
+        superseded.retain(|copy| !is(copy, &in_use));
+        let mut unused: Vec<EarlierCopy> = Vec::new();
+        for copy in superseded.extract_if(.., |copy| !is(copy, &wanted)) {
+            if !unused.iter().any(|other| other.is_same_copy(&copy)) {
+                unused.push(copy);
+            }
         }
+        unused
+    }
+
+    /// Records that the stream has ended, and returns the copies that are left.
+    pub fn end(&self) -> Vec<EarlierCopy> {
+        self.is_over.set(true);
+        let copy = self.migration_copy.take().map(|copy| copy.place());
+        let left = [copy, self.earlier_copy.take(), self.taken.take()];
+        // Of several names of a copy, the newest is used.
+        let mut superseded = self.superseded.borrow_mut();
+        superseded.splice(..0, left.into_iter().flatten());
+        drop(superseded);
+        self.take_superseded()
     }
 
     /// Returns the holder of its standby copy, if it has one.
--- a/fireflydirect/src/standby_copies.rs
+++ b/fireflydirect/src/standby_copies.rs
@@ -50,6 +50,10 @@
 pub async fn run(node: Rc<Node>) {
     loop {
         tokio::time::sleep(REVIEW_INTERVAL).await;
+        for run in node.runs.all() {
+            let superseded = run.take_superseded();
+            node.unused_copies.borrow_mut().extend(superseded);
+        }
         for copy in node.unused_copies.take() {
             release(&node, copy.source, copy.memory);
         }
@@ -142,10 +146,6 @@
         copy(&node, from, &run).await;
         run.migrating.set(false);
         run.migration_ended.notify_waiters();
-        // The stream ended while its run was copied.
-        if Rc::strong_count(&run) == 1 {
-            release_unused(&node, &run);
-        }
     });
 }
 
@@ -176,12 +176,13 @@
         match copy_memory(node, from, to, run).await {
             MigrationOutcome::Copied(memory) if run.at.get() == from => {
                 log_copy(node, run, from, Some(to), "made");
-                *run.migration_copy.borrow_mut() = Some(MigrationCopy {
+                let copy = MigrationCopy {
                     assignment,
                     memory,
                     source: from,
                     stands_by: true,
-                });
+                };
+                run.store(node, copy);
                 // The stream may wait for it already.
                 run.migration_ended.notify_waiters();
                 return refresh(node, from, to, run).await;
@@ -287,15 +288,17 @@
     }
 }
 
-/// Has the copy of a run that has ended freed at the next review, if it has one.
+/// Has the copies of a run whose stream has ended freed at the next review.
 pub fn release_unused(node: &Node, run: &Run) {
-    let unused = run.migration_copy.borrow_mut().take();
-    let unused = unused.filter(|copy| copy.stands_by);
-    node.unused_copies.borrow_mut().extend(unused);
+    node.unused_copies.borrow_mut().extend(run.end());
 }
 
 /// Frees a copy at its source and its holder, in a task of its own; one that can't be freed expires.
 fn release(node: &Rc<Node>, source: UpstreamIx, memory: MemoryCopy) {
+    // Its handles may name the memory of other requests in its next incarnation.
+    if node.pool.borrow().is_ended(source) {
+        return;
+    }
     let node = node.clone();
     tokio::task::spawn_local(async move {
         let freeing = tokio::time::timeout(RELEASE_TIMEOUT, send_release(&node, source, &memory));
--- a/standins/src/site/record.rs
+++ b/standins/src/site/record.rs
@@ -91,6 +91,17 @@
     times_given: HashMap<String, Vec<Duration>>,
 }
 
+impl Inner {
+    /// Removes a copy with all its handles: a run that is copied to a holder again has one copy there.
+    fn remove_copy(&mut self, key: &CopyKey) -> Option<String> {
+        let owner = self.copies.remove(key)?;
+        self.copies.retain(|other, of| {
+            *of != owner || other.holder != key.holder || other.issuer != key.issuer
+        });
+        Some(owner)
+    }
+}
+
 impl Record {
     /// Returns all runs so far.
     #[must_use]
@@ -274,14 +285,17 @@
 
     /// Removes a copy, which can be used once, and returns its request id.
     pub(super) fn take_copy(&self, key: &CopyKey) -> Option<String> {
-        lock(&self.inner).copies.remove(key)
+        lock(&self.inner).remove_copy(key)
     }
 
     /// Removes the copies with a handle that the upstream at `addr` issued.
     pub(super) fn drop_copy(&self, addr: &str, handle: &str) {
-        lock(&self.inner)
-            .copies
-            .retain(|key, _| key.issuer != addr || key.handle != handle);
+        let mut inner = lock(&self.inner);
+        let is_dropped = |key: &&CopyKey| key.issuer == addr && key.handle == handle;
+        let dropped: Vec<CopyKey> = inner.copies.keys().filter(is_dropped).cloned().collect();
+        for key in dropped {
+            inner.remove_copy(&key);
+        }
     }
 
     /// Returns the number of copies held.
