--- a/fireflydirect/src/continuation.rs
+++ b/fireflydirect/src/continuation.rs
@@ -35,6 +35,15 @@
     MayRun(Contact),
 }
 
+/// Why a stream that broke off doesn't go on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Halt {
+    /// Its run is over, and nothing is left to go on from.
+    NothingLeft,
+    /// Its run, or another of its request, may go on, or it may not go on itself.
+    Barred,
+}
+
 /// The copies of a run's memory.
 pub(crate) struct Copies<'a> {
     pub(crate) job: &'a Job,
--- a/fireflydirect/src/generation.rs
+++ b/fireflydirect/src/generation.rs
@@ -9,7 +9,7 @@
 use crate::answer::{Answer, AnswerBody, BrokenStream, relayed_answer};
 use crate::assignment::AssignmentGuard;
 use crate::call::{StartedStream, assign_backup};
-use crate::continuation::{self, Continuation, Copies, Resumption};
+use crate::continuation::{self, Continuation, Copies, Halt, Resumption};
 use crate::crash::{self, Progress};
 use crate::event_times::EventTimes;
 use crate::exchange::{SendOptions, release_link};
@@ -82,15 +82,6 @@
     estimated_at: u64,
 }
 
-/// Why a stream that broke off doesn't go on.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Halt {
-    /// Its run is over, and nothing is left to go on from.
-    NothingLeft,
-    /// Its run, or another of its request, may go on, or it may not go on itself.
-    Barred,
-}
-
 /// What becomes of a stream that broke off.
 enum AfterBreak {
     /// It goes on elsewhere.
