Replace the copy of a run in a function of its own

No change of behaviour: what replaces a run's copy outside of its migration, as an order after a break does, needs the same care, since both may be one copy by two handles.

--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -216,6 +216,11 @@
             node.unused_copies.borrow_mut().extend([copy]);
             return;
         }
+        self.replace_copy(copy);
+    }
+
+    /// Replaces the copy to resume from; the one before is freed unless it is the same by another handle.
+    pub fn replace_copy(&self, copy: MigrationCopy) {
         let replaced = self.migration_copy.replace(Some(copy));
         let replaced = replaced.map(|copy| copy.place());
         self.superseded.borrow_mut().extend(replaced);
