Free the copy that a run's order replaces only if it is another one

Cause: a run that is ordered to stop where its stream broke put the copy before into the list of those to be freed. If its upstream names both copies, of one run at one holder, by the same handle, that frees the one that the stream goes on from.

Change: it is replaced as every other copy of a run is, which tells them apart.

--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -162,8 +162,7 @@
             source: at,
             stands_by: false,
         };
-        let replaced = run.migration_copy.borrow_mut().replace(copy);
-        node.unused_copies.borrow_mut().extend(replaced);
+        run.replace_copy(copy);
     };
     match stop_and_copy(node, at, to, run).await {
         (MigrationOutcome::NoSuchRun, _) => Some("there is no such run"),
