Have unfinished answers to HTTP/1.0 reset also where the entry is killed

A caller that knows no chunks took a part of a stream for a whole answer when its entry was killed: the kernel closes a killed process's connections in order. A body that had ended but whose last bytes weren't written when its connection was dropped looked whole, too.

Cause: such a connection was told to end with a reset only as it was dropped, and only while its body hadn't ended.

Change: the kernel is told before the first byte, and told to close in order only where the answer is whole and all of its bytes are written, before the own side ends. An answer that is whole by then isn't lost, also where nobody has read it yet or the connection has to give way.

--- a/fireflydirect/tests/processes_framing.rs
+++ b/fireflydirect/tests/processes_framing.rs
@@ -5,16 +5,20 @@
 
 use reqwest::Client;
 use standins::site::AnswerFault;
+use std::io::ErrorKind;
 use std::time::Duration;
 use support::{KEY, Site, outcome, whole_stream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+/// Events of a stream whose entry is killed before its end.
+const LONG: u64 = 400;
+
 /// Requests that come to one entry at once, each on a new connection.
 const CROWD: usize = 150;
 
-/// Reads the answer to a stream's request of a caller that knows no chunks, until its connection ends.
-async fn answer_without_chunks(site: &Site, events: u64) -> std::io::Result<String> {
+/// Sends a stream's request of a caller that knows no chunks.
+async fn ask_without_chunks(site: &Site, events: u64) -> std::io::Result<TcpStream> {
     let mut stream = TcpStream::connect(site.callers_of(0)).await?;
     let request = format!(
         "POST /log/a?events={events} HTTP/1.0\r\nHost: site.example\r\nX-Request-Id: {}\r\nX-Deadline-Ms: 20000\r\n\
@@ -22,11 +26,28 @@
         site.id()
     );
     stream.write_all(request.as_bytes()).await?;
+    Ok(stream)
+}
+
+/// Reads the answer to a stream's request of a caller that knows no chunks, until its connection ends.
+async fn answer_without_chunks(site: &Site, events: u64) -> std::io::Result<String> {
+    let mut stream = ask_without_chunks(site, events).await?;
     let mut answer = String::new();
     stream.read_to_string(&mut answer).await?;
     Ok(answer)
 }
 
+/// Kills an entry once a caller that knows no chunks has so many of a stream's events; returns what its connection ends with.
+async fn end_at_kill(site: &mut Site, events: usize) -> std::io::Result<usize> {
+    let mut stream = ask_without_chunks(site, LONG).await.unwrap();
+    let mut answer = Vec::new();
+    while String::from_utf8_lossy(&answer).matches("\n\n").count() < events {
+        assert!(stream.read_buf(&mut answer).await.unwrap() > 0, "it ended");
+    }
+    site.entries[0].kill();
+    stream.read_to_end(&mut answer).await
+}
+
 fn end_with_connection(site: &Site) {
     for upstream in site.engines.iter().chain(&site.plains) {
         upstream.end_answers_with_connection();
@@ -122,6 +143,16 @@
         assert!(answer.is_err(), "a part looked whole: {answer:?}");
     }
 
+    stream_of_a_killed_entry_does_not_look_whole_to_a_caller_without_chunks(site: 1) {
+        let end = end_at_kill(&mut site, 20).await;
+        assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    }
+
+    stream_of_an_entry_killed_at_its_first_event_does_not_look_whole_to_a_caller_without_chunks(site: 1) {
+        let end = end_at_kill(&mut site, 1).await;
+        assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    }
+
     entry_that_gets_most_new_connections_serves_them(site: 3) {
         let ids: Vec<String> = (0..CROWD).map(|_| site.id()).collect();
         let url = format!("http://{}", site.callers_of(0));
--- a/fireflynet/src/caller_stream.rs
+++ b/fireflynet/src/caller_stream.rs
@@ -35,6 +35,9 @@
     /// Whether the last write had to wait for the caller to read.
     is_blocked: bool,
     unfinished: Unfinished,
+    /// Whether the connection would end with a reset, as it does from the first byte of an unfinished answer until all bytes
+    /// of a finished one are written.
+    resets: bool,
 }
 
 /// Head that is arriving.
@@ -63,10 +66,12 @@
             grown: None,
             is_blocked: false,
             unfinished: Unfinished::default(),
+            resets: false,
         }
     }
 
-    /// Returns the mark of an answer that a close would complete; the connection ends with a reset while it is set.
+    /// Returns the mark of an answer that a close would complete; the connection ends with a reset while it is set, also
+    /// where the process is killed.
     #[must_use]
     pub fn unfinished(&self) -> Unfinished {
         self.unfinished.clone()
@@ -125,6 +130,22 @@
         if is_granted { Ok(()) } else { Err(evicted()) }
     }
 
+    fn set_reset_on_close(&mut self, resets: bool) {
+        if resets != self.resets {
+            self.resets = resets;
+            self.stream.0.set_reset_on_close(resets);
+        }
+    }
+
+    /// Fails if the connection has to give way; has it end with a reset if an unfinished answer is to be written.
+    fn begin_write(&mut self, cx: &Context<'_>) -> io::Result<()> {
+        self.check(cx)?;
+        if self.unfinished.get() {
+            self.set_reset_on_close(true);
+        }
+        Ok(())
+    }
+
     /// Records whether a write had to wait.
     fn record_write<T>(&mut self, written: &Poll<T>) {
         if written.is_pending() != self.is_blocked {
@@ -137,7 +158,7 @@
 impl Drop for CallerStream {
     fn drop(&mut self) {
         if self.unfinished.get() {
-            self.stream.0.reset_on_drop();
+            self.set_reset_on_close(true);
         }
     }
 }
@@ -166,7 +187,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.check(cx)?;
+        self.begin_write(cx)?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.record_write(&written);
         written
@@ -177,7 +198,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check(cx)?;
+        self.begin_write(cx)?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.record_write(&written);
         written
@@ -192,7 +213,12 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.account.poll_has_to_close(cx) || self.unfinished.get() {
+        if self.unfinished.get() {
+            return Poll::Ready(Ok(()));
+        }
+        // All bytes are the kernel's by now.
+        self.set_reset_on_close(false);
+        if self.account.poll_has_to_close(cx) {
             return Poll::Ready(Ok(()));
         }
         Pin::new(&mut self.stream).poll_shutdown(cx)
--- a/fireflynet/src/lingering.rs
+++ b/fireflynet/src/lingering.rs
@@ -47,10 +47,15 @@
         }
     }
 
-    /// Makes the connection end with a reset when this is dropped.
-    pub(crate) fn reset_on_drop(&self) {
+    /// Makes the connection end with a reset or in order when this is dropped or the process ends.
+    pub(crate) fn set_reset_on_close(&self, resets: bool) {
         // A socket that rejects the option is closed already.
-        let _ = self.stream.set_zero_linger();
+        let _ = if resets {
+            self.stream.set_zero_linger()
+        } else {
+            #[expect(deprecated, reason = "only a time to linger blocks the thread")]
+            self.stream.set_linger(None)
+        };
     }
 
     /// Ends the own side once; returns when lingering ends without input.
--- a/fireflynet/tests/callers.rs
+++ b/fireflynet/tests/callers.rs
@@ -1,7 +1,7 @@
 //! Connections with accounts: what they reserve, and how they give way.
 
 use bytes::Bytes;
-use fireflycroft::{CONNECTION_BYTES, ConnectionLimits, Purpose};
+use fireflycroft::{CONNECTION_BYTES, ConnectionLimits, Purpose, SEND_BUFFER_BYTES};
 use fireflynet::{
     Account, CallerStream, Callers, CollectError, HeadLimits, collect_answer, collect_request,
     listen,
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 const HEAD_LIMITS: HeadLimits = HeadLimits {
     bytes: 1_000,
@@ -51,10 +51,22 @@
     }
 }
 
+/// Returns a socket for which a peer has to keep most of an answer.
+fn small_window() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    socket
+}
+
 /// Returns both ends of a connection, the server's with an account.
 async fn connect(server: &Server) -> (TcpStream, CallerStream) {
+    connect_from(server, TcpSocket::new_v4().unwrap()).await
+}
+
+/// The same, from a socket.
+async fn connect_from(server: &Server, socket: TcpSocket) -> (TcpStream, CallerStream) {
     let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-    let client = TcpStream::connect(listener.local_addr().unwrap()).await;
+    let client = socket.connect(listener.local_addr().unwrap()).await;
     let (stream, peer) = listener.accept().await.unwrap();
     let account = server.callers.open(peer).unwrap();
     (
@@ -233,6 +245,51 @@
         assert_eq!(server.held(), 0);
     }
 
+    unfinished_answer_ends_with_a_reset(server: 4 << 20, 2) {
+        let (mut client, mut stream) = connect(&server).await;
+        stream.unfinished().set(true);
+        stream.write_all(b"part").await.unwrap();
+        stream.shutdown().await.unwrap();
+        drop(stream);
+        let end = client.read_to_end(&mut Vec::new()).await;
+        assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    }
+
+    answer_whose_last_bytes_are_not_written_ends_with_a_reset(server: 4 << 20, 2) {
+        let (mut client, mut stream) = connect(&server).await;
+        stream.unfinished().set(true);
+        stream.write_all(b"part").await.unwrap();
+        stream.unfinished().set(false);
+        drop(stream);
+        let end = client.read_to_end(&mut Vec::new()).await;
+        assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    }
+
+    finished_answer_is_read_whole_after_its_connection_is_given_up(server: 4 << 20, 2) {
+        let (mut client, mut stream) = connect_from(&server, small_window()).await;
+        stream.unfinished().set(true);
+        stream.write_all(&vec![b'a'; SEND_BUFFER_BYTES as usize]).await.unwrap();
+        stream.unfinished().set(false);
+        stream.shutdown().await.unwrap();
+        drop(stream);
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).await.unwrap();
+        assert_eq!(answer.len(), SEND_BUFFER_BYTES as usize);
+    }
+
+    finished_answer_is_read_whole_after_its_connection_gives_way(server: 4 << 20, 1) {
+        let (mut client, mut stream) = connect_from(&server, small_window()).await;
+        stream.unfinished().set(true);
+        stream.write_all(&vec![b'a'; SEND_BUFFER_BYTES as usize]).await.unwrap();
+        stream.unfinished().set(false);
+        assert!(server.open(2).is_some());
+        stream.shutdown().await.unwrap();
+        drop(stream);
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).await.unwrap();
+        assert_eq!(answer.len(), SEND_BUFFER_BYTES as usize);
+    }
+
     memory_is_reserved_for_input_up_to_three_quarters(server: 4 << 20, 20) {
         let account = server.open(1).unwrap();
         let call = account.begin_call();
