--- a/fireflycroft/src/discovery.rs
+++ b/fireflycroft/src/discovery.rs
@@ -88,8 +88,8 @@
         if now < self.retry_at || around.is_store_silent {
             return None;
         }
-        let is_orphan = is_orphan(now, around);
-        let is_needed = is_orphan || self.has_duty(now, around.duty);
+        let is_lone = is_lone(now, around);
+        let is_needed = is_lone || self.has_duty(now, around.duty);
         if around.duty == EntryDuty::Stopping || !is_needed {
             return self.withdraw_if_unneeded(now, around.duty);
         }
@@ -97,7 +97,7 @@
         if !self.is_registered {
             return Some(DiscoveryStep::Register);
         }
-        let pause = self.list_pause(is_orphan);
+        let pause = self.list_pause(is_lone);
         match self.listed_at {
             None => Some(DiscoveryStep::List),
             Some(at) if now.since(at) >= pause => Some(DiscoveryStep::ListReplica),
@@ -145,8 +145,8 @@
         now.since(since) >= MIN_DUTY
     }
 
-    fn list_pause(&self, is_orphan: bool) -> Duration {
-        if !is_orphan {
+    fn list_pause(&self, is_lone: bool) -> Duration {
+        if !is_lone {
             return SETTLED_LIST_PAUSE;
         }
         let doublings = self.lists.saturating_sub(1).min(10);
@@ -165,6 +165,6 @@
     }
 }
 
-fn is_orphan(now: Time, around: Surroundings) -> bool {
+fn is_lone(now: Time, around: Surroundings) -> bool {
     !around.is_seed && !around.hears_others && now >= Time::default() + SEED_SILENCE
 }
--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -4,8 +4,8 @@
 //! but one may lose an answer on its way and work on. So the run is ordered to stop, as for a move. An upstream that has
 //! no such run says so at once, and one that works on stops and gives its memory, from which the stream goes on. Where
 //! the order isn't carried out, the upstream's report tells whether it still lists the run. An upstream that ends every
-//! connection without an answer has ended itself, behind something that accepts connections for it; unless other runs
-//! there go on, since one at its limit resets new connections.
+//! connection without an answer counts as ended, behind something that accepts connections for it. It doesn't while other
+//! runs there go on: one at its limit resets new connections.
 
 use crate::crash::{self, Contact, Progress};
 use crate::departures::fetch_report;
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -130,7 +130,7 @@
     }
     let until = deadline.min(Instant::now() + COPY_TIMEOUT);
     run.copy_limit.set(Some(until));
-    // The stream goes on from a copy meanwhile, if there is one.
+    // After a timeout the end stays undecided, and the stream goes on from a copy if there is one.
     let _ = tokio::time::timeout_at(until, run.stop_orders.until_settled(&ended)).await;
     body_end(framing, run.stop_orders.to_run(&ended))
 }
