Lengthen the pause after calls for discovery that fail in a row

A store that answers the watches but fails the calls for discovery, as one that refuses these objects does, was called every second by each watcher and each lone entry for good; each call has a cost.

Cause: the pause after a failed call is one second, however many failed.

Change: it doubles up to 8 s, the longest pause between a lone entry's lists, and begins anew after any call that succeeds.

Tests: failed_calls_pause stated the number of attempts in 5.5 s, 5 at one second each. It states their times now: 600, 1600 and 3600 ms, fewer calls and the same pause after the first failure. New cases bound the calls of a minute, the longest pause and the return to the first one.

Ruled out: longer pauses at the first failure, since an entry that has just started has to find others soon.

--- a/fireflycroft/src/discovery.rs
+++ b/fireflycroft/src/discovery.rs
@@ -26,8 +26,14 @@
 /// Pause between two lists of an entry that hears from others.
 const SETTLED_LIST_PAUSE: Duration = Duration::from_secs(30);
 
-/// Pause after a call that failed.
-const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+/// Pause after a call that failed; it doubles with each further one in a row.
+const FIRST_FAILURE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest pause after a call that failed.
+const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(8);
+
+/// Doublings after which any pause is the longest.
+const MAX_DOUBLINGS: u32 = 10;
 
 /// Age up to which an entry that can't tell whether it is alone takes the fleet for unknown.
 const UNKNOWN_UP_TO: Duration = Duration::from_secs(30);
@@ -76,6 +82,8 @@
     is_registered: bool,
     unneeded_since: Option<Time>,
     retry_at: Time,
+    /// Calls that failed in a row.
+    failures: u32,
     lists: u32,
     listed_at: Option<Time>,
     /// Whether a list has shown the entry's own object.
@@ -107,11 +115,13 @@
 
     /// Records that the entry's own object is in the store.
     pub const fn record_registered(&mut self) {
+        self.failures = 0;
         self.is_registered = true;
     }
 
     /// Records a list, and whether it showed the entry's own object; a store that was restored from a backup may lack it.
     pub fn record_listed(&mut self, now: Time, is_visible: bool) {
+        self.failures = 0;
         self.is_visible |= is_visible;
         self.is_registered = is_visible;
         self.lists += 1;
@@ -120,13 +130,16 @@
 
     /// Records that the entry's own object was removed.
     pub const fn record_withdrawn(&mut self) {
+        self.failures = 0;
         self.is_registered = false;
         self.unneeded_since = None;
     }
 
     /// Records a call that failed.
     pub fn record_failure(&mut self, now: Time) {
-        self.retry_at = now + FAILURE_PAUSE;
+        let pause = doubled(FIRST_FAILURE_PAUSE, self.failures, MAX_FAILURE_PAUSE);
+        self.retry_at = now + pause;
+        self.failures += 1;
     }
 
     /// Returns whether the entry can't tell yet whether it is alone.
@@ -149,10 +162,11 @@
         if !is_lone {
             return SETTLED_LIST_PAUSE;
         }
-        let doublings = self.lists.saturating_sub(1).min(10);
-        FIRST_LIST_PAUSE
-            .saturating_mul(1 << doublings)
-            .min(MAX_LIST_PAUSE)
+        doubled(
+            FIRST_LIST_PAUSE,
+            self.lists.saturating_sub(1),
+            MAX_LIST_PAUSE,
+        )
     }
 
     fn withdraw_if_unneeded(&mut self, now: Time, duty: EntryDuty) -> Option<DiscoveryStep> {
@@ -168,3 +182,8 @@
 fn is_lone(now: Time, around: Surroundings) -> bool {
     !around.is_seed && !around.hears_others && now >= Time::default() + SEED_SILENCE
 }
+
+fn doubled(pause: Duration, times: u32, longest: Duration) -> Duration {
+    let factor = 1 << times.min(MAX_DOUBLINGS);
+    pause.saturating_mul(factor).min(longest)
+}
