Move a stream from its second engine while the move from its first is in progress

Cause: a run knew only that some move of it was in progress. While the order to a former engine had no answer, up to 4 s, no move from the engine where the stream had gone on was begun, and none later either; the stream was cut when that engine ended.

Change: a run knows from which engine its move is. One from another engine counts for nothing: it doesn't hold back the next, nor is it waited for, nor does it order a run to stop that isn't the stream's any more.

Ruled out: to wait for the former move; its answer says nothing of the run that goes on.

--- a/fireflydirect/src/migration.rs
+++ b/fireflydirect/src/migration.rs
@@ -62,7 +62,7 @@
     let has_copy = holders.any(|holder| node.pool.borrow().is_serving(holder));
     let needs_migration = departure_action(has_copy) == DepartureAction::Migrate;
     let can_migrate = run.can_migrate && node.policy.uses(Mechanism::Migrations);
-    if !needs_migration || !can_migrate || run.migrating.replace(true) {
+    if !needs_migration || !can_migrate || !run.begin_move(ix) {
         return;
     }
     if node.policy.uses(Mechanism::Departures) {
@@ -74,8 +74,7 @@
     let node = node.clone();
     tokio::task::spawn_local(async move {
         migrate(&node, ix, &run).await;
-        run.migrating.set(false);
-        run.migration_ended.notify_waiters();
+        run.end_move(ix);
     });
 }
 
@@ -140,6 +139,10 @@
     for &stop in stages {
         let outcome = if stop {
             wait_until_stop(node, from).await;
+            if !run.is_made_at(from) {
+                log_outcome(node, run, from, Some(to), "no run there any more");
+                return TargetOutcome::Settled;
+            }
             stop_and_copy(node, from, to, run).await.0
         } else {
             copy_memory(node, from, to, run).await
--- a/fireflydirect/src/runs.rs
+++ b/fireflydirect/src/runs.rs
@@ -119,8 +119,8 @@
     superseded: RefCell<Vec<EarlierCopy>>,
     /// Whether its stream has ended.
     is_over: Cell<bool>,
-    /// Whether a migration is in progress.
-    pub migrating: Cell<bool>,
+    /// Upstream of the move that is in progress; a former one's may go on for a while.
+    moving_from: Cell<Option<UpstreamIx>>,
     /// Orders to stop the runs of its request.
     pub stop_orders: Rc<StopOrders>,
     /// Time until which the relay waits for a copy, if its stream broke beside an order to stop.
@@ -168,7 +168,7 @@
             superseded: RefCell::default(),
             is_over: Cell::new(false),
             began: job.now(),
-            migrating: Cell::new(false),
+            moving_from: Cell::new(None),
             stop_orders: job.stop_orders.clone(),
             copy_limit: Cell::new(None),
             migration_ended: Notify::new(),
@@ -283,6 +283,32 @@
         self.take_superseded()
     }
 
+    /// Begins a move from an upstream; false if one from there is in progress.
+    #[must_use]
+    pub fn begin_move(&self, from: UpstreamIx) -> bool {
+        self.moving_from.replace(Some(from)) != Some(from)
+    }
+
+    /// Ends a move from an upstream.
+    pub fn end_move(&self, from: UpstreamIx) {
+        if self.moving_from.get() == Some(from) {
+            self.moving_from.set(None);
+        }
+        self.migration_ended.notify_waiters();
+    }
+
+    /// Returns whether a move from its current upstream is in progress.
+    #[must_use]
+    pub fn is_moving(&self) -> bool {
+        self.moving_from.get() == Some(self.at.get())
+    }
+
+    /// Returns whether its stream is still made at an upstream.
+    #[must_use]
+    pub fn is_made_at(&self, ix: UpstreamIx) -> bool {
+        self.at.get() == ix && !self.is_over.get()
+    }
+
     /// Returns the holder of its standby copy, if it has one.
     #[must_use]
     pub fn standby_holder(&self) -> Option<UpstreamIx> {
--- a/fireflydirect/src/standby_copies.rs
+++ b/fireflydirect/src/standby_copies.rs
@@ -110,13 +110,13 @@
 fn make_some(node: &Rc<Node>) {
     let now = node.now();
     let runs = node.runs.all();
-    let copying = runs.iter().filter(|r| r.migrating.get()).count();
+    let copying = runs.iter().filter(|r| r.is_moving()).count();
     let needs_copy = |run: &Rc<Run>| {
         run.can_migrate
             && run.produced.get() > 0
             && run.backup.get().is_none()
             && run.migration_copy.borrow().is_none()
-            && !run.migrating.get()
+            && !run.is_moving()
             && !node.pool.borrow().is_ended(run.at.get())
     };
     let exposed = runs.into_iter().filter(needs_copy);
@@ -133,19 +133,19 @@
             continue;
         }
         left -= 1;
-        run.migrating.set(true);
         let at = run.at.get();
-        spawn(node, at, run);
+        if run.begin_move(at) {
+            spawn(node, at, run);
+        }
     }
 }
 
-/// Copies a run in a task of its own; `run.migrating` is set already.
+/// Copies a run in a task of its own; its move has begun.
 pub fn spawn(node: &Rc<Node>, from: UpstreamIx, run: Rc<Run>) {
     let node = node.clone();
     tokio::task::spawn_local(async move {
         copy(&node, from, &run).await;
-        run.migrating.set(false);
-        run.migration_ended.notify_waiters();
+        run.end_move(from);
     });
 }
 
@@ -217,7 +217,7 @@
     let now = node.now();
     let runs = node.runs.all().into_iter();
     let held = runs.filter_map(|run| Some((run.standby_holder()?, run)));
-    let held = held.filter(|(_, run)| !run.migrating.get());
+    let held = held.filter(|(_, run)| !run.is_moving());
     let mut held: Vec<(f64, UpstreamIx, Rc<Run>)> = held
         .map(|(holder, run)| (risk(node, &run), holder, run))
         .collect();
--- a/fireflydirect/src/stream_source.rs
+++ b/fireflydirect/src/stream_source.rs
@@ -140,7 +140,7 @@
     let until = run.copy_limit.take();
     let until = until.unwrap_or_else(|| Instant::now() + COPY_TIMEOUT);
     let ended = run.migration_ended.notified();
-    if run.migrating.get() && run.standby_holder().is_none() {
+    if run.is_moving() && run.standby_holder().is_none() {
         let _ = tokio::time::timeout_at(until, ended).await;
     }
 }
