Send no order to an engine that has started again since

Cause: an order over a kept connection is repeated on a new one where the first breaks. If its engine had started again under its id by then, the repeat reached the next incarnation, which can't tell that it isn't meant, and stopped the run of the same request that had begun there; the order was filed under the former one.

Change: before each sending of a call that copies, stops or frees, the incarnation that it is meant for must not have ended. Reports may still be asked of the next one, since its answer tells of the end.

Ruled out: to count an order without an outcome for all later incarnations too; each stream that goes back to a crashed engine would then be cut or go on once more at its own end.

What remains: an order that is on its way as its engine starts again, delivered by something that accepts connections before it.

--- a/fireflydirect/src/departures.rs
+++ b/fireflydirect/src/departures.rs
@@ -166,7 +166,7 @@
     let record = node.pool.borrow().record(ix).clone();
     node.pool.borrow_mut().record_sending(node.now(), ix);
     let req = report_request(record.addr)?;
-    let answer = call_upstream(&node.own_links, &record, MAX_IDLE, req).await?;
+    let answer = call_upstream(&node.own_links, &record, MAX_IDLE, || true, req).await?;
     read_fetched(&answer.response)
 }
 
--- a/fireflydirect/src/memory_copy.rs
+++ b/fireflydirect/src/memory_copy.rs
@@ -116,7 +116,9 @@
     if let Ok(host) = HeaderValue::from_str(&source.addr.to_string()) {
         headers.insert(HOST, host);
     }
-    let answer = call_upstream(&node.own_links, &source, COPY_TIMEOUT, req).await?;
+    // The next incarnation can't tell that it isn't meant.
+    let goes_on = || !node.pool.borrow().is_ended(from);
+    let answer = call_upstream(&node.own_links, &source, COPY_TIMEOUT, goes_on, req).await?;
     let response = &answer.response;
     Ok(CopyAnswer {
         status: response.status,
--- a/fireflydirect/src/own_calls.rs
+++ b/fireflydirect/src/own_calls.rs
@@ -83,7 +83,8 @@
     })
 }
 
-/// Sends a call to an upstream, over a kept connection if the upstream is known to echo ids.
+/// Sends a call to an upstream, over a kept connection if the upstream is known to echo ids. `may_send` is asked
+/// before each sending.
 ///
 /// # Errors
 ///
@@ -92,8 +93,13 @@
     links: &Links,
     to: &UpstreamRecord,
     max_idle: Duration,
+    may_send: impl Fn() -> bool,
     req: Request<Full<Bytes>>,
 ) -> Result<OwnAnswer, CallError> {
+    let ensure_due = |may_have_arrived| {
+        let withheld = || call_error(anyhow::anyhow!("not due any more"), may_have_arrived);
+        may_send().then_some(()).ok_or_else(withheld)
+    };
     let incarnation = to.upstream_incarnation();
     let echoes = links.echoing.known.borrow().contains(&incarnation);
     let mut link = if echoes {
@@ -102,14 +108,17 @@
         links::open(to.addr).await
     }
     .map_err(|e| call_error(e.into(), false))?;
+    ensure_due(false)?;
     let mut answer = call_over(&mut link, &to.instance, req.clone()).await;
     let mut is_repeat = false;
     if echoes && let Err(e) = &answer {
         // A late answer may have taken the place of this one.
         is_repeat = !is_unsent(e);
+        ensure_due(is_repeat)?;
         link = links::open(to.addr)
             .await
             .map_err(|e| call_error(e.into(), is_repeat))?;
+        ensure_due(is_repeat)?;
         answer = call_over(&mut link, &to.instance, req).await;
     }
     let answer = answer.map_err(|e| {
--- a/fireflydirect/src/standby_copies.rs
+++ b/fireflydirect/src/standby_copies.rs
@@ -318,7 +318,8 @@
     let req = Request::delete(release_path(&memory.handle))
         .header(HOST, record.addr.to_string())
         .body(Full::new(Bytes::new()))?;
-    call_upstream(&node.own_links, &record, RELEASE_TIMEOUT, req).await?;
+    let goes_on = || !node.pool.borrow().is_ended(source);
+    call_upstream(&node.own_links, &record, RELEASE_TIMEOUT, goes_on, req).await?;
     Ok(())
 }
 
--- a/standins/src/site/proxy.rs
+++ b/standins/src/site/proxy.rs
@@ -30,6 +30,8 @@
     Reset,
     /// Resets new connections on arrival, as an upstream at its limit does.
     ResetNew,
+    /// Holds back both directions of the connections that are open, and forwards new ones.
+    HoldOld,
 }
 
 /// A proxy to one address; dropping it stops it.
@@ -114,14 +116,20 @@
     fault: watch::Receiver<ProxyFault>,
     reset_signal: Arc<Notify>,
 ) {
+    let is_new = *fault.borrow() == ProxyFault::HoldOld;
     let Ok(mut upstream) = TcpStream::connect(to).await else {
         return super::http::reset(stream);
     };
     let (from_caller, to_caller) = stream.split();
     let (from_upstream, to_upstream) = upstream.split();
     let is_answer = true;
-    let requests = copy_one_way(from_caller, to_upstream, fault.clone(), !is_answer);
-    let answers = copy_one_way(from_upstream, to_caller, fault.clone(), is_answer);
+    let requests = copy_one_way(
+        from_caller,
+        to_upstream,
+        fault.clone(),
+        [!is_answer, is_new],
+    );
+    let answers = copy_one_way(from_upstream, to_caller, fault.clone(), [is_answer, is_new]);
     let end = tokio::select! {
         end = requests => end,
         end = answers => end,
@@ -138,7 +146,7 @@
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     mut fault: watch::Receiver<ProxyFault>,
-    is_answer: bool,
+    [is_answer, is_new]: [bool; 2],
 ) -> End {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
@@ -146,6 +154,7 @@
         let is_blocked = |fault: &ProxyFault| match fault {
             ProxyFault::BlockAll => true,
             ProxyFault::BlockAnswers => is_answer,
+            ProxyFault::HoldOld => !is_new,
             ProxyFault::None | ProxyFault::Delay(_) | ProxyFault::Reset | ProxyFault::ResetNew => {
                 false
             }
