Don't let an order without an outcome hide the next one

Cause: an order whose repeat stopped a run may yet come, and weighs more for the next run there than an order to that run itself. So the late copy of that order wasn't waited for, and a run whose head was lost wasn't ordered to stop, as if it had been already: the run worked on unheard and the stream was cut.

Change: an order that is out is waited for whatever the others say, and a run whose connection broke is ordered to stop unless an order of its own is out or lost.

--- a/fireflycroft/src/stream_end.rs
+++ b/fireflycroft/src/stream_end.rs
@@ -158,6 +158,19 @@
         said.max().unwrap_or_default()
     }
 
+    /// Returns whether an order that may stop a run is out, whatever the others say.
+    #[must_use]
+    pub fn is_any_out(&self, run: RunNumber) -> bool {
+        self.orders_for(run).any(|order| order.settled.is_none())
+    }
+
+    /// Returns whether a run itself was ordered to stop and may yet be: an order that was sent for it has no outcome.
+    #[must_use]
+    pub fn is_being_stopped(&self, run: RunNumber) -> bool {
+        let mut own = self.orders.iter().filter(|order| order.sent_in == run);
+        own.any(|order| matches!(order.says_of(run), StopOrder::Out | StopOrder::Lost))
+    }
+
     /// Returns the time at which the last order that may stop a run was sent.
     #[must_use]
     pub fn last_sent(&self, run: RunNumber) -> Option<Time> {
--- a/fireflydirect/src/run_end.rs
+++ b/fireflydirect/src/run_end.rs
@@ -127,17 +127,16 @@
     }
     let at = broken.at;
     let upstream = job.node.pool.borrow().record(at).upstream_incarnation();
-    match run.stop_orders.at(&upstream) {
-        StopOrder::Stopped | StopOrder::StoppedByRepeat => {
-            return RunState::Over("it was stopped before");
-        }
-        // A second order couldn't tell what becomes of the first.
-        StopOrder::Out | StopOrder::Lost => {}
-        _ => {
-            if let Some(why) = stop(job, run, at).await {
-                return RunState::Over(why);
-            }
-        }
+    let orders = &run.stop_orders;
+    let known = orders.at(&upstream);
+    if matches!(known, StopOrder::Stopped | StopOrder::StoppedByRepeat) {
+        return RunState::Over("it was stopped before");
+    }
+    // A second order couldn't tell what becomes of the first.
+    if !orders.is_being_stopped(&upstream)
+        && let Some(why) = stop(job, run, at).await
+    {
+        return RunState::Over(why);
     }
     check_report(job, run, broken).await
 }
--- a/fireflydirect/src/stop_orders.rs
+++ b/fireflydirect/src/stop_orders.rs
@@ -64,6 +64,13 @@
         self.to_run(&self.run_at(upstream))
     }
 
+    /// Returns whether the run that began last at an upstream was ordered to stop itself, and may yet be.
+    #[must_use]
+    pub fn is_being_stopped(&self, upstream: &UpstreamIncarnation) -> bool {
+        let is = self.log_at(upstream, |orders| orders.is_being_stopped(orders.run()));
+        is.unwrap_or_default()
+    }
+
     /// Returns the time at which the last order to an upstream was sent.
     #[must_use]
     pub fn last_sent(&self, upstream: &UpstreamIncarnation) -> Option<Time> {
@@ -90,7 +97,8 @@
     pub async fn until_settled(&self, run: &RunKey) {
         loop {
             let settled = self.settled.notified();
-            if self.to_run(run) != StopOrder::Out {
+            let is_any_out = self.log_at(&run.at, |orders| orders.is_any_out(run.run));
+            if is_any_out != Some(true) {
                 return;
             }
             settled.await;
--- a/fireflydirect/tests/support/plays.rs
+++ b/fireflydirect/tests/support/plays.rs
@@ -11,7 +11,7 @@
 const SOURCES: usize = 2;
 
 /// Time from a notice after which runs that begin are stopped at once, of which there is no copy then.
-const PAST_STOP: Duration = Duration::from_millis(1_200);
+pub(crate) const PAST_STOP: Duration = Duration::from_millis(1_200);
 
 /// Number of the last engine, of those that streams move to.
 const LAST_TARGET: u8 = 3;
@@ -109,7 +109,8 @@
     reading
 }
 
-fn read(site: &Site, path: &str, play: Play, events: u64) -> JoinHandle<Played> {
+/// Reads a stream in a task of its own.
+pub(crate) fn read(site: &Site, path: &str, play: Play, events: u64) -> JoinHandle<Played> {
     let id = site.id();
     site.record.play(&id, play);
     let req = request(site, path, events, &id);
--- a/standins/src/site/moves.rs
+++ b/standins/src/site/moves.rs
@@ -17,6 +17,9 @@
 /// Time from the beginning of a run to an earlier order that stops it.
 const LATE_ORDER_DELAY: Duration = Duration::from_millis(60);
 
+/// Time after which a late answer comes.
+const LATE_ANSWER_DELAY: Duration = Duration::from_millis(2_500);
+
 /// Longest time for which an end is held for an order.
 const MAX_HOLD: Duration = Duration::from_secs(4);
 
@@ -26,6 +29,8 @@
     /// Stops the run and copies its memory.
     #[default]
     Copied,
+    /// The same, and answers late.
+    CopiedLate,
     /// Stops the run and keeps its memory, since the target has no room.
     Kept,
     /// The same once, then stops runs and loses the answers.
@@ -196,6 +201,9 @@
     /// Requests whose next run is stopped by an earlier order.
     late_orders: Mutex<HashSet<String>>,
     holds_ends: AtomicBool,
+    /// Whether a further copy of a run's memory to the same upstream keeps its handle.
+    keeps_handles: AtomicBool,
+    handles: Mutex<HashMap<(String, String), String>>,
     stopped_end: Mutex<StoppedEnd>,
     ordered: Notify,
     /// Signals of the first and the last moves that were asked for, by request.
@@ -234,6 +242,11 @@
         self.holds_ends.store(true, Ordering::Relaxed);
     }
 
+    /// Makes a further copy of a run's memory to the same upstream keep its handle.
+    pub fn keep_handles(&self) {
+        self.keeps_handles.store(true, Ordering::Relaxed);
+    }
+
     /// Sets how it ends the streams of stopped runs.
     pub fn end_stopped(&self, end: StoppedEnd) {
         *lock(&self.stopped_end) = end;
@@ -322,7 +335,8 @@
             stop.notify_one();
             lock(&self.stop_signals).remove(id);
         }
-        tokio::time::sleep(after).await;
+        let is_late = answer == StopAnswer::CopiedLate;
+        tokio::time::sleep(if is_late { LATE_ANSWER_DELAY } else { after }).await;
         match answer {
             StopAnswer::NeverArrived => return None,
             StopAnswer::CarriedOutLate => {
@@ -364,7 +378,13 @@
             _ => to.to_owned(),
         };
         // Each incarnation counts its handles from 0.
-        let handle = format!("h{}", self.next_handle.fetch_add(1, Ordering::Relaxed));
+        let next = || format!("h{}", self.next_handle.fetch_add(1, Ordering::Relaxed));
+        let handle = if self.keeps_handles.load(Ordering::Relaxed) {
+            let run = (id.to_owned(), holder.clone());
+            lock(&self.handles).entry(run).or_insert_with(next).clone()
+        } else {
+            next()
+        };
         let status = if holder == addr { 503 } else { 200 };
         let key = CopyKey {
             holder,
