Keep refused requests in the store, so that they outlast all entries

Cause: evidence of crashes lived in the memory of the entries alone. Where all of them end at once, nobody knows anything after the start, and a request that had been refused crashes three more engines.

Change: the entries on which the others rely to watch the store keep the latest 64 refused parts and contents there in one object, fireflycroft-refused/main, a second after a change and at its revision only; on a conflict it is read, merged and written again, ever more rarely. An entry that starts reads it if no other entry has informed it, and adopts what it reads like refusals that another entry tells: the next trial comes a whole interval later, so no sooner than it would have, however clocks differ. A silent store gets no call; no request waits longer than the second that a start may take already. Refusals that are due are settled without a request that asks, or they would not be kept. FIREFLYDIRECT_WITHOUT=kept_refusals turns it off. The stand-in for the store takes PUT, with its faults in a file of their own.

Ruled out: a stored time of the next trial, which a clock that jumps would bring forward; a file on the VM, which keeps nothing; one writer, which may be the one that is cut off from the store.

--- a/fireflycroft/src/mechanism.rs
+++ b/fireflycroft/src/mechanism.rs
@@ -45,11 +45,13 @@
     Waiting,
     /// Discovery of entries through the store, while no seed answers ([`crate::Discovery`]).
     Discovery,
+    /// Refused suspects of crashes in the store ([`crate::RefusalKeeper`]).
+    KeptRefusals,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Backups,
         Self::Migrations,
         Self::Departures,
@@ -68,6 +70,7 @@
         Self::Interference,
         Self::Waiting,
         Self::Discovery,
+        Self::KeptRefusals,
     ];
 
     /// Returns its name in settings and logs.
@@ -92,6 +95,7 @@
             Self::Interference => "interference",
             Self::Waiting => "waiting",
             Self::Discovery => "discovery",
+            Self::KeptRefusals => "kept_refusals",
         }
     }
 
--- a/fireflydirect/src/announce.rs
+++ b/fireflydirect/src/announce.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery;
 use crate::hold;
+use crate::kept_refusals;
 use crate::node::{Node, Stage};
 use fireflycroft::{CrashNews, EntryAnnouncement, EntryMessage, Evacuations, ListChange, OwnedKey};
 use fireflycroft_wire::{MAX_DATAGRAM_BYTES, encode_datagram};
@@ -34,6 +35,7 @@
         node.record_turn();
         update_watcher_role(&node);
         discovery::review(&node);
+        kept_refusals::review(&node);
         node.update_fleet_view();
         let interval = node
             .peers
--- a/fireflydirect/src/crash_sync.rs
+++ b/fireflydirect/src/crash_sync.rs
@@ -2,9 +2,11 @@
 //!
 //! A request that crashes upstreams may come to it at once. It asks the entries that it knows until one of those that
 //! have served before answers. Where all have just started nobody knows anything, which it can't be told: so it waits
-//! for a short time only, while requests that have come wait with it. Entries that meet late ask each other as well.
+//! for a short time only, while requests that have come wait with it, and reads what the store keeps. Entries that meet
+//! late ask each other as well.
 
 use crate::client::Client;
+use crate::kept_refusals;
 use crate::node::Node;
 use crate::page_server::{Page, empty};
 use crate::suspects;
@@ -45,13 +47,16 @@
 /// Asks other entries until one answers that has served before.
 pub async fn run(node: Rc<Node>) {
     while node.now() < Time::default() + ASK_FOR {
+        kept_refusals::review(&node);
         let round = ask_all(&node).await;
         let age = node.now().since(Time::default());
         if round == Round::Informed {
             log::info!(event = "crashes_learnt", age_ms = age.as_millis(); "");
+            kept_refusals::record_informed(&node);
             return node.record_crash_knowledge();
         }
         let nobody_knows = round == Round::AllAnswered && age >= NOBODY_KNOWS_AFTER;
+        let nobody_knows = nobody_knows && kept_refusals::is_informed(&node);
         if nobody_knows || age >= GIVE_UP_AFTER {
             node.record_crash_knowledge();
         }
--- a/fireflydirect/src/discovery.rs
+++ b/fireflydirect/src/discovery.rs
@@ -162,7 +162,7 @@
 }
 
 /// Sends a call to the store on a connection of its own.
-async fn call(
+pub(crate) async fn call(
     node: &Node,
     method: Method,
     path: &str,
--- a/fireflydirect/src/lib.rs
+++ b/fireflydirect/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod incarnations;
 pub mod ingest;
 pub mod job;
+mod kept_refusals;
 pub mod links;
 mod list_freshness;
 pub mod loads;
--- a/fireflydirect/src/node.rs
+++ b/fireflydirect/src/node.rs
@@ -111,6 +111,8 @@
     pub(crate) discovery: RefCell<Discovery>,
     /// Whether a call for it is in progress.
     pub(crate) discovering: Cell<bool>,
+    /// Refused suspects in the store.
+    pub(crate) refusal_keeper: crate::kept_refusals::Keeper,
     /// Role of this entry among the watchers of the store.
     pub watcher_role: RefCell<WatcherRole>,
     /// Notified when the role changes.
@@ -229,6 +231,7 @@
             query_budget: RefCell::default(),
             discovery: RefCell::default(),
             discovering: Cell::default(),
+            refusal_keeper: crate::kept_refusals::Keeper::default(),
             watcher_role: RefCell::new(WatcherRole::new(place.ip, watches_initially(&place))),
             watcher_role_changed: Notify::new(),
             replica_reads: Cell::new(0),
--- a/fireflydirect/src/suspects.rs
+++ b/fireflydirect/src/suspects.rs
@@ -244,12 +244,7 @@
     for report in &told.crashes {
         apply_crash(node, from, report);
     }
-    for refused in &told.refused {
-        let is_news = node.crash_evidence.borrow_mut().adopt(node.now(), *refused);
-        if is_news {
-            log_refused(refused, "peer");
-        }
-    }
+    adopt(node, &told.refused, "peer");
     for survivor in &told.survivors {
         apply_survivor(node, *survivor, "peer");
     }
@@ -257,6 +252,16 @@
     tell_news(node);
 }
 
+/// Refuses suspects that another entry told, or that the store keeps.
+pub fn adopt(node: &Node, refused: &[RefusedSuspect], source: &str) {
+    for refused in refused {
+        let is_news = node.crash_evidence.borrow_mut().adopt(node.now(), *refused);
+        if is_news {
+            log_refused(refused, source);
+        }
+    }
+}
+
 fn apply_crash(node: &Node, from: Ipv4Addr, report: &CrashReport) {
     let mut evidence = node.crash_evidence.borrow_mut();
     if !evidence.record_told_crash(node.now(), report.clone()) {
--- a/standins/src/site/mod.rs
+++ b/standins/src/site/mod.rs
@@ -20,6 +20,7 @@
 mod runs;
 mod start;
 mod store;
+mod store_mode;
 mod versions;
 
 pub use broken_answers::{BrokenAnswer, BrokenServer};
@@ -32,5 +33,6 @@
 pub use plays::Play;
 pub use proxy::{Proxy, ProxyFault};
 pub use record::{Record, Run, RunEnd};
-pub use store::{Snapshot, Store, StoreMode};
+pub use store::{Snapshot, Store};
+pub use store_mode::StoreMode;
 pub use versions::last_event;
--- a/standins/src/site/store.rs
+++ b/standins/src/site/store.rs
@@ -13,41 +13,9 @@
 use tokio::task::{JoinHandle, JoinSet};
 
 use super::http::{Request, read_request, reset, until_closed, write_answer};
+use super::store_mode::StoreMode;
 use crate::sync::lock;
 
-/// Treatment of calls by the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub enum StoreMode {
-    /// Answers calls.
-    #[default]
-    Up,
-    /// Resets every connection.
-    Reset,
-    /// Accepts calls and never answers.
-    Silent,
-    /// Accepts calls of these callers and never answers them.
-    SilentTo(Vec<IpAddr>),
-    /// Rejects calls of these callers with 503.
-    Deny(Vec<IpAddr>),
-    /// Never answers this number of next calls, nor later calls on their connections; answers all
-    /// others.
-    HangNext(u32),
-    /// Delays answers by this time.
-    Delay(Duration),
-    /// Serves reads from the state at the start of this mode and sends no newer events to watches.
-    /// The history is compacted when the mode ends.
-    Stale,
-}
-
-impl StoreMode {
-    const fn delay(&self) -> Duration {
-        match self {
-            Self::Delay(delay) => *delay,
-            _ => Duration::ZERO,
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Event {
     kind: String,
@@ -431,6 +399,10 @@
             shared.changed.notify_waiters();
             return Decision::Done(Reply::Answer(if removed { 200 } else { 404 }, json!({})));
         }
+        if req.method == "PUT" {
+            shared.changed.notify_waiters();
+            return Decision::Done(replace(&mut state, kind, &name, &req.body));
+        }
         let key = (kind.to_owned(), name);
         let object = state.visible_objects().get(&key);
         let (status, body) = object.map_or((404, json!({})), |o| (200, o.clone()));
@@ -459,6 +431,23 @@
     Reply::Answer(200, state.put(kind, name, &call["spec"]))
 }
 
+/// Replaces the content of an object, unless it has another revision than the call bears.
+fn replace(state: &mut State, kind: &str, name: &str, body: &[u8]) -> Reply {
+    let call: Value = serde_json::from_slice(body).unwrap_or_default();
+    let key = (kind.to_owned(), name.to_owned());
+    let Some(object) = state.objects.get(&key) else {
+        return Reply::Answer(404, json!({}));
+    };
+    let wanted = &call["metadata"]["revision"];
+    if !wanted.is_null() && *wanted != object["metadata"]["revision"] {
+        return Reply::Answer(409, object.clone());
+    }
+    if call["spec"] == object["spec"] {
+        return Reply::Answer(200, object.clone());
+    }
+    Reply::Answer(200, state.put(kind, name, &call["spec"]))
+}
+
 /// Returns the name after which a list begins; empty for its first page.
 fn after_of(req: &Request) -> String {
     let after = req.query("after").unwrap_or_default();
