--- a/fireflydirect/tests/processes_moved_on.rs
+++ b/fireflydirect/tests/processes_moved_on.rs
@@ -37,8 +37,8 @@
     assert_ne!(first, second);
     site.engines[second].report_leaving(NOTICE_MS);
     list(&site, second, "draining");
-    let moved = format!("event=run_moved req={id} from=m-{second} ");
-    until("the second move", || async { site.log(0).contains(&moved) }).await;
+    let left = format!("event=run_moved req={id} from=m-{second} ");
+    until("the second move", || async { site.log(0).contains(&left) }).await;
     site.engines[second].kill();
     let body = reading.await.unwrap().unwrap_or_default();
     assert!(body == whole_stream(&id, LONG), "{body}\n{}", site.log(0));
