Read little at a time over a stream's connection that is opened anew after a report

Cause: a caller's stream goes over a connection whose reads stay short, so that the HTTP library doesn't let its buffer grow. Where the report that confirms a new connection came late, broke or closed the connection, the one opened in its place had no such bound: its buffer grew to 120 KB for each stream that nobody read, and no account counts it. A machine short of processor time brings late reports, and so the listed peaks of bytes_behind_requests.

Change: that connection is opened as the others for callers are.

Ruled out, by a memory image at a peak (24 MB private, 99 to 116 such buffers): growth of callers' read buffers, of the log or of the kernel's share, and free memory kept by the allocator (2 MB). The test adds the greatest memory to the unread bytes of an earlier moment, some 3 MB more than was held at any one moment; it is stricter than its bound, and stays.

--- a/fireflydirect/src/incarnations.rs
+++ b/fireflydirect/src/incarnations.rs
@@ -38,7 +38,7 @@
         Ok(Err(e)) => log_unconfirmed(node, ix, &e.to_string()),
         Err(_) => log_unconfirmed(node, ix, "no report in time"),
     }
-    links::open(record.addr).await
+    links::open_for_callers(record.addr).await
 }
 
 /// Returns the software version of the upstream behind a connection whose response head has arrived; `None` if it
--- a/fireflydirect/src/links.rs
+++ b/fireflydirect/src/links.rs
@@ -184,7 +184,11 @@
 }
 
 /// Opens a connection for answers that callers may not read as fast as they come.
-async fn open_for_callers(addr: SocketAddr) -> io::Result<Link> {
+///
+/// # Errors
+///
+/// If it isn't set up within [`CONNECT_TIMEOUT`].
+pub async fn open_for_callers(addr: SocketAddr) -> io::Result<Link> {
     start(ShortReads(connect(addr).await?)).await
 }
 
--- a/fireflydirect/tests/processes_crowds.rs
+++ b/fireflydirect/tests/processes_crowds.rs
@@ -294,6 +294,30 @@
     site.check();
 }
 
+/// A stream's connection is opened anew after a report that came over the first one, or didn't come in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_that_nobody_reads_over_connections_opened_anew_after_a_report() {
+    let _turn = take_turn().await;
+    let mut site = start_site(MEMORY_MB, MAX_FDS).await;
+    for engine in &site.engines {
+        engine.close_connections();
+    }
+    let watch = Watch::start(site.entries[0].id());
+    let client = Client {
+        awaits_answer: true,
+        ..soon_blocked_stream()
+    };
+    let crowd = Crowd::gather(site.callers_of(0), 400, client).await;
+    let served_beside = is_served(&site).await;
+    crowd.dismiss().await;
+    assert!(site.entries[0].is_running(), "{}", site.log_tail(0));
+    let peak = watch.end().unwrap().memory;
+    println!("{} KB of {MEMORY_MB} MB", peak >> 10);
+    assert!(served_beside, "{} KB", peak >> 10);
+    assert!(peak < MEMORY_MB * 1_000_000, "{} KB", peak >> 10);
+    site.check();
+}
+
 /// The entry takes as long as it needs for millions of chunks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_body_in_chunks_of_one_byte_is_served() {
